--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,7 +1,7 @@
 //! Answers as text for people.
 
+use ploverlift_cluster::router::DecisionRecord;
 use ploverlift_node::operators::{Explanation, StatusReport};
-use ploverlift_node::state::DecisionRecord;
 
 /// A node's report as text.
 pub fn status_text(report: &StatusReport) -> String {
@@ -19,6 +19,11 @@
     for rejected in &report.rejected {
         text.push_str(&format!("  left out: {}\n", rejected.reason));
     }
+    text.push_str("node              zone          status\n");
+    for node in &report.nodes {
+        let (name, zone) = (node.name.as_str(), node.zone.as_str());
+        text.push_str(&format!("{name:<17} {zone:<13} {}\n", node.status));
+    }
     text.push_str("engine            zone          health   weights  running  waiting\n");
     for engine in &report.engines {
         text.push_str(&format!(
--- /dev/null
+++ b/crates/cluster/src/claim_proposer.rs
@@ -0,0 +1,235 @@
+//! The proposer's side of claims: asks the replicas, counts their votes and
+//! says what came of it.
+
+use crate::claims::{majority, messages, replica_keys, ClaimKey};
+use crate::node_key::NodeKey;
+use crate::output::Outbox;
+use ploverlift_policy::admission::ComeBack;
+use ploverlift_policy::ids::Millis;
+use ploverlift_policy::objects::ClaimGroupSpec;
+use ploverlift_wire::messages::{ClaimVerdict, ClaimVote};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Time after which a request for a vote is repeated, in milliseconds.
+pub const RESEND_MS: u64 = 100;
+/// Time after which a proposal without a majority is given up, in milliseconds.
+pub const PROPOSAL_TIMEOUT_MS: u64 = 1_000;
+/// Time to come back when replicas do not answer, in milliseconds.
+const NO_QUORUM_COME_BACK_MS: u64 = 2_000;
+
+/// Names a proposal to its driver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What came of a proposal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimOutcome {
+    /// This proposal holds the claim: its request may be sent once.
+    Granted,
+    /// An earlier request holds it and its answer is recorded.
+    Answered(Vec<u8>),
+    /// An earlier request holds it.
+    Held,
+    /// The key was used for another request.
+    OtherRequest,
+    /// It cannot be known; the proposal's own grants were given back.
+    Unavailable(ComeBack),
+}
+
+/// One proposal.
+#[derive(Clone, Debug)]
+pub struct Proposal {
+    group: String,
+    spec: Arc<ClaimGroupSpec>,
+    key: ClaimKey,
+    owner: u64,
+    fingerprint: u64,
+    started_at: Millis,
+    sent_at: Millis,
+    grants: BTreeMap<NodeKey, u64>,
+    held: BTreeSet<NodeKey>,
+    not_voting: BTreeMap<NodeKey, u64>,
+}
+
+impl Proposal {
+    /// A proposal that was not sent yet.
+    pub fn new(
+        group: &str,
+        spec: Arc<ClaimGroupSpec>,
+        key: ClaimKey,
+        owner: u64,
+        fingerprint: u64,
+        now: Millis,
+    ) -> Self {
+        Self {
+            group: group.to_owned(),
+            spec,
+            key,
+            owner,
+            fingerprint,
+            started_at: now,
+            sent_at: now,
+            grants: BTreeMap::new(),
+            held: BTreeSet::new(),
+            not_voting: BTreeMap::new(),
+        }
+    }
+
+    /// The claim's key.
+    pub fn key(&self) -> ClaimKey {
+        self.key
+    }
+
+    /// The random number that marks this proposal's grants.
+    pub fn owner(&self) -> u64 {
+        self.owner
+    }
+
+    fn replicas(&self) -> Vec<NodeKey> {
+        replica_keys(&self.spec.replicas)
+    }
+
+    /// Asks every replica that has not voted.
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        address_of: impl Fn(NodeKey) -> Option<SocketAddr>,
+        outbox: &mut Outbox,
+    ) {
+        self.sent_at = now;
+        for replica in self.replicas() {
+            if self.grants.contains_key(&replica) || self.held.contains(&replica) {
+                continue;
+            }
+            if let Some(address) = address_of(replica) {
+                let generation = self.spec.generation;
+                let request = messages::request(
+                    &self.group,
+                    generation,
+                    self.key,
+                    self.owner,
+                    self.fingerprint,
+                );
+                outbox.send(address, request);
+            }
+        }
+    }
+
+    /// Takes in a vote; returns the outcome once it is certain.
+    pub fn on_vote(
+        &mut self,
+        vote: ClaimVote,
+        voter: NodeKey,
+        voter_life: u64,
+    ) -> Option<ClaimOutcome> {
+        let verdict = vote.verdict();
+        if !self.replicas().contains(&voter) {
+            return None;
+        }
+        for known in &vote.known_lives {
+            self.drop_forgotten(NodeKey(known.replica), known.life);
+        }
+        self.drop_forgotten(voter, voter_life);
+        match verdict {
+            ClaimVerdict::Granted => {
+                self.grants.insert(voter, voter_life);
+            }
+            ClaimVerdict::Held => {
+                self.held.insert(voter);
+            }
+            ClaimVerdict::Answered => return Some(ClaimOutcome::Answered(vote.answer)),
+            ClaimVerdict::OtherRequest => return Some(ClaimOutcome::OtherRequest),
+            ClaimVerdict::NotVoting => {
+                self.not_voting.insert(voter, vote.voting_in_ms);
+            }
+            ClaimVerdict::WrongGeneration => {
+                self.not_voting.insert(voter, NO_QUORUM_COME_BACK_MS);
+            }
+        }
+        self.judge()
+    }
+
+    fn drop_forgotten(&mut self, replica: NodeKey, life: u64) {
+        if self
+            .grants
+            .get(&replica)
+            .is_some_and(|granted| *granted < life)
+        {
+            self.grants.remove(&replica);
+        }
+    }
+
+    fn judge(&self) -> Option<ClaimOutcome> {
+        let replicas = self.spec.replicas.len();
+        let needed = majority(replicas);
+        if self.grants.len() >= needed {
+            return Some(ClaimOutcome::Granted);
+        }
+        if replicas - self.held.len() < needed {
+            return Some(ClaimOutcome::Held);
+        }
+        let not_granting = self
+            .not_voting
+            .keys()
+            .filter(|voter| !self.grants.contains_key(voter));
+        let lost = not_granting.count() + self.held.len();
+        if replicas.saturating_sub(lost) < needed {
+            return Some(self.unavailable());
+        }
+        None
+    }
+
+    fn unavailable(&self) -> ClaimOutcome {
+        let voting_in = self.not_voting.values().min().copied();
+        let after = voting_in.unwrap_or(NO_QUORUM_COME_BACK_MS);
+        ClaimOutcome::Unavailable(ComeBack::after(after))
+    }
+
+    /// Asks again when it is time; returns the outcome when time is over.
+    pub fn tick(
+        &mut self,
+        now: Millis,
+        address_of: impl Fn(NodeKey) -> Option<SocketAddr>,
+        outbox: &mut Outbox,
+    ) -> Option<ClaimOutcome> {
+        if now.since(self.started_at) >= PROPOSAL_TIMEOUT_MS {
+            return Some(self.unavailable());
+        }
+        let reachable = self
+            .replicas()
+            .into_iter()
+            .filter(|key| address_of(*key).is_some());
+        if reachable.count() < majority(self.spec.replicas.len()) {
+            return Some(self.unavailable());
+        }
+        if now.since(self.sent_at) >= RESEND_MS {
+            self.ask(now, address_of, outbox);
+        }
+        None
+    }
+
+    /// Gives the grants back; only when the request did not run and never will.
+    pub fn release(&self, address_of: impl Fn(NodeKey) -> Option<SocketAddr>, outbox: &mut Outbox) {
+        for address in self.replicas().into_iter().filter_map(address_of) {
+            outbox.send(
+                address,
+                messages::release(&self.group, self.key, self.owner),
+            );
+        }
+    }
+
+    /// Records the answer at the replicas.
+    pub fn complete(
+        &self,
+        answer: &[u8],
+        address_of: impl Fn(NodeKey) -> Option<SocketAddr>,
+        outbox: &mut Outbox,
+    ) {
+        for address in self.replicas().into_iter().filter_map(address_of) {
+            let message = messages::complete(&self.group, self.key, self.owner, answer.to_vec());
+            outbox.send(address, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/claims.rs
@@ -0,0 +1,502 @@
+//! Claims of requests that may run at most once, held by a majority of
+//! replicas that lie in different zones.
+//!
+//! Replicas keep claims in memory only, so a restarted replica has forgotten
+//! its votes. Three rules make up for that:
+//!
+//! 1. A replica votes only while it is *complete*: it knows every claim that it
+//!    itself granted in an earlier life and that may still count. It was there
+//!    when the group was made, or it recovered from as many complete replicas
+//!    as every majority must meet, or it has been up for longer than any claim
+//!    is kept.
+//! 2. A vote carries the lives of the group's replicas as the voter knows them.
+//!    The proposer drops a grant that was given in an earlier life than any
+//!    vote knows of: that grant may be forgotten.
+//! 3. A replica that was asked for its claims by a later generation of the
+//!    group no longer votes in the earlier one.
+//!
+//! Together: every majority of grants that a proposer counts meets every
+//! recovery in a replica that remembers the claim. docs/design/claims.md has
+//! the argument and the schedules that broke earlier versions.
+
+use crate::node_key::NodeKey;
+use crate::output::Outbox;
+use ploverlift_policy::ids::{Millis, NodeName};
+use ploverlift_policy::objects::ClaimGroupSpec;
+use ploverlift_wire::messages::envelope::Body;
+use ploverlift_wire::messages::{
+    ClaimComplete, ClaimKey as ClaimKeyMessage, ClaimRecover, ClaimRelease, ClaimRequest,
+    ClaimState, ClaimVerdict, ClaimVote, HeldClaim, ReplicaLife,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// Default time for which a claim is kept, in milliseconds.
+pub const DEFAULT_RETENTION_MS: u64 = 600_000;
+/// Claims that one replica holds at most.
+pub const MAX_CLAIMS: usize = 200_000;
+/// Largest answer that is recorded with a claim, in bytes.
+pub const MAX_RECORDED_ANSWER_BYTES: usize = 16 * 1024;
+/// Time between two requests for the claims of other replicas, in milliseconds.
+const RECOVER_PERIOD_MS: u64 = 250;
+/// A recovery from a living majority takes less than this, in milliseconds.
+const QUICK_RECOVERY_MS: u64 = 2_000;
+/// Claims that are dropped when their time is over, looked for at this period, in milliseconds.
+const EXPIRY_PERIOD_MS: u64 = 1_000;
+
+/// Identity of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClaimKey(pub u128);
+
+impl ClaimKey {
+    /// The key of a request of one tenant on one route.
+    pub fn of(tenant: &str, route: &str, idempotency_key: &str) -> Self {
+        let text = format!("{tenant}\u{1f}{route}\u{1f}{idempotency_key}");
+        Self(xxh3_128(text.as_bytes()))
+    }
+
+    fn to_message(self) -> ClaimKeyMessage {
+        ClaimKeyMessage {
+            high: (self.0 >> 64) as u64,
+            low: self.0 as u64,
+        }
+    }
+
+    fn from_message(message: Option<&ClaimKeyMessage>) -> Option<Self> {
+        let message = message?;
+        Some(Self(
+            (u128::from(message.high) << 64) | u128::from(message.low),
+        ))
+    }
+}
+
+/// Complete replicas from which one that forgot its votes must recover, so
+/// that at least one of them is in every majority that it was part of.
+pub fn recovery_quorum(replicas: usize) -> usize {
+    replicas - majority(replicas).min(replicas) + 1
+}
+
+/// Votes that make a majority of `replicas`.
+pub fn majority(replicas: usize) -> usize {
+    replicas / 2 + 1
+}
+
+#[derive(Clone, Debug)]
+struct Claim {
+    owner: u64,
+    fingerprint: u64,
+    taken_at: Millis,
+    answer: Option<Arc<Vec<u8>>>,
+}
+
+/// What a replica that recovers was told so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Recovery {
+    /// Complete replicas of the present generation that told their claims.
+    present: BTreeSet<NodeKey>,
+    /// Replicas of the generation before that told their claims.
+    before: BTreeSet<NodeKey>,
+}
+
+/// One node's part in one claim group.
+#[derive(Debug)]
+pub struct ClaimReplica {
+    own: NodeKey,
+    own_life: u64,
+    started_at: Millis,
+    retention_ms: u64,
+    spec: Option<Arc<ClaimGroupSpec>>,
+    /// The latest generation in which this replica is or was complete.
+    complete_generation: u64,
+    recovery: Recovery,
+    /// This replica votes in no generation below this one.
+    sealed_below: u64,
+    claims: HashMap<ClaimKey, Claim>,
+    lives: BTreeMap<NodeKey, u64>,
+    next_recover: Millis,
+    next_expiry: Millis,
+}
+
+impl ClaimReplica {
+    /// A replica that knows no group yet. `started_at` is the node's start.
+    pub fn new(own: NodeKey, own_life: u64, started_at: Millis, retention_ms: u64) -> Self {
+        Self {
+            own,
+            own_life,
+            started_at,
+            retention_ms,
+            spec: None,
+            complete_generation: 0,
+            recovery: Recovery::default(),
+            sealed_below: 0,
+            claims: HashMap::new(),
+            lives: BTreeMap::new(),
+            next_recover: Millis(0),
+            next_expiry: Millis(0),
+        }
+    }
+
+    /// Number of claims held.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Whether no claim is held.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Whether this replica votes.
+    pub fn votes(&self) -> bool {
+        self.is_replica() && self.complete_generation == self.generation()
+    }
+
+    fn generation(&self) -> u64 {
+        self.spec.as_ref().map_or(0, |spec| spec.generation)
+    }
+
+    fn is_replica(&self) -> bool {
+        self.own_position().is_some()
+    }
+
+    fn own_position(&self) -> Option<usize> {
+        let replicas = &self.spec.as_ref()?.replicas;
+        replicas
+            .iter()
+            .position(|name| NodeKey::of(name) == self.own)
+    }
+
+    /// Takes in the group's description; an earlier generation is ignored.
+    pub fn set_group(&mut self, spec: Arc<ClaimGroupSpec>) {
+        if spec.generation <= self.generation() {
+            return;
+        }
+        self.sealed_below = self.sealed_below.max(spec.generation);
+        self.next_recover = Millis(0);
+        self.recovery = Recovery::default();
+        let first = spec.previous.is_empty();
+        let before = replica_keys(&spec.previous);
+        let was_complete = self.complete_generation + 1 == spec.generation;
+        self.spec = Some(spec);
+        if first && self.entered_in_this_life() {
+            self.complete_generation = self.generation();
+        }
+        if was_complete && before.contains(&self.own) {
+            self.recovery.before.insert(self.own);
+        }
+        self.finish_recovery();
+    }
+
+    /// Whether this node was in its present life when the generation was made,
+    /// so that it cannot have voted in it before and forgotten the votes.
+    fn entered_in_this_life(&self) -> bool {
+        let (Some(spec), Some(position)) = (&self.spec, self.own_position()) else {
+            return false;
+        };
+        spec.lives.get(position) == Some(&self.own_life)
+    }
+
+    /// Becomes complete when enough replicas have told their claims.
+    fn finish_recovery(&mut self) {
+        let Some(spec) = &self.spec else {
+            return;
+        };
+        let by_present = self.recovery.present.len() >= recovery_quorum(spec.replicas.len());
+        let enough_before = self.recovery.before.len() >= recovery_quorum(spec.previous.len());
+        let by_before = !spec.previous.is_empty() && enough_before && self.entered_in_this_life();
+        if self.is_replica() && (by_present || by_before) {
+            self.complete_generation = self.generation();
+        }
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(
+        &mut self,
+        now: Millis,
+        group: &str,
+        address_of: impl Fn(NodeKey) -> Option<SocketAddr>,
+        outbox: &mut Outbox,
+    ) {
+        self.expire(now);
+        if !self.is_replica() || self.votes() {
+            return;
+        }
+        let outlived = now.since(self.started_at) >= self.retention_ms;
+        if outlived {
+            self.complete_generation = self.generation();
+            return;
+        }
+        if now < self.next_recover {
+            return;
+        }
+        self.next_recover = now.plus(RECOVER_PERIOD_MS);
+        let recover = ClaimRecover {
+            group: group.to_owned(),
+            generation: self.generation(),
+        };
+        for target in self.recovery_sources() {
+            if let Some(address) = address_of(target) {
+                outbox.send(address, Body::ClaimRecover(recover.clone()));
+            }
+        }
+    }
+
+    /// Other replicas of the present generation and of the one before.
+    fn recovery_sources(&self) -> BTreeSet<NodeKey> {
+        let Some(spec) = &self.spec else {
+            return BTreeSet::new();
+        };
+        let names = spec.replicas.iter().chain(&spec.previous);
+        let keys = names.map(NodeKey::of);
+        keys.filter(|key| *key != self.own).collect()
+    }
+
+    fn expire(&mut self, now: Millis) {
+        if now < self.next_expiry {
+            return;
+        }
+        self.next_expiry = now.plus(EXPIRY_PERIOD_MS);
+        let retention = self.retention_ms;
+        self.claims
+            .retain(|_, claim| now.since(claim.taken_at) < retention);
+    }
+
+    /// Votes on a claim.
+    pub fn on_request(
+        &mut self,
+        request: &ClaimRequest,
+        now: Millis,
+        from: SocketAddr,
+        outbox: &mut Outbox,
+    ) {
+        let Some(key) = ClaimKey::from_message(request.key.as_ref()) else {
+            return;
+        };
+        let (verdict, answer) = self.judge(key, request, now);
+        let voting_in_ms = match verdict {
+            ClaimVerdict::NotVoting => self.voting_in(now),
+            _ => 0,
+        };
+        let lives = self.lives.iter();
+        let vote = ClaimVote {
+            key: request.key,
+            owner: request.owner,
+            verdict: verdict.into(),
+            known_lives: lives
+                .map(|(replica, life)| ReplicaLife {
+                    replica: replica.0,
+                    life: *life,
+                })
+                .collect(),
+            answer: answer.map_or_else(Vec::new, |answer| answer.as_ref().clone()),
+            voting_in_ms,
+        };
+        outbox.send(from, Body::ClaimVote(vote));
+    }
+
+    fn voting_in(&self, now: Millis) -> u64 {
+        let up = now.since(self.started_at);
+        if up < QUICK_RECOVERY_MS {
+            return QUICK_RECOVERY_MS - up;
+        }
+        self.retention_ms.saturating_sub(up)
+    }
+
+    fn judge(
+        &mut self,
+        key: ClaimKey,
+        request: &ClaimRequest,
+        now: Millis,
+    ) -> (ClaimVerdict, Option<Arc<Vec<u8>>>) {
+        let generation = self.generation();
+        if request.generation != generation || self.sealed_below > generation {
+            return (ClaimVerdict::WrongGeneration, None);
+        }
+        if let Some(claim) = self.claims.get(&key) {
+            return verdict_on(claim, request);
+        }
+        let full = self.claims.len() >= MAX_CLAIMS;
+        if !self.votes() || full {
+            return (ClaimVerdict::NotVoting, None);
+        }
+        let claim = Claim {
+            owner: request.owner,
+            fingerprint: request.fingerprint,
+            taken_at: now,
+            answer: None,
+        };
+        self.claims.insert(key, claim);
+        (ClaimVerdict::Granted, None)
+    }
+
+    /// Gives a claim back: its request did not run and never will.
+    pub fn on_release(&mut self, release: &ClaimRelease) {
+        let Some(key) = ClaimKey::from_message(release.key.as_ref()) else {
+            return;
+        };
+        let owned = self.claims.get(&key).map(|claim| claim.owner) == Some(release.owner);
+        if owned {
+            self.claims.remove(&key);
+        }
+    }
+
+    /// Records the answer of a claimed request.
+    pub fn on_complete(&mut self, complete: ClaimComplete) {
+        let Some(key) = ClaimKey::from_message(complete.key.as_ref()) else {
+            return;
+        };
+        if complete.answer.len() > MAX_RECORDED_ANSWER_BYTES {
+            return;
+        }
+        if let Some(claim) = self.claims.get_mut(&key) {
+            if claim.owner == complete.owner {
+                claim.answer = Some(Arc::new(complete.answer));
+            }
+        }
+    }
+
+    /// Tells all claims to a replica that recovers, and notes its life.
+    pub fn on_recover(
+        &mut self,
+        recover: &ClaimRecover,
+        sender: NodeKey,
+        sender_life: u64,
+        now: Millis,
+        from: SocketAddr,
+        outbox: &mut Outbox,
+    ) {
+        self.sealed_below = self.sealed_below.max(recover.generation);
+        let life = self.lives.entry(sender).or_default();
+        *life = (*life).max(sender_life);
+        let claims = self.claims.iter().map(|(key, claim)| HeldClaim {
+            key: Some(key.to_message()),
+            owner: claim.owner,
+            fingerprint: claim.fingerprint,
+            age_ms: now.since(claim.taken_at),
+            answered: claim.answer.is_some(),
+            answer: claim
+                .answer
+                .as_ref()
+                .map_or_else(Vec::new, |answer| answer.as_ref().clone()),
+        });
+        let state = ClaimState {
+            group: recover.group.clone(),
+            generation: self.complete_generation,
+            claims: claims.collect(),
+        };
+        outbox.send(from, Body::ClaimState(state));
+    }
+
+    /// Takes in the claims of another replica.
+    pub fn on_state(&mut self, state: ClaimState, sender: NodeKey, now: Millis) {
+        let Some(spec) = self.spec.clone() else {
+            return;
+        };
+        if !self.is_replica() || self.votes() || state.generation == 0 {
+            return;
+        }
+        let present = state.generation == spec.generation;
+        let before = state.generation + 1 >= spec.generation;
+        if present && replica_keys(&spec.replicas).contains(&sender) {
+            self.recovery.present.insert(sender);
+        }
+        if before && replica_keys(&spec.previous).contains(&sender) {
+            self.recovery.before.insert(sender);
+        }
+        for held in state.claims {
+            absorb(&mut self.claims, held, now);
+        }
+        self.finish_recovery();
+    }
+
+    /// The group's description.
+    pub fn group(&self) -> Option<&Arc<ClaimGroupSpec>> {
+        self.spec.as_ref()
+    }
+}
+
+fn verdict_on(claim: &Claim, request: &ClaimRequest) -> (ClaimVerdict, Option<Arc<Vec<u8>>>) {
+    if claim.owner == request.owner {
+        return (ClaimVerdict::Granted, None);
+    }
+    if claim.fingerprint != request.fingerprint {
+        return (ClaimVerdict::OtherRequest, None);
+    }
+    match &claim.answer {
+        Some(answer) => (ClaimVerdict::Answered, Some(Arc::clone(answer))),
+        None => (ClaimVerdict::Held, None),
+    }
+}
+
+fn absorb(claims: &mut HashMap<ClaimKey, Claim>, held: HeldClaim, now: Millis) {
+    let Some(key) = ClaimKey::from_message(held.key.as_ref()) else {
+        return;
+    };
+    let answer = held.answered.then(|| Arc::new(held.answer));
+    let taken_at = Millis(now.0.saturating_sub(held.age_ms));
+    match claims.get_mut(&key) {
+        Some(known) => {
+            if known.answer.is_none() && answer.is_some() {
+                known.owner = held.owner;
+                known.answer = answer;
+            }
+        }
+        None => {
+            let claim = Claim {
+                owner: held.owner,
+                fingerprint: held.fingerprint,
+                taken_at,
+                answer,
+            };
+            claims.insert(key, claim);
+        }
+    }
+}
+
+/// The names of a group's replicas as keys.
+pub fn replica_keys(replicas: &[NodeName]) -> Vec<NodeKey> {
+    replicas.iter().map(NodeKey::of).collect()
+}
+
+/// Builds the messages of a proposer.
+pub mod messages {
+    use super::*;
+
+    /// Asks for a vote.
+    pub fn request(
+        group: &str,
+        generation: u64,
+        key: ClaimKey,
+        owner: u64,
+        fingerprint: u64,
+    ) -> Body {
+        Body::ClaimRequest(ClaimRequest {
+            group: group.to_owned(),
+            generation,
+            key: Some(key.to_message()),
+            owner,
+            fingerprint,
+        })
+    }
+
+    /// Gives a claim back.
+    pub fn release(group: &str, key: ClaimKey, owner: u64) -> Body {
+        Body::ClaimRelease(ClaimRelease {
+            group: group.to_owned(),
+            key: Some(key.to_message()),
+            owner,
+        })
+    }
+
+    /// Records an answer.
+    pub fn complete(group: &str, key: ClaimKey, owner: u64, answer: Vec<u8>) -> Body {
+        Body::ClaimComplete(ClaimComplete {
+            group: group.to_owned(),
+            key: Some(key.to_message()),
+            owner,
+            answer,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/engine_watch.rs
@@ -0,0 +1,267 @@
+//! Who observes which engine, and how observations reach other nodes.
+//!
+//! Two nodes observe each engine: those of its zone with the highest
+//! rendezvous weight. They publish what changed, and in turn everything, to
+//! the nodes that route to the engine. A change of health, life or weights is
+//! published at once and repeated, because a lost message must not keep a
+//! leaving engine in use; a change of load is published when it is large.
+
+use crate::membership::Membership;
+use crate::node_key::{rendezvous_top, NodeKey};
+use crate::output::Outbox;
+use ploverlift_policy::fleet::{Engine, EngineKey, EngineObservation, Health, LoadReport};
+use ploverlift_policy::ids::{Incarnation, Millis, WeightsVersion};
+use ploverlift_wire::messages::envelope::Body;
+use ploverlift_wire::messages::{EngineReport, EngineReports};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Nodes that observe one engine.
+pub const OBSERVERS_PER_ENGINE: usize = 2;
+/// Time between two publications, in milliseconds.
+pub const PUBLISH_PERIOD_MS: u64 = 250;
+/// Everything is published again within this time, in milliseconds.
+pub const REFRESH_PERIOD_MS: u64 = 10_000;
+/// Publications of one change of health, life or weights.
+const ELIGIBILITY_REPEATS: u32 = 3;
+/// Up to so many nodes, every node hears of every engine; in larger fleets a
+/// node hears of the engines of its zone.
+pub const SMALL_FLEET_NODES: usize = 32;
+/// A load counts as changed when requests or queued tokens differ by this share.
+const LOAD_CHANGE_SHARE: f64 = 0.25;
+/// Smaller differences in requests are never published between refreshes.
+const MIN_REQUEST_CHANGE: u32 = 2;
+/// Smaller differences in queued tokens are never published between refreshes.
+const MIN_TOKEN_CHANGE: u32 = 2_000;
+/// Reports on one message: it stays within one datagram.
+const REPORTS_PER_MESSAGE: usize = 24;
+
+#[derive(Clone, Debug)]
+struct Observed {
+    latest: EngineObservation,
+    published: Option<EngineObservation>,
+    repeats: u32,
+    published_at: Millis,
+}
+
+/// One node's observations and what it has heard from other observers.
+#[derive(Debug, Default)]
+pub struct EngineWatch {
+    own: BTreeMap<EngineKey, Observed>,
+    heard: BTreeMap<EngineKey, Vec<(NodeKey, EngineObservation)>>,
+    next_publish: Millis,
+}
+
+/// The nodes that observe an engine, this node among them or not.
+pub fn observers_of(engine: &Engine, members: &Membership) -> Vec<NodeKey> {
+    let own = (members.own_key(), &members.own().zone);
+    let live = members
+        .live()
+        .map(|(key, member)| (key, &member.identity.zone));
+    let all: Vec<_> = live.chain([own]).collect();
+    let near = all.iter().filter(|(_, zone)| **zone == engine.zone);
+    let near: Vec<NodeKey> = near.map(|(key, _)| *key).collect();
+    let candidates = if near.is_empty() {
+        all.iter().map(|(key, _)| *key).collect()
+    } else {
+        near
+    };
+    rendezvous_top(engine.key.0, candidates.into_iter(), OBSERVERS_PER_ENGINE)
+}
+
+impl EngineWatch {
+    /// Takes in what this node observed. Returns what now holds of the engine.
+    pub fn observed(&mut self, observation: EngineObservation) -> EngineObservation {
+        let key = observation.key;
+        let known = self.own.entry(key).or_insert_with(|| Observed {
+            latest: observation.clone(),
+            published: None,
+            repeats: ELIGIBILITY_REPEATS,
+            published_at: Millis(0),
+        });
+        if eligibility_changed(&known.latest, &observation) {
+            known.repeats = ELIGIBILITY_REPEATS;
+        }
+        known.latest = observation;
+        self.joined(key)
+            .unwrap_or_else(|| self.own[&key].latest.clone())
+    }
+
+    /// Takes in what another observer published. Returns what now holds.
+    pub fn heard(&mut self, from: NodeKey, observation: EngineObservation) -> EngineObservation {
+        let reports = self.heard.entry(observation.key).or_default();
+        reports.retain(|(observer, _)| *observer != from);
+        reports.push((from, observation.clone()));
+        if reports.len() > 2 * OBSERVERS_PER_ENGINE {
+            reports.remove(0);
+        }
+        self.joined(observation.key).unwrap_or(observation)
+    }
+
+    /// Forgets what a dead observer said. Returns what now holds of the engines it observed.
+    pub fn observer_gone(&mut self, observer: NodeKey) -> Vec<EngineObservation> {
+        let mut touched = Vec::new();
+        for (engine, reports) in &mut self.heard {
+            let before = reports.len();
+            reports.retain(|(known, _)| *known != observer);
+            if reports.len() != before {
+                touched.push(*engine);
+            }
+        }
+        touched
+            .into_iter()
+            .filter_map(|engine| self.joined(engine))
+            .collect()
+    }
+
+    /// Forgets own observations of engines that others observe now.
+    pub fn keep_own(&mut self, observes: impl Fn(EngineKey) -> bool) {
+        self.own.retain(|engine, _| observes(*engine));
+    }
+
+    /// Joins the observers' reports: the latest life counts, an engine that
+    /// says it leaves is leaving, and it is dead only when no observer of that
+    /// life reaches it.
+    fn joined(&self, engine: EngineKey) -> Option<EngineObservation> {
+        let own = self.own.get(&engine).map(|observed| &observed.latest);
+        let heard = self.heard.get(&engine).into_iter().flatten();
+        let reports = own.into_iter().chain(heard.map(|(_, report)| report));
+        let mut best: Option<&EngineObservation> = None;
+        for report in reports {
+            let better = best.is_none_or(|best| {
+                (report.incarnation, preference(report.health))
+                    > (best.incarnation, preference(best.health))
+            });
+            if better {
+                best = Some(report);
+            }
+        }
+        best.cloned()
+    }
+
+    /// Publishes what is due.
+    pub fn tick(&mut self, now: Millis, members: &Membership, outbox: &mut Outbox) {
+        if now < self.next_publish {
+            return;
+        }
+        self.next_publish = now.plus(PUBLISH_PERIOD_MS);
+        let reports = self.due_reports(now);
+        if reports.is_empty() {
+            return;
+        }
+        let targets = audience(members);
+        for part in reports.chunks(REPORTS_PER_MESSAGE) {
+            let message = EngineReports {
+                reports: part.to_vec(),
+            };
+            for target in &targets {
+                outbox.send(*target, Body::EngineReports(message.clone()));
+            }
+        }
+    }
+
+    fn due_reports(&mut self, now: Millis) -> Vec<EngineReport> {
+        let mut due = Vec::new();
+        for observed in self.own.values_mut() {
+            let stale = now.since(observed.published_at) >= REFRESH_PERIOD_MS;
+            let changed = observed
+                .published
+                .as_ref()
+                .is_none_or(|published| load_changed(&published.load, &observed.latest.load));
+            if observed.repeats == 0 && !stale && !changed {
+                continue;
+            }
+            observed.repeats = observed.repeats.saturating_sub(1);
+            observed.published_at = now;
+            observed.published = Some(observed.latest.clone());
+            due.push(to_message(&observed.latest));
+        }
+        due
+    }
+}
+
+/// Nodes that this node's observations are for.
+fn audience(members: &Membership) -> Vec<SocketAddr> {
+    let small = members.live_count() < SMALL_FLEET_NODES;
+    let own_zone = &members.own().zone;
+    let live = members.live();
+    let near = live.filter(|(_, member)| small || member.identity.zone == *own_zone);
+    near.map(|(_, member)| member.identity.address).collect()
+}
+
+fn preference(health: Health) -> u8 {
+    match health {
+        Health::Dead => 0,
+        Health::Unknown => 1,
+        Health::Ready => 2,
+        Health::Loading => 3,
+        Health::Leaving => 4,
+    }
+}
+
+fn eligibility_changed(before: &EngineObservation, after: &EngineObservation) -> bool {
+    before.health != after.health
+        || before.incarnation != after.incarnation
+        || before.weights != after.weights
+}
+
+fn load_changed(before: &LoadReport, after: &LoadReport) -> bool {
+    let requests_before = before.running + before.waiting;
+    let requests_after = after.running + after.waiting;
+    let requests = requests_before.abs_diff(requests_after);
+    let tokens = before.queued_tokens.abs_diff(after.queued_tokens);
+    let share = |change: u32, base: u32| f64::from(change) >= LOAD_CHANGE_SHARE * f64::from(base);
+    let by_requests = requests >= MIN_REQUEST_CHANGE && share(requests, requests_before);
+    let by_tokens = tokens >= MIN_TOKEN_CHANGE && share(tokens, before.queued_tokens);
+    by_requests || by_tokens
+}
+
+fn health_code(health: Health) -> u32 {
+    match health {
+        Health::Unknown => 0,
+        Health::Ready => 1,
+        Health::Loading => 2,
+        Health::Leaving => 3,
+        Health::Dead => 4,
+    }
+}
+
+fn health_of_code(code: u32) -> Health {
+    match code {
+        1 => Health::Ready,
+        2 => Health::Loading,
+        3 => Health::Leaving,
+        4 => Health::Dead,
+        _ => Health::Unknown,
+    }
+}
+
+fn to_message(observation: &EngineObservation) -> EngineReport {
+    EngineReport {
+        engine: observation.key.0,
+        incarnation: observation.incarnation.0,
+        weights: observation.weights.0,
+        health: health_code(observation.health),
+        running: observation.load.running,
+        waiting: observation.load.waiting,
+        slots: observation.load.slots,
+        queued_tokens: observation.load.queued_tokens,
+        eviction_age_ms: 0,
+    }
+}
+
+/// Reads a report of another observer.
+pub fn from_message(report: &EngineReport) -> EngineObservation {
+    EngineObservation {
+        key: EngineKey(report.engine),
+        incarnation: Incarnation(report.incarnation),
+        weights: WeightsVersion(report.weights),
+        health: health_of_code(report.health),
+        load: LoadReport {
+            running: report.running,
+            waiting: report.waiting,
+            slots: report.slots,
+            queued_tokens: report.queued_tokens,
+        },
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/lease.rs
@@ -0,0 +1,122 @@
+//! Leases in the object API for duties that need one holder, with fencing.
+//!
+//! Clocks of nodes are never compared: a node counts a lease as expired when
+//! its version has not changed for the lease's whole duration by the node's own
+//! clock. The holder stops acting before that. What a paused holder still sends
+//! carries an old fencing token, which engines refuse.
+
+use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion};
+use ploverlift_policy::objects::LeaseSpec;
+
+/// Duration of a lease, in milliseconds.
+pub const LEASE_DURATION_MS: u64 = 6_000;
+/// The holder renews when so much of the lease has passed, in milliseconds.
+pub const RENEW_AFTER_MS: u64 = 2_000;
+/// The holder stops acting when it has not renewed for so long, in milliseconds.
+pub const STOP_ACTING_AFTER_MS: u64 = 4_000;
+
+/// What a node should do about a lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Nothing now.
+    Wait,
+    /// Store this description if the version is still `version`.
+    Write {
+        /// Version that must still be stored; 0 to create.
+        version: ResourceVersion,
+        /// What to store.
+        spec: LeaseSpec,
+    },
+}
+
+/// One node's view of one lease.
+#[derive(Clone, Debug)]
+pub struct LeaseView {
+    own: NodeName,
+    seen: Option<(ResourceVersion, LeaseSpec)>,
+    seen_at: Millis,
+    renewed_at: Option<Millis>,
+    writing_since: Option<Millis>,
+}
+
+impl LeaseView {
+    /// A view that has seen nothing yet.
+    pub fn new(own: NodeName) -> Self {
+        Self {
+            own,
+            seen: None,
+            seen_at: Millis(0),
+            renewed_at: None,
+            writing_since: None,
+        }
+    }
+
+    /// Takes in the stored lease as read, watched or returned by a write.
+    pub fn on_stored(&mut self, version: ResourceVersion, spec: LeaseSpec, now: Millis) {
+        let newer = self.seen.as_ref().is_none_or(|(known, _)| *known < version);
+        if !newer {
+            return;
+        }
+        if spec.holder == self.own {
+            // The write began before now: count from its beginning.
+            self.renewed_at = Some(self.writing_since.unwrap_or(now));
+        } else {
+            self.renewed_at = None;
+        }
+        self.writing_since = None;
+        self.seen = Some((version, spec));
+        self.seen_at = now;
+    }
+
+    /// A write failed or its reply was lost.
+    pub fn on_write_failed(&mut self) {
+        self.writing_since = None;
+    }
+
+    /// The token for orders, while this node may act as the holder.
+    pub fn token(&self, now: Millis) -> Option<u64> {
+        let renewed_at = self.renewed_at?;
+        let (_, spec) = self.seen.as_ref()?;
+        let fresh = now.since(renewed_at) < STOP_ACTING_AFTER_MS;
+        (fresh && spec.holder == self.own).then_some(spec.fencing_token)
+    }
+
+    /// What to do at `now`. `wants` tells whether this node is a candidate.
+    pub fn step(&mut self, wants: bool, unix_ms: u64, now: Millis) -> LeaseStep {
+        let writing = self
+            .writing_since
+            .is_some_and(|since| now.since(since) < RENEW_AFTER_MS);
+        if writing {
+            return LeaseStep::Wait;
+        }
+        let (version, token) = match &self.seen {
+            None if wants => (ResourceVersion(0), 1),
+            None => return LeaseStep::Wait,
+            Some((version, spec)) if spec.holder == self.own => {
+                let renewed = self.renewed_at.unwrap_or(Millis(0));
+                if now.since(renewed) < RENEW_AFTER_MS {
+                    return LeaseStep::Wait;
+                }
+                // After a pause beyond the lease somebody else may have acted.
+                let lapsed = now.since(renewed) >= STOP_ACTING_AFTER_MS;
+                (*version, spec.fencing_token + u64::from(lapsed))
+            }
+            Some((version, spec)) => {
+                let expired = now.since(self.seen_at) >= LEASE_DURATION_MS;
+                if !(wants && expired) {
+                    return LeaseStep::Wait;
+                }
+                (*version, spec.fencing_token + 1)
+            }
+        };
+        self.writing_since = Some(now);
+        LeaseStep::Write {
+            version,
+            spec: LeaseSpec {
+                holder: self.own.clone(),
+                fencing_token: token,
+                expires_unix_ms: unix_ms + LEASE_DURATION_MS,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/quota.rs
@@ -0,0 +1,176 @@
+//! Rate limits that hold over the whole fleet.
+//!
+//! Each tenant has a home node, by rendezvous hash over the live nodes. Nodes
+//! tell it their demand; it leases out the tenant's rate in proportion. A
+//! node without a valid lease takes its even share of the rate, so a cut or a
+//! dead home refuses nobody for long, and the sum over the fleet stays under
+//! [`overshoot_bound`] times the limit.
+
+use crate::membership::Membership;
+use crate::node_key::{rendezvous_first, NodeKey};
+use crate::output::Outbox;
+use ploverlift_policy::ids::{Millis, TenantName};
+use ploverlift_wire::messages::envelope::Body;
+use ploverlift_wire::messages::{QuotaDemand, QuotaGrant, TenantDemand, TenantGrant};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time between two reports of demand, in milliseconds.
+pub const DEMAND_PERIOD_MS: u64 = 1_000;
+/// Time for which a lease is valid, in milliseconds.
+pub const LEASE_MS: u64 = 3_000;
+/// Part of a tenant's rate that the home leases by demand; the rest is shared evenly.
+const BY_DEMAND_SHARE: f64 = 0.9;
+
+/// Hash of a tenant's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantKey(pub u64);
+
+impl TenantKey {
+    /// The key of a tenant's name.
+    pub fn of(name: &TenantName) -> Self {
+        Self(xxh3_64(name.0.as_bytes()))
+    }
+}
+
+/// The most by which the sum of all nodes' rates can exceed the limit: while
+/// leases from before a cut still run, each node that lost its home may add an
+/// even share.
+pub fn overshoot_bound() -> f64 {
+    2.0
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    rate: f64,
+    until: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    rate: f64,
+    until: Millis,
+}
+
+/// One node's part in quotas: as a user of leases and as the home of tenants.
+#[derive(Debug, Default)]
+pub struct Quota {
+    asked: HashMap<TenantKey, u64>,
+    leases: HashMap<TenantKey, Lease>,
+    home: HashMap<TenantKey, BTreeMap<NodeKey, Demand>>,
+    next_report: Millis,
+}
+
+impl Quota {
+    /// Counts a request of a tenant with a limit.
+    pub fn count_request(&mut self, tenant: TenantKey) {
+        *self.asked.entry(tenant).or_default() += 1;
+    }
+
+    /// The rate that this node may use of a tenant's `limit`, in requests a second.
+    pub fn rate(&self, tenant: TenantKey, limit: f64, members: &Membership, now: Millis) -> f64 {
+        match self.leases.get(&tenant) {
+            Some(lease) if lease.until > now => lease.rate.min(limit),
+            _ => limit / (members.live_count() as f64 + 1.0),
+        }
+    }
+
+    /// Reports demand to the homes when it is time.
+    pub fn tick(&mut self, now: Millis, members: &Membership, outbox: &mut Outbox) {
+        if now < self.next_report {
+            return;
+        }
+        self.next_report = now.plus(DEMAND_PERIOD_MS);
+        self.leases.retain(|_, lease| lease.until > now);
+        let mut by_home: BTreeMap<SocketAddr, QuotaDemand> = BTreeMap::new();
+        for (tenant, requests) in std::mem::take(&mut self.asked) {
+            let demand = TenantDemand {
+                tenant: tenant.0,
+                demand_milli: requests * 1_000 * 1_000 / DEMAND_PERIOD_MS,
+            };
+            let home = home_address(tenant, members);
+            by_home.entry(home).or_default().demands.push(demand);
+        }
+        for (home, mut demand) in by_home {
+            demand.demands.sort_by_key(|demand| demand.tenant);
+            outbox.send(home, Body::QuotaDemand(demand));
+        }
+    }
+
+    /// As a home: notes demand and leases out rates. `limit_of` gives a
+    /// tenant's limit, in requests a second.
+    /// Returns what to answer; `nodes` share what is not leased by demand.
+    pub fn on_demand(
+        &mut self,
+        sender: NodeKey,
+        demand: &QuotaDemand,
+        nodes: usize,
+        limit_of: impl Fn(TenantKey) -> Option<f64>,
+        now: Millis,
+    ) -> QuotaGrant {
+        let mut grant = QuotaGrant {
+            grants: Vec::new(),
+            valid_ms: LEASE_MS,
+        };
+        for asked in &demand.demands {
+            let tenant = TenantKey(asked.tenant);
+            let Some(limit) = limit_of(tenant) else {
+                continue;
+            };
+            let demands = self.home.entry(tenant).or_default();
+            demands.retain(|_, known| known.until > now);
+            let own = Demand {
+                rate: asked.demand_milli as f64 / 1_000.0,
+                until: now.plus(LEASE_MS),
+            };
+            demands.insert(sender, own);
+            let total: f64 = demands.values().map(|known| known.rate).sum();
+            let rate = leased_rate(limit, own.rate, total, nodes);
+            grant.grants.push(TenantGrant {
+                tenant: asked.tenant,
+                rate_milli: (rate * 1_000.0) as u64,
+            });
+        }
+        self.home
+            .retain(|_, demands| demands.values().any(|known| known.until > now));
+        grant
+    }
+
+    /// Takes in leases.
+    pub fn on_grant(&mut self, grant: &QuotaGrant, now: Millis) {
+        for granted in &grant.grants {
+            let lease = Lease {
+                rate: granted.rate_milli as f64 / 1_000.0,
+                until: now.plus(grant.valid_ms.min(LEASE_MS)),
+            };
+            self.leases.insert(TenantKey(granted.tenant), lease);
+        }
+    }
+
+    /// Tenants for which leases are held or given.
+    pub fn len(&self) -> usize {
+        self.leases.len() + self.home.len()
+    }
+
+    /// Whether no lease is held or given.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+fn leased_rate(limit: f64, demand: f64, total_demand: f64, nodes: usize) -> f64 {
+    let by_demand = if total_demand > 0.0 {
+        limit * BY_DEMAND_SHARE * demand / total_demand
+    } else {
+        0.0
+    };
+    by_demand + limit * (1.0 - BY_DEMAND_SHARE) / nodes.max(1) as f64
+}
+
+fn home_address(tenant: TenantKey, members: &Membership) -> SocketAddr {
+    let live = members.live().map(|(key, _)| key);
+    let home = rendezvous_first(tenant.0, live.chain([members.own_key()]));
+    let address = home.and_then(|home| members.address(home));
+    address.unwrap_or(members.own().address)
+}
--- /dev/null
+++ b/crates/cluster/src/router.rs
@@ -0,0 +1,502 @@
+//! The tables that decisions read and write on one node: the typed view of the
+//! configuration, the fleet, the directory, limits and the record of decisions.
+
+use ploverlift_policy::admission::{ComeBack, TenantShares, TokenBucket};
+use ploverlift_policy::chain::{ChainSeed, PromptChain};
+use ploverlift_policy::cost::{CostModel, DEFAULT_SLOT_WAIT_MS};
+use ploverlift_policy::decide::{
+    CandidateTable, Decision, DecisionInput, Exclusion, RouteCandidates, ScoredCandidate,
+};
+use ploverlift_policy::directory::{Directory, PrefixMatch};
+use ploverlift_policy::fleet::{
+    Engine, EngineKey, EngineObservation, Fleet, Health, LoadReport, ObservationEffect,
+    DEFAULT_EVICTION_AGE_MS,
+};
+use ploverlift_policy::ids::{
+    EngineName, Incarnation, Millis, NodeName, RequestId, ResourceVersion, TenantName,
+    WeightsVersion, ZoneName,
+};
+use ploverlift_policy::labels::Selector;
+use ploverlift_policy::objects::{Kind, MachineRole, MachineSpec, MachineState, Object};
+use ploverlift_policy::retry::RetryBudget;
+use ploverlift_policy::snapshot::{Pool, Snapshot, Tenant};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::config_store::ConfigStore;
+
+/// Decisions that a node remembers for `explain`.
+pub const REMEMBERED_DECISIONS: usize = 4_096;
+
+/// Constants of a node's decisions.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// The node's name.
+    pub node: NodeName,
+    /// The node's zone.
+    pub zone: ZoneName,
+    /// Travel between zones, one way, in milliseconds.
+    pub zone_distance_ms: f64,
+    /// Blocks that the directory remembers.
+    pub directory_blocks: usize,
+}
+
+/// One remembered decision, as `explain` prints it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DecisionRecord {
+    /// The caller's request.
+    pub request: RequestId,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// The node that decided.
+    pub node: NodeName,
+    /// Milliseconds since the node's start.
+    pub decided_at: Millis,
+    /// Version of the configuration in force.
+    pub configuration: ResourceVersion,
+    /// The tenant.
+    pub tenant: TenantName,
+    /// The route that matched.
+    pub route: String,
+    /// The route's selector on engines, as configured.
+    pub engine_selector: Selector,
+    /// The route's pool.
+    pub pool: String,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Engines left out, each with the reason.
+    pub excluded: Vec<Exclusion>,
+    /// Engines scored, each with its cost by term.
+    pub scored: Vec<ScoredCandidate>,
+    /// The engine chosen, or nothing when none was eligible.
+    pub chosen: Option<EngineName>,
+}
+
+/// What a decision needs to know of the request.
+#[derive(Clone, Debug)]
+pub struct RoutedRequest {
+    /// The request.
+    pub id: RequestId,
+    /// The tenant, as configured when the request came.
+    pub tenant: Tenant,
+    /// Position of the route in the snapshot.
+    pub route: usize,
+    /// The snapshot in force when the request came.
+    pub snapshot: Arc<Snapshot>,
+    /// Text of the prompt; empty for plain services.
+    pub prompt: Arc<Vec<u8>>,
+}
+
+/// The prompt's blocks under each weights version that eligible engines serve.
+pub type VersionedChains = Vec<(WeightsVersion, PromptChain)>;
+
+/// An engine chosen for an attempt.
+#[derive(Clone, Debug)]
+pub struct ChosenEngine {
+    /// Hash of the engine's name.
+    pub key: EngineKey,
+    /// Name.
+    pub name: EngineName,
+    /// Listener.
+    pub address: SocketAddr,
+    /// The life on whose cache the decision relies; the engine refuses another.
+    pub incarnation: Incarnation,
+    /// The weights on which the decision relies; the engine refuses others.
+    pub weights: WeightsVersion,
+    /// Expected time to first token, in milliseconds.
+    pub expected_ms: f64,
+    /// Tokens of the prompt that are believed to be cached.
+    pub cached_tokens: u32,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The prompt's blocks under the engine's weights.
+    pub chain: PromptChain,
+}
+
+/// The tables of one node.
+pub struct Router {
+    settings: RouterSettings,
+    /// The typed view of the objects.
+    pub snapshot: Arc<Snapshot>,
+    /// Engines and their state.
+    pub fleet: Fleet,
+    /// Candidates of every route.
+    pub candidates: CandidateTable,
+    /// Prompt blocks and their holders.
+    pub directory: Directory,
+    /// Retry budget.
+    pub retries: RetryBudget,
+    buckets: HashMap<TenantName, TokenBucket>,
+    shares: HashMap<String, TenantShares>,
+    decisions: VecDeque<DecisionRecord>,
+    generation: u64,
+}
+
+impl Router {
+    /// Empty tables.
+    pub fn new(settings: RouterSettings) -> Self {
+        Self {
+            directory: Directory::new(settings.directory_blocks),
+            settings,
+            snapshot: Arc::default(),
+            fleet: Fleet::default(),
+            candidates: CandidateTable::default(),
+            retries: RetryBudget::default(),
+            buckets: HashMap::new(),
+            shares: HashMap::new(),
+            decisions: VecDeque::new(),
+            generation: 0,
+        }
+    }
+
+    /// Rises whenever configuration or an engine's eligibility changed.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Rebuilds what is derived from the objects.
+    pub fn rebuild(&mut self, store: &ConfigStore) {
+        let objects = store.objects().map(Arc::as_ref);
+        self.snapshot = Arc::new(Snapshot::build(objects));
+        self.rebuild_fleet(store);
+        self.rebuild_candidates();
+    }
+
+    fn rebuild_fleet(&mut self, store: &ConfigStore) {
+        let machines = store.of_kind(Kind::Machine);
+        let machines: Vec<Engine> = machines.filter_map(|object| engine_of(object)).collect();
+        let listed: HashSet<EngineKey> = machines.iter().map(|engine| engine.key).collect();
+        let unlisted = self
+            .fleet
+            .iter()
+            .any(|(_, engine)| !listed.contains(&engine.key));
+        if unlisted {
+            self.fleet.retain(|engine| listed.contains(&engine.key));
+        }
+        for engine in machines {
+            self.fleet.upsert(engine);
+        }
+    }
+
+    fn rebuild_candidates(&mut self) {
+        self.generation += 1;
+        self.candidates = CandidateTable::build(&self.snapshot, &self.fleet);
+    }
+
+    /// Takes in what holds of an engine.
+    pub fn observe(&mut self, observation: &EngineObservation) -> ObservationEffect {
+        let effect = self.fleet.observe(observation);
+        match effect {
+            ObservationEffect::Eligibility => self.rebuild_candidates(),
+            ObservationEffect::Restarted => {
+                self.directory.forget_engine(observation.key);
+                self.rebuild_candidates();
+            }
+            ObservationEffect::LoadOnly | ObservationEffect::Stale => {}
+        }
+        effect
+    }
+
+    /// Takes one request of a tenant's rate. `rate` is what this node may use.
+    ///
+    /// # Errors
+    /// When the rate is used up: when to come back.
+    pub fn take_rate(&mut self, tenant: &Tenant, rate: f64, now: Millis) -> Result<(), ComeBack> {
+        let share = rate / f64::from(tenant.spec.requests_per_second.max(1));
+        let burst = (f64::from(tenant.spec.burst) * share).max(1.0);
+        let bucket = self
+            .buckets
+            .entry(tenant.name.clone())
+            .or_insert_with(|| TokenBucket::new(rate, burst, now));
+        bucket.set_rate(rate, burst, now);
+        bucket.take(now)
+    }
+
+    /// Starts a request of a tenant in a pool. When the pool is overloaded the
+    /// tenant must be within its share of it. `nodes` share the pool.
+    ///
+    /// # Errors
+    /// When the tenant is over its share: when to come back.
+    pub fn start_in_pool(
+        &mut self,
+        pool: &str,
+        tenant: &Tenant,
+        route: usize,
+        nodes: usize,
+    ) -> Result<(), ComeBack> {
+        let (present, slots) = self.load_of(route);
+        let shares = self.shares.entry(pool.to_owned()).or_default();
+        if slots > 0 && present >= slots {
+            let capacity = (slots as usize).div_ceil(nodes.max(1)) as u32;
+            let snapshot = &self.snapshot;
+            let weight_of = |name: &TenantName| {
+                let found = snapshot.tenants.iter().find(|known| known.name == *name);
+                found.map_or(1, |known| known.spec.weight)
+            };
+            if !shares.within_share(&tenant.name, weight_of, capacity) {
+                return Err(ComeBack::after(0));
+            }
+        }
+        shares.start(&tenant.name);
+        Ok(())
+    }
+
+    /// Ends a request that was started in a pool.
+    pub fn finish_in_pool(&mut self, pool: &str, tenant: &TenantName) {
+        if let Some(shares) = self.shares.get_mut(pool) {
+            shares.finish(tenant);
+        }
+    }
+
+    /// Requests present at the route's engines, and their slots.
+    fn load_of(&self, route: usize) -> (u32, u32) {
+        let Some(candidates) = self.candidates.route(route) else {
+            return (0, 0);
+        };
+        let engines = candidates
+            .eligible
+            .iter()
+            .map(|index| self.fleet.get(*index));
+        engines.fold((0, 0), |(present, slots), engine| {
+            let here = engine.load.running + engine.load.waiting + engine.sent_requests;
+            (present + here, slots + engine.load.slots)
+        })
+    }
+
+    /// The candidates of a request's route as they are now.
+    fn candidates_of(&self, request: &RoutedRequest) -> Option<Arc<RouteCandidates>> {
+        let route = request.snapshot.routes.get(request.route)?;
+        let same = Arc::ptr_eq(&request.snapshot, &self.snapshot);
+        if same {
+            return self.candidates.route(request.route).cloned();
+        }
+        // The configuration changed after the request came: it keeps its own.
+        let pool = request.snapshot.pool(&route.spec.pool)?;
+        Some(Arc::new(RouteCandidates::build(route, pool, &self.fleet)))
+    }
+
+    /// Weights versions for which the request's prompt must be cut into blocks.
+    pub fn weights_of(&self, request: &RoutedRequest) -> Vec<WeightsVersion> {
+        let candidates = self.candidates_of(request);
+        candidates.map_or_else(Vec::new, |candidates| candidates.weights.clone())
+    }
+
+    /// What this node's own directory says of a chain.
+    pub fn local_matches(&self, chain: &PromptChain) -> Vec<PrefixMatch> {
+        let fleet = &self.fleet;
+        let current = |key| fleet.find(key).map(|index| fleet.get(index).incarnation);
+        self.directory.lookup(chain, current)
+    }
+
+    /// Chooses an engine for an attempt and enters the placement. `remote` is
+    /// what the directory's shard answered.
+    #[allow(clippy::too_many_arguments)]
+    pub fn choose(
+        &mut self,
+        request: &RoutedRequest,
+        chains: &VersionedChains,
+        remote: &[PrefixMatch],
+        attempt: u32,
+        failed: &[EngineKey],
+        now: Millis,
+        random: &mut fastrand::Rng,
+    ) -> Option<ChosenEngine> {
+        let candidates = self.candidates_of(request)?;
+        let route = request.snapshot.routes.get(request.route)?;
+        let pool = request.snapshot.pool(&route.spec.pool)?;
+        let decision = self.decide(pool, &candidates, chains, remote, failed, now, random);
+        let mut record = DecisionRecord {
+            request: request.id.clone(),
+            attempt,
+            node: self.settings.node.clone(),
+            decided_at: now,
+            configuration: request.snapshot.version,
+            tenant: request.tenant.name.clone(),
+            route: route.name.clone(),
+            engine_selector: route.spec.engine_selector.clone(),
+            pool: pool.name.clone(),
+            prompt_tokens: chains.first().map_or(0, |(_, chain)| chain.tokens),
+            excluded: candidates.excluded.clone(),
+            scored: Vec::new(),
+            chosen: None,
+        };
+        let Some(decision) = decision else {
+            self.remember(record);
+            return None;
+        };
+        let chosen = self.chosen(&decision, chains);
+        record.scored = decision.scored;
+        record.chosen = Some(chosen.name.clone());
+        self.remember(record);
+        let uncached = chosen.prompt_tokens.saturating_sub(chosen.cached_tokens);
+        self.fleet.record_sent(decision.engine, uncached);
+        self.directory
+            .record(&chosen.chain.blocks, chosen.key, chosen.incarnation, now);
+        Some(chosen)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn decide(
+        &self,
+        pool: &Pool,
+        candidates: &RouteCandidates,
+        chains: &VersionedChains,
+        remote: &[PrefixMatch],
+        failed: &[EngineKey],
+        now: Millis,
+        random: &mut fastrand::Rng,
+    ) -> Option<Decision> {
+        let model = CostModel {
+            prefill_ms_per_token: f64::from(pool.spec.prefill_micros_per_token) / 1_000.0,
+            recompute_weight: pool.spec.recompute_weight,
+            zone_distance_ms: self.settings.zone_distance_ms,
+            slot_wait_ms: DEFAULT_SLOT_WAIT_MS,
+        };
+        let mut matches = remote.to_vec();
+        for (_, chain) in chains {
+            for found in self.local_matches(chain) {
+                merge_match(&mut matches, found);
+            }
+        }
+        let empty = PromptChain::default();
+        let input = DecisionInput {
+            candidates,
+            fleet: &self.fleet,
+            chain: chains.first().map_or(&empty, |(_, chain)| chain),
+            matches: &matches,
+            failed,
+            model: &model,
+            own_zone: &self.settings.zone,
+            now,
+        };
+        input.decide(random)
+    }
+
+    fn chosen(&self, decision: &Decision, chains: &VersionedChains) -> ChosenEngine {
+        let engine = self.fleet.get(decision.engine);
+        let chain = chains
+            .iter()
+            .find(|(weights, _)| *weights == decision.weights);
+        let chain = chain.map_or_else(PromptChain::default, |(_, chain)| chain.clone());
+        ChosenEngine {
+            key: decision.key,
+            name: engine.name.clone(),
+            address: engine.address,
+            incarnation: decision.incarnation,
+            weights: decision.weights,
+            expected_ms: decision.cost.total_ms(),
+            cached_tokens: decision.cached_tokens,
+            prompt_tokens: chain.tokens,
+            chain,
+        }
+    }
+
+    /// The named engine, for a stream that goes on where it broke off. Nothing
+    /// when the engine is gone or may not serve the route. A leaving engine
+    /// still finishes its streams.
+    pub fn choose_named(
+        &self,
+        request: &RoutedRequest,
+        engine: &EngineName,
+    ) -> Option<ChosenEngine> {
+        let index = self.fleet.find(EngineKey::of(engine))?;
+        let known = self.fleet.get(index);
+        let candidates = self.candidates_of(request)?;
+        let leaving = known.health == Health::Leaving || known.listed == MachineState::Leaving;
+        if !leaving && candidates.eligible.binary_search(&index).is_err() {
+            return None;
+        }
+        Some(ChosenEngine {
+            key: known.key,
+            name: known.name.clone(),
+            address: known.address,
+            incarnation: known.incarnation,
+            weights: known.weights,
+            expected_ms: 0.0,
+            cached_tokens: 0,
+            prompt_tokens: 0,
+            chain: PromptChain::default(),
+        })
+    }
+
+    fn remember(&mut self, record: DecisionRecord) {
+        if self.decisions.len() >= REMEMBERED_DECISIONS {
+            self.decisions.pop_front();
+        }
+        self.decisions.push_back(record);
+    }
+
+    /// Finds the decisions on one request, the latest last.
+    pub fn decisions_on(&self, request: &RequestId) -> Vec<DecisionRecord> {
+        let matching = self.decisions.iter();
+        matching
+            .filter(|record| record.request == *request)
+            .cloned()
+            .collect()
+    }
+}
+
+/// The prompt's blocks under each of the weights versions.
+pub fn chains_of(request: &RoutedRequest, weights: &[WeightsVersion]) -> VersionedChains {
+    let route = request.snapshot.routes.get(request.route);
+    let Some(pool) = route.and_then(|route| request.snapshot.pool(&route.spec.pool)) else {
+        return Vec::new();
+    };
+    let scope = request.tenant.cache_scope();
+    let chain = |weights: WeightsVersion| {
+        let seed = ChainSeed {
+            scope: &scope,
+            model: &pool.spec.model,
+            weights,
+        };
+        let (block_tokens, bytes) = (pool.spec.block_tokens, pool.spec.bytes_per_token);
+        PromptChain::of_text(&seed, &request.prompt, block_tokens, bytes)
+    };
+    weights
+        .iter()
+        .map(|weights| (*weights, chain(*weights)))
+        .collect()
+}
+
+/// Keeps the deeper of two matches of the same engine.
+fn merge_match(matches: &mut Vec<PrefixMatch>, found: PrefixMatch) {
+    let known = matches
+        .iter_mut()
+        .find(|known| known.engine == found.engine && known.incarnation == found.incarnation);
+    match known {
+        Some(known) if known.blocks < found.blocks => *known = found,
+        Some(known) if known.blocks == found.blocks => {
+            known.used_at = known.used_at.max(found.used_at);
+        }
+        Some(_) => {}
+        None => matches.push(found),
+    }
+}
+
+fn engine_of(object: &Object) -> Option<Engine> {
+    object.validate().ok()?;
+    let spec: MachineSpec = object.typed().ok()?;
+    if spec.role == MachineRole::Node {
+        return None;
+    }
+    let name = EngineName(object.metadata.name.clone());
+    Some(Engine {
+        key: EngineKey::of(&name),
+        name,
+        address: spec.address.parse().ok()?,
+        zone: spec.zone,
+        labels: object.metadata.labels.clone(),
+        role: spec.role,
+        listed: spec.state,
+        incarnation: Incarnation(0),
+        weights: WeightsVersion(0),
+        health: Health::Unknown,
+        load: LoadReport::default(),
+        sent_tokens: 0,
+        sent_requests: 0,
+        in_flight: 0,
+        eviction_age_ms: DEFAULT_EVICTION_AGE_MS,
+    })
+}
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -6,7 +6,8 @@
 use futures_lite::AsyncReadExt;
 use ploverlift_node::body_channel::{body_channel, BodyChunk};
 use ploverlift_node::engine_client::{
-    NOT_RUN, REQUEST_ID_HEADER, RESUME_FROM_HEADER, RUN_STATE_HEADER,
+    ENGINE_INCARNATION_HEADER, ENGINE_WEIGHTS_HEADER, EXPECTED_INCARNATION_HEADER,
+    EXPECTED_WEIGHTS_HEADER, NOT_RUN, REQUEST_ID_HEADER, RESUME_FROM_HEADER, RUN_STATE_HEADER,
 };
 use ploverlift_node::listener::{HttpListener, ListenerLimits};
 use ploverlift_node::sse::{opening_comment, write_event, DONE};
@@ -208,6 +209,14 @@
     let Ok(fields) = serde_json::from_slice::<Map<String, Value>>(body) else {
         return conn.with_status(Status::BadRequest).halt();
     };
+    if relies_on_another_life(&engine, &conn) {
+        let weights = engine.state.tables().weights;
+        let incarnation = engine.state.settings.incarnation;
+        let conn = conn
+            .with_response_header(ENGINE_INCARNATION_HEADER, incarnation.to_string())
+            .with_response_header(ENGINE_WEIGHTS_HEADER, weights.to_string());
+        return refuse_not_run(conn, Status::PreconditionFailed);
+    }
     let run = read_run(&engine, &conn, &fields);
     {
         let mut tables = engine.state.tables();
@@ -238,6 +247,16 @@
     whole(engine, conn, run).await
 }
 
+/// Whether the request relies on a cache of another life or other weights.
+fn relies_on_another_life(engine: &Engine, conn: &Conn) -> bool {
+    let number = |name: &'static str| conn.request_headers().get_str(name)?.parse::<u64>().ok();
+    let incarnation = number(EXPECTED_INCARNATION_HEADER);
+    let weights = number(EXPECTED_WEIGHTS_HEADER);
+    let other_life = incarnation.is_some_and(|life| life != engine.state.settings.incarnation);
+    let other_weights = weights.is_some_and(|weights| weights != engine.state.tables().weights.0);
+    other_life || other_weights
+}
+
 fn may_resume(tables: &EngineTables, run: &Run, fields: &Map<String, Value>) -> bool {
     let continued = fields.contains_key("partial_output");
     let known = tables.runs.get(&run.id);
--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -1,5 +1,6 @@
 //! Puts the parts of a node together: the only place that knows all of them.
 
+use crate::cluster_transport::{self, ClusterTransport};
 use crate::config_feed;
 use crate::engine_poll;
 use crate::listener::{HttpListener, ListenerLimits};
@@ -49,20 +50,35 @@
 /// # Errors
 /// When a listener cannot be bound.
 pub fn start(settings: Settings, log: Logger) -> Result<RunningNode, StartError> {
-    let node = Arc::new(Node::new(settings, log));
+    let address = settings.listen.cluster;
+    let purpose = "other nodes";
+    let transport = ClusterTransport::bind(address).context(ListenSnafu { address, purpose })?;
+    let (datagrams, streams) = transport.readers();
+    let node = Arc::new(Node::new(settings, log, transport));
     let platform = node.settings.platform.address.map(PlatformClient::new);
     let callers = start_callers(&node)?;
     let operators = start_operators(&node, platform.clone())?;
-    let mut tasks = vec![smol::spawn(engine_poll::poll_engines(Arc::clone(&node)))];
+    let mut tasks = vec![
+        smol::spawn(cluster_transport::read_datagrams(
+            Arc::clone(&node),
+            datagrams,
+        )),
+        smol::spawn(cluster_transport::read_streams(Arc::clone(&node), streams)),
+        smol::spawn(cluster_transport::tick(Arc::clone(&node))),
+        smol::spawn(engine_poll::poll_engines(Arc::clone(&node))),
+    ];
     if let Some(platform) = platform {
         for kind in Kind::ALL {
             let feed = config_feed::follow(Arc::clone(&node), platform.clone(), kind);
             tasks.push(smol::spawn(feed));
         }
+        let writer = config_feed::write_claim_group(Arc::clone(&node), platform);
+        tasks.push(smol::spawn(writer));
     }
     slog::info!(node.log, "node started";
         "callers" => callers.address.to_string(),
-        "operators" => operators.address.to_string());
+        "operators" => operators.address.to_string(),
+        "cluster" => node.cluster_address().to_string());
     Ok(RunningNode {
         node,
         callers,
@@ -111,7 +127,7 @@
 
     /// Where other nodes connect.
     pub fn cluster_address(&self) -> SocketAddr {
-        self.node.settings.listen.cluster
+        self.node.cluster_address()
     }
 
     /// Waits until an operator orders a planned stop.
@@ -123,8 +139,13 @@
     /// finished, at the longest until the configured stop timeout.
     pub async fn stop(self) {
         self.node.stopping.store(true, Ordering::Release);
+        self.node.with_core(|core, _| core.leave());
         let timeout = Duration::from_millis(self.node.settings.limits.stop_timeout_ms);
-        let finish = self.callers.stop();
+        let node = &self.node;
+        let finish = async {
+            self.callers.stop().await;
+            node.wait_until_idle().await;
+        };
         let give_up = async {
             Timer::after(timeout).await;
         };
@@ -132,6 +153,6 @@
         for task in self.tasks {
             task.cancel().await;
         }
-        slog::info!(self.node.log, "node stopped");
+        slog::info!(node.log, "node stopped");
     }
 }
--- a/crates/node/src/caller_request.rs
+++ b/crates/node/src/caller_request.rs
@@ -1,7 +1,6 @@
 //! Reading and checking a caller's request.
 
 use crate::reply::ErrorReply;
-use crate::sse;
 use crate::state::Node;
 use futures_lite::AsyncReadExt;
 use ploverlift_policy::ids::{EngineName, RequestId};
@@ -53,6 +52,8 @@
 pub struct RequestHeaders {
     /// The caller's request id, or a new one.
     pub id: RequestId,
+    /// Whether the caller chose the id, so that a repeated request has it too.
+    pub id_from_caller: bool,
     /// Marks the request as one that runs at most once.
     pub idempotency_key: Option<String>,
     /// Where a broken stream goes on.
@@ -100,11 +101,12 @@
 ///
 /// # Errors
 /// Status 400 when one of them does not fit.
-pub fn read_headers(node: &Node, conn: &Conn) -> Result<RequestHeaders, ErrorReply> {
+pub fn read_headers(conn: &Conn) -> Result<RequestHeaders, ErrorReply> {
     let headers = conn.request_headers();
-    let id = match headers.get_str("x-request-id") {
+    let chosen_id = headers.get_str("x-request-id");
+    let id = match chosen_id {
         Some(text) => checked_request_id(text)?,
-        None => RequestId(format!("{:016x}", node.tables().random.u64(..))),
+        None => RequestId(format!("{:016x}", fastrand::u64(..))),
     };
     let idempotency_key = headers.get_str(IDEMPOTENCY_KEY_HEADER).map(str::to_owned);
     let too_long = |key: &String| key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY_BYTES;
@@ -122,6 +124,7 @@
     };
     Ok(RequestHeaders {
         id,
+        id_from_caller: chosen_id.is_some(),
         idempotency_key,
         resume,
     })
@@ -231,8 +234,3 @@
 fn invalid(message: String) -> ErrorReply {
     ErrorReply::rejected(Status::BadRequest, "invalid_request", message)
 }
-
-/// The first chunk of every streamed answer.
-pub fn stream_opening() -> Vec<u8> {
-    sse::opening_comment()
-}
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -3,13 +3,12 @@
 use crate::caller_request::{
     authenticate, parse_completion, read_body, read_headers, RequestHeaders,
 };
-use crate::relay::{self, CallerAnswer, Payload, RelayRequest};
+use crate::relay::{self, CallerAnswer, Payload, PoolShare, RelayRequest};
 use crate::reply::{self, ErrorReply};
-use crate::state::{count, Node, RoutedRequest};
-use ploverlift_policy::admission::TokenBucket;
+use crate::state::{count, Node};
+use ploverlift_cluster::router::RoutedRequest;
 use ploverlift_policy::snapshot::Tenant;
 use serde::Serialize;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use trillium::{Body, Conn, KnownHeaderName, Method, Status};
 
@@ -107,8 +106,10 @@
     let request = parse_completion(&body, path == "/v1/chat/completions")?;
     let mut routed = route(node, &tenant, &headers, &request.model)?;
     routed.prompt = request.prompt;
+    let share = PoolShare::start(node, &routed)?;
     Ok(RelayRequest {
         routed,
+        share,
         headers,
         payload: Payload::Completion {
             path,
@@ -136,8 +137,10 @@
         .unwrap_or("application/octet-stream")
         .to_owned();
     let body = Arc::new(read_body(node, conn).await?);
+    let share = PoolShare::start(node, &routed)?;
     Ok(RelayRequest {
         routed,
+        share,
         headers,
         payload: Payload::Plain {
             method,
@@ -154,24 +157,14 @@
         return Err(stopping());
     }
     let tenant = authenticate(node, conn)?;
-    let headers = read_headers(node, conn)?;
+    let headers = read_headers(conn)?;
     take_rate(node, &tenant)?;
     Ok((tenant, headers))
 }
 
 fn take_rate(node: &Node, tenant: &Tenant) -> Result<(), ErrorReply> {
-    let rate = f64::from(tenant.spec.requests_per_second);
-    if rate == 0.0 {
-        return Ok(());
-    }
-    let burst = f64::from(tenant.spec.burst);
-    let now = node.clock.now();
-    let mut tables = node.tables();
-    let bucket = tables
-        .buckets
-        .entry(tenant.name.clone())
-        .or_insert_with(|| TokenBucket::new(rate, burst, now));
-    bucket.take(now).map_err(|come_back| {
+    let taken = node.with_core(|core, now| core.take_rate(tenant, now));
+    taken.map_err(|come_back| {
         let message = "the tenant's request rate is over its limit";
         let seconds = come_back.retry_after_seconds();
         ErrorReply::try_later(Status::TooManyRequests, "rate_limited", message, seconds)
@@ -216,7 +209,6 @@
         }
     };
     let id = request.headers.id.0.clone();
-    let _guard = InFlight::start(&node);
     let answer = conn
         .cancel_on_disconnect(relay::answer(Arc::clone(&node), request))
         .await;
@@ -241,21 +233,3 @@
             .halt(),
     }
 }
-
-/// Counts a request as under way until its answer has begun.
-struct InFlight<'a> {
-    node: &'a Node,
-}
-
-impl<'a> InFlight<'a> {
-    fn start(node: &'a Node) -> Self {
-        count(&node.counters.in_flight);
-        Self { node }
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.node.counters.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -12,7 +12,7 @@
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
 use ploverlift_policy::admission::ComeBack;
 use ploverlift_policy::attempt::AttemptState;
-use ploverlift_policy::ids::RequestId;
+use ploverlift_policy::ids::{Incarnation, RequestId, WeightsVersion};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use trillium::{async_trait, KnownHeaderName, Method};
+use trillium::{async_trait, Headers, KnownHeaderName, Method};
 use trillium_client::{Client, Connector};
 use trillium_http::transport::{BoxedTransport, Transport};
 use trillium_http::{ReceivedBody, Status};
@@ -33,6 +33,14 @@
 pub const NOT_RUN: &str = "not_run";
 /// Header with the first stream position that is wanted.
 pub const RESUME_FROM_HEADER: &str = "x-resume-from";
+/// Header with the engine's life on whose cache the request relies.
+pub const EXPECTED_INCARNATION_HEADER: &str = "x-expected-incarnation";
+/// Header with the weights on which the request relies.
+pub const EXPECTED_WEIGHTS_HEADER: &str = "x-expected-weights";
+/// Header by which an engine tells its life when it refuses a request.
+pub const ENGINE_INCARNATION_HEADER: &str = "x-engine-incarnation";
+/// Header by which an engine tells its weights when it refuses a request.
+pub const ENGINE_WEIGHTS_HEADER: &str = "x-engine-weights";
 /// Header with the request's identifier, echoed by the back end.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -122,6 +130,18 @@
     pub body: Arc<Vec<u8>>,
     /// First stream position that is wanted, 0 for all.
     pub resume_from: u64,
+    /// The engine's life and weights on which the decision relies, when it was
+    /// observed; the engine refuses the request when it has others.
+    pub relies_on: Option<EngineGeneration>,
+}
+
+/// One life of an engine with one version of weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineGeneration {
+    /// The engine's life.
+    pub incarnation: Incarnation,
+    /// The weights it serves.
+    pub weights: WeightsVersion,
 }
 
 /// The head of a back end's answer and its body, not yet read.
@@ -141,6 +161,8 @@
     pub state: AttemptState,
     /// When the back end asked to come back.
     pub come_back: Option<ComeBack>,
+    /// What the engine said of itself when it refused.
+    pub correction: Option<EngineGeneration>,
     /// What happened, for logs.
     pub reason: String,
 }
@@ -165,6 +187,13 @@
         if self.resume_from > 0 {
             conn = conn.with_request_header(RESUME_FROM_HEADER, self.resume_from.to_string());
         }
+        if let Some(generation) = self.relies_on {
+            let incarnation = generation.incarnation.to_string();
+            let weights = generation.weights.to_string();
+            conn = conn
+                .with_request_header(EXPECTED_INCARNATION_HEADER, incarnation)
+                .with_request_header(EXPECTED_WEIGHTS_HEADER, weights);
+        }
         if !self.body.is_empty() {
             conn = conn.with_body(self.body.as_ref().clone());
         }
@@ -182,6 +211,7 @@
             return Err(CallFailure {
                 state: AttemptState::Refused,
                 come_back: seconds.map(|seconds| ComeBack::after(seconds.saturating_mul(1_000))),
+                correction: correction_in(headers),
                 reason: format!("refused with status {status}"),
             });
         }
@@ -189,6 +219,7 @@
             return Err(CallFailure {
                 state: AttemptState::MaybeSent,
                 come_back: None,
+                correction: None,
                 reason: "the answer is not that of this request".to_owned(),
             });
         }
@@ -218,10 +249,19 @@
     CallFailure {
         state: state_without_answer(sent),
         come_back: None,
+        correction: None,
         reason,
     }
 }
 
+fn correction_in(headers: &Headers) -> Option<EngineGeneration> {
+    let number = |name: &'static str| headers.get_str(name)?.parse::<u64>().ok();
+    Some(EngineGeneration {
+        incarnation: Incarnation(number(ENGINE_INCARNATION_HEADER)?),
+        weights: WeightsVersion(number(ENGINE_WEIGHTS_HEADER)?),
+    })
+}
+
 impl EngineAnswer {
     /// Reads the whole body.
     ///
--- a/crates/node/src/engine_poll.rs
+++ b/crates/node/src/engine_poll.rs
@@ -4,7 +4,6 @@
 use futures_lite::{future, AsyncReadExt};
 use ploverlift_policy::fleet::{EngineKey, EngineObservation, Health, LoadReport};
 use ploverlift_policy::ids::{EngineName, Incarnation, WeightsVersion};
-use ploverlift_policy::objects::MachineRole;
 use smol::Timer;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -45,7 +44,7 @@
     weights: WeightsVersion,
 }
 
-/// Looks at every engine again and again until the task is dropped.
+/// Looks at the engines that this node observes again and again until the task is dropped.
 pub async fn poll_engines(node: Arc<Node>) {
     let mut failures: HashMap<EngineKey, u32> = HashMap::new();
     let client = Client::new(ClientConfig::new().with_nodelay(true));
@@ -64,13 +63,12 @@
 }
 
 fn targets(node: &Node) -> Vec<Target> {
-    let tables = node.tables();
-    let engines = tables.fleet.iter();
+    let engines = node.core().engines_to_observe();
     engines
-        .filter(|(_, engine)| engine.role == MachineRole::Engine)
-        .map(|(_, engine)| Target {
+        .into_iter()
+        .map(|engine| Target {
             key: engine.key,
-            name: engine.name.clone(),
+            name: engine.name,
             address: engine.address,
             incarnation: engine.incarnation,
             weights: engine.weights,
@@ -86,7 +84,7 @@
 ) {
     if let Some(observation) = seen {
         failures.remove(&target.key);
-        node.tables().observe(&observation);
+        node.with_core(|core, _| core.observed(observation));
         return;
     }
     let count = failures.entry(target.key).or_default();
@@ -97,13 +95,14 @@
     if *count == FAILURES_UNTIL_DEAD {
         slog::warn!(node.log, "engine does not answer"; "engine" => target.name.as_str());
     }
-    node.tables().observe(&EngineObservation {
+    let dead = EngineObservation {
         key: target.key,
         incarnation: target.incarnation,
         weights: target.weights,
         health: Health::Dead,
         load: LoadReport::default(),
-    });
+    };
+    node.with_core(|core, _| core.observed(dead));
 }
 
 async fn look(client: &Client, target: &Target) -> Option<EngineObservation> {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -2,14 +2,20 @@
 
 use crate::platform_client::{PlatformClient, PlatformError};
 use crate::reply::{self, ErrorReply};
-use crate::state::{DecisionRecord, Node};
+use crate::state::Node;
+use futures_lite::future;
+use ploverlift_cluster::config_store::Record;
+use ploverlift_cluster::router::DecisionRecord;
 use ploverlift_policy::fleet::{Health, LoadReport};
 use ploverlift_policy::ids::{EngineName, NodeName, RequestId, ResourceVersion, ZoneName};
 use ploverlift_policy::objects::{Kind, MachineState, Object};
 use ploverlift_policy::snapshot::Rejected;
+use ploverlift_wire::messages::MemberStatus;
 use serde::{Deserialize, Serialize};
+use smol::Timer;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 use trillium::{Conn, Method, Status};
 
 /// Start of the paths of objects.
@@ -18,6 +24,8 @@
 const EXPLAIN_PREFIX: &str = "/explain/";
 /// Start of the paths that answer once a condition holds.
 const WAIT_PREFIX: &str = "/wait/";
+/// Longest wait for other nodes' decisions.
+const EXPLAIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Seconds after which an operator should try again when the platform is down.
 const PLATFORM_RETRY_SECONDS: u64 = 2;
 
@@ -44,6 +52,19 @@
     pub in_flight: u32,
 }
 
+/// Another node in a status report.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Name.
+    pub name: NodeName,
+    /// Failure domain.
+    pub zone: ZoneName,
+    /// `alive`, `suspect`, `dead` or `left`.
+    pub status: String,
+    /// Cluster listener.
+    pub address: std::net::SocketAddr,
+}
+
 /// A node's report on itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StatusReport {
@@ -55,8 +76,14 @@
     pub stopping: bool,
     /// Version of the configuration in force.
     pub configuration: ResourceVersion,
+    /// Whether this node is one of the readers of the object API.
+    pub reads_object_api: bool,
+    /// Whether this node votes on claims.
+    pub holds_claims: bool,
     /// Objects that do not fit and are left out.
     pub rejected: Vec<Rejected>,
+    /// Other nodes.
+    pub nodes: Vec<NodeStatus>,
     /// All engines.
     pub engines: Vec<EngineStatus>,
 }
@@ -83,7 +110,7 @@
     match (conn.method(), path.as_str()) {
         (Method::Get, "/status") => reply::json(conn, Status::Ok, &status(&node)),
         (Method::Get, "/metrics") => metrics(&node, conn),
-        (Method::Get, path) if path.starts_with(EXPLAIN_PREFIX) => explain(&node, conn),
+        (Method::Get, path) if path.starts_with(EXPLAIN_PREFIX) => explain(&node, conn).await,
         (Method::Get, path) if path.starts_with(OBJECTS_PREFIX) => get_objects(&node, conn),
         (Method::Put, "/objects") => apply(&node, platform, conn).await,
         (Method::Delete, path) if path.starts_with(OBJECTS_PREFIX) => {
@@ -103,8 +130,14 @@
 }
 
 fn status(node: &Node) -> StatusReport {
-    let tables = node.tables();
-    let engines = tables.fleet.iter().map(|(_, engine)| {
+    let core = node.core();
+    let members = core.members.members().map(|(_, member)| NodeStatus {
+        name: member.identity.name.clone(),
+        zone: member.identity.zone.clone(),
+        status: status_word(member.status).to_owned(),
+        address: member.identity.address,
+    });
+    let engines = core.router.fleet.iter().map(|(_, engine)| {
         let LoadReport {
             running, waiting, ..
         } = engine.load;
@@ -124,12 +157,24 @@
         node: node.name.clone(),
         zone: node.zone.clone(),
         stopping: node.is_stopping(),
-        configuration: tables.snapshot.version,
-        rejected: tables.snapshot.rejected.clone(),
+        configuration: core.router.snapshot.version,
+        reads_object_api: core.is_reader(node.clock.now()),
+        holds_claims: core.claims.votes(),
+        rejected: core.router.snapshot.rejected.clone(),
+        nodes: members.collect(),
         engines: engines.collect(),
     }
 }
 
+fn status_word(status: MemberStatus) -> &'static str {
+    match status {
+        MemberStatus::Alive => "alive",
+        MemberStatus::Suspect => "suspect",
+        MemberStatus::Dead => "dead",
+        MemberStatus::Left => "left",
+    }
+}
+
 /// Answers once the configuration has at least a version
 /// (`/wait/configuration/N`) or exactly so many engines are ready
 /// (`/wait/engines/N`).
@@ -142,30 +187,51 @@
         let error = ErrorReply::rejected(Status::NotFound, "unknown_path", message);
         return reply::error(conn, &error);
     };
-    node.wait_until(|tables| match what.as_str() {
+    node.wait_until(|core| match what.as_str() {
         "engines" => {
-            let ready = tables.fleet.iter();
+            let ready = core.router.fleet.iter();
             let ready = ready.filter(|(_, engine)| engine.health == Health::Ready);
             ready.count() as u64 == wanted
         }
-        _ => tables.snapshot.version.0 >= wanted,
+        _ => core.router.snapshot.version.0 >= wanted,
     })
     .await;
     conn.ok("holds\n")
 }
 
-fn explain(node: &Node, conn: Conn) -> Conn {
+async fn explain(node: &Node, conn: Conn) -> Conn {
     let id = conn.path().strip_prefix(EXPLAIN_PREFIX).unwrap_or_default();
     let request = RequestId::from(id);
-    let decisions = node.decisions_on(&request);
+    let own = node.core().router.decisions_on(&request);
+    let decisions = if own.is_empty() {
+        ask_other_nodes(node, &request).await
+    } else {
+        own
+    };
     if decisions.is_empty() {
-        let message = format!("no decision on request '{request}' is remembered");
+        let message = format!("no node remembers a decision on request '{request}'");
         let error = ErrorReply::rejected(Status::NotFound, "unknown_request", message);
         return reply::error(conn, &error);
     }
     reply::json(conn, Status::Ok, &Explanation { request, decisions })
 }
 
+async fn ask_other_nodes(node: &Node, request: &RequestId) -> Vec<DecisionRecord> {
+    let (ticket, answer) = node.with_core(|core, _| {
+        let ticket = core.ask_for_decisions(request.as_str());
+        (ticket, node.waiters.explanation(ticket))
+    });
+    let timeout = async {
+        Timer::after(EXPLAIN_TIMEOUT).await;
+        None
+    };
+    let found = future::or(async { answer.recv().await.ok() }, timeout).await;
+    node.waiters.forget_explanation(ticket);
+    found
+        .and_then(|bytes| serde_json::from_slice(&bytes).ok())
+        .unwrap_or_default()
+}
+
 fn get_objects(node: &Node, conn: Conn) -> Conn {
     let rest = conn.path().strip_prefix(OBJECTS_PREFIX).unwrap_or_default();
     let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
@@ -174,13 +240,13 @@
         let error = ErrorReply::rejected(Status::NotFound, "unknown_kind", message);
         return reply::error(conn, &error);
     };
-    let tables = node.tables();
-    let objects = tables.store.of_kind(kind);
+    let core = node.core();
+    let objects = core.config.store.of_kind(kind);
     let items: Vec<Object> = objects
         .filter(|object| name.is_empty() || object.metadata.name == name)
         .map(|object| object.as_ref().clone())
         .collect();
-    drop(tables);
+    drop(core);
     if items.is_empty() && !name.is_empty() {
         let error = unknown_object(kind.plural(), name);
         return reply::error(conn, &error);
@@ -213,8 +279,8 @@
     })?;
     let platform = platform.ok_or_else(no_platform)?;
     let stored = put_and_verify(&platform, &object).await?;
-    let record = ploverlift_cluster::config_store::Record::stored(stored.clone());
-    node.tables().merge_records(vec![record]);
+    let record = Record::stored(stored.clone());
+    node.with_core(|core, now| core.learn(vec![record], now));
     slog::info!(node.log, "object applied";
         "kind" => object.kind.plural(),
         "name" => object.metadata.name.as_str(),
@@ -251,15 +317,15 @@
     kind: Kind,
     name: &str,
 ) -> Result<Object, ErrorReply> {
-    let known = node.tables().store.get(kind, name).cloned();
+    let known = node.core().config.store.get(kind, name).cloned();
     let known = known.ok_or_else(|| unknown_object(kind.plural(), name))?;
     let platform = platform.ok_or_else(no_platform)?;
     let version = known.metadata.resource_version;
     let deleted = platform.delete(kind, name, version).await;
     let deleted = deleted.map_err(|error| platform_reply(&error))?;
     let version = deleted.metadata.resource_version;
-    let record = ploverlift_cluster::config_store::Record::deleted(deleted.key(), version);
-    node.tables().merge_records(vec![record]);
+    let record = Record::deleted(deleted.key(), version);
+    node.with_core(|core, now| core.learn(vec![record], now));
     Ok(deleted)
 }
 
@@ -343,6 +409,12 @@
         ("ploverlift_refused_total", &counters.refused),
         ("ploverlift_aborted_total", &counters.aborted),
         ("ploverlift_attempts_total", &counters.attempts),
+        ("ploverlift_replayed_total", &counters.replayed),
+        (
+            "ploverlift_cluster_messages_total",
+            &counters.cluster_messages,
+        ),
+        ("ploverlift_cluster_bytes_total", &counters.cluster_bytes),
     ];
     let mut text = String::new();
     for (name, counter) in rows {
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -97,6 +97,11 @@
             "duplicate_request",
             "an earlier request with this key was started and its answer is not recorded yet",
         ),
+        RefusalReason::KeyReused => (
+            Status::UnprocessableEntity,
+            "idempotency_key_reused",
+            "this key was used for another request; this request was not run",
+        ),
         RefusalReason::ClaimUnavailable => (
             Status::ServiceUnavailable,
             "claim_unavailable",
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -40,6 +40,13 @@
     pub name: String,
     /// Failure domain.
     pub zone: String,
+    /// Group of zones; each has its own readers of the object API.
+    #[serde(default = "default_region")]
+    pub region: String,
+}
+
+fn default_region() -> String {
+    "default".to_owned()
 }
 
 /// Listeners. Port 0 takes any free port.
@@ -199,6 +206,7 @@
             node: NodeSettings {
                 name: name.to_owned(),
                 zone: zone.to_owned(),
+                region: default_region(),
             },
             listen: ListenSettings::default(),
             cluster: ClusterSettings::default(),
@@ -230,6 +238,7 @@
         let checker = Checker { file };
         checker.name("node.name", &self.node.name)?;
         checker.name("node.zone", &self.node.zone)?;
+        checker.name("node.region", &self.node.region)?;
         let limits = &self.limits;
         checker.at_least("limits.max_body_bytes", limits.max_body_bytes as u64, 1_024)?;
         checker.at_least("limits.max_head_bytes", limits.max_head_bytes as u64, 1_024)?;
--- a/crates/policy/src/objects.rs
+++ b/crates/policy/src/objects.rs
@@ -256,12 +256,17 @@
     /// Names of the nodes that hold claims, at most one a zone where zones allow.
     pub replicas: Vec<NodeName>,
     /// The replicas of the generation before, from which the new ones recover.
+    /// Empty for the first generation.
     #[serde(default)]
     pub previous: Vec<NodeName>,
+    /// The lives of the replicas when this generation was made, in the order
+    /// of `replicas`. A replica in that same life has not voted in it before.
+    #[serde(default)]
+    pub lives: Vec<u64>,
 }
 
 /// The right to a duty, held until `expires_unix_ms`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct LeaseSpec {
     /// The node that holds the duty.
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -25,6 +25,8 @@
     ClaimAnswered,
     /// An earlier request holds the claim and its outcome is not recorded.
     ClaimHeld,
+    /// The key was used for another request.
+    ClaimOfOther,
     /// No majority answered, so it is not known whether the request ran before.
     ClaimUnavailable(ComeBack),
     /// No engine is eligible.
@@ -89,6 +91,8 @@
     NoEngine,
     /// The claim is held by an earlier request.
     Duplicate,
+    /// The idempotency key was used for another request.
+    KeyReused,
     /// The claim's replicas could not be asked.
     ClaimUnavailable,
     /// The queue is longer than the deadline allows.
@@ -170,6 +174,7 @@
             Event::ClaimGranted => self.first_attempt(budget),
             Event::ClaimAnswered => self.replay(),
             Event::ClaimHeld => self.held(),
+            Event::ClaimOfOther => self.give_up(RefusalReason::KeyReused),
             Event::ClaimUnavailable(come_back) => self.claim_unavailable(come_back),
             Event::NoEngine => self.give_up(RefusalReason::NoEngine),
             Event::AttemptFailed(state, come_back) => {
