Simulate a site in virtual time and judge the promises on it

Cause: the promises had no proof. The first run of the schedules failed in five properties; their causes: (1) a stream whose last piece was skipped was called whole, because the end of an answer was not checked against its position; (2) a continuation sent into a cut waited for ever, because only the first byte had a deadline; (3) a restarted lease holder took its earlier life's lease for its own and ordered more loads than the pool allows; (4) a load counted as done when the engine showed the weights wanted now, although the wish had changed since the order; (5) a caller of a killed, paused node was never told (a fault of the simulation, not of the node). Ruled out: more lag for observations (4): the bound broke at any lag. Change: the end of an answer carries its position; silence within an answer is bounded; a lease names the holder's life; a new holder makes its token known to every engine first and learns what is loading.

--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -396,6 +396,17 @@
         self.router.observe(&holds);
     }
 
+    /// Takes in that an engine did not answer a look.
+    pub fn look_failed(&mut self, engine: EngineKey) {
+        let Some(index) = self.router.fleet.find(engine) else {
+            return;
+        };
+        let known = self.router.fleet.get(index).clone();
+        if let Some(holds) = self.watch.look_failed(&known) {
+            self.router.observe(&holds);
+        }
+    }
+
     /// Takes in what an engine said of itself when it refused a request that
     /// relied on another life or other weights.
     pub fn corrected(
--- a/crates/cluster/src/engine_watch.rs
+++ b/crates/cluster/src/engine_watch.rs
@@ -16,6 +16,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Time between two looks at an engine, in milliseconds.
+pub const LOOK_PERIOD_MS: u64 = 300;
+/// Longest wait for an engine's answer to a look, in milliseconds.
+pub const LOOK_TIMEOUT_MS: u64 = 500;
+/// Looks without an answer after which an engine counts as dead.
+const FAILED_LOOKS_UNTIL_DEAD: u32 = 2;
 /// Nodes that observe one engine.
 pub const OBSERVERS_PER_ENGINE: usize = 2;
 /// Time between two publications, in milliseconds.
@@ -48,6 +54,7 @@
 #[derive(Debug, Default)]
 pub struct EngineWatch {
     own: BTreeMap<EngineKey, Observed>,
+    failed_looks: BTreeMap<EngineKey, u32>,
     heard: BTreeMap<EngineKey, Vec<(NodeKey, EngineObservation)>>,
     next_publish: Millis,
 }
@@ -73,6 +80,9 @@
     /// Takes in what this node observed. Returns what now holds of the engine.
     pub fn observed(&mut self, observation: EngineObservation) -> EngineObservation {
         let key = observation.key;
+        if observation.health != Health::Dead {
+            self.failed_looks.remove(&key);
+        }
         let known = self.own.entry(key).or_insert_with(|| Observed {
             latest: observation.clone(),
             published: None,
@@ -87,6 +97,23 @@
             .unwrap_or_else(|| self.own[&key].latest.clone())
     }
 
+    /// Takes in that an engine did not answer a look. Returns what now holds
+    /// of the engine once it counts as dead.
+    pub fn look_failed(&mut self, engine: &Engine) -> Option<EngineObservation> {
+        let count = self.failed_looks.entry(engine.key).or_default();
+        *count += 1;
+        if *count < FAILED_LOOKS_UNTIL_DEAD {
+            return None;
+        }
+        Some(self.observed(EngineObservation {
+            key: engine.key,
+            incarnation: engine.incarnation,
+            weights: engine.weights,
+            health: Health::Dead,
+            load: LoadReport::default(),
+        }))
+    }
+
     /// Takes in what another observer published. Returns what now holds.
     pub fn heard(&mut self, from: NodeKey, observation: EngineObservation) -> EngineObservation {
         let reports = self.heard.entry(observation.key).or_default();
@@ -117,6 +144,7 @@
     /// Forgets own observations of engines that others observe now.
     pub fn keep_own(&mut self, observes: impl Fn(EngineKey) -> bool) {
         self.own.retain(|engine, _| observes(*engine));
+        self.failed_looks.retain(|engine, _| observes(*engine));
     }
 
     /// Joins the observers' reports: the latest life counts, an engine that
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct LeaseView {
     own: NodeName,
+    own_life: u64,
     seen: Option<(ResourceVersion, LeaseSpec)>,
     seen_at: Millis,
     renewed_at: Option<Millis>,
@@ -41,9 +42,10 @@
 
 impl LeaseView {
     /// A view that has seen nothing yet.
-    pub fn new(own: NodeName) -> Self {
+    pub fn new(own: NodeName, own_life: u64) -> Self {
         Self {
             own,
+            own_life,
             seen: None,
             seen_at: Millis(0),
             renewed_at: None,
@@ -57,7 +59,7 @@
         if !newer {
             return;
         }
-        if spec.holder == self.own {
+        if self.is_own(&spec) {
             // The write began before now: count from its beginning.
             self.renewed_at = Some(self.writing_since.unwrap_or(now));
         } else {
@@ -68,6 +70,10 @@
         self.seen_at = now;
     }
 
+    fn is_own(&self, spec: &LeaseSpec) -> bool {
+        spec.holder == self.own && spec.holder_life == self.own_life
+    }
+
     /// A write failed or its reply was lost.
     pub fn on_write_failed(&mut self) {
         self.writing_since = None;
@@ -78,7 +84,7 @@
         let renewed_at = self.renewed_at?;
         let (_, spec) = self.seen.as_ref()?;
         let fresh = now.since(renewed_at) < STOP_ACTING_AFTER_MS;
-        (fresh && spec.holder == self.own).then_some(spec.fencing_token)
+        (fresh && self.is_own(spec)).then_some(spec.fencing_token)
     }
 
     /// What to do at `now`. `wants` tells whether this node is a candidate.
@@ -92,7 +98,7 @@
         let (version, token) = match &self.seen {
             None if wants => (ResourceVersion(0), 1),
             None => return LeaseStep::Wait,
-            Some((version, spec)) if spec.holder == self.own => {
+            Some((version, spec)) if self.is_own(spec) => {
                 let renewed = self.renewed_at.unwrap_or(Millis(0));
                 if now.since(renewed) < RENEW_AFTER_MS {
                     return LeaseStep::Wait;
@@ -102,7 +108,9 @@
                 (*version, spec.fencing_token + u64::from(lapsed))
             }
             Some((version, spec)) => {
-                let expired = now.since(self.seen_at) >= LEASE_DURATION_MS;
+                // An earlier life of this node is certainly over.
+                let earlier_life = spec.holder == self.own;
+                let expired = earlier_life || now.since(self.seen_at) >= LEASE_DURATION_MS;
                 if !(wants && expired) {
                     return LeaseStep::Wait;
                 }
@@ -114,6 +122,7 @@
             version,
             spec: LeaseSpec {
                 holder: self.own.clone(),
+                holder_life: self.own_life,
                 fencing_token: token,
                 expires_unix_ms: unix_ms + LEASE_DURATION_MS,
             },
--- a/crates/cluster/src/rollout.rs
+++ b/crates/cluster/src/rollout.rs
@@ -6,7 +6,7 @@
 //! engine of the pool; only then does it give its first order. So a late order
 //! of an earlier, paused holder is refused everywhere.
 
-use ploverlift_policy::fleet::{EngineKey, Fleet, Health};
+use ploverlift_policy::fleet::{Engine, EngineKey, Fleet, Health};
 use ploverlift_policy::ids::{Incarnation, Millis};
 use ploverlift_policy::objects::MachineRole;
 use ploverlift_policy::snapshot::Pool;
@@ -26,19 +26,54 @@
     pub fencing_token: u64,
 }
 
+/// What is observed of an engine is at most this old, in milliseconds.
+const OBSERVATION_LAG_MS: u64 = 1_500;
+
 /// Orders under way, as the present holder gave them.
 #[derive(Clone, Debug, Default)]
 pub struct Rollout {
     token: u64,
     fenced: BTreeSet<EngineKey>,
-    ordered: BTreeMap<EngineKey, (u64, Millis)>,
+    ordered: BTreeMap<EngineKey, Ordered>,
+}
+
+/// An order whose effect was not observed yet.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    /// The weights ordered; nothing for an order of an earlier holder.
+    weights: Option<u64>,
+    at: Millis,
+}
+
+impl Ordered {
+    /// Whether the engine shows the effect. That the engine has the weights
+    /// wanted *now* is no sign: the wish may have changed, and what is observed
+    /// may be from before the order.
+    fn is_done(&self, engine: &Engine, now: Millis) -> bool {
+        let ready = engine.health == Health::Ready;
+        match self.weights {
+            Some(weights) => ready && engine.weights.0 == weights,
+            None => ready && now.since(self.at) >= OBSERVATION_LAG_MS,
+        }
+    }
 }
 
 impl Rollout {
-    /// An engine has taken in the token.
-    pub fn on_fenced(&mut self, engine: EngineKey, fencing_token: u64) {
-        if self.token == fencing_token {
-            self.fenced.insert(engine);
+    /// An engine has taken in the token, and says whether it is loading by an
+    /// order of an earlier holder.
+    pub fn on_fenced(
+        &mut self,
+        engine: EngineKey,
+        fencing_token: u64,
+        loading: bool,
+        now: Millis,
+    ) {
+        if self.token == fencing_token && self.fenced.insert(engine) && loading {
+            let ordered = Ordered {
+                weights: None,
+                at: now,
+            };
+            self.ordered.insert(engine, ordered);
         }
     }
 
@@ -60,7 +95,7 @@
             self.ordered.clear();
         }
         self.ordered
-            .retain(|_, (_, ordered_at)| now.since(*ordered_at) < ORDER_TIMEOUT_MS);
+            .retain(|_, ordered| now.since(ordered.at) < ORDER_TIMEOUT_MS);
         let engines: Vec<_> = fleet
             .iter()
             .map(|(_, engine)| engine)
@@ -81,8 +116,8 @@
             return unfenced;
         }
         for engine in &engines {
-            let done = engine.weights.0 == wanted && engine.health != Health::Loading;
-            if done {
+            let ordered = self.ordered.get(&engine.key);
+            if ordered.is_some_and(|ordered| ordered.is_done(engine, now)) {
                 self.ordered.remove(&engine.key);
             }
         }
@@ -99,7 +134,11 @@
                 && outdated
                 && !self.ordered.contains_key(&engine.key)
             {
-                self.ordered.insert(engine.key, (wanted, now));
+                let ordered = Ordered {
+                    weights: Some(wanted),
+                    at: now,
+                };
+                self.ordered.insert(engine.key, ordered);
                 orders.push(LoadOrder {
                     engine: engine.key,
                     weights: Some(wanted),
--- a/crates/node/src/engine_poll.rs
+++ b/crates/node/src/engine_poll.rs
@@ -2,8 +2,9 @@
 
 use crate::state::Node;
 use futures_lite::{future, AsyncReadExt};
+use ploverlift_cluster::engine_watch::{LOOK_PERIOD_MS, LOOK_TIMEOUT_MS};
 use ploverlift_policy::fleet::{EngineKey, EngineObservation, Health, LoadReport};
-use ploverlift_policy::ids::{EngineName, Incarnation, WeightsVersion};
+use ploverlift_policy::ids::{Incarnation, WeightsVersion};
 use smol::Timer;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,12 +15,6 @@
 use trillium_http::ReceivedBody;
 use trillium_smol::ClientConfig;
 
-/// Time between two looks at an engine.
-pub const POLL_PERIOD: Duration = Duration::from_millis(300);
-/// Longest wait for an engine's answer to a look.
-const POLL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Looks without an answer after which an engine counts as dead.
-const FAILURES_UNTIL_DEAD: u32 = 2;
 /// Largest page of metrics that is read, in bytes.
 const MAX_METRICS_BYTES: u64 = 256 * 1024;
 
@@ -38,15 +33,11 @@
 #[derive(Clone, Debug)]
 struct Target {
     key: EngineKey,
-    name: EngineName,
     address: SocketAddr,
-    incarnation: Incarnation,
-    weights: WeightsVersion,
 }
 
 /// Looks at the engines that this node observes again and again until the task is dropped.
 pub async fn poll_engines(node: Arc<Node>) {
-    let mut failures: HashMap<EngineKey, u32> = HashMap::new();
     let client = Client::new(ClientConfig::new().with_nodelay(true));
     loop {
         let targets = targets(&node);
@@ -56,9 +47,9 @@
         });
         for task in looks.collect::<Vec<_>>() {
             let (seen, target) = task.await;
-            record(&node, &mut failures, &target, seen);
+            record(&node, &target, seen);
         }
-        Timer::after(POLL_PERIOD).await;
+        Timer::after(Duration::from_millis(LOOK_PERIOD_MS)).await;
     }
 }
 
@@ -68,41 +59,16 @@
         .into_iter()
         .map(|engine| Target {
             key: engine.key,
-            name: engine.name,
             address: engine.address,
-            incarnation: engine.incarnation,
-            weights: engine.weights,
         })
         .collect()
 }
 
-fn record(
-    node: &Node,
-    failures: &mut HashMap<EngineKey, u32>,
-    target: &Target,
-    seen: Option<EngineObservation>,
-) {
-    if let Some(observation) = seen {
-        failures.remove(&target.key);
-        node.with_core(|core, _| core.observed(observation));
-        return;
-    }
-    let count = failures.entry(target.key).or_default();
-    *count += 1;
-    if *count < FAILURES_UNTIL_DEAD {
-        return;
-    }
-    if *count == FAILURES_UNTIL_DEAD {
-        slog::warn!(node.log, "engine does not answer"; "engine" => target.name.as_str());
-    }
-    let dead = EngineObservation {
-        key: target.key,
-        incarnation: target.incarnation,
-        weights: target.weights,
-        health: Health::Dead,
-        load: LoadReport::default(),
-    };
-    node.with_core(|core, _| core.observed(dead));
+fn record(node: &Node, target: &Target, seen: Option<EngineObservation>) {
+    node.with_core(|core, _| match seen {
+        Some(observation) => core.observed(observation),
+        None => core.look_failed(target.key),
+    });
 }
 
 async fn look(client: &Client, target: &Target) -> Option<EngineObservation> {
@@ -116,7 +82,7 @@
         Some(observation_of(target.key, &text))
     };
     let timeout = async {
-        Timer::after(POLL_TIMEOUT).await;
+        Timer::after(Duration::from_millis(LOOK_TIMEOUT_MS)).await;
         None
     };
     future::or(read, timeout).await
--- a/crates/node/src/relay/mod.rs
+++ b/crates/node/src/relay/mod.rs
@@ -217,6 +217,10 @@
         match self.wait(call.send(&sent), from > 0).await {
             Waited::Ready(Ok(answer)) => self.read(answer, &chosen).await,
             Waited::Ready(Err(failure)) => self.failed(&chosen, failure),
+            Waited::DeadlinePassed if from > 0 => {
+                self.failed.push(chosen.key);
+                self.on(Event::AttemptFailed(state_without_answer(&sent), None))
+            }
             Waited::DeadlinePassed => self.on(Event::DeadlinePassed(state_without_answer(&sent))),
             Waited::CallerGone => {
                 self.note_lost_attempt(state_without_answer(&sent));
@@ -300,7 +304,7 @@
     async fn read_whole(&mut self, mut answer: EngineAnswer, chosen: &ChosenEngine) -> Step {
         match self.wait(answer.read_whole(), false).await {
             Waited::Ready(Ok(body)) => {
-                let step = self.on(Event::Completed);
+                let step = self.on(Event::Completed(None));
                 let recorded = RecordedAnswer {
                     status: answer.status as u16,
                     content_type: answer.content_type.clone(),
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -31,6 +31,7 @@
             let bytes = match self.wait(read, begun).await {
                 Waited::Ready(Ok(bytes)) if bytes > 0 => bytes,
                 Waited::Ready(_) => return self.broken(chosen),
+                Waited::DeadlinePassed if begun => return self.broken(chosen),
                 Waited::DeadlinePassed => {
                     return self.on(Event::DeadlinePassed(AttemptState::Answered))
                 }
@@ -61,10 +62,14 @@
                 break;
             }
             if event.data == DONE {
-                let id = self.event_id(chosen, self.machine.next_position());
-                write_event(&mut chunk, &id, DONE);
-                ending = Some(self.on(Event::Completed));
-                self.record_stream(chosen);
+                let end = numbered_position(&event);
+                let step = self.on(Event::Completed(end));
+                if step == Step::Finish {
+                    let id = self.event_id(chosen, self.machine.next_position());
+                    write_event(&mut chunk, &id, DONE);
+                    self.record_stream(chosen);
+                }
+                ending = Some(step);
                 break;
             }
             let at = piece_position(&event, position, self.machine.next_position());
@@ -134,9 +139,14 @@
     }
 }
 
+/// The position that the engine gave an event, when it numbers them.
+fn numbered_position(event: &SseEvent) -> Option<u64> {
+    event.id.as_deref()?.parse().ok()
+}
+
 /// The position of a piece: the engine's own numbering where it has one.
 fn piece_position(event: &SseEvent, last: &mut Option<u64>, next: u64) -> u64 {
-    let numbered = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
+    let numbered = numbered_position(event);
     let counted = last.map_or(next, |last| last + 1);
     let position = numbered.unwrap_or(counted);
     *last = Some(position);
--- a/crates/node/src/relay/waiting.rs
+++ b/crates/node/src/relay/waiting.rs
@@ -5,6 +5,7 @@
 use crate::sse::KEEP_ALIVE;
 use async_channel::Sender;
 use futures_lite::future;
+use ploverlift_policy::request::STREAM_IDLE_MS;
 use smol::Timer;
 use std::future::Future;
 use std::time::Duration;
@@ -16,23 +17,25 @@
 pub enum Waited<T> {
     /// The back end has answered.
     Ready(T),
-    /// The deadline for the first byte passed.
+    /// The deadline for the first byte passed, or an answer that has begun was
+    /// silent for too long.
     DeadlinePassed,
     /// The caller has hung up.
     CallerGone,
 }
 
 impl Relay {
-    /// Waits for `work` until the deadline for the first byte, unless the
-    /// answer has `begun`, and until the caller hangs up. A claimed request
+    /// Waits for `work` until the deadline for the first byte, or for as long as
+    /// an answer that has `begun` may be silent, and until the caller hangs up. A claimed request
     /// goes on without its caller: its answer is recorded for the next try.
     pub(super) async fn wait<T>(&self, work: impl Future<Output = T>, begun: bool) -> Waited<T> {
         let ready = async { Waited::Ready(work.await) };
         let late = async {
-            if begun {
-                future::pending::<()>().await;
-            }
-            let remaining = self.deadline.since(self.node.clock.now());
+            let remaining = if begun {
+                STREAM_IDLE_MS
+            } else {
+                self.deadline.since(self.node.clock.now())
+            };
             Timer::after(Duration::from_millis(remaining)).await;
             Waited::DeadlinePassed
         };
--- a/crates/policy/src/objects.rs
+++ b/crates/policy/src/objects.rs
@@ -271,6 +271,8 @@
 pub struct LeaseSpec {
     /// The node that holds the duty.
     pub holder: NodeName,
+    /// The holder's life: after a restart a node is another holder.
+    pub holder_life: u64,
     /// Rises with every change of holder; engines refuse orders with a lower one.
     pub fencing_token: u64,
     /// End of the lease, in milliseconds of Unix time.
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -11,6 +11,9 @@
 
 /// Attempts at back ends for one request, the first included.
 pub const MAX_ATTEMPTS: u32 = 4;
+/// Longest silence of a back end within an answer that has begun, in
+/// milliseconds; after it the answer counts as broken.
+pub const STREAM_IDLE_MS: u64 = 10_000;
 /// Time to come back after a refusal without a better estimate, in milliseconds.
 pub const DEFAULT_COME_BACK_MS: u64 = 1_000;
 
@@ -37,8 +40,9 @@
     Head,
     /// The back end sent the piece of the answer at this position, from 0.
     Piece(u64),
-    /// The answer is whole.
-    Completed,
+    /// The back end ended its answer, before the piece at this position where
+    /// it numbers them. A gap at the end is found by it.
+    Completed(Option<u64>),
     /// The answer ended early.
     StreamBroken,
     /// Every eligible engine would answer after the deadline.
@@ -183,7 +187,7 @@
             }
             Event::Head => self.head(),
             Event::Piece(position) => self.piece(position, budget, now),
-            Event::Completed => self.completed(),
+            Event::Completed(end) => self.completed(end, budget, now),
             Event::StreamBroken => self.stream_broken(budget, now),
             Event::Overloaded(come_back) => {
                 self.come_back = Some(come_back);
@@ -265,7 +269,10 @@
         Step::Deliver
     }
 
-    fn completed(&mut self) -> Step {
+    fn completed(&mut self, end: Option<u64>, budget: &mut RetryBudget, now: Millis) -> Step {
+        if end.is_some_and(|end| end != self.next_position) {
+            return self.stream_broken(budget, now);
+        }
         self.phase = Phase::Ended;
         Step::Finish
     }
--- /dev/null
+++ b/crates/simulation/src/platform.rs
@@ -0,0 +1,142 @@
+//! The simulated object API.
+
+use ploverlift_cluster::config_store::Record;
+use ploverlift_policy::ids::ResourceVersion;
+use ploverlift_policy::objects::{Kind, Object, ObjectKey};
+use std::collections::BTreeMap;
+
+/// How the object API behaves now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlatformMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// Does not answer.
+    Down,
+    /// Takes changes; their replies are lost.
+    LosesReplies,
+    /// Answers reads with a state from a while ago.
+    Stale,
+}
+
+/// What a write was answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WriteAnswer {
+    /// Stored as this object.
+    Stored(Object),
+    /// Somebody else changed the object.
+    Conflict,
+    /// No answer came; the change may have taken effect.
+    Lost,
+    /// The object API could not be reached; nothing took effect.
+    Unreachable,
+}
+
+/// The object API: every change ever made, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    /// How it behaves.
+    pub mode: PlatformMode,
+    log: Vec<Record>,
+    version: u64,
+    stale_version: u64,
+    /// Reads that were answered.
+    pub reads: u64,
+}
+
+impl Platform {
+    /// Changes the behaviour; stale reads show the state of this moment.
+    pub fn set_mode(&mut self, mode: PlatformMode) {
+        if mode == PlatformMode::Stale {
+            self.stale_version = self.version.saturating_sub(STALE_BY);
+        }
+        self.mode = mode;
+    }
+
+    /// Stores an object by compare-and-set.
+    pub fn put(&mut self, mut object: Object) -> WriteAnswer {
+        if self.mode == PlatformMode::Down {
+            return WriteAnswer::Unreachable;
+        }
+        let stored = self.stored_version(&object.key());
+        if object.metadata.resource_version.0 != stored {
+            return WriteAnswer::Conflict;
+        }
+        self.version += 1;
+        object.metadata.resource_version = ResourceVersion(self.version);
+        self.log.push(Record::stored(object.clone()));
+        if self.mode == PlatformMode::LosesReplies {
+            return WriteAnswer::Lost;
+        }
+        WriteAnswer::Stored(object)
+    }
+
+    /// Deletes an object whatever its version, for the machine list.
+    pub fn delete(&mut self, key: ObjectKey) {
+        if self.stored_version(&key) > 0 {
+            self.version += 1;
+            self.log.push(Record::deleted(key, ResourceVersion(self.version)));
+        }
+    }
+
+    fn stored_version(&self, key: &ObjectKey) -> u64 {
+        let last = self.log.iter().rev().find(|record| record.key == *key);
+        last.filter(|record| record.content.is_some())
+            .map_or(0, |record| record.version.0)
+    }
+
+    /// The newest stored object.
+    pub fn read(&self, kind: Kind, name: &str) -> Option<Object> {
+        let mut newest = self.log.iter().rev();
+        let record = newest.find(|record| record.key.kind == kind && record.key.name == name)?;
+        record.content.as_ref().map(|object| object.as_ref().clone())
+    }
+
+    /// Whether an object was ever stored just so.
+    pub fn accepted(&self, object: &Object) -> bool {
+        let mut records = self.log.iter();
+        records.any(|record| record.content.as_deref() == Some(object))
+    }
+
+    /// The newest version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn visible_version(&self) -> u64 {
+        match self.mode {
+            PlatformMode::Stale => self.stale_version,
+            _ => self.version,
+        }
+    }
+
+    /// All objects of a kind as reads show them now, and their version.
+    pub fn list(&mut self, kind: Kind) -> Option<(Vec<Object>, ResourceVersion)> {
+        if self.mode == PlatformMode::Down {
+            return None;
+        }
+        self.reads += 1;
+        let visible = self.visible_version();
+        let mut objects: BTreeMap<&str, Option<&Object>> = BTreeMap::new();
+        for record in self.log.iter().filter(|record| record.key.kind == kind) {
+            if record.version.0 <= visible {
+                objects.insert(&record.key.name, record.content.as_deref());
+            }
+        }
+        let listed = objects.into_values().flatten().cloned().collect();
+        Some((listed, ResourceVersion(visible)))
+    }
+
+    /// Changes after `version` as a watch shows them now.
+    pub fn changes_after(&self, version: u64) -> Option<Vec<Record>> {
+        if self.mode == PlatformMode::Down {
+            return None;
+        }
+        let visible = self.visible_version();
+        let after = self.log.iter().filter(|record| record.version.0 > version);
+        Some(after.filter(|record| record.version.0 <= visible).cloned().collect())
+    }
+}
+
+/// How many changes a stale read is behind.
+const STALE_BY: u64 = 3;
--- /dev/null
+++ b/crates/simulation/tests/support/mod.rs
@@ -0,0 +1,275 @@
+//! Strategies for schedules, and how a schedule is run and judged.
+
+use ploverlift_simulation::oracle::{Promise, Violation};
+use ploverlift_simulation::schedule::Operation;
+use ploverlift_simulation::world::{Mutations, World};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Schedules of one property when no count is given.
+pub const DEFAULT_SCHEDULES: u32 = 64;
+/// Environment variable with the count of schedules of a longer run.
+const SCHEDULES_VARIABLE: &str = "PLOVERLIFT_SCHEDULES";
+/// Time after the last operation in which everything must be settled, in milliseconds.
+const SETTLE_MS: u64 = 30_000;
+
+pub fn schedules() -> u32 {
+    let given = std::env::var(SCHEDULES_VARIABLE).ok();
+    let given = given.and_then(|text| text.parse().ok());
+    given.unwrap_or(DEFAULT_SCHEDULES)
+}
+
+/// A runner whose seed is fixed, so that CI returns the same verdict every time.
+pub fn runner() -> TestRunner {
+    let config = Config {
+        cases: schedules(),
+        max_shrink_iters: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let seed = [7; 32];
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    TestRunner::new_with_rng(config, random)
+}
+
+/// Runs a schedule on a settled site, ends every fault and lets the site settle.
+pub fn run(seed: u64, operations: &[Operation], mutations: Mutations) -> Vec<Violation> {
+    let mut world = World::settled(seed, mutations);
+    for operation in operations {
+        world.perform(operation);
+    }
+    world.recover();
+    world.advance(SETTLE_MS);
+    world.check_settled();
+    world.oracle.violations
+}
+
+/// Holds a property over generated schedules.
+pub fn hold(strategy: impl Strategy<Value = (u64, Vec<Operation>)>) {
+    let outcome = runner().run(&strategy, |(seed, operations)| {
+        let violations = run(seed, &operations, Mutations::default());
+        prop_assert!(violations.is_empty(), "{violations:?}");
+        Ok(())
+    });
+    if let Err(failure) = outcome {
+        panic!("{failure}");
+    }
+}
+
+/// Shows that the property can fail: some generated schedule breaks the
+/// promise under a mutation of the surroundings.
+pub fn must_break(
+    promise: Promise,
+    mutations: Mutations,
+    strategy: impl Strategy<Value = (u64, Vec<Operation>)>,
+) {
+    let mut runner = runner();
+    for tried in 1..=MUTATION_SCHEDULES {
+        let tree = strategy.new_tree(&mut runner).expect("a schedule");
+        let (seed, operations) = tree.current();
+        let violations = run(seed, &operations, mutations);
+        if let Some(found) = violations.iter().find(|found| found.promise == promise) {
+            println!("{promise:?} broken by schedule {tried}: {}", found.what);
+            return;
+        }
+    }
+    panic!("no schedule broke {promise:?} under {mutations:?}");
+}
+
+/// Schedules that are tried until one breaks the promise.
+const MUTATION_SCHEDULES: u32 = 400;
+
+fn advance() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        4 => (1u64..50).prop_map(Operation::Advance),
+        2 => (50u64..1_000).prop_map(Operation::Advance),
+        1 => (1_000u64..6_000).prop_map(Operation::Advance),
+    ]
+}
+
+fn node_faults() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        (0usize..6).prop_map(Operation::KillNode),
+        (0usize..6).prop_map(Operation::RestartNode),
+        (0usize..6).prop_map(Operation::RestartHerd),
+        (0usize..6).prop_map(Operation::FreezeNode),
+        (0usize..6).prop_map(Operation::ThawNode),
+    ]
+}
+
+fn network_faults() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        (0usize..3, 0usize..3).prop_map(|(a, b)| Operation::Cut(a, b)),
+        Just(Operation::HealCuts),
+        (0u8..30).prop_map(Operation::Loss),
+        (0u8..30).prop_map(Operation::Duplicate),
+        (0u64..40).prop_map(Operation::Jitter),
+    ]
+}
+
+fn platform_faults() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        Just(Operation::PlatformDown),
+        Just(Operation::PlatformLosesReplies),
+        Just(Operation::PlatformStale),
+        Just(Operation::PlatformUp),
+    ]
+}
+
+fn engine_faults() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        1 => (0usize..6).prop_map(Operation::KillEngine),
+        3 => (0usize..6).prop_map(Operation::RestartEngine),
+        1 => (0usize..6).prop_map(Operation::LeaveEngine),
+        1 => (0usize..6, 1u64..4).prop_map(|(engine, version)| Operation::EngineWeights(engine, version)),
+    ]
+}
+
+fn request() -> impl Strategy<Value = Operation> {
+    (0usize..6, 0usize..2, 0usize..6).prop_map(|(node, tenant, prompt)| Operation::Request {
+        node,
+        tenant,
+        prompt,
+    })
+}
+
+fn once() -> impl Strategy<Value = Operation> {
+    (0usize..6, 1u64..4).prop_map(|(node, request)| Operation::Once { node, request })
+}
+
+fn operators() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        3 => (0usize..6).prop_map(Operation::Apply),
+        1 => (0usize..6, 0usize..6).prop_map(|(a, b)| Operation::ApplyRace(a, b)),
+    ]
+}
+
+fn schedule_of(
+    operation: impl Strategy<Value = Operation>,
+) -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    (any::<u64>(), prop::collection::vec(operation, 1..60))
+}
+
+/// Requests with engines that crash, restart quickly and change weights.
+pub fn cache_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    schedule_of(prop_oneof![4 => request(), 3 => advance(), 2 => engine_faults()])
+}
+
+/// Requests with engines and networks that break streams.
+pub fn stream_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    schedule_of(prop_oneof![
+        4 => request(),
+        3 => advance(),
+        1 => engine_faults(),
+        2 => network_faults(),
+    ])
+}
+
+/// Requests that may run at most once, under everything that makes nodes forget.
+pub fn once_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    schedule_of(prop_oneof![
+        6 => once(),
+        3 => advance(),
+        3 => node_faults(),
+        2 => network_faults(),
+        1 => platform_faults(),
+        1 => (0usize..6).prop_map(Operation::RestartEngine),
+    ])
+}
+
+/// Leaving engines, with requests all the time and the platform down or slow.
+pub fn leaving_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    schedule_of(prop_oneof![
+        6 => request(),
+        4 => advance(),
+        2 => (0usize..4).prop_map(Operation::LeaveEngine),
+        1 => platform_faults(),
+        1 => (0u8..15).prop_map(Operation::Loss),
+    ])
+}
+
+/// Operators against stale readers, cuts, restarts and lost replies.
+pub fn configuration_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    schedule_of(prop_oneof![
+        4 => operators(),
+        3 => advance(),
+        2 => node_faults(),
+        2 => network_faults(),
+        2 => platform_faults(),
+    ])
+}
+
+/// Roll-outs of weights with holders of the lease that are paused and restarted.
+pub fn order_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    schedule_of(prop_oneof![
+        2 => (2u64..5).prop_map(Operation::WantWeights),
+        4 => advance(),
+        3 => node_faults(),
+        1 => network_faults(),
+        1 => platform_faults(),
+    ])
+}
+
+/// A pause of any node, longer than a lease, while a roll-out is under way.
+pub fn paused_holder_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    let round = (2u64..200, 1u64..600, 0usize..6, 5_500u64..8_500);
+    let rounds = prop::collection::vec(round, 1..6);
+    (any::<u64>(), rounds).prop_map(|(seed, rounds)| {
+        let operations = rounds.into_iter().flat_map(|(weights, before, node, pause)| {
+            [
+                Operation::WantWeights(weights),
+                Operation::Advance(before),
+                Operation::FreezeNode(node),
+                Operation::Advance(pause),
+                Operation::ThawNode(node),
+            ]
+        });
+        (seed, operations.collect())
+    })
+}
+
+/// Answers that are lost after the request has run. The engines of the node's
+/// own zone leave first, so that requests cross zones; then the zone is cut off
+/// or an engine restarts while a request runs.
+pub fn lost_answer_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    let round = (1u64..9, 4u64..40, 0usize..6, any::<bool>());
+    let rounds = prop::collection::vec(round, 1..8);
+    (any::<u64>(), 0usize..3, rounds).prop_map(|(seed, zone, rounds)| {
+        let mut operations = vec![
+            Operation::LeaveEngine(zone),
+            Operation::LeaveEngine(zone + 3),
+            Operation::Advance(2_000),
+        ];
+        for (request, before, engine, cut) in rounds {
+            operations.push(Operation::Once {
+                node: zone,
+                request,
+            });
+            operations.push(Operation::Advance(before));
+            if cut {
+                operations.push(Operation::Cut(zone, zone + 1));
+                operations.push(Operation::Cut(zone, zone + 2));
+            } else {
+                operations.push(Operation::RestartEngine(engine));
+            }
+            operations.push(Operation::Advance(2_500));
+            operations.push(Operation::HealCuts);
+        }
+        (seed, operations)
+    })
+}
+
+/// Everything together.
+pub fn mixed_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    schedule_of(prop_oneof![
+        4 => request(),
+        3 => once(),
+        4 => advance(),
+        2 => node_faults(),
+        2 => network_faults(),
+        1 => platform_faults(),
+        2 => engine_faults(),
+        1 => operators(),
+    ])
+}
