--- a/crates/cluster/src/claim_proposer.rs
+++ b/crates/cluster/src/claim_proposer.rs
@@ -51,6 +51,7 @@
     grants: BTreeMap<NodeKey, u64>,
     held: BTreeSet<NodeKey>,
     not_voting: BTreeMap<NodeKey, u64>,
+    lives: BTreeMap<NodeKey, u64>,
 }
 
 impl Proposal {
@@ -74,6 +75,7 @@
             grants: BTreeMap::new(),
             held: BTreeSet::new(),
             not_voting: BTreeMap::new(),
+            lives: BTreeMap::new(),
         }
     }
 
@@ -129,9 +131,17 @@
             return None;
         }
         for known in &vote.known_lives {
-            self.drop_forgotten(NodeKey(known.replica), known.life);
+            self.note_life(NodeKey(known.replica), known.life);
+        }
+        self.note_life(voter, voter_life);
+        if self
+            .lives
+            .get(&voter)
+            .is_some_and(|life| voter_life < *life)
+        {
+            // The voter has restarted since and may have forgotten this vote.
+            return None;
         }
-        self.drop_forgotten(voter, voter_life);
         match verdict {
             ClaimVerdict::Granted => {
                 self.grants.insert(voter, voter_life);
@@ -151,7 +161,10 @@
         self.judge()
     }
 
-    fn drop_forgotten(&mut self, replica: NodeKey, life: u64) {
+    /// Notes a life of a replica; a grant of an earlier one no longer counts.
+    fn note_life(&mut self, replica: NodeKey, life: u64) {
+        let known = self.lives.entry(replica).or_default();
+        *known = (*known).max(life);
         if self
             .grants
             .get(&replica)
--- a/crates/cluster/src/claims.rs
+++ b/crates/cluster/src/claims.rs
@@ -314,11 +314,17 @@
         if request.generation != generation || self.sealed_below > generation {
             return (ClaimVerdict::WrongGeneration, None);
         }
+        let votes = self.votes();
         if let Some(claim) = self.claims.get(&key) {
-            return verdict_on(claim, request);
+            let (verdict, answer) = verdict_on(claim, request);
+            // A claim that was only learned from another replica is no vote of this one.
+            if verdict == ClaimVerdict::Granted && !votes {
+                return (ClaimVerdict::NotVoting, None);
+            }
+            return (verdict, answer);
         }
         let full = self.claims.len() >= MAX_CLAIMS;
-        if !self.votes() || full {
+        if !votes || full {
             return (ClaimVerdict::NotVoting, None);
         }
         let claim = Claim {
--- a/crates/cluster/src/config_sync.rs
+++ b/crates/cluster/src/config_sync.rs
@@ -22,8 +22,6 @@
 const QUIET_MS: u64 = 200;
 /// Shortest time between two comparisons that this node begins, in milliseconds.
 const COMPARE_PERIOD_MS: u64 = 250;
-/// Members with which an empty node compares at once.
-const FIRST_COMPARISONS: usize = 3;
 
 /// One node's side of the spreading.
 #[derive(Debug, Default)]
@@ -137,14 +135,20 @@
         }
     }
 
-    /// Compares at once with several members, as after a start.
-    pub fn compare_with_some(
+    /// Compares at once with the member that answered a join: in a herd of
+    /// restarts it may be the only one that knows.
+    pub fn compare_with(&self, from: SocketAddr, outbox: &mut Outbox) {
+        outbox.send(from, self.buckets_message());
+    }
+
+    /// Compares with a random member.
+    pub fn compare_with_one(
         &self,
         members: &Membership,
         random: &mut fastrand::Rng,
         outbox: &mut Outbox,
     ) {
-        for target in members.random_live(FIRST_COMPARISONS, None, random) {
+        for target in members.random_live(1, None, random) {
             outbox.send(target, self.buckets_message());
         }
     }
--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -7,8 +7,8 @@
 use crate::claims::{ClaimKey, ClaimReplica, DEFAULT_RETENTION_MS};
 use crate::config_store::Record;
 use crate::config_sync::ConfigSync;
-use crate::engine_watch::{self, EngineWatch};
-use crate::membership::{Identity, MemberChange, Membership};
+use crate::engine_watch::{self, EngineWatch, LOOK_TIMEOUT_MS};
+use crate::membership::{Digests, Identity, MemberChange, Membership};
 use crate::node_key::{rendezvous_first, NodeKey};
 use crate::output::{Outbox, Outgoing};
 use crate::quota::{Quota, TenantKey};
@@ -23,7 +23,8 @@
 use ploverlift_policy::snapshot::Tenant;
 use ploverlift_wire::messages::envelope::Body;
 use ploverlift_wire::messages::{
-    DirectoryAnswer, DirectoryLookup, DirectoryMatch, DirectoryRecord, EngineReports, Envelope,
+    CatchUp, DirectoryAnswer, DirectoryLookup, DirectoryMatch, DirectoryRecord, EngineReports,
+    Envelope,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -35,6 +36,19 @@
 pub const LOOKUP_TIMEOUT_MS: u64 = 3;
 /// The one claim group of a site. More groups divide the claims of larger ones.
 pub const CLAIM_GROUP: &str = "claims-0";
+/// A node that did not tick for so long was paused, in milliseconds.
+const PAUSE_MS: u64 = 1_500;
+/// Longest time for which a node that was paused holds new requests, in milliseconds.
+const CATCH_UP_MS: u64 = 100;
+/// Longest time for which a node that has just started holds new requests:
+/// until a node that runs has told it what it knows of engines, in milliseconds.
+const START_CATCH_UP_MS: u64 = 300;
+/// Members that a node that was paused asks.
+const CATCH_UP_MEMBERS: usize = 2;
+/// A node counts as just started for so long, in milliseconds.
+const START_UP_MS: u64 = 3_000;
+/// Time between two comparisons of configuration just after a start, in milliseconds.
+const START_COMPARISON_PERIOD_MS: u64 = 150;
 /// Time between two looks at whether the claim group should change, in milliseconds.
 const GROUP_PLAN_PERIOD_MS: u64 = 1_000;
 /// An answer is sent to the claim's replicas so many times, against loss.
@@ -132,6 +146,9 @@
     completions: Vec<Completion>,
     next_ticket: u64,
     next_group_plan: Millis,
+    next_start_comparison: Millis,
+    last_tick: Millis,
+    catch_up_until: Millis,
     group_seen_from_platform: bool,
     outbox: Outbox,
     events: Vec<CoreEvent>,
@@ -144,6 +161,8 @@
         let mut random = fastrand::Rng::with_seed(seed);
         let own_key = NodeKey::of(&settings.identity.name);
         let life = settings.identity.life;
+        let alone = settings.seeds.is_empty();
+        let catch_up_until = now.plus(if alone { 0 } else { START_CATCH_UP_MS });
         let members = Membership::new(settings.identity, settings.seeds, &mut random);
         Self {
             members,
@@ -157,6 +176,9 @@
             completions: Vec::new(),
             next_ticket: 0,
             next_group_plan: Millis(0),
+            next_start_comparison: Millis(0),
+            last_tick: now,
+            catch_up_until,
             group_seen_from_platform: false,
             outbox: Outbox::default(),
             events: Vec::new(),
@@ -191,18 +213,55 @@
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Millis) {
-        let root = self.config.store.root().0;
+        self.notice_pause(now);
+        let digests = self.digests();
         self.members
-            .tick(now, root, &mut self.random, &mut self.outbox);
+            .tick(now, digests, &mut self.random, &mut self.outbox);
         self.take_in_member_changes();
         self.watch.tick(now, &self.members, &mut self.outbox);
         self.quota.tick(now, &self.members, &mut self.outbox);
         self.tick_claims(now);
         self.tick_completions(now);
+        self.compare_after_start(now);
         self.take_in_config();
         self.plan_claim_group(now);
     }
 
+    fn digests(&self) -> Digests {
+        Digests {
+            config: self.config.store.root().0,
+            leaving: self.watch.leaving_root(),
+        }
+    }
+
+    /// Tells a member that knows other leaving engines those that this node knows.
+    fn compare_leaving(&mut self, from: SocketAddr, root: u64) {
+        if root == self.watch.leaving_root() {
+            return;
+        }
+        for reports in self.watch.leaving_reports() {
+            self.outbox.send(from, Body::EngineReports(reports));
+        }
+    }
+
+    /// After a pause of its process a node asks others what it missed.
+    fn notice_pause(&mut self, now: Millis) {
+        let paused = now.since(self.last_tick) >= PAUSE_MS;
+        self.last_tick = now;
+        if !paused {
+            return;
+        }
+        self.catch_up_until = now.plus(CATCH_UP_MS);
+        self.members
+            .ask_some(CATCH_UP_MEMBERS, &mut self.random, &mut self.outbox);
+    }
+
+    /// Whether the node was paused, or has just started, and has not heard yet
+    /// what it missed. New requests wait for it, shortly.
+    pub fn is_catching_up(&self, now: Millis) -> bool {
+        now.since(self.last_tick) >= PAUSE_MS || now < self.catch_up_until
+    }
+
     /// Takes in a message.
     pub fn handle(&mut self, from: SocketAddr, envelope: Envelope, now: Millis) {
         let sender = NodeKey(envelope.sender);
@@ -223,32 +282,52 @@
         now: Millis,
     ) {
         let root = self.config.store.root().0;
+        let leaving = self.watch.leaving_root();
         let (members, outbox) = (&mut self.members, &mut self.outbox);
         let random = &mut self.random;
         match body {
             Body::Probe(probe) => {
-                members.on_probe(from, &probe, root, now, outbox);
+                let digests = Digests {
+                    config: root,
+                    leaving,
+                };
+                members.on_probe(from, &probe, digests, now, outbox);
                 if probe.on_behalf_of.is_empty() {
                     self.config.on_root(from, probe.config_root, now, outbox);
+                    self.compare_leaving(from, probe.leaving_root);
                 }
             }
             Body::ProbeAnswer(answer) => {
-                members.on_probe_answer(&answer, now, outbox);
+                members.on_probe_answer(from, &answer, now, outbox);
                 self.config.on_root(from, answer.config_root, now, outbox);
+                self.compare_leaving(from, answer.leaving_root);
             }
             Body::IndirectProbe(request) => {
-                members.on_indirect_probe(from, &request, root, now, outbox);
+                let digests = Digests {
+                    config: root,
+                    leaving,
+                };
+                members.on_indirect_probe(from, &request, digests, now, outbox);
+            }
+            Body::Join(join) => {
+                members.on_join(from, &join, now, outbox);
+                for reports in self.watch.reports_for_joiner(&self.router.fleet) {
+                    outbox.send(from, Body::EngineReports(reports));
+                }
+                if now >= self.catch_up_until {
+                    outbox.send(from, Body::CatchUp(CatchUp {}));
+                }
             }
-            Body::Join(join) => members.on_join(from, &join, now, outbox),
             Body::JoinAnswer(answer) => {
                 members.on_join_answer(&answer, now);
-                self.config.compare_with_some(members, random, outbox);
+                self.config.compare_with(from, outbox);
             }
             Body::ConfigPush(push) => self.config.on_push(&push, members, now, random, outbox),
             Body::ConfigBuckets(buckets) => self.config.on_buckets(from, &buckets, outbox),
             Body::ConfigVersions(versions) => self.config.on_versions(from, &versions, outbox),
             Body::ConfigPull(pull) => self.config.on_pull(from, &pull, outbox),
             Body::EngineReports(reports) => self.heard(sender, &reports),
+            Body::CatchUp(_) => self.catch_up_until = now,
             Body::DirectoryRecord(record) => self.on_directory_record(&record, now),
             Body::DirectoryLookup(lookup) => self.on_directory_lookup(from, &lookup, now),
             Body::DirectoryAnswer(answer) => self.on_directory_answer(answer, now),
@@ -300,6 +379,18 @@
             self.take_in_claim_group(record);
         }
         self.router.rebuild(&self.config.store);
+        self.apply_reports_to_new_engines();
+    }
+
+    /// Reports may come before the machine list's entry of their engine.
+    fn apply_reports_to_new_engines(&mut self) {
+        let fleet = &self.router.fleet;
+        let new = fleet.iter().map(|(_, engine)| engine);
+        let new = new.filter(|engine| engine.incarnation == Incarnation(0));
+        let keys: Vec<EngineKey> = new.map(|engine| engine.key).collect();
+        for observation in keys.into_iter().filter_map(|key| self.watch.holds(key)) {
+            self.router.observe(&observation);
+        }
     }
 
     fn take_in_claim_group(&mut self, record: &Record) {
@@ -353,6 +444,18 @@
         self.take_in_config();
     }
 
+    /// A node that has just started compares often: it must serve at once, and
+    /// a lost push would otherwise be found by the next probe only.
+    fn compare_after_start(&mut self, now: Millis) {
+        if now.0 >= START_UP_MS || now < self.next_start_comparison {
+            return;
+        }
+        self.next_start_comparison = now.plus(START_COMPARISON_PERIOD_MS);
+        let (members, outbox) = (&self.members, &mut self.outbox);
+        self.config
+            .compare_with_one(members, &mut self.random, outbox);
+    }
+
     fn plan_claim_group(&mut self, now: Millis) {
         if now < self.next_group_plan {
             return;
@@ -390,8 +493,12 @@
             .collect()
     }
 
-    /// Takes in what this node observed of an engine.
-    pub fn observed(&mut self, observation: EngineObservation) {
+    /// Takes in what this node observed of an engine by a look that began at
+    /// `looked_at`. What a paused node reads only after its pause is too old.
+    pub fn observed(&mut self, observation: EngineObservation, looked_at: Millis, now: Millis) {
+        if now.since(looked_at) > LOOK_TIMEOUT_MS {
+            return;
+        }
         let holds = self.watch.observed(observation);
         self.router.observe(&holds);
     }
@@ -432,7 +539,12 @@
     fn heard(&mut self, from: NodeKey, reports: &EngineReports) {
         for report in &reports.reports {
             let observation = engine_watch::from_message(report);
-            let holds = self.watch.heard(from, observation);
+            let index = self.router.fleet.find(observation.key);
+            let engine = index.map(|index| self.router.fleet.get(index));
+            let observers = engine.map_or_else(Vec::new, |engine| {
+                engine_watch::observers_of(engine, &self.members)
+            });
+            let holds = self.watch.heard(from, observation, &observers);
             self.router.observe(&holds);
         }
     }
@@ -750,8 +862,8 @@
 
     /// Says good-bye: a planned stop begins.
     pub fn leave(&mut self) {
-        let root = self.config.store.root().0;
-        self.members.leave(&mut self.outbox, root);
+        let digests = self.digests();
+        self.members.leave(&mut self.outbox, digests);
     }
 }
 
--- a/crates/cluster/src/engine_watch.rs
+++ b/crates/cluster/src/engine_watch.rs
@@ -9,12 +9,13 @@
 use crate::membership::Membership;
 use crate::node_key::{rendezvous_top, NodeKey};
 use crate::output::Outbox;
-use ploverlift_policy::fleet::{Engine, EngineKey, EngineObservation, Health, LoadReport};
+use ploverlift_policy::fleet::{Engine, EngineKey, EngineObservation, Fleet, Health, LoadReport};
 use ploverlift_policy::ids::{Incarnation, Millis, WeightsVersion};
 use ploverlift_wire::messages::envelope::Body;
 use ploverlift_wire::messages::{EngineReport, EngineReports};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time between two looks at an engine, in milliseconds.
 pub const LOOK_PERIOD_MS: u64 = 300;
@@ -48,6 +49,17 @@
     published: Option<EngineObservation>,
     repeats: u32,
     published_at: Millis,
+    /// Order in which this node learned what it knows.
+    order: u64,
+}
+
+/// What another observer said last.
+#[derive(Clone, Debug)]
+struct Heard {
+    observer: NodeKey,
+    observation: EngineObservation,
+    /// Order in which this node learned what it knows.
+    order: u64,
 }
 
 /// One node's observations and what it has heard from other observers.
@@ -55,7 +67,8 @@
 pub struct EngineWatch {
     own: BTreeMap<EngineKey, Observed>,
     failed_looks: BTreeMap<EngineKey, u32>,
-    heard: BTreeMap<EngineKey, Vec<(NodeKey, EngineObservation)>>,
+    heard: BTreeMap<EngineKey, Vec<Heard>>,
+    next_order: u64,
     next_publish: Millis,
 }
 
@@ -83,17 +96,20 @@
         if observation.health != Health::Dead {
             self.failed_looks.remove(&key);
         }
+        self.next_order += 1;
         let known = self.own.entry(key).or_insert_with(|| Observed {
             latest: observation.clone(),
             published: None,
             repeats: ELIGIBILITY_REPEATS,
             published_at: Millis(0),
+            order: 0,
         });
         if eligibility_changed(&known.latest, &observation) {
             known.repeats = ELIGIBILITY_REPEATS;
         }
         known.latest = observation;
-        self.joined(key)
+        known.order = self.next_order;
+        self.holds(key)
             .unwrap_or_else(|| self.own[&key].latest.clone())
     }
 
@@ -114,15 +130,24 @@
         }))
     }
 
-    /// Takes in what another observer published. Returns what now holds.
-    pub fn heard(&mut self, from: NodeKey, observation: EngineObservation) -> EngineObservation {
+    /// Takes in what another node published. `observers` are the engine's
+    /// present ones: what a former one said no longer counts, it may be long
+    /// out of date. Returns what now holds.
+    pub fn heard(
+        &mut self,
+        from: NodeKey,
+        observation: EngineObservation,
+        observers: &[NodeKey],
+    ) -> EngineObservation {
+        self.next_order += 1;
         let reports = self.heard.entry(observation.key).or_default();
-        reports.retain(|(observer, _)| *observer != from);
-        reports.push((from, observation.clone()));
-        if reports.len() > 2 * OBSERVERS_PER_ENGINE {
-            reports.remove(0);
-        }
-        self.joined(observation.key).unwrap_or(observation)
+        reports.retain(|heard| heard.observer != from && observers.contains(&heard.observer));
+        reports.push(Heard {
+            observer: from,
+            observation: observation.clone(),
+            order: self.next_order,
+        });
+        self.holds(observation.key).unwrap_or(observation)
     }
 
     /// Forgets what a dead observer said. Returns what now holds of the engines it observed.
@@ -130,14 +155,14 @@
         let mut touched = Vec::new();
         for (engine, reports) in &mut self.heard {
             let before = reports.len();
-            reports.retain(|(known, _)| *known != observer);
+            reports.retain(|known| known.observer != observer);
             if reports.len() != before {
                 touched.push(*engine);
             }
         }
         touched
             .into_iter()
-            .filter_map(|engine| self.joined(engine))
+            .filter_map(|engine| self.holds(engine))
             .collect()
     }
 
@@ -147,24 +172,61 @@
         self.failed_looks.retain(|engine, _| observes(*engine));
     }
 
-    /// Joins the observers' reports: the latest life counts, an engine that
-    /// says it leaves is leaving, and it is dead only when no observer of that
-    /// life reaches it.
-    fn joined(&self, engine: EngineKey) -> Option<EngineObservation> {
-        let own = self.own.get(&engine).map(|observed| &observed.latest);
+    /// Joins the observers' reports: only the latest life counts; an engine of
+    /// which one says that it leaves is leaving; it is dead only when all say
+    /// so; otherwise what was learned last holds.
+    pub fn holds(&self, engine: EngineKey) -> Option<EngineObservation> {
+        let own = self.own.get(&engine);
+        let own = own.map(|observed| (&observed.latest, observed.order));
         let heard = self.heard.get(&engine).into_iter().flatten();
-        let reports = own.into_iter().chain(heard.map(|(_, report)| report));
-        let mut best: Option<&EngineObservation> = None;
-        for report in reports {
-            let better = best.is_none_or(|best| {
-                (report.incarnation, preference(report.health))
-                    > (best.incarnation, preference(best.health))
-            });
-            if better {
-                best = Some(report);
-            }
-        }
-        best.cloned()
+        let heard = heard.map(|heard| (&heard.observation, heard.order));
+        let reports = own.into_iter().chain(heard);
+        let best = reports
+            .max_by_key(|(report, order)| (report.incarnation, preference(report.health), *order));
+        best.map(|(report, _)| report.clone())
+    }
+
+    /// Everything that holds, for a node that has just joined.
+    pub fn reports_for_joiner(&self, fleet: &Fleet) -> Vec<EngineReports> {
+        let engines = fleet.iter().map(|(_, engine)| engine.key);
+        let held: Vec<EngineReport> = engines
+            .filter_map(|engine| self.holds(engine))
+            .map(|observation| to_message(&observation))
+            .collect();
+        let parts = held.chunks(REPORTS_PER_MESSAGE);
+        parts
+            .map(|part| EngineReports {
+                reports: part.to_vec(),
+            })
+            .collect()
+    }
+
+    /// Engines that are known to leave in their present life.
+    fn leaving(&self) -> impl Iterator<Item = EngineObservation> + '_ {
+        let keys = self.own.keys().chain(self.heard.keys());
+        let keys: BTreeSet<EngineKey> = keys.copied().collect();
+        let held = keys.into_iter().filter_map(|engine| self.holds(engine));
+        held.filter(|observation| observation.health == Health::Leaving)
+    }
+
+    /// Digest over the engines that are known to leave. That an engine leaves
+    /// stays true for its life, so a difference can be mended by telling.
+    pub fn leaving_root(&self) -> u64 {
+        self.leaving().fold(0, |root, observation| {
+            let life = observation.incarnation.0;
+            root ^ xxh3_64_with_seed(&life.to_le_bytes(), observation.key.0)
+        })
+    }
+
+    /// Reports on the engines that are known to leave.
+    pub fn leaving_reports(&self) -> Vec<EngineReports> {
+        let reports: Vec<EngineReport> = self.leaving().map(|held| to_message(&held)).collect();
+        let parts = reports.chunks(REPORTS_PER_MESSAGE);
+        parts
+            .map(|part| EngineReports {
+                reports: part.to_vec(),
+            })
+            .collect()
     }
 
     /// Publishes what is due.
@@ -217,13 +279,12 @@
     near.map(|(_, member)| member.identity.address).collect()
 }
 
+/// Which of two reports of one life counts more, before the later one does.
 fn preference(health: Health) -> u8 {
     match health {
         Health::Dead => 0,
-        Health::Unknown => 1,
-        Health::Ready => 2,
-        Health::Loading => 3,
-        Health::Leaving => 4,
+        Health::Unknown | Health::Ready | Health::Loading => 1,
+        Health::Leaving => 2,
     }
 }
 
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -26,6 +26,8 @@
         version: ResourceVersion,
         /// What to store.
         spec: LeaseSpec,
+        /// When the write began; the lease counts from then.
+        began: Millis,
     },
 }
 
@@ -53,23 +55,39 @@
         }
     }
 
-    /// Takes in the stored lease as read, watched or returned by a write.
-    pub fn on_stored(&mut self, version: ResourceVersion, spec: LeaseSpec, now: Millis) {
+    /// Takes in the stored lease as read or watched. A lease of this node does
+    /// not count as renewed by it: when it was written is not known.
+    pub fn on_seen(&mut self, version: ResourceVersion, spec: LeaseSpec, now: Millis) {
         let newer = self.seen.as_ref().is_none_or(|(known, _)| *known < version);
         if !newer {
             return;
         }
-        if self.is_own(&spec) {
-            // The write began before now: count from its beginning.
-            self.renewed_at = Some(self.writing_since.unwrap_or(now));
-        } else {
+        if !self.is_own(&spec) {
             self.renewed_at = None;
         }
-        self.writing_since = None;
         self.seen = Some((version, spec));
         self.seen_at = now;
     }
 
+    /// A write of this node that `began` then was stored.
+    pub fn on_written(
+        &mut self,
+        version: ResourceVersion,
+        spec: LeaseSpec,
+        began: Millis,
+        now: Millis,
+    ) {
+        self.writing_since = None;
+        let current = self
+            .seen
+            .as_ref()
+            .is_none_or(|(known, _)| *known <= version);
+        if current {
+            self.renewed_at = self.renewed_at.max(Some(began));
+        }
+        self.on_seen(version, spec, now);
+    }
+
     fn is_own(&self, spec: &LeaseSpec) -> bool {
         spec.holder == self.own && spec.holder_life == self.own_life
     }
@@ -126,6 +144,7 @@
                 fencing_token: token,
                 expires_unix_ms: unix_ms + LEASE_DURATION_MS,
             },
+            began: now,
         }
     }
 }
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -6,6 +6,11 @@
 //! time. The cost of a node does not depend on the number of members. Dead
 //! members are probed now and then, so that a healed cut is found from either
 //! side.
+//!
+//! Gossip alone is not enough: nodes that start at the same moment can each
+//! learn of one other only, and then nobody has news to tell. So probes carry a
+//! digest of the live members, and a lasting difference is mended by asking for
+//! the whole list.
 
 use crate::node_key::NodeKey;
 use crate::output::Outbox;
@@ -31,6 +36,10 @@
 pub const RECONNECT_PERIOD_MS: u64 = 2_000;
 /// Time after which a dead member is forgotten, in milliseconds.
 pub const FORGET_DEAD_MS: u64 = 3_600_000;
+/// Members are compared only when they did not change for so long, in milliseconds.
+const MEMBERS_QUIET_MS: u64 = 1_000;
+/// Shortest time between two comparisons of members, in milliseconds.
+const COMPARE_MEMBERS_PERIOD_MS: u64 = 5_000;
 /// Updates on one message.
 const UPDATES_PER_MESSAGE: usize = 6;
 /// An update is sent this many times the logarithm of the number of members.
@@ -38,6 +47,16 @@
 /// One probe in this many goes to another zone.
 const OTHER_ZONE_EVERY: u64 = 4;
 
+/// Digests of what a node knows, sent with every probe: a difference that
+/// lasts is mended by whom it concerns.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Digests {
+    /// Over the configuration.
+    pub config: u64,
+    /// Over the engines that are known to leave.
+    pub leaving: u64,
+}
+
 /// Who a node is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -116,6 +135,9 @@
     next_probe: Millis,
     next_join: Millis,
     next_reconnect: Millis,
+    joined: bool,
+    changed_at: Millis,
+    compared_at: Option<Millis>,
     probes_made: u64,
     changes: Vec<MemberChange>,
     suspicions: u64,
@@ -141,6 +163,9 @@
             next_probe: Millis(random.u64(..PROBE_PERIOD_MS)),
             next_join: Millis(0),
             next_reconnect: Millis(RECONNECT_PERIOD_MS),
+            joined: false,
+            changed_at: Millis(0),
+            compared_at: None,
             probes_made: 0,
             changes: Vec::new(),
             suspicions: 0,
@@ -193,6 +218,29 @@
         self.suspicions
     }
 
+    /// Digest over the live members and this node.
+    pub fn root(&self) -> u64 {
+        let live = self.live().map(|(key, member)| (key, member.identity.life));
+        live.chain([(self.own_key, self.own.life)])
+            .fold(0, |root, (key, life)| root ^ key.digest(life))
+    }
+
+    /// Asks for all members of a node that has lasting other ones.
+    fn compare_root(&mut self, from: SocketAddr, root: u64, now: Millis, outbox: &mut Outbox) {
+        let quiet = now.since(self.changed_at) >= MEMBERS_QUIET_MS;
+        let recently = self
+            .compared_at
+            .is_some_and(|at| now.since(at) < COMPARE_MEMBERS_PERIOD_MS);
+        if !quiet || recently || root == self.root() {
+            return;
+        }
+        self.compared_at = Some(now);
+        let join = Join {
+            this: Some(self.own_update()),
+        };
+        outbox.send(from, Body::Join(join));
+    }
+
     /// Takes the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<MemberChange> {
         std::mem::take(&mut self.changes)
@@ -209,7 +257,7 @@
     }
 
     /// Says good-bye to some members; the rest learn it by gossip.
-    pub fn leave(&mut self, outbox: &mut Outbox, config_root: u64) {
+    pub fn leave(&mut self, outbox: &mut Outbox, digests: Digests) {
         self.leaving = true;
         let targets: Vec<SocketAddr> = self
             .live()
@@ -217,7 +265,7 @@
             .map(|(_, member)| member.identity.address)
             .collect();
         for target in targets {
-            let probe = self.probe_message(0, String::new(), config_root);
+            let probe = self.probe_message(0, String::new(), digests);
             outbox.send(target, Body::Probe(probe));
         }
     }
@@ -226,7 +274,7 @@
     pub fn tick(
         &mut self,
         now: Millis,
-        config_root: u64,
+        digests: Digests,
         random: &mut fastrand::Rng,
         outbox: &mut Outbox,
     ) {
@@ -238,16 +286,17 @@
         self.expire_suspicions(now);
         if now >= self.next_probe {
             self.next_probe = now.plus(PROBE_PERIOD_MS);
-            self.probe_next(now, config_root, random, outbox);
+            self.probe_next(now, digests, random, outbox);
         }
         if now >= self.next_reconnect {
             self.next_reconnect = now.plus(RECONNECT_PERIOD_MS);
-            self.probe_a_dead_member(now, config_root, random, outbox);
+            self.probe_a_dead_member(now, digests, random, outbox);
         }
     }
 
     fn try_join(&mut self, now: Millis, random: &mut fastrand::Rng, outbox: &mut Outbox) {
-        if self.live > 0 || self.seeds.is_empty() || now < self.next_join {
+        let done = self.joined && self.live > 0;
+        if done || self.seeds.is_empty() || now < self.next_join {
             return;
         }
         self.next_join = now.plus(JOIN_PERIOD_MS + random.u64(..JOIN_PERIOD_MS));
@@ -259,6 +308,16 @@
         }
     }
 
+    /// Asks a few members for all they know, as after a pause.
+    pub fn ask_some(&self, count: usize, random: &mut fastrand::Rng, outbox: &mut Outbox) {
+        let join = Join {
+            this: Some(self.own_update()),
+        };
+        for target in self.random_live(count, None, random) {
+            outbox.send(target, Body::Join(join.clone()));
+        }
+    }
+
     fn follow_up_probe(&mut self, now: Millis, random: &mut fastrand::Rng, outbox: &mut Outbox) {
         let Some(probe) = self.pending else {
             return;
@@ -335,6 +394,7 @@
                 member.since = now;
             }
             self.live -= 1;
+            self.changed_at = now;
             self.changes.push(MemberChange::Gone(key));
             self.spread(key);
         }
@@ -345,7 +405,7 @@
     fn probe_next(
         &mut self,
         now: Millis,
-        config_root: u64,
+        digests: Digests,
         random: &mut fastrand::Rng,
         outbox: &mut Outbox,
     ) {
@@ -365,7 +425,7 @@
             sent_at: now,
             indirect: false,
         });
-        let probe = self.probe_message(sequence, String::new(), config_root);
+        let probe = self.probe_message(sequence, String::new(), digests);
         outbox.send(address, Body::Probe(probe));
     }
 
@@ -409,7 +469,7 @@
     fn probe_a_dead_member(
         &mut self,
         now: Millis,
-        config_root: u64,
+        digests: Digests,
         random: &mut fastrand::Rng,
         outbox: &mut Outbox,
     ) {
@@ -420,7 +480,7 @@
         let dead: Vec<SocketAddr> = dead.map(|member| member.identity.address).collect();
         if let Some(address) = random.choice(dead) {
             let sequence = self.new_sequence();
-            let probe = self.probe_message(sequence, String::new(), config_root);
+            let probe = self.probe_message(sequence, String::new(), digests);
             outbox.send(address, Body::Probe(probe));
         }
     }
@@ -430,12 +490,14 @@
         self.next_sequence
     }
 
-    fn probe_message(&mut self, sequence: u32, on_behalf_of: String, root: u64) -> Probe {
+    fn probe_message(&mut self, sequence: u32, on_behalf_of: String, digests: Digests) -> Probe {
         Probe {
             sequence,
             on_behalf_of,
-            config_root: root,
+            config_root: digests.config,
+            leaving_root: digests.leaving,
             this: Some(self.own_update()),
+            members_root: self.root(),
             updates: self.updates_to_send(),
         }
     }
@@ -445,7 +507,7 @@
         &mut self,
         from: SocketAddr,
         probe: &Probe,
-        config_root: u64,
+        digests: Digests,
         now: Millis,
         outbox: &mut Outbox,
     ) {
@@ -462,11 +524,16 @@
         updates.extend(correction);
         let answer = ProbeAnswer {
             sequence: probe.sequence,
-            config_root,
+            config_root: digests.config,
+            leaving_root: digests.leaving,
             target: self.own_key.0,
             updates,
+            members_root: self.root(),
         };
         outbox.send(from, Body::ProbeAnswer(answer));
+        if probe.on_behalf_of.is_empty() {
+            self.compare_root(from, probe.members_root, now, outbox);
+        }
     }
 
     /// What the sender should be told of itself so that it can refute it.
@@ -480,7 +547,13 @@
     }
 
     /// Takes in the answer to a probe.
-    pub fn on_probe_answer(&mut self, answer: &ProbeAnswer, now: Millis, outbox: &mut Outbox) {
+    pub fn on_probe_answer(
+        &mut self,
+        from: SocketAddr,
+        answer: &ProbeAnswer,
+        now: Millis,
+        outbox: &mut Outbox,
+    ) {
         self.merge_all(&answer.updates, now);
         if let Some(relayed) = self.relayed.remove(&answer.sequence) {
             let mut relayed_answer = answer.clone();
@@ -490,6 +563,9 @@
             return;
         }
         let target = NodeKey(answer.target);
+        if self.address(target) == Some(from) {
+            self.compare_root(from, answer.members_root, now, outbox);
+        }
         let expected = self
             .pending
             .is_some_and(|probe| probe.sequence == answer.sequence && probe.target == target);
@@ -503,7 +579,7 @@
         &mut self,
         from: SocketAddr,
         request: &IndirectProbe,
-        config_root: u64,
+        digests: Digests,
         now: Millis,
         outbox: &mut Outbox,
     ) {
@@ -517,7 +593,7 @@
             at: now,
         };
         self.relayed.insert(sequence, relayed);
-        let probe = self.probe_message(sequence, from.to_string(), config_root);
+        let probe = self.probe_message(sequence, from.to_string(), digests);
         outbox.send(target, Body::Probe(probe));
     }
 
@@ -536,6 +612,7 @@
 
     /// Takes in all members that another node knows.
     pub fn on_join_answer(&mut self, answer: &JoinAnswer, now: Millis) {
+        self.joined = true;
         for update in &answer.members {
             self.merge_quietly(update, now);
         }
@@ -587,6 +664,9 @@
         };
         let is_live = member.is_live();
         self.members.insert(key, member);
+        if was_live != is_live || restarted {
+            self.changed_at = now;
+        }
         self.note_change(key, was_live, is_live, restarted);
         Some(key)
     }
--- a/crates/cluster/src/node_key.rs
+++ b/crates/cluster/src/node_key.rs
@@ -16,6 +16,11 @@
         Self(xxh3_64(name.0.as_bytes()))
     }
 
+    /// This node in one life, for digests over sets of nodes.
+    pub fn digest(self, life: u64) -> u64 {
+        xxh3_64_with_seed(&life.to_le_bytes(), self.0)
+    }
+
     /// The weight of this node for `item`; the highest weight has the duty.
     fn weight(self, item: u64) -> u64 {
         xxh3_64_with_seed(&self.0.to_le_bytes(), item)
--- a/crates/cluster/src/rollout.rs
+++ b/crates/cluster/src/rollout.rs
@@ -61,13 +61,7 @@
 impl Rollout {
     /// An engine has taken in the token, and says whether it is loading by an
     /// order of an earlier holder.
-    pub fn on_fenced(
-        &mut self,
-        engine: EngineKey,
-        fencing_token: u64,
-        loading: bool,
-        now: Millis,
-    ) {
+    pub fn on_fenced(&mut self, engine: EngineKey, fencing_token: u64, loading: bool, now: Millis) {
         if self.token == fencing_token && self.fenced.insert(engine) && loading {
             let ordered = Ordered {
                 weights: None,
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -53,7 +53,7 @@
 pub struct LoadOrder {
     /// Token of the lease under which the order was given.
     pub fencing_token: u64,
-    /// Weights to load.
+    /// Weights to load; 0, or those already served, only makes the token known.
     pub weights_version: u64,
     /// How long loading takes, in milliseconds.
     #[serde(default)]
@@ -170,6 +170,16 @@
                 .with_body("stale token\n");
         }
         tables.fencing_token = order.fencing_token;
+        let loaded = tables.weights.0 == order.weights_version;
+        if order.weights_version == 0 || loaded {
+            let state = if tables.loading {
+                "loading\n"
+            } else {
+                "idle\n"
+            };
+            drop(tables);
+            return conn.ok(state);
+        }
         tables.loading = true;
     }
     Timer::after(Duration::from_millis(order.load_ms)).await;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -9,11 +9,15 @@
 use ploverlift_cluster::router::RoutedRequest;
 use ploverlift_policy::snapshot::Tenant;
 use serde::Serialize;
+use smol::Timer;
 use std::sync::Arc;
+use std::time::Duration;
 use trillium::{Body, Conn, KnownHeaderName, Method, Status};
 
 /// Start of the paths of plain services.
 const SERVICES_PREFIX: &str = "/services/";
+/// Time between two looks at whether a paused node has caught up, in milliseconds.
+const CATCH_UP_STEP_MS: u64 = 10;
 /// Seconds after which a stopping node's callers should come back.
 const STOPPING_RETRY_SECONDS: u64 = 1;
 
@@ -86,12 +90,22 @@
     reply::json(conn, Status::Ok, &list)
 }
 
+/// After a start or a pause of the process, waits shortly until the node has
+/// heard what it missed.
+async fn catch_up(node: &Node) {
+    while node.core().is_catching_up(node.clock.now()) {
+        Timer::after(Duration::from_millis(CATCH_UP_STEP_MS)).await;
+    }
+}
+
 async fn completion(node: Arc<Node>, mut conn: Conn, path: &'static str) -> Conn {
+    catch_up(&node).await;
     let prepared = prepare_completion(&node, &mut conn, path).await;
     respond(node, conn, prepared).await
 }
 
 async fn plain_service(node: Arc<Node>, mut conn: Conn) -> Conn {
+    catch_up(&node).await;
     let prepared = prepare_plain(&node, &mut conn).await;
     respond(node, conn, prepared).await
 }
--- a/crates/node/src/engine_poll.rs
+++ b/crates/node/src/engine_poll.rs
@@ -4,7 +4,7 @@
 use futures_lite::{future, AsyncReadExt};
 use ploverlift_cluster::engine_watch::{LOOK_PERIOD_MS, LOOK_TIMEOUT_MS};
 use ploverlift_policy::fleet::{EngineKey, EngineObservation, Health, LoadReport};
-use ploverlift_policy::ids::{Incarnation, WeightsVersion};
+use ploverlift_policy::ids::{Incarnation, Millis, WeightsVersion};
 use smol::Timer;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -43,11 +43,12 @@
         let targets = targets(&node);
         let looks = targets.into_iter().map(|target| {
             let client = client.clone();
-            smol::spawn(async move { (look(&client, &target).await, target) })
+            let looked_at = node.clock.now();
+            smol::spawn(async move { (look(&client, &target).await, looked_at, target) })
         });
         for task in looks.collect::<Vec<_>>() {
-            let (seen, target) = task.await;
-            record(&node, &target, seen);
+            let (seen, looked_at, target) = task.await;
+            record(&node, &target, seen, looked_at);
         }
         Timer::after(Duration::from_millis(LOOK_PERIOD_MS)).await;
     }
@@ -64,9 +65,9 @@
         .collect()
 }
 
-fn record(node: &Node, target: &Target, seen: Option<EngineObservation>) {
-    node.with_core(|core, _| match seen {
-        Some(observation) => core.observed(observation),
+fn record(node: &Node, target: &Target, seen: Option<EngineObservation>, looked_at: Millis) {
+    node.with_core(|core, now| match seen {
+        Some(observation) => core.observed(observation, looked_at, now),
         None => core.look_failed(target.key),
     });
 }
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -58,12 +58,7 @@
     }
 
     /// Arrival delays of one message: none when it is lost, two when doubled.
-    pub fn deliveries(
-        &self,
-        a: &ZoneName,
-        b: &ZoneName,
-        random: &mut fastrand::Rng,
-    ) -> Vec<u64> {
+    pub fn deliveries(&self, a: &ZoneName, b: &ZoneName, random: &mut fastrand::Rng) -> Vec<u64> {
         if !self.connected(a, b) || random.f64() < self.loss {
             return Vec::new();
         }
--- a/crates/simulation/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -126,7 +126,10 @@
     /// Notes a run.
     pub fn ran(&mut self, run: Run) {
         let at_most_once = self.tries.get(&run.by).is_some_and(|by| by.at_most_once);
-        let before = self.runs.iter().filter(|known| known.request == run.request);
+        let before = self
+            .runs
+            .iter()
+            .filter(|known| known.request == run.request);
         let count = before.count();
         if at_most_once && count > 0 {
             let what = format!("request {} ran {} times", run.request, count + 1);
@@ -159,7 +162,10 @@
         } else {
             Promise::WholeStreams
         };
-        self.violated(promise, format!("{by:?} got {piece} in place of {expected}"));
+        self.violated(
+            promise,
+            format!("{by:?} got {piece} in place of {expected}"),
+        );
     }
 
     /// Notes the end of a try.
--- a/crates/simulation/src/platform.rs
+++ b/crates/simulation/src/platform.rs
@@ -75,7 +75,8 @@
     pub fn delete(&mut self, key: ObjectKey) {
         if self.stored_version(&key) > 0 {
             self.version += 1;
-            self.log.push(Record::deleted(key, ResourceVersion(self.version)));
+            self.log
+                .push(Record::deleted(key, ResourceVersion(self.version)));
         }
     }
 
@@ -89,7 +90,10 @@
     pub fn read(&self, kind: Kind, name: &str) -> Option<Object> {
         let mut newest = self.log.iter().rev();
         let record = newest.find(|record| record.key.kind == kind && record.key.name == name)?;
-        record.content.as_ref().map(|object| object.as_ref().clone())
+        record
+            .content
+            .as_ref()
+            .map(|object| object.as_ref().clone())
     }
 
     /// Whether an object was ever stored just so.
@@ -134,7 +138,12 @@
         }
         let visible = self.visible_version();
         let after = self.log.iter().filter(|record| record.version.0 > version);
-        Some(after.filter(|record| record.version.0 <= visible).cloned().collect())
+        Some(
+            after
+                .filter(|record| record.version.0 <= visible)
+                .cloned()
+                .collect(),
+        )
     }
 }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -71,6 +71,8 @@
 const PIECE_MS: u64 = 5;
 /// Time between two looks of a reader at the object API, in milliseconds.
 const READ_PERIOD_MS: u64 = 250;
+/// Time after which a request at a node that catches up is looked at again, in milliseconds.
+const CATCH_UP_STEP_MS: u64 = 10;
 /// Longest time between the decision on an order and its sending, in milliseconds.
 const ORDER_DELAY_MS: u64 = 40;
 /// Time to load weights, in milliseconds.
@@ -119,6 +121,7 @@
     Looked {
         node: usize,
         life: u64,
+        looked_at: Millis,
         engine: EngineKey,
         seen: Option<EngineObservation>,
     },
@@ -184,6 +187,7 @@
     LeaseStored {
         node: usize,
         life: u64,
+        began: Millis,
         answer: WriteAnswer,
     },
     GroupStored {
@@ -240,6 +244,8 @@
     pub mutations: Mutations,
     /// Bytes that all nodes sent to each other.
     pub cluster_bytes: u64,
+    /// Whether runs, claims, leases and orders are printed as they happen.
+    pub narrate: bool,
     nodes: Vec<SimNode>,
     engine_lives: Vec<u64>,
     left_at: BTreeMap<EngineKey, u64>,
@@ -263,6 +269,7 @@
             applied: Vec::new(),
             mutations,
             cluster_bytes: 0,
+            narrate: false,
             nodes: Vec::new(),
             engine_lives: vec![0; size.engines],
             left_at: BTreeMap::new(),
@@ -314,6 +321,16 @@
         });
     }
 
+    fn narrate(&self, what: impl FnOnce() -> String) {
+        if !self.narrate {
+            return;
+        }
+        let text = what();
+        if !text.is_empty() {
+            eprintln!("{:>7} ms: {text}", self.now);
+        }
+    }
+
     // Time.
 
     fn at(&mut self, delay: u64, happening: Happening) {
@@ -358,9 +375,14 @@
             Happening::Looked {
                 node,
                 life,
+                looked_at,
                 engine,
                 seen,
-            } => self.looked(node, life, engine, seen),
+            } => {
+                if self.is_life(node, life) {
+                    self.looked(node, looked_at, engine, seen);
+                }
+            }
             Happening::RequestArrives {
                 node,
                 by,
@@ -400,7 +422,12 @@
                     rollout.on_fenced(order.engine, order.fencing_token, loading, now);
                 }
             }
-            Happening::LeaseStored { node, life, answer } => self.lease_stored(node, life, answer),
+            Happening::LeaseStored {
+                node,
+                life,
+                began,
+                answer,
+            } => self.lease_stored(node, life, began, answer),
             Happening::GroupStored { node, life, answer } => {
                 if let (true, WriteAnswer::Stored(object)) = (self.is_life(node, life), answer) {
                     self.learn(node, object);
@@ -556,6 +583,16 @@
     }
 
     fn message(&mut self, node: usize, from: SocketAddr, envelope: Envelope) {
+        self.narrate(|| match &envelope.body {
+            Some(
+                body @ (Body::ClaimRequest(_)
+                | Body::ClaimVote(_)
+                | Body::ClaimRelease(_)
+                | Body::ClaimRecover(_)
+                | Body::ClaimState(_)),
+            ) => format!("node-{node} gets from {from}: {body:?}"),
+            _ => String::new(),
+        });
         self.with_core(node, |core, now| core.handle(from, envelope, now));
     }
 
@@ -601,7 +638,8 @@
                 }
             }
             CoreEvent::WriteClaimGroup { version, spec } => {
-                let mut object = Object::new(Kind::ClaimGroup, CLAIM_GROUP, Labels::default(), spec);
+                let mut object =
+                    Object::new(Kind::ClaimGroup, CLAIM_GROUP, Labels::default(), spec);
                 object.metadata.resource_version = version;
                 let answer = self.platform.put(object);
                 let life = self.nodes[node].life;
@@ -642,7 +680,9 @@
             };
             lowest = lowest.min(version.0);
             self.note_leases(node, &objects);
-            self.with_core(node, |core, now| core.learn_list(kind, objects, version, now));
+            self.with_core(node, |core, now| {
+                core.learn_list(kind, objects, version, now)
+            });
         }
         self.nodes[node].seen_platform = Some(lowest);
     }
@@ -668,7 +708,7 @@
         for object in objects.iter().filter(|object| object.kind == Kind::Lease) {
             if let Ok(spec) = object.typed::<LeaseSpec>() {
                 let version = object.metadata.resource_version;
-                self.nodes[node].lease.on_stored(version, spec, now);
+                self.nodes[node].lease.on_seen(version, spec, now);
             }
         }
     }
@@ -722,26 +762,40 @@
         let unix = self.now;
         let wants = self.wanted_weights(node) != 0;
         let step = self.nodes[node].lease.step(wants, unix, now);
-        if let LeaseStep::Write { version, spec } = step {
+        if let LeaseStep::Write {
+            version,
+            spec,
+            began,
+        } = step
+        {
             let mut object = Object::new(Kind::Lease, ORDERS_LEASE, Labels::default(), spec);
             object.metadata.resource_version = version;
             let answer = self.platform.put(object);
             let life = self.nodes[node].life;
-            self.at(2, Happening::LeaseStored { node, life, answer });
+            self.at(
+                2,
+                Happening::LeaseStored {
+                    node,
+                    life,
+                    began,
+                    answer,
+                },
+            );
         }
         self.give_orders(node);
     }
 
-    fn lease_stored(&mut self, node: usize, life: u64, answer: WriteAnswer) {
+    fn lease_stored(&mut self, node: usize, life: u64, began: Millis, answer: WriteAnswer) {
         if !self.is_life(node, life) {
             return;
         }
         let now = self.node_now(node);
+        self.narrate(|| format!("node-{node} stores a lease: {answer:?}"));
         match answer {
             WriteAnswer::Stored(object) => {
                 if let Ok(spec) = object.typed::<LeaseSpec>() {
                     let version = object.metadata.resource_version;
-                    self.nodes[node].lease.on_stored(version, spec, now);
+                    self.nodes[node].lease.on_written(version, spec, began, now);
                 }
             }
             WriteAnswer::Conflict | WriteAnswer::Lost | WriteAnswer::Unreachable => {
@@ -753,7 +807,9 @@
     fn wanted_weights(&self, node: usize) -> u64 {
         let core = self.nodes[node].core.as_ref();
         let snapshot = core.map(|core| Arc::clone(&core.router.snapshot));
-        let pool = snapshot.as_ref().and_then(|snapshot| snapshot.pool("fixit"));
+        let pool = snapshot
+            .as_ref()
+            .and_then(|snapshot| snapshot.pool("fixit"));
         pool.map_or(0, |pool| pool.spec.weights_version)
     }
 
@@ -782,7 +838,11 @@
     }
 
     fn order_arrives(&mut self, node: usize, life: u64, order: LoadOrder) {
-        let Some(engine) = self.engines.iter().position(|known| known.key == order.engine) else {
+        let Some(engine) = self
+            .engines
+            .iter()
+            .position(|known| known.key == order.engine)
+        else {
             return;
         };
         let connected = self
@@ -796,7 +856,10 @@
             return;
         }
         known.fencing_token = known.fencing_token.max(order.fencing_token);
-        if let Some(weights) = order.weights {
+        self.narrate(|| format!("engine-{engine} takes {order:?} of node-{node}"));
+        let known = &mut self.engines[engine];
+        let loaded = order.weights == Some(known.weights.0);
+        if let Some(weights) = order.weights.filter(|_| !loaded) {
             known.loading_until = self.now + LOAD_MS;
             known.change_weights(weights);
             self.check_concurrent_loads();
@@ -813,7 +876,10 @@
 
     fn check_concurrent_loads(&mut self) {
         let now = self.now;
-        let loading = self.engines.iter().filter(|engine| engine.loading_until > now);
+        let loading = self
+            .engines
+            .iter()
+            .filter(|engine| engine.loading_until > now);
         let count = loading.count();
         if count > site::MAX_CONCURRENT_LOADS as usize {
             let what = format!("{count} engines load at once");
@@ -828,15 +894,15 @@
             return;
         }
         self.at(LOOK_PERIOD_MS, Happening::Look { node, life });
+        let looked_at = self.node_now(node);
         let Some(core) = &self.nodes[node].core else {
             return;
         };
         for engine in core.engines_to_observe() {
             let known = self.engines.iter().find(|known| known.key == engine.key);
             let zone = self.nodes[node].zone.clone();
-            let reachable = known.filter(|known| {
-                known.alive && self.network.connected(&zone, &known.zone)
-            });
+            let reachable =
+                known.filter(|known| known.alive && self.network.connected(&zone, &known.zone));
             let (seen, delay) = match reachable {
                 Some(known) => {
                     let mut seen = known.observation(self.now);
@@ -853,6 +919,7 @@
                 Happening::Looked {
                     node,
                     life,
+                    looked_at,
                     engine,
                     seen,
                 },
@@ -863,15 +930,12 @@
     fn looked(
         &mut self,
         node: usize,
-        life: u64,
+        looked_at: Millis,
         engine: EngineKey,
         seen: Option<EngineObservation>,
     ) {
-        if !self.is_life(node, life) {
-            return;
-        }
-        self.with_core(node, |core, _| match seen {
-            Some(observation) => core.observed(observation),
+        self.with_core(node, |core, now| match seen {
+            Some(observation) => core.observed(observation, looked_at, now),
             None => core.look_failed(engine),
         });
     }
@@ -904,6 +968,10 @@
         if !engine.alive {
             return self.tell(&call, AttemptNews::Unsent);
         }
+        if call.from == 0 {
+            self.check_leaving(number);
+        }
+        let engine = &self.engines[number];
         let other_life = engine.incarnation != call.incarnation || engine.weights != call.weights;
         let expects = call.incarnation != Incarnation(0);
         if expects && other_life && !self.mutations.engines_ignore_expectations {
@@ -914,6 +982,12 @@
             return self.tell(&call, AttemptNews::Refused(None));
         }
         self.check_reliance(number, &call, expects && other_life);
+        self.narrate(|| {
+            format!(
+                "engine-{number} runs {} for node-{}",
+                call.request, call.node
+            )
+        });
         self.oracle.ran(Run {
             by: call.by,
             request: call.request,
@@ -953,7 +1027,10 @@
             self.oracle.violated(Promise::CacheReliance, what);
         }
         let engine = &self.engines[number];
-        let reused = call.blocks.iter().map_while(|block| engine.cache.get(block));
+        let reused = call
+            .blocks
+            .iter()
+            .map_while(|block| engine.cache.get(block));
         let wrong = reused.clone().find(|origin| {
             origin.scope != call.scope
                 || origin.weights != engine.weights
@@ -1018,7 +1095,11 @@
 
     fn tell_piece(&mut self, call: &Call, position: u64) {
         let crossed = self.mutations.answers_crossed && self.random.u8(..) < 32;
-        let request = if crossed { call.request + 1 } else { call.request };
+        let request = if crossed {
+            call.request + 1
+        } else {
+            call.request
+        };
         let content = piece_of(request, position);
         let position = if self.mutations.engines_misnumber_pieces {
             position.saturating_sub(call.from)
@@ -1111,6 +1192,17 @@
         let Some(core) = &self.nodes[node].core else {
             return self.end(by, Told::ConnectionLost);
         };
+        if core.is_catching_up(now) {
+            let again = Happening::RequestArrives {
+                node,
+                by,
+                request,
+                once,
+                tenant,
+                prompt,
+            };
+            return self.at(CATCH_UP_STEP_MS, again);
+        }
         let snapshot = Arc::clone(&core.router.snapshot);
         let tenant = TenantName::from(site::TENANTS[tenant % site::TENANTS.len()]);
         let model = if once { site::BOOKINGS } else { site::MODEL };
@@ -1177,7 +1269,11 @@
     }
 
     fn propose(&mut self, node: usize, by: TryId) {
-        let Some(request) = self.nodes[node].requests.get(&by).map(|known| known.request) else {
+        let Some(request) = self.nodes[node]
+            .requests
+            .get(&by)
+            .map(|known| known.request)
+        else {
             return;
         };
         let key = ClaimKey::of("counter", "bookings", &request.to_string());
@@ -1194,6 +1290,7 @@
     }
 
     fn claim_decided(&mut self, node: usize, by: TryId, outcome: ClaimOutcome) {
+        self.narrate(|| format!("node-{node}: {by:?} has its claim {outcome:?}"));
         let event = match outcome {
             ClaimOutcome::Granted => {
                 if let Some(known) = self.nodes[node].requests.get_mut(&by) {
@@ -1242,8 +1339,10 @@
         let Some((chosen, scope, request, attempt)) = chosen else {
             return self.drive(node, by, Event::NoEngine);
         };
-        self.check_leaving(&chosen);
-        let engine = self.engines.iter().position(|known| known.key == chosen.key);
+        let engine = self
+            .engines
+            .iter()
+            .position(|known| known.key == chosen.key);
         let Some(engine) = engine else {
             return;
         };
@@ -1272,7 +1371,9 @@
             let call = call.clone();
             self.at(STREAM_IDLE_MS, Happening::ContinuationDue { call });
         }
-        let delay = self.network.delay(&zone, &self.engines[engine].zone, &mut self.random);
+        let delay = self
+            .network
+            .delay(&zone, &self.engines[engine].zone, &mut self.random);
         self.at(delay, Happening::EngineGets { engine, call });
     }
 
@@ -1299,13 +1400,15 @@
         Some((chosen, scope, key, attempt))
     }
 
-    fn check_leaving(&mut self, chosen: &ChosenEngine) {
-        let Some(left_at) = self.left_at.get(&chosen.key) else {
+    /// A leaving engine must not even be asked after a few seconds.
+    fn check_leaving(&mut self, number: usize) {
+        let engine = &self.engines[number];
+        let Some(left_at) = self.left_at.get(&engine.key) else {
             return;
         };
         let since = self.now - left_at;
         if since > LEAVING_BOUND_MS {
-            let what = format!("{} got work {since} ms after it left", chosen.name);
+            let what = format!("{} got work {since} ms after it left", engine.name);
             self.oracle.violated(Promise::LeavingGetsNothing, what);
         }
     }
@@ -1344,7 +1447,9 @@
                 request.attempt_state = AttemptState::Answered;
                 self.drive(node, call.by, Event::Head);
             }
-            AttemptNews::Piece { position, content } => self.piece(node, call.by, position, content),
+            AttemptNews::Piece { position, content } => {
+                self.piece(node, call.by, position, content)
+            }
             AttemptNews::Completed => {
                 self.drive(node, call.by, Event::Completed(Some(ANSWER_PIECES)));
             }
@@ -1435,7 +1540,7 @@
                 let (a, b) = (site::zone_of(*a), site::zone_of(*b));
                 self.network.cut(&a, &b);
             }
-            Operation::HealCuts => self.network.heal_cuts(),
+            Operation::HealCuts => self.heal_cuts(),
             Operation::Loss(percent) => self.network.loss = f64::from(*percent) / 100.0,
             Operation::Duplicate(percent) => {
                 self.network.duplication = f64::from(*percent) / 100.0;
@@ -1502,6 +1607,18 @@
         }
     }
 
+    /// What happened behind a cut can be known only from now on.
+    fn heal_cuts(&mut self) {
+        for engine in &self.engines {
+            let mut zones = site::ZONES.iter().map(|zone| ZoneName::from(*zone));
+            let was_cut = zones.any(|zone| !self.network.connected(&zone, &engine.zone));
+            if let Some(left_at) = self.left_at.get_mut(&engine.key).filter(|_| was_cut) {
+                *left_at = self.now;
+            }
+        }
+        self.network.heal_cuts();
+    }
+
     fn want_weights(&mut self, version: u64) {
         let mut object = site::pool("fixit", site::MODEL, version);
         let stored = self.platform.read(Kind::Pool, "fixit");
@@ -1524,6 +1641,7 @@
     /// Ends every fault: the network heals, the platform works, paused nodes go
     /// on and dead nodes start.
     pub fn recover(&mut self) {
+        self.heal_cuts();
         self.network.heal();
         self.platform.set_mode(PlatformMode::Up);
         for node in 0..self.nodes.len() {
@@ -1577,7 +1695,9 @@
     /// Nodes on which the route has at least this version in force.
     pub fn nodes_with_route(&self, version: u64) -> usize {
         let nodes = 0..self.nodes.len();
-        nodes.filter(|node| self.known_route_version(*node) >= version).count()
+        nodes
+            .filter(|node| self.known_route_version(*node) >= version)
+            .count()
     }
 
     /// Nodes that read the object API now.
@@ -1640,7 +1760,10 @@
     model: &str,
     prompt: usize,
 ) -> Option<RoutedRequest> {
-    let tenant = snapshot.tenants.iter().find(|known| known.name == *tenant)?;
+    let tenant = snapshot
+        .tenants
+        .iter()
+        .find(|known| known.name == *tenant)?;
     let (route, _) = snapshot.route(tenant, model)?;
     Some(RoutedRequest {
         id: RequestId(by.0.to_string()),
--- a/crates/simulation/tests/replay.rs
+++ b/crates/simulation/tests/replay.rs
@@ -1,1 +1,1 @@
-fn main(){}
+fn main() {}
--- a/crates/simulation/tests/support/mod.rs
+++ b/crates/simulation/tests/support/mod.rs
@@ -211,20 +211,25 @@
     ])
 }
 
-/// A pause of any node, longer than a lease, while a roll-out is under way.
+/// A pause of any node, longer than a lease, while a roll-out is under way and
+/// the weights that are wanted change.
 pub fn paused_holder_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
-    let round = (2u64..200, 1u64..600, 0usize..6, 5_500u64..8_500);
+    let round = (2u64..200, 1u64..600, 0usize..6, 5_500u64..8_500, 1u64..900);
     let rounds = prop::collection::vec(round, 1..6);
     (any::<u64>(), rounds).prop_map(|(seed, rounds)| {
-        let operations = rounds.into_iter().flat_map(|(weights, before, node, pause)| {
-            [
-                Operation::WantWeights(weights),
-                Operation::Advance(before),
-                Operation::FreezeNode(node),
-                Operation::Advance(pause),
-                Operation::ThawNode(node),
-            ]
-        });
+        let operations = rounds
+            .into_iter()
+            .flat_map(|(weights, before, node, pause, after)| {
+                [
+                    Operation::WantWeights(weights),
+                    Operation::Advance(before),
+                    Operation::FreezeNode(node),
+                    Operation::Advance(pause),
+                    Operation::WantWeights(weights + 1),
+                    Operation::Advance(after),
+                    Operation::ThawNode(node),
+                ]
+            });
         (seed, operations.collect())
     })
 }
