Measure many hollow nodes; an order's end is known by its answer

Ruled out: a longer lag alone; it slows every load to the lag. Change: the engine's answer to an order ends it; observations count only after the lag. lab scale runs real cores of many nodes in virtual time. The world of the simulation is split by concern.

--- a/crates/cluster/src/rollout.rs
+++ b/crates/cluster/src/rollout.rs
@@ -14,6 +14,8 @@
 
 /// An order whose engine shows no effect is given again after this time, in milliseconds.
 pub const ORDER_TIMEOUT_MS: u64 = 10_000;
+/// What is observed of an engine is at most this old, in milliseconds.
+const OBSERVATION_LAG_MS: u64 = 1_500;
 
 /// An order to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,18 +28,18 @@
     pub fencing_token: u64,
 }
 
-/// What is observed of an engine is at most this old, in milliseconds.
-const OBSERVATION_LAG_MS: u64 = 1_500;
-
-/// Orders under way, as the present holder gave them.
-#[derive(Clone, Debug, Default)]
-pub struct Rollout {
-    token: u64,
-    fenced: BTreeSet<EngineKey>,
-    ordered: BTreeMap<EngineKey, Ordered>,
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It has taken in the token and loads nothing.
+    Idle,
+    /// It has taken in the token and loads by an earlier order.
+    Loading,
+    /// It has loaded the weights ordered, or had them already.
+    Loaded,
 }
 
-/// An order whose effect was not observed yet.
+/// An order whose effect is not known yet.
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
     /// The weights ordered; nothing for an order of an earlier holder.
@@ -46,28 +48,50 @@
 }
 
 impl Ordered {
-    /// Whether the engine shows the effect. That the engine has the weights
-    /// wanted *now* is no sign: the wish may have changed, and what is observed
-    /// may be from before the order.
+    /// Whether the engine shows the effect, for an order without an answer.
+    /// What is observed may be from before the order, even when it shows the
+    /// weights ordered: the engine may have had them once already.
     fn is_done(&self, engine: &Engine, now: Millis) -> bool {
+        let observed_since = now.since(self.at) >= OBSERVATION_LAG_MS;
         let ready = engine.health == Health::Ready;
-        match self.weights {
-            Some(weights) => ready && engine.weights.0 == weights,
-            None => ready && now.since(self.at) >= OBSERVATION_LAG_MS,
-        }
+        let shown = self.weights.is_none_or(|weights| engine.weights.0 == weights);
+        observed_since && ready && shown
     }
 }
 
+/// Orders under way, as the present holder gave them.
+#[derive(Clone, Debug, Default)]
+pub struct Rollout {
+    token: u64,
+    fenced: BTreeSet<EngineKey>,
+    ordered: BTreeMap<EngineKey, Ordered>,
+}
+
 impl Rollout {
-    /// An engine has taken in the token, and says whether it is loading by an
-    /// order of an earlier holder.
-    pub fn on_fenced(&mut self, engine: EngineKey, fencing_token: u64, loading: bool, now: Millis) {
-        if self.token == fencing_token && self.fenced.insert(engine) && loading {
-            let ordered = Ordered {
-                weights: None,
-                at: now,
-            };
-            self.ordered.insert(engine, ordered);
+    /// An engine has answered an order that was given under a token.
+    pub fn on_answer(
+        &mut self,
+        engine: EngineKey,
+        fencing_token: u64,
+        answer: OrderAnswer,
+        now: Millis,
+    ) {
+        if self.token != fencing_token {
+            return;
+        }
+        let newly_fenced = self.fenced.insert(engine);
+        match answer {
+            OrderAnswer::Loaded => {
+                self.ordered.remove(&engine);
+            }
+            OrderAnswer::Loading if newly_fenced => {
+                let ordered = Ordered {
+                    weights: None,
+                    at: now,
+                };
+                self.ordered.insert(engine, ordered);
+            }
+            OrderAnswer::Loading | OrderAnswer::Idle => {}
         }
     }
 
@@ -79,67 +103,91 @@
         fencing_token: u64,
         now: Millis,
     ) -> Vec<LoadOrder> {
-        let wanted = pool.spec.weights_version;
-        if wanted == 0 {
+        if pool.spec.weights_version == 0 {
             return Vec::new();
         }
+        self.begin_under(fencing_token);
+        let engines = engines_of(pool, fleet);
+        let unfenced = self.unfenced(&engines, fencing_token);
+        if !unfenced.is_empty() {
+            return unfenced;
+        }
+        self.forget_done(&engines, now);
+        self.next_loads(pool, &engines, fencing_token, now)
+    }
+
+    /// Starts anew when the token is another one: this node has just become the holder.
+    fn begin_under(&mut self, fencing_token: u64) {
         if self.token != fencing_token {
             self.token = fencing_token;
             self.fenced.clear();
             self.ordered.clear();
         }
-        self.ordered
-            .retain(|_, ordered| now.since(ordered.at) < ORDER_TIMEOUT_MS);
-        let engines: Vec<_> = fleet
-            .iter()
-            .map(|(_, engine)| engine)
-            .filter(|engine| engine.role == MachineRole::Engine)
-            .filter(|engine| pool.spec.selector.matches(&engine.labels))
-            .collect();
-        let unfenced: Vec<LoadOrder> = engines
-            .iter()
-            .filter(|engine| engine.health != Health::Dead)
-            .filter(|engine| !self.fenced.contains(&engine.key))
+    }
+
+    /// Orders that only make the token known. A dead engine is not waited for.
+    fn unfenced(&self, engines: &[&Engine], fencing_token: u64) -> Vec<LoadOrder> {
+        let reachable = engines.iter().filter(|engine| engine.health != Health::Dead);
+        let unfenced = reachable.filter(|engine| !self.fenced.contains(&engine.key));
+        unfenced
             .map(|engine| LoadOrder {
                 engine: engine.key,
                 weights: None,
                 fencing_token,
             })
-            .collect();
-        if !unfenced.is_empty() {
-            return unfenced;
-        }
-        for engine in &engines {
+            .collect()
+    }
+
+    fn forget_done(&mut self, engines: &[&Engine], now: Millis) {
+        self.ordered
+            .retain(|_, ordered| now.since(ordered.at) < ORDER_TIMEOUT_MS);
+        for engine in engines {
             let ordered = self.ordered.get(&engine.key);
             if ordered.is_some_and(|ordered| ordered.is_done(engine, now)) {
                 self.ordered.remove(&engine.key);
             }
         }
+    }
+
+    fn next_loads(
+        &mut self,
+        pool: &Pool,
+        engines: &[&Engine],
+        fencing_token: u64,
+        now: Millis,
+    ) -> Vec<LoadOrder> {
+        let wanted = pool.spec.weights_version;
         let busy = engines.iter().filter(|engine| {
             engine.health == Health::Loading || self.ordered.contains_key(&engine.key)
         });
         let free = (pool.spec.max_concurrent_loads as usize).saturating_sub(busy.count());
-        let mut orders = Vec::new();
-        for engine in &engines {
+        let outdated = engines.iter().filter(|engine| {
             let observed = engine.incarnation != Incarnation(0);
-            let outdated = engine.weights.0 != wanted && engine.health == Health::Ready;
-            if orders.len() < free
-                && observed
-                && outdated
-                && !self.ordered.contains_key(&engine.key)
-            {
-                let ordered = Ordered {
-                    weights: Some(wanted),
-                    at: now,
-                };
-                self.ordered.insert(engine.key, ordered);
-                orders.push(LoadOrder {
-                    engine: engine.key,
-                    weights: Some(wanted),
-                    fencing_token,
-                });
-            }
+            observed && engine.health == Health::Ready && engine.weights.0 != wanted
+        });
+        let idle = outdated.filter(|engine| !self.ordered.contains_key(&engine.key));
+        let next: Vec<EngineKey> = idle.take(free).map(|engine| engine.key).collect();
+        for engine in &next {
+            let ordered = Ordered {
+                weights: Some(wanted),
+                at: now,
+            };
+            self.ordered.insert(*engine, ordered);
         }
-        orders
+        let order = |engine| LoadOrder {
+            engine,
+            weights: Some(wanted),
+            fencing_token,
+        };
+        next.into_iter().map(order).collect()
     }
 }
+
+fn engines_of<'a>(pool: &Pool, fleet: &'a Fleet) -> Vec<&'a Engine> {
+    fleet
+        .iter()
+        .map(|(_, engine)| engine)
+        .filter(|engine| engine.role == MachineRole::Engine)
+        .filter(|engine| pool.spec.selector.matches(&engine.labels))
+        .collect()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`platform`] | object API and machine list over HTTP |
 //! | [`engine`] | a model engine or plain service over HTTP |
+//! | [`scale`] | many hollow nodes in one process |
 //! | [`engine_cache`] | the engine's bounded cache of prompt blocks |
 
 pub mod engine;
@@ -12,3 +13,4 @@
 pub mod http_call;
 pub mod platform;
 pub mod platform_store;
+pub mod scale;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 use ploverlift_lab::engine::EngineServer;
 use ploverlift_lab::engine_state::EngineSettings;
 use ploverlift_lab::platform::PlatformServer;
+use ploverlift_lab::scale::{Hollow, ScaleFault, ScaleSettings};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -20,6 +21,7 @@
 enum Command {
     Platform(PlatformArguments),
     Engine(EngineArguments),
+    Scale(ScaleArguments),
 }
 
 /// Run a stand-in of the platform's object API and machine list.
@@ -55,6 +57,39 @@
     slots: u32,
 }
 
+/// Run many hollow nodes in virtual time and measure what they cost.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct ScaleArguments {
+    /// number of nodes
+    #[argh(option, default = "12")]
+    nodes: usize,
+    /// number of zones, two a region
+    #[argh(option, default = "3")]
+    zones: usize,
+    /// number of engines
+    #[argh(option, default = "18")]
+    engines: usize,
+    /// number of tenants
+    #[argh(option, default = "8")]
+    tenants: usize,
+    /// virtual seconds to measure
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// changes of configuration while measuring
+    #[argh(option, default = "10")]
+    changes: usize,
+    /// calm, loss, cut_healed or herd_restart
+    #[argh(option, default = "String::from(\"calm\")")]
+    fault: String,
+    /// seed of the virtual network
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// answer as JSON on one line
+    #[argh(switch)]
+    json: bool,
+}
+
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -75,6 +110,7 @@
     let outcome = match arguments.command {
         Command::Platform(arguments) => run_platform(&arguments),
         Command::Engine(arguments) => run_engine(arguments),
+        Command::Scale(arguments) => run_scale(&arguments),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -101,3 +137,29 @@
     smol::block_on(std::future::pending::<()>());
     Ok(())
 }
+
+fn run_scale(arguments: &ScaleArguments) -> std::io::Result<()> {
+    let Some(fault) = ScaleFault::parse(&arguments.fault) else {
+        return Err(std::io::Error::other(
+            "--fault takes calm, loss, cut_healed or herd_restart",
+        ));
+    };
+    let settings = ScaleSettings {
+        nodes: arguments.nodes,
+        zones: arguments.zones,
+        engines: arguments.engines,
+        tenants: arguments.tenants,
+        seconds: arguments.seconds,
+        changes: arguments.changes,
+        fault,
+        seed: arguments.seed,
+    };
+    let report = Hollow::new(settings).run();
+    let text = if arguments.json {
+        serde_json::to_string(&report)
+    } else {
+        serde_json::to_string_pretty(&report)
+    };
+    println!("{}", text.unwrap_or_default());
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/scale.rs
@@ -0,0 +1,640 @@
+//! Many hollow nodes in one process: the real [`NodeCore`] of every node on a
+//! virtual network in virtual time. What is measured is what the cores do:
+//! bytes they send, processor time they take, memory they hold, and how soon a
+//! change of configuration is in force on all of them.
+
+use ploverlift_cluster::config_store::Record;
+use ploverlift_cluster::core::{CoreSettings, NodeCore, TICK_MS};
+use ploverlift_cluster::engine_watch::LOOK_PERIOD_MS;
+use ploverlift_cluster::membership::Identity;
+use ploverlift_policy::fleet::{EngineKey, EngineObservation, Health, LoadReport};
+use ploverlift_policy::ids::{
+    EngineName, Incarnation, Millis, NodeName, ResourceVersion, WeightsVersion, ZoneName,
+};
+use ploverlift_policy::labels::Labels;
+use ploverlift_policy::objects::{Kind, MachineRole, MachineSpec, MachineState, Object};
+use ploverlift_wire::messages::Envelope;
+use ploverlift_wire::{encode, MAX_DATAGRAM_BYTES};
+use serde::Serialize;
+use serde_json::json;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct ScaleSettings {
+    /// Nodes.
+    pub nodes: usize,
+    /// Zones, two a region.
+    pub zones: usize,
+    /// Engines, spread over the zones.
+    pub engines: usize,
+    /// Tenants.
+    pub tenants: usize,
+    /// Virtual seconds that are measured after the site has settled.
+    pub seconds: u64,
+    /// Changes of configuration while measuring.
+    pub changes: usize,
+    /// What fails while measuring.
+    pub fault: ScaleFault,
+    /// Seed of the virtual network.
+    pub seed: u64,
+}
+
+/// What fails while measuring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ScaleFault {
+    /// Nothing.
+    Calm,
+    /// One message in twenty is lost.
+    Loss,
+    /// The first zone is cut off for 20 s before the measurement.
+    CutHealed,
+    /// A tenth of the nodes restarts at the beginning of the measurement.
+    HerdRestart,
+}
+
+impl ScaleFault {
+    /// Finds a fault by its name.
+    pub fn parse(name: &str) -> Option<Self> {
+        [Self::Calm, Self::Loss, Self::CutHealed, Self::HerdRestart]
+            .into_iter()
+            .find(|fault| json!(fault) == json!(name))
+    }
+}
+
+/// Times of a set of events, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Times {
+    /// Half were sooner.
+    pub p50: u64,
+    /// 99 of 100 were sooner.
+    pub p99: u64,
+    /// The last one.
+    pub worst: u64,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct ScaleReport {
+    /// Nodes.
+    pub nodes: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Tenants.
+    pub tenants: usize,
+    /// What failed.
+    pub fault: ScaleFault,
+    /// Virtual seconds measured.
+    pub seconds: u64,
+    /// Bytes a node sent a second, datagram headers included; mean.
+    pub sent_bytes_per_second: f64,
+    /// The same of the node that sent most.
+    pub sent_bytes_per_second_worst: f64,
+    /// Messages a node sent a second; mean.
+    pub messages_per_second: f64,
+    /// Bytes a second by kind of message; mean over the nodes.
+    pub bytes_by_message: BTreeMap<&'static str, f64>,
+    /// Share of one core that a node's state machines took, in percent; mean.
+    pub core_percent: f64,
+    /// Resident memory a node, in kilobytes; the process's growth over its nodes.
+    pub memory_kb: f64,
+    /// Time until a change was in force, over all nodes and changes, in milliseconds.
+    pub in_force_ms: Times,
+    /// Pairs of node and change that were not in force at the end.
+    pub not_in_force: usize,
+    /// Suspicions an hour over all nodes of which the suspect was alive.
+    pub false_suspicions_per_hour: f64,
+    /// Nodes that read the object API at the end.
+    pub readers: usize,
+    /// Pairs of nodes of which one does not know the other as live, at the end.
+    pub missing_members: usize,
+    /// Time until a leaving engine was out of choice on every node that routes to it, in milliseconds.
+    pub leaving_out_of_choice_ms: u64,
+}
+
+/// Bytes of IP and UDP headers of one datagram.
+const HEADER_BYTES: u64 = 28;
+/// Virtual time in which the site settles, in milliseconds.
+const SETTLE_MS: u64 = 15_000;
+/// Longest a cut lasts, in milliseconds.
+const CUT_MS: u64 = 20_000;
+/// Seeds that each node is given.
+const SEEDS: usize = 3;
+/// Zones of one region.
+const ZONES_PER_REGION: usize = 2;
+/// Travel inside a zone and between zones, in milliseconds.
+const NEAR_MS: u64 = 1;
+const FAR_MS: u64 = 3;
+
+struct HollowNode {
+    core: NodeCore,
+    zone: usize,
+    started_at: u64,
+    life: u64,
+    sent_bytes: u64,
+    sent_messages: u64,
+    reads: bool,
+}
+
+enum Happening {
+    Message(usize, SocketAddr, Box<Envelope>),
+    Tick(usize, u64),
+    Look(usize, u64),
+    Read(usize, u64),
+}
+
+/// The hollow fleet.
+pub struct Hollow {
+    settings: ScaleSettings,
+    now: u64,
+    nodes: Vec<HollowNode>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    next: u64,
+    random: fastrand::Rng,
+    objects: Vec<Object>,
+    version: u64,
+    busy: Duration,
+    cut: bool,
+    loss: f64,
+    bytes_by_message: BTreeMap<&'static str, u64>,
+    leaving: Option<EngineKey>,
+    incarnations: Vec<EngineKey>,
+    loads: fastrand::Rng,
+}
+
+fn address(number: usize) -> SocketAddr {
+    let [high, low] = (number as u16).to_be_bytes();
+    SocketAddr::from(([127, 1, high, low], 7_000))
+}
+
+fn number_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => {
+            let [_, _, high, low] = address.ip().octets();
+            usize::from(u16::from_be_bytes([high, low]))
+        }
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+fn zone_name(zone: usize) -> ZoneName {
+    ZoneName(format!("zone-{zone}"))
+}
+
+fn engine_name(number: usize) -> String {
+    format!("engine-{number}")
+}
+
+impl Hollow {
+    /// A fleet whose nodes have not started.
+    pub fn new(settings: ScaleSettings) -> Self {
+        let seed = settings.seed;
+        let mut hollow = Self {
+            now: 0,
+            nodes: Vec::new(),
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            next: 0,
+            random: fastrand::Rng::with_seed(seed),
+            objects: Vec::new(),
+            version: 0,
+            busy: Duration::ZERO,
+            cut: false,
+            loss: 0.0,
+            bytes_by_message: BTreeMap::new(),
+            leaving: None,
+            incarnations: Vec::new(),
+            loads: fastrand::Rng::with_seed(seed ^ 1),
+            settings,
+        };
+        hollow.make_objects();
+        for number in 0..hollow.settings.nodes {
+            let node = hollow.new_node(number);
+            hollow.nodes.push(node);
+            hollow.schedule_node(number);
+        }
+        hollow
+    }
+
+    fn make_objects(&mut self) {
+        let mut objects = Vec::new();
+        for model in 0..6 {
+            let name = format!("model-{model}");
+            let selector = json!({"matchLabels": {"model": name}});
+            let pool = json!({"model": name, "selector": selector});
+            objects.push(Object::new(Kind::Pool, &name, Labels::default(), pool));
+            let route = json!({"pool": name});
+            objects.push(Object::new(Kind::Route, &name, Labels::default(), route));
+        }
+        for tenant in 0..self.settings.tenants {
+            let hash = ploverlift_policy::snapshot::hash_key(&tenant.to_string());
+            let spec = json!({"keyHashes": [hash], "requestsPerSecond": 100});
+            let name = format!("tenant-{tenant}");
+            objects.push(Object::new(Kind::Tenant, &name, Labels::default(), spec));
+        }
+        for engine in 0..self.settings.engines {
+            let spec = MachineSpec {
+                role: MachineRole::Engine,
+                address: format!("10.0.{}.{}:8000", engine / 250, engine % 250),
+                zone: zone_name(engine % self.settings.zones),
+                state: MachineState::Live,
+            };
+            let model = format!("model-{}", engine % 6);
+            let labels = Labels::from_pairs([("model", &model)]);
+            let name = engine_name(engine);
+            objects.push(Object::new(Kind::Machine, &name, labels, spec));
+            self.incarnations.push(EngineKey::of(&EngineName(name)));
+        }
+        for object in &mut objects {
+            self.version += 1;
+            object.metadata.resource_version = ResourceVersion(self.version);
+        }
+        self.objects = objects;
+    }
+
+    fn new_node(&mut self, number: usize) -> HollowNode {
+        let zone = number % self.settings.zones;
+        let life = self.now + 1;
+        let identity = Identity {
+            name: NodeName(format!("node-{number}")),
+            zone: zone_name(zone),
+            region: format!("region-{}", zone / ZONES_PER_REGION),
+            address: address(number),
+            life,
+        };
+        let seeds = (0..SEEDS.min(self.settings.nodes)).map(address).collect();
+        let mut core_settings = CoreSettings::new(identity, seeds);
+        core_settings.router.directory_blocks = 1_000;
+        HollowNode {
+            core: NodeCore::new(core_settings, self.random.u64(..), Millis(0)),
+            zone,
+            started_at: self.now,
+            life,
+            sent_bytes: 0,
+            sent_messages: 0,
+            reads: false,
+        }
+    }
+
+    fn schedule_node(&mut self, number: usize) {
+        let life = self.nodes[number].life;
+        let offset = self.random.u64(..TICK_MS);
+        self.at(offset, Happening::Tick(number, life));
+        let offset = self.random.u64(..LOOK_PERIOD_MS);
+        self.at(offset, Happening::Look(number, life));
+        self.at(offset, Happening::Read(number, life));
+    }
+
+    fn at(&mut self, delay: u64, happening: Happening) {
+        self.next += 1;
+        self.queue.push(Reverse((self.now + delay, self.next)));
+        self.happenings.insert(self.next, happening);
+    }
+
+    fn advance(&mut self, milliseconds: u64) {
+        let end = self.now + milliseconds;
+        while let Some(Reverse((at, key))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(happening) = self.happenings.remove(&key) {
+                self.happen(happening);
+            }
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Message(node, from, envelope) => {
+                self.work(node, |core, now| core.handle(from, *envelope, now));
+            }
+            Happening::Tick(node, life) => {
+                if self.nodes[node].life == life {
+                    self.work(node, |core, now| core.tick(now));
+                    self.at(TICK_MS, Happening::Tick(node, life));
+                }
+            }
+            Happening::Look(node, life) => {
+                if self.nodes[node].life == life {
+                    self.look(node);
+                    self.at(LOOK_PERIOD_MS, Happening::Look(node, life));
+                }
+            }
+            Happening::Read(node, life) => {
+                if self.nodes[node].life == life {
+                    self.read(node);
+                    self.at(LOOK_PERIOD_MS, Happening::Read(node, life));
+                }
+            }
+        }
+    }
+
+    /// Works on a node's core, counts the time it takes and sends what it wants sent.
+    fn work(&mut self, number: usize, work: impl FnOnce(&mut NodeCore, Millis)) {
+        let node = &mut self.nodes[number];
+        let now = Millis(self.now - node.started_at);
+        let began = Instant::now();
+        work(&mut node.core, now);
+        let messages: Vec<(SocketAddr, Envelope)> = node
+            .core
+            .take_messages()
+            .into_iter()
+            .map(|message| (message.to, node.core.envelope(message.body)))
+            .collect();
+        node.core.take_events();
+        // Encoding and decoding belong to the cost of a node.
+        let encoded: Vec<(SocketAddr, Vec<u8>)> = messages
+            .iter()
+            .map(|(to, envelope)| (*to, encode(envelope)))
+            .collect();
+        for (_, bytes) in &encoded {
+            let _ = ploverlift_wire::decode(bytes);
+        }
+        self.busy += began.elapsed();
+        for ((to, envelope), (_, bytes)) in messages.into_iter().zip(encoded) {
+            self.send(number, to, envelope, bytes.len() as u64);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, envelope: Envelope, length: u64) {
+        let datagrams = length.div_ceil(MAX_DATAGRAM_BYTES as u64);
+        let bytes = length + datagrams * HEADER_BYTES;
+        let node = &mut self.nodes[from];
+        node.sent_bytes += bytes;
+        node.sent_messages += 1;
+        *self.bytes_by_message.entry(kind_of(&envelope)).or_default() += bytes;
+        let target = number_of(to);
+        let (a, b) = (self.nodes[from].zone, self.nodes[target].zone);
+        let cut = self.cut && a != b && (a == 0 || b == 0);
+        if cut || self.random.f64() < self.loss {
+            return;
+        }
+        let delay = if a == b { NEAR_MS } else { FAR_MS };
+        let own = address(from);
+        self.at(delay, Happening::Message(target, own, Box::new(envelope)));
+    }
+
+    fn look(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let began = Instant::now();
+        let engines = node.core.engines_to_observe();
+        self.busy += began.elapsed();
+        for engine in engines {
+            let observation = self.observation(engine.key);
+            self.work(number, |core, now| core.observed(observation, now, now));
+        }
+    }
+
+    /// Engines whose load changes now and then, as under steady traffic.
+    fn observation(&mut self, key: EngineKey) -> EngineObservation {
+        let leaving = self.leaving == Some(key);
+        let base = (key.0 % 40) as u32 + 4;
+        EngineObservation {
+            key,
+            incarnation: Incarnation(1),
+            weights: WeightsVersion(1),
+            health: if leaving {
+                Health::Leaving
+            } else {
+                Health::Ready
+            },
+            load: LoadReport {
+                running: base + self.loads.u32(..=base / 4),
+                waiting: 0,
+                slots: 64,
+                queued_tokens: self.loads.u32(..2_500),
+            },
+        }
+    }
+
+    fn read(&mut self, number: usize) {
+        let node = &self.nodes[number];
+        let now = Millis(self.now - node.started_at);
+        let reads = node.core.is_reader(now);
+        let begins = reads && !node.reads;
+        self.nodes[number].reads = reads;
+        if !begins {
+            return;
+        }
+        for kind in Kind::ALL {
+            let listed = self.objects.iter().filter(|object| object.kind == kind);
+            let objects: Vec<Object> = listed.cloned().collect();
+            let version = ResourceVersion(self.version);
+            self.work(number, |core, now| core.learn_list(kind, objects, version, now));
+        }
+    }
+
+    /// Accepts a change of one tenant and tells it to the readers, as a watch does.
+    fn change(&mut self) -> Object {
+        self.version += 1;
+        let tenants = self.settings.tenants.max(1);
+        let chosen = self.random.usize(..tenants);
+        let name = format!("tenant-{chosen}");
+        let known = self.objects.iter_mut();
+        let mut known = known.filter(|object| object.kind == Kind::Tenant);
+        let object = known.find(|object| object.metadata.name == name);
+        let object = object.expect("there are tenants");
+        object.metadata.resource_version = ResourceVersion(self.version);
+        object.spec["requestsPerSecond"] = json!(self.version);
+        let object = object.clone();
+        for number in 0..self.nodes.len() {
+            if self.nodes[number].reads {
+                let record = Record::stored(object.clone());
+                self.work(number, |core, now| core.learn(vec![record], now));
+            }
+        }
+        object
+    }
+
+    fn has(&self, number: usize, object: &Object) -> bool {
+        let store = &self.nodes[number].core.config.store;
+        let known = store.get(object.kind, &object.metadata.name);
+        known.is_some_and(|known| {
+            known.metadata.resource_version >= object.metadata.resource_version
+        })
+    }
+
+    /// Runs the measurement.
+    pub fn run(mut self) -> ScaleReport {
+        self.advance(SETTLE_MS);
+        self.begin_fault();
+        for node in &mut self.nodes {
+            node.sent_bytes = 0;
+            node.sent_messages = 0;
+        }
+        self.bytes_by_message.clear();
+        self.busy = Duration::ZERO;
+        let began_at = self.now;
+        let suspicions = self.suspicions();
+        let (mut times, not_in_force) = self.measure_changes();
+        let end = began_at + self.settings.seconds * 1_000;
+        self.advance(end.saturating_sub(self.now));
+        let seconds = (self.now - began_at) as f64 / 1_000.0;
+        let false_suspicions = self.suspicions() - suspicions;
+        let nodes = self.nodes.len() as f64;
+        let sent: u64 = self.nodes.iter().map(|node| node.sent_bytes).sum();
+        let worst = self.nodes.iter().map(|node| node.sent_bytes).max();
+        let messages: u64 = self.nodes.iter().map(|node| node.sent_messages).sum();
+        let by_message = self.bytes_by_message.clone();
+        let busy = self.busy;
+        let readers = self.nodes.iter().filter(|node| node.reads).count();
+        let missing_members = self.missing_members();
+        let leaving_out_of_choice_ms = self.measure_leaving();
+        times.sort_unstable();
+        ScaleReport {
+            nodes: self.settings.nodes,
+            zones: self.settings.zones,
+            engines: self.settings.engines,
+            tenants: self.settings.tenants,
+            fault: self.settings.fault,
+            seconds: self.settings.seconds,
+            sent_bytes_per_second: sent as f64 / nodes / seconds,
+            sent_bytes_per_second_worst: worst.unwrap_or(0) as f64 / seconds,
+            messages_per_second: messages as f64 / nodes / seconds,
+            bytes_by_message: by_message
+                .into_iter()
+                .map(|(kind, bytes)| (kind, bytes as f64 / nodes / seconds))
+                .collect(),
+            core_percent: 100.0 * busy.as_secs_f64() / nodes / seconds,
+            memory_kb: resident_kb() / nodes,
+            in_force_ms: summary(&times),
+            not_in_force,
+            false_suspicions_per_hour: false_suspicions as f64 * 3_600.0 / seconds,
+            readers,
+            missing_members,
+            leaving_out_of_choice_ms,
+        }
+    }
+
+    fn begin_fault(&mut self) {
+        match self.settings.fault {
+            ScaleFault::Calm => {}
+            ScaleFault::Loss => self.loss = 0.05,
+            ScaleFault::CutHealed => {
+                self.cut = true;
+                self.advance(CUT_MS);
+                self.cut = false;
+            }
+            ScaleFault::HerdRestart => {
+                let herd = self.settings.nodes / 10;
+                for _ in 0..herd {
+                    let number = self.random.usize(..self.settings.nodes);
+                    self.nodes[number] = self.new_node(number);
+                    self.schedule_node(number);
+                }
+            }
+        }
+    }
+
+    /// Makes the changes one after the other and notes when each is in force where.
+    fn measure_changes(&mut self) -> (Vec<u64>, usize) {
+        let nodes = self.nodes.len();
+        let pause = self.settings.seconds * 1_000 / self.settings.changes.max(1) as u64;
+        let mut times = Vec::new();
+        let mut missing = 0;
+        for _ in 0..self.settings.changes {
+            let object = self.change();
+            let began = self.now;
+            let mut waiting: Vec<usize> = (0..nodes).collect();
+            while !waiting.is_empty() && self.now - began < pause {
+                self.advance(STEP_MS);
+                waiting.retain(|number| {
+                    let has = self.has(*number, &object);
+                    if has {
+                        times.push(self.now - began);
+                    }
+                    !has
+                });
+            }
+            missing += waiting.len();
+            let rest = pause.saturating_sub(self.now - began);
+            self.advance(rest);
+        }
+        (times, missing)
+    }
+
+    /// Time until a leaving engine is out of choice on every node that hears of it.
+    fn measure_leaving(&mut self) -> u64 {
+        let Some(engine) = self.incarnations.first().copied() else {
+            return 0;
+        };
+        let small = self.nodes.len() <= ploverlift_cluster::engine_watch::SMALL_FLEET_NODES;
+        let concerned: Vec<usize> = (0..self.nodes.len())
+            .filter(|number| small || self.nodes[*number].zone == 0)
+            .collect();
+        self.leaving = Some(engine);
+        let began = self.now;
+        while self.now - began < LEAVING_LIMIT_MS {
+            self.advance(STEP_MS);
+            let all = concerned.iter().all(|number| {
+                let fleet = &self.nodes[*number].core.router.fleet;
+                let index = fleet.find(engine);
+                index.is_some_and(|index| !fleet.get(index).takes_work())
+            });
+            if all {
+                break;
+            }
+        }
+        self.now - began
+    }
+
+    fn suspicions(&self) -> u64 {
+        let nodes = self.nodes.iter();
+        nodes.map(|node| node.core.members.suspicions()).sum()
+    }
+
+    fn missing_members(&self) -> usize {
+        let wanted = self.nodes.len() - 1;
+        let nodes = self.nodes.iter();
+        nodes.map(|node| wanted.saturating_sub(node.core.members.live_count())).sum()
+    }
+}
+
+/// Step of virtual time between two looks, in milliseconds.
+const STEP_MS: u64 = 10;
+/// Longest time that a leaving engine is waited for, in milliseconds.
+const LEAVING_LIMIT_MS: u64 = 20_000;
+
+fn summary(sorted: &[u64]) -> Times {
+    let at = |share: f64| {
+        let position = ((sorted.len() as f64 * share) as usize).min(sorted.len().max(1) - 1);
+        sorted.get(position).copied().unwrap_or(0)
+    };
+    Times {
+        p50: at(0.5),
+        p99: at(0.99),
+        worst: sorted.last().copied().unwrap_or(0),
+    }
+}
+
+/// Resident memory of this process, in kilobytes, as the system reports it.
+fn resident_kb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|text| text.parse().ok()).unwrap_or(0.0)
+}
+
+fn kind_of(envelope: &Envelope) -> &'static str {
+    use ploverlift_wire::messages::envelope::Body;
+    match envelope.body {
+        Some(Body::Probe(_) | Body::ProbeAnswer(_) | Body::IndirectProbe(_)) => "probes",
+        Some(Body::Join(_) | Body::JoinAnswer(_) | Body::CatchUp(_)) => "joins",
+        Some(Body::ConfigPush(_)) => "config_pushes",
+        Some(Body::ConfigBuckets(_) | Body::ConfigVersions(_) | Body::ConfigPull(_)) => {
+            "config_comparisons"
+        }
+        Some(Body::EngineReports(_)) => "engine_reports",
+        _ => "other",
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/engine_side.rs
@@ -0,0 +1,231 @@
+//! What engines do, and how nodes observe them.
+
+use super::*;
+
+impl World {
+    pub(super) fn look(&mut self, node: usize, life: u64) {
+        if !self.is_life(node, life) {
+            return;
+        }
+        self.at(LOOK_PERIOD_MS, Happening::Look { node, life });
+        let looked_at = self.node_now(node);
+        let Some(core) = &self.nodes[node].core else {
+            return;
+        };
+        for engine in core.engines_to_observe() {
+            let known = self.engines.iter().find(|known| known.key == engine.key);
+            let zone = self.nodes[node].zone.clone();
+            let reachable =
+                known.filter(|known| known.alive && self.network.connected(&zone, &known.zone));
+            let (seen, delay) = match reachable {
+                Some(known) => {
+                    let mut seen = known.observation(self.now);
+                    if self.mutations.no_engine_reports {
+                        seen.health = ploverlift_policy::fleet::Health::Ready;
+                    }
+                    (Some(seen), 3)
+                }
+                None => (None, 100),
+            };
+            let engine = engine.key;
+            self.at(
+                delay,
+                Happening::Looked {
+                    node,
+                    life,
+                    looked_at,
+                    engine,
+                    seen,
+                },
+            );
+        }
+    }
+
+    pub(super) fn looked(
+        &mut self,
+        node: usize,
+        looked_at: Millis,
+        engine: EngineKey,
+        seen: Option<EngineObservation>,
+    ) {
+        self.with_core(node, |core, now| match seen {
+            Some(observation) => core.observed(observation, looked_at, now),
+            None => core.look_failed(engine),
+        });
+    }
+
+    pub(super) fn machine_listed(&mut self, engine: usize) {
+        let known = &self.engines[engine];
+        let state = if known.leaving {
+            MachineState::Leaving
+        } else {
+            MachineState::Live
+        };
+        let mut object = site::machine(known, engine, state);
+        let stored = self.platform.read(Kind::Machine, known.name.as_str());
+        let version = stored.map(|stored| stored.metadata.resource_version);
+        object.metadata.resource_version = version.unwrap_or_default();
+        if self.platform.put(object) == WriteAnswer::Unreachable {
+            self.at(MACHINE_LIST_LAG_MS, Happening::MachineListed { engine });
+        }
+    }
+
+    pub(super) fn engine_gets(&mut self, number: usize, call: Call) {
+        let engine = &self.engines[number];
+        let connected = self
+            .network
+            .connected(&self.nodes[call.node].zone, &engine.zone);
+        if !connected {
+            // The bytes are lost; the node will find out by its deadline.
+            return;
+        }
+        if !engine.alive {
+            return self.tell(&call, AttemptNews::Unsent);
+        }
+        let up = self.now - self.nodes[call.node].started_at;
+        if call.from == 0 && up > UNINFORMED_MS {
+            self.check_leaving(number);
+        }
+        let engine = &self.engines[number];
+        let other_life = engine.incarnation != call.incarnation || engine.weights != call.weights;
+        let expects = call.incarnation != Incarnation(0);
+        if expects && other_life && !self.mutations.engines_ignore_expectations {
+            let correction = Some((engine.incarnation.0, engine.weights.0));
+            return self.tell(&call, AttemptNews::Refused(correction));
+        }
+        if (engine.leaving && call.from == 0) || engine.loading_until > self.now {
+            return self.tell(&call, AttemptNews::Refused(None));
+        }
+        self.check_reliance(number, &call, expects && other_life);
+        self.narrate(|| {
+            format!(
+                "engine-{number} runs {} for node-{}",
+                call.request, call.node
+            )
+        });
+        self.oracle.ran(Run {
+            by: call.by,
+            request: call.request,
+            engine: self.engines[number].name.clone(),
+            at: self.now,
+            from: call.from,
+        });
+        let engine = &mut self.engines[number];
+        engine.running += 1;
+        let incarnation = engine.incarnation;
+        let origin = BlockOrigin {
+            scope: call.scope.clone(),
+            weights: engine.weights,
+            incarnation,
+        };
+        for block in &call.blocks {
+            engine.cache.entry(*block).or_insert_with(|| origin.clone());
+        }
+        let life_count = self.engine_lives[number];
+        let position = call.from;
+        self.at(
+            PREFILL_MS,
+            Happening::EngineStep {
+                engine: number,
+                incarnation,
+                life_count,
+                call,
+                position,
+            },
+        );
+    }
+
+    /// Whatever is reused must be of the same scope, weights and life.
+    pub(super) fn check_reliance(&mut self, number: usize, call: &Call, relies_on_other_life: bool) {
+        if relies_on_other_life && call.believed_cached {
+            let what = format!("{:?} relied on a cache that is gone", call.by);
+            self.oracle.violated(Promise::CacheReliance, what);
+        }
+        let engine = &self.engines[number];
+        let reused = call
+            .blocks
+            .iter()
+            .map_while(|block| engine.cache.get(block));
+        let wrong = reused.clone().find(|origin| {
+            origin.scope != call.scope
+                || origin.weights != engine.weights
+                || origin.incarnation != engine.incarnation
+        });
+        if let Some(origin) = wrong {
+            let what = format!("{:?} of {} reused {origin:?}", call.by, call.scope);
+            self.oracle.violated(Promise::CacheReliance, what);
+        }
+    }
+
+    pub(super) fn engine_step(
+        &mut self,
+        number: usize,
+        incarnation: Incarnation,
+        life_count: u64,
+        call: Call,
+        position: u64,
+    ) {
+        let engine = &self.engines[number];
+        let same_life = engine.alive && self.engine_lives[number] == life_count;
+        if !same_life {
+            return self.tell(&call, AttemptNews::Broken);
+        }
+        let zone = self.nodes[call.node].zone.clone();
+        if !self.network.connected(&zone, &engine.zone) {
+            self.engines[number].running -= 1;
+            return self.at(
+                STALL_MS,
+                Happening::News {
+                    call,
+                    news: AttemptNews::Broken,
+                },
+            );
+        }
+        if position == call.from {
+            self.tell(&call, AttemptNews::Head);
+        }
+        if position >= ANSWER_PIECES {
+            self.engines[number].running -= 1;
+            return self.tell(&call, AttemptNews::Completed);
+        }
+        self.tell_piece(&call, position);
+        // An engine may send a piece twice.
+        if self.random.f64() < self.network.duplication {
+            self.tell_piece(&call, position);
+        }
+        // An engine may skip a piece; the gap must be found.
+        let skips = self.network.jitter_ms > 0 && self.random.u8(..) < 8;
+        let next = position + if skips { 2 } else { 1 };
+        self.at(
+            PIECE_MS,
+            Happening::EngineStep {
+                engine: number,
+                incarnation,
+                life_count,
+                call,
+                position: next,
+            },
+        );
+    }
+
+    pub(super) fn tell_piece(&mut self, call: &Call, position: u64) {
+        let crossed = self.mutations.answers_crossed && self.random.u8(..) < 32;
+        let request = if crossed {
+            call.request + 1
+        } else {
+            call.request
+        };
+        let content = piece_of(request, position);
+        let position = if self.mutations.engines_misnumber_pieces {
+            position.saturating_sub(call.from)
+        } else {
+            position
+        };
+        self.tell(call, AttemptNews::Piece { position, content });
+    }
+
+    pub(super) fn tell(&mut self, call: &Call, news: AttemptNews) {
+        let call = call.clone();
+        self.at(2, Happening::News { call, news });
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/nodes.rs
@@ -0,0 +1,216 @@
+//! Nodes: their start, end and pauses, and the messages between them.
+
+use super::*;
+
+impl World {
+    pub(super) fn is_life(&self, node: usize, life: u64) -> bool {
+        let node = &self.nodes[node];
+        node.core.is_some() && node.life == life
+    }
+
+    pub(super) fn node_now(&self, node: usize) -> Millis {
+        Millis(self.now - self.nodes[node].started_at)
+    }
+
+    pub(super) fn start_node(&mut self, number: usize) {
+        let seeds: Vec<SocketAddr> = (0..self.nodes.len())
+            .filter(|other| *other != number)
+            .map(site::node_address)
+            .collect();
+        let life = if self.mutations.nodes_reuse_lives {
+            1
+        } else {
+            self.now.max(self.nodes[number].life + 1)
+        };
+        let node = &mut self.nodes[number];
+        let identity = Identity {
+            name: node.name.clone(),
+            zone: node.zone.clone(),
+            region: "viti".to_owned(),
+            address: node.address,
+            life,
+        };
+        let mut settings = CoreSettings::new(identity, seeds);
+        settings.claim_retention_ms = CLAIM_RETENTION_MS;
+        settings.router.directory_blocks = 10_000;
+        node.started_at = self.now;
+        node.life = life;
+        node.frozen = false;
+        node.held.clear();
+        node.seen_platform = None;
+        node.lease = LeaseView::new(node.name.clone(), life);
+        node.rollout = Rollout::default();
+        node.core = Some(NodeCore::new(settings, self.random.u64(..), Millis(0)));
+        let node = number;
+        let offset = self.random.u64(..TICK_MS);
+        self.at(offset, Happening::Tick { node, life });
+        self.at(offset, Happening::Read { node, life });
+        self.at(offset, Happening::Look { node, life });
+    }
+
+    pub(super) fn kill_node(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        node.core = None;
+        node.frozen = false;
+        let mut lost: Vec<TryId> = node.requests.keys().copied().collect();
+        for held in std::mem::take(&mut node.held) {
+            if let Happening::RequestArrives { by, .. } = held {
+                lost.push(by);
+            }
+        }
+        node.requests.clear();
+        for by in lost {
+            let told = Told::ConnectionLost;
+            self.at(1, Happening::CallerEnd { by, told });
+        }
+    }
+
+    pub(super) fn thaw_node(&mut self, number: usize) {
+        self.nodes[number].frozen = false;
+        for happening in std::mem::take(&mut self.nodes[number].held) {
+            self.at(0, happening);
+        }
+    }
+
+    /// Works on a node's core and sends what it wants sent.
+    pub(super) fn with_core<T>(
+        &mut self,
+        number: usize,
+        work: impl FnOnce(&mut NodeCore, Millis) -> T,
+    ) -> Option<T> {
+        let now = self.node_now(number);
+        let core = self.nodes[number].core.as_mut()?;
+        let result = work(core, now);
+        let messages: Vec<(SocketAddr, Envelope)> = core
+            .take_messages()
+            .into_iter()
+            .map(|message| (message.to, core.envelope(message.body)))
+            .collect();
+        let events = core.take_events();
+        for (to, envelope) in messages {
+            self.send(number, to, envelope);
+        }
+        for event in events {
+            self.core_event(number, event);
+        }
+        Some(result)
+    }
+
+    pub(super) fn send(&mut self, from: usize, to: SocketAddr, mut envelope: Envelope) {
+        let Some(target) = self.nodes.iter().position(|node| node.address == to) else {
+            return;
+        };
+        self.cluster_bytes += prost::Message::encoded_len(&envelope) as u64;
+        if !self.weaken(&mut envelope) {
+            return;
+        }
+        let (a, b) = (&self.nodes[from].zone, &self.nodes[target].zone);
+        let own_address = self.nodes[from].address;
+        let delays = if from == target {
+            vec![0]
+        } else {
+            self.network.deliveries(a, b, &mut self.random)
+        };
+        for delay in delays {
+            let happening = Happening::Message {
+                node: target,
+                from: own_address,
+                envelope: envelope.clone(),
+            };
+            self.at(delay, happening);
+        }
+    }
+
+    /// Applies weakenings to a message; false when it is dropped.
+    pub(super) fn weaken(&self, envelope: &mut Envelope) -> bool {
+        match &mut envelope.body {
+            Some(Body::EngineReports(_)) if self.mutations.no_engine_reports => false,
+            Some(Body::ClaimVote(vote)) if self.mutations.votes_without_lives => {
+                vote.known_lives.clear();
+                true
+            }
+            Some(Body::ConfigPush(push)) if self.mutations.stale_records_look_new => {
+                let version = self.platform.version();
+                for record in &mut push.records {
+                    record.version = version;
+                    if let Ok(mut object) = serde_json::from_slice::<Object>(&record.content) {
+                        object.metadata.resource_version.0 = version;
+                        record.content = serde_json::to_vec(&object).unwrap_or_default();
+                    }
+                }
+                true
+            }
+            Some(Body::ConfigPush(_) | Body::ConfigVersions(_)) => {
+                !self.mutations.no_config_from_peers
+            }
+            _ => true,
+        }
+    }
+
+    pub(super) fn message(&mut self, node: usize, from: SocketAddr, envelope: Envelope) {
+        self.narrate(|| match &envelope.body {
+            Some(
+                body @ (Body::ClaimRequest(_)
+                | Body::ClaimVote(_)
+                | Body::ClaimRelease(_)
+                | Body::ClaimRecover(_)
+                | Body::ClaimState(_)),
+            ) => format!("node-{node} gets from {from}: {body:?}"),
+            _ => String::new(),
+        });
+        self.with_core(node, |core, now| core.handle(from, envelope, now));
+    }
+
+    pub(super) fn tick(&mut self, node: usize, life: u64) {
+        if !self.is_life(node, life) {
+            return;
+        }
+        self.with_core(node, |core, now| core.tick(now));
+        self.note_configuration(node);
+        self.at(TICK_MS, Happening::Tick { node, life });
+    }
+
+    pub(super) fn note_configuration(&mut self, number: usize) {
+        let node = &self.nodes[number];
+        let Some(core) = &node.core else {
+            return;
+        };
+        if let Some(route) = core.config.store.get(Kind::Route, site::ROUTE) {
+            let version = route.metadata.resource_version;
+            let (name, life) = (node.name.0.clone(), node.life);
+            self.oracle.in_force(&name, life, version);
+            self.check_stored(&name, route.as_ref().clone());
+        }
+    }
+
+    /// What is in force must be what the object API once accepted as that version.
+    pub(super) fn check_stored(&mut self, node: &str, route: Object) {
+        let accepted = self.platform.accepted(&route);
+        if !accepted {
+            let version = route.metadata.resource_version;
+            let what = format!("{node} has a route in force that was never version {version}");
+            self.oracle.violated(Promise::Configuration, what);
+        }
+    }
+
+    pub(super) fn core_event(&mut self, node: usize, event: CoreEvent) {
+        match event {
+            CoreEvent::Claim { ticket, outcome } => {
+                let mut requests = self.nodes[node].requests.values();
+                let found = requests.find(|request| request.claim == Some(ticket));
+                if let Some(by) = found.map(|request| request.by) {
+                    self.claim_decided(node, by, outcome);
+                }
+            }
+            CoreEvent::WriteClaimGroup { version, spec } => {
+                let mut object =
+                    Object::new(Kind::ClaimGroup, CLAIM_GROUP, Labels::default(), spec);
+                object.metadata.resource_version = version;
+                let answer = self.platform.put(object);
+                let life = self.nodes[node].life;
+                self.at(2, Happening::GroupStored { node, life, answer });
+            }
+            CoreEvent::Lookup { .. } | CoreEvent::Explained { .. } => {}
+        }
+    }
+}
