Work out configuration by change, duties once a change of members

Cause: every change of one object read all objects anew, and every report on an engine ranked all members; both grow with the fleet. Ruled out: a full index of engines a node; the duty table is enough. Change: SnapshotBuilder takes in single objects; tenants are found by hash; ObserverDuties are assigned once a change; leaving engines are kept apart.

--- a/crates/cluster/src/config_store.rs
+++ b/crates/cluster/src/config_store.rs
@@ -76,7 +76,8 @@
 /// All objects a node knows, with digests kept up to date.
 #[derive(Clone, Debug)]
 pub struct ConfigStore {
-    records: BTreeMap<KeyHash, Record>,
+    /// Records by bucket, so that one bucket can be told without a walk over all.
+    records: Vec<BTreeMap<KeyHash, Record>>,
     buckets: [SetHash; DIGEST_BUCKETS],
     highest: ResourceVersion,
 }
@@ -84,7 +85,7 @@
 impl Default for ConfigStore {
     fn default() -> Self {
         Self {
-            records: BTreeMap::new(),
+            records: vec![BTreeMap::new(); DIGEST_BUCKETS],
             buckets: [SetHash::default(); DIGEST_BUCKETS],
             highest: ResourceVersion::default(),
         }
@@ -96,8 +97,9 @@
     /// Returns whether anything changed.
     pub fn merge(&mut self, record: Record) -> bool {
         let key = record.key_hash();
-        let bucket = &mut self.buckets[bucket_of(key)];
-        if let Some(known) = self.records.get(&key) {
+        let number = bucket_of(key);
+        let bucket = &mut self.buckets[number];
+        if let Some(known) = self.records[number].get(&key) {
             if known.version >= record.version {
                 return false;
             }
@@ -105,7 +107,7 @@
         }
         bucket.0 ^= record.digest();
         self.highest = self.highest.max(record.version);
-        self.records.insert(key, record);
+        self.records[number].insert(key, record);
         true
     }
 
@@ -126,6 +128,7 @@
         let missing: Vec<ObjectKey> = self
             .records
             .iter()
+            .flatten()
             .filter(|(hash, record)| {
                 let present = record.content.is_some() && record.key.kind == kind;
                 present && record.version <= version && !listed.contains(hash)
@@ -143,9 +146,8 @@
 
     /// All live objects.
     pub fn objects(&self) -> impl Iterator<Item = &Arc<Object>> {
-        self.records
-            .values()
-            .filter_map(|record| record.content.as_ref())
+        let records = self.records.iter().flat_map(BTreeMap::values);
+        records.filter_map(|record| record.content.as_ref())
     }
 
     /// Live objects of one kind.
@@ -155,7 +157,7 @@
 
     /// The record of one identity, deletions included.
     pub fn record(&self, key: KeyHash) -> Option<&Record> {
-        self.records.get(&key)
+        self.records[bucket_of(key)].get(&key)
     }
 
     /// The live object of one kind and name.
@@ -164,7 +166,7 @@
             kind,
             name: name.to_owned(),
         };
-        self.records.get(&key_hash(&key))?.content.as_ref()
+        self.record(key_hash(&key))?.content.as_ref()
     }
 
     /// The highest version of any record.
@@ -174,12 +176,12 @@
 
     /// Number of records, deletions included.
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.records.iter().map(BTreeMap::len).sum()
     }
 
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.records.iter().all(BTreeMap::is_empty)
     }
 
     /// Digest over all records: equal stores have equal roots.
@@ -198,9 +200,8 @@
 
     /// Identity and version of every record of one bucket.
     pub fn bucket_versions(&self, bucket: usize) -> Vec<(KeyHash, ResourceVersion)> {
-        self.records
-            .iter()
-            .filter(|(key, _)| bucket_of(**key) == bucket)
+        let records = self.records.get(bucket).into_iter().flatten();
+        records
             .map(|(key, record)| (*key, record.version))
             .collect()
     }
--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -10,8 +10,9 @@
 use crate::engine_watch::{self, EngineWatch, LOOK_TIMEOUT_MS};
 use crate::membership::{Digests, Identity, MemberChange, Membership};
 use crate::node_key::{rendezvous_first, NodeKey};
+use crate::observer_duties::ObserverDuties;
 use crate::output::{Outbox, Outgoing};
-use crate::quota::{Quota, TenantKey};
+use crate::quota::Quota;
 use crate::readers;
 use crate::router::{Router, RouterSettings};
 use ploverlift_policy::admission::ComeBack;
@@ -19,8 +20,8 @@
 use ploverlift_policy::directory::PrefixMatch;
 use ploverlift_policy::fleet::{Engine, EngineKey, EngineObservation};
 use ploverlift_policy::ids::{BlockHash, Incarnation, Millis, ResourceVersion, WeightsVersion};
-use ploverlift_policy::objects::{ClaimGroupSpec, Kind, MachineRole, Object};
-use ploverlift_policy::snapshot::Tenant;
+use ploverlift_policy::objects::{ClaimGroupSpec, Kind, Object};
+use ploverlift_policy::snapshot::{Tenant, TenantKey};
 use ploverlift_wire::messages::envelope::Body;
 use ploverlift_wire::messages::{
     CatchUp, DirectoryAnswer, DirectoryLookup, DirectoryMatch, DirectoryRecord, EngineReports,
@@ -141,6 +142,9 @@
     /// This node's part in the claim group.
     pub claims: ClaimReplica,
     watch: EngineWatch,
+    /// Who observes which engine; worked out again after a change of members
+    /// or machines.
+    duties: Option<ObserverDuties>,
     proposals: BTreeMap<Ticket, Proposal>,
     granted: BTreeMap<Ticket, Proposal>,
     completions: Vec<Completion>,
@@ -171,6 +175,7 @@
             quota: Quota::default(),
             claims: ClaimReplica::new(own_key, life, now, settings.claim_retention_ms),
             watch: EngineWatch::default(),
+            duties: None,
             proposals: BTreeMap::new(),
             granted: BTreeMap::new(),
             completions: Vec::new(),
@@ -362,12 +367,9 @@
                 }
             }
         }
-        let observed: Vec<EngineKey> = self
-            .engines_to_observe()
-            .iter()
-            .map(|engine| engine.key)
-            .collect();
-        self.watch.keep_own(|engine| observed.contains(&engine));
+        let duties = ObserverDuties::assign(&self.router.fleet, &self.members);
+        self.watch.keep_own(|engine| duties.is_own(engine));
+        self.duties = Some(duties);
     }
 
     fn take_in_config(&mut self) {
@@ -378,8 +380,14 @@
         for record in &learned {
             self.take_in_claim_group(record);
         }
-        self.router.rebuild(&self.config.store);
-        self.apply_reports_to_new_engines();
+        self.router.apply(&learned);
+        if learned
+            .iter()
+            .any(|record| record.key.kind == Kind::Machine)
+        {
+            self.duties = None;
+            self.apply_reports_to_new_engines();
+        }
     }
 
     /// Reports may come before the machine list's entry of their engine.
@@ -483,14 +491,13 @@
     // Engines.
 
     /// Engines that this node observes.
-    pub fn engines_to_observe(&self) -> Vec<Engine> {
-        let own = self.members.own_key();
-        let engines = self.router.fleet.iter().map(|(_, engine)| engine);
-        let engines = engines.filter(|engine| engine.role == MachineRole::Engine);
-        engines
-            .filter(|engine| engine_watch::observers_of(engine, &self.members).contains(&own))
-            .cloned()
-            .collect()
+    pub fn engines_to_observe(&mut self) -> Vec<Engine> {
+        let duties = self
+            .duties
+            .get_or_insert_with(|| ObserverDuties::assign(&self.router.fleet, &self.members));
+        let fleet = &self.router.fleet;
+        let own = duties.own().iter().filter_map(|key| fleet.find(*key));
+        own.map(|index| fleet.get(index).clone()).collect()
     }
 
     /// Takes in what this node observed of an engine by a look that began at
@@ -539,12 +546,11 @@
     fn heard(&mut self, from: NodeKey, reports: &EngineReports) {
         for report in &reports.reports {
             let observation = engine_watch::from_message(report);
-            let index = self.router.fleet.find(observation.key);
-            let engine = index.map(|index| self.router.fleet.get(index));
-            let observers = engine.map_or_else(Vec::new, |engine| {
-                engine_watch::observers_of(engine, &self.members)
-            });
-            let holds = self.watch.heard(from, observation, &observers);
+            let duties = self
+                .duties
+                .get_or_insert_with(|| ObserverDuties::assign(&self.router.fleet, &self.members));
+            let observers = duties.observers_of(observation.key);
+            let holds = self.watch.heard(from, observation, observers);
             self.router.observe(&holds);
         }
     }
@@ -683,8 +689,7 @@
     ) {
         let snapshot = &self.router.snapshot;
         let limit_of = |key: TenantKey| {
-            let mut tenants = snapshot.tenants.iter();
-            let tenant = tenants.find(|tenant| TenantKey::of(&tenant.name) == key)?;
+            let tenant = snapshot.tenants.get_by_key(key)?;
             Some(f64::from(tenant.spec.requests_per_second))
         };
         let nodes = self.members.live_count() + 1;
--- a/crates/cluster/src/engine_watch.rs
+++ b/crates/cluster/src/engine_watch.rs
@@ -7,13 +7,13 @@
 //! leaving engine in use; a change of load is published when it is large.
 
 use crate::membership::Membership;
-use crate::node_key::{rendezvous_top, NodeKey};
+use crate::node_key::NodeKey;
 use crate::output::Outbox;
 use ploverlift_policy::fleet::{Engine, EngineKey, EngineObservation, Fleet, Health, LoadReport};
 use ploverlift_policy::ids::{Incarnation, Millis, WeightsVersion};
 use ploverlift_wire::messages::envelope::Body;
 use ploverlift_wire::messages::{EngineReport, EngineReports};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -68,27 +68,12 @@
     own: BTreeMap<EngineKey, Observed>,
     failed_looks: BTreeMap<EngineKey, u32>,
     heard: BTreeMap<EngineKey, Vec<Heard>>,
+    /// Engines that are known to leave, each in its life.
+    leaving: BTreeMap<EngineKey, Incarnation>,
     next_order: u64,
     next_publish: Millis,
 }
 
-/// The nodes that observe an engine, this node among them or not.
-pub fn observers_of(engine: &Engine, members: &Membership) -> Vec<NodeKey> {
-    let own = (members.own_key(), &members.own().zone);
-    let live = members
-        .live()
-        .map(|(key, member)| (key, &member.identity.zone));
-    let all: Vec<_> = live.chain([own]).collect();
-    let near = all.iter().filter(|(_, zone)| **zone == engine.zone);
-    let near: Vec<NodeKey> = near.map(|(key, _)| *key).collect();
-    let candidates = if near.is_empty() {
-        all.iter().map(|(key, _)| *key).collect()
-    } else {
-        near
-    };
-    rendezvous_top(engine.key.0, candidates.into_iter(), OBSERVERS_PER_ENGINE)
-}
-
 impl EngineWatch {
     /// Takes in what this node observed. Returns what now holds of the engine.
     pub fn observed(&mut self, observation: EngineObservation) -> EngineObservation {
@@ -147,7 +132,7 @@
             observation: observation.clone(),
             order: self.next_order,
         });
-        self.holds(observation.key).unwrap_or(observation)
+        self.hold(observation.key).unwrap_or(observation)
     }
 
     /// Forgets what a dead observer said. Returns what now holds of the engines it observed.
@@ -172,6 +157,17 @@
         self.failed_looks.retain(|engine, _| observes(*engine));
     }
 
+    /// Works out what holds of an engine and notes whether it leaves.
+    fn hold(&mut self, engine: EngineKey) -> Option<EngineObservation> {
+        let holds = self.holds(engine)?;
+        if holds.health == Health::Leaving {
+            self.leaving.insert(engine, holds.incarnation);
+        } else {
+            self.leaving.remove(&engine);
+        }
+        Some(holds)
+    }
+
     /// Joins the observers' reports: only the latest life counts; an engine of
     /// which one says that it leaves is leaving; it is dead only when all say
     /// so; otherwise what was learned last holds.
@@ -201,26 +197,18 @@
             .collect()
     }
 
-    /// Engines that are known to leave in their present life.
-    fn leaving(&self) -> impl Iterator<Item = EngineObservation> + '_ {
-        let keys = self.own.keys().chain(self.heard.keys());
-        let keys: BTreeSet<EngineKey> = keys.copied().collect();
-        let held = keys.into_iter().filter_map(|engine| self.holds(engine));
-        held.filter(|observation| observation.health == Health::Leaving)
-    }
-
     /// Digest over the engines that are known to leave. That an engine leaves
     /// stays true for its life, so a difference can be mended by telling.
     pub fn leaving_root(&self) -> u64 {
-        self.leaving().fold(0, |root, observation| {
-            let life = observation.incarnation.0;
-            root ^ xxh3_64_with_seed(&life.to_le_bytes(), observation.key.0)
+        self.leaving.iter().fold(0, |root, (engine, life)| {
+            root ^ xxh3_64_with_seed(&life.0.to_le_bytes(), engine.0)
         })
     }
 
     /// Reports on the engines that are known to leave.
     pub fn leaving_reports(&self) -> Vec<EngineReports> {
-        let reports: Vec<EngineReport> = self.leaving().map(|held| to_message(&held)).collect();
+        let held = self.leaving.keys().filter_map(|engine| self.holds(*engine));
+        let reports: Vec<EngineReport> = held.map(|held| to_message(&held)).collect();
         let parts = reports.chunks(REPORTS_PER_MESSAGE);
         parts
             .map(|part| EngineReports {
--- a/crates/cluster/src/quota.rs
+++ b/crates/cluster/src/quota.rs
@@ -9,12 +9,12 @@
 use crate::membership::Membership;
 use crate::node_key::{rendezvous_first, NodeKey};
 use crate::output::Outbox;
-use ploverlift_policy::ids::{Millis, TenantName};
+use ploverlift_policy::ids::Millis;
+use ploverlift_policy::snapshot::TenantKey;
 use ploverlift_wire::messages::envelope::Body;
 use ploverlift_wire::messages::{QuotaDemand, QuotaGrant, TenantDemand, TenantGrant};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between two reports of demand, in milliseconds.
 pub const DEMAND_PERIOD_MS: u64 = 1_000;
@@ -23,17 +23,6 @@
 /// Part of a tenant's rate that the home leases by demand; the rest is shared evenly.
 const BY_DEMAND_SHARE: f64 = 0.9;
 
-/// Hash of a tenant's name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TenantKey(pub u64);
-
-impl TenantKey {
-    /// The key of a tenant's name.
-    pub fn of(name: &TenantName) -> Self {
-        Self(xxh3_64(name.0.as_bytes()))
-    }
-}
-
 /// The most by which the sum of all nodes' rates can exceed the limit: while
 /// leases from before a cut still run, each node that lost its home may add an
 /// even share.
--- a/crates/cluster/src/rollout.rs
+++ b/crates/cluster/src/rollout.rs
@@ -54,7 +54,9 @@
     fn is_done(&self, engine: &Engine, now: Millis) -> bool {
         let observed_since = now.since(self.at) >= OBSERVATION_LAG_MS;
         let ready = engine.health == Health::Ready;
-        let shown = self.weights.is_none_or(|weights| engine.weights.0 == weights);
+        let shown = self
+            .weights
+            .is_none_or(|weights| engine.weights.0 == weights);
         observed_since && ready && shown
     }
 }
@@ -127,7 +129,9 @@
 
     /// Orders that only make the token known. A dead engine is not waited for.
     fn unfenced(&self, engines: &[&Engine], fencing_token: u64) -> Vec<LoadOrder> {
-        let reachable = engines.iter().filter(|engine| engine.health != Health::Dead);
+        let reachable = engines
+            .iter()
+            .filter(|engine| engine.health != Health::Dead);
         let unfenced = reachable.filter(|engine| !self.fenced.contains(&engine.key));
         unfenced
             .map(|engine| LoadOrder {
--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router.rs
@@ -19,13 +19,13 @@
 use ploverlift_policy::labels::Selector;
 use ploverlift_policy::objects::{Kind, MachineRole, MachineSpec, MachineState, Object};
 use ploverlift_policy::retry::RetryBudget;
-use ploverlift_policy::snapshot::{Pool, Snapshot, Tenant};
+use ploverlift_policy::snapshot::{Pool, Snapshot, SnapshotBuilder, Tenant};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::config_store::ConfigStore;
+use crate::config_store::Record;
 
 /// Decisions that a node remembers for `explain`.
 pub const REMEMBERED_DECISIONS: usize = 4_096;
@@ -80,7 +80,7 @@
     /// The request.
     pub id: RequestId,
     /// The tenant, as configured when the request came.
-    pub tenant: Tenant,
+    pub tenant: Arc<Tenant>,
     /// Position of the route in the snapshot.
     pub route: usize,
     /// The snapshot in force when the request came.
@@ -118,6 +118,7 @@
 /// The tables of one node.
 pub struct Router {
     settings: RouterSettings,
+    builder: SnapshotBuilder,
     /// The typed view of the objects.
     pub snapshot: Arc<Snapshot>,
     /// Engines and their state.
@@ -140,6 +141,7 @@
         Self {
             directory: Directory::new(settings.directory_blocks),
             settings,
+            builder: SnapshotBuilder::default(),
             snapshot: Arc::default(),
             fleet: Fleet::default(),
             candidates: CandidateTable::default(),
@@ -156,27 +158,34 @@
         self.generation
     }
 
-    /// Rebuilds what is derived from the objects.
-    pub fn rebuild(&mut self, store: &ConfigStore) {
-        let objects = store.objects().map(Arc::as_ref);
-        self.snapshot = Arc::new(Snapshot::build(objects));
-        self.rebuild_fleet(store);
-        self.rebuild_candidates();
-    }
-
-    fn rebuild_fleet(&mut self, store: &ConfigStore) {
-        let machines = store.of_kind(Kind::Machine);
-        let machines: Vec<Engine> = machines.filter_map(|object| engine_of(object)).collect();
-        let listed: HashSet<EngineKey> = machines.iter().map(|engine| engine.key).collect();
-        let unlisted = self
-            .fleet
-            .iter()
-            .any(|(_, engine)| !listed.contains(&engine.key));
-        if unlisted {
-            self.fleet.retain(|engine| listed.contains(&engine.key));
+    /// Takes in changed configuration. Only what depends on the changed kinds
+    /// is worked out again.
+    pub fn apply(&mut self, records: &[Record]) {
+        let mut candidates = false;
+        let mut gone = HashSet::new();
+        for record in records {
+            let object = record.content.as_deref();
+            let (kind, name) = (record.key.kind, &record.key.name);
+            self.builder.apply(kind, name, object, record.version);
+            candidates |= matches!(kind, Kind::Pool | Kind::Route | Kind::Machine);
+            if kind == Kind::Machine {
+                match object.and_then(engine_of) {
+                    Some(engine) => {
+                        self.fleet.upsert(engine);
+                    }
+                    None => {
+                        gone.insert(EngineKey::of(&EngineName(name.clone())));
+                    }
+                }
+            }
+        }
+        if !gone.is_empty() {
+            self.fleet.retain(|engine| !gone.contains(&engine.key));
         }
-        for engine in machines {
-            self.fleet.upsert(engine);
+        self.snapshot = Arc::new(self.builder.build());
+        self.generation += 1;
+        if candidates {
+            self.rebuild_candidates();
         }
     }
 
@@ -232,7 +241,7 @@
             let capacity = (slots as usize).div_ceil(nodes.max(1)) as u32;
             let snapshot = &self.snapshot;
             let weight_of = |name: &TenantName| {
-                let found = snapshot.tenants.iter().find(|known| known.name == *name);
+                let found = snapshot.tenants.get(name);
                 found.map_or(1, |known| known.spec.weight)
             };
             if !shares.within_share(&tenant.name, weight_of, capacity) {
@@ -268,8 +277,9 @@
     /// The candidates of a request's route as they are now.
     fn candidates_of(&self, request: &RoutedRequest) -> Option<Arc<RouteCandidates>> {
         let route = request.snapshot.routes.get(request.route)?;
-        let same = Arc::ptr_eq(&request.snapshot, &self.snapshot);
-        if same {
+        let (old, new) = (&request.snapshot, &self.snapshot);
+        let same_routes = Arc::ptr_eq(&old.routes, &new.routes);
+        if same_routes && Arc::ptr_eq(&old.pools, &new.pools) {
             return self.candidates.route(request.route).cloned();
         }
         // The configuration changed after the request came: it keeps its own.
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -430,7 +430,9 @@
             let listed = self.objects.iter().filter(|object| object.kind == kind);
             let objects: Vec<Object> = listed.cloned().collect();
             let version = ResourceVersion(self.version);
-            self.work(number, |core, now| core.learn_list(kind, objects, version, now));
+            self.work(number, |core, now| {
+                core.learn_list(kind, objects, version, now)
+            });
         }
     }
 
@@ -596,7 +598,9 @@
     fn missing_members(&self) -> usize {
         let wanted = self.nodes.len() - 1;
         let nodes = self.nodes.iter();
-        nodes.map(|node| wanted.saturating_sub(node.core.members.live_count())).sum()
+        nodes
+            .map(|node| wanted.saturating_sub(node.core.members.live_count()))
+            .sum()
     }
 }
 
--- a/crates/node/src/caller_request.rs
+++ b/crates/node/src/caller_request.rs
@@ -81,7 +81,7 @@
 ///
 /// # Errors
 /// Status 401 when there is no key or no tenant has it.
-pub fn authenticate(node: &Node, conn: &Conn) -> Result<Tenant, ErrorReply> {
+pub fn authenticate(node: &Node, conn: &Conn) -> Result<Arc<Tenant>, ErrorReply> {
     let header = conn
         .request_headers()
         .get_str(KnownHeaderName::Authorization);
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -165,7 +165,7 @@
     })
 }
 
-fn admit(node: &Node, conn: &Conn) -> Result<(Tenant, RequestHeaders), ErrorReply> {
+fn admit(node: &Node, conn: &Conn) -> Result<(Arc<Tenant>, RequestHeaders), ErrorReply> {
     count(&node.counters.requests);
     if node.is_stopping() {
         return Err(stopping());
@@ -187,7 +187,7 @@
 
 fn route(
     node: &Node,
-    tenant: &Tenant,
+    tenant: &Arc<Tenant>,
     headers: &RequestHeaders,
     model: &str,
 ) -> Result<RoutedRequest, ErrorReply> {
@@ -203,7 +203,7 @@
     };
     Ok(RoutedRequest {
         id: headers.id.clone(),
-        tenant: tenant.clone(),
+        tenant: Arc::clone(tenant),
         route,
         snapshot,
         prompt: Arc::default(),
--- a/crates/node/src/engine_poll.rs
+++ b/crates/node/src/engine_poll.rs
@@ -55,7 +55,7 @@
 }
 
 fn targets(node: &Node) -> Vec<Target> {
-    let engines = node.core().engines_to_observe();
+    let engines = node.with_core(|core, _| core.engines_to_observe());
     engines
         .into_iter()
         .map(|engine| Target {
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -7,7 +7,10 @@
 use crate::objects::{Kind, Object, ObjectError, PoolSpec, RouteSpec, TenantSpec};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use subtle::ConstantTimeEq;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A pool with its name.
 #[derive(Clone, Debug)]
@@ -66,72 +69,231 @@
     /// The highest version of any object in the view.
     pub version: ResourceVersion,
     /// All pools, by name.
-    pub pools: Vec<Pool>,
-    /// All tenants, by name.
-    pub tenants: Vec<Tenant>,
+    pub pools: Arc<Vec<Pool>>,
     /// All routes, in the order in which they are tried.
-    pub routes: Vec<Route>,
+    pub routes: Arc<Vec<Route>>,
+    /// All tenants.
+    pub tenants: Arc<TenantTable>,
     /// Objects that did not fit; the rest stays in force.
     pub rejected: Vec<Rejected>,
 }
 
-impl Snapshot {
-    /// Builds the view; an object that does not fit is listed and left out.
-    pub fn build<'a>(objects: impl Iterator<Item = &'a Object>) -> Self {
-        let mut snapshot = Snapshot::default();
-        for object in objects {
-            snapshot.version = snapshot.version.max(object.metadata.resource_version);
-            if let Err(error) = snapshot.add(object) {
-                snapshot.rejected.push(Rejected {
-                    kind: object.kind,
-                    name: object.metadata.name.clone(),
-                    reason: error.to_string(),
-                });
+/// All tenants, found by name or by key.
+#[derive(Clone, Debug, Default)]
+pub struct TenantTable {
+    by_name: BTreeMap<TenantName, Arc<Tenant>>,
+    /// Tenants by the beginning of a key's hash; the whole hash is compared
+    /// in constant time.
+    by_key: HashMap<KeyPrefix, Vec<TenantName>>,
+    by_name_hash: HashMap<TenantKey, TenantName>,
+}
+
+/// Hash of a tenant's name: the compact form used in messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantKey(pub u64);
+
+impl TenantKey {
+    /// The key of a tenant's name.
+    pub fn of(name: &TenantName) -> Self {
+        Self(xxh3_64(name.0.as_bytes()))
+    }
+}
+
+/// The beginning of a key's hash, in hexadecimal.
+type KeyPrefix = [u8; KEY_PREFIX_BYTES];
+
+/// Characters of a key's hash by which tenants are found.
+const KEY_PREFIX_BYTES: usize = 16;
+
+fn key_prefix(hash: &str) -> Option<KeyPrefix> {
+    hash.as_bytes().get(..KEY_PREFIX_BYTES)?.try_into().ok()
+}
+
+impl TenantTable {
+    fn insert(&mut self, tenant: Tenant) {
+        self.remove(&tenant.name);
+        for prefix in tenant
+            .spec
+            .key_hashes
+            .iter()
+            .filter_map(|hash| key_prefix(hash))
+        {
+            let names = self.by_key.entry(prefix).or_default();
+            names.push(tenant.name.clone());
+        }
+        self.by_name_hash
+            .insert(TenantKey::of(&tenant.name), tenant.name.clone());
+        self.by_name.insert(tenant.name.clone(), Arc::new(tenant));
+    }
+
+    fn remove(&mut self, name: &TenantName) {
+        let Some(known) = self.by_name.remove(name) else {
+            return;
+        };
+        self.by_name_hash.remove(&TenantKey::of(name));
+        for prefix in known
+            .spec
+            .key_hashes
+            .iter()
+            .filter_map(|hash| key_prefix(hash))
+        {
+            if let Some(names) = self.by_key.get_mut(&prefix) {
+                names.retain(|other| other != name);
             }
         }
-        snapshot.pools.sort_by(|a, b| a.name.cmp(&b.name));
-        snapshot.tenants.sort_by(|a, b| a.name.cmp(&b.name));
-        snapshot.routes.sort_by(|a, b| {
-            let by_precedence = b.spec.precedence.cmp(&a.spec.precedence);
-            by_precedence.then_with(|| a.name.cmp(&b.name))
-        });
-        snapshot
     }
 
-    fn add(&mut self, object: &Object) -> Result<(), ObjectError> {
+    /// The tenant of this name.
+    pub fn get(&self, name: &TenantName) -> Option<&Arc<Tenant>> {
+        self.by_name.get(name)
+    }
+
+    /// The tenant whose name has this hash.
+    pub fn get_by_key(&self, key: TenantKey) -> Option<&Arc<Tenant>> {
+        self.by_name.get(self.by_name_hash.get(&key)?)
+    }
+
+    /// All tenants, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Tenant>> {
+        self.by_name.values()
+    }
+
+    fn find_by_hash(&self, digest: &str) -> Option<&Arc<Tenant>> {
+        let names = self.by_key.get(&key_prefix(digest)?)?;
+        let tenants = names.iter().filter_map(|name| self.by_name.get(name));
+        let mut found = None;
+        for tenant in tenants {
+            for hash in &tenant.spec.key_hashes {
+                if bool::from(hash.as_bytes().ct_eq(digest.as_bytes())) {
+                    found = Some(tenant);
+                }
+            }
+        }
+        found
+    }
+}
+
+/// Builds views by change, so that a change costs what it changes and not the
+/// whole configuration.
+#[derive(Clone, Debug, Default)]
+pub struct SnapshotBuilder {
+    version: ResourceVersion,
+    pools: BTreeMap<String, Pool>,
+    routes: BTreeMap<String, Route>,
+    tenants: Arc<TenantTable>,
+    rejected: BTreeMap<(Kind, String), Rejected>,
+    built_pools: Arc<Vec<Pool>>,
+    built_routes: Arc<Vec<Route>>,
+}
+
+impl SnapshotBuilder {
+    /// Takes in an object, or its deletion. An object that does not fit is
+    /// listed and left out.
+    pub fn apply(
+        &mut self,
+        kind: Kind,
+        name: &str,
+        object: Option<&Object>,
+        version: ResourceVersion,
+    ) {
+        self.version = self.version.max(version);
+        let key = (kind, name.to_owned());
+        self.rejected.remove(&key);
+        let Some(object) = object else {
+            return self.remove(kind, name);
+        };
+        if let Err(error) = self.insert(object) {
+            self.remove(kind, name);
+            let rejected = Rejected {
+                kind,
+                name: name.to_owned(),
+                reason: error.to_string(),
+            };
+            self.rejected.insert(key, rejected);
+        }
+    }
+
+    fn insert(&mut self, object: &Object) -> Result<(), ObjectError> {
         object.validate()?;
         let name = object.metadata.name.clone();
         match object.kind {
-            Kind::Pool => self.pools.push(Pool {
-                name,
-                spec: object.typed()?,
-            }),
-            Kind::Tenant => self.tenants.push(Tenant {
+            Kind::Pool => {
+                let spec = object.typed()?;
+                self.pools.insert(name.clone(), Pool { name, spec });
+                self.build_pools();
+            }
+            Kind::Route => {
+                let spec = object.typed()?;
+                self.routes.insert(name.clone(), Route { name, spec });
+                self.build_routes();
+            }
+            Kind::Tenant => Arc::make_mut(&mut self.tenants).insert(Tenant {
                 name: TenantName(name),
                 labels: object.metadata.labels.clone(),
                 spec: object.typed()?,
             }),
-            Kind::Route => self.routes.push(Route {
-                name,
-                spec: object.typed()?,
-            }),
             Kind::Machine | Kind::ClaimGroup | Kind::Lease => {}
         }
         Ok(())
     }
 
-    /// Finds the tenant whose key this is. Every hash is compared in constant time.
-    pub fn authenticate(&self, key: &str) -> Option<&Tenant> {
-        let digest = hash_key(key);
-        let mut found = None;
-        for tenant in &self.tenants {
-            for hash in &tenant.spec.key_hashes {
-                if bool::from(hash.as_bytes().ct_eq(digest.as_bytes())) {
-                    found = Some(tenant);
-                }
+    fn remove(&mut self, kind: Kind, name: &str) {
+        match kind {
+            Kind::Pool => {
+                self.pools.remove(name);
+                self.build_pools();
+            }
+            Kind::Route => {
+                self.routes.remove(name);
+                self.build_routes();
             }
+            Kind::Tenant => {
+                let name = TenantName::from(name);
+                Arc::make_mut(&mut self.tenants).remove(&name);
+            }
+            Kind::Machine | Kind::ClaimGroup | Kind::Lease => {}
         }
-        found
+    }
+
+    fn build_pools(&mut self) {
+        self.built_pools = Arc::new(self.pools.values().cloned().collect());
+    }
+
+    fn build_routes(&mut self) {
+        let mut routes: Vec<Route> = self.routes.values().cloned().collect();
+        routes.sort_by(|a, b| {
+            let by_precedence = b.spec.precedence.cmp(&a.spec.precedence);
+            by_precedence.then_with(|| a.name.cmp(&b.name))
+        });
+        self.built_routes = Arc::new(routes);
+    }
+
+    /// The view of everything that was taken in.
+    pub fn build(&self) -> Snapshot {
+        Snapshot {
+            version: self.version,
+            pools: Arc::clone(&self.built_pools),
+            routes: Arc::clone(&self.built_routes),
+            tenants: Arc::clone(&self.tenants),
+            rejected: self.rejected.values().cloned().collect(),
+        }
+    }
+}
+
+impl Snapshot {
+    /// Builds the view of all objects at once.
+    pub fn of<'a>(objects: impl Iterator<Item = &'a Object>) -> Self {
+        let mut builder = SnapshotBuilder::default();
+        for object in objects {
+            let (name, version) = (&object.metadata.name, object.metadata.resource_version);
+            builder.apply(object.kind, name, Some(object), version);
+        }
+        builder.build()
+    }
+
+    /// Finds the tenant whose key this is.
+    pub fn authenticate(&self, key: &str) -> Option<&Arc<Tenant>> {
+        self.tenants.find_by_hash(&hash_key(key))
     }
 
     /// The first route that matches, in order of precedence.
--- a/crates/simulation/src/world/engine_side.rs
+++ b/crates/simulation/src/world/engine_side.rs
@@ -9,7 +9,7 @@
         }
         self.at(LOOK_PERIOD_MS, Happening::Look { node, life });
         let looked_at = self.node_now(node);
-        let Some(core) = &self.nodes[node].core else {
+        let Some(core) = &mut self.nodes[node].core else {
             return;
         };
         for engine in core.engines_to_observe() {
@@ -136,7 +136,12 @@
     }
 
     /// Whatever is reused must be of the same scope, weights and life.
-    pub(super) fn check_reliance(&mut self, number: usize, call: &Call, relies_on_other_life: bool) {
+    pub(super) fn check_reliance(
+        &mut self,
+        number: usize,
+        call: &Call,
+        relies_on_other_life: bool,
+    ) {
         if relies_on_other_life && call.believed_cached {
             let what = format!("{:?} relied on a cache that is gone", call.by);
             self.oracle.violated(Promise::CacheReliance, what);
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -499,7 +499,7 @@
     let (route, _) = snapshot.route(tenant, model)?;
     Some(RoutedRequest {
         id: RequestId(by.0.to_string()),
-        tenant: tenant.clone(),
+        tenant: Arc::clone(tenant),
         route,
         snapshot: Arc::clone(snapshot),
         prompt: Arc::new(site::prompt(prompt)),
--- a/crates/simulation/src/world/orders.rs
+++ b/crates/simulation/src/world/orders.rs
@@ -31,7 +31,13 @@
         self.give_orders(node);
     }
 
-    pub(super) fn lease_stored(&mut self, node: usize, life: u64, began: Millis, answer: WriteAnswer) {
+    pub(super) fn lease_stored(
+        &mut self,
+        node: usize,
+        life: u64,
+        began: Millis,
+        answer: WriteAnswer,
+    ) {
         if !self.is_life(node, life) {
             return;
         }
--- a/crates/simulation/src/world/request_side.rs
+++ b/crates/simulation/src/world/request_side.rs
@@ -264,7 +264,11 @@
         self.at(delay, Happening::EngineGets { engine, call });
     }
 
-    pub(super) fn choose(&mut self, node: usize, by: TryId) -> Option<(ChosenEngine, String, u64, u32)> {
+    pub(super) fn choose(
+        &mut self,
+        node: usize,
+        by: TryId,
+    ) -> Option<(ChosenEngine, String, u64, u32)> {
         let request = self.nodes[node].requests.get_mut(&by)?;
         request.attempts += 1;
         request.attempt_state = AttemptState::Unsent;
