--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router.rs
@@ -123,8 +123,10 @@
     pub snapshot: Arc<Snapshot>,
     /// Engines and their state.
     pub fleet: Fleet,
-    /// Candidates of every route.
-    pub candidates: CandidateTable,
+    /// Candidates of every route, worked out when a decision needs them: many
+    /// engines can change between two decisions, as after a start.
+    candidates: CandidateTable,
+    candidates_stale: bool,
     /// Prompt blocks and their holders.
     pub directory: Directory,
     /// Retry budget.
@@ -145,6 +147,7 @@
             snapshot: Arc::default(),
             fleet: Fleet::default(),
             candidates: CandidateTable::default(),
+            candidates_stale: false,
             retries: RetryBudget::default(),
             buckets: HashMap::new(),
             shares: HashMap::new(),
@@ -185,23 +188,32 @@
         self.snapshot = Arc::new(self.builder.build());
         self.generation += 1;
         if candidates {
-            self.rebuild_candidates();
+            self.candidates_changed();
         }
     }
 
-    fn rebuild_candidates(&mut self) {
+    fn candidates_changed(&mut self) {
         self.generation += 1;
-        self.candidates = CandidateTable::build(&self.snapshot, &self.fleet);
+        self.candidates_stale = true;
+    }
+
+    /// Candidates of the route at a position of the present snapshot.
+    pub fn candidates(&mut self, route: usize) -> Option<&Arc<RouteCandidates>> {
+        if self.candidates_stale {
+            self.candidates_stale = false;
+            self.candidates = CandidateTable::build(&self.snapshot, &self.fleet);
+        }
+        self.candidates.route(route)
     }
 
     /// Takes in what holds of an engine.
     pub fn observe(&mut self, observation: &EngineObservation) -> ObservationEffect {
         let effect = self.fleet.observe(observation);
         match effect {
-            ObservationEffect::Eligibility => self.rebuild_candidates(),
+            ObservationEffect::Eligibility => self.candidates_changed(),
             ObservationEffect::Restarted => {
                 self.directory.forget_engine(observation.key);
-                self.rebuild_candidates();
+                self.candidates_changed();
             }
             ObservationEffect::LoadOnly | ObservationEffect::Stale => {}
         }
@@ -260,8 +272,8 @@
     }
 
     /// Requests present at the route's engines, and their slots.
-    fn load_of(&self, route: usize) -> (u32, u32) {
-        let Some(candidates) = self.candidates.route(route) else {
+    fn load_of(&mut self, route: usize) -> (u32, u32) {
+        let Some(candidates) = self.candidates(route).cloned() else {
             return (0, 0);
         };
         let engines = candidates
@@ -275,12 +287,12 @@
     }
 
     /// The candidates of a request's route as they are now.
-    fn candidates_of(&self, request: &RoutedRequest) -> Option<Arc<RouteCandidates>> {
+    fn candidates_of(&mut self, request: &RoutedRequest) -> Option<Arc<RouteCandidates>> {
         let route = request.snapshot.routes.get(request.route)?;
         let (old, new) = (&request.snapshot, &self.snapshot);
         let same_routes = Arc::ptr_eq(&old.routes, &new.routes);
         if same_routes && Arc::ptr_eq(&old.pools, &new.pools) {
-            return self.candidates.route(request.route).cloned();
+            return self.candidates(request.route).cloned();
         }
         // The configuration changed after the request came: it keeps its own.
         let pool = request.snapshot.pool(&route.spec.pool)?;
@@ -288,7 +300,7 @@
     }
 
     /// Weights versions for which the request's prompt must be cut into blocks.
-    pub fn weights_of(&self, request: &RoutedRequest) -> Vec<WeightsVersion> {
+    pub fn weights_of(&mut self, request: &RoutedRequest) -> Vec<WeightsVersion> {
         let candidates = self.candidates_of(request);
         candidates.map_or_else(Vec::new, |candidates| candidates.weights.clone())
     }
@@ -407,13 +419,13 @@
     /// when the engine is gone or may not serve the route. A leaving engine
     /// still finishes its streams.
     pub fn choose_named(
-        &self,
+        &mut self,
         request: &RoutedRequest,
         engine: &EngineName,
     ) -> Option<ChosenEngine> {
+        let candidates = self.candidates_of(request)?;
         let index = self.fleet.find(EngineKey::of(engine))?;
         let known = self.fleet.get(index);
-        let candidates = self.candidates_of(request)?;
         let leaving = known.health == Health::Leaving || known.listed == MachineState::Leaving;
         if !leaving && candidates.eligible.binary_search(&index).is_err() {
             return None;
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -10,7 +10,7 @@
     EXPECTED_WEIGHTS_HEADER, NOT_RUN, REQUEST_ID_HEADER, RESUME_FROM_HEADER, RUN_STATE_HEADER,
 };
 use ploverlift_node::listener::{HttpListener, ListenerLimits};
-use ploverlift_node::sse::{opening_comment, write_event, DONE};
+use ploverlift_node::sse::{opening_comment, write_event, DONE, KEEP_ALIVE};
 use ploverlift_policy::prompt::rendered_prompt;
 use serde::Deserialize;
 use serde_json::{json, Map, Value};
@@ -26,6 +26,8 @@
 const DEFAULT_ANSWER_TOKENS: u64 = 16;
 /// Seconds that a full engine asks its callers to wait.
 const FULL_RETRY_SECONDS: u64 = 1;
+/// Time between two comments in a stream.
+const COMMENT_PERIOD: Duration = Duration::from_millis(200);
 /// Connections that a stand-in accepts.
 const MAX_CONNECTIONS: usize = 20_000;
 /// Largest head that a stand-in accepts, in bytes.
@@ -55,9 +57,6 @@
     pub fencing_token: u64,
     /// Weights to load; 0, or those already served, only makes the token known.
     pub weights_version: u64,
-    /// How long loading takes, in milliseconds.
-    #[serde(default)]
-    pub load_ms: u64,
 }
 
 impl EngineServer {
@@ -158,6 +157,8 @@
 }
 
 async fn load(engine: &Engine, conn: Conn, body: &[u8]) -> Conn {
+    let id = request_id(&conn);
+    let conn = conn.with_response_header(REQUEST_ID_HEADER, id);
     let Ok(order) = serde_json::from_slice::<LoadOrder>(body) else {
         return conn.with_status(Status::BadRequest).halt();
     };
@@ -182,7 +183,7 @@
         }
         tables.loading = true;
     }
-    Timer::after(Duration::from_millis(order.load_ms)).await;
+    Timer::after(Duration::from_millis(engine.state.settings.load_ms)).await;
     let mut tables = engine.state.tables();
     tables.loading = false;
     tables.weights.0 = order.weights_version;
@@ -417,7 +418,8 @@
         sender.closed().await;
         None
     };
-    let outcome = futures_lite::future::or(generate, closed).await;
+    let gone = futures_lite::future::or(closed, comments(&sender));
+    let outcome = futures_lite::future::or(generate, gone).await;
     let mut tables = engine.state.tables();
     let record = tables.runs.entry(run.id.clone()).or_default();
     match outcome {
@@ -426,6 +428,18 @@
     }
 }
 
+/// Sends comments again and again; ends when the caller is found to be gone.
+/// A closed connection shows only when something is written to it.
+async fn comments(sender: &Sender<BodyChunk>) -> Option<()> {
+    loop {
+        Timer::after(COMMENT_PERIOD).await;
+        let comment = BodyChunk::Bytes(KEEP_ALIVE.to_vec());
+        if sender.send(comment).await.is_err() {
+            return None;
+        }
+    }
+}
+
 async fn decode_pause(engine: &Engine, run: &Run, position: u64) {
     if let Some(hold) = &run.hold {
         let _ = hold.recv().await;
--- a/crates/lab/src/engine_state.rs
+++ b/crates/lab/src/engine_state.rs
@@ -24,6 +24,8 @@
     pub prefill_micros_per_token: u64,
     /// Time between two tokens, in milliseconds.
     pub decode_ms: u64,
+    /// Time to load weights, in milliseconds.
+    pub load_ms: u64,
     /// Blocks that the cache holds.
     pub cache_blocks: usize,
     /// Tokens in a block.
@@ -44,6 +46,7 @@
             max_waiting: 256,
             prefill_micros_per_token: 20,
             decode_ms: 10,
+            load_ms: 600,
             cache_blocks: 4_096,
             block_tokens: 1_000,
             bytes_per_token: 4,
--- a/crates/node/src/assembly.rs
+++ b/crates/node/src/assembly.rs
@@ -7,7 +7,7 @@
 use crate::platform_client::PlatformClient;
 use crate::settings::Settings;
 use crate::state::Node;
-use crate::{callers, operators};
+use crate::{callers, operators, orders};
 use ploverlift_policy::objects::Kind;
 use slog::Logger;
 use smol::{Task, Timer};
@@ -72,8 +72,10 @@
             let feed = config_feed::follow(Arc::clone(&node), platform.clone(), kind);
             tasks.push(smol::spawn(feed));
         }
-        let writer = config_feed::write_claim_group(Arc::clone(&node), platform);
+        let writer = config_feed::write_claim_group(Arc::clone(&node), platform.clone());
         tasks.push(smol::spawn(writer));
+        let orders = orders::give_orders(Arc::clone(&node), platform);
+        tasks.push(smol::spawn(orders));
     }
     slog::info!(node.log, "node started";
         "callers" => callers.address.to_string(),
@@ -135,14 +137,18 @@
         let _ = self.node.drain_ordered.recv().await;
     }
 
-    /// A planned stop: new requests are refused, requests under way are
-    /// finished, at the longest until the configured stop timeout.
+    /// A planned stop: requests under way are finished, new ones are refused
+    /// at once, at the longest until the configured stop timeout.
+    ///
+    /// The listener goes on accepting until the last request is done: once it
+    /// stopped, a new connection would hang unanswered in the kernel's queue.
     pub async fn stop(self) {
         self.node.stopping.store(true, Ordering::Release);
         self.node.with_core(|core, _| core.leave());
         let timeout = Duration::from_millis(self.node.settings.limits.stop_timeout_ms);
         let node = &self.node;
         let finish = async {
+            node.wait_until_idle().await;
             self.callers.stop().await;
             node.wait_until_idle().await;
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod listener;
 pub mod logging;
 pub mod operators;
+pub mod orders;
 pub mod platform_client;
 pub mod recorded_answer;
 pub mod relay;
--- a/crates/node/src/relay/mod.rs
+++ b/crates/node/src/relay/mod.rs
@@ -231,7 +231,7 @@
 
     async fn choose(&self) -> Option<ChosenEngine> {
         if let Some(point) = &self.request.headers.resume {
-            let core = self.node.core();
+            let mut core = self.node.core();
             return core
                 .router
                 .choose_named(&self.request.routed, &point.engine);
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -6,7 +6,7 @@
 use crate::caller_request::event_id;
 use crate::engine_client::EngineAnswer;
 use crate::recorded_answer::RecordedAnswer;
-use crate::sse::{opening_comment, write_event, SseEvent, SseParser, DONE};
+use crate::sse::{opening_comment, write_event, SseEvent, SseParser, DONE, KEEP_ALIVE};
 use futures_lite::AsyncReadExt;
 use ploverlift_cluster::router::ChosenEngine;
 use ploverlift_policy::attempt::AttemptState;
@@ -40,12 +40,25 @@
             let Ok(events) = parser.push(&buffer[..bytes]) else {
                 return self.broken(chosen);
             };
+            if events.is_empty() && !self.pass_on_sign_of_life().await {
+                return Step::Wait;
+            }
             if let Some(step) = self.deliver(events, &mut position, chosen).await {
                 return step;
             }
         }
     }
 
+    /// Tells a waiting caller that the engine is alive, and so finds out when
+    /// the caller is gone; false then. An engine that sends comments all the
+    /// time would otherwise hide it.
+    async fn pass_on_sign_of_life(&mut self) -> bool {
+        if self.claim.is_some() || self.body.is_none() {
+            return true;
+        }
+        self.send(KEEP_ALIVE.to_vec()).await
+    }
+
     /// Hands on the events of one read as one chunk. Returns the next step
     /// when the stream of this attempt has ended.
     async fn deliver(
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -38,13 +38,18 @@
     pub reason: ExclusionReason,
 }
 
+/// Excluded engines that are remembered by name for one route.
+pub const MAX_EXCLUSIONS: usize = 256;
+
 /// The engines of a route, worked out once for each change of configuration or health.
 #[derive(Clone, Debug, Default)]
 pub struct RouteCandidates {
     /// Engines that may serve the route.
     pub eligible: Vec<EngineIndex>,
-    /// Engines that may not, each with the reason.
+    /// Engines that may not, each with the reason; the first [`MAX_EXCLUSIONS`].
     pub excluded: Vec<Exclusion>,
+    /// Further engines that may not.
+    pub excluded_more: usize,
     /// Weights versions among the eligible engines, in order.
     pub weights: Vec<WeightsVersion>,
 }
@@ -57,11 +62,14 @@
             if engine.role == MachineRole::Node {
                 continue;
             }
+            if candidates.excluded.len() >= MAX_EXCLUSIONS
+                && !pool.spec.selector.matches(&engine.labels)
+            {
+                candidates.excluded_more += 1;
+                continue;
+            }
             match exclusion(route, pool, fleet, index) {
-                Some(reason) => candidates.excluded.push(Exclusion {
-                    engine: engine.name.clone(),
-                    reason,
-                }),
+                Some(reason) => candidates.exclude(engine.name.clone(), reason),
                 None => {
                     candidates.eligible.push(index);
                     candidates.weights.push(engine.weights);
@@ -72,6 +80,14 @@
         candidates.weights.dedup();
         candidates
     }
+
+    fn exclude(&mut self, engine: EngineName, reason: ExclusionReason) {
+        if self.excluded.len() >= MAX_EXCLUSIONS {
+            self.excluded_more += 1;
+            return;
+        }
+        self.excluded.push(Exclusion { engine, reason });
+    }
 }
 
 fn exclusion(
--- a/crates/policy/src/labels.rs
+++ b/crates/policy/src/labels.rs
@@ -138,8 +138,11 @@
         None
     }
 
-    /// Whether every condition holds.
+    /// Whether every condition holds. Makes no text, unlike [`Selector::mismatch`].
     pub fn matches(&self, labels: &Labels) -> bool {
-        self.mismatch(labels).is_none()
+        let mut exact = self.match_labels.iter();
+        let mut further = self.match_expressions.iter();
+        exact.all(|(key, wanted)| labels.get(key) == Some(wanted.as_str()))
+            && further.all(|expression| expression.holds(labels.get(&expression.key)))
     }
 }
