--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -34,7 +34,7 @@
 /// The driver calls [`NodeCore::tick`] at least this often, in milliseconds.
 pub const TICK_MS: u64 = 50;
 /// Time after which a lookup in the directory's shard is given up, in milliseconds.
-pub const LOOKUP_TIMEOUT_MS: u64 = 3;
+pub const LOOKUP_TIMEOUT_MS: u64 = 8;
 /// The one claim group of a site. More groups divide the claims of larger ones.
 pub const CLAIM_GROUP: &str = "claims-0";
 /// A node that did not tick for so long was paused, in milliseconds.
@@ -222,13 +222,13 @@
         let digests = self.digests();
         self.members
             .tick(now, digests, &mut self.random, &mut self.outbox);
-        self.take_in_member_changes();
+        self.take_in_member_changes(now);
         self.watch.tick(now, &self.members, &mut self.outbox);
         self.quota.tick(now, &self.members, &mut self.outbox);
         self.tick_claims(now);
         self.tick_completions(now);
         self.compare_after_start(now);
-        self.take_in_config();
+        self.take_in_config(now);
         self.plan_claim_group(now);
     }
 
@@ -274,8 +274,8 @@
         if let Some(body) = envelope.body {
             self.handle_body(from, sender, life, body, now);
         }
-        self.take_in_member_changes();
-        self.take_in_config();
+        self.take_in_member_changes(now);
+        self.take_in_config(now);
     }
 
     fn handle_body(
@@ -331,7 +331,7 @@
             Body::ConfigBuckets(buckets) => self.config.on_buckets(from, &buckets, outbox),
             Body::ConfigVersions(versions) => self.config.on_versions(from, &versions, outbox),
             Body::ConfigPull(pull) => self.config.on_pull(from, &pull, outbox),
-            Body::EngineReports(reports) => self.heard(sender, &reports),
+            Body::EngineReports(reports) => self.heard(sender, &reports, now),
             Body::CatchUp(_) => self.catch_up_until = now,
             Body::DirectoryRecord(record) => self.on_directory_record(&record, now),
             Body::DirectoryLookup(lookup) => self.on_directory_lookup(from, &lookup, now),
@@ -355,7 +355,7 @@
         }
     }
 
-    fn take_in_member_changes(&mut self) {
+    fn take_in_member_changes(&mut self, now: Millis) {
         let changes = self.members.take_changes();
         if changes.is_empty() {
             return;
@@ -363,7 +363,7 @@
         for change in changes {
             if let MemberChange::Gone(node) = change {
                 for observation in self.watch.observer_gone(node) {
-                    self.router.observe(&observation);
+                    self.router.observe(&observation, now);
                 }
             }
         }
@@ -372,7 +372,7 @@
         self.duties = Some(duties);
     }
 
-    fn take_in_config(&mut self) {
+    fn take_in_config(&mut self, now: Millis) {
         let learned = self.config.take_learned();
         if learned.is_empty() {
             return;
@@ -386,18 +386,18 @@
             .any(|record| record.key.kind == Kind::Machine)
         {
             self.duties = None;
-            self.apply_reports_to_new_engines();
+            self.apply_reports_to_new_engines(now);
         }
     }
 
     /// Reports may come before the machine list's entry of their engine.
-    fn apply_reports_to_new_engines(&mut self) {
+    fn apply_reports_to_new_engines(&mut self, now: Millis) {
         let fleet = &self.router.fleet;
         let new = fleet.iter().map(|(_, engine)| engine);
         let new = new.filter(|engine| engine.incarnation == Incarnation(0));
         let keys: Vec<EngineKey> = new.map(|engine| engine.key).collect();
         for observation in keys.into_iter().filter_map(|key| self.watch.holds(key)) {
-            self.router.observe(&observation);
+            self.router.observe(&observation, now);
         }
     }
 
@@ -425,7 +425,7 @@
         let (members, outbox) = (&self.members, &mut self.outbox);
         self.config
             .learn(records, members, now, &mut self.random, outbox);
-        self.take_in_config();
+        self.take_in_config(now);
     }
 
     /// Takes in a complete list of one kind from the object API.
@@ -449,7 +449,7 @@
         if kind == Kind::ClaimGroup {
             self.group_seen_from_platform = true;
         }
-        self.take_in_config();
+        self.take_in_config(now);
     }
 
     /// A node that has just started compares often: it must serve at once, and
@@ -507,17 +507,17 @@
             return;
         }
         let holds = self.watch.observed(observation);
-        self.router.observe(&holds);
+        self.router.observe(&holds, now);
     }
 
     /// Takes in that an engine did not answer a look.
-    pub fn look_failed(&mut self, engine: EngineKey) {
+    pub fn look_failed(&mut self, engine: EngineKey, now: Millis) {
         let Some(index) = self.router.fleet.find(engine) else {
             return;
         };
         let known = self.router.fleet.get(index).clone();
         if let Some(holds) = self.watch.look_failed(&known) {
-            self.router.observe(&holds);
+            self.router.observe(&holds, now);
         }
     }
 
@@ -528,6 +528,7 @@
         engine: EngineKey,
         incarnation: Incarnation,
         weights: WeightsVersion,
+        now: Millis,
     ) {
         let Some(index) = self.router.fleet.find(engine) else {
             return;
@@ -540,10 +541,10 @@
             health: known.health,
             load: known.load,
         };
-        self.router.observe(&observation);
+        self.router.observe(&observation, now);
     }
 
-    fn heard(&mut self, from: NodeKey, reports: &EngineReports) {
+    fn heard(&mut self, from: NodeKey, reports: &EngineReports, now: Millis) {
         for report in &reports.reports {
             let observation = engine_watch::from_message(report);
             let duties = self
@@ -551,17 +552,21 @@
                 .get_or_insert_with(|| ObserverDuties::assign(&self.router.fleet, &self.members));
             let observers = duties.observers_of(observation.key);
             let holds = self.watch.heard(from, observation, observers);
-            self.router.observe(&holds);
+            self.router.observe(&holds, now);
         }
     }
 
     // Directory.
 
-    /// The live node of the own zone that has the directory's shard of a block.
+    /// The live node that has the directory's shard of a block. The shards are
+    /// spread over the same nodes that hear of the same engines: all of a small
+    /// fleet, or those of the own zone. With shards by zone in a small fleet
+    /// each zone placed every prefix anew.
     fn shard_of(&self, anchor: BlockHash) -> Option<NodeKey> {
         let zone = &self.members.own().zone;
+        let small = self.members.live_count() < engine_watch::SMALL_FLEET_NODES;
         let live = self.members.live();
-        let near = live.filter(|(_, member)| member.identity.zone == *zone);
+        let near = live.filter(|(_, member)| small || member.identity.zone == *zone);
         let keys = near.map(|(key, _)| key);
         rendezvous_first(anchor.0, keys.chain([self.members.own_key()]))
     }
--- a/crates/cluster/src/engine_watch.rs
+++ b/crates/cluster/src/engine_watch.rs
@@ -323,7 +323,7 @@
         waiting: observation.load.waiting,
         slots: observation.load.slots,
         queued_tokens: observation.load.queued_tokens,
-        eviction_age_ms: 0,
+        eviction_age_ms: observation.load.eviction_age_ms,
     }
 }
 
@@ -339,6 +339,7 @@
             waiting: report.waiting,
             slots: report.slots,
             queued_tokens: report.queued_tokens,
+            eviction_age_ms: report.eviction_age_ms,
         },
     }
 }
--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router.rs
@@ -10,7 +10,7 @@
 use ploverlift_policy::directory::{Directory, PrefixMatch};
 use ploverlift_policy::fleet::{
     Engine, EngineKey, EngineObservation, Fleet, Health, LoadReport, ObservationEffect,
-    DEFAULT_EVICTION_AGE_MS,
+    UnseenSends, DEFAULT_EVICTION_AGE_MS,
 };
 use ploverlift_policy::ids::{
     EngineName, Incarnation, Millis, NodeName, RequestId, ResourceVersion, TenantName,
@@ -207,8 +207,8 @@
     }
 
     /// Takes in what holds of an engine.
-    pub fn observe(&mut self, observation: &EngineObservation) -> ObservationEffect {
-        let effect = self.fleet.observe(observation);
+    pub fn observe(&mut self, observation: &EngineObservation, now: Millis) -> ObservationEffect {
+        let effect = self.fleet.observe(observation, now);
         match effect {
             ObservationEffect::Eligibility => self.candidates_changed(),
             ObservationEffect::Restarted => {
@@ -281,7 +281,7 @@
             .iter()
             .map(|index| self.fleet.get(*index));
         engines.fold((0, 0), |(present, slots), engine| {
-            let here = engine.load.running + engine.load.waiting + engine.sent_requests;
+            let here = engine.load.running + engine.load.waiting + engine.unseen.requests();
             (present + here, slots + engine.load.slots)
         })
     }
@@ -353,7 +353,7 @@
         record.chosen = Some(chosen.name.clone());
         self.remember(record);
         let uncached = chosen.prompt_tokens.saturating_sub(chosen.cached_tokens);
-        self.fleet.record_sent(decision.engine, uncached);
+        self.fleet.record_sent(decision.engine, uncached, now);
         self.directory
             .record(&chosen.chain.blocks, chosen.key, chosen.incarnation, now);
         Some(chosen)
@@ -516,8 +516,8 @@
         weights: WeightsVersion(0),
         health: Health::Unknown,
         load: LoadReport::default(),
-        sent_tokens: 0,
-        sent_requests: 0,
+        reported_at: Millis(0),
+        unseen: UnseenSends::default(),
         in_flight: 0,
         eviction_age_ms: DEFAULT_EVICTION_AGE_MS,
     })
--- /dev/null
+++ b/crates/lab/src/bench.rs
@@ -0,0 +1,273 @@
+//! Measures what a node adds to the path: caller→node→engine against
+//! caller→engine, in the same run, turn by turn.
+
+use crate::http_call::client;
+use futures_lite::AsyncReadExt;
+use hdrhistogram::Histogram;
+use ploverlift_node::engine_client::REQUEST_ID_HEADER;
+use ploverlift_node::sse::SseParser;
+use serde::Serialize;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use trillium_http::transport::BoxedTransport;
+use trillium_http::ReceivedBody;
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct BenchSettings {
+    /// Callers' listener of a node.
+    pub node: SocketAddr,
+    /// Listener of an engine behind it.
+    pub engine: SocketAddr,
+    /// Bearer key of a tenant.
+    pub key: String,
+    /// Model that is asked for.
+    pub model: String,
+    /// Streams that are open at the same time.
+    pub streams: usize,
+    /// Requests on each of the two paths.
+    pub requests: usize,
+    /// Bytes of the prompt.
+    pub prompt_bytes: usize,
+    /// Process id of the node, for its processor time and memory.
+    pub pid: Option<u32>,
+}
+
+/// Times of one path, in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct PathTimes {
+    /// Half were sooner.
+    pub p50: f64,
+    /// 99 of 100 were sooner.
+    pub p99: f64,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct BenchReport {
+    /// Streams that were open at the same time.
+    pub streams: usize,
+    /// Requests on each path.
+    pub requests: usize,
+    /// Time to first token without the node.
+    pub direct_ms: PathTimes,
+    /// Time to first token through the node.
+    pub through_node_ms: PathTimes,
+    /// What the node adds to the median and to the 99th percentile.
+    pub added_ms: PathTimes,
+    /// Requests that failed.
+    pub failed: usize,
+    /// Processor time of the node a request, in milliseconds.
+    pub node_cpu_ms_per_request: Option<f64>,
+    /// Requests a second that one core of the node would carry by that time.
+    pub requests_per_second_per_core: Option<f64>,
+    /// Resident memory of the node a stream that is open, in kilobytes.
+    pub memory_kb_per_stream: Option<f64>,
+}
+
+/// Highest time that is recorded, in microseconds.
+const HIGHEST_MICROS: u64 = 60_000_000;
+/// Tokens of an answer while times are measured.
+const ANSWER_TOKENS: u64 = 4;
+/// Streams that are held open for the memory of one.
+const MEMORY_STREAMS: usize = 1_000;
+/// Tokens of a stream that is held open.
+const HELD_TOKENS: u64 = 1_000_000;
+/// Clock ticks a second of `/proc/<pid>/stat`, fixed on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Runs the measurement.
+pub async fn run(settings: BenchSettings) -> BenchReport {
+    let settings = Arc::new(settings);
+    let failed = Arc::new(AtomicUsize::new(0));
+    // A first round that is not counted opens files and fills caches.
+    let warm_up = settings.requests / 10 + 1;
+    measure(&settings, true, warm_up, &failed).await;
+    measure(&settings, false, warm_up, &failed).await;
+    failed.store(0, Ordering::Relaxed);
+    let mut direct = new_histogram();
+    let mut through = new_histogram();
+    let mut node_cpu = 0.0;
+    for _ in 0..ROUNDS {
+        let part = settings.requests / ROUNDS;
+        direct
+            .add(measure(&settings, false, part, &failed).await)
+            .ok();
+        let before = cpu_seconds(settings.pid);
+        through
+            .add(measure(&settings, true, part, &failed).await)
+            .ok();
+        node_cpu += cpu_seconds(settings.pid) - before;
+    }
+    let cpu_ms = settings
+        .pid
+        .map(|_| node_cpu * 1_000.0 / through.len().max(1) as f64);
+    let memory = match settings.pid {
+        Some(pid) => Some(memory_per_stream(&settings, pid).await),
+        None => None,
+    };
+    let (direct_ms, through_node_ms) = (times(&direct), times(&through));
+    BenchReport {
+        streams: settings.streams,
+        requests: through.len() as usize,
+        direct_ms,
+        through_node_ms,
+        added_ms: PathTimes {
+            p50: through_node_ms.p50 - direct_ms.p50,
+            p99: through_node_ms.p99 - direct_ms.p99,
+        },
+        failed: failed.load(Ordering::Relaxed),
+        node_cpu_ms_per_request: cpu_ms,
+        requests_per_second_per_core: cpu_ms.map(|cpu_ms| 1_000.0 / cpu_ms),
+        memory_kb_per_stream: memory,
+    }
+}
+
+/// Turns by which the two paths are measured.
+const ROUNDS: usize = 5;
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, HIGHEST_MICROS, 3).expect("the bounds fit")
+}
+
+fn times(histogram: &Histogram<u64>) -> PathTimes {
+    let at = |share| histogram.value_at_quantile(share) as f64 / 1_000.0;
+    PathTimes {
+        p50: at(0.5),
+        p99: at(0.99),
+    }
+}
+
+/// Sends requests on one path with the configured number of open streams.
+async fn measure(
+    settings: &Arc<BenchSettings>,
+    through: bool,
+    requests: usize,
+    failed: &Arc<AtomicUsize>,
+) -> Histogram<u64> {
+    let next = Arc::new(AtomicUsize::new(0));
+    let workers = (0..settings.streams.min(requests)).map(|_| {
+        let (settings, next) = (Arc::clone(settings), Arc::clone(&next));
+        let failed = Arc::clone(failed);
+        smol::spawn(async move {
+            let mut histogram = new_histogram();
+            while next.fetch_add(1, Ordering::Relaxed) < requests {
+                match first_token(&settings, through).await {
+                    Some(time) => {
+                        let _ = histogram.record(time.as_micros() as u64);
+                    }
+                    None => {
+                        failed.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            }
+            histogram
+        })
+    });
+    let mut total = new_histogram();
+    for worker in workers.collect::<Vec<_>>() {
+        total.add(worker.await).ok();
+    }
+    total
+}
+
+fn request(
+    settings: &BenchSettings,
+    through: bool,
+    tokens: u64,
+    hold: bool,
+) -> trillium_client::Conn {
+    let address = if through {
+        settings.node
+    } else {
+        settings.engine
+    };
+    let prompt = "x".repeat(settings.prompt_bytes);
+    let body = json!({
+        "model": settings.model,
+        "stream": true,
+        "max_tokens": tokens,
+        "lab_hold": hold,
+        "messages": [{"role": "user", "content": prompt}],
+    });
+    client()
+        .post(format!("http://{address}/v1/chat/completions"))
+        .with_request_header("authorization", format!("Bearer {}", settings.key))
+        .with_request_header(REQUEST_ID_HEADER, format!("{:016x}", fastrand::u64(..)))
+        .with_body(body.to_string())
+}
+
+/// Time from sending a request to its first token; the rest is read, not timed.
+async fn first_token(settings: &BenchSettings, through: bool) -> Option<Duration> {
+    let began = Instant::now();
+    let conn = request(settings, through, ANSWER_TOKENS, false)
+        .await
+        .ok()?;
+    let body: ReceivedBody<'static, BoxedTransport> = conn.into();
+    let mut body = body.with_max_len(u64::MAX);
+    let mut parser = SseParser::default();
+    let mut buffer = [0; 4_096];
+    let mut first = None;
+    loop {
+        let count = body.read(&mut buffer).await.ok()?;
+        if count == 0 {
+            return first;
+        }
+        let events = parser.push(&buffer[..count]).ok()?;
+        if first.is_none() && !events.is_empty() {
+            first = Some(began.elapsed());
+        }
+    }
+}
+
+/// Opens streams through the node, holds them and looks at its memory.
+async fn memory_per_stream(settings: &BenchSettings, pid: u32) -> f64 {
+    let before = resident_kb(pid);
+    let mut open = Vec::new();
+    for _ in 0..MEMORY_STREAMS {
+        // The engine holds its tokens, so the answer's head does not come;
+        // the request is under way as soon as it was sent.
+        let conn = request(settings, true, HELD_TOKENS, true);
+        open.push(smol::spawn(async move {
+            let _held = conn.await;
+            std::future::pending::<()>().await;
+        }));
+    }
+    smol::Timer::after(Duration::from_secs(2)).await;
+    let grown = resident_kb(pid) - before;
+    for task in open {
+        task.cancel().await;
+    }
+    grown / MEMORY_STREAMS as f64
+}
+
+fn cpu_seconds(pid: Option<u32>) -> f64 {
+    let Some(pid) = pid else {
+        return 0.0;
+    };
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |position: usize| {
+        fields
+            .get(position)
+            .and_then(|text| text.parse::<f64>().ok())
+    };
+    let user = ticks(USER_TIME_FIELD).unwrap_or(0.0);
+    let system = ticks(SYSTEM_TIME_FIELD).unwrap_or(0.0);
+    (user + system) / TICKS_PER_SECOND
+}
+
+/// Positions in `/proc/<pid>/stat` after the process's name.
+const USER_TIME_FIELD: usize = 11;
+const SYSTEM_TIME_FIELD: usize = 12;
+
+fn resident_kb(pid: u32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|text| text.parse().ok()).unwrap_or(0.0)
+}
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -356,7 +356,7 @@
         Timer::after(Duration::from_micros(micros)).await;
     }
     let now = engine.state.clock.now();
-    engine.state.tables().cache.store(&chain.blocks, now);
+    engine.state.store(&chain, now);
     drop(turn);
     drop(waiting);
     (running, cached)
--- a/crates/lab/src/engine_state.rs
+++ b/crates/lab/src/engine_state.rs
@@ -4,7 +4,7 @@
 use crate::engine_cache::BlockCache;
 use ploverlift_node::clock::Clock;
 use ploverlift_policy::chain::{ChainSeed, PromptChain};
-use ploverlift_policy::ids::{CacheScope, WeightsVersion};
+use ploverlift_policy::ids::{CacheScope, Millis, WeightsVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
@@ -74,6 +74,8 @@
 pub struct EngineTables {
     /// Cached blocks.
     pub cache: BlockCache,
+    /// How long the block that gave way last had not been used, in milliseconds.
+    pub eviction_age_ms: u64,
     /// Weights it serves.
     pub weights: WeightsVersion,
     /// Whether it is leaving and refuses new work.
@@ -106,6 +108,7 @@
     pub fn new(settings: EngineSettings) -> Self {
         let tables = EngineTables {
             cache: BlockCache::new(settings.cache_blocks),
+            eviction_age_ms: 0,
             weights: WeightsVersion(1),
             leaving: false,
             loading: false,
@@ -141,6 +144,15 @@
         PromptChain::of_text(&seed, prompt, block_tokens, bytes)
     }
 
+    /// Caches a prompt's blocks.
+    pub fn store(&self, chain: &PromptChain, now: Millis) {
+        let mut tables = self.tables();
+        let evicted = tables.cache.store(&chain.blocks, now);
+        if let Some(last) = evicted.last() {
+            tables.eviction_age_ms = last.idle_ms;
+        }
+    }
+
     /// The engine's page of Prometheus metrics.
     pub fn metrics_page(&self) -> String {
         let tables = self.tables();
@@ -152,6 +164,7 @@
                 "engine_queued_prompt_tokens",
                 u64::from(tables.queued_tokens),
             ),
+            ("engine_cache_eviction_age_ms", tables.eviction_age_ms),
             ("engine_incarnation", self.settings.incarnation),
             ("engine_weights_version", tables.weights.0),
             ("engine_leaving", u64::from(tables.leaving)),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,12 +4,16 @@
 //! | --- | --- |
 //! | [`platform`] | object API and machine list over HTTP |
 //! | [`engine`] | a model engine or plain service over HTTP |
+//! | [`bench`] | what a node adds to the path |
+//! | [`experiment`] | routing policies on an emulated fleet |
 //! | [`scale`] | many hollow nodes in one process |
 //! | [`engine_cache`] | the engine's bounded cache of prompt blocks |
 
+pub mod bench;
 pub mod engine;
 pub mod engine_cache;
 pub mod engine_state;
+pub mod experiment;
 pub mod http_call;
 pub mod platform;
 pub mod platform_store;
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -413,6 +413,7 @@
                 waiting: 0,
                 slots: 64,
                 queued_tokens: self.loads.u32(..2_500),
+                eviction_age_ms: 10_000,
             },
         }
     }
--- a/crates/node/src/engine_poll.rs
+++ b/crates/node/src/engine_poll.rs
@@ -24,6 +24,7 @@
     pub const WAITING: &str = "vllm:num_requests_waiting";
     pub const SLOTS: &str = "engine_batch_slots";
     pub const QUEUED_TOKENS: &str = "engine_queued_prompt_tokens";
+    pub const EVICTION_AGE_MS: &str = "engine_cache_eviction_age_ms";
     pub const INCARNATION: &str = "engine_incarnation";
     pub const WEIGHTS: &str = "engine_weights_version";
     pub const LEAVING: &str = "engine_leaving";
@@ -68,7 +69,7 @@
 fn record(node: &Node, target: &Target, seen: Option<EngineObservation>, looked_at: Millis) {
     node.with_core(|core, now| match seen {
         Some(observation) => core.observed(observation, looked_at, now),
-        None => core.look_failed(target.key),
+        None => core.look_failed(target.key, now),
     });
 }
 
@@ -111,6 +112,7 @@
             waiting: value(gauge::WAITING) as u32,
             slots: value(gauge::SLOTS) as u32,
             queued_tokens: value(gauge::QUEUED_TOKENS) as u32,
+            eviction_age_ms: value(gauge::EVICTION_AGE_MS) as u32,
         },
     }
 }
--- a/crates/node/src/relay/mod.rs
+++ b/crates/node/src/relay/mod.rs
@@ -280,8 +280,9 @@
             "state" => format!("{:?}", failure.state),
             "reason" => failure.reason);
         match failure.correction {
-            Some(correction) => self.node.with_core(|core, _| {
-                core.corrected(chosen.key, correction.incarnation, correction.weights);
+            Some(correction) => self.node.with_core(|core, now| {
+                let (incarnation, weights) = (correction.incarnation, correction.weights);
+                core.corrected(chosen.key, incarnation, weights, now);
             }),
             None => self.failed.push(chosen.key),
         }
--- a/crates/policy/src/cost.rs
+++ b/crates/policy/src/cost.rs
@@ -42,14 +42,18 @@
 
 /// How much of a cached prefix is still expected to be there, from 0 to 1.
 ///
-/// Full worth up to half of the engine's observed eviction age, then falling
-/// linearly to nothing at one and a half times that age.
+/// Engines let the least recently used block go first, so a block is there
+/// until its age reaches the engine's eviction age: full worth up to
+/// [`SAFE_AGE_SHARE`] of it, then falling to nothing at the age itself.
 pub fn cache_worth(age_ms: u64, eviction_age_ms: u64) -> f64 {
     let eviction_age = eviction_age_ms.max(1) as f64;
     let relative = age_ms as f64 / eviction_age;
-    (1.5 - relative).clamp(0.0, 1.0)
+    ((1.0 - relative) / (1.0 - SAFE_AGE_SHARE)).clamp(0.0, 1.0)
 }
 
+/// Share of the eviction age up to which a block is counted on in full.
+pub const SAFE_AGE_SHARE: f64 = 0.8;
+
 impl CostModel {
     /// The cost of an engine for a prompt of `prompt_tokens`, of which it is
     /// believed to hold `cached_tokens`, last used at `used_at`.
@@ -66,22 +70,25 @@
         });
         let uncached = (f64::from(prompt_tokens) - expected_cached).max(0.0);
         Cost {
-            wait_ms: self.wait(engine),
+            wait_ms: self.wait(engine, now),
             prefill_ms: uncached * self.prefill_ms_per_token * self.recompute_weight,
             distance_ms: self.distance(engine, own_zone),
         }
     }
 
-    fn wait(&self, engine: &Engine) -> f64 {
-        let queued = engine.load.queued_tokens.saturating_add(engine.sent_tokens);
-        let prefill_wait = f64::from(queued) * self.prefill_ms_per_token;
-        let present = engine.load.running + engine.load.waiting + engine.sent_requests;
+    /// Prefill of what was sent before, less what the engine has done since its
+    /// report, and the wait for a place when the batch is full.
+    fn wait(&self, engine: &Engine, now: Millis) -> f64 {
+        let reported = f64::from(engine.load.queued_tokens) * self.prefill_ms_per_token;
+        let done = now.since(engine.reported_at) as f64;
+        let unseen = f64::from(engine.unseen.tokens()) * self.prefill_ms_per_token;
+        let present = engine.load.running + engine.load.waiting + engine.unseen.requests();
         let over = if engine.load.slots == 0 {
             0
         } else {
             (present + 1).saturating_sub(engine.load.slots)
         };
-        prefill_wait + f64::from(over) * self.slot_wait_ms
+        (reported - done).max(0.0) + unseen + f64::from(over) * self.slot_wait_ms
     }
 
     fn distance(&self, engine: &Engine, own_zone: &ZoneName) -> f64 {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,10 +1,10 @@
 //! What a node knows of each engine: identity, health, load and cache age.
 
-use crate::ids::{EngineName, Incarnation, WeightsVersion, ZoneName};
+use crate::ids::{EngineName, Incarnation, Millis, WeightsVersion, ZoneName};
 use crate::labels::Labels;
 use crate::objects::{MachineRole, MachineState};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -54,6 +54,9 @@
     pub slots: u32,
     /// Prompt tokens not yet prefilled.
     pub queued_tokens: u32,
+    /// How long the block that gave way last had not been used, in
+    /// milliseconds; zero when none gave way yet.
+    pub eviction_age_ms: u32,
 }
 
 /// One engine as a node sees it.
@@ -81,16 +84,63 @@
     pub health: Health,
     /// Last load report.
     pub load: LoadReport,
-    /// Prompt tokens this node sent since the last load report.
-    pub sent_tokens: u32,
-    /// Requests this node sent since the last load report.
-    pub sent_requests: u32,
+    /// When it came.
+    pub reported_at: Millis,
+    /// What this node sent that no load report can show yet.
+    pub unseen: UnseenSends,
     /// Requests of this node that are under way.
     pub in_flight: u32,
     /// How long a block lately stayed in the cache, in milliseconds.
     pub eviction_age_ms: u64,
 }
 
+/// Requests that were sent too lately to be in a load report.
+#[derive(Clone, Debug, Default)]
+pub struct UnseenSends {
+    sends: VecDeque<(Millis, u32)>,
+    tokens: u32,
+}
+
+/// Sends that are remembered for one engine; more are joined with the last.
+const MAX_UNSEEN_SENDS: usize = 64;
+/// A load report shows the engine as it was this long before, in milliseconds.
+pub const REPORT_AGE_MS: u64 = 60;
+
+impl UnseenSends {
+    /// Adds a request with so many uncached tokens.
+    pub fn add(&mut self, uncached_tokens: u32, now: Millis) {
+        self.tokens = self.tokens.saturating_add(uncached_tokens);
+        let full = self.sends.len() >= MAX_UNSEEN_SENDS;
+        match self.sends.back_mut() {
+            Some((_, last)) if full => {
+                *last = last.saturating_add(uncached_tokens);
+            }
+            _ => self.sends.push_back((now, uncached_tokens)),
+        }
+    }
+
+    /// A load report came: what was sent before its state was taken is in it.
+    pub fn reported(&mut self, now: Millis) {
+        while let Some((sent_at, tokens)) = self.sends.front().copied() {
+            if now.since(sent_at) < REPORT_AGE_MS {
+                return;
+            }
+            self.sends.pop_front();
+            self.tokens = self.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Uncached tokens of all of them.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Their number.
+    pub fn requests(&self) -> u32 {
+        self.sends.len() as u32
+    }
+}
+
 /// Assumed lifetime of a cached block before any eviction was observed, in milliseconds.
 pub const DEFAULT_EVICTION_AGE_MS: u64 = 30_000;
 
@@ -206,7 +256,7 @@
     }
 
     /// Takes in what an observer said.
-    pub fn observe(&mut self, observation: &EngineObservation) -> ObservationEffect {
+    pub fn observe(&mut self, observation: &EngineObservation, now: Millis) -> ObservationEffect {
         let Some(index) = self.find(observation.key) else {
             return ObservationEffect::Stale;
         };
@@ -222,8 +272,11 @@
         engine.weights = observation.weights;
         engine.health = observation.health;
         engine.load = observation.load;
-        engine.sent_tokens = 0;
-        engine.sent_requests = 0;
+        engine.reported_at = now;
+        engine.unseen.reported(now);
+        if observation.load.eviction_age_ms > 0 {
+            engine.eviction_age_ms = u64::from(observation.load.eviction_age_ms);
+        }
         if restarted {
             ObservationEffect::Restarted
         } else if eligibility || first_sight {
@@ -234,10 +287,9 @@
     }
 
     /// Counts a request that this node sends to an engine.
-    pub fn record_sent(&mut self, index: EngineIndex, uncached_tokens: u32) {
+    pub fn record_sent(&mut self, index: EngineIndex, uncached_tokens: u32, now: Millis) {
         let engine = self.get_mut(index);
-        engine.sent_tokens = engine.sent_tokens.saturating_add(uncached_tokens);
-        engine.sent_requests = engine.sent_requests.saturating_add(1);
+        engine.unseen.add(uncached_tokens, now);
         engine.in_flight = engine.in_flight.saturating_add(1);
     }
 
--- a/crates/policy/src/objects.rs
+++ b/crates/policy/src/objects.rs
@@ -113,7 +113,7 @@
     /// Time to prefill one uncached token, in microseconds.
     #[serde(default = "default_prefill_micros")]
     pub prefill_micros_per_token: u32,
-    /// Weight of recomputed tokens over the plain time they take; 1.0 is neutral.
+    /// Weight of recomputed tokens over the plain time they take.
     #[serde(default = "default_recompute_weight")]
     pub recompute_weight: f64,
     /// How many engines may load weights at the same time.
@@ -134,8 +134,13 @@
     100
 }
 fn default_recompute_weight() -> f64 {
-    1.0
+    DEFAULT_RECOMPUTE_WEIGHT
 }
+
+/// Recomputing a prefix elsewhere takes capacity from every later request. At
+/// the plain time it takes, a loaded fleet recomputes itself into collapse;
+/// docs/design/cost.md has the measurement.
+pub const DEFAULT_RECOMPUTE_WEIGHT: f64 = 3.0;
 fn default_concurrent_loads() -> u32 {
     2
 }
@@ -404,7 +409,7 @@
             return Err(self.fault("spec.bytesPerToken", spec.bytes_per_token, fix));
         }
         if !(spec.recompute_weight.is_finite() && (0.0..=100.0).contains(&spec.recompute_weight)) {
-            let fix = "use 0.0 to 100.0; 1.0 is neutral";
+            let fix = "use 0.0 to 100.0; the default is 3.0";
             return Err(self.fault("spec.recomputeWeight", spec.recompute_weight, fix));
         }
         if spec.max_concurrent_loads == 0 {
--- a/crates/simulation/src/engines.rs
+++ b/crates/simulation/src/engines.rs
@@ -99,6 +99,7 @@
                 waiting: 0,
                 slots: 64,
                 queued_tokens: 0,
+                eviction_age_ms: 0,
             },
         }
     }
--- a/crates/simulation/src/world/engine_side.rs
+++ b/crates/simulation/src/world/engine_side.rs
@@ -50,7 +50,7 @@
     ) {
         self.with_core(node, |core, now| match seen {
             Some(observation) => core.observed(observation, looked_at, now),
-            None => core.look_failed(engine),
+            None => core.look_failed(engine, now),
         });
     }
 
--- a/crates/simulation/src/world/request_side.rs
+++ b/crates/simulation/src/world/request_side.rs
@@ -325,9 +325,9 @@
             AttemptNews::Refused(correction) => {
                 match (correction, engine) {
                     (Some((incarnation, weights)), Some(engine)) => {
-                        self.with_core(node, |core, _| {
+                        self.with_core(node, |core, now| {
                             let weights = WeightsVersion(weights);
-                            core.corrected(engine, Incarnation(incarnation), weights);
+                            core.corrected(engine, Incarnation(incarnation), weights, now);
                         });
                     }
                     _ => request.failed.extend(engine),
