--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -40,6 +40,8 @@
 const MEMBERS_QUIET_MS: u64 = 1_000;
 /// Shortest time between two comparisons of members, in milliseconds.
 const COMPARE_MEMBERS_PERIOD_MS: u64 = 5_000;
+/// The same while members change all the time, in milliseconds.
+const BUSY_COMPARE_MEMBERS_PERIOD_MS: u64 = 8_000;
 /// Updates on one message.
 const UPDATES_PER_MESSAGE: usize = 6;
 /// An update is sent this many times the logarithm of the number of members.
@@ -227,11 +229,12 @@
 
     /// Asks for all members of a node that has lasting other ones.
     fn compare_root(&mut self, from: SocketAddr, root: u64, now: Millis, outbox: &mut Outbox) {
+        let since = self.compared_at.map_or(now.0, |at| now.since(at));
+        // While many nodes start there is never quiet; then compare more rarely.
         let quiet = now.since(self.changed_at) >= MEMBERS_QUIET_MS;
-        let recently = self
-            .compared_at
-            .is_some_and(|at| now.since(at) < COMPARE_MEMBERS_PERIOD_MS);
-        if !quiet || recently || root == self.root() {
+        let due =
+            since >= COMPARE_MEMBERS_PERIOD_MS && quiet || since >= BUSY_COMPARE_MEMBERS_PERIOD_MS;
+        if !due || root == self.root() {
             return;
         }
         self.compared_at = Some(now);
--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router.rs
@@ -313,13 +313,13 @@
     }
 
     /// Chooses an engine for an attempt and enters the placement. `remote` is
-    /// what the directory's shard answered.
+    /// what the directory's shard answered, or nothing when it did not.
     #[allow(clippy::too_many_arguments)]
     pub fn choose(
         &mut self,
         request: &RoutedRequest,
         chains: &VersionedChains,
-        remote: &[PrefixMatch],
+        remote: Option<&[PrefixMatch]>,
         attempt: u32,
         failed: &[EngineKey],
         now: Millis,
@@ -365,7 +365,7 @@
         pool: &Pool,
         candidates: &RouteCandidates,
         chains: &VersionedChains,
-        remote: &[PrefixMatch],
+        remote: Option<&[PrefixMatch]>,
         failed: &[EngineKey],
         now: Millis,
         random: &mut fastrand::Rng,
@@ -376,7 +376,7 @@
             zone_distance_ms: self.settings.zone_distance_ms,
             slot_wait_ms: DEFAULT_SLOT_WAIT_MS,
         };
-        let mut matches = remote.to_vec();
+        let mut matches = remote.unwrap_or_default().to_vec();
         for (_, chain) in chains {
             for found in self.local_matches(chain) {
                 merge_match(&mut matches, found);
@@ -388,6 +388,7 @@
             fleet: &self.fleet,
             chain: chains.first().map_or(&empty, |(_, chain)| chain),
             matches: &matches,
+            directory_answered: remote.is_some(),
             failed,
             model: &model,
             own_zone: &self.settings.zone,
--- a/crates/lab/src/experiment/engine.rs
+++ b/crates/lab/src/experiment/engine.rs
@@ -111,6 +111,11 @@
         chain.tokens - chain.tokens_of(blocks)
     }
 
+    /// Time to prefill a prompt with the present cache, in microseconds.
+    pub fn prefill_us(&self, chain: &PromptChain) -> u64 {
+        u64::from(self.uncached(chain)) * self.prefill_micros
+    }
+
     /// The true time to first token of a request that arrives now, in
     /// microseconds; slots are taken as free.
     pub fn true_ttft_us(&self, chain: &PromptChain, now_us: u64) -> u64 {
@@ -124,7 +129,7 @@
             .map(|request| u64::from(self.uncached(&request.chain)) * self.prefill_micros)
             .sum();
         let full = self.present().saturating_sub(self.slots) as u64;
-        present + waiting + u64::from(self.uncached(chain)) * self.prefill_micros + full * 50_000
+        present + waiting + self.prefill_us(chain) + full * 50_000
     }
 
     /// Ends the process; returns what is lost.
--- a/crates/lab/src/experiment/policies.rs
+++ b/crates/lab/src/experiment/policies.rs
@@ -153,7 +153,7 @@
             PolicyKind::LeastLoad => self.least_load(node, reachable, now),
             PolicyKind::BoundedHash => self.bounded_hash(node, chain, reachable, now),
             PolicyKind::Ploverlift => self.ploverlift(node, chain, reachable, now),
-            PolicyKind::Oracle => oracle(chain, truth, reachable, now_us),
+            PolicyKind::Oracle => self.oracle(chain, truth, reachable, now_us),
         }
     }
 
@@ -166,6 +166,25 @@
             .collect()
     }
 
+    /// The router's own cost with perfect present knowledge. Without the weight
+    /// of recomputation the oracle itself collapses on the city workload.
+    fn oracle(
+        &self,
+        chain: &PromptChain,
+        truth: &[EmulatedEngine],
+        reachable: &[bool],
+        now_us: u64,
+    ) -> Option<usize> {
+        let alive = (0..truth.len()).filter(|engine| truth[*engine].alive && reachable[*engine]);
+        let weight = self.model.recompute_weight - 1.0;
+        let cost = |engine: &usize| {
+            let time = truth[*engine].true_ttft_us(chain, now_us);
+            let prefill = truth[*engine].prefill_us(chain);
+            (time + (weight * prefill as f64) as u64, *engine)
+        };
+        alive.min_by_key(cost)
+    }
+
     fn round_robin(&mut self, node: usize, reachable: &[bool]) -> Option<usize> {
         let believed = self.believed(node, reachable);
         let view = &mut self.nodes[node];
@@ -255,6 +274,7 @@
             fleet: &view.fleet,
             chain,
             matches: &matches,
+            directory_answered: !self.shards_lost,
             failed: &[],
             model: &self.model,
             own_zone: &view.zone,
@@ -291,16 +311,6 @@
     }
 }
 
-fn oracle(
-    chain: &PromptChain,
-    truth: &[EmulatedEngine],
-    reachable: &[bool],
-    now_us: u64,
-) -> Option<usize> {
-    let alive = (0..truth.len()).filter(|engine| truth[*engine].alive && reachable[*engine]);
-    alive.min_by_key(|engine| (truth[*engine].true_ttft_us(chain, now_us), *engine))
-}
-
 fn fleet(model: &FleetModel) -> Fleet {
     let mut fleet = Fleet::default();
     for number in 0..model.engines {
--- a/crates/node/src/relay/mod.rs
+++ b/crates/node/src/relay/mod.rs
@@ -243,9 +243,15 @@
         self.node.with_core(|core, now| {
             let mut random = core.random().fork();
             let (attempt, failed) = (self.attempts, &self.failed);
-            let chosen =
-                core.router
-                    .choose(routed, &chains, &remote, attempt, failed, now, &mut random)?;
+            let chosen = core.router.choose(
+                routed,
+                &chains,
+                remote.as_deref(),
+                attempt,
+                failed,
+                now,
+                &mut random,
+            )?;
             core.publish_placement(&chosen.chain, chosen.key, chosen.incarnation);
             Some(chosen)
         })
@@ -253,16 +259,15 @@
 
     /// Asks the directory's shard; without a quick answer the node goes on
     /// with what it knows itself.
-    async fn ask_directory(&self, chains: &VersionedChains) -> Vec<PrefixMatch> {
-        let Some((_, chain)) = chains.first() else {
-            return Vec::new();
-        };
+    async fn ask_directory(&self, chains: &VersionedChains) -> Option<Vec<PrefixMatch>> {
+        let (_, chain) = chains.first()?;
         let waiting = self.node.with_core(|core, _| {
             let ticket = core.look_up(chain)?;
             Some((ticket, self.node.waiters.lookup(ticket)))
         });
         let Some((ticket, answer)) = waiting else {
-            return Vec::new();
+            // This node has the shard itself, or knows a holder of everything.
+            return Some(Vec::new());
         };
         let timeout = async {
             Timer::after(Duration::from_millis(LOOKUP_TIMEOUT_MS)).await;
@@ -270,7 +275,7 @@
         };
         let found = future::or(async { answer.recv().await.ok() }, timeout).await;
         self.node.waiters.forget_lookup(ticket);
-        found.unwrap_or_default()
+        found
     }
 
     fn failed(&mut self, chosen: &ChosenEngine, failure: CallFailure) -> Step {
--- /dev/null
+++ b/crates/node/tests/attempt_states.rs
@@ -0,0 +1,146 @@
+//! Every point at which an attempt can die, against a raw TCP stand-in that
+//! records what it read: "not run" may be said only when it read nothing.
+
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ploverlift_node::engine_client::{EngineCall, EngineGeneration};
+use ploverlift_policy::attempt::{AttemptState, RunState};
+use ploverlift_policy::ids::{Incarnation, RequestId, WeightsVersion};
+use smol::net::TcpListener;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use trillium::Method;
+
+fn call(address: SocketAddr) -> EngineCall {
+    EngineCall {
+        address,
+        method: Method::Post,
+        path: "/v1/chat/completions".to_owned(),
+        request_id: RequestId::from("own"),
+        content_type: "application/json".to_owned(),
+        body: Arc::new(b"{}".to_vec()),
+        resume_from: 0,
+        relies_on: Some(EngineGeneration {
+            incarnation: Incarnation(1),
+            weights: WeightsVersion(1),
+        }),
+    }
+}
+
+/// What the stand-in does after it accepted a connection.
+#[derive(Clone, Copy, Debug)]
+enum Death {
+    BeforeReading,
+    AfterHead,
+    AfterBody,
+    WithinAnswerHead,
+}
+
+/// Serves one connection so; returns the state of the attempt and the bytes read.
+fn attempt(death: Death) -> (AttemptState, usize) {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("address");
+        let server = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            let mut read = 0;
+            let mut buffer = [0; 4_096];
+            if !matches!(death, Death::BeforeReading) {
+                read += stream.read(&mut buffer).await.unwrap_or(0);
+            }
+            if matches!(death, Death::AfterBody | Death::WithinAnswerHead) {
+                stream
+                    .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    .await
+                    .expect("written");
+                read += stream.read(&mut buffer).await.unwrap_or(0);
+            }
+            if matches!(death, Death::WithinAnswerHead) {
+                stream
+                    .write_all(b"HTTP/1.1 200 OK\r\nx-req")
+                    .await
+                    .expect("written");
+            }
+            read
+        });
+        let sent = Arc::new(AtomicBool::new(false));
+        let failure = call(address).send(&sent).await.err().expect("no answer");
+        (failure.state, server.await)
+    })
+}
+
+#[test]
+fn an_attempt_that_may_have_been_read_is_never_called_not_run() {
+    for death in [
+        Death::BeforeReading,
+        Death::AfterHead,
+        Death::AfterBody,
+        Death::WithinAnswerHead,
+    ] {
+        let (state, read) = attempt(death);
+        if read > 0 {
+            assert_ne!(state.run_state(), RunState::NotRun, "{death:?}");
+        }
+        assert_eq!(state, AttemptState::MaybeSent, "{death:?}");
+    }
+}
+
+#[test]
+fn a_refused_connection_sent_nothing() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("address");
+        drop(listener);
+        let sent = Arc::new(AtomicBool::new(false));
+        let failure = call(address).send(&sent).await.err().expect("no answer");
+        assert_eq!(failure.state, AttemptState::Unsent);
+    });
+}
+
+/// Answers one request with these lines after the status line.
+fn answered(status: &'static str, headers: &'static str) -> Result<u16, (AttemptState, bool)> {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("address");
+        let server = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            let mut buffer = [0; 4_096];
+            let _ = stream.read(&mut buffer).await;
+            let text = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n{headers}\r\n");
+            stream.write_all(text.as_bytes()).await.expect("written");
+            let _ = stream.read(&mut buffer).await;
+        });
+        let sent = Arc::new(AtomicBool::new(false));
+        let outcome = call(address).send(&sent).await;
+        let outcome = match outcome {
+            Ok(answer) => Ok(answer.status as u16),
+            Err(failure) => Err((failure.state, failure.correction.is_some())),
+        };
+        server.cancel().await;
+        outcome
+    })
+}
+
+#[test]
+fn only_the_answer_to_the_own_request_counts() {
+    assert_eq!(answered("200 OK", "x-request-id: own\r\n"), Ok(200));
+    let crossed = answered("200 OK", "x-request-id: another\r\n");
+    assert_eq!(crossed, Err((AttemptState::MaybeSent, false)));
+    assert_eq!(
+        answered("200 OK", ""),
+        Err((AttemptState::MaybeSent, false))
+    );
+}
+
+#[test]
+fn a_refusal_counts_as_not_run_only_when_the_engine_says_so() {
+    let refused = answered("503 Service Unavailable", "x-run-state: not_run\r\n");
+    assert_eq!(refused, Err((AttemptState::Refused, false)));
+    let corrected = answered(
+        "412 Precondition Failed",
+        "x-run-state: not_run\r\nx-engine-incarnation: 2\r\nx-engine-weights: 1\r\n",
+    );
+    assert_eq!(corrected, Err((AttemptState::Refused, true)));
+    let silent = answered("503 Service Unavailable", "");
+    assert_eq!(silent, Err((AttemptState::MaybeSent, false)));
+}
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -10,6 +10,7 @@
 use crate::snapshot::{Pool, Route, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Why an engine is not a candidate of a route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,6 +178,15 @@
 /// prefix and a random sample of this many are scored.
 pub const MAX_SCORED: usize = 32;
 
+/// Blocks from the prompt's start by which its home engine is found: past the
+/// instructions that all prompts of a tenant share.
+pub const HOME_BLOCKS: usize = 4;
+/// Share of a prompt that its home engine is taken to hold when the directory
+/// has answered: enough to break ties the same way on every node.
+pub const HOME_SHARE_KNOWN: f64 = 0.05;
+/// The same when the directory has not answered.
+pub const HOME_SHARE_UNKNOWN: f64 = 0.7;
+
 /// Costs that differ by less than this are a tie, broken at random so that
 /// nodes with the same view do not all choose the same engine, in milliseconds.
 pub const TIE_MS: f64 = 0.5;
@@ -191,6 +201,9 @@
     pub chain: &'a PromptChain,
     /// Engines that hold a prefix of it.
     pub matches: &'a [PrefixMatch],
+    /// Whether the directory's shard answered. Without it the node does not
+    /// know what others have placed.
+    pub directory_answered: bool,
     /// Engines at which this request already failed.
     pub failed: &'a [EngineKey],
     /// The pool's and site's constants.
@@ -204,20 +217,56 @@
 impl DecisionInput<'_> {
     /// Chooses the engine with the lowest cost; nothing when none is eligible.
     pub fn decide(&self, random: &mut fastrand::Rng) -> Option<Decision> {
+        let home = self.home();
         let mut scored: Vec<(EngineIndex, u32, Cost)> = Vec::with_capacity(2 * MAX_SCORED);
         if self.candidates.eligible.len() <= MAX_SCORED {
             for index in &self.candidates.eligible {
-                self.score(*index, &mut scored);
+                self.score(*index, home, &mut scored);
             }
         } else {
-            self.score_holders(&mut scored);
-            self.score_sample(random, &mut scored);
+            self.score_holders(home, &mut scored);
+            self.score_sample(random, home, &mut scored);
         }
         let (index, cached_tokens, cost) = pick(&scored, random)?;
         Some(self.record(index, cached_tokens, cost, &scored))
     }
 
-    fn score(&self, index: EngineIndex, scored: &mut Vec<(EngineIndex, u32, Cost)>) {
+    /// The engine at which every node places a prompt that nobody is known to
+    /// hold: by rendezvous hash of the prompt's beginning, so that nodes that
+    /// do not hear of each other's placements still agree.
+    fn home(&self) -> Option<EngineIndex> {
+        let last = self.chain.blocks.len().min(HOME_BLOCKS).checked_sub(1)?;
+        let item = self.chain.blocks[last].0;
+        let weight = |index: &EngineIndex| {
+            let key = self.fleet.get(*index).key;
+            xxh3_64_with_seed(&key.0.to_le_bytes(), item)
+        };
+        self.candidates.eligible.iter().copied().max_by_key(weight)
+    }
+
+    /// Share of the prompt that the home engine is taken to hold.
+    fn home_share(&self) -> f64 {
+        if self.directory_answered {
+            HOME_SHARE_KNOWN
+        } else {
+            HOME_SHARE_UNKNOWN
+        }
+    }
+
+    /// What the home engine is taken to hold: what is known, or the share.
+    fn at_home(&self, known: Option<(u32, Millis)>) -> Option<(u32, Millis)> {
+        let assumed = (f64::from(self.chain.tokens) * self.home_share()) as u32;
+        known
+            .filter(|(tokens, _)| *tokens >= assumed)
+            .or(Some((assumed, self.now)))
+    }
+
+    fn score(
+        &self,
+        index: EngineIndex,
+        home: Option<EngineIndex>,
+        scored: &mut Vec<(EngineIndex, u32, Cost)>,
+    ) {
         let engine = self.fleet.get(index);
         if self.failed.contains(&engine.key) {
             return;
@@ -229,29 +278,43 @@
         let cached =
             found.map(|entry| (self.chain.tokens_of(entry.blocks as usize), entry.used_at));
         let tokens = self.chain.tokens;
+        let cached = if home == Some(index) {
+            self.at_home(cached)
+        } else {
+            cached
+        };
         let cost = self
             .model
             .cost(engine, self.own_zone, tokens, cached, self.now);
         scored.push((index, cached.map_or(0, |(tokens, _)| tokens), cost));
     }
 
-    fn score_holders(&self, scored: &mut Vec<(EngineIndex, u32, Cost)>) {
+    fn score_holders(&self, home: Option<EngineIndex>, scored: &mut Vec<(EngineIndex, u32, Cost)>) {
+        if let Some(home) = home {
+            self.score(home, Some(home), scored);
+        }
         for entry in self.matches {
             let Some(index) = self.fleet.find(entry.engine) else {
                 continue;
             };
-            if self.candidates.eligible.binary_search(&index).is_ok() {
-                self.score(index, scored);
+            let known = scored.iter().any(|(known, _, _)| *known == index);
+            if !known && self.candidates.eligible.binary_search(&index).is_ok() {
+                self.score(index, home, scored);
             }
         }
     }
 
-    fn score_sample(&self, random: &mut fastrand::Rng, scored: &mut Vec<(EngineIndex, u32, Cost)>) {
+    fn score_sample(
+        &self,
+        random: &mut fastrand::Rng,
+        home: Option<EngineIndex>,
+        scored: &mut Vec<(EngineIndex, u32, Cost)>,
+    ) {
         let eligible = &self.candidates.eligible;
         for _ in 0..MAX_SCORED {
             let index = eligible[random.usize(..eligible.len())];
             if !scored.iter().any(|(known, _, _)| *known == index) {
-                self.score(index, scored);
+                self.score(index, home, scored);
             }
         }
     }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -241,7 +241,7 @@
         now: Millis,
     ) -> Step {
         self.run_state = self.run_state.join(state.run_state());
-        let harmless = state.run_state() == RunState::NotRun;
+        let harmless = self.run_state == RunState::NotRun;
         if (harmless || self.repeatable) && self.may_try_again(budget, now) {
             return self.attempt();
         }
@@ -259,6 +259,7 @@
     }
 
     fn piece(&mut self, position: u64, budget: &mut RetryBudget, now: Millis) -> Step {
+        self.run_state = RunState::Started;
         if position < self.next_position {
             return Step::Skip;
         }
--- a/crates/simulation/src/world/request_side.rs
+++ b/crates/simulation/src/world/request_side.rs
@@ -280,7 +280,7 @@
             let mut random = core.random().fork();
             let chosen =
                 core.router
-                    .choose(&routed, &chains, &[], attempt, &failed, now, &mut random)?;
+                    .choose(&routed, &chains, None, attempt, &failed, now, &mut random)?;
             core.publish_placement(&chosen.chain, chosen.key, chosen.incarnation);
             Some(chosen)
         })??;
