Write the whole request to an engine at once on a connection of its own

Cause: the HTTP library's client waits for 100 Continue before each body and drains dropped answers when pooled. Ruled out: more executor threads (2 do as well as 8). Change: engine_body reads heads and bodies with httparse; a queue of 4096.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -14,6 +14,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    ploverlift_node::executor::use_all_cores();
     let arguments = match Arguments::parse() {
         Ok(arguments) => arguments,
         Err(exit) => return exit,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
 use ploverlift_lab::experiment::workload::WorkloadShape;
 use ploverlift_lab::platform::PlatformServer;
 use ploverlift_lab::scale::{Hollow, ScaleFault, ScaleSettings};
+use ploverlift_node::executor::use_all_cores;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -62,6 +63,9 @@
     /// requests that decode at the same time
     #[argh(option, default = "32")]
     slots: u32,
+    /// microseconds to prefill one token that is not cached
+    #[argh(option, default = "20")]
+    prefill_micros: u64,
 }
 
 /// Run many hollow nodes in virtual time and measure what they cost.
@@ -167,6 +171,7 @@
 }
 
 fn main() -> ExitCode {
+    use_all_cores();
     let arguments: Arguments = argh::from_env();
     let outcome = match arguments.command {
         Command::Platform(arguments) => run_platform(&arguments),
@@ -195,6 +200,7 @@
     let mut settings = EngineSettings::named(&arguments.name, &arguments.model);
     settings.decode_ms = arguments.decode_ms;
     settings.slots = arguments.slots;
+    settings.prefill_micros_per_token = arguments.prefill_micros;
     let server = EngineServer::start(arguments.listen, settings)?;
     announce(server.address());
     smol::block_on(std::future::pending::<()>());
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -1,31 +1,28 @@
-//! Calls to back ends over HTTP, one fresh connection an attempt.
+//! Calls to back ends over HTTP/1.1, one fresh connection an attempt.
 //!
-//! The pooled client of the HTTP library drains an unread answer when it is
-//! dropped, which would keep an abandoned request running at the engine, and a
-//! reused connection can carry the late answer of an earlier request. So no
-//! connection is reused: dropping the answer closes the connection, which
-//! cancels the request, and an answer can only be that of its own request.
+//! The HTTP library's client does not fit here: its pool drains an unread
+//! answer when it is dropped, which keeps an abandoned request running at the
+//! engine, and it waits for `100 Continue` before every body, a round trip
+//! before the first token. So the request is written at once on a connection of
+//! its own, and [`EngineBody`] reads the answer. No connection is reused:
+//! dropping the answer closes it, which cancels the request, and an answer can
+//! only be that of its own request.
 //!
-//! The connection notes whether any byte was handed to the operating system;
-//! only then does an attempt count as [`AttemptState::MaybeSent`].
+//! An attempt counts as [`AttemptState::MaybeSent`] from the first byte that
+//! the operating system took.
 
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
+use crate::engine_body::{read_head, AnswerHead, EngineBody};
 use ploverlift_policy::admission::ComeBack;
 use ploverlift_policy::attempt::AttemptState;
 use ploverlift_policy::ids::{Incarnation, RequestId, WeightsVersion};
-use std::future::Future;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use std::fmt::Write;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
-use trillium::{async_trait, Headers, KnownHeaderName, Method};
-use trillium_client::{Client, Connector};
-use trillium_http::transport::{BoxedTransport, Transport};
-use trillium_http::{ReceivedBody, Status};
-use trillium_smol::async_net::TcpStream;
-use trillium_smol::{ClientConfig, SmolTransport};
+use trillium::{Method, Status};
 
 /// Header by which a back end says whether it ran a request that it refused.
 pub const RUN_STATE_HEADER: &str = "x-run-state";
@@ -45,73 +42,7 @@
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
 /// Largest whole answer that is held in memory, in bytes.
-pub const MAX_WHOLE_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
-
-/// A connection that notes whether anything was sent on it.
-pub struct TrackedTransport {
-    inner: SmolTransport<TcpStream>,
-    sent: Arc<AtomicBool>,
-}
-
-impl AsyncRead for TrackedTransport {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for TrackedTransport {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.inner).poll_write(context, buffer);
-        if matches!(result, Poll::Ready(Ok(count)) if count > 0) {
-            self.sent.store(true, Ordering::Release);
-        }
-        result
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_close(context)
-    }
-}
-
-impl Transport for TrackedTransport {
-    fn peer_addr(&self) -> io::Result<Option<SocketAddr>> {
-        self.inner.peer_addr()
-    }
-}
-
-struct TrackedConnector {
-    sent: Arc<AtomicBool>,
-}
-
-#[async_trait]
-impl Connector for TrackedConnector {
-    type Transport = TrackedTransport;
-
-    async fn connect(&self, url: &trillium_client::Url) -> io::Result<TrackedTransport> {
-        let config = ClientConfig::new().with_nodelay(true);
-        let inner = config.connect(url).await?;
-        Ok(TrackedTransport {
-            inner,
-            sent: Arc::clone(&self.sent),
-        })
-    }
-
-    fn spawn<Fut: Future<Output = ()> + Send + 'static>(&self, future: Fut) {
-        smol::spawn(future).detach();
-    }
-}
+pub const MAX_WHOLE_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// One request to a back end.
 #[derive(Clone, Debug)]
@@ -151,7 +82,7 @@
     /// Content type.
     pub content_type: String,
     /// Body. Dropping it closes the connection.
-    pub body: ReceivedBody<'static, BoxedTransport>,
+    pub body: EngineBody,
 }
 
 /// Why there is no answer.
@@ -175,47 +106,58 @@
     /// When the connection fails, the back end refuses the request or the
     /// answer is that of another request.
     pub async fn send(&self, sent: &Arc<AtomicBool>) -> Result<EngineAnswer, CallFailure> {
-        let connector = TrackedConnector {
-            sent: Arc::clone(sent),
+        let exchange = async {
+            let mut stream = TcpStream::connect(self.address).await?;
+            stream.set_nodelay(true)?;
+            write_noting(&mut stream, &self.request_bytes(), sent).await?;
+            read_head(stream).await
         };
-        let client = Client::new(connector);
-        let url = format!("http://{}{}", self.address, self.path);
-        let mut conn = client
-            .build_conn(self.method, url)
-            .with_request_header(REQUEST_ID_HEADER, self.request_id.0.clone())
-            .with_request_header(KnownHeaderName::ContentType, self.content_type.clone());
+        let answered: io::Result<(AnswerHead, EngineBody)> = exchange.await;
+        let (head, body) = answered.map_err(|error| failure_of(sent, error.to_string()))?;
+        self.check(&head, body)
+    }
+
+    /// The whole request, written in one piece.
+    fn request_bytes(&self) -> Vec<u8> {
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nhost: {}\r\nconnection: close\r\n\
+             {REQUEST_ID_HEADER}: {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n",
+            self.method,
+            self.path,
+            self.address,
+            self.request_id,
+            self.content_type,
+            self.body.len(),
+        );
         if self.resume_from > 0 {
-            conn = conn.with_request_header(RESUME_FROM_HEADER, self.resume_from.to_string());
+            let _ = write!(head, "{RESUME_FROM_HEADER}: {}\r\n", self.resume_from);
         }
         if let Some(generation) = self.relies_on {
-            let incarnation = generation.incarnation.to_string();
-            let weights = generation.weights.to_string();
-            conn = conn
-                .with_request_header(EXPECTED_INCARNATION_HEADER, incarnation)
-                .with_request_header(EXPECTED_WEIGHTS_HEADER, weights);
+            let _ = write!(
+                head,
+                "{EXPECTED_INCARNATION_HEADER}: {}\r\n{EXPECTED_WEIGHTS_HEADER}: {}\r\n",
+                generation.incarnation, generation.weights
+            );
         }
-        if !self.body.is_empty() {
-            conn = conn.with_body(self.body.as_ref().clone());
-        }
-        let result = conn.await;
-        let conn = result.map_err(|error| failure_of(sent, error.to_string()))?;
-        self.check(conn)
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
     }
 
-    fn check(&self, conn: trillium_client::Conn) -> Result<EngineAnswer, CallFailure> {
-        let headers = conn.response_headers();
-        let status = conn.status().unwrap_or(Status::BadGateway);
-        if headers.get_str(RUN_STATE_HEADER) == Some(NOT_RUN) {
-            let seconds = headers.get_str(KnownHeaderName::RetryAfter);
+    fn check(&self, head: &AnswerHead, body: EngineBody) -> Result<EngineAnswer, CallFailure> {
+        let status = Status::try_from(head.status).unwrap_or(Status::BadGateway);
+        if head.header(RUN_STATE_HEADER) == Some(NOT_RUN) {
+            let seconds = head.header("retry-after");
             let seconds = seconds.and_then(|text| text.parse::<u64>().ok());
             return Err(CallFailure {
                 state: AttemptState::Refused,
                 come_back: seconds.map(|seconds| ComeBack::after(seconds.saturating_mul(1_000))),
-                correction: correction_in(headers),
+                correction: correction_in(head),
                 reason: format!("refused with status {status}"),
             });
         }
-        if headers.get_str(REQUEST_ID_HEADER) != Some(self.request_id.as_str()) {
+        if head.header(REQUEST_ID_HEADER) != Some(self.request_id.as_str()) {
             return Err(CallFailure {
                 state: AttemptState::MaybeSent,
                 come_back: None,
@@ -223,19 +165,31 @@
                 reason: "the answer is not that of this request".to_owned(),
             });
         }
-        let content_type = headers
-            .get_str(KnownHeaderName::ContentType)
-            .unwrap_or("application/octet-stream")
-            .to_owned();
-        let body: ReceivedBody<'static, BoxedTransport> = conn.into();
+        let content_type = head.header("content-type");
         Ok(EngineAnswer {
             status,
-            content_type,
-            body: body.with_max_len(u64::MAX),
+            content_type: content_type
+                .unwrap_or("application/octet-stream")
+                .to_owned(),
+            body,
         })
     }
 }
 
+/// Writes everything and notes as soon as any byte was taken.
+async fn write_noting(stream: &mut TcpStream, bytes: &[u8], sent: &AtomicBool) -> io::Result<()> {
+    let mut written = 0;
+    while written < bytes.len() {
+        let count = stream.write(&bytes[written..]).await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        sent.store(true, Ordering::Release);
+        written += count;
+    }
+    Ok(())
+}
+
 /// The state of an attempt that ended without an answer.
 pub fn state_without_answer(sent: &AtomicBool) -> AttemptState {
     if sent.load(Ordering::Acquire) {
@@ -254,8 +208,8 @@
     }
 }
 
-fn correction_in(headers: &Headers) -> Option<EngineGeneration> {
-    let number = |name: &'static str| headers.get_str(name)?.parse::<u64>().ok();
+fn correction_in(head: &AnswerHead) -> Option<EngineGeneration> {
+    let number = |name: &str| head.header(name)?.parse::<u64>().ok();
     Some(EngineGeneration {
         incarnation: Incarnation(number(ENGINE_INCARNATION_HEADER)?),
         weights: WeightsVersion(number(ENGINE_WEIGHTS_HEADER)?),
@@ -269,11 +223,19 @@
     /// When the connection breaks before the end or the answer is too large.
     pub async fn read_whole(&mut self) -> io::Result<Vec<u8>> {
         let mut bytes = Vec::new();
-        let mut limited = (&mut self.body).take(MAX_WHOLE_ANSWER_BYTES + 1);
-        limited.read_to_end(&mut bytes).await?;
-        if bytes.len() as u64 > MAX_WHOLE_ANSWER_BYTES {
-            return Err(io::Error::other("the answer is too large"));
+        let mut buffer = [0; READ_BYTES];
+        loop {
+            let count = self.body.read(&mut buffer).await?;
+            if count == 0 {
+                return Ok(bytes);
+            }
+            bytes.extend_from_slice(&buffer[..count]);
+            if bytes.len() > MAX_WHOLE_ANSWER_BYTES {
+                return Err(io::Error::other("the answer is too large"));
+            }
         }
-        Ok(bytes)
     }
 }
+
+/// Size of one read of a whole answer, in bytes.
+const READ_BYTES: usize = 8 * 1024;
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -1,12 +1,16 @@
 //! HTTP listeners as every part of the system sets them up.
 
 use smol::Task;
+use socket2::SockRef;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use trillium::Handler;
 use trillium_http::HttpConfig;
 use trillium_smol::Stopper;
 
+/// Connections that the kernel holds until they are accepted.
+const ACCEPT_QUEUE: i32 = 4_096;
+
 /// A listener that serves until it is stopped.
 pub struct HttpListener {
     /// The address it was given, with the port that the kernel chose.
@@ -35,6 +39,8 @@
         handler: impl Handler,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
+        // The default of 128 makes a burst of callers wait a second for a new try.
+        SockRef::from(&listener).listen(ACCEPT_QUEUE)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let listener = trillium_smol::async_net::TcpListener::try_from(listener)?;
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -7,7 +7,6 @@
 use crate::engine_client::EngineAnswer;
 use crate::recorded_answer::RecordedAnswer;
 use crate::sse::{opening_comment, write_event, SseEvent, SseParser, DONE, KEEP_ALIVE};
-use futures_lite::AsyncReadExt;
 use ploverlift_cluster::router::ChosenEngine;
 use ploverlift_policy::attempt::AttemptState;
 use ploverlift_policy::request::{Event, Step};
