Share the tenant table between views, shard by shard

Ruled out: a global lock in place of views; a request must see one version. Change: 128 shards, of which a change copies one. Conclusion: tenants no longer bound the number of changes.

--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -78,14 +78,26 @@
     pub rejected: Vec<Rejected>,
 }
 
-/// All tenants, found by name or by key.
-#[derive(Clone, Debug, Default)]
+/// All tenants, found by name or by key. The table is kept in shards that are
+/// shared between views, so that a change copies one shard and not all tenants.
+#[derive(Clone, Debug)]
 pub struct TenantTable {
-    by_name: BTreeMap<TenantName, Arc<Tenant>>,
+    tenants: Vec<Arc<BTreeMap<TenantKey, Arc<Tenant>>>>,
     /// Tenants by the beginning of a key's hash; the whole hash is compared
     /// in constant time.
-    by_key: HashMap<KeyPrefix, Vec<TenantName>>,
-    by_name_hash: HashMap<TenantKey, TenantName>,
+    keys: Vec<Arc<HashMap<KeyPrefix, Vec<TenantKey>>>>,
+}
+
+/// Shards of a tenant table.
+const TENANT_SHARDS: usize = 128;
+
+impl Default for TenantTable {
+    fn default() -> Self {
+        Self {
+            tenants: vec![Arc::default(); TENANT_SHARDS],
+            keys: vec![Arc::default(); TENANT_SHARDS],
+        }
+    }
 }
 
 /// Hash of a tenant's name: the compact form used in messages.
@@ -109,8 +121,17 @@
     hash.as_bytes().get(..KEY_PREFIX_BYTES)?.try_into().ok()
 }
 
+fn tenant_shard(key: TenantKey) -> usize {
+    (key.0 % TENANT_SHARDS as u64) as usize
+}
+
+fn key_shard(prefix: &KeyPrefix) -> usize {
+    (xxh3_64(prefix) % TENANT_SHARDS as u64) as usize
+}
+
 impl TenantTable {
     fn insert(&mut self, tenant: Tenant) {
+        let key = TenantKey::of(&tenant.name);
         self.remove(&tenant.name);
         for prefix in tenant
             .spec
@@ -118,49 +139,54 @@
             .iter()
             .filter_map(|hash| key_prefix(hash))
         {
-            let names = self.by_key.entry(prefix).or_default();
-            names.push(tenant.name.clone());
+            let shard = Arc::make_mut(&mut self.keys[key_shard(&prefix)]);
+            shard.entry(prefix).or_default().push(key);
         }
-        self.by_name_hash
-            .insert(TenantKey::of(&tenant.name), tenant.name.clone());
-        self.by_name.insert(tenant.name.clone(), Arc::new(tenant));
+        let shard = Arc::make_mut(&mut self.tenants[tenant_shard(key)]);
+        shard.insert(key, Arc::new(tenant));
     }
 
     fn remove(&mut self, name: &TenantName) {
-        let Some(known) = self.by_name.remove(name) else {
+        let key = TenantKey::of(name);
+        let number = tenant_shard(key);
+        if !self.tenants[number].contains_key(&key) {
+            return;
+        }
+        let Some(known) = Arc::make_mut(&mut self.tenants[number]).remove(&key) else {
             return;
         };
-        self.by_name_hash.remove(&TenantKey::of(name));
         for prefix in known
             .spec
             .key_hashes
             .iter()
             .filter_map(|hash| key_prefix(hash))
         {
-            if let Some(names) = self.by_key.get_mut(&prefix) {
-                names.retain(|other| other != name);
+            let shard = Arc::make_mut(&mut self.keys[key_shard(&prefix)]);
+            if let Some(keys) = shard.get_mut(&prefix) {
+                keys.retain(|other| *other != key);
             }
         }
     }
 
     /// The tenant of this name.
     pub fn get(&self, name: &TenantName) -> Option<&Arc<Tenant>> {
-        self.by_name.get(name)
+        self.get_by_key(TenantKey::of(name))
     }
 
     /// The tenant whose name has this hash.
     pub fn get_by_key(&self, key: TenantKey) -> Option<&Arc<Tenant>> {
-        self.by_name.get(self.by_name_hash.get(&key)?)
+        self.tenants[tenant_shard(key)].get(&key)
     }
 
-    /// All tenants, by name.
+    /// All tenants, in no order that means anything.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Tenant>> {
-        self.by_name.values()
+        self.tenants.iter().flat_map(|shard| shard.values())
     }
 
     fn find_by_hash(&self, digest: &str) -> Option<&Arc<Tenant>> {
-        let names = self.by_key.get(&key_prefix(digest)?)?;
-        let tenants = names.iter().filter_map(|name| self.by_name.get(name));
+        let prefix = key_prefix(digest)?;
+        let keys = self.keys[key_shard(&prefix)].get(&prefix)?;
+        let tenants = keys.iter().filter_map(|key| self.get_by_key(*key));
         let mut found = None;
         for tenant in tenants {
             for hash in &tenant.spec.key_hashes {
