--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -223,7 +223,7 @@
         self.members
             .tick(now, digests, &mut self.random, &mut self.outbox);
         self.take_in_member_changes(now);
-        self.watch.tick(now, &self.members, &mut self.outbox);
+        self.publish_engines(now);
         self.quota.tick(now, &self.members, &mut self.outbox);
         self.tick_claims(now);
         self.tick_completions(now);
@@ -500,6 +500,16 @@
         own.map(|index| fleet.get(index).clone()).collect()
     }
 
+    fn publish_engines(&mut self, now: Millis) {
+        let duties = self
+            .duties
+            .get_or_insert_with(|| ObserverDuties::assign(&self.router.fleet, &self.members));
+        let own = self.members.own_key();
+        let publishes_load = |engine| duties.publishes_load(engine, own);
+        self.watch
+            .tick(now, &self.members, publishes_load, &mut self.outbox);
+    }
+
     /// Takes in what this node observed of an engine by a look that began at
     /// `looked_at`. What a paused node reads only after its pause is too old.
     pub fn observed(&mut self, observation: EngineObservation, looked_at: Millis, now: Millis) {
--- a/crates/cluster/src/engine_watch.rs
+++ b/crates/cluster/src/engine_watch.rs
@@ -217,13 +217,20 @@
             .collect()
     }
 
-    /// Publishes what is due.
-    pub fn tick(&mut self, now: Millis, members: &Membership, outbox: &mut Outbox) {
+    /// Publishes what is due. Of an engine's observers only the first publishes
+    /// changes of load, which are most of all reports.
+    pub fn tick(
+        &mut self,
+        now: Millis,
+        members: &Membership,
+        publishes_load: impl Fn(EngineKey) -> bool,
+        outbox: &mut Outbox,
+    ) {
         if now < self.next_publish {
             return;
         }
         self.next_publish = now.plus(PUBLISH_PERIOD_MS);
-        let reports = self.due_reports(now);
+        let reports = self.due_reports(now, publishes_load);
         if reports.is_empty() {
             return;
         }
@@ -238,14 +245,18 @@
         }
     }
 
-    fn due_reports(&mut self, now: Millis) -> Vec<EngineReport> {
+    fn due_reports(
+        &mut self,
+        now: Millis,
+        publishes_load: impl Fn(EngineKey) -> bool,
+    ) -> Vec<EngineReport> {
         let mut due = Vec::new();
-        for observed in self.own.values_mut() {
+        for (engine, observed) in &mut self.own {
             let stale = now.since(observed.published_at) >= REFRESH_PERIOD_MS;
-            let changed = observed
-                .published
-                .as_ref()
-                .is_none_or(|published| load_changed(&published.load, &observed.latest.load));
+            let known = observed.published.as_ref();
+            let changed = known.is_none_or(|published| {
+                publishes_load(*engine) && load_changed(&published.load, &observed.latest.load)
+            });
             if observed.repeats == 0 && !stale && !changed {
                 continue;
             }
--- a/crates/cluster/src/observer_duties.rs
+++ b/crates/cluster/src/observer_duties.rs
@@ -51,6 +51,12 @@
         self.observers.get(&engine).map_or(&[], Vec::as_slice)
     }
 
+    /// The observer that publishes an engine's load; the others publish only
+    /// what decides whether it may be used.
+    pub fn publishes_load(&self, engine: EngineKey, node: NodeKey) -> bool {
+        self.observers_of(engine).first() == Some(&node)
+    }
+
     /// Engines that this node observes.
     pub fn own(&self) -> &[EngineKey] {
         &self.own
