Leave out engines whose observers are silent

Ruled out: faster probes of other zones (a node of a dead zone is probed every 4 s on average; ten times the probes would be needed); every node looking at every engine. Change: an observer shows at least once a second that it is there; an engine none of whose observers was heard for 2.4 s is used only when no other is left.

--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -33,6 +33,8 @@
 
 /// The driver calls [`NodeCore::tick`] at least this often, in milliseconds.
 pub const TICK_MS: u64 = 50;
+/// Time between two looks for engines whose observers are silent, in milliseconds.
+const SILENCE_CHECK_PERIOD_MS: u64 = 200;
 /// Time after which a lookup in the directory's shard is given up, in milliseconds.
 pub const LOOKUP_TIMEOUT_MS: u64 = 8;
 /// The one claim group of a site. More groups divide the claims of larger ones.
@@ -151,6 +153,7 @@
     next_ticket: u64,
     next_group_plan: Millis,
     next_start_comparison: Millis,
+    next_silence_check: Millis,
     last_tick: Millis,
     catch_up_until: Millis,
     group_seen_from_platform: bool,
@@ -182,6 +185,7 @@
             next_ticket: 0,
             next_group_plan: Millis(0),
             next_start_comparison: Millis(0),
+            next_silence_check: Millis(0),
             last_tick: now,
             catch_up_until,
             group_seen_from_platform: false,
@@ -508,6 +512,14 @@
         let publishes_load = |engine| duties.publishes_load(engine, own);
         self.watch
             .tick(now, &self.members, publishes_load, &mut self.outbox);
+        if now < self.next_silence_check {
+            return;
+        }
+        self.next_silence_check = now.plus(SILENCE_CHECK_PERIOD_MS);
+        let watch = &self.watch;
+        let heard = |node: &NodeKey| *node == own || watch.is_heard(*node, now);
+        let silent = |engine| !duties.observers_of(engine).iter().any(heard);
+        self.router.note_unobserved(silent);
     }
 
     /// Takes in what this node observed of an engine by a look that began at
@@ -555,6 +567,7 @@
     }
 
     fn heard(&mut self, from: NodeKey, reports: &EngineReports, now: Millis) {
+        self.watch.heard_of(from, now);
         for report in &reports.reports {
             let observation = engine_watch::from_message(report);
             let duties = self
--- a/crates/cluster/src/engine_watch.rs
+++ b/crates/cluster/src/engine_watch.rs
@@ -29,6 +29,12 @@
 pub const PUBLISH_PERIOD_MS: u64 = 250;
 /// Everything is published again within this time, in milliseconds.
 pub const REFRESH_PERIOD_MS: u64 = 10_000;
+/// An observer with nothing to say shows at this period that it is there, in milliseconds.
+const HEARTBEAT_PERIOD_MS: u64 = 1_000;
+/// An observer that was not heard of for so long counts as silent, in
+/// milliseconds: within it and a tick, a leaving engine must be out of use even
+/// when both its observers are lost in the same moment.
+const OBSERVER_SILENT_MS: u64 = 2_400;
 /// Publications of one change of health, life or weights.
 const ELIGIBILITY_REPEATS: u32 = 3;
 /// Up to so many nodes, every node hears of every engine; in larger fleets a
@@ -72,6 +78,9 @@
     leaving: BTreeMap<EngineKey, Incarnation>,
     next_order: u64,
     next_publish: Millis,
+    published_at: Millis,
+    /// When each other node was last heard of as an observer.
+    observers_heard: BTreeMap<NodeKey, Millis>,
 }
 
 impl EngineWatch {
@@ -135,8 +144,20 @@
         self.hold(observation.key).unwrap_or(observation)
     }
 
+    /// Notes that a node publishes reports.
+    pub fn heard_of(&mut self, observer: NodeKey, now: Millis) {
+        self.observers_heard.insert(observer, now);
+    }
+
+    /// Whether a node was heard of as an observer lately.
+    pub fn is_heard(&self, observer: NodeKey, now: Millis) -> bool {
+        let heard = self.observers_heard.get(&observer);
+        heard.is_some_and(|at| now.since(*at) < OBSERVER_SILENT_MS)
+    }
+
     /// Forgets what a dead observer said. Returns what now holds of the engines it observed.
     pub fn observer_gone(&mut self, observer: NodeKey) -> Vec<EngineObservation> {
+        self.observers_heard.remove(&observer);
         let mut touched = Vec::new();
         for (engine, reports) in &mut self.heard {
             let before = reports.len();
@@ -231,10 +252,17 @@
         }
         self.next_publish = now.plus(PUBLISH_PERIOD_MS);
         let reports = self.due_reports(now, publishes_load);
-        if reports.is_empty() {
+        let heartbeat = now.since(self.published_at) >= HEARTBEAT_PERIOD_MS;
+        if reports.is_empty() && (self.own.is_empty() || !heartbeat) {
             return;
         }
+        self.published_at = now;
         let targets = audience(members);
+        if reports.is_empty() {
+            for target in &targets {
+                outbox.send(*target, Body::EngineReports(EngineReports::default()));
+            }
+        }
         for part in reports.chunks(REPORTS_PER_MESSAGE) {
             let message = EngineReports {
                 reports: part.to_vec(),
--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router.rs
@@ -220,6 +220,23 @@
         effect
     }
 
+    /// Notes for every engine that was ever observed whether its observers are
+    /// heard of.
+    pub fn note_unobserved(&mut self, is_unobserved: impl Fn(EngineKey) -> bool) {
+        let known = self.fleet.iter();
+        let known = known.filter(|(_, engine)| engine.incarnation != Incarnation(0));
+        let states: Vec<_> = known
+            .map(|(index, engine)| (index, is_unobserved(engine.key)))
+            .collect();
+        let mut changed = false;
+        for (index, unobserved) in states {
+            changed |= self.fleet.set_unobserved(index, unobserved);
+        }
+        if changed {
+            self.candidates_changed();
+        }
+    }
+
     /// Takes one request of a tenant's rate. `rate` is what this node may use.
     ///
     /// # Errors
@@ -516,6 +533,7 @@
         incarnation: Incarnation(0),
         weights: WeightsVersion(0),
         health: Health::Unknown,
+        unobserved: false,
         load: LoadReport::default(),
         reported_at: Millis(0),
         unseen: UnseenSends::default(),
--- a/crates/lab/src/experiment/policies.rs
+++ b/crates/lab/src/experiment/policies.rs
@@ -326,6 +326,7 @@
             incarnation: Incarnation(1),
             weights: WeightsVersion(1),
             health: Health::Ready,
+            unobserved: false,
             load: LoadReport::default(),
             reported_at: Millis(0),
             unseen: UnseenSends::default(),
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -26,8 +26,8 @@
     Health(Health),
     /// It serves other weights than the pool wants.
     Weights(WeightsVersion),
-    /// An earlier attempt of the same request failed there.
-    FailedAttempt,
+    /// Its observers are not heard of, and other engines are there.
+    Unobserved,
 }
 
 /// One engine that was left out.
@@ -77,11 +77,27 @@
                 }
             }
         }
+        candidates.leave_out_unobserved(fleet);
         candidates.weights.sort_unstable();
         candidates.weights.dedup();
         candidates
     }
 
+    /// Engines whose observers are silent are used only when there is no other.
+    fn leave_out_unobserved(&mut self, fleet: &Fleet) {
+        let unobserved = |index: &EngineIndex| fleet.get(*index).unobserved;
+        if self.eligible.iter().all(unobserved) {
+            return;
+        }
+        for index in std::mem::take(&mut self.eligible) {
+            if unobserved(&index) {
+                self.exclude(fleet.get(index).name.clone(), ExclusionReason::Unobserved);
+            } else {
+                self.eligible.push(index);
+            }
+        }
+    }
+
     fn exclude(&mut self, engine: EngineName, reason: ExclusionReason) {
         if self.excluded.len() >= MAX_EXCLUSIONS {
             self.excluded_more += 1;
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -82,6 +82,9 @@
     pub weights: WeightsVersion,
     /// Health from observers.
     pub health: Health,
+    /// None of its observers was heard of lately: what is known may be out of
+    /// date, and the engine is used only when no other is left.
+    pub unobserved: bool,
     /// Last load report.
     pub load: LoadReport,
     /// When it came.
@@ -286,6 +289,14 @@
         }
     }
 
+    /// Notes whether an engine's observers are heard of. Returns whether it is new.
+    pub fn set_unobserved(&mut self, index: EngineIndex, unobserved: bool) -> bool {
+        let engine = self.get_mut(index);
+        let new = engine.unobserved != unobserved;
+        engine.unobserved = unobserved;
+        new
+    }
+
     /// Counts a request that this node sends to an engine.
     pub fn record_sent(&mut self, index: EngineIndex, uncached_tokens: u32, now: Millis) {
         let engine = self.get_mut(index);
--- a/crates/policy/tests/support.rs
+++ b/crates/policy/tests/support.rs
@@ -33,6 +33,7 @@
         incarnation: Incarnation(1),
         weights: WeightsVersion(1),
         health: Health::Ready,
+        unobserved: false,
         load: LoadReport::default(),
         reported_at: Millis(0),
         unseen: UnseenSends::default(),
