--- a/crates/cluster/src/claim_proposer.rs
+++ b/crates/cluster/src/claim_proposer.rs
@@ -1,7 +1,8 @@
 //! The proposer's side of claims: asks the replicas, counts their votes and
 //! says what came of it.
 
-use crate::claims::{majority, messages, replica_keys, ClaimKey};
+use crate::claim_messages as messages;
+use crate::claims::{majority, replica_keys, ClaimKey};
 use crate::node_key::NodeKey;
 use crate::output::Outbox;
 use ploverlift_policy::admission::ComeBack;
--- a/crates/cluster/src/claims.rs
+++ b/crates/cluster/src/claims.rs
@@ -57,7 +57,7 @@
         Self(xxh3_128(text.as_bytes()))
     }
 
-    fn to_message(self) -> ClaimKeyMessage {
+    pub(crate) fn to_message(self) -> ClaimKeyMessage {
         ClaimKeyMessage {
             high: (self.0 >> 64) as u64,
             low: self.0 as u64,
@@ -465,44 +465,3 @@
 pub fn replica_keys(replicas: &[NodeName]) -> Vec<NodeKey> {
     replicas.iter().map(NodeKey::of).collect()
 }
-
-/// Builds the messages of a proposer.
-pub mod messages {
-    use super::*;
-
-    /// Asks for a vote.
-    pub fn request(
-        group: &str,
-        generation: u64,
-        key: ClaimKey,
-        owner: u64,
-        fingerprint: u64,
-    ) -> Body {
-        Body::ClaimRequest(ClaimRequest {
-            group: group.to_owned(),
-            generation,
-            key: Some(key.to_message()),
-            owner,
-            fingerprint,
-        })
-    }
-
-    /// Gives a claim back.
-    pub fn release(group: &str, key: ClaimKey, owner: u64) -> Body {
-        Body::ClaimRelease(ClaimRelease {
-            group: group.to_owned(),
-            key: Some(key.to_message()),
-            owner,
-        })
-    }
-
-    /// Records an answer.
-    pub fn complete(group: &str, key: ClaimKey, owner: u64, answer: Vec<u8>) -> Body {
-        Body::ClaimComplete(ClaimComplete {
-            group: group.to_owned(),
-            key: Some(key.to_message()),
-            owner,
-            answer,
-        })
-    }
-}
--- /dev/null
+++ b/crates/cluster/src/core/configuration.rs
@@ -0,0 +1,78 @@
+//! Configuration: who reads the object API, and what is learned from it.
+
+use super::*;
+
+impl NodeCore {
+    /// Whether this node should read the object API now.
+    pub fn is_reader(&self, now: Millis) -> bool {
+        readers::is_reader(&self.members, now)
+    }
+
+    /// Takes in records from the object API or an operator.
+    pub fn learn(&mut self, records: Vec<Record>, now: Millis) {
+        let (members, outbox) = (&self.members, &mut self.outbox);
+        self.config
+            .learn(records, members, now, &mut self.random, outbox);
+        self.take_in_config(now);
+    }
+
+    /// Takes in a complete list of one kind from the object API.
+    pub fn learn_list(
+        &mut self,
+        kind: Kind,
+        objects: Vec<Object>,
+        version: ResourceVersion,
+        now: Millis,
+    ) {
+        let (members, outbox) = (&self.members, &mut self.outbox);
+        self.config.learn_list(
+            kind,
+            objects,
+            version,
+            members,
+            now,
+            &mut self.random,
+            outbox,
+        );
+        if kind == Kind::ClaimGroup {
+            self.group_seen_from_platform = true;
+        }
+        self.take_in_config(now);
+    }
+
+    /// A node that has just started compares often: it must serve at once, and
+    /// a lost push would otherwise be found by the next probe only.
+    pub(super) fn compare_after_start(&mut self, now: Millis) {
+        if now.0 >= START_UP_MS || now < self.next_start_comparison {
+            return;
+        }
+        self.next_start_comparison = now.plus(START_COMPARISON_PERIOD_MS);
+        let (members, outbox) = (&self.members, &mut self.outbox);
+        self.config
+            .compare_with_one(members, &mut self.random, outbox);
+    }
+
+    pub(super) fn plan_claim_group(&mut self, now: Millis) {
+        if now < self.next_group_plan {
+            return;
+        }
+        self.next_group_plan = now.plus(GROUP_PLAN_PERIOD_MS);
+        if !self.group_seen_from_platform || !claim_group_plan::has_duty(&self.members) {
+            return;
+        }
+        let stored = self.config.store.get(Kind::ClaimGroup, CLAIM_GROUP);
+        let version = stored.map_or(ResourceVersion(0), |object| {
+            object.metadata.resource_version
+        });
+        let present = stored.and_then(|object| object.typed::<ClaimGroupSpec>().ok());
+        let item = crate::config_store::key_hash(&ploverlift_policy::objects::ObjectKey {
+            kind: Kind::ClaimGroup,
+            name: CLAIM_GROUP.to_owned(),
+        });
+        let plan = claim_group_plan::plan(present.as_ref(), &self.members, item.0, now);
+        if let Some(spec) = plan {
+            self.events
+                .push(CoreEvent::WriteClaimGroup { version, spec });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/core/limits.rs
@@ -0,0 +1,39 @@
+//! Rate limits over the fleet.
+
+use super::*;
+
+impl NodeCore {
+    /// Takes one request of a tenant's rate.
+    ///
+    /// # Errors
+    /// When the tenant's rate is used up: when to come back.
+    pub fn take_rate(&mut self, tenant: &Tenant, now: Millis) -> Result<(), ComeBack> {
+        let limit = f64::from(tenant.spec.requests_per_second);
+        if limit == 0.0 {
+            return Ok(());
+        }
+        let key = TenantKey::of(&tenant.name);
+        self.quota.count_request(key);
+        let rate = self.quota.rate(key, limit, &self.members, now);
+        self.router.take_rate(tenant, rate, now)
+    }
+
+    pub(super) fn on_quota_demand(
+        &mut self,
+        from: SocketAddr,
+        sender: NodeKey,
+        demand: &ploverlift_wire::messages::QuotaDemand,
+        now: Millis,
+    ) {
+        let snapshot = &self.router.snapshot;
+        let limit_of = |key: TenantKey| {
+            let tenant = snapshot.tenants.get_by_key(key)?;
+            Some(f64::from(tenant.spec.requests_per_second))
+        };
+        let nodes = self.members.live_count() + 1;
+        let grant = self.quota.on_demand(sender, demand, nodes, limit_of, now);
+        if !grant.grants.is_empty() {
+            self.outbox.send(from, Body::QuotaGrant(grant));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/core/mod.rs
@@ -0,0 +1,433 @@
+//! The whole of one node without its I/O. A driver gives it time and messages
+//! and performs what it asks: the node's runtime does so with sockets, tests
+//! and experiments do so on a simulated network in virtual time.
+
+mod claiming;
+mod configuration;
+mod directory;
+mod engines;
+mod explaining;
+mod limits;
+
+use crate::claim_group_plan;
+use crate::claim_proposer::{ClaimOutcome, Proposal, Ticket};
+use crate::claims::{ClaimKey, ClaimReplica, DEFAULT_RETENTION_MS};
+use crate::config_store::Record;
+use crate::config_sync::ConfigSync;
+use crate::engine_watch::{self, EngineWatch, LOOK_TIMEOUT_MS};
+use crate::membership::{Digests, Identity, MemberChange, Membership};
+use crate::node_key::{rendezvous_first, NodeKey};
+use crate::observer_duties::ObserverDuties;
+use crate::output::{Outbox, Outgoing};
+use crate::quota::Quota;
+use crate::readers;
+use crate::router::{Router, RouterSettings};
+use ploverlift_policy::admission::ComeBack;
+use ploverlift_policy::chain::PromptChain;
+use ploverlift_policy::directory::PrefixMatch;
+use ploverlift_policy::fleet::{Engine, EngineKey, EngineObservation};
+use ploverlift_policy::ids::{BlockHash, Incarnation, Millis, ResourceVersion, WeightsVersion};
+use ploverlift_policy::objects::{ClaimGroupSpec, Kind, Object};
+use ploverlift_policy::snapshot::{Tenant, TenantKey};
+use ploverlift_wire::messages::envelope::Body;
+use ploverlift_wire::messages::{
+    CatchUp, DirectoryAnswer, DirectoryLookup, DirectoryMatch, DirectoryRecord, EngineReports,
+    Envelope,
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The driver calls [`NodeCore::tick`] at least this often, in milliseconds.
+pub const TICK_MS: u64 = 50;
+/// Time between two looks for engines whose observers are silent, in milliseconds.
+const SILENCE_CHECK_PERIOD_MS: u64 = 200;
+/// Time after which a lookup in the directory's shard is given up, in milliseconds.
+pub const LOOKUP_TIMEOUT_MS: u64 = 8;
+/// The one claim group of a site. More groups divide the claims of larger ones.
+pub const CLAIM_GROUP: &str = "claims-0";
+/// A node that did not tick for so long was paused, in milliseconds.
+const PAUSE_MS: u64 = 1_500;
+/// Longest time for which a node that was paused holds new requests, in milliseconds.
+const CATCH_UP_MS: u64 = 100;
+/// Longest time for which a node that has just started holds new requests:
+/// until a node that runs has told it what it knows of engines, in milliseconds.
+const START_CATCH_UP_MS: u64 = 300;
+/// Members that a node that was paused asks.
+const CATCH_UP_MEMBERS: usize = 2;
+/// A node counts as just started for so long, in milliseconds.
+const START_UP_MS: u64 = 3_000;
+/// Time between two comparisons of configuration just after a start, in milliseconds.
+const START_COMPARISON_PERIOD_MS: u64 = 150;
+/// Time between two looks at whether the claim group should change, in milliseconds.
+const GROUP_PLAN_PERIOD_MS: u64 = 1_000;
+/// An answer is sent to the claim's replicas so many times, against loss.
+const COMPLETE_REPEATS: u32 = 3;
+/// Time between two of these, in milliseconds.
+const COMPLETE_PERIOD_MS: u64 = 300;
+
+/// Constants of one node.
+#[derive(Clone, Debug)]
+pub struct CoreSettings {
+    /// Who the node is.
+    pub identity: Identity,
+    /// Cluster listeners that are asked first.
+    pub seeds: Vec<SocketAddr>,
+    /// Constants of its decisions.
+    pub router: RouterSettings,
+    /// Time for which claims are kept, in milliseconds.
+    pub claim_retention_ms: u64,
+}
+
+impl CoreSettings {
+    /// Settings with defaults for all but the identity and the seeds.
+    pub fn new(identity: Identity, seeds: Vec<SocketAddr>) -> Self {
+        let router = RouterSettings {
+            node: identity.name.clone(),
+            zone: identity.zone.clone(),
+            zone_distance_ms: 1.5,
+            directory_blocks: 500_000,
+        };
+        Self {
+            identity,
+            seeds,
+            router,
+            claim_retention_ms: DEFAULT_RETENTION_MS,
+        }
+    }
+}
+
+/// Something that the driver waits for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CoreEvent {
+    /// A claim was decided.
+    Claim {
+        /// The proposal.
+        ticket: Ticket,
+        /// What came of it.
+        outcome: ClaimOutcome,
+    },
+    /// The directory's shard answered.
+    Lookup {
+        /// The lookup.
+        ticket: Ticket,
+        /// Engines that hold a prefix.
+        matches: Vec<PrefixMatch>,
+    },
+    /// Another node answered about its decisions on a request.
+    Explained {
+        /// The question.
+        ticket: Ticket,
+        /// JSON array of decision records.
+        decisions: Vec<u8>,
+    },
+    /// The claim group should get this description: store it if nobody did.
+    WriteClaimGroup {
+        /// Version that must still be stored; 0 to create.
+        version: ResourceVersion,
+        /// What to store.
+        spec: ClaimGroupSpec,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Completion {
+    proposal: Proposal,
+    answer: Vec<u8>,
+    left: u32,
+    next: Millis,
+}
+
+/// One node.
+pub struct NodeCore {
+    /// Other nodes.
+    pub members: Membership,
+    /// Configuration.
+    pub config: ConfigSync,
+    /// Decisions.
+    pub router: Router,
+    /// Rate limits over the fleet.
+    pub quota: Quota,
+    /// This node's part in the claim group.
+    pub claims: ClaimReplica,
+    watch: EngineWatch,
+    /// Who observes which engine; worked out again after a change of members
+    /// or machines.
+    duties: Option<ObserverDuties>,
+    proposals: BTreeMap<Ticket, Proposal>,
+    granted: BTreeMap<Ticket, Proposal>,
+    completions: Vec<Completion>,
+    next_ticket: u64,
+    next_group_plan: Millis,
+    next_start_comparison: Millis,
+    next_silence_check: Millis,
+    last_tick: Millis,
+    catch_up_until: Millis,
+    group_seen_from_platform: bool,
+    outbox: Outbox,
+    events: Vec<CoreEvent>,
+    random: fastrand::Rng,
+}
+
+impl NodeCore {
+    /// A node that has just started: it knows its settings and nothing else.
+    pub fn new(settings: CoreSettings, seed: u64, now: Millis) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let own_key = NodeKey::of(&settings.identity.name);
+        let life = settings.identity.life;
+        let alone = settings.seeds.is_empty();
+        let catch_up_until = now.plus(if alone { 0 } else { START_CATCH_UP_MS });
+        let members = Membership::new(settings.identity, settings.seeds, &mut random);
+        Self {
+            members,
+            config: ConfigSync::default(),
+            router: Router::new(settings.router),
+            quota: Quota::default(),
+            claims: ClaimReplica::new(own_key, life, now, settings.claim_retention_ms),
+            watch: EngineWatch::default(),
+            duties: None,
+            proposals: BTreeMap::new(),
+            granted: BTreeMap::new(),
+            completions: Vec::new(),
+            next_ticket: 0,
+            next_group_plan: Millis(0),
+            next_start_comparison: Millis(0),
+            next_silence_check: Millis(0),
+            last_tick: now,
+            catch_up_until,
+            group_seen_from_platform: false,
+            outbox: Outbox::default(),
+            events: Vec::new(),
+            random,
+        }
+    }
+
+    /// Takes the messages to send.
+    pub fn take_messages(&mut self) -> Vec<Outgoing> {
+        self.outbox.take()
+    }
+
+    /// Takes what the driver waits for.
+    pub fn take_events(&mut self) -> Vec<CoreEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Wraps a message for sending.
+    pub fn envelope(&self, body: Body) -> Envelope {
+        Envelope {
+            sender: self.members.own_key().0,
+            sender_life: self.members.own().life,
+            body: Some(body),
+            reply_to: String::new(),
+        }
+    }
+
+    /// The node's random numbers.
+    pub fn random(&mut self) -> &mut fastrand::Rng {
+        &mut self.random
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Millis) {
+        self.notice_pause(now);
+        let digests = self.digests();
+        self.members
+            .tick(now, digests, &mut self.random, &mut self.outbox);
+        self.take_in_member_changes(now);
+        self.publish_engines(now);
+        self.quota.tick(now, &self.members, &mut self.outbox);
+        self.tick_claims(now);
+        self.tick_completions(now);
+        self.compare_after_start(now);
+        self.take_in_config(now);
+        self.plan_claim_group(now);
+    }
+
+    fn digests(&self) -> Digests {
+        Digests {
+            config: self.config.store.root().0,
+            leaving: self.watch.leaving_root(),
+        }
+    }
+
+    /// Tells a member that knows other leaving engines those that this node knows.
+    fn compare_leaving(&mut self, from: SocketAddr, root: u64) {
+        if root == self.watch.leaving_root() {
+            return;
+        }
+        for reports in self.watch.leaving_reports() {
+            self.outbox.send(from, Body::EngineReports(reports));
+        }
+    }
+
+    /// After a pause of its process a node asks others what it missed.
+    fn notice_pause(&mut self, now: Millis) {
+        let paused = now.since(self.last_tick) >= PAUSE_MS;
+        self.last_tick = now;
+        if !paused {
+            return;
+        }
+        self.catch_up_until = now.plus(CATCH_UP_MS);
+        self.members
+            .ask_some(CATCH_UP_MEMBERS, &mut self.random, &mut self.outbox);
+    }
+
+    /// Whether the node was paused, or has just started, and has not heard yet
+    /// what it missed. New requests wait for it, shortly.
+    pub fn is_catching_up(&self, now: Millis) -> bool {
+        now.since(self.last_tick) >= PAUSE_MS || now < self.catch_up_until
+    }
+
+    /// Takes in a message.
+    pub fn handle(&mut self, from: SocketAddr, envelope: Envelope, now: Millis) {
+        let sender = NodeKey(envelope.sender);
+        let life = envelope.sender_life;
+        if let Some(body) = envelope.body {
+            self.handle_body(from, sender, life, body, now);
+        }
+        self.take_in_member_changes(now);
+        self.take_in_config(now);
+    }
+
+    fn handle_body(
+        &mut self,
+        from: SocketAddr,
+        sender: NodeKey,
+        life: u64,
+        body: Body,
+        now: Millis,
+    ) {
+        let root = self.config.store.root().0;
+        let leaving = self.watch.leaving_root();
+        let (members, outbox) = (&mut self.members, &mut self.outbox);
+        let random = &mut self.random;
+        match body {
+            Body::Probe(probe) => {
+                let digests = Digests {
+                    config: root,
+                    leaving,
+                };
+                members.on_probe(from, &probe, digests, now, outbox);
+                if probe.on_behalf_of.is_empty() {
+                    self.config.on_root(from, probe.config_root, now, outbox);
+                    self.compare_leaving(from, probe.leaving_root);
+                }
+            }
+            Body::ProbeAnswer(answer) => {
+                members.on_probe_answer(from, &answer, now, outbox);
+                self.config.on_root(from, answer.config_root, now, outbox);
+                self.compare_leaving(from, answer.leaving_root);
+            }
+            Body::IndirectProbe(request) => {
+                let digests = Digests {
+                    config: root,
+                    leaving,
+                };
+                members.on_indirect_probe(from, &request, digests, now, outbox);
+            }
+            Body::Join(join) => {
+                members.on_join(from, &join, now, outbox);
+                for reports in self.watch.reports_for_joiner(&self.router.fleet) {
+                    outbox.send(from, Body::EngineReports(reports));
+                }
+                if now >= self.catch_up_until {
+                    outbox.send(from, Body::CatchUp(CatchUp {}));
+                }
+            }
+            Body::JoinAnswer(answer) => {
+                members.on_join_answer(&answer, now);
+                self.config.compare_with(from, outbox);
+            }
+            Body::ConfigPush(push) => self.config.on_push(&push, members, now, random, outbox),
+            Body::ConfigBuckets(buckets) => self.config.on_buckets(from, &buckets, outbox),
+            Body::ConfigVersions(versions) => self.config.on_versions(from, &versions, outbox),
+            Body::ConfigPull(pull) => self.config.on_pull(from, &pull, outbox),
+            Body::EngineReports(reports) => self.heard(sender, &reports, now),
+            Body::CatchUp(_) => self.catch_up_until = now,
+            Body::DirectoryRecord(record) => self.on_directory_record(&record, now),
+            Body::DirectoryLookup(lookup) => self.on_directory_lookup(from, &lookup, now),
+            Body::DirectoryAnswer(answer) => self.on_directory_answer(answer, now),
+            Body::ClaimRequest(request) => self.claims.on_request(&request, now, from, outbox),
+            Body::ClaimVote(vote) => self.on_vote(vote, sender, life),
+            Body::ClaimRelease(release) => self.claims.on_release(&release),
+            Body::ClaimComplete(complete) => self.claims.on_complete(complete),
+            Body::ClaimRecover(recover) => {
+                self.claims
+                    .on_recover(&recover, sender, life, now, from, outbox);
+            }
+            Body::ClaimState(state) => self.claims.on_state(state, sender, now),
+            Body::QuotaDemand(demand) => self.on_quota_demand(from, sender, &demand, now),
+            Body::QuotaGrant(grant) => self.quota.on_grant(&grant, now),
+            Body::ExplainRequest(request) => self.on_explain_request(from, &request),
+            Body::ExplainAnswer(answer) => self.events.push(CoreEvent::Explained {
+                ticket: Ticket(answer.ticket),
+                decisions: answer.decisions,
+            }),
+        }
+    }
+
+    fn take_in_member_changes(&mut self, now: Millis) {
+        let changes = self.members.take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            if let MemberChange::Gone(node) = change {
+                for observation in self.watch.observer_gone(node) {
+                    self.router.observe(&observation, now);
+                }
+            }
+        }
+        let duties = ObserverDuties::assign(&self.router.fleet, &self.members);
+        self.watch.keep_own(|engine| duties.is_own(engine));
+        self.duties = Some(duties);
+    }
+
+    fn take_in_config(&mut self, now: Millis) {
+        let learned = self.config.take_learned();
+        if learned.is_empty() {
+            return;
+        }
+        for record in &learned {
+            self.take_in_claim_group(record);
+        }
+        self.router.apply(&learned);
+        if learned
+            .iter()
+            .any(|record| record.key.kind == Kind::Machine)
+        {
+            self.duties = None;
+            self.apply_reports_to_new_engines(now);
+        }
+    }
+
+    /// Reports may come before the machine list's entry of their engine.
+    fn apply_reports_to_new_engines(&mut self, now: Millis) {
+        let fleet = &self.router.fleet;
+        let new = fleet.iter().map(|(_, engine)| engine);
+        let new = new.filter(|engine| engine.incarnation == Incarnation(0));
+        let keys: Vec<EngineKey> = new.map(|engine| engine.key).collect();
+        for observation in keys.into_iter().filter_map(|key| self.watch.holds(key)) {
+            self.router.observe(&observation, now);
+        }
+    }
+
+    fn take_in_claim_group(&mut self, record: &Record) {
+        let Some(object) = &record.content else {
+            return;
+        };
+        if object.kind != Kind::ClaimGroup || object.metadata.name != CLAIM_GROUP {
+            return;
+        }
+        if let Ok(spec) = object.typed::<ClaimGroupSpec>() {
+            self.claims.set_group(Arc::new(spec));
+        }
+    }
+}
+
+fn address_of(members: &Membership, node: NodeKey) -> Option<SocketAddr> {
+    if node == members.own_key() {
+        return Some(members.own().address);
+    }
+    members.address(node)
+}
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -12,12 +12,13 @@
 //! | [`readers`] | which nodes read the object API |
 //! | [`observer_duties`] | which nodes observe which engine |
 //! | [`engine_watch`] | observations and how they reach other nodes |
-//! | [`claims`], [`claim_proposer`], [`claim_group_plan`] | requests that run at most once |
+//! | [`claims`], [`claim_proposer`], [`claim_group_plan`], [`claim_messages`] | requests that run at most once |
 //! | [`quota`] | rate limits over the whole fleet |
 //! | [`lease`], [`rollout`] | duties with one holder, and orders to engines |
 //! | [`output`] | what a state machine asks its driver to do |
 
 pub mod claim_group_plan;
+pub mod claim_messages;
 pub mod claim_proposer;
 pub mod claims;
 pub mod config_store;
--- /dev/null
+++ b/crates/cluster/src/membership/updates.rs
@@ -0,0 +1,145 @@
+//! Joins, and updates on members: which one counts, and how it is handed on.
+
+use super::*;
+
+impl Membership {
+    /// Takes in a new node and tells it all members.
+    pub fn on_join(&mut self, from: SocketAddr, join: &Join, now: Millis, outbox: &mut Outbox) {
+        if let Some(update) = &join.this {
+            self.merge(update, now);
+        }
+        let mut members: Vec<MemberUpdate> = self
+            .live()
+            .map(|(_, member)| update_of(&member.identity, member.refutation, member.status))
+            .collect();
+        members.push(self.own_update());
+        outbox.send(from, Body::JoinAnswer(JoinAnswer { members }));
+    }
+
+    /// Takes in all members that another node knows.
+    pub fn on_join_answer(&mut self, answer: &JoinAnswer, now: Millis) {
+        self.joined = true;
+        for update in &answer.members {
+            self.merge_quietly(update, now);
+        }
+    }
+
+    pub(super) fn merge_all(&mut self, updates: &[MemberUpdate], now: Millis) {
+        for update in updates {
+            self.merge(update, now);
+        }
+    }
+
+    /// Takes in an update and hands it on when it is news.
+    pub(super) fn merge(&mut self, update: &MemberUpdate, now: Millis) {
+        if let Some(key) = self.merge_quietly(update, now) {
+            self.spread(key);
+        }
+    }
+
+    /// Takes in an update; returns the node's key when it is news.
+    pub(super) fn merge_quietly(&mut self, update: &MemberUpdate, now: Millis) -> Option<NodeKey> {
+        let key = NodeKey::of(&NodeName(update.name.clone()));
+        if key == self.own_key {
+            return self.defend(update);
+        }
+        let address: SocketAddr = update.address.parse().ok()?;
+        let status = update.status();
+        let known = self.members.get(&key);
+        if known.is_some_and(|member| !supersedes(update, member)) {
+            return None;
+        }
+        let was_live = known.is_some_and(Member::is_live);
+        let restarted = known.is_some_and(|member| member.identity.life < update.life);
+        let same_status = known.is_some_and(|member| member.status == status);
+        let since = match known {
+            Some(member) if same_status && !restarted => member.since,
+            _ => now,
+        };
+        let member = Member {
+            identity: Identity {
+                name: NodeName(update.name.clone()),
+                zone: ZoneName(update.zone.clone()),
+                region: update.region.clone(),
+                address,
+                life: update.life,
+            },
+            refutation: update.refutation,
+            status,
+            since,
+        };
+        let is_live = member.is_live();
+        self.members.insert(key, member);
+        if was_live != is_live || restarted {
+            self.changed_at = now;
+        }
+        self.note_change(key, was_live, is_live, restarted);
+        Some(key)
+    }
+
+    pub(super) fn note_change(
+        &mut self,
+        key: NodeKey,
+        was_live: bool,
+        is_live: bool,
+        restarted: bool,
+    ) {
+        match (was_live, is_live) {
+            (false, true) => {
+                self.live += 1;
+                self.changes.push(MemberChange::Joined(key));
+            }
+            (true, false) => {
+                self.live -= 1;
+                self.changes.push(MemberChange::Gone(key));
+            }
+            (true, true) if restarted => self.changes.push(MemberChange::Joined(key)),
+            _ => {}
+        }
+    }
+
+    /// Refutes what is wrongly said of this node.
+    pub(super) fn defend(&mut self, update: &MemberUpdate) -> Option<NodeKey> {
+        let wrong = update.status() != MemberStatus::Alive && update.life == self.own.life;
+        if wrong && !self.leaving && update.refutation >= self.own_refutation {
+            self.own_refutation = update.refutation + 1;
+            return Some(self.own_key);
+        }
+        None
+    }
+
+    pub(super) fn spread(&mut self, key: NodeKey) {
+        self.gossip.retain(|(queued, _)| *queued != key);
+        self.gossip.push_front((key, 0));
+    }
+
+    pub(super) fn updates_to_send(&mut self) -> Vec<MemberUpdate> {
+        let members = self.live as u32 + 2;
+        let limit = SPREAD_FACTOR * (u32::BITS - members.leading_zeros());
+        let mut updates = Vec::new();
+        for _ in 0..UPDATES_PER_MESSAGE.min(self.gossip.len()) {
+            let Some((key, sent)) = self.gossip.pop_front() else {
+                break;
+            };
+            if let Some(update) = self.update_for(key) {
+                updates.push(update);
+            }
+            if sent + 1 < limit {
+                self.gossip.push_back((key, sent + 1));
+            }
+        }
+        updates
+    }
+
+    pub(super) fn update_for(&self, key: NodeKey) -> Option<MemberUpdate> {
+        if key == self.own_key {
+            return Some(self.own_update());
+        }
+        let member = self.members.get(&key)?;
+        Some(update_of(
+            &member.identity,
+            member.refutation,
+            member.status,
+        ))
+    }
+}
--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router/mod.rs
@@ -1,28 +1,26 @@
 //! The tables that decisions read and write on one node: the typed view of the
 //! configuration, the fleet, the directory, limits and the record of decisions.
 
+mod records;
+
+pub use records::{ChosenEngine, DecisionRecord, RoutedRequest, VersionedChains};
+
 use ploverlift_policy::admission::{ComeBack, TenantShares, TokenBucket};
 use ploverlift_policy::chain::{ChainSeed, PromptChain};
 use ploverlift_policy::cost::{CostModel, DEFAULT_SLOT_WAIT_MS};
-use ploverlift_policy::decide::{
-    CandidateTable, Decision, DecisionInput, Exclusion, RouteCandidates, ScoredCandidate,
-};
+use ploverlift_policy::decide::{CandidateTable, Decision, DecisionInput, RouteCandidates};
 use ploverlift_policy::directory::{Directory, PrefixMatch};
 use ploverlift_policy::fleet::{
     Engine, EngineKey, EngineObservation, Fleet, Health, LoadReport, ObservationEffect,
     UnseenSends, DEFAULT_EVICTION_AGE_MS,
 };
 use ploverlift_policy::ids::{
-    EngineName, Incarnation, Millis, NodeName, RequestId, ResourceVersion, TenantName,
-    WeightsVersion, ZoneName,
+    EngineName, Incarnation, Millis, NodeName, RequestId, TenantName, WeightsVersion, ZoneName,
 };
-use ploverlift_policy::labels::Selector;
 use ploverlift_policy::objects::{Kind, MachineRole, MachineSpec, MachineState, Object};
 use ploverlift_policy::retry::RetryBudget;
 use ploverlift_policy::snapshot::{Pool, Snapshot, SnapshotBuilder, Tenant};
-use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::config_store::Record;
@@ -43,78 +41,6 @@
     pub directory_blocks: usize,
 }
 
-/// One remembered decision, as `explain` prints it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct DecisionRecord {
-    /// The caller's request.
-    pub request: RequestId,
-    /// Number of the attempt, from 1.
-    pub attempt: u32,
-    /// The node that decided.
-    pub node: NodeName,
-    /// Milliseconds since the node's start.
-    pub decided_at: Millis,
-    /// Version of the configuration in force.
-    pub configuration: ResourceVersion,
-    /// The tenant.
-    pub tenant: TenantName,
-    /// The route that matched.
-    pub route: String,
-    /// The route's selector on engines, as configured.
-    pub engine_selector: Selector,
-    /// The route's pool.
-    pub pool: String,
-    /// Estimated tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Engines left out, each with the reason.
-    pub excluded: Vec<Exclusion>,
-    /// Engines scored, each with its cost by term.
-    pub scored: Vec<ScoredCandidate>,
-    /// The engine chosen, or nothing when none was eligible.
-    pub chosen: Option<EngineName>,
-}
-
-/// What a decision needs to know of the request.
-#[derive(Clone, Debug)]
-pub struct RoutedRequest {
-    /// The request.
-    pub id: RequestId,
-    /// The tenant, as configured when the request came.
-    pub tenant: Arc<Tenant>,
-    /// Position of the route in the snapshot.
-    pub route: usize,
-    /// The snapshot in force when the request came.
-    pub snapshot: Arc<Snapshot>,
-    /// Text of the prompt; empty for plain services.
-    pub prompt: Arc<Vec<u8>>,
-}
-
-/// The prompt's blocks under each weights version that eligible engines serve.
-pub type VersionedChains = Vec<(WeightsVersion, PromptChain)>;
-
-/// An engine chosen for an attempt.
-#[derive(Clone, Debug)]
-pub struct ChosenEngine {
-    /// Hash of the engine's name.
-    pub key: EngineKey,
-    /// Name.
-    pub name: EngineName,
-    /// Listener.
-    pub address: SocketAddr,
-    /// The life on whose cache the decision relies; the engine refuses another.
-    pub incarnation: Incarnation,
-    /// The weights on which the decision relies; the engine refuses others.
-    pub weights: WeightsVersion,
-    /// Expected time to first token, in milliseconds.
-    pub expected_ms: f64,
-    /// Tokens of the prompt that are believed to be cached.
-    pub cached_tokens: u32,
-    /// Estimated tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// The prompt's blocks under the engine's weights.
-    pub chain: PromptChain,
-}
-
 /// The tables of one node.
 pub struct Router {
     settings: RouterSettings,
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -3,6 +3,11 @@
 //! bytes they send, processor time they take, memory they hold, and how soon a
 //! change of configuration is in force on all of them.
 
+mod measuring;
+mod report;
+
+pub use report::{ScaleReport, Times};
+
 use ploverlift_cluster::config_store::Record;
 use ploverlift_cluster::core::{CoreSettings, NodeCore, TICK_MS};
 use ploverlift_cluster::engine_watch::LOOK_PERIOD_MS;
@@ -66,58 +71,6 @@
     }
 }
 
-/// Times of a set of events, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct Times {
-    /// Half were sooner.
-    pub p50: u64,
-    /// 99 of 100 were sooner.
-    pub p99: u64,
-    /// The last one.
-    pub worst: u64,
-}
-
-/// What was measured.
-#[derive(Clone, Debug, Serialize)]
-pub struct ScaleReport {
-    /// Nodes.
-    pub nodes: usize,
-    /// Zones.
-    pub zones: usize,
-    /// Engines.
-    pub engines: usize,
-    /// Tenants.
-    pub tenants: usize,
-    /// What failed.
-    pub fault: ScaleFault,
-    /// Virtual seconds measured.
-    pub seconds: u64,
-    /// Bytes a node sent a second, datagram headers included; mean.
-    pub sent_bytes_per_second: f64,
-    /// The same of the node that sent most.
-    pub sent_bytes_per_second_worst: f64,
-    /// Messages a node sent a second; mean.
-    pub messages_per_second: f64,
-    /// Bytes a second by kind of message; mean over the nodes.
-    pub bytes_by_message: BTreeMap<&'static str, f64>,
-    /// Share of one core that a node's state machines took, in percent; mean.
-    pub core_percent: f64,
-    /// Resident memory a node, in kilobytes; the process's growth over its nodes.
-    pub memory_kb: f64,
-    /// Time until a change was in force, over all nodes and changes, in milliseconds.
-    pub in_force_ms: Times,
-    /// Pairs of node and change that were not in force at the end.
-    pub not_in_force: usize,
-    /// Suspicions an hour over all nodes of which the suspect was alive.
-    pub false_suspicions_per_hour: f64,
-    /// Nodes that read the object API at the end.
-    pub readers: usize,
-    /// Pairs of nodes of which one does not know the other as live, at the end.
-    pub missing_members: usize,
-    /// Time until a leaving engine was out of choice on every node that routes to it, in milliseconds.
-    pub leaving_out_of_choice_ms: u64,
-}
-
 /// Bytes of IP and UDP headers of one datagram.
 const HEADER_BYTES: u64 = 28;
 /// Virtual time in which the site settles, in milliseconds.
@@ -466,143 +419,6 @@
             known.metadata.resource_version >= object.metadata.resource_version
         })
     }
-
-    /// Runs the measurement.
-    pub fn run(mut self) -> ScaleReport {
-        self.advance(SETTLE_MS);
-        self.begin_fault();
-        for node in &mut self.nodes {
-            node.sent_bytes = 0;
-            node.sent_messages = 0;
-        }
-        self.bytes_by_message.clear();
-        self.busy = Duration::ZERO;
-        let began_at = self.now;
-        let suspicions = self.suspicions();
-        let (mut times, not_in_force) = self.measure_changes();
-        let end = began_at + self.settings.seconds * 1_000;
-        self.advance(end.saturating_sub(self.now));
-        let seconds = (self.now - began_at) as f64 / 1_000.0;
-        let false_suspicions = self.suspicions() - suspicions;
-        let nodes = self.nodes.len() as f64;
-        let sent: u64 = self.nodes.iter().map(|node| node.sent_bytes).sum();
-        let worst = self.nodes.iter().map(|node| node.sent_bytes).max();
-        let messages: u64 = self.nodes.iter().map(|node| node.sent_messages).sum();
-        let by_message = self.bytes_by_message.clone();
-        let busy = self.busy;
-        let readers = self.nodes.iter().filter(|node| node.reads).count();
-        let missing_members = self.missing_members();
-        let leaving_out_of_choice_ms = self.measure_leaving();
-        times.sort_unstable();
-        ScaleReport {
-            nodes: self.settings.nodes,
-            zones: self.settings.zones,
-            engines: self.settings.engines,
-            tenants: self.settings.tenants,
-            fault: self.settings.fault,
-            seconds: self.settings.seconds,
-            sent_bytes_per_second: sent as f64 / nodes / seconds,
-            sent_bytes_per_second_worst: worst.unwrap_or(0) as f64 / seconds,
-            messages_per_second: messages as f64 / nodes / seconds,
-            bytes_by_message: by_message
-                .into_iter()
-                .map(|(kind, bytes)| (kind, bytes as f64 / nodes / seconds))
-                .collect(),
-            core_percent: 100.0 * busy.as_secs_f64() / nodes / seconds,
-            memory_kb: resident_kb() / nodes,
-            in_force_ms: summary(&times),
-            not_in_force,
-            false_suspicions_per_hour: false_suspicions as f64 * 3_600.0 / seconds,
-            readers,
-            missing_members,
-            leaving_out_of_choice_ms,
-        }
-    }
-
-    fn begin_fault(&mut self) {
-        match self.settings.fault {
-            ScaleFault::Calm => {}
-            ScaleFault::Loss => self.loss = 0.05,
-            ScaleFault::CutHealed => {
-                self.cut = true;
-                self.advance(CUT_MS);
-                self.cut = false;
-            }
-            ScaleFault::HerdRestart => {
-                let herd = self.settings.nodes / 10;
-                for _ in 0..herd {
-                    let number = self.random.usize(..self.settings.nodes);
-                    self.nodes[number] = self.new_node(number);
-                    self.schedule_node(number);
-                }
-            }
-        }
-    }
-
-    /// Makes the changes one after the other and notes when each is in force where.
-    fn measure_changes(&mut self) -> (Vec<u64>, usize) {
-        let nodes = self.nodes.len();
-        let pause = self.settings.seconds * 1_000 / self.settings.changes.max(1) as u64;
-        let mut times = Vec::new();
-        let mut missing = 0;
-        for _ in 0..self.settings.changes {
-            let object = self.change();
-            let began = self.now;
-            let mut waiting: Vec<usize> = (0..nodes).collect();
-            while !waiting.is_empty() && self.now - began < pause {
-                self.advance(STEP_MS);
-                waiting.retain(|number| {
-                    let has = self.has(*number, &object);
-                    if has {
-                        times.push(self.now - began);
-                    }
-                    !has
-                });
-            }
-            missing += waiting.len();
-            let rest = pause.saturating_sub(self.now - began);
-            self.advance(rest);
-        }
-        (times, missing)
-    }
-
-    /// Time until a leaving engine is out of choice on every node that hears of it.
-    fn measure_leaving(&mut self) -> u64 {
-        let Some(engine) = self.incarnations.first().copied() else {
-            return 0;
-        };
-        let small = self.nodes.len() <= ploverlift_cluster::engine_watch::SMALL_FLEET_NODES;
-        let concerned: Vec<usize> = (0..self.nodes.len())
-            .filter(|number| small || self.nodes[*number].zone == 0)
-            .collect();
-        self.leaving = Some(engine);
-        let began = self.now;
-        while self.now - began < LEAVING_LIMIT_MS {
-            self.advance(STEP_MS);
-            let all = concerned.iter().all(|number| {
-                let fleet = &self.nodes[*number].core.router.fleet;
-                let index = fleet.find(engine);
-                index.is_some_and(|index| !fleet.get(index).takes_work())
-            });
-            if all {
-                break;
-            }
-        }
-        self.now - began
-    }
-
-    fn suspicions(&self) -> u64 {
-        let nodes = self.nodes.iter();
-        nodes.map(|node| node.core.members.suspicions()).sum()
-    }
-
-    fn missing_members(&self) -> usize {
-        let wanted = self.nodes.len() - 1;
-        let nodes = self.nodes.iter();
-        nodes
-            .map(|node| wanted.saturating_sub(node.core.members.live_count()))
-            .sum()
-    }
 }
 
 /// Step of virtual time between two looks, in milliseconds.
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -3,6 +3,7 @@
 //! | module | job |
 //! | --- | --- |
 //! | `nodes` | nodes, their pauses, and the messages between them |
+//! | `happening` | everything that can happen |
 //! | `object_api` | what nodes read and operators write |
 //! | `orders` | the lease for orders to engines, and the orders |
 //! | `engine_side` | what engines do, and how nodes observe them |
@@ -11,6 +12,7 @@
 //! | `views` | looks from outside, for tests and measurements |
 
 mod engine_side;
+mod happening;
 mod nodes;
 mod object_api;
 mod operations;
@@ -18,6 +20,8 @@
 mod request_side;
 mod views;
 
+use happening::{frozen_target, Call, Happening};
+
 use crate::engines::{BlockOrigin, SimEngine};
 use crate::network::Network;
 use crate::oracle::{piece_of, Oracle, Promise, Run, Told, Try, TryId, ANSWER_PIECES};
@@ -120,120 +124,6 @@
     rollout: Rollout,
 }
 
-#[derive(Clone, Debug)]
-enum Happening {
-    Message {
-        node: usize,
-        from: SocketAddr,
-        envelope: Envelope,
-    },
-    Tick {
-        node: usize,
-        life: u64,
-    },
-    Read {
-        node: usize,
-        life: u64,
-    },
-    Look {
-        node: usize,
-        life: u64,
-    },
-    Looked {
-        node: usize,
-        life: u64,
-        looked_at: Millis,
-        engine: EngineKey,
-        seen: Option<EngineObservation>,
-    },
-    RequestArrives {
-        node: usize,
-        by: TryId,
-        request: u64,
-        once: bool,
-        tenant: usize,
-        prompt: usize,
-    },
-    EngineGets {
-        engine: usize,
-        call: Call,
-    },
-    EngineStep {
-        engine: usize,
-        incarnation: Incarnation,
-        life_count: u64,
-        call: Call,
-        position: u64,
-    },
-    News {
-        call: Call,
-        news: AttemptNews,
-    },
-    Deadline {
-        node: usize,
-        life: u64,
-        by: TryId,
-    },
-    /// A continuation of a stream has had its time to begin.
-    ContinuationDue {
-        call: Call,
-    },
-    CallerPiece {
-        by: TryId,
-        content: u64,
-    },
-    CallerEnd {
-        by: TryId,
-        told: Told,
-    },
-    MachineListed {
-        engine: usize,
-    },
-    OrderLeaves {
-        node: usize,
-        life: u64,
-        order: LoadOrder,
-    },
-    OrderArrives {
-        node: usize,
-        life: u64,
-        order: LoadOrder,
-    },
-    OrderAnswered {
-        node: usize,
-        life: u64,
-        order: LoadOrder,
-        answer: OrderAnswer,
-    },
-    LeaseStored {
-        node: usize,
-        life: u64,
-        began: Millis,
-        answer: WriteAnswer,
-    },
-    GroupStored {
-        node: usize,
-        life: u64,
-        answer: WriteAnswer,
-    },
-}
-
-/// One attempt of one request, as it travels.
-#[derive(Clone, Debug)]
-struct Call {
-    node: usize,
-    life: u64,
-    by: TryId,
-    attempt: u32,
-    request: u64,
-    from: u64,
-    scope: String,
-    blocks: Vec<BlockHash>,
-    incarnation: Incarnation,
-    weights: WeightsVersion,
-    believed_cached: bool,
-}
-
 /// What an operator was told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Applied {
@@ -461,30 +351,6 @@
 /// Time in which a new site settles, in milliseconds.
 const SETTLE_MS: u64 = 6_000;
 
-/// The node whose pause holds a happening back.
-fn frozen_target(happening: &Happening) -> Option<usize> {
-    match happening {
-        Happening::Message { node, .. }
-        | Happening::Tick { node, .. }
-        | Happening::Read { node, .. }
-        | Happening::Look { node, .. }
-        | Happening::Looked { node, .. }
-        | Happening::RequestArrives { node, .. }
-        | Happening::Deadline { node, .. }
-        | Happening::OrderLeaves { node, .. }
-        | Happening::OrderAnswered { node, .. }
-        | Happening::LeaseStored { node, .. }
-        | Happening::GroupStored { node, .. } => Some(*node),
-        Happening::News { call, .. } | Happening::ContinuationDue { call } => Some(call.node),
-        Happening::EngineGets { .. }
-        | Happening::EngineStep { .. }
-        | Happening::CallerPiece { .. }
-        | Happening::CallerEnd { .. }
-        | Happening::MachineListed { .. }
-        | Happening::OrderArrives { .. } => None,
-    }
-}
-
 fn routed(
     snapshot: &Arc<Snapshot>,
     by: TryId,
