A recovering replica votes for neither of two owners it was told

Cause: a request that may run at most once ran twice. A schedule aimed at votes that a restarted replica forgot found it: the replica recovered from two others, which told two owners of the claim (one with a majority, one that was granted since), kept the first it was told and voted for that owner again. Ruled out: preferring the older claim (ages are by different clocks); asking all replicas (one may be dead). Change: a claim told with two owners is contested: no owner gets this replica's vote.

--- a/crates/cluster/src/claims.rs
+++ b/crates/cluster/src/claims.rs
@@ -436,6 +436,9 @@
     }
 }
 
+/// Owner of a claim that two replicas told differently; no proposal has it.
+const CONTESTED: u64 = 0;
+
 fn absorb(claims: &mut HashMap<ClaimKey, Claim>, held: HeldClaim, now: Millis) {
     let Some(key) = ClaimKey::from_message(held.key.as_ref()) else {
         return;
@@ -444,9 +447,16 @@
     let taken_at = Millis(now.0.saturating_sub(held.age_ms));
     match claims.get_mut(&key) {
         Some(known) => {
-            if known.answer.is_none() && answer.is_some() {
+            if known.answer.is_some() {
+                return;
+            }
+            if answer.is_some() {
                 known.owner = held.owner;
                 known.answer = answer;
+            } else if known.owner != held.owner {
+                // Either may have been granted here before the restart, and one
+                // of them may have run: neither gets this replica's vote.
+                known.owner = CONTESTED;
             }
         }
         None => {
--- a/crates/simulation/tests/proofs.rs
+++ b/crates/simulation/tests/proofs.rs
@@ -58,6 +58,21 @@
     must_break(Promise::AtMostOnce, mutations, once_schedules());
 }
 
+#[test]
+fn reliance_breaks_when_a_restarted_engine_looks_like_its_earlier_life() {
+    let mutations = Mutations {
+        engines_reuse_incarnations: true,
+        engines_ignore_expectations: true,
+        ..Mutations::default()
+    };
+    must_break(Promise::CacheReliance, mutations, cache_schedules());
+}
+
+#[test]
+fn a_vote_that_its_replica_forgot_does_not_count() {
+    hold(forgotten_vote_schedules());
+}
+
 #[test]
 fn not_run_is_true_when_answers_are_lost() {
     hold(lost_answer_schedules());
--- a/crates/simulation/tests/support/mod.rs
+++ b/crates/simulation/tests/support/mod.rs
@@ -265,6 +265,44 @@
     })
 }
 
+/// A replica that restarts and recovers while a proposal still waits for the
+/// others, and the same request at another node.
+pub fn forgotten_vote_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
+    let round = (
+        0usize..6,
+        0usize..6,
+        0usize..6,
+        30u8..75,
+        3u64..9,
+        40u64..130,
+    );
+    let rounds = prop::collection::vec(round, 1..12);
+    (any::<u64>(), rounds).prop_map(|(seed, rounds)| {
+        let rounds = rounds.into_iter().enumerate();
+        let operations = rounds.flat_map(|(request, (first, second, restarted, loss, a, b))| {
+            let request = request as u64 + 1;
+            [
+                Operation::Loss(loss),
+                Operation::Once {
+                    node: first,
+                    request,
+                },
+                Operation::Advance(a),
+                Operation::RestartNode(restarted),
+                Operation::Advance(b),
+                Operation::Once {
+                    node: second,
+                    request,
+                },
+                Operation::Advance(400),
+                Operation::Loss(0),
+                Operation::Advance(2_000),
+            ]
+        });
+        (seed, operations.collect())
+    })
+}
+
 /// Everything together.
 pub fn mixed_schedules() -> impl Strategy<Value = (u64, Vec<Operation>)> {
     schedule_of(prop_oneof![
