--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Starts the system as separate processes on loopback, with ports from the
 //! kernel, and ends exactly those processes again.
+#![allow(dead_code)]
 
 use ploverlift_lab::http_call::{call, client, WholeAnswer};
 use ploverlift_policy::ids::ZoneName;
@@ -40,13 +41,11 @@
         text.parse().expect("the address fits")
     }
 
-    #[allow(dead_code)]
     pub fn kill(&mut self) {
         self.child.kill().expect("own process can be killed");
         self.child.wait().expect("own process can be waited for");
     }
 
-    #[allow(dead_code)]
     pub fn signal(&self, signal: &str) {
         let status = Command::new("kill")
             .arg(format!("-{signal}"))
@@ -55,7 +54,6 @@
         assert!(status.expect("kill runs").success());
     }
 
-    #[allow(dead_code)]
     pub fn wait_for_exit(&mut self) -> Option<i32> {
         self.child
             .wait()
@@ -160,7 +158,6 @@
     smol::block_on(call(client().get(format!("http://{address}{path}")))).expect("answer")
 }
 
-#[allow(dead_code)]
 pub fn post(address: SocketAddr, path: &str, body: &str) -> WholeAnswer {
     let conn = client().post(format!("http://{address}{path}"));
     smol::block_on(call(conn.with_body(body.to_owned()))).expect("answer")
--- a/crates/cluster/src/claim_group_plan.rs
+++ b/crates/cluster/src/claim_group_plan.rs
@@ -32,11 +32,14 @@
     first == Some(members.own_key())
 }
 
-/// The description that should replace `present`, or nothing when it should stay.
+/// The description that should replace `present`, or nothing when it should
+/// stay. A new group begins at `first_generation`, which must be higher than
+/// that of any group before: an operator may have deleted one.
 pub fn plan(
     present: Option<&ClaimGroupSpec>,
     members: &Membership,
     item: u64,
+    first_generation: u64,
     now: Millis,
 ) -> Option<ClaimGroupSpec> {
     if now.0 < SETTLE_MS && members.has_seeds() {
@@ -44,7 +47,7 @@
     }
     let candidates = candidates(members);
     match present {
-        None => Some(first_group(&candidates, item)),
+        None => Some(first_group(&candidates, item, first_generation)),
         Some(present) => next_group(present, &candidates, members, item, now),
     }
 }
@@ -66,9 +69,9 @@
     live.chain([own]).collect()
 }
 
-fn first_group(candidates: &[Candidate], item: u64) -> ClaimGroupSpec {
+fn first_group(candidates: &[Candidate], item: u64, generation: u64) -> ClaimGroupSpec {
     let chosen = choose(Vec::new(), candidates, item);
-    describe(1, &chosen, Vec::new())
+    describe(generation, &chosen, Vec::new())
 }
 
 fn describe(generation: u64, chosen: &[Candidate], previous: Vec<NodeName>) -> ClaimGroupSpec {
--- a/crates/cluster/src/core/configuration.rs
+++ b/crates/cluster/src/core/configuration.rs
@@ -69,7 +69,10 @@
             kind: Kind::ClaimGroup,
             name: CLAIM_GROUP.to_owned(),
         });
-        let plan = claim_group_plan::plan(present.as_ref(), &self.members, item.0, now);
+        // Each generation was stored as a version, so the next version is higher.
+        let first_generation = self.config.store.highest().0 + 1;
+        let members = &self.members;
+        let plan = claim_group_plan::plan(present.as_ref(), members, item.0, first_generation, now);
         if let Some(spec) = plan {
             self.events
                 .push(CoreEvent::WriteClaimGroup { version, spec });
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod executor;
 pub mod listener;
 pub mod logging;
+pub mod metrics;
 pub mod operators;
 pub mod orders;
 pub mod platform_client;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -1,5 +1,6 @@
 //! The operators' listener: objects, status, explanations and metrics.
 
+use crate::metrics;
 use crate::platform_client::{PlatformClient, PlatformError};
 use crate::reply::{self, ErrorReply};
 use crate::state::Node;
@@ -13,7 +14,6 @@
 use ploverlift_wire::messages::MemberStatus;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use trillium::{Conn, Method, Status};
@@ -109,7 +109,7 @@
     let path = conn.path().to_owned();
     match (conn.method(), path.as_str()) {
         (Method::Get, "/status") => reply::json(conn, Status::Ok, &status(&node)),
-        (Method::Get, "/metrics") => metrics(&node, conn),
+        (Method::Get, "/metrics") => conn.ok(metrics::page(&node)),
         (Method::Get, path) if path.starts_with(EXPLAIN_PREFIX) => explain(&node, conn).await,
         (Method::Get, path) if path.starts_with(OBJECTS_PREFIX) => get_objects(&node, conn),
         (Method::Put, "/objects") => apply(&node, platform, conn).await,
@@ -400,26 +400,3 @@
         ),
     }
 }
-
-fn metrics(node: &Node, conn: Conn) -> Conn {
-    let counters = &node.counters;
-    let rows = [
-        ("ploverlift_requests_total", &counters.requests),
-        ("ploverlift_completed_total", &counters.completed),
-        ("ploverlift_refused_total", &counters.refused),
-        ("ploverlift_aborted_total", &counters.aborted),
-        ("ploverlift_attempts_total", &counters.attempts),
-        ("ploverlift_replayed_total", &counters.replayed),
-        (
-            "ploverlift_cluster_messages_total",
-            &counters.cluster_messages,
-        ),
-        ("ploverlift_cluster_bytes_total", &counters.cluster_bytes),
-    ];
-    let mut text = String::new();
-    for (name, counter) in rows {
-        let value = counter.load(Ordering::Relaxed);
-        text.push_str(&format!("# TYPE {name} counter\n{name} {value}\n"));
-    }
-    conn.ok(text)
-}
--- a/crates/simulation/tests/bounds.rs
+++ b/crates/simulation/tests/bounds.rs
@@ -1,7 +1,9 @@
 //! Bounds in time: how soon a change is in force, a restarted node serves and a
 //! leaving or dead engine gets nothing.
 
+use ploverlift_cluster::core::CLAIM_GROUP;
 use ploverlift_policy::attempt::RunState;
+use ploverlift_policy::objects::Kind;
 use ploverlift_simulation::oracle::{Promise, Told};
 use ploverlift_simulation::platform::PlatformMode;
 use ploverlift_simulation::schedule::Operation;
@@ -221,6 +223,31 @@
     assert!(matches!(world.oracle.tries[&fresh].told, Told::Whole(_)));
 }
 
+#[test]
+fn an_operator_can_have_a_new_claim_group_made_when_all_replicas_are_gone() {
+    let mut world = settled(2);
+    let replicas: Vec<usize> = (0..6)
+        .filter(|node| world.core(*node).is_some_and(|core| core.claims.votes()))
+        .collect();
+    assert_eq!(replicas.len(), 3);
+    for node in &replicas {
+        world.perform(&Operation::KillNode(*node));
+    }
+    let left = (0..6)
+        .find(|node| !replicas.contains(node))
+        .expect("three are left");
+    world.advance(CLAIM_RETENTION_MS);
+    let refused = world.request_once(left, 1);
+    world.advance(2_000);
+    let told = &world.oracle.tries[&refused].told;
+    assert_eq!(*told, Told::Refused(RunState::NotRun));
+    world.delete_object(Kind::ClaimGroup, CLAIM_GROUP);
+    world.advance(6_000);
+    let again = world.request_once(left, 1);
+    world.advance(500);
+    assert!(matches!(world.oracle.tries[&again].told, Told::Whole(_)));
+}
+
 #[test]
 fn few_nodes_read_the_object_api_in_every_state() {
     for seed in 0..10 {
