--- a/crates/cluster/src/router/mod.rs
+++ b/crates/cluster/src/router/mod.rs
@@ -11,8 +11,7 @@
 use ploverlift_policy::decide::{CandidateTable, Decision, DecisionInput, RouteCandidates};
 use ploverlift_policy::directory::{Directory, PrefixMatch};
 use ploverlift_policy::fleet::{
-    Engine, EngineKey, EngineObservation, Fleet, Health, LoadReport, ObservationEffect,
-    UnseenSends, DEFAULT_EVICTION_AGE_MS,
+    Engine, EngineKey, EngineObservation, Fleet, Health, ListedEngine, ObservationEffect,
 };
 use ploverlift_policy::ids::{
     EngineName, Incarnation, Millis, NodeName, RequestId, TenantName, WeightsVersion, ZoneName,
@@ -447,23 +446,12 @@
     if spec.role == MachineRole::Node {
         return None;
     }
-    let name = EngineName(object.metadata.name.clone());
-    Some(Engine {
-        key: EngineKey::of(&name),
-        name,
+    Some(Engine::from(ListedEngine {
+        name: EngineName(object.metadata.name.clone()),
         address: spec.address.parse().ok()?,
         zone: spec.zone,
         labels: object.metadata.labels.clone(),
         role: spec.role,
-        listed: spec.state,
-        incarnation: Incarnation(0),
-        weights: WeightsVersion(0),
-        health: Health::Unknown,
-        unobserved: false,
-        load: LoadReport::default(),
-        reported_at: Millis(0),
-        unseen: UnseenSends::default(),
-        in_flight: 0,
-        eviction_age_ms: DEFAULT_EVICTION_AGE_MS,
-    })
+        state: spec.state,
+    }))
 }
--- a/crates/lab/src/experiment/policies.rs
+++ b/crates/lab/src/experiment/policies.rs
@@ -10,8 +10,7 @@
 use ploverlift_policy::decide::{DecisionInput, RouteCandidates};
 use ploverlift_policy::directory::{Directory, PrefixMatch};
 use ploverlift_policy::fleet::{
-    Engine, EngineIndex, EngineKey, EngineObservation, Fleet, Health, LoadReport, UnseenSends,
-    DEFAULT_EVICTION_AGE_MS,
+    Engine, EngineIndex, EngineKey, EngineObservation, Fleet, Health, ListedEngine, LoadReport,
 };
 use ploverlift_policy::ids::{EngineName, Incarnation, Millis, WeightsVersion, ZoneName};
 use ploverlift_policy::labels::Labels;
@@ -314,25 +313,18 @@
 fn fleet(model: &FleetModel) -> Fleet {
     let mut fleet = Fleet::default();
     for number in 0..model.engines {
-        let name = EngineName(format!("engine-{number}"));
-        fleet.upsert(Engine {
-            key: EngineKey::of(&name),
-            name,
+        let mut engine = Engine::from(ListedEngine {
+            name: EngineName(format!("engine-{number}")),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             zone: zone_name(number, model.zones),
             labels: Labels::default(),
             role: MachineRole::Engine,
-            listed: MachineState::Live,
-            incarnation: Incarnation(1),
-            weights: WeightsVersion(1),
-            health: Health::Ready,
-            unobserved: false,
-            load: LoadReport::default(),
-            reported_at: Millis(0),
-            unseen: UnseenSends::default(),
-            in_flight: 0,
-            eviction_age_ms: DEFAULT_EVICTION_AGE_MS,
+            state: MachineState::Live,
         });
+        engine.incarnation = Incarnation(1);
+        engine.weights = WeightsVersion(1);
+        engine.health = Health::Ready;
+        fleet.upsert(engine);
     }
     fleet
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -147,6 +147,47 @@
 /// Assumed lifetime of a cached block before any eviction was observed, in milliseconds.
 pub const DEFAULT_EVICTION_AGE_MS: u64 = 30_000;
 
+/// What the machine list says of an engine.
+#[derive(Clone, Debug)]
+pub struct ListedEngine {
+    /// Name.
+    pub name: EngineName,
+    /// Listener.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub zone: ZoneName,
+    /// Labels for selectors.
+    pub labels: Labels,
+    /// Model engine or plain service.
+    pub role: MachineRole,
+    /// Whether it may get new work.
+    pub state: MachineState,
+}
+
+impl From<ListedEngine> for Engine {
+    /// An engine that is listed and was not observed yet.
+    fn from(listed: ListedEngine) -> Self {
+        Self {
+            key: EngineKey::of(&listed.name),
+            name: listed.name,
+            address: listed.address,
+            zone: listed.zone,
+            labels: listed.labels,
+            role: listed.role,
+            listed: listed.state,
+            incarnation: Incarnation(0),
+            weights: WeightsVersion(0),
+            health: Health::Unknown,
+            unobserved: false,
+            load: LoadReport::default(),
+            reported_at: Millis(0),
+            unseen: UnseenSends::default(),
+            in_flight: 0,
+            eviction_age_ms: DEFAULT_EVICTION_AGE_MS,
+        }
+    }
+}
+
 impl Engine {
     /// Whether new work may be sent here.
     pub fn takes_work(&self) -> bool {
--- a/crates/policy/tests/support.rs
+++ b/crates/policy/tests/support.rs
@@ -1,10 +1,8 @@
 //! Small builders for tests of the policy.
 #![allow(dead_code)]
 
-use ploverlift_policy::fleet::{
-    Engine, EngineKey, Fleet, Health, LoadReport, UnseenSends, DEFAULT_EVICTION_AGE_MS,
-};
-use ploverlift_policy::ids::{EngineName, Incarnation, Millis, WeightsVersion, ZoneName};
+use ploverlift_policy::fleet::{Engine, Fleet, Health, ListedEngine};
+use ploverlift_policy::ids::{EngineName, Incarnation, WeightsVersion, ZoneName};
 use ploverlift_policy::labels::Labels;
 use ploverlift_policy::objects::{MachineRole, MachineState};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -21,25 +19,18 @@
 }
 
 pub fn engine(number: usize) -> Engine {
-    let name = EngineName(format!("engine-{number}"));
-    Engine {
-        key: EngineKey::of(&name),
-        name,
+    let mut engine = Engine::from(ListedEngine {
+        name: EngineName(format!("engine-{number}")),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         zone: ZoneName::from("hall-north"),
         labels: Labels::default(),
         role: MachineRole::Engine,
-        listed: MachineState::Live,
-        incarnation: Incarnation(1),
-        weights: WeightsVersion(1),
-        health: Health::Ready,
-        unobserved: false,
-        load: LoadReport::default(),
-        reported_at: Millis(0),
-        unseen: UnseenSends::default(),
-        in_flight: 0,
-        eviction_age_ms: DEFAULT_EVICTION_AGE_MS,
-    }
+        state: MachineState::Live,
+    });
+    engine.incarnation = Incarnation(1);
+    engine.weights = WeightsVersion(1);
+    engine.health = Health::Ready;
+    engine
 }
 
 pub fn fleet(engines: usize) -> Fleet {
