--- /dev/null
+++ b/crates/balancing/src/catalogue.rs
@@ -0,0 +1,217 @@
+//! The engines of all services, as their records and this node's own traffic
+//! show them.
+
+use crate::health::{EngineHealth, Outcome};
+use ploverlift_policy::ids::{Millis, ZoneName};
+use ploverlift_routing::configuration::ServiceName;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// One life of one engine. A restarted engine has another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct InstanceId(pub String);
+
+impl fmt::Display for InstanceId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// What an engine says of itself in the catalogue.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineRecord {
+    /// This life of the engine.
+    pub instance: InstanceId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to end and wants no new work.
+    pub is_leaving: bool,
+    /// The version of each model's weights.
+    pub weights: BTreeMap<String, u64>,
+}
+
+/// An engine with what this node knows of it.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Its record.
+    pub record: EngineRecord,
+    /// Requests of this node at the engine.
+    pub in_flight: u32,
+    /// Prompt tokens of those requests that have not answered yet.
+    pub waiting_tokens: u64,
+    /// How its answers have been.
+    pub health: EngineHealth,
+    /// Until when it is taken to be loading weights.
+    pub loading_until: Option<Millis>,
+}
+
+impl Engine {
+    fn new(record: EngineRecord) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            waiting_tokens: 0,
+            health: EngineHealth::default(),
+            loading_until: None,
+        }
+    }
+
+    /// The version of a model's weights, 0 when it does not serve the model.
+    pub fn weights_of(&self, model: &str) -> u64 {
+        self.record.weights.get(model).copied().unwrap_or(0)
+    }
+
+    /// Whether it is taken to be loading weights.
+    pub fn is_loading(&self, now: Millis) -> bool {
+        self.loading_until.is_some_and(|until| now < until)
+    }
+}
+
+/// All engines by instance.
+#[derive(Clone, Debug, Default)]
+pub struct EngineCatalogue {
+    engines: HashMap<InstanceId, Engine>,
+    by_service: BTreeMap<ServiceName, Vec<InstanceId>>,
+}
+
+impl EngineCatalogue {
+    /// Takes in a new or changed record. Weights never go back by a record:
+    /// records lag behind what answers have shown.
+    pub fn upsert(&mut self, record: EngineRecord) {
+        match self.engines.get_mut(&record.instance) {
+            Some(engine) => {
+                let known = std::mem::take(&mut engine.record.weights);
+                engine.record = record;
+                for (model, version) in known {
+                    let entry = engine.record.weights.entry(model).or_insert(version);
+                    *entry = version.max(*entry);
+                }
+            }
+            None => {
+                let service = self.by_service.entry(record.service.clone()).or_default();
+                service.push(record.instance.clone());
+                service.sort();
+                let instance = record.instance.clone();
+                self.engines.insert(instance, Engine::new(record));
+            }
+        }
+    }
+
+    /// Forgets an engine whose record is gone.
+    pub fn remove(&mut self, instance: &InstanceId) {
+        self.engines.remove(instance);
+        for instances in self.by_service.values_mut() {
+            instances.retain(|known| known != instance);
+        }
+        self.by_service.retain(|_, instances| !instances.is_empty());
+    }
+
+    /// Replaces the whole catalogue, keeping what is known of engines that stay.
+    pub fn replace_all(&mut self, records: Vec<EngineRecord>) {
+        let gone: Vec<InstanceId> = self
+            .engines
+            .keys()
+            .filter(|known| records.iter().all(|record| record.instance != **known))
+            .cloned()
+            .collect();
+        for instance in gone {
+            self.remove(&instance);
+        }
+        for record in records {
+            self.upsert(record);
+        }
+    }
+
+    /// One engine.
+    pub fn get(&self, instance: &InstanceId) -> Option<&Engine> {
+        self.engines.get(instance)
+    }
+
+    /// The engines of a service in the order of their instances.
+    pub fn of_service<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Engine> {
+        let instances = self.by_service.get(service).into_iter().flatten();
+        instances.filter_map(|instance| self.engines.get(instance))
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.values()
+    }
+
+    /// Number of engines.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether there are no engines.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// A request with so many prompt tokens is about to be sent.
+    pub fn begin(&mut self, instance: &InstanceId, prompt_tokens: u64, now: Millis) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.in_flight += 1;
+            engine.waiting_tokens += prompt_tokens;
+            engine.health.on_begin(now);
+        }
+    }
+
+    /// The engine has begun to answer: the prompt was read.
+    pub fn first_answer(&mut self, instance: &InstanceId, prompt_tokens: u64) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.waiting_tokens = engine.waiting_tokens.saturating_sub(prompt_tokens);
+        }
+    }
+
+    /// The request is over. `unanswered_tokens` are those that
+    /// [`EngineCatalogue::first_answer`] has not taken off.
+    pub fn end(&mut self, instance: &InstanceId, unanswered_tokens: u64) {
+        self.first_answer(instance, unanswered_tokens);
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.in_flight = engine.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in how a request went.
+    pub fn note_outcome(&mut self, instance: &InstanceId, outcome: Outcome, now: Millis) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.health.on_outcome(outcome, now);
+        }
+    }
+
+    /// The engine said which weights it has.
+    pub fn note_weights(&mut self, instance: &InstanceId, model: &str, version: u64) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.record.weights.insert(model.to_owned(), version);
+        }
+    }
+
+    /// The engine is taken to be loading weights until then.
+    pub fn note_loading(&mut self, instance: &InstanceId, until: Millis) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.loading_until = Some(until);
+        }
+    }
+
+    /// The engine has loaded.
+    pub fn note_loaded(&mut self, instance: &InstanceId) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.loading_until = None;
+        }
+    }
+
+    /// The engine at this address is not the one expected, or leaves.
+    pub fn note_leaving(&mut self, instance: &InstanceId) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.record.is_leaving = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancing/src/health.rs
@@ -0,0 +1,121 @@
+//! Putting engines aside that do not serve, and trying them again.
+//!
+//! Detection is by traffic alone: an engine whose health check is good may
+//! still fail its requests. An engine that cannot be reached is put aside at
+//! once; one that fails part of its requests, when its failures stand out from
+//! those of its service ([`crate::selection`] compares them).
+
+use ploverlift_policy::ids::Millis;
+
+/// First time for which an unreachable engine is put aside, in milliseconds.
+const FIRST_SUSPENSION_MS: u64 = 400;
+/// Longest time for which it is put aside, in milliseconds.
+const LONGEST_SUSPENSION_MS: u64 = 3_000;
+/// Weight of the newest outcome in the failure rate.
+const NEWEST_WEIGHT: f64 = 0.15;
+/// Time without an outcome in which a failure rate halves, in milliseconds. An
+/// engine that is avoided shows nothing new, so it would be avoided for ever.
+const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
+
+/// How a request at an engine went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered properly.
+    Answered,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It said that it did not run the request: full, loading or leaving.
+    Refused,
+    /// The answer broke off, was not the protocol's, or never came.
+    Broken,
+    /// No connection came about.
+    Unreachable,
+}
+
+/// What the traffic of this node has shown of one engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineHealth {
+    failure_rate: f64,
+    last_outcome: Millis,
+    outcomes: u32,
+    failures_in_a_row: u32,
+    suspended_until: Option<Millis>,
+    trial_since: Option<Millis>,
+}
+
+/// A trial without an outcome for so long no longer counts, in milliseconds.
+const TRIAL_TIMEOUT_MS: u64 = 2_000;
+
+impl EngineHealth {
+    /// Share of requests that went wrong, the newest counting most; it falls
+    /// while there are none.
+    pub fn failure_rate(&self, now: Millis) -> f64 {
+        let idle = now.since(self.last_outcome) as f64;
+        self.failure_rate * 0.5_f64.powf(idle / FAILURE_HALF_LIFE_MS)
+    }
+
+    /// Outcomes taken in so far.
+    pub fn outcomes(&self) -> u32 {
+        self.outcomes
+    }
+
+    /// Whether the engine may be chosen: it is not put aside, and where it was,
+    /// no other request is trying it.
+    pub fn may_be_chosen(&self, now: Millis) -> bool {
+        if self.suspended_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        let on_trial = self.trial_since;
+        on_trial.is_none_or(|since| now.since(since) >= TRIAL_TIMEOUT_MS)
+    }
+
+    /// Whether the engine was put aside and has not answered since.
+    pub fn is_suspected(&self) -> bool {
+        self.suspended_until.is_some()
+    }
+
+    /// A request is about to be sent.
+    pub fn on_begin(&mut self, now: Millis) {
+        if self.suspended_until.is_some() {
+            self.trial_since = Some(now);
+        }
+    }
+
+    /// Takes in how a request went.
+    pub fn on_outcome(&mut self, outcome: Outcome, now: Millis) {
+        self.outcomes = self.outcomes.saturating_add(1);
+        let failed = matches!(
+            outcome,
+            Outcome::Failed | Outcome::Broken | Outcome::Unreachable
+        );
+        let newest = if failed { 1.0 } else { 0.0 };
+        self.failure_rate = self.failure_rate(now);
+        self.last_outcome = now;
+        self.failure_rate += NEWEST_WEIGHT * (newest - self.failure_rate);
+        match outcome {
+            Outcome::Answered | Outcome::Refused | Outcome::Failed => self.reached(),
+            Outcome::Unreachable => self.suspend(now),
+            // One broken answer may be chance; two in a row are a pattern.
+            Outcome::Broken if self.failures_in_a_row > 0 => self.suspend(now),
+            Outcome::Broken => {
+                self.failures_in_a_row += 1;
+                self.trial_since = None;
+            }
+        }
+    }
+
+    fn reached(&mut self) {
+        self.failures_in_a_row = 0;
+        self.suspended_until = None;
+        self.trial_since = None;
+    }
+
+    /// Puts the engine aside, longer each time in a row.
+    pub fn suspend(&mut self, now: Millis) {
+        let doublings = self.failures_in_a_row.min(4);
+        let duration = (FIRST_SUSPENSION_MS << doublings).min(LONGEST_SUSPENSION_MS);
+        self.failures_in_a_row = self.failures_in_a_row.saturating_add(1);
+        self.suspended_until = Some(now.plus(duration));
+        self.trial_since = None;
+    }
+}
--- /dev/null
+++ b/crates/balancing/src/lib.rs
@@ -0,0 +1,24 @@
+//! Which engine of a service serves a request.
+//!
+//! Pure: no I/O, no clock, no randomness. Every node decides alone, from the
+//! catalogue that all share and from what its own traffic has shown; two nodes
+//! with the same catalogue place a prompt on the same engine without asking
+//! each other, because the home of a prompt is a rendezvous hash.
+//!
+//! | module | concern |
+//! | --- | --- |
+//! | [`catalogue`] | engines, as their records and this node's traffic show them |
+//! | [`health`] | putting engines aside that fail, and trying them again |
+//! | [`rendezvous`] | the order of engines for a prompt |
+//! | [`selection`] | the choice, by a cost in milliseconds with named terms |
+//! | [`retry_budget`] | how many requests may be sent a second time |
+//! | [`weights`] | which versions of weights a request may begin on |
+//! | [`transfer`] | which shared prompts the cache store is believed to hold |
+
+pub mod catalogue;
+pub mod health;
+pub mod rendezvous;
+pub mod retry_budget;
+pub mod selection;
+pub mod transfer;
+pub mod weights;
--- /dev/null
+++ b/crates/balancing/src/weights.rs
@@ -0,0 +1,96 @@
+//! Which versions of a model's weights a request may begin on.
+//!
+//! A newer version must be in use everywhere within a bound that counts only
+//! while the store is well. A request that is sent to an engine may wait there
+//! and begin later, so engines with older weights leave the choice some time
+//! before the bound.
+
+use ploverlift_policy::ids::Millis;
+use std::collections::BTreeMap;
+
+/// How the bound on old weights is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WeightsBounds {
+    /// Time in one stretch of a well store after which older weights leave the
+    /// choice, in milliseconds.
+    pub avoid_after_ms: u64,
+    /// The same over all such stretches together, in milliseconds.
+    pub avoid_after_total_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: u64,
+    since: Millis,
+    stretch_since: Millis,
+    earlier_stretches_ms: u64,
+}
+
+impl Named {
+    fn has_passed(&self, bounds: &WeightsBounds, now: Millis) -> bool {
+        let stretch = now.since(self.stretch_since);
+        stretch >= bounds.avoid_after_ms
+            || stretch + self.earlier_stretches_ms >= bounds.avoid_after_total_ms
+    }
+}
+
+/// The versions that were named for each model and are not yet obsolete.
+#[derive(Clone, Debug, Default)]
+pub struct NamedWeights {
+    by_model: BTreeMap<String, Vec<Named>>,
+}
+
+/// Versions that are remembered for each model.
+const MAX_REMEMBERED: usize = 16;
+
+impl NamedWeights {
+    /// A version was named. Lower and repeated ones change nothing.
+    pub fn name(&mut self, model: &str, version: u64, now: Millis) -> bool {
+        let named = self.by_model.entry(model.to_owned()).or_default();
+        if named.last().is_some_and(|newest| newest.version >= version) {
+            return false;
+        }
+        named.push(Named {
+            version,
+            since: now,
+            stretch_since: now,
+            earlier_stretches_ms: 0,
+        });
+        if named.len() > MAX_REMEMBERED {
+            named.remove(0);
+        }
+        true
+    }
+
+    /// The store did not answer properly: the present stretch ends.
+    pub fn on_store_trouble(&mut self, now: Millis) {
+        for named in self.by_model.values_mut().flatten() {
+            named.earlier_stretches_ms += now.since(named.stretch_since);
+            named.stretch_since = now;
+        }
+    }
+
+    /// The newest version of a model and when this node learned of it.
+    pub fn newest(&self, model: &str) -> Option<(u64, Millis)> {
+        let newest = self.by_model.get(model)?.last()?;
+        Some((newest.version, newest.since))
+    }
+
+    /// When the first version above `version` was named; nothing when there is
+    /// none.
+    pub fn first_newer(&self, model: &str, version: u64) -> Option<Millis> {
+        let named = self.by_model.get(model)?.iter();
+        let newer = named.filter(|named| named.version > version);
+        newer.map(|named| named.since).min()
+    }
+
+    /// The lowest version on which a request may begin.
+    pub fn required(&self, model: &str, bounds: &WeightsBounds, now: Millis) -> u64 {
+        let named = self.by_model.get(model).into_iter().flatten();
+        named
+            .filter(|named| named.has_passed(bounds, now))
+            .map(|named| named.version)
+            .max()
+            .unwrap_or(0)
+    }
+}
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -36,6 +36,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Serve(ServeArguments),
+    Gateway(GatewayArguments),
     Dev(DevArguments),
     Check(CheckArguments),
     Apply(ApplyArguments),
@@ -71,6 +72,15 @@
     pub seed: Vec<SocketAddr>,
 }
 
+/// Run a node that forwards HTTP requests by the platform's own protocols.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct GatewayArguments {
+    /// settings file (TOML)
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
 /// Run a whole small site in one process, to try things out.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "dev")]
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -27,6 +27,18 @@
         /// The fault.
         source: StartError,
     },
+    /// The gateway's settings were refused.
+    #[snafu(transparent)]
+    GatewaySettings {
+        /// The fault.
+        source: ploverlift_gateway::settings::SettingsError,
+    },
+    /// The gateway could not start.
+    #[snafu(transparent)]
+    GatewayStart {
+        /// The fault.
+        source: ploverlift_gateway::assembly::StartError,
+    },
     /// An object file was refused.
     #[snafu(transparent)]
     ObjectFile {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod dev;
 mod exit;
+mod gateway;
 mod object_files;
 mod operator_client;
 mod operator_commands;
@@ -25,6 +26,7 @@
 fn run(command: Command) -> Result<(), Failure> {
     match command {
         Command::Serve(arguments) => serve::run(&arguments),
+        Command::Gateway(arguments) => gateway::run(&arguments),
         Command::Dev(arguments) => dev::run(&arguments),
         Command::Check(arguments) => object_files::check(&arguments.files),
         Command::Apply(arguments) => operator_commands::apply(&arguments),
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -15,6 +15,28 @@
 /// The holder stops acting when it has not renewed for so long, in milliseconds.
 pub const STOP_ACTING_AFTER_MS: u64 = 4_000;
 
+/// Durations of a lease. Two holders never act within
+/// `duration_ms - stop_acting_after_ms` of each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTiming {
+    /// A lease expires when it was not renewed for so long, in milliseconds.
+    pub duration_ms: u64,
+    /// The holder renews when so much has passed, in milliseconds.
+    pub renew_after_ms: u64,
+    /// The holder stops acting when it has not renewed for so long, in milliseconds.
+    pub stop_acting_after_ms: u64,
+}
+
+impl Default for LeaseTiming {
+    fn default() -> Self {
+        Self {
+            duration_ms: LEASE_DURATION_MS,
+            renew_after_ms: RENEW_AFTER_MS,
+            stop_acting_after_ms: STOP_ACTING_AFTER_MS,
+        }
+    }
+}
+
 /// What a node should do about a lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -34,6 +56,7 @@
 /// One node's view of one lease.
 #[derive(Clone, Debug)]
 pub struct LeaseView {
+    timing: LeaseTiming,
     own: NodeName,
     own_life: u64,
     seen: Option<(ResourceVersion, LeaseSpec)>,
@@ -43,9 +66,15 @@
 }
 
 impl LeaseView {
-    /// A view that has seen nothing yet.
+    /// A view that has seen nothing yet, with the usual durations.
     pub fn new(own: NodeName, own_life: u64) -> Self {
+        Self::with_timing(own, own_life, LeaseTiming::default())
+    }
+
+    /// A view that has seen nothing yet.
+    pub fn with_timing(own: NodeName, own_life: u64, timing: LeaseTiming) -> Self {
         Self {
+            timing,
             own,
             own_life,
             seen: None,
@@ -88,6 +117,11 @@
         self.on_seen(version, spec, now);
     }
 
+    /// Whether the last lease that was seen is this node's, lapsed or not.
+    pub fn is_own_lease(&self) -> bool {
+        self.seen.as_ref().is_some_and(|(_, spec)| self.is_own(spec))
+    }
+
     fn is_own(&self, spec: &LeaseSpec) -> bool {
         spec.holder == self.own && spec.holder_life == self.own_life
     }
@@ -101,7 +135,7 @@
     pub fn token(&self, now: Millis) -> Option<u64> {
         let renewed_at = self.renewed_at?;
         let (_, spec) = self.seen.as_ref()?;
-        let fresh = now.since(renewed_at) < STOP_ACTING_AFTER_MS;
+        let fresh = now.since(renewed_at) < self.timing.stop_acting_after_ms;
         (fresh && self.is_own(spec)).then_some(spec.fencing_token)
     }
 
@@ -109,7 +143,7 @@
     pub fn step(&mut self, wants: bool, unix_ms: u64, now: Millis) -> LeaseStep {
         let writing = self
             .writing_since
-            .is_some_and(|since| now.since(since) < RENEW_AFTER_MS);
+            .is_some_and(|since| now.since(since) < self.timing.renew_after_ms);
         if writing {
             return LeaseStep::Wait;
         }
@@ -118,17 +152,17 @@
             None => return LeaseStep::Wait,
             Some((version, spec)) if self.is_own(spec) => {
                 let renewed = self.renewed_at.unwrap_or(Millis(0));
-                if now.since(renewed) < RENEW_AFTER_MS {
+                if now.since(renewed) < self.timing.renew_after_ms {
                     return LeaseStep::Wait;
                 }
                 // After a pause beyond the lease somebody else may have acted.
-                let lapsed = now.since(renewed) >= STOP_ACTING_AFTER_MS;
+                let lapsed = now.since(renewed) >= self.timing.stop_acting_after_ms;
                 (*version, spec.fencing_token + u64::from(lapsed))
             }
             Some((version, spec)) => {
                 // An earlier life of this node is certainly over.
                 let earlier_life = spec.holder == self.own;
-                let expired = earlier_life || now.since(self.seen_at) >= LEASE_DURATION_MS;
+                let expired = earlier_life || now.since(self.seen_at) >= self.timing.duration_ms;
                 if !(wants && expired) {
                     return LeaseStep::Wait;
                 }
@@ -142,7 +176,7 @@
                 holder: self.own.clone(),
                 holder_life: self.own_life,
                 fencing_token: token,
-                expires_unix_ms: unix_ms + LEASE_DURATION_MS,
+                expires_unix_ms: unix_ms + self.timing.duration_ms,
             },
             began: now,
         }
--- /dev/null
+++ b/crates/gateway/src/assembly.rs
@@ -0,0 +1,174 @@
+//! Puts the parts of a node together: start, reload, planned stop.
+
+use crate::callers::{accept_callers, bind};
+use crate::ports::Site;
+use crate::readiness::{answer_metrics, answer_readiness};
+use crate::settings::{GatewaySettings, SettingsError};
+use crate::state::Gateway;
+use crate::store::{follow_configuration, follow_engines, follow_weights};
+use crate::time::{sleep, within};
+use crate::weights::roll_weights;
+use slog::Logger;
+use smol::net::TcpListener;
+use smol::Task;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::SystemTime;
+
+/// Time between two looks at the settings file, in milliseconds.
+const SETTINGS_PERIOD_MS: u64 = 2_000;
+/// Time from the beginning of a planned stop in which the load balancer may
+/// still send new connections, in milliseconds.
+const STILL_SENT_MS: u64 = 3_200;
+/// Time without a request after which a stopping node ends, in milliseconds.
+const QUIET_MS: u64 = 300;
+/// Part of the bound on a planned stop that is used; the rest is for ending.
+const STOP_SHARE: f64 = 0.95;
+
+/// Why a node could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A listener could not be bound.
+    #[snafu(display("cannot listen on {address} for {purpose}: {source}"))]
+    Listen {
+        /// The address in the settings.
+        address: SocketAddr,
+        /// Whom the listener is for.
+        purpose: &'static str,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+}
+
+/// A node that runs.
+pub struct RunningGateway {
+    /// Its state.
+    pub gateway: Arc<Gateway>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked.
+    pub readiness: SocketAddr,
+    tasks: Vec<Task<()>>,
+}
+
+/// Starts a node.
+///
+/// # Errors
+/// When a listener cannot be bound.
+pub fn start(
+    settings: GatewaySettings,
+    site: Arc<dyn Site>,
+    log: Logger,
+) -> Result<RunningGateway, StartError> {
+    let (callers, callers_address) = listen(settings.listen.callers, "callers")?;
+    let (readiness, readiness_address) = listen(settings.listen.readiness, "readiness")?;
+    let metrics = match settings.listen.metrics {
+        Some(address) => Some(listen(address, "metrics")?.0),
+        None => None,
+    };
+    let gateway = Arc::new(Gateway::new(settings, site, log));
+    let mut tasks = vec![
+        smol::spawn(accept_callers(Arc::clone(&gateway), callers)),
+        smol::spawn(answer_readiness(Arc::clone(&gateway), readiness)),
+        smol::spawn(follow_configuration(Arc::clone(&gateway))),
+        smol::spawn(follow_engines(Arc::clone(&gateway))),
+        smol::spawn(follow_weights(Arc::clone(&gateway))),
+        smol::spawn(roll_weights(Arc::clone(&gateway))),
+    ];
+    if let Some(listener) = metrics {
+        tasks.push(smol::spawn(answer_metrics(Arc::clone(&gateway), listener)));
+    }
+    slog::info!(gateway.log, "started";
+        "callers" => callers_address.to_string(),
+        "readiness" => readiness_address.to_string(),
+        "zone" => &gateway.zone.0,
+        "store" => gateway.settings().store.address.to_string());
+    Ok(RunningGateway {
+        gateway,
+        callers: callers_address,
+        readiness: readiness_address,
+        tasks,
+    })
+}
+
+fn listen(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let bound = bind(address).context(ListenSnafu { address, purpose })?;
+    let local = bound.local_addr();
+    let local = local.context(ListenSnafu { address, purpose })?;
+    Ok((bound, local))
+}
+
+impl RunningGateway {
+    /// A planned stop: readiness is taken back at once; requests go on being
+    /// taken until the load balancer sends no more; the node ends when none is
+    /// under way, at the latest within the bound.
+    pub async fn stop(self) {
+        let gateway = &self.gateway;
+        let began = gateway.clock.now();
+        gateway.begin_stop();
+        slog::info!(gateway.log, "stopping"; "under_way" => gateway.requests_under_way());
+        let limit_ms = (gateway.settings().bounds.stop_seconds * 1_000.0 * STOP_SHARE) as u64;
+        let finishing = async {
+            sleep(STILL_SENT_MS).await;
+            wait_until_quiet(gateway).await;
+        };
+        within(limit_ms, finishing).await;
+        slog::info!(gateway.log, "stopped";
+            "after_ms" => gateway.clock.now().since(began),
+            "under_way" => gateway.requests_under_way());
+        for task in self.tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+/// Waits until no request was under way for a moment.
+async fn wait_until_quiet(gateway: &Gateway) {
+    loop {
+        let ended = gateway.work_ended.listen();
+        if gateway.requests_under_way() > 0 {
+            ended.await;
+            continue;
+        }
+        if within(QUIET_MS, ended).await.is_none() && gateway.requests_under_way() == 0 {
+            return;
+        }
+    }
+}
+
+/// Reads the settings file again, and puts it in force if it fits.
+pub fn reload(gateway: &Gateway, file: &Path) {
+    match GatewaySettings::read(file) {
+        Ok(settings) => {
+            gateway.replace_settings(settings);
+            slog::info!(gateway.log, "settings reloaded"; "file" => file.display().to_string());
+        }
+        Err(error) => log_unusable(gateway, &error),
+    }
+}
+
+fn log_unusable(gateway: &Gateway, error: &SettingsError) {
+    slog::warn!(gateway.log, "settings not reloaded"; "error" => error.to_string());
+}
+
+/// Reloads the settings whenever the file's time changes, until dropped.
+pub async fn follow_settings(gateway: Arc<Gateway>, file: PathBuf) {
+    let mut known = modified(&file);
+    loop {
+        sleep(SETTINGS_PERIOD_MS).await;
+        let present = modified(&file);
+        if present != known {
+            known = present;
+            reload(&gateway, &file);
+        }
+    }
+}
+
+fn modified(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|data| data.modified()).ok()
+}
--- /dev/null
+++ b/crates/gateway/src/callers/connection.rs
@@ -0,0 +1,268 @@
+//! One connection of a caller: request after request.
+
+use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
+use crate::relay::{admit, refuse, serve, AfterAnswer, CallerAnswer, ReceivedRequest, TimeLimits};
+use crate::state::Gateway;
+use crate::time::{sleep, within};
+use ploverlift_http1::{read_request_head, BodyDecoder, BufferedStream, HttpError, RequestHead};
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::configuration::CallerLimits;
+use smol::net::TcpStream;
+use std::io;
+use std::net::Shutdown;
+use std::sync::Arc;
+
+/// Rest of a kept connection after which a stopping node closes it, in
+/// milliseconds.
+const STOPPING_IDLE_MS: u64 = 1_500;
+/// Longest wait for a caller to read a refusal and close, in milliseconds.
+const LINGER_MS: u64 = 300;
+/// Bytes that a caller may send ahead of the answer to its present request.
+const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+
+/// How reading a head ended without a request.
+enum NoRequest {
+    /// The connection ends without a word.
+    Ended,
+    /// The caller is told why.
+    Refused(Refusal),
+}
+
+/// Serves a connection until it ends.
+pub async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
+    let mut connection = BufferedStream::new(stream);
+    loop {
+        let read = read_head(&gateway, &mut connection).await;
+        let after = match read {
+            Err(NoRequest::Ended) => return,
+            Err(NoRequest::Refused(refusal)) => {
+                let mut answer = CallerAnswer::new(connection.writer(), false);
+                refuse(&gateway, &mut answer, &refusal, None).await
+            }
+            Ok((head, body)) => {
+                let _guard = gateway.request_guard();
+                answer_request(&gateway, &mut connection, head, body).await
+            }
+        };
+        match after {
+            Ok(AfterAnswer::Keep) => {}
+            Ok(AfterAnswer::Close) => return linger(&mut connection).await,
+            Ok(AfterAnswer::Abort) => return abort(&connection),
+            Err(_) => return,
+        }
+    }
+}
+
+/// Waits for the next head, within the limits on its size and on time.
+async fn read_head(
+    gateway: &Arc<Gateway>,
+    connection: &mut BufferedStream,
+) -> Result<(RequestHead, BodyDecoder), NoRequest> {
+    let limits = caller_limits(gateway);
+    if connection.pending().is_empty() {
+        wait_for_bytes(gateway, connection, limits.idle_timeout_ms).await?;
+    }
+    let reading = read_request_head(connection, limits.max_head_bytes);
+    let refused = |kind, reason: &str| Err(NoRequest::Refused(Refusal::new(kind, reason)));
+    match within(limits.head_timeout_ms, reading).await {
+        Some(Ok(read)) => Ok(read),
+        None => refused(RefusalKind::RequestTimeout, "the head did not come in time"),
+        Some(Err(HttpError::HeadTooLarge { .. })) => {
+            refused(RefusalKind::HeadTooLarge, "the head is over its limit")
+        }
+        Some(Err(HttpError::Malformed { reason })) => refused(RefusalKind::BadRequest, &reason),
+        Some(Err(_)) => Err(NoRequest::Ended),
+    }
+}
+
+/// Waits for the first byte of the next request. A stopping node waits shorter.
+async fn wait_for_bytes(
+    gateway: &Arc<Gateway>,
+    connection: &mut BufferedStream,
+    idle_timeout_ms: u64,
+) -> Result<(), NoRequest> {
+    let filling = async {
+        match connection.fill().await {
+            Ok(count) if count > 0 => Ok(()),
+            _ => Err(NoRequest::Ended),
+        }
+    };
+    let resting = async {
+        let stop_began = gateway.stop_began.listen();
+        if !gateway.is_stopping() {
+            within(idle_timeout_ms, stop_began).await;
+        }
+        if gateway.is_stopping() {
+            sleep(STOPPING_IDLE_MS).await;
+        }
+        Err(NoRequest::Ended)
+    };
+    futures_lite::future::or(filling, resting).await
+}
+
+fn caller_limits(gateway: &Gateway) -> CallerLimits {
+    let configuration = gateway.configuration();
+    configuration.map_or_else(CallerLimits::default, |known| known.document.limits)
+}
+
+async fn answer_request(
+    gateway: &Arc<Gateway>,
+    connection: &mut BufferedStream,
+    head: RequestHead,
+    mut decoder: BodyDecoder,
+) -> io::Result<AfterAnswer> {
+    let received = gateway.clock.now();
+    let keep = head.keeps_alive() && !gateway.is_stopping();
+    let mut answer = CallerAnswer::new(connection.writer(), keep);
+    let expects_continue = head.headers.has_token("expect", "100-continue");
+    let request = gateway.site.read_request(head);
+    let limits = caller_limits(gateway);
+    let body = read_body(connection, &mut decoder, limits, expects_continue).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(Some(refusal)) => {
+            answer.close_after();
+            let id = request.as_ref().ok().map(|request| request.id.as_str());
+            return refuse(gateway, &mut answer, &refusal, id).await;
+        }
+        Err(None) => return Ok(AfterAnswer::Abort),
+    };
+    match prepare(gateway, request, body, received) {
+        Ok(prepared) => answer_watched(gateway, connection, prepared, answer).await,
+        Err((refusal, id)) => {
+            log_refusal(gateway, &refusal, id.as_deref());
+            if refusal.kind == RefusalKind::NotRun {
+                // The caller's next connection likely meets another node.
+                answer.close_after();
+            }
+            refuse(gateway, &mut answer, &refusal, id.as_deref()).await
+        }
+    }
+}
+
+fn prepare(
+    gateway: &Gateway,
+    request: Result<CallerRequest, InvalidRequest>,
+    body: Vec<u8>,
+    received: Millis,
+) -> Result<ReceivedRequest, (Refusal, Option<String>)> {
+    let request = request.map_err(|invalid| {
+        let refusal = Refusal::new(RefusalKind::BadRequest, invalid.to_string());
+        (refusal, None)
+    })?;
+    let admission = match admit(gateway, &request) {
+        Ok(admission) => admission,
+        Err(refusal) => return Err((refusal, Some(request.id))),
+    };
+    let limits = TimeLimits::new(received, request.deadline_ms, admission.route.timeout_ms);
+    Ok(ReceivedRequest {
+        request,
+        body,
+        admission,
+        limits,
+    })
+}
+
+fn log_refusal(gateway: &Gateway, refusal: &Refusal, id: Option<&str>) {
+    gateway.metrics.count_request("not_admitted");
+    let age = gateway.beliefs().freshness.age_ms(gateway.clock.now());
+    let version = gateway.configuration().map(|known| known.document.version);
+    slog::info!(gateway.log, "request";
+        "id" => id,
+        "outcome" => "not_admitted",
+        "status" => refusal.kind.status(),
+        "reason" => &refusal.reason,
+        "configuration" => version,
+        "configuration_age_ms" => age);
+}
+
+/// Answers, and gives up as soon as the caller closes its connection.
+async fn answer_watched(
+    gateway: &Arc<Gateway>,
+    connection: &mut BufferedStream,
+    received: ReceivedRequest,
+    answer: CallerAnswer,
+) -> io::Result<AfterAnswer> {
+    let serving = serve(Arc::clone(gateway), received, answer);
+    let watching = async {
+        caller_left(connection).await;
+        Err(io::ErrorKind::ConnectionAborted.into())
+    };
+    futures_lite::future::or(serving, watching).await
+}
+
+/// Waits until the caller closes its connection.
+async fn caller_left(connection: &mut BufferedStream) {
+    while connection.pending().len() < MAX_PIPELINED_BYTES {
+        match connection.fill().await {
+            Ok(count) if count > 0 => {}
+            _ => return,
+        }
+    }
+    std::future::pending().await
+}
+
+/// Reads a body within its limits.
+///
+/// # Errors
+/// The refusal, or nothing when the caller broke off.
+async fn read_body(
+    connection: &mut BufferedStream,
+    decoder: &mut BodyDecoder,
+    limits: CallerLimits,
+    expects_continue: bool,
+) -> Result<Vec<u8>, Option<Refusal>> {
+    let too_large = || {
+        let reason = format!("the body is over {} bytes", limits.max_body_bytes);
+        Some(Refusal::new(RefusalKind::BodyTooLarge, reason))
+    };
+    let declared = decoder.declared_length().unwrap_or(0);
+    if declared > limits.max_body_bytes as u64 {
+        return Err(too_large());
+    }
+    if expects_continue {
+        let written = connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        written.map_err(|_| None)?;
+    }
+    let mut body = Vec::with_capacity(declared as usize);
+    let reading = async {
+        while decoder.read(connection, &mut body).await.map_err(body_error)? {
+            if body.len() > limits.max_body_bytes {
+                return Err(too_large());
+            }
+        }
+        Ok(())
+    };
+    let read = within(limits.idle_timeout_ms, reading).await;
+    let slow = || {
+        let reason = "the body did not come in time";
+        Err(Some(Refusal::new(RefusalKind::RequestTimeout, reason)))
+    };
+    read.unwrap_or_else(slow)?;
+    Ok(body)
+}
+
+fn body_error(error: HttpError) -> Option<Refusal> {
+    match error {
+        HttpError::Malformed { reason } => Some(Refusal::new(RefusalKind::BadRequest, reason)),
+        _ => None,
+    }
+}
+
+/// Ends a connection after a whole answer. Closing with unread bytes would
+/// reset the connection, and the caller could lose the answer.
+async fn linger(connection: &mut BufferedStream) {
+    let _ = connection.writer().shutdown(Shutdown::Write);
+    let draining = async {
+        while connection.fill().await.is_ok_and(|count| count > 0) {
+            let count = connection.pending().len();
+            connection.consume(count);
+        }
+    };
+    within(LINGER_MS, draining).await;
+}
+
+/// Ends a connection inside an answer. Its framing shows that it is not whole.
+fn abort(connection: &BufferedStream) {
+    let _ = connection.writer().shutdown(Shutdown::Both);
+}
--- /dev/null
+++ b/crates/gateway/src/http_call.rs
@@ -0,0 +1,141 @@
+//! One call on a kept connection, with a deadline and a truthful error.
+
+use crate::time::within;
+use ploverlift_http1::{read_response_head, BufferedStream, HttpError, RequestHead, ResponseHead};
+use smol::net::TcpStream;
+use snafu::Snafu;
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Largest body of an answer, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Silence after which the kernel asks whether the peer still is there.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Time after which unanswered bytes or questions end a connection. Without it
+/// a connection to a machine without power hangs for minutes.
+const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Why a call has no answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// Nothing was sent.
+    #[snafu(display("unreachable: {reason}"))]
+    Unreachable {
+        /// What happened.
+        reason: String,
+    },
+    /// The call may have been carried out, or may still be.
+    #[snafu(display("no answer: {reason}"))]
+    NoAnswer {
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// A connection that is opened when it is needed and kept between calls.
+pub struct CallConnection {
+    address: SocketAddr,
+    stream: Option<BufferedStream>,
+}
+
+/// An answer, whole.
+pub type WholeAnswer = (ResponseHead, Vec<u8>);
+
+impl CallConnection {
+    /// A connection to this address; nothing is opened yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            stream: None,
+        }
+    }
+
+    /// Closes the connection; the next call opens another.
+    pub fn reset(&mut self) {
+        self.stream = None;
+    }
+
+    /// Sends a call and reads the whole answer. Without an answer the
+    /// connection is closed: what comes on it later belongs to no other call.
+    ///
+    /// # Errors
+    /// When there is no answer within `timeout_ms`.
+    pub async fn call(
+        &mut self,
+        mut head: RequestHead,
+        body: &[u8],
+        timeout_ms: u64,
+    ) -> Result<WholeAnswer, CallError> {
+        head.headers.set("Host", self.address.to_string());
+        head.headers.set("Content-Length", body.len().to_string());
+        let mut message = head.encode();
+        message.extend_from_slice(body);
+        let mut stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => connect(self.address, timeout_ms).await?,
+        };
+        let exchange = exchange(&mut stream, &head.method, &message);
+        let answered = within(timeout_ms, exchange).await;
+        let (answer, is_kept) = match answered {
+            None => return no_answer("timed out"),
+            Some(Err(error)) => return no_answer(error.to_string()),
+            Some(Ok(answered)) => answered,
+        };
+        if is_kept {
+            self.stream = Some(stream);
+        }
+        Ok(answer)
+    }
+}
+
+fn no_answer<T>(reason: impl Into<String>) -> Result<T, CallError> {
+    Err(CallError::NoAnswer {
+        reason: reason.into(),
+    })
+}
+
+async fn exchange(
+    stream: &mut BufferedStream,
+    method: &str,
+    message: &[u8],
+) -> Result<(WholeAnswer, bool), HttpError> {
+    stream.write_all(message).await?;
+    let (head, mut decoder) = read_response_head(stream, method, MAX_HEAD_BYTES).await?;
+    let mut body = Vec::new();
+    while decoder.read(stream, &mut body).await? {
+        if body.len() > MAX_BODY_BYTES {
+            return Err(ploverlift_http1::error::malformed("the answer is too large"));
+        }
+    }
+    let closes = head.headers.has_token("connection", "close");
+    let is_kept = !closes && !decoder.ends_with_connection();
+    Ok(((head, body), is_kept))
+}
+
+/// Opens a connection that notices a peer without power.
+///
+/// # Errors
+/// [`CallError::Unreachable`] when none comes about in time.
+pub async fn connect(address: SocketAddr, timeout_ms: u64) -> Result<BufferedStream, CallError> {
+    let unreachable = |reason: String| CallError::Unreachable { reason };
+    let connecting = within(timeout_ms, TcpStream::connect(address)).await;
+    let connected = connecting.ok_or_else(|| unreachable("timed out".to_owned()))?;
+    let stream = connected.map_err(|error| unreachable(error.to_string()))?;
+    notice_lost_peer(&stream);
+    Ok(BufferedStream::new(stream))
+}
+
+/// Sets the options that end a connection whose peer is gone without a word.
+/// A system that lacks one of them still works, only slower.
+pub fn notice_lost_peer(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE);
+    let _ = socket.set_tcp_nodelay(true);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(PEER_TIMEOUT));
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,33 @@
+//! The gateway: forwards callers' HTTP requests to engines, by the operator's
+//! configuration from an object store.
+//!
+//! Every node is the same program and needs no other node. What must last lies
+//! in the store; a node holds copies whose age it knows.
+//!
+//! | module | concern |
+//! | --- | --- |
+//! | [`ports`] | what a site's adapter translates |
+//! | [`settings`] | the settings file |
+//! | [`state`] | what the tasks of a node share |
+//! | [`callers`] | connections of callers |
+//! | [`relay`] | one request, from its head to the end of its answer |
+//! | [`engine_connection`] | one request on one connection to an engine |
+//! | [`store`] | client of the object store and the copies that follow it |
+//! | [`weights`] | bringing engines to new weights, by one holder of a lease |
+//! | [`readiness`], [`metrics`], [`logging`] | what a node tells of itself |
+//! | [`assembly`] | puts the parts together; start, reload, planned stop |
+
+pub mod assembly;
+pub mod callers;
+pub mod engine_connection;
+pub mod http_call;
+pub mod logging;
+pub mod metrics;
+pub mod ports;
+pub mod readiness;
+pub mod relay;
+pub mod settings;
+pub mod state;
+pub mod store;
+pub mod time;
+pub mod weights;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,100 @@
+//! Counters and histograms of a node, in the OpenMetrics text format.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::{Registry, Unit};
+
+/// Start of every metric's name.
+const PREFIX: &str = "ploverlift_gateway";
+/// Upper end of the first bucket of times, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.005;
+/// Buckets of times; each is twice as wide as the one before.
+const BUCKETS: u16 = 12;
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// As in the log.
+    pub outcome: &'static str,
+}
+
+/// All metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests by how they ended.
+    pub requests: Family<OutcomeLabel, Counter>,
+    /// Requests sent to engines.
+    pub attempts: Counter,
+    /// Requests sent a second time.
+    pub repeats: Counter,
+    /// Calls of the object store.
+    pub store_calls: Counter,
+    /// Calls of the object store that failed.
+    pub store_failures: Counter,
+    /// Orders to engines.
+    pub orders: Counter,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// Engines in the catalogue.
+    pub engines: Gauge,
+    /// Log lines on requests that were left out.
+    pub log_lines_skipped: Counter,
+    /// Time from the head to the first byte of the answer.
+    pub first_byte_seconds: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS);
+        Self {
+            requests: Family::default(),
+            attempts: Counter::default(),
+            repeats: Counter::default(),
+            store_calls: Counter::default(),
+            store_failures: Counter::default(),
+            orders: Counter::default(),
+            configuration_version: Gauge::default(),
+            engines: Gauge::default(),
+            log_lines_skipped: Counter::default(),
+            first_byte_seconds: Histogram::new(buckets),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request by how it ended.
+    pub fn count_request(&self, outcome: &'static str) {
+        self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// The page as it is now.
+    pub fn page(&self) -> String {
+        let mut registry = Registry::with_prefix(PREFIX);
+        registry.register("requests", "Requests by how they ended", self.requests.clone());
+        let counters = [
+            ("attempts", "Requests sent to engines", &self.attempts),
+            ("repeats", "Requests sent a second time", &self.repeats),
+            ("store_calls", "Calls of the object store", &self.store_calls),
+            ("store_failures", "Failed calls of the store", &self.store_failures),
+            ("orders", "Orders to engines", &self.orders),
+            ("log_lines_skipped", "Log lines left out", &self.log_lines_skipped),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        let version = self.configuration_version.clone();
+        registry.register("configuration_version", "Configuration in force", version);
+        registry.register("engines", "Engines in the catalogue", self.engines.clone());
+        let first_byte = self.first_byte_seconds.clone();
+        let help = "Time to the first byte of the answer";
+        registry.register_with_unit("first_byte", help, Unit::Seconds, first_byte);
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ports/mod.rs
@@ -0,0 +1,39 @@
+//! What the gateway needs to be told about the site it runs on.
+//!
+//! Each port translates between messages on the wire and types of the product.
+//! A port does no I/O, keeps no state, sets no timer and decides nothing: the
+//! gateway sends what a port has encoded and acts on what it has decoded. The
+//! implementation for a site is one folder; this repository's tests bring
+//! another one.
+//!
+//! | port | translates |
+//! | --- | --- |
+//! | [`CallerProtocol`] | a caller's head to a [`CallerRequest`]; a refusal to a head |
+//! | [`EngineProtocol`] | an [`EngineCall`] to a head; an engine's head to its [`AnswerMeaning`] |
+//! | [`EngineControl`] | a report and an order, there and back |
+//! | [`ObjectStore`] | calls of the object store, there and back |
+//! | [`StoredDocuments`] | stored documents to configuration, engines and named weights |
+
+mod caller;
+mod control;
+mod engine;
+mod store;
+
+pub use caller::{CallerProtocol, CallerRequest, InvalidRequest, Refusal, RefusalKind};
+pub use control::{EngineControl, EngineReport, LoadOrder, OrderAnswer};
+pub use engine::{AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine};
+pub use store::{
+    InvalidDocument, NamedVersion, ObjectStore, StoreCall, StoreError, StoreKind, StoreObject,
+    StoreReply, StoredDocuments, WatchEvent,
+};
+
+/// All ports of a site.
+pub trait Site:
+    CallerProtocol + EngineProtocol + EngineControl + ObjectStore + StoredDocuments
+{
+}
+
+impl<T> Site for T where
+    T: CallerProtocol + EngineProtocol + EngineControl + ObjectStore + StoredDocuments
+{
+}
--- /dev/null
+++ b/crates/gateway/src/ports/store.rs
@@ -0,0 +1,208 @@
+//! The object store: what must last, shared by all nodes.
+
+use ploverlift_balancing::catalogue::EngineRecord;
+use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_routing::configuration::Configuration;
+use serde_json::Value;
+use snafu::Snafu;
+
+/// Kinds of objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StoreKind {
+    /// The operator's configuration, one object.
+    Configuration,
+    /// Engines, one object each, which they write themselves.
+    Engines,
+    /// Named versions of weights, one object a model.
+    Weights,
+    /// Leases of this product.
+    Leases,
+}
+
+/// One stored object.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreObject {
+    /// Name, unique in its kind.
+    pub name: String,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// Whether it is about to be removed.
+    pub is_deleting: bool,
+    /// What was stored.
+    pub content: Value,
+}
+
+/// A call of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreCall {
+    /// One page of the objects of a kind, after a name.
+    List {
+        /// The kind.
+        kind: StoreKind,
+        /// The last name of the page before.
+        after: Option<String>,
+    },
+    /// One object.
+    Get {
+        /// The kind.
+        kind: StoreKind,
+        /// Its name.
+        name: String,
+    },
+    /// Changes of a kind after a revision; waits for one.
+    Watch {
+        /// The kind.
+        kind: StoreKind,
+        /// The revision up to which changes are known.
+        revision: u64,
+        /// Longest wait at the store, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Makes an object that must not be there.
+    Create {
+        /// The kind.
+        kind: StoreKind,
+        /// Its name.
+        name: String,
+        /// What to store.
+        content: Value,
+    },
+    /// Replaces an object whose revision must be this one.
+    Replace {
+        /// The kind.
+        kind: StoreKind,
+        /// Its name.
+        name: String,
+        /// The revision that must still be stored.
+        revision: u64,
+        /// What to store.
+        content: Value,
+    },
+}
+
+/// A change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WatchEvent {
+    /// The object after the change.
+    pub object: StoreObject,
+    /// Whether it was removed.
+    pub is_gone: bool,
+}
+
+/// What the store answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreReply {
+    /// A page of a list.
+    Page {
+        /// Objects in the order of their names.
+        objects: Vec<StoreObject>,
+        /// Whether more follow.
+        has_more: bool,
+        /// Revision of the store.
+        revision: u64,
+    },
+    /// One object: as it is, or as it was stored.
+    Object(StoreObject),
+    /// Changes, maybe none.
+    Changes {
+        /// In order.
+        events: Vec<WatchEvent>,
+        /// Revision from which to go on.
+        revision: u64,
+    },
+}
+
+/// Why a call did not do what it should.
+#[derive(Clone, Debug, PartialEq, Snafu)]
+pub enum StoreError {
+    /// Not done: the object has another revision, or is there already.
+    #[snafu(display("conflict"))]
+    Conflict {
+        /// The object as it is, when the store tells.
+        current: Option<Box<StoreObject>>,
+    },
+    /// Not done: there is no such object.
+    #[snafu(display("not found"))]
+    NotFound,
+    /// The changes since the revision are no longer known.
+    #[snafu(display("the history is gone"))]
+    HistoryGone,
+    /// Not done: the store takes no more calls now.
+    #[snafu(display("throttled"))]
+    Throttled,
+    /// Not done: the store refused the call.
+    #[snafu(display("refused with status {status}"))]
+    Refused {
+        /// HTTP status.
+        status: u16,
+    },
+    /// Not done: the store could not be reached.
+    #[snafu(display("unreachable: {reason}"))]
+    Unreachable {
+        /// What happened.
+        reason: String,
+    },
+    /// No answer came: a change may have been made, or may still be made.
+    #[snafu(display("unknown outcome: {reason}"))]
+    Unknown {
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// The protocol of the object store.
+pub trait ObjectStore: Send + Sync {
+    /// Head and body of a call, without the body's length.
+    fn store_message(&self, call: &StoreCall) -> (RequestHead, Vec<u8>);
+
+    /// Reads the answer to a call.
+    ///
+    /// # Errors
+    /// When the call was not done, or the answer does not fit.
+    fn read_store_answer(
+        &self,
+        call: &StoreCall,
+        head: &ResponseHead,
+        body: &[u8],
+    ) -> Result<StoreReply, StoreError>;
+}
+
+/// A named version of a model's weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NamedVersion {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+}
+
+/// A stored document that does not fit.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{document}: {reason}"))]
+pub struct InvalidDocument {
+    /// Which document.
+    pub document: String,
+    /// What does not fit.
+    pub reason: String,
+}
+
+/// The documents that the operator and the engines store.
+pub trait StoredDocuments: Send + Sync {
+    /// Reads the configuration.
+    ///
+    /// # Errors
+    /// When it does not fit.
+    fn configuration(&self, object: &StoreObject) -> Result<Configuration, InvalidDocument>;
+
+    /// Reads an engine's record.
+    ///
+    /// # Errors
+    /// When it does not fit.
+    fn engine(&self, object: &StoreObject) -> Result<EngineRecord, InvalidDocument>;
+
+    /// Reads a named version of weights.
+    ///
+    /// # Errors
+    /// When it does not fit.
+    fn named_version(&self, object: &StoreObject) -> Result<NamedVersion, InvalidDocument>;
+}
--- /dev/null
+++ b/crates/gateway/src/readiness.rs
@@ -0,0 +1,69 @@
+//! Small listeners: whether this node takes callers, and its metrics.
+
+use crate::ports::RefusalKind;
+use crate::state::Gateway;
+use crate::time::within;
+use ploverlift_http1::{read_request_head, BufferedStream, ResponseHead};
+use smol::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+
+/// Largest head of a question, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Longest rest of a connection between two questions, in milliseconds.
+const IDLE_MS: u64 = 10_000;
+
+/// Whether this node takes callers: it knows the configuration and the engines,
+/// may accept keys, and is not stopping.
+pub fn is_ready(gateway: &Gateway) -> bool {
+    let knows_site = {
+        let beliefs = gateway.beliefs();
+        beliefs.configuration.is_some() && beliefs.engines_listed
+    };
+    knows_site && !gateway.is_stopping() && gateway.accepts_keys()
+}
+
+/// Answers the load balancer until the task is dropped.
+pub async fn answer_readiness(gateway: Arc<Gateway>, listener: TcpListener) {
+    answer_questions(gateway, listener, |gateway| match is_ready(gateway) {
+        true => (200, "ready\n".to_owned()),
+        false => (RefusalKind::NotRun.status(), "not ready\n".to_owned()),
+    })
+    .await;
+}
+
+/// Answers with the metrics until the task is dropped.
+pub async fn answer_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
+    answer_questions(gateway, listener, |gateway| (200, gateway.metrics.page())).await;
+}
+
+type Question = fn(&Gateway) -> (u16, String);
+
+async fn answer_questions(gateway: Arc<Gateway>, listener: TcpListener, question: Question) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            let gateway = Arc::clone(&gateway);
+            smol::spawn(answer_connection(gateway, stream, question)).detach();
+        }
+    }
+}
+
+async fn answer_connection(gateway: Arc<Gateway>, stream: TcpStream, question: Question) {
+    let mut connection = BufferedStream::new(stream);
+    loop {
+        let reading = read_request_head(&mut connection, MAX_HEAD_BYTES);
+        let Some(Ok((head, _))) = within(IDLE_MS, reading).await else {
+            return;
+        };
+        let (status, body) = question(&gateway);
+        let mut answer = ResponseHead::new(status);
+        answer.headers.set("Content-Length", body.len().to_string());
+        if !head.keeps_alive() {
+            answer.headers.set("Connection", "close");
+        }
+        let mut message = answer.encode();
+        message.extend_from_slice(body.as_bytes());
+        if connection.write_all(&message).await.is_err() || !head.keeps_alive() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/caller_answer.rs
@@ -0,0 +1,118 @@
+//! Writing an answer to a caller.
+
+use ploverlift_http1::ResponseHead;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use std::fmt::Write;
+use std::io;
+
+/// What becomes of the caller's connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterAnswer {
+    /// The next request may follow.
+    Keep,
+    /// The answer is whole and the connection ends.
+    Close,
+    /// The answer is not whole: the connection must end at once, so that the
+    /// caller sees it broken.
+    Abort,
+}
+
+/// Writes one answer.
+pub struct CallerAnswer {
+    stream: TcpStream,
+    keep: bool,
+    has_started: bool,
+}
+
+impl CallerAnswer {
+    /// An answer of which nothing was written. `keep` tells whether the
+    /// connection may be kept after it.
+    pub fn new(stream: TcpStream, keep: bool) -> Self {
+        Self {
+            stream,
+            keep,
+            has_started: false,
+        }
+    }
+
+    /// Whether any byte was written.
+    pub fn has_started(&self) -> bool {
+        self.has_started
+    }
+
+    /// Ends the connection after this answer.
+    pub fn close_after(&mut self) {
+        self.keep = false;
+    }
+
+    /// Writes a whole answer.
+    ///
+    /// # Errors
+    /// When the caller is gone.
+    pub async fn whole(&mut self, mut head: ResponseHead, body: &[u8]) -> io::Result<AfterAnswer> {
+        head.headers.set("Content-Length", body.len().to_string());
+        let mut message = self.encode(head);
+        message.extend_from_slice(body);
+        self.has_started = true;
+        self.stream.write_all(&message).await?;
+        Ok(self.after())
+    }
+
+    /// Writes the head of a streamed answer and its first bytes.
+    ///
+    /// # Errors
+    /// When the caller is gone.
+    pub async fn start(&mut self, mut head: ResponseHead, first: &[u8]) -> io::Result<()> {
+        head.headers.remove("Content-Length");
+        head.headers.set("Transfer-Encoding", "chunked");
+        let mut message = self.encode(head);
+        append_chunk(&mut message, first);
+        self.has_started = true;
+        self.stream.write_all(&message).await
+    }
+
+    /// Writes more bytes of a streamed answer.
+    ///
+    /// # Errors
+    /// When the caller is gone.
+    pub async fn chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut message = Vec::with_capacity(bytes.len() + 16);
+        append_chunk(&mut message, bytes);
+        self.stream.write_all(&message).await
+    }
+
+    /// Ends a streamed answer as whole.
+    ///
+    /// # Errors
+    /// When the caller is gone.
+    pub async fn finish(&mut self) -> io::Result<AfterAnswer> {
+        self.stream.write_all(b"0\r\n\r\n").await?;
+        Ok(self.after())
+    }
+
+    fn encode(&self, mut head: ResponseHead) -> Vec<u8> {
+        if !self.keep {
+            head.headers.set("Connection", "close");
+        }
+        head.encode()
+    }
+
+    fn after(&self) -> AfterAnswer {
+        match self.keep {
+            true => AfterAnswer::Keep,
+            false => AfterAnswer::Close,
+        }
+    }
+}
+
+fn append_chunk(message: &mut Vec<u8>, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    let mut line = String::new();
+    let _ = write!(line, "{:x}\r\n", bytes.len());
+    message.extend_from_slice(line.as_bytes());
+    message.extend_from_slice(bytes);
+    message.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/gateway/src/relay/record.rs
@@ -0,0 +1,111 @@
+//! The log line of a request: what it was, what was decided with which inputs,
+//! and how it ended.
+
+use super::attempt::{AttemptEnd, ChosenEngine};
+use super::ReceivedRequest;
+use crate::state::Gateway;
+use std::fmt::Write;
+
+/// Outcomes of which every line is written; others as the rate allows.
+const ALWAYS_LOGGED: [&str; 4] = ["refused", "timed_out", "engine_lost", "broken_off"];
+
+/// Collects what the line will say. A request whose caller leaves is logged
+/// when the record is dropped.
+pub(super) struct RequestRecord {
+    id: String,
+    attempts: String,
+    first_byte_ms: Option<u64>,
+    is_finished: bool,
+    log: slog::Logger,
+}
+
+impl RequestRecord {
+    pub(super) fn new(gateway: &Gateway, received: &ReceivedRequest) -> Self {
+        Self {
+            id: received.request.id.clone(),
+            attempts: String::new(),
+            first_byte_ms: None,
+            is_finished: false,
+            log: gateway.log.clone(),
+        }
+    }
+
+    /// An engine was chosen.
+    pub(super) fn begin_attempt(&mut self, _gateway: &Gateway, chosen: &ChosenEngine) {
+        let cost = &chosen.cost;
+        let _ = write!(
+            self.attempts,
+            "{}{} weights={} of={} queue={:.0} transfer={:.0} zone={:.0} slots={:.0} failure={:.0}",
+            if self.attempts.is_empty() { "" } else { "; " },
+            chosen.instance,
+            chosen.weights.unwrap_or(0),
+            chosen.candidates,
+            cost.queue_ms,
+            cost.transfer_ms,
+            cost.zone_ms,
+            cost.slots_ms,
+            cost.failure_ms,
+        );
+    }
+
+    /// The attempt ended.
+    pub(super) fn end_attempt(&mut self, _gateway: &Gateway, end: &AttemptEnd) {
+        let text = &mut self.attempts;
+        let _ = match end {
+            AttemptEnd::Done { outcome, .. } => write!(text, " -> {outcome}"),
+            AttemptEnd::Unreachable { reason } => write!(text, " -> unreachable ({reason})"),
+            AttemptEnd::Refused { .. } => write!(text, " -> refused"),
+            AttemptEnd::OtherWeights => write!(text, " -> other weights"),
+            AttemptEnd::Failed { head, .. } => write!(text, " -> failed {}", head.status),
+            AttemptEnd::Broken { reason, .. } => write!(text, " -> broken ({reason})"),
+        };
+    }
+
+    /// The first byte of the answer goes to the caller.
+    pub(super) fn first_byte(&mut self, gateway: &Gateway, received: &ReceivedRequest) {
+        if self.first_byte_ms.is_none() {
+            let age = received.limits.age_ms(gateway);
+            self.first_byte_ms = Some(age);
+            gateway.metrics.first_byte_seconds.observe(age as f64 / 1_000.0);
+        }
+    }
+
+    /// The request is over.
+    pub(super) fn finish(
+        &mut self,
+        gateway: &Gateway,
+        received: &ReceivedRequest,
+        outcome: &'static str,
+        reason: &str,
+    ) {
+        self.is_finished = true;
+        gateway.metrics.count_request(outcome);
+        if !ALWAYS_LOGGED.contains(&outcome) && !gateway.may_log_success() {
+            gateway.metrics.log_lines_skipped.inc();
+            return;
+        }
+        let now = gateway.clock.now();
+        let freshness = gateway.beliefs().freshness.age_ms(now);
+        let admission = &received.admission;
+        slog::info!(self.log, "request";
+            "id" => &self.id,
+            "outcome" => outcome,
+            "reason" => reason,
+            "route" => &admission.route.name,
+            "service" => &admission.service.0,
+            "configuration" => admission.configuration.document.version,
+            "configuration_age_ms" => freshness,
+            "attempts" => &self.attempts,
+            "first_byte_ms" => self.first_byte_ms,
+            "total_ms" => received.limits.age_ms(gateway));
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            slog::info!(self.log, "request";
+                "id" => &self.id, "outcome" => "caller_left", "attempts" => &self.attempts);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/stream.rs
@@ -0,0 +1,149 @@
+//! An engine's event stream, event by event, to the caller.
+//!
+//! Only whole events are passed on. When the stream breaks and may be resumed,
+//! another engine continues after the last event that the caller has, inside
+//! the same answer.
+
+use super::attempt::{AttemptEnd, ChosenEngine};
+use super::events::{is_after, EventSplitter};
+use super::in_flight::InFlight;
+use super::whole::passed_on;
+use super::{AfterAnswer, Relay};
+use crate::engine_connection::EngineAnswer;
+use crate::time::within;
+use ploverlift_balancing::health::Outcome;
+use std::io;
+
+/// How a stream went on.
+enum StreamStep {
+    Events(Vec<u8>),
+    End(Vec<u8>),
+    Broken { reason: String, time_is_up: bool },
+}
+
+impl Relay {
+    /// Passes a stream on until it ends or breaks.
+    pub(super) async fn pass_stream(
+        &mut self,
+        mut answer: EngineAnswer,
+        chosen: &ChosenEngine,
+        in_flight: &mut InFlight,
+    ) -> io::Result<AttemptEnd> {
+        let mut splitter = EventSplitter::default();
+        let mut is_first = true;
+        loop {
+            match self.next_step(&mut answer, &mut splitter, is_first).await {
+                StreamStep::Events(bytes) => {
+                    if is_first {
+                        is_first = false;
+                        self.note_first_event(chosen, in_flight);
+                    }
+                    self.deliver(&answer, &bytes).await?;
+                }
+                StreamStep::End(rest) => {
+                    in_flight.note(Outcome::Answered);
+                    self.deliver(&answer, &rest).await?;
+                    let after = self.answer.finish().await?;
+                    let outcome = "answered";
+                    return Ok(AttemptEnd::Done { after, outcome });
+                }
+                StreamStep::Broken { reason, time_is_up } => {
+                    in_flight.note(Outcome::Broken);
+                    if time_is_up && self.answer.has_started() {
+                        let after = AfterAnswer::Abort;
+                        let outcome = "timed_out";
+                        return Ok(AttemptEnd::Done { after, outcome });
+                    }
+                    return Ok(AttemptEnd::Broken { reason, time_is_up });
+                }
+            }
+        }
+    }
+
+    fn note_first_event(&mut self, chosen: &ChosenEngine, in_flight: &mut InFlight) {
+        in_flight.answered();
+        if let Some((key, weights)) = chosen.saves {
+            let now = self.gateway.clock.now();
+            let mut beliefs = self.gateway.beliefs();
+            beliefs.saved_prompts.note(key, weights, now);
+        }
+    }
+
+    /// Writes events; the head goes out with the first of them.
+    async fn deliver(&mut self, answer: &EngineAnswer, bytes: &[u8]) -> io::Result<()> {
+        if self.answer.has_started() {
+            if bytes.is_empty() {
+                return Ok(());
+            }
+            return self.answer.chunk(bytes).await;
+        }
+        self.record.first_byte(&self.gateway, &self.received);
+        self.answer.start(passed_on(answer), bytes).await
+    }
+
+    /// Reads until there is something to pass on, or the stream ends.
+    async fn next_step(
+        &mut self,
+        answer: &mut EngineAnswer,
+        splitter: &mut EventSplitter,
+        is_first: bool,
+    ) -> StreamStep {
+        loop {
+            let events = self.take_events(splitter);
+            if !events.is_empty() {
+                return StreamStep::Events(events);
+            }
+            let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
+            let silence_ms = self.allowed_silence_ms(is_first).unwrap_or(left_ms);
+            let reading = answer.read(&mut splitter.pending);
+            match within(silence_ms.min(left_ms), reading).await {
+                Some(Ok(true)) => {}
+                Some(Ok(false)) => {
+                    let mut rest = self.take_events(splitter);
+                    rest.append(&mut splitter.pending);
+                    return StreamStep::End(rest);
+                }
+                Some(Err(error)) => {
+                    let events = self.take_events(splitter);
+                    if !events.is_empty() {
+                        return StreamStep::Events(events);
+                    }
+                    return StreamStep::Broken {
+                        reason: error.to_string(),
+                        time_is_up: false,
+                    };
+                }
+                None => {
+                    return StreamStep::Broken {
+                        reason: "no event in time".to_owned(),
+                        time_is_up: !self.has_time(),
+                    }
+                }
+            }
+        }
+    }
+
+    fn allowed_silence_ms(&self, is_first: bool) -> Option<u64> {
+        let patience_ms = self.patience_ms()?;
+        match is_first {
+            true => Some(patience_ms),
+            false => Some(self.gateway.settings().attempts.stream_silence_ms),
+        }
+    }
+
+    /// All whole events, without those that the caller has already.
+    fn take_events(&mut self, splitter: &mut EventSplitter) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        while let Some(event) = splitter.next_event() {
+            if let Some(id) = event.id {
+                let last = self.progress.last_event.as_deref();
+                if last.is_some_and(|last| !is_after(&id, last)) {
+                    continue;
+                }
+                self.progress.last_event = Some(id);
+            }
+            bytes.extend_from_slice(&event.bytes);
+        }
+        bytes
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/whole.rs
@@ -0,0 +1,136 @@
+//! Answers that are read whole before the caller gets any of them.
+
+use super::attempt::AttemptEnd;
+use super::in_flight::InFlight;
+use super::Relay;
+use crate::engine_connection::EngineAnswer;
+use crate::time::within;
+use ploverlift_balancing::health::Outcome;
+use std::io;
+
+/// Largest answer that is held; a larger one is passed on piece by piece, and
+/// breaks off at the caller when it breaks off at the engine.
+const MAX_HELD_BYTES: usize = 256 * 1024;
+
+/// How reading an answer ended.
+enum ReadEnd {
+    Whole(Vec<u8>),
+    TooLarge(Vec<u8>),
+    Broken { reason: String, time_is_up: bool },
+}
+
+impl Relay {
+    /// Passes a success on once it is whole.
+    pub(super) async fn pass_whole(
+        &mut self,
+        mut answer: EngineAnswer,
+        in_flight: &mut InFlight,
+    ) -> io::Result<AttemptEnd> {
+        match self.read_held(&mut answer).await {
+            ReadEnd::Whole(body) => {
+                in_flight.note(Outcome::Answered);
+                self.record.first_byte(&self.gateway, &self.received);
+                let head = passed_on(&answer);
+                let after = self.answer.whole(head, &body).await?;
+                let outcome = "answered";
+                Ok(AttemptEnd::Done { after, outcome })
+            }
+            ReadEnd::TooLarge(first) => self.pass_large(answer, first, in_flight).await,
+            ReadEnd::Broken { reason, time_is_up } => {
+                in_flight.note(Outcome::Broken);
+                Ok(AttemptEnd::Broken { reason, time_is_up })
+            }
+        }
+    }
+
+    /// Reads an engine's own failure.
+    pub(super) async fn read_failure(
+        &mut self,
+        mut answer: EngineAnswer,
+        in_flight: &mut InFlight,
+    ) -> io::Result<AttemptEnd> {
+        match self.read_held(&mut answer).await {
+            ReadEnd::Whole(body) | ReadEnd::TooLarge(body) => {
+                let is_engines_fault = answer.head.status >= 500;
+                in_flight.note(match is_engines_fault {
+                    true => Outcome::Failed,
+                    false => Outcome::Answered,
+                });
+                let head = passed_on(&answer);
+                if is_engines_fault {
+                    return Ok(AttemptEnd::Failed { head, body });
+                }
+                let after = self.answer.whole(head, &body).await?;
+                let outcome = "rejected_by_engine";
+                Ok(AttemptEnd::Done { after, outcome })
+            }
+            ReadEnd::Broken { reason, time_is_up } => {
+                in_flight.note(Outcome::Broken);
+                Ok(AttemptEnd::Broken { reason, time_is_up })
+            }
+        }
+    }
+
+    async fn read_held(&self, answer: &mut EngineAnswer) -> ReadEnd {
+        let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
+        let patience_ms = self.patience_ms().unwrap_or(left_ms).min(left_ms);
+        let mut body = Vec::new();
+        let reading = async {
+            while answer.read(&mut body).await? {
+                if body.len() > MAX_HELD_BYTES {
+                    return Ok(false);
+                }
+            }
+            Ok::<bool, ploverlift_http1::HttpError>(true)
+        };
+        match within(patience_ms, reading).await {
+            Some(Ok(true)) => ReadEnd::Whole(body),
+            Some(Ok(false)) => ReadEnd::TooLarge(body),
+            Some(Err(error)) => ReadEnd::Broken {
+                reason: error.to_string(),
+                time_is_up: false,
+            },
+            None => ReadEnd::Broken {
+                reason: "the answer was not whole in time".to_owned(),
+                time_is_up: !self.has_time(),
+            },
+        }
+    }
+
+    async fn pass_large(
+        &mut self,
+        mut answer: EngineAnswer,
+        first: Vec<u8>,
+        in_flight: &mut InFlight,
+    ) -> io::Result<AttemptEnd> {
+        self.record.first_byte(&self.gateway, &self.received);
+        self.answer.start(passed_on(&answer), &first).await?;
+        let mut piece = Vec::new();
+        loop {
+            piece.clear();
+            let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
+            match within(left_ms, answer.read(&mut piece)).await {
+                Some(Ok(true)) => self.answer.chunk(&piece).await?,
+                Some(Ok(false)) => break,
+                Some(Err(_)) | None => {
+                    in_flight.note(Outcome::Broken);
+                    return Ok(AttemptEnd::Done {
+                        after: super::AfterAnswer::Abort,
+                        outcome: "broken_off",
+                    });
+                }
+            }
+        }
+        in_flight.note(Outcome::Answered);
+        let after = self.answer.finish().await?;
+        let outcome = "answered";
+        Ok(AttemptEnd::Done { after, outcome })
+    }
+}
+
+/// The head of an engine's answer as the caller gets it.
+pub(super) fn passed_on(answer: &EngineAnswer) -> ploverlift_http1::ResponseHead {
+    let mut head = answer.head.clone();
+    head.headers.remove_connection_headers();
+    head
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,351 @@
+//! The gateway's settings file (TOML). Every key but the addresses has a default.
+
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// All settings.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// This node.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// The object store.
+    pub store: StoreSettings,
+    /// Bounds that the site promises.
+    #[serde(default)]
+    pub bounds: BoundSettings,
+    /// Attempts at engines.
+    #[serde(default)]
+    pub attempts: AttemptSettings,
+    /// Rates for the choice of an engine.
+    #[serde(default)]
+    pub cost: CostSettings,
+    /// Loading of new weights.
+    #[serde(default)]
+    pub weights: WeightSettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// `[node]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name, unique in the site and stable over restarts.
+    pub name: String,
+    /// Zone, as engines name theirs.
+    pub zone: String,
+}
+
+/// `[listen]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the load balancer's question whether this node takes callers.
+    pub readiness: SocketAddr,
+    /// For metrics; none when absent.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// `[store]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Longest wait for an answer beyond what a call asks for, in milliseconds.
+    #[serde(default = "defaults::store_timeout_ms")]
+    pub timeout_ms: u64,
+    /// How long a watch of the configuration waits, in milliseconds. Its answer
+    /// is the proof that the configuration is the newest.
+    #[serde(default = "defaults::configuration_watch_ms")]
+    pub configuration_watch_ms: u64,
+    /// How long other watches wait, in milliseconds.
+    #[serde(default = "defaults::other_watch_ms")]
+    pub other_watch_ms: u64,
+}
+
+/// `[bounds]`: what the site promises.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BoundSettings {
+    /// A key that was taken away stops to work within this time, in
+    /// milliseconds, also at nodes that are cut from the store.
+    pub key_revocation_ms: u64,
+    /// Whether nodes that are cut from the store must stop accepting keys.
+    pub revoke_when_cut: bool,
+    /// A planned stop ends within this time, in seconds.
+    pub stop_seconds: f64,
+    /// New weights are in use within this time, in milliseconds.
+    pub weights_ms: u64,
+    /// The same over interrupted stretches together, in milliseconds.
+    pub weights_total_ms: u64,
+    /// Two holders of a lease never act within this time, in milliseconds.
+    pub lease_ms: u64,
+    /// Repeated arrivals at a service for each request.
+    pub retry_ratio: f64,
+    /// Window of the retry budget, in seconds.
+    pub retry_window_seconds: f64,
+}
+
+impl Default for BoundSettings {
+    fn default() -> Self {
+        Self {
+            key_revocation_ms: 5_000,
+            revoke_when_cut: true,
+            stop_seconds: 8.0,
+            weights_ms: 8_000,
+            weights_total_ms: 11_000,
+            lease_ms: 3_000,
+            retry_ratio: 0.2,
+            retry_window_seconds: 10.0,
+        }
+    }
+}
+
+/// `[attempts]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AttemptSettings {
+    /// Longest wait for a connection to an engine, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// Silence after which a repeatable request goes to another engine, as a
+    /// multiple of the route's objective.
+    pub patience: f64,
+    /// Silence between the events of a stream after which it is taken up at
+    /// another engine, in milliseconds.
+    pub stream_silence_ms: u64,
+    /// Time to come back without a better estimate, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Repeats that a quiet node may make within the window.
+    pub retry_reserve: f64,
+}
+
+impl Default for AttemptSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 250,
+            patience: 2.0,
+            stream_silence_ms: 1_500,
+            retry_after_ms: 200,
+            retry_reserve: 2.0,
+        }
+    }
+}
+
+/// `[cost]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CostSettings {
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub prompt_tokens_per_ms: f64,
+    /// Share of the reading time that moving kept cache takes instead.
+    pub transfer_share: f64,
+    /// Cost of leaving the zone, in milliseconds.
+    pub zone_ms: f64,
+    /// Cost of a full engine, in milliseconds.
+    pub slot_ms: f64,
+    /// Nodes that send to the same engines.
+    pub senders: f64,
+    /// How long a prompt counts as saved in the cache store, in milliseconds.
+    pub saved_lifetime_ms: u64,
+}
+
+impl Default for CostSettings {
+    fn default() -> Self {
+        Self {
+            prompt_tokens_per_ms: 40.0,
+            transfer_share: 0.5,
+            zone_ms: 2.0,
+            slot_ms: 30.0,
+            senders: 7.0,
+            saved_lifetime_ms: 10_000,
+        }
+    }
+}
+
+/// `[weights]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WeightSettings {
+    /// Engines that load at the same time.
+    pub loads_at_once: usize,
+    /// Time from the naming of a version to the first order, in milliseconds.
+    pub start_after_ms: u64,
+    /// Time before the bound at which engines with older weights leave the
+    /// choice, in milliseconds: a request may wait in an engine's queue.
+    pub margin_ms: u64,
+    /// Longest wait for an engine's answer to an order, in milliseconds.
+    pub order_timeout_ms: u64,
+    /// Time between an order and the first report after it, in milliseconds.
+    pub report_after_ms: u64,
+}
+
+impl Default for WeightSettings {
+    fn default() -> Self {
+        Self {
+            loads_at_once: 2,
+            start_after_ms: 2_000,
+            margin_ms: 2_000,
+            order_timeout_ms: 500,
+            report_after_ms: 350,
+        }
+    }
+}
+
+/// Least severe level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Only what an operator must act on.
+    Warning,
+    /// Decisions.
+    #[default]
+    Info,
+    /// Everything.
+    Debug,
+}
+
+/// `[log]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Least severe level.
+    pub level: LogLevel,
+    /// Lines a second for requests that went well; those beyond are counted.
+    pub successes_per_second: u32,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LogLevel::Info,
+            successes_per_second: 20,
+        }
+    }
+}
+
+mod defaults {
+    pub fn store_timeout_ms() -> u64 {
+        1_000
+    }
+    pub fn configuration_watch_ms() -> u64 {
+        1_500
+    }
+    pub fn other_watch_ms() -> u64 {
+        20_000
+    }
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("cannot read the settings file {}: {source}", file.display()))]
+    Read {
+        /// The file.
+        file: PathBuf,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The file is not TOML of the expected shape.
+    #[snafu(display("{}: {source}", file.display()))]
+    Shape {
+        /// The file.
+        file: PathBuf,
+        /// The parser's error, with line, key and what was expected.
+        source: Box<toml::de::Error>,
+    },
+    /// A value is out of its bounds.
+    #[snafu(display("{}: {key} = {value}: {fix}", file.display()))]
+    Value {
+        /// The file.
+        file: PathBuf,
+        /// The key.
+        key: &'static str,
+        /// The value found.
+        value: String,
+        /// What to write instead.
+        fix: &'static str,
+    },
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// When it cannot be read, has another shape or a value out of its bounds.
+    pub fn read(file: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
+        Self::parse(&text, file)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    /// When it has another shape or a value out of its bounds.
+    pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
+        let parsed = toml::from_str::<Self>(text).map_err(Box::new);
+        let settings = parsed.context(ShapeSnafu { file })?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &Path) -> Result<(), SettingsError> {
+        let invalid = |key, value: String, fix| {
+            let file = file.to_owned();
+            Err(SettingsError::Value {
+                file,
+                key,
+                value,
+                fix,
+            })
+        };
+        if self.node.name.is_empty() {
+            return invalid("node.name", "''".to_owned(), "name the node");
+        }
+        if self.node.zone.is_empty() {
+            return invalid("node.zone", "''".to_owned(), "name the zone");
+        }
+        let positive = [
+            ("store.timeout_ms", self.store.timeout_ms),
+            ("store.configuration_watch_ms", self.store.configuration_watch_ms),
+            ("store.other_watch_ms", self.store.other_watch_ms),
+            ("bounds.key_revocation_ms", self.bounds.key_revocation_ms),
+            ("bounds.weights_ms", self.bounds.weights_ms),
+            ("bounds.lease_ms", self.bounds.lease_ms),
+            ("attempts.connect_timeout_ms", self.attempts.connect_timeout_ms),
+            ("attempts.stream_silence_ms", self.attempts.stream_silence_ms),
+            ("weights.loads_at_once", self.weights.loads_at_once as u64),
+        ];
+        for (key, value) in positive {
+            if value == 0 {
+                return invalid(key, value.to_string(), "use 1 or more");
+            }
+        }
+        if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
+            let value = self.bounds.retry_ratio.to_string();
+            return invalid("bounds.retry_ratio", value, "use 0.0 to 1.0");
+        }
+        let rates = [
+            ("bounds.stop_seconds", self.bounds.stop_seconds),
+            ("bounds.retry_window_seconds", self.bounds.retry_window_seconds),
+            ("cost.prompt_tokens_per_ms", self.cost.prompt_tokens_per_ms),
+            ("cost.senders", self.cost.senders),
+            ("attempts.patience", self.attempts.patience),
+        ];
+        for (key, value) in rates {
+            if value.is_nan() || value <= 0.0 {
+                return invalid(key, value.to_string(), "use a number over 0.0");
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,270 @@
+//! What the tasks of a node share.
+
+use crate::metrics::Metrics;
+use crate::ports::Site;
+use crate::settings::GatewaySettings;
+use crate::time::Clock;
+use event_listener::Event;
+use ploverlift_balancing::catalogue::EngineCatalogue;
+use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
+use ploverlift_balancing::selection::CostRates;
+use ploverlift_balancing::transfer::SavedPrompts;
+use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
+use ploverlift_policy::ids::ZoneName;
+use ploverlift_routing::configuration::{Configuration, ServiceName};
+use ploverlift_routing::freshness::Freshness;
+use ploverlift_routing::split::TrafficSplitter;
+use ploverlift_routing::table::RouteTable;
+use ploverlift_routing::tenants::TenantDirectory;
+use slog::Logger;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// A configuration that was taken in, with what is looked up in it.
+#[derive(Debug, Default)]
+pub struct ActiveConfiguration {
+    /// As the operator wrote it.
+    pub document: Configuration,
+    /// Its routes.
+    pub routes: RouteTable,
+    /// Its tenants; nothing when requests need no key.
+    pub tenants: Option<TenantDirectory>,
+}
+
+impl ActiveConfiguration {
+    /// Prepares a configuration for look-ups.
+    pub fn new(document: Configuration) -> Self {
+        let routes = RouteTable::new(&document.routes);
+        let tenants = document.tenants.as_deref().map(TenantDirectory::new);
+        Self {
+            document,
+            routes,
+            tenants,
+        }
+    }
+}
+
+/// What this node believes of the site.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    /// The newest configuration seen in this life of the process.
+    pub configuration: Option<Arc<ActiveConfiguration>>,
+    /// When it was last proven to be the newest.
+    pub freshness: Freshness,
+    /// Engines.
+    pub engines: EngineCatalogue,
+    /// Whether the engines were listed once.
+    pub engines_listed: bool,
+    /// Named weights.
+    pub weights: NamedWeights,
+    /// Splits of routes.
+    pub splitter: TrafficSplitter,
+    /// Prompts that the cache store holds.
+    pub saved_prompts: SavedPrompts,
+    retry_budgets: BTreeMap<ServiceName, RetryBudget>,
+}
+
+/// One node.
+pub struct Gateway {
+    /// Settings in force.
+    settings: Mutex<Arc<GatewaySettings>>,
+    /// Zone of this node.
+    pub zone: ZoneName,
+    /// Translates the site's protocols.
+    pub site: Arc<dyn Site>,
+    /// Steady clock.
+    pub clock: Clock,
+    /// Log.
+    pub log: Logger,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Told whenever the store was reached again after a failure.
+    pub store_recovered: Event,
+    /// Told whenever a version of weights was named.
+    pub weights_named: Event,
+    /// Told when a planned stop begins.
+    pub stop_began: Event,
+    /// Told whenever a request or a connection has ended.
+    pub work_ended: Event,
+    /// Where the splits of this node begin, in 0 to 1.
+    pub split_start: f64,
+    stopping: AtomicBool,
+    requests_under_way: AtomicUsize,
+    success_lines: Mutex<LineAllowance>,
+    beliefs: Mutex<Beliefs>,
+}
+
+/// Log lines that were written in the present second.
+#[derive(Debug, Default)]
+struct LineAllowance {
+    second: u64,
+    lines: u32,
+}
+
+impl Gateway {
+    /// A node that believes nothing yet.
+    pub fn new(settings: GatewaySettings, site: Arc<dyn Site>, log: Logger) -> Self {
+        Self {
+            zone: ZoneName(settings.node.zone.clone()),
+            settings: Mutex::new(Arc::new(settings)),
+            site,
+            clock: Clock::default(),
+            log,
+            metrics: Metrics::default(),
+            store_recovered: Event::new(),
+            weights_named: Event::new(),
+            stop_began: Event::new(),
+            work_ended: Event::new(),
+            split_start: fastrand::f64(),
+            stopping: AtomicBool::new(false),
+            requests_under_way: AtomicUsize::new(0),
+            success_lines: Mutex::new(LineAllowance::default()),
+            beliefs: Mutex::new(Beliefs::default()),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<GatewaySettings> {
+        let settings = self.settings.lock();
+        Arc::clone(&settings.unwrap_or_else(|poisoned| poisoned.into_inner()))
+    }
+
+    /// Puts other settings in force.
+    pub fn replace_settings(&self, settings: GatewaySettings) {
+        let current = self.settings.lock();
+        *current.unwrap_or_else(|poisoned| poisoned.into_inner()) = Arc::new(settings);
+    }
+
+    /// Beliefs, locked. Never held over I/O.
+    pub fn beliefs(&self) -> MutexGuard<'_, Beliefs> {
+        let beliefs = self.beliefs.lock();
+        beliefs.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<ActiveConfiguration>> {
+        self.beliefs().configuration.clone()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.stop_began.notify(usize::MAX);
+    }
+
+    /// Requests that were read and not answered yet.
+    pub fn requests_under_way(&self) -> usize {
+        self.requests_under_way.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as under way until the guard is dropped.
+    pub fn request_guard(self: &Arc<Self>) -> RequestGuard {
+        self.requests_under_way.fetch_add(1, Ordering::AcqRel);
+        RequestGuard {
+            gateway: Arc::clone(self),
+        }
+    }
+
+    /// Whether keys may be accepted now: the configuration is fresh enough.
+    pub fn accepts_keys(&self) -> bool {
+        let settings = self.settings();
+        let limit = key_freshness_limit_ms(&settings);
+        let now = self.clock.now();
+        !settings.bounds.revoke_when_cut || self.beliefs().freshness.allows_keys(now, limit)
+    }
+
+    /// Whether one more line on a request that went well may be logged.
+    pub fn may_log_success(&self) -> bool {
+        let second = self.clock.now().0 / 1_000;
+        let limit = self.settings().log.successes_per_second;
+        let allowance = self.success_lines.lock();
+        let mut allowance = allowance.unwrap_or_else(|poisoned| poisoned.into_inner());
+        if allowance.second != second {
+            *allowance = LineAllowance { second, lines: 0 };
+        }
+        allowance.lines += 1;
+        allowance.lines <= limit
+    }
+
+    /// Rates for the choice of an engine.
+    pub fn cost_rates(&self) -> CostRates {
+        let cost = &self.settings().cost;
+        CostRates {
+            prompt_tokens_per_ms: cost.prompt_tokens_per_ms,
+            transfer_share: cost.transfer_share,
+            zone_ms: cost.zone_ms,
+            slot_ms: cost.slot_ms,
+            senders: cost.senders,
+        }
+    }
+
+    /// When older weights leave the choice.
+    pub fn weights_bounds(&self) -> WeightsBounds {
+        let settings = self.settings();
+        let margin = settings.weights.margin_ms;
+        WeightsBounds {
+            avoid_after_ms: settings.bounds.weights_ms.saturating_sub(margin),
+            avoid_after_total_ms: settings.bounds.weights_total_ms.saturating_sub(margin),
+        }
+    }
+}
+
+/// Part of the bound on revoked keys for which a configuration is relied on. The
+/// rest covers the request's way and what a watch may lag behind the store.
+const KEY_FRESHNESS_SHARE: f64 = 0.76;
+
+/// Longest age of the proof that a configuration is the newest while keys are
+/// accepted, in milliseconds.
+pub fn key_freshness_limit_ms(settings: &GatewaySettings) -> u64 {
+    (settings.bounds.key_revocation_ms as f64 * KEY_FRESHNESS_SHARE) as u64
+}
+
+impl Beliefs {
+    /// The retry budget of a service.
+    pub fn retry_budget(
+        &mut self,
+        service: &ServiceName,
+        settings: &GatewaySettings,
+    ) -> &mut RetryBudget {
+        let limits = RetryLimits {
+            ratio: settings.bounds.retry_ratio * RETRY_RATIO_SHARE,
+            reserve: settings.attempts.retry_reserve,
+            window_ms: (settings.bounds.retry_window_seconds * 1_000.0) as u64,
+        };
+        let budgets = self.retry_budgets.entry(service.clone());
+        budgets.or_insert_with(|| RetryBudget::new(limits))
+    }
+
+    /// Takes in a configuration if it is newer; tells whether it was.
+    pub fn take_configuration(&mut self, document: Configuration) -> bool {
+        let known = self.configuration.as_ref();
+        if known.is_some_and(|known| known.document.version >= document.version) {
+            return false;
+        }
+        self.splitter.retain(&document.routes);
+        self.configuration = Some(Arc::new(ActiveConfiguration::new(document)));
+        true
+    }
+}
+
+/// Part of the site's retry ratio that is used: nodes count requests and repeats
+/// in windows of their own.
+const RETRY_RATIO_SHARE: f64 = 0.8;
+
+/// Counts a request as under way.
+pub struct RequestGuard {
+    gateway: Arc<Gateway>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.gateway.requests_under_way.fetch_sub(1, Ordering::AcqRel);
+        self.gateway.work_ended.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/client.rs
@@ -0,0 +1,138 @@
+//! Calls of the object store. Each has a deadline, and its error says whether
+//! it was done, was not done, or may still be done.
+
+use crate::http_call::{CallConnection, CallError};
+use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
+use crate::state::Gateway;
+use serde_json::Value;
+use std::sync::Arc;
+
+/// A client with one connection; calls go one after another.
+pub struct StoreClient {
+    gateway: Arc<Gateway>,
+    connection: CallConnection,
+}
+
+impl StoreClient {
+    /// A client of the store in the settings.
+    pub fn new(gateway: &Arc<Gateway>) -> Self {
+        let address = gateway.settings().store.address;
+        Self {
+            gateway: Arc::clone(gateway),
+            connection: CallConnection::new(address),
+        }
+    }
+
+    /// Gives up the connection; a new one finds the store where it is now.
+    pub fn reset(&mut self) {
+        self.connection.reset();
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    /// When it was not done or its outcome is not known.
+    pub async fn call(&mut self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        let wait_ms = match call {
+            StoreCall::Watch { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        let timeout_ms = self.gateway.settings().store.timeout_ms + wait_ms;
+        let (head, body) = self.gateway.site.store_message(call);
+        self.gateway.metrics.store_calls.inc();
+        let answered = self.connection.call(head, &body, timeout_ms).await;
+        let result = match answered {
+            Ok((head, body)) => self.gateway.site.read_store_answer(call, &head, &body),
+            Err(CallError::Unreachable { reason }) => Err(StoreError::Unreachable { reason }),
+            Err(CallError::NoAnswer { reason }) => Err(StoreError::Unknown { reason }),
+        };
+        if result.is_err() {
+            self.gateway.metrics.store_failures.inc();
+        }
+        result
+    }
+
+    /// Reads all objects of a kind, with the store's revision before the first
+    /// page: changes during the reading are seen again by a watch from there.
+    ///
+    /// # Errors
+    /// When a page cannot be read.
+    pub async fn list(&mut self, kind: StoreKind) -> Result<(Vec<StoreObject>, u64), StoreError> {
+        let mut all = Vec::new();
+        let mut first_revision = None;
+        let mut after = None;
+        loop {
+            let reply = self.call(&StoreCall::List { kind, after }).await?;
+            let StoreReply::Page {
+                mut objects,
+                has_more,
+                revision,
+            } = reply
+            else {
+                return Err(unexpected());
+            };
+            let from = *first_revision.get_or_insert(revision);
+            after = objects.last().map(|object| object.name.clone());
+            all.append(&mut objects);
+            if !has_more || after.is_none() {
+                return Ok((all, from));
+            }
+        }
+    }
+
+    /// Reads one object; nothing when it is not there.
+    ///
+    /// # Errors
+    /// When the store does not answer properly.
+    pub async fn get(
+        &mut self,
+        kind: StoreKind,
+        name: &str,
+    ) -> Result<Option<StoreObject>, StoreError> {
+        let name = name.to_owned();
+        match self.call(&StoreCall::Get { kind, name }).await {
+            Ok(StoreReply::Object(object)) => Ok(Some(object)),
+            Ok(_) => Err(unexpected()),
+            Err(StoreError::NotFound) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Stores an object if its revision is still `revision`; 0 makes it.
+    ///
+    /// # Errors
+    /// [`StoreError::Conflict`] when it is not; [`StoreError::Unknown`] when the
+    /// change may have been made, or may still be made.
+    pub async fn compare_and_set(
+        &mut self,
+        kind: StoreKind,
+        name: &str,
+        revision: u64,
+        content: Value,
+    ) -> Result<StoreObject, StoreError> {
+        let name = name.to_owned();
+        let call = match revision {
+            0 => StoreCall::Create {
+                kind,
+                name,
+                content,
+            },
+            revision => StoreCall::Replace {
+                kind,
+                name,
+                revision,
+                content,
+            },
+        };
+        match self.call(&call).await? {
+            StoreReply::Object(object) => Ok(object),
+            _ => Err(unexpected()),
+        }
+    }
+}
+
+fn unexpected() -> StoreError {
+    StoreError::Unknown {
+        reason: "the answer is not one to this call".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/feed.rs
@@ -0,0 +1,303 @@
+//! Copies of what is stored: a list, then every change, for one kind each.
+//!
+//! The watch of the configuration waits briefly, because its answer proves that
+//! the configuration is the newest; it also notices first when the store is
+//! lost or back. The other watches wait long and are begun anew when the store
+//! is back.
+
+use super::StoreClient;
+use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply, WatchEvent};
+use crate::state::Gateway;
+use crate::time::sleep;
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_policy::ids::Millis;
+use std::sync::Arc;
+
+/// First pause after a failed call, in milliseconds.
+const FIRST_PAUSE_MS: u64 = 60;
+/// Longest pause after failed calls, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 600;
+/// Pause between two changes of engines, in milliseconds: engines change in
+/// groups, and each answer of a watch is a call.
+const GATHER_MS: u64 = 150;
+
+/// Pauses between failed calls: doubled each time and jittered, so that nodes
+/// which lost the store together do not come back together.
+struct Backoff {
+    pause_ms: u64,
+}
+
+impl Backoff {
+    fn new() -> Self {
+        Self {
+            pause_ms: FIRST_PAUSE_MS,
+        }
+    }
+
+    fn reset(&mut self) {
+        self.pause_ms = FIRST_PAUSE_MS;
+    }
+
+    async fn wait(&mut self) {
+        let jittered = self.pause_ms / 2 + fastrand::u64(0..=self.pause_ms / 2);
+        sleep(jittered).await;
+        self.pause_ms = (self.pause_ms * 2).min(LONGEST_PAUSE_MS);
+    }
+}
+
+/// One copy.
+struct Feed {
+    gateway: Arc<Gateway>,
+    client: StoreClient,
+    kind: StoreKind,
+    is_lost: bool,
+}
+
+impl Feed {
+    fn new(gateway: Arc<Gateway>, kind: StoreKind) -> Self {
+        Self {
+            client: StoreClient::new(&gateway),
+            gateway,
+            kind,
+            is_lost: false,
+        }
+    }
+
+    /// Reads all objects, however long the store is away.
+    async fn list(&mut self, backoff: &mut Backoff) -> (Vec<StoreObject>, u64, Millis) {
+        loop {
+            let sent = self.gateway.clock.now();
+            match self.client.list(self.kind).await {
+                Ok((objects, revision)) => {
+                    self.note_reached();
+                    backoff.reset();
+                    return (objects, revision, sent);
+                }
+                Err(error) => {
+                    self.note_lost(&error);
+                    backoff.wait().await;
+                }
+            }
+        }
+    }
+
+    /// Waits for changes after a revision; nothing when the history is gone.
+    async fn changes(
+        &mut self,
+        revision: u64,
+        backoff: &mut Backoff,
+    ) -> Option<(Vec<WatchEvent>, u64, Millis)> {
+        loop {
+            let sent = self.gateway.clock.now();
+            match self.watch(revision).await {
+                Ok(StoreReply::Changes { events, revision }) => {
+                    self.note_reached();
+                    backoff.reset();
+                    return Some((events, revision, sent));
+                }
+                Ok(_) => return None,
+                Err(StoreError::HistoryGone) => {
+                    slog::info!(self.gateway.log, "history gone"; "kind" => self.kind_name());
+                    return None;
+                }
+                Err(error) => {
+                    self.note_lost(&error);
+                    backoff.wait().await;
+                }
+            }
+        }
+    }
+
+    async fn watch(&mut self, revision: u64) -> Result<StoreReply, StoreError> {
+        let store = &self.gateway.settings().store;
+        let is_probe = self.kind == StoreKind::Configuration;
+        let wait_ms = match is_probe {
+            true => store.configuration_watch_ms,
+            false => store.other_watch_ms,
+        };
+        let call = StoreCall::Watch {
+            kind: self.kind,
+            revision,
+            wait_ms,
+        };
+        if is_probe {
+            return self.client.call(&call).await;
+        }
+        let recovered = self.gateway.store_recovered.listen();
+        let gateway = Arc::clone(&self.gateway);
+        let watching = self.client.call(&call);
+        let restarting = async {
+            recovered.await;
+            slog::debug!(gateway.log, "watch begun anew");
+            Err(StoreError::Unknown {
+                reason: "the store was away".to_owned(),
+            })
+        };
+        futures_lite::future::or(watching, restarting).await
+    }
+
+    fn kind_name(&self) -> String {
+        format!("{:?}", self.kind).to_lowercase()
+    }
+
+    fn note_reached(&mut self) {
+        if !std::mem::take(&mut self.is_lost) {
+            return;
+        }
+        slog::info!(self.gateway.log, "store regained"; "kind" => self.kind_name());
+        if self.kind == StoreKind::Configuration {
+            self.gateway.store_recovered.notify(usize::MAX);
+        }
+    }
+
+    fn note_lost(&mut self, error: &StoreError) {
+        self.client.reset();
+        if self.kind == StoreKind::Configuration {
+            let now = self.gateway.clock.now();
+            self.gateway.beliefs().weights.on_store_trouble(now);
+        }
+        if !std::mem::replace(&mut self.is_lost, true) {
+            slog::warn!(self.gateway.log, "store lost";
+                "kind" => self.kind_name(), "error" => error.to_string());
+        }
+    }
+}
+
+/// Follows the configuration until the task is dropped.
+pub async fn follow_configuration(gateway: Arc<Gateway>) {
+    let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Configuration);
+    let mut backoff = Backoff::new();
+    loop {
+        let (objects, mut revision, sent) = feed.list(&mut backoff).await;
+        for object in &objects {
+            take_configuration(&gateway, object);
+        }
+        gateway.beliefs().freshness.prove(sent);
+        while let Some((events, next, sent)) = feed.changes(revision, &mut backoff).await {
+            let objects = events.iter().map(|event| &event.object);
+            objects.for_each(|object| take_configuration(&gateway, object));
+            gateway.beliefs().freshness.prove(sent);
+            revision = next;
+        }
+    }
+}
+
+fn take_configuration(gateway: &Gateway, object: &StoreObject) {
+    let document = match gateway.site.configuration(object) {
+        Ok(document) => document,
+        Err(error) => {
+            slog::warn!(gateway.log, "configuration does not fit";
+                "revision" => object.revision, "error" => error.to_string());
+            return;
+        }
+    };
+    let version = document.version;
+    if gateway.beliefs().take_configuration(document) {
+        let gauge = i64::try_from(version).unwrap_or(i64::MAX);
+        gateway.metrics.configuration_version.set(gauge);
+        slog::info!(gateway.log, "configuration in force";
+            "version" => version, "revision" => object.revision);
+    }
+}
+
+/// Follows the engines until the task is dropped.
+pub async fn follow_engines(gateway: Arc<Gateway>) {
+    let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Engines);
+    let mut backoff = Backoff::new();
+    loop {
+        let (objects, mut revision, _) = feed.list(&mut backoff).await;
+        replace_engines(&gateway, &objects);
+        while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
+            let has_events = !events.is_empty();
+            for event in &events {
+                take_engine(&gateway, event);
+            }
+            let count = gateway.beliefs().engines.len();
+            gateway.metrics.engines.set(count as i64);
+            revision = next;
+            if has_events {
+                sleep(GATHER_MS).await;
+            }
+        }
+    }
+}
+
+fn replace_engines(gateway: &Gateway, objects: &[StoreObject]) {
+    let read = objects.iter().map(|object| gateway.site.engine(object));
+    let mut records = Vec::new();
+    for result in read {
+        match result {
+            Ok(record) => records.push(record),
+            Err(error) => {
+                slog::warn!(gateway.log, "engine does not fit"; "error" => error.to_string());
+            }
+        }
+    }
+    let count = records.len();
+    let mut beliefs = gateway.beliefs();
+    beliefs.engines.replace_all(records);
+    beliefs.engines_listed = true;
+    drop(beliefs);
+    gateway.metrics.engines.set(count as i64);
+    slog::info!(gateway.log, "engines listed"; "count" => count);
+}
+
+fn take_engine(gateway: &Gateway, event: &WatchEvent) {
+    let name = &event.object.name;
+    if event.is_gone {
+        let instance = InstanceId(name.clone());
+        gateway.beliefs().engines.remove(&instance);
+        slog::info!(gateway.log, "engine gone"; "engine" => name);
+        return;
+    }
+    match gateway.site.engine(&event.object) {
+        Ok(record) => {
+            slog::info!(gateway.log, "engine changed";
+                "engine" => name,
+                "service" => &record.service.0,
+                "leaving" => record.is_leaving,
+                "weights" => format!("{:?}", record.weights),
+                "revision" => event.object.revision);
+            gateway.beliefs().engines.upsert(record);
+        }
+        Err(error) => {
+            slog::warn!(gateway.log, "engine does not fit"; "error" => error.to_string());
+        }
+    }
+}
+
+/// Follows the named weights until the task is dropped.
+pub async fn follow_weights(gateway: Arc<Gateway>) {
+    let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Weights);
+    let mut backoff = Backoff::new();
+    loop {
+        let (objects, mut revision, _) = feed.list(&mut backoff).await;
+        objects.iter().for_each(|object| take_weights(&gateway, object));
+        while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
+            let objects = events.iter().map(|event| &event.object);
+            objects.for_each(|object| take_weights(&gateway, object));
+            revision = next;
+        }
+    }
+}
+
+fn take_weights(gateway: &Gateway, object: &StoreObject) {
+    match gateway.site.named_version(object) {
+        Ok(named) => {
+            let now = gateway.clock.now();
+            let is_new = gateway
+                .beliefs()
+                .weights
+                .name(&named.model, named.version, now);
+            if is_new {
+                slog::info!(gateway.log, "weights named";
+                    "model" => &named.model, "version" => named.version,
+                    "revision" => object.revision);
+                gateway.weights_named.notify(usize::MAX);
+            }
+        }
+        Err(error) => {
+            slog::warn!(gateway.log, "named weights do not fit"; "error" => error.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/mod.rs
@@ -0,0 +1,7 @@
+//! The object store: a client, and copies that follow what is stored.
+
+mod client;
+mod feed;
+
+pub use client::StoreClient;
+pub use feed::{follow_configuration, follow_engines, follow_weights};
--- /dev/null
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -0,0 +1,158 @@
+//! Bringing one engine to the newest weights.
+
+use super::{LeaseHolder, OutdatedEngine};
+use crate::http_call::CallConnection;
+use crate::ports::{EngineReport, LoadOrder, OrderAnswer};
+use crate::state::Gateway;
+use crate::time::sleep;
+use ploverlift_balancing::health::Outcome;
+use std::sync::Arc;
+
+/// Orders that one engine is given before the next look at all engines.
+const MAX_ORDERS: u32 = 4;
+/// Reports that are asked for before the next look at all engines.
+const MAX_REPORTS: u32 = 24;
+/// Time between two reports of a busy engine, in milliseconds.
+const REPORT_PERIOD_MS: u64 = 120;
+/// Time that an engine counts as loading after an order, in milliseconds.
+const LOADING_MS: u64 = 700;
+
+/// What to do next with the engine.
+enum Next {
+    Report { after_ms: u64 },
+    Finished,
+}
+
+/// One engine that is being brought up to date.
+struct EngineLoad<'a> {
+    gateway: &'a Arc<Gateway>,
+    holder: &'a LeaseHolder,
+    engine: OutdatedEngine,
+    connection: CallConnection,
+    orders: u32,
+}
+
+/// Gives orders and asks for reports until the engine has the newest weights,
+/// the lease is lost, or the engine does not answer.
+pub(super) async fn bring_up_to_date(
+    gateway: &Arc<Gateway>,
+    holder: &LeaseHolder,
+    engine: OutdatedEngine,
+) {
+    let connection = CallConnection::new(engine.address);
+    let mut load = EngineLoad {
+        gateway,
+        holder,
+        engine,
+        connection,
+        orders: 0,
+    };
+    for _ in 0..MAX_REPORTS {
+        match load.step().await {
+            Next::Report { after_ms } => sleep(after_ms).await,
+            Next::Finished => return,
+        }
+    }
+}
+
+impl EngineLoad<'_> {
+    async fn step(&mut self) -> Next {
+        let Some(report) = self.report().await else {
+            return self.unreachable();
+        };
+        let newest = self.gateway.beliefs().weights.newest(&self.engine.model);
+        let Some((version, _)) = newest else {
+            return Next::Finished;
+        };
+        let held = report.weights.get(&self.engine.model).copied();
+        self.learn(held.unwrap_or(0));
+        if held.is_some_and(|held| held >= version) && !report.is_busy {
+            self.gateway.beliefs().engines.note_loaded(&self.engine.instance);
+            return Next::Finished;
+        }
+        if report.is_busy {
+            self.note_loading();
+            let after_ms = REPORT_PERIOD_MS;
+            return Next::Report { after_ms };
+        }
+        self.order(version, report.orders_taken).await
+    }
+
+    async fn report(&mut self) -> Option<EngineReport> {
+        let timeout_ms = self.gateway.settings().weights.order_timeout_ms;
+        let head = self.gateway.site.report_head();
+        let answer = self.connection.call(head, &[], timeout_ms).await.ok()?;
+        self.gateway.site.read_report(&answer.0, &answer.1)
+    }
+
+    fn unreachable(&self) -> Next {
+        let now = self.gateway.clock.now();
+        let engines = &mut self.gateway.beliefs().engines;
+        engines.note_outcome(&self.engine.instance, Outcome::Unreachable, now);
+        Next::Finished
+    }
+
+    fn learn(&self, version: u64) {
+        let engine = &self.engine;
+        let engines = &mut self.gateway.beliefs().engines;
+        engines.note_weights(&engine.instance, &engine.model, version);
+    }
+
+    fn note_loading(&self) {
+        let until = self.gateway.clock.now().plus(LOADING_MS);
+        let engines = &mut self.gateway.beliefs().engines;
+        engines.note_loading(&self.engine.instance, until);
+    }
+
+    async fn order(&mut self, version: u64, orders_taken: u64) -> Next {
+        if self.orders >= MAX_ORDERS {
+            return Next::Finished;
+        }
+        let Some(fencing_token) = self.holder.token() else {
+            return Next::Finished;
+        };
+        self.orders += 1;
+        self.note_loading();
+        let order = LoadOrder {
+            instance: self.engine.instance.clone(),
+            model: self.engine.model.clone(),
+            version,
+            holder: self.holder.name().to_owned(),
+            fencing_token,
+            expected_orders: orders_taken,
+        };
+        let (head, body) = self.gateway.site.order_message(&order);
+        let timeout_ms = self.gateway.settings().weights.order_timeout_ms;
+        self.gateway.metrics.orders.inc();
+        let answered = self.connection.call(head, &body, timeout_ms).await;
+        let answer = answered.map(|(head, _)| self.gateway.site.read_order_answer(&head));
+        slog::info!(self.gateway.log, "order";
+            "engine" => &order.instance.0, "model" => &order.model, "version" => version,
+            "token" => fencing_token, "expected_orders" => orders_taken,
+            "answer" => format!("{answer:?}"));
+        self.after_order(answer.ok(), version)
+    }
+
+    fn after_order(&self, answer: Option<OrderAnswer>, version: u64) -> Next {
+        let report_after_ms = self.gateway.settings().weights.report_after_ms;
+        match answer {
+            Some(OrderAnswer::Accepted) => Next::Report {
+                after_ms: report_after_ms,
+            },
+            Some(OrderAnswer::AlreadyDone) => {
+                self.learn(version);
+                self.gateway.beliefs().engines.note_loaded(&self.engine.instance);
+                Next::Finished
+            }
+            // Without an answer the order may be under way: a report tells.
+            Some(OrderAnswer::Conflict) | None => Next::Report {
+                after_ms: REPORT_PERIOD_MS,
+            },
+            Some(OrderAnswer::OtherInstance) => {
+                self.gateway.beliefs().engines.note_leaving(&self.engine.instance);
+                Next::Finished
+            }
+            Some(OrderAnswer::FenceTooLow | OrderAnswer::Rejected) => Next::Finished,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/weights/plan.rs
@@ -0,0 +1,44 @@
+//! Which engines have weights that are too old, and in which order they load.
+
+use crate::state::Gateway;
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_policy::ids::Millis;
+use std::net::SocketAddr;
+
+/// An engine whose weights are older than those named.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OutdatedEngine {
+    /// The engine.
+    pub instance: InstanceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The model.
+    pub model: String,
+    /// When the oldest version that it lacks was named, as this node learned it.
+    pub named_at: Millis,
+}
+
+/// Engines with outdated weights, in the order of their instances. Engines that
+/// leave or cannot be reached are left out.
+pub fn outdated_engines(gateway: &Gateway, now: Millis) -> Vec<OutdatedEngine> {
+    let beliefs = gateway.beliefs();
+    let mut outdated = Vec::new();
+    for engine in beliefs.engines.iter() {
+        let record = &engine.record;
+        if record.is_leaving || !engine.health.may_be_chosen(now) {
+            continue;
+        }
+        for (model, version) in &record.weights {
+            if let Some(named_at) = beliefs.weights.first_newer(model, *version) {
+                outdated.push(OutdatedEngine {
+                    instance: record.instance.clone(),
+                    address: record.address,
+                    model: model.clone(),
+                    named_at,
+                });
+            }
+        }
+    }
+    outdated.sort_by(|a, b| a.instance.cmp(&b.instance));
+    outdated
+}
--- /dev/null
+++ b/crates/http1/src/body.rs
@@ -0,0 +1,230 @@
+//! Framing of bodies: where a body ends, and its bytes without the framing.
+
+use crate::error::{malformed, HttpError};
+use crate::head::{Headers, RequestHead, ResponseHead};
+use crate::stream::BufferedStream;
+
+/// Longest line with the length of a chunk, or of a trailer, in bytes.
+const MAX_LINE_BYTES: usize = 1_024;
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// So many bytes.
+    Length(u64),
+    /// In chunks.
+    Chunked,
+    /// Everything until the connection ends.
+    UntilClose,
+}
+
+impl Framing {
+    /// Framing of a request's body (RFC 9112, section 6.3). A request with two
+    /// framings is refused: it is the usual way to smuggle a second request.
+    ///
+    /// # Errors
+    /// When the headers contradict each other.
+    pub fn of_request(head: &RequestHead) -> Result<Self, HttpError> {
+        let length = content_length(&head.headers)?;
+        if head.headers.get("transfer-encoding").is_none() {
+            return Ok(Framing::Length(length.unwrap_or(0)));
+        }
+        if length.is_some() {
+            return Err(malformed("both a length and a transfer encoding"));
+        }
+        if !is_chunked(&head.headers) {
+            return Err(malformed("unknown transfer encoding"));
+        }
+        Ok(Framing::Chunked)
+    }
+
+    /// Framing of an answer's body.
+    ///
+    /// # Errors
+    /// When the headers contradict each other.
+    pub fn of_response(head: &ResponseHead, method: &str) -> Result<Self, HttpError> {
+        if method == "HEAD" || matches!(head.status, 204 | 304) {
+            return Ok(Framing::Length(0));
+        }
+        if head.headers.get("transfer-encoding").is_some() {
+            if !is_chunked(&head.headers) {
+                return Err(malformed("unknown transfer encoding"));
+            }
+            return Ok(Framing::Chunked);
+        }
+        let length = content_length(&head.headers)?;
+        Ok(length.map_or(Framing::UntilClose, Framing::Length))
+    }
+}
+
+fn is_chunked(headers: &Headers) -> bool {
+    let mut values = headers.get_all("transfer-encoding");
+    let first = values.next().unwrap_or_default();
+    first.trim().eq_ignore_ascii_case("chunked") && values.next().is_none()
+}
+
+fn content_length(headers: &Headers) -> Result<Option<u64>, HttpError> {
+    let mut values = headers.get_all("content-length");
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(malformed("two lengths"));
+    }
+    let first = first.trim();
+    if first.is_empty() || !first.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(malformed("the length is not a number"));
+    }
+    let parsed = first.parse();
+    parsed.map(Some).map_err(|_| malformed("the length is too large"))
+}
+
+/// Where in the body the reader is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Position {
+    Length(u64),
+    ChunkHead,
+    Chunk(u64),
+    ChunkEnd,
+    UntilClose,
+    End,
+}
+
+/// Takes the framing off a body.
+#[derive(Clone, Debug)]
+pub struct BodyDecoder {
+    position: Position,
+    ends_with_connection: bool,
+}
+
+impl BodyDecoder {
+    /// A decoder at the start of a body.
+    pub fn new(framing: Framing) -> Self {
+        let position = match framing {
+            Framing::Length(length) => Position::Length(length),
+            Framing::Chunked => Position::ChunkHead,
+            Framing::UntilClose => Position::UntilClose,
+        };
+        Self {
+            position,
+            ends_with_connection: framing == Framing::UntilClose,
+        }
+    }
+
+    /// Bytes that are still to come, when the framing tells.
+    pub fn declared_length(&self) -> Option<u64> {
+        match self.position {
+            Position::Length(left) => Some(left),
+            _ => None,
+        }
+    }
+
+    /// Whether only the end of the connection ends the body.
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
+    /// Whether the body was read to its end.
+    pub fn is_at_end(&self) -> bool {
+        matches!(self.position, Position::End | Position::Length(0))
+    }
+
+    /// Appends the next bytes of the body to `output`; false at its proper end.
+    ///
+    /// # Errors
+    /// When the connection ends before the body does.
+    pub async fn read(
+        &mut self,
+        stream: &mut BufferedStream,
+        output: &mut Vec<u8>,
+    ) -> Result<bool, HttpError> {
+        loop {
+            match self.position {
+                Position::End | Position::Length(0) => {
+                    self.position = Position::End;
+                    return Ok(false);
+                }
+                Position::Length(left) => {
+                    let count = take(stream, output, left).await?;
+                    self.position = Position::Length(left - count);
+                    return Ok(true);
+                }
+                Position::Chunk(0) => self.position = Position::ChunkEnd,
+                Position::Chunk(left) => {
+                    let count = take(stream, output, left).await?;
+                    self.position = Position::Chunk(left - count);
+                    return Ok(true);
+                }
+                Position::ChunkEnd => {
+                    if !line(stream).await?.is_empty() {
+                        return Err(malformed("a chunk is longer than its length"));
+                    }
+                    self.position = Position::ChunkHead;
+                }
+                Position::ChunkHead => self.position = chunk_head(stream).await?,
+                Position::UntilClose => return self.take_until_close(stream, output).await,
+            }
+        }
+    }
+
+    async fn take_until_close(
+        &mut self,
+        stream: &mut BufferedStream,
+        output: &mut Vec<u8>,
+    ) -> Result<bool, HttpError> {
+        if stream.pending().is_empty() && stream.fill().await? == 0 {
+            self.position = Position::End;
+            return Ok(false);
+        }
+        take(stream, output, u64::MAX).await?;
+        Ok(true)
+    }
+}
+
+async fn chunk_head(stream: &mut BufferedStream) -> Result<Position, HttpError> {
+    let text = line(stream).await?;
+    let digits = text.split(';').next().unwrap_or_default().trim();
+    let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !is_number {
+        return Err(malformed("the length of a chunk is not a number"));
+    }
+    let length = u64::from_str_radix(digits, 16);
+    let length = length.map_err(|_| malformed("the length of a chunk is too large"))?;
+    if length > 0 {
+        return Ok(Position::Chunk(length));
+    }
+    while !line(stream).await?.is_empty() {}
+    Ok(Position::End)
+}
+
+/// Takes at most `limit` bytes; there is at least one.
+async fn take(
+    stream: &mut BufferedStream,
+    output: &mut Vec<u8>,
+    limit: u64,
+) -> Result<u64, HttpError> {
+    if stream.pending().is_empty() {
+        stream.fill_message().await?;
+    }
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let count = stream.pending().len().min(limit);
+    output.extend_from_slice(&stream.pending()[..count]);
+    stream.consume(count);
+    Ok(count as u64)
+}
+
+/// Reads a line, without its end.
+async fn line(stream: &mut BufferedStream) -> Result<String, HttpError> {
+    loop {
+        let pending = stream.pending();
+        if let Some(end) = pending.iter().position(|byte| *byte == b'\n') {
+            let text = String::from_utf8_lossy(&pending[..end]).into_owned();
+            stream.consume(end + 1);
+            return Ok(text.trim_end_matches('\r').to_owned());
+        }
+        if pending.len() > MAX_LINE_BYTES {
+            return Err(malformed("a line is too long"));
+        }
+        stream.fill_message().await?;
+    }
+}
--- /dev/null
+++ b/crates/http1/src/head.rs
@@ -0,0 +1,196 @@
+//! Heads of requests and answers, and their headers.
+
+use std::fmt::Write;
+
+/// Headers in the order in which they came. Names compare without case.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers(Vec<(String, String)>);
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+impl Headers {
+    /// The first value of a header.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let mut headers = self.0.iter();
+        let found = headers.find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// All values of a header.
+    pub fn get_all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let matching = self.0.iter();
+        matching
+            .filter(move |(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+
+    /// Adds a header.
+    pub fn push(&mut self, name: impl Into<String>, value: impl Into<String>) {
+        self.0.push((name.into(), value.into()));
+    }
+
+    /// Removes a header, whatever the case of its name.
+    pub fn remove(&mut self, name: &str) {
+        self.0.retain(|(known, _)| !known.eq_ignore_ascii_case(name));
+    }
+
+    /// Replaces a header.
+    pub fn set(&mut self, name: &str, value: impl Into<String>) {
+        self.remove(name);
+        self.push(name, value);
+    }
+
+    /// All headers in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.0.iter().map(|(name, value)| (name.as_str(), value.as_str()))
+    }
+
+    /// Whether a comma-separated header has this element.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.get_all(name)
+            .flat_map(|value| value.split(','))
+            .any(|element| element.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Removes what concerns one connection only, with the headers that
+    /// `Connection` names.
+    pub fn remove_connection_headers(&mut self) {
+        let named: Vec<String> = self
+            .get_all("connection")
+            .flat_map(|value| value.split(','))
+            .map(|name| name.trim().to_owned())
+            .collect();
+        self.0.retain(|(name, _)| {
+            let listed = named.iter().any(|listed| listed.eq_ignore_ascii_case(name));
+            let fixed = CONNECTION_HEADERS.iter();
+            !listed && !fixed.into_iter().any(|known| known.eq_ignore_ascii_case(name))
+        });
+    }
+
+    fn write_to(&self, text: &mut String) {
+        for (name, value) in &self.0 {
+            let _ = write!(text, "{name}: {value}\r\n");
+        }
+        text.push_str("\r\n");
+    }
+}
+
+impl<const N: usize> From<[(&str, &str); N]> for Headers {
+    fn from(pairs: [(&str, &str); N]) -> Self {
+        let owned = pairs.map(|(name, value)| (name.to_owned(), value.to_owned()));
+        Self(owned.into())
+    }
+}
+
+impl From<Vec<(String, String)>> for Headers {
+    fn from(pairs: Vec<(String, String)>) -> Self {
+        Self(pairs)
+    }
+}
+
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path and query as they stand on the request line.
+    pub target: String,
+    /// Whether the peer speaks HTTP/1.1 or newer.
+    pub is_http_1_1: bool,
+    /// Headers.
+    pub headers: Headers,
+}
+
+impl RequestHead {
+    /// A head without headers.
+    pub fn new(method: impl Into<String>, target: impl Into<String>) -> Self {
+        Self {
+            method: method.into(),
+            target: target.into(),
+            is_http_1_1: true,
+            headers: Headers::default(),
+        }
+    }
+
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Whether the peer keeps the connection after this request.
+    pub fn keeps_alive(&self) -> bool {
+        if self.headers.has_token("connection", "close") {
+            return false;
+        }
+        self.is_http_1_1 || self.headers.has_token("connection", "keep-alive")
+    }
+
+    /// The bytes on the wire.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.target);
+        self.headers.write_to(&mut text);
+        text.into_bytes()
+    }
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: Headers,
+}
+
+impl ResponseHead {
+    /// A head without headers.
+    pub fn new(status: u16) -> Self {
+        Self {
+            status,
+            headers: Headers::default(),
+        }
+    }
+
+    /// Whether the status is a success (2xx).
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// The bytes on the wire.
+    pub fn encode(&self) -> Vec<u8> {
+        let reason = reason_phrase(self.status);
+        let mut text = format!("HTTP/1.1 {} {reason}\r\n", self.status);
+        self.headers.write_to(&mut text);
+        text.into_bytes()
+    }
+}
+
+/// The usual words for a status (RFC 9110, section 15).
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,23 @@
+//! HTTP/1.1 messages on a TCP stream, for a proxy that must control every byte.
+//!
+//! `httparse` reads the heads; framing of bodies is done here. `trillium` is
+//! not used on this path: its server holds the first piece of a streamed body
+//! back until a buffer is full, and it cannot end an answer in a way that the
+//! caller recognises as broken (docs/design/platform.md, "HTTP").
+//!
+//! ```text
+//! BufferedStream ── read_request_head ──▶ RequestHead + BodyDecoder
+//!                ── read_response_head ─▶ ResponseHead + BodyDecoder
+//! ```
+
+pub mod body;
+pub mod error;
+pub mod head;
+pub mod message;
+pub mod stream;
+
+pub use body::{BodyDecoder, Framing};
+pub use error::HttpError;
+pub use head::{Headers, RequestHead, ResponseHead};
+pub use message::{read_request_head, read_response_head};
+pub use stream::BufferedStream;
--- /dev/null
+++ b/crates/http1/src/stream.rs
@@ -0,0 +1,81 @@
+//! A TCP stream with the bytes that were read and not yet used.
+
+use crate::error::HttpError;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+use std::io;
+
+/// Size of one read, in bytes.
+const READ_BYTES: usize = 4 * 1024;
+
+/// A TCP stream with a read buffer.
+pub struct BufferedStream {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl BufferedStream {
+    /// A stream of which nothing was read.
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buffer: Vec::new(),
+            start: 0,
+        }
+    }
+
+    /// Bytes that were read and not yet used.
+    pub fn pending(&self) -> &[u8] {
+        &self.buffer[self.start..]
+    }
+
+    /// Marks pending bytes as used. The buffer is freed with the last of them,
+    /// so that an idle connection holds no memory.
+    pub fn consume(&mut self, count: usize) {
+        self.start += count;
+        if self.start >= self.buffer.len() {
+            self.buffer = Vec::new();
+            self.start = 0;
+        }
+    }
+
+    /// Reads more from the peer; 0 when it closed its side.
+    ///
+    /// # Errors
+    /// What the operating system reports.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        if self.start > 0 {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+        let mut chunk = [0; READ_BYTES];
+        let count = self.stream.read(&mut chunk).await?;
+        self.buffer.extend_from_slice(&chunk[..count]);
+        Ok(count)
+    }
+
+    /// Reads more, as part of a message that is not over.
+    ///
+    /// # Errors
+    /// [`HttpError::Truncated`] when the peer closed its side.
+    pub async fn fill_message(&mut self) -> Result<(), HttpError> {
+        match self.fill().await? {
+            0 => Err(HttpError::Truncated),
+            _ => Ok(()),
+        }
+    }
+
+    /// Writes everything.
+    ///
+    /// # Errors
+    /// What the operating system reports.
+    pub async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Another handle of the same connection, for writing while it is read.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/prompt.rs
@@ -0,0 +1,76 @@
+//! A prompt as a chain of parts, and the names under which cache of it is kept.
+
+use crate::tenants::TenantTerms;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// One part of a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the part's content.
+    pub id: u64,
+    /// Its size, in tokens.
+    pub tokens: u64,
+}
+
+/// The prompt of a request to a model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// The model.
+    pub model: String,
+    /// Parts in order. The last belongs to the request or its session alone;
+    /// those before it may be shared with other requests.
+    pub parts: Vec<PromptPart>,
+    /// Most tokens that are to be generated.
+    pub max_output_tokens: u64,
+}
+
+/// The hash of a chain of parts: equal only for the same parts in the same
+/// order under the same model and cache scope.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ChainKey(pub u64);
+
+impl Prompt {
+    /// The parts that other requests may have too.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared]
+    }
+
+    /// Tokens of the whole prompt.
+    pub fn tokens(&self) -> u64 {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Tokens of the shared parts.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+
+    /// The key of all shared parts, under a cache scope. A prompt without
+    /// shared parts is keyed by its only part, so that a session stays together.
+    pub fn shared_key(&self, scope: &str) -> ChainKey {
+        let shared = self.shared_parts();
+        let keyed = if shared.is_empty() { &self.parts[..] } else { shared };
+        let seed = xxh3_64_with_seed(scope.as_bytes(), 0);
+        let mut chain = xxh3_64_with_seed(self.model.as_bytes(), seed);
+        for part in keyed {
+            chain = xxh3_64_with_seed(&part.id.to_le_bytes(), chain);
+        }
+        ChainKey(chain)
+    }
+}
+
+/// The scope in which cache may be shared: everyone's, or one tenant's.
+pub fn cache_scope(tenant: Option<&TenantTerms>) -> &str {
+    match tenant {
+        Some(terms) if terms.is_isolated => &terms.name,
+        _ => "",
+    }
+}
+
+/// The name under which engines file cache. It spells out the version of the
+/// weights, the model and the scope, so cache of another tenant or of older
+/// weights cannot match.
+pub fn cache_salt(model: &str, weights: u64, scope: &str) -> String {
+    format!("{weights}/{model}/{scope}")
+}
