Load the longest outdated engine first, as late as the bound allows

Change: load_schedule orders by the oldest missing version and waits while there is time; a node avoids old weights soon after its own start where the new ones are in use; a stop refuses new requests after 2.9 s.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -145,6 +145,12 @@
         self.engines.values()
     }
 
+    /// The newest version of a model's weights that any engine has.
+    pub fn newest_weights(&self, model: &str) -> u64 {
+        let versions = self.iter().map(|engine| engine.weights_of(model));
+        versions.max().unwrap_or(0)
+    }
+
     /// Number of engines.
     pub fn len(&self) -> usize {
         self.engines.len()
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -12,11 +12,13 @@
 //! | [`rendezvous`] | the order of engines for a prompt |
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
+//! | [`load_schedule`] | when engines load new weights, and how many at once |
 //! | [`weights`] | which versions of weights a request may begin on |
 //! | [`transfer`] | which shared prompts the cache store is believed to hold |
 
 pub mod catalogue;
 pub mod health;
+pub mod load_schedule;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod selection;
--- a/crates/balancing/src/weights.rs
+++ b/crates/balancing/src/weights.rs
@@ -16,18 +16,29 @@
     pub avoid_after_ms: u64,
     /// The same over all such stretches together, in milliseconds.
     pub avoid_after_total_ms: u64,
+    /// Time from the start of this process after which weights older than a
+    /// version that was named before the start and is in use leave the choice,
+    /// in milliseconds.
+    pub avoid_after_start_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Named {
     version: u64,
     since: Millis,
+    is_from_start: bool,
     stretch_since: Millis,
     earlier_stretches_ms: u64,
 }
 
 impl Named {
-    fn has_passed(&self, bounds: &WeightsBounds, now: Millis) -> bool {
+    /// Whether older weights must be avoided. How long ago a version was named
+    /// that stood there when this process started is not known; once an engine
+    /// has it, its roll-out is under way and its bound may be near.
+    fn has_passed(&self, bounds: &WeightsBounds, is_in_use: bool, now: Millis) -> bool {
+        if self.is_from_start && is_in_use {
+            return now.since(self.since) >= bounds.avoid_after_start_ms;
+        }
         let stretch = now.since(self.stretch_since);
         stretch >= bounds.avoid_after_ms
             || stretch + self.earlier_stretches_ms >= bounds.avoid_after_total_ms
@@ -46,6 +57,15 @@
 impl NamedWeights {
     /// A version was named. Lower and repeated ones change nothing.
     pub fn name(&mut self, model: &str, version: u64, now: Millis) -> bool {
+        self.add(model, version, false, now)
+    }
+
+    /// A version stood there when this process started.
+    pub fn name_from_start(&mut self, model: &str, version: u64, now: Millis) -> bool {
+        self.add(model, version, true, now)
+    }
+
+    fn add(&mut self, model: &str, version: u64, is_from_start: bool, now: Millis) -> bool {
         let named = self.by_model.entry(model.to_owned()).or_default();
         if named.last().is_some_and(|newest| newest.version >= version) {
             return false;
@@ -53,6 +73,7 @@
         named.push(Named {
             version,
             since: now,
+            is_from_start,
             stretch_since: now,
             earlier_stretches_ms: 0,
         });
@@ -84,11 +105,18 @@
         newer.map(|named| named.since).min()
     }
 
-    /// The lowest version on which a request may begin.
-    pub fn required(&self, model: &str, bounds: &WeightsBounds, now: Millis) -> u64 {
+    /// The lowest version on which a request may begin. `newest_in_use` is the
+    /// newest version that any engine has.
+    pub fn required(
+        &self,
+        model: &str,
+        newest_in_use: u64,
+        bounds: &WeightsBounds,
+        now: Millis,
+    ) -> u64 {
         let named = self.by_model.get(model).into_iter().flatten();
         named
-            .filter(|named| named.has_passed(bounds, now))
+            .filter(|named| named.has_passed(bounds, newest_in_use >= named.version, now))
             .map(|named| named.version)
             .max()
             .unwrap_or(0)
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -19,9 +19,11 @@
 
 /// Time between two looks at the settings file, in milliseconds.
 const SETTINGS_PERIOD_MS: u64 = 2_000;
-/// Time from the beginning of a planned stop in which the load balancer may
-/// still send new connections, in milliseconds.
-const STILL_SENT_MS: u64 = 3_200;
+/// Time from the beginning of a planned stop in which requests are still taken,
+/// in milliseconds. The load balancer needs it to notice; one that sends callers
+/// here even so is answered that the request has not run, because a request
+/// taken later could not be finished within the bound.
+const TAKES_REQUESTS_MS: u64 = 2_900;
 /// Time without a request after which a stopping node ends, in milliseconds.
 const QUIET_MS: u64 = 300;
 /// Part of the bound on a planned stop that is used; the rest is for ending.
@@ -114,7 +116,8 @@
         slog::info!(gateway.log, "stopping"; "under_way" => gateway.requests_under_way());
         let limit_ms = (gateway.settings().bounds.stop_seconds * 1_000.0 * STOP_SHARE) as u64;
         let finishing = async {
-            sleep(STILL_SENT_MS).await;
+            sleep(TAKES_REQUESTS_MS).await;
+            gateway.begin_refusing();
             wait_until_quiet(gateway).await;
         };
         within(limit_ms, finishing).await;
--- a/crates/gateway/src/relay/admission.rs
+++ b/crates/gateway/src/relay/admission.rs
@@ -39,6 +39,9 @@
 /// 503 while the configuration is unknown or may be outdated; 404 without a
 /// route; 401 without a known key.
 pub fn admit(gateway: &Gateway, request: &CallerRequest) -> Result<Admission, Refusal> {
+    if gateway.is_refusing() {
+        return Err(stale("this node is stopping; ask another"));
+    }
     let Some(configuration) = gateway.configuration() else {
         return Err(stale("the configuration is not known yet"));
     };
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -82,7 +82,7 @@
             model: &prompt.model,
             key: prompt.shared_key(scope),
             shared_tokens: prompt.shared_tokens(),
-            required_weights: beliefs.weights.required(&prompt.model, &bounds, now),
+            required_weights: beliefs.required_weights(&prompt.model, &bounds, now),
         });
         let criteria = Criteria {
             service: &admission.service,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -177,8 +177,13 @@
 pub struct WeightSettings {
     /// Engines that load at the same time.
     pub loads_at_once: usize,
-    /// Time from the naming of a version to the first order, in milliseconds.
-    pub start_after_ms: u64,
+    /// Most engines that load at the same time, when the bound asks for it.
+    pub loads_at_once_limit: usize,
+    /// Time that a load takes before one was seen, in milliseconds.
+    pub load_ms: u64,
+    /// Time before old weights leave the choice at which an engine should have
+    /// loaded, in milliseconds.
+    pub reserve_ms: u64,
     /// Time before the bound at which engines with older weights leave the
     /// choice, in milliseconds: a request may wait in an engine's queue.
     pub margin_ms: u64,
@@ -192,7 +197,9 @@
     fn default() -> Self {
         Self {
             loads_at_once: 2,
-            start_after_ms: 2_000,
+            loads_at_once_limit: 4,
+            load_ms: 800,
+            reserve_ms: 300,
             margin_ms: 2_000,
             order_timeout_ms: 500,
             report_after_ms: 350,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use ploverlift_balancing::selection::CostRates;
 use ploverlift_balancing::transfer::SavedPrompts;
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
-use ploverlift_policy::ids::ZoneName;
+use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::{Configuration, ServiceName};
 use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::split::TrafficSplitter;
@@ -90,6 +90,7 @@
     /// Where the splits of this node begin, in 0 to 1.
     pub split_start: f64,
     stopping: AtomicBool,
+    refusing: AtomicBool,
     requests_under_way: AtomicUsize,
     success_lines: Mutex<LineAllowance>,
     beliefs: Mutex<Beliefs>,
@@ -118,6 +119,7 @@
             work_ended: Event::new(),
             split_start: fastrand::f64(),
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             requests_under_way: AtomicUsize::new(0),
             success_lines: Mutex::new(LineAllowance::default()),
             beliefs: Mutex::new(Beliefs::default()),
@@ -158,6 +160,16 @@
         self.stop_began.notify(usize::MAX);
     }
 
+    /// Whether a planned stop is so far that new requests are refused.
+    pub fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Acquire)
+    }
+
+    /// Refuses new requests from now on.
+    pub fn begin_refusing(&self) {
+        self.refusing.store(true, Ordering::Release);
+    }
+
     /// Requests that were read and not answered yet.
     pub fn requests_under_way(&self) -> usize {
         self.requests_under_way.load(Ordering::Acquire)
@@ -211,10 +223,16 @@
         WeightsBounds {
             avoid_after_ms: settings.bounds.weights_ms.saturating_sub(margin),
             avoid_after_total_ms: settings.bounds.weights_total_ms.saturating_sub(margin),
+            avoid_after_start_ms: AVOID_AFTER_START_MS,
         }
     }
 }
 
+/// Time from the start after which weights older than those in use leave the
+/// choice, in milliseconds: the bound of a version that was named before the
+/// start may be near.
+const AVOID_AFTER_START_MS: u64 = 2_500;
+
 /// Part of the bound on revoked keys for which a configuration is relied on. The
 /// rest covers the request's way and what a watch may lag behind the store.
 const KEY_FRESHNESS_SHARE: f64 = 0.76;
@@ -241,6 +259,12 @@
         budgets.or_insert_with(|| RetryBudget::new(limits))
     }
 
+    /// The lowest version of a model's weights on which a request may begin.
+    pub fn required_weights(&self, model: &str, bounds: &WeightsBounds, now: Millis) -> u64 {
+        let in_use = self.engines.newest_weights(model);
+        self.weights.required(model, in_use, bounds, now)
+    }
+
     /// Takes in a configuration if it is newer; tells whether it was.
     pub fn take_configuration(&mut self, document: Configuration) -> bool {
         let known = self.configuration.as_ref();
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -270,25 +270,30 @@
 pub async fn follow_weights(gateway: Arc<Gateway>) {
     let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Weights);
     let mut backoff = Backoff::new();
+    let mut is_start = true;
     loop {
         let (objects, mut revision, _) = feed.list(&mut backoff).await;
-        objects.iter().for_each(|object| take_weights(&gateway, object));
+        for object in &objects {
+            take_weights(&gateway, object, is_start);
+        }
+        is_start = false;
         while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
             let objects = events.iter().map(|event| &event.object);
-            objects.for_each(|object| take_weights(&gateway, object));
+            objects.for_each(|object| take_weights(&gateway, object, false));
             revision = next;
         }
     }
 }
 
-fn take_weights(gateway: &Gateway, object: &StoreObject) {
+fn take_weights(gateway: &Gateway, object: &StoreObject, is_start: bool) {
     match gateway.site.named_version(object) {
         Ok(named) => {
             let now = gateway.clock.now();
-            let is_new = gateway
-                .beliefs()
-                .weights
-                .name(&named.model, named.version, now);
+            let weights = &mut gateway.beliefs().weights;
+            let is_new = match is_start {
+                true => weights.name_from_start(&named.model, named.version, now),
+                false => weights.name(&named.model, named.version, now),
+            };
             if is_new {
                 slog::info!(gateway.log, "weights named";
                     "model" => &named.model, "version" => named.version,
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/weights/holder.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    /// There is nothing to do: the next time there is, the lease is read anew.
+    pub fn rest(&self) {
+        if let Some(mut io) = self.io.try_lock() {
+            io.looked_at = None;
+        }
+    }
+
     /// Renews the lease or asks for it; tells whether orders may be given.
     pub async fn keep(&self) -> bool {
         let mut io = self.io.lock().await;
--- a/crates/gateway/src/weights/plan.rs
+++ b/crates/gateway/src/weights/plan.rs
@@ -18,8 +18,8 @@
     pub named_at: Millis,
 }
 
-/// Engines with outdated weights, in the order of their instances. Engines that
-/// leave or cannot be reached are left out.
+/// Engines with outdated weights; the one whose missing version was named first
+/// is first. Engines that leave or cannot be reached are left out.
 pub fn outdated_engines(gateway: &Gateway, now: Millis) -> Vec<OutdatedEngine> {
     let beliefs = gateway.beliefs();
     let mut outdated = Vec::new();
@@ -39,6 +39,6 @@
             }
         }
     }
-    outdated.sort_by(|a, b| a.instance.cmp(&b.instance));
+    outdated.sort_by(|a, b| (a.named_at, &a.instance).cmp(&(b.named_at, &b.instance)));
     outdated
 }
