Follow the cache store's events; let patience grow with the prompt

Ruled out: engines evicting shared parts (seen by prompt key in the logs); fetches that find nothing (found-kept equals the repeated parts).

--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! | module | concern |
 //! | --- | --- |
+//! | [`cache_contents`] | what a store of kept cache holds, by its events |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`rendezvous`] | the order of engines for a prompt |
@@ -14,13 +15,12 @@
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`load_schedule`] | when engines load new weights, and how many at once |
 //! | [`weights`] | which versions of weights a request may begin on |
-//! | [`transfer`] | which shared prompts the cache store is believed to hold |
 
+pub mod cache_contents;
 pub mod catalogue;
 pub mod health;
 pub mod load_schedule;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod selection;
-pub mod transfer;
 pub mod weights;
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -1,5 +1,6 @@
 //! Puts the parts of a node together: start, reload, planned stop.
 
+use crate::cache_feed::follow_cache;
 use crate::callers::{accept_callers, bind};
 use crate::ports::Site;
 use crate::readiness::{answer_metrics, answer_readiness};
@@ -77,6 +78,7 @@
         smol::spawn(follow_configuration(Arc::clone(&gateway))),
         smol::spawn(follow_engines(Arc::clone(&gateway))),
         smol::spawn(follow_weights(Arc::clone(&gateway))),
+        smol::spawn(follow_cache(Arc::clone(&gateway))),
         smol::spawn(roll_weights(Arc::clone(&gateway))),
     ];
     if let Some(listener) = metrics {
--- /dev/null
+++ b/crates/gateway/src/cache_feed.rs
@@ -0,0 +1,87 @@
+//! Follows what the store of kept cache holds.
+//!
+//! Without it each node would save each shared prompt anew, and the saves alone
+//! would fill the store's link.
+
+use crate::http_call::CallConnection;
+use crate::state::{ActiveConfiguration, Gateway};
+use crate::time::sleep;
+use ploverlift_policy::ids::ZoneName;
+use ploverlift_routing::configuration::CacheStore;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How long the store holds a call without events, in milliseconds.
+const WAIT_MS: u64 = 1_000;
+/// Longest wait for an answer beyond it, in milliseconds.
+const TIMEOUT_MS: u64 = 500;
+/// Pause between two calls, in milliseconds, so that events come in batches.
+const GATHER_MS: u64 = 60;
+/// Pause after a call that failed, in milliseconds.
+const RETRY_MS: u64 = 400;
+
+/// The store of kept cache that nodes of a zone use: one in the zone where there
+/// is one.
+pub fn cache_store<'a>(
+    configuration: &'a ActiveConfiguration,
+    zone: &ZoneName,
+) -> Option<&'a CacheStore> {
+    let services = configuration.document.services.values();
+    let stores = services.filter_map(|service| service.cache_store.as_ref());
+    stores.max_by_key(|store| store.zone == *zone)
+}
+
+/// Follows the store until the task is dropped.
+pub async fn follow_cache(gateway: Arc<Gateway>) {
+    let mut followed: Option<(SocketAddr, CallConnection)> = None;
+    loop {
+        let configuration = gateway.configuration();
+        let store = configuration.as_deref().and_then(|known| cache_store(known, &gateway.zone));
+        let Some(store) = store else {
+            sleep(RETRY_MS).await;
+            continue;
+        };
+        let is_known = followed.as_ref().is_some_and(|(known, _)| *known == store.address);
+        if !is_known {
+            followed = Some((store.address, CallConnection::new(store.address)));
+            lose(&gateway);
+        }
+        let Some((_, connection)) = followed.as_mut() else {
+            continue;
+        };
+        match poll(&gateway, connection).await {
+            true => sleep(GATHER_MS).await,
+            false => {
+                connection.reset();
+                lose(&gateway);
+                sleep(RETRY_MS).await;
+            }
+        }
+    }
+}
+
+async fn poll(gateway: &Gateway, connection: &mut CallConnection) -> bool {
+    let since = gateway.beliefs().cache.contents.next();
+    let head = gateway.site.cache_events_head(since, WAIT_MS);
+    let answered = connection.call(head, &[], WAIT_MS + TIMEOUT_MS).await;
+    let Ok((head, body)) = answered else {
+        return false;
+    };
+    let Some(batch) = gateway.site.read_cache_events(&head, &body) else {
+        return false;
+    };
+    let mut beliefs = gateway.beliefs();
+    beliefs.cache.contents.apply(&batch);
+    if !std::mem::replace(&mut beliefs.cache.is_followed, true) {
+        slog::info!(gateway.log, "cache store followed"; "epoch" => batch.epoch);
+    }
+    true
+}
+
+fn lose(gateway: &Gateway) {
+    let mut beliefs = gateway.beliefs();
+    beliefs.cache.contents.forget();
+    if std::mem::take(&mut beliefs.cache.is_followed) {
+        slog::warn!(gateway.log, "cache store lost");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,11 +13,13 @@
 //! | [`relay`] | one request, from its head to the end of its answer |
 //! | [`engine_connection`] | one request on one connection to an engine |
 //! | [`store`] | client of the object store and the copies that follow it |
+//! | [`cache_feed`] | follows what the store of kept cache holds |
 //! | [`weights`] | bringing engines to new weights, by one holder of a lease |
 //! | [`readiness`], [`metrics`], [`logging`] | what a node tells of itself |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
 
 pub mod assembly;
+pub mod cache_feed;
 pub mod callers;
 pub mod engine_connection;
 pub mod http_call;
--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -39,6 +39,18 @@
     pub save_to: Option<SocketAddr>,
 }
 
+impl CacheTransfer {
+    /// What is fetched and saved, for logs.
+    pub fn in_words(&self) -> &'static str {
+        match (self.fetch_from, self.save_to) {
+            (Some(_), Some(_)) => "fetch+save",
+            (Some(_), None) => "fetch",
+            (None, Some(_)) => "save",
+            (None, None) => "local",
+        }
+    }
+}
+
 /// An engine's word that it did not run the request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RefusedByEngine {
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -11,14 +11,17 @@
 //! | [`CallerProtocol`] | a caller's head to a [`CallerRequest`]; a refusal to a head |
 //! | [`EngineProtocol`] | an [`EngineCall`] to a head; an engine's head to its [`AnswerMeaning`] |
 //! | [`EngineControl`] | a report and an order, there and back |
+//! | [`CacheProtocol`] | events of stores of kept cache |
 //! | [`ObjectStore`] | calls of the object store, there and back |
 //! | [`StoredDocuments`] | stored documents to configuration, engines and named weights |
 
+mod cache;
 mod caller;
 mod control;
 mod engine;
 mod store;
 
+pub use cache::CacheProtocol;
 pub use caller::{CallerProtocol, CallerRequest, InvalidRequest, Refusal, RefusalKind};
 pub use control::{EngineControl, EngineReport, LoadOrder, OrderAnswer};
 pub use engine::{AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine};
@@ -29,11 +32,21 @@
 
 /// All ports of a site.
 pub trait Site:
-    CallerProtocol + EngineProtocol + EngineControl + ObjectStore + StoredDocuments
+    CallerProtocol
+    + EngineProtocol
+    + EngineControl
+    + CacheProtocol
+    + ObjectStore
+    + StoredDocuments
 {
 }
 
 impl<T> Site for T where
-    T: CallerProtocol + EngineProtocol + EngineControl + ObjectStore + StoredDocuments
+    T: CallerProtocol
+        + EngineProtocol
+        + EngineControl
+        + CacheProtocol
+        + ObjectStore
+        + StoredDocuments
 {
 }
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::in_flight::InFlight;
 use super::{AfterAnswer, Relay};
+use crate::cache_feed::cache_store;
 use crate::engine_connection::{exchange, EngineAnswer, ExchangeLimits};
 use crate::ports::{AnswerMeaning, CacheTransfer, EngineCall, RefusedByEngine};
 use ploverlift_balancing::catalogue::InstanceId;
@@ -9,9 +10,8 @@
 use ploverlift_balancing::selection::{choose, Cost, Criteria, NoChoice, PromptCriteria};
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::attempt::AttemptState;
-use ploverlift_policy::ids::Millis;
-use ploverlift_routing::configuration::CacheStore;
-use ploverlift_routing::prompt::{cache_salt, cache_scope, ChainKey};
+use crate::state::CacheBeliefs;
+use ploverlift_routing::prompt::{cache_salt, cache_scope, PromptPart};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -19,6 +19,10 @@
 /// Time that an engine is taken to load after it refused, in milliseconds.
 const REFUSED_LOADING_MS: u64 = 120;
 
+/// Silence that is borne for a prompt, as a multiple of the time to read it. A
+/// long prompt that is sent to a second engine too early is read twice.
+const PROMPT_PATIENCE: f64 = 2.0;
+
 /// How an attempt ended.
 pub(super) enum AttemptEnd {
     /// The caller has its answer.
@@ -63,7 +67,6 @@
     pub(super) address: SocketAddr,
     pub(super) weights: Option<u64>,
     pub(super) cache: Option<CacheTransfer>,
-    pub(super) saves: Option<(ChainKey, u64)>,
     pub(super) cost: Cost,
     pub(super) candidates: usize,
 }
@@ -98,52 +101,51 @@
             address: engine.record.address,
             weights: None,
             cache: None,
-            saves: None,
             cost: choice.cost,
             candidates: choice.candidates,
         };
         if let Some(prompt) = &criteria.prompt {
             let weights = engine.weights_of(prompt.model);
-            let is_saved = self.is_saved(&beliefs.saved_prompts, prompt.key, weights, now);
             chosen.weights = Some(weights).filter(|weights| *weights > 0);
-            chosen.cache = Some(self.transfer(prompt.model, scope, weights, is_saved));
-            chosen.saves = (!is_saved).then_some((prompt.key, weights));
+            chosen.cache = Some(self.transfer(&beliefs.cache, prompt.model, scope, weights));
         }
         Ok(chosen)
     }
 
-    fn is_saved(
+    /// Fetches shared parts that the store has, and saves those that it lacks:
+    /// once in the fleet for each version of the weights.
+    fn transfer(
         &self,
-        saved: &ploverlift_balancing::transfer::SavedPrompts,
-        key: ChainKey,
+        cache: &CacheBeliefs,
+        model: &str,
+        scope: &str,
         weights: u64,
-        now: Millis,
-    ) -> bool {
-        let lifetime = self.gateway.settings().cost.saved_lifetime_ms;
-        saved.is_saved(key, weights, lifetime, now)
-    }
-
-    fn transfer(&self, model: &str, scope: &str, weights: u64, is_saved: bool) -> CacheTransfer {
-        let store = self.cache_store().map(|store| store.address);
+    ) -> CacheTransfer {
         // Without known weights nothing may be shared with any other request.
-        let salt = match weights {
-            0 => self.received.request.id.clone(),
-            weights => cache_salt(model, weights, scope),
-        };
+        if weights == 0 {
+            return CacheTransfer {
+                salt: self.received.request.id.clone(),
+                fetch_from: None,
+                save_to: None,
+            };
+        }
+        let salt = cache_salt(model, weights, scope);
+        let prompt = self.received.request.prompt.as_ref();
+        let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+        let is_kept = |part: &PromptPart| cache.contents.has(&salt, part.id);
+        let has_first = shared.first().is_some_and(is_kept);
+        let has_last = shared.last().is_some_and(is_kept);
+        let configuration = &self.received.admission.configuration;
+        let store = cache_store(configuration, &self.gateway.zone);
+        let store = store.filter(|_| cache.is_followed);
+        let store = store.map(|store| store.address);
         CacheTransfer {
+            fetch_from: store.filter(|_| has_first),
+            save_to: store.filter(|_| !shared.is_empty() && !has_last),
             salt,
-            fetch_from: store,
-            save_to: store.filter(|_| !is_saved),
         }
     }
 
-    /// A store of kept cache, in this zone where there is one.
-    fn cache_store(&self) -> Option<&CacheStore> {
-        let services = &self.received.admission.configuration.document.services;
-        let stores = services.values().filter_map(|service| service.cache_store.as_ref());
-        stores.max_by_key(|store| store.zone == self.gateway.zone)
-    }
-
     /// Sends the request to an engine and hands its answer on.
     ///
     /// # Errors
@@ -210,8 +212,16 @@
         if is_last || !route.delivery.is_repeatable() {
             return None;
         }
-        let patience = self.gateway.settings().attempts.patience;
-        Some((route.objective_ms as f64 * patience) as u64)
+        let settings = self.gateway.settings();
+        let usual_ms = route.objective_ms as f64 * settings.attempts.patience;
+        Some((usual_ms + self.reading_ms() * PROMPT_PATIENCE) as u64)
+    }
+
+    /// Time that an engine takes to read the prompt, in milliseconds.
+    fn reading_ms(&self) -> f64 {
+        let prompt = self.received.request.prompt.as_ref();
+        let tokens = prompt.map_or(0, |prompt| prompt.tokens());
+        tokens as f64 / self.gateway.settings().cost.prompt_tokens_per_ms
     }
 
     async fn hand_on(
@@ -237,7 +247,7 @@
             }
             AnswerMeaning::Failure => self.read_failure(answer, in_flight).await,
             AnswerMeaning::Success if self.received.admission.route.delivery.is_stream() => {
-                self.pass_stream(answer, chosen, in_flight).await
+                self.pass_stream(answer, in_flight).await
             }
             AnswerMeaning::Success => self.pass_whole(answer, in_flight).await,
         }
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -3,7 +3,9 @@
 
 use super::attempt::{AttemptEnd, ChosenEngine};
 use super::ReceivedRequest;
+use crate::ports::CacheTransfer;
 use crate::state::Gateway;
+use ploverlift_routing::prompt::cache_scope;
 use std::fmt::Write;
 
 /// Outcomes of which every line is written; others as the rate allows.
@@ -14,6 +16,7 @@
 pub(super) struct RequestRecord {
     id: String,
     attempts: String,
+    prompt: Option<(u64, u64)>,
     first_byte_ms: Option<u64>,
     is_finished: bool,
     log: slog::Logger,
@@ -24,6 +27,11 @@
         Self {
             id: received.request.id.clone(),
             attempts: String::new(),
+            prompt: received.request.prompt.as_ref().map(|prompt| {
+                let tenant = received.admission.tenant.as_deref();
+                let key = prompt.shared_key(cache_scope(tenant));
+                (key.0, prompt.shared_tokens())
+            }),
             first_byte_ms: None,
             is_finished: false,
             log: gateway.log.clone(),
@@ -35,10 +43,11 @@
         let cost = &chosen.cost;
         let _ = write!(
             self.attempts,
-            "{}{} weights={} of={} queue={:.0} transfer={:.0} zone={:.0} slots={:.0} failure={:.0}",
+            "{}{} weights={} cache={} of={} queue={:.0} transfer={:.0} zone={:.0} slots={:.0} failure={:.0}",
             if self.attempts.is_empty() { "" } else { "; " },
             chosen.instance,
             chosen.weights.unwrap_or(0),
+            chosen.cache.as_ref().map_or("none", CacheTransfer::in_words),
             chosen.candidates,
             cost.queue_ms,
             cost.transfer_ms,
@@ -96,6 +105,8 @@
             "configuration" => admission.configuration.document.version,
             "configuration_age_ms" => freshness,
             "attempts" => &self.attempts,
+            "prompt" => self.prompt.map(|(key, _)| format!("{key:016x}")),
+            "shared_tokens" => self.prompt.map(|(_, tokens)| tokens),
             "first_byte_ms" => self.first_byte_ms,
             "total_ms" => received.limits.age_ms(gateway));
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -4,7 +4,7 @@
 //! another engine continues after the last event that the caller has, inside
 //! the same answer.
 
-use super::attempt::{AttemptEnd, ChosenEngine};
+use super::attempt::AttemptEnd;
 use super::events::{is_after, EventSplitter};
 use super::in_flight::InFlight;
 use super::whole::passed_on;
@@ -26,7 +26,6 @@
     pub(super) async fn pass_stream(
         &mut self,
         mut answer: EngineAnswer,
-        chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
         let mut splitter = EventSplitter::default();
@@ -36,7 +35,7 @@
                 StreamStep::Events(bytes) => {
                     if is_first {
                         is_first = false;
-                        self.note_first_event(chosen, in_flight);
+                        in_flight.answered();
                     }
                     self.deliver(&answer, &bytes).await?;
                 }
@@ -60,15 +59,6 @@
         }
     }
 
-    fn note_first_event(&mut self, chosen: &ChosenEngine, in_flight: &mut InFlight) {
-        in_flight.answered();
-        if let Some((key, weights)) = chosen.saves {
-            let now = self.gateway.clock.now();
-            let mut beliefs = self.gateway.beliefs();
-            beliefs.saved_prompts.note(key, weights, now);
-        }
-    }
-
     /// Writes events; the head goes out with the first of them.
     async fn deliver(&mut self, answer: &EngineAnswer, bytes: &[u8]) -> io::Result<()> {
         if self.answer.has_started() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -154,8 +154,6 @@
     pub slot_ms: f64,
     /// Nodes that send to the same engines.
     pub senders: f64,
-    /// How long a prompt counts as saved in the cache store, in milliseconds.
-    pub saved_lifetime_ms: u64,
 }
 
 impl Default for CostSettings {
@@ -166,7 +164,6 @@
             zone_ms: 2.0,
             slot_ms: 30.0,
             senders: 7.0,
-            saved_lifetime_ms: 10_000,
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,10 +5,10 @@
 use crate::settings::GatewaySettings;
 use crate::time::Clock;
 use event_listener::Event;
+use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::EngineCatalogue;
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
 use ploverlift_balancing::selection::CostRates;
-use ploverlift_balancing::transfer::SavedPrompts;
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::{Configuration, ServiceName};
@@ -45,6 +45,15 @@
     }
 }
 
+/// What this node believes of the store of kept cache.
+#[derive(Debug, Default)]
+pub struct CacheBeliefs {
+    /// Whether its events are being followed.
+    pub is_followed: bool,
+    /// What it holds.
+    pub contents: CacheContents,
+}
+
 /// What this node believes of the site.
 #[derive(Debug, Default)]
 pub struct Beliefs {
@@ -60,8 +69,8 @@
     pub weights: NamedWeights,
     /// Splits of routes.
     pub splitter: TrafficSplitter,
-    /// Prompts that the cache store holds.
-    pub saved_prompts: SavedPrompts,
+    /// The store of kept cache.
+    pub cache: CacheBeliefs,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
 }
 
