Announce loads in the lease; prove freshness by a list after a failure

Cause: 8% of arrivals at model engines were refused while they loaded, because only the holder knew which did; and after the store was back, nodes refused keys for up to 1.5 s more, until their watch was answered. Ruled out: retrying refused requests elsewhere (maxAttempts is 1 for most). Change: the lease's document names engines that load now or next; nodes watch leases and steer away 60 ms before the order; a write without an answer is looked for in the store; loads finish 6.5 s after the naming, slots are freed at the expected end of a load; the configuration is listed after a failure; keys are accepted for 0.94 of the revocation bound (from 0.76), because the proof counts from the sending of the watch.

--- a/crates/balancing/src/load_schedule.rs
+++ b/crates/balancing/src/load_schedule.rs
@@ -17,9 +17,6 @@
     pub at_once: usize,
     /// Most engines that load at the same time.
     pub at_once_limit: usize,
-    /// Time before its deadline at which an engine should have loaded, in
-    /// milliseconds.
-    pub reserve_ms: u64,
 }
 
 /// Engines that may load now, given the deadlines of all that must: 0 while
@@ -52,7 +49,7 @@
 fn slack_ms(sorted: &[Millis], at_once: usize, pace: &LoadPace, now: Millis) -> i64 {
     let slacks = sorted.iter().enumerate().map(|(index, deadline)| {
         let rounds = (index / at_once.max(1) + 1) as u64;
-        let done = now.plus(rounds * pace.load_ms + pace.reserve_ms);
+        let done = now.plus(rounds * pace.load_ms);
         deadline.0 as i64 - done.0 as i64
     });
     slacks.min().unwrap_or(0)
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -139,6 +139,18 @@
         (fresh && self.is_own(spec)).then_some(spec.fencing_token)
     }
 
+    /// Renews a lease that this node holds, before it is time; waits while a
+    /// write is under way.
+    pub fn renew_early(&mut self, unix_ms: u64, now: Millis) -> LeaseStep {
+        let renewed_at = self.renewed_at;
+        if self.token(now).is_some() {
+            self.renewed_at = renewed_at.map(|_| Millis(now.0.saturating_sub(self.timing.renew_after_ms)));
+        }
+        let step = self.step(true, unix_ms, now);
+        self.renewed_at = renewed_at;
+        step
+    }
+
     /// What to do at `now`. `wants` tells whether this node is a candidate.
     pub fn step(&mut self, wants: bool, unix_ms: u64, now: Millis) -> LeaseStep {
         let writing = self
--- a/crates/gateway/src/relay/admission.rs
+++ b/crates/gateway/src/relay/admission.rs
@@ -8,7 +8,7 @@
 
 /// Time to come back to a node that cannot prove its configuration, in
 /// milliseconds; the caller's next connection likely meets another node.
-const STALE_RETRY_AFTER_MS: u64 = 100;
+const STALE_RETRY_AFTER_MS: u64 = 500;
 
 /// A request that may run.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -107,12 +107,17 @@
         if let Some(prompt) = &criteria.prompt {
             let weights = engine.weights_of(prompt.model);
             chosen.weights = Some(weights).filter(|weights| *weights > 0);
-            chosen.cache = Some(self.transfer(&beliefs.cache, prompt.model, scope, weights));
+            let home = choice.home.as_ref().and_then(|home| beliefs.engines.get(home));
+            let home = home.filter(|home| home.weights_of(prompt.model) == weights);
+            let home = home.filter(|home| !home.health.is_suspected());
+            let home = home.map(|home| home.record.address);
+            chosen.cache = Some(self.transfer(&beliefs.cache, prompt.model, scope, weights, home));
         }
         Ok(chosen)
     }
 
-    /// Fetches shared parts that the store has, and saves those that it lacks:
+    /// Fetches shared parts from the store, or from the prompt's home when the
+    /// store has none of them, and saves those that it lacks:
     /// once in the fleet for each version of the weights.
     fn transfer(
         &self,
@@ -120,6 +125,7 @@
         model: &str,
         scope: &str,
         weights: u64,
+        home: Option<SocketAddr>,
     ) -> CacheTransfer {
         // Without known weights nothing may be shared with any other request.
         if weights == 0 {
@@ -133,15 +139,16 @@
         let prompt = self.received.request.prompt.as_ref();
         let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
         let is_kept = |part: &PromptPart| cache.contents.has(&salt, part.id);
-        let has_first = shared.first().is_some_and(is_kept);
-        let has_last = shared.last().is_some_and(is_kept);
+        // A part is of use only when every part before it is kept as well.
+        let kept = shared.iter().take_while(|part| is_kept(part)).count();
+        let is_whole = kept == shared.len();
         let configuration = &self.received.admission.configuration;
         let store = cache_store(configuration, &self.gateway.zone);
         let store = store.filter(|_| cache.is_followed);
         let store = store.map(|store| store.address);
         CacheTransfer {
-            fetch_from: store.filter(|_| has_first),
-            save_to: store.filter(|_| !shared.is_empty() && !has_last),
+            fetch_from: store.filter(|_| kept > 0).or(home),
+            save_to: store.filter(|_| !is_whole),
             salt,
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -172,15 +172,14 @@
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WeightSettings {
-    /// Engines that load at the same time.
+    /// Engines that load at the same time. More do, when that many cannot all
+    /// have loaded within `finish_ms`.
     pub loads_at_once: usize,
-    /// Most engines that load at the same time, when the bound asks for it.
-    pub loads_at_once_limit: usize,
     /// Time that a load takes before one was seen, in milliseconds.
     pub load_ms: u64,
-    /// Time before old weights leave the choice at which an engine should have
+    /// Time from the naming of a version at which all engines should have
     /// loaded, in milliseconds.
-    pub reserve_ms: u64,
+    pub finish_ms: u64,
     /// Time before the bound at which engines with older weights leave the
     /// choice, in milliseconds: a request may wait in an engine's queue.
     pub margin_ms: u64,
@@ -194,9 +193,8 @@
     fn default() -> Self {
         Self {
             loads_at_once: 2,
-            loads_at_once_limit: 4,
-            load_ms: 800,
-            reserve_ms: 300,
+            load_ms: 650,
+            finish_ms: 6_500,
             margin_ms: 2_000,
             order_timeout_ms: 500,
             report_after_ms: 350,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -243,8 +243,8 @@
 const AVOID_AFTER_START_MS: u64 = 2_500;
 
 /// Part of the bound on revoked keys for which a configuration is relied on. The
-/// rest covers the request's way and what a watch may lag behind the store.
-const KEY_FRESHNESS_SHARE: f64 = 0.76;
+/// rest covers what a watch may lag behind the store.
+const KEY_FRESHNESS_SHARE: f64 = 0.94;
 
 /// Longest age of the proof that a configuration is the newest while keys are
 /// accepted, in milliseconds.
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -11,6 +11,7 @@
 pub struct StoreClient {
     gateway: Arc<Gateway>,
     connection: CallConnection,
+    timeout_ms: Option<u64>,
 }
 
 impl StoreClient {
@@ -20,6 +21,15 @@
         Self {
             gateway: Arc::clone(gateway),
             connection: CallConnection::new(address),
+            timeout_ms: None,
+        }
+    }
+
+    /// A client whose calls take at most so long, in milliseconds.
+    pub fn with_timeout(gateway: &Arc<Gateway>, timeout_ms: u64) -> Self {
+        Self {
+            timeout_ms: Some(timeout_ms),
+            ..Self::new(gateway)
         }
     }
 
@@ -37,7 +47,8 @@
             StoreCall::Watch { wait_ms, .. } => *wait_ms,
             _ => 0,
         };
-        let timeout_ms = self.gateway.settings().store.timeout_ms + wait_ms;
+        let usual_ms = self.gateway.settings().store.timeout_ms;
+        let timeout_ms = self.timeout_ms.unwrap_or(usual_ms) + wait_ms;
         let (head, body) = self.gateway.site.store_message(call);
         self.gateway.metrics.store_calls.inc();
         let answered = self.connection.call(head, &body, timeout_ms).await;
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -16,7 +16,7 @@
 /// First pause after a failed call, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 60;
 /// Longest pause after failed calls, in milliseconds.
-const LONGEST_PAUSE_MS: u64 = 600;
+const LONGEST_PAUSE_MS: u64 = 250;
 /// Pause between two changes of engines, in milliseconds: engines change in
 /// groups, and each answer of a watch is a call.
 const GATHER_MS: u64 = 150;
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Waits for changes after a revision; nothing when the history is gone.
+    /// Waits for changes after a revision; nothing when a list must come first.
     async fn changes(
         &mut self,
         revision: u64,
@@ -103,6 +103,11 @@
                 Err(error) => {
                     self.note_lost(&error);
                     backoff.wait().await;
+                    if self.kind == StoreKind::Configuration {
+                        // A list answers at once: it proves sooner than a watch,
+                        // which waits for a change, that keys may be accepted.
+                        return None;
+                    }
                 }
             }
         }
@@ -306,3 +311,17 @@
         }
     }
 }
+
+/// Follows the leases until the task is dropped; hands each to `see`.
+pub async fn follow_leases(gateway: Arc<Gateway>, see: impl Fn(&StoreObject)) {
+    let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Leases);
+    let mut backoff = Backoff::new();
+    loop {
+        let (objects, mut revision, _) = feed.list(&mut backoff).await;
+        objects.iter().for_each(&see);
+        while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
+            events.iter().map(|event| &event.object).for_each(&see);
+            revision = next;
+        }
+    }
+}
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -6,6 +6,7 @@
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
 
 /// Orders that one engine is given before the next look at all engines.
@@ -20,6 +21,7 @@
 /// What to do next with the engine.
 enum Next {
     Report { after_ms: u64 },
+    Loaded { after_ms: Option<u64> },
     Finished,
 }
 
@@ -30,15 +32,17 @@
     engine: OutdatedEngine,
     connection: CallConnection,
     orders: u32,
+    ordered_at: Option<Millis>,
 }
 
 /// Gives orders and asks for reports until the engine has the newest weights,
-/// the lease is lost, or the engine does not answer.
+/// the lease is lost, or the engine does not answer. Tells the time from the
+/// order to the report that showed the load, in milliseconds.
 pub(super) async fn bring_up_to_date(
     gateway: &Arc<Gateway>,
     holder: &LeaseHolder,
     engine: OutdatedEngine,
-) {
+) -> Option<u64> {
     let connection = CallConnection::new(engine.address);
     let mut load = EngineLoad {
         gateway,
@@ -46,13 +50,16 @@
         engine,
         connection,
         orders: 0,
+        ordered_at: None,
     };
     for _ in 0..MAX_REPORTS {
         match load.step().await {
             Next::Report { after_ms } => sleep(after_ms).await,
-            Next::Finished => return,
+            Next::Finished => return None,
+            Next::Loaded { after_ms } => return after_ms,
         }
     }
+    None
 }
 
 impl EngineLoad<'_> {
@@ -68,7 +75,7 @@
         self.learn(held.unwrap_or(0));
         if held.is_some_and(|held| held >= version) && !report.is_busy {
             self.gateway.beliefs().engines.note_loaded(&self.engine.instance);
-            return Next::Finished;
+            return self.loaded(version);
         }
         if report.is_busy {
             self.note_loading();
@@ -85,6 +92,18 @@
         self.gateway.site.read_report(&answer.0, &answer.1)
     }
 
+    fn loaded(&self, version: u64) -> Next {
+        let now = self.gateway.clock.now();
+        let after_ms = self.ordered_at.map(|ordered| now.since(ordered));
+        slog::info!(self.gateway.log, "weights loaded";
+            "engine" => &self.engine.instance.0, "model" => &self.engine.model,
+            "version" => version, "orders" => self.orders,
+            "after_ms" => after_ms);
+        // Several orders do not tell how long one load takes.
+        let after_ms = after_ms.filter(|_| self.orders == 1);
+        Next::Loaded { after_ms }
+    }
+
     fn unreachable(&self) -> Next {
         let now = self.gateway.clock.now();
         let engines = &mut self.gateway.beliefs().engines;
@@ -112,6 +131,7 @@
             return Next::Finished;
         };
         self.orders += 1;
+        self.ordered_at.get_or_insert(self.gateway.clock.now());
         self.note_loading();
         let order = LoadOrder {
             instance: self.engine.instance.clone(),
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/weights/holder.rs
@@ -1,24 +1,28 @@
 //! This node's part in the lease under which orders are given.
 
+use super::lease_document::{LeaseDocument, LEASE_NAME};
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
 use crate::store::StoreClient;
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_cluster::lease::{LeaseStep, LeaseTiming, LeaseView};
 use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion};
 use ploverlift_policy::objects::LeaseSpec;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Name of the lease.
-const LEASE_NAME: &str = "weights";
 /// The holder stops acting when its last renewal is so old, in milliseconds.
 const STOP_ACTING_AFTER_MS: u64 = 1_000;
 /// The holder renews when its last renewal is so old, in milliseconds.
 const RENEW_AFTER_MS: u64 = 400;
 /// Added to the bound between two holders, in milliseconds.
 const MARGIN_MS: u64 = 200;
-/// Time between two looks at another node's lease, in milliseconds.
-const LOOK_PERIOD_MS: u64 = 400;
+/// Time between two looks at another node's lease, in milliseconds. Its watch
+/// tells changes sooner; a look finds what a watch has missed.
+const LOOK_PERIOD_MS: u64 = 1_500;
+/// Longest wait for an answer to a call on the lease, in milliseconds. A write
+/// that takes longer would leave little of the lease.
+const CALL_TIMEOUT_MS: u64 = 450;
 
 /// Holds the lease, or waits for it.
 pub struct LeaseHolder {
@@ -26,6 +30,7 @@
     name: String,
     view: Mutex<LeaseView>,
     io: smol::lock::Mutex<LeaseIo>,
+    announced: Mutex<Vec<InstanceId>>,
 }
 
 struct LeaseIo {
@@ -49,12 +54,18 @@
             name,
             view: Mutex::new(view),
             io: smol::lock::Mutex::new(LeaseIo {
-                client: StoreClient::new(gateway),
+                client: StoreClient::with_timeout(gateway, CALL_TIMEOUT_MS),
                 looked_at: None,
             }),
+            announced: Mutex::new(Vec::new()),
         }
     }
 
+    fn announced(&self) -> MutexGuard<'_, Vec<InstanceId>> {
+        let announced = self.announced.lock();
+        announced.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     fn view(&self) -> MutexGuard<'_, LeaseView> {
         let view = self.view.lock();
         view.unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -93,9 +104,12 @@
         }
     }
 
-    /// Renews the lease or asks for it; tells whether orders may be given.
-    pub async fn keep(&self) -> bool {
+    /// Renews the lease or asks for it; tells whether orders may be given. Other
+    /// nodes are told to send nothing new to the engines in `loading`.
+    pub async fn keep(&self, loading: Vec<InstanceId>) -> bool {
         let mut io = self.io.lock().await;
+        let is_news = self.token().is_some() && *self.announced() != loading;
+        *self.announced() = loading;
         if !self.is_own() {
             let now = self.gateway.clock.now();
             let looked = io.looked_at;
@@ -104,7 +118,11 @@
                 self.look(&mut io).await;
             }
         }
-        let step = self.view().step(true, unix_ms(), self.gateway.clock.now());
+        let now = self.gateway.clock.now();
+        let step = match is_news {
+            true => self.view().renew_early(unix_ms(), now),
+            false => self.view().step(true, unix_ms(), now),
+        };
         if let LeaseStep::Write {
             version,
             spec,
@@ -126,11 +144,12 @@
         }
     }
 
-    fn see(&self, object: &StoreObject) {
-        if let Ok(spec) = serde_json::from_value::<LeaseSpec>(object.content.clone()) {
+    /// Takes in the lease as it was read or watched.
+    pub fn see(&self, object: &StoreObject) {
+        if let Ok(document) = serde_json::from_value::<LeaseDocument>(object.content.clone()) {
             let now = self.gateway.clock.now();
             let version = ResourceVersion(object.revision);
-            self.view().on_seen(version, spec, now);
+            self.view().on_seen(version, document.lease, now);
         }
     }
 
@@ -142,7 +161,11 @@
         began: Millis,
     ) {
         let had_token = self.token();
-        let content = serde_json::to_value(&spec).unwrap_or_default();
+        let document = LeaseDocument {
+            lease: spec.clone(),
+            loading: self.announced().iter().map(|engine| engine.0.clone()).collect(),
+        };
+        let content = serde_json::to_value(&document).unwrap_or_default();
         let written = io
             .client
             .compare_and_set(StoreKind::Leases, LEASE_NAME, version.0, content)
@@ -158,19 +181,36 @@
                         "token" => token, "revision" => object.revision);
                 }
             }
-            Err(error) => self.on_write_failed(io, &error).await,
+            Err(StoreError::Conflict { current }) => {
+                slog::info!(self.gateway.log, "lease not written"; "error" => "conflict");
+                self.view().on_write_failed();
+                match current {
+                    Some(current) => self.see(&current),
+                    None => self.look(io).await,
+                }
+            }
+            Err(error) => {
+                slog::info!(self.gateway.log, "lease not written"; "error" => error.to_string());
+                self.view().on_write_failed();
+                self.look_for(io, &spec, began).await;
+            }
         }
     }
 
-    async fn on_write_failed(&self, io: &mut LeaseIo, error: &StoreError) {
-        slog::info!(self.gateway.log, "lease not written"; "error" => error.to_string());
-        self.view().on_write_failed();
-        match error {
-            StoreError::Conflict {
-                current: Some(current),
-            } => self.see(current),
-            _ => self.look(io).await,
+    /// After a write without an answer: if the store holds just what was
+    /// written, the write was done, and not before it `began`.
+    async fn look_for(&self, io: &mut LeaseIo, spec: &LeaseSpec, began: Millis) {
+        let Ok(Some(object)) = io.client.get(StoreKind::Leases, LEASE_NAME).await else {
+            return;
+        };
+        let document = serde_json::from_value::<LeaseDocument>(object.content.clone());
+        if !document.is_ok_and(|document| document.lease == *spec) {
+            return self.see(&object);
         }
+        let now = self.gateway.clock.now();
+        let version = ResourceVersion(object.revision);
+        self.view().on_written(version, spec.clone(), began, now);
+        slog::info!(self.gateway.log, "lease found written"; "revision" => object.revision);
     }
 }
 
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -7,18 +7,22 @@
 
 mod engine_load;
 mod holder;
+mod lease_document;
 mod plan;
 
 pub use holder::LeaseHolder;
 pub use plan::{outdated_engines, OutdatedEngine};
 
+use crate::ports::StoreObject;
 use crate::state::Gateway;
+use crate::store::follow_leases;
 use crate::time::{sleep, within};
 use engine_load::bring_up_to_date;
+use lease_document::LeaseDocument;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::load_schedule::{loads_now, LoadPace};
 use ploverlift_policy::ids::Millis;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
 /// Time between two looks while there is nothing to do, in milliseconds.
@@ -29,38 +33,90 @@
 /// it, in milliseconds, so that not all ask at once.
 const MAX_STAGGER_MS: u64 = 300;
 
+/// Age of what a report shows, in milliseconds. A load is over by so much
+/// earlier than its report tells.
+const REPORT_AGE_MS: u64 = 200;
+/// Time between the announcement of a load and its order, in milliseconds.
+const ANNOUNCED_BEFORE_MS: u64 = 60;
+/// Time that an announced engine counts as loading, in milliseconds, unless the
+/// next announcement leaves it out.
+const ANNOUNCED_LOADING_MS: u64 = 1_500;
+/// Weight of the newest load in the expected time of a load.
+const NEWEST_LOAD_WEIGHT: f64 = 0.2;
+
 /// Engines that are being brought up to date by this node.
 #[derive(Clone, Default)]
 struct Loading {
-    engines: Arc<Mutex<HashSet<InstanceId>>>,
+    state: Arc<Mutex<LoadingState>>,
+}
+
+#[derive(Default)]
+struct LoadingState {
+    begun: HashMap<InstanceId, Millis>,
+    load_ms: Option<f64>,
 }
 
 impl Loading {
     fn count(&self) -> usize {
-        self.with(|engines| engines.len())
+        self.with(|state| state.begun.len())
+    }
+
+    /// Engines whose load is not expected to be over yet.
+    fn count_busy(&self, usual_ms: u64, now: Millis) -> usize {
+        let load_ms = self.load_ms(usual_ms);
+        let is_busy = |begun: &&Millis| now.since(**begun) < load_ms;
+        self.with(|state| state.begun.values().filter(is_busy).count())
+    }
+
+    /// Time that a load is expected to take, in milliseconds.
+    fn load_ms(&self, usual_ms: u64) -> u64 {
+        self.with(|state| state.load_ms.map_or(usual_ms, |known| known as u64))
+    }
+
+    fn instances(&self) -> Vec<InstanceId> {
+        let mut instances: Vec<InstanceId> =
+            self.with(|state| state.begun.keys().cloned().collect());
+        instances.sort();
+        instances
     }
 
     fn has(&self, instance: &InstanceId) -> bool {
-        self.with(|engines| engines.contains(instance))
+        self.with(|state| state.begun.contains_key(instance))
     }
 
-    fn begin(&self, instance: &InstanceId) {
-        self.with(|engines| engines.insert(instance.clone()));
+    fn begin(&self, instance: &InstanceId, now: Millis) {
+        self.with(|state| state.begun.insert(instance.clone(), now));
     }
 
-    fn end(&self, instance: &InstanceId) {
-        self.with(|engines| engines.remove(instance));
+    /// The engine is done with; `reported_ms` is the time from its order to the
+    /// report that showed the load.
+    fn end(&self, instance: &InstanceId, reported_ms: Option<u64>) {
+        self.with(|state| {
+            state.begun.remove(instance);
+            if let Some(reported_ms) = reported_ms {
+                let load_ms = reported_ms.saturating_sub(REPORT_AGE_MS) as f64;
+                let known = state.load_ms.unwrap_or(load_ms);
+                state.load_ms = Some(known + NEWEST_LOAD_WEIGHT * (load_ms - known));
+            }
+        });
     }
 
-    fn with<T>(&self, work: impl FnOnce(&mut HashSet<InstanceId>) -> T) -> T {
-        let engines = self.engines.lock();
-        work(&mut engines.unwrap_or_else(|poisoned| poisoned.into_inner()))
+    fn with<T>(&self, work: impl FnOnce(&mut LoadingState) -> T) -> T {
+        let state = self.state.lock();
+        work(&mut state.unwrap_or_else(|poisoned| poisoned.into_inner()))
     }
 }
 
 /// Takes part in the lease and gives orders, until the task is dropped.
 pub async fn roll_weights(gateway: Arc<Gateway>) {
     let holder = Arc::new(LeaseHolder::new(&gateway));
+    let watched = Arc::clone(&holder);
+    let watching = Arc::clone(&gateway);
+    let see = move |object: &StoreObject| {
+        watched.see(object);
+        note_announced(&watching, object);
+    };
+    let _following = smol::spawn(follow_leases(Arc::clone(&gateway), see));
     let loading = Loading::default();
     let stagger_ms = fastrand::u64(0..=MAX_STAGGER_MS);
     loop {
@@ -73,20 +129,35 @@
         }
         holder.observe_once().await;
         let waits_ms = if holder.is_own() { 0 } else { stagger_ms };
-        let at_once = loads_at_once(&gateway, &outdated, waits_ms);
+        let at_once = loads_at_once(&gateway, &loading, &outdated, waits_ms);
         let is_idle = loading.count() == 0;
         // A node that stops gives no first order: it would lose the lease in between.
         if is_idle && (at_once == 0 || gateway.is_stopping()) {
             within(BUSY_PERIOD_MS, named).await;
             continue;
         }
-        if holder.keep().await {
-            begin_loads(&gateway, &holder, &loading, &outdated, at_once);
+        let next = next_loads(&gateway, &loading, &outdated, at_once);
+        let announced = loading.instances().into_iter();
+        let announced = announced.chain(next.iter().map(|engine| engine.instance.clone()));
+        if holder.keep(announced.collect()).await {
+            begin_loads(&gateway, &holder, &loading, next);
         }
         sleep(BUSY_PERIOD_MS).await;
     }
 }
 
+/// Another node's engines that load now, or will at once, are sent nothing new.
+fn note_announced(gateway: &Gateway, object: &StoreObject) {
+    let document = serde_json::from_value::<LeaseDocument>(object.content.clone());
+    let Ok(document) = document else {
+        return;
+    };
+    let until = gateway.clock.now().plus(ANNOUNCED_LOADING_MS);
+    let loading = document.loading();
+    let mut beliefs = gateway.beliefs();
+    beliefs.engines.replace_loading(&loading, until);
+}
+
 /// Engines with outdated weights that are not being loaded.
 fn waiting_engines(gateway: &Gateway, loading: &Loading) -> Vec<OutdatedEngine> {
     let outdated = outdated_engines(gateway, gateway.clock.now());
@@ -96,38 +167,58 @@
 
 /// Engines that should load at the same time now; 0 while there is time. Nodes
 /// that did not hold the lease last wait a little longer.
-fn loads_at_once(gateway: &Gateway, outdated: &[OutdatedEngine], waits_ms: u64) -> usize {
+fn loads_at_once(
+    gateway: &Gateway,
+    loading: &Loading,
+    outdated: &[OutdatedEngine],
+    waits_ms: u64,
+) -> usize {
     let settings = &gateway.settings().weights;
-    let bounds = gateway.weights_bounds();
+    let finish_ms = settings.finish_ms + waits_ms;
     let deadlines: Vec<Millis> = outdated
         .iter()
-        .map(|engine| engine.named_at.plus(bounds.avoid_after_ms + waits_ms))
+        .map(|engine| engine.named_at.plus(finish_ms))
         .collect();
+    let load_ms = loading.load_ms(settings.load_ms);
+    let all = (outdated.len() + loading.count()) as u64;
+    let enough_for_all = (all * load_ms).div_ceil(settings.finish_ms.max(1));
     let pace = LoadPace {
-        load_ms: settings.load_ms,
+        load_ms,
         at_once: settings.loads_at_once,
-        at_once_limit: settings.loads_at_once_limit,
-        reserve_ms: settings.reserve_ms,
+        at_once_limit: settings.loads_at_once.max(enough_for_all as usize),
     };
     loads_now(&deadlines, &pace, gateway.clock.now())
 }
 
+/// The engines that load next, as far as there is room.
+fn next_loads(
+    gateway: &Gateway,
+    loading: &Loading,
+    outdated: &[OutdatedEngine],
+    at_once: usize,
+) -> Vec<OutdatedEngine> {
+    let usual_ms = gateway.settings().weights.load_ms;
+    let busy = loading.count_busy(usual_ms, gateway.clock.now());
+    let free = at_once.saturating_sub(busy);
+    outdated.iter().take(free).cloned().collect()
+}
+
 fn begin_loads(
     gateway: &Arc<Gateway>,
     holder: &Arc<LeaseHolder>,
     loading: &Loading,
-    outdated: &[OutdatedEngine],
-    at_once: usize,
+    engines: Vec<OutdatedEngine>,
 ) {
-    let free = at_once.saturating_sub(loading.count());
-    for engine in outdated.iter().take(free) {
-        loading.begin(&engine.instance);
+    for engine in engines {
+        loading.begin(&engine.instance, gateway.clock.now());
         let (gateway, holder) = (Arc::clone(gateway), Arc::clone(holder));
-        let (loading, engine) = (loading.clone(), engine.clone());
+        let loading = loading.clone();
         smol::spawn(async move {
+            // Other nodes hear of it first.
+            sleep(ANNOUNCED_BEFORE_MS).await;
             let instance = engine.instance.clone();
-            bring_up_to_date(&gateway, &holder, engine).await;
-            loading.end(&instance);
+            let reported_ms = bring_up_to_date(&gateway, &holder, engine).await;
+            loading.end(&instance, reported_ms);
         })
         .detach();
     }
