--- a/crates/balancing/src/retry_budget.rs
+++ b/crates/balancing/src/retry_budget.rs
@@ -66,7 +66,11 @@
 
     fn slot(&mut self, now: Millis) -> &mut Slot {
         let window = self.limits.window_ms;
-        while self.slots.front().is_some_and(|slot| now.since(slot.start) > window) {
+        while self
+            .slots
+            .front()
+            .is_some_and(|slot| now.since(slot.start) > window)
+        {
             self.slots.pop_front();
         }
         let start = Millis(now.0 - now.0 % SLOT_MS);
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -165,9 +165,10 @@
 }
 
 fn has_weights(engine: &Engine, criteria: &Criteria<'_>) -> bool {
-    criteria.prompt.as_ref().is_none_or(|prompt| {
-        engine.weights_of(prompt.model) >= prompt.required_weights
-    })
+    criteria
+        .prompt
+        .as_ref()
+        .is_none_or(|prompt| engine.weights_of(prompt.model) >= prompt.required_weights)
 }
 
 /// Candidates in the order in which the prompt prefers them.
@@ -188,7 +189,10 @@
         .map(|engine| engine.health.failure_rate(now))
         .collect();
     rates.sort_by(f64::total_cmp);
-    rates.get(rates.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+    rates
+        .get(rates.len().saturating_sub(1) / 2)
+        .copied()
+        .unwrap_or(0.0)
 }
 
 fn cost(
--- /dev/null
+++ b/crates/balancing/tests/budgets.rs
@@ -0,0 +1,148 @@
+//! Retry budgets, named weights, the schedule of loads and cache contents.
+
+use ploverlift_balancing::cache_contents::{CacheContents, CacheEvent, CacheEvents};
+use ploverlift_balancing::load_schedule::{loads_now, LoadPace};
+use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
+use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
+use ploverlift_policy::ids::Millis;
+use proptest::prelude::*;
+
+const LIMITS: RetryLimits = RetryLimits {
+    ratio: 0.16,
+    reserve: 2.0,
+    window_ms: 10_000,
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    /// Over any number of nodes and in every window, repeats stay under the share
+    /// of the requests in that window plus each node's reserve.
+    #[test]
+    fn repeats_of_all_nodes_stay_under_the_share(
+        arrivals in prop::collection::vec((0usize..4, 0u64..400, any::<bool>()), 1..600),
+    ) {
+        let mut budgets = vec![RetryBudget::new(LIMITS); 4];
+        let mut now = Millis(1_000_000);
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (node, pause, wants_repeat) in arrivals {
+            now = now.plus(pause);
+            budgets[node].record_request(now);
+            requests.push(now);
+            if wants_repeat && budgets[node].try_take(now) {
+                repeats.push(now);
+            }
+        }
+        for end in &repeats {
+            let in_window = |times: &[Millis], window: u64| {
+                times.iter().filter(|at| **at <= *end && end.since(**at) < window).count() as f64
+            };
+            // A slot of half a second may count a little longer than the window.
+            let allowed = 0.2 * in_window(&requests, 10_500) + 4.0 * LIMITS.reserve;
+            prop_assert!(in_window(&repeats, 10_000) <= allowed);
+        }
+    }
+
+    /// A schedule never loads more than it must, and never waits when a deadline
+    /// would be missed by waiting.
+    #[test]
+    fn loads_begin_in_time_and_not_before(
+        engines in 1usize..40,
+        left_ms in 0u64..10_000,
+        at_once in 1usize..4,
+    ) {
+        let now = Millis(1_000);
+        let deadlines = vec![now.plus(left_ms); engines];
+        let pace = LoadPace { load_ms: 600, at_once, at_once_limit: 8 };
+        let count = loads_now(&deadlines, &pace, now);
+        let needed_ms = engines.div_ceil(at_once) as u64 * 600;
+        prop_assert_eq!(count == 0, needed_ms < left_ms);
+        prop_assert!(count <= 8);
+        if count > at_once {
+            prop_assert!(engines.div_ceil(count - 1) as u64 * 600 > left_ms);
+        }
+    }
+}
+
+#[test]
+fn one_late_engine_is_loaded_though_the_others_have_time() {
+    let now = Millis(10_000);
+    let pace = LoadPace {
+        load_ms: 600,
+        at_once: 2,
+        at_once_limit: 4,
+    };
+    let all = [now.plus(8_000), now.plus(500), now.plus(8_000)];
+    assert!(loads_now(&all, &pace, now) >= 2);
+    assert_eq!(loads_now(&[], &pace, now), 0);
+}
+
+const BOUNDS: WeightsBounds = WeightsBounds {
+    avoid_after_ms: 6_000,
+    avoid_after_total_ms: 9_000,
+    avoid_after_start_ms: 2_500,
+};
+
+#[test]
+fn old_weights_are_avoided_before_the_bound() {
+    let mut named = NamedWeights::default();
+    assert!(named.name("m", 2, Millis(1_000)));
+    assert!(!named.name("m", 2, Millis(2_000)));
+    assert!(!named.name("m", 1, Millis(2_000)));
+    assert!(named.name("m", 3, Millis(4_000)));
+    assert_eq!(named.required("m", 1, &BOUNDS, Millis(6_999)), 0);
+    assert_eq!(named.required("m", 1, &BOUNDS, Millis(7_000)), 2);
+    assert_eq!(named.required("m", 1, &BOUNDS, Millis(10_000)), 3);
+    assert_eq!(named.first_newer("m", 1), Some(Millis(1_000)));
+    assert_eq!(named.first_newer("m", 2), Some(Millis(4_000)));
+    assert_eq!(named.first_newer("m", 3), None);
+}
+
+#[test]
+fn trouble_with_the_store_begins_a_new_stretch_but_the_total_counts() {
+    let mut named = NamedWeights::default();
+    named.name("m", 2, Millis(0));
+    named.on_store_trouble(Millis(5_000));
+    assert_eq!(named.required("m", 1, &BOUNDS, Millis(8_000)), 0);
+    assert_eq!(named.required("m", 1, &BOUNDS, Millis(9_000)), 2);
+}
+
+#[test]
+fn a_version_found_at_the_start_binds_soon_once_it_is_in_use() {
+    let mut named = NamedWeights::default();
+    named.name_from_start("m", 2, Millis(0));
+    assert_eq!(named.required("m", 1, &BOUNDS, Millis(3_000)), 0);
+    assert_eq!(named.required("m", 2, &BOUNDS, Millis(2_499)), 0);
+    assert_eq!(named.required("m", 2, &BOUNDS, Millis(2_500)), 2);
+}
+
+fn batch(epoch: u64, next: u64, events: &[(bool, &str, u64)]) -> CacheEvents {
+    let events = events.iter().map(|(is_kept, salt, part)| CacheEvent {
+        is_kept: *is_kept,
+        salt: (*salt).to_owned(),
+        part: *part,
+    });
+    CacheEvents {
+        epoch,
+        next,
+        has_gap: false,
+        events: events.collect(),
+    }
+}
+
+#[test]
+fn cache_contents_follow_events_and_begin_anew_with_an_epoch() {
+    let mut contents = CacheContents::default();
+    contents.apply(&batch(1, 2, &[(true, "s", 7), (true, "t", 8)]));
+    assert!(contents.has("s", 7) && contents.has("t", 8));
+    assert!(!contents.has("t", 7));
+    contents.apply(&batch(1, 3, &[(false, "s", 7)]));
+    assert!(!contents.has("s", 7));
+    assert_eq!(contents.next(), 3);
+    contents.apply(&batch(2, 1, &[]));
+    assert!(contents.is_empty());
+    contents.apply(&batch(2, 2, &[(true, "s", 7)]));
+    contents.forget();
+    assert_eq!((contents.next(), contents.len()), (0, 0));
+}
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -119,7 +119,9 @@
 
     /// Whether the last lease that was seen is this node's, lapsed or not.
     pub fn is_own_lease(&self) -> bool {
-        self.seen.as_ref().is_some_and(|(_, spec)| self.is_own(spec))
+        self.seen
+            .as_ref()
+            .is_some_and(|(_, spec)| self.is_own(spec))
     }
 
     fn is_own(&self, spec: &LeaseSpec) -> bool {
@@ -144,7 +146,8 @@
     pub fn renew_early(&mut self, unix_ms: u64, now: Millis) -> LeaseStep {
         let renewed_at = self.renewed_at;
         if self.token(now).is_some() {
-            self.renewed_at = renewed_at.map(|_| Millis(now.0.saturating_sub(self.timing.renew_after_ms)));
+            self.renewed_at =
+                renewed_at.map(|_| Millis(now.0.saturating_sub(self.timing.renew_after_ms)));
         }
         let step = self.step(true, unix_ms, now);
         self.renewed_at = renewed_at;
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -175,5 +175,7 @@
 }
 
 fn modified(file: &Path) -> Option<SystemTime> {
-    std::fs::metadata(file).and_then(|data| data.modified()).ok()
+    std::fs::metadata(file)
+        .and_then(|data| data.modified())
+        .ok()
 }
--- a/crates/gateway/src/cache_feed.rs
+++ b/crates/gateway/src/cache_feed.rs
@@ -36,12 +36,16 @@
     let mut followed: Option<(SocketAddr, CallConnection)> = None;
     loop {
         let configuration = gateway.configuration();
-        let store = configuration.as_deref().and_then(|known| cache_store(known, &gateway.zone));
+        let store = configuration
+            .as_deref()
+            .and_then(|known| cache_store(known, &gateway.zone));
         let Some(store) = store else {
             sleep(RETRY_MS).await;
             continue;
         };
-        let is_known = followed.as_ref().is_some_and(|(known, _)| *known == store.address);
+        let is_known = followed
+            .as_ref()
+            .is_some_and(|(known, _)| *known == store.address);
         if !is_known {
             followed = Some((store.address, CallConnection::new(store.address)));
             lose(&gateway);
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -226,7 +226,11 @@
     }
     let mut body = Vec::with_capacity(declared as usize);
     let reading = async {
-        while decoder.read(connection, &mut body).await.map_err(body_error)? {
+        while decoder
+            .read(connection, &mut body)
+            .await
+            .map_err(body_error)?
+        {
             if body.len() > limits.max_body_bytes {
                 return Err(too_large());
             }
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -107,7 +107,9 @@
     let mut body = Vec::new();
     while decoder.read(stream, &mut body).await? {
         if body.len() > MAX_BODY_BYTES {
-            return Err(ploverlift_http1::error::malformed("the answer is too large"));
+            return Err(ploverlift_http1::error::malformed(
+                "the answer is too large",
+            ));
         }
     }
     let closes = head.headers.has_token("connection", "close");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,14 +74,30 @@
     /// The page as it is now.
     pub fn page(&self) -> String {
         let mut registry = Registry::with_prefix(PREFIX);
-        registry.register("requests", "Requests by how they ended", self.requests.clone());
+        registry.register(
+            "requests",
+            "Requests by how they ended",
+            self.requests.clone(),
+        );
         let counters = [
             ("attempts", "Requests sent to engines", &self.attempts),
             ("repeats", "Requests sent a second time", &self.repeats),
-            ("store_calls", "Calls of the object store", &self.store_calls),
-            ("store_failures", "Failed calls of the store", &self.store_failures),
+            (
+                "store_calls",
+                "Calls of the object store",
+                &self.store_calls,
+            ),
+            (
+                "store_failures",
+                "Failed calls of the store",
+                &self.store_failures,
+            ),
             ("orders", "Orders to engines", &self.orders),
-            ("log_lines_skipped", "Log lines left out", &self.log_lines_skipped),
+            (
+                "log_lines_skipped",
+                "Log lines left out",
+                &self.log_lines_skipped,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -32,12 +32,7 @@
 
 /// All ports of a site.
 pub trait Site:
-    CallerProtocol
-    + EngineProtocol
-    + EngineControl
-    + CacheProtocol
-    + ObjectStore
-    + StoredDocuments
+    CallerProtocol + EngineProtocol + EngineControl + CacheProtocol + ObjectStore + StoredDocuments
 {
 }
 
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -5,12 +5,12 @@
 use crate::cache_feed::cache_store;
 use crate::engine_connection::{exchange, EngineAnswer, ExchangeLimits};
 use crate::ports::{AnswerMeaning, CacheTransfer, EngineCall, RefusedByEngine};
+use crate::state::CacheBeliefs;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::selection::{choose, Cost, Criteria, NoChoice, PromptCriteria};
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::attempt::AttemptState;
-use crate::state::CacheBeliefs;
 use ploverlift_routing::prompt::{cache_salt, cache_scope, PromptPart};
 use std::io;
 use std::net::SocketAddr;
@@ -107,7 +107,10 @@
         if let Some(prompt) = &criteria.prompt {
             let weights = engine.weights_of(prompt.model);
             chosen.weights = Some(weights).filter(|weights| *weights > 0);
-            let home = choice.home.as_ref().and_then(|home| beliefs.engines.get(home));
+            let home = choice
+                .home
+                .as_ref()
+                .and_then(|home| beliefs.engines.get(home));
             let home = home.filter(|home| home.weights_of(prompt.model) == weights);
             let home = home.filter(|home| !home.health.is_suspected());
             let home = home.map(|home| home.record.address);
--- a/crates/gateway/src/relay/in_flight.rs
+++ b/crates/gateway/src/relay/in_flight.rs
@@ -17,7 +17,10 @@
     /// Counts a request with so many prompt tokens.
     pub fn begin(gateway: &Arc<Gateway>, instance: &InstanceId, prompt_tokens: u64) -> Self {
         let now = gateway.clock.now();
-        gateway.beliefs().engines.begin(instance, prompt_tokens, now);
+        gateway
+            .beliefs()
+            .engines
+            .begin(instance, prompt_tokens, now);
         gateway.metrics.attempts.inc();
         Self {
             gateway: Arc::clone(gateway),
@@ -29,7 +32,10 @@
     /// The engine has begun to answer.
     pub fn answered(&mut self) {
         let tokens = std::mem::take(&mut self.waiting_tokens);
-        self.gateway.beliefs().engines.first_answer(&self.instance, tokens);
+        self.gateway
+            .beliefs()
+            .engines
+            .first_answer(&self.instance, tokens);
     }
 
     /// Notes how the request went.
--- a/crates/gateway/src/relay/limits.rs
+++ b/crates/gateway/src/relay/limits.rs
@@ -26,7 +26,9 @@
 
     /// Time left until the first limit, in milliseconds.
     pub fn left_ms(&self, now: Millis) -> u64 {
-        let first = self.deadline.map_or(self.timeout, |deadline| deadline.min(self.timeout));
+        let first = self
+            .deadline
+            .map_or(self.timeout, |deadline| deadline.min(self.timeout));
         first.since(now)
     }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -139,7 +139,8 @@
             let instance = chosen.instance.clone();
             let end = self.attempt(chosen).await?;
             if let AttemptEnd::Done { after, outcome } = end {
-                self.record.finish(&self.gateway, &self.received, outcome, "");
+                self.record
+                    .finish(&self.gateway, &self.received, outcome, "");
                 return Ok(after);
             }
             if !self.may_go_on(end, instance) {
@@ -233,12 +234,14 @@
         let reason = std::mem::take(&mut self.progress.reason);
         if self.answer.has_started() {
             let outcome = "broken_off";
-            self.record.finish(&self.gateway, &self.received, outcome, &reason);
+            self.record
+                .finish(&self.gateway, &self.received, outcome, &reason);
             return Ok(AfterAnswer::Abort);
         }
         if let Some(failure) = self.progress.engine_failure.take() {
             let outcome = "engine_failure";
-            self.record.finish(&self.gateway, &self.received, outcome, &reason);
+            self.record
+                .finish(&self.gateway, &self.received, outcome, &reason);
             return self.answer.whole(failure.head, &failure.body).await;
         }
         let refusal = self.refusal(reason);
@@ -247,8 +250,15 @@
             RefusalKind::TimedOut => "timed_out",
             _ => "engine_lost",
         };
-        self.record.finish(&self.gateway, &self.received, outcome, &refusal.reason);
-        refuse(&self.gateway, &mut self.answer, &refusal, Some(&self.received.request.id)).await
+        self.record
+            .finish(&self.gateway, &self.received, outcome, &refusal.reason);
+        refuse(
+            &self.gateway,
+            &mut self.answer,
+            &refusal,
+            Some(&self.received.request.id),
+        )
+        .await
     }
 
     fn refusal(&self, reason: String) -> Refusal {
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -75,7 +75,10 @@
         if self.first_byte_ms.is_none() {
             let age = received.limits.age_ms(gateway);
             self.first_byte_ms = Some(age);
-            gateway.metrics.first_byte_seconds.observe(age as f64 / 1_000.0);
+            gateway
+                .metrics
+                .first_byte_seconds
+                .observe(age as f64 / 1_000.0);
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -318,13 +318,22 @@
         }
         let positive = [
             ("store.timeout_ms", self.store.timeout_ms),
-            ("store.configuration_watch_ms", self.store.configuration_watch_ms),
+            (
+                "store.configuration_watch_ms",
+                self.store.configuration_watch_ms,
+            ),
             ("store.other_watch_ms", self.store.other_watch_ms),
             ("bounds.key_revocation_ms", self.bounds.key_revocation_ms),
             ("bounds.weights_ms", self.bounds.weights_ms),
             ("bounds.lease_ms", self.bounds.lease_ms),
-            ("attempts.connect_timeout_ms", self.attempts.connect_timeout_ms),
-            ("attempts.stream_silence_ms", self.attempts.stream_silence_ms),
+            (
+                "attempts.connect_timeout_ms",
+                self.attempts.connect_timeout_ms,
+            ),
+            (
+                "attempts.stream_silence_ms",
+                self.attempts.stream_silence_ms,
+            ),
             ("weights.loads_at_once", self.weights.loads_at_once as u64),
         ];
         for (key, value) in positive {
@@ -338,7 +347,10 @@
         }
         let rates = [
             ("bounds.stop_seconds", self.bounds.stop_seconds),
-            ("bounds.retry_window_seconds", self.bounds.retry_window_seconds),
+            (
+                "bounds.retry_window_seconds",
+                self.bounds.retry_window_seconds,
+            ),
             ("cost.prompt_tokens_per_ms", self.cost.prompt_tokens_per_ms),
             ("cost.senders", self.cost.senders),
             ("attempts.patience", self.attempts.patience),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,7 @@
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::{Configuration, ServiceName};
 use ploverlift_routing::freshness::Freshness;
-use ploverlift_routing::split::TrafficSplitter;
+use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
 use slog::Logger;
@@ -68,7 +68,7 @@
     /// Named weights.
     pub weights: NamedWeights,
     /// Splits of routes.
-    pub splitter: TrafficSplitter,
+    pub splitter: WeightedSplitter,
     /// The store of kept cache.
     pub cache: CacheBeliefs,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -297,7 +297,9 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.gateway.requests_under_way.fetch_sub(1, Ordering::AcqRel);
+        self.gateway
+            .requests_under_way
+            .fetch_sub(1, Ordering::AcqRel);
         self.gateway.work_ended.notify(usize::MAX);
     }
 }
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -74,7 +74,10 @@
         let held = report.weights.get(&self.engine.model).copied();
         self.learn(held.unwrap_or(0));
         if held.is_some_and(|held| held >= version) && !report.is_busy {
-            self.gateway.beliefs().engines.note_loaded(&self.engine.instance);
+            self.gateway
+                .beliefs()
+                .engines
+                .note_loaded(&self.engine.instance);
             return self.loaded(version);
         }
         if report.is_busy {
@@ -161,7 +164,10 @@
             },
             Some(OrderAnswer::AlreadyDone) => {
                 self.learn(version);
-                self.gateway.beliefs().engines.note_loaded(&self.engine.instance);
+                self.gateway
+                    .beliefs()
+                    .engines
+                    .note_loaded(&self.engine.instance);
                 Next::Finished
             }
             // Without an answer the order may be under way: a report tells.
@@ -169,7 +175,10 @@
                 after_ms: REPORT_PERIOD_MS,
             },
             Some(OrderAnswer::OtherInstance) => {
-                self.gateway.beliefs().engines.note_leaving(&self.engine.instance);
+                self.gateway
+                    .beliefs()
+                    .engines
+                    .note_leaving(&self.engine.instance);
                 Next::Finished
             }
             Some(OrderAnswer::FenceTooLow | OrderAnswer::Rejected) => Next::Finished,
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/weights/holder.rs
@@ -163,7 +163,11 @@
         let had_token = self.token();
         let document = LeaseDocument {
             lease: spec.clone(),
-            loading: self.announced().iter().map(|engine| engine.0.clone()).collect(),
+            loading: self
+                .announced()
+                .iter()
+                .map(|engine| engine.0.clone())
+                .collect(),
         };
         let content = serde_json::to_value(&document).unwrap_or_default();
         let written = io
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -162,7 +162,9 @@
 fn waiting_engines(gateway: &Gateway, loading: &Loading) -> Vec<OutdatedEngine> {
     let outdated = outdated_engines(gateway, gateway.clock.now());
     let waiting = outdated.into_iter();
-    waiting.filter(|engine| !loading.has(&engine.instance)).collect()
+    waiting
+        .filter(|engine| !loading.has(&engine.instance))
+        .collect()
 }
 
 /// Engines that should load at the same time now; 0 while there is time. Nodes
--- /dev/null
+++ b/crates/gateway/tests/planned_work.rs
@@ -0,0 +1,236 @@
+//! Planned stops, reloads, engines that leave, and the loading of weights.
+
+mod support;
+
+use ploverlift_gateway::assembly::{reload, start};
+use ploverlift_gateway::logging::silent_logger;
+use serde_json::json;
+use std::collections::HashSet;
+use std::sync::Arc;
+use support::caller::{self, prompt, request};
+use support::engine::{Behaviour, StandInEngine};
+use support::store::{StandInStore, StoreFault};
+use support::{configuration, settings, site, Fixture};
+
+/// Weights are loaded at once, and old ones avoided soon.
+const BRISK_LOADS: &str = "[weights]\nfinish_ms = 1\nload_ms = 20\nreport_after_ms = 1\n\
+    order_timeout_ms = 50\nmargin_ms = 0\n[bounds]\nweights_ms = 600\nlease_ms = 300\n";
+
+#[test]
+fn a_stop_takes_readiness_back_and_finishes_what_is_under_way() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let mut fixture =
+            Fixture::with(&[&app], configuration(1), "[bounds]\nstop_seconds = 30.0\n").await;
+        let running = fixture.running.take().expect("running");
+        let (callers, readiness) = (running.callers, running.readiness);
+        let mut connection = caller::open(callers, &request("unsafe.test", "r1")).await;
+        app.happened.recv().await.expect("the request arrived");
+        let stopping = smol::spawn(running.stop());
+        while caller::get_status(readiness).await != 503 {}
+        // A request that comes while callers still are sent here is served.
+        app.set(Behaviour::Answer);
+        let late = caller::send(callers, &request("unsafe.test", "r2")).await;
+        assert_eq!(late.status(), 200);
+        assert_eq!(late.head.headers.get("connection"), Some("close"));
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 504);
+        stopping.await;
+    });
+}
+
+#[test]
+fn a_kept_connection_carries_request_after_request() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let first = request("unsafe.test", "r1");
+        let mut connection = caller::open(fixture.running().callers, &first).await;
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.text(), "answer to r1");
+        let mut second = request("unsafe.test", "r2").head;
+        second.headers.set("content-length", "0");
+        connection.write_all(&second.encode()).await.expect("write");
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.text(), "answer to r2");
+    });
+}
+
+#[test]
+fn changed_settings_are_put_in_force_and_unusable_ones_are_not() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        let node = start(
+            settings(&store, "node", ""),
+            Arc::new(site::StandInSite),
+            silent_logger(),
+        )
+        .expect("start");
+        let directory = std::env::temp_dir();
+        let file = directory.join(format!("ploverlift-reload-{}.toml", std::process::id()));
+        let text = |retry: &str| {
+            format!(
+                "[node]\nname = \"node\"\nzone = \"z\"\n[listen]\ncallers = \"127.0.0.1:0\"\n\
+                 readiness = \"127.0.0.1:0\"\n[store]\naddress = \"{}\"\n\
+                 [attempts]\nretry_after_ms = {retry}\n",
+                store.address
+            )
+        };
+        std::fs::write(&file, text("77")).expect("write");
+        reload(&node.gateway, &file);
+        assert_eq!(node.gateway.settings().attempts.retry_after_ms, 77);
+        std::fs::write(&file, text("\"soon\"")).expect("write");
+        reload(&node.gateway, &file);
+        assert_eq!(node.gateway.settings().attempts.retry_after_ms, 77);
+        std::fs::remove_file(&file).expect("remove");
+    });
+}
+
+#[test]
+fn a_leaving_engine_gets_nothing_new() {
+    smol::block_on(async {
+        let first = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let second = StandInEngine::start("app-2", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&first, &second]).await;
+        let mut leaving = first.record();
+        leaving["leaving"] = json!(true);
+        fixture.store.put("Engines", "app-1", leaving);
+        let has_left = || {
+            let beliefs = fixture.gateway.beliefs();
+            let mut engines = beliefs.engines.iter();
+            engines.any(|engine| engine.record.is_leaving)
+        };
+        while !has_left() {
+            fixture.send(&request("unsafe.test", "r")).await;
+        }
+        let before = first.heads().len();
+        for _ in 0..10 {
+            assert_eq!(
+                fixture.send(&request("unsafe.test", "r")).await.status(),
+                200
+            );
+        }
+        assert_eq!(first.heads().len(), before);
+    });
+}
+
+async fn engines(count: usize) -> Vec<StandInEngine> {
+    let mut engines = Vec::new();
+    for number in 0..count {
+        let name = format!("llm-{number}");
+        engines.push(StandInEngine::start(&name, "llm", Behaviour::Answer).await);
+    }
+    engines
+}
+
+async fn wait_for_weights(engines: &[StandInEngine], version: u64) {
+    for engine in engines {
+        while engine.weights() != version {
+            engine.happened.recv().await.expect("the engine");
+        }
+    }
+}
+
+#[test]
+fn all_engines_are_brought_to_named_weights_by_one_holder() {
+    smol::block_on(async {
+        let engines = engines(5).await;
+        let all: Vec<&StandInEngine> = engines.iter().collect();
+        let fixture = Fixture::with(&all, configuration(1), BRISK_LOADS).await;
+        let second = support::start_node(&fixture.store, "second", BRISK_LOADS);
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        wait_for_weights(&engines, 2).await;
+        let orders: Vec<_> = engines.iter().flat_map(StandInEngine::orders).collect();
+        let tokens: HashSet<u64> = orders
+            .iter()
+            .filter_map(|order| order["token"].as_u64())
+            .collect();
+        let holders: HashSet<&str> = orders
+            .iter()
+            .filter_map(|order| order["holder"].as_str())
+            .collect();
+        assert_eq!(holders.len(), 1);
+        assert_eq!(tokens.len(), 1);
+        assert!(engines.iter().all(|engine| engine.orders().len() == 1));
+        drop(second);
+    });
+}
+
+#[test]
+fn an_order_without_an_answer_is_not_given_twice_when_it_was_taken() {
+    smol::block_on(async {
+        let engines = engines(1).await;
+        engines[0].answer_orders(false);
+        let fixture = Fixture::with(&[&engines[0]], configuration(1), BRISK_LOADS).await;
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        wait_for_weights(&engines, 2).await;
+        let known = || fixture.gateway.beliefs().engines.newest_weights("m");
+        while known() != 2 {
+            fixture.send(&request("nowhere.test", "r")).await;
+        }
+        assert_eq!(engines[0].orders().len(), 1);
+    });
+}
+
+#[test]
+fn a_lost_answer_of_the_store_does_not_end_the_lease() {
+    smol::block_on(async {
+        let engines = engines(2).await;
+        let all: Vec<&StandInEngine> = engines.iter().collect();
+        let fixture = Fixture::with(&all, configuration(1), BRISK_LOADS).await;
+        fixture.store.set_fault(StoreFault::LosesWriteAnswers);
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        wait_for_weights(&engines, 2).await;
+        let stored = fixture.store.content("Leases", "weights").expect("a lease");
+        assert_eq!(stored["lease"]["holder"], json!("node"));
+    });
+}
+
+#[test]
+fn another_node_goes_on_when_the_holder_is_gone() {
+    smol::block_on(async {
+        let engines = engines(2).await;
+        let all: Vec<&StandInEngine> = engines.iter().collect();
+        let mut fixture = Fixture::with(&all, configuration(1), BRISK_LOADS).await;
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        wait_for_weights(&engines, 2).await;
+        let second = support::start_node(&fixture.store, "second", BRISK_LOADS);
+        while caller::get_status(second.readiness).await != 200 {}
+        // The holder ends without a word: its tasks are dropped.
+        drop(fixture.running.take());
+        fixture.store.put("Weights", "m", json!({"version": 3}));
+        wait_for_weights(&engines, 3).await;
+        for engine in &engines {
+            let orders = engine.orders();
+            assert!(orders[1]["token"].as_u64() > orders[0]["token"].as_u64());
+            assert_eq!(orders[1]["holder"], json!("second"));
+        }
+    });
+}
+
+#[test]
+fn no_request_begins_on_weights_that_are_too_old() {
+    smol::block_on(async {
+        let engines = engines(1).await;
+        // The engine never loads: every order is refused as unknown.
+        engines[0].set_weights(1);
+        let settings = format!("{BRISK_LOADS}weights_total_ms = 600\n");
+        let fixture = Fixture::with(&[&engines[0]], configuration(1), &settings).await;
+        engines[0].answer_orders(false);
+        assert_eq!(
+            fixture.send(&prompt("stream.test", "r")).await.status(),
+            200
+        );
+        // No node may give orders: the store takes no lease.
+        fixture.gateway.begin_stop();
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        let refused = loop {
+            let answer = fixture.send(&prompt("stream.test", "r")).await;
+            if answer.status() != 200 {
+                break answer;
+            }
+        };
+        assert_eq!(refused.status(), 503);
+        assert_eq!(engines[0].orders().len(), 0);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/requests.rs
@@ -0,0 +1,284 @@
+//! One request through a gateway: what its caller is told, and what engines get.
+
+mod support;
+
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use support::caller::{self, prompt, request};
+use support::engine::{all_events, Behaviour, StandInEngine};
+use support::{configuration, site, start_node, store::StandInStore, Fixture};
+
+async fn app(behaviour: Behaviour) -> StandInEngine {
+    StandInEngine::start("app-1", "app", behaviour).await
+}
+
+#[test]
+fn one_request_of_each_kind_is_answered_through_an_engine() {
+    smol::block_on(async {
+        let app = app(Behaviour::Answer).await;
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app, &llm]).await;
+        for host in ["safe.test", "unsafe.test"] {
+            let answer = fixture.send(&request(host, "r1")).await;
+            assert_eq!(
+                (answer.status(), answer.text()),
+                (200, "answer to r1".to_owned())
+            );
+            assert_eq!(answer.head.headers.get(site::SIGNED), Some("1"));
+        }
+        for host in ["stream.test", "resume.test"] {
+            let answer = fixture.send(&prompt(host, "r2")).await;
+            assert_eq!((answer.status(), answer.text()), (200, all_events()));
+            assert!(answer.is_whole);
+        }
+    });
+}
+
+#[test]
+fn an_engine_gets_the_tenant_and_never_the_key_nor_what_only_the_system_sets() {
+    smol::block_on(async {
+        let app = app(Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let mut forged = request("safe.test", "r1");
+        forged.head.headers.push(site::TENANT, "another");
+        forged.head.headers.push(site::DEADLINE, "900");
+        fixture.send(&forged).await;
+        let heads = app.heads();
+        let headers = &heads[0].headers;
+        let tenants: Vec<&str> = headers.get_all(site::TENANT).collect();
+        assert_eq!(tenants, ["tenant-a"]);
+        assert_eq!(headers.get(site::KEY), None);
+        assert_eq!(headers.get(site::INSTANCE), Some("app-1"));
+        let deadline: u64 = headers
+            .get(site::DEADLINE)
+            .expect("set")
+            .parse()
+            .expect("a time");
+        assert!(deadline <= 900);
+        assert_eq!(app.bodies(), [b"body"]);
+    });
+}
+
+#[test]
+fn bad_input_gets_a_clear_answer_and_harms_nobody_else() {
+    smol::block_on(async {
+        let app = app(Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let send = |request: caller::Request| {
+            let address = fixture.running().callers;
+            async move { caller::send(address, &request).await.status() }
+        };
+        assert_eq!(send(request("nowhere.test", "r")).await, 404);
+        let mut unknown = request("safe.test", "r");
+        unknown.head.headers.set(site::KEY, "key-x");
+        assert_eq!(send(unknown).await, 401);
+        let mut missing = request("safe.test", "r");
+        missing.head.headers.remove(site::KEY);
+        assert_eq!(send(missing).await, 401);
+        let mut nameless = request("safe.test", "r");
+        nameless.head.headers.remove(site::ID);
+        assert_eq!(send(nameless).await, 400);
+        let mut long_head = request("safe.test", "r");
+        long_head.head.headers.push("filler", "f".repeat(4_096));
+        assert_eq!(send(long_head).await, 431);
+        let mut long_body = request("safe.test", "r");
+        long_body.body = vec![b'b'; 8_192];
+        assert_eq!(send(long_body).await, 413);
+        assert_eq!(app.heads().len(), 0);
+        assert_eq!(send(request("safe.test", "r")).await, 200);
+    });
+}
+
+#[test]
+fn a_slow_head_is_cut_at_its_limit() {
+    smol::block_on(async {
+        let app = app(Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let address = fixture.running().callers;
+        let mut stream = TcpStream::connect(address).await.expect("connect");
+        stream.write_all(b"GET / HT").await.expect("write");
+        let mut connection = ploverlift_http1::BufferedStream::new(stream);
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 408);
+    });
+}
+
+#[test]
+fn without_a_configuration_callers_are_told_when_to_come_back() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        let node = start_node(&store, "node", "");
+        let answer = caller::send(node.callers, &request("safe.test", "r")).await;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.head.headers.get("retry-after-ms").is_some());
+        assert_eq!(caller::get_status(node.readiness).await, 503);
+        store.put("Configuration", "main", configuration(1));
+        while caller::get_status(node.readiness).await != 200 {}
+        let answer = caller::send(node.callers, &request("nowhere.test", "r")).await;
+        assert_eq!(answer.status(), 404);
+    });
+}
+
+#[test]
+fn not_run_is_said_only_of_requests_that_did_not_run() {
+    smol::block_on(async {
+        let app = app(Behaviour::Refuse).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let status =
+            |host: &'static str| async { fixture.send(&request(host, "r")).await.status() };
+        assert_eq!(status("unsafe.test").await, 503);
+        app.set(Behaviour::Reset);
+        assert_eq!(status("unsafe.test").await, 502);
+        app.set(Behaviour::WrongId);
+        assert_eq!(status("unsafe.test").await, 502);
+        app.set(Behaviour::Unsigned);
+        assert_eq!(status("unsafe.test").await, 502);
+        app.set(Behaviour::Fail);
+        let answer = fixture.send(&request("unsafe.test", "r")).await;
+        assert_eq!(answer.status(), 500);
+        assert_eq!(answer.head.headers.get(site::SIGNED), Some("1"));
+        assert_eq!(app.heads().len(), 5);
+    });
+}
+
+#[test]
+fn a_request_that_may_have_run_is_sent_again_only_when_it_may_be_repeated() {
+    smol::block_on(async {
+        let bad = StandInEngine::start("app-1", "app", Behaviour::Reset).await;
+        let good = StandInEngine::start("app-2", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&bad, &good]).await;
+        for number in 0..6 {
+            let repeatable = fixture
+                .send(&request("safe.test", &format!("s{number}")))
+                .await;
+            assert_eq!(repeatable.status(), 200);
+            let once = fixture
+                .send(&request("unsafe.test", &format!("u{number}")))
+                .await;
+            assert!([200, 502].contains(&once.status()));
+        }
+        let runs = |id: &str| {
+            let heads = [bad.heads(), good.heads()].concat();
+            let ids = heads.iter().filter_map(|head| head.headers.get(site::ID));
+            ids.filter(|known| *known == id).count()
+        };
+        for number in 0..6 {
+            assert_eq!(runs(&format!("u{number}")), 1);
+            assert!((1..=2).contains(&runs(&format!("s{number}"))));
+        }
+        assert!(!bad.heads().is_empty());
+    });
+}
+
+#[test]
+fn repeats_stop_when_the_budget_is_spent() {
+    smol::block_on(async {
+        let first = StandInEngine::start("app-1", "app", Behaviour::Fail).await;
+        let second = StandInEngine::start("app-2", "app", Behaviour::Fail).await;
+        let fixture = Fixture::new(&[&first, &second]).await;
+        let requests = 40;
+        for number in 0..requests {
+            let answer = fixture
+                .send(&request("safe.test", &format!("r{number}")))
+                .await;
+            assert_eq!(answer.status(), 500);
+        }
+        let arrivals = first.heads().len() + second.heads().len();
+        assert!(arrivals > requests);
+        assert!(arrivals <= requests + requests / 5 + 2);
+    });
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_another_engine_without_a_lost_or_doubled_piece() {
+    smol::block_on(async {
+        let first = StandInEngine::start("llm-1", "llm", Behaviour::BreakInside(3)).await;
+        let second = StandInEngine::start("llm-2", "llm", Behaviour::BreakInside(3)).await;
+        let fixture = Fixture::new(&[&first, &second]).await;
+        let home = match fixture.send(&prompt("stream.test", "r0")).await {
+            answer if answer.is_whole => panic!("the stream was broken"),
+            _ if first.heads().is_empty() => &second,
+            _ => &first,
+        };
+        let other = if std::ptr::eq(home, &first) {
+            &second
+        } else {
+            &first
+        };
+        other.set(Behaviour::Answer);
+        let answer = fixture.send(&prompt("resume.test", "r1")).await;
+        assert_eq!(answer.text(), all_events());
+        assert!(answer.is_whole);
+        let resumed = other.heads();
+        assert_eq!(resumed[0].headers.get(site::AFTER), Some("2"));
+    });
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_is_broken_off_visibly_and_between_events() {
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::BreakInside(4)).await;
+        let fixture = Fixture::new(&[&llm]).await;
+        let answer = fixture.send(&prompt("stream.test", "r")).await;
+        assert!(!answer.is_whole);
+        let whole: String = (1..4).map(support::engine::event).collect();
+        assert_eq!(answer.text(), whole);
+    });
+}
+
+#[test]
+fn other_weights_are_learned_and_the_same_engine_is_asked_again() {
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&llm]).await;
+        llm.set_weights(5);
+        let answer = fixture.send(&prompt("stream.test", "r")).await;
+        assert_eq!(answer.text(), all_events());
+        let heads = llm.heads();
+        let salts: Vec<Option<&str>> = heads
+            .iter()
+            .map(|head| head.headers.get(site::SALT))
+            .collect();
+        assert_eq!(heads.len(), 2);
+        assert_ne!(salts[0], salts[1]);
+    });
+}
+
+#[test]
+fn the_final_answer_comes_at_the_routes_timeout() {
+    smol::block_on(async {
+        let app = app(Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let answer = fixture.send(&request("brief.test", "r")).await;
+        assert_eq!(answer.status(), 504);
+        while app.dropped() == 0 {
+            app.happened.recv().await.expect("the engine");
+        }
+    });
+}
+
+#[test]
+fn an_engine_stops_working_when_the_caller_leaves() {
+    smol::block_on(async {
+        let app = app(Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let address = fixture.running().callers;
+        let connection = caller::open(address, &request("unsafe.test", "r")).await;
+        app.happened.recv().await.expect("the request arrived");
+        drop(connection);
+        while app.dropped() == 0 {
+            app.happened.recv().await.expect("the engine");
+        }
+    });
+}
+
+#[test]
+fn an_engine_that_answers_before_the_body_is_read_is_heard() {
+    smol::block_on(async {
+        let app = app(Behaviour::RefuseEarly).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let mut long = request("unsafe.test", "r");
+        long.body = vec![b'b'; 4_000];
+        assert_eq!(fixture.send(&long).await.status(), 503);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/store_trouble.rs
@@ -0,0 +1,197 @@
+//! The store refuses, throttles, is silent, loses answers or forgets its
+//! history: what a client of it learns, and what a node does meanwhile.
+
+mod support;
+
+use ploverlift_gateway::ports::{StoreError, StoreKind};
+use ploverlift_gateway::store::StoreClient;
+use serde_json::json;
+use support::caller::{self, request};
+use support::engine::{Behaviour, StandInEngine};
+use support::store::{StandInStore, StoreFault};
+use support::{configuration, settings, site, start_node, Fixture};
+
+/// Keys stop soon, so that a test need not wait long.
+const BRIEF_KEYS: &str = "[bounds]\nkey_revocation_ms = 600\n";
+
+async fn client() -> (StandInStore, StoreClient) {
+    let store = StandInStore::start().await;
+    let gateway = ploverlift_gateway::state::Gateway::new(
+        settings(&store, "node", ""),
+        std::sync::Arc::new(site::StandInSite),
+        ploverlift_gateway::logging::silent_logger(),
+    );
+    let client = StoreClient::with_timeout(&std::sync::Arc::new(gateway), 100);
+    (store, client)
+}
+
+#[test]
+fn each_call_tells_done_not_done_or_unknown() {
+    smol::block_on(async {
+        let (store, mut client) = client().await;
+        let kind = StoreKind::Leases;
+        let made = client
+            .compare_and_set(kind, "l", 0, json!(1))
+            .await
+            .expect("made");
+        let replaced = client
+            .compare_and_set(kind, "l", made.revision, json!(2))
+            .await;
+        let replaced = replaced.expect("replaced");
+        let conflict = client
+            .compare_and_set(kind, "l", made.revision, json!(3))
+            .await;
+        let Err(StoreError::Conflict { current }) = conflict else {
+            panic!("a conflict was expected");
+        };
+        assert_eq!(current.expect("the object").content, json!(2));
+        store.set_fault(StoreFault::Status(429));
+        let throttled = client
+            .compare_and_set(kind, "l", replaced.revision, json!(4))
+            .await;
+        assert_eq!(throttled, Err(StoreError::Throttled));
+        store.set_fault(StoreFault::Status(503));
+        let refused = client
+            .compare_and_set(kind, "l", replaced.revision, json!(4))
+            .await;
+        assert_eq!(refused, Err(StoreError::Refused { status: 503 }));
+        store.set_fault(StoreFault::Silent);
+        let silent = client.get(kind, "l").await;
+        assert!(matches!(silent, Err(StoreError::Unknown { .. })));
+        store.set_fault(StoreFault::LosesWriteAnswers);
+        let lost = client
+            .compare_and_set(kind, "l", replaced.revision, json!(5))
+            .await;
+        assert!(matches!(lost, Err(StoreError::Unknown { .. })));
+        store.set_fault(StoreFault::None);
+        let read = client.get(kind, "l").await.expect("read").expect("there");
+        assert_eq!(read.content, json!(5));
+        assert_eq!(client.get(kind, "none").await, Ok(None));
+    });
+}
+
+#[test]
+fn an_unreachable_store_has_not_done_the_call() {
+    smol::block_on(async {
+        let (store, mut client) = client().await;
+        drop(store);
+        // The stand-in's listener ends with its task, which is dropped with it.
+        let read = client.get(StoreKind::Leases, "l").await;
+        assert!(matches!(
+            read,
+            Err(StoreError::Unreachable { .. } | StoreError::Unknown { .. })
+        ));
+    });
+}
+
+#[test]
+fn a_configuration_is_in_force_by_its_watch_and_never_goes_back() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let mut newer = configuration(5);
+        newer["keys"] = json!({"key-a": "tenant-a", "key-b": "tenant-b"});
+        fixture.store.put("Configuration", "main", newer);
+        let mut with_new_key = request("safe.test", "r");
+        with_new_key.head.headers.set(site::KEY, "key-b");
+        while fixture.send(&with_new_key).await.status() != 200 {}
+        fixture.store.put("Configuration", "main", configuration(4));
+        fixture.store.put("Engines", "app-2", app.record());
+        while fixture.gateway.beliefs().engines.len() < 2 {
+            assert_eq!(fixture.send(&with_new_key).await.status(), 200);
+        }
+        assert_eq!(fixture.send(&with_new_key).await.status(), 200);
+    });
+}
+
+#[test]
+fn after_its_history_is_gone_a_copy_is_read_anew() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        fixture.store.remove("Engines", "app-1");
+        fixture.store.forget_history();
+        let left = || fixture.gateway.beliefs().engines.len();
+        while left() > 0 {
+            fixture.send(&request("safe.test", "r")).await;
+        }
+        let answer = fixture.send(&request("safe.test", "r")).await;
+        assert_eq!(answer.status(), 503);
+    });
+}
+
+#[test]
+fn keys_stop_when_the_store_is_silent_and_work_again_when_it_is_back() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::with(&[&app], configuration(1), BRIEF_KEYS).await;
+        assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 200);
+        fixture.store.set_fault(StoreFault::Silent);
+        let refused = loop {
+            let answer = fixture.send(&request("safe.test", "r")).await;
+            if answer.status() != 200 {
+                break answer;
+            }
+        };
+        assert_eq!(refused.status(), 503);
+        assert!(refused.head.headers.get("retry-after-ms").is_some());
+        assert_eq!(refused.head.headers.get("connection"), Some("close"));
+        let readiness = fixture.running().readiness;
+        assert_eq!(caller::get_status(readiness).await, 503);
+        // An unknown route may be one that was added meanwhile.
+        let unknown = fixture.send(&request("nowhere.test", "r")).await;
+        assert_eq!(unknown.status(), 503);
+        fixture.store.set_fault(StoreFault::None);
+        while fixture.send(&request("safe.test", "r")).await.status() != 200 {}
+        while caller::get_status(readiness).await != 200 {}
+    });
+}
+
+#[test]
+fn a_key_that_was_taken_away_stops_to_work() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let mut without = configuration(2);
+        without["keys"] = json!({"key-z": "tenant-z"});
+        fixture.store.put("Configuration", "main", without);
+        while fixture.send(&request("safe.test", "r")).await.status() == 200 {}
+        assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 401);
+    });
+}
+
+#[test]
+fn a_node_that_starts_while_the_store_refuses_serves_when_it_is_back() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        store.put("Engines", "app-1", app.record());
+        store.set_fault(StoreFault::Status(503));
+        let node = start_node(&store, "node", "");
+        let early = caller::send(node.callers, &request("safe.test", "r")).await;
+        assert_eq!(early.status(), 503);
+        store.set_fault(StoreFault::None);
+        while caller::send(node.callers, &request("safe.test", "r"))
+            .await
+            .status()
+            != 200
+        {}
+    });
+}
+
+#[test]
+fn a_document_that_does_not_fit_leaves_the_one_in_force() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        fixture
+            .store
+            .put("Configuration", "main", json!({"version": "nonsense"}));
+        fixture.store.put("Engines", "app-2", app.record());
+        while fixture.gateway.beliefs().engines.len() < 2 {
+            fixture.send(&request("safe.test", "r")).await;
+        }
+        assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 200);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/support/caller.rs
@@ -0,0 +1,104 @@
+//! A caller.
+
+use super::site;
+use ploverlift_http1::{read_response_head, BufferedStream, RequestHead, ResponseHead};
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Answer {
+    pub head: ResponseHead,
+    pub body: Vec<u8>,
+    /// Whether the answer was whole by its framing.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn status(&self) -> u16 {
+        self.head.status
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A request with a known key.
+pub fn request(host: &str, id: &str) -> Request {
+    let mut head = RequestHead::new("POST", "/work");
+    head.headers.push("host", host);
+    head.headers.push(site::ID, id);
+    head.headers.push(site::KEY, "key-a");
+    Request {
+        head,
+        body: b"body".to_vec(),
+    }
+}
+
+/// A request for a stream of events.
+pub fn prompt(host: &str, id: &str) -> Request {
+    let mut request = request(host, id);
+    request.head.target = "/events".to_owned();
+    request.head.headers.push(site::PARTS, "1,2,3");
+    request
+}
+
+/// Sends a request on a connection of its own and reads the answer.
+pub async fn send(address: SocketAddr, request: &Request) -> Answer {
+    let mut connection = open(address, request).await;
+    read(&mut connection).await.expect("an answer")
+}
+
+/// Sends a request and leaves the connection open.
+pub async fn open(address: SocketAddr, request: &Request) -> BufferedStream {
+    let stream = TcpStream::connect(address).await.expect("connect");
+    let mut connection = BufferedStream::new(stream);
+    let mut head = request.head.clone();
+    head.headers
+        .set("content-length", request.body.len().to_string());
+    let mut message = head.encode();
+    message.extend_from_slice(&request.body);
+    let _ = connection.write_all(&message).await;
+    connection
+}
+
+/// Reads an answer; nothing when the connection ends without a head.
+pub async fn read(connection: &mut BufferedStream) -> Option<Answer> {
+    let read = read_response_head(connection, "POST", 65_536).await;
+    let (head, mut decoder) = read.ok()?;
+    let mut body = Vec::new();
+    let is_whole = loop {
+        match decoder.read(connection, &mut body).await {
+            Ok(true) => {}
+            Ok(false) => break true,
+            Err(_) => break false,
+        }
+    };
+    Some(Answer {
+        head,
+        body,
+        is_whole,
+    })
+}
+
+/// The status of a GET; 0 without an answer.
+pub async fn get_status(address: SocketAddr) -> u16 {
+    let Ok(stream) = TcpStream::connect(address).await else {
+        return 0;
+    };
+    let mut connection = BufferedStream::new(stream);
+    let head = RequestHead::new("GET", "/");
+    if connection.write_all(&head.encode()).await.is_err() {
+        return 0;
+    }
+    let answer = read(&mut connection).await;
+    answer.map_or(0, |answer| answer.status())
+}
--- /dev/null
+++ b/crates/gateway/tests/support/engine.rs
@@ -0,0 +1,296 @@
+//! A stand-in engine whose behaviour a test sets, and that notes what it got.
+
+use super::site;
+use ploverlift_gateway::callers::bind;
+use ploverlift_http1::{read_request_head, BufferedStream, RequestHead, ResponseHead};
+use serde_json::{json, Value};
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// What the engine does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers whole.
+    Answer,
+    /// Says that it did not run it.
+    Refuse,
+    /// Runs it and fails.
+    Fail,
+    /// Resets the connection after the request was read.
+    Reset,
+    /// Says nothing until the caller is gone.
+    Silent,
+    /// Answers with another request's id.
+    WrongId,
+    /// Answers without its signature.
+    Unsigned,
+    /// Sends events from after the one that the caller has; breaks off inside
+    /// the event with this number.
+    BreakInside(u64),
+    /// Answers before the body is read, and closes.
+    RefuseEarly,
+}
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 6;
+
+#[derive(Default)]
+struct Notes {
+    heads: Vec<RequestHead>,
+    bodies: Vec<Vec<u8>>,
+    orders: Vec<Value>,
+    dropped: usize,
+}
+
+struct Shared {
+    behaviour: Mutex<Behaviour>,
+    weights: Mutex<u64>,
+    /// Whether orders get an answer.
+    answers_orders: Mutex<bool>,
+    notes: Mutex<Notes>,
+    seen: async_channel::Sender<()>,
+}
+
+/// The engine.
+pub struct StandInEngine {
+    pub instance: String,
+    pub service: String,
+    pub address: SocketAddr,
+    /// Told for each request that was read, and for each that was dropped.
+    pub happened: async_channel::Receiver<()>,
+    shared: Arc<Shared>,
+    _task: smol::Task<()>,
+}
+
+impl StandInEngine {
+    pub async fn start(instance: &str, service: &str, behaviour: Behaviour) -> Self {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (seen, happened) = async_channel::unbounded();
+        let shared = Arc::new(Shared {
+            behaviour: Mutex::new(behaviour),
+            weights: Mutex::new(1),
+            answers_orders: Mutex::new(true),
+            notes: Mutex::default(),
+            seen,
+        });
+        let serving = Arc::clone(&shared);
+        let task = smol::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                smol::spawn(serve(Arc::clone(&serving), stream)).detach();
+            }
+        });
+        Self {
+            instance: instance.to_owned(),
+            service: service.to_owned(),
+            address,
+            happened,
+            shared,
+            _task: task,
+        }
+    }
+
+    /// Its entry in the catalogue.
+    pub fn record(&self) -> Value {
+        let weights = (self.service == "llm").then(|| self.weights());
+        json!({"service": self.service, "address": self.address.to_string(), "weights": weights})
+    }
+
+    pub fn set(&self, behaviour: Behaviour) {
+        *self.shared.behaviour.lock().expect("behaviour") = behaviour;
+    }
+
+    pub fn set_weights(&self, version: u64) {
+        *self.shared.weights.lock().expect("weights") = version;
+    }
+
+    pub fn weights(&self) -> u64 {
+        *self.shared.weights.lock().expect("weights")
+    }
+
+    pub fn answer_orders(&self, answers: bool) {
+        *self.shared.answers_orders.lock().expect("answers") = answers;
+    }
+
+    /// Heads of the requests that it read.
+    pub fn heads(&self) -> Vec<RequestHead> {
+        self.shared.notes.lock().expect("notes").heads.clone()
+    }
+
+    pub fn bodies(&self) -> Vec<Vec<u8>> {
+        self.shared.notes.lock().expect("notes").bodies.clone()
+    }
+
+    pub fn orders(&self) -> Vec<Value> {
+        self.shared.notes.lock().expect("notes").orders.clone()
+    }
+
+    /// Requests whose connection was closed while it was silent.
+    pub fn dropped(&self) -> usize {
+        self.shared.notes.lock().expect("notes").dropped
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let mut connection = BufferedStream::new(stream);
+    while let Ok((head, mut decoder)) = read_request_head(&mut connection, 65_536).await {
+        if *shared.behaviour.lock().expect("behaviour") == Behaviour::RefuseEarly {
+            let mut refusal = ResponseHead::new(503);
+            refusal.headers.push(site::NOT_RUN, "1");
+            refusal.headers.push("content-length", "0");
+            let _ = connection.write_all(&refusal.encode()).await;
+            // The body is not read; the peer must not hang on writing it.
+            while connection.fill().await.is_ok_and(|count| count > 0) {}
+            return;
+        }
+        let mut body = Vec::new();
+        while let Ok(true) = decoder.read(&mut connection, &mut body).await {}
+        if head.path().starts_with("/control/") {
+            if control(&shared, &mut connection, &head, &body)
+                .await
+                .is_none()
+            {
+                return;
+            }
+            continue;
+        }
+        note(&shared, &head, body);
+        respond(&shared, &mut connection, &head).await;
+        return;
+    }
+}
+
+fn note(shared: &Shared, head: &RequestHead, body: Vec<u8>) {
+    let mut notes = shared.notes.lock().expect("notes");
+    notes.heads.push(head.clone());
+    notes.bodies.push(body);
+    let _ = shared.seen.try_send(());
+}
+
+async fn control(
+    shared: &Shared,
+    connection: &mut BufferedStream,
+    head: &RequestHead,
+    body: &[u8],
+) -> Option<()> {
+    let orders = shared.notes.lock().expect("notes").orders.len() as u64;
+    let mut answer = ResponseHead::new(200);
+    let mut text = String::new();
+    if head.path() == "/control/report" {
+        let weights = *shared.weights.lock().expect("weights");
+        text = json!({"weights": weights, "orders": orders}).to_string();
+    } else {
+        let order: Value = serde_json::from_slice(body).expect("an order");
+        if order["expected"].as_u64() != Some(orders) {
+            answer.status = 409;
+        } else {
+            *shared.weights.lock().expect("weights") = order["version"].as_u64().unwrap_or(0);
+            shared.notes.lock().expect("notes").orders.push(order);
+            let _ = shared.seen.try_send(());
+            if !*shared.answers_orders.lock().expect("answers") {
+                return None;
+            }
+            answer.status = 202;
+        }
+    }
+    answer
+        .headers
+        .push("content-length", text.len().to_string());
+    let mut message = answer.encode();
+    message.extend_from_slice(text.as_bytes());
+    connection.write_all(&message).await.ok()
+}
+
+async fn respond(shared: &Shared, connection: &mut BufferedStream, request: &RequestHead) {
+    let behaviour = shared.behaviour.lock().expect("behaviour").clone();
+    let weights = *shared.weights.lock().expect("weights");
+    let expected = request.headers.get(site::WEIGHTS);
+    if expected.is_some_and(|expected| expected != weights.to_string()) {
+        let mut head = ResponseHead::new(421);
+        head.headers.push(site::NOT_RUN, "1");
+        head.headers.push(site::WEIGHTS, weights.to_string());
+        head.headers.push("content-length", "0");
+        let _ = connection.write_all(&head.encode()).await;
+        return;
+    }
+    let id = request.headers.get(site::ID).unwrap_or_default().to_owned();
+    let mut head = ResponseHead::new(200);
+    head.headers.push(site::ID, &id);
+    match behaviour {
+        Behaviour::Silent => {
+            while connection.fill().await.is_ok_and(|count| count > 0) {}
+            shared.notes.lock().expect("notes").dropped += 1;
+            let _ = shared.seen.try_send(());
+            return;
+        }
+        Behaviour::Reset => return,
+        Behaviour::Refuse => {
+            head.status = 503;
+            head.headers.push(site::NOT_RUN, "1");
+        }
+        Behaviour::Fail => {
+            head.status = 500;
+            head.headers.push(site::SIGNED, "1");
+        }
+        Behaviour::WrongId => {
+            head.headers.set(site::ID, "another");
+            head.headers.push(site::SIGNED, "1");
+        }
+        Behaviour::Unsigned | Behaviour::RefuseEarly => {}
+        Behaviour::Answer | Behaviour::BreakInside(_) => head.headers.push(site::SIGNED, "1"),
+    }
+    let is_stream = request.headers.get(site::PARTS).is_some()
+        || request.headers.get("host") == Some("x")
+        || request.target.starts_with("/events");
+    if is_stream && head.status == 200 {
+        let broken = match behaviour {
+            Behaviour::BreakInside(event) => Some(event),
+            _ => None,
+        };
+        return stream(connection, head, request, broken).await;
+    }
+    let body = format!("answer to {id}");
+    head.headers.push("content-length", body.len().to_string());
+    let mut message = head.encode();
+    message.extend_from_slice(body.as_bytes());
+    let _ = connection.write_all(&message).await;
+}
+
+async fn stream(
+    connection: &mut BufferedStream,
+    mut head: ResponseHead,
+    request: &RequestHead,
+    broken: Option<u64>,
+) {
+    head.headers.push("transfer-encoding", "chunked");
+    if connection.write_all(&head.encode()).await.is_err() {
+        return;
+    }
+    let after = request.headers.get(site::AFTER);
+    let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
+    for number in first..=EVENTS {
+        let event = event(number);
+        if broken == Some(number) {
+            let half = &event[..event.len() / 2];
+            let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+            let _ = connection.write_all(chunk.as_bytes()).await;
+            return;
+        }
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if connection.write_all(chunk.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+    let _ = connection.write_all(b"0\r\n\r\n").await;
+}
+
+/// One event as the engine sends it.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+/// All events of a stream.
+pub fn all_events() -> String {
+    (1..=EVENTS).map(event).collect()
+}
--- /dev/null
+++ b/crates/gateway/tests/support/store.rs
@@ -0,0 +1,235 @@
+//! A stand-in store: objects with revisions, watches, and faults at will.
+
+use ploverlift_gateway::callers::bind;
+use ploverlift_http1::{read_request_head, BufferedStream, ResponseHead};
+use serde_json::{json, Value};
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
+    None,
+    /// It reads calls and says nothing.
+    Silent,
+    /// It refuses calls with this status.
+    Status(u16),
+    /// It does writes and closes the connection without an answer.
+    LosesWriteAnswers,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    kind: String,
+    name: String,
+    revision: u64,
+    content: Value,
+    is_gone: bool,
+}
+
+struct State {
+    revision: u64,
+    history_from: u64,
+    objects: Vec<Stored>,
+    fault: StoreFault,
+    calls: Vec<String>,
+}
+
+/// The store.
+pub struct StandInStore {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _task: smol::Task<()>,
+}
+
+impl StandInStore {
+    pub async fn start() -> Self {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let state = Arc::new(Mutex::new(State {
+            revision: 0,
+            history_from: 0,
+            objects: Vec::new(),
+            fault: StoreFault::None,
+            calls: Vec::new(),
+        }));
+        let shared = Arc::clone(&state);
+        let task = smol::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                smol::spawn(serve(Arc::clone(&shared), stream)).detach();
+            }
+        });
+        Self {
+            address,
+            state,
+            _task: task,
+        }
+    }
+
+    pub fn put(&self, kind: &str, name: &str, content: Value) -> u64 {
+        self.state.lock().expect("state").put(kind, name, content)
+    }
+
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.lock().expect("state");
+        state.revision += 1;
+        let revision = state.revision;
+        for object in &mut state.objects {
+            if object.kind == kind && object.name == name {
+                object.is_gone = true;
+                object.revision = revision;
+            }
+        }
+    }
+
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state.lock().expect("state").fault = fault;
+    }
+
+    /// Drops the history: watches from before now are answered that it is gone.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock().expect("state");
+        state.revision += 1;
+        state.history_from = state.revision;
+    }
+
+    pub fn content(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.lock().expect("state");
+        let object = state.find(kind, name)?;
+        Some(object.content.clone())
+    }
+
+    /// Calls so far, by what they do and of which kind.
+    pub fn calls(&self, call: &str) -> usize {
+        let state = self.state.lock().expect("state");
+        state.calls.iter().filter(|known| *known == call).count()
+    }
+}
+
+impl State {
+    fn put(&mut self, kind: &str, name: &str, content: Value) -> u64 {
+        self.revision += 1;
+        self.objects
+            .retain(|known| known.kind != kind || known.name != name);
+        self.objects.push(Stored {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            revision: self.revision,
+            content,
+            is_gone: false,
+        });
+        self.revision
+    }
+
+    fn find(&self, kind: &str, name: &str) -> Option<&Stored> {
+        let mut objects = self.objects.iter();
+        objects.find(|known| known.kind == kind && known.name == name && !known.is_gone)
+    }
+
+    fn changes(&self, kind: &str, revision: u64) -> Vec<Value> {
+        let newer = self.objects.iter();
+        newer
+            .filter(|known| known.kind == kind && known.revision > revision)
+            .map(Stored::to_json)
+            .collect()
+    }
+
+    fn answer(&mut self, call: &Value) -> (u16, Value) {
+        let text = |key: &str| call[key].as_str().unwrap_or_default();
+        let (kind, name) = (text("kind"), text("name"));
+        match text("do") {
+            "list" => {
+                let objects = self.objects.iter();
+                let present = objects.filter(|known| known.kind == kind && !known.is_gone);
+                let objects: Vec<Value> = present.map(Stored::to_json).collect();
+                (200, json!({"objects": objects, "revision": self.revision}))
+            }
+            "get" => match self.find(kind, name) {
+                Some(object) => (200, object.to_json()),
+                None => (404, Value::Null),
+            },
+            _ => {
+                let present = self.find(kind, name).map(Stored::to_json);
+                let known = self.find(kind, name).map_or(0, |object| object.revision);
+                if call["revision"].as_u64() != Some(known) {
+                    return (409, present.unwrap_or_default());
+                }
+                self.put(kind, name, call["content"].clone());
+                let stored = self.find(kind, name).map(Stored::to_json);
+                (200, stored.unwrap_or_default())
+            }
+        }
+    }
+}
+
+impl Stored {
+    fn to_json(&self) -> Value {
+        json!({"name": self.name, "revision": self.revision,
+               "content": self.content, "gone": self.is_gone})
+    }
+}
+
+async fn serve(state: Arc<Mutex<State>>, stream: TcpStream) {
+    let mut connection = BufferedStream::new(stream);
+    while let Ok((_, mut decoder)) = read_request_head(&mut connection, 65_536).await {
+        let mut body = Vec::new();
+        while let Ok(true) = decoder.read(&mut connection, &mut body).await {}
+        let call: Value = serde_json::from_slice(&body).expect("a call");
+        let Some((status, value)) = answer(&state, &call).await else {
+            if state.lock().expect("state").fault == StoreFault::Silent {
+                std::future::pending::<()>().await;
+            }
+            return;
+        };
+        let body = value.to_string();
+        let mut head = ResponseHead::new(status);
+        head.headers.push("content-length", body.len().to_string());
+        let mut message = head.encode();
+        message.extend_from_slice(body.as_bytes());
+        if connection.write_all(&message).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(state: &Arc<Mutex<State>>, call: &Value) -> Option<(u16, Value)> {
+    let what = call["do"].as_str().unwrap_or_default();
+    let kind = call["kind"].as_str().unwrap_or_default();
+    state
+        .lock()
+        .expect("state")
+        .calls
+        .push(format!("{what} {kind}"));
+    let until = Instant::now() + Duration::from_millis(call["wait_ms"].as_u64().unwrap_or(0));
+    loop {
+        {
+            let mut state = state.lock().expect("state");
+            match state.fault {
+                StoreFault::Silent => return None,
+                StoreFault::Status(status) => return Some((status, Value::Null)),
+                StoreFault::LosesWriteAnswers if what == "put" => {
+                    state.answer(call);
+                    return None;
+                }
+                _ => {}
+            }
+            if what != "watch" {
+                return Some(state.answer(call));
+            }
+            let revision = call["revision"].as_u64().unwrap_or(0);
+            if revision < state.history_from {
+                return Some((410, Value::Null));
+            }
+            let events = state.changes(kind, revision);
+            if !events.is_empty() || Instant::now() >= until {
+                let at = state.revision;
+                return Some((200, json!({"events": events, "revision": at})));
+            }
+        }
+        // The stand-in looks again each time the executor comes round.
+        smol::future::yield_now().await;
+        ploverlift_gateway::time::sleep(2).await;
+    }
+}
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -76,7 +76,9 @@
         return Err(malformed("the length is not a number"));
     }
     let parsed = first.parse();
-    parsed.map(Some).map_err(|_| malformed("the length is too large"))
+    parsed
+        .map(Some)
+        .map_err(|_| malformed("the length is too large"))
 }
 
 /// Where in the body the reader is.
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -41,7 +41,8 @@
 
     /// Removes a header, whatever the case of its name.
     pub fn remove(&mut self, name: &str) {
-        self.0.retain(|(known, _)| !known.eq_ignore_ascii_case(name));
+        self.0
+            .retain(|(known, _)| !known.eq_ignore_ascii_case(name));
     }
 
     /// Replaces a header.
@@ -52,7 +53,9 @@
 
     /// All headers in order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
-        self.0.iter().map(|(name, value)| (name.as_str(), value.as_str()))
+        self.0
+            .iter()
+            .map(|(name, value)| (name.as_str(), value.as_str()))
     }
 
     /// Whether a comma-separated header has this element.
@@ -73,7 +76,10 @@
         self.0.retain(|(name, _)| {
             let listed = named.iter().any(|listed| listed.eq_ignore_ascii_case(name));
             let fixed = CONNECTION_HEADERS.iter();
-            !listed && !fixed.into_iter().any(|known| known.eq_ignore_ascii_case(name))
+            !listed
+                && !fixed
+                    .into_iter()
+                    .any(|known| known.eq_ignore_ascii_case(name))
         });
     }
 
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -50,7 +50,11 @@
     /// shared parts is keyed by its only part, so that a session stays together.
     pub fn shared_key(&self, scope: &str) -> ChainKey {
         let shared = self.shared_parts();
-        let keyed = if shared.is_empty() { &self.parts[..] } else { shared };
+        let keyed = if shared.is_empty() {
+            &self.parts[..]
+        } else {
+            shared
+        };
         let seed = xxh3_64_with_seed(scope.as_bytes(), 0);
         let mut chain = xxh3_64_with_seed(self.model.as_bytes(), seed);
         for part in keyed {
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -6,11 +6,11 @@
 /// Chooses targets so that at every moment each has had its share, by the
 /// smooth weighted round robin: the target that is furthest behind is next.
 #[derive(Debug, Default)]
-pub struct TrafficSplitter {
+pub struct WeightedSplitter {
     credits: HashMap<String, Vec<f64>>,
 }
 
-impl TrafficSplitter {
+impl WeightedSplitter {
     /// The service for the next request of a route. `start` in 0 to 1 tells
     /// where a route begins; nodes that begin alike would serve their first
     /// requests alike.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -16,7 +16,10 @@
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
-            by_host.entry(host).or_default().push(Arc::new(route.clone()));
+            by_host
+                .entry(host)
+                .or_default()
+                .push(Arc::new(route.clone()));
         }
         for routes in by_host.values_mut() {
             // A stable sort: of two equal prefixes the first one stays first.
--- /dev/null
+++ b/crates/routing/tests/routing.rs
@@ -0,0 +1,144 @@
+//! Routes, splits, tenants, prompts and freshness.
+
+use ploverlift_policy::ids::{Millis, TenantName};
+use ploverlift_routing::configuration::{Delivery, Route, ServiceName, Tenant, WeightedTarget};
+use ploverlift_routing::freshness::Freshness;
+use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt, PromptPart};
+use ploverlift_routing::split::WeightedSplitter;
+use ploverlift_routing::table::RouteTable;
+use ploverlift_routing::tenants::TenantDirectory;
+use proptest::prelude::*;
+
+fn route(name: &str, host: &str, path_prefix: &str, targets: &[(&str, f64)]) -> Route {
+    let targets = targets.iter().map(|(service, weight)| WeightedTarget {
+        service: ServiceName::from(*service),
+        weight: *weight,
+    });
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        targets: targets.collect(),
+        delivery: Delivery::Repeatable,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        max_attempts: 2,
+        priority: 1,
+        is_public: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(&[
+        route("short", "a.example", "/x/", &[("s", 1.0)]),
+        route("long", "a.example", "/x/y/", &[("s", 1.0)]),
+        route("other", "b.example", "/x/", &[("s", 1.0)]),
+    ]);
+    let name = |host, path| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/x/y/z"), Some("long".to_owned()));
+    assert_eq!(name("A.Example:80", "/x/z"), Some("short".to_owned()));
+    assert_eq!(name("b.example", "/x/y/z"), Some("other".to_owned()));
+    assert_eq!(name("a.example", "/xy/"), None);
+    assert_eq!(name("c.example", "/x/"), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, ..ProptestConfig::default() })]
+
+    /// After any number of requests each target is within one request of its share.
+    #[test]
+    fn a_split_keeps_its_shares_at_every_moment(
+        weights in prop::collection::vec(1u32..100, 2..5),
+        requests in 1usize..400,
+        start in 0.0f64..1.0,
+    ) {
+        let names: Vec<String> = (0..weights.len()).map(|index| format!("s{index}")).collect();
+        let pairs: Vec<(&str, f64)> = names
+            .iter()
+            .zip(&weights)
+            .map(|(name, weight)| (name.as_str(), f64::from(*weight)))
+            .collect();
+        let split = route("r", "h", "/", &pairs);
+        let total: f64 = weights.iter().map(|weight| f64::from(*weight)).sum();
+        let mut splitter = WeightedSplitter::default();
+        let mut counts = vec![0usize; weights.len()];
+        for _ in 0..requests {
+            let chosen = splitter.next(&split, start).expect("a target").clone();
+            let index = names.iter().position(|name| *name == chosen.0).expect("known");
+            counts[index] += 1;
+        }
+        for (count, weight) in counts.iter().zip(&weights) {
+            let share = requests as f64 * f64::from(*weight) / total;
+            prop_assert!((*count as f64 - share).abs() <= weights.len() as f64);
+        }
+    }
+
+    /// Cache under one weights version, model or scope is never found under another.
+    #[test]
+    fn salts_of_different_weights_models_or_scopes_differ(
+        a in (0u64..5, "[a-z]{1,3}", "[a-z]{0,3}"),
+        b in (0u64..5, "[a-z]{1,3}", "[a-z]{0,3}"),
+    ) {
+        let salt = |(weights, model, scope): &(u64, String, String)| cache_salt(model, *weights, scope);
+        prop_assert_eq!(a == b, salt(&a) == salt(&b));
+    }
+}
+
+#[test]
+fn a_key_finds_its_tenant_and_isolation_makes_a_scope_of_its_own() {
+    let tenant = |name: &str, key: &str, is_isolated| Tenant {
+        name: TenantName::from(name),
+        keys: vec![key.to_owned()],
+        priority: Some(2),
+        is_isolated,
+    };
+    let directory = TenantDirectory::new(&[tenant("a", "ka", false), tenant("b", "kb", true)]);
+    let shared = directory.find("ka").expect("a");
+    let isolated = directory.find("kb").expect("b");
+    assert_eq!(cache_scope(Some(shared)), cache_scope(None));
+    assert_eq!(cache_scope(Some(isolated)), "b");
+    assert!(directory.find("kc").is_none());
+    assert!(directory.find("").is_none());
+}
+
+fn prompt(ids: &[u64]) -> Prompt {
+    let parts = ids.iter().map(|id| PromptPart {
+        id: *id,
+        tokens: 10,
+    });
+    Prompt {
+        model: "m".to_owned(),
+        parts: parts.collect(),
+        max_output_tokens: 1,
+    }
+}
+
+#[test]
+fn the_last_part_of_a_prompt_is_its_own() {
+    assert_eq!(
+        prompt(&[1, 2, 3]).shared_key(""),
+        prompt(&[1, 2, 4]).shared_key("")
+    );
+    assert_ne!(
+        prompt(&[1, 2, 3]).shared_key(""),
+        prompt(&[2, 1, 3]).shared_key("")
+    );
+    assert_ne!(
+        prompt(&[1, 2, 3]).shared_key(""),
+        prompt(&[1, 2, 3]).shared_key("t")
+    );
+    assert_eq!(prompt(&[1, 2, 3]).shared_tokens(), 20);
+    assert_ne!(prompt(&[1]).shared_key(""), prompt(&[2]).shared_key(""));
+}
+
+#[test]
+fn freshness_counts_from_the_newest_proof() {
+    let mut freshness = Freshness::default();
+    assert!(!freshness.allows_keys(Millis(1_000), 500));
+    freshness.prove(Millis(1_000));
+    freshness.prove(Millis(900));
+    assert_eq!(freshness.age_ms(Millis(1_400)), Some(400));
+    assert!(freshness.allows_keys(Millis(1_500), 500));
+    assert!(!freshness.allows_keys(Millis(1_501), 500));
+}
