--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -161,7 +161,7 @@
         Self {
             prompt_tokens_per_ms: 40.0,
             transfer_share: 0.5,
-            zone_ms: 2.0,
+            zone_ms: 12.0,
             slot_ms: 30.0,
             senders: 7.0,
         }
