Decide attempts in a pure ledger; a property found a send too many

Cause: whether a request may be sent again stood in the relay, between I/O, and was tested through sockets only. Found: after an engine had refused for its weights and then became unreachable, the request went to a second engine though its route allows one (minimal: OtherWeights, Unreachable, Refused with one engine allowed).

--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! | module | concern |
 //! | --- | --- |
+//! | [`attempts`] | whether a request may be sent again, and what may be said of it |
 //! | [`cache_contents`] | what a store of kept cache holds, by its events |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`health`] | putting engines aside that fail, and trying them again |
@@ -16,6 +17,7 @@
 //! | [`load_schedule`] | when engines load new weights, and how many at once |
 //! | [`weights`] | which versions of weights a request may begin on |
 
+pub mod attempts;
 pub mod cache_contents;
 pub mod catalogue;
 pub mod health;
--- /dev/null
+++ b/crates/balancing/tests/attempts.rs
@@ -0,0 +1,86 @@
+//! What is said of a request, and how often it is sent, for any attempts.
+
+use ploverlift_balancing::attempts::{AttemptLedger, AttemptLimits, AttemptOutcome};
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_policy::attempt::RunState;
+use proptest::prelude::*;
+use std::collections::HashSet;
+
+fn outcome() -> impl Strategy<Value = AttemptOutcome> {
+    prop_oneof![
+        Just(AttemptOutcome::Unreachable),
+        Just(AttemptOutcome::Refused),
+        Just(AttemptOutcome::OtherWeights),
+        Just(AttemptOutcome::Failed),
+        Just(AttemptOutcome::Broken),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, ..ProptestConfig::default() })]
+
+    /// For any outcomes: at most one run of a request that may not be repeated,
+    /// no more engines than allowed, "not run" only when it is true.
+    #[test]
+    fn promises_hold_for_any_attempts(
+        is_repeatable: bool,
+        max_engines in 0u32..4,
+        outcomes in prop::collection::vec(outcome(), 1..12),
+    ) {
+        let mut ledger = AttemptLedger::new(AttemptLimits { is_repeatable, max_engines });
+        let mut may_have_run = 0;
+        let mut sent_to = HashSet::new();
+        let mut arrivals = 0;
+        for (number, outcome) in outcomes.into_iter().enumerate() {
+            // An engine that has other weights is asked once more, else a new one.
+            let name = format!("e{}", ledger.tried().len());
+            let instance = InstanceId(name);
+            prop_assert!(!ledger.tried().contains(&instance), "attempt {}", number);
+            prop_assert_eq!(ledger.next_is_repeat(), arrivals > 0);
+            if outcome != AttemptOutcome::Unreachable {
+                sent_to.insert(instance.clone());
+                arrivals += 1;
+            }
+            if matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Broken) {
+                may_have_run += 1;
+            }
+            let goes_on = ledger.note(instance, outcome);
+            prop_assert!(sent_to.len() as u32 <= max_engines.max(1));
+            prop_assert!(is_repeatable || may_have_run <= 1);
+            prop_assert_eq!(ledger.run_state() == RunState::NotRun, may_have_run == 0);
+            if !goes_on {
+                break;
+            }
+        }
+    }
+}
+
+fn ledger(is_repeatable: bool, max_engines: u32) -> AttemptLedger {
+    AttemptLedger::new(AttemptLimits {
+        is_repeatable,
+        max_engines,
+    })
+}
+
+#[test]
+fn an_engine_with_other_weights_is_asked_once_more_and_only_once() {
+    let mut ledger = ledger(false, 1);
+    let engine = InstanceId("e".to_owned());
+    assert!(ledger.note(engine.clone(), AttemptOutcome::OtherWeights));
+    assert!(ledger.tried().is_empty());
+    assert!(ledger.next_is_repeat());
+    assert!(!ledger.note(engine, AttemptOutcome::OtherWeights));
+    assert_eq!(ledger.run_state(), RunState::NotRun);
+}
+
+#[test]
+fn unreachable_engines_do_not_count_as_sent_to_but_end_some_time() {
+    let mut ledger = ledger(false, 1);
+    let note = |ledger: &mut AttemptLedger, number: u32| {
+        let engine = InstanceId(format!("e{number}"));
+        ledger.note(engine, AttemptOutcome::Unreachable)
+    };
+    assert!(note(&mut ledger, 0) && note(&mut ledger, 1) && note(&mut ledger, 2));
+    assert!(!ledger.next_is_repeat());
+    assert!(!note(&mut ledger, 3));
+}
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -91,7 +91,7 @@
             service: &admission.service,
             zone: &self.gateway.zone,
             prompt,
-            excluded: &self.progress.tried,
+            excluded: self.progress.attempts.tried(),
         };
         let choice = choose(&beliefs.engines, &criteria, &rates, now)?;
         let engine = beliefs.engines.get(&choice.instance);
@@ -218,8 +218,7 @@
     /// Silence after which another engine is tried; nothing when none may be.
     pub(super) fn patience_ms(&self) -> Option<u64> {
         let route = &self.received.admission.route;
-        let is_last = self.progress.engines_sent_to + 1 >= route.max_attempts;
-        if is_last || !route.delivery.is_repeatable() {
+        if self.progress.attempts.is_last_attempt() {
             return None;
         }
         let settings = self.gateway.settings();
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -29,6 +29,7 @@
 use crate::ports::{CallerRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
 use attempt::AttemptEnd;
+use ploverlift_balancing::attempts::{AttemptLedger, AttemptLimits, AttemptOutcome};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_http1::ResponseHead;
@@ -37,9 +38,6 @@
 use std::io;
 use std::sync::Arc;
 
-/// Connections that may fail to come about for one request.
-const MAX_UNREACHABLE: u32 = 4;
-
 /// A request whose head and body were read.
 pub struct ReceivedRequest {
     /// What the head says.
@@ -58,17 +56,12 @@
     body: Vec<u8>,
 }
 
-/// What all attempts so far have shown.
+/// What the attempts so far have left for the final answer.
 struct Progress {
-    tried: Vec<InstanceId>,
-    engines_sent_to: u32,
-    arrivals: u32,
-    unreachable: u32,
-    run_state: RunState,
+    attempts: AttemptLedger,
     last_event: Option<String>,
     engine_failure: Option<EngineFailure>,
     retry_after_ms: Option<u64>,
-    has_corrected_weights: bool,
     time_is_up: bool,
     reason: String,
 }
@@ -92,16 +85,16 @@
     answer: CallerAnswer,
 ) -> io::Result<AfterAnswer> {
     let record = RequestRecord::new(&gateway, &received);
+    let route = &received.admission.route;
+    let limits = AttemptLimits {
+        is_repeatable: route.delivery.is_repeatable(),
+        max_engines: route.max_attempts,
+    };
     let progress = Progress {
-        tried: Vec::new(),
-        engines_sent_to: 0,
-        arrivals: 0,
-        unreachable: 0,
-        run_state: RunState::NotRun,
+        attempts: AttemptLedger::new(limits),
         last_event: received.request.resume_after.clone(),
         engine_failure: None,
         retry_after_ms: None,
-        has_corrected_weights: false,
         time_is_up: false,
         reason: String::new(),
     };
@@ -132,7 +125,7 @@
                     return self.give_up().await;
                 }
             };
-            if self.progress.arrivals > 0 && !self.take_repeat() {
+            if self.progress.attempts.next_is_repeat() && !self.take_repeat() {
                 "the retry budget is spent".clone_into(&mut self.progress.reason);
                 return self.give_up().await;
             }
@@ -172,57 +165,34 @@
 
     /// Takes in how an attempt ended; tells whether another one may follow.
     fn may_go_on(&mut self, end: AttemptEnd, instance: InstanceId) -> bool {
-        let route = &self.received.admission.route;
-        let is_repeatable = route.delivery.is_repeatable();
         let progress = &mut self.progress;
-        let may_repeat = match end {
+        let outcome = match end {
             AttemptEnd::Done { .. } => return false,
             AttemptEnd::Unreachable { reason } => {
-                progress.unreachable += 1;
-                progress.tried.push(instance);
                 progress.reason = reason;
-                return progress.unreachable < MAX_UNREACHABLE && self.has_time();
+                AttemptOutcome::Unreachable
             }
             AttemptEnd::Refused { retry_after_ms } => {
-                progress.arrivals += 1;
-                progress.engines_sent_to += 1;
-                progress.tried.push(instance);
                 progress.retry_after_ms = retry_after_ms;
                 "the engine refused".clone_into(&mut progress.reason);
-                true
+                AttemptOutcome::Refused
             }
             AttemptEnd::OtherWeights => {
-                progress.arrivals += 1;
                 "the engine has other weights".clone_into(&mut progress.reason);
-                if progress.has_corrected_weights {
-                    progress.engines_sent_to += 1;
-                    progress.tried.push(instance);
-                }
-                // The same engine is asked again with the weights that it has.
-                progress.has_corrected_weights = true;
-                true
+                AttemptOutcome::OtherWeights
             }
             AttemptEnd::Failed { head, body } => {
-                progress.run_state = progress.run_state.join(RunState::Started);
                 progress.engine_failure = Some(EngineFailure { head, body });
-                progress.arrivals += 1;
-                progress.engines_sent_to += 1;
-                progress.tried.push(instance);
                 "the engine failed".clone_into(&mut progress.reason);
-                is_repeatable
+                AttemptOutcome::Failed
             }
             AttemptEnd::Broken { reason, time_is_up } => {
-                progress.run_state = progress.run_state.join(RunState::Unknown);
-                progress.arrivals += 1;
-                progress.engines_sent_to += 1;
-                progress.tried.push(instance);
                 progress.reason = reason;
                 progress.time_is_up = time_is_up;
-                is_repeatable
+                AttemptOutcome::Broken
             }
         };
-        let has_attempts = progress.engines_sent_to < route.max_attempts.max(1);
-        may_repeat && has_attempts && self.has_time()
+        progress.attempts.note(instance, outcome) && self.has_time()
     }
 
     fn has_time(&self) -> bool {
@@ -262,7 +232,7 @@
     }
 
     fn refusal(&self, reason: String) -> Refusal {
-        if self.progress.run_state == RunState::NotRun {
+        if self.progress.attempts.run_state() == RunState::NotRun {
             let default_ms = self.gateway.settings().attempts.retry_after_ms;
             let retry_after_ms = self.progress.retry_after_ms.unwrap_or(default_ms);
             return Refusal::not_run(reason, retry_after_ms);
