--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -2,10 +2,16 @@
 
 mod support;
 
+use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use ploverlift_gateway::assembly::{reload, start};
 use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::state::Gateway;
+use ploverlift_gateway::weights::outdated_engines;
+use ploverlift_policy::ids::ZoneName;
+use ploverlift_routing::configuration::ServiceName;
 use serde_json::json;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use support::caller::{self, prompt, request};
 use support::engine::{Behaviour, StandInEngine};
@@ -156,6 +162,42 @@
     });
 }
 
+#[test]
+fn the_engine_whose_missing_version_was_named_first_is_next() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        let gateway = Gateway::new(
+            settings(&store, "node", ""),
+            Arc::new(site::StandInSite),
+            silent_logger(),
+        );
+        let now = gateway.clock.now();
+        let record = |name: &str, version: u64, port: u16| EngineRecord {
+            instance: InstanceId(name.to_owned()),
+            service: ServiceName::from("llm"),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            zone: ZoneName::from("z"),
+            slots: 4,
+            is_leaving: false,
+            weights: [("m".to_owned(), version)].into(),
+        };
+        {
+            let mut beliefs = gateway.beliefs();
+            beliefs.engines.upsert(record("a", 2, 1));
+            beliefs.engines.upsert(record("b", 3, 2));
+            beliefs.engines.upsert(record("c", 1, 3));
+            beliefs.weights.name("m", 2, now);
+            beliefs.weights.name("m", 3, now.plus(3_000));
+        }
+        let outdated = outdated_engines(&gateway, now.plus(4_000));
+        let order: Vec<&str> = outdated
+            .iter()
+            .map(|engine| engine.instance.0.as_str())
+            .collect();
+        assert_eq!(order, ["c", "a"]);
+    });
+}
+
 #[test]
 fn an_order_without_an_answer_is_not_given_twice_when_it_was_taken() {
     smol::block_on(async {
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -263,7 +263,7 @@
         let app = app(Behaviour::Silent).await;
         let fixture = Fixture::new(&[&app]).await;
         let address = fixture.running().callers;
-        let connection = caller::open(address, &request("unsafe.test", "r")).await;
+        let connection = caller::open(address, &request("patient.test", "r")).await;
         app.happened.recv().await.expect("the request arrived");
         drop(connection);
         while app.dropped() == 0 {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -63,6 +63,7 @@
             route("stream.test", "stream", "llm", 3_000),
             route("resume.test", "resumable", "llm", 3_000),
             route("brief.test", "safe", "app", 120),
+            route("patient.test", "unsafe", "app", 600_000),
         ],
     })
 }
