--- a/crates/cluster/src/claims.rs
+++ b/crates/cluster/src/claims.rs
@@ -19,19 +19,19 @@
 //! recovery in a replica that remembers the claim. docs/design/claims.md has
 //! the argument and the schedules that broke earlier versions.
 
+pub use crate::claim_key::{majority, recovery_quorum, ClaimKey};
 use crate::node_key::NodeKey;
 use crate::output::Outbox;
 use ploverlift_policy::ids::{Millis, NodeName};
 use ploverlift_policy::objects::ClaimGroupSpec;
 use ploverlift_wire::messages::envelope::Body;
 use ploverlift_wire::messages::{
-    ClaimComplete, ClaimKey as ClaimKeyMessage, ClaimRecover, ClaimRelease, ClaimRequest,
-    ClaimState, ClaimVerdict, ClaimVote, HeldClaim, ReplicaLife,
+    ClaimComplete, ClaimRecover, ClaimRelease, ClaimRequest, ClaimState, ClaimVerdict, ClaimVote,
+    HeldClaim, ReplicaLife,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_128;
 
 /// Default time for which a claim is kept, in milliseconds.
 pub const DEFAULT_RETENTION_MS: u64 = 600_000;
@@ -46,43 +46,6 @@
 /// Claims that are dropped when their time is over, looked for at this period, in milliseconds.
 const EXPIRY_PERIOD_MS: u64 = 1_000;
 
-/// Identity of a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ClaimKey(pub u128);
-
-impl ClaimKey {
-    /// The key of a request of one tenant on one route.
-    pub fn of(tenant: &str, route: &str, idempotency_key: &str) -> Self {
-        let text = format!("{tenant}\u{1f}{route}\u{1f}{idempotency_key}");
-        Self(xxh3_128(text.as_bytes()))
-    }
-
-    pub(crate) fn to_message(self) -> ClaimKeyMessage {
-        ClaimKeyMessage {
-            high: (self.0 >> 64) as u64,
-            low: self.0 as u64,
-        }
-    }
-
-    fn from_message(message: Option<&ClaimKeyMessage>) -> Option<Self> {
-        let message = message?;
-        Some(Self(
-            (u128::from(message.high) << 64) | u128::from(message.low),
-        ))
-    }
-}
-
-/// Complete replicas from which one that forgot its votes must recover, so
-/// that at least one of them is in every majority that it was part of.
-pub fn recovery_quorum(replicas: usize) -> usize {
-    replicas - majority(replicas).min(replicas) + 1
-}
-
-/// Votes that make a majority of `replicas`.
-pub fn majority(replicas: usize) -> usize {
-    replicas / 2 + 1
-}
-
 #[derive(Clone, Debug)]
 struct Claim {
     owner: u64,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`output`] | what a state machine asks its driver to do |
 
 pub mod claim_group_plan;
+pub mod claim_key;
 pub mod claim_messages;
 pub mod claim_proposer;
 pub mod claims;
--- a/crates/cluster/src/router/mod.rs
+++ b/crates/cluster/src/router/mod.rs
@@ -1,22 +1,23 @@
 //! The tables that decisions read and write on one node: the typed view of the
 //! configuration, the fleet, the directory, limits and the record of decisions.
 
+mod chains;
 mod records;
 
+pub use chains::chains_of;
+use chains::{engine_of, merge_match};
 pub use records::{ChosenEngine, DecisionRecord, RoutedRequest, VersionedChains};
 
 use ploverlift_policy::admission::{ComeBack, TenantShares, TokenBucket};
-use ploverlift_policy::chain::{ChainSeed, PromptChain};
+use ploverlift_policy::chain::PromptChain;
 use ploverlift_policy::cost::{CostModel, DEFAULT_SLOT_WAIT_MS};
 use ploverlift_policy::decide::{CandidateTable, Decision, DecisionInput, RouteCandidates};
 use ploverlift_policy::directory::{Directory, PrefixMatch};
-use ploverlift_policy::fleet::{
-    Engine, EngineKey, EngineObservation, Fleet, Health, ListedEngine, ObservationEffect,
-};
+use ploverlift_policy::fleet::{EngineKey, EngineObservation, Fleet, Health, ObservationEffect};
 use ploverlift_policy::ids::{
     EngineName, Incarnation, Millis, NodeName, RequestId, TenantName, WeightsVersion, ZoneName,
 };
-use ploverlift_policy::objects::{Kind, MachineRole, MachineSpec, MachineState, Object};
+use ploverlift_policy::objects::{Kind, MachineState};
 use ploverlift_policy::retry::RetryBudget;
 use ploverlift_policy::snapshot::{Pool, Snapshot, SnapshotBuilder, Tenant};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -402,56 +403,3 @@
             .collect()
     }
 }
-
-/// The prompt's blocks under each of the weights versions.
-pub fn chains_of(request: &RoutedRequest, weights: &[WeightsVersion]) -> VersionedChains {
-    let route = request.snapshot.routes.get(request.route);
-    let Some(pool) = route.and_then(|route| request.snapshot.pool(&route.spec.pool)) else {
-        return Vec::new();
-    };
-    let scope = request.tenant.cache_scope();
-    let chain = |weights: WeightsVersion| {
-        let seed = ChainSeed {
-            scope: &scope,
-            model: &pool.spec.model,
-            weights,
-        };
-        let (block_tokens, bytes) = (pool.spec.block_tokens, pool.spec.bytes_per_token);
-        PromptChain::of_text(&seed, &request.prompt, block_tokens, bytes)
-    };
-    weights
-        .iter()
-        .map(|weights| (*weights, chain(*weights)))
-        .collect()
-}
-
-/// Keeps the deeper of two matches of the same engine.
-fn merge_match(matches: &mut Vec<PrefixMatch>, found: PrefixMatch) {
-    let known = matches
-        .iter_mut()
-        .find(|known| known.engine == found.engine && known.incarnation == found.incarnation);
-    match known {
-        Some(known) if known.blocks < found.blocks => *known = found,
-        Some(known) if known.blocks == found.blocks => {
-            known.used_at = known.used_at.max(found.used_at);
-        }
-        Some(_) => {}
-        None => matches.push(found),
-    }
-}
-
-fn engine_of(object: &Object) -> Option<Engine> {
-    object.validate().ok()?;
-    let spec: MachineSpec = object.typed().ok()?;
-    if spec.role == MachineRole::Node {
-        return None;
-    }
-    Some(Engine::from(ListedEngine {
-        name: EngineName(object.metadata.name.clone()),
-        address: spec.address.parse().ok()?,
-        zone: spec.zone,
-        labels: object.metadata.labels.clone(),
-        role: spec.role,
-        state: spec.state,
-    }))
-}
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -2,6 +2,7 @@
 //! position and cancellation by closing, and plain requests that are counted.
 
 use crate::engine_state::{EngineSettings, EngineState, EngineTables};
+use crate::engine_tokens::{piece, token_text};
 use async_channel::Sender;
 use futures_lite::AsyncReadExt;
 use ploverlift_node::callers::body_channel::{body_channel, BodyChunk};
@@ -205,13 +206,13 @@
 }
 
 /// One completion that the engine runs.
-struct Run {
-    id: String,
-    prompt: Vec<u8>,
+pub(crate) struct Run {
+    pub(crate) id: String,
+    pub(crate) prompt: Vec<u8>,
     scope: String,
     from: u64,
     tokens: u64,
-    chat: bool,
+    pub(crate) chat: bool,
     stream: bool,
     hold: Option<async_channel::Receiver<()>>,
 }
@@ -362,33 +363,6 @@
     (running, cached)
 }
 
-fn token_text(run: &Run, position: u64) -> String {
-    let hash = xxhash(&run.prompt, position);
-    format!(" w{:04x}", hash & 0xffff)
-}
-
-fn xxhash(prompt: &[u8], position: u64) -> u64 {
-    let scope = ploverlift_policy::ids::CacheScope::from("answer");
-    let seed = ploverlift_policy::chain::ChainSeed {
-        scope: &scope,
-        model: "answer",
-        weights: ploverlift_policy::ids::WeightsVersion(position),
-    };
-    let length = u32::try_from(prompt.len()).unwrap_or(u32::MAX).max(1);
-    let chain = ploverlift_policy::chain::PromptChain::of_text(&seed, prompt, length, 1);
-    chain.blocks.first().map_or(position, |block| block.0)
-}
-
-fn piece(run: &Run, position: u64) -> Value {
-    let text = token_text(run, position);
-    let choice = if run.chat {
-        json!({"index": 0, "delta": {"content": text}, "finish_reason": null})
-    } else {
-        json!({"index": 0, "text": text, "finish_reason": null})
-    };
-    json!({"id": run.id, "object": "chat.completion.chunk", "choices": [choice]})
-}
-
 fn stream(engine: Arc<Engine>, conn: Conn, run: Run) -> Conn {
     let (sender, body) = body_channel();
     smol::spawn(run_stream(engine, run, sender)).detach();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine;
 pub mod engine_cache;
 pub mod engine_state;
+mod engine_tokens;
 pub mod experiment;
 pub mod http_call;
 pub mod platform;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod labels;
+pub mod object_checks;
 pub mod objects;
 pub mod prompt;
 pub mod request;
