--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -12,7 +12,9 @@
 /// request's own.
 const MAX_CONTEXT_LINES: usize = 8;
 /// Messages on what a node believes.
-const NODE_MESSAGES: [&str; 9] = [
+const NODE_MESSAGES: [&str; 11] = [
+    "engine changed",
+    "engine gone",
     "started",
     "stopping",
     "stopped",
@@ -23,8 +25,8 @@
     "cache store followed",
     "settings reloaded",
 ];
-/// Messages on an engine, from any node.
-const ENGINE_MESSAGES: [&str; 4] = ["order", "weights loaded", "engine changed", "engine gone"];
+/// Messages on what was done to an engine, from any node.
+const ENGINE_MESSAGES: [&str; 2] = ["order", "weights loaded"];
 /// Fields that are told first, in this order.
 const FIRST_FIELDS: [&str; 4] = ["ts", "node", "msg", "outcome"];
 /// Fields that say nothing more.
@@ -104,11 +106,12 @@
     let is_context = |line: &&Line| {
         let message = text(line, "msg");
         let engine = text(line, "engine");
+        let is_tried = attempts.iter().any(|attempts| attempts.contains(engine));
         let of_node = NODE_MESSAGES.contains(&message) && nodes.contains(text(line, "node"));
-        let of_engine = ENGINE_MESSAGES.contains(&message)
-            && !engine.is_empty()
-            && attempts.iter().any(|attempts| attempts.contains(engine));
-        (of_node || of_engine) && text(line, "ts") <= text(last, "ts")
+        let of_engine = ENGINE_MESSAGES.contains(&message);
+        // A line that names no engine concerns the whole node.
+        let concerns = engine.is_empty() && of_node || is_tried && (of_node || of_engine);
+        concerns && text(line, "ts") <= text(last, "ts")
     };
     let context: Vec<&Line> = lines.iter().filter(is_context).collect();
     let first = context.len().saturating_sub(MAX_CONTEXT_LINES);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,12 +1,12 @@
 //! The gateway's settings file (TOML). Every key but the addresses has a default.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// All settings.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
     /// This node.
@@ -33,7 +33,7 @@
 }
 
 /// `[node]`.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name, unique in the site and stable over restarts.
@@ -43,7 +43,7 @@
 }
 
 /// `[listen]`.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// For callers.
@@ -55,7 +55,7 @@
 }
 
 /// `[store]`.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Where it listens.
@@ -73,7 +73,7 @@
 }
 
 /// `[bounds]`: what the site promises.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BoundSettings {
     /// A key that was taken away stops to work within this time, in
@@ -111,7 +111,7 @@
 }
 
 /// `[attempts]`.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AttemptSettings {
     /// Longest wait for a connection to an engine, in milliseconds.
@@ -141,7 +141,7 @@
 }
 
 /// `[cost]`.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CostSettings {
     /// Prompt tokens that an engine reads in a millisecond.
@@ -169,7 +169,7 @@
 }
 
 /// `[weights]`.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WeightSettings {
     /// Engines that load at the same time. More do, when that many cannot all
@@ -203,7 +203,7 @@
 }
 
 /// Least severe level that is logged.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Only what an operator must act on.
@@ -216,7 +216,7 @@
 }
 
 /// `[log]`.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// Least severe level.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -32,6 +32,19 @@
     Logger::root(filtered, fields)
 }
 
+/// A logger that writes each line at once to `output`, for tests.
+pub fn json_logger_to<W, F>(output: W, fields: OwnedKV<F>) -> Logger
+where
+    W: std::io::Write + Send + 'static,
+    F: SendSyncRefUnwindSafeKV + 'static,
+{
+    let json = slog_json::Json::new(output)
+        .set_newlines(true)
+        .add_default_keys()
+        .build();
+    Logger::root(std::sync::Mutex::new(json).fuse(), fields)
+}
+
 /// A logger that drops every line, for tests and embedded use.
 pub fn silent_logger() -> Logger {
     Logger::root(slog::Discard, slog::o!())
