Wait for the store as long as its answers take; gather engine changes

Ruled out: longer leases (a successor would wait longer after a kill). Change: store::answer_time: the wait is six times the usual answer, 100 to 450 ms, doubled after a silence; engine changes are gathered over 400 ms.

--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -1,6 +1,7 @@
 //! Calls of the object store. Each has a deadline, and its error says whether
 //! it was done, was not done, or may still be done.
 
+use super::answer_time::AnswerTime;
 use crate::http_call::{CallConnection, CallError};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
 use crate::state::Gateway;
@@ -11,7 +12,7 @@
 pub struct StoreClient {
     gateway: Arc<Gateway>,
     connection: CallConnection,
-    timeout_ms: Option<u64>,
+    answer_time: Option<AnswerTime>,
 }
 
 impl StoreClient {
@@ -21,14 +22,15 @@
         Self {
             gateway: Arc::clone(gateway),
             connection: CallConnection::new(address),
-            timeout_ms: None,
+            answer_time: None,
         }
     }
 
-    /// A client whose calls take at most so long, in milliseconds.
+    /// A client whose calls take at most so long, in milliseconds, and less
+    /// while the store answers sooner.
     pub fn with_timeout(gateway: &Arc<Gateway>, timeout_ms: u64) -> Self {
         Self {
-            timeout_ms: Some(timeout_ms),
+            answer_time: Some(AnswerTime::new(timeout_ms)),
             ..Self::new(gateway)
         }
     }
@@ -48,10 +50,18 @@
             _ => 0,
         };
         let usual_ms = self.gateway.settings().store.timeout_ms;
-        let timeout_ms = self.timeout_ms.unwrap_or(usual_ms) + wait_ms;
+        let patience_ms = self.answer_time.map_or(usual_ms, |time| time.wait_ms());
+        let timeout_ms = patience_ms + wait_ms;
+        let began = self.gateway.clock.now();
         let (head, body) = self.gateway.site.store_message(call);
         self.gateway.metrics.store_calls.inc();
         let answered = self.connection.call(head, &body, timeout_ms).await;
+        if let Some(answer_time) = &mut self.answer_time {
+            match &answered {
+                Ok(_) => answer_time.on_answer(self.gateway.clock.now().since(began)),
+                Err(_) => answer_time.on_silence(),
+            }
+        }
         let result = match answered {
             Ok((head, body)) => self.gateway.site.read_store_answer(call, &head, &body),
             Err(CallError::Unreachable { reason }) => Err(StoreError::Unreachable { reason }),
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -19,7 +19,7 @@
 const LONGEST_PAUSE_MS: u64 = 250;
 /// Pause between two changes of engines, in milliseconds: engines change in
 /// groups, and each answer of a watch is a call.
-const GATHER_MS: u64 = 150;
+const GATHER_MS: u64 = 400;
 
 /// Pauses between failed calls: doubled each time and jittered, so that nodes
 /// which lost the store together do not come back together.
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The object store: a client, and copies that follow what is stored.
 
+pub mod answer_time;
 mod client;
 mod feed;
 
--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use ploverlift_gateway::ports::{StoreError, StoreKind};
+use ploverlift_gateway::store::answer_time::AnswerTime;
 use ploverlift_gateway::store::StoreClient;
 use serde_json::json;
 use support::caller::{self, request};
@@ -70,6 +71,26 @@
     });
 }
 
+#[test]
+fn the_wait_for_an_answer_follows_the_answers_that_came() {
+    let mut time = AnswerTime::new(450);
+    assert_eq!(time.wait_ms(), 450);
+    for _ in 0..20 {
+        time.on_answer(4);
+    }
+    assert_eq!(time.wait_ms(), 100);
+    time.on_silence();
+    assert_eq!(time.wait_ms(), 200);
+    for _ in 0..3 {
+        time.on_silence();
+    }
+    assert_eq!(time.wait_ms(), 450);
+    for _ in 0..20 {
+        time.on_answer(60);
+    }
+    assert!((330..=370).contains(&time.wait_ms()));
+}
+
 #[test]
 fn an_unreachable_store_has_not_done_the_call() {
     smol::block_on(async {
