Use the cache store also where its events cannot be observed

Cause: the store holds 12 calls for events at once; above 12 nodes the others were refused, took the store for lost, and neither fetched nor saved. Change: three states of the store: lost, unobserved, followed; an unobserved one is fetched from always and saved to once a node and prompt; calls for events are made again after 4 to 8 s. Tests: one for each state, red for unobserved on the code before (it neither fetched nor saved).

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// This node has had a part saved. It counts as kept until an event says
+    /// otherwise, or for good where events are not followed.
+    pub fn note_saved(&mut self, salt: &str, part: u64) {
+        if self.kept.len() >= MAX_PARTS {
+            self.kept.clear();
+        }
+        self.kept.insert(part_name(salt, part));
+    }
+
     /// The store was lost: it may come back empty.
     pub fn forget(&mut self) {
         *self = Self::default();
--- a/crates/balancing/tests/budgets.rs
+++ b/crates/balancing/tests/budgets.rs
@@ -143,6 +143,8 @@
     contents.apply(&batch(2, 1, &[]));
     assert!(contents.is_empty());
     contents.apply(&batch(2, 2, &[(true, "s", 7)]));
+    contents.note_saved("s", 9);
+    assert!(contents.has("s", 9) && contents.has("s", 7));
     contents.forget();
     assert_eq!((contents.next(), contents.len()), (0, 0));
 }
--- a/crates/gateway/src/cache_feed.rs
+++ b/crates/gateway/src/cache_feed.rs
@@ -4,7 +4,8 @@
 //! would fill the store's link.
 
 use crate::http_call::CallConnection;
-use crate::state::{ActiveConfiguration, Gateway};
+use crate::ports::CacheAnswer;
+use crate::state::{ActiveConfiguration, CacheStoreState, Gateway};
 use crate::time::sleep;
 use ploverlift_policy::ids::ZoneName;
 use ploverlift_routing::configuration::CacheStore;
@@ -20,6 +21,9 @@
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 400;
 
+/// Shortest pause after the store had no room for the call, in milliseconds.
+const REFUSED_MS: u64 = 4_000;
+
 /// The store of kept cache that nodes of a zone use: one in the zone where there
 /// is one.
 pub fn cache_store<'a>(
@@ -48,44 +52,50 @@
             .is_some_and(|(known, _)| *known == store.address);
         if !is_known {
             followed = Some((store.address, CallConnection::new(store.address)));
-            lose(&gateway);
+            gateway.beliefs().cache.contents.forget();
+            note_state(&gateway, CacheStoreState::Lost);
         }
         let Some((_, connection)) = followed.as_mut() else {
             continue;
         };
         match poll(&gateway, connection).await {
-            true => sleep(GATHER_MS).await,
-            false => {
+            CacheStoreState::Followed => sleep(GATHER_MS).await,
+            CacheStoreState::Unobserved => sleep(fastrand::u64(REFUSED_MS..2 * REFUSED_MS)).await,
+            CacheStoreState::Lost => {
                 connection.reset();
-                lose(&gateway);
                 sleep(RETRY_MS).await;
             }
         }
     }
 }
 
-async fn poll(gateway: &Gateway, connection: &mut CallConnection) -> bool {
+/// Asks for events, and takes in what the answer shows.
+async fn poll(gateway: &Gateway, connection: &mut CallConnection) -> CacheStoreState {
     let since = gateway.beliefs().cache.contents.next();
     let head = gateway.site.cache_events_head(since, WAIT_MS);
     let answered = connection.call(head, &[], WAIT_MS + TIMEOUT_MS).await;
-    let Ok((head, body)) = answered else {
-        return false;
-    };
-    let Some(batch) = gateway.site.read_cache_events(&head, &body) else {
-        return false;
-    };
-    let mut beliefs = gateway.beliefs();
-    beliefs.cache.contents.apply(&batch);
-    if !std::mem::replace(&mut beliefs.cache.is_followed, true) {
-        slog::info!(gateway.log, "cache store followed"; "epoch" => batch.epoch);
+    let answer = answered.map(|(head, body)| gateway.site.read_cache_answer(&head, &body));
+    match answer {
+        Ok(CacheAnswer::Events(batch)) => {
+            gateway.beliefs().cache.contents.apply(&batch);
+            note_state(gateway, CacheStoreState::Followed)
+        }
+        Ok(CacheAnswer::TooManyCalls) => note_state(gateway, CacheStoreState::Unobserved),
+        Ok(CacheAnswer::Invalid) | Err(_) => {
+            gateway.beliefs().cache.contents.forget();
+            note_state(gateway, CacheStoreState::Lost)
+        }
     }
-    true
 }
 
-fn lose(gateway: &Gateway) {
-    let mut beliefs = gateway.beliefs();
-    beliefs.cache.contents.forget();
-    if std::mem::take(&mut beliefs.cache.is_followed) {
-        slog::warn!(gateway.log, "cache store lost");
+fn note_state(gateway: &Gateway, state: CacheStoreState) -> CacheStoreState {
+    let known = std::mem::replace(&mut gateway.beliefs().cache.state, state);
+    if known != state {
+        match state {
+            CacheStoreState::Followed => slog::info!(gateway.log, "cache store followed"),
+            CacheStoreState::Unobserved => slog::info!(gateway.log, "cache store not observed"),
+            CacheStoreState::Lost => slog::warn!(gateway.log, "cache store lost"),
+        }
     }
+    state
 }
--- a/crates/gateway/src/ports/cache.rs
+++ b/crates/gateway/src/ports/cache.rs
@@ -3,11 +3,22 @@
 use ploverlift_balancing::cache_contents::CacheEvents;
 use ploverlift_http1::{RequestHead, ResponseHead};
 
+/// A store's answer to a call for events.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CacheAnswer {
+    /// Events.
+    Events(CacheEvents),
+    /// The store holds as many calls as it may; it works all the same.
+    TooManyCalls,
+    /// Not an answer to this call.
+    Invalid,
+}
+
 /// The protocol by which a store of kept cache tells what it keeps.
 pub trait CacheProtocol: Send + Sync {
     /// The head that asks for events from a position, and waits for some.
     fn cache_events_head(&self, since: u64, wait_ms: u64) -> RequestHead;
 
-    /// Reads events; nothing when the answer does not fit.
-    fn read_cache_events(&self, head: &ResponseHead, body: &[u8]) -> Option<CacheEvents>;
+    /// Reads the answer to a call for events.
+    fn read_cache_answer(&self, head: &ResponseHead, body: &[u8]) -> CacheAnswer;
 }
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -21,7 +21,7 @@
 mod engine;
 mod store;
 
-pub use cache::CacheProtocol;
+pub use cache::{CacheAnswer, CacheProtocol};
 pub use caller::{CallerProtocol, CallerRequest, InvalidRequest, Refusal, RefusalKind};
 pub use control::{EngineControl, EngineReport, LoadOrder, OrderAnswer};
 pub use engine::{AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine};
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -5,7 +5,7 @@
 use crate::cache_feed::cache_store;
 use crate::engine_connection::{exchange, EngineAnswer, ExchangeLimits};
 use crate::ports::{AnswerMeaning, CacheTransfer, EngineCall, RefusedByEngine};
-use crate::state::CacheBeliefs;
+use crate::state::{CacheBeliefs, CacheStoreState};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::selection::{choose, Cost, Criteria, NoChoice, PromptCriteria};
@@ -147,10 +147,11 @@
         let is_whole = kept == shared.len();
         let configuration = &self.received.admission.configuration;
         let store = cache_store(configuration, &self.gateway.zone);
-        let store = store.filter(|_| cache.is_followed);
+        let store = store.filter(|_| cache.state != CacheStoreState::Lost);
         let store = store.map(|store| store.address);
+        let may_hold_some = kept > 0 || cache.state == CacheStoreState::Unobserved;
         CacheTransfer {
-            fetch_from: store.filter(|_| kept > 0).or(home),
+            fetch_from: store.filter(|_| may_hold_some).or(home),
             save_to: store.filter(|_| !is_whole),
             salt,
         }
@@ -256,7 +257,7 @@
             }
             AnswerMeaning::Failure => self.read_failure(answer, in_flight).await,
             AnswerMeaning::Success if self.received.admission.route.delivery.is_stream() => {
-                self.pass_stream(answer, in_flight).await
+                self.pass_stream(answer, chosen, in_flight).await
             }
             AnswerMeaning::Success => self.pass_whole(answer, in_flight).await,
         }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -4,12 +4,13 @@
 //! another engine continues after the last event that the caller has, inside
 //! the same answer.
 
-use super::attempt::AttemptEnd;
+use super::attempt::{AttemptEnd, ChosenEngine};
 use super::events::{is_after, EventSplitter};
 use super::in_flight::InFlight;
 use super::whole::passed_on;
 use super::{AfterAnswer, Relay};
 use crate::engine_connection::EngineAnswer;
+use crate::state::CacheStoreState;
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
 use std::io;
@@ -26,6 +27,7 @@
     pub(super) async fn pass_stream(
         &mut self,
         mut answer: EngineAnswer,
+        chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
         let mut splitter = EventSplitter::default();
@@ -36,6 +38,7 @@
                     if is_first {
                         is_first = false;
                         in_flight.answered();
+                        self.note_saved(chosen);
                     }
                     self.deliver(&answer, &bytes).await?;
                 }
@@ -59,6 +62,25 @@
         }
     }
 
+    /// The engine has read the prompt, and so saves what it was told to.
+    fn note_saved(&self, chosen: &ChosenEngine) {
+        let saved = chosen
+            .cache
+            .as_ref()
+            .filter(|cache| cache.save_to.is_some());
+        let prompt = self.received.request.prompt.as_ref();
+        if let (Some(cache), Some(prompt)) = (saved, prompt) {
+            let mut beliefs = self.gateway.beliefs();
+            // Where events are followed, they tell whether the save came about.
+            if beliefs.cache.state != CacheStoreState::Unobserved {
+                return;
+            }
+            for part in prompt.shared_parts() {
+                beliefs.cache.contents.note_saved(&cache.salt, part.id);
+            }
+        }
+    }
+
     /// Writes events; the head goes out with the first of them.
     async fn deliver(&mut self, answer: &EngineAnswer, bytes: &[u8]) -> io::Result<()> {
         if self.answer.has_started() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,11 +45,24 @@
     }
 }
 
+/// What is known of the store of kept cache.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CacheStoreState {
+    /// It does not answer: nothing is fetched from it or saved to it.
+    #[default]
+    Lost,
+    /// It works, and has no room for this node's calls for events: what it holds
+    /// is not known, but for what this node has had saved.
+    Unobserved,
+    /// Its events are followed.
+    Followed,
+}
+
 /// What this node believes of the store of kept cache.
 #[derive(Debug, Default)]
 pub struct CacheBeliefs {
-    /// Whether its events are being followed.
-    pub is_followed: bool,
+    /// What is known of the store itself.
+    pub state: CacheStoreState,
     /// What it holds.
     pub contents: CacheContents,
 }
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -2,11 +2,17 @@
 
 mod support;
 
+use ploverlift_gateway::state::CacheStoreState;
+use ploverlift_http1::RequestHead;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use support::caller::{self, prompt, request};
 use support::engine::{all_events, Behaviour, StandInEngine};
-use support::{configuration, site, start_node, store::StandInStore, Fixture};
+use support::{
+    configuration, site, start_node,
+    store::{start_cache_store, StandInStore},
+    Fixture,
+};
 
 async fn app(behaviour: Behaviour) -> StandInEngine {
     StandInEngine::start("app-1", "app", behaviour).await
@@ -282,3 +288,42 @@
         assert_eq!(fixture.send(&long).await.status(), 503);
     });
 }
+
+/// Whether the first and the second request for one prompt fetched and saved,
+/// with a cache store that answers calls for events so.
+async fn cache_use(status: u16, state: CacheStoreState) -> Vec<(bool, bool)> {
+    let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+    let (address, _task) = start_cache_store(status).await;
+    let mut with_cache = configuration(1);
+    with_cache["cache"] = address.to_string().into();
+    let fixture = Fixture::with(&[&llm], with_cache, "").await;
+    while fixture.gateway.beliefs().cache.state != state {
+        fixture.send(&request("nowhere.test", "r")).await;
+    }
+    for id in ["r1", "r2"] {
+        assert_eq!(fixture.send(&prompt("stream.test", id)).await.status(), 200);
+    }
+    let used = |head: &RequestHead, name| head.headers.get(name).is_some();
+    let heads = llm.heads();
+    let uses = heads.iter();
+    uses.map(|head| (used(head, site::FETCH), used(head, site::SAVE)))
+        .collect()
+}
+
+#[test]
+fn a_cache_store_without_room_for_more_observers_is_used_all_the_same() {
+    let uses = smol::block_on(cache_use(429, CacheStoreState::Unobserved));
+    assert_eq!(uses, [(true, true), (true, false)]);
+}
+
+#[test]
+fn a_cache_store_is_saved_to_until_its_events_tell_of_the_prompt() {
+    let uses = smol::block_on(cache_use(200, CacheStoreState::Followed));
+    assert_eq!(uses, [(false, true), (false, true)]);
+}
+
+#[test]
+fn a_lost_cache_store_is_not_used() {
+    let uses = smol::block_on(cache_use(503, CacheStoreState::Lost));
+    assert_eq!(uses, [(false, false), (false, false)]);
+}
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -3,15 +3,16 @@
 use ploverlift_balancing::cache_contents::CacheEvents;
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use ploverlift_gateway::ports::{
-    AnswerMeaning, CacheProtocol, CallerProtocol, CallerRequest, EngineCall, EngineControl,
-    EngineProtocol, EngineReport, InvalidDocument, InvalidRequest, LoadOrder, NamedVersion,
-    ObjectStore, OrderAnswer, Refusal, RefusedByEngine, StoreCall, StoreError, StoreObject,
-    StoreReply, StoredDocuments, WatchEvent,
+    AnswerMeaning, CacheAnswer, CacheProtocol, CallerProtocol, CallerRequest, EngineCall,
+    EngineControl, EngineProtocol, EngineReport, InvalidDocument, InvalidRequest, LoadOrder,
+    NamedVersion, ObjectStore, OrderAnswer, Refusal, RefusedByEngine, StoreCall, StoreError,
+    StoreObject, StoreReply, StoredDocuments, WatchEvent,
 };
 use ploverlift_http1::{RequestHead, ResponseHead};
 use ploverlift_policy::ids::{TenantName, ZoneName};
 use ploverlift_routing::configuration::{
-    CallerLimits, Configuration, Delivery, Route, ServiceName, Tenant, WeightedTarget,
+    CacheStore, CallerLimits, Configuration, Delivery, Route, Service, ServiceName, Tenant,
+    WeightedTarget,
 };
 use ploverlift_routing::prompt::{Prompt, PromptPart};
 use serde_json::{json, Value};
@@ -25,6 +26,8 @@
 pub const INSTANCE: &str = "t-instance";
 pub const WEIGHTS: &str = "t-weights";
 pub const SALT: &str = "t-salt";
+pub const FETCH: &str = "t-fetch";
+pub const SAVE: &str = "t-save";
 pub const NOT_RUN: &str = "t-not-run";
 pub const SIGNED: &str = "t-signed";
 
@@ -93,6 +96,12 @@
         }
         if let Some(cache) = &call.cache {
             headers.push(SALT, &cache.salt);
+            if let Some(address) = cache.fetch_from {
+                headers.push(FETCH, address.to_string());
+            }
+            if let Some(address) = cache.save_to {
+                headers.push(SAVE, address.to_string());
+            }
         }
         if let Some(after) = call.resume_after {
             headers.push(AFTER, after);
@@ -169,8 +178,12 @@
         RequestHead::new("GET", format!("/cache/{since}"))
     }
 
-    fn read_cache_events(&self, _head: &ResponseHead, _body: &[u8]) -> Option<CacheEvents> {
-        None
+    fn read_cache_answer(&self, head: &ResponseHead, _body: &[u8]) -> CacheAnswer {
+        match head.status {
+            429 => CacheAnswer::TooManyCalls,
+            200 => CacheAnswer::Events(CacheEvents::default()),
+            _ => CacheAnswer::Invalid,
+        }
     }
 }
 
@@ -276,7 +289,7 @@
         Ok(Configuration {
             version: version.ok_or_else(|| invalid("no version"))?,
             routes: routes.iter().map(route).collect(),
-            services: [].into(),
+            services: cache_service(body).into_iter().collect(),
             tenants: Some(tenants.collect()),
             limits: CallerLimits {
                 max_head_bytes: 2_048,
@@ -316,6 +329,19 @@
     }
 }
 
+fn cache_service(body: &Value) -> Option<(ServiceName, Service)> {
+    let address = body["cache"].as_str()?.parse().ok()?;
+    let service = Service {
+        cache_store: Some(CacheStore {
+            address,
+            zone: ZoneName::from("z"),
+            capacity_tokens: 1_000,
+        }),
+        ..Service::default()
+    };
+    Some((ServiceName::from("cache"), service))
+}
+
 fn route(body: &Value) -> Route {
     let text = |key: &str| body[key].as_str().unwrap_or_default().to_owned();
     let number = |key: &str| body[key].as_u64().unwrap_or(0);
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -233,3 +233,22 @@
         ploverlift_gateway::time::sleep(2).await;
     }
 }
+
+/// A stand-in cache store that answers each call for events with this status.
+pub async fn start_cache_store(status: u16) -> (SocketAddr, smol::Task<()>) {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    let address = listener.local_addr().expect("address");
+    let task = smol::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut connection = BufferedStream::new(stream);
+            while read_request_head(&mut connection, 4_096).await.is_ok() {
+                let mut head = ResponseHead::new(status);
+                head.headers.push("content-length", "0");
+                if connection.write_all(&head.encode()).await.is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (address, task)
+}
