--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,11 +1,13 @@
 //! The command line.
 
-use crate::exit::WRONG_USE;
 use argh::FromArgs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Exit code of a command that was used wrongly.
+const WRONG_USE: u8 = 2;
+
 /// Router for language-model traffic with long shared prompts.
 #[derive(FromArgs)]
 pub struct Arguments {
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -9,8 +9,6 @@
 
 /// Exit code of a command that was refused or failed.
 pub const FAILED: u8 = 1;
-/// Exit code of a command that was used wrongly.
-pub const WRONG_USE: u8 = 2;
 
 /// Why a command did not do what was asked.
 #[derive(Debug, Snafu)]
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -2,7 +2,7 @@
 //! position and cancellation by closing, and plain requests that are counted.
 
 use crate::engine_state::{EngineSettings, EngineState, EngineTables};
-use crate::engine_tokens::{piece, token_text};
+use crate::engine_tokens::{piece, token_text, Run};
 use async_channel::Sender;
 use futures_lite::AsyncReadExt;
 use ploverlift_node::callers::body_channel::{body_channel, BodyChunk};
@@ -205,18 +205,6 @@
     }
 }
 
-/// One completion that the engine runs.
-pub(crate) struct Run {
-    pub(crate) id: String,
-    pub(crate) prompt: Vec<u8>,
-    scope: String,
-    from: u64,
-    tokens: u64,
-    pub(crate) chat: bool,
-    stream: bool,
-    hold: Option<async_channel::Receiver<()>>,
-}
-
 async fn completion(engine: Arc<Engine>, conn: Conn, body: &[u8]) -> Conn {
     let Ok(fields) = serde_json::from_slice::<Map<String, Value>>(body) else {
         return conn.with_status(Status::BadRequest).halt();
--- a/crates/lab/src/engine_tokens.rs
+++ b/crates/lab/src/engine_tokens.rs
@@ -1,8 +1,19 @@
 //! The tokens that the stand-in engine makes: the same ones for the same prompt.
 
-use crate::engine::Run;
 use serde_json::{json, Value};
 
+/// One completion that the engine runs.
+pub(crate) struct Run {
+    pub(crate) id: String,
+    pub(crate) prompt: Vec<u8>,
+    pub(crate) scope: String,
+    pub(crate) from: u64,
+    pub(crate) tokens: u64,
+    pub(crate) chat: bool,
+    pub(crate) stream: bool,
+    pub(crate) hold: Option<async_channel::Receiver<()>>,
+}
+
 pub(crate) fn token_text(run: &Run, position: u64) -> String {
     let hash = xxhash(&run.prompt, position);
     format!(" w{:04x}", hash & 0xffff)
