Remove state that nothing reads

Left: node/engines/body.rs frames bodies as http1/body.rs does (twins; one should serve both), and settings of serve and gateway have like error types.

--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -13,7 +13,6 @@
 use ploverlift_policy::attempt::AttemptState;
 use smol::io::AsyncWriteExt;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -35,11 +34,6 @@
     pub async fn read(&mut self, output: &mut Vec<u8>) -> Result<bool, HttpError> {
         self.decoder.read(&mut self.stream, output).await
     }
-
-    /// Length of the body that is still to come, when it is known.
-    pub fn declared_length(&self) -> Option<u64> {
-        self.decoder.declared_length()
-    }
 }
 
 /// Why there is no head of an answer.
@@ -70,16 +64,12 @@
     head: &RequestHead,
     body: &[u8],
     limits: ExchangeLimits,
-    sent: &AtomicBool,
 ) -> Result<EngineAnswer, ExchangeFailure> {
     let connected = connect(address, limits.connect_ms).await;
     let mut stream = connected.map_err(|error| unsent(&error))?;
     let mut writer = stream.writer();
     let encoded = head.encode();
     let write = async {
-        // A machine that stops between the flag and the write only makes the
-        // request look sent; the other way round it could run twice.
-        sent.store(true, Ordering::Release);
         // An engine that stopped to read may have answered, so an error here
         // is left to the reader to judge.
         let _ = write_message(&mut writer, &encoded, body).await;
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -14,7 +14,6 @@
 use ploverlift_routing::prompt::{cache_salt, cache_scope, PromptPart};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 
 /// Time that an engine is taken to load after it refused, in milliseconds.
 const REFUSED_LOADING_MS: u64 = 120;
@@ -165,7 +164,7 @@
         let tokens = self.received.request.prompt.as_ref();
         let tokens = tokens.map_or(0, |prompt| prompt.tokens());
         let mut in_flight = InFlight::begin(&self.gateway, &chosen.instance, tokens);
-        self.record.begin_attempt(&self.gateway, &chosen);
+        self.record.begin_attempt(&chosen);
         let end = match self.send(&chosen).await {
             Ok(answer) => self.hand_on(answer, &chosen, &mut in_flight).await?,
             Err(end) => {
@@ -176,7 +175,7 @@
                 end
             }
         };
-        self.record.end_attempt(&self.gateway, &end);
+        self.record.end_attempt(&end);
         Ok(end)
     }
 
@@ -202,9 +201,8 @@
             connect_ms: settings.attempts.connect_timeout_ms.min(left_ms),
             head_ms: patience_ms,
         };
-        let sent = AtomicBool::new(false);
         let body = &self.received.body;
-        let exchanged = exchange(chosen.address, &head, body, limits, &sent).await;
+        let exchanged = exchange(chosen.address, &head, body, limits).await;
         exchanged.map_err(|failure| match failure.state {
             AttemptState::Unsent => AttemptEnd::Unreachable {
                 reason: failure.reason,
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -39,7 +39,7 @@
     }
 
     /// An engine was chosen.
-    pub(super) fn begin_attempt(&mut self, _gateway: &Gateway, chosen: &ChosenEngine) {
+    pub(super) fn begin_attempt(&mut self, chosen: &ChosenEngine) {
         let cost = &chosen.cost;
         let _ = write!(
             self.attempts,
@@ -58,7 +58,7 @@
     }
 
     /// The attempt ended.
-    pub(super) fn end_attempt(&mut self, _gateway: &Gateway, end: &AttemptEnd) {
+    pub(super) fn end_attempt(&mut self, end: &AttemptEnd) {
         let text = &mut self.attempts;
         let _ = match end {
             AttemptEnd::Done { outcome, .. } => write!(text, " -> {outcome}"),
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -126,11 +126,6 @@
         self.ends_with_connection
     }
 
-    /// Whether the body was read to its end.
-    pub fn is_at_end(&self) -> bool {
-        matches!(self.position, Position::End | Position::Length(0))
-    }
-
     /// Appends the next bytes of the body to `output`; false at its proper end.
     ///
     /// # Errors
