--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -22,7 +22,8 @@
         .set_flush(true)
         .add_default_keys()
         .build()
-        .fuse();
+        // A reader of the log that is gone must not end the logging thread.
+        .ignore_res();
     let queued = slog_async::Async::new(json)
         .chan_size(QUEUE_LINES)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
