--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -2,6 +2,7 @@
 //! show them.
 
 use crate::health::{EngineHealth, Outcome};
+use crate::peer_loads::EngineTag;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use std::collections::{BTreeMap, HashMap};
@@ -42,6 +43,8 @@
 pub struct Engine {
     /// Its record.
     pub record: EngineRecord,
+    /// Its short name between nodes.
+    pub tag: EngineTag,
     /// Requests of this node at the engine.
     pub in_flight: u32,
     /// Prompt tokens of those requests that have not answered yet.
@@ -57,6 +60,7 @@
 impl Engine {
     fn new(record: EngineRecord) -> Self {
         Self {
+            tag: EngineTag::of(&record.instance),
             record,
             in_flight: 0,
             waiting_tokens: 0,
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -1,9 +1,10 @@
 //! Which engine of a service serves a request.
 //!
 //! Pure: no I/O, no clock, no randomness. Every node decides alone, from the
-//! catalogue that all share and from what its own traffic has shown; two nodes
-//! with the same catalogue place a prompt on the same engine without asking
-//! each other, because the home of a prompt is a rendezvous hash.
+//! catalogue that all share, from what its own traffic has shown and from what
+//! other nodes report of theirs; two nodes with the same catalogue place a prompt
+//! on the same engine without asking each other, because the home of a prompt is
+//! a rendezvous hash.
 //!
 //! | module | concern |
 //! | --- | --- |
@@ -11,6 +12,9 @@
 //! | [`cache_contents`] | what a store of kept cache holds, by its events |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`health`] | putting engines aside that fail, and trying them again |
+//! | [`peer_loads`] | what other nodes have at the engines, as they report |
+//! | [`prefix_holders`] | which engines keep which shared parts of prompts |
+//! | [`prefix_reach`] | what each engine holds of one prompt, and where the rest can be had |
 //! | [`rendezvous`] | the order of engines for a prompt |
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
@@ -22,6 +26,9 @@
 pub mod catalogue;
 pub mod health;
 pub mod load_schedule;
+pub mod peer_loads;
+pub mod prefix_holders;
+pub mod prefix_reach;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod selection;
--- /dev/null
+++ b/crates/balancing/src/peer_loads.rs
@@ -0,0 +1,273 @@
+//! What the other nodes have at the engines, as their reports tell.
+//!
+//! Each node knows its own requests only, and a prompt in front of a request
+//! delays it whoever sent it. So nodes tell each other their loads. Reports are
+//! advice: one that is lost, late or never sent costs a worse choice and nothing
+//! else, so they go without answers and without retries; a full report every so
+//! often repairs what was lost.
+//!
+//! ```text
+//! catalogue ─▶ ReportBuilder ─▶ LoadReport ── datagram ──▶ PeerLoads ─▶ selection
+//! ```
+
+use crate::catalogue::{EngineCatalogue, InstanceId};
+use ploverlift_policy::ids::Millis;
+use std::collections::{BTreeMap, HashMap};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time after which a node that was not heard of no longer counts, in
+/// milliseconds.
+const SILENCE_MS: u64 = 1_800;
+/// Time between two full reports, in milliseconds.
+pub const FULL_REPORT_PERIOD_MS: u64 = 600;
+/// Engines in one report; those with the most load go first.
+pub const MAX_LOADS: usize = 48;
+
+/// A short name of one life of an engine, the same on all nodes. Two engines may
+/// share one; their loads are then taken for one another's, which costs a worse
+/// choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EngineTag(pub u32);
+
+impl EngineTag {
+    /// The short name of an instance.
+    pub fn of(instance: &InstanceId) -> Self {
+        Self(xxh3_64(instance.0.as_bytes()) as u32)
+    }
+}
+
+/// A node, named by the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PeerId(pub u64);
+
+impl PeerId {
+    /// The node with this name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// Requests at one engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Requests there.
+    pub requests: u32,
+    /// Prompt tokens that are still to be read.
+    pub waiting_tokens: u64,
+}
+
+impl EngineLoad {
+    fn is_none(&self) -> bool {
+        *self == Self::default()
+    }
+
+    fn add(&mut self, other: EngineLoad) {
+        self.requests += other.requests;
+        self.waiting_tokens += other.waiting_tokens;
+    }
+
+    fn subtract(&mut self, other: EngineLoad) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.waiting_tokens = self.waiting_tokens.saturating_sub(other.waiting_tokens);
+    }
+}
+
+/// One report on a node's loads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// The node that reports.
+    pub sender: PeerId,
+    /// Its life; a later one is higher.
+    pub life: u64,
+    /// Rises with each report of a life.
+    pub sequence: u64,
+    /// Whether engines that are not named have no load.
+    pub is_full: bool,
+    /// Loads by engine.
+    pub loads: Vec<(EngineTag, EngineLoad)>,
+    /// Engines that load weights by the sender's order.
+    pub loading: Vec<EngineTag>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    life: u64,
+    sequence: u64,
+    heard_at: Millis,
+    loads: HashMap<EngineTag, EngineLoad>,
+    loading: Vec<EngineTag>,
+}
+
+/// The loads of all other nodes that were heard of lately.
+#[derive(Clone, Debug, Default)]
+pub struct PeerLoads {
+    peers: BTreeMap<PeerId, Peer>,
+    totals: HashMap<EngineTag, EngineLoad>,
+}
+
+impl PeerLoads {
+    /// Takes in a report; tells whether it was news. Reports overtake each
+    /// other: one that is older than the last one taken in is left out.
+    pub fn apply(&mut self, report: &LoadReport, now: Millis) -> bool {
+        let known = self.peers.get(&report.sender);
+        let known = known.map(|peer| (peer.life, peer.sequence));
+        if known.is_some_and(|known| known >= (report.life, report.sequence)) {
+            return false;
+        }
+        let is_other_life = known.is_none_or(|(life, _)| life != report.life);
+        if is_other_life || report.is_full {
+            self.take_off(report.sender);
+        }
+        let peer = self.peers.entry(report.sender).or_insert_with(|| Peer {
+            life: report.life,
+            sequence: report.sequence,
+            heard_at: now,
+            loads: HashMap::new(),
+            loading: Vec::new(),
+        });
+        peer.life = report.life;
+        peer.sequence = report.sequence;
+        peer.heard_at = now;
+        peer.loading.clone_from(&report.loading);
+        for (engine, load) in &report.loads {
+            let before = peer.loads.insert(*engine, *load).unwrap_or_default();
+            let total = self.totals.entry(*engine).or_default();
+            total.subtract(before);
+            total.add(*load);
+        }
+        peer.loads.retain(|_, load| !load.is_none());
+        self.totals.retain(|_, load| !load.is_none());
+        true
+    }
+
+    /// Forgets nodes that were not heard of lately.
+    pub fn expire(&mut self, now: Millis) {
+        let silent: Vec<PeerId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard_at) >= SILENCE_MS)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in silent {
+            self.take_off(id);
+            self.peers.remove(&id);
+        }
+    }
+
+    /// The load of all other nodes at an engine.
+    pub fn at(&self, engine: EngineTag) -> EngineLoad {
+        self.totals.get(&engine).copied().unwrap_or_default()
+    }
+
+    /// Whether another node has the engine load weights.
+    pub fn is_loading(&self, engine: EngineTag) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.loading.contains(&engine))
+    }
+
+    /// Nodes that were heard of lately.
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    fn take_off(&mut self, id: PeerId) {
+        let Some(peer) = self.peers.get_mut(&id) else {
+            return;
+        };
+        for (engine, load) in std::mem::take(&mut peer.loads) {
+            if let Some(total) = self.totals.get_mut(&engine) {
+                total.subtract(load);
+            }
+        }
+    }
+}
+
+/// Makes the reports of this node: what has changed, and everything every so
+/// often.
+#[derive(Clone, Debug)]
+pub struct ReportBuilder {
+    sender: PeerId,
+    life: u64,
+    sequence: u64,
+    reported: HashMap<EngineTag, EngineLoad>,
+    loading: Vec<EngineTag>,
+    full_at: Option<Millis>,
+}
+
+impl ReportBuilder {
+    /// Reports of a node's life.
+    pub fn new(sender: PeerId, life: u64) -> Self {
+        Self {
+            sender,
+            life,
+            sequence: 0,
+            reported: HashMap::new(),
+            loading: Vec::new(),
+            full_at: None,
+        }
+    }
+
+    /// The next report; nothing when there is no news. `has_other_news` says that
+    /// the report is to carry something besides loads.
+    pub fn next(
+        &mut self,
+        catalogue: &EngineCatalogue,
+        loading: &[InstanceId],
+        has_other_news: bool,
+        now: Millis,
+    ) -> Option<LoadReport> {
+        let loading: Vec<EngineTag> = loading.iter().map(EngineTag::of).collect();
+        let present = present_loads(catalogue);
+        let is_due = |at| now.since(at) >= FULL_REPORT_PERIOD_MS;
+        let is_full = self.full_at.is_none_or(is_due);
+        let mut loads = match is_full {
+            true => present.iter().map(|(tag, load)| (*tag, *load)).collect(),
+            false => changes(&self.reported, &present),
+        };
+        let has_news = has_other_news || !loads.is_empty() || loading != self.loading;
+        if !is_full && !has_news {
+            return None;
+        }
+        loads.sort_by_key(|(tag, load)| (std::cmp::Reverse(load.waiting_tokens), *tag));
+        loads.truncate(MAX_LOADS);
+        if is_full {
+            self.full_at = Some(now);
+        }
+        self.sequence += 1;
+        self.reported = present;
+        self.loading.clone_from(&loading);
+        Some(LoadReport {
+            sender: self.sender,
+            life: self.life,
+            sequence: self.sequence,
+            is_full,
+            loads,
+            loading,
+        })
+    }
+}
+
+fn present_loads(catalogue: &EngineCatalogue) -> HashMap<EngineTag, EngineLoad> {
+    let engines = catalogue.iter().filter(|engine| engine.in_flight > 0);
+    let loads = engines.map(|engine| {
+        let load = EngineLoad {
+            requests: engine.in_flight,
+            waiting_tokens: engine.waiting_tokens,
+        };
+        (engine.tag, load)
+    });
+    loads.collect()
+}
+
+fn changes(
+    before: &HashMap<EngineTag, EngineLoad>,
+    present: &HashMap<EngineTag, EngineLoad>,
+) -> Vec<(EngineTag, EngineLoad)> {
+    let ended = before.keys().filter(|tag| !present.contains_key(*tag));
+    let ended = ended.map(|tag| (*tag, EngineLoad::default()));
+    let changed = present
+        .iter()
+        .filter(|(tag, load)| before.get(*tag) != Some(*load));
+    let changed = changed.map(|(tag, load)| (*tag, *load));
+    ended.chain(changed).collect()
+}
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,10 +1,13 @@
 //! The choice of an engine, by a cost in milliseconds with named terms.
 
 use crate::catalogue::{Engine, EngineCatalogue, InstanceId};
+use crate::peer_loads::PeerLoads;
+use crate::prefix_holders::PrefixHolders;
+use crate::prefix_reach::PrefixReach;
 use crate::rendezvous;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::prompt::ChainKey;
+use ploverlift_routing::prompt::{ChainKey, PromptPart};
 
 /// Rates with which costs are estimated.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,10 +22,21 @@
     /// milliseconds for each share of its slots.
     pub slot_ms: f64,
     /// Nodes that send to the same engines, for reading one's own load as a
-    /// sample of all.
+    /// sample of all while no other node reports its own.
     pub senders: f64,
 }
 
+/// What a node knows of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetView<'a> {
+    /// Engines, with this node's own requests.
+    pub catalogue: &'a EngineCatalogue,
+    /// Requests of other nodes.
+    pub peer_loads: &'a PeerLoads,
+    /// Engines that keep shared parts of prompts.
+    pub holders: &'a PrefixHolders,
+}
+
 /// What the choice depends on.
 #[derive(Clone, Debug)]
 pub struct Criteria<'a> {
@@ -41,10 +55,12 @@
 pub struct PromptCriteria<'a> {
     /// The model.
     pub model: &'a str,
+    /// Within which cache is shared.
+    pub scope: &'a str,
     /// Key of the shared parts.
     pub key: ChainKey,
-    /// Tokens of the shared parts.
-    pub shared_tokens: u64,
+    /// The parts that other requests may have too.
+    pub shared: &'a [PromptPart],
     /// Lowest version of weights that is allowed.
     pub required_weights: u64,
 }
@@ -54,8 +70,10 @@
 pub struct Cost {
     /// Waiting behind prompts that are being read.
     pub queue_ms: f64,
-    /// Moving or reading the shared parts when the engine is not their home.
+    /// Moving shared parts that the engine lacks from another one.
     pub transfer_ms: f64,
+    /// Reading shared parts that no engine is known to keep.
+    pub reading_ms: f64,
     /// Being in another zone.
     pub zone_ms: f64,
     /// Requests in the slots.
@@ -67,7 +85,9 @@
 impl Cost {
     /// The sum of all terms.
     pub fn total_ms(&self) -> f64 {
-        self.queue_ms + self.transfer_ms + self.zone_ms + self.slots_ms + self.failure_ms
+        let waiting_ms = self.queue_ms + self.slots_ms;
+        let prompt_ms = self.transfer_ms + self.reading_ms;
+        waiting_ms + prompt_ms + self.zone_ms + self.failure_ms
     }
 }
 
@@ -78,8 +98,13 @@
     pub instance: InstanceId,
     /// Its cost.
     pub cost: Cost,
-    /// The engine that is the prompt's home, when it is another one.
-    pub home: Option<InstanceId>,
+    /// Another engine from which it can have shared parts that it lacks, or that
+    /// it turns out to have dropped.
+    pub source: Option<InstanceId>,
+    /// Tokens of the shared parts that the source keeps.
+    pub source_tokens: u64,
+    /// Tokens of the shared parts that need not be read.
+    pub kept_tokens: u64,
     /// Engines that could be chosen.
     pub candidates: usize,
 }
@@ -105,6 +130,8 @@
 const LOADING_MS: f64 = 5_000.0;
 /// Cost of an engine that was put aside, in milliseconds.
 const SUSPENDED_MS: f64 = 20_000.0;
+/// How much longer moving cache takes between zones.
+const FAR_TRANSFER: f64 = 2.0;
 /// Cost of each place in the order of a prompt's engines, in milliseconds, so
 /// that overflow goes to the same few engines.
 const RANK_MS: f64 = 1.0;
@@ -114,25 +141,37 @@
 /// # Errors
 /// When no engine may serve the request.
 pub fn choose(
-    catalogue: &EngineCatalogue,
+    view: &FleetView<'_>,
     criteria: &Criteria<'_>,
     rates: &CostRates,
     now: Millis,
 ) -> Result<Choice, NoChoice> {
-    let candidates = candidates(catalogue, criteria)?;
+    let candidates = candidates(view.catalogue, criteria)?;
     let ranked = ranked(candidates, criteria);
-    let typical_failures = typical_failure_rate(&ranked, now);
-    let home = ranked.first().map(|engine| engine.record.instance.clone());
-    let costs = ranked.iter().enumerate().map(|(rank, engine)| {
-        let cost = cost(engine, rank, criteria, rates, typical_failures, now);
-        (*engine, cost)
+    let reach = match &criteria.prompt {
+        Some(prompt) => PrefixReach::of(view, criteria.service, prompt, now),
+        None => PrefixReach::default(),
+    };
+    let estimate = Estimate {
+        view,
+        criteria,
+        rates,
+        reach: &reach,
+        home: ranked.first().copied(),
+        typical_failures: typical_failure_rate(&ranked, now),
+        now,
+    };
+    let estimated = ranked.iter().enumerate().map(|(rank, engine)| {
+        let (cost, supply) = estimate.cost(engine, rank);
+        (*engine, cost, supply)
     });
-    let cheapest = costs.min_by(|(_, a), (_, b)| a.total_ms().total_cmp(&b.total_ms()));
-    let (engine, cost) = cheapest.ok_or(NoChoice::NoEngine)?;
-    let instance = engine.record.instance.clone();
+    let cheapest = estimated.min_by(|(_, a, _), (_, b, _)| a.total_ms().total_cmp(&b.total_ms()));
+    let (engine, cost, supply) = cheapest.ok_or(NoChoice::NoEngine)?;
     Ok(Choice {
-        home: home.filter(|home| criteria.prompt.is_some() && *home != instance),
-        instance,
+        instance: engine.record.instance.clone(),
+        source: supply.source.map(|source| source.record.instance.clone()),
+        source_tokens: supply.source_tokens,
+        kept_tokens: supply.kept_tokens,
         cost,
         candidates: ranked.len(),
     })
@@ -195,38 +234,91 @@
         .unwrap_or(0.0)
 }
 
-fn cost(
-    engine: &Engine,
-    rank: usize,
-    criteria: &Criteria<'_>,
-    rates: &CostRates,
+/// Where an engine can have the shared parts of a prompt.
+#[derive(Clone, Copy, Debug, Default)]
+struct Supply<'a> {
+    source: Option<&'a Engine>,
+    source_tokens: u64,
+    kept_tokens: u64,
+}
+
+/// What the costs of all candidates have in common.
+struct Estimate<'a> {
+    view: &'a FleetView<'a>,
+    criteria: &'a Criteria<'a>,
+    rates: &'a CostRates,
+    reach: &'a PrefixReach<'a>,
+    home: Option<&'a Engine>,
     typical_failures: f64,
     now: Millis,
-) -> Cost {
-    let mut cost = Cost {
-        failure_ms: failure_ms(engine, typical_failures, now),
-        ..Cost::default()
-    };
-    let slots = f64::from(engine.record.slots.max(1));
-    let occupied = f64::from(engine.in_flight) / slots;
-    match &criteria.prompt {
-        Some(prompt) => {
-            cost.queue_ms = engine.waiting_tokens as f64 / rates.prompt_tokens_per_ms;
-            cost.slots_ms = occupied * rates.senders * rates.slot_ms;
+}
+
+impl<'a> Estimate<'a> {
+    fn cost(&self, engine: &'a Engine, rank: usize) -> (Cost, Supply<'a>) {
+        let rates = self.rates;
+        let mut cost = Cost {
+            failure_ms: failure_ms(engine, self.typical_failures, self.now),
+            ..Cost::default()
+        };
+        if engine.record.zone != *self.criteria.zone {
+            cost.zone_ms = rates.zone_ms;
+        }
+        let peers = self.view.peer_loads.at(engine.tag);
+        let requests = match self.view.peer_loads.peer_count() {
+            0 => f64::from(engine.in_flight) * rates.senders,
+            _ => f64::from(engine.in_flight + peers.requests),
+        };
+        let occupied = requests / f64::from(engine.record.slots.max(1));
+        cost.slots_ms = occupied * rates.slot_ms;
+        let Some(prompt) = &self.criteria.prompt else {
+            return (cost, Supply::default());
+        };
+        let waiting_tokens = engine.waiting_tokens + peers.waiting_tokens;
+        cost.queue_ms = waiting_tokens as f64 / rates.prompt_tokens_per_ms;
+        let supply = self.supply(engine, prompt, rank, &mut cost);
+        cost.transfer_ms += RANK_MS * rank as f64;
+        (cost, supply)
+    }
+
+    /// Finds the cheapest way by which an engine can have the shared parts.
+    fn supply(
+        &self,
+        engine: &'a Engine,
+        prompt: &PromptCriteria<'_>,
+        rank: usize,
+        cost: &mut Cost,
+    ) -> Supply<'a> {
+        let rate = self.rates.prompt_tokens_per_ms;
+        let share = self.rates.transfer_share;
+        let shared = prompt.shared.iter().map(|part| part.tokens).sum::<u64>();
+        if !self.reach.is_known() {
+            // Nobody is known to keep any part: the home may.
             if rank > 0 {
-                let shared = prompt.shared_tokens as f64;
-                let moving = shared / rates.prompt_tokens_per_ms * rates.transfer_share;
-                cost.transfer_ms = moving + RANK_MS * rank as f64;
+                cost.transfer_ms = shared as f64 / rate * share;
             }
+            let home = self.home.filter(|home| {
+                let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
+                rank > 0 && same_weights && !home.health.is_suspected()
+            });
+            return Supply {
+                source: home,
+                ..Supply::default()
+            };
         }
-        None => {
-            cost.slots_ms = occupied * rates.slot_ms;
+        let held = self.reach.held(engine, prompt.model);
+        let best = self.reach.best_source(engine, prompt.model);
+        let source_tokens = best.map_or(0, |(_, tokens)| tokens);
+        let kept = held.max(source_tokens);
+        let is_far = best.is_some_and(|(source, _)| source.record.zone != engine.record.zone);
+        let distance = if is_far { FAR_TRANSFER } else { 1.0 };
+        cost.transfer_ms = (kept - held) as f64 / rate * share * distance;
+        cost.reading_ms = shared.saturating_sub(kept) as f64 / rate;
+        Supply {
+            source: best.map(|(source, _)| source),
+            source_tokens,
+            kept_tokens: kept,
         }
     }
-    if engine.record.zone != *criteria.zone {
-        cost.zone_ms = rates.zone_ms;
-    }
-    cost
 }
 
 fn failure_ms(engine: &Engine, typical_failures: f64, now: Millis) -> f64 {
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -2,10 +2,14 @@
 
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::health::Outcome;
-use ploverlift_balancing::selection::{choose, CostRates, Criteria, NoChoice, PromptCriteria};
+use ploverlift_balancing::peer_loads::PeerLoads;
+use ploverlift_balancing::prefix_holders::PrefixHolders;
+use ploverlift_balancing::selection::{
+    choose, CostRates, Criteria, FleetView, NoChoice, PromptCriteria,
+};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::prompt::ChainKey;
+use ploverlift_routing::prompt::{ChainKey, PromptPart};
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -52,17 +56,26 @@
 ) -> Result<InstanceId, NoChoice> {
     let prompt = PromptCriteria {
         model: "m",
+        scope: "",
         key: ChainKey(key),
-        shared_tokens: 4_000,
+        shared: &[PromptPart {
+            id: key,
+            tokens: 4_000,
+        }],
         required_weights,
     };
+    let view = FleetView {
+        catalogue,
+        peer_loads: &PeerLoads::default(),
+        holders: &PrefixHolders::default(),
+    };
     let criteria = Criteria {
         service: &ServiceName::from("llm"),
         zone: &ZoneName::from(zone),
         prompt: Some(prompt),
         excluded,
     };
-    choose(catalogue, &criteria, &RATES, now).map(|choice| choice.instance)
+    choose(&view, &criteria, &RATES, now).map(|choice| choice.instance)
 }
 
 proptest! {
--- /dev/null
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -0,0 +1,278 @@
+//! What nodes tell each other: loads and holders of prompts, merged from reports
+//! that are lost, late and repeated, and the choices that follow from them.
+
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
+use ploverlift_balancing::peer_loads::{
+    EngineLoad, EngineTag, LoadReport, PeerId, PeerLoads, ReportBuilder, FULL_REPORT_PERIOD_MS,
+};
+use ploverlift_balancing::prefix_holders::{chain_keys, Placement, PrefixHolders};
+use ploverlift_balancing::selection::{
+    choose, Choice, CostRates, Criteria, FleetView, PromptCriteria,
+};
+use ploverlift_policy::ids::{Millis, ZoneName};
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::prompt::{cache_salt, ChainKey, PromptPart};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+const NOW: Millis = Millis(50_000);
+const RATES: CostRates = CostRates {
+    prompt_tokens_per_ms: 40.0,
+    transfer_share: 0.2,
+    zone_ms: 2.0,
+    slot_ms: 30.0,
+    senders: 7.0,
+};
+
+fn instance(index: usize) -> InstanceId {
+    InstanceId(format!("e{index}"))
+}
+
+fn tag(index: usize) -> EngineTag {
+    EngineTag::of(&instance(index))
+}
+
+fn catalogue(weights: &[u64]) -> EngineCatalogue {
+    let mut catalogue = EngineCatalogue::default();
+    for (index, weights) in weights.iter().enumerate() {
+        catalogue.upsert(EngineRecord {
+            instance: instance(index),
+            service: ServiceName::from("llm"),
+            address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
+            zone: ZoneName::from("z"),
+            slots: 8,
+            is_leaving: false,
+            weights: [("m".to_owned(), *weights)].into(),
+        });
+    }
+    catalogue
+}
+
+fn load(requests: u32, waiting_tokens: u64) -> EngineLoad {
+    EngineLoad {
+        requests,
+        waiting_tokens,
+    }
+}
+
+fn report(sender: u64, sequence: u64, loads: &[(EngineTag, EngineLoad)]) -> LoadReport {
+    LoadReport {
+        sender: PeerId(sender),
+        life: 1,
+        sequence,
+        is_full: false,
+        loads: loads.to_vec(),
+        loading: Vec::new(),
+    }
+}
+
+/// Two shared parts of 2,000 and 4,000 tokens.
+fn parts() -> Vec<PromptPart> {
+    vec![
+        PromptPart {
+            id: 1,
+            tokens: 2_000,
+        },
+        PromptPart {
+            id: 2,
+            tokens: 4_000,
+        },
+    ]
+}
+
+fn chosen(catalogue: &EngineCatalogue, loads: &PeerLoads, holders: &PrefixHolders) -> Choice {
+    let shared = parts();
+    let criteria = Criteria {
+        service: &ServiceName::from("llm"),
+        zone: &ZoneName::from("z"),
+        prompt: Some(PromptCriteria {
+            model: "m",
+            scope: "",
+            key: ChainKey(7),
+            shared: &shared,
+            required_weights: 0,
+        }),
+        excluded: &[],
+    };
+    let view = FleetView {
+        catalogue,
+        peer_loads: loads,
+        holders,
+    };
+    choose(&view, &criteria, &RATES, NOW).expect("an engine")
+}
+
+/// The engines keep the first `count` parts under these weights.
+fn kept_by(engines: &[usize], weights: u64, count: usize) -> PrefixHolders {
+    let chains = chain_keys(&cache_salt("m", weights, ""), &parts()[..count]);
+    let mut holders = PrefixHolders::default();
+    for engine in engines {
+        holders.note_own(&chains, tag(*engine), NOW);
+    }
+    holders
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, ..ProptestConfig::default() })]
+
+    /// Whatever reports are lost, repeated or overtaken, each node's last full
+    /// report that arrives leaves just its loads.
+    #[test]
+    fn totals_are_the_sum_of_the_last_full_reports(
+        steps in prop::collection::vec((0usize..3, 0usize..4, 0u32..5, any::<bool>()), 1..60),
+        order in any::<u64>(),
+    ) {
+        let mut catalogues = vec![catalogue(&[1; 4]); 3];
+        let mut builders: Vec<ReportBuilder> =
+            (0..3).map(|node| ReportBuilder::new(PeerId(node), 1)).collect();
+        let mut merged = PeerLoads::default();
+        let mut late = Vec::new();
+        let mut now = NOW;
+        for (index, (node, engine, tokens, arrives)) in steps.iter().enumerate() {
+            now = now.plus(40);
+            let catalogue = &mut catalogues[*node];
+            if order.rotate_left(index as u32) & 1 == 0 {
+                catalogue.begin(&instance(*engine), u64::from(*tokens), now);
+            } else {
+                catalogue.end(&instance(*engine), u64::from(*tokens));
+            }
+            if let Some(report) = builders[*node].next(catalogue, &[], false, now) {
+                if *arrives {
+                    merged.apply(&report, now);
+                } else {
+                    late.push(report);
+                }
+            }
+        }
+        now = now.plus(FULL_REPORT_PERIOD_MS);
+        for node in 0..3 {
+            let full = builders[node].next(&catalogues[node], &[], false, now);
+            merged.apply(&full.expect("a full report"), now);
+        }
+        for report in late {
+            prop_assert!(!merged.apply(&report, now));
+        }
+        for engine in 0..4 {
+            let expected = catalogues.iter().filter_map(|catalogue| catalogue.get(&instance(engine)));
+            let requests: u32 = expected.map(|engine| engine.in_flight).sum();
+            prop_assert_eq!(merged.at(tag(engine)).requests, requests);
+        }
+    }
+}
+
+#[test]
+fn a_silent_node_no_longer_counts() {
+    let mut loads = PeerLoads::default();
+    loads.apply(&report(1, 1, &[(tag(0), load(3, 900))]), NOW);
+    loads.apply(&report(2, 1, &[(tag(0), load(1, 50))]), NOW.plus(1_500));
+    loads.expire(NOW.plus(1_900));
+    assert_eq!(loads.at(tag(0)), load(1, 50));
+    assert_eq!(loads.peer_count(), 1);
+}
+
+#[test]
+fn a_restarted_node_begins_without_load() {
+    let mut loads = PeerLoads::default();
+    loads.apply(&report(1, 900, &[(tag(0), load(3, 900))]), NOW);
+    let mut restarted = report(1, 1, &[(tag(1), load(1, 10))]);
+    restarted.life = 2;
+    assert!(loads.apply(&restarted, NOW));
+    assert_eq!(loads.at(tag(0)), EngineLoad::default());
+    assert_eq!(loads.at(tag(1)), load(1, 10));
+}
+
+#[test]
+fn engines_that_another_node_loads_are_known_until_it_says_otherwise() {
+    let mut loads = PeerLoads::default();
+    let mut loading = report(1, 1, &[]);
+    loading.loading = vec![tag(2)];
+    loads.apply(&loading, NOW);
+    assert!(loads.is_loading(tag(2)));
+    loads.apply(&report(1, 2, &[]), NOW);
+    assert!(!loads.is_loading(tag(2)));
+}
+
+#[test]
+fn a_prompt_in_front_counts_whoever_sent_it() {
+    let catalogue = catalogue(&[1; 4]);
+    let holders = kept_by(&[0, 1], 1, 2);
+    let mut loads = PeerLoads::default();
+    let first = chosen(&catalogue, &loads, &holders);
+    loads.apply(
+        &report(1, 1, &[(EngineTag::of(&first.instance), load(1, 12_000))]),
+        NOW,
+    );
+    let second = chosen(&catalogue, &loads, &holders);
+    assert_ne!(second.instance, first.instance);
+    assert!([instance(0), instance(1)].contains(&second.instance));
+}
+
+#[test]
+fn an_engine_that_keeps_the_prompt_is_chosen_over_its_home() {
+    let catalogue = catalogue(&[1; 6]);
+    let home = chosen(&catalogue, &PeerLoads::default(), &PrefixHolders::default());
+    let other = (0..6).find(|index| instance(*index) != home.instance);
+    let other = other.expect("another engine");
+    let holders = kept_by(&[other], 1, 2);
+    let choice = chosen(&catalogue, &PeerLoads::default(), &holders);
+    assert_eq!(choice.instance, instance(other));
+    assert_eq!((choice.source, choice.kept_tokens), (None, 6_000));
+}
+
+#[test]
+fn what_an_engine_lacks_comes_from_the_one_that_keeps_most() {
+    let mut catalogue = catalogue(&[1; 3]);
+    let mut holders = kept_by(&[0], 1, 2);
+    let first_part = chain_keys(&cache_salt("m", 1, ""), &parts()[..1]);
+    holders.note_own(&first_part, tag(1), NOW);
+    // The holder of all parts is too busy to be chosen.
+    catalogue.begin(&instance(0), 90_000, NOW);
+    catalogue.begin(&instance(2), 90_000, NOW);
+    let choice = chosen(&catalogue, &PeerLoads::default(), &holders);
+    assert_eq!(choice.instance, instance(1));
+    assert_eq!(choice.source, Some(instance(0)));
+    assert_eq!((choice.source_tokens, choice.kept_tokens), (6_000, 6_000));
+    assert!(choice.cost.transfer_ms > 0.0 && choice.cost.reading_ms == 0.0);
+}
+
+#[test]
+fn cache_of_other_weights_is_no_source() {
+    let catalogue = catalogue(&[2, 1]);
+    let holders = kept_by(&[1], 1, 2);
+    let mut loads = PeerLoads::default();
+    loads.apply(&report(1, 1, &[(tag(1), load(1, 90_000))]), NOW);
+    let choice = chosen(&catalogue, &loads, &holders);
+    assert_eq!(choice.instance, instance(0));
+    assert_eq!((choice.source, choice.kept_tokens), (None, 0));
+}
+
+#[test]
+fn holders_are_forgotten_and_their_number_is_bounded() {
+    let mut holders = PrefixHolders::default();
+    for chain in 0..50_000 {
+        let placement = Placement {
+            chain: ChainKey(chain),
+            engine: tag(0),
+        };
+        holders.note(placement, NOW);
+    }
+    assert!(holders.len() <= 20_000);
+    let holders = kept_by(&[0, 1, 2, 3, 4, 5], 1, 1);
+    let chain = chain_keys(&cache_salt("m", 1, ""), &parts()[..1])[0];
+    let known: Vec<EngineTag> = holders.of(chain, NOW).collect();
+    assert_eq!(known, [tag(2), tag(3), tag(4), tag(5)]);
+    assert_eq!(holders.of(chain, NOW.plus(20_000)).count(), 0);
+}
+
+#[test]
+fn a_placement_is_reported_once_and_again_when_it_is_old() {
+    let chains = [ChainKey(9)];
+    let mut holders = PrefixHolders::default();
+    holders.note_own(&chains, tag(0), NOW);
+    holders.note_own(&chains, tag(0), NOW.plus(100));
+    assert_eq!(holders.take_unreported(16).len(), 1);
+    holders.note_own(&chains, tag(0), NOW.plus(200));
+    assert_eq!(holders.take_unreported(16).len(), 0);
+    holders.note_own(&chains, tag(0), NOW.plus(9_000));
+    assert_eq!(holders.take_unreported(16).len(), 1);
+}
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -2,6 +2,8 @@
 
 use crate::cache_feed::follow_cache;
 use crate::callers::{accept_callers, bind};
+use crate::peers::discovery::find_peers;
+use crate::peers::{receive_reports, send_reports};
 use crate::ports::Site;
 use crate::readiness::{answer_metrics, answer_readiness};
 use crate::settings::{GatewaySettings, SettingsError};
@@ -10,7 +12,7 @@
 use crate::time::{sleep, within};
 use crate::weights::roll_weights;
 use slog::Logger;
-use smol::net::TcpListener;
+use smol::net::{TcpListener, UdpSocket};
 use smol::Task;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -84,6 +86,15 @@
     if let Some(listener) = metrics {
         tasks.push(smol::spawn(answer_metrics(Arc::clone(&gateway), listener)));
     }
+    if let Some(address) = gateway.settings().listen.peers {
+        let socket = Arc::new(listen_for_peers(address)?);
+        let own = socket.local_addr().unwrap_or(address);
+        gateway.address_book().set_own(own);
+        let sending = send_reports(Arc::clone(&gateway), Arc::clone(&socket));
+        tasks.push(smol::spawn(sending));
+        tasks.push(smol::spawn(receive_reports(Arc::clone(&gateway), socket)));
+        tasks.push(smol::spawn(find_peers(Arc::clone(&gateway), own)));
+    }
     slog::info!(gateway.log, "started";
         "callers" => callers_address.to_string(),
         "readiness" => readiness_address.to_string(),
@@ -107,6 +118,15 @@
     Ok((bound, local))
 }
 
+fn listen_for_peers(address: SocketAddr) -> Result<UdpSocket, StartError> {
+    let bound = std::net::UdpSocket::bind(address).and_then(|socket| {
+        socket.set_nonblocking(true)?;
+        UdpSocket::try_from(socket)
+    });
+    let purpose = "peers";
+    bound.context(ListenSnafu { address, purpose })
+}
+
 impl RunningGateway {
     /// A planned stop: readiness is taken back at once; requests go on being
     /// taken until the load balancer sends no more; the node ends when none is
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`relay`] | one request, from its head to the end of its answer |
 //! | [`engine_connection`] | one request on one connection to an engine |
 //! | [`store`] | client of the object store and the copies that follow it |
+//! | [`peers`] | reports between nodes: loads, and who keeps which prompts |
 //! | [`cache_feed`] | follows what the store of kept cache holds |
 //! | [`weights`] | bringing engines to new weights, by one holder of a lease |
 //! | [`readiness`], [`metrics`], [`logging`] | what a node tells of itself |
@@ -25,6 +26,7 @@
 pub mod http_call;
 pub mod logging;
 pub mod metrics;
+pub mod peers;
 pub mod ports;
 pub mod readiness;
 pub mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub orders: Counter,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
+    /// Other nodes that were heard of lately.
+    pub peers: Gauge,
     /// Engines in the catalogue.
     pub engines: Gauge,
     /// Log lines on requests that were left out.
@@ -58,6 +60,7 @@
             store_failures: Counter::default(),
             orders: Counter::default(),
             configuration_version: Gauge::default(),
+            peers: Gauge::default(),
             engines: Gauge::default(),
             log_lines_skipped: Counter::default(),
             first_byte_seconds: Histogram::new(buckets),
@@ -105,6 +108,7 @@
         let version = self.configuration_version.clone();
         registry.register("configuration_version", "Configuration in force", version);
         registry.register("engines", "Engines in the catalogue", self.engines.clone());
+        registry.register("peers", "Other nodes heard of lately", self.peers.clone());
         let first_byte = self.first_byte_seconds.clone();
         let help = "Time to the first byte of the answer";
         registry.register_with_unit("first_byte", help, Unit::Seconds, first_byte);
--- /dev/null
+++ b/crates/gateway/src/peers/discovery.rs
@@ -0,0 +1,108 @@
+//! Nodes find each other by records in the object store. Whoever is sent a
+//! report answers with reports of its own, so one side's knowledge is enough.
+
+use super::address_book::ListedNode;
+use crate::ports::{StoreError, StoreKind, StoreObject};
+use crate::state::Gateway;
+use crate::store::StoreClient;
+use crate::time::sleep;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Time between the first two lists, in milliseconds: nodes that start together
+/// do not see each other in the first. It doubles with each list.
+const FIRST_LIST_PERIOD_MS: u64 = 500;
+/// Time between two lists later on, in milliseconds.
+const LIST_PERIOD_MS: u64 = 10_000;
+/// Time between two lists for each node in it, in milliseconds: what lists cost
+/// a node stays the same however large the fleet.
+const LIST_PERIOD_PER_NODE_MS: u64 = 200;
+/// Pause after the store did not answer, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
+/// A node's record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Where it receives reports.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// Keeps this node's record and reads those of others until the task is dropped.
+pub async fn find_peers(gateway: Arc<Gateway>, address: SocketAddr) {
+    let mut client = StoreClient::new(&gateway);
+    let own = NodeRecord {
+        address,
+        zone: gateway.zone.0.clone(),
+    };
+    let mut next_ms = FIRST_LIST_PERIOD_MS;
+    loop {
+        match look(&gateway, &mut client, &own).await {
+            Ok(nodes) => {
+                let period_ms = LIST_PERIOD_MS.max(LIST_PERIOD_PER_NODE_MS * nodes as u64);
+                sleep(next_ms.min(period_ms)).await;
+                next_ms = next_ms.saturating_mul(2);
+            }
+            Err(error) => {
+                slog::debug!(gateway.log, "nodes not read"; "error" => error.to_string());
+                client.reset();
+                sleep(RETRY_MS + fastrand::u64(0..RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Reads the nodes, and writes this one's record where it is missing or wrong.
+/// Tells how many there are.
+async fn look(
+    gateway: &Gateway,
+    client: &mut StoreClient,
+    own: &NodeRecord,
+) -> Result<usize, StoreError> {
+    let objects = client.list_stale(StoreKind::Nodes).await?;
+    let name = &gateway.settings().node.name;
+    let stored = objects.iter().find(|object| object.name == *name);
+    if stored.and_then(read_record).as_ref() != Some(own) {
+        let revision = stored.map_or(0, |object| object.revision);
+        register(client, name, revision, own).await?;
+    }
+    let nodes: Vec<ListedNode> = objects
+        .iter()
+        .filter_map(read_record)
+        .map(|record| ListedNode {
+            address: record.address,
+            is_near: record.zone == gateway.zone.0,
+        })
+        .collect();
+    let now = gateway.clock.now();
+    gateway.address_book().take_list(&nodes, now);
+    Ok(nodes.len())
+}
+
+async fn register(
+    client: &mut StoreClient,
+    name: &str,
+    revision: u64,
+    own: &NodeRecord,
+) -> Result<(), StoreError> {
+    let content = serde_json::to_value(own).unwrap_or_default();
+    let written = client.compare_and_set(StoreKind::Nodes, name, revision, content.clone());
+    match written.await {
+        // The list was old: the store tells what is there now.
+        Err(StoreError::Conflict {
+            current: Some(current),
+        }) if read_record(&current).as_ref() != Some(own) => {
+            let revision = current.revision;
+            let written = client.compare_and_set(StoreKind::Nodes, name, revision, content);
+            written.await.map(|_| ())
+        }
+        Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+fn read_record(object: &StoreObject) -> Option<NodeRecord> {
+    serde_json::from_value(object.content.clone()).ok()
+}
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -17,6 +17,8 @@
     Weights,
     /// Leases of this product.
     Leases,
+    /// Nodes of this product, one object each.
+    Nodes,
 }
 
 /// One stored object.
@@ -41,6 +43,8 @@
         kind: StoreKind,
         /// The last name of the page before.
         after: Option<String>,
+        /// Whether the answer may be some seconds old, which is cheaper.
+        may_be_stale: bool,
     },
     /// One object.
     Get {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -8,6 +8,7 @@
 use crate::state::{CacheBeliefs, CacheStoreState};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_balancing::selection::{choose, Cost, Criteria, NoChoice, PromptCriteria};
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::attempt::AttemptState;
@@ -66,10 +67,19 @@
     pub(super) address: SocketAddr,
     pub(super) weights: Option<u64>,
     pub(super) cache: Option<CacheTransfer>,
+    pub(super) tag: EngineTag,
+    /// Prompt tokens that it is expected to read.
+    pub(super) tokens_to_read: u64,
     pub(super) cost: Cost,
     pub(super) candidates: usize,
 }
 
+/// An engine that keeps the beginning of a prompt.
+struct KeptPrefix {
+    address: SocketAddr,
+    tokens: u64,
+}
+
 impl Relay {
     /// Chooses an engine among those that were not tried.
     pub(super) fn choose(&self) -> Result<ChosenEngine, NoChoice> {
@@ -82,8 +92,9 @@
         let prompt = self.received.request.prompt.as_ref();
         let prompt = prompt.map(|prompt| PromptCriteria {
             model: &prompt.model,
+            scope,
             key: prompt.shared_key(scope),
-            shared_tokens: prompt.shared_tokens(),
+            shared: prompt.shared_parts(),
             required_weights: beliefs.required_weights(&prompt.model, &bounds, now),
         });
         let criteria = Criteria {
@@ -92,7 +103,7 @@
             prompt,
             excluded: self.progress.attempts.tried(),
         };
-        let choice = choose(&beliefs.engines, &criteria, &rates, now)?;
+        let choice = choose(&beliefs.fleet(), &criteria, &rates, now)?;
         let engine = beliefs.engines.get(&choice.instance);
         let engine = engine.ok_or(NoChoice::NoEngine)?;
         let mut chosen = ChosenEngine {
@@ -100,34 +111,38 @@
             address: engine.record.address,
             weights: None,
             cache: None,
+            tag: engine.tag,
+            tokens_to_read: self.received.request.prompt.as_ref().map_or(0, |prompt| {
+                prompt.tokens().saturating_sub(choice.kept_tokens)
+            }),
             cost: choice.cost,
             candidates: choice.candidates,
         };
         if let Some(prompt) = &criteria.prompt {
             let weights = engine.weights_of(prompt.model);
             chosen.weights = Some(weights).filter(|weights| *weights > 0);
-            let home = choice
-                .home
-                .as_ref()
-                .and_then(|home| beliefs.engines.get(home));
-            let home = home.filter(|home| home.weights_of(prompt.model) == weights);
-            let home = home.filter(|home| !home.health.is_suspected());
-            let home = home.map(|home| home.record.address);
-            chosen.cache = Some(self.transfer(&beliefs.cache, prompt.model, scope, weights, home));
+            let source = choice.source.as_ref();
+            let source = source.and_then(|source| beliefs.engines.get(source));
+            let source = source.map(|source| KeptPrefix {
+                address: source.record.address,
+                tokens: choice.source_tokens,
+            });
+            chosen.cache =
+                Some(self.transfer(&beliefs.cache, prompt.model, scope, weights, source));
         }
         Ok(chosen)
     }
 
-    /// Fetches shared parts from the store, or from the prompt's home when the
-    /// store has none of them, and saves those that it lacks:
-    /// once in the fleet for each version of the weights.
+    /// Fetches shared parts from the engine that keeps them, or from the store
+    /// when that keeps more, and saves those that the store lacks: once in the
+    /// fleet for each version of the weights.
     fn transfer(
         &self,
         cache: &CacheBeliefs,
         model: &str,
         scope: &str,
         weights: u64,
-        home: Option<SocketAddr>,
+        source: Option<KeptPrefix>,
     ) -> CacheTransfer {
         // Without known weights nothing may be shared with any other request.
         if weights == 0 {
@@ -142,15 +157,19 @@
         let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
         let is_kept = |part: &PromptPart| cache.contents.has(&salt, part.id);
         // A part is of use only when every part before it is kept as well.
-        let kept = shared.iter().take_while(|part| is_kept(part)).count();
-        let is_whole = kept == shared.len();
+        let kept = shared.iter().take_while(|part| is_kept(part));
+        let kept_tokens: u64 = kept.map(|part| part.tokens).sum();
+        let is_whole = shared.iter().all(is_kept);
         let configuration = &self.received.admission.configuration;
         let store = cache_store(configuration, &self.gateway.zone);
         let store = store.filter(|_| cache.state != CacheStoreState::Lost);
         let store = store.map(|store| store.address);
-        let may_hold_some = kept > 0 || cache.state == CacheStoreState::Unobserved;
+        let is_unobserved = cache.state == CacheStoreState::Unobserved;
+        let source_tokens = source.as_ref().map_or(0, |source| source.tokens);
+        let keeps_more = kept_tokens > source_tokens || (is_unobserved && source_tokens == 0);
+        let source = source.map(|source| source.address);
         CacheTransfer {
-            fetch_from: store.filter(|_| may_hold_some).or(home),
+            fetch_from: store.filter(|_| keeps_more).or(source),
             save_to: store.filter(|_| !is_whole),
             salt,
         }
@@ -161,8 +180,7 @@
     /// # Errors
     /// When the caller is gone.
     pub(super) async fn attempt(&mut self, chosen: ChosenEngine) -> io::Result<AttemptEnd> {
-        let tokens = self.received.request.prompt.as_ref();
-        let tokens = tokens.map_or(0, |prompt| prompt.tokens());
+        let tokens = chosen.tokens_to_read;
         let mut in_flight = InFlight::begin(&self.gateway, &chosen.instance, tokens);
         self.record.begin_attempt(&chosen);
         let end = match self.send(&chosen).await {
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -43,7 +43,7 @@
         let cost = &chosen.cost;
         let _ = write!(
             self.attempts,
-            "{}{} weights={} cache={} of={} queue={:.0} transfer={:.0} zone={:.0} slots={:.0} failure={:.0}",
+            "{}{} weights={} cache={} of={} queue={:.0} transfer={:.0} reading={:.0} zone={:.0} slots={:.0} failure={:.0}",
             if self.attempts.is_empty() { "" } else { "; " },
             chosen.instance,
             chosen.weights.unwrap_or(0),
@@ -51,6 +51,7 @@
             chosen.candidates,
             cost.queue_ms,
             cost.transfer_ms,
+            cost.reading_ms,
             cost.zone_ms,
             cost.slots_ms,
             cost.failure_ms,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -13,6 +13,7 @@
 use crate::state::CacheStoreState;
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_balancing::prefix_holders::chain_keys;
 use std::io;
 
 /// How a stream went on.
@@ -38,6 +39,7 @@
                     if is_first {
                         is_first = false;
                         in_flight.answered();
+                        self.note_read(chosen);
                         self.note_saved(chosen);
                     }
                     self.deliver(&answer, &bytes).await?;
@@ -62,6 +64,17 @@
         }
     }
 
+    /// The engine has read the prompt, and so keeps its parts.
+    fn note_read(&self, chosen: &ChosenEngine) {
+        let prompt = self.received.request.prompt.as_ref();
+        if let (Some(cache), Some(prompt)) = (&chosen.cache, prompt) {
+            let chains = chain_keys(&cache.salt, prompt.shared_parts());
+            let now = self.gateway.clock.now();
+            let holders = &mut self.gateway.beliefs().holders;
+            holders.note_own(&chains, chosen.tag, now);
+        }
+    }
+
     /// The engine has read the prompt, and so saves what it was told to.
     fn note_saved(&self, chosen: &ChosenEngine) {
         let saved = chosen
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -52,6 +52,8 @@
     pub readiness: SocketAddr,
     /// For metrics; none when absent.
     pub metrics: Option<SocketAddr>,
+    /// For reports of other nodes (UDP); none are exchanged when absent.
+    pub peers: Option<SocketAddr>,
 }
 
 /// `[store]`.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,14 +1,17 @@
 //! What the tasks of a node share.
 
 use crate::metrics::Metrics;
+use crate::peers::address_book::AddressBook;
 use crate::ports::Site;
 use crate::settings::GatewaySettings;
 use crate::time::Clock;
 use event_listener::Event;
 use ploverlift_balancing::cache_contents::CacheContents;
-use ploverlift_balancing::catalogue::EngineCatalogue;
+use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
+use ploverlift_balancing::peer_loads::PeerLoads;
+use ploverlift_balancing::prefix_holders::PrefixHolders;
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
-use ploverlift_balancing::selection::CostRates;
+use ploverlift_balancing::selection::{CostRates, FleetView};
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::{Configuration, ServiceName};
@@ -84,6 +87,12 @@
     pub splitter: WeightedSplitter,
     /// The store of kept cache.
     pub cache: CacheBeliefs,
+    /// Requests of the other nodes.
+    pub peer_loads: PeerLoads,
+    /// Engines that keep shared parts of prompts.
+    pub holders: PrefixHolders,
+    /// Engines that load weights by this node's order.
+    pub loading: Vec<InstanceId>,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
 }
 
@@ -116,6 +125,7 @@
     requests_under_way: AtomicUsize,
     success_lines: Mutex<LineAllowance>,
     beliefs: Mutex<Beliefs>,
+    address_book: Mutex<AddressBook>,
 }
 
 /// Log lines that were written in the present second.
@@ -145,6 +155,7 @@
             requests_under_way: AtomicUsize::new(0),
             success_lines: Mutex::new(LineAllowance::default()),
             beliefs: Mutex::new(Beliefs::default()),
+            address_book: Mutex::new(AddressBook::default()),
         }
     }
 
@@ -166,6 +177,12 @@
         beliefs.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Addresses of the other nodes, locked. Never held over I/O.
+    pub fn address_book(&self) -> MutexGuard<'_, AddressBook> {
+        let address_book = self.address_book.lock();
+        address_book.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Arc<ActiveConfiguration>> {
         self.beliefs().configuration.clone()
@@ -266,6 +283,15 @@
 }
 
 impl Beliefs {
+    /// What is known of the fleet, for the choice of an engine.
+    pub fn fleet(&self) -> FleetView<'_> {
+        FleetView {
+            catalogue: &self.engines,
+            peer_loads: &self.peer_loads,
+            holders: &self.holders,
+        }
+    }
+
     /// The retry budget of a service.
     pub fn retry_budget(
         &mut self,
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -79,11 +79,33 @@
     /// # Errors
     /// When a page cannot be read.
     pub async fn list(&mut self, kind: StoreKind) -> Result<(Vec<StoreObject>, u64), StoreError> {
+        self.list_pages(kind, false).await
+    }
+
+    /// Reads all objects of a kind as they were some seconds ago, or later.
+    ///
+    /// # Errors
+    /// When a page cannot be read.
+    pub async fn list_stale(&mut self, kind: StoreKind) -> Result<Vec<StoreObject>, StoreError> {
+        let listed = self.list_pages(kind, true).await;
+        listed.map(|(objects, _)| objects)
+    }
+
+    async fn list_pages(
+        &mut self,
+        kind: StoreKind,
+        may_be_stale: bool,
+    ) -> Result<(Vec<StoreObject>, u64), StoreError> {
         let mut all = Vec::new();
         let mut first_revision = None;
         let mut after = None;
         loop {
-            let reply = self.call(&StoreCall::List { kind, after }).await?;
+            let call = StoreCall::List {
+                kind,
+                after,
+                may_be_stale,
+            };
+            let reply = self.call(&call).await?;
             let StoreReply::Page {
                 mut objects,
                 has_more,
--- /dev/null
+++ b/crates/gateway/tests/peers.rs
@@ -0,0 +1,126 @@
+//! Nodes find each other through the store and tell each other their loads.
+
+mod support;
+
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadReport, PeerId};
+use ploverlift_balancing::prefix_holders::{chain_keys, Placement};
+use ploverlift_gateway::assembly::start;
+use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::peers::address_book::{AddressBook, ListedNode};
+use ploverlift_gateway::peers::messages::{decode, encode, PeerReport, MAX_PLACEMENTS};
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::prompt::{cache_salt, ChainKey, PromptPart};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use support::caller::{self, prompt};
+use support::engine::{Behaviour, StandInEngine};
+use support::site::StandInSite;
+use support::{configuration, settings, Fixture};
+
+const NOW: Millis = Millis(100_000);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn listed(port: u16, is_near: bool) -> ListedNode {
+    ListedNode {
+        address: address(port),
+        is_near,
+    }
+}
+
+#[test]
+fn reports_survive_the_wire_and_fit_one_datagram() {
+    let report = PeerReport {
+        loads: LoadReport {
+            sender: PeerId(u64::MAX),
+            life: u64::MAX,
+            sequence: u64::MAX,
+            is_full: true,
+            loads: (0..48)
+                .map(|engine| {
+                    let load = EngineLoad {
+                        requests: 64,
+                        waiting_tokens: 1_000_000,
+                    };
+                    (EngineTag(engine), load)
+                })
+                .collect(),
+            loading: vec![EngineTag(1), EngineTag(2)],
+        },
+        placements: (0..MAX_PLACEMENTS as u64)
+            .map(|chain| Placement {
+                chain: ChainKey(chain),
+                engine: EngineTag(3),
+            })
+            .collect(),
+    };
+    let datagram = encode(&report);
+    assert!(datagram.len() <= 1_200, "{} bytes", datagram.len());
+    assert_eq!(decode(&datagram).expect("a report"), report);
+    assert!(decode(&[0xff; 40]).is_err());
+}
+
+#[test]
+fn nodes_of_the_own_zone_come_first_and_silent_ones_are_tried_now_and_then() {
+    let mut book = AddressBook::default();
+    book.set_own(address(1));
+    book.take_list(&[listed(1, true), listed(2, false), listed(3, true)], NOW);
+    assert_eq!(book.receivers(NOW), [address(3), address(2)]);
+    assert_eq!(book.receivers(NOW.plus(50)), []);
+    book.heard(address(2), NOW.plus(60));
+    assert_eq!(book.receivers(NOW.plus(100)), [address(2)]);
+    assert_eq!(book.receivers(NOW.plus(1_100)), [address(2), address(3)]);
+}
+
+#[test]
+fn nodes_that_are_neither_listed_nor_heard_are_forgotten() {
+    let mut book = AddressBook::default();
+    book.take_list(&[listed(2, true), listed(3, true)], NOW);
+    book.heard(address(4), NOW);
+    book.take_list(&[listed(3, true)], NOW.plus(100));
+    assert_eq!(book.len(), 2);
+    book.take_list(&[listed(3, true)], NOW.plus(60_000));
+    assert_eq!(book.len(), 1);
+}
+
+#[test]
+fn a_node_knows_what_another_one_sent_and_which_engine_read_it() {
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let fixture = Fixture::with(&[&llm, &app], configuration(1), "").await;
+        let mut with_peers = settings(&fixture.store, "a", "");
+        with_peers.listen.peers = Some(address(0));
+        let start_peer = |name: &str| {
+            let mut settings = with_peers.clone();
+            settings.node.name = name.to_owned();
+            start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
+        };
+        let (sender, receiver) = (start_peer("a"), start_peer("b"));
+        while caller::get_status(sender.readiness).await != 200 {}
+        let read = caller::send(sender.callers, &prompt("stream.test", "r")).await;
+        assert_eq!(read.status(), 200);
+        let held = caller::request("patient.test", "held");
+        let _open = caller::open(sender.callers, &held).await;
+
+        let app_tag = EngineTag::of(&InstanceId("app-1".to_owned()));
+        let llm_tag = EngineTag::of(&InstanceId("llm-1".to_owned()));
+        let parts = [1, 2].map(|id| PromptPart { id, tokens: 10 });
+        let chains = chain_keys(&cache_salt("m", 1, ""), &parts);
+        loop {
+            // Asking the node lets its tasks run.
+            caller::get_status(receiver.readiness).await;
+            let now = receiver.gateway.clock.now();
+            let beliefs = receiver.gateway.beliefs();
+            let has_load = beliefs.peer_loads.at(app_tag).requests == 1;
+            if has_load && beliefs.holders.of(chains[1], now).any(|tag| tag == llm_tag) {
+                break;
+            }
+        }
+        assert!(fixture.store.content("Nodes", "a").is_some());
+        assert!(fixture.store.content("Nodes", "b").is_some());
+    });
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,8 @@
-//! The internal protocol between nodes: typed messages, their encoding and the
+//! The internal protocols between nodes: typed messages, their encoding and the
 //! bounds on their sizes.
 //!
+//! [`messages`] are those of the cluster, [`peers`] the reports of gateways.
+//!
 //! Messages up to [`MAX_DATAGRAM_BYTES`] travel as one UDP datagram; larger
 //! ones over a TCP connection, prefixed by their length. Both use the same
 //! encoding, so a state machine need not know which way a message takes.
@@ -13,6 +15,12 @@
 
 pub use generated as messages;
 
+/// Types generated from `proto/peers.proto` by `cargo run -p xtask`.
+#[allow(missing_docs, clippy::all)]
+pub mod peers {
+    include!("generated/ploverlift.peers.v1.rs");
+}
+
 use generated::Envelope;
 use prost::Message;
 use snafu::{ensure, ResultExt, Snafu};
@@ -57,6 +65,19 @@
     Envelope::decode(bytes).context(DecodeSnafu)
 }
 
+/// Encodes a report of a gateway.
+pub fn encode_report(report: &peers::PeerReport) -> Vec<u8> {
+    report.encode_to_vec()
+}
+
+/// Decodes a report of a gateway, which comes as one datagram.
+///
+/// # Errors
+/// When it does not decode.
+pub fn decode_report(datagram: &[u8]) -> Result<peers::PeerReport, WireError> {
+    peers::PeerReport::decode(datagram).context(DecodeSnafu)
+}
+
 /// The length prefix of an encoded message on a TCP connection.
 pub fn length_prefix(bytes: &[u8]) -> [u8; LENGTH_PREFIX_BYTES] {
     u32::try_from(bytes.len()).unwrap_or(u32::MAX).to_be_bytes()
