Tell of loads and lease renewals by report; no node watches the lease

Ruled out: rarer watches (the successor would see renewals later still). Change: reports name the engines that load and, from the holder, the lease's revision; a node that hears the holder does not ask the store, and counts the lease from when it heard of that revision; four nodes stand by in an order on which they agree; 250 ms between failed writes.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -53,8 +53,6 @@
     pub health: EngineHealth,
     /// Until when it is taken to be loading weights.
     pub loading_until: Option<Millis>,
-    /// Until when the node that gives orders has announced it as loading.
-    pub announced_until: Option<Millis>,
 }
 
 impl Engine {
@@ -66,7 +64,6 @@
             waiting_tokens: 0,
             health: EngineHealth::default(),
             loading_until: None,
-            announced_until: None,
         }
     }
 
@@ -77,8 +74,7 @@
 
     /// Whether it is taken to be loading weights.
     pub fn is_loading(&self, now: Millis) -> bool {
-        let until = self.loading_until.max(self.announced_until);
-        until.is_some_and(|until| now < until)
+        self.loading_until.is_some_and(|until| now < until)
     }
 }
 
@@ -215,15 +211,6 @@
         }
     }
 
-    /// Exactly these engines are announced as loading, until then. An engine
-    /// that itself refused stays left out until its own time.
-    pub fn replace_loading(&mut self, loading: &[InstanceId], until: Millis) {
-        for engine in self.engines.values_mut() {
-            let is_loading = loading.contains(&engine.record.instance);
-            engine.announced_until = is_loading.then_some(until);
-        }
-    }
-
     /// The engine has loaded.
     pub fn note_loaded(&mut self, instance: &InstanceId) {
         if let Some(engine) = self.engines.get_mut(instance) {
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -165,6 +165,12 @@
         peers.any(|peer| peer.loading.contains(&engine))
     }
 
+    /// The place of a node in the order of all nodes that were heard of lately;
+    /// nodes that hear of each other agree on it.
+    pub fn rank(&self, own: PeerId) -> usize {
+        self.peers.range(..own).count()
+    }
+
     /// Nodes that were heard of lately.
     pub fn peer_count(&self) -> usize {
         self.peers.len()
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -257,7 +257,7 @@
     fn cost(&self, engine: &'a Engine, rank: usize) -> (Cost, Supply<'a>) {
         let rates = self.rates;
         let mut cost = Cost {
-            failure_ms: failure_ms(engine, self.typical_failures, self.now),
+            failure_ms: self.failure_ms(engine),
             ..Cost::default()
         };
         if engine.record.zone != *self.criteria.zone {
@@ -319,18 +319,19 @@
             kept_tokens: kept,
         }
     }
-}
 
-fn failure_ms(engine: &Engine, typical_failures: f64, now: Millis) -> f64 {
-    if !engine.health.may_be_chosen(now) {
-        return SUSPENDED_MS;
-    }
-    if engine.is_loading(now) {
-        return LOADING_MS;
-    }
-    let excess = engine.health.failure_rate(now) - typical_failures;
-    if engine.health.outcomes() >= MIN_OUTCOMES && excess > NOTABLE_FAILURE_RATE {
-        return excess * FAILURE_MS;
+    fn failure_ms(&self, engine: &Engine) -> f64 {
+        let now = self.now;
+        if !engine.health.may_be_chosen(now) {
+            return SUSPENDED_MS;
+        }
+        if engine.is_loading(now) || self.view.peer_loads.is_loading(engine.tag) {
+            return LOADING_MS;
+        }
+        let excess = engine.health.failure_rate(now) - self.typical_failures;
+        if engine.health.outcomes() >= MIN_OUTCOMES && excess > NOTABLE_FAILURE_RATE {
+            return excess * FAILURE_MS;
+        }
+        0.0
     }
-    0.0
 }
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -192,6 +192,33 @@
     assert!(!loads.is_loading(tag(2)));
 }
 
+#[test]
+fn an_announced_load_is_avoided_until_the_next_announcement() {
+    let catalogue = catalogue(&[1; 3]);
+    let holders = PrefixHolders::default();
+    let mut loads = PeerLoads::default();
+    let home = chosen(&catalogue, &loads, &holders).instance;
+    let mut loading = report(1, 1, &[]);
+    loading.loading = vec![EngineTag::of(&home)];
+    loads.apply(&loading, NOW);
+    assert_ne!(chosen(&catalogue, &loads, &holders).instance, home);
+    loads.apply(&report(1, 2, &[]), NOW);
+    assert_eq!(chosen(&catalogue, &loads, &holders).instance, home);
+}
+
+#[test]
+fn nodes_that_hear_of_each_other_agree_on_their_order() {
+    let nodes = [7, 3, 9];
+    let ranks = nodes.map(|own| {
+        let mut loads = PeerLoads::default();
+        for other in nodes.iter().filter(|other| **other != own) {
+            loads.apply(&report(*other, 1, &[]), NOW);
+        }
+        loads.rank(PeerId(own))
+    });
+    assert_eq!(ranks, [1, 0, 2]);
+}
+
 #[test]
 fn a_prompt_in_front_counts_whoever_sent_it() {
     let catalogue = catalogue(&[1; 4]);
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -84,8 +84,9 @@
         }
     }
 
-    /// Takes in the stored lease as read or watched. A lease of this node does
-    /// not count as renewed by it: when it was written is not known.
+    /// Takes in the stored lease as read or watched; `now` is when this node first
+    /// knew of this version. A lease of this node does not count as renewed by it:
+    /// when it was written is not known.
     pub fn on_seen(&mut self, version: ResourceVersion, spec: LeaseSpec, now: Millis) {
         let newer = self.seen.as_ref().is_none_or(|(known, _)| *known < version);
         if !newer {
@@ -124,6 +125,11 @@
             .is_some_and(|(_, spec)| self.is_own(spec))
     }
 
+    /// The revision of the last lease that was seen.
+    pub fn revision(&self) -> Option<u64> {
+        self.seen.as_ref().map(|(version, _)| version.0)
+    }
+
     fn is_own(&self, spec: &LeaseSpec) -> bool {
         spec.holder == self.own && spec.holder_life == self.own_life
     }
@@ -141,19 +147,6 @@
         (fresh && self.is_own(spec)).then_some(spec.fencing_token)
     }
 
-    /// Renews a lease that this node holds, before it is time; waits while a
-    /// write is under way.
-    pub fn renew_early(&mut self, unix_ms: u64, now: Millis) -> LeaseStep {
-        let renewed_at = self.renewed_at;
-        if self.token(now).is_some() {
-            self.renewed_at =
-                renewed_at.map(|_| Millis(now.0.saturating_sub(self.timing.renew_after_ms)));
-        }
-        let step = self.step(true, unix_ms, now);
-        self.renewed_at = renewed_at;
-        step
-    }
-
     /// What to do at `now`. `wants` tells whether this node is a candidate.
     pub fn step(&mut self, wants: bool, unix_ms: u64, now: Millis) -> LeaseStep {
         let writing = self
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -16,6 +16,8 @@
     pub loads: LoadReport,
     /// Prompts that engines have read for it.
     pub placements: Vec<Placement>,
+    /// Revision of the lease on orders, while it holds that.
+    pub lease_revision: Option<u64>,
 }
 
 /// A report as a datagram.
@@ -29,6 +31,7 @@
         loads: loads.loads.iter().map(load_message).collect(),
         placements: report.placements.iter().map(placement_message).collect(),
         loading: loads.loading.iter().map(|tag| tag.0).collect(),
+        lease_revision: report.lease_revision.unwrap_or(0),
     })
 }
 
@@ -60,6 +63,7 @@
             loading: message.loading.iter().copied().map(EngineTag).collect(),
         },
         placements: placements.collect(),
+        lease_revision: Some(message.lease_revision).filter(|revision| *revision > 0),
     })
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -36,12 +36,18 @@
 pub async fn send_reports(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let sender = PeerId::of(&gateway.settings().node.name);
     let mut builder = ReportBuilder::new(sender, unix_ms());
+    let mut reported_lease = None;
     loop {
         let receivers = {
             let now = gateway.clock.now();
             gateway.address_book().receivers(now)
         };
-        if let Some(report) = next_report(&gateway, &mut builder, !receivers.is_empty()) {
+        if let Some(report) = next_report(
+            &gateway,
+            &mut builder,
+            &mut reported_lease,
+            !receivers.is_empty(),
+        ) {
             let datagram = encode(&report);
             for receiver in &receivers {
                 // A report that cannot be sent is as good as a lost one.
@@ -56,6 +62,7 @@
 fn next_report(
     gateway: &Gateway,
     builder: &mut ReportBuilder,
+    reported_lease: &mut Option<u64>,
     has_receivers: bool,
 ) -> Option<PeerReport> {
     let now = gateway.clock.now();
@@ -69,13 +76,16 @@
         return None;
     }
     let placements = beliefs.holders.take_unreported(MAX_PLACEMENTS);
-    let loads = builder.next(
-        &beliefs.engines,
-        &beliefs.loading,
-        !placements.is_empty(),
-        now,
-    )?;
-    Some(PeerReport { loads, placements })
+    let lease_revision = beliefs.held_lease;
+    let has_other_news = !placements.is_empty() || lease_revision != *reported_lease;
+    let engines = &beliefs.engines;
+    let loads = builder.next(engines, &beliefs.loading, has_other_news, now)?;
+    *reported_lease = lease_revision;
+    Some(PeerReport {
+        loads,
+        placements,
+        lease_revision,
+    })
 }
 
 /// Takes in reports of other nodes until the task is dropped.
@@ -101,6 +111,9 @@
         for placement in report.placements {
             beliefs.holders.note(placement, now);
         }
+        if let Some(revision) = report.lease_revision {
+            beliefs.hear_of_lease(revision, now);
+        }
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -70,6 +70,15 @@
     pub contents: CacheContents,
 }
 
+/// A renewal of the lease on orders of which its holder told this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeardLease {
+    /// The revision that the renewal was given.
+    pub revision: u64,
+    /// When this node first heard of it.
+    pub heard_at: Millis,
+}
+
 /// What this node believes of the site.
 #[derive(Debug, Default)]
 pub struct Beliefs {
@@ -93,6 +102,10 @@
     pub holders: PrefixHolders,
     /// Engines that load weights by this node's order.
     pub loading: Vec<InstanceId>,
+    /// Revision of the lease on orders, while this node holds it.
+    pub held_lease: Option<u64>,
+    /// The newest revision of that lease of which its holder told this node.
+    pub heard_lease: Option<HeardLease>,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
 }
 
@@ -292,6 +305,19 @@
         }
     }
 
+    /// The holder of the lease on orders told of its last renewal.
+    pub fn hear_of_lease(&mut self, revision: u64, now: Millis) {
+        if self
+            .heard_lease
+            .is_none_or(|known| known.revision < revision)
+        {
+            self.heard_lease = Some(HeardLease {
+                revision,
+                heard_at: now,
+            });
+        }
+    }
+
     /// The retry budget of a service.
     pub fn retry_budget(
         &mut self,
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -311,17 +311,3 @@
         }
     }
 }
-
-/// Follows the leases until the task is dropped; hands each to `see`.
-pub async fn follow_leases(gateway: Arc<Gateway>, see: impl Fn(&StoreObject)) {
-    let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Leases);
-    let mut backoff = Backoff::new();
-    loop {
-        let (objects, mut revision, _) = feed.list(&mut backoff).await;
-        objects.iter().for_each(&see);
-        while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
-            events.iter().map(|event| &event.object).for_each(&see);
-            revision = next;
-        }
-    }
-}
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/weights/holder.rs
@@ -2,9 +2,9 @@
 
 use super::lease_document::{LeaseDocument, LEASE_NAME};
 use crate::ports::{StoreError, StoreKind, StoreObject};
+use crate::settings::GatewaySettings;
 use crate::state::Gateway;
 use crate::store::StoreClient;
-use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_cluster::lease::{LeaseStep, LeaseTiming, LeaseView};
 use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion};
 use ploverlift_policy::objects::LeaseSpec;
@@ -17,9 +17,12 @@
 const RENEW_AFTER_MS: u64 = 400;
 /// Added to the bound between two holders, in milliseconds.
 const MARGIN_MS: u64 = 200;
-/// Time between two looks at another node's lease, in milliseconds. Its watch
-/// tells changes sooner; a look finds what a watch has missed.
-const LOOK_PERIOD_MS: u64 = 1_500;
+/// Time between two looks at another node's lease, in milliseconds. Only nodes
+/// that would succeed its holder look.
+const LOOK_PERIOD_MS: u64 = 700;
+/// Pause after a write that failed while this node does not hold the lease, in
+/// milliseconds: a store that is away is not asked again and again.
+const RETRY_MS: u64 = 250;
 /// Longest wait for an answer to a call on the lease, in milliseconds. A write
 /// that takes longer would leave little of the lease.
 const CALL_TIMEOUT_MS: u64 = 450;
@@ -30,12 +33,12 @@
     name: String,
     view: Mutex<LeaseView>,
     io: smol::lock::Mutex<LeaseIo>,
-    announced: Mutex<Vec<InstanceId>>,
 }
 
 struct LeaseIo {
     client: StoreClient,
     looked_at: Option<Millis>,
+    failed_at: Option<Millis>,
 }
 
 impl LeaseHolder {
@@ -43,7 +46,7 @@
     pub fn new(gateway: &Arc<Gateway>) -> Self {
         let settings = gateway.settings();
         let timing = LeaseTiming {
-            duration_ms: settings.bounds.lease_ms + STOP_ACTING_AFTER_MS + MARGIN_MS,
+            duration_ms: duration_ms(&settings),
             renew_after_ms: RENEW_AFTER_MS,
             stop_acting_after_ms: STOP_ACTING_AFTER_MS,
         };
@@ -56,16 +59,11 @@
             io: smol::lock::Mutex::new(LeaseIo {
                 client: StoreClient::with_timeout(gateway, CALL_TIMEOUT_MS),
                 looked_at: None,
+                failed_at: None,
             }),
-            announced: Mutex::new(Vec::new()),
         }
     }
 
-    fn announced(&self) -> MutexGuard<'_, Vec<InstanceId>> {
-        let announced = self.announced.lock();
-        announced.unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
     fn view(&self) -> MutexGuard<'_, LeaseView> {
         let view = self.view.lock();
         view.unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -99,19 +97,41 @@
 
     /// There is nothing to do: the next time there is, the lease is read anew.
     pub fn rest(&self) {
+        self.gateway.beliefs().held_lease = None;
         if let Some(mut io) = self.io.try_lock() {
             io.looked_at = None;
         }
     }
 
-    /// Renews the lease or asks for it; tells whether orders may be given. Other
-    /// nodes are told to send nothing new to the engines in `loading`.
-    pub async fn keep(&self, loading: Vec<InstanceId>) -> bool {
+    /// Whether the holder, another node, told of a renewal lately. Then there is
+    /// nothing to look for in the store.
+    fn hears_holder(&self, now: Millis) -> bool {
+        let heard = self.gateway.beliefs().heard_lease;
+        let duration_ms = duration_ms(&self.gateway.settings());
+        heard.is_some_and(|heard| now.since(heard.heard_at) < duration_ms)
+    }
+
+    /// Renews the lease or asks for it; tells whether orders may be given.
+    pub async fn keep(&self) -> bool {
+        let is_kept = self.try_keep().await;
+        let revision = is_kept.then(|| self.view().revision());
+        self.gateway.beliefs().held_lease = revision.flatten();
+        is_kept
+    }
+
+    async fn try_keep(&self) -> bool {
         let mut io = self.io.lock().await;
-        let is_news = self.token().is_some() && *self.announced() != loading;
-        *self.announced() = loading;
+        let now = self.gateway.clock.now();
+        if !self.is_own() && self.hears_holder(now) {
+            return false;
+        }
+        let has_just_failed = io
+            .failed_at
+            .is_some_and(|failed_at| now.since(failed_at) < RETRY_MS);
+        if has_just_failed && self.token().is_none() {
+            return false;
+        }
         if !self.is_own() {
-            let now = self.gateway.clock.now();
             let looked = io.looked_at;
             if looked.is_none_or(|looked| now.since(looked) >= LOOK_PERIOD_MS) {
                 io.looked_at = Some(now);
@@ -119,10 +139,7 @@
             }
         }
         let now = self.gateway.clock.now();
-        let step = match is_news {
-            true => self.view().renew_early(unix_ms(), now),
-            false => self.view().step(true, unix_ms(), now),
-        };
+        let step = self.view().step(true, unix_ms(), now);
         if let LeaseStep::Write {
             version,
             spec,
@@ -144,12 +161,15 @@
         }
     }
 
-    /// Takes in the lease as it was read or watched.
-    pub fn see(&self, object: &StoreObject) {
+    /// Takes in the lease as it was read.
+    fn see(&self, object: &StoreObject) {
         if let Ok(document) = serde_json::from_value::<LeaseDocument>(object.content.clone()) {
             let now = self.gateway.clock.now();
+            let heard = self.gateway.beliefs().heard_lease;
+            let heard = heard.filter(|heard| heard.revision == object.revision);
+            let since = heard.map_or(now, |heard| heard.heard_at);
             let version = ResourceVersion(object.revision);
-            self.view().on_seen(version, document.lease, now);
+            self.view().on_seen(version, document.lease, since);
         }
     }
 
@@ -163,11 +183,6 @@
         let had_token = self.token();
         let document = LeaseDocument {
             lease: spec.clone(),
-            loading: self
-                .announced()
-                .iter()
-                .map(|engine| engine.0.clone())
-                .collect(),
         };
         let content = serde_json::to_value(&document).unwrap_or_default();
         let written = io
@@ -196,6 +211,7 @@
             Err(error) => {
                 slog::info!(self.gateway.log, "lease not written"; "error" => error.to_string());
                 self.view().on_write_failed();
+                io.failed_at = Some(self.gateway.clock.now());
                 self.look_for(io, &spec, began).await;
             }
         }
@@ -218,6 +234,12 @@
     }
 }
 
+/// Time after which a lease that was not renewed counts as expired, in
+/// milliseconds.
+fn duration_ms(settings: &GatewaySettings) -> u64 {
+    settings.bounds.lease_ms + STOP_ACTING_AFTER_MS + MARGIN_MS
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |duration| duration.as_millis() as u64)
--- a/crates/gateway/src/weights/lease_document.rs
+++ b/crates/gateway/src/weights/lease_document.rs
@@ -1,6 +1,5 @@
-//! The stored lease, with what other nodes should know of the holder's work.
+//! The stored lease.
 
-use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_policy::objects::LeaseSpec;
 use serde::{Deserialize, Serialize};
 
@@ -12,14 +11,4 @@
 pub struct LeaseDocument {
     /// Holder, token and life.
     pub lease: LeaseSpec,
-    /// Engines that load now or are about to: other nodes send them nothing new.
-    #[serde(default)]
-    pub loading: Vec<String>,
-}
-
-impl LeaseDocument {
-    /// Engines that load now or are about to.
-    pub fn loading(&self) -> Vec<InstanceId> {
-        self.loading.iter().cloned().map(InstanceId).collect()
-    }
 }
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -13,14 +13,12 @@
 pub use holder::LeaseHolder;
 pub use plan::{outdated_engines, OutdatedEngine};
 
-use crate::ports::StoreObject;
 use crate::state::Gateway;
-use crate::store::follow_leases;
 use crate::time::{sleep, within};
 use engine_load::bring_up_to_date;
-use lease_document::LeaseDocument;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::load_schedule::{loads_now, LoadPace};
+use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -29,18 +27,21 @@
 const IDLE_PERIOD_MS: u64 = 500;
 /// Time between two looks while weights are being loaded, in milliseconds.
 const BUSY_PERIOD_MS: u64 = 50;
-/// Longest random wait before a node that did not hold the lease last asks for
-/// it, in milliseconds, so that not all ask at once.
-const MAX_STAGGER_MS: u64 = 300;
+/// Nodes that stand by to succeed the holder of the lease.
+const SUCCESSORS: u64 = 4;
+/// Time between two of them, in milliseconds, so that not all ask at once.
+const SUCCESSION_STEP_MS: u64 = 100;
+/// The wait of the last one that stands by, in milliseconds.
+const LAST_OBSERVER_MS: u64 = SUCCESSORS * SUCCESSION_STEP_MS;
+/// The wait of all other nodes, in milliseconds.
+const OTHERS_WAIT_MS: u64 = 1_500;
 
 /// Age of what a report shows, in milliseconds. A load is over by so much
 /// earlier than its report tells.
 const REPORT_AGE_MS: u64 = 200;
-/// Time between the announcement of a load and its order, in milliseconds.
+/// Time between the decision on a load and its order, in milliseconds: the next
+/// report to the other nodes goes out before.
 const ANNOUNCED_BEFORE_MS: u64 = 60;
-/// Time that an announced engine counts as loading, in milliseconds, unless the
-/// next announcement leaves it out.
-const ANNOUNCED_LOADING_MS: u64 = 1_500;
 /// Weight of the newest load in the expected time of a load.
 const NEWEST_LOAD_WEIGHT: f64 = 0.2;
 
@@ -110,25 +111,23 @@
 /// Takes part in the lease and gives orders, until the task is dropped.
 pub async fn roll_weights(gateway: Arc<Gateway>) {
     let holder = Arc::new(LeaseHolder::new(&gateway));
-    let watched = Arc::clone(&holder);
-    let watching = Arc::clone(&gateway);
-    let see = move |object: &StoreObject| {
-        watched.see(object);
-        note_announced(&watching, object);
-    };
-    let _following = smol::spawn(follow_leases(Arc::clone(&gateway), see));
     let loading = Loading::default();
-    let stagger_ms = fastrand::u64(0..=MAX_STAGGER_MS);
     loop {
         let named = gateway.weights_named.listen();
         let outdated = waiting_engines(&gateway, &loading);
+        gateway.beliefs().loading = loading.instances();
         if outdated.is_empty() && loading.count() == 0 {
             holder.rest();
             within(IDLE_PERIOD_MS, named).await;
             continue;
         }
-        holder.observe_once().await;
-        let waits_ms = if holder.is_own() { 0 } else { stagger_ms };
+        let waits_ms = match holder.is_own() {
+            true => 0,
+            false => succession_ms(&gateway),
+        };
+        if waits_ms <= LAST_OBSERVER_MS {
+            holder.observe_once().await;
+        }
         let at_once = loads_at_once(&gateway, &loading, &outdated, waits_ms);
         let is_idle = loading.count() == 0;
         // A node that stops gives no first order: it would lose the lease in between.
@@ -137,25 +136,24 @@
             continue;
         }
         let next = next_loads(&gateway, &loading, &outdated, at_once);
-        let announced = loading.instances().into_iter();
-        let announced = announced.chain(next.iter().map(|engine| engine.instance.clone()));
-        if holder.keep(announced.collect()).await {
+        if holder.keep().await {
             begin_loads(&gateway, &holder, &loading, next);
         }
         sleep(BUSY_PERIOD_MS).await;
     }
 }
 
-/// Another node's engines that load now, or will at once, are sent nothing new.
-fn note_announced(gateway: &Gateway, object: &StoreObject) {
-    let document = serde_json::from_value::<LeaseDocument>(object.content.clone());
-    let Ok(document) = document else {
-        return;
-    };
-    let until = gateway.clock.now().plus(ANNOUNCED_LOADING_MS);
-    let loading = document.loading();
-    let mut beliefs = gateway.beliefs();
-    beliefs.engines.replace_loading(&loading, until);
+/// Time by which this node waits longer than the holder before it asks for the
+/// lease, in milliseconds. The nodes that hear of each other are ordered by their
+/// names; the first few succeed one after the other, and the many others neither
+/// look at the lease nor ask for it unless all of those fail.
+fn succession_ms(gateway: &Gateway) -> u64 {
+    let own = PeerId::of(&gateway.settings().node.name);
+    let rank = gateway.beliefs().peer_loads.rank(own);
+    match u64::try_from(rank).unwrap_or(u64::MAX) {
+        rank if rank < SUCCESSORS => rank * SUCCESSION_STEP_MS,
+        _ => OTHERS_WAIT_MS,
+    }
 }
 
 /// Engines with outdated weights that are not being loaded.
@@ -213,6 +211,7 @@
 ) {
     for engine in engines {
         loading.begin(&engine.instance, gateway.clock.now());
+        gateway.beliefs().loading = loading.instances();
         let (gateway, holder) = (Arc::clone(gateway), Arc::clone(holder));
         let loading = loading.clone();
         smol::spawn(async move {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -9,8 +9,10 @@
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::{AddressBook, ListedNode};
 use ploverlift_gateway::peers::messages::{decode, encode, PeerReport, MAX_PLACEMENTS};
+use ploverlift_gateway::weights::LeaseHolder;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::prompt::{cache_salt, ChainKey, PromptPart};
+use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use support::caller::{self, prompt};
@@ -50,6 +52,7 @@
                 .collect(),
             loading: vec![EngineTag(1), EngineTag(2)],
         },
+        lease_revision: Some(u64::MAX),
         placements: (0..MAX_PLACEMENTS as u64)
             .map(|chain| Placement {
                 chain: ChainKey(chain),
@@ -124,3 +127,52 @@
         assert!(fixture.store.content("Nodes", "b").is_some());
     });
 }
+
+/// A node, the stored lease of another holder, and the lease's revision.
+async fn node_beside_a_holder() -> (Fixture, u64) {
+    let fixture = Fixture::with(&[], configuration(1), "").await;
+    let lease = json!({"lease": {"holder": "other", "holder_life": 1,
+                                 "fencing_token": 7, "expires_unix_ms": 0}});
+    let revision = fixture.store.put("Leases", "weights", lease);
+    (fixture, revision)
+}
+
+#[test]
+fn the_store_is_not_asked_for_a_lease_whose_holder_is_heard() {
+    smol::block_on(async {
+        let (fixture, revision) = node_beside_a_holder().await;
+        let holder = LeaseHolder::new(&fixture.gateway);
+        let now = fixture.gateway.clock.now();
+        fixture.gateway.beliefs().hear_of_lease(revision, now);
+        assert!(!holder.keep().await);
+        assert_eq!(fixture.store.calls("get Leases"), 0);
+        assert_eq!(fixture.store.calls("put Leases"), 0);
+    });
+}
+
+#[test]
+fn a_holder_that_was_heard_and_fell_silent_is_succeeded_at_once() {
+    smol::block_on(async {
+        let (fixture, revision) = node_beside_a_holder().await;
+        let holder = LeaseHolder::new(&fixture.gateway);
+        let now = fixture.gateway.clock.now();
+        let long_ago = Millis(now.0 - 10_000);
+        fixture.gateway.beliefs().hear_of_lease(revision, long_ago);
+        assert!(holder.keep().await);
+        assert_eq!(holder.token(), Some(8));
+    });
+}
+
+#[test]
+fn a_lease_that_was_renewed_since_it_was_heard_is_left_to_its_holder() {
+    smol::block_on(async {
+        let (fixture, revision) = node_beside_a_holder().await;
+        let holder = LeaseHolder::new(&fixture.gateway);
+        let now = fixture.gateway.clock.now();
+        let long_ago = Millis(now.0 - 10_000);
+        let earlier = revision - 1;
+        fixture.gateway.beliefs().hear_of_lease(earlier, long_ago);
+        assert!(!holder.keep().await);
+        assert_eq!(fixture.store.calls("put Leases"), 0);
+    });
+}
