--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -131,8 +131,8 @@
 /// A node, the stored lease of another holder, and the lease's revision.
 async fn node_beside_a_holder() -> (Fixture, u64) {
     let fixture = Fixture::with(&[], configuration(1), "").await;
-    let lease = json!({"lease": {"holder": "other", "holder_life": 1,
-                                 "fencing_token": 7, "expires_unix_ms": 0}});
+    let lease = json!({"lease": {"holder": "other", "holderLife": 1,
+                                 "fencingToken": 7, "expiresUnixMs": 0}});
     let revision = fixture.store.put("Leases", "weights", lease);
     (fixture, revision)
 }
