Take a request back that waits too long at outdated weights

An engine on version 3 got a request 7.8 s after version 4 was named, held it in its queue for 2.25 s and began it 10.03 s after (the bound is 10 s). The margin of 2 s covers sending, not a queue under load. Ruled out: a late watch (the choice left the old weights on time), a wider margin (a queue may always be longer). Change: waiting for the beginning of an answer ends a quarter of the margin before the bound; the engine drops the request with its connection. Time left and 'may begin' now follow from one function. Test: a_request_that_waits_at_outdated_weights_is_taken_back_before_the_bound did not end without the change (the caller would wait ten minutes).

--- a/crates/balancing/src/weights.rs
+++ b/crates/balancing/src/weights.rs
@@ -32,16 +32,18 @@
 }
 
 impl Named {
-    /// Whether older weights must be avoided. How long ago a version was named
-    /// that stood there when this process started is not known; once an engine
-    /// has it, its roll-out is under way and its bound may be near.
-    fn has_passed(&self, bounds: &WeightsBounds, is_in_use: bool, now: Millis) -> bool {
+    /// Time until older weights must be avoided, in milliseconds. How long ago a
+    /// version was named that stood there when this process started is not known;
+    /// once an engine has it, its roll-out is under way and its bound may be near.
+    fn left_ms(&self, bounds: &WeightsBounds, is_in_use: bool, now: Millis) -> u64 {
         if self.is_from_start && is_in_use {
-            return now.since(self.since) >= bounds.avoid_after_start_ms;
+            let known_ms = now.since(self.since);
+            return bounds.avoid_after_start_ms.saturating_sub(known_ms);
         }
-        let stretch = now.since(self.stretch_since);
-        stretch >= bounds.avoid_after_ms
-            || stretch + self.earlier_stretches_ms >= bounds.avoid_after_total_ms
+        let stretch_ms = now.since(self.stretch_since);
+        let total_ms = stretch_ms + self.earlier_stretches_ms;
+        let left_ms = bounds.avoid_after_ms.saturating_sub(stretch_ms);
+        left_ms.min(bounds.avoid_after_total_ms.saturating_sub(total_ms))
     }
 }
 
@@ -105,6 +107,23 @@
         newer.map(|named| named.since).min()
     }
 
+    /// Time until requests must no longer begin on a version, in milliseconds;
+    /// nothing when no newer one is named.
+    pub fn left_ms(
+        &self,
+        model: &str,
+        version: u64,
+        newest_in_use: u64,
+        bounds: &WeightsBounds,
+        now: Millis,
+    ) -> Option<u64> {
+        let named = self.by_model.get(model)?.iter();
+        let newer = named.filter(|named| named.version > version);
+        newer
+            .map(|named| named.left_ms(bounds, newest_in_use >= named.version, now))
+            .min()
+    }
+
     /// The lowest version on which a request may begin. `newest_in_use` is the
     /// newest version that any engine has.
     pub fn required(
@@ -116,7 +135,7 @@
     ) -> u64 {
         let named = self.by_model.get(model).into_iter().flatten();
         named
-            .filter(|named| named.has_passed(bounds, newest_in_use >= named.version, now))
+            .filter(|named| named.left_ms(bounds, newest_in_use >= named.version, now) == 0)
             .map(|named| named.version)
             .max()
             .unwrap_or(0)
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -23,6 +23,10 @@
 /// long prompt that is sent to a second engine too early is read twice.
 const PROMPT_PATIENCE: f64 = 2.0;
 
+/// Part of the margin on outdated weights that is left when a request that has
+/// not begun is taken back from its engine.
+const BEGIN_MARGIN_SHARE: u64 = 4;
+
 /// How an attempt ended.
 pub(super) enum AttemptEnd {
     /// The caller has its answer.
@@ -85,7 +89,8 @@
     pub(super) fn choose(&self) -> Result<ChosenEngine, NoChoice> {
         let now = self.gateway.clock.now();
         let rates = self.gateway.cost_rates();
-        let bounds = self.gateway.weights_bounds();
+        let settings = self.gateway.settings();
+        let bounds = self.gateway.weights_bounds(settings.weights.margin_ms);
         let admission = &self.received.admission;
         let scope = cache_scope(admission.tenant.as_deref());
         let beliefs = self.gateway.beliefs();
@@ -215,6 +220,7 @@
         };
         let head = self.gateway.site.engine_head(&call);
         let patience_ms = self.patience_ms().unwrap_or(left_ms).min(left_ms);
+        let patience_ms = self.begins_within_ms(chosen, patience_ms);
         let limits = ExchangeLimits {
             connect_ms: settings.attempts.connect_timeout_ms.min(left_ms),
             head_ms: patience_ms,
@@ -243,6 +249,24 @@
         Some((usual_ms + self.reading_ms() * PROMPT_PATIENCE) as u64)
     }
 
+    /// `silence_ms`, cut short where the engine has outdated weights: a request
+    /// that waits in its queue must not begin there after the bound on them.
+    pub(super) fn begins_within_ms(&self, chosen: &ChosenEngine, silence_ms: u64) -> u64 {
+        let prompt = self.received.request.prompt.as_ref();
+        let (Some(weights), Some(prompt)) = (chosen.weights, prompt) else {
+            return silence_ms;
+        };
+        let margin_ms = self.gateway.settings().weights.margin_ms / BEGIN_MARGIN_SHARE;
+        let bounds = self.gateway.weights_bounds(margin_ms);
+        let now = self.gateway.clock.now();
+        let beliefs = self.gateway.beliefs();
+        let in_use = beliefs.engines.newest_weights(&prompt.model);
+        let left_ms = beliefs
+            .weights
+            .left_ms(&prompt.model, weights, in_use, &bounds, now);
+        left_ms.map_or(silence_ms, |left_ms| silence_ms.min(left_ms))
+    }
+
     /// Time that an engine takes to read the prompt, in milliseconds.
     fn reading_ms(&self) -> f64 {
         let prompt = self.received.request.prompt.as_ref();
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -34,7 +34,8 @@
         let mut splitter = EventSplitter::default();
         let mut is_first = true;
         loop {
-            match self.next_step(&mut answer, &mut splitter, is_first).await {
+            let step = self.next_step(&mut answer, &mut splitter, chosen, is_first);
+            match step.await {
                 StreamStep::Events(bytes) => {
                     if is_first {
                         is_first = false;
@@ -111,6 +112,7 @@
         &mut self,
         answer: &mut EngineAnswer,
         splitter: &mut EventSplitter,
+        chosen: &ChosenEngine,
         is_first: bool,
     ) -> StreamStep {
         loop {
@@ -120,6 +122,10 @@
             }
             let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
             let silence_ms = self.allowed_silence_ms(is_first).unwrap_or(left_ms);
+            let silence_ms = match is_first {
+                true => self.begins_within_ms(chosen, silence_ms),
+                false => silence_ms,
+            };
             let reading = answer.read(&mut splitter.pending);
             match within(silence_ms.min(left_ms), reading).await {
                 Some(Ok(true)) => {}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -268,10 +268,10 @@
         }
     }
 
-    /// When older weights leave the choice.
-    pub fn weights_bounds(&self) -> WeightsBounds {
+    /// When a request must no longer be on older weights, so long before the
+    /// site's bound, in milliseconds.
+    pub fn weights_bounds(&self, margin: u64) -> WeightsBounds {
         let settings = self.settings();
-        let margin = settings.weights.margin_ms;
         WeightsBounds {
             avoid_after_ms: settings.bounds.weights_ms.saturating_sub(margin),
             avoid_after_total_ms: settings.bounds.weights_total_ms.saturating_sub(margin),
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -20,7 +20,7 @@
 
 /// Weights are loaded at once, and old ones avoided soon.
 const BRISK_LOADS: &str = "[weights]\nfinish_ms = 1\nload_ms = 20\nreport_after_ms = 1\n\
-    order_timeout_ms = 50\nmargin_ms = 0\n[bounds]\nweights_ms = 600\nlease_ms = 300\n";
+    order_timeout_ms = 50\nmargin_ms = 200\n[bounds]\nweights_ms = 600\nlease_ms = 300\n";
 
 #[test]
 fn a_stop_takes_readiness_back_and_finishes_what_is_under_way() {
@@ -276,3 +276,33 @@
         assert_eq!(engines[0].orders().len(), 0);
     });
 }
+
+#[test]
+fn a_request_that_waits_at_outdated_weights_is_taken_back_before_the_bound() {
+    smol::block_on(async {
+        let engines = engines(1).await;
+        engines[0].set_weights(1);
+        engines[0].set(Behaviour::Silent);
+        let with_route = {
+            let mut configuration = configuration(1);
+            let patient = support::route("queue.test", "stream", "llm", 600_000);
+            let routes = configuration["routes"].as_array_mut().expect("routes");
+            routes.push(patient);
+            configuration
+        };
+        let fixture = Fixture::with(&[&engines[0]], with_route, BRISK_LOADS).await;
+        // No node may give orders: the engine keeps its weights.
+        fixture.gateway.begin_stop();
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        while fixture.gateway.beliefs().weights.newest("m").is_none() {
+            caller::get_status(fixture.running().readiness).await;
+        }
+        // The engine holds the request in its queue; the caller would wait for
+        // ten minutes.
+        let answer = fixture.send(&prompt("queue.test", "r")).await;
+        assert!(answer.status() >= 500);
+        while engines[0].dropped() == 0 {
+            engines[0].happened.recv().await.expect("the engine");
+        }
+    });
+}
