Moving kept cache costs 0.15 of reading it, not 0.5

Cause: the share was set by guess; links move a prompt in 0.05 (Bula) and 0.24 (City) of the time to read it, computed from the sheets.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -162,7 +162,7 @@
     fn default() -> Self {
         Self {
             prompt_tokens_per_ms: 40.0,
-            transfer_share: 0.5,
+            transfer_share: 0.15,
             zone_ms: 12.0,
             slot_ms: 30.0,
             senders: 7.0,
