Save a prompt to the cache store when it is used again

Cause: each prompt was saved at its first use; a save takes 41 to 82 ms of the store's link (Bula), and most prompts are not used again while the store keeps them. Change: saved when all shared parts are known to be kept somewhere.

--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -65,6 +65,13 @@
     pub required_weights: u64,
 }
 
+impl PromptCriteria<'_> {
+    /// Tokens of the parts that other requests may have too.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared.iter().map(|part| part.tokens).sum()
+    }
+}
+
 /// Cost of one engine by term, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Cost {
@@ -290,7 +297,7 @@
     ) -> Supply<'a> {
         let rate = self.rates.prompt_tokens_per_ms;
         let share = self.rates.transfer_share;
-        let shared = prompt.shared.iter().map(|part| part.tokens).sum::<u64>();
+        let shared = prompt.shared_tokens();
         if !self.reach.is_known() {
             // Nobody is known to keep any part: the home may.
             if rank > 0 {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -84,6 +84,14 @@
     tokens: u64,
 }
 
+/// What decides how a prompt uses kept cache at an engine.
+struct PromptCache<'a> {
+    salt_scope: &'a str,
+    weights: u64,
+    source: Option<KeptPrefix>,
+    is_used_again: bool,
+}
+
 impl Relay {
     /// Chooses an engine among those that were not tried.
     pub(super) fn choose(&self) -> Result<ChosenEngine, NoChoice> {
@@ -132,34 +140,38 @@
                 address: source.record.address,
                 tokens: choice.source_tokens,
             });
-            chosen.cache =
-                Some(self.transfer(&beliefs.cache, prompt.model, scope, weights, source));
+            let use_of_cache = PromptCache {
+                salt_scope: scope,
+                weights,
+                source,
+                is_used_again: choice.kept_tokens >= prompt.shared_tokens(),
+            };
+            chosen.cache = Some(self.transfer(&beliefs.cache, prompt.model, use_of_cache));
         }
         Ok(chosen)
     }
 
     /// Fetches shared parts from the engine that keeps them, or from the store
-    /// when that keeps more, and saves those that the store lacks: once in the
-    /// fleet for each version of the weights.
+    /// when that keeps more. Saves those that the store lacks when the prompt is
+    /// used again: most are not within the time that the store keeps them, and
+    /// saving each at its first use fills the store's link.
     fn transfer(
         &self,
         cache: &CacheBeliefs,
         model: &str,
-        scope: &str,
-        weights: u64,
-        source: Option<KeptPrefix>,
+        prompt: PromptCache<'_>,
     ) -> CacheTransfer {
         // Without known weights nothing may be shared with any other request.
-        if weights == 0 {
+        if prompt.weights == 0 {
             return CacheTransfer {
                 salt: self.received.request.id.clone(),
                 fetch_from: None,
                 save_to: None,
             };
         }
-        let salt = cache_salt(model, weights, scope);
-        let prompt = self.received.request.prompt.as_ref();
-        let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+        let salt = cache_salt(model, prompt.weights, prompt.salt_scope);
+        let received = self.received.request.prompt.as_ref();
+        let shared = received.map_or(&[][..], |received| received.shared_parts());
         let is_kept = |part: &PromptPart| cache.contents.has(&salt, part.id);
         // A part is of use only when every part before it is kept as well.
         let kept = shared.iter().take_while(|part| is_kept(part));
@@ -170,12 +182,12 @@
         let store = store.filter(|_| cache.state != CacheStoreState::Lost);
         let store = store.map(|store| store.address);
         let is_unobserved = cache.state == CacheStoreState::Unobserved;
-        let source_tokens = source.as_ref().map_or(0, |source| source.tokens);
+        let source_tokens = prompt.source.as_ref().map_or(0, |source| source.tokens);
         let keeps_more = kept_tokens > source_tokens || (is_unobserved && source_tokens == 0);
-        let source = source.map(|source| source.address);
+        let source = prompt.source.map(|source| source.address);
         CacheTransfer {
             fetch_from: store.filter(|_| keeps_more).or(source),
-            save_to: store.filter(|_| !is_whole),
+            save_to: store.filter(|_| prompt.is_used_again && !is_whole),
             salt,
         }
     }
