Two nodes of a zone read the store for the others

Ruled out: rarer watches of the configuration on all nodes (a proof would be older than keys may live after one lost call). Change: in a zone where a node hears two others that come before it, those two watch as before, pass on changes of the engines, and answer how old their proof of the configuration is; a proof counts from when it was asked for, and only for the same version. The others watch the configuration for 20 s at a time and read engines every 5 s; a node whose proof is 2.8 s old, or whose reader has a newer version, asks the store. Records of engines carry their revision, so that news that is overtaken is ignored, also after an engine is gone. Engines are gathered for 800 ms (400). On a site of seven nodes one node relies.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -24,6 +24,8 @@
 pub struct EngineRecord {
     /// This life of the engine.
     pub instance: InstanceId,
+    /// Revision of the record's last change.
+    pub revision: u64,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -83,12 +85,25 @@
 pub struct EngineCatalogue {
     engines: HashMap<InstanceId, Engine>,
     by_service: BTreeMap<ServiceName, Vec<InstanceId>>,
+    gone: HashMap<InstanceId, u64>,
 }
 
+/// Engines that are remembered as gone; older news of them is ignored.
+const MAX_GONE: usize = 4_096;
+
 impl EngineCatalogue {
-    /// Takes in a new or changed record. Weights never go back by a record:
-    /// records lag behind what answers have shown.
-    pub fn upsert(&mut self, record: EngineRecord) {
+    /// Takes in a new or changed record; tells whether it was news. Records come
+    /// from the store and from other nodes, so an older one may come after a newer
+    /// one. Weights never go back by a record: records lag behind what answers
+    /// have shown.
+    pub fn upsert(&mut self, record: EngineRecord) -> bool {
+        let known = self.engines.get(&record.instance);
+        let known = known.map(|engine| engine.record.revision);
+        let newest = known.max(self.gone.get(&record.instance).copied());
+        if newest.is_some_and(|newest| newest >= record.revision) {
+            return false;
+        }
+        self.gone.remove(&record.instance);
         match self.engines.get_mut(&record.instance) {
             Some(engine) => {
                 let known = std::mem::take(&mut engine.record.weights);
@@ -106,19 +121,31 @@
                 self.engines.insert(instance, Engine::new(record));
             }
         }
+        true
     }
 
-    /// Forgets an engine whose record is gone.
-    pub fn remove(&mut self, instance: &InstanceId) {
+    /// Forgets an engine whose record is gone since that revision; tells whether
+    /// it was news.
+    pub fn remove(&mut self, instance: &InstanceId, revision: u64) -> bool {
+        let known = self.engines.get(instance);
+        if known.is_none_or(|engine| engine.record.revision > revision) {
+            return false;
+        }
+        if self.gone.len() >= MAX_GONE {
+            self.gone.clear();
+        }
+        self.gone.insert(instance.clone(), revision);
         self.engines.remove(instance);
         for instances in self.by_service.values_mut() {
             instances.retain(|known| known != instance);
         }
         self.by_service.retain(|_, instances| !instances.is_empty());
+        true
     }
 
-    /// Replaces the whole catalogue, keeping what is known of engines that stay.
-    pub fn replace_all(&mut self, records: Vec<EngineRecord>) {
+    /// Replaces the whole catalogue by the records at a revision, keeping what is
+    /// known of engines that stay.
+    pub fn replace_all(&mut self, records: Vec<EngineRecord>, revision: u64) {
         let gone: Vec<InstanceId> = self
             .engines
             .keys()
@@ -126,7 +153,7 @@
             .cloned()
             .collect();
         for instance in gone {
-            self.remove(&instance);
+            self.remove(&instance, revision);
         }
         for record in records {
             self.upsert(record);
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -11,7 +11,7 @@
 //! ```
 
 use crate::catalogue::{EngineCatalogue, InstanceId};
-use ploverlift_policy::ids::Millis;
+use ploverlift_policy::ids::{Millis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,6 +47,17 @@
     }
 }
 
+/// A short name of a zone, the same on all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ZoneTag(pub u32);
+
+impl ZoneTag {
+    /// The short name of a zone.
+    pub fn of(zone: &ZoneName) -> Self {
+        Self(xxh3_64(zone.0.as_bytes()) as u32)
+    }
+}
+
 /// Requests at one engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineLoad {
@@ -77,6 +88,8 @@
 pub struct LoadReport {
     /// The node that reports.
     pub sender: PeerId,
+    /// Its zone.
+    pub zone: ZoneTag,
     /// Its life; a later one is higher.
     pub life: u64,
     /// Rises with each report of a life.
@@ -91,6 +104,7 @@
 
 #[derive(Clone, Debug)]
 struct Peer {
+    zone: ZoneTag,
     life: u64,
     sequence: u64,
     heard_at: Millis,
@@ -119,12 +133,14 @@
             self.take_off(report.sender);
         }
         let peer = self.peers.entry(report.sender).or_insert_with(|| Peer {
+            zone: report.zone,
             life: report.life,
             sequence: report.sequence,
             heard_at: now,
             loads: HashMap::new(),
             loading: Vec::new(),
         });
+        peer.zone = report.zone;
         peer.life = report.life;
         peer.sequence = report.sequence;
         peer.heard_at = now;
@@ -171,6 +187,14 @@
         self.peers.range(..own).count()
     }
 
+    /// The first nodes of a zone in the order of all that were heard of lately and
+    /// come before this node, at most so many.
+    pub fn first_in_zone(&self, zone: ZoneTag, own: PeerId, count: usize) -> Vec<PeerId> {
+        let before = self.peers.range(..own);
+        let near = before.filter(|(_, peer)| peer.zone == zone);
+        near.map(|(id, _)| *id).take(count).collect()
+    }
+
     /// Nodes that were heard of lately.
     pub fn peer_count(&self) -> usize {
         self.peers.len()
@@ -193,6 +217,7 @@
 #[derive(Clone, Debug)]
 pub struct ReportBuilder {
     sender: PeerId,
+    zone: ZoneTag,
     life: u64,
     sequence: u64,
     reported: HashMap<EngineTag, EngineLoad>,
@@ -202,9 +227,10 @@
 
 impl ReportBuilder {
     /// Reports of a node's life.
-    pub fn new(sender: PeerId, life: u64) -> Self {
+    pub fn new(sender: PeerId, zone: ZoneTag, life: u64) -> Self {
         Self {
             sender,
+            zone,
             life,
             sequence: 0,
             reported: HashMap::new(),
@@ -244,6 +270,7 @@
         self.loading.clone_from(&loading);
         Some(LoadReport {
             sender: self.sender,
+            zone: self.zone,
             life: self.life,
             sequence: self.sequence,
             is_full,
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -29,6 +29,7 @@
 fn record(index: usize, weights: u64) -> EngineRecord {
     EngineRecord {
         instance: instance(index),
+        revision: 1,
         service: ServiceName::from("llm"),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
         zone: ZoneName::from(if index % 2 == 0 { "z0" } else { "z1" }),
@@ -95,7 +96,7 @@
     fn a_lost_engine_moves_only_its_own_prompts(key: u64, lost in 0usize..12) {
         let mut catalogue = catalogue(12);
         let before = chosen(&catalogue, "z0", key, 0, &[], NOW).expect("an engine");
-        catalogue.remove(&instance(lost));
+        catalogue.remove(&instance(lost), 1);
         let after = chosen(&catalogue, "z0", key, 0, &[], NOW).expect("an engine");
         prop_assert!(before == after || before == instance(lost));
     }
@@ -180,6 +181,32 @@
 fn a_record_that_lags_does_not_take_weights_back() {
     let mut catalogue = catalogue(1);
     catalogue.note_weights(&instance(0), "m", 3);
-    catalogue.upsert(record(0, 2));
+    let mut lagging = record(0, 2);
+    lagging.revision = 2;
+    assert!(catalogue.upsert(lagging));
     assert_eq!(catalogue.newest_weights("m"), 3);
 }
+
+#[test]
+fn older_news_of_an_engine_is_ignored_also_after_it_is_gone() {
+    let mut catalogue = EngineCatalogue::default();
+    let at = |revision: u64, is_leaving: bool| EngineRecord {
+        revision,
+        is_leaving,
+        ..record(0, 1)
+    };
+    assert!(catalogue.upsert(at(5, true)));
+    assert!(!catalogue.upsert(at(4, false)));
+    assert!(
+        catalogue
+            .get(&instance(0))
+            .expect("known")
+            .record
+            .is_leaving
+    );
+    assert!(!catalogue.remove(&instance(0), 4));
+    assert!(catalogue.remove(&instance(0), 7));
+    assert!(!catalogue.upsert(at(6, false)));
+    assert!(catalogue.is_empty());
+    assert!(catalogue.upsert(at(8, false)));
+}
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -3,7 +3,8 @@
 
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::peer_loads::{
-    EngineLoad, EngineTag, LoadReport, PeerId, PeerLoads, ReportBuilder, FULL_REPORT_PERIOD_MS,
+    EngineLoad, EngineTag, LoadReport, PeerId, PeerLoads, ReportBuilder, ZoneTag,
+    FULL_REPORT_PERIOD_MS,
 };
 use ploverlift_balancing::prefix_holders::{chain_keys, Placement, PrefixHolders};
 use ploverlift_balancing::selection::{
@@ -37,6 +38,7 @@
     for (index, weights) in weights.iter().enumerate() {
         catalogue.upsert(EngineRecord {
             instance: instance(index),
+            revision: 1,
             service: ServiceName::from("llm"),
             address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
             zone: ZoneName::from("z"),
@@ -58,6 +60,7 @@
 fn report(sender: u64, sequence: u64, loads: &[(EngineTag, EngineLoad)]) -> LoadReport {
     LoadReport {
         sender: PeerId(sender),
+        zone: ZoneTag(sender as u32 % 2),
         life: 1,
         sequence,
         is_full: false,
@@ -124,7 +127,7 @@
     ) {
         let mut catalogues = vec![catalogue(&[1; 4]); 3];
         let mut builders: Vec<ReportBuilder> =
-            (0..3).map(|node| ReportBuilder::new(PeerId(node), 1)).collect();
+            (0..3).map(|node| ReportBuilder::new(PeerId(node), ZoneTag(0), 1)).collect();
         let mut merged = PeerLoads::default();
         let mut late = Vec::new();
         let mut now = NOW;
@@ -303,3 +306,15 @@
     holders.note_own(&chains, tag(0), NOW.plus(9_000));
     assert_eq!(holders.take_unreported(16).len(), 1);
 }
+
+#[test]
+fn the_first_nodes_of_each_zone_come_from_that_zone() {
+    let mut loads = PeerLoads::default();
+    for node in [2, 4, 6, 8, 1, 3] {
+        loads.apply(&report(node, 1, &[]), NOW);
+    }
+    let first = |zone, own| loads.first_in_zone(ZoneTag(zone), PeerId(own), 2);
+    assert_eq!(first(0, 9), [PeerId(2), PeerId(4)]);
+    assert_eq!(first(0, 3), [PeerId(2)]);
+    assert_eq!(first(1, 9), [PeerId(1), PeerId(3)]);
+}
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -3,7 +3,8 @@
 use crate::cache_feed::follow_cache;
 use crate::callers::{accept_callers, bind};
 use crate::peers::discovery::find_peers;
-use crate::peers::{receive_reports, send_reports};
+use crate::peers::freshness::ask_for_proofs;
+use crate::peers::{pass_on_changes, receive_messages, send_reports};
 use crate::ports::Site;
 use crate::readiness::{answer_metrics, answer_readiness};
 use crate::settings::{GatewaySettings, SettingsError};
@@ -92,7 +93,11 @@
         gateway.address_book().set_own(own);
         let sending = send_reports(Arc::clone(&gateway), Arc::clone(&socket));
         tasks.push(smol::spawn(sending));
-        tasks.push(smol::spawn(receive_reports(Arc::clone(&gateway), socket)));
+        let receiving = receive_messages(Arc::clone(&gateway), Arc::clone(&socket));
+        tasks.push(smol::spawn(receiving));
+        let passing = pass_on_changes(Arc::clone(&gateway), Arc::clone(&socket));
+        tasks.push(smol::spawn(passing));
+        tasks.push(smol::spawn(ask_for_proofs(Arc::clone(&gateway), socket)));
         tasks.push(smol::spawn(find_peers(Arc::clone(&gateway), own)));
     }
     slog::info!(gateway.log, "started";
--- a/crates/gateway/src/peers/address_book.rs
+++ b/crates/gateway/src/peers/address_book.rs
@@ -1,6 +1,7 @@
 //! Whom reports are sent to: nodes that the object store names, and nodes that
 //! were heard of. Those of the own zone come first.
 
+use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Contact {
+    id: Option<PeerId>,
     is_listed: bool,
     is_near: bool,
     heard_at: Option<Millis>,
@@ -62,12 +64,29 @@
     }
 
     /// A node was heard of.
-    pub fn heard(&mut self, address: SocketAddr, now: Millis) {
+    pub fn heard(&mut self, address: SocketAddr, id: PeerId, now: Millis) {
         if self.contacts.contains_key(&address) || self.contacts.len() < MAX_KNOWN {
-            self.contact(address).heard_at = Some(now);
+            let contact = self.contact(address);
+            contact.id = Some(id);
+            contact.heard_at = Some(now);
         }
     }
 
+    /// Where a node was last heard of.
+    pub fn address_of(&self, id: PeerId) -> Option<SocketAddr> {
+        let known = self.contacts.iter();
+        let known = known.filter(|(_, contact)| contact.id == Some(id));
+        let last = known.max_by_key(|(_, contact)| contact.heard_at);
+        last.map(|(address, _)| *address)
+    }
+
+    /// Nodes of the own zone that were heard of lately.
+    pub fn live_near(&self, now: Millis) -> Vec<SocketAddr> {
+        let contacts = self.contacts.iter();
+        let live = contacts.filter(|(_, contact)| contact.is_near && contact.is_live(now));
+        live.map(|(address, _)| *address).collect()
+    }
+
     /// Nodes to which the next report goes.
     pub fn receivers(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut due: Vec<(bool, bool, SocketAddr)> = self
@@ -96,6 +115,7 @@
 
     fn contact(&mut self, address: SocketAddr) -> &mut Contact {
         self.contacts.entry(address).or_insert(Contact {
+            id: None,
             is_listed: false,
             is_near: false,
             heard_at: None,
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -1,9 +1,12 @@
-//! Reports as datagrams.
+//! Messages between nodes as datagrams.
 
-use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadReport, PeerId};
+use crate::ports::{StoreObject, WatchEvent};
+use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadReport, PeerId, ZoneTag};
 use ploverlift_balancing::prefix_holders::Placement;
+use ploverlift_policy::ids::Millis;
 use ploverlift_routing::prompt::ChainKey;
-use ploverlift_wire::{decode_report, encode_report, peers, WireError};
+use ploverlift_wire::peers::peer_message::Body;
+use ploverlift_wire::{decode_peer_message, encode_peer_message, peers, WireError};
 
 /// Placements in one report. With the largest number of loads a report stays
 /// within one unfragmented datagram.
@@ -20,11 +23,100 @@
     pub lease_revision: Option<u64>,
 }
 
-/// A report as a datagram.
-pub fn encode(report: &PeerReport) -> Vec<u8> {
+/// A node's word on how fresh its configuration is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FreshnessAnswer {
+    /// When the asker asked, by the asker's clock.
+    pub asked_at: Millis,
+    /// Version of the configuration in force.
+    pub configuration: u64,
+    /// Age of the proof that it is the newest one, in milliseconds.
+    pub proof_age_ms: u64,
+}
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerMessage {
+    /// A report.
+    Report(PeerReport),
+    /// How fresh is the configuration? The time is the asker's.
+    FreshnessQuestion {
+        /// When the asker asked.
+        asked_at: Millis,
+    },
+    /// The answer to that.
+    FreshnessAnswer(FreshnessAnswer),
+    /// A change of the engines that the store told the sender.
+    CatalogueChange(WatchEvent),
+}
+
+/// A message as a datagram.
+pub fn encode(message: &PeerMessage) -> Vec<u8> {
+    let body = match message {
+        PeerMessage::Report(report) => Body::Report(report_message(report)),
+        PeerMessage::FreshnessQuestion { asked_at } => {
+            Body::FreshnessQuestion(peers::FreshnessQuestion {
+                asked_at: asked_at.0,
+            })
+        }
+        PeerMessage::FreshnessAnswer(answer) => Body::FreshnessAnswer(peers::FreshnessAnswer {
+            asked_at: answer.asked_at.0,
+            configuration: answer.configuration,
+            proof_age_ms: answer.proof_age_ms,
+        }),
+        PeerMessage::CatalogueChange(change) => Body::CatalogueChange(peers::CatalogueChange {
+            name: change.object.name.clone(),
+            revision: change.object.revision,
+            is_deleting: change.object.is_deleting,
+            is_gone: change.is_gone,
+            content: change.object.content.to_string(),
+        }),
+    };
+    encode_peer_message(&peers::PeerMessage { body: Some(body) })
+}
+
+/// Reads a datagram; nothing when it says nothing that this version knows.
+///
+/// # Errors
+/// When it is not a message.
+pub fn decode(datagram: &[u8]) -> Result<Option<PeerMessage>, WireError> {
+    let message = decode_peer_message(datagram)?;
+    Ok(match message.body {
+        Some(Body::Report(report)) => Some(PeerMessage::Report(read_report(&report))),
+        Some(Body::FreshnessQuestion(question)) => Some(PeerMessage::FreshnessQuestion {
+            asked_at: Millis(question.asked_at),
+        }),
+        Some(Body::FreshnessAnswer(answer)) => {
+            Some(PeerMessage::FreshnessAnswer(FreshnessAnswer {
+                asked_at: Millis(answer.asked_at),
+                configuration: answer.configuration,
+                proof_age_ms: answer.proof_age_ms,
+            }))
+        }
+        Some(Body::CatalogueChange(change)) => {
+            read_change(change).map(PeerMessage::CatalogueChange)
+        }
+        None => None,
+    })
+}
+
+fn read_change(change: peers::CatalogueChange) -> Option<WatchEvent> {
+    Some(WatchEvent {
+        object: StoreObject {
+            name: change.name,
+            revision: change.revision,
+            is_deleting: change.is_deleting,
+            content: serde_json::from_str(&change.content).ok()?,
+        },
+        is_gone: change.is_gone,
+    })
+}
+
+fn report_message(report: &PeerReport) -> peers::PeerReport {
     let loads = &report.loads;
-    encode_report(&peers::PeerReport {
+    peers::PeerReport {
         sender: loads.sender.0,
+        zone: loads.zone.0,
         life: loads.life,
         sequence: loads.sequence,
         is_full: loads.is_full,
@@ -32,15 +124,10 @@
         placements: report.placements.iter().map(placement_message).collect(),
         loading: loads.loading.iter().map(|tag| tag.0).collect(),
         lease_revision: report.lease_revision.unwrap_or(0),
-    })
+    }
 }
 
-/// Reads a datagram.
-///
-/// # Errors
-/// When it is not a report.
-pub fn decode(datagram: &[u8]) -> Result<PeerReport, WireError> {
-    let message = decode_report(datagram)?;
+fn read_report(message: &peers::PeerReport) -> PeerReport {
     let loads = message.loads.iter().map(|load| {
         let engine = EngineTag(load.engine);
         let load = EngineLoad {
@@ -53,9 +140,10 @@
         chain: ChainKey(placement.chain),
         engine: EngineTag(placement.engine),
     });
-    Ok(PeerReport {
+    PeerReport {
         loads: LoadReport {
             sender: PeerId(message.sender),
+            zone: ZoneTag(message.zone),
             life: message.life,
             sequence: message.sequence,
             is_full: message.is_full,
@@ -64,7 +152,7 @@
         },
         placements: placements.collect(),
         lease_revision: Some(message.lease_revision).filter(|revision| *revision > 0),
-    })
+    }
 }
 
 fn load_message((engine, load): &(EngineTag, EngineLoad)) -> peers::EngineLoad {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,9 +2,10 @@
 
 use crate::metrics::Metrics;
 use crate::peers::address_book::AddressBook;
-use crate::ports::Site;
+use crate::ports::{Site, WatchEvent};
 use crate::settings::GatewaySettings;
 use crate::time::Clock;
+use async_channel::{Receiver, Sender};
 use event_listener::Event;
 use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
@@ -127,10 +128,16 @@
     pub store_recovered: Event,
     /// Told whenever a version of weights was named.
     pub weights_named: Event,
+    /// Told when another node has a newer configuration.
+    pub configuration_outdated: Event,
+    /// Told when the other nodes should hear from this one at once.
+    pub report_due: Event,
     /// Told when a planned stop begins.
     pub stop_began: Event,
     /// Told whenever a request or a connection has ended.
     pub work_ended: Event,
+    /// Changes of the engines that this node has read, for the nodes of its zone.
+    pub catalogue_changes: (Sender<WatchEvent>, Receiver<WatchEvent>),
     /// Where the splits of this node begin, in 0 to 1.
     pub split_start: f64,
     stopping: AtomicBool,
@@ -141,6 +148,9 @@
     address_book: Mutex<AddressBook>,
 }
 
+/// Changes of the engines that wait to be passed on; more are left out.
+const MAX_CHANGES_WAITING: usize = 256;
+
 /// Log lines that were written in the present second.
 #[derive(Debug, Default)]
 struct LineAllowance {
@@ -160,8 +170,11 @@
             metrics: Metrics::default(),
             store_recovered: Event::new(),
             weights_named: Event::new(),
+            configuration_outdated: Event::new(),
+            report_due: Event::new(),
             stop_began: Event::new(),
             work_ended: Event::new(),
+            catalogue_changes: async_channel::bounded(MAX_CHANGES_WAITING),
             split_start: fastrand::f64(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -3,12 +3,14 @@
 //! The watch of the configuration waits briefly, because its answer proves that
 //! the configuration is the newest; it also notices first when the store is
 //! lost or back. The other watches wait long and are begun anew when the store
-//! is back.
+//! is back. A node that relies on readers ([`crate::peers::readers`]) waits long
+//! for the configuration too, until its proof grows old.
 
 use super::StoreClient;
+use crate::peers::readers::{has_stale_proof, relies_on_readers};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply, WatchEvent};
 use crate::state::Gateway;
-use crate::time::sleep;
+use crate::time::{sleep, within};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
@@ -19,7 +21,12 @@
 const LONGEST_PAUSE_MS: u64 = 250;
 /// Pause between two changes of engines, in milliseconds: engines change in
 /// groups, and each answer of a watch is a call.
-const GATHER_MS: u64 = 400;
+const GATHER_MS: u64 = 800;
+/// The same at a node that other nodes tell of changes, in milliseconds: what it
+/// reads repairs what it was not told.
+const RELYING_GATHER_MS: u64 = 5_000;
+/// Time between two looks at the age of a proof, in milliseconds.
+const PROOF_LOOK_MS: u64 = 200;
 
 /// Pauses between failed calls: doubled each time and jittered, so that nodes
 /// which lost the store together do not come back together.
@@ -45,6 +52,24 @@
     }
 }
 
+/// How a watch ended.
+enum WatchEnd {
+    Answered(StoreReply),
+    /// It was given up: its answer would come too late.
+    Abandoned,
+}
+
+/// Waits until the proof that the configuration is the newest has grown old, or
+/// another node has a newer one.
+async fn wait_for_stale_proof(gateway: &Gateway) {
+    while !has_stale_proof(gateway, gateway.clock.now()) {
+        let outdated = gateway.configuration_outdated.listen();
+        if within(PROOF_LOOK_MS, outdated).await.is_some() {
+            return;
+        }
+    }
+}
+
 /// One copy.
 struct Feed {
     gateway: Arc<Gateway>,
@@ -90,12 +115,18 @@
         loop {
             let sent = self.gateway.clock.now();
             match self.watch(revision).await {
-                Ok(StoreReply::Changes { events, revision }) => {
+                Ok(WatchEnd::Abandoned) => {
+                    self.client.reset();
+                    if self.kind == StoreKind::Configuration {
+                        return None;
+                    }
+                }
+                Ok(WatchEnd::Answered(StoreReply::Changes { events, revision })) => {
                     self.note_reached();
                     backoff.reset();
                     return Some((events, revision, sent));
                 }
-                Ok(_) => return None,
+                Ok(WatchEnd::Answered(_)) => return None,
                 Err(StoreError::HistoryGone) => {
                     slog::info!(self.gateway.log, "history gone"; "kind" => self.kind_name());
                     return None;
@@ -113,10 +144,11 @@
         }
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<StoreReply, StoreError> {
+    async fn watch(&mut self, revision: u64) -> Result<WatchEnd, StoreError> {
         let store = &self.gateway.settings().store;
         let is_probe = self.kind == StoreKind::Configuration;
-        let wait_ms = match is_probe {
+        let relies_on_readers = relies_on_readers(&self.gateway);
+        let wait_ms = match is_probe && !relies_on_readers {
             true => store.configuration_watch_ms,
             false => store.other_watch_ms,
         };
@@ -125,20 +157,20 @@
             revision,
             wait_ms,
         };
-        if is_probe {
-            return self.client.call(&call).await;
-        }
-        let recovered = self.gateway.store_recovered.listen();
         let gateway = Arc::clone(&self.gateway);
-        let watching = self.client.call(&call);
-        let restarting = async {
-            recovered.await;
-            slog::debug!(gateway.log, "watch begun anew");
-            Err(StoreError::Unknown {
-                reason: "the store was away".to_owned(),
-            })
+        let watching = async {
+            let answered = self.client.call(&call).await;
+            answered.map(WatchEnd::Answered)
+        };
+        let abandoning = async {
+            match is_probe {
+                true if relies_on_readers => wait_for_stale_proof(&gateway).await,
+                true => std::future::pending().await,
+                false => gateway.store_recovered.listen().await,
+            }
+            Ok(WatchEnd::Abandoned)
         };
-        futures_lite::future::or(watching, restarting).await
+        futures_lite::future::or(watching, abandoning).await
     }
 
     fn kind_name(&self) -> String {
@@ -211,23 +243,29 @@
     let mut backoff = Backoff::new();
     loop {
         let (objects, mut revision, _) = feed.list(&mut backoff).await;
-        replace_engines(&gateway, &objects);
+        replace_engines(&gateway, &objects, revision);
         while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
             let has_events = !events.is_empty();
-            for event in &events {
-                take_engine(&gateway, event);
+            for event in events {
+                take_engine(&gateway, &event);
+                // When too many wait, the others read this one by themselves.
+                let _ = gateway.catalogue_changes.0.try_send(event);
             }
             let count = gateway.beliefs().engines.len();
             gateway.metrics.engines.set(count as i64);
             revision = next;
             if has_events {
-                sleep(GATHER_MS).await;
+                sleep(match relies_on_readers(&gateway) {
+                    true => RELYING_GATHER_MS,
+                    false => GATHER_MS,
+                })
+                .await;
             }
         }
     }
 }
 
-fn replace_engines(gateway: &Gateway, objects: &[StoreObject]) {
+fn replace_engines(gateway: &Gateway, objects: &[StoreObject], revision: u64) {
     let read = objects.iter().map(|object| gateway.site.engine(object));
     let mut records = Vec::new();
     for result in read {
@@ -240,30 +278,38 @@
     }
     let count = records.len();
     let mut beliefs = gateway.beliefs();
-    beliefs.engines.replace_all(records);
+    beliefs.engines.replace_all(records, revision);
     beliefs.engines_listed = true;
     drop(beliefs);
     gateway.metrics.engines.set(count as i64);
     slog::info!(gateway.log, "engines listed"; "count" => count);
 }
 
-fn take_engine(gateway: &Gateway, event: &WatchEvent) {
-    let name = &event.object.name;
+/// Takes in a change of an engine, from the store or from another node.
+pub fn take_engine(gateway: &Gateway, event: &WatchEvent) {
+    let object = &event.object;
     if event.is_gone {
-        let instance = InstanceId(name.clone());
-        gateway.beliefs().engines.remove(&instance);
-        slog::info!(gateway.log, "engine gone"; "engine" => name);
+        let instance = InstanceId(object.name.clone());
+        let removed = gateway.beliefs().engines.remove(&instance, object.revision);
+        if removed {
+            slog::info!(gateway.log, "engine gone";
+                "engine" => &object.name, "revision" => object.revision);
+        }
         return;
     }
-    match gateway.site.engine(&event.object) {
+    match gateway.site.engine(object) {
         Ok(record) => {
-            slog::info!(gateway.log, "engine changed";
-                "engine" => name,
-                "service" => &record.service.0,
-                "leaving" => record.is_leaving,
-                "weights" => format!("{:?}", record.weights),
-                "revision" => event.object.revision);
-            gateway.beliefs().engines.upsert(record);
+            let service = record.service.0.clone();
+            let is_leaving = record.is_leaving;
+            let weights = format!("{:?}", record.weights);
+            if gateway.beliefs().engines.upsert(record) {
+                slog::info!(gateway.log, "engine changed";
+                    "engine" => &object.name,
+                    "service" => service,
+                    "leaving" => is_leaving,
+                    "weights" => weights,
+                    "revision" => object.revision);
+            }
         }
         Err(error) => {
             slog::warn!(gateway.log, "engine does not fit"; "error" => error.to_string());
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -5,4 +5,4 @@
 mod feed;
 
 pub use client::StoreClient;
-pub use feed::{follow_configuration, follow_engines, follow_weights};
+pub use feed::{follow_configuration, follow_engines, follow_weights, take_engine};
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -212,6 +212,7 @@
     for engine in engines {
         loading.begin(&engine.instance, gateway.clock.now());
         gateway.beliefs().loading = loading.instances();
+        gateway.report_due.notify(usize::MAX);
         let (gateway, holder) = (Arc::clone(gateway), Arc::clone(holder));
         let loading = loading.clone();
         smol::spawn(async move {
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -174,6 +174,7 @@
         let now = gateway.clock.now();
         let record = |name: &str, version: u64, port: u16| EngineRecord {
             instance: InstanceId(name.to_owned()),
+            revision: 1,
             service: ServiceName::from("llm"),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             zone: ZoneName::from("z"),
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -305,6 +305,7 @@
         let weights = body["weights"].as_u64();
         Ok(EngineRecord {
             instance: InstanceId(object.name.clone()),
+            revision: object.revision,
             service: ServiceName::from(body["service"].as_str().unwrap_or_default()),
             address: body["address"]
                 .as_str()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -65,17 +65,17 @@
     Envelope::decode(bytes).context(DecodeSnafu)
 }
 
-/// Encodes a report of a gateway.
-pub fn encode_report(report: &peers::PeerReport) -> Vec<u8> {
-    report.encode_to_vec()
+/// Encodes a message between gateways, which goes as one datagram.
+pub fn encode_peer_message(message: &peers::PeerMessage) -> Vec<u8> {
+    message.encode_to_vec()
 }
 
-/// Decodes a report of a gateway, which comes as one datagram.
+/// Decodes a message between gateways.
 ///
 /// # Errors
 /// When it does not decode.
-pub fn decode_report(datagram: &[u8]) -> Result<peers::PeerReport, WireError> {
-    peers::PeerReport::decode(datagram).context(DecodeSnafu)
+pub fn decode_peer_message(datagram: &[u8]) -> Result<peers::PeerMessage, WireError> {
+    peers::PeerMessage::decode(datagram).context(DecodeSnafu)
 }
 
 /// The length prefix of an encoded message on a TCP connection.
