Read on the newest weights what must be read anyway

Cause: while weights are rolled out, a prompt whose holder has loaded was read again on engines that still had the older weights: a price, and of no use once those load. Change: an engine behind the newest weights in use costs 20 ms and the reading of what nobody keeps under its weights.

--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -81,6 +81,9 @@
     pub transfer_ms: f64,
     /// Reading shared parts that no engine is known to keep.
     pub reading_ms: f64,
+    /// Running on weights older than the newest in use, and reading there what will
+    /// be of no use once the engine has the newest.
+    pub outdated_ms: f64,
     /// Being in another zone.
     pub zone_ms: f64,
     /// Requests in the slots.
@@ -94,7 +97,7 @@
     pub fn total_ms(&self) -> f64 {
         let waiting_ms = self.queue_ms + self.slots_ms;
         let prompt_ms = self.transfer_ms + self.reading_ms;
-        waiting_ms + prompt_ms + self.zone_ms + self.failure_ms
+        waiting_ms + prompt_ms + self.outdated_ms + self.zone_ms + self.failure_ms
     }
 }
 
@@ -137,6 +140,8 @@
 const LOADING_MS: f64 = 5_000.0;
 /// Cost of an engine that was put aside, in milliseconds.
 const SUSPENDED_MS: f64 = 20_000.0;
+/// Cost of weights that are older than the newest in use, in milliseconds.
+const OUTDATED_MS: f64 = 20.0;
 /// How much longer moving cache takes between zones.
 const FAR_TRANSFER: f64 = 2.0;
 /// Cost of each place in the order of a prompt's engines, in milliseconds, so
@@ -166,6 +171,7 @@
         reach: &reach,
         home: ranked.first().copied(),
         typical_failures: typical_failure_rate(&ranked, now),
+        newest_weights: newest_weights(&ranked, criteria),
         now,
     };
     let estimated = ranked.iter().enumerate().map(|(rank, engine)| {
@@ -227,6 +233,16 @@
     candidates
 }
 
+/// The newest weights that a candidate has.
+fn newest_weights(engines: &[&Engine], criteria: &Criteria<'_>) -> u64 {
+    let prompt = criteria.prompt.as_ref();
+    let weights = engines.iter().map(|engine| {
+        let model = prompt.map(|prompt| prompt.model);
+        model.map_or(0, |model| engine.weights_of(model))
+    });
+    weights.max().unwrap_or(0)
+}
+
 /// The median failure rate, so that a service whose requests fail anyhow does
 /// not lose all its engines.
 fn typical_failure_rate(engines: &[&Engine], now: Millis) -> f64 {
@@ -257,6 +273,7 @@
     reach: &'a PrefixReach<'a>,
     home: Option<&'a Engine>,
     typical_failures: f64,
+    newest_weights: u64,
     now: Millis,
 }
 
@@ -284,6 +301,10 @@
         cost.queue_ms = waiting_tokens as f64 / rates.prompt_tokens_per_ms;
         let supply = self.supply(engine, prompt, rank, &mut cost);
         cost.transfer_ms += RANK_MS * rank as f64;
+        if engine.weights_of(prompt.model) < self.newest_weights {
+            let to_read = prompt.shared_tokens().saturating_sub(supply.kept_tokens);
+            cost.outdated_ms = OUTDATED_MS + to_read as f64 / rates.prompt_tokens_per_ms;
+        }
         (cost, supply)
     }
 
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -318,3 +318,23 @@
     assert_eq!(first(0, 3), [PeerId(2)]);
     assert_eq!(first(1, 9), [PeerId(1), PeerId(3)]);
 }
+
+#[test]
+fn a_prompt_that_must_be_read_is_read_on_the_newest_weights() {
+    let old = [1, 1, 1, 2, 1, 1];
+    let choice = chosen(
+        &catalogue(&old),
+        &PeerLoads::default(),
+        &PrefixHolders::default(),
+    );
+    assert_eq!(choice.instance, instance(3));
+}
+
+#[test]
+fn a_prompt_that_is_kept_under_older_weights_still_goes_there() {
+    let old = [1, 1, 1, 2, 1, 1];
+    let holders = kept_by(&[4], 1, 2);
+    let choice = chosen(&catalogue(&old), &PeerLoads::default(), &holders);
+    assert_eq!(choice.instance, instance(4));
+    assert!(choice.cost.outdated_ms > 0.0);
+}
