Report often within the zone, less often beyond

Cause: with 79 nodes each report went to 64 of them, always the same, every 400 ms. Change: two streams of reports with their own pace, placements read by position; where there are too many nodes each has its turn.

--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -219,7 +219,6 @@
     sender: PeerId,
     zone: ZoneTag,
     life: u64,
-    sequence: u64,
     reported: HashMap<EngineTag, EngineLoad>,
     loading: Vec<EngineTag>,
     full_at: Option<Millis>,
@@ -232,7 +231,6 @@
             sender,
             zone,
             life,
-            sequence: 0,
             reported: HashMap::new(),
             loading: Vec::new(),
             full_at: None,
@@ -240,9 +238,11 @@
     }
 
     /// The next report; nothing when there is no news. `has_other_news` says that
-    /// the report is to carry something besides loads.
+    /// the report is to carry something besides loads. `sequence` rises with all
+    /// reports of this life, also of other builders.
     pub fn next(
         &mut self,
+        sequence: u64,
         catalogue: &EngineCatalogue,
         loading: &[InstanceId],
         has_other_news: bool,
@@ -265,14 +265,13 @@
         if is_full {
             self.full_at = Some(now);
         }
-        self.sequence += 1;
         self.reported = present;
         self.loading.clone_from(&loading);
         Some(LoadReport {
             sender: self.sender,
             zone: self.zone,
             life: self.life,
-            sequence: self.sequence,
+            sequence,
             is_full,
             loads,
             loading,
--- a/crates/balancing/src/prefix_holders.rs
+++ b/crates/balancing/src/prefix_holders.rs
@@ -8,7 +8,7 @@
 use crate::peer_loads::EngineTag;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time for which an engine counts as a holder, in milliseconds.
@@ -20,8 +20,8 @@
 const MAX_HOLDERS: usize = 4;
 /// Chains that are remembered.
 const MAX_CHAINS: usize = 20_000;
-/// Placements that wait to be reported.
-const MAX_UNREPORTED: usize = 256;
+/// Placements of this node that can be reported: the latest ones.
+const MAX_NEWS: usize = 256;
 /// Time between two sweeps, in milliseconds.
 const SWEEP_PERIOD_MS: u64 = 5_000;
 
@@ -47,7 +47,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PrefixHolders {
     holders: HashMap<ChainKey, Vec<Holder>>,
-    unreported: Vec<Placement>,
+    news: VecDeque<Placement>,
+    news_dropped: u64,
     swept_at: Millis,
 }
 
@@ -72,8 +73,12 @@
             };
             let before = self.note(placement, now);
             let is_news = before.is_none_or(|used_at| now.since(used_at) >= REPORT_AGAIN_MS);
-            if is_news && self.unreported.len() < MAX_UNREPORTED {
-                self.unreported.push(placement);
+            if is_news {
+                self.news.push_back(placement);
+            }
+            if self.news.len() > MAX_NEWS {
+                self.news.pop_front();
+                self.news_dropped += 1;
             }
         }
     }
@@ -105,10 +110,20 @@
         lately.map(|holder| holder.engine)
     }
 
-    /// Placements that other nodes were not told of yet, at most so many.
-    pub fn take_unreported(&mut self, limit: usize) -> Vec<Placement> {
-        let count = self.unreported.len().min(limit);
-        self.unreported.drain(..count).collect()
+    /// Placements of this node after a position, at most so many, and the position
+    /// after them. The first position is 0.
+    pub fn news_after(&self, position: u64, limit: usize) -> (Vec<Placement>, u64) {
+        let first = position.max(self.news_dropped);
+        let skipped = (first - self.news_dropped) as usize;
+        let news: Vec<Placement> = self
+            .news
+            .iter()
+            .skip(skipped)
+            .take(limit)
+            .copied()
+            .collect();
+        let next = first + news.len() as u64;
+        (news, next)
     }
 
     /// Chains that are remembered.
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -139,7 +139,7 @@
             } else {
                 catalogue.end(&instance(*engine), u64::from(*tokens));
             }
-            if let Some(report) = builders[*node].next(catalogue, &[], false, now) {
+            if let Some(report) = builders[*node].next(index as u64 + 1, catalogue, &[], false, now) {
                 if *arrives {
                     merged.apply(&report, now);
                 } else {
@@ -149,7 +149,7 @@
         }
         now = now.plus(FULL_REPORT_PERIOD_MS);
         for node in 0..3 {
-            let full = builders[node].next(&catalogues[node], &[], false, now);
+            let full = builders[node].next(1_000, &catalogues[node], &[], false, now);
             merged.apply(&full.expect("a full report"), now);
         }
         for report in late {
@@ -300,11 +300,25 @@
     let mut holders = PrefixHolders::default();
     holders.note_own(&chains, tag(0), NOW);
     holders.note_own(&chains, tag(0), NOW.plus(100));
-    assert_eq!(holders.take_unreported(16).len(), 1);
+    let (news, next) = holders.news_after(0, 16);
+    assert_eq!((news.len(), next), (1, 1));
     holders.note_own(&chains, tag(0), NOW.plus(200));
-    assert_eq!(holders.take_unreported(16).len(), 0);
+    assert_eq!(holders.news_after(next, 16).0.len(), 0);
     holders.note_own(&chains, tag(0), NOW.plus(9_000));
-    assert_eq!(holders.take_unreported(16).len(), 1);
+    assert_eq!(holders.news_after(next, 16).0.len(), 1);
+    // Another reader of the news has its own position.
+    assert_eq!(holders.news_after(0, 16).0.len(), 2);
+}
+
+#[test]
+fn a_reader_of_placements_that_fell_behind_goes_on_with_the_latest() {
+    let mut holders = PrefixHolders::default();
+    for chain in 0..1_000 {
+        holders.note_own(&[ChainKey(chain)], tag(0), NOW);
+    }
+    let (news, next) = holders.news_after(5, 16);
+    assert_eq!(news[0].chain, ChainKey(1_000 - 256));
+    assert_eq!(next, 1_000 - 256 + 16);
 }
 
 #[test]
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -2,9 +2,11 @@
 
 use crate::cache_feed::follow_cache;
 use crate::callers::{accept_callers, bind};
+use crate::peers::address_book::Reach;
 use crate::peers::discovery::find_peers;
 use crate::peers::freshness::ask_for_proofs;
-use crate::peers::{pass_on_changes, receive_messages, send_reports};
+use crate::peers::reports::ReportStream;
+use crate::peers::{pass_on_changes, receive_messages};
 use crate::ports::Site;
 use crate::readiness::{answer_metrics, answer_readiness};
 use crate::settings::{GatewaySettings, SettingsError};
@@ -91,8 +93,10 @@
         let socket = Arc::new(listen_for_peers(address)?);
         let own = socket.local_addr().unwrap_or(address);
         gateway.address_book().set_own(own);
-        let sending = send_reports(Arc::clone(&gateway), Arc::clone(&socket));
-        tasks.push(smol::spawn(sending));
+        for reach in [Reach::Near, Reach::Far] {
+            let stream = ReportStream::new(Arc::clone(&gateway), Arc::clone(&socket), reach);
+            tasks.push(smol::spawn(stream.run()));
+        }
         let receiving = receive_messages(Arc::clone(&gateway), Arc::clone(&socket));
         tasks.push(smol::spawn(receiving));
         let passing = pass_on_changes(Arc::clone(&gateway), Arc::clone(&socket));
--- a/crates/gateway/src/peers/address_book.rs
+++ b/crates/gateway/src/peers/address_book.rs
@@ -1,12 +1,12 @@
 //! Whom reports are sent to: nodes that the object store names, and nodes that
-//! were heard of. Those of the own zone come first.
+//! were heard of.
 
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Nodes that reports are sent to, at most.
+/// Nodes that one report is sent to, at most.
 const MAX_RECEIVERS: usize = 64;
 /// Nodes that are remembered, at most.
 const MAX_KNOWN: usize = 4_096;
@@ -16,6 +16,15 @@
 /// Time between two reports to a silent node, in milliseconds.
 const SILENT_PERIOD_MS: u64 = 1_000;
 
+/// Which nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the own zone.
+    Near,
+    /// Those of other zones, or of whom only a message is known.
+    Far,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Contact {
     id: Option<PeerId>,
@@ -88,13 +97,15 @@
     }
 
     /// Nodes to which the next report goes.
-    pub fn receivers(&mut self, now: Millis) -> Vec<SocketAddr> {
-        let mut due: Vec<(bool, bool, SocketAddr)> = self
+    pub fn receivers(&mut self, reach: Reach, now: Millis) -> Vec<SocketAddr> {
+        let is_near = reach == Reach::Near;
+        let mut due: Vec<(bool, Option<Millis>, SocketAddr)> = self
             .contacts
             .iter()
-            .filter(|(_, contact)| contact.is_due(now))
-            .map(|(address, contact)| (!contact.is_live(now), !contact.is_near, *address))
+            .filter(|(_, contact)| contact.is_near == is_near && contact.is_due(now))
+            .map(|(address, contact)| (!contact.is_live(now), contact.tried_at, *address))
             .collect();
+        // Where there are too many, each has its turn.
         due.sort();
         due.truncate(MAX_RECEIVERS);
         for (_, _, address) in &due {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! | module | concern |
 //! | --- | --- |
 //! | [`address_book`] | whom reports are sent to |
+//! | [`reports`] | sending them: often within the zone, less often beyond |
 //! | [`discovery`] | how nodes find each other: by records in the object store |
 //! | [`readers`] | which nodes read the store for others |
 //! | [`freshness`] | proofs that the configuration is the newest, from readers |
@@ -17,23 +18,18 @@
 pub mod freshness;
 pub mod messages;
 pub mod readers;
+pub mod reports;
 
 use crate::state::Gateway;
 use crate::store::take_engine;
-use crate::time::{sleep, within};
-use messages::{decode, encode, PeerMessage, PeerReport, MAX_PLACEMENTS};
-use ploverlift_balancing::peer_loads::{PeerId, ReportBuilder, ZoneTag};
+use crate::time::sleep;
+use messages::{decode, encode, PeerMessage, PeerReport};
+use ploverlift_balancing::peer_loads::PeerId;
 use readers::relies_on_readers;
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Shortest time between two reports, in milliseconds.
-const REPORT_PERIOD_MS: u64 = 50;
-/// Datagrams that a node sends in that time. With more peers it reports less
-/// often, so what reports cost stays the same however large the fleet.
-const DATAGRAMS_PER_PERIOD: usize = 8;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 /// Largest change of an engine that is passed on, in bytes: it goes unfragmented.
@@ -41,63 +37,6 @@
 /// Pause after the socket failed, in milliseconds.
 const RETRY_MS: u64 = 100;
 
-/// Reports to the other nodes until the task is dropped.
-pub async fn send_reports(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let sender = PeerId::of(&gateway.settings().node.name);
-    let mut builder = ReportBuilder::new(sender, ZoneTag::of(&gateway.zone), unix_ms());
-    let mut reported_lease = None;
-    loop {
-        let receivers = {
-            let now = gateway.clock.now();
-            gateway.address_book().receivers(now)
-        };
-        if let Some(report) = next_report(
-            &gateway,
-            &mut builder,
-            &mut reported_lease,
-            !receivers.is_empty(),
-        ) {
-            let datagram = encode(&PeerMessage::Report(report));
-            for receiver in &receivers {
-                // A report that cannot be sent is as good as a lost one.
-                let _ = socket.send_to(&datagram, receiver).await;
-            }
-        }
-        let periods = receivers.len().div_ceil(DATAGRAMS_PER_PERIOD).max(1);
-        let period_ms = REPORT_PERIOD_MS * periods as u64;
-        within(period_ms, gateway.report_due.listen()).await;
-    }
-}
-
-fn next_report(
-    gateway: &Gateway,
-    builder: &mut ReportBuilder,
-    reported_lease: &mut Option<u64>,
-    has_receivers: bool,
-) -> Option<PeerReport> {
-    let now = gateway.clock.now();
-    let mut beliefs = gateway.beliefs();
-    beliefs.peer_loads.expire(now);
-    gateway
-        .metrics
-        .peers
-        .set(beliefs.peer_loads.peer_count() as i64);
-    if !has_receivers {
-        return None;
-    }
-    let placements = beliefs.holders.take_unreported(MAX_PLACEMENTS);
-    let lease_revision = beliefs.held_lease;
-    let has_other_news = !placements.is_empty() || lease_revision != *reported_lease;
-    let engines = &beliefs.engines;
-    let loads = builder.next(engines, &beliefs.loading, has_other_news, now)?;
-    *reported_lease = lease_revision;
-    Some(PeerReport {
-        loads,
-        placements,
-        lease_revision,
-    })
-}
-
 /// Passes changes of the engines on to the other nodes of the zone, while this
 /// node reads the store for them, until the task is dropped.
 pub async fn pass_on_changes(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
@@ -170,8 +109,3 @@
         beliefs.hear_of_lease(revision, now);
     }
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |duration| duration.as_millis() as u64)
-}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,7 +22,7 @@
 use ploverlift_routing::tenants::TenantDirectory;
 use slog::Logger;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// A configuration that was taken in, with what is looked up in it.
@@ -138,6 +138,8 @@
     pub work_ended: Event,
     /// Changes of the engines that this node has read, for the nodes of its zone.
     pub catalogue_changes: (Sender<WatchEvent>, Receiver<WatchEvent>),
+    /// Number of the next report to other nodes.
+    pub report_sequence: AtomicU64,
     /// Where the splits of this node begin, in 0 to 1.
     pub split_start: f64,
     stopping: AtomicBool,
@@ -175,6 +177,7 @@
             stop_began: Event::new(),
             work_ended: Event::new(),
             catalogue_changes: async_channel::bounded(MAX_CHANGES_WAITING),
+            report_sequence: AtomicU64::new(1),
             split_start: fastrand::f64(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -7,7 +7,7 @@
 use ploverlift_balancing::prefix_holders::{chain_keys, Placement};
 use ploverlift_gateway::assembly::start;
 use ploverlift_gateway::logging::silent_logger;
-use ploverlift_gateway::peers::address_book::{AddressBook, ListedNode};
+use ploverlift_gateway::peers::address_book::{AddressBook, ListedNode, Reach};
 use ploverlift_gateway::peers::freshness::take_answer;
 use ploverlift_gateway::peers::messages::{
     decode, encode, FreshnessAnswer, PeerMessage, PeerReport, MAX_PLACEMENTS,
@@ -20,6 +20,7 @@
 use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::prompt::{cache_salt, ChainKey, PromptPart};
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use support::caller::{self, prompt};
@@ -75,15 +76,30 @@
 }
 
 #[test]
-fn nodes_of_the_own_zone_come_first_and_silent_ones_are_tried_now_and_then() {
+fn silent_nodes_are_tried_now_and_then_and_zones_are_kept_apart() {
     let mut book = AddressBook::default();
     book.set_own(address(1));
     book.take_list(&[listed(1, true), listed(2, false), listed(3, true)], NOW);
-    assert_eq!(book.receivers(NOW), [address(3), address(2)]);
-    assert_eq!(book.receivers(NOW.plus(50)), []);
+    assert_eq!(book.receivers(Reach::Near, NOW), [address(3)]);
+    assert_eq!(book.receivers(Reach::Far, NOW), [address(2)]);
+    assert_eq!(book.receivers(Reach::Near, NOW.plus(50)), []);
     book.heard(address(2), PeerId(2), NOW.plus(60));
-    assert_eq!(book.receivers(NOW.plus(100)), [address(2)]);
-    assert_eq!(book.receivers(NOW.plus(1_100)), [address(2), address(3)]);
+    assert_eq!(book.receivers(Reach::Far, NOW.plus(100)), [address(2)]);
+    assert_eq!(book.receivers(Reach::Near, NOW.plus(1_100)), [address(3)]);
+}
+
+#[test]
+fn where_there_are_too_many_nodes_each_has_its_turn() {
+    let mut book = AddressBook::default();
+    let nodes: Vec<ListedNode> = (1..=100).map(|port| listed(port, false)).collect();
+    book.take_list(&nodes, NOW);
+    for port in 1..=100 {
+        book.heard(address(port), PeerId(u64::from(port)), NOW);
+    }
+    let first = book.receivers(Reach::Far, NOW.plus(10));
+    let second = book.receivers(Reach::Far, NOW.plus(20));
+    let both: BTreeSet<SocketAddr> = first.into_iter().chain(second).collect();
+    assert_eq!(both.len(), 100);
 }
 
 #[test]
