Learn loaded weights from the holder's reports and from refusals

Ruled out: another engine at the address (the 421 names the same instance). Change: the holder's reports tell which engines have loaded, for 2 s; an engine that refuses for its weights is taken to have the newest named ones, or, if it was asked for those, unknown ones until it tells, and is asked again. Test: an_engine_that_refuses_for_its_weights_without_telling_them_has_the_newest (503 before).

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -2,7 +2,7 @@
 //! show them.
 
 use crate::health::{EngineHealth, Outcome};
-use crate::peer_loads::EngineTag;
+use crate::peer_loads::{EngineTag, LoadedWeights, ModelTag};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use std::collections::{BTreeMap, HashMap};
@@ -231,6 +231,18 @@
         }
     }
 
+    /// Another node had the engine load these weights.
+    pub fn note_loaded_weights(&mut self, loaded: &LoadedWeights) {
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|engine| engine.tag == loaded.engine) {
+            let mut weights = engine.record.weights.iter_mut();
+            let held = weights.find(|(model, _)| ModelTag::of(model) == loaded.model);
+            if let Some((_, version)) = held {
+                *version = loaded.version.max(*version);
+            }
+        }
+    }
+
     /// The engine is taken to be loading weights until then.
     pub fn note_loading(&mut self, instance: &InstanceId, until: Millis) {
         if let Some(engine) = self.engines.get_mut(instance) {
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -47,6 +47,28 @@
     }
 }
 
+/// A short name of a model, the same on all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ModelTag(pub u32);
+
+impl ModelTag {
+    /// The short name of a model.
+    pub fn of(model: &str) -> Self {
+        Self(xxh3_64(model.as_bytes()) as u32)
+    }
+}
+
+/// The weights that an engine has loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadedWeights {
+    /// The engine.
+    pub engine: EngineTag,
+    /// The model.
+    pub model: ModelTag,
+    /// The version.
+    pub version: u64,
+}
+
 /// A short name of a zone, the same on all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ZoneTag(pub u32);
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -1,7 +1,9 @@
 //! Messages between nodes as datagrams.
 
 use crate::ports::{StoreObject, WatchEvent};
-use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadReport, PeerId, ZoneTag};
+use ploverlift_balancing::peer_loads::{
+    EngineLoad, EngineTag, LoadReport, LoadedWeights, ModelTag, PeerId, ZoneTag,
+};
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::prompt::ChainKey;
@@ -19,6 +21,8 @@
     pub loads: LoadReport,
     /// Prompts that engines have read for it.
     pub placements: Vec<Placement>,
+    /// Engines that loaded weights by its order a short time ago.
+    pub loaded: Vec<LoadedWeights>,
     /// Revision of the lease on orders, while it holds that.
     pub lease_revision: Option<u64>,
 }
@@ -123,6 +127,7 @@
         loads: loads.loads.iter().map(load_message).collect(),
         placements: report.placements.iter().map(placement_message).collect(),
         loading: loads.loading.iter().map(|tag| tag.0).collect(),
+        loaded: report.loaded.iter().map(loaded_message).collect(),
         lease_revision: report.lease_revision.unwrap_or(0),
     }
 }
@@ -140,6 +145,11 @@
         chain: ChainKey(placement.chain),
         engine: EngineTag(placement.engine),
     });
+    let loaded = message.loaded.iter().map(|loaded| LoadedWeights {
+        engine: EngineTag(loaded.engine),
+        model: ModelTag(loaded.model),
+        version: loaded.version,
+    });
     PeerReport {
         loads: LoadReport {
             sender: PeerId(message.sender),
@@ -151,6 +161,7 @@
             loading: message.loading.iter().copied().map(EngineTag).collect(),
         },
         placements: placements.collect(),
+        loaded: loaded.collect(),
         lease_revision: Some(message.lease_revision).filter(|revision| *revision > 0),
     }
 }
@@ -163,6 +174,14 @@
     }
 }
 
+fn loaded_message(loaded: &LoadedWeights) -> peers::LoadedWeights {
+    peers::LoadedWeights {
+        engine: loaded.engine.0,
+        model: loaded.model.0,
+        version: loaded.version,
+    }
+}
+
 fn placement_message(placement: &Placement) -> peers::Placement {
     peers::Placement {
         chain: placement.chain.0,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -105,6 +105,9 @@
     for placement in &report.placements {
         beliefs.holders.note(*placement, now);
     }
+    for loaded in &report.loaded {
+        beliefs.engines.note_loaded_weights(loaded);
+    }
     if let Some(revision) = report.lease_revision {
         beliefs.hear_of_lease(revision, now);
     }
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -5,7 +5,7 @@
 use super::messages::{encode, PeerMessage, PeerReport, MAX_PLACEMENTS};
 use crate::state::Gateway;
 use crate::time::within;
-use ploverlift_balancing::peer_loads::{PeerId, ReportBuilder, ZoneTag};
+use ploverlift_balancing::peer_loads::{LoadedWeights, PeerId, ReportBuilder, ZoneTag};
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -28,6 +28,7 @@
     reach: Reach,
     builder: ReportBuilder,
     reported_lease: Option<u64>,
+    reported_loaded: Vec<LoadedWeights>,
     placements_from: u64,
 }
 
@@ -42,6 +43,7 @@
             socket,
             reach,
             reported_lease: None,
+            reported_loaded: Vec::new(),
             placements_from: 0,
         }
     }
@@ -89,7 +91,10 @@
             .news_after(self.placements_from, MAX_PLACEMENTS);
         let (placements, placements_from) = news;
         let lease_revision = beliefs.held_lease;
-        let has_other_news = !placements.is_empty() || lease_revision != self.reported_lease;
+        let loaded = beliefs.loaded_lately(now);
+        let has_other_news = !placements.is_empty()
+            || lease_revision != self.reported_lease
+            || loaded != self.reported_loaded;
         let loads = self.builder.next(
             sequence,
             &beliefs.engines,
@@ -99,9 +104,11 @@
         )?;
         self.placements_from = placements_from;
         self.reported_lease = lease_revision;
+        self.reported_loaded.clone_from(&loaded);
         Some(PeerReport {
             loads,
             placements,
+            loaded,
             lease_revision,
         })
     }
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -336,10 +336,12 @@
                 retry_after_ms: None,
             };
         }
-        if let (Some(version), Some(prompt)) = (refused.weights, &self.received.request.prompt) {
-            let engines = &mut beliefs.engines;
-            engines.note_weights(&chosen.instance, &prompt.model, version);
-            if chosen.weights != Some(version) {
+        if let Some(prompt) = &self.received.request.prompt {
+            let newest = beliefs.weights.newest(&prompt.model);
+            let newest = newest.map_or(0, |(version, _)| version);
+            if let Some(version) = weights_after_refusal(&refused, chosen.weights, newest) {
+                let engines = &mut beliefs.engines;
+                engines.note_weights(&chosen.instance, &prompt.model, version);
                 return AttemptEnd::OtherWeights;
             }
         }
@@ -350,3 +352,22 @@
         }
     }
 }
+
+/// The weights of an engine that refused because it has others than expected. One
+/// that does not say which has loaded meanwhile, and loads are of the newest; if
+/// it is not that either, its weights are unknown (0) until it tells.
+fn weights_after_refusal(
+    refused: &RefusedByEngine,
+    expected: Option<u64>,
+    newest_named: u64,
+) -> Option<u64> {
+    let expected = expected?;
+    if let Some(version) = refused.weights {
+        return (version != expected).then_some(version);
+    }
+    refused.other_instance.as_ref()?;
+    match expected < newest_named {
+        true => Some(newest_named),
+        false => Some(0),
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,7 @@
 use event_listener::Event;
 use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
-use ploverlift_balancing::peer_loads::PeerLoads;
+use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
 use ploverlift_balancing::prefix_holders::PrefixHolders;
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
 use ploverlift_balancing::selection::{CostRates, FleetView};
@@ -103,6 +103,8 @@
     pub holders: PrefixHolders,
     /// Engines that load weights by this node's order.
     pub loading: Vec<InstanceId>,
+    /// Engines that loaded weights by this node's order, and when.
+    pub loaded: Vec<(Millis, LoadedWeights)>,
     /// Revision of the lease on orders, while this node holds it.
     pub held_lease: Option<u64>,
     /// The newest revision of that lease of which its holder told this node.
@@ -153,6 +155,12 @@
 /// Changes of the engines that wait to be passed on; more are left out.
 const MAX_CHANGES_WAITING: usize = 256;
 
+/// Time for which reports tell that an engine has loaded, in milliseconds: some
+/// reports are lost.
+const LOADED_NEWS_MS: u64 = 2_000;
+/// Loaded engines in one report: the latest ones.
+const MAX_LOADED_NEWS: usize = 12;
+
 /// Log lines that were written in the present second.
 #[derive(Debug, Default)]
 struct LineAllowance {
@@ -321,6 +329,28 @@
         }
     }
 
+    /// An engine has loaded weights by this node's order.
+    pub fn note_loaded(&mut self, instance: &InstanceId, model: &str, version: u64, now: Millis) {
+        self.engines.note_weights(instance, model, version);
+        self.engines.note_loaded(instance);
+        let loaded = LoadedWeights {
+            engine: EngineTag::of(instance),
+            model: ModelTag::of(model),
+            version,
+        };
+        self.loaded
+            .retain(|(at, _)| now.since(*at) < LOADED_NEWS_MS);
+        self.loaded.push((now, loaded));
+    }
+
+    /// Engines of which the other nodes should hear that they have loaded.
+    pub fn loaded_lately(&self, now: Millis) -> Vec<LoadedWeights> {
+        let lately = self.loaded.iter().rev();
+        let lately = lately.filter(|(at, _)| now.since(*at) < LOADED_NEWS_MS);
+        let lately = lately.take(MAX_LOADED_NEWS);
+        lately.map(|(_, loaded)| *loaded).collect()
+    }
+
     /// The holder of the lease on orders told of its last renewal.
     pub fn hear_of_lease(&mut self, revision: u64, now: Millis) {
         if self
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -74,11 +74,9 @@
         let held = report.weights.get(&self.engine.model).copied();
         self.learn(held.unwrap_or(0));
         if held.is_some_and(|held| held >= version) && !report.is_busy {
-            self.gateway
-                .beliefs()
-                .engines
-                .note_loaded(&self.engine.instance);
-            return self.loaded(version);
+            let held = held.unwrap_or(version);
+            self.note_loaded(held);
+            return self.loaded(held);
         }
         if report.is_busy {
             self.note_loading();
@@ -120,6 +118,15 @@
         engines.note_weights(&engine.instance, &engine.model, version);
     }
 
+    fn note_loaded(&self, version: u64) {
+        let engine = &self.engine;
+        let now = self.gateway.clock.now();
+        self.gateway
+            .beliefs()
+            .note_loaded(&engine.instance, &engine.model, version, now);
+        self.gateway.report_due.notify(usize::MAX);
+    }
+
     fn note_loading(&self) {
         let until = self.gateway.clock.now().plus(LOADING_MS);
         let engines = &mut self.gateway.beliefs().engines;
@@ -163,11 +170,7 @@
                 after_ms: report_after_ms,
             },
             Some(OrderAnswer::AlreadyDone) => {
-                self.learn(version);
-                self.gateway
-                    .beliefs()
-                    .engines
-                    .note_loaded(&self.engine.instance);
+                self.note_loaded(version);
                 Next::Finished
             }
             // Without an answer the order may be under way: a report tells.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadReport, PeerId, ZoneTag};
+use ploverlift_balancing::peer_loads::{
+    EngineLoad, EngineTag, LoadReport, LoadedWeights, ModelTag, PeerId, ZoneTag,
+};
 use ploverlift_balancing::prefix_holders::{chain_keys, Placement};
 use ploverlift_gateway::assembly::start;
 use ploverlift_gateway::logging::silent_logger;
@@ -61,6 +63,14 @@
                 .collect(),
             loading: vec![EngineTag(1), EngineTag(2)],
         },
+        loaded: vec![
+            LoadedWeights {
+                engine: EngineTag(7),
+                model: ModelTag(8),
+                version: 9,
+            };
+            12
+        ],
         lease_revision: Some(u64::MAX),
         placements: (0..MAX_PLACEMENTS as u64)
             .map(|chain| Placement {
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -4,6 +4,7 @@
 
 use ploverlift_gateway::state::CacheStoreState;
 use ploverlift_http1::RequestHead;
+use serde_json::json;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use support::caller::{self, prompt, request};
@@ -250,6 +251,35 @@
     });
 }
 
+#[test]
+fn an_engine_that_refuses_for_its_weights_without_telling_them_has_the_newest() {
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::HidesWeights).await;
+        let fixture = Fixture::new(&[&llm]).await;
+        // Another node's order: the store's record lags.
+        fixture.gateway.begin_stop();
+        fixture.store.put("Weights", "m", json!({"version": 4}));
+        while fixture.gateway.beliefs().weights.newest("m").is_none() {
+            caller::get_status(fixture.running().readiness).await;
+        }
+        llm.set_weights(4);
+        let answer = fixture.send(&prompt("stream.test", "r")).await;
+        assert_eq!(answer.text(), all_events());
+        assert_eq!(llm.heads().len(), 2);
+        // Neither the one that it had nor the newest: nothing is expected of it.
+        fixture.store.put("Weights", "m", json!({"version": 6}));
+        llm.set_weights(5);
+        let answers = async {
+            for id in ["r1", "r2", "r3"] {
+                let status = fixture.send(&prompt("stream.test", id)).await.status();
+                assert!([200, 503].contains(&status), "{status}");
+            }
+            fixture.send(&prompt("stream.test", "r4")).await
+        };
+        assert_eq!(answers.await.text(), all_events());
+    });
+}
+
 #[test]
 fn the_final_answer_comes_at_the_routes_timeout() {
     smol::block_on(async {
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -30,6 +30,8 @@
     BreakInside(u64),
     /// Answers before the body is read, and closes.
     RefuseEarly,
+    /// Answers; refuses requests for other weights without saying which it has.
+    HidesWeights,
 }
 
 /// Events of a whole stream.
@@ -209,7 +211,13 @@
     if expected.is_some_and(|expected| expected != weights.to_string()) {
         let mut head = ResponseHead::new(421);
         head.headers.push(site::NOT_RUN, "1");
-        head.headers.push(site::WEIGHTS, weights.to_string());
+        match behaviour {
+            Behaviour::HidesWeights => {
+                let instance = request.headers.get(site::INSTANCE).unwrap_or_default();
+                head.headers.push(site::INSTANCE, instance);
+            }
+            _ => head.headers.push(site::WEIGHTS, weights.to_string()),
+        }
         head.headers.push("content-length", "0");
         let _ = connection.write_all(&head.encode()).await;
         return;
@@ -238,7 +246,9 @@
             head.headers.push(site::SIGNED, "1");
         }
         Behaviour::Unsigned | Behaviour::RefuseEarly => {}
-        Behaviour::Answer | Behaviour::BreakInside(_) => head.headers.push(site::SIGNED, "1"),
+        Behaviour::Answer | Behaviour::HidesWeights | Behaviour::BreakInside(_) => {
+            head.headers.push(site::SIGNED, "1");
+        }
     }
     let is_stream = request.headers.get(site::PARTS).is_some()
         || request.headers.get("host") == Some("x")
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -114,6 +114,7 @@
         if headers.get(NOT_RUN).is_some() {
             return AnswerMeaning::Refused(RefusedByEngine {
                 status: head.status,
+                other_instance: headers.get(INSTANCE).map(|id| InstanceId(id.to_owned())),
                 weights: headers.get(WEIGHTS).and_then(|text| text.parse().ok()),
                 ..RefusedByEngine::default()
             });
