Split choice and beliefs out of large files of the gateway

Cause: relay/attempt.rs (373 lines) chose engines and sent requests, with a choice of 55 lines; state.rs (416) held what a node believes beside what its tasks share. Change: relay/choice.rs and beliefs.rs; functions of one step each. No behaviour changes.

--- /dev/null
+++ b/crates/gateway/src/beliefs.rs
@@ -0,0 +1,193 @@
+//! What a node believes of its site, from the store, its traffic and other nodes.
+
+use crate::settings::GatewaySettings;
+use ploverlift_balancing::cache_contents::CacheContents;
+use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
+use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
+use ploverlift_balancing::prefix_holders::PrefixHolders;
+use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
+use ploverlift_balancing::selection::FleetView;
+use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::configuration::{Configuration, ServiceName};
+use ploverlift_routing::freshness::Freshness;
+use ploverlift_routing::split::WeightedSplitter;
+use ploverlift_routing::table::RouteTable;
+use ploverlift_routing::tenants::TenantDirectory;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Time for which reports tell that an engine has loaded, in milliseconds: some
+/// reports are lost.
+const LOADED_NEWS_MS: u64 = 2_000;
+/// Loaded engines in one report: the latest ones.
+const MAX_LOADED_NEWS: usize = 12;
+
+/// A configuration that was taken in, with what is looked up in it.
+#[derive(Debug, Default)]
+pub struct ActiveConfiguration {
+    /// As the operator wrote it.
+    pub document: Configuration,
+    /// Its routes.
+    pub routes: RouteTable,
+    /// Its tenants; nothing when requests need no key.
+    pub tenants: Option<TenantDirectory>,
+}
+
+impl ActiveConfiguration {
+    /// Prepares a configuration for look-ups.
+    pub fn new(document: Configuration) -> Self {
+        let routes = RouteTable::new(&document.routes);
+        let tenants = document.tenants.as_deref().map(TenantDirectory::new);
+        Self {
+            document,
+            routes,
+            tenants,
+        }
+    }
+}
+
+/// What is known of the store of kept cache.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CacheStoreState {
+    /// It does not answer: nothing is fetched from it or saved to it.
+    #[default]
+    Lost,
+    /// It works, and has no room for this node's calls for events: what it holds
+    /// is not known, but for what this node has had saved.
+    Unobserved,
+    /// Its events are followed.
+    Followed,
+}
+
+/// What this node believes of the store of kept cache.
+#[derive(Debug, Default)]
+pub struct CacheBeliefs {
+    /// What is known of the store itself.
+    pub state: CacheStoreState,
+    /// What it holds.
+    pub contents: CacheContents,
+}
+
+/// A renewal of the lease on orders of which its holder told this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeardLease {
+    /// The revision that the renewal was given.
+    pub revision: u64,
+    /// When this node first heard of it.
+    pub heard_at: Millis,
+}
+
+/// What this node believes of the site.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    /// The newest configuration seen in this life of the process.
+    pub configuration: Option<Arc<ActiveConfiguration>>,
+    /// When it was last proven to be the newest.
+    pub freshness: Freshness,
+    /// Engines.
+    pub engines: EngineCatalogue,
+    /// Whether the engines were listed once.
+    pub engines_listed: bool,
+    /// Named weights.
+    pub weights: NamedWeights,
+    /// Splits of routes.
+    pub splitter: WeightedSplitter,
+    /// The store of kept cache.
+    pub cache: CacheBeliefs,
+    /// Requests of the other nodes.
+    pub peer_loads: PeerLoads,
+    /// Engines that keep shared parts of prompts.
+    pub holders: PrefixHolders,
+    /// Engines that load weights by this node's order.
+    pub loading: Vec<InstanceId>,
+    /// Engines that loaded weights by this node's order, and when.
+    pub loaded: Vec<(Millis, LoadedWeights)>,
+    /// Revision of the lease on orders, while this node holds it.
+    pub held_lease: Option<u64>,
+    /// The newest revision of that lease of which its holder told this node.
+    pub heard_lease: Option<HeardLease>,
+    retry_budgets: BTreeMap<ServiceName, RetryBudget>,
+}
+
+impl Beliefs {
+    /// What is known of the fleet, for the choice of an engine.
+    pub fn fleet(&self) -> FleetView<'_> {
+        FleetView {
+            catalogue: &self.engines,
+            peer_loads: &self.peer_loads,
+            holders: &self.holders,
+        }
+    }
+
+    /// An engine has loaded weights by this node's order.
+    pub fn note_loaded(&mut self, instance: &InstanceId, model: &str, version: u64, now: Millis) {
+        self.engines.note_weights(instance, model, version);
+        self.engines.note_loaded(instance);
+        let loaded = LoadedWeights {
+            engine: EngineTag::of(instance),
+            model: ModelTag::of(model),
+            version,
+        };
+        self.loaded
+            .retain(|(at, _)| now.since(*at) < LOADED_NEWS_MS);
+        self.loaded.push((now, loaded));
+    }
+
+    /// Engines of which the other nodes should hear that they have loaded.
+    pub fn loaded_lately(&self, now: Millis) -> Vec<LoadedWeights> {
+        let lately = self.loaded.iter().rev();
+        let lately = lately.filter(|(at, _)| now.since(*at) < LOADED_NEWS_MS);
+        let lately = lately.take(MAX_LOADED_NEWS);
+        lately.map(|(_, loaded)| *loaded).collect()
+    }
+
+    /// The holder of the lease on orders told of its last renewal.
+    pub fn hear_of_lease(&mut self, revision: u64, now: Millis) {
+        if self
+            .heard_lease
+            .is_none_or(|known| known.revision < revision)
+        {
+            self.heard_lease = Some(HeardLease {
+                revision,
+                heard_at: now,
+            });
+        }
+    }
+
+    /// The retry budget of a service.
+    pub fn retry_budget(
+        &mut self,
+        service: &ServiceName,
+        settings: &GatewaySettings,
+    ) -> &mut RetryBudget {
+        let limits = RetryLimits {
+            ratio: settings.bounds.retry_ratio * RETRY_RATIO_SHARE,
+            reserve: settings.attempts.retry_reserve,
+            window_ms: (settings.bounds.retry_window_seconds * 1_000.0) as u64,
+        };
+        let budgets = self.retry_budgets.entry(service.clone());
+        budgets.or_insert_with(|| RetryBudget::new(limits))
+    }
+
+    /// The lowest version of a model's weights on which a request may begin.
+    pub fn required_weights(&self, model: &str, bounds: &WeightsBounds, now: Millis) -> u64 {
+        let in_use = self.engines.newest_weights(model);
+        self.weights.required(model, in_use, bounds, now)
+    }
+
+    /// Takes in a configuration if it is newer; tells whether it was.
+    pub fn take_configuration(&mut self, document: Configuration) -> bool {
+        let known = self.configuration.as_ref();
+        if known.is_some_and(|known| known.document.version >= document.version) {
+            return false;
+        }
+        self.splitter.retain(&document.routes);
+        self.configuration = Some(Arc::new(ActiveConfiguration::new(document)));
+        true
+    }
+}
+
+/// Part of the site's retry ratio that is used: nodes count requests and repeats
+/// in windows of their own.
+const RETRY_RATIO_SHARE: f64 = 0.8;
--- a/crates/gateway/src/cache_feed.rs
+++ b/crates/gateway/src/cache_feed.rs
@@ -3,9 +3,10 @@
 //! Without it each node would save each shared prompt anew, and the saves alone
 //! would fill the store's link.
 
+use crate::beliefs::{ActiveConfiguration, CacheStoreState};
 use crate::http_call::CallConnection;
 use crate::ports::CacheAnswer;
-use crate::state::{ActiveConfiguration, CacheStoreState, Gateway};
+use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_policy::ids::ZoneName;
 use ploverlift_routing::configuration::CacheStore;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`ports`] | what a site's adapter translates |
 //! | [`settings`] | the settings file |
 //! | [`state`] | what the tasks of a node share |
+//! | [`beliefs`] | what a node believes of its site |
 //! | [`callers`] | connections of callers |
 //! | [`relay`] | one request, from its head to the end of its answer |
 //! | [`engine_connection`] | one request on one connection to an engine |
@@ -20,6 +21,7 @@
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
 
 pub mod assembly;
+pub mod beliefs;
 pub mod cache_feed;
 pub mod callers;
 pub mod engine_connection;
--- a/crates/gateway/src/peers/readers.rs
+++ b/crates/gateway/src/peers/readers.rs
@@ -6,7 +6,8 @@
 //! The others ask the store rarely. A node that no longer hears the readers, or
 //! whose proof grows old, asks the store by itself again.
 
-use crate::state::{Beliefs, Gateway};
+use crate::beliefs::Beliefs;
+use crate::state::Gateway;
 use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_policy::ids::Millis;
 
--- a/crates/gateway/src/relay/admission.rs
+++ b/crates/gateway/src/relay/admission.rs
@@ -1,7 +1,8 @@
 //! Whether a request may run at all, and on whose terms.
 
+use crate::beliefs::ActiveConfiguration;
 use crate::ports::{CallerRequest, Refusal, RefusalKind};
-use crate::state::{ActiveConfiguration, Gateway};
+use crate::state::Gateway;
 use ploverlift_routing::configuration::{Route, ServiceName};
 use ploverlift_routing::tenants::TenantTerms;
 use std::sync::Arc;
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -1,20 +1,14 @@
 //! One attempt: choosing an engine, sending the request, judging the answer.
 
+use super::choice::ChosenEngine;
 use super::in_flight::InFlight;
 use super::{AfterAnswer, Relay};
-use crate::cache_feed::cache_store;
 use crate::engine_connection::{exchange, EngineAnswer, ExchangeLimits};
-use crate::ports::{AnswerMeaning, CacheTransfer, EngineCall, RefusedByEngine};
-use crate::state::{CacheBeliefs, CacheStoreState};
-use ploverlift_balancing::catalogue::InstanceId;
+use crate::ports::{AnswerMeaning, EngineCall, RefusedByEngine};
 use ploverlift_balancing::health::Outcome;
-use ploverlift_balancing::peer_loads::EngineTag;
-use ploverlift_balancing::selection::{choose, Cost, Criteria, NoChoice, PromptCriteria};
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::attempt::AttemptState;
-use ploverlift_routing::prompt::{cache_salt, cache_scope, PromptPart};
 use std::io;
-use std::net::SocketAddr;
 
 /// Time that an engine is taken to load after it refused, in milliseconds.
 const REFUSED_LOADING_MS: u64 = 120;
@@ -65,133 +59,7 @@
     },
 }
 
-/// An engine that was chosen, and how the request uses kept cache there.
-pub(super) struct ChosenEngine {
-    pub(super) instance: InstanceId,
-    pub(super) address: SocketAddr,
-    pub(super) weights: Option<u64>,
-    pub(super) cache: Option<CacheTransfer>,
-    pub(super) tag: EngineTag,
-    /// Prompt tokens that it is expected to read.
-    pub(super) tokens_to_read: u64,
-    pub(super) cost: Cost,
-    pub(super) candidates: usize,
-}
-
-/// An engine that keeps the beginning of a prompt.
-struct KeptPrefix {
-    address: SocketAddr,
-    tokens: u64,
-}
-
-/// What decides how a prompt uses kept cache at an engine.
-struct PromptCache<'a> {
-    salt_scope: &'a str,
-    weights: u64,
-    source: Option<KeptPrefix>,
-    is_used_again: bool,
-}
-
 impl Relay {
-    /// Chooses an engine among those that were not tried.
-    pub(super) fn choose(&self) -> Result<ChosenEngine, NoChoice> {
-        let now = self.gateway.clock.now();
-        let rates = self.gateway.cost_rates();
-        let settings = self.gateway.settings();
-        let bounds = self.gateway.weights_bounds(settings.weights.margin_ms);
-        let admission = &self.received.admission;
-        let scope = cache_scope(admission.tenant.as_deref());
-        let beliefs = self.gateway.beliefs();
-        let prompt = self.received.request.prompt.as_ref();
-        let prompt = prompt.map(|prompt| PromptCriteria {
-            model: &prompt.model,
-            scope,
-            key: prompt.shared_key(scope),
-            shared: prompt.shared_parts(),
-            required_weights: beliefs.required_weights(&prompt.model, &bounds, now),
-        });
-        let criteria = Criteria {
-            service: &admission.service,
-            zone: &self.gateway.zone,
-            prompt,
-            excluded: self.progress.attempts.tried(),
-        };
-        let choice = choose(&beliefs.fleet(), &criteria, &rates, now)?;
-        let engine = beliefs.engines.get(&choice.instance);
-        let engine = engine.ok_or(NoChoice::NoEngine)?;
-        let mut chosen = ChosenEngine {
-            instance: choice.instance.clone(),
-            address: engine.record.address,
-            weights: None,
-            cache: None,
-            tag: engine.tag,
-            tokens_to_read: self.received.request.prompt.as_ref().map_or(0, |prompt| {
-                prompt.tokens().saturating_sub(choice.kept_tokens)
-            }),
-            cost: choice.cost,
-            candidates: choice.candidates,
-        };
-        if let Some(prompt) = &criteria.prompt {
-            let weights = engine.weights_of(prompt.model);
-            chosen.weights = Some(weights).filter(|weights| *weights > 0);
-            let source = choice.source.as_ref();
-            let source = source.and_then(|source| beliefs.engines.get(source));
-            let source = source.map(|source| KeptPrefix {
-                address: source.record.address,
-                tokens: choice.source_tokens,
-            });
-            let use_of_cache = PromptCache {
-                salt_scope: scope,
-                weights,
-                source,
-                is_used_again: choice.kept_tokens >= prompt.shared_tokens(),
-            };
-            chosen.cache = Some(self.transfer(&beliefs.cache, prompt.model, use_of_cache));
-        }
-        Ok(chosen)
-    }
-
-    /// Fetches shared parts from the engine that keeps them, or from the store
-    /// when that keeps more. Saves those that the store lacks when the prompt is
-    /// used again: most are not within the time that the store keeps them, and
-    /// saving each at its first use fills the store's link.
-    fn transfer(
-        &self,
-        cache: &CacheBeliefs,
-        model: &str,
-        prompt: PromptCache<'_>,
-    ) -> CacheTransfer {
-        // Without known weights nothing may be shared with any other request.
-        if prompt.weights == 0 {
-            return CacheTransfer {
-                salt: self.received.request.id.clone(),
-                fetch_from: None,
-                save_to: None,
-            };
-        }
-        let salt = cache_salt(model, prompt.weights, prompt.salt_scope);
-        let received = self.received.request.prompt.as_ref();
-        let shared = received.map_or(&[][..], |received| received.shared_parts());
-        let is_kept = |part: &PromptPart| cache.contents.has(&salt, part.id);
-        // A part is of use only when every part before it is kept as well.
-        let kept = shared.iter().take_while(|part| is_kept(part));
-        let kept_tokens: u64 = kept.map(|part| part.tokens).sum();
-        let is_whole = shared.iter().all(is_kept);
-        let configuration = &self.received.admission.configuration;
-        let store = cache_store(configuration, &self.gateway.zone);
-        let store = store.filter(|_| cache.state != CacheStoreState::Lost);
-        let store = store.map(|store| store.address);
-        let is_unobserved = cache.state == CacheStoreState::Unobserved;
-        let source_tokens = prompt.source.as_ref().map_or(0, |source| source.tokens);
-        let keeps_more = kept_tokens > source_tokens || (is_unobserved && source_tokens == 0);
-        let source = prompt.source.map(|source| source.address);
-        CacheTransfer {
-            fetch_from: store.filter(|_| keeps_more).or(source),
-            save_to: store.filter(|_| prompt.is_used_again && !is_whole),
-            salt,
-        }
-    }
-
     /// Sends the request to an engine and hands its answer on.
     ///
     /// # Errors
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod attempt;
 mod caller_answer;
+mod choice;
 mod events;
 mod in_flight;
 mod limits;
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -1,7 +1,8 @@
 //! The log line of a request: what it was, what was decided with which inputs,
 //! and how it ended.
 
-use super::attempt::{AttemptEnd, ChosenEngine};
+use super::attempt::AttemptEnd;
+use super::choice::ChosenEngine;
 use super::ReceivedRequest;
 use crate::ports::CacheTransfer;
 use crate::state::Gateway;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -4,13 +4,14 @@
 //! another engine continues after the last event that the caller has, inside
 //! the same answer.
 
-use super::attempt::{AttemptEnd, ChosenEngine};
+use super::attempt::AttemptEnd;
+use super::choice::ChosenEngine;
 use super::events::{is_after, EventSplitter};
 use super::in_flight::InFlight;
 use super::whole::passed_on;
 use super::{AfterAnswer, Relay};
+use crate::beliefs::CacheStoreState;
 use crate::engine_connection::EngineAnswer;
-use crate::state::CacheStoreState;
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::prefix_holders::chain_keys;
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use ploverlift_gateway::state::CacheStoreState;
+use ploverlift_gateway::beliefs::CacheStoreState;
 use ploverlift_http1::RequestHead;
 use serde_json::json;
 use smol::io::AsyncWriteExt;
