Test that one reader is not enough

Cause: a mutation (a node relies on a single reader) left all tests green. Change: the test hears one node, then two. It fails on the mutation.

--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -222,9 +222,13 @@
 }
 
 fn hear_readers(fixture: &Fixture) {
+    hear(fixture, &[1, 2]);
+}
+
+fn hear(fixture: &Fixture, peers: &[u64]) {
     let now = fixture.gateway.clock.now();
     let mut beliefs = fixture.gateway.beliefs();
-    for reader in [1, 2] {
+    for reader in peers.iter().copied() {
         let report = LoadReport {
             sender: PeerId(reader),
             zone: ZoneTag::of(&fixture.gateway.zone),
@@ -241,7 +245,10 @@
 #[test]
 fn a_node_relies_on_two_readers_and_not_on_one() {
     smol::block_on(async {
-        let fixture = relying_node().await;
+        let fixture = Fixture::with(&[], configuration(1), "").await;
+        hear(&fixture, &[1]);
+        assert!(!relies_on_readers(&fixture.gateway));
+        hear(&fixture, &[1, 2]);
         assert!(relies_on_readers(&fixture.gateway));
         let later = fixture.gateway.clock.now().plus(60_000);
         let mut beliefs = fixture.gateway.beliefs();
