--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -8,6 +8,7 @@
 use ploverlift_node::logging::json_logger;
 use ploverlift_node::settings::Settings;
 use serde::Serialize;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -66,5 +67,8 @@
         operators: node.operators_address(),
         cluster: node.cluster_address(),
     };
-    println!("{}", serde_json::to_string(&ready).unwrap_or_default());
+    let line = serde_json::to_string(&ready).unwrap_or_default();
+    // Whoever started the node may have read enough and closed the pipe; `println!`
+    // would end the node for it.
+    let _ = writeln!(std::io::stdout(), "{line}");
 }
