Follow the engines' cache events: what each keeps is known, not guessed

Cause: a node took an engine to keep a prompt for 15 s after any node sent it there, whatever gave way there meanwhile.

Change: a node follows the events of each engine that has room for its calls (rendezvous over the nodes heard of lately where there are more nodes than room). Followed contents go before placements, which count only until events can tell. Events carry how many tokens of a part are kept, so a part that is dropped in part ends the kept prefix. After a gap nothing counts.

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -1,11 +1,12 @@
-//! What a store of kept cache holds, as its events tell.
+//! What an engine or a store of kept cache holds, as its events tell.
 //!
 //! Events come late and some never come. A part that is believed to be kept and
 //! is not costs a look-up; one that is kept and not believed to be costs a
-//! second save. Neither can give a wrong answer: a part is found only under the
+//! second copy. Neither can give a wrong answer: a part is found only under the
 //! salt that names its weights and its scope.
 
-use std::collections::HashSet;
+use ploverlift_routing::prompt::PromptPart;
+use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Parts that are remembered; beyond it nothing more is taken in.
@@ -14,12 +15,12 @@
 /// One change of what is kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CacheEvent {
-    /// Whether the part is kept from now on, or no longer.
-    pub is_kept: bool,
-    /// The name under which it is filed.
+    /// The name under which the part is filed.
     pub salt: String,
     /// The part.
     pub part: u64,
+    /// Tokens of it that are kept from now on; 0 when it is dropped whole.
+    pub kept_tokens: u64,
 }
 
 /// A batch of changes.
@@ -35,12 +36,16 @@
     pub events: Vec<CacheEvent>,
 }
 
-/// What one store holds.
+/// Tokens that a part may lack and still count as kept whole: memory is given
+/// out in blocks, and the last block of a part need not be full.
+const BLOCK_TOKENS: u64 = 16;
+
+/// What one engine or one store holds.
 #[derive(Clone, Debug, Default)]
 pub struct CacheContents {
     epoch: Option<u64>,
     next: u64,
-    kept: HashSet<u64>,
+    kept_tokens: HashMap<u64, u32>,
 }
 
 impl CacheContents {
@@ -49,53 +54,66 @@
         self.next
     }
 
-    /// Takes in a batch.
+    /// Takes in a batch. After a gap nothing that was believed before counts.
     pub fn apply(&mut self, batch: &CacheEvents) {
-        if self.epoch != Some(batch.epoch) {
+        if self.epoch != Some(batch.epoch) || batch.has_gap {
             self.epoch = Some(batch.epoch);
-            self.kept.clear();
+            self.kept_tokens.clear();
         }
         self.next = batch.next;
         for event in &batch.events {
             let name = part_name(&event.salt, event.part);
-            if !event.is_kept {
-                self.kept.remove(&name);
-            } else if self.kept.len() < MAX_PARTS {
-                self.kept.insert(name);
+            if event.kept_tokens == 0 {
+                self.kept_tokens.remove(&name);
+            } else if self.kept_tokens.len() < MAX_PARTS {
+                self.kept_tokens.insert(name, saturated(event.kept_tokens));
             }
         }
     }
 
-    /// This node has had a part saved. It counts as kept until an event says
-    /// otherwise, or for good where events are not followed.
-    pub fn note_saved(&mut self, salt: &str, part: u64) {
-        if self.kept.len() >= MAX_PARTS {
-            self.kept.clear();
+    /// This node has had a part read or saved there. It counts as kept until an
+    /// event says otherwise, or for good where events are not followed.
+    pub fn note_kept(&mut self, salt: &str, part: &PromptPart) {
+        if self.kept_tokens.len() >= MAX_PARTS {
+            self.kept_tokens.clear();
         }
-        self.kept.insert(part_name(salt, part));
+        let name = part_name(salt, part.id);
+        self.kept_tokens.insert(name, saturated(part.tokens));
     }
 
-    /// The store was lost: it may come back empty.
+    /// The engine or the store was lost: it may come back empty.
     pub fn forget(&mut self) {
         *self = Self::default();
     }
 
-    /// Whether a part is believed to be kept under a salt.
-    pub fn has(&self, salt: &str, part: u64) -> bool {
-        self.kept.contains(&part_name(salt, part))
+    /// Whether a whole part is believed to be kept under a salt.
+    pub fn has(&self, salt: &str, part: &PromptPart) -> bool {
+        let known = self.kept_tokens.get(&part_name(salt, part.id));
+        known.is_some_and(|kept| u64::from(*kept) + BLOCK_TOKENS > part.tokens)
+    }
+
+    /// Tokens at the beginning of a prompt that are believed to be kept: a part is
+    /// of use only when every part before it is kept whole.
+    pub fn prefix_tokens(&self, salt: &str, parts: &[PromptPart]) -> u64 {
+        let whole = parts.iter().take_while(|part| self.has(salt, part));
+        whole.map(|part| part.tokens).sum()
     }
 
     /// Parts that are believed to be kept.
     pub fn len(&self) -> usize {
-        self.kept.len()
+        self.kept_tokens.len()
     }
 
     /// Whether nothing is believed to be kept.
     pub fn is_empty(&self) -> bool {
-        self.kept.is_empty()
+        self.kept_tokens.is_empty()
     }
 }
 
+fn saturated(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
 fn part_name(salt: &str, part: u64) -> u64 {
     xxh3_64_with_seed(salt.as_bytes(), part)
 }
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -9,8 +9,9 @@
 //! | module | concern |
 //! | --- | --- |
 //! | [`attempts`] | whether a request may be sent again, and what may be said of it |
-//! | [`cache_contents`] | what a store of kept cache holds, by its events |
+//! | [`cache_contents`] | what an engine or a store of kept cache holds, by its events |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
+//! | [`engine_caches`] | which engines' events are followed, and what they tell |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
 //! | [`prefix_holders`] | which engines keep which shared parts of prompts |
@@ -24,6 +25,7 @@
 pub mod attempts;
 pub mod cache_contents;
 pub mod catalogue;
+pub mod engine_caches;
 pub mod health;
 pub mod load_schedule;
 pub mod peer_loads;
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -217,6 +217,11 @@
         near.map(|(id, _)| *id).take(count).collect()
     }
 
+    /// The nodes that were heard of lately.
+    pub fn peers(&self) -> impl Iterator<Item = PeerId> + '_ {
+        self.peers.keys().copied()
+    }
+
     /// Nodes that were heard of lately.
     pub fn peer_count(&self) -> usize {
         self.peers.len()
--- a/crates/balancing/src/prefix_holders.rs
+++ b/crates/balancing/src/prefix_holders.rs
@@ -103,11 +103,12 @@
         None
     }
 
-    /// Engines that keep a chain.
-    pub fn of(&self, chain: ChainKey, now: Millis) -> impl Iterator<Item = EngineTag> + '_ {
-        let holders = self.holders.get(&chain).into_iter().flatten();
-        let lately = holders.filter(move |holder| now.since(holder.used_at) < HELD_MS);
-        lately.map(|holder| holder.engine)
+    /// Time since an engine last used a chain, in milliseconds; nothing when it is
+    /// not taken to keep it any longer.
+    pub fn age_ms(&self, chain: ChainKey, engine: EngineTag, now: Millis) -> Option<u64> {
+        let mut holders = self.holders.get(&chain)?.iter();
+        let holder = holders.find(|holder| holder.engine == engine)?;
+        Some(now.since(holder.used_at)).filter(|age_ms| *age_ms < HELD_MS)
     }
 
     /// Placements of this node after a position, at most so many, and the position
--- a/crates/balancing/src/prefix_reach.rs
+++ b/crates/balancing/src/prefix_reach.rs
@@ -6,9 +6,12 @@
 use crate::selection::{FleetView, PromptCriteria};
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::prompt::cache_salt;
+use ploverlift_routing::prompt::{cache_salt, ChainKey};
 use std::collections::BTreeMap;
 
+/// Time within which an engine's events tell what it has read, in milliseconds.
+const EVENT_DELAY_MS: u64 = 400;
+
 /// Holders of one prompt's parts, by the version of weights they were read under.
 #[derive(Debug, Default)]
 pub struct PrefixReach<'a> {
@@ -24,29 +27,20 @@
         now: Millis,
     ) -> Self {
         let mut by_weights: BTreeMap<u64, Vec<(&Engine, u64)>> = BTreeMap::new();
-        let engines: Vec<&Engine> = view.catalogue.of_service(service).collect();
-        for engine in &engines {
-            by_weights
-                .entry(engine.weights_of(prompt.model))
-                .or_default();
+        for engine in view.catalogue.of_service(service) {
+            let weights = engine.weights_of(prompt.model);
+            by_weights.entry(weights).or_default().push((engine, 0));
         }
-        for (weights, holders) in &mut by_weights {
+        for (weights, engines) in &mut by_weights {
             let salt = cache_salt(prompt.model, *weights, prompt.scope);
             let keys = chain_keys(&salt, prompt.shared);
-            let mut tokens = 0;
-            for (part, key) in prompt.shared.iter().zip(keys) {
-                tokens += part.tokens;
-                for tag in view.holders.of(key, now) {
-                    // An engine that has read a chain has read all before it.
-                    holders.retain(|(known, _)| known.tag != tag);
-                    let mut holding = engines.iter().filter(|engine| {
-                        engine.tag == tag && engine.weights_of(prompt.model) == *weights
-                    });
-                    if let Some(engine) = holding.next() {
-                        holders.push((*engine, tokens));
-                    }
-                }
+            for (engine, tokens) in engines.iter_mut() {
+                let sent = sent_tokens(view, engine, prompt, &keys, now);
+                let kept = view.caches.of(engine.tag);
+                let kept = kept.map_or(0, |kept| kept.prefix_tokens(&salt, prompt.shared));
+                *tokens = sent.max(kept);
             }
+            engines.retain(|(_, tokens)| *tokens > 0);
         }
         by_weights.retain(|_, holders| !holders.is_empty());
         Self { by_weights }
@@ -81,3 +75,29 @@
         self.by_weights.get(&weights).into_iter().flatten()
     }
 }
+
+/// Tokens of the shared parts that requests have had the engine read lately. Where
+/// its events are followed, this counts only until they can tell.
+fn sent_tokens(
+    view: &FleetView<'_>,
+    engine: &Engine,
+    prompt: &PromptCriteria<'_>,
+    keys: &[ChainKey],
+    now: Millis,
+) -> u64 {
+    let longest_age_ms = match view.caches.of(engine.tag) {
+        Some(_) => EVENT_DELAY_MS,
+        None => u64::MAX,
+    };
+    let mut tokens = 0;
+    let mut held = 0;
+    for (part, key) in prompt.shared.iter().zip(keys) {
+        tokens += part.tokens;
+        let age_ms = view.holders.age_ms(*key, engine.tag, now);
+        // An engine that has read a chain has read all before it.
+        if age_ms.is_some_and(|age_ms| age_ms < longest_age_ms) {
+            held = tokens;
+        }
+    }
+    held
+}
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,6 +1,7 @@
 //! The choice of an engine, by a cost in milliseconds with named terms.
 
 use crate::catalogue::{Engine, EngineCatalogue, InstanceId};
+use crate::engine_caches::EngineCaches;
 use crate::peer_loads::PeerLoads;
 use crate::prefix_holders::PrefixHolders;
 use crate::prefix_reach::PrefixReach;
@@ -33,8 +34,10 @@
     pub catalogue: &'a EngineCatalogue,
     /// Requests of other nodes.
     pub peer_loads: &'a PeerLoads,
-    /// Engines that keep shared parts of prompts.
+    /// Where shared parts of prompts were sent.
     pub holders: &'a PrefixHolders,
+    /// What the engines whose events are followed keep.
+    pub caches: &'a EngineCaches,
 }
 
 /// What the choice depends on.
@@ -326,7 +329,8 @@
             }
             let home = self.home.filter(|home| {
                 let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
-                rank > 0 && same_weights && !home.health.is_suspected()
+                let is_unknown = self.view.caches.of(home.tag).is_none();
+                rank > 0 && same_weights && is_unknown && !home.health.is_suspected()
             });
             return Supply {
                 source: home,
--- a/crates/balancing/tests/budgets.rs
+++ b/crates/balancing/tests/budgets.rs
@@ -5,6 +5,7 @@
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::Millis;
+use ploverlift_routing::prompt::PromptPart;
 use proptest::prelude::*;
 
 const LIMITS: RetryLimits = RetryLimits {
@@ -117,11 +118,12 @@
     assert_eq!(named.required("m", 2, &BOUNDS, Millis(2_500)), 2);
 }
 
-fn batch(epoch: u64, next: u64, events: &[(bool, &str, u64)]) -> CacheEvents {
-    let events = events.iter().map(|(is_kept, salt, part)| CacheEvent {
-        is_kept: *is_kept,
+/// Events of salt, part and tokens kept from then on.
+fn batch(epoch: u64, next: u64, events: &[(&str, u64, u64)]) -> CacheEvents {
+    let events = events.iter().map(|(salt, part, kept_tokens)| CacheEvent {
         salt: (*salt).to_owned(),
         part: *part,
+        kept_tokens: *kept_tokens,
     });
     CacheEvents {
         epoch,
@@ -131,20 +133,46 @@
     }
 }
 
+fn part(id: u64) -> PromptPart {
+    PromptPart { id, tokens: 100 }
+}
+
 #[test]
 fn cache_contents_follow_events_and_begin_anew_with_an_epoch() {
     let mut contents = CacheContents::default();
-    contents.apply(&batch(1, 2, &[(true, "s", 7), (true, "t", 8)]));
-    assert!(contents.has("s", 7) && contents.has("t", 8));
-    assert!(!contents.has("t", 7));
-    contents.apply(&batch(1, 3, &[(false, "s", 7)]));
-    assert!(!contents.has("s", 7));
+    contents.apply(&batch(1, 2, &[("s", 7, 100), ("t", 8, 100)]));
+    assert!(contents.has("s", &part(7)) && contents.has("t", &part(8)));
+    assert!(!contents.has("t", &part(7)));
+    contents.apply(&batch(1, 3, &[("s", 7, 0)]));
+    assert!(!contents.has("s", &part(7)));
     assert_eq!(contents.next(), 3);
     contents.apply(&batch(2, 1, &[]));
     assert!(contents.is_empty());
-    contents.apply(&batch(2, 2, &[(true, "s", 7)]));
-    contents.note_saved("s", 9);
-    assert!(contents.has("s", 9) && contents.has("s", 7));
+    contents.apply(&batch(2, 2, &[("s", 7, 100)]));
+    contents.note_kept("s", &part(9));
+    assert!(contents.has("s", &part(9)) && contents.has("s", &part(7)));
     contents.forget();
     assert_eq!((contents.next(), contents.len()), (0, 0));
 }
+
+#[test]
+fn a_part_that_is_kept_in_part_ends_the_kept_prefix() {
+    let mut contents = CacheContents::default();
+    let parts = [part(1), part(2), part(3)];
+    contents.apply(&batch(1, 4, &[("s", 1, 96), ("s", 2, 100), ("s", 3, 100)]));
+    // The last block of a part need not be full.
+    assert_eq!(contents.prefix_tokens("s", &parts), 300);
+    contents.apply(&batch(1, 5, &[("s", 2, 48)]));
+    assert_eq!(contents.prefix_tokens("s", &parts), 100);
+    assert!(contents.has("s", &part(3)));
+}
+
+#[test]
+fn after_a_gap_nothing_from_before_is_believed() {
+    let mut contents = CacheContents::default();
+    contents.apply(&batch(1, 2, &[("s", 1, 100)]));
+    let mut after_gap = batch(1, 90, &[("s", 2, 100)]);
+    after_gap.has_gap = true;
+    contents.apply(&after_gap);
+    assert!(!contents.has("s", &part(1)) && contents.has("s", &part(2)));
+}
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -1,6 +1,7 @@
 //! The choice of an engine: affinity, load, health and weights.
 
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
+use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::PeerLoads;
 use ploverlift_balancing::prefix_holders::PrefixHolders;
@@ -69,6 +70,7 @@
         catalogue,
         peer_loads: &PeerLoads::default(),
         holders: &PrefixHolders::default(),
+        caches: &EngineCaches::default(),
     };
     let criteria = Criteria {
         service: &ServiceName::from("llm"),
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -2,6 +2,7 @@
 //! that are lost, late and repeated, and the choices that follow from them.
 
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
+use ploverlift_balancing::engine_caches::{is_follower, EngineCaches};
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, PeerId, PeerLoads, ReportBuilder, ZoneTag,
     FULL_REPORT_PERIOD_MS,
@@ -84,6 +85,16 @@
 }
 
 fn chosen(catalogue: &EngineCatalogue, loads: &PeerLoads, holders: &PrefixHolders) -> Choice {
+    chosen_at(catalogue, loads, holders, &EngineCaches::default(), NOW)
+}
+
+fn chosen_at(
+    catalogue: &EngineCatalogue,
+    loads: &PeerLoads,
+    holders: &PrefixHolders,
+    caches: &EngineCaches,
+    now: Millis,
+) -> Choice {
     let shared = parts();
     let criteria = Criteria {
         service: &ServiceName::from("llm"),
@@ -101,8 +112,9 @@
         catalogue,
         peer_loads: loads,
         holders,
+        caches,
     };
-    choose(&view, &criteria, &RATES, NOW).expect("an engine")
+    choose(&view, &criteria, &RATES, now).expect("an engine")
 }
 
 /// The engines keep the first `count` parts under these weights.
@@ -265,6 +277,47 @@
     assert!(choice.cost.transfer_ms > 0.0 && choice.cost.reading_ms == 0.0);
 }
 
+#[test]
+fn an_engine_whose_events_tell_what_it_keeps_is_believed_over_old_placements() {
+    let catalogue = catalogue(&[1, 1, 1]);
+    // Long ago the prompt was sent to the first engine; the events of all are
+    // followed, and only the last one's tell of its parts.
+    let holders = kept_by(&[0], 1, 2);
+    let mut caches = EngineCaches::default();
+    for index in 0..3 {
+        caches.follow(tag(index));
+    }
+    let salt = cache_salt("m", 1, "");
+    for part in parts() {
+        caches.follow(tag(2)).note_kept(&salt, &part);
+    }
+    let later = Millis(NOW.0 + 5_000);
+    let loads = PeerLoads::default();
+    let choice = chosen_at(&catalogue, &loads, &holders, &caches, later);
+    assert_eq!((choice.instance, choice.kept_tokens), (instance(2), 6_000));
+    // Without events the placement is all that is known.
+    let choice = chosen_at(
+        &catalogue,
+        &loads,
+        &holders,
+        &EngineCaches::default(),
+        later,
+    );
+    assert_eq!(choice.instance, instance(0));
+}
+
+#[test]
+fn each_engine_is_followed_by_as_many_nodes_as_it_has_room_for() {
+    let nodes: Vec<PeerId> = (1..=69).map(PeerId).collect();
+    for engine in 0..90 {
+        let followers = nodes.iter().filter(|own| {
+            let peers = nodes.iter().copied().filter(|peer| peer != *own);
+            is_follower(**own, peers, EngineTag(engine), 12)
+        });
+        assert_eq!(followers.count(), 12);
+    }
+}
+
 #[test]
 fn cache_of_other_weights_is_no_source() {
     let catalogue = catalogue(&[2, 1]);
@@ -289,9 +342,10 @@
     assert!(holders.len() <= 20_000);
     let holders = kept_by(&[0, 1, 2, 3, 4, 5], 1, 1);
     let chain = chain_keys(&cache_salt("m", 1, ""), &parts()[..1])[0];
-    let known: Vec<EngineTag> = holders.of(chain, NOW).collect();
-    assert_eq!(known, [tag(2), tag(3), tag(4), tag(5)]);
-    assert_eq!(holders.of(chain, NOW.plus(20_000)).count(), 0);
+    let known = |index: usize, now| holders.age_ms(chain, tag(index), now);
+    let all: Vec<Option<u64>> = (0..6).map(|index| known(index, NOW)).collect();
+    assert_eq!(all, [None, None, Some(0), Some(0), Some(0), Some(0)]);
+    assert!((0..6).all(|index| known(index, NOW.plus(20_000)).is_none()));
 }
 
 #[test]
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -3,6 +3,7 @@
 use crate::settings::GatewaySettings;
 use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
+use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
 use ploverlift_balancing::prefix_holders::PrefixHolders;
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
@@ -97,8 +98,10 @@
     pub cache: CacheBeliefs,
     /// Requests of the other nodes.
     pub peer_loads: PeerLoads,
-    /// Engines that keep shared parts of prompts.
+    /// Where shared parts of prompts were sent.
     pub holders: PrefixHolders,
+    /// What the engines whose events are followed keep.
+    pub engine_caches: EngineCaches,
     /// Engines that load weights by this node's order.
     pub loading: Vec<InstanceId>,
     /// Engines that loaded weights by this node's order, and when.
@@ -117,6 +120,7 @@
             catalogue: &self.engines,
             peer_loads: &self.peer_loads,
             holders: &self.holders,
+            caches: &self.engine_caches,
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/cache_feeds/mod.rs
@@ -0,0 +1,40 @@
+//! Following what engines and stores of kept cache hold.
+//!
+//! Each of them tells changes to those who ask, and holds a call until there are
+//! some. A call that fails costs hits and never an answer: without a feed the
+//! node relies on where prompts were sent.
+
+mod engines;
+mod store;
+
+pub use engines::follow_engine_caches;
+pub use store::{cache_store, follow_cache_store};
+
+use crate::http_call::{CallConnection, CallError};
+use crate::ports::CacheAnswer;
+use crate::state::Gateway;
+
+/// How long a call is held where there are no events, in milliseconds.
+const WAIT_MS: u64 = 1_000;
+/// Longest wait for an answer beyond it, in milliseconds.
+const TIMEOUT_MS: u64 = 500;
+/// Shortest pause after there was no room for the call, in milliseconds.
+const REFUSED_MS: u64 = 4_000;
+/// Pause after a call that failed, in milliseconds.
+const RETRY_MS: u64 = 400;
+
+/// Asks for the events after a position.
+async fn ask_for_events(
+    gateway: &Gateway,
+    connection: &mut CallConnection,
+    since: u64,
+) -> Result<CacheAnswer, CallError> {
+    let head = gateway.site.cache_events_head(since, WAIT_MS);
+    let (head, body) = connection.call(head, &[], WAIT_MS + TIMEOUT_MS).await?;
+    Ok(gateway.site.read_cache_answer(&head, &body))
+}
+
+/// The pause after there was no room for a call, in milliseconds.
+fn refused_pause_ms() -> u64 {
+    fastrand::u64(REFUSED_MS..2 * REFUSED_MS)
+}
--- a/crates/gateway/src/cache_feed.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -3,6 +3,7 @@
 //! Without it each node would save each shared prompt anew, and the saves alone
 //! would fill the store's link.
 
+use super::{ask_for_events, refused_pause_ms, RETRY_MS};
 use crate::beliefs::{ActiveConfiguration, CacheStoreState};
 use crate::http_call::CallConnection;
 use crate::ports::CacheAnswer;
@@ -13,17 +14,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// How long the store holds a call without events, in milliseconds.
-const WAIT_MS: u64 = 1_000;
-/// Longest wait for an answer beyond it, in milliseconds.
-const TIMEOUT_MS: u64 = 500;
 /// Pause between two calls, in milliseconds, so that events come in batches.
 const GATHER_MS: u64 = 60;
-/// Pause after a call that failed, in milliseconds.
-const RETRY_MS: u64 = 400;
-
-/// Shortest pause after the store had no room for the call, in milliseconds.
-const REFUSED_MS: u64 = 4_000;
 
 /// The store of kept cache that nodes of a zone use: one in the zone where there
 /// is one.
@@ -37,7 +29,7 @@
 }
 
 /// Follows the store until the task is dropped.
-pub async fn follow_cache(gateway: Arc<Gateway>) {
+pub async fn follow_cache_store(gateway: Arc<Gateway>) {
     let mut followed: Option<(SocketAddr, CallConnection)> = None;
     loop {
         let configuration = gateway.configuration();
@@ -61,7 +53,7 @@
         };
         match poll(&gateway, connection).await {
             CacheStoreState::Followed => sleep(GATHER_MS).await,
-            CacheStoreState::Unobserved => sleep(fastrand::u64(REFUSED_MS..2 * REFUSED_MS)).await,
+            CacheStoreState::Unobserved => sleep(refused_pause_ms()).await,
             CacheStoreState::Lost => {
                 connection.reset();
                 sleep(RETRY_MS).await;
@@ -73,10 +65,7 @@
 /// Asks for events, and takes in what the answer shows.
 async fn poll(gateway: &Gateway, connection: &mut CallConnection) -> CacheStoreState {
     let since = gateway.beliefs().cache.contents.next();
-    let head = gateway.site.cache_events_head(since, WAIT_MS);
-    let answered = connection.call(head, &[], WAIT_MS + TIMEOUT_MS).await;
-    let answer = answered.map(|(head, body)| gateway.site.read_cache_answer(&head, &body));
-    match answer {
+    match ask_for_events(gateway, connection, since).await {
         Ok(CacheAnswer::Events(batch)) => {
             gateway.beliefs().cache.contents.apply(&batch);
             note_state(gateway, CacheStoreState::Followed)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,14 +15,14 @@
 //! | [`engine_connection`] | one request on one connection to an engine |
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and who keeps which prompts |
-//! | [`cache_feed`] | follows what the store of kept cache holds |
+//! | [`cache_feeds`] | follows what engines and the store of kept cache hold |
 //! | [`weights`] | bringing engines to new weights, by one holder of a lease |
 //! | [`readiness`], [`metrics`], [`logging`] | what a node tells of itself |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
 
 pub mod assembly;
 pub mod beliefs;
-pub mod cache_feed;
+pub mod cache_feeds;
 pub mod callers;
 pub mod engine_connection;
 pub mod http_call;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub peers: Gauge,
     /// Engines in the catalogue.
     pub engines: Gauge,
+    /// Engines whose cache events are followed.
+    pub followed_caches: Gauge,
     /// Log lines on requests that were left out.
     pub log_lines_skipped: Counter,
     /// Time from the head to the first byte of the answer.
@@ -62,6 +64,7 @@
             configuration_version: Gauge::default(),
             peers: Gauge::default(),
             engines: Gauge::default(),
+            followed_caches: Gauge::default(),
             log_lines_skipped: Counter::default(),
             first_byte_seconds: Histogram::new(buckets),
         }
@@ -108,6 +111,12 @@
         let version = self.configuration_version.clone();
         registry.register("configuration_version", "Configuration in force", version);
         registry.register("engines", "Engines in the catalogue", self.engines.clone());
+        let followed = self.followed_caches.clone();
+        registry.register(
+            "followed_caches",
+            "Engines whose cache is followed",
+            followed,
+        );
         registry.register("peers", "Other nodes heard of lately", self.peers.clone());
         let first_byte = self.first_byte_seconds.clone();
         let help = "Time to the first byte of the answer";
--- a/crates/gateway/src/relay/choice.rs
+++ b/crates/gateway/src/relay/choice.rs
@@ -2,13 +2,13 @@
 
 use super::Relay;
 use crate::beliefs::{Beliefs, CacheStoreState};
-use crate::cache_feed::cache_store;
+use crate::cache_feeds::cache_store;
 use crate::ports::CacheTransfer;
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_balancing::selection::{choose, Choice, Cost, Criteria, NoChoice, PromptCriteria};
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt, PromptPart};
+use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt};
 use std::net::SocketAddr;
 
 /// An engine that was chosen, and how the request uses kept cache there.
@@ -117,11 +117,8 @@
         let cache = &beliefs.cache;
         let salt = cache_salt(&placed.prompt.model, placed.weights, self.cache_scope());
         let shared = placed.prompt.shared_parts();
-        let is_stored = |part: &PromptPart| cache.contents.has(&salt, part.id);
-        // A part is of use only when every part before it is kept as well.
-        let stored = shared.iter().take_while(|part| is_stored(part));
-        let stored_tokens: u64 = stored.map(|part| part.tokens).sum();
-        let is_whole = shared.iter().all(is_stored);
+        let stored_tokens = cache.contents.prefix_tokens(&salt, shared);
+        let is_whole = stored_tokens == placed.prompt.shared_tokens();
         let source_tokens = placed.source.as_ref().map_or(0, |source| source.tokens);
         let may_keep_some = cache.state == CacheStoreState::Unobserved && source_tokens == 0;
         let keeps_more = stored_tokens > source_tokens || may_keep_some;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -72,8 +72,13 @@
         if let (Some(cache), Some(prompt)) = (&chosen.cache, prompt) {
             let chains = chain_keys(&cache.salt, prompt.shared_parts());
             let now = self.gateway.clock.now();
-            let holders = &mut self.gateway.beliefs().holders;
-            holders.note_own(&chains, chosen.tag, now);
+            let mut beliefs = self.gateway.beliefs();
+            beliefs.holders.note_own(&chains, chosen.tag, now);
+            if let Some(kept) = beliefs.engine_caches.of_mut(chosen.tag) {
+                for part in prompt.shared_parts() {
+                    kept.note_kept(&cache.salt, part);
+                }
+            }
         }
     }
 
@@ -91,7 +96,7 @@
                 return;
             }
             for part in prompt.shared_parts() {
-                beliefs.cache.contents.note_saved(&cache.salt, part.id);
+                beliefs.cache.contents.note_kept(&cache.salt, part);
             }
         }
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -154,7 +154,7 @@
             let now = receiver.gateway.clock.now();
             let beliefs = receiver.gateway.beliefs();
             let has_load = beliefs.peer_loads.at(app_tag).requests == 1;
-            if has_load && beliefs.holders.of(chains[1], now).any(|tag| tag == llm_tag) {
+            if has_load && beliefs.holders.age_ms(chains[1], llm_tag, now).is_some() {
                 break;
             }
         }
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_balancing::peer_loads::EngineTag;
+use ploverlift_balancing::rendezvous;
 use ploverlift_gateway::beliefs::CacheStoreState;
 use ploverlift_http1::RequestHead;
+use ploverlift_routing::prompt::{Prompt, PromptPart};
 use serde_json::json;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -352,6 +356,48 @@
     assert_eq!(uses, [(false, false), (false, true), (false, true)]);
 }
 
+/// Reading the stand-in's short prompts anew costs more than anything else.
+const SLOW_READING: &str = "[cost]\nprompt_tokens_per_ms = 0.1\n";
+
+#[test]
+fn a_prompt_goes_to_the_engine_whose_events_tell_that_it_keeps_it() {
+    smol::block_on(async {
+        let start = |name| StandInEngine::start(name, "llm", Behaviour::Answer);
+        let engines = [start("llm-1").await, start("llm-2").await];
+        let mut with_events = configuration(1);
+        with_events["event_calls"] = 1.into();
+        let fixture = Fixture::with(&[&engines[0], &engines[1]], with_events, SLOW_READING).await;
+        // The engine that the prompt would not be sent to first keeps it.
+        let parts = [1, 2, 3].map(|id| PromptPart { id, tokens: 10 });
+        let prompt_parts = Prompt {
+            model: "m".to_owned(),
+            parts: parts.to_vec(),
+            max_output_tokens: 0,
+        };
+        let key = prompt_parts.shared_key("");
+        let weight =
+            |engine: &&StandInEngine| rendezvous::weight(key, &InstanceId(engine.instance.clone()));
+        let other = engines.iter().min_by_key(weight).expect("an engine");
+        for part in [1, 2] {
+            other.keep("1/m/", part, 10);
+        }
+        let tag = EngineTag::of(&InstanceId(other.instance.clone()));
+        let told = || {
+            let beliefs = fixture.gateway.beliefs();
+            beliefs
+                .engine_caches
+                .of(tag)
+                .is_some_and(|kept| kept.len() == 2)
+        };
+        while !told() {
+            // Asking the node lets its tasks run.
+            caller::get_status(fixture.running().readiness).await;
+        }
+        fixture.send(&prompt("stream.test", "r1")).await;
+        assert_eq!(other.heads().len(), 1);
+    });
+}
+
 #[test]
 fn a_lost_cache_store_is_not_used() {
     let uses = smol::block_on(cache_use(503, CacheStoreState::Lost));
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -47,6 +47,8 @@
 
 struct Shared {
     behaviour: Mutex<Behaviour>,
+    /// Events of its cache: salt, part, tokens kept from then on.
+    cache_events: Mutex<Vec<(String, u64, u64)>>,
     weights: Mutex<u64>,
     /// Whether orders get an answer.
     answers_orders: Mutex<bool>,
@@ -72,6 +74,7 @@
         let (seen, happened) = async_channel::unbounded();
         let shared = Arc::new(Shared {
             behaviour: Mutex::new(behaviour),
+            cache_events: Mutex::default(),
             weights: Mutex::new(1),
             answers_orders: Mutex::new(true),
             notes: Mutex::default(),
@@ -115,6 +118,12 @@
         *self.shared.answers_orders.lock().expect("answers") = answers;
     }
 
+    /// Its cache keeps so many tokens of a part from now on.
+    pub fn keep(&self, salt: &str, part: u64, tokens: u64) {
+        let event = (salt.to_owned(), part, tokens);
+        self.shared.cache_events.lock().expect("events").push(event);
+    }
+
     /// Heads of the requests that it read.
     pub fn heads(&self) -> Vec<RequestHead> {
         self.shared.notes.lock().expect("notes").heads.clone()
@@ -157,6 +166,16 @@
             }
             continue;
         }
+        if let Some(since) = head.path().strip_prefix("/cache/") {
+            let since = since.parse().expect("a position");
+            if tell_cache_events(&shared, &mut connection, since)
+                .await
+                .is_none()
+            {
+                return;
+            }
+            continue;
+        }
         note(&shared, &head, body);
         respond(&shared, &mut connection, &head).await;
         return;
@@ -170,6 +189,28 @@
     let _ = shared.seen.try_send(());
 }
 
+/// Tells the events after a position, when there are some.
+async fn tell_cache_events(
+    shared: &Shared,
+    connection: &mut BufferedStream,
+    since: usize,
+) -> Option<()> {
+    let events = loop {
+        let events = shared.cache_events.lock().expect("events").clone();
+        if events.len() > since || since == 0 {
+            break events;
+        }
+        ploverlift_gateway::time::sleep(2).await;
+    };
+    let text = json!({"epoch": 1, "next": events.len(), "events": events[since..]}).to_string();
+    let mut answer = ResponseHead::new(200);
+    answer
+        .headers
+        .push("content-length", text.len().to_string());
+    connection.write_all(&answer.encode()).await.ok()?;
+    connection.write_all(text.as_bytes()).await.ok()
+}
+
 async fn control(
     shared: &Shared,
     connection: &mut BufferedStream,
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -1,6 +1,6 @@
 //! The stand-in's protocols: the ports, with names of their own.
 
-use ploverlift_balancing::cache_contents::CacheEvents;
+use ploverlift_balancing::cache_contents::{CacheEvent, CacheEvents};
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use ploverlift_gateway::ports::{
     AnswerMeaning, CacheAnswer, CacheProtocol, CallerProtocol, CallerRequest, EngineCall,
@@ -179,10 +179,10 @@
         RequestHead::new("GET", format!("/cache/{since}"))
     }
 
-    fn read_cache_answer(&self, head: &ResponseHead, _body: &[u8]) -> CacheAnswer {
+    fn read_cache_answer(&self, head: &ResponseHead, body: &[u8]) -> CacheAnswer {
         match head.status {
             429 => CacheAnswer::TooManyCalls,
-            200 => CacheAnswer::Events(CacheEvents::default()),
+            200 => CacheAnswer::Events(cache_events(body)),
             _ => CacheAnswer::Invalid,
         }
     }
@@ -290,7 +290,10 @@
         Ok(Configuration {
             version: version.ok_or_else(|| invalid("no version"))?,
             routes: routes.iter().map(route).collect(),
-            services: cache_service(body).into_iter().collect(),
+            services: cache_service(body)
+                .into_iter()
+                .chain(model_service(body))
+                .collect(),
             tenants: Some(tenants.collect()),
             limits: CallerLimits {
                 max_head_bytes: 2_048,
@@ -331,6 +334,32 @@
     }
 }
 
+/// Events of a cache; none in an empty body.
+fn cache_events(body: &[u8]) -> CacheEvents {
+    let body: Value = serde_json::from_slice(body).unwrap_or_default();
+    let events = body["events"].as_array().into_iter().flatten();
+    let events = events.map(|event| CacheEvent {
+        salt: event[0].as_str().unwrap_or_default().to_owned(),
+        part: event[1].as_u64().unwrap_or(0),
+        kept_tokens: event[2].as_u64().unwrap_or(0),
+    });
+    CacheEvents {
+        epoch: body["epoch"].as_u64().unwrap_or(0),
+        next: body["next"].as_u64().unwrap_or(0),
+        has_gap: false,
+        events: events.collect(),
+    }
+}
+
+/// The model service, where its engines hold calls for events.
+fn model_service(body: &Value) -> Option<(ServiceName, Service)> {
+    let service = Service {
+        max_event_calls: Some(body["event_calls"].as_u64()? as u32),
+        ..Service::default()
+    };
+    Some((ServiceName::from("llm"), service))
+}
+
 fn cache_service(body: &Value) -> Option<(ServiceName, Service)> {
     let address = body["cache"].as_str()?.parse().ok()?;
     let service = Service {
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -108,6 +108,9 @@
     pub models: Vec<String>,
     /// Tokens that one engine keeps.
     pub cache_capacity_tokens: Option<u64>,
+    /// Waiting calls for cache events that one engine holds at once; nothing
+    /// where engines tell no events.
+    pub max_event_calls: Option<u32>,
     /// Address and zone, when the service is a store of kept cache and no engine.
     pub cache_store: Option<CacheStore>,
 }
