Nodes follow engines of their zone and tell the others what is dropped

Change: up to four nodes of an engine's zone follow it, by rendezvous over the nodes heard of lately; the first of them tells all others, in the reports that exist, which parts the engine dropped, if any request has used them. So the table of holders is by part, and an entry goes when the engine drops the part, not only by age. An engine of a zone without nodes is followed from elsewhere.

A report carries 20 placements or drops, which the test of one datagram allows (32 and 22 were refused by it).

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -5,9 +5,8 @@
 //! second copy. Neither can give a wrong answer: a part is found only under the
 //! salt that names its weights and its scope.
 
-use ploverlift_routing::prompt::PromptPart;
+use ploverlift_routing::prompt::{PartKey, PromptPart};
 use std::collections::HashMap;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Parts that are remembered; beyond it nothing more is taken in.
 const MAX_PARTS: usize = 200_000;
@@ -45,7 +44,7 @@
 pub struct CacheContents {
     epoch: Option<u64>,
     next: u64,
-    kept_tokens: HashMap<u64, u32>,
+    kept_tokens: HashMap<PartKey, u32>,
 }
 
 impl CacheContents {
@@ -54,21 +53,34 @@
         self.next
     }
 
-    /// Takes in a batch. After a gap nothing that was believed before counts.
-    pub fn apply(&mut self, batch: &CacheEvents) {
+    /// Takes in a batch; tells the parts of which fewer tokens are kept than
+    /// before. After a gap nothing that was believed before counts.
+    pub fn apply(&mut self, batch: &CacheEvents) -> Vec<PartKey> {
         if self.epoch != Some(batch.epoch) || batch.has_gap {
             self.epoch = Some(batch.epoch);
             self.kept_tokens.clear();
         }
         self.next = batch.next;
-        for event in &batch.events {
-            let name = part_name(&event.salt, event.part);
-            if event.kept_tokens == 0 {
-                self.kept_tokens.remove(&name);
-            } else if self.kept_tokens.len() < MAX_PARTS {
-                self.kept_tokens.insert(name, saturated(event.kept_tokens));
-            }
+        let dropped = batch.events.iter().filter_map(|event| {
+            let part = PartKey::of(&event.salt, event.part);
+            let kept_tokens = saturated(event.kept_tokens);
+            let before = self.set(part, kept_tokens);
+            before
+                .is_some_and(|before| before > kept_tokens)
+                .then_some(part)
+        });
+        dropped.collect()
+    }
+
+    /// Sets how much of a part is kept; tells what was believed before.
+    fn set(&mut self, part: PartKey, kept_tokens: u32) -> Option<u32> {
+        if kept_tokens == 0 {
+            return self.kept_tokens.remove(&part);
+        }
+        if self.kept_tokens.len() >= MAX_PARTS {
+            return None;
         }
+        self.kept_tokens.insert(part, kept_tokens)
     }
 
     /// This node has had a part read or saved there. It counts as kept until an
@@ -77,7 +89,7 @@
         if self.kept_tokens.len() >= MAX_PARTS {
             self.kept_tokens.clear();
         }
-        let name = part_name(salt, part.id);
+        let name = PartKey::of(salt, part.id);
         self.kept_tokens.insert(name, saturated(part.tokens));
     }
 
@@ -88,8 +100,13 @@
 
     /// Whether a whole part is believed to be kept under a salt.
     pub fn has(&self, salt: &str, part: &PromptPart) -> bool {
-        let known = self.kept_tokens.get(&part_name(salt, part.id));
-        known.is_some_and(|kept| u64::from(*kept) + BLOCK_TOKENS > part.tokens)
+        self.has_part(PartKey::of(salt, part.id), part.tokens)
+    }
+
+    /// Whether a part of so many tokens is believed to be kept whole.
+    pub fn has_part(&self, part: PartKey, tokens: u64) -> bool {
+        let known = self.kept_tokens.get(&part);
+        known.is_some_and(|kept| u64::from(*kept) + BLOCK_TOKENS > tokens)
     }
 
     /// Tokens at the beginning of a prompt that are believed to be kept: a part is
@@ -113,7 +130,3 @@
 fn saturated(tokens: u64) -> u32 {
     u32::try_from(tokens).unwrap_or(u32::MAX)
 }
-
-fn part_name(salt: &str, part: u64) -> u64 {
-    xxh3_64_with_seed(salt.as_bytes(), part)
-}
--- a/crates/balancing/src/engine_caches.rs
+++ b/crates/balancing/src/engine_caches.rs
@@ -1,8 +1,8 @@
 //! What the engines keep of prompts, as their own events tell.
 //!
-//! A node follows the events of as many engines as have room for its calls. Of
-//! the others it knows only where prompts were sent ([`crate::prefix_holders`]),
-//! and not what has given way there since.
+//! A node follows the events of engines of its zone. What those drop, one node
+//! tells the others, who know of what is read by the reports that they exchange
+//! anyway ([`crate::prefix_holders`]): far fewer bytes than the events themselves.
 
 use crate::cache_contents::CacheContents;
 use crate::peer_loads::{EngineTag, PeerId};
@@ -52,17 +52,18 @@
     }
 }
 
-/// Whether a node is among the `limit` nodes that follow an engine's events. An
-/// engine holds a limited number of waiting calls, so in a large fleet each node
-/// follows some of the engines; all nodes agree on which, by rendezvous hashing
-/// over the nodes that were heard of lately.
-pub fn is_follower(
+/// Nodes that follow one engine's events, when there are so many in its zone.
+pub const FOLLOWERS: usize = 4;
+
+/// The place of a node among those that may follow an engine, 0 for the first. All
+/// nodes agree on it, by rendezvous hashing over the nodes that were heard of
+/// lately.
+pub fn follower_rank(
     own: PeerId,
-    peers: impl Iterator<Item = PeerId>,
+    others: impl Iterator<Item = PeerId>,
     engine: EngineTag,
-    limit: usize,
-) -> bool {
+) -> usize {
     let weight = |node: PeerId| xxh3_64_with_seed(&node.0.to_le_bytes(), u64::from(engine.0));
-    let before = peers.filter(|peer| weight(*peer) > weight(own));
-    before.take(limit).count() < limit
+    let before = others.filter(|other| weight(*other) > weight(own));
+    before.count()
 }
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
-//! | [`prefix_holders`] | which engines keep which shared parts of prompts |
+//! | [`prefix_holders`] | where shared parts of prompts were read, as nodes tell each other |
 //! | [`prefix_reach`] | what each engine holds of one prompt, and where the rest can be had |
 //! | [`rendezvous`] | the order of engines for a prompt |
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -217,9 +217,9 @@
         near.map(|(id, _)| *id).take(count).collect()
     }
 
-    /// The nodes that were heard of lately.
-    pub fn peers(&self) -> impl Iterator<Item = PeerId> + '_ {
-        self.peers.keys().copied()
+    /// The nodes that were heard of lately, and their zones.
+    pub fn peers(&self) -> impl Iterator<Item = (PeerId, ZoneTag)> + '_ {
+        self.peers.iter().map(|(id, peer)| (*id, peer.zone))
     }
 
     /// Nodes that were heard of lately.
--- a/crates/balancing/src/prefix_reach.rs
+++ b/crates/balancing/src/prefix_reach.rs
@@ -2,11 +2,10 @@
 //! another one can have what it lacks.
 
 use crate::catalogue::Engine;
-use crate::prefix_holders::chain_keys;
 use crate::selection::{FleetView, PromptCriteria};
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::prompt::{cache_salt, ChainKey};
+use ploverlift_routing::prompt::{cache_salt, part_keys, PartKey};
 use std::collections::BTreeMap;
 
 /// Time within which an engine's events tell what it has read, in milliseconds.
@@ -33,12 +32,9 @@
         }
         for (weights, engines) in &mut by_weights {
             let salt = cache_salt(prompt.model, *weights, prompt.scope);
-            let keys = chain_keys(&salt, prompt.shared);
+            let keys = part_keys(&salt, prompt.shared);
             for (engine, tokens) in engines.iter_mut() {
-                let sent = sent_tokens(view, engine, prompt, &keys, now);
-                let kept = view.caches.of(engine.tag);
-                let kept = kept.map_or(0, |kept| kept.prefix_tokens(&salt, prompt.shared));
-                *tokens = sent.max(kept);
+                *tokens = kept_tokens(view, engine, prompt, &keys, now);
             }
             engines.retain(|(_, tokens)| *tokens > 0);
         }
@@ -76,28 +72,24 @@
     }
 }
 
-/// Tokens of the shared parts that requests have had the engine read lately. Where
-/// its events are followed, this counts only until they can tell.
-fn sent_tokens(
+/// Tokens of the shared parts that an engine keeps: a part is of use only when
+/// every part before it is kept as well.
+fn kept_tokens(
     view: &FleetView<'_>,
     engine: &Engine,
     prompt: &PromptCriteria<'_>,
-    keys: &[ChainKey],
+    keys: &[PartKey],
     now: Millis,
 ) -> u64 {
-    let longest_age_ms = match view.caches.of(engine.tag) {
-        Some(_) => EVENT_DELAY_MS,
-        None => u64::MAX,
+    let contents = view.caches.of(engine.tag);
+    // Where events are followed, a placement counts until they can tell.
+    let longest_age_ms = contents.map_or(u64::MAX, |_| EVENT_DELAY_MS);
+    let is_kept = |key: PartKey, tokens: u64| {
+        let age_ms = view.holders.age_ms(key, engine.tag, now);
+        age_ms.is_some_and(|age_ms| age_ms < longest_age_ms)
+            || contents.is_some_and(|contents| contents.has_part(key, tokens))
     };
-    let mut tokens = 0;
-    let mut held = 0;
-    for (part, key) in prompt.shared.iter().zip(keys) {
-        tokens += part.tokens;
-        let age_ms = view.holders.age_ms(*key, engine.tag, now);
-        // An engine that has read a chain has read all before it.
-        if age_ms.is_some_and(|age_ms| age_ms < longest_age_ms) {
-            held = tokens;
-        }
-    }
-    held
+    let parts = prompt.shared.iter().zip(keys);
+    let kept = parts.take_while(|(part, key)| is_kept(**key, part.tokens));
+    kept.map(|(part, _)| part.tokens).sum()
 }
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -1,13 +1,20 @@
-//! Follows what the engines keep, as far as they have room for this node's calls.
+//! Follows what the engines keep.
+//!
+//! Nodes follow the engines of their own zone: calls within a zone cost no bytes
+//! between zones. The first follower of an engine tells all other nodes what the
+//! engine has dropped. Engines of a zone without any node are followed from
+//! elsewhere.
 
 use super::{ask_for_events, refused_pause_ms, RETRY_MS};
+use crate::beliefs::Beliefs;
 use crate::http_call::CallConnection;
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 use crate::time::sleep;
+use ploverlift_balancing::cache_contents::CacheEvents;
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
-use ploverlift_balancing::engine_caches::is_follower;
-use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
+use ploverlift_balancing::engine_caches::{follower_rank, FOLLOWERS};
+use ploverlift_balancing::peer_loads::{EngineTag, PeerId, ZoneTag};
 use smol::Task;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,6 +24,9 @@
 const LOOK_PERIOD_MS: u64 = 500;
 /// Pause between two calls, in milliseconds, so that events come in batches.
 const GATHER_MS: u64 = 100;
+/// Time from the start after which engines of zones without any node are followed,
+/// in milliseconds: before it, the other nodes were not heard of yet.
+const FAR_AFTER_MS: u64 = 3_000;
 
 /// An engine whose events are to be followed.
 #[derive(Clone, Debug)]
@@ -28,9 +38,11 @@
 
 /// Follows engines until the task is dropped.
 pub async fn follow_engine_caches(gateway: Arc<Gateway>) {
+    let started_at = gateway.clock.now();
     let mut feeds: HashMap<InstanceId, Task<()>> = HashMap::new();
     loop {
-        let wanted = engines_to_follow(&gateway);
+        let uptime_ms = gateway.clock.now().since(started_at);
+        let wanted = engines_to_follow(&gateway, uptime_ms);
         feeds.retain(|instance, _| wanted.iter().any(|engine| engine.instance == *instance));
         forget_others(&gateway, &wanted);
         for engine in wanted {
@@ -43,8 +55,7 @@
     }
 }
 
-fn engines_to_follow(gateway: &Gateway) -> Vec<FollowedEngine> {
-    let own = PeerId::of(&gateway.settings().node.name);
+fn engines_to_follow(gateway: &Gateway, uptime_ms: u64) -> Vec<FollowedEngine> {
     let beliefs = gateway.beliefs();
     let Some(configuration) = beliefs.configuration.as_ref() else {
         return Vec::new();
@@ -52,10 +63,10 @@
     let services = &configuration.document.services;
     let is_wanted = |engine: &&Engine| {
         let service = services.get(&engine.record.service);
-        let limit = service.and_then(|service| service.max_event_calls);
-        limit.is_some_and(|limit| {
-            is_follower(own, beliefs.peer_loads.peers(), engine.tag, limit as usize)
-        })
+        let calls = service.and_then(|service| service.max_event_calls);
+        let followers = FOLLOWERS.min(calls.unwrap_or(0) as usize);
+        let rank = own_rank(gateway, &beliefs, engine, uptime_ms);
+        rank.is_some_and(|rank| rank < followers)
     };
     let wanted = beliefs.engines.iter().filter(is_wanted);
     let followed = wanted.map(|engine| FollowedEngine {
@@ -66,6 +77,29 @@
     followed.collect()
 }
 
+/// The place of this node among those that may follow an engine; nothing when it
+/// may not.
+fn own_rank(
+    gateway: &Gateway,
+    beliefs: &Beliefs,
+    engine: &Engine,
+    uptime_ms: u64,
+) -> Option<usize> {
+    let own = PeerId::of(&gateway.settings().node.name);
+    let zone = ZoneTag::of(&engine.record.zone);
+    let peers = || beliefs.peer_loads.peers();
+    if engine.record.zone == gateway.zone {
+        let near = peers().filter(|(_, peer_zone)| *peer_zone == zone);
+        return Some(follower_rank(own, near.map(|(peer, _)| peer), engine.tag));
+    }
+    let has_nodes = peers().any(|(_, peer_zone)| peer_zone == zone);
+    if has_nodes || uptime_ms < FAR_AFTER_MS {
+        return None;
+    }
+    let all = peers().map(|(peer, _)| peer);
+    Some(follower_rank(own, all, engine.tag))
+}
+
 /// Forgets what engines keep that are gone or that other nodes follow from now on.
 fn forget_others(gateway: &Gateway, wanted: &[FollowedEngine]) {
     let mut beliefs = gateway.beliefs();
@@ -87,8 +121,7 @@
         let answer = ask_for_events(&gateway, &mut connection, next.unwrap_or(0)).await;
         let pause_ms = match answer {
             Ok(CacheAnswer::Events(batch)) => {
-                let mut beliefs = gateway.beliefs();
-                beliefs.engine_caches.follow(engine.tag).apply(&batch);
+                take_events(&gateway, &engine, &batch);
                 note_followed(&gateway, &engine, &mut is_followed, true);
                 GATHER_MS
             }
@@ -106,6 +139,21 @@
     }
 }
 
+fn take_events(gateway: &Gateway, engine: &FollowedEngine, batch: &CacheEvents) {
+    let now = gateway.clock.now();
+    let mut beliefs = gateway.beliefs();
+    let dropped = beliefs.engine_caches.follow(engine.tag).apply(batch);
+    if dropped.is_empty() {
+        return;
+    }
+    let known = beliefs.engines.get(&engine.instance);
+    let rank = known.and_then(|known| own_rank(gateway, &beliefs, known, FAR_AFTER_MS));
+    let tells = rank == Some(0);
+    beliefs
+        .holders
+        .note_dropped(&dropped, engine.tag, tells, now);
+}
+
 fn stop_relying(gateway: &Gateway, engine: &FollowedEngine, is_followed: &mut bool) {
     gateway.beliefs().engine_caches.forget(engine.tag);
     note_followed(gateway, engine, is_followed, false);
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -6,20 +6,20 @@
 };
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::prompt::ChainKey;
+use ploverlift_routing::prompt::PartKey;
 use ploverlift_wire::peers::peer_message::Body;
 use ploverlift_wire::{decode_peer_message, encode_peer_message, peers, WireError};
 
 /// Placements in one report. With the largest number of loads a report stays
 /// within one unfragmented datagram.
-pub const MAX_PLACEMENTS: usize = 16;
+pub const MAX_PLACEMENTS: usize = 20;
 
 /// What one node tells the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerReport {
     /// Its requests at the engines.
     pub loads: LoadReport,
-    /// Prompts that engines have read for it.
+    /// Parts of prompts that engines have read for it, or have dropped.
     pub placements: Vec<Placement>,
     /// Engines that loaded weights by its order a short time ago.
     pub loaded: Vec<LoadedWeights>,
@@ -142,8 +142,9 @@
         (engine, load)
     });
     let placements = message.placements.iter().map(|placement| Placement {
-        chain: ChainKey(placement.chain),
+        part: PartKey(placement.part),
         engine: EngineTag(placement.engine),
+        is_kept: !placement.is_dropped,
     });
     let loaded = message.loaded.iter().map(|loaded| LoadedWeights {
         engine: EngineTag(loaded.engine),
@@ -184,7 +185,8 @@
 
 fn placement_message(placement: &Placement) -> peers::Placement {
     peers::Placement {
-        chain: placement.chain.0,
+        part: placement.part.0,
         engine: placement.engine.0,
+        is_dropped: !placement.is_kept,
     }
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -14,7 +14,7 @@
 use crate::engine_connection::EngineAnswer;
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
-use ploverlift_balancing::prefix_holders::chain_keys;
+use ploverlift_routing::prompt::part_keys;
 use std::io;
 
 /// How a stream went on.
@@ -70,10 +70,10 @@
     fn note_read(&self, chosen: &ChosenEngine) {
         let prompt = self.received.request.prompt.as_ref();
         if let (Some(cache), Some(prompt)) = (&chosen.cache, prompt) {
-            let chains = chain_keys(&cache.salt, prompt.shared_parts());
+            let parts = part_keys(&cache.salt, prompt.shared_parts());
             let now = self.gateway.clock.now();
             let mut beliefs = self.gateway.beliefs();
-            beliefs.holders.note_own(&chains, chosen.tag, now);
+            beliefs.holders.note_own(&parts, chosen.tag, now);
             if let Some(kept) = beliefs.engine_caches.of_mut(chosen.tag) {
                 for part in prompt.shared_parts() {
                     kept.note_kept(&cache.salt, part);
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -29,6 +29,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ChainKey(pub u64);
 
+/// The name of a part as it is kept under a salt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartKey(pub u64);
+
+impl PartKey {
+    /// The part with this id under a salt.
+    pub fn of(salt: &str, part: u64) -> Self {
+        Self(xxh3_64_with_seed(salt.as_bytes(), part))
+    }
+}
+
+/// The keys of parts under a salt.
+pub fn part_keys(salt: &str, parts: &[PromptPart]) -> Vec<PartKey> {
+    let keys = parts.iter().map(|part| PartKey::of(salt, part.id));
+    keys.collect()
+}
+
 impl Prompt {
     /// The parts that other requests may have too.
     pub fn shared_parts(&self) -> &[PromptPart] {
