The store of kept cache takes part in the choice; save what keeps its room

Where a node restarted, no event told of parts that the store had already, so it saved them for ever. The choice took what the store keeps as unread.

Change: the store is a source in the choice; a move takes the time that its link, the distance and the bytes of a token say (all in the configuration), in place of a share of the reading time. A prompt is saved when the shared tokens that the store lacks outweigh its own part (1 own token to 2.5 shared ones; 1.5 to 1 while the store is filled to less than 0.7), once. cost.transfer_share becomes cost.displaced_share: what gives way to a copy, be it moved or read. The log tells what the engine was believed to keep itself.

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -45,6 +45,7 @@
     epoch: Option<u64>,
     next: u64,
     kept_tokens: HashMap<PartKey, u32>,
+    total_tokens: u64,
 }
 
 impl CacheContents {
@@ -58,7 +59,7 @@
     pub fn apply(&mut self, batch: &CacheEvents) -> Vec<PartKey> {
         if self.epoch != Some(batch.epoch) || batch.has_gap {
             self.epoch = Some(batch.epoch);
-            self.kept_tokens.clear();
+            self.clear();
         }
         self.next = batch.next;
         let dropped = batch.events.iter().filter_map(|event| {
@@ -74,23 +75,28 @@
 
     /// Sets how much of a part is kept; tells what was believed before.
     fn set(&mut self, part: PartKey, kept_tokens: u32) -> Option<u32> {
-        if kept_tokens == 0 {
-            return self.kept_tokens.remove(&part);
-        }
-        if self.kept_tokens.len() >= MAX_PARTS {
-            return None;
-        }
-        self.kept_tokens.insert(part, kept_tokens)
+        let before = match kept_tokens {
+            0 => self.kept_tokens.remove(&part),
+            _ if self.kept_tokens.len() >= MAX_PARTS => return None,
+            _ => self.kept_tokens.insert(part, kept_tokens),
+        };
+        self.total_tokens += u64::from(kept_tokens);
+        self.total_tokens -= u64::from(before.unwrap_or(0));
+        before
+    }
+
+    fn clear(&mut self) {
+        self.kept_tokens.clear();
+        self.total_tokens = 0;
     }
 
     /// This node has had a part read or saved there. It counts as kept until an
     /// event says otherwise, or for good where events are not followed.
     pub fn note_kept(&mut self, salt: &str, part: &PromptPart) {
         if self.kept_tokens.len() >= MAX_PARTS {
-            self.kept_tokens.clear();
+            self.clear();
         }
-        let name = PartKey::of(salt, part.id);
-        self.kept_tokens.insert(name, saturated(part.tokens));
+        self.set(PartKey::of(salt, part.id), saturated(part.tokens));
     }
 
     /// The engine or the store was lost: it may come back empty.
@@ -116,6 +122,11 @@
         whole.map(|part| part.tokens).sum()
     }
 
+    /// Tokens of all parts that are believed to be kept.
+    pub fn total_tokens(&self) -> u64 {
+        self.total_tokens
+    }
+
     /// Parts that are believed to be kept.
     pub fn len(&self) -> usize {
         self.kept_tokens.len()
--- a/crates/balancing/src/prefix_reach.rs
+++ b/crates/balancing/src/prefix_reach.rs
@@ -11,10 +11,12 @@
 /// Time within which an engine's events tell what it has read, in milliseconds.
 const EVENT_DELAY_MS: u64 = 400;
 
-/// Holders of one prompt's parts, by the version of weights they were read under.
+/// Holders of one prompt's parts, and what the store holds of it, by the version of
+/// weights that they were read under.
 #[derive(Debug, Default)]
 pub struct PrefixReach<'a> {
     by_weights: BTreeMap<u64, Vec<(&'a Engine, u64)>>,
+    stored: BTreeMap<u64, u64>,
 }
 
 impl<'a> PrefixReach<'a> {
@@ -30,6 +32,7 @@
             let weights = engine.weights_of(prompt.model);
             by_weights.entry(weights).or_default().push((engine, 0));
         }
+        let mut stored = BTreeMap::new();
         for (weights, engines) in &mut by_weights {
             let salt = cache_salt(prompt.model, *weights, prompt.scope);
             let keys = part_keys(&salt, prompt.shared);
@@ -37,14 +40,25 @@
                 *tokens = kept_tokens(view, engine, prompt, &keys, now);
             }
             engines.retain(|(_, tokens)| *tokens > 0);
+            if let Some(store) = view.cache_store {
+                let tokens = store.contents.prefix_tokens(&salt, prompt.shared);
+                stored.insert(*weights, tokens);
+            }
         }
         by_weights.retain(|_, holders| !holders.is_empty());
-        Self { by_weights }
+        stored.retain(|_, tokens| *tokens > 0);
+        Self { by_weights, stored }
     }
 
-    /// Whether any engine is known to hold any part.
+    /// Whether any engine or the store is known to hold any part.
     pub fn is_known(&self) -> bool {
-        !self.by_weights.is_empty()
+        !self.by_weights.is_empty() || !self.stored.is_empty()
+    }
+
+    /// Tokens that the store holds, as they were read under these weights; nothing
+    /// when it holds none.
+    pub fn stored(&self, weights: u64) -> Option<u64> {
+        self.stored.get(&weights).copied()
     }
 
     /// Tokens that an engine holds.
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,5 +1,6 @@
 //! The choice of an engine, by a cost in milliseconds with named terms.
 
+use crate::cache_contents::CacheContents;
 use crate::catalogue::{Engine, EngineCatalogue, InstanceId};
 use crate::engine_caches::EngineCaches;
 use crate::peer_loads::PeerLoads;
@@ -15,8 +16,9 @@
 pub struct CostRates {
     /// Prompt tokens that an engine reads in a millisecond.
     pub prompt_tokens_per_ms: f64,
-    /// Share of the reading time that moving kept cache takes instead.
-    pub transfer_share: f64,
+    /// Cost of what gives way to a copy of kept cache, as a share of the time to
+    /// read it again.
+    pub displaced_share: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
     /// Cost of one more request at a full engine of a plain service, in
@@ -38,6 +40,36 @@
     pub holders: &'a PrefixHolders,
     /// What the engines whose events are followed keep.
     pub caches: &'a EngineCaches,
+    /// The store of kept cache, where one is in use.
+    pub cache_store: Option<StoreView<'a>>,
+}
+
+/// What a node knows of the store of kept cache.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreView<'a> {
+    /// What it keeps.
+    pub contents: &'a CacheContents,
+    /// Its zone.
+    pub zone: &'a ZoneName,
+}
+
+/// Rates at which kept cache moves within a zone, in tokens a millisecond.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MoveRates {
+    /// From one engine to another.
+    pub between_engines: f64,
+    /// From the store to an engine.
+    pub from_store: f64,
+}
+
+impl Default for MoveRates {
+    /// Where no rates are known, moving takes no time.
+    fn default() -> Self {
+        Self {
+            between_engines: f64::INFINITY,
+            from_store: f64::INFINITY,
+        }
+    }
 }
 
 /// What the choice depends on.
@@ -64,6 +96,8 @@
     pub key: ChainKey,
     /// The parts that other requests may have too.
     pub shared: &'a [PromptPart],
+    /// Rates at which kept cache of the model moves.
+    pub moves: MoveRates,
     /// Lowest version of weights that is allowed.
     pub required_weights: u64,
 }
@@ -80,8 +114,10 @@
 pub struct Cost {
     /// Waiting behind prompts that are being read.
     pub queue_ms: f64,
-    /// Moving shared parts that the engine lacks from another one.
+    /// Moving shared parts that the engine lacks from another one or the store.
     pub transfer_ms: f64,
+    /// Reading again what gives way to shared parts that the engine lacks.
+    pub displaced_ms: f64,
     /// Reading shared parts that no engine is known to keep.
     pub reading_ms: f64,
     /// Running on weights older than the newest in use, and reading there what will
@@ -99,11 +135,20 @@
     /// The sum of all terms.
     pub fn total_ms(&self) -> f64 {
         let waiting_ms = self.queue_ms + self.slots_ms;
-        let prompt_ms = self.transfer_ms + self.reading_ms;
+        let prompt_ms = self.transfer_ms + self.displaced_ms + self.reading_ms;
         waiting_ms + prompt_ms + self.outdated_ms + self.zone_ms + self.failure_ms
     }
 }
 
+/// Where an engine can have shared parts that it lacks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CacheSource {
+    /// Another engine.
+    Engine(InstanceId),
+    /// The store of kept cache.
+    Store,
+}
+
 /// The engine that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -111,11 +156,11 @@
     pub instance: InstanceId,
     /// Its cost.
     pub cost: Cost,
-    /// Another engine from which it can have shared parts that it lacks, or that
-    /// it turns out to have dropped.
-    pub source: Option<InstanceId>,
-    /// Tokens of the shared parts that the source keeps.
-    pub source_tokens: u64,
+    /// Where it can have shared parts that it lacks, or that it turns out to have
+    /// dropped.
+    pub source: Option<CacheSource>,
+    /// Tokens of the shared parts that it keeps itself.
+    pub held_tokens: u64,
     /// Tokens of the shared parts that need not be read.
     pub kept_tokens: u64,
     /// Engines that could be chosen.
@@ -185,8 +230,8 @@
     let (engine, cost, supply) = cheapest.ok_or(NoChoice::NoEngine)?;
     Ok(Choice {
         instance: engine.record.instance.clone(),
-        source: supply.source.map(|source| source.record.instance.clone()),
-        source_tokens: supply.source_tokens,
+        source: supply.source,
+        held_tokens: supply.held_tokens,
         kept_tokens: supply.kept_tokens,
         cost,
         candidates: ranked.len(),
@@ -260,12 +305,27 @@
         .unwrap_or(0.0)
 }
 
-/// Where an engine can have the shared parts of a prompt.
-#[derive(Clone, Copy, Debug, Default)]
-struct Supply<'a> {
-    source: Option<&'a Engine>,
-    source_tokens: u64,
+/// How an engine can have the shared parts of a prompt.
+#[derive(Clone, Debug, Default)]
+struct Supply {
+    source: Option<CacheSource>,
+    held_tokens: u64,
+    kept_tokens: u64,
+}
+
+/// What a source keeps of a prompt, and the time to move what an engine lacks.
+struct Offer {
+    source: CacheSource,
     kept_tokens: u64,
+    move_ms: f64,
+}
+
+/// How much longer a move takes over the distance.
+fn distance(from: &ZoneName, to: &ZoneName) -> f64 {
+    match from == to {
+        true => 1.0,
+        false => FAR_TRANSFER,
+    }
 }
 
 /// What the costs of all candidates have in common.
@@ -281,7 +341,7 @@
 }
 
 impl<'a> Estimate<'a> {
-    fn cost(&self, engine: &'a Engine, rank: usize) -> (Cost, Supply<'a>) {
+    fn cost(&self, engine: &'a Engine, rank: usize) -> (Cost, Supply) {
         let rates = self.rates;
         let mut cost = Cost {
             failure_ms: self.failure_ms(engine),
@@ -318,40 +378,89 @@
         prompt: &PromptCriteria<'_>,
         rank: usize,
         cost: &mut Cost,
-    ) -> Supply<'a> {
-        let rate = self.rates.prompt_tokens_per_ms;
-        let share = self.rates.transfer_share;
+    ) -> Supply {
+        let reading_ms = |tokens: u64| tokens as f64 / self.rates.prompt_tokens_per_ms;
         let shared = prompt.shared_tokens();
         if !self.reach.is_known() {
             // Nobody is known to keep any part: the home may.
             if rank > 0 {
-                cost.transfer_ms = shared as f64 / rate * share;
+                cost.displaced_ms = reading_ms(shared) * self.rates.displaced_share;
             }
             let home = self.home.filter(|home| {
                 let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
                 let is_unknown = self.view.caches.of(home.tag).is_none();
                 rank > 0 && same_weights && is_unknown && !home.health.is_suspected()
             });
+            let instance = |home: &Engine| CacheSource::Engine(home.record.instance.clone());
             return Supply {
-                source: home,
+                source: home.map(instance),
                 ..Supply::default()
             };
         }
         let held = self.reach.held(engine, prompt.model);
-        let best = self.reach.best_source(engine, prompt.model);
-        let source_tokens = best.map_or(0, |(_, tokens)| tokens);
-        let kept = held.max(source_tokens);
-        let is_far = best.is_some_and(|(source, _)| source.record.zone != engine.record.zone);
-        let distance = if is_far { FAR_TRANSFER } else { 1.0 };
-        cost.transfer_ms = (kept - held) as f64 / rate * share * distance;
-        cost.reading_ms = shared.saturating_sub(kept) as f64 / rate;
+        let offer = self.best_offer(engine, prompt, held);
+        let offered = offer.as_ref().map_or(0, |offer| offer.kept_tokens);
+        let kept = held.max(offered);
+        if offered > held {
+            cost.transfer_ms = offer.as_ref().map_or(0.0, |offer| offer.move_ms);
+        }
+        cost.displaced_ms = reading_ms(shared - held) * self.rates.displaced_share;
+        cost.reading_ms = reading_ms(shared.saturating_sub(kept));
         Supply {
-            source: best.map(|(source, _)| source),
-            source_tokens,
+            source: offer.map(|offer| offer.source),
+            held_tokens: held,
             kept_tokens: kept,
         }
     }
 
+    /// The source that keeps the most; of two that keep as much, the faster one.
+    fn best_offer(&self, engine: &Engine, prompt: &PromptCriteria<'_>, held: u64) -> Option<Offer> {
+        let from_engine = self.offer_of_engine(engine, prompt, held);
+        let from_store = self.offer_of_store(engine, prompt, held);
+        let (Some(near), Some(stored)) = (&from_engine, &from_store) else {
+            return from_engine.or(from_store);
+        };
+        let is_better = stored.kept_tokens > near.kept_tokens
+            || (stored.kept_tokens == near.kept_tokens && stored.move_ms < near.move_ms);
+        match is_better {
+            true => from_store,
+            false => from_engine,
+        }
+    }
+
+    fn offer_of_engine(
+        &self,
+        engine: &Engine,
+        prompt: &PromptCriteria<'_>,
+        held: u64,
+    ) -> Option<Offer> {
+        let (source, kept_tokens) = self.reach.best_source(engine, prompt.model)?;
+        let moved = kept_tokens.saturating_sub(held) as f64;
+        let distance = distance(&source.record.zone, &engine.record.zone);
+        Some(Offer {
+            source: CacheSource::Engine(source.record.instance.clone()),
+            kept_tokens,
+            move_ms: moved / prompt.moves.between_engines * distance,
+        })
+    }
+
+    fn offer_of_store(
+        &self,
+        engine: &Engine,
+        prompt: &PromptCriteria<'_>,
+        held: u64,
+    ) -> Option<Offer> {
+        let store = self.view.cache_store?;
+        let kept_tokens = self.reach.stored(engine.weights_of(prompt.model))?;
+        let moved = kept_tokens.saturating_sub(held) as f64;
+        let distance = distance(store.zone, &engine.record.zone);
+        Some(Offer {
+            source: CacheSource::Store,
+            kept_tokens,
+            move_ms: moved / prompt.moves.from_store * distance,
+        })
+    }
+
     fn failure_ms(&self, engine: &Engine) -> f64 {
         let now = self.now;
         if !engine.health.may_be_chosen(now) {
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -7,10 +7,10 @@
 use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
 use ploverlift_balancing::prefix_holders::PrefixHolders;
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
-use ploverlift_balancing::selection::FleetView;
+use ploverlift_balancing::selection::{FleetView, StoreView};
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::configuration::{Configuration, ServiceName};
+use ploverlift_routing::configuration::{CacheStore, Configuration, ServiceName};
 use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
@@ -114,9 +114,15 @@
 }
 
 impl Beliefs {
-    /// What is known of the fleet, for the choice of an engine.
-    pub fn fleet(&self) -> FleetView<'_> {
+    /// What is known of the fleet, for the choice of an engine. `store` is the store
+    /// of kept cache that this node's engines use.
+    pub fn fleet<'a>(&'a self, store: Option<&'a CacheStore>) -> FleetView<'a> {
+        let store = store.filter(|_| self.cache.state != CacheStoreState::Lost);
         FleetView {
+            cache_store: store.map(|store| StoreView {
+                contents: &self.cache.contents,
+                zone: &store.zone,
+            }),
             catalogue: &self.engines,
             peer_loads: &self.peer_loads,
             holders: &self.holders,
--- a/crates/gateway/src/relay/choice.rs
+++ b/crates/gateway/src/relay/choice.rs
@@ -4,13 +4,28 @@
 use crate::beliefs::{Beliefs, CacheStoreState};
 use crate::cache_feeds::cache_store;
 use crate::ports::CacheTransfer;
+use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
 use ploverlift_balancing::peer_loads::EngineTag;
-use ploverlift_balancing::selection::{choose, Choice, Cost, Criteria, NoChoice, PromptCriteria};
+use ploverlift_balancing::selection::{
+    choose, CacheSource, Choice, Cost, Criteria, MoveRates, NoChoice, PromptCriteria,
+};
 use ploverlift_policy::ids::Millis;
+use ploverlift_routing::configuration::CacheStore;
 use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt};
 use std::net::SocketAddr;
 
+/// Bytes that a link of one megabit a second moves in a millisecond.
+const BYTES_PER_MEGABIT_PER_MS: f64 = 125.0;
+
+/// Own tokens of a prompt for each shared one that the store lacks, up to which it
+/// is saved there.
+const LARGEST_OWN_SHARE: f64 = 0.4;
+/// The same while the store has room.
+const LARGEST_OWN_SHARE_WITH_ROOM: f64 = 1.5;
+/// Part of the store that is filled, up to which it counts as having room.
+const ROOMY_FILL: f64 = 0.7;
+
 /// An engine that was chosen, and how the request uses kept cache there.
 pub(super) struct ChosenEngine {
     pub(super) instance: InstanceId,
@@ -22,22 +37,18 @@
     pub(super) cache: Option<CacheTransfer>,
     /// Prompt tokens that it is expected to read.
     pub(super) tokens_to_read: u64,
+    /// Shared tokens that it is believed to keep itself.
+    pub(super) held_tokens: u64,
     pub(super) cost: Cost,
     pub(super) candidates: usize,
 }
 
-/// An engine that keeps the beginning of a prompt.
-struct KeptPrefix {
-    address: SocketAddr,
-    tokens: u64,
-}
-
 /// A prompt at the engine that was chosen for it.
 struct PlacedPrompt<'a> {
     prompt: &'a Prompt,
     weights: u64,
-    source: Option<KeptPrefix>,
-    is_used_again: bool,
+    source: Option<&'a CacheSource>,
+    kept_tokens: u64,
 }
 
 impl Relay {
@@ -52,7 +63,9 @@
             prompt: self.prompt_criteria(&beliefs, now),
             excluded: self.progress.attempts.tried(),
         };
-        let choice = choose(&beliefs.fleet(), &criteria, &rates, now)?;
+        let configuration = &self.received.admission.configuration;
+        let store = cache_store(configuration, &self.gateway.zone);
+        let choice = choose(&beliefs.fleet(store), &criteria, &rates, now)?;
         let engine = beliefs.engines.get(&choice.instance);
         let engine = engine.ok_or(NoChoice::NoEngine)?;
         Ok(self.chosen_engine(&beliefs, engine, &choice))
@@ -72,10 +85,30 @@
             scope,
             key: prompt.shared_key(scope),
             shared: prompt.shared_parts(),
+            moves: self.move_rates(),
             required_weights: beliefs.required_weights(&prompt.model, &bounds, now),
         })
     }
 
+    /// Rates at which kept cache moves, as the configuration tells.
+    fn move_rates(&self) -> MoveRates {
+        let admission = &self.received.admission;
+        let services = &admission.configuration.document.services;
+        let service = services.get(&admission.service);
+        let token_bytes = service.and_then(|service| service.cache_token_bytes);
+        let rate = |link_mbps: Option<f64>| {
+            let (bytes, mbps) = (token_bytes?, link_mbps?);
+            (bytes > 0.0).then(|| mbps * BYTES_PER_MEGABIT_PER_MS / bytes)
+        };
+        let store = cache_store(&admission.configuration, &self.gateway.zone);
+        let unknown = MoveRates::default();
+        MoveRates {
+            between_engines: rate(service.and_then(|service| service.cache_link_mbps))
+                .unwrap_or(unknown.between_engines),
+            from_store: rate(store.and_then(|store| store.link_mbps)).unwrap_or(unknown.from_store),
+        }
+    }
+
     fn chosen_engine(&self, beliefs: &Beliefs, engine: &Engine, choice: &Choice) -> ChosenEngine {
         let mut chosen = ChosenEngine {
             instance: choice.instance.clone(),
@@ -84,6 +117,7 @@
             weights: None,
             cache: None,
             tokens_to_read: 0,
+            held_tokens: choice.held_tokens,
             cost: choice.cost,
             candidates: choice.candidates,
         };
@@ -91,8 +125,8 @@
             let placed = PlacedPrompt {
                 prompt,
                 weights: engine.weights_of(&prompt.model),
-                source: source(beliefs, choice),
-                is_used_again: choice.kept_tokens >= prompt.shared_tokens(),
+                source: choice.source.as_ref(),
+                kept_tokens: choice.kept_tokens,
             };
             chosen.weights = Some(placed.weights).filter(|weights| *weights > 0);
             chosen.tokens_to_read = prompt.tokens().saturating_sub(choice.kept_tokens);
@@ -114,38 +148,59 @@
                 save_to: None,
             };
         }
-        let cache = &beliefs.cache;
         let salt = cache_salt(&placed.prompt.model, placed.weights, self.cache_scope());
         let shared = placed.prompt.shared_parts();
+        let cache = &beliefs.cache;
         let stored_tokens = cache.contents.prefix_tokens(&salt, shared);
-        let is_whole = stored_tokens == placed.prompt.shared_tokens();
-        let source_tokens = placed.source.as_ref().map_or(0, |source| source.tokens);
-        let may_keep_some = cache.state == CacheStoreState::Unobserved && source_tokens == 0;
-        let keeps_more = stored_tokens > source_tokens || may_keep_some;
         let store = self.cache_store_in_use(beliefs);
-        let source = placed.source.map(|source| source.address);
+        let worth_saving = |store: &&CacheStore| {
+            self.is_worth_saving(&cache.contents, store, &placed, stored_tokens)
+        };
+        let store_address = store.map(|store| store.address);
+        let fetch_from = match placed.source {
+            // What the store keeps is not known.
+            _ if cache.state == CacheStoreState::Unobserved && placed.kept_tokens == 0 => {
+                store_address
+            }
+            Some(CacheSource::Engine(instance)) => {
+                let source = beliefs.engines.get(instance);
+                source.map(|source| source.record.address)
+            }
+            Some(CacheSource::Store) => store_address,
+            None => None,
+        };
         CacheTransfer {
-            fetch_from: store.filter(|_| keeps_more).or(source),
-            save_to: store.filter(|_| placed.is_used_again && !is_whole),
+            fetch_from,
+            save_to: store.filter(worth_saving).map(|store| store.address),
             salt,
         }
     }
 
-    fn cache_store_in_use(&self, beliefs: &Beliefs) -> Option<SocketAddr> {
+    /// Whether the shared parts that the store lacks are worth the room there of the
+    /// prompt's own part, which is saved with them and of no use to anyone.
+    fn is_worth_saving(
+        &self,
+        contents: &CacheContents,
+        store: &CacheStore,
+        placed: &PlacedPrompt<'_>,
+        stored_tokens: u64,
+    ) -> bool {
+        let shared_tokens = placed.prompt.shared_tokens();
+        let own_tokens = placed.prompt.tokens() - shared_tokens;
+        let lacking_tokens = shared_tokens - stored_tokens;
+        let filled = contents.total_tokens() as f64 / store.capacity_tokens.max(1) as f64;
+        let largest_share = match filled < ROOMY_FILL {
+            true => LARGEST_OWN_SHARE_WITH_ROOM,
+            false => LARGEST_OWN_SHARE,
+        };
+        own_tokens as f64 <= lacking_tokens as f64 * largest_share
+    }
+
+    fn cache_store_in_use(&self, beliefs: &Beliefs) -> Option<&CacheStore> {
         if beliefs.cache.state == CacheStoreState::Lost {
             return None;
         }
         let configuration = &self.received.admission.configuration;
-        let store = cache_store(configuration, &self.gateway.zone);
-        store.map(|store| store.address)
+        cache_store(configuration, &self.gateway.zone)
     }
 }
-
-/// The engine from which the chosen one can have what it lacks.
-fn source(beliefs: &Beliefs, choice: &Choice) -> Option<KeptPrefix> {
-    let source = beliefs.engines.get(choice.source.as_ref()?)?;
-    Some(KeptPrefix {
-        address: source.record.address,
-        tokens: choice.source_tokens,
-    })
-}
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -44,14 +44,16 @@
         let cost = &chosen.cost;
         let _ = write!(
             self.attempts,
-            "{}{} weights={} cache={} of={} queue={:.0} transfer={:.0} reading={:.0} outdated={:.0} zone={:.0} slots={:.0} failure={:.0}",
+            "{}{} weights={} cache={} of={} held={} queue={:.0} transfer={:.0} displaced={:.0} reading={:.0} outdated={:.0} zone={:.0} slots={:.0} failure={:.0}",
             if self.attempts.is_empty() { "" } else { "; " },
             chosen.instance,
             chosen.weights.unwrap_or(0),
             chosen.cache.as_ref().map_or("none", CacheTransfer::in_words),
             chosen.candidates,
+            chosen.held_tokens,
             cost.queue_ms,
             cost.transfer_ms,
+            cost.displaced_ms,
             cost.reading_ms,
             cost.outdated_ms,
             cost.zone_ms,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -10,7 +10,6 @@
 use super::in_flight::InFlight;
 use super::whole::passed_on;
 use super::{AfterAnswer, Relay};
-use crate::beliefs::CacheStoreState;
 use crate::engine_connection::EngineAnswer;
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
@@ -82,7 +81,8 @@
         }
     }
 
-    /// The engine has read the prompt, and so saves what it was told to.
+    /// The engine has read the prompt, and so saves what it was told to. Of a part
+    /// that the store has already, no event tells.
     fn note_saved(&self, chosen: &ChosenEngine) {
         let saved = chosen
             .cache
@@ -91,10 +91,6 @@
         let prompt = self.received.request.prompt.as_ref();
         if let (Some(cache), Some(prompt)) = (saved, prompt) {
             let mut beliefs = self.gateway.beliefs();
-            // Where events are followed, they tell whether the save came about.
-            if beliefs.cache.state != CacheStoreState::Unobserved {
-                return;
-            }
             for part in prompt.shared_parts() {
                 beliefs.cache.contents.note_kept(&cache.salt, part);
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -148,8 +148,9 @@
 pub struct CostSettings {
     /// Prompt tokens that an engine reads in a millisecond.
     pub prompt_tokens_per_ms: f64,
-    /// Share of the reading time that moving kept cache takes instead.
-    pub transfer_share: f64,
+    /// Cost of what gives way to a copy of kept cache, as a share of the time to
+    /// read it again.
+    pub displaced_share: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
     /// Cost of a full engine, in milliseconds.
@@ -162,7 +163,7 @@
     fn default() -> Self {
         Self {
             prompt_tokens_per_ms: 40.0,
-            transfer_share: 0.15,
+            displaced_share: 0.5,
             zone_ms: 12.0,
             slot_ms: 30.0,
             senders: 7.0,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -182,7 +182,7 @@
         let cost = &self.settings().cost;
         CostRates {
             prompt_tokens_per_ms: cost.prompt_tokens_per_ms,
-            transfer_share: cost.transfer_share,
+            displaced_share: cost.displaced_share,
             zone_ms: cost.zone_ms,
             slot_ms: cost.slot_ms,
             senders: cost.senders,
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -367,6 +367,7 @@
             address,
             zone: ZoneName::from("z"),
             capacity_tokens: 1_000,
+            link_mbps: None,
         }),
         ..Service::default()
     };
