A load ends with the version that was ordered; loads finish earlier

So the schedule ordered more, seven of nine engines loaded together and slowed each other down (2 to 3 s in place of 0.9), the slow loads raised the expected time of a load, and that raised the number at once. Three engines served all traffic with queues of 3.5 s.

Change: a version that is named during a load waits for its own turn; an engine that a report shows loading beyond the usual time counts as loading; only loads that began with no more than the usual number under way tell how long a load takes. With that, finish_ms is 4000 (was 6500): an answer on replaced weights costs from 1.5 s after the naming.

Test: fails on the code before.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -197,7 +197,7 @@
         Self {
             loads_at_once: 2,
             load_ms: 650,
-            finish_ms: 6_500,
+            finish_ms: 4_000,
             margin_ms: 2_000,
             order_timeout_ms: 500,
             report_after_ms: 350,
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -1,6 +1,6 @@
 //! Bringing one engine to the newest weights.
 
-use super::{LeaseHolder, OutdatedEngine};
+use super::{LeaseHolder, Loading, OutdatedEngine};
 use crate::http_call::CallConnection;
 use crate::ports::{EngineReport, LoadOrder, OrderAnswer};
 use crate::state::Gateway;
@@ -29,10 +29,12 @@
 struct EngineLoad<'a> {
     gateway: &'a Arc<Gateway>,
     holder: &'a LeaseHolder,
+    loading: &'a Loading,
     engine: OutdatedEngine,
     connection: CallConnection,
     orders: u32,
     ordered_at: Option<Millis>,
+    ordered: Option<u64>,
 }
 
 /// Gives orders and asks for reports until the engine has the newest weights,
@@ -41,16 +43,19 @@
 pub(super) async fn bring_up_to_date(
     gateway: &Arc<Gateway>,
     holder: &LeaseHolder,
+    loading: &Loading,
     engine: OutdatedEngine,
 ) -> Option<u64> {
     let connection = CallConnection::new(engine.address);
     let mut load = EngineLoad {
         gateway,
         holder,
+        loading,
         engine,
         connection,
         orders: 0,
         ordered_at: None,
+        ordered: None,
     };
     for _ in 0..MAX_REPORTS {
         match load.step().await {
@@ -73,13 +78,19 @@
         };
         let held = report.weights.get(&self.engine.model).copied();
         self.learn(held.unwrap_or(0));
-        if held.is_some_and(|held| held >= version) && !report.is_busy {
+        // A version that was named meanwhile is loaded in its own turn: chasing it
+        // here would keep more engines loading than the schedule allows.
+        let wanted = self.ordered.unwrap_or(version);
+        if held.is_some_and(|held| held >= wanted) && !report.is_busy {
             let held = held.unwrap_or(version);
             self.note_loaded(held);
             return self.loaded(held);
         }
         if report.is_busy {
             self.note_loading();
+            let now = self.gateway.clock.now();
+            let usual_ms = self.gateway.settings().weights.load_ms;
+            self.loading.note_busy(&self.engine.instance, usual_ms, now);
             let after_ms = REPORT_PERIOD_MS;
             return Next::Report { after_ms };
         }
@@ -141,6 +152,7 @@
             return Next::Finished;
         };
         self.orders += 1;
+        self.ordered = Some(version);
         self.ordered_at.get_or_insert(self.gateway.clock.now());
         self.note_loading();
         let order = LoadOrder {
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -53,20 +53,40 @@
 
 #[derive(Default)]
 struct LoadingState {
-    begun: HashMap<InstanceId, Millis>,
+    loads: HashMap<InstanceId, PresentLoad>,
     load_ms: Option<f64>,
 }
 
+/// One engine that is being brought up to date.
+struct PresentLoad {
+    begun: Millis,
+    /// Whether no more engines than usual were loading when it began. More of them
+    /// slow each other down.
+    is_usual: bool,
+    /// Whether it was seen to load for longer than expected.
+    is_late: bool,
+}
+
 impl Loading {
     fn count(&self) -> usize {
-        self.with(|state| state.begun.len())
+        self.with(|state| state.loads.len())
     }
 
-    /// Engines whose load is not expected to be over yet.
+    /// Engines whose load is not expected to be over yet, or was seen not to be.
     fn count_busy(&self, usual_ms: u64, now: Millis) -> usize {
         let load_ms = self.load_ms(usual_ms);
-        let is_busy = |begun: &&Millis| now.since(**begun) < load_ms;
-        self.with(|state| state.begun.values().filter(is_busy).count())
+        let is_busy = |load: &&PresentLoad| load.is_late || now.since(load.begun) < load_ms;
+        self.with(|state| state.loads.values().filter(is_busy).count())
+    }
+
+    /// A report shows that the engine is still loading.
+    fn note_busy(&self, instance: &InstanceId, usual_ms: u64, now: Millis) {
+        let load_ms = self.load_ms(usual_ms);
+        self.with(|state| {
+            if let Some(load) = state.loads.get_mut(instance) {
+                load.is_late = now.since(load.begun) >= load_ms;
+            }
+        });
     }
 
     /// Time that a load is expected to take, in milliseconds.
@@ -76,25 +96,33 @@
 
     fn instances(&self) -> Vec<InstanceId> {
         let mut instances: Vec<InstanceId> =
-            self.with(|state| state.begun.keys().cloned().collect());
+            self.with(|state| state.loads.keys().cloned().collect());
         instances.sort();
         instances
     }
 
     fn has(&self, instance: &InstanceId) -> bool {
-        self.with(|state| state.begun.contains_key(instance))
+        self.with(|state| state.loads.contains_key(instance))
     }
 
-    fn begin(&self, instance: &InstanceId, now: Millis) {
-        self.with(|state| state.begun.insert(instance.clone(), now));
+    fn begin(&self, instance: &InstanceId, usual_at_once: usize, now: Millis) {
+        self.with(|state| {
+            let load = PresentLoad {
+                begun: now,
+                is_usual: state.loads.len() < usual_at_once,
+                is_late: false,
+            };
+            state.loads.insert(instance.clone(), load);
+        });
     }
 
     /// The engine is done with; `reported_ms` is the time from its order to the
     /// report that showed the load.
     fn end(&self, instance: &InstanceId, reported_ms: Option<u64>) {
         self.with(|state| {
-            state.begun.remove(instance);
-            if let Some(reported_ms) = reported_ms {
+            let load = state.loads.remove(instance);
+            let is_usual = load.is_some_and(|load| load.is_usual);
+            if let Some(reported_ms) = reported_ms.filter(|_| is_usual) {
                 let load_ms = reported_ms.saturating_sub(REPORT_AGE_MS) as f64;
                 let known = state.load_ms.unwrap_or(load_ms);
                 state.load_ms = Some(known + NEWEST_LOAD_WEIGHT * (load_ms - known));
@@ -209,8 +237,9 @@
     loading: &Loading,
     engines: Vec<OutdatedEngine>,
 ) {
+    let usual_at_once = gateway.settings().weights.loads_at_once;
     for engine in engines {
-        loading.begin(&engine.instance, gateway.clock.now());
+        loading.begin(&engine.instance, usual_at_once, gateway.clock.now());
         gateway.beliefs().loading = loading.instances();
         gateway.report_due.notify(usize::MAX);
         let (gateway, holder) = (Arc::clone(gateway), Arc::clone(holder));
@@ -219,7 +248,7 @@
             // Other nodes hear of it first.
             sleep(ANNOUNCED_BEFORE_MS).await;
             let instance = engine.instance.clone();
-            let reported_ms = bring_up_to_date(&gateway, &holder, engine).await;
+            let reported_ms = bring_up_to_date(&gateway, &holder, &loading, engine).await;
             loading.end(&instance, reported_ms);
         })
         .detach();
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -199,6 +199,41 @@
     });
 }
 
+/// One engine loads at a time, and the first report after an order comes late
+/// enough for news to arrive before it.
+const ONE_LOAD_AT_A_TIME: &str = "[weights]\nfinish_ms = 1000\nload_ms = 400\n\
+    loads_at_once = 1\nreport_after_ms = 300\n";
+
+#[test]
+fn a_version_that_is_named_during_a_load_waits_for_its_turn() {
+    smol::block_on(async {
+        let engines = engines(2).await;
+        let all: Vec<&StandInEngine> = engines.iter().collect();
+        let fixture = Fixture::with(&all, configuration(1), ONE_LOAD_AT_A_TIME).await;
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        let first_ordered = || {
+            engines
+                .iter()
+                .position(|engine| !engine.orders().is_empty())
+        };
+        let first = loop {
+            if let Some(first) = first_ordered() {
+                break first;
+            }
+            fixture.send(&request("nowhere.test", "r")).await;
+        };
+        fixture.store.put("Weights", "m", json!({"version": 3}));
+        let second = 1 - first;
+        while engines[second].orders().is_empty() {
+            fixture.send(&request("nowhere.test", "r")).await;
+        }
+        // The engine that lacks the older version goes before the one that has it.
+        assert_eq!(engines[first].orders().len(), 1);
+        wait_for_weights(&engines, 3).await;
+        assert_eq!(engines[second].orders().len(), 1);
+    });
+}
+
 #[test]
 fn an_order_without_an_answer_is_not_given_twice_when_it_was_taken() {
     smol::block_on(async {
