Keep connections to engines for a short time after a whole answer

Change: a connection is kept for 2 s at most (half of what the engine announces) after a whole answer, four an engine; only a request that may run again is sent on it, one at a time; it is dropped when bytes came or the peer closed, when the engine announced its close, or when the request's body was not written whole. A kept connection that the engine had forgotten costs a second send to the same engine on a new one, from the retry budget.

--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -1,9 +1,9 @@
-//! One request to an engine on a connection of its own.
+//! One request to an engine, on a new connection or on a kept one.
 //!
 //! A kept connection may be closed by the engine at the moment it is used, and
-//! then nobody knows whether the request ran; a second answer that comes late
-//! would be taken for the next request's. A connection for each attempt has
-//! neither fault, and dropping it cancels the request.
+//! then nobody knows whether the request ran; an answer too many that comes late
+//! carries another request's id. A new connection has neither fault. Dropping the
+//! answer closes the connection, and so cancels the request.
 
 use crate::http_call::{connect, CallError};
 use crate::time::within;
@@ -13,10 +13,14 @@
 use ploverlift_policy::attempt::AttemptState;
 use smol::io::AsyncWriteExt;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// Why there is no answer, where none came in time.
+pub const NO_ANSWER_IN_TIME: &str = "no answer in time";
+
 /// The head of an engine's answer, and its body not yet read. Dropping it
 /// closes the connection, and so cancels the request.
 pub struct EngineAnswer {
@@ -24,9 +28,20 @@
     pub head: ResponseHead,
     decoder: BodyDecoder,
     stream: BufferedStream,
+    /// Whether the whole request was written. An engine that answered before reads
+    /// the rest of the body where another request would stand.
+    request_is_written: bool,
 }
 
 impl EngineAnswer {
+    /// The connection, when the answer is over and another request may follow on it.
+    pub fn into_idle_connection(self) -> Option<BufferedStream> {
+        let closes = self.head.headers.has_token("connection", "close");
+        let is_over = self.decoder.is_over() && !self.decoder.ends_with_connection();
+        let is_clean = self.request_is_written && self.stream.pending().is_empty();
+        (is_over && is_clean && !closes).then_some(self.stream)
+    }
+
     /// Appends the next bytes of the body; false at its proper end.
     ///
     /// # Errors
@@ -54,8 +69,7 @@
     pub head_ms: u64,
 }
 
-/// Sends a request and waits for the head of the answer. An answer that comes
-/// before the whole body was sent ends the sending.
+/// Opens a connection, sends a request and waits for the head of the answer.
 ///
 /// # Errors
 /// When no connection or no head comes in time, or the answer is malformed.
@@ -66,13 +80,29 @@
     limits: ExchangeLimits,
 ) -> Result<EngineAnswer, ExchangeFailure> {
     let connected = connect(address, limits.connect_ms).await;
-    let mut stream = connected.map_err(|error| unsent(&error))?;
+    let stream = connected.map_err(|error| unsent(&error))?;
+    exchange_on(stream, head, body, limits).await
+}
+
+/// Sends a request on a connection and waits for the head of the answer. An answer
+/// that comes before the whole body was sent ends the sending.
+///
+/// # Errors
+/// When no head comes in time, or the answer is malformed.
+pub async fn exchange_on(
+    mut stream: BufferedStream,
+    head: &RequestHead,
+    body: &[u8],
+    limits: ExchangeLimits,
+) -> Result<EngineAnswer, ExchangeFailure> {
     let mut writer = stream.writer();
     let encoded = head.encode();
+    let request_is_written = AtomicBool::new(false);
     let write = async {
         // An engine that stopped to read may have answered, so an error here
         // is left to the reader to judge.
-        let _ = write_message(&mut writer, &encoded, body).await;
+        let written = write_message(&mut writer, &encoded, body).await;
+        request_is_written.store(written.is_ok(), Ordering::Relaxed);
         std::future::pending().await
     };
     let read = read_response_head(&mut stream, &head.method, MAX_HEAD_BYTES);
@@ -83,12 +113,13 @@
         reason,
     };
     match answered {
-        None => Err(maybe_sent("no answer in time".to_owned())),
+        None => Err(maybe_sent(NO_ANSWER_IN_TIME.to_owned())),
         Some(Err(error)) => Err(maybe_sent(error.to_string())),
         Some(Ok((head, decoder))) => Ok(EngineAnswer {
             head,
             decoder,
             stream,
+            request_is_written: request_is_written.load(Ordering::Relaxed),
         }),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`callers`] | connections of callers |
 //! | [`relay`] | one request, from its head to the end of its answer |
 //! | [`engine_connection`] | one request on one connection to an engine |
+//! | [`kept_connections`] | connections to engines between two requests |
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and who keeps which prompts |
 //! | [`cache_feeds`] | follows what engines and the store of kept cache hold |
@@ -26,6 +27,7 @@
 pub mod callers;
 pub mod engine_connection;
 pub mod http_call;
+pub mod kept_connections;
 pub mod logging;
 pub mod metrics;
 pub mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub attempts: Counter,
     /// Requests sent a second time.
     pub repeats: Counter,
+    /// Requests sent on a connection that was used before.
+    pub reused_connections: Counter,
     /// Calls of the object store.
     pub store_calls: Counter,
     /// Calls of the object store that failed.
@@ -58,6 +60,7 @@
             requests: Family::default(),
             attempts: Counter::default(),
             repeats: Counter::default(),
+            reused_connections: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             orders: Counter::default(),
@@ -88,6 +91,11 @@
         let counters = [
             ("attempts", "Requests sent to engines", &self.attempts),
             ("repeats", "Requests sent a second time", &self.repeats),
+            (
+                "reused_connections",
+                "Requests sent on a kept connection",
+                &self.reused_connections,
+            ),
             (
                 "store_calls",
                 "Calls of the object store",
--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -26,6 +26,8 @@
     pub cache: Option<CacheTransfer>,
     /// The last event that the caller has.
     pub resume_after: Option<&'a str>,
+    /// Whether another request may follow on the connection.
+    pub keeps_connection: bool,
 }
 
 /// How a request uses kept cache.
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -3,10 +3,12 @@
 use super::choice::ChosenEngine;
 use super::in_flight::InFlight;
 use super::{AfterAnswer, Relay};
-use crate::engine_connection::{exchange, EngineAnswer, ExchangeLimits};
+use crate::engine_connection::{
+    exchange, exchange_on, EngineAnswer, ExchangeLimits, NO_ANSWER_IN_TIME,
+};
 use crate::ports::{AnswerMeaning, EngineCall, RefusedByEngine};
 use ploverlift_balancing::health::Outcome;
-use ploverlift_http1::ResponseHead;
+use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
 use ploverlift_policy::attempt::AttemptState;
 use std::io;
 
@@ -97,6 +99,7 @@
             weights: chosen.weights,
             cache: chosen.cache.clone(),
             resume_after: self.progress.last_event.as_deref(),
+            keeps_connection: settings.attempts.keep_connection_ms > 0,
         };
         let head = self.gateway.site.engine_head(&call);
         let patience_ms = self.patience_ms().unwrap_or(left_ms).min(left_ms);
@@ -105,6 +108,9 @@
             connect_ms: settings.attempts.connect_timeout_ms.min(left_ms),
             head_ms: patience_ms,
         };
+        if let Some(answer) = self.send_on_kept(chosen, &head, limits).await? {
+            return Ok(answer);
+        }
         let body = &self.received.body;
         let exchanged = exchange(chosen.address, &head, body, limits).await;
         exchanged.map_err(|failure| match failure.state {
@@ -118,6 +124,66 @@
         })
     }
 
+    /// Sends the request on a kept connection, if there is one and the request may run
+    /// again; nothing when it is to be sent on a new one.
+    async fn send_on_kept(
+        &self,
+        chosen: &ChosenEngine,
+        head: &RequestHead,
+        limits: ExchangeLimits,
+    ) -> Result<Option<EngineAnswer>, AttemptEnd> {
+        let route = &self.received.admission.route;
+        if !route.delivery.is_repeatable() {
+            return Ok(None);
+        }
+        let Some(stream) = self.kept_connection(chosen).await else {
+            return Ok(None);
+        };
+        self.gateway.metrics.reused_connections.inc();
+        match exchange_on(stream, head, &self.received.body, limits).await {
+            Ok(answer) => Ok(Some(answer)),
+            // The engine had closed or forgotten the connection.
+            Err(failure) if failure.reason != NO_ANSWER_IN_TIME && self.take_repeat() => Ok(None),
+            Err(failure) => Err(AttemptEnd::Broken {
+                reason: failure.reason,
+                time_is_up: !self.has_time(),
+            }),
+        }
+    }
+
+    /// A kept connection to the engine on which the engine says nothing.
+    async fn kept_connection(&self, chosen: &ChosenEngine) -> Option<BufferedStream> {
+        loop {
+            let now = self.gateway.clock.now();
+            let stream = self
+                .gateway
+                .kept_connections()
+                .take(&chosen.instance, now)?;
+            if stream.is_quiet().await {
+                return Some(stream);
+            }
+        }
+    }
+
+    /// Keeps the connection of a whole answer for another request.
+    pub(super) fn keep_connection(&self, answer: EngineAnswer, chosen: &ChosenEngine) {
+        let longest_ms = self.gateway.settings().attempts.keep_connection_ms;
+        if longest_ms == 0 {
+            return;
+        }
+        let headers = answer.head.headers.clone();
+        if let Some(stream) = answer.into_idle_connection() {
+            let now = self.gateway.clock.now();
+            self.gateway.kept_connections().keep(
+                &chosen.instance,
+                stream,
+                &headers,
+                longest_ms,
+                now,
+            );
+        }
+    }
+
     /// Silence after which another engine is tried; nothing when none may be.
     pub(super) fn patience_ms(&self) -> Option<u64> {
         let route = &self.received.admission.route;
@@ -175,11 +241,11 @@
                     time_is_up: false,
                 })
             }
-            AnswerMeaning::Failure => self.read_failure(answer, in_flight).await,
+            AnswerMeaning::Failure => self.read_failure(answer, chosen, in_flight).await,
             AnswerMeaning::Success if self.received.admission.route.delivery.is_stream() => {
                 self.pass_stream(answer, chosen, in_flight).await
             }
-            AnswerMeaning::Success => self.pass_whole(answer, in_flight).await,
+            AnswerMeaning::Success => self.pass_whole(answer, chosen, in_flight).await,
         }
     }
 
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -48,6 +48,7 @@
                 StreamStep::End(rest) => {
                     in_flight.note(Outcome::Answered);
                     self.deliver(&answer, &rest).await?;
+                    self.keep_connection(answer, chosen);
                     let after = self.answer.finish().await?;
                     let outcome = "answered";
                     return Ok(AttemptEnd::Done { after, outcome });
--- a/crates/gateway/src/relay/whole.rs
+++ b/crates/gateway/src/relay/whole.rs
@@ -1,6 +1,7 @@
 //! Answers that are read whole before the caller gets any of them.
 
 use super::attempt::AttemptEnd;
+use super::choice::ChosenEngine;
 use super::in_flight::InFlight;
 use super::Relay;
 use crate::engine_connection::EngineAnswer;
@@ -24,6 +25,7 @@
     pub(super) async fn pass_whole(
         &mut self,
         mut answer: EngineAnswer,
+        chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
         match self.read_held(&mut answer).await {
@@ -31,6 +33,7 @@
                 in_flight.note(Outcome::Answered);
                 self.record.first_byte(&self.gateway, &self.received);
                 let head = passed_on(&answer);
+                self.keep_connection(answer, chosen);
                 let after = self.answer.whole(head, &body).await?;
                 let outcome = "answered";
                 Ok(AttemptEnd::Done { after, outcome })
@@ -47,6 +50,7 @@
     pub(super) async fn read_failure(
         &mut self,
         mut answer: EngineAnswer,
+        chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
         match self.read_held(&mut answer).await {
@@ -57,6 +61,7 @@
                     false => Outcome::Answered,
                 });
                 let head = passed_on(&answer);
+                self.keep_connection(answer, chosen);
                 if is_engines_fault {
                     return Ok(AttemptEnd::Failed { head, body });
                 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -128,6 +128,9 @@
     pub retry_after_ms: u64,
     /// Repeats that a quiet node may make within the window.
     pub retry_reserve: f64,
+    /// Longest rest of a connection to an engine before it is used again, in
+    /// milliseconds; 0 for a new connection for each request.
+    pub keep_connection_ms: u64,
 }
 
 impl Default for AttemptSettings {
@@ -138,6 +141,7 @@
             stream_silence_ms: 1_500,
             retry_after_ms: 200,
             retry_reserve: 2.0,
+            keep_connection_ms: 2_000,
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a node share.
 
 use crate::beliefs::{ActiveConfiguration, Beliefs};
+use crate::kept_connections::KeptConnections;
 use crate::metrics::Metrics;
 use crate::peers::address_book::AddressBook;
 use crate::ports::{Site, WatchEvent};
@@ -53,6 +54,7 @@
     success_lines: Mutex<LineAllowance>,
     beliefs: Mutex<Beliefs>,
     address_book: Mutex<AddressBook>,
+    kept_connections: Mutex<KeptConnections>,
 }
 
 /// Changes of the engines that wait to be passed on; more are left out.
@@ -90,6 +92,7 @@
             success_lines: Mutex::new(LineAllowance::default()),
             beliefs: Mutex::new(Beliefs::default()),
             address_book: Mutex::new(AddressBook::default()),
+            kept_connections: Mutex::default(),
         }
     }
 
@@ -117,6 +120,12 @@
         address_book.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Kept connections to engines, locked. Never held over I/O.
+    pub fn kept_connections(&self) -> MutexGuard<'_, KeptConnections> {
+        let kept = self.kept_connections.lock();
+        kept.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Arc<ActiveConfiguration>> {
         self.beliefs().configuration.clone()
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -30,6 +30,12 @@
     BreakInside(u64),
     /// Answers before the body is read, and closes.
     RefuseEarly,
+    /// Answers, and reads further requests on the same connection.
+    KeepConnection,
+    /// Answers, and closes when a second request comes on the same connection.
+    ForgetConnection,
+    /// Answers twice, and leaves the connection open.
+    AnswerTwice,
     /// Answers; refuses requests for other weights without saying which it has.
     HidesWeights,
 }
@@ -43,6 +49,8 @@
     bodies: Vec<Vec<u8>>,
     orders: Vec<Value>,
     dropped: usize,
+    /// Connections on which a request came.
+    connections: usize,
 }
 
 struct Shared {
@@ -137,6 +145,11 @@
         self.shared.notes.lock().expect("notes").orders.clone()
     }
 
+    /// Connections on which requests came.
+    pub fn connections(&self) -> usize {
+        self.shared.notes.lock().expect("notes").connections
+    }
+
     /// Requests whose connection was closed while it was silent.
     pub fn dropped(&self) -> usize {
         self.shared.notes.lock().expect("notes").dropped
@@ -145,7 +158,9 @@
 
 async fn serve(shared: Arc<Shared>, stream: TcpStream) {
     let mut connection = BufferedStream::new(stream);
+    let mut requests = 0;
     while let Ok((head, mut decoder)) = read_request_head(&mut connection, 65_536).await {
+        let behaviour = shared.behaviour.lock().expect("behaviour").clone();
         if *shared.behaviour.lock().expect("behaviour") == Behaviour::RefuseEarly {
             let mut refusal = ResponseHead::new(503);
             refusal.headers.push(site::NOT_RUN, "1");
@@ -176,9 +191,20 @@
             }
             continue;
         }
+        requests += 1;
+        if requests > 1 && behaviour == Behaviour::ForgetConnection {
+            return;
+        }
+        if requests == 1 {
+            shared.notes.lock().expect("notes").connections += 1;
+        }
         note(&shared, &head, body);
         respond(&shared, &mut connection, &head).await;
-        return;
+        match behaviour {
+            Behaviour::KeepConnection | Behaviour::ForgetConnection => {}
+            Behaviour::AnswerTwice => respond(&shared, &mut connection, &head).await,
+            _ => return,
+        }
     }
 }
 
@@ -287,7 +313,12 @@
             head.headers.push(site::SIGNED, "1");
         }
         Behaviour::Unsigned | Behaviour::RefuseEarly => {}
-        Behaviour::Answer | Behaviour::HidesWeights | Behaviour::BreakInside(_) => {
+        Behaviour::Answer
+        | Behaviour::KeepConnection
+        | Behaviour::ForgetConnection
+        | Behaviour::AnswerTwice
+        | Behaviour::HidesWeights
+        | Behaviour::BreakInside(_) => {
             head.headers.push(site::SIGNED, "1");
         }
     }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Whether the whole body was read.
+    pub fn is_over(&self) -> bool {
+        matches!(self.position, Position::End | Position::Length(0))
+    }
+
     /// Whether only the end of the connection ends the body.
     pub fn ends_with_connection(&self) -> bool {
         self.ends_with_connection
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -74,6 +74,14 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Whether the peer has neither sent anything more nor closed its side, as far as
+    /// is known here.
+    pub async fn is_quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let peeked = smol::future::poll_once(self.stream.peek(&mut byte)).await;
+        self.pending().is_empty() && peeked.is_none()
+    }
+
     /// Another handle of the same connection, for writing while it is read.
     pub fn writer(&self) -> TcpStream {
         self.stream.clone()
