--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -19,6 +19,8 @@
     /// Cost of what gives way to a copy of kept cache, as a share of the time to
     /// read it again.
     pub displaced_share: f64,
+    /// Cost of weights that are older than the newest in use, in milliseconds.
+    pub outdated_ms: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
     /// Cost of one more request at a full engine of a plain service, in
@@ -188,8 +190,6 @@
 const LOADING_MS: f64 = 5_000.0;
 /// Cost of an engine that was put aside, in milliseconds.
 const SUSPENDED_MS: f64 = 20_000.0;
-/// Cost of weights that are older than the newest in use, in milliseconds.
-const OUTDATED_MS: f64 = 20.0;
 /// How much longer moving cache takes between zones.
 const FAR_TRANSFER: f64 = 2.0;
 /// Cost of each place in the order of a prompt's engines, in milliseconds, so
@@ -366,7 +366,7 @@
         cost.transfer_ms += RANK_MS * rank as f64;
         if engine.weights_of(prompt.model) < self.newest_weights {
             let to_read = prompt.shared_tokens().saturating_sub(supply.kept_tokens);
-            cost.outdated_ms = OUTDATED_MS + to_read as f64 / rates.prompt_tokens_per_ms;
+            cost.outdated_ms = rates.outdated_ms + to_read as f64 / rates.prompt_tokens_per_ms;
         }
         (cost, supply)
     }
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -18,6 +18,7 @@
 const RATES: CostRates = CostRates {
     prompt_tokens_per_ms: 40.0,
     displaced_share: 0.5,
+    outdated_ms: 20.0,
     zone_ms: 2.0,
     slot_ms: 30.0,
     senders: 7.0,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -155,6 +155,8 @@
     /// Cost of what gives way to a copy of kept cache, as a share of the time to
     /// read it again.
     pub displaced_share: f64,
+    /// Cost of weights that are older than the newest in use, in milliseconds.
+    pub outdated_ms: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
     /// Cost of a full engine, in milliseconds.
@@ -168,6 +170,7 @@
         Self {
             prompt_tokens_per_ms: 40.0,
             displaced_share: 0.5,
+            outdated_ms: 80.0,
             zone_ms: 12.0,
             slot_ms: 30.0,
             senders: 7.0,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -192,6 +192,7 @@
         CostRates {
             prompt_tokens_per_ms: cost.prompt_tokens_per_ms,
             displaced_share: cost.displaced_share,
+            outdated_ms: cost.outdated_ms,
             zone_ms: cost.zone_ms,
             slot_ms: cost.slot_ms,
             senders: cost.senders,
