Learn the reading rate; put engines aside that do not answer their feed

Reading rate. Hypothesis: a rate in the settings is right for one fleet only; costs, queues and the patience before a second try follow from it. Change: the slope of first-event times over tokens read, per service, newest counting most, outliers left out, within a tenth and ten times the setting.

Hypothesis: an engine that went silent costs each node its own time-outs. Change: calls for an engine's events are held 400 ms and given up after 750; one that fails puts the engine aside as an unreachable one.

Ruled out for now: telling nodes of other zones; the loss there is a time-out of 250 ms for a connection.

--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
 //! | [`prefix_holders`] | where shared parts of prompts were read, as nodes tell each other |
 //! | [`prefix_reach`] | what each engine holds of one prompt, and where the rest can be had |
+//! | [`reading_rate`] | how fast engines read prompts, learned from their answers |
 //! | [`rendezvous`] | the order of engines for a prompt |
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
@@ -31,6 +32,7 @@
 pub mod peer_loads;
 pub mod prefix_holders;
 pub mod prefix_reach;
+pub mod reading_rate;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod selection;
--- /dev/null
+++ b/crates/balancing/tests/reading_rate.rs
@@ -0,0 +1,96 @@
+//! The reading rate that is learned from three differently shaped fleets.
+
+use ploverlift_balancing::reading_rate::ReadingRate;
+
+/// The rate in the settings, in tokens a millisecond.
+const USUAL: f64 = 40.0;
+
+/// A fleet as its answers show it.
+struct Fleet {
+    tokens_per_ms: f64,
+    /// Time to the first event of a prompt of which all is kept.
+    start_ms: f64,
+    /// Longest prompt, in tokens.
+    longest: u64,
+}
+
+/// What is learned from so many answers; every twentieth stalls for a second.
+fn learned(fleet: &Fleet, answers: u64, seed: u64) -> f64 {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut rate = ReadingRate::default();
+    for number in 0..answers {
+        let tokens = random.u64(0..fleet.longest);
+        let noise_ms = random.f64() * 10.0;
+        let stall_ms = if number % 20 == 19 { 1_000.0 } else { 0.0 };
+        let ms = fleet.start_ms + tokens as f64 / fleet.tokens_per_ms + noise_ms + stall_ms;
+        rate.observe(tokens, ms as u64);
+    }
+    rate.tokens_per_ms(USUAL)
+}
+
+#[test]
+fn the_rates_of_three_fleets_are_learned_to_a_sixth() {
+    let fleets = [
+        Fleet {
+            tokens_per_ms: 6.0,
+            start_ms: 30.0,
+            longest: 4_000,
+        },
+        Fleet {
+            tokens_per_ms: 38.0,
+            start_ms: 25.0,
+            longest: 12_000,
+        },
+        Fleet {
+            tokens_per_ms: 150.0,
+            start_ms: 10.0,
+            longest: 30_000,
+        },
+    ];
+    for fleet in &fleets {
+        for seed in 0..20 {
+            let rate = learned(fleet, 300, seed);
+            let error = (rate / fleet.tokens_per_ms - 1.0).abs();
+            assert!(
+                error < 0.17,
+                "{rate} of {} with seed {seed}",
+                fleet.tokens_per_ms
+            );
+        }
+    }
+}
+
+#[test]
+fn little_or_uniform_evidence_changes_nothing() {
+    let mut rate = ReadingRate::default();
+    for _ in 0..10 {
+        rate.observe(4_000, 900);
+    }
+    assert_eq!(rate.tokens_per_ms(USUAL), USUAL);
+    for _ in 0..500 {
+        rate.observe(4_000, 900);
+    }
+    assert_eq!(rate.tokens_per_ms(USUAL), USUAL);
+}
+
+#[test]
+fn what_is_learned_stays_within_its_bounds() {
+    let mut rate = ReadingRate::default();
+    for number in 0..200 {
+        rate.observe(number * 50, number * 5_000);
+    }
+    assert_eq!(rate.tokens_per_ms(USUAL), USUAL * 0.1);
+}
+
+#[test]
+fn engines_that_become_slower_are_learned_anew() {
+    let mut rate = ReadingRate::default();
+    for tokens in (0..200).map(|number| number * 40) {
+        rate.observe(tokens, 20 + tokens / 50);
+    }
+    for tokens in (0..200).map(|number| number * 40) {
+        rate.observe(tokens, 20 + tokens / 10);
+    }
+    let learned = rate.tokens_per_ms(USUAL);
+    assert!((9.0..=12.0).contains(&learned), "{learned}");
+}
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -5,7 +5,7 @@
 //! engine has dropped. Engines of a zone without any node are followed from
 //! elsewhere.
 
-use super::{ask_for_events, refused_pause_ms, RETRY_MS};
+use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
 use crate::beliefs::Beliefs;
 use crate::http_call::CallConnection;
 use crate::ports::CacheAnswer;
@@ -14,6 +14,7 @@
 use ploverlift_balancing::cache_contents::CacheEvents;
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
 use ploverlift_balancing::engine_caches::{follower_rank, FOLLOWERS};
+use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId, ZoneTag};
 use smol::Task;
 use std::collections::HashMap;
@@ -22,6 +23,12 @@
 
 /// Time between two looks at which engines are to be followed, in milliseconds.
 const LOOK_PERIOD_MS: u64 = 500;
+/// How long calls for events may take: a live engine answers within it, so the feed
+/// shows soon that an engine no longer answers at all.
+const WAIT: EventWait = EventWait {
+    held_ms: 400,
+    slack_ms: 350,
+};
 /// Pause between two calls, in milliseconds, so that events come in batches.
 const GATHER_MS: u64 = 100;
 /// Time from the start after which engines of zones without any node are followed,
@@ -118,7 +125,7 @@
             .engine_caches
             .of(engine.tag)
             .map(|kept| kept.next());
-        let answer = ask_for_events(&gateway, &mut connection, next.unwrap_or(0)).await;
+        let answer = ask_for_events(&gateway, &mut connection, next.unwrap_or(0), WAIT).await;
         let pause_ms = match answer {
             Ok(CacheAnswer::Events(batch)) => {
                 take_events(&gateway, &engine, &batch);
@@ -129,11 +136,17 @@
                 stop_relying(&gateway, &engine, &mut is_followed);
                 refused_pause_ms()
             }
-            Ok(CacheAnswer::Invalid) | Err(_) => {
+            Ok(CacheAnswer::Invalid) => {
                 connection.reset();
                 stop_relying(&gateway, &engine, &mut is_followed);
                 RETRY_MS
             }
+            Err(_) => {
+                connection.reset();
+                stop_relying(&gateway, &engine, &mut is_followed);
+                put_aside(&gateway, &engine);
+                RETRY_MS
+            }
         };
         sleep(pause_ms).await;
     }
@@ -159,6 +172,16 @@
     note_followed(gateway, engine, is_followed, false);
 }
 
+/// An engine that does not answer calls for events is put aside before requests
+/// have to find out, one by one and each by its own time-out.
+fn put_aside(gateway: &Gateway, engine: &FollowedEngine) {
+    let now = gateway.clock.now();
+    let mut beliefs = gateway.beliefs();
+    beliefs
+        .engines
+        .note_outcome(&engine.instance, Outcome::Unreachable, now);
+}
+
 fn note_followed(gateway: &Gateway, engine: &FollowedEngine, is_followed: &mut bool, is_now: bool) {
     let was_followed = std::mem::replace(is_followed, is_now);
     if was_followed != is_now {
--- a/crates/gateway/src/cache_feeds/mod.rs
+++ b/crates/gateway/src/cache_feeds/mod.rs
@@ -14,23 +14,30 @@
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 
-/// How long a call is held where there are no events, in milliseconds.
-const WAIT_MS: u64 = 1_000;
-/// Longest wait for an answer beyond it, in milliseconds.
-const TIMEOUT_MS: u64 = 500;
 /// Shortest pause after there was no room for the call, in milliseconds.
 const REFUSED_MS: u64 = 4_000;
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 400;
 
+/// How long calls for events may take.
+#[derive(Clone, Copy)]
+struct EventWait {
+    /// How long a call is held where there are no events, in milliseconds.
+    held_ms: u64,
+    /// Longest wait for an answer beyond it, in milliseconds.
+    slack_ms: u64,
+}
+
 /// Asks for the events after a position.
 async fn ask_for_events(
     gateway: &Gateway,
     connection: &mut CallConnection,
     since: u64,
+    wait: EventWait,
 ) -> Result<CacheAnswer, CallError> {
-    let head = gateway.site.cache_events_head(since, WAIT_MS);
-    let (head, body) = connection.call(head, &[], WAIT_MS + TIMEOUT_MS).await?;
+    let head = gateway.site.cache_events_head(since, wait.held_ms);
+    let timeout_ms = wait.held_ms + wait.slack_ms;
+    let (head, body) = connection.call(head, &[], timeout_ms).await?;
     Ok(gateway.site.read_cache_answer(&head, &body))
 }
 
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -3,7 +3,7 @@
 //! Without it each node would save each shared prompt anew, and the saves alone
 //! would fill the store's link.
 
-use super::{ask_for_events, refused_pause_ms, RETRY_MS};
+use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
 use crate::beliefs::{ActiveConfiguration, CacheStoreState};
 use crate::http_call::CallConnection;
 use crate::ports::CacheAnswer;
@@ -14,6 +14,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// How long calls for events may take.
+const WAIT: EventWait = EventWait {
+    held_ms: 1_000,
+    slack_ms: 500,
+};
 /// Pause between two calls, in milliseconds, so that events come in batches.
 const GATHER_MS: u64 = 60;
 
@@ -65,7 +70,7 @@
 /// Asks for events, and takes in what the answer shows.
 async fn poll(gateway: &Gateway, connection: &mut CallConnection) -> CacheStoreState {
     let since = gateway.beliefs().cache.contents.next();
-    match ask_for_events(gateway, connection, since).await {
+    match ask_for_events(gateway, connection, since, WAIT).await {
         Ok(CacheAnswer::Events(batch)) => {
             gateway.beliefs().cache.contents.apply(&batch);
             note_state(gateway, CacheStoreState::Followed)
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -217,7 +217,9 @@
     fn reading_ms(&self) -> f64 {
         let prompt = self.received.request.prompt.as_ref();
         let tokens = prompt.map_or(0, |prompt| prompt.tokens());
-        tokens as f64 / self.gateway.settings().cost.prompt_tokens_per_ms
+        let usual = self.gateway.settings().cost.prompt_tokens_per_ms;
+        let service = &self.received.admission.service;
+        tokens as f64 / self.gateway.beliefs().tokens_per_ms(service, usual)
     }
 
     async fn hand_on(
--- a/crates/gateway/src/relay/choice.rs
+++ b/crates/gateway/src/relay/choice.rs
@@ -55,8 +55,10 @@
     /// Chooses an engine among those that were not tried.
     pub(super) fn choose(&self) -> Result<ChosenEngine, NoChoice> {
         let now = self.gateway.clock.now();
-        let rates = self.gateway.cost_rates();
+        let mut rates = self.gateway.cost_rates();
         let beliefs = self.gateway.beliefs();
+        let service = &self.received.admission.service;
+        rates.prompt_tokens_per_ms = beliefs.tokens_per_ms(service, rates.prompt_tokens_per_ms);
         let criteria = Criteria {
             service: &self.received.admission.service,
             zone: &self.gateway.zone,
--- a/crates/gateway/src/relay/in_flight.rs
+++ b/crates/gateway/src/relay/in_flight.rs
@@ -3,6 +3,7 @@
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
 
 /// A request at an engine. Dropping it takes the request off the engine's
@@ -11,6 +12,7 @@
     gateway: Arc<Gateway>,
     instance: InstanceId,
     waiting_tokens: u64,
+    begun: Millis,
 }
 
 impl InFlight {
@@ -26,16 +28,18 @@
             gateway: Arc::clone(gateway),
             instance: instance.clone(),
             waiting_tokens: prompt_tokens,
+            begun: now,
         }
     }
 
-    /// The engine has begun to answer.
-    pub fn answered(&mut self) {
+    /// The engine has begun to answer; tells after how many milliseconds.
+    pub fn answered(&mut self) -> u64 {
         let tokens = std::mem::take(&mut self.waiting_tokens);
         self.gateway
             .beliefs()
             .engines
             .first_answer(&self.instance, tokens);
+        self.gateway.clock.now().since(self.begun)
     }
 
     /// Notes how the request went.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -16,6 +16,9 @@
 use ploverlift_routing::prompt::part_keys;
 use std::io;
 
+/// Time of a transfer that does not matter beside reading, in milliseconds.
+const SHORT_TRANSFER_MS: f64 = 12.0;
+
 /// How a stream went on.
 enum StreamStep {
     Events(Vec<u8>),
@@ -39,7 +42,8 @@
                 StreamStep::Events(bytes) => {
                     if is_first {
                         is_first = false;
-                        in_flight.answered();
+                        let first_event_ms = in_flight.answered();
+                        self.learn_reading_rate(chosen, first_event_ms);
                         self.note_read(chosen);
                         self.note_saved(chosen);
                     }
@@ -66,6 +70,18 @@
         }
     }
 
+    /// A request that neither waited nor fetched shows how fast the engine reads.
+    fn learn_reading_rate(&self, chosen: &ChosenEngine, first_event_ms: u64) {
+        let waited = chosen.cost.queue_ms > 0.0;
+        if waited || chosen.cost.transfer_ms > SHORT_TRANSFER_MS {
+            return;
+        }
+        let service = &self.received.admission.service;
+        let mut beliefs = self.gateway.beliefs();
+        let rate = beliefs.reading_rate(service);
+        rate.observe(chosen.tokens_to_read, first_event_ms);
+    }
+
     /// The engine has read the prompt, and so keeps its parts.
     fn note_read(&self, chosen: &ChosenEngine) {
         let prompt = self.received.request.prompt.as_ref();
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -398,6 +398,34 @@
     });
 }
 
+#[test]
+fn an_engine_that_no_longer_answers_its_feed_is_put_aside_without_a_request() {
+    smol::block_on(async {
+        let engine = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+        let mut with_events = configuration(1);
+        with_events["event_calls"] = 1.into();
+        let fixture = Fixture::with(&[&engine], with_events, "").await;
+        let instance = InstanceId(engine.instance.clone());
+        let tag = EngineTag::of(&instance);
+        let is_followed = || fixture.gateway.beliefs().engine_caches.of(tag).is_some();
+        let is_suspected = || {
+            let beliefs = fixture.gateway.beliefs();
+            let known = beliefs.engines.get(&instance);
+            known.is_some_and(|engine| engine.health.is_suspected())
+        };
+        while !is_followed() {
+            // Asking the node lets its tasks run.
+            caller::get_status(fixture.running().readiness).await;
+        }
+        assert!(!is_suspected());
+        drop(engine);
+        while !is_suspected() {
+            caller::get_status(fixture.running().readiness).await;
+        }
+        assert!(!is_followed());
+    });
+}
+
 #[test]
 fn a_lost_cache_store_is_not_used() {
     let uses = smol::block_on(cache_use(503, CacheStoreState::Lost));
