--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -119,7 +119,6 @@
     /// What is known of the fleet, for the choice of an engine. `store` is the store
     /// of kept cache that this node's engines use.
     pub fn fleet<'a>(&'a self, store: Option<&'a CacheStore>) -> FleetView<'a> {
-        let store = store.filter(|_| self.cache.state != CacheStoreState::Lost);
         FleetView {
             cache_store: store.map(|store| StoreView {
                 contents: &self.cache.contents,
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -63,6 +63,9 @@
 }
 
 fn engines_to_follow(gateway: &Gateway, uptime_ms: u64) -> Vec<FollowedEngine> {
+    if !gateway.settings().cache.follow_engines {
+        return Vec::new();
+    }
     let beliefs = gateway.beliefs();
     let Some(configuration) = beliefs.configuration.as_ref() else {
         return Vec::new();
--- a/crates/gateway/src/relay/choice.rs
+++ b/crates/gateway/src/relay/choice.rs
@@ -65,8 +65,7 @@
             prompt: self.prompt_criteria(&beliefs, now),
             excluded: self.progress.attempts.tried(),
         };
-        let configuration = &self.received.admission.configuration;
-        let store = cache_store(configuration, &self.gateway.zone);
+        let store = self.cache_store_in_use(&beliefs);
         let choice = choose(&beliefs.fleet(store), &criteria, &rates, now)?;
         let engine = beliefs.engines.get(&choice.instance);
         let engine = engine.ok_or(NoChoice::NoEngine)?;
@@ -199,7 +198,8 @@
     }
 
     fn cache_store_in_use(&self, beliefs: &Beliefs) -> Option<&CacheStore> {
-        if beliefs.cache.state == CacheStoreState::Lost {
+        let is_used = self.gateway.settings().cache.use_store;
+        if !is_used || beliefs.cache.state == CacheStoreState::Lost {
             return None;
         }
         let configuration = &self.received.admission.configuration;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,9 @@
     /// Rates for the choice of an engine.
     #[serde(default)]
     pub cost: CostSettings,
+    /// Kept cache.
+    #[serde(default)]
+    pub cache: CacheSettings,
     /// Loading of new weights.
     #[serde(default)]
     pub weights: WeightSettings,
@@ -178,6 +181,25 @@
     }
 }
 
+/// `[cache]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CacheSettings {
+    /// Whether the events of engines are followed.
+    pub follow_engines: bool,
+    /// Whether the store of kept cache is used.
+    pub use_store: bool,
+}
+
+impl Default for CacheSettings {
+    fn default() -> Self {
+        Self {
+            follow_engines: true,
+            use_store: true,
+        }
+    }
+}
+
 /// `[weights]`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -418,6 +418,8 @@
             caller::get_status(fixture.running().readiness).await;
         }
         assert!(!is_suspected());
+        // The next call is held, and nobody answers it any more.
+        engine.keep("1/m/", 1, 10);
         drop(engine);
         while !is_suspected() {
             caller::get_status(fixture.running().readiness).await;
