ploverlift-lab losses; the hollow fleet goes

losses: a table of requests by route and by what held them up most (waiting, moving, reading, outdated weights, a second engine, refused, timed out, engine lost, caller left) from the JSON logs alone, for an operator who has nothing else.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,7 +6,7 @@
 //! | [`engine`] | a model engine or plain service over HTTP |
 //! | [`bench`] | what a node adds to the path |
 //! | [`experiment`] | routing policies on an emulated fleet |
-//! | [`scale`] | many hollow nodes in one process |
+//! | [`losses`] | where requests lost worth, from nodes' logs |
 //! | [`engine_cache`] | the engine's bounded cache of prompt blocks |
 
 pub mod bench;
@@ -16,6 +16,6 @@
 mod engine_tokens;
 pub mod experiment;
 pub mod http_call;
+pub mod losses;
 pub mod platform;
 pub mod platform_store;
-pub mod scale;
--- /dev/null
+++ b/crates/lab/src/losses.rs
@@ -0,0 +1,175 @@
+//! Where requests lost worth, from the JSON log lines of nodes alone.
+//!
+//! Reads lines as `ploverlift gateway` writes them on standard output and counts
+//! requests by route and by what held them up most, with the time to the first
+//! byte. Lines of successes are written up to a rate, so counts of successes are
+//! of those that were logged.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io::{self, BufRead};
+
+/// Terms of the cost of a choice below this, in milliseconds, held nothing up.
+const NOTABLE_MS: f64 = 40.0;
+
+/// A request's log line, as far as it is needed.
+#[derive(Deserialize)]
+struct RequestLine {
+    msg: String,
+    #[serde(default)]
+    outcome: String,
+    #[serde(default)]
+    route: String,
+    #[serde(default)]
+    attempts: String,
+    first_byte_ms: Option<u64>,
+}
+
+/// What held a request up, or ended it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// Answered without a notable delay.
+    Prompt,
+    /// Prompts in front of it.
+    Waiting,
+    /// Shared parts were moved to the engine.
+    Moving,
+    /// Shared parts were read again, or for the first time.
+    Reading,
+    /// Its engine's weights were behind the newest.
+    OutdatedWeights,
+    /// An engine failed, was lost or refused, and another one answered.
+    SecondEngine,
+    /// It was refused and has not run.
+    Refused,
+    /// Its time was up.
+    TimedOut,
+    /// Its engine failed or was lost, and it ended so.
+    EngineLost,
+    /// Its caller left.
+    CallerLeft,
+}
+
+impl Reason {
+    fn in_words(self) -> &'static str {
+        match self {
+            Reason::Prompt => "answered promptly",
+            Reason::Waiting => "waited behind prompts",
+            Reason::Moving => "kept cache was moved",
+            Reason::Reading => "shared parts were read",
+            Reason::OutdatedWeights => "outdated weights",
+            Reason::SecondEngine => "a second engine answered",
+            Reason::Refused => "refused, not run",
+            Reason::TimedOut => "time was up",
+            Reason::EngineLost => "engine failed or lost",
+            Reason::CallerLeft => "caller left",
+        }
+    }
+}
+
+/// Requests of one route with one reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Group {
+    /// Requests.
+    pub requests: u64,
+    /// Those of which the time to the first byte is known.
+    pub timed: u64,
+    /// The sum of those times, in milliseconds.
+    pub first_byte_ms: u64,
+}
+
+/// Groups by route and reason.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Losses {
+    /// Groups.
+    pub groups: BTreeMap<(String, Reason), Group>,
+    /// Lines that are not a request's.
+    pub other_lines: u64,
+}
+
+impl Losses {
+    /// Counts the requests of a log.
+    ///
+    /// # Errors
+    /// When the log cannot be read.
+    pub fn of(log: impl BufRead) -> io::Result<Self> {
+        let mut losses = Self::default();
+        for line in log.lines() {
+            losses.add(&line?);
+        }
+        Ok(losses)
+    }
+
+    fn add(&mut self, line: &str) {
+        // What collects logs may write something in front of each line.
+        let json = line.find('{').map_or("", |start| &line[start..]);
+        let request = serde_json::from_str::<RequestLine>(json).ok();
+        let Some(request) = request.filter(|request| request.msg == "request") else {
+            self.other_lines += 1;
+            return;
+        };
+        let reason = reason(&request.outcome, &request.attempts);
+        let group = self.groups.entry((request.route, reason)).or_default();
+        group.requests += 1;
+        if let Some(first_byte_ms) = request.first_byte_ms {
+            group.timed += 1;
+            group.first_byte_ms += first_byte_ms;
+        }
+    }
+
+    /// The table for a person.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<24} {:<26} {:>9} {:>15}\n",
+            "route", "reason", "requests", "first byte, ms"
+        );
+        for ((route, reason), group) in &self.groups {
+            let mean = match group.timed {
+                0 => "-".to_owned(),
+                timed => (group.first_byte_ms / timed).to_string(),
+            };
+            let route = if route.is_empty() { "-" } else { route };
+            // Writing to a string does not fail.
+            let _ = writeln!(
+                text,
+                "{route:<24} {:<26} {:>9} {mean:>15}",
+                reason.in_words(),
+                group.requests
+            );
+        }
+        text
+    }
+}
+
+fn reason(outcome: &str, attempts: &str) -> Reason {
+    match outcome {
+        "refused" | "not_admitted" => Reason::Refused,
+        "timed_out" => Reason::TimedOut,
+        "engine_lost" | "engine_failure" | "broken_off" => Reason::EngineLost,
+        "caller_left" => Reason::CallerLeft,
+        _ if attempts.contains("; ") => Reason::SecondEngine,
+        _ => largest_term(attempts),
+    }
+}
+
+/// The term of the cost that held an answered request up most.
+fn largest_term(attempts: &str) -> Reason {
+    let terms = [
+        ("queue=", Reason::Waiting),
+        ("transfer=", Reason::Moving),
+        ("reading=", Reason::Reading),
+        ("outdated=", Reason::OutdatedWeights),
+    ];
+    let costs = terms.map(|(name, reason)| (term_ms(attempts, name), reason));
+    let largest = costs.into_iter().max_by(|a, b| a.0.total_cmp(&b.0));
+    largest
+        .filter(|(cost_ms, _)| *cost_ms >= NOTABLE_MS)
+        .map_or(Reason::Prompt, |(_, reason)| reason)
+}
+
+fn term_ms(attempts: &str, name: &str) -> f64 {
+    let mut words = attempts.split_whitespace();
+    let value = words.find_map(|word| word.strip_prefix(name));
+    value.and_then(|value| value.parse().ok()).unwrap_or(0.0)
+}
--- /dev/null
+++ b/crates/lab/tests/losses.rs
@@ -0,0 +1,53 @@
+//! The table of where requests lost worth, from log lines.
+
+use ploverlift_lab::losses::{Group, Losses, Reason};
+
+const LOG: &str = concat!(
+    r#"{"msg":"started","node":"a"}"#,
+    "\n",
+    r#"  1.2 node-a {"msg":"request","outcome":"answered","route":"r","first_byte_ms":30,"attempts":"e1 weights=1 cache=local of=9 held=0 queue=3 transfer=0 displaced=0 reading=10 outdated=0 zone=0 slots=1 failure=0 -> answered"}"#,
+    "\n",
+    r#"{"msg":"request","outcome":"answered","route":"r","first_byte_ms":130,"attempts":"e1 weights=1 cache=fetch of=9 held=0 queue=3 transfer=2 displaced=50 reading=110 outdated=0 zone=0 slots=1 failure=0 -> answered"}"#,
+    "\n",
+    r#"{"msg":"request","outcome":"answered","route":"r","first_byte_ms":900,"attempts":"e1 weights=1 queue=0 -> broken (reset); e2 weights=1 queue=700 -> answered"}"#,
+    "\n",
+    r#"{"msg":"request","outcome":"timed_out","route":"r","first_byte_ms":null,"attempts":""}"#,
+    "\n",
+    "not JSON\n",
+    r#"{"msg":"request","id":"x","outcome":"caller_left","attempts":""}"#,
+    "\n",
+);
+
+#[test]
+fn requests_are_counted_by_route_and_by_what_held_them_up() {
+    let losses = Losses::of(LOG.as_bytes()).expect("a log");
+    let group = |route: &str, reason| losses.groups.get(&(route.to_owned(), reason)).copied();
+    let one = |first_byte_ms| {
+        Some(Group {
+            requests: 1,
+            timed: 1,
+            first_byte_ms,
+        })
+    };
+    assert_eq!(group("r", Reason::Prompt), one(30));
+    assert_eq!(group("r", Reason::Reading), one(130));
+    assert_eq!(group("r", Reason::SecondEngine), one(900));
+    assert_eq!(
+        group("r", Reason::TimedOut).map(|group| group.timed),
+        Some(0)
+    );
+    assert_eq!(
+        group("", Reason::CallerLeft).map(|group| group.requests),
+        Some(1)
+    );
+    assert_eq!((losses.groups.len(), losses.other_lines), (5, 2));
+    let table = losses.table();
+    assert_eq!(table.lines().count(), 6);
+    assert!(table.contains("shared parts were read"));
+}
+
+#[test]
+fn an_empty_log_gives_an_empty_table() {
+    let losses = Losses::of("".as_bytes()).expect("a log");
+    assert_eq!(losses, Losses::default());
+}
