--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -21,6 +21,8 @@
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`load_schedule`] | when engines load new weights, and how many at once |
+//! | [`store_room`] | which prompts are worth their room in the store of kept cache |
+//! | [`supply`] | from where an engine can have what it lacks of a prompt |
 //! | [`weights`] | which versions of weights a request may begin on |
 
 pub mod attempts;
@@ -36,4 +38,6 @@
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod selection;
+pub mod store_room;
+pub mod supply;
 pub mod weights;
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -7,6 +7,7 @@
 use crate::prefix_holders::PrefixHolders;
 use crate::prefix_reach::PrefixReach;
 use crate::rendezvous;
+use crate::supply::{best_offer, CacheSource, MoveRates, Offering, Supply};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
@@ -55,25 +56,6 @@
     pub zone: &'a ZoneName,
 }
 
-/// Rates at which kept cache moves within a zone, in tokens a millisecond.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MoveRates {
-    /// From one engine to another.
-    pub between_engines: f64,
-    /// From the store to an engine.
-    pub from_store: f64,
-}
-
-impl Default for MoveRates {
-    /// Where no rates are known, moving takes no time.
-    fn default() -> Self {
-        Self {
-            between_engines: f64::INFINITY,
-            from_store: f64::INFINITY,
-        }
-    }
-}
-
 /// What the choice depends on.
 #[derive(Clone, Debug)]
 pub struct Criteria<'a> {
@@ -142,15 +124,6 @@
     }
 }
 
-/// Where an engine can have shared parts that it lacks.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CacheSource {
-    /// Another engine.
-    Engine(InstanceId),
-    /// The store of kept cache.
-    Store,
-}
-
 /// The engine that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -190,8 +163,6 @@
 const LOADING_MS: f64 = 5_000.0;
 /// Cost of an engine that was put aside, in milliseconds.
 const SUSPENDED_MS: f64 = 20_000.0;
-/// How much longer moving cache takes between zones.
-const FAR_TRANSFER: f64 = 2.0;
 /// Cost of each place in the order of a prompt's engines, in milliseconds, so
 /// that overflow goes to the same few engines.
 const RANK_MS: f64 = 1.0;
@@ -305,29 +276,6 @@
         .unwrap_or(0.0)
 }
 
-/// How an engine can have the shared parts of a prompt.
-#[derive(Clone, Debug, Default)]
-struct Supply {
-    source: Option<CacheSource>,
-    held_tokens: u64,
-    kept_tokens: u64,
-}
-
-/// What a source keeps of a prompt, and the time to move what an engine lacks.
-struct Offer {
-    source: CacheSource,
-    kept_tokens: u64,
-    move_ms: f64,
-}
-
-/// How much longer a move takes over the distance.
-fn distance(from: &ZoneName, to: &ZoneName) -> f64 {
-    match from == to {
-        true => 1.0,
-        false => FAR_TRANSFER,
-    }
-}
-
 /// What the costs of all candidates have in common.
 struct Estimate<'a> {
     view: &'a FleetView<'a>,
@@ -398,7 +346,12 @@
             };
         }
         let held = self.reach.held(engine, prompt.model);
-        let offer = self.best_offer(engine, prompt, held);
+        let offering = Offering {
+            view: self.view,
+            reach: self.reach,
+            prompt,
+        };
+        let offer = best_offer(&offering, engine, held);
         let offered = offer.as_ref().map_or(0, |offer| offer.kept_tokens);
         let kept = held.max(offered);
         if offered > held {
@@ -413,54 +366,6 @@
         }
     }
 
-    /// The source that keeps the most; of two that keep as much, the faster one.
-    fn best_offer(&self, engine: &Engine, prompt: &PromptCriteria<'_>, held: u64) -> Option<Offer> {
-        let from_engine = self.offer_of_engine(engine, prompt, held);
-        let from_store = self.offer_of_store(engine, prompt, held);
-        let (Some(near), Some(stored)) = (&from_engine, &from_store) else {
-            return from_engine.or(from_store);
-        };
-        let is_better = stored.kept_tokens > near.kept_tokens
-            || (stored.kept_tokens == near.kept_tokens && stored.move_ms < near.move_ms);
-        match is_better {
-            true => from_store,
-            false => from_engine,
-        }
-    }
-
-    fn offer_of_engine(
-        &self,
-        engine: &Engine,
-        prompt: &PromptCriteria<'_>,
-        held: u64,
-    ) -> Option<Offer> {
-        let (source, kept_tokens) = self.reach.best_source(engine, prompt.model)?;
-        let moved = kept_tokens.saturating_sub(held) as f64;
-        let distance = distance(&source.record.zone, &engine.record.zone);
-        Some(Offer {
-            source: CacheSource::Engine(source.record.instance.clone()),
-            kept_tokens,
-            move_ms: moved / prompt.moves.between_engines * distance,
-        })
-    }
-
-    fn offer_of_store(
-        &self,
-        engine: &Engine,
-        prompt: &PromptCriteria<'_>,
-        held: u64,
-    ) -> Option<Offer> {
-        let store = self.view.cache_store?;
-        let kept_tokens = self.reach.stored(engine.weights_of(prompt.model))?;
-        let moved = kept_tokens.saturating_sub(held) as f64;
-        let distance = distance(store.zone, &engine.record.zone);
-        Some(Offer {
-            source: CacheSource::Store,
-            kept_tokens,
-            move_ms: moved / prompt.moves.from_store * distance,
-        })
-    }
-
     fn failure_ms(&self, engine: &Engine) -> f64 {
         let now = self.now;
         if !engine.health.may_be_chosen(now) {
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -6,8 +6,9 @@
 use ploverlift_balancing::peer_loads::PeerLoads;
 use ploverlift_balancing::prefix_holders::PrefixHolders;
 use ploverlift_balancing::selection::{
-    choose, CostRates, Criteria, FleetView, MoveRates, NoChoice, PromptCriteria,
+    choose, CostRates, Criteria, FleetView, NoChoice, PromptCriteria,
 };
+use ploverlift_balancing::supply::MoveRates;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -10,9 +10,9 @@
 };
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
 use ploverlift_balancing::selection::{
-    choose, CacheSource, Choice, CostRates, Criteria, FleetView, MoveRates, PromptCriteria,
-    StoreView,
+    choose, Choice, CostRates, Criteria, FleetView, PromptCriteria, StoreView,
 };
+use ploverlift_balancing::supply::{CacheSource, MoveRates};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{cache_salt, part_keys, ChainKey, PartKey, PromptPart};
--- a/crates/gateway/src/relay/choice.rs
+++ b/crates/gateway/src/relay/choice.rs
@@ -4,12 +4,11 @@
 use crate::beliefs::{Beliefs, CacheStoreState};
 use crate::cache_feeds::cache_store;
 use crate::ports::CacheTransfer;
-use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
 use ploverlift_balancing::peer_loads::EngineTag;
-use ploverlift_balancing::selection::{
-    choose, CacheSource, Choice, Cost, Criteria, MoveRates, NoChoice, PromptCriteria,
-};
+use ploverlift_balancing::selection::{choose, Choice, Cost, Criteria, NoChoice, PromptCriteria};
+use ploverlift_balancing::store_room::{is_worth_saving, SaveCandidate, StoreFill};
+use ploverlift_balancing::supply::{CacheSource, MoveRates};
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::configuration::CacheStore;
 use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt};
@@ -18,14 +17,6 @@
 /// Bytes that a link of one megabit a second moves in a millisecond.
 const BYTES_PER_MEGABIT_PER_MS: f64 = 125.0;
 
-/// Own tokens of a prompt for each shared one that the store lacks, up to which it
-/// is saved there.
-const LARGEST_OWN_SHARE: f64 = 0.4;
-/// The same while the store has room.
-const LARGEST_OWN_SHARE_WITH_ROOM: f64 = 1.5;
-/// Part of the store that is filled, up to which it counts as having room.
-const ROOMY_FILL: f64 = 0.7;
-
 /// An engine that was chosen, and how the request uses kept cache there.
 pub(super) struct ChosenEngine {
     pub(super) instance: InstanceId,
@@ -136,10 +127,8 @@
         chosen
     }
 
-    /// Fetches shared parts from the engine that keeps them, or from the store
-    /// when that keeps more. Saves those that the store lacks when the prompt is
-    /// used again: most are not within the time that the store keeps them, and
-    /// saving each at its first use fills the store's link.
+    /// How the request uses kept cache at its engine: it fetches shared parts from the
+    /// source of the choice, and saves them where that is worth its room.
     fn transfer(&self, beliefs: &Beliefs, placed: PlacedPrompt<'_>) -> CacheTransfer {
         // Without known weights nothing may be shared with any other request.
         if placed.weights == 0 {
@@ -154,8 +143,18 @@
         let cache = &beliefs.cache;
         let stored_tokens = cache.contents.prefix_tokens(&salt, shared);
         let store = self.cache_store_in_use(beliefs);
+        let shared_tokens = placed.prompt.shared_tokens();
+        let candidate = SaveCandidate {
+            shared_tokens,
+            own_tokens: placed.prompt.tokens() - shared_tokens,
+            stored_tokens,
+        };
         let worth_saving = |store: &&CacheStore| {
-            self.is_worth_saving(&cache.contents, store, &placed, stored_tokens)
+            let fill = StoreFill {
+                kept_tokens: cache.contents.total_tokens(),
+                capacity_tokens: store.capacity_tokens,
+            };
+            is_worth_saving(candidate, fill)
         };
         let store_address = store.map(|store| store.address);
         let fetch_from = match placed.source {
@@ -177,26 +176,6 @@
         }
     }
 
-    /// Whether the shared parts that the store lacks are worth the room there of the
-    /// prompt's own part, which is saved with them and of no use to anyone.
-    fn is_worth_saving(
-        &self,
-        contents: &CacheContents,
-        store: &CacheStore,
-        placed: &PlacedPrompt<'_>,
-        stored_tokens: u64,
-    ) -> bool {
-        let shared_tokens = placed.prompt.shared_tokens();
-        let own_tokens = placed.prompt.tokens() - shared_tokens;
-        let lacking_tokens = shared_tokens - stored_tokens;
-        let filled = contents.total_tokens() as f64 / store.capacity_tokens.max(1) as f64;
-        let largest_share = match filled < ROOMY_FILL {
-            true => LARGEST_OWN_SHARE_WITH_ROOM,
-            false => LARGEST_OWN_SHARE,
-        };
-        own_tokens as f64 <= lacking_tokens as f64 * largest_share
-    }
-
     fn cache_store_in_use(&self, beliefs: &Beliefs) -> Option<&CacheStore> {
         let is_used = self.gateway.settings().cache.use_store;
         if !is_used || beliefs.cache.state == CacheStoreState::Lost {
