Keep engines whose entries lapsed for two seconds after the store's return

Cause: a list after an outage replaced the catalogue, so every engine whose entry had lapsed meanwhile left the choice until it had written it again; with all of them lapsed each request got 503.

Change: shortly after the store's return an engine that is missing in a list, or whose end a watch tells, is kept until two seconds have passed and goes then unless its entry was written again; one that said that it leaves goes at once. EngineCatalogue::replace_all gives way to missing_in, with its caller in store/lapsed.rs.

Tests: two; with no time given the first fails.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -143,21 +143,13 @@
         true
     }
 
-    /// Replaces the whole catalogue by the records at a revision, keeping what is
-    /// known of engines that stay.
-    pub fn replace_all(&mut self, records: Vec<EngineRecord>, revision: u64) {
-        let gone: Vec<InstanceId> = self
-            .engines
-            .keys()
-            .filter(|known| records.iter().all(|record| record.instance != **known))
-            .cloned()
-            .collect();
-        for instance in gone {
-            self.remove(&instance, revision);
-        }
-        for record in records {
-            self.upsert(record);
-        }
+    /// Known engines that a list of records lacks.
+    pub fn missing_in(&self, records: &[EngineRecord]) -> Vec<InstanceId> {
+        let is_missing = |known: &&InstanceId| {
+            let mut listed = records.iter();
+            listed.all(|record| record.instance != **known)
+        };
+        self.engines.keys().filter(is_missing).cloned().collect()
     }
 
     /// One engine.
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -89,6 +89,8 @@
     pub freshness: Freshness,
     /// Engines.
     pub engines: EngineCatalogue,
+    /// When the store was last reached again after a failure.
+    pub store_returned_at: Option<Millis>,
     /// Whether the engines were listed once.
     pub engines_listed: bool,
     /// Named weights.
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -6,6 +6,7 @@
 //! is back. A node that relies on readers ([`crate::peers::readers`]) waits long
 //! for the configuration too, until its proof grows old.
 
+use super::lapsed::{remove_engine, replace_engines};
 use super::StoreClient;
 use crate::peers::readers::{has_stale_proof, reads_for_others, relies_on_readers};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply, WatchEvent};
@@ -186,6 +187,8 @@
             return;
         }
         slog::info!(self.gateway.log, "store regained"; "kind" => self.kind_name());
+        let now = self.gateway.clock.now();
+        self.gateway.beliefs().store_returned_at = Some(now);
         if self.kind == StoreKind::Configuration {
             self.gateway.store_recovered.notify(usize::MAX);
         }
@@ -247,7 +250,7 @@
     let mut backoff = Backoff::new();
     loop {
         let (objects, mut revision, _) = feed.list(&mut backoff).await;
-        replace_engines(&gateway, &objects, revision);
+        take_list_of_engines(&gateway, &objects, revision);
         while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
             let has_events = !events.is_empty();
             for event in events {
@@ -269,7 +272,7 @@
     }
 }
 
-fn replace_engines(gateway: &Gateway, objects: &[StoreObject], revision: u64) {
+fn take_list_of_engines(gateway: &Arc<Gateway>, objects: &[StoreObject], revision: u64) {
     let read = objects.iter().map(|object| gateway.site.engine(object));
     let mut records = Vec::new();
     for result in read {
@@ -281,21 +284,17 @@
         }
     }
     let count = records.len();
-    let mut beliefs = gateway.beliefs();
-    beliefs.engines.replace_all(records, revision);
-    beliefs.engines_listed = true;
-    drop(beliefs);
+    replace_engines(gateway, records, revision);
     gateway.metrics.engines.set(count as i64);
     slog::info!(gateway.log, "engines listed"; "count" => count);
 }
 
 /// Takes in a change of an engine, from the store or from another node.
-pub fn take_engine(gateway: &Gateway, event: &WatchEvent) {
+pub fn take_engine(gateway: &Arc<Gateway>, event: &WatchEvent) {
     let object = &event.object;
     if event.is_gone {
         let instance = InstanceId(object.name.clone());
-        let removed = gateway.beliefs().engines.remove(&instance, object.revision);
-        if removed {
+        if remove_engine(gateway, instance, object.revision) {
             slog::info!(gateway.log, "engine gone";
                 "engine" => &object.name, "revision" => object.revision);
         }
--- /dev/null
+++ b/crates/gateway/src/store/lapsed.rs
@@ -0,0 +1,66 @@
+//! Engines whose entries lapsed while the store was away.
+//!
+//! An engine renews its entry in the store, so a store that comes back may lack the
+//! entries of engines that live. They write them again within a short time; until
+//! then the engines are kept, or a node would have none to send requests to.
+
+use crate::state::Gateway;
+use crate::time::sleep;
+use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
+use std::sync::Arc;
+
+/// Time from the store's return within which living engines have written their
+/// entries again, in milliseconds.
+const BACK_WITHIN_MS: u64 = 2_000;
+
+/// Replaces the engines by those listed at a revision. Shortly after the store's
+/// return, engines that are missing are given time to come back.
+pub fn replace_engines(gateway: &Arc<Gateway>, records: Vec<EngineRecord>, revision: u64) {
+    let missing = gateway.beliefs().engines.missing_in(&records);
+    for record in records {
+        gateway.beliefs().engines.upsert(record);
+    }
+    for instance in missing {
+        remove_engine(gateway, instance, revision);
+    }
+    gateway.beliefs().engines_listed = true;
+}
+
+/// Forgets an engine whose entry is gone since a revision: at once, or, shortly
+/// after the store's return, when it has not come back in time. An engine that said
+/// that it leaves goes at once. Tells whether it went at once.
+pub fn remove_engine(gateway: &Arc<Gateway>, instance: InstanceId, revision: u64) -> bool {
+    let wait_ms = match announced_its_end(gateway, &instance) {
+        true => 0,
+        false => time_to_come_back_ms(gateway),
+    };
+    if wait_ms == 0 {
+        return gateway.beliefs().engines.remove(&instance, revision);
+    }
+    slog::info!(gateway.log, "engine lapsed";
+        "engine" => &instance.0, "revision" => revision, "wait_ms" => wait_ms);
+    let gateway = Arc::clone(gateway);
+    smol::spawn(async move {
+        sleep(wait_ms).await;
+        // An entry that was written since has a later revision, and stays.
+        if gateway.beliefs().engines.remove(&instance, revision) {
+            slog::info!(gateway.log, "engine gone";
+                "engine" => &instance.0, "revision" => revision);
+        }
+    })
+    .detach();
+    false
+}
+
+fn announced_its_end(gateway: &Gateway, instance: &InstanceId) -> bool {
+    let beliefs = gateway.beliefs();
+    let known = beliefs.engines.get(instance);
+    known.is_some_and(|engine| engine.record.is_leaving)
+}
+
+/// Time that is left to engines whose entries lapsed, in milliseconds.
+fn time_to_come_back_ms(gateway: &Gateway) -> u64 {
+    let now = gateway.clock.now();
+    let returned_at = gateway.beliefs().store_returned_at;
+    returned_at.map_or(0, |at| BACK_WITHIN_MS.saturating_sub(now.since(at)))
+}
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer_time;
 mod client;
 mod feed;
+mod lapsed;
 
 pub use client::StoreClient;
 pub use feed::{
--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_gateway::ports::{StoreError, StoreKind};
 use ploverlift_gateway::store::answer_time::AnswerTime;
 use ploverlift_gateway::store::StoreClient;
@@ -216,3 +217,53 @@
         assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 200);
     });
 }
+
+/// A site whose store is back after a failure, and has lost the entry of an engine.
+async fn after_an_entry_lapsed(app: &StandInEngine) -> Fixture {
+    let fixture = Fixture::new(&[app]).await;
+    let is_lost = || fixture.gateway.beliefs().store_returned_at.is_none();
+    fixture.store.set_fault(StoreFault::Status(503));
+    // A watch that waits ends within the time that tests give it; the next fails.
+    while fixture.gateway.metrics.store_failures.get() == 0 {
+        fixture.send(&request("nowhere.test", "r")).await;
+    }
+    fixture.store.remove("Engines", "app-1");
+    fixture.store.set_fault(StoreFault::None);
+    while is_lost() {
+        fixture.send(&request("nowhere.test", "r")).await;
+    }
+    fixture
+}
+
+#[test]
+fn an_engine_whose_entry_lapsed_while_the_store_was_away_serves_until_it_is_back() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = after_an_entry_lapsed(&app).await;
+        let revision = fixture.store.put("Engines", "app-1", app.record());
+        let known = || {
+            let beliefs = fixture.gateway.beliefs();
+            let instance = InstanceId("app-1".to_owned());
+            beliefs
+                .engines
+                .get(&instance)
+                .map(|engine| engine.record.revision)
+        };
+        while known() != Some(revision) {
+            assert!(known().is_some());
+            assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 200);
+        }
+    });
+}
+
+#[test]
+fn an_engine_that_does_not_come_back_after_the_store_did_is_gone() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = after_an_entry_lapsed(&app).await;
+        while !fixture.gateway.beliefs().engines.is_empty() {
+            fixture.send(&request("nowhere.test", "r")).await;
+        }
+        assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 503);
+    });
+}
