--- a/crates/balancing/src/prefix_holders.rs
+++ b/crates/balancing/src/prefix_holders.rs
@@ -13,8 +13,6 @@
 
 /// Time for which an engine counts as a holder, in milliseconds.
 const HELD_MS: u64 = 15_000;
-/// Time for which the use of a part is remembered, in milliseconds.
-const REMEMBERED_MS: u64 = 30_000;
 /// Time after which a holder that is still used is reported again, in
 /// milliseconds.
 const REPORT_AGAIN_MS: u64 = 5_000;
@@ -53,7 +51,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct PrefixHolders {
     holders: HashMap<PartKey, Vec<Holder>>,
-    used: HashMap<PartKey, Millis>,
     news: VecDeque<Placement>,
     news_dropped: u64,
     swept_at: Millis,
@@ -101,7 +98,6 @@
     /// An engine has read a part; tells when it was last known to have.
     fn note_read(&mut self, part: PartKey, engine: EngineTag, now: Millis) -> Option<Millis> {
         self.sweep(now);
-        self.used.insert(part, now);
         let holders = self.holders.entry(part).or_default();
         let known = holders.iter_mut().find(|holder| holder.engine == engine);
         if let Some(holder) = known {
@@ -136,12 +132,6 @@
         }
     }
 
-    /// Whether any engine has read a part lately, be it kept or not.
-    pub fn was_used(&self, part: PartKey, now: Millis) -> bool {
-        let used_at = self.used.get(&part);
-        used_at.is_some_and(|used_at| now.since(*used_at) < REMEMBERED_MS)
-    }
-
     /// Time since an engine last used a part, in milliseconds; nothing when it is
     /// not taken to keep it any longer.
     pub fn age_ms(&self, part: PartKey, engine: EngineTag, now: Millis) -> Option<u64> {
@@ -168,16 +158,16 @@
 
     /// Parts that are remembered.
     pub fn len(&self) -> usize {
-        self.used.len()
+        self.holders.len()
     }
 
     /// Whether no part is remembered.
     pub fn is_empty(&self) -> bool {
-        self.used.is_empty()
+        self.holders.is_empty()
     }
 
     fn sweep(&mut self, now: Millis) {
-        let is_full = self.used.len() >= MAX_PARTS;
+        let is_full = self.holders.len() >= MAX_PARTS;
         if now.since(self.swept_at) < SWEEP_PERIOD_MS && !is_full {
             return;
         }
@@ -186,11 +176,8 @@
             holders.retain(|holder| now.since(holder.used_at) < HELD_MS);
             !holders.is_empty()
         });
-        self.used
-            .retain(|_, used_at| now.since(*used_at) < REMEMBERED_MS);
-        if self.used.len() >= MAX_PARTS {
+        if self.holders.len() >= MAX_PARTS {
             self.holders.clear();
-            self.used.clear();
         }
     }
 }
