--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -223,16 +223,19 @@
         }
     }
 
-    /// Another node had the engine load these weights.
-    pub fn note_loaded_weights(&mut self, loaded: &LoadedWeights) {
+    /// Another node had the engine load these weights; tells whether that was news.
+    pub fn note_loaded_weights(&mut self, loaded: &LoadedWeights) -> bool {
+        let mut is_news = false;
         let engines = self.engines.values_mut();
         for engine in engines.filter(|engine| engine.tag == loaded.engine) {
             let mut weights = engine.record.weights.iter_mut();
             let held = weights.find(|(model, _)| ModelTag::of(model) == loaded.model);
             if let Some((_, version)) = held {
+                is_news |= *version < loaded.version;
                 *version = loaded.version.max(*version);
             }
         }
+        is_news
     }
 
     /// The engine is taken to be loading weights until then.
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
+//! | [`relayed_loads`] | the same as relays sum it up in large fleets |
 //! | [`prefix_holders`] | where shared parts of prompts were read, as nodes tell each other |
 //! | [`prefix_reach`] | what each engine holds of one prompt, and where the rest can be had |
 //! | [`reading_rate`] | how fast engines read prompts, learned from their answers |
@@ -35,6 +36,7 @@
 pub mod prefix_holders;
 pub mod prefix_reach;
 pub mod reading_rate;
+pub mod relayed_loads;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod selection;
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -11,6 +11,7 @@
 //! ```
 
 use crate::catalogue::{EngineCatalogue, InstanceId};
+use crate::relayed_loads::RelayedLoads;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use xxhash_rust::xxh3::xxh3_64;
@@ -90,16 +91,17 @@
 }
 
 impl EngineLoad {
-    fn is_none(&self) -> bool {
+    pub(crate) fn is_none(&self) -> bool {
         *self == Self::default()
     }
 
-    fn add(&mut self, other: EngineLoad) {
+    /// Adds requests.
+    pub fn add(&mut self, other: EngineLoad) {
         self.requests += other.requests;
         self.waiting_tokens += other.waiting_tokens;
     }
 
-    fn subtract(&mut self, other: EngineLoad) {
+    pub(crate) fn subtract(&mut self, other: EngineLoad) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.waiting_tokens = self.waiting_tokens.saturating_sub(other.waiting_tokens);
     }
@@ -139,6 +141,9 @@
 pub struct PeerLoads {
     peers: BTreeMap<PeerId, Peer>,
     totals: HashMap<EngineTag, EngineLoad>,
+    /// What relays tell, where there are any. It goes before what single nodes
+    /// told: they are in its sums.
+    pub relayed: RelayedLoads,
 }
 
 impl PeerLoads {
@@ -178,8 +183,9 @@
         true
     }
 
-    /// Forgets nodes that were not heard of lately.
+    /// Forgets nodes and relays that were not heard of lately.
     pub fn expire(&mut self, now: Millis) {
+        self.relayed.expire(now);
         let silent: Vec<PeerId> = self
             .peers
             .iter()
@@ -194,13 +200,40 @@
 
     /// The load of all other nodes at an engine.
     pub fn at(&self, engine: EngineTag) -> EngineLoad {
-        self.totals.get(&engine).copied().unwrap_or_default()
+        let relayed = self.relayed.at(engine);
+        relayed.unwrap_or_else(|| self.totals.get(&engine).copied().unwrap_or_default())
+    }
+
+    /// The loads of all nodes that reported to this one, by engine.
+    pub fn totals(&self) -> impl Iterator<Item = (EngineTag, EngineLoad)> + '_ {
+        self.totals.iter().map(|(engine, load)| (*engine, *load))
+    }
+
+    /// The loads of the nodes of one zone that reported to this one, by engine.
+    pub fn zone_totals(&self, zone: ZoneTag) -> HashMap<EngineTag, EngineLoad> {
+        let mut totals: HashMap<EngineTag, EngineLoad> = HashMap::new();
+        for peer in self.peers.values().filter(|peer| peer.zone == zone) {
+            for (engine, load) in &peer.loads {
+                totals.entry(*engine).or_default().add(*load);
+            }
+        }
+        totals
+    }
+
+    /// Engines that load weights by the order of any node that reported to this
+    /// one and that `counts`.
+    pub fn loading_of(&self, counts: impl Fn(ZoneTag) -> bool) -> Vec<EngineTag> {
+        let peers = self.peers.values().filter(|peer| counts(peer.zone));
+        let mut loading: Vec<EngineTag> = peers.flat_map(|peer| peer.loading.clone()).collect();
+        loading.sort();
+        loading.dedup();
+        loading
     }
 
     /// Whether another node has the engine load weights.
     pub fn is_loading(&self, engine: EngineTag) -> bool {
         let mut peers = self.peers.values();
-        peers.any(|peer| peer.loading.contains(&engine))
+        self.relayed.is_loading(engine) || peers.any(|peer| peer.loading.contains(&engine))
     }
 
     /// The place of a node in the order of all nodes that were heard of lately;
@@ -209,22 +242,14 @@
         self.peers.range(..own).count()
     }
 
-    /// The first nodes of a zone in the order of all that were heard of lately and
-    /// come before this node, at most so many.
-    pub fn first_in_zone(&self, zone: ZoneTag, own: PeerId, count: usize) -> Vec<PeerId> {
-        let before = self.peers.range(..own);
-        let near = before.filter(|(_, peer)| peer.zone == zone);
-        near.map(|(id, _)| *id).take(count).collect()
-    }
-
     /// The nodes that were heard of lately, and their zones.
     pub fn peers(&self) -> impl Iterator<Item = (PeerId, ZoneTag)> + '_ {
         self.peers.iter().map(|(id, peer)| (*id, peer.zone))
     }
 
-    /// Nodes that were heard of lately.
+    /// Nodes that were heard of lately, by their own reports or a relay's.
     pub fn peer_count(&self) -> usize {
-        self.peers.len()
+        self.peers.len().max(self.relayed.members().len())
     }
 
     fn take_off(&mut self, id: PeerId) {
@@ -306,7 +331,8 @@
     }
 }
 
-fn present_loads(catalogue: &EngineCatalogue) -> HashMap<EngineTag, EngineLoad> {
+/// This node's own requests by engine.
+pub fn present_loads(catalogue: &EngineCatalogue) -> HashMap<EngineTag, EngineLoad> {
     let engines = catalogue.iter().filter(|engine| engine.in_flight > 0);
     let loads = engines.map(|engine| {
         let load = EngineLoad {
--- a/crates/balancing/src/prefix_holders.rs
+++ b/crates/balancing/src/prefix_holders.rs
@@ -16,6 +16,10 @@
 /// Time after which a holder that is still used is reported again, in
 /// milliseconds.
 const REPORT_AGAIN_MS: u64 = 5_000;
+/// Time after which a relay passes on a holder again that a node reported again,
+/// in milliseconds. Shorter than the nodes' own period, so that each of their
+/// reports passes once.
+const TOLD_AGAIN_MS: u64 = REPORT_AGAIN_MS / 2;
 /// Engines that are remembered for each part: the latest ones. A part with which
 /// many prompts begin is kept by most engines.
 const MAX_HOLDERS: usize = 128;
@@ -47,6 +51,17 @@
     pub is_kept: bool,
 }
 
+/// What a placement that another node told changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementNews {
+    /// Nothing.
+    Known,
+    /// One more or one fewer engine keeps the part.
+    Changed,
+    /// The first engine keeps it, or the last one dropped it.
+    FirstOrLast,
+}
+
 /// Holders by part.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixHolders {
@@ -86,13 +101,32 @@
         }
     }
 
-    /// Takes in what another node tells.
-    pub fn note(&mut self, placement: Placement, now: Millis) {
-        if placement.is_kept {
-            self.note_read(placement.part, placement.engine, now);
-        } else {
-            self.forget(placement.part, placement.engine, now);
+    /// Takes in what another node tells; says what that changes.
+    pub fn note(&mut self, placement: Placement, now: Millis) -> PlacementNews {
+        if !placement.is_kept {
+            let was_kept = self.forget(placement.part, placement.engine, now);
+            return match was_kept {
+                true if self.is_held(placement.part, now) => PlacementNews::Changed,
+                true => PlacementNews::FirstOrLast,
+                false => PlacementNews::Known,
+            };
         }
+        let was_held = self.is_held(placement.part, now);
+        match self.note_read(placement.part, placement.engine, now) {
+            _ if !was_held => PlacementNews::FirstOrLast,
+            None => PlacementNews::Changed,
+            Some(used_at) if now.since(used_at) >= TOLD_AGAIN_MS => PlacementNews::Changed,
+            Some(_) => PlacementNews::Known,
+        }
+    }
+
+    /// Whether any engine is taken to keep a part.
+    fn is_held(&self, part: PartKey, now: Millis) -> bool {
+        let holders = self.holders.get(&part);
+        holders.is_some_and(|holders| {
+            let mut holders = holders.iter();
+            holders.any(|holder| now.since(holder.used_at) < HELD_MS)
+        })
     }
 
     /// An engine has read a part; tells when it was last known to have.
--- a/crates/balancing/src/weights.rs
+++ b/crates/balancing/src/weights.rs
@@ -99,6 +99,12 @@
         Some((newest.version, newest.since))
     }
 
+    /// The newest version of each model.
+    pub fn newest_of_all(&self) -> impl Iterator<Item = (&str, u64)> {
+        let newest = self.by_model.iter();
+        newest.filter_map(|(model, named)| Some((model.as_str(), named.last()?.version)))
+    }
+
     /// When the first version above `version` was named; nothing when there is
     /// none.
     pub fn first_newer(&self, model: &str, version: u64) -> Option<Millis> {
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -463,18 +463,6 @@
     assert_eq!(next, 1_000 - 256 + 16);
 }
 
-#[test]
-fn the_first_nodes_of_each_zone_come_from_that_zone() {
-    let mut loads = PeerLoads::default();
-    for node in [2, 4, 6, 8, 1, 3] {
-        loads.apply(&report(node, 1, &[]), NOW);
-    }
-    let first = |zone, own| loads.first_in_zone(ZoneTag(zone), PeerId(own), 2);
-    assert_eq!(first(0, 9), [PeerId(2), PeerId(4)]);
-    assert_eq!(first(0, 3), [PeerId(2)]);
-    assert_eq!(first(1, 9), [PeerId(1), PeerId(3)]);
-}
-
 #[test]
 fn a_prompt_that_must_be_read_is_read_on_the_newest_weights() {
     let old = [1, 1, 1, 2, 1, 1];
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -3,10 +3,11 @@
 use crate::cache_feeds::{follow_cache_store, follow_engine_caches};
 use crate::callers::{accept_callers, bind};
 use crate::peers::address_book::Reach;
-use crate::peers::discovery::find_peers;
-use crate::peers::freshness::ask_for_proofs;
+use crate::peers::discovery::{find_peers, NodeRecord};
+use crate::peers::receive_messages;
+use crate::peers::relay::Relay;
 use crate::peers::reports::ReportStream;
-use crate::peers::{pass_on_changes, receive_messages};
+use crate::peers::snapshot::{answer_snapshots, fetch_snapshots};
 use crate::ports::Site;
 use crate::readiness::{answer_metrics, answer_readiness};
 use crate::settings::{GatewaySettings, SettingsError};
@@ -91,18 +92,20 @@
         tasks.push(smol::spawn(answer_metrics(Arc::clone(&gateway), listener)));
     }
     if let Some(address) = gateway.settings().listen.peers {
-        let socket = Arc::new(listen_for_peers(address)?);
-        let own = socket.local_addr().unwrap_or(address);
-        gateway.address_book().set_own(own);
+        let (socket, snapshots, own) = listen_for_peers(address)?;
+        let record = NodeRecord::of(&gateway, own);
+        let listed = record.listed(&gateway.settings().node.name);
+        gateway.address_book().set_own(listed);
         for reach in [Reach::Near, Reach::Far] {
             let stream = ReportStream::new(Arc::clone(&gateway), Arc::clone(&socket), reach);
             tasks.push(smol::spawn(stream.run()));
         }
         let receiving = receive_messages(Arc::clone(&gateway), Arc::clone(&socket));
         tasks.push(smol::spawn(receiving));
-        let passing = pass_on_changes(Arc::clone(&gateway), Arc::clone(&socket));
-        tasks.push(smol::spawn(passing));
-        tasks.push(smol::spawn(ask_for_proofs(Arc::clone(&gateway), socket)));
+        tasks.push(smol::spawn(Relay::new(Arc::clone(&gateway), socket).run()));
+        let answering = answer_snapshots(Arc::clone(&gateway), snapshots);
+        tasks.push(smol::spawn(answering));
+        tasks.push(smol::spawn(fetch_snapshots(Arc::clone(&gateway))));
         tasks.push(smol::spawn(find_peers(Arc::clone(&gateway), own)));
     }
     slog::info!(gateway.log, "started";
@@ -128,13 +131,40 @@
     Ok((bound, local))
 }
 
-fn listen_for_peers(address: SocketAddr) -> Result<UdpSocket, StartError> {
-    let bound = std::net::UdpSocket::bind(address).and_then(|socket| {
-        socket.set_nonblocking(true)?;
-        UdpSocket::try_from(socket)
-    });
-    let purpose = "peers";
-    bound.context(ListenSnafu { address, purpose })
+/// Attempts to find a port that is free for both UDP and TCP, where the settings
+/// leave the port open.
+const PORT_ATTEMPTS: usize = 16;
+
+/// Binds one port twice: UDP for reports, TCP for snapshots.
+fn listen_for_peers(
+    address: SocketAddr,
+) -> Result<(Arc<UdpSocket>, TcpListener, SocketAddr), StartError> {
+    let attempts = match address.port() {
+        0 => PORT_ATTEMPTS,
+        _ => 1,
+    };
+    let mut attempt = 1;
+    loop {
+        let socket = bind_datagrams(address).context(ListenSnafu {
+            address,
+            purpose: "peers",
+        })?;
+        let own = socket.local_addr().context(ListenSnafu {
+            address,
+            purpose: "peers",
+        })?;
+        match listen(own, "snapshots") {
+            Ok((listener, _)) => return Ok((Arc::new(socket), listener, own)),
+            Err(error) if attempt >= attempts => return Err(error),
+            Err(_) => attempt += 1,
+        }
+    }
+}
+
+fn bind_datagrams(address: SocketAddr) -> std::io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::try_from(socket)
 }
 
 impl RunningGateway {
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -1,8 +1,12 @@
 //! What a node believes of its site, from the store, its traffic and other nodes.
 
+use crate::catalogue_log::CatalogueLog;
+use crate::peers::follower::FollowedRelays;
+use crate::peers::relay::RelayDuties;
+use crate::peers::relay_messages::EngineChange;
 use crate::settings::GatewaySettings;
 use ploverlift_balancing::cache_contents::CacheContents;
-use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
 use ploverlift_balancing::prefix_holders::PrefixHolders;
@@ -16,6 +20,7 @@
 use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
+use ploverlift_wire::peers::StoredConfiguration;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -85,10 +90,26 @@
 pub struct Beliefs {
     /// The newest configuration seen in this life of the process.
     pub configuration: Option<Arc<ActiveConfiguration>>,
+    /// The same as it is stored, for nodes that ask for it.
+    pub stored_configuration: Option<Arc<StoredConfiguration>>,
     /// When it was last proven to be the newest.
     pub freshness: Freshness,
+    /// When this node last read it from the store.
+    pub store_reached_at: Option<Millis>,
     /// Engines.
     pub engines: EngineCatalogue,
+    /// Their changes, numbered.
+    pub catalogue_log: CatalogueLog,
+    /// When, at the latest, this node knew all engines that the store has.
+    pub engines_known_at: Option<Millis>,
+    /// Revision of the store up to which they are known.
+    pub engines_revision: u64,
+    /// Relays that this node hears.
+    pub followed: FollowedRelays,
+    /// Nodes that take this one for a relay.
+    pub relaying: RelayDuties,
+    /// Whether the target versions were read or told once.
+    pub targets_listed: bool,
     /// When the store was last reached again after a failure.
     pub store_returned_at: Option<Millis>,
     /// Whether the engines were listed once.
@@ -155,6 +176,83 @@
         lately.map(|(_, loaded)| *loaded).collect()
     }
 
+    /// An engine was loaded by another node's order, and others should hear of it.
+    pub fn pass_on_loaded(&mut self, loaded: LoadedWeights, now: Millis) {
+        self.loaded
+            .retain(|(at, _)| now.since(*at) < LOADED_NEWS_MS);
+        self.loaded.push((now, loaded));
+    }
+
+    /// The newest renewal of the lease on orders that is known.
+    pub fn newest_lease(&self) -> Option<u64> {
+        let heard = self.heard_lease.map(|heard| heard.revision);
+        self.held_lease.max(heard)
+    }
+
+    /// The version of the configuration in force.
+    pub fn configuration_version(&self) -> Option<u64> {
+        let known = self.configuration.as_ref();
+        known.map(|known| known.document.version)
+    }
+
+    /// Takes in a new or changed engine; tells whether it was news.
+    pub fn upsert_engine(&mut self, record: EngineRecord, now: Millis) -> bool {
+        let change = EngineChange {
+            instance: record.instance.clone(),
+            revision: record.revision,
+            record: Some(record.clone()),
+        };
+        let is_news = self.engines.upsert(record);
+        if is_news {
+            self.catalogue_log.append(change, now);
+        }
+        is_news
+    }
+
+    /// Forgets an engine that is gone since a revision; tells whether it was news.
+    pub fn remove_engine(&mut self, instance: &InstanceId, revision: u64, now: Millis) -> bool {
+        let is_news = self.engines.remove(instance, revision);
+        if is_news {
+            let change = EngineChange {
+                instance: instance.clone(),
+                revision,
+                record: None,
+            };
+            self.catalogue_log.append(change, now);
+        }
+        is_news
+    }
+
+    /// Takes in a change of an engine that a relay told.
+    pub fn take_engine_change(&mut self, change: EngineChange, now: Millis) -> bool {
+        match change.record {
+            Some(record) => self.upsert_engine(record, now),
+            None => self.remove_engine(&change.instance, change.revision, now),
+        }
+    }
+
+    /// Takes over all engines as a relay knows them at a revision of the store.
+    pub fn replace_engines(&mut self, records: Vec<EngineRecord>, revision: u64, now: Millis) {
+        let missing = self.engines.missing_in(&records);
+        for record in records {
+            self.upsert_engine(record, now);
+        }
+        for instance in missing {
+            self.remove_engine(&instance, revision, now);
+        }
+        self.engines_revision = self.engines_revision.max(revision);
+        self.engines_listed = true;
+    }
+
+    /// A target version was read or told; tells whether it was news. `is_start`
+    /// says that it stood there when this process started.
+    pub fn name_target(&mut self, model: &str, version: u64, is_start: bool, now: Millis) -> bool {
+        match is_start {
+            true => self.weights.name_from_start(model, version, now),
+            false => self.weights.name(model, version, now),
+        }
+    }
+
     /// The holder of the lease on orders told of its last renewal.
     pub fn hear_of_lease(&mut self, revision: u64, now: Millis) {
         if self
@@ -202,13 +300,18 @@
     }
 
     /// Takes in a configuration if it is newer; tells whether it was.
-    pub fn take_configuration(&mut self, document: Configuration) -> bool {
+    pub fn take_configuration(
+        &mut self,
+        document: Configuration,
+        stored: StoredConfiguration,
+    ) -> bool {
         let known = self.configuration.as_ref();
         if known.is_some_and(|known| known.document.version >= document.version) {
             return false;
         }
         self.splitter.retain(&document.routes);
         self.configuration = Some(Arc::new(ActiveConfiguration::new(document)));
+        self.stored_configuration = Some(Arc::new(stored));
         true
     }
 }
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -97,6 +97,14 @@
 ) -> Option<usize> {
     let own = PeerId::of(&gateway.settings().node.name);
     let zone = ZoneTag::of(&engine.record.zone);
+    let relayed = &beliefs.peer_loads.relayed;
+    if relayed.is_heard() {
+        let members = relayed.members().iter().copied();
+        let others = members.filter(|member| *member != own);
+        let is_orphan = !relayed.has_nodes(zone) && uptime_ms >= FAR_AFTER_MS;
+        let may_follow = engine.record.zone == gateway.zone || is_orphan;
+        return may_follow.then(|| follower_rank(own, others, engine.tag));
+    }
     let peers = || beliefs.peer_loads.peers();
     if engine.record.zone == gateway.zone {
         let near = peers().filter(|(_, peer_zone)| *peer_zone == zone);
--- /dev/null
+++ b/crates/gateway/src/catalogue_log.rs
@@ -0,0 +1,88 @@
+//! Changes of the engines, numbered, for those who follow this node.
+//!
+//! A relay sends the changes of the last moments with each of its reports. A node
+//! that misses a number asks for all engines.
+
+use crate::peers::relay_messages::EngineChange;
+use ploverlift_policy::ids::Millis;
+use std::collections::VecDeque;
+
+/// Changes that are kept: those of a roll-out over hundreds of engines.
+const MAX_CHANGES: usize = 512;
+
+#[derive(Clone, Debug)]
+struct Numbered {
+    noted_at: Millis,
+    change: EngineChange,
+}
+
+/// The last changes, in order.
+#[derive(Clone, Debug, Default)]
+pub struct CatalogueLog {
+    changes: VecDeque<Numbered>,
+    through: u64,
+}
+
+/// A part of the log: the changes with the numbers after `after` up to `through`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogPart {
+    /// Number of the change before the first one.
+    pub after: u64,
+    /// Number of the last one.
+    pub through: u64,
+    /// The changes.
+    pub changes: Vec<EngineChange>,
+}
+
+impl CatalogueLog {
+    /// Adds a change.
+    pub fn append(&mut self, change: EngineChange, now: Millis) {
+        if self.changes.len() >= MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self.through += 1;
+        self.changes.push_back(Numbered {
+            noted_at: now,
+            change,
+        });
+    }
+
+    /// Number of the last change, 0 before the first.
+    pub fn through(&self) -> u64 {
+        self.through
+    }
+
+    /// The changes of the last so many milliseconds.
+    pub fn latest(&self, window_ms: u64, now: Millis) -> LogPart {
+        let is_old = |known: &&Numbered| now.since(known.noted_at) > window_ms;
+        let old = self.changes.iter().take_while(is_old).count();
+        let latest = self.changes.iter().skip(old);
+        let changes: Vec<EngineChange> = latest.map(|known| known.change.clone()).collect();
+        LogPart {
+            after: self.through - changes.len() as u64,
+            through: self.through,
+            changes,
+        }
+    }
+}
+
+impl LogPart {
+    /// The part in pieces of at most so many changes; one empty piece when there
+    /// are none.
+    pub fn pieces(&self, size: usize) -> Vec<LogPart> {
+        if self.changes.is_empty() {
+            return vec![self.clone()];
+        }
+        let mut after = self.after;
+        let pieces = self.changes.chunks(size).map(|changes| {
+            let piece = LogPart {
+                after,
+                through: after + changes.len() as u64,
+                changes: changes.to_vec(),
+            };
+            after = piece.through;
+            piece
+        });
+        pieces.collect()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod beliefs;
 pub mod cache_feeds;
 pub mod callers;
+pub mod catalogue_log;
 pub mod engine_connection;
 pub mod http_call;
 pub mod kept_connections;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a node, in the OpenMetrics text format.
 
+use crate::ports::StoreCall;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -22,6 +23,15 @@
     pub outcome: &'static str,
 }
 
+/// A kind of call of the object store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreCallLabel {
+    /// What it does: list, list_stale, get, watch, create or replace.
+    pub call: &'static str,
+    /// The kind of objects.
+    pub kind: &'static str,
+}
+
 /// All metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -33,8 +43,8 @@
     pub repeats: Counter,
     /// Requests sent on a connection that was used before.
     pub reused_connections: Counter,
-    /// Calls of the object store.
-    pub store_calls: Counter,
+    /// Calls of the object store, by what they do and of which kind.
+    pub store_calls: Family<StoreCallLabel, Counter>,
     /// Calls of the object store that failed.
     pub store_failures: Counter,
     /// Orders to engines.
@@ -61,7 +71,7 @@
             attempts: Counter::default(),
             repeats: Counter::default(),
             reused_connections: Counter::default(),
-            store_calls: Counter::default(),
+            store_calls: Family::default(),
             store_failures: Counter::default(),
             orders: Counter::default(),
             configuration_version: Gauge::default(),
@@ -80,6 +90,15 @@
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a call of the object store.
+    pub fn count_store_call(&self, call: &StoreCall) {
+        let label = StoreCallLabel {
+            call: call.name(),
+            kind: call.kind().name(),
+        };
+        self.store_calls.get_or_create(&label).inc();
+    }
+
     /// The page as it is now.
     pub fn page(&self) -> String {
         let mut registry = Registry::with_prefix(PREFIX);
@@ -96,11 +115,6 @@
                 "Requests sent on a kept connection",
                 &self.reused_connections,
             ),
-            (
-                "store_calls",
-                "Calls of the object store",
-                &self.store_calls,
-            ),
             (
                 "store_failures",
                 "Failed calls of the store",
@@ -116,6 +130,8 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        let help = "Calls of the object store by what they do and of which kind";
+        registry.register("store_calls", help, self.store_calls.clone());
         let version = self.configuration_version.clone();
         registry.register("configuration_version", "Configuration in force", version);
         registry.register("engines", "Engines in the catalogue", self.engines.clone());
--- a/crates/gateway/src/peers/address_book.rs
+++ b/crates/gateway/src/peers/address_book.rs
@@ -1,7 +1,7 @@
 //! Whom reports are sent to: nodes that the object store names, and nodes that
-//! were heard of.
+//! were heard of. It also says which nodes of a zone relay for the others.
 
-use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_policy::ids::Millis;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,6 +15,14 @@
 const SILENT_AFTER_MS: u64 = 5_000;
 /// Time between two reports to a silent node, in milliseconds.
 const SILENT_PERIOD_MS: u64 = 1_000;
+/// Nodes up to which each reports to each other one. Reports then cost less than
+/// relays would; every deployment seen has either at most 8 nodes or at least 59.
+pub const MESH_NODES: usize = 20;
+/// Nodes of a zone that relay for the others: one may be lost without notice.
+pub const RELAYS_PER_ZONE: usize = 2;
+/// Time without an answer after which the next node relays in a node's place, in
+/// milliseconds: a relay reports every 100 ms, and some reports are lost.
+const SUSPECTED_AFTER_MS: u64 = 700;
 
 /// Which nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,34 +33,61 @@
     Far,
 }
 
+/// What makes a node fit to relay; the larger one relays first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Capacity {
+    /// Its share of a core, in thousandths.
+    pub cpu_thousandths: u32,
+    /// The bandwidth of its link, in megabits a second.
+    pub link_mbps: u32,
+}
+
+/// A node's record in the object store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListedNode {
+    /// The node.
+    pub id: PeerId,
+    /// Where it receives reports.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneTag,
+    /// What it can bear.
+    pub capacity: Capacity,
+}
+
+/// A node and where it receives reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// The node.
+    pub id: PeerId,
+    /// Where it receives reports.
+    pub address: SocketAddr,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Contact {
     id: Option<PeerId>,
-    is_listed: bool,
-    is_near: bool,
+    listed: Option<ListedNode>,
     heard_at: Option<Millis>,
     tried_at: Option<Millis>,
+    /// Since when this node waits for an answer.
+    unanswered_since: Option<Millis>,
 }
 
 /// Addresses of the other nodes.
 #[derive(Clone, Debug, Default)]
 pub struct AddressBook {
-    own: Option<SocketAddr>,
+    own: Option<ListedNode>,
     contacts: BTreeMap<SocketAddr, Contact>,
-}
-
-/// A node's record in the object store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ListedNode {
-    /// Where it receives reports.
-    pub address: SocketAddr,
-    /// Whether it is in the zone of this node.
-    pub is_near: bool,
+    /// Listed nodes of each zone, this one included, those that relay first in
+    /// front.
+    by_zone: BTreeMap<u32, Vec<ListedNode>>,
+    lists: u32,
 }
 
 impl AddressBook {
-    /// This node's own address, to which nothing is sent.
-    pub fn set_own(&mut self, own: SocketAddr) {
+    /// This node itself, to which nothing is sent.
+    pub fn set_own(&mut self, own: ListedNode) {
         self.own = Some(own);
     }
 
@@ -60,16 +95,37 @@
     /// were heard of lately are forgotten.
     pub fn take_list(&mut self, nodes: &[ListedNode], now: Millis) {
         for contact in self.contacts.values_mut() {
-            contact.is_listed = false;
+            contact.listed = None;
         }
+        self.by_zone.clear();
         let own = self.own;
-        for node in nodes.iter().filter(|node| Some(node.address) != own) {
-            let contact = self.contact(node.address);
-            contact.is_listed = true;
-            contact.is_near = node.is_near;
+        for node in nodes {
+            let is_own = own.is_some_and(|own| own.address == node.address);
+            if !is_own {
+                self.contact(node.address).listed = Some(*node);
+            }
+        }
+        let others = self.contacts.values().filter_map(|contact| contact.listed);
+        for node in others.chain(own) {
+            self.by_zone.entry(node.zone.0).or_default().push(node);
+        }
+        for nodes in self.by_zone.values_mut() {
+            nodes.sort_by_key(|node| (std::cmp::Reverse(node.capacity), node.id));
         }
         self.contacts
-            .retain(|_, contact| contact.is_listed || contact.is_live(now));
+            .retain(|_, contact| contact.listed.is_some() || contact.is_live(now));
+        self.lists += 1;
+    }
+
+    /// Lists that were taken in.
+    pub fn lists(&self) -> u32 {
+        self.lists
+    }
+
+    /// Whether there are so many nodes that they report to relays.
+    pub fn has_relays(&self) -> bool {
+        let listed: usize = self.by_zone.values().map(Vec::len).sum();
+        listed > MESH_NODES
     }
 
     /// A node was heard of.
@@ -78,31 +134,76 @@
             let contact = self.contact(address);
             contact.id = Some(id);
             contact.heard_at = Some(now);
+            contact.unanswered_since = None;
         }
     }
 
-    /// Where a node was last heard of.
-    pub fn address_of(&self, id: PeerId) -> Option<SocketAddr> {
-        let known = self.contacts.iter();
-        let known = known.filter(|(_, contact)| contact.id == Some(id));
-        let last = known.max_by_key(|(_, contact)| contact.heard_at);
-        last.map(|(address, _)| *address)
+    /// Something was sent that a node answers.
+    pub fn note_asked(&mut self, address: SocketAddr, now: Millis) {
+        let contact = self.contact(address);
+        contact.tried_at = Some(now);
+        contact.unanswered_since.get_or_insert(now);
+    }
+
+    /// The nodes that relay for a zone, as far as this node can tell: the first
+    /// ones that are not suspected. This node may be one of them.
+    pub fn relays_of(&self, zone: ZoneTag, now: Millis) -> Vec<PeerAddress> {
+        let listed = self.by_zone.get(&zone.0).into_iter().flatten();
+        let fit = listed.filter(|node| !self.is_suspected(node.address, now));
+        let relays = fit.take(RELAYS_PER_ZONE).map(|node| PeerAddress {
+            id: node.id,
+            address: node.address,
+        });
+        relays.collect()
     }
 
-    /// Nodes of the own zone that were heard of lately.
-    pub fn live_near(&self, now: Millis) -> Vec<SocketAddr> {
-        let contacts = self.contacts.iter();
-        let live = contacts.filter(|(_, contact)| contact.is_near && contact.is_live(now));
-        live.map(|(address, _)| *address).collect()
+    /// Nodes that would relay for a zone if they answered, and that it is time to
+    /// ask again.
+    pub fn relays_to_probe(&self, zone: ZoneTag, now: Millis) -> Vec<SocketAddr> {
+        let listed = self.by_zone.get(&zone.0).into_iter().flatten();
+        let before_last_relay = match self.relays_of(zone, now).last() {
+            None => listed.collect::<Vec<_>>(),
+            Some(last) => listed.take_while(|node| node.id != last.id).collect(),
+        };
+        let suspected = before_last_relay.into_iter().map(|node| node.address);
+        let suspected = suspected.filter(|address| self.is_suspected(*address, now));
+        let due = suspected.filter(|address| {
+            let tried_at = self.contacts.get(address).and_then(|known| known.tried_at);
+            tried_at.is_none_or(|at| now.since(at) >= SILENT_PERIOD_MS)
+        });
+        due.take(RELAYS_PER_ZONE).collect()
     }
 
-    /// Nodes to which the next report goes.
+    /// Zones that have a listed node.
+    pub fn zones(&self) -> Vec<ZoneTag> {
+        self.by_zone.keys().copied().map(ZoneTag).collect()
+    }
+
+    /// The place of a node among the relays of all zones; nothing when it is none.
+    pub fn relay_rank(&self, own: PeerId, now: Millis) -> Option<usize> {
+        let zones = self.by_zone.keys().copied().map(ZoneTag);
+        let mut relays: Vec<PeerId> = zones
+            .flat_map(|zone| self.relays_of(zone, now))
+            .map(|relay| relay.id)
+            .collect();
+        relays.sort();
+        relays.iter().position(|relay| *relay == own)
+    }
+
+    fn is_suspected(&self, address: SocketAddr, now: Millis) -> bool {
+        let contact = self.contacts.get(&address);
+        let since = contact.and_then(|contact| contact.unanswered_since);
+        since.is_some_and(|since| now.since(since) >= SUSPECTED_AFTER_MS)
+    }
+
+    /// Nodes to which the next report goes where nodes report to each other.
     pub fn receivers(&mut self, reach: Reach, now: Millis) -> Vec<SocketAddr> {
         let is_near = reach == Reach::Near;
+        let own_zone = self.own.map(|own| own.zone);
         let mut due: Vec<(bool, Option<Millis>, SocketAddr)> = self
             .contacts
             .iter()
-            .filter(|(_, contact)| contact.is_near == is_near && contact.is_due(now))
+            .filter(|(_, contact)| contact.is_in(own_zone) == is_near && contact.is_due(now))
             .map(|(address, contact)| (!contact.is_live(now), contact.tried_at, *address))
             .collect();
         // Where there are too many, each has its turn.
@@ -127,15 +228,19 @@
     fn contact(&mut self, address: SocketAddr) -> &mut Contact {
         self.contacts.entry(address).or_insert(Contact {
             id: None,
-            is_listed: false,
-            is_near: false,
+            listed: None,
             heard_at: None,
             tried_at: None,
+            unanswered_since: None,
         })
     }
 }
 
 impl Contact {
+    fn is_in(&self, zone: Option<ZoneTag>) -> bool {
+        self.listed.is_some_and(|listed| Some(listed.zone) == zone)
+    }
+
     fn is_live(&self, now: Millis) -> bool {
         let heard_at = self.heard_at;
         heard_at.is_some_and(|heard_at| now.since(heard_at) < SILENT_AFTER_MS)
--- a/crates/gateway/src/peers/discovery.rs
+++ b/crates/gateway/src/peers/discovery.rs
@@ -1,11 +1,14 @@
 //! Nodes find each other by records in the object store. Whoever is sent a
 //! report answers with reports of its own, so one side's knowledge is enough.
 
-use super::address_book::ListedNode;
+use super::address_book::{Capacity, ListedNode};
+use crate::peers::roles::lists_at_start;
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
 use crate::store::StoreClient;
 use crate::time::sleep;
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
+use ploverlift_policy::ids::ZoneName;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,20 +31,52 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: String,
+    /// Its share of a core, in thousandths.
+    #[serde(default)]
+    pub cpu_thousandths: u32,
+    /// The bandwidth of its link, in megabits a second.
+    #[serde(default)]
+    pub link_mbps: u32,
+}
+
+impl NodeRecord {
+    /// The record of this node, which receives reports at `address`.
+    pub fn of(gateway: &Gateway, address: SocketAddr) -> Self {
+        let node = &gateway.settings().node;
+        Self {
+            address,
+            zone: node.zone.clone(),
+            cpu_thousandths: (node.cpu_cores * 1_000.0) as u32,
+            link_mbps: node.link_mbps as u32,
+        }
+    }
+
+    /// The node as the address book knows it.
+    pub fn listed(&self, name: &str) -> ListedNode {
+        ListedNode {
+            id: PeerId::of(name),
+            address: self.address,
+            zone: ZoneTag::of(&ZoneName(self.zone.clone())),
+            capacity: Capacity {
+                cpu_thousandths: self.cpu_thousandths,
+                link_mbps: self.link_mbps,
+            },
+        }
+    }
 }
 
 /// Keeps this node's record and reads those of others until the task is dropped.
 pub async fn find_peers(gateway: Arc<Gateway>, address: SocketAddr) {
     let mut client = StoreClient::new(&gateway);
-    let own = NodeRecord {
-        address,
-        zone: gateway.zone.0.clone(),
-    };
+    let own = NodeRecord::of(&gateway, address);
     let mut next_ms = FIRST_LIST_PERIOD_MS;
     loop {
         match look(&gateway, &mut client, &own).await {
             Ok(nodes) => {
                 let period_ms = LIST_PERIOD_MS.max(LIST_PERIOD_PER_NODE_MS * nodes as u64);
+                if knows_relays(&gateway) {
+                    next_ms = period_ms;
+                }
                 sleep(next_ms.min(period_ms)).await;
                 next_ms = next_ms.saturating_mul(2);
             }
@@ -54,6 +89,14 @@
     }
 }
 
+/// Whether this node has seen who relays. Others of the fleet, which it does not
+/// need to know, may still be missing.
+fn knows_relays(gateway: &Gateway) -> bool {
+    let needed = lists_at_start(gateway);
+    let book = gateway.address_book();
+    book.has_relays() && book.lists() >= needed
+}
+
 /// Reads the nodes, and writes this one's record where it is missing or wrong.
 /// Tells how many there are.
 async fn look(
@@ -70,11 +113,7 @@
     }
     let nodes: Vec<ListedNode> = objects
         .iter()
-        .filter_map(read_record)
-        .map(|record| ListedNode {
-            address: record.address,
-            is_near: record.zone == gateway.zone.0,
-        })
+        .filter_map(|object| Some(read_record(object)?.listed(&object.name)))
         .collect();
     let now = gateway.clock.now();
     gateway.address_book().take_list(&nodes, now);
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -1,11 +1,10 @@
 //! Messages between nodes as datagrams.
 
-use crate::ports::{StoreObject, WatchEvent};
+use super::relay_messages::{read_relay_report, relay_report_message, RelayReport};
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, LoadedWeights, ModelTag, PeerId, ZoneTag,
 };
 use ploverlift_balancing::prefix_holders::Placement;
-use ploverlift_policy::ids::Millis;
 use ploverlift_routing::prompt::PartKey;
 use ploverlift_wire::peers::peer_message::Body;
 use ploverlift_wire::{decode_peer_message, encode_peer_message, peers, WireError};
@@ -25,57 +24,33 @@
     pub loaded: Vec<LoadedWeights>,
     /// Revision of the lease on orders, while it holds that.
     pub lease_revision: Option<u64>,
-}
-
-/// A node's word on how fresh its configuration is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FreshnessAnswer {
-    /// When the asker asked, by the asker's clock.
-    pub asked_at: Millis,
-    /// Version of the configuration in force.
-    pub configuration: u64,
-    /// Age of the proof that it is the newest one, in milliseconds.
-    pub proof_age_ms: u64,
+    /// Whether it takes the receiver for a relay and wants its reports.
+    pub wants_relay_reports: bool,
 }
 
 /// What a datagram says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
-    /// A report.
+    /// What one node has at the engines.
     Report(PeerReport),
-    /// How fresh is the configuration? The time is the asker's.
-    FreshnessQuestion {
-        /// When the asker asked.
-        asked_at: Millis,
-    },
-    /// The answer to that.
-    FreshnessAnswer(FreshnessAnswer),
-    /// A change of the engines that the store told the sender.
-    CatalogueChange(WatchEvent),
+    /// What the nodes of the sender's zone have at the engines.
+    ZoneReport(PeerReport),
+    /// What all nodes have at the engines, and what a relay read from the store.
+    RelayReport(Box<RelayReport>),
 }
 
 /// A message as a datagram.
 pub fn encode(message: &PeerMessage) -> Vec<u8> {
     let body = match message {
         PeerMessage::Report(report) => Body::Report(report_message(report)),
-        PeerMessage::FreshnessQuestion { asked_at } => {
-            Body::FreshnessQuestion(peers::FreshnessQuestion {
-                asked_at: asked_at.0,
-            })
-        }
-        PeerMessage::FreshnessAnswer(answer) => Body::FreshnessAnswer(peers::FreshnessAnswer {
-            asked_at: answer.asked_at.0,
-            configuration: answer.configuration,
-            proof_age_ms: answer.proof_age_ms,
-        }),
-        PeerMessage::CatalogueChange(change) => Body::CatalogueChange(peers::CatalogueChange {
-            name: change.object.name.clone(),
-            revision: change.object.revision,
-            is_deleting: change.object.is_deleting,
-            is_gone: change.is_gone,
-            content: change.object.content.to_string(),
-        }),
+        PeerMessage::ZoneReport(report) => Body::ZoneReport(report_message(report)),
+        PeerMessage::RelayReport(report) => Body::RelayReport(relay_report_message(report)),
     };
+    encode_body(body)
+}
+
+/// A message's body as a datagram.
+pub fn encode_body(body: Body) -> Vec<u8> {
     encode_peer_message(&peers::PeerMessage { body: Some(body) })
 }
 
@@ -87,35 +62,15 @@
     let message = decode_peer_message(datagram)?;
     Ok(match message.body {
         Some(Body::Report(report)) => Some(PeerMessage::Report(read_report(&report))),
-        Some(Body::FreshnessQuestion(question)) => Some(PeerMessage::FreshnessQuestion {
-            asked_at: Millis(question.asked_at),
-        }),
-        Some(Body::FreshnessAnswer(answer)) => {
-            Some(PeerMessage::FreshnessAnswer(FreshnessAnswer {
-                asked_at: Millis(answer.asked_at),
-                configuration: answer.configuration,
-                proof_age_ms: answer.proof_age_ms,
-            }))
-        }
-        Some(Body::CatalogueChange(change)) => {
-            read_change(change).map(PeerMessage::CatalogueChange)
+        Some(Body::ZoneReport(report)) => Some(PeerMessage::ZoneReport(read_report(&report))),
+        Some(Body::RelayReport(report)) => {
+            let report = Box::new(read_relay_report(&report));
+            Some(PeerMessage::RelayReport(report))
         }
         None => None,
     })
 }
 
-fn read_change(change: peers::CatalogueChange) -> Option<WatchEvent> {
-    Some(WatchEvent {
-        object: StoreObject {
-            name: change.name,
-            revision: change.revision,
-            is_deleting: change.is_deleting,
-            content: serde_json::from_str(&change.content).ok()?,
-        },
-        is_gone: change.is_gone,
-    })
-}
-
 fn report_message(report: &PeerReport) -> peers::PeerReport {
     let loads = &report.loads;
     peers::PeerReport {
@@ -129,28 +84,11 @@
         loading: loads.loading.iter().map(|tag| tag.0).collect(),
         loaded: report.loaded.iter().map(loaded_message).collect(),
         lease_revision: report.lease_revision.unwrap_or(0),
+        wants_relay_reports: report.wants_relay_reports,
     }
 }
 
 fn read_report(message: &peers::PeerReport) -> PeerReport {
-    let loads = message.loads.iter().map(|load| {
-        let engine = EngineTag(load.engine);
-        let load = EngineLoad {
-            requests: load.requests,
-            waiting_tokens: u64::from(load.waiting_tokens),
-        };
-        (engine, load)
-    });
-    let placements = message.placements.iter().map(|placement| Placement {
-        part: PartKey(placement.part),
-        engine: EngineTag(placement.engine),
-        is_kept: !placement.is_dropped,
-    });
-    let loaded = message.loaded.iter().map(|loaded| LoadedWeights {
-        engine: EngineTag(loaded.engine),
-        model: ModelTag(loaded.model),
-        version: loaded.version,
-    });
     PeerReport {
         loads: LoadReport {
             sender: PeerId(message.sender),
@@ -158,16 +96,17 @@
             life: message.life,
             sequence: message.sequence,
             is_full: message.is_full,
-            loads: loads.collect(),
+            loads: message.loads.iter().map(read_load).collect(),
             loading: message.loading.iter().copied().map(EngineTag).collect(),
         },
-        placements: placements.collect(),
-        loaded: loaded.collect(),
+        placements: message.placements.iter().map(read_placement).collect(),
+        loaded: message.loaded.iter().map(read_loaded).collect(),
         lease_revision: Some(message.lease_revision).filter(|revision| *revision > 0),
+        wants_relay_reports: message.wants_relay_reports,
     }
 }
 
-fn load_message((engine, load): &(EngineTag, EngineLoad)) -> peers::EngineLoad {
+pub(super) fn load_message((engine, load): &(EngineTag, EngineLoad)) -> peers::EngineLoad {
     peers::EngineLoad {
         engine: engine.0,
         requests: load.requests,
@@ -175,7 +114,15 @@
     }
 }
 
-fn loaded_message(loaded: &LoadedWeights) -> peers::LoadedWeights {
+pub(super) fn read_load(message: &peers::EngineLoad) -> (EngineTag, EngineLoad) {
+    let load = EngineLoad {
+        requests: message.requests,
+        waiting_tokens: u64::from(message.waiting_tokens),
+    };
+    (EngineTag(message.engine), load)
+}
+
+pub(super) fn loaded_message(loaded: &LoadedWeights) -> peers::LoadedWeights {
     peers::LoadedWeights {
         engine: loaded.engine.0,
         model: loaded.model.0,
@@ -183,10 +130,26 @@
     }
 }
 
-fn placement_message(placement: &Placement) -> peers::Placement {
+pub(super) fn read_loaded(message: &peers::LoadedWeights) -> LoadedWeights {
+    LoadedWeights {
+        engine: EngineTag(message.engine),
+        model: ModelTag(message.model),
+        version: message.version,
+    }
+}
+
+pub(super) fn placement_message(placement: &Placement) -> peers::Placement {
     peers::Placement {
         part: placement.part.0,
         engine: placement.engine.0,
         is_dropped: !placement.is_kept,
     }
 }
+
+pub(super) fn read_placement(message: &peers::Placement) -> Placement {
+    Placement {
+        part: PartKey(message.part),
+        engine: EngineTag(message.engine),
+        is_kept: !message.is_dropped,
+    }
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,60 +6,46 @@
 //!
 //! | module | concern |
 //! | --- | --- |
-//! | [`address_book`] | whom reports are sent to |
-//! | [`reports`] | sending them: often within the zone, less often beyond |
+//! | [`address_book`] | whom reports are sent to, and which nodes relay |
 //! | [`discovery`] | how nodes find each other: by records in the object store |
-//! | [`readers`] | which nodes read the store for others |
-//! | [`freshness`] | proofs that the configuration is the newest, from readers |
-//! | [`messages`] | messages as datagrams |
+//! | [`roles`] | who reads the store, and who is told |
+//! | [`reports`] | a node's own reports: to all in a small fleet, else to relays |
+//! | [`relay`] | what a relay collects and tells |
+//! | [`follower`] | what a node that follows relays has heard |
+//! | [`snapshot`] | what a follower lacks, over TCP |
+//! | [`messages`], [`relay_messages`] | messages as datagrams |
+//!
+//! ```text
+//! node ── report ──▶ relay ── zone report ──▶ relays of other zones
+//!   ▲                 │ ▲
+//!   └─ relay report ──┘ └── watches of the store
+//! ```
 
 pub mod address_book;
 pub mod discovery;
-pub mod freshness;
+pub mod follower;
 pub mod messages;
-pub mod readers;
+pub mod relay;
+pub mod relay_messages;
 pub mod reports;
+pub mod roles;
+pub mod snapshot;
 
 use crate::state::Gateway;
-use crate::store::take_engine;
 use crate::time::sleep;
-use messages::{decode, encode, PeerMessage, PeerReport};
+use follower::take_relay_report;
+use messages::{decode, PeerMessage, PeerReport};
 use ploverlift_balancing::peer_loads::PeerId;
-use readers::relies_on_readers;
+use relay::{take_member_report, take_zone_report};
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
-/// Largest change of an engine that is passed on, in bytes: it goes unfragmented.
-const MAX_CHANGE_BYTES: usize = 1_200;
 /// Pause after the socket failed, in milliseconds.
 const RETRY_MS: u64 = 100;
 
-/// Passes changes of the engines on to the other nodes of the zone, while this
-/// node reads the store for them, until the task is dropped.
-pub async fn pass_on_changes(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let changes = gateway.catalogue_changes.1.clone();
-    while let Ok(change) = changes.recv().await {
-        if relies_on_readers(&gateway) {
-            continue;
-        }
-        let receivers = {
-            let now = gateway.clock.now();
-            gateway.address_book().live_near(now)
-        };
-        let datagram = encode(&PeerMessage::CatalogueChange(change));
-        if datagram.len() > MAX_CHANGE_BYTES {
-            continue;
-        }
-        for receiver in receivers {
-            // Who misses it reads it from the store later.
-            let _ = socket.send_to(&datagram, receiver).await;
-        }
-    }
-}
-
 /// Takes in messages of other nodes until the task is dropped.
 pub async fn receive_messages(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
@@ -78,16 +64,8 @@
         };
         match message {
             Some(PeerMessage::Report(report)) => take_report(&gateway, &report, from),
-            Some(PeerMessage::FreshnessQuestion { asked_at }) => {
-                if let Some(answer) = freshness::answer(&gateway, asked_at) {
-                    let answer = encode(&PeerMessage::FreshnessAnswer(answer));
-                    let _ = socket.send_to(&answer, from).await;
-                }
-            }
-            Some(PeerMessage::FreshnessAnswer(answer)) => {
-                freshness::take_answer(&gateway, &answer);
-            }
-            Some(PeerMessage::CatalogueChange(change)) => take_engine(&gateway, &change),
+            Some(PeerMessage::ZoneReport(report)) => take_zone_report(&gateway, &report, from),
+            Some(PeerMessage::RelayReport(report)) => take_relay_report(&gateway, &report, from),
             None => {}
         }
     }
@@ -101,6 +79,10 @@
     let now = gateway.clock.now();
     gateway.address_book().heard(from, sender, now);
     let mut beliefs = gateway.beliefs();
+    if report.wants_relay_reports {
+        take_member_report(gateway, &mut beliefs, report, from);
+        return;
+    }
     beliefs.peer_loads.apply(&report.loads, now);
     for placement in &report.placements {
         beliefs.holders.note(*placement, now);
--- /dev/null
+++ b/crates/gateway/src/peers/relay.rs
@@ -0,0 +1,501 @@
+//! A node that relays: it collects the reports of its zone's nodes and tells them
+//! the sums of the whole fleet, what it reads from the store, and where prompts are
+//! cached. Relays of different zones exchange the sums of their zones.
+//!
+//! Each node sends and receives the same number of reports however many there are.
+//! A relay's own cost grows with its zone, and with the number of zones.
+
+use super::address_book::PeerAddress;
+use super::messages::{encode, encode_body, PeerMessage, PeerReport, MAX_PLACEMENTS};
+use super::relay_messages::{
+    included_message, relay_report_message, IncludedReport, RelayReport, TargetVersion,
+    MAX_RELAYED_CHANGES, MAX_RELAYED_LOADS, MAX_RELAYED_PLACEMENTS,
+};
+use super::roles::{role, Role};
+use crate::beliefs::Beliefs;
+use crate::state::Gateway;
+use crate::time::{sleep, within};
+use ploverlift_balancing::peer_loads::{
+    present_loads, EngineLoad, EngineTag, LoadReport, PeerId, ZoneTag, MAX_LOADS,
+};
+use ploverlift_balancing::prefix_holders::{Placement, PlacementNews};
+use ploverlift_balancing::relayed_loads::RelayedReport;
+use ploverlift_policy::ids::Millis;
+use ploverlift_wire::peers::peer_message::Body;
+use smol::net::UdpSocket;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+/// Time between two reports to the nodes of the zone, in milliseconds.
+const RELAY_PERIOD_MS: u64 = 100;
+/// Shortest time between two reports, in milliseconds: news that cannot wait, as
+/// that an engine is about to load weights, goes out at once, several together.
+const SHORTEST_PERIOD_MS: u64 = 15;
+/// Periods for each report of loads to other zones: bytes between zones are priced.
+const PERIODS_PER_ZONE_LOADS: u64 = 2;
+/// Reports in which changed loads at engines of other zones are told once: few
+/// requests go there.
+const PERIODS_PER_FAR_LOADS: u64 = 4;
+/// Reports in which each engine's load is told at least once: it repairs what was
+/// lost.
+const PERIODS_PER_REFRESH: u64 = 16;
+/// Reports for each one that names the nodes of the zone.
+const PERIODS_PER_MEMBERS: u64 = 10;
+/// Time for which a change of an engine is told again with each report, in
+/// milliseconds: three reports, so that two may be lost.
+const CHANGES_TOLD_MS: u64 = 320;
+/// Time after which a node that reports no longer is not reported to, in
+/// milliseconds: as long as its loads count.
+const REPORTER_SILENCE_MS: u64 = 1_800;
+/// Time for which another zone's relay that reported here is reported to, in
+/// milliseconds.
+const ZONE_REPORTER_SILENCE_MS: u64 = 1_000;
+/// Placements that wait to be passed on; the oldest give way.
+const MAX_WAITING_PLACEMENTS: usize = 512;
+
+/// A node that reports to this one.
+#[derive(Clone, Copy, Debug)]
+struct Reporter {
+    included: IncludedReport,
+    heard_at: Millis,
+}
+
+/// What this node owes to those who take it for a relay.
+#[derive(Clone, Debug, Default)]
+pub struct RelayDuties {
+    reporters: HashMap<SocketAddr, Reporter>,
+    zone_reporters: HashMap<SocketAddr, Millis>,
+    for_zone: VecDeque<Placement>,
+    for_other_zones: VecDeque<Placement>,
+}
+
+impl RelayDuties {
+    /// Whether any node takes this one for a relay.
+    pub fn has_reporters(&self, now: Millis) -> bool {
+        let mut reporters = self.reporters.values();
+        reporters.any(|reporter| now.since(reporter.heard_at) < REPORTER_SILENCE_MS)
+    }
+
+    fn note_reporter(&mut self, from: SocketAddr, included: IncludedReport, now: Millis) {
+        let reporter = Reporter {
+            included,
+            heard_at: now,
+        };
+        self.reporters.insert(from, reporter);
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.reporters
+            .retain(|_, reporter| now.since(reporter.heard_at) < REPORTER_SILENCE_MS);
+        self.zone_reporters
+            .retain(|_, heard_at| now.since(*heard_at) < ZONE_REPORTER_SILENCE_MS);
+    }
+
+    fn pass_on(&mut self, placement: Placement, news: PlacementNews, is_from_zone: bool) {
+        if news == PlacementNews::Known {
+            return;
+        }
+        push_bounded(&mut self.for_zone, placement);
+        // Other zones need one engine that has the part, not all of them.
+        if is_from_zone && news == PlacementNews::FirstOrLast {
+            push_bounded(&mut self.for_other_zones, placement);
+        }
+    }
+}
+
+fn push_bounded(queue: &mut VecDeque<Placement>, placement: Placement) {
+    if queue.len() >= MAX_WAITING_PLACEMENTS {
+        queue.pop_front();
+    }
+    queue.push_back(placement);
+}
+
+fn take_up_to(queue: &mut VecDeque<Placement>, count: usize) -> Vec<Placement> {
+    let count = count.min(queue.len());
+    queue.drain(..count).collect()
+}
+
+/// Takes in the report of a node of the zone that takes this one for a relay.
+pub fn take_member_report(
+    gateway: &Gateway,
+    beliefs: &mut Beliefs,
+    report: &PeerReport,
+    from: SocketAddr,
+) {
+    let now = gateway.clock.now();
+    let loads = &report.loads;
+    if apply_loads(gateway, beliefs, loads, now) {
+        let included = IncludedReport {
+            life: loads.life,
+            sequence: loads.sequence,
+        };
+        beliefs.relaying.note_reporter(from, included, now);
+    }
+    take_news(beliefs, report, true, now);
+}
+
+/// Takes in the sums of another zone from one of its relays.
+pub fn take_zone_report(gateway: &Gateway, report: &PeerReport, from: SocketAddr) {
+    let now = gateway.clock.now();
+    gateway.address_book().heard(from, report.loads.sender, now);
+    let mut beliefs = gateway.beliefs();
+    beliefs.relaying.zone_reporters.insert(from, now);
+    // The relays of a zone report the same sums. They count as one sender, of whom
+    // the later life is heard until it falls silent.
+    let loads = LoadReport {
+        sender: PeerId(u64::from(report.loads.zone.0)),
+        ..report.loads.clone()
+    };
+    apply_loads(gateway, &mut beliefs, &loads, now);
+    take_news(&mut beliefs, report, false, now);
+}
+
+/// Takes in loads. Which engines are about to load weights is told on at once.
+fn apply_loads(gateway: &Gateway, beliefs: &mut Beliefs, loads: &LoadReport, now: Millis) -> bool {
+    let tells_loading = loads
+        .loading
+        .iter()
+        .any(|engine| !beliefs.peer_loads.is_loading(*engine));
+    let is_news = beliefs.peer_loads.apply(loads, now);
+    if is_news && tells_loading {
+        gateway.report_due.notify(usize::MAX);
+    }
+    is_news
+}
+
+/// What a report tells besides loads. It passes on what was news here, so nothing
+/// goes round.
+fn take_news(beliefs: &mut Beliefs, report: &PeerReport, is_from_zone: bool, now: Millis) {
+    for placement in &report.placements {
+        let news = beliefs.holders.note(*placement, now);
+        beliefs.relaying.pass_on(*placement, news, is_from_zone);
+    }
+    for loaded in &report.loaded {
+        if beliefs.engines.note_loaded_weights(loaded) {
+            beliefs.pass_on_loaded(*loaded, now);
+        }
+    }
+    if let Some(revision) = report.lease_revision {
+        beliefs.hear_of_lease(revision, now);
+    }
+}
+
+/// The task of a node that relays.
+pub struct Relay {
+    gateway: Arc<Gateway>,
+    socket: Arc<UdpSocket>,
+    own: PeerId,
+    zone: ZoneTag,
+    told: HashMap<EngineTag, EngineLoad>,
+    own_placements_from: u64,
+    period: u64,
+}
+
+/// Totals that one report tells, in the pieces of single datagrams.
+struct Portion {
+    loads: Vec<(EngineTag, EngineLoad)>,
+    placements: Vec<Placement>,
+}
+
+impl Relay {
+    /// A relay that has told nothing yet.
+    pub fn new(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) -> Self {
+        let own = PeerId::of(&gateway.settings().node.name);
+        let zone = ZoneTag::of(&gateway.zone);
+        Self {
+            gateway,
+            socket,
+            own,
+            zone,
+            told: HashMap::new(),
+            own_placements_from: 0,
+            period: 0,
+        }
+    }
+
+    /// Reports whenever this node relays, until the task is dropped.
+    pub async fn run(mut self) {
+        let gateway = Arc::clone(&self.gateway);
+        loop {
+            let urgent = gateway.report_due.listen();
+            sleep(SHORTEST_PERIOD_MS).await;
+            within(RELAY_PERIOD_MS - SHORTEST_PERIOD_MS, urgent).await;
+            let now = gateway.clock.now();
+            if role(&gateway, now) != Role::Relay {
+                self.told.clear();
+                continue;
+            }
+            self.period += 1;
+            self.take_own_placements();
+            self.report_to_zone(now).await;
+            self.report_to_other_zones(now).await;
+        }
+    }
+
+    /// What engines read for this node itself.
+    fn take_own_placements(&mut self) {
+        let mut beliefs = self.gateway.beliefs();
+        let (placements, next) = beliefs
+            .holders
+            .news_after(self.own_placements_from, MAX_WAITING_PLACEMENTS);
+        self.own_placements_from = next;
+        for placement in placements {
+            let duties = &mut beliefs.relaying;
+            duties.pass_on(placement, PlacementNews::FirstOrLast, true);
+        }
+    }
+
+    async fn report_to_zone(&mut self, now: Millis) {
+        let reports = self.next_reports(now);
+        let receivers: Vec<(SocketAddr, IncludedReport)> = {
+            let beliefs = self.gateway.beliefs();
+            let reporters = beliefs.relaying.reporters.iter();
+            reporters
+                .map(|(address, reporter)| (*address, reporter.included))
+                .collect()
+        };
+        for report in reports {
+            let common = encode_body(Body::RelayReport(relay_report_message(&report)));
+            for (receiver, included) in &receivers {
+                let mut datagram = common.clone();
+                let included = Body::RelayReport(included_message(*included));
+                datagram.extend_from_slice(&encode_body(included));
+                // A lost report is repaired by the next ones.
+                let _ = self.socket.send_to(&datagram, receiver).await;
+            }
+        }
+    }
+
+    /// The reports of this period; more than one where one datagram does not do.
+    fn next_reports(&mut self, now: Millis) -> Vec<RelayReport> {
+        let gateway = Arc::clone(&self.gateway);
+        let mut beliefs = gateway.beliefs();
+        beliefs.peer_loads.expire(now);
+        beliefs.relaying.expire(now);
+        let peers = beliefs.peer_loads.peer_count();
+        gateway.metrics.peers.set(peers as i64);
+        let changes = beliefs.catalogue_log.latest(CHANGES_TOLD_MS, now);
+        let mut changes = changes.pieces(MAX_RELAYED_CHANGES).into_iter();
+        let mut portions = self.portions(&mut beliefs).into_iter();
+        let header = self.header(&beliefs, now);
+        let mut reports = Vec::new();
+        loop {
+            let (part, portion) = (changes.next(), portions.next());
+            if part.is_none() && portion.is_none() {
+                return reports;
+            }
+            let mut report = header.clone();
+            report.loads.sequence = gateway.report_sequence.fetch_add(1, Ordering::Relaxed);
+            if !reports.is_empty() {
+                report.loads.members.clear();
+            }
+            if let Some(portion) = portion {
+                report.loads.loads = portion.loads;
+                report.placements = portion.placements;
+            }
+            if let Some(part) = part {
+                report.changes_after = part.after;
+                report.changes_through = part.through;
+                report.changes = part.changes;
+            } else {
+                // The changes stand in the reports before.
+                report.changes_after = beliefs.catalogue_log.through();
+                report.changes_through = report.changes_after;
+            }
+            reports.push(report);
+        }
+    }
+
+    /// Loads that changed and placements to pass on, in portions of one datagram.
+    fn portions(&mut self, beliefs: &mut Beliefs) -> Vec<Portion> {
+        let loads = self.loads_to_tell(beliefs);
+        let mut loads = loads.chunks(MAX_RELAYED_LOADS);
+        let mut portions = Vec::new();
+        loop {
+            let next = loads.next().unwrap_or_default();
+            let placements = take_up_to(&mut beliefs.relaying.for_zone, MAX_RELAYED_PLACEMENTS);
+            if next.is_empty() && placements.is_empty() {
+                return portions;
+            }
+            portions.push(Portion {
+                loads: next.to_vec(),
+                placements,
+            });
+        }
+    }
+
+    fn loads_to_tell(&mut self, beliefs: &Beliefs) -> Vec<(EngineTag, EngineLoad)> {
+        let mut totals = present_loads(&beliefs.engines);
+        for (engine, load) in beliefs.peer_loads.totals() {
+            totals.entry(engine).or_default().add(load);
+        }
+        let tells_far = self.period % PERIODS_PER_FAR_LOADS == 0;
+        let refreshed = self.period % PERIODS_PER_REFRESH;
+        let zone = &self.gateway.zone;
+        let near: BTreeSet<EngineTag> = beliefs
+            .engines
+            .iter()
+            .filter(|engine| engine.record.zone == *zone)
+            .map(|engine| engine.tag)
+            .collect();
+        let engines: BTreeSet<EngineTag> = totals.keys().chain(self.told.keys()).copied().collect();
+        let mut loads = Vec::new();
+        for engine in engines {
+            let load = totals.get(&engine).copied().unwrap_or_default();
+            let is_refreshed = u64::from(engine.0) % PERIODS_PER_REFRESH == refreshed;
+            let has_changed = self.told.get(&engine).copied().unwrap_or_default() != load;
+            let is_due = has_changed && (tells_far || near.contains(&engine));
+            if is_due || is_refreshed {
+                loads.push((engine, load));
+            }
+        }
+        for (engine, load) in &loads {
+            match *load == EngineLoad::default() {
+                true if u64::from(engine.0) % PERIODS_PER_REFRESH == refreshed => {
+                    self.told.remove(engine);
+                }
+                _ => {
+                    self.told.insert(*engine, *load);
+                }
+            }
+        }
+        loads
+    }
+
+    /// What all reports of a period have in common.
+    fn header(&self, beliefs: &Beliefs, now: Millis) -> RelayReport {
+        let names_members = self.period % PERIODS_PER_MEMBERS == 0;
+        let peers = || beliefs.peer_loads.peers();
+        let members = peers().filter(|(_, zone)| names_members && *zone == self.zone);
+        let members = members.map(|(id, _)| id).chain([self.own]);
+        let mut zones: Vec<ZoneTag> = peers().map(|(_, zone)| zone).chain([self.zone]).collect();
+        zones.sort_by_key(|zone| zone.0);
+        zones.dedup();
+        let engines_known_at = beliefs.engines_known_at;
+        RelayReport {
+            loads: RelayedReport {
+                sender: self.own,
+                life: self.gateway.life,
+                sequence: 0,
+                loads: Vec::new(),
+                loading: loading(beliefs, |_| true),
+                members: match names_members {
+                    true => members.collect(),
+                    false => Vec::new(),
+                },
+                zones,
+            },
+            placements: Vec::new(),
+            loaded: beliefs.loaded_lately(now),
+            lease_revision: beliefs.newest_lease(),
+            configuration: beliefs.configuration_version(),
+            proof_age_ms: beliefs.freshness.age_ms(now),
+            engines_age_ms: engines_known_at.map(|at| now.since(at)),
+            target_versions: targets(beliefs),
+            changes_after: 0,
+            changes_through: 0,
+            changes: Vec::new(),
+            included: None,
+        }
+    }
+
+    async fn report_to_other_zones(&self, now: Millis) {
+        let receivers = self.relays_of_other_zones(now);
+        if receivers.is_empty() {
+            return;
+        }
+        for receiver in &receivers {
+            self.gateway.address_book().note_asked(*receiver, now);
+        }
+        for report in self.zone_reports(now) {
+            let datagram = encode(&PeerMessage::ZoneReport(report));
+            for receiver in &receivers {
+                // Loads are told again; a lost placement costs a worse choice.
+                let _ = self.socket.send_to(&datagram, receiver).await;
+            }
+        }
+    }
+
+    fn relays_of_other_zones(&self, now: Millis) -> BTreeSet<SocketAddr> {
+        let book = self.gateway.address_book();
+        let mut receivers = BTreeSet::new();
+        for zone in book.zones() {
+            if zone != self.zone {
+                let relays = book.relays_of(zone, now);
+                receivers.extend(relays.iter().map(|relay: &PeerAddress| relay.address));
+                receivers.extend(book.relays_to_probe(zone, now));
+            }
+        }
+        drop(book);
+        let beliefs = self.gateway.beliefs();
+        receivers.extend(beliefs.relaying.zone_reporters.keys());
+        receivers
+    }
+
+    /// The sums of this zone, and where prompts were read first.
+    fn zone_reports(&self, now: Millis) -> Vec<PeerReport> {
+        let mut beliefs = self.gateway.beliefs();
+        let loading = loading(&beliefs, |zone| zone == self.zone);
+        let tells_loads = self.period % PERIODS_PER_ZONE_LOADS == 0;
+        let mut reports = Vec::new();
+        loop {
+            let is_first = reports.is_empty();
+            let is_full = is_first && tells_loads;
+            let waiting = &mut beliefs.relaying.for_other_zones;
+            let placements = take_up_to(waiting, MAX_PLACEMENTS);
+            if placements.is_empty() && !is_first {
+                return reports;
+            }
+            let loads = match is_full {
+                true => self.zone_loads(&beliefs),
+                false => Vec::new(),
+            };
+            reports.push(PeerReport {
+                loads: LoadReport {
+                    sender: self.own,
+                    zone: self.zone,
+                    life: self.gateway.life,
+                    sequence: self.gateway.report_sequence.fetch_add(1, Ordering::Relaxed),
+                    is_full,
+                    loads,
+                    loading: loading.clone(),
+                },
+                placements,
+                loaded: beliefs.loaded_lately(now),
+                lease_revision: beliefs.newest_lease(),
+                wants_relay_reports: false,
+            });
+        }
+    }
+
+    fn zone_loads(&self, beliefs: &Beliefs) -> Vec<(EngineTag, EngineLoad)> {
+        let mut totals = beliefs.peer_loads.zone_totals(self.zone);
+        for (engine, load) in present_loads(&beliefs.engines) {
+            totals.entry(engine).or_default().add(load);
+        }
+        let mut loads: Vec<(EngineTag, EngineLoad)> = totals.into_iter().collect();
+        loads.sort_by_key(|(tag, load)| (std::cmp::Reverse(load.waiting_tokens), *tag));
+        loads.truncate(MAX_LOADS);
+        loads
+    }
+}
+
+/// Engines that load weights by the order of this node or of those that count.
+fn loading(beliefs: &Beliefs, counts: impl Fn(ZoneTag) -> bool) -> Vec<EngineTag> {
+    let mut loading = beliefs.peer_loads.loading_of(counts);
+    loading.extend(beliefs.loading.iter().map(EngineTag::of));
+    loading.sort();
+    loading.dedup();
+    loading
+}
+
+fn targets(beliefs: &Beliefs) -> Vec<TargetVersion> {
+    let targets = beliefs.weights.newest_of_all();
+    let targets = targets.map(|(model, version)| TargetVersion {
+        model: model.to_owned(),
+        version,
+    });
+    targets.collect()
+}
--- /dev/null
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -0,0 +1,217 @@
+//! What relays tell the nodes of their zone, as messages.
+
+use super::messages::{
+    load_message, loaded_message, placement_message, read_load, read_loaded, read_placement,
+};
+use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
+use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, PeerId, ZoneTag};
+use ploverlift_balancing::prefix_holders::Placement;
+use ploverlift_balancing::relayed_loads::RelayedReport;
+use ploverlift_policy::ids::ZoneName;
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_wire::peers;
+
+/// Loads in one datagram of a relay. With the largest number of placements and
+/// changes it stays within one unfragmented datagram.
+pub const MAX_RELAYED_LOADS: usize = 32;
+/// Placements in one datagram of a relay.
+pub const MAX_RELAYED_PLACEMENTS: usize = 12;
+/// Changes of engines in one datagram of a relay.
+pub const MAX_RELAYED_CHANGES: usize = 4;
+
+/// A change of one engine, as a relay read it from the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineChange {
+    /// The engine.
+    pub instance: InstanceId,
+    /// The store's revision of the change.
+    pub revision: u64,
+    /// The record; nothing when the engine is gone.
+    pub record: Option<EngineRecord>,
+}
+
+/// A report that the sums of a relay contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IncludedReport {
+    /// Life of its sender.
+    pub life: u64,
+    /// Its number.
+    pub sequence: u64,
+}
+
+/// The version of a model's weights that engines are to have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetVersion {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+}
+
+/// What a relay tells a node of its zone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelayReport {
+    /// Loads of all nodes, and the nodes themselves.
+    pub loads: RelayedReport,
+    /// Parts of prompts that engines have read or dropped.
+    pub placements: Vec<Placement>,
+    /// Engines that loaded weights a short time ago.
+    pub loaded: Vec<LoadedWeights>,
+    /// Newest known revision of the lease on orders.
+    pub lease_revision: Option<u64>,
+    /// Version of the relay's configuration.
+    pub configuration: Option<u64>,
+    /// Age of the proof that it is the newest one, in milliseconds.
+    pub proof_age_ms: Option<u64>,
+    /// Age of the relay's last proof that it knows all engines, in milliseconds.
+    pub engines_age_ms: Option<u64>,
+    /// The target version of each model.
+    pub target_versions: Vec<TargetVersion>,
+    /// Number of the change before the first of `changes`.
+    pub changes_after: u64,
+    /// Number of the last change that the report tells.
+    pub changes_through: u64,
+    /// Changes of the engines.
+    pub changes: Vec<EngineChange>,
+    /// The receiver's last report that the relay has taken in.
+    pub included: Option<IncludedReport>,
+}
+
+/// The message for a report of a relay.
+pub fn relay_report_message(report: &RelayReport) -> peers::RelayReport {
+    let loads = &report.loads;
+    peers::RelayReport {
+        sender: loads.sender.0,
+        life: loads.life,
+        sequence: loads.sequence,
+        loads: loads.loads.iter().map(load_message).collect(),
+        placements: report.placements.iter().map(placement_message).collect(),
+        loading: loads.loading.iter().map(|tag| tag.0).collect(),
+        loaded: report.loaded.iter().map(loaded_message).collect(),
+        lease_revision: report.lease_revision.unwrap_or(0),
+        members: loads.members.iter().map(|member| member.0).collect(),
+        zones: loads.zones.iter().map(|zone| zone.0).collect(),
+        configuration: report.configuration.unwrap_or(0),
+        proof_age_plus_one: report.proof_age_ms.map_or(0, |age_ms| age_ms + 1),
+        engines_age_plus_one: report.engines_age_ms.map_or(0, |age_ms| age_ms + 1),
+        target_versions: target_messages(&report.target_versions),
+        changes_after: report.changes_after,
+        changes_through: report.changes_through,
+        changes: report.changes.iter().map(change_message).collect(),
+        included_life: report.included.map_or(0, |included| included.life),
+        included_sequence: report.included.map_or(0, |included| included.sequence),
+    }
+}
+
+/// What follows a report's common bytes for one receiver: messages of one kind
+/// that stand one after the other are read as one.
+pub fn included_message(included: IncludedReport) -> peers::RelayReport {
+    peers::RelayReport {
+        included_life: included.life,
+        included_sequence: included.sequence,
+        ..peers::RelayReport::default()
+    }
+}
+
+/// Reads the report of a relay.
+pub fn read_relay_report(message: &peers::RelayReport) -> RelayReport {
+    let included = IncludedReport {
+        life: message.included_life,
+        sequence: message.included_sequence,
+    };
+    RelayReport {
+        loads: RelayedReport {
+            sender: PeerId(message.sender),
+            life: message.life,
+            sequence: message.sequence,
+            loads: message.loads.iter().map(read_load).collect(),
+            loading: message.loading.iter().copied().map(EngineTag).collect(),
+            members: message.members.iter().copied().map(PeerId).collect(),
+            zones: message.zones.iter().copied().map(ZoneTag).collect(),
+        },
+        placements: message.placements.iter().map(read_placement).collect(),
+        loaded: message.loaded.iter().map(read_loaded).collect(),
+        lease_revision: known(message.lease_revision),
+        configuration: known(message.configuration),
+        proof_age_ms: known(message.proof_age_plus_one).map(|age_ms| age_ms - 1),
+        engines_age_ms: known(message.engines_age_plus_one).map(|age_ms| age_ms - 1),
+        target_versions: read_targets(&message.target_versions),
+        changes_after: message.changes_after,
+        changes_through: message.changes_through,
+        changes: message.changes.iter().filter_map(read_change).collect(),
+        included: Some(included).filter(|included| included.sequence > 0),
+    }
+}
+
+/// The wire has 0 where nothing is known.
+fn known(value: u64) -> Option<u64> {
+    Some(value).filter(|value| *value > 0)
+}
+
+/// The message for a change of an engine.
+pub fn change_message(change: &EngineChange) -> peers::EngineChange {
+    let record = change.record.as_ref().map(|record| peers::EngineRecord {
+        service: record.service.0.clone(),
+        address: record.address.to_string(),
+        zone: record.zone.0.clone(),
+        slots: record.slots,
+        is_leaving: record.is_leaving,
+        weights: record
+            .weights
+            .iter()
+            .map(|(model, version)| peers::TargetVersion {
+                model: model.clone(),
+                version: *version,
+            })
+            .collect(),
+    });
+    peers::EngineChange {
+        instance: change.instance.0.clone(),
+        revision: change.revision,
+        record,
+    }
+}
+
+/// Reads a change of an engine; nothing when its address is none, as from a
+/// later version of the protocol.
+pub fn read_change(message: &peers::EngineChange) -> Option<EngineChange> {
+    let instance = InstanceId(message.instance.clone());
+    let record = match &message.record {
+        None => None,
+        Some(record) => Some(EngineRecord {
+            instance: instance.clone(),
+            revision: message.revision,
+            service: ServiceName(record.service.clone()),
+            address: record.address.parse().ok()?,
+            zone: ZoneName(record.zone.clone()),
+            slots: record.slots,
+            is_leaving: record.is_leaving,
+            weights: record
+                .weights
+                .iter()
+                .map(|weights| (weights.model.clone(), weights.version))
+                .collect(),
+        }),
+    };
+    Some(EngineChange {
+        instance,
+        revision: message.revision,
+        record,
+    })
+}
+
+fn target_messages(targets: &[TargetVersion]) -> Vec<peers::TargetVersion> {
+    let targets = targets.iter().map(|target| peers::TargetVersion {
+        model: target.model.clone(),
+        version: target.version,
+    });
+    targets.collect()
+}
+
+fn read_targets(messages: &[peers::TargetVersion]) -> Vec<TargetVersion> {
+    let targets = messages.iter().map(|message| TargetVersion {
+        model: message.model.clone(),
+        version: message.version,
+    });
+    targets.collect()
+}
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -1,16 +1,20 @@
-//! Sending reports: often to the nodes of the zone, which send to the same
-//! engines, and less often to those of other zones, where bytes are dear.
+//! Sending reports. In a small fleet: often to the nodes of the zone, which send to
+//! the same engines, and less often to those of other zones, where bytes are dear.
+//! In a large one: to the relays of the zone alone.
 
 use super::address_book::Reach;
 use super::messages::{encode, PeerMessage, PeerReport, MAX_PLACEMENTS};
+use super::roles::{role, Role};
 use crate::state::Gateway;
-use crate::time::within;
-use ploverlift_balancing::peer_loads::{LoadedWeights, PeerId, ReportBuilder, ZoneTag};
+use crate::time::{sleep, within};
+use ploverlift_balancing::peer_loads::{
+    present_loads, LoadedWeights, PeerId, ReportBuilder, ZoneTag,
+};
+use ploverlift_policy::ids::Millis;
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Shortest time between two reports, in milliseconds.
 const REPORT_PERIOD_MS: u64 = 40;
@@ -20,6 +24,15 @@
 const NEAR_PER_PERIOD: usize = 8;
 /// The same for nodes of other zones.
 const FAR_PER_PERIOD: usize = 4;
+/// Shortest time between two reports to relays, in milliseconds: a little less than
+/// a relay's own period.
+const TO_RELAYS_PERIOD_MS: u64 = 80;
+/// Longest time between two reports to relays, in milliseconds: the age of what a
+/// relay tells counts from a report that it answers.
+const TO_RELAYS_LONGEST_MS: u64 = 300;
+/// Time between two looks at whether this node reports to other zones by itself, in
+/// milliseconds.
+const IDLE_MS: u64 = 500;
 
 /// Reports to the nodes of the zone, or of other zones.
 pub struct ReportStream {
@@ -30,6 +43,7 @@
     reported_lease: Option<u64>,
     reported_loaded: Vec<LoadedWeights>,
     placements_from: u64,
+    sent_at: Option<Millis>,
 }
 
 impl ReportStream {
@@ -38,13 +52,14 @@
         let sender = PeerId::of(&gateway.settings().node.name);
         let zone = ZoneTag::of(&gateway.zone);
         Self {
-            builder: ReportBuilder::new(sender, zone, unix_ms()),
+            builder: ReportBuilder::new(sender, zone, gateway.life),
             gateway,
             socket,
             reach,
             reported_lease: None,
             reported_loaded: Vec::new(),
             placements_from: 0,
+            sent_at: None,
         }
     }
 
@@ -52,12 +67,24 @@
     pub async fn run(mut self) {
         loop {
             let due = self.gateway.report_due.listen();
+            let role = role(&self.gateway, self.gateway.clock.now());
+            if matches!(role, Role::Relay | Role::Follower) {
+                match self.reach {
+                    Reach::Near => {
+                        self.report_to_relays().await;
+                        within(TO_RELAYS_PERIOD_MS, due).await;
+                    }
+                    // Relays do.
+                    Reach::Far => sleep(IDLE_MS).await,
+                }
+                continue;
+            }
             let receivers = {
                 let now = self.gateway.clock.now();
                 self.gateway.address_book().receivers(self.reach, now)
             };
             if !receivers.is_empty() {
-                self.send(&receivers).await;
+                self.send(&receivers, false).await;
             }
             let per_period = match self.reach {
                 Reach::Near => NEAR_PER_PERIOD,
@@ -68,8 +95,28 @@
         }
     }
 
-    async fn send(&mut self, receivers: &[SocketAddr]) {
-        let Some(report) = self.next_report() else {
+    async fn report_to_relays(&mut self) {
+        let now = self.gateway.clock.now();
+        let own = PeerId::of(&self.gateway.settings().node.name);
+        let zone = ZoneTag::of(&self.gateway.zone);
+        let receivers: Vec<SocketAddr> = {
+            let mut book = self.gateway.address_book();
+            let relays = book.relays_of(zone, now);
+            let others = relays.iter().filter(|relay| relay.id != own);
+            let mut receivers: Vec<SocketAddr> = others.map(|relay| relay.address).collect();
+            receivers.extend(book.relays_to_probe(zone, now));
+            for receiver in &receivers {
+                book.note_asked(*receiver, now);
+            }
+            receivers
+        };
+        if !receivers.is_empty() {
+            self.send(&receivers, true).await;
+        }
+    }
+
+    async fn send(&mut self, receivers: &[SocketAddr], are_relays: bool) {
+        let Some(report) = self.next_report(are_relays) else {
             return;
         };
         let datagram = encode(&PeerMessage::Report(report));
@@ -79,8 +126,10 @@
         }
     }
 
-    fn next_report(&mut self) -> Option<PeerReport> {
+    fn next_report(&mut self, for_relays: bool) -> Option<PeerReport> {
         let now = self.gateway.clock.now();
+        let rested = |sent_at| now.since(sent_at) >= TO_RELAYS_LONGEST_MS;
+        let is_due = for_relays && self.sent_at.is_none_or(rested);
         let sequence = self.gateway.report_sequence.fetch_add(1, Ordering::Relaxed);
         let mut beliefs = self.gateway.beliefs();
         beliefs.peer_loads.expire(now);
@@ -92,7 +141,8 @@
         let (placements, placements_from) = news;
         let lease_revision = beliefs.held_lease;
         let loaded = beliefs.loaded_lately(now);
-        let has_other_news = !placements.is_empty()
+        let has_other_news = is_due
+            || !placements.is_empty()
             || lease_revision != self.reported_lease
             || loaded != self.reported_loaded;
         let loads = self.builder.next(
@@ -102,6 +152,12 @@
             has_other_news,
             now,
         )?;
+        if for_relays {
+            let own = present_loads(&beliefs.engines);
+            let relayed = &mut beliefs.peer_loads.relayed;
+            relayed.note_own_report(sequence, own, now);
+        }
+        self.sent_at = Some(now);
         self.placements_from = placements_from;
         self.reported_lease = lease_revision;
         self.reported_loaded.clone_from(&loaded);
@@ -110,11 +166,7 @@
             placements,
             loaded,
             lease_revision,
+            wants_relay_reports: for_relays,
         })
     }
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |duration| duration.as_millis() as u64)
-}
--- /dev/null
+++ b/crates/gateway/src/peers/roles.rs
@@ -0,0 +1,148 @@
+//! Who reads the object store, and who is told by relays.
+//!
+//! In a small fleet every node reads the store by itself and reports to every
+//! other one. In a large fleet two nodes of each zone relay: they read the store,
+//! collect the reports of their zone, and tell all nodes of the zone. The others
+//! follow them and make no calls of the store, as long as a relay is heard whose
+//! own knowledge is recent enough.
+
+use crate::state::{key_freshness_limit_ms, Gateway};
+use crate::time::sleep;
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
+use ploverlift_policy::ids::Millis;
+
+/// Lists of nodes after which the size of the fleet is known where all nodes start
+/// together: they do not see each other in the first ones.
+const LISTS_AT_FIRST_START: u32 = 3;
+/// Time from its start for which a node waits to learn its role and to hear a
+/// relay before it reads the store by itself, in milliseconds: three lists take
+/// 1.5 s, a relay's first report up to 0.3 s more.
+const START_WAIT_MS: u64 = 2_000;
+/// The same where the fleet was running before.
+const RESTART_WAIT_MS: u64 = 900;
+/// Time between two looks at whether relays can be followed, in milliseconds.
+const LOOK_PERIOD_MS: u64 = 100;
+/// Part of the bound on leaving engines that a relay's knowledge may be old. The
+/// rest is for a change on its way and for reading the store by oneself.
+const ENGINES_AGE_SHARE: f64 = 0.65;
+/// Time for which a successful call for the configuration shows that the store can
+/// be reached, in milliseconds.
+const REACHED_MS: u64 = 1_500;
+
+/// What a node does for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The size of the fleet is not known yet.
+    Undecided,
+    /// The fleet is small: it reads the store, and reports to all others.
+    Direct,
+    /// It reads the store and tells the nodes of its zone.
+    Relay,
+    /// It reports to relays and is told by them.
+    Follower,
+}
+
+/// This node's role now.
+pub fn role(gateway: &Gateway, now: Millis) -> Role {
+    let settings = gateway.settings();
+    if settings.listen.peers.is_none() {
+        return Role::Direct;
+    }
+    let own = PeerId::of(&settings.node.name);
+    let is_first = {
+        let book = gateway.address_book();
+        if !book.has_relays() {
+            return match book.lists() >= lists_at_start(gateway) {
+                true => Role::Direct,
+                false => Role::Undecided,
+            };
+        }
+        let relays = book.relays_of(ZoneTag::of(&gateway.zone), now);
+        relays.iter().any(|relay| relay.id == own)
+    };
+    if is_first || gateway.beliefs().relaying.has_reporters(now) {
+        return Role::Relay;
+    }
+    Role::Follower
+}
+
+/// Lists of nodes after which the size of the fleet is known.
+pub fn lists_at_start(gateway: &Gateway) -> u32 {
+    match gateway.settings().node.is_first_start {
+        true => LISTS_AT_FIRST_START,
+        false => 1,
+    }
+}
+
+/// Whether this node relies on a relay for what is stored.
+pub fn relies_on_relay(gateway: &Gateway, now: Millis) -> bool {
+    role(gateway, now) == Role::Follower && {
+        let limit_ms = engines_age_limit_ms(gateway);
+        gateway.beliefs().followed.is_current(limit_ms, now)
+    }
+}
+
+/// Age from which a relay's knowledge of the engines is too old, in milliseconds.
+pub fn engines_age_limit_ms(gateway: &Gateway) -> u64 {
+    let bound_ms = gateway.settings().bounds.leaving_engine_ms;
+    (bound_ms as f64 * ENGINES_AGE_SHARE) as u64
+}
+
+/// The age from which a proof of the configuration is too old to go on without
+/// the store, in milliseconds: what is left until keys are refused is enough for
+/// a call or two.
+fn stale_proof_ms(key_freshness_limit_ms: u64) -> u64 {
+    key_freshness_limit_ms * 3 / 5
+}
+
+/// Whether the proof that the configuration is the newest has grown old.
+fn has_stale_proof(gateway: &Gateway, now: Millis) -> bool {
+    let limit_ms = key_freshness_limit_ms(&gateway.settings());
+    let age_ms = gateway.beliefs().freshness.age_ms(now);
+    age_ms.is_none_or(|age_ms| age_ms >= stale_proof_ms(limit_ms))
+}
+
+/// Waits while this node need not read the configuration by itself.
+pub async fn wait_while_configuration_is_told(gateway: &Gateway) {
+    while is_starting(gateway) || is_configuration_told(gateway) {
+        sleep(LOOK_PERIOD_MS).await;
+    }
+}
+
+/// Whether relays keep this node's configuration up to date.
+pub fn is_configuration_told(gateway: &Gateway) -> bool {
+    let now = gateway.clock.now();
+    relies_on_relay(gateway, now) && !has_stale_proof(gateway, now)
+}
+
+/// Waits while this node need not read engines and target versions by itself. A
+/// follower that has lost its relays asks for these only once the configuration
+/// was read: a store that is away is not asked three times by each node.
+pub async fn wait_while_engines_are_told(gateway: &Gateway) {
+    while is_starting(gateway) || are_engines_told(gateway) || waits_for_store(gateway) {
+        sleep(LOOK_PERIOD_MS).await;
+    }
+}
+
+/// Whether relays keep this node's engines up to date.
+pub fn are_engines_told(gateway: &Gateway) -> bool {
+    relies_on_relay(gateway, gateway.clock.now())
+}
+
+fn waits_for_store(gateway: &Gateway) -> bool {
+    let now = gateway.clock.now();
+    let reached_at = gateway.beliefs().store_reached_at;
+    let is_reached = reached_at.is_some_and(|at| now.since(at) < REACHED_MS);
+    role(gateway, now) == Role::Follower && !is_reached
+}
+
+/// Whether this node has just started and may yet hear a relay.
+fn is_starting(gateway: &Gateway) -> bool {
+    let now = gateway.clock.now();
+    let wait_ms = match gateway.settings().node.is_first_start {
+        true => START_WAIT_MS,
+        false => RESTART_WAIT_MS,
+    };
+    let is_new = now.since(gateway.started_at) < wait_ms;
+    is_new && matches!(role(gateway, now), Role::Undecided | Role::Follower)
+}
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -21,6 +21,19 @@
     Nodes,
 }
 
+impl StoreKind {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            StoreKind::Configuration => "configuration",
+            StoreKind::Engines => "engines",
+            StoreKind::Weights => "weights",
+            StoreKind::Leases => "leases",
+            StoreKind::Nodes => "nodes",
+        }
+    }
+}
+
 /// One stored object.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreObject {
@@ -84,6 +97,33 @@
     },
 }
 
+impl StoreCall {
+    /// What it does, as metrics name it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            StoreCall::List {
+                may_be_stale: true, ..
+            } => "list_stale",
+            StoreCall::List { .. } => "list",
+            StoreCall::Get { .. } => "get",
+            StoreCall::Watch { .. } => "watch",
+            StoreCall::Create { .. } => "create",
+            StoreCall::Replace { .. } => "replace",
+        }
+    }
+
+    /// The kind of objects that it is for.
+    pub fn kind(&self) -> StoreKind {
+        match self {
+            StoreCall::List { kind, .. }
+            | StoreCall::Get { kind, .. }
+            | StoreCall::Watch { kind, .. }
+            | StoreCall::Create { kind, .. }
+            | StoreCall::Replace { kind, .. } => *kind,
+        }
+    }
+}
+
 /// A change.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WatchEvent {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,13 +36,23 @@
 }
 
 /// `[node]`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name, unique in the site and stable over restarts.
     pub name: String,
     /// Zone, as engines name theirs.
     pub zone: String,
+    /// Its share of processors, in cores. The largest nodes of a zone relay.
+    #[serde(default)]
+    pub cpu_cores: f64,
+    /// Bandwidth of its link, in megabits a second.
+    #[serde(default)]
+    pub link_mbps: f64,
+    /// Whether all nodes of the site start now for the first time: then they wait
+    /// until they see each other.
+    #[serde(default)]
+    pub is_first_start: bool,
 }
 
 /// `[listen]`.
@@ -92,6 +102,9 @@
     pub weights_ms: u64,
     /// The same over interrupted stretches together, in milliseconds.
     pub weights_total_ms: u64,
+    /// An engine that said that it leaves, or is gone from the store, gets nothing
+    /// new after this time, in milliseconds.
+    pub leaving_engine_ms: u64,
     /// Two holders of a lease never act within this time, in milliseconds.
     pub lease_ms: u64,
     /// Repeated arrivals at a service for each request.
@@ -108,6 +121,7 @@
             stop_seconds: 8.0,
             weights_ms: 8_000,
             weights_total_ms: 11_000,
+            leaving_engine_ms: 2_000,
             lease_ms: 3_000,
             retry_ratio: 0.2,
             retry_window_seconds: 10.0,
@@ -357,6 +371,7 @@
             ("store.other_watch_ms", self.store.other_watch_ms),
             ("bounds.key_revocation_ms", self.bounds.key_revocation_ms),
             ("bounds.weights_ms", self.bounds.weights_ms),
+            ("bounds.leaving_engine_ms", self.bounds.leaving_engine_ms),
             ("bounds.lease_ms", self.bounds.lease_ms),
             (
                 "attempts.connect_timeout_ms",
@@ -373,6 +388,15 @@
                 return invalid(key, value.to_string(), "use 1 or more");
             }
         }
+        let capacities = [
+            ("node.cpu_cores", self.node.cpu_cores),
+            ("node.link_mbps", self.node.link_mbps),
+        ];
+        for (key, value) in capacities {
+            if value.is_nan() || value < 0.0 {
+                return invalid(key, value.to_string(), "use a number of 0.0 or more");
+            }
+        }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
             let value = self.bounds.retry_ratio.to_string();
             return invalid("bounds.retry_ratio", value, "use 0.0 to 1.0");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,17 +4,17 @@
 use crate::kept_connections::KeptConnections;
 use crate::metrics::Metrics;
 use crate::peers::address_book::AddressBook;
-use crate::ports::{Site, WatchEvent};
+use crate::ports::Site;
 use crate::settings::GatewaySettings;
 use crate::time::Clock;
-use async_channel::{Receiver, Sender};
 use event_listener::Event;
 use ploverlift_balancing::selection::CostRates;
 use ploverlift_balancing::weights::WeightsBounds;
-use ploverlift_policy::ids::ZoneName;
+use ploverlift_policy::ids::{Millis, ZoneName};
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// One node.
 pub struct Gateway {
@@ -34,16 +34,18 @@
     pub store_recovered: Event,
     /// Told whenever a version of weights was named.
     pub weights_named: Event,
-    /// Told when another node has a newer configuration.
-    pub configuration_outdated: Event,
+    /// Told when a relay knows something that this node lacks.
+    pub snapshot_due: Event,
     /// Told when the other nodes should hear from this one at once.
     pub report_due: Event,
     /// Told when a planned stop begins.
     pub stop_began: Event,
     /// Told whenever a request or a connection has ended.
     pub work_ended: Event,
-    /// Changes of the engines that this node has read, for the nodes of its zone.
-    pub catalogue_changes: (Sender<WatchEvent>, Receiver<WatchEvent>),
+    /// This life of the node; a restarted node has a higher one.
+    pub life: u64,
+    /// When it started.
+    pub started_at: Millis,
     /// Number of the next report to other nodes.
     pub report_sequence: AtomicU64,
     /// Where the splits of this node begin, in 0 to 1.
@@ -57,9 +59,6 @@
     kept_connections: Mutex<KeptConnections>,
 }
 
-/// Changes of the engines that wait to be passed on; more are left out.
-const MAX_CHANGES_WAITING: usize = 256;
-
 /// Log lines that were written in the present second.
 #[derive(Debug, Default)]
 struct LineAllowance {
@@ -70,20 +69,22 @@
 impl Gateway {
     /// A node that believes nothing yet.
     pub fn new(settings: GatewaySettings, site: Arc<dyn Site>, log: Logger) -> Self {
+        let clock = Clock::default();
         Self {
             zone: ZoneName(settings.node.zone.clone()),
             settings: Mutex::new(Arc::new(settings)),
             site,
-            clock: Clock::default(),
+            clock,
             log,
             metrics: Metrics::default(),
             store_recovered: Event::new(),
             weights_named: Event::new(),
-            configuration_outdated: Event::new(),
+            snapshot_due: Event::new(),
             report_due: Event::new(),
             stop_began: Event::new(),
             work_ended: Event::new(),
-            catalogue_changes: async_channel::bounded(MAX_CHANGES_WAITING),
+            life: unix_ms(),
+            started_at: clock.now(),
             report_sequence: AtomicU64::new(1),
             split_start: fastrand::f64(),
             stopping: AtomicBool::new(false),
@@ -226,6 +227,12 @@
     (settings.bounds.key_revocation_ms as f64 * KEY_FRESHNESS_SHARE) as u64
 }
 
+/// The time of day, which only tells two lives of a node apart.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |duration| duration.as_millis() as u64)
+}
+
 /// Counts a request as under way.
 pub struct RequestGuard {
     gateway: Arc<Gateway>,
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -54,7 +54,7 @@
         let timeout_ms = patience_ms + wait_ms;
         let began = self.gateway.clock.now();
         let (head, body) = self.gateway.site.store_message(call);
-        self.gateway.metrics.store_calls.inc();
+        self.gateway.metrics.count_store_call(call);
         let answered = self.connection.call(head, &body, timeout_ms).await;
         if let Some(answer_time) = &mut self.answer_time {
             match &answered {
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -3,17 +3,21 @@
 //! The watch of the configuration waits briefly, because its answer proves that
 //! the configuration is the newest; it also notices first when the store is
 //! lost or back. The other watches wait long and are begun anew when the store
-//! is back. A node that relies on readers ([`crate::peers::readers`]) waits long
-//! for the configuration too, until its proof grows old.
+//! is back. A node that follows relays ([`crate::peers::roles`]) makes no calls
+//! while they tell it what is stored.
 
 use super::lapsed::{remove_engine, replace_engines};
 use super::StoreClient;
-use crate::peers::readers::{has_stale_proof, reads_for_others, relies_on_readers};
+use crate::peers::roles::{
+    are_engines_told, is_configuration_told, role, wait_while_configuration_is_told,
+    wait_while_engines_are_told, Role,
+};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply, WatchEvent};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_policy::ids::Millis;
+use ploverlift_wire::peers::StoredConfiguration;
 use std::sync::Arc;
 
 /// First pause after a failed call, in milliseconds.
@@ -23,13 +27,19 @@
 /// Pause between two changes of engines, in milliseconds: engines change in
 /// groups, and each answer of a watch is a call.
 const GATHER_MS: u64 = 800;
-/// The same at a node that other nodes tell of changes, in milliseconds. It may
-/// miss what it is told, so it must read by itself within the time in which a
-/// leaving engine may still get requests (2 s on the tightest site known): what it
-/// reads repairs what it was not told.
-pub const RELYING_GATHER_MS: u64 = 1_300;
-/// Time between two looks at the age of a proof, in milliseconds.
-const PROOF_LOOK_MS: u64 = 200;
+/// How long a relay's watch of the engines waits, in milliseconds: its answer shows
+/// the nodes that follow the relay that nothing has changed.
+const RELAY_ENGINES_WATCH_MS: u64 = 700;
+/// Longest pause after a failed call for anything but the configuration, in
+/// milliseconds: the watch of the configuration notices that the store is back.
+const OTHERS_PAUSE_MS: u64 = 1_000;
+/// Shortest pause after a failed call of a node that follows relays, in
+/// milliseconds: hundreds of them must not keep a store busy that is in trouble,
+/// and the relays notice sooner that it is back.
+const FOLLOWER_PAUSE_MS: u64 = 2_000;
+/// Time between two looks at whether relays tell what a watch waits for, in
+/// milliseconds.
+const TOLD_LOOK_MS: u64 = 200;
 
 /// Pauses between failed calls: doubled each time and jittered, so that nodes
 /// which lost the store together do not come back together.
@@ -58,18 +68,23 @@
 /// How a watch ended.
 enum WatchEnd {
     Answered(StoreReply),
-    /// It was given up: its answer would come too late.
+    /// The store is back after a failure: the watch may hang.
     Abandoned,
+    /// Relays tell what it is for.
+    Told,
 }
 
-/// Waits until the proof that the configuration is the newest has grown old, or
-/// another node has a newer one.
-async fn wait_for_stale_proof(gateway: &Gateway) {
-    while !has_stale_proof(gateway, gateway.clock.now()) {
-        let outdated = gateway.configuration_outdated.listen();
-        if within(PROOF_LOOK_MS, outdated).await.is_some() {
+/// Waits until relays tell what a kind of watch is for.
+async fn wait_until_told(gateway: &Gateway, kind: StoreKind) {
+    loop {
+        let is_told = match kind {
+            StoreKind::Configuration => is_configuration_told(gateway),
+            _ => are_engines_told(gateway),
+        };
+        if is_told {
             return;
         }
+        sleep(TOLD_LOOK_MS).await;
     }
 }
 
@@ -91,9 +106,31 @@
         }
     }
 
+    /// Waits while relays tell what this feed is for.
+    async fn wait_while_told(&self) {
+        match self.kind {
+            StoreKind::Configuration => wait_while_configuration_is_told(&self.gateway).await,
+            _ => wait_while_engines_are_told(&self.gateway).await,
+        }
+    }
+
+    /// The pause after a failed call.
+    async fn pause(&self, backoff: &mut Backoff) {
+        if role(&self.gateway, self.gateway.clock.now()) == Role::Follower {
+            sleep(FOLLOWER_PAUSE_MS + fastrand::u64(0..FOLLOWER_PAUSE_MS)).await;
+        } else if self.kind == StoreKind::Configuration {
+            backoff.wait().await;
+        } else {
+            let recovered = self.gateway.store_recovered.listen();
+            let pause_ms = OTHERS_PAUSE_MS / 2 + fastrand::u64(0..OTHERS_PAUSE_MS / 2);
+            within(pause_ms, recovered).await;
+        }
+    }
+
     /// Reads all objects, however long the store is away.
     async fn list(&mut self, backoff: &mut Backoff) -> (Vec<StoreObject>, u64, Millis) {
         loop {
+            self.wait_while_told().await;
             let sent = self.gateway.clock.now();
             match self.client.list(self.kind).await {
                 Ok((objects, revision)) => {
@@ -103,7 +140,7 @@
                 }
                 Err(error) => {
                     self.note_lost(&error);
-                    backoff.wait().await;
+                    self.pause(backoff).await;
                 }
             }
         }
@@ -118,11 +155,10 @@
         loop {
             let sent = self.gateway.clock.now();
             match self.watch(revision).await {
-                Ok(WatchEnd::Abandoned) => {
+                Ok(WatchEnd::Abandoned) => self.client.reset(),
+                Ok(WatchEnd::Told) => {
                     self.client.reset();
-                    if self.kind == StoreKind::Configuration {
-                        return None;
-                    }
+                    return None;
                 }
                 Ok(WatchEnd::Answered(StoreReply::Changes { events, revision })) => {
                     self.note_reached();
@@ -136,7 +172,7 @@
                 }
                 Err(error) => {
                     self.note_lost(&error);
-                    backoff.wait().await;
+                    self.pause(backoff).await;
                     if self.kind == StoreKind::Configuration {
                         // A list answers at once: it proves sooner than a watch,
                         // which waits for a change, that keys may be accepted.
@@ -150,12 +186,13 @@
     async fn watch(&mut self, revision: u64) -> Result<WatchEnd, StoreError> {
         let store = &self.gateway.settings().store;
         let is_probe = self.kind == StoreKind::Configuration;
-        let relies_on_readers = relies_on_readers(&self.gateway);
-        let wait_ms = match is_probe && !relies_on_readers {
-            // A proof ages on its way to those who rely on it.
-            true if reads_for_others(&self.gateway) => store.configuration_watch_ms / 2,
-            true => store.configuration_watch_ms,
-            false => store.other_watch_ms,
+        let role = role(&self.gateway, self.gateway.clock.now());
+        let wait_ms = match self.kind {
+            // A proof ages on its way to the nodes that follow a relay.
+            StoreKind::Configuration if role == Role::Relay => store.configuration_watch_ms / 2,
+            StoreKind::Configuration => store.configuration_watch_ms,
+            StoreKind::Engines if role == Role::Relay => RELAY_ENGINES_WATCH_MS,
+            _ => store.other_watch_ms,
         };
         let call = StoreCall::Watch {
             kind: self.kind,
@@ -168,21 +205,29 @@
             answered.map(WatchEnd::Answered)
         };
         let abandoning = async {
-            match is_probe {
-                true if relies_on_readers => wait_for_stale_proof(&gateway).await,
-                true => std::future::pending().await,
-                false => gateway.store_recovered.listen().await,
+            if is_probe {
+                std::future::pending::<()>().await;
             }
+            gateway.store_recovered.listen().await;
             Ok(WatchEnd::Abandoned)
         };
+        let told = async {
+            wait_until_told(&gateway, self.kind).await;
+            Ok(WatchEnd::Told)
+        };
+        let abandoning = futures_lite::future::or(abandoning, told);
         futures_lite::future::or(watching, abandoning).await
     }
 
-    fn kind_name(&self) -> String {
-        format!("{:?}", self.kind).to_lowercase()
+    fn kind_name(&self) -> &'static str {
+        self.kind.name()
     }
 
     fn note_reached(&mut self) {
+        if self.kind == StoreKind::Configuration {
+            let now = self.gateway.clock.now();
+            self.gateway.beliefs().store_reached_at = Some(now);
+        }
         if !std::mem::take(&mut self.is_lost) {
             return;
         }
@@ -226,7 +271,8 @@
     }
 }
 
-fn take_configuration(gateway: &Gateway, object: &StoreObject) {
+/// Takes in the configuration as it is stored, from the store or from a relay.
+pub fn take_configuration(gateway: &Gateway, object: &StoreObject) {
     let document = match gateway.site.configuration(object) {
         Ok(document) => document,
         Err(error) => {
@@ -236,7 +282,12 @@
         }
     };
     let version = document.version;
-    if gateway.beliefs().take_configuration(document) {
+    let stored = StoredConfiguration {
+        name: object.name.clone(),
+        revision: object.revision,
+        content: object.content.to_string(),
+    };
+    if gateway.beliefs().take_configuration(document, stored) {
         let gauge = i64::try_from(version).unwrap_or(i64::MAX);
         gateway.metrics.configuration_version.set(gauge);
         slog::info!(gateway.log, "configuration in force";
@@ -249,29 +300,32 @@
     let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Engines);
     let mut backoff = Backoff::new();
     loop {
-        let (objects, mut revision, _) = feed.list(&mut backoff).await;
+        let (objects, mut revision, sent) = feed.list(&mut backoff).await;
         take_list_of_engines(&gateway, &objects, revision);
-        while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
+        note_engines_known(&gateway, revision, sent);
+        while let Some((events, next, sent)) = feed.changes(revision, &mut backoff).await {
             let has_events = !events.is_empty();
             for event in events {
                 take_engine(&gateway, &event);
-                // When too many wait, the others read this one by themselves.
-                let _ = gateway.catalogue_changes.0.try_send(event);
             }
+            note_engines_known(&gateway, next, sent);
             let count = gateway.beliefs().engines.len();
             gateway.metrics.engines.set(count as i64);
             revision = next;
             if has_events {
-                sleep(match relies_on_readers(&gateway) {
-                    true => RELYING_GATHER_MS,
-                    false => GATHER_MS,
-                })
-                .await;
+                sleep(GATHER_MS).await;
             }
         }
     }
 }
 
+/// A call that was sent at `sent` told all changes of the engines up to a revision.
+fn note_engines_known(gateway: &Gateway, revision: u64, sent: Millis) {
+    let mut beliefs = gateway.beliefs();
+    beliefs.engines_known_at = beliefs.engines_known_at.max(Some(sent));
+    beliefs.engines_revision = beliefs.engines_revision.max(revision);
+}
+
 fn take_list_of_engines(gateway: &Arc<Gateway>, objects: &[StoreObject], revision: u64) {
     let read = objects.iter().map(|object| gateway.site.engine(object));
     let mut records = Vec::new();
@@ -289,7 +343,7 @@
     slog::info!(gateway.log, "engines listed"; "count" => count);
 }
 
-/// Takes in a change of an engine, from the store or from another node.
+/// Takes in a change of an engine from the store.
 pub fn take_engine(gateway: &Arc<Gateway>, event: &WatchEvent) {
     let object = &event.object;
     if event.is_gone {
@@ -305,7 +359,8 @@
             let service = record.service.0.clone();
             let is_leaving = record.is_leaving;
             let weights = format!("{:?}", record.weights);
-            if gateway.beliefs().engines.upsert(record) {
+            let now = gateway.clock.now();
+            if gateway.beliefs().upsert_engine(record, now) {
                 slog::info!(gateway.log, "engine changed";
                     "engine" => &object.name,
                     "service" => service,
@@ -324,13 +379,12 @@
 pub async fn follow_weights(gateway: Arc<Gateway>) {
     let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Weights);
     let mut backoff = Backoff::new();
-    let mut is_start = true;
     loop {
         let (objects, mut revision, _) = feed.list(&mut backoff).await;
+        let was_listed = std::mem::replace(&mut gateway.beliefs().targets_listed, true);
         for object in &objects {
-            take_weights(&gateway, object, is_start);
+            take_weights(&gateway, object, !was_listed);
         }
-        is_start = false;
         while let Some((events, next, _)) = feed.changes(revision, &mut backoff).await {
             let objects = events.iter().map(|event| &event.object);
             objects.for_each(|object| take_weights(&gateway, object, false));
@@ -343,11 +397,9 @@
     match gateway.site.named_version(object) {
         Ok(named) => {
             let now = gateway.clock.now();
-            let weights = &mut gateway.beliefs().weights;
-            let is_new = match is_start {
-                true => weights.name_from_start(&named.model, named.version, now),
-                false => weights.name(&named.model, named.version, now),
-            };
+            let mut beliefs = gateway.beliefs();
+            let is_new = beliefs.name_target(&named.model, named.version, is_start, now);
+            drop(beliefs);
             if is_new {
                 slog::info!(gateway.log, "weights named";
                     "model" => &named.model, "version" => named.version,
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -16,9 +16,10 @@
 /// Replaces the engines by those listed at a revision. Shortly after the store's
 /// return, engines that are missing are given time to come back.
 pub fn replace_engines(gateway: &Arc<Gateway>, records: Vec<EngineRecord>, revision: u64) {
+    let now = gateway.clock.now();
     let missing = gateway.beliefs().engines.missing_in(&records);
     for record in records {
-        gateway.beliefs().engines.upsert(record);
+        gateway.beliefs().upsert_engine(record, now);
     }
     for instance in missing {
         remove_engine(gateway, instance, revision);
@@ -35,7 +36,8 @@
         false => time_to_come_back_ms(gateway),
     };
     if wait_ms == 0 {
-        return gateway.beliefs().engines.remove(&instance, revision);
+        let now = gateway.clock.now();
+        return gateway.beliefs().remove_engine(&instance, revision, now);
     }
     slog::info!(gateway.log, "engine lapsed";
         "engine" => &instance.0, "revision" => revision, "wait_ms" => wait_ms);
@@ -43,7 +45,8 @@
     smol::spawn(async move {
         sleep(wait_ms).await;
         // An entry that was written since has a later revision, and stays.
-        if gateway.beliefs().engines.remove(&instance, revision) {
+        let now = gateway.clock.now();
+        if gateway.beliefs().remove_engine(&instance, revision, now) {
             slog::info!(gateway.log, "engine gone";
                 "engine" => &instance.0, "revision" => revision);
         }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,5 +7,5 @@
 
 pub use client::StoreClient;
 pub use feed::{
-    follow_configuration, follow_engines, follow_weights, take_engine, RELYING_GATHER_MS,
+    follow_configuration, follow_engines, follow_weights, take_configuration, take_engine,
 };
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -13,6 +13,7 @@
 pub use holder::LeaseHolder;
 pub use plan::{outdated_engines, OutdatedEngine};
 
+use crate::peers::roles::{are_engines_told, role, Role};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use engine_load::bring_up_to_date;
@@ -142,6 +143,12 @@
     let loading = Loading::default();
     loop {
         let named = gateway.weights_named.listen();
+        if loading.count() == 0 && are_engines_told(&gateway) {
+            // The relays stand for the lease.
+            holder.rest();
+            within(IDLE_PERIOD_MS, named).await;
+            continue;
+        }
         let outdated = waiting_engines(&gateway, &loading);
         gateway.beliefs().loading = loading.instances();
         if outdated.is_empty() && loading.count() == 0 {
@@ -172,12 +179,21 @@
 }
 
 /// Time by which this node waits longer than the holder before it asks for the
-/// lease, in milliseconds. The nodes that hear of each other are ordered by their
-/// names; the first few succeed one after the other, and the many others neither
-/// look at the lease nor ask for it unless all of those fail.
+/// lease, in milliseconds. The relays, or in a small fleet the nodes that hear of
+/// each other, are ordered by their names; the first few succeed one after the
+/// other, and the many others neither look at the lease nor ask for it unless all
+/// of those fail.
 fn succession_ms(gateway: &Gateway) -> u64 {
     let own = PeerId::of(&gateway.settings().node.name);
-    let rank = gateway.beliefs().peer_loads.rank(own);
+    let now = gateway.clock.now();
+    let rank = match role(gateway, now) {
+        Role::Relay => gateway.address_book().relay_rank(own, now),
+        Role::Follower => None,
+        Role::Direct | Role::Undecided => Some(gateway.beliefs().peer_loads.rank(own)),
+    };
+    let Some(rank) = rank else {
+        return OTHERS_WAIT_MS;
+    };
     match u64::try_from(rank).unwrap_or(u64::MAX) {
         rank if rank < SUCCESSORS => rank * SUCCESSION_STEP_MS,
         _ => OTHERS_WAIT_MS,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -9,17 +9,12 @@
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_gateway::assembly::start;
 use ploverlift_gateway::logging::silent_logger;
-use ploverlift_gateway::peers::address_book::{AddressBook, ListedNode, Reach};
-use ploverlift_gateway::peers::freshness::take_answer;
+use ploverlift_gateway::peers::address_book::{AddressBook, Capacity, ListedNode, Reach};
 use ploverlift_gateway::peers::messages::{
-    decode, encode, FreshnessAnswer, PeerMessage, PeerReport, MAX_PLACEMENTS,
+    decode, encode, PeerMessage, PeerReport, MAX_PLACEMENTS,
 };
-use ploverlift_gateway::peers::readers::relies_on_readers;
-use ploverlift_gateway::ports::{StoreObject, WatchEvent};
-use ploverlift_gateway::store::take_engine;
 use ploverlift_gateway::weights::LeaseHolder;
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::prompt::{cache_salt, part_keys, PartKey, PromptPart};
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -36,10 +31,13 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
+/// A node of the own zone, or of another one.
 fn listed(port: u16, is_near: bool) -> ListedNode {
     ListedNode {
+        id: PeerId(u64::from(port)),
         address: address(port),
-        is_near,
+        zone: ZoneTag(u32::from(is_near)),
+        capacity: Capacity::default(),
     }
 }
 
@@ -79,6 +77,7 @@
                 is_kept: part % 2 == 0,
             })
             .collect(),
+        wants_relay_reports: true,
     });
     let datagram = encode(&report);
     assert!(datagram.len() <= 1_200, "{} bytes", datagram.len());
@@ -89,7 +88,7 @@
 #[test]
 fn silent_nodes_are_tried_now_and_then_and_zones_are_kept_apart() {
     let mut book = AddressBook::default();
-    book.set_own(address(1));
+    book.set_own(listed(1, true));
     book.take_list(&[listed(1, true), listed(2, false), listed(3, true)], NOW);
     assert_eq!(book.receivers(Reach::Near, NOW), [address(3)]);
     assert_eq!(book.receivers(Reach::Far, NOW), [address(2)]);
@@ -116,9 +115,10 @@
 #[test]
 fn nodes_that_are_neither_listed_nor_heard_are_forgotten() {
     let mut book = AddressBook::default();
+    book.set_own(listed(1, true));
     book.take_list(&[listed(2, true), listed(3, true)], NOW);
     book.heard(address(4), PeerId(4), NOW);
-    assert_eq!(book.address_of(PeerId(4)), Some(address(4)));
+    assert_eq!(book.len(), 3);
     book.take_list(&[listed(3, true)], NOW.plus(100));
     assert_eq!(book.len(), 2);
     book.take_list(&[listed(3, true)], NOW.plus(60_000));
@@ -212,141 +212,3 @@
         assert_eq!(fixture.store.calls("put Leases"), 0);
     });
 }
-
-/// A node that hears two others of its zone that come before it.
-async fn relying_node() -> Fixture {
-    let fixture = Fixture::with(&[], configuration(1), "").await;
-    let own = PeerId::of("node");
-    assert!(own > PeerId(2), "the readers come first");
-    hear_readers(&fixture);
-    fixture
-}
-
-fn hear_readers(fixture: &Fixture) {
-    hear(fixture, &[1, 2]);
-}
-
-fn hear(fixture: &Fixture, peers: &[u64]) {
-    let now = fixture.gateway.clock.now();
-    let mut beliefs = fixture.gateway.beliefs();
-    for reader in peers.iter().copied() {
-        let report = LoadReport {
-            sender: PeerId(reader),
-            zone: ZoneTag::of(&fixture.gateway.zone),
-            life: 1,
-            sequence: now.0,
-            is_full: true,
-            loads: Vec::new(),
-            loading: Vec::new(),
-        };
-        beliefs.peer_loads.apply(&report, now);
-    }
-}
-
-#[test]
-fn a_node_relies_on_two_readers_and_not_on_one() {
-    smol::block_on(async {
-        let fixture = Fixture::with(&[], configuration(1), "").await;
-        hear(&fixture, &[1]);
-        assert!(!relies_on_readers(&fixture.gateway));
-        hear(&fixture, &[1, 2]);
-        assert!(relies_on_readers(&fixture.gateway));
-        let later = fixture.gateway.clock.now().plus(60_000);
-        let mut beliefs = fixture.gateway.beliefs();
-        beliefs.peer_loads.expire(later);
-        drop(beliefs);
-        assert!(!relies_on_readers(&fixture.gateway));
-    });
-}
-
-#[test]
-fn a_proof_counts_from_the_question_and_only_for_the_same_version() {
-    smol::block_on(async {
-        let fixture = relying_node().await;
-        let gateway = &fixture.gateway;
-        let now = gateway.clock.now();
-        let age_after = |configuration: u64, asked_at: Millis| {
-            gateway.beliefs().freshness = Freshness::default();
-            let answer = FreshnessAnswer {
-                asked_at,
-                configuration,
-                proof_age_ms: 700,
-            };
-            take_answer(gateway, &answer);
-            gateway.beliefs().freshness.age_ms(now)
-        };
-        let asked_at = Millis(now.0 - 300);
-        assert_eq!(age_after(1, asked_at), Some(1_000));
-        assert_eq!(age_after(2, asked_at), None);
-        assert_eq!(age_after(0, asked_at), None);
-        // An answer to a question that this life of the node never asked.
-        assert_eq!(age_after(1, now.plus(60_000)), None);
-    });
-}
-
-#[test]
-fn a_node_whose_reader_has_a_newer_configuration_reads_it_at_once() {
-    smol::block_on(async {
-        let settings = "[bounds]\nkey_revocation_ms = 600000\n";
-        let fixture = Fixture::with(&[], configuration(1), settings).await;
-        hear_readers(&fixture);
-        let gateway = Arc::clone(&fixture.gateway);
-        // The watch that is under way ends; the next one waits long.
-        let before = fixture.store.calls("watch Configuration");
-        while fixture.store.calls("watch Configuration") <= before + 1 {
-            hear_readers(&fixture);
-            caller::get_status(fixture.running().readiness).await;
-        }
-        let lists = fixture.store.calls("list Configuration");
-        while fixture.store.calls("list Configuration") == lists {
-            hear_readers(&fixture);
-            let answer = FreshnessAnswer {
-                asked_at: gateway.clock.now(),
-                configuration: 2,
-                proof_age_ms: 0,
-            };
-            take_answer(&gateway, &answer);
-            caller::get_status(fixture.running().readiness).await;
-        }
-    });
-}
-
-#[test]
-fn a_change_of_an_engine_from_another_node_is_taken_in_unless_it_is_older() {
-    smol::block_on(async {
-        let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
-        let fixture = Fixture::with(&[&llm], configuration(1), "").await;
-        let leaving = |revision: u64, is_leaving: bool| {
-            let mut content = llm.record();
-            content["leaving"] = is_leaving.into();
-            WatchEvent {
-                object: StoreObject {
-                    name: "llm-1".to_owned(),
-                    revision,
-                    is_deleting: false,
-                    content,
-                },
-                is_gone: false,
-            }
-        };
-        let is_leaving = || {
-            let beliefs = fixture.gateway.beliefs();
-            let engine = beliefs.engines.get(&InstanceId("llm-1".to_owned()));
-            engine.expect("known").record.is_leaving
-        };
-        let change = PeerMessage::CatalogueChange(leaving(1_000, true));
-        let received = decode(&encode(&change)).expect("a message");
-        assert_eq!(received.as_ref(), Some(&change));
-        take_engine(&fixture.gateway, &leaving(1_000, true));
-        assert!(is_leaving());
-        take_engine(&fixture.gateway, &leaving(999, false));
-        assert!(is_leaving());
-    });
-}
-
-#[test]
-fn a_node_that_was_not_told_of_a_leaving_engine_reads_it_within_the_bound() {
-    // The tightest bound known is 2 s; a call of a slow store takes up to 0.5 s.
-    let slowest_call_ms = 500;
-    assert!(ploverlift_gateway::store::RELYING_GATHER_MS + slowest_call_ms < 2_000);
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -92,3 +92,29 @@
     ensure!(length <= MAX_MESSAGE_BYTES, TooLargeSnafu { length });
     Ok(length)
 }
+
+/// Encodes the question for a snapshot, which goes over TCP.
+pub fn encode_snapshot_request(message: &peers::SnapshotRequest) -> Vec<u8> {
+    message.encode_to_vec()
+}
+
+/// Decodes the question for a snapshot.
+///
+/// # Errors
+/// When it does not decode.
+pub fn decode_snapshot_request(bytes: &[u8]) -> Result<peers::SnapshotRequest, WireError> {
+    peers::SnapshotRequest::decode(bytes).context(DecodeSnafu)
+}
+
+/// Encodes a snapshot, which goes over TCP.
+pub fn encode_snapshot(message: &peers::Snapshot) -> Vec<u8> {
+    message.encode_to_vec()
+}
+
+/// Decodes a snapshot.
+///
+/// # Errors
+/// When it does not decode.
+pub fn decode_snapshot(bytes: &[u8]) -> Result<peers::Snapshot, WireError> {
+    peers::Snapshot::decode(bytes).context(DecodeSnafu)
+}
