Tell other zones of three engines that keep a part, not of the first alone

Cause: a zone knew one holder elsewhere; once that one dropped the part or loaded newer weights, the zone read the part again although others had it.

Ruled out: a backlog of placements (the queues run empty each period).

Change: a placement goes to other zones while at most three engines keep the part; a drop tells which of them remain.

--- a/crates/balancing/src/prefix_holders.rs
+++ b/crates/balancing/src/prefix_holders.rs
@@ -56,10 +56,13 @@
 pub enum PlacementNews {
     /// Nothing.
     Known,
-    /// One more or one fewer engine keeps the part.
-    Changed,
-    /// The first engine keeps it, or the last one dropped it.
-    FirstOrLast,
+    /// The engine keeps the part, as so many do with it.
+    Kept {
+        /// Engines that keep the part.
+        holders: usize,
+    },
+    /// The engine no longer keeps it.
+    Dropped,
 }
 
 /// Holders by part.
@@ -104,29 +107,25 @@
     /// Takes in what another node tells; says what that changes.
     pub fn note(&mut self, placement: Placement, now: Millis) -> PlacementNews {
         if !placement.is_kept {
-            let was_kept = self.forget(placement.part, placement.engine, now);
-            return match was_kept {
-                true if self.is_held(placement.part, now) => PlacementNews::Changed,
-                true => PlacementNews::FirstOrLast,
+            return match self.forget(placement.part, placement.engine, now) {
+                true => PlacementNews::Dropped,
                 false => PlacementNews::Known,
             };
         }
-        let was_held = self.is_held(placement.part, now);
-        match self.note_read(placement.part, placement.engine, now) {
-            _ if !was_held => PlacementNews::FirstOrLast,
-            None => PlacementNews::Changed,
-            Some(used_at) if now.since(used_at) >= TOLD_AGAIN_MS => PlacementNews::Changed,
-            Some(_) => PlacementNews::Known,
+        let before = self.note_read(placement.part, placement.engine, now);
+        match before {
+            Some(used_at) if now.since(used_at) < TOLD_AGAIN_MS => PlacementNews::Known,
+            _ => PlacementNews::Kept {
+                holders: self.holders_of(placement.part, now).count(),
+            },
         }
     }
 
-    /// Whether any engine is taken to keep a part.
-    fn is_held(&self, part: PartKey, now: Millis) -> bool {
-        let holders = self.holders.get(&part);
-        holders.is_some_and(|holders| {
-            let mut holders = holders.iter();
-            holders.any(|holder| now.since(holder.used_at) < HELD_MS)
-        })
+    /// Engines that are taken to keep a part, those that kept it first in front.
+    pub fn holders_of(&self, part: PartKey, now: Millis) -> impl Iterator<Item = EngineTag> + '_ {
+        let holders = self.holders.get(&part).into_iter().flatten();
+        let live = holders.filter(move |holder| now.since(holder.used_at) < HELD_MS);
+        live.map(|holder| holder.engine)
     }
 
     /// An engine has read a part; tells when it was last known to have.
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -52,6 +52,9 @@
 /// Time for which another zone's relay that reported here is reported to, in
 /// milliseconds.
 const ZONE_REPORTER_SILENCE_MS: u64 = 1_000;
+/// Engines that keep a part of which other zones are told: one to fetch it from, and
+/// two more in case that one drops it.
+const HOLDERS_TOLD: usize = 3;
 /// Placements that wait to be passed on; the oldest give way.
 const MAX_WAITING_PLACEMENTS: usize = 512;
 
@@ -93,14 +96,33 @@
             .retain(|_, heard_at| now.since(*heard_at) < ZONE_REPORTER_SILENCE_MS);
     }
 
-    fn pass_on(&mut self, placement: Placement, news: PlacementNews, is_from_zone: bool) {
-        if news == PlacementNews::Known {
+    /// Passes a placement on to the nodes of the zone, and to other zones what they
+    /// need: a few engines that have the part, not all of them. `others` are engines
+    /// that still have what this one dropped.
+    fn pass_on(
+        &mut self,
+        placement: Placement,
+        news: PlacementNews,
+        others: &[EngineTag],
+        is_from_zone: bool,
+    ) {
+        let concerns_others = match news {
+            PlacementNews::Known => return,
+            PlacementNews::Kept { holders } => holders <= HOLDERS_TOLD,
+            PlacementNews::Dropped => true,
+        };
+        push_bounded(&mut self.for_zone, placement);
+        if !is_from_zone || !concerns_others {
             return;
         }
-        push_bounded(&mut self.for_zone, placement);
-        // Other zones need one engine that has the part, not all of them.
-        if is_from_zone && news == PlacementNews::FirstOrLast {
-            push_bounded(&mut self.for_other_zones, placement);
+        push_bounded(&mut self.for_other_zones, placement);
+        for other in others {
+            let remaining = Placement {
+                part: placement.part,
+                engine: *other,
+                is_kept: true,
+            };
+            push_bounded(&mut self.for_other_zones, remaining);
         }
     }
 }
@@ -170,7 +192,15 @@
 fn take_news(beliefs: &mut Beliefs, report: &PeerReport, is_from_zone: bool, now: Millis) {
     for placement in &report.placements {
         let news = beliefs.holders.note(*placement, now);
-        beliefs.relaying.pass_on(*placement, news, is_from_zone);
+        let others: Vec<EngineTag> = match news {
+            PlacementNews::Dropped => {
+                let others = beliefs.holders.holders_of(placement.part, now);
+                others.take(HOLDERS_TOLD).collect()
+            }
+            _ => Vec::new(),
+        };
+        let duties = &mut beliefs.relaying;
+        duties.pass_on(*placement, news, &others, is_from_zone);
     }
     for loaded in &report.loaded {
         if beliefs.engines.note_loaded_weights(loaded) {
@@ -242,8 +272,12 @@
             .news_after(self.own_placements_from, MAX_WAITING_PLACEMENTS);
         self.own_placements_from = next;
         for placement in placements {
+            let news = match placement.is_kept {
+                true => PlacementNews::Kept { holders: 1 },
+                false => PlacementNews::Dropped,
+            };
             let duties = &mut beliefs.relaying;
-            duties.pass_on(placement, PlacementNews::FirstOrLast, true);
+            duties.pass_on(placement, news, &[], true);
         }
     }
 
