Rename: reading rate to prefill rate, with its settings and log field

Cause: reading of prompts is prefill in the field; the code had both words.

Change: prefill_rate.rs, PrefillRate, prefill_ms, the log field `prefill=`, the setting cost.prefill_tokens_per_ms. A setting under its earlier name is answered with its present one (tests/settings.rs, which failed before).

--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`relayed_loads`] | the same as relays sum it up in large fleets |
 //! | [`prefix_holders`] | where shared parts of prompts were read, as nodes tell each other |
 //! | [`prefix_reach`] | what each engine holds of one prompt, and where the rest can be had |
-//! | [`reading_rate`] | how fast engines read prompts, learned from their answers |
+//! | [`prefill_rate`] | how fast engines read prompts, learned from their answers |
 //! | [`rendezvous`] | the order of engines for a prompt |
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
@@ -33,9 +33,9 @@
 pub mod health;
 pub mod load_schedule;
 pub mod peer_loads;
+pub mod prefill_rate;
 pub mod prefix_holders;
 pub mod prefix_reach;
-pub mod reading_rate;
 pub mod relayed_loads;
 pub mod rendezvous;
 pub mod retry_budget;
--- a/crates/balancing/src/reading_rate.rs
+++ b/crates/balancing/src/prefill_rate.rs
@@ -35,7 +35,7 @@
 
 /// What is known of the rate of one service.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ReadingRate {
+pub struct PrefillRate {
     sums: Sums,
     outliers: u32,
 }
@@ -46,7 +46,7 @@
     ms_per_token: f64,
 }
 
-impl ReadingRate {
+impl PrefillRate {
     /// A request that waited behind no prompt had `tokens` to be read and its first
     /// event after `first_event_ms`.
     pub fn observe(&mut self, tokens: u64, first_event_ms: u64) {
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CostRates {
     /// Prompt tokens that an engine reads in a millisecond.
-    pub prompt_tokens_per_ms: f64,
+    pub prefill_tokens_per_ms: f64,
     /// Cost of what gives way to a copy of kept cache, as a share of the time to
     /// read it again.
     pub displaced_share: f64,
@@ -103,7 +103,7 @@
     /// Reading again what gives way to shared parts that the engine lacks.
     pub displaced_ms: f64,
     /// Reading shared parts that no engine is known to keep.
-    pub reading_ms: f64,
+    pub prefill_ms: f64,
     /// Running on weights older than the newest in use, and reading there what will
     /// be of no use once the engine has the newest.
     pub outdated_ms: f64,
@@ -119,7 +119,7 @@
     /// The sum of all terms.
     pub fn total_ms(&self) -> f64 {
         let waiting_ms = self.queue_ms + self.slots_ms;
-        let prompt_ms = self.transfer_ms + self.displaced_ms + self.reading_ms;
+        let prompt_ms = self.transfer_ms + self.displaced_ms + self.prefill_ms;
         waiting_ms + prompt_ms + self.outdated_ms + self.zone_ms + self.failure_ms
     }
 }
@@ -309,12 +309,12 @@
             return (cost, Supply::default());
         };
         let waiting_tokens = engine.waiting_tokens + peers.waiting_tokens;
-        cost.queue_ms = waiting_tokens as f64 / rates.prompt_tokens_per_ms;
+        cost.queue_ms = waiting_tokens as f64 / rates.prefill_tokens_per_ms;
         let supply = self.supply(engine, prompt, rank, &mut cost);
         cost.transfer_ms += RANK_MS * rank as f64;
         if engine.weights_of(prompt.model) < self.newest_weights {
             let to_read = prompt.shared_tokens().saturating_sub(supply.kept_tokens);
-            cost.outdated_ms = rates.outdated_ms + to_read as f64 / rates.prompt_tokens_per_ms;
+            cost.outdated_ms = rates.outdated_ms + to_read as f64 / rates.prefill_tokens_per_ms;
         }
         (cost, supply)
     }
@@ -327,12 +327,12 @@
         rank: usize,
         cost: &mut Cost,
     ) -> Supply {
-        let reading_ms = |tokens: u64| tokens as f64 / self.rates.prompt_tokens_per_ms;
+        let prefill_ms = |tokens: u64| tokens as f64 / self.rates.prefill_tokens_per_ms;
         let shared = prompt.shared_tokens();
         if !self.reach.is_known() {
             // Nobody is known to keep any part: the home may.
             if rank > 0 {
-                cost.displaced_ms = reading_ms(shared) * self.rates.displaced_share;
+                cost.displaced_ms = prefill_ms(shared) * self.rates.displaced_share;
             }
             let home = self.home.filter(|home| {
                 let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
@@ -357,8 +357,8 @@
         if offered > held {
             cost.transfer_ms = offer.as_ref().map_or(0.0, |offer| offer.move_ms);
         }
-        cost.displaced_ms = reading_ms(shared - held) * self.rates.displaced_share;
-        cost.reading_ms = reading_ms(shared.saturating_sub(kept));
+        cost.displaced_ms = prefill_ms(shared - held) * self.rates.displaced_share;
+        cost.prefill_ms = prefill_ms(shared.saturating_sub(kept));
         Supply {
             source: offer.map(|offer| offer.source),
             held_tokens: held,
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -17,7 +17,7 @@
 
 const NOW: Millis = Millis(10_000);
 const RATES: CostRates = CostRates {
-    prompt_tokens_per_ms: 40.0,
+    prefill_tokens_per_ms: 40.0,
     displaced_share: 0.5,
     outdated_ms: 20.0,
     zone_ms: 2.0,
--- a/crates/balancing/tests/reading_rate.rs
+++ b/crates/balancing/tests/prefill_rate.rs
@@ -1,6 +1,6 @@
-//! The reading rate that is learned from three differently shaped fleets.
+//! The prefill rate that is learned from three differently shaped fleets.
 
-use ploverlift_balancing::reading_rate::ReadingRate;
+use ploverlift_balancing::prefill_rate::PrefillRate;
 
 /// The rate in the settings, in tokens a millisecond.
 const USUAL: f64 = 40.0;
@@ -17,7 +17,7 @@
 /// What is learned from so many answers; every twentieth stalls for a second.
 fn learned(fleet: &Fleet, answers: u64, seed: u64) -> f64 {
     let mut random = fastrand::Rng::with_seed(seed);
-    let mut rate = ReadingRate::default();
+    let mut rate = PrefillRate::default();
     for number in 0..answers {
         let tokens = random.u64(0..fleet.longest);
         let noise_ms = random.f64() * 10.0;
@@ -62,7 +62,7 @@
 
 #[test]
 fn little_or_uniform_evidence_changes_nothing() {
-    let mut rate = ReadingRate::default();
+    let mut rate = PrefillRate::default();
     for _ in 0..10 {
         rate.observe(4_000, 900);
     }
@@ -75,7 +75,7 @@
 
 #[test]
 fn what_is_learned_stays_within_its_bounds() {
-    let mut rate = ReadingRate::default();
+    let mut rate = PrefillRate::default();
     for number in 0..200 {
         rate.observe(number * 50, number * 5_000);
     }
@@ -84,7 +84,7 @@
 
 #[test]
 fn engines_that_become_slower_are_learned_anew() {
-    let mut rate = ReadingRate::default();
+    let mut rate = PrefillRate::default();
     for tokens in (0..200).map(|number| number * 40) {
         rate.observe(tokens, 20 + tokens / 50);
     }
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -21,7 +21,7 @@
 
 const NOW: Millis = Millis(50_000);
 const RATES: CostRates = CostRates {
-    prompt_tokens_per_ms: 40.0,
+    prefill_tokens_per_ms: 40.0,
     displaced_share: 0.2,
     outdated_ms: 20.0,
     zone_ms: 2.0,
@@ -279,7 +279,7 @@
     assert_eq!(choice.instance, instance(1));
     assert_eq!(choice.source, Some(CacheSource::Engine(instance(0))));
     assert_eq!((choice.held_tokens, choice.kept_tokens), (2_000, 6_000));
-    assert!(choice.cost.displaced_ms > 0.0 && choice.cost.reading_ms == 0.0);
+    assert!(choice.cost.displaced_ms > 0.0 && choice.cost.prefill_ms == 0.0);
 }
 
 #[test]
@@ -365,7 +365,7 @@
     let choice = choice_with(300.0, &PrefixHolders::default());
     assert_eq!(choice.source, Some(CacheSource::Store));
     assert_eq!((choice.held_tokens, choice.kept_tokens), (0, 6_000));
-    assert_eq!(choice.cost.reading_ms, 0.0);
+    assert_eq!(choice.cost.prefill_ms, 0.0);
     assert!((choice.cost.transfer_ms - 40.0).abs() < 1.5);
     // An engine that keeps the prompt itself needs no move.
     let holders = kept_by(&[0], 1, 2);
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -9,8 +9,8 @@
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
+use ploverlift_balancing::prefill_rate::PrefillRate;
 use ploverlift_balancing::prefix_holders::PrefixHolders;
-use ploverlift_balancing::reading_rate::ReadingRate;
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
 use ploverlift_balancing::selection::{FleetView, StoreView};
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
@@ -135,7 +135,7 @@
     /// The newest revision of that lease of which its holder told this node.
     pub heard_lease: Option<HeardLease>,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
-    reading_rates: BTreeMap<ServiceName, ReadingRate>,
+    prefill_rates: BTreeMap<ServiceName, PrefillRate>,
 }
 
 impl Beliefs {
@@ -284,13 +284,13 @@
     /// Prompt tokens that an engine of a service reads in a millisecond; `usual` until
     /// its answers have shown it.
     pub fn tokens_per_ms(&self, service: &ServiceName, usual: f64) -> f64 {
-        let learned = self.reading_rates.get(service);
+        let learned = self.prefill_rates.get(service);
         learned.map_or(usual, |rate| rate.tokens_per_ms(usual))
     }
 
     /// What the answers of a service's engines have shown of their reading.
-    pub fn reading_rate(&mut self, service: &ServiceName) -> &mut ReadingRate {
-        self.reading_rates.entry(service.clone()).or_default()
+    pub fn prefill_rate(&mut self, service: &ServiceName) -> &mut PrefillRate {
+        self.prefill_rates.entry(service.clone()).or_default()
     }
 
     /// The lowest version of a model's weights on which a request may begin.
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -192,7 +192,7 @@
         }
         let settings = self.gateway.settings();
         let usual_ms = route.objective_ms as f64 * settings.attempts.patience;
-        Some((usual_ms + self.reading_ms() * PROMPT_PATIENCE) as u64)
+        Some((usual_ms + self.prefill_ms() * PROMPT_PATIENCE) as u64)
     }
 
     /// `silence_ms`, cut short where the engine has outdated weights: a request
@@ -214,10 +214,10 @@
     }
 
     /// Time that an engine takes to read the prompt, in milliseconds.
-    fn reading_ms(&self) -> f64 {
+    fn prefill_ms(&self) -> f64 {
         let prompt = self.received.request.prompt.as_ref();
         let tokens = prompt.map_or(0, |prompt| prompt.tokens());
-        let usual = self.gateway.settings().cost.prompt_tokens_per_ms;
+        let usual = self.gateway.settings().cost.prefill_tokens_per_ms;
         let service = &self.received.admission.service;
         tokens as f64 / self.gateway.beliefs().tokens_per_ms(service, usual)
     }
--- a/crates/gateway/src/relay/choice.rs
+++ b/crates/gateway/src/relay/choice.rs
@@ -49,7 +49,7 @@
         let mut rates = self.gateway.cost_rates();
         let beliefs = self.gateway.beliefs();
         let service = &self.received.admission.service;
-        rates.prompt_tokens_per_ms = beliefs.tokens_per_ms(service, rates.prompt_tokens_per_ms);
+        rates.prefill_tokens_per_ms = beliefs.tokens_per_ms(service, rates.prefill_tokens_per_ms);
         let criteria = Criteria {
             service: &self.received.admission.service,
             zone: &self.gateway.zone,
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -44,7 +44,7 @@
         let cost = &chosen.cost;
         let _ = write!(
             self.attempts,
-            "{}{} weights={} cache={} of={} held={} queue={:.0} transfer={:.0} displaced={:.0} reading={:.0} outdated={:.0} zone={:.0} slots={:.0} failure={:.0}",
+            "{}{} weights={} cache={} of={} held={} queue={:.0} transfer={:.0} displaced={:.0} prefill={:.0} outdated={:.0} zone={:.0} slots={:.0} failure={:.0}",
             if self.attempts.is_empty() { "" } else { "; " },
             chosen.instance,
             chosen.weights.unwrap_or(0),
@@ -54,7 +54,7 @@
             cost.queue_ms,
             cost.transfer_ms,
             cost.displaced_ms,
-            cost.reading_ms,
+            cost.prefill_ms,
             cost.outdated_ms,
             cost.zone_ms,
             cost.slots_ms,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -78,7 +78,7 @@
         }
         let service = &self.received.admission.service;
         let mut beliefs = self.gateway.beliefs();
-        let rate = beliefs.reading_rate(service);
+        let rate = beliefs.prefill_rate(service);
         rate.observe(chosen.tokens_to_read, first_event_ms);
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -168,7 +168,7 @@
 #[serde(deny_unknown_fields, default)]
 pub struct CostSettings {
     /// Prompt tokens that an engine reads in a millisecond.
-    pub prompt_tokens_per_ms: f64,
+    pub prefill_tokens_per_ms: f64,
     /// Cost of what gives way to a copy of kept cache, as a share of the time to
     /// read it again.
     pub displaced_share: f64,
@@ -185,7 +185,7 @@
 impl Default for CostSettings {
     fn default() -> Self {
         Self {
-            prompt_tokens_per_ms: 40.0,
+            prefill_tokens_per_ms: 40.0,
             displaced_share: 0.5,
             outdated_ms: 80.0,
             zone_ms: 12.0,
@@ -292,6 +292,9 @@
     }
 }
 
+/// Settings that had another name before, and their present names.
+const RENAMED: [(&str, &str); 1] = [("cost.prompt_tokens_per_ms", "cost.prefill_tokens_per_ms")];
+
 /// Why settings cannot be used.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -311,6 +314,16 @@
         /// The parser's error, with line, key and what was expected.
         source: Box<toml::de::Error>,
     },
+    /// A key had this name in an earlier release.
+    #[snafu(display("{}: '{key}' is now '{name}'", file.display()))]
+    Renamed {
+        /// The file.
+        file: PathBuf,
+        /// The key found.
+        key: &'static str,
+        /// Its present name.
+        name: &'static str,
+    },
     /// A value is out of its bounds.
     #[snafu(display("{}: {key} = {value}: {fix}", file.display()))]
     Value {
@@ -325,6 +338,15 @@
     },
 }
 
+/// Whether a file has a key, given as its table and its name in that table.
+fn has_key(table: &toml::Table, key: &str) -> bool {
+    let Some((section, name)) = key.split_once('.') else {
+        return table.contains_key(key);
+    };
+    let section = table.get(section).and_then(toml::Value::as_table);
+    section.is_some_and(|section| section.contains_key(name))
+}
+
 impl GatewaySettings {
     /// Reads and checks a settings file.
     ///
@@ -340,6 +362,17 @@
     /// # Errors
     /// When it has another shape or a value out of its bounds.
     pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
+        let table = toml::from_str::<toml::Table>(text).map_err(Box::new);
+        let table = table.context(ShapeSnafu { file })?;
+        let mut renamed = RENAMED.iter();
+        if let Some((key, name)) = renamed.find(|(key, _)| has_key(&table, key)) {
+            return RenamedSnafu {
+                file,
+                key: *key,
+                name: *name,
+            }
+            .fail();
+        }
         let parsed = toml::from_str::<Self>(text).map_err(Box::new);
         let settings = parsed.context(ShapeSnafu { file })?;
         settings.check(file)?;
@@ -407,7 +440,10 @@
                 "bounds.retry_window_seconds",
                 self.bounds.retry_window_seconds,
             ),
-            ("cost.prompt_tokens_per_ms", self.cost.prompt_tokens_per_ms),
+            (
+                "cost.prefill_tokens_per_ms",
+                self.cost.prefill_tokens_per_ms,
+            ),
             ("cost.senders", self.cost.senders),
             ("attempts.patience", self.attempts.patience),
         ];
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -191,7 +191,7 @@
     pub fn cost_rates(&self) -> CostRates {
         let cost = &self.settings().cost;
         CostRates {
-            prompt_tokens_per_ms: cost.prompt_tokens_per_ms,
+            prefill_tokens_per_ms: cost.prefill_tokens_per_ms,
             displaced_share: cost.displaced_share,
             outdated_ms: cost.outdated_ms,
             zone_ms: cost.zone_ms,
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -357,7 +357,7 @@
 }
 
 /// Reading the stand-in's short prompts anew costs more than anything else.
-const SLOW_READING: &str = "[cost]\nprompt_tokens_per_ms = 0.1\n";
+const SLOW_READING: &str = "[cost]\nprefill_tokens_per_ms = 0.1\n";
 
 #[test]
 fn a_prompt_goes_to_the_engine_whose_events_tell_that_it_keeps_it() {
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,41 @@
+//! The settings file: what is refused, and how clearly.
+
+use ploverlift_gateway::settings::GatewaySettings;
+use std::path::Path;
+
+const ADDRESSES: &str = "[node]\nname = \"n\"\nzone = \"z\"\n\
+    [listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\n\
+    [store]\naddress = \"127.0.0.1:3\"\n";
+
+fn error_of(more: &str) -> String {
+    let text = format!("{ADDRESSES}{more}");
+    let parsed = GatewaySettings::parse(&text, Path::new("node.toml"));
+    parsed.expect_err("an error").to_string()
+}
+
+#[test]
+fn a_key_of_an_earlier_release_is_answered_with_its_present_name() {
+    assert_eq!(
+        error_of("[cost]\nprompt_tokens_per_ms = 40.0\n"),
+        "node.toml: 'cost.prompt_tokens_per_ms' is now 'cost.prefill_tokens_per_ms'"
+    );
+}
+
+#[test]
+fn values_out_of_their_bounds_name_the_key_and_the_way_out() {
+    assert_eq!(
+        error_of("[bounds]\nleaving_engine_ms = 0\n"),
+        "node.toml: bounds.leaving_engine_ms = 0: use 1 or more"
+    );
+    let negative = ADDRESSES.replace("zone = \"z\"\n", "zone = \"z\"\ncpu_cores = -0.5\n");
+    let parsed = GatewaySettings::parse(&negative, Path::new("node.toml"));
+    assert_eq!(
+        parsed.expect_err("an error").to_string(),
+        "node.toml: node.cpu_cores = -0.5: use a number of 0.0 or more"
+    );
+}
+
+#[test]
+fn a_key_that_never_was_is_refused() {
+    assert!(error_of("[cost]\nplenty = 1\n").contains("plenty"));
+}
--- a/crates/lab/src/losses.rs
+++ b/crates/lab/src/losses.rs
@@ -36,7 +36,7 @@
     /// Shared parts were moved to the engine.
     Moving,
     /// Shared parts were read again, or for the first time.
-    Reading,
+    Prefill,
     /// Its engine's weights were behind the newest.
     OutdatedWeights,
     /// An engine failed, was lost or refused, and another one answered.
@@ -57,7 +57,7 @@
             Reason::Prompt => "answered promptly",
             Reason::Waiting => "waited behind prompts",
             Reason::Moving => "kept cache was moved",
-            Reason::Reading => "shared parts were read",
+            Reason::Prefill => "shared parts were read",
             Reason::OutdatedWeights => "outdated weights",
             Reason::SecondEngine => "a second engine answered",
             Reason::Refused => "refused, not run",
@@ -158,7 +158,7 @@
     let terms = [
         ("queue=", Reason::Waiting),
         ("transfer=", Reason::Moving),
-        ("reading=", Reason::Reading),
+        ("prefill=", Reason::Prefill),
         ("outdated=", Reason::OutdatedWeights),
     ];
     let costs = terms.map(|(name, reason)| (term_ms(attempts, name), reason));
