Rename: displaced to eviction, outdated weights to stale model version

Cause: what gives way to a copy in a KV cache is evicted; an engine behind the target version serves a stale model version. The code had words of its own.

--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -19,9 +19,9 @@
     pub prefill_tokens_per_ms: f64,
     /// Cost of what gives way to a copy of kept cache, as a share of the time to
     /// read it again.
-    pub displaced_share: f64,
+    pub eviction_share: f64,
     /// Cost of weights that are older than the newest in use, in milliseconds.
-    pub outdated_ms: f64,
+    pub stale_version_ms: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
     /// Cost of one more request at a full engine of a plain service, in
@@ -101,12 +101,12 @@
     /// Moving shared parts that the engine lacks from another one or the store.
     pub transfer_ms: f64,
     /// Reading again what gives way to shared parts that the engine lacks.
-    pub displaced_ms: f64,
+    pub eviction_ms: f64,
     /// Reading shared parts that no engine is known to keep.
     pub prefill_ms: f64,
     /// Running on weights older than the newest in use, and reading there what will
     /// be of no use once the engine has the newest.
-    pub outdated_ms: f64,
+    pub stale_version_ms: f64,
     /// Being in another zone.
     pub zone_ms: f64,
     /// Requests in the slots.
@@ -119,8 +119,8 @@
     /// The sum of all terms.
     pub fn total_ms(&self) -> f64 {
         let waiting_ms = self.queue_ms + self.slots_ms;
-        let prompt_ms = self.transfer_ms + self.displaced_ms + self.prefill_ms;
-        waiting_ms + prompt_ms + self.outdated_ms + self.zone_ms + self.failure_ms
+        let prompt_ms = self.transfer_ms + self.eviction_ms + self.prefill_ms;
+        waiting_ms + prompt_ms + self.stale_version_ms + self.zone_ms + self.failure_ms
     }
 }
 
@@ -314,7 +314,8 @@
         cost.transfer_ms += RANK_MS * rank as f64;
         if engine.weights_of(prompt.model) < self.newest_weights {
             let to_read = prompt.shared_tokens().saturating_sub(supply.kept_tokens);
-            cost.outdated_ms = rates.outdated_ms + to_read as f64 / rates.prefill_tokens_per_ms;
+            cost.stale_version_ms =
+                rates.stale_version_ms + to_read as f64 / rates.prefill_tokens_per_ms;
         }
         (cost, supply)
     }
@@ -332,7 +333,7 @@
         if !self.reach.is_known() {
             // Nobody is known to keep any part: the home may.
             if rank > 0 {
-                cost.displaced_ms = prefill_ms(shared) * self.rates.displaced_share;
+                cost.eviction_ms = prefill_ms(shared) * self.rates.eviction_share;
             }
             let home = self.home.filter(|home| {
                 let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
@@ -357,7 +358,7 @@
         if offered > held {
             cost.transfer_ms = offer.as_ref().map_or(0.0, |offer| offer.move_ms);
         }
-        cost.displaced_ms = prefill_ms(shared - held) * self.rates.displaced_share;
+        cost.eviction_ms = prefill_ms(shared - held) * self.rates.eviction_share;
         cost.prefill_ms = prefill_ms(shared.saturating_sub(kept));
         Supply {
             source: offer.map(|offer| offer.source),
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -18,8 +18,8 @@
 const NOW: Millis = Millis(10_000);
 const RATES: CostRates = CostRates {
     prefill_tokens_per_ms: 40.0,
-    displaced_share: 0.5,
-    outdated_ms: 20.0,
+    eviction_share: 0.5,
+    stale_version_ms: 20.0,
     zone_ms: 2.0,
     slot_ms: 30.0,
     senders: 7.0,
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -22,8 +22,8 @@
 const NOW: Millis = Millis(50_000);
 const RATES: CostRates = CostRates {
     prefill_tokens_per_ms: 40.0,
-    displaced_share: 0.2,
-    outdated_ms: 20.0,
+    eviction_share: 0.2,
+    stale_version_ms: 20.0,
     zone_ms: 2.0,
     slot_ms: 30.0,
     senders: 7.0,
@@ -279,7 +279,7 @@
     assert_eq!(choice.instance, instance(1));
     assert_eq!(choice.source, Some(CacheSource::Engine(instance(0))));
     assert_eq!((choice.held_tokens, choice.kept_tokens), (2_000, 6_000));
-    assert!(choice.cost.displaced_ms > 0.0 && choice.cost.prefill_ms == 0.0);
+    assert!(choice.cost.eviction_ms > 0.0 && choice.cost.prefill_ms == 0.0);
 }
 
 #[test]
@@ -480,5 +480,5 @@
     let holders = kept_by(&[4], 1, 2);
     let choice = chosen(&catalogue(&old), &PeerLoads::default(), &holders);
     assert_eq!(choice.instance, instance(4));
-    assert!(choice.cost.outdated_ms > 0.0);
+    assert!(choice.cost.stale_version_ms > 0.0);
 }
--- a/crates/gateway/src/relay/record.rs
+++ b/crates/gateway/src/relay/record.rs
@@ -44,7 +44,7 @@
         let cost = &chosen.cost;
         let _ = write!(
             self.attempts,
-            "{}{} weights={} cache={} of={} held={} queue={:.0} transfer={:.0} displaced={:.0} prefill={:.0} outdated={:.0} zone={:.0} slots={:.0} failure={:.0}",
+            "{}{} weights={} cache={} of={} held={} queue={:.0} transfer={:.0} eviction={:.0} prefill={:.0} stale={:.0} zone={:.0} slots={:.0} failure={:.0}",
             if self.attempts.is_empty() { "" } else { "; " },
             chosen.instance,
             chosen.weights.unwrap_or(0),
@@ -53,9 +53,9 @@
             chosen.held_tokens,
             cost.queue_ms,
             cost.transfer_ms,
-            cost.displaced_ms,
+            cost.eviction_ms,
             cost.prefill_ms,
-            cost.outdated_ms,
+            cost.stale_version_ms,
             cost.zone_ms,
             cost.slots_ms,
             cost.failure_ms,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -171,9 +171,9 @@
     pub prefill_tokens_per_ms: f64,
     /// Cost of what gives way to a copy of kept cache, as a share of the time to
     /// read it again.
-    pub displaced_share: f64,
+    pub eviction_share: f64,
     /// Cost of weights that are older than the newest in use, in milliseconds.
-    pub outdated_ms: f64,
+    pub stale_version_ms: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
     /// Cost of a full engine, in milliseconds.
@@ -186,8 +186,8 @@
     fn default() -> Self {
         Self {
             prefill_tokens_per_ms: 40.0,
-            displaced_share: 0.5,
-            outdated_ms: 80.0,
+            eviction_share: 0.5,
+            stale_version_ms: 80.0,
             zone_ms: 12.0,
             slot_ms: 30.0,
             senders: 7.0,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -192,8 +192,8 @@
         let cost = &self.settings().cost;
         CostRates {
             prefill_tokens_per_ms: cost.prefill_tokens_per_ms,
-            displaced_share: cost.displaced_share,
-            outdated_ms: cost.outdated_ms,
+            eviction_share: cost.eviction_share,
+            stale_version_ms: cost.stale_version_ms,
             zone_ms: cost.zone_ms,
             slot_ms: cost.slot_ms,
             senders: cost.senders,
--- a/crates/lab/src/losses.rs
+++ b/crates/lab/src/losses.rs
@@ -38,7 +38,7 @@
     /// Shared parts were read again, or for the first time.
     Prefill,
     /// Its engine's weights were behind the newest.
-    OutdatedWeights,
+    StaleVersion,
     /// An engine failed, was lost or refused, and another one answered.
     SecondEngine,
     /// It was refused and has not run.
@@ -58,7 +58,7 @@
             Reason::Waiting => "waited behind prompts",
             Reason::Moving => "kept cache was moved",
             Reason::Prefill => "shared parts were read",
-            Reason::OutdatedWeights => "outdated weights",
+            Reason::StaleVersion => "stale model version",
             Reason::SecondEngine => "a second engine answered",
             Reason::Refused => "refused, not run",
             Reason::TimedOut => "time was up",
@@ -159,7 +159,7 @@
         ("queue=", Reason::Waiting),
         ("transfer=", Reason::Moving),
         ("prefill=", Reason::Prefill),
-        ("outdated=", Reason::OutdatedWeights),
+        ("stale=", Reason::StaleVersion),
     ];
     let costs = terms.map(|(name, reason)| (term_ms(attempts, name), reason));
     let largest = costs.into_iter().max_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/lab/tests/losses.rs
+++ b/crates/lab/tests/losses.rs
@@ -5,9 +5,9 @@
 const LOG: &str = concat!(
     r#"{"msg":"started","node":"a"}"#,
     "\n",
-    r#"  1.2 node-a {"msg":"request","outcome":"answered","route":"r","first_byte_ms":30,"attempts":"e1 weights=1 cache=local of=9 held=0 queue=3 transfer=0 displaced=0 prefill=10 outdated=0 zone=0 slots=1 failure=0 -> answered"}"#,
+    r#"  1.2 node-a {"msg":"request","outcome":"answered","route":"r","first_byte_ms":30,"attempts":"e1 weights=1 cache=local of=9 held=0 queue=3 transfer=0 eviction=0 prefill=10 stale=0 zone=0 slots=1 failure=0 -> answered"}"#,
     "\n",
-    r#"{"msg":"request","outcome":"answered","route":"r","first_byte_ms":130,"attempts":"e1 weights=1 cache=fetch of=9 held=0 queue=3 transfer=2 displaced=50 prefill=110 outdated=0 zone=0 slots=1 failure=0 -> answered"}"#,
+    r#"{"msg":"request","outcome":"answered","route":"r","first_byte_ms":130,"attempts":"e1 weights=1 cache=fetch of=9 held=0 queue=3 transfer=2 eviction=50 prefill=110 stale=0 zone=0 slots=1 failure=0 -> answered"}"#,
     "\n",
     r#"{"msg":"request","outcome":"answered","route":"r","first_byte_ms":900,"attempts":"e1 weights=1 queue=0 -> broken (reset); e2 weights=1 queue=700 -> answered"}"#,
     "\n",
