--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -191,7 +191,7 @@
             return None;
         }
         let settings = self.gateway.settings();
-        let usual_ms = route.objective_ms as f64 * settings.attempts.patience;
+        let usual_ms = route.objective_ms as f64 * settings.attempts.timeout_objectives;
         Some((usual_ms + self.prefill_ms() * PROMPT_PATIENCE) as u64)
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -137,7 +137,7 @@
     pub connect_timeout_ms: u64,
     /// Silence after which a repeatable request goes to another engine, as a
     /// multiple of the route's objective.
-    pub patience: f64,
+    pub timeout_objectives: f64,
     /// Silence between the events of a stream after which it is taken up at
     /// another engine, in milliseconds.
     pub stream_silence_ms: u64,
@@ -154,7 +154,7 @@
     fn default() -> Self {
         Self {
             connect_timeout_ms: 250,
-            patience: 2.0,
+            timeout_objectives: 2.0,
             stream_silence_ms: 1_500,
             retry_after_ms: 200,
             retry_reserve: 2.0,
@@ -293,7 +293,12 @@
 }
 
 /// Settings that had another name before, and their present names.
-const RENAMED: [(&str, &str); 1] = [("cost.prompt_tokens_per_ms", "cost.prefill_tokens_per_ms")];
+const RENAMED: [(&str, &str); 4] = [
+    ("cost.prompt_tokens_per_ms", "cost.prefill_tokens_per_ms"),
+    ("cost.displaced_share", "cost.eviction_share"),
+    ("cost.outdated_ms", "cost.stale_version_ms"),
+    ("attempts.patience", "attempts.timeout_objectives"),
+];
 
 /// Why settings cannot be used.
 #[derive(Debug, Snafu)]
@@ -445,7 +450,10 @@
                 self.cost.prefill_tokens_per_ms,
             ),
             ("cost.senders", self.cost.senders),
-            ("attempts.patience", self.attempts.patience),
+            (
+                "attempts.timeout_objectives",
+                self.attempts.timeout_objectives,
+            ),
         ];
         for (key, value) in rates {
             if value.is_nan() || value <= 0.0 {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -15,10 +15,20 @@
 
 #[test]
 fn a_key_of_an_earlier_release_is_answered_with_its_present_name() {
-    assert_eq!(
-        error_of("[cost]\nprompt_tokens_per_ms = 40.0\n"),
-        "node.toml: 'cost.prompt_tokens_per_ms' is now 'cost.prefill_tokens_per_ms'"
-    );
+    let renamed = [
+        ("cost", "prompt_tokens_per_ms", "prefill_tokens_per_ms"),
+        ("cost", "displaced_share", "eviction_share"),
+        ("cost", "outdated_ms", "stale_version_ms"),
+        ("attempts", "patience", "timeout_objectives"),
+    ];
+    for (section, earlier, present) in renamed {
+        assert_eq!(
+            error_of(&format!("[{section}]\n{earlier} = 2.0\n")),
+            format!("node.toml: '{section}.{earlier}' is now '{section}.{present}'")
+        );
+        let text = format!("{ADDRESSES}[{section}]\n{present} = 2.0\n");
+        assert!(GatewaySettings::parse(&text, Path::new("node.toml")).is_ok());
+    }
 }
 
 #[test]
