--- a/crates/balancing/src/health.rs
+++ b/crates/balancing/src/health.rs
@@ -1,15 +1,15 @@
 //! Putting engines aside that do not serve, and trying them again.
 //!
 //! Detection is by traffic alone: an engine whose health check is good may
-//! still fail its requests. An engine that cannot be reached is put aside at
+//! still fail its requests. An engine that cannot be reached is ejected at
 //! once; one that fails part of its requests, when its failures stand out from
 //! those of its service ([`crate::selection`] compares them).
 
 use ploverlift_policy::ids::Millis;
 
-/// First time for which an unreachable engine is put aside, in milliseconds.
+/// First time for which an unreachable engine is ejected, in milliseconds.
 const FIRST_SUSPENSION_MS: u64 = 400;
-/// Longest time for which it is put aside, in milliseconds.
+/// Longest time for which it is ejected, in milliseconds.
 const LONGEST_SUSPENSION_MS: u64 = 3_000;
 /// Weight of the newest outcome in the failure rate.
 const NEWEST_WEIGHT: f64 = 0.15;
@@ -59,7 +59,7 @@
         self.outcomes
     }
 
-    /// Whether the engine may be chosen: it is not put aside, and where it was,
+    /// Whether the engine may be chosen: it is not ejected, and where it was,
     /// no other request is trying it.
     pub fn may_be_chosen(&self, now: Millis) -> bool {
         if self.suspended_until.is_some_and(|until| now < until) {
@@ -69,7 +69,7 @@
         on_trial.is_none_or(|since| now.since(since) >= TRIAL_TIMEOUT_MS)
     }
 
-    /// Whether the engine was put aside and has not answered since.
+    /// Whether the engine was ejected and has not answered since.
     pub fn is_suspected(&self) -> bool {
         self.suspended_until.is_some()
     }
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -161,8 +161,8 @@
 const FAILURE_MS: f64 = 2_000.0;
 /// Cost of an engine that loads weights, in milliseconds: it would refuse.
 const LOADING_MS: f64 = 5_000.0;
-/// Cost of an engine that was put aside, in milliseconds.
-const SUSPENDED_MS: f64 = 20_000.0;
+/// Cost of an engine that was ejected, in milliseconds.
+const EJECTED_MS: f64 = 20_000.0;
 /// Cost of each place in the order of a prompt's engines, in milliseconds, so
 /// that overflow goes to the same few engines.
 const RANK_MS: f64 = 1.0;
@@ -370,7 +370,7 @@
     fn failure_ms(&self, engine: &Engine) -> f64 {
         let now = self.now;
         if !engine.health.may_be_chosen(now) {
-            return SUSPENDED_MS;
+            return EJECTED_MS;
         }
         if engine.is_loading(now) || self.view.peer_loads.is_loading(engine.tag) {
             return LOADING_MS;
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -149,7 +149,7 @@
 }
 
 #[test]
-fn an_unreachable_engine_is_put_aside_and_tried_again_by_one_request() {
+fn an_unreachable_engine_is_ejected_and_tried_again_by_one_request() {
     let mut catalogue = catalogue(3);
     let home = chosen(&catalogue, "z0", 7, 0, &[], NOW).expect("home");
     catalogue.note_outcome(&home, Outcome::Unreachable, NOW);
@@ -163,7 +163,7 @@
 }
 
 #[test]
-fn engines_are_never_put_aside_all_at_once() {
+fn engines_are_never_ejected_all_at_once() {
     let mut catalogue = catalogue(3);
     for index in 0..3 {
         catalogue.note_outcome(&instance(index), Outcome::Unreachable, NOW);
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -155,7 +155,7 @@
             Err(_) => {
                 connection.reset();
                 stop_relying(&gateway, &engine, &mut is_followed);
-                put_aside(&gateway, &engine);
+                eject(&gateway, &engine);
                 RETRY_MS
             }
         };
@@ -183,9 +183,9 @@
     note_followed(gateway, engine, is_followed, false);
 }
 
-/// An engine that does not answer calls for events is put aside before requests
+/// An engine that does not answer calls for events is ejected before requests
 /// have to find out, one by one and each by its own time-out.
-fn put_aside(gateway: &Gateway, engine: &FollowedEngine) {
+fn eject(gateway: &Gateway, engine: &FollowedEngine) {
     let now = gateway.clock.now();
     let mut beliefs = gateway.beliefs();
     beliefs
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -399,7 +399,7 @@
 }
 
 #[test]
-fn an_engine_that_no_longer_answers_its_feed_is_put_aside_without_a_request() {
+fn an_engine_that_no_longer_answers_its_feed_is_ejected_without_a_request() {
     smol::block_on(async {
         let engine = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
         let mut with_events = configuration(1);
