Rename: kept cache to KV cache, patience_ms to attempt_timeout_ms

Cause: what engines keep of prompts is the KV cache; its store is the KV cache store. Change: comments, pages and two local names. Measured: nothing that decides changes; gateway, balancing, platform and lab tests pass.

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -1,4 +1,4 @@
-//! What an engine or a store of kept cache holds, as its events tell.
+//! What an engine or a KV cache store holds, as its events tell.
 //!
 //! Events come late and some never come. A part that is believed to be kept and
 //! is not costs a look-up; one that is kept and not believed to be costs a
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -9,7 +9,7 @@
 //! | module | concern |
 //! | --- | --- |
 //! | [`attempts`] | whether a request may be sent again, and what may be said of it |
-//! | [`cache_contents`] | what an engine or a store of kept cache holds, by its events |
+//! | [`cache_contents`] | what an engine or a KV cache store holds, by its events |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
 //! | [`health`] | putting engines aside that fail, and trying them again |
@@ -22,7 +22,7 @@
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`load_schedule`] | when engines load new weights, and how many at once |
-//! | [`store_room`] | which prompts are worth their room in the store of kept cache |
+//! | [`store_room`] | which prompts are worth their room in the KV cache store |
 //! | [`supply`] | from where an engine can have what it lacks of a prompt |
 //! | [`weights`] | which versions of weights a request may begin on |
 
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -17,7 +17,7 @@
 pub struct CostRates {
     /// Prompt tokens that an engine reads in a millisecond.
     pub prefill_tokens_per_ms: f64,
-    /// Cost of what gives way to a copy of kept cache, as a share of the time to
+    /// Cost of what gives way to a copy of KV cache, as a share of the time to
     /// read it again.
     pub eviction_share: f64,
     /// Cost of weights that are older than the newest in use, in milliseconds.
@@ -43,11 +43,11 @@
     pub holders: &'a PrefixHolders,
     /// What the engines whose events are followed keep.
     pub caches: &'a EngineCaches,
-    /// The store of kept cache, where one is in use.
+    /// The KV cache store, where one is in use.
     pub cache_store: Option<StoreView<'a>>,
 }
 
-/// What a node knows of the store of kept cache.
+/// What a node knows of the KV cache store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreView<'a> {
     /// What it keeps.
@@ -80,7 +80,7 @@
     pub key: ChainKey,
     /// The parts that other requests may have too.
     pub shared: &'a [PromptPart],
-    /// Rates at which kept cache of the model moves.
+    /// Rates at which KV cache of the model moves.
     pub moves: MoveRates,
     /// Lowest version of weights that is allowed.
     pub required_weights: u64,
--- a/crates/balancing/src/store_room.rs
+++ b/crates/balancing/src/store_room.rs
@@ -1,4 +1,4 @@
-//! Which prompts are worth the room that they take in the store of kept cache.
+//! Which prompts are worth the room that they take in the KV cache store.
 //!
 //! An engine that saves a prompt saves its own last part along with the shared
 //! ones, and nobody asks for that part again. Saving whatever the store lacks turns
--- a/crates/balancing/src/supply.rs
+++ b/crates/balancing/src/supply.rs
@@ -8,7 +8,7 @@
 
 /// How much longer moving cache takes between zones.
 const FAR_TRANSFER: f64 = 2.0;
-/// Rates at which kept cache moves within a zone, in tokens a millisecond.
+/// Rates at which KV cache moves within a zone, in tokens a millisecond.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MoveRates {
     /// From one engine to another.
@@ -32,7 +32,7 @@
 pub enum CacheSource {
     /// Another engine.
     Engine(InstanceId),
-    /// The store of kept cache.
+    /// The KV cache store.
     Store,
 }
 
--- a/crates/balancing/tests/store_room.rs
+++ b/crates/balancing/tests/store_room.rs
@@ -1,4 +1,4 @@
-//! Which prompts are saved to the store of kept cache.
+//! Which prompts are saved to the KV cache store.
 
 use ploverlift_balancing::store_room::{is_worth_saving, SaveCandidate, StoreFill};
 
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// What is known of the store of kept cache.
+/// What is known of the KV cache store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CacheStoreState {
     /// It does not answer: nothing is fetched from it or saved to it.
@@ -67,7 +67,7 @@
     Followed,
 }
 
-/// What this node believes of the store of kept cache.
+/// What this node believes of the KV cache store.
 #[derive(Debug, Default)]
 pub struct CacheBeliefs {
     /// What is known of the store itself.
@@ -118,7 +118,7 @@
     pub weights: NamedWeights,
     /// Splits of routes.
     pub splitter: WeightedSplitter,
-    /// The store of kept cache.
+    /// The KV cache store.
     pub cache: CacheBeliefs,
     /// Requests of the other nodes.
     pub peer_loads: PeerLoads,
@@ -140,7 +140,7 @@
 
 impl Beliefs {
     /// What is known of the fleet, for the choice of an engine. `store` is the store
-    /// of kept cache that this node's engines use.
+    /// of KV cache that this node's engines use.
     pub fn fleet<'a>(&'a self, store: Option<&'a CacheStore>) -> FleetView<'a> {
         FleetView {
             cache_store: store.map(|store| StoreView {
--- a/crates/gateway/src/cache_feeds/mod.rs
+++ b/crates/gateway/src/cache_feeds/mod.rs
@@ -1,4 +1,4 @@
-//! Following what engines and stores of kept cache hold.
+//! Following what engines and KV cache stores hold.
 //!
 //! Each of them tells changes to those who ask, and holds a call until there are
 //! some. A call that fails costs hits and never an answer: without a feed the
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -1,4 +1,4 @@
-//! Follows what the store of kept cache holds.
+//! Follows what the KV cache store holds.
 //!
 //! Without it each node would save each shared prompt anew, and the saves alone
 //! would fill the store's link.
@@ -22,7 +22,7 @@
 /// Pause between two calls, in milliseconds, so that events come in batches.
 const GATHER_MS: u64 = 60;
 
-/// The store of kept cache that nodes of a zone use: one in the zone where there
+/// The KV cache store that nodes of a zone use: one in the zone where there
 /// is one.
 pub fn cache_store<'a>(
     configuration: &'a ActiveConfiguration,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 //! | [`kept_connections`] | connections to engines between two requests |
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and who keeps which prompts |
-//! | [`cache_feeds`] | follows what engines and the store of kept cache hold |
+//! | [`cache_feeds`] | follows what engines and the KV cache store hold |
 //! | [`weights`] | bringing engines to new weights, by one holder of a lease |
 //! | [`readiness`], [`metrics`], [`logging`] | what a node tells of itself |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
--- a/crates/gateway/src/ports/cache.rs
+++ b/crates/gateway/src/ports/cache.rs
@@ -1,4 +1,4 @@
-//! Events of stores of kept cache.
+//! Events of KV cache stores.
 
 use ploverlift_balancing::cache_contents::CacheEvents;
 use ploverlift_http1::{RequestHead, ResponseHead};
@@ -14,7 +14,7 @@
     Invalid,
 }
 
-/// The protocol by which a store of kept cache tells what it keeps.
+/// The protocol by which a KV cache store tells what it keeps.
 pub trait CacheProtocol: Send + Sync {
     /// The head that asks for events from a position, and waits for some.
     fn cache_events_head(&self, since: u64, wait_ms: u64) -> RequestHead;
--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -22,7 +22,7 @@
     pub priority: u8,
     /// The version of weights that is relied on; an engine with another refuses.
     pub weights: Option<u64>,
-    /// Kept cache, for requests to a model.
+    /// KV cache, for requests to a model.
     pub cache: Option<CacheTransfer>,
     /// The last event that the caller has.
     pub resume_after: Option<&'a str>,
@@ -30,7 +30,7 @@
     pub keeps_connection: bool,
 }
 
-/// How a request uses kept cache.
+/// How a request uses KV cache.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CacheTransfer {
     /// The name under which parts are filed and looked up.
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -11,7 +11,7 @@
 //! | [`CallerProtocol`] | a caller's head to a [`CallerRequest`]; a refusal to a head |
 //! | [`EngineProtocol`] | an [`EngineCall`] to a head; an engine's head to its [`AnswerMeaning`] |
 //! | [`EngineControl`] | a report and an order, there and back |
-//! | [`CacheProtocol`] | events of stores of kept cache |
+//! | [`CacheProtocol`] | events of KV cache stores |
 //! | [`ObjectStore`] | calls of the object store, there and back |
 //! | [`StoredDocuments`] | stored documents to configuration, engines and named weights |
 
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -102,11 +102,11 @@
             keeps_connection: settings.attempts.keep_connection_ms > 0,
         };
         let head = self.gateway.site.engine_head(&call);
-        let patience_ms = self.patience_ms().unwrap_or(left_ms).min(left_ms);
-        let patience_ms = self.begins_within_ms(chosen, patience_ms);
+        let attempt_timeout_ms = self.attempt_timeout_ms().unwrap_or(left_ms).min(left_ms);
+        let attempt_timeout_ms = self.begins_within_ms(chosen, attempt_timeout_ms);
         let limits = ExchangeLimits {
             connect_ms: settings.attempts.connect_timeout_ms.min(left_ms),
-            head_ms: patience_ms,
+            head_ms: attempt_timeout_ms,
         };
         if let Some(answer) = self.send_on_kept(chosen, &head, limits).await? {
             return Ok(answer);
@@ -185,7 +185,7 @@
     }
 
     /// Silence after which another engine is tried; nothing when none may be.
-    pub(super) fn patience_ms(&self) -> Option<u64> {
+    pub(super) fn attempt_timeout_ms(&self) -> Option<u64> {
         let route = &self.received.admission.route;
         if self.progress.attempts.is_last_attempt() {
             return None;
--- a/crates/gateway/src/relay/choice.rs
+++ b/crates/gateway/src/relay/choice.rs
@@ -1,4 +1,4 @@
-//! Choosing an engine, and how a prompt uses kept cache there.
+//! Choosing an engine, and how a prompt uses KV cache there.
 
 use super::Relay;
 use crate::beliefs::{Beliefs, CacheStoreState};
@@ -17,7 +17,7 @@
 /// Bytes that a link of one megabit a second moves in a millisecond.
 const BYTES_PER_MEGABIT_PER_MS: f64 = 125.0;
 
-/// An engine that was chosen, and how the request uses kept cache there.
+/// An engine that was chosen, and how the request uses KV cache there.
 pub(super) struct ChosenEngine {
     pub(super) instance: InstanceId,
     pub(super) tag: EngineTag,
@@ -82,7 +82,7 @@
         })
     }
 
-    /// Rates at which kept cache moves, as the configuration tells.
+    /// Rates at which KV cache moves, as the configuration tells.
     fn move_rates(&self) -> MoveRates {
         let admission = &self.received.admission;
         let services = &admission.configuration.document.services;
@@ -127,7 +127,7 @@
         chosen
     }
 
-    /// How the request uses kept cache at its engine: it fetches shared parts from the
+    /// How the request uses KV cache at its engine: it fetches shared parts from the
     /// source of the choice, and saves them where that is worth its room.
     fn transfer(&self, beliefs: &Beliefs, placed: PlacedPrompt<'_>) -> CacheTransfer {
         // Without known weights nothing may be shared with any other request.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -174,9 +174,9 @@
     }
 
     fn allowed_silence_ms(&self, is_first: bool) -> Option<u64> {
-        let patience_ms = self.patience_ms()?;
+        let attempt_timeout_ms = self.attempt_timeout_ms()?;
         match is_first {
-            true => Some(patience_ms),
+            true => Some(attempt_timeout_ms),
             false => Some(self.gateway.settings().attempts.stream_silence_ms),
         }
     }
--- a/crates/gateway/src/relay/whole.rs
+++ b/crates/gateway/src/relay/whole.rs
@@ -78,7 +78,7 @@
 
     async fn read_held(&self, answer: &mut EngineAnswer) -> ReadEnd {
         let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
-        let patience_ms = self.patience_ms().unwrap_or(left_ms).min(left_ms);
+        let attempt_timeout_ms = self.attempt_timeout_ms().unwrap_or(left_ms).min(left_ms);
         let mut body = Vec::new();
         let reading = async {
             while answer.read(&mut body).await? {
@@ -88,7 +88,7 @@
             }
             Ok::<bool, ploverlift_http1::HttpError>(true)
         };
-        match within(patience_ms, reading).await {
+        match within(attempt_timeout_ms, reading).await {
             Some(Ok(true)) => ReadEnd::Whole(body),
             Some(Ok(false)) => ReadEnd::TooLarge(body),
             Some(Err(error)) => ReadEnd::Broken {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,7 +24,7 @@
     /// Rates for the choice of an engine.
     #[serde(default)]
     pub cost: CostSettings,
-    /// Kept cache.
+    /// KV cache.
     #[serde(default)]
     pub cache: CacheSettings,
     /// Loading of new weights.
@@ -169,7 +169,7 @@
 pub struct CostSettings {
     /// Prompt tokens that an engine reads in a millisecond.
     pub prefill_tokens_per_ms: f64,
-    /// Cost of what gives way to a copy of kept cache, as a share of the time to
+    /// Cost of what gives way to a copy of KV cache, as a share of the time to
     /// read it again.
     pub eviction_share: f64,
     /// Cost of weights that are older than the newest in use, in milliseconds.
@@ -201,7 +201,7 @@
 pub struct CacheSettings {
     /// Whether the events of engines are followed.
     pub follow_engines: bool,
-    /// Whether the store of kept cache is used.
+    /// Whether the KV cache store is used.
     pub use_store: bool,
 }
 
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -50,8 +50,8 @@
             _ => 0,
         };
         let usual_ms = self.gateway.settings().store.timeout_ms;
-        let patience_ms = self.answer_time.map_or(usual_ms, |time| time.wait_ms());
-        let timeout_ms = patience_ms + wait_ms;
+        let answer_timeout_ms = self.answer_time.map_or(usual_ms, |time| time.wait_ms());
+        let timeout_ms = answer_timeout_ms + wait_ms;
         let began = self.gateway.clock.now();
         let (head, body) = self.gateway.site.store_message(call);
         self.gateway.metrics.count_store_call(call);
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -324,7 +324,7 @@
 }
 
 /// Whether the first three requests for one prompt fetched and saved,
-/// with a cache store that answers calls for events so.
+/// with a KV cache store that answers calls for events so.
 async fn cache_use(status: u16, state: CacheStoreState) -> Vec<(bool, bool)> {
     let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
     let (address, _task) = start_cache_store(status).await;
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -234,7 +234,7 @@
     }
 }
 
-/// A stand-in cache store that answers each call for events with this status.
+/// A stand-in KV cache store that answers each call for events with this status.
 pub async fn start_cache_store(status: u16) -> (SocketAddr, smol::Task<()>) {
     let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
     let address = listener.local_addr().expect("address");
--- a/crates/lab/src/losses.rs
+++ b/crates/lab/src/losses.rs
@@ -56,7 +56,7 @@
         match self {
             Reason::Prompt => "answered promptly",
             Reason::Waiting => "waited behind prompts",
-            Reason::Moving => "kept cache was moved",
+            Reason::Moving => "KV cache was moved",
             Reason::Prefill => "shared parts were read",
             Reason::StaleVersion => "stale model version",
             Reason::SecondEngine => "a second engine answered",
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -108,18 +108,18 @@
     pub models: Vec<String>,
     /// Tokens that one engine keeps.
     pub cache_capacity_tokens: Option<u64>,
-    /// Bytes of kept cache for each token.
+    /// Bytes of KV cache for each token.
     pub cache_token_bytes: Option<f64>,
-    /// Rate at which one engine moves kept cache, in megabits a second.
+    /// Rate at which one engine moves KV cache, in megabits a second.
     pub cache_link_mbps: Option<f64>,
     /// Waiting calls for cache events that one engine holds at once; nothing
     /// where engines tell no events.
     pub max_event_calls: Option<u32>,
-    /// Address and zone, when the service is a store of kept cache and no engine.
+    /// Address and zone, when the service is a KV cache store and no engine.
     pub cache_store: Option<CacheStore>,
 }
 
-/// A store of kept cache.
+/// A KV cache store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CacheStore {
     /// Where engines reach it.
@@ -128,7 +128,7 @@
     pub zone: ZoneName,
     /// Tokens that it keeps.
     pub capacity_tokens: u64,
-    /// Rate at which it moves kept cache, in megabits a second.
+    /// Rate at which it moves KV cache, in megabits a second.
     pub link_mbps: Option<f64>,
 }
 
