--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -34,9 +34,11 @@
 /// milliseconds: the watch of the configuration notices that the store is back.
 const OTHERS_PAUSE_MS: u64 = 1_000;
 /// Shortest pause after a failed call of a node that follows relays, in
-/// milliseconds: hundreds of them must not keep a store busy that is in trouble,
-/// and the relays notice sooner that it is back.
-const FOLLOWER_PAUSE_MS: u64 = 2_000;
+/// milliseconds; the longest is twice as long. Hundreds of them must not keep a store
+/// busy that is in trouble, and the relays notice sooner that it is back. The longest
+/// is under the shortest time after trouble at which a node counts as in touch with
+/// the store in a large fleet (4 s).
+const FOLLOWER_PAUSE_MS: u64 = 1_500;
 /// Time between two looks at whether relays tell what a watch waits for, in
 /// milliseconds.
 const TOLD_LOOK_MS: u64 = 200;
