--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -2,7 +2,7 @@
 
 use crate::catalogue_log::CatalogueLog;
 use crate::peers::follower::FollowedRelays;
-use crate::peers::relay::RelayDuties;
+use crate::peers::relay_duties::RelayDuties;
 use crate::peers::relay_messages::EngineChange;
 use crate::settings::GatewaySettings;
 use ploverlift_balancing::cache_contents::CacheContents;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod readiness;
 pub mod relay;
 pub mod settings;
+mod settings_defaults;
+mod settings_error;
 pub mod state;
 pub mod store;
 pub mod time;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,7 +10,8 @@
 //! | [`discovery`] | how nodes find each other: by records in the object store |
 //! | [`roles`] | who reads the store, and who is told |
 //! | [`reports`] | a node's own reports: to all in a small fleet, else to relays |
-//! | [`relay`] | what a relay collects and tells |
+//! | [`relay_duties`] | what a relay collects, and whom it answers |
+//! | [`relay`] | what it tells |
 //! | [`follower`] | what a node that follows relays has heard |
 //! | [`snapshot`] | what a follower lacks, over TCP |
 //! | [`messages`], [`relay_messages`] | messages as datagrams |
@@ -26,6 +27,7 @@
 pub mod follower;
 pub mod messages;
 pub mod relay;
+pub mod relay_duties;
 pub mod relay_messages;
 pub mod reports;
 pub mod roles;
@@ -36,7 +38,7 @@
 use follower::take_relay_report;
 use messages::{decode, PeerMessage, PeerReport};
 use ploverlift_balancing::peer_loads::PeerId;
-use relay::{take_member_report, take_zone_report};
+use relay_duties::{take_member_report, take_zone_report};
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -7,6 +7,7 @@
 
 use super::address_book::PeerAddress;
 use super::messages::{encode, encode_body, PeerMessage, PeerReport, MAX_PLACEMENTS};
+use super::relay_duties::MAX_WAITING_PLACEMENTS;
 use super::relay_messages::{
     included_message, relay_report_message, IncludedReport, RelayReport, TargetVersion,
     MAX_RELAYED_CHANGES, MAX_RELAYED_LOADS, MAX_RELAYED_PLACEMENTS,
@@ -23,7 +24,7 @@
 use ploverlift_policy::ids::Millis;
 use ploverlift_wire::peers::peer_message::Body;
 use smol::net::UdpSocket;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -49,171 +50,6 @@
 /// Time for which a change of an engine is told again with each report, in
 /// milliseconds: three reports, so that two may be lost.
 const CHANGES_TOLD_MS: u64 = 320;
-/// Time after which a node that reports no longer is not reported to, in
-/// milliseconds: as long as its loads count.
-const REPORTER_SILENCE_MS: u64 = 1_800;
-/// Time for which another zone's relay that reported here is reported to, in
-/// milliseconds.
-const ZONE_REPORTER_SILENCE_MS: u64 = 1_000;
-/// Engines that keep a part of which other zones are told: one to fetch it from, and
-/// two more in case that one drops it.
-const HOLDERS_TOLD: usize = 3;
-/// Placements that wait to be passed on; the oldest give way.
-const MAX_WAITING_PLACEMENTS: usize = 512;
-
-/// A node that reports to this one.
-#[derive(Clone, Copy, Debug)]
-struct Reporter {
-    included: IncludedReport,
-    heard_at: Millis,
-}
-
-/// What this node owes to those who take it for a relay.
-#[derive(Clone, Debug, Default)]
-pub struct RelayDuties {
-    reporters: HashMap<SocketAddr, Reporter>,
-    zone_reporters: HashMap<SocketAddr, Millis>,
-    for_zone: VecDeque<Placement>,
-    for_other_zones: VecDeque<Placement>,
-}
-
-impl RelayDuties {
-    /// Whether any node takes this one for a relay.
-    pub fn has_reporters(&self, now: Millis) -> bool {
-        let mut reporters = self.reporters.values();
-        reporters.any(|reporter| now.since(reporter.heard_at) < REPORTER_SILENCE_MS)
-    }
-
-    fn note_reporter(&mut self, from: SocketAddr, included: IncludedReport, now: Millis) {
-        let reporter = Reporter {
-            included,
-            heard_at: now,
-        };
-        self.reporters.insert(from, reporter);
-    }
-
-    fn expire(&mut self, now: Millis) {
-        self.reporters
-            .retain(|_, reporter| now.since(reporter.heard_at) < REPORTER_SILENCE_MS);
-        self.zone_reporters
-            .retain(|_, heard_at| now.since(*heard_at) < ZONE_REPORTER_SILENCE_MS);
-    }
-
-    /// Passes a placement on to the nodes of the zone, and to other zones what they
-    /// need: a few engines that have the part, not all of them. `others` are engines
-    /// that still have what this one dropped.
-    fn pass_on(
-        &mut self,
-        placement: Placement,
-        news: PlacementNews,
-        others: &[EngineTag],
-        is_from_zone: bool,
-    ) {
-        let concerns_others = match news {
-            PlacementNews::Known => return,
-            PlacementNews::Kept { holders } => holders <= HOLDERS_TOLD,
-            PlacementNews::Dropped => true,
-        };
-        push_bounded(&mut self.for_zone, placement);
-        if !is_from_zone || !concerns_others {
-            return;
-        }
-        push_bounded(&mut self.for_other_zones, placement);
-        for other in others {
-            let remaining = Placement {
-                part: placement.part,
-                engine: *other,
-                is_kept: true,
-            };
-            push_bounded(&mut self.for_other_zones, remaining);
-        }
-    }
-}
-
-fn push_bounded(queue: &mut VecDeque<Placement>, placement: Placement) {
-    if queue.len() >= MAX_WAITING_PLACEMENTS {
-        queue.pop_front();
-    }
-    queue.push_back(placement);
-}
-
-fn take_up_to(queue: &mut VecDeque<Placement>, count: usize) -> Vec<Placement> {
-    let count = count.min(queue.len());
-    queue.drain(..count).collect()
-}
-
-/// Takes in the report of a node of the zone that takes this one for a relay.
-pub fn take_member_report(
-    gateway: &Gateway,
-    beliefs: &mut Beliefs,
-    report: &PeerReport,
-    from: SocketAddr,
-) {
-    let now = gateway.clock.now();
-    let loads = &report.loads;
-    if apply_loads(gateway, beliefs, loads, now) {
-        let included = IncludedReport {
-            life: loads.life,
-            sequence: loads.sequence,
-        };
-        beliefs.relaying.note_reporter(from, included, now);
-    }
-    take_news(beliefs, report, true, now);
-}
-
-/// Takes in the sums of another zone from one of its relays.
-pub fn take_zone_report(gateway: &Gateway, report: &PeerReport, from: SocketAddr) {
-    let now = gateway.clock.now();
-    gateway.address_book().heard(from, report.loads.sender, now);
-    let mut beliefs = gateway.beliefs();
-    beliefs.relaying.zone_reporters.insert(from, now);
-    // The relays of a zone report the same sums. They count as one sender, of whom
-    // the later life is heard until it falls silent.
-    let loads = LoadReport {
-        sender: PeerId(u64::from(report.loads.zone.0)),
-        ..report.loads.clone()
-    };
-    apply_loads(gateway, &mut beliefs, &loads, now);
-    take_news(&mut beliefs, report, false, now);
-}
-
-/// Takes in loads. Which engines are about to load weights is told on at once.
-fn apply_loads(gateway: &Gateway, beliefs: &mut Beliefs, loads: &LoadReport, now: Millis) -> bool {
-    let tells_loading = loads
-        .loading
-        .iter()
-        .any(|engine| !beliefs.peer_loads.is_loading(*engine));
-    let is_news = beliefs.peer_loads.apply(loads, now);
-    if is_news && tells_loading {
-        gateway.report_due.notify(usize::MAX);
-    }
-    is_news
-}
-
-/// What a report tells besides loads. It passes on what was news here, so nothing
-/// goes round.
-fn take_news(beliefs: &mut Beliefs, report: &PeerReport, is_from_zone: bool, now: Millis) {
-    for placement in &report.placements {
-        let news = beliefs.holders.note(*placement, now);
-        let others: Vec<EngineTag> = match news {
-            PlacementNews::Dropped => {
-                let others = beliefs.holders.holders_of(placement.part, now);
-                others.take(HOLDERS_TOLD).collect()
-            }
-            _ => Vec::new(),
-        };
-        let duties = &mut beliefs.relaying;
-        duties.pass_on(*placement, news, &others, is_from_zone);
-    }
-    for loaded in &report.loaded {
-        if beliefs.engines.note_loaded_weights(loaded) {
-            beliefs.pass_on_loaded(*loaded, now);
-        }
-    }
-    if let Some(revision) = report.lease_revision {
-        beliefs.hear_of_lease(revision, now);
-    }
-}
 
 /// The task of a node that relays.
 pub struct Relay {
@@ -309,10 +145,7 @@
         let reports = self.next_reports(now);
         let receivers: Vec<(SocketAddr, IncludedReport)> = {
             let beliefs = self.gateway.beliefs();
-            let reporters = beliefs.relaying.reporters.iter();
-            reporters
-                .map(|(address, reporter)| (*address, reporter.included))
-                .collect()
+            beliefs.relaying.receivers()
         };
         for report in reports {
             let common = encode_body(Body::RelayReport(relay_report_message(&report)));
@@ -373,7 +206,7 @@
         let mut portions = Vec::new();
         loop {
             let next = loads.next().unwrap_or_default();
-            let placements = take_up_to(&mut beliefs.relaying.for_zone, MAX_RELAYED_PLACEMENTS);
+            let placements = beliefs.relaying.next_for_zone(MAX_RELAYED_PLACEMENTS);
             if next.is_empty() && placements.is_empty() {
                 return portions;
             }
@@ -488,7 +321,7 @@
         }
         drop(book);
         let beliefs = self.gateway.beliefs();
-        receivers.extend(beliefs.relaying.zone_reporters.keys());
+        receivers.extend(beliefs.relaying.zone_reporters());
         receivers
     }
 
@@ -501,8 +334,7 @@
         loop {
             let is_first = reports.is_empty();
             let is_full = is_first && tells_loads;
-            let waiting = &mut beliefs.relaying.for_other_zones;
-            let placements = take_up_to(waiting, MAX_PLACEMENTS);
+            let placements = beliefs.relaying.next_for_other_zones(MAX_PLACEMENTS);
             if placements.is_empty() && !is_first {
                 return reports;
             }
--- /dev/null
+++ b/crates/gateway/src/peers/relay_duties.rs
@@ -0,0 +1,202 @@
+//! What a relay owes to those who report to it: whom it answers, and which placements
+//! it has yet to pass on.
+
+use super::messages::PeerReport;
+use super::relay_messages::IncludedReport;
+use crate::beliefs::Beliefs;
+use crate::state::Gateway;
+use ploverlift_balancing::peer_loads::{EngineTag, LoadReport, PeerId};
+use ploverlift_balancing::prefix_holders::{Placement, PlacementNews};
+use ploverlift_policy::ids::Millis;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Time after which a node that reports no longer is not reported to, in
+/// milliseconds: as long as its loads count.
+const REPORTER_SILENCE_MS: u64 = 1_800;
+/// Time for which another zone's relay that reported here is reported to, in
+/// milliseconds.
+const ZONE_REPORTER_SILENCE_MS: u64 = 1_000;
+/// Engines that keep a part of which other zones are told: one to fetch it from, and
+/// two more in case that one drops it.
+const HOLDERS_TOLD: usize = 3;
+/// Placements that wait to be passed on; the oldest give way.
+pub(super) const MAX_WAITING_PLACEMENTS: usize = 512;
+
+/// A node that reports to this one.
+#[derive(Clone, Copy, Debug)]
+struct Reporter {
+    included: IncludedReport,
+    heard_at: Millis,
+}
+
+/// What this node owes to those who take it for a relay.
+#[derive(Clone, Debug, Default)]
+pub struct RelayDuties {
+    reporters: HashMap<SocketAddr, Reporter>,
+    zone_reporters: HashMap<SocketAddr, Millis>,
+    for_zone: VecDeque<Placement>,
+    for_other_zones: VecDeque<Placement>,
+}
+
+impl RelayDuties {
+    /// Whether any node takes this one for a relay.
+    pub fn has_reporters(&self, now: Millis) -> bool {
+        let mut reporters = self.reporters.values();
+        reporters.any(|reporter| now.since(reporter.heard_at) < REPORTER_SILENCE_MS)
+    }
+
+    /// Nodes that this one reports to, with the last report of each that it has.
+    pub(super) fn receivers(&self) -> Vec<(SocketAddr, IncludedReport)> {
+        let reporters = self.reporters.iter();
+        reporters
+            .map(|(address, reporter)| (*address, reporter.included))
+            .collect()
+    }
+
+    /// Relays of other zones that report to this one.
+    pub(super) fn zone_reporters(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.zone_reporters.keys().copied()
+    }
+
+    /// Placements to tell the nodes of the zone next, at most so many.
+    pub(super) fn next_for_zone(&mut self, count: usize) -> Vec<Placement> {
+        take_up_to(&mut self.for_zone, count)
+    }
+
+    /// Placements to tell other zones next, at most so many.
+    pub(super) fn next_for_other_zones(&mut self, count: usize) -> Vec<Placement> {
+        take_up_to(&mut self.for_other_zones, count)
+    }
+
+    fn note_reporter(&mut self, from: SocketAddr, included: IncludedReport, now: Millis) {
+        let reporter = Reporter {
+            included,
+            heard_at: now,
+        };
+        self.reporters.insert(from, reporter);
+    }
+
+    /// Forgets those who report no longer.
+    pub(super) fn expire(&mut self, now: Millis) {
+        self.reporters
+            .retain(|_, reporter| now.since(reporter.heard_at) < REPORTER_SILENCE_MS);
+        self.zone_reporters
+            .retain(|_, heard_at| now.since(*heard_at) < ZONE_REPORTER_SILENCE_MS);
+    }
+
+    /// Passes a placement on to the nodes of the zone, and to other zones what they
+    /// need: a few engines that have the part, not all of them. `others` are engines
+    /// that still have what this one dropped.
+    pub(super) fn pass_on(
+        &mut self,
+        placement: Placement,
+        news: PlacementNews,
+        others: &[EngineTag],
+        is_from_zone: bool,
+    ) {
+        let concerns_others = match news {
+            PlacementNews::Known => return,
+            PlacementNews::Kept { holders } => holders <= HOLDERS_TOLD,
+            PlacementNews::Dropped => true,
+        };
+        push_bounded(&mut self.for_zone, placement);
+        if !is_from_zone || !concerns_others {
+            return;
+        }
+        push_bounded(&mut self.for_other_zones, placement);
+        for other in others {
+            let remaining = Placement {
+                part: placement.part,
+                engine: *other,
+                is_kept: true,
+            };
+            push_bounded(&mut self.for_other_zones, remaining);
+        }
+    }
+}
+
+fn push_bounded(queue: &mut VecDeque<Placement>, placement: Placement) {
+    if queue.len() >= MAX_WAITING_PLACEMENTS {
+        queue.pop_front();
+    }
+    queue.push_back(placement);
+}
+
+fn take_up_to(queue: &mut VecDeque<Placement>, count: usize) -> Vec<Placement> {
+    let count = count.min(queue.len());
+    queue.drain(..count).collect()
+}
+
+/// Takes in the report of a node of the zone that takes this one for a relay.
+pub fn take_member_report(
+    gateway: &Gateway,
+    beliefs: &mut Beliefs,
+    report: &PeerReport,
+    from: SocketAddr,
+) {
+    let now = gateway.clock.now();
+    let loads = &report.loads;
+    if apply_loads(gateway, beliefs, loads, now) {
+        let included = IncludedReport {
+            life: loads.life,
+            sequence: loads.sequence,
+        };
+        beliefs.relaying.note_reporter(from, included, now);
+    }
+    take_news(beliefs, report, true, now);
+}
+
+/// Takes in the sums of another zone from one of its relays.
+pub fn take_zone_report(gateway: &Gateway, report: &PeerReport, from: SocketAddr) {
+    let now = gateway.clock.now();
+    gateway.address_book().heard(from, report.loads.sender, now);
+    let mut beliefs = gateway.beliefs();
+    beliefs.relaying.zone_reporters.insert(from, now);
+    // The relays of a zone report the same sums. They count as one sender, of whom
+    // the later life is heard until it falls silent.
+    let loads = LoadReport {
+        sender: PeerId(u64::from(report.loads.zone.0)),
+        ..report.loads.clone()
+    };
+    apply_loads(gateway, &mut beliefs, &loads, now);
+    take_news(&mut beliefs, report, false, now);
+}
+
+/// Takes in loads. Which engines are about to load weights is told on at once.
+fn apply_loads(gateway: &Gateway, beliefs: &mut Beliefs, loads: &LoadReport, now: Millis) -> bool {
+    let tells_loading = loads
+        .loading
+        .iter()
+        .any(|engine| !beliefs.peer_loads.is_loading(*engine));
+    let is_news = beliefs.peer_loads.apply(loads, now);
+    if is_news && tells_loading {
+        gateway.report_due.notify(usize::MAX);
+    }
+    is_news
+}
+
+/// What a report tells besides loads. It passes on what was news here, so nothing
+/// goes round.
+fn take_news(beliefs: &mut Beliefs, report: &PeerReport, is_from_zone: bool, now: Millis) {
+    for placement in &report.placements {
+        let news = beliefs.holders.note(*placement, now);
+        let others: Vec<EngineTag> = match news {
+            PlacementNews::Dropped => {
+                let others = beliefs.holders.holders_of(placement.part, now);
+                others.take(HOLDERS_TOLD).collect()
+            }
+            _ => Vec::new(),
+        };
+        let duties = &mut beliefs.relaying;
+        duties.pass_on(*placement, news, &others, is_from_zone);
+    }
+    for loaded in &report.loaded {
+        if beliefs.engines.note_loaded_weights(loaded) {
+            beliefs.pass_on_loaded(*loaded, now);
+        }
+    }
+    if let Some(revision) = report.lease_revision {
+        beliefs.hear_of_lease(revision, now);
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,9 +1,13 @@
 //! The gateway's settings file (TOML). Every key but the addresses has a default.
 
+use crate::settings_defaults as defaults;
+use crate::settings_error::{renamed_key, ReadSnafu, RenamedSnafu, ShapeSnafu};
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
+
+pub use crate::settings_error::SettingsError;
 
 /// All settings.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -280,78 +284,6 @@
     }
 }
 
-mod defaults {
-    pub fn store_timeout_ms() -> u64 {
-        1_000
-    }
-    pub fn configuration_watch_ms() -> u64 {
-        1_500
-    }
-    pub fn other_watch_ms() -> u64 {
-        20_000
-    }
-}
-
-/// Settings that had another name before, and their present names.
-const RENAMED: [(&str, &str); 4] = [
-    ("cost.prompt_tokens_per_ms", "cost.prefill_tokens_per_ms"),
-    ("cost.displaced_share", "cost.eviction_share"),
-    ("cost.outdated_ms", "cost.stale_version_ms"),
-    ("attempts.patience", "attempts.timeout_objectives"),
-];
-
-/// Why settings cannot be used.
-#[derive(Debug, Snafu)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[snafu(display("cannot read the settings file {}: {source}", file.display()))]
-    Read {
-        /// The file.
-        file: PathBuf,
-        /// What the operating system said.
-        source: std::io::Error,
-    },
-    /// The file is not TOML of the expected shape.
-    #[snafu(display("{}: {source}", file.display()))]
-    Shape {
-        /// The file.
-        file: PathBuf,
-        /// The parser's error, with line, key and what was expected.
-        source: Box<toml::de::Error>,
-    },
-    /// A key had this name in an earlier release.
-    #[snafu(display("{}: '{key}' is now '{name}'", file.display()))]
-    Renamed {
-        /// The file.
-        file: PathBuf,
-        /// The key found.
-        key: &'static str,
-        /// Its present name.
-        name: &'static str,
-    },
-    /// A value is out of its bounds.
-    #[snafu(display("{}: {key} = {value}: {fix}", file.display()))]
-    Value {
-        /// The file.
-        file: PathBuf,
-        /// The key.
-        key: &'static str,
-        /// The value found.
-        value: String,
-        /// What to write instead.
-        fix: &'static str,
-    },
-}
-
-/// Whether a file has a key, given as its table and its name in that table.
-fn has_key(table: &toml::Table, key: &str) -> bool {
-    let Some((section, name)) = key.split_once('.') else {
-        return table.contains_key(key);
-    };
-    let section = table.get(section).and_then(toml::Value::as_table);
-    section.is_some_and(|section| section.contains_key(name))
-}
-
 impl GatewaySettings {
     /// Reads and checks a settings file.
     ///
@@ -369,14 +301,8 @@
     pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
         let table = toml::from_str::<toml::Table>(text).map_err(Box::new);
         let table = table.context(ShapeSnafu { file })?;
-        let mut renamed = RENAMED.iter();
-        if let Some((key, name)) = renamed.find(|(key, _)| has_key(&table, key)) {
-            return RenamedSnafu {
-                file,
-                key: *key,
-                name: *name,
-            }
-            .fail();
+        if let Some((key, name)) = renamed_key(&table) {
+            return RenamedSnafu { file, key, name }.fail();
         }
         let parsed = toml::from_str::<Self>(text).map_err(Box::new);
         let settings = parsed.context(ShapeSnafu { file })?;
@@ -394,11 +320,14 @@
                 fix,
             })
         };
-        if self.node.name.is_empty() {
-            return invalid("node.name", "''".to_owned(), "name the node");
-        }
-        if self.node.zone.is_empty() {
-            return invalid("node.zone", "''".to_owned(), "name the zone");
+        let names = [
+            ("node.name", &self.node.name),
+            ("node.zone", &self.node.zone),
+        ];
+        for (key, name) in names {
+            if name.is_empty() {
+                return invalid(key, "''".to_owned(), "must not be empty");
+            }
         }
         let positive = [
             ("store.timeout_ms", self.store.timeout_ms),
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -6,6 +6,7 @@
 //! is back. A node that follows relays ([`crate::peers::roles`]) makes no calls
 //! while they tell it what is stored.
 
+use super::backoff::Backoff;
 use super::lapsed::{remove_engine, replace_engines};
 use super::StoreClient;
 use crate::peers::roles::{
@@ -20,10 +21,6 @@
 use ploverlift_wire::peers::StoredConfiguration;
 use std::sync::Arc;
 
-/// First pause after a failed call, in milliseconds.
-const FIRST_PAUSE_MS: u64 = 60;
-/// Longest pause after failed calls, in milliseconds.
-const LONGEST_PAUSE_MS: u64 = 250;
 /// Pause between two changes of engines, in milliseconds: engines change in
 /// groups, and each answer of a watch is a call.
 const GATHER_MS: u64 = 800;
@@ -43,30 +40,6 @@
 /// milliseconds.
 const TOLD_LOOK_MS: u64 = 200;
 
-/// Pauses between failed calls: doubled each time and jittered, so that nodes
-/// which lost the store together do not come back together.
-struct Backoff {
-    pause_ms: u64,
-}
-
-impl Backoff {
-    fn new() -> Self {
-        Self {
-            pause_ms: FIRST_PAUSE_MS,
-        }
-    }
-
-    fn reset(&mut self) {
-        self.pause_ms = FIRST_PAUSE_MS;
-    }
-
-    async fn wait(&mut self) {
-        let jittered = self.pause_ms / 2 + fastrand::u64(0..=self.pause_ms / 2);
-        sleep(jittered).await;
-        self.pause_ms = (self.pause_ms * 2).min(LONGEST_PAUSE_MS);
-    }
-}
-
 /// How a watch ended.
 enum WatchEnd {
     Answered(StoreReply),
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The object store: a client, and copies that follow what is stored.
 
 pub mod answer_time;
+mod backoff;
 mod client;
 mod feed;
 mod lapsed;
