--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,8 +1,10 @@
 //! Messages between nodes: what each has at the engines, which engines keep which
 //! prompts, and what a few nodes have read from the object store for the others.
 //!
-//! A report is one datagram. It is advice: nothing waits for one, and a node that
-//! hears none decides from its own traffic, as a single node does.
+//! A report is one datagram without an answer. Loads and placements are advice: a node
+//! that hears none decides from its own traffic, as a single node does. What a
+//! follower must know (engines, configuration, target versions) comes with an age and
+//! with numbers that show a gap; without a relay that is recent it reads the store.
 //!
 //! | module | concern |
 //! | --- | --- |
