One copy of unix_ms and of passing a load on; an if in place of a match on a bool

Cause: found on reading the whole change: the time of day stood in state.rs and weights/holder.rs, noting a load stood twice in beliefs.rs. Ruled out: nothing else in the gateway had a third copy. Change: moves and calls alone.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -163,9 +163,7 @@
             model: ModelTag::of(model),
             version,
         };
-        self.loaded
-            .retain(|(at, _)| now.since(*at) < LOADED_NEWS_MS);
-        self.loaded.push((now, loaded));
+        self.pass_on_loaded(loaded, now);
     }
 
     /// Engines of which the other nodes should hear that they have loaded.
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -243,13 +243,11 @@
             }
         }
         for (engine, load) in &loads {
-            match *load == EngineLoad::default() {
-                true if u64::from(engine.0) % PERIODS_PER_REFRESH == refreshed => {
-                    self.told.remove(engine);
-                }
-                _ => {
-                    self.told.insert(*engine, *load);
-                }
+            let is_refreshed = u64::from(engine.0) % PERIODS_PER_REFRESH == refreshed;
+            if is_refreshed && *load == EngineLoad::default() {
+                self.told.remove(engine);
+            } else {
+                self.told.insert(*engine, *load);
             }
         }
         loads
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use crate::peers::address_book::AddressBook;
 use crate::ports::Site;
 use crate::settings::GatewaySettings;
-use crate::time::Clock;
+use crate::time::{unix_ms, Clock};
 use event_listener::Event;
 use ploverlift_balancing::selection::CostRates;
 use ploverlift_balancing::weights::WeightsBounds;
@@ -14,7 +14,6 @@
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// One node.
 pub struct Gateway {
@@ -227,12 +226,6 @@
     (settings.bounds.key_revocation_ms as f64 * KEY_FRESHNESS_SHARE) as u64
 }
 
-/// The time of day, which only tells two lives of a node apart.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |duration| duration.as_millis() as u64)
-}
-
 /// Counts a request as under way.
 pub struct RequestGuard {
     gateway: Arc<Gateway>,
--- a/crates/gateway/src/time.rs
+++ b/crates/gateway/src/time.rs
@@ -3,7 +3,7 @@
 use ploverlift_policy::ids::Millis;
 use smol::Timer;
 use std::future::Future;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A monotonic clock with a fixed start. It begins late enough that times
 /// before the start can be told from its zero.
@@ -44,3 +44,10 @@
 pub async fn sleep(milliseconds: u64) {
     Timer::after(Duration::from_millis(milliseconds)).await;
 }
+
+/// The time of day in milliseconds since 1970, which only tells two lives of a node
+/// apart; 0 where the clock stands before that.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |duration| duration.as_millis() as u64)
+}
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/weights/holder.rs
@@ -5,11 +5,11 @@
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
 use crate::store::StoreClient;
+use crate::time::unix_ms;
 use ploverlift_cluster::lease::{LeaseStep, LeaseTiming, LeaseView};
 use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion};
 use ploverlift_policy::objects::LeaseSpec;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// The holder stops acting when its last renewal is so old, in milliseconds.
 const STOP_ACTING_AFTER_MS: u64 = 1_000;
@@ -239,8 +239,3 @@
 fn duration_ms(settings: &GatewaySettings) -> u64 {
     settings.bounds.lease_ms + STOP_ACTING_AFTER_MS + MARGIN_MS
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |duration| duration.as_millis() as u64)
-}
