Lapsed engines keep their time whichever client of the store saw the outage

Cause: a lapsed engine was kept only from the moment at which a feed that had noticed the outage was reached again. Since feeds pause up to 1 s, the engines' own watch (which may sleep through a short outage) could be told of the lapse first, and the engine went at once. Ruled out: the stand-in store (it orders changes as the real one), and the test's timing (the removal is told before the return is noted in a failing run). Change: store/outage.rs notes the outcome of every call; while a failure within 3 s has had no success after it, a removal is itself the return, and the engine has its 2 s.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -5,6 +5,7 @@
 use crate::peers::relay_duties::RelayDuties;
 use crate::peers::relay_messages::EngineChange;
 use crate::settings::GatewaySettings;
+use crate::store::outage::StoreOutage;
 use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
@@ -110,8 +111,8 @@
     pub relaying: RelayDuties,
     /// Whether the target versions were read or told once.
     pub targets_listed: bool,
-    /// When the store was last reached again after a failure.
-    pub store_returned_at: Option<Millis>,
+    /// Outages of the store, as calls showed them.
+    pub store_outage: StoreOutage,
     /// Whether the engines were listed once.
     pub engines_listed: bool,
     /// Named weights.
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -67,6 +67,8 @@
             Err(CallError::Unreachable { reason }) => Err(StoreError::Unreachable { reason }),
             Err(CallError::NoAnswer { reason }) => Err(StoreError::Unknown { reason }),
         };
+        let now = self.gateway.clock.now();
+        self.gateway.beliefs().store_outage.note(&result, now);
         if result.is_err() {
             self.gateway.metrics.store_failures.inc();
         }
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -213,8 +213,6 @@
             return;
         }
         slog::info!(self.gateway.log, "store regained"; "kind" => self.kind_name());
-        let now = self.gateway.clock.now();
-        self.gateway.beliefs().store_returned_at = Some(now);
         if self.kind == StoreKind::Configuration {
             self.gateway.store_recovered.notify(usize::MAX);
         }
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -9,10 +9,6 @@
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use std::sync::Arc;
 
-/// Time from the store's return within which living engines have written their
-/// entries again, in milliseconds.
-const BACK_WITHIN_MS: u64 = 2_000;
-
 /// Replaces the engines by those listed at a revision. Shortly after the store's
 /// return, engines that are missing are given time to come back.
 pub fn replace_engines(gateway: &Arc<Gateway>, records: Vec<EngineRecord>, revision: u64) {
@@ -33,7 +29,10 @@
 pub fn remove_engine(gateway: &Arc<Gateway>, instance: InstanceId, revision: u64) -> bool {
     let wait_ms = match announced_its_end(gateway, &instance) {
         true => 0,
-        false => time_to_come_back_ms(gateway),
+        false => {
+            let now = gateway.clock.now();
+            gateway.beliefs().store_outage.time_to_come_back_ms(now)
+        }
     };
     if wait_ms == 0 {
         let now = gateway.clock.now();
@@ -60,10 +59,3 @@
     let known = beliefs.engines.get(instance);
     known.is_some_and(|engine| engine.record.is_leaving)
 }
-
-/// Time that is left to engines whose entries lapsed, in milliseconds.
-fn time_to_come_back_ms(gateway: &Gateway) -> u64 {
-    let now = gateway.clock.now();
-    let returned_at = gateway.beliefs().store_returned_at;
-    returned_at.map_or(0, |at| BACK_WITHIN_MS.saturating_sub(now.since(at)))
-}
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod feed;
 mod lapsed;
+pub mod outage;
 
 pub use client::StoreClient;
 pub use feed::{
--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -4,9 +4,11 @@
 mod support;
 
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_gateway::ports::{StoreError, StoreKind};
+use ploverlift_gateway::ports::{StoreError, StoreKind, StoreObject, WatchEvent};
 use ploverlift_gateway::store::answer_time::AnswerTime;
-use ploverlift_gateway::store::StoreClient;
+use ploverlift_gateway::store::outage::StoreOutage;
+use ploverlift_gateway::store::{take_engine, StoreClient};
+use ploverlift_policy::ids::Millis;
 use serde_json::json;
 use support::caller::{self, request};
 use support::engine::{Behaviour, StandInEngine};
@@ -221,7 +223,10 @@
 /// A site whose store is back after a failure, and has lost the entry of an engine.
 async fn after_an_entry_lapsed(app: &StandInEngine) -> Fixture {
     let fixture = Fixture::new(&[app]).await;
-    let is_lost = || fixture.gateway.beliefs().store_returned_at.is_none();
+    let is_lost = || {
+        let outage = fixture.gateway.beliefs().store_outage;
+        outage.returned_at().is_none()
+    };
     fixture.store.set_fault(StoreFault::Status(503));
     // A watch that waits ends within the time that tests give it; the next fails.
     while fixture.gateway.metrics.store_failures.get() == 0 {
@@ -267,3 +272,64 @@
         assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 503);
     });
 }
+
+/// A store that failed a call at 1 s.
+fn outage_at_one_second() -> StoreOutage {
+    let mut outage = StoreOutage::default();
+    let failed: Result<(), StoreError> = Err(StoreError::Refused { status: 503 });
+    outage.note(&failed, Millis(1_000));
+    outage
+}
+
+#[test]
+fn lapsed_engines_have_their_time_before_the_return_was_seen_and_from_it_on() {
+    assert_eq!(StoreOutage::default().time_to_come_back_ms(Millis(500)), 0);
+    let mut outage = outage_at_one_second();
+    assert_eq!(outage.time_to_come_back_ms(Millis(1_400)), 2_000);
+    outage.note(&Ok(()), Millis(1_500));
+    assert_eq!(outage.time_to_come_back_ms(Millis(1_500)), 2_000);
+    assert_eq!(outage.time_to_come_back_ms(Millis(2_500)), 1_000);
+    // Calls that go well later do not begin the time anew.
+    outage.note(&Ok(()), Millis(3_000));
+    assert_eq!(outage.time_to_come_back_ms(Millis(3_600)), 0);
+}
+
+#[test]
+fn a_failure_that_no_later_call_followed_is_forgotten() {
+    let outage = outage_at_one_second();
+    assert_eq!(outage.time_to_come_back_ms(Millis(3_900)), 2_000);
+    assert_eq!(outage.time_to_come_back_ms(Millis(4_100)), 0);
+}
+
+#[test]
+fn an_answer_that_a_condition_failed_is_no_outage() {
+    let mut outage = StoreOutage::default();
+    for error in [StoreError::NotFound, StoreError::Throttled] {
+        let answer: Result<(), StoreError> = Err(error);
+        outage.note(&answer, Millis(1_000));
+    }
+    assert_eq!(outage.time_to_come_back_ms(Millis(1_001)), 0);
+}
+
+#[test]
+fn an_engine_stays_when_the_feed_that_is_told_of_its_end_missed_the_outage() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let now = fixture.gateway.clock.now();
+        // The configuration's feed has seen the outage, and not yet the return.
+        let failed: Result<(), StoreError> = Err(StoreError::Refused { status: 503 });
+        fixture.gateway.beliefs().store_outage.note(&failed, now);
+        let gone = WatchEvent {
+            object: StoreObject {
+                name: "app-1".to_owned(),
+                revision: 1_000,
+                is_deleting: false,
+                content: json!(null),
+            },
+            is_gone: true,
+        };
+        take_engine(&fixture.gateway, &gone);
+        assert_eq!(fixture.gateway.beliefs().engines.len(), 1);
+    });
+}
