--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -16,13 +16,15 @@
 use ploverlift_balancing::selection::{FleetView, StoreView};
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::Millis;
+use ploverlift_ratelimit::limiter::RateLimiter;
 use ploverlift_routing::configuration::{CacheStore, Configuration, ServiceName};
 use ploverlift_routing::freshness::Freshness;
+use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
 use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
 use ploverlift_wire::peers::StoredConfiguration;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// Time for which reports tell that an engine has loaded, in milliseconds: some
@@ -115,6 +117,8 @@
     pub store_outage: StoreOutage,
     /// Whether the engines were listed once.
     pub engines_listed: bool,
+    /// Limits of tenants.
+    pub limiter: RateLimiter,
     /// Named weights.
     pub weights: NamedWeights,
     /// Splits of routes.
@@ -309,12 +313,20 @@
             return false;
         }
         self.splitter.retain(&document.routes);
+        self.limiter.set_limits(rate_limits(&document));
         self.configuration = Some(Arc::new(ActiveConfiguration::new(document)));
         self.stored_configuration = Some(Arc::new(stored));
         true
     }
 }
 
+fn rate_limits(document: &Configuration) -> HashMap<TenantTag, RateLimit> {
+    let tenants = document.tenants.iter().flatten();
+    let limits = tenants
+        .filter_map(|tenant| Some((TenantTag::of(tenant.name.as_str()), tenant.rate_limit?)));
+    limits.collect()
+}
+
 /// Part of the site's retry ratio that is used: nodes count requests and repeats
 /// in windows of their own.
 const RETRY_RATIO_SHARE: f64 = 0.8;
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -141,7 +141,7 @@
 }
 
 fn prepare(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: Result<CallerRequest, InvalidRequest>,
     body: Vec<u8>,
     received: Millis,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod ports;
 pub mod readiness;
 pub mod relay;
+mod reservation;
 pub mod settings;
 mod settings_defaults;
 mod settings_error;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a node, in the OpenMetrics text format.
 
 use crate::ports::StoreCall;
+use ploverlift_ratelimit::limiter::Standing;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -32,6 +33,36 @@
     pub kind: &'static str,
 }
 
+/// Requests of tenants that have a limit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitLabel {
+    /// How large the limit is: tenants are too many for a label of their own.
+    pub class: &'static str,
+    /// By what it was decided.
+    pub basis: &'static str,
+    /// Whether the request was admitted.
+    pub decision: &'static str,
+}
+
+impl LimitLabel {
+    fn of(standing: &Standing) -> Self {
+        let class = match standing.limit.per_second {
+            limit if limit < 1_000.0 => "under_1k",
+            limit if limit < 100_000.0 => "under_100k",
+            limit if limit < 1_000_000.0 => "under_1m",
+            _ => "over_1m",
+        };
+        Self {
+            class,
+            basis: standing.basis.name(),
+            decision: match standing.is_admitted() {
+                true => "admitted",
+                false => "over_limit",
+            },
+        }
+    }
+}
+
 /// All metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -49,6 +80,10 @@
     pub store_failures: Counter,
     /// Orders to engines.
     pub orders: Counter,
+    /// Requests of tenants that have a limit.
+    pub limited_requests: Family<LimitLabel, Counter>,
+    /// Units of limits that were asked for, in the same classes.
+    pub limited_units: Family<LimitLabel, Counter>,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
     /// Other nodes that were heard of lately.
@@ -74,6 +109,8 @@
             store_calls: Family::default(),
             store_failures: Counter::default(),
             orders: Counter::default(),
+            limited_requests: Family::default(),
+            limited_units: Family::default(),
             configuration_version: Gauge::default(),
             peers: Gauge::default(),
             engines: Gauge::default(),
@@ -99,6 +136,14 @@
         self.store_calls.get_or_create(&label).inc();
     }
 
+    /// Counts a request of a tenant that has a limit.
+    pub fn count_limited(&self, standing: &Standing) {
+        let label = LimitLabel::of(standing);
+        self.limited_requests.get_or_create(&label).inc();
+        let units = self.limited_units.get_or_create(&label);
+        units.inc_by(standing.cost);
+    }
+
     /// The page as it is now.
     pub fn page(&self) -> String {
         let mut registry = Registry::with_prefix(PREFIX);
@@ -132,6 +177,16 @@
         }
         let help = "Calls of the object store by what they do and of which kind";
         registry.register("store_calls", help, self.store_calls.clone());
+        registry.register(
+            "limited_requests",
+            "Requests of tenants that have a limit, by its size and the decision",
+            self.limited_requests.clone(),
+        );
+        registry.register(
+            "limited_units",
+            "Units of limits that requests asked for, by size and decision",
+            self.limited_units.clone(),
+        );
         let version = self.configuration_version.clone();
         registry.register("configuration_version", "Configuration in force", version);
         registry.register("engines", "Engines in the catalogue", self.engines.clone());
--- a/crates/gateway/src/peers/address_book.rs
+++ b/crates/gateway/src/peers/address_book.rs
@@ -124,8 +124,13 @@
 
     /// Whether there are so many nodes that they report to relays.
     pub fn has_relays(&self) -> bool {
+        self.listed_nodes() > MESH_NODES
+    }
+
+    /// Nodes that the store names, this one included.
+    pub fn listed_nodes(&self) -> usize {
         let listed: usize = self.by_zone.values().map(Vec::len).sum();
-        listed > MESH_NODES
+        listed.max(1)
     }
 
     /// A node was heard of.
--- /dev/null
+++ b/crates/gateway/src/peers/limit_messages.rs
@@ -0,0 +1,101 @@
+//! Tenants' use and the levels of their buckets, as messages.
+
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
+use ploverlift_ratelimit::reports::{LevelReport, TenantLevel, TenantUse, UseReport};
+use ploverlift_routing::rate_limit::TenantTag;
+use ploverlift_wire::peers;
+
+/// Tenants in one datagram of use or of levels: at most 27 bytes each, so that it
+/// stays within one unfragmented datagram.
+pub const MAX_TENANTS: usize = 40;
+
+/// A report of use, with the zone that it sums up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UseMessage {
+    /// The report.
+    pub report: UseReport,
+    /// The zone; nothing where it is of the sender alone.
+    pub zone_sum: Option<ZoneTag>,
+}
+
+/// The message for a report of use.
+pub fn use_message(message: &UseMessage) -> peers::UseReport {
+    let report = &message.report;
+    peers::UseReport {
+        sender: report.sender.0,
+        life: report.life,
+        sequence: report.sequence,
+        zone_sum: message.zone_sum.map_or(0, |zone| zone.0),
+        nodes: report.nodes,
+        tenants: report.uses.iter().map(|used| used.tenant.0).collect(),
+        admitted: report.uses.iter().map(|used| used.admitted).collect(),
+    }
+}
+
+/// Reads a report of use.
+pub fn read_use(message: &peers::UseReport) -> UseMessage {
+    let uses = message.tenants.iter().zip(&message.admitted);
+    let uses = uses.map(|(tenant, admitted)| TenantUse {
+        tenant: TenantTag(*tenant),
+        admitted: *admitted,
+    });
+    UseMessage {
+        report: UseReport {
+            sender: PeerId(message.sender),
+            life: message.life,
+            sequence: message.sequence,
+            nodes: message.nodes,
+            uses: uses.collect(),
+        },
+        zone_sum: Some(message.zone_sum)
+            .filter(|zone| *zone != 0)
+            .map(ZoneTag),
+    }
+}
+
+/// What all receivers of a report of levels are told.
+pub fn level_message(report: &LevelReport) -> peers::LevelReport {
+    let levels = &report.levels;
+    peers::LevelReport {
+        sender: report.sender.0,
+        life: report.life,
+        sequence: report.sequence,
+        nodes: report.nodes,
+        accounts_age_ms: report.accounts_age_ms,
+        tenants: levels.iter().map(|told| told.tenant.0).collect(),
+        levels: levels.iter().map(|told| told.level).collect(),
+        fleet_rates: levels.iter().map(|told| told.fleet_rate).collect(),
+        counted: Vec::new(),
+    }
+}
+
+/// What follows the common bytes for one receiver: messages of one kind that stand
+/// one after the other are read as one.
+pub fn counted_message(counted: Vec<u64>) -> peers::LevelReport {
+    peers::LevelReport {
+        counted,
+        ..peers::LevelReport::default()
+    }
+}
+
+/// Reads a report of levels; of lists that are not equally long, as many entries as
+/// the shortest has.
+pub fn read_levels(message: &peers::LevelReport) -> LevelReport {
+    let buckets = message.levels.iter().zip(&message.fleet_rates);
+    let buckets = buckets.zip(&message.counted);
+    let levels = message.tenants.iter().zip(buckets);
+    let levels = levels.map(|(tenant, ((level, fleet_rate), counted))| TenantLevel {
+        tenant: TenantTag(*tenant),
+        level: *level,
+        fleet_rate: *fleet_rate,
+        counted: *counted,
+    });
+    LevelReport {
+        sender: PeerId(message.sender),
+        life: message.life,
+        sequence: message.sequence,
+        nodes: message.nodes,
+        accounts_age_ms: message.accounts_age_ms,
+        levels: levels.collect(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/limits.rs
@@ -0,0 +1,172 @@
+//! Telling other nodes what tenants were admitted, and what is left of their limits.
+
+use super::limit_messages::{counted_message, level_message, UseMessage, MAX_TENANTS};
+use super::messages::{encode, encode_body, PeerMessage};
+use super::roles::membership;
+use crate::state::Gateway;
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
+use ploverlift_policy::ids::Millis;
+use ploverlift_ratelimit::own_use::ToldUse;
+use ploverlift_ratelimit::reports::{LevelReport, PartId, TenantUse, UseReport};
+use ploverlift_routing::rate_limit::TenantTag;
+use ploverlift_wire::peers::peer_message::Body;
+use smol::net::UdpSocket;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+/// Periods of a relay in which it tells at least once how long its accounts run: that
+/// shows the nodes which rely on it that it is there.
+const PERIODS_PER_LEVELS: u64 = 2;
+
+/// Reports of use to one set of receivers.
+#[derive(Debug, Default)]
+pub struct UseStream {
+    told: ToldUse,
+}
+
+impl UseStream {
+    /// Reports what this node has admitted.
+    pub async fn send_own(
+        &mut self,
+        gateway: &Gateway,
+        socket: &UdpSocket,
+        receivers: &[SocketAddr],
+    ) {
+        let due = {
+            let beliefs = gateway.beliefs();
+            let limiter = &beliefs.limiter;
+            if !limiter.has_limits() {
+                return;
+            }
+            self.told.next(limiter.own_uses(), gateway.clock.now())
+        };
+        if let Some(due) = due {
+            send_uses(gateway, socket, receivers, None, 1, &due).await;
+        }
+    }
+
+    /// Reports what this node's zone has admitted, as a relay.
+    pub async fn send_zone(
+        &mut self,
+        gateway: &Gateway,
+        socket: &UdpSocket,
+        receivers: &[SocketAddr],
+    ) {
+        let summed = {
+            let beliefs = gateway.beliefs();
+            let limiter = &beliefs.limiter;
+            limiter.zone_uses().filter(|_| limiter.has_limits())
+        };
+        let Some((uses, nodes)) = summed else {
+            return;
+        };
+        let zone = ZoneTag::of(&gateway.zone);
+        if let Some(due) = self.told.next(uses.into_iter(), gateway.clock.now()) {
+            send_uses(gateway, socket, receivers, Some(zone), nodes, &due).await;
+        }
+    }
+}
+
+async fn send_uses(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    receivers: &[SocketAddr],
+    zone_sum: Option<ZoneTag>,
+    nodes: u32,
+    due: &[TenantUse],
+) {
+    for uses in chunks_or_empty(due) {
+        let report = UseReport {
+            sender: PeerId::of(&gateway.settings().node.name),
+            life: gateway.life,
+            sequence: gateway.report_sequence.fetch_add(1, Ordering::Relaxed),
+            nodes,
+            uses: uses.to_vec(),
+        };
+        let datagram = encode(&PeerMessage::Use(UseMessage { report, zone_sum }));
+        for receiver in receivers {
+            // A lost report is repaired by the next ones.
+            let _ = socket.send_to(&datagram, receiver).await;
+        }
+    }
+}
+
+/// Brings the accounts up to date and, as a relay, tells the nodes of the zone what
+/// is left.
+pub async fn send_levels(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    receivers: &[(SocketAddr, PeerId)],
+    period: u64,
+    now: Millis,
+) {
+    let membership = membership(gateway, now);
+    let (levels, accounts_age_ms) = {
+        let mut beliefs = gateway.beliefs();
+        let limiter = &mut beliefs.limiter;
+        if !limiter.has_limits() {
+            return;
+        }
+        limiter.advance(&membership, now);
+        (limiter.levels_to_tell(now), limiter.accounts_age_ms(now))
+    };
+    if levels.is_empty() && period % PERIODS_PER_LEVELS != 0 {
+        return;
+    }
+    for chunk in chunks_or_empty(&levels) {
+        let report = LevelReport {
+            sender: PeerId::of(&gateway.settings().node.name),
+            life: gateway.life,
+            sequence: gateway.report_sequence.fetch_add(1, Ordering::Relaxed),
+            nodes: membership.size.nodes,
+            accounts_age_ms,
+            levels: chunk.to_vec(),
+        };
+        let common = encode_body(Body::LevelReport(level_message(&report)));
+        let tenants: Vec<TenantTag> = chunk.iter().map(|told| told.tenant).collect();
+        for (address, receiver) in receivers {
+            let counted = gateway.beliefs().limiter.counted_of(*receiver, &tenants);
+            let mut datagram = common.clone();
+            let counted = Body::LevelReport(counted_message(counted));
+            datagram.extend_from_slice(&encode_body(counted));
+            // A lost report is repaired by the next ones.
+            let _ = socket.send_to(&datagram, address).await;
+        }
+    }
+}
+
+/// The tenants of one datagram each; an empty one where there are none, which shows
+/// that this node is there.
+fn chunks_or_empty<T>(tenants: &[T]) -> Vec<&[T]> {
+    match tenants.is_empty() {
+        true => vec![tenants],
+        false => tenants.chunks(MAX_TENANTS).collect(),
+    }
+}
+
+/// Brings the accounts of a node that hears all others up to date.
+pub fn advance_accounts(gateway: &Gateway, now: Millis) {
+    if !gateway.beliefs().limiter.has_limits() {
+        return;
+    }
+    let membership = membership(gateway, now);
+    gateway.beliefs().limiter.advance(&membership, now);
+}
+
+/// Takes in what a node or a zone has admitted.
+pub fn take_use(gateway: &Gateway, message: &UseMessage) {
+    let now = gateway.clock.now();
+    let report = &message.report;
+    let part = match message.zone_sum {
+        Some(zone) if zone == ZoneTag::of(&gateway.zone) => return,
+        Some(zone) => PartId::of_zone(zone),
+        None => PartId::Node(report.sender),
+    };
+    gateway.beliefs().limiter.take_use(part, report, now);
+}
+
+/// Takes in levels that a relay tells.
+pub fn take_levels(gateway: &Gateway, report: &LevelReport) {
+    let now = gateway.clock.now();
+    gateway.beliefs().limiter.take_levels(report, now);
+}
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -1,10 +1,12 @@
 //! Messages between nodes as datagrams.
 
+use super::limit_messages::{level_message, read_levels, read_use, use_message, UseMessage};
 use super::relay_messages::{read_relay_report, relay_report_message, RelayReport};
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, LoadedWeights, ModelTag, PeerId, ZoneTag,
 };
 use ploverlift_balancing::prefix_holders::Placement;
+use ploverlift_ratelimit::reports::LevelReport;
 use ploverlift_routing::prompt::PartKey;
 use ploverlift_wire::peers::peer_message::Body;
 use ploverlift_wire::{decode_peer_message, encode_peer_message, peers, WireError};
@@ -37,6 +39,10 @@
     ZoneReport(PeerReport),
     /// What all nodes have at the engines, and what a relay read from the store.
     RelayReport(Box<RelayReport>),
+    /// What tenants were admitted at the sender or in its zone.
+    Use(UseMessage),
+    /// What is left of tenants' limits.
+    Levels(LevelReport),
 }
 
 /// A message as a datagram.
@@ -45,6 +51,14 @@
         PeerMessage::Report(report) => Body::Report(report_message(report)),
         PeerMessage::ZoneReport(report) => Body::ZoneReport(report_message(report)),
         PeerMessage::RelayReport(report) => Body::RelayReport(relay_report_message(report)),
+        PeerMessage::Use(message) => Body::UseReport(use_message(message)),
+        PeerMessage::Levels(report) => {
+            let counted = report.levels.iter().map(|told| told.counted).collect();
+            Body::LevelReport(peers::LevelReport {
+                counted,
+                ..level_message(report)
+            })
+        }
     };
     encode_body(body)
 }
@@ -67,6 +81,8 @@
             let report = Box::new(read_relay_report(&report));
             Some(PeerMessage::RelayReport(report))
         }
+        Some(Body::UseReport(report)) => Some(PeerMessage::Use(read_use(&report))),
+        Some(Body::LevelReport(report)) => Some(PeerMessage::Levels(read_levels(&report))),
         None => None,
     })
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -16,7 +16,8 @@
 //! | [`relay`] | what it tells |
 //! | [`follower`] | what a node that follows relays has heard |
 //! | [`snapshot`] | what a follower lacks, over TCP |
-//! | [`messages`], [`relay_messages`] | messages as datagrams |
+//! | [`limits`] | what tenants were admitted, and what is left of their limits |
+//! | [`messages`], [`relay_messages`], [`limit_messages`] | messages as datagrams |
 //!
 //! ```text
 //! node ── report ──▶ relay ── zone report ──▶ relays of other zones
@@ -27,6 +28,8 @@
 pub mod address_book;
 pub mod discovery;
 pub mod follower;
+pub mod limit_messages;
+pub mod limits;
 pub mod messages;
 pub mod relay;
 pub mod relay_duties;
@@ -38,6 +41,7 @@
 use crate::state::Gateway;
 use crate::time::sleep;
 use follower::take_relay_report;
+use limits::{take_levels, take_use};
 use messages::{decode, PeerMessage, PeerReport};
 use ploverlift_balancing::peer_loads::PeerId;
 use relay_duties::{take_member_report, take_zone_report};
@@ -70,6 +74,8 @@
             Some(PeerMessage::Report(report)) => take_report(&gateway, &report, from),
             Some(PeerMessage::ZoneReport(report)) => take_zone_report(&gateway, &report, from),
             Some(PeerMessage::RelayReport(report)) => take_relay_report(&gateway, &report, from),
+            Some(PeerMessage::Use(message)) => take_use(&gateway, &message),
+            Some(PeerMessage::Levels(report)) => take_levels(&gateway, &report),
             None => {}
         }
     }
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -6,6 +6,7 @@
 //! A relay's own cost grows with its zone, and with the number of zones.
 
 use super::address_book::PeerAddress;
+use super::limits::{send_levels, UseStream};
 use super::messages::{encode, encode_body, PeerMessage, PeerReport, MAX_PLACEMENTS};
 use super::relay_duties::MAX_WAITING_PLACEMENTS;
 use super::relay_messages::{
@@ -59,6 +60,7 @@
     zone: ZoneTag,
     told: HashMap<EngineTag, EngineLoad>,
     own_placements_from: u64,
+    zone_uses: UseStream,
     period: u64,
     role: Role,
 }
@@ -81,6 +83,7 @@
             zone,
             told: HashMap::new(),
             own_placements_from: 0,
+            zone_uses: UseStream::default(),
             period: 0,
             role: Role::Undecided,
         }
@@ -105,6 +108,7 @@
             self.period += 1;
             self.take_own_placements();
             self.report_to_zone(now).await;
+            self.tell_levels(now).await;
             self.report_to_other_zones(now).await;
         }
     }
@@ -290,7 +294,12 @@
         }
     }
 
-    async fn report_to_other_zones(&self, now: Millis) {
+    async fn tell_levels(&self, now: Millis) {
+        let receivers = self.gateway.beliefs().relaying.level_receivers();
+        send_levels(&self.gateway, &self.socket, &receivers, self.period, now).await;
+    }
+
+    async fn report_to_other_zones(&mut self, now: Millis) {
         let receivers = self.relays_of_other_zones(now);
         if receivers.is_empty() {
             return;
@@ -305,6 +314,11 @@
                 let _ = self.socket.send_to(&datagram, receiver).await;
             }
         }
+        let receivers: Vec<SocketAddr> = receivers.into_iter().collect();
+        let zone_uses = &mut self.zone_uses;
+        zone_uses
+            .send_zone(&self.gateway, &self.socket, &receivers)
+            .await;
     }
 
     fn relays_of_other_zones(&self, now: Millis) -> BTreeSet<SocketAddr> {
--- a/crates/gateway/src/peers/relay_duties.rs
+++ b/crates/gateway/src/peers/relay_duties.rs
@@ -26,6 +26,7 @@
 /// A node that reports to this one.
 #[derive(Clone, Copy, Debug)]
 struct Reporter {
+    id: PeerId,
     included: IncludedReport,
     heard_at: Millis,
 }
@@ -54,6 +55,14 @@
             .collect()
     }
 
+    /// Nodes that this one tells what is left of limits.
+    pub(super) fn level_receivers(&self) -> Vec<(SocketAddr, PeerId)> {
+        let reporters = self.reporters.iter();
+        reporters
+            .map(|(address, reporter)| (*address, reporter.id))
+            .collect()
+    }
+
     /// Relays of other zones that report to this one.
     pub(super) fn zone_reporters(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.zone_reporters.keys().copied()
@@ -69,8 +78,15 @@
         take_up_to(&mut self.for_other_zones, count)
     }
 
-    fn note_reporter(&mut self, from: SocketAddr, included: IncludedReport, now: Millis) {
+    fn note_reporter(
+        &mut self,
+        from: SocketAddr,
+        id: PeerId,
+        included: IncludedReport,
+        now: Millis,
+    ) {
         let reporter = Reporter {
+            id,
             included,
             heard_at: now,
         };
@@ -142,7 +158,8 @@
             life: loads.life,
             sequence: loads.sequence,
         };
-        beliefs.relaying.note_reporter(from, included, now);
+        let relaying = &mut beliefs.relaying;
+        relaying.note_reporter(from, loads.sender, included, now);
     }
     take_news(beliefs, report, true, now);
 }
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -3,6 +3,7 @@
 //! In a large one: to the relays of the zone alone.
 
 use super::address_book::Reach;
+use super::limits::{advance_accounts, UseStream};
 use super::messages::{encode, PeerMessage, PeerReport, MAX_PLACEMENTS};
 use super::roles::{role, Role};
 use crate::state::Gateway;
@@ -43,6 +44,7 @@
     reported_lease: Option<u64>,
     reported_loaded: Vec<LoadedWeights>,
     placements_from: u64,
+    uses: UseStream,
     sent_at: Option<Millis>,
 }
 
@@ -59,6 +61,7 @@
             reported_lease: None,
             reported_loaded: Vec::new(),
             placements_from: 0,
+            uses: UseStream::default(),
             sent_at: None,
         }
     }
@@ -86,6 +89,9 @@
             if !receivers.is_empty() {
                 self.send(&receivers, false).await;
             }
+            if self.reach == Reach::Near {
+                advance_accounts(&self.gateway, self.gateway.clock.now());
+            }
             let per_period = match self.reach {
                 Reach::Near => NEAR_PER_PERIOD,
                 Reach::Far => FAR_PER_PERIOD,
@@ -116,6 +122,8 @@
     }
 
     async fn send(&mut self, receivers: &[SocketAddr], are_relays: bool) {
+        let uses = &mut self.uses;
+        uses.send_own(&self.gateway, &self.socket, receivers).await;
         let Some(report) = self.next_report(are_relays) else {
             return;
         };
--- a/crates/gateway/src/peers/roles.rs
+++ b/crates/gateway/src/peers/roles.rs
@@ -10,6 +10,8 @@
 use crate::time::sleep;
 use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_policy::ids::Millis;
+use ploverlift_ratelimit::accounts::FleetSize;
+use ploverlift_ratelimit::limiter::Membership;
 
 /// Lists of nodes after which the size of the fleet is known where all nodes start
 /// together: they do not see each other in the first ones.
@@ -81,6 +83,20 @@
     Role::Follower
 }
 
+/// How this node takes part in what the whole fleet counts.
+pub fn membership(gateway: &Gateway, now: Millis) -> Membership {
+    let keeps_accounts = role(gateway, now) != Role::Follower;
+    let size = FleetSize {
+        nodes: gateway.address_book().listed_nodes() as u32,
+        started_at: gateway.started_at,
+    };
+    Membership {
+        keeps_accounts,
+        is_first_start: gateway.settings().node.is_first_start,
+        size,
+    }
+}
+
 /// Lists of nodes after which the size of the fleet is known.
 pub fn lists_at_start(gateway: &Gateway) -> u32 {
     match gateway.settings().node.is_first_start {
--- a/crates/gateway/src/ports/caller.rs
+++ b/crates/gateway/src/ports/caller.rs
@@ -21,6 +21,8 @@
     pub deadline_ms: Option<u64>,
     /// The prompt, for requests to a model.
     pub prompt: Option<Prompt>,
+    /// Tokens of the prompt and the most to generate, as the caller declares them.
+    pub declared_tokens: Option<u64>,
     /// The last event of a broken stream that the caller has.
     pub resume_after: Option<String>,
     /// Headers that are passed on to the engine unchanged.
@@ -59,6 +61,8 @@
     BodyTooLarge,
     /// The head is over its limit.
     HeadTooLarge,
+    /// The tenant is over its limit; the request has not run and will not.
+    OverLimit,
     /// The request has not run and will not; the caller may come back.
     NotRun,
     /// The request may have run; no proper answer came.
@@ -77,6 +81,7 @@
             RefusalKind::RequestTimeout => 408,
             RefusalKind::BodyTooLarge => 413,
             RefusalKind::HeadTooLarge => 431,
+            RefusalKind::OverLimit => 429,
             RefusalKind::NotRun => 503,
             RefusalKind::EngineFailed => 502,
             RefusalKind::TimedOut => 504,
--- a/crates/gateway/src/relay/admission.rs
+++ b/crates/gateway/src/relay/admission.rs
@@ -1,9 +1,13 @@
 //! Whether a request may run at all, and on whose terms.
 
 use crate::beliefs::ActiveConfiguration;
+use crate::peers::roles::membership;
 use crate::ports::{CallerRequest, Refusal, RefusalKind};
+use crate::reservation::Reservation;
 use crate::state::Gateway;
+use ploverlift_ratelimit::limiter::{Basis, Standing};
 use ploverlift_routing::configuration::{Route, ServiceName};
+use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::tenants::TenantTerms;
 use std::sync::Arc;
 
@@ -12,7 +16,6 @@
 const STALE_RETRY_AFTER_MS: u64 = 500;
 
 /// A request that may run.
-#[derive(Clone, Debug)]
 pub struct Admission {
     /// The configuration that admitted it.
     pub configuration: Arc<ActiveConfiguration>,
@@ -22,6 +25,8 @@
     pub service: ServiceName,
     /// The tenant that holds its key.
     pub tenant: Option<Arc<TenantTerms>>,
+    /// What it counts against the tenant's limit; nothing where there is none.
+    pub reservation: Option<Reservation>,
 }
 
 impl Admission {
@@ -34,12 +39,14 @@
     }
 }
 
-/// Finds the route and the tenant of a request.
+/// Finds the route and the tenant of a request, and counts it against the tenant's
+/// limit.
 ///
 /// # Errors
-/// 503 while the configuration is unknown or may be outdated; 404 without a
-/// route; 401 without a known key.
-pub fn admit(gateway: &Gateway, request: &CallerRequest) -> Result<Admission, Refusal> {
+/// 503 while the configuration is unknown or may be outdated, or where this node
+/// cannot tell what the tenant has used; 404 without a route; 401 without a known key;
+/// 429 over the limit.
+pub fn admit(gateway: &Arc<Gateway>, request: &CallerRequest) -> Result<Admission, Refusal> {
     if gateway.is_refusing() {
         return Err(stale("this node is stopping; ask another"));
     }
@@ -55,6 +62,10 @@
         });
     };
     let tenant = find_tenant(&configuration, &route, request, is_fresh)?;
+    let reservation = match tenant.as_deref() {
+        Some(tenant) => reserve(gateway, tenant, request)?,
+        None => None,
+    };
     let service = {
         let mut beliefs = gateway.beliefs();
         let service = beliefs.splitter.next(&route, gateway.split_start);
@@ -65,9 +76,69 @@
         route,
         service,
         tenant,
+        reservation,
     })
 }
 
+/// Counts a request against its tenant's limit.
+fn reserve(
+    gateway: &Arc<Gateway>,
+    tenant: &TenantTerms,
+    request: &CallerRequest,
+) -> Result<Option<Reservation>, Refusal> {
+    let Some(limit) = tenant.rate_limit else {
+        return Ok(None);
+    };
+    let tag = TenantTag::of(&tenant.name);
+    let cost = limit.cost(request.declared_tokens);
+    let now = gateway.clock.now();
+    let membership = membership(gateway, now);
+    let standing = {
+        let mut beliefs = gateway.beliefs();
+        beliefs.limiter.standing(tag, cost, &membership, now)
+    };
+    let Some(standing) = standing else {
+        return Ok(None);
+    };
+    gateway.metrics.count_limited(&standing);
+    if standing.is_admitted() {
+        return Ok(Some(Reservation::take(gateway, tag, cost)));
+    }
+    log_over_limit(gateway, &tenant.name, &request.id, &standing);
+    if standing.basis == Basis::OwnShare {
+        return Err(stale(
+            "what the tenant has used at other nodes is not known",
+        ));
+    }
+    let reason = format!(
+        "the tenant is over its limit of {} {} a second",
+        limit.per_second,
+        limit.unit.name()
+    );
+    Err(Refusal {
+        kind: RefusalKind::OverLimit,
+        reason,
+        retry_after_ms: Some(standing.retry_after_ms()),
+    })
+}
+
+fn log_over_limit(gateway: &Gateway, tenant: &str, request_id: &str, standing: &Standing) {
+    let allowance = &standing.allowance;
+    slog::info!(gateway.log, "over limit";
+        "id" => request_id,
+        "tenant" => tenant,
+        "unit" => standing.limit.unit.name(),
+        "per_second" => standing.limit.per_second,
+        "burst" => standing.limit.burst,
+        "cost" => standing.cost,
+        "available" => allowance.available,
+        "refill_per_second" => allowance.refill_per_second,
+        "others_per_second" => allowance.others_per_second,
+        "basis" => standing.basis.name(),
+        "age_ms" => allowance.age_ms,
+        "retry_after_ms" => standing.retry_after_ms());
+}
+
 fn find_tenant(
     configuration: &ActiveConfiguration,
     route: &Route,
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -61,6 +61,16 @@
     },
 }
 
+impl AttemptEnd {
+    /// Whether the engine has not run the request and will not.
+    fn has_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::Unreachable { .. } | Self::Refused { .. } | Self::OtherWeights
+        )
+    }
+}
+
 impl Relay {
     /// Sends the request to an engine and hands its answer on.
     ///
@@ -69,6 +79,9 @@
     pub(super) async fn attempt(&mut self, chosen: ChosenEngine) -> io::Result<AttemptEnd> {
         let tokens = chosen.tokens_to_read;
         let mut in_flight = InFlight::begin(&self.gateway, &chosen.instance, tokens);
+        if let Some(reservation) = &mut self.received.admission.reservation {
+            reservation.spend();
+        }
         self.record.begin_attempt(&chosen);
         let end = match self.send(&chosen).await {
             Ok(answer) => self.hand_on(answer, &chosen, &mut in_flight).await?,
@@ -80,6 +93,11 @@
                 end
             }
         };
+        if let (true, Some(reservation)) =
+            (end.has_not_run(), &mut self.received.admission.reservation)
+        {
+            reservation.not_run();
+        }
         self.record.end_attempt(&end);
         Ok(end)
     }
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -15,12 +15,14 @@
     WeightedTarget,
 };
 use ploverlift_routing::prompt::{Prompt, PromptPart};
+use ploverlift_routing::rate_limit::{LimitUnit, RateLimit};
 use serde_json::{json, Value};
 
 pub const ID: &str = "t-id";
 pub const KEY: &str = "t-key";
 pub const DEADLINE: &str = "t-deadline";
 pub const PARTS: &str = "t-parts";
+pub const TOKENS: &str = "t-tokens";
 pub const AFTER: &str = "t-after";
 pub const TENANT: &str = "t-tenant";
 pub const INSTANCE: &str = "t-instance";
@@ -60,6 +62,7 @@
             key: headers.get(KEY).map(str::to_owned),
             deadline_ms: headers.get(DEADLINE).and_then(|text| text.parse().ok()),
             prompt: parts,
+            declared_tokens: headers.get(TOKENS).and_then(|text| text.parse().ok()),
             resume_after: headers.get(AFTER).map(str::to_owned),
             method: head.method.clone(),
             target: head.target.clone(),
@@ -286,6 +289,7 @@
             keys: vec![key],
             priority: None,
             is_isolated: false,
+            rate_limit: rate_limit(body),
         });
         Ok(Configuration {
             version: version.ok_or_else(|| invalid("no version"))?,
@@ -334,6 +338,16 @@
     }
 }
 
+/// The limit of all tenants, in tokens.
+fn rate_limit(body: &Value) -> Option<RateLimit> {
+    let limit = &body["limit"];
+    Some(RateLimit {
+        per_second: limit["per_second"].as_f64()?,
+        burst: limit["burst"].as_f64()?,
+        unit: LimitUnit::Tokens { undeclared: 1 },
+    })
+}
+
 /// Events of a cache; none in an empty body.
 fn cache_events(body: &[u8]) -> CacheEvents {
     let body: Value = serde_json::from_slice(body).unwrap_or_default();
--- /dev/null
+++ b/crates/ratelimit/src/accounts.rs
@@ -0,0 +1,490 @@
+//! The buckets of all tenants, where all parts of the fleet are heard: on each node
+//! of a small fleet, and on relays.
+//!
+//! A part that falls silent (cut off, paused, dead) may still admit its share of each
+//! limit. That share is held, that is taken out of the bucket, for as long as the
+//! part may go on; once the part is heard again the hold is replaced by what it has
+//! truly admitted.
+
+use crate::bucket::{granted_in, Bucket};
+use crate::recent_rate::RecentRate;
+use crate::reports::{PartId, TenantUse, UseReport};
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
+use std::collections::{BTreeMap, HashMap};
+
+/// Longest time between two reports of use, in milliseconds: five a second cost a node
+/// about 300 bytes a second.
+pub const HEARTBEAT_MS: u64 = 200;
+/// Silence after which a part counts as cut off, in milliseconds: three reports.
+pub const SILENT_MS: u64 = 3 * HEARTBEAT_MS;
+/// Time for which a silent part may admit its share, in milliseconds: a node that
+/// hears nobody is in the same span refused its keys, or goes over to an even share.
+pub const HOLD_MS: u64 = 6_000;
+/// Silence after which a part is forgotten, in milliseconds. What was held for it by
+/// then stays taken.
+const FORGET_MS: u64 = 60_000;
+/// Silence after which a relay's sum of its zone gives way to another relay's, in
+/// milliseconds: four of its report periods.
+const SUM_SILENT_MS: u64 = 400;
+/// Time within which a reporter names each tenant at least once, in milliseconds. What
+/// it had admitted before it was first heard is not known to be recent; what it names
+/// first after this time is.
+const BASELINE_MS: u64 = 1_500;
+/// Age from which accounts are not replaced by older ones, in milliseconds: buckets of
+/// the usual burst have refilled by then.
+pub const SETTLED_MS: u64 = 10_000;
+/// Difference in age from which accounts are better than others, in milliseconds.
+pub const OLDER_MS: u64 = 1_000;
+/// Part of a limit that is divided evenly over the nodes where a fleet is divided; the
+/// rest goes by the last known use.
+const EVEN_SHARE: f64 = 0.1;
+/// Time that a report travels and waits to be sent on, in milliseconds: half of a
+/// node's and of a relay's report period, twice between zones.
+pub const UNSEEN_MS: u64 = 150;
+
+/// One reporter of a part.
+#[derive(Clone, Debug)]
+struct Stream {
+    life: u64,
+    sequence: u64,
+    heard_at: Millis,
+    joined_at: Millis,
+    /// Whether all that it admitted was admitted since its part was known.
+    is_known_from_start: bool,
+    counters: HashMap<TenantTag, Counter>,
+}
+
+/// What a reporter told last of a tenant, and what to add for the part's own count.
+#[derive(Clone, Copy, Debug)]
+struct Counter {
+    admitted: i64,
+    offset: i64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct PartUse {
+    counted: i64,
+    rate: RecentRate,
+    held: f64,
+    /// The part of the limit that it may use since it fell silent, by what all parts
+    /// used then.
+    share: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+struct Part {
+    nodes: u32,
+    heard_at: Millis,
+    /// Up to when its share is held; it begins where the part was last heard.
+    held_to: Millis,
+    streams: BTreeMap<PeerId, Stream>,
+    uses: HashMap<TenantTag, PartUse>,
+}
+
+impl Part {
+    fn is_silent(&self, now: Millis) -> bool {
+        now.since(self.heard_at) >= SILENT_MS
+    }
+
+    /// What the part uses, or used when it fell silent.
+    fn rate(&self, tenant: TenantTag, now: Millis) -> f64 {
+        let known_at = match self.is_silent(now) {
+            true => self.heard_at,
+            false => now,
+        };
+        let used = self.uses.get(&tenant);
+        used.map_or(0.0, |used| used.rate.per_second(known_at))
+    }
+}
+
+/// How large the fleet is, and since when this node hears it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Nodes that are listed, this one included.
+    pub nodes: u32,
+    /// When this node started.
+    pub started_at: Millis,
+}
+
+/// The accounts of all tenants.
+#[derive(Clone, Debug, Default)]
+pub struct Accounts {
+    parts: BTreeMap<PartId, Part>,
+    buckets: HashMap<TenantTag, Bucket>,
+    /// Since when they run; nothing where the fleet itself has just begun.
+    since: Option<Millis>,
+    advanced_to: Millis,
+}
+
+impl Accounts {
+    /// Accounts that begin now with empty buckets: what was admitted before is not
+    /// known.
+    pub fn beginning_at(now: Millis) -> Self {
+        Self {
+            since: Some(now),
+            advanced_to: now,
+            ..Self::default()
+        }
+    }
+
+    /// Time for which they have run, in milliseconds.
+    pub fn age_ms(&self, now: Millis) -> u64 {
+        self.since
+            .map_or(u64::from(u32::MAX), |since| now.since(since))
+    }
+
+    /// Whether accounts of an age know clearly more than these, which are new.
+    pub fn is_younger_than(&self, age_ms: u64, now: Millis) -> bool {
+        let own_ms = self.age_ms(now);
+        own_ms < SETTLED_MS && age_ms > own_ms + OLDER_MS
+    }
+
+    /// Goes on from levels that were told, by accounts of an age.
+    pub fn take_over(
+        &mut self,
+        levels: impl Iterator<Item = (TenantTag, f64)>,
+        age_ms: u64,
+        now: Millis,
+    ) {
+        self.since = Some(Millis(now.0.saturating_sub(age_ms)));
+        for (tenant, level) in levels {
+            self.buckets.insert(tenant, Bucket::with_level(level, now));
+        }
+    }
+
+    fn hear(&mut self, part: PartId, now: Millis) {
+        if self.part(part, now).is_silent(now) {
+            self.release(part);
+        }
+        let part = self.part(part, now);
+        part.heard_at = now;
+        part.held_to = now;
+    }
+
+    /// A node runs in another life: it does not tell what the one before admitted
+    /// unheard, so what is held for that stays taken.
+    fn begin_life(&mut self, part: PartId, sender: PeerId, now: Millis) {
+        let part = self.part(part, now);
+        part.streams.remove(&sender);
+        for used in part.uses.values_mut() {
+            used.held = 0.0;
+            used.share = None;
+        }
+    }
+
+    fn is_other_life(&self, part: PartId, sender: PeerId, life: u64) -> bool {
+        let part = self.parts.get(&part);
+        let stream = part.and_then(|part| part.streams.get(&sender));
+        stream.is_some_and(|stream| stream.life < life)
+    }
+
+    fn part(&mut self, part: PartId, now: Millis) -> &mut Part {
+        self.parts.entry(part).or_insert_with(|| Part {
+            nodes: 1,
+            heard_at: now,
+            held_to: now,
+            streams: BTreeMap::new(),
+            uses: HashMap::new(),
+        })
+    }
+
+    /// Gives back what was held for a part whose true use is told from now on.
+    fn release(&mut self, part: PartId) {
+        let Some(part) = self.parts.get_mut(&part) else {
+            return;
+        };
+        for (tenant, used) in &mut part.uses {
+            let held = std::mem::take(&mut used.held);
+            used.share = None;
+            if let Some(bucket) = self.buckets.get_mut(tenant) {
+                bucket.take(-held);
+            }
+        }
+    }
+
+    /// Takes in a report of a part's use; one that was overtaken is left out.
+    pub fn apply(
+        &mut self,
+        part_id: PartId,
+        report: &UseReport,
+        limits: &HashMap<TenantTag, RateLimit>,
+        now: Millis,
+    ) {
+        let known = self.parts.get(&part_id);
+        let known = known.and_then(|part| part.streams.get(&report.sender));
+        let known = known.map(|stream| (stream.life, stream.sequence));
+        if known.is_some_and(|known| known >= (report.life, report.sequence)) {
+            return;
+        }
+        let is_other_life = self.is_other_life(part_id, report.sender, report.life);
+        if is_other_life {
+            self.begin_life(part_id, report.sender, now);
+        }
+        self.hear(part_id, now);
+        let is_node = matches!(part_id, PartId::Node(_));
+        let is_known_from_start = is_node && (is_other_life || self.since.is_none());
+        let part = self.part(part_id, now);
+        part.nodes = report.nodes.max(1);
+        let stream = part.streams.entry(report.sender).or_insert_with(|| Stream {
+            life: report.life,
+            sequence: 0,
+            heard_at: now,
+            joined_at: now,
+            is_known_from_start,
+            counters: HashMap::new(),
+        });
+        stream.sequence = report.sequence;
+        stream.heard_at = now;
+        for used in &report.uses {
+            let more = self.count(part_id, report.sender, *used, now);
+            if let Some(limit) = limits.get(&used.tenant) {
+                self.charge(used.tenant, limit, more, now);
+            }
+        }
+    }
+
+    /// Takes in what a reporter told of a tenant; tells how much more the part has
+    /// admitted than was known.
+    fn count(&mut self, part: PartId, sender: PeerId, told: TenantUse, now: Millis) -> f64 {
+        let part = self.part(part, now);
+        let streams = part.streams.values();
+        let mut others = streams.filter(|stream| stream.counters.contains_key(&told.tenant));
+        let is_told_by_another = others.next().is_some();
+        let used = part.uses.entry(told.tenant).or_default();
+        let Some(stream) = part.streams.get_mut(&sender) else {
+            return 0.0;
+        };
+        let admitted = told.admitted as i64;
+        let has_baseline = stream.is_known_from_start || now.since(stream.joined_at) >= BASELINE_MS;
+        let first_offset = match has_baseline && !is_told_by_another {
+            true => used.counted,
+            false => used.counted - admitted,
+        };
+        let counter = stream.counters.entry(told.tenant).or_insert(Counter {
+            admitted,
+            offset: first_offset,
+        });
+        counter.admitted = admitted;
+        // Several relays sum up the same zone: the one that is ahead counts.
+        let fresh = part.streams.values();
+        let fresh = fresh.filter(|stream| now.since(stream.heard_at) < SUM_SILENT_MS);
+        let counters = fresh.filter_map(|stream| stream.counters.get(&told.tenant));
+        let counted = counters.map(|counter| counter.admitted + counter.offset);
+        let counted = counted.max().unwrap_or(used.counted);
+        let more = (counted - used.counted) as f64;
+        used.counted = counted;
+        used.rate.note(more, now);
+        more
+    }
+
+    /// What a reporter had admitted in the last report that is counted.
+    pub fn counted_of(&self, sender: PeerId, tenant: TenantTag) -> u64 {
+        let part = self.parts.get(&PartId::Node(sender));
+        let stream = part.and_then(|part| part.streams.get(&sender));
+        let counter = stream.and_then(|stream| stream.counters.get(&tenant));
+        counter.map_or(0, |counter| counter.admitted.max(0) as u64)
+    }
+
+    /// Brings all accounts up to date: refills, and what is held for silent parts.
+    pub fn advance(
+        &mut self,
+        limits: &HashMap<TenantTag, RateLimit>,
+        own_rate: impl Fn(TenantTag) -> f64,
+        size: FleetSize,
+        now: Millis,
+    ) {
+        let tenants: Vec<TenantTag> = self.parts_tenants(limits);
+        for tenant in tenants {
+            if let Some(limit) = limits.get(&tenant) {
+                self.open(tenant, limit, now).refill(limit, now);
+            }
+        }
+        let silent: Vec<PartId> = self
+            .parts
+            .iter()
+            .filter(|(_, part)| part.is_silent(now) && now.since(part.heard_at) < HOLD_MS)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in silent {
+            self.hold(id, limits, &own_rate, size, now);
+        }
+        self.hold_for_unheard(limits, size, now);
+        self.parts
+            .retain(|_, part| now.since(part.heard_at) < FORGET_MS);
+        self.advanced_to = now;
+    }
+
+    /// Tenants that any part has used and that have a limit.
+    fn parts_tenants(&self, limits: &HashMap<TenantTag, RateLimit>) -> Vec<TenantTag> {
+        let used = self.parts.values().flat_map(|part| part.uses.keys());
+        let mut tenants: Vec<TenantTag> = used.chain(self.buckets.keys()).copied().collect();
+        tenants.retain(|tenant| limits.contains_key(tenant));
+        tenants.sort_unstable();
+        tenants.dedup();
+        tenants
+    }
+
+    fn hold(
+        &mut self,
+        id: PartId,
+        limits: &HashMap<TenantTag, RateLimit>,
+        own_rate: &impl Fn(TenantTag) -> f64,
+        size: FleetSize,
+        now: Millis,
+    ) {
+        let Some(part) = self.parts.get_mut(&id) else {
+            return;
+        };
+        let elapsed_ms = now.since(part.held_to);
+        let is_newly_silent = part.held_to == part.heard_at;
+        part.held_to = now;
+        let tenants: Vec<TenantTag> = self.buckets.keys().copied().collect();
+        for tenant in tenants {
+            let Some(limit) = limits.get(&tenant) else {
+                continue;
+            };
+            let known = self.parts.get(&id).and_then(|part| part.uses.get(&tenant));
+            let known = known.and_then(|used| used.share);
+            let share =
+                known.unwrap_or_else(|| self.share(id, tenant, limit, own_rate(tenant), size, now));
+            let mut held = granted_in(limit, elapsed_ms) * share;
+            if let Some(bucket) = self.buckets.get_mut(&tenant) {
+                if is_newly_silent {
+                    // Of what was left when it was last heard, it may use its share.
+                    held += bucket.level().max(0.0) * share;
+                }
+                bucket.take(held);
+            }
+            if let Some(part) = self.parts.get_mut(&id) {
+                let used = part.uses.entry(tenant).or_default();
+                used.held += held;
+                used.share = Some(share);
+            }
+        }
+    }
+
+    /// The part of a limit that a silent part may use.
+    fn share(
+        &self,
+        id: PartId,
+        tenant: TenantTag,
+        limit: &RateLimit,
+        own_rate: f64,
+        size: FleetSize,
+        now: Millis,
+    ) -> f64 {
+        let Some(part) = self.parts.get(&id) else {
+            return 0.0;
+        };
+        let rates = self.parts.values().map(|part| part.rate(tenant, now));
+        let fleet_rate = own_rate + rates.sum::<f64>();
+        let nodes = f64::from(part.nodes);
+        share_of(limit, part.rate(tenant, now), nodes, fleet_rate, size.nodes)
+    }
+
+    /// Nodes that this node has not heard since it started may be alive behind a cut:
+    /// an even share is held for each.
+    fn hold_for_unheard(
+        &mut self,
+        limits: &HashMap<TenantTag, RateLimit>,
+        size: FleetSize,
+        now: Millis,
+    ) {
+        let elapsed_ms = now.since(self.advanced_to);
+        if now.since(size.started_at) >= HOLD_MS || self.since.is_none() {
+            return;
+        }
+        let heard: u32 = self.parts.values().map(|part| part.nodes).sum();
+        let unheard = size.nodes.saturating_sub(heard + 1);
+        let share = f64::from(unheard) / f64::from(size.nodes.max(1));
+        for (tenant, bucket) in &mut self.buckets {
+            if let Some(limit) = limits.get(tenant) {
+                bucket.take(granted_in(limit, elapsed_ms) * share);
+            }
+        }
+    }
+
+    /// The bucket of a tenant. One that was not used before has refilled for as long
+    /// as the accounts run.
+    fn open(&mut self, tenant: TenantTag, limit: &RateLimit, now: Millis) -> &mut Bucket {
+        let refilled = match self.since {
+            None => limit.burst,
+            Some(since) => granted_in(limit, now.since(since)).min(limit.burst),
+        };
+        let bucket = self.buckets.entry(tenant);
+        bucket.or_insert_with(|| Bucket::with_level(refilled, now))
+    }
+
+    /// Takes admitted tokens out of a tenant's bucket; negative ones are given back.
+    pub fn charge(&mut self, tenant: TenantTag, limit: &RateLimit, tokens: f64, now: Millis) {
+        let bucket = self.open(tenant, limit, now);
+        bucket.refill(limit, now);
+        bucket.take(tokens);
+    }
+
+    /// The bucket's level, and what the parts that are heard use a second.
+    pub fn standing(&mut self, tenant: TenantTag, limit: &RateLimit, now: Millis) -> (f64, f64) {
+        let bucket = self.open(tenant, limit, now);
+        bucket.refill(limit, now);
+        let level = bucket.level();
+        let heard = self.parts.values().filter(|part| !part.is_silent(now));
+        let others = heard.map(|part| part.rate(tenant, now)).sum();
+        (level, others)
+    }
+
+    /// Age of the oldest report among the parts that are heard, in milliseconds.
+    pub fn reports_age_ms(&self, now: Millis) -> Option<u64> {
+        let ages = self.parts.values().map(|part| now.since(part.heard_at));
+        ages.filter(|age_ms| *age_ms < SILENT_MS).max()
+    }
+
+    /// Tenants whose accounts are open.
+    pub fn tenants(&self) -> impl Iterator<Item = TenantTag> + '_ {
+        self.buckets.keys().copied()
+    }
+
+    /// What the nodes of this node's zone have admitted, silent ones by their holds.
+    pub fn zone_uses(&self, own: impl Iterator<Item = TenantUse>) -> Vec<TenantUse> {
+        let mut sums: BTreeMap<TenantTag, i64> = BTreeMap::new();
+        for used in own {
+            *sums.entry(used.tenant).or_default() += used.admitted as i64;
+        }
+        for (id, part) in &self.parts {
+            if matches!(id, PartId::Node(_)) {
+                for (tenant, used) in &part.uses {
+                    *sums.entry(*tenant).or_default() += used.counted + used.held as i64;
+                }
+            }
+        }
+        let sums = sums.into_iter();
+        sums.map(|(tenant, admitted)| TenantUse {
+            tenant,
+            admitted: admitted.max(0) as u64,
+        })
+        .collect()
+    }
+
+    /// Nodes of this node's zone that are known, itself included.
+    pub fn zone_nodes(&self) -> u32 {
+        let nodes = self.parts.keys();
+        let nodes = nodes.filter(|id| matches!(id, PartId::Node(_)));
+        nodes.count() as u32 + 1
+    }
+}
+
+/// The part of a limit that a part of a divided fleet may use: mostly by its last
+/// known use, and a little evenly, so that no part is left without.
+pub fn share_of(
+    limit: &RateLimit,
+    part_rate: f64,
+    part_nodes: f64,
+    fleet_rate: f64,
+    fleet_nodes: u32,
+) -> f64 {
+    let even = limit.per_second * EVEN_SHARE;
+    let part_even = even * part_nodes / f64::from(fleet_nodes.max(1));
+    let share = (part_rate + part_even) / (fleet_rate + even);
+    share.min(1.0)
+}
--- /dev/null
+++ b/crates/ratelimit/src/limiter.rs
@@ -0,0 +1,290 @@
+//! Whether a request of a tenant may be sent.
+
+use crate::accounts::{Accounts, FleetSize, UNSEEN_MS};
+use crate::own_use::OwnUse;
+use crate::reports::{LevelReport, PartId, TenantLevel, TenantUse, UseReport};
+use crate::told::{Allowance, ToldLevels};
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
+use std::collections::HashMap;
+
+/// Part of a burst under which a relay tells a tenant's level in each report; others
+/// are told in turn.
+const NEAR_LIMIT_SHARE: f64 = 0.75;
+/// Reports of a relay in which each level is told at least once.
+const REPORTS_PER_REFRESH: u64 = 8;
+/// Shortest time to come back that a caller is told, in milliseconds: what a few
+/// requests that are under way admit meanwhile is not known.
+const SHORTEST_RETRY_MS: f64 = 50.0;
+/// Longest time to come back that a caller is told, in milliseconds.
+const LONGEST_RETRY_MS: f64 = 60_000.0;
+
+/// By what this node admits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// Its own accounts: it hears all parts of the fleet.
+    Accounts,
+    /// What relays tell.
+    Relays,
+    /// Its share: it hears no relay.
+    OwnShare,
+}
+
+impl Basis {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Basis::Accounts => "accounts",
+            Basis::Relays => "relays",
+            Basis::OwnShare => "own_share",
+        }
+    }
+}
+
+/// What was known when a request was decided on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// By what it was decided.
+    pub basis: Basis,
+    /// The tenant's limit.
+    pub limit: RateLimit,
+    /// What this node may admit.
+    pub allowance: Allowance,
+    /// What the request counts.
+    pub cost: u64,
+}
+
+impl Standing {
+    /// Whether the request may be sent. While a fleet is whole, a request may run
+    /// into debt, or large ones would never get their turn beside small ones; a node
+    /// that is on its own must have the whole of it.
+    pub fn is_admitted(&self) -> bool {
+        match self.basis {
+            Basis::OwnShare => self.allowance.available >= self.cost as f64,
+            Basis::Accounts | Basis::Relays => self.allowance.available > 0.0,
+        }
+    }
+
+    /// When the bucket holds what the request counts, in milliseconds from now.
+    pub fn retry_after_ms(&self) -> u64 {
+        let wanted = (self.cost as f64).min(self.limit.burst.max(1.0));
+        let missing = wanted - self.allowance.available;
+        let wait_ms = missing * 1_000.0 / self.allowance.refill_per_second.max(0.001);
+        wait_ms.clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS) as u64
+    }
+}
+
+/// The limits of all tenants at one node.
+#[derive(Clone, Debug, Default)]
+pub struct RateLimiter {
+    limits: HashMap<TenantTag, RateLimit>,
+    own: OwnUse,
+    accounts: Option<Accounts>,
+    told: ToldLevels,
+    level_reports: u64,
+}
+
+/// How a node takes part in its fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Membership {
+    /// Whether it hears all parts of the fleet itself.
+    pub keeps_accounts: bool,
+    /// Whether the fleet itself has just begun, so that nothing ran before.
+    pub is_first_start: bool,
+    /// The fleet.
+    pub size: FleetSize,
+}
+
+impl RateLimiter {
+    /// Puts other limits in force.
+    pub fn set_limits(&mut self, limits: HashMap<TenantTag, RateLimit>) {
+        self.limits = limits;
+    }
+
+    /// Whether any tenant has a limit.
+    pub fn has_limits(&self) -> bool {
+        !self.limits.is_empty()
+    }
+
+    /// The limit of a tenant.
+    pub fn limit(&self, tenant: TenantTag) -> Option<RateLimit> {
+        self.limits.get(&tenant).copied()
+    }
+
+    /// What is known of a tenant before a request that counts `cost`; nothing where
+    /// the tenant has no limit.
+    pub fn standing(
+        &mut self,
+        tenant: TenantTag,
+        cost: u64,
+        membership: &Membership,
+        now: Millis,
+    ) -> Option<Standing> {
+        let limit = self.limit(tenant)?;
+        let (basis, allowance) = self.allowance(tenant, &limit, membership, now);
+        Some(Standing {
+            basis,
+            limit,
+            allowance,
+            cost,
+        })
+    }
+
+    fn allowance(
+        &mut self,
+        tenant: TenantTag,
+        limit: &RateLimit,
+        membership: &Membership,
+        now: Millis,
+    ) -> (Basis, Allowance) {
+        self.take_part(membership, now);
+        if let Some(accounts) = &mut self.accounts {
+            let (level, others) = accounts.standing(tenant, limit, now);
+            let unseen = others * UNSEEN_MS as f64 / 1_000.0;
+            let allowance = Allowance {
+                available: level - unseen,
+                refill_per_second: limit.per_second,
+                others_per_second: others,
+                age_ms: accounts.reports_age_ms(now),
+            };
+            return (Basis::Accounts, allowance);
+        }
+        if let Some(allowance) = self.told.allowance(tenant, limit, &self.own, now) {
+            return (Basis::Relays, allowance);
+        }
+        let started_at = membership.size.started_at;
+        let told = &mut self.told;
+        let allowance = told.own_share(tenant, limit, started_at, now);
+        (Basis::OwnShare, allowance)
+    }
+
+    /// Keeps accounts from now on, or no longer.
+    fn take_part(&mut self, membership: &Membership, now: Millis) {
+        match (membership.keeps_accounts, &self.accounts) {
+            (true, None) => self.accounts = Some(self.first_accounts(membership, now)),
+            (false, Some(_)) => self.accounts = None,
+            _ => {}
+        }
+    }
+
+    fn first_accounts(&self, membership: &Membership, now: Millis) -> Accounts {
+        if let Some((levels, age_ms)) = self.told.handover(now) {
+            let mut accounts = Accounts::beginning_at(now);
+            accounts.take_over(levels.into_iter(), age_ms, now);
+            return accounts;
+        }
+        match membership.is_first_start {
+            true => Accounts::default(),
+            false => Accounts::beginning_at(now),
+        }
+    }
+
+    /// Counts tokens as admitted.
+    pub fn charge(&mut self, tenant: TenantTag, tokens: u64, now: Millis) {
+        self.own.charge(tenant, tokens, now);
+        self.take_out(tenant, tokens as f64, now);
+    }
+
+    /// Tokens that were counted did not run.
+    pub fn refund(&mut self, tenant: TenantTag, tokens: u64, now: Millis) {
+        self.own.refund(tenant, tokens, now);
+        self.take_out(tenant, -(tokens as f64), now);
+    }
+
+    fn take_out(&mut self, tenant: TenantTag, tokens: f64, now: Millis) {
+        let Some(limit) = self.limit(tenant) else {
+            return;
+        };
+        match &mut self.accounts {
+            Some(accounts) => accounts.charge(tenant, &limit, tokens, now),
+            None => self.told.charge_share(tenant, tokens),
+        }
+    }
+
+    /// Takes in what a part of the fleet has admitted.
+    pub fn take_use(&mut self, part: PartId, report: &UseReport, now: Millis) {
+        if let Some(accounts) = &mut self.accounts {
+            accounts.apply(part, report, &self.limits, now);
+        }
+    }
+
+    /// Takes in levels that a relay tells. A node that keeps accounts itself, and for
+    /// a shorter time, goes on from them.
+    pub fn take_levels(&mut self, report: &LevelReport, now: Millis) {
+        self.told.apply(report, &self.own, now);
+        let Some(accounts) = &mut self.accounts else {
+            return;
+        };
+        if accounts.is_younger_than(report.accounts_age_ms, now) {
+            let levels = report.levels.iter();
+            let levels = levels.map(|told| (told.tenant, told.level as f64));
+            accounts.take_over(levels, report.accounts_age_ms, now);
+        }
+    }
+
+    /// What this node has admitted.
+    pub fn own_uses(&self) -> impl Iterator<Item = TenantUse> + '_ {
+        self.own.iter()
+    }
+
+    /// What this node's zone has admitted, and how many nodes it has; nothing where
+    /// it keeps no accounts.
+    pub fn zone_uses(&self) -> Option<(Vec<TenantUse>, u32)> {
+        let accounts = self.accounts.as_ref()?;
+        Some((accounts.zone_uses(self.own.iter()), accounts.zone_nodes()))
+    }
+
+    /// Brings the accounts up to date; each period of a node that keeps some.
+    pub fn advance(&mut self, membership: &Membership, now: Millis) {
+        self.take_part(membership, now);
+        let own = &self.own;
+        if let Some(accounts) = &mut self.accounts {
+            let own_rate = |tenant| own.rate(tenant).per_second(now);
+            accounts.advance(&self.limits, own_rate, membership.size, now);
+        }
+    }
+
+    /// The levels that a relay tells next, with 0 as what each receiver has reported.
+    pub fn levels_to_tell(&mut self, now: Millis) -> Vec<TenantLevel> {
+        self.level_reports += 1;
+        let refreshed = self.level_reports % REPORTS_PER_REFRESH;
+        let Some(accounts) = &mut self.accounts else {
+            return Vec::new();
+        };
+        let mut levels = Vec::new();
+        let tenants: Vec<TenantTag> = accounts.tenants().collect();
+        for tenant in tenants {
+            let Some(limit) = self.limits.get(&tenant) else {
+                continue;
+            };
+            let (level, others) = accounts.standing(tenant, limit, now);
+            let is_near = level < limit.burst * NEAR_LIMIT_SHARE;
+            if is_near || tenant.0 % REPORTS_PER_REFRESH == refreshed {
+                let fleet_rate = others + self.own.rate(tenant).per_second(now);
+                levels.push(TenantLevel {
+                    tenant,
+                    level: level as i64,
+                    fleet_rate: fleet_rate as u64,
+                    counted: 0,
+                });
+            }
+        }
+        levels
+    }
+
+    /// What a reporter had admitted of each tenant in the last report that is counted.
+    pub fn counted_of(&self, sender: PeerId, tenants: &[TenantTag]) -> Vec<u64> {
+        let accounts = self.accounts.as_ref();
+        let counted = |tenant: &TenantTag| {
+            accounts.map_or(0, |accounts| accounts.counted_of(sender, *tenant))
+        };
+        tenants.iter().map(counted).collect()
+    }
+
+    /// Time for which this node's accounts have run, in milliseconds.
+    pub fn accounts_age_ms(&self, now: Millis) -> u64 {
+        let accounts = self.accounts.as_ref();
+        accounts.map_or(0, |accounts| accounts.age_ms(now))
+    }
+}
--- /dev/null
+++ b/crates/ratelimit/src/own_use.rs
@@ -0,0 +1,96 @@
+//! What this node has admitted.
+
+use crate::accounts::HEARTBEAT_MS;
+use crate::recent_rate::RecentRate;
+use crate::reports::TenantUse;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::rate_limit::TenantTag;
+use std::collections::HashMap;
+
+/// Reports in which each tenant is named at least once: that repairs what was lost.
+const REPORTS_PER_REFRESH: u64 = 8;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Admitted {
+    tokens: u64,
+    rate: RecentRate,
+}
+
+/// Tokens admitted by this node in this life.
+#[derive(Clone, Debug, Default)]
+pub struct OwnUse {
+    tenants: HashMap<TenantTag, Admitted>,
+}
+
+impl OwnUse {
+    /// Tokens were admitted.
+    pub fn charge(&mut self, tenant: TenantTag, tokens: u64, now: Millis) {
+        let admitted = self.tenants.entry(tenant).or_default();
+        admitted.tokens += tokens;
+        admitted.rate.note(tokens as f64, now);
+    }
+
+    /// Tokens that were admitted did not run.
+    pub fn refund(&mut self, tenant: TenantTag, tokens: u64, now: Millis) {
+        if let Some(admitted) = self.tenants.get_mut(&tenant) {
+            admitted.tokens = admitted.tokens.saturating_sub(tokens);
+            admitted.rate.note(-(tokens as f64), now);
+        }
+    }
+
+    /// Tokens that a tenant was admitted.
+    pub fn admitted(&self, tenant: TenantTag) -> u64 {
+        let admitted = self.tenants.get(&tenant);
+        admitted.map_or(0, |admitted| admitted.tokens)
+    }
+
+    /// What a tenant uses here.
+    pub fn rate(&self, tenant: TenantTag) -> RecentRate {
+        let admitted = self.tenants.get(&tenant);
+        admitted.map_or_else(RecentRate::default, |admitted| admitted.rate)
+    }
+
+    /// All that was admitted.
+    pub fn iter(&self) -> impl Iterator<Item = TenantUse> + '_ {
+        let tenants = self.tenants.iter();
+        tenants.map(|(tenant, admitted)| TenantUse {
+            tenant: *tenant,
+            admitted: admitted.tokens,
+        })
+    }
+}
+
+/// What a stream of reports has told already.
+#[derive(Clone, Debug, Default)]
+pub struct ToldUse {
+    told: HashMap<TenantTag, u64>,
+    reports: u64,
+    told_at: Option<Millis>,
+}
+
+impl ToldUse {
+    /// The uses to tell next: those that changed, and some others in turn. Nothing
+    /// where nothing changed and the last report is recent.
+    pub fn next(
+        &mut self,
+        uses: impl Iterator<Item = TenantUse>,
+        now: Millis,
+    ) -> Option<Vec<TenantUse>> {
+        self.reports += 1;
+        let refreshed = self.reports % REPORTS_PER_REFRESH;
+        let is_due = |used: &TenantUse| {
+            let is_refreshed = used.tenant.0 % REPORTS_PER_REFRESH == refreshed;
+            is_refreshed || self.told.get(&used.tenant) != Some(&used.admitted)
+        };
+        let due: Vec<TenantUse> = uses.filter(is_due).collect();
+        for used in &due {
+            self.told.insert(used.tenant, used.admitted);
+        }
+        let rested = |at| now.since(at) >= HEARTBEAT_MS;
+        if due.is_empty() && !self.told_at.is_none_or(rested) {
+            return None;
+        }
+        self.told_at = Some(now);
+        Some(due)
+    }
+}
--- /dev/null
+++ b/crates/ratelimit/src/told.rs
@@ -0,0 +1,216 @@
+//! Levels that relays tell, and the share of a node that hears none.
+
+use crate::accounts::{share_of, HOLD_MS, OLDER_MS, SETTLED_MS, UNSEEN_MS};
+use crate::bucket::{granted_in, Bucket};
+use crate::own_use::OwnUse;
+use crate::reports::{LevelReport, TenantLevel};
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
+use std::collections::{BTreeMap, HashMap};
+
+/// Silence after which a relay's levels are no longer relied on, in milliseconds: two
+/// of the reports that it sends at least, and some jitter. Where two relays report,
+/// that takes four lost datagrams in a row.
+pub const RELIED_ON_MS: u64 = 450;
+
+#[derive(Clone, Copy, Debug)]
+struct ToldLevel {
+    level: f64,
+    fleet_rate: f64,
+    counted: u64,
+    told_at: Millis,
+    /// What this node used a second then.
+    own_rate: f64,
+}
+
+#[derive(Clone, Debug)]
+struct ToldBy {
+    life: u64,
+    sequence: u64,
+    heard_at: Millis,
+    accounts_age_ms: u64,
+    levels: HashMap<TenantTag, ToldLevel>,
+}
+
+/// This node's part of a limit while it hears no relay.
+#[derive(Clone, Copy, Debug)]
+struct OwnShare {
+    share: f64,
+    bucket: Bucket,
+}
+
+/// What relays told of all tenants.
+#[derive(Clone, Debug, Default)]
+pub struct ToldLevels {
+    relays: BTreeMap<PeerId, ToldBy>,
+    nodes: u32,
+    heard_at: Option<Millis>,
+    shares: HashMap<TenantTag, OwnShare>,
+}
+
+/// What this node may admit of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Tokens that are left, as far as is known; negative ones are owed.
+    pub available: f64,
+    /// Tokens a second that become available to this node.
+    pub refill_per_second: f64,
+    /// Tokens a second that other nodes admit.
+    pub others_per_second: f64,
+    /// Age of the knowledge, in milliseconds; nothing where there is none.
+    pub age_ms: Option<u64>,
+}
+
+impl ToldLevels {
+    /// Takes in a relay's report; one that was overtaken is left out.
+    pub fn apply(&mut self, report: &LevelReport, own: &OwnUse, now: Millis) {
+        let known = self.relays.get(&report.sender);
+        let known = known.map(|relay| (relay.life, relay.sequence));
+        if known.is_some_and(|known| known >= (report.life, report.sequence)) {
+            return;
+        }
+        if known.is_some_and(|(life, _)| life != report.life) {
+            self.relays.remove(&report.sender);
+        }
+        let relay = self.relays.entry(report.sender).or_insert_with(|| ToldBy {
+            life: report.life,
+            sequence: 0,
+            heard_at: now,
+            accounts_age_ms: 0,
+            levels: HashMap::new(),
+        });
+        relay.sequence = report.sequence;
+        relay.heard_at = now;
+        relay.accounts_age_ms = report.accounts_age_ms;
+        for told in &report.levels {
+            let own_rate = own.rate(told.tenant).per_second(now);
+            let level = ToldLevel::of(told, own_rate, now);
+            relay.levels.insert(told.tenant, level);
+        }
+        self.nodes = report.nodes;
+        self.heard_at = Some(now);
+        self.shares.clear();
+        self.relays
+            .retain(|_, relay| now.since(relay.heard_at) < HOLD_MS);
+    }
+
+    /// Whether any relay is relied on.
+    pub fn is_relied_on(&self, now: Millis) -> bool {
+        let heard_at = self.heard_at;
+        heard_at.is_some_and(|at| now.since(at) < RELIED_ON_MS)
+    }
+
+    /// The relay that is relied on: the one whose accounts have run longest, or was
+    /// heard last.
+    fn relied_on(&self, now: Millis) -> Option<&ToldBy> {
+        let relays = self.relays.values();
+        let heard = relays.filter(|relay| now.since(relay.heard_at) < RELIED_ON_MS);
+        heard.max_by_key(|relay| {
+            let age_ms = relay.accounts_age_ms.min(SETTLED_MS);
+            (age_ms / OLDER_MS, relay.heard_at)
+        })
+    }
+
+    /// What may be admitted by what a relay tells; nothing when none is relied on.
+    pub fn allowance(
+        &self,
+        tenant: TenantTag,
+        limit: &RateLimit,
+        own: &OwnUse,
+        now: Millis,
+    ) -> Option<Allowance> {
+        let relay = self.relied_on(now)?;
+        let own_rate = own.rate(tenant).per_second(now);
+        let Some(told) = relay.levels.get(&tenant) else {
+            // The relay knows of no use, or of none but this node's last requests.
+            let refilled = granted_in(limit, relay.accounts_age_ms).min(limit.burst);
+            return Some(Allowance {
+                available: refilled - own.rate(tenant).recent_tokens(now),
+                refill_per_second: limit.per_second,
+                others_per_second: 0.0,
+                age_ms: Some(now.since(relay.heard_at)),
+            });
+        };
+        let age_ms = now.since(told.told_at);
+        let others = (told.fleet_rate - own_rate).max(0.0);
+        let unseen = others * (age_ms + UNSEEN_MS) as f64 / 1_000.0;
+        let own_unseen = own.admitted(tenant).saturating_sub(told.counted);
+        let refilled = (told.level + granted_in(limit, age_ms)).min(limit.burst);
+        Some(Allowance {
+            available: refilled - unseen - own_unseen as f64,
+            refill_per_second: limit.per_second,
+            others_per_second: others,
+            age_ms: Some(age_ms),
+        })
+    }
+
+    /// What may be admitted while no relay is relied on: this node's share by its
+    /// last known use, and an even one once the others no longer hold that for it.
+    pub fn own_share(
+        &mut self,
+        tenant: TenantTag,
+        limit: &RateLimit,
+        started_at: Millis,
+        now: Millis,
+    ) -> Allowance {
+        let nodes = self.nodes.max(1);
+        let silent_ms = now.since(self.heard_at.unwrap_or(started_at));
+        let last = self.relays.values().max_by_key(|relay| relay.heard_at);
+        let last = last.and_then(|relay| relay.levels.get(&tenant));
+        let own_rate = last.map_or(0.0, |told| told.own_rate);
+        let fleet_rate = last.map_or(0.0, |told| told.fleet_rate.max(own_rate));
+        let share = share_of(limit, own_rate, 1.0, fleet_rate, nodes);
+        let even = 1.0 / f64::from(nodes);
+        let known = self.shares.entry(tenant).or_insert_with(|| {
+            let level = last.map_or(0.0, |told| told.level.clamp(0.0, limit.burst));
+            OwnShare {
+                share,
+                bucket: Bucket::with_level(level * share, now),
+            }
+        });
+        if silent_ms >= HOLD_MS {
+            known.share = even;
+        }
+        let part = RateLimit {
+            per_second: limit.per_second * known.share,
+            burst: limit.burst * known.share,
+            ..*limit
+        };
+        known.bucket.refill(&part, now);
+        Allowance {
+            available: known.bucket.level(),
+            refill_per_second: part.per_second,
+            others_per_second: 0.0,
+            age_ms: self.heard_at.map(|at| now.since(at)),
+        }
+    }
+
+    /// This node admits tokens while it hears no relay.
+    pub fn charge_share(&mut self, tenant: TenantTag, tokens: f64) {
+        if let Some(share) = self.shares.get_mut(&tenant) {
+            share.bucket.take(tokens);
+        }
+    }
+
+    /// The levels of the relay that is relied on, and the age of its accounts; for a
+    /// node that keeps accounts itself from now on.
+    pub fn handover(&self, now: Millis) -> Option<(Vec<(TenantTag, f64)>, u64)> {
+        let relay = self.relied_on(now)?;
+        let levels = relay.levels.iter();
+        let levels = levels.map(|(tenant, told)| (*tenant, told.level));
+        Some((levels.collect(), relay.accounts_age_ms))
+    }
+}
+
+impl ToldLevel {
+    fn of(told: &TenantLevel, own_rate: f64, now: Millis) -> Self {
+        Self {
+            level: told.level as f64,
+            fleet_rate: told.fleet_rate as f64,
+            counted: told.counted,
+            told_at: now,
+            own_rate,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ratelimit/tests/limits.rs
@@ -0,0 +1,300 @@
+//! Limits of a tenant over a whole fleet: what it may have it gets wherever it asks,
+//! and no window holds more than the bound, whatever the fleet suffers.
+
+mod support;
+
+use ploverlift_ratelimit::limiter::Basis;
+use ploverlift_routing::rate_limit::RateLimit;
+use proptest::prelude::*;
+use support::{limit, Fleet, WINDOW_MS};
+
+/// What the rule adds to a limit: a tenth, and a dozen large requests.
+const OVERAGE: f64 = 0.1;
+const SLACK: f64 = 110_000.0;
+
+fn bound(limit: &RateLimit) -> f64 {
+    let window_s = WINDOW_MS as f64 / 1_000.0;
+    (limit.per_second * window_s + limit.burst) * (1.0 + OVERAGE) + SLACK
+}
+
+/// Requests of one tenant: `per_second` units in pieces of `cost`, at nodes by turns
+/// that a generator picks, while time passes.
+fn press(fleet: &mut Fleet, per_second: f64, cost: u64, ms: u64, nodes: &[usize], seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let chance = per_second / cost as f64 / 100.0;
+    for _ in 0..ms / 10 {
+        fleet.step();
+        let mut left = chance;
+        while left > 0.0 {
+            if random.f64() < left.min(1.0) {
+                let node = nodes[random.usize(0..nodes.len())];
+                fleet.request(node, cost);
+            }
+            left -= 1.0;
+        }
+    }
+}
+
+fn all(fleet: &Fleet) -> Vec<usize> {
+    (0..fleet.len()).collect()
+}
+
+const LARGE: RateLimit = RateLimit {
+    per_second: 600_000.0,
+    burst: 600_000.0,
+    unit: ploverlift_routing::rate_limit::LimitUnit::Tokens { undeclared: 1 },
+};
+
+#[test]
+fn a_tenant_within_its_limit_is_never_refused_wherever_it_asks() {
+    for has_relays in [false, true] {
+        let mut fleet = Fleet::new(&[6, 6, 6], has_relays, LARGE, 1);
+        let nodes = all(&fleet);
+        press(&mut fleet, 400_000.0, 9_200, 20_000, &nodes, 2);
+        assert_eq!(fleet.refused, 0, "relays: {has_relays}");
+        // The whole limit at one node.
+        let mut fleet = Fleet::new(&[6, 6, 6], has_relays, LARGE, 1);
+        press(&mut fleet, 560_000.0, 9_200, 20_000, &[17], 2);
+        assert!(fleet.refused * 50 < fleet.granted, "{}", fleet.refused);
+    }
+}
+
+#[test]
+fn a_small_tenant_is_served_whole_by_whichever_node_it_asks() {
+    let small = limit(29_000.0, 29_000.0);
+    for has_relays in [false, true] {
+        let mut fleet = Fleet::new(&[10, 10, 10], has_relays, small, 1);
+        let nodes = all(&fleet);
+        press(&mut fleet, 15_000.0, 9_200, 30_000, &nodes, 3);
+        assert!(fleet.refused * 20 <= fleet.granted, "{}", fleet.refused);
+    }
+}
+
+#[test]
+fn a_tenant_that_asks_for_eight_times_its_limit_gets_the_limit() {
+    for (has_relays, limit) in [
+        (false, LARGE),
+        (true, LARGE),
+        (false, limit(29_000.0, 29_000.0)),
+        (true, limit(29_000.0, 29_000.0)),
+    ] {
+        let mut fleet = Fleet::new(&[10, 10, 10], has_relays, limit, 1);
+        let nodes = all(&fleet);
+        press(&mut fleet, limit.per_second * 0.5, 9_200, 5_000, &nodes, 3);
+        press(&mut fleet, limit.per_second * 8.0, 9_200, 20_000, &nodes, 4);
+        assert!((fleet.worst_window as f64) < bound(&limit), "{has_relays}");
+        let granted = fleet.granted as f64 / (limit.per_second * 22.5);
+        assert!(granted > 0.9, "{granted} with relays {has_relays}");
+    }
+}
+
+#[test]
+fn a_refused_caller_is_told_when_the_bucket_holds_its_request() {
+    let limit = limit(1_000.0, 1_000.0);
+    let mut fleet = Fleet::new(&[3], false, limit, 1);
+    assert!(fleet.request(0, 800));
+    assert!(fleet.request(0, 800));
+    let standing = fleet.standing(0, 800);
+    assert!(!standing.is_admitted());
+    // 600 are owed and 800 are wanted.
+    assert_eq!(standing.retry_after_ms(), 1_400);
+    fleet.run_idle(1_400);
+    assert!(fleet.standing(0, 800).allowance.available >= 790.0);
+}
+
+#[test]
+fn requests_count_as_requests_where_the_limit_says_so() {
+    let mut limit = limit(2.0, 3.0);
+    limit.unit = ploverlift_routing::rate_limit::LimitUnit::Requests;
+    assert_eq!(limit.cost(Some(9_000)), 1);
+    let tokens = ploverlift_routing::rate_limit::LimitUnit::Tokens { undeclared: 200 };
+    limit.unit = tokens;
+    assert_eq!(limit.cost(Some(9_000)), 9_000);
+    assert_eq!(limit.cost(None), 200);
+}
+
+#[test]
+fn a_node_that_hears_nobody_admits_its_share_and_the_others_the_rest() {
+    for has_relays in [false, true] {
+        let mut fleet = Fleet::new(&[6, 6, 6], has_relays, LARGE, 1);
+        let nodes = all(&fleet);
+        press(&mut fleet, 500_000.0, 9_200, 6_000, &nodes, 3);
+        for node in [5, 11, 17] {
+            fleet.set_cut(node, true);
+        }
+        press(&mut fleet, 3_000_000.0, 9_200, 5_500, &nodes, 4);
+        let expected = match has_relays {
+            true => Basis::OwnShare,
+            false => Basis::Accounts,
+        };
+        assert_eq!(fleet.standing(17, 1).basis, expected);
+        for node in [5, 11, 17] {
+            fleet.set_cut(node, false);
+        }
+        press(&mut fleet, 3_000_000.0, 9_200, 6_000, &nodes, 5);
+        assert!(
+            (fleet.worst_window as f64) < bound(&LARGE),
+            "{}",
+            fleet.worst_window
+        );
+    }
+}
+
+#[test]
+fn after_all_nodes_have_restarted_there_is_no_burst() {
+    let mut fleet = Fleet::new(&[6, 6, 6], true, LARGE, 1);
+    let nodes = all(&fleet);
+    press(&mut fleet, 3_000_000.0, 9_200, 6_000, &nodes, 3);
+    for node in &nodes {
+        fleet.set_down(*node, true);
+    }
+    fleet.run_idle(1_000);
+    for node in &nodes {
+        fleet.set_down(*node, false);
+    }
+    press(&mut fleet, 3_000_000.0, 9_200, 6_000, &nodes, 3);
+    assert!(
+        (fleet.worst_window as f64) < bound(&LARGE),
+        "{}",
+        fleet.worst_window
+    );
+}
+
+#[test]
+fn relays_that_are_lost_together_take_no_use_with_them() {
+    let mut fleet = Fleet::new(&[8, 8, 8], true, LARGE, 1);
+    let nodes = all(&fleet);
+    let followers: Vec<usize> = nodes
+        .iter()
+        .copied()
+        .filter(|node| !fleet.is_relay(*node))
+        .collect();
+    press(&mut fleet, 3_000_000.0, 9_200, 6_000, &followers, 3);
+    for node in [0, 1] {
+        fleet.set_down(node, true);
+    }
+    press(&mut fleet, 3_000_000.0, 9_200, 2_000, &followers, 4);
+    for node in [0, 1] {
+        fleet.set_down(node, false);
+    }
+    press(&mut fleet, 3_000_000.0, 9_200, 8_000, &followers, 5);
+    assert!(
+        (fleet.worst_window as f64) < bound(&LARGE),
+        "{}",
+        fleet.worst_window
+    );
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let limit = limit(100.0, 1_000.0);
+    let mut limiter = ploverlift_ratelimit::limiter::RateLimiter::default();
+    limiter.set_limits([(support::TENANT, limit)].into());
+    let membership = ploverlift_ratelimit::limiter::Membership {
+        keeps_accounts: true,
+        is_first_start: true,
+        size: ploverlift_ratelimit::accounts::FleetSize {
+            nodes: 1,
+            started_at: ploverlift_policy::ids::Millis(0),
+        },
+    };
+    let now = ploverlift_policy::ids::Millis(5_000);
+    let available = |limiter: &mut ploverlift_ratelimit::limiter::RateLimiter| {
+        let standing = limiter.standing(support::TENANT, 1, &membership, now);
+        standing.expect("a limit").allowance.available
+    };
+    assert_eq!(available(&mut limiter), 1_000.0);
+    limiter.charge(support::TENANT, 700, now);
+    assert_eq!(available(&mut limiter), 300.0);
+    limiter.refund(support::TENANT, 700, now);
+    assert_eq!(available(&mut limiter), 1_000.0);
+}
+
+#[test]
+fn a_lower_limit_binds_within_its_window() {
+    let mut fleet = Fleet::new(&[6, 6, 6], true, LARGE, 1);
+    let nodes = all(&fleet);
+    press(&mut fleet, 900_000.0, 9_200, 10_000, &nodes, 3);
+    let lower = limit(100_000.0, 100_000.0);
+    fleet.set_limit(lower);
+    // The window before it counts by the earlier limit.
+    fleet.run_idle(WINDOW_MS);
+    fleet.worst_window = 0;
+    press(&mut fleet, 900_000.0, 9_200, 16_000, &nodes, 4);
+    assert!(
+        (fleet.worst_window as f64) < bound(&lower),
+        "{}",
+        fleet.worst_window
+    );
+}
+
+/// What befalls a fleet.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Cut(usize),
+    Heal,
+    Pause(usize, u64),
+    Kill(usize),
+    Restart,
+    Loss(u8),
+    Pressure(f64),
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    prop_oneof![
+        (0_usize..18).prop_map(Trouble::Cut),
+        Just(Trouble::Heal),
+        (0_usize..18, 500_u64..4_000).prop_map(|(node, ms)| Trouble::Pause(node, ms)),
+        (0_usize..18).prop_map(Trouble::Kill),
+        Just(Trouble::Restart),
+        (0_u8..30).prop_map(Trouble::Loss),
+        (0.3_f64..4.5).prop_map(Trouble::Pressure),
+    ]
+}
+
+fn befall(fleet: &mut Fleet, trouble: Trouble) {
+    let count = fleet.len();
+    match trouble {
+        Trouble::Cut(node) => fleet.set_cut(node % count, true),
+        Trouble::Heal => (0..count).for_each(|node| fleet.set_cut(node, false)),
+        Trouble::Pause(node, ms) => fleet.pause(node % count, ms),
+        Trouble::Kill(node) => fleet.set_down(node % count, true),
+        Trouble::Restart => (0..count).for_each(|node| fleet.set_down(node, false)),
+        Trouble::Loss(percent) => fleet.set_loss(f64::from(percent) / 100.0),
+        Trouble::Pressure(_) => {}
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    /// No window holds more than the bound, in a mesh and with relays, for large and
+    /// small tenants that press with up to eight times their usual use, which is a
+    /// little over half of the limit.
+    #[test]
+    fn no_interleaving_lets_a_window_exceed_the_bound(
+        troubles in prop::collection::vec((trouble(), 200_u64..1_500), 1..16),
+        is_large in any::<bool>(),
+        has_relays in any::<bool>(),
+        seed in any::<u64>(),
+    ) {
+        let limit = if is_large { LARGE } else { limit(29_000.0, 29_000.0) };
+        let mut fleet = Fleet::new(&[6, 6, 6], has_relays, limit, seed);
+        let nodes = all(&fleet);
+        let mut pressure = 0.55;
+        press(&mut fleet, limit.per_second * 0.55, 9_200, 3_000, &nodes, seed);
+        for (index, (trouble, ms)) in troubles.iter().enumerate() {
+            befall(&mut fleet, *trouble);
+            if let Trouble::Pressure(changed) = trouble {
+                pressure = *changed;
+            }
+            let per_second = limit.per_second * pressure;
+            let seed = seed.wrapping_add(index as u64);
+            press(&mut fleet, per_second, 9_200, *ms, &nodes, seed);
+        }
+        prop_assert!(
+            (fleet.worst_window as f64) < bound(&limit),
+            "{} of {}", fleet.worst_window, bound(&limit)
+        );
+    }
+}
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration of forwarded traffic, as one versioned document.
 
+use crate::rate_limit::RateLimit;
 use ploverlift_policy::ids::{TenantName, ZoneName};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -143,6 +144,8 @@
     pub priority: Option<u8>,
     /// Whether its cache is shared with nobody.
     pub is_isolated: bool,
+    /// What it may use; nothing where that is not limited.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// Bounds on what a caller may send, and how slowly.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,10 +10,12 @@
 //! | [`tenants`] | whose key is this? |
 //! | [`prompt`] | which parts does the prompt have, and which may be shared? |
 //! | [`freshness`] | may the configuration still be relied on? |
+//! | [`rate_limit`] | what may a tenant use? |
 
 pub mod configuration;
 pub mod freshness;
 pub mod prompt;
+pub mod rate_limit;
 pub mod split;
 pub mod table;
 pub mod tenants;
--- a/crates/routing/src/tenants.rs
+++ b/crates/routing/src/tenants.rs
@@ -1,6 +1,7 @@
 //! Finding a tenant by the key that its caller sent.
 
 use crate::configuration::Tenant;
+use crate::rate_limit::RateLimit;
 use sha2::{Digest, Sha256};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 }
 
 /// What a tenant is granted.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TenantTerms {
     /// Name, as engines learn it.
     pub name: String,
@@ -23,6 +24,8 @@
     pub priority: Option<u8>,
     /// Whether its cache is shared with nobody.
     pub is_isolated: bool,
+    /// What it may use; nothing where that is not limited.
+    pub rate_limit: Option<RateLimit>,
 }
 
 impl TenantDirectory {
@@ -34,6 +37,7 @@
                 name: tenant.name.0.clone(),
                 priority: tenant.priority,
                 is_isolated: tenant.is_isolated,
+                rate_limit: tenant.rate_limit,
             });
             for key in &tenant.keys {
                 by_key.insert(hash(key), Arc::clone(&terms));
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -92,6 +92,7 @@
         keys: vec![key.to_owned()],
         priority: Some(2),
         is_isolated,
+        rate_limit: None,
     };
     let directory = TenantDirectory::new(&[tenant("a", "ka", false), tenant("b", "kb", true)]);
     let shared = directory.find("ka").expect("a");
