Count what other nodes send unseen in the choice of an engine; sizes share a limit alike

Cause, from a log with the longest pause of each stream: late and paused streams follow roll-outs. When 15 of 94 engines have the new version, 85 in 100 requests go there, and within that to those that loaded last: they look idle to all 79 nodes for the quarter of a second that loads are old (17 requests within 390 ms at one engine, all of which saw a queue of 0). Old engines had no late stream at that time. Ruled out: loads that overlap running streams (32 of 731 late streams); single prompts over 15,000 tokens (94 of 511 pauses); missing loads in reports (300,000 waiting tokens were known at the time, at other engines).

--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -8,11 +8,10 @@
 use crate::prefix_reach::PrefixReach;
 use crate::rendezvous;
 use crate::supply::{best_offer, CacheSource, MoveRates, Offering, Supply};
-use crate::unseen_reading::{RecentReading, Unseen};
+use crate::unseen_reading::{filled_level, RecentReading};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
-use std::collections::BTreeMap;
 
 /// Rates with which costs are estimated.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -88,6 +87,9 @@
     pub moves: MoveRates,
     /// Lowest version of weights that is allowed.
     pub required_weights: u64,
+    /// The request's place among those that other nodes send unseen, in 0 to 1; drawn
+    /// at random.
+    pub place: f64,
 }
 
 impl PromptCriteria<'_> {
@@ -110,9 +112,10 @@
     pub eviction_ms: f64,
     /// Reading shared parts that no engine is known to keep.
     pub prefill_ms: f64,
-    /// Running on weights older than the newest in use, and reading there what will
-    /// be of no use once the engine has the newest.
+    /// Running on weights older than the newest in use.
     pub stale_version_ms: f64,
+    /// Reading on such weights what will be of no use once the engine has the newest.
+    pub stale_reading_ms: f64,
     /// Being in another zone.
     pub zone_ms: f64,
     /// Requests in the slots.
@@ -122,11 +125,21 @@
 }
 
 impl Cost {
+    /// What the engine costs any prompt: all nodes see this alike.
+    fn for_everyone_ms(&self) -> f64 {
+        self.queue_ms + self.slots_ms + self.stale_version_ms + self.failure_ms
+    }
+
     /// The sum of all terms.
     pub fn total_ms(&self) -> f64 {
         let waiting_ms = self.queue_ms + self.unseen_ms + self.slots_ms;
         let prompt_ms = self.transfer_ms + self.eviction_ms + self.prefill_ms;
-        waiting_ms + prompt_ms + self.stale_version_ms + self.zone_ms + self.failure_ms
+        waiting_ms
+            + prompt_ms
+            + self.stale_version_ms
+            + self.stale_reading_ms
+            + self.zone_ms
+            + self.failure_ms
     }
 }
 
@@ -200,15 +213,17 @@
         home: ranked.first().copied(),
         typical_failures: typical_failure_rate(&ranked, now),
         newest_weights: newest_weights(&ranked, criteria),
-        unseen: unseen(view, now),
-        by_version: engines_by_version(&ranked, criteria, now),
         now,
     };
     let estimated = ranked.iter().enumerate().map(|(rank, engine)| {
         let (cost, supply) = estimate.cost(engine, rank);
         (*engine, cost, supply)
     });
-    let cheapest = estimated.min_by(|(_, a, _), (_, b, _)| a.total_ms().total_cmp(&b.total_ms()));
+    let mut estimated: Vec<(&Engine, Cost, Supply)> = estimated.collect();
+    estimate.add_unseen(&mut estimated);
+    let cheapest = estimated
+        .into_iter()
+        .min_by(|(_, a, _), (_, b, _)| a.total_ms().total_cmp(&b.total_ms()));
     let (engine, cost, supply) = cheapest.ok_or(NoChoice::NoEngine)?;
     Ok(Choice {
         instance: engine.record.instance.clone(),
@@ -273,30 +288,6 @@
     weights.max().unwrap_or(0)
 }
 
-/// What is not seen of the other nodes' requests. Where no other node is heard, its
-/// own load stands for theirs.
-fn unseen(view: &FleetView<'_>, now: Millis) -> Unseen {
-    let age_ms = view.peer_loads.age_ms(now);
-    Unseen {
-        other_nodes: view.peer_loads.peer_count() as f64,
-        age_ms: age_ms.map_or(0.0, |age_ms| age_ms as f64 + REPORT_WAIT_MS),
-    }
-}
-
-fn engines_by_version(
-    engines: &[&Engine],
-    criteria: &Criteria<'_>,
-    now: Millis,
-) -> BTreeMap<u64, usize> {
-    let mut counts = BTreeMap::new();
-    if let Some(prompt) = &criteria.prompt {
-        for engine in engines.iter().filter(|engine| !engine.is_loading(now)) {
-            *counts.entry(engine.weights_of(prompt.model)).or_default() += 1;
-        }
-    }
-    counts
-}
-
 /// The median failure rate, so that a service whose requests fail anyhow does
 /// not lose all its engines.
 fn typical_failure_rate(engines: &[&Engine], now: Millis) -> f64 {
@@ -320,9 +311,6 @@
     home: Option<&'a Engine>,
     typical_failures: f64,
     newest_weights: u64,
-    unseen: Unseen,
-    /// Engines that could be chosen and do not load, by the version of their weights.
-    by_version: BTreeMap<u64, usize>,
     now: Millis,
 }
 
@@ -348,22 +336,39 @@
         };
         let waiting_tokens = engine.waiting_tokens + peers.waiting_tokens;
         cost.queue_ms = waiting_tokens as f64 / rates.prefill_tokens_per_ms;
-        cost.unseen_ms = self.unseen_tokens(engine, prompt) / rates.prefill_tokens_per_ms;
         let supply = self.supply(engine, prompt, rank, &mut cost);
         cost.transfer_ms += RANK_MS * rank as f64;
         if engine.weights_of(prompt.model) < self.newest_weights {
             let to_read = prompt.shared_tokens().saturating_sub(supply.kept_tokens);
-            cost.stale_version_ms =
-                rates.stale_version_ms + to_read as f64 / rates.prefill_tokens_per_ms;
+            cost.stale_version_ms = rates.stale_version_ms;
+            cost.stale_reading_ms = to_read as f64 / rates.prefill_tokens_per_ms;
         }
         (cost, supply)
     }
 
-    fn unseen_tokens(&self, engine: &Engine, prompt: &PromptCriteria<'_>) -> f64 {
-        let version = engine.weights_of(prompt.model);
-        let own = self.view.recent_reading.tokens_per_ms(version, self.now);
-        let engines = self.by_version.get(&version).copied().unwrap_or(1);
-        self.unseen.tokens_at_each(own, engines)
+    /// Adds what other nodes have sent unseen. It fills the engines that look cheapest
+    /// to everyone; what an engine costs for this prompt alone does not count in that.
+    /// This request has a random place among those that are sent in the same time.
+    fn add_unseen(&self, estimated: &mut [(&Engine, Cost, Supply)]) {
+        let Some(prompt) = &self.criteria.prompt else {
+            return;
+        };
+        let Some(age_ms) = self.view.peer_loads.age_ms(self.now) else {
+            return;
+        };
+        let own_tokens = self.view.recent_reading.tokens_per_ms(self.now);
+        let other_nodes = self.view.peer_loads.peer_count() as f64;
+        let unseen_ms = age_ms as f64 + REPORT_WAIT_MS;
+        let tokens = own_tokens * other_nodes * unseen_ms;
+        let volume_ms = tokens / self.rates.prefill_tokens_per_ms;
+        let shared: Vec<f64> = estimated
+            .iter()
+            .map(|(_, cost, _)| cost.for_everyone_ms())
+            .collect();
+        let level = filled_level(&shared, volume_ms * prompt.place);
+        for ((_, cost, _), shared) in estimated.iter_mut().zip(&shared) {
+            cost.unseen_ms = (level - shared).max(0.0);
+        }
     }
 
     /// Finds the cheapest way by which an engine can have the shared parts.
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -69,6 +69,7 @@
         }],
         moves: MoveRates::default(),
         required_weights,
+        place: 0.0,
     };
     let view = FleetView {
         catalogue,
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -82,11 +82,8 @@
         if let Some(reservation) = &mut self.received.admission.reservation {
             reservation.spend();
         }
-        if let Some(version) = chosen.weights {
-            let now = self.gateway.clock.now();
-            let mut beliefs = self.gateway.beliefs();
-            beliefs.recent_reading.note(version, tokens, now);
-        }
+        let now = self.gateway.clock.now();
+        self.gateway.beliefs().recent_reading.note(tokens, now);
         self.record.begin_attempt(&chosen);
         let end = match self.send(&chosen).await {
             Ok(answer) => self.hand_on(answer, &chosen, &mut in_flight).await?,
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -80,6 +80,7 @@
             key: prompt.shared_key(scope),
             shared: prompt.shared_parts(),
             moves: self.move_rates(),
+            place: fastrand::f64(),
             required_weights: beliefs.required_weights(&prompt.model, &bounds, now),
         })
     }
--- a/crates/ratelimit/src/limiter.rs
+++ b/crates/ratelimit/src/limiter.rs
@@ -17,6 +17,9 @@
 /// Shortest time to come back that a caller is told, in milliseconds: what a few
 /// requests that are under way admit meanwhile is not known.
 const SHORTEST_RETRY_MS: f64 = 50.0;
+/// Longest time to come back to a tenant of whose requests a share is admitted, in
+/// milliseconds: what it asks for by then is not known.
+const LONGEST_TURN_MS: f64 = 2_000.0;
 /// Longest time to come back that a caller is told, in milliseconds.
 const LONGEST_RETRY_MS: f64 = 60_000.0;
 
@@ -66,12 +69,30 @@
 const SPENT_WITHIN_MS: f64 = 400.0;
 
 impl Standing {
-    /// When the bucket holds what the request counts, in milliseconds from now.
+    /// When the bucket holds what the request counts, in milliseconds from now. While
+    /// only a share is admitted, what is asked for now is served at the limit first.
     pub fn retry_after_ms(&self) -> u64 {
         let wanted = (self.cost as f64).min(self.limit.burst.max(1.0));
         let missing = wanted - self.allowance.available;
         let wait_ms = missing * 1_000.0 / self.allowance.refill_per_second.max(0.001);
-        wait_ms.clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS) as u64
+        let waiting = match self.admitted_share {
+            share if share > 0.0 => 1.0 / share - 1.0,
+            _ => 0.0,
+        };
+        let turn_ms = (SPENT_WITHIN_MS * waiting).min(LONGEST_TURN_MS);
+        wait_ms
+            .max(turn_ms)
+            .clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS) as u64
+    }
+}
+
+/// Requests whose costs differ by less than a factor of four.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct SizeClass(u32);
+
+impl SizeClass {
+    fn of(cost: u64) -> Self {
+        Self(cost.checked_ilog(4).unwrap_or(0))
     }
 }
 
@@ -83,8 +104,9 @@
     accounts: Option<Accounts>,
     told: ToldLevels,
     level_reports: u64,
-    /// What each tenant's share of admitted requests has left over, in tokens.
-    turns: HashMap<TenantTag, f64>,
+    /// What the share of admitted requests of each tenant and size has left over, in
+    /// tokens.
+    turns: HashMap<(TenantTag, SizeClass), f64>,
 }
 
 /// What a zone has admitted, as its relay counts it.
@@ -181,13 +203,16 @@
 
     /// Whether a request is among the share of its tenant's that are admitted: each
     /// adds its share to what was left over, and an admitted one takes its cost.
+    /// Requests take turns with those of their size: otherwise a large one would leave
+    /// a debt that many small ones had to wait for.
     fn has_turn(&mut self, tenant: TenantTag, cost: u64, share: f64) -> bool {
+        let turn = (tenant, SizeClass::of(cost));
         if share >= 1.0 {
-            self.turns.remove(&tenant);
+            self.turns.remove(&turn);
             return true;
         }
         let cost = cost as f64;
-        let left = self.turns.entry(tenant).or_insert(0.0);
+        let left = self.turns.entry(turn).or_insert(0.0);
         *left = (*left + cost * share).min(cost);
         let has_turn = *left > 0.0 && share > 0.0;
         if has_turn {
--- a/crates/ratelimit/tests/limits.rs
+++ b/crates/ratelimit/tests/limits.rs
@@ -88,6 +88,32 @@
     }
 }
 
+#[test]
+fn requests_of_all_sizes_get_the_same_share_of_a_limit() {
+    let mut fleet = Fleet::new(&[10, 10, 10], true, LARGE, 1);
+    let nodes = all(&fleet);
+    press(&mut fleet, 2_400_000.0, 9_200, 3_000, &nodes, 3);
+    let mut random = fastrand::Rng::with_seed(7);
+    let mut asked = [0_u32; 2];
+    let mut admitted = [0_u32; 2];
+    // One large request for each eleven small ones: 2.4 million units a second.
+    for _ in 0..1_000 {
+        fleet.step();
+        for _ in 0..14 {
+            let size = usize::from(random.u32(0..12) == 0);
+            let node = nodes[random.usize(0..nodes.len())];
+            asked[size] += 1;
+            admitted[size] += u32::from(fleet.request(node, [800, 12_000][size]));
+        }
+    }
+    let share = |size: usize| f64::from(admitted[size]) / f64::from(asked[size]);
+    let (small, large) = (share(0), share(1));
+    assert!(
+        (0.8..1.25).contains(&(small / large)),
+        "{small} and {large}"
+    );
+}
+
 #[test]
 fn a_refused_caller_is_told_when_the_bucket_holds_its_request() {
     let limit = limit(1_000.0, 1_000.0);
