--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -39,10 +39,10 @@
 /// that an engine is about to load weights, goes out at once, several together.
 const SHORTEST_PERIOD_MS: u64 = 15;
 /// Periods for each report of loads to other zones: bytes between zones are priced.
-const PERIODS_PER_ZONE_LOADS: u64 = 2;
+const PERIODS_PER_ZONE_LOADS: u64 = 1;
 /// Reports in which changed loads at engines of other zones are told once: few
 /// requests go there.
-const PERIODS_PER_FAR_LOADS: u64 = 4;
+const PERIODS_PER_FAR_LOADS: u64 = 1;
 /// Reports in which each engine's load is told at least once: it repairs what was
 /// lost.
 const PERIODS_PER_REFRESH: u64 = 16;
--- a/crates/ratelimit/src/accounts.rs
+++ b/crates/ratelimit/src/accounts.rs
@@ -372,8 +372,10 @@
 
     /// After a pause of this process the accounts begin anew: what the others admitted
     /// meanwhile is told in one sum, and how much was refilled at which time is lost.
+    /// A node that hears no other one misses nothing by a pause.
     pub fn resume_after_pause(&mut self, now: Millis) {
-        if now.since(self.advanced_to) >= PAUSE_MS && self.advanced_to > Millis(0) {
+        let was_paused = now.since(self.advanced_to) >= PAUSE_MS;
+        if was_paused && self.advanced_to > Millis(0) && !self.parts.is_empty() {
             *self = Self::beginning_at(now);
             self.deaf_until = now.plus(DEAF_MS);
         }
