--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -38,11 +38,6 @@
 /// Shortest time between two reports, in milliseconds: news that cannot wait, as
 /// that an engine is about to load weights, goes out at once, several together.
 const SHORTEST_PERIOD_MS: u64 = 15;
-/// Periods for each report of loads to other zones: bytes between zones are priced.
-const PERIODS_PER_ZONE_LOADS: u64 = 1;
-/// Reports in which changed loads at engines of other zones are told once: few
-/// requests go there.
-const PERIODS_PER_FAR_LOADS: u64 = 1;
 /// Reports in which each engine's load is told at least once: it repairs what was
 /// lost.
 const PERIODS_PER_REFRESH: u64 = 16;
@@ -226,23 +221,14 @@
         for (engine, load) in beliefs.peer_loads.totals() {
             totals.entry(engine).or_default().add(load);
         }
-        let tells_far = self.period % PERIODS_PER_FAR_LOADS == 0;
         let refreshed = self.period % PERIODS_PER_REFRESH;
-        let zone = &self.gateway.zone;
-        let near: BTreeSet<EngineTag> = beliefs
-            .engines
-            .iter()
-            .filter(|engine| engine.record.zone == *zone)
-            .map(|engine| engine.tag)
-            .collect();
         let engines: BTreeSet<EngineTag> = totals.keys().chain(self.told.keys()).copied().collect();
         let mut loads = Vec::new();
         for engine in engines {
             let load = totals.get(&engine).copied().unwrap_or_default();
             let is_refreshed = u64::from(engine.0) % PERIODS_PER_REFRESH == refreshed;
             let has_changed = self.told.get(&engine).copied().unwrap_or_default() != load;
-            let is_due = has_changed && (tells_far || near.contains(&engine));
-            if is_due || is_refreshed {
+            if has_changed || is_refreshed {
                 loads.push((engine, load));
             }
         }
@@ -341,16 +327,14 @@
     fn zone_reports(&self, now: Millis) -> Vec<PeerReport> {
         let mut beliefs = self.gateway.beliefs();
         let loading = loading(&beliefs, |zone| zone == self.zone);
-        let tells_loads = self.period % PERIODS_PER_ZONE_LOADS == 0;
         let mut reports = Vec::new();
         loop {
             let is_first = reports.is_empty();
-            let is_full = is_first && tells_loads;
             let placements = beliefs.relaying.next_for_other_zones(MAX_PLACEMENTS);
             if placements.is_empty() && !is_first {
                 return reports;
             }
-            let loads = match is_full {
+            let loads = match is_first {
                 true => self.zone_loads(&beliefs),
                 false => Vec::new(),
             };
@@ -360,7 +344,7 @@
                     zone: self.zone,
                     life: self.gateway.life,
                     sequence: self.gateway.report_sequence.fetch_add(1, Ordering::Relaxed),
-                    is_full,
+                    is_full: is_first,
                     loads,
                     loading: loading.clone(),
                 },
