--- a/crates/ratelimit/src/accounts.rs
+++ b/crates/ratelimit/src/accounts.rs
@@ -7,31 +7,19 @@
 //! truly admitted. After a pause of this process itself, the accounts begin anew.
 
 use crate::bucket::{granted_in, Bucket};
-use crate::recent_rate::RecentRate;
+use crate::parts::{Part, SILENT_MS};
 use crate::reports::{PartId, TenantUse, UseReport};
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
 use std::collections::{BTreeMap, HashMap};
 
-/// Longest time between two reports of use, in milliseconds: five a second cost a node
-/// about 300 bytes a second.
-pub const HEARTBEAT_MS: u64 = 200;
-/// Silence after which a part counts as cut off, in milliseconds: three reports.
-pub const SILENT_MS: u64 = 3 * HEARTBEAT_MS;
 /// Time for which a silent part may admit its share, in milliseconds: a node that
 /// hears nobody is in the same span refused its keys, or goes over to an even share.
 pub const HOLD_MS: u64 = 6_000;
 /// Silence after which a part is forgotten, in milliseconds. What was held for it by
 /// then stays taken.
 const FORGET_MS: u64 = 60_000;
-/// Silence after which a relay's sum of its zone gives way to another relay's, in
-/// milliseconds: four of its report periods.
-const SUM_SILENT_MS: u64 = 400;
-/// Time within which a reporter names each tenant at least once, in milliseconds. What
-/// it had admitted before it was first heard is not known to be recent; what it names
-/// first after this time is.
-const BASELINE_MS: u64 = 1_500;
 /// Age from which accounts are not replaced by older ones, in milliseconds: buckets of
 /// the usual burst have refilled by then.
 pub const SETTLED_MS: u64 = 10_000;
@@ -50,73 +38,6 @@
 /// node's and of a relay's report period, twice between zones.
 pub const UNSEEN_MS: u64 = 150;
 
-/// One reporter of a part.
-#[derive(Clone, Debug)]
-struct Stream {
-    life: u64,
-    sequence: u64,
-    heard_at: Millis,
-    joined_at: Millis,
-    /// Whether all that it admitted was admitted since its part was known.
-    is_known_from_start: bool,
-    counters: HashMap<TenantTag, Counter>,
-}
-
-/// What a reporter told last of a tenant, and what to add for the part's own count.
-#[derive(Clone, Copy, Debug)]
-struct Counter {
-    admitted: i64,
-    offset: i64,
-    asked: u64,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct PartUse {
-    counted: i64,
-    asked: u64,
-    rate: RecentRate,
-    demand: RecentRate,
-    held: f64,
-    /// The part of the limit that it may use since it fell silent, by what all parts
-    /// used then.
-    share: Option<f64>,
-}
-
-#[derive(Clone, Debug)]
-struct Part {
-    nodes: u32,
-    heard_at: Millis,
-    /// Up to when its share is held; it begins where the part was last heard.
-    held_to: Millis,
-    streams: BTreeMap<PeerId, Stream>,
-    uses: HashMap<TenantTag, PartUse>,
-}
-
-impl Part {
-    fn is_silent(&self, now: Millis) -> bool {
-        now.since(self.heard_at) >= SILENT_MS
-    }
-
-    /// Counts what a reporter tells of a tenant from a higher total.
-    fn realign(&mut self, sender: PeerId, tenant: TenantTag, by: i64) {
-        let stream = self.streams.get_mut(&sender);
-        let counter = stream.and_then(|stream| stream.counters.get_mut(&tenant));
-        if let Some(counter) = counter {
-            counter.offset += by;
-        }
-    }
-
-    /// What the part uses, or used when it fell silent.
-    fn rate(&self, tenant: TenantTag, now: Millis) -> f64 {
-        let known_at = match self.is_silent(now) {
-            true => self.heard_at,
-            false => now,
-        };
-        let used = self.uses.get(&tenant);
-        used.map_or(0.0, |used| used.rate.per_second(known_at))
-    }
-}
-
 /// A tenant's account.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AccountStanding {
@@ -201,31 +122,8 @@
         part.held_to = now;
     }
 
-    /// A node runs in another life: it does not tell what the one before admitted
-    /// unheard, so what is held for that stays taken.
-    fn begin_life(&mut self, part: PartId, sender: PeerId, now: Millis) {
-        let part = self.part(part, now);
-        part.streams.remove(&sender);
-        for used in part.uses.values_mut() {
-            used.held = 0.0;
-            used.share = None;
-        }
-    }
-
-    fn is_other_life(&self, part: PartId, sender: PeerId, life: u64) -> bool {
-        let part = self.parts.get(&part);
-        let stream = part.and_then(|part| part.streams.get(&sender));
-        stream.is_some_and(|stream| stream.life < life)
-    }
-
     fn part(&mut self, part: PartId, now: Millis) -> &mut Part {
-        self.parts.entry(part).or_insert_with(|| Part {
-            nodes: 1,
-            heard_at: now,
-            held_to: now,
-            streams: BTreeMap::new(),
-            uses: HashMap::new(),
-        })
+        self.parts.entry(part).or_insert_with(|| Part::heard(now))
     }
 
     /// Takes in a report of a part's use; one that was overtaken is left out.
@@ -241,96 +139,32 @@
             return;
         }
         let known = self.parts.get(&part_id);
-        let known = known.and_then(|part| part.streams.get(&report.sender));
-        let known = known.map(|stream| (stream.life, stream.sequence));
+        let known = known.and_then(|part| part.newest_of(report.sender));
         if known.is_some_and(|known| known >= (report.life, report.sequence)) {
             return;
         }
-        let is_other_life = self.is_other_life(part_id, report.sender, report.life);
+        let is_other_life = known.is_some_and(|(life, _)| life < report.life);
         if is_other_life {
-            self.begin_life(part_id, report.sender, now);
+            self.part(part_id, now).begin_life(report.sender);
         }
         self.hear(part_id, now);
         let is_node = matches!(part_id, PartId::Node(_));
         let is_known_from_start = is_node && (is_other_life || self.since.is_none());
         let part = self.part(part_id, now);
-        part.nodes = report.nodes.max(1);
-        let stream = part.streams.entry(report.sender).or_insert_with(|| Stream {
-            life: report.life,
-            sequence: 0,
-            heard_at: now,
-            joined_at: now,
-            is_known_from_start,
-            counters: HashMap::new(),
-        });
-        stream.sequence = report.sequence;
-        stream.heard_at = now;
+        part.note_report(report, is_known_from_start, now);
         for used in &report.uses {
-            let more = self.count(part_id, report.sender, *used, now);
+            let part = self.part(part_id, now);
+            let more = part.count(report.sender, *used, now);
             if let Some(limit) = limits.get(&used.tenant) {
                 self.charge(used.tenant, limit, more, now);
             }
         }
     }
 
-    /// Takes in what a reporter told of a tenant; tells how much more the part has
-    /// admitted than was taken out of the bucket, or less where that is negative.
-    fn count(&mut self, part: PartId, sender: PeerId, told: TenantUse, now: Millis) -> f64 {
-        let part = self.part(part, now);
-        let streams = part.streams.values();
-        let mut others = streams.filter(|stream| stream.counters.contains_key(&told.tenant));
-        let is_told_by_another = others.next().is_some();
-        let used = part.uses.entry(told.tenant).or_default();
-        let Some(stream) = part.streams.get_mut(&sender) else {
-            return 0.0;
-        };
-        let admitted = told.admitted as i64;
-        let has_baseline = stream.is_known_from_start || now.since(stream.joined_at) >= BASELINE_MS;
-        let first_offset = match has_baseline && !is_told_by_another {
-            true => used.counted,
-            false => used.counted - admitted,
-        };
-        let counter = stream.counters.entry(told.tenant).or_insert(Counter {
-            admitted,
-            offset: first_offset,
-            asked: told.asked,
-        });
-        let is_refund = admitted < counter.admitted;
-        counter.admitted = admitted;
-        let more_asked = told.asked.saturating_sub(counter.asked);
-        counter.asked = told.asked;
-        // Several relays sum up the same zone: the one that is ahead counts.
-        let fresh = part.streams.values();
-        let fresh = fresh.filter(|stream| now.since(stream.heard_at) < SUM_SILENT_MS);
-        let leader = fresh.clone().map(|stream| stream.joined_at).min();
-        let is_leading = leader == part.streams.get(&sender).map(|stream| stream.joined_at);
-        let counters = fresh.filter_map(|stream| stream.counters.get(&told.tenant));
-        let counted = counters.map(|counter| counter.admitted + counter.offset);
-        let counted = counted.max().unwrap_or(used.counted);
-        if counted < used.counted && !is_refund {
-            // The relay that was ahead is silent: this one goes on from there.
-            let behind = used.counted - counted;
-            part.realign(sender, told.tenant, behind);
-            return 0.0;
-        }
-        let more = (counted - used.counted) as f64;
-        used.counted = counted;
-        used.share = None;
-        used.rate.note(more, now);
-        if more_asked > 0 && is_leading {
-            used.asked += more_asked;
-            used.demand.note(more_asked as f64, now);
-        }
-        // What was held since it fell silent is taken out already.
-        more - std::mem::take(&mut used.held)
-    }
-
     /// What a reporter had admitted in the last report that is counted.
     pub fn counted_of(&self, sender: PeerId, tenant: TenantTag) -> u64 {
         let part = self.parts.get(&PartId::Node(sender));
-        let stream = part.and_then(|part| part.streams.get(&sender));
-        let counter = stream.and_then(|stream| stream.counters.get(&tenant));
-        counter.map_or(0, |counter| counter.admitted.max(0) as u64)
+        part.map_or(0, |part| part.told_by(sender, tenant))
     }
 
     /// Brings all accounts up to date: refills, and what is held for silent parts.
--- a/crates/ratelimit/src/lib.rs
+++ b/crates/ratelimit/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`bucket`] | one token bucket |
 //! | [`recent_rate`] | use a second, over the last second or so |
 //! | [`own_use`] | what this node has admitted |
+//! | [`parts`] | parts of the fleet, and one count of what they report |
 //! | [`accounts`] | the buckets, where all parts are heard |
 //! | [`told`] | levels that relays tell |
 //! | [`limiter`] | the decision |
@@ -29,6 +30,7 @@
 pub mod bucket;
 pub mod limiter;
 pub mod own_use;
+pub mod parts;
 pub mod recent_rate;
 pub mod reports;
 pub mod told;
--- a/crates/ratelimit/src/own_use.rs
+++ b/crates/ratelimit/src/own_use.rs
@@ -1,6 +1,6 @@
 //! What this node has admitted.
 
-use crate::accounts::HEARTBEAT_MS;
+use crate::parts::HEARTBEAT_MS;
 use crate::recent_rate::RecentRate;
 use crate::reports::TenantUse;
 use ploverlift_policy::ids::Millis;
--- /dev/null
+++ b/crates/ratelimit/src/parts.rs
@@ -0,0 +1,195 @@
+//! Parts of the fleet as they report their use: how what several reporters tell is made
+//! one count, and when a part counts as silent.
+
+use crate::recent_rate::RecentRate;
+use crate::reports::{TenantUse, UseReport};
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::rate_limit::TenantTag;
+use std::collections::{BTreeMap, HashMap};
+
+/// Longest time between two reports of use, in milliseconds: five a second cost a node
+/// about 300 bytes a second.
+pub const HEARTBEAT_MS: u64 = 200;
+/// Silence after which a part counts as cut off, in milliseconds: three reports.
+pub const SILENT_MS: u64 = 3 * HEARTBEAT_MS;
+/// Silence after which a relay's sum of its zone gives way to another relay's, in
+/// milliseconds: four of its report periods.
+const SUM_SILENT_MS: u64 = 400;
+/// Time within which a reporter names each tenant at least once, in milliseconds. What
+/// it had admitted before it was first heard is not known to be recent; what it names
+/// first after this time is.
+const BASELINE_MS: u64 = 1_500;
+
+/// One reporter of a part.
+#[derive(Clone, Debug)]
+struct Stream {
+    life: u64,
+    sequence: u64,
+    heard_at: Millis,
+    joined_at: Millis,
+    /// Whether all that it admitted was admitted since its part was known.
+    is_known_from_start: bool,
+    counters: HashMap<TenantTag, Counter>,
+}
+
+/// What a reporter told last of a tenant, and what to add for the part's own count.
+#[derive(Clone, Copy, Debug)]
+struct Counter {
+    admitted: i64,
+    offset: i64,
+    asked: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PartUse {
+    pub(crate) counted: i64,
+    pub(crate) asked: u64,
+    pub(crate) rate: RecentRate,
+    pub(crate) demand: RecentRate,
+    pub(crate) held: f64,
+    /// The part of the limit that it may use since it fell silent, by what all parts
+    /// used then.
+    pub(crate) share: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Part {
+    pub(crate) nodes: u32,
+    pub(crate) heard_at: Millis,
+    /// Up to when its share is held; it begins where the part was last heard.
+    pub(crate) held_to: Millis,
+    streams: BTreeMap<PeerId, Stream>,
+    pub(crate) uses: HashMap<TenantTag, PartUse>,
+}
+
+impl Part {
+    /// A part that is heard for the first time.
+    pub(crate) fn heard(now: Millis) -> Self {
+        Self {
+            nodes: 1,
+            heard_at: now,
+            held_to: now,
+            streams: BTreeMap::new(),
+            uses: HashMap::new(),
+        }
+    }
+
+    /// Life and number of the last report of a reporter.
+    pub(crate) fn newest_of(&self, sender: PeerId) -> Option<(u64, u64)> {
+        let stream = self.streams.get(&sender);
+        stream.map(|stream| (stream.life, stream.sequence))
+    }
+
+    /// A reporter runs in another life: it does not tell what the one before admitted
+    /// unheard, so what is held for that stays taken.
+    pub(crate) fn begin_life(&mut self, sender: PeerId) {
+        self.streams.remove(&sender);
+        for used in self.uses.values_mut() {
+            used.held = 0.0;
+            used.share = None;
+        }
+    }
+
+    /// A report came that is newer than the last one.
+    pub(crate) fn note_report(
+        &mut self,
+        report: &UseReport,
+        is_known_from_start: bool,
+        now: Millis,
+    ) {
+        self.nodes = report.nodes.max(1);
+        let stream = self.streams.entry(report.sender).or_insert_with(|| Stream {
+            life: report.life,
+            sequence: 0,
+            heard_at: now,
+            joined_at: now,
+            is_known_from_start,
+            counters: HashMap::new(),
+        });
+        stream.sequence = report.sequence;
+        stream.heard_at = now;
+    }
+
+    /// Whether it was not heard for so long that it counts as cut off.
+    pub(crate) fn is_silent(&self, now: Millis) -> bool {
+        now.since(self.heard_at) >= SILENT_MS
+    }
+
+    /// What a reporter told last of a tenant.
+    pub(crate) fn told_by(&self, sender: PeerId, tenant: TenantTag) -> u64 {
+        let stream = self.streams.get(&sender);
+        let counter = stream.and_then(|stream| stream.counters.get(&tenant));
+        counter.map_or(0, |counter| counter.admitted.max(0) as u64)
+    }
+
+    /// Counts what a reporter tells of a tenant from a higher total.
+    fn realign(&mut self, sender: PeerId, tenant: TenantTag, by: i64) {
+        let stream = self.streams.get_mut(&sender);
+        let counter = stream.and_then(|stream| stream.counters.get_mut(&tenant));
+        if let Some(counter) = counter {
+            counter.offset += by;
+        }
+    }
+
+    /// Takes in what a reporter told of a tenant; tells how much more the part has
+    /// admitted than was taken out of the bucket, or less where that is negative.
+    pub(crate) fn count(&mut self, sender: PeerId, told: TenantUse, now: Millis) -> f64 {
+        let streams = self.streams.values();
+        let mut others = streams.filter(|stream| stream.counters.contains_key(&told.tenant));
+        let is_told_by_another = others.next().is_some();
+        let used = self.uses.entry(told.tenant).or_default();
+        let Some(stream) = self.streams.get_mut(&sender) else {
+            return 0.0;
+        };
+        let admitted = told.admitted as i64;
+        let has_baseline = stream.is_known_from_start || now.since(stream.joined_at) >= BASELINE_MS;
+        let first_offset = match has_baseline && !is_told_by_another {
+            true => used.counted,
+            false => used.counted - admitted,
+        };
+        let counter = stream.counters.entry(told.tenant).or_insert(Counter {
+            admitted,
+            offset: first_offset,
+            asked: told.asked,
+        });
+        let is_refund = admitted < counter.admitted;
+        counter.admitted = admitted;
+        let more_asked = told.asked.saturating_sub(counter.asked);
+        counter.asked = told.asked;
+        // Several relays sum up the same zone: the one that is ahead counts.
+        let fresh = self.streams.values();
+        let fresh = fresh.filter(|stream| now.since(stream.heard_at) < SUM_SILENT_MS);
+        let leader = fresh.clone().map(|stream| stream.joined_at).min();
+        let is_leading = leader == self.streams.get(&sender).map(|stream| stream.joined_at);
+        let counters = fresh.filter_map(|stream| stream.counters.get(&told.tenant));
+        let counted = counters.map(|counter| counter.admitted + counter.offset);
+        let counted = counted.max().unwrap_or(used.counted);
+        if counted < used.counted && !is_refund {
+            // The relay that was ahead is silent: this one goes on from there.
+            let behind = used.counted - counted;
+            self.realign(sender, told.tenant, behind);
+            return 0.0;
+        }
+        let more = (counted - used.counted) as f64;
+        used.counted = counted;
+        used.share = None;
+        used.rate.note(more, now);
+        if more_asked > 0 && is_leading {
+            used.asked += more_asked;
+            used.demand.note(more_asked as f64, now);
+        }
+        // What was held since it fell silent is taken out already.
+        more - std::mem::take(&mut used.held)
+    }
+
+    /// What the part uses, or used when it fell silent.
+    pub(crate) fn rate(&self, tenant: TenantTag, now: Millis) -> f64 {
+        let known_at = match self.is_silent(now) {
+            true => self.heard_at,
+            false => now,
+        };
+        let used = self.uses.get(&tenant);
+        used.map_or(0.0, |used| used.rate.per_second(known_at))
+    }
+}
