--- a/crates/balancing/src/unseen_reading.rs
+++ b/crates/balancing/src/unseen_reading.rs
@@ -4,7 +4,7 @@
 //! loaded a new version, looks so to all nodes at the same moment, and in that time all
 //! send to it what only some should. So a node counts what the others send meanwhile:
 //! as much as it sends itself, each, and always to the engines that look cheapest. That
-//! fills them up to a level, as water does; below it, engines are alike.
+//! fills them up to one level (water-filling); below it, engines are alike.
 
 use ploverlift_policy::ids::Millis;
 
--- a/crates/ratelimit/src/accounts.rs
+++ b/crates/ratelimit/src/accounts.rs
@@ -33,7 +33,7 @@
 const PAUSE_MS: u64 = 600;
 /// Time after a pause within which the reports that came meanwhile have been read, in
 /// milliseconds.
-const DEAF_MS: u64 = 100;
+const QUEUED_REPORTS_MS: u64 = 100;
 /// Time that a report travels and waits to be sent on, in milliseconds: half of a
 /// node's and of a relay's report period, twice between zones.
 pub const UNSEEN_MS: u64 = 150;
@@ -69,7 +69,7 @@
     begun_at: Millis,
     advanced_to: Millis,
     /// Until when reports are left out, as they may have waited through a pause.
-    deaf_until: Millis,
+    ignores_reports_until: Millis,
 }
 
 impl Accounts {
@@ -135,7 +135,7 @@
         now: Millis,
     ) {
         self.resume_after_pause(now);
-        if self.is_deaf(now) {
+        if self.ignores_reports(now) {
             return;
         }
         let known = self.parts.get(&part_id);
@@ -211,13 +211,13 @@
         let was_paused = now.since(self.advanced_to) >= PAUSE_MS;
         if was_paused && self.advanced_to > Millis(0) && !self.parts.is_empty() {
             *self = Self::beginning_at(now);
-            self.deaf_until = now.plus(DEAF_MS);
+            self.ignores_reports_until = now.plus(QUEUED_REPORTS_MS);
         }
     }
 
     /// Whether reports may have waited through a pause of this process.
-    pub fn is_deaf(&self, now: Millis) -> bool {
-        now < self.deaf_until
+    pub fn ignores_reports(&self, now: Millis) -> bool {
+        now < self.ignores_reports_until
     }
 
     /// Tenants that any part has used and that have a limit.
--- a/crates/ratelimit/src/limiter.rs
+++ b/crates/ratelimit/src/limiter.rs
@@ -309,8 +309,8 @@
         let Some(accounts) = &mut self.accounts else {
             return;
         };
-        let is_deaf = accounts.is_deaf(now);
-        if !is_deaf && accounts.is_younger_than(report.accounts_age_ms, now) {
+        let ignores_reports = accounts.ignores_reports(now);
+        if !ignores_reports && accounts.is_younger_than(report.accounts_age_ms, now) {
             let levels = report.levels.iter();
             let levels = levels.map(|told| (told.tenant, told.level as f64));
             accounts.take_over(levels, report.accounts_age_ms, now);
