--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -5,7 +5,7 @@
 use crate::ports::{CallerRequest, Refusal, RefusalKind};
 use crate::reservation::Reservation;
 use crate::state::Gateway;
-use ploverlift_ratelimit::limiter::{Basis, Standing};
+use ploverlift_ratelimit::standing::{Basis, Standing};
 use ploverlift_routing::configuration::{Route, ServiceName};
 use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::tenants::TenantTerms;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of a node, in the OpenMetrics text format.
 
 use crate::ports::StoreCall;
-use ploverlift_ratelimit::limiter::Standing;
+use ploverlift_ratelimit::standing::Standing;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
--- a/crates/ratelimit/src/lib.rs
+++ b/crates/ratelimit/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`accounts`] | the buckets, where all parts are heard |
 //! | [`told`] | levels that relays tell |
 //! | [`limiter`] | the decision |
+//! | [`standing`] | what it was made by, and when to come back |
 //! | [`reports`] | what nodes tell each other |
 
 pub mod accounts;
@@ -33,4 +34,5 @@
 pub mod parts;
 pub mod recent_rate;
 pub mod reports;
+pub mod standing;
 pub mod told;
--- a/crates/ratelimit/tests/limits.rs
+++ b/crates/ratelimit/tests/limits.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use ploverlift_ratelimit::limiter::Basis;
+use ploverlift_ratelimit::standing::Basis;
 use ploverlift_routing::rate_limit::RateLimit;
 use proptest::prelude::*;
 use support::{limit, Fleet, WINDOW_MS};
--- a/crates/ratelimit/tests/support/mod.rs
+++ b/crates/ratelimit/tests/support/mod.rs
@@ -5,9 +5,10 @@
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_ratelimit::accounts::FleetSize;
-use ploverlift_ratelimit::limiter::{Membership, RateLimiter, Standing};
+use ploverlift_ratelimit::limiter::{Membership, RateLimiter};
 use ploverlift_ratelimit::own_use::ToldUse;
 use ploverlift_ratelimit::reports::{LevelReport, PartId, UseReport};
+use ploverlift_ratelimit::standing::Standing;
 use ploverlift_routing::rate_limit::{LimitUnit, RateLimit, TenantTag};
 use std::collections::VecDeque;
 
