--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`attempts`] | whether a request may be sent again, and what may be said of it |
 //! | [`cache_contents`] | what an engine or a KV cache store holds, by its events |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
+//! | [`cost`] | the cost of an engine, by named terms in milliseconds |
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
@@ -30,6 +31,7 @@
 pub mod attempts;
 pub mod cache_contents;
 pub mod catalogue;
+pub mod cost;
 pub mod engine_caches;
 pub mod health;
 pub mod load_schedule;
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -2,6 +2,7 @@
 
 use crate::cache_contents::CacheContents;
 use crate::catalogue::{Engine, EngineCatalogue, InstanceId};
+use crate::cost::{Cost, CostRates};
 use crate::engine_caches::EngineCaches;
 use crate::peer_loads::PeerLoads;
 use crate::prefix_holders::PrefixHolders;
@@ -13,26 +14,6 @@
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
 
-/// Rates with which costs are estimated.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CostRates {
-    /// Prompt tokens that an engine reads in a millisecond.
-    pub prefill_tokens_per_ms: f64,
-    /// Cost of what gives way to a copy of KV cache, as a share of the time to
-    /// read it again.
-    pub eviction_share: f64,
-    /// Cost of weights that are older than the newest in use, in milliseconds.
-    pub stale_version_ms: f64,
-    /// Cost of leaving the zone, in milliseconds.
-    pub zone_ms: f64,
-    /// Cost of one more request at a full engine of a plain service, in
-    /// milliseconds for each share of its slots.
-    pub slot_ms: f64,
-    /// Nodes that send to the same engines, for reading one's own load as a
-    /// sample of all while no other node reports its own.
-    pub senders: f64,
-}
-
 /// What a node knows of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetView<'a> {
@@ -99,50 +80,6 @@
     }
 }
 
-/// Cost of one engine by term, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Cost {
-    /// Waiting behind prompts that are being read.
-    pub queue_ms: f64,
-    /// Waiting behind prompts that other nodes have sent since their loads were told.
-    pub unseen_ms: f64,
-    /// Moving shared parts that the engine lacks from another one or the store.
-    pub transfer_ms: f64,
-    /// Reading again what gives way to shared parts that the engine lacks.
-    pub eviction_ms: f64,
-    /// Reading shared parts that no engine is known to keep.
-    pub prefill_ms: f64,
-    /// Running on weights older than the newest in use.
-    pub stale_version_ms: f64,
-    /// Reading on such weights what will be of no use once the engine has the newest.
-    pub stale_reading_ms: f64,
-    /// Being in another zone.
-    pub zone_ms: f64,
-    /// Requests in the slots.
-    pub slots_ms: f64,
-    /// Having failed lately.
-    pub failure_ms: f64,
-}
-
-impl Cost {
-    /// What the engine costs any prompt: all nodes see this alike.
-    fn for_everyone_ms(&self) -> f64 {
-        self.queue_ms + self.slots_ms + self.stale_version_ms + self.failure_ms
-    }
-
-    /// The sum of all terms.
-    pub fn total_ms(&self) -> f64 {
-        let waiting_ms = self.queue_ms + self.unseen_ms + self.slots_ms;
-        let prompt_ms = self.transfer_ms + self.eviction_ms + self.prefill_ms;
-        waiting_ms
-            + prompt_ms
-            + self.stale_version_ms
-            + self.stale_reading_ms
-            + self.zone_ms
-            + self.failure_ms
-    }
-}
-
 /// The engine that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -1,13 +1,12 @@
 //! The choice of an engine: affinity, load, health and weights.
 
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
+use ploverlift_balancing::cost::CostRates;
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::PeerLoads;
 use ploverlift_balancing::prefix_holders::PrefixHolders;
-use ploverlift_balancing::selection::{
-    choose, CostRates, Criteria, FleetView, NoChoice, PromptCriteria,
-};
+use ploverlift_balancing::selection::{choose, Criteria, FleetView, NoChoice, PromptCriteria};
 use ploverlift_balancing::supply::MoveRates;
 use ploverlift_balancing::unseen_reading::RecentReading;
 use ploverlift_policy::ids::{Millis, ZoneName};
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -3,6 +3,7 @@
 
 use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
+use ploverlift_balancing::cost::CostRates;
 use ploverlift_balancing::engine_caches::{follower_rank, EngineCaches};
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, PeerId, PeerLoads, ReportBuilder, ZoneTag,
@@ -10,7 +11,7 @@
 };
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
 use ploverlift_balancing::selection::{
-    choose, Choice, CostRates, Criteria, FleetView, PromptCriteria, StoreView,
+    choose, Choice, Criteria, FleetView, PromptCriteria, StoreView,
 };
 use ploverlift_balancing::supply::{CacheSource, MoveRates};
 use ploverlift_balancing::unseen_reading::{filled_level, RecentReading};
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,7 @@
 use crate::settings::GatewaySettings;
 use crate::time::{unix_ms, Clock};
 use event_listener::Event;
-use ploverlift_balancing::selection::CostRates;
+use ploverlift_balancing::cost::CostRates;
 use ploverlift_balancing::weights::WeightsBounds;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use slog::Logger;
