One decaying sum, one rotation of refreshes, one way to take in a report

Cause: read again as a whole, the change had written some things twice. RecentRate and RecentReading were the same decaying sum; two modules turned the same rotation over tenants; the limit of a tenant was looked up again inside the decision that had it, with an empty answer that could not come about but in a race; a mesh node and a follower took in placements, loaded weights and the lease by the same lines. Change: policy's DecayingSum serves both; is_refreshed in reports.rs; decide takes the limit; Beliefs::note_reported; PartId holds a ZoneTag; what a node gives engines to read is noted where the request is counted, under the same lock. A relay without limited tenants no longer works out its membership each 100 ms, and takes the lock once a report instead of once a receiver. ToldLevels::is_relied_on had no reader. Ruled out: joining the messages of limits with those of loads (alike in shape only), and the life-and-sequence checks of four tables (each keeps other state beside them). Behaviour stays, but for the moment between two configurations: a request is decided by the limit of the one that admitted it.

--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -71,7 +71,7 @@
 }
 
 /// A short name of a zone, the same on all nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneTag(pub u32);
 
 impl ZoneTag {
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -299,7 +299,7 @@
         let Some(age_ms) = self.view.peer_loads.age_ms(self.now) else {
             return;
         };
-        let own_tokens = self.view.recent_reading.tokens_per_ms(self.now);
+        let own_tokens = self.view.recent_reading.per_ms(self.now);
         let other_nodes = self.view.peer_loads.peer_count() as f64;
         let unseen_ms = age_ms as f64 + REPORT_WAIT_MS;
         let tokens = own_tokens * other_nodes * unseen_ms;
--- a/crates/balancing/src/unseen_reading.rs
+++ b/crates/balancing/src/unseen_reading.rs
@@ -6,36 +6,14 @@
 //! as much as it sends itself, each, and always to the engines that look cheapest. That
 //! fills them up to one level (water-filling); below it, engines are alike.
 
-use ploverlift_policy::ids::Millis;
+use ploverlift_policy::decaying_sum::DecayingSum;
 
 /// Time in which past requests lose weight by a factor of e, in milliseconds: a node of
 /// a large fleet sends a dozen requests in it.
-const DECAY_MS: f64 = 3_000.0;
+const DECAY_MS: u64 = 3_000;
 
 /// Prompt tokens that this node gave engines to read lately.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct RecentReading {
-    tokens: f64,
-    noted_at: Millis,
-}
-
-impl RecentReading {
-    /// A request with so many tokens to read goes to an engine.
-    pub fn note(&mut self, tokens: u64, now: Millis) {
-        self.tokens = self.recent_tokens(now) + tokens as f64;
-        self.noted_at = now;
-    }
-
-    fn recent_tokens(&self, now: Millis) -> f64 {
-        let age_ms = now.since(self.noted_at) as f64;
-        self.tokens * (-age_ms / DECAY_MS).exp()
-    }
-
-    /// Tokens that this node gives engines to read, in a millisecond.
-    pub fn tokens_per_ms(&self, now: Millis) -> f64 {
-        self.recent_tokens(now) / DECAY_MS
-    }
-}
+pub type RecentReading = DecayingSum<DECAY_MS>;
 
 /// The level up to which a volume fills engines of these costs, cheapest first. Costs
 /// and volume in milliseconds; without engines or volume it is the lowest cost.
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -100,7 +100,20 @@
     caches: &EngineCaches,
     now: Millis,
 ) -> Choice {
-    let shared = parts();
+    let view = FleetView {
+        catalogue,
+        peer_loads: loads,
+        holders,
+        caches,
+        recent_reading: &RecentReading::default(),
+        cache_store: None,
+    };
+    chosen_in(&view, &parts(), 0.0, now)
+}
+
+/// The choice for a prompt with these shared parts and this place among those that are
+/// sent unseen.
+fn chosen_in(view: &FleetView<'_>, shared: &[PromptPart], place: f64, now: Millis) -> Choice {
     let criteria = Criteria {
         service: &ServiceName::from("llm"),
         zone: &ZoneName::from("z"),
@@ -108,22 +121,14 @@
             model: "m",
             scope: "",
             key: ChainKey(7),
-            shared: &shared,
+            shared,
             moves: MoveRates::default(),
             required_weights: 0,
-            place: 0.0,
+            place,
         }),
         excluded: &[],
     };
-    let view = FleetView {
-        catalogue,
-        peer_loads: loads,
-        holders,
-        caches,
-        recent_reading: &RecentReading::default(),
-        cache_store: None,
-    };
-    choose(&view, &criteria, &RATES, now).expect("an engine")
+    choose(view, &criteria, &RATES, now).expect("an engine")
 }
 
 /// The choice of a node among ten others that heard of their loads 200 ms ago and has
@@ -135,22 +140,8 @@
         loads.apply(&report(peer, 1, &[]), Millis(NOW.0 - 200));
     }
     let mut recent_reading = RecentReading::default();
-    recent_reading.note(tokens, NOW);
+    recent_reading.note(tokens as f64, NOW);
     let shared = [PromptPart { id: 1, tokens: 100 }];
-    let criteria = Criteria {
-        service: &ServiceName::from("llm"),
-        zone: &ZoneName::from("z"),
-        prompt: Some(PromptCriteria {
-            model: "m",
-            scope: "",
-            key: ChainKey(7),
-            shared: &shared,
-            moves: MoveRates::default(),
-            required_weights: 0,
-            place,
-        }),
-        excluded: &[],
-    };
     let view = FleetView {
         catalogue,
         peer_loads: &loads,
@@ -159,7 +150,7 @@
         recent_reading: &recent_reading,
         cache_store: None,
     };
-    choose(&view, &criteria, &RATES, NOW).expect("an engine")
+    chosen_in(&view, &shared, place, NOW)
 }
 
 /// An engine that has just loaded a new version looks best to every node at the same
@@ -202,9 +193,9 @@
 #[test]
 fn reading_that_this_node_gave_engines_is_forgotten_within_seconds() {
     let mut reading = RecentReading::default();
-    reading.note(30_000, NOW);
-    assert!((reading.tokens_per_ms(NOW) - 10.0).abs() < 0.01);
-    assert!(reading.tokens_per_ms(NOW.plus(9_000)) < 0.6);
+    reading.note(30_000.0, NOW);
+    assert!((reading.per_ms(NOW) - 10.0).abs() < 0.01);
+    assert!(reading.per_ms(NOW.plus(9_000)) < 0.6);
 }
 
 /// The engines keep the first `count` parts under these weights.
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -11,7 +11,7 @@
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
 use ploverlift_balancing::prefill_rate::PrefillRate;
-use ploverlift_balancing::prefix_holders::PrefixHolders;
+use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
 use ploverlift_balancing::selection::{FleetView, StoreView};
 use ploverlift_balancing::unseen_reading::RecentReading;
@@ -273,6 +273,25 @@
         }
     }
 
+    /// Takes in what a report tells besides loads, at a node that passes nothing on.
+    pub fn note_reported(
+        &mut self,
+        placements: &[Placement],
+        loaded: &[LoadedWeights],
+        lease_revision: Option<u64>,
+        now: Millis,
+    ) {
+        for placement in placements {
+            self.holders.note(*placement, now);
+        }
+        for loaded in loaded {
+            self.engines.note_loaded_weights(loaded);
+        }
+        if let Some(revision) = lease_revision {
+            self.hear_of_lease(revision, now);
+        }
+    }
+
     /// The retry budget of a service.
     pub fn retry_budget(
         &mut self,
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -94,11 +94,8 @@
     let now = gateway.clock.now();
     let membership = membership(gateway, now);
     let standing = {
-        let mut beliefs = gateway.beliefs();
-        beliefs.limiter.decide(tag, cost, &membership, now)
-    };
-    let Some(standing) = standing else {
-        return Ok(None);
+        let limiter = &mut gateway.beliefs().limiter;
+        limiter.decide(tag, cost, &limit, &membership, now)
     };
     gateway.metrics.count_limited(&standing);
     if standing.is_admitted {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -82,8 +82,6 @@
         if let Some(reservation) = &mut self.received.admission.reservation {
             reservation.spend();
         }
-        let now = self.gateway.clock.now();
-        self.gateway.beliefs().recent_reading.note(tokens, now);
         self.record.begin_attempt(&chosen);
         let end = match self.send(&chosen).await {
             Ok(answer) => self.hand_on(answer, &chosen, &mut in_flight).await?,
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -19,10 +19,10 @@
     /// Counts a request with so many prompt tokens.
     pub fn begin(gateway: &Arc<Gateway>, instance: &InstanceId, prompt_tokens: u64) -> Self {
         let now = gateway.clock.now();
-        gateway
-            .beliefs()
-            .engines
-            .begin(instance, prompt_tokens, now);
+        let mut beliefs = gateway.beliefs();
+        beliefs.engines.begin(instance, prompt_tokens, now);
+        beliefs.recent_reading.note(prompt_tokens as f64, now);
+        drop(beliefs);
         gateway.metrics.attempts.inc();
         Self {
             gateway: Arc::clone(gateway),
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -23,15 +23,8 @@
     let loads = &mut beliefs.peer_loads.relayed;
     let sent_at = included.and_then(|sequence| loads.own_report_sent_at(sequence));
     loads.apply(&report.loads, included, now);
-    for placement in &report.placements {
-        beliefs.holders.note(*placement, now);
-    }
-    for loaded in &report.loaded {
-        beliefs.engines.note_loaded_weights(loaded);
-    }
-    if let Some(revision) = report.lease_revision {
-        beliefs.hear_of_lease(revision, now);
-    }
+    let (placements, loaded) = (&report.placements, &report.loaded);
+    beliefs.note_reported(placements, loaded, report.lease_revision, now);
     beliefs.followed.hear(report, from, sent_at, now);
     take_proof(&mut beliefs, report, sent_at);
     for change in beliefs.followed.next_changes(report) {
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -24,15 +24,8 @@
         return;
     }
     beliefs.peer_loads.apply(&report.loads, now);
-    for placement in &report.placements {
-        beliefs.holders.note(*placement, now);
-    }
-    for loaded in &report.loaded {
-        beliefs.engines.note_loaded_weights(loaded);
-    }
-    if let Some(revision) = report.lease_revision {
-        beliefs.hear_of_lease(revision, now);
-    }
+    let (placements, loaded) = (&report.placements, &report.loaded);
+    beliefs.note_reported(placements, loaded, report.lease_revision, now);
 }
 
 /// Takes in the report of a node of the zone that takes this one for a relay.
--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -6,6 +6,7 @@
 use crate::state::Gateway;
 use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_policy::ids::Millis;
+use ploverlift_ratelimit::limiter::Membership;
 use ploverlift_ratelimit::own_use::ToldUse;
 use ploverlift_ratelimit::reports::{LevelReport, PartId, TenantUse, UseReport};
 use ploverlift_routing::rate_limit::TenantTag;
@@ -60,7 +61,10 @@
         let sum = {
             let beliefs = gateway.beliefs();
             let limiter = &beliefs.limiter;
-            limiter.zone_sum().filter(|_| limiter.has_limits())
+            if !limiter.has_limits() {
+                return;
+            }
+            limiter.zone_sum()
         };
         let Some(sum) = sum else {
             return;
@@ -117,14 +121,11 @@
     period: u64,
     now: Millis,
 ) {
-    let membership = membership(gateway, now);
+    let Some(membership) = advance_accounts(gateway, now) else {
+        return;
+    };
     let (levels, accounts_age_ms) = {
-        let mut beliefs = gateway.beliefs();
-        let limiter = &mut beliefs.limiter;
-        if !limiter.has_limits() {
-            return;
-        }
-        limiter.advance(&membership, now);
+        let limiter = &mut gateway.beliefs().limiter;
         (limiter.levels_to_tell(now), limiter.accounts_age_ms(now))
     };
     if levels.is_empty() && period % PERIODS_PER_LEVELS != 0 {
@@ -141,8 +142,14 @@
         };
         let common = encode_body(Body::LevelReport(level_message(&report)));
         let tenants: Vec<TenantTag> = chunk.iter().map(|told| told.tenant).collect();
-        for (address, receiver) in receivers {
-            let counted = gateway.beliefs().limiter.counted_of(*receiver, &tenants);
+        let counted: Vec<Vec<u64>> = {
+            let limiter = &gateway.beliefs().limiter;
+            let receivers = receivers.iter();
+            receivers
+                .map(|(_, receiver)| limiter.counted_of(*receiver, &tenants))
+                .collect()
+        };
+        for ((address, _), counted) in receivers.iter().zip(counted) {
             let mut datagram = common.clone();
             let counted = Body::LevelReport(counted_message(counted));
             datagram.extend_from_slice(&encode_body(counted));
@@ -161,13 +168,15 @@
     }
 }
 
-/// Brings the accounts of a node that hears all others up to date.
-pub fn advance_accounts(gateway: &Gateway, now: Millis) {
+/// Brings the accounts of a node that hears all others up to date; nothing where no
+/// tenant has a limit.
+pub fn advance_accounts(gateway: &Gateway, now: Millis) -> Option<Membership> {
     if !gateway.beliefs().limiter.has_limits() {
-        return;
+        return None;
     }
     let membership = membership(gateway, now);
     gateway.beliefs().limiter.advance(&membership, now);
+    Some(membership)
 }
 
 /// Takes in what a node or a zone has admitted.
@@ -176,7 +185,7 @@
     let report = &message.report;
     let part = match message.zone_sum {
         Some(zone) if zone == ZoneTag::of(&gateway.zone) => return,
-        Some(zone) => PartId::of_zone(zone),
+        Some(zone) => PartId::Zone(zone),
         None => PartId::Node(report.sender),
     };
     gateway.beliefs().limiter.take_use(part, report, now);
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -25,12 +25,14 @@
     /// A call of the store ended.
     pub fn note<T>(&mut self, outcome: &Result<T, StoreError>, now: Millis) {
         match outcome {
-            Err(StoreError::Refused { .. }) => self.failed_at = Some(now),
-            Err(StoreError::Unreachable { .. }) => self.failed_at = Some(now),
-            Err(StoreError::Unknown { .. }) => self.failed_at = Some(now),
+            Err(
+                StoreError::Refused { .. }
+                | StoreError::Unreachable { .. }
+                | StoreError::Unknown { .. },
+            ) => self.failed_at = Some(now),
             // The store answered: it is there.
-            Ok(_) | Err(_) if self.is_away() => self.returned_at = Some(now),
-            Ok(_) | Err(_) => {}
+            _ if self.is_away() => self.returned_at = Some(now),
+            _ => {}
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`labels`] | labels and selectors |
 //! | [`objects`] | operator objects as the object API stores them, and their validation |
 //! | [`snapshot`] | the typed, indexed view of all objects that decisions read |
+//! | [`decaying_sum`] | rates of the recent past |
 //! | [`chain`] | prompts cut into hashed blocks |
 //! | [`prompt`] | the text that blocks are cut from |
 //! | [`directory`] | which engine is believed to hold which block |
@@ -23,6 +24,7 @@
 pub mod attempt;
 pub mod chain;
 pub mod cost;
+pub mod decaying_sum;
 pub mod decide;
 pub mod directory;
 pub mod fleet;
--- a/crates/ratelimit/src/limiter.rs
+++ b/crates/ratelimit/src/limiter.rs
@@ -2,7 +2,7 @@
 
 use crate::accounts::{Accounts, FleetSize, UNSEEN_MS};
 use crate::own_use::OwnUse;
-use crate::reports::{LevelReport, PartId, TenantLevel, TenantUse, UseReport};
+use crate::reports::{is_refreshed, LevelReport, PartId, TenantLevel, TenantUse, UseReport};
 use crate::standing::{Basis, Standing, SPENT_WITHIN_MS};
 use crate::told::{Allowance, ToldLevels};
 use ploverlift_balancing::peer_loads::PeerId;
@@ -13,8 +13,6 @@
 /// Part of a burst under which a relay tells a tenant's level in each report; others
 /// are told in turn.
 const NEAR_LIMIT_SHARE: f64 = 0.75;
-/// Reports of a relay in which each level is told at least once.
-const REPORTS_PER_REFRESH: u64 = 8;
 
 /// Requests whose costs differ by less than a factor of four.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -77,8 +75,7 @@
         self.limits.get(&tenant).copied()
     }
 
-    /// Decides on a request of a tenant that counts `cost`; nothing where the tenant
-    /// has no limit.
+    /// Decides on a request of a tenant with this limit that counts `cost`.
     ///
     /// While a fleet is whole, a request may run into debt, or large ones would never
     /// get their turn beside small ones; a node that is on its own must have the whole
@@ -87,19 +84,19 @@
         &mut self,
         tenant: TenantTag,
         cost: u64,
+        limit: &RateLimit,
         membership: &Membership,
         now: Millis,
-    ) -> Option<Standing> {
-        let limit = self.limit(tenant)?;
+    ) -> Standing {
         self.own.ask(tenant, cost, now);
-        let mut standing = self.standing(tenant, cost, &limit, membership, now);
+        let mut standing = self.standing(tenant, cost, limit, membership, now);
         if standing.basis != Basis::OwnShare {
             standing.is_admitted = self.has_turn(tenant, cost, standing.admitted_share);
         }
         if standing.is_admitted {
             self.charge(tenant, cost, now);
         }
-        Some(standing)
+        standing
     }
 
     /// What is known of a tenant before a request that counts `cost`.
@@ -275,7 +272,6 @@
     /// The levels that a relay tells next, with 0 as what each receiver has reported.
     pub fn levels_to_tell(&mut self, now: Millis) -> Vec<TenantLevel> {
         self.level_reports += 1;
-        let refreshed = self.level_reports % REPORTS_PER_REFRESH;
         let Some(accounts) = &mut self.accounts else {
             return Vec::new();
         };
@@ -287,7 +283,7 @@
             };
             let standing = accounts.standing(tenant, limit, now);
             let is_near = standing.level < limit.burst * NEAR_LIMIT_SHARE;
-            if is_near || tenant.0 % REPORTS_PER_REFRESH == refreshed {
+            if is_near || is_refreshed(tenant, self.level_reports) {
                 let own_rate = self.own.rate(tenant).per_second(now);
                 let own_demand = self.own.demand(tenant).per_second(now);
                 levels.push(TenantLevel {
--- a/crates/ratelimit/src/own_use.rs
+++ b/crates/ratelimit/src/own_use.rs
@@ -2,14 +2,11 @@
 
 use crate::parts::HEARTBEAT_MS;
 use crate::recent_rate::RecentRate;
-use crate::reports::TenantUse;
+use crate::reports::{is_refreshed, TenantUse};
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::rate_limit::TenantTag;
 use std::collections::HashMap;
 
-/// Reports in which each tenant is named at least once: that repairs what was lost.
-const REPORTS_PER_REFRESH: u64 = 8;
-
 #[derive(Clone, Copy, Debug, Default)]
 struct TenantTotals {
     admitted: u64,
@@ -93,10 +90,9 @@
         now: Millis,
     ) -> Option<Vec<TenantUse>> {
         self.reports += 1;
-        let refreshed = self.reports % REPORTS_PER_REFRESH;
         let is_due = |used: &TenantUse| {
-            let is_refreshed = used.tenant.0 % REPORTS_PER_REFRESH == refreshed;
-            is_refreshed || self.told.get(&used.tenant) != Some(&(used.admitted, used.asked))
+            is_refreshed(used.tenant, self.reports)
+                || self.told.get(&used.tenant) != Some(&(used.admitted, used.asked))
         };
         let due: Vec<TenantUse> = uses.filter(is_due).collect();
         for used in &due {
--- a/crates/ratelimit/src/reports.rs
+++ b/crates/ratelimit/src/reports.rs
@@ -9,14 +9,15 @@
     /// One node.
     Node(PeerId),
     /// All nodes of a zone, summed up by its relays.
-    Zone(u32),
+    Zone(ZoneTag),
 }
 
-impl PartId {
-    /// The part that is a zone.
-    pub fn of_zone(zone: ZoneTag) -> Self {
-        Self::Zone(zone.0)
-    }
+/// Reports in which each tenant is named at least once: that repairs what was lost.
+const REPORTS_PER_REFRESH: u64 = 8;
+
+/// Whether a tenant is named in the report with this number though nothing changed.
+pub(crate) fn is_refreshed(tenant: TenantTag, report: u64) -> bool {
+    tenant.0 % REPORTS_PER_REFRESH == report % REPORTS_PER_REFRESH
 }
 
 /// What a tenant asked for and was admitted since the reporter's life began.
--- a/crates/ratelimit/src/told.rs
+++ b/crates/ratelimit/src/told.rs
@@ -12,7 +12,7 @@
 /// Silence after which a relay's levels are no longer relied on, in milliseconds: two
 /// of the reports that it sends at least, and some jitter. Where two relays report,
 /// that takes four lost datagrams in a row.
-pub const RELIED_ON_MS: u64 = 450;
+const RELIED_ON_MS: u64 = 450;
 
 #[derive(Clone, Copy, Debug)]
 struct ToldLevel {
@@ -98,12 +98,6 @@
             .retain(|_, relay| now.since(relay.heard_at) < HOLD_MS);
     }
 
-    /// Whether any relay is relied on.
-    pub fn is_relied_on(&self, now: Millis) -> bool {
-        let heard_at = self.heard_at;
-        heard_at.is_some_and(|at| now.since(at) < RELIED_ON_MS)
-    }
-
     /// The relay that is relied on: the one whose accounts have run longest, or was
     /// heard last.
     fn relied_on(&self, now: Millis) -> Option<&ToldBy> {
@@ -129,7 +123,7 @@
             // The relay knows of no use, or of none but this node's last requests.
             let refilled = granted_in(limit, relay.accounts_age_ms).min(limit.burst);
             return Some(Allowance {
-                available: refilled - own.rate(tenant).recent_tokens(now),
+                available: refilled - own.rate(tenant).value(now),
                 refill_per_second: limit.per_second,
                 others_per_second: 0.0,
                 fleet_demand: own.demand(tenant).per_second(now),
--- a/crates/ratelimit/tests/support/mod.rs
+++ b/crates/ratelimit/tests/support/mod.rs
@@ -2,7 +2,7 @@
 //! restarts and pauses.
 #![allow(dead_code)]
 
-use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_policy::ids::Millis;
 use ploverlift_ratelimit::accounts::FleetSize;
 use ploverlift_ratelimit::limiter::{Membership, RateLimiter};
@@ -188,8 +188,8 @@
         let membership = self.membership(node);
         let now = self.now;
         let limiter = &mut self.nodes[node].limiter;
-        let decided = limiter.decide(TENANT, cost, &membership, now);
-        if !decided.expect("the tenant has a limit").is_admitted {
+        let decided = limiter.decide(TENANT, cost, &self.limit, &membership, now);
+        if !decided.is_admitted {
             self.refused += cost;
             return false;
         }
@@ -350,7 +350,7 @@
         let mut report = self.use_report(node, sum.nodes, uses);
         report.life += sum.begun_at.0;
         for to in others {
-            let part = PartId::Zone(zone);
+            let part = PartId::Zone(ZoneTag(zone));
             self.send(node, to, Message::Use(part, report.clone()));
         }
     }
