What the parts of the gateway share: places, one filter, one observer, rollout orders

Cause: rollouts of software, places and the life of a request all change the choice of an engine, the reports and the beliefs; built apart they would each bring a filter and an observer of their own.

Change: routing::topology (regions and distance, [topology.zones]) and routing::software; an engine's record has the version of its software, also in the messages of relays; balancing::eligibility is the one filter before the one cost; outcomes::ObservedAttempt is taken in by Beliefs::observe alone; the store port knows orders of rollouts and writes of a status; bounds.canary_share, canary_slack, roll_back_ms. docs/design/parts.md says who agrees on what.

Ruled out: a change of behaviour. No rule of software is in force yet (Any), nothing reads a distance yet.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -5,6 +5,7 @@
 use crate::peer_loads::{EngineTag, LoadedWeights, ModelTag};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: ZoneName,
+    /// The version of its software; versions that are not told are all alike.
+    pub software: SoftwareVersion,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it is about to end and wants no new work.
--- /dev/null
+++ b/crates/balancing/src/eligibility.rs
@@ -0,0 +1,51 @@
+//! Which engines may serve a request at all: one filter before the one cost.
+
+use crate::catalogue::{Engine, EngineCatalogue};
+use crate::selection::Criteria;
+
+/// Why no engine could be chosen. The first filter that leaves no engine is named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChoice {
+    /// The service has no engine that is up and stays.
+    NoEngine,
+    /// No engine has a version of the software that may serve the request.
+    SoftwareHeldBack,
+    /// Every engine has weights that are too old.
+    WeightsTooOld,
+    /// Every engine was tried already.
+    AllTried,
+}
+
+/// The engines of the service that may serve the request.
+pub(crate) fn eligible_engines<'a>(
+    catalogue: &'a EngineCatalogue,
+    criteria: &Criteria<'_>,
+) -> Result<Vec<&'a Engine>, NoChoice> {
+    let mut engines: Vec<&Engine> = catalogue.of_service(criteria.service).collect();
+    let stays = |engine: &&Engine| !engine.record.is_leaving;
+    keep(&mut engines, stays, NoChoice::NoEngine)?;
+    let has_software = |engine: &&Engine| criteria.software.allows(&engine.record.software);
+    keep(&mut engines, has_software, NoChoice::SoftwareHeldBack)?;
+    let has_weights = |engine: &&Engine| has_weights(engine, criteria);
+    keep(&mut engines, has_weights, NoChoice::WeightsTooOld)?;
+    let is_untried = |engine: &&Engine| !criteria.excluded.contains(&engine.record.instance);
+    keep(&mut engines, is_untried, NoChoice::AllTried)?;
+    Ok(engines)
+}
+
+fn keep(
+    engines: &mut Vec<&Engine>,
+    is_eligible: impl Fn(&&Engine) -> bool,
+    otherwise: NoChoice,
+) -> Result<(), NoChoice> {
+    engines.retain(is_eligible);
+    match engines.is_empty() {
+        true => Err(otherwise),
+        false => Ok(()),
+    }
+}
+
+fn has_weights(engine: &Engine, criteria: &Criteria<'_>) -> bool {
+    let prompt = criteria.prompt.as_ref();
+    prompt.is_none_or(|prompt| engine.weights_of(prompt.model) >= prompt.required_weights)
+}
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod cache_contents;
 pub mod catalogue;
 pub mod cost;
+pub mod eligibility;
 pub mod engine_caches;
 pub mod health;
 pub mod load_schedule;
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -3,6 +3,8 @@
 use crate::cache_contents::CacheContents;
 use crate::catalogue::{Engine, EngineCatalogue, InstanceId};
 use crate::cost::{Cost, CostRates};
+use crate::eligibility::eligible_engines;
+pub use crate::eligibility::NoChoice;
 use crate::engine_caches::EngineCaches;
 use crate::peer_loads::PeerLoads;
 use crate::prefix_holders::PrefixHolders;
@@ -13,6 +15,7 @@
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
+use ploverlift_routing::software::SoftwareRule;
 
 /// What a node knows of the fleet.
 #[derive(Clone, Copy, Debug)]
@@ -49,6 +52,8 @@
     pub zone: &'a ZoneName,
     /// The prompt, for requests to a model.
     pub prompt: Option<PromptCriteria<'a>>,
+    /// Versions of the engines' software that may serve the request.
+    pub software: SoftwareRule,
     /// Engines that were tried already.
     pub excluded: &'a [InstanceId],
 }
@@ -98,17 +103,6 @@
     pub candidates: usize,
 }
 
-/// Why no engine could be chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoChoice {
-    /// The service has no engine that is up and stays.
-    NoEngine,
-    /// Every engine has weights that are too old.
-    WeightsTooOld,
-    /// Every engine was tried already.
-    AllTried,
-}
-
 /// An engine fails notably when its failure rate is over its service's by this much.
 const NOTABLE_FAILURE_RATE: f64 = 0.2;
 /// Outcomes before a failure rate means anything.
@@ -142,7 +136,7 @@
     rates: &CostRates,
     now: Millis,
 ) -> Result<Choice, NoChoice> {
-    let candidates = candidates(view.catalogue, criteria)?;
+    let candidates = eligible_engines(view.catalogue, criteria)?;
     let ranked = ranked(candidates, criteria);
     let reach = match &criteria.prompt {
         Some(prompt) => PrefixReach::of(view, criteria.service, prompt, now),
@@ -178,39 +172,6 @@
     })
 }
 
-fn candidates<'a>(
-    catalogue: &'a EngineCatalogue,
-    criteria: &Criteria<'_>,
-) -> Result<Vec<&'a Engine>, NoChoice> {
-    let engines = catalogue.of_service(criteria.service);
-    let staying: Vec<&Engine> = engines.filter(|engine| !engine.record.is_leaving).collect();
-    if staying.is_empty() {
-        return Err(NoChoice::NoEngine);
-    }
-    let new_enough: Vec<&Engine> = staying
-        .into_iter()
-        .filter(|engine| has_weights(engine, criteria))
-        .collect();
-    if new_enough.is_empty() {
-        return Err(NoChoice::WeightsTooOld);
-    }
-    let untried: Vec<&Engine> = new_enough
-        .into_iter()
-        .filter(|engine| !criteria.excluded.contains(&engine.record.instance))
-        .collect();
-    if untried.is_empty() {
-        return Err(NoChoice::AllTried);
-    }
-    Ok(untried)
-}
-
-fn has_weights(engine: &Engine, criteria: &Criteria<'_>) -> bool {
-    criteria
-        .prompt
-        .as_ref()
-        .is_none_or(|prompt| engine.weights_of(prompt.model) >= prompt.required_weights)
-}
-
 /// Candidates in the order in which the prompt prefers them.
 fn ranked<'a>(mut candidates: Vec<&'a Engine>, criteria: &Criteria<'_>) -> Vec<&'a Engine> {
     if let Some(prompt) = &criteria.prompt {
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -12,6 +12,7 @@
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
+use ploverlift_routing::software::{SoftwareRule, SoftwareVersion};
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -36,6 +37,7 @@
         service: ServiceName::from("llm"),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
         zone: ZoneName::from(if index % 2 == 0 { "z0" } else { "z1" }),
+        software: SoftwareVersion::default(),
         slots: 8,
         is_leaving: false,
         weights: [("m".to_owned(), weights)].into(),
@@ -82,6 +84,7 @@
         service: &ServiceName::from("llm"),
         zone: &ZoneName::from(zone),
         prompt: Some(prompt),
+        software: SoftwareRule::Any,
         excluded,
     };
     choose(&view, &criteria, &RATES, now).map(|choice| choice.instance)
--- a/crates/balancing/tests/relayed_loads.rs
+++ b/crates/balancing/tests/relayed_loads.rs
@@ -10,6 +10,7 @@
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::PartKey;
+use ploverlift_routing::software::SoftwareVersion;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -116,6 +117,7 @@
         service: ServiceName::from("llm"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: ZoneName::from("z"),
+        software: SoftwareVersion::default(),
         slots: 8,
         is_leaving: false,
         weights: [].into(),
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -18,6 +18,7 @@
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{cache_salt, part_keys, ChainKey, PartKey, PromptPart};
+use ploverlift_routing::software::{SoftwareRule, SoftwareVersion};
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -48,6 +49,7 @@
             service: ServiceName::from("llm"),
             address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
             zone: ZoneName::from("z"),
+            software: SoftwareVersion::default(),
             slots: 8,
             is_leaving: false,
             weights: [("m".to_owned(), *weights)].into(),
@@ -126,6 +128,7 @@
             required_weights: 0,
             place,
         }),
+        software: SoftwareRule::Any,
         excluded: &[],
     };
     choose(view, &criteria, &RATES, now).expect("an engine")
@@ -424,6 +427,7 @@
                 required_weights: 0,
                 place: 0.0,
             }),
+            software: SoftwareRule::Any,
             excluded: &[],
         };
         let view = FleetView {
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -1,9 +1,11 @@
 //! What a node believes of its site, from the store, its traffic and other nodes.
 
 use crate::catalogue_log::CatalogueLog;
+use crate::outcomes::ObservedAttempt;
 use crate::peers::followed_relays::FollowedRelays;
 use crate::peers::relay_duties::RelayDuties;
 use crate::peers::relay_messages::EngineChange;
+use crate::rollouts::RolloutBeliefs;
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
 use ploverlift_balancing::cache_contents::CacheContents;
@@ -120,6 +122,8 @@
     pub engines_listed: bool,
     /// Limits of tenants.
     pub limiter: RateLimiter,
+    /// Rollouts of engines' software.
+    pub rollouts: RolloutBeliefs,
     /// Named weights.
     pub weights: NamedWeights,
     /// Splits of routes.
@@ -325,6 +329,14 @@
         self.weights.required(model, in_use, bounds, now)
     }
 
+    /// Takes in how an attempt at an engine went, for all that learn from it: the
+    /// health of the engine, and the evidence on a version of its software.
+    pub fn observe(&mut self, attempt: &ObservedAttempt, now: Millis) {
+        self.engines
+            .note_outcome(&attempt.instance, attempt.outcome, now);
+        self.rollouts.observe(attempt, now);
+    }
+
     /// Takes in a configuration if it is newer; tells whether it was.
     pub fn take_configuration(
         &mut self,
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: choosing an engine, sending the request, judging the answer.
 
 use super::choice::ChosenEngine;
-use super::in_flight::InFlight;
+use super::in_flight::{AttemptSubject, InFlight};
 use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{
     exchange, exchange_on, EngineAnswer, ExchangeLimits, NO_ANSWER_IN_TIME,
@@ -78,7 +78,13 @@
     /// When the caller is gone.
     pub(super) async fn attempt(&mut self, chosen: ChosenEngine) -> io::Result<AttemptEnd> {
         let tokens = chosen.tokens_to_read;
-        let mut in_flight = InFlight::begin(&self.gateway, &chosen.instance, tokens);
+        let subject = AttemptSubject {
+            service: self.received.admission.service.clone(),
+            route: self.received.admission.route.name.clone(),
+            instance: chosen.instance.clone(),
+            software: chosen.software.clone(),
+        };
+        let mut in_flight = InFlight::begin(&self.gateway, subject, tokens);
         if let Some(reservation) = &mut self.received.admission.reservation {
             reservation.spend();
         }
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -13,6 +13,7 @@
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::configuration::CacheStore;
 use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt};
+use ploverlift_routing::software::SoftwareVersion;
 use std::net::SocketAddr;
 
 /// Bytes that a link of one megabit a second moves in a millisecond.
@@ -23,6 +24,7 @@
     pub(super) instance: InstanceId,
     pub(super) tag: EngineTag,
     pub(super) address: SocketAddr,
+    pub(super) software: SoftwareVersion,
     /// The version of weights that is relied on; nothing when it is not known.
     pub(super) weights: Option<u64>,
     /// Nothing for requests to plain services.
@@ -57,6 +59,7 @@
             service: &self.received.admission.service,
             zone: &self.gateway.zone,
             prompt: self.prompt_criteria(&beliefs, now),
+            software: beliefs.rollouts.software_rule(service),
             excluded: self.progress.attempts.tried(),
         };
         let store = self.cache_store_in_use(&beliefs);
@@ -110,6 +113,7 @@
             instance: choice.instance.clone(),
             tag: engine.tag,
             address: engine.record.address,
+            software: engine.record.software.clone(),
             weights: None,
             cache: None,
             tokens_to_read: 0,
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -1,34 +1,52 @@
 //! Counts a request at an engine for as long as it is there.
 
+use crate::outcomes::ObservedAttempt;
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_policy::ids::Millis;
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
 use std::sync::Arc;
 
+/// Which request is at which engine.
+#[derive(Clone, Debug)]
+pub struct AttemptSubject {
+    /// The service.
+    pub service: ServiceName,
+    /// Name of the route.
+    pub route: String,
+    /// The engine.
+    pub instance: InstanceId,
+    /// The version of its software.
+    pub software: SoftwareVersion,
+}
+
 /// A request at an engine. Dropping it takes the request off the engine's
 /// load, also when the caller left in the middle.
 pub struct InFlight {
     gateway: Arc<Gateway>,
-    instance: InstanceId,
+    subject: AttemptSubject,
     waiting_tokens: u64,
     begun: Millis,
+    first_byte_ms: Option<u64>,
 }
 
 impl InFlight {
     /// Counts a request with so many prompt tokens.
-    pub fn begin(gateway: &Arc<Gateway>, instance: &InstanceId, prompt_tokens: u64) -> Self {
+    pub fn begin(gateway: &Arc<Gateway>, subject: AttemptSubject, prompt_tokens: u64) -> Self {
         let now = gateway.clock.now();
         let mut beliefs = gateway.beliefs();
-        beliefs.engines.begin(instance, prompt_tokens, now);
+        beliefs.engines.begin(&subject.instance, prompt_tokens, now);
         beliefs.recent_reading.note(prompt_tokens as f64, now);
         drop(beliefs);
         gateway.metrics.attempts.inc();
         Self {
             gateway: Arc::clone(gateway),
-            instance: instance.clone(),
+            subject,
             waiting_tokens: prompt_tokens,
             begun: now,
+            first_byte_ms: None,
         }
     }
 
@@ -38,17 +56,25 @@
         self.gateway
             .beliefs()
             .engines
-            .first_answer(&self.instance, tokens);
-        self.gateway.clock.now().since(self.begun)
+            .first_answer(&self.subject.instance, tokens);
+        let first_byte_ms = self.gateway.clock.now().since(self.begun);
+        *self.first_byte_ms.get_or_insert(first_byte_ms)
     }
 
     /// Notes how the request went.
     pub fn note(&self, outcome: Outcome) {
         let now = self.gateway.clock.now();
-        self.gateway
-            .beliefs()
-            .engines
-            .note_outcome(&self.instance, outcome, now);
+        let subject = self.subject.clone();
+        let observed = ObservedAttempt {
+            service: subject.service,
+            route: subject.route,
+            instance: subject.instance,
+            software: subject.software,
+            outcome,
+            first_byte_ms: self.first_byte_ms,
+            duration_ms: now.since(self.begun),
+        };
+        self.gateway.beliefs().observe(&observed, now);
     }
 }
 
@@ -57,6 +83,6 @@
         self.gateway
             .beliefs()
             .engines
-            .end(&self.instance, self.waiting_tokens);
+            .end(&self.subject.instance, self.waiting_tokens);
     }
 }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -158,6 +158,7 @@
     fn note_no_choice(&mut self, none: NoChoice) {
         let reason = match none {
             NoChoice::NoEngine => "the service has no engine",
+            NoChoice::SoftwareHeldBack => "no engine has a version that may serve",
             NoChoice::WeightsTooOld => "no engine has the new weights yet",
             NoChoice::AllTried => return,
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,8 @@
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and who keeps which prompts |
 //! | [`cache_feeds`] | follows what engines and the KV cache store hold |
+//! | [`rollouts`] | rollouts of engines' software |
+//! | [`outcomes`] | how attempts at engines went |
 //! | [`weights`] | bringing engines to new weights, by one holder of a lease |
 //! | [`readiness`], [`metrics`], [`logging`] | what a node tells of itself |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
@@ -32,10 +34,12 @@
 pub mod kept_connections;
 pub mod logging;
 pub mod metrics;
+pub mod outcomes;
 pub mod peers;
 pub mod ports;
 pub mod readiness;
 mod reservation;
+pub mod rollouts;
 pub mod settings;
 mod settings_defaults;
 mod settings_error;
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -9,6 +9,7 @@
 use ploverlift_balancing::relayed_loads::RelayedReport;
 use ploverlift_policy::ids::ZoneName;
 use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_wire::peers;
 
 /// Loads in one datagram of a relay. With the largest number of placements and
@@ -179,6 +180,7 @@
         zone: record.zone.0.clone(),
         slots: record.slots,
         is_leaving: record.is_leaving,
+        software: record.software.0.clone(),
         weights: record
             .weights
             .iter()
@@ -207,6 +209,7 @@
             service: ServiceName(record.service.clone()),
             address: record.address.parse().ok()?,
             zone: ZoneName(record.zone.clone()),
+            software: SoftwareVersion(record.software.clone()),
             slots: record.slots,
             is_leaving: record.is_leaving,
             weights: record
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -132,6 +132,7 @@
                     revision: stored.revision,
                     is_deleting: false,
                     content,
+                    status: None,
                 };
                 take_configuration(gateway, &object);
             }
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -2,6 +2,7 @@
 
 use ploverlift_balancing::catalogue::EngineRecord;
 use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_rollout::order::{RolloutOrder, RolloutStatus};
 use ploverlift_routing::configuration::Configuration;
 use serde_json::Value;
 use snafu::Snafu;
@@ -15,6 +16,8 @@
     Engines,
     /// Named versions of weights, one object a model.
     Weights,
+    /// Orders to move a service to another software version, one object a service.
+    Rollouts,
     /// Leases of this product.
     Leases,
     /// Nodes of this product, one object each.
@@ -28,6 +31,7 @@
             StoreKind::Configuration => "configuration",
             StoreKind::Engines => "engines",
             StoreKind::Weights => "weights",
+            StoreKind::Rollouts => "rollouts",
             StoreKind::Leases => "leases",
             StoreKind::Nodes => "nodes",
         }
@@ -45,6 +49,8 @@
     pub is_deleting: bool,
     /// What was stored.
     pub content: Value,
+    /// What the product has recorded with it, where it records anything.
+    pub status: Option<Value>,
 }
 
 /// A call of the store.
@@ -95,6 +101,17 @@
         /// What to store.
         content: Value,
     },
+    /// Replaces what the product records with an object that is not its own.
+    ReplaceStatus {
+        /// The kind.
+        kind: StoreKind,
+        /// Its name.
+        name: String,
+        /// The revision that must still be stored.
+        revision: u64,
+        /// What to record.
+        status: Value,
+    },
 }
 
 impl StoreCall {
@@ -109,6 +126,7 @@
             StoreCall::Watch { .. } => "watch",
             StoreCall::Create { .. } => "create",
             StoreCall::Replace { .. } => "replace",
+            StoreCall::ReplaceStatus { .. } => "replace_status",
         }
     }
 
@@ -119,7 +137,8 @@
             | StoreCall::Get { kind, .. }
             | StoreCall::Watch { kind, .. }
             | StoreCall::Create { kind, .. }
-            | StoreCall::Replace { kind, .. } => *kind,
+            | StoreCall::Replace { kind, .. }
+            | StoreCall::ReplaceStatus { kind, .. } => *kind,
         }
     }
 }
@@ -249,4 +268,14 @@
     /// # Errors
     /// When it does not fit.
     fn named_version(&self, object: &StoreObject) -> Result<NamedVersion, InvalidDocument>;
+
+    /// Reads an order to move a service to another software version, with what is
+    /// recorded of it.
+    ///
+    /// # Errors
+    /// When it does not fit.
+    fn rollout_order(&self, object: &StoreObject) -> Result<RolloutOrder, InvalidDocument>;
+
+    /// What is stored as the status of a rollout.
+    fn rollout_status_content(&self, status: &RolloutStatus) -> Value;
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,8 +2,11 @@
 
 use crate::settings_defaults as defaults;
 use crate::settings_error::{renamed_key, ReadSnafu, RenamedSnafu, ShapeSnafu};
+use ploverlift_policy::ids::ZoneName;
+use ploverlift_routing::topology::{RegionName, Topology};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -15,6 +18,9 @@
 pub struct GatewaySettings {
     /// This node.
     pub node: NodeSettings,
+    /// Where the site's zones are.
+    #[serde(default)]
+    pub topology: TopologySettings,
     /// Where it listens.
     pub listen: ListenSettings,
     /// The object store.
@@ -59,6 +65,25 @@
     pub is_first_start: bool,
 }
 
+/// `[topology]`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TopologySettings {
+    /// The region of each zone. Zones that are left out count as in one region with
+    /// all others.
+    pub zones: BTreeMap<String, String>,
+}
+
+impl TopologySettings {
+    /// The zones with their regions.
+    pub fn topology(&self) -> Topology {
+        let zones = self.zones.iter();
+        let zones =
+            zones.map(|(zone, region)| (ZoneName(zone.clone()), RegionName(region.clone())));
+        Topology::new(zones.collect())
+    }
+}
+
 /// `[listen]`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -115,6 +140,14 @@
     pub retry_ratio: f64,
     /// Window of the retry budget, in seconds.
     pub retry_window_seconds: f64,
+    /// Part of a service's requests that a version may receive before it is known to
+    /// be good, from a rollout's order to its deadline.
+    pub canary_share: f64,
+    /// Requests that it may receive beyond that part.
+    pub canary_slack: u64,
+    /// A version that has given its 50th bad answer receives nothing after this time,
+    /// in milliseconds.
+    pub roll_back_ms: u64,
 }
 
 impl Default for BoundSettings {
@@ -129,6 +162,9 @@
             lease_ms: 3_000,
             retry_ratio: 0.2,
             retry_window_seconds: 10.0,
+            canary_share: 0.1,
+            canary_slack: 50,
+            roll_back_ms: 5_000,
         }
     }
 }
@@ -340,6 +376,7 @@
             ("bounds.weights_ms", self.bounds.weights_ms),
             ("bounds.leaving_engine_ms", self.bounds.leaving_engine_ms),
             ("bounds.lease_ms", self.bounds.lease_ms),
+            ("bounds.roll_back_ms", self.bounds.roll_back_ms),
             (
                 "attempts.connect_timeout_ms",
                 self.attempts.connect_timeout_ms,
@@ -368,6 +405,10 @@
             let value = self.bounds.retry_ratio.to_string();
             return invalid("bounds.retry_ratio", value, "use 0.0 to 1.0");
         }
+        if !(0.0..=1.0).contains(&self.bounds.canary_share) {
+            let value = self.bounds.canary_share.to_string();
+            return invalid("bounds.canary_share", value, "use 0.0 to 1.0");
+        }
         let rates = [
             ("bounds.stop_seconds", self.bounds.stop_seconds),
             (
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use ploverlift_balancing::cost::CostRates;
 use ploverlift_balancing::weights::WeightsBounds;
 use ploverlift_policy::ids::{Millis, ZoneName};
+use ploverlift_routing::topology::Topology;
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -21,6 +22,8 @@
     settings: Mutex<Arc<GatewaySettings>>,
     /// Zone of this node.
     pub zone: ZoneName,
+    /// The zones of the site and their regions.
+    pub topology: Topology,
     /// Translates the site's protocols.
     pub site: Arc<dyn Site>,
     /// Steady clock.
@@ -71,6 +74,7 @@
         let clock = Clock::default();
         Self {
             zone: ZoneName(settings.node.zone.clone()),
+            topology: settings.topology.topology(),
             settings: Mutex::new(Arc::new(settings)),
             site,
             clock,
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -174,6 +174,29 @@
             _ => Err(unexpected()),
         }
     }
+
+    /// Records the status of an object if its revision is still `revision`.
+    ///
+    /// # Errors
+    /// As [`StoreClient::compare_and_set`].
+    pub async fn replace_status(
+        &mut self,
+        kind: StoreKind,
+        name: &str,
+        revision: u64,
+        status: Value,
+    ) -> Result<StoreObject, StoreError> {
+        let call = StoreCall::ReplaceStatus {
+            kind,
+            name: name.to_owned(),
+            revision,
+            status,
+        };
+        match self.call(&call).await? {
+            StoreReply::Object(object) => Ok(object),
+            _ => Err(unexpected()),
+        }
+    }
 }
 
 fn unexpected() -> StoreError {
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -9,6 +9,7 @@
 use ploverlift_gateway::weights::outdated_engines;
 use ploverlift_policy::ids::ZoneName;
 use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
 use serde_json::json;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -178,6 +179,7 @@
             service: ServiceName::from("llm"),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             zone: ZoneName::from("z"),
+            software: SoftwareVersion::default(),
             slots: 4,
             is_leaving: false,
             weights: [("m".to_owned(), version)].into(),
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -26,6 +26,7 @@
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::PartKey;
+use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_wire::peers::peer_message::Body;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -125,6 +126,7 @@
         service: ServiceName::from("a-service-with-a-name"),
         address: address(65_535),
         zone: ZoneName::from("a-zone-with-a-name"),
+        software: SoftwareVersion::default(),
         slots: 64,
         is_leaving: true,
         weights: [("model-with-a-name".to_owned(), 123_456)].into(),
--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -326,6 +326,7 @@
                 revision: 1_000,
                 is_deleting: false,
                 content: json!(null),
+                status: None,
             },
             is_gone: true,
         };
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -10,12 +10,14 @@
 };
 use ploverlift_http1::{RequestHead, ResponseHead};
 use ploverlift_policy::ids::{TenantName, ZoneName};
+use ploverlift_rollout::order::{RolloutOrder, RolloutState, RolloutStatus};
 use ploverlift_routing::configuration::{
     CacheStore, CallerLimits, Configuration, Delivery, Route, Service, ServiceName, Tenant,
     WeightedTarget,
 };
 use ploverlift_routing::prompt::{Prompt, PromptPart};
 use ploverlift_routing::rate_limit::{LimitUnit, RateLimit};
+use ploverlift_routing::software::SoftwareVersion;
 use serde_json::{json, Value};
 
 pub const ID: &str = "t-id";
@@ -217,6 +219,13 @@
                 content,
             } => json!({"do": "put", "kind": format!("{kind:?}"), "name": name,
                         "revision": revision, "content": content}),
+            StoreCall::ReplaceStatus {
+                kind,
+                name,
+                revision,
+                status,
+            } => json!({"do": "put_status", "kind": format!("{kind:?}"), "name": name,
+                        "revision": revision, "status": status}),
         };
         let head = RequestHead::new("POST", "/store");
         (head, body.to_string().into_bytes())
@@ -271,6 +280,10 @@
         revision: value["revision"].as_u64().unwrap_or(0),
         is_deleting: false,
         content: value["content"].clone(),
+        status: value
+            .get("status")
+            .filter(|status| !status.is_null())
+            .cloned(),
     }
 }
 
@@ -321,6 +334,7 @@
                 .parse()
                 .expect("address"),
             zone: ZoneName::from("z"),
+            software: SoftwareVersion(body["software"].as_str().unwrap_or_default().to_owned()),
             slots: 4,
             is_leaving: body["leaving"].as_bool().unwrap_or(false),
             weights: weights
@@ -336,6 +350,35 @@
             version: object.content["version"].as_u64().unwrap_or(0),
         })
     }
+
+    fn rollout_order(&self, object: &StoreObject) -> Result<RolloutOrder, InvalidDocument> {
+        let text = |key: &str| object.content[key].as_str().unwrap_or_default().to_owned();
+        let status = object.status.as_ref().map(|status| RolloutStatus {
+            state: match status["state"].as_str() {
+                Some("completed") => RolloutState::Completed,
+                Some("rolled-back") => RolloutState::RolledBack,
+                _ => RolloutState::Running,
+            },
+            target: SoftwareVersion(status["to"].as_str().unwrap_or_default().to_owned()),
+            progress: status["progress"].as_str().unwrap_or_default().to_owned(),
+        });
+        Ok(RolloutOrder {
+            service: ServiceName(text("service")),
+            target: SoftwareVersion(text("to")),
+            duration_ms: object.content["ms"].as_u64().unwrap_or(0),
+            revision: object.revision,
+            status,
+        })
+    }
+
+    fn rollout_status_content(&self, status: &RolloutStatus) -> Value {
+        let state = match status.state {
+            RolloutState::Running => "running",
+            RolloutState::Completed => "completed",
+            RolloutState::RolledBack => "rolled-back",
+        };
+        json!({"state": state, "to": status.target.0, "progress": status.progress})
+    }
 }
 
 /// The limit of all tenants, in tokens.
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -26,6 +26,7 @@
     name: String,
     revision: u64,
     content: Value,
+    status: Value,
     is_gone: bool,
 }
 
@@ -101,6 +102,12 @@
         Some(object.content.clone())
     }
 
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.lock().expect("state");
+        let object = state.find(kind, name)?;
+        Some(object.status.clone()).filter(|status| !status.is_null())
+    }
+
     /// Calls so far, by what they do and of which kind.
     pub fn calls(&self, call: &str) -> usize {
         let state = self.state.lock().expect("state");
@@ -111,6 +118,7 @@
 impl State {
     fn put(&mut self, kind: &str, name: &str, content: Value) -> u64 {
         self.revision += 1;
+        let status = self.find(kind, name).map(|known| known.status.clone());
         self.objects
             .retain(|known| known.kind != kind || known.name != name);
         self.objects.push(Stored {
@@ -118,11 +126,23 @@
             name: name.to_owned(),
             revision: self.revision,
             content,
+            status: status.unwrap_or_default(),
             is_gone: false,
         });
         self.revision
     }
 
+    fn put_status(&mut self, kind: &str, name: &str, status: &Value) {
+        self.revision += 1;
+        let revision = self.revision;
+        for object in &mut self.objects {
+            if object.kind == kind && object.name == name {
+                object.status = status.clone();
+                object.revision = revision;
+            }
+        }
+    }
+
     fn find(&self, kind: &str, name: &str) -> Option<&Stored> {
         let mut objects = self.objects.iter();
         objects.find(|known| known.kind == kind && known.name == name && !known.is_gone)
@@ -156,7 +176,12 @@
                 if call["revision"].as_u64() != Some(known) {
                     return (409, present.unwrap_or_default());
                 }
-                self.put(kind, name, call["content"].clone());
+                match call.get("status") {
+                    Some(status) => self.put_status(kind, name, status),
+                    None => {
+                        self.put(kind, name, call["content"].clone());
+                    }
+                }
                 let stored = self.find(kind, name).map(Stored::to_json);
                 (200, stored.unwrap_or_default())
             }
@@ -167,7 +192,7 @@
 impl Stored {
     fn to_json(&self) -> Value {
         json!({"name": self.name, "revision": self.revision,
-               "content": self.content, "gone": self.is_gone})
+               "content": self.content, "status": self.status, "gone": self.is_gone})
     }
 }
 
@@ -209,7 +234,7 @@
             match state.fault {
                 StoreFault::Silent => return None,
                 StoreFault::Status(status) => return Some((status, Value::Null)),
-                StoreFault::LosesWriteAnswers if what == "put" => {
+                StoreFault::LosesWriteAnswers if what.starts_with("put") => {
                     state.answer(call);
                     return None;
                 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,11 +11,15 @@
 //! | [`prompt`] | which parts does the prompt have, and which may be shared? |
 //! | [`freshness`] | may the configuration still be relied on? |
 //! | [`rate_limit`] | what may a tenant use? |
+//! | [`software`] | which versions of an engine's software may serve? |
+//! | [`topology`] | how far apart are two places? |
 
 pub mod configuration;
 pub mod freshness;
 pub mod prompt;
 pub mod rate_limit;
+pub mod software;
 pub mod split;
 pub mod table;
 pub mod tenants;
+pub mod topology;
--- /dev/null
+++ b/crates/routing/src/software.rs
@@ -0,0 +1,36 @@
+//! Versions of an engine's software, and which of them may serve a request.
+
+use std::fmt;
+
+/// A version of an engine's software. Versions have no order of their own.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SoftwareVersion(pub String);
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// Which versions may serve a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum SoftwareRule {
+    /// Each version: no rollout concerns the service.
+    #[default]
+    Any,
+    /// One version alone.
+    Only(SoftwareVersion),
+    /// Each version but one.
+    Except(SoftwareVersion),
+}
+
+impl SoftwareRule {
+    /// Whether engines of a version may serve the request.
+    pub fn allows(&self, version: &SoftwareVersion) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => version == only,
+            Self::Except(except) => version != except,
+        }
+    }
+}
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -1,12 +1,14 @@
 //! Routes, splits, tenants, prompts and freshness.
 
-use ploverlift_policy::ids::{Millis, TenantName};
+use ploverlift_policy::ids::{Millis, TenantName, ZoneName};
 use ploverlift_routing::configuration::{Delivery, Route, ServiceName, Tenant, WeightedTarget};
 use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt, PromptPart};
+use ploverlift_routing::software::{SoftwareRule, SoftwareVersion};
 use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
+use ploverlift_routing::topology::{Distance, RegionName, Topology};
 use proptest::prelude::*;
 
 fn route(name: &str, host: &str, path_prefix: &str, targets: &[(&str, f64)]) -> Route {
@@ -143,3 +145,28 @@
     assert!(freshness.allows_keys(Millis(1_500), 500));
     assert!(!freshness.allows_keys(Millis(1_501), 500));
 }
+
+#[test]
+fn distance_is_by_zone_then_by_region_and_unknown_regions_are_near() {
+    let zone = |name: &str| ZoneName(name.to_owned());
+    let region = |name: &str| RegionName(name.to_owned());
+    let known = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let known = known.map(|(of, in_region)| (zone(of), region(in_region)));
+    let topology = Topology::new(known.into());
+    let distance = |from, to| topology.distance(&zone(from), &zone(to));
+    assert_eq!(distance("a1", "a1"), Distance::SameZone);
+    assert_eq!(distance("a1", "a2"), Distance::SameRegion);
+    assert_eq!(distance("a1", "b1"), Distance::OtherRegion);
+    assert_eq!(distance("a1", "unknown"), Distance::SameRegion);
+    assert_eq!(distance("unknown", "unknown"), Distance::SameZone);
+}
+
+#[test]
+fn a_software_rule_names_the_versions_that_may_serve() {
+    let version = |name: &str| SoftwareVersion(name.to_owned());
+    assert!(SoftwareRule::Any.allows(&version("v1")));
+    assert!(SoftwareRule::Only(version("v2")).allows(&version("v2")));
+    assert!(!SoftwareRule::Only(version("v2")).allows(&version("v1")));
+    assert!(SoftwareRule::Except(version("v2")).allows(&version("v1")));
+    assert!(!SoftwareRule::Except(version("v2")).allows(&version("v2")));
+}
