A node that restarts with its clock set back is heard at once

Cause: a node names its life by the time of day. Restarted after that was set back (machines' clocks jump by seconds), its life is lower than the one before, and its reports counted as overtaken: loads for 1.8 s (0.8 s of a relay), use of tenants' limits for 60 s, so that what it admitted was missing from every account.

Ruled out: lives from the store's revisions (the store may be away at a start); random lives (late reports of an earlier life could not be told from newer ones).

Change: balancing::report_position, one type where four places compared tuples: a lower life counts once the higher one has been silent for 0.5 s.

After: both pass, with the tests of the three crates.

--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod prefix_reach;
 pub mod relayed_loads;
 pub mod rendezvous;
+pub mod report_position;
 pub mod retry_budget;
 pub mod selection;
 pub mod store_room;
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -12,6 +12,7 @@
 
 use crate::catalogue::{EngineCatalogue, InstanceId};
 use crate::relayed_loads::RelayedLoads;
+use crate::report_position::ReportPosition;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use xxhash_rust::xxh3::xxh3_64;
@@ -129,9 +130,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     zone: ZoneTag,
-    life: u64,
-    sequence: u64,
-    heard_at: Millis,
+    position: ReportPosition,
     loads: HashMap<EngineTag, EngineLoad>,
     loading: Vec<EngineTag>,
 }
@@ -151,26 +150,23 @@
     /// other: one that is older than the last one taken in is left out.
     pub fn apply(&mut self, report: &LoadReport, now: Millis) -> bool {
         let known = self.peers.get(&report.sender);
-        let known = known.map(|peer| (peer.life, peer.sequence));
-        if known.is_some_and(|known| known >= (report.life, report.sequence)) {
+        let known = known.map(|peer| peer.position);
+        if known.is_some_and(|known| known.overtakes(report.life, report.sequence, now)) {
             return false;
         }
-        let is_other_life = known.is_none_or(|(life, _)| life != report.life);
+        let is_other_life = known.is_none_or(|known| known.life() != report.life);
+        let position = ReportPosition::new(report.life, report.sequence, now);
         if is_other_life || report.is_full {
             self.take_off(report.sender);
         }
         let peer = self.peers.entry(report.sender).or_insert_with(|| Peer {
             zone: report.zone,
-            life: report.life,
-            sequence: report.sequence,
-            heard_at: now,
+            position,
             loads: HashMap::new(),
             loading: Vec::new(),
         });
         peer.zone = report.zone;
-        peer.life = report.life;
-        peer.sequence = report.sequence;
-        peer.heard_at = now;
+        peer.position = position;
         peer.loading.clone_from(&report.loading);
         for (engine, load) in &report.loads {
             let before = peer.loads.insert(*engine, *load).unwrap_or_default();
@@ -189,7 +185,7 @@
         let silent: Vec<PeerId> = self
             .peers
             .iter()
-            .filter(|(_, peer)| now.since(peer.heard_at) >= SILENCE_MS)
+            .filter(|(_, peer)| now.since(peer.position.heard_at()) >= SILENCE_MS)
             .map(|(id, _)| *id)
             .collect();
         for id in silent {
@@ -210,7 +206,10 @@
         if self.relayed.is_heard() {
             return self.relayed.age_ms(now);
         }
-        let ages = self.peers.values().map(|peer| now.since(peer.heard_at));
+        let ages = self
+            .peers
+            .values()
+            .map(|peer| now.since(peer.position.heard_at()));
         let mut ages: Vec<u64> = ages.collect();
         ages.sort_unstable();
         ages.get(ages.len() / 2).copied()
--- a/crates/balancing/src/relayed_loads.rs
+++ b/crates/balancing/src/relayed_loads.rs
@@ -6,6 +6,7 @@
 //! remembers what it reported and takes just that off.
 
 use crate::peer_loads::{EngineLoad, EngineTag, PeerId, ZoneTag};
+use crate::report_position::ReportPosition;
 use ploverlift_policy::ids::Millis;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -44,9 +45,7 @@
 
 #[derive(Clone, Debug)]
 struct Relay {
-    life: u64,
-    sequence: u64,
-    heard_at: Millis,
+    position: ReportPosition,
     totals: HashMap<EngineTag, EngineLoad>,
     own_included: HashMap<EngineTag, EngineLoad>,
     /// When this node sent the report that the sums contain.
@@ -99,17 +98,16 @@
         let included_sent_at = own.map(|report| report.sent_at);
         let own = own.map(|report| report.loads.clone()).unwrap_or_default();
         let known = self.relays.get(&report.sender);
-        let known = known.map(|relay| (relay.life, relay.sequence));
-        if known.is_some_and(|known| known >= (report.life, report.sequence)) {
+        let known = known.map(|relay| relay.position);
+        if known.is_some_and(|known| known.overtakes(report.life, report.sequence, now)) {
             return false;
         }
-        if known.is_some_and(|(life, _)| life != report.life) {
+        if known.is_some_and(|known| known.life() != report.life) {
             self.relays.remove(&report.sender);
         }
+        let position = ReportPosition::new(report.life, report.sequence, now);
         let relay = self.relays.entry(report.sender).or_insert_with(|| Relay {
-            life: report.life,
-            sequence: report.sequence,
-            heard_at: now,
+            position,
             totals: HashMap::new(),
             own_included: HashMap::new(),
             included_sent_at: None,
@@ -117,8 +115,7 @@
             members: Vec::new(),
             zones: Vec::new(),
         });
-        relay.sequence = report.sequence;
-        relay.heard_at = now;
+        relay.position = position;
         relay.own_included = own;
         relay.included_sent_at = included_sent_at.max(relay.included_sent_at);
         relay.loading.clone_from(&report.loading);
@@ -139,7 +136,7 @@
     /// Forgets relays that were not heard of lately.
     pub fn expire(&mut self, now: Millis) {
         self.relays
-            .retain(|_, relay| now.since(relay.heard_at) < RELAY_SILENCE_MS);
+            .retain(|_, relay| now.since(relay.position.heard_at()) < RELAY_SILENCE_MS);
     }
 
     /// Whether any relay was heard of lately.
@@ -185,6 +182,8 @@
     }
 
     fn newest(&self) -> Option<&Relay> {
-        self.relays.values().max_by_key(|relay| relay.heard_at)
+        self.relays
+            .values()
+            .max_by_key(|relay| relay.position.heard_at())
     }
 }
--- a/crates/balancing/tests/relayed_loads.rs
+++ b/crates/balancing/tests/relayed_loads.rs
@@ -153,3 +153,29 @@
     assert_eq!(news(1, false, 5_300), (PlacementNews::Known, vec![2]));
     assert_eq!(news(1, true, 15_050), (kept(1), vec![1]));
 }
+
+#[test]
+fn a_node_that_restarts_with_its_clock_set_back_is_heard_at_once() {
+    let mut loads = PeerLoads::default();
+    let of_life = |life: u64, sequence: u64, requests: u32| LoadReport {
+        sender: PeerId(9),
+        zone: ZoneTag(9),
+        life,
+        sequence,
+        is_full: true,
+        loads: vec![(ENGINE, load(requests, 0))],
+        loading: Vec::new(),
+    };
+    assert!(loads.apply(&of_life(9_000, 80, 4), NOW));
+    assert!(!loads.apply(&of_life(8_000, 90, 7), NOW.plus(100)));
+    assert!(loads.apply(&of_life(7_000, 1, 2), NOW.plus(900)));
+    assert_eq!(loads.at(ENGINE), load(2, 0));
+    let relayed = &mut loads.relayed;
+    let told = |life: u64| ploverlift_balancing::relayed_loads::RelayedReport {
+        life,
+        ..report(1, 1, load(3, 0))
+    };
+    assert!(relayed.apply(&told(9_000), None, NOW));
+    assert!(!relayed.apply(&told(8_000), None, NOW.plus(100)));
+    assert!(relayed.apply(&told(7_000), None, NOW.plus(700)));
+}
--- a/crates/ratelimit/src/accounts.rs
+++ b/crates/ratelimit/src/accounts.rs
@@ -140,10 +140,10 @@
         }
         let known = self.parts.get(&part_id);
         let known = known.and_then(|part| part.newest_of(report.sender));
-        if known.is_some_and(|known| known >= (report.life, report.sequence)) {
+        if known.is_some_and(|known| known.overtakes(report.life, report.sequence, now)) {
             return;
         }
-        let is_other_life = known.is_some_and(|(life, _)| life < report.life);
+        let is_other_life = known.is_some_and(|known| known.life() != report.life);
         if is_other_life {
             self.part(part_id, now).begin_life(report.sender);
         }
--- a/crates/ratelimit/src/parts.rs
+++ b/crates/ratelimit/src/parts.rs
@@ -4,6 +4,7 @@
 use crate::recent_rate::RecentRate;
 use crate::reports::{TenantUse, UseReport};
 use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_balancing::report_position::ReportPosition;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::rate_limit::TenantTag;
 use std::collections::{BTreeMap, HashMap};
@@ -24,9 +25,7 @@
 /// One reporter of a part.
 #[derive(Clone, Debug)]
 struct Stream {
-    life: u64,
-    sequence: u64,
-    heard_at: Millis,
+    position: ReportPosition,
     joined_at: Millis,
     /// Whether all that it admitted was admitted since its part was known.
     is_known_from_start: bool,
@@ -75,10 +74,10 @@
         }
     }
 
-    /// Life and number of the last report of a reporter.
-    pub(crate) fn newest_of(&self, sender: PeerId) -> Option<(u64, u64)> {
+    /// The last report of a reporter.
+    pub(crate) fn newest_of(&self, sender: PeerId) -> Option<ReportPosition> {
         let stream = self.streams.get(&sender);
-        stream.map(|stream| (stream.life, stream.sequence))
+        stream.map(|stream| stream.position)
     }
 
     /// A reporter runs in another life: it does not tell what the one before admitted
@@ -99,16 +98,14 @@
         now: Millis,
     ) {
         self.nodes = report.nodes.max(1);
+        let position = ReportPosition::new(report.life, report.sequence, now);
         let stream = self.streams.entry(report.sender).or_insert_with(|| Stream {
-            life: report.life,
-            sequence: 0,
-            heard_at: now,
+            position,
             joined_at: now,
             is_known_from_start,
             counters: HashMap::new(),
         });
-        stream.sequence = report.sequence;
-        stream.heard_at = now;
+        stream.position = position;
     }
 
     /// Whether it was not heard for so long that it counts as cut off.
@@ -159,7 +156,7 @@
         counter.asked = told.asked;
         // Several relays sum up the same zone: the one that is ahead counts.
         let fresh = self.streams.values();
-        let fresh = fresh.filter(|stream| now.since(stream.heard_at) < SUM_SILENT_MS);
+        let fresh = fresh.filter(|stream| now.since(stream.position.heard_at()) < SUM_SILENT_MS);
         let leader = fresh.clone().map(|stream| stream.joined_at).min();
         let is_leading = leader == self.streams.get(&sender).map(|stream| stream.joined_at);
         let counters = fresh.filter_map(|stream| stream.counters.get(&told.tenant));
--- a/crates/ratelimit/src/told.rs
+++ b/crates/ratelimit/src/told.rs
@@ -5,6 +5,7 @@
 use crate::own_use::OwnUse;
 use crate::reports::{LevelReport, TenantLevel};
 use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_balancing::report_position::ReportPosition;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
 use std::collections::{BTreeMap, HashMap};
@@ -27,9 +28,7 @@
 
 #[derive(Clone, Debug)]
 struct ToldBy {
-    life: u64,
-    sequence: u64,
-    heard_at: Millis,
+    position: ReportPosition,
     accounts_age_ms: u64,
     levels: HashMap<TenantTag, ToldLevel>,
 }
@@ -69,22 +68,20 @@
     /// Takes in a relay's report; one that was overtaken is left out.
     pub fn apply(&mut self, report: &LevelReport, own: &OwnUse, now: Millis) {
         let known = self.relays.get(&report.sender);
-        let known = known.map(|relay| (relay.life, relay.sequence));
-        if known.is_some_and(|known| known >= (report.life, report.sequence)) {
+        let known = known.map(|relay| relay.position);
+        if known.is_some_and(|known| known.overtakes(report.life, report.sequence, now)) {
             return;
         }
-        if known.is_some_and(|(life, _)| life != report.life) {
+        if known.is_some_and(|known| known.life() != report.life) {
             self.relays.remove(&report.sender);
         }
+        let position = ReportPosition::new(report.life, report.sequence, now);
         let relay = self.relays.entry(report.sender).or_insert_with(|| ToldBy {
-            life: report.life,
-            sequence: 0,
-            heard_at: now,
+            position,
             accounts_age_ms: 0,
             levels: HashMap::new(),
         });
-        relay.sequence = report.sequence;
-        relay.heard_at = now;
+        relay.position = position;
         relay.accounts_age_ms = report.accounts_age_ms;
         for told in &report.levels {
             let own_rate = own.rate(told.tenant).per_second(now);
@@ -95,17 +92,17 @@
         self.heard_at = Some(now);
         self.shares.clear();
         self.relays
-            .retain(|_, relay| now.since(relay.heard_at) < HOLD_MS);
+            .retain(|_, relay| now.since(relay.position.heard_at()) < HOLD_MS);
     }
 
     /// The relay that is relied on: the one whose accounts have run longest, or was
     /// heard last.
     fn relied_on(&self, now: Millis) -> Option<&ToldBy> {
         let relays = self.relays.values();
-        let heard = relays.filter(|relay| now.since(relay.heard_at) < RELIED_ON_MS);
+        let heard = relays.filter(|relay| now.since(relay.position.heard_at()) < RELIED_ON_MS);
         heard.max_by_key(|relay| {
             let age_ms = relay.accounts_age_ms.min(SETTLED_MS);
-            (age_ms / OLDER_MS, relay.heard_at)
+            (age_ms / OLDER_MS, relay.position.heard_at())
         })
     }
 
@@ -127,7 +124,7 @@
                 refill_per_second: limit.per_second,
                 others_per_second: 0.0,
                 fleet_demand: own.demand(tenant).per_second(now),
-                age_ms: Some(now.since(relay.heard_at)),
+                age_ms: Some(now.since(relay.position.heard_at())),
             });
         };
         let age_ms = now.since(told.told_at);
@@ -155,7 +152,10 @@
     ) -> Allowance {
         let nodes = self.nodes.max(1);
         let silent_ms = now.since(self.heard_at.unwrap_or(started_at));
-        let last = self.relays.values().max_by_key(|relay| relay.heard_at);
+        let last = self
+            .relays
+            .values()
+            .max_by_key(|relay| relay.position.heard_at());
         let last = last.and_then(|relay| relay.levels.get(&tenant));
         let own_rate = last.map_or(0.0, |told| told.own_rate);
         let fleet_rate = last.map_or(0.0, |told| told.fleet_rate.max(own_rate));
