--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -146,6 +146,24 @@
     assert!(!freshness.allows_keys(Millis(1_501), 500));
 }
 
+#[test]
+fn the_first_requests_of_many_nodes_are_split_by_weight() {
+    // 81 nodes with four requests each: none has enough for a share of its own.
+    let split = route("r", "h", "/", &[("old", 9.0), ("new", 1.0)]);
+    let (nodes, requests) = (81, 4);
+    let mut counts = [0.0; 2];
+    for node in 0..nodes {
+        let start = f64::from(node) / f64::from(nodes);
+        let mut splitter = WeightedSplitter::default();
+        for _ in 0..requests {
+            let is_new = splitter.next(&split, start).expect("a target").0 == "new";
+            counts[usize::from(is_new)] += 1.0;
+        }
+    }
+    let share = counts[1] / f64::from(nodes * requests);
+    assert!((share - 0.1).abs() < 0.02, "{share} in place of 0.1");
+}
+
 #[test]
 fn distance_is_by_zone_then_by_region_and_unknown_regions_are_near() {
     let zone = |name: &str| ZoneName(name.to_owned());
