A fencing token that was overtaken is not used again

Cause: a holder whose order was refused because the engine had seen a higher token went on to try the same token, at that engine and the next ones, as long as its own renewals succeeded.

Ruled out: waiting for the lease to lapse (nothing makes it lapse while its writes succeed).

Change: LeaseView::on_token_refused ends the holder's right in its own view, so the next renewal raises the token; a warning in the log.

Before: the new test failed, "orders again: [1, 1]". After: it passes; the schedules of the lease pass.

--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -139,6 +139,18 @@
         self.writing_since = None;
     }
 
+    /// An engine refused this token because it has seen a higher one: it gives no more
+    /// orders. The next renewal raises it.
+    pub fn on_token_refused(&mut self, token: u64) {
+        let is_present = self
+            .seen
+            .as_ref()
+            .is_some_and(|(_, spec)| self.is_own(spec) && spec.fencing_token == token);
+        if is_present {
+            self.renewed_at = None;
+        }
+    }
+
     /// The token for orders, while this node may act as the holder.
     pub fn token(&self, now: Millis) -> Option<u64> {
         let renewed_at = self.renewed_at?;
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -172,7 +172,11 @@
             "engine" => &order.instance.0, "model" => &order.model, "version" => version,
             "token" => fencing_token, "expected_orders" => orders_taken,
             "answer" => format!("{answer:?}"));
-        self.after_order(answer.ok(), version)
+        let answer = answer.ok();
+        if answer == Some(OrderAnswer::FenceTooLow) {
+            self.holder.note_token_refused(fencing_token);
+        }
+        self.after_order(answer, version)
     }
 
     fn after_order(&self, answer: Option<OrderAnswer>, version: u64) -> Next {
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/weights/holder.rs
@@ -79,6 +79,13 @@
         self.view().token(self.gateway.clock.now())
     }
 
+    /// An engine refused a token because it has seen a higher one.
+    pub fn note_token_refused(&self, token: u64) {
+        slog::warn!(self.gateway.log, "an engine has seen a higher fencing token";
+            "token" => token);
+        self.view().on_token_refused(token);
+    }
+
     /// Whether this node was the last holder that it knows of.
     pub fn is_own(&self) -> bool {
         self.view().is_own_lease()
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -48,6 +48,8 @@
     heads: Vec<RequestHead>,
     bodies: Vec<Vec<u8>>,
     orders: Vec<Value>,
+    /// Fencing tokens of the orders that were refused for them.
+    refused_tokens: Vec<u64>,
     dropped: usize,
     /// Connections on which a request came.
     connections: usize,
@@ -60,6 +62,8 @@
     weights: Mutex<u64>,
     /// Whether orders get an answer.
     answers_orders: Mutex<bool>,
+    /// The lowest fencing token that it takes orders with.
+    lowest_token: Mutex<u64>,
     notes: Mutex<Notes>,
     seen: async_channel::Sender<()>,
 }
@@ -85,6 +89,7 @@
             cache_events: Mutex::default(),
             weights: Mutex::new(1),
             answers_orders: Mutex::new(true),
+            lowest_token: Mutex::new(0),
             notes: Mutex::default(),
             seen,
         });
@@ -126,6 +131,17 @@
         *self.shared.answers_orders.lock().expect("answers") = answers;
     }
 
+    /// It has seen this fencing token, and takes no orders with lower ones.
+    pub fn see_token(&self, token: u64) {
+        *self.shared.lowest_token.lock().expect("token") = token;
+    }
+
+    /// Fencing tokens of the orders that it refused for them.
+    pub fn refused_tokens(&self) -> Vec<u64> {
+        let notes = self.shared.notes.lock().expect("notes");
+        notes.refused_tokens.clone()
+    }
+
     /// Its cache keeps so many tokens of a part from now on.
     pub fn keep(&self, salt: &str, part: u64, tokens: u64) {
         let event = (salt.to_owned(), part, tokens);
@@ -251,7 +267,12 @@
         text = json!({"weights": weights, "orders": orders}).to_string();
     } else {
         let order: Value = serde_json::from_slice(body).expect("an order");
-        if order["expected"].as_u64() != Some(orders) {
+        let token = order["token"].as_u64().unwrap_or(0);
+        if token < *shared.lowest_token.lock().expect("token") {
+            let mut notes = shared.notes.lock().expect("notes");
+            notes.refused_tokens.push(token);
+            answer.status = 412;
+        } else if order["expected"].as_u64() != Some(orders) {
             answer.status = 409;
         } else {
             *shared.weights.lock().expect("weights") = order["version"].as_u64().unwrap_or(0);
