--- a/crates/gateway/tests/kept_connections.rs
+++ b/crates/gateway/tests/kept_connections.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use support::caller::request;
+use support::caller::{self, request};
 use support::engine::{Behaviour, StandInEngine};
-use support::Fixture;
+use support::{configuration, Fixture};
 
 /// Sends requests one after the other; tells on how many connections they came.
 async fn connections(behaviour: Behaviour, hosts: &[&str]) -> usize {
@@ -59,3 +59,26 @@
         assert!(fixture.gateway.kept_connections().is_empty());
     });
 }
+
+/// LOST: a request from a kept connection that was passed on to an engine has an answer,
+/// whatever becomes of the engine's own connection.
+#[test]
+fn a_callers_kept_connection_outlives_those_to_engines() {
+    smol::block_on(async {
+        let forgetful = StandInEngine::start("app-1", "app", Behaviour::ForgetConnection).await;
+        let broken = StandInEngine::start("app-2", "app", Behaviour::Reset).await;
+        let budget = "[attempts]\nretry_reserve = 50.0\n";
+        let engines = [&forgetful, &broken];
+        let fixture = Fixture::with(&engines, configuration(1), budget).await;
+        let first = request("safe.test", "r0");
+        let mut connection = caller::open(fixture.running().callers, &first).await;
+        for number in 0..8 {
+            let answer = caller::read(&mut connection).await.expect("an answer");
+            assert_eq!(answer.text(), format!("answer to r{number}"));
+            let mut next = request("safe.test", &format!("r{}", number + 1)).head;
+            next.headers.set("content-length", "0");
+            connection.write_all(&next.encode()).await.expect("write");
+        }
+        assert!(forgetful.connections() > 1);
+    });
+}
