--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -115,7 +115,7 @@
     pub sender: PeerId,
     /// Its zone.
     pub zone: ZoneTag,
-    /// Its life; a later one is higher.
+    /// Its life, by the time of day at its start: see [`ReportPosition`].
     pub life: u64,
     /// Rises with each report of a life.
     pub sequence: u64,
--- a/crates/balancing/src/relayed_loads.rs
+++ b/crates/balancing/src/relayed_loads.rs
@@ -21,7 +21,7 @@
 pub struct RelayedReport {
     /// The relay.
     pub sender: PeerId,
-    /// Its life; a later one is higher.
+    /// Its life, by the time of day at its start: see [`ReportPosition`].
     pub life: u64,
     /// Rises with each report of a life.
     pub sequence: u64,
--- a/crates/balancing/src/report_position.rs
+++ b/crates/balancing/src/report_position.rs
@@ -9,6 +9,9 @@
 
 /// Life and number of the last report of a sender, and when it came.
 ///
+/// Each place that hears reports of nodes, of relays or of the sums of a zone has one
+/// for each sender.
+///
 /// A node names its life by the time of day at its start, which may be set back: a
 /// node that restarts then would not be heard for as long as its last life is
 /// remembered. So a lower life counts as an earlier one only as long as a report of
@@ -40,7 +43,8 @@
         self.heard_at
     }
 
-    /// Whether this report was sent after another one, or is the same.
+    /// Whether this report was sent after one that comes now, or is the same. Of a
+    /// lower life that is so for half a second only.
     pub fn overtakes(&self, life: u64, sequence: u64, now: Millis) -> bool {
         if life < self.life {
             return now.since(self.heard_at) < DELAYED_MS;
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -15,6 +15,11 @@
 /// The holder stops acting when it has not renewed for so long, in milliseconds.
 pub const STOP_ACTING_AFTER_MS: u64 = 4_000;
 
+/// Pause after an engine refused a token before the next write, in milliseconds: an
+/// engine that refuses each token must not keep the store busy. An order waits for the
+/// store and the engine some 100 ms at most, so a load is late by little more than this.
+const REFUSED_PAUSE_MS: u64 = 250;
+
 /// Durations of a lease. Two holders never act within
 /// `duration_ms - stop_acting_after_ms` of each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +68,9 @@
     seen_at: Millis,
     renewed_at: Option<Millis>,
     writing_since: Option<Millis>,
+    /// The highest token that an engine has refused; 0 for none.
+    refused_token: u64,
+    refused_at: Option<Millis>,
 }
 
 impl LeaseView {
@@ -81,6 +89,8 @@
             seen_at: Millis(0),
             renewed_at: None,
             writing_since: None,
+            refused_token: 0,
+            refused_at: None,
         }
     }
 
@@ -139,16 +149,19 @@
         self.writing_since = None;
     }
 
-    /// An engine refused this token because it has seen a higher one: it gives no more
-    /// orders. The next renewal raises it.
-    pub fn on_token_refused(&mut self, token: u64) {
-        let is_present = self
-            .seen
-            .as_ref()
-            .is_some_and(|(_, spec)| self.is_own(spec) && spec.fencing_token == token);
-        if is_present {
-            self.renewed_at = None;
-        }
+    /// An engine refused an order of this node because it has seen a higher token:
+    /// this node gives no more orders under this one, also when a renewal of it is on
+    /// its way, and the next write raises it. A store whose lease was lost may have
+    /// forgotten that another machine has had the raised token: engines cannot tell
+    /// the two apart, so the store must keep the lease.
+    pub fn on_token_refused(&mut self, token: u64, now: Millis) {
+        self.refused_token = self.refused_token.max(token);
+        self.refused_at = Some(now);
+    }
+
+    /// Whether an engine has refused the token of this description, or a higher one.
+    fn is_refused(&self, spec: &LeaseSpec) -> bool {
+        spec.fencing_token <= self.refused_token
     }
 
     /// The token for orders, while this node may act as the holder.
@@ -156,7 +169,8 @@
         let renewed_at = self.renewed_at?;
         let (_, spec) = self.seen.as_ref()?;
         let fresh = now.since(renewed_at) < self.timing.stop_acting_after_ms;
-        (fresh && self.is_own(spec)).then_some(spec.fencing_token)
+        let is_valid = fresh && self.is_own(spec) && !self.is_refused(spec);
+        is_valid.then_some(spec.fencing_token)
     }
 
     /// What to do at `now`. `wants` tells whether this node is a candidate.
@@ -164,7 +178,10 @@
         let writing = self
             .writing_since
             .is_some_and(|since| now.since(since) < self.timing.renew_after_ms);
-        if writing {
+        let pauses = self
+            .refused_at
+            .is_some_and(|refused_at| now.since(refused_at) < REFUSED_PAUSE_MS);
+        if writing || pauses {
             return LeaseStep::Wait;
         }
         let (version, token) = match &self.seen {
@@ -172,11 +189,12 @@
             None => return LeaseStep::Wait,
             Some((version, spec)) if self.is_own(spec) => {
                 let renewed = self.renewed_at.unwrap_or(Millis(0));
-                if now.since(renewed) < self.timing.renew_after_ms {
+                let is_refused = self.is_refused(spec);
+                if now.since(renewed) < self.timing.renew_after_ms && !is_refused {
                     return LeaseStep::Wait;
                 }
                 // After a pause beyond the lease somebody else may have acted.
-                let lapsed = now.since(renewed) >= self.timing.stop_acting_after_ms;
+                let lapsed = is_refused || now.since(renewed) >= self.timing.stop_acting_after_ms;
                 (*version, spec.fencing_token + u64::from(lapsed))
             }
             Some((version, spec)) => {
--- a/crates/cluster/tests/lease_schedules.rs
+++ b/crates/cluster/tests/lease_schedules.rs
@@ -36,6 +36,8 @@
     Look,
     /// The node gives an order, if it may.
     Order,
+    /// An engine refuses the token of an order that the node has just given.
+    Refused,
     /// The node's process starts anew.
     Restart,
 }
@@ -75,6 +77,7 @@
     views: Vec<LeaseView>,
     lives: u64,
     orders: Vec<(Millis, usize, u64)>,
+    refused: Vec<u64>,
 }
 
 impl World {
@@ -89,6 +92,7 @@
             views: Vec::new(),
             lives: 0,
             orders: Vec::new(),
+            refused: Vec::new(),
         };
         for node in 0..NODES {
             let view = world.new_view(node);
@@ -165,9 +169,16 @@
             Action::Look => self.look(node),
             Action::Order => {
                 if let Some(token) = self.views[node].token(self.now) {
+                    assert!(!self.refused.contains(&token), "a refused token again");
                     self.orders.push((self.now, node, token));
                 }
             }
+            Action::Refused => {
+                if let Some(token) = self.views[node].token(self.now) {
+                    self.views[node].on_token_refused(token, self.now);
+                    self.refused.push(token);
+                }
+            }
             Action::Restart => self.views[node] = self.new_view(node),
         }
     }
@@ -201,6 +212,7 @@
         6 => write().prop_map(Action::Keep),
         2 => Just(Action::Look),
         6 => Just(Action::Order),
+        1 => Just(Action::Refused),
         1 => Just(Action::Restart),
     ]
 }
@@ -261,3 +273,41 @@
     assert_eq!(world.orders.last().map(|order| order.1), Some(1));
     world.check().expect("the orders");
 }
+
+#[test]
+fn a_renewal_on_its_way_does_not_revive_a_refused_token() {
+    let mut world = World::new();
+    world.act(0, Action::Keep(Write::Answered));
+    world.now = world.now.plus(TIMING.renew_after_ms);
+    let LeaseStep::Write {
+        version,
+        spec,
+        began,
+    } = world.views[0].step(true, 99, world.now)
+    else {
+        panic!("a renewal was due");
+    };
+    let refused = world.views[0].token(world.now).expect("a token");
+    world.views[0].on_token_refused(refused, world.now);
+    let revision = world.store.put(version.0, spec.clone()).expect("stored");
+    world.views[0].on_written(ResourceVersion(revision), spec, began, world.now);
+    assert_eq!(world.views[0].token(world.now), None);
+    world.now = world.now.plus(TIMING.renew_after_ms);
+    world.act(0, Action::Keep(Write::Answered));
+    assert_eq!(world.views[0].token(world.now), Some(refused + 1));
+}
+
+#[test]
+fn a_holder_that_was_overtaken_conflicts_and_waits() {
+    let mut world = World::new();
+    world.act(0, Action::Keep(Write::Answered));
+    world.act(1, Action::Look);
+    world.now = world.now.plus(TIMING.duration_ms);
+    world.act(1, Action::Keep(Write::Answered));
+    let successor = world.views[1].token(world.now).expect("a token");
+    world.views[0].on_token_refused(successor - 1, world.now);
+    world.now = world.now.plus(TIMING.renew_after_ms);
+    world.act(0, Action::Keep(Write::Answered));
+    assert_eq!(world.views[0].token(world.now), None);
+    assert_eq!(world.views[1].token(world.now), Some(successor));
+}
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -55,7 +55,7 @@
     let mut beliefs = gateway.beliefs();
     beliefs.relaying.note_zone_reporter(from, now);
     // The relays of a zone report the same sums. They count as one sender, of whom
-    // the later life is heard until it falls silent.
+    // the higher life is heard until it is silent for as long as a report may be late.
     let loads = LoadReport {
         sender: PeerId(u64::from(report.loads.zone.0)),
         ..report.loads.clone()
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -174,7 +174,8 @@
             "answer" => format!("{answer:?}"));
         let answer = answer.ok();
         if answer == Some(OrderAnswer::FenceTooLow) {
-            self.holder.note_token_refused(fencing_token);
+            self.holder
+                .note_token_refused(&self.engine.instance, fencing_token);
         }
         self.after_order(answer, version)
     }
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/weights/holder.rs
@@ -6,6 +6,7 @@
 use crate::state::Gateway;
 use crate::store::StoreClient;
 use crate::time::unix_ms;
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_cluster::lease::{LeaseStep, LeaseTiming, LeaseView};
 use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion};
 use ploverlift_policy::objects::LeaseSpec;
@@ -80,10 +81,11 @@
     }
 
     /// An engine refused a token because it has seen a higher one.
-    pub fn note_token_refused(&self, token: u64) {
-        slog::warn!(self.gateway.log, "an engine has seen a higher fencing token";
-            "token" => token);
-        self.view().on_token_refused(token);
+    pub fn note_token_refused(&self, engine: &InstanceId, token: u64) {
+        slog::warn!(self.gateway.log, "fencing token refused";
+            "engine" => &engine.0, "token" => token);
+        let now = self.gateway.clock.now();
+        self.view().on_token_refused(token, now);
     }
 
     /// Whether this node was the last holder that it knows of.
--- a/crates/ratelimit/src/accounts.rs
+++ b/crates/ratelimit/src/accounts.rs
@@ -144,12 +144,15 @@
             return;
         }
         let is_other_life = known.is_some_and(|known| known.life() != report.life);
+        // A lower life may be an earlier one after all, held up for long: what it had
+        // admitted before it is heard is not counted.
+        let is_later_life = known.is_some_and(|known| known.life() < report.life);
         if is_other_life {
             self.part(part_id, now).begin_life(report.sender);
         }
         self.hear(part_id, now);
         let is_node = matches!(part_id, PartId::Node(_));
-        let is_known_from_start = is_node && (is_other_life || self.since.is_none());
+        let is_known_from_start = is_node && (is_later_life || self.since.is_none());
         let part = self.part(part_id, now);
         part.note_report(report, is_known_from_start, now);
         for used in &report.uses {
--- a/crates/ratelimit/src/reports.rs
+++ b/crates/ratelimit/src/reports.rs
@@ -36,7 +36,8 @@
 pub struct UseReport {
     /// Who reports.
     pub sender: PeerId,
-    /// Its life; a later one is higher.
+    /// Its life, by the time of day at its start: see
+    /// [`ploverlift_balancing::report_position::ReportPosition`].
     pub life: u64,
     /// Rises with each report of a life.
     pub sequence: u64,
@@ -67,7 +68,8 @@
 pub struct LevelReport {
     /// The relay.
     pub sender: PeerId,
-    /// Its life; a later one is higher.
+    /// Its life, by the time of day at its start: see
+    /// [`ploverlift_balancing::report_position::ReportPosition`].
     pub life: u64,
     /// Rises with each report of a life.
     pub sequence: u64,
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -3,9 +3,10 @@
 use crate::configuration::{Route, ServiceName, WeightedTarget};
 use std::collections::HashMap;
 
-/// Turns among which a route's first one is drawn: as many as let a part of one in a
-/// thousand be the first.
-const ROUND: f64 = 1_000.0;
+/// Turns among which a route's first one is drawn. It is a whole number of rounds for
+/// weights in percent or in thousandths; for others a target with a small weight is
+/// first a little too often or too rarely, and one under a thousandth never is.
+const START_TURNS: f64 = 1_000.0;
 
 /// Chooses targets so that at every moment each has had its share, by the
 /// smooth weighted round robin: the target that is furthest behind is next.
@@ -17,8 +18,8 @@
 impl WeightedSplitter {
     /// The service for the next request of a route. `start` in 0 to 1 tells
     /// where a route begins; nodes that begin alike would serve their first
-    /// requests alike, and in a large fleet with few requests a node the small
-    /// parts of a split would get nothing.
+    /// requests alike, and in a large fleet with few requests a node the
+    /// targets with a small weight would get nothing.
     pub fn next<'a>(&mut self, route: &'a Route, start: f64) -> Option<&'a ServiceName> {
         if route.targets.len() < 2 {
             return route.targets.first().map(|target| &target.service);
@@ -26,7 +27,7 @@
         let credits = self.credits.entry(route.name.clone()).or_default();
         if credits.len() != route.targets.len() {
             *credits = vec![0.0; route.targets.len()];
-            for _ in 0..(start * ROUND) as usize {
+            for _ in 0..(start * START_TURNS) as usize {
                 next_target(credits, &route.targets);
             }
         }
