--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -158,6 +158,7 @@
     fn note_no_choice(&mut self, none: NoChoice) {
         let reason = match none {
             NoChoice::NoEngine => "the service has no engine",
+            NoChoice::SoftwareHeldBack => "no engine has a version that may serve",
             NoChoice::WeightsTooOld => "no engine has the new weights yet",
             NoChoice::AllTried => return,
         };
@@ -215,6 +216,8 @@
                 .finish(&self.gateway, &self.received, outcome, &reason);
             return self.answer.whole(failure.head, &failure.body).await;
         }
+        // Given back before the caller hears: it may come again at once.
+        self.received.admission.reservation = None;
         let refusal = self.refusal(reason);
         let outcome = match refusal.kind {
             RefusalKind::NotRun => "refused",
