--- /dev/null
+++ b/crates/rollout/src/counts.rs
@@ -0,0 +1,272 @@
+//! What a node reports of a running rollout, and sums over the fleet.
+//!
+//! All counts are cumulative since the node's life began to count for the rollout, so
+//! a report that is late, doubled or lost changes no sum: of each node and life the
+//! highest counts stand. A restarted node has a later life, whose counts are added to
+//! those of the former one.
+
+use crate::first_byte::FirstByteHistogram;
+use crate::stage::RolloutNumber;
+use ploverlift_balancing::peer_loads::PeerId;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A route, named by the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RouteTag(pub u32);
+
+impl RouteTag {
+    /// The route with this name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+/// One side of the comparison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// Engines of the target version.
+    Target,
+    /// Engines of any other version.
+    Established,
+}
+
+/// How engines of one side answered on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SideCounts {
+    /// Outcomes, failures among them.
+    pub answers: u64,
+    /// Answers that failed, broke off or never came.
+    pub failures: u64,
+    /// Times to the first byte.
+    pub first_byte: FirstByteHistogram,
+}
+
+impl SideCounts {
+    fn highest(&mut self, other: &Self) {
+        self.answers = self.answers.max(other.answers);
+        self.failures = self.failures.max(other.failures);
+        self.first_byte.highest(&other.first_byte);
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.failures += other.failures;
+        self.first_byte.add(&other.first_byte);
+    }
+
+    /// What was added since an earlier reading.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            answers: self.answers.saturating_sub(earlier.answers),
+            failures: self.failures.saturating_sub(earlier.failures),
+            first_byte: self.first_byte.since(&earlier.first_byte),
+        }
+    }
+}
+
+/// What was counted on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RouteCounts {
+    /// Whether its requests may run more than once.
+    pub is_repeatable: bool,
+    /// Requests that reached the service, each counted once.
+    pub requests: u64,
+    /// Arrivals at engines of the target, retries and second attempts among them.
+    pub target_arrivals: u64,
+    /// How engines of the target answered.
+    pub target: SideCounts,
+    /// How the other engines answered.
+    pub established: SideCounts,
+}
+
+impl RouteCounts {
+    /// The counts of one side.
+    pub fn side(&self, side: Side) -> &SideCounts {
+        match side {
+            Side::Target => &self.target,
+            Side::Established => &self.established,
+        }
+    }
+
+    fn highest(&mut self, other: &Self) {
+        self.is_repeatable |= other.is_repeatable;
+        self.requests = self.requests.max(other.requests);
+        self.target_arrivals = self.target_arrivals.max(other.target_arrivals);
+        self.target.highest(&other.target);
+        self.established.highest(&other.established);
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.is_repeatable |= other.is_repeatable;
+        self.requests += other.requests;
+        self.target_arrivals += other.target_arrivals;
+        self.target.add(&other.target);
+        self.established.add(&other.established);
+    }
+}
+
+/// Counts by route.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// By route.
+    pub routes: BTreeMap<RouteTag, RouteCounts>,
+}
+
+impl Counts {
+    /// Counts a request that reached the service: at its first attempt.
+    pub fn note_request(&mut self, route: RouteTag, is_repeatable: bool) {
+        let counts = self.routes.entry(route).or_default();
+        counts.is_repeatable = is_repeatable;
+        counts.requests += 1;
+    }
+
+    /// Counts an attempt that was sent to an engine of the target.
+    pub fn note_target_arrival(&mut self, route: RouteTag) {
+        self.routes.entry(route).or_default().target_arrivals += 1;
+    }
+
+    /// Counts how an attempt went.
+    pub fn note_answer(&mut self, route: RouteTag, side: Side, answer: &Answer) {
+        let counts = self.routes.entry(route).or_default();
+        let side = match side {
+            Side::Target => &mut counts.target,
+            Side::Established => &mut counts.established,
+        };
+        side.answers += 1;
+        side.failures += u64::from(answer.has_failed);
+        if let Some(first_byte_ms) = answer.first_byte_ms {
+            side.first_byte.note(first_byte_ms);
+        }
+    }
+
+    /// Requests of all routes.
+    pub fn requests(&self) -> u64 {
+        self.routes.values().map(|route| route.requests).sum()
+    }
+
+    /// Arrivals at the target on all routes.
+    pub fn target_arrivals(&self) -> u64 {
+        self.routes
+            .values()
+            .map(|route| route.target_arrivals)
+            .sum()
+    }
+
+    /// One side's counts on all routes.
+    pub fn all_routes(&self, side: Side) -> SideCounts {
+        let mut sum = SideCounts::default();
+        for route in self.routes.values() {
+            sum.add(route.side(side));
+        }
+        sum
+    }
+
+    /// The higher of each count.
+    pub fn highest(&mut self, other: &Self) {
+        for (route, counts) in &other.routes {
+            self.routes.entry(*route).or_default().highest(counts);
+        }
+    }
+
+    /// Adds each count.
+    pub fn add(&mut self, other: &Self) {
+        for (route, counts) in &other.routes {
+            self.routes.entry(*route).or_default().add(counts);
+        }
+    }
+}
+
+/// How an attempt went, for the comparison of versions. Refusals (full, loading,
+/// leaving) and attempts without a connection are none; the caller leaves out engines
+/// that are cold, load weights, or are ejected or cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Whether it failed, broke off or never came.
+    pub has_failed: bool,
+    /// Time from the send to the first byte of content, in milliseconds.
+    pub first_byte_ms: Option<u64>,
+}
+
+/// What a node reports of a rollout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CountReport {
+    /// The rollout.
+    pub rollout: RolloutNumber,
+    /// The node.
+    pub node: PeerId,
+    /// Its life; a later one is higher.
+    pub life: u64,
+    /// Cumulative since its life began.
+    pub counts: Counts,
+}
+
+/// What all nodes have counted of one rollout, as known here.
+#[derive(Clone, Debug, Default)]
+pub struct FleetCounts {
+    rollout: RolloutNumber,
+    reported: BTreeMap<(PeerId, u64), Counts>,
+    sums: Counts,
+}
+
+impl FleetCounts {
+    /// Nothing known yet of a rollout.
+    pub fn of(rollout: RolloutNumber) -> Self {
+        Self {
+            rollout,
+            ..Self::default()
+        }
+    }
+
+    /// The rollout.
+    pub fn rollout(&self) -> RolloutNumber {
+        self.rollout
+    }
+
+    /// Takes in a report, or what a relay passes on of one; those of another rollout
+    /// change nothing. True if a count has risen.
+    pub fn take(&mut self, report: &CountReport) -> bool {
+        if report.rollout != self.rollout {
+            return false;
+        }
+        let key = (report.node, report.life);
+        let known = self.reported.entry(key).or_default();
+        let before = known.clone();
+        known.highest(&report.counts);
+        if *known == before {
+            return false;
+        }
+        self.sums = sum_of(self.reported.values());
+        true
+    }
+
+    /// Sums over the fleet.
+    pub fn sums(&self) -> &Counts {
+        &self.sums
+    }
+
+    /// Each node and life with its counts, for a relay to pass on.
+    pub fn reports(&self) -> impl Iterator<Item = CountReport> + '_ {
+        self.reported
+            .iter()
+            .map(|((node, life), counts)| CountReport {
+                rollout: self.rollout,
+                node: *node,
+                life: *life,
+                counts: counts.clone(),
+            })
+    }
+
+    /// What one life of a node has counted.
+    pub fn of_life(&self, node: PeerId, life: u64) -> Option<&Counts> {
+        self.reported.get(&(node, life))
+    }
+}
+
+fn sum_of<'a>(counts: impl Iterator<Item = &'a Counts>) -> Counts {
+    let mut sum = Counts::default();
+    for counts in counts {
+        sum.add(counts);
+    }
+    sum
+}
--- /dev/null
+++ b/crates/rollout/src/detector.rs
@@ -0,0 +1,1 @@
+//! A sequential test that finds a change whenever it happens.
--- /dev/null
+++ b/crates/rollout/src/first_byte.rs
@@ -0,0 +1,66 @@
+//! A coarse histogram of times to the first byte of an answer.
+
+/// Buckets of a histogram.
+pub const BUCKETS: usize = 24;
+/// End of the first bucket, in milliseconds; each next one ends √2 times later, the
+/// last but one at about 8 s. Slower by 2 is two buckets.
+const FIRST_BUCKET_MS: f64 = 4.0;
+
+/// Times to the first byte, by buckets of √2.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FirstByteHistogram {
+    /// Answers in each bucket.
+    pub buckets: [u32; BUCKETS],
+}
+
+impl FirstByteHistogram {
+    /// Takes in an answer whose first byte took so long, in milliseconds.
+    pub fn note(&mut self, first_byte_ms: u64) {
+        self.buckets[bucket_of(first_byte_ms)] += 1;
+    }
+
+    /// All answers.
+    pub fn total(&self) -> u64 {
+        self.buckets.iter().map(|&count| u64::from(count)).sum()
+    }
+
+    /// Answers in a bucket or a later one.
+    pub fn from_bucket(&self, bucket: usize) -> u64 {
+        let later = self.buckets.iter().skip(bucket);
+        later.map(|&count| u64::from(count)).sum()
+    }
+
+    /// Adds the answers of another histogram.
+    pub fn add(&mut self, other: &Self) {
+        for (count, more) in self.buckets.iter_mut().zip(other.buckets) {
+            *count = count.saturating_add(more);
+        }
+    }
+
+    /// What was added since an earlier reading.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut added = *self;
+        for (count, before) in added.buckets.iter_mut().zip(earlier.buckets) {
+            *count = count.saturating_sub(before);
+        }
+        added
+    }
+
+    /// The higher count of each bucket: what two reports of one node show, whichever
+    /// was sent first.
+    pub fn highest(&mut self, other: &Self) {
+        for (count, reported) in self.buckets.iter_mut().zip(other.buckets) {
+            *count = (*count).max(reported);
+        }
+    }
+}
+
+/// The bucket of a time, in milliseconds.
+pub fn bucket_of(first_byte_ms: u64) -> usize {
+    let ratio = first_byte_ms as f64 / FIRST_BUCKET_MS;
+    if ratio < 1.0 {
+        return 0;
+    }
+    let bucket = (ratio.log2() * 2.0).floor() as usize + 1;
+    bucket.min(BUCKETS - 1)
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,7 +1,40 @@
 //! Progressive delivery of an engine's software: moving a service's traffic to
 //! engines of another version, and back when that version is bad.
 //!
-//! Pure state machines: time, counts and stored documents are arguments. The
-//! gateway stores, reports and enforces what they decide.
+//! Pure state machines: time, counts and stored documents are arguments; no I/O, no
+//! clock, no randomness. The gateway stores, reports and enforces what they decide.
+//!
+//! ```text
+//! order + status ──▶ progress ──▶ gate of each node ──▶ software rule of a request
+//!                       ▲               │
+//!                       │               ▼
+//!                    decider ◀── counts in reports ──▶ fleet sums
+//! ```
+//!
+//! | module | concern |
+//! | --- | --- |
+//! | [`order`] | what the operator orders, and the state that is recorded with it |
+//! | [`settings`] | bounds that a rollout keeps |
+//! | [`stage`] | stages, epochs, and what a successor of the decider needs |
+//! | [`first_byte`] | a coarse histogram of times to the first byte |
+//! | [`counts`] | what nodes count and report, and sums over the fleet |
+//! | [`credits`] | how many requests a node may send to the target by itself |
+//! | [`share`] | a node's gate: which versions may serve this request |
+//! | [`placement`] | engines of a version that can't be placed yet |
+//! | [`detector`] | a sequential test that finds a change |
+//! | [`evidence`] | target against established engines, by route |
+//! | [`schedule`] | when to cut over so that the exposure stays within its bound |
+//! | [`decider`] | the lease holder's state machine |
 
+pub mod counts;
+pub mod credits;
+pub mod decider;
+pub mod detector;
+pub mod evidence;
+pub mod first_byte;
 pub mod order;
+pub mod placement;
+pub mod schedule;
+pub mod settings;
+pub mod share;
+pub mod stage;
--- /dev/null
+++ b/crates/rollout/src/placement.rs
@@ -0,0 +1,40 @@
+//! Engines of a software version that can't be placed yet.
+//!
+//! Records of engines and orders carry revisions of one counter. A record that is newer
+//! than the revision up to which orders are known may belong to an order that is not
+//! known yet, unless its version serves already.
+
+use ploverlift_routing::software::SoftwareVersion;
+use std::collections::BTreeSet;
+
+/// What a node knows of a service's versions and orders.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionLedger {
+    orders_known_up_to: u64,
+    serving: BTreeSet<SoftwareVersion>,
+}
+
+impl VersionLedger {
+    /// All orders up to a revision of the store are known.
+    pub fn note_orders_known_up_to(&mut self, revision: u64) {
+        self.orders_known_up_to = self.orders_known_up_to.max(revision);
+    }
+
+    /// An engine of a version is known, by a record of this revision. A version whose
+    /// record can be placed counts as serving from then on.
+    pub fn note_engine(&mut self, version: &SoftwareVersion, record_revision: u64) {
+        if record_revision <= self.orders_known_up_to && !self.serving.contains(version) {
+            self.serving.insert(version.clone());
+        }
+    }
+
+    /// No engine of a version is left: if it comes back, that may be by an order.
+    pub fn forget(&mut self, version: &SoftwareVersion) {
+        self.serving.remove(version);
+    }
+
+    /// Whether an engine can be placed: only such engines may get requests.
+    pub fn is_placed(&self, version: &SoftwareVersion, record_revision: u64) -> bool {
+        record_revision <= self.orders_known_up_to || self.serving.contains(version)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/schedule.rs
@@ -0,0 +1,1 @@
+//! When to cut over so that the exposure stays within its bound, whatever happens.
