--- /dev/null
+++ b/crates/rollout/src/canary_choice.rs
@@ -0,0 +1,97 @@
+//! Which of a node's requests are the canary's, once it may send one.
+
+use crate::counts::{Counts, RouteCounts};
+use crate::share::CanaryRequest;
+use crate::stage::{RolloutNumber, MILLION};
+use ploverlift_routing::prompt::ChainKey;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Part of all prompts that the canary prefers, as a multiple of its share: enough that
+/// their requests use it up, few enough that the target's caches are warm.
+const PROMPTS_PER_SHARE: u64 = 4;
+/// Share of a route's requests that the canary gets, as a multiple of the whole share,
+/// while the credits suffice for no more.
+const ROUTE_PART: f64 = 1.5;
+/// The same of a route whose requests may run once only.
+const ONCE_ROUTE_PART: f64 = 0.5;
+/// Arrivals that each route gets beyond its part, so that rare routes are judged.
+const ROUTE_START: f64 = 3.0;
+/// Answers of the target on routes whose requests may be repeated, before it gets one
+/// that may run once only.
+pub const SHOWN_ANSWERS: u64 = 20;
+/// Of those answers, at most one of so many may have failed.
+const SHOWN_FAILURES_PART: u64 = 20;
+/// Requests of a service after which it is known whether any may be repeated.
+const KNOWN_ROUTES_REQUESTS: u64 = 50;
+
+/// How much the fleet wants the canary's next request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// It keeps to the preferred prompts.
+    ChosenPrompts,
+    /// The preferred prompts do not use the share up.
+    AnyPrompt,
+}
+
+/// Whether a request is the canary's.
+pub fn is_chosen(
+    request: &CanaryRequest,
+    known: &Counts,
+    share_ppm: u32,
+    rollout: RolloutNumber,
+    urgency: Urgency,
+) -> bool {
+    has_part(request, known, share_ppm)
+        && (request.is_repeatable || is_shown(known))
+        && (urgency == Urgency::AnyPrompt || is_preferred(request.prompt, share_ppm, rollout))
+}
+
+/// Whether the canary prefers a prompt; requests without one are all alike.
+fn is_preferred(prompt: Option<ChainKey>, share_ppm: u32, rollout: RolloutNumber) -> bool {
+    let Some(prompt) = prompt else {
+        return true;
+    };
+    let place = xxh3_64_with_seed(&prompt.0.to_le_bytes(), rollout.0) % MILLION;
+    place < PROMPTS_PER_SHARE * u64::from(share_ppm)
+}
+
+/// Whether the route's part of the canary is not used up.
+fn has_part(request: &CanaryRequest, known: &Counts, share_ppm: u32) -> bool {
+    let nothing = RouteCounts::default();
+    let counts = known.routes.get(&request.route).unwrap_or(&nothing);
+    let part = match request.is_repeatable {
+        true => ROUTE_PART,
+        false => ONCE_ROUTE_PART,
+    };
+    let share = part * f64::from(share_ppm) / MILLION as f64;
+    (counts.target_arrivals as f64) < share * counts.requests as f64 + ROUTE_START
+}
+
+/// Whether requests that may be repeated have shown the version, or there are none.
+fn is_shown(known: &Counts) -> bool {
+    let repeatable = || known.routes.values().filter(|route| route.is_repeatable);
+    let requests: u64 = repeatable().map(|route| route.requests).sum();
+    if requests == 0 {
+        return known.requests() >= KNOWN_ROUTES_REQUESTS;
+    }
+    let answers: u64 = repeatable().map(|route| route.target.answers).sum();
+    let failures: u64 = repeatable().map(|route| route.target.failures).sum();
+    answers >= SHOWN_ANSWERS && failures * SHOWN_FAILURES_PART <= answers
+}
+
+/// How many engines of the target serve the canary, so that each carries as much as an
+/// established one does; two at least, so that a bad engine is told from a bad version.
+pub fn canary_engines(target: usize, established: usize, share_ppm: u32) -> usize {
+    let share = f64::from(share_ppm) / MILLION as f64;
+    let carrying = (share * established as f64).ceil() as usize;
+    carrying.max(2).min(target)
+}
+
+/// Which engines those are: the same at each node, without a word between them. Takes
+/// the hashes of the names of the target's engines that may serve.
+pub fn canary_subset(engines: &[u64], count: usize, rollout: RolloutNumber) -> Vec<u64> {
+    let mut ordered = engines.to_vec();
+    ordered.sort_by_key(|engine| xxh3_64_with_seed(&engine.to_le_bytes(), rollout.0));
+    ordered.truncate(count);
+    ordered
+}
--- a/crates/rollout/src/counts.rs
+++ b/crates/rollout/src/counts.rs
@@ -97,6 +97,16 @@
         self.established.highest(&other.established);
     }
 
+    fn since(&self, earlier: &Self) -> Self {
+        Self {
+            is_repeatable: self.is_repeatable,
+            requests: self.requests.saturating_sub(earlier.requests),
+            target_arrivals: self.target_arrivals.saturating_sub(earlier.target_arrivals),
+            target: self.target.since(&earlier.target),
+            established: self.established.since(&earlier.established),
+        }
+    }
+
     fn add(&mut self, other: &Self) {
         self.is_repeatable |= other.is_repeatable;
         self.requests += other.requests;
@@ -106,11 +116,26 @@
     }
 }
 
-/// Counts by route.
+/// Slots among which the engines of the target are spread by the hash of their names.
+pub const ENGINE_SLOTS: usize = 16;
+
+/// How the engines of one slot answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineSlotCounts {
+    /// Outcomes, failures among them.
+    pub answers: u64,
+    /// Answers that failed, broke off or never came.
+    pub failures: u64,
+}
+
+/// Counts by route, and of the target by engine: a version is bad on each engine, a bad
+/// engine is no bad version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     /// By route.
     pub routes: BTreeMap<RouteTag, RouteCounts>,
+    /// Engines of the target, by slot.
+    pub target_engines: [EngineSlotCounts; ENGINE_SLOTS],
 }
 
 impl Counts {
@@ -128,6 +153,11 @@
 
     /// Counts how an attempt went.
     pub fn note_answer(&mut self, route: RouteTag, side: Side, answer: &Answer) {
+        if side == Side::Target {
+            let slot = &mut self.target_engines[answer.engine as usize % ENGINE_SLOTS];
+            slot.answers += 1;
+            slot.failures += u64::from(answer.has_failed);
+        }
         let counts = self.routes.entry(route).or_default();
         let side = match side {
             Side::Target => &mut counts.target,
@@ -167,6 +197,10 @@
         for (route, counts) in &other.routes {
             self.routes.entry(*route).or_default().highest(counts);
         }
+        for (slot, more) in self.target_engines.iter_mut().zip(&other.target_engines) {
+            slot.answers = slot.answers.max(more.answers);
+            slot.failures = slot.failures.max(more.failures);
+        }
     }
 
     /// Adds each count.
@@ -174,6 +208,24 @@
         for (route, counts) in &other.routes {
             self.routes.entry(*route).or_default().add(counts);
         }
+        for (slot, more) in self.target_engines.iter_mut().zip(&other.target_engines) {
+            slot.answers += more.answers;
+            slot.failures += more.failures;
+        }
+    }
+
+    /// What was added since an earlier reading.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let nothing = RouteCounts::default();
+        let mut added = self.clone();
+        for (route, counts) in &mut added.routes {
+            *counts = counts.since(earlier.routes.get(route).unwrap_or(&nothing));
+        }
+        for (slot, before) in added.target_engines.iter_mut().zip(&earlier.target_engines) {
+            slot.answers = slot.answers.saturating_sub(before.answers);
+            slot.failures = slot.failures.saturating_sub(before.failures);
+        }
+        added
     }
 }
 
@@ -182,6 +234,8 @@
 /// that are cold, load weights, or are ejected or cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answer {
+    /// Hash of the engine's name.
+    pub engine: u64,
     /// Whether it failed, broke off or never came.
     pub has_failed: bool,
     /// Time from the send to the first byte of content, in milliseconds.
@@ -233,11 +287,10 @@
         let known = self.reported.entry(key).or_default();
         let before = known.clone();
         known.highest(&report.counts);
-        if *known == before {
-            return false;
-        }
-        self.sums = sum_of(self.reported.values());
-        true
+        let added = known.since(&before);
+        let has_risen = *known != before;
+        self.sums.add(&added);
+        has_risen
     }
 
     /// Sums over the fleet.
@@ -262,11 +315,3 @@
         self.reported.get(&(node, life))
     }
 }
-
-fn sum_of<'a>(counts: impl Iterator<Item = &'a Counts>) -> Counts {
-    let mut sum = Counts::default();
-    for counts in counts {
-        sum.add(counts);
-    }
-    sum
-}
--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -1,13 +1,49 @@
 //! The lease holder's state machine: from counts and confirmations to the next stage.
+//!
+//! Each decision is a pure function of what is stored, counted and confirmed, apart from
+//! the tests of the evidence, which a successor begins anew with all counts so far. The
+//! next progress is stored on the condition of the revision that was read, so of two
+//! deciders one writes, and no stage follows an end.
 
-use crate::counts::FleetCounts;
-use crate::evidence::Finding;
+use crate::counts::{Counts, FleetCounts};
+use crate::evidence::{Evidence, Finding, Symptom};
 use crate::order::RolloutOrder;
-use crate::settings::RolloutSettings;
+use crate::schedule::{self, Exposure, RequestRate};
+use crate::settings::{RolloutSettings, Strategy};
 use crate::share::Confirmation;
-use crate::stage::{Progress, ProgressError, Recorded, RollBackCause};
+use crate::stage::{
+    Epoch, Progress, ProgressError, Recorded, RollBackCause, RolloutNumber, Stage, MILLION,
+};
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
+use ploverlift_routing::software::SoftwareVersion;
+
+/// Answers of the target in all that a cut-over needs.
+const ENOUGH_ANSWERS: u64 = 30;
+/// Answers of the target on each route that has a part of the requests worth judging.
+const ENOUGH_ROUTE_ANSWERS: u64 = 8;
+/// Part of the requests that makes a route worth judging: one of so many.
+const ROUTE_WORTH_JUDGING: u64 = 10;
+/// Suspicion (as a share of proof) from which no stage goes forward.
+const SUSPICION_TO_HOLD: f64 = 0.4;
+/// How often its duration a rollout waits for evidence or engines, from the order.
+const PATIENCE_DURATIONS: u64 = 3;
+/// Time after the deadline for which it waits at least, in milliseconds.
+const MIN_PATIENCE_MS: u64 = 10_000;
+/// Part of the established engines that the target must have to carry all.
+const ENOUGH_ENGINES_PART: f64 = 0.75;
+/// Time for which the target may have no engine in a cut-over, in milliseconds.
+const ENGINES_GONE_MS: u64 = 1_000;
+/// Time between two steps up, in milliseconds.
+const SHARE_STEP_MS: u64 = 1_000;
+/// Time that a reported arrival may be old, in milliseconds: two reports and their way.
+const REPORT_AGE_MS: u64 = 500;
+/// Silence from which a node counts as unheard, in milliseconds: five reports.
+const HEARD_LATELY_MS: u64 = 1_000;
+/// Nodes that stopped by what they saw alone, for which the version counts as bad.
+const STOPPED_NODES: usize = 3;
+/// Time for which a single one may hold a cut-over up, in milliseconds.
+const STOPPED_NODE_PATIENCE_MS: u64 = 2_000;
 
 /// A node of the fleet, as the decider knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,13 +56,13 @@
     pub confirmation: Option<Confirmation>,
 }
 
-/// Engines of the service that could serve now.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct EngineSupply {
-    /// Of the target version.
-    pub target: u32,
-    /// Of any other.
-    pub established: u32,
+/// Engines of one version that could serve now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionSupply {
+    /// The version.
+    pub version: SoftwareVersion,
+    /// Engines that are up, stay, and have the weights that are required.
+    pub engines: u32,
 }
 
 /// What the decider sees.
@@ -44,8 +80,8 @@
     pub counts: &'a FleetCounts,
     /// All nodes that the platform lists or that were heard lately, this one too.
     pub members: &'a [Member],
-    /// Engines.
-    pub engines: EngineSupply,
+    /// Engines of the service, by version.
+    pub engines: &'a [VersionSupply],
     /// Time that requests on established engines and the news of a stage take to come
     /// to their ends, p99, in milliseconds.
     pub barrier_ms: u64,
@@ -56,8 +92,19 @@
 pub enum Reason {
     /// A new order.
     Ordered,
-    /// Evidence is gathered, or the time for the cut-over has not come.
-    Holding,
+    /// A new order for the version that served before the order it supersedes.
+    OrderedBack,
+    /// Evidence is gathered.
+    GatheringEvidence,
+    /// The evidence suffices; the time for the cut-over has not come.
+    AwaitingExposure,
+    /// The target has not enough engines.
+    AwaitingEngines {
+        /// That could serve now.
+        target: u32,
+        /// Of established versions.
+        established: u32,
+    },
     /// The share rises.
     ShareRaised,
     /// All may move within the bound.
@@ -95,21 +142,450 @@
 #[derive(Clone, Debug)]
 pub struct Decider {
     settings: RolloutSettings,
+    present: Option<PresentRollout>,
+}
+
+/// What a decider has learned of the rollout that it decides on.
+#[derive(Clone, Debug)]
+struct PresentRollout {
+    number: RolloutNumber,
+    evidence: Evidence,
+    rate: RequestRate,
+    began_at: Millis,
+    target_gone_since: Option<Millis>,
+}
+
+impl PresentRollout {
+    fn of(progress: &Progress, now: Millis) -> Self {
+        Self {
+            number: progress.rollout,
+            evidence: Evidence::lasting(progress.duration_ms),
+            rate: RequestRate::default(),
+            began_at: now,
+            target_gone_since: None,
+        }
+    }
 }
 
 impl Decider {
-    /// A decider that has seen nothing yet.
+    /// A decider that has seen nothing yet: of a node that has just got the lease.
     pub fn new(settings: RolloutSettings) -> Self {
-        Self { settings }
+        Self {
+            settings,
+            present: None,
+        }
     }
 
     /// What is to follow. Call it at each tick (some 100 ms) and when counts,
     /// confirmations or the order change.
     pub fn decide(&mut self, input: &DeciderInput<'_>) -> Result<Decision, ProgressError> {
-        let _ = (&self.settings, Recorded::of(input.order)?);
-        Ok(Decision {
-            next: None,
-            reason: Reason::Holding,
+        let recorded = Recorded::of(input.order)?;
+        let progress = match recorded {
+            Recorded::Present(progress) => progress,
+            older => return Ok(self.begin(&older, input)),
+        };
+        if progress.stage.is_end() {
+            self.present = None;
+            return Ok(stay(Reason::Ended));
+        }
+        Ok(self.go_on(&progress, input))
+    }
+
+    /// The first stage of an order that supersedes what is recorded.
+    fn begin(&mut self, recorded: &Recorded, input: &DeciderInput<'_>) -> Decision {
+        self.present = None;
+        let order = input.order;
+        let (number, epoch) = match recorded {
+            Recorded::OfOlderOrder(older) | Recorded::Present(older) => {
+                (older.rollout.0 + 1, older.epoch.0 + 1)
+            }
+            Recorded::Nothing => (0, 0),
+        };
+        let avoided = avoided_versions(recorded, order);
+        let mut next = Progress {
+            rollout: RolloutNumber(number.max(order.revision)),
+            epoch: Epoch(epoch.max(order.revision)),
+            stage: Stage::Canary {
+                share_ppm: schedule::first_share_ppm(&self.settings),
+            },
+            duration_ms: order.duration_ms,
+            elapsed_ms: input.now.since(input.order_seen_at),
+            requests: 0,
+            target_arrivals: 0,
+            credits: schedule::start_credits(&self.settings),
+            avoided,
+        };
+        if order.duration_ms == 0 || order.target.0.is_empty() {
+            let cause = RollBackCause::OrderDoesNotFit;
+            next.stage = Stage::RolledBack { cause };
+            return write(next, Reason::Abandoned(cause));
+        }
+        let supply = Supply::of(input, &next);
+        let is_serving_already = !next.avoided.is_empty() && supply.target > 0;
+        if is_serving_already && supply.established == 0 {
+            next.stage = Stage::CuttingOver;
+            return write(next, Reason::OrderedBack);
+        }
+        write(next, Reason::Ordered)
+    }
+
+    fn go_on(&mut self, progress: &Progress, input: &DeciderInput<'_>) -> Decision {
+        let is_known = self
+            .present
+            .as_ref()
+            .is_some_and(|present| present.number == progress.rollout);
+        let mut present = match self.present.take() {
+            Some(present) if is_known => present,
+            _ => PresentRollout::of(progress, input.now),
+        };
+        let settings = self.settings;
+        let weighing = Weighing::of(&settings, progress, input);
+        present.take_in(&weighing);
+        let decision = match present.bad(&weighing) {
+            Some(finding) => weighing.roll_back(RollBackCause::BadAnswers, Reason::Bad(finding)),
+            None => present.next_stage(&weighing),
+        };
+        self.present = Some(present);
+        decision
+    }
+}
+
+impl PresentRollout {
+    fn take_in(&mut self, weighing: &Weighing<'_>) {
+        self.rate.note(weighing.requests(), weighing.input.now);
+        let has_target = weighing.supply.target > 0;
+        self.target_gone_since = match has_target {
+            true => None,
+            false => self.target_gone_since.or(Some(weighing.input.now)),
+        };
+    }
+
+    fn bad(&mut self, weighing: &Weighing<'_>) -> Option<Finding> {
+        let is_cutting_over = weighing.progress.stage == Stage::CuttingOver;
+        let now = weighing.input.now;
+        let by_counts = self.evidence.take(weighing.sums(), is_cutting_over, now);
+        by_counts.or_else(|| weighing.stopped_nodes())
+    }
+
+    fn next_stage(&self, weighing: &Weighing<'_>) -> Decision {
+        match weighing.progress.stage {
+            Stage::Canary { share_ppm } => self.after_canary(weighing, share_ppm),
+            Stage::CuttingOver => self.after_cut_over(weighing),
+            Stage::Completed | Stage::RolledBack { .. } => stay(Reason::Ended),
+        }
+    }
+
+    fn after_canary(&self, weighing: &Weighing<'_>, share_ppm: u32) -> Decision {
+        if !weighing.has_enough_engines() {
+            return weighing.without_engines();
+        }
+        let is_patient = !weighing.is_patience_over();
+        let is_suspicious = self.evidence.suspicion() >= SUSPICION_TO_HOLD;
+        let has_evidence = weighing.has_enough_answers() && !is_suspicious;
+        if is_patient && !has_evidence {
+            return stay(Reason::GatheringEvidence);
+        }
+        if self.is_time_to_cut_over(weighing) {
+            return weighing.go_to(Stage::CuttingOver, Reason::MayCutOver);
+        }
+        match self.raised_share_ppm(weighing, share_ppm) {
+            Some(share_ppm) => weighing.go_to(Stage::Canary { share_ppm }, Reason::ShareRaised),
+            None => stay(Reason::AwaitingExposure),
+        }
+    }
+
+    /// Within the bound whatever happens; and before the deadline only if the cut-over
+    /// can end by then, else it gains nothing.
+    fn is_time_to_cut_over(&self, weighing: &Weighing<'_>) -> bool {
+        let exposure = weighing.exposure(self.rate.per_ms());
+        let is_in_time = weighing.remaining_ms() >= weighing.input.barrier_ms;
+        let is_over = weighing.remaining_ms() == 0;
+        (is_over || is_in_time) && weighing.hears_all() && exposure.may_move_all(weighing.settings)
+    }
+
+    fn raised_share_ppm(&self, weighing: &Weighing<'_>, share_ppm: u32) -> Option<u32> {
+        let settings = weighing.settings;
+        let since = weighing.input.now.since(weighing.input.status_seen_at);
+        if settings.strategy != Strategy::Steps || since < SHARE_STEP_MS {
+            return None;
+        }
+        schedule::next_share_ppm(settings, share_ppm)
+    }
+
+    fn after_cut_over(&self, weighing: &Weighing<'_>) -> Decision {
+        let now = weighing.input.now;
+        let gone = self.target_gone_since;
+        let is_gone = gone.is_some_and(|since| now.since(since) >= ENGINES_GONE_MS);
+        if is_gone && weighing.supply.established > 0 {
+            let cause = RollBackCause::NoEngines;
+            return weighing.roll_back(cause, Reason::Abandoned(cause));
+        }
+        let exposure = weighing.exposure(self.rate.per_ms());
+        let has_established = weighing.supply.established > 0;
+        if has_established && exposure.must_stop(weighing.settings) {
+            let share_ppm = schedule::first_share_ppm(weighing.settings);
+            return weighing.go_to(Stage::Canary { share_ppm }, Reason::ExposureAhead);
+        }
+        match weighing.awaited(self.began_at) {
+            (0, _) => weighing.go_to(Stage::Completed, Reason::AllConfirmed),
+            (nodes, running) => stay(Reason::AwaitingNodes { nodes, running }),
+        }
+    }
+}
+
+/// Engines of the service, as a rollout sees them.
+#[derive(Clone, Copy, Debug)]
+struct Supply {
+    target: u32,
+    established: u32,
+}
+
+impl Supply {
+    fn of(input: &DeciderInput<'_>, progress: &Progress) -> Self {
+        let mut supply = Self {
+            target: 0,
+            established: 0,
+        };
+        for version in input.engines {
+            if version.version == input.order.target {
+                supply.target += version.engines;
+            } else if !progress.avoided.contains(&version.version) {
+                supply.established += version.engines;
+            }
+        }
+        supply
+    }
+}
+
+/// All that one decision is made by.
+struct Weighing<'a> {
+    settings: &'a RolloutSettings,
+    progress: &'a Progress,
+    input: &'a DeciderInput<'a>,
+    supply: Supply,
+}
+
+impl<'a> Weighing<'a> {
+    fn of(
+        settings: &'a RolloutSettings,
+        progress: &'a Progress,
+        input: &'a DeciderInput<'a>,
+    ) -> Self {
+        Self {
+            settings,
+            progress,
+            input,
+            supply: Supply::of(input, progress),
+        }
+    }
+
+    fn sums(&self) -> &Counts {
+        self.input.counts.sums()
+    }
+
+    fn requests(&self) -> u64 {
+        self.sums().requests().max(self.progress.requests)
+    }
+
+    /// Time since the order, at least.
+    fn elapsed_ms(&self) -> u64 {
+        let input = self.input;
+        let by_status = self.progress.elapsed_ms + input.now.since(input.status_seen_at);
+        input.now.since(input.order_seen_at).max(by_status)
+    }
+
+    fn remaining_ms(&self) -> u64 {
+        self.progress.duration_ms.saturating_sub(self.elapsed_ms())
+    }
+
+    fn is_patience_over(&self) -> bool {
+        let duration_ms = self.progress.duration_ms;
+        let patience_ms = (PATIENCE_DURATIONS * duration_ms).max(duration_ms + MIN_PATIENCE_MS);
+        self.elapsed_ms() >= patience_ms
+    }
+
+    fn has_enough_engines(&self) -> bool {
+        let needed = f64::from(self.supply.established) * ENOUGH_ENGINES_PART;
+        self.supply.target > 0 && f64::from(self.supply.target) >= needed
+    }
+
+    /// Waits for engines until the deadline; then it ends without any, or, with too few,
+    /// when patience is over.
+    fn without_engines(&self) -> Decision {
+        let has_none = self.supply.target == 0;
+        if self.is_patience_over() || (has_none && self.remaining_ms() == 0) {
+            let cause = RollBackCause::NoEngines;
+            return self.roll_back(cause, Reason::Abandoned(cause));
+        }
+        stay(Reason::AwaitingEngines {
+            target: self.supply.target,
+            established: self.supply.established,
+        })
+    }
+
+    fn has_enough_answers(&self) -> bool {
+        let sums = self.sums();
+        let answers: u64 = sums.routes.values().map(|route| route.target.answers).sum();
+        let judged = sums.routes.values().filter(|route| {
+            route.requests * ROUTE_WORTH_JUDGING >= sums.requests() && route.requests > 0
+        });
+        let each_enough =
+            |route: &crate::counts::RouteCounts| route.target.answers >= ENOUGH_ROUTE_ANSWERS;
+        answers >= ENOUGH_ANSWERS && judged.into_iter().all(each_enough)
+    }
+
+    /// What the target has got at most: what is known, what nodes that are heard have
+    /// sent since, and what the others may have sent by their highest credits.
+    fn exposure(&self, rate_per_ms: f64) -> Exposure {
+        let share = match self.progress.stage {
+            Stage::Canary { share_ppm } => f64::from(share_ppm) / MILLION as f64,
+            _ => 1.0,
+        };
+        let known = self.sums().target_arrivals();
+        let unreported = rate_per_ms * REPORT_AGE_MS as f64 * share;
+        let unheard =
+            schedule::cap_share(self.settings) * self.requests() as f64 * self.unheard_part();
+        let arrivals = known.max(self.progress.target_arrivals);
+        Exposure {
+            target_arrivals: arrivals + (unreported + unheard).ceil() as u64,
+            requests: self.requests(),
+            rate_per_ms,
+            remaining_ms: self.remaining_ms(),
+        }
+    }
+
+    /// Part of the nodes that were not heard lately.
+    fn unheard_part(&self) -> f64 {
+        let input = self.input;
+        let is_unheard = |member: &&Member| {
+            let heard_at = member.heard_at.unwrap_or(Millis(0));
+            input.now.since(heard_at) > HEARD_LATELY_MS
+        };
+        let unheard = input.members.iter().filter(is_unheard).count();
+        unheard as f64 / input.members.len().max(1) as f64
+    }
+
+    /// Nodes that stopped by what they saw alone, when they are many or hold up a
+    /// cut-over.
+    fn stopped_nodes(&self) -> Option<Finding> {
+        let has_stopped = |member: &&Member| {
+            let confirmation = member.confirmation;
+            confirmation.is_some_and(|it| it.rollout == self.progress.rollout && it.has_stopped)
+        };
+        let stopped = self.input.members.iter().filter(has_stopped).count();
+        let since = self.input.now.since(self.input.status_seen_at);
+        let holds_up = stopped > 0
+            && self.progress.stage == Stage::CuttingOver
+            && since >= STOPPED_NODE_PATIENCE_MS;
+        let target = self.sums().all_routes(crate::counts::Side::Target);
+        (stopped >= STOPPED_NODES || holds_up).then_some(Finding {
+            symptom: Symptom::NodesStopped,
+            route: None,
+            answers: target.answers,
+            bad: target.failures,
+            borne_share: 0.0,
+            evidence: stopped as f64,
+            threshold: STOPPED_NODES as f64,
+        })
+    }
+
+    /// Nodes that may still use established engines, and what they have there.
+    fn awaited(&self, decider_began_at: Millis) -> (u32, u32) {
+        let awaited = self.input.members.iter().filter(|member| {
+            !self.has_confirmed(member) && !self.is_silent(member, decider_began_at)
+        });
+        awaited.fold((0, 0), |(nodes, running), member| {
+            let confirmation = member.confirmation;
+            let more = confirmation.map_or(0, |it| it.running_on_established);
+            (nodes + 1, running + more)
         })
     }
+
+    fn has_confirmed(&self, member: &Member) -> bool {
+        member.confirmation.is_some_and(|confirmation| {
+            confirmation.rollout == self.progress.rollout
+                && confirmation.epoch == self.progress.epoch
+                && confirmation.has_left_established
+                && confirmation.running_on_established == 0
+        })
+    }
+
+    /// Silent for so long, since the cut-over was stored, that it serves nothing: a node
+    /// that is not heard may hear, so its silence before that shows nothing.
+    fn is_silent(&self, member: &Member, decider_began_at: Millis) -> bool {
+        let heard_at = member.heard_at.unwrap_or(decider_began_at);
+        let since = heard_at.max(self.input.status_seen_at);
+        self.input.now.since(since) > self.settings.silence_bound_ms
+    }
+
+    fn go_to(&self, stage: Stage, reason: Reason) -> Decision {
+        write(self.progress_at(stage), reason)
+    }
+
+    fn roll_back(&self, cause: RollBackCause, reason: Reason) -> Decision {
+        self.go_to(Stage::RolledBack { cause }, reason)
+    }
+
+    fn progress_at(&self, stage: Stage) -> Progress {
+        let requests = self.requests();
+        let since = requests.saturating_sub(self.progress.requests);
+        let share_ppm = match self.progress.stage {
+            Stage::Canary { share_ppm } => u64::from(share_ppm),
+            _ => 0,
+        };
+        let target_arrivals = self.sums().target_arrivals();
+        Progress {
+            rollout: self.progress.rollout,
+            epoch: self.progress.epoch.next(),
+            stage,
+            duration_ms: self.progress.duration_ms,
+            elapsed_ms: self.elapsed_ms(),
+            requests,
+            target_arrivals: target_arrivals.max(self.progress.target_arrivals),
+            credits: crate::credits::fleet_credits(since, share_ppm, self.progress.credits),
+            avoided: self.avoided_in(stage),
+        }
+    }
+
+    /// From the cut-over on, the versions that are left are avoided for good. Versions
+    /// that come later without an order are not.
+    fn avoided_in(&self, stage: Stage) -> Vec<SoftwareVersion> {
+        let mut avoided = self.progress.avoided.clone();
+        if stage == Stage::Completed {
+            let versions = self.input.engines.iter().map(|supply| &supply.version);
+            let left = versions.filter(|version| **version != self.input.order.target);
+            avoided.extend(left.cloned());
+            avoided.sort();
+            avoided.dedup();
+        }
+        avoided
+    }
+}
+
+/// Versions that older orders left without proof: none but the target may serve in
+/// their place.
+fn avoided_versions(recorded: &Recorded, order: &RolloutOrder) -> Vec<SoftwareVersion> {
+    let Recorded::OfOlderOrder(older) = recorded else {
+        return Vec::new();
+    };
+    let older_target = order.status.as_ref().map(|status| status.target.clone());
+    let mut avoided = older.avoided.clone();
+    if older.stage != Stage::Completed {
+        avoided.extend(older_target);
+    }
+    avoided.retain(|version| *version != order.target);
+    avoided.sort();
+    avoided.dedup();
+    avoided
+}
+
+fn stay(reason: Reason) -> Decision {
+    Decision { next: None, reason }
+}
+
+fn write(next: Progress, reason: Reason) -> Decision {
+    Decision {
+        next: Some(next),
+        reason,
+    }
 }
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -1,6 +1,53 @@
 //! Target against established engines at the same time, by route.
+//!
+//! What both versions fail alike is the requests' own fault: the rate of failures that
+//! is borne is that of the established engines, with room for chance. A time to the
+//! first byte is bad when it lies beyond a quantile of the established engines' times,
+//! with one bucket (√2) of room.
 
-use crate::counts::RouteTag;
+use crate::counts::{Counts, EngineSlotCounts, RouteTag, Side, SideCounts};
+use crate::detector::{self, ChangeDetector};
+use crate::first_byte::BUCKETS;
+use ploverlift_policy::ids::Millis;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Chance that a good version is rolled back by the tests of one rollout.
+pub const FALSE_ROLL_BACK_CHANCE: f64 = 0.000_5;
+/// Time between two steps of the tests, in milliseconds; counts come five times a
+/// second.
+pub const STEP_MS: u64 = 100;
+/// Steps that the chance of an error is reckoned for at least: 30 s.
+const MIN_STEPS: u64 = 300;
+/// Tests that the chance of an error is shared by: three on each of some eight routes.
+const TESTS: usize = 24;
+/// Bad answers in excess of what is borne, over the fleet, from which a version is
+/// stopped without a test; at the fiftieth, the time to stop begins to run.
+pub const MANY_BAD_ANSWERS: u64 = 25;
+/// How often more bad answers than the established engines' are borne before those in
+/// excess count towards [`MANY_BAD_ANSWERS`].
+const EXCESS_FACTOR: f64 = 2.0;
+/// Rate of failures that is always borne.
+const MIN_BORNE_FAILURES: f64 = 0.01;
+/// Rate of late first bytes that is always borne.
+const MIN_BORNE_LATE: f64 = 0.05;
+/// No more than that is borne, else a test could find nothing.
+const MAX_BORNE: f64 = 0.8;
+/// Late first bytes hang together by queues: so many count as one.
+const LATE_DESIGN_EFFECT: f64 = 2.0;
+/// Shares of the established engines' answers beyond which a first byte counts as late.
+const LATE_QUANTILES: [f64; 2] = [0.5, 0.1];
+/// Buckets of room before a first byte counts as late: slower by √2 is borne.
+const LATE_ROOM: usize = 1;
+/// The same once the established engines serve less and less beside the target.
+const LATE_ROOM_IN_CUT_OVER: usize = 2;
+/// Answers of the established engines below which their times say nothing.
+const MIN_BASELINE_ANSWERS: u64 = 20;
+/// Steps over which the established engines' recent answers are taken: 3 s.
+const RECENT_STEPS: usize = 30;
+/// Failures of one engine slot that count as the engine's own fault at most.
+const ONE_ENGINE_FAILURES: u64 = 20;
+/// Answers of other engines from which it can be told that one engine alone is bad.
+const MIN_OTHER_ENGINES_ANSWERS: u64 = 8;
 
 /// What of the answers is worse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -9,8 +56,10 @@
     Failures,
     /// They arrive later.
     SlowFirstByte,
-    /// So many failed that the version is stopped without a test.
-    ManyFailures,
+    /// So many are bad that the version is stopped without a test.
+    ManyBadAnswers,
+    /// Nodes have stopped sending to it by what they saw alone.
+    NodesStopped,
 }
 
 /// The evidence that a version is bad, for the log line.
@@ -26,8 +75,306 @@
     pub bad: u64,
     /// Share of bad ones that would be borne, by the established engines' answers.
     pub borne_share: f64,
-    /// Logarithm of the evidence.
+    /// Logarithm of the evidence; the bad answers in excess for
+    /// [`Symptom::ManyBadAnswers`], nodes for [`Symptom::NodesStopped`].
     pub evidence: f64,
-    /// Where it counts as proof.
+    /// Where it counts as proof, in the same unit.
     pub threshold: f64,
 }
+
+/// The tests of one route, or of all together.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTests {
+    failures: ChangeDetector,
+    late: [ChangeDetector; LATE_QUANTILES.len()],
+}
+
+/// The tests of one rollout.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    threshold: f64,
+    seen: Counts,
+    established_steps: VecDeque<Counts>,
+    tests: BTreeMap<Option<RouteTag>, RouteTests>,
+    stepped_at: Option<Millis>,
+}
+
+impl Evidence {
+    /// Tests of a rollout that lasts so long, in milliseconds.
+    pub fn lasting(duration_ms: u64) -> Self {
+        let steps = (2 * duration_ms / STEP_MS).max(MIN_STEPS);
+        Self {
+            threshold: detector::threshold(steps, TESTS, FALSE_ROLL_BACK_CHANCE),
+            seen: Counts::default(),
+            established_steps: VecDeque::new(),
+            tests: BTreeMap::new(),
+            stepped_at: None,
+        }
+    }
+
+    /// Takes in the fleet's sums; says what is bad, if that is proven.
+    pub fn take(&mut self, sums: &Counts, is_cutting_over: bool, now: Millis) -> Option<Finding> {
+        if let Some(finding) = many_bad_answers(sums) {
+            return Some(finding);
+        }
+        let is_due = self.stepped_at.is_none_or(|at| now.since(at) >= STEP_MS);
+        if is_due {
+            self.stepped_at = Some(now);
+            self.step(sums, is_cutting_over);
+        }
+        self.proven(sums)
+    }
+
+    /// The strongest evidence so far against the version, as a share of what proves it.
+    pub fn suspicion(&self) -> f64 {
+        let all = self.tests.values().flat_map(RouteTests::evidences);
+        all.fold(0.0, |highest, evidence| {
+            highest.max(evidence / self.threshold)
+        })
+    }
+
+    fn step(&mut self, sums: &Counts, is_cutting_over: bool) {
+        let added = sums.since(&self.seen);
+        self.established_steps.push_back(self.seen.clone());
+        if self.established_steps.len() > RECENT_STEPS {
+            self.established_steps.pop_front();
+        }
+        self.seen = sums.clone();
+        let before_recent = self.established_steps.front().cloned().unwrap_or_default();
+        let recent = sums.since(&before_recent);
+        let room = match is_cutting_over {
+            true => LATE_ROOM_IN_CUT_OVER,
+            false => LATE_ROOM,
+        };
+        for (route, counts) in &added.routes {
+            let baseline = Baseline {
+                whole: sums.routes[route].established,
+                recent: recent.routes[route].established,
+            };
+            let tests = self.tests.entry(Some(*route)).or_default();
+            tests.step(&counts.target, &baseline, room);
+        }
+        self.step_all_routes(&added, sums, &recent);
+    }
+
+    /// All routes together: failures only, for times of different routes differ.
+    fn step_all_routes(&mut self, added: &Counts, sums: &Counts, recent: &Counts) {
+        let baseline = Baseline {
+            whole: sums.all_routes(Side::Established),
+            recent: recent.all_routes(Side::Established),
+        };
+        let target = added.all_routes(Side::Target);
+        let tests = self.tests.entry(None).or_default();
+        let borne = baseline.borne_failures();
+        tests
+            .failures
+            .step(target.answers, target.failures, borne, 1.0);
+    }
+
+    fn proven(&self, sums: &Counts) -> Option<Finding> {
+        let findings = self.tests.iter().filter_map(|(route, tests)| {
+            let failures = tests.failures.evidence();
+            if failures >= self.threshold && !is_one_engine_alone(sums) {
+                return Some(self.finding(Symptom::Failures, *route, failures, sums));
+            }
+            let late = tests.late.iter().map(ChangeDetector::evidence);
+            let late = late.fold(f64::NEG_INFINITY, f64::max);
+            let is_late = late >= self.threshold;
+            is_late.then(|| self.finding(Symptom::SlowFirstByte, *route, late, sums))
+        });
+        findings.max_by(|one, other| one.evidence.total_cmp(&other.evidence))
+    }
+
+    fn finding(
+        &self,
+        symptom: Symptom,
+        route: Option<RouteTag>,
+        evidence: f64,
+        sums: &Counts,
+    ) -> Finding {
+        let side = |side| match route {
+            Some(route) => *sums.routes[&route].side(side),
+            None => sums.all_routes(side),
+        };
+        let (target, established) = (side(Side::Target), side(Side::Established));
+        let baseline = Baseline {
+            whole: established,
+            recent: SideCounts::default(),
+        };
+        let (bad, borne_share) = match symptom {
+            Symptom::SlowFirstByte => {
+                let bucket = late_bucket(&established, LATE_QUANTILES[1]).unwrap_or(0);
+                let late = target.first_byte.from_bucket(bucket + LATE_ROOM);
+                (late, baseline.borne_late(bucket))
+            }
+            _ => (target.failures, baseline.borne_failures()),
+        };
+        Finding {
+            symptom,
+            route,
+            answers: target.answers,
+            bad,
+            borne_share,
+            evidence,
+            threshold: self.threshold,
+        }
+    }
+}
+
+impl RouteTests {
+    fn step(&mut self, target: &SideCounts, baseline: &Baseline, room: usize) {
+        let borne = baseline.borne_failures();
+        self.failures
+            .step(target.answers, target.failures, borne, 1.0);
+        for (test, quantile) in self.late.iter_mut().zip(LATE_QUANTILES) {
+            let Some(bucket) = late_bucket(baseline.times(), quantile) else {
+                continue;
+            };
+            let late = target.first_byte.from_bucket(bucket + room);
+            let borne = baseline.borne_late(bucket);
+            test.step(target.first_byte.total(), late, borne, LATE_DESIGN_EFFECT);
+        }
+    }
+
+    fn evidences(&self) -> impl Iterator<Item = f64> + '_ {
+        let late = self.late.iter().map(ChangeDetector::evidence);
+        late.chain([self.failures.evidence()])
+    }
+}
+
+/// The established engines' answers to compare with.
+struct Baseline {
+    whole: SideCounts,
+    recent: SideCounts,
+}
+
+impl Baseline {
+    /// Share of failures that is borne: the higher of the whole and the recent one, with
+    /// room for chance.
+    fn borne_failures(&self) -> f64 {
+        let whole = upper_share(self.whole.failures, self.whole.answers);
+        let recent = match self.recent.answers >= MIN_BASELINE_ANSWERS {
+            true => upper_share(self.recent.failures, self.recent.answers),
+            false => 0.0,
+        };
+        whole.max(recent).clamp(MIN_BORNE_FAILURES, MAX_BORNE)
+    }
+
+    /// Recent times where there are enough, else all.
+    fn times(&self) -> &SideCounts {
+        match self.recent.first_byte.total() >= MIN_BASELINE_ANSWERS {
+            true => &self.recent,
+            false => &self.whole,
+        }
+    }
+
+    fn borne_late(&self, bucket: usize) -> f64 {
+        let times = &self.times().first_byte;
+        upper_share(times.from_bucket(bucket), times.total()).clamp(MIN_BORNE_LATE, MAX_BORNE)
+    }
+}
+
+/// The share that is seen, and two standard deviations of chance.
+fn upper_share(count: u64, total: u64) -> f64 {
+    let count = count as f64;
+    (count + 2.0 * count.sqrt() + 1.0) / (total as f64 + 4.0)
+}
+
+/// The first bucket in or beyond which at most a share of the answers lies.
+fn late_bucket(established: &SideCounts, share: f64) -> Option<usize> {
+    let times = &established.first_byte;
+    let total = times.total();
+    if total < MIN_BASELINE_ANSWERS {
+        return None;
+    }
+    (0..BUCKETS).find(|&bucket| times.from_bucket(bucket) as f64 <= share * total as f64)
+}
+
+/// Bad answers of the target beyond what is borne, when they are many. Every node that
+/// knows the fleet's sums stops by this, with or without a decider.
+pub fn many_bad_answers(sums: &Counts) -> Option<Finding> {
+    let mut failures = Excess::default();
+    let mut late = Excess::default();
+    for counts in sums.routes.values() {
+        failures.add_failures(&counts.target, &counts.established);
+        late.add_late(&counts.target, &counts.established);
+    }
+    let worse = match failures.excess >= late.excess {
+        true => failures,
+        false => late,
+    };
+    let limit = MANY_BAD_ANSWERS as f64;
+    (worse.excess >= limit).then(|| Finding {
+        symptom: Symptom::ManyBadAnswers,
+        route: None,
+        answers: worse.answers,
+        bad: worse.bad,
+        borne_share: worse.borne / worse.answers.max(1) as f64,
+        evidence: worse.excess,
+        threshold: limit,
+    })
+}
+
+/// Bad answers beyond what is borne.
+#[derive(Clone, Copy, Debug, Default)]
+struct Excess {
+    answers: u64,
+    bad: u64,
+    borne: f64,
+    excess: f64,
+}
+
+impl Excess {
+    fn add_failures(&mut self, target: &SideCounts, established: &SideCounts) {
+        let baseline = Baseline {
+            whole: *established,
+            recent: SideCounts::default(),
+        };
+        let borne = baseline.borne_failures();
+        self.add(target.answers, target.failures, borne);
+    }
+
+    fn add_late(&mut self, target: &SideCounts, established: &SideCounts) {
+        let Some(bucket) = late_bucket(established, LATE_QUANTILES[1]) else {
+            return;
+        };
+        let baseline = Baseline {
+            whole: *established,
+            recent: SideCounts::default(),
+        };
+        let late = target
+            .first_byte
+            .from_bucket(bucket + LATE_ROOM_IN_CUT_OVER);
+        let borne = baseline.borne_late(bucket);
+        self.add(target.first_byte.total(), late, borne);
+    }
+
+    fn add(&mut self, answers: u64, bad: u64, borne_share: f64) {
+        let borne = EXCESS_FACTOR * borne_share * answers as f64;
+        self.answers += answers;
+        self.bad += bad;
+        self.borne += borne;
+        self.excess += bad as f64 - borne;
+    }
+}
+
+/// Whether one engine fails and the others do not: its health is at fault, not the
+/// version. Not for ever, for a version may be bad where one engine gets the most.
+fn is_one_engine_alone(sums: &Counts) -> bool {
+    let slots = &sums.target_engines;
+    let Some(worst) = slots.iter().max_by_key(|slot| slot.failures) else {
+        return false;
+    };
+    let all = slots
+        .iter()
+        .fold(EngineSlotCounts::default(), |all, slot| EngineSlotCounts {
+            answers: all.answers + slot.answers,
+            failures: all.failures + slot.failures,
+        });
+    let others = all.answers - worst.answers;
+    let failures_of_others = all.failures - worst.failures;
+    let borne = 1.0 + 2.0 * MIN_BORNE_FAILURES * others as f64;
+    worst.failures < ONE_ENGINE_FAILURES
+        && others >= MIN_OTHER_ENGINES_ANSWERS
+        && failures_of_others as f64 <= borne
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -20,12 +20,15 @@
 //! | [`counts`] | what nodes count and report, and sums over the fleet |
 //! | [`credits`] | how many requests a node may send to the target by itself |
 //! | [`share`] | a node's gate: which versions may serve this request |
+//! | [`canary_choice`] | which of its requests those are, and at which engines |
+//! | [`own_stop`] | a node stops by what it sees alone |
 //! | [`placement`] | engines of a version that can't be placed yet |
 //! | [`detector`] | a sequential test that finds a change |
 //! | [`evidence`] | target against established engines, by route |
 //! | [`schedule`] | when to cut over so that the exposure stays within its bound |
 //! | [`decider`] | the lease holder's state machine |
 
+pub mod canary_choice;
 pub mod counts;
 pub mod credits;
 pub mod decider;
@@ -33,6 +36,7 @@
 pub mod evidence;
 pub mod first_byte;
 pub mod order;
+pub mod own_stop;
 pub mod placement;
 pub mod schedule;
 pub mod settings;
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -1,1 +1,118 @@
 //! When to cut over so that the exposure stays within its bound, whatever happens.
+//!
+//! A version may turn bad at the very end of a stage, and then all that it ever got
+//! since the order counts. So all traffic may move only once what is left until the
+//! deadline fits what is left of the bound: with a share s held until t of a duration
+//! D, s·t + (D − t) ≤ share·D + slack / rate.
+
+use crate::settings::RolloutSettings;
+use ploverlift_policy::ids::Millis;
+use std::collections::VecDeque;
+
+/// Share that is held, as a part of the share that a bad version may get: small, for
+/// what is used early is lacking at the cut-over; enough to judge each route.
+const HOLD_PART: f64 = 0.3;
+/// Shares of [`crate::settings::Strategy::Steps`], as parts of the same.
+const STEP_PARTS: [f64; 3] = [0.3, 0.5, 0.8];
+/// Part of the slack with which the canary begins before requests have earned it
+/// credits, so that small services are judged too.
+const START_PART: f64 = 0.2;
+/// Part of the slack that no plan uses: what nodes have sent and not reported yet, and
+/// retries.
+const RESERVED_PART: f64 = 0.3;
+/// How much faster than lately requests may come until the deadline.
+const RATE_MARGIN: f64 = 1.3;
+/// Second attempts at the target, for each request that moves to it.
+const ATTEMPTS_PER_REQUEST: f64 = 1.05;
+/// Part of the share that a bad version may get, up to which one node's credits go where
+/// others leave theirs unused.
+const CAP_PART: f64 = 0.7;
+/// Time over which the recent rate is taken, in milliseconds.
+const RATE_WINDOW_MS: u64 = 1_500;
+
+/// The share to begin with, in parts of a million.
+pub fn first_share_ppm(settings: &RolloutSettings) -> u32 {
+    (settings.canary_share * HOLD_PART * crate::stage::MILLION as f64) as u32
+}
+
+/// The share after this one, in parts of a million; nothing when it is the last.
+pub fn next_share_ppm(settings: &RolloutSettings, share_ppm: u32) -> Option<u32> {
+    let million = crate::stage::MILLION as f64;
+    let steps = STEP_PARTS.map(|part| (settings.canary_share * part * million) as u32);
+    steps.into_iter().find(|&step| step > share_ppm)
+}
+
+/// Share up to which one node's credits go where others leave theirs unused.
+pub fn cap_share(settings: &RolloutSettings) -> f64 {
+    settings.canary_share * CAP_PART
+}
+
+/// Credits that the fleet has before any request.
+pub fn start_credits(settings: &RolloutSettings) -> u64 {
+    (settings.canary_slack as f64 * START_PART) as u64
+}
+
+/// The rate of requests, by counts that only rise.
+#[derive(Clone, Debug, Default)]
+pub struct RequestRate {
+    readings: VecDeque<(Millis, u64)>,
+}
+
+impl RequestRate {
+    /// Takes in the requests known so far.
+    pub fn note(&mut self, requests: u64, now: Millis) {
+        self.readings.push_back((now, requests));
+        while self.readings.len() > 2 && now.since(self.readings[1].0) >= RATE_WINDOW_MS {
+            self.readings.pop_front();
+        }
+    }
+
+    /// Requests in a millisecond, lately.
+    pub fn per_ms(&self) -> f64 {
+        let (Some((first_at, first)), Some((last_at, last))) =
+            (self.readings.front(), self.readings.back())
+        else {
+            return 0.0;
+        };
+        let ms = last_at.since(*first_at).max(1);
+        (last - first) as f64 / ms as f64
+    }
+}
+
+/// What is known when a cut-over is weighed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exposure {
+    /// Arrivals at the target since the order, at most.
+    pub target_arrivals: u64,
+    /// Requests since the order, at least.
+    pub requests: u64,
+    /// Requests in a millisecond, lately.
+    pub rate_per_ms: f64,
+    /// Time until the deadline, at most, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+impl Exposure {
+    /// Arrivals at the target by the deadline beyond the requests' share, when all
+    /// requests go to it from now on.
+    pub fn beyond_share(&self, settings: &RolloutSettings) -> f64 {
+        let to_come = self.rate_per_ms * RATE_MARGIN * self.remaining_ms as f64;
+        let arrivals = self.target_arrivals as f64 + to_come * ATTEMPTS_PER_REQUEST;
+        arrivals - settings.canary_share * (self.requests as f64 + to_come)
+    }
+
+    /// Whether all requests may go to the target from now on, even if it turns out bad.
+    pub fn may_move_all(&self, settings: &RolloutSettings) -> bool {
+        if self.remaining_ms == 0 {
+            return true;
+        }
+        let usable = settings.canary_slack as f64 * (1.0 - RESERVED_PART);
+        self.beyond_share(settings) <= usable
+    }
+
+    /// Whether a cut-over that has begun must be taken back: what may come would use
+    /// the reserve too.
+    pub fn must_stop(&self, settings: &RolloutSettings) -> bool {
+        self.remaining_ms > 0 && self.beyond_share(settings) > settings.canary_slack as f64
+    }
+}
--- a/crates/rollout/src/share.rs
+++ b/crates/rollout/src/share.rs
@@ -1,9 +1,19 @@
 //! A node's gate: which versions may serve this request.
+//!
+//! Two bounds hold at once. A node uses the credits of its own seat only (see
+//! [`crate::credits`]), which needs nobody's word; and where the fleet's counts show
+//! that others leave theirs unused, it may use some of those, up to a second, higher
+//! number of its own. Which of its requests go is decided by their prompts' shared
+//! parts, so that the same prompts warm the target's caches at each node.
 
+use crate::canary_choice::{is_chosen, Urgency};
 use crate::counts::{Answer, CountReport, Counts, RouteTag, Side};
-use crate::credits::Seat;
+use crate::credits::{fleet_credits, owned_credits, Seat};
+use crate::evidence::{many_bad_answers, Finding};
+use crate::own_stop::OwnStop;
+use crate::schedule;
 use crate::settings::RolloutSettings;
-use crate::stage::{Epoch, Progress, RolloutNumber, Stage};
+use crate::stage::{Epoch, Progress, RolloutNumber, Stage, MILLION};
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::prompt::ChainKey;
@@ -12,6 +22,19 @@
 /// Age of the news of a rollout's stage after which a node sends the target nothing, in
 /// milliseconds. Must be below `roll_back_ms` by what an order to stop takes.
 pub const STAGE_LEASE_MS: u64 = 2_000;
+/// Time after which a node of a later life knows what its former life has used, in
+/// milliseconds: five reports of its peers.
+pub const SETTLE_MS: u64 = 1_000;
+/// Credits that the fleet leaves unused before a node uses more than its own, and the
+/// part of all credits that they must be too.
+const UNUSED_CREDITS: u64 = 4;
+/// See [`UNUSED_CREDITS`]: one of so many.
+const UNUSED_PART: u64 = 8;
+/// Requests of the fleet after which it is another node's turn to use more.
+const TURN_REQUESTS: u64 = 16;
+/// Part of the slack that the canary leaves to what nodes have not reported yet: one of
+/// so many.
+const RESERVED_SLACK_PART: u64 = 4;
 
 /// Whether this life of the node was there before the order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,11 +65,11 @@
 pub struct FleetView<'a> {
     /// Sums over the fleet, this node's own reports among them or not.
     pub sums: &'a Counts,
-    /// This node's own counts as they are contained in those sums.
+    /// This node's own counts as they are contained in those sums, of this life.
     pub own_in_sums: Option<&'a Counts>,
-    /// When the news was issued of which the sums are, on this node's clock.
-    pub counted_at: Millis,
-    /// When the decider said the present stage last, on this node's clock.
+    /// When the news of the present stage was issued, at the earliest, on this node's
+    /// clock: the send of the question whose answer told it, or its receipt less its
+    /// age.
     pub stage_heard_at: Millis,
     /// This node's seat.
     pub seat: Seat,
@@ -63,10 +86,8 @@
     NoCredit,
     /// The fleet's exposure may be at its bound.
     ExposureBound,
-    /// The target failed it.
-    FailedByTarget,
-    /// Requests that run at most once wait until others have shown the version.
-    NotShownYet,
+    /// It was sent before: the canary gets first attempts only.
+    SentBefore,
     /// The news of the stage is older than [`STAGE_LEASE_MS`].
     StageLeaseExpired,
     /// This node, or the counts it knows, show the target as bad.
@@ -77,6 +98,8 @@
     LostTouchInCutOver,
     /// This node has been silent so long that the rollout may have completed.
     SilentTooLong,
+    /// This life of the node has not heard of the stage since it began.
+    StageNotConfirmed,
     /// The target serves alone.
     Completed,
     /// The target serves nothing.
@@ -102,9 +125,10 @@
     /// Whether it sends established engines nothing more, for good unless a later
     /// epoch says otherwise.
     pub has_left_established: bool,
-    /// Requests that it still has on established engines, held connections with a
-    /// request on its way among them.
+    /// Requests that it still has on established engines, those being sent among them.
     pub running_on_established: u32,
+    /// Whether it has stopped sending to the target by what it saw alone.
+    pub has_stopped: bool,
 }
 
 /// A node's gate for one rollout. Kept from the first sight of its progress until
@@ -114,8 +138,21 @@
     settings: RolloutSettings,
     target: SoftwareVersion,
     progress: Progress,
+    began_at: Millis,
     joined: Joined,
+    /// Credits of this seat that a former life may have used.
+    used_before: Option<UsedBefore>,
     own: Counts,
+    own_stop: OwnStop,
+    /// The stage of which this node said that it has left established engines.
+    left_established: Option<Epoch>,
+}
+
+/// Credits that were there for a former life.
+#[derive(Clone, Copy, Debug, Default)]
+struct UsedBefore {
+    own: u64,
+    cap: u64,
 }
 
 impl Gate {
@@ -125,14 +162,22 @@
         target: SoftwareVersion,
         progress: Progress,
         joined: Joined,
-        _now: Millis,
+        now: Millis,
     ) -> Self {
+        let used_before = match joined {
+            Joined::BeforeOrder => Some(UsedBefore::default()),
+            Joined::AfterOrder => None,
+        };
         Self {
             settings,
             target,
             progress,
+            began_at: now,
             joined,
+            used_before,
             own: Counts::default(),
+            own_stop: OwnStop::default(),
+            left_established: None,
         }
     }
 
@@ -148,29 +193,50 @@
         &self.progress
     }
 
+    /// The version that the rollout is about.
+    pub fn target(&self) -> &SoftwareVersion {
+        &self.target
+    }
+
+    /// What this node has counted.
+    pub fn own(&self) -> &Counts {
+        &self.own
+    }
+
+    /// Why this node stopped sending to the target by what it saw alone, if it did.
+    pub fn own_finding(&self) -> Option<&Finding> {
+        self.own_stop.finding()
+    }
+
+    /// To be called at each tick: a node of a later life learns by and by what its
+    /// former life may have used.
+    pub fn advance(&mut self, view: &FleetView<'_>, now: Millis) {
+        if self.used_before.is_some() || now.since(self.began_at) < SETTLE_MS {
+            return;
+        }
+        if view.stage_heard_at < self.began_at {
+            return;
+        }
+        self.used_before = Some(UsedBefore {
+            own: self.own_credits(view),
+            cap: self.cap_credits(view),
+        });
+    }
+
     /// Which versions may serve a request. Changes nothing; what is then sent is told
     /// by [`Self::note_request`] and [`Self::note_target_arrival`].
     pub fn decide(
         &self,
-        _request: &CanaryRequest,
+        request: &CanaryRequest,
         view: &FleetView<'_>,
         now: Millis,
     ) -> GateDecision {
-        let target = || self.target.clone();
-        let is_known = now.since(view.stage_heard_at) <= STAGE_LEASE_MS;
-        let (rule, reason) = match self.progress.stage {
-            Stage::Completed => (Some(SoftwareRule::Only(target())), GateReason::Completed),
-            Stage::RolledBack { .. } => {
-                (Some(SoftwareRule::Except(target())), GateReason::RolledBack)
-            }
-            Stage::CuttingOver if is_known => {
-                (Some(SoftwareRule::Only(target())), GateReason::CuttingOver)
-            }
-            Stage::CuttingOver => (None, GateReason::LostTouchInCutOver),
-            Stage::Canary { .. } => (Some(SoftwareRule::Except(target())), GateReason::NotCanary),
-        };
-        let _ = (&self.settings, self.joined);
-        GateDecision { rule, reason }
+        match self.progress.stage {
+            Stage::Completed => self.completed(),
+            Stage::RolledBack { .. } => self.without_target(GateReason::RolledBack),
+            Stage::CuttingOver => self.decide_in_cut_over(view, now),
+            Stage::Canary { share_ppm } => self.decide_in_canary(request, view, share_ppm, now),
+        }
     }
 
     /// A request reached the service: its first attempt is sent.
@@ -184,8 +250,11 @@
     }
 
     /// An attempt ended.
-    pub fn note_answer(&mut self, route: RouteTag, side: Side, answer: &Answer, _now: Millis) {
+    pub fn note_answer(&mut self, route: RouteTag, side: Side, answer: &Answer) {
         self.own.note_answer(route, side, answer);
+        if side == Side::Target {
+            self.own_stop.note(answer.has_failed, &self.own);
+        }
     }
 
     /// What to report to the fleet.
@@ -200,22 +269,200 @@
 
     /// What to say to the decider of the present stage. Once it says that established
     /// engines get nothing, it keeps to that until a later epoch.
-    pub fn confirm(&self, running_on_established: u32) -> Confirmation {
+    pub fn confirm(&mut self, running_on_established: u32) -> Confirmation {
+        let is_leaving = matches!(self.progress.stage, Stage::CuttingOver | Stage::Completed);
+        let has_stopped = self.own_stop.finding().is_some();
+        if is_leaving && !has_stopped {
+            self.left_established = Some(self.progress.epoch);
+        }
         Confirmation {
             rollout: self.progress.rollout,
             epoch: self.progress.epoch,
-            has_left_established: matches!(
-                self.progress.stage,
-                Stage::CuttingOver | Stage::Completed
-            ),
+            has_left_established: self.has_left_established(),
             running_on_established,
+            has_stopped,
+        }
+    }
+
+    fn has_left_established(&self) -> bool {
+        self.left_established == Some(self.progress.epoch)
+    }
+
+    fn decide_in_cut_over(&self, view: &FleetView<'_>, now: Millis) -> GateDecision {
+        if !self.has_heard_of_stage(view) {
+            return nowhere(GateReason::StageNotConfirmed);
+        }
+        if now.since(view.stage_heard_at) > STAGE_LEASE_MS {
+            return nowhere(GateReason::LostTouchInCutOver);
+        }
+        if !self.is_stopped(view) {
+            return self.target_alone(GateReason::CuttingOver);
+        }
+        match self.has_left_established() {
+            true => nowhere(GateReason::StoppedByEvidence),
+            false => self.without_target(GateReason::StoppedByEvidence),
+        }
+    }
+
+    fn decide_in_canary(
+        &self,
+        request: &CanaryRequest,
+        view: &FleetView<'_>,
+        share_ppm: u32,
+        now: Millis,
+    ) -> GateDecision {
+        if !self.has_heard_of_stage(view) {
+            return nowhere(GateReason::StageNotConfirmed);
+        }
+        let stage_age_ms = now.since(view.stage_heard_at);
+        if stage_age_ms > self.settings.silence_bound_ms {
+            return nowhere(GateReason::SilentTooLong);
+        }
+        if stage_age_ms > STAGE_LEASE_MS {
+            return self.without_target(GateReason::StageLeaseExpired);
+        }
+        if self.is_stopped(view) {
+            return self.without_target(GateReason::StoppedByEvidence);
+        }
+        if request.is_retry || request.was_failed_by_target {
+            return self.without_target(GateReason::SentBefore);
+        }
+        if self.is_at_exposure_bound(view) {
+            return self.without_target(GateReason::ExposureBound);
+        }
+        let Some(urgency) = self.urgency(view, share_ppm) else {
+            return self.without_target(GateReason::NoCredit);
+        };
+        let known = self.known(view);
+        match is_chosen(request, &known, share_ppm, self.progress.rollout, urgency) {
+            true => self.target_alone(GateReason::Canary),
+            false => self.without_target(GateReason::NotCanary),
+        }
+    }
+
+    /// A later life must not rely on news from before it began: a former life may have
+    /// confirmed a later stage.
+    fn has_heard_of_stage(&self, view: &FleetView<'_>) -> bool {
+        self.joined == Joined::BeforeOrder || view.stage_heard_at >= self.began_at
+    }
+
+    fn is_stopped(&self, view: &FleetView<'_>) -> bool {
+        self.own_stop.finding().is_some() || many_bad_answers(view.sums).is_some()
+    }
+
+    /// Whether one more arrival may be too many by the bound, by what is known.
+    fn is_at_exposure_bound(&self, view: &FleetView<'_>) -> bool {
+        let slack = self.settings.canary_slack;
+        let usable = slack - slack / RESERVED_SLACK_PART;
+        let share = self.settings.canary_share * self.requests(view) as f64;
+        (self.target_arrivals(view) + 1) as f64 > share + usable as f64
+    }
+
+    /// Whether this node may send one more, and how much the fleet wants it.
+    fn urgency(&self, view: &FleetView<'_>, share_ppm: u32) -> Option<Urgency> {
+        let before = self.used_before?;
+        let used = self.own.target_arrivals();
+        let fleet = self.fleet_credits(view, share_ppm);
+        let unused = fleet.saturating_sub(self.target_arrivals(view));
+        let are_many_unused = unused >= UNUSED_CREDITS.max(fleet / UNUSED_PART);
+        if self.own_credits(view) > before.own + used {
+            return Some(match are_many_unused {
+                true => Urgency::AnyPrompt,
+                false => Urgency::ChosenPrompts,
+            });
+        }
+        let may_use_others = are_many_unused
+            && self.cap_credits(view) > before.cap + used
+            && self.unreported_arrivals(view) < self.turn_of_unused(unused, view);
+        may_use_others.then_some(Urgency::AnyPrompt)
+    }
+
+    /// How many of the unused credits are this node's to use, in turn.
+    fn turn_of_unused(&self, unused: u64, view: &FleetView<'_>) -> u64 {
+        let turn = self.progress.rollout.0 + self.requests(view) / TURN_REQUESTS;
+        owned_credits(unused, view.seat, turn)
+    }
+
+    fn own_credits(&self, view: &FleetView<'_>) -> u64 {
+        let share_ppm = match self.progress.stage {
+            Stage::Canary { share_ppm } => share_ppm,
+            _ => 0,
+        };
+        let credits = self.fleet_credits(view, share_ppm);
+        owned_credits(credits, view.seat, self.progress.rollout.0)
+    }
+
+    /// The fleet's credits since the order, by the shares of all stages.
+    fn fleet_credits(&self, view: &FleetView<'_>, share_ppm: u32) -> u64 {
+        let since = self.requests(view).saturating_sub(self.progress.requests);
+        fleet_credits(since, u64::from(share_ppm), self.progress.credits)
+    }
+
+    fn cap_credits(&self, view: &FleetView<'_>) -> u64 {
+        let cap_ppm = schedule::cap_share(&self.settings) * MILLION as f64;
+        let start = schedule::start_credits(&self.settings);
+        let credits = fleet_credits(self.requests(view), cap_ppm as u64, start);
+        owned_credits(credits, view.seat, self.progress.rollout.0)
+    }
+
+    /// The fleet's sums with what this node has not reported yet.
+    fn known(&self, view: &FleetView<'_>) -> Counts {
+        let mut known = view.sums.clone();
+        match view.own_in_sums {
+            Some(reported) => known.add(&self.own.since(reported)),
+            None => known.add(&self.own),
+        }
+        known
+    }
+
+    fn requests(&self, view: &FleetView<'_>) -> u64 {
+        let reported = view.own_in_sums.map_or(0, Counts::requests);
+        view.sums.requests() + self.own.requests().saturating_sub(reported)
+    }
+
+    fn target_arrivals(&self, view: &FleetView<'_>) -> u64 {
+        view.sums.target_arrivals() + self.unreported_arrivals(view)
+    }
+
+    fn unreported_arrivals(&self, view: &FleetView<'_>) -> u64 {
+        let reported = view.own_in_sums.map_or(0, Counts::target_arrivals);
+        self.own.target_arrivals().saturating_sub(reported)
+    }
+
+    fn target_alone(&self, reason: GateReason) -> GateDecision {
+        GateDecision {
+            rule: Some(SoftwareRule::Only(self.target.clone())),
+            reason,
+        }
+    }
+
+    /// None of the versions that were left; those that come later without an order are
+    /// no concern of the rollout.
+    fn completed(&self) -> GateDecision {
+        GateDecision {
+            rule: Some(SoftwareRule::ExceptAll(self.progress.avoided.clone())),
+            reason: GateReason::Completed,
+        }
+    }
+
+    /// Established engines alone: neither the target nor what older orders left
+    /// without proof.
+    fn without_target(&self, reason: GateReason) -> GateDecision {
+        let avoided = &self.progress.avoided;
+        let rule = match avoided.is_empty() {
+            true => SoftwareRule::Except(self.target.clone()),
+            false => {
+                let target = std::iter::once(&self.target);
+                SoftwareRule::ExceptAll(target.chain(avoided).cloned().collect())
+            }
+        };
+        GateDecision {
+            rule: Some(rule),
+            reason,
         }
     }
 }
 
-/// How many engines of the target serve the canary, so that each carries as much as an
-/// established one does.
-pub fn canary_engines(target: usize, established: usize, share_ppm: u32) -> usize {
-    let _ = share_ppm;
-    target.min(established).max(1)
+fn nowhere(reason: GateReason) -> GateDecision {
+    GateDecision { rule: None, reason }
 }
--- a/crates/rollout/src/stage.rs
+++ b/crates/rollout/src/stage.rs
@@ -97,7 +97,7 @@
 }
 
 /// What is stored of a rollout beside its state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Progress {
     /// The rollout.
     pub rollout: RolloutNumber,
@@ -114,6 +114,10 @@
     pub requests: u64,
     /// Arrivals at engines of the target since the order, as known then.
     pub target_arrivals: u64,
+    /// Credits that the fleet had by then (see [`crate::credits`]).
+    pub credits: u64,
+    /// Versions that older orders left without proof: they serve nothing either.
+    pub avoided: Vec<SoftwareVersion>,
 }
 
 /// A stored progress that this release can't read.
@@ -141,6 +145,12 @@
         /// Why it is none.
         source: std::num::ParseIntError,
     },
+    /// An escape in a version that stands for no character.
+    #[snafu(display("progress with the version '{text}', whose escape is broken"))]
+    BrokenEscape {
+        /// The version as it is stored.
+        text: String,
+    },
     /// A stage that this release does not know.
     #[snafu(display("progress with the unknown stage '{stage}'"))]
     UnknownStage {
@@ -168,13 +178,15 @@
         };
         format!(
             "{FORMAT} rollout={} epoch={} duration_ms={} elapsed_ms={} requests={} \
-             target_arrivals={} stage={stage}",
+             target_arrivals={} credits={} avoided={} stage={stage}",
             self.rollout.0,
             self.epoch.0,
             self.duration_ms,
             self.elapsed_ms,
             self.requests,
             self.target_arrivals,
+            self.credits,
+            encode_versions(&self.avoided),
         )
     }
 
@@ -189,6 +201,8 @@
             elapsed_ms: fields.number("elapsed_ms")?,
             requests: fields.number("requests")?,
             target_arrivals: fields.number("target_arrivals")?,
+            credits: fields.number("credits")?,
+            avoided: decode_versions(fields.text("avoided")?)?,
         })
     }
 
@@ -203,7 +217,7 @@
 }
 
 /// What is recorded with an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Recorded {
     /// Nothing yet.
     Nothing,
@@ -251,6 +265,44 @@
     }
 }
 
+/// Versions as one word: characters that separate words or versions are escaped.
+fn encode_versions(versions: &[SoftwareVersion]) -> String {
+    let escaped: Vec<String> = versions.iter().map(encode_version).collect();
+    escaped.join(",")
+}
+
+fn encode_version(version: &SoftwareVersion) -> String {
+    let mut escaped = String::new();
+    for character in version.0.chars() {
+        match character {
+            '%' | ',' | '=' => escaped.push_str(&format!("%{:x};", u32::from(character))),
+            other if other.is_whitespace() => {
+                escaped.push_str(&format!("%{:x};", u32::from(other)));
+            }
+            other => escaped.push(other),
+        }
+    }
+    escaped
+}
+
+fn decode_versions(text: &str) -> Result<Vec<SoftwareVersion>, ProgressError> {
+    let versions = text.split(',').filter(|version| !version.is_empty());
+    versions.map(decode_version).collect()
+}
+
+fn decode_version(text: &str) -> Result<SoftwareVersion, ProgressError> {
+    let broken = BrokenEscapeSnafu { text };
+    let mut parts = text.split('%');
+    let mut version = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let (code, rest) = part.split_once(';').context(broken)?;
+        let code = u32::from_str_radix(code, 16).ok();
+        version.push(code.and_then(char::from_u32).context(broken)?);
+        version.push_str(rest);
+    }
+    Ok(SoftwareVersion(version))
+}
+
 /// The words of a stored progress.
 struct Fields<'a> {
     words: Vec<(&'a str, &'a str)>,
--- a/crates/routing/src/software.rs
+++ b/crates/routing/src/software.rs
@@ -22,6 +22,8 @@
     Only(SoftwareVersion),
     /// Each version but one.
     Except(SoftwareVersion),
+    /// Each version but some.
+    ExceptAll(Vec<SoftwareVersion>),
 }
 
 impl SoftwareRule {
@@ -31,6 +33,7 @@
             Self::Any => true,
             Self::Only(only) => version == only,
             Self::Except(except) => version != except,
+            Self::ExceptAll(except) => !except.contains(version),
         }
     }
 }
