--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -61,7 +61,8 @@
 pub struct VersionSupply {
     /// The version.
     pub version: SoftwareVersion,
-    /// Engines that are up, stay, and have the weights that are required.
+    /// Engines that are up, stay, and have the weights that are required; 0 for a version
+    /// of which there are records only.
     pub engines: u32,
 }
 
@@ -214,6 +215,7 @@
             target_arrivals: 0,
             credits: schedule::start_credits(&self.settings),
             avoided,
+            established: established_versions(&[], input),
         };
         if order.duration_ms == 0 || order.target.0.is_empty() {
             let cause = RollBackCause::OrderDoesNotFit;
@@ -300,7 +302,7 @@
         let exposure = weighing.exposure(self.rate.per_ms());
         let is_in_time = weighing.remaining_ms() >= weighing.input.barrier_ms;
         let is_over = weighing.remaining_ms() == 0;
-        (is_over || is_in_time) && weighing.hears_all() && exposure.may_move_all(weighing.settings)
+        (is_over || is_in_time) && exposure.may_move_all(weighing.settings)
     }
 
     fn raised_share_ppm(&self, weighing: &Weighing<'_>, share_ppm: u32) -> Option<u32> {
@@ -543,23 +545,23 @@
             requests,
             target_arrivals: target_arrivals.max(self.progress.target_arrivals),
             credits: crate::credits::fleet_credits(since, share_ppm, self.progress.credits),
-            avoided: self.avoided_in(stage),
+            avoided: self.progress.avoided.clone(),
+            established: established_versions(&self.progress.established, self.input),
         }
     }
+}
 
-    /// From the cut-over on, the versions that are left are avoided for good. Versions
-    /// that come later without an order are not.
-    fn avoided_in(&self, stage: Stage) -> Vec<SoftwareVersion> {
-        let mut avoided = self.progress.avoided.clone();
-        if stage == Stage::Completed {
-            let versions = self.input.engines.iter().map(|supply| &supply.version);
-            let left = versions.filter(|version| **version != self.input.order.target);
-            avoided.extend(left.cloned());
-            avoided.sort();
-            avoided.dedup();
-        }
-        avoided
-    }
+/// Versions beside the target that are known now or were known before.
+fn established_versions(
+    before: &[SoftwareVersion],
+    input: &DeciderInput<'_>,
+) -> Vec<SoftwareVersion> {
+    let known = input.engines.iter().map(|supply| &supply.version);
+    let beside_target = known.filter(|version| **version != input.order.target);
+    let mut established: Vec<_> = before.iter().chain(beside_target).cloned().collect();
+    established.sort();
+    established.dedup();
+    established
 }
 
 /// Versions that older orders left without proof: none but the target may serve in
--- a/crates/rollout/src/share.rs
+++ b/crates/rollout/src/share.rs
@@ -439,8 +439,10 @@
     /// None of the versions that were left; those that come later without an order are
     /// no concern of the rollout.
     fn completed(&self) -> GateDecision {
+        let avoided = self.progress.avoided.iter();
+        let left = avoided.chain(&self.progress.established).cloned();
         GateDecision {
-            rule: Some(SoftwareRule::ExceptAll(self.progress.avoided.clone())),
+            rule: Some(SoftwareRule::ExceptAll(left.collect())),
             reason: GateReason::Completed,
         }
     }
--- a/crates/rollout/src/stage.rs
+++ b/crates/rollout/src/stage.rs
@@ -118,6 +118,9 @@
     pub credits: u64,
     /// Versions that older orders left without proof: they serve nothing either.
     pub avoided: Vec<SoftwareVersion>,
+    /// The other versions beside the target that were known since the order; once it is
+    /// completed they serve nothing.
+    pub established: Vec<SoftwareVersion>,
 }
 
 /// A stored progress that this release can't read.
@@ -178,7 +181,7 @@
         };
         format!(
             "{FORMAT} rollout={} epoch={} duration_ms={} elapsed_ms={} requests={} \
-             target_arrivals={} credits={} avoided={} stage={stage}",
+             target_arrivals={} credits={} avoided={} established={} stage={stage}",
             self.rollout.0,
             self.epoch.0,
             self.duration_ms,
@@ -187,6 +190,7 @@
             self.target_arrivals,
             self.credits,
             encode_versions(&self.avoided),
+            encode_versions(&self.established),
         )
     }
 
@@ -203,6 +207,7 @@
             target_arrivals: fields.number("target_arrivals")?,
             credits: fields.number("credits")?,
             avoided: decode_versions(fields.text("avoided")?)?,
+            established: decode_versions(fields.text("established")?)?,
         })
     }
 
