--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -6,7 +6,9 @@
 //! deciders one writes, and no stage follows an end.
 
 use crate::counts::{Counts, FleetCounts};
-use crate::evidence::{Evidence, Finding, Symptom};
+use crate::evidence::{
+    is_accepted, many_suspicious_answers, Assurance, Evidence, Finding, Symptom,
+};
 use crate::order::RolloutOrder;
 use crate::schedule::{self, Exposure, RequestRate};
 use crate::settings::{RolloutSettings, Strategy};
@@ -24,8 +26,9 @@
 const ENOUGH_ROUTE_ANSWERS: u64 = 8;
 /// Part of the requests that makes a route worth judging: one of so many.
 const ROUTE_WORTH_JUDGING: u64 = 10;
-/// Suspicion (as a share of proof) from which no stage goes forward.
-const SUSPICION_TO_HOLD: f64 = 0.4;
+/// Part of the evidence of a proof from which no stage goes forward, and at which a
+/// version is rolled back once its deadline has passed.
+const SUSPICION_PART: f64 = 0.65;
 /// How often its duration a rollout waits for evidence or engines, from the order.
 const PATIENCE_DURATIONS: u64 = 3;
 /// Time after the deadline for which it waits at least, in milliseconds.
@@ -34,6 +37,15 @@
 const ENOUGH_ENGINES_PART: f64 = 0.75;
 /// Time for which the target may have no engine in a cut-over, in milliseconds.
 const ENGINES_GONE_MS: u64 = 1_000;
+/// The same from which many bad answers need no more proof.
+const SUSPICION_PART_WITH_MANY: f64 = 0.4;
+/// Time before the deadline at which a rollout is completed at the earliest, in
+/// milliseconds: a version that turns bad later can't be rolled back, so it is watched
+/// as long as it may. Enough for a write of the store and an order that was seen late.
+const COMPLETE_BEFORE_MS: u64 = 500;
+/// Time for which the target serves alone before it is completed, where no deadline is
+/// to be kept any more, in milliseconds.
+const WATCH_MS: u64 = 3_000;
 /// Time between two steps up, in milliseconds.
 const SHARE_STEP_MS: u64 = 1_000;
 /// Time that a reported arrival may be old, in milliseconds: two reports and their way.
@@ -121,6 +133,8 @@
     },
     /// Every node has confirmed, or been silent long enough.
     AllConfirmed,
+    /// The target may be bad: no stage goes forward.
+    Suspicious(Finding),
     /// The target is bad.
     Bad(Finding),
     /// It ends without a verdict on the version.
@@ -154,6 +168,8 @@
     rate: RequestRate,
     began_at: Millis,
     target_gone_since: Option<Millis>,
+    /// Counts when all traffic moved, as this decider saw them.
+    at_cut_over: Option<(Epoch, Counts)>,
 }
 
 impl PresentRollout {
@@ -164,6 +180,7 @@
             rate: RequestRate::default(),
             began_at: now,
             target_gone_since: None,
+            at_cut_over: None,
         }
     }
 }
@@ -260,13 +277,44 @@
             true => None,
             false => self.target_gone_since.or(Some(weighing.input.now)),
         };
+        let epoch = weighing.progress.epoch;
+        let is_noted = self
+            .at_cut_over
+            .as_ref()
+            .is_some_and(|(at, _)| *at == epoch);
+        if weighing.progress.stage == Stage::CuttingOver && !is_noted {
+            self.at_cut_over = Some((epoch, weighing.sums().clone()));
+        }
+    }
+
+    /// The strongest evidence against the version, when it is so much of a proof.
+    fn suspicion_of(&self, part: f64) -> Option<Finding> {
+        let strongest = self.evidence.strongest()?;
+        let is_suspicious = strongest.evidence >= part * strongest.threshold;
+        is_suspicious.then_some(strongest)
+    }
+
+    fn is_accepted(&self, weighing: &Weighing<'_>) -> bool {
+        let Some((_, at_cut_over)) = &self.at_cut_over else {
+            return false;
+        };
+        let assurance = match weighing.remaining_ms() {
+            0 => Assurance::Full,
+            _ => Assurance::InHaste,
+        };
+        let since_cut_over = weighing.sums().since(at_cut_over);
+        is_accepted(weighing.sums(), &since_cut_over, assurance)
     }
 
     fn bad(&mut self, weighing: &Weighing<'_>) -> Option<Finding> {
         let is_cutting_over = weighing.progress.stage == Stage::CuttingOver;
         let now = weighing.input.now;
         let by_counts = self.evidence.take(weighing.sums(), is_cutting_over, now);
-        by_counts.or_else(|| weighing.stopped_nodes())
+        let suspicion = self.suspicion_of(SUSPICION_PART_WITH_MANY);
+        let by_suspicion = suspicion.and_then(|_| many_suspicious_answers(weighing.sums()));
+        by_counts
+            .or(by_suspicion)
+            .or_else(|| weighing.stopped_nodes())
     }
 
     fn next_stage(&self, weighing: &Weighing<'_>) -> Decision {
@@ -282,9 +330,10 @@
             return weighing.without_engines();
         }
         let is_patient = !weighing.is_patience_over();
-        let is_suspicious = self.evidence.suspicion() >= SUSPICION_TO_HOLD;
-        let has_evidence = weighing.has_enough_answers() && !is_suspicious;
-        if is_patient && !has_evidence {
+        if let Some(finding) = self.suspicion_of(SUSPICION_PART) {
+            return weighing.under_suspicion(finding);
+        }
+        if is_patient && !weighing.has_enough_answers() {
             return stay(Reason::GatheringEvidence);
         }
         if self.is_time_to_cut_over(weighing) {
@@ -299,10 +348,20 @@
     /// Within the bound whatever happens; and before the deadline only if the cut-over
     /// can end by then, else it gains nothing.
     fn is_time_to_cut_over(&self, weighing: &Weighing<'_>) -> bool {
-        let exposure = weighing.exposure(self.rate.per_ms());
-        let is_in_time = weighing.remaining_ms() >= weighing.input.barrier_ms;
+        let may_be_early = weighing.settings.strategy != Strategy::HoldPastDeadline;
+        let is_in_time = may_be_early
+            && weighing.remaining_ms() >= weighing.input.barrier_ms + COMPLETE_BEFORE_MS;
         let is_over = weighing.remaining_ms() == 0;
-        (is_over || is_in_time) && exposure.may_move_all(weighing.settings)
+        is_over || (is_in_time && self.may_move_all(weighing))
+    }
+
+    fn may_move_all(&self, weighing: &Weighing<'_>) -> bool {
+        let Some(rate_per_ms) = self.rate.per_ms() else {
+            return false;
+        };
+        weighing
+            .exposure(rate_per_ms)
+            .may_move_all(weighing.settings)
     }
 
     fn raised_share_ppm(&self, weighing: &Weighing<'_>, share_ppm: u32) -> Option<u32> {
@@ -322,16 +381,25 @@
             let cause = RollBackCause::NoEngines;
             return weighing.roll_back(cause, Reason::Abandoned(cause));
         }
-        let exposure = weighing.exposure(self.rate.per_ms());
+        let rate_per_ms = self.rate.per_ms().unwrap_or(0.0);
+        let exposure = weighing.exposure(rate_per_ms);
         let has_established = weighing.supply.established > 0;
         if has_established && exposure.must_stop(weighing.settings) {
             let share_ppm = schedule::first_share_ppm(weighing.settings);
             return weighing.go_to(Stage::Canary { share_ppm }, Reason::ExposureAhead);
         }
-        match weighing.awaited(self.began_at) {
-            (0, _) => weighing.go_to(Stage::Completed, Reason::AllConfirmed),
-            (nodes, running) => stay(Reason::AwaitingNodes { nodes, running }),
+        if let Some(finding) = self.suspicion_of(SUSPICION_PART) {
+            return weighing.under_suspicion(finding);
         }
+        let (nodes, running) = weighing.awaited(self.began_at);
+        if nodes > 0 {
+            return stay(Reason::AwaitingNodes { nodes, running });
+        }
+        let is_accepted = self.is_accepted(weighing) || weighing.is_patience_over();
+        if !weighing.is_watched_enough() || !is_accepted {
+            return stay(Reason::GatheringEvidence);
+        }
+        weighing.go_to(Stage::Completed, Reason::AllConfirmed)
     }
 }
 
@@ -400,6 +468,16 @@
         self.progress.duration_ms.saturating_sub(self.elapsed_ms())
     }
 
+    /// Whether the target has served alone for so long as the deadline lets it: a version
+    /// that turns bad after its completion can't be rolled back.
+    fn is_watched_enough(&self) -> bool {
+        let since = self.input.now.since(self.input.status_seen_at);
+        match self.remaining_ms() {
+            0 => since >= WATCH_MS,
+            remaining_ms => remaining_ms <= COMPLETE_BEFORE_MS,
+        }
+    }
+
     fn is_patience_over(&self) -> bool {
         let duration_ms = self.progress.duration_ms;
         let patience_ms = (PATIENCE_DURATIONS * duration_ms).max(duration_ms + MIN_PATIENCE_MS);
@@ -411,6 +489,15 @@
         self.supply.target > 0 && f64::from(self.supply.target) >= needed
     }
 
+    /// Goes no further; and back once the deadline has passed, for then nothing is gained
+    /// by waiting, and a bad version would go on answering.
+    fn under_suspicion(&self, finding: Finding) -> Decision {
+        match self.remaining_ms() {
+            0 => self.roll_back(RollBackCause::BadAnswers, Reason::Bad(finding)),
+            _ => stay(Reason::Suspicious(finding)),
+        }
+    }
+
     /// Waits for engines until the deadline; then it ends without any, or, with too few,
     /// when patience is over.
     fn without_engines(&self) -> Decision {
@@ -436,15 +523,23 @@
         answers >= ENOUGH_ANSWERS && judged.into_iter().all(each_enough)
     }
 
+    /// Requests in a millisecond: lately, or since the order, whichever is higher.
+    fn rate_per_ms(&self, recent: f64) -> f64 {
+        let since_order = self.requests() as f64 / self.elapsed_ms().max(1) as f64;
+        recent.max(since_order)
+    }
+
     /// What the target has got at most: what is known, what nodes that are heard have
     /// sent since, and what the others may have sent by their highest credits.
-    fn exposure(&self, rate_per_ms: f64) -> Exposure {
+    fn exposure(&self, recent_rate_per_ms: f64) -> Exposure {
+        let rate_per_ms = self.rate_per_ms(recent_rate_per_ms);
         let share = match self.progress.stage {
             Stage::Canary { share_ppm } => f64::from(share_ppm) / MILLION as f64,
             _ => 1.0,
         };
         let known = self.sums().target_arrivals();
-        let unreported = rate_per_ms * REPORT_AGE_MS as f64 * share;
+        let since_stage_ms = self.input.now.since(self.input.status_seen_at);
+        let unreported = rate_per_ms * REPORT_AGE_MS.min(since_stage_ms) as f64 * share;
         let unheard =
             schedule::cap_share(self.settings) * self.requests() as f64 * self.unheard_part();
         let arrivals = known.max(self.progress.target_arrivals);
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -5,7 +5,7 @@
 //! first byte is bad when it lies beyond a quantile of the established engines' times,
 //! with one bucket (√2) of room.
 
-use crate::counts::{Counts, EngineSlotCounts, RouteTag, Side, SideCounts};
+use crate::counts::{Counts, EngineSlotCounts, RouteCounts, RouteTag, Side, SideCounts};
 use crate::detector::{self, ChangeDetector};
 use crate::first_byte::BUCKETS;
 use ploverlift_policy::ids::Millis;
@@ -13,19 +13,35 @@
 
 /// Chance that a good version is rolled back by the tests of one rollout.
 pub const FALSE_ROLL_BACK_CHANCE: f64 = 0.000_5;
+/// Chance that a version of which [`SMALLEST_DEFECT`] more answers fail is accepted.
+pub const FALSE_ACCEPTANCE_CHANCE: f64 = 0.001;
+/// The same where the deadline leaves no time for more answers.
+const FALSE_ACCEPTANCE_CHANCE_IN_HASTE: f64 = 0.01;
+/// The same then by route, and of the answers since all traffic moved.
+const FALSE_ACCEPTANCE_CHANCE_OF_PART_IN_HASTE: f64 = 0.1;
+/// Part of the answers that a bad version fails at least.
+const SMALLEST_DEFECT: f64 = 0.04;
 /// Time between two steps of the tests, in milliseconds; counts come five times a
 /// second.
-pub const STEP_MS: u64 = 100;
-/// Steps that the chance of an error is reckoned for at least: 30 s.
-const MIN_STEPS: u64 = 300;
-/// Tests that the chance of an error is shared by: three on each of some eight routes.
-const TESTS: usize = 24;
+pub const STEP_MS: u64 = 200;
+/// Steps that the chance of an error is reckoned for beyond the rollout's duration: the
+/// cut-over takes 10 s or less.
+const STEPS_AFTER_DEADLINE: u64 = 50;
+/// Tests of each route, and of all together.
+const TESTS_PER_ROUTE: usize = 1 + LATE_QUANTILES.len();
 /// Bad answers in excess of what is borne, over the fleet, from which a version is
 /// stopped without a test; at the fiftieth, the time to stop begins to run.
 pub const MANY_BAD_ANSWERS: u64 = 25;
-/// How often more bad answers than the established engines' are borne before those in
-/// excess count towards [`MANY_BAD_ANSWERS`].
-const EXCESS_FACTOR: f64 = 2.0;
+/// What counts as bad without any test.
+const WITHOUT_TEST: ExcessRule = ExcessRule {
+    factor: 2.0,
+    late_room: LATE_ROOM_IN_CUT_OVER,
+};
+/// What counts as bad when the tests already show much of a proof.
+const UNDER_SUSPICION: ExcessRule = ExcessRule {
+    factor: 1.0,
+    late_room: LATE_ROOM,
+};
 /// Rate of failures that is always borne.
 const MIN_BORNE_FAILURES: f64 = 0.01;
 /// Rate of late first bytes that is always borne.
@@ -92,7 +108,7 @@
 /// The tests of one rollout.
 #[derive(Clone, Debug)]
 pub struct Evidence {
-    threshold: f64,
+    steps: u64,
     seen: Counts,
     established_steps: VecDeque<Counts>,
     tests: BTreeMap<Option<RouteTag>, RouteTests>,
@@ -102,9 +118,8 @@
 impl Evidence {
     /// Tests of a rollout that lasts so long, in milliseconds.
     pub fn lasting(duration_ms: u64) -> Self {
-        let steps = (2 * duration_ms / STEP_MS).max(MIN_STEPS);
         Self {
-            threshold: detector::threshold(steps, TESTS, FALSE_ROLL_BACK_CHANCE),
+            steps: duration_ms / STEP_MS + STEPS_AFTER_DEADLINE,
             seen: Counts::default(),
             established_steps: VecDeque::new(),
             tests: BTreeMap::new(),
@@ -125,12 +140,24 @@
         self.proven(sums)
     }
 
-    /// The strongest evidence so far against the version, as a share of what proves it.
-    pub fn suspicion(&self) -> f64 {
-        let all = self.tests.values().flat_map(RouteTests::evidences);
-        all.fold(0.0, |highest, evidence| {
-            highest.max(evidence / self.threshold)
-        })
+    /// The strongest evidence so far against the version.
+    pub fn strongest(&self) -> Option<Finding> {
+        let findings = self.tests.iter().flat_map(|(route, tests)| {
+            let failures = tests.failures.evidence();
+            let late = tests.latest();
+            [
+                self.finding(Symptom::Failures, *route, failures),
+                self.finding(Symptom::SlowFirstByte, *route, late),
+            ]
+        });
+        findings.max_by(|one, other| one.evidence.total_cmp(&other.evidence))
+    }
+
+    /// Evidence from which a version counts as bad: the chance of an error is shared by
+    /// all tests that run.
+    fn threshold(&self) -> f64 {
+        let tests = self.tests.len() * TESTS_PER_ROUTE;
+        detector::threshold(self.steps, tests, FALSE_ROLL_BACK_CHANCE)
     }
 
     fn step(&mut self, sums: &Counts, is_cutting_over: bool) {
@@ -146,61 +173,42 @@
             true => LATE_ROOM_IN_CUT_OVER,
             false => LATE_ROOM,
         };
+        let mut pooled = Pooled::default();
         for (route, counts) in &added.routes {
             let baseline = Baseline {
                 whole: sums.routes[route].established,
                 recent: recent.routes[route].established,
             };
             let tests = self.tests.entry(Some(*route)).or_default();
-            tests.step(&counts.target, &baseline, room);
+            tests.step(&counts.target, &baseline, room, &mut pooled);
         }
-        self.step_all_routes(&added, sums, &recent);
+        self.step_all_routes(&pooled);
     }
 
-    /// All routes together: failures only, for times of different routes differ.
-    fn step_all_routes(&mut self, added: &Counts, sums: &Counts, recent: &Counts) {
-        let baseline = Baseline {
-            whole: sums.all_routes(Side::Established),
-            recent: recent.all_routes(Side::Established),
-        };
-        let target = added.all_routes(Side::Target);
+    /// All routes together: each answer is measured by its own route's baseline.
+    fn step_all_routes(&mut self, pooled: &Pooled) {
         let tests = self.tests.entry(None).or_default();
-        let borne = baseline.borne_failures();
-        tests
-            .failures
-            .step(target.answers, target.failures, borne, 1.0);
+        pooled.failures.step(&mut tests.failures, 1.0);
+        for (test, late) in tests.late.iter_mut().zip(&pooled.late) {
+            late.step(test, LATE_DESIGN_EFFECT);
+        }
     }
 
     fn proven(&self, sums: &Counts) -> Option<Finding> {
-        let findings = self.tests.iter().filter_map(|(route, tests)| {
-            let failures = tests.failures.evidence();
-            if failures >= self.threshold && !is_one_engine_alone(sums) {
-                return Some(self.finding(Symptom::Failures, *route, failures, sums));
-            }
-            let late = tests.late.iter().map(ChangeDetector::evidence);
-            let late = late.fold(f64::NEG_INFINITY, f64::max);
-            let is_late = late >= self.threshold;
-            is_late.then(|| self.finding(Symptom::SlowFirstByte, *route, late, sums))
-        });
-        findings.max_by(|one, other| one.evidence.total_cmp(&other.evidence))
+        let strongest = self.strongest()?;
+        let is_proven = strongest.evidence >= strongest.threshold;
+        let is_excused = strongest.symptom == Symptom::Failures && is_one_engine_alone(sums);
+        (is_proven && !is_excused).then_some(strongest)
     }
 
-    fn finding(
-        &self,
-        symptom: Symptom,
-        route: Option<RouteTag>,
-        evidence: f64,
-        sums: &Counts,
-    ) -> Finding {
+    fn finding(&self, symptom: Symptom, route: Option<RouteTag>, evidence: f64) -> Finding {
+        let sums = &self.seen;
         let side = |side| match route {
             Some(route) => *sums.routes[&route].side(side),
             None => sums.all_routes(side),
         };
         let (target, established) = (side(Side::Target), side(Side::Established));
-        let baseline = Baseline {
-            whole: established,
-            recent: SideCounts::default(),
-        };
+        let baseline = Baseline::of_whole(&established);
         let (bad, borne_share) = match symptom {
             Symptom::SlowFirstByte => {
                 let bucket = late_bucket(&established, LATE_QUANTILES[1]).unwrap_or(0);
@@ -216,32 +224,74 @@
             bad,
             borne_share,
             evidence,
-            threshold: self.threshold,
+            threshold: self.threshold(),
         }
     }
 }
 
 impl RouteTests {
-    fn step(&mut self, target: &SideCounts, baseline: &Baseline, room: usize) {
-        let borne = baseline.borne_failures();
-        self.failures
-            .step(target.answers, target.failures, borne, 1.0);
-        for (test, quantile) in self.late.iter_mut().zip(LATE_QUANTILES) {
+    fn step(&mut self, target: &SideCounts, baseline: &Baseline, room: usize, pooled: &mut Pooled) {
+        let failures = Batch::new(target.answers, target.failures, baseline.borne_failures());
+        failures.step(&mut self.failures, 1.0);
+        pooled.failures.add(&failures);
+        for (index, quantile) in LATE_QUANTILES.into_iter().enumerate() {
             let Some(bucket) = late_bucket(baseline.times(), quantile) else {
                 continue;
             };
             let late = target.first_byte.from_bucket(bucket + room);
             let borne = baseline.borne_late(bucket);
-            test.step(target.first_byte.total(), late, borne, LATE_DESIGN_EFFECT);
+            let late = Batch::new(target.first_byte.total(), late, borne);
+            late.step(&mut self.late[index], LATE_DESIGN_EFFECT);
+            pooled.late[index].add(&late);
         }
     }
 
-    fn evidences(&self) -> impl Iterator<Item = f64> + '_ {
+    /// The strongest evidence that first bytes are late.
+    fn latest(&self) -> f64 {
         let late = self.late.iter().map(ChangeDetector::evidence);
-        late.chain([self.failures.evidence()])
+        late.fold(f64::NEG_INFINITY, f64::max)
+    }
+}
+
+/// Answers of one step, bad ones among them, and how many would be borne.
+#[derive(Clone, Copy, Debug, Default)]
+struct Batch {
+    answers: u64,
+    bad: u64,
+    borne: f64,
+}
+
+impl Batch {
+    fn new(answers: u64, bad: u64, borne_share: f64) -> Self {
+        Self {
+            answers,
+            bad,
+            borne: borne_share * answers as f64,
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.bad += other.bad;
+        self.borne += other.borne;
+    }
+
+    fn step(&self, test: &mut ChangeDetector, design_effect: f64) {
+        if self.answers == 0 {
+            return;
+        }
+        let borne_share = self.borne / self.answers as f64;
+        test.step(self.answers, self.bad, borne_share, design_effect);
     }
 }
 
+/// One step's answers of all routes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pooled {
+    failures: Batch,
+    late: [Batch; LATE_QUANTILES.len()],
+}
+
 /// The established engines' answers to compare with.
 struct Baseline {
     whole: SideCounts,
@@ -249,6 +299,13 @@
 }
 
 impl Baseline {
+    fn of_whole(established: &SideCounts) -> Self {
+        Self {
+            whole: *established,
+            recent: SideCounts::default(),
+        }
+    }
+
     /// Share of failures that is borne: the higher of the whole and the recent one, with
     /// room for chance.
     fn borne_failures(&self) -> f64 {
@@ -290,14 +347,71 @@
     (0..BUCKETS).find(|&bucket| times.from_bucket(bucket) as f64 <= share * total as f64)
 }
 
+/// How sure a version must be to be accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Assurance {
+    /// Before the deadline: on the whole; by route and since all traffic moved, a little.
+    InHaste,
+    /// After the deadline there is time: of each.
+    Full,
+}
+
+/// Whether a version has answered so much so well that one of which
+/// [`SMALLEST_DEFECT`] more answers fail hardly ever would, on the whole, on each route
+/// with a tenth of its answers, and since all traffic moved.
+pub fn is_accepted(sums: &Counts, since_cut_over: &Counts, assurance: Assurance) -> bool {
+    let (chance, part_chance) = match assurance {
+        Assurance::InHaste => (
+            FALSE_ACCEPTANCE_CHANCE_IN_HASTE,
+            FALSE_ACCEPTANCE_CHANCE_OF_PART_IN_HASTE,
+        ),
+        Assurance::Full => (FALSE_ACCEPTANCE_CHANCE, FALSE_ACCEPTANCE_CHANCE),
+    };
+    let target = sums.all_routes(Side::Target);
+    let established = sums.all_routes(Side::Established);
+    let since = since_cut_over.all_routes(Side::Target);
+    let is_worth_judging = |counts: &&RouteCounts| counts.target.answers * 10 >= target.answers;
+    let mut routes = sums.routes.values().filter(is_worth_judging);
+    has_answered_well(&target, &established, chance)
+        && has_answered_well(&since, &established, part_chance)
+        && routes.all(|it| has_answered_well(&it.target, &it.established, part_chance))
+}
+
+/// Wald's test, at its lower end.
+fn has_answered_well(target: &SideCounts, established: &SideCounts, chance: f64) -> bool {
+    let borne = Baseline::of_whole(established).borne_failures();
+    let raised = borne + SMALLEST_DEFECT * (1.0 - borne);
+    let bad = target.failures as f64;
+    let good = target.answers as f64 - bad;
+    let log_ratio = bad * (raised / borne).ln() + good * ((1.0 - raised) / (1.0 - borne)).ln();
+    log_ratio <= chance.ln()
+}
+
 /// Bad answers of the target beyond what is borne, when they are many. Every node that
 /// knows the fleet's sums stops by this, with or without a decider.
 pub fn many_bad_answers(sums: &Counts) -> Option<Finding> {
+    excess_finding(sums, &WITHOUT_TEST)
+}
+
+/// The same where the tests show much of a proof already: fewer excuses are made.
+pub fn many_suspicious_answers(sums: &Counts) -> Option<Finding> {
+    excess_finding(sums, &UNDER_SUSPICION)
+}
+
+/// Which answers count as bad beyond what is borne.
+struct ExcessRule {
+    /// How often more bad answers than the established engines' are borne.
+    factor: f64,
+    /// Buckets of room before a first byte counts as late.
+    late_room: usize,
+}
+
+fn excess_finding(sums: &Counts, rule: &ExcessRule) -> Option<Finding> {
     let mut failures = Excess::default();
     let mut late = Excess::default();
     for counts in sums.routes.values() {
-        failures.add_failures(&counts.target, &counts.established);
-        late.add_late(&counts.target, &counts.established);
+        failures.add_failures(counts, rule);
+        late.add_late(counts, rule);
     }
     let worse = match failures.excess >= late.excess {
         true => failures,
@@ -325,32 +439,24 @@
 }
 
 impl Excess {
-    fn add_failures(&mut self, target: &SideCounts, established: &SideCounts) {
-        let baseline = Baseline {
-            whole: *established,
-            recent: SideCounts::default(),
-        };
-        let borne = baseline.borne_failures();
-        self.add(target.answers, target.failures, borne);
+    fn add_failures(&mut self, counts: &RouteCounts, rule: &ExcessRule) {
+        let borne = Baseline::of_whole(&counts.established).borne_failures();
+        let target = &counts.target;
+        self.add(target.answers, target.failures, borne * rule.factor);
     }
 
-    fn add_late(&mut self, target: &SideCounts, established: &SideCounts) {
-        let Some(bucket) = late_bucket(established, LATE_QUANTILES[1]) else {
+    fn add_late(&mut self, counts: &RouteCounts, rule: &ExcessRule) {
+        let Some(bucket) = late_bucket(&counts.established, LATE_QUANTILES[1]) else {
             return;
         };
-        let baseline = Baseline {
-            whole: *established,
-            recent: SideCounts::default(),
-        };
-        let late = target
-            .first_byte
-            .from_bucket(bucket + LATE_ROOM_IN_CUT_OVER);
-        let borne = baseline.borne_late(bucket);
-        self.add(target.first_byte.total(), late, borne);
+        let borne = Baseline::of_whole(&counts.established).borne_late(bucket);
+        let times = &counts.target.first_byte;
+        let late = times.from_bucket(bucket + rule.late_room);
+        self.add(times.total(), late, borne * rule.factor);
     }
 
     fn add(&mut self, answers: u64, bad: u64, borne_share: f64) {
-        let borne = EXCESS_FACTOR * borne_share * answers as f64;
+        let borne = borne_share * answers as f64;
         self.answers += answers;
         self.bad += bad;
         self.borne += borne;
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -16,12 +16,12 @@
 const STEP_PARTS: [f64; 3] = [0.3, 0.5, 0.8];
 /// Part of the slack with which the canary begins before requests have earned it
 /// credits, so that small services are judged too.
-const START_PART: f64 = 0.2;
+const START_PART: f64 = 0.4;
 /// Part of the slack that no plan uses: what nodes have sent and not reported yet, and
 /// retries.
-const RESERVED_PART: f64 = 0.3;
+const RESERVED_PART: f64 = 0.2;
 /// How much faster than lately requests may come until the deadline.
-const RATE_MARGIN: f64 = 1.3;
+const RATE_MARGIN: f64 = 1.15;
 /// Second attempts at the target, for each request that moves to it.
 const ATTEMPTS_PER_REQUEST: f64 = 1.05;
 /// Part of the share that a bad version may get, up to which one node's credits go where
@@ -29,6 +29,8 @@
 const CAP_PART: f64 = 0.7;
 /// Time over which the recent rate is taken, in milliseconds.
 const RATE_WINDOW_MS: u64 = 1_500;
+/// The shortest time that shows a rate, in milliseconds.
+const MIN_RATE_WINDOW_MS: u64 = 800;
 
 /// The share to begin with, in parts of a million.
 pub fn first_share_ppm(settings: &RolloutSettings) -> u32 {
@@ -67,15 +69,12 @@
         }
     }
 
-    /// Requests in a millisecond, lately.
-    pub fn per_ms(&self) -> f64 {
-        let (Some((first_at, first)), Some((last_at, last))) =
-            (self.readings.front(), self.readings.back())
-        else {
-            return 0.0;
-        };
-        let ms = last_at.since(*first_at).max(1);
-        (last - first) as f64 / ms as f64
+    /// Requests in a millisecond, lately; nothing before it has been read long enough.
+    pub fn per_ms(&self) -> Option<f64> {
+        let (first_at, first) = self.readings.front()?;
+        let (last_at, last) = self.readings.back()?;
+        let ms = last_at.since(*first_at);
+        (ms >= MIN_RATE_WINDOW_MS).then(|| (last - first) as f64 / ms as f64)
     }
 }
 
--- a/crates/rollout/src/settings.rs
+++ b/crates/rollout/src/settings.rs
@@ -21,10 +21,15 @@
 /// How long the share is held, and when it is raised.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Strategy {
-    /// One small share until all traffic may move without risk to the bound.
+    /// One small share past the deadline, when what a bad version gets no longer counts:
+    /// nothing that happens until then can break the bound.
     #[default]
+    HoldPastDeadline,
+    /// One small share until all traffic may move within the bound, if the cut-over can
+    /// end by the deadline then; else as [`Self::HoldPastDeadline`]. A version that turns
+    /// bad after its completion, or a burst just then, is what it risks.
     Hold,
-    /// The share is raised by steps as evidence grows, each within the bound.
+    /// As [`Self::Hold`], but the share is raised by steps as evidence grows, each within the bound.
     Steps,
 }
 
@@ -35,7 +40,7 @@
             canary_slack: 50,
             roll_back_ms: 5_000,
             silence_bound_ms: 5_000,
-            strategy: Strategy::Hold,
+            strategy: Strategy::default(),
         }
     }
 }
