--- /dev/null
+++ b/crates/rollout/src/baseline.rs
@@ -0,0 +1,68 @@
+//! The established engines' answers, and what of the target's is borne by them.
+
+use crate::counts::SideCounts;
+use crate::first_byte::BUCKETS;
+
+/// Rate of failures that is always borne.
+pub(crate) const MIN_BORNE_FAILURES: f64 = 0.01;
+/// Rate of late first bytes that is always borne.
+const MIN_BORNE_LATE: f64 = 0.05;
+/// No more than that is borne, else a test could find nothing.
+const MAX_BORNE: f64 = 0.8;
+/// Answers of the established engines below which their times say nothing.
+const MIN_BASELINE_ANSWERS: u64 = 20;
+
+/// The established engines' answers to compare with.
+pub(crate) struct Baseline {
+    pub(crate) whole: SideCounts,
+    pub(crate) recent: SideCounts,
+}
+
+impl Baseline {
+    pub(crate) fn of_whole(established: &SideCounts) -> Self {
+        Self {
+            whole: *established,
+            recent: SideCounts::default(),
+        }
+    }
+
+    /// Share of failures that is borne: the higher of the whole and the recent one, with
+    /// room for chance.
+    pub(crate) fn borne_failures(&self) -> f64 {
+        let whole = upper_share(self.whole.failures, self.whole.answers);
+        let recent = match self.recent.answers >= MIN_BASELINE_ANSWERS {
+            true => upper_share(self.recent.failures, self.recent.answers),
+            false => 0.0,
+        };
+        whole.max(recent).clamp(MIN_BORNE_FAILURES, MAX_BORNE)
+    }
+
+    /// Recent times where there are enough, else all.
+    pub(crate) fn times(&self) -> &SideCounts {
+        match self.recent.first_byte.total() >= MIN_BASELINE_ANSWERS {
+            true => &self.recent,
+            false => &self.whole,
+        }
+    }
+
+    pub(crate) fn borne_late(&self, bucket: usize) -> f64 {
+        let times = &self.times().first_byte;
+        upper_share(times.from_bucket(bucket), times.total()).clamp(MIN_BORNE_LATE, MAX_BORNE)
+    }
+}
+
+/// The share that is seen, and two standard deviations of chance.
+fn upper_share(count: u64, total: u64) -> f64 {
+    let count = count as f64;
+    (count + 2.0 * count.sqrt() + 1.0) / (total as f64 + 4.0)
+}
+
+/// The first bucket in or beyond which at most a share of the answers lies.
+pub(crate) fn late_bucket(established: &SideCounts, share: f64) -> Option<usize> {
+    let times = &established.first_byte;
+    let total = times.total();
+    if total < MIN_BASELINE_ANSWERS {
+        return None;
+    }
+    (0..BUCKETS).find(|&bucket| times.from_bucket(bucket) as f64 <= share * total as f64)
+}
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -5,22 +5,15 @@
 //! first byte is bad when it lies beyond a quantile of the established engines' times,
 //! with one bucket (√2) of room.
 
-use crate::counts::{Counts, EngineSlotCounts, RouteCounts, RouteTag, Side, SideCounts};
+use crate::baseline::{late_bucket, Baseline, MIN_BORNE_FAILURES};
+use crate::counts::{Counts, EngineSlotCounts, RouteTag, Side, SideCounts};
 use crate::detector::{self, ChangeDetector};
-use crate::first_byte::BUCKETS;
+use crate::excess::many_bad_answers;
 use ploverlift_policy::ids::Millis;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Chance that a good version is rolled back by the tests of one rollout.
 pub const FALSE_ROLL_BACK_CHANCE: f64 = 0.000_5;
-/// Chance that a version of which [`SMALLEST_DEFECT`] more answers fail is accepted.
-pub const FALSE_ACCEPTANCE_CHANCE: f64 = 0.001;
-/// The same where the deadline leaves no time for more answers.
-const FALSE_ACCEPTANCE_CHANCE_IN_HASTE: f64 = 0.01;
-/// The same then by route, and of the answers since all traffic moved.
-const FALSE_ACCEPTANCE_CHANCE_OF_PART_IN_HASTE: f64 = 0.1;
-/// Part of the answers that a bad version fails at least.
-const SMALLEST_DEFECT: f64 = 0.04;
 /// Time between two steps of the tests, in milliseconds; counts come five times a
 /// second.
 pub const STEP_MS: u64 = 200;
@@ -29,39 +22,14 @@
 const STEPS_AFTER_DEADLINE: u64 = 50;
 /// Tests of each route, and of all together.
 const TESTS_PER_ROUTE: usize = 1 + LATE_QUANTILES.len();
-/// Bad answers in excess of what is borne, over the fleet, from which a version is
-/// stopped without a test; at the fiftieth, the time to stop begins to run.
-pub const MANY_BAD_ANSWERS: u64 = 25;
-/// What counts as bad without any test.
-const WITHOUT_TEST: ExcessRule = ExcessRule {
-    limit: MANY_BAD_ANSWERS,
-    factor: 2.0,
-    late_quantile: 0.1,
-    late_room: LATE_ROOM_IN_CUT_OVER,
-};
-/// What counts as bad when the tests already show much of a proof.
-const UNDER_SUSPICION: ExcessRule = ExcessRule {
-    limit: 20,
-    factor: 1.0,
-    late_quantile: 0.25,
-    late_room: LATE_ROOM,
-};
-/// Rate of failures that is always borne.
-const MIN_BORNE_FAILURES: f64 = 0.01;
-/// Rate of late first bytes that is always borne.
-const MIN_BORNE_LATE: f64 = 0.05;
-/// No more than that is borne, else a test could find nothing.
-const MAX_BORNE: f64 = 0.8;
 /// Late first bytes hang together by queues: so many count as one.
 const LATE_DESIGN_EFFECT: f64 = 2.0;
 /// Shares of the established engines' answers beyond which a first byte counts as late.
 const LATE_QUANTILES: [f64; 3] = [0.5, 0.25, 0.1];
 /// Buckets of room before a first byte counts as late: slower by √2 is borne.
-const LATE_ROOM: usize = 1;
+pub(crate) const LATE_ROOM: usize = 1;
 /// The same once the established engines serve less and less beside the target.
-const LATE_ROOM_IN_CUT_OVER: usize = 2;
-/// Answers of the established engines below which their times say nothing.
-const MIN_BASELINE_ANSWERS: u64 = 20;
+pub(crate) const LATE_ROOM_IN_CUT_OVER: usize = 2;
 /// Steps over which the established engines' recent answers are taken: 3 s.
 const RECENT_STEPS: usize = 30;
 /// Failures of one engine slot that count as the engine's own fault at most.
@@ -298,182 +266,6 @@
     late: [Batch; LATE_QUANTILES.len()],
 }
 
-/// The established engines' answers to compare with.
-struct Baseline {
-    whole: SideCounts,
-    recent: SideCounts,
-}
-
-impl Baseline {
-    fn of_whole(established: &SideCounts) -> Self {
-        Self {
-            whole: *established,
-            recent: SideCounts::default(),
-        }
-    }
-
-    /// Share of failures that is borne: the higher of the whole and the recent one, with
-    /// room for chance.
-    fn borne_failures(&self) -> f64 {
-        let whole = upper_share(self.whole.failures, self.whole.answers);
-        let recent = match self.recent.answers >= MIN_BASELINE_ANSWERS {
-            true => upper_share(self.recent.failures, self.recent.answers),
-            false => 0.0,
-        };
-        whole.max(recent).clamp(MIN_BORNE_FAILURES, MAX_BORNE)
-    }
-
-    /// Recent times where there are enough, else all.
-    fn times(&self) -> &SideCounts {
-        match self.recent.first_byte.total() >= MIN_BASELINE_ANSWERS {
-            true => &self.recent,
-            false => &self.whole,
-        }
-    }
-
-    fn borne_late(&self, bucket: usize) -> f64 {
-        let times = &self.times().first_byte;
-        upper_share(times.from_bucket(bucket), times.total()).clamp(MIN_BORNE_LATE, MAX_BORNE)
-    }
-}
-
-/// The share that is seen, and two standard deviations of chance.
-fn upper_share(count: u64, total: u64) -> f64 {
-    let count = count as f64;
-    (count + 2.0 * count.sqrt() + 1.0) / (total as f64 + 4.0)
-}
-
-/// The first bucket in or beyond which at most a share of the answers lies.
-fn late_bucket(established: &SideCounts, share: f64) -> Option<usize> {
-    let times = &established.first_byte;
-    let total = times.total();
-    if total < MIN_BASELINE_ANSWERS {
-        return None;
-    }
-    (0..BUCKETS).find(|&bucket| times.from_bucket(bucket) as f64 <= share * total as f64)
-}
-
-/// How sure a version must be to be accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Assurance {
-    /// Before the deadline: on the whole; by route and since all traffic moved, a little.
-    InHaste,
-    /// After the deadline there is time: of each.
-    Full,
-}
-
-/// Whether a version has answered so much so well that one of which
-/// [`SMALLEST_DEFECT`] more answers fail hardly ever would, on the whole, on each route
-/// with a tenth of its answers, and since all traffic moved.
-pub fn is_accepted(sums: &Counts, since_cut_over: &Counts, assurance: Assurance) -> bool {
-    let (chance, part_chance) = match assurance {
-        Assurance::InHaste => (
-            FALSE_ACCEPTANCE_CHANCE_IN_HASTE,
-            FALSE_ACCEPTANCE_CHANCE_OF_PART_IN_HASTE,
-        ),
-        Assurance::Full => (FALSE_ACCEPTANCE_CHANCE, FALSE_ACCEPTANCE_CHANCE),
-    };
-    let target = sums.all_routes(Side::Target);
-    let established = sums.all_routes(Side::Established);
-    let since = since_cut_over.all_routes(Side::Target);
-    let is_worth_judging = |counts: &&RouteCounts| counts.target.answers * 10 >= target.answers;
-    let mut routes = sums.routes.values().filter(is_worth_judging);
-    has_answered_well(&target, &established, chance)
-        && has_answered_well(&since, &established, part_chance)
-        && routes.all(|it| has_answered_well(&it.target, &it.established, part_chance))
-}
-
-/// Wald's test, at its lower end.
-fn has_answered_well(target: &SideCounts, established: &SideCounts, chance: f64) -> bool {
-    let borne = Baseline::of_whole(established).borne_failures();
-    let raised = borne + SMALLEST_DEFECT * (1.0 - borne);
-    let bad = target.failures as f64;
-    let good = target.answers as f64 - bad;
-    let log_ratio = bad * (raised / borne).ln() + good * ((1.0 - raised) / (1.0 - borne)).ln();
-    log_ratio <= chance.ln()
-}
-
-/// Bad answers of the target beyond what is borne, when they are many. Every node that
-/// knows the fleet's sums stops by this, with or without a decider.
-pub fn many_bad_answers(sums: &Counts) -> Option<Finding> {
-    excess_finding(sums, &WITHOUT_TEST)
-}
-
-/// The same where the tests show much of a proof already: fewer excuses are made.
-pub fn many_suspicious_answers(sums: &Counts) -> Option<Finding> {
-    excess_finding(sums, &UNDER_SUSPICION)
-}
-
-/// Which answers count as bad beyond what is borne.
-struct ExcessRule {
-    /// Bad answers in excess from which the version is stopped.
-    limit: u64,
-    /// Share of the established engines' answers beyond which a first byte is late.
-    late_quantile: f64,
-    /// How often more bad answers than the established engines' are borne.
-    factor: f64,
-    /// Buckets of room before a first byte counts as late.
-    late_room: usize,
-}
-
-fn excess_finding(sums: &Counts, rule: &ExcessRule) -> Option<Finding> {
-    let mut failures = Excess::default();
-    let mut late = Excess::default();
-    for counts in sums.routes.values() {
-        failures.add_failures(counts, rule);
-        late.add_late(counts, rule);
-    }
-    let worse = match failures.excess >= late.excess {
-        true => failures,
-        false => late,
-    };
-    let limit = rule.limit as f64;
-    (worse.excess >= limit).then(|| Finding {
-        symptom: Symptom::ManyBadAnswers,
-        route: None,
-        answers: worse.answers,
-        bad: worse.bad,
-        borne_share: worse.borne / worse.answers.max(1) as f64,
-        evidence: worse.excess,
-        threshold: limit,
-    })
-}
-
-/// Bad answers beyond what is borne.
-#[derive(Clone, Copy, Debug, Default)]
-struct Excess {
-    answers: u64,
-    bad: u64,
-    borne: f64,
-    excess: f64,
-}
-
-impl Excess {
-    fn add_failures(&mut self, counts: &RouteCounts, rule: &ExcessRule) {
-        let borne = Baseline::of_whole(&counts.established).borne_failures();
-        let target = &counts.target;
-        self.add(target.answers, target.failures, borne * rule.factor);
-    }
-
-    fn add_late(&mut self, counts: &RouteCounts, rule: &ExcessRule) {
-        let Some(bucket) = late_bucket(&counts.established, rule.late_quantile) else {
-            return;
-        };
-        let borne = Baseline::of_whole(&counts.established).borne_late(bucket);
-        let times = &counts.target.first_byte;
-        let late = times.from_bucket(bucket + rule.late_room);
-        self.add(times.total(), late, borne * rule.factor);
-    }
-
-    fn add(&mut self, answers: u64, bad: u64, borne_share: f64) {
-        let borne = borne_share * answers as f64;
-        self.answers += answers;
-        self.bad += bad;
-        self.borne += borne;
-        self.excess += bad as f64 - borne;
-    }
-}
-
 /// Whether one engine fails and the others do not: its health is at fault, not the
 /// version. Not for ever, for a version may be bad where one engine gets the most.
 fn is_one_engine_alone(sums: &Counts) -> bool {
--- /dev/null
+++ b/crates/rollout/src/excess.rs
@@ -0,0 +1,104 @@
+//! Many bad answers: a stop without a test, which needs no decider.
+
+use crate::baseline::{late_bucket, Baseline};
+use crate::counts::{Counts, RouteCounts};
+use crate::evidence::{Finding, Symptom, LATE_ROOM, LATE_ROOM_IN_CUT_OVER};
+
+/// Bad answers in excess of what is borne, over the fleet, from which a version is
+/// stopped without a test; at the fiftieth, the time to stop begins to run.
+pub const MANY_BAD_ANSWERS: u64 = 25;
+/// What counts as bad without any test.
+const WITHOUT_TEST: ExcessRule = ExcessRule {
+    limit: MANY_BAD_ANSWERS,
+    factor: 2.0,
+    late_quantile: 0.1,
+    late_room: LATE_ROOM_IN_CUT_OVER,
+};
+/// What counts as bad when the tests already show much of a proof.
+const UNDER_SUSPICION: ExcessRule = ExcessRule {
+    limit: 20,
+    factor: 1.0,
+    late_quantile: 0.25,
+    late_room: LATE_ROOM,
+};
+
+/// Bad answers of the target beyond what is borne, when they are many. Every node that
+/// knows the fleet's sums stops by this, with or without a decider.
+pub fn many_bad_answers(sums: &Counts) -> Option<Finding> {
+    excess_finding(sums, &WITHOUT_TEST)
+}
+
+/// The same where the tests show much of a proof already: fewer excuses are made.
+pub fn many_suspicious_answers(sums: &Counts) -> Option<Finding> {
+    excess_finding(sums, &UNDER_SUSPICION)
+}
+
+/// Which answers count as bad beyond what is borne.
+struct ExcessRule {
+    /// Bad answers in excess from which the version is stopped.
+    limit: u64,
+    /// Share of the established engines' answers beyond which a first byte is late.
+    late_quantile: f64,
+    /// How often more bad answers than the established engines' are borne.
+    factor: f64,
+    /// Buckets of room before a first byte counts as late.
+    late_room: usize,
+}
+
+fn excess_finding(sums: &Counts, rule: &ExcessRule) -> Option<Finding> {
+    let mut failures = Excess::default();
+    let mut late = Excess::default();
+    for counts in sums.routes.values() {
+        failures.add_failures(counts, rule);
+        late.add_late(counts, rule);
+    }
+    let worse = match failures.excess >= late.excess {
+        true => failures,
+        false => late,
+    };
+    let limit = rule.limit as f64;
+    (worse.excess >= limit).then(|| Finding {
+        symptom: Symptom::ManyBadAnswers,
+        route: None,
+        answers: worse.answers,
+        bad: worse.bad,
+        borne_share: worse.borne / worse.answers.max(1) as f64,
+        evidence: worse.excess,
+        threshold: limit,
+    })
+}
+
+/// Bad answers beyond what is borne.
+#[derive(Clone, Copy, Debug, Default)]
+struct Excess {
+    answers: u64,
+    bad: u64,
+    borne: f64,
+    excess: f64,
+}
+
+impl Excess {
+    fn add_failures(&mut self, counts: &RouteCounts, rule: &ExcessRule) {
+        let borne = Baseline::of_whole(&counts.established).borne_failures();
+        let target = &counts.target;
+        self.add(target.answers, target.failures, borne * rule.factor);
+    }
+
+    fn add_late(&mut self, counts: &RouteCounts, rule: &ExcessRule) {
+        let Some(bucket) = late_bucket(&counts.established, rule.late_quantile) else {
+            return;
+        };
+        let borne = Baseline::of_whole(&counts.established).borne_late(bucket);
+        let times = &counts.target.first_byte;
+        let late = times.from_bucket(bucket + rule.late_room);
+        self.add(times.total(), late, borne * rule.factor);
+    }
+
+    fn add(&mut self, answers: u64, bad: u64, borne_share: f64) {
+        let borne = borne_share * answers as f64;
+        self.answers += answers;
+        self.bad += bad;
+        self.borne += borne;
+        self.excess += bad as f64 - borne;
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -25,20 +25,32 @@
 //! | [`placement`] | engines of a version that can't be placed yet |
 //! | [`detector`] | a sequential test that finds a change |
 //! | [`evidence`] | target against established engines, by route |
+//! | `baseline` | what of the target's answers is borne by the established engines' |
+//! | [`excess`] | many bad answers: a stop without a test |
+//! | [`acceptance`] | whether it has answered well enough to be completed |
 //! | [`schedule`] | when to cut over so that the exposure stays within its bound |
-//! | [`decider`] | the lease holder's state machine |
+//! | [`decider`] | the lease holder's state machine: what one decision weighs |
+//! | `present_rollout` | where it goes on from each stage, and by what it has learned |
+//! | `supply` | engines and versions of the service |
 
+pub mod acceptance;
+mod baseline;
 pub mod canary_choice;
 pub mod counts;
 pub mod credits;
 pub mod decider;
+mod decision;
 pub mod detector;
 pub mod evidence;
+pub mod excess;
 pub mod first_byte;
+mod gate_terms;
 pub mod order;
 pub mod own_stop;
 pub mod placement;
+mod present_rollout;
 pub mod schedule;
 pub mod settings;
 pub mod share;
 pub mod stage;
+mod supply;
--- a/crates/rollout/tests/rollouts/evidence.rs
+++ b/crates/rollout/tests/rollouts/evidence.rs
@@ -3,12 +3,11 @@
 use crate::counts::answer;
 use fastrand::Rng;
 use ploverlift_policy::ids::Millis;
+use ploverlift_rollout::acceptance::{is_accepted, Assurance};
 use ploverlift_rollout::counts::{Answer, Counts, RouteTag, Side};
 use ploverlift_rollout::detector::{threshold, ChangeDetector};
-use ploverlift_rollout::evidence::{
-    is_accepted, many_bad_answers, Assurance, Evidence, Finding, Symptom, FALSE_ROLL_BACK_CHANCE,
-    MANY_BAD_ANSWERS, STEP_MS,
-};
+use ploverlift_rollout::evidence::{Evidence, Finding, Symptom, FALSE_ROLL_BACK_CHANCE, STEP_MS};
+use ploverlift_rollout::excess::{many_bad_answers, MANY_BAD_ANSWERS};
 
 const DURATION_MS: u64 = 12_000;
 const STEPS: u64 = DURATION_MS / STEP_MS;
