--- /dev/null
+++ b/crates/rollout/src/evidence.rs
@@ -0,0 +1,311 @@
+//! Target against established engines at the same time, by route.
+//!
+//! What both versions fail alike is the requests' own fault: the rate of failures that
+//! is borne is that of the established engines, with room for chance. A time to the
+//! first byte is bad when it lies beyond a quantile of the established engines' times,
+//! with one bucket (√2) of room.
+
+use crate::baseline::{late_bucket, later_half, Baseline};
+use crate::counts::{Counts, EngineSlotCounts, RouteTag, Side, SideCounts};
+use crate::detector::{self, ChangeDetector};
+use crate::excess::many_bad_answers;
+use ploverlift_policy::ids::Millis;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Chance that a good version is rolled back by the tests of one rollout.
+pub const FALSE_ROLL_BACK_CHANCE: f64 = 0.000_5;
+/// Time between two steps of the tests, in milliseconds; counts come five times a
+/// second.
+pub const STEP_MS: u64 = 200;
+/// Steps that the chance of an error is reckoned for beyond the rollout's duration: the
+/// cut-over takes 10 s or less.
+const STEPS_AFTER_DEADLINE: u64 = 50;
+/// Tests of each route, and of all together.
+const TESTS_PER_ROUTE: usize = 2 + LATE_QUANTILES.len();
+/// Late first bytes hang together by queues: so many count as one.
+const LATE_DESIGN_EFFECT: f64 = 1.5;
+/// Shares of the established engines' answers beyond which a first byte counts as late.
+const LATE_QUANTILES: [f64; 2] = [0.25, 0.1];
+/// Buckets of room before a first byte counts as late: slower by √2 is borne.
+pub(crate) const LATE_ROOM: usize = 1;
+/// The same once the established engines serve less and less beside the target.
+pub(crate) const LATE_ROOM_IN_CUT_OVER: usize = 2;
+/// Steps over which the established engines' recent answers are taken: 3 s.
+const RECENT_STEPS: usize = 15;
+/// Failures of one engine slot that count as the engine's own fault at most.
+const ONE_ENGINE_FAILURES: u64 = 20;
+/// Failures of all other engines that are borne then, beside their usual rate.
+const OTHER_ENGINES_FAILURES: f64 = 2.0;
+/// The same as a part of the one engine's failures.
+const OTHER_ENGINES_PART: f64 = 0.1;
+/// Answers of other engines from which it can be told that one engine alone is bad.
+const MIN_OTHER_ENGINES_ANSWERS: u64 = 5;
+
+/// What of the answers is worse.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Symptom {
+    /// More of them fail.
+    Failures,
+    /// They arrive later.
+    SlowFirstByte,
+    /// So many are bad that the version is stopped without a test.
+    ManyBadAnswers,
+    /// Nodes have stopped sending to it by what they saw alone.
+    NodesStopped,
+}
+
+/// The evidence that a version is bad, for the log line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finding {
+    /// What is worse.
+    pub symptom: Symptom,
+    /// On which route; nothing for all together.
+    pub route: Option<RouteTag>,
+    /// Answers of the target that were judged.
+    pub answers: u64,
+    /// Bad ones among them.
+    pub bad: u64,
+    /// Share of bad ones that would be borne, by the established engines' answers.
+    pub borne_share: f64,
+    /// Logarithm of the evidence; the bad answers in excess for
+    /// [`Symptom::ManyBadAnswers`], nodes for [`Symptom::NodesStopped`].
+    pub evidence: f64,
+    /// Where it counts as proof, in the same unit.
+    pub threshold: f64,
+}
+
+/// The tests of one route, or of all together.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTests {
+    failures: ChangeDetector,
+    later_half: ChangeDetector,
+    late: [ChangeDetector; LATE_QUANTILES.len()],
+}
+
+/// The tests of one rollout.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    steps: u64,
+    seen: Counts,
+    /// Counts of the last [`RECENT_STEPS`] steps.
+    recent: Counts,
+    established_steps: VecDeque<Counts>,
+    tests: BTreeMap<Option<RouteTag>, RouteTests>,
+    stepped_at: Option<Millis>,
+}
+
+impl Evidence {
+    /// Tests of a rollout that lasts so long, in milliseconds.
+    pub fn lasting(duration_ms: u64) -> Self {
+        Self {
+            steps: duration_ms / STEP_MS + STEPS_AFTER_DEADLINE,
+            seen: Counts::default(),
+            recent: Counts::default(),
+            established_steps: VecDeque::new(),
+            tests: BTreeMap::new(),
+            stepped_at: None,
+        }
+    }
+
+    /// Takes in the fleet's sums; says what is bad, if that is proven.
+    pub fn take(&mut self, sums: &Counts, is_cutting_over: bool, now: Millis) -> Option<Finding> {
+        if let Some(finding) = many_bad_answers(sums, is_cutting_over) {
+            return Some(finding);
+        }
+        let is_due = self.stepped_at.is_none_or(|at| now.since(at) >= STEP_MS);
+        if is_due {
+            self.stepped_at = Some(now);
+            self.step(sums, is_cutting_over);
+        }
+        self.proven()
+    }
+
+    /// The strongest evidence so far against the version.
+    pub fn strongest(&self) -> Option<Finding> {
+        let findings = self.tests.iter().flat_map(|(route, tests)| {
+            let failures = tests.failures.evidence();
+            let late = tests.latest();
+            [
+                self.finding(Symptom::Failures, *route, failures),
+                self.finding(Symptom::SlowFirstByte, *route, late),
+            ]
+        });
+        findings.max_by(|one, other| one.evidence.total_cmp(&other.evidence))
+    }
+
+    /// Evidence from which a version counts as bad: the chance of an error is shared by
+    /// all tests that run.
+    fn threshold(&self) -> f64 {
+        let tests = self.tests.len() * TESTS_PER_ROUTE;
+        detector::threshold(self.steps, tests, FALSE_ROLL_BACK_CHANCE)
+    }
+
+    fn step(&mut self, sums: &Counts, is_cutting_over: bool) {
+        let added = sums.since(&self.seen);
+        self.established_steps.push_back(self.seen.clone());
+        if self.established_steps.len() > RECENT_STEPS {
+            self.established_steps.pop_front();
+        }
+        self.seen = sums.clone();
+        let before_recent = self.established_steps.front().cloned().unwrap_or_default();
+        let recent = sums.since(&before_recent);
+        let room = match is_cutting_over {
+            true => LATE_ROOM_IN_CUT_OVER,
+            false => LATE_ROOM,
+        };
+        let mut pooled = Pooled::default();
+        for (route, counts) in &added.routes {
+            let baseline = Baseline {
+                whole: sums.routes[route].established,
+                recent: recent.routes[route].established,
+            };
+            let tests = self.tests.entry(Some(*route)).or_default();
+            tests.step(&counts.target, &baseline, room, &mut pooled);
+        }
+        self.step_all_routes(&pooled);
+        self.recent = recent;
+    }
+
+    /// All routes together: each answer is measured by its own route's baseline.
+    fn step_all_routes(&mut self, pooled: &Pooled) {
+        let tests = self.tests.entry(None).or_default();
+        pooled.failures.step(&mut tests.failures, 1.0);
+        pooled
+            .later_half
+            .step(&mut tests.later_half, LATE_DESIGN_EFFECT);
+        for (test, late) in tests.late.iter_mut().zip(&pooled.late) {
+            late.step(test, LATE_DESIGN_EFFECT);
+        }
+    }
+
+    fn proven(&self) -> Option<Finding> {
+        let strongest = self.strongest()?;
+        let is_proven = strongest.evidence >= strongest.threshold;
+        let is_excused =
+            strongest.symptom == Symptom::Failures && is_one_engine_alone(&self.recent);
+        (is_proven && !is_excused).then_some(strongest)
+    }
+
+    fn finding(&self, symptom: Symptom, route: Option<RouteTag>, evidence: f64) -> Finding {
+        let sums = &self.seen;
+        let side = |side| match route {
+            Some(route) => *sums.routes[&route].side(side),
+            None => sums.all_routes(side),
+        };
+        let (target, established) = (side(Side::Target), side(Side::Established));
+        let baseline = Baseline::of_whole(&established);
+        let (bad, borne_share) = match symptom {
+            Symptom::SlowFirstByte => {
+                let bucket = late_bucket(&established, LATE_QUANTILES[0]).unwrap_or(0);
+                let late = target.first_byte.from_bucket(bucket + LATE_ROOM);
+                (late, baseline.borne_late(bucket))
+            }
+            _ => (target.failures, baseline.borne_failures()),
+        };
+        Finding {
+            symptom,
+            route,
+            answers: target.answers,
+            bad,
+            borne_share,
+            evidence,
+            threshold: self.threshold(),
+        }
+    }
+}
+
+impl RouteTests {
+    fn step(&mut self, target: &SideCounts, baseline: &Baseline, room: usize, pooled: &mut Pooled) {
+        let failures = Batch::new(target.answers, target.failures, baseline.borne_failures());
+        failures.step(&mut self.failures, 1.0);
+        pooled.failures.add(&failures);
+        if let Some((bucket, borne)) = later_half(baseline.times()).filter(|_| room == LATE_ROOM) {
+            let late = target.first_byte.from_bucket(bucket);
+            let later = Batch::new(target.first_byte.total(), late, borne);
+            later.step(&mut self.later_half, LATE_DESIGN_EFFECT);
+            pooled.later_half.add(&later);
+        }
+        for (index, quantile) in LATE_QUANTILES.into_iter().enumerate() {
+            let Some(bucket) = late_bucket(baseline.times(), quantile) else {
+                continue;
+            };
+            let late = target.first_byte.from_bucket(bucket + room);
+            let borne = baseline.borne_late(bucket);
+            let late = Batch::new(target.first_byte.total(), late, borne);
+            late.step(&mut self.late[index], LATE_DESIGN_EFFECT);
+            pooled.late[index].add(&late);
+        }
+    }
+
+    /// The strongest evidence that first bytes are late.
+    fn latest(&self) -> f64 {
+        let late = self.late.iter().chain([&self.later_half]);
+        let late = late.map(ChangeDetector::evidence);
+        late.fold(f64::NEG_INFINITY, f64::max)
+    }
+}
+
+/// Answers of one step, bad ones among them, and how many would be borne.
+#[derive(Clone, Copy, Debug, Default)]
+struct Batch {
+    answers: u64,
+    bad: u64,
+    borne: f64,
+}
+
+impl Batch {
+    fn new(answers: u64, bad: u64, borne_share: f64) -> Self {
+        Self {
+            answers,
+            bad,
+            borne: borne_share * answers as f64,
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.bad += other.bad;
+        self.borne += other.borne;
+    }
+
+    fn step(&self, test: &mut ChangeDetector, design_effect: f64) {
+        if self.answers == 0 {
+            return;
+        }
+        let borne_share = self.borne / self.answers as f64;
+        test.step(self.answers, self.bad, borne_share, design_effect);
+    }
+}
+
+/// One step's answers of all routes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pooled {
+    failures: Batch,
+    later_half: Batch,
+    late: [Batch; LATE_QUANTILES.len()],
+}
+
+/// Whether one engine fails and the others do not, lately: its health is at fault, not
+/// the version. Not for ever, for a version may be bad where one engine gets the most.
+fn is_one_engine_alone(recent: &Counts) -> bool {
+    let slots = &recent.target_engines;
+    let Some(worst) = slots.iter().max_by_key(|slot| slot.failures) else {
+        return false;
+    };
+    let all = slots
+        .iter()
+        .fold(EngineSlotCounts::default(), |all, slot| EngineSlotCounts {
+            answers: all.answers + slot.answers,
+            failures: all.failures + slot.failures,
+        });
+    let others = all.answers - worst.answers;
+    let failures_of_others = (all.failures - worst.failures) as f64;
+    let established = recent.all_routes(Side::Established);
+    let usual_share = established.failures as f64 / established.answers.max(1) as f64;
+    let borne = OTHER_ENGINES_FAILURES
+        + usual_share * others as f64
+        + OTHER_ENGINES_PART * worst.failures as f64;
+    worst.failures < ONE_ENGINE_FAILURES
+        && others >= MIN_OTHER_ENGINES_ANSWERS
+        && failures_of_others <= borne
+}
