One named lease for each duty in place of the lease on orders

Cause: rollouts need a lease of their own. Change: weights/holder.rs is leases/holder.rs with a LeaseName; what is held and heard of a lease is leases::LeaseNews, one for each duty. tests/peers.rs: the constructor names its lease, hearing goes through LeaseBeliefs; no assertion changed.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -1,6 +1,7 @@
 //! What a node believes of its site, from the store, its traffic and other nodes.
 
 use crate::catalogue_log::CatalogueLog;
+use crate::leases::{LeaseBeliefs, LeaseName};
 use crate::outcomes::ObservedAttempt;
 use crate::peers::followed_relays::FollowedRelays;
 use crate::peers::relay_duties::RelayDuties;
@@ -82,15 +83,6 @@
     pub contents: CacheContents,
 }
 
-/// A renewal of the lease on orders of which its holder told this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeardLease {
-    /// The revision that the renewal was given.
-    pub revision: u64,
-    /// When this node first heard of it.
-    pub heard_at: Millis,
-}
-
 /// What this node believes of the site.
 #[derive(Debug, Default)]
 pub struct Beliefs {
@@ -142,10 +134,8 @@
     pub loading: Vec<InstanceId>,
     /// Engines that loaded weights by this node's order, and when.
     pub loaded: Vec<(Millis, LoadedWeights)>,
-    /// Revision of the lease on orders, while this node holds it.
-    pub held_lease: Option<u64>,
-    /// The newest revision of that lease of which its holder told this node.
-    pub heard_lease: Option<HeardLease>,
+    /// Leases, as far as this node holds them or their holders told it.
+    pub leases: LeaseBeliefs,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
     prefill_rates: BTreeMap<ServiceName, PrefillRate>,
 }
@@ -194,12 +184,6 @@
         self.loaded.push((now, loaded));
     }
 
-    /// The newest renewal of the lease on orders that is known.
-    pub fn newest_lease(&self) -> Option<u64> {
-        let heard = self.heard_lease.map(|heard| heard.revision);
-        self.held_lease.max(heard)
-    }
-
     /// The version of the configuration in force.
     pub fn configuration_version(&self) -> Option<u64> {
         let known = self.configuration.as_ref();
@@ -264,19 +248,6 @@
         }
     }
 
-    /// The holder of the lease on orders told of its last renewal.
-    pub fn hear_of_lease(&mut self, revision: u64, now: Millis) {
-        if self
-            .heard_lease
-            .is_none_or(|known| known.revision < revision)
-        {
-            self.heard_lease = Some(HeardLease {
-                revision,
-                heard_at: now,
-            });
-        }
-    }
-
     /// Takes in what a report tells besides loads, at a node that passes nothing on.
     pub fn note_reported(
         &mut self,
@@ -292,7 +263,7 @@
             self.engines.note_loaded_weights(loaded);
         }
         if let Some(revision) = lease_revision {
-            self.hear_of_lease(revision, now);
+            self.leases.of_mut(LeaseName::Weights).hear(revision, now);
         }
     }
 
--- a/crates/gateway/src/weights/lease_document.rs
+++ b/crates/gateway/src/leases/document.rs
@@ -3,9 +3,6 @@
 use ploverlift_policy::objects::LeaseSpec;
 use serde::{Deserialize, Serialize};
 
-/// Name of the lease.
-pub const LEASE_NAME: &str = "weights";
-
 /// The lease as it is stored.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LeaseDocument {
--- a/crates/gateway/src/weights/holder.rs
+++ b/crates/gateway/src/leases/holder.rs
@@ -1,6 +1,7 @@
-//! This node's part in the lease under which orders are given.
+//! This node's part in one lease.
 
-use super::lease_document::{LeaseDocument, LEASE_NAME};
+use super::document::LeaseDocument;
+use super::LeaseName;
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
@@ -30,6 +31,7 @@
 /// Holds the lease, or waits for it.
 pub struct LeaseHolder {
     gateway: Arc<Gateway>,
+    lease: LeaseName,
     name: String,
     view: Mutex<LeaseView>,
     io: smol::lock::Mutex<LeaseIo>,
@@ -43,7 +45,7 @@
 
 impl LeaseHolder {
     /// A node that has not seen the lease.
-    pub fn new(gateway: &Arc<Gateway>) -> Self {
+    pub fn new(gateway: &Arc<Gateway>, lease: LeaseName) -> Self {
         let settings = gateway.settings();
         let timing = LeaseTiming {
             duration_ms: duration_ms(&settings),
@@ -54,6 +56,7 @@
         let view = LeaseView::with_timing(NodeName(name.clone()), unix_ms(), timing);
         Self {
             gateway: Arc::clone(gateway),
+            lease,
             name,
             view: Mutex::new(view),
             io: smol::lock::Mutex::new(LeaseIo {
@@ -69,12 +72,12 @@
         view.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// The holder's name in orders.
+    /// This node's name as a holder.
     pub fn name(&self) -> &str {
         &self.name
     }
 
-    /// The fencing token, while this node may give orders.
+    /// The fencing token, while this node may act as the holder.
     pub fn token(&self) -> Option<u64> {
         self.view().token(self.gateway.clock.now())
     }
@@ -97,7 +100,7 @@
 
     /// There is nothing to do: the next time there is, the lease is read anew.
     pub fn rest(&self) {
-        self.gateway.beliefs().held_lease = None;
+        self.gateway.beliefs().leases.of_mut(self.lease).held = None;
         if let Some(mut io) = self.io.try_lock() {
             io.looked_at = None;
         }
@@ -106,16 +109,18 @@
     /// Whether the holder, another node, told of a renewal lately. Then there is
     /// nothing to look for in the store.
     fn hears_holder(&self, now: Millis) -> bool {
-        let heard = self.gateway.beliefs().heard_lease;
+        let heard = self.gateway.beliefs().leases.of(self.lease).heard;
         let duration_ms = duration_ms(&self.gateway.settings());
         heard.is_some_and(|heard| now.since(heard.heard_at) < duration_ms)
     }
 
-    /// Renews the lease or asks for it; tells whether orders may be given.
+    /// Renews the lease or asks for it; tells whether this node may act as the holder.
     pub async fn keep(&self) -> bool {
         let is_kept = self.try_keep().await;
         let revision = is_kept.then(|| self.view().revision());
-        self.gateway.beliefs().held_lease = revision.flatten();
+        let mut beliefs = self.gateway.beliefs();
+        beliefs.leases.of_mut(self.lease).held = revision.flatten();
+        drop(beliefs);
         is_kept
     }
 
@@ -152,7 +157,11 @@
     }
 
     async fn look(&self, io: &mut LeaseIo) {
-        match io.client.get(StoreKind::Leases, LEASE_NAME).await {
+        match io
+            .client
+            .get(StoreKind::Leases, self.lease.stored_name())
+            .await
+        {
             Ok(Some(object)) => self.see(&object),
             Ok(None) => {}
             Err(error) => {
@@ -165,7 +174,7 @@
     fn see(&self, object: &StoreObject) {
         if let Ok(document) = serde_json::from_value::<LeaseDocument>(object.content.clone()) {
             let now = self.gateway.clock.now();
-            let heard = self.gateway.beliefs().heard_lease;
+            let heard = self.gateway.beliefs().leases.of(self.lease).heard;
             let heard = heard.filter(|heard| heard.revision == object.revision);
             let since = heard.map_or(now, |heard| heard.heard_at);
             let version = ResourceVersion(object.revision);
@@ -187,7 +196,12 @@
         let content = serde_json::to_value(&document).unwrap_or_default();
         let written = io
             .client
-            .compare_and_set(StoreKind::Leases, LEASE_NAME, version.0, content)
+            .compare_and_set(
+                StoreKind::Leases,
+                self.lease.stored_name(),
+                version.0,
+                content,
+            )
             .await;
         match written {
             Ok(object) => {
@@ -196,12 +210,13 @@
                 let version = ResourceVersion(object.revision);
                 self.view().on_written(version, spec, began, now);
                 if had_token != Some(token) {
-                    slog::info!(self.gateway.log, "lease taken";
+                    slog::info!(self.gateway.log, "lease taken"; "lease" => self.lease.stored_name(),
                         "token" => token, "revision" => object.revision);
                 }
             }
             Err(StoreError::Conflict { current }) => {
-                slog::info!(self.gateway.log, "lease not written"; "error" => "conflict");
+                slog::info!(self.gateway.log, "lease not written";
+                    "lease" => self.lease.stored_name(), "error" => "conflict");
                 self.view().on_write_failed();
                 match current {
                     Some(current) => self.see(&current),
@@ -209,7 +224,8 @@
                 }
             }
             Err(error) => {
-                slog::info!(self.gateway.log, "lease not written"; "error" => error.to_string());
+                slog::info!(self.gateway.log, "lease not written";
+                    "lease" => self.lease.stored_name(), "error" => error.to_string());
                 self.view().on_write_failed();
                 io.failed_at = Some(self.gateway.clock.now());
                 self.look_for(io, &spec, began).await;
@@ -220,7 +236,11 @@
     /// After a write without an answer: if the store holds just what was
     /// written, the write was done, and not before it `began`.
     async fn look_for(&self, io: &mut LeaseIo, spec: &LeaseSpec, began: Millis) {
-        let Ok(Some(object)) = io.client.get(StoreKind::Leases, LEASE_NAME).await else {
+        let Ok(Some(object)) = io
+            .client
+            .get(StoreKind::Leases, self.lease.stored_name())
+            .await
+        else {
             return;
         };
         let document = serde_json::from_value::<LeaseDocument>(object.content.clone());
@@ -230,7 +250,8 @@
         let now = self.gateway.clock.now();
         let version = ResourceVersion(object.revision);
         self.view().on_written(version, spec.clone(), began, now);
-        slog::info!(self.gateway.log, "lease found written"; "revision" => object.revision);
+        slog::info!(self.gateway.log, "lease found written";
+            "lease" => self.lease.stored_name(), "revision" => object.revision);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`cache_feeds`] | follows what engines and the KV cache store hold |
 //! | [`rollouts`] | rollouts of engines' software |
 //! | [`outcomes`] | how attempts at engines went |
+//! | [`leases`] | leases in the store, for duties that one node at a time has |
 //! | [`weights`] | bringing engines to new weights, by one holder of a lease |
 //! | [`readiness`], [`metrics`], [`logging`] | what a node tells of itself |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
@@ -32,6 +33,7 @@
 pub mod forward;
 pub mod http_call;
 pub mod kept_connections;
+pub mod leases;
 pub mod logging;
 pub mod metrics;
 pub mod outcomes;
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -4,6 +4,7 @@
 use super::relay_duties::HOLDERS_TOLD;
 use super::relay_messages::IncludedReport;
 use crate::beliefs::Beliefs;
+use crate::leases::LeaseName;
 use crate::state::Gateway;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadReport, PeerId};
 use ploverlift_balancing::prefix_holders::PlacementNews;
@@ -98,6 +99,9 @@
         }
     }
     if let Some(revision) = report.lease_revision {
-        beliefs.hear_of_lease(revision, now);
+        beliefs
+            .leases
+            .of_mut(LeaseName::Weights)
+            .hear(revision, now);
     }
 }
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -15,6 +15,7 @@
 };
 use super::roles::{role, Role};
 use crate::beliefs::Beliefs;
+use crate::leases::LeaseName;
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_balancing::peer_loads::{
@@ -282,7 +283,7 @@
             },
             placements: Vec::new(),
             loaded: beliefs.loaded_lately(now),
-            lease_revision: beliefs.newest_lease(),
+            lease_revision: beliefs.leases.of(LeaseName::Weights).newest(),
             configuration: beliefs.configuration_version(),
             proof_age_ms: beliefs.freshness.age_ms(now),
             engines_age_ms: engines_known_at.map(|at| now.since(at)),
@@ -364,7 +365,7 @@
                 },
                 placements,
                 loaded: beliefs.loaded_lately(now),
-                lease_revision: beliefs.newest_lease(),
+                lease_revision: beliefs.leases.of(LeaseName::Weights).newest(),
                 wants_relay_reports: false,
             });
         }
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -6,6 +6,7 @@
 use super::limits::{advance_accounts, UseStream};
 use super::messages::{encode, PeerMessage, PeerReport, MAX_PLACEMENTS};
 use super::roles::{role, Role};
+use crate::leases::LeaseName;
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_balancing::peer_loads::{
@@ -147,7 +148,7 @@
             .holders
             .news_after(self.placements_from, MAX_PLACEMENTS);
         let (placements, placements_from) = news;
-        let lease_revision = beliefs.held_lease;
+        let lease_revision = beliefs.leases.of(LeaseName::Weights).held;
         let loaded = beliefs.loaded_lately(now);
         let has_other_news = is_due
             || !placements.is_empty()
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -1,7 +1,8 @@
 //! Bringing one engine to the newest weights.
 
-use super::{LeaseHolder, Loading, OutdatedEngine};
+use super::{Loading, OutdatedEngine};
 use crate::http_call::CallConnection;
+use crate::leases::LeaseHolder;
 use crate::ports::{EngineReport, LoadOrder, OrderAnswer};
 use crate::state::Gateway;
 use crate::time::sleep;
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -6,13 +6,11 @@
 //! that is carried out late cannot undo a newer one.
 
 mod engine_load;
-mod holder;
-mod lease_document;
 mod plan;
 
-pub use holder::LeaseHolder;
 pub use plan::{outdated_engines, OutdatedEngine};
 
+use crate::leases::{LeaseHolder, LeaseName};
 use crate::peers::roles::{are_engines_told, role, Role};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
@@ -139,7 +137,7 @@
 
 /// Takes part in the lease and gives orders, until the task is dropped.
 pub async fn roll_weights(gateway: Arc<Gateway>) {
-    let holder = Arc::new(LeaseHolder::new(&gateway));
+    let holder = Arc::new(LeaseHolder::new(&gateway, LeaseName::Weights));
     let loading = Loading::default();
     loop {
         let named = gateway.weights_named.listen();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -8,12 +8,12 @@
 };
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_gateway::assembly::start;
+use ploverlift_gateway::leases::{LeaseHolder, LeaseName};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::{AddressBook, Capacity, ListedNode, Reach};
 use ploverlift_gateway::peers::messages::{
     decode, encode, PeerMessage, PeerReport, MAX_PLACEMENTS,
 };
-use ploverlift_gateway::weights::LeaseHolder;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::prompt::{cache_salt, part_keys, PartKey, PromptPart};
 use serde_json::json;
@@ -173,13 +173,21 @@
     (fixture, revision)
 }
 
+fn hear_of_lease(fixture: &Fixture, revision: u64, now: Millis) {
+    let mut beliefs = fixture.gateway.beliefs();
+    beliefs
+        .leases
+        .of_mut(LeaseName::Weights)
+        .hear(revision, now);
+}
+
 #[test]
 fn the_store_is_not_asked_for_a_lease_whose_holder_is_heard() {
     smol::block_on(async {
         let (fixture, revision) = node_beside_a_holder().await;
-        let holder = LeaseHolder::new(&fixture.gateway);
+        let holder = LeaseHolder::new(&fixture.gateway, LeaseName::Weights);
         let now = fixture.gateway.clock.now();
-        fixture.gateway.beliefs().hear_of_lease(revision, now);
+        hear_of_lease(&fixture, revision, now);
         assert!(!holder.keep().await);
         assert_eq!(fixture.store.calls("get Leases"), 0);
         assert_eq!(fixture.store.calls("put Leases"), 0);
@@ -190,10 +198,10 @@
 fn a_holder_that_was_heard_and_fell_silent_is_succeeded_at_once() {
     smol::block_on(async {
         let (fixture, revision) = node_beside_a_holder().await;
-        let holder = LeaseHolder::new(&fixture.gateway);
+        let holder = LeaseHolder::new(&fixture.gateway, LeaseName::Weights);
         let now = fixture.gateway.clock.now();
         let long_ago = Millis(now.0 - 10_000);
-        fixture.gateway.beliefs().hear_of_lease(revision, long_ago);
+        hear_of_lease(&fixture, revision, long_ago);
         assert!(holder.keep().await);
         assert_eq!(holder.token(), Some(8));
     });
@@ -203,11 +211,11 @@
 fn a_lease_that_was_renewed_since_it_was_heard_is_left_to_its_holder() {
     smol::block_on(async {
         let (fixture, revision) = node_beside_a_holder().await;
-        let holder = LeaseHolder::new(&fixture.gateway);
+        let holder = LeaseHolder::new(&fixture.gateway, LeaseName::Weights);
         let now = fixture.gateway.clock.now();
         let long_ago = Millis(now.0 - 10_000);
         let earlier = revision - 1;
-        fixture.gateway.beliefs().hear_of_lease(earlier, long_ago);
+        hear_of_lease(&fixture, earlier, long_ago);
         assert!(!holder.keep().await);
         assert_eq!(fixture.store.calls("put Leases"), 0);
     });
