--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -2,6 +2,9 @@
 
 use super::limit_messages::{level_message, read_levels, read_use, use_message, UseMessage};
 use super::relay_messages::{read_relay_report, relay_report_message, RelayReport};
+use super::rollout_messages::{
+    confirmation_message, counts_message, read_confirmation, read_counts, RolloutReport,
+};
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, LoadedWeights, ModelTag, PeerId, ZoneTag,
 };
@@ -28,6 +31,8 @@
     pub lease_revision: Option<u64>,
     /// Whether it takes the receiver for a relay and wants its reports.
     pub wants_relay_reports: bool,
+    /// What it tells of rollouts.
+    pub rollouts: RolloutReport,
 }
 
 /// What a datagram says.
@@ -101,6 +106,14 @@
         loaded: report.loaded.iter().map(loaded_message).collect(),
         lease_revision: report.lease_revision.unwrap_or(0),
         wants_relay_reports: report.wants_relay_reports,
+        rollouts: report.rollouts.counts.iter().map(counts_message).collect(),
+        confirmations: report
+            .rollouts
+            .confirmations
+            .iter()
+            .map(confirmation_message)
+            .collect(),
+        rollout_lease_revision: report.rollouts.lease_revision.unwrap_or(0),
     }
 }
 
@@ -119,6 +132,11 @@
         loaded: message.loaded.iter().map(read_loaded).collect(),
         lease_revision: Some(message.lease_revision).filter(|revision| *revision > 0),
         wants_relay_reports: message.wants_relay_reports,
+        rollouts: RolloutReport {
+            counts: message.rollouts.iter().map(read_counts).collect(),
+            confirmations: message.confirmations.iter().map(read_confirmation).collect(),
+            lease_revision: Some(message.rollout_lease_revision).filter(|known| *known > 0),
+        },
     }
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -18,7 +18,7 @@
 //! | [`followed_relays`], [`follower`] | what a node that follows relays has heard |
 //! | [`snapshot`] | what a follower lacks, over TCP |
 //! | [`limits`] | what tenants were admitted, and what is left of their limits |
-//! | [`messages`], [`relay_messages`], [`limit_messages`] | messages as datagrams |
+//! | [`messages`], [`relay_messages`], [`limit_messages`], [`rollout_messages`] | messages as datagrams |
 //!
 //! ```text
 //! node ── report ──▶ relay ── zone report ──▶ relays of other zones
@@ -39,6 +39,7 @@
 pub mod relay_messages;
 pub mod reports;
 pub mod roles;
+pub mod rollout_messages;
 pub mod snapshot;
 
 use crate::state::Gateway;
--- /dev/null
+++ b/crates/gateway/src/peers/rollout_messages.rs
@@ -0,0 +1,226 @@
+//! What nodes tell each other of rollouts, as messages.
+
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_rollout::counts::{Counts, RouteCounts, RouteTag, SideCounts};
+use ploverlift_rollout::first_byte::FirstByteHistogram;
+use ploverlift_rollout::order::{RolloutOrder, RolloutState, RolloutStatus};
+use ploverlift_rollout::share::Confirmation;
+use ploverlift_rollout::stage::{Epoch, RolloutNumber};
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
+use ploverlift_wire::peers;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A short name of a service, the same on all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceTag(pub u32);
+
+impl ServiceTag {
+    /// The short name of a service.
+    pub fn of(service: &ServiceName) -> Self {
+        Self(xxh3_64(service.0.as_bytes()) as u32)
+    }
+}
+
+/// What a node, a zone or the fleet has counted of one rollout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceCounts {
+    /// The service.
+    pub service: ServiceTag,
+    /// The rollout.
+    pub rollout: RolloutNumber,
+    /// The counts.
+    pub counts: Counts,
+}
+
+/// What a node said to the decider.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeConfirmation {
+    /// The node.
+    pub node: PeerId,
+    /// The service.
+    pub service: ServiceTag,
+    /// What it said; of the rollout 0 when it was heard and said nothing of one.
+    pub confirmation: Confirmation,
+    /// Time since it was heard, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What a report of a node or of a zone's relay tells of rollouts; nothing while none
+/// is open.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RolloutReport {
+    /// Counts of the sender, or of its zone.
+    pub counts: Vec<ServiceCounts>,
+    /// What the sender, or the nodes of its zone, say of stages.
+    pub confirmations: Vec<NodeConfirmation>,
+    /// Revision of the lease on rollouts.
+    pub lease_revision: Option<u64>,
+}
+
+/// What a relay tells of rollouts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RolloutNews {
+    /// Revision of the store up to which all orders are known.
+    pub known_through: u64,
+    /// Age of the proof that they are the present ones, in milliseconds.
+    pub age_ms: u64,
+    /// All orders.
+    pub orders: Vec<RolloutOrder>,
+    /// What the fleet has counted of the open ones.
+    pub sums: Vec<ServiceCounts>,
+}
+
+/// The message for counts.
+pub fn counts_message(counted: &ServiceCounts) -> peers::RolloutCounts {
+    let routes = counted.counts.routes.iter();
+    peers::RolloutCounts {
+        service: counted.service.0,
+        rollout: counted.rollout.0,
+        routes: routes.map(route_message).collect(),
+    }
+}
+
+fn route_message((route, counts): (&RouteTag, &RouteCounts)) -> peers::RolloutRouteCounts {
+    peers::RolloutRouteCounts {
+        route: route.0,
+        is_repeatable: counts.is_repeatable,
+        requests: counts.requests,
+        target_arrivals: counts.target_arrivals,
+        target: Some(side_message(&counts.target)),
+        established: Some(side_message(&counts.established)),
+    }
+}
+
+fn side_message(counts: &SideCounts) -> peers::RolloutSideCounts {
+    let buckets = &counts.first_byte.buckets;
+    let used = buckets.iter().rposition(|count| *count > 0);
+    peers::RolloutSideCounts {
+        answers: counts.answers,
+        failures: counts.failures,
+        first_byte: buckets[..used.map_or(0, |last| last + 1)].to_vec(),
+    }
+}
+
+/// Reads counts.
+pub fn read_counts(message: &peers::RolloutCounts) -> ServiceCounts {
+    let routes = message.routes.iter().map(|route| {
+        let counts = RouteCounts {
+            is_repeatable: route.is_repeatable,
+            requests: route.requests,
+            target_arrivals: route.target_arrivals,
+            target: read_side(route.target.as_ref()),
+            established: read_side(route.established.as_ref()),
+        };
+        (RouteTag(route.route), counts)
+    });
+    ServiceCounts {
+        service: ServiceTag(message.service),
+        rollout: RolloutNumber(message.rollout),
+        counts: Counts {
+            routes: routes.collect(),
+        },
+    }
+}
+
+fn read_side(message: Option<&peers::RolloutSideCounts>) -> SideCounts {
+    let Some(message) = message else {
+        return SideCounts::default();
+    };
+    let mut first_byte = FirstByteHistogram::default();
+    for (bucket, count) in first_byte.buckets.iter_mut().zip(&message.first_byte) {
+        *bucket = *count;
+    }
+    SideCounts {
+        answers: message.answers,
+        failures: message.failures,
+        first_byte,
+    }
+}
+
+/// The message for what a node said.
+pub fn confirmation_message(said: &NodeConfirmation) -> peers::RolloutConfirmation {
+    let confirmation = &said.confirmation;
+    peers::RolloutConfirmation {
+        node: said.node.0,
+        service: said.service.0,
+        rollout: confirmation.rollout.0,
+        epoch: confirmation.epoch.0,
+        has_left_established: confirmation.has_left_established,
+        running_on_established: confirmation.running_on_established,
+        age_ms: said.age_ms,
+    }
+}
+
+/// Reads what a node said.
+pub fn read_confirmation(message: &peers::RolloutConfirmation) -> NodeConfirmation {
+    NodeConfirmation {
+        node: PeerId(message.node),
+        service: ServiceTag(message.service),
+        confirmation: Confirmation {
+            rollout: RolloutNumber(message.rollout),
+            epoch: Epoch(message.epoch),
+            has_left_established: message.has_left_established,
+            running_on_established: message.running_on_established,
+        },
+        age_ms: message.age_ms,
+    }
+}
+
+/// The message for what a relay tells.
+pub fn news_message(news: &RolloutNews) -> peers::RolloutNews {
+    peers::RolloutNews {
+        known_through: news.known_through,
+        age_ms: news.age_ms,
+        orders: news.orders.iter().map(order_message).collect(),
+        sums: news.sums.iter().map(counts_message).collect(),
+    }
+}
+
+/// Reads what a relay tells.
+pub fn read_news(message: &peers::RolloutNews) -> RolloutNews {
+    RolloutNews {
+        known_through: message.known_through,
+        age_ms: message.age_ms,
+        orders: message.orders.iter().map(read_order).collect(),
+        sums: message.sums.iter().map(read_counts).collect(),
+    }
+}
+
+fn order_message(order: &RolloutOrder) -> peers::RolloutOrder {
+    let status = order.status.as_ref().map(|status| peers::RolloutStatus {
+        state: match status.state {
+            RolloutState::Running => peers::RolloutState::Running,
+            RolloutState::Completed => peers::RolloutState::Completed,
+            RolloutState::RolledBack => peers::RolloutState::RolledBack,
+        } as i32,
+        target: status.target.0.clone(),
+        progress: status.progress.clone(),
+    });
+    peers::RolloutOrder {
+        service: order.service.0.clone(),
+        target: order.target.0.clone(),
+        duration_ms: order.duration_ms,
+        revision: order.revision,
+        status,
+    }
+}
+
+fn read_order(message: &peers::RolloutOrder) -> RolloutOrder {
+    let status = message.status.as_ref().map(|status| RolloutStatus {
+        state: match status.state() {
+            peers::RolloutState::Running => RolloutState::Running,
+            peers::RolloutState::Completed => RolloutState::Completed,
+            peers::RolloutState::RolledBack => RolloutState::RolledBack,
+        },
+        target: SoftwareVersion(status.target.clone()),
+        progress: status.progress.clone(),
+    });
+    RolloutOrder {
+        service: ServiceName(message.service.clone()),
+        target: SoftwareVersion(message.target.clone()),
+        duration_ms: message.duration_ms,
+        revision: message.revision,
+        status,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -0,0 +1,180 @@
+//! Which versions of the software may serve a request: what the gate of its service's
+//! rollout says, less the versions that are held back whatever it says.
+
+use super::service::ServiceRollout;
+use super::RolloutBeliefs;
+use ploverlift_balancing::catalogue::{Engine, EngineCatalogue, InstanceId};
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_balancing::rendezvous;
+use ploverlift_policy::ids::Millis;
+use ploverlift_rollout::counts::RouteTag;
+use ploverlift_rollout::credits::Seat;
+use ploverlift_rollout::share::{canary_engines, CanaryRequest, FleetView, GateDecision, GateReason};
+use ploverlift_rollout::stage::Stage;
+use ploverlift_routing::configuration::{Route, ServiceName};
+use ploverlift_routing::prompt::ChainKey;
+use ploverlift_routing::software::{SoftwareRule, SoftwareVersion};
+
+/// This node, as the fleet counts it.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnSeat {
+    /// The node.
+    pub node: PeerId,
+    /// Its life.
+    pub life: u64,
+    /// Its seat among those that may use the canary's credits.
+    pub seat: Seat,
+}
+
+/// A request, as far as versions of the software matter to it.
+#[derive(Clone, Copy, Debug)]
+pub struct VersionedRequest<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Its route.
+    pub route: &'a Route,
+    /// Key of the shared parts of its prompt.
+    pub prompt: Option<ChainKey>,
+    /// Engines that were tried.
+    pub tried: &'a [InstanceId],
+}
+
+/// Which engines may serve a request, by their software.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SoftwareChoice {
+    /// Versions that may serve it.
+    pub rule: SoftwareRule,
+    /// Versions that may serve it where no engine fits the rule.
+    pub otherwise: Option<SoftwareRule>,
+    /// Engines of the target that take no part in the canary.
+    pub spared: Vec<InstanceId>,
+    /// What the gate said; nothing where there is no gate.
+    pub reason: Option<GateReason>,
+}
+
+impl RolloutBeliefs {
+    /// Which versions may serve a request; nothing when none may now.
+    pub fn software_choice(
+        &self,
+        request: &VersionedRequest<'_>,
+        engines: &EngineCatalogue,
+        own: &OwnSeat,
+        now: Millis,
+    ) -> Option<SoftwareChoice> {
+        let unplaced = self.unplaced(request.service, engines);
+        let Some(rollout) = self.services.get(request.service) else {
+            return Some(SoftwareChoice {
+                rule: SoftwareRule::Any.less(&unplaced)?,
+                ..SoftwareChoice::default()
+            });
+        };
+        let records = engines.of_service(request.service);
+        let records = records.map(|engine| (&engine.record.software, engine.record.revision));
+        let mut held_back = rollout.held_back(records);
+        held_back.extend(unplaced);
+        let Some(decision) = self.decision(rollout, request, engines, own, now) else {
+            return Some(SoftwareChoice {
+                rule: SoftwareRule::Any.less(&held_back)?,
+                ..SoftwareChoice::default()
+            });
+        };
+        let target = rollout.gate_target();
+        let is_canary = decision.reason == GateReason::Canary;
+        let rule = match rollout.stage() {
+            // The versions that served before are held back by their records; a later
+            // one may come without an order.
+            Some(Stage::Completed) => SoftwareRule::Any,
+            _ => decision.rule?,
+        };
+        let established = || SoftwareRule::Except(target.clone()).less(&held_back);
+        Some(SoftwareChoice {
+            rule: rule.less(&held_back)?,
+            otherwise: is_canary.then(established).flatten(),
+            spared: match is_canary {
+                true => spared_engines(rollout, request.service, engines),
+                false => Vec::new(),
+            },
+            reason: Some(decision.reason),
+        })
+    }
+
+    fn decision(
+        &self,
+        rollout: &ServiceRollout,
+        request: &VersionedRequest<'_>,
+        engines: &EngineCatalogue,
+        own: &OwnSeat,
+        now: Millis,
+    ) -> Option<GateDecision> {
+        // A withdrawn rollout has no stage: its target is held back.
+        rollout.stage()?;
+        let known = rollout.known_sums(own.node, own.life, now);
+        let view = FleetView {
+            sums: known.sums,
+            own_in_sums: known.own,
+            counted_at: known.counted_at,
+            stage_heard_at: self.orders.proven_at().unwrap_or(Millis(0)),
+            seat: own.seat,
+        };
+        let target = rollout.gate_target();
+        let asked = CanaryRequest {
+            route: RouteTag::of(&request.route.name),
+            is_repeatable: request.route.delivery.is_repeatable(),
+            prompt: request.prompt,
+            was_failed_by_target: tried_target(request, target, engines),
+            is_retry: !request.tried.is_empty(),
+        };
+        Some(rollout.gate()?.decide(&asked, &view, now))
+    }
+
+    /// Versions of a service's engines that can't be placed yet.
+    pub fn unplaced(
+        &self,
+        service: &ServiceName,
+        engines: &EngineCatalogue,
+    ) -> Vec<SoftwareVersion> {
+        let ledger = self.ledgers.get(service);
+        let is_placed = |engine: &&Engine| {
+            let (version, revision) = (&engine.record.software, engine.record.revision);
+            ledger.is_some_and(|ledger| ledger.is_placed(version, revision))
+        };
+        let unplaced = engines.of_service(service).filter(|engine| !is_placed(engine));
+        let mut unplaced: Vec<SoftwareVersion> = unplaced
+            .map(|engine| engine.record.software.clone())
+            .collect();
+        unplaced.sort();
+        unplaced.dedup();
+        unplaced
+    }
+}
+
+fn tried_target(
+    request: &VersionedRequest<'_>,
+    target: &SoftwareVersion,
+    engines: &EngineCatalogue,
+) -> bool {
+    let tried = request.tried.iter();
+    let mut tried = tried.filter_map(|instance| engines.get(instance));
+    tried.any(|engine| engine.record.software == *target)
+}
+
+/// Engines of the target beyond those that are enough for the canary's share: few
+/// engines carry as much as an established one does.
+fn spared_engines(
+    rollout: &ServiceRollout,
+    service: &ServiceName,
+    engines: &EngineCatalogue,
+) -> Vec<InstanceId> {
+    let Some(Stage::Canary { share_ppm }) = rollout.stage() else {
+        return Vec::new();
+    };
+    let target = rollout.gate_target();
+    let staying = engines.of_service(service).filter(|engine| !engine.record.is_leaving);
+    let (mut of_target, others): (Vec<&Engine>, Vec<&Engine>) =
+        staying.partition(|engine| engine.record.software == *target);
+    let used = canary_engines(of_target.len(), others.len(), share_ppm);
+    let key = ChainKey(u64::from(rollout.tag().0));
+    of_target.sort_by_cached_key(|engine| rendezvous::weight(key, &engine.record.instance));
+    let spared = of_target.iter().skip(used);
+    spared.map(|engine| engine.record.instance.clone()).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -0,0 +1,257 @@
+//! What reports between nodes tell of rollouts.
+//!
+//! A node tells its counts and what it confirms; a relay sums up its zone for the
+//! relays of other zones, and tells its zone the orders and the fleet's sums. Counts
+//! never fall, so what is told late or twice counts once. While no rollout is open a
+//! node tells nothing, and a relay now and then the revision up to which it knows
+//! orders.
+
+use super::{OrderNews, RolloutBeliefs};
+use crate::peers::rollout_messages::{
+    NodeConfirmation, RolloutNews, RolloutReport, ServiceCounts, ServiceTag,
+};
+use ploverlift_balancing::catalogue::EngineCatalogue;
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
+use ploverlift_policy::ids::Millis;
+use ploverlift_rollout::counts::{CountReport, Counts};
+use ploverlift_rollout::settings::RolloutSettings;
+use ploverlift_rollout::share::Confirmation;
+use ploverlift_rollout::stage::{Epoch, RolloutNumber};
+use std::collections::VecDeque;
+
+/// Own reports whose counts are remembered: those of about two seconds.
+const MAX_OWN_REPORTS: usize = 32;
+/// Time for which a change of orders is told in each report, in milliseconds: some
+/// reports are lost.
+const NEWS_TOLD_MS: u64 = 1_000;
+/// Life of a zone's sums: its relays tell the same ones, and the highest counts stand.
+const ZONE_LIFE: u64 = 0;
+
+/// What this node told relays in its last reports.
+#[derive(Clone, Debug, Default)]
+pub struct OwnReports {
+    reports: VecDeque<(u64, Vec<ServiceCounts>)>,
+}
+
+impl OwnReports {
+    fn note(&mut self, sequence: u64, counts: Vec<ServiceCounts>) {
+        if self.reports.len() >= MAX_OWN_REPORTS {
+            self.reports.pop_front();
+        }
+        self.reports.push_back((sequence, counts));
+    }
+
+    fn counts(&self, sequence: u64, service: ServiceTag) -> Option<&ServiceCounts> {
+        let mut reports = self.reports.iter();
+        let (_, counts) = reports.find(|(number, _)| *number == sequence)?;
+        counts.iter().find(|counted| counted.service == service)
+    }
+}
+
+/// A node that reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reporter {
+    /// The node.
+    pub node: PeerId,
+    /// Its life.
+    pub life: u64,
+}
+
+impl RolloutBeliefs {
+    /// Takes this node's counts into the fleet's.
+    pub fn count_own(&mut self, own: Reporter) {
+        for rollout in self.services.values_mut() {
+            if let Some(report) = rollout.own_report(own.node, own.life) {
+                rollout.take_counts(&report);
+            }
+        }
+    }
+
+    /// What this node tells in its report with a number; nothing is told while no
+    /// rollout is open.
+    pub fn own_report(&mut self, own: Reporter, sequence: u64) -> RolloutReport {
+        let mut counts = Vec::new();
+        let mut confirmations = Vec::new();
+        for rollout in self.services.values().filter(|rollout| rollout.is_open()) {
+            let Some(gate) = rollout.gate() else { continue };
+            let service = rollout.tag();
+            counts.push(ServiceCounts {
+                service,
+                rollout: gate.progress().rollout,
+                counts: gate.report(own.node, own.life).counts,
+            });
+            let name = &rollout.order().service;
+            confirmations.push(NodeConfirmation {
+                node: own.node,
+                service,
+                confirmation: gate.confirm(self.running.except(name, rollout.gate_target())),
+                age_ms: 0,
+            });
+        }
+        if !counts.is_empty() {
+            self.own_reports.note(sequence, counts.clone());
+        }
+        RolloutReport {
+            counts,
+            confirmations,
+            lease_revision: None,
+        }
+    }
+
+    /// What this node's zone has counted, and what its nodes have said, for relays of
+    /// other zones.
+    pub fn zone_report(&mut self, own: Reporter, now: Millis) -> RolloutReport {
+        self.count_own(own);
+        let mut report = RolloutReport::default();
+        for rollout in self.services.values().filter(|rollout| rollout.is_open()) {
+            let Some(gate) = rollout.gate() else { continue };
+            let service = rollout.tag();
+            report.counts.push(ServiceCounts {
+                service,
+                rollout: gate.progress().rollout,
+                counts: rollout.zone_sums().clone(),
+            });
+            let name = &rollout.order().service;
+            report.confirmations.push(NodeConfirmation {
+                node: own.node,
+                service,
+                confirmation: gate.confirm(self.running.except(name, rollout.gate_target())),
+                age_ms: 0,
+            });
+            let members = rollout.members.iter().filter(|(_, member)| member.is_of_zone);
+            let said = members.map(|(node, member)| NodeConfirmation {
+                node: *node,
+                service,
+                confirmation: member.confirmation.unwrap_or(NOTHING_SAID),
+                age_ms: now.since(member.heard_at),
+            });
+            report.confirmations.extend(said);
+        }
+        report
+    }
+
+    /// Takes in the report of a node of this zone, or of a small fleet.
+    pub fn take_node_report(&mut self, from: Reporter, report: &RolloutReport, now: Millis) {
+        for rollout in self.services.values_mut().filter(|rollout| rollout.is_open()) {
+            let member = rollout.members.entry(from.node).or_default();
+            member.heard_at = now;
+            member.is_of_zone = true;
+        }
+        for counted in &report.counts {
+            if let Some(rollout) = self.by_tag(counted.service) {
+                rollout.take_counts(&CountReport {
+                    rollout: counted.rollout,
+                    node: from.node,
+                    life: from.life,
+                    counts: counted.counts.clone(),
+                });
+            }
+        }
+        self.take_confirmations(&report.confirmations, now);
+    }
+
+    /// Takes in the report of another zone's relay.
+    pub fn take_zone_report(&mut self, zone: ZoneTag, report: &RolloutReport, now: Millis) {
+        for counted in &report.counts {
+            if let Some(rollout) = self.by_tag(counted.service) {
+                rollout.take_zone_counts(&CountReport {
+                    rollout: counted.rollout,
+                    node: PeerId(u64::from(zone.0)),
+                    life: ZONE_LIFE,
+                    counts: counted.counts.clone(),
+                });
+            }
+        }
+        self.take_confirmations(&report.confirmations, now);
+    }
+
+    fn take_confirmations(&mut self, confirmations: &[NodeConfirmation], now: Millis) {
+        for said in confirmations {
+            let Some(rollout) = self.by_tag(said.service) else {
+                continue;
+            };
+            let heard_at = Millis(now.0.saturating_sub(said.age_ms));
+            let member = rollout.members.entry(said.node).or_default();
+            member.heard_at = member.heard_at.max(heard_at);
+            member.take(said.confirmation);
+        }
+    }
+
+    /// What a relay tells its zone; nothing where there is no news and the report is
+    /// none of those that tell always.
+    pub fn news(&mut self, own: Reporter, tells_always: bool, now: Millis) -> Option<RolloutNews> {
+        let known_through = self.orders.known_through()?;
+        let changed_at = self.orders.changed_at();
+        let is_new = changed_at.is_some_and(|at| now.since(at) < NEWS_TOLD_MS);
+        if !(tells_always || is_new || self.is_any_open()) {
+            return None;
+        }
+        self.count_own(own);
+        let open = self.services.values().filter(|rollout| rollout.is_open());
+        let sums = open.filter_map(|rollout| {
+            Some(ServiceCounts {
+                service: rollout.tag(),
+                rollout: rollout.gate()?.progress().rollout,
+                counts: rollout.fleet().sums().clone(),
+            })
+        });
+        let proven_at = self.orders.proven_at().unwrap_or(Millis(0));
+        Some(RolloutNews {
+            known_through,
+            age_ms: now.since(proven_at),
+            orders: self.orders.iter().cloned().collect(),
+            sums: sums.collect(),
+        })
+    }
+
+    /// Takes in what a relay tells. `answers` is the newest of this node's own reports
+    /// that the relay had taken in, and when it was sent.
+    pub fn take_news(
+        &mut self,
+        news: &RolloutNews,
+        answers: Option<(u64, Millis)>,
+        settings: RolloutSettings,
+        engines: &EngineCatalogue,
+        now: Millis,
+    ) -> Vec<OrderNews> {
+        self.orders.note_told(now);
+        let mut taken = Vec::new();
+        if self.orders.known_through() <= Some(news.known_through) {
+            for service in self.orders.missing_in(&news.orders) {
+                self.remove_order(&service, news.known_through, now);
+            }
+        }
+        for order in &news.orders {
+            taken.extend(self.take_order(order.clone(), settings, now));
+        }
+        // However long the answer travelled, the proof is not younger than the report
+        // that it answers, less the age that it tells.
+        let proven_at = answers.map(|(_, sent_at)| sent_at.0.saturating_sub(news.age_ms));
+        self.note_orders_known(news.known_through, proven_at.map(Millis), engines, now);
+        for counted in &news.sums {
+            let Some((sequence, sent_at)) = answers else {
+                continue;
+            };
+            let own = self.own_reports.counts(sequence, counted.service);
+            let own = own.filter(|own| own.rollout == counted.rollout);
+            let own: Option<Counts> = own.map(|own| own.counts.clone());
+            if let Some(rollout) = self.by_tag(counted.service) {
+                rollout.take_sums(counted.rollout, &counted.counts, own, sent_at, now);
+            }
+        }
+        taken
+    }
+
+    fn by_tag(&mut self, tag: ServiceTag) -> Option<&mut super::ServiceRollout> {
+        let mut services = self.services.values_mut();
+        services.find(|rollout| rollout.tag() == tag)
+    }
+}
+
+/// A node that was heard and said nothing of a rollout.
+const NOTHING_SAID: Confirmation = Confirmation {
+    rollout: RolloutNumber(0),
+    epoch: Epoch(0),
+    has_left_established: false,
+    running_on_established: 0,
+};
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -1,20 +1,222 @@
-//! Rollouts of engines' software: what this node believes of them.
+//! Rollouts of engines' software: what this node believes of them, and its part in
+//! them.
+//!
+//! An order in the object store moves a service to engines of another version. The
+//! crate `ploverlift-rollout` decides; here its decisions are stored, reported,
+//! enforced and logged ([design](../../../../docs/design/rollouts.md)).
+//!
+//! | module | concern |
+//! | --- | --- |
+//! | [`orders`] | the orders that are known, and up to which revision of the store |
+//! | [`service`] | one service's gate, counts and confirmations |
+//! | [`choice`] | which versions may serve a request |
+//! | [`running`] | requests at engines by version |
+//! | [`exchange`] | what reports between nodes tell of rollouts |
+//! | [`decider`] | the holder of the lease on rollouts |
+//! | [`told`] | log lines |
+
+pub mod choice;
+pub mod decider;
+pub mod exchange;
+pub mod orders;
+pub mod running;
+pub mod service;
+pub mod told;
 
 use crate::outcomes::ObservedAttempt;
+use crate::settings::GatewaySettings;
+use orders::KnownOrders;
+use ploverlift_balancing::catalogue::EngineCatalogue;
+use ploverlift_balancing::health::Outcome;
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::software::SoftwareRule;
+use ploverlift_rollout::counts::{Answer, RouteTag, Side};
+use ploverlift_rollout::order::RolloutOrder;
+use ploverlift_rollout::placement::VersionLedger;
+use ploverlift_rollout::settings::{RolloutSettings, Strategy};
+use ploverlift_rollout::stage::ProgressError;
+use ploverlift_routing::configuration::{Route, ServiceName};
+use ploverlift_routing::software::SoftwareVersion;
+use running::RunningRequests;
+use service::{ServiceRollout, StageChange};
+use std::collections::BTreeMap;
 
 /// What this node believes of the rollouts.
 #[derive(Debug, Default)]
-pub struct RolloutBeliefs {}
+pub struct RolloutBeliefs {
+    /// Orders.
+    pub orders: KnownOrders,
+    /// Requests at engines by version.
+    pub running: RunningRequests,
+    ledgers: BTreeMap<ServiceName, VersionLedger>,
+    services: BTreeMap<ServiceName, ServiceRollout>,
+    own_reports: exchange::OwnReports,
+}
+
+/// What came of an order that was taken in.
+#[derive(Debug)]
+pub struct OrderNews {
+    /// The order.
+    pub order: RolloutOrder,
+    /// A stage that is new here, or why the recorded one can't be read.
+    pub stage: Result<Option<StageChange>, ProgressError>,
+}
 
 impl RolloutBeliefs {
-    /// Versions that may serve the next request to a service.
-    pub fn software_rule(&self, _service: &ServiceName) -> SoftwareRule {
-        SoftwareRule::Any
+    /// Takes in an order with its status; nothing when it is no news.
+    pub fn take_order(
+        &mut self,
+        order: RolloutOrder,
+        settings: RolloutSettings,
+        now: Millis,
+    ) -> Option<OrderNews> {
+        if !self.orders.take(order.clone(), now) {
+            return None;
+        }
+        let first_known = self.orders.first_known();
+        let new = || ServiceRollout::new(order.clone(), now);
+        let rollout = self.services.entry(order.service.clone());
+        let rollout = rollout.or_insert_with(new);
+        let stage = rollout.take_order(order.clone(), settings, first_known, now);
+        Some(OrderNews { order, stage })
+    }
+
+    /// An order is gone; tells whether that was news. Until another comes its target
+    /// gets nothing, unless it had ended.
+    pub fn remove_order(&mut self, service: &ServiceName, revision: u64, now: Millis) -> bool {
+        let is_news = self.orders.remove(service, revision, now);
+        if let Some(rollout) = self.services.get_mut(service).filter(|_| is_news) {
+            rollout.withdraw();
+        }
+        is_news
+    }
+
+    /// All orders up to a revision of the store are known: engines that were recorded
+    /// before it can be placed.
+    pub fn note_orders_known(
+        &mut self,
+        revision: u64,
+        proven_at: Option<Millis>,
+        engines: &EngineCatalogue,
+        now: Millis,
+    ) {
+        let is_news = self.orders.known_through() < Some(revision);
+        self.orders.advance(revision, proven_at, now);
+        if !is_news {
+            return;
+        }
+        for engine in engines.iter() {
+            let service = &engine.record.service;
+            if !self.ledgers.contains_key(service) {
+                self.ledgers.insert(service.clone(), VersionLedger::default());
+            }
+            if let Some(ledger) = self.ledgers.get_mut(service) {
+                ledger.note_orders_known_up_to(revision);
+                ledger.note_engine(&engine.record.software, engine.record.revision);
+            }
+        }
+        for ledger in self.ledgers.values_mut() {
+            ledger.note_orders_known_up_to(revision);
+        }
+    }
+
+    /// Whether some engine can't be placed: orders must be read.
+    pub fn lacks_orders(&self, engines: &EngineCatalogue) -> bool {
+        let mut engines = engines.iter();
+        engines.any(|engine| {
+            let record = &engine.record;
+            let ledger = self.ledgers.get(&record.service);
+            !ledger.is_some_and(|ledger| ledger.is_placed(&record.software, record.revision))
+                && self.orders.known_through() < Some(record.revision)
+        })
+    }
+
+    /// Whether any rollout is open.
+    pub fn is_any_open(&self) -> bool {
+        self.services.values().any(ServiceRollout::is_open)
+    }
+
+    /// Whether a service has a rollout, open or ended.
+    pub fn concerns(&self, service: &ServiceName) -> bool {
+        self.services.contains_key(service)
     }
 
-    /// Takes in how an attempt went.
-    pub fn observe(&mut self, _attempt: &ObservedAttempt, _now: Millis) {}
+    /// All rollouts.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceRollout> {
+        self.services.values()
+    }
+
+    /// One service's rollout.
+    pub fn of_service(&self, service: &ServiceName) -> Option<&ServiceRollout> {
+        self.services.get(service)
+    }
+
+    /// Counts a request that was first given an engine.
+    pub fn note_request(&mut self, service: &ServiceName, route: &Route) {
+        let rollout = self.services.get_mut(service);
+        if let Some(gate) = rollout.and_then(ServiceRollout::gate_mut) {
+            gate.note_request(RouteTag::of(&route.name), route.delivery.is_repeatable());
+        }
+    }
+
+    /// Counts an attempt that was given to an engine; tells whether the engine is of
+    /// an open rollout's target.
+    pub fn note_attempt(
+        &mut self,
+        service: &ServiceName,
+        route: &Route,
+        software: &SoftwareVersion,
+    ) -> bool {
+        let Some(rollout) = self.services.get_mut(service) else {
+            return false;
+        };
+        let is_target = rollout.gate_target() == software;
+        let is_open = rollout.is_open();
+        if let Some(gate) = rollout.gate_mut().filter(|_| is_target) {
+            gate.note_target_arrival(RouteTag::of(&route.name));
+        }
+        is_target && is_open
+    }
+
+    /// Takes in how an attempt went. Refusals and engines without a connection say
+    /// nothing of a version, nor do engines that are `disturbed`: cold, or loading.
+    pub fn observe(&mut self, attempt: &ObservedAttempt, is_disturbed: bool, now: Millis) {
+        let Some(rollout) = self.services.get_mut(&attempt.service) else {
+            return;
+        };
+        let side = match attempt.software == *rollout.gate_target() {
+            true => Side::Target,
+            false => Side::Established,
+        };
+        let Some(answer) = answer_of(attempt).filter(|_| !is_disturbed) else {
+            return;
+        };
+        if let Some(gate) = rollout.gate_mut() {
+            gate.note_answer(RouteTag::of(&attempt.route), side, &answer, now);
+        }
+    }
+}
+
+/// What an attempt says of its engine's version.
+fn answer_of(attempt: &ObservedAttempt) -> Option<Answer> {
+    let has_failed = match attempt.outcome {
+        Outcome::Answered => false,
+        Outcome::Failed | Outcome::Broken => true,
+        Outcome::Refused | Outcome::Unreachable => return None,
+    };
+    let whole_ms = (!has_failed).then_some(attempt.duration_ms);
+    Some(Answer {
+        has_failed,
+        first_byte_ms: attempt.first_byte_ms.or(whole_ms),
+    })
+}
+
+/// Bounds of rollouts as the settings give them.
+pub fn rollout_settings(settings: &GatewaySettings) -> RolloutSettings {
+    RolloutSettings {
+        canary_share: settings.bounds.canary_share,
+        canary_slack: settings.bounds.canary_slack,
+        roll_back_ms: settings.bounds.roll_back_ms,
+        silence_bound_ms: settings.bounds.key_revocation_ms,
+        strategy: Strategy::default(),
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/rollouts/service.rs
@@ -0,0 +1,353 @@
+//! One service's rollout at this node: its gate, what the fleet has counted, and what
+//! the nodes have confirmed.
+
+use crate::peers::rollout_messages::ServiceTag;
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_rollout::counts::{CountReport, Counts, FleetCounts};
+use ploverlift_rollout::order::RolloutOrder;
+use ploverlift_rollout::settings::RolloutSettings;
+use ploverlift_rollout::share::{Confirmation, Gate, Joined};
+use ploverlift_rollout::stage::{Progress, ProgressError, Recorded, RolloutNumber, Stage};
+use ploverlift_routing::software::SoftwareVersion;
+use std::collections::BTreeMap;
+
+/// Age of a relay's sums after which this node's own knowledge goes before them, in
+/// milliseconds: as long as a relay counts that is silent.
+const SUMS_AGE_MS: u64 = 800;
+
+/// Sums over the fleet as a relay told them.
+#[derive(Clone, Debug)]
+struct ToldSums {
+    counts: Counts,
+    own: Option<Counts>,
+    counted_at: Millis,
+    told_at: Millis,
+}
+
+/// Sums over the fleet, and what of them is this node's.
+pub struct KnownSums<'a> {
+    /// The sums.
+    pub sums: &'a Counts,
+    /// This node's own counts in them.
+    pub own: Option<&'a Counts>,
+    /// When they were counted, at the latest.
+    pub counted_at: Millis,
+}
+
+/// What is known of another node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemberNews {
+    /// When it was heard last.
+    pub heard_at: Millis,
+    /// What it said last of the present rollout.
+    pub confirmation: Option<Confirmation>,
+    /// Whether it reports to this node itself.
+    pub is_of_zone: bool,
+}
+
+impl MemberNews {
+    /// Takes in what the node said, by itself or through relays: the later epoch
+    /// stands, and of one epoch the last word.
+    pub fn take(&mut self, said: Confirmation) {
+        let known = self.confirmation.map(|known| (known.rollout, known.epoch));
+        if known <= Some((said.rollout, said.epoch)) {
+            self.confirmation = Some(said);
+        }
+    }
+}
+
+/// A stage that this node has just taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StageChange {
+    /// The stage before, of the same rollout.
+    pub before: Option<Stage>,
+    /// What is in force now.
+    pub progress: Progress,
+}
+
+/// One service's rollout.
+#[derive(Debug)]
+pub struct ServiceRollout {
+    tag: ServiceTag,
+    order: RolloutOrder,
+    /// When this node first knew this order, whatever its status.
+    order_seen_at: Millis,
+    /// When this node first knew its present status.
+    status_seen_at: Millis,
+    gate: Option<Gate>,
+    /// The version that the gate's rollout moves to.
+    gate_target: SoftwareVersion,
+    /// The order's target, while no stage of the order is recorded.
+    pending_target: Option<SoftwareVersion>,
+    /// Revision at which the gate's rollout was seen to be complete.
+    completed_at: Option<u64>,
+    /// Targets of superseded rollouts, none of which may serve by another's order.
+    retired: Vec<SoftwareVersion>,
+    /// Whether the operator has taken the order away before its end.
+    is_withdrawn: bool,
+    /// Whether it was logged that this node stops by its own evidence.
+    pub has_said_stopped: bool,
+    /// Counts of all nodes; other zones' relays are one node each.
+    fleet: FleetCounts,
+    /// Counts of this zone's nodes.
+    zone: FleetCounts,
+    told: Option<ToldSums>,
+    /// Other nodes.
+    pub members: BTreeMap<PeerId, MemberNews>,
+}
+
+impl ServiceRollout {
+    /// A rollout whose order is known and nothing else.
+    pub fn new(order: RolloutOrder, now: Millis) -> Self {
+        Self {
+            tag: ServiceTag::of(&order.service),
+            pending_target: Some(order.target.clone()),
+            gate_target: order.target.clone(),
+            order,
+            order_seen_at: now,
+            status_seen_at: now,
+            gate: None,
+            completed_at: None,
+            retired: Vec::new(),
+            is_withdrawn: false,
+            has_said_stopped: false,
+            fleet: FleetCounts::default(),
+            zone: FleetCounts::default(),
+            told: None,
+            members: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the order with its status; tells of a stage that is new here.
+    ///
+    /// # Errors
+    /// When the status can't be read: the target then gets nothing.
+    pub fn take_order(
+        &mut self,
+        order: RolloutOrder,
+        settings: RolloutSettings,
+        first_known: Option<u64>,
+        now: Millis,
+    ) -> Result<Option<StageChange>, ProgressError> {
+        let is_same = self.order.target == order.target
+            && self.order.duration_ms == order.duration_ms
+            && !self.is_withdrawn;
+        if !is_same {
+            self.order_seen_at = now;
+        }
+        if self.order.status != order.status {
+            self.status_seen_at = now;
+        }
+        self.is_withdrawn = false;
+        self.order = order;
+        let recorded = Recorded::of(&self.order);
+        self.pending_target = match &recorded {
+            Ok(Recorded::Present(_)) => None,
+            _ => Some(self.order.target.clone()),
+        };
+        let progress = match recorded? {
+            Recorded::Nothing => return Ok(None),
+            Recorded::OfOlderOrder(progress) | Recorded::Present(progress) => progress,
+        };
+        let target = self.order.status.as_ref();
+        let target = target.map_or_else(|| self.order.target.clone(), |known| known.target.clone());
+        Ok(self.take_progress(progress, target, settings, first_known, now))
+    }
+
+    fn take_progress(
+        &mut self,
+        progress: Progress,
+        target: SoftwareVersion,
+        settings: RolloutSettings,
+        first_known: Option<u64>,
+        now: Millis,
+    ) -> Option<StageChange> {
+        if progress.stage == Stage::Completed && self.completed_at.is_none() {
+            self.completed_at = Some(self.order.revision);
+        }
+        let present = self.gate.as_mut();
+        if let Some(gate) = present.filter(|gate| gate.progress().rollout == progress.rollout) {
+            let before = *gate.progress();
+            gate.take_progress(progress);
+            let is_news = before.epoch != gate.progress().epoch;
+            return is_news.then_some(StageChange {
+                before: Some(before.stage),
+                progress,
+            });
+        }
+        let joined = match first_known.is_some_and(|known| known < progress.rollout.0) {
+            true => Joined::BeforeOrder,
+            false => Joined::AfterOrder,
+        };
+        self.supersede(&target, progress.stage);
+        self.gate = Some(Gate::new(settings, target.clone(), progress, joined, now));
+        self.gate_target = target;
+        self.fleet = FleetCounts::of(progress.rollout);
+        self.zone = FleetCounts::of(progress.rollout);
+        Some(StageChange {
+            before: None,
+            progress,
+        })
+    }
+
+    /// Another rollout takes the place of the gate's.
+    fn supersede(&mut self, target: &SoftwareVersion, stage: Stage) {
+        let former = self.gate.as_ref().map(|gate| gate.progress().stage);
+        if former.is_some_and(|former| former != Stage::Completed) {
+            self.retired.push(self.gate_target.clone());
+        }
+        self.retired.retain(|version| version != target);
+        if stage != Stage::Completed {
+            self.completed_at = None;
+        }
+        self.told = None;
+        self.has_said_stopped = false;
+        self.members.values_mut().for_each(|member| {
+            member.confirmation = None;
+        });
+    }
+
+    /// The operator has taken the order away.
+    pub fn withdraw(&mut self) {
+        self.is_withdrawn = true;
+    }
+
+    /// The order.
+    pub fn order(&self) -> &RolloutOrder {
+        &self.order
+    }
+
+    /// Short name of the service.
+    pub fn tag(&self) -> ServiceTag {
+        self.tag
+    }
+
+    /// When this node first knew the order.
+    pub fn order_seen_at(&self) -> Millis {
+        self.order_seen_at
+    }
+
+    /// When this node first knew its status.
+    pub fn status_seen_at(&self) -> Millis {
+        self.status_seen_at
+    }
+
+    /// The gate, once a stage is known.
+    pub fn gate(&self) -> Option<&Gate> {
+        self.gate.as_ref()
+    }
+
+    /// The gate, to count.
+    pub fn gate_mut(&mut self) -> Option<&mut Gate> {
+        self.gate.as_mut()
+    }
+
+    /// The version that the gate's rollout moves to.
+    pub fn gate_target(&self) -> &SoftwareVersion {
+        &self.gate_target
+    }
+
+    /// Whether something is left to decide.
+    pub fn is_open(&self) -> bool {
+        let is_running = || {
+            let stage = self.gate.as_ref().map(|gate| gate.progress().stage);
+            stage.is_none_or(|stage| !stage.is_end())
+        };
+        !self.is_withdrawn && (self.pending_target.is_some() || is_running())
+    }
+
+    /// The gate's stage, unless its rollout was withdrawn.
+    pub fn stage(&self) -> Option<Stage> {
+        let gate = self.gate.as_ref().filter(|_| !self.is_withdrawn);
+        gate.map(|gate| gate.progress().stage)
+    }
+
+    /// Versions that must get nothing whatever the gate says. `records` are the
+    /// versions and revisions of the service's engines.
+    pub fn held_back<'a>(
+        &self,
+        records: impl Iterator<Item = (&'a SoftwareVersion, u64)>,
+    ) -> Vec<SoftwareVersion> {
+        let mut held_back = self.retired.clone();
+        held_back.extend(self.pending_target.clone());
+        let is_ended = self.stage().is_some_and(Stage::is_end);
+        if self.is_withdrawn && !is_ended && self.completed_at.is_none() {
+            held_back.push(self.gate_target.clone());
+        }
+        if let Some(completed_at) = self.completed_at {
+            let old = records.filter(|(version, revision)| {
+                **version != self.gate_target && *revision < completed_at
+            });
+            held_back.extend(old.map(|(version, _)| version.clone()));
+        }
+        held_back.sort();
+        held_back.dedup();
+        held_back
+    }
+
+    /// What this node has counted.
+    pub fn own_report(&self, own: PeerId, life: u64) -> Option<CountReport> {
+        let gate = self.gate.as_ref().filter(|_| self.is_open())?;
+        Some(gate.report(own, life))
+    }
+
+    /// Takes in what a node of this zone, or this one, has counted.
+    pub fn take_counts(&mut self, report: &CountReport) {
+        self.zone.take(report);
+        self.fleet.take(report);
+    }
+
+    /// Takes in what another zone has counted.
+    pub fn take_zone_counts(&mut self, report: &CountReport) {
+        self.fleet.take(report);
+    }
+
+    /// Takes in what a relay says that the fleet has counted; `own` is what this node
+    /// had told it.
+    pub fn take_sums(
+        &mut self,
+        rollout: RolloutNumber,
+        counts: &Counts,
+        own: Option<Counts>,
+        counted_at: Millis,
+        now: Millis,
+    ) {
+        let present = self.gate.as_ref().map(|gate| gate.progress().rollout);
+        if present == Some(rollout) {
+            self.told = Some(ToldSums {
+                counts: counts.clone(),
+                own,
+                counted_at,
+                told_at: now,
+            });
+        }
+    }
+
+    /// Counts of all nodes.
+    pub fn fleet(&self) -> &FleetCounts {
+        &self.fleet
+    }
+
+    /// Sums over the nodes of this zone.
+    pub fn zone_sums(&self) -> &Counts {
+        self.zone.sums()
+    }
+
+    /// The fleet's sums as this node knows them best.
+    pub fn known_sums(&self, own: PeerId, life: u64, now: Millis) -> KnownSums<'_> {
+        let told = self.told.as_ref();
+        if let Some(told) = told.filter(|told| now.since(told.told_at) < SUMS_AGE_MS) {
+            return KnownSums {
+                sums: &told.counts,
+                own: told.own.as_ref(),
+                counted_at: told.counted_at,
+            };
+        }
+        KnownSums {
+            sums: self.fleet.sums(),
+            own: self.fleet.of_life(own, life),
+            counted_at: now,
+        }
+    }
+}
--- a/crates/routing/src/software.rs
+++ b/crates/routing/src/software.rs
@@ -22,15 +22,38 @@
     Only(SoftwareVersion),
     /// Each version but one.
     Except(SoftwareVersion),
+    /// Each version but these.
+    NoneOf(Vec<SoftwareVersion>),
 }
 
 impl SoftwareRule {
+    /// The rule without some versions; nothing when it then allows none.
+    pub fn less(self, excluded: &[SoftwareVersion]) -> Option<Self> {
+        if excluded.is_empty() {
+            return Some(self);
+        }
+        match self {
+            Self::Only(only) if excluded.contains(&only) => None,
+            Self::Only(only) => Some(Self::Only(only)),
+            Self::Any => Some(Self::NoneOf(excluded.to_vec())),
+            Self::Except(except) => {
+                let all = excluded.iter().cloned().chain([except]);
+                Some(Self::NoneOf(all.collect()))
+            }
+            Self::NoneOf(known) => {
+                let all = excluded.iter().cloned().chain(known);
+                Some(Self::NoneOf(all.collect()))
+            }
+        }
+    }
+
     /// Whether engines of a version may serve the request.
     pub fn allows(&self, version: &SoftwareVersion) -> bool {
         match self {
             Self::Any => true,
             Self::Only(only) => version == only,
             Self::Except(except) => version != except,
+            Self::NoneOf(excluded) => !excluded.contains(version),
         }
     }
 }
