--- a/crates/gateway/src/peers/rollout_messages.rs
+++ b/crates/gateway/src/peers/rollout_messages.rs
@@ -1,7 +1,9 @@
 //! What nodes tell each other of rollouts, as messages.
 
 use ploverlift_balancing::peer_loads::PeerId;
-use ploverlift_rollout::counts::{Counts, RouteCounts, RouteTag, SideCounts};
+use ploverlift_rollout::counts::{
+    Counts, EngineSlotCounts, RouteCounts, RouteTag, SideCounts, ENGINE_SLOTS,
+};
 use ploverlift_rollout::first_byte::FirstByteHistogram;
 use ploverlift_rollout::order::{RolloutOrder, RolloutState, RolloutStatus};
 use ploverlift_rollout::share::Confirmation;
@@ -74,10 +76,13 @@
 /// The message for counts.
 pub fn counts_message(counted: &ServiceCounts) -> peers::RolloutCounts {
     let routes = counted.counts.routes.iter();
+    let slots = counted.counts.target_engines.iter();
     peers::RolloutCounts {
         service: counted.service.0,
         rollout: counted.rollout.0,
         routes: routes.map(route_message).collect(),
+        engine_answers: slots.clone().map(|slot| slot.answers).collect(),
+        engine_failures: slots.map(|slot| slot.failures).collect(),
     }
 }
 
@@ -114,11 +119,18 @@
         };
         (RouteTag(route.route), counts)
     });
+    let mut target_engines = [EngineSlotCounts::default(); ENGINE_SLOTS];
+    let told = message.engine_answers.iter().zip(&message.engine_failures);
+    for (slot, (answers, failures)) in target_engines.iter_mut().zip(told) {
+        slot.answers = *answers;
+        slot.failures = *failures;
+    }
     ServiceCounts {
         service: ServiceTag(message.service),
         rollout: RolloutNumber(message.rollout),
         counts: Counts {
             routes: routes.collect(),
+            target_engines,
         },
     }
 }
@@ -148,6 +160,7 @@
         epoch: confirmation.epoch.0,
         has_left_established: confirmation.has_left_established,
         running_on_established: confirmation.running_on_established,
+        has_stopped: confirmation.has_stopped,
         age_ms: said.age_ms,
     }
 }
@@ -162,6 +175,7 @@
             epoch: Epoch(message.epoch),
             has_left_established: message.has_left_established,
             running_on_established: message.running_on_established,
+            has_stopped: message.has_stopped,
         },
         age_ms: message.age_ms,
     }
--- a/crates/gateway/src/rollouts/choice.rs
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -112,7 +112,6 @@
         let view = FleetView {
             sums: known.sums,
             own_in_sums: known.own,
-            counted_at: known.counted_at,
             stage_heard_at: self.orders.proven_at().unwrap_or(Millis(0)),
             seat: own.seat,
         };
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -6,6 +6,8 @@
 //! node tells nothing, and a relay now and then the revision up to which it knows
 //! orders.
 
+use super::running::RunningRequests;
+use super::service::ServiceRollout;
 use super::{OrderNews, RolloutBeliefs};
 use crate::peers::rollout_messages::{
     NodeConfirmation, RolloutNews, RolloutReport, ServiceCounts, ServiceTag,
@@ -72,21 +74,18 @@
     pub fn own_report(&mut self, own: Reporter, sequence: u64) -> RolloutReport {
         let mut counts = Vec::new();
         let mut confirmations = Vec::new();
-        for rollout in self.services.values().filter(|rollout| rollout.is_open()) {
-            let Some(gate) = rollout.gate() else { continue };
-            let service = rollout.tag();
-            counts.push(ServiceCounts {
-                service,
-                rollout: gate.progress().rollout,
-                counts: gate.report(own.node, own.life).counts,
-            });
-            let name = &rollout.order().service;
-            confirmations.push(NodeConfirmation {
-                node: own.node,
-                service,
-                confirmation: gate.confirm(self.running.except(name, rollout.gate_target())),
-                age_ms: 0,
-            });
+        for rollout in self.services.values_mut().filter(|rollout| rollout.is_open()) {
+            let Some(said) = own_confirmation(rollout, &self.running, own) else {
+                continue;
+            };
+            if let Some(counted) = rollout.own_report(own.node, own.life) {
+                counts.push(ServiceCounts {
+                    service: said.service,
+                    rollout: counted.rollout,
+                    counts: counted.counts,
+                });
+            }
+            confirmations.push(said);
         }
         if !counts.is_empty() {
             self.own_reports.note(sequence, counts.clone());
@@ -103,21 +102,17 @@
     pub fn zone_report(&mut self, own: Reporter, now: Millis) -> RolloutReport {
         self.count_own(own);
         let mut report = RolloutReport::default();
-        for rollout in self.services.values().filter(|rollout| rollout.is_open()) {
-            let Some(gate) = rollout.gate() else { continue };
-            let service = rollout.tag();
+        for rollout in self.services.values_mut().filter(|rollout| rollout.is_open()) {
+            let Some(said) = own_confirmation(rollout, &self.running, own) else {
+                continue;
+            };
+            let service = said.service;
             report.counts.push(ServiceCounts {
                 service,
-                rollout: gate.progress().rollout,
+                rollout: said.confirmation.rollout,
                 counts: rollout.zone_sums().clone(),
             });
-            let name = &rollout.order().service;
-            report.confirmations.push(NodeConfirmation {
-                node: own.node,
-                service,
-                confirmation: gate.confirm(self.running.except(name, rollout.gate_target())),
-                age_ms: 0,
-            });
+            report.confirmations.push(said);
             let members = rollout.members.iter().filter(|(_, member)| member.is_of_zone);
             let said = members.map(|(node, member)| NodeConfirmation {
                 node: *node,
@@ -229,29 +224,47 @@
         let proven_at = answers.map(|(_, sent_at)| sent_at.0.saturating_sub(news.age_ms));
         self.note_orders_known(news.known_through, proven_at.map(Millis), engines, now);
         for counted in &news.sums {
-            let Some((sequence, sent_at)) = answers else {
+            let Some((sequence, _)) = answers else {
                 continue;
             };
             let own = self.own_reports.counts(sequence, counted.service);
             let own = own.filter(|own| own.rollout == counted.rollout);
             let own: Option<Counts> = own.map(|own| own.counts.clone());
             if let Some(rollout) = self.by_tag(counted.service) {
-                rollout.take_sums(counted.rollout, &counted.counts, own, sent_at, now);
+                rollout.take_sums(counted.rollout, &counted.counts, own, now);
             }
         }
         taken
     }
 
-    fn by_tag(&mut self, tag: ServiceTag) -> Option<&mut super::ServiceRollout> {
+    fn by_tag(&mut self, tag: ServiceTag) -> Option<&mut ServiceRollout> {
         let mut services = self.services.values_mut();
         services.find(|rollout| rollout.tag() == tag)
     }
 }
 
+/// What this node says of the present stage; nothing before any is known.
+fn own_confirmation(
+    rollout: &mut ServiceRollout,
+    running: &RunningRequests,
+    own: Reporter,
+) -> Option<NodeConfirmation> {
+    let service = rollout.tag();
+    let name = &rollout.order().service;
+    let running = running.except(name, rollout.gate_target());
+    Some(NodeConfirmation {
+        node: own.node,
+        service,
+        confirmation: rollout.gate_mut()?.confirm(running),
+        age_ms: 0,
+    })
+}
+
 /// A node that was heard and said nothing of a rollout.
 const NOTHING_SAID: Confirmation = Confirmation {
     rollout: RolloutNumber(0),
     epoch: Epoch(0),
     has_left_established: false,
     running_on_established: 0,
+    has_stopped: false,
 };
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -28,6 +28,7 @@
 use orders::KnownOrders;
 use ploverlift_balancing::catalogue::EngineCatalogue;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::{Answer, RouteTag, Side};
 use ploverlift_rollout::order::RolloutOrder;
@@ -179,7 +180,7 @@
 
     /// Takes in how an attempt went. Refusals and engines without a connection say
     /// nothing of a version, nor do engines that are `disturbed`: cold, or loading.
-    pub fn observe(&mut self, attempt: &ObservedAttempt, is_disturbed: bool, now: Millis) {
+    pub fn observe(&mut self, attempt: &ObservedAttempt, is_disturbed: bool) {
         let Some(rollout) = self.services.get_mut(&attempt.service) else {
             return;
         };
@@ -191,7 +192,7 @@
             return;
         };
         if let Some(gate) = rollout.gate_mut() {
-            gate.note_answer(RouteTag::of(&attempt.route), side, &answer, now);
+            gate.note_answer(RouteTag::of(&attempt.route), side, &answer);
         }
     }
 }
@@ -205,6 +206,7 @@
     };
     let whole_ms = (!has_failed).then_some(attempt.duration_ms);
     Some(Answer {
+        engine: u64::from(EngineTag::of(&attempt.instance).0),
         has_failed,
         first_byte_ms: attempt.first_byte_ms.or(whole_ms),
     })
--- a/crates/gateway/src/rollouts/service.rs
+++ b/crates/gateway/src/rollouts/service.rs
@@ -21,7 +21,6 @@
 struct ToldSums {
     counts: Counts,
     own: Option<Counts>,
-    counted_at: Millis,
     told_at: Millis,
 }
 
@@ -31,8 +30,6 @@
     pub sums: &'a Counts,
     /// This node's own counts in them.
     pub own: Option<&'a Counts>,
-    /// When they were counted, at the latest.
-    pub counted_at: Millis,
 }
 
 /// What is known of another node.
@@ -58,7 +55,7 @@
 }
 
 /// A stage that this node has just taken in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StageChange {
     /// The stage before, of the same rollout.
     pub before: Option<Stage>,
@@ -82,11 +79,9 @@
     pending_target: Option<SoftwareVersion>,
     /// Revision at which the gate's rollout was seen to be complete.
     completed_at: Option<u64>,
-    /// Targets of superseded rollouts, none of which may serve by another's order.
-    retired: Vec<SoftwareVersion>,
     /// Whether the operator has taken the order away before its end.
     is_withdrawn: bool,
-    /// Whether it was logged that this node stops by its own evidence.
+    /// Whether it was logged that this node stops by what it saw alone.
     pub has_said_stopped: bool,
     /// Counts of all nodes; other zones' relays are one node each.
     fleet: FleetCounts,
@@ -109,7 +104,6 @@
             status_seen_at: now,
             gate: None,
             completed_at: None,
-            retired: Vec::new(),
             is_withdrawn: false,
             has_said_stopped: false,
             fleet: FleetCounts::default(),
@@ -168,8 +162,8 @@
         }
         let present = self.gate.as_mut();
         if let Some(gate) = present.filter(|gate| gate.progress().rollout == progress.rollout) {
-            let before = *gate.progress();
-            gate.take_progress(progress);
+            let before = gate.progress().clone();
+            gate.take_progress(progress.clone());
             let is_news = before.epoch != gate.progress().epoch;
             return is_news.then_some(StageChange {
                 before: Some(before.stage),
@@ -180,11 +174,11 @@
             true => Joined::BeforeOrder,
             false => Joined::AfterOrder,
         };
-        self.supersede(&target, progress.stage);
-        self.gate = Some(Gate::new(settings, target.clone(), progress, joined, now));
-        self.gate_target = target;
+        self.supersede(progress.stage);
+        self.gate_target = target.clone();
         self.fleet = FleetCounts::of(progress.rollout);
         self.zone = FleetCounts::of(progress.rollout);
+        self.gate = Some(Gate::new(settings, target, progress.clone(), joined, now));
         Some(StageChange {
             before: None,
             progress,
@@ -192,12 +186,7 @@
     }
 
     /// Another rollout takes the place of the gate's.
-    fn supersede(&mut self, target: &SoftwareVersion, stage: Stage) {
-        let former = self.gate.as_ref().map(|gate| gate.progress().stage);
-        if former.is_some_and(|former| former != Stage::Completed) {
-            self.retired.push(self.gate_target.clone());
-        }
-        self.retired.retain(|version| version != target);
+    fn supersede(&mut self, stage: Stage) {
         if stage != Stage::Completed {
             self.completed_at = None;
         }
@@ -269,8 +258,10 @@
         &self,
         records: impl Iterator<Item = (&'a SoftwareVersion, u64)>,
     ) -> Vec<SoftwareVersion> {
-        let mut held_back = self.retired.clone();
-        held_back.extend(self.pending_target.clone());
+        let mut held_back: Vec<SoftwareVersion> = self.pending_target.iter().cloned().collect();
+        if let Some(gate) = &self.gate {
+            held_back.extend(gate.progress().avoided.iter().cloned());
+        }
         let is_ended = self.stage().is_some_and(Stage::is_end);
         if self.is_withdrawn && !is_ended && self.completed_at.is_none() {
             held_back.push(self.gate_target.clone());
@@ -310,7 +301,6 @@
         rollout: RolloutNumber,
         counts: &Counts,
         own: Option<Counts>,
-        counted_at: Millis,
         now: Millis,
     ) {
         let present = self.gate.as_ref().map(|gate| gate.progress().rollout);
@@ -318,7 +308,6 @@
             self.told = Some(ToldSums {
                 counts: counts.clone(),
                 own,
-                counted_at,
                 told_at: now,
             });
         }
@@ -341,13 +330,11 @@
             return KnownSums {
                 sums: &told.counts,
                 own: told.own.as_ref(),
-                counted_at: told.counted_at,
             };
         }
         KnownSums {
             sums: self.fleet.sums(),
             own: self.fleet.of_life(own, life),
-            counted_at: now,
         }
     }
 }
--- a/crates/routing/src/software.rs
+++ b/crates/routing/src/software.rs
@@ -22,8 +22,8 @@
     Only(SoftwareVersion),
     /// Each version but one.
     Except(SoftwareVersion),
-    /// Each version but these.
-    NoneOf(Vec<SoftwareVersion>),
+    /// Each version but some.
+    ExceptAll(Vec<SoftwareVersion>),
 }
 
 impl SoftwareRule {
@@ -35,14 +35,14 @@
         match self {
             Self::Only(only) if excluded.contains(&only) => None,
             Self::Only(only) => Some(Self::Only(only)),
-            Self::Any => Some(Self::NoneOf(excluded.to_vec())),
+            Self::Any => Some(Self::ExceptAll(excluded.to_vec())),
             Self::Except(except) => {
                 let all = excluded.iter().cloned().chain([except]);
-                Some(Self::NoneOf(all.collect()))
+                Some(Self::ExceptAll(all.collect()))
             }
-            Self::NoneOf(known) => {
+            Self::ExceptAll(known) => {
                 let all = excluded.iter().cloned().chain(known);
-                Some(Self::NoneOf(all.collect()))
+                Some(Self::ExceptAll(all.collect()))
             }
         }
     }
@@ -53,7 +53,7 @@
             Self::Any => true,
             Self::Only(only) => version == only,
             Self::Except(except) => version != except,
-            Self::NoneOf(excluded) => !excluded.contains(version),
+            Self::ExceptAll(except) => !except.contains(version),
         }
     }
 }
