--- a/crates/rollout/src/first_byte.rs
+++ b/crates/rollout/src/first_byte.rs
@@ -64,3 +64,9 @@
     let bucket = (ratio.log2() * 2.0).floor() as usize + 1;
     bucket.min(BUCKETS - 1)
 }
+
+/// Where a bucket ends, in milliseconds; of the last one, where it begins.
+pub fn bucket_end_ms(bucket: usize) -> u64 {
+    let bucket = bucket.min(BUCKETS - 2);
+    (FIRST_BUCKET_MS * 2.0_f64.powf(bucket as f64 / 2.0)).ceil() as u64
+}
