--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -37,6 +37,9 @@
     pub software: SoftwareVersion,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// Time for which it stays slow after its start, as the record told, in
+    /// milliseconds.
+    pub cold_ms: u64,
     /// Whether it is about to end and wants no new work.
     pub is_leaving: bool,
     /// The version of each model's weights.
@@ -58,6 +61,8 @@
     pub health: EngineHealth,
     /// Until when it is taken to be loading weights.
     pub loading_until: Option<Millis>,
+    /// Until when it is slow after its start.
+    pub cold_until: Option<Millis>,
 }
 
 impl Engine {
@@ -69,6 +74,7 @@
             waiting_tokens: 0,
             health: EngineHealth::default(),
             loading_until: None,
+            cold_until: None,
         }
     }
 
@@ -77,6 +83,11 @@
         self.record.weights.get(model).copied().unwrap_or(0)
     }
 
+    /// Whether it is slow because it has just started.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it is taken to be loading weights.
     pub fn is_loading(&self, now: Millis) -> bool {
         self.loading_until.is_some_and(|until| now < until)
@@ -248,6 +259,13 @@
         }
     }
 
+    /// The engine is slow until then, having just started. The first word stands.
+    pub fn note_cold(&mut self, instance: &InstanceId, until: Millis) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.cold_until.get_or_insert(until);
+        }
+    }
+
     /// The engine has loaded.
     pub fn note_loaded(&mut self, instance: &InstanceId) {
         if let Some(engine) = self.engines.get_mut(instance) {
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -39,6 +39,7 @@
         zone: ZoneName::from(if index % 2 == 0 { "z0" } else { "z1" }),
         software: SoftwareVersion::default(),
         slots: 8,
+        cold_ms: 0,
         is_leaving: false,
         weights: [("m".to_owned(), weights)].into(),
     }
--- a/crates/balancing/tests/relayed_loads.rs
+++ b/crates/balancing/tests/relayed_loads.rs
@@ -119,6 +119,7 @@
         zone: ZoneName::from("z"),
         software: SoftwareVersion::default(),
         slots: 8,
+        cold_ms: 0,
         is_leaving: false,
         weights: [].into(),
     });
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -51,6 +51,7 @@
             zone: ZoneName::from("z"),
             software: SoftwareVersion::default(),
             slots: 8,
+            cold_ms: 0,
             is_leaving: false,
             weights: [("m".to_owned(), *weights)].into(),
         });
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -6,7 +6,7 @@
 use crate::peers::followed_relays::FollowedRelays;
 use crate::peers::relay_duties::RelayDuties;
 use crate::peers::relay_messages::EngineChange;
-use crate::rollouts::RolloutBeliefs;
+use crate::rollouts::{OrderNews, RolloutBeliefs};
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
 use ploverlift_balancing::cache_contents::CacheContents;
@@ -21,6 +21,8 @@
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::Millis;
 use ploverlift_ratelimit::limiter::RateLimiter;
+use ploverlift_rollout::order::RolloutOrder;
+use ploverlift_rollout::settings::RolloutSettings;
 use ploverlift_routing::configuration::{CacheStore, Configuration, ServiceName};
 use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
@@ -192,6 +194,9 @@
 
     /// Takes in a new or changed engine; tells whether it was news.
     pub fn upsert_engine(&mut self, record: EngineRecord, now: Millis) -> bool {
+        if self.rollouts.is_retired(&record) {
+            return false;
+        }
         let change = EngineChange {
             instance: record.instance.clone(),
             revision: record.revision,
@@ -200,6 +205,10 @@
         let is_news = self.engines.upsert(record);
         if let (true, Some(record)) = (is_news, &change.record) {
             self.rollouts.note_engine(record);
+            if record.cold_ms > 0 {
+                let until = now.plus(record.cold_ms);
+                self.engines.note_cold(&record.instance, until);
+            }
             self.catalogue_log.append(change, now);
         }
         is_news
@@ -306,11 +315,33 @@
         self.weights.required(model, in_use, bounds, now)
     }
 
+    /// Takes in an order of a rollout, or its status; nothing when it is no news. Engines
+    /// of the versions that served before a rollout that is complete have been stopped.
+    pub fn take_rollout_order(
+        &mut self,
+        order: RolloutOrder,
+        settings: RolloutSettings,
+        now: Millis,
+    ) -> Option<OrderNews> {
+        let service = order.service.clone();
+        let news = self.rollouts.take_order(order, settings, now)?;
+        let is_complete = self.rollouts.of_service(&service)?.is_complete();
+        if is_complete {
+            let records = self.engines.of_service(&service);
+            let records: Vec<EngineRecord> = records.map(|engine| engine.record.clone()).collect();
+            for (instance, revision) in self.rollouts.retire(&service, &records) {
+                self.remove_engine(&instance, revision, now);
+            }
+        }
+        Some(news)
+    }
+
     /// Takes in how an attempt at an engine went, for all that learn from it: the
     /// health of the engine, and the evidence on a version of its software.
     pub fn observe(&mut self, attempt: &ObservedAttempt, now: Millis) {
         let engine = self.engines.get(&attempt.instance);
-        let is_disturbed = engine.is_none_or(|engine| engine.is_loading(now));
+        let is_disturbed =
+            engine.is_none_or(|engine| engine.is_loading(now) || engine.is_cold(now));
         self.rollouts.observe(attempt, is_disturbed);
         self.engines
             .note_outcome(&attempt.instance, attempt.outcome, now);
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -5,6 +5,8 @@
 use crate::cache_feeds::cache_store;
 use crate::ports::CacheTransfer;
 use crate::rollouts::choice::{OwnSeat, SoftwareChoice, VersionedRequest};
+use crate::rollouts::running::RunningRequest;
+use crate::rollouts::Arrival;
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
 use ploverlift_balancing::cost::{Cost, CostRates};
 use ploverlift_balancing::peer_loads::EngineTag;
@@ -30,8 +32,10 @@
     pub(super) software: SoftwareVersion,
     /// What the gate of the service's rollout said; nothing where there is none.
     pub(super) gate: Option<GateReason>,
-    /// Whether it is an engine of an open rollout's target.
-    pub(super) is_canary: bool,
+    /// What the attempt is in an open rollout.
+    pub(super) arrival: Option<Arrival>,
+    /// Counts the attempt as running.
+    pub(super) running: Option<RunningRequest>,
     /// The version of weights that is relied on; nothing when it is not known.
     pub(super) weights: Option<u64>,
     /// Nothing for requests to plain services.
@@ -59,24 +63,31 @@
     pub(super) fn choose(&mut self) -> Result<ChosenEngine, NoChoice> {
         let now = self.gateway.clock.now();
         let mut rates = self.gateway.cost_rates();
-        let own = self.gateway.own_seat();
         let gateway = Arc::clone(&self.gateway);
-        let mut beliefs = gateway.beliefs();
         let service = &self.received.admission.service;
+        let has_rollout = gateway.beliefs().rollouts.concerns(service);
+        let own = has_rollout.then(|| gateway.own_seat());
+        let mut beliefs = gateway.beliefs();
         rates.prefill_tokens_per_ms = beliefs.tokens_per_ms(service, rates.prefill_tokens_per_ms);
-        let software = self.software_choice(&beliefs, &own, now)?;
+        let software = self.software_choice(&beliefs, own.as_ref(), now)?;
         let choice = self.choose_by(&beliefs, &software, &rates, now)?;
         let engine = beliefs.engines.get(&choice.instance);
         let engine = engine.ok_or(NoChoice::NoEngine)?;
         let mut chosen = self.chosen_engine(&beliefs, engine, &choice);
         chosen.gate = software.reason;
-        // What the canary gets is counted under the lock under which it was allowed.
         let route = &self.received.admission.route;
         if !std::mem::replace(&mut self.progress.is_counted, true) {
             beliefs.rollouts.note_request(service, route);
         }
-        let software = &chosen.software;
-        chosen.is_canary = beliefs.rollouts.note_attempt(service, route, software);
+        let software = chosen.software.clone();
+        chosen.arrival = beliefs.rollouts.note_attempt(service, route, &software);
+        if let Some(arrival) = &chosen.arrival {
+            gateway.metrics.count_arrival(&service.0, arrival);
+        }
+        // Counted under the lock under which it was allowed: whoever says that nothing
+        // runs on a version has then seen it.
+        let running = RunningRequest::begin(&gateway, &mut beliefs, service, &software);
+        chosen.running = Some(running);
         Ok(chosen)
     }
 
@@ -84,7 +95,7 @@
     fn software_choice(
         &self,
         beliefs: &Beliefs,
-        own: &OwnSeat,
+        own: Option<&OwnSeat>,
         now: Millis,
     ) -> Result<SoftwareChoice, NoChoice> {
         let admission = &self.received.admission;
@@ -176,7 +187,8 @@
             address: engine.record.address,
             software: engine.record.software.clone(),
             gate: None,
-            is_canary: false,
+            arrival: None,
+            running: None,
             weights: None,
             cache: None,
             tokens_to_read: 0,
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -39,8 +39,6 @@
         let mut beliefs = gateway.beliefs();
         beliefs.engines.begin(&subject.instance, prompt_tokens, now);
         beliefs.recent_reading.note(prompt_tokens as f64, now);
-        let running = &mut beliefs.rollouts.running;
-        running.begin(&subject.service, &subject.software);
         drop(beliefs);
         gateway.metrics.attempts.inc();
         Self {
@@ -85,7 +83,5 @@
         let mut beliefs = self.gateway.beliefs();
         let subject = &self.subject;
         beliefs.engines.end(&subject.instance, self.waiting_tokens);
-        let running = &mut beliefs.rollouts.running;
-        running.end(&subject.service, &subject.software);
     }
 }
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -7,6 +7,7 @@
 use crate::ports::CacheTransfer;
 use crate::state::Gateway;
 use ploverlift_policy::ids::Millis;
+use ploverlift_rollout::counts::Side;
 use ploverlift_routing::prompt::cache_scope;
 use std::fmt::Write;
 
@@ -17,9 +18,10 @@
 fn gate_text(chosen: &ChosenEngine) -> String {
     let gate = chosen.gate.map(|reason| format!(" gate={reason:?}"));
     let gate = gate.unwrap_or_default();
-    match chosen.is_canary {
-        true => format!("{gate} canary=1"),
-        false => gate,
+    let side = chosen.arrival.map(|arrival| arrival.side);
+    match side {
+        Some(Side::Target) => format!("{gate} canary=1"),
+        _ => gate,
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters and histograms of a node, in the OpenMetrics text format.
 
 use crate::ports::StoreCall;
+use crate::rollouts::told::stage_name;
+use crate::rollouts::Arrival;
 use ploverlift_ratelimit::standing::Standing;
+use ploverlift_rollout::counts::Side;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -172,6 +175,20 @@
         self.rollout_epoch.get_or_create(&label).set(epoch);
     }
 
+    /// Counts an attempt at an engine of a service with an open rollout.
+    pub fn count_arrival(&self, service: &str, arrival: &Arrival) {
+        let label = ArrivalLabel {
+            service: service.to_owned(),
+            side: match arrival.side {
+                Side::Target => "target",
+                Side::Established => "established",
+            },
+            stage: stage_name(&arrival.stage),
+            epoch: arrival.epoch.0,
+        };
+        self.rollout_arrivals.get_or_create(&label).inc();
+    }
+
     /// Counts a request of a tenant that has a limit.
     pub fn count_limited(&self, standing: &Standing) {
         let label = LimitLabel::of(standing);
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -63,8 +63,14 @@
     let Some(news) = &report.rollouts else {
         return Vec::new();
     };
+    beliefs.rollouts.take_missing(news, now);
+    let mut taken = Vec::new();
+    for order in &news.orders {
+        taken.extend(beliefs.take_rollout_order(order.clone(), settings, now));
+    }
     let (rollouts, engines) = (&mut beliefs.rollouts, &beliefs.engines);
-    rollouts.take_news(news, answers, settings, engines, now)
+    rollouts.take_sums(news, answers, engines, now);
+    taken
 }
 
 /// The relay's proof that the configuration is the newest counts from when this
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -184,6 +184,7 @@
         address: record.address.to_string(),
         zone: record.zone.0.clone(),
         slots: record.slots,
+        cold_ms: record.cold_ms,
         is_leaving: record.is_leaving,
         software: record.software.0.clone(),
         weights: record
@@ -216,6 +217,7 @@
             zone: ZoneName(record.zone.clone()),
             software: SoftwareVersion(record.software.clone()),
             slots: record.slots,
+            cold_ms: record.cold_ms,
             is_leaving: record.is_leaving,
             weights: record
                 .weights
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -11,6 +11,7 @@
 use crate::store::take_configuration;
 use crate::time::{sleep, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ploverlift_balancing::catalogue::EngineRecord;
 use ploverlift_wire::{
     decode_snapshot, decode_snapshot_request, encode_snapshot, encode_snapshot_request,
     length_prefix, parse_length_prefix, peers, WireError, LENGTH_PREFIX_BYTES,
@@ -198,6 +199,7 @@
 
 /// What a node asks for, as this one knows it.
 pub fn snapshot(gateway: &Gateway, request: &peers::SnapshotRequest) -> peers::Snapshot {
+    let now = gateway.clock.now();
     let beliefs = gateway.beliefs();
     let is_newer = beliefs.configuration_version() > Some(request.configuration);
     let stored = beliefs.stored_configuration.as_deref();
@@ -212,10 +214,15 @@
     if request.wants_engines {
         let engines = beliefs.engines.iter();
         let engines = engines.map(|engine| {
+            let cold_until = engine.cold_until.unwrap_or(now);
+            let record = EngineRecord {
+                cold_ms: cold_until.since(now),
+                ..engine.record.clone()
+            };
             change_message(&EngineChange {
-                instance: engine.record.instance.clone(),
-                revision: engine.record.revision,
-                record: Some(engine.record.clone()),
+                instance: record.instance.clone(),
+                revision: record.revision,
+                record: Some(record),
             })
         });
         snapshot.engines = engines.collect();
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -13,12 +13,13 @@
 const IDLE_MS: u64 = 10_000;
 
 /// Whether this node takes callers: it knows the configuration, the engines and the
-/// orders of rollouts,
+/// orders of rollouts; when it started in the midst of a rollout, its present stage;
+/// it
 /// may accept keys, and is not stopping.
 pub fn is_ready(gateway: &Gateway) -> bool {
     let knows_site = {
         let beliefs = gateway.beliefs();
-        let knows_orders = beliefs.rollouts.orders.known_through().is_some();
+        let knows_orders = beliefs.rollouts.has_begun();
         beliefs.configuration.is_some() && beliefs.engines_listed && knows_orders
     };
     knows_site && !gateway.is_stopping() && gateway.accepts_keys()
--- a/crates/gateway/src/rollouts/choice.rs
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -55,12 +55,13 @@
 }
 
 impl RolloutBeliefs {
-    /// Which versions may serve a request; nothing when none may now.
+    /// Which versions may serve a request; nothing when none may now. Without `own` the
+    /// service had no rollout a moment ago.
     pub fn software_choice(
         &self,
         request: &VersionedRequest<'_>,
         engines: &EngineCatalogue,
-        own: &OwnSeat,
+        own: Option<&OwnSeat>,
         now: Millis,
     ) -> Option<SoftwareChoice> {
         let unplaced = self.unplaced(request.service, engines);
@@ -72,11 +73,17 @@
         };
         let records = engines.of_service(request.service);
         let records = records.map(|engine| (&engine.record.software, engine.record.revision));
-        let mut held_back = rollout.held_back(records);
+        let records: Vec<(&SoftwareVersion, u64)> = records.collect();
+        let mut held_back = rollout.held_back(&records);
         held_back.extend(unplaced);
-        let Some(decision) = self.decision(rollout, request, engines, own, now) else {
+        let decided = own.and_then(|own| self.decision(rollout, request, engines, own, now));
+        let Some(decision) = decided else {
+            let rule = match rollout.stage().is_some_and(|stage| !stage.is_end()) {
+                true => SoftwareRule::Except(rollout.gate_target().clone()),
+                false => SoftwareRule::Any,
+            };
             return Some(SoftwareChoice {
-                rule: SoftwareRule::Any.less(&held_back)?,
+                rule: rule.less(&held_back)?,
                 ..SoftwareChoice::default()
             });
         };
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -8,7 +8,7 @@
 
 use super::running::RunningRequests;
 use super::service::ServiceRollout;
-use super::{OrderNews, RolloutBeliefs};
+use super::RolloutBeliefs;
 use crate::peers::rollout_messages::{
     NodeConfirmation, RolloutNews, RolloutReport, ServiceCounts, ServiceTag,
 };
@@ -16,7 +16,6 @@
 use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::{CountReport, Counts};
-use ploverlift_rollout::settings::RolloutSettings;
 use ploverlift_rollout::share::Confirmation;
 use ploverlift_rollout::stage::{Epoch, RolloutNumber};
 use ploverlift_routing::configuration::ServiceName;
@@ -222,26 +221,26 @@
         })
     }
 
-    /// Takes in what a relay tells. `answers` is the newest of this node's own reports
-    /// that the relay had taken in, and when it was sent.
-    pub fn take_news(
-        &mut self,
-        news: &RolloutNews,
-        answers: Option<(u64, Millis)>,
-        settings: RolloutSettings,
-        engines: &EngineCatalogue,
-        now: Millis,
-    ) -> Vec<OrderNews> {
+    /// A relay tells of orders: those that it lacks are gone.
+    pub fn take_missing(&mut self, news: &RolloutNews, now: Millis) {
         self.orders.note_told(now);
-        let mut taken = Vec::new();
         if self.orders.known_through() <= Some(news.known_through) {
             for service in self.orders.missing_in(&news.orders) {
                 self.remove_order(&service, news.known_through, now);
             }
         }
-        for order in &news.orders {
-            taken.extend(self.take_order(order.clone(), settings, now));
-        }
+    }
+
+    /// Takes in what a relay tells besides its orders, which were taken in. `answers` is
+    /// the newest of this node's own reports that the relay had taken in, and when it
+    /// was sent.
+    pub fn take_sums(
+        &mut self,
+        news: &RolloutNews,
+        answers: Option<(u64, Millis)>,
+        engines: &EngineCatalogue,
+        now: Millis,
+    ) {
         // However long the answer travelled, the proof is not younger than the report
         // that it answers, less the age that it tells.
         let proven_at = answers.map(|(_, sent_at)| sent_at.0.saturating_sub(news.age_ms));
@@ -257,7 +256,6 @@
                 rollout.take_sums(counted.rollout, &counted.counts, own, now);
             }
         }
-        taken
     }
 
     fn by_tag(&mut self, tag: ServiceTag) -> Option<&mut ServiceRollout> {
--- a/crates/gateway/src/rollouts/feed.rs
+++ b/crates/gateway/src/rollouts/feed.rs
@@ -15,14 +15,19 @@
 /// answer proves the stage, and the proof may be no older than the lease on a stage
 /// ([`ploverlift_rollout::share::STAGE_LEASE_MS`]) when it has come to all nodes.
 const OPEN_WATCH_MS: u64 = 400;
+/// The same while a stage is known that was not proven yet, in milliseconds.
+const PROVING_WATCH_MS: u64 = 1;
 /// Shortest time between two lists, in milliseconds: engines come in groups.
 const BETWEEN_LISTS_MS: u64 = 100;
 
 /// How long a watch of orders waits now, in milliseconds.
 pub fn order_watch_ms(gateway: &Gateway) -> u64 {
-    match gateway.beliefs().rollouts.is_any_open() {
-        true => OPEN_WATCH_MS,
-        false => gateway.settings().store.other_watch_ms,
+    let other_watch_ms = gateway.settings().store.other_watch_ms;
+    let rollouts = &gateway.beliefs().rollouts;
+    match (rollouts.is_any_open(), rollouts.are_stages_proven()) {
+        (true, true) => OPEN_WATCH_MS,
+        (true, false) => PROVING_WATCH_MS,
+        (false, _) => other_watch_ms,
     }
 }
 
@@ -115,7 +120,7 @@
 pub fn take_order(gateway: &Gateway, order: RolloutOrder) {
     let settings = rollout_settings(&gateway.settings());
     let now = gateway.clock.now();
-    let news = gateway.beliefs().rollouts.take_order(order, settings, now);
+    let news = gateway.beliefs().take_rollout_order(order, settings, now);
     tell_news(gateway, news.as_slice());
 }
 
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -31,7 +31,7 @@
 use crate::settings::GatewaySettings;
 use choice::OwnSeat;
 use orders::KnownOrders;
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_policy::ids::Millis;
@@ -40,7 +40,7 @@
 use ploverlift_rollout::order::RolloutOrder;
 use ploverlift_rollout::placement::VersionLedger;
 use ploverlift_rollout::settings::{RolloutSettings, Strategy};
-use ploverlift_rollout::stage::ProgressError;
+use ploverlift_rollout::stage::{Epoch, ProgressError, Stage};
 use ploverlift_routing::configuration::{Route, ServiceName};
 use ploverlift_routing::software::SoftwareVersion;
 use running::RunningRequests;
@@ -57,6 +57,18 @@
     ledgers: BTreeMap<ServiceName, VersionLedger>,
     services: BTreeMap<ServiceName, ServiceRollout>,
     own_reports: exchange::OwnReports,
+    has_begun: bool,
+}
+
+/// An attempt at an engine of a service with an open rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Whose engine.
+    pub side: Side,
+    /// The rollout's stage.
+    pub stage: Stage,
+    /// The stage by its epoch.
+    pub epoch: Epoch,
 }
 
 /// This node sends a target nothing by what it saw alone.
@@ -119,9 +131,11 @@
     ) {
         let is_news = self.orders.known_through() < Some(revision);
         self.orders.advance(revision, proven_at, now);
+        self.has_begun |= self.are_stages_proven();
         if !is_news {
             return;
         }
+        let revision = self.orders.known_through().unwrap_or(0);
         for ledger in self.ledgers.values_mut() {
             ledger.note_orders_known_up_to(revision);
         }
@@ -145,6 +159,23 @@
         }
     }
 
+    /// Whether an engine was stopped because a rollout of its service is complete.
+    pub fn is_retired(&self, record: &EngineRecord) -> bool {
+        let rollout = self.services.get(&record.service);
+        rollout.is_some_and(|rollout| rollout.is_retired(record))
+    }
+
+    /// A service's rollout is complete: its other engines stop at once. Tells which,
+    /// and since which revision.
+    pub fn retire(
+        &mut self,
+        service: &ServiceName,
+        records: &[EngineRecord],
+    ) -> Vec<(InstanceId, u64)> {
+        let rollout = self.services.get_mut(service);
+        rollout.map_or_else(Vec::new, |rollout| rollout.retire(records))
+    }
+
     /// An engine is gone. A version of which none is left may come back by an order.
     pub fn note_engine_gone(&mut self, record: &EngineRecord, engines: &EngineCatalogue) {
         let mut others = engines.of_service(&record.service);
@@ -184,6 +215,19 @@
         stopped.collect()
     }
 
+    /// Whether this node knew all orders, and the stage of each, once in this life.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
+    /// Whether the stages of all open rollouts have been proven since this node knew
+    /// them.
+    pub fn are_stages_proven(&self) -> bool {
+        let proven_at = self.orders.proven_at();
+        let mut services = self.services.values();
+        services.all(|rollout| rollout.is_settled(proven_at))
+    }
+
     /// Whether any rollout is open.
     pub fn is_any_open(&self) -> bool {
         self.services.values().any(ServiceRollout::is_open)
@@ -212,23 +256,30 @@
         }
     }
 
-    /// Counts an attempt that was given to an engine; tells whether the engine is of
-    /// an open rollout's target.
+    /// Counts an attempt that was given to an engine; tells what it is in an open
+    /// rollout.
     pub fn note_attempt(
         &mut self,
         service: &ServiceName,
         route: &Route,
         software: &SoftwareVersion,
-    ) -> bool {
-        let Some(rollout) = self.services.get_mut(service) else {
-            return false;
-        };
+    ) -> Option<Arrival> {
+        let rollout = self.services.get_mut(service)?;
         let is_target = rollout.gate_target() == software;
         let is_open = rollout.is_open();
-        if let Some(gate) = rollout.gate_mut().filter(|_| is_target) {
+        let gate = rollout.gate_mut()?;
+        if is_target {
             gate.note_target_arrival(RouteTag::of(&route.name));
         }
-        is_target && is_open
+        let progress = gate.progress();
+        is_open.then(|| Arrival {
+            side: match is_target {
+                true => Side::Target,
+                false => Side::Established,
+            },
+            stage: progress.stage,
+            epoch: progress.epoch,
+        })
     }
 
     /// Takes in how an attempt went. Refusals and engines without a connection say
--- a/crates/gateway/src/rollouts/service.rs
+++ b/crates/gateway/src/rollouts/service.rs
@@ -3,6 +3,7 @@
 
 use super::choice::OwnSeat;
 use crate::peers::rollout_messages::ServiceTag;
+use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::{CountReport, Counts, FleetCounts};
@@ -13,7 +14,7 @@
 use ploverlift_rollout::share::{Confirmation, FleetView, Gate, Joined};
 use ploverlift_rollout::stage::{Progress, ProgressError, Recorded, RolloutNumber, Stage};
 use ploverlift_routing::software::SoftwareVersion;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Age of a relay's sums after which this node's own knowledge goes before them, in
 /// milliseconds: as long as a relay counts that is silent.
@@ -86,6 +87,8 @@
     pending_target: Option<SoftwareVersion>,
     /// Revision at which the gate's rollout was seen to be complete.
     completed_at: Option<u64>,
+    /// Engines that served before it was complete, each by its life: they are stopped.
+    retired: BTreeSet<InstanceId>,
     /// Whether the operator has taken the order away before its end.
     is_withdrawn: bool,
     /// Whether it was told that this node stops by what it saw alone.
@@ -113,6 +116,7 @@
             status_seen_at: now,
             gate: None,
             completed_at: None,
+            retired: BTreeSet::new(),
             is_withdrawn: false,
             has_told_stop: false,
             fleet: FleetCounts::default(),
@@ -150,13 +154,20 @@
             Ok(Recorded::Present(_)) => None,
             _ => Some(self.order.target.clone()),
         };
-        let progress = match recorded? {
+        let recorded = recorded?;
+        let is_present = recorded.present().is_some();
+        let progress = match recorded {
             Recorded::Nothing => return Ok(None),
             Recorded::OfOlderOrder(progress) | Recorded::Present(progress) => progress,
         };
         let target = self.order.status.as_ref();
         let target = target.map_or_else(|| self.order.target.clone(), |known| known.target.clone());
-        Ok(self.take_progress(progress, target, settings, first_known, now))
+        let is_complete = is_present && progress.stage == Stage::Completed;
+        let change = self.take_progress(progress, target, settings, first_known, now);
+        if is_complete && self.completed_at.is_none() {
+            self.completed_at = Some(self.order.revision);
+        }
+        Ok(change)
     }
 
     fn take_progress(
@@ -167,9 +178,6 @@
         first_known: Option<u64>,
         now: Millis,
     ) -> Option<StageChange> {
-        if progress.stage == Stage::Completed && self.completed_at.is_none() {
-            self.completed_at = Some(self.order.revision);
-        }
         let present = self.gate.as_mut();
         if let Some(gate) = present.filter(|gate| gate.progress().rollout == progress.rollout) {
             let before = gate.progress().clone();
@@ -184,7 +192,7 @@
             true => Joined::BeforeOrder,
             false => Joined::AfterOrder,
         };
-        self.supersede(progress.stage);
+        self.supersede();
         self.gate_target = target.clone();
         self.fleet = FleetCounts::of(progress.rollout);
         self.zone = FleetCounts::of(progress.rollout);
@@ -196,10 +204,8 @@
     }
 
     /// Another rollout takes the place of the gate's.
-    fn supersede(&mut self, stage: Stage) {
-        if stage != Stage::Completed {
-            self.completed_at = None;
-        }
+    fn supersede(&mut self) {
+        self.completed_at = None;
         self.told = None;
         self.has_told_stop = false;
         self.members.values_mut().for_each(|member| {
@@ -207,6 +213,38 @@
         });
     }
 
+    /// Whether the gate's rollout is complete.
+    pub fn is_complete(&self) -> bool {
+        self.completed_at.is_some()
+    }
+
+    /// Whether an engine was stopped because the rollout is complete.
+    pub fn is_retired(&self, record: &EngineRecord) -> bool {
+        let is_older = || {
+            let completed_at = self.completed_at;
+            completed_at.is_some_and(|completed_at| record.revision < completed_at)
+        };
+        self.retired.contains(&record.instance)
+            || (record.software != self.gate_target && is_older())
+    }
+
+    /// The rollout is complete: engines of other versions that are known stop at once.
+    /// Tells which, and since which revision.
+    pub fn retire(&mut self, records: &[EngineRecord]) -> Vec<(InstanceId, u64)> {
+        let Some(completed_at) = self.completed_at else {
+            return Vec::new();
+        };
+        let is_known = |record: &&EngineRecord| {
+            record.software != self.gate_target && record.revision < completed_at
+        };
+        let stopped = records.iter().filter(is_known);
+        let stopped = stopped.map(|record| (record.instance.clone(), completed_at));
+        let stopped: Vec<(InstanceId, u64)> = stopped.collect();
+        let instances = stopped.iter().map(|(instance, _)| instance.clone());
+        self.retired.extend(instances);
+        stopped
+    }
+
     /// The operator has taken the order away.
     pub fn withdraw(&mut self) {
         self.is_withdrawn = true;
@@ -232,6 +270,12 @@
         self.status_seen_at
     }
 
+    /// Whether the stage has been proven since this node knew of the rollout, where a
+    /// former life of it may have acted on a later one.
+    pub fn is_settled(&self, proven_at: Option<Millis>) -> bool {
+        !self.is_open() || proven_at >= Some(self.status_seen_at)
+    }
+
     /// The gate, once a stage is known.
     pub fn gate(&self) -> Option<&Gate> {
         self.gate.as_ref()
@@ -264,27 +308,52 @@
 
     /// Versions that must get nothing whatever the gate says. `records` are the
     /// versions and revisions of the service's engines.
-    pub fn held_back<'a>(
-        &self,
-        records: impl Iterator<Item = (&'a SoftwareVersion, u64)>,
-    ) -> Vec<SoftwareVersion> {
-        let mut held_back: Vec<SoftwareVersion> = self.pending_target.iter().cloned().collect();
+    pub fn held_back(&self, records: &[(&SoftwareVersion, u64)]) -> Vec<SoftwareVersion> {
+        let mut held_back = Vec::new();
+        let pending = self.pending_target.as_ref();
+        held_back.extend(pending.filter(|pending| !self.is_serving(pending, records)));
         if let Some(gate) = &self.gate {
-            held_back.extend(gate.progress().avoided.iter().cloned());
+            held_back.extend(&gate.progress().avoided);
         }
-        let is_ended = self.stage().is_some_and(Stage::is_end);
-        if self.is_withdrawn && !is_ended && self.completed_at.is_none() {
-            held_back.push(self.gate_target.clone());
+        if self.is_withdrawn && !self.is_ended() {
+            held_back.push(&self.gate_target);
         }
+        held_back.extend(self.left_versions(records));
+        let mut held_back: Vec<SoftwareVersion> = held_back.into_iter().cloned().collect();
+        held_back.sort();
+        held_back.dedup();
+        held_back
+    }
+
+    /// Whether a version that is ordered is no new one: it serves alone, or served before
+    /// the rollout that is open.
+    fn is_serving(&self, version: &SoftwareVersion, records: &[(&SoftwareVersion, u64)]) -> bool {
+        let is_alone = records.iter().all(|(known, _)| *known == version);
+        let open = self.gate.as_ref().filter(|_| !self.is_ended());
+        is_alone || open.is_some_and(|gate| gate.progress().established.contains(version))
+    }
+
+    /// Versions that served before a rollout that is complete: by their records, so that
+    /// one that comes back later is none of them. A node that has not seen when it was
+    /// complete goes by what is recorded.
+    fn left_versions<'a>(
+        &'a self,
+        records: &[(&'a SoftwareVersion, u64)],
+    ) -> Vec<&'a SoftwareVersion> {
         if let Some(completed_at) = self.completed_at {
-            let old = records.filter(|(version, revision)| {
+            let old = records.iter().filter(|(version, revision)| {
                 **version != self.gate_target && *revision < completed_at
             });
-            held_back.extend(old.map(|(version, _)| version.clone()));
+            return old.map(|(version, _)| *version).collect();
         }
-        held_back.sort();
-        held_back.dedup();
-        held_back
+        let gate = self.gate.as_ref().map(Gate::progress);
+        let complete = gate.filter(|progress| progress.stage == Stage::Completed);
+        complete.map_or_else(Vec::new, |progress| progress.established.iter().collect())
+    }
+
+    fn is_ended(&self) -> bool {
+        let stage = self.gate.as_ref().map(|gate| gate.progress().stage);
+        stage.is_some_and(Stage::is_end)
     }
 
     /// What this node has counted.
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -181,6 +181,7 @@
             zone: ZoneName::from("z"),
             software: SoftwareVersion::default(),
             slots: 4,
+            cold_ms: 0,
             is_leaving: false,
             weights: [("m".to_owned(), version)].into(),
         };
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -129,6 +129,7 @@
         zone: ZoneName::from("a-zone-with-a-name"),
         software: SoftwareVersion::default(),
         slots: 64,
+        cold_ms: 0,
         is_leaving: true,
         weights: [("model-with-a-name".to_owned(), 123_456)].into(),
     };
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -336,6 +336,7 @@
             zone: ZoneName::from("z"),
             software: SoftwareVersion(body["software"].as_str().unwrap_or_default().to_owned()),
             slots: 4,
+            cold_ms: body["cold_ms"].as_u64().unwrap_or(0),
             is_leaving: body["leaving"].as_bool().unwrap_or(false),
             weights: weights
                 .map(|version| ("m".to_owned(), version))
