--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -3,14 +3,19 @@
 
 mod support;
 
-use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::logging::silent_logger;
+use ploverlift_rollout::share::STAGE_LEASE_MS;
 use serde_json::{json, Value};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use support::caller::{self, request};
 use support::engine::{Behaviour, StandInEngine};
+use support::site::StandInSite;
 use support::store::{StandInStore, StoreFault};
-use support::{configuration, settings, Fixture};
+use support::{configuration, settings, start_node, Fixture};
 
 /// Bounds under which a rollout ends within seconds.
 const BRISK: &str = "[bounds]\ncanary_share = 0.6\ncanary_slack = 400\n";
@@ -127,6 +132,26 @@
     smol::block_on(executor.run(test(Rc::clone(&executor))));
 }
 
+/// Waits until a count of arrivals has grown by so many.
+async fn wait_for_more(node: &RunningGateway, engines: &[StandInEngine], more: usize) {
+    let before = Versions::arrivals(engines);
+    while Versions::arrivals(engines) < before + more {
+        caller::get_status(node.readiness).await;
+    }
+}
+
+/// A node of a small fleet whose lease passes on quickly.
+fn start_peer(store: &StandInStore, name: &str) -> RunningGateway {
+    let mut settings = settings(store, name, BRISK);
+    settings.bounds.lease_ms = 100;
+    settings.listen.peers = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
+}
+
+async fn wait_until_ready(node: &RunningGateway) {
+    while caller::get_status(node.readiness).await != 200 {}
+}
+
 #[test]
 fn a_bad_version_is_rolled_back_and_gets_nothing_afterwards() {
     with_callers(|executor| async move {
@@ -138,6 +163,7 @@
         fixture.store.put("Rollouts", "app", order("v2", 20_000));
         record_engines(&fixture.store, &versions.new);
         wait_for_state(&fixture.store, fixture.running(), "rolled-back").await;
+        eprintln!("{:?}", fixture.store.status("Rollouts", "app"));
         let at_the_end = Versions::arrivals(&versions.new);
         let old_at_the_end = Versions::arrivals(&versions.old);
         while Versions::arrivals(&versions.old) < old_at_the_end + 200 {
@@ -179,3 +205,256 @@
         assert_eq!(bad, 0);
     });
 }
+
+/// The status of an ended rollout to `v2`, as it is stored.
+fn ended(state: &str, stage: &str) -> Value {
+    let progress = format!(
+        "rollout/1 rollout=3 epoch=9 duration_ms=6000 elapsed_ms=5000 requests=900 \
+         target_arrivals=80 credits=60 avoided= established=v1 stage={stage}"
+    );
+    json!({"state": state, "to": "v2", "progress": progress})
+}
+
+/// A node that starts when a rollout has ended and engines of both versions are there.
+async fn started_after(state: &str, stage: &str) -> (Versions, Fixture) {
+    let versions = Versions::of_service("app").await;
+    let store = StandInStore::start().await;
+    store.put("Configuration", "main", configuration(1));
+    record_engines(&store, &versions.old);
+    record_engines(&store, &versions.new);
+    store.put("Rollouts", "app", order("v2", 6_000));
+    store.set_status("Rollouts", "app", ended(state, stage));
+    let running = start_node(&store, "node", BRISK);
+    let fixture = Fixture {
+        gateway: Arc::clone(&running.gateway),
+        store,
+        running: Some(running),
+    };
+    fixture.wait_until_ready().await;
+    (versions, fixture)
+}
+
+async fn send_some(fixture: &Fixture, count: usize) {
+    for index in 0..count {
+        let answer = fixture
+            .send(&request("safe.test", &format!("r-{index}")))
+            .await;
+        assert_eq!(answer.status(), 200);
+    }
+}
+
+#[test]
+fn a_node_that_starts_after_a_completed_rollout_uses_the_target_alone() {
+    smol::block_on(async {
+        let (versions, fixture) = started_after("completed", "completed").await;
+        send_some(&fixture, 40).await;
+        assert_eq!(Versions::arrivals(&versions.old), 0);
+        // A later release without an order is used, of the same version as before too.
+        let late = StandInEngine::of_software("late", "app", "v1").await;
+        fixture.store.put("Engines", "late", late.record());
+        versions
+            .new
+            .iter()
+            .for_each(|engine| fixture.store.remove("Engines", &engine.instance));
+        while late.heads().is_empty() {
+            fixture.send(&request("safe.test", "late")).await;
+        }
+        assert_eq!(Versions::arrivals(&versions.old), 0);
+    });
+}
+
+#[test]
+fn a_node_that_starts_after_a_roll_back_uses_the_target_never() {
+    smol::block_on(async {
+        let stage = "rolled_back cause=bad_answers";
+        let (versions, fixture) = started_after("rolled-back", stage).await;
+        send_some(&fixture, 40).await;
+        assert_eq!(Versions::arrivals(&versions.new), 0);
+        assert_eq!(Versions::arrivals(&versions.old), 40);
+    });
+}
+
+#[test]
+fn a_version_without_an_order_serves_once_orders_are_known_and_not_before() {
+    smol::block_on(async {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        fixture.store.set_fault(StoreFault::HidesOrders);
+        record_engines(&fixture.store, &versions.new);
+        let known = |fixture: &Fixture| fixture.gateway.beliefs().engines.len();
+        while known(&fixture) < 4 {
+            caller::get_status(fixture.running().readiness).await;
+        }
+        send_some(&fixture, 40).await;
+        assert_eq!(Versions::arrivals(&versions.new), 0);
+        // The old ones leave: rather nothing than an engine that can't be placed.
+        versions
+            .old
+            .iter()
+            .for_each(|engine| fixture.store.remove("Engines", &engine.instance));
+        while known(&fixture) > 2 {
+            caller::get_status(fixture.running().readiness).await;
+        }
+        assert_eq!(fixture.send(&request("safe.test", "x")).await.status(), 503);
+        fixture.store.set_fault(StoreFault::None);
+        while fixture.send(&request("safe.test", "y")).await.status() != 200 {}
+        assert!(Versions::arrivals(&versions.new) > 0);
+    });
+}
+
+#[test]
+fn a_node_is_not_ready_before_it_knows_the_orders() {
+    smol::block_on(async {
+        let versions = Versions::of_service("app").await;
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        record_engines(&store, &versions.old);
+        store.set_fault(StoreFault::HidesOrders);
+        let node = start_node(&store, "node", BRISK);
+        while node.gateway.configuration().is_none() || !node.gateway.beliefs().engines_listed {
+            caller::get_status(node.readiness).await;
+        }
+        assert_eq!(caller::get_status(node.readiness).await, 503);
+        store.set_fault(StoreFault::None);
+        wait_until_ready(&node).await;
+    });
+}
+
+#[test]
+fn a_node_that_hears_no_stage_stops_the_target_and_serves_on() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let node = fixture.running();
+        let traffic = Traffic::start(&executor, node);
+        fixture.store.put("Rollouts", "app", order("v2", 60_000));
+        record_engines(&fixture.store, &versions.new);
+        wait_for_more(node, &versions.new, 5).await;
+        fixture.store.set_fault(StoreFault::Silent);
+        let silent_at = std::time::Instant::now();
+        while silent_at.elapsed() < std::time::Duration::from_millis(STAGE_LEASE_MS + 200) {
+            caller::get_status(node.readiness).await;
+        }
+        let at_the_end = Versions::arrivals(&versions.new);
+        wait_for_more(node, &versions.old, 300).await;
+        assert_eq!(Versions::arrivals(&versions.new), at_the_end);
+        let (_, bad) = traffic.stop().await;
+        assert_eq!(bad, 0);
+    });
+}
+
+#[test]
+fn a_rollout_waits_for_what_runs_on_established_engines() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let node = fixture.running();
+        // A request that lasts, at an engine of the old version.
+        versions
+            .old
+            .iter()
+            .for_each(|engine| engine.set(Behaviour::Silent));
+        let lasting = caller::open(node.callers, &request("patient.test", "lasting")).await;
+        while Versions::arrivals(&versions.old) == 0 {
+            caller::get_status(node.readiness).await;
+        }
+        versions
+            .old
+            .iter()
+            .for_each(|engine| engine.set(Behaviour::Answer));
+        let traffic = Traffic::start(&executor, node);
+        fixture.store.put("Rollouts", "app", order("v2", 2_000));
+        record_engines(&fixture.store, &versions.new);
+        let progress = |store: &StandInStore| {
+            let status = store.status("Rollouts", "app").unwrap_or_default();
+            status["progress"].as_str().unwrap_or_default().to_owned()
+        };
+        while !progress(&fixture.store).ends_with("stage=cutting_over") {
+            caller::get_status(node.readiness).await;
+        }
+        wait_for_more(node, &versions.new, 300).await;
+        let old_arrivals = Versions::arrivals(&versions.old);
+        wait_for_more(node, &versions.new, 300).await;
+        assert_eq!(Versions::arrivals(&versions.old), old_arrivals);
+        assert_eq!(state(&fixture.store).as_deref(), Some("running"));
+        drop(lasting);
+        wait_for_state(&fixture.store, node, "completed").await;
+        let (_, bad) = traffic.stop().await;
+        assert_eq!(bad, 0);
+    });
+}
+
+#[test]
+fn writes_without_answers_end_as_what_the_store_holds() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let node = fixture.running();
+        let traffic = Traffic::start(&executor, node);
+        versions.set_new(Behaviour::Fail);
+        fixture.store.set_fault(StoreFault::LosesWriteAnswers);
+        fixture.store.put("Rollouts", "app", order("v2", 20_000));
+        record_engines(&fixture.store, &versions.new);
+        wait_for_state(&fixture.store, node, "rolled-back").await;
+        let status = fixture.store.status("Rollouts", "app");
+        wait_for_more(node, &versions.old, 300).await;
+        assert_eq!(fixture.store.status("Rollouts", "app"), status);
+        traffic.stop().await;
+    });
+}
+
+#[test]
+fn another_node_goes_on_when_the_decider_is_gone() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        record_engines(&store, &versions.old);
+        let mut nodes = vec![start_peer(&store, "one"), start_peer(&store, "two")];
+        for node in &nodes {
+            wait_until_ready(node).await;
+        }
+        store.put("Rollouts", "app", order("v2", 20_000));
+        wait_for_state(&store, &nodes[0], "running").await;
+        let lease = store.content("Leases", "rollouts").expect("a lease");
+        let holder = lease["lease"]["holder"].as_str().unwrap_or_default();
+        let holder_index = usize::from(holder == "two");
+        drop(nodes.remove(holder_index));
+        let node = nodes.pop().expect("the other node");
+        versions.set_new(Behaviour::Fail);
+        record_engines(&store, &versions.new);
+        let traffic = Traffic::start(&executor, &node);
+        wait_for_state(&store, &node, "rolled-back").await;
+        let lease = store.content("Leases", "rollouts").expect("a lease");
+        assert_eq!(lease["lease"]["fencingToken"], json!(2));
+        traffic.stop().await;
+    });
+}
+
+#[test]
+fn an_order_supersedes_the_one_before_it() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let node = fixture.running();
+        let traffic = Traffic::start(&executor, node);
+        fixture.store.put("Rollouts", "app", order("v2", 60_000));
+        record_engines(&fixture.store, &versions.new);
+        wait_for_more(node, &versions.new, 5).await;
+        // Back to the version that served.
+        fixture.store.put("Rollouts", "app", order("v1", 2_000));
+        wait_for_state(&fixture.store, node, "completed").await;
+        let status = fixture.store.status("Rollouts", "app").expect("a status");
+        assert_eq!(status["to"], json!("v1"));
+        let at_the_end = Versions::arrivals(&versions.new);
+        wait_for_more(node, &versions.old, 300).await;
+        assert_eq!(Versions::arrivals(&versions.new), at_the_end);
+        let (_, bad) = traffic.stop().await;
+        assert_eq!(bad, 0);
+    });
+}
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -16,6 +16,8 @@
     Silent,
     /// It refuses calls with this status.
     Status(u16),
+    /// It refuses calls for orders of rollouts.
+    HidesOrders,
     /// It does writes and closes the connection without an answer.
     LosesWriteAnswers,
 }
@@ -108,6 +110,12 @@
         Some(object.status.clone()).filter(|status| !status.is_null())
     }
 
+    /// Records a status as if a node had.
+    pub fn set_status(&self, kind: &str, name: &str, status: Value) {
+        let mut state = self.state.lock().expect("state");
+        state.put_status(kind, name, &status);
+    }
+
     /// Calls so far, by what they do and of which kind.
     pub fn calls(&self, call: &str) -> usize {
         let state = self.state.lock().expect("state");
@@ -234,6 +242,9 @@
             match state.fault {
                 StoreFault::Silent => return None,
                 StoreFault::Status(status) => return Some((status, Value::Null)),
+                StoreFault::HidesOrders if kind == "Rollouts" => {
+                    return Some((503, Value::Null));
+                }
                 StoreFault::LosesWriteAnswers if what.starts_with("put") => {
                     state.answer(call);
                     return None;
