rollout: in a small fleet half of the nodes that are heard are enough to have stopped

Cause: a node that stopped by what it saw alone sends the target nothing more, so in a fleet of one or two nodes the evidence never came to a verdict and the rollout waited until its patience was over (seen in crates/gateway/tests/rollouts.rs: 60 s in place of 0.1 s).

--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -52,7 +52,9 @@
 const REPORT_AGE_MS: u64 = 500;
 /// Silence from which a node counts as unheard, in milliseconds: five reports.
 const HEARD_LATELY_MS: u64 = 1_000;
-/// Nodes that stopped by what they saw alone, for which the version counts as bad.
+/// Nodes that stopped by what they saw alone, for which the version counts as bad; in a
+/// small fleet, half of those that are heard: once all have stopped, no more evidence
+/// comes.
 const STOPPED_NODES: usize = 3;
 /// Time for which a single one may hold a cut-over up, in milliseconds.
 const STOPPED_NODE_PATIENCE_MS: u64 = 2_000;
@@ -562,6 +564,13 @@
         unheard as f64 / input.members.len().max(1) as f64
     }
 
+    /// Nodes that have to stop before the version counts as bad.
+    fn enough_stopped(&self) -> usize {
+        let heard = 1.0 - self.unheard_part();
+        let heard = (heard * self.input.members.len() as f64).round() as usize;
+        heard.div_ceil(2).clamp(1, STOPPED_NODES)
+    }
+
     /// Nodes that stopped by what they saw alone, when they are many or hold up a
     /// cut-over.
     fn stopped_nodes(&self) -> Option<Finding> {
@@ -575,14 +584,15 @@
             && self.progress.stage == Stage::CuttingOver
             && since >= STOPPED_NODE_PATIENCE_MS;
         let target = self.sums().all_routes(crate::counts::Side::Target);
-        (stopped >= STOPPED_NODES || holds_up).then_some(Finding {
+        let enough = self.enough_stopped();
+        (stopped >= enough || holds_up).then_some(Finding {
             symptom: Symptom::NodesStopped,
             route: None,
             answers: target.answers,
             bad: target.failures,
             borne_share: 0.0,
             evidence: stopped as f64,
-            threshold: STOPPED_NODES as f64,
+            threshold: enough as f64,
         })
     }
 
