--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -163,7 +163,6 @@
         fixture.store.put("Rollouts", "app", order("v2", 20_000));
         record_engines(&fixture.store, &versions.new);
         wait_for_state(&fixture.store, fixture.running(), "rolled-back").await;
-        eprintln!("{:?}", fixture.store.status("Rollouts", "app"));
         let at_the_end = Versions::arrivals(&versions.new);
         let old_at_the_end = Versions::arrivals(&versions.old);
         while Versions::arrivals(&versions.old) < old_at_the_end + 200 {
