--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -272,7 +272,7 @@
             gate.note_target_arrival(RouteTag::of(&route.name));
         }
         let progress = gate.progress();
-        is_open.then(|| Arrival {
+        is_open.then_some(Arrival {
             side: match is_target {
                 true => Side::Target,
                 false => Side::Established,
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -33,10 +33,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use support::caller;
+use support::configuration;
 use support::engine::{Behaviour, StandInEngine};
+use support::fleet::{list_silent_nodes, role_of, start_peer, wait_until};
 use support::site::StandInSite;
 use support::store::StandInStore;
-use support::{configuration, settings};
 
 const NOW: Millis = Millis(2_000_000);
 const LIMIT_MS: u64 = 2_600;
@@ -334,33 +335,6 @@
     assert!(lacking.is_some_and(|lacking| !lacking.wants_engines));
 }
 
-/// Records in the store of a fleet that is large, though its other nodes are silent.
-fn list_silent_nodes(store: &StandInStore) {
-    for index in 0..MESH_NODES {
-        let record = json!({"address": format!("127.0.0.1:{}", 9 + index), "zone": "elsewhere",
-                            "cpu_thousandths": 1, "link_mbps": 1});
-        store.put("Nodes", &format!("silent-{index}"), record);
-    }
-}
-
-fn start_peer(store: &StandInStore, name: &str, cpu_cores: f64) -> RunningGateway {
-    let mut settings = settings(store, name, "");
-    settings.listen.peers = Some(address(0));
-    settings.node.cpu_cores = cpu_cores;
-    start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
-}
-
-fn role_of(node: &RunningGateway) -> Role {
-    role(&node.gateway, node.gateway.clock.now())
-}
-
-async fn wait_until(node: &RunningGateway, is_reached: impl Fn(&RunningGateway) -> bool) {
-    while !is_reached(node) {
-        // Asking the node lets its tasks run.
-        caller::get_status(node.readiness).await;
-    }
-}
-
 /// The number of lists of what nodes need to serve.
 fn lists(store: &StandInStore) -> usize {
     let kinds = ["Configuration", "Engines", "Weights"];
--- /dev/null
+++ b/crates/gateway/tests/support/fleet.rs
@@ -0,0 +1,74 @@
+//! Nodes of a fleet that is large, though most of its nodes are silent.
+
+use super::site::StandInSite;
+use super::store::StandInStore;
+use super::{caller, settings};
+use ploverlift_balancing::peer_loads::{LoadReport, PeerId, ZoneTag};
+use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::peers::address_book::MESH_NODES;
+use ploverlift_gateway::peers::messages::PeerReport;
+use ploverlift_gateway::peers::roles::{role, Role};
+use ploverlift_gateway::peers::rollout_messages::RolloutReport;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Records in the store of a fleet that is large, though its other nodes are silent.
+pub fn list_silent_nodes(store: &StandInStore) {
+    for index in 0..MESH_NODES {
+        let record = json!({"address": format!("127.0.0.1:{}", 9 + index), "zone": "elsewhere",
+                            "cpu_thousandths": 1, "link_mbps": 1});
+        store.put("Nodes", &format!("silent-{index}"), record);
+    }
+}
+
+/// A node of a large fleet.
+pub fn start_peer(store: &StandInStore, name: &str, cpu_cores: f64) -> RunningGateway {
+    start_peer_with(store, name, cpu_cores, "")
+}
+
+/// The same with more settings.
+pub fn start_peer_with(
+    store: &StandInStore,
+    name: &str,
+    cpu_cores: f64,
+    more: &str,
+) -> RunningGateway {
+    let mut settings = settings(store, name, more);
+    settings.listen.peers = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    settings.node.cpu_cores = cpu_cores;
+    start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
+}
+
+pub fn role_of(node: &RunningGateway) -> Role {
+    role(&node.gateway, node.gateway.clock.now())
+}
+
+/// Waits until a node has come to something.
+pub async fn wait_until(node: &RunningGateway, is_reached: impl Fn(&RunningGateway) -> bool) {
+    while !is_reached(node) {
+        // Asking the node lets its tasks run.
+        caller::get_status(node.readiness).await;
+    }
+}
+
+/// A report of a node that has nothing to tell.
+pub fn empty_report() -> PeerReport {
+    PeerReport {
+        loads: LoadReport {
+            sender: PeerId(5),
+            zone: ZoneTag(6),
+            life: 8,
+            sequence: 21,
+            is_full: true,
+            loads: Vec::new(),
+            loading: Vec::new(),
+        },
+        placements: Vec::new(),
+        loaded: Vec::new(),
+        lease_revision: None,
+        wants_relay_reports: true,
+        rollouts: RolloutReport::default(),
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod fleet;
 pub mod site;
 pub mod store;
 
