--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -53,7 +53,7 @@
 /// Silence from which a node counts as unheard, in milliseconds: five reports.
 const HEARD_LATELY_MS: u64 = 1_000;
 /// Nodes that stopped by what they saw alone, for which the version counts as bad; in a
-/// small fleet, half of those that are heard: once all have stopped, no more evidence
+/// smaller fleet, all that are heard: once all have stopped, no more evidence
 /// comes.
 const STOPPED_NODES: usize = 3;
 /// Time for which a single one may hold a cut-over up, in milliseconds.
@@ -568,7 +568,7 @@
     fn enough_stopped(&self) -> usize {
         let heard = 1.0 - self.unheard_part();
         let heard = (heard * self.input.members.len() as f64).round() as usize;
-        heard.div_ceil(2).clamp(1, STOPPED_NODES)
+        heard.clamp(1, STOPPED_NODES)
     }
 
     /// Nodes that stopped by what they saw alone, when they are many or hold up a
