--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -9,9 +9,8 @@
 };
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_balancing::relayed_loads::{RelayedReport, RELAY_SILENCE_MS};
-use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::catalogue_log::CatalogueLog;
-use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::{
     AddressBook, Capacity, ListedNode, MESH_NODES, RELAYS_PER_ZONE,
 };
@@ -31,12 +30,10 @@
 use ploverlift_wire::peers::peer_message::Body;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use support::caller;
 use support::configuration;
 use support::engine::{Behaviour, StandInEngine};
 use support::fleet::{list_silent_nodes, role_of, start_peer, wait_until};
-use support::site::StandInSite;
 use support::store::StandInStore;
 
 const NOW: Millis = Millis(2_000_000);
--- a/crates/gateway/tests/rollout_reports.rs
+++ b/crates/gateway/tests/rollout_reports.rs
@@ -7,7 +7,7 @@
 use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::metrics::StoreCallLabel;
-use ploverlift_gateway::peers::messages::{decode, encode, PeerMessage, PeerReport};
+use ploverlift_gateway::peers::messages::{decode, encode, PeerMessage};
 use ploverlift_gateway::peers::roles::Role;
 use ploverlift_gateway::peers::rollout_messages::{
     news_message, read_news, NodeConfirmation, RolloutNews, RolloutReport, ServiceCounts,
