--- a/crates/gateway/src/rollouts/feed.rs
+++ b/crates/gateway/src/rollouts/feed.rs
@@ -64,7 +64,8 @@
             note_known(&gateway, next, sent);
             revision = next;
         }
-        sleep(BETWEEN_LISTS_MS).await;
+        let passed_ms = gateway.clock.now().since(sent);
+        sleep(BETWEEN_LISTS_MS.saturating_sub(passed_ms)).await;
     }
 }
 
