--- a/crates/gateway/src/rollouts/feed.rs
+++ b/crates/gateway/src/rollouts/feed.rs
@@ -72,6 +72,8 @@
 fn take_list(gateway: &Gateway, objects: &[StoreObject], revision: u64, sent: Millis) {
     let orders = objects.iter().filter_map(|object| read(gateway, object));
     let orders: Vec<RolloutOrder> = orders.collect();
+    let listed = objects.iter().map(|object| object.name.as_str());
+    gateway.beliefs().rollouts.orders.forget_unlisted(listed);
     let missing = gateway.beliefs().rollouts.orders.missing_in(&orders);
     for service in missing {
         let now = gateway.clock.now();
@@ -85,12 +87,19 @@
 }
 
 fn take_event(gateway: &Gateway, event: &WatchEvent) {
-    let Some(order) = read(gateway, &event.object) else {
-        return;
-    };
+    if event.is_gone {
+        let mut beliefs = gateway.beliefs();
+        beliefs.rollouts.orders.note_readable(&event.object.name);
+    }
     if !event.is_gone {
-        return take_order(gateway, order);
+        if let Some(order) = read(gateway, &event.object) {
+            take_order(gateway, order);
+        }
+        return;
     }
+    let Ok(order) = gateway.site.rollout_order(&event.object) else {
+        return;
+    };
     let now = gateway.clock.now();
     let mut beliefs = gateway.beliefs();
     let is_news = beliefs
@@ -104,14 +113,22 @@
     }
 }
 
-/// Reads an order; one that does not fit is logged and changes nothing.
+/// Reads an order. One that does not fit is logged; versions that came after it can't be
+/// placed until it is corrected or gone.
 pub fn read(gateway: &Gateway, object: &StoreObject) -> Option<RolloutOrder> {
     match gateway.site.rollout_order(object) {
-        Ok(order) => Some(order),
+        Ok(order) => {
+            let mut beliefs = gateway.beliefs();
+            beliefs.rollouts.orders.note_readable(&object.name);
+            Some(order)
+        }
         Err(error) => {
             slog::warn!(gateway.log, "rollout order does not fit";
                 "name" => &object.name, "revision" => object.revision,
                 "error" => error.to_string());
+            let mut beliefs = gateway.beliefs();
+            let orders = &mut beliefs.rollouts.orders;
+            orders.note_unreadable(&object.name, object.revision);
             None
         }
     }
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -11,6 +11,7 @@
 //! | [`service`] | one service's gate, counts and confirmations |
 //! | [`choice`] | which versions may serve a request |
 //! | [`feed`] | orders as they are stored |
+//! | [`left_versions`] | what must get nothing, whatever the gate says |
 //! | [`gates`] | the passing time of gates |
 //! | [`running`] | requests at engines by version |
 //! | [`exchange`] | what reports between nodes tell of rollouts |
@@ -22,6 +23,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod gates;
+pub mod left_versions;
 pub mod orders;
 pub mod running;
 pub mod service;
@@ -189,6 +191,9 @@
 
     /// Whether some engine can't be placed: orders must be read.
     pub fn lacks_orders(&self, engines: &EngineCatalogue) -> bool {
+        if self.orders.is_any_unreadable() {
+            return false;
+        }
         let mut engines = engines.iter();
         engines.any(|engine| {
             let record = &engine.record;
--- a/crates/gateway/src/rollouts/orders.rs
+++ b/crates/gateway/src/rollouts/orders.rs
@@ -3,12 +3,15 @@
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::order::RolloutOrder;
 use ploverlift_routing::configuration::ServiceName;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The orders of all services.
 #[derive(Clone, Debug, Default)]
 pub struct KnownOrders {
     orders: BTreeMap<ServiceName, RolloutOrder>,
+    /// Orders that can't be read, by name, with the revision of each: what they are
+    /// about is not known, so nothing that came later can be placed.
+    unreadable: BTreeMap<String, u64>,
     first_known: Option<u64>,
     known_through: Option<u64>,
     proven_at: Option<Millis>,
@@ -48,8 +51,34 @@
         self.orders.keys().filter(is_missing).cloned().collect()
     }
 
+    /// An order can't be read.
+    pub fn note_unreadable(&mut self, name: &str, revision: u64) {
+        let first = self.unreadable.entry(name.to_owned()).or_insert(revision);
+        *first = revision.min(*first);
+    }
+
+    /// An order can be read, or is gone.
+    pub fn note_readable(&mut self, name: &str) {
+        self.unreadable.remove(name);
+    }
+
+    /// Orders that can't be read and are not listed are gone.
+    pub fn forget_unlisted<'a>(&mut self, listed: impl Iterator<Item = &'a str>) {
+        let listed: BTreeSet<&str> = listed.collect();
+        self.unreadable
+            .retain(|name, _| listed.contains(name.as_str()));
+    }
+
+    /// Whether an order can't be read: asking again would not help.
+    pub fn is_any_unreadable(&self) -> bool {
+        !self.unreadable.is_empty()
+    }
+
     /// All orders up to a revision of the store are known, as of a time.
     pub fn advance(&mut self, revision: u64, proven_at: Option<Millis>, now: Millis) {
+        let first_unreadable = self.unreadable.values().min();
+        let readable = first_unreadable.map_or(u64::MAX, |first| first.saturating_sub(1));
+        let revision = revision.min(readable);
         self.first_known.get_or_insert(revision);
         if self.known_through < Some(revision) {
             self.known_through = Some(revision);
--- a/crates/gateway/src/rollouts/service.rs
+++ b/crates/gateway/src/rollouts/service.rs
@@ -3,7 +3,7 @@
 
 use super::choice::OwnSeat;
 use crate::peers::rollout_messages::ServiceTag;
-use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::{CountReport, Counts, FleetCounts};
@@ -80,17 +80,17 @@
     order_seen_at: Millis,
     /// When this node first knew its present status.
     status_seen_at: Millis,
-    gate: Option<Gate>,
+    pub(super) gate: Option<Gate>,
     /// The version that the gate's rollout moves to.
-    gate_target: SoftwareVersion,
+    pub(super) gate_target: SoftwareVersion,
     /// The order's target, while no stage of the order is recorded.
-    pending_target: Option<SoftwareVersion>,
+    pub(super) pending_target: Option<SoftwareVersion>,
     /// Revision at which the gate's rollout was seen to be complete.
-    completed_at: Option<u64>,
+    pub(super) completed_at: Option<u64>,
     /// Engines that served before it was complete, each by its life: they are stopped.
-    retired: BTreeSet<InstanceId>,
+    pub(super) retired: BTreeSet<InstanceId>,
     /// Whether the operator has taken the order away before its end.
-    is_withdrawn: bool,
+    pub(super) is_withdrawn: bool,
     /// Whether it was told that this node stops by what it saw alone.
     has_told_stop: bool,
     /// Counts of all nodes; other zones' relays are one node each.
@@ -213,38 +213,6 @@
         });
     }
 
-    /// Whether the gate's rollout is complete.
-    pub fn is_complete(&self) -> bool {
-        self.completed_at.is_some()
-    }
-
-    /// Whether an engine was stopped because the rollout is complete.
-    pub fn is_retired(&self, record: &EngineRecord) -> bool {
-        let is_older = || {
-            let completed_at = self.completed_at;
-            completed_at.is_some_and(|completed_at| record.revision < completed_at)
-        };
-        self.retired.contains(&record.instance)
-            || (record.software != self.gate_target && is_older())
-    }
-
-    /// The rollout is complete: engines of other versions that are known stop at once.
-    /// Tells which, and since which revision.
-    pub fn retire(&mut self, records: &[EngineRecord]) -> Vec<(InstanceId, u64)> {
-        let Some(completed_at) = self.completed_at else {
-            return Vec::new();
-        };
-        let is_known = |record: &&EngineRecord| {
-            record.software != self.gate_target && record.revision < completed_at
-        };
-        let stopped = records.iter().filter(is_known);
-        let stopped = stopped.map(|record| (record.instance.clone(), completed_at));
-        let stopped: Vec<(InstanceId, u64)> = stopped.collect();
-        let instances = stopped.iter().map(|(instance, _)| instance.clone());
-        self.retired.extend(instances);
-        stopped
-    }
-
     /// The operator has taken the order away.
     pub fn withdraw(&mut self) {
         self.is_withdrawn = true;
@@ -306,56 +274,6 @@
         gate.map(|gate| gate.progress().stage)
     }
 
-    /// Versions that must get nothing whatever the gate says. `records` are the
-    /// versions and revisions of the service's engines.
-    pub fn held_back(&self, records: &[(&SoftwareVersion, u64)]) -> Vec<SoftwareVersion> {
-        let mut held_back = Vec::new();
-        let pending = self.pending_target.as_ref();
-        held_back.extend(pending.filter(|pending| !self.is_serving(pending, records)));
-        if let Some(gate) = &self.gate {
-            held_back.extend(&gate.progress().avoided);
-        }
-        if self.is_withdrawn && !self.is_ended() {
-            held_back.push(&self.gate_target);
-        }
-        held_back.extend(self.left_versions(records));
-        let mut held_back: Vec<SoftwareVersion> = held_back.into_iter().cloned().collect();
-        held_back.sort();
-        held_back.dedup();
-        held_back
-    }
-
-    /// Whether a version that is ordered is no new one: it serves alone, or served before
-    /// the rollout that is open.
-    fn is_serving(&self, version: &SoftwareVersion, records: &[(&SoftwareVersion, u64)]) -> bool {
-        let is_alone = records.iter().all(|(known, _)| *known == version);
-        let open = self.gate.as_ref().filter(|_| !self.is_ended());
-        is_alone || open.is_some_and(|gate| gate.progress().established.contains(version))
-    }
-
-    /// Versions that served before a rollout that is complete: by their records, so that
-    /// one that comes back later is none of them. A node that has not seen when it was
-    /// complete goes by what is recorded.
-    fn left_versions<'a>(
-        &'a self,
-        records: &[(&'a SoftwareVersion, u64)],
-    ) -> Vec<&'a SoftwareVersion> {
-        if let Some(completed_at) = self.completed_at {
-            let old = records.iter().filter(|(version, revision)| {
-                **version != self.gate_target && *revision < completed_at
-            });
-            return old.map(|(version, _)| *version).collect();
-        }
-        let gate = self.gate.as_ref().map(Gate::progress);
-        let complete = gate.filter(|progress| progress.stage == Stage::Completed);
-        complete.map_or_else(Vec::new, |progress| progress.established.iter().collect())
-    }
-
-    fn is_ended(&self) -> bool {
-        let stage = self.gate.as_ref().map(|gate| gate.progress().stage);
-        stage.is_some_and(Stage::is_end)
-    }
-
     /// What this node has counted.
     pub fn own_report(&self, own: PeerId, life: u64) -> Option<CountReport> {
         let gate = self.gate.as_ref().filter(|_| self.is_open())?;
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -457,3 +457,66 @@
         assert_eq!(bad, 0);
     });
 }
+
+#[test]
+fn an_order_that_does_not_fit_holds_back_what_came_after_it_until_it_is_corrected() {
+    smol::block_on(async {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let invalid = json!({"service": "app", "to": "v2", "ms": "soon"});
+        fixture.store.put("Rollouts", "app", invalid);
+        record_engines(&fixture.store, &versions.new);
+        while fixture.gateway.beliefs().engines.len() < 4 {
+            caller::get_status(fixture.running().readiness).await;
+        }
+        send_some(&fixture, 40).await;
+        assert_eq!(Versions::arrivals(&versions.new), 0);
+        assert_eq!(state(&fixture.store), None);
+        let lists = fixture.store.calls("list Rollouts");
+        assert!(lists <= 3, "{lists}");
+        fixture.store.remove("Rollouts", "app");
+        while Versions::arrivals(&versions.new) == 0 {
+            send_some(&fixture, 1).await;
+        }
+    });
+}
+
+#[test]
+fn a_status_that_another_decider_wrote_first_stands() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let node = fixture.running();
+        let traffic = Traffic::start(&executor, node);
+        fixture.store.put("Rollouts", "app", order("v2", 60_000));
+        record_engines(&fixture.store, &versions.new);
+        wait_for_more(node, &versions.new, 5).await;
+        // Another node that still took itself for the decider ends it, and in the same
+        // moment this one finds the version bad.
+        versions.set_new(Behaviour::Fail);
+        let status = ended("rolled-back", "rolled_back cause=no_engines");
+        let rollout = fixture.gateway.beliefs();
+        let number = rollout
+            .rollouts
+            .services()
+            .next()
+            .and_then(|known| known.gate().map(|gate| gate.progress().rollout.0));
+        drop(rollout);
+        let text = status["progress"].as_str().unwrap_or_default();
+        let text = text.replace(
+            "rollout=3 epoch=9",
+            &format!("rollout={} epoch=9000", number.unwrap_or_default()),
+        );
+        let text = text.replace("duration_ms=6000", "duration_ms=60000");
+        let status = json!({"state": "rolled-back", "to": "v2", "progress": text});
+        fixture.store.set_status("Rollouts", "app", status.clone());
+        wait_for_more(node, &versions.old, 500).await;
+        assert_eq!(fixture.store.status("Rollouts", "app"), Some(status));
+        let at_the_end = Versions::arrivals(&versions.new);
+        wait_for_more(node, &versions.old, 300).await;
+        assert_eq!(Versions::arrivals(&versions.new), at_the_end);
+        traffic.stop().await;
+    });
+}
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -353,6 +353,12 @@
     }
 
     fn rollout_order(&self, object: &StoreObject) -> Result<RolloutOrder, InvalidDocument> {
+        if object.content["ms"].is_string() {
+            return Err(InvalidDocument {
+                document: object.name.clone(),
+                reason: "the time is no number".to_owned(),
+            });
+        }
         let text = |key: &str| object.content[key].as_str().unwrap_or_default().to_owned();
         let status = object.status.as_ref().map(|status| RolloutStatus {
             state: match status["state"].as_str() {
