--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -150,6 +150,11 @@
         self.shared.notes.lock().expect("notes").heads.clone()
     }
 
+    /// Requests that it read.
+    pub fn arrivals(&self) -> usize {
+        self.shared.notes.lock().expect("notes").heads.len()
+    }
+
     pub fn bodies(&self) -> Vec<Vec<u8>> {
         self.shared.notes.lock().expect("notes").bodies.clone()
     }
