--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -6,7 +6,7 @@
 use crate::peers::followed_relays::FollowedRelays;
 use crate::peers::relay_duties::RelayDuties;
 use crate::peers::relay_messages::EngineChange;
-use crate::rollouts::{OrderNews, RolloutBeliefs};
+use crate::rollouts::{EngineCondition, OrderNews, RolloutBeliefs};
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
 use ploverlift_balancing::cache_contents::CacheContents;
@@ -340,9 +340,8 @@
     /// health of the engine, and the evidence on a version of its software.
     pub fn observe(&mut self, attempt: &ObservedAttempt, now: Millis) {
         let engine = self.engines.get(&attempt.instance);
-        let is_disturbed =
-            engine.is_none_or(|engine| engine.is_loading(now) || engine.is_cold(now));
-        self.rollouts.observe(attempt, is_disturbed);
+        let condition = EngineCondition::of(engine, now);
+        self.rollouts.observe(attempt, condition);
         self.engines
             .note_outcome(&attempt.instance, attempt.outcome, now);
     }
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -33,7 +33,7 @@
 use crate::settings::GatewaySettings;
 use choice::OwnSeat;
 use orders::KnownOrders;
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
+use ploverlift_balancing::catalogue::{Engine, EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_policy::ids::Millis;
@@ -287,9 +287,8 @@
         })
     }
 
-    /// Takes in how an attempt went. Refusals and engines without a connection say
-    /// nothing of a version, nor do engines that are `disturbed`: cold, or loading.
-    pub fn observe(&mut self, attempt: &ObservedAttempt, is_disturbed: bool) {
+    /// Takes in how an attempt went.
+    pub fn observe(&mut self, attempt: &ObservedAttempt, condition: EngineCondition) {
         let Some(rollout) = self.services.get_mut(&attempt.service) else {
             return;
         };
@@ -300,27 +299,53 @@
         if side == Side::Established {
             rollout.note_established_ms(attempt.duration_ms);
         }
-        let Some(answer) = answer_of(attempt).filter(|_| !is_disturbed) else {
-            return;
-        };
-        if let Some(gate) = rollout.gate_mut() {
+        let answer = answer_of(attempt, condition);
+        if let (Some(gate), Some(answer)) = (rollout.gate_mut(), answer) {
             gate.note_answer(RouteTag::of(&attempt.route), side, &answer);
         }
     }
 }
 
-/// What an attempt says of its engine's version.
-fn answer_of(attempt: &ObservedAttempt) -> Option<Answer> {
-    let has_failed = match attempt.outcome {
-        Outcome::Answered => false,
-        Outcome::Failed | Outcome::Broken => true,
-        Outcome::Refused | Outcome::Unreachable => return None,
+/// What an engine is in that says nothing of its version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineCondition {
+    /// Nothing.
+    Steady,
+    /// It is slow because it has just started.
+    Cold,
+    /// It loads weights, or is gone.
+    Disturbed,
+}
+
+impl EngineCondition {
+    /// The condition of an engine of the catalogue.
+    pub fn of(engine: Option<&Engine>, now: Millis) -> Self {
+        match engine {
+            None => Self::Disturbed,
+            Some(engine) if engine.is_loading(now) => Self::Disturbed,
+            Some(engine) if engine.is_cold(now) => Self::Cold,
+            Some(_) => Self::Steady,
+        }
+    }
+}
+
+/// What an attempt says of its engine's version. Refusals and engines without a
+/// connection say nothing; the times of a cold engine don't, and that one was given up
+/// may have been for them.
+fn answer_of(attempt: &ObservedAttempt, condition: EngineCondition) -> Option<Answer> {
+    let has_failed = match (attempt.outcome, condition) {
+        (_, EngineCondition::Disturbed) => return None,
+        (Outcome::Refused | Outcome::Unreachable, _) => return None,
+        (Outcome::Broken, EngineCondition::Cold) => return None,
+        (Outcome::Answered, _) => false,
+        (Outcome::Failed | Outcome::Broken, _) => true,
     };
     let whole_ms = (!has_failed).then_some(attempt.duration_ms);
+    let first_byte_ms = attempt.first_byte_ms.or(whole_ms);
     Some(Answer {
         engine: u64::from(EngineTag::of(&attempt.instance).0),
         has_failed,
-        first_byte_ms: attempt.first_byte_ms.or(whole_ms),
+        first_byte_ms: first_byte_ms.filter(|_| condition == EngineCondition::Steady),
     })
 }
 
--- a/crates/gateway/tests/rollout_reports.rs
+++ b/crates/gateway/tests/rollout_reports.rs
@@ -3,10 +3,12 @@
 
 mod support;
 
-use ploverlift_balancing::catalogue::EngineCatalogue;
+use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
+use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
 use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::metrics::StoreCallLabel;
+use ploverlift_gateway::outcomes::ObservedAttempt;
 use ploverlift_gateway::peers::messages::{decode, encode, PeerMessage};
 use ploverlift_gateway::peers::roles::Role;
 use ploverlift_gateway::peers::rollout_messages::{
@@ -14,7 +16,7 @@
     ServiceTag,
 };
 use ploverlift_gateway::rollouts::exchange::Reporter;
-use ploverlift_gateway::rollouts::RolloutBeliefs;
+use ploverlift_gateway::rollouts::{EngineCondition, RolloutBeliefs};
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::{Answer, Counts, RouteTag, Side};
 use ploverlift_rollout::order::{RolloutOrder, RolloutState, RolloutStatus};
@@ -265,6 +267,40 @@
     assert_eq!((news.known_through, news.orders.len()), (3, 0));
 }
 
+#[test]
+fn what_is_no_evidence_on_a_version_is_not_counted() {
+    let attempt = |outcome: Outcome| ObservedAttempt {
+        service: service(),
+        route: "a".to_owned(),
+        instance: InstanceId("i".to_owned()),
+        software: SoftwareVersion("v2".to_owned()),
+        outcome,
+        first_byte_ms: Some(40),
+        duration_ms: 50,
+    };
+    let counted = |outcome: Outcome, condition: EngineCondition| {
+        let mut node = node_with_requests(0);
+        node.observe(&attempt(outcome), condition);
+        let own = node.own_report(reporter(1), 1).counts.remove(0).counts;
+        let target = own.all_routes(Side::Target);
+        (target.answers, target.failures, target.first_byte.total())
+    };
+    let (steady, cold) = (EngineCondition::Steady, EngineCondition::Cold);
+    assert_eq!(counted(Outcome::Answered, steady), (1, 0, 1));
+    assert_eq!(counted(Outcome::Failed, steady), (1, 1, 1));
+    assert_eq!(counted(Outcome::Broken, steady), (1, 1, 1));
+    assert_eq!(counted(Outcome::Refused, steady), (0, 0, 0));
+    assert_eq!(counted(Outcome::Unreachable, steady), (0, 0, 0));
+    // A cold engine is slow, whatever its version.
+    assert_eq!(counted(Outcome::Answered, cold), (1, 0, 0));
+    assert_eq!(counted(Outcome::Failed, cold), (1, 1, 0));
+    assert_eq!(counted(Outcome::Broken, cold), (0, 0, 0));
+    assert_eq!(
+        counted(Outcome::Failed, EngineCondition::Disturbed),
+        (0, 0, 0)
+    );
+}
+
 const BRISK: &str = "[bounds]\ncanary_share = 0.6\ncanary_slack = 400\nkey_revocation_ms = 1500\n\
     leaving_engine_ms = 3000\n";
 
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -520,3 +520,28 @@
         traffic.stop().await;
     });
 }
+
+#[test]
+fn the_canary_goes_to_few_engines_of_the_target() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let node = fixture.running();
+        let mut new = Vec::new();
+        for index in 0..6 {
+            let name = format!("more-{index}");
+            new.push(StandInEngine::of_software(&name, "app", "v2").await);
+        }
+        record_engines(&fixture.store, &new);
+        fixture.store.put("Rollouts", "app", order("v2", 60_000));
+        while fixture.gateway.beliefs().engines.len() < 8 {
+            caller::get_status(node.readiness).await;
+        }
+        let traffic = Traffic::start(&executor, node);
+        wait_for_more(node, &new, 60).await;
+        traffic.stop().await;
+        let used = new.iter().filter(|engine| engine.arrivals() > 0).count();
+        assert_eq!(used, 2);
+    });
+}
