--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -1,11 +1,12 @@
 //! What a node believes of its site, from the store, its traffic and other nodes.
 
 use crate::catalogue_log::CatalogueLog;
+use crate::leases::{LeaseBeliefs, LeaseName};
 use crate::outcomes::ObservedAttempt;
 use crate::peers::followed_relays::FollowedRelays;
 use crate::peers::relay_duties::RelayDuties;
 use crate::peers::relay_messages::EngineChange;
-use crate::rollouts::RolloutBeliefs;
+use crate::rollouts::{EngineCondition, OrderNews, RolloutBeliefs};
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
 use ploverlift_balancing::cache_contents::CacheContents;
@@ -20,6 +21,8 @@
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::Millis;
 use ploverlift_ratelimit::limiter::RateLimiter;
+use ploverlift_rollout::order::RolloutOrder;
+use ploverlift_rollout::settings::RolloutSettings;
 use ploverlift_routing::configuration::{CacheStore, Configuration, ServiceName};
 use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
@@ -82,15 +85,6 @@
     pub contents: CacheContents,
 }
 
-/// A renewal of the lease on orders of which its holder told this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeardLease {
-    /// The revision that the renewal was given.
-    pub revision: u64,
-    /// When this node first heard of it.
-    pub heard_at: Millis,
-}
-
 /// What this node believes of the site.
 #[derive(Debug, Default)]
 pub struct Beliefs {
@@ -142,10 +136,8 @@
     pub loading: Vec<InstanceId>,
     /// Engines that loaded weights by this node's order, and when.
     pub loaded: Vec<(Millis, LoadedWeights)>,
-    /// Revision of the lease on orders, while this node holds it.
-    pub held_lease: Option<u64>,
-    /// The newest revision of that lease of which its holder told this node.
-    pub heard_lease: Option<HeardLease>,
+    /// Leases, as far as this node holds them or their holders told it.
+    pub leases: LeaseBeliefs,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
     prefill_rates: BTreeMap<ServiceName, PrefillRate>,
 }
@@ -194,12 +186,6 @@
         self.loaded.push((now, loaded));
     }
 
-    /// The newest renewal of the lease on orders that is known.
-    pub fn newest_lease(&self) -> Option<u64> {
-        let heard = self.heard_lease.map(|heard| heard.revision);
-        self.held_lease.max(heard)
-    }
-
     /// The version of the configuration in force.
     pub fn configuration_version(&self) -> Option<u64> {
         let known = self.configuration.as_ref();
@@ -208,13 +194,21 @@
 
     /// Takes in a new or changed engine; tells whether it was news.
     pub fn upsert_engine(&mut self, record: EngineRecord, now: Millis) -> bool {
+        if self.rollouts.is_retired(&record) {
+            return false;
+        }
         let change = EngineChange {
             instance: record.instance.clone(),
             revision: record.revision,
             record: Some(record.clone()),
         };
         let is_news = self.engines.upsert(record);
-        if is_news {
+        if let (true, Some(record)) = (is_news, &change.record) {
+            self.rollouts.note_engine(record);
+            if record.cold_ms > 0 {
+                let until = now.plus(record.cold_ms);
+                self.engines.note_cold(&record.instance, until);
+            }
             self.catalogue_log.append(change, now);
         }
         is_news
@@ -222,8 +216,13 @@
 
     /// Forgets an engine that is gone since a revision; tells whether it was news.
     pub fn remove_engine(&mut self, instance: &InstanceId, revision: u64, now: Millis) -> bool {
+        let known = self
+            .engines
+            .get(instance)
+            .map(|engine| engine.record.clone());
         let is_news = self.engines.remove(instance, revision);
-        if is_news {
+        if let (true, Some(record)) = (is_news, known) {
+            self.rollouts.note_engine_gone(&record, &self.engines);
             let change = EngineChange {
                 instance: instance.clone(),
                 revision,
@@ -264,19 +263,6 @@
         }
     }
 
-    /// The holder of the lease on orders told of its last renewal.
-    pub fn hear_of_lease(&mut self, revision: u64, now: Millis) {
-        if self
-            .heard_lease
-            .is_none_or(|known| known.revision < revision)
-        {
-            self.heard_lease = Some(HeardLease {
-                revision,
-                heard_at: now,
-            });
-        }
-    }
-
     /// Takes in what a report tells besides loads, at a node that passes nothing on.
     pub fn note_reported(
         &mut self,
@@ -292,7 +278,7 @@
             self.engines.note_loaded_weights(loaded);
         }
         if let Some(revision) = lease_revision {
-            self.hear_of_lease(revision, now);
+            self.leases.of_mut(LeaseName::Weights).hear(revision, now);
         }
     }
 
@@ -329,12 +315,35 @@
         self.weights.required(model, in_use, bounds, now)
     }
 
+    /// Takes in an order of a rollout, or its status; nothing when it is no news. Engines
+    /// of the versions that served before a rollout that is complete have been stopped.
+    pub fn take_rollout_order(
+        &mut self,
+        order: RolloutOrder,
+        settings: RolloutSettings,
+        now: Millis,
+    ) -> Option<OrderNews> {
+        let service = order.service.clone();
+        let news = self.rollouts.take_order(order, settings, now)?;
+        let is_complete = self.rollouts.of_service(&service)?.is_complete();
+        if is_complete {
+            let records = self.engines.of_service(&service);
+            let records: Vec<EngineRecord> = records.map(|engine| engine.record.clone()).collect();
+            for (instance, revision) in self.rollouts.retire(&service, &records) {
+                self.remove_engine(&instance, revision, now);
+            }
+        }
+        Some(news)
+    }
+
     /// Takes in how an attempt at an engine went, for all that learn from it: the
     /// health of the engine, and the evidence on a version of its software.
     pub fn observe(&mut self, attempt: &ObservedAttempt, now: Millis) {
+        let engine = self.engines.get(&attempt.instance);
+        let condition = EngineCondition::of(engine, now);
+        self.rollouts.observe(attempt, condition);
         self.engines
             .note_outcome(&attempt.instance, attempt.outcome, now);
-        self.rollouts.observe(attempt, now);
     }
 
     /// Takes in a configuration if it is newer; tells whether it was.
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -80,9 +80,8 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.gateway
-            .beliefs()
-            .engines
-            .end(&self.subject.instance, self.waiting_tokens);
+        let mut beliefs = self.gateway.beliefs();
+        let subject = &self.subject;
+        beliefs.engines.end(&subject.instance, self.waiting_tokens);
     }
 }
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -9,9 +9,8 @@
 };
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_balancing::relayed_loads::{RelayedReport, RELAY_SILENCE_MS};
-use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::catalogue_log::CatalogueLog;
-use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::{
     AddressBook, Capacity, ListedNode, MESH_NODES, RELAYS_PER_ZONE,
 };
@@ -23,6 +22,7 @@
     TargetVersion, MAX_RELAYED_CHANGES, MAX_RELAYED_LOADS, MAX_RELAYED_PLACEMENTS,
 };
 use ploverlift_gateway::peers::roles::{role, Role};
+use ploverlift_gateway::peers::rollout_messages::RolloutReport;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::PartKey;
@@ -30,12 +30,11 @@
 use ploverlift_wire::peers::peer_message::Body;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use support::caller;
+use support::configuration;
 use support::engine::{Behaviour, StandInEngine};
-use support::site::StandInSite;
+use support::fleet::{list_silent_nodes, role_of, start_peer, wait_until};
 use support::store::StandInStore;
-use support::{configuration, settings};
 
 const NOW: Millis = Millis(2_000_000);
 const LIMIT_MS: u64 = 2_600;
@@ -128,6 +127,7 @@
         zone: ZoneName::from("a-zone-with-a-name"),
         software: SoftwareVersion::default(),
         slots: 64,
+        cold_ms: 0,
         is_leaving: true,
         weights: [("model-with-a-name".to_owned(), 123_456)].into(),
     };
@@ -161,6 +161,7 @@
         changes_through: after + changes.len() as u64,
         changes,
         included: None,
+        rollouts: None,
     }
 }
 
@@ -331,33 +332,6 @@
     assert!(lacking.is_some_and(|lacking| !lacking.wants_engines));
 }
 
-/// Records in the store of a fleet that is large, though its other nodes are silent.
-fn list_silent_nodes(store: &StandInStore) {
-    for index in 0..MESH_NODES {
-        let record = json!({"address": format!("127.0.0.1:{}", 9 + index), "zone": "elsewhere",
-                            "cpu_thousandths": 1, "link_mbps": 1});
-        store.put("Nodes", &format!("silent-{index}"), record);
-    }
-}
-
-fn start_peer(store: &StandInStore, name: &str, cpu_cores: f64) -> RunningGateway {
-    let mut settings = settings(store, name, "");
-    settings.listen.peers = Some(address(0));
-    settings.node.cpu_cores = cpu_cores;
-    start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
-}
-
-fn role_of(node: &RunningGateway) -> Role {
-    role(&node.gateway, node.gateway.clock.now())
-}
-
-async fn wait_until(node: &RunningGateway, is_reached: impl Fn(&RunningGateway) -> bool) {
-    while !is_reached(node) {
-        // Asking the node lets its tasks run.
-        caller::get_status(node.readiness).await;
-    }
-}
-
 /// The number of lists of what nodes need to serve.
 fn lists(store: &StandInStore) -> usize {
     let kinds = ["Configuration", "Engines", "Weights"];
@@ -489,6 +463,7 @@
             loaded: Vec::new(),
             lease_revision: Some(70),
             wants_relay_reports: true,
+            rollouts: RolloutReport::default(),
         });
         let record = store.content("Nodes", "small").expect("its record");
         let to: SocketAddr = record["address"]
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -72,6 +72,8 @@
 pub struct StandInEngine {
     pub instance: String,
     pub service: String,
+    /// The version of its software, as its record tells.
+    pub software: String,
     pub address: SocketAddr,
     /// Told for each request that was read, and for each that was dropped.
     pub happened: async_channel::Receiver<()>,
@@ -102,6 +104,7 @@
         Self {
             instance: instance.to_owned(),
             service: service.to_owned(),
+            software: String::new(),
             address,
             happened,
             shared,
@@ -109,10 +112,20 @@
         }
     }
 
+    /// The same with a version of its software.
+    pub async fn of_software(instance: &str, service: &str, software: &str) -> Self {
+        let engine = Self::start(instance, service, Behaviour::Answer).await;
+        Self {
+            software: software.to_owned(),
+            ..engine
+        }
+    }
+
     /// Its entry in the catalogue.
     pub fn record(&self) -> Value {
         let weights = (self.service == "llm").then(|| self.weights());
-        json!({"service": self.service, "address": self.address.to_string(), "weights": weights})
+        json!({"service": self.service, "address": self.address.to_string(), "weights": weights,
+               "software": self.software})
     }
 
     pub fn set(&self, behaviour: Behaviour) {
@@ -153,6 +166,11 @@
         self.shared.notes.lock().expect("notes").heads.clone()
     }
 
+    /// Requests that it read.
+    pub fn arrivals(&self) -> usize {
+        self.shared.notes.lock().expect("notes").heads.len()
+    }
+
     pub fn bodies(&self) -> Vec<Vec<u8>> {
         self.shared.notes.lock().expect("notes").bodies.clone()
     }
--- a/crates/routing/src/software.rs
+++ b/crates/routing/src/software.rs
@@ -27,6 +27,26 @@
 }
 
 impl SoftwareRule {
+    /// The rule without some versions; nothing when it then allows none.
+    pub fn less(self, excluded: &[SoftwareVersion]) -> Option<Self> {
+        if excluded.is_empty() {
+            return Some(self);
+        }
+        match self {
+            Self::Only(only) if excluded.contains(&only) => None,
+            Self::Only(only) => Some(Self::Only(only)),
+            Self::Any => Some(Self::ExceptAll(excluded.to_vec())),
+            Self::Except(except) => {
+                let all = excluded.iter().cloned().chain([except]);
+                Some(Self::ExceptAll(all.collect()))
+            }
+            Self::ExceptAll(known) => {
+                let all = excluded.iter().cloned().chain(known);
+                Some(Self::ExceptAll(all.collect()))
+            }
+        }
+    }
+
     /// Whether engines of a version may serve the request.
     pub fn allows(&self, version: &SoftwareVersion) -> bool {
         match self {
