An engine at whose address another one answered is asked again after 5 s

Cause: a 421 of another engine marked the record itself as leaving. Only a newer record took that back, and an engine that is well writes none. So an engine whose requests were led astray for 4 s was left out by that node for ever, and by its whole zone where the node relays. Ruled out: the store's feed (the entry was there, unchanged), ejection (its trial comes after seconds). Change: the observation has an end of its own and no place in the record. Test first: an_engine_whose_requests_were_led_astray... was red on the code before ('it is never asked again', 20 s), green after (5.0 s); pure: an_engine_at_whose_address_another_answered_is_asked_again_later.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -58,8 +58,16 @@
     pub health: EngineHealth,
     /// Until when it is taken to be loading weights.
     pub loading_until: Option<Millis>,
+    /// Until when its address is taken to lead to another engine.
+    pub misdirected_until: Option<Millis>,
 }
 
+/// How long an engine's address is taken to lead to another engine after that one
+/// answered, in milliseconds. The entry of an engine that was replaced lapses sooner
+/// (three heartbeats of 1.2 s). Where the entry stays, the engine may be well and its
+/// requests were led astray for a time: it is asked again.
+const MISDIRECTED_MS: u64 = 5_000;
+
 impl Engine {
     fn new(record: EngineRecord) -> Self {
         Self {
@@ -69,6 +77,7 @@
             waiting_tokens: 0,
             health: EngineHealth::default(),
             loading_until: None,
+            misdirected_until: None,
         }
     }
 
@@ -77,6 +86,11 @@
         self.record.weights.get(model).copied().unwrap_or(0)
     }
 
+    /// Whether its address is taken to lead to another engine.
+    pub fn is_misdirected(&self, now: Millis) -> bool {
+        self.misdirected_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it is taken to be loading weights.
     pub fn is_loading(&self, now: Millis) -> bool {
         self.loading_until.is_some_and(|until| now < until)
@@ -111,6 +125,7 @@
             Some(engine) => {
                 let known = std::mem::take(&mut engine.record.weights);
                 engine.record = record;
+                engine.misdirected_until = None;
                 for (model, version) in known {
                     let entry = engine.record.weights.entry(model).or_insert(version);
                     *entry = version.max(*entry);
@@ -255,10 +270,10 @@
         }
     }
 
-    /// The engine at this address is not the one expected, or leaves.
-    pub fn note_leaving(&mut self, instance: &InstanceId) {
+    /// Another engine answered at this one's address.
+    pub fn note_misdirected(&mut self, instance: &InstanceId, now: Millis) {
         if let Some(engine) = self.engines.get_mut(instance) {
-            engine.record.is_leaving = true;
+            engine.misdirected_until = Some(now.plus(MISDIRECTED_MS));
         }
     }
 }
--- a/crates/balancing/src/eligibility.rs
+++ b/crates/balancing/src/eligibility.rs
@@ -2,6 +2,7 @@
 
 use crate::catalogue::{Engine, EngineCatalogue};
 use crate::selection::Criteria;
+use ploverlift_policy::ids::Millis;
 
 /// Why no engine could be chosen. The first filter that leaves no engine is named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,9 +21,10 @@
 pub(crate) fn eligible_engines<'a>(
     catalogue: &'a EngineCatalogue,
     criteria: &Criteria<'_>,
+    now: Millis,
 ) -> Result<Vec<&'a Engine>, NoChoice> {
     let mut engines: Vec<&Engine> = catalogue.of_service(criteria.service).collect();
-    let stays = |engine: &&Engine| !engine.record.is_leaving;
+    let stays = |engine: &&Engine| !engine.record.is_leaving && !engine.is_misdirected(now);
     keep(&mut engines, stays, NoChoice::NoEngine)?;
     let has_software = |engine: &&Engine| criteria.software.allows(&engine.record.software);
     keep(&mut engines, has_software, NoChoice::SoftwareHeldBack)?;
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -136,7 +136,7 @@
     rates: &CostRates,
     now: Millis,
 ) -> Result<Choice, NoChoice> {
-    let candidates = eligible_engines(view.catalogue, criteria)?;
+    let candidates = eligible_engines(view.catalogue, criteria, now)?;
     let ranked = ranked(candidates, criteria);
     let reach = match &criteria.prompt {
         Some(prompt) => PrefixReach::of(view, criteria.service, prompt, now),
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -221,3 +221,19 @@
     assert!(catalogue.is_empty());
     assert!(catalogue.upsert(at(8, false)));
 }
+
+#[test]
+fn an_engine_at_whose_address_another_answered_is_asked_again_later() {
+    let mut catalogue = catalogue(1);
+    catalogue.note_misdirected(&instance(0), NOW);
+    let choice = |catalogue: &EngineCatalogue, now| chosen(catalogue, "z0", 1, 0, &[], now);
+    let soon = NOW.plus(4_900);
+    assert_eq!(choice(&catalogue, soon), Err(NoChoice::NoEngine));
+    let later = NOW.plus(5_000);
+    assert_eq!(choice(&catalogue, later), Ok(instance(0)));
+    // A newer record of it says where it is.
+    let mut newer = record(0, 1);
+    newer.revision = 2;
+    catalogue.upsert(newer);
+    assert_eq!(choice(&catalogue, soon), Ok(instance(0)));
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -291,7 +291,7 @@
         let mut beliefs = self.gateway.beliefs();
         let other = refused.other_instance.as_ref();
         if other.is_some_and(|other| *other != chosen.instance) {
-            beliefs.engines.note_leaving(&chosen.instance);
+            beliefs.engines.note_misdirected(&chosen.instance, now);
             return AttemptEnd::Refused {
                 retry_after_ms: None,
             };
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -25,9 +25,9 @@
 
 /// Forgets an engine whose entry is gone since a revision: at once, or, shortly
 /// after the store's return, when it has not come back in time. An engine that said
-/// that it leaves goes at once. Tells whether it went at once.
+/// that it leaves, or at whose address another one answered, goes at once. Tells whether it went at once.
 pub fn remove_engine(gateway: &Arc<Gateway>, instance: InstanceId, revision: u64) -> bool {
-    let wait_ms = match announced_its_end(gateway, &instance) {
+    let wait_ms = match has_ended(gateway, &instance) {
         true => 0,
         false => {
             let now = gateway.clock.now();
@@ -54,8 +54,9 @@
     false
 }
 
-fn announced_its_end(gateway: &Gateway, instance: &InstanceId) -> bool {
+fn has_ended(gateway: &Gateway, instance: &InstanceId) -> bool {
+    let now = gateway.clock.now();
     let beliefs = gateway.beliefs();
     let known = beliefs.engines.get(instance);
-    known.is_some_and(|engine| engine.record.is_leaving)
+    known.is_some_and(|engine| engine.record.is_leaving || engine.is_misdirected(now))
 }
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -195,10 +195,10 @@
                 after_ms: REPORT_PERIOD_MS,
             },
             Some(OrderAnswer::OtherInstance) => {
-                self.gateway
-                    .beliefs()
-                    .engines
-                    .note_leaving(&self.engine.instance);
+                let now = self.gateway.clock.now();
+                let mut beliefs = self.gateway.beliefs();
+                let engines = &mut beliefs.engines;
+                engines.note_misdirected(&self.engine.instance, now);
                 Next::Finished
             }
             Some(OrderAnswer::FenceTooLow | OrderAnswer::Rejected) => Next::Finished,
--- a/crates/gateway/src/weights/plan.rs
+++ b/crates/gateway/src/weights/plan.rs
@@ -19,13 +19,15 @@
 }
 
 /// Engines with outdated weights; the one whose missing version was named first
-/// is first. Engines that leave or cannot be reached are left out.
+/// is first. Engines that leave, cannot be reached or are not where their entry
+/// says are left out.
 pub fn outdated_engines(gateway: &Gateway, now: Millis) -> Vec<OutdatedEngine> {
     let beliefs = gateway.beliefs();
     let mut outdated = Vec::new();
     for engine in beliefs.engines.iter() {
         let record = &engine.record;
-        if record.is_leaving || !engine.health.may_be_chosen(now) {
+        let stays = !record.is_leaving && !engine.is_misdirected(now);
+        if !stays || !engine.health.may_be_chosen(now) {
             continue;
         }
         for (model, version) in &record.weights {
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -152,6 +152,26 @@
     });
 }
 
+#[test]
+fn an_engine_whose_requests_were_led_astray_is_not_taken_for_one_that_leaves() {
+    /// Longest time until it is asked again.
+    const LATER: std::time::Duration = std::time::Duration::from_secs(20);
+    smol::block_on(async {
+        let app = app(Behaviour::IsAnother).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let status = || async { fixture.send(&request("safe.test", "r")).await.status() };
+        assert_eq!(status().await, 503);
+        assert_eq!(app.heads().len(), 1);
+        // It is well again, and its entry in the store has not changed.
+        app.set(Behaviour::Answer);
+        let until = std::time::Instant::now() + LATER;
+        while status().await != 200 {
+            assert!(std::time::Instant::now() < until, "it is never asked again");
+            ploverlift_gateway::time::sleep(50).await;
+        }
+    });
+}
+
 #[test]
 fn a_request_that_may_have_run_is_sent_again_only_when_it_may_be_repeated() {
     smol::block_on(async {
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -15,6 +15,8 @@
     Answer,
     /// Says that it did not run it.
     Refuse,
+    /// Says that it is another engine than the one that is meant.
+    IsAnother,
     /// Runs it and fails.
     Fail,
     /// Resets the connection after the request was read.
@@ -325,6 +327,11 @@
             head.status = 503;
             head.headers.push(site::NOT_RUN, "1");
         }
+        Behaviour::IsAnother => {
+            head.status = 421;
+            head.headers.push(site::NOT_RUN, "1");
+            head.headers.push(site::INSTANCE, "another-1");
+        }
         Behaviour::Fail => {
             head.status = 500;
             head.headers.push(site::SIGNED, "1");
