--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -63,8 +63,16 @@
     pub loading_until: Option<Millis>,
     /// Until when it is slow after its start.
     pub cold_until: Option<Millis>,
+    /// Until when its address is taken to lead to another engine.
+    pub misdirected_until: Option<Millis>,
 }
 
+/// How long an engine's address is taken to lead to another engine after that one
+/// answered, in milliseconds. The entry of an engine that was replaced lapses sooner
+/// (three heartbeats of 1.2 s). Where the entry stays, the engine may be well and its
+/// requests were led astray for a time: it is asked again.
+const MISDIRECTED_MS: u64 = 5_000;
+
 impl Engine {
     fn new(record: EngineRecord) -> Self {
         Self {
@@ -75,6 +83,7 @@
             health: EngineHealth::default(),
             loading_until: None,
             cold_until: None,
+            misdirected_until: None,
         }
     }
 
@@ -86,6 +95,9 @@
     /// Whether it is slow because it has just started.
     pub fn is_cold(&self, now: Millis) -> bool {
         self.cold_until.is_some_and(|until| now < until)
+    /// Whether its address is taken to lead to another engine.
+    pub fn is_misdirected(&self, now: Millis) -> bool {
+        self.misdirected_until.is_some_and(|until| now < until)
     }
 
     /// Whether it is taken to be loading weights.
@@ -122,6 +134,7 @@
             Some(engine) => {
                 let known = std::mem::take(&mut engine.record.weights);
                 engine.record = record;
+                engine.misdirected_until = None;
                 for (model, version) in known {
                     let entry = engine.record.weights.entry(model).or_insert(version);
                     *entry = version.max(*entry);
@@ -273,10 +286,10 @@
         }
     }
 
-    /// The engine at this address is not the one expected, or leaves.
-    pub fn note_leaving(&mut self, instance: &InstanceId) {
+    /// Another engine answered at this one's address.
+    pub fn note_misdirected(&mut self, instance: &InstanceId, now: Millis) {
         if let Some(engine) = self.engines.get_mut(instance) {
-            engine.record.is_leaving = true;
+            engine.misdirected_until = Some(now.plus(MISDIRECTED_MS));
         }
     }
 }
