--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -95,6 +95,8 @@
     /// Whether it is slow because it has just started.
     pub fn is_cold(&self, now: Millis) -> bool {
         self.cold_until.is_some_and(|until| now < until)
+    }
+
     /// Whether its address is taken to lead to another engine.
     pub fn is_misdirected(&self, now: Millis) -> bool {
         self.misdirected_until.is_some_and(|until| now < until)
