--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -6,6 +6,8 @@
 use ploverlift_gateway::assembly::{start, RunningGateway};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_rollout::share::STAGE_LEASE_MS;
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -379,6 +381,12 @@
         wait_for_more(node, &versions.new, 300).await;
         assert_eq!(Versions::arrivals(&versions.old), old_arrivals);
         assert_eq!(state(&fixture.store).as_deref(), Some("running"));
+        let running = || {
+            let beliefs = fixture.gateway.beliefs();
+            let (service, target) = (ServiceName::from("app"), SoftwareVersion("v2".to_owned()));
+            beliefs.rollouts.running.except(&service, &target)
+        };
+        assert_eq!(running(), 1);
         drop(lasting);
         wait_for_state(&fixture.store, node, "completed").await;
         let (_, bad) = traffic.stop().await;
@@ -540,7 +548,15 @@
         }
         let traffic = Traffic::start(&executor, node);
         wait_for_more(node, &new, 60).await;
+        wait_for_more(node, &versions.old, 1_500).await;
         traffic.stop().await;
+        // A part of the share that a bad version may get, and of the slack.
+        let arrivals = Versions::arrivals(&new);
+        let requests = arrivals + Versions::arrivals(&versions.old);
+        assert!(
+            arrivals * 10 < requests * 3 + 2_000,
+            "{arrivals} of {requests}"
+        );
         let used = new.iter().filter(|engine| engine.arrivals() > 0).count();
         assert_eq!(used, 2);
     });
