--- a/crates/rollout/src/present_rollout.rs
+++ b/crates/rollout/src/present_rollout.rs
@@ -139,8 +139,8 @@
     /// can end by then, else it gains nothing.
     fn is_time_to_cut_over(&self, weighing: &Weighing<'_>) -> bool {
         let may_be_early = weighing.settings.strategy != Strategy::HoldPastDeadline;
-        let is_in_time = may_be_early
-            && weighing.remaining_ms() >= weighing.input.barrier_ms + COMPLETE_BEFORE_MS;
+        let needed_ms = cut_over_ms(weighing.input.barrier_ms);
+        let is_in_time = may_be_early && weighing.remaining_ms() >= needed_ms;
         let is_over = weighing.remaining_ms() == 0;
         is_over || (is_in_time && self.may_move_all(weighing))
     }
