--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -6,14 +6,16 @@
 use ploverlift_gateway::assembly::{start, RunningGateway};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_rollout::share::STAGE_LEASE_MS;
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use support::caller::{self, request};
+use support::caller::{self, prompt, request};
 use support::engine::{Behaviour, StandInEngine};
-use support::site::StandInSite;
+use support::site::{self, StandInSite};
 use support::store::{StandInStore, StoreFault};
 use support::{configuration, settings, start_node, Fixture};
 
@@ -379,6 +381,12 @@
         wait_for_more(node, &versions.new, 300).await;
         assert_eq!(Versions::arrivals(&versions.old), old_arrivals);
         assert_eq!(state(&fixture.store).as_deref(), Some("running"));
+        let running = || {
+            let beliefs = fixture.gateway.beliefs();
+            let (service, target) = (ServiceName::from("app"), SoftwareVersion("v2".to_owned()));
+            beliefs.rollouts.running.except(&service, &target)
+        };
+        assert_eq!(running(), 1);
         drop(lasting);
         wait_for_state(&fixture.store, node, "completed").await;
         let (_, bad) = traffic.stop().await;
@@ -497,13 +505,12 @@
         // moment this one finds the version bad.
         versions.set_new(Behaviour::Fail);
         let status = ended("rolled-back", "rolled_back cause=no_engines");
-        let rollout = fixture.gateway.beliefs();
-        let number = rollout
-            .rollouts
-            .services()
-            .next()
-            .and_then(|known| known.gate().map(|gate| gate.progress().rollout.0));
-        drop(rollout);
+        let number = {
+            let beliefs = fixture.gateway.beliefs();
+            let rollout = beliefs.rollouts.services().next();
+            let gate = rollout.and_then(|rollout| rollout.gate());
+            gate.map(|gate| gate.progress().rollout.0)
+        };
         let text = status["progress"].as_str().unwrap_or_default();
         let text = text.replace(
             "rollout=3 epoch=9",
@@ -540,8 +547,38 @@
         }
         let traffic = Traffic::start(&executor, node);
         wait_for_more(node, &new, 60).await;
+        wait_for_more(node, &versions.old, 1_500).await;
         traffic.stop().await;
+        // A part of the share that a bad version may get, and of the slack.
+        let arrivals = Versions::arrivals(&new);
+        let requests = arrivals + Versions::arrivals(&versions.old);
+        assert!(
+            arrivals * 10 < requests * 3 + 2_000,
+            "{arrivals} of {requests}"
+        );
         let used = new.iter().filter(|engine| engine.arrivals() > 0).count();
         assert_eq!(used, 2);
     });
 }
+
+#[test]
+fn engines_of_the_target_fetch_what_the_established_ones_keep() {
+    smol::block_on(async {
+        let old = StandInEngine::of_software("old", "llm", "v1").await;
+        let new = StandInEngine::of_software("new", "llm", "v2").await;
+        let fixture = Fixture::with(&[&old], configuration(1), BRISK).await;
+        let ask = |id: &str| prompt("resume.test", id);
+        assert_eq!(fixture.send(&ask("first")).await.status(), 200);
+        let order = json!({"service": "llm", "to": "v2", "ms": 60_000});
+        fixture.store.put("Rollouts", "llm", order);
+        fixture.store.put("Engines", "new", new.record());
+        let mut sent = 0;
+        while new.arrivals() == 0 {
+            sent += 1;
+            let answer = fixture.send(&ask(&format!("r-{sent}"))).await;
+            assert_eq!(answer.status(), 200);
+        }
+        let fetched_from = new.heads()[0].headers.get(site::FETCH).map(str::to_owned);
+        assert_eq!(fetched_from, Some(old.address.to_string()));
+    });
+}
