--- a/crates/rollout/src/credits.rs
+++ b/crates/rollout/src/credits.rs
@@ -18,16 +18,17 @@
 /// The place of a seat in the turn of a rollout: another node begins in each rollout.
 fn turn_of(seat: Seat, rollout: u64) -> u64 {
     let nodes = u64::from(seat.nodes.max(1));
-    (u64::from(seat.rank) + rollout) % nodes
+    (u64::from(seat.rank) + rollout % nodes) % nodes
 }
 
 /// How many of the fleet's credits belong to a seat.
 pub fn owned_credits(fleet_credits: u64, seat: Seat, rollout: u64) -> u64 {
     let nodes = u64::from(seat.nodes.max(1));
-    (fleet_credits + nodes - 1 - turn_of(seat, rollout)) / nodes
+    fleet_credits.saturating_add(nodes - 1 - turn_of(seat, rollout)) / nodes
 }
 
 /// The fleet's credits for so many requests.
 pub fn fleet_credits(requests: u64, share_ppm: u64, start: u64) -> u64 {
-    start + requests * share_ppm / crate::stage::MILLION
+    let earned = requests.saturating_mul(share_ppm) / crate::stage::MILLION;
+    start.saturating_add(earned)
 }
--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -79,7 +79,7 @@
         let order = input.order;
         let (number, epoch) = match recorded {
             Recorded::OfOlderOrder(older) | Recorded::Present(older) => {
-                (older.rollout.0 + 1, older.epoch.0 + 1)
+                (older.rollout.0.saturating_add(1), older.epoch.next().0)
             }
             Recorded::Nothing => (0, 0),
         };
@@ -170,7 +170,10 @@
     /// Time since the order, at least.
     fn elapsed_ms(&self) -> u64 {
         let input = self.input;
-        let by_status = self.progress.elapsed_ms + input.now.since(input.status_seen_at);
+        let by_status = self
+            .progress
+            .elapsed_ms
+            .saturating_add(input.now.since(input.status_seen_at));
         input.now.since(input.order_seen_at).max(by_status)
     }
 
@@ -193,7 +196,9 @@
 
     pub(crate) fn is_patience_over(&self) -> bool {
         let duration_ms = self.progress.duration_ms;
-        let patience_ms = (PATIENCE_DURATIONS * duration_ms).max(duration_ms + MIN_PATIENCE_MS);
+        let patience_ms = duration_ms
+            .saturating_mul(PATIENCE_DURATIONS)
+            .max(duration_ms.saturating_add(MIN_PATIENCE_MS));
         self.elapsed_ms() >= patience_ms
     }
 
--- a/crates/rollout/src/stage.rs
+++ b/crates/rollout/src/stage.rs
@@ -23,7 +23,7 @@
 impl Epoch {
     /// The epoch after this one.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
--- a/crates/rollout/tests/rollouts/deciding.rs
+++ b/crates/rollout/tests/rollouts/deciding.rs
@@ -473,6 +473,25 @@
     assert!(next.requests >= 4_000 && next.target_arrivals >= 150);
 }
 
+#[test]
+fn huge_numbers_do_no_harm() {
+    let mut case = Case::at(CANARY, 3_000);
+    case.order = order("v2", u64::MAX, u64::MAX);
+    let stored = Progress {
+        rollout: RolloutNumber(u64::MAX),
+        epoch: Epoch(u64::MAX),
+        elapsed_ms: u64::MAX,
+        requests: u64::MAX,
+        target_arrivals: u64::MAX,
+        credits: u64::MAX,
+        ..progress(CANARY, u64::MAX)
+    };
+    case.order.status = Some(stored.status(&case.order));
+    case.decide();
+    case.order.target = version("v3");
+    assert!(case.decide().next.is_some());
+}
+
 #[test]
 fn states_match_what_the_operator_reads() {
     let cause = RollBackCause::BadAnswers;
