--- /dev/null
+++ b/crates/balancing/src/cache_stores.rs
@@ -0,0 +1,146 @@
+//! What is known of the KV cache stores, one by one, and which of them saves a prompt.
+//!
+//! The stores of a region share its prompts by rendezvous hashing of the prompt's
+//! key: together they hold what one cannot. Once a store is filled, it gets no copy of
+//! a prompt that another store, which was used while this one was lost, keeps whole.
+
+use crate::cache_contents::CacheContents;
+use crate::store_room::StoreFill;
+use ploverlift_policy::ids::ZoneName;
+use ploverlift_routing::configuration::CacheStore;
+use ploverlift_routing::prompt::{ChainKey, PromptPart};
+use ploverlift_routing::topology::{Distance, Topology};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// What is known of a KV cache store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CacheStoreState {
+    /// It does not answer: nothing is fetched from it or saved to it.
+    #[default]
+    Lost,
+    /// It works, and has no room for this node's calls for events: what it holds
+    /// is not known, but for what this node has had saved.
+    Unobserved,
+    /// Its events are followed.
+    Followed,
+}
+
+/// What this node believes of one KV cache store.
+#[derive(Clone, Debug, Default)]
+pub struct StoreBelief {
+    state: CacheStoreState,
+    contents: CacheContents,
+}
+
+impl StoreBelief {
+    /// What is known of the store itself.
+    pub fn state(&self) -> CacheStoreState {
+        self.state
+    }
+
+    /// What it holds.
+    pub fn contents(&self) -> &CacheContents {
+        &self.contents
+    }
+
+    /// What it holds, to be changed.
+    pub fn contents_mut(&mut self) -> &mut CacheContents {
+        &mut self.contents
+    }
+
+    /// Takes in what a call showed; tells what was known before. A lost store may
+    /// come back empty, so nothing that it held is believed any longer.
+    pub fn note_state(&mut self, state: CacheStoreState) -> CacheStoreState {
+        if state == CacheStoreState::Lost {
+            self.contents.forget();
+        }
+        std::mem::replace(&mut self.state, state)
+    }
+}
+
+/// What this node believes of all KV cache stores.
+#[derive(Clone, Debug, Default)]
+pub struct CacheStores {
+    by_address: BTreeMap<SocketAddr, StoreBelief>,
+}
+
+impl CacheStores {
+    /// What is believed of the store at an address; nothing when it is not in use.
+    pub fn of(&self, address: SocketAddr) -> Option<&StoreBelief> {
+        self.by_address.get(&address)
+    }
+
+    /// What is believed of the store at an address, to be changed.
+    pub fn of_mut(&mut self, address: SocketAddr) -> &mut StoreBelief {
+        self.by_address.entry(address).or_default()
+    }
+
+    /// Forgets the stores that are no longer configured.
+    pub fn retain(&mut self, is_configured: impl Fn(SocketAddr) -> bool) {
+        self.by_address.retain(|address, _| is_configured(*address));
+    }
+
+    /// The stores among `configured` that answer, with what is believed of them.
+    pub fn in_use<'a>(
+        &'a self,
+        configured: impl Iterator<Item = &'a CacheStore>,
+    ) -> Vec<(&'a CacheStore, &'a StoreBelief)> {
+        let known = configured.filter_map(|store| Some((store, self.of(store.address)?)));
+        let answering = known.filter(|(_, belief)| belief.state != CacheStoreState::Lost);
+        answering.collect()
+    }
+}
+
+/// The store in which the prompts that engines of a zone read are saved: of the
+/// nearest region that has any, the one that rendezvous hashing gives the prompt.
+pub fn saving_store<'a>(
+    stores: &[(&'a CacheStore, &'a StoreBelief)],
+    topology: &Topology,
+    zone: &ZoneName,
+    key: ChainKey,
+) -> Option<(&'a CacheStore, &'a StoreBelief)> {
+    let is_far = |store: &CacheStore| topology.distance(zone, &store.zone) == Distance::OtherRegion;
+    let weight =
+        |store: &CacheStore| xxh3_64_with_seed(store.address.to_string().as_bytes(), key.0);
+    let stores = stores.iter().copied();
+    stores.max_by_key(|(store, _)| (!is_far(store), weight(store)))
+}
+
+/// The stores of a zone's region; all of them where that has none.
+pub fn nearest_stores(
+    mut stores: Vec<CacheStore>,
+    topology: &Topology,
+    zone: &ZoneName,
+) -> Vec<CacheStore> {
+    let is_far = |store: &CacheStore| is_far(store, topology, zone);
+    if !stores.iter().all(is_far) {
+        stores.retain(|store| !is_far(store));
+    }
+    stores
+}
+
+fn is_far(store: &CacheStore, topology: &Topology, zone: &ZoneName) -> bool {
+    topology.distance(zone, &store.zone) == Distance::OtherRegion
+}
+
+/// How full a store is believed to be.
+pub fn fill(store: &CacheStore, belief: &StoreBelief) -> StoreFill {
+    StoreFill {
+        kept_tokens: belief.contents.total_tokens(),
+        capacity_tokens: store.capacity_tokens,
+    }
+}
+
+/// Whether another store keeps the whole shared prompt.
+pub fn is_kept_elsewhere(
+    stores: &[(&CacheStore, &StoreBelief)],
+    but: SocketAddr,
+    salt: &str,
+    shared: &[PromptPart],
+) -> bool {
+    let mut others = stores.iter().filter(|(store, _)| store.address != but);
+    let has = |belief: &StoreBelief| shared.iter().all(|part| belief.contents.has(salt, part));
+    others.any(|(_, belief)| has(belief))
+}
--- a/crates/balancing/src/cost.rs
+++ b/crates/balancing/src/cost.rs
@@ -12,6 +12,8 @@
     pub stale_version_ms: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
+    /// Cost of leaving the region on top of it.
+    pub region: RegionRates,
     /// Cost of one more request at a full engine of a plain service, in
     /// milliseconds for each share of its slots.
     pub slot_ms: f64,
@@ -20,6 +22,26 @@
     pub senders: f64,
 }
 
+/// Rates with which the cost of leaving the region is estimated.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RegionRates {
+    /// Round trip to another region where none was measured, in milliseconds.
+    pub round_trip_ms: f64,
+    /// Round trips that a request to another region is worth avoiding.
+    pub round_trips: f64,
+    /// Cost of a kilobyte between regions, in milliseconds.
+    pub kilobyte_ms: f64,
+}
+
+impl RegionRates {
+    /// Cost of sending so many bytes to another region to which a round trip takes so
+    /// long, in milliseconds.
+    pub fn cost_ms(&self, round_trip_ms: Option<f64>, bytes: u64) -> f64 {
+        let round_trip_ms = round_trip_ms.unwrap_or(self.round_trip_ms);
+        round_trip_ms * self.round_trips + bytes as f64 / 1_000.0 * self.kilobyte_ms
+    }
+}
+
 /// Cost of one engine by term, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Cost {
@@ -39,6 +61,8 @@
     pub stale_reading_ms: f64,
     /// Being in another zone.
     pub zone_ms: f64,
+    /// Being in another region.
+    pub region_ms: f64,
     /// Requests in the slots.
     pub slots_ms: f64,
     /// Having failed lately.
@@ -60,6 +84,7 @@
             + self.stale_version_ms
             + self.stale_reading_ms
             + self.zone_ms
+            + self.region_ms
             + self.failure_ms
     }
 }
--- a/crates/balancing/src/eligibility.rs
+++ b/crates/balancing/src/eligibility.rs
@@ -1,7 +1,7 @@
 //! Which engines may serve a request at all: one filter before the one cost.
 
 use crate::catalogue::{Engine, EngineCatalogue};
-use crate::selection::Criteria;
+use crate::fleet::Criteria;
 
 /// Why no engine could be chosen. The first filter that leaves no engine is named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -10,16 +10,20 @@
 //! | --- | --- |
 //! | [`attempts`] | whether a request may be sent again, and what may be said of it |
 //! | [`cache_contents`] | what an engine or a KV cache store holds, by its events |
+//! | [`cache_stores`] | the KV cache stores, one by one, and which saves a prompt |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`cost`] | the cost of an engine, by named terms in milliseconds |
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
+//! | [`fleet`] | what a node knows of the fleet, and what the choice depends on |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
 //! | [`relayed_loads`] | the same as relays sum it up in large fleets |
+//! | [`moves`] | how long moves of KV cache take, and those under way |
 //! | [`prefix_holders`] | where shared parts of prompts were read, as nodes tell each other |
 //! | [`prefix_reach`] | what each engine holds of one prompt, and where the rest can be had |
 //! | [`prefill_rate`] | how fast engines read prompts, learned from their answers |
 //! | [`rendezvous`] | the order of engines for a prompt |
+//! | [`round_trips`] | how long round trips to other zones take, learned from connections |
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`load_schedule`] | when engines load new weights, and how many at once |
@@ -30,12 +34,15 @@
 
 pub mod attempts;
 pub mod cache_contents;
+pub mod cache_stores;
 pub mod catalogue;
 pub mod cost;
 pub mod eligibility;
 pub mod engine_caches;
+pub mod fleet;
 pub mod health;
 pub mod load_schedule;
+pub mod moves;
 pub mod peer_loads;
 pub mod prefill_rate;
 pub mod prefix_holders;
@@ -43,6 +50,7 @@
 pub mod relayed_loads;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod round_trips;
 pub mod selection;
 pub mod store_room;
 pub mod supply;
--- a/crates/balancing/src/prefix_reach.rs
+++ b/crates/balancing/src/prefix_reach.rs
@@ -2,8 +2,8 @@
 //! another one can have what it lacks.
 
 use crate::catalogue::Engine;
-use crate::selection::{FleetView, PromptCriteria};
-use ploverlift_policy::ids::Millis;
+use crate::fleet::{FleetView, PromptCriteria, StoreView};
+use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{cache_salt, part_keys, PartKey};
 use std::collections::BTreeMap;
@@ -13,10 +13,12 @@
 
 /// Holders of one prompt's parts, and what the store holds of it, by the version of
 /// weights that they were read under.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PrefixReach<'a> {
     by_weights: BTreeMap<u64, Vec<(&'a Engine, u64)>>,
-    stored: BTreeMap<u64, u64>,
+    /// Of the holders, those worth fetching from: a few of each zone.
+    sources: BTreeMap<u64, Vec<(&'a Engine, u64)>>,
+    stored: BTreeMap<u64, Vec<(StoreView<'a>, u64)>>,
 }
 
 impl<'a> PrefixReach<'a> {
@@ -40,14 +42,23 @@
                 *tokens = kept_tokens(view, engine, prompt, &keys, now);
             }
             engines.retain(|(_, tokens)| *tokens > 0);
-            if let Some(store) = view.cache_store {
+            let tokens_in = |store: &StoreView<'a>| {
                 let tokens = store.contents.prefix_tokens(&salt, prompt.shared);
-                stored.insert(*weights, tokens);
-            }
+                (tokens > 0).then_some((*store, tokens))
+            };
+            let stores: Vec<(StoreView<'a>, u64)> =
+                view.cache_stores.iter().filter_map(tokens_in).collect();
+            stored.insert(*weights, stores);
         }
         by_weights.retain(|_, holders| !holders.is_empty());
-        stored.retain(|_, tokens| *tokens > 0);
-        Self { by_weights, stored }
+        stored.retain(|_, stores| !stores.is_empty());
+        let sources = by_weights.iter();
+        let sources = sources.map(|(weights, holders)| (*weights, nearest_sources(holders)));
+        Self {
+            sources: sources.collect(),
+            by_weights,
+            stored,
+        }
     }
 
     /// Whether any engine or the store is known to hold any part.
@@ -55,10 +66,10 @@
         !self.by_weights.is_empty() || !self.stored.is_empty()
     }
 
-    /// Tokens that the store holds, as they were read under these weights; nothing
-    /// when it holds none.
-    pub fn stored(&self, weights: u64) -> Option<u64> {
-        self.stored.get(&weights).copied()
+    /// The stores that hold any part as it was read under these weights, and the tokens
+    /// that each holds.
+    pub fn stored(&self, weights: u64) -> &[(StoreView<'a>, u64)] {
+        self.stored.get(&weights).map_or(&[], Vec::as_slice)
     }
 
     /// Tokens that an engine holds.
@@ -68,24 +79,56 @@
         held.map_or(0, |(_, tokens)| *tokens)
     }
 
-    /// Another engine that holds the most, one in the same zone first.
-    pub fn best_source(&self, engine: &Engine, model: &str) -> Option<(&'a Engine, u64)> {
-        let others = self
-            .holders(engine, model)
-            .filter(|(holder, _)| holder.tag != engine.tag && !holder.health.is_suspected());
-        let best = others.max_by_key(|(holder, tokens)| {
-            let is_near = holder.record.zone == engine.record.zone;
-            (*tokens, is_near, std::cmp::Reverse(holder.tag))
-        });
-        best.copied()
+    /// The other engines that are worth fetching from under the engine's weights, and
+    /// the tokens that each holds.
+    pub fn sources<'b>(
+        &'b self,
+        engine: &'b Engine,
+        model: &str,
+    ) -> impl Iterator<Item = (&'a Engine, u64)> + 'b {
+        let weights = engine.weights_of(model);
+        let sources = self.sources.get(&weights).into_iter().flatten();
+        let others = sources.filter(|(source, _)| source.tag != engine.tag);
+        others.copied()
     }
 
-    fn holders(&self, engine: &Engine, model: &str) -> impl Iterator<Item = &(&'a Engine, u64)> {
+    fn holders<'b>(
+        &'b self,
+        engine: &Engine,
+        model: &str,
+    ) -> impl Iterator<Item = &'b (&'a Engine, u64)> + 'b {
         let weights = engine.weights_of(model);
         self.by_weights.get(&weights).into_iter().flatten()
     }
 }
 
+/// Engines of each zone that are worth fetching from: the one that holds the most, and
+/// the next one for that engine itself.
+const SOURCES_PER_ZONE: usize = 2;
+
+/// The holders that answer and hold the most, a few of each zone: an engine's distance
+/// to all holders of a zone is the same.
+fn nearest_sources<'a>(holders: &[(&'a Engine, u64)]) -> Vec<(&'a Engine, u64)> {
+    let answering = holders.iter().copied();
+    let answering = answering.filter(|(holder, _)| !holder.health.is_suspected());
+    let mut sources: Vec<(&Engine, u64)> = answering.collect();
+    sources.sort_by(|(a, held_by_a), (b, held_by_b)| {
+        let by_zone = a.record.zone.cmp(&b.record.zone);
+        by_zone
+            .then(held_by_b.cmp(held_by_a))
+            .then(a.tag.cmp(&b.tag))
+    });
+    let mut taken: Option<(&ZoneName, usize)> = None;
+    sources.retain(|(source, _)| {
+        let zone = &source.record.zone;
+        let before = taken.filter(|(known, _)| *known == zone);
+        let count = before.map_or(1, |(_, count)| count + 1);
+        taken = Some((zone, count));
+        count <= SOURCES_PER_ZONE
+    });
+    sources
+}
+
 /// Tokens of the shared parts that an engine keeps: a part is of use only when
 /// every part before it is kept as well.
 fn kept_tokens(
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,89 +1,17 @@
 //! The choice of an engine, by a cost in milliseconds with named terms.
 
-use crate::cache_contents::CacheContents;
-use crate::catalogue::{Engine, EngineCatalogue, InstanceId};
+use crate::catalogue::{Engine, InstanceId};
 use crate::cost::{Cost, CostRates};
 use crate::eligibility::eligible_engines;
 pub use crate::eligibility::NoChoice;
-use crate::engine_caches::EngineCaches;
-use crate::peer_loads::PeerLoads;
-use crate::prefix_holders::PrefixHolders;
+use crate::fleet::{Criteria, FleetView, PromptCriteria};
 use crate::prefix_reach::PrefixReach;
 use crate::rendezvous;
-use crate::supply::{best_offer, CacheSource, MoveRates, Offering, Supply};
-use crate::unseen_reading::{filled_level, RecentReading};
-use ploverlift_policy::ids::{Millis, ZoneName};
-use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::prompt::{ChainKey, PromptPart};
-use ploverlift_routing::software::SoftwareRule;
-
-/// What a node knows of the fleet.
-#[derive(Clone, Copy, Debug)]
-pub struct FleetView<'a> {
-    /// Engines, with this node's own requests.
-    pub catalogue: &'a EngineCatalogue,
-    /// Requests of other nodes.
-    pub peer_loads: &'a PeerLoads,
-    /// Where shared parts of prompts were sent.
-    pub holders: &'a PrefixHolders,
-    /// What the engines whose events are followed keep.
-    pub caches: &'a EngineCaches,
-    /// What this node gave engines to read lately.
-    pub recent_reading: &'a RecentReading,
-    /// The KV cache store, where one is in use.
-    pub cache_store: Option<StoreView<'a>>,
-}
-
-/// What a node knows of the KV cache store.
-#[derive(Clone, Copy, Debug)]
-pub struct StoreView<'a> {
-    /// What it keeps.
-    pub contents: &'a CacheContents,
-    /// Its zone.
-    pub zone: &'a ZoneName,
-}
-
-/// What the choice depends on.
-#[derive(Clone, Debug)]
-pub struct Criteria<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
-    /// Zone of this node.
-    pub zone: &'a ZoneName,
-    /// The prompt, for requests to a model.
-    pub prompt: Option<PromptCriteria<'a>>,
-    /// Versions of the engines' software that may serve the request.
-    pub software: SoftwareRule,
-    /// Engines that were tried already.
-    pub excluded: &'a [InstanceId],
-}
-
-/// What the choice of a model engine depends on.
-#[derive(Clone, Debug)]
-pub struct PromptCriteria<'a> {
-    /// The model.
-    pub model: &'a str,
-    /// Within which cache is shared.
-    pub scope: &'a str,
-    /// Key of the shared parts.
-    pub key: ChainKey,
-    /// The parts that other requests may have too.
-    pub shared: &'a [PromptPart],
-    /// Rates at which KV cache of the model moves.
-    pub moves: MoveRates,
-    /// Lowest version of weights that is allowed.
-    pub required_weights: u64,
-    /// The request's place among those that other nodes send unseen, in 0 to 1; drawn
-    /// at random.
-    pub place: f64,
-}
-
-impl PromptCriteria<'_> {
-    /// Tokens of the parts that other requests may have too.
-    pub fn shared_tokens(&self) -> u64 {
-        self.shared.iter().map(|part| part.tokens).sum()
-    }
-}
+use crate::supply::{best_offer, CacheSource, Offering, Supply};
+use crate::unseen_reading::filled_level;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::topology::{Distance, RegionName};
+use std::collections::BTreeMap;
 
 /// The engine that was chosen.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,6 +27,10 @@
     pub held_tokens: u64,
     /// Tokens of the shared parts that need not be read.
     pub kept_tokens: u64,
+    /// Time of the move from the source, in milliseconds.
+    pub move_ms: f64,
+    /// How far the engine is from this node.
+    pub distance: Distance,
     /// Engines that could be chosen.
     pub candidates: usize,
 }
@@ -147,16 +79,20 @@
         criteria,
         rates,
         reach: &reach,
-        home: ranked.first().copied(),
+        homes: homes(view, &ranked),
         typical_failures: typical_failure_rate(&ranked, now),
         newest_weights: newest_weights(&ranked, criteria),
         now,
     };
-    let estimated = ranked.iter().enumerate().map(|(rank, engine)| {
-        let (cost, supply) = estimate.cost(engine, rank);
-        (*engine, cost, supply)
-    });
-    let mut estimated: Vec<(&Engine, Cost, Supply)> = estimated.collect();
+    let mut ranks: BTreeMap<Option<&RegionName>, usize> = BTreeMap::new();
+    let mut estimated: Vec<(&Engine, Cost, Supply)> = Vec::with_capacity(ranked.len());
+    for engine in &ranked {
+        let region = view.topology.region_of(&engine.record.zone);
+        let rank = ranks.entry(region).or_default();
+        let (cost, supply) = estimate.cost(engine, *rank);
+        estimated.push((engine, cost, supply));
+        *rank += 1;
+    }
     estimate.add_unseen(&mut estimated);
     let cheapest = estimated
         .into_iter()
@@ -164,6 +100,8 @@
     let (engine, cost, supply) = cheapest.ok_or(NoChoice::NoEngine)?;
     Ok(Choice {
         instance: engine.record.instance.clone(),
+        move_ms: supply.move_ms,
+        distance: view.topology.distance(criteria.zone, &engine.record.zone),
         source: supply.source,
         held_tokens: supply.held_tokens,
         kept_tokens: supply.kept_tokens,
@@ -182,6 +120,19 @@
     candidates
 }
 
+/// The engine that each region's requests for the prompt go to first.
+fn homes<'a>(
+    view: &FleetView<'a>,
+    ranked: &[&'a Engine],
+) -> BTreeMap<Option<&'a RegionName>, &'a Engine> {
+    let mut homes = BTreeMap::new();
+    for engine in ranked {
+        let region = view.topology.region_of(&engine.record.zone);
+        homes.entry(region).or_insert(*engine);
+    }
+    homes
+}
+
 /// The newest weights that a candidate has.
 fn newest_weights(engines: &[&Engine], criteria: &Criteria<'_>) -> u64 {
     let prompt = criteria.prompt.as_ref();
@@ -212,7 +163,7 @@
     criteria: &'a Criteria<'a>,
     rates: &'a CostRates,
     reach: &'a PrefixReach<'a>,
-    home: Option<&'a Engine>,
+    homes: BTreeMap<Option<&'a RegionName>, &'a Engine>,
     typical_failures: f64,
     newest_weights: u64,
     now: Millis,
@@ -225,9 +176,7 @@
             failure_ms: self.failure_ms(engine),
             ..Cost::default()
         };
-        if engine.record.zone != *self.criteria.zone {
-            cost.zone_ms = rates.zone_ms;
-        }
+        self.add_distance(engine, &mut cost);
         let peers = self.view.peer_loads.at(engine.tag);
         let requests = match self.view.peer_loads.peer_count() {
             0 => f64::from(engine.in_flight) * rates.senders,
@@ -250,6 +199,20 @@
         (cost, supply)
     }
 
+    /// Adds what leaving the zone and the region costs.
+    fn add_distance(&self, engine: &Engine, cost: &mut Cost) {
+        let zone = &engine.record.zone;
+        let distance = self.view.topology.distance(self.criteria.zone, zone);
+        if distance != Distance::SameZone {
+            cost.zone_ms = self.rates.zone_ms;
+        }
+        if distance == Distance::OtherRegion {
+            let round_trip_ms = self.view.round_trips.to_ms(zone);
+            let bytes = self.criteria.request_bytes;
+            cost.region_ms = self.rates.region.cost_ms(round_trip_ms, bytes);
+        }
+    }
+
     /// Adds what other nodes have sent unseen. It fills the engines that look cheapest
     /// to everyone; what an engine costs for this prompt alone does not count in that.
     /// This request has a random place among those that are sent in the same time.
@@ -292,12 +255,13 @@
             if rank > 0 {
                 cost.eviction_ms = prefill_ms(shared) * self.rates.eviction_share;
             }
-            let home = self.home.filter(|home| {
+            let region = self.view.topology.region_of(&engine.record.zone);
+            let home = self.homes.get(&region).filter(|home| {
                 let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
                 let is_unknown = self.view.caches.of(home.tag).is_none();
                 rank > 0 && same_weights && is_unknown && !home.health.is_suspected()
             });
-            let instance = |home: &Engine| CacheSource::Engine(home.record.instance.clone());
+            let instance = |home: &&Engine| CacheSource::Engine(home.record.instance.clone());
             return Supply {
                 source: home.map(instance),
                 ..Supply::default()
@@ -308,19 +272,24 @@
             view: self.view,
             reach: self.reach,
             prompt,
+            prefill_tokens_per_ms: self.rates.prefill_tokens_per_ms,
+            now: self.now,
         };
         let offer = best_offer(&offering, engine, held);
         let offered = offer.as_ref().map_or(0, |offer| offer.kept_tokens);
         let kept = held.max(offered);
-        if offered > held {
-            cost.transfer_ms = offer.as_ref().map_or(0.0, |offer| offer.move_ms);
+        let mut move_ms = 0.0;
+        if let Some(offer) = offer.as_ref().filter(|_| offered > held) {
+            move_ms = offer.move_ms;
+            cost.transfer_ms = offer.wait_ms + offer.move_ms;
         }
         cost.eviction_ms = prefill_ms(shared - held) * self.rates.eviction_share;
         cost.prefill_ms = prefill_ms(shared.saturating_sub(kept));
         Supply {
-            source: offer.map(|offer| offer.source),
+            source: offer.map(|offer| offer.source()),
             held_tokens: held,
             kept_tokens: kept,
+            move_ms,
         }
     }
 
--- a/crates/balancing/src/store_room.rs
+++ b/crates/balancing/src/store_room.rs
@@ -32,6 +32,11 @@
     pub capacity_tokens: u64,
 }
 
+/// Whether the store has room for copies of what is kept elsewhere.
+pub fn has_room(fill: StoreFill) -> bool {
+    fill.kept_tokens as f64 / (fill.capacity_tokens.max(1) as f64) < ROOMY_FILL
+}
+
 /// Whether the shared parts that the store lacks outweigh the prompt's own part.
 pub fn is_worth_saving(candidate: SaveCandidate, fill: StoreFill) -> bool {
     let lacking_tokens = candidate
@@ -40,8 +45,7 @@
     if lacking_tokens == 0 {
         return false;
     }
-    let filled = fill.kept_tokens as f64 / fill.capacity_tokens.max(1) as f64;
-    let largest_share = match filled < ROOMY_FILL {
+    let largest_share = match has_room(fill) {
         true => LARGEST_OWN_SHARE_WITH_ROOM,
         false => LARGEST_OWN_SHARE,
     };
--- a/crates/balancing/src/supply.rs
+++ b/crates/balancing/src/supply.rs
@@ -2,38 +2,20 @@
 //! the move takes.
 
 use crate::catalogue::{Engine, InstanceId};
+use crate::fleet::{FleetView, PromptCriteria};
+use crate::moves::{move_factor, LONGEST_WAIT_MS};
 use crate::prefix_reach::PrefixReach;
-use crate::selection::{FleetView, PromptCriteria};
-use ploverlift_policy::ids::ZoneName;
-
-/// How much longer moving cache takes between zones.
-const FAR_TRANSFER: f64 = 2.0;
-/// Rates at which KV cache moves within a zone, in tokens a millisecond.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MoveRates {
-    /// From one engine to another.
-    pub between_engines: f64,
-    /// From the store to an engine.
-    pub from_store: f64,
-}
-
-impl Default for MoveRates {
-    /// Where no rates are known, moving takes no time.
-    fn default() -> Self {
-        Self {
-            between_engines: f64::INFINITY,
-            from_store: f64::INFINITY,
-        }
-    }
-}
+use ploverlift_policy::ids::{Millis, ZoneName};
+use ploverlift_routing::topology::Distance;
+use std::net::SocketAddr;
 
 /// Where an engine can have shared parts that it lacks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CacheSource {
     /// Another engine.
     Engine(InstanceId),
-    /// The KV cache store.
-    Store,
+    /// The KV cache store at this address.
+    Store(SocketAddr),
 }
 
 /// How an engine can have the shared parts of a prompt.
@@ -45,16 +27,39 @@
     pub(crate) held_tokens: u64,
     /// Tokens that need not be read.
     pub(crate) kept_tokens: u64,
+    /// Time of the move, in milliseconds.
+    pub(crate) move_ms: f64,
 }
 
 /// What a source keeps of a prompt, and the time to move what an engine lacks.
-pub(crate) struct Offer {
-    /// The source.
-    pub(crate) source: CacheSource,
+#[derive(Clone, Debug)]
+pub(crate) struct Offer<'a> {
+    source: SourceName<'a>,
     /// Tokens of the shared parts that it keeps.
     pub(crate) kept_tokens: u64,
+    /// Time until the move begins, in milliseconds.
+    pub(crate) wait_ms: f64,
     /// Time of the move, in milliseconds.
     pub(crate) move_ms: f64,
+    /// How far the source is from the engine.
+    distance: Distance,
+}
+
+/// Which source it is.
+#[derive(Clone, Copy, Debug)]
+enum SourceName<'a> {
+    Engine(&'a InstanceId),
+    Store(SocketAddr),
+}
+
+impl Offer<'_> {
+    /// The source.
+    pub(crate) fn source(&self) -> CacheSource {
+        match self.source {
+            SourceName::Engine(instance) => CacheSource::Engine(instance.clone()),
+            SourceName::Store(address) => CacheSource::Store(address),
+        }
+    }
 }
 
 /// What the offers of all sources for one prompt follow from.
@@ -65,56 +70,79 @@
     pub(crate) reach: &'a PrefixReach<'a>,
     /// The prompt.
     pub(crate) prompt: &'a PromptCriteria<'a>,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub(crate) prefill_tokens_per_ms: f64,
+    /// The time.
+    pub(crate) now: Millis,
 }
 
-/// How much longer a move takes over the distance.
-fn distance(from: &ZoneName, to: &ZoneName) -> f64 {
-    match from == to {
-        true => 1.0,
-        false => FAR_TRANSFER,
-    }
+/// A source of KV cache as it looks from one engine.
+struct Source<'a> {
+    zone: &'a ZoneName,
+    kept_tokens: u64,
+    tokens_per_ms: f64,
+    name: SourceName<'a>,
 }
 
-/// The source that keeps the most; of two that keep as much, the faster one.
-pub(crate) fn best_offer(offering: &Offering<'_>, engine: &Engine, held: u64) -> Option<Offer> {
-    let from_engine = offer_of_engine(offering, engine, held);
-    let from_store = offer_of_store(offering, engine, held);
-    let (Some(near), Some(stored)) = (&from_engine, &from_store) else {
-        return from_engine.or(from_store);
-    };
-    let is_better = stored.kept_tokens > near.kept_tokens
-        || (stored.kept_tokens == near.kept_tokens && stored.move_ms < near.move_ms);
-    match is_better {
-        true => from_store,
-        false => from_engine,
+/// The source by which the engine has the shared parts soonest: the move, and reading
+/// what the source lacks. Of sources that differ in nothing, the nearest. Nothing when
+/// no source has any part, or when a move to the engine would not be begun.
+pub(crate) fn best_offer<'a>(
+    offering: &'a Offering<'a>,
+    engine: &'a Engine,
+    held: u64,
+) -> Option<Offer<'a>> {
+    let wait_ms = offering.view.moves.wait_ms(engine.tag, offering.now);
+    if wait_ms > LONGEST_WAIT_MS {
+        return None;
     }
-}
-
-fn offer_of_engine(offering: &Offering<'_>, engine: &Engine, held: u64) -> Option<Offer> {
     let Offering { reach, prompt, .. } = offering;
-    let (source, kept_tokens) = reach.best_source(engine, prompt.model)?;
-    let moved = kept_tokens.saturating_sub(held) as f64;
-    let distance = distance(&source.record.zone, &engine.record.zone);
-    Some(Offer {
-        source: CacheSource::Engine(source.record.instance.clone()),
+    let engines = reach.sources(engine, prompt.model);
+    let engines = engines.map(|(source, kept_tokens)| Source {
+        zone: &source.record.zone,
         kept_tokens,
-        move_ms: moved / prompt.moves.between_engines * distance,
+        tokens_per_ms: prompt.move_tokens_per_ms,
+        name: SourceName::Engine(&source.record.instance),
+    });
+    let stores = reach.stored(engine.weights_of(prompt.model)).iter();
+    let stores = stores.map(|(store, kept_tokens)| Source {
+        zone: store.zone,
+        kept_tokens: *kept_tokens,
+        tokens_per_ms: store.tokens_per_ms,
+        name: SourceName::Store(store.address),
+    });
+    let offers = engines.chain(stores);
+    let offers = offers.map(|source| offer(offering, engine, held, wait_ms, source));
+    offers.min_by(|a, b| {
+        let by_time = soonest_ms(offering, held, a).total_cmp(&soonest_ms(offering, held, b));
+        by_time
+            .then(a.distance.cmp(&b.distance))
+            .then(b.kept_tokens.cmp(&a.kept_tokens))
     })
 }
 
-fn offer_of_store(offering: &Offering<'_>, engine: &Engine, held: u64) -> Option<Offer> {
-    let Offering {
-        view,
-        reach,
-        prompt,
-    } = offering;
-    let store = view.cache_store?;
-    let kept_tokens = reach.stored(engine.weights_of(prompt.model))?;
-    let moved = kept_tokens.saturating_sub(held) as f64;
-    let distance = distance(store.zone, &engine.record.zone);
-    Some(Offer {
-        source: CacheSource::Store,
-        kept_tokens,
-        move_ms: moved / prompt.moves.from_store * distance,
-    })
+fn offer<'a>(
+    offering: &Offering<'_>,
+    engine: &Engine,
+    held: u64,
+    wait_ms: f64,
+    source: Source<'a>,
+) -> Offer<'a> {
+    let topology = offering.view.topology;
+    let distance = topology.distance(source.zone, &engine.record.zone);
+    let moved = source.kept_tokens.saturating_sub(held) as f64;
+    Offer {
+        source: source.name,
+        kept_tokens: source.kept_tokens,
+        wait_ms,
+        move_ms: moved / source.tokens_per_ms * move_factor(distance),
+        distance,
+    }
+}
+
+/// Time after which the engine has all shared parts by an offer, in milliseconds.
+fn soonest_ms(offering: &Offering<'_>, held: u64, offer: &Offer<'_>) -> f64 {
+    let shared = offering.prompt.shared_tokens();
+    let to_read = shared.saturating_sub(offer.kept_tokens.max(held));
+    offer.move_ms + to_read as f64 / offering.prefill_tokens_per_ms
 }
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -1,18 +1,21 @@
 //! The choice of an engine: affinity, load, health and weights.
 
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
-use ploverlift_balancing::cost::CostRates;
+use ploverlift_balancing::cost::{CostRates, RegionRates};
 use ploverlift_balancing::engine_caches::EngineCaches;
+use ploverlift_balancing::fleet::{Criteria, FleetView, PromptCriteria};
 use ploverlift_balancing::health::Outcome;
+use ploverlift_balancing::moves::MovesUnderWay;
 use ploverlift_balancing::peer_loads::PeerLoads;
 use ploverlift_balancing::prefix_holders::PrefixHolders;
-use ploverlift_balancing::selection::{choose, Criteria, FleetView, NoChoice, PromptCriteria};
-use ploverlift_balancing::supply::MoveRates;
+use ploverlift_balancing::round_trips::RoundTrips;
+use ploverlift_balancing::selection::{choose, NoChoice};
 use ploverlift_balancing::unseen_reading::RecentReading;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{ChainKey, PromptPart};
 use ploverlift_routing::software::{SoftwareRule, SoftwareVersion};
+use ploverlift_routing::topology::Topology;
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -22,6 +25,11 @@
     eviction_share: 0.5,
     stale_version_ms: 20.0,
     zone_ms: 2.0,
+    region: RegionRates {
+        round_trip_ms: 40.0,
+        round_trips: 3.0,
+        kilobyte_ms: 8.0,
+    },
     slot_ms: 30.0,
     senders: 7.0,
 };
@@ -68,21 +76,25 @@
             id: key,
             tokens: 4_000,
         }],
-        moves: MoveRates::default(),
+        move_tokens_per_ms: f64::INFINITY,
         required_weights,
         place: 0.0,
     };
     let view = FleetView {
+        topology: &Topology::default(),
+        round_trips: &RoundTrips::default(),
+        moves: &MovesUnderWay::default(),
         catalogue,
         peer_loads: &PeerLoads::default(),
         holders: &PrefixHolders::default(),
         caches: &EngineCaches::default(),
         recent_reading: &RecentReading::default(),
-        cache_store: None,
+        cache_stores: Vec::new(),
     };
     let criteria = Criteria {
         service: &ServiceName::from("llm"),
         zone: &ZoneName::from(zone),
+        request_bytes: 0,
         prompt: Some(prompt),
         software: SoftwareRule::Any,
         excluded,
--- a/crates/balancing/tests/shared_knowledge.rs
+++ b/crates/balancing/tests/shared_knowledge.rs
@@ -3,22 +3,24 @@
 
 use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
-use ploverlift_balancing::cost::CostRates;
+use ploverlift_balancing::cost::{CostRates, RegionRates};
 use ploverlift_balancing::engine_caches::{follower_rank, EngineCaches};
+use ploverlift_balancing::fleet::{Criteria, FleetView, PromptCriteria, StoreView};
+use ploverlift_balancing::moves::MovesUnderWay;
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, PeerId, PeerLoads, ReportBuilder, ZoneTag,
     FULL_REPORT_PERIOD_MS,
 };
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
-use ploverlift_balancing::selection::{
-    choose, Choice, Criteria, FleetView, PromptCriteria, StoreView,
-};
-use ploverlift_balancing::supply::{CacheSource, MoveRates};
+use ploverlift_balancing::round_trips::RoundTrips;
+use ploverlift_balancing::selection::{choose, Choice};
+use ploverlift_balancing::supply::CacheSource;
 use ploverlift_balancing::unseen_reading::{filled_level, RecentReading};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{cache_salt, part_keys, ChainKey, PartKey, PromptPart};
 use ploverlift_routing::software::{SoftwareRule, SoftwareVersion};
+use ploverlift_routing::topology::Topology;
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -28,6 +30,11 @@
     eviction_share: 0.2,
     stale_version_ms: 20.0,
     zone_ms: 2.0,
+    region: RegionRates {
+        round_trip_ms: 40.0,
+        round_trips: 3.0,
+        kilobyte_ms: 8.0,
+    },
     slot_ms: 30.0,
     senders: 7.0,
 };
@@ -103,12 +110,15 @@
     now: Millis,
 ) -> Choice {
     let view = FleetView {
+        topology: &Topology::default(),
+        round_trips: &RoundTrips::default(),
+        moves: &MovesUnderWay::default(),
         catalogue,
         peer_loads: loads,
         holders,
         caches,
         recent_reading: &RecentReading::default(),
-        cache_store: None,
+        cache_stores: Vec::new(),
     };
     chosen_in(&view, &parts(), 0.0, now)
 }
@@ -119,12 +129,13 @@
     let criteria = Criteria {
         service: &ServiceName::from("llm"),
         zone: &ZoneName::from("z"),
+        request_bytes: 0,
         prompt: Some(PromptCriteria {
             model: "m",
             scope: "",
             key: ChainKey(7),
             shared,
-            moves: MoveRates::default(),
+            move_tokens_per_ms: f64::INFINITY,
             required_weights: 0,
             place,
         }),
@@ -146,12 +157,15 @@
     recent_reading.note(tokens as f64, NOW);
     let shared = [PromptPart { id: 1, tokens: 100 }];
     let view = FleetView {
+        topology: &Topology::default(),
+        round_trips: &RoundTrips::default(),
+        moves: &MovesUnderWay::default(),
         catalogue,
         peer_loads: &loads,
         holders: &kept_by(&(0..20).collect::<Vec<_>>(), 1, 1),
         caches: &EngineCaches::default(),
         recent_reading: &recent_reading,
-        cache_store: None,
+        cache_stores: Vec::new(),
     };
     chosen_in(&view, &shared, place, NOW)
 }
@@ -411,19 +425,18 @@
         contents.note_kept(&salt, &part);
     }
     let shared = parts();
+    let far = ZoneName::from("far");
     let choice_with = |from_store: f64, holders: &PrefixHolders| {
         let criteria = Criteria {
             service: &ServiceName::from("llm"),
             zone: &ZoneName::from("z"),
+            request_bytes: 0,
             prompt: Some(PromptCriteria {
                 model: "m",
                 scope: "",
                 key: ChainKey(7),
                 shared: &shared,
-                moves: MoveRates {
-                    between_engines: 600.0,
-                    from_store,
-                },
+                move_tokens_per_ms: 600.0,
                 required_weights: 0,
                 place: 0.0,
             }),
@@ -431,21 +444,27 @@
             excluded: &[],
         };
         let view = FleetView {
+            topology: &Topology::default(),
+            round_trips: &RoundTrips::default(),
+            moves: &MovesUnderWay::default(),
             catalogue: &catalogue,
             peer_loads: &PeerLoads::default(),
             holders,
             caches: &EngineCaches::default(),
             recent_reading: &RecentReading::default(),
-            cache_store: Some(StoreView {
+            cache_stores: vec![StoreView {
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
                 contents: &contents,
-                zone: &ZoneName::from("far"),
-            }),
+                zone: &far,
+                tokens_per_ms: from_store,
+            }],
         };
         choose(&view, &criteria, &RATES, NOW).expect("an engine")
     };
     // Between zones a move takes twice as long.
     let choice = choice_with(300.0, &PrefixHolders::default());
-    assert_eq!(choice.source, Some(CacheSource::Store));
+    let store = SocketAddr::from(([127, 0, 0, 1], 1));
+    assert_eq!(choice.source, Some(CacheSource::Store(store)));
     assert_eq!((choice.held_tokens, choice.kept_tokens), (0, 6_000));
     assert_eq!(choice.cost.prefill_ms, 0.0);
     assert!((choice.cost.transfer_ms - 40.0).abs() < 1.5);
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -1,6 +1,6 @@
 //! Puts the parts of a node together: start, reload, planned stop.
 
-use crate::cache_feeds::{follow_cache_store, follow_engine_caches};
+use crate::cache_feeds::{follow_cache_stores, follow_engine_caches};
 use crate::callers::{accept_callers, bind};
 use crate::peers::address_book::Reach;
 use crate::peers::discovery::{find_peers, NodeRecord};
@@ -84,7 +84,7 @@
         smol::spawn(follow_configuration(Arc::clone(&gateway))),
         smol::spawn(follow_engines(Arc::clone(&gateway))),
         smol::spawn(follow_weights(Arc::clone(&gateway))),
-        smol::spawn(follow_cache_store(Arc::clone(&gateway))),
+        smol::spawn(follow_cache_stores(Arc::clone(&gateway))),
         smol::spawn(follow_engine_caches(Arc::clone(&gateway))),
         smol::spawn(roll_weights(Arc::clone(&gateway))),
     ];
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -8,24 +8,27 @@
 use crate::rollouts::RolloutBeliefs;
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
-use ploverlift_balancing::cache_contents::CacheContents;
+use ploverlift_balancing::cache_stores::CacheStores;
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
+use ploverlift_balancing::fleet::{FleetView, StoreView};
+use ploverlift_balancing::moves::MovesUnderWay;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
 use ploverlift_balancing::prefill_rate::PrefillRate;
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
-use ploverlift_balancing::selection::{FleetView, StoreView};
+use ploverlift_balancing::round_trips::RoundTrips;
 use ploverlift_balancing::unseen_reading::RecentReading;
 use ploverlift_balancing::weights::{NamedWeights, WeightsBounds};
 use ploverlift_policy::ids::Millis;
 use ploverlift_ratelimit::limiter::RateLimiter;
-use ploverlift_routing::configuration::{CacheStore, Configuration, ServiceName};
+use ploverlift_routing::configuration::{Configuration, ServiceName};
 use ploverlift_routing::freshness::Freshness;
 use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
 use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
+use ploverlift_routing::topology::Topology;
 use ploverlift_wire::peers::StoredConfiguration;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -60,28 +63,6 @@
     }
 }
 
-/// What is known of the KV cache store.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum CacheStoreState {
-    /// It does not answer: nothing is fetched from it or saved to it.
-    #[default]
-    Lost,
-    /// It works, and has no room for this node's calls for events: what it holds
-    /// is not known, but for what this node has had saved.
-    Unobserved,
-    /// Its events are followed.
-    Followed,
-}
-
-/// What this node believes of the KV cache store.
-#[derive(Debug, Default)]
-pub struct CacheBeliefs {
-    /// What is known of the store itself.
-    pub state: CacheStoreState,
-    /// What it holds.
-    pub contents: CacheContents,
-}
-
 /// A renewal of the lease on orders of which its holder told this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeardLease {
@@ -128,8 +109,12 @@
     pub weights: NamedWeights,
     /// Splits of routes.
     pub splitter: WeightedSplitter,
-    /// The KV cache store.
-    pub cache: CacheBeliefs,
+    /// The KV cache stores.
+    pub cache_stores: CacheStores,
+    /// Moves of KV cache that this node's requests have begun.
+    pub moves: MovesUnderWay,
+    /// How long round trips from this node to other zones take.
+    pub round_trips: RoundTrips,
     /// Requests of the other nodes.
     pub peer_loads: PeerLoads,
     /// Where shared parts of prompts were sent.
@@ -151,14 +136,18 @@
 }
 
 impl Beliefs {
-    /// What is known of the fleet, for the choice of an engine. `store` is the store
-    /// of KV cache that this node's engines use.
-    pub fn fleet<'a>(&'a self, store: Option<&'a CacheStore>) -> FleetView<'a> {
+    /// What is known of the fleet, for the choice of an engine. `stores` are the KV
+    /// cache stores that may be used.
+    pub fn fleet<'a>(
+        &'a self,
+        topology: &'a Topology,
+        stores: Vec<StoreView<'a>>,
+    ) -> FleetView<'a> {
         FleetView {
-            cache_store: store.map(|store| StoreView {
-                contents: &self.cache.contents,
-                zone: &store.zone,
-            }),
+            topology,
+            round_trips: &self.round_trips,
+            moves: &self.moves,
+            cache_stores: stores,
             catalogue: &self.engines,
             peer_loads: &self.peer_loads,
             holders: &self.holders,
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -16,6 +16,7 @@
 use ploverlift_balancing::engine_caches::{follower_rank, FOLLOWERS};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId, ZoneTag};
+use ploverlift_policy::ids::ZoneName;
 use smol::Task;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -41,6 +42,7 @@
     instance: InstanceId,
     tag: EngineTag,
     address: SocketAddr,
+    zone: ZoneName,
 }
 
 /// Follows engines until the task is dropped.
@@ -83,6 +85,7 @@
         instance: engine.record.instance.clone(),
         tag: engine.tag,
         address: engine.record.address,
+        zone: engine.record.zone.clone(),
     });
     followed.collect()
 }
@@ -136,7 +139,14 @@
             .engine_caches
             .of(engine.tag)
             .map(|kept| kept.next());
-        let answer = ask_for_events(&gateway, &mut connection, next.unwrap_or(0), WAIT).await;
+        let answer = ask_for_events(
+            &gateway,
+            &mut connection,
+            next.unwrap_or(0),
+            &engine.zone,
+            WAIT,
+        )
+        .await;
         let pause_ms = match answer {
             Ok(CacheAnswer::Events(batch)) => {
                 take_events(&gateway, &engine, &batch);
--- a/crates/gateway/src/cache_feeds/mod.rs
+++ b/crates/gateway/src/cache_feeds/mod.rs
@@ -8,11 +8,12 @@
 mod store;
 
 pub use engines::follow_engine_caches;
-pub use store::{cache_store, follow_cache_store};
+pub use store::{cache_stores, follow_cache_stores};
 
 use crate::http_call::{CallConnection, CallError};
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
+use ploverlift_policy::ids::ZoneName;
 
 /// Shortest pause after there was no room for the call, in milliseconds.
 const REFUSED_MS: u64 = 4_000;
@@ -28,16 +29,21 @@
     slack_ms: u64,
 }
 
-/// Asks for the events after a position.
+/// Asks an engine or a store in a zone for the events after a position.
 async fn ask_for_events(
     gateway: &Gateway,
     connection: &mut CallConnection,
     since: u64,
+    zone: &ZoneName,
     wait: EventWait,
 ) -> Result<CacheAnswer, CallError> {
     let head = gateway.site.cache_events_head(since, wait.held_ms);
     let timeout_ms = wait.held_ms + wait.slack_ms;
     let (head, body) = connection.call(head, &[], timeout_ms).await?;
+    let distance = gateway.topology.distance(&gateway.zone, zone);
+    gateway
+        .metrics
+        .count_event_bytes(distance, body.len() as u64);
     Ok(gateway.site.read_cache_answer(&head, &body))
 }
 
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -1,96 +1,148 @@
-//! Follows what the KV cache store holds.
+//! Follows what the KV cache stores hold.
 //!
 //! Without it each node would save each shared prompt anew, and the saves alone
-//! would fill the store's link.
+//! would fill a store's link.
+//!
+//! A node follows the stores of its region: its requests go there mostly, and a move
+//! from another region takes longer than it is worth.
+//!
+//! A store holds a few calls for events at once, over all nodes. So the nodes take
+//! turns: the more there are, the longer each rests between two calls.
 
-use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
-use crate::beliefs::{ActiveConfiguration, CacheStoreState};
+use super::{ask_for_events, EventWait, RETRY_MS};
+use crate::beliefs::ActiveConfiguration;
 use crate::http_call::CallConnection;
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 use crate::time::sleep;
-use ploverlift_policy::ids::ZoneName;
+use ploverlift_balancing::cache_stores::{nearest_stores, CacheStoreState};
 use ploverlift_routing::configuration::CacheStore;
+use smol::Task;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// How long calls for events may take.
+/// Time between two looks at which stores there are, in milliseconds.
+const LOOK_PERIOD_MS: u64 = 400;
+/// How long calls for events may take: held no longer than others may have to wait for
+/// their turn, and no shorter than what a store takes for a probe.
 const WAIT: EventWait = EventWait {
-    held_ms: 1_000,
+    held_ms: 250,
     slack_ms: 500,
 };
-/// Pause between two calls, in milliseconds, so that events come in batches.
+/// Shortest pause between two calls, in milliseconds, so that events come in batches.
 const GATHER_MS: u64 = 60;
+/// Longest pause between two calls, in milliseconds: a store that is lost is noticed
+/// within it.
+const LONGEST_PAUSE_MS: u64 = 2_000;
+/// Part of the calls that a store holds at once that the nodes' turns fill.
+const CALLS_SHARE: f64 = 0.8;
 
-/// The KV cache store that nodes of a zone use: one in the zone where there
-/// is one.
-pub fn cache_store<'a>(
-    configuration: &'a ActiveConfiguration,
-    zone: &ZoneName,
-) -> Option<&'a CacheStore> {
+/// The KV cache stores.
+pub fn cache_stores(configuration: &ActiveConfiguration) -> impl Iterator<Item = &CacheStore> {
     let services = configuration.document.services.values();
-    let stores = services.filter_map(|service| service.cache_store.as_ref());
-    stores.max_by_key(|store| store.zone == *zone)
+    services.filter_map(|service| service.cache_store.as_ref())
 }
 
-/// Follows the store until the task is dropped.
-pub async fn follow_cache_store(gateway: Arc<Gateway>) {
-    let mut followed: Option<(SocketAddr, CallConnection)> = None;
+/// Follows the stores of the region until the task is dropped.
+pub async fn follow_cache_stores(gateway: Arc<Gateway>) {
+    let mut feeds: HashMap<SocketAddr, Task<()>> = HashMap::new();
     loop {
-        let configuration = gateway.configuration();
-        let store = configuration
-            .as_deref()
-            .and_then(|known| cache_store(known, &gateway.zone));
-        let Some(store) = store else {
-            sleep(RETRY_MS).await;
-            continue;
-        };
-        let is_known = followed
-            .as_ref()
-            .is_some_and(|(known, _)| *known == store.address);
-        if !is_known {
-            followed = Some((store.address, CallConnection::new(store.address)));
-            gateway.beliefs().cache.contents.forget();
-            note_state(&gateway, CacheStoreState::Lost);
+        let stores = configured_stores(&gateway);
+        let is_configured = |address| stores.iter().any(|store| store.address == address);
+        feeds.retain(|address, _| is_configured(*address));
+        gateway.beliefs().cache_stores.retain(is_configured);
+        for store in stores {
+            feeds
+                .entry(store.address)
+                .or_insert_with(|| smol::spawn(follow_store(Arc::clone(&gateway), store)));
         }
-        let Some((_, connection)) = followed.as_mut() else {
-            continue;
-        };
-        match poll(&gateway, connection).await {
-            CacheStoreState::Followed => sleep(GATHER_MS).await,
-            CacheStoreState::Unobserved => sleep(refused_pause_ms()).await,
+        sleep(LOOK_PERIOD_MS).await;
+    }
+}
+
+fn configured_stores(gateway: &Gateway) -> Vec<CacheStore> {
+    let configuration = gateway.configuration();
+    let stores = configuration.as_deref().map(cache_stores);
+    let stores = stores.into_iter().flatten().cloned();
+    nearest_stores(stores.collect(), &gateway.topology, &gateway.zone)
+}
+
+async fn follow_store(gateway: Arc<Gateway>, store: CacheStore) {
+    let mut connection = CallConnection::new(store.address);
+    loop {
+        let state = poll(&gateway, &store, &mut connection).await;
+        let turn_ms = turn_ms(&gateway, &store);
+        let pause_ms = match state {
+            CacheStoreState::Followed => turn_ms,
+            // Another node has this turn.
+            CacheStoreState::Unobserved => turn_ms + fastrand::u64(0..=RETRY_MS),
             CacheStoreState::Lost => {
                 connection.reset();
-                sleep(RETRY_MS).await;
+                RETRY_MS
             }
-        }
+        };
+        sleep(pause_ms).await;
     }
 }
 
+/// The pause between two calls with which the calls of all nodes fit those that the
+/// store holds at once, in milliseconds.
+fn turn_ms(gateway: &Gateway, store: &CacheStore) -> u64 {
+    let nodes = gateway.address_book().listed_nodes().max(1);
+    let calls = store.max_event_calls.map_or(f64::INFINITY, f64::from);
+    let calls_for_each = calls * CALLS_SHARE / nodes as f64;
+    let pause_ms = WAIT.held_ms as f64 * (1.0 / calls_for_each - 1.0);
+    (pause_ms.max(0.0) as u64).clamp(GATHER_MS, LONGEST_PAUSE_MS)
+}
+
 /// Asks for events, and takes in what the answer shows.
-async fn poll(gateway: &Gateway, connection: &mut CallConnection) -> CacheStoreState {
-    let since = gateway.beliefs().cache.contents.next();
-    match ask_for_events(gateway, connection, since, WAIT).await {
+async fn poll(
+    gateway: &Gateway,
+    store: &CacheStore,
+    connection: &mut CallConnection,
+) -> CacheStoreState {
+    let since = {
+        let mut beliefs = gateway.beliefs();
+        beliefs.cache_stores.of_mut(store.address).contents().next()
+    };
+    let state = match ask_for_events(gateway, connection, since, &store.zone, WAIT).await {
         Ok(CacheAnswer::Events(batch)) => {
-            gateway.beliefs().cache.contents.apply(&batch);
-            note_state(gateway, CacheStoreState::Followed)
+            let mut beliefs = gateway.beliefs();
+            let belief = beliefs.cache_stores.of_mut(store.address);
+            belief.contents_mut().apply(&batch);
+            CacheStoreState::Followed
         }
-        Ok(CacheAnswer::TooManyCalls) => note_state(gateway, CacheStoreState::Unobserved),
-        Ok(CacheAnswer::Invalid) | Err(_) => {
-            gateway.beliefs().cache.contents.forget();
-            note_state(gateway, CacheStoreState::Lost)
-        }
-    }
+        Ok(CacheAnswer::TooManyCalls) => CacheStoreState::Unobserved,
+        Ok(CacheAnswer::Invalid) | Err(_) => CacheStoreState::Lost,
+    };
+    note_state(gateway, store, state);
+    state
 }
 
-fn note_state(gateway: &Gateway, state: CacheStoreState) -> CacheStoreState {
-    let known = std::mem::replace(&mut gateway.beliefs().cache.state, state);
-    if known != state {
-        match state {
-            CacheStoreState::Followed => slog::info!(gateway.log, "cache store followed"),
-            CacheStoreState::Unobserved => slog::info!(gateway.log, "cache store not observed"),
-            CacheStoreState::Lost => slog::warn!(gateway.log, "cache store lost"),
+fn note_state(gateway: &Gateway, store: &CacheStore, state: CacheStoreState) {
+    let mut beliefs = gateway.beliefs();
+    let belief = beliefs.cache_stores.of_mut(store.address);
+    let state = match (belief.state(), state) {
+        // What was followed is known but for a turn.
+        (CacheStoreState::Followed, CacheStoreState::Unobserved) => CacheStoreState::Followed,
+        (_, state) => state,
+    };
+    let known = belief.note_state(state);
+    drop(beliefs);
+    if known == state {
+        return;
+    }
+    let address = store.address.to_string();
+    match state {
+        CacheStoreState::Followed => {
+            slog::info!(gateway.log, "cache store followed"; "address" => address);
+        }
+        CacheStoreState::Unobserved => {
+            slog::info!(gateway.log, "cache store not observed"; "address" => address);
+        }
+        CacheStoreState::Lost => {
+            slog::warn!(gateway.log, "cache store lost"; "address" => address);
         }
     }
-    state
 }
--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -14,6 +14,7 @@
 use smol::io::AsyncWriteExt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -69,19 +70,18 @@
     pub head_ms: u64,
 }
 
-/// Opens a connection, sends a request and waits for the head of the answer.
+/// Opens a connection; tells how long that took.
 ///
 /// # Errors
-/// When no connection or no head comes in time, or the answer is malformed.
-pub async fn exchange(
+/// When none comes about in time.
+pub async fn connect_to(
     address: SocketAddr,
-    head: &RequestHead,
-    body: &[u8],
     limits: ExchangeLimits,
-) -> Result<EngineAnswer, ExchangeFailure> {
+) -> Result<(BufferedStream, Duration), ExchangeFailure> {
+    let began = Instant::now();
     let connected = connect(address, limits.connect_ms).await;
     let stream = connected.map_err(|error| unsent(&error))?;
-    exchange_on(stream, head, body, limits).await
+    Ok((stream, began.elapsed()))
 }
 
 /// Sends a request on a connection and waits for the head of the answer. An answer
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -4,13 +4,14 @@
 use super::in_flight::{AttemptSubject, InFlight};
 use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{
-    exchange, exchange_on, EngineAnswer, ExchangeLimits, NO_ANSWER_IN_TIME,
+    connect_to, exchange_on, EngineAnswer, ExchangeLimits, NO_ANSWER_IN_TIME,
 };
 use crate::ports::{AnswerMeaning, EngineCall, RefusedByEngine};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
 use ploverlift_policy::attempt::AttemptState;
 use std::io;
+use std::time::Duration;
 
 /// Time that an engine is taken to load after it refused, in milliseconds.
 const REFUSED_LOADING_MS: u64 = 120;
@@ -88,6 +89,7 @@
         if let Some(reservation) = &mut self.received.admission.reservation {
             reservation.spend();
         }
+        self.note_choice(&chosen);
         self.record.begin_attempt(&chosen);
         let end = match self.send(&chosen).await {
             Ok(answer) => self.hand_on(answer, &chosen, &mut in_flight).await?,
@@ -108,6 +110,35 @@
         Ok(end)
     }
 
+    fn note_choice(&self, chosen: &ChosenEngine) {
+        let now = self.gateway.clock.now();
+        let mut beliefs = self.gateway.beliefs();
+        beliefs.moves.begin(chosen.tag, chosen.move_ms, now);
+        drop(beliefs);
+        let metrics = &self.gateway.metrics;
+        metrics.count_distance(chosen.distance, self.received.body.len() as u64);
+        if let Some(prompt) = &self.received.request.prompt {
+            let held = chosen.held_tokens;
+            let own = prompt.tokens() - prompt.shared_tokens();
+            let read = chosen.tokens_to_read.saturating_sub(own);
+            let moved = prompt.shared_tokens().saturating_sub(held + read);
+            metrics.count_shared_tokens("held", held);
+            metrics.count_shared_tokens("moved", moved);
+            metrics.count_shared_tokens("read", read);
+        }
+    }
+
+    /// A new connection shows how long a round trip to the engine's zone takes.
+    fn learn_round_trip(&self, chosen: &ChosenEngine, connect_time: Duration) {
+        let now = self.gateway.clock.now();
+        let round_trip_ms = connect_time.as_secs_f64() * 1_000.0;
+        let mut beliefs = self.gateway.beliefs();
+        let engine = beliefs.engines.get(&chosen.instance);
+        if let Some(zone) = engine.map(|engine| engine.record.zone.clone()) {
+            beliefs.round_trips.observe(&zone, round_trip_ms, now);
+        }
+    }
+
     async fn send(&self, chosen: &ChosenEngine) -> Result<EngineAnswer, AttemptEnd> {
         let now = self.gateway.clock.now();
         let left_ms = self.received.limits.left_ms(now);
@@ -136,7 +167,14 @@
             return Ok(answer);
         }
         let body = &self.received.body;
-        let exchanged = exchange(chosen.address, &head, body, limits).await;
+        let connected = connect_to(chosen.address, limits).await;
+        let exchanged = match connected {
+            Ok((stream, connect_time)) => {
+                self.learn_round_trip(chosen, connect_time);
+                exchange_on(stream, &head, body, limits).await
+            }
+            Err(failure) => Err(failure),
+        };
         exchanged.map_err(|failure| match failure.state {
             AttemptState::Unsent => AttemptEnd::Unreachable {
                 reason: failure.reason,
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -1,19 +1,24 @@
 //! Choosing an engine, and how a prompt uses KV cache there.
 
 use super::Forwarding;
-use crate::beliefs::{Beliefs, CacheStoreState};
-use crate::cache_feeds::cache_store;
+use crate::beliefs::Beliefs;
+use crate::cache_feeds::cache_stores;
 use crate::ports::CacheTransfer;
+use ploverlift_balancing::cache_stores::{
+    fill, is_kept_elsewhere, saving_store, CacheStoreState, StoreBelief,
+};
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
 use ploverlift_balancing::cost::Cost;
+use ploverlift_balancing::fleet::{Criteria, PromptCriteria, StoreView};
 use ploverlift_balancing::peer_loads::EngineTag;
-use ploverlift_balancing::selection::{choose, Choice, Criteria, NoChoice, PromptCriteria};
-use ploverlift_balancing::store_room::{is_worth_saving, SaveCandidate, StoreFill};
-use ploverlift_balancing::supply::{CacheSource, MoveRates};
+use ploverlift_balancing::selection::{choose, Choice, NoChoice};
+use ploverlift_balancing::store_room::{has_room, is_worth_saving, SaveCandidate};
+use ploverlift_balancing::supply::CacheSource;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::configuration::CacheStore;
 use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt};
 use ploverlift_routing::software::SoftwareVersion;
+use ploverlift_routing::topology::Distance;
 use std::net::SocketAddr;
 
 /// Bytes that a link of one megabit a second moves in a millisecond.
@@ -34,6 +39,10 @@
     /// Shared tokens that it is believed to keep itself.
     pub(super) held_tokens: u64,
     pub(super) cost: Cost,
+    /// Time of the move from the source, in milliseconds.
+    pub(super) move_ms: f64,
+    /// How far it is from this node.
+    pub(super) distance: Distance,
     pub(super) candidates: usize,
     /// Age of the loads of other nodes, in milliseconds.
     pub(super) loads_age_ms: Option<u64>,
@@ -43,6 +52,7 @@
 struct PlacedPrompt<'a> {
     prompt: &'a Prompt,
     weights: u64,
+    engine: &'a Engine,
     source: Option<&'a CacheSource>,
     kept_tokens: u64,
 }
@@ -58,12 +68,15 @@
         let criteria = Criteria {
             service: &self.received.admission.service,
             zone: &self.gateway.zone,
+            request_bytes: self.received.body.len() as u64,
             prompt: self.prompt_criteria(&beliefs, now),
             software: beliefs.rollouts.software_rule(service),
             excluded: self.progress.attempts.tried(),
         };
-        let store = self.cache_store_in_use(&beliefs);
-        let choice = choose(&beliefs.fleet(store), &criteria, &rates, now)?;
+        let stores = self.stores_in_use(&beliefs);
+        let views = self.store_views(&stores);
+        let fleet = beliefs.fleet(&self.gateway.topology, views);
+        let choice = choose(&fleet, &criteria, &rates, now)?;
         let engine = beliefs.engines.get(&choice.instance);
         let engine = engine.ok_or(NoChoice::NoEngine)?;
         Ok(self.chosen_engine(&beliefs, engine, &choice))
@@ -83,29 +96,50 @@
             scope,
             key: prompt.shared_key(scope),
             shared: prompt.shared_parts(),
-            moves: self.move_rates(),
+            move_tokens_per_ms: self.move_tokens_per_ms(self.engine_link_mbps()),
             place: fastrand::f64(),
             required_weights: beliefs.required_weights(&prompt.model, &bounds, now),
         })
     }
 
-    /// Rates at which KV cache moves, as the configuration tells.
-    fn move_rates(&self) -> MoveRates {
+    /// Tokens of KV cache that a link moves in a millisecond; unlimited where the
+    /// configuration does not tell.
+    fn move_tokens_per_ms(&self, link_mbps: Option<f64>) -> f64 {
         let admission = &self.received.admission;
         let services = &admission.configuration.document.services;
         let service = services.get(&admission.service);
         let token_bytes = service.and_then(|service| service.cache_token_bytes);
-        let rate = |link_mbps: Option<f64>| {
-            let (bytes, mbps) = (token_bytes?, link_mbps?);
-            (bytes > 0.0).then(|| mbps * BYTES_PER_MEGABIT_PER_MS / bytes)
-        };
-        let store = cache_store(&admission.configuration, &self.gateway.zone);
-        let unknown = MoveRates::default();
-        MoveRates {
-            between_engines: rate(service.and_then(|service| service.cache_link_mbps))
-                .unwrap_or(unknown.between_engines),
-            from_store: rate(store.and_then(|store| store.link_mbps)).unwrap_or(unknown.from_store),
+        match (token_bytes.filter(|bytes| *bytes > 0.0), link_mbps) {
+            (Some(bytes), Some(mbps)) => mbps * BYTES_PER_MEGABIT_PER_MS / bytes,
+            _ => f64::INFINITY,
+        }
+    }
+
+    fn engine_link_mbps(&self) -> Option<f64> {
+        let admission = &self.received.admission;
+        let services = &admission.configuration.document.services;
+        services.get(&admission.service)?.cache_link_mbps
+    }
+
+    /// The KV cache stores that answer.
+    fn stores_in_use<'a>(&'a self, beliefs: &'a Beliefs) -> Vec<(&'a CacheStore, &'a StoreBelief)> {
+        let is_used = self.gateway.settings().cache.use_store;
+        let is_model = self.received.request.prompt.is_some();
+        if !is_used || !is_model {
+            return Vec::new();
         }
+        let configured = cache_stores(&self.received.admission.configuration);
+        beliefs.cache_stores.in_use(configured)
+    }
+
+    fn store_views<'a>(&self, stores: &[(&'a CacheStore, &'a StoreBelief)]) -> Vec<StoreView<'a>> {
+        let views = stores.iter().map(|(store, belief)| StoreView {
+            address: store.address,
+            zone: &store.zone,
+            contents: belief.contents(),
+            tokens_per_ms: self.move_tokens_per_ms(store.link_mbps),
+        });
+        views.collect()
     }
 
     fn chosen_engine(&self, beliefs: &Beliefs, engine: &Engine, choice: &Choice) -> ChosenEngine {
@@ -119,6 +153,8 @@
             tokens_to_read: 0,
             held_tokens: choice.held_tokens,
             cost: choice.cost,
+            move_ms: choice.move_ms,
+            distance: choice.distance,
             candidates: choice.candidates,
             loads_age_ms: beliefs.peer_loads.age_ms(self.gateway.clock.now()),
         };
@@ -126,6 +162,7 @@
             let placed = PlacedPrompt {
                 prompt,
                 weights: engine.weights_of(&prompt.model),
+                engine,
                 source: choice.source.as_ref(),
                 kept_tokens: choice.kept_tokens,
             };
@@ -147,50 +184,50 @@
                 save_to: None,
             };
         }
-        let salt = cache_salt(&placed.prompt.model, placed.weights, self.cache_scope());
-        let shared = placed.prompt.shared_parts();
-        let cache = &beliefs.cache;
-        let stored_tokens = cache.contents.prefix_tokens(&salt, shared);
-        let store = self.cache_store_in_use(beliefs);
-        let shared_tokens = placed.prompt.shared_tokens();
-        let candidate = SaveCandidate {
-            shared_tokens,
-            own_tokens: placed.prompt.tokens() - shared_tokens,
-            stored_tokens,
-        };
-        let worth_saving = |store: &&CacheStore| {
-            let fill = StoreFill {
-                kept_tokens: cache.contents.total_tokens(),
-                capacity_tokens: store.capacity_tokens,
-            };
-            is_worth_saving(candidate, fill)
-        };
-        let store_address = store.map(|store| store.address);
+        let scope = self.cache_scope();
+        let salt = cache_salt(&placed.prompt.model, placed.weights, scope);
+        let stores = self.stores_in_use(beliefs);
+        let key = placed.prompt.shared_key(scope);
+        let zone = &placed.engine.record.zone;
+        let saving = saving_store(&stores, &self.gateway.topology, zone, key);
+        let is_unobserved =
+            saving.is_some_and(|(_, belief)| belief.state() == CacheStoreState::Unobserved);
         let fetch_from = match placed.source {
             // What the store keeps is not known.
-            _ if cache.state == CacheStoreState::Unobserved && placed.kept_tokens == 0 => {
-                store_address
-            }
+            _ if is_unobserved && placed.kept_tokens == 0 => saving.map(|(store, _)| store.address),
             Some(CacheSource::Engine(instance)) => {
                 let source = beliefs.engines.get(instance);
                 source.map(|source| source.record.address)
             }
-            Some(CacheSource::Store) => store_address,
+            Some(CacheSource::Store(address)) => Some(*address),
             None => None,
         };
+        let saving = saving.filter(|saving| is_to_be_saved(placed.prompt, &salt, *saving, &stores));
         CacheTransfer {
             fetch_from,
-            save_to: store.filter(worth_saving).map(|store| store.address),
+            save_to: saving.map(|(store, _)| store.address),
             salt,
         }
     }
+}
 
-    fn cache_store_in_use(&self, beliefs: &Beliefs) -> Option<&CacheStore> {
-        let is_used = self.gateway.settings().cache.use_store;
-        if !is_used || beliefs.cache.state == CacheStoreState::Lost {
-            return None;
-        }
-        let configuration = &self.received.admission.configuration;
-        cache_store(configuration, &self.gateway.zone)
+/// Whether a prompt is worth its room in the store that would save it.
+fn is_to_be_saved(
+    prompt: &Prompt,
+    salt: &str,
+    (store, belief): (&CacheStore, &StoreBelief),
+    stores: &[(&CacheStore, &StoreBelief)],
+) -> bool {
+    let fill = fill(store, belief);
+    let shared = prompt.shared_parts();
+    if !has_room(fill) && is_kept_elsewhere(stores, store.address, salt, shared) {
+        return false;
     }
+    let shared_tokens = prompt.shared_tokens();
+    let candidate = SaveCandidate {
+        shared_tokens,
+        own_tokens: prompt.tokens() - shared_tokens,
+        stored_tokens: belief.contents().prefix_tokens(salt, shared),
+    };
+    is_worth_saving(candidate, fill)
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -14,6 +14,7 @@
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_routing::prompt::part_keys;
+use ploverlift_routing::topology::Distance;
 use std::io;
 
 /// Time of a transfer that does not matter beside reading, in milliseconds.
@@ -72,10 +73,12 @@
         }
     }
 
-    /// A request that neither waited nor fetched shows how fast the engine reads.
+    /// A request that neither waited, fetched nor went far shows how fast the engine
+    /// reads.
     fn learn_reading_rate(&self, chosen: &ChosenEngine, first_event_ms: u64) {
         let waited = chosen.cost.queue_ms > 0.0;
-        if waited || chosen.cost.transfer_ms > SHORT_TRANSFER_MS {
+        let went_far = chosen.distance == Distance::OtherRegion;
+        if waited || went_far || chosen.cost.transfer_ms > SHORT_TRANSFER_MS {
             return;
         }
         let service = &self.received.admission.service;
@@ -103,15 +106,15 @@
     /// The engine has read the prompt, and so saves what it was told to. Of a part
     /// that the store has already, no event tells.
     fn note_saved(&self, chosen: &ChosenEngine) {
-        let saved = chosen
-            .cache
-            .as_ref()
-            .filter(|cache| cache.save_to.is_some());
+        let Some(cache) = &chosen.cache else {
+            return;
+        };
         let prompt = self.received.request.prompt.as_ref();
-        if let (Some(cache), Some(prompt)) = (saved, prompt) {
+        if let (Some(store), Some(prompt)) = (cache.save_to, prompt) {
             let mut beliefs = self.gateway.beliefs();
+            let belief = beliefs.cache_stores.of_mut(store);
             for part in prompt.shared_parts() {
-                beliefs.cache.contents.note_kept(&cache.salt, part);
+                belief.contents_mut().note_kept(&cache.salt, part);
             }
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::ports::StoreCall;
 use ploverlift_ratelimit::standing::Standing;
+use ploverlift_routing::topology::Distance;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -63,6 +64,20 @@
     }
 }
 
+/// How far requests went.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DistanceLabel {
+    /// As in [`Distance::name`].
+    pub distance: &'static str,
+}
+
+/// Shared tokens of prompts, as they were believed to be when an engine was chosen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SharedTokensLabel {
+    /// `held` by the engine, `moved` to it, or to be `read`.
+    pub supply: &'static str,
+}
+
 /// All metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -70,6 +85,15 @@
     pub requests: Family<OutcomeLabel, Counter>,
     /// Requests sent to engines.
     pub attempts: Counter,
+    /// Requests sent to engines, by how far these are.
+    pub attempts_by_distance: Family<DistanceLabel, Counter>,
+    /// Bytes of requests' bodies, by how far they went.
+    pub request_bytes: Family<DistanceLabel, Counter>,
+    /// Shared tokens of the prompts that were sent, by where they were expected.
+    pub shared_tokens: Family<SharedTokensLabel, Counter>,
+    /// Bytes of the answers to calls for cache events, by how far those are who gave
+    /// them.
+    pub cache_event_bytes: Family<DistanceLabel, Counter>,
     /// Requests sent a second time.
     pub repeats: Counter,
     /// Requests sent on a connection that was used before.
@@ -104,6 +128,10 @@
         Self {
             requests: Family::default(),
             attempts: Counter::default(),
+            attempts_by_distance: Family::default(),
+            request_bytes: Family::default(),
+            shared_tokens: Family::default(),
+            cache_event_bytes: Family::default(),
             repeats: Counter::default(),
             reused_connections: Counter::default(),
             store_calls: Family::default(),
@@ -127,6 +155,29 @@
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request with a body of so many bytes by how far it goes.
+    pub fn count_distance(&self, distance: Distance, body_bytes: u64) {
+        let label = DistanceLabel {
+            distance: distance.name(),
+        };
+        self.attempts_by_distance.get_or_create(&label).inc();
+        self.request_bytes.get_or_create(&label).inc_by(body_bytes);
+    }
+
+    /// Counts bytes of an answer to a call for cache events.
+    pub fn count_event_bytes(&self, distance: Distance, bytes: u64) {
+        let label = DistanceLabel {
+            distance: distance.name(),
+        };
+        self.cache_event_bytes.get_or_create(&label).inc_by(bytes);
+    }
+
+    /// Counts shared tokens of a prompt that was sent.
+    pub fn count_shared_tokens(&self, supply: &'static str, tokens: u64) {
+        let label = SharedTokensLabel { supply };
+        self.shared_tokens.get_or_create(&label).inc_by(tokens);
+    }
+
     /// Counts a call of the object store.
     pub fn count_store_call(&self, call: &StoreCall) {
         let label = StoreCallLabel {
@@ -175,6 +226,26 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register(
+            "attempts_by_distance",
+            "Requests sent to engines, by how far these are",
+            self.attempts_by_distance.clone(),
+        );
+        registry.register(
+            "request_bytes",
+            "Bytes of requests' bodies sent to engines, by how far these are",
+            self.request_bytes.clone(),
+        );
+        registry.register(
+            "shared_tokens",
+            "Shared tokens of prompts that were sent, by where they were expected",
+            self.shared_tokens.clone(),
+        );
+        registry.register(
+            "cache_event_bytes",
+            "Bytes of answers to calls for cache events, by how far they came",
+            self.cache_event_bytes.clone(),
+        );
         let help = "Calls of the object store by what they do and of which kind";
         registry.register("store_calls", help, self.store_calls.clone());
         registry.register(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -216,6 +216,14 @@
     pub stale_version_ms: f64,
     /// Cost of leaving the zone, in milliseconds.
     pub zone_ms: f64,
+    /// Round trip to another region before one was measured, in milliseconds.
+    pub region_round_trip_ms: f64,
+    /// Round trips that a request to another region is worth avoiding: opening the
+    /// connection and the exchange itself, and as many again for older knowledge of
+    /// what is there.
+    pub region_round_trips: f64,
+    /// Cost of a kilobyte between regions, in milliseconds.
+    pub region_kilobyte_ms: f64,
     /// Cost of a full engine, in milliseconds.
     pub slot_ms: f64,
     /// Nodes that send to the same engines.
@@ -229,6 +237,9 @@
             eviction_share: 0.5,
             stale_version_ms: 80.0,
             zone_ms: 12.0,
+            region_round_trip_ms: 40.0,
+            region_round_trips: 3.0,
+            region_kilobyte_ms: 8.0,
             slot_ms: 30.0,
             senders: 7.0,
         }
@@ -392,11 +403,14 @@
                 return invalid(key, value.to_string(), "use 1 or more");
             }
         }
-        let capacities = [
+        let not_negative = [
             ("node.cpu_cores", self.node.cpu_cores),
             ("node.link_mbps", self.node.link_mbps),
+            ("cost.region_round_trip_ms", self.cost.region_round_trip_ms),
+            ("cost.region_round_trips", self.cost.region_round_trips),
+            ("cost.region_kilobyte_ms", self.cost.region_kilobyte_ms),
         ];
-        for (key, value) in capacities {
+        for (key, value) in not_negative {
             if value.is_nan() || value < 0.0 {
                 return invalid(key, value.to_string(), "use a number of 0.0 or more");
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,7 @@
 use crate::settings::GatewaySettings;
 use crate::time::{unix_ms, Clock};
 use event_listener::Event;
-use ploverlift_balancing::cost::CostRates;
+use ploverlift_balancing::cost::{CostRates, RegionRates};
 use ploverlift_balancing::weights::WeightsBounds;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::topology::Topology;
@@ -198,6 +198,11 @@
             eviction_share: cost.eviction_share,
             stale_version_ms: cost.stale_version_ms,
             zone_ms: cost.zone_ms,
+            region: RegionRates {
+                round_trip_ms: cost.region_round_trip_ms,
+                round_trips: cost.region_round_trips,
+                kilobyte_ms: cost.region_kilobyte_ms,
+            },
             slot_ms: cost.slot_ms,
             senders: cost.senders,
         }
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
+use ploverlift_balancing::cache_stores::CacheStoreState;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_balancing::rendezvous;
-use ploverlift_gateway::beliefs::CacheStoreState;
 use ploverlift_http1::RequestHead;
 use ploverlift_routing::prompt::{Prompt, PromptPart};
 use serde_json::json;
@@ -331,7 +331,11 @@
     let mut with_cache = configuration(1);
     with_cache["cache"] = address.to_string().into();
     let fixture = Fixture::with(&[&llm], with_cache, "").await;
-    while fixture.gateway.beliefs().cache.state != state {
+    let known = || {
+        let beliefs = fixture.gateway.beliefs();
+        beliefs.cache_stores.of(address).map(|known| known.state())
+    };
+    while known() != Some(state) {
         fixture.send(&request("nowhere.test", "r")).await;
     }
     for id in ["r1", "r2", "r3"] {
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -425,6 +425,7 @@
             zone: ZoneName::from("z"),
             capacity_tokens: 1_000,
             link_mbps: None,
+            max_event_calls: None,
         }),
         ..Service::default()
     };
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -131,6 +131,9 @@
     pub capacity_tokens: u64,
     /// Rate at which it moves KV cache, in megabits a second.
     pub link_mbps: Option<f64>,
+    /// Waiting calls for its events that it holds at once; not limited where the
+    /// configuration does not tell.
+    pub max_event_calls: Option<u32>,
 }
 
 /// One tenant.
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -25,6 +25,17 @@
     OtherRegion,
 }
 
+impl Distance {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::SameZone => "zone",
+            Self::SameRegion => "region",
+            Self::OtherRegion => "other_region",
+        }
+    }
+}
+
 /// The zones of a site and their regions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Topology {
