Relays follow the stores of other regions and tell their zone

Cause: with all nodes following all stores the events were a third of the bytes between regions.

Followers believe a store of another region for 1.8 s after a relay last told of it. Turns at a store count its region's nodes and the others' relays.

Tests: gateway, balancing, routing, wire; five new in tests/store_contents.rs.

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -99,6 +99,29 @@
         self.set(PartKey::of(salt, part.id), saturated(part.tokens));
     }
 
+    /// Its life, once an event or another node has told of it.
+    pub fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+
+    /// Takes in what another node that follows the events knows of some parts.
+    pub fn apply_told(&mut self, epoch: u64, parts: &[(PartKey, u32)]) {
+        if self.epoch != Some(epoch) {
+            self.epoch = Some(epoch);
+            self.clear();
+        }
+        for (part, kept_tokens) in parts {
+            self.set(*part, *kept_tokens);
+        }
+    }
+
+    /// Every `share`th of the parts that are kept, the same ones for each `turn`.
+    pub fn some_kept(&self, turn: u64, share: u64) -> impl Iterator<Item = (PartKey, u32)> + '_ {
+        let kept = self.kept_tokens.iter();
+        let some = kept.filter(move |(part, _)| part.0 % share == turn % share);
+        some.map(|(part, tokens)| (*part, *tokens))
+    }
+
     /// The engine or the store was lost: it may come back empty.
     pub fn forget(&mut self) {
         *self = Self::default();
--- a/crates/balancing/src/cache_stores.rs
+++ b/crates/balancing/src/cache_stores.rs
@@ -6,9 +6,9 @@
 
 use crate::cache_contents::CacheContents;
 use crate::store_room::StoreFill;
-use ploverlift_policy::ids::ZoneName;
+use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::CacheStore;
-use ploverlift_routing::prompt::{ChainKey, PromptPart};
+use ploverlift_routing::prompt::{ChainKey, PartKey, PromptPart};
 use ploverlift_routing::topology::{Distance, Topology};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,11 +27,38 @@
     Followed,
 }
 
+/// Time after which a store that relays tell of no longer is taken to be lost, in
+/// milliseconds: as long as their silence is borne.
+const TOLD_SILENCE_MS: u64 = 1_800;
+
+/// A short name of a store's address, the same on all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreTag(pub u32);
+
+impl StoreTag {
+    /// The short name of an address.
+    pub fn of(address: SocketAddr) -> Self {
+        Self(xxh3_64_with_seed(address.to_string().as_bytes(), 0) as u32)
+    }
+}
+
+/// What a node that follows a store tells of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToldContents {
+    /// The store.
+    pub store: StoreTag,
+    /// Its life.
+    pub epoch: u64,
+    /// Some of its parts, and the tokens that are kept of each; 0 when it was dropped.
+    pub parts: Vec<(PartKey, u32)>,
+}
+
 /// What this node believes of one KV cache store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreBelief {
     state: CacheStoreState,
     contents: CacheContents,
+    told_at: Option<Millis>,
 }
 
 impl StoreBelief {
@@ -77,6 +104,27 @@
         self.by_address.entry(address).or_default()
     }
 
+    /// Takes in what a relay tells of a store that this node does not follow by itself.
+    pub fn take_told(&mut self, told: &ToldContents, now: Millis) {
+        let mut stores = self.by_address.iter_mut();
+        let known = stores.find(|(address, _)| StoreTag::of(**address) == told.store);
+        if let Some((_, belief)) = known {
+            belief.contents.apply_told(told.epoch, &told.parts);
+            belief.state = CacheStoreState::Followed;
+            belief.told_at = Some(now);
+        }
+    }
+
+    /// A store is known by what relays tell alone: it is taken to be lost when they
+    /// have not told of it for a while.
+    pub fn expire_told(&mut self, address: SocketAddr, now: Millis) {
+        let belief = self.of_mut(address);
+        let is_told = |at| now.since(at) < TOLD_SILENCE_MS;
+        if !belief.told_at.is_some_and(is_told) {
+            belief.note_state(CacheStoreState::Lost);
+        }
+    }
+
     /// Forgets the stores that are no longer configured.
     pub fn retain(&mut self, is_configured: impl Fn(SocketAddr) -> bool) {
         self.by_address.retain(|address, _| is_configured(*address));
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -3,17 +3,23 @@
 //! Without it each node would save each shared prompt anew, and the saves alone
 //! would fill a store's link.
 //!
+//! Events from another region are paid for: there only relays follow a store, and tell
+//! the nodes of their zone ([`crate::peers::store_contents`]).
+//!
 //! A store holds a few calls for events at once, over all nodes. So the nodes take
 //! turns: the more there are, the longer each rests between two calls.
 
 use super::{ask_for_events, EventWait, RETRY_MS};
 use crate::beliefs::ActiveConfiguration;
 use crate::http_call::CallConnection;
+use crate::peers::address_book::RELAYS_PER_ZONE;
+use crate::peers::roles::{role, Role};
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::cache_stores::CacheStoreState;
 use ploverlift_routing::configuration::CacheStore;
+use ploverlift_routing::topology::Distance;
 use smol::Task;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -48,7 +54,11 @@
         let stores = configured_stores(&gateway);
         let is_configured = |address| stores.iter().any(|store| store.address == address);
         feeds.retain(|address, _| is_configured(*address));
-        gateway.beliefs().cache_stores.retain(is_configured);
+        {
+            let mut beliefs = gateway.beliefs();
+            beliefs.cache_stores.retain(is_configured);
+            beliefs.relaying.store_changes.retain(is_configured);
+        }
         for store in stores {
             feeds
                 .entry(store.address)
@@ -67,6 +77,12 @@
 async fn follow_store(gateway: Arc<Gateway>, store: CacheStore) {
     let mut connection = CallConnection::new(store.address);
     loop {
+        if is_told(&gateway, &store) {
+            connection.reset();
+            expire_told(&gateway, &store);
+            sleep(RETRY_MS).await;
+            continue;
+        }
         let state = poll(&gateway, &store, &mut connection).await;
         let turn_ms = turn_ms(&gateway, &store);
         let pause_ms = match state {
@@ -82,16 +98,44 @@
     }
 }
 
+fn expire_told(gateway: &Gateway, store: &CacheStore) {
+    let now = gateway.clock.now();
+    let stores = &mut gateway.beliefs().cache_stores;
+    stores.expire_told(store.address, now);
+}
+
+/// Whether relays tell this node what the store keeps.
+fn is_told(gateway: &Gateway, store: &CacheStore) -> bool {
+    is_far(gateway, store) && role(gateway, gateway.clock.now()) == Role::Follower
+}
+
+fn is_far(gateway: &Gateway, store: &CacheStore) -> bool {
+    gateway.topology.distance(&gateway.zone, &store.zone) == Distance::OtherRegion
+}
+
 /// The pause between two calls with which the calls of all nodes fit those that the
 /// store holds at once, in milliseconds.
 fn turn_ms(gateway: &Gateway, store: &CacheStore) -> u64 {
-    let nodes = gateway.address_book().listed_nodes().max(1);
+    let nodes = callers_of_a_store(gateway);
     let calls = store.max_event_calls.map_or(f64::INFINITY, f64::from);
     let calls_for_each = calls * CALLS_SHARE / nodes as f64;
     let pause_ms = WAIT.held_ms as f64 * (1.0 / calls_for_each - 1.0);
     (pause_ms.max(0.0) as u64).clamp(GATHER_MS, LONGEST_PAUSE_MS)
 }
 
+/// Nodes that follow one store: those of its region and the relays of others.
+fn callers_of_a_store(gateway: &Gateway) -> usize {
+    let book = gateway.address_book();
+    let all = book.listed_nodes().max(1);
+    match book.has_relays() {
+        true => {
+            let in_region = all.div_ceil(gateway.topology.region_count());
+            all.min(in_region + book.zones().len() * RELAYS_PER_ZONE)
+        }
+        false => all,
+    }
+}
+
 /// Asks for events, and takes in what the answer shows.
 async fn poll(
     gateway: &Gateway,
@@ -107,6 +151,10 @@
             let mut beliefs = gateway.beliefs();
             let belief = beliefs.cache_stores.of_mut(store.address);
             belief.contents_mut().apply(&batch);
+            if is_far(gateway, store) {
+                let changes = &mut beliefs.relaying.store_changes;
+                changes.follow(store.address, &batch.events);
+            }
             CacheStoreState::Followed
         }
         Ok(CacheAnswer::TooManyCalls) => CacheStoreState::Unobserved,
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -25,6 +25,9 @@
     loads.apply(&report.loads, included, now);
     let (placements, loaded) = (&report.placements, &report.loaded);
     beliefs.note_reported(placements, loaded, report.lease_revision, now);
+    for told in &report.stores {
+        beliefs.cache_stores.take_told(told, now);
+    }
     beliefs.followed.hear(report, from, sent_at, now);
     take_proof(&mut beliefs, report, sent_at);
     for change in beliefs.followed.next_changes(report) {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -40,6 +40,7 @@
 pub mod reports;
 pub mod roles;
 pub mod snapshot;
+pub mod store_contents;
 
 use crate::state::Gateway;
 use crate::time::sleep;
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -178,12 +178,24 @@
         let mut portions = self.portions(&mut beliefs).into_iter();
         let header = self.header(&beliefs, now);
         let mut reports = Vec::new();
+        let Beliefs {
+            relaying,
+            cache_stores,
+            ..
+        } = &mut *beliefs;
+        let stores = relaying.store_changes.next(cache_stores, self.period);
+        let mut stores = stores.into_iter();
         loop {
             let (part, portion) = (changes.next(), portions.next());
-            if part.is_none() && portion.is_none() {
+            let told = match (&part, &portion) {
+                (None, None) => stores.next(),
+                _ => None,
+            };
+            if part.is_none() && portion.is_none() && told.is_none() {
                 return reports;
             }
             let mut report = header.clone();
+            report.stores.extend(told);
             report.loads.sequence = gateway.report_sequence.fetch_add(1, Ordering::Relaxed);
             if !reports.is_empty() {
                 report.loads.members.clear();
@@ -291,6 +303,7 @@
             changes_through: 0,
             changes: Vec::new(),
             included: None,
+            stores: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/peers/relay_duties.rs
+++ b/crates/gateway/src/peers/relay_duties.rs
@@ -2,6 +2,7 @@
 //! it has yet to pass on.
 
 use super::relay_messages::IncludedReport;
+use super::store_contents::StoreChanges;
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
 use ploverlift_balancing::prefix_holders::{Placement, PlacementNews};
 use ploverlift_policy::ids::Millis;
@@ -35,6 +36,8 @@
     zone_reporters: HashMap<SocketAddr, Millis>,
     for_zone: VecDeque<Placement>,
     for_other_zones: VecDeque<Placement>,
+    /// Changes of KV cache stores of other regions, to be told to the zone.
+    pub store_changes: StoreChanges,
 }
 
 impl RelayDuties {
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -3,6 +3,8 @@
 use super::messages::{
     load_message, loaded_message, placement_message, read_load, read_loaded, read_placement,
 };
+use super::store_contents::{read_store, store_message};
+use ploverlift_balancing::cache_stores::ToldContents;
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadedWeights, PeerId, ZoneTag};
 use ploverlift_balancing::prefix_holders::Placement;
@@ -76,6 +78,8 @@
     pub changes: Vec<EngineChange>,
     /// The receiver's last report that the relay has taken in.
     pub included: Option<IncludedReport>,
+    /// What KV cache stores of other regions keep.
+    pub stores: Vec<ToldContents>,
 }
 
 /// The message for a report of a relay.
@@ -101,6 +105,7 @@
         changes: report.changes.iter().map(change_message).collect(),
         included_life: report.included.map_or(0, |included| included.life),
         included_sequence: report.included.map_or(0, |included| included.sequence),
+        stores: report.stores.iter().map(store_message).collect(),
     }
 }
 
@@ -141,6 +146,7 @@
         changes_through: message.changes_through,
         changes: message.changes.iter().filter_map(read_change).collect(),
         included: Some(included).filter(|included| included.sequence > 0),
+        stores: message.stores.iter().map(read_store).collect(),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/peers/store_contents.rs
@@ -0,0 +1,105 @@
+//! What relays tell the nodes of their zone of KV cache stores of other regions.
+//!
+//! Each event that a node hears from another region is paid for. So of the nodes of a
+//! zone only its relays follow stores of other regions, and tell the others: what
+//! changed at once, and everything in turns, which repairs what was lost and serves
+//! nodes that have just started.
+
+use ploverlift_balancing::cache_contents::{CacheContents, CacheEvent};
+use ploverlift_balancing::cache_stores::{CacheStoreState, CacheStores, StoreTag, ToldContents};
+use ploverlift_routing::prompt::PartKey;
+use ploverlift_wire::peers;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Parts in one datagram.
+pub const MAX_TOLD_PARTS: usize = 70;
+/// Changes of one store that wait to be told; the oldest give way, and are told in
+/// their turn.
+const MAX_WAITING_PARTS: usize = 1_024;
+/// Reports over which all parts that a store keeps are told once, in addition to
+/// changes: 10 s.
+const TURNS: u64 = 100;
+
+/// Changes of stores that wait to be told.
+#[derive(Clone, Debug, Default)]
+pub struct StoreChanges {
+    waiting: BTreeMap<SocketAddr, VecDeque<(PartKey, u32)>>,
+}
+
+impl StoreChanges {
+    /// A store that this node follows has told of changes.
+    pub fn follow(&mut self, store: SocketAddr, events: &[CacheEvent]) {
+        let waiting = self.waiting.entry(store).or_default();
+        for event in events {
+            if waiting.len() >= MAX_WAITING_PARTS {
+                waiting.pop_front();
+            }
+            let kept_tokens = u32::try_from(event.kept_tokens).unwrap_or(u32::MAX);
+            waiting.push_back((PartKey::of(&event.salt, event.part), kept_tokens));
+        }
+    }
+
+    /// What is to be told of the stores in a period, in pieces of one datagram each. A
+    /// store that does not answer is not told of.
+    pub fn next(&mut self, stores: &CacheStores, period: u64) -> Vec<ToldContents> {
+        let mut pieces = Vec::new();
+        for (address, waiting) in &mut self.waiting {
+            let belief = stores.of(*address);
+            let followed = belief.filter(|known| known.state() == CacheStoreState::Followed);
+            let parts: Vec<(PartKey, u32)> = waiting.drain(..).collect();
+            if let Some(belief) = followed {
+                pieces.extend(told(*address, belief.contents(), parts, period));
+            }
+        }
+        pieces
+    }
+
+    /// Forgets the stores that are not followed.
+    pub fn retain(&mut self, is_followed: impl Fn(SocketAddr) -> bool) {
+        self.waiting.retain(|address, _| is_followed(*address));
+    }
+}
+
+fn told(
+    address: SocketAddr,
+    contents: &CacheContents,
+    mut parts: Vec<(PartKey, u32)>,
+    period: u64,
+) -> Vec<ToldContents> {
+    let Some(epoch) = contents.epoch() else {
+        return Vec::new();
+    };
+    parts.extend(contents.some_kept(period, TURNS));
+    let piece = |parts: &[(PartKey, u32)]| ToldContents {
+        store: StoreTag::of(address),
+        epoch,
+        parts: parts.to_vec(),
+    };
+    match parts.is_empty() {
+        // It tells that the store answers.
+        true => vec![piece(&[])],
+        false => parts.chunks(MAX_TOLD_PARTS).map(piece).collect(),
+    }
+}
+
+/// The message for what is told of a store.
+pub fn store_message(told: &ToldContents) -> peers::StoreContents {
+    peers::StoreContents {
+        store: told.store.0,
+        epoch: told.epoch,
+        parts: told.parts.iter().map(|(part, _)| part.0).collect(),
+        kept_tokens: told.parts.iter().map(|(_, tokens)| *tokens).collect(),
+    }
+}
+
+/// Reads what is told of a store; of lists that are not equally long, as many as the
+/// shorter has.
+pub fn read_store(message: &peers::StoreContents) -> ToldContents {
+    let parts = message.parts.iter().copied().map(PartKey);
+    ToldContents {
+        store: StoreTag(message.store),
+        epoch: message.epoch,
+        parts: parts.zip(message.kept_tokens.iter().copied()).collect(),
+    }
+}
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -161,6 +161,7 @@
         changes_through: after + changes.len() as u64,
         changes,
         included: None,
+        stores: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/store_contents.rs
@@ -0,0 +1,176 @@
+//! What relays tell their zone of KV cache stores of other regions.
+
+use ploverlift_balancing::cache_contents::{CacheEvent, CacheEvents};
+use ploverlift_balancing::cache_stores::{CacheStoreState, CacheStores, ToldContents};
+use ploverlift_gateway::peers::store_contents::{
+    read_store, store_message, StoreChanges, MAX_TOLD_PARTS,
+};
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::prompt::PromptPart;
+use std::net::SocketAddr;
+
+const NOW: Millis = Millis(50_000);
+/// Reports over which a relay tells everything once.
+const PERIODS: u64 = 100;
+/// What is left of an unfragmented datagram beside a relay's header, in bytes.
+const ROOM_BYTES: usize = 1_200;
+
+fn address(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index], 80))
+}
+
+fn event(part: u64, kept_tokens: u64) -> CacheEvent {
+    CacheEvent {
+        salt: "s".to_owned(),
+        part,
+        kept_tokens,
+    }
+}
+
+fn has(stores: &CacheStores, part: u64) -> bool {
+    let part = PromptPart {
+        id: part,
+        tokens: 1_000,
+    };
+    let belief = stores.of(address(1));
+    belief.is_some_and(|belief| belief.contents().has("s", &part))
+}
+
+/// A relay that follows a store.
+#[derive(Default)]
+struct Relay {
+    stores: CacheStores,
+    changes: StoreChanges,
+    period: u64,
+}
+
+impl Relay {
+    fn hear(&mut self, epoch: u64, events: Vec<CacheEvent>) {
+        let belief = self.stores.of_mut(address(1));
+        belief.note_state(CacheStoreState::Followed);
+        self.changes.follow(address(1), &events);
+        belief.contents_mut().apply(&CacheEvents {
+            epoch,
+            events,
+            ..CacheEvents::default()
+        });
+    }
+
+    fn tell(&mut self) -> Vec<ToldContents> {
+        self.period += 1;
+        self.changes.next(&self.stores, self.period)
+    }
+}
+
+/// A node that has the store in its configuration and does not follow it.
+fn follower() -> CacheStores {
+    let mut stores = CacheStores::default();
+    stores.of_mut(address(1));
+    stores
+}
+
+fn take(stores: &mut CacheStores, told: &[ToldContents], now: Millis) {
+    for told in told {
+        stores.take_told(&read_store(&store_message(told)), now);
+    }
+}
+
+#[test]
+fn a_follower_knows_of_changes_with_the_relay_s_next_report() {
+    let mut relay = Relay::default();
+    let mut follower = follower();
+    relay.hear(7, vec![event(1, 1_000), event(2, 1_000)]);
+    take(&mut follower, &relay.tell(), NOW);
+    assert!(has(&follower, 1) && has(&follower, 2));
+    assert_eq!(
+        follower
+            .of(address(1))
+            .expect("known")
+            .contents()
+            .total_tokens(),
+        2_000
+    );
+    relay.hear(7, vec![event(1, 0)]);
+    take(&mut follower, &relay.tell(), NOW);
+    assert!(!has(&follower, 1) && has(&follower, 2));
+    // The store restarted: it began empty.
+    relay.hear(8, vec![event(3, 1_000)]);
+    take(&mut follower, &relay.tell(), NOW);
+    assert!(!has(&follower, 2) && has(&follower, 3));
+}
+
+/// Datagrams are lost, and nodes start late.
+#[test]
+fn what_a_follower_missed_is_told_again_in_turns() {
+    let mut relay = Relay::default();
+    let mut follower = follower();
+    relay.hear(7, (0..500).map(|part| event(part, 1_000)).collect());
+    relay.tell();
+    for _ in 0..PERIODS {
+        let told = relay.tell();
+        // Each turn tells a small part of it.
+        assert!(told.iter().map(|told| told.parts.len()).sum::<usize>() < 50);
+        take(&mut follower, &told, NOW);
+    }
+    assert!((0..500).all(|part| has(&follower, part)));
+}
+
+#[test]
+fn what_is_told_of_a_store_fits_one_datagram() {
+    let mut relay = Relay::default();
+    relay.hear(
+        u64::MAX,
+        (0..500).map(|part| event(part, 200_000)).collect(),
+    );
+    let told = relay.tell();
+    assert!(told.len() > 5);
+    for told in told {
+        assert!(told.parts.len() <= MAX_TOLD_PARTS);
+        let encoded = prost_length(&told);
+        assert!(encoded <= ROOM_BYTES, "{encoded} bytes");
+    }
+}
+
+/// Length of the message on the wire, in bytes: 8 for each part, up to 3 for its
+/// tokens, 4 and 8 for the store and its life, and the tags.
+fn prost_length(told: &ToldContents) -> usize {
+    let message = store_message(told);
+    message.parts.len() * 8 + message.kept_tokens.len() * 3 + 4 + 8 + 12
+}
+
+/// The region is cut off, or the store is lost: relays tell of it no longer.
+#[test]
+fn a_store_that_relays_no_longer_tell_of_is_lost_and_not_believed() {
+    let mut relay = Relay::default();
+    let mut follower = follower();
+    relay.hear(7, vec![event(1, 1_000)]);
+    take(&mut follower, &relay.tell(), NOW);
+    // A relay tells that the store answers even where nothing changes.
+    take(&mut follower, &relay.tell(), NOW.plus(1_500));
+    follower.expire_told(address(1), NOW.plus(3_000));
+    assert!(has(&follower, 1));
+    let belief = relay.stores.of_mut(address(1));
+    belief.note_state(CacheStoreState::Lost);
+    take(&mut follower, &relay.tell(), NOW.plus(3_200));
+    follower.expire_told(address(1), NOW.plus(3_400));
+    let known = follower.of(address(1)).expect("known");
+    assert_eq!(known.state(), CacheStoreState::Lost);
+    assert!(!has(&follower, 1));
+    // It is reached again: what it keeps is told as it is found.
+    relay.hear(7, vec![event(2, 1_000)]);
+    take(&mut follower, &relay.tell(), NOW.plus(9_000));
+    assert!(has(&follower, 2));
+}
+
+#[test]
+fn a_burst_of_changes_is_bounded_and_told_in_turns() {
+    let mut relay = Relay::default();
+    let mut follower = follower();
+    relay.hear(7, (0..5_000).map(|part| event(part, 1_000)).collect());
+    let first = relay.tell();
+    assert!(first.iter().map(|told| told.parts.len()).sum::<usize>() < 1_200);
+    for _ in 0..=PERIODS {
+        take(&mut follower, &relay.tell(), NOW);
+    }
+    assert!((0..5_000).all(|part| has(&follower, part)));
+}
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -1,7 +1,7 @@
 //! Where nodes, engines and KV cache stores are, and how far apart.
 
 use ploverlift_policy::ids::ZoneName;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// A region: zones that are near each other.
@@ -53,6 +53,12 @@
         self.regions.get(zone)
     }
 
+    /// Regions that any zone is in; one where none is known.
+    pub fn region_count(&self) -> usize {
+        let regions: BTreeSet<&RegionName> = self.regions.values().collect();
+        regions.len().max(1)
+    }
+
     /// How far apart two zones are. A zone without a known region is taken to be in
     /// the same one: a site that names no regions has one.
     pub fn distance(&self, from: &ZoneName, to: &ZoneName) -> Distance {
