Turns at stores by who calls, homes that no lost store moves, bounds of the cost

Cause, found by reading: a single slow connection kept a zone far for good, since no request went there to show otherwise; the home region of a prompt depended on which stores a node knew at the moment; with over some 86 callers the calls at a store did not fit (295 nodes in one region), and refused ones came back at once; reading again a very long prompt could cost more than a lost engine; a relay that lagged behind brought back what a restarted store had lost; one failed call dropped all that was known; each choice looked for the best source once for each engine.

Change: round trips expire; homes over all regions; `cache_feeds::turns` (relays alone call where a pause would be over 2 s, doubling, jitter); `reread_ms` at most 1 s; told contents of an ended life are ignored; a lost store's contents wait, unused, for its next answer; sources are looked up once for engines that are alike, zones once for each choice.

Tests: balancing, gateway, routing.

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CacheContents {
     epoch: Option<u64>,
+    /// The life before, of which a node that lags behind may still tell.
+    ended_epoch: Option<u64>,
     next: u64,
     kept_tokens: HashMap<PartKey, u32>,
     total_tokens: u64,
@@ -106,8 +108,11 @@
 
     /// Takes in what another node that follows the events knows of some parts.
     pub fn apply_told(&mut self, epoch: u64, parts: &[(PartKey, u32)]) {
+        if self.ended_epoch == Some(epoch) {
+            return;
+        }
         if self.epoch != Some(epoch) {
-            self.epoch = Some(epoch);
+            self.ended_epoch = self.epoch.replace(epoch);
             self.clear();
         }
         for (part, kept_tokens) in parts {
--- a/crates/balancing/src/cache_stores.rs
+++ b/crates/balancing/src/cache_stores.rs
@@ -77,10 +77,11 @@
         &mut self.contents
     }
 
-    /// Takes in what a call showed; tells what was known before. A lost store may
-    /// come back empty, so nothing that it held is believed any longer.
+    /// Takes in what a call showed; tells what was known before. What a lost store held is
+    /// not used. If it comes back in another life its events tell so and nothing of it is
+    /// believed; nor is it where they cannot be heard.
     pub fn note_state(&mut self, state: CacheStoreState) -> CacheStoreState {
-        if state == CacheStoreState::Lost {
+        if state == CacheStoreState::Unobserved && self.state != state {
             self.contents.forget();
         }
         std::mem::replace(&mut self.state, state)
--- a/crates/balancing/src/prefix_reach.rs
+++ b/crates/balancing/src/prefix_reach.rs
@@ -3,10 +3,11 @@
 
 use crate::catalogue::Engine;
 use crate::fleet::{FleetView, PromptCriteria, StoreView};
+use crate::peer_loads::EngineTag;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{cache_salt, part_keys, PartKey};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Time within which an engine's events tell what it has read, in milliseconds.
 const EVENT_DELAY_MS: u64 = 400;
@@ -19,6 +20,8 @@
     /// Of the holders, those worth fetching from: a few of each zone.
     sources: BTreeMap<u64, Vec<(&'a Engine, u64)>>,
     stored: BTreeMap<u64, Vec<(StoreView<'a>, u64)>>,
+    most_kept: BTreeMap<u64, u64>,
+    held: HashMap<EngineTag, u64>,
 }
 
 impl<'a> PrefixReach<'a> {
@@ -52,12 +55,29 @@
         }
         by_weights.retain(|_, holders| !holders.is_empty());
         stored.retain(|_, stores| !stores.is_empty());
+        let mut most_kept: BTreeMap<u64, u64> = BTreeMap::new();
+        let held_tokens = by_weights.iter().flat_map(|(weights, holders)| {
+            let tokens = holders.iter().map(|(_, tokens)| *tokens);
+            tokens.map(|tokens| (*weights, tokens))
+        });
+        let stored_tokens = stored.iter().flat_map(|(weights, stores)| {
+            let tokens = stores.iter().map(|(_, tokens)| *tokens);
+            tokens.map(|tokens| (*weights, tokens))
+        });
+        for (weights, tokens) in held_tokens.chain(stored_tokens) {
+            let most = most_kept.entry(weights).or_default();
+            *most = tokens.max(*most);
+        }
+        let held = by_weights.values().flatten();
+        let held = held.map(|(engine, tokens)| (engine.tag, *tokens)).collect();
         let sources = by_weights.iter();
         let sources = sources.map(|(weights, holders)| (*weights, nearest_sources(holders)));
         Self {
             sources: sources.collect(),
             by_weights,
             stored,
+            most_kept,
+            held,
         }
     }
 
@@ -74,17 +94,19 @@
 
     /// The most tokens that any engine or store holds under an engine's weights.
     pub fn most_kept(&self, weights: u64) -> u64 {
-        let holders = self.by_weights.get(&weights).into_iter().flatten();
-        let held = holders.map(|(_, tokens)| *tokens);
-        let stored = self.stored(weights).iter().map(|(_, tokens)| *tokens);
-        held.chain(stored).max().unwrap_or(0)
+        self.most_kept.get(&weights).copied().unwrap_or(0)
     }
 
     /// Tokens that an engine holds.
-    pub fn held(&self, engine: &Engine, model: &str) -> u64 {
-        let mut holders = self.holders(engine, model);
-        let held = holders.find(|(holder, _)| holder.tag == engine.tag);
-        held.map_or(0, |(_, tokens)| *tokens)
+    pub fn held(&self, engine: &Engine) -> u64 {
+        self.held.get(&engine.tag).copied().unwrap_or(0)
+    }
+
+    /// Whether an engine is among those worth fetching from.
+    pub fn is_source(&self, engine: &Engine, model: &str) -> bool {
+        let sources = self.sources.get(&engine.weights_of(model));
+        let mut sources = sources.into_iter().flatten();
+        sources.any(|(source, _)| source.tag == engine.tag)
     }
 
     /// The other engines that are worth fetching from under the engine's weights, and
@@ -99,15 +121,6 @@
         let others = sources.filter(|(source, _)| source.tag != engine.tag);
         others.copied()
     }
-
-    fn holders<'b>(
-        &'b self,
-        engine: &Engine,
-        model: &str,
-    ) -> impl Iterator<Item = &'b (&'a Engine, u64)> + 'b {
-        let weights = engine.weights_of(model);
-        self.by_weights.get(&weights).into_iter().flatten()
-    }
 }
 
 /// Engines of each zone that are worth fetching from: the one that holds the most, and
--- a/crates/balancing/src/round_trips.rs
+++ b/crates/balancing/src/round_trips.rs
@@ -46,9 +46,14 @@
         self.by_zone.insert(zone.clone(), first);
     }
 
-    /// The shortest round trip to a zone, in milliseconds; nothing where none was seen.
-    pub fn to_ms(&self, zone: &ZoneName) -> Option<f64> {
+    /// The shortest round trip to a zone, in milliseconds; nothing where none was seen
+    /// lately. A zone that looked far, and so gets no requests, is tried again then.
+    pub fn to_ms(&self, zone: &ZoneName, now: Millis) -> Option<f64> {
         let known = self.by_zone.get(zone)?;
+        let age_ms = now.since(known.window_began_at);
+        if age_ms >= 2 * WINDOW_MS {
+            return None;
+        }
         let previous_ms = known.previous_ms.unwrap_or(known.present_ms);
         Some(known.present_ms.min(previous_ms))
     }
@@ -70,7 +75,8 @@
             self.present_ms = self.present_ms.min(round_trip_ms);
             return;
         }
-        self.previous_ms = Some(self.present_ms);
+        let is_recent = now.since(self.window_began_at) < 2 * WINDOW_MS;
+        self.previous_ms = is_recent.then_some(self.present_ms);
         self.present_ms = round_trip_ms;
         self.window_began_at = now;
     }
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -7,11 +7,11 @@
 use crate::fleet::{Criteria, FleetView, PromptCriteria};
 use crate::prefix_reach::PrefixReach;
 use crate::rendezvous;
-use crate::supply::{best_offer, CacheSource, Offering, Supply};
+use crate::supply::{CacheSource, KnownOffers, Offering, Supply};
 use crate::unseen_reading::filled_level;
-use ploverlift_policy::ids::Millis;
+use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::topology::{Distance, RegionName};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashMap};
 
 /// The engine that was chosen.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,6 +54,9 @@
 /// it is cheapest for everyone, and without this bound true queues do not count
 /// (scale-1 of the shifted site: 0.292 without, 0.334 with 120, 0.338 with 50).
 const MAX_UNSEEN_MS: f64 = 120.0;
+/// Highest cost of reading again what is kept elsewhere, in milliseconds: half of what
+/// an engine costs that fails every request, so that a prompt leaves a home that fails.
+const MAX_REREAD_MS: f64 = 1_000.0;
 /// Cost of each place in the order of a prompt's engines, in milliseconds, so
 /// that overflow goes to the same few engines.
 const RANK_MS: f64 = 1.0;
@@ -79,18 +82,22 @@
         criteria,
         rates,
         reach: &reach,
+        places: places(view, criteria, rates, &ranked, now),
         homes: homes(view, &ranked),
-        home_region: home_region(view, &ranked),
+        home_region: ranked
+            .first()
+            .and_then(|home| view.topology.region_of(&home.record.zone)),
         typical_failures: typical_failure_rate(&ranked, now),
         newest_weights: newest_weights(&ranked, criteria),
         now,
     };
     let mut ranks: BTreeMap<Option<&RegionName>, usize> = BTreeMap::new();
+    let mut offers = KnownOffers::default();
     let mut estimated: Vec<(&Engine, Cost, Supply)> = Vec::with_capacity(ranked.len());
     for engine in &ranked {
-        let region = view.topology.region_of(&engine.record.zone);
+        let region = estimate.place(engine).region;
         let rank = ranks.entry(region).or_default();
-        let (cost, supply) = estimate.cost(engine, *rank);
+        let (cost, supply) = estimate.cost(engine, *rank, &mut offers);
         estimated.push((engine, cost, supply));
         *rank += 1;
     }
@@ -121,6 +128,44 @@
     candidates
 }
 
+/// A zone as it looks from this node.
+#[derive(Clone, Copy, Debug)]
+struct Place<'a> {
+    region: Option<&'a RegionName>,
+    distance: Distance,
+    region_ms: f64,
+}
+
+/// The zones of the candidates.
+fn places<'a>(
+    view: &FleetView<'a>,
+    criteria: &Criteria<'_>,
+    rates: &CostRates,
+    ranked: &[&'a Engine],
+    now: Millis,
+) -> HashMap<&'a ZoneName, Place<'a>> {
+    let mut places = HashMap::new();
+    for engine in ranked {
+        let zone = &engine.record.zone;
+        places.entry(zone).or_insert_with(|| {
+            let distance = view.topology.distance(criteria.zone, zone);
+            let round_trip_ms = view.round_trips.to_ms(zone, now);
+            let region_ms = match distance {
+                Distance::OtherRegion => {
+                    rates.region.cost_ms(round_trip_ms, criteria.request_bytes)
+                }
+                _ => 0.0,
+            };
+            Place {
+                region: view.topology.region_of(zone),
+                distance,
+                region_ms,
+            }
+        });
+    }
+    places
+}
+
 /// The engine that each region's requests for the prompt go to first.
 fn homes<'a>(
     view: &FleetView<'a>,
@@ -134,17 +179,6 @@
     homes
 }
 
-/// The region whose engines are asked for a prompt by those who know of none that keeps
-/// it: that of the first engine, among regions that have a KV cache store if any has.
-fn home_region<'a>(view: &FleetView<'a>, ranked: &[&'a Engine]) -> Option<&'a RegionName> {
-    let region = |zone| view.topology.region_of(zone);
-    let stores = view.cache_stores.iter();
-    let with_store: BTreeSet<_> = stores.map(|store| region(store.zone)).collect();
-    let regions = || ranked.iter().map(|engine| region(&engine.record.zone));
-    let first_with_store = regions().find(|region| with_store.contains(region));
-    first_with_store.or_else(|| regions().next()).flatten()
-}
-
 /// The newest weights that a candidate has.
 fn newest_weights(engines: &[&Engine], criteria: &Criteria<'_>) -> u64 {
     let prompt = criteria.prompt.as_ref();
@@ -175,6 +209,7 @@
     criteria: &'a Criteria<'a>,
     rates: &'a CostRates,
     reach: &'a PrefixReach<'a>,
+    places: HashMap<&'a ZoneName, Place<'a>>,
     homes: BTreeMap<Option<&'a RegionName>, &'a Engine>,
     /// The region that is asked for the prompt by those who know of no other.
     home_region: Option<&'a RegionName>,
@@ -184,13 +219,32 @@
 }
 
 impl<'a> Estimate<'a> {
-    fn cost(&self, engine: &'a Engine, rank: usize) -> (Cost, Supply) {
+    /// Where an engine is. All candidates' zones are known.
+    fn place(&self, engine: &Engine) -> Place<'a> {
+        let known = self.places.get(&engine.record.zone).copied();
+        known.unwrap_or(Place {
+            region: None,
+            distance: Distance::SameZone,
+            region_ms: 0.0,
+        })
+    }
+
+    fn cost(
+        &self,
+        engine: &'a Engine,
+        rank: usize,
+        offers: &mut KnownOffers<'a>,
+    ) -> (Cost, Supply) {
         let rates = self.rates;
         let mut cost = Cost {
             failure_ms: self.failure_ms(engine),
             ..Cost::default()
         };
-        self.add_distance(engine, &mut cost);
+        let place = self.place(engine);
+        if place.distance != Distance::SameZone {
+            cost.zone_ms = rates.zone_ms;
+        }
+        cost.region_ms = place.region_ms;
         let peers = self.view.peer_loads.at(engine.tag);
         let requests = match self.view.peer_loads.peer_count() {
             0 => f64::from(engine.in_flight) * rates.senders,
@@ -203,7 +257,7 @@
         };
         let waiting_tokens = engine.waiting_tokens + peers.waiting_tokens;
         cost.queue_ms = waiting_tokens as f64 / rates.prefill_tokens_per_ms;
-        let supply = self.supply(engine, prompt, rank, &mut cost);
+        let supply = self.supply(engine, prompt, rank, &mut cost, offers);
         cost.transfer_ms += RANK_MS * rank as f64;
         if engine.weights_of(prompt.model) < self.newest_weights {
             let to_read = prompt.shared_tokens().saturating_sub(supply.kept_tokens);
@@ -213,20 +267,6 @@
         (cost, supply)
     }
 
-    /// Adds what leaving the zone and the region costs.
-    fn add_distance(&self, engine: &Engine, cost: &mut Cost) {
-        let zone = &engine.record.zone;
-        let distance = self.view.topology.distance(self.criteria.zone, zone);
-        if distance != Distance::SameZone {
-            cost.zone_ms = self.rates.zone_ms;
-        }
-        if distance == Distance::OtherRegion {
-            let round_trip_ms = self.view.round_trips.to_ms(zone);
-            let bytes = self.criteria.request_bytes;
-            cost.region_ms = self.rates.region.cost_ms(round_trip_ms, bytes);
-        }
-    }
-
     /// Adds what other nodes have sent unseen. It fills the engines that look cheapest
     /// to everyone; what an engine costs for this prompt alone does not count in that.
     /// This request has a random place among those that are sent in the same time.
@@ -261,6 +301,7 @@
         prompt: &PromptCriteria<'_>,
         rank: usize,
         cost: &mut Cost,
+        offers: &mut KnownOffers<'a>,
     ) -> Supply {
         let prefill_ms = |tokens: u64| tokens as f64 / self.rates.prefill_tokens_per_ms;
         let shared = prompt.shared_tokens();
@@ -270,7 +311,7 @@
             if rank > 0 {
                 cost.eviction_ms = prefill_ms(shared) * self.rates.eviction_share;
             }
-            let region = self.view.topology.region_of(&engine.record.zone);
+            let region = self.place(engine).region;
             let home = self.homes.get(&region).filter(|home| {
                 let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
                 let is_unknown = self.view.caches.of(home.tag).is_none();
@@ -282,7 +323,7 @@
                 ..Supply::default()
             };
         }
-        let held = self.reach.held(engine, prompt.model);
+        let held = self.reach.held(engine);
         let offering = Offering {
             view: self.view,
             reach: self.reach,
@@ -290,7 +331,7 @@
             prefill_tokens_per_ms: self.rates.prefill_tokens_per_ms,
             now: self.now,
         };
-        let offer = best_offer(&offering, engine, held);
+        let offer = offers.best(&offering, engine, held);
         let offered = offer.as_ref().map_or(0, |offer| offer.kept_tokens);
         let kept = held.max(offered);
         let mut move_ms = 0.0;
@@ -312,13 +353,13 @@
     /// Cost of reading again what others keep, when the engine has or is moved so many
     /// tokens. What nobody is known to keep may be kept in the prompt's home region.
     fn reread_ms(&self, engine: &Engine, prompt: &PromptCriteria<'_>, kept: u64) -> f64 {
-        let region = self.view.topology.region_of(&engine.record.zone);
-        let kept_elsewhere = match region == self.home_region {
+        let kept_elsewhere = match self.place(engine).region == self.home_region {
             true => self.reach.most_kept(engine.weights_of(prompt.model)),
             false => prompt.shared_tokens(),
         };
         let reread_tokens = kept_elsewhere.saturating_sub(kept);
-        reread_tokens as f64 / self.rates.prefill_tokens_per_ms * self.rates.reread_share
+        let reading_ms = reread_tokens as f64 / self.rates.prefill_tokens_per_ms;
+        (reading_ms * self.rates.reread_share).min(MAX_REREAD_MS)
     }
 
     fn failure_ms(&self, engine: &Engine) -> f64 {
--- a/crates/balancing/src/supply.rs
+++ b/crates/balancing/src/supply.rs
@@ -7,6 +7,7 @@
 use crate::prefix_reach::PrefixReach;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::topology::Distance;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// Where an engine can have shared parts that it lacks.
@@ -32,7 +33,7 @@
 }
 
 /// What a source keeps of a prompt, and the time to move what an engine lacks.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Offer<'a> {
     source: SourceName<'a>,
     /// Tokens of the shared parts that it keeps.
@@ -63,13 +64,13 @@
 }
 
 /// What the offers of all sources for one prompt follow from.
-pub(crate) struct Offering<'a> {
+pub(crate) struct Offering<'b, 'a> {
     /// What is known of the fleet.
-    pub(crate) view: &'a FleetView<'a>,
+    pub(crate) view: &'b FleetView<'a>,
     /// Who keeps the prompt's shared parts.
-    pub(crate) reach: &'a PrefixReach<'a>,
+    pub(crate) reach: &'b PrefixReach<'a>,
     /// The prompt.
-    pub(crate) prompt: &'a PromptCriteria<'a>,
+    pub(crate) prompt: &'b PromptCriteria<'b>,
     /// Prompt tokens that an engine reads in a millisecond.
     pub(crate) prefill_tokens_per_ms: f64,
     /// The time.
@@ -84,18 +85,58 @@
     name: SourceName<'a>,
 }
 
+/// Engines that have the same offers: those of a zone with the same weights, as much of
+/// the prompt and the same wait, none of them a source itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Alike<'a> {
+    zone: &'a ZoneName,
+    weights: u64,
+    held: u64,
+    wait_ms: u64,
+}
+
+/// The best offers that were found for a prompt: a fleet has far more engines than
+/// kinds of them.
+#[derive(Debug, Default)]
+pub(crate) struct KnownOffers<'a> {
+    found: HashMap<Alike<'a>, Option<Offer<'a>>>,
+}
+
+impl<'a> KnownOffers<'a> {
+    /// The best offer for an engine. Nothing when no source has any part, or when a move
+    /// to the engine would not be begun.
+    pub(crate) fn best(
+        &mut self,
+        offering: &Offering<'_, 'a>,
+        engine: &'a Engine,
+        held: u64,
+    ) -> Option<Offer<'a>> {
+        let wait_ms = offering.view.moves.wait_ms(engine.tag, offering.now);
+        if wait_ms > LONGEST_WAIT_MS {
+            return None;
+        }
+        let find = || best_offer(offering, engine, held, wait_ms);
+        if offering.reach.is_source(engine, offering.prompt.model) {
+            return find();
+        }
+        let alike = Alike {
+            zone: &engine.record.zone,
+            weights: engine.weights_of(offering.prompt.model),
+            held,
+            wait_ms: wait_ms as u64,
+        };
+        *self.found.entry(alike).or_insert_with(find)
+    }
+}
+
 /// The source by which the engine has the shared parts soonest: the move, and reading
-/// what the source lacks. Of sources that differ in nothing, the nearest. Nothing when
-/// no source has any part, or when a move to the engine would not be begun.
-pub(crate) fn best_offer<'a>(
-    offering: &'a Offering<'a>,
-    engine: &'a Engine,
+/// what the source lacks. Of sources that differ in nothing, the nearest.
+fn best_offer<'a>(
+    offering: &Offering<'_, 'a>,
+    engine: &Engine,
     held: u64,
+    wait_ms: f64,
 ) -> Option<Offer<'a>> {
-    let wait_ms = offering.view.moves.wait_ms(engine.tag, offering.now);
-    if wait_ms > LONGEST_WAIT_MS {
-        return None;
-    }
     let Offering { reach, prompt, .. } = offering;
     let engines = reach.sources(engine, prompt.model);
     let engines = engines.map(|(source, kept_tokens)| Source {
@@ -127,7 +168,7 @@
 }
 
 fn offer<'a>(
-    offering: &Offering<'_>,
+    offering: &Offering<'_, '_>,
     engine: &Engine,
     held: u64,
     wait_ms: f64,
@@ -146,7 +187,7 @@
 }
 
 /// Time after which the engine has all shared parts by an offer, in milliseconds.
-fn soonest_ms(offering: &Offering<'_>, held: u64, offer: &Offer<'_>) -> f64 {
+fn soonest_ms(offering: &Offering<'_, '_>, held: u64, offer: &Offer<'_>) -> f64 {
     let shared = offering.prompt.shared_tokens();
     let to_read = shared.saturating_sub(offer.kept_tokens.max(held));
     offer.move_ms + to_read as f64 / offering.prefill_tokens_per_ms
--- a/crates/gateway/src/cache_feeds/mod.rs
+++ b/crates/gateway/src/cache_feeds/mod.rs
@@ -6,6 +6,7 @@
 
 mod engines;
 mod store;
+pub mod turns;
 
 pub use engines::follow_engine_caches;
 pub use store::{cache_stores, follow_cache_stores};
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -9,6 +9,7 @@
 //! A store holds a few calls for events at once, over all nodes. So the nodes take
 //! turns: the more there are, the longer each rests between two calls.
 
+use super::turns::{Callers, Turns, HELD};
 use super::{ask_for_events, EventWait, RETRY_MS};
 use crate::beliefs::ActiveConfiguration;
 use crate::http_call::CallConnection;
@@ -17,7 +18,9 @@
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 use crate::time::sleep;
+use ploverlift_balancing::cache_contents::CacheEvents;
 use ploverlift_balancing::cache_stores::CacheStoreState;
+use ploverlift_balancing::peer_loads::ZoneTag;
 use ploverlift_routing::configuration::CacheStore;
 use ploverlift_routing::topology::Distance;
 use smol::Task;
@@ -27,19 +30,10 @@
 
 /// Time between two looks at which stores there are, in milliseconds.
 const LOOK_PERIOD_MS: u64 = 400;
-/// How long calls for events may take: held no longer than others may have to wait for
-/// their turn, and no shorter than what a store takes for a probe.
-const WAIT: EventWait = EventWait {
-    held_ms: 250,
-    slack_ms: 500,
-};
-/// Shortest pause between two calls, in milliseconds, so that events come in batches.
-const GATHER_MS: u64 = 60;
-/// Longest pause between two calls, in milliseconds: a store that is lost is noticed
-/// within it.
-const LONGEST_PAUSE_MS: u64 = 2_000;
-/// Part of the calls that a store holds at once that the nodes' turns fill.
-const CALLS_SHARE: f64 = 0.8;
+/// Longest wait for an answer beyond what a call is held, in milliseconds.
+const SLACK_MS: u64 = 500;
+/// Turns that may be refused one after another while what was known is believed.
+const REFUSED_TURNS: u32 = 3;
 
 /// The KV cache stores.
 pub fn cache_stores(configuration: &ActiveConfiguration) -> impl Iterator<Item = &CacheStore> {
@@ -76,28 +70,44 @@
 
 async fn follow_store(gateway: Arc<Gateway>, store: CacheStore) {
     let mut connection = CallConnection::new(store.address);
+    let mut refused = 0;
     loop {
-        if is_told(&gateway, &store) {
+        let turns = turns(&gateway, &store);
+        if is_told(&gateway, &store, &turns) {
             connection.reset();
             expire_told(&gateway, &store);
             sleep(RETRY_MS).await;
             continue;
         }
         let state = poll(&gateway, &store, &mut connection).await;
-        let turn_ms = turn_ms(&gateway, &store);
-        let pause_ms = match state {
-            CacheStoreState::Followed => turn_ms,
-            // Another node has this turn.
-            CacheStoreState::Unobserved => turn_ms + fastrand::u64(0..=RETRY_MS),
+        refused = match state {
+            CacheStoreState::Unobserved => refused + 1,
+            _ => 0,
+        };
+        if state != CacheStoreState::Unobserved || refused >= REFUSED_TURNS {
+            note_state(&gateway, &store, state);
+        } else if is_lost(&gateway, &store) {
+            note_state(&gateway, &store, CacheStoreState::Unobserved);
+        }
+        match state {
             CacheStoreState::Lost => {
                 connection.reset();
-                RETRY_MS
+                sleep(RETRY_MS).await;
             }
-        };
-        sleep(pause_ms).await;
+            _ => {
+                let pause = turns.pause_after(refused, fastrand::f64());
+                sleep(pause.as_millis() as u64).await;
+            }
+        }
     }
 }
 
+fn is_lost(gateway: &Gateway, store: &CacheStore) -> bool {
+    let beliefs = gateway.beliefs();
+    let known = beliefs.cache_stores.of(store.address);
+    known.is_none_or(|known| known.state() == CacheStoreState::Lost)
+}
+
 fn expire_told(gateway: &Gateway, store: &CacheStore) {
     let now = gateway.clock.now();
     let stores = &mut gateway.beliefs().cache_stores;
@@ -105,35 +115,43 @@
 }
 
 /// Whether relays tell this node what the store keeps.
-fn is_told(gateway: &Gateway, store: &CacheStore) -> bool {
-    is_far(gateway, store) && role(gateway, gateway.clock.now()) == Role::Follower
+fn is_told(gateway: &Gateway, store: &CacheStore, turns: &Turns) -> bool {
+    let is_for_relays = turns.are_relays_alone || is_far(gateway, store);
+    is_for_relays && role(gateway, gateway.clock.now()) == Role::Follower
 }
 
 fn is_far(gateway: &Gateway, store: &CacheStore) -> bool {
     gateway.topology.distance(&gateway.zone, &store.zone) == Distance::OtherRegion
 }
 
-/// The pause between two calls with which the calls of all nodes fit those that the
-/// store holds at once, in milliseconds.
-fn turn_ms(gateway: &Gateway, store: &CacheStore) -> u64 {
-    let nodes = callers_of_a_store(gateway);
-    let calls = store.max_event_calls.map_or(f64::INFINITY, f64::from);
-    let calls_for_each = calls * CALLS_SHARE / nodes as f64;
-    let pause_ms = WAIT.held_ms as f64 * (1.0 / calls_for_each - 1.0);
-    (pause_ms.max(0.0) as u64).clamp(GATHER_MS, LONGEST_PAUSE_MS)
-}
-
-/// Nodes that follow one store: those of its region and the relays of others.
-fn callers_of_a_store(gateway: &Gateway) -> usize {
+/// Who calls the store, and how often.
+fn turns(gateway: &Gateway, store: &CacheStore) -> Turns {
+    let far: Vec<ZoneTag> = gateway
+        .topology
+        .zones_far_from(&store.zone)
+        .map(ZoneTag::of)
+        .collect();
     let book = gateway.address_book();
-    let all = book.listed_nodes().max(1);
-    match book.has_relays() {
-        true => {
-            let in_region = all.div_ceil(gateway.topology.region_count());
-            all.min(in_region + book.zones().len() * RELAYS_PER_ZONE)
+    let has_relays = book.has_relays();
+    let relays = |nodes: usize| match has_relays {
+        true => nodes.min(RELAYS_PER_ZONE),
+        false => nodes,
+    };
+    let mut callers = Callers {
+        near: 0,
+        far_relays: 0,
+        relays: 0,
+    };
+    for (zone, nodes) in book.nodes_by_zone() {
+        match far.contains(&zone) {
+            true => callers.far_relays += relays(nodes),
+            false => callers.near += nodes,
+        }
+        if has_relays {
+            callers.relays += relays(nodes);
         }
-        false => all,
     }
+    Turns::of(callers, store.max_event_calls)
 }
 
 /// Asks for events, and takes in what the answer shows.
@@ -146,32 +164,35 @@
         let mut beliefs = gateway.beliefs();
         beliefs.cache_stores.of_mut(store.address).contents().next()
     };
-    let state = match ask_for_events(gateway, connection, since, &store.zone, WAIT).await {
+    let wait = EventWait {
+        held_ms: HELD.as_millis() as u64,
+        slack_ms: SLACK_MS,
+    };
+    match ask_for_events(gateway, connection, since, &store.zone, wait).await {
         Ok(CacheAnswer::Events(batch)) => {
-            let mut beliefs = gateway.beliefs();
-            let belief = beliefs.cache_stores.of_mut(store.address);
-            belief.contents_mut().apply(&batch);
-            if is_far(gateway, store) {
-                let changes = &mut beliefs.relaying.store_changes;
-                changes.follow(store.address, &batch.events);
-            }
+            take_events(gateway, store, &batch);
             CacheStoreState::Followed
         }
         Ok(CacheAnswer::TooManyCalls) => CacheStoreState::Unobserved,
         Ok(CacheAnswer::Invalid) | Err(_) => CacheStoreState::Lost,
-    };
-    note_state(gateway, store, state);
-    state
+    }
+}
+
+fn take_events(gateway: &Gateway, store: &CacheStore, batch: &CacheEvents) {
+    let turns = turns(gateway, store);
+    let mut beliefs = gateway.beliefs();
+    let contents = beliefs.cache_stores.of_mut(store.address).contents_mut();
+    let is_anew = contents.epoch() != Some(batch.epoch) || batch.has_gap;
+    contents.apply(batch);
+    if turns.are_relays_alone || is_far(gateway, store) {
+        let changes = &mut beliefs.relaying.store_changes;
+        changes.follow(store.address, &batch.events, is_anew);
+    }
 }
 
 fn note_state(gateway: &Gateway, store: &CacheStore, state: CacheStoreState) {
     let mut beliefs = gateway.beliefs();
     let belief = beliefs.cache_stores.of_mut(store.address);
-    let state = match (belief.state(), state) {
-        // What was followed is known but for a turn.
-        (CacheStoreState::Followed, CacheStoreState::Unobserved) => CacheStoreState::Followed,
-        (_, state) => state,
-    };
     let known = belief.note_state(state);
     drop(beliefs);
     if known == state {
--- a/crates/gateway/src/peers/address_book.rs
+++ b/crates/gateway/src/peers/address_book.rs
@@ -184,6 +184,12 @@
         self.by_zone.keys().copied().map(ZoneTag).collect()
     }
 
+    /// Nodes that the store names, by zone.
+    pub fn nodes_by_zone(&self) -> impl Iterator<Item = (ZoneTag, usize)> + '_ {
+        let zones = self.by_zone.iter();
+        zones.map(|(zone, nodes)| (ZoneTag(*zone), nodes.len()))
+    }
+
     /// The place of a node among the relays of all zones; nothing when it is none.
     pub fn relay_rank(&self, own: PeerId, now: Millis) -> Option<usize> {
         let zones = self.by_zone.keys().copied().map(ZoneTag);
--- a/crates/gateway/src/peers/store_contents.rs
+++ b/crates/gateway/src/peers/store_contents.rs
@@ -28,9 +28,13 @@
 }
 
 impl StoreChanges {
-    /// A store that this node follows has told of changes.
-    pub fn follow(&mut self, store: SocketAddr, events: &[CacheEvent]) {
+    /// A store that this node follows has told of changes; `is_anew` says that they are
+    /// of another life of it, or come after a gap.
+    pub fn follow(&mut self, store: SocketAddr, events: &[CacheEvent], is_anew: bool) {
         let waiting = self.waiting.entry(store).or_default();
+        if is_anew {
+            waiting.clear();
+        }
         for event in events {
             if waiting.len() >= MAX_WAITING_PARTS {
                 waiting.pop_front();
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -1,7 +1,7 @@
 //! Where nodes, engines and KV cache stores are, and how far apart.
 
 use ploverlift_policy::ids::ZoneName;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// A region: zones that are near each other.
@@ -53,10 +53,10 @@
         self.regions.get(zone)
     }
 
-    /// Regions that any zone is in; one where none is known.
-    pub fn region_count(&self) -> usize {
-        let regions: BTreeSet<&RegionName> = self.regions.values().collect();
-        regions.len().max(1)
+    /// The zones that are in other regions than a zone.
+    pub fn zones_far_from<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a ZoneName> {
+        let zones = self.regions.keys();
+        zones.filter(move |other| self.distance(zone, other) == Distance::OtherRegion)
     }
 
     /// How far apart two zones are. A zone without a known region is taken to be in
