--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod prefix_reach;
 pub mod relayed_loads;
 pub mod rendezvous;
+pub mod report_position;
 pub mod retry_budget;
 pub mod round_trips;
 pub mod selection;
