A follower unlearns what a store dropped, also when it did not hear of it

Cause: relays told changes, and in turns what a store keeps; a drop whose datagram was lost stayed believed until the store's next life.

Change: each report names all parts of one share of the keys (`StoreContents.shares` and `share`); what it does not name of that share is not kept.

--- a/crates/balancing/src/cache_contents.rs
+++ b/crates/balancing/src/cache_contents.rs
@@ -6,7 +6,7 @@
 //! salt that names its weights and its scope.
 
 use ploverlift_routing::prompt::{PartKey, PromptPart};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Parts that are remembered; beyond it nothing more is taken in.
 const MAX_PARTS: usize = 200_000;
@@ -39,6 +39,21 @@
 /// out in blocks, and the last block of a part need not be full.
 const BLOCK_TOKENS: u64 = 16;
 
+/// A share of all parts, by their keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyShare {
+    /// Shares that all parts are divided into; at least 1.
+    pub shares: u32,
+    /// Which of them.
+    pub share: u32,
+}
+
+impl KeyShare {
+    fn has(self, part: PartKey) -> bool {
+        part.0 % u64::from(self.shares.max(1)) == u64::from(self.share)
+    }
+}
+
 /// What one engine or one store holds.
 #[derive(Clone, Debug, Default)]
 pub struct CacheContents {
@@ -106,8 +121,9 @@
         self.epoch
     }
 
-    /// Takes in what another node that follows the events knows of some parts.
-    pub fn apply_told(&mut self, epoch: u64, parts: &[(PartKey, u32)]) {
+    /// Takes in what another node that follows the events knows of some parts. Where
+    /// these are a whole share of all, the others of the share are not kept.
+    pub fn apply_told(&mut self, epoch: u64, parts: &[(PartKey, u32)], share: Option<KeyShare>) {
         if self.ended_epoch == Some(epoch) {
             return;
         }
@@ -118,13 +134,22 @@
         for (part, kept_tokens) in parts {
             self.set(*part, *kept_tokens);
         }
+        let Some(share) = share else {
+            return;
+        };
+        let told: HashSet<PartKey> = parts.iter().map(|(part, _)| *part).collect();
+        let known = self.kept_tokens.keys();
+        let dropped = known.filter(|part| share.has(**part) && !told.contains(part));
+        for part in dropped.copied().collect::<Vec<PartKey>>() {
+            self.set(part, 0);
+        }
     }
 
-    /// Every `share`th of the parts that are kept, the same ones for each `turn`.
-    pub fn some_kept(&self, turn: u64, share: u64) -> impl Iterator<Item = (PartKey, u32)> + '_ {
+    /// The parts of a share that are kept.
+    pub fn kept_in(&self, share: KeyShare) -> impl Iterator<Item = (PartKey, u32)> + '_ {
         let kept = self.kept_tokens.iter();
-        let some = kept.filter(move |(part, _)| part.0 % share == turn % share);
-        some.map(|(part, tokens)| (*part, *tokens))
+        let of_share = kept.filter(move |(part, _)| share.has(**part));
+        of_share.map(|(part, tokens)| (*part, *tokens))
     }
 
     /// The engine or the store was lost: it may come back empty.
--- a/crates/balancing/src/cache_stores.rs
+++ b/crates/balancing/src/cache_stores.rs
@@ -4,7 +4,7 @@
 //! key: together they hold what one cannot. Once a store is filled, it gets no copy of
 //! a prompt that another store, which was used while this one was lost, keeps whole.
 
-use crate::cache_contents::CacheContents;
+use crate::cache_contents::{CacheContents, KeyShare};
 use crate::store_room::StoreFill;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::CacheStore;
@@ -51,6 +51,8 @@
     pub epoch: u64,
     /// Some of its parts, and the tokens that are kept of each; 0 when it was dropped.
     pub parts: Vec<(PartKey, u32)>,
+    /// The share of which these are all parts; nothing where they are changes.
+    pub share: Option<KeyShare>,
 }
 
 /// What this node believes of one KV cache store.
@@ -110,7 +112,8 @@
         let mut stores = self.by_address.iter_mut();
         let known = stores.find(|(address, _)| StoreTag::of(**address) == told.store);
         if let Some((_, belief)) = known {
-            belief.contents.apply_told(told.epoch, &told.parts);
+            let contents = &mut belief.contents;
+            contents.apply_told(told.epoch, &told.parts, told.share);
             belief.state = CacheStoreState::Followed;
             belief.told_at = Some(now);
         }
--- a/crates/gateway/src/peers/store_contents.rs
+++ b/crates/gateway/src/peers/store_contents.rs
@@ -5,7 +5,7 @@
 //! changed at once, and everything in turns, which repairs what was lost and serves
 //! nodes that have just started.
 
-use ploverlift_balancing::cache_contents::{CacheContents, CacheEvent};
+use ploverlift_balancing::cache_contents::{CacheContents, CacheEvent, KeyShare};
 use ploverlift_balancing::cache_stores::{CacheStoreState, CacheStores, StoreTag, ToldContents};
 use ploverlift_routing::prompt::PartKey;
 use ploverlift_wire::peers;
@@ -18,8 +18,10 @@
 /// their turn.
 const MAX_WAITING_PARTS: usize = 1_024;
 /// Reports over which all parts that a store keeps are told once, in addition to
-/// changes: 10 s.
-const TURNS: u64 = 100;
+/// changes: 10 s; more where it keeps many.
+const LEAST_SHARES: usize = 100;
+/// Parts that are told in one report then.
+const USUAL_SHARE_PARTS: usize = 40;
 
 /// Changes of stores that wait to be told.
 #[derive(Clone, Debug, Default)]
@@ -53,7 +55,7 @@
             let followed = belief.filter(|known| known.state() == CacheStoreState::Followed);
             let parts: Vec<(PartKey, u32)> = waiting.drain(..).collect();
             if let Some(belief) = followed {
-                pieces.extend(told(*address, belief.contents(), parts, period));
+                pieces.extend(told(*address, belief.contents(), &parts, period));
             }
         }
         pieces
@@ -65,25 +67,38 @@
     }
 }
 
+/// Changes, and the share whose turn it is.
 fn told(
     address: SocketAddr,
     contents: &CacheContents,
-    mut parts: Vec<(PartKey, u32)>,
+    changes: &[(PartKey, u32)],
     period: u64,
 ) -> Vec<ToldContents> {
     let Some(epoch) = contents.epoch() else {
         return Vec::new();
     };
-    parts.extend(contents.some_kept(period, TURNS));
-    let piece = |parts: &[(PartKey, u32)]| ToldContents {
+    let piece = |parts: &[(PartKey, u32)], share| ToldContents {
         store: StoreTag::of(address),
         epoch,
         parts: parts.to_vec(),
+        share,
     };
-    match parts.is_empty() {
-        // It tells that the store answers.
-        true => vec![piece(&[])],
-        false => parts.chunks(MAX_TOLD_PARTS).map(piece).collect(),
+    let share = share_of(contents, period);
+    let kept: Vec<(PartKey, u32)> = contents.kept_in(share).collect();
+    let changes = changes.chunks(MAX_TOLD_PARTS);
+    let mut pieces: Vec<ToldContents> = changes.map(|parts| piece(parts, None)).collect();
+    // A share that is too large by chance is told without what it lacks.
+    let whole = (kept.len() <= MAX_TOLD_PARTS).then_some(share);
+    pieces.push(piece(&kept[..kept.len().min(MAX_TOLD_PARTS)], whole));
+    pieces
+}
+
+/// The share that is told in a period: so small that it fits one datagram.
+fn share_of(contents: &CacheContents, period: u64) -> KeyShare {
+    let shares = (contents.len() / USUAL_SHARE_PARTS).max(LEAST_SHARES) as u32;
+    KeyShare {
+        shares,
+        share: (period % u64::from(shares)) as u32,
     }
 }
 
@@ -94,6 +109,8 @@
         epoch: told.epoch,
         parts: told.parts.iter().map(|(part, _)| part.0).collect(),
         kept_tokens: told.parts.iter().map(|(_, tokens)| *tokens).collect(),
+        shares: told.share.map_or(0, |share| share.shares),
+        share: told.share.map_or(0, |share| share.share),
     }
 }
 
@@ -105,5 +122,9 @@
         store: StoreTag(message.store),
         epoch: message.epoch,
         parts: parts.zip(message.kept_tokens.iter().copied()).collect(),
+        share: (message.shares > 0).then_some(KeyShare {
+            shares: message.shares,
+            share: message.share,
+        }),
     }
 }
