--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,89 +1,17 @@
 //! The choice of an engine, by a cost in milliseconds with named terms.
 
-use crate::cache_contents::CacheContents;
-use crate::catalogue::{Engine, EngineCatalogue, InstanceId};
+use crate::catalogue::{Engine, InstanceId};
 use crate::cost::{Cost, CostRates};
 use crate::eligibility::eligible_engines;
 pub use crate::eligibility::NoChoice;
-use crate::engine_caches::EngineCaches;
-use crate::peer_loads::PeerLoads;
-use crate::prefix_holders::PrefixHolders;
+use crate::fleet::{Criteria, FleetView, PromptCriteria};
 use crate::prefix_reach::PrefixReach;
 use crate::rendezvous;
-use crate::supply::{best_offer, CacheSource, MoveRates, Offering, Supply};
-use crate::unseen_reading::{filled_level, RecentReading};
+use crate::supply::{CacheSource, KnownOffers, Offering, Supply};
+use crate::unseen_reading::filled_level;
 use ploverlift_policy::ids::{Millis, ZoneName};
-use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::prompt::{ChainKey, PromptPart};
-use ploverlift_routing::software::SoftwareRule;
-
-/// What a node knows of the fleet.
-#[derive(Clone, Copy, Debug)]
-pub struct FleetView<'a> {
-    /// Engines, with this node's own requests.
-    pub catalogue: &'a EngineCatalogue,
-    /// Requests of other nodes.
-    pub peer_loads: &'a PeerLoads,
-    /// Where shared parts of prompts were sent.
-    pub holders: &'a PrefixHolders,
-    /// What the engines whose events are followed keep.
-    pub caches: &'a EngineCaches,
-    /// What this node gave engines to read lately.
-    pub recent_reading: &'a RecentReading,
-    /// The KV cache store, where one is in use.
-    pub cache_store: Option<StoreView<'a>>,
-}
-
-/// What a node knows of the KV cache store.
-#[derive(Clone, Copy, Debug)]
-pub struct StoreView<'a> {
-    /// What it keeps.
-    pub contents: &'a CacheContents,
-    /// Its zone.
-    pub zone: &'a ZoneName,
-}
-
-/// What the choice depends on.
-#[derive(Clone, Debug)]
-pub struct Criteria<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
-    /// Zone of this node.
-    pub zone: &'a ZoneName,
-    /// The prompt, for requests to a model.
-    pub prompt: Option<PromptCriteria<'a>>,
-    /// Versions of the engines' software that may serve the request.
-    pub software: SoftwareRule,
-    /// Engines that were tried already.
-    pub excluded: &'a [InstanceId],
-}
-
-/// What the choice of a model engine depends on.
-#[derive(Clone, Debug)]
-pub struct PromptCriteria<'a> {
-    /// The model.
-    pub model: &'a str,
-    /// Within which cache is shared.
-    pub scope: &'a str,
-    /// Key of the shared parts.
-    pub key: ChainKey,
-    /// The parts that other requests may have too.
-    pub shared: &'a [PromptPart],
-    /// Rates at which KV cache of the model moves.
-    pub moves: MoveRates,
-    /// Lowest version of weights that is allowed.
-    pub required_weights: u64,
-    /// The request's place among those that other nodes send unseen, in 0 to 1; drawn
-    /// at random.
-    pub place: f64,
-}
-
-impl PromptCriteria<'_> {
-    /// Tokens of the parts that other requests may have too.
-    pub fn shared_tokens(&self) -> u64 {
-        self.shared.iter().map(|part| part.tokens).sum()
-    }
-}
+use ploverlift_routing::topology::{Distance, RegionName};
+use std::collections::{BTreeMap, HashMap};
 
 /// The engine that was chosen.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,6 +27,10 @@
     pub held_tokens: u64,
     /// Tokens of the shared parts that need not be read.
     pub kept_tokens: u64,
+    /// Time of the move from the source, in milliseconds.
+    pub move_ms: f64,
+    /// How far the engine is from this node.
+    pub distance: Distance,
     /// Engines that could be chosen.
     pub candidates: usize,
 }
@@ -122,6 +54,9 @@
 /// it is cheapest for everyone, and without this bound true queues do not count
 /// (scale-1 of the shifted site: 0.292 without, 0.334 with 120, 0.338 with 50).
 const MAX_UNSEEN_MS: f64 = 120.0;
+/// Highest cost of reading again what is kept elsewhere, in milliseconds: half of what
+/// an engine costs that fails every request, so that a prompt leaves a home that fails.
+const MAX_REREAD_MS: f64 = 1_000.0;
 /// Cost of each place in the order of a prompt's engines, in milliseconds, so
 /// that overflow goes to the same few engines.
 const RANK_MS: f64 = 1.0;
@@ -147,16 +82,25 @@
         criteria,
         rates,
         reach: &reach,
-        home: ranked.first().copied(),
+        places: places(view, criteria, rates, &ranked, now),
+        homes: homes(view, &ranked),
+        home_region: ranked
+            .first()
+            .and_then(|home| view.topology.region_of(&home.record.zone)),
         typical_failures: typical_failure_rate(&ranked, now),
         newest_weights: newest_weights(&ranked, criteria),
         now,
     };
-    let estimated = ranked.iter().enumerate().map(|(rank, engine)| {
-        let (cost, supply) = estimate.cost(engine, rank);
-        (*engine, cost, supply)
-    });
-    let mut estimated: Vec<(&Engine, Cost, Supply)> = estimated.collect();
+    let mut ranks: BTreeMap<Option<&RegionName>, usize> = BTreeMap::new();
+    let mut offers = KnownOffers::default();
+    let mut estimated: Vec<(&Engine, Cost, Supply)> = Vec::with_capacity(ranked.len());
+    for engine in &ranked {
+        let region = estimate.place(engine).region;
+        let rank = ranks.entry(region).or_default();
+        let (cost, supply) = estimate.cost(engine, *rank, &mut offers);
+        estimated.push((engine, cost, supply));
+        *rank += 1;
+    }
     estimate.add_unseen(&mut estimated);
     let cheapest = estimated
         .into_iter()
@@ -164,6 +108,8 @@
     let (engine, cost, supply) = cheapest.ok_or(NoChoice::NoEngine)?;
     Ok(Choice {
         instance: engine.record.instance.clone(),
+        move_ms: supply.move_ms,
+        distance: view.topology.distance(criteria.zone, &engine.record.zone),
         source: supply.source,
         held_tokens: supply.held_tokens,
         kept_tokens: supply.kept_tokens,
@@ -182,6 +128,57 @@
     candidates
 }
 
+/// A zone as it looks from this node.
+#[derive(Clone, Copy, Debug)]
+struct Place<'a> {
+    region: Option<&'a RegionName>,
+    distance: Distance,
+    region_ms: f64,
+}
+
+/// The zones of the candidates.
+fn places<'a>(
+    view: &FleetView<'a>,
+    criteria: &Criteria<'_>,
+    rates: &CostRates,
+    ranked: &[&'a Engine],
+    now: Millis,
+) -> HashMap<&'a ZoneName, Place<'a>> {
+    let mut places = HashMap::new();
+    for engine in ranked {
+        let zone = &engine.record.zone;
+        places.entry(zone).or_insert_with(|| {
+            let distance = view.topology.distance(criteria.zone, zone);
+            let round_trip_ms = view.round_trips.to_ms(zone, now);
+            let region_ms = match distance {
+                Distance::OtherRegion => {
+                    rates.region.cost_ms(round_trip_ms, criteria.request_bytes)
+                }
+                _ => 0.0,
+            };
+            Place {
+                region: view.topology.region_of(zone),
+                distance,
+                region_ms,
+            }
+        });
+    }
+    places
+}
+
+/// The engine that each region's requests for the prompt go to first.
+fn homes<'a>(
+    view: &FleetView<'a>,
+    ranked: &[&'a Engine],
+) -> BTreeMap<Option<&'a RegionName>, &'a Engine> {
+    let mut homes = BTreeMap::new();
+    for engine in ranked {
+        let region = view.topology.region_of(&engine.record.zone);
+        homes.entry(region).or_insert(*engine);
+    }
+    homes
+}
+
 /// The newest weights that a candidate has.
 fn newest_weights(engines: &[&Engine], criteria: &Criteria<'_>) -> u64 {
     let prompt = criteria.prompt.as_ref();
@@ -212,22 +209,42 @@
     criteria: &'a Criteria<'a>,
     rates: &'a CostRates,
     reach: &'a PrefixReach<'a>,
-    home: Option<&'a Engine>,
+    places: HashMap<&'a ZoneName, Place<'a>>,
+    homes: BTreeMap<Option<&'a RegionName>, &'a Engine>,
+    /// The region that is asked for the prompt by those who know of no other.
+    home_region: Option<&'a RegionName>,
     typical_failures: f64,
     newest_weights: u64,
     now: Millis,
 }
 
 impl<'a> Estimate<'a> {
-    fn cost(&self, engine: &'a Engine, rank: usize) -> (Cost, Supply) {
+    /// Where an engine is. All candidates' zones are known.
+    fn place(&self, engine: &Engine) -> Place<'a> {
+        let known = self.places.get(&engine.record.zone).copied();
+        known.unwrap_or(Place {
+            region: None,
+            distance: Distance::SameZone,
+            region_ms: 0.0,
+        })
+    }
+
+    fn cost(
+        &self,
+        engine: &'a Engine,
+        rank: usize,
+        offers: &mut KnownOffers<'a>,
+    ) -> (Cost, Supply) {
         let rates = self.rates;
         let mut cost = Cost {
             failure_ms: self.failure_ms(engine),
             ..Cost::default()
         };
-        if engine.record.zone != *self.criteria.zone {
+        let place = self.place(engine);
+        if place.distance != Distance::SameZone {
             cost.zone_ms = rates.zone_ms;
         }
+        cost.region_ms = place.region_ms;
         let peers = self.view.peer_loads.at(engine.tag);
         let requests = match self.view.peer_loads.peer_count() {
             0 => f64::from(engine.in_flight) * rates.senders,
@@ -240,7 +257,7 @@
         };
         let waiting_tokens = engine.waiting_tokens + peers.waiting_tokens;
         cost.queue_ms = waiting_tokens as f64 / rates.prefill_tokens_per_ms;
-        let supply = self.supply(engine, prompt, rank, &mut cost);
+        let supply = self.supply(engine, prompt, rank, &mut cost, offers);
         cost.transfer_ms += RANK_MS * rank as f64;
         if engine.weights_of(prompt.model) < self.newest_weights {
             let to_read = prompt.shared_tokens().saturating_sub(supply.kept_tokens);
@@ -284,46 +301,67 @@
         prompt: &PromptCriteria<'_>,
         rank: usize,
         cost: &mut Cost,
+        offers: &mut KnownOffers<'a>,
     ) -> Supply {
         let prefill_ms = |tokens: u64| tokens as f64 / self.rates.prefill_tokens_per_ms;
         let shared = prompt.shared_tokens();
+        cost.reread_ms = self.reread_ms(engine, prompt, 0);
         if !self.reach.is_known() {
             // Nobody is known to keep any part: the home may.
             if rank > 0 {
                 cost.eviction_ms = prefill_ms(shared) * self.rates.eviction_share;
             }
-            let home = self.home.filter(|home| {
+            let region = self.place(engine).region;
+            let home = self.homes.get(&region).filter(|home| {
                 let same_weights = home.weights_of(prompt.model) == engine.weights_of(prompt.model);
                 let is_unknown = self.view.caches.of(home.tag).is_none();
                 rank > 0 && same_weights && is_unknown && !home.health.is_suspected()
             });
-            let instance = |home: &Engine| CacheSource::Engine(home.record.instance.clone());
+            let instance = |home: &&Engine| CacheSource::Engine(home.record.instance.clone());
             return Supply {
                 source: home.map(instance),
                 ..Supply::default()
             };
         }
-        let held = self.reach.held(engine, prompt.model);
+        let held = self.reach.held(engine);
         let offering = Offering {
             view: self.view,
             reach: self.reach,
             prompt,
+            prefill_tokens_per_ms: self.rates.prefill_tokens_per_ms,
+            now: self.now,
         };
-        let offer = best_offer(&offering, engine, held);
+        let offer = offers.best(&offering, engine, held);
         let offered = offer.as_ref().map_or(0, |offer| offer.kept_tokens);
         let kept = held.max(offered);
-        if offered > held {
-            cost.transfer_ms = offer.as_ref().map_or(0.0, |offer| offer.move_ms);
+        let mut move_ms = 0.0;
+        if let Some(offer) = offer.as_ref().filter(|_| offered > held) {
+            move_ms = offer.move_ms;
+            cost.transfer_ms = offer.wait_ms + offer.move_ms;
         }
         cost.eviction_ms = prefill_ms(shared - held) * self.rates.eviction_share;
         cost.prefill_ms = prefill_ms(shared.saturating_sub(kept));
+        cost.reread_ms = self.reread_ms(engine, prompt, kept);
         Supply {
-            source: offer.map(|offer| offer.source),
+            source: offer.map(|offer| offer.source()),
             held_tokens: held,
             kept_tokens: kept,
+            move_ms,
         }
     }
 
+    /// Cost of reading again what others keep, when the engine has or is moved so many
+    /// tokens. What nobody is known to keep may be kept in the prompt's home region.
+    fn reread_ms(&self, engine: &Engine, prompt: &PromptCriteria<'_>, kept: u64) -> f64 {
+        let kept_elsewhere = match self.place(engine).region == self.home_region {
+            true => self.reach.most_kept(engine.weights_of(prompt.model)),
+            false => prompt.shared_tokens(),
+        };
+        let reread_tokens = kept_elsewhere.saturating_sub(kept);
+        let reading_ms = reread_tokens as f64 / self.rates.prefill_tokens_per_ms;
+        (reading_ms * self.rates.reread_share).min(MAX_REREAD_MS)
+    }
+
     fn failure_ms(&self, engine: &Engine) -> f64 {
         let now = self.now;
         if !engine.health.may_be_chosen(now) {
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -1,96 +1,213 @@
-//! Follows what the KV cache store holds.
+//! Follows what the KV cache stores hold.
 //!
 //! Without it each node would save each shared prompt anew, and the saves alone
-//! would fill the store's link.
+//! would fill a store's link.
+//!
+//! Events from another region are paid for: there only relays follow a store, and tell
+//! the nodes of their zone ([`crate::peers::store_contents`]).
+//!
+//! A store holds a few calls for events at once, over all nodes. So the nodes take
+//! turns: the more there are, the longer each rests between two calls.
 
-use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
-use crate::beliefs::{ActiveConfiguration, CacheStoreState};
+use super::turns::{Callers, Turns, HELD};
+use super::{ask_for_events, EventWait, RETRY_MS};
+use crate::beliefs::ActiveConfiguration;
 use crate::http_call::CallConnection;
+use crate::peers::address_book::RELAYS_PER_ZONE;
+use crate::peers::roles::{role, Role};
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 use crate::time::sleep;
-use ploverlift_policy::ids::ZoneName;
+use ploverlift_balancing::cache_contents::CacheEvents;
+use ploverlift_balancing::cache_stores::CacheStoreState;
+use ploverlift_balancing::peer_loads::ZoneTag;
 use ploverlift_routing::configuration::CacheStore;
+use ploverlift_routing::topology::Distance;
+use smol::Task;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// How long calls for events may take.
-const WAIT: EventWait = EventWait {
-    held_ms: 1_000,
-    slack_ms: 500,
-};
-/// Pause between two calls, in milliseconds, so that events come in batches.
-const GATHER_MS: u64 = 60;
+/// Time between two looks at which stores there are, in milliseconds.
+const LOOK_PERIOD_MS: u64 = 400;
+/// Longest wait for an answer beyond what a call is held, in milliseconds.
+const SLACK_MS: u64 = 500;
+/// Turns that may be refused one after another while what was known is believed.
+const REFUSED_TURNS: u32 = 3;
 
-/// The KV cache store that nodes of a zone use: one in the zone where there
-/// is one.
-pub fn cache_store<'a>(
-    configuration: &'a ActiveConfiguration,
-    zone: &ZoneName,
-) -> Option<&'a CacheStore> {
+/// The KV cache stores.
+pub fn cache_stores(configuration: &ActiveConfiguration) -> impl Iterator<Item = &CacheStore> {
     let services = configuration.document.services.values();
-    let stores = services.filter_map(|service| service.cache_store.as_ref());
-    stores.max_by_key(|store| store.zone == *zone)
+    services.filter_map(|service| service.cache_store.as_ref())
+}
+
+/// Follows all stores until the task is dropped.
+pub async fn follow_cache_stores(gateway: Arc<Gateway>) {
+    let mut feeds: HashMap<SocketAddr, Task<()>> = HashMap::new();
+    loop {
+        let stores = configured_stores(&gateway);
+        let is_configured = |address| stores.iter().any(|store| store.address == address);
+        feeds.retain(|address, _| is_configured(*address));
+        {
+            let mut beliefs = gateway.beliefs();
+            beliefs.cache_stores.retain(is_configured);
+            beliefs.relaying.store_changes.retain(is_configured);
+        }
+        for store in stores {
+            feeds
+                .entry(store.address)
+                .or_insert_with(|| smol::spawn(follow_store(Arc::clone(&gateway), store)));
+        }
+        sleep(LOOK_PERIOD_MS).await;
+    }
+}
+
+fn configured_stores(gateway: &Gateway) -> Vec<CacheStore> {
+    let configuration = gateway.configuration();
+    let stores = configuration.as_deref().map(cache_stores);
+    stores.into_iter().flatten().cloned().collect()
 }
 
-/// Follows the store until the task is dropped.
-pub async fn follow_cache_store(gateway: Arc<Gateway>) {
-    let mut followed: Option<(SocketAddr, CallConnection)> = None;
+async fn follow_store(gateway: Arc<Gateway>, store: CacheStore) {
+    let mut connection = CallConnection::new(store.address);
+    let mut refused = 0;
     loop {
-        let configuration = gateway.configuration();
-        let store = configuration
-            .as_deref()
-            .and_then(|known| cache_store(known, &gateway.zone));
-        let Some(store) = store else {
+        let turns = turns(&gateway, &store);
+        if is_told(&gateway, &store, &turns) {
+            connection.reset();
+            expire_told(&gateway, &store);
             sleep(RETRY_MS).await;
             continue;
-        };
-        let is_known = followed
-            .as_ref()
-            .is_some_and(|(known, _)| *known == store.address);
-        if !is_known {
-            followed = Some((store.address, CallConnection::new(store.address)));
-            gateway.beliefs().cache.contents.forget();
-            note_state(&gateway, CacheStoreState::Lost);
         }
-        let Some((_, connection)) = followed.as_mut() else {
-            continue;
+        let state = poll(&gateway, &store, &mut connection).await;
+        refused = match state {
+            CacheStoreState::Unobserved => refused + 1,
+            _ => 0,
         };
-        match poll(&gateway, connection).await {
-            CacheStoreState::Followed => sleep(GATHER_MS).await,
-            CacheStoreState::Unobserved => sleep(refused_pause_ms()).await,
+        if state != CacheStoreState::Unobserved || refused >= REFUSED_TURNS {
+            note_state(&gateway, &store, state);
+        } else if is_lost(&gateway, &store) {
+            note_state(&gateway, &store, CacheStoreState::Unobserved);
+        }
+        match state {
             CacheStoreState::Lost => {
                 connection.reset();
                 sleep(RETRY_MS).await;
             }
+            _ => {
+                let pause = turns.pause_after(refused, fastrand::f64());
+                sleep(pause.as_millis() as u64).await;
+            }
+        }
+    }
+}
+
+fn is_lost(gateway: &Gateway, store: &CacheStore) -> bool {
+    let beliefs = gateway.beliefs();
+    let known = beliefs.cache_stores.of(store.address);
+    known.is_none_or(|known| known.state() == CacheStoreState::Lost)
+}
+
+fn expire_told(gateway: &Gateway, store: &CacheStore) {
+    let now = gateway.clock.now();
+    let stores = &mut gateway.beliefs().cache_stores;
+    stores.expire_told(store.address, now);
+}
+
+/// Whether relays tell this node what the store keeps.
+fn is_told(gateway: &Gateway, store: &CacheStore, turns: &Turns) -> bool {
+    let is_for_relays = turns.are_relays_alone || is_far(gateway, store);
+    is_for_relays && role(gateway, gateway.clock.now()) == Role::Follower
+}
+
+fn is_far(gateway: &Gateway, store: &CacheStore) -> bool {
+    gateway.topology.distance(&gateway.zone, &store.zone) == Distance::OtherRegion
+}
+
+/// Who calls the store, and how often.
+fn turns(gateway: &Gateway, store: &CacheStore) -> Turns {
+    let far: Vec<ZoneTag> = gateway
+        .topology
+        .zones_far_from(&store.zone)
+        .map(ZoneTag::of)
+        .collect();
+    let book = gateway.address_book();
+    let has_relays = book.has_relays();
+    let relays = |nodes: usize| match has_relays {
+        true => nodes.min(RELAYS_PER_ZONE),
+        false => nodes,
+    };
+    let mut callers = Callers {
+        near: 0,
+        far_relays: 0,
+        relays: 0,
+    };
+    for (zone, nodes) in book.nodes_by_zone() {
+        match far.contains(&zone) {
+            true => callers.far_relays += relays(nodes),
+            false => callers.near += nodes,
+        }
+        if has_relays {
+            callers.relays += relays(nodes);
         }
     }
+    Turns::of(callers, store.max_event_calls)
 }
 
 /// Asks for events, and takes in what the answer shows.
-async fn poll(gateway: &Gateway, connection: &mut CallConnection) -> CacheStoreState {
-    let since = gateway.beliefs().cache.contents.next();
-    match ask_for_events(gateway, connection, since, WAIT).await {
+async fn poll(
+    gateway: &Gateway,
+    store: &CacheStore,
+    connection: &mut CallConnection,
+) -> CacheStoreState {
+    let since = {
+        let mut beliefs = gateway.beliefs();
+        beliefs.cache_stores.of_mut(store.address).contents().next()
+    };
+    let wait = EventWait {
+        held_ms: HELD.as_millis() as u64,
+        slack_ms: SLACK_MS,
+    };
+    match ask_for_events(gateway, connection, since, &store.zone, wait).await {
         Ok(CacheAnswer::Events(batch)) => {
-            gateway.beliefs().cache.contents.apply(&batch);
-            note_state(gateway, CacheStoreState::Followed)
-        }
-        Ok(CacheAnswer::TooManyCalls) => note_state(gateway, CacheStoreState::Unobserved),
-        Ok(CacheAnswer::Invalid) | Err(_) => {
-            gateway.beliefs().cache.contents.forget();
-            note_state(gateway, CacheStoreState::Lost)
+            take_events(gateway, store, &batch);
+            CacheStoreState::Followed
         }
+        Ok(CacheAnswer::TooManyCalls) => CacheStoreState::Unobserved,
+        Ok(CacheAnswer::Invalid) | Err(_) => CacheStoreState::Lost,
     }
 }
 
-fn note_state(gateway: &Gateway, state: CacheStoreState) -> CacheStoreState {
-    let known = std::mem::replace(&mut gateway.beliefs().cache.state, state);
-    if known != state {
-        match state {
-            CacheStoreState::Followed => slog::info!(gateway.log, "cache store followed"),
-            CacheStoreState::Unobserved => slog::info!(gateway.log, "cache store not observed"),
-            CacheStoreState::Lost => slog::warn!(gateway.log, "cache store lost"),
+fn take_events(gateway: &Gateway, store: &CacheStore, batch: &CacheEvents) {
+    let turns = turns(gateway, store);
+    let mut beliefs = gateway.beliefs();
+    let contents = beliefs.cache_stores.of_mut(store.address).contents_mut();
+    let is_anew = contents.epoch() != Some(batch.epoch) || batch.has_gap;
+    contents.apply(batch);
+    if turns.are_relays_alone || is_far(gateway, store) {
+        let changes = &mut beliefs.relaying.store_changes;
+        changes.follow(store.address, &batch.events, is_anew);
+    }
+}
+
+fn note_state(gateway: &Gateway, store: &CacheStore, state: CacheStoreState) {
+    let mut beliefs = gateway.beliefs();
+    let belief = beliefs.cache_stores.of_mut(store.address);
+    let known = belief.note_state(state);
+    drop(beliefs);
+    if known == state {
+        return;
+    }
+    let address = store.address.to_string();
+    match state {
+        CacheStoreState::Followed => {
+            slog::info!(gateway.log, "cache store followed"; "address" => address);
+        }
+        CacheStoreState::Unobserved => {
+            slog::info!(gateway.log, "cache store not observed"; "address" => address);
+        }
+        CacheStoreState::Lost => {
+            slog::warn!(gateway.log, "cache store lost"; "address" => address);
         }
     }
-    state
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -41,6 +41,7 @@
 pub mod roles;
 pub mod rollout_messages;
 pub mod snapshot;
+pub mod store_contents;
 
 use crate::state::Gateway;
 use crate::time::sleep;
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -194,12 +194,24 @@
             header.loads.members.clear();
             reports.push(report);
         }
+        let Beliefs {
+            relaying,
+            cache_stores,
+            ..
+        } = &mut *beliefs;
+        let stores = relaying.store_changes.next(cache_stores, self.period);
+        let mut stores = stores.into_iter();
         loop {
             let (part, portion) = (changes.next(), portions.next());
-            if part.is_none() && portion.is_none() {
+            let told = match (&part, &portion) {
+                (None, None) => stores.next(),
+                _ => None,
+            };
+            if part.is_none() && portion.is_none() && told.is_none() {
                 return reports;
             }
             let mut report = header.clone();
+            report.stores.extend(told);
             report.loads.sequence = gateway.report_sequence.fetch_add(1, Ordering::Relaxed);
             if !reports.is_empty() {
                 report.loads.members.clear();
@@ -309,6 +321,7 @@
             changes: Vec::new(),
             included: None,
             rollouts: None,
+            stores: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -4,6 +4,8 @@
     load_message, loaded_message, placement_message, read_load, read_loaded, read_placement,
 };
 use super::rollout_messages::{news_message, read_news, RolloutNews};
+use super::store_contents::{read_store, store_message};
+use ploverlift_balancing::cache_stores::ToldContents;
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadedWeights, PeerId, ZoneTag};
 use ploverlift_balancing::prefix_holders::Placement;
@@ -79,6 +81,8 @@
     pub included: Option<IncludedReport>,
     /// Orders of rollouts; nothing when this report does not tell.
     pub rollouts: Option<RolloutNews>,
+    /// What KV cache stores of other regions keep.
+    pub stores: Vec<ToldContents>,
 }
 
 /// The message for a report of a relay.
@@ -105,6 +109,7 @@
         included_life: report.included.map_or(0, |included| included.life),
         included_sequence: report.included.map_or(0, |included| included.sequence),
         rollouts: report.rollouts.as_ref().map(news_message),
+        stores: report.stores.iter().map(store_message).collect(),
     }
 }
 
@@ -146,6 +151,7 @@
         changes: message.changes.iter().filter_map(read_change).collect(),
         included: Some(included).filter(|included| included.sequence > 0),
         rollouts: message.rollouts.as_ref().map(read_news),
+        stores: message.stores.iter().map(read_store).collect(),
     }
 }
 
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -162,6 +162,7 @@
         changes,
         included: None,
         rollouts: None,
+        stores: Vec::new(),
     }
 }
 
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -25,6 +25,17 @@
     OtherRegion,
 }
 
+impl Distance {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::SameZone => "zone",
+            Self::SameRegion => "region",
+            Self::OtherRegion => "other_region",
+        }
+    }
+}
+
 /// The zones of a site and their regions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Topology {
@@ -42,6 +53,12 @@
         self.regions.get(zone)
     }
 
+    /// The zones that are in other regions than a zone.
+    pub fn zones_far_from<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a ZoneName> {
+        let zones = self.regions.keys();
+        zones.filter(move |other| self.distance(zone, other) == Distance::OtherRegion)
+    }
+
     /// How far apart two zones are. A zone without a known region is taken to be in
     /// the same one: a site that names no regions has one.
     pub fn distance(&self, from: &ZoneName, to: &ZoneName) -> Distance {
