--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -219,6 +219,25 @@
         }
     }
 
+    /// The engine takes no connection; requests go elsewhere until then.
+    pub fn put_aside(&mut self, instance: &InstanceId, until: Millis) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.health.put_aside(until);
+        }
+    }
+
+    /// The engine takes connections again.
+    pub fn allow_trial(&mut self, instance: &InstanceId, now: Millis) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.health.allow_trial(now);
+        }
+    }
+
+    /// The engine with this short name.
+    pub fn by_tag(&self, tag: EngineTag) -> Option<&Engine> {
+        self.engines.values().find(|engine| engine.tag == tag)
+    }
+
     /// The engine said which weights it has.
     pub fn note_weights(&mut self, instance: &InstanceId, model: &str, version: u64) {
         if let Some(engine) = self.engines.get_mut(instance) {
--- /dev/null
+++ b/crates/balancing/src/engine_losses.rs
@@ -0,0 +1,272 @@
+//! Which engines are lost: they take no connection any more.
+//!
+//! An engine whose machine lost its power resets nothing. Each request that is sent
+//! there finds out by its own time-out, and each request that waits there waits to its
+//! end. So the first connection that does not come about starts checks by connections
+//! alone, which carry no request. Other nodes hear which engines are lost and check by
+//! themselves: news starts a check and nothing else, or an engine that one node alone
+//! cannot reach would be lost to all.
+//!
+//! ```text
+//! no connection, or news, or record gone ─▶ due ─▶ checks ─▶ lost, or reached again
+//! ```
+
+use crate::catalogue::InstanceId;
+use crate::peer_loads::{EngineTag, PeerId};
+use ploverlift_policy::ids::Millis;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// Connections in a row that must fail before an engine is lost.
+const FAILURES_UNTIL_LOST: u32 = 3;
+/// Time that must pass between the first and the last of them, in milliseconds: a link
+/// that is disturbed for a moment fails several at once.
+const FAILING_FOR_MS: u64 = 500;
+/// Time for which what other nodes told counts, in milliseconds: some ten reports.
+const NEWS_MS: u64 = 2_000;
+/// Time after an engine was reached in which news of its loss starts no check, in
+/// milliseconds. What this node sees itself goes before what it is told.
+const REACHED_MS: u64 = 5_000;
+/// Lost engines in one report; the latest ones go first. With them a report stays
+/// within one datagram.
+pub const MAX_TOLD: usize = 16;
+
+/// An engine to be checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueCheck {
+    /// The engine.
+    pub instance: InstanceId,
+    /// Where it listens, or listened.
+    pub address: SocketAddr,
+}
+
+/// What a node tells of an engine that is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostEngine {
+    /// The engine.
+    pub engine: EngineTag,
+    /// Nodes that cannot reach it, as far as the sender knows; the sender counts.
+    pub nodes: u32,
+}
+
+/// Whose reports tell of lost engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum NewsSource {
+    /// A node, of what it has found itself.
+    Node,
+    /// A relay of another zone, of what the nodes there have found.
+    OtherZone,
+    /// A relay, of what all nodes have found, the receiver among them.
+    Relay,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    first_failure: Millis,
+    failures: u32,
+    lost_at: Option<Millis>,
+    is_checked: bool,
+    record_is_gone: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct News {
+    nodes: u32,
+    heard_at: Millis,
+}
+
+/// Engines that are lost or may be.
+#[derive(Clone, Debug, Default)]
+pub struct EngineLosses {
+    suspects: HashMap<InstanceId, Suspect>,
+    due: Vec<DueCheck>,
+    news: HashMap<EngineTag, HashMap<(NewsSource, PeerId), News>>,
+    reached: HashMap<EngineTag, Millis>,
+}
+
+impl EngineLosses {
+    /// No connection to the engine came about.
+    pub fn note_unreachable(&mut self, instance: &InstanceId, address: SocketAddr, now: Millis) {
+        let suspect = self.suspect(instance, address, now);
+        suspect.failures += 1;
+        let has_failed_for = now.since(suspect.first_failure);
+        if suspect.failures >= FAILURES_UNTIL_LOST && has_failed_for >= FAILING_FOR_MS {
+            suspect.lost_at.get_or_insert(now);
+        }
+    }
+
+    /// Another node cannot reach the engine.
+    pub fn note_told(&mut self, instance: &InstanceId, address: SocketAddr, now: Millis) {
+        self.suspect(instance, address, now);
+    }
+
+    /// The engine's record is gone while requests are there.
+    pub fn note_record_gone(&mut self, instance: &InstanceId, address: SocketAddr, now: Millis) {
+        self.suspect(instance, address, now).record_is_gone = true;
+    }
+
+    /// The engine took a connection or answered; tells whether it was suspected.
+    pub fn note_reached(&mut self, instance: &InstanceId, now: Millis) -> bool {
+        if self.suspects.is_empty() {
+            return false;
+        }
+        let was_suspected = self.suspects.remove(instance).is_some();
+        if was_suspected {
+            self.reached.insert(EngineTag::of(instance), now);
+        }
+        was_suspected
+    }
+
+    /// The engine is a suspect, and is due to be checked if it was not.
+    fn suspect(&mut self, instance: &InstanceId, address: SocketAddr, now: Millis) -> &mut Suspect {
+        let entry = self.suspects.entry(instance.clone());
+        let suspect = entry.or_insert(Suspect {
+            first_failure: now,
+            failures: 0,
+            lost_at: None,
+            is_checked: false,
+            record_is_gone: false,
+        });
+        if !std::mem::replace(&mut suspect.is_checked, true) {
+            let instance = instance.clone();
+            self.due.push(DueCheck { instance, address });
+        }
+        suspect
+    }
+
+    /// Checks to be begun now.
+    pub fn take_due(&mut self) -> Vec<DueCheck> {
+        std::mem::take(&mut self.due)
+    }
+
+    /// Whether the engine is to be checked further.
+    pub fn is_suspected(&self, instance: &InstanceId) -> bool {
+        self.suspects.contains_key(instance)
+    }
+
+    /// Nobody needs to know about the engine any more.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        self.suspects.remove(instance);
+    }
+
+    /// Whether this node has found that the engine is lost, at or after `sent`.
+    pub fn is_lost_since(&self, instance: &InstanceId, sent: Millis) -> bool {
+        let suspect = self.suspects.get(instance);
+        let lost_at = suspect.and_then(|suspect| suspect.lost_at);
+        lost_at.is_some_and(|lost_at| lost_at >= sent)
+    }
+
+    /// Whether, besides, its record is gone or another node cannot reach it either:
+    /// then it is not this node's link that is at fault.
+    pub fn is_dead_since(&self, instance: &InstanceId, sent: Millis, now: Millis) -> bool {
+        let Some(suspect) = self.suspects.get(instance) else {
+            return false;
+        };
+        let is_confirmed =
+            suspect.record_is_gone || self.others(EngineTag::of(instance), true, now) > 0;
+        self.is_lost_since(instance, sent) && is_confirmed
+    }
+
+    /// Nodes besides this one that cannot reach the engine. What a relay tells includes
+    /// this node where it `has_told`.
+    fn others(&self, engine: EngineTag, has_told: bool, now: Millis) -> u32 {
+        let direct: u32 = self.told_by(engine, NewsSource::Node, now).sum();
+        let zones: u32 = self.told_by(engine, NewsSource::OtherZone, now).sum();
+        let relayed = self.told_by(engine, NewsSource::Relay, now).max();
+        let relayed = relayed.unwrap_or(0).saturating_sub(u32::from(has_told));
+        relayed.max(direct + zones)
+    }
+
+    /// What each sender of a kind told lately.
+    fn told_by(
+        &self,
+        engine: EngineTag,
+        wanted: NewsSource,
+        now: Millis,
+    ) -> impl Iterator<Item = u32> + '_ {
+        let senders = self.news.get(&engine).into_iter().flatten();
+        let fresh = senders.filter(move |((source, _), news)| {
+            *source == wanted && now.since(news.heard_at) < NEWS_MS
+        });
+        fresh.map(|(_, news)| news.nodes)
+    }
+
+    /// Takes in what another node told; gives the engines that this node should check.
+    pub fn hear(
+        &mut self,
+        source: NewsSource,
+        sender: PeerId,
+        lost: &[LostEngine],
+        now: Millis,
+    ) -> Vec<EngineTag> {
+        let mut to_check = Vec::new();
+        for told in lost {
+            let news = News {
+                nodes: told.nodes,
+                heard_at: now,
+            };
+            let known = self.news.entry(told.engine).or_default();
+            known.insert((source, sender), news);
+            let reached = self.reached.get(&told.engine);
+            if reached.is_none_or(|at| now.since(*at) >= REACHED_MS) {
+                to_check.push(told.engine);
+            }
+        }
+        to_check
+    }
+
+    /// Forgets news that no longer counts.
+    pub fn expire(&mut self, now: Millis) {
+        self.news.retain(|_, senders| {
+            senders.retain(|_, news| now.since(news.heard_at) < NEWS_MS);
+            !senders.is_empty()
+        });
+        self.reached.retain(|_, at| now.since(*at) < REACHED_MS);
+    }
+
+    /// What this node has found itself, the latest first.
+    pub fn own(&self) -> Vec<LostEngine> {
+        let lost = self.suspects.iter().filter_map(|(instance, suspect)| {
+            let lost_at = suspect.lost_at?;
+            Some((lost_at, EngineTag::of(instance)))
+        });
+        let mut lost: Vec<(Millis, EngineTag)> = lost.collect();
+        lost.sort_by_key(|(lost_at, engine)| (std::cmp::Reverse(*lost_at), *engine));
+        lost.truncate(MAX_TOLD);
+        let told = lost
+            .into_iter()
+            .map(|(_, engine)| LostEngine { engine, nodes: 1 });
+        told.collect()
+    }
+
+    /// What a relay tells the nodes of its zone: what it has found itself, and what
+    /// nodes and other zones have told it.
+    pub fn of_all(&self, now: Millis) -> Vec<LostEngine> {
+        self.summed(&[NewsSource::Node, NewsSource::OtherZone], now)
+    }
+
+    /// What a relay tells other zones: what the nodes of its own have found.
+    pub fn of_zone(&self, now: Millis) -> Vec<LostEngine> {
+        self.summed(&[NewsSource::Node], now)
+    }
+
+    fn summed(&self, sources: &[NewsSource], now: Millis) -> Vec<LostEngine> {
+        let mut sums: BTreeMap<EngineTag, u32> = BTreeMap::new();
+        for lost in self.own() {
+            *sums.entry(lost.engine).or_default() += lost.nodes;
+        }
+        for engine in self.news.keys() {
+            for source in sources {
+                let nodes: u32 = self.told_by(*engine, *source, now).sum();
+                *sums.entry(*engine).or_default() += nodes;
+            }
+        }
+        let sums = sums.into_iter().filter(|(_, nodes)| *nodes > 0);
+        let mut told: Vec<LostEngine> = sums
+            .map(|(engine, nodes)| LostEngine { engine, nodes })
+            .collect();
+        told.sort_by_key(|lost| (std::cmp::Reverse(lost.nodes), lost.engine));
+        told.truncate(MAX_TOLD);
+        told
+    }
+}
--- a/crates/balancing/src/health.rs
+++ b/crates/balancing/src/health.rs
@@ -110,6 +110,20 @@
         self.trial_since = None;
     }
 
+    /// Puts the engine aside until then, or longer where it is already.
+    pub fn put_aside(&mut self, until: Millis) {
+        self.suspended_until = self.suspended_until.max(Some(until));
+        self.trial_since = None;
+    }
+
+    /// The engine was put aside and takes connections again: one request may try it.
+    pub fn allow_trial(&mut self, now: Millis) {
+        if self.suspended_until.is_some() {
+            self.suspended_until = Some(now);
+            self.trial_since = None;
+        }
+    }
+
     /// Puts the engine aside, longer each time in a row.
     pub fn suspend(&mut self, now: Millis) {
         let doublings = self.failures_in_a_row.min(4);
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`cost`] | the cost of an engine, by named terms in milliseconds |
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
+//! | [`engine_losses`] | which engines take no connection any more, and who else says so |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
 //! | [`relayed_loads`] | the same as relays sum it up in large fleets |
@@ -34,6 +35,7 @@
 pub mod cost;
 pub mod eligibility;
 pub mod engine_caches;
+pub mod engine_losses;
 pub mod health;
 pub mod load_schedule;
 pub mod peer_loads;
--- /dev/null
+++ b/crates/balancing/tests/engine_losses.rs
@@ -0,0 +1,138 @@
+//! When an engine counts as lost, and what nodes make of each other's word.
+
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_balancing::engine_losses::{EngineLosses, LostEngine, NewsSource, MAX_TOLD};
+use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
+use ploverlift_policy::ids::Millis;
+use std::net::SocketAddr;
+
+const SENT: Millis = Millis(10_000);
+
+fn engine() -> InstanceId {
+    InstanceId("e-1".to_owned())
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn told(nodes: u32) -> [LostEngine; 1] {
+    [LostEngine {
+        engine: EngineTag::of(&engine()),
+        nodes,
+    }]
+}
+
+/// Three connections failed, the last one at 10.6 s.
+fn lost() -> EngineLosses {
+    let mut losses = EngineLosses::default();
+    for at in [10_000, 10_300, 10_600] {
+        losses.note_unreachable(&engine(), address(), Millis(at));
+    }
+    losses
+}
+
+#[test]
+fn an_engine_is_lost_after_three_failures_over_half_a_second() {
+    let mut losses = EngineLosses::default();
+    for at in [10_000, 10_050, 10_100] {
+        losses.note_unreachable(&engine(), address(), Millis(at));
+        assert!(!losses.is_lost_since(&engine(), SENT));
+    }
+    losses.note_unreachable(&engine(), address(), Millis(10_500));
+    assert!(losses.is_lost_since(&engine(), SENT));
+    // A request that was sent since shows anew whether the engine is there.
+    assert!(!losses.is_lost_since(&engine(), Millis(10_501)));
+}
+
+#[test]
+fn an_engine_is_due_to_be_checked_once() {
+    let mut losses = lost();
+    assert_eq!(losses.take_due().len(), 1);
+    losses.note_unreachable(&engine(), address(), Millis(10_700));
+    losses.note_record_gone(&engine(), address(), Millis(10_800));
+    assert!(losses.take_due().is_empty());
+    assert!(losses.note_reached(&engine(), Millis(11_000)));
+    assert!(!losses.is_lost_since(&engine(), SENT));
+    losses.note_unreachable(&engine(), address(), Millis(12_000));
+    assert_eq!(losses.take_due().len(), 1);
+}
+
+#[test]
+fn an_engine_is_dead_when_it_is_lost_and_its_record_is_gone() {
+    let now = Millis(10_700);
+    let mut losses = lost();
+    assert!(!losses.is_dead_since(&engine(), SENT, now));
+    losses.note_record_gone(&engine(), address(), now);
+    assert!(losses.is_dead_since(&engine(), SENT, now));
+}
+
+#[test]
+fn a_record_that_is_gone_does_not_alone_make_an_engine_dead() {
+    let mut losses = EngineLosses::default();
+    losses.note_record_gone(&engine(), address(), SENT);
+    assert!(!losses.is_dead_since(&engine(), SENT, Millis(10_700)));
+}
+
+#[test]
+fn another_nodes_word_counts_for_two_seconds_and_its_own_echo_never() {
+    let heard = Millis(10_700);
+    let relay = PeerId(5);
+    let mut losses = lost();
+    losses.hear(NewsSource::Relay, relay, &told(1), heard);
+    assert!(!losses.is_dead_since(&engine(), SENT, heard));
+    losses.hear(NewsSource::Relay, relay, &told(2), heard);
+    assert!(losses.is_dead_since(&engine(), SENT, heard));
+    assert!(!losses.is_dead_since(&engine(), SENT, heard.plus(2_000)));
+    losses.hear(NewsSource::Node, PeerId(6), &told(1), heard.plus(2_000));
+    assert!(losses.is_dead_since(&engine(), SENT, heard.plus(2_100)));
+}
+
+#[test]
+fn news_alone_makes_no_engine_lost() {
+    let mut losses = EngineLosses::default();
+    let to_check = losses.hear(NewsSource::Node, PeerId(6), &told(80), SENT);
+    assert_eq!(to_check, [EngineTag::of(&engine())]);
+    assert!(!losses.is_dead_since(&engine(), Millis(0), SENT));
+    assert!(!losses.is_lost_since(&engine(), Millis(0)));
+}
+
+#[test]
+fn news_of_an_engine_that_was_reached_lately_is_not_checked() {
+    let mut losses = lost();
+    losses.note_reached(&engine(), Millis(11_000));
+    let hear = |losses: &mut EngineLosses, at: u64| {
+        losses.hear(NewsSource::Node, PeerId(6), &told(1), Millis(at))
+    };
+    assert!(hear(&mut losses, 15_999).is_empty());
+    assert_eq!(hear(&mut losses, 16_000).len(), 1);
+}
+
+#[test]
+fn a_relay_adds_up_its_zone_and_does_not_pass_zones_round() {
+    let now = Millis(10_700);
+    let mut losses = lost();
+    losses.hear(NewsSource::Node, PeerId(6), &told(1), now);
+    losses.hear(NewsSource::Node, PeerId(7), &told(1), now);
+    losses.hear(NewsSource::OtherZone, PeerId(8), &told(4), now);
+    assert_eq!(losses.own(), told(1));
+    assert_eq!(losses.of_zone(now), told(3));
+    assert_eq!(losses.of_all(now), told(7));
+    losses.expire(now.plus(2_000));
+    assert_eq!(losses.of_all(now.plus(2_000)), told(1));
+}
+
+#[test]
+fn a_report_tells_a_bounded_number_the_latest_first() {
+    let mut losses = EngineLosses::default();
+    for number in 0..40_u64 {
+        let instance = InstanceId(format!("e-{number}"));
+        for at in [0, 300, 600] {
+            losses.note_unreachable(&instance, address(), Millis(10_000 + at + number));
+        }
+    }
+    let told = losses.own();
+    assert_eq!(told.len(), MAX_TOLD);
+    let latest = InstanceId("e-39".to_owned());
+    assert_eq!(told[0].engine, EngineTag::of(&latest));
+}
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -2,6 +2,7 @@
 
 use crate::cache_feeds::{follow_cache_store, follow_engine_caches};
 use crate::callers::{accept_callers, bind};
+use crate::engine_checks::check_engines;
 use crate::peers::address_book::Reach;
 use crate::peers::discovery::{find_peers, NodeRecord};
 use crate::peers::receive_messages;
@@ -87,6 +88,7 @@
         smol::spawn(follow_cache_store(Arc::clone(&gateway))),
         smol::spawn(follow_engine_caches(Arc::clone(&gateway))),
         smol::spawn(roll_weights(Arc::clone(&gateway))),
+        smol::spawn(check_engines(Arc::clone(&gateway))),
     ];
     if let Some(listener) = metrics {
         tasks.push(smol::spawn(answer_metrics(Arc::clone(&gateway), listener)));
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -11,7 +11,9 @@
 use ploverlift_balancing::cache_contents::CacheContents;
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
-use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
+use ploverlift_balancing::engine_losses::{EngineLosses, LostEngine, NewsSource};
+use ploverlift_balancing::health::Outcome;
+use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerId, PeerLoads};
 use ploverlift_balancing::prefill_rate::PrefillRate;
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
@@ -146,6 +148,8 @@
     pub held_lease: Option<u64>,
     /// The newest revision of that lease of which its holder told this node.
     pub heard_lease: Option<HeardLease>,
+    /// Engines that take no connection any more.
+    pub losses: EngineLosses,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
     prefill_rates: BTreeMap<ServiceName, PrefillRate>,
 }
@@ -222,8 +226,14 @@
 
     /// Forgets an engine that is gone since a revision; tells whether it was news.
     pub fn remove_engine(&mut self, instance: &InstanceId, revision: u64, now: Millis) -> bool {
+        let known = self.engines.get(instance);
+        let with_requests = known.filter(|engine| engine.in_flight > 0);
+        let address = with_requests.map(|engine| engine.record.address);
         let is_news = self.engines.remove(instance, revision);
         if is_news {
+            if let Some(address) = address {
+                self.losses.note_record_gone(instance, address, now);
+            }
             let change = EngineChange {
                 instance: instance.clone(),
                 revision,
@@ -330,13 +340,50 @@
     }
 
     /// Takes in how an attempt at an engine went, for all that learn from it: the
-    /// health of the engine, and the evidence on a version of its software.
+    /// health of the engine, whether it is there at all, and the evidence on a version
+    /// of its software.
     pub fn observe(&mut self, attempt: &ObservedAttempt, now: Millis) {
-        self.engines
-            .note_outcome(&attempt.instance, attempt.outcome, now);
+        self.note_outcome(&attempt.instance, attempt.outcome, now);
         self.rollouts.observe(attempt, now);
     }
 
+    /// Takes in how a request or a call at an engine went, for its health and for
+    /// whether it is there at all.
+    pub fn note_outcome(&mut self, instance: &InstanceId, outcome: Outcome, now: Millis) {
+        self.engines.note_outcome(instance, outcome, now);
+        match outcome {
+            Outcome::Unreachable => {
+                if let Some(engine) = self.engines.get(instance) {
+                    let address = engine.record.address;
+                    self.losses.note_unreachable(instance, address, now);
+                }
+            }
+            Outcome::Answered | Outcome::Failed | Outcome::Refused => {
+                self.losses.note_reached(instance, now);
+            }
+            // A connection that breaks off shows neither.
+            Outcome::Broken => {}
+        }
+    }
+
+    /// Another node or a relay told of engines that are lost: this node checks those
+    /// that it knows.
+    pub fn hear_of_losses(
+        &mut self,
+        source: NewsSource,
+        sender: PeerId,
+        lost: &[LostEngine],
+        now: Millis,
+    ) {
+        for tag in self.losses.hear(source, sender, lost, now) {
+            let Some(engine) = self.engines.by_tag(tag) else {
+                continue;
+            };
+            let (instance, address) = (engine.record.instance.clone(), engine.record.address);
+            self.losses.note_told(&instance, address, now);
+        }
+    }
+
     /// Takes in a configuration if it is newer; tells whether it was.
     pub fn take_configuration(
         &mut self,
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -186,11 +186,7 @@
 /// An engine that does not answer calls for events is ejected before requests
 /// have to find out, one by one and each by its own time-out.
 fn eject(gateway: &Gateway, engine: &FollowedEngine) {
-    let now = gateway.clock.now();
-    let mut beliefs = gateway.beliefs();
-    beliefs
-        .engines
-        .note_outcome(&engine.instance, Outcome::Unreachable, now);
+    gateway.note_outcome(&engine.instance, Outcome::Unreachable);
 }
 
 fn note_followed(gateway: &Gateway, engine: &FollowedEngine, is_followed: &mut bool, is_now: bool) {
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a caller: request after request.
 
+use super::{OpenConnection, RestingConnection};
 use crate::forward::{
     admit, refuse, serve, AfterAnswer, CallerAnswer, ReceivedRequest, TimeLimits,
 };
@@ -19,7 +20,8 @@
 const STOPPING_IDLE_MS: u64 = 1_500;
 /// Longest wait for a caller to read a refusal and close, in milliseconds.
 const LINGER_MS: u64 = 300;
-/// Bytes that a caller may send ahead of the answer to its present request.
+/// Bytes that a caller may send ahead of the answer to its present request. Beyond
+/// them its connection ends after that answer.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
 /// How reading a head ended without a request.
@@ -31,14 +33,14 @@
 }
 
 /// Serves a connection until it ends.
-pub async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
+pub async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, open: OpenConnection) {
     let mut connection = BufferedStream::new(stream);
     loop {
-        let read = read_head(&gateway, &mut connection).await;
+        let read = read_head(&gateway, &mut connection, &open).await;
         let after = match read {
             Err(NoRequest::Ended) => return,
             Err(NoRequest::Refused(refusal)) => {
-                let mut answer = CallerAnswer::new(connection.writer(), false);
+                let mut answer = new_answer(&gateway, &connection, false);
                 refuse(&gateway, &mut answer, &refusal, None).await
             }
             Ok((head, body)) => {
@@ -59,10 +61,12 @@
 async fn read_head(
     gateway: &Arc<Gateway>,
     connection: &mut BufferedStream,
+    open: &OpenConnection,
 ) -> Result<(RequestHead, BodyDecoder), NoRequest> {
     let limits = caller_limits(gateway);
     if connection.pending().is_empty() {
-        wait_for_bytes(gateway, connection, limits.idle_timeout_ms).await?;
+        let rest = open.rest(gateway.clock.now());
+        wait_for_bytes(gateway, connection, rest, limits.idle_timeout_ms).await?;
     }
     let reading = read_request_head(connection, limits.max_head_bytes);
     let refused = |kind, reason: &str| Err(NoRequest::Refused(Refusal::new(kind, reason)));
@@ -77,10 +81,12 @@
     }
 }
 
-/// Waits for the first byte of the next request. A stopping node waits shorter.
+/// Waits for the first byte of the next request. A stopping node waits shorter, and
+/// so does one that needs room for other callers.
 async fn wait_for_bytes(
     gateway: &Arc<Gateway>,
     connection: &mut BufferedStream,
+    mut rest: RestingConnection,
     idle_timeout_ms: u64,
 ) -> Result<(), NoRequest> {
     let filling = async {
@@ -99,7 +105,17 @@
         }
         Err(NoRequest::Ended)
     };
-    futures_lite::future::or(filling, resting).await
+    let making_room = async {
+        rest.must_close().await;
+        Err(NoRequest::Ended)
+    };
+    let ending = futures_lite::future::or(resting, making_room);
+    futures_lite::future::or(filling, ending).await
+}
+
+fn new_answer(gateway: &Gateway, connection: &BufferedStream, keep: bool) -> CallerAnswer {
+    let stalled_ms = gateway.settings().callers.stalled_ms;
+    CallerAnswer::new(connection.writer(), keep, stalled_ms)
 }
 
 fn caller_limits(gateway: &Gateway) -> CallerLimits {
@@ -115,11 +131,20 @@
 ) -> io::Result<AfterAnswer> {
     let received = gateway.clock.now();
     let keep = head.keeps_alive() && !gateway.is_stopping();
-    let mut answer = CallerAnswer::new(connection.writer(), keep);
+    let mut answer = new_answer(gateway, connection, keep);
     let expects_continue = head.headers.has_token("expect", "100-continue");
     let request = gateway.site.read_request(head);
     let limits = caller_limits(gateway);
-    let body = read_body(connection, &mut decoder, limits, expects_continue).await;
+    let deadline_ms = request.as_ref().ok().and_then(|known| known.deadline_ms);
+    let limits = BodyLimits {
+        max_bytes: limits.max_body_bytes,
+        // Nobody waits for the answer to a body that comes after the deadline.
+        timeout_ms: deadline_ms.map_or(limits.idle_timeout_ms, |deadline_ms| {
+            deadline_ms.min(limits.idle_timeout_ms)
+        }),
+        expects_continue,
+    };
+    let body = read_body(connection, &mut decoder, limits).await;
     let body = match body {
         Ok(body) => body,
         Err(Some(refusal)) => {
@@ -186,22 +211,45 @@
     answer: CallerAnswer,
 ) -> io::Result<AfterAnswer> {
     let serving = serve(Arc::clone(gateway), received, answer);
+    let mut has_dropped = false;
     let watching = async {
-        caller_left(connection).await;
+        caller_left(connection, &mut has_dropped).await;
         Err(io::ErrorKind::ConnectionAborted.into())
     };
-    futures_lite::future::or(serving, watching).await
+    // A caller that left while it was queued or its body was read is seen before
+    // anything is sent.
+    let after = futures_lite::future::or(watching, serving).await?;
+    Ok(match after {
+        AfterAnswer::Keep if has_dropped => AfterAnswer::Close,
+        after => after,
+    })
 }
 
-/// Waits until the caller closes its connection.
-async fn caller_left(connection: &mut BufferedStream) {
-    while connection.pending().len() < MAX_PIPELINED_BYTES {
+/// Waits until the caller closes its connection. What it sends ahead is kept for its
+/// next request up to a limit; beyond it everything is dropped, since only reading on
+/// shows the close.
+async fn caller_left(connection: &mut BufferedStream, has_dropped: &mut bool) {
+    loop {
         match connection.fill().await {
             Ok(count) if count > 0 => {}
             _ => return,
         }
+        let count = connection.pending().len();
+        if count > MAX_PIPELINED_BYTES || *has_dropped {
+            *has_dropped = true;
+            connection.consume(count);
+        }
     }
-    std::future::pending().await
+}
+
+/// Limits on one body.
+#[derive(Clone, Copy, Debug)]
+struct BodyLimits {
+    max_bytes: usize,
+    /// Longest time for all of it, in milliseconds.
+    timeout_ms: u64,
+    /// Whether the caller waits to be asked for it.
+    expects_continue: bool,
 }
 
 /// Reads a body within its limits.
@@ -211,35 +259,34 @@
 async fn read_body(
     connection: &mut BufferedStream,
     decoder: &mut BodyDecoder,
-    limits: CallerLimits,
-    expects_continue: bool,
+    limits: BodyLimits,
 ) -> Result<Vec<u8>, Option<Refusal>> {
     let too_large = || {
-        let reason = format!("the body is over {} bytes", limits.max_body_bytes);
+        let reason = format!("the body is over {} bytes", limits.max_bytes);
         Some(Refusal::new(RefusalKind::BodyTooLarge, reason))
     };
     let declared = decoder.declared_length().unwrap_or(0);
-    if declared > limits.max_body_bytes as u64 {
+    if declared > limits.max_bytes as u64 {
         return Err(too_large());
     }
-    if expects_continue {
-        let written = connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        written.map_err(|_| None)?;
-    }
     let mut body = Vec::with_capacity(declared as usize);
     let reading = async {
+        if limits.expects_continue {
+            let written = connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            written.map_err(|_| None)?;
+        }
         while decoder
             .read(connection, &mut body)
             .await
             .map_err(body_error)?
         {
-            if body.len() > limits.max_body_bytes {
+            if body.len() > limits.max_bytes {
                 return Err(too_large());
             }
         }
         Ok(())
     };
-    let read = within(limits.idle_timeout_ms, reading).await;
+    let read = within(limits.timeout_ms, reading).await;
     let slow = || {
         let reason = "the body did not come in time";
         Err(Some(Refusal::new(RefusalKind::RequestTimeout, reason)))
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -1,21 +1,22 @@
 //! Accepting callers.
 
-use super::serve_connection;
+use super::{serve_connection, ConnectionLimits, OpenConnections};
+use crate::http_call::notice_lost_peer;
 use crate::state::Gateway;
-use crate::time::sleep;
+use crate::time::within;
 use smol::net::TcpListener;
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Connections that the kernel holds until they are accepted. The default of
 /// 128 makes callers of a burst wait a second for their next try.
 const ACCEPT_QUEUE: i32 = 1_024;
-/// Open connections of callers; more wait in the kernel's queue.
-const MAX_CONNECTIONS: usize = 1_600;
-/// Pause when no more connections can be had, in milliseconds.
+/// Rest after which a connection may be closed to make room, in milliseconds.
+const MIN_REST_MS: u64 = 500;
+/// Longest pause when no more connections can be had, in milliseconds.
 const FULL_PAUSE_MS: u64 = 20;
 
 /// Binds a listener.
@@ -31,24 +32,41 @@
 
 /// Accepts callers until the task is dropped.
 pub async fn accept_callers(gateway: Arc<Gateway>, listener: TcpListener) {
-    let open = Arc::new(AtomicUsize::new(0));
+    let limits = ConnectionLimits {
+        max_open: gateway.settings().callers.max_connections,
+        min_rest_ms: MIN_REST_MS,
+    };
+    let connections = OpenConnections::new(limits);
     loop {
-        if open.load(Ordering::Acquire) >= MAX_CONNECTIONS {
-            sleep(FULL_PAUSE_MS).await;
+        if !connections.has_room() {
+            wait_for_room(&gateway, &connections).await;
             continue;
         }
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors: connections that end free some.
-            sleep(FULL_PAUSE_MS).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // Out of descriptors: connections that end free some.
+                slog::warn!(gateway.log, "caller not accepted";
+                    "open" => connections.count(), "error" => error.to_string());
+                wait_for_room(&gateway, &connections).await;
+                continue;
+            }
         };
-        open.fetch_add(1, Ordering::AcqRel);
-        let (gateway, open) = (Arc::clone(&gateway), Arc::clone(&open));
+        let (gateway, open) = (Arc::clone(&gateway), connections.open());
+        let stalled = Duration::from_millis(gateway.settings().callers.stalled_ms);
         smol::spawn(async move {
-            let _ = stream.set_nodelay(true);
-            serve_connection(gateway, stream).await;
-            open.fetch_sub(1, Ordering::AcqRel);
+            notice_lost_peer(&stream, stalled);
+            serve_connection(gateway, stream, open).await;
         })
         .detach();
     }
 }
+
+/// Closes a resting connection and waits until one has ended, for a short time.
+async fn wait_for_room(gateway: &Gateway, connections: &Arc<OpenConnections>) {
+    let ended = connections.ended.listen();
+    if connections.make_room(gateway.clock.now()) {
+        gateway.metrics.connections_closed_for_room.inc();
+    }
+    within(FULL_PAUSE_MS, ended).await;
+}
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -2,6 +2,8 @@
 
 mod connection;
 mod listener;
+mod open_connections;
 
 pub use connection::serve_connection;
 pub use listener::{accept_callers, bind};
+pub use open_connections::{ConnectionLimits, OpenConnection, OpenConnections, RestingConnection};
--- /dev/null
+++ b/crates/gateway/src/engine_checks.rs
@@ -0,0 +1,112 @@
+//! Finding out by connections alone whether an engine still is there.
+//!
+//! A check carries no request, so no caller waits for it, and a machine that is gone
+//! takes no connection that could be priced. While an engine is checked, requests go
+//! elsewhere as long as there is an elsewhere.
+
+use crate::http_call::connect;
+use crate::state::Gateway;
+use crate::time::{sleep, within};
+use ploverlift_balancing::engine_losses::DueCheck;
+use ploverlift_policy::ids::Millis;
+use std::sync::Arc;
+
+/// Time to the first check and between the first few, in milliseconds.
+const FIRST_PAUSE_MS: u64 = 250;
+/// Longest time between two checks, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 2_000;
+/// Checks at the first pause; then it doubles.
+const BRISK_CHECKS: u32 = 3;
+/// Checks of an engine whose record is gone.
+const CHECKS_WITHOUT_RECORD: u32 = 5;
+/// Time beyond a check for which the engine is put aside, in milliseconds.
+const ASIDE_SLACK_MS: u64 = 100;
+/// Time between two looks for news that is too old, in milliseconds.
+const EXPIRE_PERIOD_MS: u64 = 1_000;
+
+/// Begins checks that are due, until the task is dropped.
+pub async fn check_engines(gateway: Arc<Gateway>) {
+    loop {
+        let due = gateway.engine_check_due.listen();
+        let now = gateway.clock.now();
+        let checks = {
+            let mut beliefs = gateway.beliefs();
+            beliefs.losses.expire(now);
+            beliefs.losses.take_due()
+        };
+        for check in checks {
+            smol::spawn(check_engine(Arc::clone(&gateway), check)).detach();
+        }
+        within(EXPIRE_PERIOD_MS, due).await;
+    }
+}
+
+/// Tries to connect until that succeeds or nobody needs to know any more.
+async fn check_engine(gateway: Arc<Gateway>, check: DueCheck) {
+    let began = gateway.clock.now();
+    let mut was_lost = false;
+    for number in 0.. {
+        sleep(pause_ms(number)).await;
+        let has_record = gateway.beliefs().engines.get(&check.instance).is_some();
+        let is_suspected = gateway.beliefs().losses.is_suspected(&check.instance);
+        if !is_suspected || (!has_record && number >= CHECKS_WITHOUT_RECORD) {
+            gateway.beliefs().losses.forget(&check.instance);
+            return;
+        }
+        let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
+        let connected = connect(check.address, timeout_ms).await;
+        let now = gateway.clock.now();
+        match connected {
+            Ok(_) => {
+                reached(&gateway, &check, began, now);
+                return;
+            }
+            Err(error) => {
+                let aside_ms = pause_ms(number + 1) + timeout_ms + ASIDE_SLACK_MS;
+                let is_lost = unreachable(&gateway, &check, began, aside_ms, now);
+                if is_lost && !std::mem::replace(&mut was_lost, true) {
+                    slog::warn!(gateway.log, "engine lost";
+                        "engine" => &check.instance.0, "has_record" => has_record,
+                        "after_ms" => now.since(began), "error" => error.to_string());
+                }
+            }
+        }
+    }
+}
+
+fn pause_ms(number: u32) -> u64 {
+    let doublings = number.saturating_sub(BRISK_CHECKS - 1).min(8);
+    (FIRST_PAUSE_MS << doublings).min(LONGEST_PAUSE_MS)
+}
+
+fn reached(gateway: &Gateway, check: &DueCheck, began: Millis, now: Millis) {
+    let mut beliefs = gateway.beliefs();
+    beliefs.losses.note_reached(&check.instance, now);
+    beliefs.engines.allow_trial(&check.instance, now);
+    drop(beliefs);
+    slog::info!(gateway.log, "engine reached again";
+        "engine" => &check.instance.0, "after_ms" => now.since(began));
+}
+
+/// Notes a check that failed; tells whether the engine is lost.
+fn unreachable(
+    gateway: &Gateway,
+    check: &DueCheck,
+    began: Millis,
+    aside_ms: u64,
+    now: Millis,
+) -> bool {
+    let mut beliefs = gateway.beliefs();
+    beliefs
+        .engines
+        .put_aside(&check.instance, now.plus(aside_ms));
+    let losses = &mut beliefs.losses;
+    losses.note_unreachable(&check.instance, check.address, now);
+    let is_lost = losses.is_lost_since(&check.instance, began);
+    drop(beliefs);
+    if is_lost {
+        // Told again after each check: others may confirm it by now.
+        gateway.engine_lost.notify(usize::MAX);
+    }
+    is_lost
+}
--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -5,14 +5,12 @@
 //! carries another request's id. A new connection has neither fault. Dropping the
 //! answer closes the connection, and so cancels the request.
 
-use crate::http_call::{connect, CallError};
 use crate::time::within;
 use ploverlift_http1::{
     read_response_head, BodyDecoder, BufferedStream, HttpError, RequestHead, ResponseHead,
 };
 use ploverlift_policy::attempt::AttemptState;
 use smol::io::AsyncWriteExt;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Largest head of an answer, in bytes.
@@ -60,7 +58,7 @@
     pub reason: String,
 }
 
-/// Limits of one exchange.
+/// Limits of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct ExchangeLimits {
     /// Longest wait for the connection, in milliseconds.
@@ -69,21 +67,6 @@
     pub head_ms: u64,
 }
 
-/// Opens a connection, sends a request and waits for the head of the answer.
-///
-/// # Errors
-/// When no connection or no head comes in time, or the answer is malformed.
-pub async fn exchange(
-    address: SocketAddr,
-    head: &RequestHead,
-    body: &[u8],
-    limits: ExchangeLimits,
-) -> Result<EngineAnswer, ExchangeFailure> {
-    let connected = connect(address, limits.connect_ms).await;
-    let stream = connected.map_err(|error| unsent(&error))?;
-    exchange_on(stream, head, body, limits).await
-}
-
 /// Sends a request on a connection and waits for the head of the answer. An answer
 /// that comes before the whole body was sent ends the sending.
 ///
@@ -139,10 +122,3 @@
     writer.write_all(head).await?;
     writer.write_all(body).await
 }
-
-fn unsent(error: &CallError) -> ExchangeFailure {
-    ExchangeFailure {
-        state: AttemptState::Unsent,
-        reason: error.to_string(),
-    }
-}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -1,11 +1,13 @@
 //! One attempt: choosing an engine, sending the request, judging the answer.
 
 use super::choice::ChosenEngine;
+use super::engine_watch::ENGINE_LOST;
 use super::in_flight::{AttemptSubject, InFlight};
 use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{
-    exchange, exchange_on, EngineAnswer, ExchangeLimits, NO_ANSWER_IN_TIME,
+    exchange_on, EngineAnswer, ExchangeFailure, ExchangeLimits, NO_ANSWER_IN_TIME,
 };
+use crate::http_call::connect;
 use crate::ports::{AnswerMeaning, EngineCall, RefusedByEngine};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
@@ -92,10 +94,7 @@
         let end = match self.send(&chosen).await {
             Ok(answer) => self.hand_on(answer, &chosen, &mut in_flight).await?,
             Err(end) => {
-                in_flight.note(match end {
-                    AttemptEnd::Unreachable { .. } => Outcome::Unreachable,
-                    _ => Outcome::Broken,
-                });
+                self.note_unanswered(&in_flight, &end);
                 end
             }
         };
@@ -108,6 +107,26 @@
         Ok(end)
     }
 
+    /// Notes an attempt without an answer. That a request had less time than engines
+    /// usually take says nothing about its engine.
+    fn note_unanswered(&self, in_flight: &InFlight, end: &AttemptEnd) {
+        let settings = self.gateway.settings();
+        let waited_ms = in_flight.age_ms();
+        match end {
+            AttemptEnd::Unreachable { .. } => {
+                if waited_ms >= settings.attempts.connect_timeout_ms || self.has_time() {
+                    in_flight.note(Outcome::Unreachable);
+                }
+            }
+            AttemptEnd::Broken { time_is_up, .. } => {
+                if !time_is_up || waited_ms >= self.usual_silence_ms() {
+                    in_flight.note(Outcome::Broken);
+                }
+            }
+            _ => in_flight.note(Outcome::Broken),
+        }
+    }
+
     async fn send(&self, chosen: &ChosenEngine) -> Result<EngineAnswer, AttemptEnd> {
         let now = self.gateway.clock.now();
         let left_ms = self.received.limits.left_ms(now);
@@ -136,18 +155,38 @@
             return Ok(answer);
         }
         let body = &self.received.body;
-        let exchanged = exchange(chosen.address, &head, body, limits).await;
-        exchanged.map_err(|failure| match failure.state {
-            AttemptState::Unsent => AttemptEnd::Unreachable {
-                reason: failure.reason,
-            },
-            _ => AttemptEnd::Broken {
-                reason: failure.reason,
-                time_is_up: !self.has_time(),
-            },
+        let connected = connect(chosen.address, limits.connect_ms).await;
+        let stream = connected.map_err(|error| AttemptEnd::Unreachable {
+            reason: error.to_string(),
+        })?;
+        let exchanged = self.exchange(stream, chosen, &head, body, limits).await;
+        exchanged.map_err(|failure| AttemptEnd::Broken {
+            reason: failure.reason,
+            time_is_up: !self.has_time(),
         })
     }
 
+    /// Sends the request on a connection and waits for the head of the answer, or until
+    /// the engine is known to be lost.
+    async fn exchange(
+        &self,
+        stream: BufferedStream,
+        chosen: &ChosenEngine,
+        head: &RequestHead,
+        body: &[u8],
+        limits: ExchangeLimits,
+    ) -> Result<EngineAnswer, ExchangeFailure> {
+        let watch = self.watch_engine(&chosen.instance);
+        let losing = async {
+            watch.lost().await;
+            Err(ExchangeFailure {
+                state: AttemptState::MaybeSent,
+                reason: ENGINE_LOST.to_owned(),
+            })
+        };
+        futures_lite::future::or(exchange_on(stream, head, body, limits), losing).await
+    }
+
     /// Sends the request on a kept connection, if there is one and the request may run
     /// again; nothing when it is to be sent on a new one.
     async fn send_on_kept(
@@ -164,15 +203,22 @@
             return Ok(None);
         };
         self.gateway.metrics.reused_connections.inc();
-        match exchange_on(stream, head, &self.received.body, limits).await {
-            Ok(answer) => Ok(Some(answer)),
+        let body = &self.received.body;
+        let failure = match self.exchange(stream, chosen, head, body, limits).await {
+            Ok(answer) => return Ok(Some(answer)),
+            Err(failure) => failure,
+        };
+        // The others that were kept have likely ended, or fallen silent, as well.
+        self.gateway.kept_connections().forget(&chosen.instance);
+        let is_silent = [NO_ANSWER_IN_TIME, ENGINE_LOST].contains(&failure.reason.as_str());
+        if !is_silent && self.take_repeat() {
             // The engine had closed or forgotten the connection.
-            Err(failure) if failure.reason != NO_ANSWER_IN_TIME && self.take_repeat() => Ok(None),
-            Err(failure) => Err(AttemptEnd::Broken {
-                reason: failure.reason,
-                time_is_up: !self.has_time(),
-            }),
+            return Ok(None);
         }
+        Err(AttemptEnd::Broken {
+            reason: failure.reason,
+            time_is_up: !self.has_time(),
+        })
     }
 
     /// A kept connection to the engine on which the engine says nothing.
@@ -210,13 +256,18 @@
 
     /// Silence after which another engine is tried; nothing when none may be.
     pub(super) fn attempt_timeout_ms(&self) -> Option<u64> {
-        let route = &self.received.admission.route;
         if self.progress.attempts.is_last_attempt() {
             return None;
         }
+        Some(self.usual_silence_ms())
+    }
+
+    /// Silence after which an engine that may still answer is taken to have failed.
+    fn usual_silence_ms(&self) -> u64 {
+        let objective_ms = self.received.admission.route.objective_ms as f64;
         let settings = self.gateway.settings();
-        let usual_ms = route.objective_ms as f64 * settings.attempts.timeout_objectives;
-        Some((usual_ms + self.prefill_ms() * PROMPT_PATIENCE) as u64)
+        let usual_ms = objective_ms * settings.attempts.timeout_objectives;
+        (usual_ms + self.prefill_ms() * PROMPT_PATIENCE) as u64
     }
 
     /// `silence_ms`, cut short where the engine has outdated weights: a request
--- a/crates/gateway/src/forward/caller_answer.rs
+++ b/crates/gateway/src/forward/caller_answer.rs
@@ -1,5 +1,6 @@
 //! Writing an answer to a caller.
 
+use crate::time::within;
 use ploverlift_http1::ResponseHead;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -23,16 +24,19 @@
     stream: TcpStream,
     keep: bool,
     has_started: bool,
+    stalled_ms: u64,
 }
 
 impl CallerAnswer {
     /// An answer of which nothing was written. `keep` tells whether the
-    /// connection may be kept after it.
-    pub fn new(stream: TcpStream, keep: bool) -> Self {
+    /// connection may be kept after it; a caller that takes no byte for `stalled_ms`
+    /// milliseconds is gone.
+    pub fn new(stream: TcpStream, keep: bool, stalled_ms: u64) -> Self {
         Self {
             stream,
             keep,
             has_started: false,
+            stalled_ms,
         }
     }
 
@@ -55,7 +59,7 @@
         let mut message = self.encode(head);
         message.extend_from_slice(body);
         self.has_started = true;
-        self.stream.write_all(&message).await?;
+        self.write(&message).await?;
         Ok(self.after())
     }
 
@@ -69,7 +73,7 @@
         let mut message = self.encode(head);
         append_chunk(&mut message, first);
         self.has_started = true;
-        self.stream.write_all(&message).await
+        self.write(&message).await
     }
 
     /// Writes more bytes of a streamed answer.
@@ -79,7 +83,7 @@
     pub async fn chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
         let mut message = Vec::with_capacity(bytes.len() + 16);
         append_chunk(&mut message, bytes);
-        self.stream.write_all(&message).await
+        self.write(&message).await
     }
 
     /// Ends a streamed answer as whole.
@@ -87,10 +91,24 @@
     /// # Errors
     /// When the caller is gone.
     pub async fn finish(&mut self) -> io::Result<AfterAnswer> {
-        self.stream.write_all(b"0\r\n\r\n").await?;
+        self.write(b"0\r\n\r\n").await?;
         Ok(self.after())
     }
 
+    /// Writes all of it. A connection that fell silent takes no byte and is never
+    /// reset: without a bound it would hold its engine's place for good.
+    async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let written = within(self.stalled_ms, self.stream.write(bytes)).await;
+            let count = written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
+            if count == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            bytes = &bytes[count..];
+        }
+        Ok(())
+    }
+
     fn encode(&self, mut head: ResponseHead) -> Vec<u8> {
         if !self.keep {
             head.headers.set("Connection", "close");
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -61,6 +61,11 @@
         *self.first_byte_ms.get_or_insert(first_byte_ms)
     }
 
+    /// Time since the request was sent, in milliseconds.
+    pub fn age_ms(&self) -> u64 {
+        self.gateway.clock.now().since(self.begun)
+    }
+
     /// Notes how the request went.
     pub fn note(&self, outcome: Outcome) {
         let now = self.gateway.clock.now();
@@ -75,6 +80,9 @@
             duration_ms: now.since(self.begun),
         };
         self.gateway.beliefs().observe(&observed, now);
+        if outcome == Outcome::Unreachable {
+            self.gateway.engine_check_due.notify(usize::MAX);
+        }
     }
 }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod attempt;
 mod caller_answer;
 mod choice;
+mod engine_watch;
 mod events;
 mod in_flight;
 mod limits;
@@ -119,6 +120,10 @@
             .retry_budget(&service, &settings)
             .record_request(now);
         loop {
+            if !self.has_time() {
+                "its time was up before it could be sent".clone_into(&mut self.progress.reason);
+                return self.give_up().await;
+            }
             let chosen = match self.choose() {
                 Ok(chosen) => chosen,
                 Err(none) => {
@@ -204,6 +209,8 @@
     /// The final answer of a request that no engine has answered.
     async fn give_up(&mut self) -> io::Result<AfterAnswer> {
         let reason = std::mem::take(&mut self.progress.reason);
+        // What did not run is given back before the caller may come back for it.
+        self.received.admission.reservation = None;
         if self.answer.has_started() {
             let outcome = "broken_off";
             self.record
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -6,6 +6,7 @@
 
 use super::attempt::AttemptEnd;
 use super::choice::ChosenEngine;
+use super::engine_watch::ENGINE_LOST;
 use super::events::{is_after, EventSplitter};
 use super::in_flight::InFlight;
 use super::whole::passed_on;
@@ -36,9 +37,17 @@
     ) -> io::Result<AttemptEnd> {
         let mut splitter = EventSplitter::default();
         let mut is_first = true;
+        let watch = self.watch_engine(&chosen.instance);
         loop {
             let step = self.next_step(&mut answer, &mut splitter, chosen, is_first);
-            match step.await {
+            let losing = async {
+                watch.lost().await;
+                StreamStep::Broken {
+                    reason: ENGINE_LOST.to_owned(),
+                    time_is_up: false,
+                }
+            };
+            match futures_lite::future::or(step, losing).await {
                 StreamStep::Events(bytes) => {
                     if is_first {
                         is_first = false;
--- a/crates/gateway/src/forward/whole.rs
+++ b/crates/gateway/src/forward/whole.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::AttemptEnd;
 use super::choice::ChosenEngine;
+use super::engine_watch::ENGINE_LOST;
 use super::in_flight::InFlight;
 use super::Forwarding;
 use crate::engine_connection::EngineAnswer;
@@ -28,7 +29,7 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
-        match self.read_held(&mut answer).await {
+        match self.read_watched(&mut answer, chosen).await {
             ReadEnd::Whole(body) => {
                 in_flight.note(Outcome::Answered);
                 self.record.first_byte(&self.gateway, &self.received);
@@ -76,6 +77,19 @@
         }
     }
 
+    /// Reads until the answer is whole, or its engine is known to be lost.
+    async fn read_watched(&self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
+        let watch = self.watch_engine(&chosen.instance);
+        let losing = async {
+            watch.lost().await;
+            ReadEnd::Broken {
+                reason: ENGINE_LOST.to_owned(),
+                time_is_up: false,
+            }
+        };
+        futures_lite::future::or(self.read_held(answer), losing).await
+    }
+
     async fn read_held(&self, answer: &mut EngineAnswer) -> ReadEnd {
         let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
         let attempt_timeout_ms = self.attempt_timeout_ms().unwrap_or(left_ms).min(left_ms);
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -126,18 +126,19 @@
     let connecting = within(timeout_ms, TcpStream::connect(address)).await;
     let connected = connecting.ok_or_else(|| unreachable("timed out".to_owned()))?;
     let stream = connected.map_err(|error| unreachable(error.to_string()))?;
-    notice_lost_peer(&stream);
+    notice_lost_peer(&stream, PEER_TIMEOUT);
     Ok(BufferedStream::new(stream))
 }
 
-/// Sets the options that end a connection whose peer is gone without a word.
-/// A system that lacks one of them still works, only slower.
-pub fn notice_lost_peer(stream: &TcpStream) {
+/// Sets the options that end a connection whose peer is gone without a word, so long
+/// after the first byte or question that it left unanswered. A system that lacks one
+/// of them still works, only slower.
+pub fn notice_lost_peer(stream: &TcpStream, peer_timeout: Duration) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE);
     let _ = socket.set_tcp_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(PEER_TIMEOUT));
+    let _ = socket.set_tcp_user_timeout(Some(peer_timeout));
 }
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -59,6 +59,11 @@
         kept.pop().map(|connection| connection.stream)
     }
 
+    /// Closes the connections to an engine: one of them had fallen silent.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        self.by_engine.remove(instance);
+    }
+
     /// Closes connections that were idle for too long.
     fn expire(&mut self, now: Millis) {
         self.by_engine.retain(|_, kept| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`callers`] | connections of callers |
 //! | [`forward`] | one request, from its head to the end of its answer |
 //! | [`engine_connection`] | one request on one connection to an engine |
+//! | [`engine_checks`] | whether an engine that took no connection still is there |
 //! | [`kept_connections`] | connections to engines between two requests |
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and who keeps which prompts |
@@ -28,6 +29,7 @@
 pub mod cache_feeds;
 pub mod callers;
 pub mod catalogue_log;
+pub mod engine_checks;
 pub mod engine_connection;
 pub mod forward;
 pub mod http_call;
@@ -41,6 +43,7 @@
 mod reservation;
 pub mod rollouts;
 pub mod settings;
+mod settings_callers;
 mod settings_defaults;
 mod settings_error;
 pub mod state;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,8 @@
     pub repeats: Counter,
     /// Requests sent on a connection that was used before.
     pub reused_connections: Counter,
+    /// Resting connections of callers that were closed to make room for others.
+    pub connections_closed_for_room: Counter,
     /// Calls of the object store, by what they do and of which kind.
     pub store_calls: Family<StoreCallLabel, Counter>,
     /// Calls of the object store that failed.
@@ -106,6 +108,7 @@
             attempts: Counter::default(),
             repeats: Counter::default(),
             reused_connections: Counter::default(),
+            connections_closed_for_room: Counter::default(),
             store_calls: Family::default(),
             store_failures: Counter::default(),
             orders: Counter::default(),
@@ -160,6 +163,11 @@
                 "Requests sent on a kept connection",
                 &self.reused_connections,
             ),
+            (
+                "connections_closed_for_room",
+                "Resting connections of callers closed to make room",
+                &self.connections_closed_for_room,
+            ),
             (
                 "store_failures",
                 "Failed calls of the store",
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -4,6 +4,7 @@
 use super::roles::{engines_age_limit_ms, role, Role};
 use crate::beliefs::Beliefs;
 use crate::state::Gateway;
+use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_policy::ids::Millis;
 use std::net::SocketAddr;
 
@@ -27,6 +28,7 @@
     beliefs.note_reported(placements, loaded, report.lease_revision, now);
     beliefs.followed.hear(report, from, sent_at, now);
     take_proof(&mut beliefs, report, sent_at);
+    beliefs.hear_of_losses(NewsSource::Relay, sender, &report.lost, now);
     for change in beliefs.followed.next_changes(report) {
         beliefs.take_engine_change(change.clone(), now);
     }
@@ -38,6 +40,9 @@
         is_named |= beliefs.name_target(&target.model, target.version, is_first, now);
     }
     drop(beliefs);
+    if !report.lost.is_empty() || !report.changes.is_empty() {
+        gateway.engine_check_due.notify(usize::MAX);
+    }
     if lacks.is_some() {
         gateway.snapshot_due.notify(usize::MAX);
     }
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -5,6 +5,7 @@
 use super::relay_messages::IncludedReport;
 use crate::beliefs::Beliefs;
 use crate::state::Gateway;
+use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadReport, PeerId};
 use ploverlift_balancing::prefix_holders::PlacementNews;
 use ploverlift_policy::ids::Millis;
@@ -19,6 +20,10 @@
     let now = gateway.clock.now();
     gateway.address_book().heard(from, sender, now);
     let mut beliefs = gateway.beliefs();
+    if !report.lost.is_empty() {
+        beliefs.hear_of_losses(NewsSource::Node, sender, &report.lost, now);
+        gateway.engine_check_due.notify(usize::MAX);
+    }
     if report.wants_relay_reports {
         take_member_report(gateway, &mut beliefs, report, from);
         return;
@@ -61,6 +66,10 @@
         ..report.loads.clone()
     };
     apply_loads(gateway, &mut beliefs, &loads, now);
+    if !report.lost.is_empty() {
+        beliefs.hear_of_losses(NewsSource::OtherZone, loads.sender, &report.lost, now);
+        gateway.engine_check_due.notify(usize::MAX);
+    }
     take_news(&mut beliefs, report, false, now);
 }
 
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -2,6 +2,7 @@
 
 use super::limit_messages::{level_message, read_levels, read_use, use_message, UseMessage};
 use super::relay_messages::{read_relay_report, relay_report_message, RelayReport};
+use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, LoadedWeights, ModelTag, PeerId, ZoneTag,
 };
@@ -15,6 +16,18 @@
 /// within one unfragmented datagram.
 pub const MAX_PLACEMENTS: usize = 20;
 
+/// Placements that make way for lost engines, so that the report stays within its
+/// datagram. On calm days there are none.
+const PLACEMENTS_BESIDE_LOSSES: usize = 6;
+
+/// Placements for which a report has room that would hold so many without losses.
+pub fn room_for_placements(most: usize, lost: &[LostEngine]) -> usize {
+    match lost.is_empty() {
+        true => most,
+        false => most - PLACEMENTS_BESIDE_LOSSES,
+    }
+}
+
 /// What one node tells the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerReport {
@@ -28,6 +41,8 @@
     pub lease_revision: Option<u64>,
     /// Whether it takes the receiver for a relay and wants its reports.
     pub wants_relay_reports: bool,
+    /// Engines that are lost, as it or the nodes of its zone have found.
+    pub lost: Vec<LostEngine>,
 }
 
 /// What a datagram says.
@@ -101,6 +116,8 @@
         loaded: report.loaded.iter().map(loaded_message).collect(),
         lease_revision: report.lease_revision.unwrap_or(0),
         wants_relay_reports: report.wants_relay_reports,
+        lost: report.lost.iter().map(|lost| lost.engine.0).collect(),
+        lost_nodes: report.lost.iter().map(|lost| lost.nodes).collect(),
     }
 }
 
@@ -119,9 +136,20 @@
         loaded: message.loaded.iter().map(read_loaded).collect(),
         lease_revision: Some(message.lease_revision).filter(|revision| *revision > 0),
         wants_relay_reports: message.wants_relay_reports,
+        lost: read_lost(&message.lost, &message.lost_nodes),
     }
 }
 
+/// Reads lost engines; of lists that are not equally long, as many as the shorter has.
+pub(super) fn read_lost(engines: &[u32], nodes: &[u32]) -> Vec<LostEngine> {
+    let lost = engines.iter().zip(nodes);
+    let lost = lost.map(|(engine, nodes)| LostEngine {
+        engine: EngineTag(*engine),
+        nodes: *nodes,
+    });
+    lost.collect()
+}
+
 pub(super) fn load_message((engine, load): &(EngineTag, EngineLoad)) -> peers::EngineLoad {
     peers::EngineLoad {
         engine: engine.0,
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -7,7 +7,9 @@
 
 use super::address_book::PeerAddress;
 use super::limits::{send_levels, UseStream};
-use super::messages::{encode, encode_body, PeerMessage, PeerReport, MAX_PLACEMENTS};
+use super::messages::{
+    encode, encode_body, room_for_placements, PeerMessage, PeerReport, MAX_PLACEMENTS,
+};
 use super::relay_duties::MAX_WAITING_PLACEMENTS;
 use super::relay_messages::{
     included_message, relay_report_message, IncludedReport, RelayReport, TargetVersion,
@@ -17,6 +19,7 @@
 use crate::beliefs::Beliefs;
 use crate::state::Gateway;
 use crate::time::{sleep, within};
+use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{
     present_loads, EngineLoad, EngineTag, LoadReport, PeerId, ZoneTag, MAX_LOADS,
 };
@@ -175,8 +178,8 @@
         gateway.metrics.peers.set(peers as i64);
         let changes = beliefs.catalogue_log.latest(CHANGES_TOLD_MS, now);
         let mut changes = changes.pieces(MAX_RELAYED_CHANGES).into_iter();
-        let mut portions = self.portions(&mut beliefs).into_iter();
         let header = self.header(&beliefs, now);
+        let mut portions = self.portions(&mut beliefs, &header.lost).into_iter();
         let mut reports = Vec::new();
         loop {
             let (part, portion) = (changes.next(), portions.next());
@@ -206,13 +209,14 @@
     }
 
     /// Loads that changed and placements to pass on, in portions of one datagram.
-    fn portions(&mut self, beliefs: &mut Beliefs) -> Vec<Portion> {
+    fn portions(&mut self, beliefs: &mut Beliefs, lost: &[LostEngine]) -> Vec<Portion> {
         let loads = self.loads_to_tell(beliefs);
         let mut loads = loads.chunks(MAX_RELAYED_LOADS);
+        let room = room_for_placements(MAX_RELAYED_PLACEMENTS, lost);
         let mut portions = Vec::new();
         loop {
             let next = loads.next().unwrap_or_default();
-            let placements = beliefs.relaying.next_for_zone(MAX_RELAYED_PLACEMENTS);
+            let placements = beliefs.relaying.next_for_zone(room);
             if next.is_empty() && placements.is_empty() {
                 return portions;
             }
@@ -291,6 +295,7 @@
             changes_through: 0,
             changes: Vec::new(),
             included: None,
+            lost: beliefs.losses.of_all(now),
         }
     }
 
@@ -341,10 +346,12 @@
     fn zone_reports(&self, now: Millis) -> Vec<PeerReport> {
         let mut beliefs = self.gateway.beliefs();
         let loading = loading(&beliefs, |zone| zone == self.zone);
+        let lost = beliefs.losses.of_zone(now);
         let mut reports = Vec::new();
         loop {
             let is_first = reports.is_empty();
-            let placements = beliefs.relaying.next_for_other_zones(MAX_PLACEMENTS);
+            let room = room_for_placements(MAX_PLACEMENTS, &lost);
+            let placements = beliefs.relaying.next_for_other_zones(room);
             if placements.is_empty() && !is_first {
                 return reports;
             }
@@ -366,6 +373,7 @@
                 loaded: beliefs.loaded_lately(now),
                 lease_revision: beliefs.newest_lease(),
                 wants_relay_reports: false,
+                lost: lost.clone(),
             });
         }
     }
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -1,9 +1,11 @@
 //! What relays tell the nodes of their zone, as messages.
 
 use super::messages::{
-    load_message, loaded_message, placement_message, read_load, read_loaded, read_placement,
+    load_message, loaded_message, placement_message, read_load, read_loaded, read_lost,
+    read_placement,
 };
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
+use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadedWeights, PeerId, ZoneTag};
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_balancing::relayed_loads::RelayedReport;
@@ -76,6 +78,8 @@
     pub changes: Vec<EngineChange>,
     /// The receiver's last report that the relay has taken in.
     pub included: Option<IncludedReport>,
+    /// Engines that are lost, as all nodes have found.
+    pub lost: Vec<LostEngine>,
 }
 
 /// The message for a report of a relay.
@@ -101,6 +105,8 @@
         changes: report.changes.iter().map(change_message).collect(),
         included_life: report.included.map_or(0, |included| included.life),
         included_sequence: report.included.map_or(0, |included| included.sequence),
+        lost: report.lost.iter().map(|lost| lost.engine.0).collect(),
+        lost_nodes: report.lost.iter().map(|lost| lost.nodes).collect(),
     }
 }
 
@@ -141,6 +147,7 @@
         changes_through: message.changes_through,
         changes: message.changes.iter().filter_map(read_change).collect(),
         included: Some(included).filter(|included| included.sequence > 0),
+        lost: read_lost(&message.lost, &message.lost_nodes),
     }
 }
 
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -4,7 +4,7 @@
 
 use super::address_book::Reach;
 use super::limits::{advance_accounts, UseStream};
-use super::messages::{encode, PeerMessage, PeerReport, MAX_PLACEMENTS};
+use super::messages::{encode, room_for_placements, PeerMessage, PeerReport, MAX_PLACEMENTS};
 use super::roles::{role, Role};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
@@ -143,9 +143,9 @@
         beliefs.peer_loads.expire(now);
         let peers = beliefs.peer_loads.peer_count();
         self.gateway.metrics.peers.set(peers as i64);
-        let news = beliefs
-            .holders
-            .news_after(self.placements_from, MAX_PLACEMENTS);
+        let lost = beliefs.losses.own();
+        let room = room_for_placements(MAX_PLACEMENTS, &lost);
+        let news = beliefs.holders.news_after(self.placements_from, room);
         let (placements, placements_from) = news;
         let lease_revision = beliefs.held_lease;
         let loaded = beliefs.loaded_lately(now);
@@ -175,6 +175,7 @@
             loaded,
             lease_revision,
             wants_relay_reports: for_relays,
+            lost,
         })
     }
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -2,7 +2,7 @@
 
 use crate::ports::RefusalKind;
 use crate::state::Gateway;
-use crate::time::within;
+use crate::time::{sleep, within};
 use ploverlift_http1::{read_request_head, BufferedStream, ResponseHead};
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -11,6 +11,8 @@
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Longest rest of a connection between two questions, in milliseconds.
 const IDLE_MS: u64 = 10_000;
+/// Pause when no more connections can be had, in milliseconds.
+const FULL_PAUSE_MS: u64 = 20;
 
 /// Whether this node takes callers: it knows the configuration and the engines,
 /// may accept keys, and is not stopping.
@@ -40,9 +42,16 @@
 
 async fn answer_questions(gateway: Arc<Gateway>, listener: TcpListener, question: Question) {
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            let gateway = Arc::clone(&gateway);
-            smol::spawn(answer_connection(gateway, stream, question)).detach();
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Arc::clone(&gateway);
+                smol::spawn(answer_connection(gateway, stream, question)).detach();
+            }
+            Err(error) => {
+                // Out of descriptors: asking again at once would only burn processor time.
+                slog::warn!(gateway.log, "question not accepted"; "error" => error.to_string());
+                sleep(FULL_PAUSE_MS).await;
+            }
         }
     }
 }
@@ -62,7 +71,8 @@
         }
         let mut message = answer.encode();
         message.extend_from_slice(body.as_bytes());
-        if connection.write_all(&message).await.is_err() || !head.keeps_alive() {
+        let written = within(IDLE_MS, connection.write_all(&message)).await;
+        if !matches!(written, Some(Ok(()))) || !head.keeps_alive() {
             return;
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The gateway's settings file (TOML). Every key but the addresses has a default.
 
+use crate::settings_callers::CallerSettings;
 use crate::settings_defaults as defaults;
 use crate::settings_error::{renamed_key, ReadSnafu, RenamedSnafu, ShapeSnafu};
 use ploverlift_policy::ids::ZoneName;
@@ -28,6 +29,9 @@
     /// Bounds that the site promises.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Connections of callers.
+    #[serde(default)]
+    pub callers: CallerSettings,
     /// Attempts at engines.
     #[serde(default)]
     pub attempts: AttemptSettings,
@@ -385,6 +389,11 @@
                 "attempts.stream_silence_ms",
                 self.attempts.stream_silence_ms,
             ),
+            (
+                "callers.max_connections",
+                self.callers.max_connections as u64,
+            ),
+            ("callers.stalled_ms", self.callers.stalled_ms),
             ("weights.loads_at_once", self.weights.loads_at_once as u64),
         ];
         for (key, value) in positive {
--- /dev/null
+++ b/crates/gateway/src/settings_callers.rs
@@ -0,0 +1,25 @@
+//! Settings of connections of callers.
+
+use serde::{Deserialize, Serialize};
+
+/// `[callers]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerSettings {
+    /// Connections that may be open at the same time. Each request under way needs a
+    /// second descriptor for its engine, and a process has some 4,100. At the limit
+    /// resting connections are closed; more callers wait in the kernel's queue.
+    pub max_connections: usize,
+    /// Time after which a caller that takes no byte of its answer is gone, in
+    /// milliseconds: twice the longest silence that callers bear themselves.
+    pub stalled_ms: u64,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self {
+            max_connections: 1_600,
+            stalled_ms: 4_000,
+        }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,9 @@
 use crate::settings::GatewaySettings;
 use crate::time::{unix_ms, Clock};
 use event_listener::Event;
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::cost::CostRates;
+use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::weights::WeightsBounds;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::topology::Topology;
@@ -38,6 +40,10 @@
     pub weights_named: Event,
     /// Told when a relay knows something that this node lacks.
     pub snapshot_due: Event,
+    /// Told when an engine is to be checked.
+    pub engine_check_due: Event,
+    /// Told when an engine was found to be lost.
+    pub engine_lost: Event,
     /// Told when the other nodes should hear from this one at once.
     pub report_due: Event,
     /// Told when a planned stop begins.
@@ -83,6 +89,8 @@
             store_recovered: Event::new(),
             weights_named: Event::new(),
             snapshot_due: Event::new(),
+            engine_check_due: Event::new(),
+            engine_lost: Event::new(),
             report_due: Event::new(),
             stop_began: Event::new(),
             work_ended: Event::new(),
@@ -118,6 +126,15 @@
         beliefs.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Takes in how a request or a call at an engine went.
+    pub fn note_outcome(&self, instance: &InstanceId, outcome: Outcome) {
+        let now = self.clock.now();
+        self.beliefs().note_outcome(instance, outcome, now);
+        if outcome == Outcome::Unreachable {
+            self.engine_check_due.notify(usize::MAX);
+        }
+    }
+
     /// Addresses of the other nodes, locked. Never held over I/O.
     pub fn address_book(&self) -> MutexGuard<'_, AddressBook> {
         let address_book = self.address_book.lock();
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -36,7 +36,9 @@
     };
     if wait_ms == 0 {
         let now = gateway.clock.now();
-        return gateway.beliefs().remove_engine(&instance, revision, now);
+        let is_news = gateway.beliefs().remove_engine(&instance, revision, now);
+        gateway.engine_check_due.notify(usize::MAX);
+        return is_news;
     }
     slog::info!(gateway.log, "engine lapsed";
         "engine" => &instance.0, "revision" => revision, "wait_ms" => wait_ms);
@@ -46,6 +48,7 @@
         // An entry that was written since has a later revision, and stays.
         let now = gateway.clock.now();
         if gateway.beliefs().remove_engine(&instance, revision, now) {
+            gateway.engine_check_due.notify(usize::MAX);
             slog::info!(gateway.log, "engine gone";
                 "engine" => &instance.0, "revision" => revision);
         }
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -117,9 +117,8 @@
     }
 
     fn unreachable(&self) -> Next {
-        let now = self.gateway.clock.now();
-        let engines = &mut self.gateway.beliefs().engines;
-        engines.note_outcome(&self.engine.instance, Outcome::Unreachable, now);
+        self.gateway
+            .note_outcome(&self.engine.instance, Outcome::Unreachable);
         Next::Finished
     }
 
--- /dev/null
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -0,0 +1,281 @@
+//! Callers that leave, that stop reading, and that come in numbers.
+
+mod support;
+
+use ploverlift_gateway::callers::{bind, serve_connection, ConnectionLimits, OpenConnections};
+use ploverlift_http1::BufferedStream;
+use ploverlift_policy::ids::Millis;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+use support::caller::{self, prompt, request, Request};
+use support::engine::{Behaviour, StandInEngine};
+use support::{configuration, site, Fixture};
+
+const MANY: ConnectionLimits = ConnectionLimits {
+    max_open: 100,
+    min_rest_ms: 0,
+};
+
+fn as_bytes(request: &Request) -> Vec<u8> {
+    let mut head = request.head.clone();
+    head.headers
+        .set("content-length", request.body.len().to_string());
+    let mut bytes = head.encode();
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+fn ids(engine: &StandInEngine) -> Vec<String> {
+    let heads = engine.heads();
+    let ids = heads.iter().filter_map(|head| head.headers.get(site::ID));
+    ids.map(str::to_owned).collect()
+}
+
+async fn wait_until_dropped(engine: &StandInEngine) {
+    while engine.dropped() == 0 {
+        engine.happened.recv().await.expect("the engine");
+    }
+}
+
+/// Serves one connection on which a caller wrote these bytes and left before it was
+/// accepted.
+async fn serve_abandoned(fixture: &Fixture, bytes: &[u8]) {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    let address = listener.local_addr().expect("address");
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    stream.write_all(bytes).await.expect("write");
+    drop(stream);
+    let (accepted, _) = listener.accept().await.expect("accept");
+    let connections = OpenConnections::new(MANY);
+    serve_connection(Arc::clone(&fixture.gateway), accepted, connections.open()).await;
+    assert_eq!(connections.count(), 0);
+}
+
+#[test]
+fn a_caller_that_left_in_the_accept_queue_costs_its_engine_nothing() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::KeepConnection).await;
+        let fixture = Fixture::new(&[&app]).await;
+        // The connection that this leaves would take the next request at once.
+        fixture.send(&request("safe.test", "r1")).await;
+        serve_abandoned(&fixture, &as_bytes(&request("safe.test", "r2"))).await;
+        fixture.send(&request("safe.test", "r3")).await;
+        assert_eq!(ids(&app), ["r1", "r3"]);
+    });
+}
+
+#[test]
+fn a_caller_that_left_inside_its_body_or_head_is_not_served() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let bytes = as_bytes(&request("safe.test", "r1"));
+        serve_abandoned(&fixture, &bytes[..bytes.len() - 2]).await;
+        serve_abandoned(&fixture, &bytes[..20]).await;
+        assert!(app.heads().is_empty());
+        assert_eq!(fixture.gateway.requests_under_way(), 0);
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_inside_a_stream_ends_its_engines_work() {
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::FallSilentAfter(2)).await;
+        let fixture = Fixture::new(&[&llm]).await;
+        let asked = prompt("stream.test", "r1");
+        let mut connection = caller::open(fixture.running().callers, &asked).await;
+        assert!(connection.fill().await.is_ok_and(|count| count > 0));
+        drop(connection);
+        wait_until_dropped(&llm).await;
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_during_a_second_attempt_ends_that_one() {
+    smol::block_on(async {
+        let bad = StandInEngine::start("app-1", "app", Behaviour::Reset).await;
+        let silent = StandInEngine::start("app-2", "app", Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&bad, &silent]).await;
+        for number in 0.. {
+            let id = format!("r{number}");
+            let asked = request("safe.test", &id);
+            let connection = caller::open(fixture.running().callers, &asked).await;
+            silent.happened.recv().await.expect("the engine");
+            let dropped_before = silent.dropped();
+            drop(connection);
+            while silent.dropped() == dropped_before {
+                silent.happened.recv().await.expect("the engine");
+            }
+            if ids(&bad).contains(&id) {
+                break;
+            }
+        }
+    });
+}
+
+#[test]
+fn a_caller_cannot_hide_its_leaving_behind_what_it_sent_ahead() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let asked = request("patient.test", "r1");
+        let mut connection = caller::open(fixture.running().callers, &asked).await;
+        app.happened.recv().await.expect("the request arrived");
+        let ahead = vec![b'x'; 400 * 1024];
+        connection.write_all(&ahead).await.expect("write");
+        drop(connection);
+        wait_until_dropped(&app).await;
+    });
+}
+
+#[test]
+fn a_caller_that_takes_nothing_of_its_answer_does_not_hold_its_engine() {
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::Flood).await;
+        let fixture =
+            Fixture::with(&[&llm], configuration(1), "[callers]\nstalled_ms = 200\n").await;
+        let asked = prompt("stream.test", "r1");
+        let connection = caller::open(fixture.running().callers, &asked).await;
+        wait_until_dropped(&llm).await;
+        drop(connection);
+    });
+}
+
+#[test]
+fn a_request_whose_time_is_over_is_refused_and_no_engine_is_blamed() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        for number in 0..6 {
+            let mut late = request("unsafe.test", &format!("r{number}"));
+            late.head.headers.push(site::DEADLINE, "0");
+            let status = fixture.send(&late).await.status();
+            assert!([408, 503].contains(&status), "{status}");
+        }
+        assert!(app.heads().is_empty());
+        let beliefs = fixture.gateway.beliefs();
+        assert!(beliefs
+            .engines
+            .iter()
+            .all(|engine| !engine.health.is_suspected()));
+    });
+}
+
+#[test]
+fn a_body_is_not_waited_for_beyond_the_callers_deadline() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let mut slow = request("safe.test", "r1");
+        slow.head.headers.push(site::DEADLINE, "60");
+        let bytes = as_bytes(&slow);
+        let mut stream = TcpStream::connect(fixture.running().callers)
+            .await
+            .expect("connect");
+        let began = Instant::now();
+        stream
+            .write_all(&bytes[..bytes.len() - 1])
+            .await
+            .expect("write");
+        let mut connection = BufferedStream::new(stream);
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 408);
+        let idle_timeout_ms = fixture
+            .gateway
+            .configuration()
+            .expect("a configuration")
+            .document
+            .limits
+            .idle_timeout_ms;
+        assert!((began.elapsed().as_millis() as u64) < idle_timeout_ms);
+        assert!(app.heads().is_empty());
+    });
+}
+
+#[test]
+fn callers_that_say_nothing_make_room_for_others_at_the_limit() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let few = "[callers]\nmax_connections = 4\n";
+        let fixture = Fixture::with(&[&app], configuration(1), few).await;
+        let address = fixture.running().callers;
+        let mut silent = Vec::new();
+        for _ in 0..12 {
+            silent.push(TcpStream::connect(address).await.expect("connect"));
+        }
+        for number in 0..3 {
+            let answer = fixture
+                .send(&request("safe.test", &format!("r{number}")))
+                .await;
+            assert_eq!(answer.status(), 200);
+        }
+        assert!(fixture.gateway.metrics.connections_closed_for_room.get() > 0);
+    });
+}
+
+#[test]
+fn a_request_under_way_keeps_its_place_at_the_limit() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let few = "[callers]\nmax_connections = 1\n";
+        let fixture = Fixture::with(&[&app], configuration(1), few).await;
+        let address = fixture.running().callers;
+        let mut first = caller::open(address, &request("unsafe.test", "r1")).await;
+        app.happened.recv().await.expect("the request arrived");
+        app.set(Behaviour::Answer);
+        let waiting = caller::open(address, &request("unsafe.test", "r2")).await;
+        let answer = caller::read(&mut first).await.expect("an answer");
+        assert_eq!(answer.status(), 504);
+        drop(first);
+        let mut waiting = waiting;
+        let answer = caller::read(&mut waiting).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    });
+}
+
+#[test]
+fn every_caller_of_a_burst_is_answered() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let address = fixture.running().callers;
+        let callers = (0..300).map(|number| {
+            smol::spawn(async move {
+                let asked = request("safe.test", &format!("r{number}"));
+                caller::send(address, &asked).await.status()
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        for caller in callers {
+            assert_eq!(caller.await, 200);
+        }
+    });
+}
+
+#[test]
+fn the_connection_that_has_rested_longest_makes_room_first() {
+    let connections = OpenConnections::new(ConnectionLimits {
+        max_open: 2,
+        min_rest_ms: 500,
+    });
+    let (first, second) = (connections.open(), connections.open());
+    assert!(!connections.has_room());
+    assert!(!connections.make_room(Millis(9_000)));
+    let mut late = second.rest(Millis(2_000));
+    let mut early = first.rest(Millis(1_000));
+    // Neither has rested long enough: its caller is about to send a request.
+    assert!(!connections.make_room(Millis(1_400)));
+    let rested_first = late;
+    assert!(connections.make_room(Millis(2_600)));
+    late = rested_first;
+    // Rests count from when they began to be counted, so the second one's was first.
+    smol::block_on(late.must_close());
+    assert!(connections.make_room(Millis(2_600)));
+    smol::block_on(early.must_close());
+    drop((late, early));
+    drop(first);
+    assert!(connections.has_room());
+}
--- /dev/null
+++ b/crates/gateway/tests/silent_connections.rs
@@ -0,0 +1,195 @@
+//! Engines that fall silent without a reset, and what requests there are told.
+
+mod support;
+
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_balancing::engine_losses::{LostEngine, NewsSource};
+use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
+use support::caller::{self, prompt, request};
+use support::engine::{all_events, Behaviour, StandInEngine};
+use support::{configuration, Fixture};
+
+/// Silence alone moves no stream.
+const PATIENT: &str = "[attempts]\nstream_silence_ms = 600000\ntimeout_objectives = 1000.0\n";
+
+fn is_suspected(fixture: &Fixture, instance: &InstanceId) -> bool {
+    let beliefs = fixture.gateway.beliefs();
+    let known = beliefs.engines.get(instance);
+    known.is_some_and(|engine| engine.health.is_suspected())
+}
+
+/// Asking the node lets its tasks run.
+async fn let_run(fixture: &Fixture) {
+    caller::get_status(fixture.running().readiness).await;
+}
+
+fn hear_of_loss(fixture: &Fixture, instance: &InstanceId) {
+    let lost = [LostEngine {
+        engine: EngineTag::of(instance),
+        nodes: 1,
+    }];
+    let now = fixture.gateway.clock.now();
+    let mut beliefs = fixture.gateway.beliefs();
+    beliefs.hear_of_losses(NewsSource::Node, PeerId(9), &lost, now);
+    drop(beliefs);
+    fixture.gateway.engine_check_due.notify(usize::MAX);
+}
+
+#[test]
+fn a_request_that_may_run_once_is_told_when_its_engine_is_dead() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let asked = request("patient.test", "r1");
+        let mut connection = caller::open(fixture.running().callers, &asked).await;
+        app.happened.recv().await.expect("the request arrived");
+        // Its machine is gone: nothing is reset, nothing is accepted.
+        drop(app);
+        fixture.store.remove("Engines", "app-1");
+        // The route allows ten minutes.
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 502);
+    });
+}
+
+#[test]
+fn what_one_node_alone_cannot_reach_is_not_given_up_for_requests_that_run_once() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let address = fixture.running().callers;
+        let mut connection = caller::open(address, &request("unsafe.test", "r1")).await;
+        app.happened.recv().await.expect("the request arrived");
+        let instance = InstanceId(app.instance.clone());
+        drop(app);
+        let refused = fixture.send(&request("unsafe.test", "r2")).await;
+        assert_eq!(refused.status(), 503);
+        let began = fixture.gateway.started_at;
+        while !fixture
+            .gateway
+            .beliefs()
+            .losses
+            .is_lost_since(&instance, began)
+        {
+            let_run(&fixture).await;
+        }
+        // An answer may still come when the link is back: the route's time-out decides.
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 504);
+    });
+}
+
+#[test]
+fn another_nodes_word_confirms_a_loss() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let address = fixture.running().callers;
+        let mut connection = caller::open(address, &request("patient.test", "r1")).await;
+        app.happened.recv().await.expect("the request arrived");
+        let instance = InstanceId(app.instance.clone());
+        drop(app);
+        let reading = smol::spawn(async move { caller::read(&mut connection).await });
+        while !reading.is_finished() {
+            hear_of_loss(&fixture, &instance);
+            let_run(&fixture).await;
+        }
+        assert_eq!(reading.await.expect("an answer").status(), 502);
+    });
+}
+
+#[test]
+fn a_stream_at_a_lost_engine_goes_on_at_another_one() {
+    smol::block_on(async {
+        let first = StandInEngine::start("llm-1", "llm", Behaviour::FallSilentAfter(2)).await;
+        let second = StandInEngine::start("llm-2", "llm", Behaviour::FallSilentAfter(2)).await;
+        let fixture = Fixture::with(&[&first, &second], configuration(1), PATIENT).await;
+        let asked = prompt("resume.test", "r1");
+        let mut connection = caller::open(fixture.running().callers, &asked).await;
+        let (home, other) = loop {
+            let_run(&fixture).await;
+            if !first.heads().is_empty() {
+                break (first, second);
+            }
+            if !second.heads().is_empty() {
+                break (second, first);
+            }
+        };
+        other.set(Behaviour::Answer);
+        let instance = home.instance.clone();
+        drop(home);
+        fixture.store.remove("Engines", &instance);
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.text(), all_events());
+        assert!(answer.is_whole);
+    });
+}
+
+#[test]
+fn news_of_a_lost_engine_puts_it_aside_before_a_request_finds_out() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let instance = InstanceId(app.instance.clone());
+        drop(app);
+        hear_of_loss(&fixture, &instance);
+        while !is_suspected(&fixture, &instance) {
+            let_run(&fixture).await;
+        }
+    });
+}
+
+#[test]
+fn news_of_an_engine_that_this_node_reaches_changes_nothing() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let instance = InstanceId(app.instance.clone());
+        hear_of_loss(&fixture, &instance);
+        let is_checked = || fixture.gateway.beliefs().losses.is_suspected(&instance);
+        assert!(is_checked());
+        while is_checked() {
+            assert!(!is_suspected(&fixture, &instance));
+            let_run(&fixture).await;
+        }
+        assert!(!is_suspected(&fixture, &instance));
+        // Told again, it does not even check.
+        hear_of_loss(&fixture, &instance);
+        assert!(!is_checked());
+        let answer = fixture.send(&request("unsafe.test", "r1")).await;
+        assert_eq!(answer.status(), 200);
+    });
+}
+
+#[test]
+fn one_silent_kept_connection_takes_the_others_with_it() {
+    smol::block_on(async {
+        let silent = StandInEngine::start("app-1", "app", Behaviour::KeepConnection).await;
+        let fixture = Fixture::new(&[&silent]).await;
+        let address = fixture.running().callers;
+        let both = ["r1", "r2"].map(|id| {
+            smol::spawn(async move { caller::send(address, &request("safe.test", id)).await })
+        });
+        for sent in both {
+            assert_eq!(sent.await.status(), 200);
+        }
+        silent.set(Behaviour::Silent);
+        let other = StandInEngine::start("app-2", "app", Behaviour::Answer).await;
+        fixture.store.put("Engines", "app-2", other.record());
+        while fixture.gateway.beliefs().engines.len() < 2 {
+            let_run(&fixture).await;
+        }
+        let instance = InstanceId(silent.instance.clone());
+        for number in 0.. {
+            let id = format!("s{number}");
+            let answer = fixture.send(&request("safe.test", &id)).await;
+            assert_eq!(answer.status(), 200);
+            if silent.dropped() > 0 {
+                break;
+            }
+        }
+        let now = fixture.gateway.clock.now();
+        let kept = fixture.gateway.kept_connections().take(&instance, now);
+        assert!(kept.is_none());
+    });
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -38,6 +38,10 @@
     AnswerTwice,
     /// Answers; refuses requests for other weights without saying which it has.
     HidesWeights,
+    /// Sends so many events, then says nothing until the caller is gone.
+    FallSilentAfter(u64),
+    /// Sends large events without end, until the caller is gone.
+    Flood,
 }
 
 /// Events of a whole stream.
@@ -318,6 +322,8 @@
         | Behaviour::ForgetConnection
         | Behaviour::AnswerTwice
         | Behaviour::HidesWeights
+        | Behaviour::FallSilentAfter(_)
+        | Behaviour::Flood
         | Behaviour::BreakInside(_) => {
             head.headers.push(site::SIGNED, "1");
         }
@@ -325,6 +331,12 @@
     let is_stream = request.headers.get(site::PARTS).is_some()
         || request.headers.get("host") == Some("x")
         || request.target.starts_with("/events");
+    if is_stream && matches!(behaviour, Behaviour::FallSilentAfter(_) | Behaviour::Flood) {
+        stream_until_dropped(connection, head, &behaviour).await;
+        shared.notes.lock().expect("notes").dropped += 1;
+        let _ = shared.seen.try_send(());
+        return;
+    }
     if is_stream && head.status == 200 {
         let broken = match behaviour {
             Behaviour::BreakInside(event) => Some(event),
@@ -367,6 +379,33 @@
     let _ = connection.write_all(b"0\r\n\r\n").await;
 }
 
+/// Sends events and never an end; returns when the connection was closed.
+async fn stream_until_dropped(
+    connection: &mut BufferedStream,
+    mut head: ResponseHead,
+    behaviour: &Behaviour,
+) {
+    head.headers.push("transfer-encoding", "chunked");
+    if connection.write_all(&head.encode()).await.is_err() {
+        return;
+    }
+    let (events, filler) = match behaviour {
+        Behaviour::FallSilentAfter(events) => (*events, 0),
+        _ => (u64::MAX, 64 * 1024),
+    };
+    for number in 1..=events {
+        let text = match filler {
+            0 => event(number),
+            filler => format!("id: {number}\ndata: {}\n\n", "x".repeat(filler)),
+        };
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        if connection.write_all(chunk.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+    while connection.fill().await.is_ok_and(|count| count > 0) {}
+}
+
 /// One event as the engine sends it.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
