--- /dev/null
+++ b/crates/balancing/tests/load_width.rs
@@ -0,0 +1,91 @@
+//! Learning how many engines may load at once.
+
+use ploverlift_balancing::load_width::{FinishedLoad, LoadWidth};
+
+/// Brings `engines` up to date at the learned width, with loads that take `load_ms` and
+/// in proportion longer while over `capacity` run; tells the width afterwards.
+fn roll_out(width: &mut LoadWidth, engines: usize, capacity: usize, load_ms: f64) -> usize {
+    let most = engines / 2;
+    let mut left = engines;
+    while left > 0 {
+        let at_once = width.width(4, most);
+        let loading = at_once.min(left);
+        let slowing = (loading as f64 / capacity as f64).max(1.0);
+        for _ in 0..loading {
+            let load = FinishedLoad {
+                took_ms: load_ms * slowing,
+                peak: loading,
+            };
+            width.observe(load, at_once);
+        }
+        left -= loading;
+    }
+    width.width(4, most)
+}
+
+#[test]
+fn the_width_settles_near_what_engines_bear() {
+    for capacity in [8, 12, 28] {
+        let mut width = LoadWidth::default();
+        for _ in 0..12 {
+            roll_out(&mut width, 140, capacity, 400.0);
+        }
+        let settled = roll_out(&mut width, 140, capacity, 400.0);
+        let most = (capacity as f64 * 1.6) as usize;
+        assert!(
+            (capacity..=most).contains(&settled),
+            "{settled} of {capacity}"
+        );
+    }
+}
+
+#[test]
+fn loads_that_run_alone_show_nothing_about_the_width() {
+    let mut width = LoadWidth::default();
+    for _ in 0..100 {
+        let alone = FinishedLoad {
+            took_ms: 400.0,
+            peak: 1,
+        };
+        width.observe(alone, 8);
+    }
+    assert_eq!(width.width(1, 70), 1);
+    assert_eq!(width.usual_ms(), Some(400.0));
+}
+
+#[test]
+fn a_slowed_load_is_not_taken_for_the_usual_one() {
+    let mut width = LoadWidth::default();
+    for took_ms in [400.0, 900.0, 900.0, 900.0] {
+        width.observe(FinishedLoad { took_ms, peak: 8 }, 8);
+    }
+    assert_eq!(width.usual_ms(), Some(400.0));
+}
+
+#[test]
+fn loads_that_take_longer_from_now_on_become_the_usual_ones() {
+    let mut width = LoadWidth::default();
+    width.observe(
+        FinishedLoad {
+            took_ms: 400.0,
+            peak: 8,
+        },
+        8,
+    );
+    for _ in 0..300 {
+        width.observe(
+            FinishedLoad {
+                took_ms: 900.0,
+                peak: 4,
+            },
+            width.width(4, 40),
+        );
+    }
+    assert!(width.usual_ms().is_some_and(|usual_ms| usual_ms > 800.0));
+}
+
+#[test]
+fn the_bound_on_time_goes_before_what_can_be_spared() {
+    let width = LoadWidth::default();
+    assert_eq!(width.width(9, 4), 9);
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -267,9 +267,13 @@
     pub loads_at_once: usize,
     /// Time that a load takes before one was seen, in milliseconds.
     pub load_ms: u64,
-    /// Time from the naming of a version at which all engines should have
-    /// loaded, in milliseconds.
+    /// Longest time from the naming of a version until all engines have loaded, in
+    /// milliseconds. They have sooner where more can load at once without slowing
+    /// each other, which loads show.
     pub finish_ms: u64,
+    /// Largest part of the engines that loads at the same time, unless `finish_ms`
+    /// asks for more; 0.0 to 1.0.
+    pub loads_share: f64,
     /// Time before the bound at which engines with older weights leave the
     /// choice, in milliseconds: a request may wait in an engine's queue.
     pub margin_ms: u64,
@@ -285,6 +289,7 @@
             loads_at_once: 2,
             load_ms: 650,
             finish_ms: 4_000,
+            loads_share: 0.3,
             margin_ms: 2_000,
             order_timeout_ms: 500,
             report_after_ms: 350,
@@ -414,6 +419,10 @@
             let value = self.bounds.retry_ratio.to_string();
             return invalid("bounds.retry_ratio", value, "use 0.0 to 1.0");
         }
+        if !(0.0..=1.0).contains(&self.weights.loads_share) {
+            let value = self.weights.loads_share.to_string();
+            return invalid("weights.loads_share", value, "use 0.0 to 1.0");
+        }
         if !(0.0..=1.0).contains(&self.bounds.canary_share) {
             let value = self.bounds.canary_share.to_string();
             return invalid("bounds.canary_share", value, "use 0.0 to 1.0");
--- /dev/null
+++ b/crates/gateway/src/weights/pace.rs
@@ -0,0 +1,48 @@
+//! How many engines load new weights at the same time, and by when all have.
+//!
+//! `weights.finish_ms` bounds the time; within it, engines load as wide as they can
+//! without slowing each other, since until its load an engine makes answers of outdated
+//! weights, and a load costs its engine the same time early or late.
+
+use super::loading::Loading;
+use super::OutdatedEngine;
+use crate::state::Gateway;
+use ploverlift_balancing::load_schedule::{loads_now, LoadPace};
+use ploverlift_policy::ids::Millis;
+
+/// Engines that should load at the same time now; 0 while there is time. Nodes
+/// that did not hold the lease last wait a little longer.
+pub(super) fn loads_at_once(
+    gateway: &Gateway,
+    loading: &Loading,
+    outdated: &[OutdatedEngine],
+    waits_ms: u64,
+) -> usize {
+    let settings = &gateway.settings().weights;
+    let load_ms = loading.load_ms(settings.load_ms);
+    let all = outdated.len() + loading.count();
+    let enough_for_all = (all as u64 * load_ms).div_ceil(settings.finish_ms.max(1));
+    let least = settings.loads_at_once.max(enough_for_all as usize);
+    let spared = engines_with_weights(gateway) as f64 * settings.loads_share;
+    let at_once_limit = loading.width(least, spared as usize);
+    let rounds = all.div_ceil(at_once_limit.max(1)) as u64;
+    let finish_ms = settings.finish_ms.min(rounds * load_ms) + waits_ms;
+    let deadlines: Vec<Millis> = outdated
+        .iter()
+        .map(|engine| engine.named_at.plus(finish_ms))
+        .collect();
+    let pace = LoadPace {
+        load_ms,
+        at_once: settings.loads_at_once,
+        at_once_limit,
+    };
+    loads_now(&deadlines, &pace, gateway.clock.now())
+}
+
+/// Engines that serve models.
+fn engines_with_weights(gateway: &Gateway) -> usize {
+    let beliefs = gateway.beliefs();
+    let engines = beliefs.engines.iter();
+    let with_weights = engines.filter(|engine| !engine.record.weights.is_empty());
+    with_weights.count()
+}
--- a/crates/gateway/src/weights/plan.rs
+++ b/crates/gateway/src/weights/plan.rs
@@ -16,10 +16,14 @@
     pub model: String,
     /// When the oldest version that it lacks was named, as this node learned it.
     pub named_at: Millis,
+    /// Requests of all nodes there. What they have yet to make counts as made on
+    /// changed weights.
+    pub running: u32,
 }
 
 /// Engines with outdated weights; the one whose missing version was named first
-/// is first. Engines that leave or cannot be reached are left out.
+/// is first, and among those the one with the fewest requests: new ones go to engines
+/// that have loaded, so at the others fewer and fewer are left. Engines that leave or cannot be reached are left out.
 pub fn outdated_engines(gateway: &Gateway, now: Millis) -> Vec<OutdatedEngine> {
     let beliefs = gateway.beliefs();
     let mut outdated = Vec::new();
@@ -35,10 +39,14 @@
                     address: record.address,
                     model: model.clone(),
                     named_at,
+                    running: engine.in_flight + beliefs.peer_loads.at(engine.tag).requests,
                 });
             }
         }
     }
-    outdated.sort_by(|a, b| (a.named_at, &a.instance).cmp(&(b.named_at, &b.instance)));
+    outdated.sort_by(|a, b| {
+        let first = (a.named_at, a.running, &a.instance);
+        first.cmp(&(b.named_at, b.running, &b.instance))
+    });
     outdated
 }
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -201,6 +201,46 @@
     });
 }
 
+#[test]
+fn among_engines_that_lack_the_same_version_the_idlest_is_next() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        let gateway = Gateway::new(
+            settings(&store, "node", ""),
+            Arc::new(site::StandInSite),
+            silent_logger(),
+        );
+        let now = gateway.clock.now();
+        {
+            let mut beliefs = gateway.beliefs();
+            for (name, port) in [("a", 1), ("b", 2), ("c", 3)] {
+                beliefs.engines.upsert(EngineRecord {
+                    instance: InstanceId(name.to_owned()),
+                    revision: 1,
+                    service: ServiceName::from("llm"),
+                    address: SocketAddr::from(([127, 0, 0, 1], port)),
+                    zone: ZoneName::from("z"),
+                    software: SoftwareVersion::default(),
+                    slots: 4,
+                    is_leaving: false,
+                    weights: [("m".to_owned(), 1)].into(),
+                });
+            }
+            beliefs.weights.name("m", 2, now);
+            let busy = InstanceId("a".to_owned());
+            beliefs.engines.begin(&busy, 10, now);
+            beliefs.engines.begin(&busy, 10, now);
+            beliefs.engines.begin(&InstanceId("b".to_owned()), 10, now);
+        }
+        let outdated = outdated_engines(&gateway, now.plus(10));
+        let order: Vec<&str> = outdated
+            .iter()
+            .map(|engine| engine.instance.0.as_str())
+            .collect();
+        assert_eq!(order, ["c", "b", "a"]);
+    });
+}
+
 /// One engine loads at a time, and the first report after an order comes late
 /// enough for news to arrive before it.
 const ONE_LOAD_AT_A_TIME: &str = "[weights]\nfinish_ms = 1000\nload_ms = 400\n\
