Requests at a node's start wait for the configuration; relays look for their role sooner

A relay looked at its role each 200 ms, and its followers wait for it. Change: callers.start_hold_ms; START_LOOK_PERIOD_MS. Seen red: without the hold the new test gets 503. Tests of the gateway pass; clippy clean.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a caller: request after request.
 
+use super::start_hold::{start_hold_ms, wait_for_site};
 use super::{OpenConnection, RestingConnection};
 use crate::forward::{
     admit, refuse, serve, AfterAnswer, CallerAnswer, ReceivedRequest, TimeLimits,
@@ -154,6 +155,13 @@
         }
         Err(None) => return Ok(AfterAnswer::Abort),
     };
+    let hold_ms = start_hold_ms(gateway, deadline_ms);
+    if let Some(hold_ms) = hold_ms {
+        if !hold(gateway, connection, hold_ms).await {
+            return Ok(AfterAnswer::Abort);
+        }
+        answer.close_after();
+    }
     match prepare(gateway, request, body, received) {
         Ok(prepared) => answer_watched(gateway, connection, prepared, answer).await,
         Err((refusal, id)) => {
@@ -167,6 +175,20 @@
     }
 }
 
+/// Holds a request until this node knows its site; false when its caller has left.
+async fn hold(gateway: &Gateway, connection: &mut BufferedStream, hold_ms: u64) -> bool {
+    let mut has_dropped = false;
+    let leaving = async {
+        caller_left(connection, &mut has_dropped).await;
+        false
+    };
+    let waiting = async {
+        wait_for_site(gateway, hold_ms).await;
+        true
+    };
+    futures_lite::future::or(leaving, waiting).await
+}
+
 fn prepare(
     gateway: &Arc<Gateway>,
     request: Result<CallerRequest, InvalidRequest>,
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -40,6 +40,7 @@
         is_named |= beliefs.name_target(&target.model, target.version, is_first, now);
     }
     drop(beliefs);
+    gateway.site_learned.notify(usize::MAX);
     if !report.lost.is_empty() || !report.changes.is_empty() {
         gateway.engine_check_due.notify(usize::MAX);
     }
--- a/crates/gateway/src/peers/roles.rs
+++ b/crates/gateway/src/peers/roles.rs
@@ -26,6 +26,8 @@
 /// feeds look on each node; with [`ENGINES_AGE_SHARE`] it leaves 0.25 s of a bound of
 /// 2 s on leaving engines for reading them from the store.
 const LOOK_PERIOD_MS: u64 = 200;
+/// The same in a node's first moments.
+const START_LOOK_PERIOD_MS: u64 = 15;
 /// Part of the bound on leaving engines that a relay's knowledge may be old. The
 /// rest is for a change on its way and for reading the store by oneself.
 const ENGINES_AGE_SHARE: f64 = 0.65;
@@ -136,7 +138,7 @@
 /// Waits while this node need not read the configuration by itself.
 pub async fn wait_while_configuration_is_told(gateway: &Gateway) {
     while is_starting(gateway) || is_configuration_told(gateway) {
-        sleep(LOOK_PERIOD_MS).await;
+        sleep(look_period_ms(gateway)).await;
     }
 }
 
@@ -151,7 +153,7 @@
 /// was read: a store that is away is not asked three times by each node.
 pub async fn wait_while_engines_are_told(gateway: &Gateway) {
     while is_starting(gateway) || are_engines_told(gateway) || waits_for_store(gateway) {
-        sleep(LOOK_PERIOD_MS).await;
+        sleep(look_period_ms(gateway)).await;
     }
 }
 
@@ -167,6 +169,15 @@
     role(gateway, now) == Role::Follower && !is_reached
 }
 
+/// Time between two looks, in milliseconds. All nodes of a zone wait for its relays to
+/// read the store, so those look often until they know that they relay.
+fn look_period_ms(gateway: &Gateway) -> u64 {
+    match is_starting(gateway) {
+        true => START_LOOK_PERIOD_MS,
+        false => LOOK_PERIOD_MS,
+    }
+}
+
 /// Whether this node has just started and may yet hear a relay.
 fn is_starting(gateway: &Gateway) -> bool {
     let now = gateway.clock.now();
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -158,6 +158,7 @@
     let count = beliefs.engines.len();
     drop(beliefs);
     gateway.engine_check_due.notify(usize::MAX);
+    gateway.site_learned.notify(usize::MAX);
     gateway.metrics.engines.set(count as i64);
     slog::info!(gateway.log, "engines taken over from a relay";
         "relay" => lacking.address.to_string(), "count" => count,
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -17,11 +17,16 @@
 /// Whether this node takes callers: it knows the configuration and the engines,
 /// may accept keys, and is not stopping.
 pub fn is_ready(gateway: &Gateway) -> bool {
-    let knows_site = {
+    knows_site(gateway) && !gateway.is_stopping()
+}
+
+/// Whether this node knows what it needs to serve callers.
+pub fn knows_site(gateway: &Gateway) -> bool {
+    let has_copies = {
         let beliefs = gateway.beliefs();
         beliefs.configuration.is_some() && beliefs.engines_listed
     };
-    knows_site && !gateway.is_stopping() && gateway.accepts_keys()
+    has_copies && gateway.accepts_keys()
 }
 
 /// Answers the load balancer until the task is dropped.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,8 @@
     pub weights_named: Event,
     /// Told when a relay knows something that this node lacks.
     pub snapshot_due: Event,
+    /// Told when the configuration was read or proven, or the engines were listed.
+    pub site_learned: Event,
     /// Told when an engine is to be checked.
     pub engine_check_due: Event,
     /// Told when an engine was found to be lost.
@@ -89,6 +91,7 @@
             store_recovered: Event::new(),
             weights_named: Event::new(),
             snapshot_due: Event::new(),
+            site_learned: Event::new(),
             engine_check_due: Event::new(),
             engine_lost: Event::new(),
             report_due: Event::new(),
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -241,10 +241,12 @@
             take_configuration(&gateway, object);
         }
         gateway.beliefs().freshness.prove(sent);
+        gateway.site_learned.notify(usize::MAX);
         while let Some((events, next, sent)) = feed.changes(revision, &mut backoff).await {
             let objects = events.iter().map(|event| &event.object);
             objects.for_each(|object| take_configuration(&gateway, object));
             gateway.beliefs().freshness.prove(sent);
+            gateway.site_learned.notify(usize::MAX);
             revision = next;
         }
     }
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -21,6 +21,7 @@
         remove_engine(gateway, instance, revision);
     }
     gateway.beliefs().engines_listed = true;
+    gateway.site_learned.notify(usize::MAX);
 }
 
 /// Forgets an engine whose entry is gone since a revision: at once, or, shortly
