--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`load_schedule`] | when engines load new weights, and how many at once |
 //! | [`load_width`] | how many of them load at once without slowing each other |
+//! | [`overload`] | when engines are overloaded, and which part of the requests to refuse |
 //! | [`store_room`] | which prompts are worth their room in the KV cache store |
 //! | [`supply`] | from where an engine can have what it lacks of a prompt |
 //! | [`unseen_reading`] | what other nodes sent since their loads were told |
@@ -40,6 +41,7 @@
 pub mod health;
 pub mod load_schedule;
 pub mod load_width;
+pub mod overload;
 pub mod peer_loads;
 pub mod prefill_rate;
 pub mod prefix_holders;
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -13,6 +13,7 @@
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::engine_losses::{EngineLosses, LostEngine, NewsSource};
 use ploverlift_balancing::health::Outcome;
+use ploverlift_balancing::overload::Overload;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerId, PeerLoads};
 use ploverlift_balancing::prefill_rate::PrefillRate;
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
@@ -148,6 +149,8 @@
     pub held_lease: Option<u64>,
     /// The newest revision of that lease of which its holder told this node.
     pub heard_lease: Option<HeardLease>,
+    /// What answers have shown of overload, by service.
+    pub overloads: BTreeMap<ServiceName, Overload>,
     /// Engines that take no connection any more.
     pub losses: EngineLosses,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod events;
 mod in_flight;
 mod limits;
+mod prospects;
 mod record;
 mod stream;
 mod whole;
@@ -31,11 +32,13 @@
 use crate::ports::{CallerRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
 use attempt::AttemptEnd;
+use choice::ChosenEngine;
 use ploverlift_balancing::attempts::{AttemptLedger, AttemptLimits, AttemptOutcome};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::attempt::RunState;
+use prospects::Unservable;
 use record::RequestRecord;
 use std::io;
 use std::sync::Arc;
@@ -131,6 +134,11 @@
                     return self.give_up().await;
                 }
             };
+            if let Some(unservable) = self.first_refusal(&chosen) {
+                self.progress.reason = unservable.reason;
+                self.progress.retry_after_ms = Some(unservable.retry_after_ms);
+                return self.give_up().await;
+            }
             if self.progress.attempts.next_is_repeat() && !self.take_repeat() {
                 "the retry budget is spent".clone_into(&mut self.progress.reason);
                 return self.give_up().await;
@@ -148,6 +156,14 @@
         }
     }
 
+    /// Whether the request is refused before anything was tried.
+    fn first_refusal(&self, chosen: &ChosenEngine) -> Option<Unservable> {
+        match self.progress.attempts.tried().is_empty() {
+            true => self.unservable(chosen),
+            false => None,
+        }
+    }
+
     fn take_repeat(&self) -> bool {
         let now = self.gateway.clock.now();
         let settings = self.gateway.settings();
--- /dev/null
+++ b/crates/gateway/src/forward/prospects.rs
@@ -0,0 +1,142 @@
+//! Whether a request is sent at all, by what it can expect at the engines.
+//!
+//! What cannot be answered within its time at any engine is refused at once. While the
+//! engines are overloaded, a part of the others is refused too ([`Overload`]), so that
+//! the rest are answered in time. Never while engines have room, and never a stream that
+//! its caller takes up again.
+
+use super::choice::ChosenEngine;
+use super::Forwarding;
+use crate::beliefs::Beliefs;
+use ploverlift_balancing::catalogue::Engine;
+use ploverlift_balancing::overload::{Overload, OverloadLimits, Places, Urgency};
+use ploverlift_routing::configuration::Route;
+use std::fmt::Write;
+
+/// Part of the expected time to the first byte that must lie beyond the request's time
+/// for it to be hopeless: loads of other nodes are some tenths of a second old.
+const CERTAIN_SHARE: f64 = 0.7;
+/// Shortest time to come back, in milliseconds.
+const SHORTEST_RETRY_MS: u64 = 100;
+
+/// Why a request is not sent.
+pub(super) struct Unservable {
+    pub(super) reason: String,
+    /// When it could be served, in milliseconds.
+    pub(super) retry_after_ms: u64,
+}
+
+impl Forwarding {
+    /// Whether the request should be refused before it is sent to the engine that is
+    /// best for it.
+    pub(super) fn unservable(&self, chosen: &ChosenEngine) -> Option<Unservable> {
+        let is_resumed = self.received.request.resume_after.is_some();
+        if self.received.request.prompt.is_none() || is_resumed {
+            return None;
+        }
+        let mut unservable = self.hopeless(chosen).or_else(|| self.overloaded())?;
+        let places = self.places();
+        if places.have_room() {
+            return None;
+        }
+        let Places { requests, slots } = places;
+        let _ = write!(unservable.reason, "; {requests} requests at {slots} places");
+        Some(unservable)
+    }
+
+    fn hopeless(&self, chosen: &ChosenEngine) -> Option<Unservable> {
+        let cost = &chosen.cost;
+        let expected_ms = cost.queue_ms + cost.unseen_ms + cost.transfer_ms + cost.prefill_ms;
+        let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
+        let is_hopeless = expected_ms * CERTAIN_SHARE > left_ms as f64;
+        is_hopeless.then(|| Unservable {
+            reason: format!(
+                "no engine can begin to answer before {expected_ms:.0} ms, and {left_ms} are left"
+            ),
+            retry_after_ms: cost.queue_ms as u64,
+        })
+    }
+
+    fn overloaded(&self) -> Option<Unservable> {
+        let now = self.gateway.clock.now();
+        let settings = &self.gateway.settings().admission;
+        let limits = OverloadLimits {
+            bearable_objectives: settings.bearable_objectives,
+            most_refused: settings.most_refused,
+        };
+        let route = &self.received.admission.route;
+        let overload = self.overload()?;
+        let most = overload.refused_share(Urgency::Least, &limits, now);
+        let draw = fastrand::f64();
+        if draw >= most {
+            return None;
+        }
+        let share = overload.refused_share(self.urgency(), &limits, now);
+        if draw >= share {
+            return None;
+        }
+        let drained_ms = overload.drained_after_ms(route.objective_ms, &limits, now);
+        Some(Unservable {
+            reason: format!(
+                "the engines are overloaded: requests wait {:.2} objectives, {share:.2} are refused",
+                overload.waiting_objectives(now)
+            ),
+            retry_after_ms: drained_ms.max(SHORTEST_RETRY_MS),
+        })
+    }
+
+    fn overload(&self) -> Option<Overload> {
+        let service = &self.received.admission.service;
+        self.gateway.beliefs().overloads.get(service).copied()
+    }
+
+    /// The request's rank among the routes of its service.
+    fn urgency(&self) -> Urgency {
+        let admission = &self.received.admission;
+        let leads_there = |route: &&Route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.service == admission.service)
+        };
+        let routes = admission.configuration.document.routes.iter();
+        let least = routes.filter(leads_there).map(|route| route.priority).max();
+        match least.is_some_and(|least| admission.priority() < least) {
+            true => Urgency::Higher,
+            false => Urgency::Least,
+        }
+    }
+
+    /// Requests and places of the engines of the service that are up.
+    fn places(&self) -> Places {
+        let now = self.gateway.clock.now();
+        let beliefs = self.gateway.beliefs();
+        let engines = beliefs.engines.of_service(&self.received.admission.service);
+        let up =
+            engines.filter(|engine| !engine.record.is_leaving && engine.health.may_be_chosen(now));
+        let mut places = Places::default();
+        for engine in up {
+            places.requests += requests_at(&beliefs, engine);
+            places.slots += u64::from(engine.record.slots);
+        }
+        places
+    }
+
+    /// Takes in how long a request waited at its engine beyond the time for its own
+    /// reading, in milliseconds, until its first byte came or it was given up.
+    pub(super) fn observe_wait(&self, chosen: &ChosenEngine, first_byte_ms: u64) {
+        if self.received.request.prompt.is_none() {
+            return;
+        }
+        let own_ms = chosen.cost.prefill_ms + chosen.cost.transfer_ms;
+        let objective_ms = self.received.admission.route.objective_ms;
+        let now = self.gateway.clock.now();
+        let mut beliefs = self.gateway.beliefs();
+        let service = self.received.admission.service.clone();
+        let overload = beliefs.overloads.entry(service).or_default();
+        overload.observe(first_byte_ms as f64 - own_ms, objective_ms, now);
+    }
+}
+
+fn requests_at(beliefs: &Beliefs, engine: &Engine) -> u64 {
+    let others = beliefs.peer_loads.at(engine.tag).requests;
+    u64::from(engine.in_flight) + u64::from(others)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod reservation;
 pub mod rollouts;
 pub mod settings;
+mod settings_admission;
 mod settings_callers;
 mod settings_defaults;
 mod settings_error;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The gateway's settings file (TOML). Every key but the addresses has a default.
 
+use crate::settings_admission::AdmissionSettings;
 use crate::settings_callers::CallerSettings;
 use crate::settings_defaults as defaults;
 use crate::settings_error::{renamed_key, ReadSnafu, RenamedSnafu, ShapeSnafu};
@@ -32,6 +33,9 @@
     /// Connections of callers.
     #[serde(default)]
     pub callers: CallerSettings,
+    /// Admission of requests to models.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// Attempts at engines.
     #[serde(default)]
     pub attempts: AttemptSettings,
@@ -419,6 +423,10 @@
             let value = self.bounds.retry_ratio.to_string();
             return invalid("bounds.retry_ratio", value, "use 0.0 to 1.0");
         }
+        if !(0.0..=1.0).contains(&self.admission.most_refused) {
+            let value = self.admission.most_refused.to_string();
+            return invalid("admission.most_refused", value, "use 0.0 to 1.0");
+        }
         if !(0.0..=1.0).contains(&self.weights.loads_share) {
             let value = self.weights.loads_share.to_string();
             return invalid("weights.loads_share", value, "use 0.0 to 1.0");
@@ -437,6 +445,10 @@
                 "cost.prefill_tokens_per_ms",
                 self.cost.prefill_tokens_per_ms,
             ),
+            (
+                "admission.bearable_objectives",
+                self.admission.bearable_objectives,
+            ),
             ("cost.senders", self.cost.senders),
             (
                 "attempts.timeout_objectives",
--- /dev/null
+++ b/crates/gateway/src/settings_admission.rs
@@ -0,0 +1,24 @@
+//! Settings of the admission of requests to models.
+
+use serde::{Deserialize, Serialize};
+
+/// `[admission]`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmissionSettings {
+    /// Waiting at engines that is borne before requests are refused, as a part of the
+    /// route's objective.
+    pub bearable_objectives: f64,
+    /// Largest part of the requests to a service that is refused for overload; 0.0 to
+    /// 1.0, 0.0 refuses none.
+    pub most_refused: f64,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            bearable_objectives: 0.5,
+            most_refused: 0.5,
+        }
+    }
+}
