--- a/crates/balancing/src/overload.rs
+++ b/crates/balancing/src/overload.rs
@@ -10,14 +10,19 @@
 use ploverlift_policy::ids::Millis;
 
 /// Weight of the newest answer.
-const NEWEST_WEIGHT: f64 = 0.15;
+const NEWEST_WEIGHT: f64 = 0.2;
 /// Time without an answer in which what is known halves, in milliseconds: while
 /// requests are refused, few answers show that the queue is gone.
 const HALF_LIFE_MS: f64 = 700.0;
 /// Part refused for each objective of waiting beyond the bearable.
-const GAIN: f64 = 0.5;
+const GAIN: f64 = 1.0;
 /// Part of the more urgent requests that is refused for each of the least urgent ones.
-const URGENT_SHARE: f64 = 0.4;
+const URGENT_SHARE: f64 = 0.75;
+/// Requests without a first byte from which on their ages count.
+const MIN_WAITING: usize = 4;
+/// What requests will have waited in the end, as a multiple of the median age of those
+/// that still wait: they began at even distances.
+const AGE_MULTIPLE: f64 = 2.0;
 /// A service has room while less than this part of its places is taken.
 const ROOM_SHARE: f64 = 0.5;
 
@@ -55,26 +60,74 @@
     Least,
 }
 
-/// What answers of one service have shown.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// A request that waits for its first byte.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Waiting {
+    number: u64,
+    /// When the time for its own reading is over.
+    since: Millis,
+    objective_ms: u64,
+}
+
+/// What requests of one service have shown: answers, and those that still wait. Answers
+/// are certain and come late, after the queue has grown.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Overload {
-    waiting_objectives: f64,
+    answered_objectives: f64,
     updated: Millis,
+    waiting: Vec<Waiting>,
+    next_number: u64,
 }
 
 impl Overload {
+    /// A request was sent that needs so long for its own reading; gives its number.
+    pub fn begin(&mut self, own_ms: f64, objective_ms: u64, now: Millis) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.waiting.push(Waiting {
+            number,
+            since: now.plus(own_ms.max(0.0) as u64),
+            objective_ms,
+        });
+        number
+    }
+
+    /// A request waits no longer: it was answered, or is over.
+    pub fn end(&mut self, number: u64) {
+        self.waiting.retain(|waiting| waiting.number != number);
+    }
+
     /// A request waited so long at its engine, beyond the time for its own reading.
     pub fn observe(&mut self, waited_ms: f64, objective_ms: u64, now: Millis) {
         let newest = waited_ms.max(0.0) / objective_ms.max(1) as f64;
-        let known = self.waiting_objectives(now);
-        self.waiting_objectives = known + NEWEST_WEIGHT * (newest - known);
+        let known = self.answered_objectives(now);
+        self.answered_objectives = known + NEWEST_WEIGHT * (newest - known);
         self.updated = now;
     }
 
     /// How long requests wait, as a multiple of their objective.
     pub fn waiting_objectives(&self, now: Millis) -> f64 {
+        self.answered_objectives(now)
+            .max(self.unanswered_objectives(now))
+    }
+
+    fn answered_objectives(&self, now: Millis) -> f64 {
         let age = now.since(self.updated) as f64;
-        self.waiting_objectives * 0.5_f64.powf(age / HALF_LIFE_MS)
+        self.answered_objectives * 0.5_f64.powf(age / HALF_LIFE_MS)
+    }
+
+    /// The median counts: engines that are lost hold a few requests for long.
+    fn unanswered_objectives(&self, now: Millis) -> f64 {
+        if self.waiting.len() < MIN_WAITING {
+            return 0.0;
+        }
+        let ages = self
+            .waiting
+            .iter()
+            .map(|waiting| now.since(waiting.since) as f64 / waiting.objective_ms.max(1) as f64);
+        let mut ages: Vec<f64> = ages.collect();
+        ages.sort_by(f64::total_cmp);
+        ages[ages.len() / 2] * AGE_MULTIPLE
     }
 
     /// The part of the requests of an urgency that should be refused now.
--- /dev/null
+++ b/crates/balancing/tests/overload.rs
@@ -0,0 +1,92 @@
+//! Which part of the requests is refused while engines are overloaded.
+
+use ploverlift_balancing::overload::{Overload, OverloadLimits, Places, Urgency};
+use ploverlift_policy::ids::Millis;
+
+const LIMITS: OverloadLimits = OverloadLimits {
+    bearable_objectives: 0.5,
+    most_refused: 0.5,
+};
+const NOW: Millis = Millis(10_000);
+
+fn after_waits(waited_ms: f64, count: usize) -> Overload {
+    let mut overload = Overload::default();
+    for _ in 0..count {
+        overload.observe(waited_ms, 400, NOW);
+    }
+    overload
+}
+
+#[test]
+fn nothing_is_refused_while_requests_wait_less_than_is_bearable() {
+    for overload in [Overload::default(), after_waits(190.0, 100)] {
+        assert_eq!(overload.refused_share(Urgency::Least, &LIMITS, NOW), 0.0);
+    }
+}
+
+#[test]
+fn one_slow_answer_refuses_nobody() {
+    let overload = after_waits(900.0, 1);
+    assert_eq!(overload.refused_share(Urgency::Least, &LIMITS, NOW), 0.0);
+}
+
+#[test]
+fn the_least_urgent_go_first_and_no_rank_is_refused_altogether() {
+    let overload = after_waits(4_000.0, 100);
+    let least = overload.refused_share(Urgency::Least, &LIMITS, NOW);
+    let higher = overload.refused_share(Urgency::Higher, &LIMITS, NOW);
+    assert_eq!(least, LIMITS.most_refused);
+    assert!(higher > 0.0 && higher < least);
+}
+
+#[test]
+fn what_answers_showed_fades_while_there_are_none() {
+    let overload = after_waits(800.0, 100);
+    assert!(overload.refused_share(Urgency::Least, &LIMITS, NOW) > 0.0);
+    let later = NOW.plus(2_000);
+    assert_eq!(overload.refused_share(Urgency::Least, &LIMITS, later), 0.0);
+}
+
+#[test]
+fn callers_are_told_when_the_queue_is_expected_to_be_bearable() {
+    let overload = after_waits(1_000.0, 200);
+    let told_ms = overload.drained_after_ms(400, &LIMITS, NOW);
+    assert!((795..=800).contains(&told_ms), "{told_ms}");
+}
+
+#[test]
+fn there_is_room_while_less_than_half_of_the_places_is_taken() {
+    let places = |requests| Places {
+        requests,
+        slots: 100,
+    };
+    assert!(places(49).have_room());
+    assert!(!places(50).have_room());
+}
+
+#[test]
+fn requests_that_still_wait_show_a_queue_before_any_answer_does() {
+    let mut overload = Overload::default();
+    let numbers: Vec<u64> = (0..8)
+        .map(|number| overload.begin(50.0, 400, NOW.plus(number * 100)))
+        .collect();
+    let later = NOW.plus(800);
+    assert!(overload.refused_share(Urgency::Least, &LIMITS, later) > 0.0);
+    for number in numbers {
+        overload.end(number);
+    }
+    assert_eq!(overload.refused_share(Urgency::Least, &LIMITS, later), 0.0);
+}
+
+#[test]
+fn a_few_requests_at_a_lost_engine_show_no_queue() {
+    let mut overload = Overload::default();
+    for _ in 0..2 {
+        overload.begin(0.0, 400, NOW);
+    }
+    for _ in 0..3 {
+        overload.begin(0.0, 400, NOW.plus(1_950));
+    }
+    let later = NOW.plus(2_000);
+    assert_eq!(overload.refused_share(Urgency::Least, &LIMITS, later), 0.0);
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -87,6 +87,7 @@
             software: chosen.software.clone(),
         };
         let mut in_flight = InFlight::begin(&self.gateway, subject, tokens);
+        in_flight.wait = self.begin_wait(&chosen);
         if let Some(reservation) = &mut self.received.admission.reservation {
             reservation.spend();
         }
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -1,5 +1,6 @@
 //! Counts a request at an engine for as long as it is there.
 
+use super::prospects::EngineWait;
 use crate::outcomes::ObservedAttempt;
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
@@ -30,6 +31,8 @@
     waiting_tokens: u64,
     begun: Millis,
     first_byte_ms: Option<u64>,
+    /// The wait for the first byte, for requests to models.
+    pub(super) wait: Option<EngineWait>,
 }
 
 impl InFlight {
@@ -47,6 +50,7 @@
             waiting_tokens: prompt_tokens,
             begun: now,
             first_byte_ms: None,
+            wait: None,
         }
     }
 
--- a/crates/gateway/src/forward/prospects.rs
+++ b/crates/gateway/src/forward/prospects.rs
@@ -1,17 +1,19 @@
 //! Whether a request is sent at all, by what it can expect at the engines.
 //!
 //! What cannot be answered within its time at any engine is refused at once. While the
-//! engines are overloaded, a part of the others is refused too ([`Overload`]), so that
-//! the rest are answered in time. Never while engines have room, and never a stream that
+//! engines are overloaded, a part of the others is refused too (see `balancing::overload`), so that
+//! the rest is answered in time. Never while engines have room, and never a stream that
 //! its caller takes up again.
 
 use super::choice::ChosenEngine;
 use super::Forwarding;
 use crate::beliefs::Beliefs;
+use crate::state::Gateway;
 use ploverlift_balancing::catalogue::Engine;
-use ploverlift_balancing::overload::{Overload, OverloadLimits, Places, Urgency};
-use ploverlift_routing::configuration::Route;
+use ploverlift_balancing::overload::{OverloadLimits, Places, Urgency};
+use ploverlift_routing::configuration::{Route, ServiceName};
 use std::fmt::Write;
+use std::sync::Arc;
 
 /// Part of the expected time to the first byte that must lie beyond the request's time
 /// for it to be hopeless: loads of other nodes are some tenths of a second old.
@@ -65,7 +67,8 @@
             most_refused: settings.most_refused,
         };
         let route = &self.received.admission.route;
-        let overload = self.overload()?;
+        let beliefs = self.gateway.beliefs();
+        let overload = beliefs.overloads.get(&self.received.admission.service)?;
         let most = overload.refused_share(Urgency::Least, &limits, now);
         let draw = fastrand::f64();
         if draw >= most {
@@ -85,11 +88,6 @@
         })
     }
 
-    fn overload(&self) -> Option<Overload> {
-        let service = &self.received.admission.service;
-        self.gateway.beliefs().overloads.get(service).copied()
-    }
-
     /// The request's rank among the routes of its service.
     fn urgency(&self) -> Urgency {
         let admission = &self.received.admission;
@@ -120,19 +118,53 @@
         places
     }
 
-    /// Takes in how long a request waited at its engine beyond the time for its own
-    /// reading, in milliseconds, until its first byte came or it was given up.
-    pub(super) fn observe_wait(&self, chosen: &ChosenEngine, first_byte_ms: u64) {
-        if self.received.request.prompt.is_none() {
-            return;
-        }
-        let own_ms = chosen.cost.prefill_ms + chosen.cost.transfer_ms;
+    /// Counts a request that is being sent as one that waits for its first byte.
+    pub(super) fn begin_wait(&self, chosen: &ChosenEngine) -> Option<EngineWait> {
+        self.received.request.prompt.as_ref()?;
+        let service = self.received.admission.service.clone();
         let objective_ms = self.received.admission.route.objective_ms;
+        let own_ms = chosen.cost.prefill_ms + chosen.cost.transfer_ms;
         let now = self.gateway.clock.now();
         let mut beliefs = self.gateway.beliefs();
-        let service = self.received.admission.service.clone();
-        let overload = beliefs.overloads.entry(service).or_default();
-        overload.observe(first_byte_ms as f64 - own_ms, objective_ms, now);
+        let overload = beliefs.overloads.entry(service.clone()).or_default();
+        Some(EngineWait {
+            number: overload.begin(own_ms, objective_ms, now),
+            gateway: Arc::clone(&self.gateway),
+            service,
+            own_ms,
+            objective_ms,
+        })
+    }
+}
+
+/// A request that waits for its first byte, until it is dropped.
+pub(super) struct EngineWait {
+    gateway: Arc<Gateway>,
+    service: ServiceName,
+    number: u64,
+    own_ms: f64,
+    objective_ms: u64,
+}
+
+impl EngineWait {
+    /// The first byte came after so long.
+    pub(super) fn answered(self, first_byte_ms: u64) {
+        let now = self.gateway.clock.now();
+        let waited_ms = first_byte_ms as f64 - self.own_ms;
+        let mut beliefs = self.gateway.beliefs();
+        if let Some(overload) = beliefs.overloads.get_mut(&self.service) {
+            overload.observe(waited_ms, self.objective_ms, now);
+        }
+        drop(beliefs);
+    }
+}
+
+impl Drop for EngineWait {
+    fn drop(&mut self) {
+        let mut beliefs = self.gateway.beliefs();
+        if let Some(overload) = beliefs.overloads.get_mut(&self.service) {
+            overload.end(self.number);
+        }
     }
 }
 
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -53,7 +53,9 @@
                         is_first = false;
                         let first_event_ms = in_flight.answered();
                         self.learn_reading_rate(chosen, first_event_ms);
-                        self.observe_wait(chosen, first_event_ms);
+                        if let Some(wait) = in_flight.wait.take() {
+                            wait.answered(first_event_ms);
+                        }
                         self.note_read(chosen);
                         self.note_saved(chosen);
                     }
--- a/crates/gateway/src/settings_admission.rs
+++ b/crates/gateway/src/settings_admission.rs
@@ -17,8 +17,8 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            bearable_objectives: 0.5,
-            most_refused: 0.5,
+            bearable_objectives: 0.4,
+            most_refused: 0.85,
         }
     }
 }
