--- a/crates/balancing/src/engine_losses.rs
+++ b/crates/balancing/src/engine_losses.rs
@@ -27,6 +27,14 @@
 /// Time after an engine was reached in which news of its loss starts no check, in
 /// milliseconds. What this node sees itself goes before what it is told.
 const REACHED_MS: u64 = 5_000;
+/// Part of all engines from which on a node that cannot reach them takes its own links
+/// to be at fault, and tells of none.
+const OWN_FAULT_SHARE: f64 = 0.34;
+/// Nodes that must have lost an engine before their word starts a check elsewhere, at
+/// least, and as a part of all nodes. Each check of an engine that lives is a connection
+/// that it has to take, and nodes with disturbed links are never few in a large fleet.
+const NODES_UNTIL_CHECK: u32 = 2;
+const NODES_UNTIL_CHECK_SHARE: f64 = 0.1;
 /// Lost engines in one report; the latest ones go first. With them a report stays
 /// within one datagram.
 pub const MAX_TOLD: usize = 16;
@@ -191,14 +199,18 @@
         fresh.map(|(_, news)| news.nodes)
     }
 
-    /// Takes in what another node told; gives the engines that this node should check.
+    /// Takes in what another node of a fleet of so many told; gives the engines that
+    /// this node should check.
     pub fn hear(
         &mut self,
         source: NewsSource,
         sender: PeerId,
         lost: &[LostEngine],
+        fleet: usize,
         now: Millis,
     ) -> Vec<EngineTag> {
+        let needed = (fleet as f64 * NODES_UNTIL_CHECK_SHARE) as u32;
+        let needed = needed.max(NODES_UNTIL_CHECK);
         let mut to_check = Vec::new();
         for told in lost {
             let news = News {
@@ -208,7 +220,8 @@
             let known = self.news.entry(told.engine).or_default();
             known.insert((source, sender), news);
             let reached = self.reached.get(&told.engine);
-            if reached.is_none_or(|at| now.since(*at) >= REACHED_MS) {
+            let was_reached = reached.is_some_and(|at| now.since(*at) < REACHED_MS);
+            if !was_reached && self.others(told.engine, false, now) >= needed {
                 to_check.push(told.engine);
             }
         }
@@ -224,13 +237,17 @@
         self.reached.retain(|_, at| now.since(*at) < REACHED_MS);
     }
 
-    /// What this node has found itself, the latest first.
-    pub fn own(&self) -> Vec<LostEngine> {
+    /// What this node has found itself, the latest first, of so many engines that it
+    /// knows.
+    pub fn own(&self, engines: usize) -> Vec<LostEngine> {
         let lost = self.suspects.iter().filter_map(|(instance, suspect)| {
             let lost_at = suspect.lost_at?;
             Some((lost_at, EngineTag::of(instance)))
         });
         let mut lost: Vec<(Millis, EngineTag)> = lost.collect();
+        if lost.len() as f64 > (engines as f64 * OWN_FAULT_SHARE).max(1.0) {
+            return Vec::new();
+        }
         lost.sort_by_key(|(lost_at, engine)| (std::cmp::Reverse(*lost_at), *engine));
         lost.truncate(MAX_TOLD);
         let told = lost
@@ -241,18 +258,18 @@
 
     /// What a relay tells the nodes of its zone: what it has found itself, and what
     /// nodes and other zones have told it.
-    pub fn of_all(&self, now: Millis) -> Vec<LostEngine> {
-        self.summed(&[NewsSource::Node, NewsSource::OtherZone], now)
+    pub fn of_all(&self, engines: usize, now: Millis) -> Vec<LostEngine> {
+        self.summed(&[NewsSource::Node, NewsSource::OtherZone], engines, now)
     }
 
     /// What a relay tells other zones: what the nodes of its own have found.
-    pub fn of_zone(&self, now: Millis) -> Vec<LostEngine> {
-        self.summed(&[NewsSource::Node], now)
+    pub fn of_zone(&self, engines: usize, now: Millis) -> Vec<LostEngine> {
+        self.summed(&[NewsSource::Node], engines, now)
     }
 
-    fn summed(&self, sources: &[NewsSource], now: Millis) -> Vec<LostEngine> {
+    fn summed(&self, sources: &[NewsSource], engines: usize, now: Millis) -> Vec<LostEngine> {
         let mut sums: BTreeMap<EngineTag, u32> = BTreeMap::new();
-        for lost in self.own() {
+        for lost in self.own(engines) {
             *sums.entry(lost.engine).or_default() += lost.nodes;
         }
         for engine in self.news.keys() {
--- a/crates/balancing/tests/engine_losses.rs
+++ b/crates/balancing/tests/engine_losses.rs
@@ -79,19 +79,19 @@
     let heard = Millis(10_700);
     let relay = PeerId(5);
     let mut losses = lost();
-    losses.hear(NewsSource::Relay, relay, &told(1), heard);
+    losses.hear(NewsSource::Relay, relay, &told(1), 3, heard);
     assert!(!losses.is_dead_since(&engine(), SENT, heard));
-    losses.hear(NewsSource::Relay, relay, &told(2), heard);
+    losses.hear(NewsSource::Relay, relay, &told(2), 3, heard);
     assert!(losses.is_dead_since(&engine(), SENT, heard));
     assert!(!losses.is_dead_since(&engine(), SENT, heard.plus(2_000)));
-    losses.hear(NewsSource::Node, PeerId(6), &told(1), heard.plus(2_000));
+    losses.hear(NewsSource::Node, PeerId(6), &told(1), 3, heard.plus(2_000));
     assert!(losses.is_dead_since(&engine(), SENT, heard.plus(2_100)));
 }
 
 #[test]
 fn news_alone_makes_no_engine_lost() {
     let mut losses = EngineLosses::default();
-    let to_check = losses.hear(NewsSource::Node, PeerId(6), &told(80), SENT);
+    let to_check = losses.hear(NewsSource::Node, PeerId(6), &told(80), 3, SENT);
     assert_eq!(to_check, [EngineTag::of(&engine())]);
     assert!(!losses.is_dead_since(&engine(), Millis(0), SENT));
     assert!(!losses.is_lost_since(&engine(), Millis(0)));
@@ -102,7 +102,7 @@
     let mut losses = lost();
     losses.note_reached(&engine(), Millis(11_000));
     let hear = |losses: &mut EngineLosses, at: u64| {
-        losses.hear(NewsSource::Node, PeerId(6), &told(1), Millis(at))
+        losses.hear(NewsSource::Relay, PeerId(6), &told(2), 3, Millis(at))
     };
     assert!(hear(&mut losses, 15_999).is_empty());
     assert_eq!(hear(&mut losses, 16_000).len(), 1);
@@ -112,14 +112,14 @@
 fn a_relay_adds_up_its_zone_and_does_not_pass_zones_round() {
     let now = Millis(10_700);
     let mut losses = lost();
-    losses.hear(NewsSource::Node, PeerId(6), &told(1), now);
-    losses.hear(NewsSource::Node, PeerId(7), &told(1), now);
-    losses.hear(NewsSource::OtherZone, PeerId(8), &told(4), now);
-    assert_eq!(losses.own(), told(1));
-    assert_eq!(losses.of_zone(now), told(3));
-    assert_eq!(losses.of_all(now), told(7));
+    losses.hear(NewsSource::Node, PeerId(6), &told(1), 3, now);
+    losses.hear(NewsSource::Node, PeerId(7), &told(1), 3, now);
+    losses.hear(NewsSource::OtherZone, PeerId(8), &told(4), 3, now);
+    assert_eq!(losses.own(90), told(1));
+    assert_eq!(losses.of_zone(90, now), told(3));
+    assert_eq!(losses.of_all(90, now), told(7));
     losses.expire(now.plus(2_000));
-    assert_eq!(losses.of_all(now.plus(2_000)), told(1));
+    assert_eq!(losses.of_all(90, now.plus(2_000)), told(1));
 }
 
 #[test]
@@ -131,8 +131,38 @@
             losses.note_unreachable(&instance, address(), Millis(10_000 + at + number));
         }
     }
-    let told = losses.own();
+    let told = losses.own(200);
     assert_eq!(told.len(), MAX_TOLD);
     let latest = InstanceId("e-39".to_owned());
     assert_eq!(told[0].engine, EngineTag::of(&latest));
 }
+
+#[test]
+fn a_node_that_reaches_few_engines_takes_its_own_links_to_be_at_fault() {
+    let mut losses = EngineLosses::default();
+    for number in 0..30_u64 {
+        let instance = InstanceId(format!("e-{number}"));
+        for at in [0, 300, 600] {
+            losses.note_unreachable(&instance, address(), Millis(10_000 + at));
+        }
+    }
+    assert!(losses.own(60).is_empty());
+    assert!(!losses.own(94).is_empty());
+}
+
+#[test]
+fn one_nodes_word_alone_starts_no_check() {
+    let mut losses = EngineLosses::default();
+    let hear = |losses: &mut EngineLosses, sender| {
+        losses.hear(NewsSource::Node, PeerId(sender), &told(1), 3, SENT)
+    };
+    assert!(hear(&mut losses, 6).is_empty());
+    assert!(hear(&mut losses, 6).is_empty());
+    assert_eq!(hear(&mut losses, 7).len(), 1);
+    // In a large fleet some links are always disturbed.
+    let relay = PeerId(9);
+    let by_seven = losses.hear(NewsSource::Relay, relay, &told(7), 80, SENT);
+    assert!(by_seven.is_empty());
+    let by_eight = losses.hear(NewsSource::Relay, relay, &told(8), 80, SENT);
+    assert_eq!(by_eight.len(), 1);
+}
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -376,9 +376,10 @@
         source: NewsSource,
         sender: PeerId,
         lost: &[LostEngine],
+        fleet: usize,
         now: Millis,
     ) {
-        for tag in self.losses.hear(source, sender, lost, now) {
+        for tag in self.losses.hear(source, sender, lost, fleet, now) {
             let Some(engine) = self.engines.by_tag(tag) else {
                 continue;
             };
--- a/crates/gateway/src/engine_checks.rs
+++ b/crates/gateway/src/engine_checks.rs
@@ -8,6 +8,7 @@
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_balancing::engine_losses::DueCheck;
+use ploverlift_http1::{BufferedStream, Headers};
 use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
 
@@ -57,7 +58,8 @@
         let connected = connect(check.address, timeout_ms).await;
         let now = gateway.clock.now();
         match connected {
-            Ok(_) => {
+            Ok(stream) => {
+                keep_connection(&gateway, &check, stream, now);
                 reached(&gateway, &check, began, now);
                 return;
             }
@@ -74,6 +76,17 @@
     }
 }
 
+/// The connection that the engine has taken serves the next request.
+fn keep_connection(gateway: &Gateway, check: &DueCheck, stream: BufferedStream, now: Millis) {
+    let longest_ms = gateway.settings().attempts.keep_connection_ms;
+    let is_known = gateway.beliefs().engines.get(&check.instance).is_some();
+    if longest_ms > 0 && is_known {
+        let unused = Headers::default();
+        let mut kept = gateway.kept_connections();
+        kept.keep(&check.instance, stream, &unused, longest_ms, now);
+    }
+}
+
 fn pause_ms(number: u32) -> u64 {
     let doublings = number.saturating_sub(BRISK_CHECKS - 1).min(8);
     (FIRST_PAUSE_MS << doublings).min(LONGEST_PAUSE_MS)
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -18,6 +18,7 @@
         return;
     }
     let limit_ms = engines_age_limit_ms(gateway);
+    let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
     let included = report.included.filter(|known| known.life == gateway.life);
     let included = included.map(|known| known.sequence);
@@ -28,7 +29,7 @@
     beliefs.note_reported(placements, loaded, report.lease_revision, now);
     beliefs.followed.hear(report, from, sent_at, now);
     take_proof(&mut beliefs, report, sent_at);
-    beliefs.hear_of_losses(NewsSource::Relay, sender, &report.lost, now);
+    beliefs.hear_of_losses(NewsSource::Relay, sender, &report.lost, fleet, now);
     for change in beliefs.followed.next_changes(report) {
         beliefs.take_engine_change(change.clone(), now);
     }
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -19,9 +19,10 @@
     }
     let now = gateway.clock.now();
     gateway.address_book().heard(from, sender, now);
+    let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
     if !report.lost.is_empty() {
-        beliefs.hear_of_losses(NewsSource::Node, sender, &report.lost, now);
+        beliefs.hear_of_losses(NewsSource::Node, sender, &report.lost, fleet, now);
         gateway.engine_check_due.notify(usize::MAX);
     }
     if report.wants_relay_reports {
@@ -57,6 +58,7 @@
 pub fn take_zone_report(gateway: &Gateway, report: &PeerReport, from: SocketAddr) {
     let now = gateway.clock.now();
     gateway.address_book().heard(from, report.loads.sender, now);
+    let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
     beliefs.relaying.note_zone_reporter(from, now);
     // The relays of a zone report the same sums. They count as one sender, of whom
@@ -67,7 +69,8 @@
     };
     apply_loads(gateway, &mut beliefs, &loads, now);
     if !report.lost.is_empty() {
-        beliefs.hear_of_losses(NewsSource::OtherZone, loads.sender, &report.lost, now);
+        let zone = loads.sender;
+        beliefs.hear_of_losses(NewsSource::OtherZone, zone, &report.lost, fleet, now);
         gateway.engine_check_due.notify(usize::MAX);
     }
     take_news(&mut beliefs, report, false, now);
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -295,7 +295,7 @@
             changes_through: 0,
             changes: Vec::new(),
             included: None,
-            lost: beliefs.losses.of_all(now),
+            lost: beliefs.losses.of_all(beliefs.engines.len(), now),
         }
     }
 
@@ -346,7 +346,7 @@
     fn zone_reports(&self, now: Millis) -> Vec<PeerReport> {
         let mut beliefs = self.gateway.beliefs();
         let loading = loading(&beliefs, |zone| zone == self.zone);
-        let lost = beliefs.losses.of_zone(now);
+        let lost = beliefs.losses.of_zone(beliefs.engines.len(), now);
         let mut reports = Vec::new();
         loop {
             let is_first = reports.is_empty();
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -143,7 +143,7 @@
         beliefs.peer_loads.expire(now);
         let peers = beliefs.peer_loads.peer_count();
         self.gateway.metrics.peers.set(peers as i64);
-        let lost = beliefs.losses.own();
+        let lost = beliefs.losses.own(beliefs.engines.len());
         let room = room_for_placements(MAX_PLACEMENTS, &lost);
         let news = beliefs.holders.news_after(self.placements_from, room);
         let (placements, placements_from) = news;
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -30,7 +30,9 @@
     }];
     let now = fixture.gateway.clock.now();
     let mut beliefs = fixture.gateway.beliefs();
-    beliefs.hear_of_losses(NewsSource::Node, PeerId(9), &lost, now);
+    for node in [8, 9] {
+        beliefs.hear_of_losses(NewsSource::Node, PeerId(node), &lost, 3, now);
+    }
     drop(beliefs);
     fixture.gateway.engine_check_due.notify(usize::MAX);
 }
