--- a/crates/lab/src/losses.rs
+++ b/crates/lab/src/losses.rs
@@ -23,6 +23,8 @@
     route: String,
     #[serde(default)]
     attempts: String,
+    #[serde(default)]
+    reason: String,
     first_byte_ms: Option<u64>,
 }
 
@@ -41,11 +43,21 @@
     StaleVersion,
     /// An engine failed, was lost or refused, and another one answered.
     SecondEngine,
-    /// It was refused and has not run.
+    /// Its tenant was over its limit.
+    OverLimit,
+    /// It was refused so that others are answered in time.
+    Overload,
+    /// No engine could begin to answer within its time.
+    Hopeless,
+    /// The node could not prove its configuration, or knew none yet.
+    ConfigurationUnproven,
+    /// It was refused otherwise and has not run.
     Refused,
     /// Its time was up.
     TimedOut,
-    /// Its engine failed or was lost, and it ended so.
+    /// Its engine was found to take no connection any more.
+    EngineDead,
+    /// Its engine failed or was lost otherwise, and it ended so.
     EngineLost,
     /// Its caller left.
     CallerLeft,
@@ -60,8 +72,13 @@
             Reason::Prefill => "shared parts were read",
             Reason::StaleVersion => "stale model version",
             Reason::SecondEngine => "a second engine answered",
+            Reason::OverLimit => "over its tenant's limit",
+            Reason::Overload => "engines overloaded",
+            Reason::Hopeless => "no engine in time",
+            Reason::ConfigurationUnproven => "configuration unproven",
             Reason::Refused => "refused, not run",
             Reason::TimedOut => "time was up",
+            Reason::EngineDead => "engine takes no connection",
             Reason::EngineLost => "engine failed or lost",
             Reason::CallerLeft => "caller left",
         }
@@ -109,7 +126,7 @@
             self.other_lines += 1;
             return;
         };
-        let reason = reason(&request.outcome, &request.attempts);
+        let reason = reason(&request);
         let group = self.groups.entry((request.route, reason)).or_default();
         group.requests += 1;
         if let Some(first_byte_ms) = request.first_byte_ms {
@@ -142,17 +159,40 @@
     }
 }
 
-fn reason(outcome: &str, attempts: &str) -> Reason {
-    match outcome {
-        "refused" | "not_admitted" => Reason::Refused,
+/// What the gateway's words for the reason of a refusal begin with.
+const REFUSALS: [(&str, Reason); 6] = [
+    ("the tenant is over its limit", Reason::OverLimit),
+    ("the engines are overloaded", Reason::Overload),
+    ("no engine can begin to answer", Reason::Hopeless),
+    ("the configuration", Reason::ConfigurationUnproven),
+    (
+        "keys may have been taken away",
+        Reason::ConfigurationUnproven,
+    ),
+    ("what the tenant has used", Reason::ConfigurationUnproven),
+];
+
+/// What the gateway says of an engine that takes no connection any more.
+const ENGINE_DEAD: &str = "the engine is lost";
+
+fn reason(request: &RequestLine) -> Reason {
+    match request.outcome.as_str() {
+        "refused" | "not_admitted" => refusal(&request.reason),
         "timed_out" => Reason::TimedOut,
+        "engine_lost" if request.reason == ENGINE_DEAD => Reason::EngineDead,
         "engine_lost" | "engine_failure" | "broken_off" => Reason::EngineLost,
         "caller_left" => Reason::CallerLeft,
-        _ if attempts.contains("; ") => Reason::SecondEngine,
-        _ => largest_term(attempts),
+        _ if request.attempts.contains("; ") => Reason::SecondEngine,
+        _ => largest_term(&request.attempts),
     }
 }
 
+fn refusal(reason: &str) -> Reason {
+    let mut known = REFUSALS.iter();
+    let known = known.find(|(start, _)| reason.starts_with(start));
+    known.map_or(Reason::Refused, |(_, reason)| *reason)
+}
+
 /// The term of the cost that held an answered request up most.
 fn largest_term(attempts: &str) -> Reason {
     let terms = [
--- a/crates/lab/tests/losses.rs
+++ b/crates/lab/tests/losses.rs
@@ -51,3 +51,44 @@
     let losses = Losses::of("".as_bytes()).expect("a log");
     assert_eq!(losses, Losses::default());
 }
+
+#[test]
+fn refusals_and_lost_engines_are_told_apart_by_their_reasons() {
+    let reasons = [
+        (
+            "not_admitted",
+            "the tenant is over its limit of 5 tokens a second",
+            Reason::OverLimit,
+        ),
+        (
+            "refused",
+            "the engines are overloaded: requests wait 2.00 objectives",
+            Reason::Overload,
+        ),
+        (
+            "refused",
+            "no engine can begin to answer before 9 ms",
+            Reason::Hopeless,
+        ),
+        (
+            "not_admitted",
+            "the configuration is not known yet",
+            Reason::ConfigurationUnproven,
+        ),
+        (
+            "not_admitted",
+            "keys may have been taken away meanwhile",
+            Reason::ConfigurationUnproven,
+        ),
+        ("refused", "the engine refused", Reason::Refused),
+        ("engine_lost", "the engine is lost", Reason::EngineDead),
+        ("engine_lost", "no event in time", Reason::EngineLost),
+    ];
+    for (outcome, reason, expected) in reasons {
+        let line =
+            format!(r#"{{"msg":"request","outcome":"{outcome}","route":"r","reason":"{reason}"}}"#);
+        let losses = Losses::of(line.as_bytes()).expect("a log");
+        let known: Vec<Reason> = losses.groups.keys().map(|(_, reason)| *reason).collect();
+        assert_eq!(known, [expected], "{reason}");
+    }
+}
