--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`cost`] | the cost of an engine, by named terms in milliseconds |
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
+//! | [`engine_losses`] | which engines take no connection any more, and who else says so |
 //! | [`fleet`] | what a node knows of the fleet, and what the choice depends on |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
@@ -27,6 +28,8 @@
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`load_schedule`] | when engines load new weights, and how many at once |
+//! | [`load_width`] | how many of them load at once without slowing each other |
+//! | [`overload`] | when engines are overloaded, and which part of the requests to refuse |
 //! | [`store_room`] | which prompts are worth their room in the KV cache store |
 //! | [`supply`] | from where an engine can have what it lacks of a prompt |
 //! | [`unseen_reading`] | what other nodes sent since their loads were told |
@@ -39,10 +42,13 @@
 pub mod cost;
 pub mod eligibility;
 pub mod engine_caches;
+pub mod engine_losses;
 pub mod fleet;
 pub mod health;
 pub mod load_schedule;
+pub mod load_width;
 pub mod moves;
+pub mod overload;
 pub mod peer_loads;
 pub mod prefill_rate;
 pub mod prefix_holders;
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -12,9 +12,12 @@
 use ploverlift_balancing::cache_stores::CacheStores;
 use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
+use ploverlift_balancing::engine_losses::{EngineLosses, LostEngine, NewsSource};
 use ploverlift_balancing::fleet::{FleetView, StoreView};
+use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::moves::MovesUnderWay;
-use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerLoads};
+use ploverlift_balancing::overload::Overload;
+use ploverlift_balancing::peer_loads::{EngineTag, LoadedWeights, ModelTag, PeerId, PeerLoads};
 use ploverlift_balancing::prefill_rate::PrefillRate;
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
@@ -123,6 +126,10 @@
     pub loaded: Vec<(Millis, LoadedWeights)>,
     /// Leases, as far as this node holds them or their holders told it.
     pub leases: LeaseBeliefs,
+    /// What answers have shown of overload, by service.
+    pub overloads: BTreeMap<ServiceName, Overload>,
+    /// Engines that take no connection any more.
+    pub losses: EngineLosses,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
     prefill_rates: BTreeMap<ServiceName, PrefillRate>,
 }
@@ -205,13 +212,15 @@
 
     /// Forgets an engine that is gone since a revision; tells whether it was news.
     pub fn remove_engine(&mut self, instance: &InstanceId, revision: u64, now: Millis) -> bool {
-        let known = self
-            .engines
-            .get(instance)
-            .map(|engine| engine.record.clone());
+        let known = self.engines.get(instance);
+        let record = known.map(|engine| engine.record.clone());
+        let has_requests = known.is_some_and(|engine| engine.in_flight > 0);
         let is_news = self.engines.remove(instance, revision);
-        if let (true, Some(record)) = (is_news, known) {
+        if let (true, Some(record)) = (is_news, record) {
             self.rollouts.note_engine_gone(&record, &self.engines);
+            if has_requests {
+                self.losses.note_record_gone(instance, record.address, now);
+            }
             let change = EngineChange {
                 instance: instance.clone(),
                 revision,
@@ -326,13 +335,51 @@
     }
 
     /// Takes in how an attempt at an engine went, for all that learn from it: the
-    /// health of the engine, and the evidence on a version of its software.
+    /// health of the engine, whether it is there at all, and the evidence on a version
+    /// of its software.
     pub fn observe(&mut self, attempt: &ObservedAttempt, now: Millis) {
         let engine = self.engines.get(&attempt.instance);
         let condition = EngineCondition::of(engine, now);
         self.rollouts.observe(attempt, condition);
-        self.engines
-            .note_outcome(&attempt.instance, attempt.outcome, now);
+        self.note_outcome(&attempt.instance, attempt.outcome, now);
+    }
+
+    /// Takes in how a request or a call at an engine went, for its health and for
+    /// whether it is there at all.
+    pub fn note_outcome(&mut self, instance: &InstanceId, outcome: Outcome, now: Millis) {
+        self.engines.note_outcome(instance, outcome, now);
+        match outcome {
+            Outcome::Unreachable => {
+                if let Some(engine) = self.engines.get(instance) {
+                    let address = engine.record.address;
+                    self.losses.note_unreachable(instance, address, now);
+                }
+            }
+            Outcome::Answered | Outcome::Failed | Outcome::Refused => {
+                self.losses.note_reached(instance, now);
+            }
+            // A connection that breaks off shows neither.
+            Outcome::Broken => {}
+        }
+    }
+
+    /// Another node or a relay told of engines that are lost: this node checks those
+    /// that it knows.
+    pub fn hear_of_losses(
+        &mut self,
+        source: NewsSource,
+        sender: PeerId,
+        lost: &[LostEngine],
+        fleet: usize,
+        now: Millis,
+    ) {
+        for tag in self.losses.hear(source, sender, lost, fleet, now) {
+            let Some(engine) = self.engines.by_tag(tag) else {
+                continue;
+            };
+            let (instance, address) = (engine.record.instance.clone(), engine.record.address);
+            self.losses.note_told(&instance, address, now);
+        }
     }
 
     /// Takes in a configuration if it is newer; tells whether it was.
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -1,5 +1,6 @@
 //! Counts a request at an engine for as long as it is there.
 
+use super::prospects::EngineWait;
 use crate::outcomes::ObservedAttempt;
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
@@ -30,6 +31,8 @@
     waiting_tokens: u64,
     begun: Millis,
     first_byte_ms: Option<u64>,
+    /// The wait for the first byte, for requests to models.
+    pub(super) wait: Option<EngineWait>,
 }
 
 impl InFlight {
@@ -47,6 +50,7 @@
             waiting_tokens: prompt_tokens,
             begun: now,
             first_byte_ms: None,
+            wait: None,
         }
     }
 
@@ -61,6 +65,11 @@
         *self.first_byte_ms.get_or_insert(first_byte_ms)
     }
 
+    /// Time since the request was sent, in milliseconds.
+    pub fn age_ms(&self) -> u64 {
+        self.gateway.clock.now().since(self.begun)
+    }
+
     /// Notes how the request went.
     pub fn note(&self, outcome: Outcome) {
         let now = self.gateway.clock.now();
@@ -75,6 +84,9 @@
             duration_ms: now.since(self.begun),
         };
         self.gateway.beliefs().observe(&observed, now);
+        if outcome == Outcome::Unreachable {
+            self.gateway.engine_check_due.notify(usize::MAX);
+        }
     }
 }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -15,9 +15,11 @@
 mod attempt;
 mod caller_answer;
 mod choice;
+mod engine_watch;
 mod events;
 mod in_flight;
 mod limits;
+mod prospects;
 mod record;
 mod stream;
 mod whole;
@@ -30,11 +32,13 @@
 use crate::ports::{CallerRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
 use attempt::AttemptEnd;
+use choice::ChosenEngine;
 use ploverlift_balancing::attempts::{AttemptLedger, AttemptLimits, AttemptOutcome};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::attempt::RunState;
+use prospects::Unservable;
 use record::RequestRecord;
 use std::io;
 use std::sync::Arc;
@@ -122,6 +126,10 @@
             .retry_budget(&service, &settings)
             .record_request(now);
         loop {
+            if !self.has_time() {
+                "its time was up before it could be sent".clone_into(&mut self.progress.reason);
+                return self.give_up().await;
+            }
             let chosen = match self.choose() {
                 Ok(chosen) => chosen,
                 Err(none) => {
@@ -129,6 +137,11 @@
                     return self.give_up().await;
                 }
             };
+            if let Some(unservable) = self.first_refusal(&chosen) {
+                self.progress.reason = unservable.reason;
+                self.progress.retry_after_ms = Some(unservable.retry_after_ms);
+                return self.give_up().await;
+            }
             if self.progress.attempts.next_is_repeat() && !self.take_repeat() {
                 "the retry budget is spent".clone_into(&mut self.progress.reason);
                 return self.give_up().await;
@@ -146,6 +159,14 @@
         }
     }
 
+    /// Whether the request is refused before anything was tried.
+    fn first_refusal(&self, chosen: &ChosenEngine) -> Option<Unservable> {
+        match self.progress.attempts.tried().is_empty() {
+            true => self.unservable(chosen),
+            false => None,
+        }
+    }
+
     fn take_repeat(&self) -> bool {
         let now = self.gateway.clock.now();
         let settings = self.gateway.settings();
@@ -207,6 +228,8 @@
     /// The final answer of a request that no engine has answered.
     async fn give_up(&mut self) -> io::Result<AfterAnswer> {
         let reason = std::mem::take(&mut self.progress.reason);
+        // What did not run is given back before the caller may come back for it.
+        self.received.admission.reservation = None;
         if self.answer.has_started() {
             let outcome = "broken_off";
             self.record
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -6,6 +6,7 @@
 use crate::rollouts::feed::tell_news;
 use crate::rollouts::{rollout_settings, OrderNews};
 use crate::state::Gateway;
+use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::settings::RolloutSettings;
 use std::net::SocketAddr;
@@ -21,6 +22,7 @@
     }
     let limit_ms = engines_age_limit_ms(gateway);
     let settings = rollout_settings(&gateway.settings());
+    let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
     let included = report.included.filter(|known| known.life == gateway.life);
     let included = included.map(|known| known.sequence);
@@ -34,6 +36,7 @@
     }
     beliefs.followed.hear(report, from, sent_at, now);
     take_proof(&mut beliefs, report, sent_at);
+    beliefs.hear_of_losses(NewsSource::Relay, sender, &report.lost, fleet, now);
     for change in beliefs.followed.next_changes(report) {
         beliefs.take_engine_change(change.clone(), now);
     }
@@ -48,6 +51,10 @@
     }
     drop(beliefs);
     tell_news(gateway, &order_news);
+    gateway.site_learned.notify(usize::MAX);
+    if !report.lost.is_empty() || !report.changes.is_empty() {
+        gateway.engine_check_due.notify(usize::MAX);
+    }
     if lacks.is_some() {
         gateway.snapshot_due.notify(usize::MAX);
     }
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -7,6 +7,7 @@
 use crate::leases::LeaseName;
 use crate::rollouts::exchange::Reporter;
 use crate::state::Gateway;
+use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadReport, PeerId};
 use ploverlift_balancing::prefix_holders::PlacementNews;
 use ploverlift_policy::ids::Millis;
@@ -20,7 +21,12 @@
     }
     let now = gateway.clock.now();
     gateway.address_book().heard(from, sender, now);
+    let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
+    if !report.lost.is_empty() {
+        beliefs.hear_of_losses(NewsSource::Node, sender, &report.lost, fleet, now);
+        gateway.engine_check_due.notify(usize::MAX);
+    }
     if report.wants_relay_reports {
         take_member_report(gateway, &mut beliefs, report, from);
         return;
@@ -56,6 +62,7 @@
 pub fn take_zone_report(gateway: &Gateway, report: &PeerReport, from: SocketAddr) {
     let now = gateway.clock.now();
     gateway.address_book().heard(from, report.loads.sender, now);
+    let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
     beliefs.relaying.note_zone_reporter(from, now);
     // The relays of a zone report the same sums. They count as one sender, of whom
@@ -65,6 +72,11 @@
         ..report.loads.clone()
     };
     apply_loads(gateway, &mut beliefs, &loads, now);
+    if !report.lost.is_empty() {
+        let zone = loads.sender;
+        beliefs.hear_of_losses(NewsSource::OtherZone, zone, &report.lost, fleet, now);
+        gateway.engine_check_due.notify(usize::MAX);
+    }
     take_news(&mut beliefs, report, false, now);
     let zone = report.loads.zone;
     beliefs
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -5,6 +5,7 @@
 use super::rollout_messages::{
     confirmation_message, counts_message, read_confirmation, read_counts, RolloutReport,
 };
+use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{
     EngineLoad, EngineTag, LoadReport, LoadedWeights, ModelTag, PeerId, ZoneTag,
 };
@@ -18,6 +19,18 @@
 /// within one unfragmented datagram.
 pub const MAX_PLACEMENTS: usize = 20;
 
+/// Placements that make way for lost engines, so that the report stays within its
+/// datagram. On calm days there are none.
+const PLACEMENTS_BESIDE_LOSSES: usize = 6;
+
+/// Placements for which a report has room that would hold so many without losses.
+pub fn room_for_placements(most: usize, lost: &[LostEngine]) -> usize {
+    match lost.is_empty() {
+        true => most,
+        false => most - PLACEMENTS_BESIDE_LOSSES,
+    }
+}
+
 /// What one node tells the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerReport {
@@ -33,6 +46,8 @@
     pub wants_relay_reports: bool,
     /// What it tells of rollouts.
     pub rollouts: RolloutReport,
+    /// Engines that are lost, as it or the nodes of its zone have found.
+    pub lost: Vec<LostEngine>,
 }
 
 /// What a datagram says.
@@ -114,6 +129,8 @@
             .map(confirmation_message)
             .collect(),
         rollout_lease_revision: report.rollouts.lease_revision.unwrap_or(0),
+        lost: report.lost.iter().map(|lost| lost.engine.0).collect(),
+        lost_nodes: report.lost.iter().map(|lost| lost.nodes).collect(),
     }
 }
 
@@ -141,9 +158,20 @@
                 .collect(),
             lease_revision: Some(message.rollout_lease_revision).filter(|known| *known > 0),
         },
+        lost: read_lost(&message.lost, &message.lost_nodes),
     }
 }
 
+/// Reads lost engines; of lists that are not equally long, as many as the shorter has.
+pub(super) fn read_lost(engines: &[u32], nodes: &[u32]) -> Vec<LostEngine> {
+    let lost = engines.iter().zip(nodes);
+    let lost = lost.map(|(engine, nodes)| LostEngine {
+        engine: EngineTag(*engine),
+        nodes: *nodes,
+    });
+    lost.collect()
+}
+
 pub(super) fn load_message((engine, load): &(EngineTag, EngineLoad)) -> peers::EngineLoad {
     peers::EngineLoad {
         engine: engine.0,
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -1,12 +1,14 @@
 //! What relays tell the nodes of their zone, as messages.
 
 use super::messages::{
-    load_message, loaded_message, placement_message, read_load, read_loaded, read_placement,
+    load_message, loaded_message, placement_message, read_load, read_loaded, read_lost,
+    read_placement,
 };
 use super::rollout_messages::{news_message, read_news, RolloutNews};
 use super::store_contents::{read_store, store_message};
 use ploverlift_balancing::cache_stores::ToldContents;
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
+use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadedWeights, PeerId, ZoneTag};
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_balancing::relayed_loads::RelayedReport;
@@ -83,6 +85,8 @@
     pub rollouts: Option<RolloutNews>,
     /// What KV cache stores of other regions keep.
     pub stores: Vec<ToldContents>,
+    /// Engines that are lost, as all nodes have found.
+    pub lost: Vec<LostEngine>,
 }
 
 /// The message for a report of a relay.
@@ -110,6 +114,8 @@
         included_sequence: report.included.map_or(0, |included| included.sequence),
         rollouts: report.rollouts.as_ref().map(news_message),
         stores: report.stores.iter().map(store_message).collect(),
+        lost: report.lost.iter().map(|lost| lost.engine.0).collect(),
+        lost_nodes: report.lost.iter().map(|lost| lost.nodes).collect(),
     }
 }
 
@@ -152,6 +158,7 @@
         included: Some(included).filter(|included| included.sequence > 0),
         rollouts: message.rollouts.as_ref().map(read_news),
         stores: message.stores.iter().map(read_store).collect(),
+        lost: read_lost(&message.lost, &message.lost_nodes),
     }
 }
 
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -4,7 +4,7 @@
 
 use super::address_book::Reach;
 use super::limits::{advance_accounts, UseStream};
-use super::messages::{encode, PeerMessage, PeerReport, MAX_PLACEMENTS};
+use super::messages::{encode, room_for_placements, PeerMessage, PeerReport, MAX_PLACEMENTS};
 use super::roles::{role, Role};
 use super::rollout_messages::RolloutReport;
 use crate::leases::LeaseName;
@@ -146,9 +146,9 @@
         beliefs.peer_loads.expire(now);
         let peers = beliefs.peer_loads.peer_count();
         self.gateway.metrics.peers.set(peers as i64);
-        let news = beliefs
-            .holders
-            .news_after(self.placements_from, MAX_PLACEMENTS);
+        let lost = beliefs.losses.own(beliefs.engines.len());
+        let room = room_for_placements(MAX_PLACEMENTS, &lost);
+        let news = beliefs.holders.news_after(self.placements_from, room);
         let (placements, placements_from) = news;
         let lease_revision = beliefs.leases.of(LeaseName::Weights).held;
         let loaded = beliefs.loaded_lately(now);
@@ -188,6 +188,7 @@
                 lease_revision: beliefs.leases.of(LeaseName::Rollouts).held,
                 ..beliefs.rollouts.own_report(own, sequence)
             },
+            lost,
         })
     }
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -2,7 +2,7 @@
 
 use crate::ports::RefusalKind;
 use crate::state::Gateway;
-use crate::time::within;
+use crate::time::{sleep, within};
 use ploverlift_http1::{read_request_head, BufferedStream, ResponseHead};
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -11,18 +11,25 @@
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Longest rest of a connection between two questions, in milliseconds.
 const IDLE_MS: u64 = 10_000;
+/// Pause when no more connections can be had, in milliseconds.
+const FULL_PAUSE_MS: u64 = 20;
 
 /// Whether this node takes callers: it knows the configuration, the engines and the
 /// orders of rollouts; when it started in the midst of a rollout, its present stage;
 /// it
 /// may accept keys, and is not stopping.
 pub fn is_ready(gateway: &Gateway) -> bool {
-    let knows_site = {
+    knows_site(gateway) && !gateway.is_stopping()
+}
+
+/// Whether this node knows what it needs to serve callers.
+pub fn knows_site(gateway: &Gateway) -> bool {
+    let has_copies = {
         let beliefs = gateway.beliefs();
         let knows_orders = beliefs.rollouts.has_begun();
         beliefs.configuration.is_some() && beliefs.engines_listed && knows_orders
     };
-    knows_site && !gateway.is_stopping() && gateway.accepts_keys()
+    has_copies && gateway.accepts_keys()
 }
 
 /// Answers the load balancer until the task is dropped.
@@ -43,9 +50,16 @@
 
 async fn answer_questions(gateway: Arc<Gateway>, listener: TcpListener, question: Question) {
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            let gateway = Arc::clone(&gateway);
-            smol::spawn(answer_connection(gateway, stream, question)).detach();
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Arc::clone(&gateway);
+                smol::spawn(answer_connection(gateway, stream, question)).detach();
+            }
+            Err(error) => {
+                // Out of descriptors: asking again at once would only burn processor time.
+                slog::warn!(gateway.log, "question not accepted"; "error" => error.to_string());
+                sleep(FULL_PAUSE_MS).await;
+            }
         }
     }
 }
@@ -65,7 +79,8 @@
         }
         let mut message = answer.encode();
         message.extend_from_slice(body.as_bytes());
-        if connection.write_all(&message).await.is_err() || !head.keeps_alive() {
+        let written = within(IDLE_MS, connection.write_all(&message)).await;
+        if !matches!(written, Some(Ok(()))) || !head.keeps_alive() {
             return;
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,7 @@
 //! The gateway's settings file (TOML). Every key but the addresses has a default.
 
+use crate::settings_admission::AdmissionSettings;
+use crate::settings_callers::CallerSettings;
 use crate::settings_defaults as defaults;
 use crate::settings_error::{renamed_key, ReadSnafu, RenamedSnafu, ShapeSnafu};
 use ploverlift_policy::ids::ZoneName;
@@ -28,6 +30,12 @@
     /// Bounds that the site promises.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Connections of callers.
+    #[serde(default)]
+    pub callers: CallerSettings,
+    /// Admission of requests to models.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// Attempts at engines.
     #[serde(default)]
     pub attempts: AttemptSettings,
@@ -278,9 +286,13 @@
     pub loads_at_once: usize,
     /// Time that a load takes before one was seen, in milliseconds.
     pub load_ms: u64,
-    /// Time from the naming of a version at which all engines should have
-    /// loaded, in milliseconds.
+    /// Longest time from the naming of a version until all engines have loaded, in
+    /// milliseconds. They have sooner where more can load at once without slowing
+    /// each other, which loads show.
     pub finish_ms: u64,
+    /// Largest part of the engines that loads at the same time, unless `finish_ms`
+    /// asks for more; 0.0 to 1.0.
+    pub loads_share: f64,
     /// Time before the bound at which engines with older weights leave the
     /// choice, in milliseconds: a request may wait in an engine's queue.
     pub margin_ms: u64,
@@ -296,6 +308,7 @@
             loads_at_once: 2,
             load_ms: 650,
             finish_ms: 4_000,
+            loads_share: 0.3,
             margin_ms: 2_000,
             order_timeout_ms: 500,
             report_after_ms: 350,
@@ -400,6 +413,11 @@
                 "attempts.stream_silence_ms",
                 self.attempts.stream_silence_ms,
             ),
+            (
+                "callers.max_connections",
+                self.callers.max_connections as u64,
+            ),
+            ("callers.stalled_ms", self.callers.stalled_ms),
             ("weights.loads_at_once", self.weights.loads_at_once as u64),
         ];
         for (key, value) in positive {
@@ -424,6 +442,14 @@
             let value = self.bounds.retry_ratio.to_string();
             return invalid("bounds.retry_ratio", value, "use 0.0 to 1.0");
         }
+        if !(0.0..=1.0).contains(&self.admission.most_refused) {
+            let value = self.admission.most_refused.to_string();
+            return invalid("admission.most_refused", value, "use 0.0 to 1.0");
+        }
+        if !(0.0..=1.0).contains(&self.weights.loads_share) {
+            let value = self.weights.loads_share.to_string();
+            return invalid("weights.loads_share", value, "use 0.0 to 1.0");
+        }
         if !(0.0..=1.0).contains(&self.bounds.canary_share) {
             let value = self.bounds.canary_share.to_string();
             return invalid("bounds.canary_share", value, "use 0.0 to 1.0");
@@ -438,6 +464,10 @@
                 "cost.prefill_tokens_per_ms",
                 self.cost.prefill_tokens_per_ms,
             ),
+            (
+                "admission.bearable_objectives",
+                self.admission.bearable_objectives,
+            ),
             ("cost.senders", self.cost.senders),
             (
                 "attempts.timeout_objectives",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,9 @@
 use crate::settings::GatewaySettings;
 use crate::time::{unix_ms, Clock};
 use event_listener::Event;
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::cost::{CostRates, RegionRates};
+use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_balancing::weights::WeightsBounds;
 use ploverlift_policy::ids::{Millis, ZoneName};
@@ -40,6 +42,12 @@
     pub weights_named: Event,
     /// Told when a relay knows something that this node lacks.
     pub snapshot_due: Event,
+    /// Told when the configuration was read or proven, or the engines were listed.
+    pub site_learned: Event,
+    /// Told when an engine is to be checked.
+    pub engine_check_due: Event,
+    /// Told when an engine was found to be lost.
+    pub engine_lost: Event,
     /// Told when the other nodes should hear from this one at once.
     pub report_due: Event,
     /// Told when an engine came whose software version may belong to an order that is
@@ -90,6 +98,9 @@
             store_recovered: Event::new(),
             weights_named: Event::new(),
             snapshot_due: Event::new(),
+            site_learned: Event::new(),
+            engine_check_due: Event::new(),
+            engine_lost: Event::new(),
             report_due: Event::new(),
             orders_due: Event::new(),
             order_changed: Event::new(),
@@ -127,6 +138,15 @@
         beliefs.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Takes in how a request or a call at an engine went.
+    pub fn note_outcome(&self, instance: &InstanceId, outcome: Outcome) {
+        let now = self.clock.now();
+        self.beliefs().note_outcome(instance, outcome, now);
+        if outcome == Outcome::Unreachable {
+            self.engine_check_due.notify(usize::MAX);
+        }
+    }
+
     /// Addresses of the other nodes, locked. Never held over I/O.
     pub fn address_book(&self) -> MutexGuard<'_, AddressBook> {
         let address_book = self.address_book.lock();
