--- a/crates/balancing/tests/places.rs
+++ b/crates/balancing/tests/places.rs
@@ -76,6 +76,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
             zone: ZoneName::from(ZONES[index % ZONES.len()].0),
             software: SoftwareVersion::default(),
+            cold_ms: 0,
             slots: 8,
             is_leaving: false,
             weights: [("m".to_owned(), 1)].into(),
