--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -222,6 +222,7 @@
                     address: SocketAddr::from(([127, 0, 0, 1], port)),
                     zone: ZoneName::from("z"),
                     software: SoftwareVersion::default(),
+                    cold_ms: 0,
                     slots: 4,
                     is_leaving: false,
                     weights: [("m".to_owned(), 1)].into(),
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -69,6 +69,7 @@
         loaded: Vec::new(),
         lease_revision: None,
         wants_relay_reports: true,
+        lost: Vec::new(),
         rollouts: RolloutReport::default(),
     }
 }
