--- a/crates/cli/tests/rollouts.rs
+++ b/crates/cli/tests/rollouts.rs
@@ -257,8 +257,7 @@
     let (good, bad) = traffic.stop();
     assert!(good > 100);
     let refusals: Vec<String> = gateways.iter().map(Gateway::refusals).collect();
-    // Seen once in six runs: a single request refused as not run, its cause not found.
-    assert!(bad * 200 <= good, "{}", refusals.join("\n"));
+    assert_eq!(bad, 0, "{}", refusals.join("\n"));
     let lease = store.spec("ploverlift-leases", "rollouts");
     assert!(lease["lease"]["fencingToken"].as_u64() >= Some(2));
 }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -86,6 +86,7 @@
             route: self.received.admission.route.name.clone(),
             instance: chosen.instance.clone(),
             software: chosen.software.clone(),
+            is_repeat: !self.progress.attempts.tried().is_empty(),
         };
         let mut in_flight = InFlight::begin(&self.gateway, subject, tokens);
         in_flight.wait = self.begin_wait(&chosen);
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -21,6 +21,8 @@
     pub instance: InstanceId,
     /// The version of its software.
     pub software: SoftwareVersion,
+    /// Whether another engine was tried before.
+    pub is_repeat: bool,
 }
 
 /// A request at an engine. Dropping it takes the request off the engine's
@@ -79,6 +81,7 @@
             route: subject.route,
             instance: subject.instance,
             software: subject.software,
+            is_repeat: subject.is_repeat,
             outcome,
             first_byte_ms: self.first_byte_ms,
             duration_ms: now.since(self.begun),
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -17,6 +17,8 @@
     pub instance: InstanceId,
     /// The version of its software.
     pub software: SoftwareVersion,
+    /// Whether another engine was tried before.
+    pub is_repeat: bool,
     /// How it went.
     pub outcome: Outcome,
     /// Time from the send to the first byte of the answer's content, in
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -2,6 +2,7 @@
 
 use super::relay_messages::RelayReport;
 use super::roles::{engines_age_limit_ms, role, Role};
+use super::rollout_messages::RolloutNews;
 use crate::beliefs::Beliefs;
 use crate::rollouts::feed::tell_news;
 use crate::rollouts::{rollout_settings, OrderNews};
@@ -41,7 +42,10 @@
         beliefs.take_engine_change(change.clone(), now);
     }
     let answers = included.zip(sent_at);
-    let order_news = take_rollout_news(&mut beliefs, report, answers, settings, now);
+    let news = report.rollouts.as_ref();
+    let order_news = news.map_or_else(Vec::new, |news| {
+        take_rollout_news(&mut beliefs, news, answers, settings, now)
+    });
     let configuration = beliefs.configuration_version();
     let lacks = beliefs.followed.lacking(configuration, limit_ms, now);
     let is_first = !std::mem::replace(&mut beliefs.targets_listed, true);
@@ -63,16 +67,15 @@
     }
 }
 
-fn take_rollout_news(
+/// Takes in what a relay tells of rollouts. `answers` is as for
+/// [`crate::rollouts::RolloutBeliefs::take_sums`].
+pub(super) fn take_rollout_news(
     beliefs: &mut Beliefs,
-    report: &RelayReport,
+    news: &RolloutNews,
     answers: Option<(u64, Millis)>,
     settings: RolloutSettings,
     now: Millis,
 ) -> Vec<OrderNews> {
-    let Some(news) = &report.rollouts else {
-        return Vec::new();
-    };
     beliefs.rollouts.take_missing(news, now);
     let mut taken = Vec::new();
     for order in &news.orders {
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -384,46 +384,59 @@
         receivers
     }
 
-    /// The sums of this zone, and where prompts were read first.
+    /// The sums of this zone, and where prompts were read first; what is told of open
+    /// rollouts fills datagrams of its own.
     fn zone_reports(&self, now: Millis) -> Vec<PeerReport> {
         let mut beliefs = self.gateway.beliefs();
-        let loading = loading(&beliefs, |zone| zone == self.zone);
         let lost = beliefs.losses.of_zone(beliefs.engines.len(), now);
+        let lease_revision = beliefs.leases.of(LeaseName::Rollouts).newest();
+        let header = self.zone_header(&beliefs, &lost, now);
+        let room = room_for_placements(MAX_PLACEMENTS, &lost);
         let mut reports = Vec::new();
         loop {
-            let is_first = reports.is_empty();
-            let room = room_for_placements(MAX_PLACEMENTS, &lost);
             let placements = beliefs.relaying.next_for_other_zones(room);
-            if placements.is_empty() && !is_first {
-                return reports;
+            if placements.is_empty() && !reports.is_empty() {
+                break;
             }
-            let loads = match is_first {
-                true => self.zone_loads(&beliefs),
-                false => Vec::new(),
-            };
-            reports.push(PeerReport {
-                loads: LoadReport {
-                    sender: self.own,
-                    zone: self.zone,
-                    life: self.gateway.life,
-                    sequence: self.gateway.report_sequence.fetch_add(1, Ordering::Relaxed),
-                    is_full: is_first,
-                    loads,
-                    loading: loading.clone(),
-                },
-                placements,
-                loaded: beliefs.loaded_lately(now),
-                lease_revision: beliefs.leases.of(LeaseName::Weights).newest(),
-                wants_relay_reports: false,
-                rollouts: match is_first {
-                    true => RolloutReport {
-                        lease_revision: beliefs.leases.of(LeaseName::Rollouts).newest(),
-                        ..beliefs.rollouts.zone_report(self.reporter(), now)
-                    },
-                    false => RolloutReport::default(),
-                },
-                lost: lost.clone(),
-            });
+            let mut report = header.clone();
+            if reports.is_empty() {
+                report.loads.is_full = true;
+                report.loads.loads = self.zone_loads(&beliefs);
+                report.rollouts.lease_revision = lease_revision;
+            }
+            report.placements = placements;
+            reports.push(report);
+        }
+        let told = beliefs.rollouts.zone_report(self.reporter(), now);
+        reports.extend(told.pieces().into_iter().map(|rollouts| PeerReport {
+            rollouts,
+            ..header.clone()
+        }));
+        for report in &mut reports {
+            let sequence = &self.gateway.report_sequence;
+            report.loads.sequence = sequence.fetch_add(1, Ordering::Relaxed);
+        }
+        reports
+    }
+
+    /// What all reports of a period to other zones have in common.
+    fn zone_header(&self, beliefs: &Beliefs, lost: &[LostEngine], now: Millis) -> PeerReport {
+        PeerReport {
+            loads: LoadReport {
+                sender: self.own,
+                zone: self.zone,
+                life: self.gateway.life,
+                sequence: 0,
+                is_full: false,
+                loads: Vec::new(),
+                loading: loading(beliefs, |zone| zone == self.zone),
+            },
+            placements: Vec::new(),
+            loaded: beliefs.loaded_lately(now),
+            lease_revision: beliefs.leases.of(LeaseName::Weights).newest(),
+            wants_relay_reports: false,
+            rollouts: RolloutReport::default(),
+            lost: lost.to_vec(),
         }
     }
 
--- a/crates/gateway/src/peers/roles.rs
+++ b/crates/gateway/src/peers/roles.rs
@@ -176,11 +176,17 @@
 
 /// Waits while this node need not read orders of rollouts by itself.
 pub async fn wait_while_orders_are_told(gateway: &Gateway) {
-    while is_starting(gateway) || are_orders_told(gateway) || waits_for_store(gateway) {
+    while is_starting(gateway) || are_orders_told(gateway) || waits_for_store_alone(gateway) {
         sleep(LOOK_PERIOD_MS).await;
     }
 }
 
+/// Whether this node waits until the store is back. Under relays of an earlier release it
+/// does not: they tell the configuration, so nothing else asks the store, and no orders.
+fn waits_for_store_alone(gateway: &Gateway) -> bool {
+    waits_for_store(gateway) && !is_configuration_told(gateway)
+}
+
 fn waits_for_store(gateway: &Gateway) -> bool {
     let now = gateway.clock.now();
     let reached_at = gateway.beliefs().store_reached_at;
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -4,14 +4,25 @@
 //! each connection, both with their length in front.
 
 use super::followed_relays::{CatalogueCursor, Lacking};
+use super::follower::take_rollout_news;
 use super::relay_messages::{change_message, read_change, EngineChange};
 use super::roles::{engines_age_limit_ms, role, Role};
+use super::rollout_messages::{news_message, read_news};
+use crate::beliefs::Beliefs;
 use crate::ports::StoreObject;
+use crate::rollouts::exchange::Reporter;
+use crate::rollouts::feed::tell_news;
+use crate::rollouts::{rollout_settings, OrderNews};
 use crate::state::Gateway;
 use crate::store::take_configuration;
 use crate::time::{sleep, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ploverlift_balancing::catalogue::EngineRecord;
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_rollout::settings::RolloutSettings;
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_wire::{
     decode_snapshot, decode_snapshot_request, encode_snapshot, encode_snapshot_request,
     length_prefix, parse_length_prefix, peers, WireError, LENGTH_PREFIX_BYTES,
@@ -149,8 +160,15 @@
     let changes = snapshot.engines.iter().filter_map(read_change);
     let records = changes.filter_map(|change| change.record).collect();
     let now = gateway.clock.now();
+    let settings = rollout_settings(&gateway.settings());
     let mut beliefs = gateway.beliefs();
+    let order_news = take_orders(&mut beliefs, snapshot, settings, now);
     beliefs.replace_engines(records, snapshot.engines_revision, now);
+    for placed in &snapshot.placed_versions {
+        let service = ServiceName(placed.service.clone());
+        let version = SoftwareVersion(placed.version.clone());
+        beliefs.rollouts.note_placed(&service, &version);
+    }
     beliefs.followed.set_cursor(CatalogueCursor {
         relay: lacking.relay,
         life: snapshot.life,
@@ -158,6 +176,7 @@
     });
     let count = beliefs.engines.len();
     drop(beliefs);
+    tell_news(gateway, &order_news);
     gateway.engine_check_due.notify(usize::MAX);
     gateway.site_learned.notify(usize::MAX);
     gateway.metrics.engines.set(count as i64);
@@ -166,6 +185,20 @@
         "revision" => snapshot.engines_revision, "change" => snapshot.changes_through);
 }
 
+/// The orders that the relay knew, so that a node that starts need not wait for a report
+/// that tells them. How old they are is not known, so they prove no stage.
+fn take_orders(
+    beliefs: &mut Beliefs,
+    snapshot: &peers::Snapshot,
+    settings: RolloutSettings,
+    now: Millis,
+) -> Vec<OrderNews> {
+    let Some(news) = snapshot.rollouts.as_ref().map(read_news) else {
+        return Vec::new();
+    };
+    take_rollout_news(beliefs, &news, None, settings, now)
+}
+
 /// Answers questions of other nodes until the task is dropped.
 pub async fn answer_snapshots(gateway: Arc<Gateway>, listener: TcpListener) {
     let under_way = Arc::new(AtomicUsize::new(0));
@@ -202,7 +235,12 @@
 /// What a node asks for, as this one knows it.
 pub fn snapshot(gateway: &Gateway, request: &peers::SnapshotRequest) -> peers::Snapshot {
     let now = gateway.clock.now();
-    let beliefs = gateway.beliefs();
+    let mut beliefs = gateway.beliefs();
+    let own = Reporter {
+        node: PeerId::of(&gateway.settings().node.name),
+        life: gateway.life,
+    };
+    let news = beliefs.rollouts.news(own, true, now);
     let is_newer = beliefs.configuration_version() > Some(request.configuration);
     let stored = beliefs.stored_configuration.as_deref();
     let configuration = stored.filter(|_| is_newer).cloned();
@@ -212,6 +250,8 @@
         changes_through: beliefs.catalogue_log.through(),
         engines_revision: beliefs.engines_revision,
         engines: Vec::new(),
+        rollouts: news.as_ref().map(news_message),
+        placed_versions: Vec::new(),
     };
     if request.wants_engines {
         let engines = beliefs.engines.iter();
@@ -228,6 +268,12 @@
             })
         });
         snapshot.engines = engines.collect();
+        let placed = beliefs.rollouts.placed_versions();
+        let placed = placed.map(|(service, version)| peers::PlacedVersion {
+            service: service.0.clone(),
+            version: version.0.clone(),
+        });
+        snapshot.placed_versions = placed.collect();
     }
     snapshot
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -15,9 +15,8 @@
 const FULL_PAUSE_MS: u64 = 20;
 
 /// Whether this node takes callers: it knows the configuration, the engines and the
-/// orders of rollouts; when it started in the midst of a rollout, its present stage;
-/// it
-/// may accept keys, and is not stopping.
+/// orders of rollouts, and the present stage where it started in the midst of one; it may
+/// accept keys, and is not stopping.
 pub fn is_ready(gateway: &Gateway) -> bool {
     knows_site(gateway) && !gateway.is_stopping()
 }
--- a/crates/gateway/src/rollouts/choice.rs
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -9,6 +9,7 @@
 use ploverlift_rollout::canary_choice::{canary_engines, canary_subset};
 use ploverlift_rollout::counts::RouteTag;
 use ploverlift_rollout::credits::Seat;
+use ploverlift_rollout::placement::VersionLedger;
 use ploverlift_rollout::share::{CanaryRequest, FleetView, Gate, GateDecision, GateReason};
 use ploverlift_rollout::stage::Stage;
 use ploverlift_routing::configuration::{Route, ServiceName};
@@ -96,8 +97,10 @@
             _ => decision.rule?,
         };
         let established = || SoftwareRule::Except(target.clone()).less(&held_back);
+        // An order that was given again supersedes the stage of the former one: while its
+        // target is held back, what served before serves.
         Some(SoftwareChoice {
-            rule: rule.less(&held_back)?,
+            rule: rule.less(&held_back).or_else(established)?,
             otherwise: is_canary.then(established).flatten(),
             spared: match is_canary {
                 true => spared_engines(rollout, request.service, engines),
@@ -135,7 +138,9 @@
         Some(rollout.gate()?.decide(&asked, &view, now))
     }
 
-    /// Versions of a service's engines that can't be placed yet.
+    /// Versions of a service's engines that can't be placed yet. At a node that has placed
+    /// none since it started, the one that was recorded first is none of them: what is not
+    /// known is then no reason to refuse all requests of a service.
     pub fn unplaced(
         &self,
         service: &ServiceName,
@@ -146,12 +151,16 @@
             let (version, revision) = (&engine.record.software, engine.record.revision);
             ledger.is_some_and(|ledger| ledger.is_placed(version, revision))
         };
-        let unplaced = engines
-            .of_service(service)
-            .filter(|engine| !is_placed(engine));
-        let mut unplaced: Vec<SoftwareVersion> = unplaced
-            .map(|engine| engine.record.software.clone())
-            .collect();
+        let (placed, unplaced): (Vec<&Engine>, Vec<&Engine>) =
+            engines.of_service(service).partition(is_placed);
+        let are_orders_known = self.orders.known_through().is_some();
+        let is_start = !ledger.is_some_and(VersionLedger::has_placed_any);
+        let first = unplaced.iter().min_by_key(|engine| engine.record.revision);
+        let first = first.filter(|_| placed.is_empty() && is_start && are_orders_known);
+        let first = first.map(|engine| &engine.record.software);
+        let unplaced = unplaced.iter().map(|engine| &engine.record.software);
+        let unplaced = unplaced.filter(|version| Some(*version) != first);
+        let mut unplaced: Vec<SoftwareVersion> = unplaced.cloned().collect();
         unplaced.sort();
         unplaced.dedup();
         unplaced
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -50,6 +50,50 @@
     }
 }
 
+/// Confirmations that one datagram tells beside the counts of a service, and without
+/// counts.
+const MAX_CONFIRMATIONS: usize = 20;
+/// Routes whose counts one datagram tells: with all buckets in use some 900 bytes.
+const MAX_ROUTES: usize = 4;
+
+impl RolloutReport {
+    /// The same in pieces, each of which fits a datagram together with few other news:
+    /// counts of a service by some of its routes each, as of each count the highest
+    /// stands.
+    pub fn pieces(self) -> Vec<RolloutReport> {
+        let lease_revision = self.lease_revision;
+        let mut confirmations = self.confirmations.chunks(MAX_CONFIRMATIONS);
+        let mut counts = self.counts.iter().flat_map(counts_by_routes);
+        let mut pieces = Vec::new();
+        loop {
+            let (counted, said) = (counts.next(), confirmations.next());
+            if counted.is_none() && said.is_none() {
+                return pieces;
+            }
+            pieces.push(RolloutReport {
+                counts: counted.into_iter().collect(),
+                confirmations: said.unwrap_or_default().to_vec(),
+                lease_revision,
+            });
+        }
+    }
+}
+
+fn counts_by_routes(counted: &ServiceCounts) -> Vec<ServiceCounts> {
+    let routes: Vec<_> = counted.counts.routes.iter().collect();
+    let pieces = routes.chunks(MAX_ROUTES).map(|routes| ServiceCounts {
+        counts: Counts {
+            routes: routes
+                .iter()
+                .map(|(tag, counts)| (**tag, **counts))
+                .collect(),
+            target_engines: counted.counts.target_engines,
+        },
+        ..counted.clone()
+    });
+    pieces.collect()
+}
+
 /// A node that reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reporter {
--- a/crates/gateway/src/rollouts/feed.rs
+++ b/crates/gateway/src/rollouts/feed.rs
@@ -6,7 +6,7 @@
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
 use crate::store::feed::{Feed, EVERY_REVISION};
-use crate::time::sleep;
+use crate::time::{sleep, within};
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::order::RolloutOrder;
 use std::sync::Arc;
@@ -51,12 +51,18 @@
     let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Rollouts);
     let mut backoff = Backoff::new();
     loop {
+        let engines_revision = gateway.beliefs().engines_revision;
         let (objects, mut revision, sent) = feed.list(&mut backoff).await;
-        take_list(&gateway, &objects, revision, sent);
         if revision == EVERY_REVISION {
-            sleep(gateway.settings().store.other_watch_ms).await;
+            // There was no order when it was asked, so none is older than the engines
+            // that were known then. One may come at any time, and the kind with it.
+            take_list(&gateway, &objects, engines_revision, sent);
+            let other_watch_ms = gateway.settings().store.other_watch_ms;
+            within(other_watch_ms, wait_until_order_is_lacking(&gateway)).await;
+            sleep(BETWEEN_LISTS_MS).await;
             continue;
         }
+        take_list(&gateway, &objects, revision, sent);
         while let Some((events, next, sent)) = feed.changes(revision, &mut backoff).await {
             for event in &events {
                 take_event(&gateway, event);
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -161,6 +161,22 @@
         }
     }
 
+    /// The versions of all services that this node has placed.
+    pub fn placed_versions(&self) -> impl Iterator<Item = (&ServiceName, &SoftwareVersion)> {
+        let ledgers = self.ledgers.iter();
+        ledgers.flat_map(|(service, ledger)| {
+            let serving = ledger.serving();
+            serving.map(move |version| (service, version))
+        })
+    }
+
+    /// A relay, which knows more orders, has placed a version.
+    pub fn note_placed(&mut self, service: &ServiceName, version: &SoftwareVersion) {
+        if let Some(ledger) = self.ledgers.get_mut(service) {
+            ledger.note_serving(version);
+        }
+    }
+
     /// Whether an engine was stopped because a rollout of its service is complete.
     pub fn is_retired(&self, record: &EngineRecord) -> bool {
         let rollout = self.services.get(&record.service);
@@ -329,10 +345,14 @@
     }
 }
 
-/// What an attempt says of its engine's version. Refusals and engines without a
+/// What an attempt says of its engine's version. Repeats say nothing: they go to
+/// established engines, and a request that fails by itself fails again. Refusals and engines without a
 /// connection say nothing; the times of a cold engine don't, and that one was given up
 /// may have been for them.
 fn answer_of(attempt: &ObservedAttempt, condition: EngineCondition) -> Option<Answer> {
+    if attempt.is_repeat {
+        return None;
+    }
     let has_failed = match (attempt.outcome, condition) {
         (_, EngineCondition::Disturbed) => return None,
         (Outcome::Refused | Outcome::Unreachable, _) => return None,
--- a/crates/gateway/tests/rollout_reports.rs
+++ b/crates/gateway/tests/rollout_reports.rs
@@ -3,10 +3,11 @@
 
 mod support;
 
-use ploverlift_balancing::catalogue::{EngineCatalogue, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
-use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::metrics::StoreCallLabel;
 use ploverlift_gateway::outcomes::ObservedAttempt;
 use ploverlift_gateway::peers::messages::{decode, encode, PeerMessage};
@@ -15,21 +16,29 @@
     news_message, read_news, NodeConfirmation, RolloutNews, RolloutReport, ServiceCounts,
     ServiceTag,
 };
+use ploverlift_gateway::peers::snapshot::snapshot;
+use ploverlift_gateway::rollouts::choice::{OwnSeat, VersionedRequest};
 use ploverlift_gateway::rollouts::exchange::Reporter;
 use ploverlift_gateway::rollouts::{EngineCondition, RolloutBeliefs};
-use ploverlift_policy::ids::Millis;
+use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_rollout::counts::{Answer, Counts, RouteTag, Side};
+use ploverlift_rollout::credits::Seat;
 use ploverlift_rollout::order::{RolloutOrder, RolloutState, RolloutStatus};
 use ploverlift_rollout::settings::RolloutSettings;
 use ploverlift_rollout::share::Confirmation;
 use ploverlift_rollout::stage::{Epoch, Progress, RolloutNumber, Stage};
 use ploverlift_routing::configuration::{Delivery, Route, ServiceName};
 use ploverlift_routing::software::SoftwareVersion;
+use ploverlift_wire::peers::SnapshotRequest;
 use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use support::caller::{self, request};
 use support::configuration;
 use support::engine::StandInEngine;
 use support::fleet::{list_silent_nodes, role_of, start_peer_with, wait_until};
+use support::site::StandInSite;
 use support::store::StandInStore;
 
 const NOW: Millis = Millis(2_000_000);
@@ -274,6 +283,7 @@
         route: "a".to_owned(),
         instance: InstanceId("i".to_owned()),
         software: SoftwareVersion("v2".to_owned()),
+        is_repeat: false,
         outcome,
         first_byte_ms: Some(40),
         duration_ms: 50,
@@ -301,6 +311,217 @@
     );
 }
 
+#[test]
+fn repeats_are_no_evidence_on_either_side() {
+    let counted = |software: &str, side: Side, is_repeat: bool| {
+        let mut node = node_with_requests(0);
+        let attempt = ObservedAttempt {
+            service: service(),
+            route: "a".to_owned(),
+            instance: InstanceId("i".to_owned()),
+            software: SoftwareVersion(software.to_owned()),
+            is_repeat,
+            outcome: Outcome::Failed,
+            first_byte_ms: Some(40),
+            duration_ms: 50,
+        };
+        node.observe(&attempt, EngineCondition::Steady);
+        let own = node.own_report(reporter(1), 1).counts.remove(0).counts;
+        own.all_routes(side).answers
+    };
+    for (software, side) in [("v2", Side::Target), ("v1", Side::Established)] {
+        assert_eq!(counted(software, side, false), 1);
+        assert_eq!(counted(software, side, true), 0);
+    }
+}
+
+fn record(name: &str, software: &str, revision: u64) -> EngineRecord {
+    EngineRecord {
+        instance: InstanceId(name.to_owned()),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        service: service(),
+        zone: ZoneName("z".to_owned()),
+        slots: 1,
+        software: SoftwareVersion(software.to_owned()),
+        weights: BTreeMap::new(),
+        is_leaving: false,
+        cold_ms: 0,
+        revision,
+    }
+}
+
+/// A node that knows orders up to 3 and engines that were recorded later.
+fn node_with_later_engines(records: &[(&str, &str, u64)]) -> (RolloutBeliefs, EngineCatalogue) {
+    let mut engines = EngineCatalogue::default();
+    let mut node = RolloutBeliefs::default();
+    node.note_orders_known(3, Some(NOW), &engines, NOW);
+    for (name, software, revision) in records {
+        let record = record(name, software, *revision);
+        node.note_engine(&record);
+        engines.upsert(record);
+    }
+    (node, engines)
+}
+
+#[test]
+fn a_service_of_which_nothing_can_be_placed_is_served_by_what_was_recorded_first() {
+    let (node, engines) = node_with_later_engines(&[("a", "v1", 10), ("b", "v1", 11)]);
+    assert_eq!(node.unplaced(&service(), &engines), []);
+    let records = [("a", "v1", 10), ("b", "v2", 12), ("c", "v1", 14)];
+    let (mut node, engines) = node_with_later_engines(&records);
+    let v2 = SoftwareVersion("v2".to_owned());
+    assert_eq!(
+        node.unplaced(&service(), &engines),
+        std::slice::from_ref(&v2)
+    );
+    // A relay that knows more has placed it.
+    node.note_placed(&service(), &v2);
+    node.note_placed(&service(), &SoftwareVersion("v1".to_owned()));
+    assert_eq!(node.unplaced(&service(), &engines), []);
+}
+
+#[test]
+fn an_order_given_again_while_cutting_over_leaves_what_served_before() {
+    let (mut node, mut engines) = node_with_later_engines(&[]);
+    for record in [record("a", "v1", 1), record("b", "v2", 2)] {
+        node.note_engine(&record);
+        engines.upsert(record);
+    }
+    let mut ordered = order(8);
+    let status = progress(Stage::CuttingOver).status(&ordered);
+    ordered.status = Some(status);
+    let given = node.take_order(ordered.clone(), RolloutSettings::default(), NOW);
+    assert!(given.is_some());
+    let own = OwnSeat {
+        node: PeerId(1),
+        life: 1,
+        seat: Seat { rank: 0, nodes: 1 },
+    };
+    let route = route("a");
+    let request = VersionedRequest {
+        service: &service(),
+        route: &route,
+        prompt: None,
+        tried: &[],
+        is_sent_before: false,
+    };
+    let allowed = |node: &RolloutBeliefs| {
+        let choice = node.software_choice(&request, &engines, Some(&own), NOW);
+        let rule = choice.expect("a version serves").rule;
+        ["v1", "v2"].map(|version| rule.allows(&SoftwareVersion(version.to_owned())))
+    };
+    assert_eq!(allowed(&node), [false, true]);
+    ordered.duration_ms *= 2;
+    ordered.revision += 1;
+    let given = node.take_order(ordered, RolloutSettings::default(), NOW);
+    assert!(given.is_some());
+    assert_eq!(allowed(&node), [true, false]);
+}
+
+#[test]
+fn what_a_large_zone_tells_of_two_rollouts_fits_what_is_read() {
+    let services = ["app", "other"].map(|name| ServiceTag::of(&ServiceName::from(name)));
+    let mut counts = busy_counts();
+    for (route, more) in busy_counts().routes {
+        counts.routes.insert(RouteTag(route.0 ^ 1), more);
+    }
+    let counted = services.map(|service| ServiceCounts {
+        service,
+        rollout: ROLLOUT,
+        counts: counts.clone(),
+    });
+    let confirmations = (0..200).flat_map(|node| {
+        services.map(|service| NodeConfirmation {
+            node: PeerId(u64::MAX - node),
+            service,
+            confirmation: Confirmation {
+                rollout: ROLLOUT,
+                epoch: Epoch(9),
+                has_left_established: true,
+                running_on_established: 300,
+                has_stopped: true,
+            },
+            age_ms: 4_000,
+        })
+    });
+    let confirmations: Vec<NodeConfirmation> = confirmations.collect();
+    let told = RolloutReport {
+        counts: counted.to_vec(),
+        confirmations: confirmations.clone(),
+        lease_revision: Some(1 << 40),
+    };
+    let pieces = told.pieces();
+    for piece in &pieces {
+        let mut report = support::fleet::empty_report();
+        report.rollouts = piece.clone();
+        let datagram = encode(&PeerMessage::ZoneReport(report));
+        assert!(datagram.len() <= MAX_DATAGRAM_BYTES, "{}", datagram.len());
+    }
+    let said = pieces.iter().flat_map(|piece| piece.confirmations.clone());
+    assert_eq!(said.collect::<Vec<_>>(), confirmations);
+    for counted in &counted {
+        let mut sum = Counts::default();
+        let told = pieces.iter().flat_map(|piece| &piece.counts);
+        told.filter(|told| told.service == counted.service)
+            .for_each(|told| sum.highest(&told.counts));
+        assert_eq!(sum, counted.counts);
+    }
+}
+
+#[test]
+fn a_follower_that_starts_late_is_told_orders_and_serves_at_once() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        let engine = StandInEngine::of_software("old", "app", "v1").await;
+        store.put("Engines", "old", engine.record());
+        list_silent_nodes(&store);
+        let relays = [
+            start_peer_with_long_watch(&store, "large-1", 2.0),
+            start_peer_with_long_watch(&store, "large-2", 1.0),
+        ];
+        for relay in &relays {
+            wait_until(relay, |node| role_of(node) == Role::Relay).await;
+            while caller::get_status(relay.readiness).await != 200 {}
+        }
+        // Recorded anew, later than the orders that any relay knows.
+        let revision = store.put("Engines", "old", engine.record());
+        for relay in &relays {
+            let is_known = |node: &RunningGateway| {
+                let beliefs = node.gateway.beliefs();
+                let known = beliefs.engines.iter().map(|engine| engine.record.revision);
+                known.max() >= Some(revision)
+            };
+            wait_until(relay, is_known).await;
+            let wanted = SnapshotRequest {
+                configuration: 0,
+                wants_engines: true,
+            };
+            let told = snapshot(&relay.gateway, &wanted);
+            assert!(told.rollouts.expect("orders").known_through < revision);
+            assert_eq!(told.placed_versions.len(), 1);
+        }
+        let follower = start_peer_with_long_watch(&store, "small", 0.1);
+        while caller::get_status(follower.readiness).await != 200 {}
+        assert_eq!(role_of(&follower), Role::Follower);
+        let answer = caller::send(follower.callers, &request("safe.test", "r")).await;
+        assert_eq!(answer.status(), 200);
+        let beliefs = follower.gateway.beliefs();
+        assert!(beliefs.rollouts.orders.known_through() < Some(revision));
+        let placed = beliefs.rollouts.placed_versions();
+        assert_eq!(placed.count(), 1, "as the relay told");
+    });
+}
+
+/// A node of a large fleet whose watch of orders lasts longer than a test.
+fn start_peer_with_long_watch(store: &StandInStore, name: &str, cpu_cores: f64) -> RunningGateway {
+    let mut settings = support::settings(store, name, "");
+    settings.listen.peers = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    settings.node.cpu_cores = cpu_cores;
+    settings.store.other_watch_ms = 20_000;
+    start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
+}
+
 const BRISK: &str = "[bounds]\ncanary_share = 0.6\ncanary_slack = 400\nkey_revocation_ms = 1500\n\
     leaving_engine_ms = 3000\n";
 
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -304,6 +304,36 @@
     });
 }
 
+#[test]
+fn a_store_without_the_kind_hides_no_order_that_comes_later() {
+    with_callers(|executor| async move {
+        let versions = Versions::of_service("app").await;
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        record_engines(&store, &versions.old);
+        store.set_fault(StoreFault::LacksOrders);
+        let mut settings = settings(&store, "node", BRISK);
+        // Looked for only now and then, and found at once where an engine calls for it.
+        settings.store.other_watch_ms = 60_000;
+        let node = start(settings, Arc::new(StandInSite), silent_logger()).expect("start");
+        wait_until_ready(&node).await;
+        let known_through = node.gateway.beliefs().rollouts.orders.known_through();
+        assert!(known_through < Some(u64::MAX), "later orders are not known");
+        let traffic = Traffic::start(&executor, &node);
+        wait_for_more(&node, &versions.old, 20).await;
+        store.set_fault(StoreFault::None);
+        let ordered_at = std::time::Instant::now();
+        versions.set_new(Behaviour::Fail);
+        store.put("Rollouts", "app", order("v2", 30_000));
+        record_engines(&store, &versions.new);
+        wait_for_state(&store, &node, "rolled-back").await;
+        // Not by the next look, which is due after a minute.
+        assert!(ordered_at.elapsed() < std::time::Duration::from_secs(30));
+        let (good, bad) = traffic.stop().await;
+        assert!(bad * 2 < good, "{bad} of {good}");
+    });
+}
+
 #[test]
 fn a_node_is_not_ready_before_it_knows_the_orders() {
     smol::block_on(async {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -18,6 +18,8 @@
     Status(u16),
     /// It refuses calls for orders of rollouts.
     HidesOrders,
+    /// It has no kind for orders of rollouts.
+    LacksOrders,
     /// It does writes and closes the connection without an answer.
     LosesWriteAnswers,
 }
@@ -245,6 +247,9 @@
                 StoreFault::HidesOrders if kind == "Rollouts" => {
                     return Some((503, Value::Null));
                 }
+                StoreFault::LacksOrders if kind == "Rollouts" => {
+                    return Some((404, Value::Null));
+                }
                 StoreFault::LosesWriteAnswers if what.starts_with("put") => {
                     state.answer(call);
                     return None;
--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -108,8 +108,7 @@
             return write(next, Reason::Abandoned(cause));
         }
         let supply = Supply::of(input, &next);
-        let is_serving_already = !next.avoided.is_empty() && supply.target > 0;
-        if is_serving_already && supply.established == 0 {
+        if supply.target > 0 && supply.established == 0 {
             next.stage = Stage::CuttingOver;
             return write(next, Reason::OrderedBack);
         }
--- a/crates/rollout/src/decision.rs
+++ b/crates/rollout/src/decision.rs
@@ -57,7 +57,8 @@
 pub enum Reason {
     /// A new order.
     Ordered,
-    /// A new order for the version that served before the order it supersedes.
+    /// A new order for the version that serves alone, or that served alone before the
+    /// order it supersedes.
     OrderedBack,
     /// Evidence is gathered.
     GatheringEvidence,
--- a/crates/rollout/src/gate_terms.rs
+++ b/crates/rollout/src/gate_terms.rs
@@ -65,7 +65,8 @@
     StoppedByEvidence,
     /// The cut-over has begun.
     CuttingOver,
-    /// The cut-over had begun when this node lost touch: neither side is safe.
+    /// The cut-over had begun when this node lost touch, and a roll back may be in force
+    /// soon: neither side is safe.
     LostTouchInCutOver,
     /// This node has been silent so long that the rollout may have completed.
     SilentTooLong,
--- a/crates/rollout/src/placement.rs
+++ b/crates/rollout/src/placement.rs
@@ -12,6 +12,7 @@
 pub struct VersionLedger {
     orders_known_up_to: u64,
     serving: BTreeSet<SoftwareVersion>,
+    has_placed_any: bool,
 }
 
 impl VersionLedger {
@@ -24,10 +25,27 @@
     /// record can be placed counts as serving from then on.
     pub fn note_engine(&mut self, version: &SoftwareVersion, record_revision: u64) {
         if record_revision <= self.orders_known_up_to && !self.serving.contains(version) {
-            self.serving.insert(version.clone());
+            self.note_serving(version);
         }
     }
 
+    /// A node that knows more orders has placed a version.
+    pub fn note_serving(&mut self, version: &SoftwareVersion) {
+        self.serving.insert(version.clone());
+        self.has_placed_any = true;
+    }
+
+    /// Whether any version was placed in this life of the process: one that comes in its
+    /// place may come by an order.
+    pub fn has_placed_any(&self) -> bool {
+        self.has_placed_any
+    }
+
+    /// The versions that serve.
+    pub fn serving(&self) -> impl Iterator<Item = &SoftwareVersion> {
+        self.serving.iter()
+    }
+
     /// No engine of a version is left: if it comes back, that may be by an order.
     pub fn forget(&mut self, version: &SoftwareVersion) {
         self.serving.remove(version);
--- a/crates/rollout/src/share.rs
+++ b/crates/rollout/src/share.rs
@@ -26,6 +26,9 @@
 /// Age of the news of a rollout's stage after which a node sends the target nothing, in
 /// milliseconds. Must be below `roll_back_ms` by what an order to stop takes.
 pub const STAGE_LEASE_MS: u64 = 2_000;
+/// Part of `roll_back_ms` that is left, in milliseconds, when a node that has lost touch
+/// in a cut-over stops: news of a stage travel for less.
+pub const LOST_TOUCH_MARGIN_MS: u64 = 1_000;
 /// Time after which a node of a later life knows what its former life has used, in
 /// milliseconds: five reports of its peers.
 pub const SETTLE_MS: u64 = 1_000;
@@ -202,7 +205,7 @@
         if !self.has_heard_of_stage(view) {
             return nowhere(GateReason::StageNotConfirmed);
         }
-        if now.since(view.stage_heard_at) > STAGE_LEASE_MS {
+        if now.since(view.stage_heard_at) > self.lost_touch_ms() {
             return nowhere(GateReason::LostTouchInCutOver);
         }
         if !self.is_stopped(view) {
@@ -214,6 +217,15 @@
         }
     }
 
+    /// Age of the news of a cut-over up to which the target serves on while nothing
+    /// speaks against it, in milliseconds. The store may be away for seconds, and neither
+    /// side would be left; whoever is cut off from a roll back must stop in time.
+    fn lost_touch_ms(&self) -> u64 {
+        let roll_back_ms = self.settings.roll_back_ms;
+        let by_bound = roll_back_ms.saturating_sub(LOST_TOUCH_MARGIN_MS);
+        by_bound.max(STAGE_LEASE_MS.min(roll_back_ms))
+    }
+
     fn decide_in_canary(
         &self,
         request: &CanaryRequest,
--- a/crates/rollout/tests/rollouts/deciding.rs
+++ b/crates/rollout/tests/rollouts/deciding.rs
@@ -178,6 +178,21 @@
     assert_eq!(next.avoided, [version("v2")]);
 }
 
+#[test]
+fn an_order_for_the_version_that_serves_alone_holds_nothing_back() {
+    let mut case = Case::at(CANARY, 0);
+    case.order.status = None;
+    case.established_engines = 0;
+    let next = case.decide().next.expect("a cut-over");
+    assert_eq!(next.stage, Stage::CuttingOver);
+    // Ordered again once it was completed, with another duration.
+    let mut again = Case::at(Stage::Completed, 13_000);
+    again.order.duration_ms = 2 * DURATION_MS;
+    again.established_engines = 0;
+    let next = again.decide().next.expect("a cut-over");
+    assert_eq!(next.stage, Stage::CuttingOver);
+}
+
 #[test]
 fn ends_stay_ends() {
     for stage in [
--- a/crates/rollout/tests/rollouts/gate.rs
+++ b/crates/rollout/tests/rollouts/gate.rs
@@ -9,7 +9,8 @@
 use ploverlift_rollout::credits::Seat;
 use ploverlift_rollout::settings::RolloutSettings;
 use ploverlift_rollout::share::{
-    CanaryRequest, FleetView, Gate, GateReason, Joined, SETTLE_MS, STAGE_LEASE_MS,
+    CanaryRequest, FleetView, Gate, GateReason, Joined, LOST_TOUCH_MARGIN_MS, SETTLE_MS,
+    STAGE_LEASE_MS,
 };
 use ploverlift_rollout::stage::{Epoch, Progress, RollBackCause, RolloutNumber, Stage};
 use ploverlift_routing::prompt::ChainKey;
@@ -333,11 +334,39 @@
     let gate = gate(Stage::CuttingOver);
     let decision = gate.decide(&read(), &view(&nothing), NOW);
     assert_eq!(decision.rule, Some(SoftwareRule::Only(version("v2"))));
+    // Whoever is cut off from a roll back stops before its bound is over.
+    let roll_back_ms = RolloutSettings::default().roll_back_ms;
     let lost_touch = FleetView {
-        stage_heard_at: Millis(NOW.0 - STAGE_LEASE_MS - 1),
+        stage_heard_at: Millis(NOW.0 - (roll_back_ms - LOST_TOUCH_MARGIN_MS) - 1),
         ..view(&nothing)
     };
-    assert_eq!(gate.decide(&read(), &lost_touch, NOW).rule, None);
+    let decision = gate.decide(&read(), &lost_touch, NOW);
+    assert_eq!(decision.reason, GateReason::LostTouchInCutOver);
+    assert_eq!(decision.rule, None);
+}
+
+#[test]
+fn a_store_that_is_away_in_a_cut_over_ends_nothing_while_the_evidence_is_clean() {
+    let away = |sums| FleetView {
+        stage_heard_at: Millis(NOW.0 - STAGE_LEASE_MS - 500),
+        ..view(sums)
+    };
+    let nothing = Counts::default();
+    let mut gate = gate(Stage::CuttingOver);
+    let decision = gate.decide(&read(), &away(&nothing), NOW);
+    assert_eq!(decision.rule, Some(SoftwareRule::Only(version("v2"))));
+    assert_eq!(decision.reason, GateReason::CuttingOver);
+    gate.confirm(0);
+    let mut bad = Counts::default();
+    for engine in 0..400 {
+        let route = RouteTag::of("read");
+        bad.note_request(route, true);
+        bad.note_target_arrival(route);
+        bad.note_answer(route, Side::Target, &answer(true, engine));
+    }
+    let stopped = gate.decide(&read(), &away(&bad), NOW);
+    assert_eq!(stopped.reason, GateReason::StoppedByEvidence);
+    assert_eq!(stopped.rule, None);
 }
 
 #[test]
