Show whose fault a failed connection is, and yield to a caller's own request

Cause: a caller that sends faster than the node reads held its thread for ever, since its watcher is polled first. Change: the watcher yields after what it drops. Seen red without: a_caller_that_sends_without_end starves the thread, and three tests beside it failed (the accept queue's, the limit's, the burst's).

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -260,6 +260,8 @@
         if count > MAX_PIPELINED_BYTES || *has_dropped {
             *has_dropped = true;
             connection.consume(count);
+            // A caller that sends faster than this reads would hold the thread for ever.
+            futures_lite::future::yield_now().await;
         }
     }
 }
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -48,7 +48,8 @@
 }
 
 impl ConnectFailure {
-    fn of(error: &io::Error) -> Self {
+    /// What an error of opening a connection says.
+    pub fn of(error: &io::Error) -> Self {
         if error
             .raw_os_error()
             .is_some_and(|code| LOCAL_ERRORS.contains(&code))
--- a/crates/gateway/tests/leaving_callers.rs
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -7,6 +7,7 @@
 use ploverlift_policy::ids::Millis;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -136,6 +137,25 @@
     });
 }
 
+#[test]
+fn a_caller_that_sends_without_end_does_not_starve_its_own_request() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let address = fixture.running().callers;
+        let first = as_bytes(&request("patient.test", "r1"));
+        let sending = std::thread::spawn(move || {
+            let mut stream = std::net::TcpStream::connect(address).expect("connect");
+            stream.write_all(&first).expect("write");
+            let ahead = vec![b'x'; 1024 * 1024];
+            // The gateway closes the connection after the answer.
+            while stream.write_all(&ahead).is_ok() {}
+        });
+        app.happened.recv().await.expect("the request arrived");
+        smol::unblock(|| sending.join()).await.expect("the caller");
+    });
+}
+
 #[test]
 fn a_caller_that_takes_nothing_of_its_answer_does_not_hold_its_engine() {
     smol::block_on(async {
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -5,7 +5,9 @@
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::engine_losses::{LostEngine, NewsSource};
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
+use ploverlift_gateway::http_call::{connect, ConnectFailure};
 use ploverlift_gateway::time::sleep;
+use std::io::Error;
 use support::caller::{self, prompt, request};
 use support::engine::{all_events, event, Behaviour, StandInEngine};
 use support::{configuration, Fixture};
@@ -264,3 +266,46 @@
         assert!(kept.is_none());
     });
 }
+
+#[test]
+fn a_connection_that_comes_about_dispels_the_suspicion_before_any_answer() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let instance = InstanceId(app.instance.clone());
+        fixture
+            .gateway
+            .beliefs()
+            .losses
+            .note_doubtful(&instance, app.address);
+        let asked = request("patient.test", "r1");
+        let connection = caller::open(fixture.running().callers, &asked).await;
+        app.happened.recv().await.expect("the request arrived");
+        assert!(!fixture.gateway.beliefs().losses.is_suspected(&instance));
+        drop(connection);
+    });
+}
+
+#[test]
+fn a_failed_connection_tells_whose_fault_it_is() {
+    smol::block_on(async {
+        let mut app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let address = app.address;
+        app.lose_power().await;
+        let failed = connect(address, 60).await.err().expect("a failure");
+        assert_eq!(failed.connect_failure(), Some(ConnectFailure::NoAnswer));
+        drop(app);
+        let failed = connect(address, 60).await.err().expect("a failure");
+        assert_eq!(failed.connect_failure(), Some(ConnectFailure::Refused));
+    });
+    // EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
+    for code in [24, 23, 99, 105, 12] {
+        let error = Error::from_raw_os_error(code);
+        assert_eq!(ConnectFailure::of(&error), ConnectFailure::Local, "{error}");
+    }
+    // ENETUNREACH, ETIMEDOUT, EHOSTUNREACH.
+    for code in [101, 110, 113] {
+        let error = Error::from_raw_os_error(code);
+        assert_eq!(ConnectFailure::of(&error), ConnectFailure::NoAnswer);
+    }
+}
