--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -152,7 +152,8 @@
         }
     }
 
-    /// A new connection shows that the engine is there, and how long a round trip to the engine's zone takes.
+    /// A new connection shows that the engine is there, and how long a round trip to its
+    /// zone takes.
     fn learn_from_connection(&self, chosen: &ChosenEngine, connect_time: Duration) {
         let now = self.gateway.clock.now();
         let round_trip_ms = connect_time.as_secs_f64() * 1_000.0;
