One way to end a wait at a lost engine; less work in each choice; one give-back

Change: EngineWatch::unless_lost serves the exchange, streams and whole answers; the second give-back is gone; the key is made only where the service has a rollout; where all versions are placed nothing is sorted or allocated. Behaviour stays.

Ruled out: moving the soak out of platform/: the check on the platform's names would have to be loosened for it.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -243,14 +243,13 @@
         limits: ExchangeLimits,
     ) -> Result<EngineAnswer, ExchangeFailure> {
         let watch = self.watch_engine(&chosen.instance);
-        let losing = async {
-            watch.lost().await;
+        let exchanging = exchange_on(stream, head, body, limits);
+        watch.unless_lost(exchanging).await.unwrap_or_else(|| {
             Err(ExchangeFailure {
                 state: AttemptState::MaybeSent,
                 reason: ENGINE_LOST.to_owned(),
             })
-        };
-        futures_lite::future::or(exchange_on(stream, head, body, limits), losing).await
+        })
     }
 
     /// Sends the request on a kept connection, if there is one and the request may run
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -109,7 +109,8 @@
         now: Millis,
     ) -> Result<SoftwareChoice, NoChoice> {
         let admission = &self.received.admission;
-        let prompt = self.received.request.prompt.as_ref();
+        // Only the gate of a rollout asks for the prompt's key.
+        let prompt = own.and(self.received.request.prompt.as_ref());
         let request = VersionedRequest {
             service: &admission.service,
             route: &admission.route,
--- a/crates/gateway/src/forward/engine_watch.rs
+++ b/crates/gateway/src/forward/engine_watch.rs
@@ -9,6 +9,7 @@
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_policy::ids::Millis;
+use std::future::Future;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
@@ -32,8 +33,17 @@
         self.last_heard.store(now.0, Ordering::Relaxed);
     }
 
-    /// Waits until the engine is known to be lost.
-    pub(super) async fn lost(&self) {
+    /// Does the work; nothing when the engine is known to be lost before it is done.
+    pub(super) async fn unless_lost<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let working = async { Some(work.await) };
+        let losing = async {
+            self.lost().await;
+            None
+        };
+        futures_lite::future::or(working, losing).await
+    }
+
+    async fn lost(&self) {
         loop {
             let news = self.gateway.engine_lost.listen();
             if self.is_lost() {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -242,8 +242,6 @@
                 .finish(&self.gateway, &self.received, outcome, &reason);
             return self.answer.whole(failure.head, &failure.body).await;
         }
-        // Given back before the caller hears: it may come again at once.
-        self.received.admission.reservation = None;
         let refusal = self.refusal(reason);
         let outcome = match refusal.kind {
             RefusalKind::NotRun => "refused",
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -41,14 +41,11 @@
         let watch = self.watch_engine(&chosen.instance);
         loop {
             let step = self.next_step(&mut answer, &mut splitter, chosen, is_first);
-            let losing = async {
-                watch.lost().await;
-                StreamStep::Broken {
-                    reason: ENGINE_LOST.to_owned(),
-                    time_is_up: false,
-                }
-            };
-            match futures_lite::future::or(step, losing).await {
+            let step = watch.unless_lost(step).await;
+            match step.unwrap_or_else(|| StreamStep::Broken {
+                reason: ENGINE_LOST.to_owned(),
+                time_is_up: false,
+            }) {
                 StreamStep::Events(bytes) => {
                     watch.heard();
                     if is_first {
--- a/crates/gateway/src/forward/whole.rs
+++ b/crates/gateway/src/forward/whole.rs
@@ -80,14 +80,12 @@
     /// Reads until the answer is whole, or its engine is known to be lost.
     async fn read_watched(&self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
         let watch = self.watch_engine(&chosen.instance);
-        let losing = async {
-            watch.lost().await;
-            ReadEnd::Broken {
-                reason: ENGINE_LOST.to_owned(),
-                time_is_up: false,
-            }
-        };
-        futures_lite::future::or(self.read_held(answer, Some(&watch)), losing).await
+        let reading = self.read_held(answer, Some(&watch));
+        let read = watch.unless_lost(reading).await;
+        read.unwrap_or_else(|| ReadEnd::Broken {
+            reason: ENGINE_LOST.to_owned(),
+            time_is_up: false,
+        })
     }
 
     async fn read_held(&self, answer: &mut EngineAnswer, watch: Option<&EngineWatch>) -> ReadEnd {
--- a/crates/gateway/src/rollouts/choice.rs
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -151,6 +151,10 @@
             let (version, revision) = (&engine.record.software, engine.record.revision);
             ledger.is_some_and(|ledger| ledger.is_placed(version, revision))
         };
+        // Each choice asks; mostly there is nothing to sort out.
+        if engines.of_service(service).all(|engine| is_placed(&engine)) {
+            return Vec::new();
+        }
         let (placed, unplaced): (Vec<&Engine>, Vec<&Engine>) =
             engines.of_service(service).partition(is_placed);
         let are_orders_known = self.orders.known_through().is_some();
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -118,11 +118,8 @@
     pub fn own_report(&mut self, own: Reporter, sequence: u64) -> RolloutReport {
         let mut counts = Vec::new();
         let mut confirmations = Vec::new();
-        for rollout in self
-            .services
-            .values_mut()
-            .filter(|rollout| rollout.is_open())
-        {
+        let rollouts = self.services.values_mut();
+        for rollout in rollouts.filter(|rollout| rollout.is_open()) {
             let Some(said) = own_confirmation(rollout, &self.running, own) else {
                 continue;
             };
@@ -157,11 +154,8 @@
     pub fn zone_report(&mut self, own: Reporter, now: Millis) -> RolloutReport {
         self.count_own(own);
         let mut report = RolloutReport::default();
-        for rollout in self
-            .services
-            .values_mut()
-            .filter(|rollout| rollout.is_open())
-        {
+        let rollouts = self.services.values_mut();
+        for rollout in rollouts.filter(|rollout| rollout.is_open()) {
             let Some(said) = own_confirmation(rollout, &self.running, own) else {
                 continue;
             };
