Tests of rollouts, silent connections and loads share how they begin

Cause: ten tests of rollouts, three of silent connections and two of loads began with the same lines.

Change: Versions::with_node, waiting_request, record. No assertion is touched.

--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -163,6 +163,22 @@
     });
 }
 
+/// The record of an engine with a version of the model's weights.
+fn record(name: &str, version: u64, port: u16) -> EngineRecord {
+    EngineRecord {
+        instance: InstanceId(name.to_owned()),
+        revision: 1,
+        service: ServiceName::from("llm"),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: ZoneName::from("z"),
+        software: SoftwareVersion::default(),
+        slots: 4,
+        cold_ms: 0,
+        is_leaving: false,
+        weights: [("m".to_owned(), version)].into(),
+    }
+}
+
 #[test]
 fn the_engine_whose_missing_version_was_named_first_is_next() {
     smol::block_on(async {
@@ -173,18 +189,6 @@
             silent_logger(),
         );
         let now = gateway.clock.now();
-        let record = |name: &str, version: u64, port: u16| EngineRecord {
-            instance: InstanceId(name.to_owned()),
-            revision: 1,
-            service: ServiceName::from("llm"),
-            address: SocketAddr::from(([127, 0, 0, 1], port)),
-            zone: ZoneName::from("z"),
-            software: SoftwareVersion::default(),
-            slots: 4,
-            cold_ms: 0,
-            is_leaving: false,
-            weights: [("m".to_owned(), version)].into(),
-        };
         {
             let mut beliefs = gateway.beliefs();
             beliefs.engines.upsert(record("a", 2, 1));
@@ -215,18 +219,7 @@
         {
             let mut beliefs = gateway.beliefs();
             for (name, port) in [("a", 1), ("b", 2), ("c", 3)] {
-                beliefs.engines.upsert(EngineRecord {
-                    instance: InstanceId(name.to_owned()),
-                    revision: 1,
-                    service: ServiceName::from("llm"),
-                    address: SocketAddr::from(([127, 0, 0, 1], port)),
-                    zone: ZoneName::from("z"),
-                    software: SoftwareVersion::default(),
-                    cold_ms: 0,
-                    slots: 4,
-                    is_leaving: false,
-                    weights: [("m".to_owned(), 1)].into(),
-                });
+                beliefs.engines.upsert(record(name, 1, port));
             }
             beliefs.weights.name("m", 2, now);
             let busy = InstanceId("a".to_owned());
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -46,6 +46,14 @@
         versions
     }
 
+    /// Engines of both versions, and a node that knows the old ones.
+    async fn with_node() -> (Self, Fixture) {
+        let versions = Self::of_service("app").await;
+        let old: Vec<&StandInEngine> = versions.old.iter().collect();
+        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        (versions, fixture)
+    }
+
     fn arrivals(engines: &[StandInEngine]) -> usize {
         engines.iter().map(|engine| engine.arrivals()).sum()
     }
@@ -157,9 +165,7 @@
 #[test]
 fn a_bad_version_is_rolled_back_and_gets_nothing_afterwards() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let traffic = Traffic::start(&executor, fixture.running());
         versions.set_new(Behaviour::Fail);
         fixture.store.put("Rollouts", "app", order("v2", 20_000));
@@ -183,9 +189,7 @@
 #[test]
 fn a_good_version_is_completed_once_nothing_goes_to_the_established_engines() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let traffic = Traffic::start(&executor, fixture.running());
         fixture.store.put("Rollouts", "app", order("v2", 6_000));
         record_engines(&fixture.store, &versions.new);
@@ -278,9 +282,7 @@
 #[test]
 fn a_version_without_an_order_serves_once_orders_are_known_and_not_before() {
     smol::block_on(async {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         fixture.store.set_fault(StoreFault::HidesOrders);
         record_engines(&fixture.store, &versions.new);
         let known = |fixture: &Fixture| fixture.gateway.beliefs().engines.len();
@@ -355,9 +357,7 @@
 #[test]
 fn a_node_that_hears_no_stage_stops_the_target_and_serves_on() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let node = fixture.running();
         let traffic = Traffic::start(&executor, node);
         fixture.store.put("Rollouts", "app", order("v2", 60_000));
@@ -379,9 +379,7 @@
 #[test]
 fn a_rollout_waits_for_what_runs_on_established_engines() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let node = fixture.running();
         // A request that lasts, at an engine of the old version.
         versions
@@ -427,9 +425,7 @@
 #[test]
 fn writes_without_answers_end_as_what_the_store_holds() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let node = fixture.running();
         let traffic = Traffic::start(&executor, node);
         versions.set_new(Behaviour::Fail);
@@ -475,9 +471,7 @@
 #[test]
 fn an_order_supersedes_the_one_before_it() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let node = fixture.running();
         let traffic = Traffic::start(&executor, node);
         fixture.store.put("Rollouts", "app", order("v2", 60_000));
@@ -499,9 +493,7 @@
 #[test]
 fn an_order_that_does_not_fit_holds_back_what_came_after_it_until_it_is_corrected() {
     smol::block_on(async {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let invalid = json!({"service": "app", "to": "v2", "ms": "soon"});
         fixture.store.put("Rollouts", "app", invalid);
         record_engines(&fixture.store, &versions.new);
@@ -523,9 +515,7 @@
 #[test]
 fn a_status_that_another_decider_wrote_first_stands() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let node = fixture.running();
         let traffic = Traffic::start(&executor, node);
         fixture.store.put("Rollouts", "app", order("v2", 60_000));
@@ -561,9 +551,7 @@
 #[test]
 fn the_canary_goes_to_few_engines_of_the_target() {
     with_callers(|executor| async move {
-        let versions = Versions::of_service("app").await;
-        let old: Vec<&StandInEngine> = versions.old.iter().collect();
-        let fixture = Fixture::with(&old, configuration(1), BRISK).await;
+        let (versions, fixture) = Versions::with_node().await;
         let node = fixture.running();
         let mut new = Vec::new();
         for index in 0..6 {
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -7,6 +7,7 @@
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
 use ploverlift_gateway::http_call::{connect, ConnectFailure};
 use ploverlift_gateway::time::sleep;
+use ploverlift_http1::BufferedStream;
 use std::io::Error;
 use support::caller::{self, prompt, request};
 use support::engine::{all_events, event, Behaviour, StandInEngine};
@@ -52,14 +53,19 @@
     fixture.gateway.engine_check_due.notify(usize::MAX);
 }
 
+/// A silent engine at which a request waits, the node and the caller's connection.
+async fn waiting_request(host: &str) -> (StandInEngine, Fixture, BufferedStream) {
+    let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+    let fixture = Fixture::new(&[&app]).await;
+    let connection = caller::open(fixture.running().callers, &request(host, "r1")).await;
+    app.happened.recv().await.expect("the request arrived");
+    (app, fixture, connection)
+}
+
 #[test]
 fn a_request_that_may_run_once_is_told_when_its_engine_is_dead() {
     smol::block_on(async {
-        let mut app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
-        let fixture = Fixture::new(&[&app]).await;
-        let asked = request("patient.test", "r1");
-        let mut connection = caller::open(fixture.running().callers, &asked).await;
-        app.happened.recv().await.expect("the request arrived");
+        let (mut app, fixture, mut connection) = waiting_request("patient.test").await;
         app.lose_power().await;
         fixture.store.remove("Engines", "app-1");
         // The route allows ten minutes.
@@ -71,11 +77,7 @@
 #[test]
 fn what_one_node_alone_cannot_reach_is_not_given_up_for_requests_that_run_once() {
     smol::block_on(async {
-        let mut app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
-        let fixture = Fixture::new(&[&app]).await;
-        let address = fixture.running().callers;
-        let mut connection = caller::open(address, &request("unsafe.test", "r1")).await;
-        app.happened.recv().await.expect("the request arrived");
+        let (mut app, fixture, mut connection) = waiting_request("unsafe.test").await;
         let instance = InstanceId(app.instance.clone());
         app.lose_power().await;
         let refused = fixture.send(&request("unsafe.test", "r2")).await;
@@ -91,11 +93,7 @@
 #[test]
 fn another_nodes_word_confirms_a_loss() {
     smol::block_on(async {
-        let mut app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
-        let fixture = Fixture::new(&[&app]).await;
-        let address = fixture.running().callers;
-        let mut connection = caller::open(address, &request("patient.test", "r1")).await;
-        app.happened.recv().await.expect("the request arrived");
+        let (mut app, fixture, mut connection) = waiting_request("patient.test").await;
         let instance = InstanceId(app.instance.clone());
         app.lose_power().await;
         let reading = smol::spawn(async move { caller::read(&mut connection).await });
