A refusal says "not run" only when no sending may have run

Cause: a request that was sent on a kept connection and lost there left no trace in the ledger of attempts: when the new connection did not come about, or the engine refused there, the caller was told 503, which promises that it has not run and never will, and the tenant's units were given back. An engine's own 503, 429 or 408 after it had run a request was handed on as it was. A refusal of another request was taken for this one's before the id in it was looked at. ploverlift serve answered 503 whatever was known of the run, handed an engine's 429 on, and said "not run" when its relay ended without a word.

Ruled out by reading: 408 of our own (head or body not read, nothing sent), requests that wait at a node's start or stop (not admitted yet), streams before their first event (502), a caller that leaves between two attempts (nothing is said).

Change: the ledger notes a lost sending; forward/final_answer.rs is the one place that decides what is promised, from all that was sent; policy::attempt::promises_not_run names the statuses for both programs; the adapter looks at the id first.

--- a/crates/balancing/src/attempts.rs
+++ b/crates/balancing/src/attempts.rs
@@ -109,6 +109,13 @@
         self.may_go_to_another()
     }
 
+    /// The request was sent to an engine and lost on the way, and is sent to the same
+    /// engine once more within one attempt: it may have run, whatever becomes of that.
+    pub fn note_lost_sending(&mut self, instance: &InstanceId) {
+        self.run_state = self.run_state.join(RunState::Unknown);
+        self.note_sent(instance.clone());
+    }
+
     fn note_sent(&mut self, instance: InstanceId) {
         self.arrivals += 1;
         if !self.sent_to.contains(&instance) {
--- a/crates/balancing/tests/attempts.rs
+++ b/crates/balancing/tests/attempts.rs
@@ -73,6 +73,18 @@
     assert_eq!(ledger.run_state(), RunState::NotRun);
 }
 
+#[test]
+fn a_lost_sending_may_have_run_whatever_becomes_of_the_next_one() {
+    for outcome in [AttemptOutcome::Unreachable, AttemptOutcome::Refused] {
+        let mut ledger = ledger(true, 2);
+        let engine = InstanceId("e".to_owned());
+        ledger.note_lost_sending(&engine);
+        assert!(ledger.next_is_repeat());
+        assert!(ledger.note(engine, outcome));
+        assert_eq!(ledger.run_state(), RunState::Unknown, "{outcome:?}");
+    }
+}
+
 #[test]
 fn unreachable_engines_do_not_count_as_sent_to_but_end_some_time() {
     let mut ledger = ledger(false, 1);
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -186,7 +186,7 @@
         }
     }
 
-    async fn send(&self, chosen: &ChosenEngine) -> Result<EngineAnswer, AttemptEnd> {
+    async fn send(&mut self, chosen: &ChosenEngine) -> Result<EngineAnswer, AttemptEnd> {
         let now = self.gateway.clock.now();
         let left_ms = self.received.limits.left_ms(now);
         let settings = self.gateway.settings();
@@ -256,7 +256,7 @@
     /// Sends the request on a kept connection, if there is one and the request may run
     /// again; nothing when it is to be sent on a new one.
     async fn send_on_kept(
-        &self,
+        &mut self,
         chosen: &ChosenEngine,
         head: &RequestHead,
         limits: ExchangeLimits,
@@ -277,7 +277,8 @@
         // The others that were kept have likely ended, or fallen silent, as well.
         self.gateway.kept_connections().forget(&chosen.instance);
         if !failure.reason.is_silence() && self.take_repeat() {
-            // The engine had closed or forgotten the connection.
+            // The engine had closed or forgotten the connection, or ran the request.
+            self.note_lost_sending(chosen);
             return Ok(None);
         }
         Err(AttemptEnd::Broken {
@@ -286,6 +287,15 @@
         })
     }
 
+    /// What was sent and lost may have run: no later refusal of this request may say
+    /// that it has not, and it stays counted against its tenant's limit.
+    fn note_lost_sending(&mut self, chosen: &ChosenEngine) {
+        self.progress.attempts.note_lost_sending(&chosen.instance);
+        if let Some(reservation) = &mut self.received.admission.reservation {
+            reservation.spend();
+        }
+    }
+
     /// A kept connection to the engine on which the engine says nothing.
     async fn kept_connection(&self, chosen: &ChosenEngine) -> Option<BufferedStream> {
         loop {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -7,9 +7,10 @@
 //!     └▶ refusal
 //! ```
 //!
-//! What may be said of a request and whether it may be sent again follows from
-//! [`RunState`] alone: 503 ("has not run and will not") only when no byte can
-//! have reached an engine, or each engine said that it did not run it.
+//! What may be said of a request and whether it may be sent again follows from all that
+//! was sent ([`AttemptLedger`]): 503 ("has not run and will not") only when no byte can
+//! have reached an engine, or each engine said that it did not run it
+//! ([`final_answer`]).
 
 mod admission;
 mod attempt;
@@ -18,6 +19,7 @@
 mod choice;
 mod engine_watch;
 mod events;
+mod final_answer;
 mod in_flight;
 mod limits;
 mod prospects;
@@ -30,15 +32,14 @@
 pub use events::{is_after, EventSplitter, WholeEvent};
 pub use limits::TimeLimits;
 
-use crate::ports::{CallerRequest, Refusal, RefusalKind};
+use crate::ports::{CallerRequest, Refusal};
 use crate::state::Gateway;
 use attempt::AttemptEnd;
 use choice::ChosenEngine;
+use final_answer::{EngineFailure, FinalAnswer};
 use ploverlift_balancing::attempts::{AttemptLedger, AttemptLimits, AttemptOutcome};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::selection::NoChoice;
-use ploverlift_http1::ResponseHead;
-use ploverlift_policy::attempt::RunState;
 use prospects::Unservable;
 use record::RequestRecord;
 use std::io;
@@ -56,12 +57,6 @@
     pub limits: TimeLimits,
 }
 
-/// An answer of an engine that ran the request and failed.
-struct EngineFailure {
-    head: ResponseHead,
-    body: Vec<u8>,
-}
-
 /// What the attempts so far have left for the final answer.
 struct Progress {
     attempts: AttemptLedger,
@@ -150,8 +145,7 @@
             let instance = chosen.instance.clone();
             let end = self.attempt(chosen).await?;
             if let AttemptEnd::Done { after, outcome } = end {
-                self.record
-                    .finish(&self.gateway, &self.received, outcome, "");
+                self.finish(outcome, "");
                 return Ok(after);
             }
             if !self.may_go_on(end, instance) {
@@ -229,49 +223,30 @@
 
     /// The final answer of a request that no engine has answered.
     async fn give_up(&mut self) -> io::Result<AfterAnswer> {
-        let reason = std::mem::take(&mut self.progress.reason);
         // What did not run is given back before the caller may come back for it.
         self.received.admission.reservation = None;
+        let reason = self.progress.reason.clone();
         if self.answer.has_started() {
-            let outcome = "broken_off";
-            self.record
-                .finish(&self.gateway, &self.received, outcome, &reason);
+            self.finish("broken_off", &reason);
             return Ok(AfterAnswer::Abort);
         }
-        if let Some(failure) = self.progress.engine_failure.take() {
-            let outcome = "engine_failure";
-            self.record
-                .finish(&self.gateway, &self.received, outcome, &reason);
-            return self.answer.whole(failure.head, &failure.body).await;
+        let retry_after_ms = self.gateway.settings().attempts.retry_after_ms;
+        let last = FinalAnswer::of(&mut self.progress, retry_after_ms);
+        self.finish(last.outcome(), &reason);
+        let id = Some(self.received.request.id.as_str());
+        match last {
+            FinalAnswer::EngineFailure(failure) => {
+                self.answer.whole(failure.head, &failure.body).await
+            }
+            FinalAnswer::Refusal(refusal) => {
+                refuse(&self.gateway, &mut self.answer, &refusal, id).await
+            }
         }
-        let refusal = self.refusal(reason);
-        let outcome = match refusal.kind {
-            RefusalKind::NotRun => "refused",
-            RefusalKind::TimedOut => "timed_out",
-            _ => "engine_lost",
-        };
-        self.record
-            .finish(&self.gateway, &self.received, outcome, &refusal.reason);
-        refuse(
-            &self.gateway,
-            &mut self.answer,
-            &refusal,
-            Some(&self.received.request.id),
-        )
-        .await
     }
 
-    fn refusal(&self, reason: String) -> Refusal {
-        if self.progress.attempts.run_state() == RunState::NotRun {
-            let default_ms = self.gateway.settings().attempts.retry_after_ms;
-            let retry_after_ms = self.progress.retry_after_ms.unwrap_or(default_ms);
-            return Refusal::not_run(reason, retry_after_ms);
-        }
-        let kind = match self.progress.time_is_up {
-            true => RefusalKind::TimedOut,
-            false => RefusalKind::EngineFailed,
-        };
-        Refusal::new(kind, reason)
+    fn finish(&mut self, outcome: &'static str, reason: &str) {
+        self.record
+            .finish(&self.gateway, &self.received, outcome, reason);
     }
 }
 
--- a/crates/gateway/src/forward/whole.rs
+++ b/crates/gateway/src/forward/whole.rs
@@ -8,6 +8,7 @@
 use crate::engine_connection::{EngineAnswer, FailureReason};
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_policy::attempt::promises_not_run;
 use std::io;
 use std::pin::pin;
 
@@ -57,7 +58,9 @@
     ) -> io::Result<AttemptEnd> {
         match self.read_held(&mut answer, None).await {
             ReadEnd::Whole(body) | ReadEnd::TooLarge(body) => {
-                let is_engines_fault = answer.head.status >= 500;
+                // A status that promises "not run" is no answer of an engine that ran it.
+                let is_engines_fault =
+                    answer.head.status >= 500 || promises_not_run(answer.head.status);
                 in_flight.note(match is_engines_fault {
                     true => Outcome::Failed,
                     false => Outcome::Answered,
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -128,6 +128,28 @@
     });
 }
 
+/// A sending that was lost on a kept connection counts, though the engine refused the
+/// next one.
+#[test]
+fn what_may_have_run_on_a_kept_connection_is_not_given_back() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::KeepConnection).await;
+        let fixture = fixture(limited(1.0, 1.0), &[&app]).await;
+        assert_eq!(
+            fixture.send(&request_of("safe.test", 1)).await.status(),
+            200
+        );
+        app.set(Behaviour::CloseKeptThenRefuse);
+        while standing(&fixture.gateway).allowance.available < 1.0 {
+            smol::future::yield_now().await;
+        }
+        fixture.send(&request_of("safe.test", 60_000)).await;
+        assert_eq!(app.arrivals(), 3);
+        let owed = -standing(&fixture.gateway).allowance.available;
+        assert!((owed - 60_000.0).abs() < 20.0, "{owed}");
+    });
+}
+
 fn use_report(sender: u64, sequence: u64, admitted: u64) -> UseReport {
     UseReport {
         sender: PeerId(sender),
--- a/crates/gateway/tests/requests/main.rs
+++ b/crates/gateway/tests/requests/main.rs
@@ -3,6 +3,7 @@
 mod app_engine;
 mod kept_prompts;
 mod meanings;
+mod not_run;
 mod repeats;
 mod start;
 mod streams;
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -38,17 +38,25 @@
             return;
         }
         Behaviour::Reset => return,
-        Behaviour::Refuse => {
+        Behaviour::Refuse | Behaviour::CloseKeptThenRefuse => {
             head.status = 503;
             head.headers.push(site::NOT_RUN, "1");
         }
+        Behaviour::RefuseAnother => {
+            head.status = 503;
+            head.headers.set(site::ID, "another");
+            head.headers.push(site::NOT_RUN, "1");
+        }
         Behaviour::IsAnother => {
             head.status = 421;
             head.headers.push(site::NOT_RUN, "1");
             head.headers.push(site::INSTANCE, "another-1");
         }
-        Behaviour::Fail => {
-            head.status = 500;
+        Behaviour::Fail | Behaviour::FailWith(_) => {
+            head.status = match behaviour {
+                Behaviour::FailWith(status) => status,
+                _ => 500,
+            };
             head.headers.push(site::SIGNED, "1");
         }
         Behaviour::WrongId => {
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -54,6 +54,9 @@
         // Decided before the request is told of: whoever hears of it may set another one.
         let answers = shared.behaviour.lock().expect("behaviour").clone();
         note(&shared, &head, body);
+        if requests > 1 && answers == Behaviour::CloseKeptThenRefuse {
+            return;
+        }
         respond(&shared, answers.clone(), &mut connection, &head).await;
         match behaviour {
             Behaviour::KeepConnection | Behaviour::ForgetConnection => {}
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -28,6 +28,12 @@
     IsAnother,
     /// Runs it and fails.
     Fail,
+    /// Runs it and fails with this status.
+    FailWith(u16),
+    /// Says that another request was not run.
+    RefuseAnother,
+    /// Reads a second request on a connection and closes; refuses on a new one.
+    CloseKeptThenRefuse,
     /// Resets the connection after the request was read.
     Reset,
     /// Says nothing until the caller is gone.
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -110,6 +110,11 @@
 
     fn answer_meaning(&self, request_id: &str, head: &ResponseHead) -> AnswerMeaning {
         let headers = &head.headers;
+        if headers.get(ID).is_some_and(|id| id != request_id) {
+            return AnswerMeaning::Foreign {
+                reason: "another request's",
+            };
+        }
         if headers.get(NOT_RUN).is_some() {
             return AnswerMeaning::Refused(RefusedByEngine {
                 status: head.status,
@@ -118,10 +123,8 @@
                 ..RefusedByEngine::default()
             });
         }
-        if headers.get(ID) != Some(request_id) {
-            return AnswerMeaning::Foreign {
-                reason: "another request's",
-            };
+        if headers.get(ID).is_none() {
+            return AnswerMeaning::Foreign { reason: "nobody's" };
         }
         if !head.is_success() {
             return AnswerMeaning::Failure;
--- a/crates/node/src/callers/relay/mod.rs
+++ b/crates/node/src/callers/relay/mod.rs
@@ -35,7 +35,7 @@
 use ploverlift_cluster::core::LOOKUP_TIMEOUT_MS;
 use ploverlift_cluster::router::{chains_of, ChosenEngine, RoutedRequest, VersionedChains};
 use ploverlift_policy::admission::admit_by_deadline;
-use ploverlift_policy::attempt::AttemptState;
+use ploverlift_policy::attempt::{AttemptState, RunState};
 use ploverlift_policy::directory::PrefixMatch;
 use ploverlift_policy::fleet::EngineKey;
 use ploverlift_policy::ids::Millis;
@@ -85,7 +85,10 @@
     smol::spawn(relay.run()).detach();
     let lost = || {
         let message = "the request was dropped inside the router";
-        ErrorReply::rejected(Status::InternalServerError, "internal", message)
+        let mut reply = ErrorReply::rejected(Status::InternalServerError, "internal", message);
+        // The relay ended without a word: it may have sent the request.
+        reply.body.run_state = RunState::Unknown;
+        reply
     };
     let answer = started.recv().await;
     answer.unwrap_or_else(|_| CallerAnswer::Refused(lost()))
--- a/crates/node/src/callers/reply.rs
+++ b/crates/node/src/callers/reply.rs
@@ -1,6 +1,6 @@
 //! Answers in JSON and typed refusals.
 
-use ploverlift_policy::attempt::RunState;
+use ploverlift_policy::attempt::{promises_not_run, RunState};
 use ploverlift_policy::request::{Refusal, RefusalReason};
 use serde::Serialize;
 use trillium::{Conn, KnownHeaderName, Status};
@@ -71,8 +71,13 @@
 impl From<Refusal> for ErrorReply {
     fn from(refusal: Refusal) -> Self {
         let (status, kind, message) = describe(refusal.reason);
+        let is_true = refusal.run_state == RunState::NotRun || !promises_not_run(status as u16);
         Self {
-            status,
+            status: match is_true {
+                true => status,
+                // Callers that read the status alone must not take it for "not run".
+                false => Status::BadGateway,
+            },
             body: ErrorBody {
                 error: ErrorDetail {
                     r#type: kind,
--- a/crates/node/src/engines/client.rs
+++ b/crates/node/src/engines/client.rs
@@ -13,7 +13,7 @@
 
 use crate::engines::body::{read_head, AnswerHead, EngineBody};
 use ploverlift_policy::admission::ComeBack;
-use ploverlift_policy::attempt::AttemptState;
+use ploverlift_policy::attempt::{promises_not_run, AttemptState};
 use ploverlift_policy::ids::{Incarnation, RequestId, WeightsVersion};
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -165,6 +165,15 @@
                 reason: "the answer is not that of this request".to_owned(),
             });
         }
+        if promises_not_run(head.status) {
+            // The engine ran it, so its status must not reach the caller.
+            return Err(CallFailure {
+                state: AttemptState::Answered,
+                come_back: None,
+                correction: None,
+                reason: format!("failed with status {status}"),
+            });
+        }
         let content_type = head.header("content-type");
         Ok(EngineAnswer {
             status,
--- a/crates/node/tests/attempt_states.rs
+++ b/crates/node/tests/attempt_states.rs
@@ -2,9 +2,12 @@
 //! records what it read: "not run" may be said only when it read nothing.
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ploverlift_node::callers::reply::ErrorReply;
 use ploverlift_node::engines::client::{EngineCall, EngineGeneration};
-use ploverlift_policy::attempt::{AttemptState, RunState};
+use ploverlift_policy::admission::ComeBack;
+use ploverlift_policy::attempt::{promises_not_run, AttemptState, RunState};
 use ploverlift_policy::ids::{Incarnation, RequestId, WeightsVersion};
+use ploverlift_policy::request::{Refusal, RefusalReason};
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -148,3 +151,45 @@
     let silent = answered("503 Service Unavailable", "");
     assert_eq!(silent, Err((AttemptState::MaybeSent, false)));
 }
+
+#[test]
+fn an_engine_that_ran_a_request_is_not_heard_when_its_status_promises_the_contrary() {
+    for status in ["408 Request Timeout", "429 Too Many Requests", "503 Busy"] {
+        let failed = answered(status, "x-request-id: own\r\n");
+        assert_eq!(failed, Err((AttemptState::Answered, false)), "{status}");
+    }
+    let failed = answered("500 Internal Server Error", "x-request-id: own\r\n");
+    assert_eq!(failed, Ok(500));
+}
+
+/// Every refusal, for each thing that may be known of the request's run.
+#[test]
+fn a_refusal_promises_that_a_request_has_not_run_only_when_that_is_known() {
+    for reason in [
+        RefusalReason::NoEngine,
+        RefusalReason::Duplicate,
+        RefusalReason::KeyReused,
+        RefusalReason::ClaimUnavailable,
+        RefusalReason::Overloaded,
+        RefusalReason::AttemptsFailed,
+        RefusalReason::Deadline,
+        RefusalReason::StreamLost,
+    ] {
+        for run_state in [RunState::Unknown, RunState::Started] {
+            let reply = ErrorReply::from(Refusal {
+                reason,
+                run_state,
+                come_back: ComeBack::after(1_000),
+            });
+            let status = reply.status as u16;
+            assert!(!promises_not_run(status), "{reason:?}: {status}");
+            assert_eq!(reply.body.run_state, run_state);
+        }
+    }
+    let refusal = Refusal {
+        reason: RefusalReason::AttemptsFailed,
+        run_state: RunState::NotRun,
+        come_back: ComeBack::after(1_000),
+    };
+    assert_eq!(ErrorReply::from(refusal).status as u16, 503);
+}
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -27,6 +27,12 @@
     Started,
 }
 
+/// Whether an answer with this HTTP status tells a caller that its request has not run
+/// and never will, whoever gave it. Callers send such requests again.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 impl AttemptState {
     /// What may truthfully be said of a request whose only attempt ended so.
     pub fn run_state(self) -> RunState {
