--- a/crates/gateway/tests/relays/followed_relays.rs
+++ b/crates/gateway/tests/relays/followed_relays.rs
@@ -95,6 +95,20 @@
     assert!(followed.next_changes(&told).is_empty());
 }
 
+/// What its former life had told does not become newer by what the present one knows.
+#[test]
+fn another_life_of_a_relay_does_not_vouch_for_what_its_former_life_told() {
+    let mut followed = follower();
+    let mut restarted = relay_report(1, 0, Vec::new());
+    restarted.loads.life = 4;
+    for passed_ms in [100, 400, 800] {
+        let now = NOW.plus(passed_ms);
+        followed.hear(&restarted, address(9), Some(now), now);
+    }
+    // Time enough to ask it for everything has passed.
+    assert!(!followed.is_current(LIMIT_MS, NOW.plus(800)));
+}
+
 #[test]
 fn a_newer_configuration_of_a_relay_is_asked_for() {
     let mut followed = follower();
