Silence of the store counts from the first call without an answer; an older word renews nothing

Found by a property over words in any order: a leaving word with a lower number lowered the number that was known.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -127,6 +127,11 @@
             self.begin_life();
             return;
         }
+        if known.word.born_ms == self.record.word.born_ms {
+            // An older word that it leaves makes the words between no newer.
+            let sequence = &mut self.record.word.sequence;
+            *sequence = known.word.sequence.max(*sequence);
+        }
         for (model, version) in known.weights {
             let entry = self.record.weights.entry(model).or_insert(version);
             *entry = version.max(*entry);
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -54,6 +54,7 @@
         let answer_timeout_ms = self.answer_time.map_or(usual_ms, |time| time.wait_ms());
         let timeout_ms = answer_timeout_ms + wait_ms;
         let began = self.gateway.clock.now();
+        self.gateway.beliefs().store_outage.note_asked(began);
         let (head, body) = self.gateway.site.store_message(call);
         self.gateway.metrics.count_store_call(call);
         let answered = self.connection.call(head, &body, timeout_ms).await;
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -7,7 +7,7 @@
 //! A call may fail for a reason of this node's own, as when its link is full. So a
 //! failure alone does not show that records may have lapsed: an engine's record lapses
 //! only when the store took none of its heartbeats for a time, and through that time it
-//! answered nobody here either.
+//! answered no call of this node either.
 
 use crate::ports::StoreError;
 use crate::settings::GatewaySettings;
@@ -28,7 +28,8 @@
 pub struct StoreOutage {
     failed_at: Option<Millis>,
     returned_at: Option<Millis>,
-    answered_at: Option<Millis>,
+    /// When the first call after the last answer began.
+    asked_at: Option<Millis>,
     /// When the store answered again after a silence in which records may have lapsed.
     lapses_ended_at: Option<Millis>,
     /// Shortest silence of the store in which records may lapse, in milliseconds.
@@ -42,12 +43,12 @@
 pub enum OutageNews {
     /// The first failure after an answer.
     Began {
-        /// Time since the last answer, in milliseconds.
+        /// Time for which calls have had no answer, in milliseconds.
         silence_ms: Option<u64>,
     },
     /// The first answer after a failure.
     Ended {
-        /// Time between the two answers, in milliseconds.
+        /// Time for which calls had no answer, in milliseconds.
         silence_ms: Option<u64>,
         /// Whether records may have lapsed meanwhile.
         may_have_lapsed: bool,
@@ -59,7 +60,7 @@
         Self {
             failed_at: None,
             returned_at: None,
-            answered_at: None,
+            asked_at: None,
             lapses_ended_at: None,
             shortest_silence_ms: 0,
             kept_ms: BACK_WITHIN_MS,
@@ -78,16 +79,21 @@
         }
     }
 
+    /// A call of the store begins. A node that makes none for a time shows no silence.
+    pub fn note_asked(&mut self, now: Millis) {
+        self.asked_at.get_or_insert(now);
+    }
+
     /// A call of the store ended; tells what is news.
     pub fn note<T>(&mut self, outcome: &Result<T, StoreError>, now: Millis) -> Option<OutageNews> {
         let was_away = self.is_away();
-        let silence_ms = self.answered_at.map(|at| now.since(at));
+        let silence_ms = self.asked_at.map(|at| now.since(at));
         if is_failure(outcome) {
             self.failed_at = Some(now);
             return (!was_away).then_some(OutageNews::Began { silence_ms });
         }
         let may_have_lapsed = was_away && self.is_long_silence(now);
-        self.answered_at = Some(now);
+        self.asked_at = None;
         if !was_away {
             return None;
         }
@@ -117,11 +123,8 @@
     }
 
     fn is_long_silence(&self, now: Millis) -> bool {
-        match self.answered_at {
-            Some(at) => now.since(at) >= self.shortest_silence_ms,
-            // A node that had no answer yet knew of no record that could have lapsed.
-            None => self.shortest_silence_ms == 0,
-        }
+        let silence_ms = self.asked_at.map_or(0, |at| now.since(at));
+        silence_ms >= self.shortest_silence_ms
     }
 
     /// Time that is left to engines whose records lapsed, in milliseconds; none where no
--- a/crates/gateway/tests/relays/followed_relays.rs
+++ b/crates/gateway/tests/relays/followed_relays.rs
@@ -116,3 +116,26 @@
     let lacking = followed.lacking(Some(3), LIMIT_MS, NOW);
     assert!(lacking.is_some_and(|lacking| !lacking.wants_engines));
 }
+
+#[test]
+fn a_relay_vouches_only_for_a_node_that_has_all_its_changes() {
+    let mut followed = follower();
+    let known_at = followed.proven_at();
+    assert!(known_at.is_some());
+    // The third change is missing here; another report overtakes the one that tells it.
+    let later = NOW.plus(500);
+    let fourth = relay_report(2, 3, vec![engine_change("e", 4, false)]);
+    followed.hear(&fourth, address(9), Some(later), later);
+    assert_eq!(followed.proven_at(), None);
+    followed.hear(
+        &relay_report(1, 2, Vec::new()),
+        address(9),
+        Some(later),
+        later,
+    );
+    assert_eq!(followed.proven_at(), None);
+    assert!(followed.newest_proof() > known_at);
+    let both = vec![engine_change("e", 3, false), engine_change("e", 4, false)];
+    assert_eq!(followed.next_changes(&relay_report(3, 2, both)).len(), 2);
+    assert_eq!(followed.proven_at(), followed.newest_proof());
+}
--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -5,11 +5,13 @@
 
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_gateway::ports::{StoreError, StoreKind, StoreObject, WatchEvent};
+use ploverlift_gateway::settings::GatewaySettings;
 use ploverlift_gateway::store::answer_time::AnswerTime;
-use ploverlift_gateway::store::outage::StoreOutage;
+use ploverlift_gateway::store::outage::{OutageNews, StoreOutage};
 use ploverlift_gateway::store::{take_engine, StoreClient};
 use ploverlift_policy::ids::Millis;
 use serde_json::json;
+use std::path::Path;
 use support::caller::{self, request};
 use support::engine::{Behaviour, StandInEngine};
 use support::store::{StandInStore, StoreFault};
@@ -334,3 +336,79 @@
         assert_eq!(fixture.gateway.beliefs().engines.len(), 1);
     });
 }
+
+/// Engines write every 1.2 s; knowledge of them may be 1.3 s old.
+fn outage_where_engines_write() -> StoreOutage {
+    let text = "[node]\nname = \"n\"\nzone = \"z\"\n\
+                [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\n\
+                [store]\naddress = \"127.0.0.1:1\"\nengine_heartbeat_ms = 1200\n";
+    let settings = GatewaySettings::parse(text, Path::new("test.toml")).expect("settings");
+    StoreOutage::new(&settings, 1_300)
+}
+
+#[test]
+fn a_call_that_failed_between_answers_shows_no_outage_in_which_records_lapse() {
+    let failed: Result<(), StoreError> = Err(StoreError::Unreachable {
+        reason: "timed out".to_owned(),
+    });
+    let mut outage = outage_where_engines_write();
+    // A follower asks after a long time in which it was told, and its first call fails.
+    outage.note_asked(Millis(60_000));
+    outage.note(&failed, Millis(61_000));
+    assert_eq!(outage.time_to_come_back_ms(Millis(61_001)), 0);
+    outage.note(&Ok(()), Millis(61_200));
+    assert_eq!(outage.time_to_come_back_ms(Millis(61_200)), 0);
+    // Two heartbeats that the store did not take leave a record that may lapse.
+    outage.note_asked(Millis(61_200));
+    outage.note(&failed, Millis(62_000));
+    outage.note_asked(Millis(62_500));
+    outage.note(&Ok(()), Millis(63_599));
+    assert_eq!(outage.time_to_come_back_ms(Millis(63_599)), 0);
+}
+
+#[test]
+fn records_that_may_have_lapsed_are_kept_no_longer_than_knowledge_may_be_old() {
+    let failed: Result<(), StoreError> = Err(StoreError::Refused { status: 503 });
+    let mut outage = outage_where_engines_write();
+    outage.note_asked(Millis(1_000));
+    outage.note(&failed, Millis(1_100));
+    let ended = outage.note(&Ok(()), Millis(3_400));
+    let expected = OutageNews::Ended {
+        silence_ms: Some(2_400),
+        may_have_lapsed: true,
+    };
+    assert_eq!(ended, Some(expected));
+    assert_eq!(outage.time_to_come_back_ms(Millis(3_400)), 1_300);
+    // Another failure in that time, of this node's own, neither ends nor renews it.
+    outage.note_asked(Millis(3_450));
+    outage.note(&failed, Millis(3_500));
+    outage.note(&Ok(()), Millis(3_600));
+    assert_eq!(outage.time_to_come_back_ms(Millis(3_700)), 1_000);
+    assert_eq!(outage.time_to_come_back_ms(Millis(4_700)), 0);
+}
+
+/// Another writer may spoil an entry. It names no engine to use, and the others hold.
+#[test]
+fn a_record_that_cannot_be_read_takes_no_engine_away_and_hides_no_other() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        fixture
+            .store
+            .put("Engines", "app-1", json!({"spoilt": true}));
+        fixture
+            .store
+            .put("Engines", "app-0", json!({"spoilt": true}));
+        // A list follows, and then the word of another engine.
+        fixture.store.forget_history();
+        fixture.store.put("Engines", "app-2", app.record());
+        let knows = |name: &str| {
+            let instance = InstanceId(name.to_owned());
+            fixture.gateway.beliefs().engines.get(&instance).is_some()
+        };
+        while !knows("app-2") {
+            assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 200);
+        }
+        assert!(knows("app-1") && !knows("app-0"));
+    });
+}
--- a/crates/gateway/tests/support/site/documents.rs
+++ b/crates/gateway/tests/support/site/documents.rs
@@ -49,6 +49,12 @@
 
     fn engine(&self, object: &StoreObject) -> Result<EngineRecord, InvalidDocument> {
         let body = &object.content;
+        if body["spoilt"].as_bool() == Some(true) {
+            return Err(InvalidDocument {
+                document: object.name.clone(),
+                reason: "it is spoilt".to_owned(),
+            });
+        }
         let weights = body["weights"].as_u64();
         Ok(EngineRecord {
             instance: InstanceId(object.name.clone()),
