--- a/crates/gateway/src/engines_proof.rs
+++ b/crates/gateway/src/engines_proof.rs
@@ -26,7 +26,8 @@
 /// Age beyond which nothing should be sent on knowledge of the engines, in milliseconds.
 fn longest_reliance_ms(settings: &GatewaySettings) -> u64 {
     let bound_ms = settings.bounds.leaving_engine_ms;
-    bound_ms.saturating_sub(SENDING_MS).max(bound_ms / 2)
+    let limit_ms = engines_age_limit_ms(settings);
+    bound_ms.saturating_sub(SENDING_MS).max(limit_ms)
 }
 
 /// Who told this node of the engines last.
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -56,6 +56,11 @@
 /// milliseconds; after it the watch is taken to hear nothing.
 const MISSED_AFTER_MS: u64 = 300;
 
+/// Time beyond its wait after which a watch of the engines is given up for a list, in
+/// milliseconds: a slow store answers within it. With the age of the engines that a
+/// watch leaves, this stays under a bound of 2 s on leaving engines less the sending.
+const ENGINES_OVERDUE_MS: u64 = 250;
+
 /// The revision of a list of a kind that the store does not have.
 pub(crate) const EVERY_REVISION: u64 = u64::MAX;
 
@@ -68,7 +73,8 @@
     Told,
     /// An engine came that may belong to an order that is not known.
     OrderLacking,
-    /// Named weights came to be known otherwise, and not by this watch.
+    /// Named weights came to be known otherwise, and not by this watch; or it did not
+    /// end when it should have.
     Missed,
 }
 
@@ -266,7 +272,15 @@
             sleep(MISSED_AFTER_MS).await;
             Ok(WatchEnd::Missed)
         };
+        let overdue = async {
+            if self.kind != StoreKind::Engines {
+                std::future::pending::<()>().await;
+            }
+            sleep(wait_ms + ENGINES_OVERDUE_MS).await;
+            Ok(WatchEnd::Missed)
+        };
         let abandoning = futures_lite::future::or(abandoning, lacking);
+        let abandoning = futures_lite::future::or(abandoning, overdue);
         let abandoning = futures_lite::future::or(abandoning, missed);
         futures_lite::future::or(watching, abandoning).await
     }
--- a/crates/gateway/tests/leaving_engines.rs
+++ b/crates/gateway/tests/leaving_engines.rs
@@ -13,15 +13,22 @@
 mod support;
 
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::engines_proof::{reliance, Reliance};
+use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::roles::Role;
-use ploverlift_gateway::ports::StoreError;
+use ploverlift_gateway::ports::{StoreError, StoreObject, WatchEvent};
+use ploverlift_gateway::store::take_engine;
+use ploverlift_gateway::time::sleep;
 use serde_json::json;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::engine::{Behaviour, StandInEngine};
+use support::fleet::empty_relay_report;
 use support::fleet::{list_silent_nodes, role_of, start_peer_with, wait_until};
-use support::store::StandInStore;
-use support::{caller, configuration, start_node};
+use support::site::StandInSite;
+use support::store::{StandInStore, StoreFault};
+use support::{caller, configuration, settings, start_node};
 
 /// The site: how often engines write their records, and the bound on leaving engines.
 const SITE: &str = "engine_heartbeat_ms = 1200\n[bounds]\nleaving_engine_ms = 3000\n";
@@ -117,3 +124,123 @@
         assert_eq!((answer.status(), app.arrivals()), (503, 0));
     });
 }
+
+/// The site's bound where a test waits until knowledge of the engines is too old.
+const BRIEF_BOUND_MS: u64 = 1_300;
+
+/// A node that knows one engine, and whose calls get no answer any more until long after
+/// what it knows is too old.
+async fn node_that_hears_nothing(app: &StandInEngine) -> (StandInStore, RunningGateway) {
+    let store = StandInStore::start().await;
+    store.put("Configuration", "main", configuration(1));
+    store.put("Engines", "app-1", app.record());
+    let bounds = format!("[bounds]\nleaving_engine_ms = {BRIEF_BOUND_MS}\n");
+    let mut settings = settings(&store, "node", &bounds);
+    settings.store.timeout_ms = 60_000;
+    let node = start(settings, Arc::new(StandInSite), silent_logger()).expect("start");
+    while caller::get_status(node.readiness).await != 200 {}
+    store.set_fault(StoreFault::Silent);
+    let is_recent = |node: &RunningGateway| {
+        let now = node.gateway.clock.now();
+        reliance(&node.gateway, now) == Reliance::Recent
+    };
+    wait_until(&node, |node| !is_recent(node)).await;
+    (store, node)
+}
+
+/// The node learns that its engine leaves.
+fn tell_leaving(node: &RunningGateway, app: &StandInEngine) {
+    let mut record = app.record();
+    record["leaving"] = json!(true);
+    let event = WatchEvent {
+        object: StoreObject {
+            name: "app-1".to_owned(),
+            revision: 1_000,
+            is_deleting: false,
+            content: record,
+            status: None,
+        },
+        is_gone: false,
+    };
+    take_engine(&node.gateway, &event);
+    let now = node.gateway.clock.now();
+    node.gateway.beliefs().engines_proof.read(now, now);
+    node.gateway.site_learned.notify(usize::MAX);
+}
+
+#[test]
+fn a_request_waits_for_the_answer_that_tells_which_engines_leave() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let (_store, node) = node_that_hears_nothing(&app).await;
+        let sent = caller::request("safe.test", "r");
+        let sending = caller::send(node.callers, &sent);
+        let learning = async {
+            sleep(40).await;
+            assert_eq!(app.arrivals(), 0);
+            tell_leaving(&node, &app);
+        };
+        let (answer, ()) = futures_lite::future::zip(sending, learning).await;
+        assert_eq!((answer.status(), app.arrivals()), (503, 0));
+        assert_eq!(node.gateway.metrics.held_requests.get(), 1);
+    });
+}
+
+#[test]
+fn a_request_goes_on_after_a_short_wait_where_nobody_knows_more() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let (_store, node) = node_that_hears_nothing(&app).await;
+        let answer = caller::send(node.callers, &caller::request("safe.test", "r1")).await;
+        assert_eq!((answer.status(), app.arrivals()), (200, 1));
+        assert_eq!(node.gateway.metrics.held_requests.get(), 1);
+        // A call failed: the store is away, and nothing is waited for.
+        fail_a_call(&node);
+        let answer = caller::send(node.callers, &caller::request("safe.test", "r2")).await;
+        assert_eq!((answer.status(), app.arrivals()), (200, 2));
+        assert_eq!(node.gateway.metrics.held_requests.get(), 1);
+    });
+}
+
+#[test]
+fn a_node_that_lacks_what_a_relay_knows_sends_nothing() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let (_store, node) = node_that_hears_nothing(&app).await;
+        // Its own calls fail, but the store serves a relay.
+        fail_a_call(&node);
+        let now = node.gateway.clock.now();
+        let mut report = empty_relay_report();
+        report.engines_age_ms = Some(0);
+        let relay = "127.0.0.1:9".parse().expect("an address");
+        node.gateway
+            .beliefs()
+            .followed
+            .hear(&report, relay, Some(now), now);
+        let answer = caller::send(node.callers, &caller::request("safe.test", "r")).await;
+        assert_eq!((answer.status(), app.arrivals()), (503, 0));
+    });
+}
+
+#[test]
+fn nothing_is_sent_to_an_engine_that_left_while_a_connection_came_about() {
+    smol::block_on(async {
+        let mut app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        store.put("Engines", "app-1", app.record());
+        let patience = "[attempts]\nconnect_timeout_ms = 60000\n";
+        let node = start_node(&store, "node", patience);
+        while caller::get_status(node.readiness).await != 200 {}
+        app.lose_power().await;
+        let sent = caller::request("safe.test", "r");
+        let sending = caller::send(node.callers, &sent);
+        let leaving = async {
+            sleep(100).await;
+            tell_leaving(&node, &app);
+            app.regain_power();
+        };
+        let (answer, ()) = futures_lite::future::zip(sending, leaving).await;
+        assert_eq!((answer.status(), app.arrivals()), (503, 0));
+    });
+}
--- a/crates/gateway/tests/relays/reports.rs
+++ b/crates/gateway/tests/relays/reports.rs
@@ -1,9 +1,7 @@
 //! Reports of a relay.
 
+use crate::support::fleet::empty_relay_report;
 use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
-use ploverlift_balancing::peer_loads::PeerId;
-use ploverlift_balancing::relayed_loads::RelayedReport;
-use ploverlift_balancing::weights::WeightsNews;
 use ploverlift_gateway::peers::relay_messages::{EngineChange, RelayReport};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
@@ -40,29 +38,15 @@
 
 /// A report of the relay with the port 9 that has told `through` changes.
 pub fn relay_report(sequence: u64, after: u64, changes: Vec<EngineChange>) -> RelayReport {
-    RelayReport {
-        loads: RelayedReport {
-            sender: PeerId(9),
-            life: 3,
-            sequence,
-            loads: Vec::new(),
-            loading: Vec::new(),
-            members: Vec::new(),
-            zones: Vec::new(),
-        },
-        placements: Vec::new(),
-        loaded: Vec::new(),
-        lease_revision: None,
+    let mut report = RelayReport {
         configuration: Some(4),
         proof_age_ms: Some(0),
         engines_age_ms: Some(0),
-        weights: WeightsNews::default(),
         changes_after: after,
         changes_through: after + changes.len() as u64,
         changes,
-        included: None,
-        rollouts: None,
-        stores: Vec::new(),
-        lost: Vec::new(),
-    }
+        ..empty_relay_report()
+    };
+    report.loads.sequence = sequence;
+    report
 }
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -124,13 +124,7 @@
             notes: Mutex::default(),
             seen,
         });
-        let serving = Arc::clone(&shared);
-        let accepted = Arc::clone(&listener);
-        let accepting = smol::spawn(async move {
-            while let Ok((stream, _)) = accepted.accept().await {
-                smol::spawn(serve(Arc::clone(&serving), stream)).detach();
-            }
-        });
+        let accepting = accept(&shared, &listener);
         Self {
             instance: instance.to_owned(),
             service: service.to_owned(),
@@ -157,6 +151,13 @@
         }
     }
 
+    /// Its machine has power again: connections that wait are taken.
+    pub fn regain_power(&mut self) {
+        SockRef::from(&*self.listener).listen(128).expect("listen");
+        self.fillers.clear();
+        self.accepting = Some(accept(&self.shared, &self.listener));
+    }
+
     /// The same with a version of its software.
     pub async fn of_software(instance: &str, service: &str, software: &str) -> Self {
         let engine = Self::start(instance, service, Behaviour::Answer).await;
@@ -235,6 +236,15 @@
     }
 }
 
+fn accept(shared: &Arc<Shared>, listener: &Arc<TcpListener>) -> smol::Task<()> {
+    let (serving, accepted) = (Arc::clone(shared), Arc::clone(listener));
+    smol::spawn(async move {
+        while let Ok((stream, _)) = accepted.accept().await {
+            smol::spawn(serve(Arc::clone(&serving), stream)).detach();
+        }
+    })
+}
+
 /// One event as the engine sends it.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -4,10 +4,13 @@
 use super::store::StandInStore;
 use super::{caller, settings};
 use ploverlift_balancing::peer_loads::{LoadReport, PeerId, ZoneTag};
+use ploverlift_balancing::relayed_loads::RelayedReport;
+use ploverlift_balancing::weights::WeightsNews;
 use ploverlift_gateway::assembly::{start, RunningGateway};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::MESH_NODES;
 use ploverlift_gateway::peers::messages::PeerReport;
+use ploverlift_gateway::peers::relay_messages::RelayReport;
 use ploverlift_gateway::peers::roles::{role, Role};
 use ploverlift_gateway::peers::rollout_messages::RolloutReport;
 use serde_json::json;
@@ -73,3 +76,32 @@
         rollouts: RolloutReport::default(),
     }
 }
+
+/// A report of a relay that has nothing to tell.
+pub fn empty_relay_report() -> RelayReport {
+    RelayReport {
+        loads: RelayedReport {
+            sender: PeerId(9),
+            life: 3,
+            sequence: 1,
+            loads: Vec::new(),
+            loading: Vec::new(),
+            members: Vec::new(),
+            zones: Vec::new(),
+        },
+        placements: Vec::new(),
+        loaded: Vec::new(),
+        lease_revision: None,
+        configuration: None,
+        proof_age_ms: None,
+        engines_age_ms: None,
+        weights: WeightsNews::default(),
+        changes_after: 0,
+        changes_through: 0,
+        changes: Vec::new(),
+        included: None,
+        rollouts: None,
+        stores: Vec::new(),
+        lost: Vec::new(),
+    }
+}
