--- a/crates/gateway/src/engine_news.rs
+++ b/crates/gateway/src/engine_news.rs
@@ -39,6 +39,11 @@
             "revision" => change.revision);
         return;
     };
+    // Those who are told log what keeps requests off an engine; the rest stands in the
+    // logs of the relays.
+    if from != NewsFrom::Store && !record.is_leaving {
+        return;
+    }
     slog::info!(gateway.log, "engine changed";
         "engine" => &change.instance.0,
         "from" => from.name(),
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -30,12 +30,10 @@
 use ploverlift_wire::peers::StoredConfiguration;
 use std::sync::Arc;
 
-/// Pause between two changes of engines, in milliseconds: engines change in
-/// groups, and each answer of a watch is a call.
+/// Time between the sending of two watches of which the first told changes of engines, in
+/// milliseconds: engines change in groups, and each answer of a watch is a call. Counted
+/// from the sending, as the proof is: the pause makes it no older.
 const GATHER_MS: u64 = 800;
-/// The same for a relay, which few nodes are: with the watch before and the one after it
-/// what it tells stays under the age at which its followers would read by themselves.
-const RELAY_GATHER_MS: u64 = 300;
 /// How long a relay's watch of the engines waits, in milliseconds: its answer shows
 /// the nodes that follow the relay that nothing has changed.
 const RELAY_ENGINES_WATCH_MS: u64 = 700;
@@ -388,20 +386,13 @@
             gateway.metrics.engines.set(count as i64);
             revision = next;
             if has_events {
-                sleep(gather_ms(&gateway)).await;
+                let passed_ms = gateway.clock.now().since(sent);
+                sleep(GATHER_MS.saturating_sub(passed_ms)).await;
             }
         }
     }
 }
 
-/// Pause between two changes of engines, in milliseconds.
-fn gather_ms(gateway: &Gateway) -> u64 {
-    match role(gateway, gateway.clock.now()) {
-        Role::Relay => RELAY_GATHER_MS,
-        _ => GATHER_MS,
-    }
-}
-
 /// A call that was sent at `sent` told all changes of the engines up to a revision.
 fn note_engines_known(gateway: &Gateway, revision: u64, sent: Millis) {
     let now = gateway.clock.now();
