--- /dev/null
+++ b/crates/gateway/tests/engines_proof.rs
@@ -0,0 +1,143 @@
+//! How old knowledge of the engines is, what is told of it, and what a restart of an
+//! engine leaves of what was known.
+
+use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::peer_loads::{EngineTag, ModelTag};
+use ploverlift_balancing::prefix_holders::Placement;
+use ploverlift_gateway::beliefs::Beliefs;
+use ploverlift_gateway::engines_proof::{EnginesProof, EnginesSource};
+use ploverlift_policy::ids::{Millis, ZoneName};
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::prompt::PartKey;
+use ploverlift_routing::software::SoftwareVersion;
+
+const NOW: Millis = Millis(2_000_000);
+const BORN: u64 = 1_700_000_000_000;
+
+fn instance(name: &str) -> InstanceId {
+    InstanceId(name.to_owned())
+}
+
+fn record(name: &str, revision: u64, born_ms: u64) -> EngineRecord {
+    EngineRecord {
+        instance: instance(name),
+        revision,
+        word: EngineWord {
+            born_ms,
+            sequence: 1,
+        },
+        service: ServiceName::from("llm"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: ZoneName::from("z"),
+        software: SoftwareVersion::default(),
+        slots: 4,
+        cold_ms: 0,
+        is_leaving: false,
+        weights: [("m".to_owned(), 3)].into(),
+    }
+}
+
+#[test]
+fn what_is_kept_though_it_is_gone_ages_what_others_are_told() {
+    let mut proof = EnginesProof::default();
+    assert_eq!(proof.told_age_ms(NOW), None);
+    proof.read(NOW, NOW);
+    proof.keep(instance("e-1"), NOW.plus(100));
+    proof.keep(instance("e-1"), NOW.plus(300));
+    // Reading goes on; the engine stays one that is known to be gone.
+    proof.read(NOW.plus(900), NOW.plus(950));
+    assert!(proof.is_kept(&instance("e-1")));
+    assert_eq!(proof.told_age_ms(NOW.plus(1_000)), Some(900));
+    proof.stop_keeping(&instance("e-1"));
+    assert_eq!(proof.told_age_ms(NOW.plus(1_000)), Some(100));
+}
+
+#[test]
+fn the_last_word_counts_from_an_answer_or_as_of_what_a_relay_vouches_for() {
+    let mut proof = EnginesProof::default();
+    proof.read(NOW, NOW.plus(700));
+    let last = proof.last_heard().expect("a word");
+    assert_eq!(
+        (last.at, last.source),
+        (NOW.plus(700), EnginesSource::Store)
+    );
+    // Told later, and older.
+    proof.told(NOW.plus(600));
+    let last = proof.last_heard().expect("a word");
+    assert_eq!(
+        (last.at, last.source),
+        (NOW.plus(700), EnginesSource::Store)
+    );
+    proof.told(NOW.plus(800));
+    let last = proof.last_heard().expect("a word");
+    assert_eq!(
+        (last.at, last.source),
+        (NOW.plus(800), EnginesSource::Relay)
+    );
+    assert_eq!(proof.told_age_ms(NOW.plus(1_000)), Some(200));
+}
+
+#[test]
+fn a_relay_that_lags_behind_brings_back_no_engine_that_a_list_lacked() {
+    let mut beliefs = Beliefs::default();
+    beliefs.replace_engines(vec![record("e-1", 4, BORN)], 10, NOW);
+    // The relay's engines are those of an earlier revision.
+    let of_relay = vec![record("e-1", 4, BORN), record("e-2", 5, BORN)];
+    let news = beliefs.replace_engines(of_relay, 8, NOW);
+    assert!(news.is_empty());
+    assert!(beliefs.engines.get(&instance("e-2")).is_none());
+    // One that came since is news.
+    assert!(beliefs.upsert_engine(record("e-3", 11, BORN), NOW));
+}
+
+#[test]
+fn nothing_that_was_seen_of_a_former_life_outlives_it() {
+    let mut beliefs = Beliefs::default();
+    beliefs.upsert_engine(record("e-1", 4, BORN), NOW);
+    beliefs.upsert_engine(record("e-2", 5, BORN), NOW);
+    let part = PartKey(77);
+    for name in ["e-1", "e-2"] {
+        let engine = EngineTag::of(&instance(name));
+        let placement = Placement {
+            part,
+            engine,
+            is_kept: true,
+        };
+        beliefs.holders.note(placement, NOW);
+        beliefs.engine_caches.follow(engine);
+        beliefs.moves.begin(engine, 500.0, NOW);
+    }
+    beliefs.note_loaded(&instance("e-1"), "m", 9, NOW);
+    beliefs.loading.push(instance("e-1"));
+    assert!(beliefs.upsert_engine(record("e-1", 6, BORN + 5_000), NOW));
+    let (gone, other) = (
+        EngineTag::of(&instance("e-1")),
+        EngineTag::of(&instance("e-2")),
+    );
+    let holders: Vec<EngineTag> = beliefs.holders.holders_of(part, NOW).collect();
+    assert_eq!(holders, [other]);
+    assert!(beliefs.engine_caches.of(gone).is_none());
+    assert!(beliefs.engine_caches.of(other).is_some());
+    assert_eq!(beliefs.moves.wait_ms(gone, NOW), 0.0);
+    assert!(beliefs.loading.is_empty() && beliefs.loaded_lately(NOW).is_empty());
+    let engine = beliefs.engines.get(&instance("e-1")).expect("the engine");
+    assert_eq!(engine.weights_of("m"), 3);
+}
+
+#[test]
+fn an_engines_own_report_of_its_life_counts_before_its_record_comes() {
+    let mut beliefs = Beliefs::default();
+    beliefs.upsert_engine(record("e-1", 4, BORN), NOW);
+    beliefs.note_loaded(&instance("e-1"), "m", 9, NOW);
+    beliefs.note_engine_life(&instance("e-1"), BORN + 5_000);
+    assert!(beliefs.loaded_lately(NOW).is_empty());
+    // What other nodes still tell of the former life is a hint alone; its record is late.
+    assert!(!beliefs.upsert_engine(record("e-1", 5, BORN), NOW));
+    let loaded = ploverlift_balancing::catalogue::LoadedWeights {
+        engine: EngineTag::of(&instance("e-1")),
+        model: ModelTag::of("m"),
+        version: 9,
+    };
+    beliefs.pass_on_loaded(loaded, NOW);
+    assert!(beliefs.upsert_engine(record("e-1", 6, BORN + 5_000), NOW));
+}
