Names of the field; a relay that lags behind is judged by this node's own lists alone

Heartbeat, update and report in place of word and news. A watch may answer with a revision beyond a change that it did not hear, so only a list shows that a record is gone.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -11,30 +11,30 @@
 
 pub use crate::names::InstanceId;
 
-/// Which word of an engine a record is. Heartbeats may arrive late and in another order,
-/// so the store's revision alone does not tell which of two words is the newer one.
+/// The heartbeat that wrote a record. Heartbeats may arrive late and in another order than
+/// they were sent, so the store's revision does not tell which of two is the newer one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct EngineWord {
+pub struct Heartbeat {
     /// When this life of the engine began, in Unix milliseconds; 0 where it does not tell.
     /// An engine that starts again under its name has a later one.
     pub born_ms: u64,
-    /// Number of the word in this life; 0 where it does not tell.
+    /// Its number in this life; 0 where the engine does not tell.
     pub sequence: u64,
 }
 
-impl EngineWord {
+impl Heartbeat {
     /// Whether it is from an earlier life than the other one.
-    fn is_of_earlier_life(self, other: Self) -> bool {
+    fn is_of_earlier_start(self, other: Self) -> bool {
         self.born_ms != 0 && self.born_ms < other.born_ms
     }
 
     /// Whether it is from a later life than the other one.
-    pub fn is_of_later_life(self, other: Self) -> bool {
-        other.is_of_earlier_life(self)
+    pub fn is_of_later_start(self, other: Self) -> bool {
+        other.is_of_earlier_start(self)
     }
 
     /// Whether the same life said the other one later.
-    fn is_earlier_in_life(self, other: Self) -> bool {
+    fn precedes(self, other: Self) -> bool {
         self.born_ms == other.born_ms && self.sequence != 0 && self.sequence < other.sequence
     }
 }
@@ -46,8 +46,8 @@
     pub instance: InstanceId,
     /// Revision of the record's last change.
     pub revision: u64,
-    /// Which of the engine's words it is.
-    pub word: EngineWord,
+    /// The heartbeat that wrote it.
+    pub heartbeat: Heartbeat,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -123,14 +123,14 @@
     fn take(&mut self, record: EngineRecord) {
         let known = std::mem::replace(&mut self.record, record);
         self.misdirected_until = None;
-        if self.record.word.is_of_later_life(known.word) {
+        if self.record.heartbeat.is_of_later_start(known.heartbeat) {
             self.begin_life();
             return;
         }
-        if known.word.born_ms == self.record.word.born_ms {
-            // An older word that it leaves makes the words between no newer.
-            let sequence = &mut self.record.word.sequence;
-            *sequence = known.word.sequence.max(*sequence);
+        if known.heartbeat.born_ms == self.record.heartbeat.born_ms {
+            // An older heartbeat that it leaves makes those between no newer.
+            let sequence = &mut self.record.heartbeat.sequence;
+            *sequence = known.heartbeat.sequence.max(*sequence);
         }
         for (model, version) in known.weights {
             let entry = self.record.weights.entry(model).or_insert(version);
@@ -181,8 +181,8 @@
 struct GoneRecord {
     /// Revision of the store at which it was gone.
     revision: u64,
-    /// The last word that was known.
-    word: EngineWord,
+    /// The last heartbeat that was known.
+    heartbeat: Heartbeat,
 }
 
 /// Engines that are remembered as gone; older news of them is ignored.
@@ -191,7 +191,7 @@
 impl EngineCatalogue {
     /// Takes in a new or changed record; tells whether it was news. Records come
     /// from the store and from other nodes, so an older one may come after a newer
-    /// one, and an older word of the engine after a newer one. Within a life weights
+    /// one, and an older heartbeat after a newer one. Within a life weights
     /// never go back by a record: records lag behind what answers have shown.
     pub fn upsert(&mut self, record: EngineRecord) -> bool {
         if !self.is_news(&record) {
@@ -231,17 +231,17 @@
     /// Whether a record is newer than what is known, by the store and by its engine.
     fn is_news(&self, record: &EngineRecord) -> bool {
         if let Some(engine) = self.engines.get(&record.instance) {
-            let known = engine.record.word;
-            let is_late = record.word.is_of_earlier_life(known)
-                // That an engine leaves is believed from any word of its life.
-                || (record.word.is_earlier_in_life(known) && !record.is_leaving);
+            let known = engine.record.heartbeat;
+            let is_late = record.heartbeat.is_of_earlier_start(known)
+                // That an engine leaves is believed from any heartbeat of its life.
+                || (record.heartbeat.precedes(known) && !record.is_leaving);
             return record.revision > engine.record.revision && !is_late;
         }
         let Some(gone) = self.gone.get(&record.instance) else {
             return true;
         };
-        let is_late =
-            record.word.is_of_earlier_life(gone.word) || record.word.is_earlier_in_life(gone.word);
+        let is_late = record.heartbeat.is_of_earlier_start(gone.heartbeat)
+            || record.heartbeat.precedes(gone.heartbeat);
         record.revision > gone.revision && !is_late
     }
 
@@ -251,13 +251,13 @@
         let Some(engine) = self.engines.get_mut(instance) else {
             return false;
         };
-        let told = EngineWord {
+        let told = Heartbeat {
             born_ms,
             sequence: 0,
         };
-        let is_later = told.is_of_later_life(engine.record.word);
+        let is_later = told.is_of_later_start(engine.record.heartbeat);
         if is_later {
-            engine.record.word = told;
+            engine.record.heartbeat = told;
             engine.begin_life();
         }
         is_later
@@ -273,9 +273,14 @@
         if self.gone.len() >= MAX_GONE {
             self.gone.clear();
         }
-        let word = known.map_or_else(EngineWord::default, |engine| engine.record.word);
-        self.gone
-            .insert(instance.clone(), GoneRecord { revision, word });
+        let heartbeat = known.map_or_else(Heartbeat::default, |engine| engine.record.heartbeat);
+        self.gone.insert(
+            instance.clone(),
+            GoneRecord {
+                revision,
+                heartbeat,
+            },
+        );
         self.engines.remove(instance);
         self.unlist(instance);
         true
--- a/crates/balancing/tests/choices/fleet.rs
+++ b/crates/balancing/tests/choices/fleet.rs
@@ -1,6 +1,6 @@
 //! Engines of a fleet, and the rates of its costs.
 
-use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::cost::{CostRates, RegionRates};
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_policy::ids::{Millis, ZoneName};
@@ -37,7 +37,7 @@
     EngineRecord {
         instance: instance(index),
         revision: 1,
-        word: EngineWord::default(),
+        heartbeat: Heartbeat::default(),
         service: ServiceName::from("llm"),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
         zone: ZoneName::from("z"),
--- a/crates/balancing/tests/choices/one_node.rs
+++ b/crates/balancing/tests/choices/one_node.rs
@@ -1,7 +1,7 @@
 //! The choice of an engine: affinity, load, health and weights.
 
 use crate::fleet::{self, instance, RATES};
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::fleet::{Criteria, FleetView, PromptCriteria};
 use ploverlift_balancing::health::Outcome;
@@ -191,7 +191,7 @@
     let mut catalogue = EngineCatalogue::default();
     let at = |revision: u64, is_leaving: bool| EngineRecord {
         revision,
-        word: EngineWord::default(),
+        heartbeat: Heartbeat::default(),
         is_leaving,
         ..record(0, 1)
     };
--- a/crates/balancing/tests/engine_words.rs
+++ b/crates/balancing/tests/heartbeat_order.rs
@@ -1,6 +1,6 @@
 //! Which of two words of an engine counts, and what outlives its restart.
 
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
@@ -18,7 +18,7 @@
     EngineRecord {
         instance: name(),
         revision,
-        word: EngineWord { born_ms, sequence },
+        heartbeat: Heartbeat { born_ms, sequence },
         service: ServiceName::from("llm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: ZoneName::from("z"),
--- a/crates/balancing/tests/relayed_loads.rs
+++ b/crates/balancing/tests/relayed_loads.rs
@@ -1,7 +1,7 @@
 //! Sums that relays report: what is taken off as one's own, what is overtaken, and
 //! when a relay no longer counts.
 
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::peer_loads::{
     present_loads, EngineLoad, EngineTag, LoadReport, PeerId, PeerLoads, ZoneTag,
 };
@@ -114,7 +114,7 @@
     catalogue.upsert(EngineRecord {
         instance: instance.clone(),
         revision: 1,
-        word: EngineWord::default(),
+        heartbeat: Heartbeat::default(),
         service: ServiceName::from("llm"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: ZoneName::from("z"),
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -12,7 +12,7 @@
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
 use ploverlift_balancing::cache_stores::CacheStores;
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::engine_losses::{EngineLosses, LostEngine, NewsSource};
 use ploverlift_balancing::fleet::{FleetView, StoreView};
@@ -90,6 +90,8 @@
     pub engines_proof: EnginesProof,
     /// Revision of the store up to which they are known.
     pub engines_revision: u64,
+    /// Revision of the last list of all engines that this node read by itself; 0 before.
+    pub listed_revision: u64,
     /// Relays that this node hears.
     pub followed: FollowedRelays,
     /// Nodes that take this one for a relay.
@@ -192,11 +194,12 @@
 
     /// Takes in a new or changed engine; tells whether it was news.
     pub fn upsert_engine(&mut self, record: EngineRecord, now: Millis) -> bool {
-        if self.rollouts.is_retired(&record) || self.is_known_gone(&record) {
+        if self.rollouts.is_retired(&record) {
             return false;
         }
         let known = self.engines.get(&record.instance);
-        let known_word = known.map_or_else(EngineWord::default, |engine| engine.record.word);
+        let known_heartbeat =
+            known.map_or_else(Heartbeat::default, |engine| engine.record.heartbeat);
         let change = EngineChange {
             instance: record.instance.clone(),
             revision: record.revision,
@@ -204,7 +207,7 @@
         };
         let is_news = self.engines.upsert(record);
         if let (true, Some(record)) = (is_news, &change.record) {
-            if record.word.is_of_later_life(known_word) {
+            if record.heartbeat.is_of_later_start(known_heartbeat) {
                 self.forget_former_life(&record.instance);
             }
             self.rollouts.note_engine(record);
@@ -219,11 +222,12 @@
         is_news
     }
 
-    /// Whether a record is one that this node has not, though it has taken in all changes
-    /// up to a later revision: a relay that lags behind may tell of an engine that is gone.
-    fn is_known_gone(&self, record: &EngineRecord) -> bool {
+    /// Takes in a record that a relay tells. One that this node's own list lacked at a
+    /// later revision is that of an engine that is gone: the relay lags behind.
+    fn upsert_relayed(&mut self, record: EngineRecord, now: Millis) -> bool {
         let is_known = self.engines.get(&record.instance).is_some();
-        !is_known && self.engines_listed && record.revision < self.engines_revision
+        let is_gone = !is_known && record.revision <= self.listed_revision;
+        !is_gone && self.upsert_engine(record, now)
     }
 
     /// The engine itself told when its present life began.
@@ -272,7 +276,7 @@
     /// Takes in a change of an engine that a relay told.
     pub fn take_engine_change(&mut self, change: EngineChange, now: Millis) -> bool {
         match change.record {
-            Some(record) => self.upsert_engine(record, now),
+            Some(record) => self.upsert_relayed(record, now),
             None => self.remove_engine(&change.instance, change.revision, now),
         }
     }
@@ -293,7 +297,7 @@
                 revision: record.revision,
                 record: Some(record.clone()),
             };
-            if self.upsert_engine(record, now) {
+            if self.upsert_relayed(record, now) {
                 news.push(change);
             }
         }
--- a/crates/gateway/src/engine_news.rs
+++ b/crates/gateway/src/engine_log.rs
@@ -1,11 +1,11 @@
-//! The log lines that tell when a node learned of a change of an engine, and from whom.
+//! Log lines on when a node learned of a change of an engine, and from where.
 
 use crate::peers::relay_messages::EngineChange;
 use crate::state::Gateway;
 
-/// Who told of a change.
+/// Where an update comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NewsFrom {
+pub enum UpdateSource {
     /// A list or a watch of the store.
     Store,
     /// A report of a relay.
@@ -14,7 +14,7 @@
     Snapshot,
 }
 
-impl NewsFrom {
+impl UpdateSource {
     fn name(self) -> &'static str {
         match self {
             Self::Store => "store",
@@ -24,14 +24,14 @@
     }
 }
 
-/// Logs changes of engines that are news here.
-pub fn log_engine_news(gateway: &Gateway, changes: &[EngineChange], from: NewsFrom) {
+/// Logs changes of engines that this node did not know.
+pub fn log_engine_updates(gateway: &Gateway, changes: &[EngineChange], from: UpdateSource) {
     for change in changes {
         log_change(gateway, change, from);
     }
 }
 
-fn log_change(gateway: &Gateway, change: &EngineChange, from: NewsFrom) {
+fn log_change(gateway: &Gateway, change: &EngineChange, from: UpdateSource) {
     let Some(record) = &change.record else {
         slog::info!(gateway.log, "engine gone";
             "engine" => &change.instance.0,
@@ -39,9 +39,8 @@
             "revision" => change.revision);
         return;
     };
-    // Those who are told log what keeps requests off an engine; the rest stands in the
-    // logs of the relays.
-    if from != NewsFrom::Store && !record.is_leaving {
+    // A follower logs departures alone: hundreds of them would repeat each line of a relay.
+    if from != UpdateSource::Store && !record.is_leaving {
         return;
     }
     slog::info!(gateway.log, "engine changed";
@@ -49,8 +48,8 @@
         "from" => from.name(),
         "service" => &record.service.0,
         "leaving" => record.is_leaving,
-        "born_ms" => record.word.born_ms,
-        "sequence" => record.word.sequence,
+        "born_ms" => record.heartbeat.born_ms,
+        "sequence" => record.heartbeat.sequence,
         "weights" => format!("{:?}", record.weights),
         "revision" => change.revision);
 }
--- a/crates/gateway/src/engines_proof.rs
+++ b/crates/gateway/src/engines_proof.rs
@@ -30,7 +30,7 @@
     bound_ms.saturating_sub(SENDING_MS).max(limit_ms)
 }
 
-/// Who told this node of the engines last.
+/// Where this node's knowledge of the engines comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EnginesSource {
     /// The store, in answer to a call of this node.
@@ -49,13 +49,13 @@
     }
 }
 
-/// The last word on the engines.
+/// The last update of the engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LastHeard {
     /// As of when: the moment of an answer of the store, or the moment as of which a
     /// relay vouches.
     pub at: Millis,
-    /// Who told.
+    /// Where from.
     pub source: EnginesSource,
 }
 
@@ -77,7 +77,7 @@
     }
 
     /// A relay, all of whose changes were taken in, vouches for what held at `proven_at`.
-    pub fn told(&mut self, proven_at: Millis) {
+    pub fn relayed(&mut self, proven_at: Millis) {
         self.known_at = self.known_at.max(Some(proven_at));
         self.hear(proven_at, EnginesSource::Relay);
     }
@@ -88,7 +88,7 @@
         }
     }
 
-    /// The last word on the engines.
+    /// The last update of the engines.
     pub fn last_heard(&self) -> Option<LastHeard> {
         self.last_heard
     }
@@ -108,9 +108,9 @@
         self.kept.contains_key(instance)
     }
 
-    /// Age of what this node can tell others of the engines, in milliseconds: what it
-    /// keeps though it is gone is as old as the word that it is.
-    pub fn told_age_ms(&self, now: Millis) -> Option<u64> {
+    /// Age of what this node reports of the engines to others, in milliseconds: an engine
+    /// that it keeps though its record is gone is as old as that removal.
+    pub fn reported_age_ms(&self, now: Millis) -> Option<u64> {
         let oldest_kept = self.kept.values().min().copied();
         let known_at = self.known_at?;
         let complete_at = oldest_kept.map_or(known_at, |kept| kept.min(known_at));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 pub mod catalogue_log;
 pub mod engine_checks;
 pub mod engine_connection;
-mod engine_news;
+mod engine_log;
 pub mod engines_proof;
 pub mod forward;
 pub mod http_call;
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -4,7 +4,7 @@
 use super::roles::{role, Role};
 use super::rollout_messages::RolloutNews;
 use crate::beliefs::Beliefs;
-use crate::engine_news::{log_engine_news, NewsFrom};
+use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
 use crate::rollouts::feed::tell_news;
 use crate::rollouts::{rollout_settings, OrderNews};
@@ -44,7 +44,7 @@
     let mut changes = beliefs.followed.next_changes(report).to_vec();
     changes.retain(|change| beliefs.take_engine_change(change.clone(), now));
     if let Some(proven_at) = beliefs.followed.proven_at() {
-        beliefs.engines_proof.told(proven_at);
+        beliefs.engines_proof.relayed(proven_at);
     }
     let answers = included.zip(sent_at);
     let news = report.rollouts.as_ref();
@@ -54,7 +54,7 @@
     let configuration = beliefs.configuration_version();
     let lacks = beliefs.followed.lacking(configuration, limit_ms, now);
     drop(beliefs);
-    log_engine_news(gateway, &changes, NewsFrom::Relay);
+    log_engine_updates(gateway, &changes, UpdateSource::Relay);
     hear_weights(gateway, &report.weights, sent_at, NewsOrigin::Relay);
     tell_news(gateway, &order_news);
     gateway.site_learned.notify(usize::MAX);
--- a/crates/gateway/src/peers/relay_contents.rs
+++ b/crates/gateway/src/peers/relay_contents.rs
@@ -276,7 +276,7 @@
             lease_revision: beliefs.leases.of(LeaseName::Weights).newest(),
             configuration: beliefs.configuration_version(),
             proof_age_ms: beliefs.freshness.age_ms(now),
-            engines_age_ms: beliefs.engines_proof.told_age_ms(now),
+            engines_age_ms: beliefs.engines_proof.reported_age_ms(now),
             weights: WeightsNews::default(),
             changes_after: 0,
             changes_through: 0,
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -8,7 +8,7 @@
 use super::store_contents::{read_store, store_message};
 use super::weights_messages::{read_weights, weights_message};
 use ploverlift_balancing::cache_stores::ToldContents;
-use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadedWeights, PeerId, ZoneTag};
 use ploverlift_balancing::prefix_holders::Placement;
@@ -188,8 +188,8 @@
         cold_ms: record.cold_ms,
         is_leaving: record.is_leaving,
         software: record.software.0.clone(),
-        born_ms: record.word.born_ms,
-        word_sequence: record.word.sequence,
+        born_ms: record.heartbeat.born_ms,
+        heartbeat_sequence: record.heartbeat.sequence,
         weights: record
             .weights
             .iter()
@@ -215,9 +215,9 @@
         Some(record) => Some(EngineRecord {
             instance: instance.clone(),
             revision: message.revision,
-            word: EngineWord {
+            heartbeat: Heartbeat {
                 born_ms: record.born_ms,
-                sequence: record.word_sequence,
+                sequence: record.heartbeat_sequence,
             },
             service: ServiceName(record.service.clone()),
             address: record.address.parse().ok()?,
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -9,7 +9,7 @@
 use super::roles::{role, Role};
 use super::rollout_messages::{news_message, read_news};
 use crate::beliefs::Beliefs;
-use crate::engine_news::{log_engine_news, NewsFrom};
+use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
 use crate::ports::StoreObject;
 use crate::rollouts::exchange::Reporter;
@@ -181,7 +181,7 @@
     drop(beliefs);
     tell_news(gateway, &order_news);
     if was_listed {
-        log_engine_news(gateway, &news, NewsFrom::Snapshot);
+        log_engine_updates(gateway, &news, UpdateSource::Snapshot);
     }
     gateway.engine_check_due.notify(usize::MAX);
     gateway.site_learned.notify(usize::MAX);
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -2,7 +2,7 @@
 //! it was done, was not done, or may still be done.
 
 use super::answer_time::AnswerTime;
-use super::outage::OutageNews;
+use super::outage::OutageChange;
 use crate::http_call::{CallConnection, CallError};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
 use crate::state::Gateway;
@@ -79,15 +79,15 @@
     }
 
     /// Whose call began an outage as this node sees it, or ended it.
-    fn log_outage(&self, call: &StoreCall, news: Option<OutageNews>, error: Option<&StoreError>) {
+    fn log_outage(&self, call: &StoreCall, news: Option<OutageChange>, error: Option<&StoreError>) {
         match news {
             None => {}
-            Some(OutageNews::Began { silence_ms }) => {
+            Some(OutageChange::Began { silence_ms }) => {
                 slog::warn!(self.gateway.log, "store call failed";
                     "call" => call.name(), "kind" => call.kind().name(),
                     "error" => error.map(ToString::to_string), "silence_ms" => silence_ms);
             }
-            Some(OutageNews::Ended {
+            Some(OutageChange::Ended {
                 silence_ms,
                 may_have_lapsed,
             }) => {
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -11,7 +11,7 @@
 use super::backoff::Backoff;
 use super::lapsed::{remove_engine, replace_engines, EngineList};
 use super::StoreClient;
-use crate::engine_news::{log_engine_news, NewsFrom};
+use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
 use crate::peers::relay_messages::EngineChange;
 use crate::peers::roles::{
@@ -450,6 +450,6 @@
         record: Some(record.clone()),
     };
     if gateway.beliefs().upsert_engine(record, now) {
-        log_engine_news(gateway, &[change], NewsFrom::Store);
+        log_engine_updates(gateway, &[change], UpdateSource::Store);
     }
 }
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -5,7 +5,7 @@
 //! then the engines are kept, or a node would have none to send requests to.
 
 use super::feed::take_record;
-use crate::engine_news::{log_engine_news, NewsFrom};
+use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::peers::relay_messages::EngineChange;
 use crate::state::Gateway;
 use crate::time::sleep;
@@ -40,7 +40,10 @@
     for instance in missing {
         remove_engine(gateway, instance, list.revision);
     }
-    gateway.beliefs().engines_listed = true;
+    let mut beliefs = gateway.beliefs();
+    beliefs.engines_listed = true;
+    beliefs.listed_revision = beliefs.listed_revision.max(list.revision);
+    drop(beliefs);
     gateway.site_learned.notify(usize::MAX);
 }
 
@@ -80,7 +83,7 @@
             revision,
             record: None,
         };
-        log_engine_news(gateway, &[gone], NewsFrom::Store);
+        log_engine_updates(gateway, &[gone], UpdateSource::Store);
     }
 }
 
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -40,7 +40,7 @@
 
 /// What the end of a call has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OutageNews {
+pub enum OutageChange {
     /// The first failure after an answer.
     Began {
         /// Time for which calls have had no answer, in milliseconds.
@@ -85,12 +85,16 @@
     }
 
     /// A call of the store ended; tells what is news.
-    pub fn note<T>(&mut self, outcome: &Result<T, StoreError>, now: Millis) -> Option<OutageNews> {
+    pub fn note<T>(
+        &mut self,
+        outcome: &Result<T, StoreError>,
+        now: Millis,
+    ) -> Option<OutageChange> {
         let was_away = self.is_away();
         let silence_ms = self.asked_at.map(|at| now.since(at));
         if is_failure(outcome) {
             self.failed_at = Some(now);
-            return (!was_away).then_some(OutageNews::Began { silence_ms });
+            return (!was_away).then_some(OutageChange::Began { silence_ms });
         }
         let may_have_lapsed = was_away && self.is_long_silence(now);
         self.asked_at = None;
@@ -102,7 +106,7 @@
         if may_have_lapsed {
             self.lapses_ended_at = Some(now);
         }
-        Some(OutageNews::Ended {
+        Some(OutageChange::Ended {
             silence_ms,
             may_have_lapsed,
         })
--- a/crates/gateway/tests/engines_proof.rs
+++ b/crates/gateway/tests/engines_proof.rs
@@ -1,7 +1,7 @@
 //! How old knowledge of the engines is, what is told of it, and what a restart of an
 //! engine leaves of what was known.
 
-use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::peer_loads::{EngineTag, ModelTag};
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_gateway::beliefs::Beliefs;
@@ -22,7 +22,7 @@
     EngineRecord {
         instance: instance(name),
         revision,
-        word: EngineWord {
+        heartbeat: Heartbeat {
             born_ms,
             sequence: 1,
         },
@@ -40,16 +40,16 @@
 #[test]
 fn what_is_kept_though_it_is_gone_ages_what_others_are_told() {
     let mut proof = EnginesProof::default();
-    assert_eq!(proof.told_age_ms(NOW), None);
+    assert_eq!(proof.reported_age_ms(NOW), None);
     proof.read(NOW, NOW);
     proof.keep(instance("e-1"), NOW.plus(100));
     proof.keep(instance("e-1"), NOW.plus(300));
     // Reading goes on; the engine stays one that is known to be gone.
     proof.read(NOW.plus(900), NOW.plus(950));
     assert!(proof.is_kept(&instance("e-1")));
-    assert_eq!(proof.told_age_ms(NOW.plus(1_000)), Some(900));
+    assert_eq!(proof.reported_age_ms(NOW.plus(1_000)), Some(900));
     proof.stop_keeping(&instance("e-1"));
-    assert_eq!(proof.told_age_ms(NOW.plus(1_000)), Some(100));
+    assert_eq!(proof.reported_age_ms(NOW.plus(1_000)), Some(100));
 }
 
 #[test]
@@ -62,32 +62,35 @@
         (NOW.plus(700), EnginesSource::Store)
     );
     // Told later, and older.
-    proof.told(NOW.plus(600));
+    proof.relayed(NOW.plus(600));
     let last = proof.last_heard().expect("a word");
     assert_eq!(
         (last.at, last.source),
         (NOW.plus(700), EnginesSource::Store)
     );
-    proof.told(NOW.plus(800));
+    proof.relayed(NOW.plus(800));
     let last = proof.last_heard().expect("a word");
     assert_eq!(
         (last.at, last.source),
         (NOW.plus(800), EnginesSource::Relay)
     );
-    assert_eq!(proof.told_age_ms(NOW.plus(1_000)), Some(200));
+    assert_eq!(proof.reported_age_ms(NOW.plus(1_000)), Some(200));
 }
 
 #[test]
 fn a_relay_that_lags_behind_brings_back_no_engine_that_a_list_lacked() {
     let mut beliefs = Beliefs::default();
-    beliefs.replace_engines(vec![record("e-1", 4, BORN)], 10, NOW);
+    beliefs.upsert_engine(record("e-1", 4, BORN), NOW);
+    beliefs.listed_revision = 10;
     // The relay's engines are those of an earlier revision.
     let of_relay = vec![record("e-1", 4, BORN), record("e-2", 5, BORN)];
     let news = beliefs.replace_engines(of_relay, 8, NOW);
     assert!(news.is_empty());
     assert!(beliefs.engines.get(&instance("e-2")).is_none());
-    // One that came since is news.
-    assert!(beliefs.upsert_engine(record("e-3", 11, BORN), NOW));
+    // One that came since is news, and so is what this node reads by itself.
+    let since = vec![record("e-1", 4, BORN), record("e-3", 11, BORN)];
+    assert_eq!(beliefs.replace_engines(since, 11, NOW).len(), 1);
+    assert!(beliefs.upsert_engine(record("e-4", 9, BORN), NOW));
 }
 
 #[test]
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_gateway::assembly::{reload, start};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::state::Gateway;
@@ -168,7 +168,7 @@
     EngineRecord {
         instance: InstanceId(name.to_owned()),
         revision: 1,
-        word: EngineWord::default(),
+        heartbeat: Heartbeat::default(),
         service: ServiceName::from("llm"),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: ZoneName::from("z"),
--- a/crates/gateway/tests/relays/reports.rs
+++ b/crates/gateway/tests/relays/reports.rs
@@ -1,7 +1,7 @@
 //! Reports of a relay.
 
 use crate::support::fleet::empty_relay_report;
-use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_gateway::peers::relay_messages::{EngineChange, RelayReport};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
@@ -19,7 +19,7 @@
     let record = EngineRecord {
         instance: instance.clone(),
         revision,
-        word: EngineWord::default(),
+        heartbeat: Heartbeat::default(),
         service: ServiceName::from("a-service-with-a-name"),
         address: address(65_535),
         zone: ZoneName::from("a-zone-with-a-name"),
--- a/crates/gateway/tests/rollout_reports/unplaced.rs
+++ b/crates/gateway/tests/rollout_reports/unplaced.rs
@@ -1,7 +1,7 @@
 //! Versions that can be placed by no order, and what served before.
 
 use crate::beliefs::{order, progress, route, service, NOW};
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_gateway::rollouts::choice::{OwnSeat, VersionedRequest};
 use ploverlift_gateway::rollouts::RolloutBeliefs;
@@ -25,7 +25,7 @@
         is_leaving: false,
         cold_ms: 0,
         revision,
-        word: EngineWord::default(),
+        heartbeat: Heartbeat::default(),
     }
 }
 
--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -7,7 +7,7 @@
 use ploverlift_gateway::ports::{StoreError, StoreKind, StoreObject, WatchEvent};
 use ploverlift_gateway::settings::GatewaySettings;
 use ploverlift_gateway::store::answer_time::AnswerTime;
-use ploverlift_gateway::store::outage::{OutageNews, StoreOutage};
+use ploverlift_gateway::store::outage::{OutageChange, StoreOutage};
 use ploverlift_gateway::store::{take_engine, StoreClient};
 use ploverlift_policy::ids::Millis;
 use serde_json::json;
@@ -373,7 +373,7 @@
     outage.note_asked(Millis(1_000));
     outage.note(&failed, Millis(1_100));
     let ended = outage.note(&Ok(()), Millis(3_400));
-    let expected = OutageNews::Ended {
+    let expected = OutageChange::Ended {
         silence_ms: Some(2_400),
         may_have_lapsed: true,
     };
--- a/crates/gateway/tests/support/site/documents.rs
+++ b/crates/gateway/tests/support/site/documents.rs
@@ -1,7 +1,7 @@
 //! What the stand-in's stored documents mean.
 
 use super::StandInSite;
-use ploverlift_balancing::catalogue::{EngineRecord, EngineWord, InstanceId};
+use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_gateway::ports::{InvalidDocument, NamedVersion, StoreObject, StoredDocuments};
 use ploverlift_policy::ids::{TenantName, ZoneName};
 use ploverlift_rollout::order::{RolloutOrder, RolloutState, RolloutStatus};
@@ -59,7 +59,7 @@
         Ok(EngineRecord {
             instance: InstanceId(object.name.clone()),
             revision: object.revision,
-            word: EngineWord {
+            heartbeat: Heartbeat {
                 born_ms: body["born"].as_u64().unwrap_or(0),
                 sequence: body["sequence"].as_u64().unwrap_or(0),
             },
