--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -2,6 +2,7 @@
 //! show them.
 
 use crate::health::{EngineHealth, Outcome};
+pub use crate::heartbeat::Heartbeat;
 use crate::names::{EngineTag, ModelTag};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
@@ -11,34 +12,6 @@
 
 pub use crate::names::InstanceId;
 
-/// The heartbeat that wrote a record. Heartbeats may arrive late and in another order than
-/// they were sent, so the store's revision does not tell which of two is the newer one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// When this life of the engine began, in Unix milliseconds; 0 where it does not tell.
-    /// An engine that starts again under its name has a later one.
-    pub born_ms: u64,
-    /// Its number in this life; 0 where the engine does not tell.
-    pub sequence: u64,
-}
-
-impl Heartbeat {
-    /// Whether it is from an earlier life than the other one.
-    fn is_of_earlier_start(self, other: Self) -> bool {
-        self.born_ms != 0 && self.born_ms < other.born_ms
-    }
-
-    /// Whether it is from a later life than the other one.
-    pub fn is_of_later_start(self, other: Self) -> bool {
-        other.is_of_earlier_start(self)
-    }
-
-    /// Whether the same life said the other one later.
-    fn precedes(self, other: Self) -> bool {
-        self.born_ms == other.born_ms && self.sequence != 0 && self.sequence < other.sequence
-    }
-}
-
 /// What an engine says of itself in the catalogue.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineRecord {
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod engine_losses;
 pub mod fleet;
 pub mod health;
+mod heartbeat;
 pub mod load_schedule;
 pub mod load_width;
 pub mod moves;
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -6,13 +6,12 @@
 use crate::outcomes::ObservedAttempt;
 use crate::peers::followed_relays::FollowedRelays;
 use crate::peers::relay_duties::RelayDuties;
-use crate::peers::relay_messages::EngineChange;
 use crate::peers::weights_exchange::WeightsExchange;
 use crate::rollouts::{EngineCondition, OrderNews, RolloutBeliefs};
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
 use ploverlift_balancing::cache_stores::CacheStores;
-use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, Heartbeat, InstanceId};
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, InstanceId};
 use ploverlift_balancing::engine_caches::EngineCaches;
 use ploverlift_balancing::engine_losses::{EngineLosses, LostEngine, NewsSource};
 use ploverlift_balancing::fleet::{FleetView, StoreView};
@@ -192,129 +191,6 @@
         known.map(|known| known.document.version)
     }
 
-    /// Takes in a new or changed engine; tells whether it was news.
-    pub fn upsert_engine(&mut self, record: EngineRecord, now: Millis) -> bool {
-        if self.rollouts.is_retired(&record) {
-            return false;
-        }
-        let known = self.engines.get(&record.instance);
-        let known_heartbeat =
-            known.map_or_else(Heartbeat::default, |engine| engine.record.heartbeat);
-        let change = EngineChange {
-            instance: record.instance.clone(),
-            revision: record.revision,
-            record: Some(record.clone()),
-        };
-        let is_news = self.engines.upsert(record);
-        if let (true, Some(record)) = (is_news, &change.record) {
-            if record.heartbeat.is_of_later_start(known_heartbeat) {
-                self.forget_former_life(&record.instance);
-            }
-            self.rollouts.note_engine(record);
-            self.losses.note_record_back(&record.instance);
-            self.engines_proof.stop_keeping(&record.instance);
-            if record.cold_ms > 0 {
-                let until = now.plus(record.cold_ms);
-                self.engines.note_cold(&record.instance, until);
-            }
-            self.catalogue_log.append(change, now);
-        }
-        is_news
-    }
-
-    /// Takes in a record that a relay tells. One that this node's own list lacked at a
-    /// later revision is that of an engine that is gone: the relay lags behind.
-    fn upsert_relayed(&mut self, record: EngineRecord, now: Millis) -> bool {
-        let is_known = self.engines.get(&record.instance).is_some();
-        let is_gone = !is_known && record.revision <= self.listed_revision;
-        !is_gone && self.upsert_engine(record, now)
-    }
-
-    /// The engine itself told when its present life began.
-    pub fn note_engine_life(&mut self, instance: &InstanceId, born_ms: u64) {
-        if self.engines.note_life(instance, born_ms) {
-            self.forget_former_life(instance);
-        }
-    }
-
-    /// An engine that starts again under its name holds nothing and knows nothing of
-    /// before: what was seen of its former life must not outlive it.
-    fn forget_former_life(&mut self, instance: &InstanceId) {
-        let tag = EngineTag::of(instance);
-        self.holders.forget_engine(tag);
-        self.engine_caches.forget(tag);
-        self.moves.forget(tag);
-        self.losses.forget(instance);
-        self.loading.retain(|loading| loading != instance);
-        self.loaded.retain(|(_, loaded)| loaded.engine != tag);
-    }
-
-    /// Forgets an engine that is gone since a revision; tells whether it was news.
-    pub fn remove_engine(&mut self, instance: &InstanceId, revision: u64, now: Millis) -> bool {
-        let known = self.engines.get(instance);
-        let record = known.map(|engine| engine.record.clone());
-        let has_requests = known.is_some_and(|engine| engine.in_flight > 0);
-        let is_news = self.engines.remove(instance, revision);
-        if is_news {
-            self.engines_proof.stop_keeping(instance);
-        }
-        if let (true, Some(record)) = (is_news, record) {
-            self.rollouts.note_engine_gone(&record, &self.engines);
-            if has_requests {
-                self.losses.note_record_gone(instance, record.address);
-            }
-            let change = EngineChange {
-                instance: instance.clone(),
-                revision,
-                record: None,
-            };
-            self.catalogue_log.append(change, now);
-        }
-        is_news
-    }
-
-    /// Takes in a change of an engine that a relay told.
-    pub fn take_engine_change(&mut self, change: EngineChange, now: Millis) -> bool {
-        match change.record {
-            Some(record) => self.upsert_relayed(record, now),
-            None => self.remove_engine(&change.instance, change.revision, now),
-        }
-    }
-
-    /// Takes over all engines as a relay knows them at a revision of the store; tells
-    /// which of them are news, and which are gone.
-    pub fn replace_engines(
-        &mut self,
-        records: Vec<EngineRecord>,
-        revision: u64,
-        now: Millis,
-    ) -> Vec<EngineChange> {
-        let missing = self.engines.missing_in(&records);
-        let mut news = Vec::new();
-        for record in records {
-            let change = EngineChange {
-                instance: record.instance.clone(),
-                revision: record.revision,
-                record: Some(record.clone()),
-            };
-            if self.upsert_relayed(record, now) {
-                news.push(change);
-            }
-        }
-        for instance in missing {
-            if self.remove_engine(&instance, revision, now) {
-                news.push(EngineChange {
-                    instance,
-                    revision,
-                    record: None,
-                });
-            }
-        }
-        self.engines_revision = self.engines_revision.max(revision);
-        self.engines_listed = true;
-        news
-    }
-
     /// Takes in what a report tells besides loads, at a node that passes nothing on.
     pub fn note_reported(
         &mut self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod cache_feeds;
 pub mod callers;
 pub mod catalogue_log;
+mod engine_beliefs;
 pub mod engine_checks;
 pub mod engine_connection;
 mod engine_log;
--- /dev/null
+++ b/crates/gateway/src/store/engine_feed.rs
@@ -0,0 +1,107 @@
+//! The copy of the engines' records: a list, then every change.
+
+use super::backoff::Backoff;
+use super::feed::Feed;
+use super::lapsed::{remove_engine, replace_engines, EngineList};
+use crate::engine_log::{log_engine_updates, UpdateSource};
+use crate::peers::relay_messages::EngineChange;
+use crate::ports::{InvalidDocument, StoreKind, StoreObject, WatchEvent};
+use crate::state::Gateway;
+use crate::time::sleep;
+use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
+use ploverlift_policy::ids::Millis;
+use std::sync::Arc;
+
+/// Time between the sending of two watches of which the first told changes of engines, in
+/// milliseconds: engines change in groups, and each answer of a watch is a call. Counted
+/// from the sending, as the proof is: the pause makes it no older.
+const GATHER_MS: u64 = 800;
+/// Follows the engines until the task is dropped.
+pub async fn follow_engines(gateway: Arc<Gateway>) {
+    let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Engines);
+    let mut backoff = Backoff::new();
+    loop {
+        let (objects, mut revision, sent) = feed.list(&mut backoff).await;
+        take_list_of_engines(&gateway, &objects, revision);
+        note_engines_known(&gateway, revision, sent);
+        gateway.orders_due.notify(usize::MAX);
+        while let Some((events, next, sent)) = feed.changes(revision, &mut backoff).await {
+            let has_events = !events.is_empty();
+            for event in events {
+                take_engine(&gateway, &event);
+            }
+            note_engines_known(&gateway, next, sent);
+            if has_events {
+                gateway.orders_due.notify(usize::MAX);
+            }
+            let count = gateway.beliefs().engines.len();
+            gateway.metrics.engines.set(count as i64);
+            revision = next;
+            if has_events {
+                let passed_ms = gateway.clock.now().since(sent);
+                sleep(GATHER_MS.saturating_sub(passed_ms)).await;
+            }
+        }
+    }
+}
+
+/// A call that was sent at `sent` told all changes of the engines up to a revision.
+fn note_engines_known(gateway: &Gateway, revision: u64, sent: Millis) {
+    let now = gateway.clock.now();
+    let mut beliefs = gateway.beliefs();
+    beliefs.engines_proof.read(sent, now);
+    beliefs.engines_revision = beliefs.engines_revision.max(revision);
+    drop(beliefs);
+    gateway.site_learned.notify(usize::MAX);
+}
+
+fn take_list_of_engines(gateway: &Arc<Gateway>, objects: &[StoreObject], revision: u64) {
+    let mut list = EngineList {
+        records: Vec::new(),
+        unreadable: Vec::new(),
+        revision,
+    };
+    for object in objects {
+        match gateway.site.engine(object) {
+            Ok(record) => list.records.push(record),
+            Err(error) => {
+                log_unreadable(gateway, &error);
+                list.unreadable.push(InstanceId(object.name.clone()));
+            }
+        }
+    }
+    let count = list.records.len();
+    replace_engines(gateway, list);
+    gateway.metrics.engines.set(count as i64);
+    slog::info!(gateway.log, "engines listed"; "count" => count);
+}
+
+fn log_unreadable(gateway: &Gateway, error: &InvalidDocument) {
+    slog::warn!(gateway.log, "engine does not fit"; "error" => error.to_string());
+}
+
+/// Takes in a change of an engine from the store.
+pub fn take_engine(gateway: &Arc<Gateway>, event: &WatchEvent) {
+    let object = &event.object;
+    if event.is_gone {
+        let instance = InstanceId(object.name.clone());
+        return remove_engine(gateway, instance, object.revision);
+    }
+    match gateway.site.engine(object) {
+        Ok(record) => take_record(gateway, record),
+        Err(error) => log_unreadable(gateway, &error),
+    }
+}
+
+/// Takes in an engine's record, and logs what is news.
+pub(super) fn take_record(gateway: &Gateway, record: EngineRecord) {
+    let now = gateway.clock.now();
+    let change = EngineChange {
+        instance: record.instance.clone(),
+        revision: record.revision,
+        record: Some(record.clone()),
+    };
+    if gateway.beliefs().upsert_engine(record, now) {
+        log_engine_updates(gateway, &[change], UpdateSource::Store);
+    }
+}
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -1,4 +1,5 @@
-//! Copies of what is stored: a list, then every change, for one kind each.
+//! Copies of what is stored: a list, then every change, for one kind each. That of the
+//! engines is `engine_feed`.
 //!
 //! The watch of the configuration waits briefly, because its answer proves that
 //! the configuration is the newest; it also notices first when the store is
@@ -9,31 +10,21 @@
 //! while they tell it what is stored.
 
 use super::backoff::Backoff;
-use super::lapsed::{remove_engine, replace_engines, EngineList};
 use super::StoreClient;
-use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
-use crate::peers::relay_messages::EngineChange;
 use crate::peers::roles::{
     are_engines_told, are_orders_told, is_configuration_told, role,
     wait_while_configuration_is_told, wait_while_engines_are_told, wait_while_orders_are_told,
     Role,
 };
-use crate::ports::{
-    InvalidDocument, StoreCall, StoreError, StoreKind, StoreObject, StoreReply, WatchEvent,
-};
+use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply, WatchEvent};
 use crate::rollouts::feed::{order_watch_ms, wait_until_order_is_lacking};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
-use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
 use ploverlift_policy::ids::Millis;
 use ploverlift_wire::peers::StoredConfiguration;
 use std::sync::Arc;
 
-/// Time between the sending of two watches of which the first told changes of engines, in
-/// milliseconds: engines change in groups, and each answer of a watch is a call. Counted
-/// from the sending, as the proof is: the pause makes it no older.
-const GATHER_MS: u64 = 800;
 /// How long a relay's watch of the engines waits, in milliseconds: its answer shows
 /// the nodes that follow the relay that nothing has changed.
 const RELAY_ENGINES_WATCH_MS: u64 = 700;
@@ -363,93 +354,3 @@
             "version" => version, "revision" => object.revision);
     }
 }
-
-/// Follows the engines until the task is dropped.
-pub async fn follow_engines(gateway: Arc<Gateway>) {
-    let mut feed = Feed::new(Arc::clone(&gateway), StoreKind::Engines);
-    let mut backoff = Backoff::new();
-    loop {
-        let (objects, mut revision, sent) = feed.list(&mut backoff).await;
-        take_list_of_engines(&gateway, &objects, revision);
-        note_engines_known(&gateway, revision, sent);
-        gateway.orders_due.notify(usize::MAX);
-        while let Some((events, next, sent)) = feed.changes(revision, &mut backoff).await {
-            let has_events = !events.is_empty();
-            for event in events {
-                take_engine(&gateway, &event);
-            }
-            note_engines_known(&gateway, next, sent);
-            if has_events {
-                gateway.orders_due.notify(usize::MAX);
-            }
-            let count = gateway.beliefs().engines.len();
-            gateway.metrics.engines.set(count as i64);
-            revision = next;
-            if has_events {
-                let passed_ms = gateway.clock.now().since(sent);
-                sleep(GATHER_MS.saturating_sub(passed_ms)).await;
-            }
-        }
-    }
-}
-
-/// A call that was sent at `sent` told all changes of the engines up to a revision.
-fn note_engines_known(gateway: &Gateway, revision: u64, sent: Millis) {
-    let now = gateway.clock.now();
-    let mut beliefs = gateway.beliefs();
-    beliefs.engines_proof.read(sent, now);
-    beliefs.engines_revision = beliefs.engines_revision.max(revision);
-    drop(beliefs);
-    gateway.site_learned.notify(usize::MAX);
-}
-
-fn take_list_of_engines(gateway: &Arc<Gateway>, objects: &[StoreObject], revision: u64) {
-    let mut list = EngineList {
-        records: Vec::new(),
-        unreadable: Vec::new(),
-        revision,
-    };
-    for object in objects {
-        match gateway.site.engine(object) {
-            Ok(record) => list.records.push(record),
-            Err(error) => {
-                log_unreadable(gateway, &error);
-                list.unreadable.push(InstanceId(object.name.clone()));
-            }
-        }
-    }
-    let count = list.records.len();
-    replace_engines(gateway, list);
-    gateway.metrics.engines.set(count as i64);
-    slog::info!(gateway.log, "engines listed"; "count" => count);
-}
-
-fn log_unreadable(gateway: &Gateway, error: &InvalidDocument) {
-    slog::warn!(gateway.log, "engine does not fit"; "error" => error.to_string());
-}
-
-/// Takes in a change of an engine from the store.
-pub fn take_engine(gateway: &Arc<Gateway>, event: &WatchEvent) {
-    let object = &event.object;
-    if event.is_gone {
-        let instance = InstanceId(object.name.clone());
-        return remove_engine(gateway, instance, object.revision);
-    }
-    match gateway.site.engine(object) {
-        Ok(record) => take_record(gateway, record),
-        Err(error) => log_unreadable(gateway, &error),
-    }
-}
-
-/// Takes in an engine's record, and logs what is news.
-pub(super) fn take_record(gateway: &Gateway, record: EngineRecord) {
-    let now = gateway.clock.now();
-    let change = EngineChange {
-        instance: record.instance.clone(),
-        revision: record.revision,
-        record: Some(record.clone()),
-    };
-    if gateway.beliefs().upsert_engine(record, now) {
-        log_engine_updates(gateway, &[change], UpdateSource::Store);
-    }
-}
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -4,7 +4,7 @@
 //! entries of engines that live. They write them again within a short time; until
 //! then the engines are kept, or a node would have none to send requests to.
 
-use super::feed::take_record;
+use super::engine_feed::take_record;
 use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::peers::relay_messages::EngineChange;
 use crate::state::Gateway;
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -3,9 +3,11 @@
 pub mod answer_time;
 pub(crate) mod backoff;
 mod client;
+mod engine_feed;
 pub(crate) mod feed;
 mod lapsed;
 pub mod outage;
 
 pub use client::StoreClient;
-pub use feed::{follow_configuration, follow_engines, take_configuration, take_engine};
+pub use engine_feed::{follow_engines, take_engine};
+pub use feed::{follow_configuration, take_configuration};
