--- a/crates/gateway/src/settings/store.rs
+++ b/crates/gateway/src/settings/store.rs
@@ -20,8 +20,9 @@
     /// How long other watches wait, in milliseconds.
     #[serde(default = "default_other_watch_ms")]
     pub other_watch_ms: u64,
-    /// How often engines write their records, in milliseconds; 0 where it is not known.
-    /// The record of one that is silent for three times that lapses.
+    /// How often engines write their records, in milliseconds; 0 where it is not known, and
+    /// then any failed call counts as an outage in which records may lapse. The record of
+    /// an engine that is silent for three times that lapses. Read at the start.
     #[serde(default)]
     pub engine_heartbeat_ms: u64,
 }
