--- a/crates/gateway/tests/relays/main.rs
+++ b/crates/gateway/tests/relays/main.rs
@@ -4,6 +4,7 @@
 mod address_book;
 mod followed_relays;
 mod listed_nodes;
+mod partial_reports;
 mod reports;
 mod running_nodes;
 mod sizes;
