--- a/crates/gateway/src/catalogue_log.rs
+++ b/crates/gateway/src/catalogue_log.rs
@@ -52,6 +52,14 @@
         self.through
     }
 
+    /// The changes with the numbers after this one, as far as they are kept.
+    pub fn after(&self, number: u64) -> Vec<EngineChange> {
+        let count = self.through.saturating_sub(number) as usize;
+        let known = self.changes.len().saturating_sub(count);
+        let changes = self.changes.iter().skip(known);
+        changes.map(|known| known.change.clone()).collect()
+    }
+
     /// The changes of the last so many milliseconds.
     pub fn latest(&self, window_ms: u64, now: Millis) -> LogPart {
         let is_old = |known: &&Numbered| now.since(known.noted_at) > window_ms;
--- a/crates/gateway/src/engine_beliefs.rs
+++ b/crates/gateway/src/engine_beliefs.rs
@@ -104,29 +104,16 @@
         revision: u64,
         now: Millis,
     ) -> Vec<EngineChange> {
+        let before = self.catalogue_log.through();
         let missing = self.engines.missing_in(&records);
-        let mut news = Vec::new();
         for record in records {
-            let change = EngineChange {
-                instance: record.instance.clone(),
-                revision: record.revision,
-                record: Some(record.clone()),
-            };
-            if self.upsert_relayed(record, now) {
-                news.push(change);
-            }
+            self.upsert_relayed(record, now);
         }
         for instance in missing {
-            if self.remove_engine(&instance, revision, now) {
-                news.push(EngineChange {
-                    instance,
-                    revision,
-                    record: None,
-                });
-            }
+            self.remove_engine(&instance, revision, now);
         }
         self.engines_revision = self.engines_revision.max(revision);
         self.engines_listed = true;
-        news
+        self.catalogue_log.after(before)
     }
 }
--- a/crates/gateway/src/engines_proof.rs
+++ b/crates/gateway/src/engines_proof.rs
@@ -132,6 +132,13 @@
     StoreAway,
 }
 
+impl Reliance {
+    /// Whether a request need not wait: the knowledge is recent, or none is to be had.
+    pub fn needs_no_wait(self) -> bool {
+        matches!(self, Self::Recent | Self::StoreAway)
+    }
+}
+
 /// Whether requests may go to the engines that this node knows now.
 pub fn reliance(gateway: &Gateway, now: Millis) -> Reliance {
     let limit_ms = longest_reliance_ms(&gateway.settings());
--- a/crates/gateway/src/forward/engines_hold.rs
+++ b/crates/gateway/src/forward/engines_hold.rs
@@ -22,7 +22,7 @@
     pub(super) async fn may_rely_on_engines(&mut self) -> bool {
         let began = self.gateway.clock.now();
         let before = reliance(&self.gateway, began);
-        if matches!(before, Reliance::Recent | Reliance::StoreAway) {
+        if before.needs_no_wait() {
             return true;
         }
         let left_ms = self.received.limits.left_ms(began);
@@ -30,8 +30,7 @@
         let learning = async {
             loop {
                 let news = gateway.site_learned.listen();
-                let present = reliance(gateway, gateway.clock.now());
-                if matches!(present, Reliance::Recent | Reliance::StoreAway) {
+                if reliance(gateway, gateway.clock.now()).needs_no_wait() {
                     return;
                 }
                 news.await;
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -41,8 +41,11 @@
     beliefs.followed.hear(report, from, sent_at, now);
     take_proof(&mut beliefs, report, sent_at);
     beliefs.hear_of_losses(NewsSource::Relay, sender, &report.lost, fleet, now);
-    let mut changes = beliefs.followed.next_changes(report).to_vec();
-    changes.retain(|change| beliefs.take_engine_change(change.clone(), now));
+    let before = beliefs.catalogue_log.through();
+    for change in beliefs.followed.next_changes(report) {
+        beliefs.take_engine_change(change.clone(), now);
+    }
+    let changes = beliefs.catalogue_log.after(before);
     if let Some(proven_at) = beliefs.followed.proven_at() {
         beliefs.engines_proof.relayed(proven_at);
     }
--- a/crates/gateway/src/store/engine_feed.rs
+++ b/crates/gateway/src/store/engine_feed.rs
@@ -4,7 +4,6 @@
 use super::feed::Feed;
 use super::lapsed::{remove_engine, replace_engines, EngineList};
 use crate::engine_log::{log_engine_updates, UpdateSource};
-use crate::peers::relay_messages::EngineChange;
 use crate::ports::{InvalidDocument, StoreKind, StoreObject, WatchEvent};
 use crate::state::Gateway;
 use crate::time::sleep;
@@ -96,12 +95,10 @@
 /// Takes in an engine's record, and logs what is news.
 pub(super) fn take_record(gateway: &Gateway, record: EngineRecord) {
     let now = gateway.clock.now();
-    let change = EngineChange {
-        instance: record.instance.clone(),
-        revision: record.revision,
-        record: Some(record.clone()),
-    };
-    if gateway.beliefs().upsert_engine(record, now) {
-        log_engine_updates(gateway, &[change], UpdateSource::Store);
-    }
+    let mut beliefs = gateway.beliefs();
+    let before = beliefs.catalogue_log.through();
+    beliefs.upsert_engine(record, now);
+    let changes = beliefs.catalogue_log.after(before);
+    drop(beliefs);
+    log_engine_updates(gateway, &changes, UpdateSource::Store);
 }
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -6,7 +6,6 @@
 
 use super::engine_feed::take_record;
 use crate::engine_log::{log_engine_updates, UpdateSource};
-use crate::peers::relay_messages::EngineChange;
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
@@ -75,16 +74,13 @@
 
 fn forget(gateway: &Gateway, instance: InstanceId, revision: u64) {
     let now = gateway.clock.now();
-    let is_news = gateway.beliefs().remove_engine(&instance, revision, now);
+    let mut beliefs = gateway.beliefs();
+    let before = beliefs.catalogue_log.through();
+    beliefs.remove_engine(&instance, revision, now);
+    let changes = beliefs.catalogue_log.after(before);
+    drop(beliefs);
     gateway.engine_check_due.notify(usize::MAX);
-    if is_news {
-        let gone = EngineChange {
-            instance,
-            revision,
-            record: None,
-        };
-        log_engine_updates(gateway, &[gone], UpdateSource::Store);
-    }
+    log_engine_updates(gateway, &changes, UpdateSource::Store);
 }
 
 fn has_ended(gateway: &Gateway, instance: &InstanceId) -> bool {
