--- a/crates/balancing/src/engine_caches.rs
+++ b/crates/balancing/src/engine_caches.rs
@@ -5,6 +5,7 @@
 //! anyway ([`crate::prefix_holders`]): far fewer bytes than the events themselves.
 
 use crate::cache_contents::CacheContents;
+use crate::cache_followers::Assignment;
 use crate::names::{EngineTag, PeerId};
 use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -12,6 +13,7 @@
 /// Contents of the engines whose events are followed.
 #[derive(Clone, Debug, Default)]
 pub struct EngineCaches {
+    assigned: HashMap<EngineTag, Assignment>,
     followed: HashMap<EngineTag, CacheContents>,
 }
 
@@ -36,9 +38,16 @@
         self.followed.remove(&engine);
     }
 
-    /// Forgets the engines that `is_followed` does not name.
-    pub fn retain(&mut self, is_followed: impl Fn(EngineTag) -> bool) {
-        self.followed.retain(|engine, _| is_followed(*engine));
+    /// This node follows these engines from now on; what the others keep is forgotten.
+    pub fn assign(&mut self, assigned: HashMap<EngineTag, Assignment>) {
+        self.followed
+            .retain(|engine, _| assigned.contains_key(engine));
+        self.assigned = assigned;
+    }
+
+    /// This node's part in following an engine; nothing when it does not.
+    pub fn assignment(&self, engine: EngineTag) -> Option<Assignment> {
+        self.assigned.get(&engine).copied()
     }
 
     /// Engines whose events are followed.
@@ -64,6 +73,7 @@
     engine: EngineTag,
 ) -> usize {
     let weight = |node: PeerId| xxh3_64_with_seed(&node.0.to_le_bytes(), u64::from(engine.0));
-    let before = others.filter(|other| weight(*other) > weight(own));
+    let own_weight = weight(own);
+    let before = others.filter(|other| weight(*other) > own_weight);
     before.count()
 }
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | [`attempts`] | whether a request may be sent again, and what may be said of it |
 //! | [`cache_contents`] | what an engine or a KV cache store holds, by its events |
+//! | [`cache_followers`] | how nodes divide which engines' caches each follows |
 //! | [`cache_stores`] | the KV cache stores, one by one, and which saves a prompt |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
 //! | [`cost`] | the cost of an engine, by named terms in milliseconds |
@@ -18,6 +19,7 @@
 //! | [`engine_losses`] | which engines take no connection any more, and who else says so |
 //! | [`fleet`] | what a node knows of the fleet, and what the choice depends on |
 //! | [`health`] | putting engines aside that fail, and trying them again |
+//! | [`named_nodes`] | the nodes that relays named lately |
 //! | [`names`] | names of engines, nodes, models and zones, and their short ones |
 //! | [`peer_loads`] | what other nodes have at the engines, as they report |
 //! | [`relayed_loads`] | the same as relays sum it up in large fleets |
@@ -40,6 +42,7 @@
 
 pub mod attempts;
 pub mod cache_contents;
+pub mod cache_followers;
 pub mod cache_stores;
 pub mod catalogue;
 pub mod cost;
@@ -53,6 +56,7 @@
 pub mod load_schedule;
 pub mod load_width;
 pub mod moves;
+pub mod named_nodes;
 pub mod names;
 pub mod overload;
 pub mod peer_loads;
--- a/crates/balancing/src/relayed_loads.rs
+++ b/crates/balancing/src/relayed_loads.rs
@@ -6,6 +6,7 @@
 //! remembers what it reported and takes just that off.
 
 use crate::engine_load::EngineLoad;
+use crate::named_nodes::NamedNodes;
 use crate::names::{EngineTag, PeerId, ZoneTag};
 use crate::report_position::{LifeChange, NewReport, ReportPosition};
 use ploverlift_policy::ids::Millis;
@@ -53,7 +54,6 @@
     included_sent_at: Option<Millis>,
     loading: Vec<EngineTag>,
     members: Vec<PeerId>,
-    zones: Vec<ZoneTag>,
 }
 
 /// The tables of all relays that were heard of lately.
@@ -61,6 +61,8 @@
 pub struct RelayedLoads {
     relays: BTreeMap<PeerId, Relay>,
     own_reports: VecDeque<OwnReport>,
+    /// The nodes that relays named lately, silent relays too.
+    pub named_nodes: NamedNodes,
 }
 
 impl RelayedLoads {
@@ -114,7 +116,6 @@
             included_sent_at: None,
             loading: Vec::new(),
             members: Vec::new(),
-            zones: Vec::new(),
         });
         relay.position = position;
         relay.own_included = own;
@@ -122,7 +123,7 @@
         relay.loading.clone_from(&report.loading);
         if !report.members.is_empty() {
             relay.members.clone_from(&report.members);
-            relay.zones.clone_from(&report.zones);
+            self.named_nodes.take(&report.members, &report.zones, now);
         }
         for (engine, load) in &report.loads {
             if load.is_none() {
@@ -176,12 +177,6 @@
         largest.map_or(&[], |relay| &relay.members)
     }
 
-    /// Zones that have any node, as any relay tells.
-    pub fn has_nodes(&self, zone: ZoneTag) -> bool {
-        let mut relays = self.relays.values();
-        relays.any(|relay| relay.zones.contains(&zone))
-    }
-
     fn newest(&self) -> Option<&Relay> {
         self.relays
             .values()
--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -5,17 +5,20 @@
 //! engine has dropped. Engines of a zone without any node are followed from
 //! elsewhere.
 
+use super::first_answers::FirstAnswers;
+use super::follow_duty::follow_duty;
 use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
-use crate::beliefs::Beliefs;
+use crate::beliefs::ActiveConfiguration;
 use crate::http_call::CallConnection;
+use crate::peers::roles::role;
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::cache_contents::CacheEvents;
+use ploverlift_balancing::cache_followers::FollowDuty;
 use ploverlift_balancing::catalogue::{Engine, InstanceId};
-use ploverlift_balancing::engine_caches::{follower_rank, FOLLOWERS};
 use ploverlift_balancing::health::Outcome;
-use ploverlift_balancing::peer_loads::{EngineTag, PeerId, ZoneTag};
+use ploverlift_balancing::peer_loads::{EngineTag, ZoneTag};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use smol::Task;
 use std::collections::HashMap;
@@ -32,10 +35,6 @@
 };
 /// Pause between two calls, in milliseconds, so that events come in batches.
 const GATHER_MS: u64 = 100;
-/// Time from the start after which engines of zones without any node are followed,
-/// in milliseconds: before it, the other nodes were not heard of yet.
-const FAR_AFTER_MS: u64 = 3_000;
-
 /// An engine whose events are to be followed.
 #[derive(Clone, Debug)]
 pub struct FollowedEngine {
@@ -49,89 +48,90 @@
 /// Follows engines until the task is dropped.
 pub async fn follow_engine_caches(gateway: Arc<Gateway>) {
     let mut feeds: HashMap<InstanceId, Task<()>> = HashMap::new();
+    let first_answers = Arc::new(FirstAnswers::of(&gateway.settings().node));
     loop {
         let wanted = engines_to_follow(&gateway, gateway.clock.now());
+        let before = feeds.len();
         feeds.retain(|instance, _| wanted.iter().any(|engine| engine.instance == *instance));
-        forget_others(&gateway, &wanted);
+        let given_up = before - feeds.len();
+        let begun = wanted.len() - feeds.len();
         for engine in wanted {
             let instance = engine.instance.clone();
-            feeds
-                .entry(instance)
-                .or_insert_with(|| smol::spawn(follow_engine(Arc::clone(&gateway), engine)));
+            let (gateway, first_answers) = (&gateway, &first_answers);
+            feeds.entry(instance).or_insert_with(|| {
+                let (gateway, first_answers) = (Arc::clone(gateway), Arc::clone(first_answers));
+                smol::spawn(follow_engine(gateway, first_answers, engine))
+            });
         }
+        note_feeds(&gateway, begun, given_up, feeds.len());
         sleep(LOOK_PERIOD_MS).await;
     }
 }
 
-/// The engines that this node follows now.
-pub fn engines_to_follow(gateway: &Gateway, now: Millis) -> Vec<FollowedEngine> {
-    let uptime_ms = now.since(gateway.started_at);
-    if !gateway.settings().cache.follow_engines {
-        return Vec::new();
+fn note_feeds(gateway: &Gateway, begun: usize, given_up: usize, followed: usize) {
+    gateway.metrics.followed_caches.set(followed as i64);
+    gateway.metrics.begun_cache_feeds.inc_by(begun as u64);
+    if begun > 0 || given_up > 0 {
+        let now = gateway.clock.now();
+        let nodes = match follow_duty(gateway, now) {
+            FollowDuty::Shared(nodes) => nodes.near.len() + 1,
+            FollowDuty::Kept | FollowDuty::Nothing => 0,
+        };
+        slog::info!(gateway.log, "cache feeds";
+            "begun" => begun, "given_up" => given_up, "followed" => followed,
+            "zone_nodes" => nodes, "role" => role(gateway, now).name());
     }
-    let beliefs = gateway.beliefs();
-    let Some(configuration) = beliefs.configuration.as_ref() else {
-        return Vec::new();
-    };
-    let services = &configuration.document.services;
-    let is_wanted = |engine: &&Engine| {
-        let service = services.get(&engine.record.service);
-        let calls = service.and_then(|service| service.max_event_calls);
-        let followers = FOLLOWERS.min(calls.unwrap_or(0) as usize);
-        let rank = own_rank(gateway, &beliefs, engine, uptime_ms);
-        rank.is_some_and(|rank| rank < followers)
-    };
-    let wanted = beliefs.engines.iter().filter(is_wanted);
-    let followed = wanted.map(|engine| FollowedEngine {
-        instance: engine.record.instance.clone(),
-        tag: engine.tag,
-        address: engine.record.address,
-        zone: engine.record.zone.clone(),
-    });
-    followed.collect()
 }
 
-/// The place of this node among those that may follow an engine; nothing when it
-/// may not.
-fn own_rank(
-    gateway: &Gateway,
-    beliefs: &Beliefs,
-    engine: &Engine,
-    uptime_ms: u64,
-) -> Option<usize> {
-    let own = PeerId::of(&gateway.settings().node.name);
-    let zone = ZoneTag::of(&engine.record.zone);
-    let relayed = &beliefs.peer_loads.relayed;
-    if relayed.is_heard() {
-        let members = relayed.members().iter().copied();
-        let others = members.filter(|member| *member != own);
-        let is_orphan = !relayed.has_nodes(zone) && uptime_ms >= FAR_AFTER_MS;
-        let may_follow = engine.record.zone == gateway.zone || is_orphan;
-        return may_follow.then(|| follower_rank(own, others, engine.tag));
-    }
-    let peers = || beliefs.peer_loads.peers();
-    if engine.record.zone == gateway.zone {
-        let near = peers().filter(|(_, peer_zone)| *peer_zone == zone);
-        return Some(follower_rank(own, near.map(|(peer, _)| peer), engine.tag));
-    }
-    let has_nodes = peers().any(|(_, peer_zone)| peer_zone == zone);
-    if has_nodes || uptime_ms < FAR_AFTER_MS {
-        return None;
+/// Decides anew which engines this node follows, and tells them.
+pub fn engines_to_follow(gateway: &Gateway, now: Millis) -> Vec<FollowedEngine> {
+    let duty = match gateway.settings().cache.follow_engines {
+        true => follow_duty(gateway, now),
+        false => FollowDuty::Nothing,
+    };
+    let mut beliefs = gateway.beliefs();
+    let mut assigned = HashMap::new();
+    let mut wanted = Vec::new();
+    let configuration = beliefs.configuration.clone();
+    let engines = beliefs.engines.iter();
+    for engine in engines.filter(|_| duty != FollowDuty::Nothing) {
+        let zone = ZoneTag::of(&engine.record.zone);
+        let assignment = match &duty {
+            FollowDuty::Shared(nodes) => {
+                let followers = max_followers(configuration.as_deref(), engine);
+                nodes.assignment(engine.tag, zone, followers)
+            }
+            FollowDuty::Kept => beliefs.engine_caches.assignment(engine.tag),
+            FollowDuty::Nothing => None,
+        };
+        let Some(assignment) = assignment else {
+            continue;
+        };
+        assigned.insert(engine.tag, assignment);
+        wanted.push(FollowedEngine {
+            instance: engine.record.instance.clone(),
+            tag: engine.tag,
+            address: engine.record.address,
+            zone: engine.record.zone.clone(),
+        });
     }
-    let all = peers().map(|(peer, _)| peer);
-    Some(follower_rank(own, all, engine.tag))
+    beliefs.engine_caches.assign(assigned);
+    wanted
 }
 
-/// Forgets what engines keep that are gone or that other nodes follow from now on.
-fn forget_others(gateway: &Gateway, wanted: &[FollowedEngine]) {
-    let mut beliefs = gateway.beliefs();
-    let is_wanted = |tag| wanted.iter().any(|engine| engine.tag == tag);
-    beliefs.engine_caches.retain(is_wanted);
-    let followed = beliefs.engine_caches.len();
-    gateway.metrics.followed_caches.set(followed as i64);
+/// Calls for events that an engine takes.
+fn max_followers(configuration: Option<&ActiveConfiguration>, engine: &Engine) -> usize {
+    let services = configuration.map(|known| &known.document.services);
+    let service = services.and_then(|services| services.get(&engine.record.service));
+    let calls = service.and_then(|service| service.max_event_calls);
+    calls.unwrap_or(0) as usize
 }
 
-async fn follow_engine(gateway: Arc<Gateway>, engine: FollowedEngine) {
+async fn follow_engine(
+    gateway: Arc<Gateway>,
+    first_answers: Arc<FirstAnswers>,
+    engine: FollowedEngine,
+) {
     let mut connection = CallConnection::new(engine.address);
     let mut is_followed = false;
     loop {
@@ -140,7 +140,11 @@
             .engine_caches
             .of(engine.tag)
             .map(|kept| kept.next());
-        let answer = ask_for_events(
+        let turn = match next {
+            Some(_) => None,
+            None => Some(first_answers.turn().await),
+        };
+        let answered = ask_for_events(
             &gateway,
             &mut connection,
             next.unwrap_or(0),
@@ -148,7 +152,8 @@
             WAIT,
         )
         .await;
-        let pause_ms = match answer {
+        let bytes = answered.as_ref().map_or(0, |answered| answered.bytes);
+        let pause_ms = match answered.map(|answered| answered.answer) {
             Ok(CacheAnswer::Events(batch)) => {
                 take_events(&gateway, &engine, &batch);
                 note_followed(&gateway, &engine, &mut is_followed, true);
@@ -170,6 +175,9 @@
                 RETRY_MS
             }
         };
+        if let Some(turn) = turn {
+            turn.end_after(bytes).await;
+        }
         sleep(pause_ms).await;
     }
 }
@@ -181,9 +189,8 @@
     if dropped.is_empty() {
         return;
     }
-    let known = beliefs.engines.get(&engine.instance);
-    let rank = known.and_then(|known| own_rank(gateway, &beliefs, known, FAR_AFTER_MS));
-    let tells = rank == Some(0);
+    let assignment = beliefs.engine_caches.assignment(engine.tag);
+    let tells = assignment.is_some_and(|assignment| assignment.tells_drops);
     beliefs
         .holders
         .note_dropped(&dropped, engine.tag, tells, now);
--- /dev/null
+++ b/crates/gateway/src/cache_feeds/follow_duty.rs
@@ -0,0 +1,96 @@
+//! Which nodes divide the engines' caches, as this node knows them by its role.
+
+use crate::peers::roles::{role, Role};
+use crate::state::Gateway;
+use ploverlift_balancing::cache_followers::{FollowDuty, FollowingNodes};
+use ploverlift_balancing::peer_loads::{PeerId, ZoneTag};
+use ploverlift_policy::ids::Millis;
+use std::collections::HashSet;
+
+/// Time from the start after which engines of zones without any node are followed,
+/// in milliseconds: before it, the other nodes were not heard of yet.
+const FAR_AFTER_MS: u64 = 3_000;
+
+/// What this node may follow now.
+pub(super) fn follow_duty(gateway: &Gateway, now: Millis) -> FollowDuty {
+    if gateway.is_refusing() {
+        return FollowDuty::Nothing;
+    }
+    if gateway.is_stopping() {
+        return FollowDuty::Kept;
+    }
+    let nodes = match role(gateway, now) {
+        Role::Undecided => None,
+        Role::Follower => named_by_relays(gateway, now),
+        Role::Relay => Some(heard_and_listed(gateway)),
+        Role::Direct => Some(heard_or_listed(gateway)),
+    };
+    let Some(mut nodes) = nodes else {
+        return FollowDuty::Nothing;
+    };
+    nodes.near.retain(|near| *near != nodes.own);
+    nodes.follows_other_zones = now.since(gateway.started_at) >= FAR_AFTER_MS;
+    FollowDuty::Shared(nodes)
+}
+
+/// The nodes of a follower's zone; nothing when no relay has named any lately.
+fn named_by_relays(gateway: &Gateway, now: Millis) -> Option<FollowingNodes> {
+    let beliefs = gateway.beliefs();
+    let named = &beliefs.peer_loads.relayed.named_nodes;
+    let near: Vec<PeerId> = named.members(now).collect();
+    (!near.is_empty()).then(|| FollowingNodes {
+        near,
+        zones: named.zones(now).collect(),
+        ..alone(gateway)
+    })
+}
+
+/// The nodes of a relay's zone. One that has just begun has heard few of those that
+/// report to it, so it counts all that the store lists.
+fn heard_and_listed(gateway: &Gateway) -> FollowingNodes {
+    let mut nodes = listed(gateway);
+    let heard = heard(gateway);
+    nodes.near.extend(heard.near);
+    nodes.near.sort_unstable();
+    nodes.near.dedup();
+    nodes.zones.extend(heard.zones);
+    nodes
+}
+
+/// The nodes of a small site. One that hears nobody may be the one that is cut off.
+fn heard_or_listed(gateway: &Gateway) -> FollowingNodes {
+    let heard = heard(gateway);
+    match heard.near.is_empty() && heard.far.is_empty() {
+        true => listed(gateway),
+        false => heard,
+    }
+}
+
+fn heard(gateway: &Gateway) -> FollowingNodes {
+    let beliefs = gateway.beliefs();
+    let mut nodes = alone(gateway);
+    for (peer, zone) in beliefs.peer_loads.peers() {
+        nodes.add(peer, zone);
+    }
+    nodes
+}
+
+fn listed(gateway: &Gateway) -> FollowingNodes {
+    let mut nodes = alone(gateway);
+    for node in gateway.address_book().listed() {
+        nodes.add(node.id, node.zone);
+    }
+    nodes
+}
+
+fn alone(gateway: &Gateway) -> FollowingNodes {
+    let zone = ZoneTag::of(&gateway.zone);
+    FollowingNodes {
+        own: PeerId::of(&gateway.settings().node.name),
+        zone,
+        near: Vec::new(),
+        far: Vec::new(),
+        zones: HashSet::from([zone]),
+        follows_other_zones: false,
+    }
+}
--- a/crates/gateway/src/cache_feeds/mod.rs
+++ b/crates/gateway/src/cache_feeds/mod.rs
@@ -5,6 +5,8 @@
 //! node relies on where prompts were sent.
 
 mod engines;
+mod first_answers;
+mod follow_duty;
 mod store;
 pub mod turns;
 
@@ -30,6 +32,13 @@
     slack_ms: u64,
 }
 
+/// An answer to a call for events.
+struct EventsAnswer {
+    answer: CacheAnswer,
+    /// The size of its body.
+    bytes: usize,
+}
+
 /// Asks an engine or a store in a zone for the events after a position.
 async fn ask_for_events(
     gateway: &Gateway,
@@ -37,7 +46,7 @@
     since: u64,
     zone: &ZoneName,
     wait: EventWait,
-) -> Result<CacheAnswer, CallError> {
+) -> Result<EventsAnswer, CallError> {
     let head = gateway.site.cache_events_head(since, wait.held_ms);
     let timeout_ms = wait.held_ms + wait.slack_ms;
     let (head, body) = connection.call(head, &[], timeout_ms).await?;
@@ -45,7 +54,10 @@
     gateway
         .metrics
         .count_event_bytes(distance, body.len() as u64);
-    Ok(gateway.site.read_cache_answer(&head, &body))
+    Ok(EventsAnswer {
+        answer: gateway.site.read_cache_answer(&head, &body),
+        bytes: body.len(),
+    })
 }
 
 /// The pause after there was no room for a call, in milliseconds.
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -168,7 +168,8 @@
         held_ms: HELD.as_millis() as u64,
         slack_ms: SLACK_MS,
     };
-    match ask_for_events(gateway, connection, since, &store.zone, wait).await {
+    let answered = ask_for_events(gateway, connection, since, &store.zone, wait).await;
+    match answered.map(|answered| answered.answer) {
         Ok(CacheAnswer::Events(batch)) => {
             take_events(gateway, store, &batch);
             CacheStoreState::Followed
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -146,6 +146,8 @@
     pub engines: Gauge,
     /// Engines whose cache events are followed.
     pub followed_caches: Gauge,
+    /// Engines whose cache this node began to follow.
+    pub begun_cache_feeds: Counter,
     /// Log lines on requests that were left out.
     pub log_lines_skipped: Counter,
     /// Requests that waited for news of the engines.
@@ -178,6 +180,7 @@
             peers: Gauge::default(),
             engines: Gauge::default(),
             followed_caches: Gauge::default(),
+            begun_cache_feeds: Counter::default(),
             log_lines_skipped: Counter::default(),
             held_requests: Counter::default(),
             first_byte_seconds: Histogram::new(buckets),
@@ -263,6 +266,11 @@
         );
         let counters = [
             ("attempts", "Requests sent to engines", &self.attempts),
+            (
+                "begun_cache_feeds",
+                "Engines whose cache this node began to follow",
+                &self.begun_cache_feeds,
+            ),
             ("repeats", "Requests sent a second time", &self.repeats),
             (
                 "reused_connections",
--- a/crates/gateway/src/peers/address_book.rs
+++ b/crates/gateway/src/peers/address_book.rs
@@ -144,9 +144,9 @@
         }
     }
 
-    /// All nodes that the store names.
-    pub fn listed_ids(&self) -> impl Iterator<Item = PeerId> + '_ {
-        self.by_zone.values().flatten().map(|node| node.id)
+    /// All nodes that the store names, this one included.
+    pub fn listed(&self) -> impl Iterator<Item = &ListedNode> {
+        self.by_zone.values().flatten()
     }
 
     /// A node was heard of.
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -130,7 +130,10 @@
     fn ask(&mut self, service: &ServiceName) -> Option<Question> {
         let gateway = Arc::clone(&self.gateway);
         let own = gateway.own_seat();
-        let listed: Vec<PeerId> = gateway.address_book().listed_ids().collect();
+        let listed: Vec<PeerId> = {
+            let book = gateway.address_book();
+            book.listed().map(|node| node.id).collect()
+        };
         let now = gateway.clock.now();
         let settings = rollout_settings(&gateway.settings());
         let mut beliefs = gateway.beliefs();
