--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -72,7 +72,7 @@
                 sleep(IDLE_MS).await;
                 continue;
             }
-            self.contents.begin_period();
+            self.contents.begin_period(now);
             self.take_own_placements();
             self.report_to_zone().await;
             self.tell_levels(now).await;
--- a/crates/gateway/src/peers/relay_contents.rs
+++ b/crates/gateway/src/peers/relay_contents.rs
@@ -36,6 +36,10 @@
 const PERIODS_PER_REFRESH: u64 = 16;
 /// Reports for each one that names the nodes of the zone.
 const PERIODS_PER_MEMBERS: u64 = 10;
+/// Time from its beginning after which a relay names the nodes of its zone, in
+/// milliseconds: those that lost their relays report to it after 0.7 s, at least every
+/// 0.3 s. Whoever is named few others would take over their work.
+const NAMES_MEMBERS_AFTER_MS: u64 = 1_500;
 /// Time for which a change of an engine is told again with each report, in
 /// milliseconds: three reports, so that two may be lost.
 const CHANGES_TOLD_MS: u64 = 320;
@@ -47,6 +51,8 @@
     zone: ZoneTag,
     told: HashMap<EngineTag, EngineLoad>,
     period: u64,
+    /// Since when this node relays.
+    relays_since: Option<Millis>,
 }
 
 /// Totals that one report tells, in the pieces of single datagrams.
@@ -66,6 +72,7 @@
             zone,
             told: HashMap::new(),
             period: 0,
+            relays_since: None,
         }
     }
 
@@ -80,13 +87,15 @@
     }
 
     /// The reports that are put together from now on are new ones.
-    pub(super) fn begin_period(&mut self) {
+    pub(super) fn begin_period(&mut self, now: Millis) {
         self.period += 1;
+        self.relays_since.get_or_insert(now);
     }
 
     /// What was told does not count any more, as this node does not relay.
     pub(super) fn forget_told(&mut self) {
         self.told.clear();
+        self.relays_since = None;
     }
 
     /// The reports of this period; more than one where one datagram does not do.
@@ -251,7 +260,7 @@
 
     /// What all reports of a period have in common.
     fn header(&self, beliefs: &Beliefs, now: Millis) -> RelayReport {
-        let names_members = self.period % PERIODS_PER_MEMBERS == 0;
+        let names_members = self.knows_members(now) && self.period % PERIODS_PER_MEMBERS == 0;
         let peers = || beliefs.peer_loads.peers();
         let members = peers().filter(|(_, zone)| names_members && *zone == self.zone);
         let members = members.map(|(id, _)| id).chain([self.own]);
@@ -288,6 +297,12 @@
         }
     }
 
+    /// Whether all nodes of the zone have had the time to report here.
+    fn knows_members(&self, now: Millis) -> bool {
+        let since = self.relays_since;
+        since.is_some_and(|since| now.since(since) >= NAMES_MEMBERS_AFTER_MS)
+    }
+
     fn reporter(&self) -> Reporter {
         Reporter {
             node: self.own,
