Overload: what is missing is freed by the least urgent, by what they would read

Cause: under overload a random share was refused by rank alone, three in four of the urgent for each of the least urgent; what a request would read did not enter. And what requests wait was measured by each route's own objective: long prompts with 1.5 s bore waits that make short ones with 0.5 s late in the same queues. Change: Overload counts the reading that each rank asks for; the least urgent free what is missing, the urgent give what is left. Waiting is measured by the shortest objective of the more urgent requests of the last two seconds. The order of ranks holds as before. Test of the load: a_doubled_long_kind_beside_a_dark_quarter_costs_the_short_kind_nothing.

--- a/crates/balancing/src/overload.rs
+++ b/crates/balancing/src/overload.rs
@@ -5,7 +5,9 @@
 //! as without it, all of them late. So what requests wait at engines is compared with
 //! what their routes aim at, as answers show it. While it stays over a part of that,
 //! some requests are refused at once, which empties the queue for the others. Requests
-//! of the least urgent rank go first; no rank loses a larger part than one below it.
+//! of the least urgent rank go first: what their refusal frees is counted by what they
+//! would have read, and the more urgent ones give only what is still missing. No rank
+//! loses a larger part than one below it.
 
 use ploverlift_policy::ids::Millis;
 
@@ -16,8 +18,18 @@
 const HALF_LIFE_MS: f64 = 700.0;
 /// Part refused for each objective of waiting beyond the bearable.
 const GAIN: f64 = 1.0;
-/// Part of the more urgent requests that is refused for each of the least urgent ones.
+/// Largest part of the more urgent requests that is refused for each of the least
+/// urgent ones.
 const URGENT_SHARE: f64 = 0.75;
+/// Time in which the reading that was asked for counts half, in milliseconds: some
+/// dozens of requests of a node, so that a change of the mix shows within seconds.
+const ASKED_HALF_LIFE_MS: f64 = 2_000.0;
+/// Time for which the objective of the more urgent requests counts after one was asked
+/// for, in milliseconds.
+const URGENT_SEEN_MS: u64 = 2_000;
+/// Part of the reading that the least urgent requests ask for, where none was asked for
+/// yet.
+const UNKNOWN_LEAST_PART: f64 = 0.5;
 /// Requests without a first byte from which on their ages count.
 const MIN_WAITING: usize = 4;
 /// What requests will have waited in the end, as a multiple of the median age of those
@@ -60,6 +72,52 @@
     Least,
 }
 
+/// The reading that requests of each urgency asked for lately, in milliseconds of an
+/// engine's time; those that were refused count too.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct AskedReading {
+    least_ms: f64,
+    higher_ms: f64,
+    updated: Millis,
+    /// The shortest objective of the more urgent requests, and when one was asked for.
+    urgent_objective: Option<(u64, Millis)>,
+}
+
+impl AskedReading {
+    fn add(&mut self, urgency: Urgency, own_ms: f64, objective_ms: u64, now: Millis) {
+        let age = now.since(self.updated) as f64;
+        let fading = 0.5_f64.powf(age / ASKED_HALF_LIFE_MS);
+        self.least_ms *= fading;
+        self.higher_ms *= fading;
+        self.updated = now;
+        match urgency {
+            Urgency::Least => self.least_ms += own_ms.max(0.0),
+            Urgency::Higher => {
+                self.higher_ms += own_ms.max(0.0);
+                let shortest_ms = self.objective_ms(objective_ms, now);
+                self.urgent_objective = Some((shortest_ms, now));
+            }
+        }
+    }
+
+    /// What waiting is measured by: a route's own objective, or a shorter one of more
+    /// urgent requests that wait in the same queues.
+    fn objective_ms(&self, own_ms: u64, now: Millis) -> u64 {
+        let urgent = self.urgent_objective;
+        let recent = urgent.filter(|(_, at)| now.since(*at) < URGENT_SEEN_MS);
+        recent.map_or(own_ms, |(shortest_ms, _)| shortest_ms.min(own_ms))
+    }
+
+    /// The part that the least urgent requests ask for.
+    fn least_part(&self) -> f64 {
+        let all_ms = self.least_ms + self.higher_ms;
+        match all_ms > 0.0 {
+            true => self.least_ms / all_ms,
+            false => UNKNOWN_LEAST_PART,
+        }
+    }
+}
+
 /// A request that waits for its first byte.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Waiting {
@@ -75,11 +133,17 @@
 pub struct Overload {
     answered_objectives: f64,
     updated: Millis,
+    asked: AskedReading,
     waiting: Vec<Waiting>,
     next_number: u64,
 }
 
 impl Overload {
+    /// A request came whose own reading takes so long, whether it is refused or not.
+    pub fn note_asked(&mut self, urgency: Urgency, own_ms: f64, objective_ms: u64, now: Millis) {
+        self.asked.add(urgency, own_ms, objective_ms, now);
+    }
+
     /// A request was sent that needs so long for its own reading; gives its number.
     pub fn begin(&mut self, own_ms: f64, objective_ms: u64, now: Millis) -> u64 {
         let number = self.next_number;
@@ -87,7 +151,7 @@
         self.waiting.push(Waiting {
             number,
             since: now.plus(own_ms.max(0.0) as u64),
-            objective_ms,
+            objective_ms: self.asked.objective_ms(objective_ms, now),
         });
         number
     }
@@ -99,6 +163,7 @@
 
     /// A request waited so long at its engine, beyond the time for its own reading.
     pub fn observe(&mut self, waited_ms: f64, objective_ms: u64, now: Millis) {
+        let objective_ms = self.asked.objective_ms(objective_ms, now);
         let newest = waited_ms.max(0.0) / objective_ms.max(1) as f64;
         let known = self.answered_objectives(now);
         self.answered_objectives = known + NEWEST_WEIGHT * (newest - known);
@@ -133,10 +198,21 @@
     /// The part of the requests of an urgency that should be refused now.
     pub fn refused_share(&self, urgency: Urgency, limits: &OverloadLimits, now: Millis) -> f64 {
         let beyond = self.waiting_objectives(now) - limits.bearable_objectives;
-        let share = (beyond * GAIN).clamp(0.0, limits.most_refused);
+        let missing = (beyond * GAIN).clamp(0.0, limits.most_refused);
+        let least_part = self.asked.least_part();
+        let least = match missing < least_part * limits.most_refused {
+            true => missing / least_part,
+            false if missing > 0.0 => limits.most_refused,
+            false => 0.0,
+        };
         match urgency {
-            Urgency::Least => share,
-            Urgency::Higher => share * URGENT_SHARE,
+            Urgency::Least => least,
+            Urgency::Higher => {
+                let still_missing = (missing - least * least_part).max(0.0);
+                let higher_part = 1.0 - least_part;
+                let needed = still_missing / higher_part.max(f64::EPSILON);
+                needed.min(least * URGENT_SHARE)
+            }
         }
     }
 
--- a/crates/balancing/tests/overload.rs
+++ b/crates/balancing/tests/overload.rs
@@ -90,3 +90,65 @@
     let later = NOW.plus(2_000);
     assert_eq!(overload.refused_share(Urgency::Least, &LIMITS, later), 0.0);
 }
+
+/// A quarter of the engines is dark while the long kind doubles: long prompts of 9,000
+/// tokens, of the least urgent rank, beside short ones of 830 that are asked for twice
+/// as often. Long ones ask for five sixths of the reading, so what is missing is freed
+/// by refusing long ones alone.
+#[test]
+fn a_doubled_long_kind_beside_a_dark_quarter_costs_the_short_kind_nothing() {
+    let mut overload = after_waits(360.0, 100);
+    for _ in 0..50 {
+        overload.note_asked(Urgency::Least, 9_000.0 / 40.0, 400, NOW);
+        overload.note_asked(Urgency::Higher, 830.0 / 40.0, 400, NOW);
+        overload.note_asked(Urgency::Higher, 830.0 / 40.0, 400, NOW);
+    }
+    let missing = 0.4;
+    let least = overload.refused_share(Urgency::Least, &LIMITS, NOW);
+    let freed = least * 9_000.0 / (9_000.0 + 2.0 * 830.0);
+    assert!((freed - missing).abs() < 0.01, "{freed} is freed");
+    assert_eq!(overload.refused_share(Urgency::Higher, &LIMITS, NOW), 0.0);
+}
+
+#[test]
+fn the_urgent_give_what_the_least_urgent_cannot() {
+    let mut overload = after_waits(380.0, 100);
+    for _ in 0..50 {
+        overload.note_asked(Urgency::Least, 20.0, 400, NOW);
+        overload.note_asked(Urgency::Higher, 180.0, 400, NOW);
+    }
+    let least = overload.refused_share(Urgency::Least, &LIMITS, NOW);
+    let higher = overload.refused_share(Urgency::Higher, &LIMITS, NOW);
+    assert_eq!(least, LIMITS.most_refused);
+    assert!(higher > 0.0 && higher <= least, "{higher} of {least}");
+}
+
+#[test]
+fn the_mix_that_was_asked_for_fades() {
+    let mut overload = after_waits(360.0, 100);
+    overload.note_asked(Urgency::Higher, 1_000.0, 400, NOW);
+    let later = NOW.plus(20_000);
+    overload.note_asked(Urgency::Least, 100.0, 400, later);
+    for _ in 0..100 {
+        overload.observe(300.0, 400, later);
+    }
+    assert!(overload.refused_share(Urgency::Least, &LIMITS, later) < 0.3);
+}
+
+/// Long prompts with an objective of 1.5 s wait in the same queues as short ones with one
+/// of 0.5 s: a wait of 0.6 s is borne by the former and late for the latter.
+#[test]
+fn waiting_is_measured_by_the_objective_of_the_more_urgent() {
+    let waited = |urgent_is_asked: bool| {
+        let mut overload = Overload::default();
+        if urgent_is_asked {
+            overload.note_asked(Urgency::Higher, 20.0, 500, NOW);
+        }
+        for _ in 0..100 {
+            overload.observe(600.0, 1_500, NOW);
+        }
+        overload.refused_share(Urgency::Least, &LIMITS, NOW)
+    };
+    assert_eq!(waited(false), 0.0);
+    assert!(waited(true) > 0.4);
+}
--- a/crates/gateway/src/forward/prospects.rs
+++ b/crates/gateway/src/forward/prospects.rs
@@ -36,6 +36,7 @@
         if self.received.request.prompt.is_none() || is_resumed {
             return None;
         }
+        self.note_asked(chosen);
         let mut unservable = self.hopeless(chosen).or_else(|| self.overloaded())?;
         let places = self.places();
         if places.have_room() {
@@ -46,6 +47,16 @@
         Some(unservable)
     }
 
+    fn note_asked(&self, chosen: &ChosenEngine) {
+        let service = self.received.admission.service.clone();
+        let urgency = self.urgency();
+        let objective_ms = self.received.admission.route.objective_ms;
+        let now = self.gateway.clock.now();
+        let mut beliefs = self.gateway.beliefs();
+        let overload = beliefs.overloads.entry(service).or_default();
+        overload.note_asked(urgency, chosen.cost.prefill_ms, objective_ms, now);
+    }
+
     fn hopeless(&self, chosen: &ChosenEngine) -> Option<Unservable> {
         let cost = &chosen.cost;
         let expected_ms = cost.queue_ms + cost.unseen_ms + cost.transfer_ms + cost.prefill_ms;
