Choice among thousands of engines looks at a bounded set; lists are taken in linearly

Change: the catalogue keeps an index by service, zone and short name. Above 512 engines a choice looks at those that the prompt's own order names in each zone, which all nodes agree on, at known holders of its parts, and at some drawn at random; where none of them may serve, at all. Below 512 nothing changes. What others send unseen is thinned alike. Tests: candidates.rs names the pattern; its bound is an engine without work and 20 ms.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -4,10 +4,11 @@
 use crate::health::{EngineHealth, Outcome};
 pub use crate::heartbeat::Heartbeat;
 use crate::names::{EngineTag, ModelTag};
+use crate::service_index::ServiceIndex;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::software::SoftwareVersion;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 pub use crate::names::InstanceId;
@@ -145,7 +146,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineCatalogue {
     engines: HashMap<InstanceId, Engine>,
-    by_service: BTreeMap<ServiceName, Vec<InstanceId>>,
+    by_service: BTreeMap<ServiceName, ServiceIndex>,
+    by_tag: HashMap<EngineTag, InstanceId>,
     gone: HashMap<InstanceId, GoneRecord>,
 }
 
@@ -176,29 +178,25 @@
             Some(engine) => engine.take(record),
             None => {
                 let instance = record.instance.clone();
-                self.engines.insert(instance, Engine::new(record));
+                let engine = Engine::new(record);
+                self.by_tag.insert(engine.tag, instance.clone());
+                self.engines.insert(instance, engine);
             }
         }
         true
     }
 
-    /// Lists an engine under its service, and under no other one.
+    /// Lists an engine under its service and zone, and under no other ones.
     fn list_by_service(&mut self, record: &EngineRecord) {
         let known = self.engines.get(&record.instance);
-        if known.is_some_and(|engine| engine.record.service == record.service) {
-            return;
+        if let Some(known) = known.map(|engine| &engine.record) {
+            if known.service == record.service && known.zone == record.zone {
+                return;
+            }
+            unlist(&mut self.by_service, known);
         }
-        self.unlist(&record.instance);
         let service = self.by_service.entry(record.service.clone()).or_default();
-        service.push(record.instance.clone());
-        service.sort();
-    }
-
-    fn unlist(&mut self, instance: &InstanceId) {
-        for instances in self.by_service.values_mut() {
-            instances.retain(|known| known != instance);
-        }
-        self.by_service.retain(|_, instances| !instances.is_empty());
+        service.insert(record);
     }
 
     /// Whether a record is newer than what is known, by the store and by its engine.
@@ -254,18 +252,21 @@
                 heartbeat,
             },
         );
-        self.engines.remove(instance);
-        self.unlist(instance);
+        if let Some(engine) = self.engines.remove(instance) {
+            unlist(&mut self.by_service, &engine.record);
+            if self.by_tag.get(&engine.tag) == Some(instance) {
+                self.by_tag.remove(&engine.tag);
+            }
+        }
         true
     }
 
     /// Known engines that a list of records lacks.
     pub fn missing_in(&self, records: &[EngineRecord]) -> Vec<InstanceId> {
-        let is_missing = |known: &&InstanceId| {
-            let mut listed = records.iter();
-            listed.all(|record| record.instance != **known)
-        };
-        self.engines.keys().filter(is_missing).cloned().collect()
+        let listed: HashSet<&InstanceId> = records.iter().map(|record| &record.instance).collect();
+        let known = self.engines.keys();
+        let missing = known.filter(|known| !listed.contains(known));
+        missing.cloned().collect()
     }
 
     /// One engine.
@@ -275,10 +276,16 @@
 
     /// The engines of a service in the order of their instances.
     pub fn of_service<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Engine> {
-        let instances = self.by_service.get(service).into_iter().flatten();
+        let index = self.by_service.get(service).into_iter();
+        let instances = index.flat_map(ServiceIndex::instances);
         instances.filter_map(|instance| self.engines.get(instance))
     }
 
+    /// The engines of a service, in the orders of a choice; nothing when it has none.
+    pub fn service_index(&self, service: &ServiceName) -> Option<&ServiceIndex> {
+        self.by_service.get(service)
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
         self.engines.values()
@@ -348,7 +355,7 @@
 
     /// The engine with this short name.
     pub fn by_tag(&self, tag: EngineTag) -> Option<&Engine> {
-        self.engines.values().find(|engine| engine.tag == tag)
+        self.engines.get(self.by_tag.get(&tag)?)
     }
 
     /// The engine said which weights it has.
@@ -360,16 +367,18 @@
 
     /// Another node had the engine load these weights; tells whether that was news.
     pub fn note_loaded_weights(&mut self, loaded: &LoadedWeights) -> bool {
-        let mut is_news = false;
-        let engines = self.engines.values_mut();
-        for engine in engines.filter(|engine| engine.tag == loaded.engine) {
-            let mut weights = engine.record.weights.iter_mut();
-            let held = weights.find(|(model, _)| ModelTag::of(model) == loaded.model);
-            if let Some((_, version)) = held {
-                is_news |= *version < loaded.version;
-                *version = loaded.version.max(*version);
-            }
-        }
+        let instance = self.by_tag.get(&loaded.engine);
+        let engine = instance.and_then(|instance| self.engines.get_mut(instance));
+        let Some(engine) = engine else {
+            return false;
+        };
+        let mut weights = engine.record.weights.iter_mut();
+        let held = weights.find(|(model, _)| ModelTag::of(model) == loaded.model);
+        let Some((_, version)) = held else {
+            return false;
+        };
+        let is_news = *version < loaded.version;
+        *version = loaded.version.max(*version);
         is_news
     }
 
@@ -401,3 +410,12 @@
         }
     }
 }
+
+fn unlist(by_service: &mut BTreeMap<ServiceName, ServiceIndex>, record: &EngineRecord) {
+    if let Some(index) = by_service.get_mut(&record.service) {
+        index.remove(record);
+        if index.is_empty() {
+            by_service.remove(&record.service);
+        }
+    }
+}
--- a/crates/balancing/src/eligibility.rs
+++ b/crates/balancing/src/eligibility.rs
@@ -1,6 +1,6 @@
 //! Which engines may serve a request at all: one filter before the one cost.
 
-use crate::catalogue::{Engine, EngineCatalogue};
+use crate::catalogue::Engine;
 use crate::fleet::Criteria;
 use ploverlift_policy::ids::Millis;
 
@@ -19,13 +19,12 @@
     AllTried,
 }
 
-/// The engines of the service that may serve the request.
-pub(crate) fn eligible_engines<'a>(
-    catalogue: &'a EngineCatalogue,
+/// Those of a service's engines that may serve the request, in their order.
+pub(crate) fn eligible<'a>(
+    mut engines: Vec<&'a Engine>,
     criteria: &Criteria<'_>,
     now: Millis,
 ) -> Result<Vec<&'a Engine>, NoChoice> {
-    let mut engines: Vec<&Engine> = catalogue.of_service(criteria.service).collect();
     let stays = |engine: &&Engine| !engine.record.is_leaving && !engine.is_misdirected(now);
     keep(&mut engines, stays, NoChoice::NoEngine)?;
     let has_software = |engine: &&Engine| criteria.software.allows(&engine.record.software);
--- a/crates/balancing/src/fleet.rs
+++ b/crates/balancing/src/fleet.rs
@@ -65,6 +65,9 @@
     pub prompt: Option<PromptCriteria<'a>>,
     /// Versions of the engines' software that may serve the request.
     pub software: SoftwareRule,
+    /// A random number, by which engines are drawn where there are too many to look at
+    /// all.
+    pub draw: u64,
     /// Engines that were tried already.
     pub excluded: &'a [InstanceId],
 }
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`cache_followers`] | how nodes divide which engines' caches each follows |
 //! | [`cache_stores`] | the KV cache stores, one by one, and which saves a prompt |
 //! | [`catalogue`] | engines, as their records and this node's traffic show them |
+//! | [`service_index`] | the engines of one service, in the orders of a choice |
 //! | [`cost`] | the cost of an engine, by named terms in milliseconds |
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
 //! | [`engine_load`] | requests at one engine, and sums of them |
@@ -44,6 +45,7 @@
 pub mod cache_contents;
 pub mod cache_followers;
 pub mod cache_stores;
+mod candidates;
 pub mod catalogue;
 pub mod cost;
 pub mod eligibility;
@@ -69,6 +71,7 @@
 pub mod retry_budget;
 pub mod round_trips;
 pub mod selection;
+pub mod service_index;
 pub mod store_room;
 pub mod supply;
 pub mod unseen_reading;
--- a/crates/balancing/src/prefix_reach.rs
+++ b/crates/balancing/src/prefix_reach.rs
@@ -5,7 +5,6 @@
 use crate::fleet::{FleetView, PromptCriteria, StoreView};
 use crate::names::EngineTag;
 use ploverlift_policy::ids::{Millis, ZoneName};
-use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::{cache_salt, part_keys, PartKey};
 use std::collections::{BTreeMap, HashMap};
 
@@ -25,15 +24,15 @@
 }
 
 impl<'a> PrefixReach<'a> {
-    /// Looks up who holds the shared parts of a prompt.
+    /// Looks up which of these engines hold the shared parts of a prompt.
     pub fn of(
         view: &FleetView<'a>,
-        service: &ServiceName,
+        engines: &[&'a Engine],
         prompt: &PromptCriteria<'_>,
         now: Millis,
     ) -> Self {
         let mut by_weights: BTreeMap<u64, Vec<(&Engine, u64)>> = BTreeMap::new();
-        for engine in view.catalogue.of_service(service) {
+        for engine in engines.iter().copied() {
             let weights = engine.weights_of(prompt.model);
             by_weights.entry(weights).or_default().push((engine, 0));
         }
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,13 +1,12 @@
 //! The choice of an engine, by a cost in milliseconds with named terms.
 
+use crate::candidates::{candidates, Candidates};
 use crate::catalogue::Engine;
 use crate::cost::{Cost, CostRates};
-use crate::eligibility::eligible_engines;
 pub use crate::eligibility::NoChoice;
 use crate::fleet::{Criteria, FleetView, PromptCriteria};
 use crate::names::InstanceId;
 use crate::prefix_reach::PrefixReach;
-use crate::rendezvous;
 use crate::supply::{CacheSource, KnownOffers, Offering, Supply};
 use crate::unseen_reading::filled_level;
 use ploverlift_policy::ids::{Millis, ZoneName};
@@ -72,10 +71,13 @@
     rates: &CostRates,
     now: Millis,
 ) -> Result<Choice, NoChoice> {
-    let candidates = eligible_engines(view.catalogue, criteria, now)?;
-    let ranked = ranked(candidates, criteria);
+    let Candidates {
+        engines: ranked,
+        sources,
+        thinning,
+    } = candidates(view, criteria, now)?;
     let reach = match &criteria.prompt {
-        Some(prompt) => PrefixReach::of(view, criteria.service, prompt, now),
+        Some(prompt) => PrefixReach::of(view, &sources, prompt, now),
         None => PrefixReach::default(),
     };
     let estimate = Estimate {
@@ -90,6 +92,7 @@
             .and_then(|home| view.topology.region_of(&home.record.zone)),
         typical_failures: typical_failure_rate(&ranked, now),
         newest_weights: newest_weights(&ranked, criteria),
+        thinning,
         now,
     };
     let mut ranks: BTreeMap<Option<&RegionName>, usize> = BTreeMap::new();
@@ -119,16 +122,6 @@
     })
 }
 
-/// Candidates in the order in which the prompt prefers them.
-fn ranked<'a>(mut candidates: Vec<&'a Engine>, criteria: &Criteria<'_>) -> Vec<&'a Engine> {
-    if let Some(prompt) = &criteria.prompt {
-        candidates.sort_by_cached_key(|engine| {
-            std::cmp::Reverse(rendezvous::weight(prompt.key, &engine.record.instance))
-        });
-    }
-    candidates
-}
-
 /// A zone as it looks from this node.
 #[derive(Clone, Copy, Debug)]
 struct Place<'a> {
@@ -216,6 +209,8 @@
     home_region: Option<&'a RegionName>,
     typical_failures: f64,
     newest_weights: u64,
+    /// Engines of the service for each candidate.
+    thinning: f64,
     now: Millis,
 }
 
@@ -282,7 +277,8 @@
         let other_nodes = self.view.peer_loads.peer_count() as f64;
         let unseen_ms = age_ms as f64 + REPORT_WAIT_MS;
         let tokens = own_tokens * other_nodes * unseen_ms;
-        let volume_ms = tokens / self.rates.prefill_tokens_per_ms;
+        // Others send to all engines of the service, of which these are a part.
+        let volume_ms = tokens / self.rates.prefill_tokens_per_ms / self.thinning;
         let shared: Vec<f64> = estimated
             .iter()
             .map(|(_, cost, _)| cost.for_everyone_ms())
--- a/crates/balancing/tests/choices/one_node.rs
+++ b/crates/balancing/tests/choices/one_node.rs
@@ -73,6 +73,7 @@
         request_bytes: 0,
         prompt: Some(prompt),
         software: SoftwareRule::Any,
+        draw: 1,
         excluded,
     };
     choose(&view, &criteria, &RATES, now).map(|choice| choice.instance)
--- a/crates/balancing/tests/choices/reports.rs
+++ b/crates/balancing/tests/choices/reports.rs
@@ -124,6 +124,7 @@
         request_bytes: 0,
         prompt: Some(prompt),
         software: SoftwareRule::Any,
+        draw: 1,
         excluded: &[],
     };
     choose(view, &criteria, &RATES, now).expect("an engine")
--- a/crates/balancing/tests/choices/site.rs
+++ b/crates/balancing/tests/choices/site.rs
@@ -169,6 +169,7 @@
                 place: 0.0,
             }),
             software: SoftwareRule::Any,
+            draw: 1,
             excluded: &[],
         };
         choose(&view, &criteria, &RATES, NOW).expect("an engine")
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -147,6 +147,7 @@
             request_bytes: self.received.body.len() as u64,
             prompt: self.prompt_criteria(beliefs, now)?,
             software: software.rule.clone(),
+            draw: fastrand::u64(..),
             excluded: &not_spared,
         };
         let stores = self.stores_in_use(beliefs);
