All engines are encoded once for all who ask; nodes wait their turn at a relay

Cause: at a start or after the loss of a relay each node of a zone asked for all engines at once; each answer was built and encoded anew under the lock, 64 at a time within 1.2 s in all, and whoever failed twice read the store's list, 20 calls each. A first list was told as 512 changes, four a datagram, to every node three times. A node whose relay's answer is on its way reads the store only when what it knows is older than it may be. A node that starts waits for a relay that is heard and has no list yet (6 s at most). A log that was overrun is told as a gap. Old and new nodes understand each other: the message is the same.

--- a/crates/gateway/src/catalogue_log.rs
+++ b/crates/gateway/src/catalogue_log.rs
@@ -60,11 +60,15 @@
         changes.map(|known| known.change.clone()).collect()
     }
 
-    /// The changes of the last so many milliseconds.
+    /// The changes of the last so many milliseconds. None when there were more than are
+    /// kept, as with a first list: whoever follows lacks some before them, and asks for all
+    /// engines at once.
     pub fn latest(&self, window_ms: u64, now: Millis) -> LogPart {
         let is_old = |known: &&Numbered| now.since(known.noted_at) > window_ms;
         let old = self.changes.iter().take_while(is_old).count();
-        let latest = self.changes.iter().skip(old);
+        let has_lost = old == 0 && self.changes.len() >= MAX_CHANGES;
+        let untold = if has_lost { self.changes.len() } else { old };
+        let latest = self.changes.iter().skip(untold);
         let changes: Vec<EngineChange> = latest.map(|known| known.change.clone()).collect();
         LogPart {
             after: self.through - changes.len() as u64,
--- /dev/null
+++ b/crates/gateway/src/peers/encoded_engines.rs
@@ -0,0 +1,85 @@
+//! All engines as this node knows them, encoded once for all who ask.
+//!
+//! After a start or the loss of a relay all nodes of a zone ask at once. Encoded for
+//! each of them, 10,000 engines took a relay 6 MB and a hundredth of a second of a core
+//! a piece.
+
+use super::relay_messages::{change_message, EngineChange};
+use crate::beliefs::Beliefs;
+use ploverlift_balancing::catalogue::{Engine, EngineRecord};
+use ploverlift_policy::ids::Millis;
+use ploverlift_wire::{encode_snapshot, peers};
+use std::sync::Arc;
+
+/// Time for which engines that have changed since are told as they were, in
+/// milliseconds: less than the time for which a relay's reports repeat a change, so
+/// that nothing is lacking.
+const REUSED_MS: u64 = 150;
+/// Time for which unchanged engines are not encoded again, in milliseconds: the time
+/// that they stay slow after their start is told as of the encoding.
+const LONGEST_REUSED_MS: u64 = 1_000;
+
+/// The part of a snapshot that tells the engines.
+#[derive(Clone, Debug)]
+pub(super) struct EncodedEngines {
+    /// A snapshot message with these engines alone. Concatenated messages are merged, so
+    /// what else a snapshot tells may stand before it.
+    pub(super) message: Arc<[u8]>,
+    /// Number of the last change that it contains.
+    pub(super) changes_through: u64,
+    /// Revision of the store up to which the engines are known.
+    pub(super) revision: u64,
+    encoded_at: Millis,
+}
+
+/// The last encoding.
+#[derive(Debug, Default)]
+pub struct EngineEncoding {
+    last: Option<EncodedEngines>,
+}
+
+impl EngineEncoding {
+    /// The engines as they are now or were a moment ago.
+    pub(super) fn present(&mut self, beliefs: &Beliefs, now: Millis) -> EncodedEngines {
+        let last = self.last.take();
+        let usable = last.filter(|last| last.is_usable(beliefs, now));
+        let present = usable.unwrap_or_else(|| EncodedEngines::of(beliefs, now));
+        self.last = Some(present.clone());
+        present
+    }
+}
+
+impl EncodedEngines {
+    fn of(beliefs: &Beliefs, now: Millis) -> Self {
+        let engines = beliefs.engines.iter();
+        let snapshot = peers::Snapshot {
+            engines: engines.map(|engine| message_of(engine, now)).collect(),
+            ..peers::Snapshot::default()
+        };
+        Self {
+            message: encode_snapshot(&snapshot).into(),
+            changes_through: beliefs.catalogue_log.through(),
+            revision: beliefs.engines_revision,
+            encoded_at: now,
+        }
+    }
+
+    fn is_usable(&self, beliefs: &Beliefs, now: Millis) -> bool {
+        let age_ms = now.since(self.encoded_at);
+        let is_same = self.changes_through == beliefs.catalogue_log.through();
+        age_ms < REUSED_MS || (is_same && age_ms < LONGEST_REUSED_MS)
+    }
+}
+
+fn message_of(engine: &Engine, now: Millis) -> peers::EngineChange {
+    let cold_until = engine.cold_until.unwrap_or(now);
+    let record = EngineRecord {
+        cold_ms: cold_until.since(now),
+        ..engine.record.clone()
+    };
+    change_message(&EngineChange {
+        instance: record.instance.clone(),
+        revision: record.revision,
+        record: Some(record),
+    })
+}
--- a/crates/gateway/src/peers/followed_relays.rs
+++ b/crates/gateway/src/peers/followed_relays.rs
@@ -17,6 +17,11 @@
 /// Time for which no relay is relied on after none answered, in milliseconds.
 const DISTRUST_MS: u64 = 2_000;
 
+/// Longest time that a node waits for a relay's answer, in milliseconds: 200 nodes of a
+/// zone take turns at two relays, whose links carry a list of 10,000 engines to all of
+/// them in 4 s.
+pub const LONGEST_FETCH_MS: u64 = 10_000;
+
 /// What was last heard of one relay.
 #[derive(Clone, Copy, Debug)]
 struct FollowedRelay {
@@ -58,6 +63,7 @@
     cursor: Option<CatalogueCursor>,
     behind_since: Option<Millis>,
     distrusted_until: Option<Millis>,
+    fetching_since: Option<Millis>,
 }
 
 impl FollowedRelays {
@@ -121,6 +127,34 @@
         self.behind_since = None;
     }
 
+    /// A relay is asked for what this node lacks.
+    pub fn begin_fetch(&mut self, now: Millis) {
+        self.fetching_since = Some(now);
+    }
+
+    /// The relay that was asked has answered, or does not.
+    pub fn end_fetch(&mut self) {
+        self.fetching_since = None;
+    }
+
+    /// Whether a relay's answer is on its way.
+    pub fn is_fetching(&self, now: Millis) -> bool {
+        let since = self.fetching_since;
+        since.is_some_and(|since| now.since(since) < LONGEST_FETCH_MS)
+    }
+
+    /// Whether a relay was heard lately.
+    pub fn is_heard(&self, relay: PeerId, now: Millis) -> bool {
+        let relay = self.relays.get(&relay);
+        relay.is_some_and(|relay| now.since(relay.heard_at) < RELAY_SILENCE_MS)
+    }
+
+    /// Whether any relay was heard lately.
+    pub fn hears_any(&self, now: Millis) -> bool {
+        let mut relays = self.relays.keys();
+        relays.any(|relay| self.is_heard(*relay, now))
+    }
+
     /// No relay answered.
     pub fn distrust(&mut self, now: Millis) {
         self.distrusted_until = Some(now.plus(DISTRUST_MS));
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -32,6 +32,7 @@
 
 pub mod address_book;
 pub mod discovery;
+pub mod encoded_engines;
 pub mod followed_relays;
 pub mod follower;
 pub mod incoming;
--- a/crates/gateway/src/peers/roles.rs
+++ b/crates/gateway/src/peers/roles.rs
@@ -6,6 +6,7 @@
 //! follow them and make no calls of the store, as long as a relay is heard whose
 //! own knowledge is recent enough.
 
+use crate::beliefs::Beliefs;
 use crate::engines_proof::engines_age_limit_ms;
 use crate::state::{key_freshness_limit_ms, Gateway};
 use crate::time::sleep;
@@ -23,6 +24,9 @@
 const START_WAIT_MS: u64 = 2_000;
 /// The same where the fleet was running before.
 const RESTART_WAIT_MS: u64 = 900;
+/// Longest time from its start for which a node waits for relays that are heard and do not
+/// know all engines yet, in milliseconds: reading 20,000 engines takes them 2 s.
+const LONGEST_START_MS: u64 = 6_000;
 /// Time between two looks at whether relays can be followed, in milliseconds. Three
 /// feeds look on each node; with the share of the bound that
 /// knowledge may be old ([`engines_age_limit_ms`]) it leaves 0.25 s of a bound of
@@ -114,10 +118,20 @@
 pub fn relies_on_relay(gateway: &Gateway, now: Millis) -> bool {
     role(gateway, now) == Role::Follower && {
         let limit_ms = engines_age_limit_ms(&gateway.settings());
-        gateway.beliefs().followed.is_current(limit_ms, now)
+        let beliefs = gateway.beliefs();
+        beliefs.followed.is_current(limit_ms, now) || awaits_engines(&beliefs, limit_ms, now)
     }
 }
 
+/// Whether a relay's answer is on its way, and what this node knows of the engines meanwhile
+/// is not too old, or nothing yet. In a large fleet hundreds of nodes ask their relays at
+/// once; the store could not answer all of them either.
+fn awaits_engines(beliefs: &Beliefs, limit_ms: u64, now: Millis) -> bool {
+    let known_at = beliefs.engines_proof.last_heard().map(|last| last.at);
+    let is_recent = known_at.is_none_or(|at| now.since(at) <= limit_ms);
+    beliefs.followed.is_fetching(now) && is_recent
+}
+
 /// The age from which a proof of the configuration is too old to go on without
 /// the store, in milliseconds: what is left until keys are refused is enough for
 /// a call or two.
@@ -210,6 +224,14 @@
         true => START_WAIT_MS,
         false => RESTART_WAIT_MS,
     };
-    let is_new = now.since(gateway.started_at) < wait_ms;
+    let uptime_ms = now.since(gateway.started_at);
+    let is_new = uptime_ms < wait_ms || (uptime_ms < LONGEST_START_MS && awaits_relay(gateway));
     is_new && matches!(role(gateway, now), Role::Undecided | Role::Follower)
 }
+
+/// Whether this node knows no engines, and hears a relay that will.
+fn awaits_relay(gateway: &Gateway) -> bool {
+    let now = gateway.clock.now();
+    let beliefs = gateway.beliefs();
+    !beliefs.engines_listed && beliefs.followed.hears_any(now)
+}
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -3,9 +3,9 @@
 //! The messages are too large for a datagram. One question and one answer pass on
 //! each connection, both with their length in front.
 
-use super::followed_relays::{CatalogueCursor, Lacking};
+use super::followed_relays::{CatalogueCursor, Lacking, LONGEST_FETCH_MS};
 use super::follower::take_rollout_news;
-use super::relay_messages::{change_message, read_change, EngineChange};
+use super::relay_messages::read_change;
 use super::roles::{role, Role};
 use super::rollout_messages::{news_message, read_news};
 use crate::beliefs::Beliefs;
@@ -19,7 +19,6 @@
 use crate::store::take_configuration;
 use crate::time::{sleep, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use ploverlift_balancing::catalogue::EngineRecord;
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::settings::RolloutSettings;
@@ -29,14 +28,17 @@
     decode_snapshot, decode_snapshot_request, encode_snapshot, encode_snapshot_request,
     length_prefix, parse_length_prefix, peers, WireError, LENGTH_PREFIX_BYTES,
 };
+use smol::lock::Semaphore;
 use smol::net::{TcpListener, TcpStream};
 use snafu::{ResultExt, Snafu};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// Time for one question and its answer, in milliseconds: a configuration of
-/// hundreds of kilobytes passes a link of 20 Mbit/s that others use as well.
-const EXCHANGE_MS: u64 = 1_200;
+/// Time in which a part of an answer passes, in milliseconds: 64 KB take 26 ms on a
+/// link of 20 Mbit/s that nobody else uses.
+const PROGRESS_MS: u64 = 1_200;
+/// Bytes that are to pass within that time.
+const CHUNK_BYTES: usize = 64 * 1024;
 /// Longest wait before a question, in milliseconds: nodes that lack the same do
 /// not all ask at once.
 const SPREAD_MS: u64 = 120;
@@ -47,8 +49,11 @@
 /// Time between two looks at what is lacking, in milliseconds, where no report
 /// told of it.
 const LOOK_PERIOD_MS: u64 = 300;
-/// Questions that are answered at the same time.
-const MAX_ANSWERS: usize = 64;
+/// Questions that are answered at the same time; the others wait their turn. So many
+/// readers with links of 20 Mbit/s fill one of 200 Mbit/s, and each has its answer soon.
+const MAX_ANSWERS: usize = 8;
+/// Questions that wait for their turn: all nodes of a large zone.
+const MAX_WAITING: usize = 1_024;
 
 /// Why there was no snapshot.
 #[derive(Debug, Snafu)]
@@ -57,8 +62,10 @@
     Connection { source: std::io::Error },
     #[snafu(display("the message is invalid: {source}"))]
     Message { source: WireError },
-    #[snafu(display("no answer within {EXCHANGE_MS} ms"))]
+    #[snafu(display("no part of an answer came in time"))]
     TimedOut,
+    #[snafu(display("the relay is not heard any more"))]
+    RelaySilent,
 }
 
 /// Asks relays for what this node lacks, until the task is dropped.
@@ -106,34 +113,55 @@
         configuration: gateway.beliefs().configuration_version().unwrap_or(0),
         wants_engines: lacking.wants_engines,
     };
+    let now = gateway.clock.now();
+    gateway.beliefs().followed.begin_fetch(now);
     let exchange = async {
-        let connected = TcpStream::connect(lacking.address).await;
+        let connected = within(PROGRESS_MS, TcpStream::connect(lacking.address)).await;
+        let connected = connected.ok_or(SnapshotError::TimedOut)?;
         let mut stream = connected.context(ConnectionSnafu)?;
         write_message(&mut stream, &encode_snapshot_request(&request)).await?;
         let answer = read_message(&mut stream).await?;
         decode_snapshot(&answer).context(MessageSnafu)
     };
-    let answered = within(EXCHANGE_MS, exchange).await;
+    let abandoned = async {
+        wait_until_silent(gateway, lacking.relay).await;
+        Err(SnapshotError::RelaySilent)
+    };
+    let exchange = futures_lite::future::or(exchange, abandoned);
+    let answered = within(LONGEST_FETCH_MS, exchange).await;
+    gateway.beliefs().followed.end_fetch();
     answered.unwrap_or(Err(SnapshotError::TimedOut))
 }
 
+/// Waits until a relay is no longer heard. As long as it is, it answers one after
+/// another.
+async fn wait_until_silent(gateway: &Gateway, relay: PeerId) {
+    loop {
+        sleep(LOOK_PERIOD_MS).await;
+        let now = gateway.clock.now();
+        if !gateway.beliefs().followed.is_heard(relay, now) {
+            return;
+        }
+    }
+}
+
 async fn write_message(stream: &mut TcpStream, message: &[u8]) -> Result<(), SnapshotError> {
-    let prefix = length_prefix(message);
+    let prefix = length_prefix(message.len());
     let prefixed = [prefix.as_slice(), message].concat();
     stream.write_all(&prefixed).await.context(ConnectionSnafu)
 }
 
 async fn read_message(stream: &mut TcpStream) -> Result<Vec<u8>, SnapshotError> {
     let mut prefix = [0; LENGTH_PREFIX_BYTES];
-    stream
-        .read_exact(&mut prefix)
-        .await
-        .context(ConnectionSnafu)?;
-    let length = parse_length_prefix(prefix).context(MessageSnafu)?;
-    let mut message = Vec::new();
-    let mut limited = stream.take(length as u64);
-    let read = limited.read_to_end(&mut message).await;
+    let read = stream.read_exact(&mut prefix).await;
     read.context(ConnectionSnafu)?;
+    let length = parse_length_prefix(prefix).context(MessageSnafu)?;
+    let mut message = vec![0; length];
+    for chunk in message.chunks_mut(CHUNK_BYTES) {
+        let read = within(PROGRESS_MS, stream.read_exact(chunk)).await;
+        let read = read.ok_or(SnapshotError::TimedOut)?;
+        read.context(ConnectionSnafu)?;
+    }
     Ok(message)
 }
 
@@ -207,79 +235,108 @@
 
 /// Answers questions of other nodes until the task is dropped.
 pub async fn answer_snapshots(gateway: Arc<Gateway>, listener: TcpListener) {
-    let under_way = Arc::new(AtomicUsize::new(0));
+    let waiting = Arc::new(AtomicUsize::new(0));
+    let turns = Arc::new(Semaphore::new(MAX_ANSWERS));
     loop {
         let Ok((mut stream, _)) = listener.accept().await else {
             // Out of descriptors: those in use are given back soon.
             sleep(RETRY_MS).await;
             continue;
         };
-        if under_way.load(Ordering::Acquire) >= MAX_ANSWERS {
+        if waiting.load(Ordering::Acquire) >= MAX_WAITING {
             // The asker tries again, elsewhere.
             continue;
         }
-        under_way.fetch_add(1, Ordering::AcqRel);
-        let (gateway, under_way) = (Arc::clone(&gateway), Arc::clone(&under_way));
+        waiting.fetch_add(1, Ordering::AcqRel);
+        let (gateway, waiting) = (Arc::clone(&gateway), Arc::clone(&waiting));
+        let turns = Arc::clone(&turns);
         smol::spawn(async move {
-            let answered = within(EXCHANGE_MS, answer(&gateway, &mut stream)).await;
-            if let Some(Err(error)) = answered {
+            let turn = turns.acquire().await;
+            if let Err(error) = answer(&gateway, &mut stream).await {
                 slog::debug!(gateway.log, "snapshot not given"; "error" => error.to_string());
             }
-            under_way.fetch_sub(1, Ordering::AcqRel);
+            drop(turn);
+            waiting.fetch_sub(1, Ordering::AcqRel);
         })
         .detach();
     }
 }
 
 async fn answer(gateway: &Gateway, stream: &mut TcpStream) -> Result<(), SnapshotError> {
-    let request = read_message(stream).await?;
+    let request = within(PROGRESS_MS, read_message(stream)).await;
+    let request = request.ok_or(SnapshotError::TimedOut)??;
     let request = decode_snapshot_request(&request).context(MessageSnafu)?;
     let snapshot = snapshot(gateway, &request);
-    write_message(stream, &encode_snapshot(&snapshot)).await
+    let length = snapshot.parts().map(<[u8]>::len).sum();
+    let written = stream.write_all(&length_prefix(length)).await;
+    written.context(ConnectionSnafu)?;
+    for part in snapshot.parts() {
+        write_steadily(stream, part).await?;
+    }
+    Ok(())
+}
+
+/// Writes for as long as the peer goes on reading.
+async fn write_steadily(stream: &mut TcpStream, bytes: &[u8]) -> Result<(), SnapshotError> {
+    for chunk in bytes.chunks(CHUNK_BYTES) {
+        let written = within(PROGRESS_MS, stream.write_all(chunk)).await;
+        let written = written.ok_or(SnapshotError::TimedOut)?;
+        written.context(ConnectionSnafu)?;
+    }
+    Ok(())
 }
 
 /// What a node asks for, as this one knows it.
-pub fn snapshot(gateway: &Gateway, request: &peers::SnapshotRequest) -> peers::Snapshot {
+pub struct EncodedSnapshot {
+    head: Vec<u8>,
+    engines: Option<Arc<[u8]>>,
+}
+
+impl EncodedSnapshot {
+    /// The message, in the parts in which it is sent.
+    pub fn parts(&self) -> impl Iterator<Item = &[u8]> {
+        let engines = self.engines.as_deref();
+        std::iter::once(self.head.as_slice()).chain(engines)
+    }
+}
+
+/// What a node asks for, as this one knows it.
+pub fn snapshot(gateway: &Gateway, request: &peers::SnapshotRequest) -> EncodedSnapshot {
     let now = gateway.clock.now();
-    let mut beliefs = gateway.beliefs();
     let own = Reporter {
         node: PeerId::of(&gateway.settings().node.name),
         life: gateway.life,
     };
+    let mut encoding = gateway.engine_encoding();
+    let mut beliefs = gateway.beliefs();
+    let engines = request
+        .wants_engines
+        .then(|| encoding.present(&beliefs, now));
     let news = beliefs.rollouts.news(own, true, now);
     let is_newer = beliefs.configuration_version() > Some(request.configuration);
     let stored = beliefs.stored_configuration.as_deref();
     let configuration = stored.filter(|_| is_newer).cloned();
-    let mut snapshot = peers::Snapshot {
+    let through = beliefs.catalogue_log.through();
+    let placed = beliefs.rollouts.placed_versions();
+    let placed = placed.map(|(service, version)| peers::PlacedVersion {
+        service: service.0.clone(),
+        version: version.0.clone(),
+    });
+    let head = peers::Snapshot {
         configuration,
         life: gateway.life,
-        changes_through: beliefs.catalogue_log.through(),
-        engines_revision: beliefs.engines_revision,
+        changes_through: engines
+            .as_ref()
+            .map_or(through, |known| known.changes_through),
+        engines_revision: engines
+            .as_ref()
+            .map_or(beliefs.engines_revision, |known| known.revision),
         engines: Vec::new(),
         rollouts: news.as_ref().map(news_message),
-        placed_versions: Vec::new(),
+        placed_versions: placed.filter(|_| request.wants_engines).collect(),
     };
-    if request.wants_engines {
-        let engines = beliefs.engines.iter();
-        let engines = engines.map(|engine| {
-            let cold_until = engine.cold_until.unwrap_or(now);
-            let record = EngineRecord {
-                cold_ms: cold_until.since(now),
-                ..engine.record.clone()
-            };
-            change_message(&EngineChange {
-                instance: record.instance.clone(),
-                revision: record.revision,
-                record: Some(record),
-            })
-        });
-        snapshot.engines = engines.collect();
-        let placed = beliefs.rollouts.placed_versions();
-        let placed = placed.map(|(service, version)| peers::PlacedVersion {
-            service: service.0.clone(),
-            version: version.0.clone(),
-        });
-        snapshot.placed_versions = placed.collect();
+    EncodedSnapshot {
+        head: encode_snapshot(&head),
+        engines: engines.map(|known| known.message),
     }
-    snapshot
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 use crate::kept_connections::KeptConnections;
 use crate::metrics::Metrics;
 use crate::peers::address_book::AddressBook;
+use crate::peers::encoded_engines::EngineEncoding;
 use crate::ports::Site;
 use crate::rollouts::choice::OwnSeat;
 use crate::settings::GatewaySettings;
@@ -79,6 +80,7 @@
     success_lines: Mutex<LineAllowance>,
     beliefs: Mutex<Beliefs>,
     address_book: Mutex<AddressBook>,
+    engine_encoding: Mutex<EngineEncoding>,
     kept_connections: Mutex<KeptConnections>,
 }
 
@@ -127,6 +129,7 @@
             success_lines: Mutex::new(LineAllowance::default()),
             beliefs: Mutex::new(beliefs),
             address_book: Mutex::new(AddressBook::default()),
+            engine_encoding: Mutex::default(),
             kept_connections: Mutex::default(),
         }
     }
@@ -164,6 +167,12 @@
         address_book.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// All engines, encoded for nodes that ask, locked. Beliefs are locked after it.
+    pub fn engine_encoding(&self) -> MutexGuard<'_, EngineEncoding> {
+        let encoding = self.engine_encoding.lock();
+        encoding.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     /// Kept connections to engines, locked. Never held over I/O.
     pub fn kept_connections(&self) -> MutexGuard<'_, KeptConnections> {
         let kept = self.kept_connections.lock();
--- a/crates/gateway/tests/rollout_reports/followers.rs
+++ b/crates/gateway/tests/rollout_reports/followers.rs
@@ -12,6 +12,7 @@
 use ploverlift_gateway::metrics::StoreCallLabel;
 use ploverlift_gateway::peers::roles::Role;
 use ploverlift_gateway::peers::snapshot::snapshot;
+use ploverlift_wire::decode_snapshot;
 use ploverlift_wire::peers::SnapshotRequest;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -47,6 +48,8 @@
                 wants_engines: true,
             };
             let told = snapshot(&relay.gateway, &wanted);
+            let message: Vec<u8> = told.parts().flatten().copied().collect();
+            let told = decode_snapshot(&message).expect("a snapshot");
             assert!(told.rollouts.expect("orders").known_through < revision);
             assert_eq!(told.placed_versions.len(), 1);
         }
--- /dev/null
+++ b/crates/gateway/tests/snapshots.rs
@@ -0,0 +1,89 @@
+//! All engines for all nodes of a zone at once.
+//!
+//! Pattern: 200 nodes of a zone start within 0.3 s before 10,000 engines. A snapshot that
+//! was encoded for each asker, 64 at once within 1.2 s in all, took relays 423 MB and
+//! reached few of them; the others read the store's list, 20 calls each, over links that
+//! the lists filled again.
+
+mod support;
+
+use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::peers::roles::Role;
+use ploverlift_gateway::peers::snapshot::snapshot;
+use ploverlift_wire::{decode_snapshot, peers};
+use serde_json::json;
+use support::configuration;
+use support::fleet::{list_silent_nodes, role_of, start_peer, wait_until};
+use support::store::StandInStore;
+
+/// Engines of the fleet: a list of some 200 kB.
+const ENGINES: usize = 2_000;
+/// Nodes that start together before two relays.
+const FOLLOWERS: usize = 40;
+
+fn put_engines(store: &StandInStore) {
+    for index in 0..ENGINES {
+        let record = json!({"service": "app", "address": "127.0.0.1:9"});
+        store.put("Engines", &format!("app-{index}"), record);
+    }
+}
+
+fn knows_all(node: &RunningGateway) -> bool {
+    node.gateway.beliefs().engines.len() == ENGINES
+}
+
+#[test]
+fn nodes_that_start_together_have_all_engines_from_their_relays() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        put_engines(&store);
+        list_silent_nodes(&store);
+        let relays = [
+            start_peer(&store, "large-1", 2.0),
+            start_peer(&store, "large-2", 1.0),
+        ];
+        for relay in &relays {
+            wait_until(relay, |node| role_of(node) == Role::Relay).await;
+            wait_until(relay, knows_all).await;
+        }
+        let lists = store.calls("list Engines");
+        let names: Vec<String> = (0..FOLLOWERS)
+            .map(|index| format!("small-{index}"))
+            .collect();
+        let followers: Vec<RunningGateway> = names
+            .iter()
+            .map(|name| start_peer(&store, name, 0.1))
+            .collect();
+        for follower in &followers {
+            wait_until(follower, knows_all).await;
+        }
+        assert_eq!(store.calls("list Engines"), lists);
+    });
+}
+
+#[test]
+fn all_who_ask_are_sent_the_same_bytes() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        put_engines(&store);
+        let node = start_peer(&store, "alone", 1.0);
+        wait_until(&node, knows_all).await;
+        let request = peers::SnapshotRequest {
+            configuration: 0,
+            wants_engines: true,
+        };
+        let first = snapshot(&node.gateway, &request);
+        let second = snapshot(&node.gateway, &request);
+        let engines_of = |told: &ploverlift_gateway::peers::snapshot::EncodedSnapshot| {
+            told.parts().last().map(<[u8]>::as_ptr)
+        };
+        assert_eq!(engines_of(&first), engines_of(&second));
+        let message: Vec<u8> = first.parts().flatten().copied().collect();
+        let told = decode_snapshot(&message).expect("a snapshot");
+        assert_eq!(told.engines.len(), ENGINES);
+        assert!(told.configuration.is_some());
+        assert_eq!(told.life, node.gateway.life);
+    });
+}
--- a/crates/node/src/cluster/transport.rs
+++ b/crates/node/src/cluster/transport.rs
@@ -88,7 +88,7 @@
 async fn send_over_tcp(to: SocketAddr, bytes: Vec<u8>) {
     let send = async {
         let mut stream = TcpStream::connect(to).await?;
-        stream.write_all(&length_prefix(&bytes)).await?;
+        stream.write_all(&length_prefix(bytes.len())).await?;
         stream.write_all(&bytes).await?;
         stream.close().await
     };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -78,9 +78,9 @@
     peers::PeerMessage::decode(datagram).context(DecodeSnafu)
 }
 
-/// The length prefix of an encoded message on a TCP connection.
-pub fn length_prefix(bytes: &[u8]) -> [u8; LENGTH_PREFIX_BYTES] {
-    u32::try_from(bytes.len()).unwrap_or(u32::MAX).to_be_bytes()
+/// The length prefix of an encoded message of so many bytes on a TCP connection.
+pub fn length_prefix(bytes: usize) -> [u8; LENGTH_PREFIX_BYTES] {
+    u32::try_from(bytes).unwrap_or(u32::MAX).to_be_bytes()
 }
 
 /// Reads a length prefix.
