Relays name the nodes of their zone a few in each report

Cause: a report that names all nodes of a zone of 200 has 1.6 kB of names; with loads and placements it passes the 2 kB of a receiver's buffer, and is no message. So in zones of more than about 100 nodes no node knew any other by relays (read in the code). Change: 48 nodes a report, all within ten periods; a node counts the members that were named within 5 s, which also is its number of peers. Test: all_nodes_of_a_large_zone_are_named_within_a_second_a_few_in_each_report.

--- a/crates/balancing/src/named_nodes.rs
+++ b/crates/balancing/src/named_nodes.rs
@@ -23,14 +23,24 @@
 impl NamedNodes {
     /// A relay names nodes of the own zone, and the zones that have any.
     pub fn take(&mut self, members: &[PeerId], zones: &[ZoneTag], now: Millis) {
-        self.members.retain(|_, named_at| is_kept(*named_at, now));
-        self.zones.retain(|_, named_at| is_kept(*named_at, now));
+        self.expire(now);
         let members = members.iter().map(|member| (*member, now));
         self.members.extend(members);
         let zones = zones.iter().map(|zone| (*zone, now));
         self.zones.extend(zones);
     }
 
+    /// Forgets those that nobody has named lately.
+    pub fn expire(&mut self, now: Millis) {
+        self.members.retain(|_, named_at| is_kept(*named_at, now));
+        self.zones.retain(|_, named_at| is_kept(*named_at, now));
+    }
+
+    /// Number of nodes of the own zone.
+    pub fn member_count(&self) -> usize {
+        self.members.len()
+    }
+
     /// Nodes of the own zone; none when no relay has named any lately.
     pub fn members(&self, now: Millis) -> impl Iterator<Item = PeerId> + '_ {
         let members = self.members.iter();
--- a/crates/balancing/src/peer_loads.rs
+++ b/crates/balancing/src/peer_loads.rs
@@ -180,7 +180,7 @@
 
     /// Nodes that were heard of lately, by their own reports or a relay's.
     pub fn peer_count(&self) -> usize {
-        self.peers.len().max(self.relayed.members().len())
+        self.peers.len().max(self.relayed.member_count())
     }
 
     fn take_off(&mut self, id: PeerId) {
--- a/crates/balancing/src/relayed_loads.rs
+++ b/crates/balancing/src/relayed_loads.rs
@@ -31,7 +31,7 @@
     pub loads: Vec<(EngineTag, EngineLoad)>,
     /// Engines that load weights by anybody's order.
     pub loading: Vec<EngineTag>,
-    /// Nodes of the zone; nothing when this report does not tell.
+    /// Some nodes of the zone; nothing when this report does not tell.
     pub members: Vec<PeerId>,
     /// Zones that have any node; nothing when this report does not tell.
     pub zones: Vec<ZoneTag>,
@@ -53,7 +53,6 @@
     /// When this node sent the report that the sums contain.
     included_sent_at: Option<Millis>,
     loading: Vec<EngineTag>,
-    members: Vec<PeerId>,
 }
 
 /// The tables of all relays that were heard of lately.
@@ -115,14 +114,12 @@
             own_included: HashMap::new(),
             included_sent_at: None,
             loading: Vec::new(),
-            members: Vec::new(),
         });
         relay.position = position;
         relay.own_included = own;
         relay.included_sent_at = included_sent_at.max(relay.included_sent_at);
         relay.loading.clone_from(&report.loading);
         if !report.members.is_empty() {
-            relay.members.clone_from(&report.members);
             self.named_nodes.take(&report.members, &report.zones, now);
         }
         for (engine, load) in &report.loads {
@@ -139,6 +136,7 @@
     pub fn expire(&mut self, now: Millis) {
         self.relays
             .retain(|_, relay| now.since(relay.position.heard_at()) < RELAY_SILENCE_MS);
+        self.named_nodes.expire(now);
     }
 
     /// Whether any relay was heard of lately.
@@ -171,10 +169,12 @@
         relays.any(|relay| relay.loading.contains(&engine))
     }
 
-    /// Nodes of the own zone, as a relay tells that knows of the most.
-    pub fn members(&self) -> &[PeerId] {
-        let largest = self.relays.values().max_by_key(|relay| relay.members.len());
-        largest.map_or(&[], |relay| &relay.members)
+    /// Nodes of the own zone that relays have named, while one is heard.
+    pub fn member_count(&self) -> usize {
+        match self.is_heard() {
+            true => self.named_nodes.member_count(),
+            false => 0,
+        }
     }
 
     fn newest(&self) -> Option<&Relay> {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -41,7 +41,7 @@
 pub mod message_fields;
 pub mod messages;
 pub mod relay;
-mod relay_contents;
+pub mod relay_contents;
 pub mod relay_duties;
 pub mod relay_messages;
 pub mod reports;
--- a/crates/gateway/src/peers/relay_contents.rs
+++ b/crates/gateway/src/peers/relay_contents.rs
@@ -34,8 +34,11 @@
 /// Reports in which each engine's load is told at least once: it repairs what was
 /// lost.
 const PERIODS_PER_REFRESH: u64 = 16;
-/// Reports for each one that names the nodes of the zone.
+/// Periods in which a relay names all nodes of its zone, in a small zone.
 const PERIODS_PER_MEMBERS: u64 = 10;
+/// Nodes that one report names: with everything else in it they fit the buffer of a
+/// receiver (2 KB), which those of a zone of 200 nodes do not.
+pub const MAX_NAMED_MEMBERS: usize = 48;
 /// Time from its beginning after which a relay names the nodes of its zone, in
 /// milliseconds: those that lost their relays report to it after 0.7 s, at least every
 /// 0.3 s. Whoever is named few others would take over their work.
@@ -260,10 +263,7 @@
 
     /// What all reports of a period have in common.
     fn header(&self, beliefs: &Beliefs, now: Millis) -> RelayReport {
-        let names_members = self.knows_members(now) && self.period % PERIODS_PER_MEMBERS == 0;
         let peers = || beliefs.peer_loads.peers();
-        let members = peers().filter(|(_, zone)| names_members && *zone == self.zone);
-        let members = members.map(|(id, _)| id).chain([self.own]);
         let mut zones: Vec<ZoneTag> = peers().map(|(_, zone)| zone).chain([self.zone]).collect();
         zones.sort_by_key(|zone| zone.0);
         zones.dedup();
@@ -274,8 +274,8 @@
                 sequence: 0,
                 loads: Vec::new(),
                 loading: loading(beliefs, |_| true),
-                members: match names_members {
-                    true => members.collect(),
+                members: match self.knows_members(now) {
+                    true => self.named_members(beliefs),
                     false => Vec::new(),
                 },
                 zones,
@@ -297,6 +297,14 @@
         }
     }
 
+    /// The nodes of the zone that the reports of this period name: a part of them.
+    fn named_members(&self, beliefs: &Beliefs) -> Vec<PeerId> {
+        let peers = beliefs.peer_loads.peers();
+        let near = peers.filter(|(_, zone)| *zone == self.zone);
+        let members: Vec<PeerId> = near.map(|(id, _)| id).chain([self.own]).collect();
+        members_of_period(&members, self.period).to_vec()
+    }
+
     /// Whether all nodes of the zone have had the time to report here.
     fn knows_members(&self, now: Millis) -> bool {
         let since = self.relays_since;
@@ -385,3 +393,12 @@
     loading.dedup();
     loading
 }
+
+/// The part of a zone's nodes that the reports of a period name. Within ten periods, or in
+/// zones of more than 480 nodes one more for each 48, all are named.
+pub fn members_of_period(members: &[PeerId], period: u64) -> &[PeerId] {
+    let parts = members.len().div_ceil(MAX_NAMED_MEMBERS) as u64;
+    let part = period % parts.max(PERIODS_PER_MEMBERS);
+    let mut chunks = members.chunks(MAX_NAMED_MEMBERS);
+    chunks.nth(part as usize).unwrap_or(&[])
+}
--- a/crates/gateway/tests/relays/sizes.rs
+++ b/crates/gateway/tests/relays/sizes.rs
@@ -4,7 +4,9 @@
 use ploverlift_balancing::cache_contents::KeyShare;
 use ploverlift_balancing::cache_stores::{StoreTag, ToldContents};
 use ploverlift_balancing::engine_losses::{LostEngine, MAX_TOLD};
-use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadedWeights, ModelTag, ZoneTag};
+use ploverlift_balancing::peer_loads::{
+    EngineLoad, EngineTag, LoadedWeights, ModelTag, PeerId, ZoneTag,
+};
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_balancing::weights::{ToldVersion, WeightsNews};
 use ploverlift_gateway::catalogue_log::CatalogueLog;
@@ -12,6 +14,7 @@
 use ploverlift_gateway::peers::messages::{
     decode, encode, encode_body, room_for_placements, PeerMessage,
 };
+use ploverlift_gateway::peers::relay_contents::{members_of_period, MAX_NAMED_MEMBERS};
 use ploverlift_gateway::peers::relay_messages::{
     included_message, relay_report_message, MAX_RELAYED_CHANGES, MAX_RELAYED_LOADS,
     MAX_RELAYED_PLACEMENTS,
@@ -20,6 +23,7 @@
 use ploverlift_gateway::peers::weights_messages::MAX_TOLD_VERSIONS;
 use ploverlift_routing::prompt::PartKey;
 use ploverlift_wire::peers::peer_message::Body;
+use std::collections::BTreeSet;
 
 #[test]
 fn the_largest_report_of_a_relay_fits_one_datagram_and_survives_the_wire() {
@@ -164,3 +168,23 @@
     assert_eq!((quiet.after, quiet.through), (5, 5));
     assert_eq!(quiet.pieces(2), [quiet]);
 }
+
+/// A zone of a fleet of 1,000 nodes has 200; named in one report they would not fit a
+/// receiver's buffer, and no node would know any other.
+#[test]
+fn all_nodes_of_a_large_zone_are_named_within_a_second_a_few_in_each_report() {
+    for (nodes, periods) in [(1, 10), (59, 10), (200, 10), (400, 10), (2_000, 42)] {
+        let members: Vec<PeerId> = (0..nodes).map(PeerId).collect();
+        let mut named: BTreeSet<PeerId> = BTreeSet::new();
+        for period in 7..7 + periods {
+            let part = members_of_period(&members, period);
+            assert!(part.len() <= MAX_NAMED_MEMBERS);
+            named.extend(part);
+        }
+        assert_eq!(
+            named.len(),
+            members.len(),
+            "of {nodes} in {periods} periods"
+        );
+    }
+}
