--- a/crates/gateway/src/peers/followed_relays.rs
+++ b/crates/gateway/src/peers/followed_relays.rs
@@ -127,7 +127,7 @@
         self.behind_since = None;
     }
 
-    /// A relay is asked for what this node lacks.
+    /// A relay is asked for all engines.
     pub fn begin_fetch(&mut self, now: Millis) {
         self.fetching_since = Some(now);
     }
@@ -137,7 +137,7 @@
         self.fetching_since = None;
     }
 
-    /// Whether a relay's answer is on its way.
+    /// Whether a relay's answer with all engines is on its way.
     pub fn is_fetching(&self, now: Millis) -> bool {
         let since = self.fetching_since;
         since.is_some_and(|since| now.since(since) < LONGEST_FETCH_MS)
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -49,7 +49,7 @@
 /// Time between two looks at what is lacking, in milliseconds, where no report
 /// told of it.
 const LOOK_PERIOD_MS: u64 = 300;
-/// Questions that are answered at the same time; the others wait their turn. So many
+/// Questions for the engines that are answered at the same time; the others wait their turn. So many
 /// readers with links of 20 Mbit/s fill one of 200 Mbit/s, and each has its answer soon.
 const MAX_ANSWERS: usize = 8;
 /// Questions that wait for their turn: all nodes of a large zone.
@@ -113,8 +113,10 @@
         configuration: gateway.beliefs().configuration_version().unwrap_or(0),
         wants_engines: lacking.wants_engines,
     };
-    let now = gateway.clock.now();
-    gateway.beliefs().followed.begin_fetch(now);
+    if lacking.wants_engines {
+        let now = gateway.clock.now();
+        gateway.beliefs().followed.begin_fetch(now);
+    }
     let exchange = async {
         let connected = within(PROGRESS_MS, TcpStream::connect(lacking.address)).await;
         let connected = connected.ok_or(SnapshotError::TimedOut)?;
@@ -251,21 +253,29 @@
         let (gateway, waiting) = (Arc::clone(&gateway), Arc::clone(&waiting));
         let turns = Arc::clone(&turns);
         smol::spawn(async move {
-            let turn = turns.acquire().await;
-            if let Err(error) = answer(&gateway, &mut stream).await {
+            if let Err(error) = answer(&gateway, &mut stream, &turns).await {
                 slog::debug!(gateway.log, "snapshot not given"; "error" => error.to_string());
             }
-            drop(turn);
             waiting.fetch_sub(1, Ordering::AcqRel);
         })
         .detach();
     }
 }
 
-async fn answer(gateway: &Gateway, stream: &mut TcpStream) -> Result<(), SnapshotError> {
+/// Answers one question. Those for the engines take turns; a configuration is small and
+/// has to be in force soon.
+async fn answer(
+    gateway: &Gateway,
+    stream: &mut TcpStream,
+    turns: &Semaphore,
+) -> Result<(), SnapshotError> {
     let request = within(PROGRESS_MS, read_message(stream)).await;
     let request = request.ok_or(SnapshotError::TimedOut)??;
     let request = decode_snapshot_request(&request).context(MessageSnafu)?;
+    let _turn = match request.wants_engines {
+        true => Some(turns.acquire().await),
+        false => None,
+    };
     let snapshot = snapshot(gateway, &request);
     let length = snapshot.parts().map(<[u8]>::len).sum();
     let written = stream.write_all(&length_prefix(length)).await;
