Tests: one request ends every engine that begins it (red)

Five nodes before twelve engines; one request, asked for thirty times in turn. Seen on the code as it is: 12 of 12 engines end, for a stream that may not be resumed and for a call that may run again; at most 4 may.

The stand-in engine can end (its listener refuses, its connections close) and holds calls for cache events as engines do; it answered the first position at once for ever, which kept a core busy with several nodes.

--- /dev/null
+++ b/crates/gateway/tests/harmful_requests/fleets.rs
@@ -0,0 +1,53 @@
+//! How many engines one request ends, whoever asks wherever.
+
+use crate::site::{harmful_call, harmful_prompt, Site, MOST_ENDED};
+use crate::support::caller::{self, prompt};
+
+/// Nodes of the site.
+const NODES: usize = 5;
+/// Engines of the site.
+const ENGINES: usize = 12;
+/// How often the request is asked for, and how long after its last answer.
+const ASKED: usize = 30;
+const PAUSE_MS: u64 = 30;
+
+#[test]
+fn a_request_that_ends_engines_reaches_few_of_them_whichever_node_is_asked() {
+    smol::block_on(async {
+        let mut site = Site::new("llm", ENGINES).await;
+        site.start_nodes(NODES).await;
+        let statuses = site.ask(&harmful_prompt(), ASKED, PAUSE_MS).await;
+        assert!(site.ends() <= MOST_ENDED, "{} engines ended", site.ends());
+        // What is refused has not run, and its caller is told so.
+        assert_eq!(statuses.last(), Some(&503));
+        // Another request of the same caller is served.
+        let node = &site.nodes[0];
+        let answer = caller::send(node.callers, &prompt("stream.test", "r")).await;
+        assert_eq!(answer.status(), 200);
+    });
+}
+
+#[test]
+fn a_request_that_may_run_again_ends_no_more_engines_for_that() {
+    smol::block_on(async {
+        let mut site = Site::new("app", ENGINES).await;
+        site.start_nodes(NODES).await;
+        site.ask(&harmful_call(), ASKED, PAUSE_MS).await;
+        assert!(site.ends() <= MOST_ENDED, "{} engines ended", site.ends());
+    });
+}
+
+#[test]
+fn nodes_that_have_all_been_restarted_send_it_to_no_engine() {
+    smol::block_on(async {
+        let mut site = Site::new("llm", ENGINES).await;
+        site.start_nodes(NODES).await;
+        site.ask(&harmful_prompt(), ASKED, PAUSE_MS).await;
+        let before = site.ends();
+        assert!(before < ENGINES, "no engine is left");
+        site.stop_nodes();
+        site.start_nodes(NODES).await;
+        site.ask(&harmful_prompt(), NODES, 0).await;
+        assert_eq!(site.ends(), before);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/harmful_requests/site.rs
@@ -0,0 +1,97 @@
+//! A site of several nodes whose engines end under one request.
+
+use crate::support::caller::{self, prompt, request, Request};
+use crate::support::configuration;
+use crate::support::engine::{Behaviour, StandInEngine};
+use crate::support::fleet::start_peer_with;
+use crate::support::store::StandInStore;
+use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::time::sleep;
+
+/// The body of the request under which engines end.
+pub const HARMFUL: &[u8] = b"harmful";
+/// Engines that may end under one request, whoever asks wherever.
+pub const MOST_ENDED: usize = 4;
+
+/// Time between two looks at what a test waits for, in milliseconds.
+const LOOK_MS: u64 = 5;
+
+/// Nodes before engines of one service.
+pub struct Site {
+    pub store: StandInStore,
+    pub engines: Vec<StandInEngine>,
+    pub nodes: Vec<RunningGateway>,
+}
+
+impl Site {
+    /// So many engines of a service, and no node.
+    pub async fn new(service: &str, engines: usize) -> Self {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        let mut started = Vec::new();
+        for number in 0..engines {
+            let name = format!("{service}-{number}");
+            let engine = StandInEngine::start(&name, service, Behaviour::EndsUnder(HARMFUL)).await;
+            store.put("Engines", &name, engine.record());
+            started.push(engine);
+        }
+        Self {
+            store,
+            engines: started,
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Starts nodes that know each other.
+    pub async fn start_nodes(&mut self, count: usize) {
+        for number in 0..count {
+            let node = start_peer_with(&self.store, &format!("node-{number}"), 1.0, "");
+            self.nodes.push(node);
+        }
+        for node in &self.nodes {
+            while caller::get_status(node.readiness).await != 200 {
+                sleep(LOOK_MS).await;
+            }
+            while node.gateway.address_book().listed_nodes() < count {
+                sleep(LOOK_MS).await;
+            }
+        }
+    }
+
+    /// All nodes end at once.
+    pub fn stop_nodes(&mut self) {
+        self.nodes.clear();
+    }
+
+    /// How often engines have ended.
+    pub fn ends(&self) -> usize {
+        self.engines.iter().map(StandInEngine::ends).sum()
+    }
+
+    /// Asks for a request so many times, each time at another node, at a steady pace.
+    pub async fn ask(&self, request: &Request, times: usize, pause_ms: u64) -> Vec<u16> {
+        let mut statuses = Vec::new();
+        for number in 0..times {
+            let node = &self.nodes[number * 7 % self.nodes.len()];
+            statuses.push(caller::send(node.callers, request).await.status());
+            sleep(pause_ms).await;
+        }
+        statuses
+    }
+}
+
+/// The request under which engines end: a stream that may not be resumed.
+pub fn harmful_prompt() -> Request {
+    Request {
+        body: HARMFUL.to_vec(),
+        ..prompt("stream.test", "harmful")
+    }
+}
+
+/// The same for a request that may run again.
+pub fn harmful_call() -> Request {
+    Request {
+        body: HARMFUL.to_vec(),
+        ..request("safe.test", "harmful")
+    }
+}
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -73,6 +73,7 @@
         | Behaviour::Flood
         | Behaviour::AnswerAfter(_)
         | Behaviour::StreamSlowly(_)
+        | Behaviour::EndsUnder(_)
         | Behaviour::BreakInside(_) => {
             head.headers.push(site::SIGNED, "1");
         }
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -2,7 +2,7 @@
 
 use super::super::site;
 use super::answers::respond;
-use super::{Behaviour, Shared};
+use super::{Behaviour, Shared, RUNS_BEFORE_END_MS};
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{read_request_head, BufferedStream, RequestHead, ResponseHead};
 use serde_json::{json, Value};
@@ -53,7 +53,13 @@
         }
         // Decided before the request is told of: whoever hears of it may set another one.
         let answers = shared.behaviour.lock().expect("behaviour").clone();
+        let ends = matches!(answers, Behaviour::EndsUnder(marked) if marked == body);
         note(&shared, &head, body);
+        if ends {
+            sleep(RUNS_BEFORE_END_MS).await;
+            shared.end();
+            std::future::pending::<()>().await;
+        }
         if requests > 1 && answers == Behaviour::CloseKeptThenRefuse {
             return;
         }
@@ -73,20 +79,24 @@
     let _ = shared.seen.try_send(());
 }
 
-/// Tells the events after a position, when there are some.
+/// Tells the events after a position, when there are some. Positions begin at 1: the first
+/// call, from 0, is answered at once.
 async fn tell_cache_events(
     shared: &Shared,
     connection: &mut BufferedStream,
     since: usize,
 ) -> Option<()> {
     let events = loop {
+        let kept = shared.cache_changed.listen();
         let events = shared.cache_events.lock().expect("events").clone();
-        if events.len() > since || since == 0 {
+        if events.len() + 1 > since {
             break events;
         }
-        sleep(2).await;
+        kept.await;
     };
-    let text = json!({"epoch": 1, "next": events.len(), "events": events[since..]}).to_string();
+    let text = json!({"epoch": 1, "next": events.len() + 1,
+                      "events": events[since.saturating_sub(1)..]})
+    .to_string();
     let mut answer = ResponseHead::new(200);
     answer
         .headers
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -4,13 +4,15 @@
 mod connection;
 
 use self::connection::serve;
+use event_listener::Event;
 use ploverlift_gateway::callers::bind;
 use ploverlift_gateway::time::within;
 use ploverlift_http1::RequestHead;
 use serde_json::{json, Value};
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Wait after which a connection to a full accept queue is known not to come about, in
@@ -63,8 +65,13 @@
     AnswerAfter(u64),
     /// Sends so many events, one each 50 ms, and then the end.
     StreamSlowly(u64),
+    /// Answers whole, but ends a moment after it has begun a request with this body.
+    EndsUnder(&'static [u8]),
 }
 
+/// Time for which an engine runs a request under which it ends, in milliseconds.
+pub const RUNS_BEFORE_END_MS: u64 = 20;
+
 /// Events of a whole stream.
 pub const EVENTS: u64 = 6;
 
@@ -84,12 +91,16 @@
     behaviour: Mutex<Behaviour>,
     /// Events of its cache: salt, part, tokens kept from then on.
     cache_events: Mutex<Vec<(String, u64, u64)>>,
+    cache_changed: Event,
     weights: Mutex<u64>,
     /// Whether orders get an answer.
     answers_orders: Mutex<bool>,
     /// The lowest fencing token that it takes orders with.
     lowest_token: Mutex<u64>,
     notes: Mutex<Notes>,
+    /// How often it has ended; its connections end with it.
+    ends: AtomicUsize,
+    ended: Event,
     seen: async_channel::Sender<()>,
 }
 
@@ -107,6 +118,7 @@
     /// Connections that fill the accept queue of an engine without power.
     fillers: Vec<TcpStream>,
     accepting: Option<smol::Task<()>>,
+    _ending: smol::Task<()>,
 }
 
 impl StandInEngine {
@@ -118,13 +130,17 @@
         let shared = Arc::new(Shared {
             behaviour: Mutex::new(behaviour),
             cache_events: Mutex::default(),
+            cache_changed: Event::new(),
             weights: Mutex::new(1),
             answers_orders: Mutex::new(true),
             lowest_token: Mutex::new(0),
             notes: Mutex::default(),
+            ends: AtomicUsize::new(0),
+            ended: Event::new(),
             seen,
         });
         let accepting = accept(&shared, &listener);
+        let ending = smol::spawn(close_when_ended(Arc::clone(&shared), Arc::clone(&listener)));
         Self {
             instance: instance.to_owned(),
             service: service.to_owned(),
@@ -135,9 +151,27 @@
             listener,
             fillers: Vec::new(),
             accepting: Some(accepting),
+            _ending: ending,
         }
     }
 
+    /// It ends: all connections are closed, and new ones are refused.
+    pub async fn end(&self) {
+        self.shared.end();
+        while TcpStream::connect(self.address).await.is_ok() {}
+    }
+
+    /// It is back after it has ended.
+    pub fn start_again(&mut self) {
+        SockRef::from(&*self.listener).listen(128).expect("listen");
+        self.accepting = Some(accept(&self.shared, &self.listener));
+    }
+
+    /// How often it has ended.
+    pub fn ends(&self) -> usize {
+        self.shared.ends.load(Ordering::Acquire)
+    }
+
     /// Its machine loses its power: nothing is reset, and connections are neither taken
     /// nor refused but time out. What came before stays open and silent.
     pub async fn lose_power(&mut self) {
@@ -205,6 +239,7 @@
     pub fn keep(&self, salt: &str, part: u64, tokens: u64) {
         let event = (salt.to_owned(), part, tokens);
         self.shared.cache_events.lock().expect("events").push(event);
+        self.shared.cache_changed.notify(usize::MAX);
     }
 
     /// Heads of the requests that it read.
@@ -236,11 +271,33 @@
     }
 }
 
+impl Shared {
+    fn end(&self) {
+        self.ends.fetch_add(1, Ordering::AcqRel);
+        self.ended.notify(usize::MAX);
+    }
+}
+
+/// Refuses new connections whenever the engine has ended.
+async fn close_when_ended(shared: Arc<Shared>, listener: Arc<TcpListener>) {
+    let mut ended = shared.ended.listen();
+    loop {
+        ended.await;
+        ended = shared.ended.listen();
+        let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
+    }
+}
+
 fn accept(shared: &Arc<Shared>, listener: &Arc<TcpListener>) -> smol::Task<()> {
     let (serving, accepted) = (Arc::clone(shared), Arc::clone(listener));
     smol::spawn(async move {
         while let Ok((stream, _)) = accepted.accept().await {
-            smol::spawn(serve(Arc::clone(&serving), stream)).detach();
+            let shared = Arc::clone(&serving);
+            smol::spawn(async move {
+                let ended = shared.ended.listen();
+                futures_lite::future::or(serve(Arc::clone(&shared), stream), ended).await;
+            })
+            .detach();
         }
     })
 }
