--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -23,6 +23,7 @@
 use crate::time::{sleep, within};
 use crate::weights::knowledge::{follow_weights, renew_proof};
 use crate::weights::roll_weights;
+use ploverlift_clock::Clock;
 use slog::Logger;
 use smol::net::{TcpListener, UdpSocket};
 use smol::Task;
@@ -78,6 +79,19 @@
     settings: GatewaySettings,
     site: Arc<dyn Site>,
     log: Logger,
+) -> Result<RunningGateway, StartError> {
+    start_with_clock(settings, site, log, Clock::default())
+}
+
+/// Starts a node with a clock that is handed in.
+///
+/// # Errors
+/// When a listener cannot be bound.
+pub fn start_with_clock(
+    settings: GatewaySettings,
+    site: Arc<dyn Site>,
+    log: Logger,
+    clock: Clock,
 ) -> Result<RunningGateway, StartError> {
     let (callers, callers_address) = listen(settings.listen.callers, "callers")?;
     let (readiness, readiness_address) = listen(settings.listen.readiness, "readiness")?;
@@ -85,7 +99,7 @@
         Some(address) => Some(listen(address, "metrics")?.0),
         None => None,
     };
-    let gateway = Arc::new(Gateway::new(settings, site, log));
+    let gateway = Arc::new(Gateway::with_clock(settings, site, log, clock));
     let mut tasks = vec![
         smol::spawn(accept_callers(Arc::clone(&gateway), callers)),
         smol::spawn(answer_readiness(Arc::clone(&gateway), readiness)),
--- a/crates/gateway/src/engines_proof.rs
+++ b/crates/gateway/src/engines_proof.rs
@@ -71,7 +71,7 @@
 impl EnginesProof {
     /// The store answered a call that was sent at `sent`: it told all that had changed
     /// before.
-    pub fn read(&mut self, sent: Millis, now: Millis) {
+    pub fn read(&mut self, sent: Millis, now: Millis, longest_ms: u64) {
         self.known_at = self.known_at.max(Some(sent));
         self.hear(now, EnginesSource::Store);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,13 +10,13 @@
 use crate::rollouts::choice::OwnSeat;
 use crate::settings::GatewaySettings;
 use crate::store::outage::StoreOutage;
-use crate::time::{unix_ms, Clock};
 use event_listener::Event;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::cost::{CostRates, RegionRates};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_balancing::weights::WeightsBounds;
+use ploverlift_clock::{unix_ms, Clock};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::topology::Topology;
 use slog::Logger;
@@ -33,7 +33,7 @@
     pub topology: Topology,
     /// Translates the site's protocols.
     pub site: Arc<dyn Site>,
-    /// Steady clock.
+    /// The clock by which all ages count.
     pub clock: Clock,
     /// Log.
     pub log: Logger,
@@ -96,7 +96,16 @@
 impl Gateway {
     /// A node that believes nothing yet.
     pub fn new(settings: GatewaySettings, site: Arc<dyn Site>, log: Logger) -> Self {
-        let clock = Clock::default();
+        Self::with_clock(settings, site, log, Clock::default())
+    }
+
+    /// The same with a clock that is handed in.
+    pub fn with_clock(
+        settings: GatewaySettings,
+        site: Arc<dyn Site>,
+        log: Logger,
+        clock: Clock,
+    ) -> Self {
         let age_limit_ms = engines_age_limit_ms(&settings);
         let mut beliefs = Beliefs::default();
         beliefs.store_outage = StoreOutage::new(&settings, age_limit_ms);
@@ -105,6 +114,7 @@
             topology: settings.topology.topology(),
             settings: Mutex::new(Arc::new(settings)),
             site,
+            started_at: clock.now(),
             clock,
             log,
             metrics: Metrics::default(),
@@ -123,7 +133,6 @@
             stop_began: Event::new(),
             work_ended: Event::new(),
             life: unix_ms(),
-            started_at: clock.now(),
             report_sequence: AtomicU64::new(1),
             split_start: fastrand::f64(),
             stopping: AtomicBool::new(false),
--- a/crates/gateway/src/store/engine_feed.rs
+++ b/crates/gateway/src/store/engine_feed.rs
@@ -1,9 +1,10 @@
 //! The copy of the engines' records: a list, then every change.
 
 use super::backoff::Backoff;
-use super::feed::Feed;
+use super::feed::{Feed, ENGINES_OVERDUE_MS};
 use super::lapsed::{remove_engine, replace_engines, EngineList};
 use crate::engine_log::{log_engine_updates, UpdateSource};
+use crate::engines_proof::engines_age_limit_ms;
 use crate::ports::{InvalidDocument, StoreKind, StoreObject, WatchEvent};
 use crate::state::Gateway;
 use crate::time::sleep;
@@ -48,7 +49,8 @@
 fn note_engines_known(gateway: &Gateway, revision: u64, sent: Millis) {
     let now = gateway.clock.now();
     let mut beliefs = gateway.beliefs();
-    beliefs.engines_proof.read(sent, now);
+    let longest_ms = engines_age_limit_ms(&gateway.settings()) + ENGINES_OVERDUE_MS;
+    beliefs.engines_proof.read(sent, now, longest_ms);
     beliefs.engines_revision = beliefs.engines_revision.max(revision);
     drop(beliefs);
     gateway.site_learned.notify(usize::MAX);
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -48,7 +48,7 @@
 /// Time beyond its wait after which a watch of the engines is given up for a list, in
 /// milliseconds: a slow store answers within it. With the age of the engines that a
 /// watch leaves, this stays under a bound of 2 s on leaving engines less the sending.
-const ENGINES_OVERDUE_MS: u64 = 250;
+pub(super) const ENGINES_OVERDUE_MS: u64 = 250;
 
 /// The revision of a list of a kind that the store does not have.
 pub(crate) const EVERY_REVISION: u64 = u64::MAX;
--- a/crates/gateway/tests/engines_proof.rs
+++ b/crates/gateway/tests/engines_proof.rs
@@ -41,11 +41,11 @@
 fn what_is_kept_though_it_is_gone_ages_what_others_are_told() {
     let mut proof = EnginesProof::default();
     assert_eq!(proof.reported_age_ms(NOW), None);
-    proof.read(NOW, NOW);
+    proof.read(NOW, NOW, 1_000);
     proof.keep(instance("e-1"), NOW.plus(100));
     proof.keep(instance("e-1"), NOW.plus(300));
     // Reading goes on; the engine stays one that is known to be gone.
-    proof.read(NOW.plus(900), NOW.plus(950));
+    proof.read(NOW.plus(900), NOW.plus(950), 1_000);
     assert!(proof.is_kept(&instance("e-1")));
     assert_eq!(proof.reported_age_ms(NOW.plus(1_000)), Some(900));
     proof.stop_keeping(&instance("e-1"));
@@ -55,7 +55,7 @@
 #[test]
 fn the_last_word_counts_from_an_answer_or_as_of_what_a_relay_vouches_for() {
     let mut proof = EnginesProof::default();
-    proof.read(NOW, NOW.plus(700));
+    proof.read(NOW, NOW.plus(700), 1_000);
     let last = proof.last_heard().expect("a word");
     assert_eq!(
         (last.at, last.source),
--- a/crates/gateway/tests/leaving_engines.rs
+++ b/crates/gateway/tests/leaving_engines.rs
@@ -166,7 +166,7 @@
     };
     take_engine(&node.gateway, &event);
     let now = node.gateway.clock.now();
-    node.gateway.beliefs().engines_proof.read(now, now);
+    node.gateway.beliefs().engines_proof.read(now, now, 1_000);
     node.gateway.site_learned.notify(usize::MAX);
 }
 
--- /dev/null
+++ b/crates/gateway/tests/suspended.rs
@@ -0,0 +1,199 @@
+//! A machine that slept: what its node knew is as old as the sleep, though no timer ran.
+//!
+//! A suspended machine's steady clock stands still. A node that counted by it took a proof
+//! from before ten seconds of sleep for two seconds old: it accepted keys that had been
+//! taken away, sent to engines that had left, gave orders under a lease that another node
+//! held, and honoured deadlines that were over. Here the clock is moved on and no timer is.
+
+mod support;
+
+use ploverlift_clock::{Clock, Suspension};
+use ploverlift_gateway::assembly::{start_with_clock, RunningGateway};
+use ploverlift_gateway::engines_proof::{reliance, EnginesProof, Reliance};
+use ploverlift_gateway::leases::{LeaseHolder, LeaseName};
+use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::time::sleep;
+use ploverlift_policy::ids::Millis;
+use serde_json::json;
+use std::sync::Arc;
+use support::caller::{self, prompt, request};
+use support::engine::{Behaviour, StandInEngine};
+use support::site::StandInSite;
+use support::store::{StandInStore, StoreFault};
+use support::{configuration, settings};
+
+/// Sleeps of the machine, in milliseconds, shorter and longer than each bound below.
+const SLEEPS_MS: [u64; 3] = [4_000, 10_000, 30_000];
+/// Time between two looks at what a test waits for, in milliseconds.
+const LOOK_MS: u64 = 2;
+/// Bounds of the site: each is over after any of the sleeps.
+const BOUNDS: &str = "engine_heartbeat_ms = 400\n[bounds]\nkey_revocation_ms = 3000\n\
+    revoke_when_cut = true\nleaving_engine_ms = 2000\nweights_ms = 3000\nlease_ms = 1000\n";
+
+/// A node on a machine that can be suspended.
+struct Machine {
+    store: StandInStore,
+    node: RunningGateway,
+    suspension: Suspension,
+}
+
+impl Machine {
+    async fn start(engines: &[&StandInEngine], more: &str) -> Self {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        store.put("Weights", "m", json!({"version": 1}));
+        for engine in engines {
+            store.put("Engines", &engine.instance, engine.record());
+        }
+        let (clock, suspension) = Clock::suspendable();
+        let settings = settings(&store, "node", more);
+        let site = Arc::new(StandInSite);
+        let node = start_with_clock(settings, site, silent_logger(), clock).expect("start");
+        while caller::get_status(node.readiness).await != 200 {
+            sleep(LOOK_MS).await;
+        }
+        Self {
+            store,
+            node,
+            suspension,
+        }
+    }
+
+    /// Nothing is learned any more, and the machine sleeps.
+    async fn sleep_without_the_store(&self, sleep_ms: u64) {
+        self.store.set_fault(StoreFault::Silent);
+        // Calls that were on their way are over.
+        sleep(60).await;
+        self.suspension.sleep(sleep_ms);
+    }
+}
+
+#[test]
+fn keys_are_not_accepted_by_a_proof_from_before_the_sleep() {
+    smol::block_on(async {
+        for sleep_ms in SLEEPS_MS {
+            let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+            let machine = Machine::start(&[&app], BOUNDS).await;
+            let call = request("unsafe.test", "r1");
+            assert_eq!(
+                caller::send(machine.node.callers, &call).await.status(),
+                200
+            );
+            machine.sleep_without_the_store(sleep_ms).await;
+            let call = request("unsafe.test", "r2");
+            assert_eq!(
+                caller::send(machine.node.callers, &call).await.status(),
+                503
+            );
+            assert_eq!(app.arrivals(), 1);
+        }
+    });
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_not_accepted_by_a_request_that_waited_through_the_sleep() {
+    smol::block_on(async {
+        let mut app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let bounds = format!("{BOUNDS}[attempts]\nconnect_timeout_ms = 2000\n");
+        let machine = Machine::start(&[&app], &bounds).await;
+        app.lose_power().await;
+        let waiting = request("patient.test", "r1");
+        let mut connection = caller::open(machine.node.callers, &waiting).await;
+        sleep(50).await;
+        machine.sleep_without_the_store(10_000).await;
+        app.regain_power();
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert_eq!(app.arrivals(), 0);
+    });
+}
+
+#[test]
+fn a_request_whose_deadline_passed_in_the_sleep_is_sent_to_no_engine() {
+    smol::block_on(async {
+        let mut app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let machine = Machine::start(&[&app], "[attempts]\nconnect_timeout_ms = 2000\n").await;
+        app.lose_power().await;
+        let mut waiting = request("unsafe.test", "r1");
+        waiting.head.headers.push(support::site::DEADLINE, "2500");
+        let mut connection = caller::open(machine.node.callers, &waiting).await;
+        sleep(50).await;
+        machine.suspension.sleep(10_000);
+        app.regain_power();
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert_eq!(app.arrivals(), 0);
+    });
+}
+
+#[test]
+fn an_engine_that_left_during_the_sleep_gets_no_request() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let other = StandInEngine::start("app-2", "app", Behaviour::Answer).await;
+        let machine = Machine::start(&[&app, &other], BOUNDS).await;
+        // The watch that is open hears nothing of what happens while the machine sleeps.
+        machine.store.set_fault(StoreFault::DeafWatches);
+        sleep(600).await;
+        machine.store.remove("Engines", "app-1");
+        machine.suspension.sleep(10_000);
+        machine.store.set_fault(StoreFault::None);
+        for number in 0..6 {
+            let call = request("unsafe.test", &format!("r{number}"));
+            caller::send(machine.node.callers, &call).await;
+        }
+        assert_eq!(app.arrivals(), 0);
+        assert!(other.arrivals() > 0);
+    });
+}
+
+#[test]
+fn an_answer_that_lay_unread_through_the_sleep_proves_what_held_when_it_was_asked_for() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let machine = Machine::start(&[&app], BOUNDS).await;
+        machine.sleep_without_the_store(10_000).await;
+        let gateway = &machine.node.gateway;
+        let now = gateway.clock.now();
+        let before = Millis(now.0 - 10_200);
+        let mut proof = EnginesProof::default();
+        proof.read(before, now, 1_000);
+        gateway.beliefs().engines_proof = proof;
+        assert_ne!(reliance(gateway, now), Reliance::Recent);
+    });
+}
+
+#[test]
+fn no_prompt_begins_on_weights_that_were_proven_before_the_sleep() {
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+        let bounds = BOUNDS.replace("revoke_when_cut = true\n", "revoke_when_cut = false\n");
+        let machine = Machine::start(&[&llm], &bounds).await;
+        let call = prompt("stream.test", "r1");
+        assert_eq!(
+            caller::send(machine.node.callers, &call).await.status(),
+            200
+        );
+        machine.sleep_without_the_store(10_000).await;
+        let call = prompt("stream.test", "r2");
+        assert_eq!(
+            caller::send(machine.node.callers, &call).await.status(),
+            503
+        );
+        assert_eq!(llm.arrivals(), 1);
+    });
+}
+
+#[test]
+fn a_lease_does_not_outlast_the_sleep() {
+    smol::block_on(async {
+        let machine = Machine::start(&[], BOUNDS).await;
+        let lease = LeaseHolder::new(&machine.node.gateway, LeaseName::Weights);
+        while !lease.keep().await {
+            sleep(LOOK_MS).await;
+        }
+        assert!(lease.token().is_some());
+        machine.suspension.sleep(4_000);
+        assert!(lease.token().is_none());
+    });
+}
--- a/crates/lab/src/engine_state.rs
+++ b/crates/lab/src/engine_state.rs
@@ -2,7 +2,7 @@
 //! record of everything it ran, which tests use as the truth.
 
 use crate::engine_cache::BlockCache;
-use ploverlift_node::clock::Clock;
+use ploverlift_clock::{unix_ms, Clock};
 use ploverlift_policy::chain::{ChainSeed, PromptChain};
 use ploverlift_policy::ids::{CacheScope, Millis, WeightsVersion};
 use serde::{Deserialize, Serialize};
@@ -50,7 +50,7 @@
             cache_blocks: 4_096,
             block_tokens: 1_000,
             bytes_per_token: 4,
-            incarnation: ploverlift_node::clock::unix_millis(),
+            incarnation: unix_ms(),
         }
     }
 }
--- a/crates/node/src/engines/orders.rs
+++ b/crates/node/src/engines/orders.rs
@@ -1,10 +1,10 @@
 //! Orders to engines: this node's part in the lease, and the roll-out of
 //! weights while it holds it.
 
-use crate::clock::unix_millis;
 use crate::engines::client::{state_without_answer, EngineCall};
 use crate::platform::client::{PlatformClient, PlatformError};
 use crate::state::Node;
+use ploverlift_clock::unix_ms;
 use ploverlift_cluster::config_store::Record;
 use ploverlift_cluster::lease::{LeaseStep, LeaseView};
 use ploverlift_cluster::rollout::{LoadOrder, OrderAnswer, Rollout};
@@ -40,7 +40,7 @@
         Timer::after(STEP_PERIOD).await;
         note_stored_lease(&node, &mut lease);
         let wants = wants_lease(&node);
-        let step = lease.step(wants, unix_millis(), node.clock.now());
+        let step = lease.step(wants, unix_ms(), node.clock.now());
         if let LeaseStep::Write {
             version,
             spec,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod assembly;
 pub mod callers;
-pub mod clock;
 pub mod cluster;
 pub mod engines;
 pub mod executor;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,11 +1,11 @@
 //! What all tasks of a node share.
 
-use crate::clock::{unix_millis, Clock};
 use crate::cluster::transport::ClusterTransport;
 use crate::cluster::waiters::Waiters;
 use crate::settings::Settings;
 use async_channel::{Receiver, Sender};
 use event_listener::Event;
+use ploverlift_clock::{unix_ms, Clock};
 use ploverlift_cluster::claims::DEFAULT_RETENTION_MS;
 use ploverlift_cluster::core::{CoreEvent, CoreSettings, NodeCore};
 use ploverlift_cluster::membership::Identity;
@@ -200,7 +200,7 @@
         zone: ZoneName(settings.node.zone.clone()),
         region: settings.node.region.clone(),
         address,
-        life: unix_millis(),
+        life: unix_ms(),
     };
     let mut core = CoreSettings::new(identity, settings.cluster.seeds.clone());
     core.router.zone_distance_ms = settings.site.zone_distance_ms;
