A choice that is older than its connection may take is made anew

What callers saw: a request that waited for a connection while the machine slept went out afterwards: with a key that had been taken away meanwhile, or past its deadline.

Cause: timers stand still with the steady clock, so the wait went on after the sleep, and nothing was asked again before the bytes went.

Change: right before the bytes go the age of the choice is looked at; one that is older than a connection may take is dropped, and the request asks all it rests on anew: time left, the caller's key, the engines, the engine's weights. A claim on a suspected request that has lapsed meanwhile counts no longer. Why it holds: the look comes after every wait, by the clock that counts the sleep.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -44,7 +44,8 @@
     /// The engine began to leave, or was gone, while a connection to it came about;
     /// nothing was sent.
     Left,
-    /// An engine ended under this request meanwhile; nothing was sent.
+    /// What was known when the engine was chosen does not hold any more, or an engine ended
+    /// under this request meanwhile; nothing was sent.
     Withheld,
     /// The engine did not run it.
     Refused {
@@ -248,7 +249,6 @@
         if let Some(answer) = self.send_on_kept(chosen, &head, limits).await? {
             return Ok(answer);
         }
-        let body = &self.received.body;
         let (began, began_at) = (Instant::now(), self.gateway.clock.now());
         let connected = connect(chosen.address, limits.connect_ms).await;
         let stream = connected.map_err(|error| {
@@ -259,9 +259,11 @@
         if !self.is_still_chosen(chosen) {
             return Err(AttemptEnd::Left);
         }
-        if !self.begins() {
+        if !self.begins(chosen) {
             return Err(AttemptEnd::Withheld);
         }
+        self.progress.has_taken_repeat = false;
+        let body = &self.received.body;
         let exchanged = self.exchange(stream, chosen, &head, body, limits).await;
         exchanged.map_err(|failure| self.broken(&failure))
     }
@@ -307,7 +309,7 @@
         let Some(stream) = self.kept_connection(chosen).await else {
             return Ok(None);
         };
-        if !self.begins() {
+        if !self.begins(chosen) {
             return Err(AttemptEnd::Withheld);
         }
         self.gateway.metrics.reused_connections.inc();
@@ -323,6 +325,7 @@
         self.gateway.kept_connections().forget(&chosen.instance);
         if !failure.reason.is_silence() && self.take_repeat() {
             // The engine had closed or forgotten the connection, or ran the request.
+            self.progress.has_taken_repeat = true;
             self.note_lost_sending(chosen);
             if failure.reason.is_connection_end() {
                 self.wait_until_found().await;
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -62,6 +62,8 @@
     pub(super) loads_age_ms: Option<u64>,
     /// Age of what this node knew of the engines, in milliseconds.
     pub(super) engines_age_ms: Option<u64>,
+    /// When it was chosen.
+    pub(super) chosen_at: Millis,
     /// Who told it, or "kept" for an engine whose record is gone.
     pub(super) engines_source: &'static str,
 }
@@ -257,6 +259,7 @@
             loads_age_ms: beliefs.peer_loads.age_ms(now),
             engines_age_ms: last_heard.map(|last| now.since(last.at)),
             engines_source,
+            chosen_at: now,
         };
         if let Some(prompt) = &self.received.request.prompt {
             let placed = PlacedPrompt {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -74,6 +74,8 @@
     reason: String,
     /// Whether rollouts have counted it.
     is_counted: bool,
+    /// Whether a repeat was taken from the budget and not made yet.
+    has_taken_repeat: bool,
     /// Whether it has waited for a copy of it that runs elsewhere.
     has_waited: bool,
 }
@@ -112,6 +114,7 @@
         time_is_up: false,
         reason: String::new(),
         is_counted: false,
+        has_taken_repeat: false,
         has_waited: false,
     };
     let mut forwarding = Forwarding {
@@ -139,6 +142,10 @@
                 "its time was up before it could be sent".clone_into(&mut self.progress.reason);
                 return self.give_up().await;
             }
+            if !self.may_accept_key() {
+                "keys may have been taken away meanwhile".clone_into(&mut self.progress.reason);
+                return self.give_up().await;
+            }
             if !self.may_rely_on_engines().await {
                 "this node lacks news of the engines".clone_into(&mut self.progress.reason);
                 return self.give_up().await;
@@ -159,7 +166,9 @@
                 self.progress.retry_after_ms = Some(unservable.retry_after_ms);
                 return self.give_up().await;
             }
-            if self.progress.attempts.next_is_repeat() && !self.take_repeat() {
+            let is_repeat = self.progress.attempts.next_is_repeat();
+            let is_taken = std::mem::take(&mut self.progress.has_taken_repeat);
+            if is_repeat && !is_taken && !self.take_repeat() {
                 "the retry budget is spent".clone_into(&mut self.progress.reason);
                 return self.give_up().await;
             }
@@ -243,6 +252,14 @@
         progress.attempts.note(instance, outcome) && self.has_time()
     }
 
+    /// Whether the caller's key may still be accepted: the request may have waited here
+    /// since it was admitted, and the machine slept.
+    fn may_accept_key(&self) -> bool {
+        let admission = &self.received.admission;
+        let needs_key = admission.configuration.tenants.is_some() && !admission.route.is_public;
+        !needs_key || self.gateway.accepts_keys()
+    }
+
     fn has_time(&self) -> bool {
         self.received.limits.left_ms(self.gateway.clock.now()) > 0
     }
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -158,7 +158,9 @@
             None => true,
         };
         let may_be_sent = may_be_tried && suspect.unproven == 0;
-        let own_claim = suspect.claim.as_mut().filter(|claim| claim.node == own);
+        let is_live = suspect.live_claim(now).is_some();
+        let own_claim = suspect.claim.as_mut();
+        let own_claim = own_claim.filter(|claim| is_live && claim.node == own);
         let Some(claim) = own_claim.filter(|_| may_be_sent) else {
             return false;
         };
