An answer that lay unread while the node stood still proves what held when it was asked for

What could be seen: after a sleep of ten seconds the engines counted as known a moment ago.

Cause: an answer of the store's watch lay in the socket meanwhile. Its changes counted from the call's sending, but that this node had heard of the engines counted from the reading.

Change: an answer that took longer than any call for the engines waits is heard as of its sending.

--- a/crates/gateway/src/engines_proof.rs
+++ b/crates/gateway/src/engines_proof.rs
@@ -70,10 +70,15 @@
 
 impl EnginesProof {
     /// The store answered a call that was sent at `sent`: it told all that had changed
-    /// before.
+    /// before. An answer that took longer than any call waits, in milliseconds, lay unread
+    /// while this node stood still, and tells what held when it was asked for.
     pub fn read(&mut self, sent: Millis, now: Millis, longest_ms: u64) {
         self.known_at = self.known_at.max(Some(sent));
-        self.hear(now, EnginesSource::Store);
+        let at = match now.since(sent) > longest_ms {
+            true => sent,
+            false => now,
+        };
+        self.hear(at, EnginesSource::Store);
     }
 
     /// A relay, all of whose changes were taken in, vouches for what held at `proven_at`.
