Stand-in engine: one that is dropped listens no longer

A test of failed connections met an engine that still listened after it was dropped: the task that closes its listener when it ends held the listener too.

--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -13,7 +13,7 @@
 use socket2::SockRef;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 
 /// Wait after which a connection to a full accept queue is known not to come about, in
 /// milliseconds.
@@ -140,7 +140,10 @@
             seen,
         });
         let accepting = accept(&shared, &listener);
-        let ending = smol::spawn(close_when_ended(Arc::clone(&shared), Arc::clone(&listener)));
+        let ending = smol::spawn(close_when_ended(
+            Arc::clone(&shared),
+            Arc::downgrade(&listener),
+        ));
         Self {
             instance: instance.to_owned(),
             service: service.to_owned(),
@@ -166,7 +169,7 @@
         let listener = bind(self.address).expect("bind");
         self.listener = Arc::new(listener);
         self.accepting = Some(accept(&self.shared, &self.listener));
-        let listener = Arc::clone(&self.listener);
+        let listener = Arc::downgrade(&self.listener);
         let ending = close_when_ended(Arc::clone(&self.shared), listener);
         self._ending = smol::spawn(ending);
     }
@@ -283,11 +286,15 @@
 }
 
 /// Refuses new connections whenever the engine has ended.
-async fn close_when_ended(shared: Arc<Shared>, listener: Arc<TcpListener>) {
+async fn close_when_ended(shared: Arc<Shared>, listener: Weak<TcpListener>) {
     let mut ended = shared.ended.listen();
     loop {
         ended.await;
         ended = shared.ended.listen();
+        // Not held here: an engine that is dropped listens no longer.
+        let Some(listener) = listener.upgrade() else {
+            return;
+        };
         let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
     }
 }
