--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use argh::FromArgs;
+use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -39,6 +40,7 @@
 pub enum Command {
     Serve(ServeArguments),
     Gateway(GatewayArguments),
+    Quarantine(QuarantineArguments),
     Dev(DevArguments),
     Check(CheckArguments),
     Apply(ApplyArguments),
@@ -84,6 +86,19 @@
     pub settings: PathBuf,
 }
 
+/// List the requests that all gateways refuse because engines ended under them, or release
+/// one.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "quarantine")]
+pub struct QuarantineArguments {
+    /// settings file (TOML) of a gateway
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// fingerprint of a request to release; gateways send it again within half a minute
+    #[argh(option)]
+    pub release: Option<RequestFingerprint>,
+}
+
 /// Run a whole small site in one process, to try things out.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "dev")]
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -37,6 +37,12 @@
         /// The fault.
         source: ploverlift_gateway::assembly::StartError,
     },
+    /// The store of the gateways did not answer properly.
+    #[snafu(transparent)]
+    Store {
+        /// The fault.
+        source: ploverlift_gateway::ports::StoreError,
+    },
     /// The story of a request cannot be told.
     #[snafu(transparent)]
     Trace {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod operator_client;
 mod operator_commands;
 mod output;
+mod quarantine;
 mod serve;
 mod trace;
 
@@ -28,6 +29,7 @@
     match command {
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Gateway(arguments) => gateway::run(&arguments),
+        Command::Quarantine(arguments) => quarantine::run(&arguments),
         Command::Dev(arguments) => dev::run(&arguments),
         Command::Check(arguments) => Ok(object_files::check(&arguments.files)?),
         Command::Apply(arguments) => operator_commands::apply(&arguments),
--- /dev/null
+++ b/crates/cli/src/quarantine.rs
@@ -0,0 +1,39 @@
+//! `ploverlift quarantine`: the requests that all gateways refuse because engines ended
+//! under them.
+
+use crate::arguments::QuarantineArguments;
+use crate::exit::Failure;
+use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::quarantine::{list_refused, release_refused};
+use ploverlift_gateway::settings::GatewaySettings;
+use ploverlift_gateway::state::Gateway;
+use ploverlift_platform::Platform;
+use std::sync::Arc;
+
+/// Lists them, or releases one.
+pub fn run(arguments: &QuarantineArguments) -> Result<(), Failure> {
+    let settings = GatewaySettings::read(&arguments.settings)?;
+    let gateway = Gateway::new(settings, Arc::new(Platform), silent_logger());
+    let gateway = Arc::new(gateway);
+    smol::block_on(async {
+        if let Some(request) = arguments.release {
+            release_refused(&gateway, request).await?;
+            println!("{request} is released");
+            return Ok(());
+        }
+        for (request, refusal) in list_refused(&gateway).await? {
+            let software: Vec<&str> = refusal
+                .software
+                .iter()
+                .map(|known| known.0.as_str())
+                .collect();
+            println!(
+                "{request} tenant {:016x} software {} trials {}",
+                refusal.tenant.0,
+                software.join(","),
+                refusal.trials
+            );
+        }
+        Ok(())
+    })
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -51,14 +51,14 @@
 
     fn read(object: &StoreObject) -> Option<(RequestFingerprint, StoredRefusal)> {
         let document: Self = serde_json::from_value(object.content.clone()).ok()?;
-        let request = u64::from_str_radix(&object.name, 16).ok()?;
+        let request = object.name.parse().ok()?;
         let tenant = u64::from_str_radix(&document.tenant, 16).ok()?;
         let refusal = StoredRefusal {
             tenant: TenantTag(tenant),
             software: document.software.into_iter().map(SoftwareVersion).collect(),
             trials: document.trials,
         };
-        Some((RequestFingerprint(request), refusal))
+        Some((request, refusal))
     }
 }
 
@@ -109,6 +109,36 @@
     gateway.site_learned.notify(usize::MAX);
 }
 
+/// What the store has of refused requests, for an operator.
+///
+/// # Errors
+/// When the store does not answer properly.
+pub async fn list_refused(
+    gateway: &Arc<Gateway>,
+) -> Result<Vec<(RequestFingerprint, StoredRefusal)>, StoreError> {
+    let mut client = StoreClient::new(gateway);
+    match client.list(StoreKind::RefusedRequests).await {
+        Ok((objects, _)) => Ok(objects.iter().filter_map(RefusalDocument::read).collect()),
+        // A store without the kind has none.
+        Err(StoreError::NotFound) => Ok(Vec::new()),
+        Err(error) => Err(error),
+    }
+}
+
+/// Releases a request: nodes send it again once they have read the list, within half a
+/// minute.
+///
+/// # Errors
+/// When the store does not answer properly.
+pub async fn release_refused(
+    gateway: &Arc<Gateway>,
+    request: RequestFingerprint,
+) -> Result<(), StoreError> {
+    let mut client = StoreClient::new(gateway);
+    let name = request.to_string();
+    client.delete(StoreKind::RefusedRequests, &name).await
+}
+
 async fn list_again(gateway: &Gateway, client: &mut StoreClient) {
     let sent = gateway.clock.now();
     match client.list(StoreKind::RefusedRequests).await {
--- a/crates/gateway/tests/harmful_requests/fleets.rs
+++ b/crates/gateway/tests/harmful_requests/fleets.rs
@@ -2,6 +2,7 @@
 
 use crate::site::{harmful_call, harmful_prompt, Site, MOST_ENDED};
 use crate::support::caller::{self, prompt};
+use ploverlift_gateway::quarantine::{list_refused, release_refused};
 
 /// Nodes of the site.
 const NODES: usize = 5;
@@ -49,5 +50,16 @@
         site.start_nodes(NODES).await;
         site.ask(&harmful_prompt(), NODES, 0).await;
         assert_eq!(site.ends(), before);
+        // An operator sees the one entry, and removes it.
+        let gateway = &site.nodes[0].gateway;
+        let listed = list_refused(gateway).await.expect("a list");
+        assert_eq!(listed.len(), 1);
+        assert_eq!(
+            site.store.names("RefusedRequests"),
+            [listed[0].0.to_string()]
+        );
+        let released = release_refused(gateway, listed[0].0).await;
+        released.expect("a release");
+        assert!(site.store.names("RefusedRequests").is_empty());
     });
 }
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -1,6 +1,8 @@
 //! What a request is, whoever sends it, when and in which attempt.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use xxhash_rust::xxh3::Xxh3Default;
 
 /// What is the same in each repeat of a request.
@@ -41,6 +43,14 @@
     }
 }
 
+impl FromStr for RequestFingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
