Requests that end engines: relays of an earlier release, one copy of what was written twice

A follower whose relays run an earlier release is told of the engines and never of refused requests; it would not become ready. It reads the store's list once a relay has told of the engines for a second. (Read in the code; not played on mixed builds.)

One function keeps an unused connection, one looks at the age of a choice, right before the bytes go.

--- a/crates/gateway/src/engine_checks.rs
+++ b/crates/gateway/src/engine_checks.rs
@@ -7,6 +7,7 @@
 use crate::http_call::{connect, ConnectFailure};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::engine_losses::DueCheck;
 use ploverlift_http1::{BufferedStream, Headers};
 use ploverlift_policy::ids::Millis;
@@ -68,7 +69,7 @@
         let now = gateway.clock.now();
         match connected {
             Ok(stream) => {
-                keep_connection(&gateway, &check, stream, now);
+                keep_connection(&gateway, &check.instance, stream, now);
                 reached(&gateway, &check, began, now);
                 return;
             }
@@ -92,14 +93,19 @@
     }
 }
 
-/// The connection that the engine has taken serves the next request.
-fn keep_connection(gateway: &Gateway, check: &DueCheck, stream: BufferedStream, now: Millis) {
+/// The connection that an engine has taken serves the next request.
+pub(crate) fn keep_connection(
+    gateway: &Gateway,
+    instance: &InstanceId,
+    stream: BufferedStream,
+    now: Millis,
+) {
     let longest_ms = gateway.settings().attempts.keep_connection_ms;
-    let is_known = gateway.beliefs().engines.get(&check.instance).is_some();
+    let is_known = gateway.beliefs().engines.get(instance).is_some();
     if longest_ms > 0 && is_known {
         let unused = Headers::default();
         let mut kept = gateway.kept_connections();
-        kept.keep(&check.instance, stream, &unused, longest_ms, now);
+        kept.keep(instance, stream, &unused, longest_ms, now);
     }
 }
 
--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -10,11 +10,12 @@
 //!                  └▶ it is taken, or nobody answers ─▶ nothing is known
 //! ```
 
+use crate::engine_checks::keep_connection;
 use crate::http_call::{connect, ConnectFailure};
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::peer_loads::EngineTag;
-use ploverlift_http1::{BufferedStream, Headers};
+use ploverlift_http1::BufferedStream;
 use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::evidence::{speaks_against, EngineEnd};
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
@@ -114,7 +115,9 @@
     gateway.quarantine_changed.notify(usize::MAX);
     match finding {
         Finding::Ended => {}
-        Finding::Lives(stream) => keep(gateway, instance, stream),
+        Finding::Lives(stream) => {
+            keep_connection(gateway, instance, stream, gateway.clock.now());
+        }
         Finding::Unknown(error) => {
             slog::info!(gateway.log, "connections ended, engine unknown";
                 "engine" => &instance.0, "requests" => cut.len(), "error" => error);
@@ -155,17 +158,6 @@
     }
 }
 
-/// The connection that the engine has taken serves the next request.
-fn keep(gateway: &Gateway, instance: &InstanceId, stream: BufferedStream) {
-    let longest_ms = gateway.settings().attempts.keep_connection_ms;
-    if longest_ms > 0 {
-        let now = gateway.clock.now();
-        let unused = Headers::default();
-        let mut kept = gateway.kept_connections();
-        kept.keep(instance, stream, &unused, longest_ms, now);
-    }
-}
-
 fn log_end(gateway: &Gateway, instance: &InstanceId, cut: &[CutRequest]) {
     gateway.metrics.engine_ends.inc();
     let requests = cut.iter().take(MAX_LOGGED_REQUESTS);
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -21,6 +21,10 @@
 /// Time that an engine is taken to load after it refused, in milliseconds.
 const REFUSED_LOADING_MS: u64 = 120;
 
+/// Time beyond that for a connection in which a choice is still acted on, in milliseconds:
+/// a busy node runs a timer late.
+const CONNECT_SLACK_MS: u64 = 500;
+
 /// Silence that is borne for a prompt, as a multiple of the time to read it. A
 /// long prompt that is sent to a second engine too early is read twice.
 const PROMPT_PATIENCE: f64 = 2.0;
@@ -113,28 +117,29 @@
         {
             reservation.not_run();
         }
-        if let AttemptEnd::Broken(Broken {
-            cause: BreakCause::ConnectionEnded,
-            ..
-        }) = &end
-        {
-            self.note_cut(&chosen, in_flight.begun(), in_flight.streamed_ms());
-        }
-        if let AttemptEnd::Done {
-            outcome: "answered" | "rejected_by_engine",
-            ..
-        } = &end
-        {
-            self.note_answered();
+        match &end {
+            AttemptEnd::Broken(broken) => self.note_break(broken, &chosen, &in_flight),
+            AttemptEnd::Done {
+                outcome: "answered" | "rejected_by_engine",
+                ..
+            } => self.note_answered(),
+            _ => {}
         }
         self.claim = None;
         self.record.end_attempt(&end);
         Ok(end)
     }
 
+    /// An attempt broke; its engine may have ended.
+    pub(super) fn note_break(&self, broken: &Broken, chosen: &ChosenEngine, at: &InFlight) {
+        if broken.cause == BreakCause::ConnectionEnded {
+            self.note_cut(chosen, at.begun(), at.streamed_ms());
+        }
+    }
+
     /// The engine ended the connection: what ran there is remembered while this node
     /// finds out whether the engine has ended.
-    pub(super) fn note_cut(&self, chosen: &ChosenEngine, begun: Millis, streamed_ms: u64) {
+    fn note_cut(&self, chosen: &ChosenEngine, begun: Millis, streamed_ms: u64) {
         let cut = CutRequest {
             fingerprint: self.received.fingerprint,
             tenant: self.tenant_tag(),
@@ -259,7 +264,7 @@
         if !self.is_still_chosen(chosen) {
             return Err(AttemptEnd::Left);
         }
-        if !self.begins(chosen) {
+        if !self.may_still_be_sent(chosen) {
             return Err(AttemptEnd::Withheld);
         }
         self.progress.has_taken_repeat = false;
@@ -309,7 +314,7 @@
         let Some(stream) = self.kept_connection(chosen).await else {
             return Ok(None);
         };
-        if !self.begins(chosen) {
+        if !self.may_still_be_sent(chosen) {
             return Err(AttemptEnd::Withheld);
         }
         self.gateway.metrics.reused_connections.inc();
@@ -335,6 +340,19 @@
         Err(self.broken(&failure))
     }
 
+    /// Asked right before the bytes go, after every wait.
+    fn may_still_be_sent(&self, chosen: &ChosenEngine) -> bool {
+        let age_ms = self.gateway.clock.now().since(chosen.chosen_at);
+        age_ms <= self.longest_connect_ms() && self.begins()
+    }
+
+    /// Time after which a choice is made anew, in milliseconds. A connection comes about or
+    /// is given up sooner, unless the machine slept: what the choice rests on (keys, engines,
+    /// weights, time left) is older then than it seemed.
+    fn longest_connect_ms(&self) -> u64 {
+        self.gateway.settings().attempts.connect_timeout_ms + CONNECT_SLACK_MS
+    }
+
     fn broken(&self, failure: &ExchangeFailure) -> AttemptEnd {
         AttemptEnd::Broken(Broken::failed(&failure.reason, !self.has_time()))
     }
--- a/crates/gateway/src/forward/quarantine.rs
+++ b/crates/gateway/src/forward/quarantine.rs
@@ -3,7 +3,6 @@
 //! Asked each time right before the bytes go: a request may wait here while engines end
 //! under a copy of it elsewhere.
 
-use super::choice::ChosenEngine;
 use super::Forwarding;
 use crate::beliefs::Beliefs;
 use crate::state::Gateway;
@@ -19,9 +18,6 @@
 const LONGEST_HOLD_MS: u64 = 300;
 /// Part of the time that a request has left for which it waits at most.
 const LEFT_SHARE: u64 = 4;
-/// Time beyond that for a connection in which a choice is still acted on, in milliseconds:
-/// a busy node runs a timer late.
-const CONNECT_SLACK_MS: u64 = 500;
 /// Time from a claim until it counts, in milliseconds, in which the claims of others arrive:
 /// where nodes report to each other, and where relays pass reports on.
 const CLAIM_MS: u64 = 25;
@@ -147,11 +143,8 @@
     }
 
     /// Whether the request may still be sent, right before it is.
-    pub(super) fn begins(&self, chosen: &ChosenEngine) -> bool {
+    pub(super) fn begins(&self) -> bool {
         let now = self.gateway.clock.now();
-        if now.since(chosen.chosen_at) > self.longest_connect_ms() {
-            return false;
-        }
         let mut beliefs = self.gateway.beliefs();
         if beliefs.quarantine.is_empty() {
             return true;
@@ -169,13 +162,6 @@
         }
     }
 
-    /// Time after which a choice is made anew, in milliseconds. A connection comes about or
-    /// is given up sooner, unless the machine slept: what the choice rests on (keys, engines,
-    /// weights, time left) is older then than it seemed.
-    fn longest_connect_ms(&self) -> u64 {
-        self.gateway.settings().attempts.connect_timeout_ms + CONNECT_SLACK_MS
-    }
-
     /// Whether it is sent beside a copy that runs elsewhere. A copy that ends its engine
     /// mostly does so within the wait; after it, one end is not enough to refuse what may
     /// be harmless.
--- a/crates/gateway/src/forward/whole.rs
+++ b/crates/gateway/src/forward/whole.rs
@@ -1,7 +1,7 @@
 //! Answers that are read whole before the caller gets any of them.
 
 use super::attempt::AttemptEnd;
-use super::broken::{BreakCause, Broken};
+use super::broken::Broken;
 use super::choice::ChosenEngine;
 use super::engine_watch::EngineWatch;
 use super::in_flight::InFlight;
@@ -132,11 +132,9 @@
             match within(left_ms, answer.read(&mut piece)).await {
                 Some(Ok(true)) => self.answer.chunk(&piece).await?,
                 Some(Ok(false)) => break,
-                failed @ (Some(Err(_)) | None) => {
+                failed => {
                     if let Some(Err(error)) = failed {
-                        if Broken::inside_answer(&error).cause == BreakCause::ConnectionEnded {
-                            self.note_cut(chosen, in_flight.begun(), in_flight.streamed_ms());
-                        }
+                        self.note_break(&Broken::inside_answer(&error), chosen, in_flight);
                     }
                     in_flight.note(Outcome::Broken);
                     return Ok(AttemptEnd::Done {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,13 +4,13 @@
 //! if that one has not. Each node reads the list when it starts, before it takes callers.
 //! An operator releases a request by removing its object.
 
-use crate::peers::roles::{role, Role};
+use crate::peers::roles::{are_engines_told, role, Role};
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
 use crate::store::feed::Feed;
 use crate::store::StoreClient;
-use crate::time::within;
+use crate::time::{sleep, within};
 use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use ploverlift_quarantine::stored::StoredRefusal;
@@ -22,6 +22,9 @@
 /// Time between two lists while anything is refused, in milliseconds: how long it takes
 /// until what an operator has removed is sent again.
 const LIST_PERIOD_MS: u64 = 30_000;
+/// Time within which a relay that tells of the engines tells how many requests are refused,
+/// in milliseconds: ten of its reports.
+const TOLD_WITHIN_MS: u64 = 1_000;
 /// Time between two looks at what has to be stored, in milliseconds.
 const LOOK_PERIOD_MS: u64 = 1_000;
 
@@ -73,7 +76,7 @@
         if let Err(error) = store_news(&gateway, &mut client, now).await {
             slog::warn!(gateway.log, "refused request not stored"; "error" => error.to_string());
             client.reset();
-            within(LOOK_PERIOD_MS, std::future::pending::<()>()).await;
+            sleep(LOOK_PERIOD_MS).await;
             continue;
         }
         let has_refused = gateway.beliefs().quarantine.refused() > 0;
@@ -105,6 +108,19 @@
             news.await;
         }
     };
+    let untold = async {
+        // Relays of an earlier release tell of the engines, and nothing of this.
+        while !are_engines_told(gateway) {
+            sleep(LOOK_PERIOD_MS).await;
+        }
+        sleep(TOLD_WITHIN_MS).await;
+        let mut client = StoreClient::new(gateway);
+        while !gateway.beliefs().quarantine.is_known() {
+            list_again(gateway, &mut client).await;
+            sleep(LOOK_PERIOD_MS).await;
+        }
+    };
+    let told = futures_lite::future::or(told, untold);
     futures_lite::future::or(listing, told).await;
     gateway.site_learned.notify(usize::MAX);
 }
--- a/crates/gateway/tests/harmful_requests/fleets.rs
+++ b/crates/gateway/tests/harmful_requests/fleets.rs
@@ -2,7 +2,9 @@
 
 use crate::site::{harmful_call, harmful_prompt, Site, MOST_ENDED};
 use crate::support::caller::{self, prompt};
+use crate::support::store::StoreFault;
 use ploverlift_gateway::quarantine::{list_refused, release_refused};
+use ploverlift_gateway::time::sleep;
 
 /// Nodes of the site.
 const NODES: usize = 5;
@@ -63,3 +65,19 @@
         assert!(site.store.names("RefusedRequests").is_empty());
     });
 }
+
+#[test]
+fn nodes_tell_each_other_while_the_store_is_away() {
+    smol::block_on(async {
+        let mut site = Site::new("llm", ENGINES).await;
+        site.start_nodes(NODES).await;
+        site.store.set_fault(StoreFault::Status(503));
+        site.ask(&harmful_prompt(), ASKED / 2, PAUSE_MS).await;
+        assert!(site.ends() <= MOST_ENDED, "{} engines ended", site.ends());
+        // What could not be stored is stored once the store is back.
+        site.store.set_fault(StoreFault::None);
+        while site.store.names("RefusedRequests").is_empty() {
+            sleep(PAUSE_MS).await;
+        }
+    });
+}
