A copy lost on a kept connection counts from its choice, not from its end

Found in reading the change again. The end of an engine under a copy on a kept connection was told with the moment of the loss as its sending. Ends count as one moment only where each copy was sent before the other engine had ended, so copies of a harmless request on kept connections to a rack that goes dark would have counted as several moments, and refused it after three.

Change: it counts from the choice of its engine, which came before the sending.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -324,7 +324,7 @@
             Err(failure) => failure,
         };
         if failure.reason.is_connection_end() {
-            self.note_cut(chosen, self.gateway.clock.now(), 0);
+            self.note_cut(chosen, chosen.chosen_at, 0);
         }
         // The others that were kept have likely ended, or fallen silent, as well.
         self.gateway.kept_connections().forget(&chosen.instance);
--- a/crates/gateway/src/peers/quarantine_reports.rs
+++ b/crates/gateway/src/peers/quarantine_reports.rs
@@ -1,8 +1,8 @@
 //! Telling the other nodes of requests under which engines ended.
 //!
 //! Nothing is sent while there are none. Whoever finds something out tells it at once, and
-//! twice again: datagrams are lost. Relays pass on what they hear. What is refused is told again in turn for as long as it is, so that
-//! a node that joins, or was cut off, hears of it.
+//! twice again: datagrams are lost. Relays pass on what they hear. What is refused is told
+//! again in turn for as long as it is, so that a node that joins, or was cut off, hears of it.
 
 use super::messages::{encode, PeerMessage};
 use super::quarantine_messages::QuarantineReport;
