Sight: what an engine names in its answers as the rate that it takes

Callers saw nothing; engines were sent three times what they had named, and no line told whether an answer had named a rate, which, and when a node first heard of it. The head of each answer of the engine that was meant is read (refused ones and failures too; not a foreign answer's, not another engine's at the address). A change is one line with the value, the one before and the request; what is no decimal number (negative, text, 40 digits, two headers) is a line and a counter, and the last good value stays. Nothing is decided by it yet. Test: the values that are read.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -137,6 +137,8 @@
     pub engine_ends: EngineEnds,
     /// Requests under which engines ended.
     pub quarantine: Quarantine,
+    /// Rates that engines have named, in requests a second.
+    pub named_limits: BTreeMap<EngineTag, f64>,
     /// Engines that take no connection any more.
     pub losses: EngineLosses,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -433,6 +433,9 @@
         let site = &self.gateway.site;
         let meaning = site.answer_meaning(&self.received.request.id, &answer.head);
         self.learn_weights(&answer.head, chosen);
+        if meaning.is_of(&chosen.instance) {
+            self.learn_limit(&answer.head, chosen);
+        }
         match meaning {
             AnswerMeaning::Refused(refused) => {
                 in_flight.note(Outcome::Refused);
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -18,6 +18,7 @@
 mod broken;
 mod caller_answer;
 mod choice;
+mod engine_limit;
 mod engine_watch;
 mod engines_hold;
 mod events;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -124,6 +124,10 @@
     pub withheld_requests: Counter,
     /// Engines that ended under requests of this node.
     pub engine_ends: Counter,
+    /// Answers in which engines named a rate limit.
+    pub limited_answers: Counter,
+    /// Answers whose rate limit could not be read.
+    pub invalid_limits: Counter,
     /// Requests sent on a connection that was used before.
     pub reused_connections: Counter,
     /// Resting connections of callers that were closed to make room for others.
@@ -173,6 +177,8 @@
             repeats: Counter::default(),
             withheld_requests: Counter::default(),
             engine_ends: Counter::default(),
+            limited_answers: Counter::default(),
+            invalid_limits: Counter::default(),
             reused_connections: Counter::default(),
             connections_closed_for_room: Counter::default(),
             store_calls: Family::default(),
@@ -288,6 +294,16 @@
                 "Engines that ended under requests of this node",
                 &self.engine_ends,
             ),
+            (
+                "limited_answers",
+                "Answers in which engines named a rate limit",
+                &self.limited_answers,
+            ),
+            (
+                "invalid_limits",
+                "Answers whose rate limit could not be read",
+                &self.invalid_limits,
+            ),
             (
                 "reused_connections",
                 "Requests sent on a kept connection",
--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -82,6 +82,34 @@
     },
 }
 
+impl AnswerMeaning {
+    /// Whether the answer is the word of the engine that was meant.
+    pub fn is_of(&self, instance: &InstanceId) -> bool {
+        match self {
+            Self::Success | Self::Failure => true,
+            Self::Refused(refused) => {
+                let answered = refused.other_instance.as_ref();
+                answered.is_none_or(|answered| answered == instance)
+            }
+            Self::Foreign { .. } => false,
+        }
+    }
+}
+
+/// What an answer says of the rate at which its engine takes requests.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdvertisedLimit {
+    /// Nothing: the engine takes what it has room for.
+    Unlimited,
+    /// So many requests a second, from all nodes together.
+    PerSecond(f64),
+    /// What the answer names is no rate.
+    Invalid {
+        /// As it stands there, shortened.
+        text: String,
+    },
+}
+
 /// The protocol of engines for requests.
 pub trait EngineProtocol: Send + Sync {
     /// The head of the request to the engine.
@@ -92,4 +120,7 @@
 
     /// The version of weights that an answer tells.
     fn answer_weights(&self, head: &ResponseHead) -> Option<u64>;
+
+    /// The rate limit that an answer names.
+    fn answer_limit(&self, head: &ResponseHead) -> AdvertisedLimit;
 }
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -24,7 +24,9 @@
 pub use cache::{CacheAnswer, CacheProtocol};
 pub use caller::{CallerProtocol, CallerRequest, InvalidRequest, Refusal, RefusalKind};
 pub use control::{EngineControl, EngineReport, LoadOrder, OrderAnswer};
-pub use engine::{AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine};
+pub use engine::{
+    AdvertisedLimit, AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine,
+};
 pub use store::{
     InvalidDocument, NamedVersion, ObjectStore, StoreCall, StoreError, StoreKind, StoreObject,
     StoreReply, StoredDocuments, WatchEvent,
