--- /dev/null
+++ b/crates/gateway/tests/engine_limits/fleets.rs
@@ -0,0 +1,84 @@
+//! Nodes that report to each other.
+
+use crate::site::{arrivals_in, most_in_window, worst_window, Site, KNOWN_AFTER};
+use crate::traffic::Traffic;
+use ploverlift_gateway::time::sleep;
+use std::time::{Duration, Instant};
+
+/// Nodes of the site.
+const NODES: usize = 5;
+/// Engines of the site.
+const ENGINES: usize = 12;
+/// The rate that engines name, in requests a second.
+const LIMIT: f64 = 1.7;
+/// Requests that an engine may get at once after a rest.
+const BURST: f64 = 2.0;
+/// Time between two requests at one node, in milliseconds: 100 a second at the site, eight
+/// for each engine.
+const PERIOD_MS: u64 = 50;
+/// Time for which the fleet is watched once the bound holds.
+const WATCHED: Duration = Duration::from_secs(10);
+/// Longest time until a request that cannot be served is told so: an answer of the node, and
+/// nothing of the three seconds that the request has.
+const LONGEST_HOLD: Duration = Duration::from_millis(500);
+
+/// The bounds on each of so many engines that name a rate.
+async fn holds_for(limited: usize) -> (Site, Traffic, Instant) {
+    let mut site = Site::new(ENGINES).await;
+    site.start_nodes(NODES).await;
+    let traffic = Traffic::start(site.callers(), PERIOD_MS);
+    sleep(1_000).await;
+    for engine in &site.engines[..limited] {
+        engine.name_limit(Some(&LIMIT.to_string()));
+    }
+    let from = Instant::now() + KNOWN_AFTER;
+    sleep((KNOWN_AFTER + WATCHED).as_millis() as u64).await;
+    for engine in &site.engines[..limited] {
+        let worst = worst_window(engine, from);
+        let allowed = most_in_window(LIMIT);
+        assert!(worst <= allowed, "{worst} in a window, allowed {allowed}");
+        let used = arrivals_in(engine, from, WATCHED) as f64;
+        let room = LIMIT * WATCHED.as_secs_f64();
+        let allowed = 0.8 * room..=room + BURST;
+        assert!(allowed.contains(&used), "{used} of {room} were used");
+    }
+    (site, traffic, from)
+}
+
+#[test]
+fn an_engine_that_names_a_rate_gets_no_more_from_all_nodes_together() {
+    smol::block_on(async {
+        let (_site, traffic, from) = holds_for(1).await;
+        // The others serve what it does not take.
+        let asked = traffic.asked();
+        let asked = asked.iter().filter(|asked| asked.at >= from);
+        assert!(asked.clone().count() > 500);
+        assert!(asked.clone().all(|asked| asked.status == 200));
+    });
+}
+
+#[test]
+fn a_third_of_the_engines_that_name_rates_get_no_more_each() {
+    smol::block_on(async {
+        let (_site, traffic, from) = holds_for(ENGINES / 3).await;
+        let asked = traffic.asked();
+        let mut asked = asked.iter().filter(|asked| asked.at >= from);
+        assert!(asked.all(|asked| asked.status == 200));
+    });
+}
+
+#[test]
+fn when_all_engines_name_rates_what_is_beyond_is_rejected_at_once() {
+    smol::block_on(async {
+        let (_site, traffic, from) = holds_for(ENGINES).await;
+        let asked = traffic.asked();
+        let asked: Vec<_> = asked.iter().filter(|asked| asked.at >= from).collect();
+        let rejected = asked.iter().filter(|asked| asked.status != 200);
+        assert!(rejected.clone().all(|asked| asked.status == 503));
+        let longest = rejected.clone().map(|asked| asked.took).max();
+        assert!(longest < Some(LONGEST_HOLD), "held for {longest:?}");
+        let served = asked.len() - rejected.count();
+        let room = LIMIT * ENGINES as f64 * WATCHED.as_secs_f64();
+        assert!(served as f64 >= 0.8 * room, "{served} served of {room}");
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/engine_limits/site.rs
@@ -0,0 +1,93 @@
+//! A site of several nodes before engines that name rates, and an oracle that counts what
+//! arrives by itself.
+
+use crate::support::caller;
+use crate::support::configuration;
+use crate::support::engine::{Behaviour, StandInEngine};
+use crate::support::fleet::start_peer_with;
+use crate::support::store::StandInStore;
+use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::time::sleep;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The span over which arrivals are summed.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time from the first naming after which the bound holds.
+pub const KNOWN_AFTER: Duration = Duration::from_secs(3);
+/// Time between two looks at what a test waits for, in milliseconds.
+const LOOK_MS: u64 = 5;
+
+/// Requests that an engine may get in one window: one and a half times what its rate allows,
+/// and five.
+pub fn most_in_window(per_second: f64) -> usize {
+    (1.5 * WINDOW.as_secs_f64() * per_second + 5.0) as usize
+}
+
+/// Nodes before engines of one service.
+pub struct Site {
+    pub store: StandInStore,
+    pub engines: Vec<StandInEngine>,
+    pub nodes: Vec<RunningGateway>,
+}
+
+impl Site {
+    /// So many engines, and no node.
+    pub async fn new(engines: usize) -> Self {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        let mut started = Vec::new();
+        for number in 0..engines {
+            let name = format!("llm-{number}");
+            let engine = StandInEngine::start(&name, "llm", Behaviour::Answer).await;
+            store.put("Engines", &name, engine.record());
+            started.push(engine);
+        }
+        Self {
+            store,
+            engines: started,
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Starts nodes that know each other.
+    pub async fn start_nodes(&mut self, count: usize) {
+        for number in 0..count {
+            let node = start_peer_with(&self.store, &format!("node-{number}"), 1.0, "");
+            self.nodes.push(node);
+        }
+        for node in &self.nodes {
+            while caller::get_status(node.readiness).await != 200 {
+                sleep(LOOK_MS).await;
+            }
+            while node.gateway.address_book().listed_nodes() < count {
+                sleep(LOOK_MS).await;
+            }
+        }
+    }
+
+    pub fn callers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.nodes.iter().map(|node| node.callers)
+    }
+}
+
+/// The most requests that an engine got in any window that begins after `from`.
+pub fn worst_window(engine: &StandInEngine, from: Instant) -> usize {
+    let times = engine.arrival_times();
+    let first = times.partition_point(|at| *at < from);
+    let times = &times[first..];
+    let in_window = times.iter().enumerate().map(|(first, began)| {
+        let end = times.partition_point(|at| *at <= *began + WINDOW);
+        end - first
+    });
+    in_window.max().unwrap_or(0)
+}
+
+/// Requests that an engine got in this span.
+pub fn arrivals_in(engine: &StandInEngine, from: Instant, span: Duration) -> usize {
+    let times = engine.arrival_times();
+    let times = times.iter();
+    times
+        .filter(|at| **at >= from && **at < from + span)
+        .count()
+}
--- /dev/null
+++ b/crates/gateway/tests/engine_limits/traffic.rs
@@ -0,0 +1,65 @@
+//! Callers at a steady pace at each node, and what became of their requests.
+
+use crate::support::caller::{self, prompt};
+use crate::support::site;
+use ploverlift_gateway::time::sleep;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What became of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub at: Instant,
+    pub status: u16,
+    pub took: Duration,
+}
+
+/// Callers that go on until this is dropped.
+pub struct Traffic {
+    asked: Arc<Mutex<Vec<Asked>>>,
+    _callers: Vec<smol::Task<()>>,
+}
+
+impl Traffic {
+    /// One request at each node each `period_ms`, whatever becomes of those before.
+    pub fn start(nodes: impl Iterator<Item = SocketAddr>, period_ms: u64) -> Self {
+        let asked = Arc::new(Mutex::new(Vec::new()));
+        let callers = nodes.enumerate();
+        let callers = callers.map(|(number, node)| {
+            let asked = Arc::clone(&asked);
+            smol::spawn(ask(format!("{number}"), node, period_ms, asked))
+        });
+        Self {
+            _callers: callers.collect(),
+            asked,
+        }
+    }
+
+    /// Requests that were answered so far, in the order of their answers.
+    pub fn asked(&self) -> Vec<Asked> {
+        self.asked.lock().expect("asked").clone()
+    }
+}
+
+async fn ask(name: String, node: SocketAddr, period_ms: u64, asked: Arc<Mutex<Vec<Asked>>>) {
+    for number in 0_u64.. {
+        let id = format!("{name}-{number}");
+        let asked = Arc::clone(&asked);
+        let mut request = prompt("stream.test", &id);
+        // Each prompt has a home of its own.
+        let parts = fastrand::u32(..).to_string();
+        request.head.headers.set(site::PARTS, parts);
+        smol::spawn(async move {
+            let at = Instant::now();
+            let answer = caller::send(node, &request).await;
+            asked.lock().expect("asked").push(Asked {
+                at,
+                status: answer.status(),
+                took: at.elapsed(),
+            });
+        })
+        .detach();
+        sleep(period_ms).await;
+    }
+}
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -30,6 +30,9 @@
     let id = request.headers.get(site::ID).unwrap_or_default().to_owned();
     let mut head = ResponseHead::new(200);
     head.headers.push(site::ID, &id);
+    if let Some(limit) = &*shared.limit.lock().expect("limit") {
+        head.headers.push(site::LIMIT, limit);
+    }
     match behaviour {
         Behaviour::Silent => {
             while connection.fill().await.is_ok_and(|count| count > 0) {}
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -8,6 +8,7 @@
 use serde_json::{json, Value};
 use smol::net::TcpStream;
 use std::sync::Arc;
+use std::time::Instant;
 
 pub async fn serve(shared: Arc<Shared>, stream: TcpStream) {
     let mut connection = BufferedStream::new(stream);
@@ -74,6 +75,7 @@
 
 fn note(shared: &Shared, head: &RequestHead, body: Vec<u8>) {
     let mut notes = shared.notes.lock().expect("notes");
+    notes.arrived.push(Instant::now());
     notes.heads.push(head.clone());
     notes.bodies.push(body);
     let _ = shared.seen.try_send(());
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -14,6 +14,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
+use std::time::Instant;
 
 /// Wait after which a connection to a full accept queue is known not to come about, in
 /// milliseconds.
@@ -85,6 +86,8 @@
     dropped: usize,
     /// Connections on which a request came.
     connections: usize,
+    /// When each request was read.
+    arrived: Vec<Instant>,
 }
 
 struct Shared {
@@ -98,6 +101,8 @@
     /// The lowest fencing token that it takes orders with.
     lowest_token: Mutex<u64>,
     notes: Mutex<Notes>,
+    /// The rate limit that its answers name.
+    limit: Mutex<Option<String>>,
     /// How often it has ended; its connections end with it.
     ends: AtomicUsize,
     ended: Event,
@@ -135,6 +140,7 @@
             answers_orders: Mutex::new(true),
             lowest_token: Mutex::new(0),
             notes: Mutex::default(),
+            limit: Mutex::default(),
             ends: AtomicUsize::new(0),
             ended: Event::new(),
             seen,
@@ -219,6 +225,16 @@
         *self.shared.behaviour.lock().expect("behaviour") = behaviour;
     }
 
+    /// Its answers name this rate limit from now on, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        *self.shared.limit.lock().expect("limit") = limit.map(str::to_owned);
+    }
+
+    /// When each request was read.
+    pub fn arrival_times(&self) -> Vec<Instant> {
+        self.shared.notes.lock().expect("notes").arrived.clone()
+    }
+
     pub fn set_weights(&self, version: u64) {
         *self.shared.weights.lock().expect("weights") = version;
     }
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -6,9 +6,9 @@
 use ploverlift_balancing::cache_contents::{CacheEvent, CacheEvents};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_gateway::ports::{
-    AnswerMeaning, CacheAnswer, CacheProtocol, CallerProtocol, CallerRequest, EngineCall,
-    EngineControl, EngineProtocol, EngineReport, InvalidRequest, LoadOrder, OrderAnswer, Refusal,
-    RefusedByEngine,
+    AdvertisedLimit, AnswerMeaning, CacheAnswer, CacheProtocol, CallerProtocol, CallerRequest,
+    EngineCall, EngineControl, EngineProtocol, EngineReport, InvalidRequest, LoadOrder,
+    OrderAnswer, Refusal, RefusedByEngine,
 };
 use ploverlift_http1::{RequestHead, ResponseHead};
 use ploverlift_routing::prompt::{Prompt, PromptPart};
@@ -28,6 +28,7 @@
 pub const SAVE: &str = "t-save";
 pub const NOT_RUN: &str = "t-not-run";
 pub const SIGNED: &str = "t-signed";
+pub const LIMIT: &str = "t-limit";
 
 /// The stand-in's protocols.
 pub struct StandInSite;
@@ -140,6 +141,16 @@
     fn answer_weights(&self, head: &ResponseHead) -> Option<u64> {
         head.headers.get(WEIGHTS)?.parse().ok()
     }
+
+    fn answer_limit(&self, head: &ResponseHead) -> AdvertisedLimit {
+        match head.headers.get(LIMIT).map(str::parse) {
+            None => AdvertisedLimit::Unlimited,
+            Some(Ok(per_second)) => AdvertisedLimit::PerSecond(per_second),
+            Some(Err(_)) => AdvertisedLimit::Invalid {
+                text: head.headers.get(LIMIT).unwrap_or_default().to_owned(),
+            },
+        }
+    }
 }
 
 impl EngineControl for StandInSite {
