Tests: copies lost on kept connections are one moment; a wait that ends

The mend of copies on kept connections (their ends were told with the moment of the loss as the moment of the sending) had no test. Three engines of a rack go dark some milliseconds apart while each runs a copy that was sent before: with the moment of the loss the request is refused (1 refused), with that of its choice it is not.

--- a/crates/gateway/tests/harmful_requests/fleets.rs
+++ b/crates/gateway/tests/harmful_requests/fleets.rs
@@ -4,7 +4,7 @@
 use crate::support::caller::{self, prompt};
 use crate::support::store::StoreFault;
 use ploverlift_gateway::quarantine::{list_refused, release_refused};
-use ploverlift_gateway::time::sleep;
+use ploverlift_gateway::time::{sleep, within};
 
 /// Nodes of the site.
 const NODES: usize = 5;
@@ -13,6 +13,8 @@
 /// How often the request is asked for, and how long after its last answer.
 const ASKED: usize = 30;
 const PAUSE_MS: u64 = 30;
+/// Longest wait for what the nodes store once the store is back, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 20_000;
 
 #[test]
 fn a_request_that_ends_engines_reaches_few_of_them_whichever_node_is_asked() {
@@ -76,8 +78,12 @@
         assert!(site.ends() <= MOST_ENDED, "{} engines ended", site.ends());
         // What could not be stored is stored once the store is back.
         site.store.set_fault(StoreFault::None);
-        while site.store.names("RefusedRequests").is_empty() {
-            sleep(PAUSE_MS).await;
-        }
+        let stored = async {
+            while site.store.names("RefusedRequests").is_empty() {
+                sleep(PAUSE_MS).await;
+            }
+        };
+        let stored = within(LONGEST_WAIT_MS, stored).await;
+        assert!(stored.is_some(), "nothing was stored");
     });
 }
--- a/crates/gateway/tests/harmful_requests/harmless.rs
+++ b/crates/gateway/tests/harmful_requests/harmless.rs
@@ -2,7 +2,9 @@
 
 use crate::site::Site;
 use crate::support::caller::{self, prompt, request};
+use crate::support::configuration;
 use crate::support::engine::{Behaviour, StandInEngine};
+use crate::support::Fixture;
 use ploverlift_gateway::time::sleep;
 
 /// Nodes of the site.
@@ -113,3 +115,73 @@
         assert_eq!(withheld(&site), 0);
     });
 }
+
+/// Copies of one harmless request were on their way on kept connections when a rack went
+/// dark, its engines some milliseconds apart. Each end was told with the moment of the loss as the moment of the
+/// sending, so copies that were sent before any engine had ended counted as sent after it.
+/// They are one moment, and refuse nothing.
+#[test]
+fn copies_on_kept_connections_that_were_sent_before_any_end_are_one_moment() {
+    smol::block_on(async {
+        let mut engines = Vec::new();
+        for number in 0..3 {
+            let name = format!("app-{number}");
+            engines.push(StandInEngine::start(&name, "app", Behaviour::KeepConnection).await);
+        }
+        let no_repeats = "[attempts]\nretry_reserve = 0.0\n[bounds]\nretry_ratio = 0.0\n";
+        let known: Vec<&StandInEngine> = engines.iter().collect();
+        let fixture = Fixture::with(&known, configuration(1), no_repeats).await;
+        let node = fixture.running().callers;
+        for number in 0.. {
+            let mut open = Vec::new();
+            for copy in 0..2 * engines.len() {
+                let warming = request("safe.test", &format!("w{number}-{copy}"));
+                open.push(caller::open(node, &warming).await);
+            }
+            for connection in &mut open {
+                caller::read(connection).await.expect("an answer");
+            }
+            if engines.iter().all(|engine| engine.connections() > 0) {
+                break;
+            }
+        }
+        let before: Vec<(usize, usize)> = counts(&engines);
+        for engine in &engines {
+            engine.set(Behaviour::Silent);
+        }
+        let mut copies = Vec::new();
+        for number in 0..engines.len() {
+            let mut copy = request("safe.test", &format!("copy-{number}"));
+            copy.body = b"popular".to_vec();
+            copies.push(caller::open(node, &copy).await);
+            let arrived = |engine: &StandInEngine| engine.arrivals();
+            let all_before: usize = before.iter().map(|(arrivals, _)| arrivals).sum();
+            while engines.iter().map(arrived).sum::<usize>() <= all_before + number {
+                sleep(2).await;
+            }
+        }
+        // Each engine has one of them, on a connection that was kept.
+        let expected: Vec<(usize, usize)> = before.iter().map(|(a, c)| (a + 1, *c)).collect();
+        assert_eq!(counts(&engines), expected);
+        for engine in &engines {
+            engine.end().await;
+            sleep(5).await;
+        }
+        for copy in &mut copies {
+            let answer = caller::read(copy).await.expect("an answer");
+            assert_eq!(answer.status(), 502);
+        }
+        while fixture.gateway.metrics.engine_ends.get() < engines.len() as u64 {
+            sleep(2).await;
+        }
+        assert_eq!(fixture.gateway.beliefs().quarantine.refused(), 0);
+    });
+}
+
+/// Arrivals and connections of each engine.
+fn counts(engines: &[StandInEngine]) -> Vec<(usize, usize)> {
+    let engines = engines.iter();
+    engines
+        .map(|engine| (engine.arrivals(), engine.connections()))
+        .collect()
+}
