--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -41,6 +41,7 @@
     Serve(ServeArguments),
     Gateway(GatewayArguments),
     Quarantine(QuarantineArguments),
+    Limits(LimitsArguments),
     Dev(DevArguments),
     Check(CheckArguments),
     Apply(ApplyArguments),
@@ -99,6 +100,18 @@
     pub release: Option<RequestFingerprint>,
 }
 
+/// List the engines that advertise a rate limit, with what they get beside it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "limits")]
+pub struct LimitsArguments {
+    /// metrics address of a gateway; give each node's, as only one counts for an engine
+    #[argh(option)]
+    pub metrics: Vec<SocketAddr>,
+    /// seconds over which use is measured (default 4)
+    #[argh(option, default = "4")]
+    pub seconds: u64,
+}
+
 /// Run a whole small site in one process, to try things out.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "dev")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod dev;
 mod exit;
 mod gateway;
+mod limits;
 mod object_files;
 mod operator_client;
 mod operator_commands;
@@ -30,6 +31,7 @@
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Gateway(arguments) => gateway::run(&arguments),
         Command::Quarantine(arguments) => quarantine::run(&arguments),
+        Command::Limits(arguments) => limits::run(&arguments),
         Command::Dev(arguments) => dev::run(&arguments),
         Command::Check(arguments) => Ok(object_files::check(&arguments.files)?),
         Command::Apply(arguments) => operator_commands::apply(&arguments),
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -150,3 +150,33 @@
         assert!(error_of(&output).contains(message), "{}", error_of(&output));
     }
 }
+
+#[test]
+fn limits_lists_what_engines_take_beside_what_they_get() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.expect("a connection");
+            let mut head = [0; 4_096];
+            let _ = std::io::Read::read(&mut stream, &mut head);
+            let page = format!(
+                "ploverlift_gateway_engine_limit{{engine=\"e-1\"}} 1.7\n\
+                 ploverlift_gateway_granted_requests_total{{engine=\"e-1\"}} {}\n",
+                100 + 3 * number
+            );
+            let length = page.len();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{page}"
+            );
+            let _ = std::io::Write::write_all(&mut stream, answer.as_bytes());
+        }
+    });
+    let output = ploverlift(&["limits", "--metrics", &address, "--seconds", "2"]);
+    assert_eq!(output.status.code(), Some(0), "{}", error_of(&output));
+    let listed = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(
+        listed,
+        "engine per_second granted_per_second\ne-1 1.7 1.50\n"
+    );
+}
--- a/crates/gateway/src/forward/engine_limit.rs
+++ b/crates/gateway/src/forward/engine_limit.rs
@@ -8,7 +8,7 @@
 use super::choice::ChosenEngine;
 use super::prospects::Unservable;
 use super::Forwarding;
-use crate::engine_limits::log_limit;
+use crate::engine_limits::{answer_request, log_limit};
 use crate::peers::engine_limit_messages::ToldObservation;
 use crate::peers::messages::PeerMessage;
 use crate::ports::AdvertisedLimit;
@@ -237,9 +237,7 @@
             Counter::Nobody => return None,
             Counter::Here => {
                 let now = gateway.clock.now();
-                let answer = gateway.beliefs().engine_limits.answer(&request, now);
-                gateway.metrics.count_token(&answer);
-                Some(answer)
+                Some(answer_request(gateway, &request, now))
             }
             Counter::At(holder) => {
                 let questions = &gateway.token_questions;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
+use std::sync::atomic::AtomicU64;
 
 /// Start of every metric's name.
 const PREFIX: &str = "ploverlift_gateway";
@@ -67,6 +68,13 @@
     }
 }
 
+/// An engine that advertises a rate limit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitedEngineLabel {
+    /// The engine.
+    pub engine: String,
+}
+
 /// How a question for a token was answered.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TokenLabel {
@@ -136,6 +144,10 @@
     pub limited_answers: Counter,
     /// Engines that advertise a rate limit.
     pub limited_engines: Gauge,
+    /// Rate limits that engines advertise, in requests a second.
+    pub engine_limits: Family<LimitedEngineLabel, Gauge<f64, AtomicU64>>,
+    /// Requests that this node, as the one that counts, has granted at such engines.
+    pub granted_requests: Family<LimitedEngineLabel, Counter>,
     /// Questions for tokens that this node answered, by the answer.
     pub tokens: Family<TokenLabel, Counter>,
     /// Questions for tokens that no other node answered.
@@ -195,6 +207,8 @@
             engine_ends: Counter::default(),
             limited_answers: Counter::default(),
             limited_engines: Gauge::default(),
+            engine_limits: Family::default(),
+            granted_requests: Family::default(),
             tokens: Family::default(),
             unanswered_tokens: Counter::default(),
             rejected_for_limits: Counter::default(),
@@ -280,6 +294,22 @@
         self.rollout_arrivals.get_or_create(&label).inc();
     }
 
+    /// An engine advertises this limit from now on, or none.
+    pub fn note_engine_limit(&self, engine: &str, limit: Option<f64>) {
+        let label = LimitedEngineLabel {
+            engine: engine.to_owned(),
+        };
+        match limit {
+            Some(limit) => {
+                self.engine_limits.get_or_create(&label).set(limit);
+            }
+            None => {
+                self.engine_limits.remove(&label);
+                self.granted_requests.remove(&label);
+            }
+        }
+    }
+
     /// Counts a question for a token by its answer.
     pub fn count_token(&self, answer: &TokenAnswer) {
         let answer = match answer {
@@ -425,6 +455,10 @@
             "Engines that advertise a rate limit",
             self.limited_engines.clone(),
         );
+        let help = "Rate limits that engines advertise, in requests a second";
+        registry.register("engine_limit", help, self.engine_limits.clone());
+        let help = "Requests granted at engines that advertise a limit, by the node that counts";
+        registry.register("granted_requests", help, self.granted_requests.clone());
         let help = "Questions for tokens of limited engines, by the answer";
         registry.register("tokens", help, self.tokens.clone());
         registry.register("peers", "Other nodes heard of lately", self.peers.clone());
--- a/crates/gateway/src/peers/engine_limits.rs
+++ b/crates/gateway/src/peers/engine_limits.rs
@@ -10,7 +10,7 @@
 use super::receivers::news_receivers;
 use super::roles::{role, Role};
 use crate::beliefs::Beliefs;
-use crate::engine_limits::log_limit;
+use crate::engine_limits::{answer_request, log_limit};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
@@ -192,8 +192,7 @@
 /// Answers a question for a token.
 pub fn answer_token_request(gateway: &Gateway, request: &TokenRequest, from: SocketAddr) {
     let now = gateway.clock.now();
-    let answer = gateway.beliefs().engine_limits.answer(request, now);
-    gateway.metrics.count_token(&answer);
+    let answer = answer_request(gateway, request, now);
     if answer == TokenAnswer::NotHolder {
         let news = gateway.beliefs().engine_limits.holder_news(request.group);
         for report in news
