--- a/crates/enginelimit/tests/fleets/bounds.rs
+++ b/crates/enginelimit/tests/fleets/bounds.rs
@@ -32,11 +32,12 @@
         lowest = lowest.min(used / LIMIT / seconds);
     }
     let messages = (world.counts.messages - before.messages) as f64 / seconds;
+    let asks = (world.counts.asks - before.asks) as f64 / seconds;
     let rejected = world.counts.rejected - before.rejected;
     let served = world.counts.served - before.served;
     println!(
         "{nodes} nodes, {engines} engines, {limited} limited: at most {most} in a window, \
-         used {lowest:.2} at least, {messages:.0} messages a second, {served} served, {rejected} rejected"
+         used {lowest:.2} at least, {messages:.0} messages and {asks:.0} questions a second, {served} served, {rejected} rejected"
     );
     assert!(most <= most_in_window(LIMIT), "{most} in a window");
     assert!(lowest >= 0.8, "used {lowest:.2}");
@@ -63,3 +64,24 @@
         assert!(world.counts.rejected > 0);
     }
 }
+
+#[test]
+fn all_nodes_know_a_limit_long_before_it_has_to_hold() {
+    for (nodes, demand) in [(7, 100.0), (69, 400.0), (985, 1_000.0)] {
+        for seed in 0..5 {
+            let mut world = World::new(nodes, 60, demand, seed);
+            // Relays pass on what they hear; some of it is lost.
+            world.loss = 0.05;
+            world.run(1_000);
+            world.limits[0] = Some(LIMIT);
+            let named_at = world.now;
+            while world.nodes_that_know(0, Some(LIMIT)) < nodes {
+                world.run(5);
+                let passed = world.now - named_at;
+                assert!(passed < KNOWN_AFTER_MS, "{nodes} nodes, seed {seed}");
+            }
+            let known_after = world.now - named_at;
+            println!("{nodes} nodes, seed {seed}: all know after {known_after} ms");
+        }
+    }
+}
