An old answer is not given to a node's new question for a token

Seen in reading: the holder remembers its answers, so that a question which comes twice takes one token, and forgot them only beside 256 others. A restarted node numbers its questions from 0 as its earlier life did, so it was granted what that one had been, and no token was taken. Answers count for a second, and numbers begin anywhere. Test: the same number two seconds later is decided anew; red without the mend.

--- a/crates/enginelimit/src/tokens.rs
+++ b/crates/enginelimit/src/tokens.rs
@@ -46,7 +46,9 @@
             return TokenAnswer::NotHolder;
         };
         let question = (request.sender, request.number);
-        if let Some((_, answer)) = group.answered.get(&question) {
+        let answered = group.answered.get(&question);
+        let lately = answered.filter(|(at, _)| now.since(*at) < ANSWERS_FOR_MS);
+        if let Some((_, answer)) = lately {
             return *answer;
         }
         group.askers.note(request.sender, now);
--- a/crates/enginelimit/tests/fleets/main.rs
+++ b/crates/enginelimit/tests/fleets/main.rs
@@ -5,4 +5,5 @@
 mod changes;
 mod faults;
 mod observations;
+mod tokens;
 mod world;
--- /dev/null
+++ b/crates/enginelimit/tests/fleets/tokens.rs
@@ -0,0 +1,61 @@
+//! Questions for tokens that come twice.
+
+use ploverlift_balancing::engine_rooms::EngineRooms;
+use ploverlift_balancing::names::{EngineTag, PeerId};
+use ploverlift_enginelimit::group::{GroupTag, NodeAddress};
+use ploverlift_enginelimit::limits::EngineLimits;
+use ploverlift_enginelimit::news::{TokenAnswer, TokenRequest, Wanted};
+use ploverlift_enginelimit::observation::Observation;
+use ploverlift_policy::ids::Millis;
+
+const GROUP: GroupTag = GroupTag(1);
+const ENGINE: EngineTag = EngineTag(2);
+
+/// The holder of an engine that names one request a second, since a second.
+fn holder() -> EngineLimits {
+    let mut limits = EngineLimits::new(NodeAddress {
+        node: PeerId(1),
+        ..NodeAddress::NOWHERE
+    });
+    let seen = Observation {
+        engine: ENGINE,
+        limit: Some(1.0),
+        sent_at: Millis(0),
+        head_at: Millis(0),
+    };
+    limits.observe(&seen, GROUP, &mut EngineRooms::default(), Millis(0));
+    limits
+}
+
+fn ask(limits: &mut EngineLimits, number: u64, at_ms: u64) -> bool {
+    let request = TokenRequest {
+        sender: PeerId(2),
+        number,
+        group: GROUP,
+        wanted: Wanted::Engine(ENGINE),
+        is_urgent: true,
+    };
+    let answer = limits.answer(&request, Millis(at_ms));
+    matches!(answer, TokenAnswer::Granted { .. })
+}
+
+#[test]
+fn a_question_that_comes_twice_takes_one_token() {
+    let mut limits = holder();
+    assert!(ask(&mut limits, 7, 1_000));
+    assert!(ask(&mut limits, 7, 1_040));
+    assert!(!ask(&mut limits, 8, 1_050));
+    // It had taken one alone: the next one is there a second later.
+    assert!(ask(&mut limits, 9, 2_000));
+}
+
+/// A node that starts anew may number its questions as its earlier life did. The answer to
+/// an old question was handed out again, and no token was taken.
+#[test]
+fn an_old_answer_is_not_given_to_a_new_question() {
+    let mut limits = holder();
+    assert!(ask(&mut limits, 7, 1_000));
+    assert!(ask(&mut limits, 8, 2_000));
+    assert!(ask(&mut limits, 7, 3_000));
+    assert!(!ask(&mut limits, 9, 3_010));
+}
--- a/crates/gateway/src/peers/token_questions.rs
+++ b/crates/gateway/src/peers/token_questions.rs
@@ -18,7 +18,7 @@
 type Waiting = async_channel::Sender<TokenAnswer>;
 
 /// The open questions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TokenQuestions {
     next: AtomicU64,
     waiting: Mutex<HashMap<u64, Waiting>>,
@@ -36,6 +36,16 @@
     }
 }
 
+impl Default for TokenQuestions {
+    /// Numbers begin anywhere: those of an earlier life of the node were answered already.
+    fn default() -> Self {
+        Self {
+            next: AtomicU64::new(fastrand::u64(..)),
+            waiting: Mutex::default(),
+        }
+    }
+}
+
 impl TokenQuestions {
     /// The number of the next question.
     pub fn next_number(&self) -> u64 {
