Metrics of limited engines are worked out when they are read

An engine that was gone while it had a limit stayed in engine_limit, and in what ploverlift limits lists. Forgetting engines that are gone looked each one up in a list: with 10,000 limited engines 10^8 looks a second.

--- a/crates/gateway/src/engine_limits.rs
+++ b/crates/gateway/src/engine_limits.rs
@@ -16,21 +16,25 @@
     source: &'static str,
 ) {
     let limits = &beliefs.engine_limits;
-    let limited = limits.limited().count();
-    gateway.metrics.limited_engines.set(limited as i64);
     let known = beliefs.engines.by_tag(engine);
-    if let Some(known) = known {
-        let instance = &known.record.instance.0;
-        let limit = limits.limit_of(engine);
-        gateway.metrics.note_engine_limit(instance, limit);
-    }
     slog::info!(gateway.log, "engine's rate limit";
         "engine" => known.map(|known| known.record.instance.0.as_str()),
         "tag" => engine.0,
         "per_second" => limits.limit_of(engine),
         "before" => before,
         "from" => source,
-        "limited" => limited);
+        "limited" => limits.limited().count());
+}
+
+/// Brings the metrics of limited engines up to date, before they are read.
+pub(crate) fn publish_limits(gateway: &Gateway) {
+    let beliefs = gateway.beliefs();
+    let limited = beliefs.engine_limits.limited();
+    let named = limited.filter_map(|(engine, limit, _)| {
+        let known = beliefs.engines.by_tag(engine)?;
+        Some((known.record.instance.0.clone(), limit))
+    });
+    gateway.metrics.set_engine_limits(named);
 }
 
 /// Answers a question for a token, of another node or of this one.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -294,19 +294,19 @@
         self.rollout_arrivals.get_or_create(&label).inc();
     }
 
-    /// An engine advertises this limit from now on, or none.
-    pub fn note_engine_limit(&self, engine: &str, limit: Option<f64>) {
-        let label = LimitedEngineLabel {
-            engine: engine.to_owned(),
-        };
-        match limit {
-            Some(limit) => {
-                self.engine_limits.get_or_create(&label).set(limit);
-            }
-            None => {
-                self.engine_limits.remove(&label);
-                self.granted_requests.remove(&label);
-            }
+    /// These engines advertise limits, and no other does.
+    pub fn set_engine_limits(&self, limits: impl Iterator<Item = (String, f64)>) {
+        self.engine_limits.clear();
+        let mut count = 0;
+        for (engine, limit) in limits {
+            let label = LimitedEngineLabel { engine };
+            self.engine_limits.get_or_create(&label).set(limit);
+            count += 1;
+        }
+        self.limited_engines.set(count);
+        if count == 0 {
+            // Else the labels of engines that are gone would add up.
+            self.granted_requests.clear();
         }
     }
 
--- a/crates/gateway/src/peers/engine_limits.rs
+++ b/crates/gateway/src/peers/engine_limits.rs
@@ -18,6 +18,7 @@
 use ploverlift_enginelimit::observation::Observation;
 use ploverlift_policy::ids::Millis;
 use smol::net::UdpSocket;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -104,13 +105,12 @@
         return;
     }
     let engines = &beliefs.engines;
-    let limited: Vec<EngineTag> = beliefs
-        .engine_limits
-        .limited()
+    let limited = beliefs.engine_limits.limited();
+    let present: HashSet<EngineTag> = limited
         .map(|(engine, _, _)| engine)
         .filter(|engine| engines.by_tag(*engine).is_some())
         .collect();
-    let is_known = |engine| limited.contains(&engine);
+    let is_known = |engine| present.contains(&engine);
     let rooms = &mut beliefs.engines.rooms;
     beliefs.engine_limits.expire(is_known, rooms, now);
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -1,5 +1,6 @@
 //! Small listeners: whether this node takes callers, and its metrics.
 
+use crate::engine_limits::publish_limits;
 use crate::peers::engine_limits::knows_limits;
 use crate::ports::RefusalKind;
 use crate::state::Gateway;
@@ -47,7 +48,11 @@
 
 /// Answers with the metrics until the task is dropped.
 pub async fn answer_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
-    answer_questions(gateway, listener, |gateway| (200, gateway.metrics.page())).await;
+    answer_questions(gateway, listener, |gateway| {
+        publish_limits(gateway);
+        (200, gateway.metrics.page())
+    })
+    .await;
 }
 
 type Question = fn(&Gateway) -> (u16, String);
