Tests: one start of engines and of nodes that know each other

The sites of harmful requests and of engine limits wrote the same start each; it stands in the support of both now. What they check is as before.

--- a/crates/gateway/tests/engine_limits/site.rs
+++ b/crates/gateway/tests/engine_limits/site.rs
@@ -1,13 +1,11 @@
 //! A site of several nodes before engines that name rates, and an oracle that counts what
 //! arrives by itself.
 
-use crate::support::caller;
 use crate::support::configuration;
 use crate::support::engine::{Behaviour, StandInEngine};
-use crate::support::fleet::start_peer_with;
+use crate::support::fleet::{start_engines, start_known_nodes};
 use crate::support::store::StandInStore;
 use ploverlift_gateway::assembly::RunningGateway;
-use ploverlift_gateway::time::sleep;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -15,8 +13,6 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time from the first naming after which the bound holds.
 pub const KNOWN_AFTER: Duration = Duration::from_secs(3);
-/// Time between two looks at what a test waits for, in milliseconds.
-const LOOK_MS: u64 = 5;
 
 /// Requests that an engine may get in one window: one and a half times what its rate allows,
 /// and five.
@@ -36,34 +32,17 @@
     pub async fn new(engines: usize) -> Self {
         let store = StandInStore::start().await;
         store.put("Configuration", "main", configuration(1));
-        let mut started = Vec::new();
-        for number in 0..engines {
-            let name = format!("llm-{number}");
-            let engine = StandInEngine::start(&name, "llm", Behaviour::Answer).await;
-            store.put("Engines", &name, engine.record());
-            started.push(engine);
-        }
+        let engines = start_engines(&store, "llm", engines, Behaviour::Answer).await;
         Self {
             store,
-            engines: started,
+            engines,
             nodes: Vec::new(),
         }
     }
 
     /// Starts nodes that know each other.
     pub async fn start_nodes(&mut self, count: usize) {
-        for number in 0..count {
-            let node = start_peer_with(&self.store, &format!("node-{number}"), 1.0, "");
-            self.nodes.push(node);
-        }
-        for node in &self.nodes {
-            while caller::get_status(node.readiness).await != 200 {
-                sleep(LOOK_MS).await;
-            }
-            while node.gateway.address_book().listed_nodes() < count {
-                sleep(LOOK_MS).await;
-            }
-        }
+        self.nodes = start_known_nodes(&self.store, count).await;
     }
 
     pub fn callers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
--- a/crates/gateway/tests/harmful_requests/site.rs
+++ b/crates/gateway/tests/harmful_requests/site.rs
@@ -3,7 +3,7 @@
 use crate::support::caller::{self, prompt, request, Request};
 use crate::support::configuration;
 use crate::support::engine::{Behaviour, StandInEngine};
-use crate::support::fleet::start_peer_with;
+use crate::support::fleet::{start_engines, start_known_nodes};
 use crate::support::store::StandInStore;
 use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::time::sleep;
@@ -13,9 +13,6 @@
 /// Engines that may end under one request, whoever asks wherever.
 pub const MOST_ENDED: usize = 4;
 
-/// Time between two looks at what a test waits for, in milliseconds.
-const LOOK_MS: u64 = 5;
-
 /// Nodes before engines of one service.
 pub struct Site {
     pub store: StandInStore,
@@ -28,34 +25,17 @@
     pub async fn new(service: &str, engines: usize) -> Self {
         let store = StandInStore::start().await;
         store.put("Configuration", "main", configuration(1));
-        let mut started = Vec::new();
-        for number in 0..engines {
-            let name = format!("{service}-{number}");
-            let engine = StandInEngine::start(&name, service, Behaviour::EndsUnder(HARMFUL)).await;
-            store.put("Engines", &name, engine.record());
-            started.push(engine);
-        }
+        let engines = start_engines(&store, service, engines, Behaviour::EndsUnder(HARMFUL)).await;
         Self {
             store,
-            engines: started,
+            engines,
             nodes: Vec::new(),
         }
     }
 
     /// Starts nodes that know each other.
     pub async fn start_nodes(&mut self, count: usize) {
-        for number in 0..count {
-            let node = start_peer_with(&self.store, &format!("node-{number}"), 1.0, "");
-            self.nodes.push(node);
-        }
-        for node in &self.nodes {
-            while caller::get_status(node.readiness).await != 200 {
-                sleep(LOOK_MS).await;
-            }
-            while node.gateway.address_book().listed_nodes() < count {
-                sleep(LOOK_MS).await;
-            }
-        }
+        self.nodes = start_known_nodes(&self.store, count).await;
     }
 
     /// All nodes end at once.
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -1,5 +1,6 @@
 //! Nodes of a fleet that is large, though most of its nodes are silent.
 
+use super::engine::{Behaviour, StandInEngine};
 use super::site::StandInSite;
 use super::store::StandInStore;
 use super::{caller, settings};
@@ -13,10 +14,14 @@
 use ploverlift_gateway::peers::relay_messages::RelayReport;
 use ploverlift_gateway::peers::roles::{role, Role};
 use ploverlift_gateway::peers::rollout_messages::RolloutReport;
+use ploverlift_gateway::time::sleep;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Time between two looks at what a test waits for, in milliseconds.
+const LOOK_MS: u64 = 5;
+
 /// Records in the store of a fleet that is large, though its other nodes are silent.
 pub fn list_silent_nodes(store: &StandInStore) {
     for index in 0..MESH_NODES {
@@ -44,6 +49,38 @@
     start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
 }
 
+/// Starts so many engines of a service, and puts them into the store.
+pub async fn start_engines(
+    store: &StandInStore,
+    service: &str,
+    count: usize,
+    behaviour: Behaviour,
+) -> Vec<StandInEngine> {
+    let mut started = Vec::new();
+    for number in 0..count {
+        let name = format!("{service}-{number}");
+        let engine = StandInEngine::start(&name, service, behaviour.clone()).await;
+        store.put("Engines", &name, engine.record());
+        started.push(engine);
+    }
+    started
+}
+
+/// Starts so many nodes that know each other, and waits until they are ready.
+pub async fn start_known_nodes(store: &StandInStore, count: usize) -> Vec<RunningGateway> {
+    let names = (0..count).map(|number| format!("node-{number}"));
+    let nodes: Vec<RunningGateway> = names.map(|name| start_peer(store, &name, 1.0)).collect();
+    for node in &nodes {
+        while caller::get_status(node.readiness).await != 200 {
+            sleep(LOOK_MS).await;
+        }
+        while node.gateway.address_book().listed_nodes() < count {
+            sleep(LOOK_MS).await;
+        }
+    }
+    nodes
+}
+
 pub fn role_of(node: &RunningGateway) -> Role {
     role(&node.gateway, node.gateway.clock.now())
 }
