The circle of ten gateway files is opened

beliefs, state, metrics and seven others imported each other in a circle: three files had what a node knows beside what it does with it. The data stand apart now (cut_requests, engines_proof, rollouts/running), and what needs the whole node is above them (engine_ends, reliance, forward/running_request). Moves alone; two tests import reliance from its new place.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -1,7 +1,7 @@
 //! What a node believes of its site, from the store, its traffic and other nodes.
 
 use crate::catalogue_log::CatalogueLog;
-use crate::engine_ends::EngineEnds;
+use crate::cut_requests::EngineEnds;
 use crate::engines_proof::EnginesProof;
 use crate::leases::{LeaseBeliefs, LeaseName};
 use crate::outcomes::ObservedAttempt;
--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -10,61 +10,21 @@
 //!                  └▶ it is taken, or nobody answers ─▶ nothing is known
 //! ```
 
+use crate::cut_requests::CutRequest;
 use crate::engine_checks::keep_connection;
 use crate::http_call::{connect, ConnectFailure};
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_http1::BufferedStream;
-use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::evidence::{speaks_against, EngineEnd};
-use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use ploverlift_quarantine::quarantine::EndNews;
-use ploverlift_routing::rate_limit::TenantTag;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Requests that one log line names.
 const MAX_LOGGED_REQUESTS: usize = 16;
 
-/// A request whose connection its engine ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CutRequest {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Its tenant.
-    pub tenant: TenantTag,
-    /// When it was sent there.
-    pub begun: Millis,
-    /// When the connection ended.
-    pub ended: Millis,
-    /// Time from the first event of its answer to the end, in milliseconds; 0 without one.
-    pub streamed_ms: u64,
-}
-
-/// Engines that ended a connection, and of which it is being found out whether they have
-/// ended.
-#[derive(Clone, Debug, Default)]
-pub struct EngineEnds {
-    open: HashMap<InstanceId, Vec<CutRequest>>,
-}
-
-impl EngineEnds {
-    /// An engine ended the connection of a request; tells whether it is the first one of
-    /// which this node has to find out.
-    fn note(&mut self, instance: &InstanceId, cut: CutRequest) -> bool {
-        let open = self.open.entry(instance.clone()).or_default();
-        open.push(cut);
-        open.len() == 1
-    }
-
-    /// It was found out; tells which requests were cut.
-    fn close(&mut self, instance: &InstanceId) -> Vec<CutRequest> {
-        self.open.remove(instance).unwrap_or_default()
-    }
-}
-
 /// What was found out of an engine.
 enum Finding {
     Ended,
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -4,10 +4,11 @@
 use super::choice::ChosenEngine;
 use super::in_flight::{AttemptSubject, InFlight};
 use super::{AfterAnswer, Forwarding};
+use crate::cut_requests::CutRequest;
 use crate::engine_connection::{
     exchange_on, EngineAnswer, ExchangeFailure, ExchangeLimits, FailureReason,
 };
-use crate::engine_ends::{note_cut, CutRequest};
+use crate::engine_ends::note_cut;
 use crate::http_call::{connect, CallError, ConnectFailure};
 use crate::ports::{AnswerMeaning, EngineCall, RefusedByEngine};
 use ploverlift_balancing::health::Outcome;
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -1,11 +1,11 @@
 //! Choosing an engine, and how a prompt uses KV cache there.
 
+use super::running_request::RunningRequest;
 use super::Forwarding;
 use crate::beliefs::Beliefs;
 use crate::cache_feeds::cache_stores;
 use crate::ports::CacheTransfer;
 use crate::rollouts::choice::{OwnSeat, SoftwareChoice, VersionedRequest};
-use crate::rollouts::running::RunningRequest;
 use crate::rollouts::Arrival;
 use ploverlift_balancing::cache_stores::{
     fill, is_kept_elsewhere, saving_store, CacheStoreState, StoreBelief,
--- a/crates/gateway/src/forward/engines_hold.rs
+++ b/crates/gateway/src/forward/engines_hold.rs
@@ -7,7 +7,7 @@
 
 use super::choice::ChosenEngine;
 use super::Forwarding;
-use crate::engines_proof::{reliance, Reliance};
+use crate::reliance::{reliance, Reliance};
 use crate::time::within;
 
 /// Longest wait of a request, in milliseconds: a call of a well store takes 4 ms, and
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -28,6 +28,7 @@
 mod prospects;
 mod quarantine;
 mod record;
+mod running_request;
 mod stream;
 mod whole;
 
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -4,8 +4,8 @@
 use super::attempt::AttemptEnd;
 use super::choice::ChosenEngine;
 use super::ReceivedRequest;
-use crate::engines_proof::Reliance;
 use crate::ports::CacheTransfer;
+use crate::reliance::Reliance;
 use crate::state::Gateway;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::Side;
--- a/crates/gateway/src/rollouts/running.rs
+++ b/crates/gateway/src/rollouts/running.rs
@@ -1,44 +1,9 @@
 //! Requests of this node at engines, by the version of their software. An engine that
 //! leaves the catalogue may still work on some, so the catalogue does not tell.
 
-use crate::beliefs::Beliefs;
-use crate::state::Gateway;
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::software::SoftwareVersion;
 use std::collections::BTreeMap;
-use std::sync::Arc;
-
-/// A request that was given to an engine, counted until this is dropped.
-pub struct RunningRequest {
-    gateway: Arc<Gateway>,
-    service: ServiceName,
-    version: SoftwareVersion,
-}
-
-impl RunningRequest {
-    /// Counts a request; `beliefs` are those of the gateway, locked.
-    pub fn begin(
-        gateway: &Arc<Gateway>,
-        beliefs: &mut Beliefs,
-        service: &ServiceName,
-        version: &SoftwareVersion,
-    ) -> Self {
-        beliefs.rollouts.running.begin(service, version);
-        Self {
-            gateway: Arc::clone(gateway),
-            service: service.clone(),
-            version: version.clone(),
-        }
-    }
-}
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        let mut beliefs = self.gateway.beliefs();
-        let running = &mut beliefs.rollouts.running;
-        running.end(&self.service, &self.version);
-    }
-}
 
 /// Requests under way at engines.
 #[derive(Clone, Debug, Default)]
@@ -48,7 +13,7 @@
 
 impl RunningRequests {
     /// A request is sent.
-    fn begin(&mut self, service: &ServiceName, version: &SoftwareVersion) {
+    pub(crate) fn begin(&mut self, service: &ServiceName, version: &SoftwareVersion) {
         if !self.counts.contains_key(service) {
             self.counts.insert(service.clone(), BTreeMap::new());
         }
@@ -63,7 +28,7 @@
     }
 
     /// It is over.
-    fn end(&mut self, service: &ServiceName, version: &SoftwareVersion) {
+    pub(crate) fn end(&mut self, service: &ServiceName, version: &SoftwareVersion) {
         let versions = self.counts.get_mut(service);
         let count = versions.and_then(|versions| versions.get_mut(version));
         if let Some(count) = count {
--- a/crates/gateway/tests/leaving_engines.rs
+++ b/crates/gateway/tests/leaving_engines.rs
@@ -16,10 +16,10 @@
 
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_gateway::assembly::{start, RunningGateway};
-use ploverlift_gateway::engines_proof::{reliance, Reliance};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::roles::Role;
 use ploverlift_gateway::ports::{StoreError, StoreObject, WatchEvent};
+use ploverlift_gateway::reliance::{reliance, Reliance};
 use ploverlift_gateway::store::take_engine;
 use ploverlift_gateway::time::sleep;
 use serde_json::json;
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -9,9 +9,10 @@
 
 use ploverlift_clock::{Clock, Suspension};
 use ploverlift_gateway::assembly::{start_with_clock, RunningGateway};
-use ploverlift_gateway::engines_proof::{reliance, EnginesProof, Reliance};
+use ploverlift_gateway::engines_proof::EnginesProof;
 use ploverlift_gateway::leases::{LeaseHolder, LeaseName};
 use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::reliance::{reliance, Reliance};
 use ploverlift_gateway::time::sleep;
 use ploverlift_policy::ids::Millis;
 use serde_json::json;
