Engine limits: the field's terms, and a denial in the request's line

Tokens are acquired, nodes back off, rejected callers have a retry schedule. A request's line says of each engine that had no token for it, so an id leads to the limit also where another engine served it.

--- a/crates/balancing/src/engine_rooms.rs
+++ b/crates/balancing/src/engine_rooms.rs
@@ -106,7 +106,7 @@
     }
 
     /// An engine is not asked for before then.
-    pub fn rest(&mut self, engine: EngineTag, not_before: Millis) {
+    pub fn back_off(&mut self, engine: EngineTag, not_before: Millis) {
         if let Some(room) = self.rooms.get_mut(&engine) {
             room.not_before = room.not_before.max(not_before);
         }
--- a/crates/enginelimit/src/askers.rs
+++ b/crates/enginelimit/src/askers.rs
@@ -1,4 +1,4 @@
-//! How many nodes ask for tokens of one engine or group, and how long each rests.
+//! How many nodes ask for tokens of one engine or group, and how long each backs off.
 //!
 //! Each node that is denied asks again after a time of its own, the longer the more nodes
 //! ask: all together they ask a few times as often as tokens come, however many they are.
@@ -11,8 +11,8 @@
 const ASKS_FOR_MS: u64 = 5_000;
 /// Times as often as tokens come that they are asked for.
 const ASKS_PER_TOKEN: f64 = 4.0;
-/// Longest rest, in milliseconds: after it a node finds out what has changed.
-const LONGEST_REST_MS: f64 = 30_000.0;
+/// Longest backoff, in milliseconds: after it a node finds out what has changed.
+const LONGEST_BACKOFF_MS: f64 = 30_000.0;
 /// Milliseconds in a second, as a factor of rates.
 const MS_PER_SECOND: f64 = 1_000.0;
 
@@ -39,7 +39,7 @@
     pub fn spread_ms(&self, per_second: f64, free: usize) -> u64 {
         let waiting = self.asked.len().saturating_sub(free) as f64;
         let mean_ms = waiting / (ASKS_PER_TOKEN * per_second) * MS_PER_SECOND;
-        (2.0 * mean_ms).min(LONGEST_REST_MS) as u64
+        (2.0 * mean_ms).min(LONGEST_BACKOFF_MS) as u64
     }
 
     /// Nodes that asked lately.
--- a/crates/enginelimit/src/lib.rs
+++ b/crates/enginelimit/src/lib.rs
@@ -18,12 +18,12 @@
 //! | [`group`] | which engines one node counts for, and which node of two holds |
 //! | [`observation`] | what an answer said of a limit, and which of two is the newer |
 //! | [`account`] | tokens of one engine, at the holder |
-//! | [`askers`] | how many nodes ask, and how long each rests |
+//! | [`askers`] | how many nodes ask, and how long each backs off |
 //! | [`tokens`] | asking for tokens and granting them |
 //! | [`news`] | what the nodes tell each other |
 //! | [`limits`] | what one node knows of all limits |
 //! | [`exchange`] | what it tells, and what it takes in |
-//! | [`returns`] | when callers that were rejected may come back |
+//! | [`retry_schedule`] | when callers that were rejected may come back |
 
 pub mod account;
 pub mod askers;
@@ -32,5 +32,5 @@
 pub mod limits;
 pub mod news;
 pub mod observation;
-pub mod returns;
+pub mod retry_schedule;
 pub mod tokens;
--- a/crates/enginelimit/src/limits.rs
+++ b/crates/enginelimit/src/limits.rs
@@ -5,7 +5,7 @@
 use crate::group::{GroupTag, Holder, NodeAddress};
 use crate::news::TokenAnswer;
 use crate::observation::{Observation, StandingLimit};
-use crate::returns::ReturnSchedule;
+use crate::retry_schedule::RetrySchedule;
 use ploverlift_balancing::engine_rooms::EngineRooms;
 use ploverlift_balancing::names::{EngineTag, PeerId};
 use ploverlift_policy::ids::Millis;
@@ -53,7 +53,7 @@
     pub(crate) nothing_before: Millis,
     /// Time in which one token comes for each node that asks, in milliseconds.
     pub(crate) turn_ms: u64,
-    pub(crate) returns: ReturnSchedule,
+    pub(crate) retries: RetrySchedule,
 }
 
 impl Group {
@@ -68,7 +68,7 @@
             unanswered: None,
             nothing_before: Millis(0),
             turn_ms: 0,
-            returns: ReturnSchedule::default(),
+            retries: RetrySchedule::default(),
         }
     }
 }
--- a/crates/enginelimit/src/returns.rs
+++ b/crates/enginelimit/src/retry_schedule.rs
@@ -8,11 +8,11 @@
 
 /// The moments at which a node's rejected callers may come back.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ReturnSchedule {
+pub struct RetrySchedule {
     last: Millis,
 }
 
-impl ReturnSchedule {
+impl RetrySchedule {
     /// The time until the next caller may come back, in milliseconds, where the next token
     /// comes after `token_ms`, and this node's turn each `turn_ms`.
     pub fn next_ms(&mut self, token_ms: u64, turn_ms: u64, now: Millis) -> u64 {
--- a/crates/enginelimit/src/tokens.rs
+++ b/crates/enginelimit/src/tokens.rs
@@ -20,7 +20,7 @@
 
 /// Where a token is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Counter {
+pub enum Granter {
     /// At this node.
     Here,
     /// At another one.
@@ -31,11 +31,11 @@
 
 impl EngineLimits {
     /// Who grants tokens of a group.
-    pub fn counter(&self, group: GroupTag) -> Counter {
+    pub fn granter(&self, group: GroupTag) -> Granter {
         match self.groups.get(&group) {
-            Some(known) if known.is_held => Counter::Here,
-            Some(known) => Counter::At(known.holder.at),
-            None => Counter::Nobody,
+            Some(known) if known.is_held => Granter::Here,
+            Some(known) => Granter::At(known.holder.at),
+            None => Granter::Nobody,
         }
     }
 
@@ -135,7 +135,7 @@
     }
 
     /// Takes in the answer to a question of this node; tells which engine a request may be
-    /// sent to. `draw`, in 0 to 1, is a random moment of the time to rest.
+    /// sent to. `draw`, in 0 to 1, is a random moment of the backoff.
     pub fn take_answer(
         &mut self,
         request: &TokenRequest,
@@ -159,8 +159,8 @@
                 Some(engine)
             }
             TokenAnswer::Denied(denial) => {
-                let rest_ms = denial.wait_ms + (denial.spread_ms as f64 * draw) as u64;
-                self.rest(request, denial, now.plus(rest_ms), rooms, now);
+                let backoff_ms = denial.wait_ms + (denial.spread_ms as f64 * draw) as u64;
+                self.back_off(request, denial, now.plus(backoff_ms), rooms, now);
                 None
             }
             TokenAnswer::Unlimited => {
@@ -171,7 +171,7 @@
         }
     }
 
-    fn rest(
+    fn back_off(
         &mut self,
         request: &TokenRequest,
         denial: Denial,
@@ -213,9 +213,9 @@
 
     /// When a caller that is rejected for want of tokens of a group may come back, in
     /// milliseconds from now.
-    pub fn return_ms(&mut self, group: GroupTag, now: Millis) -> Option<u64> {
+    pub fn retry_after_ms(&mut self, group: GroupTag, now: Millis) -> Option<u64> {
         let group = self.groups.get_mut(&group)?;
         let token_ms = group.nothing_before.since(now);
-        Some(group.returns.next_ms(token_ms, group.turn_ms, now))
+        Some(group.retries.next_ms(token_ms, group.turn_ms, now))
     }
 }
--- a/crates/enginelimit/tests/fleets/world.rs
+++ b/crates/enginelimit/tests/fleets/world.rs
@@ -6,7 +6,7 @@
 use ploverlift_enginelimit::limits::{EngineLimits, Heard};
 use ploverlift_enginelimit::news::{GroupNews, TokenAnswer, TokenRequest, Wanted};
 use ploverlift_enginelimit::observation::Observation;
-use ploverlift_enginelimit::tokens::Counter;
+use ploverlift_enginelimit::tokens::Granter;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::configuration::ServiceName;
 use std::collections::{BTreeMap, HashMap};
@@ -374,12 +374,12 @@
             is_urgent: true,
         };
         let now = self.millis();
-        match self.nodes[node].limits.counter(group) {
-            Counter::Here => {
+        match self.nodes[node].limits.granter(group) {
+            Granter::Here => {
                 let answer = self.nodes[node].limits.answer(&request, now);
                 self.take_answer(node, &request, answer, denials);
             }
-            Counter::At(holder) => {
+            Granter::At(holder) => {
                 let question = Question {
                     request,
                     tries: 1,
@@ -388,7 +388,7 @@
                 self.questions.insert((node, number), question.clone());
                 self.send_question(node, index_of(holder), question.request);
             }
-            Counter::Nobody => self.reject(),
+            Granter::Nobody => self.reject(),
         }
     }
 
@@ -411,7 +411,7 @@
         if question.tries == 1 {
             question.tries = 2;
             let request = question.request.clone();
-            if let Counter::At(holder) = self.nodes[node].limits.counter(request.group) {
+            if let Granter::At(holder) = self.nodes[node].limits.granter(request.group) {
                 return self.send_question(node, index_of(holder), request);
             }
         }
@@ -421,7 +421,7 @@
         let known = &mut self.nodes[node];
         known.limits.note_unanswered(request.group, now);
         if let Wanted::Engine(engine) = request.wanted {
-            known.rooms.rest(engine, now.plus(100));
+            known.rooms.back_off(engine, now.plus(100));
         }
         self.reject();
     }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -255,7 +255,7 @@
         if let Some(answer) = self.send_on_kept(chosen, &head, limits).await? {
             return Ok(answer);
         }
-        if !self.has_leave(chosen).await {
+        if !self.acquire_token(chosen).await {
             return Err(AttemptEnd::Withheld);
         }
         let (began, began_at) = (Instant::now(), self.gateway.clock.now());
@@ -349,7 +349,7 @@
     /// Asked right before the bytes go, after every wait.
     fn may_still_be_sent(&self, chosen: &ChosenEngine) -> bool {
         let age_ms = self.gateway.clock.now().since(chosen.chosen_at);
-        age_ms <= self.longest_connect_ms() && self.has_current_leave(chosen) && self.begins()
+        age_ms <= self.longest_connect_ms() && self.has_valid_token(chosen) && self.begins()
     }
 
     /// Time after which a choice is made anew, in milliseconds. A connection comes about or
--- a/crates/gateway/src/forward/engine_limit.rs
+++ b/crates/gateway/src/forward/engine_limit.rs
@@ -1,7 +1,7 @@
 //! The rate limit of the engine that a request is sent to: what its answers say of it, and
-//! leave to send one more.
+//! the token that each sending takes.
 //!
-//! Leave is asked for right before the request goes to its engine, on a new connection or a
+//! It is acquired right before the request goes to its engine, on a new connection or a
 //! kept one, for each sending. A request does not wait for a token: where its engine has
 //! none another one is chosen, and where none has any it is rejected at once.
 
@@ -19,7 +19,7 @@
 use ploverlift_enginelimit::limits::Heard;
 use ploverlift_enginelimit::news::{TokenAnswer, TokenRequest, Wanted};
 use ploverlift_enginelimit::observation::Observation;
-use ploverlift_enginelimit::tokens::Counter;
+use ploverlift_enginelimit::tokens::Granter;
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
@@ -28,7 +28,7 @@
 /// that is older would count in another span than the one in which it was granted.
 const TOKEN_MS: u64 = 1_000;
 /// Time for which an engine is not asked for whose holder does not answer, in milliseconds.
-const UNANSWERED_REST_MS: u64 = 100;
+const UNANSWERED_BACKOFF_MS: u64 = 100;
 /// Engines that a request asks for one by one; then it asks for any.
 const DENIALS_BEFORE_ANY: u32 = 3;
 /// Engines that it asks for in all before it is rejected.
@@ -38,7 +38,7 @@
 /// Shortest time to come back, in milliseconds.
 const SHORTEST_RETURN_MS: u64 = 20;
 
-/// Leave to send one request to an engine. It goes back to its holder when it is dropped
+/// A token: one request may be sent to an engine. It goes back to its holder when it is dropped
 /// unused.
 pub(super) struct EngineToken {
     gateway: Arc<Gateway>,
@@ -55,13 +55,13 @@
         }
         let now = self.gateway.clock.now();
         let limits = &mut self.gateway.beliefs().engine_limits;
-        match limits.counter(self.group) {
-            Counter::Here => limits.give_back(self.engine, now),
-            Counter::At(holder) => {
+        match limits.granter(self.group) {
+            Granter::Here => limits.give_back(self.engine, now),
+            Granter::At(holder) => {
                 let message = PeerMessage::TokenReturn(self.engine);
                 self.gateway.outbox.put(holder.address, &message);
             }
-            Counter::Nobody => {}
+            Granter::Nobody => {}
         }
     }
 }
@@ -123,9 +123,9 @@
         }
     }
 
-    /// Gets leave to send a request to the engine that was chosen; false when it has none to
-    /// give now.
-    pub(super) async fn has_leave(&mut self, chosen: &ChosenEngine) -> bool {
+    /// Acquires a token for a request to the engine that was chosen, where it needs one; false
+    /// when there is none now.
+    pub(super) async fn acquire_token(&mut self, chosen: &ChosenEngine) -> bool {
         if self.holds_token_of(chosen) {
             return true;
         }
@@ -155,12 +155,12 @@
         })
     }
 
-    /// Whether the engine's limit lets the request go, right before its bytes do.
-    pub(super) fn has_current_leave(&self, chosen: &ChosenEngine) -> bool {
+    /// Whether the engine's limit allows the request, right before its bytes are sent.
+    pub(super) fn has_valid_token(&self, chosen: &ChosenEngine) -> bool {
         self.holds_token_of(chosen) || !self.is_limited(chosen)
     }
 
-    /// The bytes of the request go.
+    /// The request is about to be sent.
     pub(super) fn use_token(&mut self) {
         if let Some(mut token) = self.token.take() {
             token.is_used = true;
@@ -176,9 +176,9 @@
         self.progress.denials >= DENIALS_BEFORE_ANY && self.token.is_none()
     }
 
-    /// Gets leave to send to any limited engine of the service but those that were tried;
+    /// Acquires a token of any limited engine of the service but those that were tried;
     /// otherwise tells when the caller may come back.
-    pub(super) async fn any_leave(&mut self) -> Result<(), Unservable> {
+    pub(super) async fn acquire_any_token(&mut self) -> Result<(), Unservable> {
         let groups = self.groups_to_ask();
         if self.progress.denials >= MOST_DENIALS {
             return Err(self.rejected(&groups));
@@ -207,7 +207,7 @@
         let now = self.gateway.clock.now();
         let limits = &mut self.gateway.beliefs().engine_limits;
         let returns = groups.iter();
-        let returns = returns.filter_map(|group| limits.return_ms(*group, now));
+        let returns = returns.filter_map(|group| limits.retry_after_ms(*group, now));
         Unservable {
             reason: "all engines get as many requests as they take".to_owned(),
             retry_after_ms: returns.min().unwrap_or(0).max(SHORTEST_RETURN_MS),
@@ -232,14 +232,14 @@
             wanted,
             is_urgent: self.urgency() == Urgency::Higher,
         };
-        let counter = gateway.beliefs().engine_limits.counter(group);
-        let answer = match counter {
-            Counter::Nobody => return None,
-            Counter::Here => {
+        let granter = gateway.beliefs().engine_limits.granter(group);
+        let answer = match granter {
+            Granter::Nobody => return None,
+            Granter::Here => {
                 let now = gateway.clock.now();
                 Some(answer_request(gateway, &request, now))
             }
-            Counter::At(holder) => {
+            Granter::At(holder) => {
                 let questions = &gateway.token_questions;
                 questions
                     .ask(&gateway.outbox, holder.address, &request)
@@ -276,8 +276,8 @@
         let is_taken_over = {
             let beliefs = &mut *gateway.beliefs();
             if let Wanted::Engine(engine) = request.wanted {
-                let rest_until = now.plus(UNANSWERED_REST_MS);
-                beliefs.engines.rooms.rest(engine, rest_until);
+                let retry_at = now.plus(UNANSWERED_BACKOFF_MS);
+                beliefs.engines.rooms.back_off(engine, retry_at);
             }
             beliefs.engine_limits.note_unanswered(request.group, now)
         };
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -94,7 +94,7 @@
     record: RequestRecord,
     /// This node's claim on a request under which an engine ended.
     claim: Option<RequestClaim>,
-    /// Leave to send it to an engine that has a rate limit.
+    /// The token for an engine that has a rate limit.
     token: Option<EngineToken>,
 }
 
@@ -166,7 +166,7 @@
             let chosen = match self.choose() {
                 Ok(chosen) => chosen,
                 Err(NoChoice::NoRoom) if self.token.is_none() => {
-                    if let Err(unservable) = self.any_leave().await {
+                    if let Err(unservable) = self.acquire_any_token().await {
                         self.note_unservable(unservable);
                         return self.give_up().await;
                     }
@@ -181,8 +181,9 @@
                 self.note_unservable(unservable);
                 return self.give_up().await;
             }
-            if !self.has_leave(&chosen).await {
+            if !self.acquire_token(&chosen).await {
                 self.progress.denials += 1;
+                self.record.denied(&chosen);
                 continue;
             }
             let is_repeat = self.progress.attempts.next_is_repeat();
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -110,6 +110,12 @@
         );
     }
 
+    /// The engine that was chosen had no token for the request.
+    pub(super) fn denied(&mut self, chosen: &ChosenEngine) {
+        let separator = if self.attempts.is_empty() { "" } else { "; " };
+        let _ = write!(self.attempts, "{separator}{} -> no token", chosen.instance);
+    }
+
     /// The attempt ended.
     pub(super) fn end_attempt(&mut self, end: &AttemptEnd) {
         let text = &mut self.attempts;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -22,7 +22,7 @@
 //! | [`weights_exchange`] | which of these reports were sent and heard |
 //! | [`quarantine_reports`] | requests under which engines ended |
 //! | [`engine_limits`] | rate limits that engines advertise |
-//! | [`token_questions`] | questions for leave to send to such engines |
+//! | [`token_questions`] | requests for tokens of such engines |
 //! | [`outbox`] | messages of tasks that do not have the socket |
 //! | `receivers` | whom news that concerns all nodes goes to |
 //! | [`limits`] | what tenants were admitted, and what is left of their limits |
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -70,7 +70,7 @@
     pub quarantine_changed: Event,
     /// Told when something is news of the rate limits of engines.
     pub engine_limits_changed: Event,
-    /// Questions to other nodes for leave to send to such engines.
+    /// Requests to other nodes for tokens of such engines.
     pub token_questions: TokenQuestions,
     /// Messages to other nodes that wait to be sent.
     pub outbox: Outbox,
