A silent holder is waited for once, not for each engine

By the code a request asked a holder that is silent for up to three engines and then for any, 80 ms each: 320 ms. Now no engine of its group is asked for for 100 ms after an answer did not come. Test: tokens.

--- a/crates/enginelimit/src/limits.rs
+++ b/crates/enginelimit/src/limits.rs
@@ -17,6 +17,8 @@
 const SILENT_MS: u64 = 400;
 /// Questions that must have gone unanswered by then.
 const SILENT_QUESTIONS: u32 = 4;
+/// Time for which a holder is not asked that has not answered, in milliseconds.
+const UNANSWERED_BACKOFF_MS: u64 = 100;
 /// Time within which nodes send to an engine again whose limit has ended, each from a moment
 /// of its own, in milliseconds: all at once would fill it before they hear of each other.
 const RAMP_MS: u64 = 500;
@@ -293,11 +295,23 @@
     }
 
     /// The holder of a group has not answered a question; tells whether this node has taken
-    /// the group over.
-    pub fn note_unanswered(&mut self, group: GroupTag, now: Millis) -> bool {
+    /// the group over. Nothing waits for that holder meanwhile.
+    pub fn note_unanswered(
+        &mut self,
+        group: GroupTag,
+        rooms: &mut EngineRooms,
+        now: Millis,
+    ) -> bool {
+        let retry_at = now.plus(UNANSWERED_BACKOFF_MS);
+        for (engine, known) in &self.known {
+            if known.group == group {
+                rooms.back_off(*engine, retry_at);
+            }
+        }
         let Some(known) = self.groups.get_mut(&group).filter(|known| !known.is_held) else {
             return false;
         };
+        known.nothing_before = retry_at;
         let (since, questions) = known.unanswered.get_or_insert((now, 0));
         *questions += 1;
         let is_silent = *questions >= SILENT_QUESTIONS && now.since(*since) >= SILENT_MS;
--- a/crates/enginelimit/src/tokens.rs
+++ b/crates/enginelimit/src/tokens.rs
@@ -147,7 +147,7 @@
         if answer == TokenAnswer::NotHolder {
             // News of another holder is on its way here or there. Who took the group over at
             // once would do so again and again in a large fleet.
-            self.note_unanswered(request.group, now);
+            self.note_unanswered(request.group, rooms, now);
             return None;
         }
         if let Some(group) = self.groups.get_mut(&request.group) {
--- a/crates/enginelimit/tests/fleets/tokens.rs
+++ b/crates/enginelimit/tests/fleets/tokens.rs
@@ -59,3 +59,22 @@
     assert!(ask(&mut limits, 7, 3_000));
     assert!(!ask(&mut limits, 9, 3_010));
 }
+
+/// Each question to a holder that is silent waits; a request that asked for one engine after
+/// another waited four times before it was rejected.
+#[test]
+fn no_engine_of_a_group_is_asked_for_whose_holder_has_just_not_answered() {
+    let mut limits = EngineLimits::new(NodeAddress {
+        node: PeerId(3),
+        ..NodeAddress::NOWHERE
+    });
+    let mut rooms = EngineRooms::default();
+    for news in holder().everything(Millis(0)) {
+        limits.hear(&news, false, &mut rooms, Millis(0));
+    }
+    assert!(rooms.has_room(ENGINE, Millis(1_000)));
+    limits.note_unanswered(GROUP, &mut rooms, Millis(1_000));
+    assert!(!rooms.has_room(ENGINE, Millis(1_010)));
+    assert!(!limits.may_have_token(GROUP, Millis(1_010)));
+    assert!(rooms.has_room(ENGINE, Millis(1_200)));
+}
--- a/crates/enginelimit/tests/fleets/world.rs
+++ b/crates/enginelimit/tests/fleets/world.rs
@@ -419,10 +419,9 @@
         let request = question.expect("an open question").request;
         let now = self.millis();
         let known = &mut self.nodes[node];
-        known.limits.note_unanswered(request.group, now);
-        if let Wanted::Engine(engine) = request.wanted {
-            known.rooms.back_off(engine, now.plus(100));
-        }
+        known
+            .limits
+            .note_unanswered(request.group, &mut known.rooms, now);
         self.reject();
     }
 
--- a/crates/gateway/src/forward/engine_limit.rs
+++ b/crates/gateway/src/forward/engine_limit.rs
@@ -27,8 +27,6 @@
 /// Time for which a token may be used, in milliseconds: a connection comes about sooner. One
 /// that is older would count in another span than the one in which it was granted.
 const TOKEN_MS: u64 = 1_000;
-/// Time for which an engine is not asked for whose holder does not answer, in milliseconds.
-const UNANSWERED_BACKOFF_MS: u64 = 100;
 /// Engines that a request asks for one by one; then it asks for any.
 const DENIALS_BEFORE_ANY: u32 = 3;
 /// Engines that it asks for in all before it is rejected.
@@ -275,11 +273,9 @@
         let now = gateway.clock.now();
         let is_taken_over = {
             let beliefs = &mut *gateway.beliefs();
-            if let Wanted::Engine(engine) = request.wanted {
-                let retry_at = now.plus(UNANSWERED_BACKOFF_MS);
-                beliefs.engines.rooms.back_off(engine, retry_at);
-            }
-            beliefs.engine_limits.note_unanswered(request.group, now)
+            let rooms = &mut beliefs.engines.rooms;
+            let limits = &mut beliefs.engine_limits;
+            limits.note_unanswered(request.group, rooms, now)
         };
         if is_taken_over {
             slog::warn!(gateway.log, "engine limits taken over";
--- a/crates/gateway/tests/engine_limits/fleets.rs
+++ b/crates/gateway/tests/engine_limits/fleets.rs
@@ -76,6 +76,8 @@
         let rejected = asked.iter().filter(|asked| asked.status != 200);
         assert!(rejected.clone().all(|asked| asked.status == 503));
         let longest = rejected.clone().map(|asked| asked.took).max();
+        let late = traffic.latest_timer();
+        println!("held for {longest:?} at most; a timer was late by {late:?} at most");
         assert!(longest < Some(LONGEST_HOLD), "held for {longest:?}");
         let served = asked.len() - rejected.count();
         let room = LIMIT * ENGINES as f64 * WATCHED.as_secs_f64();
--- a/crates/gateway/tests/engine_limits/traffic.rs
+++ b/crates/gateway/tests/engine_limits/traffic.rs
@@ -7,6 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Length of the timers that are watched, in milliseconds.
+const TIMER_MS: u64 = 5;
+
 /// What became of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
@@ -18,6 +21,8 @@
 /// Callers that go on until this is dropped.
 pub struct Traffic {
     asked: Arc<Mutex<Vec<Asked>>>,
+    latest_timer: Arc<Mutex<Duration>>,
+    _timer: smol::Task<()>,
     _callers: Vec<smol::Task<()>>,
 }
 
@@ -30,12 +35,21 @@
             let asked = Arc::clone(&asked);
             smol::spawn(ask(format!("{number}"), node, period_ms, asked))
         });
+        let latest_timer = Arc::new(Mutex::new(Duration::ZERO));
         Self {
             _callers: callers.collect(),
             asked,
+            _timer: smol::spawn(watch_timers(Arc::clone(&latest_timer))),
+            latest_timer,
         }
     }
 
+    /// By how much a timer of this process was late at most: what the machine adds to the
+    /// time that an answer takes, at its caller and at each node.
+    pub fn latest_timer(&self) -> Duration {
+        *self.latest_timer.lock().expect("timer")
+    }
+
     /// Requests that were answered so far, in the order of their answers.
     pub fn asked(&self) -> Vec<Asked> {
         self.asked.lock().expect("asked").clone()
@@ -65,3 +79,15 @@
         sleep(period_ms).await;
     }
 }
+
+async fn watch_timers(latest: Arc<Mutex<Duration>>) {
+    loop {
+        let began = Instant::now();
+        sleep(TIMER_MS).await;
+        let late = began
+            .elapsed()
+            .saturating_sub(Duration::from_millis(TIMER_MS));
+        let mut latest = latest.lock().expect("timer");
+        *latest = late.max(*latest);
+    }
+}
