Tests of engine limits play one at a time

They measure what nodes and engines get done in seconds, and all of them shared the one thread of the test program: beside 14 busy loops on five cores a timer of that program was 627 ms late, a rejected request took 1,335 ms, and 9 to 13 of 17 tokens were used; the bounds on arrivals held. The checks are as before.

--- a/crates/gateway/tests/engine_limits/changes.rs
+++ b/crates/gateway/tests/engine_limits/changes.rs
@@ -1,5 +1,6 @@
 //! Limits that end, bad values, and nodes that start while engines have limits.
 
+use crate::play_alone;
 use crate::site::{arrivals_in, Site};
 use crate::support::caller;
 use crate::support::fleet::start_peer_with;
@@ -35,6 +36,7 @@
 
 #[test]
 fn an_engine_that_names_no_rate_any_more_gets_its_share_within_a_second() {
+    let _playing = play_alone();
     smol::block_on(async {
         let mut site = Site::new(ENGINES).await;
         site.start_nodes(NODES).await;
@@ -64,6 +66,7 @@
 
 #[test]
 fn a_value_that_is_no_rate_changes_nothing_and_is_counted() {
+    let _playing = play_alone();
     smol::block_on(async {
         let mut site = Site::new(ENGINES).await;
         site.start_nodes(NODES).await;
@@ -86,6 +89,7 @@
 
 #[test]
 fn a_node_that_starts_knows_the_limits_before_it_is_ready() {
+    let _playing = play_alone();
     smol::block_on(async {
         let mut site = Site::new(ENGINES).await;
         site.start_nodes(NODES).await;
--- a/crates/gateway/tests/engine_limits/fleets.rs
+++ b/crates/gateway/tests/engine_limits/fleets.rs
@@ -1,5 +1,6 @@
 //! Nodes that report to each other.
 
+use crate::play_alone;
 use crate::site::{arrivals_in, most_in_window, worst_window, Site, KNOWN_AFTER};
 use crate::traffic::Traffic;
 use ploverlift_gateway::time::sleep;
@@ -47,6 +48,7 @@
 
 #[test]
 fn an_engine_that_names_a_rate_gets_no_more_from_all_nodes_together() {
+    let _playing = play_alone();
     smol::block_on(async {
         let (_site, traffic, from) = holds_for(1).await;
         // The others serve what it does not take.
@@ -59,6 +61,7 @@
 
 #[test]
 fn a_third_of_the_engines_that_name_rates_get_no_more_each() {
+    let _playing = play_alone();
     smol::block_on(async {
         let (_site, traffic, from) = holds_for(ENGINES / 3).await;
         let asked = traffic.asked();
@@ -69,6 +72,7 @@
 
 #[test]
 fn when_all_engines_name_rates_what_is_beyond_is_rejected_at_once() {
+    let _playing = play_alone();
     smol::block_on(async {
         let (_site, traffic, from) = holds_for(ENGINES).await;
         let asked = traffic.asked();
--- a/crates/gateway/tests/engine_limits/relayed.rs
+++ b/crates/gateway/tests/engine_limits/relayed.rs
@@ -1,5 +1,6 @@
 //! The same in a fleet of more nodes, which hear of each other through relays.
 
+use crate::play_alone;
 use crate::site::{most_in_window, worst_window, Site, KNOWN_AFTER};
 use crate::support::caller;
 use crate::support::fleet::{role_of, start_peer_with};
@@ -44,6 +45,7 @@
 
 #[test]
 fn followers_of_relays_keep_a_rate_together() {
+    let _playing = play_alone();
     smol::block_on(async {
         let mut site = Site::new(ENGINES).await;
         start_fleet(&mut site).await;
