One way to a moment some time ago; a limit is put in force once

A new limit at its holder was put in force twice, by whoever noted it and by whoever counted it; who notes it only notes. The answer 'not the holder' was judged before the match over answers and stood in it once more without effect; it has one place.

--- a/crates/balancing/src/weights.rs
+++ b/crates/balancing/src/weights.rs
@@ -171,7 +171,7 @@
         let mut named = Vec::new();
         for told in &news.versions {
             // A report takes time: the other node learned of it then or before.
-            let named_at = Millis(now.0.saturating_sub(told.named_age_ms.unwrap_or(0)));
+            let named_at = now.before(told.named_age_ms.unwrap_or(0));
             if self.name(&told.model, told.version, named_at) {
                 named.push(told.clone());
             }
@@ -179,7 +179,7 @@
         let Some(sent) = sent else {
             return named;
         };
-        let ago = |age_ms: u64| Millis(sent.0.saturating_sub(age_ms));
+        let ago = |age_ms: u64| sent.before(age_ms);
         for told in &news.versions {
             if let Some(age_ms) = told.proof_age_ms {
                 let (version, at) = (told.version, ago(age_ms));
--- a/crates/cluster/src/claims.rs
+++ b/crates/cluster/src/claims.rs
@@ -407,7 +407,7 @@
         return;
     };
     let answer = held.answered.then(|| Arc::new(held.answer));
-    let taken_at = Millis(now.0.saturating_sub(held.age_ms));
+    let taken_at = now.before(held.age_ms);
     match claims.get_mut(&key) {
         Some(known) => {
             if known.answer.is_some() {
--- a/crates/enginelimit/src/exchange.rs
+++ b/crates/enginelimit/src/exchange.rs
@@ -178,7 +178,7 @@
             let before = self.limit_of(told.engine);
             let standing = StandingLimit {
                 limit: told.limit,
-                named_at: Millis(now.0.saturating_sub(told.age_ms)),
+                named_at: now.before(told.age_ms),
             };
             let known = KnownLimit {
                 group: news.group,
--- a/crates/enginelimit/src/limits.rs
+++ b/crates/enginelimit/src/limits.rs
@@ -169,7 +169,8 @@
         let holder = known.holder.at;
         if limit_before.is_none() {
             // The holder is asked from now on, whenever it learns of the limit.
-            self.note_limit(seen, group, rooms, now);
+            self.note_limit(seen, group);
+            self.put_in_force(seen.engine, rooms, now);
         }
         Heard::ForHolder(holder)
     }
@@ -199,7 +200,7 @@
             Some(known) => known.standing.take(seen),
             None if seen.limit.is_none() => false,
             None => {
-                self.note_limit(seen, group, rooms, now);
+                self.note_limit(seen, group);
                 true
             }
         };
@@ -210,13 +211,7 @@
         is_changed
     }
 
-    fn note_limit(
-        &mut self,
-        seen: &Observation,
-        group: GroupTag,
-        rooms: &mut EngineRooms,
-        now: Millis,
-    ) {
+    fn note_limit(&mut self, seen: &Observation, group: GroupTag) {
         let standing = StandingLimit {
             limit: seen.limit,
             named_at: seen.head_at,
@@ -229,7 +224,6 @@
             account: None,
         };
         self.known.insert(seen.engine, known);
-        self.put_in_force(seen.engine, rooms, now);
     }
 
     /// Has the choice of engines follow a limit that has changed.
--- a/crates/enginelimit/src/tokens.rs
+++ b/crates/enginelimit/src/tokens.rs
@@ -144,13 +144,8 @@
         draw: f64,
         now: Millis,
     ) -> Option<EngineTag> {
-        if answer == TokenAnswer::NotHolder {
-            // News of another holder is on its way here or there. Who took the group over at
-            // once would do so again and again in a large fleet.
-            self.note_unanswered(request.group, rooms, now);
-            return None;
-        }
-        if let Some(group) = self.groups.get_mut(&request.group) {
+        let group = self.groups.get_mut(&request.group);
+        if let Some(group) = group.filter(|_| answer != TokenAnswer::NotHolder) {
             group.unanswered = None;
         }
         match answer {
@@ -167,7 +162,12 @@
                 self.lift_wanted(request, rooms, now);
                 None
             }
-            TokenAnswer::NotHolder => None,
+            TokenAnswer::NotHolder => {
+                // News of another holder is on its way here or there. Who took the group over
+                // at once would do so again and again in a large fleet.
+                self.note_unanswered(request.group, rooms, now);
+                None
+            }
         }
     }
 
--- a/crates/gateway/src/peers/engine_limits.rs
+++ b/crates/gateway/src/peers/engine_limits.rs
@@ -166,12 +166,11 @@
 /// Takes in what an answer at another node said of its engine.
 pub fn take_observation(gateway: &Gateway, told: &ToldObservation) {
     let now = gateway.clock.now();
-    let before_ms = |age_ms| Millis(now.0.saturating_sub(age_ms));
     let seen = Observation {
         engine: told.engine,
         limit: told.limit,
-        sent_at: before_ms(told.sent_age_ms),
-        head_at: before_ms(told.head_age_ms),
+        sent_at: now.before(told.sent_age_ms),
+        head_at: now.before(told.head_age_ms),
     };
     let beliefs = &mut *gateway.beliefs();
     let before = beliefs.engine_limits.limit_of(told.engine);
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -225,7 +225,7 @@
             let Some(rollout) = self.by_tag(said.service) else {
                 continue;
             };
-            let heard_at = Millis(now.0.saturating_sub(said.age_ms));
+            let heard_at = now.before(said.age_ms);
             let member = rollout.members.entry(said.node).or_default();
             member.heard_at = member.heard_at.max(heard_at);
             member.take(said.confirmation);
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -104,4 +104,9 @@
     pub fn plus(self, milliseconds: u64) -> Millis {
         Millis(self.0.saturating_add(milliseconds))
     }
+
+    /// The point `milliseconds` before this one, or the first point of all.
+    pub fn before(self, milliseconds: u64) -> Millis {
+        Millis(self.0.saturating_sub(milliseconds))
+    }
 }
--- a/crates/quarantine/src/exchange.rs
+++ b/crates/quarantine/src/exchange.rs
@@ -165,8 +165,8 @@
         for end in &told.ends {
             let end = EngineEnd {
                 engine: end.engine,
-                begun: before(now, end.begun_age_ms),
-                at: before(now, end.age_ms),
+                begun: now.before(end.begun_age_ms),
+                at: now.before(end.age_ms),
             };
             self.note_end(request, told.tenant, end, None, now);
         }
@@ -202,7 +202,7 @@
         passes_on: bool,
         now: Millis,
     ) -> bool {
-        let cleared_at = before(now, told.age_ms);
+        let cleared_at = now.before(told.age_ms);
         if told.is_answer {
             self.answers.note(request, cleared_at);
         }
@@ -222,7 +222,7 @@
     }
 
     pub(crate) fn hear_refusal(&mut self, told: &ToldRequest, refusal: ToldRefusal, now: Millis) {
-        let since = before(now, refusal.age_ms);
+        let since = now.before(refusal.age_ms);
         let mut cleared = self.cleared.iter();
         let is_cleared = cleared.any(|known| known.request == told.request && known.at >= since);
         if is_cleared || self.answers.clear(told.request, since) {
@@ -260,7 +260,7 @@
         let told = Claim {
             node: claim.node,
             is_sent: claim.is_sent,
-            told_at: before(now, claim.age_ms),
+            told_at: now.before(claim.age_ms),
         };
         let rank = |claim: Claim| (Reverse(claim.is_sent), claim.node);
         let goes_first = standing.is_none_or(|known| rank(told) <= rank(known));
@@ -272,8 +272,3 @@
         }
     }
 }
-
-/// The moment so many milliseconds ago.
-fn before(now: Millis, age_ms: u64) -> Millis {
-    Millis(now.0.saturating_sub(age_ms))
-}
--- a/crates/ratelimit/src/accounts.rs
+++ b/crates/ratelimit/src/accounts.rs
@@ -109,7 +109,7 @@
         age_ms: u64,
         now: Millis,
     ) {
-        self.since = Some(Millis(now.0.saturating_sub(age_ms)));
+        self.since = Some(now.before(age_ms));
         for (tenant, level) in levels {
             self.buckets.insert(tenant, Bucket::with_level(level, now));
         }
