Sight: what engines say of themselves in answers is read once, into one type

EngineSignals takes the place of three ways to the same heads (the limit, the weights and the refusal's fields): limit, leaving, time to back off, weights, and headers of the engines' family that nobody reads. It is read from answers to requests and to orders that are proven to be of the engine that was meant; after a mismatch the engine must have named itself. Nothing is decided by leaving and time to back off yet: EngineNotices only remembers them by life.

Lines: engine leaves, engine's signal not read, engines set a header that is not read; passed_over in a request's line. Counters for each. Bad values of Server-Leaving are not believed: an engine that is taken to leave by mistake is lost to its service.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -1,6 +1,7 @@
 //! The engines of all services, as their records and this node's own traffic
 //! show them.
 
+use crate::engine_notices::{Backoff, EngineLife, EngineNotices, LeavingNotice};
 use crate::engine_rooms::EngineRooms;
 use crate::health::{EngineHealth, Outcome};
 pub use crate::heartbeat::Heartbeat;
@@ -122,6 +123,14 @@
         self.misdirected_until = None;
     }
 
+    /// Its present life, as notices name it.
+    pub fn life(&self) -> EngineLife {
+        EngineLife {
+            engine: self.tag,
+            born_ms: self.record.heartbeat.born_ms,
+        }
+    }
+
     /// The version of a model's weights, 0 when it does not serve the model.
     pub fn weights_of(&self, model: &str) -> u64 {
         self.record.weights.get(model).copied().unwrap_or(0)
@@ -143,6 +152,24 @@
     }
 }
 
+/// An engine that is passed over for what it said in answers.
+#[derive(Clone, Copy, Debug)]
+pub struct PassedOver<'a> {
+    /// The engine.
+    pub instance: &'a InstanceId,
+    /// What it said.
+    pub reason: PassedOverReason,
+}
+
+/// What an engine said for which it is passed over.
+#[derive(Clone, Copy, Debug)]
+pub enum PassedOverReason {
+    /// It leaves.
+    Leaving(LeavingNotice),
+    /// It wants nothing from this node for a time.
+    Backoff(Backoff),
+}
+
 /// All engines by instance.
 #[derive(Clone, Debug, Default)]
 pub struct EngineCatalogue {
@@ -152,6 +179,8 @@
     gone: HashMap<InstanceId, GoneRecord>,
     /// Room at the engines that advertise a rate limit.
     pub rooms: EngineRooms,
+    /// What engines said of themselves in answers.
+    pub notices: EngineNotices,
 }
 
 /// What is remembered of a record that is gone.
@@ -277,6 +306,52 @@
         self.engines.get(instance)
     }
 
+    /// Whether an engine is about to end and wants no new work, by its record or by its
+    /// own answers.
+    pub fn is_leaving(&self, engine: &Engine) -> bool {
+        engine.record.is_leaving || self.leaving_notice(engine).is_some()
+    }
+
+    /// An engine's word in an answer that it leaves.
+    pub fn leaving_notice(&self, engine: &Engine) -> Option<LeavingNotice> {
+        self.notices.leaving(engine.tag, engine.record.heartbeat)
+    }
+
+    /// The time for which an engine wants nothing from this node, while it lasts.
+    pub fn backoff(&self, engine: &Engine, now: Millis) -> Option<Backoff> {
+        self.notices
+            .backoff(engine.tag, engine.record.heartbeat, now)
+    }
+
+    /// Engines of a service that are passed over for what they said in answers.
+    pub fn passed_over<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now: Millis,
+    ) -> impl Iterator<Item = PassedOver<'a>> {
+        let noticed = self.notices.engines();
+        let engines = noticed.filter_map(|tag| self.by_tag(tag));
+        let engines = engines.filter(move |engine| engine.record.service == *service);
+        engines.filter_map(move |engine| {
+            let leaving = self.leaving_notice(engine);
+            let reason = leaving.map(PassedOverReason::Leaving);
+            let backoff = || self.backoff(engine, now).map(PassedOverReason::Backoff);
+            let reason = reason.or_else(backoff)?;
+            let instance = &engine.record.instance;
+            Some(PassedOver { instance, reason })
+        })
+    }
+
+    /// Forgets notices that do not hold any more.
+    pub fn expire_notices(&mut self, now: Millis) {
+        let (by_tag, engines) = (&self.by_tag, &self.engines);
+        let heartbeat_of = |tag| {
+            let engine = engines.get(by_tag.get(&tag)?)?;
+            Some(engine.record.heartbeat)
+        };
+        self.notices.expire(heartbeat_of, now);
+    }
+
     /// The engines of a service in the order of their instances.
     pub fn of_service<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Engine> {
         let index = self.by_service.get(service).into_iter();
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`engine_caches`] | which engines' events are followed, and what they tell |
 //! | [`engine_load`] | requests at one engine, and sums of them |
 //! | [`engine_losses`] | which engines take no connection any more, and who else says so |
+//! | [`engine_notices`] | what engines said of themselves that outlasts the answer |
 //! | [`fleet`] | what a node knows of the fleet, and what the choice depends on |
 //! | [`health`] | putting engines aside that fail, and trying them again |
 //! | [`named_nodes`] | the nodes that relays named lately |
@@ -53,6 +54,7 @@
 pub mod engine_caches;
 pub mod engine_load;
 pub mod engine_losses;
+pub mod engine_notices;
 pub mod engine_rooms;
 pub mod fleet;
 pub mod health;
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -40,7 +40,7 @@
 use ploverlift_routing::tenants::TenantDirectory;
 use ploverlift_routing::topology::Topology;
 use ploverlift_wire::peers::StoredConfiguration;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Time for which reports tell that an engine has loaded, in milliseconds: some
@@ -142,6 +142,8 @@
     pub engine_limits: EngineLimits,
     /// Whether another node has told which there are.
     pub is_told_limits: bool,
+    /// Headers of engines, and values, that this release does not read.
+    pub unread_signals: BTreeSet<String>,
     /// Engines that take no connection any more.
     pub losses: EngineLosses,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
--- a/crates/gateway/src/engine_checks.rs
+++ b/crates/gateway/src/engine_checks.rs
@@ -34,6 +34,7 @@
         let checks = {
             let mut beliefs = gateway.beliefs();
             beliefs.losses.expire(now);
+            beliefs.engines.expire_notices(now);
             beliefs.losses.take_due()
         };
         // A record that has gone since, or another node's word, may confirm a loss.
--- /dev/null
+++ b/crates/gateway/src/engine_signals.rs
@@ -0,0 +1,160 @@
+//! Takes in what engines say of themselves in the heads of their answers, whatever they answer:
+//! to requests and to orders.
+//!
+//! Answers to calls for reports and cache events name no engine, and another one may have
+//! come to the address: nothing is taken from them.
+
+use crate::engine_limits::log_limit;
+use crate::peers::engine_limit_messages::ToldObservation;
+use crate::peers::messages::PeerMessage;
+use crate::ports::{EngineSignals, Leaving, Signal};
+use crate::state::Gateway;
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_balancing::engine_notices::NoticeSource;
+use ploverlift_balancing::names::EngineTag;
+use ploverlift_enginelimit::group::group_of;
+use ploverlift_enginelimit::limits::Heard;
+use ploverlift_enginelimit::observation::Observation;
+use ploverlift_policy::ids::Millis;
+
+/// Headers and values that are remembered as not read.
+const MOST_UNREAD: usize = 64;
+
+/// An answer that is proven to be of this engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AnswerOrigin<'a> {
+    pub(crate) instance: &'a InstanceId,
+    /// When the request was sent that it answers.
+    pub(crate) sent_at: Millis,
+}
+
+/// Takes in what an engine says of itself.
+pub(crate) fn take_signals(gateway: &Gateway, origin: AnswerOrigin<'_>, signals: &EngineSignals) {
+    take_limit(gateway, origin, &signals.limit);
+    take_leaving(gateway, origin, &signals.leaving);
+    take_backoff(gateway, origin, &signals.backoff_ms);
+    note_unread(gateway, origin, &signals.unread);
+}
+
+fn take_limit(gateway: &Gateway, origin: AnswerOrigin<'_>, signal: &Signal<f64>) {
+    let limit = match signal {
+        Signal::Absent => None,
+        Signal::Value(per_second) => Some(*per_second),
+        Signal::Invalid { text } => {
+            note_invalid(gateway, origin, "limit", text);
+            return;
+        }
+    };
+    if limit.is_some() {
+        gateway.metrics.limited_answers.inc();
+    }
+    let now = gateway.clock.now();
+    let engine = EngineTag::of(origin.instance);
+    let seen = Observation {
+        engine,
+        limit,
+        sent_at: origin.sent_at,
+        head_at: now,
+    };
+    let beliefs = &mut *gateway.beliefs();
+    let before = beliefs.engine_limits.limit_of(engine);
+    if limit.is_none() && before.is_none() {
+        return;
+    }
+    let group = beliefs.engine_limits.group_of(engine).or_else(|| {
+        let service = &beliefs.engines.get(origin.instance)?.record.service;
+        Some(group_of(service, engine, beliefs.engines.count_of(service)))
+    });
+    let Some(group) = group else {
+        return;
+    };
+    let rooms = &mut beliefs.engines.rooms;
+    let heard = beliefs.engine_limits.observe(&seen, group, rooms, now);
+    if beliefs.engine_limits.limit_of(engine) != before {
+        log_limit(gateway, beliefs, engine, before, "answer");
+    }
+    match heard {
+        Heard::Nothing => {}
+        Heard::Changed => {
+            gateway.engine_limits_changed.notify(usize::MAX);
+        }
+        Heard::ForHolder(holder) => {
+            let message = PeerMessage::EngineLimitSeen(ToldObservation {
+                engine,
+                group,
+                limit,
+                sent_age_ms: now.since(origin.sent_at),
+                head_age_ms: 0,
+            });
+            gateway.outbox.put(holder.address, &message);
+        }
+    }
+}
+
+fn take_leaving(gateway: &Gateway, origin: AnswerOrigin<'_>, signal: &Signal<Leaving>) {
+    match signal {
+        Signal::Absent => return,
+        Signal::Value(Leaving) => {}
+        Signal::Invalid { text } => return note_invalid(gateway, origin, "leaving", text),
+    }
+    gateway.metrics.leaving_answers.inc();
+    let now = gateway.clock.now();
+    let mut beliefs = gateway.beliefs();
+    let Some(engine) = beliefs.engines.get(origin.instance) else {
+        return;
+    };
+    let (life, is_recorded) = (engine.life(), engine.record.is_leaving);
+    let is_news = beliefs.engines.notices.note_leaving(life, now);
+    drop(beliefs);
+    if is_news {
+        slog::info!(gateway.log, "engine leaves";
+            "engine" => &origin.instance.0, "born_ms" => life.born_ms,
+            "from" => NoticeSource::Answer.name(), "recorded" => is_recorded);
+    }
+}
+
+fn take_backoff(gateway: &Gateway, origin: AnswerOrigin<'_>, signal: &Signal<u64>) {
+    let duration_ms = match signal {
+        Signal::Absent => return,
+        Signal::Value(duration_ms) => *duration_ms,
+        Signal::Invalid { text } => return note_invalid(gateway, origin, "backoff", text),
+    };
+    gateway.metrics.backoff_answers.inc();
+    let now = gateway.clock.now();
+    let mut beliefs = gateway.beliefs();
+    let Some(engine) = beliefs.engines.get(origin.instance) else {
+        return;
+    };
+    let life = engine.life();
+    let draw = fastrand::u64(..);
+    let notices = &mut beliefs.engines.notices;
+    notices.note_backoff(life, duration_ms, draw, now);
+    drop(beliefs);
+    slog::debug!(gateway.log, "engine wants nothing from this node";
+        "engine" => &origin.instance.0, "for_ms" => duration_ms);
+}
+
+fn note_invalid(gateway: &Gateway, origin: AnswerOrigin<'_>, signal: &'static str, text: &str) {
+    gateway.metrics.count_invalid_signal(signal);
+    if is_first_seen(gateway, format!("{signal}: {text}")) {
+        slog::warn!(gateway.log, "engine's signal not read";
+            "engine" => &origin.instance.0, "signal" => signal, "text" => text);
+    }
+}
+
+fn note_unread(gateway: &Gateway, origin: AnswerOrigin<'_>, names: &[String]) {
+    for name in names {
+        gateway.metrics.unread_headers.inc();
+        if is_first_seen(gateway, name.to_ascii_lowercase()) {
+            slog::warn!(gateway.log, "engines set a header that is not read";
+                "header" => name, "engine" => &origin.instance.0);
+        }
+    }
+}
+
+/// Whether something that is not read is seen for the first time: it is logged once, and
+/// counted each time.
+fn is_first_seen(gateway: &Gateway, what: String) -> bool {
+    let seen = &mut gateway.beliefs().unread_signals;
+    seen.len() < MOST_UNREAD && seen.insert(what)
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -9,8 +9,9 @@
     exchange_on, EngineAnswer, ExchangeFailure, ExchangeLimits, FailureReason,
 };
 use crate::engine_ends::note_cut;
+use crate::engine_signals::{take_signals, AnswerOrigin};
 use crate::http_call::{connect, CallError, ConnectFailure};
-use crate::ports::{AnswerMeaning, EngineCall, RefusedByEngine};
+use crate::ports::{AnswerMeaning, EngineCall, EngineSignals, RefusedByEngine, Signal};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
 use ploverlift_policy::attempt::AttemptState;
@@ -438,14 +439,19 @@
     ) -> io::Result<AttemptEnd> {
         let site = &self.gateway.site;
         let meaning = site.answer_meaning(&self.received.request.id, &answer.head);
-        self.learn_weights(&answer.head, chosen);
+        let signals = site.engine_signals(&answer.head);
+        self.learn_weights(signals.weights, chosen);
         if meaning.is_of(&chosen.instance) {
-            self.learn_limit(&answer.head, chosen, in_flight.begun());
+            let origin = AnswerOrigin {
+                instance: &chosen.instance,
+                sent_at: in_flight.begun(),
+            };
+            take_signals(&self.gateway, origin, &signals);
         }
         match meaning {
             AnswerMeaning::Refused(refused) => {
                 in_flight.note(Outcome::Refused);
-                Ok(self.refused(refused, chosen))
+                Ok(self.refused(&refused, &signals, chosen))
             }
             AnswerMeaning::Foreign { reason } => {
                 in_flight.note(Outcome::Broken);
@@ -459,8 +465,7 @@
         }
     }
 
-    fn learn_weights(&self, head: &ResponseHead, chosen: &ChosenEngine) {
-        let version = self.gateway.site.answer_weights(head);
+    fn learn_weights(&self, version: Option<u64>, chosen: &ChosenEngine) {
         let prompt = self.received.request.prompt.as_ref();
         if let (Some(version), Some(prompt)) = (version, prompt) {
             let mut beliefs = self.gateway.beliefs();
@@ -470,10 +475,15 @@
         }
     }
 
-    fn refused(&self, refused: RefusedByEngine, chosen: &ChosenEngine) -> AttemptEnd {
+    fn refused(
+        &self,
+        refused: &RefusedByEngine,
+        signals: &EngineSignals,
+        chosen: &ChosenEngine,
+    ) -> AttemptEnd {
         let now = self.gateway.clock.now();
         let mut beliefs = self.gateway.beliefs();
-        let other = refused.other_instance.as_ref();
+        let other = refused.answered_by.as_ref();
         if other.is_some_and(|other| *other != chosen.instance) {
             beliefs.engines.note_misdirected(&chosen.instance, now);
             return AttemptEnd::Refused {
@@ -483,17 +493,20 @@
         if let Some(prompt) = &self.received.request.prompt {
             let newest = beliefs.weights.newest(&prompt.model);
             let newest = newest.map_or(0, |(version, _)| version);
-            if let Some(version) = weights_after_refusal(&refused, chosen.weights, newest) {
+            let held = signals.weights;
+            if let Some(version) = weights_after_refusal(refused, held, chosen.weights, newest) {
                 let engines = &mut beliefs.engines;
                 engines.note_weights(&chosen.instance, &prompt.model, version);
                 return AttemptEnd::OtherWeights;
             }
         }
-        let until = now.plus(refused.retry_after_ms.unwrap_or(REFUSED_LOADING_MS));
+        let retry_after_ms = match signals.backoff_ms {
+            Signal::Value(backoff_ms) => Some(backoff_ms),
+            _ => None,
+        };
+        let until = now.plus(retry_after_ms.unwrap_or(REFUSED_LOADING_MS));
         beliefs.engines.note_loading(&chosen.instance, until);
-        AttemptEnd::Refused {
-            retry_after_ms: refused.retry_after_ms,
-        }
+        AttemptEnd::Refused { retry_after_ms }
     }
 }
 
@@ -502,14 +515,18 @@
 /// it is not that either, its weights are unknown (0) until it tells.
 fn weights_after_refusal(
     refused: &RefusedByEngine,
+    held: Option<u64>,
     expected: Option<u64>,
     newest_named: u64,
 ) -> Option<u64> {
     let expected = expected?;
-    if let Some(version) = refused.weights {
+    if !refused.is_mismatch {
+        return None;
+    }
+    if let Some(version) = held {
         return (version != expected).then_some(version);
     }
-    refused.other_instance.as_ref()?;
+    refused.answered_by.as_ref()?;
     match expected < newest_named {
         true => Some(newest_named),
         false => Some(0),
--- a/crates/gateway/src/forward/engine_limit.rs
+++ b/crates/gateway/src/forward/engine_limit.rs
@@ -1,5 +1,4 @@
-//! The rate limit of the engine that a request is sent to: what its answers say of it, and
-//! the token that each sending takes.
+//! The rate limit of the engine that a request is sent to: the token that each sending takes.
 //!
 //! It is acquired right before the request goes to its engine, on a new connection or a
 //! kept one, for each sending. A request does not wait for a token: where its engine has
@@ -8,19 +7,14 @@
 use super::choice::ChosenEngine;
 use super::prospects::Unservable;
 use super::Forwarding;
-use crate::engine_limits::{answer_request, log_limit};
-use crate::peers::engine_limit_messages::ToldObservation;
+use crate::engine_limits::answer_request;
 use crate::peers::messages::PeerMessage;
-use crate::ports::AdvertisedLimit;
 use crate::state::Gateway;
 use ploverlift_balancing::names::{EngineTag, PeerId};
 use ploverlift_balancing::overload::Urgency;
-use ploverlift_enginelimit::group::{group_of, groups_of, GroupTag};
-use ploverlift_enginelimit::limits::Heard;
+use ploverlift_enginelimit::group::{groups_of, GroupTag};
 use ploverlift_enginelimit::news::{TokenAnswer, TokenRequest, Wanted};
-use ploverlift_enginelimit::observation::Observation;
 use ploverlift_enginelimit::tokens::Granter;
-use ploverlift_http1::ResponseHead;
 use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
 
@@ -65,62 +59,6 @@
 }
 
 impl Forwarding {
-    /// Takes in what the head of an engine's own answer to a request that was sent then says
-    /// of the rate that it takes.
-    pub(super) fn learn_limit(&self, head: &ResponseHead, chosen: &ChosenEngine, sent_at: Millis) {
-        let gateway = &self.gateway;
-        let limit = match gateway.site.answer_limit(head) {
-            AdvertisedLimit::Unlimited => None,
-            AdvertisedLimit::PerSecond(per_second) => Some(per_second),
-            AdvertisedLimit::Invalid { text } => {
-                gateway.metrics.invalid_limits.inc();
-                slog::warn!(gateway.log, "engine's rate limit not read";
-                    "engine" => &chosen.instance.0, "text" => text);
-                return;
-            }
-        };
-        if limit.is_some() {
-            gateway.metrics.limited_answers.inc();
-        }
-        let now = gateway.clock.now();
-        let seen = Observation {
-            engine: chosen.tag,
-            limit,
-            sent_at,
-            head_at: now,
-        };
-        let beliefs = &mut *gateway.beliefs();
-        let before = beliefs.engine_limits.limit_of(chosen.tag);
-        if limit.is_none() && before.is_none() {
-            return;
-        }
-        let service = &self.received.admission.service;
-        let engines = beliefs.engines.count_of(service);
-        let group = beliefs.engine_limits.group_of(chosen.tag);
-        let group = group.unwrap_or_else(|| group_of(service, chosen.tag, engines));
-        let rooms = &mut beliefs.engines.rooms;
-        let heard = beliefs.engine_limits.observe(&seen, group, rooms, now);
-        if beliefs.engine_limits.limit_of(chosen.tag) != before {
-            log_limit(gateway, beliefs, chosen.tag, before, "answer");
-        }
-        match heard {
-            Heard::Nothing => {}
-            Heard::Changed => {
-                gateway.engine_limits_changed.notify(usize::MAX);
-            }
-            Heard::ForHolder(holder) => {
-                let message = PeerMessage::EngineLimitSeen(ToldObservation {
-                    engine: chosen.tag,
-                    group,
-                    limit,
-                    sent_age_ms: now.since(sent_at),
-                    head_age_ms: 0,
-                });
-                gateway.outbox.put(holder.address, &message);
-            }
-        }
-    }
-
     /// Acquires a token for a request to the engine that was chosen, where it needs one; false
     /// when there is none now.
     pub(super) async fn acquire_token(&mut self, chosen: &ChosenEngine) -> bool {
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -7,14 +7,19 @@
 use crate::ports::CacheTransfer;
 use crate::reliance::Reliance;
 use crate::state::Gateway;
+use ploverlift_balancing::catalogue::PassedOverReason;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::Side;
+use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::cache_scope;
 use std::fmt::Write;
 
 /// Outcomes of which every line is written; others as the rate allows.
 const ALWAYS_LOGGED: [&str; 4] = ["refused", "timed_out", "engine_lost", "broken_off"];
 
+/// Engines that are named as passed over in one line.
+const MOST_PASSED_OVER: usize = 4;
+
 /// What the gate of a rollout said, where there is one.
 fn gate_text(chosen: &ChosenEngine) -> String {
     let gate = chosen.gate.map(|reason| format!(" gate={reason:?}"));
@@ -194,6 +199,7 @@
             "engines_before" => self.hold.map(|hold| format!("{:?}", hold.before)),
             "engines_after" => self.hold.map(|hold| format!("{:?}", hold.after)),
             "attempts" => &self.attempts,
+            "passed_over" => passed_over(gateway, &admission.service),
             "fingerprint" => received.fingerprint.to_string(),
             "prompt" => self.prompt.map(|(key, _)| format!("{key:016x}")),
             "shared_tokens" => self.prompt.map(|(_, tokens)| tokens),
@@ -213,6 +219,34 @@
     }
 }
 
+/// Engines of the service that are passed over for what they said in answers, a few of them;
+/// nothing where there are none.
+fn passed_over(gateway: &Gateway, service: &ServiceName) -> Option<String> {
+    let now = gateway.clock.now();
+    let beliefs = gateway.beliefs();
+    if beliefs.engines.notices.is_empty() {
+        return None;
+    }
+    let engines = beliefs.engines.passed_over(service, now);
+    let named = engines.take(MOST_PASSED_OVER).map(|engine| {
+        let instance = engine.instance;
+        match engine.reason {
+            PassedOverReason::Leaving(notice) => {
+                let source = notice.source.name();
+                let age_ms = now.since(notice.since);
+                format!("{instance} leaves for {age_ms} ms by {source}")
+            }
+            PassedOverReason::Backoff(backoff) => {
+                let age_ms = now.since(backoff.since);
+                let left_ms = backoff.resumes_at.since(now);
+                format!("{instance} backs off for {age_ms} ms, {left_ms} ms left")
+            }
+        }
+    });
+    let named: Vec<String> = named.collect();
+    (!named.is_empty()).then(|| named.join("; "))
+}
+
 fn or_none(value: Option<u64>) -> String {
     value.map_or_else(|| "none".to_owned(), |value| value.to_string())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`beliefs`] | what a node believes of its site |
 //! | [`callers`] | connections of callers |
 //! | [`forward`] | one request, from its head to the end of its answer |
+//! | `engine_signals` | what engines say of themselves in their answers |
 //! | [`engine_connection`] | one request on one connection to an engine |
 //! | [`engine_ends`] | whether an engine that ended a connection has ended, and under which requests |
 //! | [`quarantine`] | requests under which engines ended, as they are stored |
@@ -41,6 +42,7 @@
 pub mod engine_ends;
 pub mod engine_limits;
 mod engine_log;
+mod engine_signals;
 pub mod engines_proof;
 pub mod forward;
 pub mod http_call;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,13 @@
     pub engine: String,
 }
 
+/// What an engine said of itself in an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SignalLabel {
+    /// `limit`, `leaving` or `backoff`.
+    pub signal: &'static str,
+}
+
 /// How a question for a token was answered.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TokenLabel {
@@ -154,8 +161,14 @@
     pub unanswered_tokens: Counter,
     /// Requests that were rejected because all engines get as many as they take.
     pub rejected_for_limits: Counter,
-    /// Answers whose rate limit could not be read.
-    pub invalid_limits: Counter,
+    /// Answers in which engines said that they leave.
+    pub leaving_answers: Counter,
+    /// Answers in which engines said that they want nothing for a time.
+    pub backoff_answers: Counter,
+    /// Signals of engines in answers that could not be read.
+    pub invalid_signals: Family<SignalLabel, Counter>,
+    /// Headers of the engines' own family in answers that are not read.
+    pub unread_headers: Counter,
     /// Requests sent on a connection that was used before.
     pub reused_connections: Counter,
     /// Resting connections of callers that were closed to make room for others.
@@ -212,7 +225,10 @@
             tokens: Family::default(),
             unanswered_tokens: Counter::default(),
             rejected_for_limits: Counter::default(),
-            invalid_limits: Counter::default(),
+            leaving_answers: Counter::default(),
+            backoff_answers: Counter::default(),
+            invalid_signals: Family::default(),
+            unread_headers: Counter::default(),
             reused_connections: Counter::default(),
             connections_closed_for_room: Counter::default(),
             store_calls: Family::default(),
@@ -310,6 +326,12 @@
         }
     }
 
+    /// Counts a signal of an engine that could not be read.
+    pub fn count_invalid_signal(&self, signal: &'static str) {
+        let label = SignalLabel { signal };
+        self.invalid_signals.get_or_create(&label).inc();
+    }
+
     /// Counts a question for a token by its answer.
     pub fn count_token(&self, answer: &TokenAnswer) {
         let answer = match answer {
@@ -371,9 +393,19 @@
                 &self.rejected_for_limits,
             ),
             (
-                "invalid_limits",
-                "Answers whose rate limit could not be read",
-                &self.invalid_limits,
+                "leaving_answers",
+                "Answers in which engines said that they leave",
+                &self.leaving_answers,
+            ),
+            (
+                "backoff_answers",
+                "Answers in which engines said that they want nothing for a time",
+                &self.backoff_answers,
+            ),
+            (
+                "unread_headers",
+                "Headers of the engines' own family in answers that are not read",
+                &self.unread_headers,
             ),
             (
                 "reused_connections",
@@ -459,6 +491,8 @@
         registry.register("engine_limit", help, self.engine_limits.clone());
         let help = "Requests granted at engines that advertise a limit, by the node that counts";
         registry.register("granted_requests", help, self.granted_requests.clone());
+        let help = "Signals of engines in answers that could not be read";
+        registry.register("invalid_signals", help, self.invalid_signals.clone());
         let help = "Questions for tokens of limited engines, by the answer";
         registry.register("tokens", help, self.tokens.clone());
         registry.register("peers", "Other nodes heard of lately", self.peers.clone());
--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -1,6 +1,6 @@
 //! What engines are sent, and what their answers prove.
 
-use super::CallerRequest;
+use super::{CallerRequest, EngineSignals};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_http1::{RequestHead, ResponseHead};
 use std::net::SocketAddr;
@@ -58,12 +58,10 @@
 pub struct RefusedByEngine {
     /// The status, for logs.
     pub status: u16,
-    /// When to come back, in milliseconds.
-    pub retry_after_ms: Option<u64>,
-    /// The engine at the address is another one than was meant.
-    pub other_instance: Option<InstanceId>,
-    /// The weights that it has, when it refused because of them.
-    pub weights: Option<u64>,
+    /// Whether it is not the engine, or has not the weights, that were meant.
+    pub is_mismatch: bool,
+    /// The engine that refused because of a mismatch, where it says so.
+    pub answered_by: Option<InstanceId>,
 }
 
 /// What the head of an engine's answer proves.
@@ -83,33 +81,19 @@
 }
 
 impl AnswerMeaning {
-    /// Whether the answer is the word of the engine that was meant.
+    /// Whether the answer is the word of the engine that was meant. After a mismatch it
+    /// must have named itself: what it says may not be told of another engine.
     pub fn is_of(&self, instance: &InstanceId) -> bool {
         match self {
             Self::Success | Self::Failure => true,
             Self::Refused(refused) => {
-                let answered = refused.other_instance.as_ref();
-                answered.is_none_or(|answered| answered == instance)
+                !refused.is_mismatch || refused.answered_by.as_ref() == Some(instance)
             }
             Self::Foreign { .. } => false,
         }
     }
 }
 
-/// What an answer says of the rate at which its engine takes requests.
-#[derive(Clone, Debug, PartialEq)]
-pub enum AdvertisedLimit {
-    /// Nothing: the engine takes what it has room for.
-    Unlimited,
-    /// So many requests a second, from all nodes together.
-    PerSecond(f64),
-    /// What the answer names is no rate.
-    Invalid {
-        /// As it stands there, shortened.
-        text: String,
-    },
-}
-
 /// The protocol of engines for requests.
 pub trait EngineProtocol: Send + Sync {
     /// The head of the request to the engine.
@@ -118,9 +102,6 @@
     /// What the head of an answer proves about the request with this id.
     fn answer_meaning(&self, request_id: &str, head: &ResponseHead) -> AnswerMeaning;
 
-    /// The version of weights that an answer tells.
-    fn answer_weights(&self, head: &ResponseHead) -> Option<u64>;
-
-    /// The rate limit that an answer names.
-    fn answer_limit(&self, head: &ResponseHead) -> AdvertisedLimit;
+    /// What the head of an answer says of its engine.
+    fn engine_signals(&self, head: &ResponseHead) -> EngineSignals;
 }
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -9,7 +9,7 @@
 //! | port | translates |
 //! | --- | --- |
 //! | [`CallerProtocol`] | a caller's head to a [`CallerRequest`]; a refusal to a head |
-//! | [`EngineProtocol`] | an [`EngineCall`] to a head; an engine's head to its [`AnswerMeaning`] |
+//! | [`EngineProtocol`] | an [`EngineCall`] to a head; an engine's head to its [`AnswerMeaning`] and [`EngineSignals`] |
 //! | [`EngineControl`] | a report and an order, there and back |
 //! | [`CacheProtocol`] | events of KV cache stores |
 //! | [`ObjectStore`] | calls of the object store, there and back |
@@ -19,14 +19,14 @@
 mod caller;
 mod control;
 mod engine;
+mod signals;
 mod store;
 
 pub use cache::{CacheAnswer, CacheProtocol};
 pub use caller::{CallerProtocol, CallerRequest, InvalidRequest, Refusal, RefusalKind};
 pub use control::{EngineControl, EngineReport, LoadOrder, OrderAnswer};
-pub use engine::{
-    AdvertisedLimit, AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine,
-};
+pub use engine::{AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine};
+pub use signals::{EngineSignals, Leaving, Signal};
 pub use store::{
     InvalidDocument, NamedVersion, ObjectStore, StoreCall, StoreError, StoreKind, StoreObject,
     StoreReply, StoredDocuments, WatchEvent,
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -1,12 +1,14 @@
 //! Bringing one engine to the newest weights.
 
 use super::{Loading, OutdatedEngine};
+use crate::engine_signals::{take_signals, AnswerOrigin};
 use crate::http_call::CallConnection;
 use crate::leases::LeaseHolder;
 use crate::ports::{EngineReport, LoadOrder, OrderAnswer};
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_http1::ResponseHead;
 use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
 
@@ -170,8 +172,9 @@
         let (head, body) = self.gateway.site.order_message(&order);
         let timeout_ms = self.gateway.settings().weights.order_timeout_ms;
         self.gateway.metrics.orders.inc();
+        let sent_at = self.gateway.clock.now();
         let answered = self.connection.call(head, &body, timeout_ms).await;
-        let answer = answered.map(|(head, _)| self.gateway.site.read_order_answer(&head));
+        let answer = answered.map(|(head, _)| self.read_order_answer(&head, sent_at));
         slog::info!(self.gateway.log, "order";
             "engine" => &order.instance.0, "model" => &order.model, "version" => version,
             "token" => fencing_token, "expected_orders" => orders_taken,
@@ -184,6 +187,21 @@
         self.after_order(answer, version)
     }
 
+    /// Reads the answer to an order. Orders name the engine that is meant: any other one
+    /// says that it is not that one.
+    fn read_order_answer(&self, head: &ResponseHead, sent_at: Millis) -> OrderAnswer {
+        let site = &self.gateway.site;
+        let answer = site.read_order_answer(head);
+        if answer != OrderAnswer::OtherInstance {
+            let origin = AnswerOrigin {
+                instance: &self.engine.instance,
+                sent_at,
+            };
+            take_signals(self.gateway, origin, &site.engine_signals(head));
+        }
+        answer
+    }
+
     fn after_order(&self, answer: Option<OrderAnswer>, version: u64) -> Next {
         let report_after_ms = self.gateway.settings().weights.report_after_ms;
         match answer {
--- a/crates/gateway/tests/engine_limits/changes.rs
+++ b/crates/gateway/tests/engine_limits/changes.rs
@@ -6,6 +6,7 @@
 use crate::support::fleet::start_peer_with;
 use crate::traffic::Traffic;
 use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::metrics::SignalLabel;
 use ploverlift_gateway::time::sleep;
 use std::time::{Duration, Instant};
 
@@ -76,8 +77,12 @@
         site.engines[0].name_limit(Some("many"));
         let invalid = |site: &Site| -> u64 {
             let nodes = site.nodes.iter();
+            let label = SignalLabel { signal: "limit" };
             nodes
-                .map(|node| node.gateway.metrics.invalid_limits.get())
+                .map(|node| {
+                    let invalid = &node.gateway.metrics.invalid_signals;
+                    invalid.get_or_create(&label).get()
+                })
                 .sum()
         };
         while invalid(&site) < 5 {
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -6,9 +6,9 @@
 use ploverlift_balancing::cache_contents::{CacheEvent, CacheEvents};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_gateway::ports::{
-    AdvertisedLimit, AnswerMeaning, CacheAnswer, CacheProtocol, CallerProtocol, CallerRequest,
-    EngineCall, EngineControl, EngineProtocol, EngineReport, InvalidRequest, LoadOrder,
-    OrderAnswer, Refusal, RefusedByEngine,
+    AnswerMeaning, CacheAnswer, CacheProtocol, CallerProtocol, CallerRequest, EngineCall,
+    EngineControl, EngineProtocol, EngineReport, EngineSignals, InvalidRequest, Leaving, LoadOrder,
+    OrderAnswer, Refusal, RefusedByEngine, Signal,
 };
 use ploverlift_http1::{RequestHead, ResponseHead};
 use ploverlift_routing::prompt::{Prompt, PromptPart};
@@ -29,6 +29,8 @@
 pub const NOT_RUN: &str = "t-not-run";
 pub const SIGNED: &str = "t-signed";
 pub const LIMIT: &str = "t-limit";
+pub const LEAVING: &str = "t-leaving";
+pub const BACKOFF_MS: &str = "t-backoff-ms";
 
 /// The stand-in's protocols.
 pub struct StandInSite;
@@ -119,9 +121,8 @@
         if headers.get(NOT_RUN).is_some() {
             return AnswerMeaning::Refused(RefusedByEngine {
                 status: head.status,
-                other_instance: headers.get(INSTANCE).map(|id| InstanceId(id.to_owned())),
-                weights: headers.get(WEIGHTS).and_then(|text| text.parse().ok()),
-                ..RefusedByEngine::default()
+                is_mismatch: head.status == 421,
+                answered_by: headers.get(INSTANCE).map(|id| InstanceId(id.to_owned())),
             });
         }
         if headers.get(ID).is_none() {
@@ -138,21 +139,29 @@
         }
     }
 
-    fn answer_weights(&self, head: &ResponseHead) -> Option<u64> {
-        head.headers.get(WEIGHTS)?.parse().ok()
-    }
-
-    fn answer_limit(&self, head: &ResponseHead) -> AdvertisedLimit {
-        match head.headers.get(LIMIT).map(str::parse) {
-            None => AdvertisedLimit::Unlimited,
-            Some(Ok(per_second)) => AdvertisedLimit::PerSecond(per_second),
-            Some(Err(_)) => AdvertisedLimit::Invalid {
-                text: head.headers.get(LIMIT).unwrap_or_default().to_owned(),
-            },
+    fn engine_signals(&self, head: &ResponseHead) -> EngineSignals {
+        EngineSignals {
+            limit: signal(head, LIMIT, |text| text.parse().ok()),
+            leaving: signal(head, LEAVING, |text| (text == "1").then_some(Leaving)),
+            backoff_ms: signal(head, BACKOFF_MS, |text| text.parse().ok()),
+            weights: head.headers.get(WEIGHTS).and_then(|text| text.parse().ok()),
+            unread: Vec::new(),
         }
     }
 }
 
+fn signal<T>(head: &ResponseHead, name: &str, read: fn(&str) -> Option<T>) -> Signal<T> {
+    let Some(text) = head.headers.get(name) else {
+        return Signal::Absent;
+    };
+    read(text).map_or_else(
+        || Signal::Invalid {
+            text: text.to_owned(),
+        },
+        Signal::Value,
+    )
+}
+
 impl EngineControl for StandInSite {
     fn report_head(&self) -> RequestHead {
         RequestHead::new("GET", "/control/report")
