Tests: nodes before engines and steady callers are shared

The deployment of nodes and the callers of the tests of rate limits serve the tests of engines that leave as well; the oracle of rate limits has a file of its own. Moves alone; an asked request also tells its id, its node, and what its answer says.

--- a/crates/gateway/tests/engine_limits/changes.rs
+++ b/crates/gateway/tests/engine_limits/changes.rs
@@ -1,10 +1,11 @@
 //! Limits that end, bad values, and nodes that start while engines have limits.
 
+use crate::oracle::arrivals_in;
 use crate::play_alone;
-use crate::site::{arrivals_in, Site};
 use crate::support::caller;
+use crate::support::deployment::Deployment;
 use crate::support::fleet::start_peer_with;
-use crate::traffic::Traffic;
+use crate::support::traffic::Traffic;
 use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::metrics::SignalLabel;
 use ploverlift_gateway::time::sleep;
@@ -27,7 +28,7 @@
 }
 
 /// Waits until all nodes know these rates.
-async fn wait_until_known(site: &Site, rates: &[f64]) -> Duration {
+async fn wait_until_known(site: &Deployment, rates: &[f64]) -> Duration {
     let began = Instant::now();
     while !site.nodes.iter().all(|node| known(node) == rates) {
         sleep(LOOK_MS).await;
@@ -39,7 +40,7 @@
 fn an_engine_that_names_no_rate_any_more_gets_its_share_within_a_second() {
     let _playing = play_alone();
     smol::block_on(async {
-        let mut site = Site::new(ENGINES).await;
+        let mut site = Deployment::new(ENGINES).await;
         site.start_nodes(NODES).await;
         let _traffic = Traffic::start(site.callers(), PERIOD_MS);
         for limit in ["1.7", "0"] {
@@ -69,13 +70,13 @@
 fn a_value_that_is_no_rate_changes_nothing_and_is_counted() {
     let _playing = play_alone();
     smol::block_on(async {
-        let mut site = Site::new(ENGINES).await;
+        let mut site = Deployment::new(ENGINES).await;
         site.start_nodes(NODES).await;
         let _traffic = Traffic::start(site.callers(), PERIOD_MS);
         site.engines[0].name_limit(Some("4"));
         wait_until_known(&site, &[4.0]).await;
         site.engines[0].name_limit(Some("many"));
-        let invalid = |site: &Site| -> u64 {
+        let invalid = |site: &Deployment| -> u64 {
             let nodes = site.nodes.iter();
             let label = SignalLabel { signal: "limit" };
             nodes
@@ -96,7 +97,7 @@
 fn a_node_that_starts_knows_the_limits_before_it_is_ready() {
     let _playing = play_alone();
     smol::block_on(async {
-        let mut site = Site::new(ENGINES).await;
+        let mut site = Deployment::new(ENGINES).await;
         site.start_nodes(NODES).await;
         let traffic = Traffic::start(site.callers(), PERIOD_MS);
         site.engines[0].name_limit(Some("1.7"));
--- a/crates/gateway/tests/engine_limits/fleets.rs
+++ b/crates/gateway/tests/engine_limits/fleets.rs
@@ -1,8 +1,9 @@
 //! Nodes that report to each other.
 
+use crate::oracle::{arrivals_in, most_in_window, worst_window, KNOWN_AFTER};
 use crate::play_alone;
-use crate::site::{arrivals_in, most_in_window, worst_window, Site, KNOWN_AFTER};
-use crate::traffic::Traffic;
+use crate::support::deployment::Deployment;
+use crate::support::traffic::Traffic;
 use ploverlift_gateway::time::sleep;
 use std::time::{Duration, Instant};
 
@@ -24,8 +25,8 @@
 const LONGEST_HOLD: Duration = Duration::from_millis(500);
 
 /// The bounds on each of so many engines that name a rate.
-async fn holds_for(limited: usize) -> (Site, Traffic, Instant) {
-    let mut site = Site::new(ENGINES).await;
+async fn holds_for(limited: usize) -> (Deployment, Traffic, Instant) {
+    let mut site = Deployment::new(ENGINES).await;
     site.start_nodes(NODES).await;
     let traffic = Traffic::start(site.callers(), PERIOD_MS);
     sleep(1_000).await;
--- a/crates/gateway/tests/engine_limits/main.rs
+++ b/crates/gateway/tests/engine_limits/main.rs
@@ -13,11 +13,10 @@
 mod changes;
 mod fleets;
 mod messages;
+mod oracle;
 mod relayed;
-mod site;
 #[path = "../support/mod.rs"]
 mod support;
-mod traffic;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/gateway/tests/engine_limits/relayed.rs
+++ b/crates/gateway/tests/engine_limits/relayed.rs
@@ -1,11 +1,9 @@
 //! The same in a fleet of more nodes, which hear of each other through relays.
 
+use crate::oracle::{most_in_window, worst_window, KNOWN_AFTER};
 use crate::play_alone;
-use crate::site::{most_in_window, worst_window, Site, KNOWN_AFTER};
-use crate::support::caller;
-use crate::support::fleet::{role_of, start_peer_with};
-use crate::traffic::Traffic;
-use ploverlift_gateway::peers::roles::Role;
+use crate::support::deployment::Deployment;
+use crate::support::traffic::Traffic;
 use ploverlift_gateway::time::sleep;
 use std::time::{Duration, Instant};
 
@@ -22,33 +20,12 @@
 /// Time between two looks at what the test waits for, in milliseconds.
 const LOOK_MS: u64 = 10;
 
-async fn start_fleet(site: &mut Site) {
-    for (name, cores) in [("large-1", 2.0), ("large-2", 1.0)] {
-        site.nodes
-            .push(start_peer_with(&site.store, name, cores, ""));
-    }
-    for number in 0..FOLLOWERS {
-        let name = format!("follower-{number}");
-        site.nodes
-            .push(start_peer_with(&site.store, &name, 0.1, ""));
-    }
-    for (number, node) in site.nodes.iter().enumerate() {
-        let expected = match number {
-            0 | 1 => Role::Relay,
-            _ => Role::Follower,
-        };
-        while role_of(node) != expected || caller::get_status(node.readiness).await != 200 {
-            sleep(LOOK_MS).await;
-        }
-    }
-}
-
 #[test]
 fn followers_of_relays_keep_a_rate_together() {
     let _playing = play_alone();
     smol::block_on(async {
-        let mut site = Site::new(ENGINES).await;
-        start_fleet(&mut site).await;
+        let mut site = Deployment::new(ENGINES).await;
+        site.start_relayed_nodes(FOLLOWERS, "").await;
         let traffic = Traffic::start(site.callers(), PERIOD_MS);
         sleep(1_000).await;
         let limited = &site.engines[..ENGINES / 3];
@@ -57,7 +34,7 @@
         }
         let named_at = Instant::now();
         let from = named_at + KNOWN_AFTER;
-        let know_all = |site: &Site| {
+        let know_all = |site: &Deployment| {
             let nodes = site.nodes.iter();
             let counts = nodes.map(|node| node.gateway.beliefs().engine_limits.limited().count());
             counts.min() == Some(ENGINES / 3)
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -68,8 +68,18 @@
 
 /// Starts so many nodes that know each other, and waits until they are ready.
 pub async fn start_known_nodes(store: &StandInStore, count: usize) -> Vec<RunningGateway> {
+    start_known_nodes_with(store, count, "").await
+}
+
+/// The same with more settings.
+pub async fn start_known_nodes_with(
+    store: &StandInStore,
+    count: usize,
+    more: &str,
+) -> Vec<RunningGateway> {
     let names = (0..count).map(|number| format!("node-{number}"));
-    let nodes: Vec<RunningGateway> = names.map(|name| start_peer(store, &name, 1.0)).collect();
+    let start = |name: String| start_peer_with(store, &name, 1.0, more);
+    let nodes: Vec<RunningGateway> = names.map(start).collect();
     for node in &nodes {
         while caller::get_status(node.readiness).await != 200 {
             sleep(LOOK_MS).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,10 +2,12 @@
 #![allow(dead_code)]
 
 pub mod caller;
+pub mod deployment;
 pub mod engine;
 pub mod fleet;
 pub mod site;
 pub mod store;
+pub mod traffic;
 
 use engine::StandInEngine;
 use ploverlift_gateway::assembly::{start, RunningGateway};
--- a/crates/gateway/tests/engine_limits/traffic.rs
+++ b/crates/gateway/tests/support/traffic.rs
@@ -1,7 +1,7 @@
 //! Callers at a steady pace at each node, and what became of their requests.
 
-use crate::support::caller::{self, prompt};
-use crate::support::site;
+use super::caller::{self, prompt};
+use super::site;
 use ploverlift_gateway::time::sleep;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -11,11 +11,18 @@
 const TIMER_MS: u64 = 5;
 
 /// What became of one request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Asked {
+    pub id: String,
+    /// The node that was asked, by its place in the list.
+    pub node: usize,
     pub at: Instant,
     pub status: u16,
     pub took: Duration,
+    /// Whether the answer says that its engine leaves.
+    pub says_leaving: bool,
+    /// The time to come back that the answer names, in milliseconds.
+    pub retry_after_ms: Option<u64>,
 }
 
 /// Callers that go on until this is dropped.
@@ -33,7 +40,7 @@
         let callers = nodes.enumerate();
         let callers = callers.map(|(number, node)| {
             let asked = Arc::clone(&asked);
-            smol::spawn(ask(format!("{number}"), node, period_ms, asked))
+            smol::spawn(ask(number, node, period_ms, asked))
         });
         let latest_timer = Arc::new(Mutex::new(Duration::ZERO));
         Self {
@@ -56,11 +63,11 @@
     }
 }
 
-async fn ask(name: String, node: SocketAddr, period_ms: u64, asked: Arc<Mutex<Vec<Asked>>>) {
+async fn ask(node: usize, address: SocketAddr, period_ms: u64, asked: Arc<Mutex<Vec<Asked>>>) {
     // Dropped with the caller, and so cancelled.
     let mut open: Vec<smol::Task<()>> = Vec::new();
     for number in 0_u64.. {
-        let id = format!("{name}-{number}");
+        let id = format!("{node}-{number}");
         let asked = Arc::clone(&asked);
         let mut request = prompt("stream.test", &id);
         // Each prompt has a home of its own.
@@ -69,11 +76,17 @@
         open.retain(|request| !request.is_finished());
         open.push(smol::spawn(async move {
             let at = Instant::now();
-            let answer = caller::send(node, &request).await;
+            let answer = caller::send(address, &request).await;
+            let headers = &answer.head.headers;
+            let retry_after = headers.get("retry-after-ms");
             asked.lock().expect("asked").push(Asked {
+                id,
+                node,
                 at,
                 status: answer.status(),
                 took: at.elapsed(),
+                says_leaving: headers.get(site::LEAVING).is_some(),
+                retry_after_ms: retry_after.map(|text| text.parse().expect("a time")),
             });
         }));
         sleep(period_ms).await;
