--- /dev/null
+++ b/crates/gateway/tests/engine_notices/oracle.rs
@@ -0,0 +1,72 @@
+//! An oracle that knows by itself which node was told by whom, and what it sent afterwards.
+
+use crate::support::engine::StandInEngine;
+use crate::support::traffic::Asked;
+use std::collections::{BTreeMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// What the nodes did with one engine that said that it leaves.
+#[derive(Debug)]
+pub struct Departure {
+    /// When each node had passed on the first answer that says so.
+    pub told: BTreeMap<usize, Instant>,
+    /// The longest time after that at which a caller sent a request that the same node sent
+    /// there.
+    pub longest_use: Duration,
+    /// The same after the first answer at any node.
+    pub longest_use_anywhere: Duration,
+}
+
+impl Departure {
+    /// Judges what became of all requests.
+    pub fn of(engine: &StandInEngine, asked: &[Asked]) -> Self {
+        let arrived: HashSet<String> = engine.arrived_ids().into_iter().collect();
+        let arrived: Vec<&Asked> = asked
+            .iter()
+            .filter(|asked| arrived.contains(&asked.id))
+            .collect();
+        let mut told: BTreeMap<usize, Instant> = BTreeMap::new();
+        for asked in arrived.iter().filter(|asked| asked.says_leaving) {
+            let passed_on = asked.at + asked.took;
+            let first = told.entry(asked.node).or_insert(passed_on);
+            *first = passed_on.min(*first);
+        }
+        let first = told.values().min().copied();
+        let after = |asked: &&Asked, told: Option<&Instant>| {
+            told.map_or(Duration::ZERO, |told| {
+                asked.at.saturating_duration_since(*told)
+            })
+        };
+        let own = arrived.iter().map(|one| after(one, told.get(&one.node)));
+        let anywhere = arrived.iter().map(|one| after(one, first.as_ref()));
+        Self {
+            longest_use: own.max().unwrap_or_default(),
+            longest_use_anywhere: anywhere.max().unwrap_or_default(),
+            told,
+        }
+    }
+}
+
+/// Time after a refusal from which on its engine gets nothing more: what was under way has
+/// arrived by then.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+
+/// The node that sent a request with this id.
+fn node_of(id: &str) -> &str {
+    id.split('-').next().unwrap_or_default()
+}
+
+/// The most requests that an engine got from a node within a time for which it had told that
+/// node that it wants nothing.
+pub fn most_within_backoff(engine: &StandInEngine) -> usize {
+    let arrivals = engine.arrived_ids().into_iter().zip(engine.arrival_times());
+    let arrivals: Vec<(String, Instant)> = arrivals.collect();
+    let within = engine.backoffs().into_iter().map(|told| {
+        let span = told.at + UNDER_WAY..told.at + told.duration;
+        let of_node = arrivals
+            .iter()
+            .filter(|(id, at)| node_of(id) == node_of(&told.id) && span.contains(at));
+        of_node.count()
+    });
+    within.max().unwrap_or(0)
+}
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -1,9 +1,10 @@
 //! What the stand-in engine answers.
 
 use super::super::site;
-use super::{event, Behaviour, Shared, EVENTS};
+use super::{event, Behaviour, NamedBackoff, Shared, EVENTS};
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
+use std::time::{Duration, Instant};
 
 pub async fn respond(
     shared: &Shared,
@@ -33,6 +34,9 @@
     if let Some(limit) = &*shared.limit.lock().expect("limit") {
         head.headers.push(site::LIMIT, limit);
     }
+    if let Some(value) = &*shared.leaving.lock().expect("leaving") {
+        head.headers.push(site::LEAVING, value);
+    }
     match behaviour {
         Behaviour::Silent => {
             while connection.fill().await.is_ok_and(|count| count > 0) {}
@@ -44,6 +48,10 @@
         Behaviour::Refuse | Behaviour::CloseKeptThenRefuse => {
             head.status = 503;
             head.headers.push(site::NOT_RUN, "1");
+            if let Some(value) = &*shared.backoff_ms.lock().expect("backoff") {
+                head.headers.push(site::BACKOFF_MS, value);
+                note_backoff(shared, &id, value);
+            }
         }
         Behaviour::RefuseAnother => {
             head.status = 503;
@@ -110,6 +118,18 @@
     let _ = connection.write_all(&message).await;
 }
 
+fn note_backoff(shared: &Shared, id: &str, value: &str) {
+    let Ok(duration_ms) = value.parse() else {
+        return;
+    };
+    let mut notes = shared.notes.lock().expect("notes");
+    notes.backoffs.push(NamedBackoff {
+        id: id.to_owned(),
+        at: Instant::now(),
+        duration: Duration::from_millis(duration_ms),
+    });
+}
+
 async fn stream(
     connection: &mut BufferedStream,
     mut head: ResponseHead,
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 
 use self::connection::serve;
+use super::site;
 use event_listener::Event;
 use ploverlift_gateway::callers::bind;
 use ploverlift_gateway::time::within;
@@ -14,7 +15,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Wait after which a connection to a full accept queue is known not to come about, in
 /// milliseconds.
@@ -88,6 +89,17 @@
     connections: usize,
     /// When each request was read.
     arrived: Vec<Instant>,
+    /// Refusals that named a time to back off.
+    backoffs: Vec<NamedBackoff>,
+}
+
+/// A refusal that named a time to back off.
+#[derive(Clone, Debug)]
+pub struct NamedBackoff {
+    /// The request that was refused.
+    pub id: String,
+    pub at: Instant,
+    pub duration: Duration,
 }
 
 struct Shared {
@@ -103,6 +115,10 @@
     notes: Mutex<Notes>,
     /// The rate limit that its answers name.
     limit: Mutex<Option<String>>,
+    /// What its answers say of its leaving.
+    leaving: Mutex<Option<String>>,
+    /// The time to back off that its refusals name, in milliseconds.
+    backoff_ms: Mutex<Option<String>>,
     /// How often it has ended; its connections end with it.
     ends: AtomicUsize,
     ended: Event,
@@ -141,6 +157,8 @@
             lowest_token: Mutex::new(0),
             notes: Mutex::default(),
             limit: Mutex::default(),
+            leaving: Mutex::default(),
+            backoff_ms: Mutex::default(),
             ends: AtomicUsize::new(0),
             ended: Event::new(),
             seen,
@@ -230,6 +248,16 @@
         *self.shared.limit.lock().expect("limit") = limit.map(str::to_owned);
     }
 
+    /// Its answers say this of its leaving from now on, or nothing.
+    pub fn name_leaving(&self, value: Option<&str>) {
+        *self.shared.leaving.lock().expect("leaving") = value.map(str::to_owned);
+    }
+
+    /// Its refusals name this time to back off from now on, in milliseconds, or none.
+    pub fn name_backoff(&self, value: Option<&str>) {
+        *self.shared.backoff_ms.lock().expect("backoff") = value.map(str::to_owned);
+    }
+
     /// When each request was read.
     pub fn arrival_times(&self) -> Vec<Instant> {
         self.shared.notes.lock().expect("notes").arrived.clone()
@@ -270,6 +298,18 @@
         self.shared.notes.lock().expect("notes").heads.clone()
     }
 
+    /// Its refusals that named a time to back off.
+    pub fn backoffs(&self) -> Vec<NamedBackoff> {
+        self.shared.notes.lock().expect("notes").backoffs.clone()
+    }
+
+    /// Ids of the requests that it read.
+    pub fn arrived_ids(&self) -> Vec<String> {
+        let heads = self.heads();
+        let ids = heads.iter().map(|head| head.headers.get(site::ID));
+        ids.map(|id| id.unwrap_or_default().to_owned()).collect()
+    }
+
     /// Requests that it read.
     pub fn arrivals(&self) -> usize {
         self.shared.notes.lock().expect("notes").heads.len()
