An engine that says in an answer that it leaves gets nothing more from that node

Callers' requests went on to an engine for as long as the store had not taken its word: the word was read from the store alone, and the store was away for 12 s.

A notice now lies beside the record, by life, and all that asks whether an engine leaves asks for both: the choice, rollouts, load orders, places, entries that lapse. It is asked again right before the bytes go, on kept connections too; these had no such check before. No record of the same life undoes a notice, whatever its revision or heartbeat: a list in which the store still has the engine as ready came between the word and the late requests of the incident.

An engine that said so two seconds ago is no source of KV cache.

--- a/crates/balancing/benches/choice.rs
+++ b/crates/balancing/benches/choice.rs
@@ -84,6 +84,7 @@
                     software: SoftwareRule::default(),
                     draw: key,
                     excluded: &[],
+                    leaving_grace_ms: 0,
                     avoids_limited: false,
                 };
                 choose(&view, &criteria, &RATES, NOW)
--- a/crates/balancing/src/candidates.rs
+++ b/crates/balancing/src/candidates.rs
@@ -30,6 +30,9 @@
 const DRAWN_NEAR: usize = 8;
 /// Engines of each other zone that are drawn at random.
 const DRAWN_FAR: usize = 1;
+/// Time for which an engine that said that it leaves is a source of KV cache, in
+/// milliseconds: some end then, and a move from one that has ended costs tenths of a second.
+const SOURCE_AFTER_NOTICE_MS: u64 = 2_000;
 /// Steps between the points of a ring that are drawn: any odd number spreads them.
 const POINT_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -57,13 +60,13 @@
     let index = index.ok_or(NoChoice::NoEngine)?;
     let rooms = &view.catalogue.rooms;
     if index.len() > MAX_ALL {
-        let sources = few(view, index, criteria, now);
-        match eligible(sources.clone(), rooms, criteria, now) {
+        let few = few(view, index, criteria, now);
+        match eligible(few.clone(), view.catalogue, criteria, now) {
             Ok(engines) => {
                 let thinning = index.len() as f64 / engines.len() as f64;
                 return Ok(Candidates {
                     engines,
-                    sources,
+                    sources: sources(few, view.catalogue, now),
                     thinning,
                 });
             }
@@ -75,15 +78,30 @@
             Err(_) => {}
         }
     }
-    let sources: Vec<&Engine> = view.catalogue.of_service(criteria.service).collect();
-    let engines = eligible(sources.clone(), rooms, criteria, now)?;
+    let all: Vec<&Engine> = view.catalogue.of_service(criteria.service).collect();
+    let engines = eligible(all.clone(), view.catalogue, criteria, now)?;
     Ok(Candidates {
         engines: ranked(engines, criteria.prompt.as_ref()),
-        sources,
+        sources: sources(all, view.catalogue, now),
         thinning: 1.0,
     })
 }
 
+/// Those of whom KV cache can be had: not those that have likely ended by now.
+fn sources<'a>(
+    mut engines: Vec<&'a Engine>,
+    catalogue: &EngineCatalogue,
+    now: Millis,
+) -> Vec<&'a Engine> {
+    if !catalogue.notices.is_empty() {
+        engines.retain(|engine| {
+            let notice = catalogue.leaving_notice(engine);
+            notice.is_none_or(|notice| now.since(notice.since) < SOURCE_AFTER_NOTICE_MS)
+        });
+    }
+    engines
+}
+
 /// A bounded set of a large service's engines.
 fn few<'a>(
     view: &FleetView<'a>,
--- a/crates/balancing/src/eligibility.rs
+++ b/crates/balancing/src/eligibility.rs
@@ -1,7 +1,6 @@
 //! Which engines may serve a request at all: one filter before the one cost.
 
-use crate::catalogue::Engine;
-use crate::engine_rooms::EngineRooms;
+use crate::catalogue::{Engine, EngineCatalogue};
 use crate::fleet::Criteria;
 use ploverlift_policy::ids::Millis;
 
@@ -25,18 +24,22 @@
 /// Those of a service's engines that may serve the request, in their order.
 pub(crate) fn eligible<'a>(
     mut engines: Vec<&'a Engine>,
-    rooms: &EngineRooms,
+    catalogue: &EngineCatalogue,
     criteria: &Criteria<'_>,
     now: Millis,
 ) -> Result<Vec<&'a Engine>, NoChoice> {
-    let stays = |engine: &&Engine| !engine.record.is_leaving && !engine.is_misdirected(now);
-    keep(&mut engines, stays, NoChoice::NoEngine)?;
+    let is_there = |engine: &&Engine| !engine.record.is_leaving && !engine.is_misdirected(now);
+    keep(&mut engines, is_there, NoChoice::NoEngine)?;
+    if !catalogue.notices.is_empty() {
+        keep_staying(&mut engines, catalogue, criteria, now)?;
+    }
     let has_software = |engine: &&Engine| criteria.software.allows(&engine.record.software);
     keep(&mut engines, has_software, NoChoice::SoftwareHeldBack)?;
     let has_weights = |engine: &&Engine| has_weights(engine, criteria);
     keep(&mut engines, has_weights, NoChoice::WeightsTooOld)?;
     let is_untried = |engine: &&Engine| !criteria.excluded.contains(&engine.record.instance);
     keep(&mut engines, is_untried, NoChoice::AllTried)?;
+    let rooms = &catalogue.rooms;
     if !rooms.is_empty() {
         let has_room = |engine: &&Engine| {
             let is_avoided = criteria.avoids_limited && rooms.is_limited(engine.tag);
@@ -47,6 +50,26 @@
     Ok(engines)
 }
 
+/// Leaves out engines that said in answers that they leave. Where all did, those that said
+/// so a moment ago serve on.
+fn keep_staying(
+    engines: &mut Vec<&Engine>,
+    catalogue: &EngineCatalogue,
+    criteria: &Criteria<'_>,
+    now: Millis,
+) -> Result<(), NoChoice> {
+    let notice = |engine: &&Engine| catalogue.leaving_notice(engine);
+    if engines.iter().any(|engine| notice(engine).is_none()) {
+        engines.retain(|engine| notice(engine).is_none());
+        return Ok(());
+    }
+    let is_recent = |engine: &&Engine| {
+        let since = notice(engine).map(|notice| notice.since);
+        since.is_none_or(|since| now.since(since) < criteria.leaving_grace_ms)
+    };
+    keep(engines, is_recent, NoChoice::NoEngine)
+}
+
 fn keep(
     engines: &mut Vec<&Engine>,
     is_eligible: impl Fn(&&Engine) -> bool,
--- a/crates/balancing/src/fleet.rs
+++ b/crates/balancing/src/fleet.rs
@@ -70,6 +70,9 @@
     pub draw: u64,
     /// Engines that were tried already.
     pub excluded: &'a [InstanceId],
+    /// Time for which engines that say that they leave may serve the request where no
+    /// other ones are left, in milliseconds.
+    pub leaving_grace_ms: u64,
     /// Whether engines that have a rate limit are left out.
     pub avoids_limited: bool,
 }
--- a/crates/balancing/tests/candidates.rs
+++ b/crates/balancing/tests/candidates.rs
@@ -102,6 +102,7 @@
             software: SoftwareRule::default(),
             draw: request.draw,
             excluded: request.excluded,
+            leaving_grace_ms: 0,
             avoids_limited: false,
         };
         choose(&view, &criteria, &RATES, NOW)
--- a/crates/balancing/tests/choices/one_node.rs
+++ b/crates/balancing/tests/choices/one_node.rs
@@ -75,6 +75,7 @@
         software: SoftwareRule::Any,
         draw: 1,
         excluded,
+        leaving_grace_ms: 0,
         avoids_limited: false,
     };
     choose(&view, &criteria, &RATES, now).map(|choice| choice.instance)
--- a/crates/balancing/tests/choices/reports.rs
+++ b/crates/balancing/tests/choices/reports.rs
@@ -126,6 +126,7 @@
         software: SoftwareRule::Any,
         draw: 1,
         excluded: &[],
+        leaving_grace_ms: 0,
         avoids_limited: false,
     };
     choose(view, &criteria, &RATES, now).expect("an engine")
--- a/crates/balancing/tests/choices/site.rs
+++ b/crates/balancing/tests/choices/site.rs
@@ -171,6 +171,7 @@
             software: SoftwareRule::Any,
             draw: 1,
             excluded: &[],
+            leaving_grace_ms: 0,
             avoids_limited: false,
         };
         choose(&view, &criteria, &RATES, NOW).expect("an engine")
--- /dev/null
+++ b/crates/balancing/tests/engine_notices.rs
@@ -0,0 +1,179 @@
+//! How long what an engine said of itself in an answer holds.
+
+use ploverlift_balancing::catalogue::{EngineCatalogue, EngineRecord, Heartbeat, InstanceId};
+use ploverlift_balancing::engine_notices::EngineLife;
+use ploverlift_balancing::names::EngineTag;
+use ploverlift_policy::ids::{Millis, ZoneName};
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::software::SoftwareVersion;
+use proptest::prelude::*;
+
+const FIRST_LIFE: u64 = 1_700_000_000_000;
+const SECOND_LIFE: u64 = FIRST_LIFE + 60_000;
+const NOW: Millis = Millis(1_000_000);
+
+fn name() -> InstanceId {
+    InstanceId("e-1".to_owned())
+}
+
+fn life(born_ms: u64) -> EngineLife {
+    EngineLife {
+        engine: EngineTag::of(&name()),
+        born_ms,
+    }
+}
+
+fn record(revision: u64, born_ms: u64, sequence: u64) -> EngineRecord {
+    EngineRecord {
+        instance: name(),
+        revision,
+        heartbeat: Heartbeat { born_ms, sequence },
+        service: ServiceName::from("llm"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: ZoneName::from("z"),
+        software: SoftwareVersion::default(),
+        slots: 4,
+        cold_ms: 0,
+        is_leaving: false,
+        weights: [("m".to_owned(), 1)].into(),
+    }
+}
+
+/// A catalogue whose engine, born then, said that it leaves.
+fn told(born_ms: u64) -> EngineCatalogue {
+    let mut catalogue = EngineCatalogue::default();
+    catalogue.upsert(record(1, born_ms, 5));
+    assert!(catalogue.notices.note_leaving(life(born_ms), NOW));
+    catalogue
+}
+
+fn is_leaving(catalogue: &EngineCatalogue) -> Option<bool> {
+    Some(catalogue.is_leaving(catalogue.get(&name())?))
+}
+
+fn resumes_at(catalogue: &EngineCatalogue, now: Millis) -> Option<Millis> {
+    let engine = catalogue.get(&name())?;
+    Some(catalogue.backoff(engine, now)?.resumes_at)
+}
+
+/// Guards against a word in an answer that any later record of the same life undoes: a late
+/// heartbeat, a list, a snapshot, a relay that was restarted.
+#[test]
+fn no_record_of_the_same_life_undoes_that_its_engine_leaves() {
+    for born_ms in [0, FIRST_LIFE] {
+        let mut catalogue = told(born_ms);
+        for (revision, sequence) in [(2, 4), (3, 6), (4, 0), (5, 700)] {
+            catalogue.upsert(record(revision, born_ms, sequence));
+            assert_eq!(is_leaving(&catalogue), Some(true));
+        }
+    }
+}
+
+#[test]
+fn an_entry_that_lapses_and_comes_back_is_still_that_of_an_engine_that_leaves() {
+    for born_ms in [0, FIRST_LIFE] {
+        let mut catalogue = told(born_ms);
+        assert!(catalogue.remove(&name(), 2));
+        let back_at = NOW.plus(60_000);
+        catalogue.expire_notices(back_at);
+        catalogue.upsert(record(3, born_ms, 9));
+        assert_eq!(is_leaving(&catalogue), Some(true));
+    }
+}
+
+#[test]
+fn a_later_life_of_the_same_name_does_not_leave() {
+    let mut catalogue = told(FIRST_LIFE);
+    catalogue.upsert(record(2, SECOND_LIFE, 1));
+    assert_eq!(is_leaving(&catalogue), Some(false));
+    // Nor when it is known by its own report alone.
+    let mut catalogue = told(FIRST_LIFE);
+    assert!(catalogue.note_life(&name(), SECOND_LIFE));
+    assert_eq!(is_leaving(&catalogue), Some(false));
+    // An answer of the former life that was read late says nothing of it.
+    assert!(!catalogue.notices.note_leaving(life(FIRST_LIFE), NOW));
+    assert_eq!(is_leaving(&catalogue), Some(false));
+    assert!(catalogue.notices.note_leaving(life(SECOND_LIFE), NOW));
+    assert!(!catalogue.notices.note_leaving(life(FIRST_LIFE), NOW));
+    assert_eq!(is_leaving(&catalogue), Some(true));
+}
+
+#[test]
+fn an_engine_that_is_known_by_an_older_record_leaves_by_the_word_of_its_later_life() {
+    let mut catalogue = EngineCatalogue::default();
+    catalogue.upsert(record(1, FIRST_LIFE, 5));
+    catalogue.notices.note_leaving(life(SECOND_LIFE), NOW);
+    assert_eq!(is_leaving(&catalogue), Some(true));
+}
+
+#[test]
+fn a_name_whose_lives_are_not_told_is_one_life_until_it_is_forgotten() {
+    let mut catalogue = told(0);
+    catalogue.upsert(record(2, SECOND_LIFE, 1));
+    assert_eq!(is_leaving(&catalogue), Some(true));
+    catalogue.remove(&name(), 3);
+    catalogue.expire_notices(NOW.plus(120_000));
+    assert!(catalogue.notices.is_empty());
+    catalogue.upsert(record(4, SECOND_LIFE, 1));
+    assert_eq!(is_leaving(&catalogue), Some(false));
+}
+
+#[test]
+fn an_engine_that_stays_in_the_catalogue_is_remembered_to_leave_for_as_long() {
+    let mut catalogue = told(FIRST_LIFE);
+    for minutes in 1..60 {
+        catalogue.expire_notices(NOW.plus(minutes * 60_000));
+    }
+    assert_eq!(is_leaving(&catalogue), Some(true));
+    catalogue.upsert(record(2, SECOND_LIFE, 1));
+    catalogue.expire_notices(NOW.plus(3_600_000));
+    assert!(catalogue.notices.is_empty());
+}
+
+/// Guards against a time to back off that a later refusal with a shorter one shortens.
+#[test]
+fn of_several_times_to_back_off_the_latest_end_counts() {
+    let mut catalogue = EngineCatalogue::default();
+    catalogue.upsert(record(1, 0, 5));
+    catalogue.notices.note_backoff(life(0), 2_000, 0, NOW);
+    let later = NOW.plus(100);
+    catalogue.notices.note_backoff(life(0), 300, 0, later);
+    assert_eq!(resumes_at(&catalogue, later), Some(NOW.plus(2_000)));
+    catalogue.notices.note_backoff(life(0), 5_000, 0, later);
+    assert_eq!(resumes_at(&catalogue, later), Some(later.plus(5_000)));
+    // What the node itself has the engine do does not end it, and a lapse does not either.
+    catalogue.note_loading(&name(), later.plus(10));
+    catalogue.note_loaded(&name());
+    catalogue.remove(&name(), 2);
+    catalogue.upsert(record(3, 0, 6));
+    assert_eq!(resumes_at(&catalogue, later), Some(later.plus(5_000)));
+    assert_eq!(resumes_at(&catalogue, later.plus(5_000)), None);
+}
+
+#[test]
+fn a_later_life_wants_requests_at_once() {
+    let mut catalogue = EngineCatalogue::default();
+    catalogue.upsert(record(1, FIRST_LIFE, 5));
+    let notices = &mut catalogue.notices;
+    notices.note_backoff(life(FIRST_LIFE), 9_000, 0, NOW);
+    assert!(resumes_at(&catalogue, NOW).is_some());
+    catalogue.upsert(record(2, SECOND_LIFE, 1));
+    assert_eq!(resumes_at(&catalogue, NOW), None);
+}
+
+proptest! {
+    /// Nodes come back after the time, within a quarter of it and half a second.
+    #[test]
+    fn nodes_come_back_after_the_time_each_at_a_moment_of_its_own(
+        duration_ms in 0_u64..1_000_000,
+        draw: u64,
+    ) {
+        let mut catalogue = EngineCatalogue::default();
+        catalogue.upsert(record(1, 0, 5));
+        catalogue.notices.note_backoff(life(0), duration_ms, draw, NOW);
+        let end = NOW.plus(duration_ms);
+        let resumes_at = resumes_at(&catalogue, NOW).unwrap_or(end);
+        prop_assert!(resumes_at >= end);
+        prop_assert!(resumes_at <= end.plus((duration_ms / 4).min(500)));
+    }
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -266,12 +266,7 @@
             self.not_connected(chosen, &error, is_whole_wait.then_some(began_at))
         })?;
         self.learn_from_connection(chosen, began.elapsed());
-        if !self.is_still_chosen(chosen) {
-            return Err(AttemptEnd::Left);
-        }
-        if !self.may_still_be_sent(chosen) {
-            return Err(AttemptEnd::Withheld);
-        }
+        self.check_before_sending(chosen)?;
         self.progress.has_taken_repeat = false;
         self.use_token();
         let body = &self.received.body;
@@ -320,9 +315,7 @@
         let Some(stream) = self.kept_connection(chosen).await else {
             return Ok(None);
         };
-        if !self.may_still_be_sent(chosen) {
-            return Err(AttemptEnd::Withheld);
-        }
+        self.check_before_sending(chosen)?;
         self.gateway.metrics.reused_connections.inc();
         self.use_token();
         let body = &self.received.body;
@@ -347,10 +340,18 @@
         Err(self.broken(&failure))
     }
 
-    /// Asked right before the bytes go, after every wait.
-    fn may_still_be_sent(&self, chosen: &ChosenEngine) -> bool {
+    /// Whether the request may go, right before its bytes do and after every wait, on new
+    /// connections and on kept ones.
+    fn check_before_sending(&self, chosen: &ChosenEngine) -> Result<(), AttemptEnd> {
+        if !self.is_still_chosen(chosen) {
+            return Err(AttemptEnd::Left);
+        }
         let age_ms = self.gateway.clock.now().since(chosen.chosen_at);
-        age_ms <= self.longest_connect_ms() && self.has_valid_token(chosen) && self.begins()
+        let is_recent = age_ms <= self.longest_connect_ms();
+        match is_recent && self.has_valid_token(chosen) && self.begins() {
+            true => Ok(()),
+            false => Err(AttemptEnd::Withheld),
+        }
     }
 
     /// Time after which a choice is made anew, in milliseconds. A connection comes about or
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -64,6 +64,8 @@
     pub(super) engines_age_ms: Option<u64>,
     /// When it was chosen.
     pub(super) chosen_at: Millis,
+    /// Whether it had said in an answer that it leaves: no other one was left.
+    pub(super) leaves: bool,
     /// Who told it, or "kept" for an engine whose record is gone.
     pub(super) engines_source: &'static str,
 }
@@ -151,6 +153,7 @@
             software: software.rule.clone(),
             draw: fastrand::u64(..),
             excluded: &not_spared,
+            leaving_grace_ms: self.leaving_grace_ms(),
             avoids_limited: self.avoids_limited(),
         };
         let stores = self.stores_in_use(beliefs);
@@ -261,6 +264,7 @@
             engines_age_ms: last_heard.map(|last| now.since(last.at)),
             engines_source,
             chosen_at: now,
+            leaves: beliefs.engines.leaving_notice(engine).is_some(),
         };
         if let Some(prompt) = &self.received.request.prompt {
             let placed = PlacedPrompt {
--- a/crates/gateway/src/forward/prospects.rs
+++ b/crates/gateway/src/forward/prospects.rs
@@ -119,8 +119,9 @@
         let now = self.gateway.clock.now();
         let beliefs = self.gateway.beliefs();
         let engines = beliefs.engines.of_service(&self.received.admission.service);
-        let up =
-            engines.filter(|engine| !engine.record.is_leaving && engine.health.may_be_chosen(now));
+        let up = engines.filter(|engine| {
+            !beliefs.engines.is_leaving(engine) && engine.health.may_be_chosen(now)
+        });
         let rooms = &beliefs.engines.rooms;
         let up = up.filter(|engine| rooms.has_room(engine.tag, now));
         let mut places = Places::default();
--- a/crates/gateway/src/rollouts/choice.rs
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -186,7 +186,7 @@
     let target = rollout.gate_target();
     let staying = engines
         .of_service(service)
-        .filter(|engine| !engine.record.is_leaving);
+        .filter(|engine| !engines.is_leaving(engine));
     let (of_target, others): (Vec<&Engine>, Vec<&Engine>) =
         staying.partition(|engine| engine.record.software == *target);
     let used = canary_engines(of_target.len(), others.len(), share_ppm);
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -259,7 +259,7 @@
     let mut by_version = BTreeMap::new();
     for engine in engines.of_service(service) {
         let count: &mut u32 = by_version.entry(&engine.record.software).or_default();
-        *count += u32::from(!engine.record.is_leaving);
+        *count += u32::from(!engines.is_leaving(engine));
     }
     let supply = by_version.into_iter();
     supply
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -87,5 +87,5 @@
     let now = gateway.clock.now();
     let beliefs = gateway.beliefs();
     let known = beliefs.engines.get(instance);
-    known.is_some_and(|engine| engine.record.is_leaving || engine.is_misdirected(now))
+    known.is_some_and(|engine| beliefs.engines.is_leaving(engine) || engine.is_misdirected(now))
 }
--- a/crates/gateway/src/weights/plan.rs
+++ b/crates/gateway/src/weights/plan.rs
@@ -32,7 +32,7 @@
     let mut outdated = Vec::new();
     for engine in beliefs.engines.iter() {
         let record = &engine.record;
-        let stays = !record.is_leaving && !engine.is_misdirected(now);
+        let stays = !beliefs.engines.is_leaving(engine) && !engine.is_misdirected(now);
         if !stays || !engine.health.may_be_chosen(now) {
             continue;
         }
