That an engine leaves is told to all nodes, by the reports that told its rate limit

A node that no answer had told went on sending to an engine that leaves: 1.5 s longer among seven nodes, 4.3 s among 40 behind relays, until an answer told it as well or the store did. Whoever sends there when the engine ends has its request cut.

Cause: a fact told to one node, heard there alone. The reports of rate limits carry it now (EngineSignalReport, one more field; earlier releases pass over it): at once and twice again, by relays to all that follow them, once a second for 30 s by those who heard the engine, and to each node that starts. No second way of telling.

--- a/crates/balancing/src/engine_notices.rs
+++ b/crates/balancing/src/engine_notices/mod.rs
@@ -5,6 +5,8 @@
 //! it, whether it lags behind, lapses or comes back. A life that is known to have begun later
 //! ends it. Where engines do not tell when their lives began, a name is one life.
 
+pub mod exchange;
+
 use crate::heartbeat::Heartbeat;
 use crate::names::EngineTag;
 use ploverlift_policy::ids::Millis;
@@ -59,7 +61,7 @@
     pub since: Millis,
     /// Who told this node.
     pub source: NoticeSource,
-    pub(crate) telling: Telling,
+    telling: Telling,
 }
 
 /// An engine's word that it wants nothing from this node for a time.
@@ -75,9 +77,9 @@
 
 /// What one life of an engine said.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Notice {
-    pub(crate) born_ms: u64,
-    pub(crate) leaving: Option<LeavingNotice>,
+struct Notice {
+    born_ms: u64,
+    leaving: Option<LeavingNotice>,
     backoff: Option<Backoff>,
     /// When the engine was last known to be in the catalogue.
     known_at: Millis,
@@ -106,7 +108,8 @@
 /// The notices of all engines.
 #[derive(Clone, Debug, Default)]
 pub struct EngineNotices {
-    pub(crate) notices: HashMap<EngineTag, Notice>,
+    notices: HashMap<EngineTag, Notice>,
+    next_told: usize,
 }
 
 impl EngineNotices {
@@ -153,12 +156,7 @@
     }
 
     /// Takes in that an engine leaves; tells whether that is news.
-    pub(crate) fn take_leaving(
-        &mut self,
-        life: EngineLife,
-        notice: LeavingNotice,
-        now: Millis,
-    ) -> bool {
+    fn take_leaving(&mut self, life: EngineLife, notice: LeavingNotice, now: Millis) -> bool {
         let Some(known) = self.entry(life, now) else {
             return false;
         };
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -5,7 +5,7 @@
 use crate::engine_checks::check_engines;
 use crate::peers::address_book::Reach;
 use crate::peers::discovery::{find_peers, NodeRecord};
-use crate::peers::engine_limits::report_engine_limits;
+use crate::peers::engine_signals::report_engine_signals;
 use crate::peers::quarantine_reports::report_quarantine;
 use crate::peers::receive_messages;
 use crate::peers::relay::Relay;
@@ -142,7 +142,7 @@
         tasks.push(smol::spawn(telling));
         let telling = report_quarantine(Arc::clone(&gateway), Arc::clone(&socket));
         tasks.push(smol::spawn(telling));
-        let telling = report_engine_limits(Arc::clone(&gateway), Arc::clone(&socket));
+        let telling = report_engine_signals(Arc::clone(&gateway), Arc::clone(&socket));
         tasks.push(smol::spawn(telling));
         let sending = Arc::clone(&socket);
         let sender = Arc::clone(&gateway);
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -140,8 +140,8 @@
     pub quarantine: Quarantine,
     /// Rate limits that engines advertise.
     pub engine_limits: EngineLimits,
-    /// Whether another node has told which there are.
-    pub is_told_limits: bool,
+    /// Whether another node has told what engines said of themselves.
+    pub is_told_signals: bool,
     /// Headers of engines, and values, that this release does not read.
     pub unread_signals: BTreeSet<String>,
     /// Engines that take no connection any more.
--- a/crates/gateway/src/engine_signals.rs
+++ b/crates/gateway/src/engine_signals.rs
@@ -76,7 +76,7 @@
     match heard {
         Heard::Nothing => {}
         Heard::Changed => {
-            gateway.engine_limits_changed.notify(usize::MAX);
+            gateway.engine_signals_changed.notify(usize::MAX);
         }
         Heard::ForHolder(holder) => {
             let message = PeerMessage::EngineLimitSeen(ToldObservation {
@@ -107,6 +107,7 @@
     let is_news = beliefs.engines.notices.note_leaving(life, now);
     drop(beliefs);
     if is_news {
+        gateway.engine_signals_changed.notify(usize::MAX);
         slog::info!(gateway.log, "engine leaves";
             "engine" => &origin.instance.0, "born_ms" => life.born_ms,
             "from" => NoticeSource::Answer.name(), "recorded" => is_recorded);
--- a/crates/gateway/src/forward/engine_limit.rs
+++ b/crates/gateway/src/forward/engine_limit.rs
@@ -219,7 +219,7 @@
             slog::warn!(gateway.log, "engine limits taken over";
                 "group" => format!("{:08x}", request.group.0),
                 "reason" => "their holder does not answer");
-            gateway.engine_limits_changed.notify(usize::MAX);
+            gateway.engine_signals_changed.notify(usize::MAX);
         }
     }
 }
--- a/crates/gateway/src/peers/discovery.rs
+++ b/crates/gateway/src/peers/discovery.rs
@@ -117,7 +117,7 @@
         .collect();
     let now = gateway.clock.now();
     gateway.address_book().take_list(&nodes, now);
-    gateway.engine_limits_changed.notify(usize::MAX);
+    gateway.engine_signals_changed.notify(usize::MAX);
     Ok(nodes.len())
 }
 
--- a/crates/gateway/src/peers/engine_limit_messages.rs
+++ b/crates/gateway/src/peers/engine_limit_messages.rs
@@ -8,17 +8,6 @@
 use ploverlift_wire::peers;
 use ploverlift_wire::peers::engine_token_answer::Verdict;
 
-/// What a node tells of limits.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineLimitReport {
-    /// The sender.
-    pub sender: PeerId,
-    /// What it tells, by group.
-    pub groups: Vec<GroupNews>,
-    /// Whether it knows nothing yet and wants to be told all.
-    pub wants_all: bool,
-}
-
 /// What one answer of an engine said, with ages in place of moments.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ToldObservation {
@@ -43,24 +32,7 @@
     pub answer: TokenAnswer,
 }
 
-pub(super) fn report_message(report: &EngineLimitReport) -> peers::EngineLimitReport {
-    peers::EngineLimitReport {
-        sender: report.sender.0,
-        groups: report.groups.iter().map(group_message).collect(),
-        wants_all: report.wants_all,
-    }
-}
-
-/// Reads a report; a group whose holder has no proper address is left out.
-pub(super) fn read_report(message: &peers::EngineLimitReport) -> EngineLimitReport {
-    EngineLimitReport {
-        sender: PeerId(message.sender),
-        groups: message.groups.iter().filter_map(read_group).collect(),
-        wants_all: message.wants_all,
-    }
-}
-
-fn group_message(news: &GroupNews) -> peers::EngineLimitGroup {
+pub(super) fn group_message(news: &GroupNews) -> peers::EngineLimitGroup {
     let limits = news.limits.iter().map(|told| peers::EngineLimit {
         engine: told.engine.0,
         per_second: told.limit,
@@ -76,7 +48,8 @@
     }
 }
 
-fn read_group(message: &peers::EngineLimitGroup) -> Option<GroupNews> {
+/// Reads a group; nothing when its holder has no proper address.
+pub(super) fn read_group(message: &peers::EngineLimitGroup) -> Option<GroupNews> {
     let limits = message.limits.iter().map(|told| ToldLimit {
         engine: EngineTag(told.engine),
         limit: told.per_second.filter(is_rate),
--- /dev/null
+++ b/crates/gateway/src/peers/engine_signal_messages.rs
@@ -0,0 +1,58 @@
+//! What engines said of themselves in answers, as messages.
+
+use super::engine_limit_messages::{group_message, read_group};
+use ploverlift_balancing::engine_notices::exchange::ToldLeaving;
+use ploverlift_balancing::engine_notices::EngineLife;
+use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
+use ploverlift_enginelimit::news::GroupNews;
+use ploverlift_wire::peers;
+
+/// What a node tells of engines by their own answers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSignalReport {
+    /// The sender.
+    pub sender: PeerId,
+    /// Rate limits, by group.
+    pub groups: Vec<GroupNews>,
+    /// Engines that leave.
+    pub leaving: Vec<ToldLeaving>,
+    /// Whether the sender knows nothing yet and wants to be told all.
+    pub wants_all: bool,
+}
+
+pub(super) fn report_message(report: &EngineSignalReport) -> peers::EngineSignalReport {
+    peers::EngineSignalReport {
+        sender: report.sender.0,
+        groups: report.groups.iter().map(group_message).collect(),
+        wants_all: report.wants_all,
+        leaving: report.leaving.iter().map(leaving_message).collect(),
+    }
+}
+
+/// Reads a report; a group whose holder has no proper address is left out.
+pub(super) fn read_report(message: &peers::EngineSignalReport) -> EngineSignalReport {
+    EngineSignalReport {
+        sender: PeerId(message.sender),
+        groups: message.groups.iter().filter_map(read_group).collect(),
+        leaving: message.leaving.iter().map(read_leaving).collect(),
+        wants_all: message.wants_all,
+    }
+}
+
+fn leaving_message(told: &ToldLeaving) -> peers::LeavingEngine {
+    peers::LeavingEngine {
+        engine: told.life.engine.0,
+        born_ms: told.life.born_ms,
+        age_ms: told.age_ms,
+    }
+}
+
+fn read_leaving(message: &peers::LeavingEngine) -> ToldLeaving {
+    ToldLeaving {
+        life: EngineLife {
+            engine: EngineTag(message.engine),
+            born_ms: message.born_ms,
+        },
+        age_ms: message.age_ms,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/engine_signals.rs
@@ -0,0 +1,194 @@
+//! Telling the other nodes what engines said of themselves in answers: rate limits, with who
+//! counts for them, and that they leave.
+//!
+//! Nothing is sent while no engine said anything. A change is told at once, and twice again,
+//! and for a time some of what is known in each period, so that a node that was cut off hears
+//! of it. A node that starts asks before it is ready.
+
+use super::engine_limits::{forget_gone_limits, take_group_news};
+use super::engine_signal_messages::EngineSignalReport;
+use super::messages::{encode, PeerMessage};
+use super::receivers::news_receivers;
+use super::roles::{role, Role};
+use crate::state::Gateway;
+use crate::time::{sleep, within};
+use ploverlift_balancing::engine_notices::exchange::{Occasion, ToldLeaving, MAX_TOLD};
+use ploverlift_balancing::engine_notices::NoticeSource;
+use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_enginelimit::news::GroupNews;
+use ploverlift_policy::ids::Millis;
+use smol::net::UdpSocket;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Time between two tellings of what has not changed, in milliseconds.
+const PERIOD_MS: u64 = 1_000;
+/// Longest time between two looks at what is due, in milliseconds: tellings that are
+/// repeated.
+const LOOK_MS: u64 = 100;
+/// Shortest time between two reports, in milliseconds.
+const SHORTEST_PERIOD_MS: u64 = 5;
+/// Longest time from its start for which a node waits to be told, in milliseconds.
+const START_WAIT_MS: u64 = 1_500;
+/// Engines that one log line names.
+const MOST_NAMED: usize = 4;
+
+/// What is told at one time.
+#[derive(Default)]
+struct News {
+    groups: Vec<GroupNews>,
+    leaving: Vec<ToldLeaving>,
+}
+
+impl News {
+    fn is_empty(&self) -> bool {
+        self.groups.is_empty() && self.leaving.is_empty()
+    }
+}
+
+/// Reports until the task is dropped.
+pub async fn report_engine_signals(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let mut period_began = gateway.clock.now();
+    loop {
+        let due = gateway.engine_signals_changed.listen();
+        let now = gateway.clock.now();
+        let is_period = now.since(period_began) >= PERIOD_MS;
+        if is_period {
+            period_began = now;
+            forget_gone_limits(&gateway, now);
+        }
+        tell(&gateway, &socket, is_period, now).await;
+        sleep(SHORTEST_PERIOD_MS).await;
+        within(LOOK_MS - SHORTEST_PERIOD_MS, due).await;
+    }
+}
+
+async fn tell(gateway: &Gateway, socket: &UdpSocket, is_period: bool, now: Millis) {
+    let occasion = Occasion {
+        is_period,
+        passes_on: role(gateway, now) == Role::Relay,
+    };
+    let news = {
+        let beliefs = &mut *gateway.beliefs();
+        News {
+            groups: beliefs.engine_limits.news(is_period, now),
+            leaving: beliefs.engines.notices.news(occasion, now),
+        }
+    };
+    let wants_all = !knows_signals(gateway);
+    if news.is_empty() && !wants_all {
+        return;
+    }
+    let receivers = news_receivers(gateway, now);
+    for report in reports(gateway, news, wants_all) {
+        let datagram = encode(&PeerMessage::EngineSignals(report));
+        for receiver in &receivers {
+            // A lost report is repaired by the next ones.
+            let _ = socket.send_to(&datagram, receiver).await;
+        }
+    }
+}
+
+/// Reports that fit one datagram each, and one at least.
+fn reports(gateway: &Gateway, news: News, wants_all: bool) -> Vec<EngineSignalReport> {
+    let empty = EngineSignalReport {
+        sender: PeerId::of(&gateway.settings().node.name),
+        groups: Vec::new(),
+        leaving: Vec::new(),
+        wants_all,
+    };
+    let of_group = |group: GroupNews| EngineSignalReport {
+        groups: vec![group],
+        ..empty.clone()
+    };
+    let of_leaving = |leaving: &[ToldLeaving]| EngineSignalReport {
+        leaving: leaving.to_vec(),
+        ..empty.clone()
+    };
+    let mut reports: Vec<EngineSignalReport> = news.groups.into_iter().map(of_group).collect();
+    reports.extend(news.leaving.chunks(MAX_TOLD).map(of_leaving));
+    if reports.is_empty() {
+        reports.push(empty);
+    }
+    reports
+}
+
+/// A report of each of these groups.
+pub(super) fn limit_reports(
+    gateway: &Gateway,
+    groups: impl IntoIterator<Item = GroupNews>,
+) -> Vec<EngineSignalReport> {
+    let news = News {
+        groups: groups.into_iter().collect(),
+        leaving: Vec::new(),
+    };
+    match news.is_empty() {
+        true => Vec::new(),
+        false => reports(gateway, news, false),
+    }
+}
+
+/// Whether this node has been told what engines said, or nobody tells it.
+pub fn knows_signals(gateway: &Gateway) -> bool {
+    let is_alone = {
+        let book = gateway.address_book();
+        book.lists() > 0 && book.listed_nodes() <= 1
+    };
+    let has_waited = gateway.clock.now().since(gateway.started_at) >= START_WAIT_MS;
+    let hears_nobody = gateway.settings().listen.peers.is_none();
+    is_alone || has_waited || hears_nobody || gateway.beliefs().is_told_signals
+}
+
+/// Takes in what another node tells.
+pub fn take_signal_report(gateway: &Gateway, report: &EngineSignalReport, from: SocketAddr) {
+    let now = gateway.clock.now();
+    if report.wants_all {
+        tell_everything(gateway, from, now);
+    }
+    let passes_on = role(gateway, now) == Role::Relay;
+    let mut is_news = false;
+    for news in &report.groups {
+        is_news |= take_group_news(gateway, news, passes_on, now);
+    }
+    is_news |= take_leaving(gateway, &report.leaving, passes_on, now);
+    // A node that asks as well knows no more than this one.
+    gateway.beliefs().is_told_signals |= !report.wants_all;
+    if is_news {
+        gateway.engine_signals_changed.notify(usize::MAX);
+    }
+}
+
+fn tell_everything(gateway: &Gateway, to: SocketAddr, now: Millis) {
+    let news = {
+        let beliefs = gateway.beliefs();
+        News {
+            groups: beliefs.engine_limits.everything(now),
+            leaving: beliefs.engines.notices.everything(now),
+        }
+    };
+    for answer in reports(gateway, news, false) {
+        gateway.outbox.put(to, &PeerMessage::EngineSignals(answer));
+    }
+}
+
+/// Takes in which engines leave; tells whether it was news.
+fn take_leaving(gateway: &Gateway, told: &[ToldLeaving], passes_on: bool, now: Millis) -> bool {
+    let mut beliefs = gateway.beliefs();
+    let notices = &mut beliefs.engines.notices;
+    let news: Vec<&ToldLeaving> = told
+        .iter()
+        .filter(|told| notices.hear(told, passes_on, now))
+        .collect();
+    let engines = &beliefs.engines;
+    let known = news
+        .iter()
+        .filter_map(|told| engines.by_tag(told.life.engine));
+    let names = known.map(|engine| engine.record.instance.0.as_str());
+    let names: Vec<&str> = names.take(MOST_NAMED).collect();
+    if let Some(first) = news.first() {
+        slog::info!(gateway.log, "engine leaves";
+            "engine" => names.join(" "), "engines" => news.len(),
+            "age_ms" => first.age_ms, "from" => NoticeSource::Node.name());
+    }
+    !news.is_empty()
+}
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes as datagrams.
 
-use super::engine_limit_messages::{self, EngineLimitReport, NumberedAnswer, ToldObservation};
+use super::engine_limit_messages::{self, NumberedAnswer, ToldObservation};
+use super::engine_signal_messages::{self, EngineSignalReport};
 use super::limit_messages::{level_message, read_levels, read_use, use_message, UseMessage};
 use super::message_fields::{
     known, load_message, loaded_message, placement_message, read_load, read_loaded, read_lost,
@@ -74,8 +75,8 @@
     Weights(WeightsReport),
     /// Requests under which engines ended.
     Quarantine(QuarantineReport),
-    /// Rate limits that engines advertise.
-    EngineLimits(EngineLimitReport),
+    /// What engines said of themselves in answers.
+    EngineSignals(EngineSignalReport),
     /// What an answer of an engine said of its limit.
     EngineLimitSeen(ToldObservation),
     /// A question for a token.
@@ -104,8 +105,8 @@
         PeerMessage::Quarantine(report) => {
             Body::QuarantineReport(quarantine_report_message(report))
         }
-        PeerMessage::EngineLimits(report) => {
-            Body::EngineLimitReport(engine_limit_messages::report_message(report))
+        PeerMessage::EngineSignals(report) => {
+            Body::EngineSignalReport(engine_signal_messages::report_message(report))
         }
         PeerMessage::EngineLimitSeen(seen) => {
             Body::EngineLimitObservation(engine_limit_messages::observation_message(seen))
@@ -149,8 +150,8 @@
         Some(Body::QuarantineReport(report)) => {
             Some(PeerMessage::Quarantine(read_quarantine_report(&report)))
         }
-        Some(Body::EngineLimitReport(report)) => Some(PeerMessage::EngineLimits(
-            engine_limit_messages::read_report(&report),
+        Some(Body::EngineSignalReport(report)) => Some(PeerMessage::EngineSignals(
+            engine_signal_messages::read_report(&report),
         )),
         Some(Body::EngineLimitObservation(seen)) => Some(PeerMessage::EngineLimitSeen(
             engine_limit_messages::read_observation(&seen),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,12 +21,13 @@
 //! | [`weights_reports`] | which weights are the newest, with the age of the proof |
 //! | [`weights_exchange`] | which of these reports were sent and heard |
 //! | [`quarantine_reports`] | requests under which engines ended |
-//! | [`engine_limits`] | rate limits that engines advertise |
+//! | [`engine_signals`] | what engines said of themselves in answers, told to all |
+//! | [`engine_limits`] | rate limits that engines advertise, and tokens for them |
 //! | [`token_questions`] | requests for tokens of such engines |
 //! | [`outbox`] | messages of tasks that do not have the socket |
 //! | `receivers` | whom news that concerns all nodes goes to |
 //! | [`limits`] | what tenants were admitted, and what is left of their limits |
-//! | [`messages`], [`relay_messages`], [`limit_messages`], [`rollout_messages`], [`weights_messages`], [`quarantine_messages`], [`engine_limit_messages`] | messages as datagrams |
+//! | [`messages`], [`relay_messages`], [`limit_messages`], [`rollout_messages`], [`weights_messages`], [`quarantine_messages`], [`engine_limit_messages`], [`engine_signal_messages`] | messages as datagrams |
 //! | [`message_fields`] | fields that several kinds of messages have |
 //!
 //! ```text
@@ -40,6 +41,8 @@
 pub mod encoded_engines;
 pub mod engine_limit_messages;
 pub mod engine_limits;
+pub mod engine_signal_messages;
+pub mod engine_signals;
 pub mod followed_relays;
 pub mod follower;
 pub mod incoming;
@@ -67,7 +70,8 @@
 
 use crate::state::Gateway;
 use crate::time::sleep;
-use engine_limits::{answer_token_request, take_back_token, take_limit_report, take_observation};
+use engine_limits::{answer_token_request, take_back_token, take_observation};
+use engine_signals::take_signal_report;
 use follower::take_relay_report;
 use incoming::{take_report, take_zone_report};
 use limits::{take_levels, take_use};
@@ -106,7 +110,7 @@
             Some(PeerMessage::Levels(report)) => take_levels(&gateway, &report),
             Some(PeerMessage::Weights(report)) => take_weights_report(&gateway, &report, from),
             Some(PeerMessage::Quarantine(report)) => take_quarantine_report(&gateway, &report),
-            Some(PeerMessage::EngineLimits(report)) => take_limit_report(&gateway, &report, from),
+            Some(PeerMessage::EngineSignals(report)) => take_signal_report(&gateway, &report, from),
             Some(PeerMessage::EngineLimitSeen(seen)) => take_observation(&gateway, &seen),
             Some(PeerMessage::TokenRequest(asked)) => answer_token_request(&gateway, &asked, from),
             Some(PeerMessage::TokenAnswer(numbered)) => {
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -1,7 +1,7 @@
 //! Small listeners: whether this node takes callers, and its metrics.
 
 use crate::engine_limits::publish_limits;
-use crate::peers::engine_limits::knows_limits;
+use crate::peers::engine_signals::knows_signals;
 use crate::ports::RefusalKind;
 use crate::state::Gateway;
 use crate::time::{sleep, within};
@@ -34,7 +34,7 @@
         let knows_refused = beliefs.quarantine.is_known();
         beliefs.configuration.is_some() && knows_engines && knows_orders && knows_refused
     };
-    has_copies && knows_limits(gateway) && gateway.accepts_keys()
+    has_copies && knows_signals(gateway) && gateway.accepts_keys()
 }
 
 /// Answers the load balancer until the task is dropped.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -68,8 +68,8 @@
     pub order_changed: Event,
     /// Told when something is news of requests under which engines ended.
     pub quarantine_changed: Event,
-    /// Told when something is news of the rate limits of engines.
-    pub engine_limits_changed: Event,
+    /// Told when something is news of what engines said of themselves.
+    pub engine_signals_changed: Event,
     /// Requests to other nodes for tokens of such engines.
     pub token_questions: TokenQuestions,
     /// Messages to other nodes that wait to be sent.
@@ -141,7 +141,7 @@
             orders_due: Event::new(),
             order_changed: Event::new(),
             quarantine_changed: Event::new(),
-            engine_limits_changed: Event::new(),
+            engine_signals_changed: Event::new(),
             token_questions: TokenQuestions::default(),
             outbox: Outbox::default(),
             stop_began: Event::new(),
--- a/crates/gateway/tests/engine_limits/messages.rs
+++ b/crates/gateway/tests/engine_limits/messages.rs
@@ -1,13 +1,14 @@
 //! Limits and tokens on the wire.
 
+use ploverlift_balancing::engine_notices::exchange::{ToldLeaving, MAX_TOLD as MAX_LEAVING};
+use ploverlift_balancing::engine_notices::EngineLife;
 use ploverlift_balancing::names::{EngineTag, PeerId};
 use ploverlift_enginelimit::group::{GroupTag, Holder, NodeAddress};
 use ploverlift_enginelimit::news::{
     Denial, GroupNews, TokenAnswer, TokenRequest, ToldLimit, Wanted, MAX_TOLD,
 };
-use ploverlift_gateway::peers::engine_limit_messages::{
-    EngineLimitReport, NumberedAnswer, ToldObservation,
-};
+use ploverlift_gateway::peers::engine_limit_messages::{NumberedAnswer, ToldObservation};
+use ploverlift_gateway::peers::engine_signal_messages::EngineSignalReport;
 use ploverlift_gateway::peers::messages::{decode, encode, PeerMessage};
 
 fn survives(message: PeerMessage) {
@@ -28,17 +29,35 @@
         node: PeerId(u64::MAX),
         address: "255.255.255.255:65535".parse().expect("an address"),
     };
-    survives(PeerMessage::EngineLimits(EngineLimitReport {
+    survives(PeerMessage::EngineSignals(EngineSignalReport {
         sender: PeerId(u64::MAX),
         groups: vec![GroupNews {
             group: GroupTag(u32::MAX),
             holder: Holder { at, term: 1 << 40 },
             limits: limits.collect(),
         }],
+        leaving: Vec::new(),
         wants_all: true,
     }));
 }
 
+#[test]
+fn reports_of_engines_that_leave_fit_one_datagram_and_survive_the_wire() {
+    let leaving = (0..MAX_LEAVING as u32).map(|number| ToldLeaving {
+        life: EngineLife {
+            engine: EngineTag(u32::MAX - number),
+            born_ms: 1 << 42,
+        },
+        age_ms: 120_000,
+    });
+    survives(PeerMessage::EngineSignals(EngineSignalReport {
+        sender: PeerId(u64::MAX),
+        groups: Vec::new(),
+        leaving: leaving.collect(),
+        wants_all: false,
+    }));
+}
+
 #[test]
 fn tokens_survive_the_wire() {
     for limit in [Some(0.0), Some(1.7), None] {
