An engine that names a time to back off gets nothing from that node until it is over

It is a bar now, beside the record and by life, with the latest end: in the choice, and right before the bytes on new and on kept connections. Without an engine the request is rejected at once. It is no mark in health or rollouts, and no loading.

It holds for the node that was told: the engine wants nothing from that machine. Nothing is told to others.

--- a/crates/balancing/src/candidates.rs
+++ b/crates/balancing/src/candidates.rs
@@ -74,6 +74,10 @@
             Err(NoChoice::NoRoom) if rooms.len() > index.len() / 2 => {
                 return Err(NoChoice::NoRoom);
             }
+            // Looking at all of them for each rejected request would cost too much.
+            Err(NoChoice::BackingOff) if view.catalogue.notices.len() > index.len() / 2 => {
+                return Err(NoChoice::BackingOff);
+            }
             // Where none of a few may serve, another one may.
             Err(_) => {}
         }
--- a/crates/balancing/src/eligibility.rs
+++ b/crates/balancing/src/eligibility.rs
@@ -17,6 +17,8 @@
     WeightsNotProven,
     /// Every engine was tried already.
     AllTried,
+    /// Every engine that was not tried wants nothing from this node for a time.
+    BackingOff,
     /// Every engine that was not tried has given out all that it takes for now.
     NoRoom,
 }
@@ -39,6 +41,10 @@
     keep(&mut engines, has_weights, NoChoice::WeightsTooOld)?;
     let is_untried = |engine: &&Engine| !criteria.excluded.contains(&engine.record.instance);
     keep(&mut engines, is_untried, NoChoice::AllTried)?;
+    if !catalogue.notices.is_empty() {
+        let takes_requests = |engine: &&Engine| catalogue.backoff(engine, now).is_none();
+        keep(&mut engines, takes_requests, NoChoice::BackingOff)?;
+    }
     let rooms = &catalogue.rooms;
     if !rooms.is_empty() {
         let has_room = |engine: &&Engine| {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -54,10 +54,7 @@
     /// under this request meanwhile; nothing was sent.
     Withheld,
     /// The engine did not run it.
-    Refused {
-        /// When the engine asked to come back, in milliseconds.
-        retry_after_ms: Option<u64>,
-    },
+    Refused,
     /// The engine did not run it: its weights are not those expected. They are
     /// known now.
     OtherWeights,
@@ -80,7 +77,7 @@
             Self::Unreachable { .. }
                 | Self::Left
                 | Self::Withheld
-                | Self::Refused { .. }
+                | Self::Refused
                 | Self::OtherWeights
         )
     }
@@ -348,7 +345,8 @@
         }
         let age_ms = self.gateway.clock.now().since(chosen.chosen_at);
         let is_recent = age_ms <= self.longest_connect_ms();
-        match is_recent && self.has_valid_token(chosen) && self.begins() {
+        let is_wanted = self.takes_requests(chosen);
+        match is_recent && is_wanted && self.has_valid_token(chosen) && self.begins() {
             true => Ok(()),
             false => Err(AttemptEnd::Withheld),
         }
@@ -487,9 +485,7 @@
         let other = refused.answered_by.as_ref();
         if other.is_some_and(|other| *other != chosen.instance) {
             beliefs.engines.note_misdirected(&chosen.instance, now);
-            return AttemptEnd::Refused {
-                retry_after_ms: None,
-            };
+            return AttemptEnd::Refused;
         }
         if let Some(prompt) = &self.received.request.prompt {
             let newest = beliefs.weights.newest(&prompt.model);
@@ -501,13 +497,12 @@
                 return AttemptEnd::OtherWeights;
             }
         }
-        let retry_after_ms = match signals.backoff_ms {
-            Signal::Value(backoff_ms) => Some(backoff_ms),
-            _ => None,
-        };
-        let until = now.plus(retry_after_ms.unwrap_or(REFUSED_LOADING_MS));
-        beliefs.engines.note_loading(&chosen.instance, until);
-        AttemptEnd::Refused { retry_after_ms }
+        // One that names a time to back off is left out for as long.
+        if !matches!(signals.backoff_ms, Signal::Value(_)) {
+            let until = now.plus(REFUSED_LOADING_MS);
+            beliefs.engines.note_loading(&chosen.instance, until);
+        }
+        AttemptEnd::Refused
     }
 }
 
--- a/crates/gateway/src/forward/engines_hold.rs
+++ b/crates/gateway/src/forward/engines_hold.rs
@@ -5,7 +5,6 @@
 //! engine ends in the midst of it. Where the store is away for all there is nothing to
 //! wait for.
 
-use super::choice::ChosenEngine;
 use super::Forwarding;
 use crate::reliance::{reliance, Reliance};
 use crate::time::within;
@@ -13,9 +12,6 @@
 /// Longest wait of a request, in milliseconds: a call of a well store takes 4 ms, and
 /// 250 ms over a link that is full.
 const LONGEST_HOLD_MS: u64 = 300;
-/// Part of the site's bound on leaving engines for which the last ones of a service serve
-/// on: some end when the bound is over, and requests must be done by then.
-const GRACE_DIVISOR: u64 = 2;
 /// Part of the time that a request has left for which it waits at most.
 const LEFT_SHARE: u64 = 4;
 
@@ -46,31 +42,4 @@
         self.record.held(before, after, now.since(began));
         after != Reliance::Behind
     }
-
-    /// Whether the engine is still one that requests go to, right before the bytes go:
-    /// connecting takes up to a quarter of a second.
-    pub(super) fn is_still_chosen(&self, chosen: &ChosenEngine) -> bool {
-        let now = self.gateway.clock.now();
-        let beliefs = self.gateway.beliefs();
-        let Some(engine) = beliefs.engines.get(&chosen.instance) else {
-            return false;
-        };
-        if engine.record.is_leaving || engine.record.address != chosen.address {
-            return false;
-        }
-        let notice = beliefs.engines.leaving_notice(engine);
-        notice
-            .is_none_or(|notice| chosen.leaves && now.since(notice.since) < self.leaving_grace_ms())
-    }
-
-    /// Time for which engines that say that they leave may serve the request where no other
-    /// ones are left, in milliseconds. They may end under a request: one that may run only
-    /// once is not sent to them.
-    pub(super) fn leaving_grace_ms(&self) -> u64 {
-        let delivery = &self.received.admission.route.delivery;
-        match delivery.is_repeatable() {
-            true => self.gateway.settings().bounds.leaving_engine_ms / GRACE_DIVISOR,
-            false => 0,
-        }
-    }
 }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod caller_answer;
 mod choice;
 mod engine_limit;
+mod engine_notices;
 mod engine_watch;
 mod engines_hold;
 mod events;
@@ -235,6 +236,7 @@
             NoChoice::SoftwareHeldBack => "no engine has a version that may serve",
             NoChoice::WeightsTooOld => "no engine has the new weights yet",
             NoChoice::WeightsNotProven => "it is not proven which weights are the newest",
+            NoChoice::BackingOff => "all engines want nothing for a time",
             NoChoice::NoRoom => "the engine that takes a request may not serve it",
             NoChoice::AllTried => return,
         };
@@ -255,8 +257,7 @@
                 "the engine left before it was sent".clone_into(&mut progress.reason);
                 AttemptOutcome::Unreachable
             }
-            AttemptEnd::Refused { retry_after_ms } => {
-                progress.retry_after_ms = retry_after_ms;
+            AttemptEnd::Refused => {
                 "the engine refused".clone_into(&mut progress.reason);
                 AttemptOutcome::Refused
             }
--- a/crates/gateway/src/forward/prospects.rs
+++ b/crates/gateway/src/forward/prospects.rs
@@ -120,7 +120,9 @@
         let beliefs = self.gateway.beliefs();
         let engines = beliefs.engines.of_service(&self.received.admission.service);
         let up = engines.filter(|engine| {
-            !beliefs.engines.is_leaving(engine) && engine.health.may_be_chosen(now)
+            let wants_requests = !beliefs.engines.is_leaving(engine)
+                && beliefs.engines.backoff(engine, now).is_none();
+            wants_requests && engine.health.may_be_chosen(now)
         });
         let rooms = &beliefs.engines.rooms;
         let up = up.filter(|engine| rooms.has_room(engine.tag, now));
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -129,7 +129,7 @@
             AttemptEnd::Unreachable { reason, .. } => write!(text, " -> unreachable ({reason})"),
             AttemptEnd::Left => write!(text, " -> left"),
             AttemptEnd::Withheld => write!(text, " -> withheld"),
-            AttemptEnd::Refused { .. } => write!(text, " -> refused"),
+            AttemptEnd::Refused => write!(text, " -> refused"),
             AttemptEnd::OtherWeights => write!(text, " -> other weights"),
             AttemptEnd::Failed { head, .. } => write!(text, " -> failed {}", head.status),
             AttemptEnd::Broken(broken) => write!(text, " -> broken ({})", broken.reason),
