Callers come back when their service can serve them, not when one engine can

A caller whose request was turned away got the time that the last engine had named, or 200 ms where each engine of the service wants nothing for seconds: it came back for nothing.

Cause: the refusal's Retry-After was handed on as it came. Now it is the time until the first engine of the service wants requests from this node again, where none does, with a moment of the caller's own within a quarter of it; where another engine can serve, the usual 200 ms.

--- a/crates/gateway/src/forward/engine_notices.rs
+++ b/crates/gateway/src/forward/engine_notices.rs
@@ -1,5 +1,5 @@
 //! Whether the engine of a request still wants it, by its record and by what it said in
-//! answers.
+//! answers, and when callers may come back where none does.
 
 use super::choice::ChosenEngine;
 use super::Forwarding;
@@ -7,6 +7,13 @@
 /// Part of the site's bound on leaving engines for which the last ones of a service serve
 /// on: some end when the bound is over, and requests must be done by then.
 const GRACE_DIVISOR: u64 = 2;
+/// Part of the time until an engine wants requests again within which callers come back.
+const RETURN_SHARE: u64 = 4;
+/// Shortest time within which they do, in milliseconds.
+const SHORTEST_RETURN_SPREAD_MS: u64 = 20;
+/// Longest time within which they do, in milliseconds.
+const LONGEST_RETURN_SPREAD_MS: u64 = 500;
+
 impl Forwarding {
     /// Whether the engine is still one that requests go to, right before the bytes go:
     /// connecting takes up to a quarter of a second.
@@ -42,4 +49,38 @@
         let engine = beliefs.engines.get(&chosen.instance);
         engine.is_none_or(|engine| beliefs.engines.backoff(engine, now).is_none())
     }
+
+    /// When the caller of a request that no engine has run may come back, in milliseconds:
+    /// once the first engine of the service wants requests again, each at a moment of its
+    /// own.
+    pub(super) fn retry_after_ms(&self) -> u64 {
+        let usual_ms = self.gateway.settings().attempts.retry_after_ms;
+        let Some(wait_ms) = self.shortest_backoff_ms() else {
+            return usual_ms;
+        };
+        let spread_ms = wait_ms / RETURN_SHARE;
+        let spread_ms = spread_ms.clamp(SHORTEST_RETURN_SPREAD_MS, LONGEST_RETURN_SPREAD_MS);
+        wait_ms + fastrand::u64(..=spread_ms)
+    }
+
+    /// Time until the first engine of the service wants requests from this node; nothing
+    /// while one does.
+    fn shortest_backoff_ms(&self) -> Option<u64> {
+        let now = self.gateway.clock.now();
+        let service = &self.received.admission.service;
+        let beliefs = self.gateway.beliefs();
+        let engines = &beliefs.engines;
+        if engines.notices.is_empty() {
+            return None;
+        }
+        let mut shortest = None;
+        for engine in engines.of_service(service) {
+            if engines.is_leaving(engine) {
+                continue;
+            }
+            let left_ms = engines.backoff(engine, now)?.resumes_at.since(now);
+            shortest = Some(shortest.map_or(left_ms, |known: u64| known.min(left_ms)));
+        }
+        shortest
+    }
 }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -300,7 +300,7 @@
             self.finish("broken_off", &reason);
             return Ok(AfterAnswer::Abort);
         }
-        let retry_after_ms = self.gateway.settings().attempts.retry_after_ms;
+        let retry_after_ms = self.retry_after_ms();
         let last = FinalAnswer::of(&mut self.progress, retry_after_ms);
         self.finish(last.outcome(), &reason);
         let id = Some(self.received.request.id.as_str());
--- a/crates/gateway/tests/engine_notices/backoff.rs
+++ b/crates/gateway/tests/engine_notices/backoff.rs
@@ -197,3 +197,42 @@
         }
     });
 }
+
+/// Guards against a caller that is told the time of the one engine that refused its request,
+/// and not when its service can serve it.
+#[test]
+fn callers_come_back_when_the_first_engine_wants_requests_again() {
+    let _playing = play_alone();
+    smol::block_on(async {
+        let engines = [
+            StandInEngine::start("app-1", "app", Behaviour::Refuse).await,
+            StandInEngine::start("app-2", "app", Behaviour::Refuse).await,
+        ];
+        engines[0].name_backoff(Some("1000"));
+        engines[1].name_backoff(Some("9000"));
+        let fixture = Fixture::new(&[&engines[0], &engines[1]]).await;
+        // Both are asked, and one is the last.
+        let first = fixture.send(&request("safe.test", "first")).await;
+        assert_eq!(first.status(), 503);
+        assert_eq!(
+            engines.iter().map(StandInEngine::arrivals).sum::<usize>(),
+            2
+        );
+        let mut times = Vec::new();
+        for number in 0..20 {
+            let call = request("safe.test", &format!("r{number}"));
+            let answer = fixture.send(&call).await;
+            let named = answer.head.headers.get("retry-after-ms");
+            let named: u64 = named.expect("a time").parse().expect("a number");
+            // The engine's time, a quarter of it, and the callers' own moments.
+            assert!((900..=1_750).contains(&named), "{named} ms");
+            times.push(named);
+        }
+        assert_eq!(
+            engines.iter().map(StandInEngine::arrivals).sum::<usize>(),
+            2
+        );
+        times.dedup();
+        assert!(times.len() > 10, "callers come back together");
+    });
+}
