--- a/crates/balancing/src/engine_notices/exchange.rs
+++ b/crates/balancing/src/engine_notices/exchange.rs
@@ -12,6 +12,8 @@
 pub const MAX_TOLD: usize = 32;
 /// Engines that are told of at one time, beyond which the others wait for the next one.
 const MAX_DUE: usize = 16 * MAX_TOLD;
+/// Engines that are told of again in one period, though nothing has changed.
+const MAX_REPEATED: usize = 8 * MAX_TOLD;
 /// Time for which a notice is told again now and then, in milliseconds: nodes may be cut off.
 const TOLD_FOR_MS: u64 = 30_000;
 
@@ -75,11 +77,10 @@
         };
         let repeated = leaving.filter(|(_, leaving)| is_told(leaving));
         let mut repeated: Vec<EngineTag> = repeated.map(|(engine, _)| engine).collect();
-        repeated.sort();
         let first = self.next_told % repeated.len().max(1);
-        self.next_told = first + MAX_TOLD;
+        self.next_told = first + MAX_REPEATED;
         repeated.rotate_left(first);
-        repeated.truncate(MAX_TOLD);
+        repeated.truncate(MAX_REPEATED);
         repeated
     }
 
--- a/crates/balancing/src/engine_notices/mod.rs
+++ b/crates/balancing/src/engine_notices/mod.rs
@@ -11,7 +11,7 @@
 use crate::names::EngineTag;
 use ploverlift_policy::ids::Millis;
 use ploverlift_policy::telling::Telling;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// Time for which a notice is remembered after its engine was known last, in milliseconds:
 /// an entry that lapses while the store is away comes back with it.
@@ -108,7 +108,7 @@
 /// The notices of all engines.
 #[derive(Clone, Debug, Default)]
 pub struct EngineNotices {
-    notices: HashMap<EngineTag, Notice>,
+    notices: BTreeMap<EngineTag, Notice>,
     next_told: usize,
 }
 
