--- a/crates/node/src/engines/client.rs
+++ b/crates/node/src/engines/client.rs
@@ -14,6 +14,7 @@
 use crate::engines::body::{read_head, AnswerHead, EngineBody};
 use ploverlift_policy::admission::ComeBack;
 use ploverlift_policy::attempt::{promises_not_run, AttemptState};
+use ploverlift_policy::decimal::read_seconds_as_ms;
 use ploverlift_policy::ids::{Incarnation, RequestId, WeightsVersion};
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -148,11 +149,11 @@
     fn check(&self, head: &AnswerHead, body: EngineBody) -> Result<EngineAnswer, CallFailure> {
         let status = Status::try_from(head.status).unwrap_or(Status::BadGateway);
         if head.header(RUN_STATE_HEADER) == Some(NOT_RUN) {
-            let seconds = head.header("retry-after");
-            let seconds = seconds.and_then(|text| text.parse::<u64>().ok());
+            let retry_after = head.header("retry-after");
+            let retry_after_ms = retry_after.and_then(read_seconds_as_ms);
             return Err(CallFailure {
                 state: AttemptState::Refused,
-                come_back: seconds.map(|seconds| ComeBack::after(seconds.saturating_mul(1_000))),
+                come_back: retry_after_ms.map(ComeBack::after),
                 correction: correction_in(head),
                 reason: format!("refused with status {status}"),
             });
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`fleet`] | what is known of each engine |
 //! | [`cost`] | the scoring function, in milliseconds of time to first token |
 //! | [`decide`] | route match, candidate filter, choice, explanation |
+//! | [`decimal`] | numbers in headers of other parties |
 //! | [`admission`] | rate limits and deadline admission |
 //! | [`retry`] | the retry budget |
 //! | [`attempt`] | the state of one attempt and what may be said of it |
@@ -27,6 +28,7 @@
 pub mod cost;
 pub mod decaying_sum;
 pub mod decide;
+pub mod decimal;
 pub mod directory;
 pub mod fleet;
 pub mod ids;
--- /dev/null
+++ b/crates/policy/tests/decimal.rs
@@ -0,0 +1,24 @@
+//! Which texts are numbers.
+
+use ploverlift_policy::decimal::{read_decimal, read_seconds_as_ms};
+
+#[test]
+fn digits_with_one_point_are_a_number_and_nothing_else_is() {
+    assert_eq!(read_decimal("0"), Some(0.0));
+    assert_eq!(read_decimal("1.7"), Some(1.7));
+    let bad = [
+        "", ".", "-1", "+1", "1e3", "inf", "nan", "1,7", "1.2.3", "two",
+    ];
+    for text in bad {
+        assert_eq!(read_decimal(text), None, "{text}");
+    }
+    assert_eq!(read_decimal(&"9".repeat(25)), None);
+}
+
+/// Guards against a time of parts of a second that is taken for none.
+#[test]
+fn parts_of_a_second_are_a_time() {
+    assert_eq!(read_seconds_as_ms("0.25"), Some(250));
+    assert_eq!(read_seconds_as_ms("7"), Some(7_000));
+    assert_eq!(read_seconds_as_ms("-1"), None);
+}
