--- a/crates/gateway/tests/engine_notices/main.rs
+++ b/crates/gateway/tests/engine_notices/main.rs
@@ -5,6 +5,7 @@
 mod oracle;
 #[path = "../support/mod.rs"]
 mod support;
+mod ways;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- /dev/null
+++ b/crates/gateway/tests/engine_notices/ways.rs
@@ -0,0 +1,200 @@
+//! Each way by which a request reaches an engine that leaves, or that wants nothing for a time.
+
+use crate::support::caller::{self, prompt, request};
+use crate::support::engine::{Behaviour, StandInEngine};
+use crate::support::fleet::{start_known_nodes_with, start_peer_with, wait_until};
+use crate::support::store::{StandInStore, StoreFault};
+use crate::support::{configuration, site, start_node, Fixture};
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::time::sleep;
+use serde_json::json;
+
+/// Time between two looks at what a test waits for, in milliseconds.
+const LOOK_MS: u64 = 5;
+
+fn is_leaving(node: &RunningGateway, name: &str) -> bool {
+    let beliefs = node.gateway.beliefs();
+    let engine = beliefs.engines.get(&InstanceId(name.to_owned()));
+    engine.is_some_and(|engine| beliefs.engines.is_leaving(engine))
+}
+
+/// Guards against a kept connection on which an engine that leaves is sent another request.
+#[test]
+fn a_kept_connection_to_an_engine_that_leaves_is_not_used_again() {
+    smol::block_on(async {
+        let leaving = StandInEngine::start("app-1", "app", Behaviour::KeepConnection).await;
+        let staying = StandInEngine::start("app-2", "app", Behaviour::KeepConnection).await;
+        let fixture = Fixture::new(&[&leaving, &staying]).await;
+        for number in 0..8 {
+            let call = request("safe.test", &format!("before-{number}"));
+            assert_eq!(fixture.send(&call).await.status(), 200);
+        }
+        assert!(leaving.arrivals() > 0);
+        leaving.name_leaving(Some("1"));
+        while !is_leaving(fixture.running(), "app-1") {
+            fixture.send(&request("safe.test", "telling")).await;
+        }
+        let before = leaving.arrivals();
+        for number in 0..16 {
+            let call = request("safe.test", &format!("after-{number}"));
+            assert_eq!(fixture.send(&call).await.status(), 200);
+        }
+        assert_eq!(leaving.arrivals(), before);
+    });
+}
+
+/// Guards against a stream that broke and is resumed at an engine that leaves.
+#[test]
+fn a_broken_stream_is_resumed_at_an_engine_that_stays() {
+    smol::block_on(async {
+        let leaving = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+        let breaking = StandInEngine::start("llm-2", "llm", Behaviour::Answer).await;
+        let staying = StandInEngine::start("llm-3", "llm", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&leaving, &breaking, &staying]).await;
+        leaving.name_leaving(Some("1"));
+        let mut number = 0;
+        while !is_leaving(fixture.running(), "llm-1") {
+            number += 1;
+            let mut call = prompt("resume.test", &format!("telling-{number}"));
+            call.head.headers.set(site::PARTS, number.to_string());
+            fixture.send(&call).await;
+        }
+        breaking.set(Behaviour::BreakInside(3));
+        let before = leaving.arrivals();
+        for number in 0..6 {
+            let call = prompt("resume.test", &format!("resumed-{number}"));
+            assert_eq!(fixture.send(&call).await.status(), 200);
+        }
+        assert_eq!(leaving.arrivals(), before);
+    });
+}
+
+/// Guards against orders to load weights that go to an engine that leaves.
+#[test]
+fn an_engine_that_leaves_is_not_ordered_to_load_weights() {
+    smol::block_on(async {
+        let leaving = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
+        let staying = StandInEngine::start("llm-2", "llm", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&leaving, &staying]).await;
+        leaving.name_leaving(Some("1"));
+        let mut number = 0;
+        while !is_leaving(fixture.running(), "llm-1") {
+            number += 1;
+            let mut call = prompt("stream.test", &format!("telling-{number}"));
+            call.head.headers.set(site::PARTS, number.to_string());
+            fixture.send(&call).await;
+        }
+        fixture.store.put("Weights", "m", json!({"version": 2}));
+        while staying.orders().is_empty() {
+            sleep(LOOK_MS).await;
+        }
+        sleep(300).await;
+        assert!(leaving.orders().is_empty());
+    });
+}
+
+/// Guards against a service that is empty at once because all its engines said that they
+/// leave, and against requests to them later than half of the bound.
+#[test]
+fn the_last_engines_of_a_service_serve_on_for_half_of_the_bound_after_they_said_that_they_leave() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        app.name_leaving(Some("1"));
+        assert_eq!(
+            fixture.send(&request("safe.test", "first")).await.status(),
+            200
+        );
+        let began = std::time::Instant::now();
+        // A request that may run only once is not sent to an engine that may end under it.
+        let once = fixture.send(&request("unsafe.test", "once")).await;
+        assert_eq!((once.status(), app.arrivals()), (503, 1));
+        let mut last_served = std::time::Duration::ZERO;
+        let mut rejected = 0;
+        for number in 0.. {
+            let at = began.elapsed();
+            let call = request("safe.test", &format!("r{number}"));
+            let sent = std::time::Instant::now();
+            match fixture.send(&call).await.status() {
+                200 => last_served = at,
+                503 => {
+                    rejected += 1;
+                    let held = sent.elapsed();
+                    assert!(held < std::time::Duration::from_millis(50), "{held:?}");
+                }
+                other => panic!("status {other}"),
+            }
+            if at > std::time::Duration::from_millis(2_500) {
+                break;
+            }
+            sleep(20).await;
+        }
+        println!("served until {last_served:?}, then {rejected} rejected");
+        let bounds = 900..=1_050;
+        assert!(bounds.contains(&last_served.as_millis()), "{last_served:?}");
+    });
+}
+
+/// Guards against a node that starts while the store is away from the nodes, or has an engine
+/// as ready that told another node that it leaves.
+#[test]
+fn a_node_that_starts_knows_which_engines_leave_before_it_is_ready() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let other = StandInEngine::start("app-2", "app", Behaviour::Answer).await;
+        for engine in [&app, &other] {
+            store.put("Engines", &engine.instance, engine.record());
+        }
+        let nodes = start_known_nodes_with(&store, 2, "").await;
+        app.name_leaving(Some("1"));
+        while !nodes.iter().all(|node| is_leaving(node, "app-1")) {
+            let call = request("safe.test", "telling");
+            caller::send(nodes[0].callers, &call).await;
+        }
+        for number in 0..3 {
+            let name = format!("joining-{number}");
+            let joining = start_peer_with(&store, &name, 1.0, "");
+            while caller::get_status(joining.readiness).await != 200 {
+                sleep(LOOK_MS).await;
+            }
+            assert!(is_leaving(&joining, "app-1"), "{name}");
+        }
+    });
+}
+
+/// Guards against a list of the store that undoes an engine's own word: there it is ready yet.
+#[test]
+fn a_list_that_still_has_an_engine_as_ready_does_not_undo_that_it_leaves() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store.put("Configuration", "main", configuration(1));
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let other = StandInEngine::start("app-2", "app", Behaviour::Answer).await;
+        for engine in [&app, &other] {
+            store.put("Engines", &engine.instance, engine.record());
+        }
+        let node = start_node(&store, "node", "[bounds]\nrevoke_when_cut = false\n");
+        while caller::get_status(node.readiness).await != 200 {}
+        store.set_fault(StoreFault::Silent);
+        app.name_leaving(Some("1"));
+        while !is_leaving(&node, "app-1") {
+            caller::send(node.callers, &request("safe.test", "telling")).await;
+        }
+        app.name_leaving(None);
+        store.set_fault(StoreFault::None);
+        let written = store.put("Engines", "app-1", app.record());
+        wait_until(&node, |node| {
+            node.gateway.beliefs().engines_revision >= written
+        })
+        .await;
+        let before = app.arrivals();
+        for number in 0..8 {
+            let call = request("safe.test", &format!("r{number}"));
+            assert_eq!(caller::send(node.callers, &call).await.status(), 200);
+        }
+        assert_eq!(app.arrivals(), before);
+    });
+}
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -203,3 +203,35 @@
         assert!(lease.token().is_none());
     });
 }
+
+#[test]
+fn a_time_to_back_off_and_the_word_that_an_engine_leaves_count_through_the_sleep() {
+    smol::block_on(async {
+        let refusing = StandInEngine::start("app-1", "app", Behaviour::Refuse).await;
+        let bounds = "[bounds]\nrevoke_when_cut = false\n";
+        let machine = Machine::start(&[&refusing], bounds).await;
+        let send = |id: &'static str| {
+            let callers = machine.node.callers;
+            async move {
+                let answer = caller::send(callers, &request("safe.test", id)).await;
+                answer.status()
+            }
+        };
+        refusing.name_backoff(Some("10000"));
+        assert_eq!((send("r1").await, refusing.arrivals()), (503, 1));
+        refusing.set(Behaviour::Answer);
+        // What else is known grows old as well.
+        machine.suspension.sleep(4_000);
+        sleep(LOOK_MS).await;
+        assert_eq!((send("r2").await, refusing.arrivals()), (503, 1));
+        machine.suspension.sleep(10_000);
+        while send("r3").await != 200 {
+            sleep(LOOK_MS).await;
+        }
+        refusing.name_leaving(Some("1"));
+        assert_eq!(send("r4").await, 200);
+        let before = refusing.arrivals();
+        machine.suspension.sleep(10_000);
+        assert_eq!((send("r5").await, refusing.arrivals()), (503, before));
+    });
+}
