--- a/crates/gateway/tests/engine_notices/ways.rs
+++ b/crates/gateway/tests/engine_notices/ways.rs
@@ -19,6 +19,26 @@
     engine.is_some_and(|engine| beliefs.engines.is_leaving(engine))
 }
 
+/// The engine says that it leaves, in an answer to a request at this node.
+async fn say_leaving(engine: &StandInEngine, node: &RunningGateway) {
+    engine.name_leaving(Some("1"));
+    let mut number = 0;
+    while !is_leaving(node, &engine.instance) {
+        number += 1;
+        let id = format!("telling-{number}");
+        let call = match engine.service.as_str() {
+            "llm" => {
+                // Each prompt has a home of its own.
+                let mut call = prompt("stream.test", &id);
+                call.head.headers.set(site::PARTS, number.to_string());
+                call
+            }
+            _ => request("safe.test", &id),
+        };
+        caller::send(node.callers, &call).await;
+    }
+}
+
 /// Guards against a kept connection on which an engine that leaves is sent another request.
 #[test]
 fn a_kept_connection_to_an_engine_that_leaves_is_not_used_again() {
@@ -31,10 +51,7 @@
             assert_eq!(fixture.send(&call).await.status(), 200);
         }
         assert!(leaving.arrivals() > 0);
-        leaving.name_leaving(Some("1"));
-        while !is_leaving(fixture.running(), "app-1") {
-            fixture.send(&request("safe.test", "telling")).await;
-        }
+        say_leaving(&leaving, fixture.running()).await;
         let before = leaving.arrivals();
         for number in 0..16 {
             let call = request("safe.test", &format!("after-{number}"));
@@ -52,14 +69,7 @@
         let breaking = StandInEngine::start("llm-2", "llm", Behaviour::Answer).await;
         let staying = StandInEngine::start("llm-3", "llm", Behaviour::Answer).await;
         let fixture = Fixture::new(&[&leaving, &breaking, &staying]).await;
-        leaving.name_leaving(Some("1"));
-        let mut number = 0;
-        while !is_leaving(fixture.running(), "llm-1") {
-            number += 1;
-            let mut call = prompt("resume.test", &format!("telling-{number}"));
-            call.head.headers.set(site::PARTS, number.to_string());
-            fixture.send(&call).await;
-        }
+        say_leaving(&leaving, fixture.running()).await;
         breaking.set(Behaviour::BreakInside(3));
         let before = leaving.arrivals();
         for number in 0..6 {
@@ -77,14 +87,7 @@
         let leaving = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
         let staying = StandInEngine::start("llm-2", "llm", Behaviour::Answer).await;
         let fixture = Fixture::new(&[&leaving, &staying]).await;
-        leaving.name_leaving(Some("1"));
-        let mut number = 0;
-        while !is_leaving(fixture.running(), "llm-1") {
-            number += 1;
-            let mut call = prompt("stream.test", &format!("telling-{number}"));
-            call.head.headers.set(site::PARTS, number.to_string());
-            fixture.send(&call).await;
-        }
+        say_leaving(&leaving, fixture.running()).await;
         fixture.store.put("Weights", "m", json!({"version": 2}));
         while staying.orders().is_empty() {
             sleep(LOOK_MS).await;
@@ -149,10 +152,9 @@
             store.put("Engines", &engine.instance, engine.record());
         }
         let nodes = start_known_nodes_with(&store, 2, "").await;
-        app.name_leaving(Some("1"));
-        while !nodes.iter().all(|node| is_leaving(node, "app-1")) {
-            let call = request("safe.test", "telling");
-            caller::send(nodes[0].callers, &call).await;
+        say_leaving(&app, &nodes[0]).await;
+        while !is_leaving(&nodes[1], "app-1") {
+            sleep(LOOK_MS).await;
         }
         for number in 0..3 {
             let name = format!("joining-{number}");
@@ -179,10 +181,7 @@
         let node = start_node(&store, "node", "[bounds]\nrevoke_when_cut = false\n");
         while caller::get_status(node.readiness).await != 200 {}
         store.set_fault(StoreFault::Silent);
-        app.name_leaving(Some("1"));
-        while !is_leaving(&node, "app-1") {
-            caller::send(node.callers, &request("safe.test", "telling")).await;
-        }
+        say_leaving(&app, &node).await;
         app.name_leaving(None);
         store.set_fault(StoreFault::None);
         let written = store.put("Engines", "app-1", app.record());
