--- a/crates/gateway/tests/engine_notices/ways.rs
+++ b/crates/gateway/tests/engine_notices/ways.rs
@@ -9,9 +9,14 @@
 use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::time::sleep;
 use serde_json::json;
+use std::time::{Duration, Instant};
 
 /// Time between two looks at what a test waits for, in milliseconds.
 const LOOK_MS: u64 = 5;
+/// Requests by which a node has heard an engine say that it leaves.
+const MOST_TOLD: u32 = 1_000;
+/// Time in which one node has told another.
+const TOLD_WITHIN: Duration = Duration::from_secs(5);
 
 fn is_leaving(node: &RunningGateway, name: &str) -> bool {
     let beliefs = node.gateway.beliefs();
@@ -22,9 +27,11 @@
 /// The engine says that it leaves, in an answer to a request at this node.
 async fn say_leaving(engine: &StandInEngine, node: &RunningGateway) {
     engine.name_leaving(Some("1"));
-    let mut number = 0;
-    while !is_leaving(node, &engine.instance) {
-        number += 1;
+    for number in 0.. {
+        if is_leaving(node, &engine.instance) {
+            return;
+        }
+        assert!(number < MOST_TOLD, "the node does not hear that it leaves");
         let id = format!("telling-{number}");
         let call = match engine.service.as_str() {
             "llm" => {
@@ -109,26 +116,26 @@
             fixture.send(&request("safe.test", "first")).await.status(),
             200
         );
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         // A request that may run only once is not sent to an engine that may end under it.
         let once = fixture.send(&request("unsafe.test", "once")).await;
         assert_eq!((once.status(), app.arrivals()), (503, 1));
-        let mut last_served = std::time::Duration::ZERO;
+        let mut last_served = Duration::ZERO;
         let mut rejected = 0;
         for number in 0.. {
             let at = began.elapsed();
             let call = request("safe.test", &format!("r{number}"));
-            let sent = std::time::Instant::now();
+            let sent = Instant::now();
             match fixture.send(&call).await.status() {
                 200 => last_served = at,
                 503 => {
                     rejected += 1;
                     let held = sent.elapsed();
-                    assert!(held < std::time::Duration::from_millis(50), "{held:?}");
+                    assert!(held < Duration::from_millis(50), "{held:?}");
                 }
                 other => panic!("status {other}"),
             }
-            if at > std::time::Duration::from_millis(2_500) {
+            if at > Duration::from_millis(2_500) {
                 break;
             }
             sleep(20).await;
@@ -153,7 +160,9 @@
         }
         let nodes = start_known_nodes_with(&store, 2, "").await;
         say_leaving(&app, &nodes[0]).await;
+        let began = Instant::now();
         while !is_leaving(&nodes[1], "app-1") {
+            assert!(began.elapsed() < TOLD_WITHIN, "nobody told it");
             sleep(LOOK_MS).await;
         }
         for number in 0..3 {
