--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -34,7 +34,7 @@
 pub enum PassedOverReason {
     /// It leaves.
     Leaving(LeavingNotice),
-    /// It wants nothing from this node for a time.
+    /// It asked this node to back off.
     Backoff(Backoff),
 }
 
@@ -180,12 +180,12 @@
         engine.record.is_leaving || self.leaving_notice(engine).is_some()
     }
 
-    /// An engine's word in an answer that it leaves.
+    /// An engine's notice, in an answer, that it leaves.
     pub fn leaving_notice(&self, engine: &Engine) -> Option<LeavingNotice> {
         self.notices.leaving(engine.tag, engine.record.heartbeat)
     }
 
-    /// The time for which an engine wants nothing from this node, while it lasts.
+    /// The backoff that an engine asked for, while it lasts.
     pub fn backoff(&self, engine: &Engine, now: Millis) -> Option<Backoff> {
         self.notices
             .backoff(engine.tag, engine.record.heartbeat, now)
--- a/crates/balancing/src/eligibility.rs
+++ b/crates/balancing/src/eligibility.rs
@@ -17,7 +17,7 @@
     WeightsNotProven,
     /// Every engine was tried already.
     AllTried,
-    /// Every engine that was not tried wants nothing from this node for a time.
+    /// Every engine that was not tried asked this node to back off.
     BackingOff,
     /// Every engine that was not tried has given out all that it takes for now.
     NoRoom,
--- a/crates/balancing/src/engine_notices/exchange.rs
+++ b/crates/balancing/src/engine_notices/exchange.rs
@@ -1,7 +1,7 @@
 //! What a node tells the others of engines that leave, and what it takes in from them.
 //!
-//! That an engine leaves holds for all. That it wants nothing for a time was said to one node
-//! alone, and is told to nobody.
+//! That an engine leaves holds for all. A backoff was asked of one node alone, and is told to
+//! nobody.
 
 use super::{EngineLife, EngineNotices, LeavingNotice, NoticeSource, KEPT_MS};
 use crate::names::EngineTag;
--- a/crates/balancing/src/engine_notices/mod.rs
+++ b/crates/balancing/src/engine_notices/mod.rs
@@ -1,5 +1,5 @@
 //! What engines said of themselves in answers and what outlasts the answer: that they leave,
-//! and until when they want nothing from this node.
+//! and until when this node is to back off.
 //!
 //! Kept beside the records of the catalogue and by life: no record of the same life undoes
 //! it, whether it lags behind, lapses or comes back. A life that is known to have begun later
@@ -18,7 +18,7 @@
 const KEPT_MS: u64 = 120_000;
 /// Notices that are kept at most: more than a fleet has engines.
 const MAX_NOTICES: usize = 16_384;
-/// Longest time for which an engine is believed to want nothing, in milliseconds.
+/// Longest backoff that is believed, in milliseconds.
 const LONGEST_BACKOFF_MS: u64 = 24 * 60 * 60 * 1_000;
 /// Part of a time to back off within which nodes send to the engine again, each from a moment
 /// of its own: all at once would fill it.
@@ -54,7 +54,7 @@
     pub born_ms: u64,
 }
 
-/// An engine's word that it leaves.
+/// An engine's notice that it leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeavingNotice {
     /// When a node first had it.
@@ -64,7 +64,7 @@
     telling: Telling,
 }
 
-/// An engine's word that it wants nothing from this node for a time.
+/// A time for which this node sends an engine nothing, as the engine asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Backoff {
     /// When this node first had it.
@@ -118,7 +118,7 @@
         self.notices.is_empty()
     }
 
-    /// Engines that said that they leave, or want nothing from this node.
+    /// Engines that have some.
     pub fn len(&self) -> usize {
         self.notices.len()
     }
@@ -128,13 +128,12 @@
         self.notices.keys().copied()
     }
 
-    /// The word of the engine in the life of this heartbeat that it leaves.
+    /// The notice of the engine in the life of this heartbeat that it leaves.
     pub fn leaving(&self, engine: EngineTag, heartbeat: Heartbeat) -> Option<LeavingNotice> {
         self.of(engine, heartbeat)?.leaving
     }
 
-    /// The time for which the engine in the life of this heartbeat wants nothing from this
-    /// node, while it lasts.
+    /// The backoff that the engine in the life of this heartbeat asked for, while it lasts.
     pub fn backoff(&self, engine: EngineTag, heartbeat: Heartbeat, now: Millis) -> Option<Backoff> {
         let backoff = self.of(engine, heartbeat)?.backoff?;
         (now < backoff.resumes_at).then_some(backoff)
@@ -171,8 +170,8 @@
         false
     }
 
-    /// The engine turned a request of this node away and wants nothing for so long. The
-    /// latest end counts. `draw`, a random number, places the node among those that come
+    /// The engine turned a request of this node away and asked it to back off for so long.
+    /// The latest end counts. `draw`, a random number, places the node among those that come
     /// back.
     pub fn note_backoff(&mut self, life: EngineLife, duration_ms: u64, draw: u64, now: Millis) {
         let duration_ms = duration_ms.min(LONGEST_BACKOFF_MS);
--- a/crates/gateway/src/engine_signals.rs
+++ b/crates/gateway/src/engine_signals.rs
@@ -131,7 +131,7 @@
     let notices = &mut beliefs.engines.notices;
     notices.note_backoff(life, duration_ms, draw, now);
     drop(beliefs);
-    slog::debug!(gateway.log, "engine wants nothing from this node";
+    slog::debug!(gateway.log, "engine asked this node to back off";
         "engine" => &origin.instance.0, "for_ms" => duration_ms);
 }
 
--- a/crates/gateway/src/forward/engine_notices.rs
+++ b/crates/gateway/src/forward/engine_notices.rs
@@ -7,7 +7,7 @@
 /// Part of the site's bound on leaving engines for which the last ones of a service serve
 /// on: some end when the bound is over, and requests must be done by then.
 const GRACE_DIVISOR: u64 = 2;
-/// Part of the time until an engine wants requests again within which callers come back.
+/// Part of the time until the first backoff ends within which callers come back.
 const RETURN_SHARE: u64 = 4;
 /// Shortest time within which they do, in milliseconds.
 const SHORTEST_RETURN_SPREAD_MS: u64 = 20;
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Whether the engine wants requests from this node.
+    /// Whether no backoff from the engine is running.
     pub(super) fn takes_requests(&self, chosen: &ChosenEngine) -> bool {
         let now = self.gateway.clock.now();
         let beliefs = self.gateway.beliefs();
@@ -51,8 +51,7 @@
     }
 
     /// When the caller of a request that no engine has run may come back, in milliseconds:
-    /// once the first engine of the service wants requests again, each at a moment of its
-    /// own.
+    /// once the first backoff of the service's engines ends, each at a moment of its own.
     pub(super) fn retry_after_ms(&self) -> u64 {
         let usual_ms = self.gateway.settings().attempts.retry_after_ms;
         let Some(wait_ms) = self.shortest_backoff_ms() else {
@@ -63,8 +62,8 @@
         wait_ms + fastrand::u64(..=spread_ms)
     }
 
-    /// Time until the first engine of the service wants requests from this node; nothing
-    /// while one does.
+    /// Time until the first backoff of the service's engines ends; nothing while an engine
+    /// has none.
     fn shortest_backoff_ms(&self) -> Option<u64> {
         let now = self.gateway.clock.now();
         let service = &self.received.admission.service;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -238,7 +238,7 @@
             NoChoice::SoftwareHeldBack => "no engine has a version that may serve",
             NoChoice::WeightsTooOld => "no engine has the new weights yet",
             NoChoice::WeightsNotProven => "it is not proven which weights are the newest",
-            NoChoice::BackingOff => "all engines want nothing for a time",
+            NoChoice::BackingOff => "this node backs off from all engines",
             NoChoice::NoRoom => "the engine that takes a request may not serve it",
             NoChoice::AllTried => return,
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -163,7 +163,7 @@
     pub rejected_for_limits: Counter,
     /// Answers in which engines said that they leave.
     pub leaving_answers: Counter,
-    /// Answers in which engines said that they want nothing for a time.
+    /// Answers in which engines asked this node to back off.
     pub backoff_answers: Counter,
     /// Signals of engines in answers that could not be read.
     pub invalid_signals: Family<SignalLabel, Counter>,
@@ -399,7 +399,7 @@
             ),
             (
                 "backoff_answers",
-                "Answers in which engines said that they want nothing for a time",
+                "Answers in which engines asked this node to back off",
                 &self.backoff_answers,
             ),
             (
--- a/crates/gateway/src/ports/signals.rs
+++ b/crates/gateway/src/ports/signals.rs
@@ -26,7 +26,7 @@
     pub limit: Signal<f64>,
     /// Whether it leaves.
     pub leaving: Signal<Leaving>,
-    /// Time for which it wants nothing from this node, in milliseconds. Only engines that
+    /// Time for which this node is to back off, in milliseconds. Only engines that
     /// turn a request away say so.
     pub backoff_ms: Signal<u64>,
     /// The version of its weights.
--- a/crates/gateway/tests/engine_notices/backoff.rs
+++ b/crates/gateway/tests/engine_notices/backoff.rs
@@ -1,4 +1,4 @@
-//! Engines that turn requests away and name a time for which they want nothing.
+//! Engines that turn requests away and ask the node to back off.
 
 use crate::oracle::most_within_backoff;
 use crate::play_alone;
@@ -118,8 +118,8 @@
     }
 }
 
-/// Guards against requests that engines get within the time for which they had told the node
-/// that they want nothing, where no other engine is left.
+/// Guards against requests that engines get within the backoff that they had asked the node
+/// for, where no other engine is left.
 #[test]
 fn engines_that_all_want_nothing_for_a_time_get_nothing_and_callers_are_rejected_at_once() {
     let _playing = play_alone();
--- a/crates/gateway/tests/engine_notices/main.rs
+++ b/crates/gateway/tests/engine_notices/main.rs
@@ -1,4 +1,4 @@
-//! Engines that say in their answers that they leave, or that they want nothing for a time.
+//! Engines that say in their answers that they leave, or ask the node to back off.
 
 mod backoff;
 mod leaving;
--- a/crates/gateway/tests/engine_notices/oracle.rs
+++ b/crates/gateway/tests/engine_notices/oracle.rs
@@ -57,7 +57,7 @@
 }
 
 /// The most requests that an engine got from a node within a time for which it had told that
-/// node that it wants nothing.
+/// node to back off.
 pub fn most_within_backoff(engine: &StandInEngine) -> usize {
     let arrivals = engine.arrived_ids().into_iter().zip(engine.arrival_times());
     let arrivals: Vec<(String, Instant)> = arrivals.collect();
--- a/crates/gateway/tests/engine_notices/ways.rs
+++ b/crates/gateway/tests/engine_notices/ways.rs
@@ -1,4 +1,4 @@
-//! Each way by which a request reaches an engine that leaves, or that wants nothing for a time.
+//! Each way by which a request reaches an engine that leaves, or that asked the node to back off.
 
 use crate::support::caller::{self, prompt, request};
 use crate::support::engine::{Behaviour, StandInEngine};
