The store's era, and what a lease rests on, are seen

Two nodes gave orders with one fencing token, and no line told in which state either had read the lease, from whom it took it over, or whether the store was still the one that the last holder had written to.

The era of the store is read from each of its answers: one line, a counter and a gauge when it rises. The line of a taken lease has the token and the holder before, the era, and how long the lease had been known. A known lease that the store lacks and a refused fencing token have a line and a counter each, the present token a gauge. No decision rests on any of it.

--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -135,6 +135,17 @@
             .is_some_and(|(_, spec)| self.is_own(spec))
     }
 
+    /// The last lease that was seen, and its version.
+    pub fn seen(&self) -> Option<(LeaseSpec, ResourceVersion)> {
+        let (version, spec) = self.seen.as_ref()?;
+        Some((spec.clone(), *version))
+    }
+
+    /// When this node first knew of that version.
+    pub fn seen_at(&self) -> Millis {
+        self.seen_at
+    }
+
     /// The revision of the last lease that was seen.
     pub fn revision(&self) -> Option<u64> {
         self.seen.as_ref().map(|(version, _)| version.0)
--- a/crates/gateway/src/leases/holder.rs
+++ b/crates/gateway/src/leases/holder.rs
@@ -87,6 +87,7 @@
     pub fn note_token_refused(&self, engine: &InstanceId, token: u64) {
         slog::warn!(self.gateway.log, "fencing token refused";
             "engine" => &engine.0, "token" => token);
+        self.gateway.metrics.refused_fencing_tokens.inc();
         let now = self.gateway.clock.now();
         self.view().on_token_refused(token, now);
     }
@@ -172,13 +173,25 @@
             .await
         {
             Ok(Some(object)) => self.see(&object),
-            Ok(None) => {}
+            Ok(None) => self.note_absent(),
             Err(error) => {
                 slog::debug!(self.gateway.log, "lease not read"; "error" => error.to_string());
             }
         }
     }
 
+    /// The store has no lease.
+    fn note_absent(&self) {
+        let Some((known, revision)) = self.view().seen() else {
+            return;
+        };
+        self.gateway.metrics.missing_leases.inc();
+        slog::warn!(self.gateway.log, "a known lease is missing";
+            "lease" => self.lease.stored_name(), "holder" => &known.holder.0,
+            "token" => known.fencing_token, "revision" => revision.0,
+            "era" => self.gateway.store_era.get().map(|era| era.0));
+    }
+
     /// Takes in the lease as it was read.
     fn see(&self, object: &StoreObject) {
         if let Ok(document) = serde_json::from_value::<LeaseDocument>(object.content.clone()) {
@@ -199,6 +212,8 @@
         began: Millis,
     ) {
         let had_token = self.token();
+        let before = self.view().seen();
+        let age_ms = began.since(self.view().seen_at());
         let document = LeaseDocument {
             lease: spec.clone(),
         };
@@ -219,8 +234,13 @@
                 let version = ResourceVersion(object.revision);
                 self.view().on_written(version, spec, began, now);
                 if had_token != Some(token) {
+                    let before = before.as_ref().map(|(lease, _)| lease);
                     slog::info!(self.gateway.log, "lease taken"; "lease" => self.lease.stored_name(),
-                        "token" => token, "revision" => object.revision);
+                        "token" => token, "revision" => object.revision,
+                        "era" => self.gateway.store_era.get().map(|era| era.0),
+                        "token_before" => before.map(|lease| lease.fencing_token),
+                        "holder_before" => before.map(|lease| lease.holder.0.clone()),
+                        "seen_ms" => before.map(|_| age_ms));
                 }
             }
             Err(StoreError::Conflict { current }) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,13 @@
     pub signal: &'static str,
 }
 
+/// A lease.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LeaseLabel {
+    /// Its name in the store.
+    pub lease: &'static str,
+}
+
 /// How a question for a token was answered.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TokenLabel {
@@ -177,6 +184,16 @@
     pub store_calls: Family<StoreCallLabel, Counter>,
     /// Calls of the object store that failed.
     pub store_failures: Counter,
+    /// Times that the store came back from a copy.
+    pub store_restorations: Counter,
+    /// The era of the store.
+    pub store_era: Gauge,
+    /// Leases that were known and that the store lacked.
+    pub missing_leases: Counter,
+    /// Fencing tokens that engines refused.
+    pub refused_fencing_tokens: Counter,
+    /// The fencing token of this node, by lease; 0 while it does not hold it.
+    pub fencing_tokens: Family<LeaseLabel, Gauge>,
     /// Orders to engines.
     pub orders: Counter,
     /// Requests of tenants that have a limit.
@@ -233,6 +250,11 @@
             connections_closed_for_room: Counter::default(),
             store_calls: Family::default(),
             store_failures: Counter::default(),
+            store_restorations: Counter::default(),
+            store_era: Gauge::default(),
+            missing_leases: Counter::default(),
+            refused_fencing_tokens: Counter::default(),
+            fencing_tokens: Family::default(),
             orders: Counter::default(),
             limited_requests: Family::default(),
             limited_units: Family::default(),
@@ -326,6 +348,14 @@
         }
     }
 
+    /// This node's fencing token of a lease.
+    pub fn set_fencing_token(&self, lease: &'static str, token: Option<u64>) {
+        let token = token.map_or(0, |token| i64::try_from(token).unwrap_or(i64::MAX));
+        self.fencing_tokens
+            .get_or_create(&LeaseLabel { lease })
+            .set(token);
+    }
+
     /// Counts a signal of an engine that could not be read.
     pub fn count_invalid_signal(&self, signal: &'static str) {
         let label = SignalLabel { signal };
@@ -422,6 +452,21 @@
                 "Failed calls of the store",
                 &self.store_failures,
             ),
+            (
+                "store_restorations",
+                "Times that the store came back from a copy",
+                &self.store_restorations,
+            ),
+            (
+                "missing_leases",
+                "Leases that were known and that the store lacked",
+                &self.missing_leases,
+            ),
+            (
+                "refused_fencing_tokens",
+                "Fencing tokens that engines refused",
+                &self.refused_fencing_tokens,
+            ),
             ("orders", "Orders to engines", &self.orders),
             (
                 "log_lines_skipped",
@@ -473,6 +518,9 @@
         registry.register("rollout_arrivals", help, self.rollout_arrivals.clone());
         let help = "Epoch of the last rollout stage of each name";
         registry.register("rollout_epoch", help, self.rollout_epoch.clone());
+        registry.register("store_era", "Era of the store", self.store_era.clone());
+        let help = "Fencing token of this node by lease, 0 while it does not hold it";
+        registry.register("fencing_token", help, self.fencing_tokens.clone());
         let version = self.configuration_version.clone();
         registry.register("configuration_version", "Configuration in force", version);
         registry.register("engines", "Engines in the catalogue", self.engines.clone());
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -2,6 +2,7 @@
 
 use ploverlift_balancing::catalogue::EngineRecord;
 use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_policy::ids::StoreEra;
 use ploverlift_rollout::order::{RolloutOrder, RolloutStatus};
 use ploverlift_routing::configuration::Configuration;
 use serde_json::Value;
@@ -242,6 +243,9 @@
         head: &ResponseHead,
         body: &[u8],
     ) -> Result<StoreReply, StoreError>;
+
+    /// The era of the store that gave an answer, where it tells.
+    fn store_era(&self, head: &ResponseHead) -> Option<StoreEra>;
 }
 
 /// A named version of a model's weights.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use crate::ports::Site;
 use crate::rollouts::choice::OwnSeat;
 use crate::settings::GatewaySettings;
+use crate::store::era::KnownEra;
 use crate::store::outage::StoreOutage;
 use event_listener::Event;
 use ploverlift_balancing::catalogue::InstanceId;
@@ -57,6 +58,10 @@
     pub site_learned: Event,
     /// Told when an engine is to be checked.
     pub engine_check_due: Event,
+    /// The era of the store.
+    pub store_era: KnownEra,
+    /// Told when the store has come back from a copy.
+    pub store_restored: Event,
     /// Told when an engine was found to be lost.
     pub engine_lost: Event,
     /// Told when the other nodes should hear from this one at once.
@@ -129,6 +134,8 @@
             log,
             metrics: Metrics::default(),
             store_recovered: Event::new(),
+            store_era: KnownEra::default(),
+            store_restored: Event::new(),
             stood_still: Event::new(),
             weights_named: Event::new(),
             weights_report_due: Event::new(),
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -2,6 +2,7 @@
 //! it was done, was not done, or may still be done.
 
 use super::answer_time::AnswerTime;
+use super::era::EraSource;
 use super::outage::OutageChange;
 use crate::http_call::{CallConnection, CallError};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
@@ -65,7 +66,12 @@
             }
         }
         let result = match answered {
-            Ok((head, body)) => self.gateway.site.read_store_answer(call, &head, &body),
+            Ok((head, body)) => {
+                if let Some(era) = self.gateway.site.store_era(&head) {
+                    self.gateway.note_store_era(era, EraSource::Store);
+                }
+                self.gateway.site.read_store_answer(call, &head, &body)
+            }
             Err(CallError::Unreachable { reason, .. }) => Err(StoreError::Unreachable { reason }),
             Err(CallError::NoAnswer { reason }) => Err(StoreError::Unknown { reason }),
         };
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod backoff;
 mod client;
 mod engine_feed;
+pub mod era;
 pub(crate) mod feed;
 mod lapsed;
 pub mod outage;
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -118,7 +118,8 @@
     let mut text = String::new();
     if head.path() == "/control/report" {
         let weights = *shared.weights.lock().expect("weights");
-        text = json!({"weights": weights, "orders": orders}).to_string();
+        let is_busy = shared.is_loading();
+        text = json!({"weights": weights, "orders": orders, "busy": is_busy}).to_string();
     } else {
         let order: Value = serde_json::from_slice(body).expect("an order");
         let token = order["token"].as_u64().unwrap_or(0);
@@ -130,7 +131,8 @@
             answer.status = 409;
         } else {
             *shared.weights.lock().expect("weights") = order["version"].as_u64().unwrap_or(0);
-            shared.notes.lock().expect("notes").orders.push(order);
+            shared.begin_load();
+            shared.notes.lock().expect("notes").take_order(order);
             let _ = shared.seen.try_send(());
             if !*shared.answers_orders.lock().expect("answers") {
                 return None;
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -82,6 +82,8 @@
     heads: Vec<RequestHead>,
     bodies: Vec<Vec<u8>>,
     orders: Vec<Value>,
+    /// When each of them came.
+    order_times: Vec<Instant>,
     /// Fencing tokens of the orders that were refused for them.
     refused_tokens: Vec<u64>,
     dropped: usize,
@@ -108,6 +110,9 @@
     cache_events: Mutex<Vec<(String, u64, u64)>>,
     cache_changed: Event,
     weights: Mutex<u64>,
+    /// Time that a load takes.
+    load_time: Mutex<Duration>,
+    loads_until: Mutex<Option<Instant>>,
     /// Whether orders get an answer.
     answers_orders: Mutex<bool>,
     /// The lowest fencing token that it takes orders with.
@@ -153,6 +158,8 @@
             cache_events: Mutex::default(),
             cache_changed: Event::new(),
             weights: Mutex::new(1),
+            load_time: Mutex::default(),
+            loads_until: Mutex::default(),
             answers_orders: Mutex::new(true),
             lowest_token: Mutex::new(0),
             notes: Mutex::default(),
@@ -271,6 +278,11 @@
         *self.shared.weights.lock().expect("weights")
     }
 
+    /// It loads weights for so long from now on.
+    pub fn set_load_time(&self, duration: Duration) {
+        *self.shared.load_time.lock().expect("load time") = duration;
+    }
+
     pub fn answer_orders(&self, answers: bool) {
         *self.shared.answers_orders.lock().expect("answers") = answers;
     }
@@ -323,6 +335,11 @@
         self.shared.notes.lock().expect("notes").orders.clone()
     }
 
+    /// When each order came.
+    pub fn order_times(&self) -> Vec<Instant> {
+        self.shared.notes.lock().expect("notes").order_times.clone()
+    }
+
     /// Connections on which requests came.
     pub fn connections(&self) -> usize {
         self.shared.notes.lock().expect("notes").connections
@@ -334,7 +351,24 @@
     }
 }
 
+impl Notes {
+    fn take_order(&mut self, order: Value) {
+        self.orders.push(order);
+        self.order_times.push(Instant::now());
+    }
+}
+
 impl Shared {
+    fn begin_load(&self) {
+        let until = Instant::now() + *self.load_time.lock().expect("load time");
+        *self.loads_until.lock().expect("loads until") = Some(until);
+    }
+
+    fn is_loading(&self) -> bool {
+        let until = *self.loads_until.lock().expect("loads until");
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     fn end(&self) {
         self.ends.fetch_add(1, Ordering::AcqRel);
         self.ended.notify(usize::MAX);
--- a/crates/gateway/tests/support/site/object_store.rs
+++ b/crates/gateway/tests/support/site/object_store.rs
@@ -1,10 +1,12 @@
 //! The stand-in's object store: calls and their answers.
 
+use super::super::store::STORE_ERA;
 use super::StandInSite;
 use ploverlift_gateway::ports::{
     ObjectStore, StoreCall, StoreError, StoreObject, StoreReply, WatchEvent,
 };
 use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_policy::ids::StoreEra;
 use serde_json::{json, Value};
 
 impl ObjectStore for StandInSite {
@@ -66,6 +68,11 @@
             status => Err(StoreError::Refused { status }),
         }
     }
+
+    fn store_era(&self, head: &ResponseHead) -> Option<StoreEra> {
+        let text = head.headers.get(STORE_ERA)?;
+        text.parse().ok().map(StoreEra)
+    }
 }
 
 fn reply(call: &StoreCall, value: &Value) -> StoreReply {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -8,6 +8,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// How often the store came back from a copy.
+pub const STORE_ERA: &str = "t-era";
+
 /// How the store answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreFault {
@@ -43,9 +46,20 @@
     is_gone: bool,
 }
 
+/// What the store held at a time, to come back from.
+#[derive(Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: Vec<Stored>,
+}
+
 struct State {
     revision: u64,
     history_from: u64,
+    /// How often it came back from a copy, plus one; told in all answers unless it forgets
+    /// in silence.
+    era: u64,
+    tells_era: bool,
     objects: Vec<Stored>,
     fault: StoreFault,
     calls: Vec<String>,
@@ -65,6 +79,8 @@
         let state = Arc::new(Mutex::new(State {
             revision: 0,
             history_from: 0,
+            era: 1,
+            tells_era: true,
             objects: Vec::new(),
             fault: StoreFault::None,
             calls: Vec::new(),
@@ -109,6 +125,28 @@
         state.history_from = state.revision;
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().expect("state");
+        StoreCopy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// It comes back from a copy: what was written since is gone, and revisions go back.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock().expect("state");
+        state.revision = copy.revision;
+        state.objects.clone_from(&copy.objects);
+        state.era += 1;
+    }
+
+    /// Its answers do not tell when it came back from a copy.
+    pub fn hide_era(&self) {
+        self.state.lock().expect("state").tells_era = false;
+    }
+
     pub fn content(&self, kind: &str, name: &str) -> Option<Value> {
         let state = self.state.lock().expect("state");
         let object = state.find(kind, name)?;
@@ -244,6 +282,9 @@
         };
         let body = value.to_string();
         let mut head = ResponseHead::new(status);
+        if let Some(era) = told_era(&state) {
+            head.headers.push(STORE_ERA, era.to_string());
+        }
         head.headers.push("content-length", body.len().to_string());
         let mut message = head.encode();
         message.extend_from_slice(body.as_bytes());
@@ -253,6 +294,11 @@
     }
 }
 
+fn told_era(state: &Mutex<State>) -> Option<u64> {
+    let state = state.lock().expect("state");
+    state.tells_era.then_some(state.era)
+}
+
 async fn answer(state: &Arc<Mutex<State>>, call: &Value) -> Option<(u16, Value)> {
     let what = call["do"].as_str().unwrap_or_default();
     let kind = call["kind"].as_str().unwrap_or_default();
@@ -299,7 +345,7 @@
                 return Some(state.answer(call));
             }
             let revision = call["revision"].as_u64().unwrap_or(0);
-            if revision < state.history_from {
+            if revision < state.history_from || revision > state.revision {
                 return Some((410, Value::Null));
             }
             let events = state.changes(kind, revision);
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -85,6 +85,11 @@
     /// A version given by the object API. Only rises.
     ResourceVersion
 );
+number_type!(
+    /// How often a store has come back from a copy that lacks its last writes. Revisions
+    /// of an earlier era are given out again in a later one.
+    StoreEra
+);
 number_type!(
     /// The hash of one prompt block chained to all blocks before it.
     BlockHash
