Tests: a store that comes back from a copy while a holder gives orders (red)

Three nodes before twelve engines that load two by two. The store comes back from a copy without the lease after three loads, once telling its era and once in silence.

--- /dev/null
+++ b/crates/gateway/tests/store_restored/main.rs
@@ -0,0 +1,7 @@
+//! A store that comes back from a copy and has lost what was written since.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod oracle;
+mod orders;
