--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`engine_watch`] | observations and how they reach other nodes |
 //! | [`claims`], [`claim_proposer`], [`claim_group_plan`], [`claim_messages`] | requests that run at most once |
 //! | [`quota`] | rate limits over the whole fleet |
-//! | [`lease`], [`rollout`] | duties with one holder, and orders to engines |
+//! | [`rollout`] | orders to engines |
 //! | [`output`] | what a state machine asks its driver to do |
 
 pub mod claim_group_plan;
@@ -26,7 +26,6 @@
 pub mod config_sync;
 pub mod core;
 pub mod engine_watch;
-pub mod lease;
 pub mod membership;
 pub mod node_key;
 pub mod observer_duties;
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -3,7 +3,7 @@
 use crate::catalogue_log::CatalogueLog;
 use crate::cut_requests::EngineEnds;
 use crate::engines_proof::EnginesProof;
-use crate::leases::{LeaseBeliefs, LeaseName};
+use crate::leases::{LeaseBeliefs, LeaseName, LeaseRenewal};
 use crate::outcomes::ObservedAttempt;
 use crate::peers::followed_relays::FollowedRelays;
 use crate::peers::relay_duties::RelayDuties;
@@ -209,7 +209,7 @@
         &mut self,
         placements: &[Placement],
         loaded: &[LoadedWeights],
-        lease_revision: Option<u64>,
+        lease: Option<LeaseRenewal>,
         now: Millis,
     ) {
         for placement in placements {
@@ -218,8 +218,8 @@
         for loaded in loaded {
             self.engines.note_loaded_weights(loaded);
         }
-        if let Some(revision) = lease_revision {
-            self.leases.of_mut(LeaseName::Weights).hear(revision, now);
+        if let Some(renewal) = lease {
+            self.leases.of_mut(LeaseName::Weights).hear(renewal, now);
         }
     }
 
--- a/crates/gateway/src/leases/holder.rs
+++ b/crates/gateway/src/leases/holder.rs
@@ -1,16 +1,17 @@
 //! This node's part in one lease.
 
 use super::document::LeaseDocument;
-use super::LeaseName;
+use super::{LeaseName, LeaseRenewal};
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
 use crate::store::StoreClient;
 use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_clock::unix_ms;
-use ploverlift_cluster::lease::{LeaseStep, LeaseTiming, LeaseView};
-use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion};
-use ploverlift_policy::objects::LeaseSpec;
+use ploverlift_lease::token::NodeNumber;
+use ploverlift_lease::{FencingToken, LeaseStep, LeaseTiming, LeaseView, LeaseWrite, StoredLease};
+use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion, StoreEra};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// The holder stops acting when its last renewal is so old, in milliseconds.
@@ -22,7 +23,7 @@
 /// Time between two looks at another node's lease, in milliseconds. Only nodes
 /// that would succeed its holder look.
 const LOOK_PERIOD_MS: u64 = 700;
-/// Pause after a write that failed while this node does not hold the lease, in
+/// Pause after a call that failed while this node does not hold the lease, in
 /// milliseconds: a store that is away is not asked again and again.
 const RETRY_MS: u64 = 250;
 /// Longest wait for an answer to a call on the lease, in milliseconds. A write
@@ -73,20 +74,38 @@
         view.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// The view with all that this node has learned elsewhere: the era of the store, and
+    /// what holders told in reports.
+    fn present_view(&self, now: Millis) -> MutexGuard<'_, LeaseView> {
+        let heard = self.gateway.beliefs().leases.of(self.lease).heard;
+        let mut view = self.view();
+        if let Some(era) = self.gateway.store_era.get() {
+            view.on_era(era, now);
+        }
+        if let Some(heard) = heard {
+            view.on_heard(heard.renewal.token, heard.heard_at);
+        }
+        view
+    }
+
     /// This node's name as a holder.
     pub fn name(&self) -> &str {
         &self.name
     }
 
     /// The fencing token, while this node may act as the holder.
-    pub fn token(&self) -> Option<u64> {
-        self.view().token(self.gateway.clock.now())
+    pub fn token(&self) -> Option<FencingToken> {
+        let now = self.gateway.clock.now();
+        let token = self.present_view(now).token(now);
+        let (lease, metrics) = (self.lease.stored_name(), &self.gateway.metrics);
+        metrics.set_fencing_token(lease, token.map(|token| token.0));
+        token
     }
 
     /// An engine refused a token because it has seen a higher one.
-    pub fn note_token_refused(&self, engine: &InstanceId, token: u64) {
+    pub fn note_token_refused(&self, engine: &InstanceId, token: FencingToken) {
         slog::warn!(self.gateway.log, "fencing token refused";
-            "engine" => &engine.0, "token" => token);
+            "engine" => &engine.0, "token" => token.0);
         self.gateway.metrics.refused_fencing_tokens.inc();
         let now = self.gateway.clock.now();
         self.view().on_token_refused(token, now);
@@ -94,7 +113,7 @@
 
     /// Whether this node was the last holder that it knows of.
     pub fn is_own(&self) -> bool {
-        self.view().is_own_lease()
+        self.present_view(self.gateway.clock.now()).is_own_lease()
     }
 
     /// Reads the lease unless it was read lately: the time after which it counts
@@ -108,6 +127,17 @@
         }
     }
 
+    /// Reads the lease if nothing is known of it in the present era of the store: the wait
+    /// for a holder that may be alive runs before there is anything to do.
+    pub async fn observe_unread(&self) {
+        let now = self.gateway.clock.now();
+        let mut io = self.io.lock().await;
+        let is_unread = self.present_view(now).is_unread();
+        if is_unread && !io.has_just_failed(now) {
+            self.look(&mut io).await;
+        }
+    }
+
     /// There is nothing to do: the next time there is, the lease is read anew.
     pub fn rest(&self) {
         self.gateway.beliefs().leases.of_mut(self.lease).held = None;
@@ -116,174 +146,227 @@
         }
     }
 
-    /// Whether the holder, another node, told of a renewal lately. Then there is
-    /// nothing to look for in the store.
-    fn hears_holder(&self, now: Millis) -> bool {
-        let heard = self.gateway.beliefs().leases.of(self.lease).heard;
-        let duration_ms = duration_ms(&self.gateway.settings());
-        heard.is_some_and(|heard| now.since(heard.heard_at) < duration_ms)
-    }
-
     /// Renews the lease or asks for it; tells whether this node may act as the holder.
     pub async fn keep(&self) -> bool {
         let is_kept = self.try_keep().await;
-        let revision = is_kept.then(|| self.view().revision());
+        let held = is_kept.then(|| self.last_renewal());
         let mut beliefs = self.gateway.beliefs();
-        beliefs.leases.of_mut(self.lease).held = revision.flatten();
+        beliefs.leases.of_mut(self.lease).held = held.flatten();
         drop(beliefs);
         is_kept
     }
 
+    fn last_renewal(&self) -> Option<LeaseRenewal> {
+        let view = self.view();
+        let lease = view.seen()?;
+        Some(LeaseRenewal {
+            token: lease.token(),
+            revision: lease.version.0,
+        })
+    }
+
     async fn try_keep(&self) -> bool {
         let mut io = self.io.lock().await;
         let now = self.gateway.clock.now();
-        if !self.is_own() && self.hears_holder(now) {
+        let is_own = self.is_own();
+        if !is_own && self.present_view(now).hears_holder(now) {
             return false;
         }
-        let has_just_failed = io
-            .failed_at
-            .is_some_and(|failed_at| now.since(failed_at) < RETRY_MS);
-        if has_just_failed && self.token().is_none() {
+        if io.has_just_failed(now) && self.token().is_none() {
             return false;
         }
-        if !self.is_own() {
-            let looked = io.looked_at;
-            if looked.is_none_or(|looked| now.since(looked) >= LOOK_PERIOD_MS) {
-                io.looked_at = Some(now);
-                self.look(&mut io).await;
-            }
+        let is_look_due = io
+            .looked_at
+            .is_none_or(|looked| now.since(looked) >= LOOK_PERIOD_MS);
+        if !is_own && (is_look_due || self.view().is_unread()) {
+            io.looked_at = Some(now);
+            self.look(&mut io).await;
         }
         let now = self.gateway.clock.now();
-        let step = self.view().step(true, unix_ms(), now);
-        if let LeaseStep::Write {
-            version,
-            spec,
-            began,
-        } = step
-        {
-            self.write(&mut io, version, spec, began).await;
+        let wants = !self.shares_its_number();
+        let step = self.present_view(now).step(wants, unix_ms(), now);
+        match step {
+            LeaseStep::Wait => {}
+            LeaseStep::Write(write) => self.write(&mut io, write).await,
+            LeaseStep::NoTokenLeft => {
+                slog::error!(self.gateway.log, "no fencing token is left";
+                    "lease" => self.lease.stored_name(),
+                    "highest" => self.view().highest_token().0);
+            }
         }
         self.token().is_some()
     }
 
+    /// Whether another known node has this node's number in fencing tokens; of two, the one
+    /// with the lower id stands for the lease.
+    fn shares_its_number(&self) -> bool {
+        let own = PeerId::of(&self.name);
+        let number = NodeNumber::of_hash(own.0);
+        let book = self.gateway.address_book();
+        let shares = book
+            .listed()
+            .any(|node| node.id < own && number.is_shared_by(node.id.0));
+        shares
+    }
+
     async fn look(&self, io: &mut LeaseIo) {
-        match io
-            .client
-            .get(StoreKind::Leases, self.lease.stored_name())
-            .await
-        {
-            Ok(Some(object)) => self.see(&object),
-            Ok(None) => self.note_absent(),
+        let name = self.lease.stored_name();
+        match io.client.get(StoreKind::Leases, name).await {
+            Ok(object) => self.see(object.as_ref(), io.client.answered_era()),
             Err(error) => {
+                io.failed_at = Some(self.gateway.clock.now());
                 slog::debug!(self.gateway.log, "lease not read"; "error" => error.to_string());
             }
         }
     }
 
+    /// Takes in the lease as it was read, or that there is none.
+    fn see(&self, object: Option<&StoreObject>, era: StoreEra) {
+        let now = self.gateway.clock.now();
+        let stored = object.map(read_lease);
+        if stored.as_ref().is_some_and(Option::is_none) {
+            slog::warn!(self.gateway.log, "lease does not fit";
+                "lease" => self.lease.stored_name());
+            return;
+        }
+        let stored = stored.flatten();
+        let heard = self.gateway.beliefs().leases.of(self.lease).heard;
+        let heard = heard.filter(|heard| {
+            let renewal = heard.renewal;
+            let seen = stored.as_ref();
+            seen.is_some_and(|lease| {
+                lease.version.0 == renewal.revision && lease.token() == renewal.token
+            })
+        });
+        let known_at = heard.map_or(now, |heard| heard.heard_at);
+        let mut view = self.present_view(now);
+        if stored.is_none() {
+            self.note_absent(&view, era);
+        }
+        view.on_read(stored, era, known_at);
+    }
+
     /// The store has no lease.
-    fn note_absent(&self) {
-        let Some((known, revision)) = self.view().seen() else {
+    fn note_absent(&self, view: &LeaseView, era: StoreEra) {
+        let Some(known) = view.seen() else {
             return;
         };
         self.gateway.metrics.missing_leases.inc();
         slog::warn!(self.gateway.log, "a known lease is missing";
-            "lease" => self.lease.stored_name(), "holder" => &known.holder.0,
-            "token" => known.fencing_token, "revision" => revision.0,
-            "era" => self.gateway.store_era.get().map(|era| era.0));
-    }
-
-    /// Takes in the lease as it was read.
-    fn see(&self, object: &StoreObject) {
-        if let Ok(document) = serde_json::from_value::<LeaseDocument>(object.content.clone()) {
-            let now = self.gateway.clock.now();
-            let heard = self.gateway.beliefs().leases.of(self.lease).heard;
-            let heard = heard.filter(|heard| heard.revision == object.revision);
-            let since = heard.map_or(now, |heard| heard.heard_at);
-            let version = ResourceVersion(object.revision);
-            self.view().on_seen(version, document.lease, since);
-        }
+            "lease" => self.lease.stored_name(), "holder" => &known.spec.holder.0,
+            "token" => known.spec.fencing_token, "revision" => known.version.0, "era" => era.0);
     }
 
-    async fn write(
-        &self,
-        io: &mut LeaseIo,
-        version: ResourceVersion,
-        spec: LeaseSpec,
-        began: Millis,
-    ) {
-        let had_token = self.token();
-        let before = self.view().seen();
-        let age_ms = began.since(self.view().seen_at());
-        let document = LeaseDocument {
-            lease: spec.clone(),
-        };
-        let content = serde_json::to_value(&document).unwrap_or_default();
+    async fn write(&self, io: &mut LeaseIo, write: LeaseWrite) {
+        let before = self.view().seen().cloned();
+        let since = self.view().seen_since();
+        let content = LeaseDocument::of(&write.lease).to_json();
         let written = io
             .client
             .compare_and_set(
                 StoreKind::Leases,
                 self.lease.stored_name(),
-                version.0,
+                write.condition.0,
                 content,
             )
             .await;
+        let era = io.client.answered_era();
         match written {
             Ok(object) => {
-                let now = self.gateway.clock.now();
-                let token = spec.fencing_token;
-                let version = ResourceVersion(object.revision);
-                self.view().on_written(version, spec, began, now);
-                if had_token != Some(token) {
-                    let before = before.as_ref().map(|(lease, _)| lease);
-                    slog::info!(self.gateway.log, "lease taken"; "lease" => self.lease.stored_name(),
-                        "token" => token, "revision" => object.revision,
-                        "era" => self.gateway.store_era.get().map(|era| era.0),
-                        "token_before" => before.map(|lease| lease.fencing_token),
-                        "holder_before" => before.map(|lease| lease.holder.0.clone()),
-                        "seen_ms" => before.map(|_| age_ms));
+                let had_token = before.as_ref().map(StoredLease::token);
+                if had_token != Some(write.lease.token()) {
+                    let seen_ms = since.map(|since| write.began.since(since));
+                    self.log_taken(&write, before.as_ref(), seen_ms, object.revision);
                 }
+                self.note_written(write, &object, era);
             }
             Err(StoreError::Conflict { current }) => {
                 slog::info!(self.gateway.log, "lease not written";
-                    "lease" => self.lease.stored_name(), "error" => "conflict");
+                    "lease" => self.lease.stored_name(), "error" => "conflict",
+                    "ground" => write.ground.name());
                 self.view().on_write_failed();
-                match current {
-                    Some(current) => self.see(&current),
+                match current.filter(|current| read_lease(current).is_some()) {
+                    Some(current) => self.see(Some(&current), era),
                     None => self.look(io).await,
                 }
             }
             Err(error) => {
                 slog::info!(self.gateway.log, "lease not written";
-                    "lease" => self.lease.stored_name(), "error" => error.to_string());
+                    "lease" => self.lease.stored_name(), "error" => error.to_string(),
+                    "ground" => write.ground.name());
                 self.view().on_write_failed();
                 io.failed_at = Some(self.gateway.clock.now());
-                self.look_for(io, &spec, began).await;
+                self.look_for(io, write).await;
             }
         }
     }
 
+    fn note_written(&self, write: LeaseWrite, object: &StoreObject, era: StoreEra) {
+        let lease = StoredLease {
+            version: ResourceVersion(object.revision),
+            ..write.lease
+        };
+        if lease.era != era {
+            slog::warn!(self.gateway.log, "lease stored in a later era";
+                "lease" => self.lease.stored_name(), "written_for" => lease.era.0, "era" => era.0);
+        }
+        let now = self.gateway.clock.now();
+        self.present_view(now)
+            .on_written(lease, write.began, era, now);
+    }
+
+    fn log_taken(
+        &self,
+        write: &LeaseWrite,
+        before: Option<&StoredLease>,
+        seen_ms: Option<u64>,
+        revision: u64,
+    ) {
+        slog::info!(self.gateway.log, "lease taken"; "lease" => self.lease.stored_name(),
+            "token" => write.lease.token().0, "revision" => revision,
+            "era" => write.lease.era.0, "ground" => write.ground.name(),
+            "token_before" => before.map(|lease| lease.token().0),
+            "holder_before" => before.map(|lease| lease.spec.holder.0.clone()),
+            "seen_ms" => seen_ms);
+    }
+
     /// After a write without an answer: if the store holds just what was
     /// written, the write was done, and not before it `began`.
-    async fn look_for(&self, io: &mut LeaseIo, spec: &LeaseSpec, began: Millis) {
-        let Ok(Some(object)) = io
-            .client
-            .get(StoreKind::Leases, self.lease.stored_name())
-            .await
-        else {
+    async fn look_for(&self, io: &mut LeaseIo, write: LeaseWrite) {
+        let name = self.lease.stored_name();
+        let Ok(object) = io.client.get(StoreKind::Leases, name).await else {
             return;
         };
-        let document = serde_json::from_value::<LeaseDocument>(object.content.clone());
-        if !document.is_ok_and(|document| document.lease == *spec) {
-            return self.see(&object);
-        }
-        let now = self.gateway.clock.now();
-        let version = ResourceVersion(object.revision);
-        self.view().on_written(version, spec.clone(), began, now);
+        let era = io.client.answered_era();
+        let stored = object.as_ref().and_then(read_lease);
+        let is_as_written = stored
+            .is_some_and(|stored| stored.spec == write.lease.spec && stored.era == write.lease.era);
+        let Some(object) = object.as_ref().filter(|_| is_as_written) else {
+            return self.see(object.as_ref(), era);
+        };
         slog::info!(self.gateway.log, "lease found written";
-            "lease" => self.lease.stored_name(), "revision" => object.revision);
+            "lease" => name, "revision" => object.revision, "ground" => write.ground.name());
+        self.note_written(write, object, era);
     }
 }
 
+impl LeaseIo {
+    fn has_just_failed(&self, now: Millis) -> bool {
+        let failed_at = self.failed_at;
+        failed_at.is_some_and(|failed_at| now.since(failed_at) < RETRY_MS)
+    }
+}
+
+/// The lease as the store has it; nothing where it can't be read.
+fn read_lease(object: &StoreObject) -> Option<StoredLease> {
+    let document: LeaseDocument = serde_json::from_value(object.content.clone()).ok()?;
+    Some(StoredLease {
+        version: ResourceVersion(object.revision),
+        spec: document.lease,
+        era: StoreEra(document.store_era),
+    })
+}
+
 /// Time after which a lease that was not renewed counts as expired, in
 /// milliseconds.
 fn duration_ms(settings: &GatewaySettings) -> u64 {
--- a/crates/gateway/src/leases/mod.rs
+++ b/crates/gateway/src/leases/mod.rs
@@ -1,7 +1,8 @@
 //! Leases in the object store, for duties that one node at a time has.
 //!
 //! Each duty has a lease of its own. The holder tells the other nodes of each renewal
-//! in its reports, so those that would succeed it need not read the store.
+//! in its reports, so those that would succeed it need not read the store. What a node may
+//! do about a lease is decided in `ploverlift-lease`; here are the calls and the reports.
 
 mod document;
 mod holder;
@@ -9,6 +10,7 @@
 
 pub use holder::LeaseHolder;
 
+use ploverlift_lease::FencingToken;
 use ploverlift_policy::ids::Millis;
 
 /// A duty that one node at a time has.
@@ -30,11 +32,21 @@
     }
 }
 
+/// A renewal of a lease, as its holder tells it. Renewals are ordered by the token first:
+/// revisions go back when the store comes back from a copy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LeaseRenewal {
+    /// The holder's fencing token; 0 when the holder is of an earlier release.
+    pub token: FencingToken,
+    /// The revision that the renewal was given, within its era of the store.
+    pub revision: u64,
+}
+
 /// A renewal of a lease of which its holder told this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeardLease {
-    /// The revision that the renewal was given.
-    pub revision: u64,
+    /// The renewal.
+    pub renewal: LeaseRenewal,
     /// When this node first heard of it.
     pub heard_at: Millis,
 }
@@ -42,26 +54,26 @@
 /// What this node knows of one lease without reading the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeaseNews {
-    /// Revision of the lease, while this node holds it.
-    pub held: Option<u64>,
-    /// The newest revision of which its holder told this node.
+    /// The last renewal, while this node holds the lease.
+    pub held: Option<LeaseRenewal>,
+    /// The newest renewal of which its holder told this node.
     pub heard: Option<HeardLease>,
 }
 
 impl LeaseNews {
     /// The holder told of its last renewal.
-    pub fn hear(&mut self, revision: u64, now: Millis) {
-        if self.heard.is_none_or(|known| known.revision < revision) {
+    pub fn hear(&mut self, renewal: LeaseRenewal, now: Millis) {
+        if self.heard.is_none_or(|known| known.renewal < renewal) {
             self.heard = Some(HeardLease {
-                revision,
+                renewal,
                 heard_at: now,
             });
         }
     }
 
     /// The newest renewal that is known.
-    pub fn newest(&self) -> Option<u64> {
-        let heard = self.heard.map(|heard| heard.revision);
+    pub fn newest(&self) -> Option<LeaseRenewal> {
+        let heard = self.heard.map(|heard| heard.renewal);
         self.held.max(heard)
     }
 }
--- a/crates/gateway/src/leases/succession.rs
+++ b/crates/gateway/src/leases/succession.rs
@@ -25,6 +25,14 @@
     }
 }
 
+/// Whether this node is among the first to succeed a holder, and knows its role: at the
+/// start all nodes would take themselves for the first.
+pub fn stands_for_leases(gateway: &Gateway) -> bool {
+    let role = role(gateway, gateway.clock.now());
+    let is_settled = matches!(role, Role::Direct | Role::Relay);
+    is_settled && succession_ms(gateway) <= LAST_SUCCESSOR_MS
+}
+
 /// This node's place in the order of the relays, or in a small fleet of the nodes that
 /// hear of each other; nothing when it follows relays.
 pub fn turn(gateway: &Gateway) -> Option<u64> {
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -9,6 +9,7 @@
 use crate::rollouts::feed::tell_news;
 use crate::rollouts::{rollout_settings, OrderNews};
 use crate::state::Gateway;
+use crate::store::era::EraSource;
 use crate::weights::knowledge::{hear_weights, NewsOrigin};
 use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_policy::ids::Millis;
@@ -19,6 +20,9 @@
 pub fn take_relay_report(gateway: &Gateway, report: &RelayReport, from: SocketAddr) {
     let now = gateway.clock.now();
     let sender = report.loads.sender;
+    if let Some(era) = report.store_era {
+        gateway.note_store_era(era, EraSource::Peer);
+    }
     gateway.address_book().heard(from, sender, now);
     if role(gateway, now) != Role::Follower {
         // It knows the same from the store and from the nodes themselves.
@@ -34,7 +38,7 @@
     let sent_at = included.and_then(|sequence| loads.own_report_sent_at(sequence));
     loads.apply(&report.loads, included, now);
     let (placements, loaded) = (&report.placements, &report.loaded);
-    beliefs.note_reported(placements, loaded, report.lease_revision, now);
+    beliefs.note_reported(placements, loaded, report.lease, now);
     for told in &report.stores {
         beliefs.cache_stores.take_told(told, now);
     }
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -7,6 +7,7 @@
 use crate::leases::LeaseName;
 use crate::rollouts::exchange::Reporter;
 use crate::state::Gateway;
+use crate::store::era::EraSource;
 use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadReport, PeerId};
 use ploverlift_balancing::prefix_holders::PlacementNews;
@@ -20,6 +21,7 @@
         return;
     }
     let now = gateway.clock.now();
+    hear_of_era(gateway, report);
     gateway.address_book().heard(from, sender, now);
     let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
@@ -33,7 +35,7 @@
     }
     beliefs.peer_loads.apply(&report.loads, now);
     let (placements, loaded) = (&report.placements, &report.loaded);
-    beliefs.note_reported(placements, loaded, report.lease_revision, now);
+    beliefs.note_reported(placements, loaded, report.lease, now);
     take_rollouts(&mut beliefs, report, now);
 }
 
@@ -61,6 +63,7 @@
 /// Takes in the sums of another zone from one of its relays.
 pub fn take_zone_report(gateway: &Gateway, report: &PeerReport, from: SocketAddr) {
     let now = gateway.clock.now();
+    hear_of_era(gateway, report);
     gateway.address_book().heard(from, report.loads.sender, now);
     let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
@@ -85,6 +88,12 @@
     hear_of_rollout_lease(&mut beliefs, report, now);
 }
 
+fn hear_of_era(gateway: &Gateway, report: &PeerReport) {
+    if let Some(era) = report.store_era {
+        gateway.note_store_era(era, EraSource::Peer);
+    }
+}
+
 /// What a node tells of rollouts.
 fn take_rollouts(beliefs: &mut Beliefs, report: &PeerReport, now: Millis) {
     let from = Reporter {
@@ -98,11 +107,11 @@
 }
 
 fn hear_of_rollout_lease(beliefs: &mut Beliefs, report: &PeerReport, now: Millis) {
-    if let Some(revision) = report.rollouts.lease_revision {
+    if let Some(renewal) = report.rollouts.lease {
         beliefs
             .leases
             .of_mut(LeaseName::Rollouts)
-            .hear(revision, now);
+            .hear(renewal, now);
     }
 }
 
@@ -139,10 +148,7 @@
             beliefs.pass_on_loaded(*loaded, now);
         }
     }
-    if let Some(revision) = report.lease_revision {
-        beliefs
-            .leases
-            .of_mut(LeaseName::Weights)
-            .hear(revision, now);
+    if let Some(renewal) = report.lease {
+        beliefs.leases.of_mut(LeaseName::Weights).hear(renewal, now);
     }
 }
--- a/crates/gateway/src/peers/message_fields.rs
+++ b/crates/gateway/src/peers/message_fields.rs
@@ -1,8 +1,12 @@
 //! Fields that several kinds of messages have, and how they stand on the wire.
 
+use crate::leases::LeaseRenewal;
 use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadedWeights, ModelTag};
 use ploverlift_balancing::prefix_holders::Placement;
+use ploverlift_lease::FencingToken;
+use ploverlift_policy::ids::StoreEra;
+use ploverlift_policy::store_revision::StoreRevision;
 use ploverlift_routing::prompt::PartKey;
 use ploverlift_wire::peers;
 
@@ -21,6 +25,38 @@
     Some(included).filter(|included| included.sequence > 0)
 }
 
+/// Reads the renewal of a lease; the wire has revision 0 where none is told.
+pub(super) fn read_renewal(revision: u64, token: u64) -> Option<LeaseRenewal> {
+    let renewal = LeaseRenewal {
+        token: FencingToken(token),
+        revision,
+    };
+    Some(renewal).filter(|renewal| renewal.revision > 0)
+}
+
+/// A packed revision of the store on the wire: its number, and its era. Nodes of earlier
+/// releases read the number alone.
+pub(super) fn revision_fields(packed: u64) -> (u64, u64) {
+    let revision = StoreRevision::of_packed(packed);
+    (revision.number, revision.era.0)
+}
+
+/// Reads a revision of the store.
+pub(super) fn read_revision(number: u64, era: u64) -> u64 {
+    let era = StoreEra(era);
+    StoreRevision { era, number }.packed()
+}
+
+/// An era of the store on the wire; 0 for none.
+pub(super) fn era_plus_one(era: Option<StoreEra>) -> u64 {
+    era.map_or(0, |era| era.0.saturating_add(1))
+}
+
+/// Reads an era of the store.
+pub(super) fn read_era(plus_one: u64) -> Option<StoreEra> {
+    plus_one.checked_sub(1).map(StoreEra)
+}
+
 pub(super) fn load_message((engine, load): &(EngineTag, EngineLoad)) -> peers::EngineLoad {
     peers::EngineLoad {
         engine: engine.0,
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -4,8 +4,8 @@
 use super::engine_signal_messages::{self, EngineSignalReport};
 use super::limit_messages::{level_message, read_levels, read_use, use_message, UseMessage};
 use super::message_fields::{
-    known, load_message, loaded_message, placement_message, read_load, read_loaded, read_lost,
-    read_placement,
+    era_plus_one, load_message, loaded_message, placement_message, read_era, read_load,
+    read_loaded, read_lost, read_placement, read_renewal,
 };
 use super::quarantine_messages::{
     quarantine_report_message, read_quarantine_report, QuarantineReport,
@@ -15,10 +15,12 @@
     confirmation_message, counts_message, read_confirmation, read_counts, RolloutReport,
 };
 use super::weights_messages::{read_weights_report, weights_report_message, WeightsReport};
+use crate::leases::LeaseRenewal;
 use ploverlift_balancing::engine_losses::LostEngine;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadReport, LoadedWeights, PeerId, ZoneTag};
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_enginelimit::news::TokenRequest;
+use ploverlift_policy::ids::StoreEra;
 use ploverlift_ratelimit::reports::LevelReport;
 use ploverlift_wire::peers::peer_message::Body;
 use ploverlift_wire::{decode_peer_message, encode_peer_message, peers, WireError};
@@ -48,8 +50,10 @@
     pub placements: Vec<Placement>,
     /// Engines that loaded weights by its order a short time ago.
     pub loaded: Vec<LoadedWeights>,
-    /// Revision of the lease on orders, while it holds that.
-    pub lease_revision: Option<u64>,
+    /// Its last renewal of the lease on orders, while it holds that.
+    pub lease: Option<LeaseRenewal>,
+    /// The latest era of the store that it knows.
+    pub store_era: Option<StoreEra>,
     /// Whether it takes the receiver for a relay and wants its reports.
     pub wants_relay_reports: bool,
     /// What it tells of rollouts.
@@ -181,7 +185,8 @@
         placements: report.placements.iter().map(placement_message).collect(),
         loading: loads.loading.iter().map(|tag| tag.0).collect(),
         loaded: report.loaded.iter().map(loaded_message).collect(),
-        lease_revision: report.lease_revision.unwrap_or(0),
+        lease_revision: report.lease.map_or(0, |lease| lease.revision),
+        lease_token: report.lease.map_or(0, |lease| lease.token.0),
         wants_relay_reports: report.wants_relay_reports,
         rollouts: report.rollouts.counts.iter().map(counts_message).collect(),
         confirmations: report
@@ -190,7 +195,9 @@
             .iter()
             .map(confirmation_message)
             .collect(),
-        rollout_lease_revision: report.rollouts.lease_revision.unwrap_or(0),
+        rollout_lease_revision: report.rollouts.lease.map_or(0, |lease| lease.revision),
+        rollout_lease_token: report.rollouts.lease.map_or(0, |lease| lease.token.0),
+        store_era_plus_one: era_plus_one(report.store_era),
         lost: report.lost.iter().map(|lost| lost.engine.0).collect(),
         lost_nodes: report.lost.iter().map(|lost| lost.nodes).collect(),
     }
@@ -209,7 +216,8 @@
         },
         placements: message.placements.iter().map(read_placement).collect(),
         loaded: message.loaded.iter().map(read_loaded).collect(),
-        lease_revision: known(message.lease_revision),
+        lease: read_renewal(message.lease_revision, message.lease_token),
+        store_era: read_era(message.store_era_plus_one),
         wants_relay_reports: message.wants_relay_reports,
         rollouts: RolloutReport {
             counts: message.rollouts.iter().map(read_counts).collect(),
@@ -218,7 +226,7 @@
                 .iter()
                 .map(read_confirmation)
                 .collect(),
-            lease_revision: known(message.rollout_lease_revision),
+            lease: read_renewal(message.rollout_lease_revision, message.rollout_lease_token),
         },
         lost: read_lost(&message.lost, &message.lost_nodes),
     }
--- a/crates/gateway/src/peers/relay_contents.rs
+++ b/crates/gateway/src/peers/relay_contents.rs
@@ -282,7 +282,8 @@
             },
             placements: Vec::new(),
             loaded: beliefs.loaded_lately(now),
-            lease_revision: beliefs.leases.of(LeaseName::Weights).newest(),
+            lease: beliefs.leases.of(LeaseName::Weights).newest(),
+            store_era: self.gateway.store_era.get(),
             configuration: beliefs.configuration_version(),
             proof_age_ms: beliefs.freshness.age_ms(now),
             engines_age_ms: beliefs.engines_proof.reported_age_ms(now),
@@ -324,7 +325,7 @@
     pub(super) fn zone_reports(&self, now: Millis) -> Vec<PeerReport> {
         let mut beliefs = self.gateway.beliefs();
         let lost = beliefs.losses.of_zone(beliefs.engines.len(), now);
-        let lease_revision = beliefs.leases.of(LeaseName::Rollouts).newest();
+        let lease = beliefs.leases.of(LeaseName::Rollouts).newest();
         let header = self.zone_header(&beliefs, &lost, now);
         let room = room_for_placements(MAX_PLACEMENTS, &lost);
         let mut reports = Vec::new();
@@ -337,7 +338,7 @@
             if reports.is_empty() {
                 report.loads.is_full = true;
                 report.loads.loads = self.zone_loads(&beliefs);
-                report.rollouts.lease_revision = lease_revision;
+                report.rollouts.lease = lease;
             }
             report.placements = placements;
             reports.push(report);
@@ -367,7 +368,8 @@
             },
             placements: Vec::new(),
             loaded: beliefs.loaded_lately(now),
-            lease_revision: beliefs.leases.of(LeaseName::Weights).newest(),
+            lease: beliefs.leases.of(LeaseName::Weights).newest(),
+            store_era: self.gateway.store_era.get(),
             wants_relay_reports: false,
             rollouts: RolloutReport::default(),
             lost: lost.to_vec(),
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -1,12 +1,14 @@
 //! What relays tell the nodes of their zone, as messages.
 
 use super::message_fields::{
-    known, less_one, load_message, loaded_message, placement_message, plus_one, read_included,
-    read_load, read_loaded, read_lost, read_placement, IncludedReport,
+    era_plus_one, known, less_one, load_message, loaded_message, placement_message, plus_one,
+    read_era, read_included, read_load, read_loaded, read_lost, read_placement, read_renewal,
+    read_revision, revision_fields, IncludedReport,
 };
 use super::rollout_messages::{news_message, read_news, RolloutNews};
 use super::store_contents::{read_store, store_message};
 use super::weights_messages::{read_weights, weights_message};
+use crate::leases::LeaseRenewal;
 use ploverlift_balancing::cache_stores::ToldContents;
 use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::engine_losses::LostEngine;
@@ -14,7 +16,7 @@
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_balancing::relayed_loads::RelayedReport;
 use ploverlift_balancing::weights::{ToldVersion, WeightsNews};
-use ploverlift_policy::ids::ZoneName;
+use ploverlift_policy::ids::{StoreEra, ZoneName};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_wire::peers;
@@ -50,8 +52,10 @@
     pub placements: Vec<Placement>,
     /// Engines that loaded weights a short time ago.
     pub loaded: Vec<LoadedWeights>,
-    /// Newest known revision of the lease on orders.
-    pub lease_revision: Option<u64>,
+    /// Newest known renewal of the lease on orders.
+    pub lease: Option<LeaseRenewal>,
+    /// The latest era of the store that the relay knows.
+    pub store_era: Option<StoreEra>,
     /// Version of the relay's configuration.
     pub configuration: Option<u64>,
     /// Age of the proof that it is the newest one, in milliseconds.
@@ -99,7 +103,9 @@
         placements: report.placements.iter().map(placement_message).collect(),
         loading: loads.loading.iter().map(|tag| tag.0).collect(),
         loaded: report.loaded.iter().map(loaded_message).collect(),
-        lease_revision: report.lease_revision.unwrap_or(0),
+        lease_revision: report.lease.map_or(0, |lease| lease.revision),
+        lease_token: report.lease.map_or(0, |lease| lease.token.0),
+        store_era_plus_one: era_plus_one(report.store_era),
         members: loads.members.iter().map(|member| member.0).collect(),
         zones: loads.zones.iter().map(|zone| zone.0).collect(),
         configuration: report.configuration.unwrap_or(0),
@@ -144,7 +150,8 @@
         },
         placements: message.placements.iter().map(read_placement).collect(),
         loaded: message.loaded.iter().map(read_loaded).collect(),
-        lease_revision: known(message.lease_revision),
+        lease: read_renewal(message.lease_revision, message.lease_token),
+        store_era: read_era(message.store_era_plus_one),
         configuration: known(message.configuration),
         proof_age_ms: less_one(message.proof_age_plus_one),
         engines_age_ms: less_one(message.engines_age_plus_one),
@@ -204,9 +211,11 @@
             })
             .collect(),
     });
+    let (revision, revision_era) = revision_fields(change.revision);
     peers::EngineChange {
         instance: change.instance.0.clone(),
-        revision: change.revision,
+        revision,
+        revision_era,
         record,
     }
 }
@@ -215,11 +224,12 @@
 /// later version of the protocol.
 pub fn read_change(message: &peers::EngineChange) -> Option<EngineChange> {
     let instance = InstanceId(message.instance.clone());
+    let revision = read_revision(message.revision, message.revision_era);
     let record = match &message.record {
         None => None,
         Some(record) => Some(EngineRecord {
             instance: instance.clone(),
-            revision: message.revision,
+            revision,
             heartbeat: Heartbeat {
                 born_ms: record.born_ms,
                 sequence: record.heartbeat_sequence,
@@ -240,7 +250,7 @@
     };
     Some(EngineChange {
         instance,
-        revision: message.revision,
+        revision,
         record,
     })
 }
--- a/crates/gateway/src/peers/reports.rs
+++ b/crates/gateway/src/peers/reports.rs
@@ -7,7 +7,7 @@
 use super::messages::{encode, room_for_placements, PeerMessage, PeerReport, MAX_PLACEMENTS};
 use super::roles::{role, Role};
 use super::rollout_messages::RolloutReport;
-use crate::leases::LeaseName;
+use crate::leases::{LeaseName, LeaseRenewal};
 use crate::rollouts::exchange::Reporter;
 use crate::state::Gateway;
 use crate::time::{sleep, within};
@@ -44,7 +44,7 @@
     socket: Arc<UdpSocket>,
     reach: Reach,
     builder: ReportBuilder,
-    reported_lease: Option<u64>,
+    reported_lease: Option<LeaseRenewal>,
     reported_loaded: Vec<LoadedWeights>,
     placements_from: u64,
     uses: UseStream,
@@ -150,13 +150,13 @@
         let room = room_for_placements(MAX_PLACEMENTS, &lost);
         let news = beliefs.holders.news_after(self.placements_from, room);
         let (placements, placements_from) = news;
-        let lease_revision = beliefs.leases.of(LeaseName::Weights).held;
+        let lease = beliefs.leases.of(LeaseName::Weights).held;
         let loaded = beliefs.loaded_lately(now);
         let is_rollout_open = beliefs.rollouts.is_any_open();
         let has_other_news = is_due
             || is_rollout_open
             || !placements.is_empty()
-            || lease_revision != self.reported_lease
+            || lease != self.reported_lease
             || loaded != self.reported_loaded;
         let loads = self.builder.next(
             sequence,
@@ -176,16 +176,17 @@
         };
         self.sent_at = Some(now);
         self.placements_from = placements_from;
-        self.reported_lease = lease_revision;
+        self.reported_lease = lease;
         self.reported_loaded.clone_from(&loaded);
         Some(PeerReport {
             loads,
             placements,
             loaded,
-            lease_revision,
+            lease,
+            store_era: self.gateway.store_era.get(),
             wants_relay_reports: for_relays,
             rollouts: RolloutReport {
-                lease_revision: beliefs.leases.of(LeaseName::Rollouts).held,
+                lease: beliefs.leases.of(LeaseName::Rollouts).held,
                 ..beliefs.rollouts.own_report(own, sequence)
             },
             lost,
--- a/crates/gateway/src/peers/rollout_messages.rs
+++ b/crates/gateway/src/peers/rollout_messages.rs
@@ -1,5 +1,7 @@
 //! What nodes tell each other of rollouts, as messages.
 
+use super::message_fields::{read_revision, revision_fields};
+use crate::leases::LeaseRenewal;
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_rollout::counts::{
     Counts, EngineSlotCounts, RouteCounts, RouteTag, SideCounts, ENGINE_SLOTS,
@@ -56,8 +58,8 @@
     pub counts: Vec<ServiceCounts>,
     /// What the sender, or the nodes of its zone, say of stages.
     pub confirmations: Vec<NodeConfirmation>,
-    /// Revision of the lease on rollouts.
-    pub lease_revision: Option<u64>,
+    /// A renewal of the lease on rollouts.
+    pub lease: Option<LeaseRenewal>,
 }
 
 /// What a relay tells of rollouts.
@@ -183,8 +185,10 @@
 
 /// The message for what a relay tells.
 pub fn news_message(news: &RolloutNews) -> peers::RolloutNews {
+    let (known_through, known_through_era) = revision_fields(news.known_through);
     peers::RolloutNews {
-        known_through: news.known_through,
+        known_through,
+        known_through_era,
         age_ms: news.age_ms,
         orders: news.orders.iter().map(order_message).collect(),
         sums: news.sums.iter().map(counts_message).collect(),
@@ -194,7 +198,7 @@
 /// Reads what a relay tells.
 pub fn read_news(message: &peers::RolloutNews) -> RolloutNews {
     RolloutNews {
-        known_through: message.known_through,
+        known_through: read_revision(message.known_through, message.known_through_era),
         age_ms: message.age_ms,
         orders: message.orders.iter().map(read_order).collect(),
         sums: message.sums.iter().map(read_counts).collect(),
@@ -211,11 +215,13 @@
         target: status.target.0.clone(),
         progress: status.progress.clone(),
     });
+    let (revision, revision_era) = revision_fields(order.revision);
     peers::RolloutOrder {
         service: order.service.0.clone(),
         target: order.target.0.clone(),
         duration_ms: order.duration_ms,
-        revision: order.revision,
+        revision,
+        revision_era,
         status,
     }
 }
@@ -234,7 +240,7 @@
         service: ServiceName(message.service.clone()),
         target: SoftwareVersion(message.target.clone()),
         duration_ms: message.duration_ms,
-        revision: message.revision,
+        revision: read_revision(message.revision, message.revision_era),
         status,
     }
 }
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -5,6 +5,7 @@
 
 use super::followed_relays::{CatalogueCursor, Lacking, LONGEST_FETCH_MS};
 use super::follower::take_rollout_news;
+use super::message_fields::{era_plus_one, read_revision, revision_fields};
 use super::relay_messages::read_change;
 use super::roles::{role, Role};
 use super::rollout_messages::{news_message, read_news};
@@ -173,7 +174,7 @@
             Ok(content) => {
                 let object = StoreObject {
                     name: stored.name.clone(),
-                    revision: stored.revision,
+                    revision: read_revision(stored.revision, stored.revision_era),
                     is_deleting: false,
                     content,
                     status: None,
@@ -196,7 +197,8 @@
     let mut beliefs = gateway.beliefs();
     let order_news = take_orders(&mut beliefs, snapshot, settings, now);
     let was_listed = beliefs.engines_listed;
-    let news = beliefs.replace_engines(records, snapshot.engines_revision, now);
+    let revision = read_revision(snapshot.engines_revision, snapshot.engines_revision_era);
+    let news = beliefs.replace_engines(records, revision, now);
     for placed in &snapshot.placed_versions {
         let service = ServiceName(placed.service.clone());
         let version = SoftwareVersion(placed.version.clone());
@@ -218,7 +220,7 @@
     gateway.metrics.engines.set(count as i64);
     slog::info!(gateway.log, "engines taken over from a relay";
         "relay" => lacking.address.to_string(), "count" => count,
-        "revision" => snapshot.engines_revision, "change" => snapshot.changes_through);
+        "revision" => revision, "change" => snapshot.changes_through);
 }
 
 /// The orders that the relay knew, so that a node that starts need not wait for a report
@@ -332,15 +334,19 @@
         service: service.0.clone(),
         version: version.0.clone(),
     });
+    let engines_revision = engines
+        .as_ref()
+        .map_or(beliefs.engines_revision, |known| known.revision);
+    let (engines_revision, engines_revision_era) = revision_fields(engines_revision);
     let head = peers::Snapshot {
         configuration,
         life: gateway.life,
         changes_through: engines
             .as_ref()
             .map_or(through, |known| known.changes_through),
-        engines_revision: engines
-            .as_ref()
-            .map_or(beliefs.engines_revision, |known| known.revision),
+        engines_revision,
+        engines_revision_era,
+        store_era_plus_one: era_plus_one(gateway.store_era.get()),
         engines: Vec::new(),
         rollouts: news.as_ref().map(news_message),
         placed_versions: placed.filter(|_| request.wants_engines).collect(),
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -10,7 +10,7 @@
 use super::service::ServiceRollout;
 use super::told::{log_decision, reason_name};
 use super::{exchange::Reporter, rollout_settings};
-use crate::leases::succession::{succession_ms, LAST_SUCCESSOR_MS};
+use crate::leases::succession::{stands_for_leases, succession_ms, LAST_SUCCESSOR_MS};
 use crate::leases::{LeaseHolder, LeaseName};
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
@@ -50,6 +50,9 @@
         if !is_open || waits_ms > LAST_SUCCESSOR_MS || gateway.is_stopping() {
             holder.rest();
             deciding.deciders.clear();
+            if stands_for_leases(&gateway) {
+                holder.observe_unread().await;
+            }
             within(IDLE_PERIOD_MS, changed).await;
             continue;
         }
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -61,7 +61,7 @@
     /// counts of a service by some of its routes each, as of each count the highest
     /// stands.
     pub fn pieces(self) -> Vec<RolloutReport> {
-        let lease_revision = self.lease_revision;
+        let lease = self.lease;
         let mut confirmations = self.confirmations.chunks(MAX_CONFIRMATIONS);
         let mut counts = self.counts.iter().flat_map(counts_by_routes);
         let mut pieces = Vec::new();
@@ -73,7 +73,7 @@
             pieces.push(RolloutReport {
                 counts: counted.into_iter().collect(),
                 confirmations: said.unwrap_or_default().to_vec(),
-                lease_revision,
+                lease,
             });
         }
     }
@@ -138,7 +138,7 @@
         RolloutReport {
             counts,
             confirmations,
-            lease_revision: None,
+            lease: None,
         }
     }
 
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -2,11 +2,13 @@
 //! it was done, was not done, or may still be done.
 
 use super::answer_time::AnswerTime;
-use super::era::EraSource;
+use super::era::{EraNews, EraSource};
 use super::outage::OutageChange;
 use crate::http_call::{CallConnection, CallError};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
 use crate::state::Gateway;
+use ploverlift_http1::ResponseHead;
+use ploverlift_policy::ids::StoreEra;
 use serde_json::Value;
 use std::sync::Arc;
 
@@ -15,6 +17,7 @@
     gateway: Arc<Gateway>,
     connection: CallConnection,
     answer_time: Option<AnswerTime>,
+    answered_era: StoreEra,
 }
 
 impl StoreClient {
@@ -25,6 +28,7 @@
             gateway: Arc::clone(gateway),
             connection: CallConnection::new(address),
             answer_time: None,
+            answered_era: StoreEra::default(),
         }
     }
 
@@ -42,6 +46,11 @@
         self.connection.reset();
     }
 
+    /// The era of the store that gave the last answer; 0 where it tells none.
+    pub fn answered_era(&self) -> StoreEra {
+        self.answered_era
+    }
+
     /// Makes one call.
     ///
     /// # Errors
@@ -66,12 +75,7 @@
             }
         }
         let result = match answered {
-            Ok((head, body)) => {
-                if let Some(era) = self.gateway.site.store_era(&head) {
-                    self.gateway.note_store_era(era, EraSource::Store);
-                }
-                self.gateway.site.read_store_answer(call, &head, &body)
-            }
+            Ok((head, body)) => self.read_answer(call, &head, &body),
             Err(CallError::Unreachable { reason, .. }) => Err(StoreError::Unreachable { reason }),
             Err(CallError::NoAnswer { reason }) => Err(StoreError::Unknown { reason }),
         };
@@ -84,6 +88,27 @@
         result
     }
 
+    /// Reads an answer. One from before the store came back from a copy tells what is no
+    /// longer stored.
+    fn read_answer(
+        &mut self,
+        call: &StoreCall,
+        head: &ResponseHead,
+        body: &[u8],
+    ) -> Result<StoreReply, StoreError> {
+        let known = self.gateway.store_era.get();
+        let era = self.gateway.site.store_era(head).or(known);
+        if let Some(era) = era {
+            if self.gateway.note_store_era(era, EraSource::Store) == EraNews::Outdated {
+                return Err(StoreError::Unknown {
+                    reason: "the answer is of an earlier era of the store".to_owned(),
+                });
+            }
+            self.answered_era = era;
+        }
+        self.gateway.site.read_store_answer(call, head, body)
+    }
+
     /// Whose call began an outage as this node sees it, or ended it.
     fn log_outage(&self, call: &StoreCall, news: Option<OutageChange>, error: Option<&StoreError>) {
         match news {
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -22,6 +22,7 @@
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_policy::ids::Millis;
+use ploverlift_policy::store_revision::StoreRevision;
 use ploverlift_wire::peers::StoredConfiguration;
 use std::sync::Arc;
 
@@ -347,9 +348,11 @@
         }
     };
     let version = document.version;
+    let revision = StoreRevision::of_packed(object.revision);
     let stored = StoredConfiguration {
         name: object.name.clone(),
-        revision: object.revision,
+        revision: revision.number,
+        revision_era: revision.era.0,
         content: object.content.to_string(),
     };
     if gateway.beliefs().take_configuration(document, stored) {
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -166,7 +166,7 @@
             model: self.engine.model.clone(),
             version,
             holder: self.holder.name().to_owned(),
-            fencing_token,
+            fencing_token: fencing_token.0,
             expected_orders: orders_taken,
         };
         let (head, body) = self.gateway.site.order_message(&order);
@@ -177,7 +177,7 @@
         let answer = answered.map(|(head, _)| self.read_order_answer(&head, sent_at));
         slog::info!(self.gateway.log, "order";
             "engine" => &order.instance.0, "model" => &order.model, "version" => version,
-            "token" => fencing_token, "expected_orders" => orders_taken,
+            "token" => fencing_token.0, "expected_orders" => orders_taken,
             "answer" => format!("{answer:?}"));
         let answer = answer.ok();
         if answer == Some(OrderAnswer::FenceTooLow) {
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -13,7 +13,7 @@
 
 pub use plan::{outdated_engines, OutdatedEngine};
 
-use crate::leases::succession::{succession_ms, LAST_SUCCESSOR_MS};
+use crate::leases::succession::{stands_for_leases, succession_ms, LAST_SUCCESSOR_MS};
 use crate::leases::{LeaseHolder, LeaseName};
 use crate::peers::roles::are_engines_told;
 use crate::state::Gateway;
@@ -48,6 +48,9 @@
         gateway.beliefs().loading = loading.instances();
         if outdated.is_empty() && loading.count() == 0 {
             holder.rest();
+            if stands_for_leases(&gateway) {
+                holder.observe_unread().await;
+            }
             within(IDLE_PERIOD_MS, named).await;
             continue;
         }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -9,14 +9,16 @@
 };
 use ploverlift_balancing::prefix_holders::Placement;
 use ploverlift_gateway::assembly::start;
-use ploverlift_gateway::leases::{LeaseHolder, LeaseName};
+use ploverlift_gateway::leases::{LeaseHolder, LeaseName, LeaseRenewal};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::{AddressBook, Capacity, ListedNode, Reach};
 use ploverlift_gateway::peers::messages::{
     decode, encode, room_for_placements, PeerMessage, PeerReport, MAX_PLACEMENTS,
 };
 use ploverlift_gateway::peers::rollout_messages::RolloutReport;
-use ploverlift_policy::ids::Millis;
+use ploverlift_lease::token::NodeNumber;
+use ploverlift_lease::FencingToken;
+use ploverlift_policy::ids::{Millis, NodeName, StoreEra};
 use ploverlift_routing::prompt::{cache_salt, part_keys, PartKey, PromptPart};
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -24,6 +26,7 @@
 use std::sync::Arc;
 use support::caller::{self, prompt};
 use support::engine::{Behaviour, StandInEngine};
+use support::fleet::LARGEST_RENEWAL;
 use support::site::StandInSite;
 use support::{configuration, settings, Fixture};
 
@@ -72,7 +75,8 @@
             };
             12
         ],
-        lease_revision: Some(u64::MAX),
+        lease: Some(LARGEST_RENEWAL),
+        store_era: Some(StoreEra(1_000)),
         placements: (0..placements as u64)
             .map(|part| Placement {
                 part: PartKey(part),
@@ -182,21 +186,29 @@
     });
 }
 
+/// Leases of a deployment.
+const LEASES: usize = 2;
+
 /// A node, the stored lease of another holder, and the lease's revision.
 async fn node_beside_a_holder() -> (Fixture, u64) {
     let fixture = Fixture::with(&[], configuration(1), "").await;
     let lease = json!({"lease": {"holder": "other", "holderLife": 1,
                                  "fencingToken": 7, "expiresUnixMs": 0}});
+    // The node looks at each lease once when it starts.
+    while fixture.store.calls("get Leases") < LEASES {
+        caller::get_status(fixture.running().readiness).await;
+    }
     let revision = fixture.store.put("Leases", "weights", lease);
     (fixture, revision)
 }
 
 fn hear_of_lease(fixture: &Fixture, revision: u64, now: Millis) {
+    let renewal = LeaseRenewal {
+        token: FencingToken(7),
+        revision,
+    };
     let mut beliefs = fixture.gateway.beliefs();
-    beliefs
-        .leases
-        .of_mut(LeaseName::Weights)
-        .hear(revision, now);
+    beliefs.leases.of_mut(LeaseName::Weights).hear(renewal, now);
 }
 
 #[test]
@@ -207,7 +219,7 @@
         let now = fixture.gateway.clock.now();
         hear_of_lease(&fixture, revision, now);
         assert!(!holder.keep().await);
-        assert_eq!(fixture.store.calls("get Leases"), 0);
+        assert_eq!(fixture.store.calls("get Leases"), LEASES);
         assert_eq!(fixture.store.calls("put Leases"), 0);
     });
 }
@@ -221,7 +233,9 @@
         let long_ago = Millis(now.0 - 10_000);
         hear_of_lease(&fixture, revision, long_ago);
         assert!(holder.keep().await);
-        assert_eq!(holder.token(), Some(8));
+        let number = NodeNumber::of(&NodeName::from("node"));
+        let next = FencingToken::next(FencingToken(7), StoreEra(1), number);
+        assert_eq!(holder.token(), next);
     });
 }
 
--- a/crates/gateway/tests/relays/running_nodes.rs
+++ b/crates/gateway/tests/relays/running_nodes.rs
@@ -9,16 +9,23 @@
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::peer_loads::{EngineLoad, EngineTag, LoadReport, PeerId, ZoneTag};
 use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::leases::LeaseRenewal;
 use ploverlift_gateway::peers::address_book::{ListedNode, MESH_NODES, RELAYS_PER_ZONE};
 use ploverlift_gateway::peers::follower::take_relay_report;
 use ploverlift_gateway::peers::message_fields::IncludedReport;
 use ploverlift_gateway::peers::messages::{decode, encode, PeerMessage, PeerReport};
 use ploverlift_gateway::peers::roles::{role, Role};
 use ploverlift_gateway::peers::rollout_messages::RolloutReport;
+use ploverlift_lease::FencingToken;
 use ploverlift_policy::ids::{Millis, ZoneName};
 use serde_json::json;
 use std::net::SocketAddr;
 
+const RENEWAL: LeaseRenewal = LeaseRenewal {
+    token: FencingToken(1 << 28),
+    revision: 70,
+};
+
 /// The number of lists of what nodes need to serve.
 fn lists(store: &StandInStore) -> usize {
     let kinds = ["Configuration", "Engines", "Weights"];
@@ -148,7 +155,8 @@
             },
             placements: Vec::new(),
             loaded: Vec::new(),
-            lease_revision: Some(70),
+            lease: Some(RENEWAL),
+            store_era: None,
             wants_relay_reports: true,
             rollouts: RolloutReport::default(),
             lost: Vec::new(),
@@ -172,7 +180,7 @@
                 sequence: 21,
             };
             assert_eq!(report.included, Some(included));
-            assert_eq!(report.lease_revision, Some(70));
+            assert_eq!(report.lease, Some(RENEWAL));
             let load = report
                 .loads
                 .loads
--- a/crates/gateway/tests/relays/sizes.rs
+++ b/crates/gateway/tests/relays/sizes.rs
@@ -1,6 +1,7 @@
 //! What fits a relay's report, and the log that it tells from.
 
 use crate::reports::{engine_change, relay_report, NOW};
+use crate::support::fleet::LARGEST_RENEWAL;
 use ploverlift_balancing::cache_contents::KeyShare;
 use ploverlift_balancing::cache_stores::{StoreTag, ToldContents};
 use ploverlift_balancing::engine_losses::{LostEngine, MAX_TOLD};
@@ -21,6 +22,7 @@
 };
 use ploverlift_gateway::peers::store_contents::MAX_TOLD_PARTS;
 use ploverlift_gateway::peers::weights_messages::MAX_TOLD_VERSIONS;
+use ploverlift_policy::ids::StoreEra;
 use ploverlift_routing::prompt::PartKey;
 use ploverlift_wire::peers::peer_message::Body;
 use std::collections::BTreeSet;
@@ -68,7 +70,8 @@
         6
     ];
     report.lost = lost;
-    report.lease_revision = Some(1 << 40);
+    report.lease = Some(LARGEST_RENEWAL);
+    report.store_era = Some(StoreEra(1_000));
     let included = IncludedReport {
         life: u64::MAX >> 20,
         sequence: 1 << 40,
--- a/crates/gateway/tests/rollout_reports/messages.rs
+++ b/crates/gateway/tests/rollout_reports/messages.rs
@@ -1,7 +1,7 @@
 //! What is told of rollouts: it survives the wire and fits what is read.
 
 use crate::beliefs::{busy_counts, order, service, ROLLOUT};
-use crate::support::fleet::empty_report;
+use crate::support::fleet::{empty_report, LARGEST_RENEWAL};
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_gateway::peers::messages::{decode, encode, PeerMessage};
 use ploverlift_gateway::peers::rollout_messages::{
@@ -42,7 +42,7 @@
     report.rollouts = RolloutReport {
         counts: vec![counts.clone(), counts.clone()],
         confirmations: vec![confirmation; 2],
-        lease_revision: Some(1 << 40),
+        lease: Some(LARGEST_RENEWAL),
     };
     let message = PeerMessage::Report(report);
     let datagram = encode(&message);
@@ -114,7 +114,7 @@
     let told = RolloutReport {
         counts: counted.to_vec(),
         confirmations: confirmations.clone(),
-        lease_revision: Some(1 << 40),
+        lease: Some(LARGEST_RENEWAL),
     };
     let pieces = told.pieces();
     for piece in &pieces {
--- a/crates/gateway/tests/rollouts/deciders.rs
+++ b/crates/gateway/tests/rollouts/deciders.rs
@@ -12,6 +12,9 @@
 };
 use ploverlift_gateway::assembly::{start, RunningGateway};
 use ploverlift_gateway::logging::silent_logger;
+use ploverlift_lease::token::NodeNumber;
+use ploverlift_lease::FencingToken;
+use ploverlift_policy::ids::{NodeName, StoreEra};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -40,6 +43,7 @@
         let lease = store.content("Leases", "rollouts").expect("a lease");
         let holder = lease["lease"]["holder"].as_str().unwrap_or_default();
         let holder_index = usize::from(holder == "two");
+        let token = FencingToken(lease["lease"]["fencingToken"].as_u64().expect("a token"));
         drop(nodes.remove(holder_index));
         let node = nodes.pop().expect("the other node");
         versions.set_new(Behaviour::Fail);
@@ -47,7 +51,11 @@
         let traffic = Traffic::start(&executor, &node);
         wait_for_state(&store, &node, "rolled-back").await;
         let lease = store.content("Leases", "rollouts").expect("a lease");
-        assert_eq!(lease["lease"]["fencingToken"], json!(2));
+        let successor = NodeName(node.gateway.settings().node.name.clone());
+        let era = StoreEra(lease["store_era"].as_u64().expect("an era"));
+        let next = FencingToken::next(token, era, NodeNumber::of(&successor));
+        let taken = lease["lease"]["fencingToken"].as_u64().map(FencingToken);
+        assert_eq!(taken, next);
         traffic.stop().await;
     });
 }
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -8,6 +8,7 @@
 use ploverlift_balancing::relayed_loads::RelayedReport;
 use ploverlift_balancing::weights::WeightsNews;
 use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::leases::LeaseRenewal;
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::MESH_NODES;
 use ploverlift_gateway::peers::messages::PeerReport;
@@ -15,10 +16,16 @@
 use ploverlift_gateway::peers::roles::{role, Role};
 use ploverlift_gateway::peers::rollout_messages::RolloutReport;
 use ploverlift_gateway::time::sleep;
+use ploverlift_lease::FencingToken;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// The longest renewal of a lease on the wire.
+pub const LARGEST_RENEWAL: LeaseRenewal = LeaseRenewal {
+    token: FencingToken((1 << 53) - 1),
+    revision: (1 << 44) - 1,
+};
 /// Time between two looks at what a test waits for, in milliseconds.
 const LOOK_MS: u64 = 5;
 
@@ -117,7 +124,8 @@
         },
         placements: Vec::new(),
         loaded: Vec::new(),
-        lease_revision: None,
+        lease: None,
+        store_era: None,
         wants_relay_reports: true,
         lost: Vec::new(),
         rollouts: RolloutReport::default(),
@@ -138,7 +146,8 @@
         },
         placements: Vec::new(),
         loaded: Vec::new(),
-        lease_revision: None,
+        lease: None,
+        store_era: None,
         configuration: None,
         proof_age_ms: None,
         engines_age_ms: None,
--- /dev/null
+++ b/crates/lease/tests/leases/world.rs
@@ -0,0 +1,321 @@
+//! Nodes and a store in virtual time.
+
+use ploverlift_lease::{FencingToken, LeaseStep, LeaseTiming, LeaseView, LeaseWrite, StoredLease};
+use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion, StoreEra};
+use ploverlift_policy::store_revision::StoreRevision;
+
+/// Two machines never give orders within this time, in milliseconds.
+pub const LEASE_BOUND_MS: u64 = 3_000;
+/// Time after which a node no longer waits for an answer, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 450;
+pub const TIMING: LeaseTiming = LeaseTiming {
+    duration_ms: 4_200,
+    renew_after_ms: 400,
+    stop_acting_after_ms: 1_000,
+};
+
+/// What becomes of a write.
+#[derive(Clone, Copy, Debug)]
+pub enum Write {
+    Answered,
+    AnswerLost,
+    NotDone,
+    DoneAfter(u64),
+}
+
+/// What happens next.
+#[derive(Clone, Copy, Debug)]
+pub enum Action {
+    /// The node renews or asks for the lease.
+    Keep(Write),
+    /// The node reads the lease.
+    Look,
+    /// The node gives an order, if it may.
+    Order,
+    /// An engine refuses the token of an order that the node has just given.
+    Refused,
+    /// The node's process starts anew.
+    Restart,
+    /// The node hears what the next one would report.
+    Hear,
+    /// A copy of the store is made.
+    Copy,
+    /// The store comes back from the last copy.
+    Restore,
+    /// The store comes back, and the lease is not in it.
+    LoseLease,
+}
+
+/// A lease as it stands in the store.
+#[derive(Clone, Debug)]
+struct Entry {
+    number: u64,
+    lease: StoredLease,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Copy {
+    number: u64,
+    entry: Option<Entry>,
+}
+
+/// A write that is done later, on its condition.
+#[derive(Clone, Debug)]
+struct LateWrite {
+    at: Millis,
+    condition: u64,
+    lease: StoredLease,
+}
+
+#[derive(Clone, Debug)]
+struct Store {
+    era: StoreEra,
+    tells_era: bool,
+    number: u64,
+    entry: Option<Entry>,
+    copy: Copy,
+    late: Vec<LateWrite>,
+}
+
+impl Store {
+    /// Stores a lease if the number of the last write is still the expected one. The store
+    /// knows nothing of eras in conditions: numbers are given out again.
+    fn put(&mut self, condition: u64, lease: StoredLease) -> Option<StoredLease> {
+        let known = self.entry.as_ref().map_or(0, |entry| entry.number);
+        if known != condition {
+            return None;
+        }
+        self.number += 1;
+        let number = self.number;
+        self.entry = Some(Entry { number, lease });
+        self.read()
+    }
+
+    /// The lease, with its version as clients see it.
+    fn read(&self) -> Option<StoredLease> {
+        let entry = self.entry.as_ref()?;
+        let revision = StoreRevision {
+            era: self.told_era(),
+            number: entry.number,
+        };
+        Some(StoredLease {
+            version: ResourceVersion(revision.packed()),
+            ..entry.lease.clone()
+        })
+    }
+
+    fn told_era(&self) -> StoreEra {
+        match self.tells_era {
+            true => self.era,
+            false => StoreEra(0),
+        }
+    }
+
+    fn restore(&mut self) {
+        self.number = self.copy.number;
+        self.entry = self.copy.entry.clone();
+        self.era.0 += 1;
+    }
+
+    fn lose_lease(&mut self) {
+        self.entry = None;
+        self.era.0 += 1;
+    }
+
+    /// Does the writes that are due, if their condition still holds.
+    fn catch_up(&mut self, now: Millis) {
+        let late = std::mem::take(&mut self.late).into_iter();
+        let (due, later) = late.partition(|write| write.at <= now);
+        self.late = later;
+        let due: Vec<LateWrite> = due;
+        for write in due {
+            self.put(write.condition, write.lease);
+        }
+    }
+}
+
+/// An order as an engine got it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub at: Millis,
+    pub node: usize,
+    pub token: FencingToken,
+}
+
+/// What orders broke.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Breaches {
+    pub shared_tokens: usize,
+    pub fallen_tokens: usize,
+    pub hasty_turns: usize,
+    /// Orders under a token that an engine had refused.
+    pub refused_tokens: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct World {
+    pub now: Millis,
+    store: Store,
+    pub views: Vec<LeaseView>,
+    lives: u64,
+    pub orders: Vec<Order>,
+    refused: Vec<FencingToken>,
+    refused_again: usize,
+}
+
+impl World {
+    pub fn new(nodes: usize, tells_era: bool) -> Self {
+        let mut world = Self {
+            now: Millis(1_000_000),
+            store: Store {
+                era: StoreEra(1),
+                tells_era,
+                number: 0,
+                entry: None,
+                copy: Copy::default(),
+                late: Vec::new(),
+            },
+            views: Vec::new(),
+            lives: 0,
+            orders: Vec::new(),
+            refused: Vec::new(),
+            refused_again: 0,
+        };
+        for node in 0..nodes {
+            let view = world.new_view(node);
+            world.views.push(view);
+        }
+        world
+    }
+
+    fn new_view(&mut self, node: usize) -> LeaseView {
+        self.lives += 1;
+        let name = NodeName(format!("node-{node}"));
+        LeaseView::with_timing(name, self.lives, TIMING)
+    }
+
+    pub fn look(&mut self, node: usize) {
+        let (stored, era) = (self.store.read(), self.store.told_era());
+        self.views[node].on_read(stored, era, self.now);
+    }
+
+    fn keep(&mut self, node: usize, write: Write) {
+        if self.views[node].is_unread() {
+            self.look(node);
+        }
+        // The lease's wall-clock field only tells one write from another.
+        self.lives += 1;
+        let step = self.views[node].step(true, self.lives, self.now);
+        let LeaseStep::Write(begun) = step else {
+            return;
+        };
+        let condition = StoreRevision::of_packed(begun.condition.0).number;
+        let done = match write {
+            Write::Answered | Write::AnswerLost => self.store.put(condition, begun.lease.clone()),
+            Write::NotDone => None,
+            Write::DoneAfter(delay) => {
+                self.store.late.push(LateWrite {
+                    at: self.now.plus(delay),
+                    condition,
+                    lease: begun.lease.clone(),
+                });
+                None
+            }
+        };
+        if !matches!(write, Write::Answered) {
+            self.now = self.now.plus(ANSWER_TIMEOUT_MS);
+        }
+        match (write, done) {
+            (Write::Answered, Some(stored)) => self.note_written(node, stored, begun.began),
+            _ => {
+                self.views[node].on_write_failed();
+                self.look_for(node, &begun);
+            }
+        }
+    }
+
+    fn note_written(&mut self, node: usize, stored: StoredLease, began: Millis) {
+        let era = self.store.told_era();
+        self.views[node].on_written(stored, began, era, self.now);
+    }
+
+    /// After a write without an answer: if the store holds just what was
+    /// written, the write was done, and not before it `began`.
+    fn look_for(&mut self, node: usize, begun: &LeaseWrite) {
+        let as_written = self
+            .store
+            .read()
+            .filter(|stored| stored.spec == begun.lease.spec && stored.era == begun.lease.era);
+        match as_written {
+            Some(stored) => self.note_written(node, stored, begun.began),
+            None => self.look(node),
+        }
+    }
+
+    /// The node hears the next one, if that one holds the lease.
+    fn hear(&mut self, node: usize) {
+        let next = (node + 1) % self.views.len();
+        let era = self.store.told_era();
+        let token = self.views[next].token(self.now);
+        let view = &mut self.views[node];
+        view.on_era(era, self.now);
+        if let Some(token) = token {
+            view.on_heard(token, self.now);
+        }
+    }
+
+    pub fn act(&mut self, node: usize, action: Action) {
+        self.store.catch_up(self.now);
+        match action {
+            Action::Keep(write) => self.keep(node, write),
+            Action::Look => self.look(node),
+            Action::Order => self.order(node),
+            Action::Refused => {
+                if let Some(token) = self.views[node].token(self.now) {
+                    self.views[node].on_token_refused(token, self.now);
+                    self.refused.push(token);
+                }
+            }
+            Action::Restart => self.views[node] = self.new_view(node),
+            Action::Hear => self.hear(node),
+            Action::Copy => {
+                self.store.copy = Copy {
+                    number: self.store.number,
+                    entry: self.store.entry.clone(),
+                };
+            }
+            Action::Restore => self.store.restore(),
+            Action::LoseLease => self.store.lose_lease(),
+        }
+    }
+
+    fn order(&mut self, node: usize) {
+        let Some(token) = self.views[node].token(self.now) else {
+            return;
+        };
+        self.refused_again += usize::from(self.refused.contains(&token));
+        let at = self.now;
+        self.orders.push(Order { at, node, token });
+    }
+
+    /// What all orders so far broke.
+    pub fn breaches(&self) -> Breaches {
+        let mut breaches = Breaches {
+            refused_tokens: self.refused_again,
+            ..Breaches::default()
+        };
+        for (index, order) in self.orders.iter().enumerate() {
+            let earlier = &self.orders[..index];
+            let shares = |other: &&Order| other.token == order.token && other.node != order.node;
+            breaches.shared_tokens += earlier.iter().filter(shares).count().min(1);
+            let Some(before) = earlier.last() else {
+                continue;
+            };
+            breaches.fallen_tokens += usize::from(order.token < before.token);
+            let is_turn = order.node != before.node;
+            let is_hasty = is_turn && order.at.since(before.at) < LEASE_BOUND_MS;
+            breaches.hasty_turns += usize::from(is_hasty);
+        }
+        breaches
+    }
+}
--- a/crates/node/src/engines/orders.rs
+++ b/crates/node/src/engines/orders.rs
@@ -6,9 +6,9 @@
 use crate::state::Node;
 use ploverlift_clock::unix_ms;
 use ploverlift_cluster::config_store::Record;
-use ploverlift_cluster::lease::{LeaseStep, LeaseView};
 use ploverlift_cluster::rollout::{LoadOrder, OrderAnswer, Rollout};
-use ploverlift_policy::ids::{Millis, RequestId, ResourceVersion};
+use ploverlift_lease::{FencingToken, LeaseStep, LeaseView, LeaseWrite, StoredLease};
+use ploverlift_policy::ids::{RequestId, StoreEra};
 use ploverlift_policy::labels::Labels;
 use ploverlift_policy::objects::{Kind, LeaseSpec, Object};
 use serde_json::json;
@@ -22,6 +22,8 @@
 
 /// Name of the lease.
 pub const ORDERS_LEASE: &str = "orders";
+/// The object API has no eras: it never comes back from a copy.
+const OBJECT_API_ERA: StoreEra = StoreEra(0);
 /// Path of an engine's listener for orders.
 const ORDER_PATH: &str = "/admin/load";
 /// Time between two steps.
@@ -41,13 +43,13 @@
         note_stored_lease(&node, &mut lease);
         let wants = wants_lease(&node);
         let step = lease.step(wants, unix_ms(), node.clock.now());
-        if let LeaseStep::Write {
-            version,
-            spec,
-            began,
-        } = step
-        {
-            write_lease(&node, &platform, &mut lease, version, spec, began).await;
+        match step {
+            LeaseStep::Wait => {}
+            LeaseStep::Write(write) => write_lease(&node, &platform, &mut lease, write).await,
+            LeaseStep::NoTokenLeft => {
+                slog::error!(node.log, "no fencing token is left";
+                    "highest" => lease.highest_token().0);
+            }
         }
         if let Some(token) = lease.token(node.clock.now()) {
             give_due_orders(&node, &rollouts, token);
@@ -70,11 +72,22 @@
         .store
         .get(Kind::Lease, ORDERS_LEASE)
         .cloned();
+    let now = node.clock.now();
     let Some(stored) = stored else {
+        if lease.is_unread() {
+            lease.on_read(None, OBJECT_API_ERA, now);
+        }
         return;
     };
+    let version = stored.metadata.resource_version;
+    // Copies of objects come from several nodes, so an older one may come late.
+    if lease.seen().is_some_and(|known| known.version >= version) {
+        return;
+    }
     if let Ok(spec) = stored.typed::<LeaseSpec>() {
-        lease.on_seen(stored.metadata.resource_version, spec, node.clock.now());
+        let era = OBJECT_API_ERA;
+        let stored = StoredLease { version, spec, era };
+        lease.on_read(Some(stored), era, now);
     }
 }
 
@@ -82,16 +95,19 @@
     node: &Node,
     platform: &PlatformClient,
     lease: &mut LeaseView,
-    version: ResourceVersion,
-    spec: LeaseSpec,
-    began: Millis,
+    write: LeaseWrite,
 ) {
-    let mut object = Object::new(Kind::Lease, ORDERS_LEASE, Labels::default(), spec.clone());
-    object.metadata.resource_version = version;
+    let spec = write.lease.spec.clone();
+    let mut object = Object::new(Kind::Lease, ORDERS_LEASE, Labels::default(), spec);
+    object.metadata.resource_version = write.condition;
     match platform.put(&object).await {
         Ok(stored) => {
             let now = node.clock.now();
-            lease.on_written(stored.metadata.resource_version, spec, began, now);
+            let written = StoredLease {
+                version: stored.metadata.resource_version,
+                ..write.lease
+            };
+            lease.on_written(written, write.began, OBJECT_API_ERA, now);
             node.with_core(|core, now| core.learn(vec![Record::stored(stored)], now));
         }
         Err(PlatformError::NoAnswer { .. }) => lease.on_write_failed(),
@@ -102,7 +118,7 @@
     }
 }
 
-fn give_due_orders(node: &Arc<Node>, rollouts: &Rollouts, token: u64) {
+fn give_due_orders(node: &Arc<Node>, rollouts: &Rollouts, token: FencingToken) {
     let now = node.clock.now();
     let core = node.core();
     let pools = Arc::clone(&core.router.snapshot.pools);
@@ -111,7 +127,7 @@
     };
     for pool in pools.iter() {
         let rollout = rollouts_now.entry(pool.name.clone()).or_default();
-        for order in rollout.orders(pool, &core.router.fleet, token, now) {
+        for order in rollout.orders(pool, &core.router.fleet, token.0, now) {
             let Some(index) = core.router.fleet.find(order.engine) else {
                 continue;
             };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,4 +39,5 @@
 pub mod request;
 pub mod retry;
 pub mod snapshot;
+pub mod store_revision;
 pub mod telling;
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -33,14 +33,15 @@
 use ploverlift_cluster::claims::ClaimKey;
 use ploverlift_cluster::core::{CoreEvent, CoreSettings, NodeCore, CLAIM_GROUP, TICK_MS};
 use ploverlift_cluster::engine_watch::LOOK_PERIOD_MS;
-use ploverlift_cluster::lease::{LeaseStep, LeaseView};
 use ploverlift_cluster::membership::Identity;
 use ploverlift_cluster::rollout::{LoadOrder, OrderAnswer, Rollout};
 use ploverlift_cluster::router::{chains_of, ChosenEngine, RoutedRequest};
+use ploverlift_lease::{LeaseStep, LeaseView, StoredLease};
 use ploverlift_policy::attempt::{AttemptState, RunState};
 use ploverlift_policy::fleet::{EngineKey, EngineObservation};
 use ploverlift_policy::ids::{
-    BlockHash, Incarnation, Millis, NodeName, RequestId, TenantName, WeightsVersion, ZoneName,
+    BlockHash, Incarnation, Millis, NodeName, RequestId, StoreEra, TenantName, WeightsVersion,
+    ZoneName,
 };
 use ploverlift_policy::labels::Labels;
 use ploverlift_policy::objects::{Kind, LeaseSpec, MachineState, Object, ObjectKey};
@@ -104,6 +105,8 @@
 /// A node that started so lately may not have heard yet that an engine leaves,
 /// when every node that knew has restarted too; the engine refuses it, in milliseconds.
 const UNINFORMED_MS: u64 = 1_000;
+/// The object API has no eras: it never comes back from a copy.
+const OBJECT_API_ERA: StoreEra = StoreEra(0);
 /// Name of the lease for orders to engines.
 const ORDERS_LEASE: &str = "orders";
 
--- a/crates/simulation/src/world/object_api.rs
+++ b/crates/simulation/src/world/object_api.rs
@@ -32,6 +32,11 @@
             };
             lowest = lowest.min(version.0);
             self.note_leases(node, &objects);
+            let now = self.node_now(node);
+            let lease = &mut self.nodes[node].lease;
+            if kind == Kind::Lease && lease.is_unread() {
+                lease.on_read(None, OBJECT_API_ERA, now);
+            }
             self.with_core(node, |core, now| {
                 core.learn_list(kind, objects, version, now)
             });
@@ -58,9 +63,15 @@
     pub(super) fn note_leases(&mut self, node: usize, objects: &[Object]) {
         let now = self.node_now(node);
         for object in objects.iter().filter(|object| object.kind == Kind::Lease) {
+            let version = object.metadata.resource_version;
+            let lease = &mut self.nodes[node].lease;
+            if lease.seen().is_some_and(|known| known.version >= version) {
+                continue;
+            }
             if let Ok(spec) = object.typed::<LeaseSpec>() {
-                let version = object.metadata.resource_version;
-                self.nodes[node].lease.on_seen(version, spec, now);
+                let era = OBJECT_API_ERA;
+                let stored = StoredLease { version, spec, era };
+                lease.on_read(Some(stored), era, now);
             }
         }
     }
--- a/crates/simulation/src/world/orders.rs
+++ b/crates/simulation/src/world/orders.rs
@@ -8,14 +8,10 @@
         let unix = self.now;
         let wants = self.wanted_weights(node) != 0;
         let step = self.nodes[node].lease.step(wants, unix, now);
-        if let LeaseStep::Write {
-            version,
-            spec,
-            began,
-        } = step
-        {
+        if let LeaseStep::Write(write) = step {
+            let (spec, began) = (write.lease.spec, write.began);
             let mut object = Object::new(Kind::Lease, ORDERS_LEASE, Labels::default(), spec);
-            object.metadata.resource_version = version;
+            object.metadata.resource_version = write.condition;
             let answer = self.platform.put(object);
             let life = self.nodes[node].life;
             self.at(
@@ -47,7 +43,10 @@
             WriteAnswer::Stored(object) => {
                 if let Ok(spec) = object.typed::<LeaseSpec>() {
                     let version = object.metadata.resource_version;
-                    self.nodes[node].lease.on_written(version, spec, began, now);
+                    let era = OBJECT_API_ERA;
+                    let written = StoredLease { version, spec, era };
+                    let lease = &mut self.nodes[node].lease;
+                    lease.on_written(written, began, era, now);
                 }
             }
             WriteAnswer::Conflict | WriteAnswer::Lost | WriteAnswer::Unreachable => {
@@ -74,7 +73,7 @@
         let Some(pool) = core.router.snapshot.pool("fixit") else {
             return;
         };
-        let orders = node.rollout.orders(pool, &core.router.fleet, token, now);
+        let orders = node.rollout.orders(pool, &core.router.fleet, token.0, now);
         let life = node.life;
         for order in orders {
             let delay = self.random.u64(..ORDER_DELAY_MS);
