Revisions of the store are ordered by its era first

What callers would have seen: after the store comes back from a copy and gives revisions out again, nodes take what engines and the operator write for old news. An engine's word that it leaves is not believed, one that wrote its record anew is forgotten, a write on a revision of the lost history holds on another object's.

Cause: records, lists, watches and conditions were compared by revision alone.

Why it works: the client of the store packs the era into each revision that it returns, refuses conditions and watches that rest on an earlier era before they are sent, and takes no answer of one. All feeds list anew when an era begins. On the wire the era stands beside the revision, so nodes of earlier releases read what they did; their revisions count as of the receiver's era. Engines whose records the copy lacks have the time to write them again that they have after an outage; a record of the copy does not bring back an engine that went since; a refused request that the store lost is stored again and not taken for released.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -8,6 +8,7 @@
 use crate::names::{EngineTag, ModelTag};
 use crate::service_index::ServiceIndex;
 use ploverlift_policy::ids::Millis;
+use ploverlift_policy::store_revision::StoreRevision;
 use ploverlift_routing::configuration::ServiceName;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -60,6 +61,17 @@
     heartbeat: Heartbeat,
 }
 
+impl GoneRecord {
+    /// Whether a record that is later only because the store came back from a copy tells
+    /// no more than was known when it went.
+    fn is_in_copy(&self, record: &EngineRecord) -> bool {
+        let era = |revision| StoreRevision::of_packed(revision).era;
+        let is_told = self.heartbeat != Heartbeat::default();
+        let is_of_later_era = era(record.revision) > era(self.revision);
+        is_of_later_era && is_told && record.heartbeat == self.heartbeat
+    }
+}
+
 /// Engines that are remembered as gone; older news of them is ignored.
 const MAX_GONE: usize = 4_096;
 
@@ -112,7 +124,8 @@
             return true;
         };
         let is_late = record.heartbeat.is_of_earlier_start(gone.heartbeat)
-            || record.heartbeat.precedes(gone.heartbeat);
+            || record.heartbeat.precedes(gone.heartbeat)
+            || gone.is_in_copy(record);
         record.revision > gone.revision && !is_late
     }
 
--- a/crates/gateway/src/leases/holder.rs
+++ b/crates/gateway/src/leases/holder.rs
@@ -12,6 +12,7 @@
 use ploverlift_lease::token::NodeNumber;
 use ploverlift_lease::{FencingToken, LeaseStep, LeaseTiming, LeaseView, LeaseWrite, StoredLease};
 use ploverlift_policy::ids::{Millis, NodeName, ResourceVersion, StoreEra};
+use ploverlift_policy::store_revision::StoreRevision;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// The holder stops acting when its last renewal is so old, in milliseconds.
@@ -161,7 +162,7 @@
         let lease = view.seen()?;
         Some(LeaseRenewal {
             token: lease.token(),
-            revision: lease.version.0,
+            revision: StoreRevision::of_packed(lease.version.0).number,
         })
     }
 
@@ -235,7 +236,8 @@
             let renewal = heard.renewal;
             let seen = stored.as_ref();
             seen.is_some_and(|lease| {
-                lease.version.0 == renewal.revision && lease.token() == renewal.token
+                let number = StoreRevision::of_packed(lease.version.0).number;
+                number == renewal.revision && lease.token() == renewal.token
             })
         });
         let known_at = heard.map_or(now, |heard| heard.heard_at);
--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -14,10 +14,22 @@
 use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::settings::RolloutSettings;
+use std::borrow::Cow;
 use std::net::SocketAddr;
 
+/// What a relay tells, its revisions in an era of the store. A relay of an earlier release
+/// tells none: it reads the same store as this node.
+fn in_known_era<'a>(gateway: &Gateway, report: &'a RelayReport) -> Cow<'a, RelayReport> {
+    let own = gateway.store_era.get();
+    match own.filter(|_| report.store_era.is_none()) {
+        Some(era) => Cow::Owned(report.clone().in_era(era)),
+        None => Cow::Borrowed(report),
+    }
+}
+
 /// Takes in what a relay of the zone tells.
 pub fn take_relay_report(gateway: &Gateway, report: &RelayReport, from: SocketAddr) {
+    let report = &*in_known_era(gateway, report);
     let now = gateway.clock.now();
     let sender = report.loads.sender;
     if let Some(era) = report.store_era {
--- a/crates/gateway/src/peers/message_fields.rs
+++ b/crates/gateway/src/peers/message_fields.rs
@@ -47,6 +47,11 @@
     StoreRevision { era, number }.packed()
 }
 
+/// A packed revision's number in another era.
+pub(super) fn revision_in_era(packed: u64, era: StoreEra) -> u64 {
+    read_revision(StoreRevision::of_packed(packed).number, era.0)
+}
+
 /// An era of the store on the wire; 0 for none.
 pub(super) fn era_plus_one(era: Option<StoreEra>) -> u64 {
     era.map_or(0, |era| era.0.saturating_add(1))
--- a/crates/gateway/src/peers/relay_messages.rs
+++ b/crates/gateway/src/peers/relay_messages.rs
@@ -3,7 +3,7 @@
 use super::message_fields::{
     era_plus_one, known, less_one, load_message, loaded_message, placement_message, plus_one,
     read_era, read_included, read_load, read_loaded, read_lost, read_placement, read_renewal,
-    read_revision, revision_fields, IncludedReport,
+    read_revision, revision_fields, revision_in_era, IncludedReport,
 };
 use super::rollout_messages::{news_message, read_news, RolloutNews};
 use super::store_contents::{read_store, store_message};
@@ -43,6 +43,17 @@
     pub record: Option<EngineRecord>,
 }
 
+impl EngineChange {
+    /// The same with its revision in an era of the store.
+    fn in_era(mut self, era: StoreEra) -> Self {
+        self.revision = revision_in_era(self.revision, era);
+        if let Some(record) = &mut self.record {
+            record.revision = self.revision;
+        }
+        self
+    }
+}
+
 /// What a relay tells a node of its zone.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelayReport {
@@ -92,6 +103,16 @@
     }
 }
 
+impl RelayReport {
+    /// The same with all its revisions in an era of the store.
+    pub fn in_era(mut self, era: StoreEra) -> Self {
+        let changes = self.changes.into_iter();
+        self.changes = changes.map(|change| change.in_era(era)).collect();
+        self.rollouts = self.rollouts.map(|news| news.in_era(era));
+        self
+    }
+}
+
 /// The message for a report of a relay.
 pub fn relay_report_message(report: &RelayReport) -> peers::RelayReport {
     let loads = &report.loads;
--- a/crates/gateway/src/peers/rollout_messages.rs
+++ b/crates/gateway/src/peers/rollout_messages.rs
@@ -1,8 +1,9 @@
 //! What nodes tell each other of rollouts, as messages.
 
-use super::message_fields::{read_revision, revision_fields};
+use super::message_fields::{read_revision, revision_fields, revision_in_era};
 use crate::leases::LeaseRenewal;
 use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_policy::ids::StoreEra;
 use ploverlift_rollout::counts::{
     Counts, EngineSlotCounts, RouteCounts, RouteTag, SideCounts, ENGINE_SLOTS,
 };
@@ -205,6 +206,17 @@
     }
 }
 
+impl RolloutNews {
+    /// The same with all its revisions in an era of the store.
+    pub fn in_era(mut self, era: StoreEra) -> Self {
+        self.known_through = revision_in_era(self.known_through, era);
+        for order in &mut self.orders {
+            order.revision = revision_in_era(order.revision, era);
+        }
+        self
+    }
+}
+
 fn order_message(order: &RolloutOrder) -> peers::RolloutOrder {
     let status = order.status.as_ref().map(|status| peers::RolloutStatus {
         state: match status.state {
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -5,7 +5,7 @@
 
 use super::followed_relays::{CatalogueCursor, Lacking, LONGEST_FETCH_MS};
 use super::follower::take_rollout_news;
-use super::message_fields::{era_plus_one, read_revision, revision_fields};
+use super::message_fields::{era_plus_one, read_era, read_revision, revision_fields};
 use super::relay_messages::read_change;
 use super::roles::{role, Role};
 use super::rollout_messages::{news_message, read_news};
@@ -17,6 +17,7 @@
 use crate::rollouts::feed::tell_news;
 use crate::rollouts::{rollout_settings, OrderNews};
 use crate::state::Gateway;
+use crate::store::era::EraSource;
 use crate::store::take_configuration;
 use crate::time::{sleep, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
@@ -82,7 +83,7 @@
         match fetch(&gateway, lacking).await {
             Ok(snapshot) => {
                 failures = 0;
-                take_snapshot(&gateway, lacking, &snapshot);
+                take_snapshot(&gateway, lacking, snapshot);
             }
             Err(error) => {
                 failures += 1;
@@ -168,7 +169,31 @@
     Ok(message)
 }
 
-fn take_snapshot(gateway: &Arc<Gateway>, lacking: Lacking, snapshot: &peers::Snapshot) {
+/// Revisions that a relay of an earlier release tells are of the era that this node knows.
+fn assume_era(gateway: &Gateway, snapshot: &mut peers::Snapshot) {
+    let Some(era) = gateway.store_era.get() else {
+        return;
+    };
+    snapshot.engines_revision_era = era.0;
+    for change in &mut snapshot.engines {
+        change.revision_era = era.0;
+    }
+    if let Some(news) = &mut snapshot.rollouts {
+        news.known_through_era = era.0;
+        for order in &mut news.orders {
+            order.revision_era = era.0;
+        }
+    }
+}
+
+fn take_snapshot(gateway: &Arc<Gateway>, lacking: Lacking, mut snapshot: peers::Snapshot) {
+    match read_era(snapshot.store_era_plus_one) {
+        Some(era) => {
+            gateway.note_store_era(era, EraSource::Peer);
+        }
+        None => assume_era(gateway, &mut snapshot),
+    }
+    let snapshot = &snapshot;
     if let Some(stored) = &snapshot.configuration {
         match serde_json::from_str(&stored.content) {
             Ok(content) => {
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -3,6 +3,7 @@
 use ploverlift_balancing::catalogue::EngineRecord;
 use ploverlift_http1::{RequestHead, ResponseHead};
 use ploverlift_policy::ids::StoreEra;
+use ploverlift_policy::store_revision::StoreRevision;
 use ploverlift_rollout::order::{RolloutOrder, RolloutStatus};
 use ploverlift_routing::configuration::Configuration;
 use serde_json::Value;
@@ -47,7 +48,9 @@
 pub struct StoreObject {
     /// Name, unique in its kind.
     pub name: String,
-    /// Revision of its last change.
+    /// Revision of its last change. An [`ObjectStore`] reads the number alone; what
+    /// [`StoreClient`](crate::store::StoreClient) returns is packed with the era
+    /// ([`StoreRevision::packed`]).
     pub revision: u64,
     /// Whether it is about to be removed.
     pub is_deleting: bool,
@@ -57,6 +60,18 @@
     pub status: Option<Value>,
 }
 
+impl StoreObject {
+    /// The same with its revision in an era.
+    pub fn in_era(mut self, era: StoreEra) -> Self {
+        self.revision = in_era(self.revision, era);
+        self
+    }
+}
+
+fn in_era(number: u64, era: StoreEra) -> u64 {
+    StoreRevision { era, number }.packed()
+}
+
 /// A call of the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreCall {
@@ -142,6 +157,19 @@
         }
     }
 
+    /// The revision that it rests on, where it rests on one.
+    pub fn revision_mut(&mut self) -> Option<&mut u64> {
+        match self {
+            StoreCall::Watch { revision, .. }
+            | StoreCall::Replace { revision, .. }
+            | StoreCall::ReplaceStatus { revision, .. } => Some(revision),
+            StoreCall::List { .. }
+            | StoreCall::Get { .. }
+            | StoreCall::Create { .. }
+            | StoreCall::Delete { .. } => None,
+        }
+    }
+
     /// The kind of objects that it is for.
     pub fn kind(&self) -> StoreKind {
         match self {
@@ -190,6 +218,38 @@
     },
 }
 
+impl StoreReply {
+    /// The same with all revisions in an era.
+    pub fn in_era(self, era: StoreEra) -> Self {
+        match self {
+            StoreReply::Page {
+                objects,
+                has_more,
+                revision,
+            } => StoreReply::Page {
+                objects: objects
+                    .into_iter()
+                    .map(|object| object.in_era(era))
+                    .collect(),
+                has_more,
+                revision: in_era(revision, era),
+            },
+            StoreReply::Object(object) => StoreReply::Object(object.in_era(era)),
+            StoreReply::Deleted => StoreReply::Deleted,
+            StoreReply::Changes { events, revision } => {
+                let events = events.into_iter().map(|event| WatchEvent {
+                    object: event.object.in_era(era),
+                    is_gone: event.is_gone,
+                });
+                StoreReply::Changes {
+                    events: events.collect(),
+                    revision: in_era(revision, era),
+                }
+            }
+        }
+    }
+}
+
 /// Why a call did not do what it should.
 #[derive(Clone, Debug, PartialEq, Snafu)]
 pub enum StoreError {
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -9,6 +9,7 @@
 use crate::state::Gateway;
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::ids::StoreEra;
+use ploverlift_policy::store_revision::StoreRevision;
 use serde_json::Value;
 use std::sync::Arc;
 
@@ -65,6 +66,8 @@
         let timeout_ms = answer_timeout_ms + wait_ms;
         let began = self.gateway.clock.now();
         self.gateway.beliefs().store_outage.note_asked(began);
+        let (call, resting_on) = self.in_present_era(call)?;
+        let call = &call;
         let (head, body) = self.gateway.site.store_message(call);
         self.gateway.metrics.count_store_call(call);
         let answered = self.connection.call(head, &body, timeout_ms).await;
@@ -75,7 +78,7 @@
             }
         }
         let result = match answered {
-            Ok((head, body)) => self.read_answer(call, &head, &body),
+            Ok((head, body)) => self.read_answer(call, resting_on, &head, &body),
             Err(CallError::Unreachable { reason, .. }) => Err(StoreError::Unreachable { reason }),
             Err(CallError::NoAnswer { reason }) => Err(StoreError::Unknown { reason }),
         };
@@ -88,11 +91,34 @@
         result
     }
 
+    /// The call as the store reads it, and the era that it rests on. Nothing holds of a
+    /// revision of an earlier era: the store may have given it out again.
+    fn in_present_era(
+        &self,
+        call: &StoreCall,
+    ) -> Result<(StoreCall, Option<StoreEra>), StoreError> {
+        let mut call = call.clone();
+        let Some(revision) = call.revision_mut() else {
+            return Ok((call, None));
+        };
+        let StoreRevision { era, number } = StoreRevision::of_packed(*revision);
+        *revision = number;
+        let known = self.gateway.store_era.get().unwrap_or_default();
+        if era == known {
+            return Ok((call, Some(era)));
+        }
+        Err(match call {
+            StoreCall::Watch { .. } => StoreError::HistoryGone,
+            _ => StoreError::Conflict { current: None },
+        })
+    }
+
     /// Reads an answer. One from before the store came back from a copy tells what is no
-    /// longer stored.
+    /// longer stored, and changes since a revision of an earlier era lack others.
     fn read_answer(
         &mut self,
         call: &StoreCall,
+        resting_on: Option<StoreEra>,
         head: &ResponseHead,
         body: &[u8],
     ) -> Result<StoreReply, StoreError> {
@@ -106,7 +132,19 @@
             }
             self.answered_era = era;
         }
-        self.gateway.site.read_store_answer(call, head, body)
+        let era = self.answered_era;
+        let is_watch = matches!(call, StoreCall::Watch { .. });
+        if is_watch && resting_on.is_some_and(|rested| rested != era) {
+            return Err(StoreError::HistoryGone);
+        }
+        let reply = self.gateway.site.read_store_answer(call, head, body);
+        match reply {
+            Ok(reply) => Ok(reply.in_era(era)),
+            Err(StoreError::Conflict { current }) => Err(StoreError::Conflict {
+                current: current.map(|current| Box::new(current.in_era(era))),
+            }),
+            Err(error) => Err(error),
+        }
     }
 
     /// Whose call began an outage as this node sees it, or ended it.
@@ -154,6 +192,7 @@
     ) -> Result<(Vec<StoreObject>, u64), StoreError> {
         let mut all = Vec::new();
         let mut first_revision = None;
+        let mut first_era = None;
         let mut after = None;
         loop {
             let call = StoreCall::List {
@@ -171,6 +210,9 @@
                 return Err(unexpected());
             };
             let from = *first_revision.get_or_insert(revision);
+            if *first_era.get_or_insert(self.answered_era) != self.answered_era {
+                return Err(StoreError::HistoryGone);
+            }
             after = objects.last().map(|object| object.name.clone());
             all.append(&mut objects);
             if !has_more || after.is_none() {
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -74,6 +74,11 @@
             slog::warn!(self.log, "store restored from a copy";
                 "era" => era.0, "before" => before.0, "told_by" => source.name());
             self.metrics.store_restorations.inc();
+            let now = self.clock.now();
+            let mut beliefs = self.beliefs();
+            beliefs.store_outage.note_restored(now);
+            beliefs.quarantine.note_store_restored();
+            drop(beliefs);
             self.store_restored.notify(usize::MAX);
         }
         if news != EraNews::Outdated {
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -57,7 +57,8 @@
 /// How a watch ended.
 enum WatchEnd {
     Answered(StoreReply),
-    /// The store is back after a failure, or this node stood still: the watch may hang.
+    /// The store is back after a failure, or from a copy, or this node stood still: the
+    /// watch may hang, or tell changes of another history.
     Abandoned,
     /// Relays tell what it is for.
     Told,
@@ -257,7 +258,12 @@
             gateway.stood_still.listen().await;
             Ok(WatchEnd::Abandoned)
         };
+        let restored = async {
+            gateway.store_restored.listen().await;
+            Ok(WatchEnd::Abandoned)
+        };
         let abandoning = futures_lite::future::or(abandoning, stood_still);
+        let abandoning = futures_lite::future::or(abandoning, restored);
         let abandoning = futures_lite::future::or(abandoning, told);
         let missed = async {
             if self.kind != StoreKind::Weights {
--- a/crates/gateway/src/store/outage.rs
+++ b/crates/gateway/src/store/outage.rs
@@ -117,6 +117,11 @@
         })
     }
 
+    /// The store came back from a copy, which lacks records that were written since.
+    pub fn note_restored(&mut self, now: Millis) {
+        self.lapses_ended_at = Some(now);
+    }
+
     /// When the store was last reached again after a failure.
     pub fn returned_at(&self) -> Option<Millis> {
         self.returned_at
--- a/crates/gateway/tests/planned_work.rs
+++ b/crates/gateway/tests/planned_work.rs
@@ -7,7 +7,10 @@
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::state::Gateway;
 use ploverlift_gateway::weights::outdated_engines;
+use ploverlift_lease::token::NodeNumber;
+use ploverlift_lease::FencingToken;
 use ploverlift_policy::ids::ZoneName;
+use ploverlift_policy::ids::{NodeName, StoreEra};
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::software::SoftwareVersion;
 use serde_json::json;
@@ -288,18 +291,29 @@
     });
 }
 
+/// The first tokens that a node takes where the store has never come back from a copy.
+fn first_tokens(name: &str) -> [u64; 3] {
+    let number = NodeNumber::of(&NodeName::from(name));
+    let mut last = FencingToken::default();
+    [(); 3].map(|()| {
+        last = FencingToken::next(last, StoreEra(1), number).expect("a token");
+        last.0
+    })
+}
+
 #[test]
 fn a_holder_whose_token_was_overtaken_gives_no_more_orders_with_it() {
     smol::block_on(async {
         let engines = engines(1).await;
+        let [first, second, third] = first_tokens("node");
         // Two orders of later holders have reached the engine.
-        engines[0].see_token(3);
+        engines[0].see_token(third);
         let fixture = Fixture::with(&[&engines[0]], configuration(1), BRISK_LOADS).await;
         fixture.store.put("Weights", "m", json!({"version": 2}));
         while engines[0].weights() < 2 && engines[0].refused_tokens().len() < 3 {
             ploverlift_gateway::time::sleep(2).await;
         }
-        assert_eq!(engines[0].refused_tokens(), [1, 2]);
+        assert_eq!(engines[0].refused_tokens(), [first, second]);
     });
 }
 
--- /dev/null
+++ b/crates/gateway/tests/store_restored/knowledge.rs
@@ -0,0 +1,247 @@
+//! What nodes know while the store comes back from copies.
+
+use super::support::caller::request;
+use super::support::engine::{Behaviour, StandInEngine};
+use super::support::{caller, configuration, start_node, Fixture};
+use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_gateway::ports::{StoreError, StoreKind};
+use ploverlift_gateway::store::StoreClient;
+use ploverlift_gateway::time::sleep;
+use ploverlift_policy::ids::StoreEra;
+use ploverlift_policy::store_revision::StoreRevision;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// Time between two looks at what is waited for, in milliseconds.
+const LOOK_MS: u64 = 5;
+/// Time for which engines that must get nothing are observed: longer than records are kept
+/// that the store may have lost.
+const OBSERVED: Duration = Duration::from_millis(2_500);
+
+/// An engine's record with a heartbeat.
+fn record(engine: &StandInEngine, sequence: u64, is_leaving: bool) -> Value {
+    let mut record = engine.record();
+    record["born"] = json!(1_000);
+    record["sequence"] = json!(sequence);
+    record["leaving"] = json!(is_leaving);
+    record
+}
+
+async fn wait_for_era(fixture: &Fixture, era: u64) {
+    while fixture.gateway.store_era.get() != Some(StoreEra(era)) {
+        sleep(LOOK_MS).await;
+    }
+}
+
+fn knows(fixture: &Fixture, instance: &str) -> bool {
+    let instance = InstanceId(instance.to_owned());
+    fixture.gateway.beliefs().engines.get(&instance).is_some()
+}
+
+/// Sends requests for as long as is observed; none may reach this engine.
+async fn expect_no_arrival(fixture: &Fixture, engine: &StandInEngine) {
+    let (began, before) = (Instant::now(), engine.arrivals());
+    while began.elapsed() < OBSERVED {
+        let answer = fixture.send(&request("safe.test", "r")).await;
+        assert_eq!(answer.status(), 200);
+        assert_eq!(engine.arrivals(), before, "{:?}", began.elapsed());
+        sleep(LOOK_MS).await;
+    }
+}
+
+async fn two_engines() -> (Fixture, StandInEngine, StandInEngine) {
+    let stays = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+    let leaves = StandInEngine::start("app-2", "app", Behaviour::Answer).await;
+    let fixture = Fixture::new(&[]).await;
+    for engine in [&stays, &leaves] {
+        let written = record(engine, 1, false);
+        fixture.store.put("Engines", &engine.instance, written);
+    }
+    while !(knows(&fixture, "app-1") && knows(&fixture, "app-2")) {
+        sleep(LOOK_MS).await;
+    }
+    (fixture, stays, leaves)
+}
+
+/// A copy of the store had an engine as ready that had said since that it leaves.
+#[test]
+fn an_engine_that_leaves_is_left_alone_where_the_copy_has_it_as_ready() {
+    smol::block_on(async {
+        let (fixture, _stays, leaves) = two_engines().await;
+        let copy = fixture.store.copy();
+        fixture
+            .store
+            .put("Engines", "app-2", record(&leaves, 2, true));
+        let is_leaving = || {
+            let beliefs = fixture.gateway.beliefs();
+            let engine = beliefs.engines.get(&InstanceId("app-2".to_owned()));
+            engine.is_some_and(|engine| beliefs.engines.is_leaving(engine))
+        };
+        while !is_leaving() {
+            sleep(LOOK_MS).await;
+        }
+        fixture.store.restore(&copy);
+        wait_for_era(&fixture, 2).await;
+        expect_no_arrival(&fixture, &leaves).await;
+    });
+}
+
+/// A copy of the store had an engine that was gone since.
+#[test]
+fn an_engine_that_is_gone_is_left_alone_where_the_copy_has_it() {
+    smol::block_on(async {
+        let (fixture, _stays, leaves) = two_engines().await;
+        let copy = fixture.store.copy();
+        fixture.store.remove("Engines", "app-2");
+        while knows(&fixture, "app-2") {
+            sleep(LOOK_MS).await;
+        }
+        fixture.store.restore(&copy);
+        wait_for_era(&fixture, 2).await;
+        expect_no_arrival(&fixture, &leaves).await;
+        // It lives after all, and writes again.
+        fixture
+            .store
+            .put("Engines", "app-2", record(&leaves, 2, false));
+        while !knows(&fixture, "app-2") {
+            sleep(LOOK_MS).await;
+        }
+    });
+}
+
+/// Records that were written since the copy are missing until their engines write again.
+#[test]
+fn engines_that_the_copy_lacks_serve_on_until_they_write_again() {
+    smol::block_on(async {
+        let fixture = Fixture::new(&[]).await;
+        let copy = fixture.store.copy();
+        let engine = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        fixture
+            .store
+            .put("Engines", "app-1", record(&engine, 1, false));
+        while !knows(&fixture, "app-1") {
+            sleep(LOOK_MS).await;
+        }
+        fixture.store.restore(&copy);
+        wait_for_era(&fixture, 2).await;
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(1_000) {
+            let answer = fixture.send(&request("safe.test", "r")).await;
+            assert_eq!(answer.status(), 200, "{:?}", began.elapsed());
+            sleep(LOOK_MS).await;
+        }
+        let revision = fixture
+            .store
+            .put("Engines", "app-1", record(&engine, 1, false));
+        let era = StoreEra(2);
+        let written = StoreRevision {
+            era,
+            number: revision,
+        }
+        .packed();
+        let known = || {
+            let beliefs = fixture.gateway.beliefs();
+            let engine = beliefs.engines.get(&InstanceId("app-1".to_owned()));
+            engine.map(|engine| engine.record.revision)
+        };
+        while known() != Some(written) {
+            assert!(known().is_some(), "the engine is forgotten");
+            sleep(LOOK_MS).await;
+        }
+    });
+}
+
+/// Revisions go back with a copy, so what is written after it seemed older than what was
+/// known.
+#[test]
+fn what_is_written_after_the_store_came_back_is_news_whatever_its_revision() {
+    smol::block_on(async {
+        let (fixture, stays, leaves) = two_engines().await;
+        let copy = fixture.store.copy();
+        for number in 0..50 {
+            fixture
+                .store
+                .put("Other", &format!("o{number}"), json!(null));
+        }
+        fixture
+            .store
+            .put("Engines", "app-1", record(&stays, 2, false));
+        fixture.store.restore(&copy);
+        wait_for_era(&fixture, 2).await;
+        fixture
+            .store
+            .put("Engines", "app-2", record(&leaves, 2, true));
+        let is_leaving = || {
+            let beliefs = fixture.gateway.beliefs();
+            let engine = beliefs.engines.get(&InstanceId("app-2".to_owned()));
+            engine.is_some_and(|engine| beliefs.engines.is_leaving(engine))
+        };
+        let began = Instant::now();
+        while !is_leaving() {
+            assert!(began.elapsed() < OBSERVED, "it is not known to leave");
+            sleep(LOOK_MS).await;
+        }
+    });
+}
+
+/// A key that was taken away worked again where the copy still had it.
+#[test]
+fn a_node_never_falls_back_to_the_configuration_of_the_copy() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let copy = fixture.store.copy();
+        let mut without = configuration(2);
+        without["keys"] = json!({"key-z": "tenant-z"});
+        fixture.store.put("Configuration", "main", without);
+        while fixture.send(&request("safe.test", "r")).await.status() == 200 {}
+        fixture.store.restore(&copy);
+        wait_for_era(&fixture, 2).await;
+        let began = Instant::now();
+        while began.elapsed() < OBSERVED {
+            assert_ne!(fixture.send(&request("safe.test", "r")).await.status(), 200);
+            sleep(LOOK_MS).await;
+        }
+    });
+}
+
+/// A write on a revision of the copy's future held on another object's revision.
+#[test]
+fn nothing_is_written_on_a_revision_of_an_earlier_era() {
+    smol::block_on(async {
+        let fixture = Fixture::new(&[]).await;
+        let mut client = StoreClient::new(&fixture.gateway);
+        let kind = StoreKind::RefusedRequests;
+        let copy = fixture.store.copy();
+        let made = client.compare_and_set(kind, "r", 0, json!(1)).await;
+        let made = made.expect("made");
+        fixture.store.restore(&copy);
+        // The revision is given out again.
+        fixture.store.put("RefusedRequests", "r", json!(2));
+        wait_for_era(&fixture, 2).await;
+        let written = client
+            .compare_and_set(kind, "r", made.revision, json!(3))
+            .await;
+        assert_eq!(written, Err(StoreError::Conflict { current: None }));
+        assert_eq!(
+            fixture.store.content("RefusedRequests", "r"),
+            Some(json!(2))
+        );
+    });
+}
+
+#[test]
+fn a_node_that_starts_after_the_store_came_back_serves() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        fixture.store.restore(&fixture.store.copy());
+        let late = start_node(&fixture.store, "late", "");
+        while caller::get_status(late.readiness).await != 200 {
+            sleep(LOOK_MS).await;
+        }
+        assert_eq!(late.gateway.store_era.get(), Some(StoreEra(2)));
+        let answer = caller::send(late.callers, &request("safe.test", "r")).await;
+        assert_eq!(answer.status(), 200);
+    });
+}
--- a/crates/gateway/tests/store_restored/main.rs
+++ b/crates/gateway/tests/store_restored/main.rs
@@ -3,5 +3,6 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod knowledge;
 mod oracle;
 mod orders;
--- a/crates/quarantine/src/stored.rs
+++ b/crates/quarantine/src/stored.rs
@@ -109,6 +109,15 @@
         }
     }
 
+    /// The store has come back from a copy: it may lack refusals that it had, which no
+    /// operator has released.
+    pub fn note_store_restored(&mut self) {
+        let suspects = self.suspects.values_mut();
+        for refusal in suspects.filter_map(|suspect| suspect.refusal.as_mut()) {
+            refusal.stored_at = None;
+        }
+    }
+
     /// Stored refusals that the store should hold no longer.
     pub fn deletions(&self) -> Vec<RequestFingerprint> {
         self.to_delete.clone()
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -276,6 +276,20 @@
     );
 }
 
+/// A store that came back from a copy lacked a refusal, which was taken for its release.
+#[test]
+fn a_refusal_that_the_store_has_lost_is_stored_again_and_not_released() {
+    let (mut quarantine, now) = refused();
+    quarantine.note_stored(REQUEST, 0, now);
+    quarantine.note_store_restored();
+    let later = now.plus(10_000);
+    assert!(quarantine.take_list(Vec::new(), later, later).is_empty());
+    assert!(quarantine.is_refused(REQUEST));
+    let unstored = quarantine.unstored(later);
+    assert_eq!(unstored.len(), 1);
+    assert_eq!(unstored[0].0, REQUEST);
+}
+
 #[test]
 fn a_tenant_with_a_thousand_of_them_forgets_its_own_only() {
     let (mut quarantine, now) = refused();
