--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -117,6 +117,17 @@
         self.stream = None;
     }
 
+    /// Opens the connection unless it is open, so that the next call is sent at once.
+    ///
+    /// # Errors
+    /// When none comes about within `timeout_ms`.
+    pub async fn open(&mut self, timeout_ms: u64) -> Result<(), CallError> {
+        if self.stream.is_none() {
+            self.stream = Some(connect(self.address, timeout_ms).await?);
+        }
+        Ok(())
+    }
+
     /// Sends a call and reads the whole answer. Without an answer the
     /// connection is closed: what comes on it later belongs to no other call.
     ///
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -154,6 +154,15 @@
         if self.orders >= MAX_ORDERS {
             return Next::Finished;
         }
+        let timeout_ms = self.gateway.settings().weights.order_timeout_ms;
+        if let Err(error) = self.connection.open(timeout_ms).await {
+            slog::info!(self.gateway.log, "order not sent";
+                "engine" => &self.engine.instance.0, "error" => error.to_string());
+            return Next::Report {
+                after_ms: REPORT_PERIOD_MS,
+            };
+        }
+        // Asked when nothing is left to wait for: the right may end meanwhile.
         let Some(fencing_token) = self.holder.token() else {
             return Next::Finished;
         };
@@ -170,7 +179,6 @@
             expected_orders: orders_taken,
         };
         let (head, body) = self.gateway.site.order_message(&order);
-        let timeout_ms = self.gateway.settings().weights.order_timeout_ms;
         self.gateway.metrics.orders.inc();
         let sent_at = self.gateway.clock.now();
         let answered = self.connection.call(head, &body, timeout_ms).await;
--- a/crates/gateway/tests/store_restored/knowledge.rs
+++ b/crates/gateway/tests/store_restored/knowledge.rs
@@ -14,6 +14,8 @@
 
 /// Time between two looks at what is waited for, in milliseconds.
 const LOOK_MS: u64 = 5;
+/// Time within which a node knows what the store has.
+const SOON: Duration = Duration::from_millis(4_000);
 /// Time for which engines that must get nothing are observed: longer than records are kept
 /// that the store may have lost.
 const OBSERVED: Duration = Duration::from_millis(2_500);
@@ -27,12 +29,32 @@
     record
 }
 
-async fn wait_for_era(fixture: &Fixture, era: u64) {
-    while fixture.gateway.store_era.get() != Some(StoreEra(era)) {
+/// Waits until something holds; it must within a bound.
+async fn expect_soon(what: &str, holds: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < SOON, "{what}");
         sleep(LOOK_MS).await;
     }
 }
 
+async fn expect_era(fixture: &Fixture, era: u64) {
+    let known = || fixture.gateway.store_era.get() == Some(StoreEra(era));
+    expect_soon("the era is known", known).await;
+}
+
+fn is_leaving(fixture: &Fixture, instance: &str) -> bool {
+    let beliefs = fixture.gateway.beliefs();
+    let engine = beliefs.engines.get(&InstanceId(instance.to_owned()));
+    engine.is_some_and(|engine| beliefs.engines.is_leaving(engine))
+}
+
+fn known_revision(fixture: &Fixture, instance: &str) -> Option<u64> {
+    let beliefs = fixture.gateway.beliefs();
+    let engine = beliefs.engines.get(&InstanceId(instance.to_owned()))?;
+    Some(engine.record.revision)
+}
+
 fn knows(fixture: &Fixture, instance: &str) -> bool {
     let instance = InstanceId(instance.to_owned());
     fixture.gateway.beliefs().engines.get(&instance).is_some()
@@ -57,9 +79,8 @@
         let written = record(engine, 1, false);
         fixture.store.put("Engines", &engine.instance, written);
     }
-    while !(knows(&fixture, "app-1") && knows(&fixture, "app-2")) {
-        sleep(LOOK_MS).await;
-    }
+    let knows_both = || knows(&fixture, "app-1") && knows(&fixture, "app-2");
+    expect_soon("both engines are known", knows_both).await;
     (fixture, stays, leaves)
 }
 
@@ -72,16 +93,9 @@
         fixture
             .store
             .put("Engines", "app-2", record(&leaves, 2, true));
-        let is_leaving = || {
-            let beliefs = fixture.gateway.beliefs();
-            let engine = beliefs.engines.get(&InstanceId("app-2".to_owned()));
-            engine.is_some_and(|engine| beliefs.engines.is_leaving(engine))
-        };
-        while !is_leaving() {
-            sleep(LOOK_MS).await;
-        }
+        expect_soon("it leaves", || is_leaving(&fixture, "app-2")).await;
         fixture.store.restore(&copy);
-        wait_for_era(&fixture, 2).await;
+        expect_era(&fixture, 2).await;
         expect_no_arrival(&fixture, &leaves).await;
     });
 }
@@ -93,19 +107,15 @@
         let (fixture, _stays, leaves) = two_engines().await;
         let copy = fixture.store.copy();
         fixture.store.remove("Engines", "app-2");
-        while knows(&fixture, "app-2") {
-            sleep(LOOK_MS).await;
-        }
+        expect_soon("it is gone", || !knows(&fixture, "app-2")).await;
         fixture.store.restore(&copy);
-        wait_for_era(&fixture, 2).await;
+        expect_era(&fixture, 2).await;
         expect_no_arrival(&fixture, &leaves).await;
         // It lives after all, and writes again.
         fixture
             .store
             .put("Engines", "app-2", record(&leaves, 2, false));
-        while !knows(&fixture, "app-2") {
-            sleep(LOOK_MS).await;
-        }
+        expect_soon("it is back", || knows(&fixture, "app-2")).await;
     });
 }
 
@@ -119,11 +129,9 @@
         fixture
             .store
             .put("Engines", "app-1", record(&engine, 1, false));
-        while !knows(&fixture, "app-1") {
-            sleep(LOOK_MS).await;
-        }
+        expect_soon("the engine is known", || knows(&fixture, "app-1")).await;
         fixture.store.restore(&copy);
-        wait_for_era(&fixture, 2).await;
+        expect_era(&fixture, 2).await;
         let began = Instant::now();
         while began.elapsed() < Duration::from_millis(1_000) {
             let answer = fixture.send(&request("safe.test", "r")).await;
@@ -139,15 +147,8 @@
             number: revision,
         }
         .packed();
-        let known = || {
-            let beliefs = fixture.gateway.beliefs();
-            let engine = beliefs.engines.get(&InstanceId("app-1".to_owned()));
-            engine.map(|engine| engine.record.revision)
-        };
-        while known() != Some(written) {
-            assert!(known().is_some(), "the engine is forgotten");
-            sleep(LOOK_MS).await;
-        }
+        let is_news = || known_revision(&fixture, "app-1") == Some(written);
+        expect_soon("what it writes again is taken in", is_news).await;
     });
 }
 
@@ -156,31 +157,26 @@
 #[test]
 fn what_is_written_after_the_store_came_back_is_news_whatever_its_revision() {
     smol::block_on(async {
-        let (fixture, stays, leaves) = two_engines().await;
+        let (fixture, _stays, leaves) = two_engines().await;
         let copy = fixture.store.copy();
-        for number in 0..50 {
+        let written = || {
             fixture
                 .store
-                .put("Other", &format!("o{number}"), json!(null));
-        }
-        fixture
-            .store
-            .put("Engines", "app-1", record(&stays, 2, false));
+                .put("Engines", "app-2", record(&leaves, 2, false))
+        };
+        let last = (0..50).map(|_| written()).last();
+        let era = StoreEra(1);
+        let known = last.map(|number| StoreRevision { era, number }.packed());
+        expect_soon("the last write is known", || {
+            known_revision(&fixture, "app-2") == known
+        })
+        .await;
         fixture.store.restore(&copy);
-        wait_for_era(&fixture, 2).await;
+        expect_era(&fixture, 2).await;
         fixture
             .store
             .put("Engines", "app-2", record(&leaves, 2, true));
-        let is_leaving = || {
-            let beliefs = fixture.gateway.beliefs();
-            let engine = beliefs.engines.get(&InstanceId("app-2".to_owned()));
-            engine.is_some_and(|engine| beliefs.engines.is_leaving(engine))
-        };
-        let began = Instant::now();
-        while !is_leaving() {
-            assert!(began.elapsed() < OBSERVED, "it is not known to leave");
-            sleep(LOOK_MS).await;
-        }
+        expect_soon("it leaves", || is_leaving(&fixture, "app-2")).await;
     });
 }
 
@@ -196,7 +192,7 @@
         fixture.store.put("Configuration", "main", without);
         while fixture.send(&request("safe.test", "r")).await.status() == 200 {}
         fixture.store.restore(&copy);
-        wait_for_era(&fixture, 2).await;
+        expect_era(&fixture, 2).await;
         let began = Instant::now();
         while began.elapsed() < OBSERVED {
             assert_ne!(fixture.send(&request("safe.test", "r")).await.status(), 200);
@@ -218,7 +214,7 @@
         fixture.store.restore(&copy);
         // The revision is given out again.
         fixture.store.put("RefusedRequests", "r", json!(2));
-        wait_for_era(&fixture, 2).await;
+        expect_era(&fixture, 2).await;
         let written = client
             .compare_and_set(kind, "r", made.revision, json!(3))
             .await;
