Tests: an outage is one that the outage's own record shows

A node looks for its leases when it starts, and a store that has none answers 404, which counts as a failed call. Two tests waited for any failed call to know that the store is away, and went on before it was: one then waited without end. They wait for the outage as calls showed it, and count failures from after the looks; no bound changed.

--- a/crates/gateway/tests/deaf_watches.rs
+++ b/crates/gateway/tests/deaf_watches.rs
@@ -26,6 +26,8 @@
 const PATIENT_BOUNDS: &str = "[bounds]\nleaving_engine_ms = 60000\nroll_back_ms = 60000\n";
 /// Watches of a node: configuration, engines, weights, orders.
 const WATCHES: u64 = 4;
+/// Leases that a node looks for when it starts.
+const LEASES: u64 = 2;
 
 /// A node, ready, whose watches all hear nothing.
 async fn start_deaf(store: &StandInStore, fault_at_start: StoreFault) -> RunningGateway {
@@ -171,9 +173,15 @@
         settings.store.other_watch_ms = LONG_WATCH_MS;
         let node = start(settings, Arc::new(StandInSite), silent_logger()).expect("start");
         while caller::get_status(node.readiness).await != 200 {}
+        // The store has neither lease, which counts as a failed call each.
+        assert_within(&node, LEAVING_MS, "both leases are looked for", |node| {
+            node.gateway.metrics.store_failures.get() >= LEASES
+        })
+        .await;
+        let before = node.gateway.metrics.store_failures.get();
         store.set_fault(StoreFault::Status(503));
         assert_within(&node, LEAVING_MS, "the outage is noticed", |node| {
-            node.gateway.metrics.store_failures.get() >= WATCHES
+            node.gateway.metrics.store_failures.get() >= before + WATCHES
         })
         .await;
         let mut record = app.record();
--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -231,7 +231,11 @@
     };
     fixture.store.set_fault(StoreFault::Status(503));
     // A watch that waits ends within the time that tests give it; the next fails.
-    while fixture.gateway.metrics.store_failures.get() == 0 {
+    let is_away = || {
+        let outage = fixture.gateway.beliefs().store_outage;
+        outage.failing_since().is_some()
+    };
+    while !is_away() {
         fixture.send(&request("nowhere.test", "r")).await;
     }
     fixture.store.remove("Engines", "app-1");
