--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -9,7 +9,6 @@
 use crate::rollouts::feed::tell_news;
 use crate::rollouts::{rollout_settings, OrderNews};
 use crate::state::Gateway;
-use crate::store::era::EraSource;
 use crate::weights::knowledge::{hear_weights, NewsOrigin};
 use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_policy::ids::Millis;
@@ -32,9 +31,7 @@
     let report = &*in_known_era(gateway, report);
     let now = gateway.clock.now();
     let sender = report.loads.sender;
-    if let Some(era) = report.store_era {
-        gateway.note_store_era(era, EraSource::Peer);
-    }
+    gateway.hear_store_era(report.store_era);
     gateway.address_book().heard(from, sender, now);
     if role(gateway, now) != Role::Follower {
         // It knows the same from the store and from the nodes themselves.
--- a/crates/gateway/src/peers/incoming.rs
+++ b/crates/gateway/src/peers/incoming.rs
@@ -7,7 +7,6 @@
 use crate::leases::LeaseName;
 use crate::rollouts::exchange::Reporter;
 use crate::state::Gateway;
-use crate::store::era::EraSource;
 use ploverlift_balancing::engine_losses::NewsSource;
 use ploverlift_balancing::peer_loads::{EngineTag, LoadReport, PeerId};
 use ploverlift_balancing::prefix_holders::PlacementNews;
@@ -21,7 +20,7 @@
         return;
     }
     let now = gateway.clock.now();
-    hear_of_era(gateway, report);
+    gateway.hear_store_era(report.store_era);
     gateway.address_book().heard(from, sender, now);
     let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
@@ -63,7 +62,7 @@
 /// Takes in the sums of another zone from one of its relays.
 pub fn take_zone_report(gateway: &Gateway, report: &PeerReport, from: SocketAddr) {
     let now = gateway.clock.now();
-    hear_of_era(gateway, report);
+    gateway.hear_store_era(report.store_era);
     gateway.address_book().heard(from, report.loads.sender, now);
     let fleet = gateway.address_book().listed_nodes();
     let mut beliefs = gateway.beliefs();
@@ -88,12 +87,6 @@
     hear_of_rollout_lease(&mut beliefs, report, now);
 }
 
-fn hear_of_era(gateway: &Gateway, report: &PeerReport) {
-    if let Some(era) = report.store_era {
-        gateway.note_store_era(era, EraSource::Peer);
-    }
-}
-
 /// What a node tells of rollouts.
 fn take_rollouts(beliefs: &mut Beliefs, report: &PeerReport, now: Millis) {
     let from = Reporter {
--- a/crates/gateway/src/peers/message_fields.rs
+++ b/crates/gateway/src/peers/message_fields.rs
@@ -43,13 +43,12 @@
 
 /// Reads a revision of the store.
 pub(super) fn read_revision(number: u64, era: u64) -> u64 {
-    let era = StoreEra(era);
-    StoreRevision { era, number }.packed()
+    StoreRevision::pack(number, StoreEra(era))
 }
 
 /// A packed revision's number in another era.
 pub(super) fn revision_in_era(packed: u64, era: StoreEra) -> u64 {
-    read_revision(StoreRevision::of_packed(packed).number, era.0)
+    StoreRevision::pack(StoreRevision::of_packed(packed).number, era)
 }
 
 /// An era of the store on the wire; 0 for none.
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -17,7 +17,6 @@
 use crate::rollouts::feed::tell_news;
 use crate::rollouts::{rollout_settings, OrderNews};
 use crate::state::Gateway;
-use crate::store::era::EraSource;
 use crate::store::take_configuration;
 use crate::time::{sleep, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
@@ -187,11 +186,10 @@
 }
 
 fn take_snapshot(gateway: &Arc<Gateway>, lacking: Lacking, mut snapshot: peers::Snapshot) {
-    match read_era(snapshot.store_era_plus_one) {
-        Some(era) => {
-            gateway.note_store_era(era, EraSource::Peer);
-        }
-        None => assume_era(gateway, &mut snapshot),
+    let told = read_era(snapshot.store_era_plus_one);
+    gateway.hear_store_era(told);
+    if told.is_none() {
+        assume_era(gateway, &mut snapshot);
     }
     let snapshot = &snapshot;
     if let Some(stored) = &snapshot.configuration {
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -63,15 +63,11 @@
 impl StoreObject {
     /// The same with its revision in an era.
     pub fn in_era(mut self, era: StoreEra) -> Self {
-        self.revision = in_era(self.revision, era);
+        self.revision = StoreRevision::pack(self.revision, era);
         self
     }
 }
 
-fn in_era(number: u64, era: StoreEra) -> u64 {
-    StoreRevision { era, number }.packed()
-}
-
 /// A call of the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreCall {
@@ -232,7 +228,7 @@
                     .map(|object| object.in_era(era))
                     .collect(),
                 has_more,
-                revision: in_era(revision, era),
+                revision: StoreRevision::pack(revision, era),
             },
             StoreReply::Object(object) => StoreReply::Object(object.in_era(era)),
             StoreReply::Deleted => StoreReply::Deleted,
@@ -243,7 +239,7 @@
                 });
                 StoreReply::Changes {
                     events: events.collect(),
-                    revision: in_era(revision, era),
+                    revision: StoreRevision::pack(revision, era),
                 }
             }
         }
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -67,6 +67,13 @@
 }
 
 impl Gateway {
+    /// Takes in the era that another node told, where it told one.
+    pub fn hear_store_era(&self, era: Option<StoreEra>) {
+        if let Some(era) = era {
+            self.note_store_era(era, EraSource::Peer);
+        }
+    }
+
     /// Takes in the era that an answer of the store or another node told.
     pub fn note_store_era(&self, era: StoreEra, source: EraSource) -> EraNews {
         let news = self.store_era.take(era);
--- a/crates/policy/src/store_revision.rs
+++ b/crates/policy/src/store_revision.rs
@@ -25,6 +25,11 @@
         self.era.0.min(MAX_ERA) << NUMBER_BITS | self.number.min(MAX_NUMBER)
     }
 
+    /// A number of an era, packed.
+    pub fn pack(number: u64, era: StoreEra) -> u64 {
+        Self { era, number }.packed()
+    }
+
     /// The revision of [`StoreRevision::packed`].
     pub fn of_packed(packed: u64) -> Self {
         Self {
