--- /dev/null
+++ b/crates/gateway/src/engine_paths/mod.rs
@@ -0,0 +1,3 @@
+//! Connections to engines, as far as this node reaches them.
+
+pub mod metrics;
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -175,6 +175,10 @@
         began: Option<Millis>,
     ) -> AttemptEnd {
         let failure = error.connect_failure();
+        if let Some(failure) = failure {
+            self.gateway.metrics.paths.count_connect_failure(failure);
+        }
+        self.log_connect_failure(chosen, error);
         if let (Some(ConnectFailure::NoAnswer), Some(began)) = (failure, began) {
             let now = self.gateway.clock.now();
             let losses = &mut self.gateway.beliefs().losses;
@@ -186,6 +190,27 @@
         }
     }
 
+    /// Logs the first failed connection to an engine that was not suspected, with what other
+    /// nodes reported: their requests at the engine show whether it is unreachable from this
+    /// node alone.
+    fn log_connect_failure(&self, chosen: &ChosenEngine, error: &CallError) {
+        let now = self.gateway.clock.now();
+        let beliefs = self.gateway.beliefs();
+        let engine = beliefs.engines.get(&chosen.instance);
+        if engine.is_none_or(|engine| engine.health.is_suspected()) {
+            return;
+        }
+        let suspected = beliefs.engines.iter();
+        let suspected = suspected.filter(|engine| engine.health.is_suspected());
+        slog::warn!(self.gateway.log, "engine unreachable";
+            "engine" => &chosen.instance.0,
+            "error" => error.to_string(),
+            "requests_of_others" => beliefs.peer_loads.at(chosen.tag).requests,
+            "loads_age_ms" => beliefs.peer_loads.age_ms(now),
+            "engines_suspected" => suspected.count(),
+            "engines" => beliefs.engines.len());
+    }
+
     /// Records from a new connection that the engine is reachable, and the round-trip time to
     /// its zone.
     fn learn_from_connection(&self, chosen: &ChosenEngine, connect_time: Duration) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`engine_ends`] | detects that an engine has terminated, and the requests that it was running |
 //! | [`quarantine`] | stored list of requests during which engines terminated |
 //! | [`engine_checks`] | connection checks of engines that could not be reached |
+//! | [`engine_paths`] | connections to engines, as far as this node reaches them |
 //! | [`kept_connections`] | idle connections to engines |
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and the engines that cache each prompt |
@@ -42,6 +43,7 @@
 pub mod engine_ends;
 pub mod engine_limits;
 mod engine_log;
+pub mod engine_paths;
 mod engine_signals;
 pub mod engines_proof;
 pub mod forward;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a node, in the OpenMetrics text format.
 
+use crate::engine_paths::metrics::PathMetrics;
 use crate::ports::StoreCall;
 use crate::rollouts::Arrival;
 use ploverlift_enginelimit::node_messages::TokenAnswer;
@@ -219,6 +220,8 @@
     pub held_requests: Counter,
     /// Time from the request's head to the first byte of the answer.
     pub first_byte_seconds: Histogram,
+    /// Connections to engines.
+    pub paths: PathMetrics,
 }
 
 impl Default for Metrics {
@@ -267,6 +270,7 @@
             log_lines_skipped: Counter::default(),
             held_requests: Counter::default(),
             first_byte_seconds: Histogram::new(buckets),
+            paths: PathMetrics::default(),
         }
     }
 }
@@ -546,6 +550,7 @@
         let first_byte = self.first_byte_seconds.clone();
         let help = "Time to the first byte of the answer";
         registry.register_with_unit("first_byte", help, Unit::Seconds, first_byte);
+        self.paths.register(&mut registry);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &registry);
