--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -15,6 +15,7 @@
 use ploverlift_gateway::peers::relay_messages::RelayReport;
 use ploverlift_gateway::peers::roles::{role, Role};
 use ploverlift_gateway::peers::rollout_messages::RolloutReport;
+use ploverlift_gateway::settings::GatewaySettings;
 use ploverlift_gateway::time::sleep;
 use ploverlift_lease::FencingToken;
 use serde_json::json;
@@ -51,10 +52,21 @@
     cpu_cores: f64,
     more: &str,
 ) -> RunningGateway {
+    let settings = peer_settings(store, name, cpu_cores, more);
+    start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
+}
+
+/// Settings of a node that exchanges reports with other nodes.
+pub fn peer_settings(
+    store: &StandInStore,
+    name: &str,
+    cpu_cores: f64,
+    more: &str,
+) -> GatewaySettings {
     let mut settings = settings(store, name, more);
     settings.listen.peers = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
     settings.node.cpu_cores = cpu_cores;
-    start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
+    settings
 }
 
 /// Starts the given number of engines of a service, and lists them in the store.
@@ -88,15 +100,20 @@
     let names = (0..count).map(|number| format!("node-{number}"));
     let start = |name: String| start_peer_with(store, &name, 1.0, more);
     let nodes: Vec<RunningGateway> = names.map(start).collect();
-    for node in &nodes {
+    wait_until_known(&nodes).await;
+    nodes
+}
+
+/// Waits until all nodes are ready and list each other.
+pub async fn wait_until_known(nodes: &[RunningGateway]) {
+    for node in nodes {
         while caller::get_status(node.readiness).await != 200 {
             sleep(POLL_MS).await;
         }
-        while node.gateway.address_book().listed_nodes() < count {
+        while node.gateway.address_book().listed_nodes() < nodes.len() {
             sleep(POLL_MS).await;
         }
     }
-    nodes
 }
 
 pub fn role_of(node: &RunningGateway) -> Role {
--- /dev/null
+++ b/crates/gateway/tests/support/links.rs
@@ -0,0 +1,186 @@
+//! Links between one node and one engine each, which a test cuts and heals.
+
+use event_listener::Event;
+use ploverlift_gateway::callers::bind;
+use ploverlift_gateway::time::within;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream};
+use socket2::SockRef;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Time-out after which a connection attempt shows that the accept queue is full, in
+/// milliseconds.
+const FULL_QUEUE_TIMEOUT_MS: u64 = 60;
+/// Size of one read, in bytes.
+const READ_BYTES: usize = 16 * 1024;
+
+/// How a link is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// All packets are lost: open connections and new ones hang.
+    Hang,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// New connections are refused, while open ones live on.
+    RefuseNew,
+}
+
+struct State {
+    cut: Option<Cut>,
+    listener: Arc<TcpListener>,
+    accepting: Option<smol::Task<()>>,
+    /// Connections that fill the accept queue during a cut that hangs.
+    queue_fillers: Vec<TcpStream>,
+    open: Vec<TcpStream>,
+    accepted: usize,
+}
+
+/// A link between one node and one engine.
+pub struct Link {
+    /// Address at which the node reaches the engine.
+    pub address: SocketAddr,
+    engine: SocketAddr,
+    state: Mutex<State>,
+    changed: Event,
+}
+
+impl Link {
+    /// Opens a link to the engine at this address.
+    pub fn open(engine: SocketAddr) -> Arc<Self> {
+        let listener = Arc::new(bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind"));
+        let address = listener.local_addr().expect("address");
+        let link = Arc::new(Self {
+            address,
+            engine,
+            state: Mutex::new(State {
+                cut: None,
+                listener,
+                accepting: None,
+                queue_fillers: Vec::new(),
+                open: Vec::new(),
+                accepted: 0,
+            }),
+            changed: Event::new(),
+        });
+        link.accept();
+        link
+    }
+
+    /// Number of connections that were accepted so far.
+    pub fn accepted(&self) -> usize {
+        self.state.lock().expect("state").accepted
+    }
+
+    /// Cuts the link.
+    pub async fn cut(&self, cut: Cut) {
+        let (accepting, listener) = {
+            let mut state = self.state.lock().expect("state");
+            state.cut = Some(cut);
+            (state.accepting.take(), Arc::clone(&state.listener))
+        };
+        if let Some(accepting) = accepting {
+            accepting.cancel().await;
+        }
+        match cut {
+            Cut::Hang => self.fill_queue(&listener).await,
+            Cut::Reset | Cut::RefuseNew => {
+                let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
+            }
+        }
+        if cut == Cut::Reset {
+            for stream in self.state.lock().expect("state").open.drain(..) {
+                reset(&stream);
+            }
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends a cut.
+    pub fn heal(self: &Arc<Self>) {
+        let mut state = self.state.lock().expect("state");
+        match state.cut.take() {
+            None => return,
+            Some(Cut::Hang) => {
+                SockRef::from(&*state.listener).listen(128).expect("listen");
+                state.queue_fillers.clear();
+            }
+            Some(Cut::Reset | Cut::RefuseNew) => {
+                state.listener = Arc::new(bind(self.address).expect("bind"));
+            }
+        }
+        drop(state);
+        self.accept();
+        self.changed.notify(usize::MAX);
+    }
+
+    async fn fill_queue(&self, listener: &TcpListener) {
+        SockRef::from(listener).listen(0).expect("listen");
+        let connect = || TcpStream::connect(self.address);
+        while let Some(filler) = within(FULL_QUEUE_TIMEOUT_MS, connect()).await {
+            let filler = filler.expect("a connection");
+            self.state.lock().expect("state").queue_fillers.push(filler);
+        }
+    }
+
+    fn accept(self: &Arc<Self>) {
+        let link = Arc::clone(self);
+        let listener = Arc::clone(&self.state.lock().expect("state").listener);
+        let accepting = smol::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                link.state.lock().expect("state").accepted += 1;
+                smol::spawn(forward(Arc::clone(&link), stream)).detach();
+            }
+        });
+        self.state.lock().expect("state").accepting = Some(accepting);
+    }
+
+    fn hangs(&self) -> bool {
+        self.state.lock().expect("state").cut == Some(Cut::Hang)
+    }
+
+    async fn until_passing(&self) {
+        loop {
+            let changed = self.changed.listen();
+            if !self.hangs() {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+async fn forward(link: Arc<Link>, node: TcpStream) {
+    let Ok(engine) = TcpStream::connect(link.engine).await else {
+        return reset(&node);
+    };
+    let streams = [node.clone(), engine.clone()];
+    link.state.lock().expect("state").open.extend(streams);
+    let requests = copy(&link, node.clone(), engine.clone());
+    let answers = copy(&link, engine.clone(), node.clone());
+    if smol::future::try_zip(requests, answers).await.is_err() {
+        reset(&node);
+        reset(&engine);
+    }
+}
+
+async fn copy(link: &Link, mut from: TcpStream, mut to: TcpStream) -> std::io::Result<()> {
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        link.until_passing().await;
+        if count == 0 {
+            // The other side may already be closed.
+            let _ = to.shutdown(Shutdown::Write);
+            return Ok(());
+        }
+        to.write_all(&buffer[..count]).await?;
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    // An error means that the connection is already closed.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,8 @@
 pub mod deployment;
 pub mod engine;
 pub mod fleet;
+pub mod links;
+pub mod partition;
 pub mod site;
 pub mod store;
 pub mod traffic;
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -3,7 +3,8 @@
 use ploverlift_gateway::callers::bind;
 use ploverlift_http1::{read_request_head, BufferedStream, ResponseHead};
 use serde_json::{json, Value};
-use smol::net::TcpStream;
+use smol::net::{TcpListener, TcpStream};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -65,6 +66,9 @@
     calls: Vec<String>,
 }
 
+/// Addresses that one node is told in place of those in the objects.
+type ReplacedAddresses = Arc<HashMap<String, String>>;
+
 /// The simulated store.
 pub struct StandInStore {
     pub address: SocketAddr,
@@ -72,6 +76,12 @@
     _task: smol::Task<()>,
 }
 
+/// The store as one node sees it: with other addresses of engines.
+pub struct StoreView {
+    pub address: SocketAddr,
+    _task: smol::Task<()>,
+}
+
 impl StandInStore {
     pub async fn start() -> Self {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
@@ -85,12 +95,7 @@
             fault: StoreFault::None,
             calls: Vec::new(),
         }));
-        let shared = Arc::clone(&state);
-        let task = smol::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                smol::spawn(serve(Arc::clone(&shared), stream)).detach();
-            }
-        });
+        let task = accept_calls(Arc::clone(&state), listener, ReplacedAddresses::default());
         Self {
             address,
             state,
@@ -98,6 +103,19 @@
         }
     }
 
+    /// A view of the store in which engines have these other addresses.
+    pub fn view(&self, addresses: HashMap<SocketAddr, SocketAddr>) -> StoreView {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let texts = addresses.into_iter();
+        let texts = texts.map(|(stored, told)| (stored.to_string(), told.to_string()));
+        let replaced = Arc::new(texts.collect());
+        StoreView {
+            address,
+            _task: accept_calls(Arc::clone(&self.state), listener, replaced),
+        }
+    }
+
     pub fn put(&self, kind: &str, name: &str, content: Value) -> u64 {
         self.state.lock().expect("state").put(kind, name, content)
     }
@@ -273,18 +291,52 @@
     }
 }
 
-async fn serve(state: Arc<Mutex<State>>, stream: TcpStream) {
+fn accept_calls(
+    state: Arc<Mutex<State>>,
+    listener: TcpListener,
+    replaced: ReplacedAddresses,
+) -> smol::Task<()> {
+    smol::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let serving = serve(Arc::clone(&state), stream, Arc::clone(&replaced));
+            smol::spawn(serving).detach();
+        }
+    })
+}
+
+/// Replaces addresses anywhere in a value.
+fn replace_addresses(value: &mut Value, replaced: &HashMap<String, String>) {
+    match value {
+        Value::String(text) => {
+            if let Some(told) = replaced.get(text.as_str()) {
+                text.clone_from(told);
+            }
+        }
+        Value::Array(items) => {
+            let each = items.iter_mut();
+            each.for_each(|item| replace_addresses(item, replaced));
+        }
+        Value::Object(fields) => {
+            let each = fields.values_mut();
+            each.for_each(|field| replace_addresses(field, replaced));
+        }
+        _ => {}
+    }
+}
+
+async fn serve(state: Arc<Mutex<State>>, stream: TcpStream, replaced: ReplacedAddresses) {
     let mut connection = BufferedStream::new(stream);
     while let Ok((_, mut decoder)) = read_request_head(&mut connection, 65_536).await {
         let mut body = Vec::new();
         while let Ok(true) = decoder.read(&mut connection, &mut body).await {}
         let call: Value = serde_json::from_slice(&body).expect("a call");
-        let Some((status, value)) = answer(&state, &call).await else {
+        let Some((status, mut value)) = answer(&state, &call).await else {
             if state.lock().expect("state").fault == StoreFault::Silent {
                 std::future::pending::<()>().await;
             }
             return;
         };
+        replace_addresses(&mut value, &replaced);
         let body = value.to_string();
         let mut head = ResponseHead::new(status);
         if let Some(era) = reported_era(&state) {
