Duties of a node that is cut off from engines: weights, cache feeds

An engine that is cut off from one node is no longer ejected there, so the holder of the lease on load orders would have kept an engine that it can't order, and the lease. Engines that are cut off are now no work for this holder, and the lease passes to a node that reaches them. Orders are not sent through peers: they would count as the peer's.

Calls for cache events go through a peer where needed; their failure ejected an engine that other nodes, and this one through them, still use.

--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -8,6 +8,7 @@
 use super::follow_duty::follow_duty;
 use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
 use crate::beliefs::{ActiveConfiguration, Beliefs};
+use crate::engine_paths::connect::{connect_engine, Unconnected};
 use crate::http_call::CallConnection;
 use crate::peers::roles::role;
 use crate::ports::CacheAnswer;
@@ -153,14 +154,14 @@
             Some(_) => None,
             None => Some(first_answers.permit().await),
         };
-        let answered = ask_for_events(
-            &gateway,
-            &mut connection,
-            next.unwrap_or(0),
-            &engine.zone,
-            EVENT_WAIT,
-        )
-        .await;
+        let position = next.unwrap_or(0);
+        let answered = match open_feed(&gateway, &engine, &mut connection).await {
+            Ok(()) => {
+                let zone = &engine.zone;
+                ask_for_events(&gateway, &mut connection, position, zone, EVENT_WAIT).await
+            }
+            Err(unconnected) => Err(unconnected.error),
+        };
         let bytes = answered.as_ref().map_or(0, |answered| answered.bytes);
         let pause_ms = match answered.map(|answered| answered.answer) {
             Ok(CacheAnswer::Events(batch)) => {
@@ -191,6 +192,21 @@
     }
 }
 
+/// Opens the connection for calls, by the path that works, unless it is open.
+async fn open_feed(
+    gateway: &Arc<Gateway>,
+    engine: &FollowedEngine,
+    connection: &mut CallConnection,
+) -> Result<(), Unconnected> {
+    if connection.is_open() {
+        return Ok(());
+    }
+    let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
+    let connecting = connect_engine(gateway, &engine.instance, engine.address, timeout_ms);
+    connection.use_stream(connecting.await?.stream);
+    Ok(())
+}
+
 fn take_events(gateway: &Gateway, engine: &FollowedEngine, batch: &CacheEvents) {
     let now = gateway.clock.now();
     let mut beliefs = gateway.beliefs();
@@ -211,8 +227,12 @@
 }
 
 /// Ejects an engine that does not answer calls for events, before requests detect it one by
-/// one, each after its own time-out.
+/// one, each after its own time-out. An engine that is cut off from this node alone serves
+/// requests.
 fn eject(gateway: &Gateway, engine: &FollowedEngine) {
+    if gateway.beliefs().engine_paths.is_cut(engine.tag) {
+        return;
+    }
     gateway.note_outcome(&engine.instance, Outcome::Unreachable);
 }
 
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -117,6 +117,16 @@
         self.stream = None;
     }
 
+    /// Whether the connection is open, as far as is known.
+    pub fn is_open(&self) -> bool {
+        self.stream.is_some()
+    }
+
+    /// Uses a connection that was opened elsewhere.
+    pub fn use_stream(&mut self, stream: BufferedStream) {
+        self.stream = Some(stream);
+    }
+
     /// Opens the connection unless it is open, so that the next call needs no connection
     /// set-up.
     ///
--- a/crates/gateway/src/weights/plan.rs
+++ b/crates/gateway/src/weights/plan.rs
@@ -25,7 +25,9 @@
 /// Engines with outdated weights, ordered by the time at which the oldest missing version
 /// was named, then by the number of running requests: new requests go to engines that have
 /// loaded, so the others have fewer and fewer requests left. Engines that are leaving,
-/// unreachable, or not at the address in their record are left out.
+/// unreachable, or not at the address in their record are left out. So are engines that are
+/// cut off from this node: when only those are left, the lease passes to a node that reaches
+/// them.
 pub fn outdated_engines(gateway: &Gateway, now: Millis) -> Vec<OutdatedEngine> {
     let late_ms = max_report_delay_ms(gateway);
     let beliefs = gateway.beliefs();
@@ -33,7 +35,9 @@
     for engine in beliefs.engines.iter() {
         let record = &engine.record;
         let is_usable = !beliefs.engines.is_leaving(engine) && !engine.is_misdirected(now);
-        if !is_usable || !engine.health.may_be_chosen(now) {
+        let is_reached =
+            engine.health.may_be_chosen(now) && !beliefs.engine_paths.is_cut(engine.tag);
+        if !is_usable || !is_reached {
             continue;
         }
         for (model, version) in &record.weights {
--- a/crates/gateway/tests/support/partition.rs
+++ b/crates/gateway/tests/support/partition.rs
@@ -8,8 +8,10 @@
 use super::site::StandInSite;
 use super::store::{StandInStore, StoreView};
 use super::traffic::Asked;
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_gateway::assembly::{start, RunningGateway};
 use ploverlift_gateway::logging::silent_logger;
+use serde_json::Value;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -41,8 +43,20 @@
     /// Starts engines of the service `llm` and nodes, and waits until the nodes know each
     /// other.
     pub async fn start(nodes: usize, engines: usize, behaviour: Behaviour) -> Self {
+        Self::start_with(nodes, engines, behaviour, |_| {}).await
+    }
+
+    /// Like [`Self::start`], with a changed configuration.
+    pub async fn start_with(
+        nodes: usize,
+        engines: usize,
+        behaviour: Behaviour,
+        change: impl Fn(&mut Value),
+    ) -> Self {
         let store = StandInStore::start().await;
-        store.put("Configuration", "main", configuration(1));
+        let mut content = configuration(1);
+        change(&mut content);
+        store.put("Configuration", "main", content);
         let engines = start_engines(&store, "llm", engines, behaviour).await;
         let mut site = Self {
             store,
@@ -74,6 +88,11 @@
         self._views.push(view);
     }
 
+    /// The instance id of an engine.
+    pub fn instance(&self, engine: usize) -> InstanceId {
+        InstanceId(self.engines[engine].instance.clone())
+    }
+
     /// The link between a node and an engine.
     pub fn link(&self, node: usize, engine: usize) -> &Arc<Link> {
         &self.links[node][engine]
