--- a/crates/balancing/src/engine_losses.rs
+++ b/crates/balancing/src/engine_losses.rs
@@ -92,6 +92,8 @@
     suspicion: u64,
     failures: VecDeque<FailedConnection>,
     lost_at: Option<Millis>,
+    /// Number of checks that failed.
+    failed_checks: u32,
     is_checked: bool,
     record_is_gone: bool,
 }
@@ -192,6 +194,7 @@
             },
             failures: VecDeque::new(),
             lost_at: None,
+            failed_checks: 0,
             is_checked: false,
             record_is_gone: false,
         });
@@ -205,6 +208,20 @@
         suspect
     }
 
+    /// Records that a check of a suspected engine failed.
+    pub fn note_check_failed(&mut self, instance: &InstanceId) {
+        if let Some(suspect) = self.suspects.get_mut(instance) {
+            suspect.failed_checks += 1;
+        }
+    }
+
+    /// Whether a connection to the engine has failed and a check after it as well, so that the
+    /// running check will show first that it can be reached again.
+    pub fn is_unreachable(&self, instance: &InstanceId) -> bool {
+        let suspect = self.suspects.get(instance);
+        suspect.is_some_and(|suspect| suspect.failed_checks > 0)
+    }
+
     /// Removes and returns the checks that are due.
     pub fn take_due(&mut self) -> Vec<DueCheck> {
         std::mem::take(&mut self.due)
--- a/crates/gateway/src/engine_checks.rs
+++ b/crates/gateway/src/engine_checks.rs
@@ -146,6 +146,7 @@
     if !beliefs.losses.is_current(check) || failed.failure == ConnectFailure::Local {
         return false;
     }
+    beliefs.losses.note_check_failed(&check.instance);
     beliefs
         .engines
         .put_aside(&check.instance, now.plus(failed.ejection_ms));
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -184,6 +184,10 @@
                     return self.give_up().await;
                 }
             };
+            if self.is_unreachable(&chosen) {
+                "no engine of the service can be reached".clone_into(&mut self.progress.reason);
+                return self.give_up().await;
+            }
             if let Some(unservable) = self.check_first_attempt(&chosen) {
                 self.note_unservable(unservable);
                 return self.give_up().await;
@@ -211,6 +215,16 @@
         }
     }
 
+    /// Whether the cheapest engine, and so each one that is left, is known to be unreachable. A
+    /// request would only wait for the connection to fail once more.
+    fn is_unreachable(&self, chosen: &ChosenEngine) -> bool {
+        let now = self.gateway.clock.now();
+        let beliefs = self.gateway.beliefs();
+        let engine = beliefs.engines.get(&chosen.instance);
+        let is_ejected = engine.is_some_and(|engine| !engine.health.may_be_chosen(now));
+        is_ejected && beliefs.losses.is_unreachable(&chosen.instance)
+    }
+
     /// Checks before the first attempt only whether the request can be served.
     fn check_first_attempt(&self, chosen: &ChosenEngine) -> Option<Unservable> {
         match self.progress.attempts.tried().is_empty() {
