Engines that are silent for a second and a half are not lost

Three connection time-outs within half a second made an engine lost, and all nodes that saw its silence confirmed each other, so requests in flight were aborted, also those that must not run again. A sound engine may be silent for about a second. It is now lost after two seconds: 1.5 s of silence and the time-out of a connection that was begun at its end.

--- a/crates/balancing/src/engine_losses.rs
+++ b/crates/balancing/src/engine_losses.rs
@@ -18,9 +18,9 @@
 
 /// Number of consecutive connection time-outs after which an engine is lost.
 const FAILURES_UNTIL_LOST: usize = 3;
-/// Minimum time between the first and the last of these time-outs, in milliseconds: a
-/// short disturbance of a link makes several connections fail at once.
-const FAILING_FOR_MS: u64 = 500;
+/// Minimum time between the first and the last of these time-outs, in milliseconds: a sound
+/// engine may be silent for a second and a half, and all nodes see that.
+const FAILING_FOR_MS: u64 = 2_000;
 /// Maximum number of failures that are remembered for a suspected engine. A burst of
 /// requests fails within one connection time-out, and the checks continue after it at
 /// their own interval.
--- a/crates/gateway/src/engine_checks.rs
+++ b/crates/gateway/src/engine_checks.rs
@@ -18,8 +18,9 @@
 const FIRST_PAUSE_MS: u64 = 250;
 /// Maximum time between two checks, in milliseconds.
 const MAX_PAUSE_MS: u64 = 2_000;
-/// Number of checks at the first pause; after them, the pause doubles each time.
-const CHECKS_AT_FIRST_PAUSE: u32 = 3;
+/// Number of checks at the first pause; after them, the pause doubles each time. With their
+/// time-outs they span the time after which a silent engine is lost.
+const CHECKS_AT_FIRST_PAUSE: u32 = 5;
 /// Maximum checks of an engine after its record was removed.
 const CHECKS_WITHOUT_RECORD: u32 = 5;
 /// Time beyond the end of the next check for which the engine stays ejected, in
