Failures that a cut link caused do not count against the engine

The failures of an engine are dropped when it turns out to be cut off from this node, and requests that break on a direct connection to it are not counted against it or its software version.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -306,6 +306,13 @@
         }
     }
 
+    /// Drops the failures of an engine, because this node's link to it caused them.
+    pub fn forget_failures(&mut self, instance: &InstanceId) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.health.forget_failures();
+        }
+    }
+
     /// The engine accepts no connections: it is not chosen before `until`.
     pub fn put_aside(&mut self, instance: &InstanceId, until: Millis) {
         if let Some(engine) = self.engines.get_mut(instance) {
--- a/crates/balancing/src/health.rs
+++ b/crates/balancing/src/health.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Drops the failures that were observed, because the link to the engine caused them.
+    pub fn forget_failures(&mut self) {
+        self.failure_rate = 0.0;
+        self.clear_ejection();
+    }
+
     fn clear_ejection(&mut self) {
         self.failures_in_a_row = 0;
         self.ejected_until = None;
--- a/crates/gateway/src/engine_paths/connect.rs
+++ b/crates/gateway/src/engine_paths/connect.rs
@@ -214,6 +214,9 @@
         let paths = &mut beliefs.engine_paths;
         let noted = paths.note_cut(self.tag, failure, now);
         let engines_cut_off = paths.cut_count();
+        if noted.is_new {
+            beliefs.engines.forget_failures(self.instance);
+        }
         drop(beliefs);
         gateway
             .metrics
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -7,7 +7,9 @@
 use super::{AfterAnswer, Forwarding};
 use crate::cut_requests::CutRequest;
 use crate::engine_ends::note_cut;
+use crate::engine_paths::connect::EnginePath;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_balancing::names::EngineTag;
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::ids::Millis;
 use std::io;
@@ -176,6 +178,8 @@
                     in_flight.note_outcome(Outcome::Unreachable);
                 }
             }
+            // The link broke it, which says nothing about the engine or its version.
+            AttemptEnd::Broken(_) if self.is_cut_off_directly(in_flight) => {}
             AttemptEnd::Broken(broken) => {
                 if !broken.time_is_up() || waited_ms >= self.answer_timeout_ms() {
                     in_flight.note_outcome(Outcome::Broken);
@@ -185,6 +189,12 @@
         }
     }
 
+    /// Whether the attempt was sent directly to an engine that is now cut off from this node.
+    fn is_cut_off_directly(&self, in_flight: &InFlight) -> bool {
+        let engine = EngineTag::of(in_flight.instance());
+        self.path == EnginePath::Direct && self.gateway.beliefs().engine_paths.is_cut(engine)
+    }
+
     /// Time without an answer after which another engine is tried, in milliseconds; `None` when
     /// this is the last attempt.
     pub(super) fn attempt_timeout_ms(&self) -> Option<u64> {
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -76,6 +76,11 @@
             .map_or(0, |first| age_ms.saturating_sub(first))
     }
 
+    /// The engine.
+    pub fn instance(&self) -> &InstanceId {
+        &self.subject.instance
+    }
+
     /// When the attempt started.
     pub fn start_time(&self) -> Millis {
         self.start_time
