--- a/crates/gateway/tests/pages.rs
+++ b/crates/gateway/tests/pages.rs
@@ -18,7 +18,7 @@
 const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
 const ALL_ADDRESSES: &str = "[node]\nname = \"n\"\nzone = \"z\"\n[listen]\n\
     callers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\nmetrics = \"127.0.0.1:3\"\n\
-    peers = \"127.0.0.1:5\"\n\
+    peers = \"127.0.0.1:5\"\ntunnels = \"127.0.0.1:6\"\n\
     [store]\naddress = \"127.0.0.1:4\"\n";
 
 /// The first two columns of the table under a heading.
