Test of a stopping peer waits for its own request

It waited for any open tunnel, also one of the requests that came before, and stopped the peer before the request under test had reached an engine: once, 'unreachable: Connection refused' in place of the stream. It waits for the arrival of that request now; what it checks is the same.

--- a/crates/gateway/tests/tunnels.rs
+++ b/crates/gateway/tests/tunnels.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use support::caller::{self, prompt, request};
-use support::engine::{all_events, event, Behaviour};
+use support::engine::{all_events, event, Behaviour, StandInEngine};
 use support::links::Cut;
 use support::partition::PartitionableSite;
 use support::site;
@@ -81,6 +81,17 @@
     }
 }
 
+/// Waits until a request has arrived at an engine. Other tunnels may be open meanwhile.
+async fn wait_until_arrived(site: &PartitionableSite, id: &str) {
+    let arrived = || {
+        let mut ids = site.engines.iter().flat_map(StandInEngine::arrived_ids);
+        ids.any(|arrived| arrived == id)
+    };
+    while !arrived() {
+        sleep(POLL_MS).await;
+    }
+}
+
 #[test]
 fn a_tunnel_is_opened_to_an_engine_that_the_peer_reaches() {
     smol::block_on(async {
@@ -177,13 +188,7 @@
         }
         let asked = prompt("stream.test", "leaves");
         let connection = caller::open(site.nodes[0].callers, &asked).await;
-        let arrived = || {
-            let ids = site.engines.iter().flat_map(|engine| engine.arrived_ids());
-            ids.into_iter().any(|id| id == "leaves")
-        };
-        while !arrived() {
-            sleep(POLL_MS).await;
-        }
+        wait_until_arrived(&site, "leaves").await;
         drop(connection);
         let left_at = Instant::now();
         while site.engines.iter().all(|engine| engine.dropped() == 0) {
@@ -208,10 +213,7 @@
         }
         let asked = prompt("stream.test", "slow");
         let mut connection = caller::open(site.nodes[0].callers, &asked).await;
-        let carried = |site: &PartitionableSite| site.nodes[1].gateway.tunnel_use().open();
-        while carried(&site) == 0 {
-            sleep(POLL_MS).await;
-        }
+        wait_until_arrived(&site, "slow").await;
         let peer = site.nodes.remove(1);
         let stopping = smol::spawn(peer.stop());
         let answer = caller::read(&mut connection).await.expect("an answer");
