--- a/crates/gateway/src/engine_paths/tunnel_client.rs
+++ b/crates/gateway/src/engine_paths/tunnel_client.rs
@@ -1,19 +1,18 @@
 //! Asks peers for a tunnel to an engine.
 
 use crate::http_call::{set_liveness_options, SERVER_LIVENESS};
+use crate::peer_stream::{read_message, write_message, ConnectionSnafu, StreamError};
 use crate::state::Gateway;
 use crate::time::within;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ploverlift_balancing::engine_paths::DirectFailure;
 use ploverlift_balancing::names::{EngineTag, InstanceId, PeerId, ZoneTag};
 use ploverlift_balancing::tunnel_peers::{PeerFailure, TunnelPeer};
 use ploverlift_http1::BufferedStream;
 use ploverlift_tunnel::framing::FrameDecoder;
 use ploverlift_tunnel::messages::{decode_answer, TunnelRefusal, TunnelRequest, MAX_MESSAGE_BYTES};
-use ploverlift_wire::{length_prefix, parse_length_prefix, WireError, LENGTH_PREFIX_BYTES};
+use ploverlift_wire::WireError;
 use smol::net::TcpStream;
-use snafu::{ensure, ResultExt, Snafu};
-use std::io;
+use snafu::{ResultExt, Snafu};
 use std::sync::Arc;
 
 /// Maximum number of peers that are asked for one connection.
@@ -68,12 +67,10 @@
 /// Why a peer opened no tunnel.
 #[derive(Debug, Snafu)]
 enum TunnelError {
-    #[snafu(display("connection to the peer failed: {source}"))]
-    Connection { source: io::Error },
+    #[snafu(transparent)]
+    Stream { source: StreamError },
     #[snafu(display("the peer's answer is invalid: {source}"))]
     Message { source: WireError },
-    #[snafu(display("the peer's answer is too large"))]
-    TooLarge,
     #[snafu(display("the peer did not answer in time"))]
     TimedOut,
     #[snafu(display("the peer opens none: {}", refusal.name()))]
@@ -172,7 +169,7 @@
     }
     let now = gateway.clock.now();
     let own_zone = ZoneTag::of(&gateway.zone);
-    // Lock order: the address book is never locked while the beliefs are.
+    // Collected first, so that the two locks are never held together.
     let peers: Vec<TunnelPeer> = {
         let book = gateway.address_book();
         let peers = book.tunnel_peers(now);
@@ -232,19 +229,8 @@
     let connected = TcpStream::connect(peer.address).await;
     let mut stream = connected.context(ConnectionSnafu)?;
     set_liveness_options(&stream, SERVER_LIVENESS);
-    let message = request.encode();
-    let prefix = length_prefix(message.len());
-    let prefixed = [prefix.as_slice(), &message].concat();
-    let written = stream.write_all(&prefixed).await;
-    written.context(ConnectionSnafu)?;
-    let mut prefix = [0; LENGTH_PREFIX_BYTES];
-    let read = stream.read_exact(&mut prefix).await;
-    read.context(ConnectionSnafu)?;
-    let length = parse_length_prefix(prefix).context(MessageSnafu)?;
-    ensure!(length <= MAX_MESSAGE_BYTES, TooLargeSnafu);
-    let mut answer = vec![0; length];
-    let read = stream.read_exact(&mut answer).await;
-    read.context(ConnectionSnafu)?;
+    write_message(&mut stream, &request.encode()).await?;
+    let answer = read_message(&mut stream, MAX_MESSAGE_BYTES).await?;
     match decode_answer(&answer).context(MessageSnafu)? {
         Ok(()) => Ok(stream),
         Err(refusal) => RefusedSnafu { refusal }.fail(),
--- a/crates/gateway/src/engine_paths/tunnel_server.rs
+++ b/crates/gateway/src/engine_paths/tunnel_server.rs
@@ -6,18 +6,17 @@
 use super::connect::direct_failure;
 use super::tunnel_copy::copy_tunnel;
 use crate::http_call::{connect, set_liveness_options, SERVER_LIVENESS};
+use crate::peer_stream::{read_message, write_message, StreamError};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ploverlift_balancing::engine_paths::DirectFailure;
 use ploverlift_balancing::names::EngineTag;
 use ploverlift_tunnel::messages::{
     encode_answer, TunnelAnswer, TunnelRefusal, TunnelRequest, MAX_MESSAGE_BYTES,
 };
-use ploverlift_wire::{length_prefix, parse_length_prefix, WireError, LENGTH_PREFIX_BYTES};
+use ploverlift_wire::WireError;
 use smol::net::{TcpListener, TcpStream};
-use snafu::{ensure, ResultExt, Snafu};
-use std::io;
+use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -29,12 +28,10 @@
 /// Why a request for a tunnel was not answered.
 #[derive(Debug, Snafu)]
 enum ServerError {
-    #[snafu(display("connection failed: {source}"))]
-    Connection { source: io::Error },
+    #[snafu(transparent)]
+    Stream { source: StreamError },
     #[snafu(display("invalid request: {source}"))]
     Message { source: WireError },
-    #[snafu(display("the request is too large"))]
-    TooLarge,
     #[snafu(display("the request did not arrive in time"))]
     TimedOut,
 }
@@ -63,7 +60,7 @@
             .paths
             .count_tunnel_answer(TunnelRefusal::Full.name());
         // The node may ask another peer whether or not this answer reaches it.
-        let _ = write_answer(&mut stream, &Err(TunnelRefusal::Full)).await;
+        let _ = write_message(&mut stream, &encode_answer(&Err(TunnelRefusal::Full))).await;
         return;
     }
     let opened = open(gateway, &mut stream, from).await;
@@ -116,30 +113,15 @@
         slog::warn!(gateway.log, "request for a tunnel from an unknown host";
             "from" => from.to_string(), "engine" => &request.engine.0);
     }
-    let written = write_answer(stream, &answer).await;
-    written.context(ConnectionSnafu)?;
+    write_message(stream, &encode_answer(&answer)).await?;
     Ok(connected.ok())
 }
 
 async fn read_request(stream: &mut TcpStream) -> Result<TunnelRequest, ServerError> {
-    let mut prefix = [0; LENGTH_PREFIX_BYTES];
-    let read = stream.read_exact(&mut prefix).await;
-    read.context(ConnectionSnafu)?;
-    let length = parse_length_prefix(prefix).context(MessageSnafu)?;
-    ensure!(length <= MAX_MESSAGE_BYTES, TooLargeSnafu);
-    let mut message = vec![0; length];
-    let read = stream.read_exact(&mut message).await;
-    read.context(ConnectionSnafu)?;
+    let message = read_message(stream, MAX_MESSAGE_BYTES).await?;
     TunnelRequest::decode(&message).context(MessageSnafu)
 }
 
-async fn write_answer(stream: &mut TcpStream, answer: &TunnelAnswer) -> io::Result<()> {
-    let message = encode_answer(answer);
-    let prefix = length_prefix(message.len());
-    let prefixed = [prefix.as_slice(), &message].concat();
-    stream.write_all(&prefixed).await
-}
-
 /// Opens a direct connection to the engine, if a tunnel is permitted.
 async fn connect_for(
     gateway: &Gateway,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`kept_connections`] | idle connections to engines |
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and the engines that cache each prompt |
+//! | `peer_stream` | messages with a length prefix on TCP connections between nodes |
 //! | [`cache_feeds`] | follows the contents of engine caches and of the KV cache store |
 //! | [`rollouts`] | rollouts of engines' software |
 //! | [`engines_proof`] | age and source of the node's list of engines |
@@ -53,6 +54,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod outcomes;
+mod peer_stream;
 pub mod peers;
 pub mod ports;
 pub mod quarantine;
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -12,6 +12,7 @@
 use crate::beliefs::Beliefs;
 use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
+use crate::peer_stream::{read_length, write_message, ConnectionSnafu, StreamError};
 use crate::ports::StoreObject;
 use crate::rollouts::exchange::Reporter;
 use crate::rollouts::feed::publish_order_updates;
@@ -27,7 +28,7 @@
 use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_wire::{
     decode_snapshot, decode_snapshot_request, encode_snapshot, encode_snapshot_request,
-    length_prefix, parse_length_prefix, peers, WireError, LENGTH_PREFIX_BYTES,
+    length_prefix, peers, WireError,
 };
 use smol::lock::Semaphore;
 use smol::net::{TcpListener, TcpStream};
@@ -60,8 +61,8 @@
 /// Reasons why a snapshot could not be transferred.
 #[derive(Debug, Snafu)]
 enum SnapshotError {
-    #[snafu(display("connection to the other node failed: {source}"))]
-    Connection { source: std::io::Error },
+    #[snafu(transparent)]
+    Stream { source: StreamError },
     #[snafu(display("snapshot message is invalid: {source}"))]
     Message { source: WireError },
     #[snafu(display("transfer of the snapshot timed out"))]
@@ -131,7 +132,7 @@
         let connected = connected.ok_or(SnapshotError::TimedOut)?;
         let mut stream = connected.context(ConnectionSnafu)?;
         write_message(&mut stream, &encode_snapshot_request(&request)).await?;
-        let answer = read_message(&mut stream).await?;
+        let answer = read_in_chunks(&mut stream).await?;
         decode_snapshot(&answer).context(MessageSnafu)
     };
     let relay_lost = async {
@@ -156,17 +157,9 @@
     }
 }
 
-async fn write_message(stream: &mut TcpStream, message: &[u8]) -> Result<(), SnapshotError> {
-    let prefix = length_prefix(message.len());
-    let prefixed = [prefix.as_slice(), message].concat();
-    stream.write_all(&prefixed).await.context(ConnectionSnafu)
-}
-
-async fn read_message(stream: &mut TcpStream) -> Result<Vec<u8>, SnapshotError> {
-    let mut prefix = [0; LENGTH_PREFIX_BYTES];
-    let read = stream.read_exact(&mut prefix).await;
-    read.context(ConnectionSnafu)?;
-    let length = parse_length_prefix(prefix).context(MessageSnafu)?;
+/// Reads a message for as long as its bytes keep arriving.
+async fn read_in_chunks(stream: &mut TcpStream) -> Result<Vec<u8>, SnapshotError> {
+    let length = read_length(stream).await?;
     let mut message = vec![0; length];
     for chunk in message.chunks_mut(CHUNK_BYTES) {
         let read = within(PROGRESS_TIMEOUT_MS, stream.read_exact(chunk)).await;
@@ -307,7 +300,7 @@
     stream: &mut TcpStream,
     permits: &Semaphore,
 ) -> Result<(), SnapshotError> {
-    let request = within(PROGRESS_TIMEOUT_MS, read_message(stream)).await;
+    let request = within(PROGRESS_TIMEOUT_MS, read_in_chunks(stream)).await;
     let request = request.ok_or(SnapshotError::TimedOut)??;
     let request = decode_snapshot_request(&request).context(MessageSnafu)?;
     let _permit = match request.wants_engines {
