--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -4,10 +4,10 @@
 mod connection;
 
 use self::connection::serve;
+use super::accept_queue::QueueFillers;
 use super::site;
 use event_listener::Event;
 use ploverlift_gateway::callers::bind;
-use ploverlift_gateway::time::within;
 use ploverlift_http1::RequestHead;
 use serde_json::{json, Value};
 use smol::net::{TcpListener, TcpStream};
@@ -17,10 +17,6 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
-/// Time-out after which a connection attempt shows that the accept queue is full, in
-/// milliseconds.
-const FULL_QUEUE_TIMEOUT_MS: u64 = 60;
-
 /// How the engine handles a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -144,7 +140,7 @@
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
     /// Connections that fill the accept queue while the engine has no power.
-    queue_fillers: Vec<TcpStream>,
+    queue_fillers: QueueFillers,
     accepting: Option<smol::Task<()>>,
     _ending: smol::Task<()>,
 }
@@ -185,7 +181,7 @@
             happened,
             shared,
             listener,
-            queue_fillers: Vec::new(),
+            queue_fillers: QueueFillers::default(),
             accepting: Some(accepting),
             _ending: ending,
         }
@@ -219,17 +215,12 @@
         if let Some(accepting) = self.accepting.take() {
             accepting.cancel().await;
         }
-        SockRef::from(&*self.listener).listen(0).expect("listen");
-        let connect = || TcpStream::connect(self.address);
-        while let Some(filler) = within(FULL_QUEUE_TIMEOUT_MS, connect()).await {
-            self.queue_fillers.push(filler.expect("a connection"));
-        }
+        self.queue_fillers = QueueFillers::fill(&self.listener).await;
     }
 
     /// Simulates the return of power: waiting connections are accepted.
     pub fn regain_power(&mut self) {
-        SockRef::from(&*self.listener).listen(128).expect("listen");
-        self.queue_fillers.clear();
+        self.queue_fillers.drain(&self.listener);
         self.accepting = Some(accept(&self.shared, &self.listener));
     }
 
--- a/crates/gateway/tests/support/links.rs
+++ b/crates/gateway/tests/support/links.rs
@@ -1,8 +1,8 @@
 //! Links between one node and one engine each, which a test cuts and heals.
 
+use super::accept_queue::QueueFillers;
 use event_listener::Event;
 use ploverlift_gateway::callers::bind;
-use ploverlift_gateway::time::within;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
@@ -10,9 +10,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Time-out after which a connection attempt shows that the accept queue is full, in
-/// milliseconds.
-const FULL_QUEUE_TIMEOUT_MS: u64 = 60;
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -31,10 +28,8 @@
     cut: Option<Cut>,
     listener: Arc<TcpListener>,
     accepting: Option<smol::Task<()>>,
-    /// Connections that fill the accept queue during a cut that hangs.
-    queue_fillers: Vec<TcpStream>,
+    queue_fillers: QueueFillers,
     open: Vec<TcpStream>,
-    accepted: usize,
 }
 
 /// A link between one node and one engine.
@@ -58,9 +53,8 @@
                 cut: None,
                 listener,
                 accepting: None,
-                queue_fillers: Vec::new(),
+                queue_fillers: QueueFillers::default(),
                 open: Vec::new(),
-                accepted: 0,
             }),
             changed: Event::new(),
         });
@@ -68,11 +62,6 @@
         link
     }
 
-    /// Number of connections that were accepted so far.
-    pub fn accepted(&self) -> usize {
-        self.state.lock().expect("state").accepted
-    }
-
     /// Cuts the link.
     pub async fn cut(&self, cut: Cut) {
         let (accepting, listener) = {
@@ -84,7 +73,10 @@
             accepting.cancel().await;
         }
         match cut {
-            Cut::Hang => self.fill_queue(&listener).await,
+            Cut::Hang => {
+                let fillers = QueueFillers::fill(&listener).await;
+                self.state.lock().expect("state").queue_fillers = fillers;
+            }
             Cut::Reset | Cut::RefuseNew => {
                 let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
             }
@@ -103,8 +95,8 @@
         match state.cut.take() {
             None => return,
             Some(Cut::Hang) => {
-                SockRef::from(&*state.listener).listen(128).expect("listen");
-                state.queue_fillers.clear();
+                let listener = Arc::clone(&state.listener);
+                state.queue_fillers.drain(&listener);
             }
             Some(Cut::Reset | Cut::RefuseNew) => {
                 state.listener = Arc::new(bind(self.address).expect("bind"));
@@ -115,21 +107,11 @@
         self.changed.notify(usize::MAX);
     }
 
-    async fn fill_queue(&self, listener: &TcpListener) {
-        SockRef::from(listener).listen(0).expect("listen");
-        let connect = || TcpStream::connect(self.address);
-        while let Some(filler) = within(FULL_QUEUE_TIMEOUT_MS, connect()).await {
-            let filler = filler.expect("a connection");
-            self.state.lock().expect("state").queue_fillers.push(filler);
-        }
-    }
-
     fn accept(self: &Arc<Self>) {
         let link = Arc::clone(self);
         let listener = Arc::clone(&self.state.lock().expect("state").listener);
         let accepting = smol::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                link.state.lock().expect("state").accepted += 1;
                 smol::spawn(forward(Arc::clone(&link), stream)).detach();
             }
         });
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A simulated site over loopback: its protocols, a store, engines and callers.
 #![allow(dead_code)]
 
+pub mod accept_queue;
 pub mod caller;
 pub mod deployment;
 pub mod engine;
--- a/crates/gateway/tests/support/partition.rs
+++ b/crates/gateway/tests/support/partition.rs
@@ -93,11 +93,6 @@
         InstanceId(self.engines[engine].instance.clone())
     }
 
-    /// The link between a node and an engine.
-    pub fn link(&self, node: usize, engine: usize) -> &Arc<Link> {
-        &self.links[node][engine]
-    }
-
     /// Cuts nodes off from engines.
     pub async fn cut(&self, nodes: &[usize], engines: &[usize], cut: Cut) {
         for node in nodes {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -66,7 +66,7 @@
     calls: Vec<String>,
 }
 
-/// Addresses that one node is told in place of those in the objects.
+/// Addresses that one node reads instead of the stored ones, by stored address.
 type ReplacedAddresses = Arc<HashMap<String, String>>;
 
 /// The simulated store.
