One place keeps engines that are cut off from being ejected by failed calls

Cache feeds and load orders each asked whether the engine was cut off before they recorded that a call had failed. Both record through Gateway::note_outcome, and nothing else does, so it asks. The next call of an engine can't forget to.

--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -227,12 +227,8 @@
 }
 
 /// Ejects an engine that does not answer calls for events, before requests detect it one by
-/// one, each after its own time-out. An engine that is cut off from this node alone serves
-/// requests.
+/// one, each after its own time-out.
 fn eject(gateway: &Gateway, engine: &FollowedEngine) {
-    if gateway.beliefs().engine_paths.is_cut(engine.tag) {
-        return;
-    }
     gateway.note_outcome(&engine.instance, Outcome::Unreachable);
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,7 +17,7 @@
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::cost::{CostRates, RegionRates};
 use ploverlift_balancing::health::Outcome;
-use ploverlift_balancing::peer_loads::PeerId;
+use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
 use ploverlift_balancing::weights::WeightsBounds;
 use ploverlift_clock::{unix_ms, Clock};
 use ploverlift_policy::ids::{Millis, ZoneName};
@@ -193,10 +193,17 @@
         beliefs.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Records the outcome of a request to an engine or a call of it.
+    /// Records the outcome of a call of an engine other than a request. One that is cut off
+    /// from this node alone still serves requests through peers, so it is not ejected.
     pub fn note_outcome(&self, instance: &InstanceId, outcome: Outcome) {
         let now = self.clock.now();
-        self.beliefs().note_outcome(instance, outcome, now);
+        let mut beliefs = self.beliefs();
+        let is_cut = beliefs.engine_paths.is_cut(EngineTag::of(instance));
+        if outcome == Outcome::Unreachable && is_cut {
+            return;
+        }
+        beliefs.note_outcome(instance, outcome, now);
+        drop(beliefs);
         if outcome == Outcome::Unreachable {
             self.engine_check_due.notify(usize::MAX);
         }
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -8,7 +8,6 @@
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::health::Outcome;
-use ploverlift_balancing::names::EngineTag;
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::ids::Millis;
 use std::sync::Arc;
@@ -125,13 +124,9 @@
         NextStep::Loaded { after_ms }
     }
 
-    /// An engine that is cut off from this node alone still serves requests.
     fn unreachable(&self) -> NextStep {
-        let instance = &self.engine.instance;
-        let tag = EngineTag::of(instance);
-        if !self.gateway.beliefs().engine_paths.is_cut(tag) {
-            self.gateway.note_outcome(instance, Outcome::Unreachable);
-        }
+        self.gateway
+            .note_outcome(&self.engine.instance, Outcome::Unreachable);
         NextStep::Finished
     }
 
