Gauges of paths are read when the page of metrics is made; no twin of a failure's names

Two gauges were copies of state that four places kept up to date; publish_paths reads the state, as publish_limits does. In a race a gauge could have stayed above 0 after the last engine was reached again; the new test of it passed before as well. An engine's paths are forgotten where its record is removed, with all else that is known of it, instead of by a pass over all engines that are cut off, 20 times a second. The kinds of failed connections are mapped and named once. cut_since had no caller.

--- a/crates/balancing/src/engine_paths.rs
+++ b/crates/balancing/src/engine_paths.rs
@@ -149,12 +149,6 @@
         self.cut.len()
     }
 
-    /// Since when an engine is cut off, and how its direct connection failed.
-    pub fn cut_since(&self, engine: EngineTag) -> Option<(Millis, DirectFailure)> {
-        let cut = self.cut.get(&engine)?;
-        Some((cut.since, cut.failure))
-    }
-
     /// Whether so many of the recently contacted engines are cut off that the fault lies
     /// with this node's own link.
     pub fn is_link_suspected(&self, now: Millis) -> bool {
@@ -273,11 +267,6 @@
         Some(restored)
     }
 
-    /// Engines that are cut off from this node.
-    pub fn cut_engines(&self) -> impl Iterator<Item = EngineTag> + '_ {
-        self.cut.keys().copied()
-    }
-
     /// Drops what is known of an engine that is gone.
     pub fn forget(&mut self, engine: EngineTag) {
         self.cut.remove(&engine);
--- a/crates/balancing/src/tunnel_peers.rs
+++ b/crates/balancing/src/tunnel_peers.rs
@@ -82,7 +82,7 @@
     }
 
     /// Whether the peer may be asked for a tunnel to the engine.
-    pub fn may_ask(&self, peer: PeerId, engine: EngineTag, now: Millis) -> bool {
+    fn may_ask(&self, peer: PeerId, engine: EngineTag, now: Millis) -> bool {
         let avoided = self.avoided_until.get(&peer);
         let unreached = self.unreached_until.get(&(peer, engine));
         let is_over = |until: Option<&Millis>| until.is_none_or(|until| now >= *until);
--- a/crates/gateway/src/engine_beliefs.rs
+++ b/crates/gateway/src/engine_beliefs.rs
@@ -72,6 +72,7 @@
         let is_new = self.engines.remove(instance, revision);
         if is_new {
             self.engines_proof.stop_retaining(instance);
+            self.engine_paths.forget(EngineTag::of(instance));
         }
         if let (true, Some(record)) = (is_new, record) {
             self.rollouts.note_engine_gone(&record, &self.engines);
--- a/crates/gateway/src/engine_paths/connect.rs
+++ b/crates/gateway/src/engine_paths/connect.rs
@@ -222,11 +222,6 @@
             beliefs.engines.forget_failures(self.instance);
         }
         drop(beliefs);
-        gateway
-            .metrics
-            .paths
-            .engines_cut_off
-            .set(engines_cut_off as i64);
         if noted.is_new {
             slog::warn!(gateway.log, "engine cut off from this node";
                 "engine" => &self.instance.0, "failure" => failure.name(),
@@ -280,9 +275,5 @@
 /// How a direct connection failed; `None` for a fault of this machine, which says nothing about
 /// the path.
 pub(super) fn direct_failure(error: &CallError) -> Option<DirectFailure> {
-    match error.connect_failure()? {
-        ConnectFailure::NoAnswer => Some(DirectFailure::NoAnswer),
-        ConnectFailure::Refused => Some(DirectFailure::Refused),
-        ConnectFailure::Local => None,
-    }
+    error.connect_failure()?.of_path()
 }
--- a/crates/gateway/src/engine_paths/metrics.rs
+++ b/crates/gateway/src/engine_paths/metrics.rs
@@ -2,6 +2,8 @@
 
 use super::connect::EnginePath;
 use crate::http_call::ConnectFailure;
+use crate::state::Gateway;
+use ploverlift_balancing::engine_paths::DirectFailure;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -57,14 +59,19 @@
     pub tunnel_bytes: Counter,
 }
 
+/// Updates the gauges of paths and tunnels, before the metrics are read.
+pub(crate) fn publish_paths(gateway: &Gateway) {
+    let engines_cut_off = gateway.beliefs().engine_paths.cut_count();
+    let tunnels_carried = gateway.tunnel_use().open();
+    let metrics = &gateway.metrics.paths;
+    metrics.engines_cut_off.set(engines_cut_off as i64);
+    metrics.tunnels_carried.set(tunnels_carried as i64);
+}
+
 impl PathMetrics {
     /// Counts a failed connection attempt.
     pub fn count_connect_failure(&self, failure: ConnectFailure) {
-        let failure = match failure {
-            ConnectFailure::NoAnswer => "no_answer",
-            ConnectFailure::Refused => "refused",
-            ConnectFailure::Local => "local",
-        };
+        let failure = failure.of_path().map_or("local", DirectFailure::name);
         let label = ConnectFailureLabel { failure };
         self.connect_failures.get_or_create(&label).inc();
     }
--- a/crates/gateway/src/engine_paths/probes.rs
+++ b/crates/gateway/src/engine_paths/probes.rs
@@ -36,17 +36,12 @@
     }
 }
 
-/// Returns the due probes and drops the state of engines that are gone.
+/// The direct paths that are due to be probed.
 fn due_probes(gateway: &Gateway) -> Vec<DueProbe> {
     let now = gateway.clock.now();
     let mut beliefs = gateway.beliefs();
     let beliefs = &mut *beliefs;
     let (paths, engines) = (&mut beliefs.engine_paths, &beliefs.engines);
-    let cut = paths.cut_engines();
-    let gone: Vec<EngineTag> = cut.filter(|tag| engines.by_tag(*tag).is_none()).collect();
-    for tag in gone {
-        paths.forget(tag);
-    }
     let due = paths.take_due_probes(now).into_iter();
     let due = due.filter_map(|engine| {
         let record = &engines.by_tag(engine)?.record;
@@ -56,14 +51,7 @@
             address: record.address,
         })
     });
-    let due = due.collect();
-    let engines_cut_off = paths.cut_count();
-    gateway
-        .metrics
-        .paths
-        .engines_cut_off
-        .set(engines_cut_off as i64);
-    due
+    due.collect()
 }
 
 async fn probe(gateway: &Arc<Gateway>, due: DueProbe) {
--- a/crates/gateway/src/engine_paths/tunnel_server.rs
+++ b/crates/gateway/src/engine_paths/tunnel_server.rs
@@ -82,16 +82,9 @@
 /// its end.
 async fn carry(gateway: &Arc<Gateway>, node: TcpStream, engine: TcpStream) {
     let _in_flight = gateway.request_guard();
-    let tunnels = gateway.tunnel_use().open();
-    gateway.metrics.paths.tunnels_carried.set(tunnels as i64);
     let end = copy_tunnel(gateway, node, engine).await;
     gateway.metrics.paths.count_tunnel_end(end.name());
-    let tunnels = {
-        let mut tunnel_use = gateway.tunnel_use();
-        tunnel_use.close();
-        tunnel_use.open()
-    };
-    gateway.metrics.paths.tunnels_carried.set(tunnels as i64);
+    gateway.tunnel_use().close();
 }
 
 /// Reads a request and answers it; returns the connection to the engine, if it was opened.
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -2,6 +2,7 @@
 //! the call may have been carried out.
 
 use crate::time::within;
+use ploverlift_balancing::engine_paths::DirectFailure;
 use ploverlift_http1::{read_response_head, BufferedStream, HttpError, RequestHead, ResponseHead};
 use smol::net::TcpStream;
 use snafu::Snafu;
@@ -64,6 +65,15 @@
             _ => Self::Refused,
         }
     }
+
+    /// What it shows of the path to the peer; `None` for a fault of this machine.
+    pub fn of_path(self) -> Option<DirectFailure> {
+        match self {
+            Self::NoAnswer => Some(DirectFailure::NoAnswer),
+            Self::Refused => Some(DirectFailure::Refused),
+            Self::Local => None,
+        }
+    }
 }
 
 /// Why a call got no answer.
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -1,6 +1,7 @@
 //! Listeners for the readiness probe and for metrics.
 
 use crate::engine_limits::publish_limits;
+use crate::engine_paths::metrics::publish_paths;
 use crate::peers::engine_signals::knows_signals;
 use crate::ports::RefusalKind;
 use crate::state::Gateway;
@@ -48,11 +49,14 @@
 
 /// Serves the metrics until the task is dropped.
 pub async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
-    serve_probes(gateway, listener, |gateway| {
-        publish_limits(gateway);
-        (200, gateway.metrics.page())
-    })
-    .await;
+    serve_probes(gateway, listener, |gateway| (200, metrics_page(gateway))).await;
+}
+
+/// The page of metrics as it is now.
+pub fn metrics_page(gateway: &Gateway) -> String {
+    publish_limits(gateway);
+    publish_paths(gateway);
+    gateway.metrics.page()
 }
 
 type ResponseFn = fn(&Gateway) -> (u16, String);
--- a/crates/gateway/tests/tunnels.rs
+++ b/crates/gateway/tests/tunnels.rs
@@ -5,6 +5,7 @@
 use ploverlift_balancing::names::{EngineTag, InstanceId, PeerId};
 use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::callers::bind;
+use ploverlift_gateway::readiness::metrics_page;
 use ploverlift_gateway::time::{sleep, within};
 use ploverlift_tunnel::framing::header;
 use ploverlift_tunnel::messages::{
@@ -296,6 +297,29 @@
     });
 }
 
+/// The value of a gauge on the node's page of metrics.
+fn gauge(node: &RunningGateway, name: &str) -> f64 {
+    let page = metrics_page(&node.gateway);
+    let sample = format!("ploverlift_gateway_{name} ");
+    let value = page.lines().find_map(|line| line.strip_prefix(&sample));
+    value.expect("a gauge").parse().expect("a number")
+}
+
+// Guards against an alert on engines that are cut off that goes on when all are reached again.
+#[test]
+fn the_metrics_show_engines_as_cut_off_until_they_are_reached_again() {
+    smol::block_on(async {
+        let site = PartitionableSite::start(2, 2, Behaviour::Answer).await;
+        cut_off(&site, 0, Cut::Reset).await;
+        assert_eq!(gauge(&site.nodes[0], "engines_cut_off"), 2.0);
+        site.heal(&[0], &[0, 1]);
+        while site.nodes[0].gateway.beliefs().engine_paths.cut_count() > 0 {
+            sleep(POLL_MS).await;
+        }
+        assert_eq!(gauge(&site.nodes[0], "engines_cut_off"), 0.0);
+    });
+}
+
 // Guards against requests that are held where no peer opens tunnels: peers of an earlier release.
 #[test]
 fn a_cut_off_node_without_peers_that_open_tunnels_rejects_at_once() {
