Connecting to an engine: one conclusion of a direct attempt

Each plan had its own copy of what follows when the direct attempt has ended and no peer opened a tunnel. The order of attempts, and what is recorded of them, is as before.

--- a/crates/gateway/src/engine_paths/connect.rs
+++ b/crates/gateway/src/engine_paths/connect.rs
@@ -54,14 +54,6 @@
 }
 
 impl EngineConnection {
-    /// A direct connection.
-    pub fn direct(stream: BufferedStream) -> Self {
-        Self {
-            stream,
-            path: EnginePath::Direct,
-        }
-    }
-
     fn through(tunnel: Tunnel) -> Self {
         Self {
             stream: tunnel.stream,
@@ -129,16 +121,10 @@
         ConnectPlan::Direct { tunnel_after_ms } => {
             attempt.direct_first(pin!(direct), tunnel_after_ms).await
         }
-        ConnectPlan::DirectOnly => match direct.await {
-            Ok(stream) => Ok(attempt.directly(stream)),
-            Err(error) => Err(attempt.unconnected(error, None)),
-        },
+        ConnectPlan::DirectOnly => attempt.conclude(direct.await, None),
         ConnectPlan::Tunnel => match open_tunnel(gateway, instance).await {
             Ok(tunnel) => Ok(EngineConnection::through(tunnel)),
-            Err(peers) => match direct.await {
-                Ok(stream) => Ok(attempt.directly(stream)),
-                Err(error) => Err(attempt.unconnected(error, Some(peers))),
-            },
+            Err(peers) => attempt.conclude(direct.await, Some(peers)),
         },
     }
 }
@@ -160,33 +146,25 @@
         D: Future<Output = Result<BufferedStream, CallError>>,
     {
         match within_own_time(tunnel_after_ms, direct.as_mut()).await {
-            Some(Ok(stream)) => return Ok(self.directly(stream)),
-            Some(Err(error)) => return self.tunnel_after(error).await,
+            Some(Err(error)) if error.connect_failure() != Some(ConnectFailure::Local) => {
+                let opened = open_tunnel(self.gateway, self.instance).await;
+                return self.after_failure(error, opened);
+            }
+            // Connected, or this node is out of descriptors or ports, which a tunnel needs too.
+            Some(ended) => return self.conclude(ended, None),
             None => {}
         }
         let mut tunnel = pin!(open_tunnel(self.gateway, self.instance));
         let connecting = async { Ended::Direct(direct.as_mut().await) };
         let tunnelling = async { Ended::Tunnel(tunnel.as_mut().await) };
         match futures_lite::future::or(connecting, tunnelling).await {
-            Ended::Direct(Ok(stream)) => Ok(self.directly(stream)),
             Ended::Direct(Err(error)) => self.after_failure(error, tunnel.await),
+            Ended::Direct(connected) => self.conclude(connected, None),
             Ended::Tunnel(Ok(tunnel)) => Ok(self.cut_off(tunnel, DirectFailure::NoAnswer)),
-            Ended::Tunnel(Err(peers)) => match direct.await {
-                Ok(stream) => Ok(self.directly(stream)),
-                Err(error) => Err(self.unconnected(error, Some(peers))),
-            },
+            Ended::Tunnel(Err(peers)) => self.conclude(direct.await, Some(peers)),
         }
     }
 
-    async fn tunnel_after(&self, error: CallError) -> Result<EngineConnection, Unconnected> {
-        // A tunnel needs a descriptor and a port of this node too.
-        if error.connect_failure() == Some(ConnectFailure::Local) {
-            return Err(self.unconnected(error, None));
-        }
-        let opened = open_tunnel(self.gateway, self.instance).await;
-        self.after_failure(error, opened)
-    }
-
     fn after_failure(
         &self,
         error: CallError,
@@ -201,13 +179,20 @@
         }
     }
 
-    fn directly(&self, stream: BufferedStream) -> EngineConnection {
+    /// Records how the direct attempt ended where no peer opened a tunnel.
+    fn conclude(
+        &self,
+        direct: Result<BufferedStream, CallError>,
+        peers: Option<NoTunnel>,
+    ) -> Result<EngineConnection, Unconnected> {
+        let stream = direct.map_err(|error| self.unconnected(error, peers))?;
         let now = self.gateway.clock.now();
-        self.gateway
-            .beliefs()
-            .engine_paths
-            .note_direct(self.tag, now);
-        EngineConnection::direct(stream)
+        let mut beliefs = self.gateway.beliefs();
+        beliefs.engine_paths.note_direct(self.tag, now);
+        Ok(EngineConnection {
+            stream,
+            path: EnginePath::Direct,
+        })
     }
 
     /// Records that a peer reaches the engine and this node does not.
