Lines of requests say how the end of an engine's answer was found

The incident's lines can't tell an answer that ended with its connection from one whose end was framed, nor a stream that ended inside an event. Each attempt's text now has the framing and the number of bytes after the last complete event, and answer_ends counts regular ends by both. Nothing else changes.

--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -7,7 +7,7 @@
 
 use crate::time::within;
 use ploverlift_http1::{
-    read_response_head, BodyDecoder, BufferedStream, HttpError, RequestHead, ResponseHead,
+    read_response_head, BodyDecoder, BufferedStream, Framing, HttpError, RequestHead, ResponseHead,
 };
 use ploverlift_policy::attempt::AttemptState;
 use smol::io::AsyncWriteExt;
@@ -40,6 +40,11 @@
         (is_over && is_clean && !closes).then_some(self.stream)
     }
 
+    /// How the end of the body is determined.
+    pub fn framing(&self) -> Framing {
+        self.decoder.framing()
+    }
+
     /// Appends the next bytes of the body to `output`; returns false at the regular end of
     /// the body.
     ///
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -84,7 +84,7 @@
     }
 
     /// Reads until the answer is complete, or its engine is known to be lost.
-    async fn read_watched(&self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
+    async fn read_watched(&mut self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
         let watch = self.watch_engine(&chosen.instance);
         let reading = pin!(self.read_buffered(answer, Some(&watch)));
         let read = watch.unless_lost(reading).await;
@@ -94,7 +94,7 @@
     }
 
     async fn read_buffered(
-        &self,
+        &mut self,
         answer: &mut EngineAnswer,
         watch: Option<&EngineWatch>,
     ) -> ReadEnd {
@@ -113,7 +113,10 @@
             Ok::<bool, ploverlift_http1::HttpError>(true)
         };
         match within(attempt_timeout_ms, reading).await {
-            Some(Ok(true)) => ReadEnd::Whole(body),
+            Some(Ok(true)) => {
+                self.note_answer_end(answer.framing(), 0);
+                ReadEnd::Whole(body)
+            }
             Some(Ok(false)) => ReadEnd::TooLarge(body),
             Some(Err(error)) => ReadEnd::Broken(BrokenAttempt::in_answer(&error)),
             None => {
@@ -140,7 +143,10 @@
             let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
             match within(left_ms, answer.read(&mut piece)).await {
                 Some(Ok(true)) => self.answer.write_chunk(&piece).await?,
-                Some(Ok(false)) => break,
+                Some(Ok(false)) => {
+                    self.note_answer_end(answer.framing(), 0);
+                    break;
+                }
                 failed => {
                     if let Some(Err(error)) = failed {
                         self.note_broken_attempt(
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -13,7 +13,9 @@
 //! that was tried reported that it did not run it ([`final_answer`]).
 
 mod admission;
+mod answer_end;
 mod answer_head;
+mod answer_metrics;
 mod attempt;
 mod broken;
 mod buffered_answer;
@@ -36,6 +38,7 @@
 mod stream;
 
 pub use admission::{admit, Admission};
+pub use answer_metrics::AnswerMetrics;
 pub use caller_answer::{AfterAnswer, CallerAnswer};
 pub use events::{is_after, EventSplitter, WholeEvent};
 pub use limits::TimeLimits;
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -9,6 +9,7 @@
 use crate::reliance::Reliance;
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::PassedOverReason;
+use ploverlift_http1::Framing;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::Side;
 use ploverlift_routing::configuration::ServiceName;
@@ -128,6 +129,16 @@
         let _ = write!(self.attempts, " path={path}");
     }
 
+    /// Appends how the end of the answer's body was found, and the number of bytes after the
+    /// last complete event of a stream.
+    pub(super) fn record_answer_end(&mut self, framing: Framing, unfinished_bytes: usize) {
+        let framing = framing.name();
+        let _ = write!(
+            self.attempts,
+            " framing={framing} unfinished={unfinished_bytes}"
+        );
+    }
+
     /// Appends the end of the attempt.
     pub(super) fn end_attempt(&mut self, end: &AttemptEnd) {
         let text = &mut self.attempts;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -171,6 +171,7 @@
                 Some(Ok(true)) => {}
                 Some(Ok(false)) => {
                     let mut rest = self.take_events(splitter);
+                    self.note_answer_end(answer.framing(), splitter.pending.len());
                     rest.append(&mut splitter.pending);
                     return StreamStep::End(rest);
                 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a node, in the OpenMetrics text format.
 
 use crate::engine_paths::metrics::PathMetrics;
+use crate::forward::AnswerMetrics;
 use crate::ports::StoreCall;
 use crate::rollouts::Arrival;
 use ploverlift_enginelimit::node_messages::TokenAnswer;
@@ -222,6 +223,8 @@
     pub first_byte_seconds: Histogram,
     /// Connections to engines.
     pub paths: PathMetrics,
+    /// Engines' answers.
+    pub answers: AnswerMetrics,
 }
 
 impl Default for Metrics {
@@ -271,6 +274,7 @@
             held_requests: Counter::default(),
             first_byte_seconds: Histogram::new(buckets),
             paths: PathMetrics::default(),
+            answers: AnswerMetrics::default(),
         }
     }
 }
@@ -551,6 +555,7 @@
         let help = "Time to the first byte of the answer";
         registry.register_with_unit("first_byte", help, Unit::Seconds, first_byte);
         self.paths.register(&mut registry);
+        self.answers.register(&mut registry);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &registry);
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -19,6 +19,15 @@
 }
 
 impl Framing {
+    /// Label for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::UntilClose => "connection",
+        }
+    }
+
     /// Framing of a request's body (RFC 9112, section 6.3). A request with two
     /// framings is refused, because that is the usual form of request
     /// smuggling.
@@ -100,7 +109,7 @@
 #[derive(Clone, Debug)]
 pub struct BodyDecoder {
     position: Position,
-    ends_with_connection: bool,
+    framing: Framing,
 }
 
 impl BodyDecoder {
@@ -111,10 +120,12 @@
             Framing::Chunked => Position::ChunkHead,
             Framing::UntilClose => Position::UntilClose,
         };
-        Self {
-            position,
-            ends_with_connection: framing == Framing::UntilClose,
-        }
+        Self { position, framing }
+    }
+
+    /// How the end of the body is determined.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Remaining bytes of a body with a declared length; `None` for other
@@ -134,7 +145,7 @@
 
     /// Whether the body ends only with the connection.
     pub fn ends_with_connection(&self) -> bool {
-        self.ends_with_connection
+        self.framing == Framing::UntilClose
     }
 
     /// Appends the next bytes of the body to `output`; returns false at the end
