The end of a connection is not the end of an answer

An engine may send an answer with neither a length nor chunks and end it with its connection. The node took each regular end of such a body for the end of the answer: it passed on what was left of an incomplete event and wrote the end of its own, chunked answer, and counted the attempt as answered for health, rollouts, quarantine and rates.

Cause: an end of the transport was taken for an end of the message. The stand-in engine always framed its streams, so no test could show it. Evidence: with unframed streams five of the new tests failed on the code before (ends inside an event, by a regular end, on a kept connection, resumable or not; an engine that terminates between two events or inside an answer that is no stream); they pass now.

A stream that ends inside an event is broken off whatever its framing, and what was left is not forwarded; carriage returns end lines as well, so that it is known where events end. After an answer that ended with its connection the node opens another connection, for at most 100 ms: one that is refused, with no idle connection left open, shows that the engine terminated. An accepted one is kept for the next request, which needs one anyway. Broken is decided before the attempt's outcome is recorded, so all that is learned from outcomes follows.

The stand-in refuses new connections before it ends the open ones, as a process does that ends: the other order let a check reach an engine that had terminated.

--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -84,7 +84,7 @@
 
 /// Whether a refused connection shows that the engine has terminated: a peer whose own link
 /// works was refused as well, or there was no peer to ask.
-fn has_ended(unconnected: &Unconnected) -> bool {
+pub(crate) fn has_ended(unconnected: &Unconnected) -> bool {
     let is_refused = unconnected.failure() == ConnectFailure::Refused;
     let peers = unconnected.peers.unwrap_or_default();
     is_refused && (peers.asked == 0 || peers.refused > 0)
--- a/crates/gateway/src/forward/broken.rs
+++ b/crates/gateway/src/forward/broken.rs
@@ -30,6 +30,14 @@
         }
     }
 
+    /// The engine closed the connection before its answer was whole.
+    pub(super) fn connection_ended(reason: impl Into<String>) -> Self {
+        Self {
+            reason: reason.into(),
+            cause: BreakCause::ConnectionEnded,
+        }
+    }
+
     /// Nothing arrived in time. `time_is_up` when the request itself has no time left.
     pub(super) fn timed_out(reason: &str, time_is_up: bool) -> Self {
         Self {
@@ -52,10 +60,7 @@
         let text = reason.to_string();
         match reason {
             _ if time_is_up => Self::timed_out(&text, true),
-            FailureReason::ConnectionEnded(_) => Self {
-                reason: text,
-                cause: BreakCause::ConnectionEnded,
-            },
+            FailureReason::ConnectionEnded(_) => Self::connection_ended(text),
             _ => Self::other(text),
         }
     }
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -5,7 +5,7 @@
 use super::choice::ChosenEngine;
 use super::engine_watch::EngineWatch;
 use super::in_flight::InFlight;
-use super::Forwarding;
+use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{EngineAnswer, FailureReason};
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
@@ -57,7 +57,7 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
-        match self.read_buffered(&mut answer, None).await {
+        match self.read_buffered(&mut answer, None, chosen).await {
             ReadEnd::Whole(body) | ReadEnd::TooLarge(body) => {
                 // A status that promises "not run" is not valid from an engine that ran the
                 // request.
@@ -86,7 +86,7 @@
     /// Reads until the answer is complete, or its engine is known to be lost.
     async fn read_watched(&mut self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
         let watch = self.watch_engine(&chosen.instance);
-        let reading = pin!(self.read_buffered(answer, Some(&watch)));
+        let reading = pin!(self.read_buffered(answer, Some(&watch), chosen));
         let read = watch.unless_lost(reading).await;
         read.unwrap_or_else(|| {
             ReadEnd::Broken(BrokenAttempt::due_to(&FailureReason::EngineLost, false))
@@ -97,6 +97,7 @@
         &mut self,
         answer: &mut EngineAnswer,
         watch: Option<&EngineWatch>,
+        chosen: &ChosenEngine,
     ) -> ReadEnd {
         let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
         let attempt_timeout_ms = self.attempt_timeout_ms().unwrap_or(left_ms).min(left_ms);
@@ -113,10 +114,10 @@
             Ok::<bool, ploverlift_http1::HttpError>(true)
         };
         match within(attempt_timeout_ms, reading).await {
-            Some(Ok(true)) => {
-                self.note_answer_end(answer.framing(), 0);
-                ReadEnd::Whole(body)
-            }
+            Some(Ok(true)) => match self.check_answer_end(answer.framing(), 0, chosen).await {
+                Ok(()) => ReadEnd::Whole(body),
+                Err(broken) => ReadEnd::Broken(broken),
+            },
             Some(Ok(false)) => ReadEnd::TooLarge(body),
             Some(Err(error)) => ReadEnd::Broken(BrokenAttempt::in_answer(&error)),
             None => {
@@ -137,6 +138,27 @@
         self.answer
             .start_stream(forwarded_head(&answer), &first)
             .await?;
+        if let Err(broken) = self.forward_rest(&mut answer, chosen).await? {
+            self.note_broken_attempt(&broken, chosen, in_flight);
+            in_flight.note_outcome(Outcome::Broken);
+            return Ok(AttemptEnd::Done {
+                after: AfterAnswer::Abort,
+                outcome: "broken_off",
+            });
+        }
+        in_flight.note_outcome(Outcome::Answered);
+        let after = self.answer.finish_stream().await?;
+        let outcome = "answered";
+        Ok(AttemptEnd::Done { after, outcome })
+    }
+
+    /// Forwards the rest of a large answer as it arrives; the inner error says why the answer
+    /// is not whole.
+    async fn forward_rest(
+        &mut self,
+        answer: &mut EngineAnswer,
+        chosen: &ChosenEngine,
+    ) -> io::Result<Result<(), BrokenAttempt>> {
         let mut piece = Vec::new();
         loop {
             piece.clear();
@@ -144,29 +166,16 @@
             match within(left_ms, answer.read(&mut piece)).await {
                 Some(Ok(true)) => self.answer.write_chunk(&piece).await?,
                 Some(Ok(false)) => {
-                    self.note_answer_end(answer.framing(), 0);
-                    break;
+                    let end = self.check_answer_end(answer.framing(), 0, chosen);
+                    return Ok(end.await);
                 }
-                failed => {
-                    if let Some(Err(error)) = failed {
-                        self.note_broken_attempt(
-                            &BrokenAttempt::in_answer(&error),
-                            chosen,
-                            in_flight,
-                        );
-                    }
-                    in_flight.note_outcome(Outcome::Broken);
-                    return Ok(AttemptEnd::Done {
-                        after: super::AfterAnswer::Abort,
-                        outcome: "broken_off",
-                    });
+                Some(Err(error)) => return Ok(Err(BrokenAttempt::in_answer(&error))),
+                None => {
+                    let reason = "the answer was not whole in time";
+                    return Ok(Err(BrokenAttempt::timed_out(reason, true)));
                 }
             }
         }
-        in_flight.note_outcome(Outcome::Answered);
-        let after = self.answer.finish_stream().await?;
-        let outcome = "answered";
-        Ok(AttemptEnd::Done { after, outcome })
     }
 }
 
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -246,7 +246,10 @@
 
     /// Takes a kept connection to the engine that has no unexpected input and is not closed;
     /// others are discarded.
-    async fn take_idle_connection(&self, chosen: &ChosenEngine) -> Option<EngineConnection> {
+    pub(super) async fn take_idle_connection(
+        &self,
+        chosen: &ChosenEngine,
+    ) -> Option<EngineConnection> {
         loop {
             let now = self.gateway.clock.now();
             let connection = self
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -1,6 +1,7 @@
 //! Forwarding of an engine's event stream to the caller.
 //!
-//! Only complete events are forwarded. When the stream breaks and may be resumed, another
+//! Only complete events are forwarded. A stream that ends inside an event is broken off, also
+//! where the end is regular by its framing. When the stream breaks and may be resumed, another
 //! engine continues after the last event that was forwarded, within the same answer.
 
 use super::attempt::AttemptEnd;
@@ -24,6 +25,7 @@
 /// The next part of a stream, or its end.
 enum StreamStep {
     Events(Vec<u8>),
+    /// The stream is whole; these bytes follow its last event.
     End(Vec<u8>),
     Broken(BrokenAttempt),
 }
@@ -170,10 +172,13 @@
             match read {
                 Some(Ok(true)) => {}
                 Some(Ok(false)) => {
-                    let mut rest = self.take_events(splitter);
-                    self.note_answer_end(answer.framing(), splitter.pending.len());
-                    rest.append(&mut splitter.pending);
-                    return StreamStep::End(rest);
+                    let unfinished_bytes = splitter.unfinished_bytes();
+                    let framing = answer.framing();
+                    let end = self.check_answer_end(framing, unfinished_bytes, chosen);
+                    return match end.await {
+                        Ok(()) => StreamStep::End(std::mem::take(&mut splitter.pending)),
+                        Err(broken) => StreamStep::Broken(broken),
+                    };
                 }
                 Some(Err(error)) => {
                     let events = self.take_events(splitter);
--- /dev/null
+++ b/crates/gateway/tests/event_streams.rs
@@ -0,0 +1,109 @@
+//! Splitting of event streams that end anywhere.
+
+use ploverlift_gateway::forward::EventSplitter;
+use proptest::prelude::*;
+
+/// One block of a stream: an event, or comment lines alone.
+#[derive(Clone, Debug)]
+struct Block {
+    lines: Vec<String>,
+    line_ending: &'static str,
+}
+
+impl Block {
+    fn text(&self) -> String {
+        let lines = self.lines.iter();
+        let lines = lines.map(|line| format!("{line}{}", self.line_ending));
+        lines.chain([self.line_ending.to_owned()]).collect()
+    }
+}
+
+fn line() -> impl Strategy<Value = String> {
+    prop_oneof![
+        "id: [0-9]{1,3}",
+        "data: [a-z ]{0,12}",
+        "event: [a-z]{1,4}",
+        "retry: [0-9]{1,3}",
+    ]
+}
+
+fn block() -> impl Strategy<Value = Block> {
+    let line_ending = prop_oneof![Just("\n"), Just("\r"), Just("\r\n")];
+    (prop::collection::vec(line(), 1..4), line_ending)
+        .prop_map(|(lines, line_ending)| Block { lines, line_ending })
+}
+
+/// Feeds bytes in pieces; returns the events' bytes and the number of unfinished bytes.
+fn split(bytes: &[u8], piece_bytes: usize) -> (Vec<u8>, usize) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for piece in bytes.chunks(piece_bytes) {
+        splitter.pending.extend_from_slice(piece);
+        while let Some(event) = splitter.next_event() {
+            events.extend_from_slice(&event.bytes);
+        }
+    }
+    (events, splitter.unfinished_bytes())
+}
+
+proptest! {
+    // Guards against an incomplete event being forwarded or taken for the end of a stream.
+    #[test]
+    fn only_whole_events_are_split_off_wherever_a_stream_is_cut(
+        blocks in prop::collection::vec(block(), 1..6),
+        has_mark in any::<bool>(),
+        cut in any::<prop::sample::Index>(),
+        piece_bytes in 1_usize..40,
+    ) {
+        let mark = if has_mark { "\u{feff}" } else { "" };
+        let mut text = mark.to_owned();
+        // Positions at which a stream may end.
+        let mut borders = vec![0, text.len()];
+        for block in &blocks {
+            text.push_str(&block.text());
+            if block.line_ending == "\r\n" {
+                borders.push(text.len() - 1);
+            }
+            borders.push(text.len());
+        }
+        let cut = cut.index(text.len() + 1);
+        let (events, unfinished) = split(&text.as_bytes()[..cut], piece_bytes);
+        let whole = borders.iter().filter(|border| **border <= cut).max();
+        let whole = *whole.expect("the start is a border");
+        prop_assert_eq!(unfinished == 0, whole == cut, "cut at {}", cut);
+        prop_assert!(events.len() <= whole);
+        // What follows the last event is at most the rest of its line ending, or the mark.
+        prop_assert!(whole - events.len() <= mark.len().max(1));
+        prop_assert_eq!(&events[..], &text.as_bytes()[..events.len()]);
+    }
+}
+
+#[test]
+fn comment_lines_after_the_last_event_are_not_unfinished() {
+    for (rest, is_unfinished) in [
+        ("", false),
+        (": bye\n", false),
+        (": bye\r", false),
+        (": bye\r\n: again\r\n", false),
+        (": by", true),
+        (": bye\ndata: x\n", true),
+        ("data: x\n: bye\n", true),
+        ("data", true),
+    ] {
+        let text = format!("data: 1\n\n{rest}");
+        let (events, unfinished) = split(text.as_bytes(), 5);
+        assert_eq!(events, b"data: 1\n\n", "{rest:?}");
+        assert_eq!(unfinished > 0, is_unfinished, "{rest:?}");
+    }
+}
+
+#[test]
+fn an_id_is_read_after_a_byte_order_mark_and_with_any_line_ending() {
+    for line_ending in ["\n", "\r", "\r\n"] {
+        let mut splitter = EventSplitter::default();
+        let text = format!("\u{feff}id: 7{line_ending}data: x{line_ending}{line_ending}");
+        splitter.pending.extend_from_slice(text.as_bytes());
+        let event = splitter.next_event().expect("an event");
+        assert_eq!(event.id.as_deref(), Some("7"), "{line_ending:?}");
+    }
+}
--- a/crates/gateway/tests/requests/main.rs
+++ b/crates/gateway/tests/requests/main.rs
@@ -9,3 +9,4 @@
 mod streams;
 #[path = "../support/mod.rs"]
 mod support;
+mod truncated_answers;
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -1,9 +1,11 @@
 //! Answers of the simulated engine.
 
 use super::super::site;
-use super::{event, Behaviour, NamedBackoff, Shared, EVENTS};
+use super::format::format_event;
+use super::{all_events_with, event, Behaviour, NamedBackoff, Shared, EVENTS};
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
+use socket2::SockRef;
 use std::time::{Duration, Instant};
 
 pub async fn respond(
@@ -85,6 +87,9 @@
         | Behaviour::AnswerAfter(_)
         | Behaviour::StreamSlowly(_)
         | Behaviour::EndsUnder(_)
+        | Behaviour::CutAt(_)
+        | Behaviour::ResetInside(_)
+        | Behaviour::EndAfter(_)
         | Behaviour::BreakInside(_) => {
             head.headers.push(site::SIGNED, "1");
         }
@@ -99,23 +104,32 @@
         return;
     }
     if let (true, Behaviour::StreamSlowly(events)) = (is_stream, &behaviour) {
-        return stream_slowly(connection, head, *events).await;
+        return stream_slowly(shared, connection, head, *events).await;
     }
     if is_stream && head.status == 200 {
-        let broken = match behaviour {
-            Behaviour::BreakInside(event) => Some(event),
-            _ => None,
-        };
-        return stream(connection, head, request, broken).await;
+        return stream(shared, connection, head, request, &behaviour).await;
     }
     if let Behaviour::AnswerAfter(after_ms) = behaviour {
         sleep(after_ms).await;
     }
-    let body = format!("answer to {id}");
-    head.headers.push("content-length", body.len().to_string());
+    let mut body = format!("answer to {id}");
+    shared.format().frame_body(&mut head, body.len());
+    let ends = matches!(behaviour, Behaviour::EndAfter(_));
+    if ends {
+        body.truncate(body.len() / 2);
+    }
     let mut message = head.encode();
     message.extend_from_slice(body.as_bytes());
     let _ = connection.write_all(&message).await;
+    if ends {
+        terminate(shared).await;
+    }
+}
+
+/// Terminates the engine, which drops the calling task.
+async fn terminate(shared: &Shared) {
+    shared.end();
+    std::future::pending::<()>().await;
 }
 
 fn record_backoff(shared: &Shared, id: &str, value: &str) {
@@ -131,47 +145,78 @@
 }
 
 async fn stream(
+    shared: &Shared,
     connection: &mut BufferedStream,
     mut head: ResponseHead,
     request: &RequestHead,
-    broken: Option<u64>,
+    behaviour: &Behaviour,
 ) {
-    head.headers.push("transfer-encoding", "chunked");
+    let format = shared.format();
+    format.frame_stream(&mut head);
     if connection.write_all(&head.encode()).await.is_err() {
         return;
     }
+    if let Behaviour::CutAt(bytes) = behaviour {
+        let all = all_events_with(format.line_ending);
+        let piece = format.piece(&all[..*bytes]);
+        let _ = connection.write_all(piece.as_bytes()).await;
+        return;
+    }
     let after = request.headers.get(site::AFTER);
     let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
     for number in first..=EVENTS {
-        let event = event(number);
-        if broken == Some(number) {
-            let half = &event[..event.len() / 2];
-            let chunk = format!("{:x}\r\n{half}\r\n", half.len());
-            let _ = connection.write_all(chunk.as_bytes()).await;
+        let event = format_event(number, format.line_ending);
+        let is_broken = match behaviour {
+            Behaviour::BreakInside(broken) | Behaviour::ResetInside(broken) => *broken == number,
+            _ => false,
+        };
+        if is_broken {
+            let half = format.piece(&event[..event.len() / 2]);
+            let _ = connection.write_all(half.as_bytes()).await;
+            if matches!(behaviour, Behaviour::ResetInside(_)) {
+                reset_once_read(connection).await;
+            }
             return;
         }
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        if connection.write_all(chunk.as_bytes()).await.is_err() {
+        let piece = format.piece(&event);
+        if connection.write_all(piece.as_bytes()).await.is_err() {
             return;
         }
+        if matches!(behaviour, Behaviour::EndAfter(last) if *last == number) {
+            terminate(shared).await;
+        }
     }
-    let _ = connection.write_all(b"0\r\n\r\n").await;
+    let _ = connection.write_all(format.stream_end().as_bytes()).await;
+}
+
+/// Resets the connection once the peer has received what was sent: a reset discards bytes that
+/// are still on their way.
+async fn reset_once_read(connection: &BufferedStream) {
+    /// Time for the peer to receive, in milliseconds.
+    const RECEIVED_AFTER_MS: u64 = 20;
+    sleep(RECEIVED_AFTER_MS).await;
+    let _ = SockRef::from(&connection.writer()).set_linger(Some(Duration::ZERO));
 }
 
 /// Sends the given number of events, one every 50 ms, and the end of the stream.
-async fn stream_slowly(connection: &mut BufferedStream, mut head: ResponseHead, events: u64) {
-    head.headers.push("transfer-encoding", "chunked");
+async fn stream_slowly(
+    shared: &Shared,
+    connection: &mut BufferedStream,
+    mut head: ResponseHead,
+    events: u64,
+) {
+    let format = shared.format();
+    format.frame_stream(&mut head);
     let mut message = head.encode();
     for number in 1..=events {
-        let event = event(number);
-        message.extend_from_slice(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+        message.extend_from_slice(format.piece(&event(number)).as_bytes());
         if connection.write_all(&message).await.is_err() {
             return;
         }
         message.clear();
         sleep(50).await;
     }
-    let _ = connection.write_all(b"0\r\n\r\n").await;
+    let _ = connection.write_all(format.stream_end().as_bytes()).await;
 }
 
 /// Sends events without an end of the stream; returns when the connection is closed.
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -68,6 +68,7 @@
         }
         respond(&shared, answers.clone(), &mut connection, &head).await;
         match behaviour {
+            _ if shared.format().is_unframed() => return,
             Behaviour::KeepConnection | Behaviour::ForgetConnection => {}
             Behaviour::AnswerTwice => respond(&shared, answers, &mut connection, &head).await,
             _ => return,
--- /dev/null
+++ b/crates/gateway/tests/support/engine/format.rs
@@ -0,0 +1,89 @@
+//! Framing and line endings of the simulated engine's answers.
+
+use ploverlift_http1::{Framing, ResponseHead};
+
+/// End of each line of an event stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LineEnding {
+    #[default]
+    LineFeed,
+    CarriageReturn,
+    Both,
+}
+
+impl LineEnding {
+    pub const ALL: [Self; 3] = [Self::LineFeed, Self::CarriageReturn, Self::Both];
+
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::LineFeed => "\n",
+            Self::CarriageReturn => "\r",
+            Self::Both => "\r\n",
+        }
+    }
+}
+
+/// Format of an engine's answers.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerFormat {
+    /// Framing of streams; other answers have a length unless they end with the connection.
+    pub framing: Framing,
+    pub line_ending: LineEnding,
+}
+
+impl Default for AnswerFormat {
+    fn default() -> Self {
+        Self {
+            framing: Framing::Chunked,
+            line_ending: LineEnding::default(),
+        }
+    }
+}
+
+impl AnswerFormat {
+    /// Answers that end with their connection.
+    pub const UNFRAMED: Self = Self {
+        framing: Framing::UntilClose,
+        line_ending: LineEnding::LineFeed,
+    };
+
+    pub fn is_unframed(self) -> bool {
+        self.framing == Framing::UntilClose
+    }
+
+    /// Adds the headers of a stream's framing.
+    pub fn frame_stream(self, head: &mut ResponseHead) {
+        if !self.is_unframed() {
+            head.headers.push("transfer-encoding", "chunked");
+        }
+    }
+
+    /// Adds the headers of the framing of a body of this length.
+    pub fn frame_body(self, head: &mut ResponseHead, length: usize) {
+        if !self.is_unframed() {
+            head.headers.push("content-length", length.to_string());
+        }
+    }
+
+    /// A piece of a stream as it is sent.
+    pub fn piece(self, text: &str) -> String {
+        match self.is_unframed() {
+            true => text.to_owned(),
+            false => format!("{:x}\r\n{text}\r\n", text.len()),
+        }
+    }
+
+    /// What ends a complete stream.
+    pub fn stream_end(self) -> &'static str {
+        match self.is_unframed() {
+            true => "",
+            false => "0\r\n\r\n",
+        }
+    }
+}
+
+/// An event whose lines end like this.
+pub fn format_event(number: u64, line_ending: LineEnding) -> String {
+    let end = line_ending.text();
+    format!("id: {number}{end}data: piece {number}{end}{end}")
+}
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -2,8 +2,12 @@
 
 mod answers;
 mod connection;
+mod format;
+
+pub use self::format::{AnswerFormat, LineEnding};
 
 use self::connection::serve;
+use self::format::format_event;
 use super::accept_queue::QueueFillers;
 use super::site;
 use event_listener::Event;
@@ -46,6 +50,13 @@
     /// Sends the events after the last one that the caller has; closes the connection inside
     /// the event with this number.
     BreakInside(u64),
+    /// Closes the connection after this number of bytes of the whole stream.
+    CutAt(usize),
+    /// Like [`Self::BreakInside`], but resets the connection there.
+    ResetInside(u64),
+    /// Terminates after the event with this number, and after half of an answer that is not a
+    /// stream.
+    EndAfter(u64),
     /// Refuses the request before reading its body, and closes the connection.
     RefuseEarly,
     /// Answers, and reads further requests on the same connection.
@@ -104,6 +115,8 @@
 
 struct Shared {
     behaviour: Mutex<Behaviour>,
+    /// Format of complete answers and of streams that break off.
+    format: Mutex<AnswerFormat>,
     /// Events of its cache: salt, part, number of tokens cached from then on.
     cache_events: Mutex<Vec<(String, u64, u64)>>,
     cache_changed: Event,
@@ -122,9 +135,11 @@
     leaving: Mutex<Option<String>>,
     /// The backoff that its refusals request, in milliseconds.
     backoff_ms: Mutex<Option<String>>,
-    /// Number of terminations; its connections end with it.
+    /// Number of terminations.
     ends: AtomicUsize,
     ended: Event,
+    /// Notified once a terminated engine refuses new connections; its open ones end then.
+    closed: Event,
     seen: async_channel::Sender<()>,
 }
 
@@ -153,6 +168,7 @@
         let (seen, happened) = async_channel::unbounded();
         let shared = Arc::new(Shared {
             behaviour: Mutex::new(behaviour),
+            format: Mutex::default(),
             cache_events: Mutex::default(),
             cache_changed: Event::new(),
             weights: Mutex::new(1),
@@ -166,6 +182,7 @@
             backoff_ms: Mutex::default(),
             ends: AtomicUsize::new(0),
             ended: Event::new(),
+            closed: Event::new(),
             seen,
         });
         let accepting = accept(&shared, &listener);
@@ -244,6 +261,11 @@
         *self.shared.behaviour.lock().expect("behaviour") = behaviour;
     }
 
+    /// Sets the format of its answers.
+    pub fn set_format(&self, format: AnswerFormat) {
+        *self.shared.format.lock().expect("format") = format;
+    }
+
     /// Sets the rate limit in its answers; `None` for no rate limit.
     pub fn name_limit(&self, limit: Option<&str>) {
         *self.shared.limit.lock().expect("limit") = limit.map(str::to_owned);
@@ -368,13 +390,18 @@
         until.is_some_and(|until| Instant::now() < until)
     }
 
+    fn format(&self) -> AnswerFormat {
+        *self.format.lock().expect("format")
+    }
+
     fn end(&self) {
         self.ends.fetch_add(1, Ordering::AcqRel);
         self.ended.notify(usize::MAX);
     }
 }
 
-/// Shuts the listener down when the engine terminates, so that new connections are refused.
+/// Shuts the listener down when the engine terminates, so that new connections are refused, and
+/// then closes the open connections.
 async fn close_when_ended(shared: Arc<Shared>, listener: Weak<TcpListener>) {
     let mut ended = shared.ended.listen();
     loop {
@@ -385,6 +412,7 @@
             return;
         };
         let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
+        shared.closed.notify(usize::MAX);
     }
 }
 
@@ -394,8 +422,8 @@
         while let Ok((stream, _)) = accepted.accept().await {
             let shared = Arc::clone(&serving);
             smol::spawn(async move {
-                let ended = shared.ended.listen();
-                futures_lite::future::or(serve(Arc::clone(&shared), stream), ended).await;
+                let closed = shared.closed.listen();
+                futures_lite::future::or(serve(Arc::clone(&shared), stream), closed).await;
             })
             .detach();
         }
@@ -404,10 +432,18 @@
 
 /// An event as the engine sends it.
 pub fn event(number: u64) -> String {
-    format!("id: {number}\ndata: piece {number}\n\n")
+    format_event(number, LineEnding::LineFeed)
 }
 
 /// All events of a stream.
 pub fn all_events() -> String {
-    (1..=EVENTS).map(event).collect()
+    all_events_with(LineEnding::LineFeed)
+}
+
+/// All events of a stream whose lines end like this.
+pub fn all_events_with(line_ending: LineEnding) -> String {
+    let events = 1..=EVENTS;
+    events
+        .map(|number| format_event(number, line_ending))
+        .collect()
 }
--- a/crates/gateway/tests/tunnels.rs
+++ b/crates/gateway/tests/tunnels.rs
@@ -17,7 +17,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use support::caller::{self, prompt, request};
-use support::engine::{all_events, event, Behaviour, StandInEngine};
+use support::engine::{all_events, event, AnswerFormat, Behaviour, StandInEngine};
 use support::links::Cut;
 use support::partition::PartitionableSite;
 use support::site;
@@ -102,6 +102,29 @@
     });
 }
 
+// Guards against a stream that broke off behind a tunnel being framed as complete for its caller.
+#[test]
+fn an_unframed_stream_through_a_tunnel_that_ends_inside_an_event_is_not_complete() {
+    smol::block_on(async {
+        let site = PartitionableSite::start(2, 1, Behaviour::Answer).await;
+        cut_off(&site, 0, Cut::Reset).await;
+        let engine = &site.engines[0];
+        engine.set_format(AnswerFormat::UNFRAMED);
+        let node = site.nodes[0].callers;
+        let whole = caller::send(node, &prompt("stream.test", "whole")).await;
+        assert_eq!((whole.text(), whole.is_whole), (all_events(), true));
+        for behaviour in [Behaviour::BreakInside(3), Behaviour::ResetInside(3)] {
+            engine.set(behaviour.clone());
+            let broken = caller::send(node, &prompt("stream.test", "broken")).await;
+            let expected: String = (1..3).map(event).collect();
+            let received = (broken.text(), broken.is_whole);
+            assert_eq!(received, (expected, false), "{behaviour:?}");
+        }
+        let sent = site.nodes[0].gateway.metrics.page();
+        assert!(sent.contains("sends_total{path=\"tunnel\"}"), "{sent}");
+    });
+}
+
 // Guards against a process in the internal network using a node to connect to anything.
 #[test]
 fn no_tunnel_is_opened_to_an_address_or_an_unknown_engine() {
