Streams to callers of HTTP/1.0: no chunks, and a reset where the answer breaks off

Such a caller got a chunked body, which it doesn't know, and took the end of the connection for the end of the answer whether it was whole or not. The answer now ends with the connection, which is set to be reset until the answer is complete, so that an end of the process shows as well.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -3,7 +3,7 @@
 use super::start_hold::{start_hold_ms, wait_for_site};
 use super::{IdleConnection, OpenConnection};
 use crate::forward::{
-    admit, refuse, serve, AfterAnswer, CallerAnswer, ReceivedRequest, TimeLimits,
+    admit, refuse, serve, AfterAnswer, CallerAnswer, ReceivedRequest, StreamFraming, TimeLimits,
 };
 use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
@@ -13,9 +13,11 @@
 use ploverlift_quarantine::fingerprint::{RequestFingerprint, RequestParts};
 use ploverlift_routing::configuration::CallerLimits;
 use smol::net::TcpStream;
+use socket2::SockRef;
 use std::io;
 use std::net::Shutdown;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Idle time after which a stopping node closes a kept connection, in milliseconds.
 const STOPPING_IDLE_MS: u64 = 1_500;
@@ -41,7 +43,8 @@
         let after = match read {
             Err(NoRequest::Ended) => return,
             Err(NoRequest::Refused(refusal)) => {
-                let mut answer = new_answer(&gateway, &connection, false);
+                let framing = StreamFraming::Chunked;
+                let mut answer = new_answer(&gateway, &connection, framing, false);
                 refuse(&gateway, &mut answer, &refusal, None).await
             }
             Ok((head, body)) => {
@@ -114,9 +117,14 @@
     futures_lite::future::or(filling, ending).await
 }
 
-fn new_answer(gateway: &Gateway, connection: &BufferedStream, keep_open: bool) -> CallerAnswer {
+fn new_answer(
+    gateway: &Gateway,
+    connection: &BufferedStream,
+    framing: StreamFraming,
+    keep_open: bool,
+) -> CallerAnswer {
     let stalled_ms = gateway.settings().callers.stalled_ms;
-    CallerAnswer::new(connection.writer(), keep_open, stalled_ms)
+    CallerAnswer::new(connection.writer(), framing, keep_open, stalled_ms)
 }
 
 fn caller_limits(gateway: &Gateway) -> CallerLimits {
@@ -132,7 +140,8 @@
 ) -> io::Result<AfterAnswer> {
     let received = gateway.clock.now();
     let keep_open = head.keeps_alive() && !gateway.is_stopping();
-    let mut answer = new_answer(gateway, connection, keep_open);
+    let framing = StreamFraming::for_request(&head);
+    let mut answer = new_answer(gateway, connection, framing, keep_open);
     let expects_continue = head.headers.has_token("expect", "100-continue");
     let request = gateway.site.read_request(head);
     let limits = caller_limits(gateway);
@@ -354,7 +363,12 @@
 }
 
 /// Closes a connection within an answer. The framing shows the caller that the answer is
-/// incomplete.
+/// incomplete; without framing, the connection is reset when it is dropped, which a shutdown
+/// would prevent.
 fn abort(connection: &BufferedStream) {
-    let _ = connection.writer().shutdown(Shutdown::Both);
+    let writer = connection.writer();
+    let is_reset_on_drop = matches!(SockRef::from(&writer).linger(), Ok(Some(Duration::ZERO)));
+    if !is_reset_on_drop {
+        let _ = writer.shutdown(Shutdown::Both);
+    }
 }
--- a/crates/gateway/src/forward/caller_answer.rs
+++ b/crates/gateway/src/forward/caller_answer.rs
@@ -1,11 +1,13 @@
 //! Writes an answer to a caller.
 
 use crate::time::within;
-use ploverlift_http1::ResponseHead;
+use ploverlift_http1::{RequestHead, ResponseHead};
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
+use socket2::SockRef;
 use std::fmt::Write;
 use std::io;
+use std::time::Duration;
 
 /// What becomes of the caller's connection after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,9 +21,30 @@
     Abort,
 }
 
+/// Framing of answers that are written piece by piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamFraming {
+    /// Chunked transfer coding.
+    Chunked,
+    /// The answer ends with the connection, for callers that know no chunks. One that breaks
+    /// off is reset.
+    UntilClose,
+}
+
+impl StreamFraming {
+    /// The framing that the sender of this request understands.
+    pub fn for_request(head: &RequestHead) -> Self {
+        match head.is_http_1_1 {
+            true => Self::Chunked,
+            false => Self::UntilClose,
+        }
+    }
+}
+
 /// Writer for one answer.
 pub struct CallerAnswer {
     stream: TcpStream,
+    framing: StreamFraming,
     keep_open: bool,
     has_started: bool,
     stalled_ms: u64,
@@ -30,9 +53,15 @@
 impl CallerAnswer {
     /// Creates a writer. `keep_open` is whether the connection may stay open after the answer.
     /// A caller that accepts no byte for `stalled_ms` milliseconds counts as gone.
-    pub fn new(stream: TcpStream, keep_open: bool, stalled_ms: u64) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        framing: StreamFraming,
+        keep_open: bool,
+        stalled_ms: u64,
+    ) -> Self {
         Self {
             stream,
+            framing,
             keep_open,
             has_started: false,
             stalled_ms,
@@ -66,35 +95,45 @@
         Ok(self.after())
     }
 
-    /// Writes the head of a chunked answer and its first bytes.
+    /// Writes the head of an answer of unknown length and its first bytes.
     ///
     /// # Errors
     /// When writing to the caller fails.
     pub async fn start_stream(&mut self, mut head: ResponseHead, first: &[u8]) -> io::Result<()> {
         head.headers.remove("Content-Length");
-        head.headers.set("Transfer-Encoding", "chunked");
+        match self.framing {
+            StreamFraming::Chunked => head.headers.set("Transfer-Encoding", "chunked"),
+            StreamFraming::UntilClose => {
+                self.keep_open = false;
+                // Until the answer is complete, closing the connection resets it.
+                SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+            }
+        }
         let mut message = self.encode(head);
-        append_chunk(&mut message, first);
+        self.append_piece(&mut message, first);
         self.has_started = true;
         self.write(&message).await
     }
 
-    /// Writes more bytes of a chunked answer.
+    /// Writes more bytes of an answer of unknown length.
     ///
     /// # Errors
     /// When writing to the caller fails.
     pub async fn write_chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
         let mut message = Vec::with_capacity(bytes.len() + 16);
-        append_chunk(&mut message, bytes);
+        self.append_piece(&mut message, bytes);
         self.write(&message).await
     }
 
-    /// Writes the end of a complete chunked answer.
+    /// Writes the end of a complete answer of unknown length.
     ///
     /// # Errors
     /// When writing to the caller fails.
     pub async fn finish_stream(&mut self) -> io::Result<AfterAnswer> {
-        self.write(b"0\r\n\r\n").await?;
+        match self.framing {
+            StreamFraming::Chunked => self.write(b"0\r\n\r\n").await?,
+            StreamFraming::UntilClose => SockRef::from(&self.stream).set_linger(None)?,
+        }
         Ok(self.after())
     }
 
@@ -112,6 +151,13 @@
         Ok(())
     }
 
+    fn append_piece(&self, message: &mut Vec<u8>, bytes: &[u8]) {
+        match self.framing {
+            StreamFraming::Chunked => append_chunk(message, bytes),
+            StreamFraming::UntilClose => message.extend_from_slice(bytes),
+        }
+    }
+
     fn encode(&self, mut head: ResponseHead) -> Vec<u8> {
         if !self.keep_open {
             head.headers.set("Connection", "close");
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -39,7 +39,7 @@
 
 pub use admission::{admit, Admission};
 pub use answer_metrics::AnswerMetrics;
-pub use caller_answer::{AfterAnswer, CallerAnswer};
+pub use caller_answer::{AfterAnswer, CallerAnswer, StreamFraming};
 pub use events::{is_after, EventSplitter, WholeEvent};
 pub use limits::TimeLimits;
 
--- a/crates/gateway/tests/leaving_callers.rs
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -20,15 +20,6 @@
     min_idle_ms: 0,
 };
 
-fn as_bytes(request: &Request) -> Vec<u8> {
-    let mut head = request.head.clone();
-    head.headers
-        .set("content-length", request.body.len().to_string());
-    let mut bytes = head.encode();
-    bytes.extend_from_slice(&request.body);
-    bytes
-}
-
 fn ids(engine: &StandInEngine) -> Vec<String> {
     let heads = engine.heads();
     let ids = heads.iter().filter_map(|head| head.headers.get(site::ID));
@@ -62,7 +53,7 @@
         let fixture = Fixture::new(&[&app]).await;
         // The kept connection of this request would carry the next one at once.
         fixture.send(&request("safe.test", "r1")).await;
-        serve_abandoned(&fixture, &as_bytes(&request("safe.test", "r2"))).await;
+        serve_abandoned(&fixture, &caller::encode(&request("safe.test", "r2"))).await;
         fixture.send(&request("safe.test", "r3")).await;
         assert_eq!(ids(&app), ["r1", "r3"]);
     });
@@ -73,7 +64,7 @@
     smol::block_on(async {
         let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
         let fixture = Fixture::new(&[&app]).await;
-        let bytes = as_bytes(&request("safe.test", "r1"));
+        let bytes = caller::encode(&request("safe.test", "r1"));
         serve_abandoned(&fixture, &bytes[..bytes.len() - 2]).await;
         serve_abandoned(&fixture, &bytes[..20]).await;
         assert!(app.heads().is_empty());
@@ -143,7 +134,7 @@
         let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
         let fixture = Fixture::new(&[&app]).await;
         let address = fixture.running().callers;
-        let first = as_bytes(&request("patient.test", "r1"));
+        let first = caller::encode(&request("patient.test", "r1"));
         let sending = std::thread::spawn(move || {
             let mut stream = std::net::TcpStream::connect(address).expect("connect");
             stream.write_all(&first).expect("write");
@@ -196,7 +187,7 @@
         let fixture = Fixture::new(&[&app]).await;
         let mut slow = request("safe.test", "r1");
         slow.head.headers.push(site::DEADLINE, "60");
-        let bytes = as_bytes(&slow);
+        let bytes = caller::encode(&slow);
         let mut stream = TcpStream::connect(fixture.running().callers)
             .await
             .expect("connect");
--- a/crates/gateway/tests/requests/truncated_answers.rs
+++ b/crates/gateway/tests/requests/truncated_answers.rs
@@ -1,7 +1,7 @@
 //! Answers that end with their connection, whole or broken off.
 
 use crate::app_engine::app;
-use crate::support::caller::{prompt, request, Answer};
+use crate::support::caller::{self, prompt, request, Answer};
 use crate::support::engine::{
     all_events, all_events_with, AnswerFormat, Behaviour, LineEnding, StandInEngine, EVENTS,
 };
@@ -191,7 +191,7 @@
         let fixture = Fixture::new(&[&llm]).await;
         let address = fixture.running().callers;
         let asking = smol::spawn(async move {
-            let answer = crate::support::caller::send(address, &prompt("stream.test", "r")).await;
+            let answer = caller::send(address, &prompt("stream.test", "r")).await;
             (answer, Instant::now())
         });
         llm.happened.recv().await.expect("the engine");
@@ -233,3 +233,22 @@
         }
     });
 }
+
+// Guards against chunks in the body of a caller that knows none, and against a broken-off answer
+// that such a caller takes for complete.
+#[test]
+fn an_http_1_0_caller_gets_a_stream_without_chunks_and_a_reset_where_it_breaks_off() {
+    smol::block_on(async {
+        let llm = stream_engine("llm-1", Behaviour::Answer, AnswerFormat::default()).await;
+        let fixture = Fixture::new(&[&llm]).await;
+        let node = fixture.running().callers;
+        let whole = caller::send_as_http_1_0(node, &prompt("stream.test", "whole")).await;
+        assert_eq!((whole.text(), whole.is_whole), (all_events(), true));
+        assert_eq!(whole.head.headers.get("transfer-encoding"), None);
+        for behaviour in BREAKS_INSIDE_EVENT {
+            llm.set(behaviour.clone());
+            let broken = caller::send_as_http_1_0(node, &prompt("stream.test", "broken")).await;
+            assert!(!broken.is_whole, "{behaviour:?}");
+        }
+    });
+}
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -57,17 +57,34 @@
     read(&mut connection).await.expect("an answer")
 }
 
+/// Sends a request as HTTP/1.0 on a new connection and reads the answer.
+pub async fn send_as_http_1_0(address: SocketAddr, request: &Request) -> Answer {
+    let message = String::from_utf8(encode(request)).expect("text");
+    let message = message.replacen(" HTTP/1.1\r\n", " HTTP/1.0\r\n", 1);
+    let mut connection = connect_and_write(address, message.as_bytes()).await;
+    read(&mut connection).await.expect("an answer")
+}
+
 /// Sends a request and leaves the connection open.
 pub async fn open(address: SocketAddr, request: &Request) -> BufferedStream {
+    connect_and_write(address, &encode(request)).await
+}
+
+async fn connect_and_write(address: SocketAddr, message: &[u8]) -> BufferedStream {
     let stream = TcpStream::connect(address).await.expect("connect");
     let mut connection = BufferedStream::new(stream);
+    let _ = connection.write_all(message).await;
+    connection
+}
+
+/// The bytes of a request on the wire.
+pub fn encode(request: &Request) -> Vec<u8> {
     let mut head = request.head.clone();
     head.headers
         .set("content-length", request.body.len().to_string());
     let mut message = head.encode();
     message.extend_from_slice(&request.body);
-    let _ = connection.write_all(&message).await;
-    connection
+    message
 }
 
 /// Reads an answer; `None` if the connection ends without a head.
