Large failures of engines are forwarded whole or not at all

A rejection is now forwarded piece by piece like a large success. A failure, after which another engine may be tried, can't be kept for later: the caller gets the node's own 502.

--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -17,6 +17,15 @@
 /// the caller's answer breaks off when the engine's does.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// An answer that is too large to be buffered.
+struct LargeAnswer {
+    answer: EngineAnswer,
+    /// The part of the body that has been read.
+    first: Vec<u8>,
+    /// Outcome for the request's log line once the answer is complete.
+    outcome: &'static str,
+}
+
 /// How reading an answer ended.
 enum ReadEnd {
     Whole(Vec<u8>),
@@ -42,7 +51,14 @@
                 let outcome = "answered";
                 Ok(AttemptEnd::Done { after, outcome })
             }
-            ReadEnd::TooLarge(first) => self.send_large(answer, first, chosen, in_flight).await,
+            ReadEnd::TooLarge(first) => {
+                let large = LargeAnswer {
+                    answer,
+                    first,
+                    outcome: "answered",
+                };
+                self.send_large(large, chosen, in_flight).await
+            }
             ReadEnd::Broken(broken) => {
                 in_flight.note_outcome(Outcome::Broken);
                 Ok(AttemptEnd::Broken(broken))
@@ -57,16 +73,16 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
+        let status = answer.head.status;
+        // A status that promises "not run" is not valid from an engine that ran the request.
+        let is_engines_fault = status >= 500 || promises_not_run(status);
+        let outcome = match is_engines_fault {
+            true => Outcome::Failed,
+            false => Outcome::Answered,
+        };
         match self.read_buffered(&mut answer, None, chosen).await {
-            ReadEnd::Whole(body) | ReadEnd::TooLarge(body) => {
-                // A status that promises "not run" is not valid from an engine that ran the
-                // request.
-                let is_engines_fault =
-                    answer.head.status >= 500 || promises_not_run(answer.head.status);
-                in_flight.note_outcome(match is_engines_fault {
-                    true => Outcome::Failed,
-                    false => Outcome::Answered,
-                });
+            ReadEnd::Whole(body) => {
+                in_flight.note_outcome(outcome);
                 let head = forwarded_head(&answer);
                 self.keep_connection(answer, chosen);
                 if is_engines_fault {
@@ -76,6 +92,20 @@
                 let outcome = "rejected_by_engine";
                 Ok(AttemptEnd::Done { after, outcome })
             }
+            ReadEnd::TooLarge(_) if is_engines_fault => {
+                in_flight.note_outcome(outcome);
+                let reason =
+                    format!("the engine failed with {status} and a body too large to keep");
+                Ok(AttemptEnd::Broken(BrokenAttempt::other(reason)))
+            }
+            ReadEnd::TooLarge(first) => {
+                let large = LargeAnswer {
+                    answer,
+                    first,
+                    outcome: "rejected_by_engine",
+                };
+                self.send_large(large, chosen, in_flight).await
+            }
             ReadEnd::Broken(broken) => {
                 in_flight.note_outcome(Outcome::Broken);
                 Ok(AttemptEnd::Broken(broken))
@@ -129,16 +159,15 @@
 
     async fn send_large(
         &mut self,
-        mut answer: EngineAnswer,
-        first: Vec<u8>,
+        mut large: LargeAnswer,
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
         self.record.record_first_byte(&self.gateway, &self.received);
         self.answer
-            .start_stream(forwarded_head(&answer), &first)
+            .start_stream(forwarded_head(&large.answer), &large.first)
             .await?;
-        if let Err(broken) = self.forward_rest(&mut answer, chosen).await? {
+        if let Err(broken) = self.forward_rest(&mut large.answer, chosen).await? {
             self.note_broken_attempt(&broken, chosen, in_flight);
             in_flight.note_outcome(Outcome::Broken);
             return Ok(AttemptEnd::Done {
@@ -148,7 +177,7 @@
         }
         in_flight.note_outcome(Outcome::Answered);
         let after = self.answer.finish_stream().await?;
-        let outcome = "answered";
+        let outcome = large.outcome;
         Ok(AttemptEnd::Done { after, outcome })
     }
 
--- a/crates/gateway/tests/requests/truncated_answers.rs
+++ b/crates/gateway/tests/requests/truncated_answers.rs
@@ -252,3 +252,21 @@
         }
     });
 }
+
+// Guards against the first part of a large failure being framed as the whole of it.
+#[test]
+fn a_failure_over_the_buffer_reaches_its_caller_whole_or_not_in_the_engines_name() {
+    const LARGE_BYTES: usize = 600 * 1024;
+    smol::block_on(async {
+        let app = app(Behaviour::AnswerLarge(400, LARGE_BYTES)).await;
+        let fixture = Fixture::new(&[&app]).await;
+        let rejected = fixture.send(&request("unsafe.test", "rejected")).await;
+        let received = (rejected.status(), rejected.body.len(), rejected.is_whole);
+        assert_eq!(received, (400, LARGE_BYTES, true));
+        app.set(Behaviour::AnswerLarge(500, LARGE_BYTES));
+        let failed = fixture.send(&request("unsafe.test", "failed")).await;
+        assert_eq!(failed.status(), 502);
+        assert_eq!(failed.head.headers.get(site::SIGNED), None);
+        assert!(failed.is_whole);
+    });
+}
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -65,9 +65,9 @@
             head.headers.push(site::NOT_RUN, "1");
             head.headers.push(site::INSTANCE, "another-1");
         }
-        Behaviour::Fail | Behaviour::FailWith(_) => {
+        Behaviour::Fail | Behaviour::FailWith(_) | Behaviour::AnswerLarge(..) => {
             head.status = match behaviour {
-                Behaviour::FailWith(status) => status,
+                Behaviour::FailWith(status) | Behaviour::AnswerLarge(status, _) => status,
                 _ => 500,
             };
             head.headers.push(site::SIGNED, "1");
@@ -112,7 +112,10 @@
     if let Behaviour::AnswerAfter(after_ms) = behaviour {
         sleep(after_ms).await;
     }
-    let mut body = format!("answer to {id}");
+    let mut body = match behaviour {
+        Behaviour::AnswerLarge(_, bytes) => "x".repeat(bytes),
+        _ => format!("answer to {id}"),
+    };
     shared.format().frame_body(&mut head, body.len());
     let ends = matches!(behaviour, Behaviour::EndAfter(_));
     if ends {
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -34,6 +34,8 @@
     Fail,
     /// Runs the request and fails with this status.
     FailWith(u16),
+    /// Answers with this status and a body of this number of bytes.
+    AnswerLarge(u16, usize),
     /// Answers that another request was not run.
     RefuseAnother,
     /// Closes the connection after the second request on it; refuses requests on a new
