--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -217,6 +217,8 @@
             "engines_before" => self.hold.map(|hold| format!("{:?}", hold.before)),
             "engines_after" => self.hold.map(|hold| format!("{:?}", hold.after)),
             "attempts" => &self.attempts,
+            "resumes" => &received.request.resumes,
+            "resumes_after" => &received.request.resume_after,
             "passed_over" => passed_over(gateway, &admission.service),
             "fingerprint" => received.fingerprint.to_string(),
             "prompt" => self.prompt.map(|(key, _)| format!("{key:016x}")),
--- a/crates/gateway/src/ports/caller.rs
+++ b/crates/gateway/src/ports/caller.rs
@@ -25,6 +25,8 @@
     pub declared_tokens: Option<u64>,
     /// Id of the last event that the caller received of a broken stream.
     pub resume_after: Option<String>,
+    /// Id of the request that brought the first event of that stream.
+    pub resumes: Option<String>,
     /// Headers that are passed on to the engine unchanged.
     pub forwarded: Headers,
 }
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -20,6 +20,7 @@
 pub const PARTS: &str = "t-parts";
 pub const TOKENS: &str = "t-tokens";
 pub const AFTER: &str = "t-after";
+pub const RESUMES: &str = "t-resumes";
 pub const TENANT: &str = "t-tenant";
 pub const INSTANCE: &str = "t-instance";
 pub const WEIGHTS: &str = "t-weights";
@@ -63,6 +64,7 @@
             prompt: parts,
             declared_tokens: headers.get(TOKENS).and_then(|text| text.parse().ok()),
             resume_after: headers.get(AFTER).map(str::to_owned),
+            resumes: headers.get(RESUMES).map(str::to_owned),
             method: head.method.clone(),
             target: head.target.clone(),
             forwarded: [(ID, id)].into(),
