--- /dev/null
+++ b/crates/gateway/tests/stream_versions/main.rs
@@ -0,0 +1,7 @@
+//! Streams of services whose engines run several versions of their software.
+
+mod attempts;
+mod one_answer;
+mod site;
+#[path = "../support/mod.rs"]
+mod support;
