A stream goes on within one answer only at the software version that began it

Cause: engines of one service were taken as interchangeable. The next engine of a broken stream was chosen by the rollout's rule alone, and the canary's fallback could change the version as well.

The version of the engine whose first event is forwarded now restricts every later choice of that request, beside the rollout's rule: where the rollout does not allow that version, or it has no other engine, the stream is broken off.

A test lost an import that it no longer uses.

--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -133,6 +133,10 @@
         };
         let rollouts = &beliefs.rollouts;
         let choice = rollouts.software_choice(&request, &beliefs.engines, own, now);
+        let choice = match &self.progress.software {
+            Some(software) => choice.and_then(|choice| choice.restricted_to(software)),
+            None => choice,
+        };
         choice.ok_or(NoChoice::SoftwareHeldBack)
     }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -55,6 +55,7 @@
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
+use ploverlift_routing::software::SoftwareVersion;
 use quarantine::RequestClaim;
 use record::RequestRecord;
 use std::io;
@@ -78,6 +79,8 @@
 struct Progress {
     attempts: AttemptLedger,
     last_event: Option<String>,
+    /// The software version that began the stream, once that is known.
+    software: Option<SoftwareVersion>,
     engine_failure: Option<EngineFailure>,
     retry_after_ms: Option<u64>,
     time_is_up: bool,
@@ -125,6 +128,7 @@
     let progress = Progress {
         attempts: AttemptLedger::new(limits),
         last_event: received.request.resume_after.clone(),
+        software: None,
         engine_failure: None,
         retry_after_ms: None,
         time_is_up: false,
--- a/crates/gateway/src/rollouts/choice.rs
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -44,6 +44,28 @@
     pub reason: Option<GateReason>,
 }
 
+impl SoftwareChoice {
+    /// The same choice for a request that only engines of this version may serve; `None` if
+    /// they may not.
+    pub fn restricted_to(self, version: &SoftwareVersion) -> Option<Self> {
+        let only = || SoftwareRule::Only(version.clone());
+        if self.rule.allows(version) {
+            return Some(Self {
+                rule: only(),
+                fallback: None,
+                ..self
+            });
+        }
+        let fallback = self.fallback?;
+        fallback.allows(version).then(|| Self {
+            rule: only(),
+            fallback: None,
+            outside_canary: Vec::new(),
+            reason: self.reason,
+        })
+    }
+}
+
 impl RolloutBeliefs {
     /// The versions that may serve a request; `None` if no version may at present. `own` is
     /// `None` if the service had no rollout when the caller looked it up just before.
--- a/crates/gateway/tests/leaving_callers.rs
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
-use support::caller::{self, prompt, request, Request};
+use support::caller::{self, prompt, request};
 use support::engine::{Behaviour, StandInEngine};
 use support::{configuration, site, Fixture};
 
