A stream that is taken up goes on only at the version that began it

Cause: engines of one service were taken as interchangeable, and the nodes shared nothing about streams: Resumes was not read, and the node that began a stream is often gone.

While a service has, or may have had, another version, a node that forwards a stream's first event announces its version to three keepers, the first nodes of the stream's rendezvous order. A node that takes the stream up asks six, twice 22 ms at most. Unknown is not none: without an entry a stream goes on only if one version has been the only one for its longest life and nobody contradicts, else it is rejected. A lost message or node can so reject a stream, never mix one.

a_resumed_stream_is_not_refused (overload) took up a stream that its node, just started, could know nothing of. It now names a stream that the node began; what it asserts is unchanged.

--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -13,6 +13,7 @@
 use crate::peers::relay::Relay;
 use crate::peers::reports::ReportStream;
 use crate::peers::snapshot::{fetch_snapshots, serve_snapshots};
+use crate::peers::stream_origins::{announce_earlier_streams, request_kept_origins};
 use crate::peers::weights_reports::report_weights;
 use crate::ports::Site;
 use crate::quarantine::sync_quarantine;
@@ -166,6 +167,9 @@
         let answering = serve_snapshots(Arc::clone(&gateway), snapshots);
         tasks.push(smol::spawn(answering));
         tasks.push(smol::spawn(fetch_snapshots(Arc::clone(&gateway))));
+        tasks.push(smol::spawn(request_kept_origins(Arc::clone(&gateway))));
+        let announcing = announce_earlier_streams(Arc::clone(&gateway));
+        tasks.push(smol::spawn(announcing));
         tasks.push(smol::spawn(find_peers(Arc::clone(&gateway), record)));
     }
     slog::info!(gateway.log, "started";
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -42,6 +42,8 @@
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
 use ploverlift_routing::topology::Topology;
+use ploverlift_streamorigin::history::SoftwareHistory;
+use ploverlift_streamorigin::origins::StreamOrigins;
 use ploverlift_wire::peers::StoredConfiguration;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -110,6 +112,12 @@
     pub limiter: RateLimiter,
     /// Rollouts of engines' software.
     pub rollouts: RolloutBeliefs,
+    /// Software versions that engines have had recently.
+    pub software_history: SoftwareHistory,
+    /// Services that got another software version, which is still to be handled.
+    pub services_with_new_version: BTreeSet<ServiceName>,
+    /// Software versions that began streams.
+    pub origins: StreamOrigins,
     /// Named weights, and the proofs of which are the newest.
     pub weights: NamedWeights,
     /// Exchange of reports on the newest weights with other nodes.
--- a/crates/gateway/src/engine_log.rs
+++ b/crates/gateway/src/engine_log.rs
@@ -24,8 +24,12 @@
     }
 }
 
-/// Logs changes of engines that are new to this node.
+/// Logs changes of engines that are new to this node, and notifies the task that handles new
+/// software versions.
 pub fn log_engine_updates(gateway: &Gateway, changes: &[EngineChange], from: UpdateSource) {
+    if gateway.beliefs().has_new_version() {
+        gateway.software_version_added.notify(usize::MAX);
+    }
     for change in changes {
         log_change(gateway, change, from);
     }
@@ -48,6 +52,7 @@
         "engine" => &change.instance.0,
         "from" => from.name(),
         "service" => &record.service.0,
+        "software" => &record.software.0,
         "leaving" => record.is_leaving,
         "born_ms" => record.heartbeat.born_ms,
         "sequence" => record.heartbeat.sequence,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -32,6 +32,7 @@
 mod load_shedding;
 mod quarantine;
 mod record;
+mod resumption;
 mod running_request;
 mod sending;
 mod start_deadline;
@@ -58,6 +59,7 @@
 use ploverlift_routing::software::SoftwareVersion;
 use quarantine::RequestClaim;
 use record::RequestRecord;
+use resumption::Unplaced;
 use std::io;
 use std::sync::Arc;
 
@@ -160,6 +162,10 @@
             .beliefs()
             .retry_budget(&service, &settings)
             .record_request(now);
+        if let Err(unplaced) = self.place_resumed_stream().await {
+            self.note_unplaced(&unplaced);
+            return self.give_up().await;
+        }
         loop {
             if !self.has_time() {
                 "its time was up before it could be sent".clone_into(&mut self.progress.reason);
@@ -257,7 +263,16 @@
         self.progress.retry_after_ms = Some(unservable.retry_after_ms);
     }
 
+    fn note_unplaced(&mut self, unplaced: &Unplaced) {
+        unplaced.reason.clone_into(&mut self.progress.reason);
+        self.progress.retry_after_ms = Some(unplaced.retry_after_ms);
+    }
+
     fn note_no_choice(&mut self, none: NoChoice) {
+        if let Some(unplaced) = self.unplaced(none) {
+            self.note_unplaced(&unplaced);
+            return;
+        }
         let reason = match none {
             NoChoice::NoEngine => "the service has no engine",
             NoChoice::SoftwareHeldBack => "no engine has a version that may serve",
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -5,15 +5,18 @@
 use super::choice::ChosenEngine;
 use super::ReceivedRequest;
 use crate::engine_paths::connect::EnginePath;
+use crate::peers::stream_origins::PlacedStream;
 use crate::ports::CacheTransfer;
 use crate::reliance::Reliance;
 use crate::state::Gateway;
+use crate::stream_metrics::placement_name;
 use ploverlift_balancing::catalogue::PassedOverReason;
 use ploverlift_http1::Framing;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::Side;
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::prompt::cache_scope;
+use ploverlift_streamorigin::placement::Placement;
 use std::fmt::Write;
 
 /// Outcomes that are always logged; others are logged at a limited rate.
@@ -59,6 +62,7 @@
     last_event_at: Option<Millis>,
     longest_pause: Option<Pause>,
     hold: Option<Hold>,
+    placement: Option<String>,
     is_finished: bool,
     log: slog::Logger,
 }
@@ -77,6 +81,7 @@
             last_event_at: None,
             longest_pause: None,
             hold: None,
+            placement: None,
             is_finished: false,
             log: gateway.log.clone(),
         }
@@ -163,6 +168,19 @@
         });
     }
 
+    /// Records how the software version of a stream that is taken up was found.
+    pub(super) fn record_placement(&mut self, placed: &PlacedStream) {
+        let software = match &placed.placement {
+            Placement::Began(software) | Placement::Only(software) => &software.0,
+            Placement::Unknown { .. } => "none",
+        };
+        let name = placement_name(&placed.placement);
+        let (asked, answered) = (placed.asked, placed.answered);
+        self.placement = Some(format!(
+            "{name} software={software} asked={asked} answered={answered}"
+        ));
+    }
+
     /// Records that the first byte of the answer is sent to the caller.
     pub(super) fn record_first_byte(&mut self, gateway: &Gateway, received: &ReceivedRequest) {
         if self.first_byte_ms.is_none() {
@@ -219,6 +237,7 @@
             "attempts" => &self.attempts,
             "resumes" => &received.request.resumes,
             "resumes_after" => &received.request.resume_after,
+            "placement" => &self.placement,
             "passed_over" => passed_over(gateway, &admission.service),
             "fingerprint" => received.fingerprint.to_string(),
             "prompt" => self.prompt.map(|(key, _)| format!("{key:016x}")),
--- /dev/null
+++ b/crates/gateway/src/forward/resumption.rs
@@ -0,0 +1,154 @@
+//! Streams that go on after a break, within one answer or in their caller's next attempt: only
+//! engines of the software version that began a stream may continue it.
+
+use super::choice::ChosenEngine;
+use super::Forwarding;
+use crate::peers::stream_origins::{announce, place_stream, ResumedStream};
+use ploverlift_balancing::selection::NoChoice;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::software::SoftwareVersion;
+use ploverlift_streamorigin::history::RecentVersions;
+use ploverlift_streamorigin::origins::StreamOrigin;
+use ploverlift_streamorigin::placement::Placement;
+use ploverlift_streamorigin::stream_key::StreamKey;
+
+/// Time after its caller's deadline for which a stream's origin is kept, in milliseconds.
+const KEPT_AFTER_DEADLINE_MS: u64 = 1_000;
+/// Retry time if a node that may know a stream's origin did not answer, in milliseconds: a node
+/// that was killed is back within about a second.
+const UNANSWERED_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Why a stream can't be continued.
+pub(super) struct Unplaced {
+    pub(super) reason: &'static str,
+    /// Time after which the caller may retry, in milliseconds.
+    pub(super) retry_after_ms: u64,
+}
+
+impl Forwarding {
+    /// Finds the version that may continue the stream that the request takes up, if it takes
+    /// one up.
+    ///
+    /// # Errors
+    /// When no node can tell which version began it.
+    pub(super) async fn place_resumed_stream(&mut self) -> Result<(), Unplaced> {
+        let request = &self.received.request;
+        if request.resume_after.is_none() || !self.is_resumable() {
+            return Ok(());
+        }
+        let resumes = request.resumes.as_deref();
+        let resumed = ResumedStream {
+            stream: resumes.map(|id| self.stream_key(id)),
+            service: self.received.admission.service.clone(),
+            lifetime_ms: self.received.admission.route.timeout_ms,
+        };
+        let placed = place_stream(&self.gateway, &resumed).await;
+        self.gateway
+            .metrics
+            .streams
+            .count_placement(&placed.placement);
+        self.record.record_placement(&placed);
+        match placed.placement {
+            Placement::Began(software) | Placement::Only(software) => {
+                self.progress.software = Some(software);
+                Ok(())
+            }
+            Placement::Unknown { may_become_known } => Err(Unplaced {
+                reason: "it is not known which software version began the stream",
+                retry_after_ms: match may_become_known {
+                    true => UNANSWERED_RETRY_AFTER_MS,
+                    false => self.left_ms(),
+                },
+            }),
+        }
+    }
+
+    /// Records, before an engine's first event is forwarded, that its version began the stream,
+    /// so that other nodes know it if this one is gone.
+    pub(super) fn note_stream_origin(&mut self, chosen: &ChosenEngine) {
+        if !self.is_resumable() {
+            return;
+        }
+        let software = self
+            .progress
+            .software
+            .get_or_insert(chosen.software.clone());
+        let software = software.clone();
+        let id = self.received.request.resumes.as_deref();
+        let id = id.unwrap_or(&self.received.request.id);
+        let origin = StreamOrigin {
+            stream: self.stream_key(id),
+            tenant: self.tenant_tag(),
+            software,
+            expires_at: self.origin_expiry(),
+        };
+        self.keep_origin(&origin);
+    }
+
+    fn keep_origin(&self, origin: &StreamOrigin) {
+        let now = self.gateway.clock.now();
+        let service = &self.received.admission.service;
+        let lifetime_ms = self.received.admission.route.timeout_ms;
+        let mut beliefs = self.gateway.beliefs();
+        let is_kept = beliefs.origins.keep(origin.clone(), now);
+        let versions = beliefs.software_history.recent(service, lifetime_ms, now);
+        // Where one version has served for long enough, any node can tell so.
+        let is_announced = !matches!(versions, RecentVersions::Sole(_));
+        if !is_announced {
+            let service = service.clone();
+            beliefs.origins.note_unannounced(origin.stream, service);
+        }
+        let known = beliefs.origins.len();
+        drop(beliefs);
+        let dropped = usize::from(!is_kept);
+        self.gateway.metrics.streams.note_kept(known, dropped);
+        if is_announced {
+            announce(&self.gateway, origin);
+        }
+    }
+
+    /// Why no engine of the stream's version was chosen, if the request continues a stream.
+    pub(super) fn unplaced(&self, none: NoChoice) -> Option<Unplaced> {
+        let software = self.progress.software.as_ref()?;
+        let is_served = self.has_engine_of(software);
+        match none {
+            _ if !is_served => Some(Unplaced {
+                reason: "no engine has the software version that began the stream",
+                retry_after_ms: self.left_ms(),
+            }),
+            NoChoice::SoftwareHeldBack => Some(Unplaced {
+                reason: "the software version that began the stream may not serve",
+                retry_after_ms: self.left_ms(),
+            }),
+            _ => None,
+        }
+    }
+
+    fn has_engine_of(&self, software: &SoftwareVersion) -> bool {
+        let service = &self.received.admission.service;
+        let beliefs = self.gateway.beliefs();
+        let mut engines = beliefs.engines.of_service(service);
+        engines.any(|engine| engine.record.software == *software)
+    }
+
+    fn is_resumable(&self) -> bool {
+        let delivery = self.received.admission.route.delivery;
+        delivery.is_stream() && delivery.is_repeatable()
+    }
+
+    fn stream_key(&self, request_id: &str) -> StreamKey {
+        let service = &self.received.admission.service;
+        StreamKey::new(self.tenant_tag(), service, request_id)
+    }
+
+    fn left_ms(&self) -> u64 {
+        self.received.limits.left_ms(self.gateway.clock.now())
+    }
+
+    /// When the caller stops taking the stream up.
+    fn origin_expiry(&self) -> Millis {
+        let limits = &self.received.limits;
+        let deadline = limits.deadline.unwrap_or(limits.timeout);
+        deadline.plus(KEPT_AFTER_DEADLINE_MS)
+    }
+}
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -53,8 +53,7 @@
                     watch.record_activity();
                     if is_first {
                         is_first = false;
-                        let software = &mut self.progress.software;
-                        software.get_or_insert_with(|| chosen.software.clone());
+                        self.note_stream_origin(chosen);
                         let first_event_ms = in_flight.note_first_byte();
                         self.learn_prefill_rate(chosen, first_event_ms);
                         if let Some(wait) = in_flight.wait.take() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,7 @@
 //! | [`leases`] | leases in the store, for duties of one node at a time |
 //! | [`weights`] | loads new weights into engines, by one lease holder |
 //! | [`suspension`] | detects that this node was suspended |
-//! | [`readiness`], [`metrics`], [`logging`] | how a node reports its own state |
+//! | [`readiness`], [`metrics`], [`stream_metrics`], [`logging`] | how a node reports its own state |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
 
 pub mod assembly;
@@ -65,6 +65,7 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod stream_metrics;
 pub mod suspension;
 pub mod time;
 pub mod weights;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::forward::AnswerMetrics;
 use crate::ports::StoreCall;
 use crate::rollouts::Arrival;
+use crate::stream_metrics::StreamMetrics;
 use ploverlift_enginelimit::node_messages::TokenAnswer;
 use ploverlift_ratelimit::standing::Standing;
 use ploverlift_rollout::counts::Side;
@@ -225,6 +226,8 @@
     pub paths: PathMetrics,
     /// Engines' answers.
     pub answers: AnswerMetrics,
+    /// Streams that go on after a break.
+    pub streams: StreamMetrics,
 }
 
 impl Default for Metrics {
@@ -275,6 +278,7 @@
             first_byte_seconds: Histogram::new(buckets),
             paths: PathMetrics::default(),
             answers: AnswerMetrics::default(),
+            streams: StreamMetrics::default(),
         }
     }
 }
@@ -556,6 +560,7 @@
         registry.register_with_unit("first_byte", help, Unit::Seconds, first_byte);
         self.paths.register(&mut registry);
         self.answers.register(&mut registry);
+        self.streams.register(&mut registry);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &registry);
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -14,6 +14,7 @@
 use super::rollout_messages::{
     confirmation_message, counts_message, read_confirmation, read_counts, RolloutReport,
 };
+use super::stream_origin_messages::{self, NumberedOriginAnswer, OriginQuery, ReportedOrigin};
 use super::weights_messages::{read_weights_report, weights_report_message, WeightsReport};
 use crate::leases::LeaseRenewal;
 use ploverlift_balancing::engine_losses::LostEngine;
@@ -90,6 +91,14 @@
     TokenAnswer(NumberedAnswer),
     /// A token of this engine is returned unused.
     TokenReturn(EngineTag),
+    /// Software versions that began streams.
+    StreamOrigins(Vec<ReportedOrigin>),
+    /// The sender has started and lacks the streams that it keeps.
+    StreamOriginsWanted(PeerId),
+    /// A question for the version that began a stream.
+    StreamOriginQuery(OriginQuery),
+    /// The answer to such a question.
+    StreamOriginAnswer(NumberedOriginAnswer),
 }
 
 /// Encodes a message as a datagram.
@@ -129,6 +138,18 @@
         PeerMessage::TokenReturn(engine) => {
             Body::EngineTokenReturn(peers::EngineTokenReturn { engine: engine.0 })
         }
+        PeerMessage::StreamOrigins(origins) => {
+            Body::StreamOrigins(stream_origin_messages::origins_message(origins))
+        }
+        PeerMessage::StreamOriginsWanted(sender) => {
+            Body::StreamOriginsWanted(stream_origin_messages::wanted_message(*sender))
+        }
+        PeerMessage::StreamOriginQuery(query) => {
+            Body::StreamOriginQuery(stream_origin_messages::query_message(query))
+        }
+        PeerMessage::StreamOriginAnswer(answer) => {
+            Body::StreamOriginAnswer(stream_origin_messages::answer_message(answer))
+        }
     };
     encode_body(body)
 }
@@ -174,6 +195,21 @@
         Some(Body::EngineTokenReturn(returned)) => {
             Some(PeerMessage::TokenReturn(EngineTag(returned.engine)))
         }
+        Some(Body::StreamOrigins(origins)) => {
+            let origins = stream_origin_messages::read_origins(origins);
+            Some(PeerMessage::StreamOrigins(origins))
+        }
+        Some(Body::StreamOriginsWanted(wanted)) => {
+            Some(PeerMessage::StreamOriginsWanted(PeerId(wanted.sender)))
+        }
+        Some(Body::StreamOriginQuery(query)) => {
+            let query = stream_origin_messages::read_query(query);
+            Some(PeerMessage::StreamOriginQuery(query))
+        }
+        Some(Body::StreamOriginAnswer(answer)) => {
+            let answer = stream_origin_messages::read_answer(answer);
+            Some(PeerMessage::StreamOriginAnswer(answer))
+        }
         None => None,
     })
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -24,11 +24,13 @@
 //! | [`quarantine_reports`] | reports of requests during which engines terminated |
 //! | [`engine_signals`] | broadcast of the signals that engines set in answers |
 //! | [`engine_limits`] | rate limits that engines advertise, and the tokens for them |
-//! | [`token_requests`] | pending requests for tokens of such engines |
+//! | [`token_requests`] | requests for tokens of such engines |
+//! | [`stream_origins`] | software versions that began streams |
+//! | [`pending_requests`] | requests that wait for answers |
 //! | [`outbox`] | queue of messages from tasks without the socket |
 //! | `receivers` | receivers of changes that concern all nodes |
 //! | [`limits`] | tenant usage, and the levels of the tenants' limits |
-//! | [`messages`], [`relay_messages`], [`limit_messages`], [`rollout_messages`], [`weights_messages`], [`quarantine_messages`], [`engine_limit_messages`], [`engine_signal_messages`] | encoding of messages as datagrams |
+//! | [`messages`], [`relay_messages`], [`limit_messages`], [`rollout_messages`], [`weights_messages`], [`quarantine_messages`], [`engine_limit_messages`], [`engine_signal_messages`], [`stream_origin_messages`] | encoding of messages as datagrams |
 //! | [`message_fields`] | fields shared by several kinds of messages |
 //!
 //! ```text
@@ -52,6 +54,7 @@
 pub mod message_fields;
 pub mod messages;
 pub mod outbox;
+pub mod pending_requests;
 pub mod quarantine_messages;
 pub mod quarantine_reports;
 mod receivers;
@@ -64,6 +67,8 @@
 pub mod rollout_messages;
 pub mod snapshot;
 pub mod store_contents;
+pub mod stream_origin_messages;
+pub mod stream_origins;
 pub mod token_requests;
 pub mod weights_exchange;
 pub mod weights_messages;
@@ -80,6 +85,7 @@
 use quarantine_reports::handle_quarantine_report;
 use smol::net::UdpSocket;
 use std::sync::Arc;
+use stream_origins::{answer_query, keep_origins, resolve_answer, send_kept_origins};
 use weights_reports::handle_weights_report;
 
 /// Largest datagram that is read, in bytes.
@@ -122,6 +128,14 @@
                     .resolve(numbered.number, numbered.answer);
             }
             Some(PeerMessage::TokenReturn(engine)) => handle_returned_token(&gateway, engine),
+            Some(PeerMessage::StreamOrigins(origins)) => keep_origins(&gateway, origins),
+            Some(PeerMessage::StreamOriginsWanted(sender)) => {
+                send_kept_origins(&gateway, sender, from);
+            }
+            Some(PeerMessage::StreamOriginQuery(query)) => answer_query(&gateway, &query, from),
+            Some(PeerMessage::StreamOriginAnswer(numbered)) => {
+                resolve_answer(&gateway, numbered, from);
+            }
             None => {}
         }
     }
--- /dev/null
+++ b/crates/gateway/src/peers/stream_origin_messages.rs
@@ -0,0 +1,139 @@
+//! Software versions that began streams, as messages.
+
+use ploverlift_balancing::names::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::rate_limit::TenantTag;
+use ploverlift_routing::software::SoftwareVersion;
+use ploverlift_streamorigin::history::RecentVersions;
+use ploverlift_streamorigin::origins::StreamOrigin;
+use ploverlift_streamorigin::placement::OriginAnswer;
+use ploverlift_streamorigin::stream_key::StreamKey;
+use ploverlift_wire::peers;
+use ploverlift_wire::peers::stream_origin_answer::Versions;
+
+/// A stream's origin, with the time left in place of a point in time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportedOrigin {
+    stream: StreamKey,
+    tenant: TenantTag,
+    software: SoftwareVersion,
+    /// Time for which the stream may still be taken up, in milliseconds.
+    left_ms: u64,
+}
+
+impl ReportedOrigin {
+    /// The origin as it is sent now.
+    pub fn new(origin: &StreamOrigin, now: Millis) -> Self {
+        Self {
+            stream: origin.stream,
+            tenant: origin.tenant,
+            software: origin.software.clone(),
+            left_ms: origin.expires_at.since(now),
+        }
+    }
+
+    /// The origin as it was received now.
+    pub fn into_origin(self, now: Millis) -> StreamOrigin {
+        StreamOrigin {
+            stream: self.stream,
+            tenant: self.tenant,
+            software: self.software,
+            expires_at: now.plus(self.left_ms),
+        }
+    }
+}
+
+/// A question for the version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OriginQuery {
+    /// Number of the question.
+    pub number: u64,
+    /// The stream; `None` if its caller does not name it.
+    pub stream: Option<StreamKey>,
+    /// Its service.
+    pub service: ServiceName,
+    /// Longest time since the stream began, in milliseconds.
+    pub lifetime_ms: u64,
+}
+
+/// The answer to the question with this number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NumberedOriginAnswer {
+    /// Number of the question.
+    pub number: u64,
+    /// The answer.
+    pub answer: OriginAnswer,
+}
+
+pub(super) fn origins_message(origins: &[ReportedOrigin]) -> peers::StreamOrigins {
+    let origins = origins.iter().map(|reported| peers::StreamOrigin {
+        stream: reported.stream.0,
+        tenant: reported.tenant.0,
+        software: reported.software.0.clone(),
+        left_ms: reported.left_ms,
+    });
+    peers::StreamOrigins {
+        origins: origins.collect(),
+    }
+}
+
+pub(super) fn read_origins(message: peers::StreamOrigins) -> Vec<ReportedOrigin> {
+    let origins = message.origins.into_iter().map(|reported| ReportedOrigin {
+        stream: StreamKey(reported.stream),
+        tenant: TenantTag(reported.tenant),
+        software: SoftwareVersion(reported.software),
+        left_ms: reported.left_ms,
+    });
+    origins.collect()
+}
+
+pub(super) fn wanted_message(sender: PeerId) -> peers::StreamOriginsWanted {
+    peers::StreamOriginsWanted { sender: sender.0 }
+}
+
+pub(super) fn query_message(query: &OriginQuery) -> peers::StreamOriginQuery {
+    peers::StreamOriginQuery {
+        number: query.number,
+        stream: query.stream.map_or(0, |stream| stream.0),
+        service: query.service.0.clone(),
+        lifetime_ms: query.lifetime_ms,
+    }
+}
+
+pub(super) fn read_query(message: peers::StreamOriginQuery) -> OriginQuery {
+    OriginQuery {
+        number: message.number,
+        stream: (message.stream != 0).then_some(StreamKey(message.stream)),
+        service: ServiceName(message.service),
+        lifetime_ms: message.lifetime_ms,
+    }
+}
+
+pub(super) fn answer_message(numbered: &NumberedOriginAnswer) -> peers::StreamOriginAnswer {
+    let answer = &numbered.answer;
+    let software = answer.software.as_ref();
+    peers::StreamOriginAnswer {
+        number: numbered.number,
+        software: software.map(|software| software.0.clone()),
+        versions: match &answer.versions {
+            RecentVersions::Sole(version) => Some(Versions::Sole(version.0.clone())),
+            RecentVersions::Several => Some(Versions::AreSeveral(true)),
+            RecentVersions::Unproven => None,
+        },
+    }
+}
+
+pub(super) fn read_answer(message: peers::StreamOriginAnswer) -> NumberedOriginAnswer {
+    NumberedOriginAnswer {
+        number: message.number,
+        answer: OriginAnswer {
+            software: message.software.map(SoftwareVersion),
+            versions: match message.versions {
+                Some(Versions::Sole(version)) => RecentVersions::Sole(SoftwareVersion(version)),
+                Some(Versions::AreSeveral(true)) => RecentVersions::Several,
+                Some(Versions::AreSeveral(false)) | None => RecentVersions::Unproven,
+            },
+        },
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,8 @@
 use crate::peers::address_book::AddressBook;
 use crate::peers::encoded_engines::EngineEncoding;
 use crate::peers::outbox::Outbox;
+use crate::peers::pending_requests::PendingRequests;
+use crate::peers::stream_origins::ReceivedOriginAnswer;
 use crate::peers::token_requests::PendingTokenRequests;
 use crate::ports::Site;
 use crate::rollouts::choice::OwnSeat;
@@ -81,6 +83,10 @@
     pub engine_signals_changed: Event,
     /// Pending requests to other nodes for tokens of engines that have a rate limit.
     pub token_questions: PendingTokenRequests,
+    /// Pending questions to other nodes for the software versions that began streams.
+    pub origin_queries: PendingRequests<ReceivedOriginAnswer>,
+    /// Notified when a service got another software version.
+    pub software_version_added: Event,
     /// Queue of messages to other nodes.
     pub outbox: Outbox,
     /// Notified when a planned stop begins.
@@ -157,6 +163,8 @@
             quarantine_changed: Event::new(),
             engine_signals_changed: Event::new(),
             token_questions: PendingTokenRequests::default(),
+            origin_queries: PendingRequests::default(),
+            software_version_added: Event::new(),
             outbox: Outbox::default(),
             stop_began: Event::new(),
             work_ended: Event::new(),
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -72,10 +72,12 @@
     smol::block_on(async {
         let llm = StandInEngine::start("llm-1", "llm", Behaviour::Answer).await;
         let fixture = Fixture::with(&[&llm], configuration(1), STRICT).await;
+        fixture.send(&prompt("resume.test", "r0")).await;
         fill(&fixture, &llm, slots(&fixture), 0);
         overload(&fixture, "llm");
         let mut resumed = prompt("resume.test", "r1");
         resumed.head.headers.push(site::AFTER, "2");
+        resumed.head.headers.push(site::RESUMES, "r0");
         assert_eq!(fixture.send(&resumed).await.status(), 200);
     });
 }
--- a/crates/gateway/tests/stream_versions/main.rs
+++ b/crates/gateway/tests/stream_versions/main.rs
@@ -1,7 +1,10 @@
 //! Streams of services whose engines run several versions of their software.
 
 mod attempts;
+mod killed_nodes;
+mod messages;
 mod one_answer;
 mod site;
 #[path = "../support/mod.rs"]
 mod support;
+mod unplaced;
--- /dev/null
+++ b/crates/streamorigin/tests/origins.rs
@@ -0,0 +1,208 @@
+//! The bounded table of streams, the choice of keepers and the placement of streams.
+
+use ploverlift_balancing::names::PeerId;
+use ploverlift_policy::ids::Millis;
+use ploverlift_routing::configuration::ServiceName;
+use ploverlift_routing::rate_limit::TenantTag;
+use ploverlift_routing::software::SoftwareVersion;
+use ploverlift_streamorigin::history::{RecentVersions, SoftwareHistory};
+use ploverlift_streamorigin::keepers::{first_nodes, KEEPERS};
+use ploverlift_streamorigin::origins::{StreamOrigin, StreamOrigins};
+use ploverlift_streamorigin::placement::{place, OriginAnswer, Placement};
+use ploverlift_streamorigin::stream_key::StreamKey;
+use proptest::prelude::*;
+use std::collections::HashMap;
+
+/// Longest life of a stream, in milliseconds.
+const LIFETIME_MS: u64 = 1_000;
+
+fn version(name: &str) -> SoftwareVersion {
+    SoftwareVersion(name.to_owned())
+}
+
+fn sole(name: &str) -> RecentVersions {
+    RecentVersions::Sole(version(name))
+}
+
+fn origin(stream: u64, tenant: u64, expires_at: u64) -> StreamOrigin {
+    StreamOrigin {
+        stream: StreamKey(stream),
+        tenant: TenantTag(tenant),
+        software: version("v1"),
+        expires_at: Millis(expires_at),
+    }
+}
+
+fn answer(software: Option<&str>, versions: RecentVersions) -> OriginAnswer {
+    OriginAnswer {
+        software: software.map(version),
+        versions,
+    }
+}
+
+#[test]
+fn a_stream_is_forgotten_with_its_deadline() {
+    let mut origins = StreamOrigins::default();
+    assert!(origins.keep(origin(1, 1, 500), Millis(0)));
+    let known = |origins: &StreamOrigins, now| origins.software(StreamKey(1), Millis(now)).cloned();
+    assert_eq!(known(&origins, 499), Some(version("v1")));
+    assert_eq!(known(&origins, 500), None);
+    origins.keep(origin(2, 1, 900), Millis(600));
+    assert_eq!(origins.len(), 1);
+}
+
+#[test]
+fn the_version_of_a_stream_never_changes() {
+    let mut origins = StreamOrigins::default();
+    origins.keep(origin(1, 1, 500), Millis(0));
+    let later = StreamOrigin {
+        software: version("v2"),
+        ..origin(1, 1, 900)
+    };
+    assert!(origins.keep(later, Millis(10)));
+    assert_eq!(
+        origins.software(StreamKey(1), Millis(800)),
+        Some(&version("v1"))
+    );
+}
+
+// Guards against one tenant's ids filling the table of all.
+#[test]
+fn a_tenant_takes_a_part_of_the_table_at_most() {
+    let mut origins = StreamOrigins::default();
+    let kept = (0..100_000).filter(|id| origins.keep(origin(*id, 1, 500), Millis(0)));
+    let kept = kept.count();
+    assert!(kept < 100_000);
+    assert!(origins.keep(origin(1 << 40, 2, 500), Millis(0)));
+    // Room is free again once streams have expired.
+    assert!(origins.keep(origin(1 << 41, 1, 900), Millis(600)));
+    assert_eq!(origins.len(), 1);
+}
+
+#[test]
+fn unannounced_streams_are_taken_once_and_by_service() {
+    let mut origins = StreamOrigins::default();
+    let (one, other) = (ServiceName::from("one"), ServiceName::from("other"));
+    for (stream, service) in [(1, &one), (2, &other), (3, &one)] {
+        origins.keep(origin(stream, 1, 500), Millis(0));
+        origins.note_unannounced(StreamKey(stream), service.clone());
+    }
+    assert_eq!(origins.take_unannounced(&one, Millis(1)).len(), 2);
+    assert!(origins.take_unannounced(&one, Millis(1)).is_empty());
+    assert!(origins.take_unannounced(&other, Millis(500)).is_empty());
+}
+
+#[test]
+fn a_version_is_the_only_one_after_the_lifetime_of_streams_without_another() {
+    let service = ServiceName::from("llm");
+    let mut history = SoftwareHistory::default();
+    let recent =
+        |history: &SoftwareHistory, now| history.recent(&service, LIFETIME_MS, Millis(now));
+    assert_eq!(recent(&history, 0), RecentVersions::Unproven);
+    assert!(!history.note_present(&service, &version("v1"), Millis(0)));
+    assert_eq!(recent(&history, 1_000), RecentVersions::Unproven);
+    assert_eq!(recent(&history, 1_001), sole("v1"));
+    assert!(history.note_present(&service, &version("v2"), Millis(2_000)));
+    assert!(!history.note_present(&service, &version("v2"), Millis(2_001)));
+    assert_eq!(recent(&history, 2_001), RecentVersions::Several);
+    history.note_gone(&service, &version("v1"), Millis(3_000));
+    assert_eq!(recent(&history, 4_000), RecentVersions::Several);
+    assert_eq!(recent(&history, 4_001), sole("v2"));
+    assert!(history.note_present(&service, &version("v1"), Millis(5_000)));
+    history.note_gone(&service, &version("v2"), Millis(5_000));
+    history.note_gap(Millis(7_000));
+    assert_eq!(recent(&history, 7_500), RecentVersions::Unproven);
+}
+
+#[test]
+fn a_stream_is_placed_only_by_knowledge() {
+    use RecentVersions::{Several, Unproven};
+    let unknown = |may_become_known| Placement::Unknown { may_become_known };
+    let only = Placement::Only(version("v1"));
+    let none = |versions| answer(None, versions);
+    let cases = [
+        (
+            Several,
+            vec![answer(Some("v2"), Several), none(Several)],
+            2,
+            Placement::Began(version("v2")),
+        ),
+        (
+            sole("v1"),
+            vec![answer(Some("v2"), Unproven)],
+            3,
+            Placement::Began(version("v2")),
+        ),
+        (Several, vec![none(Several)], 2, unknown(true)),
+        (Several, vec![none(sole("v1"))], 1, unknown(false)),
+        (sole("v1"), vec![none(Several)], 1, unknown(false)),
+        (sole("v1"), vec![none(sole("v2"))], 1, unknown(false)),
+        (sole("v1"), vec![none(Unproven)], 2, only.clone()),
+        (
+            Unproven,
+            vec![none(sole("v1")), none(Unproven)],
+            2,
+            only.clone(),
+        ),
+        (sole("v1"), vec![], 0, only),
+        (Unproven, vec![none(Unproven)], 1, unknown(false)),
+        (Unproven, vec![], 0, unknown(false)),
+    ];
+    for (own, answers, asked, expected) in cases {
+        assert_eq!(
+            place(&own, &answers, asked),
+            expected,
+            "{own:?} {answers:?}"
+        );
+    }
+}
+
+#[test]
+fn a_request_id_names_another_stream_for_another_tenant_or_service() {
+    let (llm, app) = (ServiceName::from("llm"), ServiceName::from("app"));
+    let key = StreamKey::new(TenantTag(1), &llm, "r1");
+    assert_eq!(key, StreamKey::new(TenantTag(1), &llm, "r1"));
+    for other in [
+        StreamKey::new(TenantTag(2), &llm, "r1"),
+        StreamKey::new(TenantTag(1), &app, "r1"),
+        StreamKey::new(TenantTag(1), &llm, "r2"),
+    ] {
+        assert_ne!(key, other);
+    }
+}
+
+proptest! {
+    #[test]
+    fn the_loss_of_a_node_moves_only_its_own_streams(
+        nodes in prop::collection::btree_set(any::<u64>(), 4..40),
+        stream in any::<u64>(),
+        lost in any::<prop::sample::Index>(),
+    ) {
+        let nodes: Vec<PeerId> = nodes.into_iter().map(PeerId).collect();
+        let lost = nodes[lost.index(nodes.len())];
+        let before = first_nodes(StreamKey(stream), nodes.iter().copied(), KEEPERS);
+        let left = nodes.iter().copied().filter(|node| *node != lost);
+        let after = first_nodes(StreamKey(stream), left, KEEPERS);
+        let kept = before.iter().filter(|node| **node != lost);
+        prop_assert!(kept.clone().all(|node| after.contains(node)));
+        prop_assert_eq!(kept.count() == KEEPERS, !before.contains(&lost));
+    }
+}
+
+/// Streams are spread evenly: no node keeps over twice the mean.
+#[test]
+fn keepers_are_spread_over_small_and_large_fleets() {
+    const STREAMS: u64 = 20_000;
+    for nodes in [7_u64, 69, 985] {
+        let mut kept: HashMap<PeerId, u64> = HashMap::new();
+        for stream in 0..STREAMS {
+            let peers = (0..nodes).map(|node| PeerId::of(&format!("node-{node}")));
+            for keeper in first_nodes(StreamKey(stream * 7_919), peers, KEEPERS) {
+                *kept.entry(keeper).or_default() += 1;
+            }
+        }
+        let mean = STREAMS * KEEPERS as u64 / nodes;
+        let most = kept.values().max().copied().unwrap_or(0);
+        assert!(most <= 2 * mean, "{nodes} nodes: {most} of {mean}");
+    }
+}
