--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -7,11 +7,11 @@
 use crate::time::{sleep, within};
 use ploverlift_balancing::names::PeerId;
 use ploverlift_routing::configuration::ServiceName;
-use ploverlift_streamorigin::keepers::{first_nodes, ASKED_NODES, KEEPERS};
+use ploverlift_streamorigin::keepers::{first_nodes, is_among_first, ASKED_NODES, KEEPERS};
 use ploverlift_streamorigin::origins::StreamOrigin;
 use ploverlift_streamorigin::placement::{place, OriginAnswer, Placement};
 use ploverlift_streamorigin::stream_key::StreamKey;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -104,9 +104,8 @@
     let reported: Vec<ReportedOrigin> = {
         let beliefs = gateway.beliefs();
         let kept = beliefs.origins.iter(now).filter(|origin| {
-            let nodes = nodes.keys().copied().chain([keeper]);
-            let nodes: HashSet<PeerId> = nodes.collect();
-            first_nodes(origin.stream, nodes, KEEPERS).contains(&keeper)
+            let nodes = nodes.keys().copied();
+            is_among_first(origin.stream, keeper, nodes, KEEPERS)
         });
         kept.map(|origin| ReportedOrigin::new(origin, now))
             .collect()
--- a/crates/streamorigin/src/keepers.rs
+++ b/crates/streamorigin/src/keepers.rs
@@ -21,13 +21,29 @@
     let weighted = nodes.into_iter().map(|node| (weight(stream, node), node));
     let mut weighted: Vec<(u64, PeerId)> = weighted.collect();
     if weighted.len() > count && count > 0 {
-        weighted.select_nth_unstable_by_key(count - 1, |(weight, node)| (Reverse(*weight), *node));
+        weighted.select_nth_unstable_by_key(count - 1, |weighted| Reverse(*weighted));
         weighted.truncate(count);
     }
-    weighted.sort_unstable_by_key(|(weight, node)| (Reverse(*weight), *node));
+    weighted.sort_unstable_by_key(|weighted| Reverse(*weighted));
     weighted.into_iter().map(|(_, node)| node).collect()
 }
 
+/// Whether a node is among the first `count` of a stream's rendezvous order of `others` and
+/// itself. Mostly decided after a few of the others.
+pub fn is_among_first(
+    stream: StreamKey,
+    node: PeerId,
+    others: impl IntoIterator<Item = PeerId>,
+    count: usize,
+) -> bool {
+    let own = (weight(stream, node), node);
+    let others = others
+        .into_iter()
+        .map(|other| (weight(stream, other), other));
+    let before = others.filter(|other| *other > own).take(count);
+    before.count() < count
+}
+
 fn weight(stream: StreamKey, node: PeerId) -> u64 {
     xxh3_64_with_seed(&node.0.to_be_bytes(), stream.0)
 }
--- a/crates/streamorigin/tests/origins.rs
+++ b/crates/streamorigin/tests/origins.rs
@@ -6,7 +6,7 @@
 use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_streamorigin::history::{RecentVersions, SoftwareHistory};
-use ploverlift_streamorigin::keepers::{first_nodes, KEEPERS};
+use ploverlift_streamorigin::keepers::{first_nodes, is_among_first, KEEPERS};
 use ploverlift_streamorigin::origins::{StreamOrigin, StreamOrigins};
 use ploverlift_streamorigin::placement::{place, OriginAnswer, Placement};
 use ploverlift_streamorigin::stream_key::StreamKey;
@@ -186,6 +186,8 @@
         let kept = before.iter().filter(|node| **node != lost);
         prop_assert!(kept.clone().all(|node| after.contains(node)));
         prop_assert_eq!(kept.count() == KEEPERS, !before.contains(&lost));
+        let is_first = is_among_first(StreamKey(stream), lost, nodes.iter().copied(), KEEPERS);
+        prop_assert_eq!(is_first, before.contains(&lost));
     }
 }
 
