Tests: streams whose keepers start again one after another, and from before a second version

Without filling the keepers of a started node no test went red; without announcing earlier streams none would have, because the node that began the stream still answered.

--- a/crates/gateway/tests/stream_versions/killed_nodes.rs
+++ b/crates/gateway/tests/stream_versions/killed_nodes.rs
@@ -111,6 +111,24 @@
     });
 }
 
+// Guards against a stream that is forgotten once each of its keepers has started again.
+#[test]
+fn a_stream_is_known_after_all_nodes_were_restarted_one_after_another() {
+    smol::block_on(async {
+        let versions = ["v1", "v1", "v2", "v2"];
+        let mut site = VersionedSite::start(4, &versions, Behaviour::Answer).await;
+        site.begin_broken(0, "began").await;
+        for node in 0..site.nodes.len() {
+            let killed = site.kill(node);
+            site.start_again(killed).await;
+            sleep(FILLED_AFTER_MS).await;
+        }
+        let answer = site.take_up(1, "resumed", "began").await;
+        assert!(is_rest_after(2, &answer), "{}", answer.text());
+        assert_one_version(&site, "began", "resumed");
+    });
+}
+
 // Guards against a node that has just started taking "no entry" for "one version".
 #[test]
 fn streams_are_rejected_after_all_nodes_were_killed() {
--- a/crates/gateway/tests/stream_versions/site.rs
+++ b/crates/gateway/tests/stream_versions/site.rs
@@ -4,7 +4,7 @@
 use crate::support::configuration;
 use crate::support::engine::{event, Behaviour, StandInEngine, EVENTS};
 use crate::support::fleet::{peer_settings, wait_until_known};
-use crate::support::site::{StandInSite, AFTER, RESUMES};
+use crate::support::site::{StandInSite, AFTER, DEADLINE, RESUMES};
 use crate::support::store::StandInStore;
 use ploverlift_balancing::names::InstanceId;
 use ploverlift_balancing::names::PeerId;
@@ -19,6 +19,8 @@
 
 /// Polling interval, in milliseconds.
 const POLL_MS: u64 = 5;
+/// Deadline of callers that take a stream up later, in milliseconds.
+const PATIENCE_MS: u64 = 60_000;
 /// Maximum size of an answer's head, in bytes.
 const MAX_HEAD_BYTES: usize = 65_536;
 
@@ -135,8 +137,16 @@
 
     /// Begins a stream at a node, whose engine breaks it off after its second event.
     pub async fn begin_broken(&self, node: usize, id: &str) -> Answer {
+        self.begin_broken_at(node, "resume.test", id).await
+    }
+
+    /// Like [`Self::begin_broken`], on the route of a host. Its caller waits long enough to take
+    /// the stream up on a slow machine.
+    pub async fn begin_broken_at(&self, node: usize, host: &str, id: &str) -> Answer {
+        let mut request = prompt(host, id);
+        request.head.headers.push(DEADLINE, PATIENCE_MS.to_string());
         self.set_all(&Behaviour::BreakInside(3));
-        let answer = send(self.callers_of(node), &prompt("resume.test", id)).await;
+        let answer = send(self.callers_of(node), &request).await;
         self.set_all(&Behaviour::Answer);
         answer
     }
--- a/crates/gateway/tests/stream_versions/unplaced.rs
+++ b/crates/gateway/tests/stream_versions/unplaced.rs
@@ -13,6 +13,8 @@
 const REJECTED_WITHIN: Duration = Duration::from_millis(50 + 30);
 /// Time-out of routes of type `brief`, in milliseconds: no stream lives longer.
 const BRIEF_MS: u64 = 300;
+/// Polling interval, in milliseconds.
+const POLL_MS: u64 = 5;
 
 fn assert_rejected(site: &VersionedSite, answer: &Answer, id: &str) {
     assert_eq!(answer.status(), 503, "{id}: {}", answer.text());
@@ -94,19 +96,27 @@
     });
 }
 
-// Guards against streams that began before a second version appeared being forgotten.
+// Guards against streams that began before a second version appeared being forgotten with their
+// node.
 #[test]
 fn a_stream_that_began_while_one_version_served_goes_on_at_it_once_there_are_two() {
     smol::block_on(async {
         let mut site = VersionedSite::start(3, &["v1", "v1"], Behaviour::Answer).await;
-        site.begin_broken(0, "began").await;
+        site.add_brief_route().await;
+        let before = announced(&site, 0);
+        site.begin_broken_at(0, "brief-stream.test", "began").await;
+        assert_eq!(announced(&site, 0), before, "one version is proven");
         for _ in 0..3 {
             site.add_engine("v2", Behaviour::Answer).await;
         }
         site.wait_until_engines_known().await;
+        while announced(&site, 0) == before {
+            sleep(POLL_MS).await;
+        }
+        site.kill(0);
         for number in 0..6 {
             let id = format!("resumed-{number}");
-            let answer = site.take_up(number % 3, &id, "began").await;
+            let answer = site.take_up(number % 2, &id, "began").await;
             assert_eq!(answer.status(), 200, "{}", answer.text());
             let used = site.versions_of(&["began", &id]);
             assert_eq!(used.len(), 1, "{used:?}");
@@ -118,27 +128,39 @@
 fn any_stream_goes_on_while_one_version_has_served_for_the_longest_life_of_a_stream() {
     smol::block_on(async {
         let mut site = VersionedSite::start(3, &["v1"], Behaviour::Answer).await;
-        let mut content = configuration(2);
-        let routes = content["routes"].as_array_mut().expect("routes");
-        routes.push(route("brief-stream.test", "resumable", "llm", BRIEF_MS));
-        site.change_configuration(content).await;
-        sleep(BRIEF_MS + 100).await;
+        site.add_brief_route().await;
         let mut request = resumption_after(2, "resumed", "unknown");
         request.head.headers.set("host", "brief-stream.test");
         let answer = send(site.callers_of(0), &request).await;
         assert_eq!(answer.status(), 200, "{}", answer.text());
-        let announced = "announced_streams_total";
-        for node in &site.nodes {
-            let before = counter(&node.gateway.metrics.page(), announced);
+        for node in 0..site.nodes.len() {
+            let before = announced(&site, node);
             let mut new = prompt("brief-stream.test", "new");
             new.head.headers.set("host", "brief-stream.test");
-            assert_eq!(send(node.callers, &new).await.status(), 200);
-            let after = counter(&node.gateway.metrics.page(), announced);
-            assert_eq!(after, before, "nothing is announced with one version");
+            assert_eq!(send(site.callers_of(node), &new).await.status(), 200);
+            assert_eq!(announced(&site, node), before, "nothing with one version");
         }
     });
 }
 
+impl VersionedSite {
+    /// Adds a route whose streams live briefly, and waits until one version is proven to have
+    /// been the only one for so long.
+    async fn add_brief_route(&mut self) {
+        let mut content = configuration(2);
+        let routes = content["routes"].as_array_mut().expect("routes");
+        routes.push(route("brief-stream.test", "resumable", "llm", BRIEF_MS));
+        self.change_configuration(content).await;
+        sleep(BRIEF_MS + 100).await;
+    }
+}
+
+/// Number of messages with which a node has announced streams.
+fn announced(site: &VersionedSite, node: usize) -> u64 {
+    let page = site.nodes[node].gateway.metrics.page();
+    counter(&page, "announced_streams_total")
+}
+
 /// Value of a counter on a page of metrics.
 fn counter(page: &str, name: &str) -> u64 {
     let line = page
