A request without a position begins a stream of its own

A request that names another in Resumes but no position has none of its events. Its stream was kept under the name of the other one: its own attempts could not be placed later, and at a node that did not know the other stream that one would have gone on at this one's version. Found in review; the test failed before (the stream that it began was rejected).

--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -74,8 +74,11 @@
             .software
             .get_or_insert(chosen.software.clone());
         let software = software.clone();
-        let id = self.received.request.resumes.as_deref();
-        let id = id.unwrap_or(&self.received.request.id);
+        let request = &self.received.request;
+        // Without a position the caller has no event of the stream that it names.
+        let continues = request.resume_after.is_some();
+        let named = request.resumes.as_deref().filter(|_| continues);
+        let id = named.unwrap_or(&request.id);
         let origin = StreamOrigin {
             stream: self.stream_key(id),
             tenant: self.tenant_tag(),
--- a/crates/gateway/tests/stream_versions/unplaced.rs
+++ b/crates/gateway/tests/stream_versions/unplaced.rs
@@ -61,6 +61,11 @@
         request.head.headers.push(RESUMES, "unknown");
         let answer = send(site.callers_of(0), &request).await;
         assert_eq!((answer.status(), answer.is_whole), (200, true));
+        // It is known by its own id, and nothing is known of the one that it named.
+        let resumed = site.take_up(1, "resumed", "new").await;
+        assert_eq!(resumed.status(), 200, "{}", resumed.text());
+        let rejected = site.take_up(0, "rejected", "unknown").await;
+        assert_rejected(&site, &rejected, "rejected");
     });
 }
 
