--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -2,7 +2,7 @@
 
 use super::super::site;
 use super::format::format_event;
-use super::{all_events_with, event, Behaviour, NamedBackoff, Shared, EVENTS};
+use super::{all_events_with, event, Behaviour, NamedBackoff, Pause, PausePoint, Shared, EVENTS};
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
 use socket2::SockRef;
@@ -86,6 +86,7 @@
         | Behaviour::Flood
         | Behaviour::AnswerAfter(_)
         | Behaviour::StreamSlowly(_)
+        | Behaviour::Pause(_)
         | Behaviour::EndsUnder(_)
         | Behaviour::CutAt(_)
         | Behaviour::ResetInside(_)
@@ -106,6 +107,11 @@
     if let (true, Behaviour::StreamSlowly(events)) = (is_stream, &behaviour) {
         return stream_slowly(shared, connection, head, *events).await;
     }
+    let pause = match behaviour {
+        Behaviour::Pause(pause) => Some(pause),
+        _ => None,
+    };
+    pause_at(pause, PausePoint::Head).await;
     if is_stream && head.status == 200 {
         return stream(shared, connection, head, request, &behaviour).await;
     }
@@ -122,13 +128,35 @@
         body.truncate(body.len() / 2);
     }
     let mut message = head.encode();
+    if pause.is_some() {
+        if connection.write_all(&message).await.is_err() {
+            return;
+        }
+        message.clear();
+        pause_at(pause, PausePoint::Event(1)).await;
+    }
+    let last = body.split_off(body.len() - 1);
     message.extend_from_slice(body.as_bytes());
+    if pause.is_some() {
+        if connection.write_all(&message).await.is_err() {
+            return;
+        }
+        message.clear();
+        pause_at(pause, PausePoint::End).await;
+    }
+    message.extend_from_slice(last.as_bytes());
     let _ = connection.write_all(&message).await;
     if ends {
         terminate(shared).await;
     }
 }
 
+async fn pause_at(pause: Option<Pause>, point: PausePoint) {
+    if let Some(pause) = pause {
+        pause.wait_at(point).await;
+    }
+}
+
 /// Terminates the engine, which drops the calling task.
 async fn terminate(shared: &Shared) {
     shared.end();
@@ -165,9 +193,14 @@
         let _ = connection.write_all(piece.as_bytes()).await;
         return;
     }
+    let pause = match behaviour {
+        Behaviour::Pause(pause) => Some(*pause),
+        _ => None,
+    };
     let after = request.headers.get(site::AFTER);
     let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
     for number in first..=EVENTS {
+        pause_at(pause, PausePoint::Event(number)).await;
         let event = format_event(number, format.line_ending);
         let is_broken = match behaviour {
             Behaviour::BreakInside(broken) | Behaviour::ResetInside(broken) => *broken == number,
@@ -189,6 +222,7 @@
             terminate(shared).await;
         }
     }
+    pause_at(pause, PausePoint::End).await;
     let _ = connection.write_all(format.stream_end().as_bytes()).await;
 }
 
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -3,8 +3,10 @@
 mod answers;
 mod connection;
 mod format;
+mod pause;
 
 pub use self::format::{AnswerFormat, LineEnding};
+pub use self::pause::{Pause, PausePoint};
 
 use self::connection::serve;
 use self::format::format_event;
@@ -77,6 +79,8 @@
     AnswerAfter(u64),
     /// Sends this number of events, one every 50 ms, and then the end of the stream.
     StreamSlowly(u64),
+    /// Sends a complete answer with one pause in it.
+    Pause(Pause),
     /// Sends complete answers, but terminates `RUNS_BEFORE_END_MS` after it has begun a
     /// request with this body.
     EndsUnder(&'static [u8]),
