Log and count callers' connections that end while a request is open

Callers that got neither an answer nor a refusal could not be traced: a head or a body that was cut, a caller that left a node that was starting, an answer that could not be written and a task that panicked left no line, or one that said "caller_left", and requests that the time limit of a planned stop cut off left none at all, since their tasks were never dropped.

Each connection now has a guard from the first byte of a head until the answer is complete. Its end is typed, counted in caller_connection_ends and logged once, with the request's id, the bytes of its body, its age and the version of the configuration. At the end of a planned stop the tasks of the remaining connections are dropped, so that they are logged too. The line of a request whose task panicked or ended with the node says so instead of "caller_left". Requests that are refused before their admission (400, 408, 413, 431) get a line by their id.

The tests of the new file cover head_cut, body_cut, left_while_held, left_while_served, write_stalled, broken_off, node_stopped and panicked. write_failed and closed_unread depend on the moment of a race and have no test; nothing in the program drops a task otherwise.

--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -51,6 +51,9 @@
 /// Fraction of the bound on a planned stop that is used for draining; the rest is for
 /// ending the tasks.
 const STOP_SHARE: f64 = 0.95;
+/// Longest time for which a node that has stopped waits until the connections that were still
+/// open are logged, in milliseconds.
+const END_CONNECTIONS_MS: u64 = 50;
 
 /// Why a node could not start.
 #[derive(Debug, Snafu)]
@@ -250,12 +253,25 @@
         slog::info!(gateway.log, "stopped";
             "after_ms" => gateway.clock.now().since(began),
             "under_way" => gateway.requests_in_flight());
+        gateway.end_connections();
+        within(END_CONNECTIONS_MS, wait_until_none_in_flight(gateway)).await;
         for task in self.tasks {
             task.cancel().await;
         }
     }
 }
 
+/// Waits until no request is in flight.
+async fn wait_until_none_in_flight(gateway: &Gateway) {
+    loop {
+        let ended = gateway.work_ended.listen();
+        if gateway.requests_in_flight() == 0 {
+            return;
+        }
+        ended.await;
+    }
+}
+
 /// Waits until no request has been in flight for `IDLE_BEFORE_STOP_MS`.
 async fn wait_until_drained(gateway: &Gateway) {
     loop {
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of one caller connection.
 
+use super::connection_end::{ConnectionEnd, OpenRequest};
 use super::start_hold::{start_hold_ms, wait_for_site};
 use super::{IdleConnection, OpenConnection};
 use crate::forward::{
@@ -29,49 +30,75 @@
 
 /// Why reading a head gave no request.
 enum NoRequest {
-    /// The connection has ended or is closed without an answer.
-    Ended,
+    /// The caller closed or reset the connection inside the head.
+    Cut(HttpError),
     /// The caller gets a refusal.
     Refused(Refusal),
 }
 
+/// The connection is idle and ends, or has ended.
+struct Ended;
+
 /// Serves a connection until it ends.
 pub async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, open: OpenConnection) {
     let mut connection = BufferedStream::new(stream);
     loop {
-        let read = read_head(&gateway, &mut connection, &open).await;
-        let after = match read {
-            Err(NoRequest::Ended) => return,
-            Err(NoRequest::Refused(refusal)) => {
-                let framing = StreamFraming::Chunked;
-                let mut answer = new_answer(&gateway, &connection, framing, false);
-                refuse(&gateway, &mut answer, &refusal, None).await
-            }
+        if wait_for_request(&gateway, &mut connection, &open)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        let mut request = OpenRequest::begin(&gateway);
+        let answered = match read_head(&gateway, &mut connection).await {
             Ok((head, body)) => {
                 let _guard = gateway.request_guard();
-                answer_request(&gateway, &mut connection, head, body).await
+                answer_request(&gateway, &mut connection, head, body, &mut request).await
+            }
+            Err(NoRequest::Refused(refusal)) => {
+                let answer = new_answer(&gateway, &connection, StreamFraming::Chunked, false);
+                refuse_unadmitted(&gateway, answer, &refusal, &mut request).await
+            }
+            Err(NoRequest::Cut(error)) => {
+                request.set_error(&error);
+                Err(ConnectionEnd::HeadCut)
             }
         };
-        match after {
-            Ok(AfterAnswer::Keep) => {}
-            Ok(AfterAnswer::Close) => return linger(&mut connection).await,
-            Ok(AfterAnswer::Abort) => return abort(&connection),
-            Err(_) => return,
+        match answered {
+            Ok(AfterAnswer::Keep) => request.complete(),
+            Ok(AfterAnswer::Close) => {
+                request.complete();
+                return linger(&mut connection).await;
+            }
+            Ok(AfterAnswer::Abort) => {
+                request.end(ConnectionEnd::BrokenOff);
+                return abort(&connection);
+            }
+            Err(end) => return request.end(end),
         }
     }
 }
 
-/// Waits for the next head, within the limits on its size and time.
-async fn read_head(
+/// Waits for the first byte of the next request, unless it has been received already.
+async fn wait_for_request(
     gateway: &Arc<Gateway>,
     connection: &mut BufferedStream,
     open: &OpenConnection,
+) -> Result<(), Ended> {
+    if !connection.pending().is_empty() {
+        return Ok(());
+    }
+    let limits = caller_limits(gateway);
+    let idle = open.mark_idle(gateway.clock.now());
+    wait_for_bytes(gateway, connection, idle, limits.idle_timeout_ms).await
+}
+
+/// Reads the head of a request that has begun, within the limits on its size and time.
+async fn read_head(
+    gateway: &Arc<Gateway>,
+    connection: &mut BufferedStream,
 ) -> Result<(RequestHead, BodyDecoder), NoRequest> {
     let limits = caller_limits(gateway);
-    if connection.pending().is_empty() {
-        let idle = open.mark_idle(gateway.clock.now());
-        wait_for_bytes(gateway, connection, idle, limits.idle_timeout_ms).await?;
-    }
     let reading = read_request_head(connection, limits.max_head_bytes);
     let refused = |kind, reason: &str| Err(NoRequest::Refused(Refusal::new(kind, reason)));
     match within(limits.head_timeout_ms, reading).await {
@@ -81,7 +108,7 @@
             refused(RefusalKind::HeadTooLarge, "the head is over its limit")
         }
         Some(Err(HttpError::Malformed { reason })) => refused(RefusalKind::BadRequest, &reason),
-        Some(Err(_)) => Err(NoRequest::Ended),
+        Some(Err(error)) => Err(NoRequest::Cut(error)),
     }
 }
 
@@ -92,11 +119,11 @@
     connection: &mut BufferedStream,
     mut idle: IdleConnection,
     idle_timeout_ms: u64,
-) -> Result<(), NoRequest> {
+) -> Result<(), Ended> {
     let filling = async {
         match connection.fill().await {
-            Ok(count) if count > 0 => Ok(()),
-            _ => Err(NoRequest::Ended),
+            Ok(count) if count > 0 => Received::Bytes,
+            _ => Received::End,
         }
     };
     let idling = async {
@@ -107,14 +134,40 @@
         if gateway.is_stopping() {
             sleep(STOPPING_IDLE_MS).await;
         }
-        Err(NoRequest::Ended)
+        Received::Nothing
     };
     let close_requested = async {
         idle.wait_for_close_request().await;
-        Err(NoRequest::Ended)
+        Received::Nothing
     };
     let ending = futures_lite::future::or(idling, close_requested);
-    futures_lite::future::or(filling, ending).await
+    // The read is tried first: bytes that have arrived are never left unread for a time-out
+    // that expired meanwhile.
+    match futures_lite::future::or(filling, ending).await {
+        Received::Bytes => Ok(()),
+        Received::End => Err(Ended),
+        Received::Nothing => {
+            close_idle(gateway, connection).await;
+            Err(Ended)
+        }
+    }
+}
+
+/// What an idle connection has received.
+enum Received {
+    Bytes,
+    /// The caller has closed or reset the connection.
+    End,
+    Nothing,
+}
+
+/// Closes an idle connection. A request that arrives at the same moment is not read: callers
+/// send it again when they know that it was not.
+async fn close_idle(gateway: &Arc<Gateway>, connection: &BufferedStream) {
+    let _ = connection.writer().shutdown(Shutdown::Write);
+    if connection.has_unread_bytes().await {
+        OpenRequest::begin(gateway).end(ConnectionEnd::ClosedUnread);
+    }
 }
 
 fn new_answer(
@@ -137,13 +190,17 @@
     connection: &mut BufferedStream,
     head: RequestHead,
     mut decoder: BodyDecoder,
-) -> io::Result<AfterAnswer> {
+    open: &mut OpenRequest,
+) -> Result<AfterAnswer, ConnectionEnd> {
     let received = gateway.clock.now();
     let keep_open = head.keeps_alive() && !gateway.is_stopping();
     let framing = StreamFraming::for_request(&head);
     let mut answer = new_answer(gateway, connection, framing, keep_open);
     let expects_continue = head.headers.has_token("expect", "100-continue");
     let request = gateway.site.read_request(head);
+    if let Ok(request) = &request {
+        open.set_id(&request.id);
+    }
     let limits = caller_limits(gateway);
     let deadline_ms = request.as_ref().ok().and_then(|known| known.deadline_ms);
     let limits = BodyLimits {
@@ -154,36 +211,55 @@
         }),
         expects_continue,
     };
-    let body = read_body(connection, &mut decoder, limits).await;
-    let body = match body {
+    let body = match read_body(connection, &mut decoder, limits, open).await {
         Ok(body) => body,
-        Err(Some(refusal)) => {
+        Err(NoBody::Refused(refusal)) => {
             answer.close_after();
-            let id = request.as_ref().ok().map(|request| request.id.as_str());
-            return refuse(gateway, &mut answer, &refusal, id).await;
+            return refuse_unadmitted(gateway, answer, &refusal, open).await;
+        }
+        Err(NoBody::Cut) => {
+            abort(connection);
+            return Err(ConnectionEnd::BodyCut);
         }
-        Err(None) => return Ok(AfterAnswer::Abort),
     };
     let hold_ms = start_hold_ms(gateway, deadline_ms);
     if let Some(hold_ms) = hold_ms {
         if !hold_until_site_known(gateway, connection, hold_ms).await {
-            return Ok(AfterAnswer::Abort);
+            abort(connection);
+            return Err(ConnectionEnd::LeftWhileHeld);
         }
         answer.close_after();
     }
     match prepare(gateway, request, body, received) {
-        Ok(prepared) => answer_watched(gateway, connection, prepared, answer).await,
-        Err((refusal, id)) => {
-            log_refusal(gateway, &refusal, id.as_deref());
+        Ok(prepared) => answer_watched(gateway, connection, prepared, answer, open).await,
+        Err(refusal) => {
             if refusal.kind == RefusalKind::NotRun {
                 // The caller's next connection probably reaches another node.
                 answer.close_after();
             }
-            refuse(gateway, &mut answer, &refusal, id.as_deref()).await
+            refuse_unadmitted(gateway, answer, &refusal, open).await
         }
     }
 }
 
+/// Logs and sends the refusal of a request that is not admitted.
+async fn refuse_unadmitted(
+    gateway: &Gateway,
+    mut answer: CallerAnswer,
+    refusal: &Refusal,
+    open: &mut OpenRequest,
+) -> Result<AfterAnswer, ConnectionEnd> {
+    log_refusal(gateway, refusal, open.id());
+    let refused = refuse(gateway, &mut answer, refusal, open.id()).await;
+    refused.map_err(|error| end_of_write(&error, open))
+}
+
+/// Notes an error of writing to the caller.
+fn end_of_write(error: &io::Error, open: &mut OpenRequest) -> ConnectionEnd {
+    open.set_error(error);
+    ConnectionEnd::of_write(error)
+}
+
 /// Holds a request until this node has loaded the data of its site; returns false when the
 /// caller has disconnected.
 async fn hold_until_site_known(
@@ -208,15 +284,10 @@
     request: Result<CallerRequest, InvalidRequest>,
     body: Vec<u8>,
     received: Millis,
-) -> Result<ReceivedRequest, (Refusal, Option<String>)> {
-    let request = request.map_err(|invalid| {
-        let refusal = Refusal::new(RefusalKind::BadRequest, invalid.to_string());
-        (refusal, None)
-    })?;
-    let admission = match admit(gateway, &request) {
-        Ok(admission) => admission,
-        Err(refusal) => return Err((refusal, Some(request.id))),
-    };
+) -> Result<ReceivedRequest, Refusal> {
+    let request =
+        request.map_err(|invalid| Refusal::new(RefusalKind::BadRequest, invalid.to_string()))?;
+    let admission = admit(gateway, &request)?;
     let limits = TimeLimits::new(received, request.deadline_ms, admission.route.timeout_ms);
     let fingerprint = RequestFingerprint::of(&RequestParts {
         tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
@@ -253,30 +324,49 @@
     connection: &mut BufferedStream,
     received: ReceivedRequest,
     answer: CallerAnswer,
-) -> io::Result<AfterAnswer> {
+    open: &mut OpenRequest,
+) -> Result<AfterAnswer, ConnectionEnd> {
     let serving = serve(Arc::clone(gateway), received, answer);
     let mut has_discarded = false;
     let watching = async {
-        wait_for_caller_close(connection, &mut has_discarded).await;
-        Err(io::ErrorKind::ConnectionAborted.into())
+        let closed = wait_for_caller_close(connection, &mut has_discarded).await;
+        Served::CallerLeft(closed)
     };
+    let answering = async { Served::Answered(serving.await) };
     // Polled first: a caller that disconnected while its connection was queued or its body
     // was being read is noticed before anything is sent.
-    let after = futures_lite::future::or(watching, serving).await?;
-    Ok(match after {
-        AfterAnswer::Keep if has_discarded => AfterAnswer::Close,
-        after => after,
-    })
+    match futures_lite::future::or(watching, answering).await {
+        Served::CallerLeft(error) => {
+            if let Some(error) = error {
+                open.set_error(&error);
+            }
+            Err(ConnectionEnd::LeftWhileServed)
+        }
+        Served::Answered(Ok(AfterAnswer::Keep)) if has_discarded => Ok(AfterAnswer::Close),
+        Served::Answered(Ok(after)) => Ok(after),
+        Served::Answered(Err(error)) => Err(end_of_write(&error, open)),
+    }
+}
+
+/// What ended the service of a request.
+enum Served {
+    /// The caller closed its connection, or reset it with this error.
+    CallerLeft(Option<io::Error>),
+    Answered(io::Result<AfterAnswer>),
 }
 
-/// Waits until the caller closes its connection. Pipelined bytes are kept for the next
-/// request up to a limit. Beyond it all bytes are discarded, since the close is only
+/// Waits until the caller closes its connection; returns the error if it was reset.
+/// Pipelined bytes are kept for the next request up to a limit. Beyond it all bytes are discarded, since the close is only
 /// noticed by reading on.
-async fn wait_for_caller_close(connection: &mut BufferedStream, has_discarded: &mut bool) {
+async fn wait_for_caller_close(
+    connection: &mut BufferedStream,
+    has_discarded: &mut bool,
+) -> Option<io::Error> {
     loop {
         match connection.fill().await {
-            Ok(count) if count > 0 => {}
-            _ => return,
+            Ok(0) => return None,
+            Ok(_) => {}
+            Err(error) => return Some(error),
         }
         let count = connection.pending().len();
         if count > MAX_PIPELINED_BYTES || *has_discarded {
@@ -299,18 +389,24 @@
     expects_continue: bool,
 }
 
+/// Why reading a body gave no whole body.
+enum NoBody {
+    /// The caller closed or reset the connection inside the body.
+    Cut,
+    /// The caller gets a refusal.
+    Refused(Refusal),
+}
+
 /// Reads a body within its limits.
-///
-/// # Errors
-/// The refusal, or `None` when the connection broke.
 async fn read_body(
     connection: &mut BufferedStream,
     decoder: &mut BodyDecoder,
     limits: BodyLimits,
-) -> Result<Vec<u8>, Option<Refusal>> {
+    open: &mut OpenRequest,
+) -> Result<Vec<u8>, NoBody> {
     let too_large = || {
         let reason = format!("the body is over {} bytes", limits.max_bytes);
-        Some(Refusal::new(RefusalKind::BodyTooLarge, reason))
+        NoBody::Refused(Refusal::new(RefusalKind::BodyTooLarge, reason))
     };
     let declared = decoder.declared_length().unwrap_or(0);
     if declared > limits.max_bytes as u64 {
@@ -320,32 +416,40 @@
     let reading = async {
         if limits.expects_continue {
             let written = connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-            written.map_err(|_| None)?;
+            written.map_err(|error| no_body(error.into(), open))?;
         }
-        while decoder
-            .read(connection, &mut body)
-            .await
-            .map_err(body_error)?
-        {
+        loop {
+            let read = decoder.read(connection, &mut body).await;
+            open.set_body_bytes(body.len());
+            if !read.map_err(|error| no_body(error, open))? {
+                return Ok(());
+            }
             if body.len() > limits.max_bytes {
                 return Err(too_large());
             }
         }
-        Ok(())
     };
     let read = within(limits.timeout_ms, reading).await;
     let slow = || {
         let reason = "the body did not come in time";
-        Err(Some(Refusal::new(RefusalKind::RequestTimeout, reason)))
+        Err(NoBody::Refused(Refusal::new(
+            RefusalKind::RequestTimeout,
+            reason,
+        )))
     };
     read.unwrap_or_else(slow)?;
     Ok(body)
 }
 
-fn body_error(error: HttpError) -> Option<Refusal> {
+fn no_body(error: HttpError, open: &mut OpenRequest) -> NoBody {
     match error {
-        HttpError::Malformed { reason } => Some(Refusal::new(RefusalKind::BadRequest, reason)),
-        _ => None,
+        HttpError::Malformed { reason } => {
+            NoBody::Refused(Refusal::new(RefusalKind::BadRequest, reason))
+        }
+        error => {
+            open.set_error(&error);
+            NoBody::Cut
+        }
     }
 }
 
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -62,7 +62,9 @@
         let liveness = caller_liveness(gateway.settings().callers.peer_timeout_ms);
         smol::spawn(async move {
             set_liveness_options(&stream, liveness);
-            serve_connection(gateway, stream, open).await;
+            let serving = serve_connection(Arc::clone(&gateway), stream, open);
+            let ending = gateway.wait_for_connections_end();
+            futures_lite::future::or(serving, ending).await;
         })
         .detach();
     }
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -1,10 +1,12 @@
 //! Connections of callers.
 
 mod connection;
+mod connection_end;
 mod listener;
 mod open_connections;
 mod start_hold;
 
 pub use connection::serve_connection;
+pub use connection_end::{ConnectionEnd, ConnectionMetrics};
 pub use listener::{accept_callers, bind};
 pub use open_connections::{ConnectionLimits, IdleConnection, OpenConnection, OpenConnections};
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -18,6 +18,7 @@
 use ploverlift_routing::prompt::cache_scope;
 use ploverlift_streamorigin::placement::Placement;
 use std::fmt::Write;
+use std::sync::Arc;
 
 /// Outcomes that are always logged; others are logged at a limited rate.
 const ALWAYS_LOGGED: [&str; 4] = ["refused", "timed_out", "engine_lost", "broken_off"];
@@ -52,8 +53,8 @@
     held_ms: u64,
 }
 
-/// Collects the contents of the line. A request whose caller disconnects is logged when the
-/// record is dropped.
+/// Collects the contents of the line. A request that is not finished, usually because its
+/// caller disconnects, is logged when the record is dropped.
 pub(super) struct RequestRecord {
     id: String,
     attempts: String,
@@ -64,11 +65,12 @@
     hold: Option<Hold>,
     placement: Option<String>,
     is_finished: bool,
-    log: slog::Logger,
+    received: Millis,
+    gateway: Arc<Gateway>,
 }
 
 impl RequestRecord {
-    pub(super) fn new(gateway: &Gateway, received: &ReceivedRequest) -> Self {
+    pub(super) fn new(gateway: &Arc<Gateway>, received: &ReceivedRequest) -> Self {
         Self {
             id: received.request.id.clone(),
             attempts: String::new(),
@@ -83,7 +85,8 @@
             hold: None,
             placement: None,
             is_finished: false,
-            log: gateway.log.clone(),
+            received: received.limits.received,
+            gateway: Arc::clone(gateway),
         }
     }
 
@@ -223,7 +226,7 @@
         let now = gateway.clock.now();
         let freshness = gateway.beliefs().freshness.age_ms(now);
         let admission = &received.admission;
-        slog::info!(self.log, "request";
+        slog::info!(gateway.log, "request";
             "id" => &self.id,
             "outcome" => outcome,
             "reason" => reason,
@@ -251,10 +254,24 @@
 
 impl Drop for RequestRecord {
     fn drop(&mut self) {
-        if !self.is_finished {
-            slog::info!(self.log, "request";
-                "id" => &self.id, "outcome" => "caller_left", "attempts" => &self.attempts);
+        if self.is_finished {
+            return;
         }
+        let gateway = &self.gateway;
+        let outcome = if std::thread::panicking() {
+            "internal_error"
+        } else if gateway.has_ended_connections() {
+            "node_stopped"
+        } else {
+            "caller_left"
+        };
+        gateway.metrics.count_request(outcome);
+        slog::info!(gateway.log, "request";
+            "id" => &self.id,
+            "outcome" => outcome,
+            "attempts" => &self.attempts,
+            "first_byte_ms" => self.first_byte_ms,
+            "total_ms" => gateway.clock.now().since(self.received));
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a node, in the OpenMetrics text format.
 
+use crate::callers::ConnectionMetrics;
 use crate::engine_paths::metrics::PathMetrics;
 use crate::forward::AnswerMetrics;
 use crate::ports::StoreCall;
@@ -228,6 +229,8 @@
     pub answers: AnswerMetrics,
     /// Streams that go on after a break.
     pub streams: StreamMetrics,
+    /// Connections of callers.
+    pub connections: ConnectionMetrics,
 }
 
 impl Default for Metrics {
@@ -279,6 +282,7 @@
             paths: PathMetrics::default(),
             answers: AnswerMetrics::default(),
             streams: StreamMetrics::default(),
+            connections: ConnectionMetrics::default(),
         }
     }
 }
@@ -561,6 +565,7 @@
         self.paths.register(&mut registry);
         self.answers.register(&mut registry);
         self.streams.register(&mut registry);
+        self.connections.register(&mut registry);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &registry);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -93,6 +93,8 @@
     pub stop_began: Event,
     /// Notified whenever a request or a connection has ended.
     pub work_ended: Event,
+    /// Notified when the connections of callers that are still open end with the node.
+    connections_ended: Event,
     /// Incarnation of this node; a restarted node has a higher one.
     pub life: u64,
     /// When this node started.
@@ -103,6 +105,7 @@
     pub split_start: f64,
     stopping: AtomicBool,
     refusing: AtomicBool,
+    has_ended_connections: AtomicBool,
     requests_in_flight: AtomicUsize,
     success_lines: Mutex<LineAllowance>,
     beliefs: Mutex<Beliefs>,
@@ -168,11 +171,13 @@
             outbox: Outbox::default(),
             stop_began: Event::new(),
             work_ended: Event::new(),
+            connections_ended: Event::new(),
             life: unix_ms(),
             report_sequence: AtomicU64::new(1),
             split_start: fastrand::f64(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
+            has_ended_connections: AtomicBool::new(false),
             requests_in_flight: AtomicUsize::new(0),
             success_lines: Mutex::new(LineAllowance::default()),
             beliefs: Mutex::new(beliefs),
@@ -268,6 +273,25 @@
         self.refusing.store(true, Ordering::Release);
     }
 
+    /// Ends the connections of callers that are still open, at the end of a planned stop.
+    pub fn end_connections(&self) {
+        self.has_ended_connections.store(true, Ordering::Release);
+        self.connections_ended.notify(usize::MAX);
+    }
+
+    /// Whether [`Self::end_connections`] was called.
+    pub fn has_ended_connections(&self) -> bool {
+        self.has_ended_connections.load(Ordering::Acquire)
+    }
+
+    /// Waits for [`Self::end_connections`].
+    pub async fn wait_for_connections_end(&self) {
+        let ended = self.connections_ended.listen();
+        if !self.has_ended_connections() {
+            ended.await;
+        }
+    }
+
     /// Number of requests that were read and not answered yet.
     pub fn requests_in_flight(&self) -> usize {
         self.requests_in_flight.load(Ordering::Acquire)
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -33,6 +33,9 @@
 pub const LEAVING: &str = "t-leaving";
 pub const BACKOFF_MS: &str = "t-backoff-ms";
 
+/// Id of a request whose head makes the simulated site panic, as a fault in the program would.
+pub const PANIC_ID: &str = "panics";
+
 /// Protocols of the simulated site.
 pub struct StandInSite;
 
@@ -45,6 +48,7 @@
                 reason: "is missing".to_owned(),
             });
         };
+        assert_ne!(id, PANIC_ID);
         let parts = headers.get(PARTS).map(|text| {
             let parts = text.split(',').map(|part| PromptPart {
                 id: part.parse().expect("a part"),
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -129,6 +129,13 @@
         self.pending().is_empty() && peeked.is_none()
     }
 
+    /// Whether the peer has sent bytes that were not read yet, as far as is known locally.
+    pub async fn has_unread_bytes(&self) -> bool {
+        let mut byte = [0; 1];
+        let peeked = smol::future::poll_once(self.stream.peek(&mut byte)).await;
+        matches!(peeked, Some(Ok(count)) if count > 0)
+    }
+
     /// Whether another message may be sent on the connection, as far as the peer has
     /// announced.
     pub fn may_be_reused(&self) -> bool {
