--- a/crates/balancing/src/attempts.rs
+++ b/crates/balancing/src/attempts.rs
@@ -42,6 +42,8 @@
     tried: Vec<InstanceId>,
     sent_to: Vec<InstanceId>,
     arrivals: u32,
+    /// Whether an engine has had the request while another attempt began.
+    is_running: bool,
     unreachable: u32,
     run_state: RunState,
     has_corrected_weights: bool,
@@ -55,6 +57,7 @@
             tried: Vec::new(),
             sent_to: Vec::new(),
             arrivals: 0,
+            is_running: false,
             unreachable: 0,
             run_state: RunState::NotRun,
             has_corrected_weights: false,
@@ -73,7 +76,7 @@
 
     /// Whether the next attempt would repeat the request at the service.
     pub fn next_is_repeat(&self) -> bool {
-        self.arrivals > 0
+        self.is_running || self.arrivals > 0
     }
 
     /// Whether the current attempt is the last one, whatever its outcome.
@@ -85,13 +88,20 @@
         self.limits.max_engines.max(1) as usize
     }
 
+    /// Records that another engine may be sent the request while this one has it: the next
+    /// attempt repeats the request, and at another engine.
+    pub fn begin_takeover(&mut self, running: &InstanceId) {
+        self.is_running = true;
+        self.note_tried(running.clone());
+    }
+
     /// Records the outcome of an attempt at an engine and returns whether another attempt
     /// is allowed.
     pub fn record_outcome(&mut self, instance: InstanceId, outcome: AttemptOutcome) -> bool {
         match outcome {
             AttemptOutcome::Unreachable => {
                 self.unreachable += 1;
-                self.tried.push(instance);
+                self.note_tried(instance);
                 return self.unreachable < MAX_UNREACHABLE && self.may_try_another_engine();
             }
             AttemptOutcome::OtherWeights if !self.has_corrected_weights => {
@@ -105,7 +115,7 @@
             AttemptOutcome::Failed => self.run_state = self.run_state.join(RunState::Started),
             AttemptOutcome::Broken => self.run_state = self.run_state.join(RunState::Unknown),
         }
-        self.tried.push(instance.clone());
+        self.note_tried(instance.clone());
         self.note_sent(instance);
         self.may_try_another_engine()
     }
@@ -118,6 +128,12 @@
         self.note_sent(instance.clone());
     }
 
+    fn note_tried(&mut self, instance: InstanceId) {
+        if !self.tried.contains(&instance) {
+            self.tried.push(instance);
+        }
+    }
+
     fn note_sent(&mut self, instance: InstanceId) {
         self.arrivals += 1;
         if !self.sent_to.contains(&instance) {
--- a/crates/balancing/src/retry_budget.rs
+++ b/crates/balancing/src/retry_budget.rs
@@ -53,17 +53,22 @@
 
     /// Takes one retry from the budget; returns false when it is used up.
     pub fn try_take(&mut self, now: Millis) -> bool {
-        self.slot(now);
-        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
-        let repeats: u32 = self.slots.iter().map(|slot| slot.repeats).sum();
-        let allowed = self.limits.ratio * f64::from(requests) + self.limits.reserve;
-        if f64::from(repeats + 1) > allowed {
+        if !self.has_retry(now) {
             return false;
         }
         self.slot(now).repeats += 1;
         true
     }
 
+    /// Whether the budget has a retry left.
+    pub fn has_retry(&mut self, now: Millis) -> bool {
+        self.slot(now);
+        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
+        let repeats: u32 = self.slots.iter().map(|slot| slot.repeats).sum();
+        let allowed = self.limits.ratio * f64::from(requests) + self.limits.reserve;
+        f64::from(repeats + 1) <= allowed
+    }
+
     fn slot(&mut self, now: Millis) -> &mut Slot {
         let window = self.limits.window_ms;
         while self
--- a/crates/balancing/tests/attempts.rs
+++ b/crates/balancing/tests/attempts.rs
@@ -96,3 +96,21 @@
     assert!(!ledger.next_is_repeat());
     assert!(!fail(&mut ledger, 3));
 }
+
+// Guards against a takeover that goes back to the silent engine, or that needs no retry.
+#[test]
+fn a_takeover_repeats_the_request_at_another_engine() {
+    let mut attempts = ledger(true, 2);
+    let running = InstanceId("e1".to_owned());
+    assert!(!attempts.next_is_repeat());
+    attempts.begin_takeover(&running);
+    attempts.begin_takeover(&running);
+    assert!(attempts.next_is_repeat());
+    assert_eq!(attempts.tried(), [running.clone()]);
+    assert_eq!(attempts.run_state(), RunState::NotRun);
+    let rejecting = InstanceId("e2".to_owned());
+    attempts.record_outcome(rejecting, AttemptOutcome::Refused);
+    assert!(attempts.is_last_attempt());
+    assert!(!attempts.record_outcome(running, AttemptOutcome::Broken));
+    assert_eq!(attempts.run_state(), RunState::Unknown);
+}
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -298,7 +298,7 @@
     });
     Ok(ReceivedRequest {
         request,
-        body,
+        body: Arc::new(body),
         admission,
         limits,
         fingerprint,
--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -118,17 +118,8 @@
     }
 }
 
-/// Limits of one attempt.
-#[derive(Clone, Copy, Debug)]
-pub struct ExchangeLimits {
-    /// Maximum wait for the connection, in milliseconds.
-    pub connect_ms: u64,
-    /// Maximum wait for the head of the answer, in milliseconds.
-    pub head_ms: u64,
-}
-
-/// Sends a request on a connection and waits for the head of the answer. If the answer
-/// arrives before the whole body was sent, the rest of the body is not sent.
+/// Sends a request on a connection and waits at most `timeout_ms` milliseconds for the head of
+/// the answer. If the answer arrives before the whole body was sent, the rest of the body is not sent.
 ///
 /// # Errors
 /// When no head arrives in time, or the answer is malformed.
@@ -136,7 +127,7 @@
     mut stream: BufferedStream,
     head: &RequestHead,
     body: &[u8],
-    limits: ExchangeLimits,
+    timeout_ms: u64,
 ) -> Result<EngineAnswer, ExchangeFailure> {
     let mut writer = stream.writer();
     let encoded = head.encode();
@@ -150,7 +141,7 @@
     };
     let read = read_response_head(&mut stream, &head.method, MAX_HEAD_BYTES);
     let both = futures_lite::future::or(read, write);
-    let answered = within(limits.head_ms, both).await;
+    let answered = within(timeout_ms, both).await;
     let maybe_sent = |reason| ExchangeFailure {
         state: AttemptState::MaybeSent,
         reason,
--- a/crates/gateway/src/forward/answer_head.rs
+++ b/crates/gateway/src/forward/answer_head.rs
@@ -7,7 +7,7 @@
 use super::Forwarding;
 use crate::engine_connection::EngineAnswer;
 use crate::engine_signals::{apply_signals, AnswerOrigin};
-use crate::ports::{AnswerMeaning, EngineSignals, RefusedByEngine, Signal};
+use crate::ports::{AnswerMeaning, RefusedByEngine, Signal};
 use ploverlift_balancing::health::Outcome;
 use std::io;
 
@@ -24,21 +24,10 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
-        let site = &self.gateway.site;
-        let meaning = site.answer_meaning(&self.received.request.id, &answer.head);
-        let signals = site.engine_signals(&answer.head);
-        self.learn_weights(signals.weights, chosen);
-        if meaning.is_from(&chosen.instance) {
-            let origin = AnswerOrigin {
-                instance: &chosen.instance,
-                sent_at: in_flight.start_time(),
-            };
-            apply_signals(&self.gateway, origin, &signals);
-        }
-        match meaning {
+        match self.read_meaning(&answer, chosen, in_flight) {
             AnswerMeaning::Refused(refused) => {
                 in_flight.note_outcome(Outcome::Refused);
-                Ok(self.refused(&refused, &signals, chosen))
+                Ok(self.refused(&refused, &answer, chosen))
             }
             AnswerMeaning::Foreign { reason } => {
                 in_flight.note_outcome(Outcome::Broken);
@@ -52,6 +41,28 @@
         }
     }
 
+    /// Records the signals in the head of an answer, and returns what it proves about the
+    /// request.
+    pub(super) fn read_meaning(
+        &self,
+        answer: &EngineAnswer,
+        chosen: &ChosenEngine,
+        in_flight: &InFlight,
+    ) -> AnswerMeaning {
+        let site = &self.gateway.site;
+        let meaning = site.answer_meaning(&self.received.request.id, &answer.head);
+        let signals = site.engine_signals(&answer.head);
+        self.learn_weights(signals.weights, chosen);
+        if meaning.is_from(&chosen.instance) {
+            let origin = AnswerOrigin {
+                instance: &chosen.instance,
+                sent_at: in_flight.start_time(),
+            };
+            apply_signals(&self.gateway, origin, &signals);
+        }
+        meaning
+    }
+
     fn learn_weights(&self, version: Option<u64>, chosen: &ChosenEngine) {
         let prompt = self.received.request.prompt.as_ref();
         if let (Some(version), Some(prompt)) = (version, prompt) {
@@ -62,13 +73,15 @@
         }
     }
 
-    fn refused(
+    /// Records why an engine refused the request, and returns the end of the attempt.
+    pub(super) fn refused(
         &self,
         refused: &RefusedByEngine,
-        signals: &EngineSignals,
+        answer: &EngineAnswer,
         chosen: &ChosenEngine,
     ) -> AttemptEnd {
         let now = self.gateway.clock.now();
+        let signals = self.gateway.site.engine_signals(&answer.head);
         let mut beliefs = self.gateway.beliefs();
         let other = refused.answered_by.as_ref();
         if other.is_some_and(|other| *other != chosen.instance) {
--- a/crates/gateway/src/forward/answer_metrics.rs
+++ b/crates/gateway/src/forward/answer_metrics.rs
@@ -15,11 +15,20 @@
     pub end: &'static str,
 }
 
+/// A try to have another engine take a request over from a silent one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TakeoverLabel {
+    /// `not_possible`, `rejected`, `cancelled` or `done`.
+    pub outcome: &'static str,
+}
+
 /// Metrics of engines' answers.
 #[derive(Debug, Default)]
 pub struct AnswerMetrics {
     /// Bodies of answers that ended regularly.
     pub ends: Family<AnswerEndLabel, Counter>,
+    /// Tries to have another engine take a request over from a silent one.
+    pub takeovers: Family<TakeoverLabel, Counter>,
 }
 
 impl AnswerMetrics {
@@ -30,9 +39,17 @@
         self.ends.get_or_create(&label).inc();
     }
 
+    /// Counts a try to have another engine take a request over.
+    pub fn count_takeover(&self, outcome: &'static str) {
+        let label = TakeoverLabel { outcome };
+        self.takeovers.get_or_create(&label).inc();
+    }
+
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
         let help = "Bodies of engines' answers that ended regularly, by framing";
         registry.register("answer_ends", help, self.ends.clone());
+        let help = "Tries to have another engine take a request over from a silent one";
+        registry.register("takeovers", help, self.takeovers.clone());
     }
 }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -4,12 +4,14 @@
 use super::broken::{BreakCause, BrokenAttempt};
 use super::choice::ChosenEngine;
 use super::in_flight::{AttemptSubject, InFlight};
+use super::sending::Exchange;
+use super::takeover::Takeover;
 use super::{AfterAnswer, Forwarding};
 use crate::cut_requests::CutRequest;
 use crate::engine_ends::note_cut;
 use crate::engine_paths::connect::EnginePath;
 use ploverlift_balancing::health::Outcome;
-use ploverlift_balancing::names::EngineTag;
+use ploverlift_balancing::names::{EngineTag, InstanceId};
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::ids::Millis;
 use std::io;
@@ -55,6 +57,15 @@
     },
     /// The request may have run, and there is no complete answer.
     Broken(BrokenAttempt),
+    /// Another engine has taken the request over.
+    TakenOver(Takeover<BrokenAttempt>),
+}
+
+/// An attempt whose request is being sent.
+pub(super) struct RunningAttempt {
+    pub(super) chosen: ChosenEngine,
+    pub(super) in_flight: InFlight,
+    pub(super) exchange: Exchange,
 }
 
 impl AttemptEnd {
@@ -72,11 +83,50 @@
 }
 
 impl Forwarding {
-    /// Sends the request to an engine and forwards its answer to the caller.
+    /// Sends the request to an engine and forwards its answer to the caller. Returns the engine
+    /// and how the attempt ended.
+    ///
+    /// # Errors
+    /// When writing to the caller fails.
+    pub(super) async fn attempt(
+        &mut self,
+        chosen: ChosenEngine,
+    ) -> io::Result<(InstanceId, AttemptEnd)> {
+        let in_flight = self.begin_load(&chosen);
+        self.spend_reservation();
+        self.record.begin_attempt(&chosen);
+        match self.begin_exchange(&chosen).await {
+            Ok(exchange) => {
+                let running = RunningAttempt {
+                    chosen,
+                    in_flight,
+                    exchange,
+                };
+                self.follow_attempt(running).await
+            }
+            Err(end) => {
+                self.note_unanswered(&in_flight, &end);
+                self.end_attempt(&end, &chosen, &in_flight);
+                Ok((chosen.instance, end))
+            }
+        }
+    }
+
+    /// Goes on with an attempt that has taken the request over from another one. Returns the
+    /// engine and how the attempt ended.
     ///
     /// # Errors
     /// When writing to the caller fails.
-    pub(super) async fn attempt(&mut self, chosen: ChosenEngine) -> io::Result<AttemptEnd> {
+    pub(super) async fn continue_attempt(
+        &mut self,
+        successor: RunningAttempt,
+    ) -> io::Result<(InstanceId, AttemptEnd)> {
+        self.record.begin_attempt(&successor.chosen);
+        self.follow_attempt(successor).await
+    }
+
+    /// Counts a request as load of the chosen engine.
+    pub(super) fn begin_load(&self, chosen: &ChosenEngine) -> InFlight {
         let tokens = chosen.tokens_to_prefill;
         let subject = AttemptSubject {
             service: self.received.admission.service.clone(),
@@ -86,35 +136,62 @@
             is_repeat: !self.progress.attempts.tried().is_empty(),
         };
         let mut in_flight = InFlight::begin(&self.gateway, subject, tokens);
-        in_flight.wait = self.begin_wait(&chosen);
+        in_flight.wait = self.begin_wait(chosen);
+        self.note_choice(chosen);
+        in_flight
+    }
+
+    /// Records that the request is sent to an engine that may run it.
+    pub(super) fn spend_reservation(&mut self) {
         if let Some(reservation) = &mut self.received.admission.reservation {
             reservation.spend();
         }
-        self.note_choice(&chosen);
-        self.record.begin_attempt(&chosen);
-        let end = match self.send(&chosen).await {
+    }
+
+    /// Waits for the answer of an attempt and forwards it.
+    async fn follow_attempt(
+        &mut self,
+        running: RunningAttempt,
+    ) -> io::Result<(InstanceId, AttemptEnd)> {
+        let RunningAttempt {
+            chosen,
+            mut in_flight,
+            exchange,
+        } = running;
+        let end = match self.await_head(exchange, &chosen, &mut in_flight).await {
             Ok(answer) => self.process_answer(answer, &chosen, &mut in_flight).await?,
             Err(end) => {
                 self.note_unanswered(&in_flight, &end);
                 end
             }
         };
+        self.end_attempt(&end, &chosen, &in_flight);
+        Ok((chosen.instance, end))
+    }
+
+    fn end_attempt(&mut self, end: &AttemptEnd, chosen: &ChosenEngine, in_flight: &InFlight) {
         if let (true, Some(reservation)) =
             (end.has_not_run(), &mut self.received.admission.reservation)
         {
             reservation.not_run();
         }
-        match &end {
-            AttemptEnd::Broken(broken) => self.note_broken_attempt(broken, &chosen, &in_flight),
+        match end {
+            AttemptEnd::Broken(broken)
+            | AttemptEnd::TakenOver(Takeover {
+                failure: Some(broken),
+                ..
+            }) => self.note_broken_attempt(broken, chosen, in_flight),
             AttemptEnd::Done {
                 outcome: "answered" | "rejected_by_engine",
                 ..
             } => self.note_answered(),
             _ => {}
         }
-        self.claim = None;
-        self.record.end_attempt(&end);
-        Ok(end)
+        // A claim is held on for the engine that has taken the request over.
+        if !matches!(end, AttemptEnd::TakenOver(_)) {
+            self.claim = None;
+        }
+        self.record.end_attempt(end);
     }
 
     /// Records a broken attempt. If the connection ended, the engine itself may have ended.
@@ -162,7 +239,7 @@
 
     /// Records an attempt without an answer. If the request had less time left than engines
     /// usually take, the outcome is not held against the engine.
-    fn note_unanswered(&self, in_flight: &InFlight, end: &AttemptEnd) {
+    pub(super) fn note_unanswered(&self, in_flight: &InFlight, end: &AttemptEnd) {
         let settings = self.gateway.settings();
         let waited_ms = in_flight.age_ms();
         match end {
@@ -192,11 +269,11 @@
     /// Whether the attempt was sent directly to an engine that is now cut off from this node.
     fn is_cut_off_directly(&self, in_flight: &InFlight) -> bool {
         let engine = EngineTag::of(in_flight.instance());
-        self.path == EnginePath::Direct && self.gateway.beliefs().engine_paths.is_cut(engine)
+        in_flight.path == EnginePath::Direct && self.gateway.beliefs().engine_paths.is_cut(engine)
     }
 
-    /// Time without an answer after which another engine is tried, in milliseconds; `None` when
-    /// this is the last attempt.
+    /// Time without an answer after which another engine is tried beside this one, in
+    /// milliseconds; `None` when this is the last attempt.
     pub(super) fn attempt_timeout_ms(&self) -> Option<u64> {
         if self.progress.attempts.is_last_attempt() {
             return None;
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -5,10 +5,12 @@
 use super::choice::ChosenEngine;
 use super::engine_watch::EngineWatch;
 use super::in_flight::InFlight;
+use super::takeover::{Takeover, Waited};
 use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{EngineAnswer, FailureReason};
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_http1::HttpError;
 use ploverlift_policy::attempt::promises_not_run;
 use std::io;
 use std::pin::pin;
@@ -31,6 +33,25 @@
     Whole(Vec<u8>),
     TooLarge(Vec<u8>),
     Broken(BrokenAttempt),
+    TakenOver(Takeover<BrokenAttempt>),
+}
+
+/// Why an answer was not read to its end.
+enum ReadFailure {
+    Answer(HttpError),
+    /// The request's time is up.
+    TimeIsUp,
+    EngineLost,
+}
+
+impl From<ReadFailure> for BrokenAttempt {
+    fn from(failure: ReadFailure) -> Self {
+        match failure {
+            ReadFailure::Answer(error) => Self::in_answer(&error),
+            ReadFailure::TimeIsUp => Self::timed_out("the answer was not whole in time", true),
+            ReadFailure::EngineLost => Self::due_to(&FailureReason::EngineLost, false),
+        }
+    }
 }
 
 impl Forwarding {
@@ -41,12 +62,12 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
-        match self.read_watched(&mut answer, chosen).await {
+        match self.read_buffered(&mut answer, chosen).await {
             ReadEnd::Whole(body) => {
                 in_flight.note_outcome(Outcome::Answered);
                 self.record.record_first_byte(&self.gateway, &self.received);
                 let head = forwarded_head(&answer);
-                self.keep_connection(answer, chosen);
+                self.keep_connection(answer, chosen, in_flight.path);
                 let after = self.answer.send_complete(head, &body).await?;
                 let outcome = "answered";
                 Ok(AttemptEnd::Done { after, outcome })
@@ -63,6 +84,10 @@
                 in_flight.note_outcome(Outcome::Broken);
                 Ok(AttemptEnd::Broken(broken))
             }
+            ReadEnd::TakenOver(takeover) => {
+                in_flight.note_outcome(Outcome::Broken);
+                Ok(AttemptEnd::TakenOver(takeover))
+            }
         }
     }
 
@@ -80,11 +105,11 @@
             true => Outcome::Failed,
             false => Outcome::Answered,
         };
-        match self.read_buffered(&mut answer, None, chosen).await {
+        match self.read_buffered(&mut answer, chosen).await {
             ReadEnd::Whole(body) => {
                 in_flight.note_outcome(outcome);
                 let head = forwarded_head(&answer);
-                self.keep_connection(answer, chosen);
+                self.keep_connection(answer, chosen, in_flight.path);
                 if is_engines_fault {
                     return Ok(AttemptEnd::Failed { head, body });
                 }
@@ -110,49 +135,42 @@
                 in_flight.note_outcome(Outcome::Broken);
                 Ok(AttemptEnd::Broken(broken))
             }
+            ReadEnd::TakenOver(takeover) => {
+                in_flight.note_outcome(Outcome::Broken);
+                Ok(AttemptEnd::TakenOver(takeover))
+            }
         }
     }
 
-    /// Reads until the answer is complete, or its engine is known to be lost.
-    async fn read_watched(&mut self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
+    /// Reads until the answer is complete or too large, its engine is known to be lost, or
+    /// another engine has taken the request over.
+    async fn read_buffered(&mut self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
         let watch = self.watch_engine(&chosen.instance);
-        let reading = pin!(self.read_buffered(answer, Some(&watch), chosen));
-        let read = watch.unless_lost(reading).await;
-        read.unwrap_or_else(|| {
-            ReadEnd::Broken(BrokenAttempt::due_to(&FailureReason::EngineLost, false))
-        })
-    }
-
-    async fn read_buffered(
-        &mut self,
-        answer: &mut EngineAnswer,
-        watch: Option<&EngineWatch>,
-        chosen: &ChosenEngine,
-    ) -> ReadEnd {
-        let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
-        let attempt_timeout_ms = self.attempt_timeout_ms().unwrap_or(left_ms).min(left_ms);
+        let (left_ms, silence_ms) = (self.left_ms(), self.attempt_timeout_ms());
         let mut body = Vec::new();
-        let reading = async {
-            while answer.read(&mut body).await? {
-                if let Some(watch) = watch {
-                    watch.record_activity();
+        let waited = {
+            let reading = within(left_ms, read_limited(answer, &mut body, &watch));
+            let reading = async {
+                match watch.unless_lost(reading).await {
+                    None => Err(ReadFailure::EngineLost),
+                    Some(None) => Err(ReadFailure::TimeIsUp),
+                    Some(Some(read)) => read.map_err(ReadFailure::Answer),
                 }
-                if body.len() > MAX_BUFFERED_BYTES {
-                    return Ok(false);
+            };
+            self.unless_taken_over(pin!(reading), silence_ms, chosen)
+                .await
+        };
+        match waited {
+            Waited::Done(Ok(true)) => {
+                match self.check_answer_end(answer.framing(), 0, chosen).await {
+                    Ok(()) => ReadEnd::Whole(body),
+                    Err(broken) => ReadEnd::Broken(broken),
                 }
             }
-            Ok::<bool, ploverlift_http1::HttpError>(true)
-        };
-        match within(attempt_timeout_ms, reading).await {
-            Some(Ok(true)) => match self.check_answer_end(answer.framing(), 0, chosen).await {
-                Ok(()) => ReadEnd::Whole(body),
-                Err(broken) => ReadEnd::Broken(broken),
-            },
-            Some(Ok(false)) => ReadEnd::TooLarge(body),
-            Some(Err(error)) => ReadEnd::Broken(BrokenAttempt::in_answer(&error)),
-            None => {
-                let reason = "the answer was not whole in time";
-                ReadEnd::Broken(BrokenAttempt::timed_out(reason, !self.has_time()))
+            Waited::Done(Ok(false)) => ReadEnd::TooLarge(body),
+            Waited::Done(Err(failure)) => ReadEnd::Broken(failure.into()),
+            Waited::TakenOver(takeover) => {
+                ReadEnd::TakenOver(takeover.map_failure(BrokenAttempt::from))
             }
         }
     }
@@ -208,6 +226,21 @@
     }
 }
 
+/// Reads an answer up to its end; returns false when it is too large to be buffered.
+async fn read_limited(
+    answer: &mut EngineAnswer,
+    body: &mut Vec<u8>,
+    watch: &EngineWatch,
+) -> Result<bool, HttpError> {
+    while answer.read(body).await? {
+        watch.record_activity();
+        if body.len() > MAX_BUFFERED_BYTES {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Head of an engine's answer without the headers that concern only its connection.
 pub(super) fn forwarded_head(answer: &EngineAnswer) -> ploverlift_http1::ResponseHead {
     let mut head = answer.head.clone();
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -1,6 +1,7 @@
 //! Counts a request as load of its engine for as long as the attempt lasts.
 
 use super::load_shedding::EngineWait;
+use crate::engine_paths::connect::EnginePath;
 use crate::outcomes::ObservedAttempt;
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
@@ -35,6 +36,8 @@
     first_byte_ms: Option<u64>,
     /// The wait for the first byte, for requests with a prompt.
     pub(super) wait: Option<EngineWait>,
+    /// The path of the last connection on which the request was sent.
+    pub(super) path: EnginePath,
 }
 
 impl InFlight {
@@ -53,6 +56,7 @@
             start_time: now,
             first_byte_ms: None,
             wait: None,
+            path: EnginePath::Direct,
         }
     }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -37,6 +37,7 @@
 mod sending;
 mod start_deadline;
 mod stream;
+mod takeover;
 
 pub use admission::{admit, Admission};
 pub use answer_metrics::AnswerMetrics;
@@ -44,7 +45,6 @@
 pub use events::{is_after, EventSplitter, WholeEvent};
 pub use limits::TimeLimits;
 
-use crate::engine_paths::connect::EnginePath;
 use crate::ports::{CallerRequest, Refusal};
 use crate::state::Gateway;
 use attempt::AttemptEnd;
@@ -67,8 +67,8 @@
 pub struct ReceivedRequest {
     /// The parsed head.
     pub request: CallerRequest,
-    /// The body.
-    pub body: Vec<u8>,
+    /// The body. Each engine that has the request reads it.
+    pub body: Arc<Vec<u8>>,
     /// The result of admission: route, service, tenant and reservation.
     pub admission: Admission,
     /// Its deadline and its route's time-out.
@@ -108,8 +108,6 @@
     claim: Option<RequestClaim>,
     /// The token for an engine that has a rate limit.
     token: Option<EngineToken>,
-    /// The path of the last connection on which the request was sent.
-    path: EnginePath,
 }
 
 /// Forwards a request to an engine and writes the answer to the caller.
@@ -148,7 +146,6 @@
         record,
         claim: None,
         token: None,
-        path: EnginePath::Direct,
     };
     forwarding.run().await
 }
@@ -166,66 +163,97 @@
             self.note_unplaced(&unplaced);
             return self.give_up().await;
         }
+        let mut successor = None;
+        loop {
+            let (instance, end) = match successor.take() {
+                Some(running) => self.continue_attempt(running).await?,
+                None => match self.secure_engine().await {
+                    Some(chosen) => self.attempt(chosen).await?,
+                    None => return self.give_up().await,
+                },
+            };
+            let may_go_on = match end {
+                AttemptEnd::Done { after, outcome } => {
+                    self.finish(outcome, "");
+                    return Ok(after);
+                }
+                AttemptEnd::TakenOver(takeover) => {
+                    let attempts = &mut self.progress.attempts;
+                    attempts.record_outcome(instance, AttemptOutcome::Broken);
+                    successor = Some(*takeover.successor);
+                    true
+                }
+                end => self.conclude_attempt(end, instance),
+            };
+            if !may_go_on {
+                return self.give_up().await;
+            }
+        }
+    }
+
+    /// Chooses an engine for the next attempt, and acquires the permissions for sending to it;
+    /// `None`, with the reason recorded, when there is no such engine.
+    async fn secure_engine(&mut self) -> Option<ChosenEngine> {
         loop {
             if !self.has_time() {
                 "its time was up before it could be sent".clone_into(&mut self.progress.reason);
-                return self.give_up().await;
+                return None;
             }
             if !self.may_accept_key() {
                 "keys may have been taken away meanwhile".clone_into(&mut self.progress.reason);
-                return self.give_up().await;
+                return None;
             }
             if !self.may_rely_on_engines().await {
                 "this node lacks news of the engines".clone_into(&mut self.progress.reason);
-                return self.give_up().await;
+                return None;
             }
             if let Err(withheld) = self.wait_for_permission().await {
                 self.note_withheld(&withheld);
-                return self.give_up().await;
+                return None;
             }
             let chosen = match self.choose() {
                 Ok(chosen) => chosen,
                 Err(NoChoice::RateLimited) if self.token.is_none() => {
                     if let Err(unservable) = self.acquire_any_token().await {
                         self.note_unservable(unservable);
-                        return self.give_up().await;
+                        return None;
                     }
                     continue;
                 }
                 Err(none) => {
                     self.note_no_choice(none);
-                    return self.give_up().await;
+                    return None;
                 }
             };
             if self.is_unreachable(&chosen) {
                 "no engine of the service can be reached".clone_into(&mut self.progress.reason);
-                return self.give_up().await;
+                return None;
             }
             if let Some(unservable) = self.check_first_attempt(&chosen) {
                 self.note_unservable(unservable);
-                return self.give_up().await;
+                return None;
             }
             if !self.acquire_token(&chosen).await {
                 self.progress.denials += 1;
                 self.record.record_denial(&chosen);
                 continue;
             }
-            let is_repeat = self.progress.attempts.next_is_repeat();
-            let is_taken = std::mem::take(&mut self.progress.has_taken_retry);
-            if is_repeat && !is_taken && !self.take_retry() {
+            if !self.secure_retry() {
                 "the retry budget is spent".clone_into(&mut self.progress.reason);
-                return self.give_up().await;
-            }
-            let instance = chosen.instance.clone();
-            let end = self.attempt(chosen).await?;
-            if let AttemptEnd::Done { after, outcome } = end {
-                self.finish(outcome, "");
-                return Ok(after);
-            }
-            if !self.conclude_attempt(end, instance) {
-                return self.give_up().await;
+                return None;
             }
+            return Some(chosen);
+        }
+    }
+
+    /// Takes a retry from the budget if the next attempt needs one that was not taken before.
+    fn secure_retry(&mut self) -> bool {
+        if !self.progress.attempts.next_is_repeat() || self.progress.has_taken_retry {
+            return true;
         }
+        let is_taken = self.take_retry();
+        self.progress.has_taken_retry = is_taken;
+        is_taken
     }
 
     /// Whether the cheapest engine, and so each one that is left, is known to be unreachable. A
@@ -246,6 +274,15 @@
         }
     }
 
+    /// Whether the next attempt may repeat the request.
+    fn has_retry(&self) -> bool {
+        let now = self.gateway.clock.now();
+        let settings = self.gateway.settings();
+        let mut beliefs = self.gateway.beliefs();
+        let budget = beliefs.retry_budget(&self.received.admission.service, &settings);
+        self.progress.has_taken_retry || budget.has_retry(now)
+    }
+
     fn take_retry(&self) -> bool {
         let now = self.gateway.clock.now();
         let settings = self.gateway.settings();
@@ -289,7 +326,7 @@
     fn conclude_attempt(&mut self, end: AttemptEnd, instance: InstanceId) -> bool {
         let progress = &mut self.progress;
         let outcome = match end {
-            AttemptEnd::Done { .. } => return false,
+            AttemptEnd::Done { .. } | AttemptEnd::TakenOver(_) => return false,
             AttemptEnd::Withheld => return self.has_time(),
             AttemptEnd::Unreachable { reason, .. } => {
                 progress.reason = reason;
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -10,7 +10,7 @@
 use crate::reliance::Reliance;
 use crate::state::Gateway;
 use crate::stream_metrics::placement_name;
-use ploverlift_balancing::catalogue::PassedOverReason;
+use ploverlift_balancing::catalogue::{InstanceId, PassedOverReason};
 use ploverlift_http1::Framing;
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::Side;
@@ -147,6 +147,21 @@
         );
     }
 
+    /// Appends a try to have another engine take the request over. Equal ones in succession are
+    /// listed once.
+    pub(super) fn record_takeover(
+        &mut self,
+        engine: Option<&InstanceId>,
+        outcome: &'static str,
+        reason: &str,
+    ) {
+        let engine = engine.map_or("none", |engine| engine.0.as_str());
+        let text = format!(" takeover={outcome} by={engine} ({reason})");
+        if !self.attempts.ends_with(&text) {
+            self.attempts.push_str(&text);
+        }
+    }
+
     /// Appends the end of the attempt.
     pub(super) fn end_attempt(&mut self, end: &AttemptEnd) {
         let text = &mut self.attempts;
@@ -159,6 +174,7 @@
             AttemptEnd::OtherWeights => write!(text, " -> other weights"),
             AttemptEnd::Failed { head, .. } => write!(text, " -> failed {}", head.status),
             AttemptEnd::Broken(broken) => write!(text, " -> broken ({})", broken.reason),
+            AttemptEnd::TakenOver(_) => write!(text, " -> taken over"),
         };
     }
 
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -144,7 +144,8 @@
         StreamKey::new(self.tenant_tag(), service, request_id)
     }
 
-    fn left_ms(&self) -> u64 {
+    /// Time left for the request, in milliseconds.
+    pub(super) fn left_ms(&self) -> u64 {
         self.received.limits.left_ms(self.gateway.clock.now())
     }
 
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -3,139 +3,201 @@
 use super::attempt::AttemptEnd;
 use super::broken::BrokenAttempt;
 use super::choice::ChosenEngine;
+use super::in_flight::InFlight;
+use super::takeover::Waited;
 use super::Forwarding;
-use crate::engine_connection::{
-    exchange_on, EngineAnswer, ExchangeFailure, ExchangeLimits, FailureReason,
-};
+use crate::engine_connection::{exchange_on, EngineAnswer, ExchangeFailure, FailureReason};
 use crate::engine_paths::connect::{connect_engine, EngineConnection, EnginePath, Unconnected};
 use crate::http_call::ConnectFailure;
 use crate::ports::EngineCall;
-use ploverlift_http1::{BufferedStream, RequestHead};
+use ploverlift_http1::RequestHead;
 use ploverlift_policy::attempt::AttemptState;
 use ploverlift_policy::ids::Millis;
-use std::pin::pin;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time beyond the connect time-out for which a choice stays valid, in milliseconds: timers
 /// of a busy node run late.
 const CONNECT_SLACK_MS: u64 = 500;
 
+/// A request that is being sent on a connection, until the head of its answer.
+pub(super) struct Exchange {
+    pub(super) path: EnginePath,
+    /// Whether the connection had been kept from an earlier request.
+    is_reused: bool,
+    /// The answer. Dropping it closes the connection, and so cancels the request.
+    pub(super) answer: PendingAnswer,
+}
+
+/// The head of an answer that has not arrived yet.
+type PendingAnswer = Pin<Box<dyn Future<Output = Result<EngineAnswer, ExchangeFailure>> + Send>>;
+
+impl Exchange {
+    /// An exchange whose answer's head has arrived.
+    pub(super) fn answered(path: EnginePath, answer: EngineAnswer) -> Self {
+        Self {
+            path,
+            is_reused: false,
+            answer: Box::pin(std::future::ready(Ok(answer))),
+        }
+    }
+}
+
 impl Forwarding {
-    /// Sends the request and waits for the head of the answer.
-    pub(super) async fn send(&mut self, chosen: &ChosenEngine) -> Result<EngineAnswer, AttemptEnd> {
-        let now = self.gateway.clock.now();
-        let left_ms = self.received.limits.left_ms(now);
-        let settings = self.gateway.settings();
-        let admission = &self.received.admission;
-        let call = EngineCall {
-            request: &self.received.request,
-            body_length: self.received.body.len(),
-            instance: &chosen.instance,
-            deadline_ms: left_ms,
-            tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
-            priority: admission.priority(),
-            weights: chosen.weights,
-            cache: chosen.cache.clone(),
-            resume_after: self.progress.last_event.as_deref(),
-            keeps_connection: settings.attempts.keep_connection_ms > 0,
+    /// Begins to send the request: on a kept connection if it is repeatable and there is one,
+    /// otherwise on a new one.
+    pub(super) async fn begin_exchange(
+        &mut self,
+        chosen: &ChosenEngine,
+    ) -> Result<Exchange, AttemptEnd> {
+        let route = &self.received.admission.route;
+        let kept = match route.delivery.is_repeatable() {
+            true => self.take_idle_connection(chosen).await,
+            false => None,
         };
-        let head = self.gateway.site.engine_head(&call);
-        let attempt_timeout_ms = self.attempt_timeout_ms().unwrap_or(left_ms).min(left_ms);
-        let limits = ExchangeLimits {
-            connect_ms: settings.attempts.connect_timeout_ms.min(left_ms),
-            head_ms: attempt_timeout_ms,
+        let Some(connection) = kept else {
+            return self.begin_on_new_connection(chosen).await;
         };
-        if let Some(answer) = self.send_on_idle(chosen, &head, limits).await? {
-            return Ok(answer);
-        }
+        self.check_before_sending(chosen)?;
+        self.gateway.metrics.reused_connections.inc();
+        self.progress.has_taken_retry = false;
+        self.use_token();
+        Ok(self.exchange(connection, chosen, true))
+    }
+
+    /// Begins to send the request on a new connection.
+    pub(super) async fn begin_on_new_connection(
+        &mut self,
+        chosen: &ChosenEngine,
+    ) -> Result<Exchange, AttemptEnd> {
         if !self.acquire_token(chosen).await {
             return Err(AttemptEnd::Withheld);
         }
+        let full_timeout_ms = self.gateway.settings().attempts.connect_timeout_ms;
+        let timeout_ms = full_timeout_ms.min(self.left_ms());
         let (began, began_at) = (Instant::now(), self.gateway.clock.now());
         let (instance, address) = (&chosen.instance, chosen.address);
-        let connecting = connect_engine(&self.gateway, instance, address, limits.connect_ms);
+        let connecting = connect_engine(&self.gateway, instance, address, timeout_ms);
         let connection = connecting.await.map_err(|unconnected| {
-            let had_full_timeout = limits.connect_ms >= settings.attempts.connect_timeout_ms;
+            let had_full_timeout = timeout_ms >= full_timeout_ms;
             let began = had_full_timeout.then_some(began_at);
             self.record_connect_failure(chosen, &unconnected, began)
         })?;
         self.learn_from_connection(chosen, connection.path, began.elapsed());
-        self.use_path(connection.path);
         self.check_before_sending(chosen)?;
         self.progress.has_taken_retry = false;
         self.use_token();
-        let body = &self.received.body;
-        let stream = connection.stream;
-        let exchanged = self.exchange(stream, chosen, &head, body, limits).await;
-        exchanged.map_err(|failure| self.broken(&failure))
+        Ok(self.exchange(connection, chosen, false))
     }
 
-    /// Sends the request on a kept connection, if there is one and the request is repeatable;
-    /// `None` when it is to be sent on a new connection.
-    async fn send_on_idle(
-        &mut self,
+    /// Sends the request on a connection and waits for the head of the answer. The wait also
+    /// ends when the request's time is up, when the engine is known to be lost, or when its
+    /// weights may be outdated.
+    fn exchange(
+        &self,
+        connection: EngineConnection,
         chosen: &ChosenEngine,
-        head: &RequestHead,
-        limits: ExchangeLimits,
-    ) -> Result<Option<EngineAnswer>, AttemptEnd> {
-        let route = &self.received.admission.route;
-        if !route.delivery.is_repeatable() {
-            return Ok(None);
-        }
-        let Some(connection) = self.take_idle_connection(chosen).await else {
-            return Ok(None);
-        };
-        self.use_path(connection.path);
-        self.check_before_sending(chosen)?;
-        self.gateway.metrics.reused_connections.inc();
-        self.use_token();
-        let body = &self.received.body;
-        let exchanging = self.exchange(connection.stream, chosen, head, body, limits);
-        let failure = match exchanging.await {
-            Ok(answer) => return Ok(Some(answer)),
-            Err(failure) => failure,
+        is_reused: bool,
+    ) -> Exchange {
+        let EngineConnection { stream, path } = connection;
+        self.gateway.metrics.paths.count_send(path);
+        let head = self.engine_head(chosen);
+        let body = Arc::clone(&self.received.body);
+        let watch = self.watch_engine(&chosen.instance);
+        let deadline = self.start_deadline(chosen);
+        let timeout_ms = self.left_ms();
+        let answer = async move {
+            let exchanging = exchange_on(stream, &head, &body, timeout_ms);
+            let exchanging = watch.unless_lost(exchanging);
+            let reason = match deadline.unless_passed(exchanging).await {
+                Some(Some(exchanged)) => return exchanged,
+                Some(None) => FailureReason::EngineLost,
+                None => FailureReason::WeightsOutdated,
+            };
+            Err(ExchangeFailure {
+                state: AttemptState::MaybeSent,
+                reason,
+            })
         };
-        if failure.reason.is_connection_end() {
-            self.note_cut_request(chosen, chosen.chosen_at, 0);
+        Exchange {
+            path,
+            is_reused,
+            answer: Box::pin(answer),
         }
-        // The other kept connections to this engine are probably broken as well.
-        self.gateway.kept_connections().forget(&chosen.instance);
-        if !failure.reason.is_abandoned_wait() && self.take_retry() {
-            // Either the engine had closed or dropped the connection, or it ran the request.
-            self.progress.has_taken_retry = true;
-            self.note_lost_send(chosen);
-            if failure.reason.is_connection_end() {
-                self.wait_until_engine_end_known().await;
+    }
+
+    fn engine_head(&self, chosen: &ChosenEngine) -> RequestHead {
+        let admission = &self.received.admission;
+        let call = EngineCall {
+            request: &self.received.request,
+            body_length: self.received.body.len(),
+            instance: &chosen.instance,
+            deadline_ms: self.left_ms(),
+            tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+            priority: admission.priority(),
+            weights: chosen.weights,
+            cache: chosen.cache.clone(),
+            resume_after: self.progress.last_event.as_deref(),
+            keeps_connection: self.gateway.settings().attempts.keep_connection_ms > 0,
+        };
+        self.gateway.site.engine_head(&call)
+    }
+
+    /// Waits for the head of the answer. If a kept connection fails, the request is sent again
+    /// on a new one.
+    pub(super) async fn await_head(
+        &mut self,
+        mut exchange: Exchange,
+        chosen: &ChosenEngine,
+        in_flight: &mut InFlight,
+    ) -> Result<EngineAnswer, AttemptEnd> {
+        loop {
+            in_flight.path = exchange.path;
+            self.record.record_path(exchange.path);
+            let silence_ms = self.attempt_timeout_ms();
+            let answering = Pin::new(&mut exchange.answer);
+            let failure = match self.unless_taken_over(answering, silence_ms, chosen).await {
+                Waited::Done(Ok(answer)) => return Ok(answer),
+                Waited::Done(Err(failure)) => failure,
+                Waited::TakenOver(takeover) => {
+                    self.discard_kept_connections(&exchange, chosen);
+                    let takeover = takeover.map_failure(|failure| self.broken_attempt(&failure));
+                    return Err(AttemptEnd::TakenOver(takeover));
+                }
+            };
+            self.discard_kept_connections(&exchange, chosen);
+            if !exchange.is_reused || !self.may_send_again(&failure, chosen).await {
+                return Err(self.broken(&failure));
             }
-            return Ok(None);
+            exchange = self.begin_on_new_connection(chosen).await?;
         }
-        Err(self.broken(&failure))
     }
 
-    /// Sends the request on a connection and waits for the head of the answer. The wait also
-    /// ends when the engine is known to be lost or its weights may be outdated.
-    async fn exchange(
-        &self,
-        stream: BufferedStream,
-        chosen: &ChosenEngine,
-        head: &RequestHead,
-        body: &[u8],
-        limits: ExchangeLimits,
-    ) -> Result<EngineAnswer, ExchangeFailure> {
-        let watch = self.watch_engine(&chosen.instance);
-        // Pinned here: otherwise each enclosing future would reserve space for a copy of it.
-        let exchanging = pin!(exchange_on(stream, head, body, limits));
-        let exchanging = pin!(watch.unless_lost(exchanging));
-        let ended = self.unless_outdated(chosen, exchanging).await;
-        let reason = match ended {
-            Some(Some(exchanged)) => return exchanged,
-            Some(None) => FailureReason::EngineLost,
-            None => FailureReason::WeightsOutdated,
-        };
-        Err(ExchangeFailure {
-            state: AttemptState::MaybeSent,
-            reason,
-        })
+    /// Discards the other kept connections to an engine after a failure on one of them, since
+    /// they are probably broken as well.
+    fn discard_kept_connections(&self, failed: &Exchange, chosen: &ChosenEngine) {
+        if failed.is_reused {
+            self.gateway.kept_connections().forget(&chosen.instance);
+        }
+    }
+
+    /// Whether the request may be sent again after it failed on a kept connection.
+    async fn may_send_again(&mut self, failure: &ExchangeFailure, chosen: &ChosenEngine) -> bool {
+        if failure.reason.is_connection_end() {
+            self.note_cut_request(chosen, chosen.chosen_at, 0);
+        }
+        if failure.reason.is_abandoned_wait() || !self.take_retry() {
+            return false;
+        }
+        // Either the engine had closed or dropped the connection, or it ran the request.
+        self.progress.has_taken_retry = true;
+        self.note_lost_send(chosen);
+        if failure.reason.is_connection_end() {
+            self.wait_until_engine_end_known().await;
+        }
+        true
     }
 
     /// Checks right before the bytes are sent, after every wait, whether the request may still
@@ -160,24 +222,19 @@
         self.gateway.settings().attempts.connect_timeout_ms + CONNECT_SLACK_MS
     }
 
-    fn broken(&self, failure: &ExchangeFailure) -> AttemptEnd {
-        AttemptEnd::Broken(BrokenAttempt::due_to(&failure.reason, !self.has_time()))
+    pub(super) fn broken(&self, failure: &ExchangeFailure) -> AttemptEnd {
+        AttemptEnd::Broken(self.broken_attempt(failure))
+    }
+
+    fn broken_attempt(&self, failure: &ExchangeFailure) -> BrokenAttempt {
+        BrokenAttempt::due_to(&failure.reason, !self.has_time())
     }
 
     /// Records a send that was lost. The request may have run: no later refusal of it may state
     /// that it has not, and it stays counted against its tenant's limit.
     fn note_lost_send(&mut self, chosen: &ChosenEngine) {
         self.progress.attempts.record_lost_send(&chosen.instance);
-        if let Some(reservation) = &mut self.received.admission.reservation {
-            reservation.spend();
-        }
-    }
-
-    /// Records the path of the connection on which the request is sent.
-    fn use_path(&mut self, path: EnginePath) {
-        self.path = path;
-        self.record.record_path(path);
-        self.gateway.metrics.paths.count_send(path);
+        self.spend_reservation();
     }
 
     /// Records a failed connection. If it started at `began`, had the full connect time-out and
@@ -263,7 +320,12 @@
     }
 
     /// Keeps the connection after a complete answer, for another request.
-    pub(super) fn keep_connection(&self, answer: EngineAnswer, chosen: &ChosenEngine) {
+    pub(super) fn keep_connection(
+        &self,
+        answer: EngineAnswer,
+        chosen: &ChosenEngine,
+        path: EnginePath,
+    ) {
         let longest_ms = self.gateway.settings().attempts.keep_connection_ms;
         if longest_ms == 0 {
             return;
@@ -271,7 +333,6 @@
         let headers = answer.head.headers.clone();
         if let Some(stream) = answer.into_idle_connection() {
             let now = self.gateway.clock.now();
-            let path = self.path;
             self.gateway.kept_connections().keep(
                 &chosen.instance,
                 EngineConnection { stream, path },
--- a/crates/gateway/src/forward/start_deadline.rs
+++ b/crates/gateway/src/forward/start_deadline.rs
@@ -6,34 +6,45 @@
 
 use super::choice::ChosenEngine;
 use super::Forwarding;
+use crate::state::Gateway;
 use crate::time::sleep;
 use std::future::Future;
+use std::sync::Arc;
 
 /// A request that has not started is withdrawn from its engine when the configured margin
 /// on outdated weights, divided by this, is left until the bound.
 const START_MARGIN_DIVISOR: u64 = 4;
 
-impl Forwarding {
+/// The weights with which a request is expected to start.
+struct ExpectedWeights {
+    model: String,
+    version: u64,
+}
+
+/// The deadline until which a request may start at the engine of an attempt.
+pub(super) struct StartDeadline {
+    gateway: Arc<Gateway>,
+    /// `None` when the request needs no weights.
+    weights: Option<ExpectedWeights>,
+}
+
+impl StartDeadline {
     /// Runs `work`; returns `None` when the request must no longer start before `work` is done.
-    pub(super) async fn unless_outdated<T>(
-        &self,
-        chosen: &ChosenEngine,
-        work: impl Future<Output = T>,
-    ) -> Option<T> {
+    pub(super) async fn unless_passed<T>(&self, work: impl Future<Output = T>) -> Option<T> {
         let working = async { Some(work.await) };
-        let outdating = async {
-            self.wait_until_outdated(chosen).await;
+        let passing = async {
+            self.wait_until_passed().await;
             None
         };
         // Polled first, so that nothing is sent once the deadline has passed.
-        futures_lite::future::or(outdating, working).await
+        futures_lite::future::or(passing, working).await
     }
 
     /// Waits until the request must no longer start. The deadline moves on with each proof that
     /// the engine's weights are the newest.
-    async fn wait_until_outdated(&self, chosen: &ChosenEngine) {
+    async fn wait_until_passed(&self) {
         loop {
-            match self.remaining_start_ms(chosen) {
+            match self.left_ms() {
                 None => std::future::pending().await,
                 Some(0) => return,
                 Some(left_ms) => sleep(left_ms).await,
@@ -42,18 +53,28 @@
     }
 
     /// Remaining time for which the request may start, in milliseconds; `None` when it needs
-    /// no weights. Unknown weights count as version 0, since the engine may have any.
-    fn remaining_start_ms(&self, chosen: &ChosenEngine) -> Option<u64> {
-        let prompt = self.received.request.prompt.as_ref()?;
-        let weights = chosen.weights.unwrap_or(0);
+    /// no weights.
+    fn left_ms(&self) -> Option<u64> {
+        let weights = self.weights.as_ref()?;
         let margin_ms = self.gateway.settings().weights.margin_ms / START_MARGIN_DIVISOR;
         let bounds = self.gateway.weights_bounds(margin_ms);
         let now = self.gateway.clock.now();
-        let beliefs = self.gateway.beliefs();
-        Some(
-            beliefs
-                .weights
-                .left_ms(&prompt.model, weights, &bounds, now),
-        )
+        let known = &self.gateway.beliefs().weights;
+        Some(known.left_ms(&weights.model, weights.version, &bounds, now))
+    }
+}
+
+impl Forwarding {
+    /// The deadline of an attempt at this engine. Unknown weights count as version 0, since the
+    /// engine may have any.
+    pub(super) fn start_deadline(&self, chosen: &ChosenEngine) -> StartDeadline {
+        let prompt = self.received.request.prompt.as_ref();
+        StartDeadline {
+            gateway: Arc::clone(&self.gateway),
+            weights: prompt.map(|prompt| ExpectedWeights {
+                model: prompt.model.clone(),
+                version: chosen.weights.unwrap_or(0),
+            }),
+        }
     }
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -2,20 +2,26 @@
 //!
 //! Only complete events are forwarded. A stream that ends inside an event is broken off, also
 //! where the end is regular by its framing. When the stream breaks and may be resumed, another
-//! engine continues after the last event that was forwarded, within the same answer.
+//! engine continues after the last event that was forwarded, within the same answer. When its
+//! engine is silent, another one may take it over.
 
 use super::attempt::AttemptEnd;
 use super::broken::BrokenAttempt;
 use super::buffered_answer::forwarded_head;
 use super::choice::ChosenEngine;
+use super::engine_watch::EngineWatch;
 use super::events::{is_after, EventSplitter};
 use super::in_flight::InFlight;
+use super::start_deadline::StartDeadline;
+use super::takeover::{Takeover, Waited};
 use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{EngineAnswer, FailureReason};
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_http1::HttpError;
 use ploverlift_routing::prompt::part_keys;
 use ploverlift_routing::topology::Distance;
+use std::future::Future;
 use std::io;
 use std::pin::pin;
 
@@ -28,6 +34,64 @@
     /// The stream is whole; these bytes follow its last event.
     End(Vec<u8>),
     Broken(BrokenAttempt),
+    TakenOver(Takeover<BrokenAttempt>),
+}
+
+/// Why no more of a stream was read.
+enum ReadFailure {
+    Answer(HttpError),
+    /// The request's time is up.
+    TimeIsUp,
+    EngineLost,
+    WeightsOutdated,
+}
+
+impl From<ReadFailure> for BrokenAttempt {
+    fn from(failure: ReadFailure) -> Self {
+        match failure {
+            ReadFailure::Answer(error) => Self::in_answer(&error),
+            ReadFailure::TimeIsUp => Self::timed_out("no event in time", true),
+            ReadFailure::EngineLost => Self::due_to(&FailureReason::EngineLost, false),
+            ReadFailure::WeightsOutdated => Self::due_to(&FailureReason::WeightsOutdated, false),
+        }
+    }
+}
+
+/// What may end the wait for more of a stream, apart from the stream itself.
+struct StreamGuard {
+    watch: EngineWatch,
+    deadline: StartDeadline,
+}
+
+impl StreamGuard {
+    /// Runs `reading`, which reads more of the stream within the time that the request has left.
+    /// Before the first event, the request must not start on outdated weights.
+    async fn read(
+        &self,
+        reading: impl Future<Output = Option<Result<bool, HttpError>>>,
+        is_first: bool,
+    ) -> Result<bool, ReadFailure> {
+        let reading = pin!(self.watch.unless_lost(reading));
+        let read = match is_first {
+            true => self.deadline.unless_passed(reading).await,
+            false => Some(reading.await),
+        };
+        match read {
+            None => Err(ReadFailure::WeightsOutdated),
+            Some(None) => Err(ReadFailure::EngineLost),
+            Some(Some(None)) => Err(ReadFailure::TimeIsUp),
+            Some(Some(Some(read))) => read.map_err(ReadFailure::Answer),
+        }
+    }
+}
+
+/// A stream that is being read.
+struct EngineStream<'a> {
+    answer: &'a mut EngineAnswer,
+    splitter: &'a mut EventSplitter,
+    guard: &'a StreamGuard,
+    /// Whether no event has been forwarded yet.
+    is_first: bool,
 }
 
 impl Forwarding {
@@ -40,17 +104,20 @@
     ) -> io::Result<AttemptEnd> {
         let mut splitter = EventSplitter::default();
         let mut is_first = true;
-        let watch = self.watch_engine(&chosen.instance);
+        let guard = StreamGuard {
+            watch: self.watch_engine(&chosen.instance),
+            deadline: self.start_deadline(chosen),
+        };
         loop {
-            let step = {
-                let step = pin!(self.next_step(&mut answer, &mut splitter, chosen, is_first));
-                watch.unless_lost(step).await
+            let stream = EngineStream {
+                answer: &mut answer,
+                splitter: &mut splitter,
+                guard: &guard,
+                is_first,
             };
-            match step.unwrap_or_else(|| {
-                StreamStep::Broken(BrokenAttempt::due_to(&FailureReason::EngineLost, false))
-            }) {
+            match self.next_step(stream, chosen).await {
                 StreamStep::Events(bytes) => {
-                    watch.record_activity();
+                    guard.watch.record_activity();
                     if is_first {
                         is_first = false;
                         self.note_stream_origin(chosen);
@@ -69,7 +136,7 @@
                 StreamStep::End(rest) => {
                     in_flight.note_outcome(Outcome::Answered);
                     self.deliver(&answer, &rest).await?;
-                    self.keep_connection(answer, chosen);
+                    self.keep_connection(answer, chosen, in_flight.path);
                     let after = self.answer.finish_stream().await?;
                     let outcome = "answered";
                     return Ok(AttemptEnd::Done { after, outcome });
@@ -83,6 +150,10 @@
                     }
                     return Ok(AttemptEnd::Broken(broken));
                 }
+                StreamStep::TakenOver(takeover) => {
+                    in_flight.note_outcome(Outcome::Broken);
+                    return Ok(AttemptEnd::TakenOver(takeover));
+                }
             }
         }
     }
@@ -147,32 +218,29 @@
             .await
     }
 
-    /// Reads until there are events to forward, or the stream ends or breaks.
-    async fn next_step(
-        &mut self,
-        answer: &mut EngineAnswer,
-        splitter: &mut EventSplitter,
-        chosen: &ChosenEngine,
-        is_first: bool,
-    ) -> StreamStep {
+    /// Reads until there are events to forward, or the stream ends, breaks or is taken over.
+    async fn next_step(&mut self, stream: EngineStream<'_>, chosen: &ChosenEngine) -> StreamStep {
+        let EngineStream {
+            answer,
+            splitter,
+            guard,
+            is_first,
+        } = stream;
         loop {
             let events = self.take_events(splitter);
             if !events.is_empty() {
                 return StreamStep::Events(events);
             }
-            let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
-            let silence_ms = self.allowed_silence_ms(is_first).unwrap_or(left_ms);
-            let read = {
-                let reading = pin!(answer.read(&mut splitter.pending));
-                let reading = pin!(within(silence_ms.min(left_ms), reading));
-                match is_first {
-                    true => self.unless_outdated(chosen, reading).await.flatten(),
-                    false => reading.await,
-                }
+            let left_ms = self.left_ms();
+            let silence_ms = self.allowed_silence_ms(is_first);
+            let waited = {
+                let reading = within(left_ms, answer.read(&mut splitter.pending));
+                let reading = pin!(guard.read(reading, is_first));
+                self.unless_taken_over(reading, silence_ms, chosen).await
             };
-            match read {
-                Some(Ok(true)) => {}
-                Some(Ok(false)) => {
+            match waited {
+                Waited::Done(Ok(true)) => {}
+                Waited::Done(Ok(false)) => {
                     let unfinished_bytes = splitter.unfinished_bytes();
                     let framing = answer.framing();
                     let end = self.check_answer_end(framing, unfinished_bytes, chosen);
@@ -181,24 +249,22 @@
                         Err(broken) => StreamStep::Broken(broken),
                     };
                 }
-                Some(Err(error)) => {
+                Waited::Done(Err(failure)) => {
                     let events = self.take_events(splitter);
                     if !events.is_empty() {
                         return StreamStep::Events(events);
                     }
-                    return StreamStep::Broken(BrokenAttempt::in_answer(&error));
+                    return StreamStep::Broken(failure.into());
                 }
-                None => {
-                    let time_is_up = !self.has_time();
-                    return StreamStep::Broken(BrokenAttempt::timed_out(
-                        "no event in time",
-                        time_is_up,
-                    ));
+                Waited::TakenOver(takeover) => {
+                    return StreamStep::TakenOver(takeover.map_failure(BrokenAttempt::from));
                 }
             }
         }
     }
 
+    /// Time without an event after which another engine is tried beside this one, in
+    /// milliseconds; `None` when this is the last attempt.
     fn allowed_silence_ms(&self, is_first: bool) -> Option<u64> {
         let attempt_timeout_ms = self.attempt_timeout_ms()?;
         match is_first {
--- a/crates/gateway/src/settings/attempts.rs
+++ b/crates/gateway/src/settings/attempts.rs
@@ -9,11 +9,11 @@
 pub struct AttemptSettings {
     /// Longest wait for a connection to an engine, in milliseconds.
     pub connect_timeout_ms: u64,
-    /// Time without an answer after which a repeatable request is sent to another engine, as a
-    /// multiple of the route's objective.
+    /// Time without an answer after which another engine is tried for a repeatable request,
+    /// beside the silent one, as a multiple of the route's objective.
     pub timeout_objectives: f64,
-    /// Time without an event after which a stream is resumed at another engine, in
-    /// milliseconds.
+    /// Time without an event after which another engine is tried for a stream, beside the
+    /// silent one, in milliseconds.
     pub stream_silence_ms: u64,
     /// Retry time sent to refused callers when there is no better estimate, in milliseconds.
     pub retry_after_ms: u64,
