--- a/crates/balancing/tests/attempts.rs
+++ b/crates/balancing/tests/attempts.rs
@@ -106,7 +106,7 @@
     attempts.begin_takeover(&running);
     attempts.begin_takeover(&running);
     assert!(attempts.next_is_repeat());
-    assert_eq!(attempts.tried(), [running.clone()]);
+    assert_eq!(attempts.tried(), std::slice::from_ref(&running));
     assert_eq!(attempts.run_state(), RunState::NotRun);
     let rejecting = InstanceId("e2".to_owned());
     attempts.record_outcome(rejecting, AttemptOutcome::Refused);
