Test requests that meet the end of their connection's wait

A caller gets no answer when its connection is closed for the idle time, for room or for a stop while its request lies unread, and when a configuration that takes its route and key away ends what it waits for. The new tests block the node's thread while a request arrives, so that the time limit and the bytes are ready together, and remove routes and keys at each place where a request waits. Further ones hold what pipelined bytes, a paused body and the end of a caller's sending direction do.

--- a/crates/gateway/tests/caller_connections/main.rs
+++ b/crates/gateway/tests/caller_connections/main.rs
@@ -1,7 +1,11 @@
 //! Connections of callers on which a request is open: how they end, and what is logged.
 
+mod configuration_changes;
 mod ends;
+mod idle;
 mod node;
+mod pipelined;
+mod stopping;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/crates/gateway/tests/caller_connections/node.rs
+++ b/crates/gateway/tests/caller_connections/node.rs
@@ -13,10 +13,23 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Pause between two looks at the log, in milliseconds.
 const POLL_MS: u64 = 2;
 
+/// Blocks the thread that runs the tasks of all nodes for a time, as a long computation does;
+/// returns once it is blocked.
+pub async fn hold_executor(milliseconds: u64) -> smol::Task<()> {
+    let (began, beginning) = async_channel::bounded(1);
+    let hold = smol::spawn(async move {
+        began.try_send(()).expect("a receiver");
+        std::thread::sleep(Duration::from_millis(milliseconds));
+    });
+    beginning.recv().await.expect("the hold");
+    hold
+}
+
 /// Collects the log output.
 #[derive(Clone, Default)]
 struct Captured(Arc<Mutex<Vec<u8>>>);
@@ -34,7 +47,7 @@
 
 /// A store and one node that logs to memory.
 pub struct LoggedNode {
-    _store: StandInStore,
+    pub store: StandInStore,
     pub gateway: Arc<Gateway>,
     pub running: Option<RunningGateway>,
     pub callers: SocketAddr,
@@ -64,7 +77,7 @@
             while caller::get_status(running.readiness).await != 200 {}
         }
         Self {
-            _store: store,
+            store,
             gateway: Arc::clone(&running.gateway),
             callers: running.callers,
             running: Some(running),
@@ -72,6 +85,15 @@
         }
     }
 
+    /// Stores a configuration and waits until it is in force.
+    pub async fn configure(&self, configuration: Value) {
+        let version = configuration["version"].as_u64();
+        self.store.put("Configuration", "main", configuration);
+        while self.gateway.beliefs().configuration_version() != version {
+            sleep(POLL_MS).await;
+        }
+    }
+
     /// The log lines with this message.
     pub fn lines(&self, message: &str) -> Vec<Value> {
         let bytes = self.captured.0.lock().expect("lines").clone();
--- a/crates/gateway/tests/support/site/documents.rs
+++ b/crates/gateway/tests/support/site/documents.rs
@@ -42,7 +42,7 @@
                 max_head_bytes: 2_048,
                 max_body_bytes: 4_096,
                 head_timeout_ms: 200,
-                idle_timeout_ms: 5_000,
+                idle_timeout_ms: body["idle_timeout_ms"].as_u64().unwrap_or(5_000),
             },
         })
     }
