Keep idle connections for a longer time-out that comes into force

Callers take up connections that have rested for up to four fifths of the idle time-out. When a configuration lengthened it, connections that were idle already were still closed after the former time, and a request that was sent at that moment found its connection closed.

The wait took the time-out from the configuration at its begin. It now looks again when that time is over, and goes on if the time-out in force is longer. A shorter one still does not end a wait that has begun, since the caller may not know it yet.

idle::a_longer_idle_timeout_prolongs_a_wait_that_has_begun failed before: no answer to the second request, 900 ms after the first, with time-outs of 300 and then 5,000 ms.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -88,9 +88,8 @@
     if !connection.pending().is_empty() {
         return Ok(());
     }
-    let limits = caller_limits(gateway);
     let idle = open.mark_idle(gateway.clock.now());
-    wait_for_bytes(gateway, connection, idle, limits.idle_timeout_ms).await
+    wait_for_bytes(gateway, connection, idle).await
 }
 
 /// Reads the head of a request that has begun, within the limits on its size and time.
@@ -118,7 +117,6 @@
     gateway: &Arc<Gateway>,
     connection: &mut BufferedStream,
     mut idle: IdleConnection,
-    idle_timeout_ms: u64,
 ) -> Result<(), Ended> {
     let filling = async {
         match connection.fill().await {
@@ -129,7 +127,7 @@
     let idling = async {
         let stop_began = gateway.stop_began.listen();
         if !gateway.is_stopping() {
-            within(idle_timeout_ms, stop_began).await;
+            futures_lite::future::or(stop_began, wait_for_idle_timeout(gateway)).await;
         }
         if gateway.is_stopping() {
             sleep(STOPPING_IDLE_MS).await;
@@ -153,6 +151,24 @@
     }
 }
 
+/// Waits for the idle time-out: that of the configuration in force now or, if that is longer,
+/// of the one in force at the end of the wait.
+async fn wait_for_idle_timeout(gateway: &Gateway) {
+    let since = gateway.clock.now();
+    let mut timeout_ms = caller_limits(gateway).idle_timeout_ms;
+    loop {
+        let idle_ms = gateway.clock.now().since(since);
+        if idle_ms < timeout_ms {
+            sleep(timeout_ms - idle_ms).await;
+            continue;
+        }
+        timeout_ms = caller_limits(gateway).idle_timeout_ms;
+        if idle_ms >= timeout_ms {
+            return;
+        }
+    }
+}
+
 /// What an idle connection has received.
 enum Received {
     Bytes,
--- a/crates/gateway/tests/caller_connections/idle.rs
+++ b/crates/gateway/tests/caller_connections/idle.rs
@@ -126,3 +126,19 @@
         assert_eq!(send_next(&mut connection, "r2").await, 200);
     });
 }
+
+// Guards against connections that are closed after the idle time-out of an earlier
+// configuration, while callers use them by that in force.
+#[test]
+fn a_longer_idle_timeout_prolongs_a_wait_that_has_begun() {
+    let _exclusive = run_exclusively();
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let idle_briefly = with_idle_timeout(1, IDLE_TIMEOUT_MS);
+        let node = LoggedNode::start(&[&app], Some(idle_briefly), "").await;
+        let mut connection = kept_connection(&node).await;
+        node.configure(configuration(2)).await;
+        sleep(3 * IDLE_TIMEOUT_MS).await;
+        assert_eq!(send_next(&mut connection, "r2").await, 200);
+    });
+}
