--- a/crates/gateway/tests/caller_connections/node.rs
+++ b/crates/gateway/tests/caller_connections/node.rs
@@ -98,7 +98,9 @@
     pub fn lines(&self, message: &str) -> Vec<Value> {
         let bytes = self.captured.0.lock().expect("lines").clone();
         let text = String::from_utf8(bytes).expect("text");
-        let lines = text
+        // The logger writes a line in several parts: the last one may be incomplete.
+        let whole_lines = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+        let lines = whole_lines
             .lines()
             .map(|line| serde_json::from_str(line).expect("a line of JSON"));
         lines
