Answer what waits in the accept queue before a planned stop ends

Callers whose connection stood in the kernel's accept queue as a node stopped got a reset in place of an answer, although their requests had arrived: a stop ended when no request had been read for 300 ms, and dropped the listener with what was queued behind it. That a busy thread had read nothing for that time looked like a node without work. Requests that lay unread on open connections were only answered because the cancellation of a task waits for the same thread.

A stop now has a closing phase after the node has drained: the queue is accepted to its end, the listener is closed, each connection is read once more and kept for another 100 ms, and the stop goes on when all of them have ended, within 0.975 of its bound. The phases of a stop are one type (planned_stop) in place of separate flags.

stopping::a_request_in_the_accept_queue_is_answered_before_the_stop_ends failed before: no answer by the end of the stop; it is 503 now. The test keeps the thread of the connections busy for 700 ms as the stop ends.

--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -15,6 +15,7 @@
 use crate::peers::snapshot::{fetch_snapshots, serve_snapshots};
 use crate::peers::stream_origins::{announce_earlier_streams, request_kept_origins};
 use crate::peers::weights_reports::report_weights;
+use crate::planned_stop::StopPhase;
 use crate::ports::Site;
 use crate::quarantine::sync_quarantine;
 use crate::readiness::{serve_metrics, serve_readiness};
@@ -48,9 +49,12 @@
 const ACCEPT_WHILE_STOPPING_MS: u64 = 2_900;
 /// Time without a request after which a stopping node exits, in milliseconds.
 const IDLE_BEFORE_STOP_MS: u64 = 300;
-/// Fraction of the bound on a planned stop that is used for draining; the rest is for
-/// ending the tasks.
-const STOP_SHARE: f64 = 0.95;
+/// Fraction of the bound on a planned stop after which running requests are not waited for any
+/// more.
+const DRAINED_SHARE: f64 = 0.95;
+/// Fraction of the bound on a planned stop after which callers' connections are not waited for
+/// any more; the rest is for ending the tasks.
+const CLOSED_SHARE: f64 = 0.975;
 /// Longest time for which a node that has stopped waits until the connections that were still
 /// open are logged, in milliseconds.
 const END_CONNECTIONS_MS: u64 = 50;
@@ -78,6 +82,7 @@
     pub callers: SocketAddr,
     /// Address of the readiness probe.
     pub readiness: SocketAddr,
+    accepting: Task<()>,
     tasks: Vec<Task<()>>,
 }
 
@@ -110,8 +115,8 @@
         None => None,
     };
     let gateway = Arc::new(Gateway::with_clock(settings, site, log, clock));
+    let accepting = smol::spawn(accept_callers(Arc::clone(&gateway), callers));
     let mut tasks = vec![
-        smol::spawn(accept_callers(Arc::clone(&gateway), callers)),
         smol::spawn(serve_readiness(Arc::clone(&gateway), readiness)),
         smol::spawn(follow_configuration(Arc::clone(&gateway))),
         smol::spawn(follow_engines(Arc::clone(&gateway))),
@@ -184,6 +189,7 @@
         gateway,
         callers: callers_address,
         readiness: readiness_address,
+        accepting,
         tasks,
     })
 }
@@ -236,24 +242,29 @@
 
 impl RunningGateway {
     /// Stops the node as planned: it is no longer ready from now on, accepts requests for
-    /// `ACCEPT_WHILE_STOPPING_MS` so that the load balancer can notice, and ends when no
-    /// request is in flight, at the latest within the bound on a planned stop.
+    /// `ACCEPT_WHILE_STOPPING_MS` so that the load balancer can notice, and refuses later ones.
+    /// When no request is in flight, it answers what has arrived on connections that were not
+    /// read yet, and ends; at the latest within the bound on a planned stop.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         let began = gateway.clock.now();
         gateway.begin_stop();
         slog::info!(gateway.log, "stopping"; "under_way" => gateway.requests_in_flight());
-        let limit_ms = (gateway.settings().bounds.stop_seconds * 1_000.0 * STOP_SHARE) as u64;
-        let finishing = async {
+        let stop_ms = gateway.settings().bounds.stop_seconds * 1_000.0;
+        let draining = async {
             sleep(ACCEPT_WHILE_STOPPING_MS).await;
             gateway.begin_refusing();
             wait_until_drained(gateway).await;
         };
-        within(limit_ms, finishing).await;
+        within((stop_ms * DRAINED_SHARE) as u64, draining).await;
+        gateway.planned_stop.begin(StopPhase::Closing);
+        let after_ms = gateway.clock.now().since(began);
+        let left_ms = ((stop_ms * CLOSED_SHARE) as u64).saturating_sub(after_ms);
+        within(left_ms, self.accepting).await;
         slog::info!(gateway.log, "stopped";
             "after_ms" => gateway.clock.now().since(began),
             "under_way" => gateway.requests_in_flight());
-        gateway.end_connections();
+        gateway.planned_stop.begin(StopPhase::Ended);
         within(END_CONNECTIONS_MS, wait_until_none_in_flight(gateway)).await;
         for task in self.tasks {
             task.cancel().await;
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -6,6 +6,7 @@
 use crate::forward::{
     admit, refuse, serve, AfterAnswer, CallerAnswer, ReceivedRequest, StreamFraming, TimeLimits,
 };
+use crate::planned_stop::StopPhase;
 use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
@@ -22,6 +23,9 @@
 
 /// Idle time after which a stopping node closes a kept connection, in milliseconds.
 const STOPPING_IDLE_MS: u64 = 1_500;
+/// Time for which a node that has stopped accepting connections waits on an open one for a
+/// request that is on its way, in milliseconds.
+const CLOSING_IDLE_MS: u64 = 100;
 /// Longest wait for a caller to read the last answer and close, in milliseconds.
 const LINGER_MS: u64 = 300;
 /// Bytes that a caller may pipeline before the answer to its current request. If it sends
@@ -138,7 +142,13 @@
         idle.wait_for_close_request().await;
         Received::Nothing
     };
+    let closing = async {
+        gateway.planned_stop.wait_for(StopPhase::Closing).await;
+        sleep(CLOSING_IDLE_MS).await;
+        Received::Nothing
+    };
     let ending = futures_lite::future::or(idling, close_requested);
+    let ending = futures_lite::future::or(ending, closing);
     // The read is tried first: bytes that have arrived are never left unread for a time-out
     // that expired meanwhile.
     match futures_lite::future::or(filling, ending).await {
--- a/crates/gateway/src/callers/connection_end.rs
+++ b/crates/gateway/src/callers/connection_end.rs
@@ -4,6 +4,7 @@
 //! connection that ends in between is counted and logged exactly once, also when its task is
 //! dropped or panics.
 
+use crate::planned_stop::StopPhase;
 use crate::state::Gateway;
 use ploverlift_policy::ids::Millis;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -163,7 +164,7 @@
     fn end_of_dropped_task(&self) -> ConnectionEnd {
         if std::thread::panicking() {
             ConnectionEnd::Panicked
-        } else if self.gateway.has_ended_connections() {
+        } else if self.gateway.planned_stop.has_begun(StopPhase::Ended) {
             ConnectionEnd::NodeStopped
         } else {
             ConnectionEnd::Dropped
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -2,9 +2,10 @@
 
 use super::{serve_connection, ConnectionLimits, OpenConnections};
 use crate::http_call::{set_liveness_options, PeerLiveness};
+use crate::planned_stop::StopPhase;
 use crate::state::Gateway;
 use crate::time::within;
-use smol::net::TcpListener;
+use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
@@ -36,40 +37,78 @@
     TcpListener::try_from(listener)
 }
 
-/// Accepts and serves connections of callers until the task is dropped.
+/// Accepts and serves connections of callers until a planned stop closes them; ends when the
+/// last one has ended.
 pub async fn accept_callers(gateway: Arc<Gateway>, listener: TcpListener) {
     let limits = ConnectionLimits {
         max_open: gateway.settings().callers.max_connections,
         min_idle_ms: MIN_IDLE_MS,
     };
     let connections = OpenConnections::new(limits);
+    let accepting = accept_within_limits(&gateway, &listener, &connections);
+    let closing = gateway.planned_stop.wait_for(StopPhase::Closing);
+    futures_lite::future::or(closing, accepting).await;
+    accept_queued(&gateway, &listener, &connections).await;
+    // From now on the kernel refuses callers, which then connect to another node.
+    drop(listener);
+    connections.wait_until_ended().await;
+}
+
+/// Accepts connections until the future is dropped.
+async fn accept_within_limits(
+    gateway: &Arc<Gateway>,
+    listener: &TcpListener,
+    connections: &Arc<OpenConnections>,
+) {
     loop {
         if !connections.has_capacity() {
-            wait_for_capacity(&gateway, &connections).await;
+            wait_for_capacity(gateway, connections).await;
             continue;
         }
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        match listener.accept().await {
+            Ok((stream, _)) => serve_accepted(gateway, stream, connections),
             Err(error) => {
                 // Probably out of file descriptors: connections that end free some.
-                slog::warn!(gateway.log, "caller not accepted";
-                    "open" => connections.count(), "error" => error.to_string());
-                wait_for_capacity(&gateway, &connections).await;
-                continue;
+                log_not_accepted(gateway, connections, &error);
+                wait_for_capacity(gateway, connections).await;
             }
-        };
-        let (gateway, open) = (Arc::clone(&gateway), connections.open());
-        let liveness = caller_liveness(gateway.settings().callers.peer_timeout_ms);
-        smol::spawn(async move {
-            set_liveness_options(&stream, liveness);
-            let serving = serve_connection(Arc::clone(&gateway), stream, open);
-            let ending = gateway.wait_for_connections_end();
-            futures_lite::future::or(serving, ending).await;
-        })
-        .detach();
+        }
     }
 }
 
+/// Accepts the connections in the kernel's queue. Closing the listener would reset them,
+/// although requests may have arrived on them.
+async fn accept_queued(
+    gateway: &Arc<Gateway>,
+    listener: &TcpListener,
+    connections: &Arc<OpenConnections>,
+) {
+    while let Some(accepted) = futures_lite::future::poll_once(listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => serve_accepted(gateway, stream, connections),
+            Err(error) => return log_not_accepted(gateway, connections, &error),
+        }
+    }
+}
+
+/// Serves a connection in a task of its own, until it ends or the node does.
+fn serve_accepted(gateway: &Arc<Gateway>, stream: TcpStream, connections: &Arc<OpenConnections>) {
+    let (gateway, open) = (Arc::clone(gateway), connections.open());
+    let liveness = caller_liveness(gateway.settings().callers.peer_timeout_ms);
+    smol::spawn(async move {
+        set_liveness_options(&stream, liveness);
+        let serving = serve_connection(Arc::clone(&gateway), stream, open);
+        let ending = gateway.planned_stop.wait_for(StopPhase::Ended);
+        futures_lite::future::or(serving, ending).await;
+    })
+    .detach();
+}
+
+fn log_not_accepted(gateway: &Gateway, connections: &OpenConnections, error: &io::Error) {
+    slog::warn!(gateway.log, "caller not accepted";
+        "open" => connections.count(), "error" => error.to_string());
+}
+
 /// When the kernel considers a caller's connection dead. A caller is silent while its engine
 /// works, and its link may be down for longer than one between machines of the site.
 fn caller_liveness(peer_timeout_ms: u64) -> PeerLiveness {
--- a/crates/gateway/src/callers/open_connections.rs
+++ b/crates/gateway/src/callers/open_connections.rs
@@ -75,6 +75,17 @@
         }
     }
 
+    /// Waits until no connection is open.
+    pub async fn wait_until_ended(&self) {
+        loop {
+            let ended = self.ended.listen();
+            if self.count() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Requests the connection that has been idle longest to close; returns false when none has
     /// been idle long enough.
     pub fn close_longest_idle(&self, now: Millis) -> bool {
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -6,6 +6,7 @@
 use super::ReceivedRequest;
 use crate::engine_paths::connect::EnginePath;
 use crate::peers::stream_origins::PlacedStream;
+use crate::planned_stop::StopPhase;
 use crate::ports::CacheTransfer;
 use crate::reliance::Reliance;
 use crate::state::Gateway;
@@ -276,7 +277,7 @@
         let gateway = &self.gateway;
         let outcome = if std::thread::panicking() {
             "internal_error"
-        } else if gateway.has_ended_connections() {
+        } else if gateway.planned_stop.has_begun(StopPhase::Ended) {
             "node_stopped"
         } else {
             "caller_left"
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 //! | [`weights`] | loads new weights into engines, by one lease holder |
 //! | [`suspension`] | detects that this node was suspended |
 //! | [`readiness`], [`metrics`], [`stream_metrics`], [`logging`] | how a node reports its own state |
+//! | [`planned_stop`] | phases of a planned stop |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
 
 pub mod assembly;
@@ -56,6 +57,7 @@
 pub mod outcomes;
 mod peer_stream;
 pub mod peers;
+pub mod planned_stop;
 pub mod ports;
 pub mod quarantine;
 pub mod readiness;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use crate::peers::pending_requests::PendingRequests;
 use crate::peers::stream_origins::ReceivedOriginAnswer;
 use crate::peers::token_requests::PendingTokenRequests;
+use crate::planned_stop::{PlannedStop, StopPhase};
 use crate::ports::Site;
 use crate::rollouts::choice::OwnSeat;
 use crate::settings::{GatewaySettings, NodeSettings};
@@ -26,7 +27,7 @@
 use ploverlift_routing::topology::Topology;
 use ploverlift_tunnel::limits::{TunnelLimits, TunnelUse};
 use slog::Logger;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// One node.
@@ -93,8 +94,8 @@
     pub stop_began: Event,
     /// Notified whenever a request or a connection has ended.
     pub work_ended: Event,
-    /// Notified when the connections of callers that are still open end with the node.
-    connections_ended: Event,
+    /// How far a planned stop has come.
+    pub planned_stop: PlannedStop,
     /// Incarnation of this node; a restarted node has a higher one.
     pub life: u64,
     /// When this node started.
@@ -103,9 +104,6 @@
     pub report_sequence: AtomicU64,
     /// Start of this node's weighted splits, from 0 to 1.
     pub split_start: f64,
-    stopping: AtomicBool,
-    refusing: AtomicBool,
-    has_ended_connections: AtomicBool,
     requests_in_flight: AtomicUsize,
     success_lines: Mutex<LineAllowance>,
     beliefs: Mutex<Beliefs>,
@@ -171,13 +169,10 @@
             outbox: Outbox::default(),
             stop_began: Event::new(),
             work_ended: Event::new(),
-            connections_ended: Event::new(),
+            planned_stop: PlannedStop::default(),
             life: unix_ms(),
             report_sequence: AtomicU64::new(1),
             split_start: fastrand::f64(),
-            stopping: AtomicBool::new(false),
-            refusing: AtomicBool::new(false),
-            has_ended_connections: AtomicBool::new(false),
             requests_in_flight: AtomicUsize::new(0),
             success_lines: Mutex::new(LineAllowance::default()),
             beliefs: Mutex::new(beliefs),
@@ -254,42 +249,23 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.planned_stop.has_begun(StopPhase::Accepting)
     }
 
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+        self.planned_stop.begin(StopPhase::Accepting);
         self.stop_began.notify(usize::MAX);
     }
 
     /// Whether a planned stop has reached the phase in which new requests are refused.
     pub fn is_refusing(&self) -> bool {
-        self.refusing.load(Ordering::Acquire)
+        self.planned_stop.has_begun(StopPhase::Refusing)
     }
 
     /// Refuses new requests from now on.
     pub fn begin_refusing(&self) {
-        self.refusing.store(true, Ordering::Release);
-    }
-
-    /// Ends the connections of callers that are still open, at the end of a planned stop.
-    pub fn end_connections(&self) {
-        self.has_ended_connections.store(true, Ordering::Release);
-        self.connections_ended.notify(usize::MAX);
-    }
-
-    /// Whether [`Self::end_connections`] was called.
-    pub fn has_ended_connections(&self) -> bool {
-        self.has_ended_connections.load(Ordering::Acquire)
-    }
-
-    /// Waits for [`Self::end_connections`].
-    pub async fn wait_for_connections_end(&self) {
-        let ended = self.connections_ended.listen();
-        if !self.has_ended_connections() {
-            ended.await;
-        }
+        self.planned_stop.begin(StopPhase::Refusing);
     }
 
     /// Number of requests that were read and not answered yet.
--- a/crates/gateway/tests/caller_connections/stopping.rs
+++ b/crates/gateway/tests/caller_connections/stopping.rs
@@ -92,6 +92,13 @@
     assert_eq!(smol::block_on(status_at_the_end(true)), 503);
 }
 
+// Guards against a process that ends with a whole request in its accept queue.
+#[test]
+fn a_request_in_the_accept_queue_is_answered_before_the_stop_ends() {
+    let _exclusive = run_exclusively();
+    assert_eq!(smol::block_on(status_at_the_end(false)), 503);
+}
+
 // Guards against a stop that ends while the body of a request arrives.
 #[test]
 fn a_request_whose_body_arrives_late_is_answered_before_the_stop_ends() {
