Unframed answers of engines that refuse new connections are whole while the engine runs

An answer that ends with its connection was aborted, or replaced by 502, although all of it had arrived, where its engine refused a new connection at that moment: an engine that leaves and has closed its listener, or one at its limit of connections.

Cause: after such an answer, a refused connection alone counted as the engine's termination, unless an idle connection happened to be kept.

Each engine of unframed answers now has one sentinel, an idle connection that its answers share. An engine that terminates ends all its connections at that moment, so: - a sentinel, or an idle connection, that stays open after the refusal: it runs; - the engine closed the sentinel, refused the next one, and the answer was still open 0.1 s later: it had stopped listening, and runs. A closed sentinel alone shows nothing, as engines close idle connections at any time. So too where the listener was closed half of bounds.leaving_engine_ms ago: engines that leave may be ended by then.

The other way round, a truncated stream was framed as complete where the idle connection of a terminated engine ended some milliseconds after the answer. Open connections are now given 0.1 s to end before they count.

Evidence: in tests/requests/unframed_ends.rs, four tests failed on the code before: whole streams and whole plain answers of engines that stop listening (idle connections closed or not), those of an engine that is at its limit, and a truncated stream whose engine's idle connections end 20 ms later. The other tests of engines that terminate passed there too, and pass.

Open: an engine that has closed its listener and all idle connections and is then killed between two events within that time leaves nothing that tells.

--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -6,13 +6,16 @@
 //! connection, and so cancels the request.
 
 use crate::time::within;
+use futures_lite::future::poll_once;
 use ploverlift_http1::{
     read_response_head, BodyDecoder, BufferedStream, Framing, HttpError, RequestHead, ResponseHead,
 };
 use ploverlift_policy::attempt::AttemptState;
 use smol::io::AsyncWriteExt;
 use std::fmt;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 
 /// Maximum size of an answer's head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -27,6 +30,18 @@
     /// Whether the whole request was written. An engine that answered before that would
     /// read the rest of the body as the start of the next request.
     request_is_written: bool,
+    /// When this node had last waited for bytes, or for the end of the body, and they arrived.
+    last_arrival: Instant,
+}
+
+/// The regular end of a body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyEnd {
+    /// How the end was determined.
+    pub framing: Framing,
+    /// When bytes, or the end, last arrived while this node was waiting for them. What had
+    /// arrived before it was read doesn't count: when, is not known.
+    pub last_arrival: Instant,
 }
 
 impl EngineAnswer {
@@ -45,13 +60,27 @@
         self.decoder.framing()
     }
 
+    /// The end of the body, once it was read.
+    pub fn body_end(&self) -> BodyEnd {
+        BodyEnd {
+            framing: self.framing(),
+            last_arrival: self.last_arrival,
+        }
+    }
+
     /// Appends the next bytes of the body to `output`; returns false at the regular end of
     /// the body.
     ///
     /// # Errors
     /// When the connection breaks before the end.
     pub async fn read(&mut self, output: &mut Vec<u8>) -> Result<bool, HttpError> {
-        self.decoder.read(&mut self.stream, output).await
+        let mut reading = pin!(self.decoder.read(&mut self.stream, output));
+        if let Some(read) = poll_once(reading.as_mut()).await {
+            return read;
+        }
+        let read = reading.await;
+        self.last_arrival = Instant::now();
+        read
     }
 }
 
@@ -154,6 +183,7 @@
             decoder,
             stream,
             request_is_written: request_is_written.load(Ordering::Relaxed),
+            last_arrival: Instant::now(),
         }),
     }
 }
--- a/crates/gateway/src/forward/answer_end.rs
+++ b/crates/gateway/src/forward/answer_end.rs
@@ -6,21 +6,38 @@
 //! | end of the connection | a stream ends after an event, and the engine still runs: the connections of an engine that terminates end as regularly as that of a complete answer |
 //!
 //! An engine that has terminated refuses new connections. So after an answer that ended with
-//! its connection, another connection is opened; the next request to the engine uses it.
+//! its connection, another connection is opened; the next request to the engine uses it. An
+//! engine that refuses it may also leave, or be at its limit of connections:
+//!
+//! | beside the refused connection | the engine |
+//! | --- | --- |
+//! | the sentinel connection ([`crate::engine_sentinels`]) or an idle one stays open | runs |
+//! | the engine closed the sentinel and refused the next one, and clearly later its answer went on | had stopped listening, and runs; unless its time for leaving is over |
+//! | the sentinel ended about when the answer did, or there was none | has terminated |
 
 use super::broken::BrokenAttempt;
 use super::choice::ChosenEngine;
 use super::Forwarding;
-use crate::engine_checks::keep_connection;
+use crate::engine_connection::{BodyEnd, EngineAnswer};
 use crate::engine_ends::has_ended;
 use crate::engine_paths::connect::connect_engine;
+use crate::engine_sentinels::decision::{RefusalCause, SentinelState};
+use crate::engine_sentinels::{
+    keep_as_sentinel, keeps_idle_connection_open, state_after_refusal, use_sentinel, SentinelUse,
+};
 use crate::time::within;
+use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_http1::Framing;
+use std::time::{Duration, Instant};
 
 /// Maximum delay of an answer's end by the check whether its engine still runs, in
 /// milliseconds.
 const ENGINE_CHECK_MS: u64 = 100;
 
+/// An engine that leaves is taken to run for the site's bound on leaving engines divided by this.
+/// Some are terminated when the bound is over.
+const LEAVING_DIVISOR: u64 = 2;
+
 /// What the regular end of an answer's body proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AnswerEnd {
@@ -64,14 +81,17 @@
     /// When the answer is broken off.
     pub(super) async fn check_answer_end(
         &mut self,
-        framing: Framing,
+        body_end: BodyEnd,
         unfinished_bytes: usize,
         chosen: &ChosenEngine,
     ) -> Result<(), BrokenAttempt> {
+        let framing = body_end.framing;
         self.record.record_answer_end(framing, unfinished_bytes);
         let end = match framing {
             _ if unfinished_bytes > 0 => AnswerEnd::InsideEvent,
-            Framing::UntilClose if self.has_terminated(chosen).await => AnswerEnd::EngineTerminated,
+            Framing::UntilClose if self.has_terminated(body_end.last_arrival, chosen).await => {
+                AnswerEnd::EngineTerminated
+            }
             _ => AnswerEnd::Whole,
         };
         let metrics = &self.gateway.metrics.answers;
@@ -79,32 +99,57 @@
         end.into_result(framing)
     }
 
+    /// Uses a sentinel connection to the engine while an answer lasts that ends with its
+    /// connection.
+    pub(super) fn use_sentinel(
+        &self,
+        answer: &EngineAnswer,
+        chosen: &ChosenEngine,
+    ) -> Option<SentinelUse> {
+        let ends_with_connection = answer.framing() == Framing::UntilClose;
+        ends_with_connection.then(|| use_sentinel(&self.gateway, &chosen.instance, chosen.address))
+    }
+
     /// Whether an engine that has just closed a connection is known to have terminated. An
-    /// engine that accepts no connection in time, or that refuses one but keeps another one
-    /// open, may still run.
-    async fn has_terminated(&self, chosen: &ChosenEngine) -> bool {
+    /// engine that accepts no connection in time, or that refuses one for another cause, may
+    /// still run.
+    async fn has_terminated(&self, last_arrival: Instant, chosen: &ChosenEngine) -> bool {
         let (instance, address) = (&chosen.instance, chosen.address);
         let connecting = connect_engine(&self.gateway, instance, address, ENGINE_CHECK_MS);
         match within(ENGINE_CHECK_MS, connecting).await {
             None => false,
             Some(Ok(connection)) => {
-                let now = self.gateway.clock.now();
-                keep_connection(&self.gateway, instance, connection, now);
+                keep_as_sentinel(&self.gateway, instance, connection);
                 false
             }
-            Some(Err(unconnected)) => {
-                has_ended(&unconnected) && !self.has_idle_connection(chosen).await
+            Some(Err(unconnected)) if has_ended(&unconnected) => {
+                self.refusal_cause(last_arrival, instance).await == RefusalCause::Terminated
             }
+            Some(Err(_)) => false,
         }
     }
 
-    /// Whether an idle connection to the engine is still open.
-    async fn has_idle_connection(&self, chosen: &ChosenEngine) -> bool {
-        let Some(connection) = self.take_idle_connection(chosen).await else {
-            return false;
+    /// Why the engine refused a connection after the end of its answer.
+    async fn refusal_cause(&self, last_arrival: Instant, instance: &InstanceId) -> RefusalCause {
+        let gateway = &self.gateway;
+        let arrived_ago_ms = last_arrival.elapsed().as_millis() as u64;
+        let leaving_ms = gateway.settings().bounds.leaving_engine_ms;
+        let ends_after = Duration::from_millis(leaving_ms / LEAVING_DIVISOR);
+        let sentinel = state_after_refusal(gateway, instance).await;
+        let cause = match RefusalCause::of(sentinel, last_arrival, ends_after) {
+            RefusalCause::Terminated if keeps_idle_connection_open(gateway, instance).await => {
+                RefusalCause::KeepsOthersOpen
+            }
+            cause => cause,
+        };
+        let refused_for_ms = match sentinel {
+            SentinelState::Refused { since } => Some(since.elapsed().as_millis() as u64),
+            SentinelState::Open | SentinelState::Unknown => None,
         };
-        let now = self.gateway.clock.now();
-        keep_connection(&self.gateway, &chosen.instance, connection, now);
-        true
+        slog::info!(gateway.log, "connection refused after an answer";
+            "engine" => &instance.0, "id" => &self.received.request.id,
+            "sentinel" => sentinel.name(), "refused_for_ms" => refused_for_ms,
+            "arrived_ago_ms" => arrived_ago_ms, "cause" => cause.name());
+        cause
     }
 }
--- a/crates/gateway/src/forward/answer_head.rs
+++ b/crates/gateway/src/forward/answer_head.rs
@@ -24,6 +24,7 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
+        let _sentinel = self.use_sentinel(&answer, chosen);
         match self.read_meaning(&answer, chosen, in_flight) {
             AnswerMeaning::Refused(refused) => {
                 in_flight.note_outcome(Outcome::Refused);
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -162,7 +162,7 @@
         };
         match waited {
             Waited::Done(Ok(true)) => {
-                match self.check_answer_end(answer.framing(), 0, chosen).await {
+                match self.check_answer_end(answer.body_end(), 0, chosen).await {
                     Ok(()) => ReadEnd::Whole(body),
                     Err(broken) => ReadEnd::Broken(broken),
                 }
@@ -213,7 +213,7 @@
             match within(left_ms, answer.read(&mut piece)).await {
                 Some(Ok(true)) => self.answer.write_chunk(&piece).await?,
                 Some(Ok(false)) => {
-                    let end = self.check_answer_end(answer.framing(), 0, chosen);
+                    let end = self.check_answer_end(answer.body_end(), 0, chosen);
                     return Ok(end.await);
                 }
                 Some(Err(error)) => return Ok(Err(BrokenAttempt::in_answer(&error))),
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -242,8 +242,8 @@
                 Waited::Done(Ok(true)) => {}
                 Waited::Done(Ok(false)) => {
                     let unfinished_bytes = splitter.unfinished_bytes();
-                    let framing = answer.framing();
-                    let end = self.check_answer_end(framing, unfinished_bytes, chosen);
+                    let body_end = answer.body_end();
+                    let end = self.check_answer_end(body_end, unfinished_bytes, chosen);
                     return match end.await {
                         Ok(()) => StreamStep::End(std::mem::take(&mut splitter.pending)),
                         Err(broken) => StreamStep::Broken(broken),
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -7,10 +7,13 @@
 //! fraction of the engine's own idle time-out.
 
 use crate::engine_paths::connect::{EngineConnection, EnginePath};
+use crate::engine_sentinels::EngineSentinel;
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_http1::Headers;
+use ploverlift_http1::{BufferedStream, Headers};
 use ploverlift_policy::ids::Millis;
+use smol::net::TcpStream;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Maximum number of idle connections to one engine; the oldest is closed first.
 const MAX_PER_ENGINE: usize = 4;
@@ -24,10 +27,24 @@
     use_before: Millis,
 }
 
+impl IdleConnection {
+    /// Whether the engine has, as far as is known locally, neither sent data nor closed it.
+    pub(crate) async fn is_quiet(&self) -> bool {
+        self.connection.stream.is_quiet().await
+    }
+
+    /// The connection, for another use.
+    pub(crate) fn into_stream(self) -> BufferedStream {
+        self.connection.stream
+    }
+}
+
 /// Idle connections by engine.
 #[derive(Default)]
 pub struct KeptConnections {
     by_engine: HashMap<InstanceId, Vec<IdleConnection>>,
+    /// Sentinel connections, on which no request is sent.
+    pub(crate) sentinels: HashMap<InstanceId, Arc<EngineSentinel>>,
 }
 
 impl KeptConnections {
@@ -61,6 +78,28 @@
         kept.pop().map(|idle| idle.connection)
     }
 
+    /// Removes and returns the least recently used idle connection to an engine that is no
+    /// tunnel.
+    pub(crate) fn take_oldest_direct(
+        &mut self,
+        instance: &InstanceId,
+        now: Millis,
+    ) -> Option<IdleConnection> {
+        self.expire(now);
+        let kept = self.by_engine.get_mut(instance)?;
+        let is_direct = |idle: &IdleConnection| idle.connection.path == EnginePath::Direct;
+        let oldest = kept.iter().position(is_direct)?;
+        Some(kept.remove(oldest))
+    }
+
+    /// Handles of the idle connections to an engine that are no tunnels.
+    pub(crate) fn direct_handles(&mut self, instance: &InstanceId, now: Millis) -> Vec<TcpStream> {
+        self.expire(now);
+        let kept = self.by_engine.get(instance).into_iter().flatten();
+        let direct = kept.filter(|idle| idle.connection.path == EnginePath::Direct);
+        direct.map(|idle| idle.connection.stream.writer()).collect()
+    }
+
     /// Closes all idle connections to an engine, after one of them got no answer.
     pub fn forget(&mut self, instance: &InstanceId) {
         self.by_engine.remove(instance);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`quarantine`] | stored list of requests during which engines terminated |
 //! | [`engine_checks`] | connection checks of engines that could not be reached |
 //! | [`engine_paths`] | connections to engines, as far as this node reaches them |
+//! | [`engine_sentinels`] | an idle connection to each engine whose answers end with their connections |
 //! | [`kept_connections`] | idle connections to engines |
 //! | [`store`] | client of the object store and the copies that follow it |
 //! | [`peers`] | reports between nodes: loads, and the engines that cache each prompt |
@@ -46,6 +47,7 @@
 pub mod engine_limits;
 mod engine_log;
 pub mod engine_paths;
+pub mod engine_sentinels;
 mod engine_signals;
 pub mod engines_proof;
 pub mod forward;
--- a/crates/gateway/tests/requests/main.rs
+++ b/crates/gateway/tests/requests/main.rs
@@ -10,3 +10,4 @@
 #[path = "../support/mod.rs"]
 mod support;
 mod truncated_answers;
+mod unframed_ends;
--- /dev/null
+++ b/crates/gateway/tests/requests/unframed_ends.rs
@@ -0,0 +1,348 @@
+//! Ends of unframed answers of engines that refuse new connections: whole where the engine runs
+//! on, broken off where it terminates.
+
+use crate::app_engine::app;
+use crate::support::caller::{self, prompt, request, Answer, Request};
+use crate::support::engine::listening::IdleConnections;
+use crate::support::engine::{all_events, AnswerFormat, Behaviour, StandInEngine, EVENTS};
+use crate::support::{configuration, Fixture};
+use ploverlift_gateway::engine_sentinels::decision::{RefusalCause, SentinelState, RAN_ON_FOR};
+use ploverlift_gateway::time::sleep;
+use std::time::{Duration, Instant};
+
+/// Time from the arrival of a request until its engine stops listening, in milliseconds.
+const LISTENS_FOR_MS: u64 = 100;
+/// Time from then until an engine terminates between two events, in milliseconds.
+const RUNS_ON_MS: u64 = 80;
+/// Time after which an answer that is no stream is sent, in milliseconds.
+const ANSWERED_AFTER_MS: u64 = 400;
+/// Time for which a caller reads nothing before and after the end of its engine, in milliseconds.
+const UNREAD_MS: u64 = 400;
+/// Size of an answer that the buffers between engine and caller do not hold, in bytes.
+const LARGER_THAN_BUFFERS: usize = 32 * 1024 * 1024;
+/// Routes of streams, and routes of other answers.
+const STREAM_HOSTS: [&str; 2] = ["stream.test", "resume.test"];
+const PLAIN_HOSTS: [&str; 2] = ["safe.test", "unsafe.test"];
+const BOTH: [IdleConnections; 2] = [IdleConnections::LeftOpen, IdleConnections::Closed];
+
+/// What an engine does after it has stopped listening.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Afterwards {
+    RunsOn,
+    Terminates,
+}
+
+async fn plain_engine(behaviour: Behaviour) -> StandInEngine {
+    let engine = app(behaviour).await;
+    engine.set_format(AnswerFormat::UNFRAMED);
+    engine
+}
+
+async fn stream_engine(behaviour: Behaviour) -> StandInEngine {
+    let engine = StandInEngine::start("llm-1", "llm", behaviour).await;
+    engine.set_format(AnswerFormat::UNFRAMED);
+    engine
+}
+
+/// Sends a request whose engine stops listening while it runs it.
+async fn send_while_it_stops(
+    fixture: &Fixture,
+    engine: &StandInEngine,
+    request: Request,
+    idle: IdleConnections,
+    afterwards: Afterwards,
+) -> Answer {
+    while engine.happened.try_recv().is_ok() {}
+    let address = fixture.running().callers;
+    let asking = smol::spawn(async move { caller::send(address, &request).await });
+    engine.happened.recv().await.expect("the engine");
+    sleep(LISTENS_FOR_MS).await;
+    engine.stop_listening(idle).await;
+    if afterwards == Afterwards::Terminates {
+        sleep(RUNS_ON_MS).await;
+        engine.end().await;
+    }
+    asking.await
+}
+
+/// Sends requests that are answered at once.
+async fn warm_up(fixture: &Fixture, engine: &StandInEngine, request: &Request) {
+    engine.set(Behaviour::Answer);
+    for _ in 0..2 {
+        assert!(fixture.send(request).await.is_whole);
+    }
+}
+
+// Guards against a whole stream being aborted because its engine, which leaves in order or is at
+// its limit of connections, accepts no other one.
+#[test]
+fn an_unframed_stream_is_whole_where_its_engine_stops_listening_and_runs_on() {
+    smol::block_on(async {
+        for host in STREAM_HOSTS {
+            for idle in BOTH {
+                for is_warm in [false, true] {
+                    let case = format!("{host} {idle:?} warm={is_warm}");
+                    let llm = stream_engine(Behaviour::Answer).await;
+                    let fixture = Fixture::new(&[&llm]).await;
+                    if is_warm {
+                        warm_up(&fixture, &llm, &prompt(host, "warm-up")).await;
+                    }
+                    llm.set(Behaviour::StreamSlowly(EVENTS));
+                    let asked = prompt(host, "r");
+                    let sending =
+                        send_while_it_stops(&fixture, &llm, asked, idle, Afterwards::RunsOn);
+                    let answer = sending.await;
+                    assert_eq!(answer.text(), all_events(), "{case}");
+                    assert!(answer.is_whole, "{case}");
+                }
+            }
+        }
+    });
+}
+
+// Guards against a truncated stream being taken for complete because its engine had stopped
+// listening before it terminated: its other connections end with it.
+#[test]
+fn an_unframed_stream_is_broken_off_where_its_engine_terminates_after_it_stopped_listening() {
+    smol::block_on(async {
+        for host in STREAM_HOSTS {
+            for is_warm in [false, true] {
+                let case = format!("{host} warm={is_warm}");
+                let llm = stream_engine(Behaviour::Answer).await;
+                let fixture = Fixture::new(&[&llm]).await;
+                if is_warm {
+                    warm_up(&fixture, &llm, &prompt(host, "warm-up")).await;
+                }
+                llm.set(Behaviour::StreamSlowly(EVENTS));
+                let (asked, idle) = (prompt(host, "r"), IdleConnections::LeftOpen);
+                let sending =
+                    send_while_it_stops(&fixture, &llm, asked, idle, Afterwards::Terminates);
+                let answer = sending.await;
+                assert!(!answer.is_whole, "{case}");
+                assert!(all_events().starts_with(&answer.text()), "{case}");
+            }
+        }
+    });
+}
+
+// Guards against a whole stream on a kept connection being aborted because its engine has been at
+// its limit of connections since before the request, and against one of an engine that terminates
+// there being taken for complete.
+#[test]
+fn at_the_limit_of_connections_an_open_one_tells_an_engine_that_runs_from_one_that_terminates() {
+    smol::block_on(async {
+        for (behaviour, is_whole) in [
+            (Behaviour::StreamSlowly(EVENTS), true),
+            (Behaviour::EndAfter(3), false),
+        ] {
+            let llm = stream_engine(Behaviour::Answer).await;
+            let fixture = Fixture::new(&[&llm]).await;
+            warm_up(&fixture, &llm, &prompt("resume.test", "warm-up")).await;
+            llm.stop_listening(IdleConnections::LeftOpen).await;
+            llm.set(behaviour.clone());
+            let answer = fixture.send(&prompt("resume.test", "r")).await;
+            assert_eq!(answer.is_whole, is_whole, "{behaviour:?}");
+        }
+    });
+}
+
+// Guards against a truncated stream being taken for complete because its engine closed an idle
+// connection long before it terminated, as all engines do.
+#[test]
+fn an_unframed_stream_is_broken_off_where_its_engine_closed_idle_connections_and_then_terminates() {
+    smol::block_on(async {
+        for host in STREAM_HOSTS {
+            let llm = stream_engine(Behaviour::Answer).await;
+            let fixture = Fixture::new(&[&llm]).await;
+            warm_up(&fixture, &llm, &prompt(host, "warm-up")).await;
+            llm.set(Behaviour::StreamSlowly(EVENTS));
+            while llm.happened.try_recv().is_ok() {}
+            let address = fixture.running().callers;
+            let asked = prompt(host, "r");
+            let asking = smol::spawn(async move { caller::send(address, &asked).await });
+            llm.happened.recv().await.expect("the engine");
+            llm.close_idle();
+            sleep(LISTENS_FOR_MS + RUNS_ON_MS).await;
+            llm.end().await;
+            assert!(!asking.await.is_whole, "{host}");
+        }
+    });
+}
+
+// Guards against a truncated stream being taken for complete because another connection to its
+// terminated engine ends a moment later.
+#[test]
+fn an_unframed_stream_is_broken_off_where_other_connections_of_its_engine_end_a_moment_later() {
+    const LATER_MS: u64 = 20;
+    smol::block_on(async {
+        for host in STREAM_HOSTS {
+            let llm = stream_engine(Behaviour::Answer).await;
+            let fixture = Fixture::new(&[&llm]).await;
+            for number in 0..3 {
+                let id = format!("warm-up {number}");
+                assert!(fixture.send(&prompt(host, &id)).await.is_whole);
+            }
+            llm.set(Behaviour::StreamSlowly(EVENTS));
+            while llm.happened.try_recv().is_ok() {}
+            let address = fixture.running().callers;
+            let asked = prompt(host, "r");
+            let asking = smol::spawn(async move { caller::send(address, &asked).await });
+            llm.happened.recv().await.expect("the engine");
+            sleep(LISTENS_FOR_MS + RUNS_ON_MS).await;
+            llm.end_in_turn(LATER_MS).await;
+            assert!(!asking.await.is_whole, "{host}");
+        }
+    });
+}
+
+// Guards against a stream that was cut being taken for complete because its engine had refused
+// connections before: some engines that leave are terminated when their time is over.
+#[test]
+fn an_unframed_stream_of_an_engine_that_leaves_is_whole_only_within_the_time_for_leaving() {
+    const SHORT: &str = "[bounds]\nleaving_engine_ms = 300\n";
+    smol::block_on(async {
+        let llm = stream_engine(Behaviour::StreamSlowly(EVENTS)).await;
+        let fixture = Fixture::with(&[&llm], configuration(1), SHORT).await;
+        let (asked, idle) = (prompt("stream.test", "r"), IdleConnections::Closed);
+        let answer = send_while_it_stops(&fixture, &llm, asked, idle, Afterwards::RunsOn).await;
+        assert!(!answer.is_whole);
+    });
+}
+
+// Guards against a truncated stream being taken for complete because other connections to its
+// engine had been open.
+#[test]
+fn an_unframed_stream_is_broken_off_where_its_engine_terminates_beside_idle_connections() {
+    smol::block_on(async {
+        for host in STREAM_HOSTS {
+            let llm = stream_engine(Behaviour::Answer).await;
+            let fixture = Fixture::new(&[&llm]).await;
+            warm_up(&fixture, &llm, &prompt(host, "warm-up")).await;
+            llm.set(Behaviour::EndAfter(3));
+            let answer = fixture.send(&prompt(host, "r")).await;
+            assert!(!answer.is_whole, "{host}");
+        }
+    });
+}
+
+// Guards against a truncated answer being taken for complete because its caller reads it so slowly
+// that this node reads the last bytes long after it has noticed that the engine has ended.
+#[test]
+fn an_unframed_answer_is_broken_off_where_it_is_read_long_after_its_engine_terminated() {
+    smol::block_on(async {
+        let app = plain_engine(Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        warm_up(&fixture, &app, &request("unsafe.test", "warm-up")).await;
+        while app.happened.try_recv().is_ok() {}
+        app.set(Behaviour::AnswerLarge(200, LARGER_THAN_BUFFERS));
+        let asked = request("unsafe.test", "r");
+        let mut connection = caller::open(fixture.running().callers, &asked).await;
+        app.happened.recv().await.expect("the engine");
+        sleep(UNREAD_MS).await;
+        app.end().await;
+        sleep(UNREAD_MS).await;
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert!(answer.body.len() < LARGER_THAN_BUFFERS);
+        assert!(!answer.is_whole);
+    });
+}
+
+// Guards against a whole answer being withheld because its engine, which leaves in order or is at
+// its limit of connections, accepts no other one.
+#[test]
+fn an_unframed_answer_is_whole_where_its_engine_stops_listening_and_runs_on() {
+    smol::block_on(async {
+        for host in PLAIN_HOSTS {
+            for idle in BOTH {
+                let case = format!("{host} {idle:?}");
+                let app = plain_engine(Behaviour::Answer).await;
+                let fixture = Fixture::new(&[&app]).await;
+                warm_up(&fixture, &app, &request(host, "warm-up")).await;
+                app.set(Behaviour::AnswerAfter(ANSWERED_AFTER_MS));
+                let asked = request(host, "r");
+                let sending = send_while_it_stops(&fixture, &app, asked, idle, Afterwards::RunsOn);
+                let answer = sending.await;
+                let received = (answer.status(), answer.text(), answer.is_whole);
+                assert_eq!(received, (200, "answer to r".to_owned(), true), "{case}");
+            }
+        }
+    });
+}
+
+// Guards against half of an answer being taken for complete because other connections to its
+// engine had been open.
+#[test]
+fn an_unframed_answer_is_broken_off_where_its_engine_terminates_beside_idle_connections() {
+    smol::block_on(async {
+        for host in PLAIN_HOSTS {
+            let app = plain_engine(Behaviour::Answer).await;
+            let fixture = Fixture::new(&[&app]).await;
+            warm_up(&fixture, &app, &request(host, "warm-up")).await;
+            app.set(Behaviour::EndAfter(1));
+            let answer = fixture.send(&request(host, "r")).await;
+            assert_eq!(answer.status(), 502, "{host}");
+        }
+    });
+}
+
+// Guards against unframed answers that cost their engines more connections than the one that shows
+// that the engine still runs.
+#[test]
+fn unframed_answers_cost_one_connection_each_beside_one_that_stays_open() {
+    const ANSWERS: usize = 8;
+    smol::block_on(async {
+        let cases = [
+            ("resume.test", Behaviour::Answer, ANSWERS),
+            ("resume.test", Behaviour::StreamSlowly(EVENTS), ANSWERS),
+            ("stream.test", Behaviour::Answer, 2 * ANSWERS),
+            ("stream.test", Behaviour::StreamSlowly(EVENTS), 2 * ANSWERS),
+        ];
+        for (host, behaviour, today) in cases {
+            let case = format!("{host} {behaviour:?}");
+            let llm = stream_engine(behaviour).await;
+            let fixture = Fixture::new(&[&llm]).await;
+            let before = llm.accepted();
+            for number in 0..ANSWERS {
+                let answer = fixture.send(&prompt(host, &format!("r{number}"))).await;
+                assert!(answer.is_whole, "{case}");
+            }
+            let opened = llm.accepted() - before;
+            println!("{case}: {opened} connections for {ANSWERS} answers");
+            assert!(opened <= today + 2, "{case}: {opened}");
+        }
+    });
+}
+
+// Guards against the end of a terminated engine's answer being taken for regular, and against that
+// of an engine that runs on being taken for its termination.
+#[test]
+fn a_refused_connection_shows_a_termination_unless_the_engine_is_known_to_run_on() {
+    const ENDS_AFTER: Duration = Duration::from_secs(1);
+    const MOMENT: Duration = Duration::from_millis(1);
+    let since = Instant::now() + ENDS_AFTER;
+    let refused = SentinelState::Refused { since };
+    let cases = [
+        (SentinelState::Open, since, RefusalCause::KeepsOthersOpen),
+        (SentinelState::Unknown, since, RefusalCause::Terminated),
+        (refused, since - MOMENT, RefusalCause::Terminated),
+        (refused, since, RefusalCause::Terminated),
+        (
+            refused,
+            since + RAN_ON_FOR - MOMENT,
+            RefusalCause::Terminated,
+        ),
+        (refused, since + RAN_ON_FOR, RefusalCause::RefusedBefore),
+        (
+            refused,
+            since + ENDS_AFTER - MOMENT,
+            RefusalCause::RefusedBefore,
+        ),
+        (refused, since + ENDS_AFTER, RefusalCause::Terminated),
+    ];
+    for (sentinel, arrived, expected) in cases {
+        let cause = RefusalCause::of(sentinel, arrived, ENDS_AFTER);
+        let arrived_after = arrived.saturating_duration_since(since);
+        assert_eq!(cause, expected, "{sentinel:?} {arrived_after:?}");
+    }
+}
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -3,17 +3,19 @@
 use super::super::site;
 use super::answers::respond;
 use super::{Behaviour, Shared, RUNS_BEFORE_END_MS};
+use event_listener::EventListener;
 use ploverlift_gateway::time::sleep;
-use ploverlift_http1::{read_request_head, BufferedStream, RequestHead, ResponseHead};
+use ploverlift_http1::{read_request_head, BodyDecoder, BufferedStream, RequestHead, ResponseHead};
 use serde_json::{json, Value};
 use smol::net::TcpStream;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Instant;
 
 pub async fn serve(shared: Arc<Shared>, stream: TcpStream) {
     let mut connection = BufferedStream::new(stream);
     let mut requests = 0;
-    while let Ok((head, mut decoder)) = read_request_head(&mut connection, 65_536).await {
+    while let Some((head, mut decoder)) = next_request(&shared, &mut connection).await {
         let behaviour = shared.behaviour.lock().expect("behaviour").clone();
         if *shared.behaviour.lock().expect("behaviour") == Behaviour::RefuseEarly {
             let mut refusal = ResponseHead::new(503);
@@ -57,6 +59,7 @@
         // behaviour at once.
         let answers = shared.behaviour.lock().expect("behaviour").clone();
         let ends = matches!(answers, Behaviour::EndsUnder(marked) if marked == body);
+        let closed = shared.running_closed.listen();
         record_request(&shared, &head, body);
         if ends {
             sleep(RUNS_BEFORE_END_MS).await;
@@ -66,7 +69,10 @@
         if requests > 1 && answers == Behaviour::CloseKeptThenRefuse {
             return;
         }
-        respond(&shared, answers.clone(), &mut connection, &head).await;
+        let responding = respond(&shared, answers.clone(), &mut connection, &head);
+        if !is_answered(responding, closed).await {
+            return;
+        }
         match behaviour {
             _ if shared.format().is_unframed() => return,
             Behaviour::KeepConnection | Behaviour::ForgetConnection => {}
@@ -76,6 +82,33 @@
     }
 }
 
+/// Waits for the next request; `None` when the peer or the engine closes the idle connection.
+async fn next_request(
+    shared: &Shared,
+    connection: &mut BufferedStream,
+) -> Option<(RequestHead, BodyDecoder)> {
+    let closed = shared.idle_closed.listen();
+    let reading = async { read_request_head(connection, 65_536).await.ok() };
+    let closing = async {
+        closed.await;
+        None
+    };
+    futures_lite::future::or(reading, closing).await
+}
+
+/// Runs until the answer is sent; returns false when the engine closes the connection before.
+async fn is_answered(responding: impl Future<Output = ()>, closed: EventListener) -> bool {
+    let responding = async {
+        responding.await;
+        true
+    };
+    let closing = async {
+        closed.await;
+        false
+    };
+    futures_lite::future::or(responding, closing).await
+}
+
 fn record_request(shared: &Shared, head: &RequestHead, body: Vec<u8>) {
     let mut recorded = shared.recorded.lock().expect("calls");
     recorded.arrived.push(Instant::now());
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod connection;
 mod format;
+pub mod listening;
 mod pause;
 
 pub use self::format::{AnswerFormat, LineEnding};
@@ -146,6 +147,12 @@
     ended: Event,
     /// Notified once a terminated engine refuses new connections; its open ones end then.
     closed: Event,
+    /// Notified when the engine closes its idle connections in order.
+    idle_closed: Event,
+    /// Notified when the engine closes the connections on which it runs requests.
+    running_closed: Event,
+    /// Number of connections that were accepted.
+    accepted: AtomicUsize,
     seen: async_channel::Sender<()>,
 }
 
@@ -189,6 +196,9 @@
             ends: AtomicUsize::new(0),
             ended: Event::new(),
             closed: Event::new(),
+            idle_closed: Event::new(),
+            running_closed: Event::new(),
+            accepted: AtomicUsize::new(0),
             seen,
         });
         let accepting = accept(&shared, &listener);
@@ -426,6 +436,7 @@
     let (serving, accepted) = (Arc::clone(shared), Arc::clone(listener));
     smol::spawn(async move {
         while let Ok((stream, _)) = accepted.accept().await {
+            serving.accepted.fetch_add(1, Ordering::AcqRel);
             let shared = Arc::clone(&serving);
             smol::spawn(async move {
                 let closed = shared.closed.listen();
