An engine that refuses connections and keeps others open has not ended under a request

A request whose connection was cut by an engine that runs, but is at its limit of connections or has closed its listener to leave, was held to have ended that engine: it was suspected, and its copies ran one at a time. At the third such moment it would have been refused.

Cause: the probe of an engine that cut a request took a refused connection alone for the engine's end.

An engine that ends closes all its connections at that moment. So after a refusal the probe also looks at the sentinel and the idle connections to the engine, gives them 0.1 s to end, and counts no end where one stays open. Where all have ended, or there is none, nothing changes; the probe waits only while one is open.

--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -7,13 +7,16 @@
 //! open another one, on which nothing is sent.
 //!
 //! ```text
-//! connection ended ─▶ new connection refused ─▶ terminated, during all requests cut there
+//! connection ended ─▶ new connection refused ─▶ idle ones end as well, or there is none ─▶ terminated,
+//!                  │                          │                          during all requests cut there
+//!                  │                          └▶ an idle one stays open ─▶ nothing is known
 //!                  └▶ accepted, or no answer ─▶ nothing is known
 //! ```
 
 use crate::cut_requests::CutRequest;
 use crate::engine_checks::keep_connection;
 use crate::engine_paths::connect::{connect_engine, EngineConnection, Unconnected};
+use crate::engine_sentinels::keeps_connection_open;
 use crate::http_call::ConnectFailure;
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
@@ -59,7 +62,9 @@
     let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
     let result = match connect_engine(gateway, instance, address, timeout_ms).await {
         Ok(connection) => Status::Alive(connection),
-        Err(unconnected) if has_ended(&unconnected) => Status::Ended,
+        Err(unconnected) if has_ended(&unconnected) => {
+            status_after_refusal(gateway, instance).await
+        }
         Err(unconnected) => Status::Unknown(unconnected.reason()),
     };
     let cut = gateway.beliefs().engine_ends.close(instance);
@@ -82,8 +87,16 @@
     }
 }
 
-/// Whether a refused connection shows that the engine has terminated: a peer whose own link
-/// works was refused as well, or there was no peer to ask.
+/// Status of an engine that refused the probe: it may be at its limit of connections, or leave.
+async fn status_after_refusal(gateway: &Gateway, instance: &InstanceId) -> Status {
+    match keeps_connection_open(gateway, instance).await {
+        true => Status::Unknown("refuses connections, keeps others open".to_owned()),
+        false => Status::Ended,
+    }
+}
+
+/// Whether a refused connection shows that the engine accepts none, as if it has terminated: a
+/// peer whose own link works was refused as well, or there was no peer to ask.
 pub(crate) fn has_ended(unconnected: &Unconnected) -> bool {
     let is_refused = unconnected.failure() == ConnectFailure::Refused;
     let peers = unconnected.peers.unwrap_or_default();
--- a/crates/gateway/src/engine_sentinels/mod.rs
+++ b/crates/gateway/src/engine_sentinels/mod.rs
@@ -217,6 +217,12 @@
     }
 }
 
+/// Whether an engine that has just refused a connection keeps another one open that is idle.
+pub(crate) async fn keeps_connection_open(gateway: &Gateway, instance: &InstanceId) -> bool {
+    let sentinel = state_after_refusal(gateway, instance).await;
+    sentinel == SentinelState::Open || keeps_idle_connection_open(gateway, instance).await
+}
+
 /// Whether an idle connection for requests is still open once its end would have arrived, if the
 /// engine terminated.
 pub(crate) async fn keeps_idle_connection_open(gateway: &Gateway, instance: &InstanceId) -> bool {
--- a/crates/gateway/tests/harmful_requests/main.rs
+++ b/crates/gateway/tests/harmful_requests/main.rs
@@ -9,6 +9,7 @@
 //! ended or only a connection. The tests repeat this with running nodes, where each engine
 //! that runs the request ends.
 
+mod cut_requests;
 mod fleets;
 mod harmless;
 mod relayed;
