Let callers that still send read the last answer

A caller that was refused inside its body (413, 408, 400), or whose pipelined bytes were over the limit, could lose the answer: the node read on for 300 ms after it and then closed the connection, and bytes that arrived later reset it. The caller saw a failed write in place of its refusal.

The node now reads on as long as the caller sends with pauses of at most 300 ms, for 3 s at the longest. A caller that sends nothing more is waited for as long as before.

last_answers::a_caller_that_sends_on_after_a_refusal_gets_it failed before with a broken pipe: it sends its body in pieces over a second.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -26,8 +26,10 @@
 /// Time for which a node that has stopped accepting connections waits on an open one for a
 /// request that is on its way, in milliseconds.
 const CLOSING_IDLE_MS: u64 = 100;
-/// Longest wait for a caller to read the last answer and close, in milliseconds.
-const LINGER_MS: u64 = 300;
+/// Longest pause of a caller that still sends after the last answer, in milliseconds.
+const LINGER_PAUSE_MS: u64 = 300;
+/// Longest time for which a caller may still send after the last answer, in milliseconds.
+const LONGEST_LINGER_MS: u64 = 3_000;
 /// Bytes that a caller may pipeline before the answer to its current request. If it sends
 /// more, its connection is closed after that answer.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
@@ -479,17 +481,17 @@
     }
 }
 
-/// Closes a connection after a complete answer. Unread bytes are drained first: closing
-/// with them would reset the connection, and the caller could lose the answer.
+/// Closes a connection after a complete answer. While the caller sends, its bytes are drained
+/// first: closing with them would reset the connection, and the caller could lose the answer.
 async fn linger(connection: &mut BufferedStream) {
     let _ = connection.writer().shutdown(Shutdown::Write);
     let draining = async {
-        while connection.fill().await.is_ok_and(|count| count > 0) {
+        while let Some(Ok(1..)) = within(LINGER_PAUSE_MS, connection.fill()).await {
             let count = connection.pending().len();
             connection.consume(count);
         }
     };
-    within(LINGER_MS, draining).await;
+    within(LONGEST_LINGER_MS, draining).await;
 }
 
 /// Closes a connection within an answer. The framing shows the caller that the answer is
--- a/crates/gateway/tests/caller_connections/main.rs
+++ b/crates/gateway/tests/caller_connections/main.rs
@@ -3,6 +3,7 @@
 mod configuration_changes;
 mod ends;
 mod idle;
+mod last_answers;
 mod node;
 mod pipelined;
 mod stopping;
