Bytes that a link held back do not show that an engine ran on without an announcement

The end of an unframed answer was taken for regular where its engine's sentinel connection was closed, another one refused, and bytes or the end of the answer arrived 0.1 s later. A link that delays or throttles holds bytes back for longer than the end of the other connections, so the truncated answer of an engine that had terminated in between would have reached its caller as complete.

Cause: arrival times were taken for times of sending.

They now count only for an engine that has announced its leaving, in its record or its answers, which explains the closed listener and connections. Without an announcement only a connection that stays open shows that the engine runs.

The whole streams and answers of engines that leave in order are those of engines that announce it; those that keep idle connections open need not.

--- a/crates/gateway/src/engine_sentinels/decision.rs
+++ b/crates/gateway/src/engine_sentinels/decision.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 /// Shortest time between a refused connection and the arrival of bytes, or of the end, of an
-/// answer after which the engine is known to have run on: bytes that it sent before it
-/// terminated are under way for less, also where a segment had to be sent again.
+/// answer after which an engine that leaves is taken to have run on: bytes that it sent before it
+/// terminated are under way for less, unless the link holds them back.
 pub const RAN_ON_FOR: Duration = Duration::from_millis(100);
 
 /// What is known from the sentinel connection to an engine.
@@ -38,7 +38,7 @@
 pub enum RefusalCause {
     /// It runs: another connection to it is open.
     KeepsOthersOpen,
-    /// It had refused connections before, and went on with the answer.
+    /// It leaves, had refused connections before, and went on with the answer.
     RefusedBefore,
     /// It has terminated, as far as is known.
     Terminated,
@@ -57,19 +57,21 @@
     /// Derives the cause from the state of the sentinel after the refusal, and from the time at
     /// which the answer's last bytes, or its end, arrived.
     ///
-    /// `ends_after` is the time after which an engine that leaves may be terminated by its
-    /// site: an answer that ends later may have been cut.
-    pub fn of(sentinel: SentinelState, arrived: Instant, ends_after: Duration) -> Self {
-        match sentinel {
-            SentinelState::Open => Self::KeepsOthersOpen,
-            SentinelState::Unknown => Self::Terminated,
-            SentinelState::Refused { since } => {
+    /// `leaves_within` is the time after which an engine that has announced its leaving may be
+    /// terminated by its site; `None` for an engine that has not. Without an announcement, bytes
+    /// that arrive after a refusal show nothing: the link may have held them back since before the
+    /// engine terminated.
+    pub fn of(sentinel: SentinelState, arrived: Instant, leaves_within: Option<Duration>) -> Self {
+        match (sentinel, leaves_within) {
+            (SentinelState::Open, _) => Self::KeepsOthersOpen,
+            (SentinelState::Refused { since }, Some(leaves_within)) => {
                 let ran_on_for = arrived.saturating_duration_since(since);
-                match ran_on_for >= RAN_ON_FOR && ran_on_for < ends_after {
+                match ran_on_for >= RAN_ON_FOR && ran_on_for < leaves_within {
                     true => Self::RefusedBefore,
                     false => Self::Terminated,
                 }
             }
+            (SentinelState::Refused { .. } | SentinelState::Unknown, _) => Self::Terminated,
         }
     }
 }
--- a/crates/gateway/src/engine_sentinels/mod.rs
+++ b/crates/gateway/src/engine_sentinels/mod.rs
@@ -13,10 +13,8 @@
 //! All answers of an engine share its sentinel. It is a connection that was opened to check the
 //! end of an earlier answer, or an idle one; another one is opened only for an answer that
 //! lasts. An engine may close an idle connection at any time, so the closing alone shows nothing:
-//! it is the refusal of the next one, while an answer goes on, that shows a closed listener.
-//!
-//! A termination during which neither an open connection nor an accepting listener was left can't
-//! be told from the regular end of the last answer ([`decision::RefusalCause`]).
+//! it is the refusal of the next one, while an answer of an engine goes on that has announced its
+//! leaving, that shows a closed listener ([`decision::RefusalCause`]).
 
 pub mod decision;
 mod watch;
--- a/crates/gateway/src/forward/answer_end.rs
+++ b/crates/gateway/src/forward/answer_end.rs
@@ -12,8 +12,8 @@
 //! | beside the refused connection | the engine |
 //! | --- | --- |
 //! | the sentinel connection ([`crate::engine_sentinels`]) or an idle one stays open | runs |
-//! | the engine closed the sentinel and refused the next one, and clearly later its answer went on | had stopped listening, and runs; unless its time for leaving is over |
-//! | the sentinel ended about when the answer did, or there was none | has terminated |
+//! | the engine has announced its leaving, closed the sentinel and refused the next one, and clearly later its answer went on | had stopped listening, and runs; unless its time for leaving is over |
+//! | the sentinel has ended, or there was none | has terminated |
 
 use super::broken::BrokenAttempt;
 use super::choice::ChosenEngine;
@@ -133,10 +133,8 @@
     async fn refusal_cause(&self, last_arrival: Instant, instance: &InstanceId) -> RefusalCause {
         let gateway = &self.gateway;
         let arrived_ago_ms = last_arrival.elapsed().as_millis() as u64;
-        let leaving_ms = gateway.settings().bounds.leaving_engine_ms;
-        let ends_after = Duration::from_millis(leaving_ms / LEAVING_DIVISOR);
         let sentinel = state_after_refusal(gateway, instance).await;
-        let cause = match RefusalCause::of(sentinel, last_arrival, ends_after) {
+        let cause = match RefusalCause::of(sentinel, last_arrival, self.leaves_within(instance)) {
             RefusalCause::Terminated if keeps_idle_connection_open(gateway, instance).await => {
                 RefusalCause::KeepsOthersOpen
             }
@@ -152,4 +150,13 @@
             "arrived_ago_ms" => arrived_ago_ms, "cause" => cause.name());
         cause
     }
+
+    /// Time after which an engine that has announced its leaving may be terminated.
+    fn leaves_within(&self, instance: &InstanceId) -> Option<Duration> {
+        let leaving_ms = self.gateway.settings().bounds.leaving_engine_ms;
+        let beliefs = self.gateway.beliefs();
+        let engine = beliefs.engines.get(instance)?;
+        let is_leaving = beliefs.engines.is_leaving(engine);
+        is_leaving.then(|| Duration::from_millis(leaving_ms / LEAVING_DIVISOR))
+    }
 }
