Yield while the bytes after a last answer are drained

A caller that sends faster than its connection is drained could keep the thread, since neither other requests nor the time limit get a turn before a read finds nothing. No run has shown this: last_answers::a_caller_that_floods_after_a_refusal_does_not_block_others, which floods one connection and sends a request on another, passed before too. The watcher of running requests yields at the same place for the same reason.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -489,6 +489,8 @@
         while let Some(Ok(1..)) = within(LINGER_PAUSE_MS, connection.fill()).await {
             let count = connection.pending().len();
             connection.consume(count);
+            // Lets other requests run, and the time limit expire, beside a caller that floods.
+            futures_lite::future::yield_now().await;
         }
     };
     within(LONGEST_LINGER_MS, draining).await;
