Test a request on its way as a stopping node closes its connections

Without the wait for open connections this test fails: the connection ends with the node, and the caller gets no answer. The other tests of stops pass without that wait.

--- a/crates/gateway/tests/caller_connections/stopping.rs
+++ b/crates/gateway/tests/caller_connections/stopping.rs
@@ -5,9 +5,11 @@
 use crate::support::caller::{self, request};
 use crate::support::configuration;
 use crate::support::engine::{Behaviour, StandInEngine};
+use ploverlift_gateway::planned_stop::StopPhase;
 use ploverlift_gateway::time::{sleep, within};
 use ploverlift_http1::BufferedStream;
 use smol::net::TcpStream;
+use std::sync::Arc;
 
 /// Time from the start of a stop at which new requests are refused and an idle node is about to
 /// end, in milliseconds.
@@ -99,6 +101,31 @@
     assert_eq!(smol::block_on(status_at_the_end(false)), 503);
 }
 
+// Guards against a process that closes its listener and ends while a request is on its way on a
+// connection that it has accepted.
+#[test]
+fn a_request_on_its_way_is_answered_before_the_stop_ends() {
+    let _exclusive = run_exclusively();
+    smol::block_on(async {
+        let (_app, mut node) = start().await;
+        let (callers, gateway) = (node.callers, Arc::clone(&node.gateway));
+        let stopping = node.running.take().expect("running").stop();
+        let arriving = async {
+            sleep(ABOUT_TO_END_MS).await;
+            let stream = TcpStream::connect(callers).await.expect("connect");
+            let mut connection = BufferedStream::new(stream);
+            gateway.planned_stop.wait_for(StopPhase::Closing).await;
+            sleep(20).await;
+            let bytes = caller::encode(&request("safe.test", "r1"));
+            connection.write_all(&bytes).await.expect("write");
+            connection
+        };
+        let ((), mut connection) = futures_lite::future::zip(stopping, arriving).await;
+        assert_eq!(received_status(&mut connection).await, 503);
+        assert!(TcpStream::connect(callers).await.is_err());
+    });
+}
+
 // Guards against a stop that ends while the body of a request arrives.
 #[test]
 fn a_request_whose_body_arrives_late_is_answered_before_the_stop_ends() {
