Stand-in engine: no connection outlives a termination

A connection that was accepted right before the engine terminated, and whose task first ran after that, stayed open: to its peer the engine seemed to run on.

Cause: the task listened for the termination only once it ran. It is listened for before a connection is accepted now.

Evidence: a test of a terminated engine failed once in 40 runs at a load of 33 on 8 processors, and not in 40 more; it did not fail in 40 runs after the change. With tasks that begin 0.2 s late, the test of engines that terminate after they stopped listening fails before the change and passes after it.

--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -435,12 +435,16 @@
 fn accept(shared: &Arc<Shared>, listener: &Arc<TcpListener>) -> smol::Task<()> {
     let (serving, accepted) = (Arc::clone(shared), Arc::clone(listener));
     smol::spawn(async move {
-        while let Ok((stream, _)) = accepted.accept().await {
+        loop {
+            // Listened for before a connection exists: none may outlive a termination.
+            let closed = serving.closed.listen();
+            let Ok((stream, _)) = accepted.accept().await else {
+                return;
+            };
             serving.accepted.fetch_add(1, Ordering::AcqRel);
             let shared = Arc::clone(&serving);
             smol::spawn(async move {
-                let closed = shared.closed.listen();
-                futures_lite::future::or(serve(Arc::clone(&shared), stream), closed).await;
+                futures_lite::future::or(serve(shared, stream), closed).await;
             })
             .detach();
         }
