The line of an engine's end names the shared parts of the requests cut there

Ends under requests that share one part of their prompts could not be told from ends under unrelated requests: the line had fingerprints of whole requests only, and each of them occurred once. Each request in the line 'engine ended' is now followed by the ids of up to eight parts of its prompt that other requests may share.

--- a/crates/gateway/src/cut_requests.rs
+++ b/crates/gateway/src/cut_requests.rs
@@ -8,10 +8,12 @@
 use std::collections::HashMap;
 
 /// A request whose connection its engine ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CutRequest {
     /// Fingerprint of the request.
     pub fingerprint: RequestFingerprint,
+    /// Ids of the parts of its prompt that other requests may share.
+    pub parts: Vec<u64>,
     /// Tenant of the request.
     pub tenant: TenantTag,
     /// When the request was sent to the engine.
--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -29,6 +29,9 @@
 /// Maximum number of requests that one log line lists.
 const MAX_LOGGED_REQUESTS: usize = 16;
 
+/// Maximum number of prompt parts that one log line lists for a request.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Status of an engine that ended a connection, found by a connection attempt.
 enum Status {
     Ended,
@@ -143,8 +146,11 @@
         .map(|cut| {
             let after_ms = cut.ended.since(cut.begun);
             let streamed_ms = cut.streamed_ms;
+            let parts = cut.parts.iter().take(MAX_LOGGED_PARTS);
+            let parts: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
+            let parts = parts.join(",");
             format!(
-                "{} after {after_ms} ms, streamed {streamed_ms}",
+                "{} after {after_ms} ms, streamed {streamed_ms}, parts {parts}",
                 cut.fingerprint
             )
         })
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -211,6 +211,7 @@
     pub(super) fn note_cut_request(&self, chosen: &ChosenEngine, begun: Millis, streamed_ms: u64) {
         let cut = CutRequest {
             fingerprint: self.received.fingerprint,
+            parts: self.shared_part_ids(),
             tenant: self.tenant_tag(),
             begun,
             ended: self.gateway.clock.now(),
--- a/crates/gateway/src/forward/quarantine.rs
+++ b/crates/gateway/src/forward/quarantine.rs
@@ -10,6 +10,7 @@
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use ploverlift_quarantine::quarantine::Permission;
+use ploverlift_routing::prompt::Prompt;
 use ploverlift_routing::rate_limit::TenantTag;
 use std::sync::Arc;
 
@@ -216,6 +217,13 @@
         self.progress.retry_after_ms = Some(withheld.retry_after_ms);
     }
 
+    /// Ids of the parts of the prompt that other requests may share.
+    pub(super) fn shared_part_ids(&self) -> Vec<u64> {
+        let prompt = self.received.request.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], Prompt::shared_parts);
+        parts.iter().map(|part| part.id).collect()
+    }
+
     pub(super) fn tenant_tag(&self) -> TenantTag {
         let tenant = self.received.admission.tenant.as_ref();
         TenantTag::of(tenant.map_or("", |tenant| tenant.name.as_str()))
