Tests: requests that share a harmful part of their prompts, failing

Five nodes, 18 engines that end 20 ms after they have begun a request with the part and are back after 1.5 s, 100 requests a second, one in ten with the part, no two alike.

--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -2,7 +2,10 @@
 
 use super::super::site;
 use super::format::format_event;
-use super::{all_events_with, event, Behaviour, NamedBackoff, Pause, PausePoint, Shared, EVENTS};
+use super::{
+    all_events_with, event, Behaviour, NamedBackoff, Pause, PausePoint, Shared, ANSWERS_AFTER_MS,
+    EVENTS,
+};
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
 use socket2::SockRef;
@@ -88,6 +91,7 @@
         | Behaviour::StreamSlowly(_)
         | Behaviour::Pause(_)
         | Behaviour::EndsUnder(_)
+        | Behaviour::EndsUnderPart(_)
         | Behaviour::CutAt(_)
         | Behaviour::ResetInside(_)
         | Behaviour::EndAfter(_)
@@ -95,6 +99,9 @@
             head.headers.push(site::SIGNED, "1");
         }
     }
+    if matches!(behaviour, Behaviour::EndsUnderPart(_)) {
+        sleep(ANSWERS_AFTER_MS).await;
+    }
     let is_stream = request.headers.get(site::PARTS).is_some()
         || request.headers.get("host") == Some("x")
         || request.target.starts_with("/events");
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -58,7 +58,11 @@
         // Read before the request is recorded: a test that sees the record may set another
         // behaviour at once.
         let answers = shared.behaviour.lock().expect("behaviour").clone();
-        let ends = matches!(answers, Behaviour::EndsUnder(marked) if marked == body);
+        let ends = match answers {
+            Behaviour::EndsUnder(marked) => marked == body,
+            Behaviour::EndsUnderPart(part) => shares_part(&head, part),
+            _ => false,
+        };
         let closed = shared.running_closed.listen();
         record_request(&shared, &head, body);
         if ends {
@@ -109,6 +113,13 @@
     futures_lite::future::or(responding, closing).await
 }
 
+/// Whether the prompt has a part, other than its last one.
+fn shares_part(head: &RequestHead, part: u64) -> bool {
+    let parts = head.headers.get(site::PROMPT).unwrap_or_default();
+    let shared = parts.rsplit(',').skip(1);
+    shared.into_iter().any(|id| id.parse() == Ok(part))
+}
+
 fn record_request(shared: &Shared, head: &RequestHead, body: Vec<u8>) {
     let mut recorded = shared.recorded.lock().expect("calls");
     recorded.arrived.push(Instant::now());
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -85,10 +85,15 @@
     /// Sends complete answers, but terminates `RUNS_BEFORE_END_MS` after it has begun a
     /// request with this body.
     EndsUnder(&'static [u8]),
+    /// Sends complete answers after `ANSWERS_AFTER_MS`, but terminates `RUNS_BEFORE_END_MS`
+    /// after it has begun a request with this shared part in its prompt.
+    EndsUnderPart(u64),
 }
 
 /// Time for which an engine runs a request before it terminates, in milliseconds.
 pub const RUNS_BEFORE_END_MS: u64 = 20;
+/// Time for which an engine runs a request beside which it may terminate, in milliseconds.
+const ANSWERS_AFTER_MS: u64 = 250;
 
 /// Number of events of a complete stream.
 pub const EVENTS: u64 = 6;
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -18,6 +18,8 @@
 pub const KEY: &str = "t-key";
 pub const DEADLINE: &str = "t-deadline";
 pub const PARTS: &str = "t-parts";
+/// The parts of the prompt, in a request to an engine.
+pub const PROMPT: &str = "t-prompt";
 pub const TOKENS: &str = "t-tokens";
 pub const AFTER: &str = "t-after";
 pub const RESUMES: &str = "t-resumes";
@@ -111,6 +113,14 @@
                 headers.push(SAVE, address.to_string());
             }
         }
+        if let Some(prompt) = &call.request.prompt {
+            let parts: Vec<String> = prompt
+                .parts
+                .iter()
+                .map(|part| part.id.to_string())
+                .collect();
+            headers.push(PROMPT, parts.join(","));
+        }
         if let Some(after) = call.resume_after {
             headers.push(AFTER, after);
         }
