Test of two harmful parts: each part ends every engine

Half of the engines ended under one part and half under the other, so that each part was answered whole by the other half: that is not a part which ends each engine. All engines now end under both, and each part has its own bound of 8 sends instead of 16 ends together.

--- a/crates/gateway/tests/harmful_parts/fleets.rs
+++ b/crates/gateway/tests/harmful_parts/fleets.rs
@@ -1,9 +1,10 @@
 //! Limits how many engines the requests with a harmful part end, whichever nodes they are sent
 //! to, while the other requests are served.
 
-use crate::site::{prompt_of, Answers, Load, Place, Site, HARMFUL, MAX_SENT, MIN_SERVED};
+use crate::site::{
+    prompt_of, Answers, Load, Place, Site, HARMFUL, MAX_SENT, MIN_SERVED, SECOND_HARMFUL,
+};
 use crate::support::caller;
-use crate::support::engine::Behaviour;
 use crate::support::store::StoreFault;
 
 /// Nodes of the site.
@@ -12,8 +13,6 @@
 const ENGINES: usize = 18;
 /// Duration of a load, in milliseconds: long enough for a trial of the refused part.
 const LOAD_MS: u64 = 7_000;
-/// Another harmful part.
-const SECOND_HARMFUL: u64 = 777;
 
 fn load(place: Place) -> Load {
     Load {
@@ -85,19 +84,17 @@
 #[test]
 fn two_harmful_parts_reach_few_engines() {
     smol::block_on(async {
-        let mut site = Site::new(ENGINES).await;
-        for engine in &site.engines[..ENGINES / 2] {
-            engine.set(Behaviour::EndsUnderPart(SECOND_HARMFUL));
-        }
-        site.start_nodes(NODES).await;
         let both = Load {
             harmful: vec![HARMFUL, SECOND_HARMFUL],
             ..load(Place::Middle)
         };
-        let answers = site.send_load(&both).await;
-        let ends: usize = site.engines.iter().map(|engine| engine.ends()).sum();
-        assert!(ends <= 2 * MAX_SENT, "{ends} engines ended");
-        assert!(answers.served() >= MIN_SERVED);
+        let (site, answers) = send_to_new_site(&both).await;
+        assert_bounded(&site, &answers);
+        let sent = site.arrived_with(SECOND_HARMFUL);
+        assert!(
+            sent <= MAX_SENT,
+            "{sent} requests with the second part were sent"
+        );
     });
 }
 
--- a/crates/gateway/tests/harmful_parts/site.rs
+++ b/crates/gateway/tests/harmful_parts/site.rs
@@ -11,8 +11,10 @@
 use serde_json::json;
 use std::time::{Duration, Instant};
 
-/// The part that ends engines.
+/// A part that ends engines.
 pub const HARMFUL: u64 = 666;
+/// Another one.
+pub const SECOND_HARMFUL: u64 = 777;
 /// Engines that may end before the part is refused everywhere, and sends after that.
 pub const MAX_SENT: usize = 5 + 3;
 /// Least share of the other requests that is answered.
@@ -69,7 +71,7 @@
         let mut content = configuration(1);
         content["keys"] = json!({"key-a": "tenant-a", "key-b": "tenant-b"});
         store.put("Configuration", "main", content);
-        let behaviour = Behaviour::EndsUnderPart(HARMFUL);
+        let behaviour = Behaviour::EndsUnderPart(&[HARMFUL, SECOND_HARMFUL]);
         Self {
             engines: start_engines(&store, "llm", engines, behaviour).await,
             store,
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -60,7 +60,7 @@
         let answers = shared.behaviour.lock().expect("behaviour").clone();
         let ends = match answers {
             Behaviour::EndsUnder(marked) => marked == body,
-            Behaviour::EndsUnderPart(part) => shares_part(&head, part),
+            Behaviour::EndsUnderPart(parts) => shares_part(&head, parts),
             _ => false,
         };
         let closed = shared.running_closed.listen();
@@ -113,11 +113,11 @@
     futures_lite::future::or(responding, closing).await
 }
 
-/// Whether the prompt has a part, other than its last one.
-fn shares_part(head: &RequestHead, part: u64) -> bool {
-    let parts = head.headers.get(site::PROMPT).unwrap_or_default();
-    let shared = parts.rsplit(',').skip(1);
-    shared.into_iter().any(|id| id.parse() == Ok(part))
+/// Whether the prompt has one of the parts, other than as its last one.
+fn shares_part(head: &RequestHead, parts: &[u64]) -> bool {
+    let prompt = head.headers.get(site::PROMPT).unwrap_or_default();
+    let mut shared = prompt.rsplit(',').skip(1);
+    shared.any(|id| id.parse().is_ok_and(|id| parts.contains(&id)))
 }
 
 fn record_request(shared: &Shared, head: &RequestHead, body: Vec<u8>) {
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -86,8 +86,8 @@
     /// request with this body.
     EndsUnder(&'static [u8]),
     /// Sends complete answers after `ANSWERS_AFTER_MS`, but terminates `RUNS_BEFORE_END_MS`
-    /// after it has begun a request with this shared part in its prompt.
-    EndsUnderPart(u64),
+    /// after it has begun a request with one of these shared parts in its prompt.
+    EndsUnderPart(&'static [u64]),
 }
 
 /// Time for which an engine runs a request before it terminates, in milliseconds.
