Engine ends are evidence against each shared part of a prompt as well

What callers saw: requests of which no two are alike, but which share one part of their prompts, ended one engine after another; whatever ran beside them was lost. The quarantine knows a request by its whole body, so each of these was a new one with a single end.

Ends are now recorded against a subject: the whole request, as before, or a part of its prompt that other requests may share (tenant, service, model and id). A whole answer to any request with the part clears it and excuses ends for a minute, also on nodes that hear of it; a harmful part never has one. From three moments under two different requests on, each request with the part is refused on all nodes, checked again right before it is sent. Trials after 5 s, 20 s more and an hour free a harmless part that stood beside unrelated ends. Parts are reported in a field of their own and stored as part-..., so that earlier releases ignore them.

With evidence against the parts of one repeated request, two tests of harmful_requests were red; hence the two different requests.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use argh::FromArgs;
-use ploverlift_quarantine::fingerprint::RequestFingerprint;
+use ploverlift_quarantine::subject::Subject;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -95,9 +95,10 @@
     /// settings file (TOML) of a gateway
     #[argh(option)]
     pub settings: PathBuf,
-    /// fingerprint of a request to release; gateways send it again within half a minute
+    /// fingerprint of a request, or of a part of prompts (part-...), to release; gateways send it
+    /// again within half a minute
     #[argh(option)]
-    pub release: Option<RequestFingerprint>,
+    pub release: Option<Subject>,
 }
 
 /// List the engines that advertise a rate limit, with what they get beside it.
--- a/crates/gateway/src/cut_requests.rs
+++ b/crates/gateway/src/cut_requests.rs
@@ -4,6 +4,7 @@
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
+use ploverlift_quarantine::subject::SharedPart;
 use ploverlift_routing::rate_limit::TenantTag;
 use std::collections::HashMap;
 
@@ -12,8 +13,8 @@
 pub struct CutRequest {
     /// Fingerprint of the request.
     pub fingerprint: RequestFingerprint,
-    /// Ids of the parts of its prompt that other requests may share.
-    pub parts: Vec<u64>,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Vec<SharedPart>,
     /// Tenant of the request.
     pub tenant: TenantTag,
     /// When the request was sent to the engine.
--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -23,6 +23,7 @@
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_quarantine::evidence::{counts_as_evidence, EngineEnd};
 use ploverlift_quarantine::quarantine::EndOutcome;
+use ploverlift_quarantine::subject::Subject;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -52,7 +53,7 @@
         let mut beliefs = gateway.beliefs();
         beliefs
             .quarantine
-            .note_undetermined_outcome(cut.fingerprint, cut.tenant, now);
+            .note_undetermined_outcome(cut.fingerprint.into(), cut.tenant, now);
         beliefs.engine_ends.note(instance, cut)
     };
     if is_first {
@@ -110,7 +111,9 @@
 fn apply_probe_result(gateway: &Gateway, instance: &InstanceId, cut: &CutRequest, has_ended: bool) {
     let now = gateway.clock.now();
     let mut beliefs = gateway.beliefs();
-    beliefs.quarantine.note_determined_outcome(cut.fingerprint);
+    beliefs
+        .quarantine
+        .note_determined_outcome(cut.fingerprint.into());
     if !has_ended || !counts_as_evidence(cut.streamed_ms) {
         return;
     }
@@ -120,20 +123,45 @@
         engine: EngineTag::of(instance),
         begun: cut.begun,
         at: cut.ended,
+        request: cut.fingerprint.into(),
     };
-    let quarantine = &mut beliefs.quarantine;
-    let outcome = quarantine.note_end(cut.fingerprint, cut.tenant, end, software, now);
+    let parts = cut.parts.iter().map(|part| Subject::Part(part.fingerprint));
+    let subjects = std::iter::once(Subject::Request(cut.fingerprint)).chain(parts);
+    let outcomes = subjects.map(|subject| {
+        let quarantine = &mut beliefs.quarantine;
+        let outcome = quarantine.note_end(subject, cut.tenant, end, software.clone(), now);
+        (subject, outcome)
+    });
+    let outcomes: Vec<(Subject, EndOutcome)> = outcomes.collect();
     drop(beliefs);
+    for (subject, outcome) in outcomes {
+        log_outcome(gateway, instance, cut, subject, outcome);
+    }
+}
+
+/// Logs a change of the state of a request, and from the second end on of a part: parts in use
+/// are beside each end.
+fn log_outcome(
+    gateway: &Gateway,
+    instance: &InstanceId,
+    cut: &CutRequest,
+    subject: Subject,
+    outcome: EndOutcome,
+) {
+    let mut parts = cut.parts.iter();
+    let part = parts.find(|part| subject == Subject::Part(part.fingerprint));
+    let part = part.map(|part| format!("{:x}", part.id));
     match outcome {
         EndOutcome::Cleared | EndOutcome::Known => {}
+        EndOutcome::Suspected { moments } if moments <= 1 && subject.is_part() => {}
         EndOutcome::Suspected { moments } => {
             slog::info!(gateway.log, "request suspected";
-                "fingerprint" => cut.fingerprint.to_string(),
+                "fingerprint" => subject.to_string(), "part" => part,
                 "engine" => &instance.0, "moments" => moments);
         }
         EndOutcome::Refused => {
             slog::warn!(gateway.log, "request refused from now on";
-                "fingerprint" => cut.fingerprint.to_string(),
+                "fingerprint" => subject.to_string(), "part" => part,
                 "engine" => &instance.0, "from" => "own");
         }
     }
@@ -147,7 +175,7 @@
             let after_ms = cut.ended.since(cut.begun);
             let streamed_ms = cut.streamed_ms;
             let parts = cut.parts.iter().take(MAX_LOGGED_PARTS);
-            let parts: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
+            let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
             let parts = parts.join(",");
             format!(
                 "{} after {after_ms} ms, streamed {streamed_ms}, parts {parts}",
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -182,9 +182,9 @@
                 ..
             }) => self.note_broken_attempt(broken, chosen, in_flight),
             AttemptEnd::Done {
-                outcome: "answered" | "rejected_by_engine",
+                outcome: outcome @ ("answered" | "rejected_by_engine"),
                 ..
-            } => self.note_answered(),
+            } => self.note_answered(*outcome == "answered"),
             _ => {}
         }
         // A claim is held on for the engine that has taken the request over.
@@ -211,7 +211,7 @@
     pub(super) fn note_cut_request(&self, chosen: &ChosenEngine, begun: Millis, streamed_ms: u64) {
         let cut = CutRequest {
             fingerprint: self.received.fingerprint,
-            parts: self.shared_part_ids(),
+            parts: self.received.shared_parts.clone(),
             tenant: self.tenant_tag(),
             begun,
             ended: self.gateway.clock.now(),
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -56,6 +56,7 @@
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
+use ploverlift_quarantine::subject::SharedPart;
 use ploverlift_routing::software::SoftwareVersion;
 use quarantine::RequestClaim;
 use record::RequestRecord;
@@ -75,6 +76,8 @@
     pub limits: TimeLimits,
     /// Identifies the request: equal for all copies and retries of it.
     pub fingerprint: RequestFingerprint,
+    /// Parts of its prompt that other requests may share.
+    pub shared_parts: Vec<SharedPart>,
 }
 
 /// Results of the attempts so far, from which the final answer is made.
--- a/crates/gateway/src/forward/quarantine.rs
+++ b/crates/gateway/src/forward/quarantine.rs
@@ -1,4 +1,5 @@
-//! Withholds requests during which engines have ended, at this node or at others.
+//! Withholds requests during which engines have ended, at this node or at others, and requests
+//! with a part in their prompt under which engines have ended.
 //!
 //! This is checked each time right before the bytes are sent: while a request waits here,
 //! engines may end elsewhere during a copy of it.
@@ -8,10 +9,14 @@
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_balancing::peer_loads::PeerId;
-use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use ploverlift_quarantine::quarantine::Permission;
-use ploverlift_routing::prompt::Prompt;
+use ploverlift_quarantine::request_permission::{
+    PermissionQuery, RequestAttempt, RequestPermission,
+};
+use ploverlift_quarantine::subject::{SharedPart, Subject};
 use ploverlift_routing::rate_limit::TenantTag;
+use ploverlift_routing::software::SoftwareVersion;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Longest wait for a copy that runs elsewhere, in milliseconds. Most copies are answered,
@@ -27,23 +32,26 @@
 
 /// Why a request is withheld.
 pub(super) struct Withheld {
-    reason: &'static str,
+    reason: String,
+    due_to: Option<Subject>,
     retry_after_ms: u64,
 }
 
-/// This node's claim to send a request during which an engine ended. Dropping it releases
-/// the claim.
+/// This node's claim to send a request during which an engine ended, or one with a part under
+/// which engines ended. Dropping it releases the claim.
 pub(super) struct RequestClaim {
     gateway: Arc<Gateway>,
-    request: RequestFingerprint,
+    subjects: Vec<Subject>,
     own: PeerId,
 }
 
 impl Drop for RequestClaim {
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
-        let quarantine = &mut self.gateway.beliefs().quarantine;
-        quarantine.release(self.request, self.own, now);
+        for subject in &self.subjects {
+            let quarantine = &mut self.gateway.beliefs().quarantine;
+            quarantine.release(*subject, self.own, now);
+        }
         self.gateway.quarantine_changed.notify(usize::MAX);
     }
 }
@@ -58,16 +66,14 @@
         loop {
             let gateway = Arc::clone(&self.gateway);
             let changed = gateway.quarantine_changed.listen();
-            match self.permission() {
+            let permitted = self.permission();
+            match permitted.permission {
                 Permission::Free => return Ok(()),
                 Permission::Refused { retry_after_ms } => {
-                    return Err(Withheld {
-                        reason: "engines ended each time they ran this request",
-                        retry_after_ms,
-                    });
+                    return Err(self.withheld_by_refusal(permitted.due_to, retry_after_ms));
                 }
                 Permission::AfterClaim => {
-                    if self.claim().await {
+                    if self.claim(permitted.to_claim).await {
                         return Ok(());
                     }
                 }
@@ -82,7 +88,9 @@
                     }
                     if hold_until <= now {
                         return Err(Withheld {
-                            reason: "an engine ended while it ran this request, and another is running it",
+                            reason: "an engine ended while it ran this request, and another is running it"
+                                .to_owned(),
+                            due_to: permitted.due_to,
                             retry_after_ms,
                         });
                     }
@@ -92,21 +100,52 @@
         }
     }
 
-    fn permission(&self) -> Permission {
+    fn withheld_by_refusal(&self, due_to: Option<Subject>, retry_after_ms: u64) -> Withheld {
+        let reason = match self.part(due_to) {
+            Some(part) => format!("engines ended under part {:x} of its prompt", part.id),
+            None => "engines ended each time they ran this request".to_owned(),
+        };
+        Withheld {
+            reason,
+            due_to,
+            retry_after_ms,
+        }
+    }
+
+    /// The part of the prompt that is this subject.
+    fn part(&self, subject: Option<Subject>) -> Option<SharedPart> {
+        let parts = self.received.shared_parts.iter().copied();
+        let mut parts = parts.filter(|part| subject == Some(part.fingerprint.into()));
+        parts.next()
+    }
+
+    /// The request, and the parts of its prompt that other requests may share.
+    fn subjects(&self) -> Vec<Subject> {
+        let parts = self.received.shared_parts.iter();
+        let parts = parts.map(|part| Subject::Part(part.fingerprint));
+        let request = Subject::Request(self.received.fingerprint);
+        std::iter::once(request).chain(parts).collect()
+    }
+
+    fn permission(&self) -> RequestPermission {
         let now = self.gateway.clock.now();
         let beliefs = self.gateway.beliefs();
-        let has_new_software = self.has_new_software(&beliefs);
-        let quarantine = &beliefs.quarantine;
-        quarantine.permission_for(self.received.fingerprint, has_new_software, now)
+        if beliefs.quarantine.is_empty() {
+            return RequestPermission::FREE;
+        }
+        let query = PermissionQuery {
+            subjects: &self.subjects(),
+            has_new_software: &|ended_versions| self.has_new_software(&beliefs, ended_versions),
+        };
+        beliefs.quarantine.request_permission(query, now)
     }
 
-    /// Whether no engine of the service still has a software version that ended during the
-    /// request.
-    fn has_new_software(&self, beliefs: &Beliefs) -> bool {
-        let request = self.received.fingerprint;
-        let Some(ended_versions) = beliefs.quarantine.refused_software(request) else {
-            return false;
-        };
+    /// Whether no engine of the service still has one of the software versions that ended.
+    fn has_new_software(
+        &self,
+        beliefs: &Beliefs,
+        ended_versions: &BTreeSet<SoftwareVersion>,
+    ) -> bool {
         let service = &self.received.admission.service;
         let mut engines = beliefs.engines.of_service(service).peekable();
         let is_version_known = ended_versions.iter().any(|version| !version.0.is_empty());
@@ -116,17 +155,18 @@
             && engines.all(|engine| !ended_versions.contains(&engine.record.software))
     }
 
-    /// Claims the request and waits for the claims of other nodes; returns whether this node
-    /// holds the claim then.
-    async fn claim(&mut self) -> bool {
-        let request = self.received.fingerprint;
+    /// Claims the subjects and waits for the claims of other nodes; returns whether this node
+    /// holds all claims then.
+    async fn claim(&mut self, subjects: Vec<Subject>) -> bool {
         let own = PeerId::of(&self.gateway.settings().node.name);
         let now = self.gateway.clock.now();
-        self.gateway.beliefs().quarantine.claim(request, own, now);
+        for subject in &subjects {
+            self.gateway.beliefs().quarantine.claim(*subject, own, now);
+        }
         self.gateway.quarantine_changed.notify(usize::MAX);
         self.claim = Some(RequestClaim {
             gateway: Arc::clone(&self.gateway),
-            request,
+            subjects: subjects.clone(),
             own,
         });
         let has_relays = self.gateway.address_book().has_relays();
@@ -136,11 +176,11 @@
             (true, false) => sleep(CLAIM_DELAY_MS).await,
             (true, true) => sleep(RELAYED_CLAIM_DELAY_MS).await,
         }
-        let holds_claim = self
-            .gateway
-            .beliefs()
-            .quarantine
-            .is_claimed_by(request, own);
+        let holds_claim = {
+            let quarantine = &self.gateway.beliefs().quarantine;
+            let mut claimed = subjects.iter();
+            claimed.all(|subject| quarantine.is_claimed_by(*subject, own))
+        };
         if !holds_claim {
             self.claim = None;
         }
@@ -155,17 +195,20 @@
         if beliefs.quarantine.is_empty() {
             return true;
         }
-        let has_new_software = self.has_new_software(&beliefs);
-        let request = self.received.fingerprint;
+        let subjects = self.subjects();
+        let renewed = subjects.iter().copied().filter(|subject| {
+            let ended_versions = beliefs.quarantine.refused_software(*subject);
+            ended_versions.is_some_and(|versions| self.has_new_software(&beliefs, versions))
+        });
+        let attempt = RequestAttempt {
+            renewed: &renewed.collect::<Vec<Subject>>(),
+            subjects: &subjects,
+            claimed: self.claim.as_ref().map_or(&[], |claim| &claim.subjects),
+            own: PeerId::of(&self.gateway.settings().node.name),
+        };
+        let may_run_concurrently = |moments| self.may_run_concurrently(moments);
         let quarantine = &mut beliefs.quarantine;
-        match &self.claim {
-            Some(claim) => quarantine.begin_attempt(request, claim.own, has_new_software, now),
-            None => match quarantine.permission_for(request, has_new_software, now) {
-                Permission::Free => true,
-                Permission::Busy { moments, .. } => self.may_run_concurrently(moments),
-                Permission::AfterClaim | Permission::Refused { .. } => false,
-            },
-        }
+        quarantine.begin_request(&attempt, &may_run_concurrently, now)
     }
 
     /// Whether the request is sent while a copy of it runs elsewhere. A copy that ends its
@@ -178,7 +221,7 @@
     /// Waits until it is determined whether the engine of a lost send has ended.
     pub(super) async fn wait_until_engine_end_known(&self) {
         let gateway = &self.gateway;
-        let request = self.received.fingerprint;
+        let request = Subject::Request(self.received.fingerprint);
         let finding = async {
             loop {
                 let changed = gateway.quarantine_changed.listen();
@@ -191,19 +234,27 @@
         within(MAX_HOLD_MS, finding).await;
     }
 
-    /// Records that an engine answered the request completely, which clears it of suspicion.
-    pub(super) fn note_answered(&self) {
+    /// Records that an engine answered the request completely, which clears it of suspicion,
+    /// and if the engine has run it, each part of its prompt.
+    pub(super) fn note_answered(&self, has_run: bool) {
         let now = self.gateway.clock.now();
-        let request = self.received.fingerprint;
-        let was_suspected = {
+        let subjects = self.subjects();
+        let answered = subjects
+            .into_iter()
+            .filter(|subject| has_run || !subject.is_part());
+        let cleared: Vec<Subject> = {
             let quarantine = &mut self.gateway.beliefs().quarantine;
-            quarantine.note_answered(request, now)
+            let cleared = answered.filter(|subject| quarantine.note_answered(*subject, now));
+            cleared.collect()
         };
-        if was_suspected {
+        if cleared.is_empty() {
+            return;
+        }
+        for subject in cleared {
             slog::info!(self.gateway.log, "request cleared";
-                "fingerprint" => request.to_string(), "id" => &self.received.request.id);
-            self.gateway.quarantine_changed.notify(usize::MAX);
+                "fingerprint" => subject.to_string(), "id" => &self.received.request.id);
         }
+        self.gateway.quarantine_changed.notify(usize::MAX);
     }
 
     pub(super) fn note_withheld(&mut self, withheld: &Withheld) {
@@ -211,19 +262,13 @@
         slog::info!(self.gateway.log, "request withheld";
             "fingerprint" => self.received.fingerprint.to_string(),
             "id" => &self.received.request.id,
-            "reason" => withheld.reason,
+            "reason" => &withheld.reason,
+            "due_to" => withheld.due_to.map(|subject| subject.to_string()),
             "retry_after_ms" => withheld.retry_after_ms);
         withheld.reason.clone_into(&mut self.progress.reason);
         self.progress.retry_after_ms = Some(withheld.retry_after_ms);
     }
 
-    /// Ids of the parts of the prompt that other requests may share.
-    pub(super) fn shared_part_ids(&self) -> Vec<u64> {
-        let prompt = self.received.request.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], Prompt::shared_parts);
-        parts.iter().map(|part| part.id).collect()
-    }
-
     pub(super) fn tenant_tag(&self) -> TenantTag {
         let tenant = self.received.admission.tenant.as_ref();
         TenantTag::of(tenant.map_or("", |tenant| tenant.name.as_str()))
--- a/crates/gateway/src/peers/quarantine_reports.rs
+++ b/crates/gateway/src/peers/quarantine_reports.rs
@@ -1,4 +1,4 @@
-//! Broadcast of requests during which engines terminated.
+//! Broadcast of requests and parts of prompts during which engines terminated.
 //!
 //! Nothing is sent while there are none. The node that finds something out reports it at
 //! once and repeats it twice, since datagrams may be lost. Relays forward what they
@@ -14,7 +14,7 @@
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::exchange::{MergeOutcome, ReportOptions};
-use ploverlift_quarantine::fingerprint::RequestFingerprint;
+use ploverlift_quarantine::subject::Subject;
 use smol::net::UdpSocket;
 use std::sync::Arc;
 
@@ -25,9 +25,9 @@
 const MIN_PERIOD_MS: u64 = 5;
 /// Number of periods after which refused requests are repeated, though nothing has changed.
 const PERIODS_PER_REFUSED: u64 = 16;
-/// Maximum number of requests in one datagram: with eight terminated engines each it stays
+/// Maximum number of subjects in one datagram: with eight terminated engines each it stays
 /// under 1,200 bytes.
-const REQUESTS_PER_DATAGRAM: usize = 6;
+const SUBJECTS_PER_DATAGRAM: usize = 6;
 
 /// Sends reports until the task is dropped.
 pub async fn report_quarantine(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
@@ -62,10 +62,10 @@
         return;
     }
     let receivers = broadcast_receivers(gateway, now);
-    for requests in due_reports.chunks(REQUESTS_PER_DATAGRAM) {
+    for subjects in due_reports.chunks(SUBJECTS_PER_DATAGRAM) {
         let datagram = encode(&PeerMessage::Quarantine(QuarantineReport {
             sender: own,
-            requests: requests.to_vec(),
+            subjects: subjects.to_vec(),
         }));
         for receiver in &receivers {
             // A lost report is repaired by the next ones.
@@ -80,23 +80,23 @@
     let now = gateway.clock.now();
     let passes_on = role(gateway, now) == Role::Relay;
     let mut is_new = false;
-    let mut refused: Vec<RequestFingerprint> = Vec::new();
+    let mut refused: Vec<Subject> = Vec::new();
     {
         let quarantine = &mut gateway.beliefs().quarantine;
-        for reported in &report.requests {
+        for reported in &report.subjects {
             match quarantine.merge(reported, report.sender, own, passes_on, now) {
                 MergeOutcome::Unchanged => {}
                 MergeOutcome::Changed => is_new = true,
                 MergeOutcome::Refused => {
                     is_new = true;
-                    refused.push(reported.request);
+                    refused.push(reported.subject);
                 }
             }
         }
     }
-    for request in refused {
+    for subject in refused {
         slog::warn!(gateway.log, "request refused from now on";
-            "fingerprint" => request.to_string(), "from" => format!("{:016x}", report.sender.0));
+            "fingerprint" => subject.to_string(), "from" => format!("{:016x}", report.sender.0));
     }
     if is_new {
         gateway.quarantine_changed.notify(usize::MAX);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Stored list of refused requests, which outlives all nodes.
+//! Stored list of refused requests and parts of prompts, which outlives all nodes.
 //!
 //! Each refused request is written once, by the node that detected it; the other nodes
 //! write it only if that node has not. Each node reads the list when it starts, before it
@@ -12,8 +12,8 @@
 use crate::store::StoreClient;
 use crate::time::{sleep, within};
 use ploverlift_policy::ids::Millis;
-use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use ploverlift_quarantine::stored::StoredRefusal;
+use ploverlift_quarantine::subject::Subject;
 use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::software::SoftwareVersion;
 use serde::{Deserialize, Serialize};
@@ -28,7 +28,8 @@
 /// Interval between two checks for changes that have to be stored, in milliseconds.
 const POLL_PERIOD_MS: u64 = 1_000;
 
-/// Stored document of a refused request; the object's name is the fingerprint.
+/// Stored document of a refused request or part; the object's name is the fingerprint. Earlier
+/// releases do not read the names of parts and skip these objects.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct RefusalDocument {
     /// Hash of the tenant's name, in hex.
@@ -52,7 +53,7 @@
         }
     }
 
-    fn read(object: &StoreObject) -> Option<(RequestFingerprint, StoredRefusal)> {
+    fn read(object: &StoreObject) -> Option<(Subject, StoredRefusal)> {
         let document: Self = serde_json::from_value(object.content.clone()).ok()?;
         let request = object.name.parse().ok()?;
         let tenant = u64::from_str_radix(&document.tenant, 16).ok()?;
@@ -132,7 +133,7 @@
 /// When the store does not answer properly.
 pub async fn list_refused(
     gateway: &Arc<Gateway>,
-) -> Result<Vec<(RequestFingerprint, StoredRefusal)>, StoreError> {
+) -> Result<Vec<(Subject, StoredRefusal)>, StoreError> {
     let mut client = StoreClient::new(gateway);
     match client.list(StoreKind::RefusedRequests).await {
         Ok((objects, _)) => Ok(objects.iter().filter_map(RefusalDocument::read).collect()),
@@ -146,10 +147,7 @@
 ///
 /// # Errors
 /// When the store does not answer properly.
-pub async fn release_refused(
-    gateway: &Arc<Gateway>,
-    request: RequestFingerprint,
-) -> Result<(), StoreError> {
+pub async fn release_refused(gateway: &Arc<Gateway>, request: Subject) -> Result<(), StoreError> {
     let mut client = StoreClient::new(gateway);
     let name = request.to_string();
     client.delete(StoreKind::RefusedRequests, &name).await
@@ -214,7 +212,7 @@
 
 async fn write(
     client: &mut StoreClient,
-    request: RequestFingerprint,
+    request: Subject,
     refusal: &StoredRefusal,
 ) -> Result<(), StoreError> {
     let name = request.to_string();
--- a/crates/gateway/tests/harmful_parts/harmless.rs
+++ b/crates/gateway/tests/harmful_parts/harmless.rs
@@ -12,19 +12,26 @@
 const ENGINES: usize = 6;
 /// A part that few requests have.
 const RARE: u64 = 4_000;
+/// Time for which a long stream has run when its engine ends, in milliseconds.
+const STREAMED_MS: u64 = 1_500;
 /// Time within which a harmless part is served again, in milliseconds.
 const MAX_REFUSED_MS: u64 = 10_000;
 
 /// Sends requests with the rare part one after another, each to an engine that ends for
 /// another reason while it runs it.
-async fn end_engines_beside(site: &mut Site, times: usize) {
+async fn end_engines_beside(site: &mut Site, times: usize, place: Place) {
     for engine in &site.engines {
         engine.set(Behaviour::Silent);
     }
     for number in 0..times {
         let node = site.nodes[number % NODES].callers;
         let id = format!("rare-{number}");
-        let asked = prompt_of("stream.test", &id, &[RARE, number as u64]);
+        let own = number as u64;
+        let parts = match place {
+            Place::Last => [own, RARE],
+            _ => [RARE, own],
+        };
+        let asked = prompt_of("stream.test", &id, &parts);
         let mut open = caller::open(node, &asked).await;
         let engine = loop {
             let has_it = |engine: &&StandInEngine| engine.arrived_ids().contains(&id);
@@ -52,7 +59,8 @@
     smol::block_on(async {
         let mut site = Site::new(ENGINES).await;
         site.start_nodes(NODES).await;
-        end_engines_beside(&mut site, 3).await;
+        end_engines_beside(&mut site, 3, Place::First).await;
+        assert!((0..NODES).all(|node| site.refused(node) == 1));
         let served = async {
             for node in 0..NODES {
                 let callers = site.nodes[node].callers;
@@ -114,3 +122,55 @@
         assert!((0..NODES).all(|node| site.refused(node) == 0));
     });
 }
+
+/// The last part of a prompt belongs to its request or session and is never harmful.
+#[test]
+fn ends_under_the_last_part_of_a_prompt_are_no_evidence_against_it() {
+    smol::block_on(async {
+        let mut site = Site::new(ENGINES).await;
+        site.start_nodes(NODES).await;
+        end_engines_beside(&mut site, 3, Place::Last).await;
+        assert!((0..NODES).all(|node| site.refused(node) == 0));
+        for node in &site.nodes {
+            let asked = prompt_of("stream.test", "again", &[50, RARE]);
+            assert_eq!(caller::send(node.callers, &asked).await.status(), 200);
+        }
+    });
+}
+
+/// A long stream is in flight whenever an engine ends for another reason.
+#[test]
+fn ends_under_long_streams_are_no_evidence_against_their_parts() {
+    smol::block_on(async {
+        let mut site = Site::new(ENGINES).await;
+        site.start_nodes(NODES).await;
+        for engine in &site.engines {
+            engine.set(Behaviour::StreamSlowly(80));
+        }
+        let mut open = Vec::new();
+        for number in 0..ENGINES {
+            let id = format!("long-{number}");
+            // Different first parts, so that the requests go to different engines.
+            let asked = prompt_of("stream.test", &id, &[100 + number as u64, RARE, 1]);
+            open.push(caller::open(site.nodes[number % NODES].callers, &asked).await);
+        }
+        sleep(STREAMED_MS).await;
+        let used = site.engines.iter().filter(|engine| engine.arrivals() > 0);
+        let used: Vec<&StandInEngine> = used.collect();
+        assert!(used.len() >= 3, "{} engines have a stream", used.len());
+        for engine in &used {
+            engine.end().await;
+            sleep(150).await;
+        }
+        let ended = || {
+            let nodes = site.nodes.iter();
+            let ends = nodes.map(|node| node.gateway.metrics.engine_ends.get());
+            ends.sum::<u64>()
+        };
+        while ended() < used.len() as u64 {
+            sleep(5).await;
+        }
+        sleep(150).await;
+        assert!((0..NODES).all(|node| site.refused(node) == 0));
+    });
+}
--- a/crates/gateway/tests/harmful_parts/site.rs
+++ b/crates/gateway/tests/harmful_parts/site.rs
@@ -28,12 +28,13 @@
 /// One in this number of requests has the harmful part.
 const HARMFUL_ONE_IN: usize = 10;
 
-/// Where the harmful part is in the prompt.
+/// Where a part is in the prompt.
 #[derive(Clone, Copy, Debug)]
 pub enum Place {
     First,
     Middle,
     NextToLast,
+    Last,
 }
 
 /// Nodes and the engines of one service.
@@ -163,6 +164,7 @@
             (Some(part), Place::First) => vec![part, manual, page, own],
             (Some(part), Place::Middle) => vec![COMMON, part, page, own],
             (Some(part), Place::NextToLast) => vec![COMMON, manual, part, own],
+            (Some(part), Place::Last) => vec![COMMON, manual, page, part],
         };
         prompt_of(self.host, &format!("r{number}"), &parts)
     }
--- a/crates/gateway/tests/silent_engines/streams.rs
+++ b/crates/gateway/tests/silent_engines/streams.rs
@@ -6,6 +6,7 @@
 use crate::support::{configuration, site, Fixture};
 use ploverlift_gateway::assembly::reload;
 use ploverlift_quarantine::fingerprint::{RequestFingerprint, RequestParts};
+use ploverlift_quarantine::subject::Subject;
 use ploverlift_routing::rate_limit::TenantTag;
 use serde_json::json;
 use std::path::Path;
@@ -110,7 +111,7 @@
         let tenant = TenantTag::of("tenant-a");
         {
             let quarantine = &mut site.fixture.gateway.beliefs().quarantine;
-            quarantine.note_undetermined_outcome(fingerprint, tenant, now);
+            quarantine.note_undetermined_outcome(Subject::Request(fingerprint), tenant, now);
         }
         assert_whole(&asked.answer.await);
     });
--- a/crates/policy/src/update_broadcast.rs
+++ b/crates/policy/src/update_broadcast.rs
@@ -25,6 +25,14 @@
         }
     }
 
+    /// Sends a change only once, where later changes repeat it.
+    pub fn once(now: Millis) -> Self {
+        Self {
+            remaining: 1,
+            due_at: now,
+        }
+    }
+
     /// Whether a broadcast is due.
     pub fn is_due(&self, now: Millis) -> bool {
         self.remaining > 0 && self.due_at <= now
@@ -34,7 +42,7 @@
     /// when none is due.
     pub fn record_broadcast(&mut self, now: Millis) {
         if self.is_due(now) {
-            let sent = BROADCASTS_PER_UPDATE - self.remaining;
+            let sent = BROADCASTS_PER_UPDATE.saturating_sub(self.remaining);
             self.remaining -= 1;
             self.due_at = now.plus(FIRST_REPEAT_DELAY_MS << sent);
         }
--- a/crates/quarantine/benches/decision.rs
+++ b/crates/quarantine/benches/decision.rs
@@ -21,8 +21,9 @@
             engine: EngineTag(number as u32),
             begun: now,
             at: now,
+            request: RequestFingerprint(number).into(),
         };
-        let request = RequestFingerprint(number);
+        let request = RequestFingerprint(number).into();
         quarantine.note_end(request, TenantTag(number), end, None, now);
     }
     let body = vec![7; BODY_BYTES];
@@ -36,7 +37,7 @@
     criterion.bench_function("fingerprint_and_ask/34000", |bencher| {
         bencher.iter(|| {
             let request = RequestFingerprint::of(black_box(&parts));
-            black_box(quarantine.permission_for(request, false, now))
+            black_box(quarantine.permission_for(request.into(), false, now))
         });
     });
 }
--- a/crates/quarantine/src/answers.rs
+++ b/crates/quarantine/src/answers.rs
@@ -7,7 +7,7 @@
 /// Time after a full answer during which the end of an engine is no evidence against the
 /// request, in milliseconds. A request that ends engines is never answered, whereas a
 /// popular request is answered continuously.
-const ANSWER_VALIDITY_MS: u64 = 60_000;
+pub(crate) const ANSWER_VALIDITY_MS: u64 = 60_000;
 /// Number of latest answers that are kept, of 24 bytes each.
 const MAX_ANSWERS: usize = 4_096;
 
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,7 +1,9 @@
-//! The evidence against one request: engines that ended while running it.
+//! The evidence against one subject: engines that ended while running it.
 
+use crate::fingerprint::RequestTag;
 use ploverlift_balancing::names::EngineTag;
 use ploverlift_policy::ids::Millis;
+use std::collections::BTreeSet;
 
 /// Engine ends within this time count once, in milliseconds, if each copy was sent before
 /// the other engine ended. A power failure of a rack or a zone ends the engines of all
@@ -21,7 +23,7 @@
     streamed_ms < MIN_HEALTHY_STREAM_MS
 }
 
-/// An engine that ended while running the request.
+/// An engine that ended while running the subject.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineEnd {
     /// The engine.
@@ -30,9 +32,11 @@
     pub begun: Millis,
     /// When it ended.
     pub at: Millis,
+    /// The request that ran there.
+    pub request: RequestTag,
 }
 
-/// The ends of engines under one request, oldest first.
+/// The ends of engines under one subject, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
     ends: Vec<EngineEnd>,
@@ -60,6 +64,12 @@
         &self.ends
     }
 
+    /// Number of different requests under which engines ended.
+    pub fn requests(&self) -> usize {
+        let requests = self.ends.iter().map(|end| end.request);
+        requests.collect::<BTreeSet<RequestTag>>().len()
+    }
+
     /// Number of separate moments at which engines ended.
     pub fn moments(&self) -> usize {
         let mut moments = 0;
--- a/crates/quarantine/src/exchange.rs
+++ b/crates/quarantine/src/exchange.rs
@@ -1,15 +1,14 @@
 //! Reports that a node sends to and merges from other nodes.
 
 use crate::evidence::EngineEnd;
-use crate::fingerprint::RequestFingerprint;
 use crate::node_messages::{
-    ReportedClaim, ReportedClearing, ReportedEnd, ReportedRefusal, ReportedRequest, MAX_REPORTED,
+    ReportedClaim, ReportedClearing, ReportedEnd, ReportedRefusal, ReportedSubject, MAX_REPORTED,
 };
 use crate::quarantine::Quarantine;
+use crate::subject::Subject;
 use crate::suspect::{Claim, Cleared, Refusal, Suspect, CLAIM_TIMEOUT_MS};
 use ploverlift_balancing::names::PeerId;
 use ploverlift_policy::ids::Millis;
-use ploverlift_policy::update_broadcast::UpdateBroadcast;
 use std::cmp::Reverse;
 
 /// Time for which a clearing is kept, in milliseconds. Nodes that do not know of it yet may
@@ -40,9 +39,9 @@
 }
 
 impl Cleared {
-    fn reported(&self, now: Millis) -> ReportedRequest {
-        ReportedRequest {
-            request: self.request,
+    fn reported(&self, now: Millis) -> ReportedSubject {
+        ReportedSubject {
+            subject: self.subject,
             tenant: self.tenant,
             ends: Vec::new(),
             software: Vec::new(),
@@ -64,23 +63,23 @@
         own: PeerId,
         options: ReportOptions,
         now: Millis,
-    ) -> Vec<ReportedRequest> {
+    ) -> Vec<ReportedSubject> {
         self.expire(now);
-        let mut selected = self.due_requests(own, options, now);
+        let mut selected = self.due_subjects(own, options, now);
         if options.includes_refused {
             selected.extend(self.next_refused(MAX_REPORTED - selected.len()));
             selected.sort();
             selected.dedup();
         }
         let mut reports = Vec::new();
-        for request in selected {
-            if let Some(suspect) = self.suspects.get_mut(&request) {
+        for subject in selected {
+            if let Some(suspect) = self.suspects.get_mut(&subject) {
                 suspect.broadcast.record_broadcast(now);
                 if let Some(claim) = suspect.claim.as_mut().filter(|claim| claim.node == own) {
                     claim.reported_at = now;
                 }
             }
-            reports.push(self.reported(request, now));
+            reports.push(self.reported(subject, now));
         }
         let cleared = self.cleared.iter_mut();
         let due = cleared.filter(|cleared| cleared.broadcast.is_due(now));
@@ -91,12 +90,7 @@
         reports
     }
 
-    fn due_requests(
-        &self,
-        own: PeerId,
-        options: ReportOptions,
-        now: Millis,
-    ) -> Vec<RequestFingerprint> {
+    fn due_subjects(&self, own: PeerId, options: ReportOptions, now: Millis) -> Vec<Subject> {
         let is_claimed = |suspect: &Suspect| {
             let claim = suspect.live_claim(now);
             claim.is_some_and(|claim| claim.node == own || options.passes_on)
@@ -105,16 +99,16 @@
             suspect.broadcast.is_due(now) || (options.is_period && is_claimed(suspect))
         };
         let due = self.suspects.iter().filter(|(_, suspect)| is_due(suspect));
-        let mut due: Vec<RequestFingerprint> = due.map(|(request, _)| *request).collect();
-        due.sort_by_key(|request| Reverse((self.suspects[request].retention_rank(), *request)));
+        let mut due: Vec<Subject> = due.map(|(subject, _)| *subject).collect();
+        due.sort_by_key(|subject| Reverse((self.suspects[subject].retention_rank(), *subject)));
         due.truncate(MAX_REPORTED);
         due
     }
 
-    fn next_refused(&mut self, most: usize) -> Vec<RequestFingerprint> {
+    fn next_refused(&mut self, most: usize) -> Vec<Subject> {
         let suspects = self.suspects.iter();
         let refused = suspects.filter(|(_, known)| known.refusal.is_some());
-        let mut refused: Vec<RequestFingerprint> = refused.map(|(request, _)| *request).collect();
+        let mut refused: Vec<Subject> = refused.map(|(subject, _)| *subject).collect();
         refused.sort();
         let first = self.next_repeated % refused.len().max(1);
         self.next_repeated = first + most;
@@ -123,15 +117,16 @@
         refused
     }
 
-    fn reported(&self, request: RequestFingerprint, now: Millis) -> ReportedRequest {
-        let suspect = &self.suspects[&request];
+    fn reported(&self, subject: Subject, now: Millis) -> ReportedSubject {
+        let suspect = &self.suspects[&subject];
         let ends = suspect.evidence.ends().iter().map(|end| ReportedEnd {
             engine: end.engine,
             begun_age_ms: now.since(end.begun),
             age_ms: now.since(end.at),
+            request: end.request,
         });
-        ReportedRequest {
-            request,
+        ReportedSubject {
+            subject,
             tenant: suspect.tenant,
             ends: ends.collect(),
             software: suspect.software.iter().cloned().collect(),
@@ -153,32 +148,34 @@
     /// and forwards changes; other nodes leave that to the node that detected them.
     pub fn merge(
         &mut self,
-        report: &ReportedRequest,
+        report: &ReportedSubject,
         from: PeerId,
         own: PeerId,
         passes_on: bool,
         now: Millis,
     ) -> MergeOutcome {
-        let request = report.request;
+        let subject = report.subject;
         if let Some(clearing) = report.clearing {
-            return match self.merge_clearing(request, clearing, passes_on, now) {
+            return match self.merge_clearing(report, clearing, passes_on, now) {
                 true => MergeOutcome::Changed,
                 false => MergeOutcome::Unchanged,
             };
         }
-        let known = self.suspects.contains_key(&request);
-        let known_before = known.then(|| self.reported(request, now));
-        let broadcast = self.suspects.get(&request).map(|suspect| suspect.broadcast);
-        let was_refused = self.is_refused(request);
+        let is_answered = self.answer_suspicion(report, now);
+        let known = self.suspects.contains_key(&subject);
+        let known_before = known.then(|| self.reported(subject, now));
+        let broadcast = self.suspects.get(&subject).map(|suspect| suspect.broadcast);
+        let was_refused = self.is_refused(subject);
         for end in &report.ends {
             let end = EngineEnd {
                 engine: end.engine,
                 begun: now.before(end.begun_age_ms),
                 at: now.before(end.age_ms),
+                request: end.request,
             };
-            self.note_end(request, report.tenant, end, None, now);
+            self.note_end(subject, report.tenant, end, None, now);
         }
-        if let Some(suspect) = self.suspects.get_mut(&request) {
+        if let Some(suspect) = self.suspects.get_mut(&subject) {
             if let Some(refusal) = suspect.refusal.as_mut().filter(|_| !was_refused) {
                 refusal.is_own = false;
             }
@@ -188,60 +185,34 @@
             self.merge_refusal(report, refusal, now);
         }
         self.merge_claim(report, from, own, now);
-        let is_known = self.suspects.contains_key(&request);
-        let known_now = is_known.then(|| self.reported(request, now));
-        if let Some(suspect) = self.suspects.get_mut(&request) {
+        let is_known = self.suspects.contains_key(&subject);
+        let known_now = is_known.then(|| self.reported(subject, now));
+        if let Some(suspect) = self.suspects.get_mut(&subject) {
             suspect.broadcast = match passes_on && known_before != known_now {
-                true => UpdateBroadcast::begin(now),
+                true => suspect.begin_broadcast(now),
                 false => broadcast.unwrap_or_default(),
             };
         }
-        match (was_refused, self.is_refused(request)) {
+        match (was_refused, self.is_refused(subject)) {
             (false, true) => MergeOutcome::Refused,
-            _ if known_before == known_now => MergeOutcome::Unchanged,
+            _ if known_before == known_now && !is_answered => MergeOutcome::Unchanged,
             _ => MergeOutcome::Changed,
         }
     }
 
-    fn merge_clearing(
-        &mut self,
-        request: RequestFingerprint,
-        report: ReportedClearing,
-        passes_on: bool,
-        now: Millis,
-    ) -> bool {
-        let cleared_at = now.before(report.age_ms);
-        if report.is_answer {
-            self.answers.note(request, cleared_at);
-        }
-        let is_known_clearing = self.cleared.iter().any(|known| known.request == request);
-        if is_known_clearing {
-            self.clear(request, cleared_at);
-            return false;
-        }
-        let is_changed = self.clear_and_report(request, report.is_answer, cleared_at);
-        if let Some(cleared) = self.cleared.last_mut().filter(|_| is_changed) {
-            cleared.broadcast = match passes_on {
-                true => UpdateBroadcast::begin(now),
-                false => UpdateBroadcast::default(),
-            };
-        }
-        is_changed
-    }
-
     pub(crate) fn merge_refusal(
         &mut self,
-        report: &ReportedRequest,
+        report: &ReportedSubject,
         refusal: ReportedRefusal,
         now: Millis,
     ) {
         let since = now.before(refusal.age_ms);
         let mut cleared = self.cleared.iter();
-        let is_cleared = cleared.any(|known| known.request == report.request && known.at >= since);
-        if is_cleared || self.answers.clear(report.request, since) {
+        let is_cleared = cleared.any(|known| known.subject == report.subject && known.at >= since);
+        if is_cleared || self.is_excused(report.subject, since) {
             return;
         }
-        let suspect = self.suspect(report.request, report.tenant, now);
+        let suspect = self.suspect(report.subject, report.tenant, now);
         suspect.software.extend(report.software.iter().cloned());
         let known = suspect.refusal.get_or_insert(Refusal {
             since,
@@ -262,8 +233,8 @@
     /// Merges a claim. A claim whose request is being sent has precedence over one that
     /// waits, and otherwise the claim of the lower node identifier. Only the claiming node
     /// can end its claim; otherwise the claim expires.
-    fn merge_claim(&mut self, report: &ReportedRequest, from: PeerId, own: PeerId, now: Millis) {
-        let Some(suspect) = self.suspects.get_mut(&report.request) else {
+    fn merge_claim(&mut self, report: &ReportedSubject, from: PeerId, own: PeerId, now: Millis) {
+        let Some(suspect) = self.suspects.get_mut(&report.subject) else {
             return;
         };
         let live = suspect.live_claim(now);
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -43,6 +43,16 @@
     }
 }
 
+/// The low 32 bits of a fingerprint, which tell a few requests apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestTag(pub u32);
+
+impl From<RequestFingerprint> for RequestTag {
+    fn from(request: RequestFingerprint) -> Self {
+        Self(request.0 as u32)
+    }
+}
+
 impl FromStr for RequestFingerprint {
     type Err = ParseIntError;
 
--- a/crates/quarantine/src/node_messages.rs
+++ b/crates/quarantine/src/node_messages.rs
@@ -1,11 +1,12 @@
-//! Messages that nodes exchange about requests under which engines ended.
+//! Messages that nodes exchange about subjects under which engines ended.
 
-use crate::fingerprint::RequestFingerprint;
+use crate::fingerprint::RequestTag;
+use crate::subject::Subject;
 use ploverlift_balancing::names::{EngineTag, PeerId};
 use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::software::SoftwareVersion;
 
-/// Most requests in one message, so that it fits into one datagram.
+/// Most subjects in one message, so that it fits into one datagram.
 pub const MAX_REPORTED: usize = 12;
 
 /// An engine that ended, and how long ago.
@@ -17,6 +18,8 @@
     pub begun_age_ms: u64,
     /// Time since it ended, in milliseconds.
     pub age_ms: u64,
+    /// The request that ran there.
+    pub request: RequestTag,
 }
 
 /// The claim of the only node that may currently send the request.
@@ -50,11 +53,11 @@
     pub is_stored: bool,
 }
 
-/// The report about one request.
+/// The report about one subject.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReportedRequest {
-    /// The request.
-    pub request: RequestFingerprint,
+pub struct ReportedSubject {
+    /// The request, or the part of prompts.
+    pub subject: Subject,
     /// Its tenant.
     pub tenant: TenantTag,
     /// Engines that ended while running it.
--- a/crates/quarantine/src/stored.rs
+++ b/crates/quarantine/src/stored.rs
@@ -1,8 +1,8 @@
-//! Refused requests in the store: what it holds and what it should hold.
+//! Refused subjects in the store: what it holds and what it should hold.
 
-use crate::fingerprint::RequestFingerprint;
-use crate::node_messages::{ReportedRefusal, ReportedRequest};
+use crate::node_messages::{ReportedRefusal, ReportedSubject};
 use crate::quarantine::Quarantine;
+use crate::subject::Subject;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::software::SoftwareVersion;
@@ -12,7 +12,7 @@
 /// milliseconds.
 const STORE_GRACE_MS: u64 = 1_500;
 
-/// The stored state of a refused request.
+/// The stored state of a refused subject.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredRefusal {
     /// Its tenant.
@@ -40,25 +40,24 @@
     /// released by an operator; they are returned.
     pub fn apply_stored_list(
         &mut self,
-        stored: Vec<(RequestFingerprint, StoredRefusal)>,
+        stored: Vec<(Subject, StoredRefusal)>,
         sent: Millis,
         now: Millis,
-    ) -> Vec<RequestFingerprint> {
-        let listed: BTreeSet<RequestFingerprint> =
-            stored.iter().map(|(request, _)| *request).collect();
+    ) -> Vec<Subject> {
+        let listed: BTreeSet<Subject> = stored.iter().map(|(subject, _)| *subject).collect();
         let suspects = self.suspects.iter();
-        let released = suspects.filter(|(request, known)| {
+        let released = suspects.filter(|(subject, known)| {
             let stored_at = known.refusal.and_then(|refusal| refusal.stored_at);
-            stored_at.is_some_and(|at| at < sent) && !listed.contains(request)
+            stored_at.is_some_and(|at| at < sent) && !listed.contains(subject)
         });
-        let released: Vec<RequestFingerprint> = released.map(|(request, _)| *request).collect();
-        for request in &released {
-            self.note_released(*request, now);
-            self.note_deleted(*request);
+        let released: Vec<Subject> = released.map(|(subject, _)| *subject).collect();
+        for subject in &released {
+            self.note_released(*subject, now);
+            self.note_deleted(*subject);
         }
-        for (request, refusal) in stored {
-            let report = ReportedRequest {
-                request,
+        for (subject, refusal) in stored {
+            let report = ReportedSubject {
+                subject,
                 tenant: refusal.tenant,
                 ends: Vec::new(),
                 software: refusal.software,
@@ -71,8 +70,8 @@
                 trials: refusal.trials,
                 is_stored: true,
             };
-            match self.is_refused(request) {
-                true => self.note_stored(request, refusal.trials, now),
+            match self.is_refused(subject) {
+                true => self.note_stored(subject, refusal.trials, now),
                 false => self.merge_refusal(&report, refusal, now),
             }
         }
@@ -82,9 +81,9 @@
 
     /// Refused requests that this node should store: those that it detected itself, and
     /// those that the detecting node has not stored in time.
-    pub fn unstored(&self, now: Millis) -> Vec<(RequestFingerprint, StoredRefusal)> {
+    pub fn unstored(&self, now: Millis) -> Vec<(Subject, StoredRefusal)> {
         let suspects = self.suspects.iter();
-        let unstored = suspects.filter_map(|(request, suspect)| {
+        let unstored = suspects.filter_map(|(subject, suspect)| {
             let refusal = suspect
                 .refusal
                 .filter(|refusal| refusal.stored_at.is_none())?;
@@ -96,14 +95,14 @@
                 software: suspect.software.iter().cloned().collect(),
                 trials: refusal.trials,
             };
-            Some((*request, stored))
+            Some((*subject, stored))
         });
         unstored.collect()
     }
 
     /// Records that the store holds a refused request with `trials` trials.
-    pub fn note_stored(&mut self, request: RequestFingerprint, trials: u32, now: Millis) {
-        let suspect = self.suspects.get_mut(&request);
+    pub fn note_stored(&mut self, subject: Subject, trials: u32, now: Millis) {
+        let suspect = self.suspects.get_mut(&subject);
         let refusal = suspect.and_then(|suspect| suspect.refusal.as_mut());
         if let Some(refusal) = refusal.filter(|refusal| refusal.trials <= trials) {
             refusal.trials = trials;
@@ -121,12 +120,12 @@
     }
 
     /// Refusals to be deleted from the store.
-    pub fn pending_deletions(&self) -> Vec<RequestFingerprint> {
+    pub fn pending_deletions(&self) -> Vec<Subject> {
         self.to_delete.clone()
     }
 
     /// Records that a refusal was deleted from the store.
-    pub fn note_deleted(&mut self, request: RequestFingerprint) {
-        self.to_delete.retain(|known| *known != request);
+    pub fn note_deleted(&mut self, subject: Subject) {
+        self.to_delete.retain(|known| *known != subject);
     }
 }
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -4,15 +4,16 @@
 use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::evidence::{counts_as_evidence, EngineEnd};
 use ploverlift_quarantine::exchange::{MergeOutcome, ReportOptions};
-use ploverlift_quarantine::fingerprint::{RequestFingerprint, RequestParts};
+use ploverlift_quarantine::fingerprint::{RequestFingerprint, RequestParts, RequestTag};
 use ploverlift_quarantine::quarantine::{
     EndOutcome, Permission, Quarantine, MOMENTS_UNTIL_REFUSED,
 };
 use ploverlift_quarantine::retention::{MAX_PER_TENANT, MAX_REQUESTS};
+use ploverlift_quarantine::subject::Subject;
 use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::software::SoftwareVersion;
 
-const REQUEST: RequestFingerprint = RequestFingerprint(7);
+const REQUEST: Subject = Subject::Request(RequestFingerprint(7));
 const TENANT: TenantTag = TenantTag(1);
 const NODE: PeerId = PeerId(1);
 const OTHER: PeerId = PeerId(2);
@@ -31,6 +32,7 @@
         engine: EngineTag(engine),
         begun,
         at,
+        request: RequestTag(7),
     }
 }
 
@@ -335,7 +337,7 @@
 fn a_tenant_with_many_suspects_evicts_only_its_own() {
     let (mut quarantine, now) = refused();
     for number in 0..2_000 {
-        let request = RequestFingerprint(1_000 + number);
+        let request = RequestFingerprint(1_000 + number).into();
         let at = now.plus(number);
         let ended = end(number as u32 + 100, at, at);
         quarantine.note_end(request, TenantTag(2), ended, None, at);
@@ -344,7 +346,7 @@
     assert!(quarantine.len() <= MAX_PER_TENANT + 1);
     for tenant in 0..2_000 {
         let ended = end(tenant as u32 + 5_000, now, now);
-        let request = RequestFingerprint(10_000 + tenant);
+        let request = RequestFingerprint(10_000 + tenant).into();
         quarantine.note_end(request, TenantTag(10 + tenant), ended, None, now);
     }
     assert!(quarantine.len() <= MAX_REQUESTS);
