Relays no longer refresh each other's refusals and claims

The age in a report lacks the time that the report was under way. A relay that got back what it had passed on therefore took it for newer, adopted it and passed it on again: two relays repeated a refusal for as long as it stood, the time until its trial grew, and the claim of a lost node did not expire. On loopback reports take no whole millisecond, so tests with running nodes never showed it.

A refusal's time now changes only with its number of trials, and a claim is refreshed only by a report that is later by half a report period.

--- a/crates/quarantine/src/exchange.rs
+++ b/crates/quarantine/src/exchange.rs
@@ -15,6 +15,11 @@
 /// report the request as refused for that long.
 pub(crate) const CLEARING_RETENTION_MS: u64 = 10_000;
 
+/// Time by which the report of a claim must be later than the known one to refresh it, in
+/// milliseconds. The age in a report lacks the time that it was under way, so that relays would
+/// refresh a claim by passing it back and forth.
+const MIN_CLAIM_REFRESH_MS: u64 = 125;
+
 /// What to include in the reports.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReportOptions {
@@ -220,8 +225,8 @@
             stored_at: None,
             is_own: false,
         });
-        known.since = known.since.max(since);
         if refusal.trials > known.trials {
+            known.since = known.since.max(since);
             known.trials = refusal.trials;
             known.stored_at = None;
         }
@@ -250,8 +255,12 @@
         let rank = |claim: Claim| (Reverse(claim.is_sent), claim.node);
         let has_precedence = live.is_none_or(|known| rank(other) <= rank(known));
         let is_lapsed = now.since(other.reported_at) >= CLAIM_TIMEOUT_MS;
-        let is_older =
-            live.is_some_and(|old| old.node == other.node && old.reported_at > other.reported_at);
+        let is_same = |old: Claim| old.node == other.node && old.is_sent == other.is_sent;
+        let is_older = live.is_some_and(|old| {
+            let is_refreshed = other.reported_at.since(old.reported_at) >= MIN_CLAIM_REFRESH_MS;
+            old.node == other.node && old.reported_at > other.reported_at
+                || is_same(old) && !is_refreshed
+        });
         if claim.node != own && has_precedence && !is_lapsed && !is_older {
             suspect.claim = Some(other);
         }
