Tests: reports on parts fit into a datagram and are kept from earlier releases

A full report of six parts with eight ends each stays within a datagram and is read back; parts stand outside the field that earlier releases read as requests.

--- a/crates/gateway/tests/harmful_parts/main.rs
+++ b/crates/gateway/tests/harmful_parts/main.rs
@@ -8,6 +8,7 @@
 
 mod fleets;
 mod harmless;
+mod messages;
 mod site;
 #[path = "../support/mod.rs"]
 mod support;
