Tests: engines end under a harmful part after the first event of the answer

The stand-in engine ended before it had sent anything; the reported engines had sent their heads. It now ends one event after it has begun the answer, of a resumed stream as well.

--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -67,6 +67,12 @@
         record_request(&shared, &head, body);
         if ends {
             sleep(RUNS_BEFORE_END_MS).await;
+            if matches!(answers, Behaviour::EndsUnderPart(_)) {
+                let last_event = head.headers.get(site::AFTER);
+                let last_event: u64 = last_event.map_or(0, |id| id.parse().expect("an event"));
+                let ends = Behaviour::EndAfter(last_event + 1);
+                respond(&shared, ends, &mut connection, &head).await;
+            }
             shared.end();
             std::future::pending::<()>().await;
         }
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -85,8 +85,9 @@
     /// Sends complete answers, but terminates `RUNS_BEFORE_END_MS` after it has begun a
     /// request with this body.
     EndsUnder(&'static [u8]),
-    /// Sends complete answers after `ANSWERS_AFTER_MS`, but terminates `RUNS_BEFORE_END_MS`
-    /// after it has begun a request with one of these shared parts in its prompt.
+    /// Sends complete answers after `ANSWERS_AFTER_MS`, but begins the answer to a request with
+    /// one of these shared parts in its prompt `RUNS_BEFORE_END_MS` after it has begun to run
+    /// it, and terminates after one event, also of a stream that is resumed.
     EndsUnderPart(&'static [u64]),
 }
 
