Tests: takeovers that lose a request, its engine's record or a retry, failing

A silent engine that rejects the request, or fails, while another one works on it: the other one is cancelled and the caller gets 502 or 500. An engine that rejects a stream 250 ms after it took it over: broken off, while the paused engine would have gone on. A pause of 2.6 s in which connections fail: the resumable stream is broken off although no other engine exists; one that can't be resumed is not. A retry of a cancelled takeover is used in a later window. A takeover counts a cut link against the engine.

--- a/crates/gateway/tests/silent_engines/main.rs
+++ b/crates/gateway/tests/silent_engines/main.rs
@@ -3,6 +3,9 @@
 //! An attempt whose engine is silent ends only once another engine has taken the request over.
 
 mod answers;
+mod late_rejections;
+mod lost_engines;
+mod records;
 mod site;
 mod streams;
 #[path = "../support/mod.rs"]
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -33,6 +33,17 @@
         let _ = connection.write_all(&head.encode()).await;
         return;
     }
+    let behaviour = match behaviour {
+        Behaviour::RefuseAfter(after_ms) => {
+            sleep(after_ms).await;
+            Behaviour::Refuse
+        }
+        Behaviour::FailAfter(after_ms) => {
+            sleep(after_ms).await;
+            Behaviour::Fail
+        }
+        other => other,
+    };
     let id = request.headers.get(site::ID).unwrap_or_default().to_owned();
     let mut head = ResponseHead::new(200);
     head.headers.push(site::ID, &id);
@@ -50,7 +61,7 @@
             return;
         }
         Behaviour::Reset => return,
-        Behaviour::Refuse | Behaviour::CloseKeptThenRefuse => {
+        Behaviour::Refuse | Behaviour::RefuseAfter(_) | Behaviour::CloseKeptThenRefuse => {
             head.status = 503;
             head.headers.push(site::NOT_RUN, "1");
             if let Some(value) = &*shared.backoff_ms.lock().expect("backoff") {
@@ -68,7 +79,10 @@
             head.headers.push(site::NOT_RUN, "1");
             head.headers.push(site::INSTANCE, "another-1");
         }
-        Behaviour::Fail | Behaviour::FailWith(_) | Behaviour::AnswerLarge(..) => {
+        Behaviour::Fail
+        | Behaviour::FailAfter(_)
+        | Behaviour::FailWith(_)
+        | Behaviour::AnswerLarge(..) => {
             head.status = match behaviour {
                 Behaviour::FailWith(status) | Behaviour::AnswerLarge(status, _) => status,
                 _ => 500,
@@ -90,6 +104,7 @@
         | Behaviour::AnswerAfter(_)
         | Behaviour::StreamSlowly(_)
         | Behaviour::Pause(_)
+        | Behaviour::PauseOften(_)
         | Behaviour::EndsUnder(_)
         | Behaviour::EndsUnderPart(_)
         | Behaviour::CutAt(_)
@@ -208,6 +223,9 @@
     let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
     for number in first..=EVENTS {
         pause_at(pause, PausePoint::Event(number)).await;
+        if let (Behaviour::PauseOften(length_ms), 3..) = (behaviour, number) {
+            sleep(*length_ms).await;
+        }
         let event = format_event(number, format.line_ending);
         let is_broken = match behaviour {
             Behaviour::BreakInside(broken) | Behaviour::ResetInside(broken) => *broken == number,
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -78,10 +78,17 @@
     Flood,
     /// Sends a complete answer after this delay, in milliseconds.
     AnswerAfter(u64),
+    /// Answers after this delay, in milliseconds, that it did not run the request.
+    RefuseAfter(u64),
+    /// Runs the request for this time, in milliseconds, and fails.
+    FailAfter(u64),
     /// Sends this number of events, one every 50 ms, and then the end of the stream.
     StreamSlowly(u64),
     /// Sends a complete answer with one pause in it.
     Pause(Pause),
+    /// Sends a complete stream with a pause of this length, in milliseconds, before the third
+    /// event and each later one.
+    PauseOften(u64),
     /// Sends complete answers, but terminates `RUNS_BEFORE_END_MS` after it has begun a
     /// request with this body.
     EndsUnder(&'static [u8]),
