Requests in service take a third of the memory again

Callers' connections cost a node 135 KB each instead of 50 KB, idle ones too, since silent engines are read on during a takeover.

Cause: futures were passed by value through several waits, and each enclosing future reserved space for a copy of them. They are pinned where they begin, as before.

--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -149,7 +149,8 @@
         let (left_ms, silence_ms) = (self.left_ms(), self.attempt_timeout_ms());
         let mut body = Vec::new();
         let waited = {
-            let reading = within(left_ms, read_limited(answer, &mut body, &watch));
+            let reading = pin!(read_limited(answer, &mut body, &watch));
+            let reading = pin!(within(left_ms, reading));
             let reading = async {
                 match watch.unless_lost(reading).await {
                     None => Err(ReadFailure::EngineLost),
@@ -157,8 +158,8 @@
                     Some(Some(read)) => read.map_err(ReadFailure::Answer),
                 }
             };
-            self.unless_taken_over(pin!(reading), silence_ms, chosen)
-                .await
+            let reading = pin!(reading);
+            self.unless_taken_over(reading, silence_ms, chosen).await
         };
         match waited {
             Waited::Done(Ok(true)) => {
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -14,7 +14,7 @@
 use ploverlift_policy::attempt::AttemptState;
 use ploverlift_policy::ids::Millis;
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -109,8 +109,8 @@
         let deadline = self.start_deadline(chosen);
         let timeout_ms = self.left_ms();
         let answer = async move {
-            let exchanging = exchange_on(stream, &head, &body, timeout_ms);
-            let exchanging = watch.unless_lost(exchanging);
+            let exchanging = pin!(exchange_on(stream, &head, &body, timeout_ms));
+            let exchanging = pin!(watch.unless_lost(exchanging));
             let reason = match deadline.unless_passed(exchanging).await {
                 Some(Some(exchanged)) => return exchanged,
                 Some(None) => FailureReason::EngineLost,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -234,7 +234,8 @@
             let left_ms = self.left_ms();
             let silence_ms = self.allowed_silence_ms(is_first);
             let waited = {
-                let reading = within(left_ms, answer.read(&mut splitter.pending));
+                let reading = pin!(answer.read(&mut splitter.pending));
+                let reading = pin!(within(left_ms, reading));
                 let reading = pin!(guard.read(reading, is_first));
                 self.unless_taken_over(reading, silence_ms, chosen).await
             };
