A retry that a takeover did not send goes back to the budget

A service could be sent more repeats within a window than its budget permits: a retry that was taken for a takeover which then did not happen stayed with its request, and a takeover in a later window used it beside the retries of that window.

--- a/crates/balancing/src/retry_budget.rs
+++ b/crates/balancing/src/retry_budget.rs
@@ -60,6 +60,15 @@
         true
     }
 
+    /// Returns a retry that was taken and not sent.
+    pub fn put_back(&mut self, now: Millis) {
+        self.slot(now);
+        let mut newest_first = self.slots.iter_mut().rev();
+        if let Some(slot) = newest_first.find(|slot| slot.repeats > 0) {
+            slot.repeats -= 1;
+        }
+    }
+
     /// Whether the budget has a retry left.
     pub fn has_retry(&mut self, now: Millis) -> bool {
         self.slot(now);
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -286,6 +286,17 @@
         self.progress.has_taken_retry || budget.has_retry(now)
     }
 
+    /// Returns a retry that was taken from the budget and not sent.
+    fn put_retry_back(&mut self) {
+        if std::mem::take(&mut self.progress.has_taken_retry) {
+            let now = self.gateway.clock.now();
+            let settings = self.gateway.settings();
+            let mut beliefs = self.gateway.beliefs();
+            let budget = beliefs.retry_budget(&self.received.admission.service, &settings);
+            budget.put_back(now);
+        }
+    }
+
     fn take_retry(&self) -> bool {
         let now = self.gateway.clock.now();
         let settings = self.gateway.settings();
--- a/crates/gateway/src/forward/takeover.rs
+++ b/crates/gateway/src/forward/takeover.rs
@@ -148,8 +148,11 @@
             }
         };
         let is_taken_over = matches!(waited, Some(Waited::TakenOver(_)));
-        if !is_taken_over && !had_claim {
-            self.claim = None;
+        if !is_taken_over {
+            self.put_retry_back();
+            if !had_claim {
+                self.claim = None;
+            }
         }
         waited
     }
