A takeover from an engine that is cut off from the node is not held against it

An engine whose link to one node was cut, and its software version, were charged with a broken answer when another engine took the request over: the exception for cut links was made for broken attempts alone. The path of the second engine's connection is recorded before its answer, so that it is judged by that path too.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -263,10 +263,19 @@
                     in_flight.note_outcome(Outcome::Broken);
                 }
             }
+            AttemptEnd::TakenOver(_) => self.note_let_go(in_flight),
             _ => in_flight.note_outcome(Outcome::Broken),
         }
     }
 
+    /// Records that the engine was let go because of its silence. Where the link to it is cut,
+    /// that says nothing about the engine or its version.
+    pub(super) fn note_let_go(&self, in_flight: &InFlight) {
+        if !self.is_cut_off_directly(in_flight) {
+            in_flight.note_outcome(Outcome::Broken);
+        }
+    }
+
     /// Whether the attempt was sent directly to an engine that is now cut off from this node.
     fn is_cut_off_directly(&self, in_flight: &InFlight) -> bool {
         let engine = EngineTag::of(in_flight.instance());
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -85,7 +85,7 @@
                 Ok(AttemptEnd::Broken(broken))
             }
             ReadEnd::TakenOver(takeover) => {
-                in_flight.note_outcome(Outcome::Broken);
+                self.note_let_go(in_flight);
                 Ok(AttemptEnd::TakenOver(takeover))
             }
         }
@@ -136,7 +136,7 @@
                 Ok(AttemptEnd::Broken(broken))
             }
             ReadEnd::TakenOver(takeover) => {
-                in_flight.note_outcome(Outcome::Broken);
+                self.note_let_go(in_flight);
                 Ok(AttemptEnd::TakenOver(takeover))
             }
         }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -151,7 +151,7 @@
                     return Ok(AttemptEnd::Broken(broken));
                 }
                 StreamStep::TakenOver(takeover) => {
-                    in_flight.note_outcome(Outcome::Broken);
+                    self.note_let_go(in_flight);
                     return Ok(AttemptEnd::TakenOver(takeover));
                 }
             }
--- a/crates/gateway/src/forward/takeover.rs
+++ b/crates/gateway/src/forward/takeover.rs
@@ -167,13 +167,16 @@
         let Some(chosen) = self.secure_engine().await else {
             return Err(TakeoverOutcome::NotPossible);
         };
-        let in_flight = self.begin_load(&chosen);
+        let mut in_flight = self.begin_load(&chosen);
         match self.begin_on_new_connection(&chosen).await {
-            Ok(exchange) => Ok(RunningAttempt {
-                chosen,
-                in_flight,
-                exchange,
-            }),
+            Ok(exchange) => {
+                in_flight.path = exchange.path;
+                Ok(RunningAttempt {
+                    chosen,
+                    in_flight,
+                    exchange,
+                })
+            }
             Err(end) => {
                 self.note_unanswered(&in_flight, &end);
                 self.conclude_attempt(end, chosen.instance);
