A loss that only one node has seen starts a takeover, and ends no attempt

A resumable stream was broken off, and a repeatable request given up, after a pause of over two seconds in which connections to its engine failed, although its own connection held and no other engine could take it over.

Cause: for requests that may run again, failed connections of this node alone ended the attempt before another one was held; for those that may run once, another node or the engine's record had to confirm the loss. Now both need that, and an unconfirmed loss starts a takeover at once.

--- a/crates/gateway/src/forward/engine_watch.rs
+++ b/crates/gateway/src/forward/engine_watch.rs
@@ -1,9 +1,8 @@
 //! Ends a request's wait for an engine that is known to be lost.
 //!
 //! Silence alone proves nothing: the engine may be at the prefill of a long prompt. Several
-//! failed connections to it are a reason to try another engine. A request that must not run
-//! again is failed only when a fault of this node's link is ruled out, since an answer may
-//! still arrive.
+//! failed connections to it are a reason to try another engine beside it. A wait ends only when
+//! a fault of this node's link is ruled out, since an answer may still arrive.
 
 use super::Forwarding;
 use crate::state::Gateway;
@@ -21,7 +20,6 @@
     /// watch (its connection has been established, or its answer has started), or the arrival
     /// of bytes of its answer.
     last_activity: AtomicU64,
-    may_run_again: bool,
 }
 
 impl EngineWatch {
@@ -52,15 +50,32 @@
         }
     }
 
+    /// Waits until this node takes the engine for lost, whether or not another node confirms it.
+    pub(super) async fn wait_until_suspected(&self) {
+        loop {
+            let changed = self.gateway.engine_lost.listen();
+            if self.is_suspected() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     fn is_lost(&self) -> bool {
         let now = self.gateway.clock.now();
-        let last_activity_at = Millis(self.last_activity.load(Ordering::Relaxed));
         let beliefs = self.gateway.beliefs();
         let (losses, engines) = (&beliefs.losses, beliefs.engines.len());
-        match self.may_run_again {
-            true => losses.is_lost_since(&self.instance, last_activity_at, engines),
-            false => losses.is_dead_since(&self.instance, last_activity_at, engines, now),
-        }
+        losses.is_dead_since(&self.instance, self.last_activity_at(), engines, now)
+    }
+
+    fn is_suspected(&self) -> bool {
+        let beliefs = self.gateway.beliefs();
+        let (losses, engines) = (&beliefs.losses, beliefs.engines.len());
+        losses.is_lost_since(&self.instance, self.last_activity_at(), engines)
+    }
+
+    fn last_activity_at(&self) -> Millis {
+        Millis(self.last_activity.load(Ordering::Relaxed))
     }
 }
 
@@ -71,7 +86,6 @@
             gateway: Arc::clone(&self.gateway),
             instance: instance.clone(),
             last_activity: AtomicU64::new(self.gateway.clock.now().0),
-            may_run_again: self.received.admission.route.delivery.is_repeatable(),
         }
     }
 }
--- a/crates/gateway/src/forward/takeover.rs
+++ b/crates/gateway/src/forward/takeover.rs
@@ -20,7 +20,7 @@
 use super::Forwarding;
 use crate::engine_connection::{EngineAnswer, ExchangeFailure};
 use crate::ports::AnswerMeaning;
-use crate::time::within;
+use crate::time::{sleep, within};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::health::Outcome;
 use std::future::Future;
@@ -99,8 +99,8 @@
 
 impl Forwarding {
     /// Waits for the engine of the current attempt. Each time that it was silent for
-    /// `silence_ms` milliseconds, another engine is tried beside it; never if that is `None`.
-    /// `work` must end by itself when the request's time is up.
+    /// `silence_ms` milliseconds, and at once when it may be lost, another engine is tried beside
+    /// it; never if that is `None`. `work` must end by itself when the request's time is up.
     pub(super) async fn unless_taken_over<T, E>(
         &mut self,
         mut work: Pin<&mut impl Future<Output = Result<T, E>>>,
@@ -110,8 +110,19 @@
         let Some(mut wait_ms) = silence_ms else {
             return Waited::Done(work.await);
         };
+        let watch = self.watch_engine(&chosen.instance);
+        let mut may_be_lost = pin!(watch.wait_until_suspected());
+        let mut is_suspected = false;
         loop {
-            if let Some(done) = within(wait_ms, work.as_mut()).await {
+            let waiting = async {
+                match is_suspected {
+                    true => sleep(wait_ms).await,
+                    false => is_suspected = within(wait_ms, may_be_lost.as_mut()).await.is_some(),
+                }
+                None
+            };
+            let working = async { Some(work.as_mut().await) };
+            if let Some(done) = futures_lite::future::or(working, waiting).await {
                 return Waited::Done(done);
             }
             if self.progress.attempts.is_last_attempt() {
