A rejection by a silent engine does not cancel the one that took its request over

Callers got 502 or 500 although an engine worked on their request: a paused engine came back with a full queue and rejected it, or failed, while another one had just been given it. That was taken for the engine going on: the other engine was cancelled, and counted against the route's number of engines.

Now only an answer that means success, or more of a stream or a body, keeps the request at its engine. Denied tokens are counted for each takeover anew, and a request's line lists equal takeovers once.

--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -62,7 +62,7 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
-        match self.read_buffered(&mut answer, chosen).await {
+        match self.read_buffered(&mut answer, chosen, true).await {
             ReadEnd::Whole(body) => {
                 in_flight.note_outcome(Outcome::Answered);
                 self.record.record_first_byte(&self.gateway, &self.received);
@@ -105,7 +105,10 @@
             true => Outcome::Failed,
             false => Outcome::Answered,
         };
-        match self.read_buffered(&mut answer, chosen).await {
+        match self
+            .read_buffered(&mut answer, chosen, !is_engines_fault)
+            .await
+        {
             ReadEnd::Whole(body) => {
                 in_flight.note_outcome(outcome);
                 let head = forwarded_head(&answer);
@@ -143,8 +146,14 @@
     }
 
     /// Reads until the answer is complete or too large, its engine is known to be lost, or
-    /// another engine has taken the request over.
-    async fn read_buffered(&mut self, answer: &mut EngineAnswer, chosen: &ChosenEngine) -> ReadEnd {
+    /// another engine has taken the request over. An answer that is not wanted does not keep the
+    /// other engine from that.
+    async fn read_buffered(
+        &mut self,
+        answer: &mut EngineAnswer,
+        chosen: &ChosenEngine,
+        answer_is_wanted: bool,
+    ) -> ReadEnd {
         let watch = self.watch_engine(&chosen.instance);
         let (left_ms, silence_ms) = (self.left_ms(), self.attempt_timeout_ms());
         let mut body = Vec::new();
@@ -159,7 +168,12 @@
                 }
             };
             let reading = pin!(reading);
-            self.unless_taken_over(reading, silence_ms, chosen).await
+            let is_wanted: fn(&Self, &bool) -> bool = match answer_is_wanted {
+                true => |_, _| true,
+                false => |_, _| false,
+            };
+            self.unless_taken_over(reading, silence_ms, chosen, is_wanted)
+                .await
         };
         match waited {
             Waited::Done(Ok(true)) => {
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -148,7 +148,7 @@
         );
     }
 
-    /// Appends a try to have another engine take the request over. Equal ones in succession are
+    /// Appends a try to have another engine take the request over. Equal ones are
     /// listed once.
     pub(super) fn record_takeover(
         &mut self,
@@ -158,7 +158,7 @@
     ) {
         let engine = engine.map_or("none", |engine| engine.0.as_str());
         let text = format!(" takeover={outcome} by={engine} ({reason})");
-        if !self.attempts.ends_with(&text) {
+        if !self.attempts.contains(&text) {
             self.attempts.push_str(&text);
         }
     }
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -9,7 +9,7 @@
 use crate::engine_connection::{exchange_on, EngineAnswer, ExchangeFailure, FailureReason};
 use crate::engine_paths::connect::{connect_engine, EngineConnection, EnginePath, Unconnected};
 use crate::http_call::ConnectFailure;
-use crate::ports::EngineCall;
+use crate::ports::{AnswerMeaning, EngineCall};
 use ploverlift_http1::RequestHead;
 use ploverlift_policy::attempt::AttemptState;
 use ploverlift_policy::ids::Millis;
@@ -158,7 +158,10 @@
             self.record.record_path(exchange.path);
             let silence_ms = self.attempt_timeout_ms();
             let answering = Pin::new(&mut exchange.answer);
-            let failure = match self.unless_taken_over(answering, silence_ms, chosen).await {
+            let failure = match self
+                .unless_taken_over(answering, silence_ms, chosen, Self::is_accepted)
+                .await
+            {
                 Waited::Done(Ok(answer)) => return Ok(answer),
                 Waited::Done(Err(failure)) => failure,
                 Waited::TakenOver(takeover) => {
@@ -175,6 +178,12 @@
         }
     }
 
+    /// Whether an answer means that its engine runs the request and has not failed.
+    fn is_accepted(&self, answer: &EngineAnswer) -> bool {
+        let id = &self.received.request.id;
+        self.gateway.site.answer_meaning(id, &answer.head) == AnswerMeaning::Success
+    }
+
     /// Discards the other kept connections to an engine after a failure on one of them, since
     /// they are probably broken as well.
     fn discard_kept_connections(&self, failed: &Exchange, chosen: &ChosenEngine) {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -237,7 +237,8 @@
                 let reading = pin!(answer.read(&mut splitter.pending));
                 let reading = pin!(within(left_ms, reading));
                 let reading = pin!(guard.read(reading, is_first));
-                self.unless_taken_over(reading, silence_ms, chosen).await
+                self.unless_taken_over(reading, silence_ms, chosen, |_, _| true)
+                    .await
             };
             match waited {
                 Waited::Done(Ok(true)) => {}
--- a/crates/gateway/src/forward/takeover.rs
+++ b/crates/gateway/src/forward/takeover.rs
@@ -101,11 +101,13 @@
     /// Waits for the engine of the current attempt. Each time that it was silent for
     /// `silence_ms` milliseconds, and at once when it may be lost, another engine is tried beside
     /// it; never if that is `None`. `work` must end by itself when the request's time is up.
+    /// `is_wanted` is whether a result means that the engine goes on with the request.
     pub(super) async fn unless_taken_over<T, E>(
         &mut self,
         mut work: Pin<&mut impl Future<Output = Result<T, E>>>,
         silence_ms: Option<u64>,
         chosen: &ChosenEngine,
+        is_wanted: fn(&Self, &T) -> bool,
     ) -> Waited<T, E> {
         let Some(mut wait_ms) = silence_ms else {
             return Waited::Done(work.await);
@@ -129,7 +131,7 @@
                 return Waited::Done(work.await);
             }
             // Boxed: takeovers are rare, and each request would reserve space for one.
-            let takeover = Box::pin(self.try_takeover(work.as_mut(), chosen));
+            let takeover = Box::pin(self.try_takeover(work.as_mut(), chosen, is_wanted));
             if let Some(waited) = takeover.await {
                 return waited;
             }
@@ -143,8 +145,10 @@
         &mut self,
         mut work: Pin<&mut impl Future<Output = Result<T, E>>>,
         chosen: &ChosenEngine,
+        is_wanted: fn(&Self, &T) -> bool,
     ) -> Option<Waited<T, E>> {
         self.progress.attempts.begin_takeover(&chosen.instance);
+        self.progress.denials = 0;
         let had_claim = self.claim.is_some();
         let begun = {
             let beginning = pin!(self.begin_successor());
@@ -152,7 +156,7 @@
         };
         let waited = match begun {
             Earlier::Current(done) => Some(Waited::Done(done)),
-            Earlier::Successor(Ok(successor)) => self.overlap(work, successor).await,
+            Earlier::Successor(Ok(successor)) => self.overlap(work, successor, is_wanted).await,
             Earlier::Successor(Err(outcome)) => {
                 self.note_takeover(None, outcome);
                 None
@@ -202,6 +206,7 @@
         &mut self,
         work: Pin<&mut impl Future<Output = Result<T, E>>>,
         mut successor: RunningAttempt,
+        is_wanted: fn(&Self, &T) -> bool,
     ) -> Option<Waited<T, E>> {
         let answering = successor.exchange.answer.as_mut();
         match within(OVERLAP_MS, earlier(work, answering)).await {
@@ -209,6 +214,10 @@
             Some(Earlier::Current(Err(failure))) if self.has_time() => {
                 Some(self.hand_over(successor, Some(failure)))
             }
+            // The first engine has rejected the request or failed.
+            Some(Earlier::Current(Ok(result))) if !is_wanted(self, &result) => {
+                Some(self.hand_over(successor, None))
+            }
             Some(Earlier::Current(done)) => {
                 self.cancel_successor(&successor);
                 Some(Waited::Done(done))
