--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -1,16 +1,17 @@
 //! Serves the requests of one caller connection.
 
 use super::connection_end::{ConnectionEnd, OpenRequest};
+use super::idle_wait::wait_for_request;
+use super::request_body::{read_body, BodyLimits, NoBody};
 use super::start_hold::{start_hold_ms, wait_for_site};
-use super::{IdleConnection, OpenConnection};
+use super::OpenConnection;
 use crate::forward::{
     admit, refuse, serve, Admission, AfterAnswer, CallerAnswer, ReceivedRequest, StreamFraming,
     TimeLimits,
 };
-use crate::planned_stop::StopPhase;
 use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
-use crate::time::{sleep, within};
+use crate::time::within;
 use ploverlift_http1::{read_request_head, BodyDecoder, BufferedStream, HttpError, RequestHead};
 use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::fingerprint::{RequestFingerprint, RequestParts};
@@ -23,11 +24,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Idle time after which a stopping node closes a kept connection, in milliseconds.
-const STOPPING_IDLE_MS: u64 = 1_500;
-/// Time for which a node that has stopped accepting connections waits on an open one for a
-/// request that is on its way, in milliseconds.
-const CLOSING_IDLE_MS: u64 = 100;
 /// Longest pause of a caller that still sends after the last answer, in milliseconds.
 const LINGER_PAUSE_MS: u64 = 300;
 /// Longest time for which a caller may still send after the last answer, in milliseconds.
@@ -44,9 +40,6 @@
     Refused(Refusal),
 }
 
-/// The connection is idle and ends, or has ended.
-struct Ended;
-
 /// Serves a connection until it ends.
 pub async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, open: OpenConnection) {
     let mut connection = BufferedStream::new(stream);
@@ -87,19 +80,6 @@
     }
 }
 
-/// Waits for the first byte of the next request, unless it has been received already.
-async fn wait_for_request(
-    gateway: &Arc<Gateway>,
-    connection: &mut BufferedStream,
-    open: &OpenConnection,
-) -> Result<(), Ended> {
-    if !connection.pending().is_empty() {
-        return Ok(());
-    }
-    let idle = open.mark_idle(gateway.clock.now());
-    wait_for_bytes(gateway, connection, idle).await
-}
-
 /// Reads the head of a request that has begun, within the limits on its size and time.
 async fn read_head(
     gateway: &Arc<Gateway>,
@@ -119,87 +99,6 @@
     }
 }
 
-/// Waits for the first byte of the next request. The wait is shorter when the node is
-/// stopping, or needs the connection's slot for other callers.
-async fn wait_for_bytes(
-    gateway: &Arc<Gateway>,
-    connection: &mut BufferedStream,
-    mut idle: IdleConnection,
-) -> Result<(), Ended> {
-    let filling = async {
-        match connection.fill().await {
-            Ok(count) if count > 0 => Received::Bytes,
-            _ => Received::End,
-        }
-    };
-    let idling = async {
-        let stop_began = gateway.stop_began.listen();
-        if !gateway.is_stopping() {
-            futures_lite::future::or(stop_began, wait_for_idle_timeout(gateway)).await;
-        }
-        if gateway.is_stopping() {
-            sleep(STOPPING_IDLE_MS).await;
-        }
-        Received::Nothing
-    };
-    let close_requested = async {
-        idle.wait_for_close_request().await;
-        Received::Nothing
-    };
-    let closing = async {
-        gateway.planned_stop.wait_for(StopPhase::Closing).await;
-        sleep(CLOSING_IDLE_MS).await;
-        Received::Nothing
-    };
-    let ending = futures_lite::future::or(idling, close_requested);
-    let ending = futures_lite::future::or(ending, closing);
-    // The read is tried first: bytes that have arrived are never left unread for a time-out
-    // that expired meanwhile.
-    match futures_lite::future::or(filling, ending).await {
-        Received::Bytes => Ok(()),
-        Received::End => Err(Ended),
-        Received::Nothing => {
-            close_idle(gateway, connection).await;
-            Err(Ended)
-        }
-    }
-}
-
-/// Waits for the idle time-out: that of the configuration in force now or, if that is longer,
-/// of the one in force at the end of the wait.
-async fn wait_for_idle_timeout(gateway: &Gateway) {
-    let since = gateway.clock.now();
-    let mut timeout_ms = caller_limits(gateway).idle_timeout_ms;
-    loop {
-        let idle_ms = gateway.clock.now().since(since);
-        if idle_ms < timeout_ms {
-            sleep(timeout_ms - idle_ms).await;
-            continue;
-        }
-        timeout_ms = caller_limits(gateway).idle_timeout_ms;
-        if idle_ms >= timeout_ms {
-            return;
-        }
-    }
-}
-
-/// What an idle connection has received.
-enum Received {
-    Bytes,
-    /// The caller has closed or reset the connection.
-    End,
-    Nothing,
-}
-
-/// Closes an idle connection. A request that arrives at the same moment is not read: callers
-/// send it again when they know that it was not.
-async fn close_idle(gateway: &Arc<Gateway>, connection: &BufferedStream) {
-    let _ = connection.writer().shutdown(Shutdown::Write);
-    if connection.has_unread_bytes().await {
-        OpenRequest::begin(gateway).end(ConnectionEnd::ClosedUnread);
-    }
-}
-
 fn new_answer(
     gateway: &Gateway,
     connection: &BufferedStream,
@@ -210,7 +109,7 @@
     CallerAnswer::new(connection.writer(), framing, keep_open, stalled_ms)
 }
 
-fn caller_limits(gateway: &Gateway) -> CallerLimits {
+pub(super) fn caller_limits(gateway: &Gateway) -> CallerLimits {
     let configuration = gateway.configuration();
     configuration.map_or_else(CallerLimits::default, |known| known.document.limits)
 }
@@ -409,8 +308,8 @@
 }
 
 /// Waits until the caller closes its connection; returns the error if it was reset.
-/// Pipelined bytes are kept for the next request up to a limit. Beyond it all bytes are discarded, since the close is only
-/// noticed by reading on.
+/// Pipelined bytes are kept for the next request up to a limit. Beyond it all bytes are
+/// discarded, since the close is only noticed by reading on.
 async fn wait_for_caller_close(
     connection: &mut BufferedStream,
     has_discarded: &mut bool,
@@ -432,80 +331,6 @@
     }
 }
 
-/// Limits on one body.
-#[derive(Clone, Copy, Debug)]
-struct BodyLimits {
-    max_bytes: usize,
-    /// Longest time for reading the whole body, in milliseconds.
-    timeout_ms: u64,
-    /// Whether the caller waits for `100 Continue` before it sends the body.
-    expects_continue: bool,
-}
-
-/// Why reading a body gave no whole body.
-enum NoBody {
-    /// The caller closed or reset the connection inside the body.
-    Cut,
-    /// The caller gets a refusal.
-    Refused(Refusal),
-}
-
-/// Reads a body within its limits.
-async fn read_body(
-    connection: &mut BufferedStream,
-    decoder: &mut BodyDecoder,
-    limits: BodyLimits,
-    open: &mut OpenRequest,
-) -> Result<Vec<u8>, NoBody> {
-    let too_large = || {
-        let reason = format!("the body is over {} bytes", limits.max_bytes);
-        NoBody::Refused(Refusal::new(RefusalKind::BodyTooLarge, reason))
-    };
-    let declared = decoder.declared_length().unwrap_or(0);
-    if declared > limits.max_bytes as u64 {
-        return Err(too_large());
-    }
-    let mut body = Vec::with_capacity(declared as usize);
-    let reading = async {
-        if limits.expects_continue {
-            let written = connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-            written.map_err(|error| no_body(error.into(), open))?;
-        }
-        loop {
-            let read = decoder.read(connection, &mut body).await;
-            open.set_body_bytes(body.len());
-            if !read.map_err(|error| no_body(error, open))? {
-                return Ok(());
-            }
-            if body.len() > limits.max_bytes {
-                return Err(too_large());
-            }
-        }
-    };
-    let read = within(limits.timeout_ms, reading).await;
-    let slow = || {
-        let reason = "the body did not come in time";
-        Err(NoBody::Refused(Refusal::new(
-            RefusalKind::RequestTimeout,
-            reason,
-        )))
-    };
-    read.unwrap_or_else(slow)?;
-    Ok(body)
-}
-
-fn no_body(error: HttpError, open: &mut OpenRequest) -> NoBody {
-    match error {
-        HttpError::Malformed { reason } => {
-            NoBody::Refused(Refusal::new(RefusalKind::BadRequest, reason))
-        }
-        error => {
-            open.set_error(&error);
-            NoBody::Cut
-        }
-    }
-}
-
 /// Closes a connection after a complete answer. While the caller sends, its bytes are drained
 /// first: closing with them would reset the connection, and the caller could lose the answer.
 async fn linger(connection: &mut BufferedStream) {
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -2,8 +2,10 @@
 
 mod connection;
 mod connection_end;
+mod idle_wait;
 mod listener;
 mod open_connections;
+mod request_body;
 mod start_hold;
 
 pub use connection::serve_connection;
