--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -17,7 +17,7 @@
 
 
 class Request(threading.Thread):
-    """One client attempt. `outcome` is complete, cut, or silent; `status`, `body` and `events`
+    """One client attempt. `outcome` is complete, cut, malformed or silent; `status`, `body` and `events`
     are what the client has got."""
 
     def __init__(self, address, method, path, request, headers=(), body=b"", deadline_ms=15000,
@@ -44,7 +44,9 @@
                 self.outcome = "complete"
         except socket.timeout:
             self.outcome = "silent"
-        except (Closed, OSError, ValueError) as error:
+        except ValueError as error:
+            self.outcome = "malformed (%s)" % error
+        except (Closed, OSError) as error:
             self.outcome = "cut (%s)" % error
         self.ended_at = time.time()
 
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -8,10 +8,13 @@
                with it, the engine keeps parts of prompts by salt and id
 events, gap_ms a stream: number of its events and time between them
 work_ms        a plain request: time until its answer
+fails, status  the share of its requests that it fails from SIGUSR2 on, and with which status
+address        the port in its record, where another process passes its connections on
 framing        length (or chunks, for a stream), or close: an answer ends with its connection
 drain_ms       what it waits for after the store has taken its `draining`
 little_ms      "a little longer"
 
+SIGUSR2: it turns grey: from now on it fails part of its requests; its health check stays good.
 SIGUSR1: it plans to end. It says `draining`, serves on for drain_ms after the store has taken
 that and little_ms longer, and ends."""
 
@@ -33,12 +36,16 @@
 GAP_S = int(OPTIONS.get("gap_ms", "0")) / 1000.0
 WORK_S = int(OPTIONS.get("work_ms", "50")) / 1000.0
 UNFRAMED = OPTIONS.get("framing") == "close"
+FAILS = float(OPTIONS.get("fails", "0"))
+STATUS = int(OPTIONS.get("status", "500"))
 HEARTBEAT_S = int(OPTIONS.get("heartbeat_ms", "1200")) / 1000.0
 
 lock = threading.Lock()
 log = open(LOG, "a", buffering=1)
-state = {"state": "ready", "seq": 0, "version": 1, "orders": 0, "active": 0, "fence": 0}
+state = {"state": "ready", "seq": 0, "version": 1, "orders": 0, "active": 0, "fence": 0,
+         "asked": 0}
 leaving = threading.Event()
+grey = threading.Event()
 # Kept parts: (salt, id) to the request and the tenant whose run made it; and their events.
 kept = {}
 kv_events = []
@@ -51,7 +58,7 @@
 
 def record():
     state["seq"] += 1
-    spec = {"service": SERVICE, "address": "127.0.0.1:%s" % PORT, "zone": ZONE, "version": "r1",
+    spec = {"service": SERVICE, "address": "127.0.0.1:%s" % OPTIONS.get("address", PORT), "zone": ZONE, "version": "r1",
             "slots": 64, "state": state["state"], "coldRemainingMs": 0, "seq": state["seq"]}
     if MODEL:
         spec["stage"] = "prefill_decode"
@@ -83,6 +90,17 @@
             pass
 
 
+def fails_next():
+    """Whether a grey engine fails this request: the first of every hundred, then every second
+    one, until it has failed its share of the hundred."""
+    if not grey.is_set():
+        return False
+    with lock:
+        place = state["asked"] % 100
+        state["asked"] += 1
+    return place % 2 == 0 and place / 2 < FAILS * 100
+
+
 def report():
     models = [{"name": MODEL, "version": state["version"], "adapters": []}] if MODEL else []
     return {"stage": "prefill_decode", "models": models, "busy": False, "seq": state["orders"],
@@ -142,12 +160,17 @@
         signed.append(("X-Weight-Versions", str(state["version"])))
     with lock:
         state["active"] += 1
-    note("runs %s %s" % (request, path))
+    after = int(headers.get("last-event-id", "0"))
+    note("runs %s %s%s" % (request, path, " after event %d" % after if after else ""))
     try:
+        if fails_next():
+            note("fails %s with %d" % (request, STATUS))
+            sock.sendall(answer(STATUS, "Failed", signed, b"the engine failed\n"))
+            return True
         if MODEL and "x-prefix-hash" in headers:
             prefill(request, headers)
         if EVENTS:
-            stream(sock, request, signed)
+            stream(sock, request, signed, after)
         else:
             time.sleep(WORK_S)
             body = (("%s %s " % (request, ID)) * 400).encode()[:8000]
@@ -170,11 +193,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def stream(sock, request, signed):
+def stream(sock, request, signed, after):
     signed = signed + [("Content-Type", "text/event-stream")]
     signed.append(("Connection", "close") if UNFRAMED else ("Transfer-Encoding", "chunked"))
     sock.sendall(head(signed))
-    for number in range(1, EVENTS + 1):
+    for number in range(after + 1, EVENTS + 1):
         time.sleep(GAP_S)
         event = ("id: %d\ndata: %s piece %d of %d\n\n" % (number, request, number, EVENTS)).encode()
         sock.sendall(event if UNFRAMED else b"%x\r\n%s\r\n" % (len(event), event))
@@ -228,6 +251,7 @@
 
 def main():
     signal.signal(signal.SIGUSR1, lambda *_: leaving.set())
+    signal.signal(signal.SIGUSR2, lambda *_: grey.set())
     listener = socket.create_server(("127.0.0.1", int(PORT)), backlog=256)
     threading.Thread(target=heartbeats, daemon=True).start()
     while True:
