--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -8,6 +8,8 @@
                with it, the engine keeps parts of prompts by salt and id
 events, gap_ms a stream: number of its events and time between them
 work_ms        a plain request: time until its answer
+pause_at, pause_ms  a stream: the event before which it falls silent once, and for how long
+slots          how many requests it works on at once; it queues those beyond
 fails, status  the share of its requests that it fails from SIGUSR2 on, and with which status
 address        the port in its record, where another process passes its connections on
 framing        length (or chunks, for a stream), or close: an answer ends with its connection
@@ -36,11 +38,15 @@
 GAP_S = int(OPTIONS.get("gap_ms", "0")) / 1000.0
 WORK_S = int(OPTIONS.get("work_ms", "50")) / 1000.0
 UNFRAMED = OPTIONS.get("framing") == "close"
+PAUSE_AT, PAUSE_S = int(OPTIONS.get("pause_at", "0")), int(OPTIONS.get("pause_ms", "0")) / 1000.0
+SLOTS = int(OPTIONS.get("slots", "64"))
 FAILS = float(OPTIONS.get("fails", "0"))
 STATUS = int(OPTIONS.get("status", "500"))
 HEARTBEAT_S = int(OPTIONS.get("heartbeat_ms", "1200")) / 1000.0
 
 lock = threading.Lock()
+# Notified when a slot becomes free and when an order is taken.
+moved = threading.Condition(lock)
 log = open(LOG, "a", buffering=1)
 state = {"state": "ready", "seq": 0, "version": 1, "orders": 0, "active": 0, "fence": 0,
          "asked": 0}
@@ -119,6 +125,7 @@
             return 200
         state["orders"] += 1
         state["version"] = sent["version"]
+        moved.notify_all()
         return 202
 
 
@@ -158,8 +165,11 @@
     signed = [("X-Request-Id", request), ("X-Response-Signature", "%s.%s" % (ID, request))]
     if MODEL:
         signed.append(("X-Weight-Versions", str(state["version"])))
-    with lock:
-        state["active"] += 1
+    if not wait_for_slot():
+        note("has taken an order, and so rejects %s, which it had queued" % request)
+        sock.sendall(answer(503, "Unavailable", [("X-Request-Id", request),
+                                                 ("X-Not-Executed", "1")]))
+        return True
     after = int(headers.get("last-event-id", "0"))
     note("runs %s %s%s" % (request, path, " after event %d" % after if after else ""))
     try:
@@ -186,6 +196,20 @@
     finally:
         with lock:
             state["active"] -= 1
+            moved.notify_all()
+
+
+def wait_for_slot():
+    """Waits until the engine can begin a request. False: an order came first, and "until the
+    order is done, any request it concerns that has not yet begun receives 503"."""
+    with lock:
+        orders = state["orders"]
+        while state["active"] >= SLOTS:
+            moved.wait()
+            if state["orders"] != orders:
+                return False
+        state["active"] += 1
+        return True
 
 
 def head(headers):
@@ -199,6 +223,8 @@
     sock.sendall(head(signed))
     for number in range(after + 1, EVENTS + 1):
         time.sleep(GAP_S)
+        if number == PAUSE_AT and not after:
+            time.sleep(PAUSE_S)
         event = ("id: %d\ndata: %s piece %d of %d\n\n" % (number, request, number, EVENTS)).encode()
         sock.sendall(event if UNFRAMED else b"%x\r\n%s\r\n" % (len(event), event))
     if not UNFRAMED:
