--- a/review/standins/smallsite.py
+++ b/review/standins/smallsite.py
@@ -11,7 +11,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
@@ -96,8 +95,9 @@
         open(self.engine_log, "w").close()
         self.lines = []
         self.store = ("127.0.0.1", free_port())
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            self.role = tomllib.load(file)["roles"]["gateway"]
+        with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
+            role = file.read().split("[roles.gateway]")[1]
+        self.role = dict(re.findall(r'^(\w+) = "([^"]*)"$', role, re.M))
         with open(os.path.join(ROOT, self.role["template"])) as file:
             self.template = file.read()
 
