--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,8 @@
-"""A configuration makes a tenant isolated; other tenants go on to use what its requests made.
+"""A configuration takes a service's share of a split route away; the service is used on.
 
-Exits with 1 if a request used a part that another tenant's request made although one of the two
-is isolated, with 0 if none did, with 2 if the case could not run. With TROUBLE=0 the second
-configuration is not written.
+Exits with 1 if a request that was sent later than configApplyMs after the acknowledgement was run
+by the service whose weight is 0, with 0 if none was, with 2 if the case could not run. With
+TROUBLE=0 the second configuration is not written.
 """
 import json
 import os
@@ -16,24 +16,30 @@
 from small_site import HOST, Site, free_ports, route  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
-MODEL = "m510000"
+GATEWAYS = 2
+KEY = "key-of-amber"
+# Requests of each route and node under the first configuration: where a node stands in its
+# rotation depends on whether their number is even.
+ROUTES = {"price": 20, "stock": 21}
 # Well beyond configApplyMs (2 s) and contactMs (3 s).
 AFTER_CHANGE_S = 8.0
-GATEWAYS = 2
+REQUESTS_AFTER = 15
 
 
-def configuration(version, isolated):
-    stream = route("ask", "stream", "llm", timeoutMs=6000, targetLatencyMs=800, maxAttempts=2,
-                   gapTargetMs=500, resumable=True, sticky=True)
-    engine = {"kvTokenBytes": 163840.0, "linkMbps": 1100000.0, "kvCapacityTokens": 110556.0,
-              "models": [{"name": MODEL, "version": 1}]}
-    tenants = [{"name": name, "apiKeys": [f"key-of-{name}"], "isolated": name in isolated}
-               for name in ["amber", "birch", "cedar"]]
+def configuration(version, old_weight, new_weight):
+    routes = []
+    for name in ROUTES:
+        split = route(name, "safe", "")
+        del split["service"]
+        split["trafficSplit"] = [{"service": "old-desk", "weight": old_weight},
+                                 {"service": "new-desk", "weight": new_weight}]
+        routes.append(split)
     return {
-        "version": version, "routes": [stream], "tenants": tenants,
-        "services": [{"name": "llm", "maxConnections": 360, "healthPath": "/healthz",
-                      "engine": engine}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+        "version": version, "routes": routes,
+        "services": [{"name": name, "maxConnections": 100, "healthPath": "/healthz"}
+                     for name in ["old-desk", "new-desk"]],
+        "tenants": [{"name": "amber", "apiKeys": [KEY]}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 5000},
     }
 
@@ -47,13 +53,12 @@
 
 
 def play(site):
-    port = free_ports(1)[0]
-    command = [sys.executable, "-B", HERE.parent / "standins-2" / "model_engine.py", port, "llm",
-               site.store_port, MODEL]
-    site.start(command, "engine")
-    site.wait_for_port(port)
-    isolated = {"cedar"}
-    site.put("config", "main", configuration(1, isolated))
+    for service in ["old-desk", "new-desk"]:
+        port = free_ports(1)[0]
+        site.start([sys.executable, "-B", HERE.parent / "standins-2" / "engine.py", port, service,
+                    site.store_port, 2, 4], service)
+        site.wait_for_port(port)
+    site.put("config", "main", configuration(1, 50, 50))
     gateways = [site.gateway(f"front-{number}") for number in range(1, GATEWAYS + 1)]
     if not all(gateway.wait_until_ready() for gateway in gateways):
         site.note("a gateway is not ready")
@@ -61,51 +66,50 @@
     time.sleep(1.0)
     served = []
 
-    def ask(tenant, number):
-        """A request whose prompt begins with the two parts that all tenants send."""
-        request_id = f"{tenant}-{number}"
-        gateway = gateways[number % GATEWAYS]
-        headers = [f"X-Credential: key-of-{tenant}", f"X-Model: {MODEL}",
-                   "X-Token-Usage: 1460,80",
-                   f"X-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,{number:08x}:250"]
-        answer = send(gateway.callers, "POST", "/ask/x", request_id, HOST, 6000, headers,
-                      b"x" * 1700)
-        site.note(f"client: {request_id} of {tenant} through {gateway.name} got {answer}")
-        served.append(answer.status == 200 and answer.is_complete)
+    def ask(phase, name, count):
+        for gateway in gateways:
+            for number in range(count):
+                request_id = f"{phase}-{gateway.name}-{name}-{number}"
+                answer = send(gateway.callers, "GET", f"/{name}/x", request_id, HOST, 4000,
+                              [f"X-Credential: {KEY}"])
+                served.append(answer.status == 200 and answer.is_complete)
+                if not served[-1]:
+                    site.note(f"client: {request_id} got {answer}")
 
-    for number, tenant in enumerate(["amber", "birch", "cedar", "amber", "birch", "cedar"]):
-        ask(tenant, number)
-        time.sleep(0.2)
-    first_isolated = time.time()
+    for name, count in ROUTES.items():
+        ask("before", name, count)
     if HAS_TROUBLE:
-        isolated = isolated | {"amber"}
-        site.put("config", "main", configuration(2, isolated))
-        site.note("from version 2 on, amber is isolated")
+        site.put("config", "main", configuration(2, 0, 1))
+        site.note("from version 2 on, the weights are 0 (old-desk) and 1 (new-desk)")
     time.sleep(AFTER_CHANGE_S)
-    judged_from = time.time()
-    for number, tenant in enumerate(["birch", "amber", "cedar", "birch"], 100):
-        ask(tenant, number)
-        time.sleep(0.2)
+    for name in ROUTES:
+        ask("after", name, REQUESTS_AFTER)
     time.sleep(0.5)
-    return judge(site, served, isolated, first_isolated, judged_from)
+    return judge(site, served, gateways)
 
 
-def judge(site, served, isolated, first_isolated, judged_from):
-    is_broken = False
-    site.note("what the engine saw:")
-    for line in site.output("engine").splitlines():
-        print("    " + line, file=site.record)
-        seen = json.loads(line)
-        if seen["event"] != "uses" or seen["made_by"] == seen["tenant"]:
-            continue
-        walled = isolated if seen["at"] >= judged_from else {"cedar"}
-        if first_isolated <= seen["at"] < judged_from:
-            continue
-        if seen["tenant"] in walled or seen["made_by"] in walled:
-            is_broken = True
-            site.note(f"BROKEN: {seen['id']} of {seen['tenant']} used part {seen['part']} that a "
-                      f"request of {seen['made_by']} made, salt {seen['salt']!r}; isolated: "
-                      f"{', '.join(sorted(walled))}")
+def judge(site, served, gateways):
+    runs = {service: [json.loads(line) for line in site.output(service).splitlines()]
+            for service in ["old-desk", "new-desk"]}
+    late = 0
+    for phase in ["before", "after"]:
+        for gateway in gateways:
+            for name in ROUTES:
+                start = f"{phase}-{gateway.name}-{name}-"
+                counts = {service: sum(seen["event"] == "runs" and seen["id"].startswith(start)
+                                       for seen in all_seen)
+                          for service, all_seen in runs.items()}
+                site.note(f"{phase}: {gateway.name}, route {name}: {counts['old-desk']} run by "
+                          f"old-desk, {counts['new-desk']} by new-desk")
+                late += counts["old-desk"] if phase == "after" else 0
+    site.note("what the engines saw:")
+    for service, all_seen in runs.items():
+        for seen in all_seen:
+            print(f"    {service} {json.dumps(seen)}", file=site.record)
+    is_broken = HAS_TROUBLE and late > 0
+    if is_broken:
+        site.note(f"BROKEN: {late} requests sent {AFTER_CHANGE_S} s after the acknowledgement were "
+                  "run by the service whose weight is 0")
     site.note(f"{sum(served)} of {len(served)} requests served, rule "
               f"{'broken' if is_broken else 'kept'}")
     if not all(served):
