Tests: streams are mixed where knowledge of a version or service is lacking

Stand-ins: routes may be split, the first node reaches the store over a link that a test cuts, and its machine can be suspended.

--- a/crates/gateway/tests/stream_versions/main.rs
+++ b/crates/gateway/tests/stream_versions/main.rs
@@ -5,6 +5,7 @@
 mod messages;
 mod one_answer;
 mod site;
+mod sources;
 #[path = "../support/mod.rs"]
 mod support;
 mod unplaced;
--- a/crates/gateway/tests/stream_versions/site.rs
+++ b/crates/gateway/tests/stream_versions/site.rs
@@ -4,11 +4,13 @@
 use crate::support::configuration;
 use crate::support::engine::{event, Behaviour, StandInEngine, EVENTS};
 use crate::support::fleet::{peer_settings, wait_until_known};
+use crate::support::links::{Cut, Link};
 use crate::support::site::{StandInSite, AFTER, DEADLINE, RESUMES};
 use crate::support::store::StandInStore;
 use ploverlift_balancing::names::InstanceId;
 use ploverlift_balancing::names::PeerId;
-use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_clock::{Clock, Suspension};
+use ploverlift_gateway::assembly::{start_with_clock, RunningGateway};
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{read_response_head, BodyDecoder, BufferedStream};
@@ -29,14 +31,35 @@
     pub store: StandInStore,
     pub engines: Vec<StandInEngine>,
     pub nodes: Vec<RunningGateway>,
+    /// The way of the first node to the store.
+    store_link: Arc<Link>,
+    /// Suspends the machine of the first node.
+    pub suspension: Suspension,
+    clock: Clock,
+    engine_count: usize,
 }
 
 impl VersionedSite {
     /// Starts one engine for each of these versions, and nodes that know all of them.
     pub async fn start(nodes: usize, versions: &[&str], behaviour: Behaviour) -> Self {
+        Self::start_with(nodes, versions, behaviour, configuration(1)).await
+    }
+
+    /// Like [`Self::start`], with another configuration.
+    pub async fn start_with(
+        nodes: usize,
+        versions: &[&str],
+        behaviour: Behaviour,
+        content: Value,
+    ) -> Self {
         let store = StandInStore::start().await;
-        store.put("Configuration", "main", configuration(1));
+        store.put("Configuration", "main", content);
+        let (clock, suspension) = Clock::suspendable();
         let mut site = Self {
+            store_link: Link::open(store.address),
+            suspension,
+            clock,
+            engine_count: 0,
             store,
             engines: Vec::new(),
             nodes: Vec::new(),
@@ -59,8 +82,14 @@
     async fn start_node(&self, name: &str, peers: SocketAddr) -> RunningGateway {
         let mut settings = peer_settings(&self.store, name, 1.0, "");
         settings.listen.peers = Some(peers);
+        let mut clock = Clock::default();
+        if name == "node-0" {
+            settings.store.address = self.store_link.address;
+            clock = self.clock.clone();
+        }
         loop {
-            let started = start(settings.clone(), Arc::new(StandInSite), silent_logger());
+            let (settings, clock) = (settings.clone(), clock.clone());
+            let started = start_with_clock(settings, Arc::new(StandInSite), silent_logger(), clock);
             match started {
                 Ok(node) => return node,
                 // The tasks of the killed node have not been dropped yet.
@@ -69,10 +98,26 @@
         }
     }
 
+    /// The store is silent to the first node from now on.
+    pub async fn silence_store(&self) {
+        self.store_link.cut(Cut::Hang).await;
+    }
+
+    /// The store answers the first node again.
+    pub fn heal_store(&self) {
+        self.store_link.heal();
+    }
+
     /// Starts another engine and records it in the store.
     pub async fn add_engine(&mut self, version: &str, behaviour: Behaviour) {
-        let name = format!("llm-{}", self.engines.len());
-        let engine = StandInEngine::of_software(&name, "llm", version).await;
+        self.add_engine_of("llm", version, behaviour).await;
+    }
+
+    /// Like [`Self::add_engine`], of a service.
+    pub async fn add_engine_of(&mut self, service: &str, version: &str, behaviour: Behaviour) {
+        self.engine_count += 1;
+        let name = format!("{service}-{}", self.engine_count);
+        let engine = StandInEngine::of_software(&name, service, version).await;
         engine.set(behaviour);
         self.store.put("Engines", &name, engine.record());
         self.engines.push(engine);
@@ -135,6 +180,52 @@
         arrived.map(|engine| engine.software.clone()).collect()
     }
 
+    /// The services and versions of the engines at which requests with these ids arrived.
+    pub fn sources_of(&self, ids: &[&str]) -> BTreeSet<(String, String)> {
+        let engines = self.engines.iter();
+        let arrived = engines.filter(|engine| {
+            let arrived = engine.arrived_ids();
+            arrived.iter().any(|id| ids.contains(&id.as_str()))
+        });
+        let source = |engine: &StandInEngine| (engine.service.clone(), engine.software.clone());
+        arrived.map(source).collect()
+    }
+
+    /// Waits until all nodes but the first know all engines.
+    pub async fn wait_until_others_know_engines(&self) {
+        for node in &self.nodes[1..] {
+            for engine in &self.engines {
+                let instance = InstanceId(engine.instance.clone());
+                while node.gateway.beliefs().engines.get(&instance).is_none() {
+                    sleep(POLL_MS).await;
+                }
+            }
+        }
+    }
+
+    /// Begins streams at a node, each of which its engine breaks off, until one has begun at
+    /// this version; returns its id.
+    pub async fn begin_broken_of(&self, node: usize, host: &str, version: &str) -> String {
+        for number in 0.. {
+            let id = format!("{host}-{version}-{number}");
+            let answer = self.begin_broken_at(node, host, &id).await;
+            let is_begun = answer.status() == 200;
+            if is_begun && self.versions_of(&[&id]) == BTreeSet::from([version.to_owned()]) {
+                return id;
+            }
+            sleep(POLL_MS).await;
+        }
+        unreachable!("the loop ends with a stream")
+    }
+
+    /// Kills all nodes from this one on; returns them in their order.
+    pub fn kill_from(&mut self, first: usize) -> Vec<KilledNode> {
+        let nodes = (first..self.nodes.len()).rev();
+        let mut killed: Vec<KilledNode> = nodes.map(|node| self.kill(node)).collect();
+        killed.reverse();
+        killed
+    }
+
     /// Begins a stream at a node, whose engine breaks it off after its second event.
     pub async fn begin_broken(&self, node: usize, id: &str) -> Answer {
         self.begin_broken_at(node, "resume.test", id).await
@@ -191,6 +282,14 @@
         self.wait_until_engines_known().await;
     }
 
+    /// Takes up a stream of a host's route at a node.
+    pub async fn take_up_at(&self, node: usize, host: &str, id: &str, began: &str) -> Answer {
+        let mut request = resumption(id, began);
+        request.head.headers.set("host", host);
+        request.head.headers.push(DEADLINE, PATIENCE_MS.to_string());
+        send(self.callers_of(node), &request).await
+    }
+
     /// Takes up a stream at a node.
     pub async fn take_up(&self, node: usize, id: &str, began: &str) -> Answer {
         send(self.callers_of(node), &resumption(id, began)).await
--- a/crates/gateway/tests/support/site/documents.rs
+++ b/crates/gateway/tests/support/site/documents.rs
@@ -165,10 +165,7 @@
         name: text("host"),
         host: text("host"),
         path_prefix: "/".to_owned(),
-        targets: vec![WeightedTarget {
-            service: ServiceName(text("service")),
-            weight: 1.0,
-        }],
+        targets: targets(body),
         delivery: match text("delivery").as_str() {
             "safe" => Delivery::Repeatable,
             "unsafe" => Delivery::AtMostOnce,
@@ -183,3 +180,20 @@
         is_public: false,
     }
 }
+
+/// The services of a route: those of a split by weight, or the only one.
+fn targets(body: &Value) -> Vec<WeightedTarget> {
+    let target = |service: &str, weight| WeightedTarget {
+        service: ServiceName::from(service),
+        weight,
+    };
+    match body["targets"].as_object() {
+        Some(split) => {
+            let split = split.iter();
+            let targets =
+                split.map(|(service, weight)| target(service, weight.as_f64().unwrap_or(0.0)));
+            targets.collect()
+        }
+        None => vec![target(body["service"].as_str().unwrap_or_default(), 1.0)],
+    }
+}
