Streams' origins name the service beside the software version

Callers whose route was moved to another service between two attempts got the rest of their stream from that service: the key under which a stream's origin was kept held the service that the route led to, so under another one nothing was known, and that service's one version counted as the only one.

The key is now a hash of tenant and request id alone. An origin is a StreamSource, the service (as a hash of 64 bits) and the software version; announcements, questions' answers and the table of origins carry it. A stream that is taken up goes on only if its source's service is the one that admission chose.

Nodes of earlier releases: their announcements are kept without a service and answered to their own questions, so nothing changes among them. Streams that began at a node of one release can't be placed at nodes of the other while versions can be confused, since the keys differ; an answer without a service places nothing. They are rejected, never mixed.

--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -191,7 +191,8 @@
     /// Records how the software version of a stream that is taken up was found.
     pub(super) fn record_placement(&mut self, placed: &PlacedStream) {
         let software = match &placed.placement {
-            Placement::Began(software) | Placement::Only(software) => &software.0,
+            Placement::Began(source) => &source.software.0,
+            Placement::Only(software) => &software.0,
             Placement::Unknown { .. } => "none",
         };
         let name = placement_name(&placed.placement);
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -1,5 +1,5 @@
 //! Streams that go on after a break, within one answer or in their caller's next attempt: only
-//! engines of the software version that began a stream may continue it.
+//! engines of the service and the software version that began a stream may continue it.
 
 use super::choice::ChosenEngine;
 use super::Forwarding;
@@ -10,6 +10,7 @@
 use ploverlift_streamorigin::history::RecentVersions;
 use ploverlift_streamorigin::origins::StreamOrigin;
 use ploverlift_streamorigin::placement::Placement;
+use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
 use ploverlift_streamorigin::stream_key::StreamKey;
 
 /// Time after its caller's deadline for which a stream's origin is kept, in milliseconds.
@@ -49,7 +50,11 @@
             .count_placement(&placed.placement);
         self.record.record_placement(&placed);
         match placed.placement {
-            Placement::Began(software) | Placement::Only(software) => {
+            Placement::Began(source) if source.service != self.service_hash() => Err(Unplaced {
+                reason: "the stream began at another service",
+                retry_after_ms: self.left_ms(),
+            }),
+            Placement::Began(StreamSource { software, .. }) | Placement::Only(software) => {
                 self.progress.software = Some(software);
                 Ok(())
             }
@@ -82,7 +87,7 @@
         let origin = StreamOrigin {
             stream: self.stream_key(id),
             tenant: self.tenant_tag(),
-            software,
+            source: StreamSource::new(&self.received.admission.service, software),
             expires_at: self.origin_expiry(),
         };
         self.keep_origin(&origin);
@@ -98,8 +103,7 @@
         // Where one version has served for long enough, any node can tell so.
         let is_announced = !matches!(versions, RecentVersions::Sole(_));
         if !is_announced {
-            let service = service.clone();
-            beliefs.origins.note_unannounced(origin.stream, service);
+            beliefs.origins.note_unannounced(origin.stream);
         }
         let known = beliefs.origins.len();
         drop(beliefs);
@@ -140,8 +144,11 @@
     }
 
     fn stream_key(&self, request_id: &str) -> StreamKey {
-        let service = &self.received.admission.service;
-        StreamKey::new(self.tenant_tag(), service, request_id)
+        StreamKey::new(self.tenant_tag(), request_id)
+    }
+
+    fn service_hash(&self) -> ServiceHash {
+        ServiceHash::of(&self.received.admission.service)
     }
 
     /// Time left for the request, in milliseconds.
--- a/crates/gateway/src/peers/stream_origin_messages.rs
+++ b/crates/gateway/src/peers/stream_origin_messages.rs
@@ -1,4 +1,4 @@
-//! Software versions that began streams, as messages.
+//! Sources of streams, as messages.
 
 use ploverlift_balancing::names::PeerId;
 use ploverlift_policy::ids::Millis;
@@ -8,6 +8,7 @@
 use ploverlift_streamorigin::history::RecentVersions;
 use ploverlift_streamorigin::origins::StreamOrigin;
 use ploverlift_streamorigin::placement::OriginAnswer;
+use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
 use ploverlift_streamorigin::stream_key::StreamKey;
 use ploverlift_wire::peers;
 use ploverlift_wire::peers::stream_origin_answer::Versions;
@@ -17,7 +18,7 @@
 pub struct ReportedOrigin {
     stream: StreamKey,
     tenant: TenantTag,
-    software: SoftwareVersion,
+    source: StreamSource,
     /// Time for which the stream may still be taken up, in milliseconds.
     left_ms: u64,
 }
@@ -28,7 +29,7 @@
         Self {
             stream: origin.stream,
             tenant: origin.tenant,
-            software: origin.software.clone(),
+            source: origin.source.clone(),
             left_ms: origin.expires_at.since(now),
         }
     }
@@ -38,7 +39,7 @@
         StreamOrigin {
             stream: self.stream,
             tenant: self.tenant,
-            software: self.software,
+            source: self.source,
             expires_at: now.plus(self.left_ms),
         }
     }
@@ -70,8 +71,9 @@
     let origins = origins.iter().map(|reported| peers::StreamOrigin {
         stream: reported.stream.0,
         tenant: reported.tenant.0,
-        software: reported.software.0.clone(),
+        software: reported.source.software.0.clone(),
         left_ms: reported.left_ms,
+        service: reported.source.service.0,
     });
     peers::StreamOrigins {
         origins: origins.collect(),
@@ -82,7 +84,7 @@
     let origins = message.origins.into_iter().map(|reported| ReportedOrigin {
         stream: StreamKey(reported.stream),
         tenant: TenantTag(reported.tenant),
-        software: SoftwareVersion(reported.software),
+        source: read_source(reported.service, reported.software),
         left_ms: reported.left_ms,
     });
     origins.collect()
@@ -112,10 +114,11 @@
 
 pub(super) fn answer_message(numbered: &NumberedOriginAnswer) -> peers::StreamOriginAnswer {
     let answer = &numbered.answer;
-    let software = answer.software.as_ref();
+    let source = answer.source.as_ref();
     peers::StreamOriginAnswer {
         number: numbered.number,
-        software: software.map(|software| software.0.clone()),
+        software: source.map(|source| source.software.0.clone()),
+        service: source.map_or(ServiceHash::UNNAMED.0, |source| source.service.0),
         versions: match &answer.versions {
             RecentVersions::Sole(version) => Some(Versions::Sole(version.0.clone())),
             RecentVersions::Several => Some(Versions::AreSeveral(true)),
@@ -128,7 +131,9 @@
     NumberedOriginAnswer {
         number: message.number,
         answer: OriginAnswer {
-            software: message.software.map(SoftwareVersion),
+            source: message
+                .software
+                .map(|software| read_source(message.service, software)),
             versions: match message.versions {
                 Some(Versions::Sole(version)) => RecentVersions::Sole(SoftwareVersion(version)),
                 Some(Versions::AreSeveral(true)) => RecentVersions::Several,
@@ -137,3 +142,10 @@
         },
     }
 }
+
+fn read_source(service: u64, software: String) -> StreamSource {
+    StreamSource {
+        service: ServiceHash(service),
+        software: SoftwareVersion(software),
+    }
+}
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Software versions that began streams: announced to the nodes that keep them, asked for
+//! Sources of streams: announced to the nodes that keep them, asked for
 //! when a stream is taken up, and sent to a keeper that has started again.
 
 use super::messages::PeerMessage;
@@ -10,6 +10,7 @@
 use ploverlift_streamorigin::keepers::{first_nodes, is_among_first, ASKED_NODES, KEEPERS};
 use ploverlift_streamorigin::origins::StreamOrigin;
 use ploverlift_streamorigin::placement::{place, OriginAnswer, Placement};
+use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
 use ploverlift_streamorigin::stream_key::StreamKey;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -74,7 +75,8 @@
         let services = gateway.beliefs().take_services_with_new_version();
         for service in services {
             let now = gateway.clock.now();
-            let origins = gateway.beliefs().origins.take_unannounced(&service, now);
+            let of_service = ServiceHash::of(&service);
+            let origins = gateway.beliefs().origins.take_unannounced(of_service, now);
             for origin in &origins {
                 announce(&gateway, origin);
             }
@@ -131,15 +133,15 @@
     }
 }
 
-/// Answers the question for the version that began a stream.
+/// Answers the question for the source of a stream.
 pub fn answer_query(gateway: &Gateway, query: &OriginQuery, from: SocketAddr) {
     let now = gateway.clock.now();
     let beliefs = gateway.beliefs();
-    let software = query
+    let source = query
         .stream
-        .and_then(|stream| beliefs.origins.software(stream, now));
+        .and_then(|stream| beliefs.origins.source(stream, now));
     let answer = OriginAnswer {
-        software: software.cloned(),
+        source: source.cloned(),
         versions: beliefs
             .software_history
             .recent(&query.service, query.lifetime_ms, now),
@@ -163,10 +165,10 @@
     let now = gateway.clock.now();
     let known = resumed
         .stream
-        .and_then(|stream| gateway.beliefs().origins.software(stream, now).cloned());
-    if let Some(software) = known {
+        .and_then(|stream| gateway.beliefs().origins.source(stream, now).cloned());
+    if let Some(source) = known.filter(StreamSource::is_named) {
         return PlacedStream {
-            placement: Placement::Began(software),
+            placement: Placement::Began(source),
             asked: 0,
             answered: 0,
         };
@@ -215,7 +217,8 @@
                 let Ok(received) = pending.answers.recv().await else {
                     return;
                 };
-                let is_found = received.answer.software.is_some();
+                let source = received.answer.source.as_ref();
+                let is_found = source.is_some_and(StreamSource::is_named);
                 answers.insert(received.from, received.answer);
                 if is_found {
                     return;
--- a/crates/gateway/tests/stream_versions/messages.rs
+++ b/crates/gateway/tests/stream_versions/messages.rs
@@ -12,6 +12,7 @@
 use ploverlift_streamorigin::history::RecentVersions;
 use ploverlift_streamorigin::origins::StreamOrigin;
 use ploverlift_streamorigin::placement::OriginAnswer;
+use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
 use ploverlift_streamorigin::stream_key::StreamKey;
 
 /// Maximum size of the announcement of one stream, in bytes.
@@ -21,11 +22,18 @@
     SoftwareVersion(name.to_owned())
 }
 
+fn source(software: &str) -> StreamSource {
+    StreamSource {
+        service: ServiceHash(u64::MAX),
+        software: version(software),
+    }
+}
+
 fn reported() -> ReportedOrigin {
     let origin = StreamOrigin {
         stream: StreamKey(u64::MAX),
         tenant: TenantTag(u64::MAX),
-        software: version("v1.22.333"),
+        source: source("v1.22.333"),
         expires_at: Millis(120_000),
     };
     ReportedOrigin::new(&origin, Millis(0))
@@ -44,7 +52,7 @@
         PeerMessage::StreamOriginAnswer(NumberedOriginAnswer {
             number: 7,
             answer: OriginAnswer {
-                software: software.map(version),
+                source: software.map(source),
                 versions,
             },
         })
--- a/crates/gateway/tests/stream_versions/site.rs
+++ b/crates/gateway/tests/stream_versions/site.rs
@@ -110,17 +110,18 @@
 
     /// Starts another engine and records it in the store.
     pub async fn add_engine(&mut self, version: &str, behaviour: Behaviour) {
-        self.add_engine_of("llm", version, behaviour).await;
+        let engine = self.add_engine_of("llm", version).await;
+        engine.set(behaviour);
     }
 
-    /// Like [`Self::add_engine`], of a service.
-    pub async fn add_engine_of(&mut self, service: &str, version: &str, behaviour: Behaviour) {
+    /// Like [`Self::add_engine`], of another service.
+    pub async fn add_engine_of(&mut self, service: &str, version: &str) -> &StandInEngine {
         self.engine_count += 1;
         let name = format!("{service}-{}", self.engine_count);
         let engine = StandInEngine::of_software(&name, service, version).await;
-        engine.set(behaviour);
         self.store.put("Engines", &name, engine.record());
         self.engines.push(engine);
+        &self.engines[self.engines.len() - 1]
     }
 
     /// Waits until all nodes know all engines.
--- a/crates/gateway/tests/stream_versions/sources.rs
+++ b/crates/gateway/tests/stream_versions/sources.rs
@@ -151,7 +151,7 @@
 fn a_stream_of_a_moved_route_does_not_go_on_at_the_other_service() {
     smol::block_on(async {
         let mut site = brief_site(&["v1"]).await;
-        site.add_engine_of("other", "v1", Behaviour::Answer).await;
+        site.add_engine_of("other", "v1").await;
         site.wait_until_engines_known().await;
         sleep(BRIEF_IS_OVER_MS).await;
         let began = site.begin_broken_of(0, BRIEF, "v1").await;
@@ -176,7 +176,7 @@
         split["targets"] = json!({"llm": 9, "other": 1});
         let content = configuration_with(1, split);
         let mut site = VersionedSite::start_with(NODES, &["v1"], Behaviour::Answer, content).await;
-        site.add_engine_of("other", "v1", Behaviour::Answer).await;
+        site.add_engine_of("other", "v1").await;
         site.wait_until_engines_known().await;
         sleep(BRIEF_IS_OVER_MS).await;
         let mut continued = 0;
--- a/crates/streamorigin/src/lib.rs
+++ b/crates/streamorigin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Which version of an engine's software began a resumable stream.
+//! Which service and which version of its engines' software began a resumable stream.
 //!
 //! Engines of several versions may serve side by side, and what two versions write does not
 //! fit together: a stream that breaks may go on only at the version that began it, also when
@@ -15,10 +15,12 @@
 //! | [`origins`] | the streams whose version this node knows |
 //! | [`keepers`] | which nodes keep the version of a stream |
 //! | [`history`] | which versions of a service have served recently |
+//! | [`source`] | the service and the software version that began a stream |
 //! | [`placement`] | which version may continue a stream, from the answers of keepers |
 
 pub mod history;
 pub mod keepers;
 pub mod origins;
 pub mod placement;
+pub mod source;
 pub mod stream_key;
--- a/crates/streamorigin/src/origins.rs
+++ b/crates/streamorigin/src/origins.rs
@@ -1,12 +1,11 @@
-//! The streams whose software version this node knows: those that it forwards, and those that
-//! it keeps for other nodes.
+//! The streams whose source this node knows: those that it forwards, and those that it keeps
+//! for other nodes.
 
+use crate::source::{ServiceHash, StreamSource};
 use crate::stream_key::StreamKey;
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::rate_limit::TenantTag;
-use ploverlift_routing::software::SoftwareVersion;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// Maximum number of streams.
 const MAX_STREAMS: usize = 65_536;
@@ -15,15 +14,15 @@
 /// Maximum time for which a stream is kept, in milliseconds.
 const MAX_KEPT_MS: u64 = 120_000;
 
-/// The software version that began a stream.
+/// The service and the software version that began a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamOrigin {
     /// The stream.
     pub stream: StreamKey,
     /// The tenant to which it belongs.
     pub tenant: TenantTag,
-    /// The version of the engine that wrote its first event.
-    pub software: SoftwareVersion,
+    /// The service and the version of the engine that wrote its first event.
+    pub source: StreamSource,
     /// When its caller stops taking it up.
     pub expires_at: Millis,
 }
@@ -34,13 +33,13 @@
     by_stream: HashMap<StreamKey, StreamOrigin>,
     by_expiry: BTreeSet<(Millis, StreamKey)>,
     of_tenant: HashMap<TenantTag, usize>,
-    /// Streams of this node that have not been announced, with their services.
-    unannounced: HashMap<StreamKey, ServiceName>,
+    /// Streams of this node that have not been announced.
+    unannounced: HashSet<StreamKey>,
 }
 
 impl StreamOrigins {
-    /// Keeps a stream; returns false if there is no room for it. The version of a stream never
-    /// changes, so a known stream is only kept for longer.
+    /// Keeps a stream; returns false if there is no room for it. The source of a stream never
+    /// changes, so a known stream is only kept for longer, or gets the service that was unnamed.
     pub fn keep(&mut self, origin: StreamOrigin, now: Millis) -> bool {
         self.expire(now);
         let expires_at = origin.expires_at.min(now.plus(MAX_KEPT_MS));
@@ -48,6 +47,9 @@
             return true;
         }
         if let Some(known) = self.by_stream.get_mut(&origin.stream) {
+            if !known.source.is_named() {
+                known.source = origin.source;
+            }
             if expires_at > known.expires_at {
                 self.by_expiry.remove(&(known.expires_at, origin.stream));
                 self.by_expiry.insert((expires_at, origin.stream));
@@ -70,32 +72,31 @@
     }
 
     /// Notes that a kept stream of this node has not been announced to other nodes.
-    pub fn note_unannounced(&mut self, stream: StreamKey, service: ServiceName) {
+    pub fn note_unannounced(&mut self, stream: StreamKey) {
         if self.by_stream.contains_key(&stream) {
-            self.unannounced.insert(stream, service);
+            self.unannounced.insert(stream);
         }
     }
 
     /// Returns the streams of a service that have not been announced, which counts as
     /// announcing them.
-    pub fn take_unannounced(&mut self, service: &ServiceName, now: Millis) -> Vec<StreamOrigin> {
+    pub fn take_unannounced(&mut self, service: ServiceHash, now: Millis) -> Vec<StreamOrigin> {
         self.expire(now);
         let by_stream = &self.by_stream;
         let mut taken = Vec::new();
-        self.unannounced.retain(|stream, of_service| {
-            if of_service != service {
-                return true;
-            }
-            taken.extend(by_stream.get(stream).cloned());
-            false
+        self.unannounced.retain(|stream| {
+            let origin = by_stream.get(stream);
+            let of_service = origin.filter(|origin| origin.source.service == service);
+            taken.extend(of_service.cloned());
+            of_service.is_none()
         });
         taken
     }
 
-    /// The version that began a stream, if this node knows it.
-    pub fn software(&self, stream: StreamKey, now: Millis) -> Option<&SoftwareVersion> {
+    /// The source of a stream, if this node knows it.
+    pub fn source(&self, stream: StreamKey, now: Millis) -> Option<&StreamSource> {
         let origin = self.by_stream.get(&stream)?;
-        (origin.expires_at > now).then_some(&origin.software)
+        (origin.expires_at > now).then_some(&origin.source)
     }
 
     /// All streams that are still kept.
--- a/crates/streamorigin/src/placement.rs
+++ b/crates/streamorigin/src/placement.rs
@@ -1,23 +1,24 @@
-//! Which software version may continue a stream, from what nodes know of it.
+//! Which engines may continue a stream, from what nodes know of it.
 
 use crate::history::RecentVersions;
+use crate::source::StreamSource;
 use ploverlift_routing::software::SoftwareVersion;
 
 /// What one node knows of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OriginAnswer {
-    /// The version that began the stream, if the node knows it.
-    pub software: Option<SoftwareVersion>,
+    /// The source of the stream, if the node knows it.
+    pub source: Option<StreamSource>,
     /// The versions of the stream's service within its lifetime.
     pub versions: RecentVersions,
 }
 
-/// The version that may continue a stream.
+/// The engines that may continue a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Placement {
-    /// The version that began it, as some node knows.
-    Began(SoftwareVersion),
-    /// The only version that has served within its lifetime.
+    /// Those of the source that began it, as some node knows.
+    Began(StreamSource),
+    /// Those of the only version that has served within its lifetime.
     Only(SoftwareVersion),
     /// It is not known which version began it.
     Unknown {
@@ -29,8 +30,9 @@
 /// Places a stream that this node does not know, with the answers of other nodes; `asked` is
 /// the number of nodes that were asked.
 pub fn place(own: &RecentVersions, answers: &[OriginAnswer], asked: usize) -> Placement {
-    if let Some(began) = answers.iter().find_map(|answer| answer.software.clone()) {
-        return Placement::Began(began);
+    let mut sources = answers.iter().filter_map(|answer| answer.source.as_ref());
+    if let Some(began) = sources.find(|source| source.is_named()) {
+        return Placement::Began(began.clone());
     }
     let unknown = Placement::Unknown {
         may_become_known: answers.len() < asked,
--- a/crates/streamorigin/tests/origins.rs
+++ b/crates/streamorigin/tests/origins.rs
@@ -9,6 +9,7 @@
 use ploverlift_streamorigin::keepers::{first_nodes, is_among_first, KEEPERS};
 use ploverlift_streamorigin::origins::{StreamOrigin, StreamOrigins};
 use ploverlift_streamorigin::placement::{place, OriginAnswer, Placement};
+use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
 use ploverlift_streamorigin::stream_key::StreamKey;
 use proptest::prelude::*;
 use std::collections::HashMap;
@@ -24,18 +25,30 @@
     RecentVersions::Sole(version(name))
 }
 
+fn source(software: &str) -> StreamSource {
+    StreamSource::new(&ServiceName::from("llm"), version(software))
+}
+
+/// A source as a node of an earlier release tells it.
+fn unnamed(software: &str) -> StreamSource {
+    StreamSource {
+        service: ServiceHash::UNNAMED,
+        software: version(software),
+    }
+}
+
 fn origin(stream: u64, tenant: u64, expires_at: u64) -> StreamOrigin {
     StreamOrigin {
         stream: StreamKey(stream),
         tenant: TenantTag(tenant),
-        software: version("v1"),
+        source: source("v1"),
         expires_at: Millis(expires_at),
     }
 }
 
 fn answer(software: Option<&str>, versions: RecentVersions) -> OriginAnswer {
     OriginAnswer {
-        software: software.map(version),
+        source: software.map(source),
         versions,
     }
 }
@@ -44,26 +57,58 @@
 fn a_stream_is_forgotten_with_its_deadline() {
     let mut origins = StreamOrigins::default();
     assert!(origins.keep(origin(1, 1, 500), Millis(0)));
-    let known = |origins: &StreamOrigins, now| origins.software(StreamKey(1), Millis(now)).cloned();
-    assert_eq!(known(&origins, 499), Some(version("v1")));
+    let known = |origins: &StreamOrigins, now| origins.source(StreamKey(1), Millis(now)).cloned();
+    assert_eq!(known(&origins, 499), Some(source("v1")));
     assert_eq!(known(&origins, 500), None);
     origins.keep(origin(2, 1, 900), Millis(600));
     assert_eq!(origins.len(), 1);
 }
 
 #[test]
-fn the_version_of_a_stream_never_changes() {
+fn the_source_of_a_stream_never_changes() {
     let mut origins = StreamOrigins::default();
     origins.keep(origin(1, 1, 500), Millis(0));
     let later = StreamOrigin {
-        software: version("v2"),
+        source: source("v2"),
         ..origin(1, 1, 900)
     };
     assert!(origins.keep(later, Millis(10)));
     assert_eq!(
-        origins.software(StreamKey(1), Millis(800)),
-        Some(&version("v1"))
+        origins.source(StreamKey(1), Millis(800)),
+        Some(&source("v1"))
+    );
+}
+
+// Guards against a service that is not known counting as the service to which the route leads.
+#[test]
+fn a_source_without_its_service_places_no_stream_and_gives_way_to_a_whole_one() {
+    let without_service = OriginAnswer {
+        source: Some(unnamed("v1")),
+        versions: RecentVersions::Several,
+    };
+    let answers = [without_service, answer(Some("v1"), RecentVersions::Several)];
+    let placed = |answers: &[OriginAnswer]| place(&RecentVersions::Several, answers, answers.len());
+    assert_eq!(
+        placed(&answers[..1]),
+        Placement::Unknown {
+            may_become_known: false
+        }
+    );
+    assert_eq!(placed(&answers), Placement::Began(source("v1")));
+
+    let mut origins = StreamOrigins::default();
+    let earlier = StreamOrigin {
+        source: unnamed("v1"),
+        ..origin(1, 1, 500)
+    };
+    origins.keep(earlier.clone(), Millis(0));
+    assert_eq!(
+        origins.source(StreamKey(1), Millis(1)),
+        Some(&unnamed("v1"))
     );
+    origins.keep(origin(1, 1, 500), Millis(2));
+    origins.keep(earlier, Millis(3));
+    assert_eq!(origins.source(StreamKey(1), Millis(4)), Some(&source("v1")));
 }
 
 // Guards against one tenant's ids filling the table of all.
@@ -84,12 +129,17 @@
     let mut origins = StreamOrigins::default();
     let (one, other) = (ServiceName::from("one"), ServiceName::from("other"));
     for (stream, service) in [(1, &one), (2, &other), (3, &one)] {
-        origins.keep(origin(stream, 1, 500), Millis(0));
-        origins.note_unannounced(StreamKey(stream), service.clone());
+        let of_service = StreamOrigin {
+            source: StreamSource::new(service, version("v1")),
+            ..origin(stream, 1, 500)
+        };
+        origins.keep(of_service, Millis(0));
+        origins.note_unannounced(StreamKey(stream));
     }
-    assert_eq!(origins.take_unannounced(&one, Millis(1)).len(), 2);
-    assert!(origins.take_unannounced(&one, Millis(1)).is_empty());
-    assert!(origins.take_unannounced(&other, Millis(500)).is_empty());
+    let mut take = |service, now| origins.take_unannounced(ServiceHash::of(service), Millis(now));
+    assert_eq!(take(&one, 1).len(), 2);
+    assert!(take(&one, 1).is_empty());
+    assert!(take(&other, 500).is_empty());
 }
 
 #[test]
@@ -125,13 +175,13 @@
             Several,
             vec![answer(Some("v2"), Several), none(Several)],
             2,
-            Placement::Began(version("v2")),
+            Placement::Began(source("v2")),
         ),
         (
             sole("v1"),
             vec![answer(Some("v2"), Unproven)],
             3,
-            Placement::Began(version("v2")),
+            Placement::Began(source("v2")),
         ),
         (Several, vec![none(Several)], 2, unknown(true)),
         (Several, vec![none(sole("v1"))], 1, unknown(false)),
@@ -158,14 +208,12 @@
 }
 
 #[test]
-fn a_request_id_names_another_stream_for_another_tenant_or_service() {
-    let (llm, app) = (ServiceName::from("llm"), ServiceName::from("app"));
-    let key = StreamKey::new(TenantTag(1), &llm, "r1");
-    assert_eq!(key, StreamKey::new(TenantTag(1), &llm, "r1"));
+fn a_request_id_names_another_stream_for_another_tenant() {
+    let key = StreamKey::new(TenantTag(1), "r1");
+    assert_eq!(key, StreamKey::new(TenantTag(1), "r1"));
     for other in [
-        StreamKey::new(TenantTag(2), &llm, "r1"),
-        StreamKey::new(TenantTag(1), &app, "r1"),
-        StreamKey::new(TenantTag(1), &llm, "r2"),
+        StreamKey::new(TenantTag(2), "r1"),
+        StreamKey::new(TenantTag(1), "r2"),
     ] {
         assert_ne!(key, other);
     }
