Test: a stream does not go on at the service to which its route was moved

On the code before the sources the test failed: the take-up was answered with the rest of the stream by an engine of the service to which the route had been moved. It holds with the sources.

--- a/crates/gateway/tests/stream_versions/main.rs
+++ b/crates/gateway/tests/stream_versions/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod killed_nodes;
 mod messages;
+mod moved_routes;
 mod one_answer;
 mod site;
 mod sources;
