Streams that are taken up are placed by a write-ahead register of their sources

Callers who took a stream up got its rest from another version or service: a node concluded from its own history of a list of any age, and from the route's time-out as it was, that one version had been the only one, also when no other node answered. After all nodes were killed, streams were rejected although one version had served all the time.

The store now holds one register: to which services each route of resumable streams has led, and which versions these services' engines have had. A node begins such a stream only at a service and version that a call has shown registered, sent after the node saw them appear; a missing one is written at once. A stream that is taken up goes on if the register, read by a call sent after it was taken up, names one source for its path (or a keeper knows its origin); no history, time-out, deadline or age of a list is part of that. The read is shared by all requests that wait. A link that is gone is marked, and removed after the mark has stood for 600 s: whoever sees the link again has to remove the mark first, so no node needs a history without gaps. A register of an earlier era of the store, or with fewer writes than were acknowledged, proves nothing; nodes write what they know of it, and it counts as incomplete for the same 600 s.

A request that takes a stream up is not counted in the split of its route and is served by the service that began the stream; if the route no longer leads there it is rejected for all of its time.

SoftwareHistory, RecentVersions and the versions in answers between nodes are gone (their numbers are reserved on the wire).

The tests of the removed history and of placement by it are replaced: a stream is placed by an origin or by a register that was read, and by nothing else, however many nodes answer; a version is removed only after its mark has stood.

--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -25,6 +25,7 @@
 use crate::settings::{GatewaySettings, SettingsError};
 use crate::state::Gateway;
 use crate::store::{follow_configuration, follow_engines};
+use crate::stream_sources::keep_stream_sources;
 use crate::suspension::detect_suspension;
 use crate::time::{sleep, within};
 use crate::weights::knowledge::{follow_weights, renew_proof};
@@ -131,6 +132,7 @@
         smol::spawn(check_engines(Arc::clone(&gateway))),
         smol::spawn(sync_quarantine(Arc::clone(&gateway))),
         smol::spawn(detect_suspension(Arc::clone(&gateway))),
+        smol::spawn(keep_stream_sources(Arc::clone(&gateway))),
     ];
     if let Some(listener) = metrics {
         tasks.push(smol::spawn(serve_metrics(Arc::clone(&gateway), listener)));
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -42,7 +42,7 @@
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
 use ploverlift_routing::topology::Topology;
-use ploverlift_streamorigin::history::SoftwareHistory;
+use ploverlift_streamorigin::known_sources::KnownSources;
 use ploverlift_streamorigin::origins::StreamOrigins;
 use ploverlift_wire::peers::StoredConfiguration;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -112,10 +112,10 @@
     pub limiter: RateLimiter,
     /// Rollouts of engines' software.
     pub rollouts: RolloutBeliefs,
-    /// Software versions that engines have had recently.
-    pub software_history: SoftwareHistory,
-    /// Services that got another software version, which is still to be handled.
-    pub services_with_new_version: BTreeSet<ServiceName>,
+    /// The register of stream sources.
+    pub stream_sources: KnownSources,
+    /// Services whose streams may be taken up, by the configuration.
+    pub stream_services: BTreeSet<ServiceName>,
     /// Software versions that began streams.
     pub origins: StreamOrigins,
     /// Named weights, and the proofs of which are the newest.
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -6,7 +6,7 @@
 use super::start_hold::{start_hold_ms, wait_for_site};
 use super::OpenConnection;
 use crate::forward::{
-    admit, refuse, serve, Admission, AfterAnswer, CallerAnswer, ReceivedRequest, StreamFraming,
+    admit, refuse, serve, shared_parts, AfterAnswer, CallerAnswer, ReceivedRequest, StreamFraming,
     TimeLimits,
 };
 use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
@@ -15,7 +15,6 @@
 use ploverlift_http1::{read_request_head, BodyDecoder, BufferedStream, HttpError, RequestHead};
 use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::fingerprint::{RequestFingerprint, RequestParts};
-use ploverlift_quarantine::subject::{PartFingerprint, PartIdentity, SharedPart};
 use ploverlift_routing::configuration::CallerLimits;
 use smol::net::TcpStream;
 use socket2::SockRef;
@@ -236,27 +235,6 @@
     })
 }
 
-/// Parts of the request's prompt that other requests may share; each part once.
-fn shared_parts(request: &CallerRequest, admission: &Admission) -> Vec<SharedPart> {
-    let Some(prompt) = &request.prompt else {
-        return Vec::new();
-    };
-    let mut parts: Vec<SharedPart> = Vec::new();
-    for part in prompt.shared_parts() {
-        let fingerprint = PartFingerprint::of(&PartIdentity {
-            tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
-            service: &admission.service.0,
-            model: &prompt.model,
-            part: part.id,
-        });
-        if parts.iter().all(|known| known.id != part.id) {
-            let id = part.id;
-            parts.push(SharedPart { id, fingerprint });
-        }
-    }
-    parts
-}
-
 fn log_refusal(gateway: &Gateway, refusal: &Refusal, id: Option<&str>) {
     gateway.metrics.count_request("not_admitted");
     let age = gateway.beliefs().freshness.age_ms(gateway.clock.now());
--- a/crates/gateway/src/engine_beliefs.rs
+++ b/crates/gateway/src/engine_beliefs.rs
@@ -5,44 +5,18 @@
 use ploverlift_balancing::catalogue::{EngineRecord, Heartbeat, InstanceId};
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::configuration::ServiceName;
 
 impl Beliefs {
-    fn note_software_present(&mut self, record: &EngineRecord, now: Millis) {
-        let history = &mut self.software_history;
-        if history.note_present(&record.service, &record.software, now) {
-            let service = record.service.clone();
-            self.services_with_new_version.insert(service);
-        }
-    }
-
-    fn note_software_gone(&mut self, record: &EngineRecord, now: Millis) {
-        let mut others = self.engines.of_service(&record.service);
-        if !others.any(|engine| engine.record.software == record.software) {
-            let history = &mut self.software_history;
-            history.note_gone(&record.service, &record.software, now);
-        }
-    }
-
-    /// Whether a service got another software version that has not been taken.
-    pub fn has_new_version(&self) -> bool {
-        !self.services_with_new_version.is_empty()
-    }
-
-    /// Services that got another software version since the last call.
-    pub fn take_services_with_new_version(&mut self) -> Vec<ServiceName> {
-        let services = std::mem::take(&mut self.services_with_new_version);
-        services.into_iter().collect()
-    }
-
     /// Adds or updates an engine; returns whether the record was new.
     pub fn upsert_engine(&mut self, record: EngineRecord, now: Millis) -> bool {
         if self.rollouts.is_retired(&record) {
             return false;
         }
         let known = self.engines.get(&record.instance);
-        let known_heartbeat =
-            known.map_or_else(Heartbeat::default, |engine| engine.record.heartbeat);
+        let before = known.map(|engine| engine.record.clone());
+        let known_heartbeat = before
+            .as_ref()
+            .map_or_else(Heartbeat::default, |before| before.heartbeat);
         let change = EngineChange {
             instance: record.instance.clone(),
             revision: record.revision,
@@ -54,7 +28,10 @@
                 self.reset_after_restart(&record.instance);
             }
             self.rollouts.note_engine(record);
-            self.note_software_present(record, now);
+            self.note_engine_present(record);
+            if let Some(before) = &before {
+                self.note_engine_gone(before, now);
+            }
             self.losses.note_record_back(&record.instance);
             self.engines_proof.stop_retaining(&record.instance);
             if record.cold_ms > 0 {
@@ -105,7 +82,7 @@
         }
         if let (true, Some(record)) = (is_new, record) {
             self.rollouts.note_engine_gone(&record, &self.engines);
-            self.note_software_gone(&record, now);
+            self.note_engine_gone(&record, now);
             if has_requests {
                 self.losses.note_record_gone(instance, record.address);
             }
--- a/crates/gateway/src/engine_log.rs
+++ b/crates/gateway/src/engine_log.rs
@@ -27,9 +27,6 @@
 /// Logs changes of engines that are new to this node, and notifies the task that handles new
 /// software versions.
 pub fn log_engine_updates(gateway: &Gateway, changes: &[EngineChange], from: UpdateSource) {
-    if gateway.beliefs().has_new_version() {
-        gateway.software_version_added.notify(usize::MAX);
-    }
     for change in changes {
         log_change(gateway, change, from);
     }
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -5,6 +5,8 @@
 use crate::ports::{CallerRequest, Refusal, RefusalKind};
 use crate::reservation::Reservation;
 use crate::state::Gateway;
+use crate::stream_sources::present::is_resumable;
+use ploverlift_quarantine::subject::{PartFingerprint, PartIdentity, SharedPart};
 use ploverlift_ratelimit::standing::{Basis, Standing};
 use ploverlift_routing::configuration::{Route, ServiceName};
 use ploverlift_routing::rate_limit::TenantTag;
@@ -22,7 +24,8 @@
     pub configuration: Arc<ActiveConfiguration>,
     /// The request's route.
     pub route: Arc<Route>,
-    /// The service that serves it.
+    /// The service that serves it. If the request takes up a stream, it is provisional until
+    /// the service that began the stream is found.
     pub service: ServiceName,
     /// The tenant that owns its key; `None` on public routes without a known key, and without
     /// tenants in the configuration.
@@ -68,11 +71,7 @@
         Some(tenant) => reserve(gateway, tenant, request)?,
         None => None,
     };
-    let service = {
-        let mut beliefs = gateway.beliefs();
-        let service = beliefs.splitter.next(&route, gateway.split_start);
-        service.cloned().unwrap_or_default()
-    };
+    let service = choose_service(gateway, &route, request);
     Ok(Admission {
         configuration,
         route,
@@ -82,6 +81,39 @@
     })
 }
 
+/// The service that a split of the route gives to the request. One that takes up a stream is
+/// not counted in the split: the stream goes on at the service that began it.
+fn choose_service(gateway: &Gateway, route: &Route, request: &CallerRequest) -> ServiceName {
+    if request.resume_after.is_some() && is_resumable(route) {
+        let first = route.targets.first().map(|target| target.service.clone());
+        return first.unwrap_or_default();
+    }
+    let mut beliefs = gateway.beliefs();
+    let service = beliefs.splitter.next(route, gateway.split_start);
+    service.cloned().unwrap_or_default()
+}
+
+/// Parts of the request's prompt that other requests may share; each part once.
+pub fn shared_parts(request: &CallerRequest, admission: &Admission) -> Vec<SharedPart> {
+    let Some(prompt) = &request.prompt else {
+        return Vec::new();
+    };
+    let mut parts: Vec<SharedPart> = Vec::new();
+    for part in prompt.shared_parts() {
+        let fingerprint = PartFingerprint::of(&PartIdentity {
+            tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+            service: &admission.service.0,
+            model: &prompt.model,
+            part: part.id,
+        });
+        if parts.iter().all(|known| known.id != part.id) {
+            let id = part.id;
+            parts.push(SharedPart { id, fingerprint });
+        }
+    }
+    parts
+}
+
 /// Reserves a request's cost from its tenant's rate limit.
 fn reserve(
     gateway: &Arc<Gateway>,
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -96,6 +96,9 @@
         let choice = self.choose_with_software(&beliefs, &software, &rates, now)?;
         let engine = beliefs.engines.get(&choice.instance);
         let engine = engine.ok_or(NoChoice::NoEngine)?;
+        if !self.is_registered(&engine.record.software, &beliefs, now) {
+            return Err(NoChoice::SoftwareHeldBack);
+        }
         let mut chosen = self.chosen_engine(&beliefs, engine, &choice);
         chosen.gate = software.reason;
         let route = &self.received.admission.route;
@@ -135,7 +138,7 @@
         let choice = rollouts.software_choice(&request, &beliefs.engines, own, now);
         let choice = match &self.progress.software {
             Some(software) => choice.and_then(|choice| choice.restricted_to(software)),
-            None => choice,
+            None => choice.and_then(|choice| self.restrict_to_registered(choice, beliefs, now)),
         };
         choice.ok_or(NoChoice::SoftwareHeldBack)
     }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -35,11 +35,12 @@
 mod resumption;
 mod running_request;
 mod sending;
+mod source_registration;
 mod start_deadline;
 mod stream;
 mod takeover;
 
-pub use admission::{admit, Admission};
+pub use admission::{admit, shared_parts, Admission};
 pub use answer_metrics::AnswerMetrics;
 pub use caller_answer::{AfterAnswer, CallerAnswer, StreamFraming};
 pub use events::{is_after, EventSplitter, WholeEvent};
@@ -57,6 +58,7 @@
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use ploverlift_quarantine::subject::SharedPart;
+use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::software::SoftwareVersion;
 use quarantine::RequestClaim;
 use record::RequestRecord;
@@ -80,6 +82,17 @@
     pub shared_parts: Vec<SharedPart>,
 }
 
+impl ReceivedRequest {
+    /// Serves the request by this service, which began the stream that it takes up.
+    fn set_service(&mut self, service: ServiceName) {
+        if service == self.admission.service {
+            return;
+        }
+        self.admission.service = service;
+        self.shared_parts = shared_parts(&self.request, &self.admission);
+    }
+}
+
 /// Results of the attempts so far, from which the final answer is made.
 struct Progress {
     attempts: AttemptLedger,
@@ -155,17 +168,11 @@
 
 impl Forwarding {
     async fn run(&mut self) -> io::Result<AfterAnswer> {
-        let now = self.gateway.clock.now();
-        let settings = self.gateway.settings();
-        let service = self.received.admission.service.clone();
-        self.gateway
-            .beliefs()
-            .retry_budget(&service, &settings)
-            .record_request(now);
         if let Err(unplaced) = self.place_resumed_stream().await {
             self.note_unplaced(&unplaced);
             return self.give_up().await;
         }
+        self.count_request();
         let mut successor = None;
         loop {
             let (instance, end) = match successor.take() {
@@ -194,6 +201,16 @@
         }
     }
 
+    /// Counts the request for the retry budget of its service.
+    fn count_request(&self) {
+        let now = self.gateway.clock.now();
+        let settings = self.gateway.settings();
+        let service = &self.received.admission.service;
+        let mut beliefs = self.gateway.beliefs();
+        let budget = beliefs.retry_budget(service, &settings);
+        budget.record_request(now);
+    }
+
     /// Chooses an engine for the next attempt, and acquires the permissions for sending to it;
     /// `None`, with the reason recorded, when there is no such engine.
     async fn secure_engine(&mut self) -> Option<ChosenEngine> {
@@ -210,6 +227,10 @@
                 "this node lacks news of the engines".clone_into(&mut self.progress.reason);
                 return None;
             }
+            if let Err(unplaced) = self.await_registered_source().await {
+                self.note_unplaced(&unplaced);
+                return None;
+            }
             if let Err(withheld) = self.wait_for_permission().await {
                 self.note_withheld(&withheld);
                 return None;
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -65,6 +65,9 @@
     longest_pause: Option<Pause>,
     hold: Option<Hold>,
     placement: Option<String>,
+    /// Time for which the request waited for the registration of a source, in milliseconds, and
+    /// whether one was registered.
+    source_wait: Option<(u64, bool)>,
     is_finished: bool,
     received: Millis,
     gateway: Arc<Gateway>,
@@ -85,6 +88,7 @@
             longest_pause: None,
             hold: None,
             placement: None,
+            source_wait: None,
             is_finished: false,
             received: received.limits.received,
             gateway: Arc::clone(gateway),
@@ -188,20 +192,33 @@
         });
     }
 
-    /// Records how the software version of a stream that is taken up was found.
+    /// Records by what the source of a stream that is taken up was found.
     pub(super) fn record_placement(&mut self, placed: &PlacedStream) {
         let software = match &placed.placement {
-            Placement::Began(source) => &source.software.0,
-            Placement::Only(software) => &software.0,
+            Placement::Began(source) | Placement::Only(source) => &source.software.0,
             Placement::Unknown { .. } => "none",
         };
         let name = placement_name(&placed.placement);
         let (asked, answered) = (placed.asked, placed.answered);
+        let read = placed.read.as_ref();
+        let sources = read.map_or("not_read", |read| match &read.sources {
+            None => "unanswered",
+            Some(sources) => sources.name(),
+        });
+        let generation = read.and_then(|read| read.generation);
+        let generation = or_none(generation.map(|generation| generation.0));
+        let age_ms = or_none(read.map(|read| read.age_ms));
         self.placement = Some(format!(
-            "{name} software={software} asked={asked} answered={answered}"
+            "{name} software={software} asked={asked} answered={answered} sources={sources} \
+             register={generation} register_age={age_ms}"
         ));
     }
 
+    /// Records the wait for the registration of a source.
+    pub(super) fn record_source_wait(&mut self, waited_ms: u64, is_registered: bool) {
+        self.source_wait = Some((waited_ms, is_registered));
+    }
+
     /// Records that the first byte of the answer is sent to the caller.
     pub(super) fn record_first_byte(&mut self, gateway: &Gateway, received: &ReceivedRequest) {
         if self.first_byte_ms.is_none() {
@@ -259,6 +276,8 @@
             "resumes" => &received.request.resumes,
             "resumes_after" => &received.request.resume_after,
             "placement" => &self.placement,
+            "source_wait_ms" => self.source_wait.map(|wait| wait.0),
+            "source_registered" => self.source_wait.map(|wait| wait.1),
             "passed_over" => passed_over(gateway, &admission.service),
             "fingerprint" => received.fingerprint.to_string(),
             "prompt" => self.prompt.map(|(key, _)| format!("{key:016x}")),
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -4,10 +4,12 @@
 use super::choice::ChosenEngine;
 use super::Forwarding;
 use crate::peers::stream_origins::{announce, place_stream, ResumedStream};
+use crate::stream_sources::may_be_confused;
+use crate::stream_sources::present::{is_resumable, targets};
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_policy::ids::Millis;
+use ploverlift_routing::configuration::{Route, ServiceName};
 use ploverlift_routing::software::SoftwareVersion;
-use ploverlift_streamorigin::history::RecentVersions;
 use ploverlift_streamorigin::origins::StreamOrigin;
 use ploverlift_streamorigin::placement::Placement;
 use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
@@ -40,8 +42,8 @@
         let resumes = request.resumes.as_deref();
         let resumed = ResumedStream {
             stream: resumes.map(|id| self.stream_key(id)),
-            service: self.received.admission.service.clone(),
-            lifetime_ms: self.received.admission.route.timeout_ms,
+            host: request.host.clone(),
+            path: request.path().to_owned(),
         };
         let placed = place_stream(&self.gateway, &resumed).await;
         self.gateway
@@ -50,14 +52,7 @@
             .count_placement(&placed.placement);
         self.record.record_placement(&placed);
         match placed.placement {
-            Placement::Began(source) if source.service != self.service_hash() => Err(Unplaced {
-                reason: "the stream began at another service",
-                retry_after_ms: self.left_ms(),
-            }),
-            Placement::Began(StreamSource { software, .. }) | Placement::Only(software) => {
-                self.progress.software = Some(software);
-                Ok(())
-            }
+            Placement::Began(source) | Placement::Only(source) => self.continue_at(source),
             Placement::Unknown { may_become_known } => Err(Unplaced {
                 reason: "it is not known which software version began the stream",
                 retry_after_ms: match may_become_known {
@@ -68,6 +63,20 @@
         }
     }
 
+    /// Continues the stream at the engines that may continue it, if the route leads there.
+    fn continue_at(&mut self, source: StreamSource) -> Result<(), Unplaced> {
+        let service = service_of(&self.received.admission.route, source.service);
+        let Some(service) = service.cloned() else {
+            return Err(Unplaced {
+                reason: "the route does not lead to the service that began the stream",
+                retry_after_ms: self.left_ms(),
+            });
+        };
+        self.progress.software = Some(source.software);
+        self.received.set_service(service);
+        Ok(())
+    }
+
     /// Records, before an engine's first event is forwarded, that its version began the stream,
     /// so that other nodes know it if this one is gone.
     pub(super) fn note_stream_origin(&mut self, chosen: &ChosenEngine) {
@@ -95,13 +104,11 @@
 
     fn keep_origin(&self, origin: &StreamOrigin) {
         let now = self.gateway.clock.now();
-        let service = &self.received.admission.service;
-        let lifetime_ms = self.received.admission.route.timeout_ms;
+        let request = &self.received.request;
         let mut beliefs = self.gateway.beliefs();
         let is_kept = beliefs.origins.keep(origin.clone(), now);
-        let versions = beliefs.software_history.recent(service, lifetime_ms, now);
-        // Where one version has served for long enough, any node can tell so.
-        let is_announced = !matches!(versions, RecentVersions::Sole(_));
+        // With one source, the register tells it.
+        let is_announced = may_be_confused(&self.gateway, &beliefs, &request.host, request.path());
         if !is_announced {
             beliefs.origins.note_unannounced(origin.stream);
         }
@@ -139,18 +146,13 @@
     }
 
     fn is_resumable(&self) -> bool {
-        let delivery = self.received.admission.route.delivery;
-        delivery.is_stream() && delivery.is_repeatable()
+        is_resumable(&self.received.admission.route)
     }
 
     fn stream_key(&self, request_id: &str) -> StreamKey {
         StreamKey::new(self.tenant_tag(), request_id)
     }
 
-    fn service_hash(&self) -> ServiceHash {
-        ServiceHash::of(&self.received.admission.service)
-    }
-
     /// Time left for the request, in milliseconds.
     pub(super) fn left_ms(&self) -> u64 {
         self.received.limits.left_ms(self.gateway.clock.now())
@@ -163,3 +165,9 @@
         deadline.plus(KEPT_AFTER_DEADLINE_MS)
     }
 }
+
+/// The service with this hash, if the route leads to it.
+fn service_of(route: &Route, service: ServiceHash) -> Option<&ServiceName> {
+    let mut services = targets(route).map(|target| &target.service);
+    services.find(|name| ServiceHash::of(name) == service)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod state;
 pub mod store;
 pub mod stream_metrics;
+pub mod stream_sources;
 pub mod suspension;
 pub mod time;
 pub mod weights;
--- a/crates/gateway/src/peers/stream_origin_messages.rs
+++ b/crates/gateway/src/peers/stream_origin_messages.rs
@@ -2,16 +2,13 @@
 
 use ploverlift_balancing::names::PeerId;
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::software::SoftwareVersion;
-use ploverlift_streamorigin::history::RecentVersions;
 use ploverlift_streamorigin::origins::StreamOrigin;
 use ploverlift_streamorigin::placement::OriginAnswer;
 use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
 use ploverlift_streamorigin::stream_key::StreamKey;
 use ploverlift_wire::peers;
-use ploverlift_wire::peers::stream_origin_answer::Versions;
 
 /// A stream's origin, with the time left in place of a point in time.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,10 +49,6 @@
     pub number: u64,
     /// The stream; `None` if its caller does not name it.
     pub stream: Option<StreamKey>,
-    /// Its service.
-    pub service: ServiceName,
-    /// Longest time since the stream began, in milliseconds.
-    pub lifetime_ms: u64,
 }
 
 /// The answer to the question with this number.
@@ -98,8 +91,6 @@
     peers::StreamOriginQuery {
         number: query.number,
         stream: query.stream.map_or(0, |stream| stream.0),
-        service: query.service.0.clone(),
-        lifetime_ms: query.lifetime_ms,
     }
 }
 
@@ -107,8 +98,6 @@
     OriginQuery {
         number: message.number,
         stream: (message.stream != 0).then_some(StreamKey(message.stream)),
-        service: ServiceName(message.service),
-        lifetime_ms: message.lifetime_ms,
     }
 }
 
@@ -119,11 +108,6 @@
         number: numbered.number,
         software: source.map(|source| source.software.0.clone()),
         service: source.map_or(ServiceHash::UNNAMED.0, |source| source.service.0),
-        versions: match &answer.versions {
-            RecentVersions::Sole(version) => Some(Versions::Sole(version.0.clone())),
-            RecentVersions::Several => Some(Versions::AreSeveral(true)),
-            RecentVersions::Unproven => None,
-        },
     }
 }
 
@@ -134,11 +118,6 @@
             source: message
                 .software
                 .map(|software| read_source(message.service, software)),
-            versions: match message.versions {
-                Some(Versions::Sole(version)) => RecentVersions::Sole(SoftwareVersion(version)),
-                Some(Versions::AreSeveral(true)) => RecentVersions::Several,
-                Some(Versions::AreSeveral(false)) | None => RecentVersions::Unproven,
-            },
         },
     }
 }
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -4,13 +4,15 @@
 use super::messages::PeerMessage;
 use super::stream_origin_messages::{NumberedOriginAnswer, OriginQuery, ReportedOrigin};
 use crate::state::Gateway;
+use crate::stream_sources::{read_sources, SourcesRead};
 use crate::time::{sleep, within};
 use ploverlift_balancing::names::PeerId;
-use ploverlift_routing::configuration::ServiceName;
 use ploverlift_streamorigin::keepers::{first_nodes, is_among_first, ASKED_NODES, KEEPERS};
+use ploverlift_streamorigin::known_sources::Sources;
 use ploverlift_streamorigin::origins::StreamOrigin;
-use ploverlift_streamorigin::placement::{place, OriginAnswer, Placement};
+use ploverlift_streamorigin::placement::{named_source, place, OriginAnswer, Placement};
 use ploverlift_streamorigin::source::{ServiceHash, StreamSource};
+use ploverlift_streamorigin::sources::SourceRegister;
 use ploverlift_streamorigin::stream_key::StreamKey;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -40,17 +42,19 @@
 pub struct ResumedStream {
     /// The stream; `None` if its caller does not name it.
     pub stream: Option<StreamKey>,
-    /// Its service.
-    pub service: ServiceName,
-    /// Longest time since the stream began, in milliseconds.
-    pub lifetime_ms: u64,
+    /// The host of the request that takes it up.
+    pub host: String,
+    /// Its path.
+    pub path: String,
 }
 
-/// The version that may continue a stream, and who knew it.
+/// The engines that may continue a stream, and what tells so.
 #[derive(Clone, Debug)]
 pub struct PlacedStream {
-    /// The version.
+    /// The engines.
     pub placement: Placement,
+    /// The read of the register of stream sources; `None` if its end was not waited for.
+    pub read: Option<SourcesRead>,
     /// Number of other nodes that were asked.
     pub asked: usize,
     /// Number of these that answered.
@@ -67,21 +71,33 @@
     }
 }
 
-/// Announces, whenever a service gets another version, the streams of this node that began
-/// before, until the task is dropped.
+/// Announces, whenever streams can be confused with those of another source, the streams of
+/// this node that began before, until the task is dropped.
 pub async fn announce_earlier_streams(gateway: Arc<Gateway>) {
+    let mut handled = None;
     loop {
-        let changed = gateway.software_version_added.listen();
-        let services = gateway.beliefs().take_services_with_new_version();
-        for service in services {
-            let now = gateway.clock.now();
-            let of_service = ServiceHash::of(&service);
-            let origins = gateway.beliefs().origins.take_unannounced(of_service, now);
-            for origin in &origins {
-                announce(&gateway, origin);
-            }
-            slog::info!(gateway.log, "another software version serves";
-                "service" => &service.0, "streams_announced" => origins.len());
+        let changed = gateway.stream_sources_changed.listen();
+        let now = gateway.clock.now();
+        let (register, origins) = {
+            let mut beliefs = gateway.beliefs();
+            let register = beliefs.stream_sources.register();
+            let version = register.map(|register| (register.era, register.generation));
+            let is_handled = version == handled;
+            let confusable = register.filter(|_| !is_handled);
+            let confusable = confusable.map(SourceRegister::confusable_services);
+            let services = confusable.unwrap_or_default();
+            let services = services.iter().map(ServiceHash::of);
+            let origins = services.map(|service| beliefs.origins.take_unannounced(service, now));
+            let origins: Vec<StreamOrigin> = origins.flatten().collect();
+            (version, origins)
+        };
+        handled = register;
+        for origin in &origins {
+            announce(&gateway, origin);
+        }
+        if !origins.is_empty() {
+            slog::info!(gateway.log, "streams may be confused with those of another source";
+                "streams_announced" => origins.len());
         }
         changed.await;
     }
@@ -140,13 +156,9 @@
     let source = query
         .stream
         .and_then(|stream| beliefs.origins.source(stream, now));
-    let answer = OriginAnswer {
-        source: source.cloned(),
-        versions: beliefs
-            .software_history
-            .recent(&query.service, query.lifetime_ms, now),
-    };
+    let source = source.cloned();
     drop(beliefs);
+    let answer = OriginAnswer { source };
     let number = query.number;
     let message = PeerMessage::StreamOriginAnswer(NumberedOriginAnswer { number, answer });
     gateway.outbox.put(from, &message);
@@ -159,8 +171,15 @@
     gateway.origin_queries.resolve(numbered.number, received);
 }
 
-/// Finds the version that may continue a stream. Returns as soon as a node knows it, and at
-/// the latest after all rounds of questions.
+/// The first of two results that are waited for.
+enum First {
+    Answers(Vec<OriginAnswer>),
+    Read(SourcesRead),
+}
+
+/// Finds the engines that may continue a stream. Returns as soon as a node knows its source or
+/// the register names only one, and at the latest after all rounds of questions and the
+/// longest wait for the register.
 pub async fn place_stream(gateway: &Gateway, resumed: &ResumedStream) -> PlacedStream {
     let now = gateway.clock.now();
     let known = resumed
@@ -169,35 +188,42 @@
     if let Some(source) = known.filter(StreamSource::is_named) {
         return PlacedStream {
             placement: Placement::Began(source),
+            read: None,
             asked: 0,
             answered: 0,
         };
     }
-    let asked = nodes_to_ask(gateway, resumed.stream);
-    let answers = ask(gateway, resumed, &asked).await;
-    let now = gateway.clock.now();
-    let own = {
-        let beliefs = gateway.beliefs();
-        let history = &beliefs.software_history;
-        history.recent(&resumed.service, resumed.lifetime_ms, now)
+    let nodes = nodes_to_ask(gateway, resumed.stream);
+    let mut asking = Box::pin(ask(gateway, resumed.stream, &nodes));
+    let mut reading = Box::pin(read_sources(gateway, &resumed.host, &resumed.path));
+    let first = futures_lite::future::or(async { First::Answers((&mut asking).await) }, async {
+        First::Read((&mut reading).await)
+    });
+    let (answers, read) = match first.await {
+        First::Answers(answers) if named_source(&answers).is_some() => (answers, None),
+        First::Answers(answers) => (answers, Some(reading.await)),
+        First::Read(read) if matches!(read.sources, Some(Sources::Only(_))) => {
+            (Vec::new(), Some(read))
+        }
+        First::Read(read) => (asking.await, Some(read)),
     };
+    let sources = read.as_ref().and_then(|read| read.sources.as_ref());
     PlacedStream {
-        placement: place(&own, &answers, asked.len()),
-        asked: asked.len(),
+        placement: place(sources, &answers, nodes.len()),
+        asked: nodes.len(),
         answered: answers.len(),
+        read,
     }
 }
 
 async fn ask(
     gateway: &Gateway,
-    resumed: &ResumedStream,
+    stream: Option<StreamKey>,
     nodes: &[SocketAddr],
 ) -> Vec<OriginAnswer> {
     let query = OriginQuery {
         number: gateway.origin_queries.next_number(),
-        stream: resumed.stream,
-        service: resumed.service.clone(),
-        lifetime_ms: resumed.lifetime_ms,
+        stream,
     };
     let pending = gateway
         .origin_queries
@@ -233,11 +259,12 @@
     answers.into_values().collect()
 }
 
-/// The nodes that may know a stream's origin. Where nobody names the stream, any node may know
-/// which versions have served.
+/// The nodes that may know a stream's origin; none if nobody names the stream.
 fn nodes_to_ask(gateway: &Gateway, stream: Option<StreamKey>) -> Vec<SocketAddr> {
-    let any = || StreamKey(fastrand::u64(..));
-    other_nodes(gateway, Some(stream.unwrap_or_else(any)), ASKED_NODES)
+    match stream {
+        Some(_) => other_nodes(gateway, stream, ASKED_NODES),
+        None => Vec::new(),
+    }
 }
 
 /// Addresses of the first `count` nodes of a stream's order, without this node; of all other
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -26,6 +26,8 @@
     Nodes,
     /// Requests that are refused because engines ended while running them, one object each.
     RefusedRequests,
+    /// The register of stream sources, one object.
+    StreamSources,
 }
 
 impl StoreKind {
@@ -39,6 +41,7 @@
             StoreKind::Leases => "leases",
             StoreKind::Nodes => "nodes",
             StoreKind::RefusedRequests => "refused_requests",
+            StoreKind::StreamSources => "stream_sources",
         }
     }
 }
--- a/crates/gateway/src/rollouts/choice.rs
+++ b/crates/gateway/src/rollouts/choice.rs
@@ -66,6 +66,28 @@
     }
 }
 
+impl SoftwareChoice {
+    /// The same choice without these versions; `None` if no version is left.
+    pub fn excluding(self, versions: &[SoftwareVersion]) -> Option<Self> {
+        let fallback = self.fallback.and_then(|rule| rule.excluding(versions));
+        match (self.rule.excluding(versions), fallback) {
+            (Some(rule), fallback) => Some(Self {
+                rule,
+                fallback,
+                outside_canary: self.outside_canary,
+                reason: self.reason,
+            }),
+            (None, Some(rule)) => Some(Self {
+                rule,
+                fallback: None,
+                outside_canary: Vec::new(),
+                reason: self.reason,
+            }),
+            (None, None) => None,
+        }
+    }
+}
+
 impl RolloutBeliefs {
     /// The versions that may serve a request; `None` if no version may at present. `own` is
     /// `None` if the service had no rollout when the caller looked it up just before.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use crate::settings::{GatewaySettings, NodeSettings};
 use crate::store::era::KnownEra;
 use crate::store::outage::StoreOutage;
+use crate::stream_sources::SharedReads;
 use event_listener::Event;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::cost::{CostRates, RegionRates};
@@ -86,8 +87,10 @@
     pub token_questions: PendingTokenRequests,
     /// Pending questions to other nodes for the software versions that began streams.
     pub origin_queries: PendingRequests<ReceivedOriginAnswer>,
-    /// Notified when a service got another software version.
-    pub software_version_added: Event,
+    /// Notified when the register of stream sources was read or written.
+    pub stream_sources_changed: Event,
+    /// Reads of that register for streams that are taken up.
+    pub source_reads: SharedReads,
     /// Queue of messages to other nodes.
     pub outbox: Outbox,
     /// Notified when a planned stop begins.
@@ -165,7 +168,8 @@
             engine_signals_changed: Event::new(),
             token_questions: PendingTokenRequests::default(),
             origin_queries: PendingRequests::default(),
-            software_version_added: Event::new(),
+            stream_sources_changed: Event::new(),
+            source_reads: SharedReads::default(),
             outbox: Outbox::default(),
             stop_began: Event::new(),
             work_ended: Event::new(),
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -360,7 +360,16 @@
         revision_era: revision.era.0,
         content: object.content.to_string(),
     };
-    if gateway.beliefs().apply_configuration(document, stored) {
+    let now = gateway.clock.now();
+    let is_new = {
+        let mut beliefs = gateway.beliefs();
+        let is_new = beliefs.apply_configuration(document, stored);
+        if is_new {
+            beliefs.note_routes_present(now);
+        }
+        is_new
+    };
+    if is_new {
         let gauge = i64::try_from(version).unwrap_or(i64::MAX);
         gateway.metrics.configuration_version.set(gauge);
         slog::info!(gateway.log, "configuration in force";
--- a/crates/gateway/src/stream_metrics.rs
+++ b/crates/gateway/src/stream_metrics.rs
@@ -14,11 +14,20 @@
     pub placement: &'static str,
 }
 
+/// How the wait for the registration of a source ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HeldLabel {
+    /// `registered` or `rejected`.
+    pub outcome: &'static str,
+}
+
 /// Metrics of streams that go on after a break.
 #[derive(Debug, Default)]
 pub struct StreamMetrics {
     /// Streams that were taken up, by how their version was found.
     pub placements: Family<PlacementLabel, Counter>,
+    /// Streams that waited for the registration of a source, by whether one was registered.
+    pub held: Family<HeldLabel, Counter>,
     /// Messages that announced the version of a stream.
     pub announced: Counter,
     /// Questions for the version of a stream.
@@ -37,6 +46,15 @@
         self.placements.get_or_create(&label).inc();
     }
 
+    /// Counts a stream that waited for the registration of a source.
+    pub fn count_held(&self, is_registered: bool) {
+        let outcome = match is_registered {
+            true => "registered",
+            false => "rejected",
+        };
+        self.held.get_or_create(&HeldLabel { outcome }).inc();
+    }
+
     /// Records that `known` streams are kept, and that `dropped` were not.
     pub fn note_kept(&self, known: usize, dropped: usize) {
         self.known.set(known as i64);
@@ -47,6 +65,8 @@
     pub(crate) fn register(&self, registry: &mut Registry) {
         let help = "Streams that were taken up, by how their software version was found";
         registry.register("resumed_streams", help, self.placements.clone());
+        let help = "Streams that waited for the registration of a source, by outcome";
+        registry.register("held_streams", help, self.held.clone());
         let help = "Messages that announced the software version of a stream";
         registry.register("announced_streams", help, self.announced.clone());
         let help = "Questions for the software version of a stream";
--- /dev/null
+++ b/crates/gateway/src/stream_sources/reads.rs
@@ -0,0 +1,77 @@
+//! Reads of the register that are shared by all requests that wait for one.
+
+use event_listener::Event;
+use std::sync::{Mutex, MutexGuard};
+
+/// The outcome of a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// The store answered, and the answer has been applied.
+    Answered,
+    /// The store did not answer in time, or refused.
+    Failed,
+}
+
+#[derive(Debug, Default)]
+struct Progress {
+    /// Number of reads that have begun.
+    begun: u64,
+    /// The highest number of a read that a request waits for.
+    wanted: u64,
+    /// The last read that has ended, and its outcome.
+    ended: Option<(u64, ReadOutcome)>,
+}
+
+/// Numbered reads, one at a time.
+#[derive(Debug, Default)]
+pub struct SharedReads {
+    progress: Mutex<Progress>,
+    /// Notified when a request wants a read.
+    pub due: Event,
+    ended: Event,
+}
+
+impl SharedReads {
+    /// Waits for a read that begins after this call.
+    pub async fn next(&self) -> ReadOutcome {
+        let number = {
+            let mut progress = self.progress();
+            progress.wanted = progress.begun + 1;
+            progress.wanted
+        };
+        self.due.notify(usize::MAX);
+        loop {
+            let ended = self.ended.listen();
+            if let Some((last, outcome)) = self.progress().ended {
+                if last >= number {
+                    return outcome;
+                }
+            }
+            ended.await;
+        }
+    }
+
+    /// Whether a request waits for a read that has not begun.
+    pub(super) fn is_wanted(&self) -> bool {
+        let progress = self.progress();
+        progress.wanted > progress.begun
+    }
+
+    /// Begins a read.
+    pub(super) fn begin(&self) {
+        self.progress().begun += 1;
+    }
+
+    /// Ends the read that began last.
+    pub(super) fn end(&self, outcome: ReadOutcome) {
+        let mut progress = self.progress();
+        progress.ended = Some((progress.begun, outcome));
+        drop(progress);
+        self.ended.notify(usize::MAX);
+    }
+
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        let progress = self.progress.lock();
+        progress.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -23,11 +23,7 @@
         let suspended_ms = passed_ms.saturating_sub(CHECK_PERIOD_MS);
         if suspended_ms >= SUSPENSION_THRESHOLD_MS {
             slog::warn!(gateway.log, "stood still"; "for_ms" => suspended_ms);
-            let now = gateway.clock.now();
-            let mut beliefs = gateway.beliefs();
-            beliefs.store_outage.note_suspension();
-            beliefs.software_history.note_gap(now);
-            drop(beliefs);
+            gateway.beliefs().store_outage.note_suspension();
             gateway.suspension_detected.notify(usize::MAX);
         }
     }
