A failure of the engine that takes a stream up is no part of the answer

Cause: read_failure wrote a failure below 500 as a whole answer, or as a large one, without a look at whether the answer to the caller had begun.

Fix: a failure of an engine that takes a begun answer up ends that attempt; another engine may follow, otherwise the answer is broken off. And one place in caller_answer.rs begins answers: a second head of one answer is an error, whichever path writes it, and the connection is broken off and logged.

--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -99,6 +99,12 @@
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
         let status = answer.head.status;
+        if self.answer.has_started() {
+            // Another engine had accepted the same request.
+            in_flight.note_outcome(Outcome::Failed);
+            let reason = format!("the engine failed with {status} to take the stream up");
+            return Ok(AttemptEnd::Broken(BrokenAttempt::other(reason)));
+        }
         // A status that promises "not run" is not valid from an engine that ran the request.
         let is_engines_fault = status >= 500 || promises_not_run(status);
         let outcome = match is_engines_fault {
--- a/crates/gateway/src/forward/caller_answer.rs
+++ b/crates/gateway/src/forward/caller_answer.rs
@@ -81,16 +81,16 @@
     /// Writes a complete answer.
     ///
     /// # Errors
-    /// When writing to the caller fails.
+    /// When an answer has begun already, or writing to the caller fails.
     pub async fn send_complete(
         &mut self,
         mut head: ResponseHead,
         body: &[u8],
     ) -> io::Result<AfterAnswer> {
+        self.begin()?;
         head.headers.set("Content-Length", body.len().to_string());
         let mut message = self.encode(head);
         message.extend_from_slice(body);
-        self.has_started = true;
         self.write(&message).await?;
         Ok(self.after())
     }
@@ -98,8 +98,9 @@
     /// Writes the head of an answer of unknown length and its first bytes.
     ///
     /// # Errors
-    /// When writing to the caller fails.
+    /// When an answer has begun already, or writing to the caller fails.
     pub async fn start_stream(&mut self, mut head: ResponseHead, first: &[u8]) -> io::Result<()> {
+        self.begin()?;
         head.headers.remove("Content-Length");
         match self.framing {
             StreamFraming::Chunked => head.headers.set("Transfer-Encoding", "chunked"),
@@ -111,7 +112,6 @@
         }
         let mut message = self.encode(head);
         self.append_piece(&mut message, first);
-        self.has_started = true;
         self.write(&message).await
     }
 
@@ -137,6 +137,15 @@
         Ok(self.after())
     }
 
+    /// Begins the answer. Each head is written through here: a second one would reach the caller
+    /// as bytes of the first one's body.
+    fn begin(&mut self) -> io::Result<()> {
+        match std::mem::replace(&mut self.has_started, true) {
+            false => Ok(()),
+            true => Err(io::Error::other("an answer has begun already")),
+        }
+    }
+
     /// Writes all bytes. Each write is limited in time: a silently dead connection accepts no
     /// byte and is never reset, so the request would occupy a slot of its engine for ever.
     async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
--- a/crates/gateway/tests/requests/streams.rs
+++ b/crates/gateway/tests/requests/streams.rs
@@ -1,8 +1,13 @@
 //! Streams that break off at an engine.
 
-use crate::support::caller::prompt;
+use crate::support::caller::{self, prompt};
 use crate::support::engine::{all_events, event, Behaviour, StandInEngine};
 use crate::support::{site, Fixture};
+use ploverlift_gateway::forward::{CallerAnswer, StreamFraming};
+use ploverlift_gateway::time::within;
+use ploverlift_http1::ResponseHead;
+use smol::io::AsyncReadExt;
+use smol::net::{TcpListener, TcpStream};
 
 #[test]
 fn a_broken_stream_resumes_at_another_engine_without_lost_or_duplicate_events() {
@@ -40,3 +45,80 @@
         assert_eq!(answer.text(), whole);
     });
 }
+
+/// All bytes of a resumable stream that breaks inside its third event at one engine, and that
+/// the other engine, which behaves like this, is asked to take up; and whether the connection
+/// was closed after them.
+async fn bytes_of_broken_stream(other_engine: Behaviour) -> (String, bool) {
+    const CLOSED_WITHIN_MS: u64 = 3_000;
+    let first = StandInEngine::start("llm-1", "llm", Behaviour::BreakInside(3)).await;
+    let second = StandInEngine::start("llm-2", "llm", Behaviour::BreakInside(3)).await;
+    let fixture = Fixture::new(&[&first, &second]).await;
+    fixture.send(&prompt("stream.test", "r0")).await;
+    let other = match first.heads().is_empty() {
+        true => &first,
+        false => &second,
+    };
+    other.set(other_engine);
+    let address = fixture.running().callers;
+    let mut connection = caller::open(address, &prompt("resume.test", "r1")).await;
+    let reading = async { while connection.fill().await.is_ok_and(|count| count > 0) {} };
+    let is_closed = within(CLOSED_WITHIN_MS, reading).await.is_some();
+    assert_eq!(other.arrived_ids(), ["r1"]);
+    let bytes = String::from_utf8_lossy(connection.pending()).into_owned();
+    (bytes, is_closed)
+}
+
+// Guards against the failure of the engine that takes a stream up being written, head and body,
+// into the caller's answer that has begun.
+#[test]
+fn a_failure_of_the_engine_that_takes_a_stream_up_is_no_part_of_the_answer() {
+    const MORE_THAN_IS_BUFFERED: usize = 300 * 1024;
+    let failures = [
+        Behaviour::FailWith(404),
+        Behaviour::FailWith(400),
+        Behaviour::FailWith(500),
+        Behaviour::AnswerLarge(404, MORE_THAN_IS_BUFFERED),
+        Behaviour::AnswerLarge(500, MORE_THAN_IS_BUFFERED),
+    ];
+    smol::block_on(async {
+        for failure in failures {
+            let case = format!("{failure:?}");
+            let (bytes, is_closed) = bytes_of_broken_stream(failure).await;
+            let chunks: String = (1..3)
+                .map(|number| format!("{:x}\r\n{}\r\n", event(number).len(), event(number)))
+                .collect();
+            let (_, body) = bytes.split_once("\r\n\r\n").expect("a head");
+            assert_eq!(body, chunks, "{case}");
+            assert!(
+                is_closed,
+                "{case}: the connection ends with the broken answer"
+            );
+        }
+    });
+}
+
+// Guards against a second head in one answer, whichever path writes it.
+#[test]
+fn an_answer_that_has_begun_takes_no_second_head() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        for framing in [StreamFraming::Chunked, StreamFraming::UntilClose] {
+            let mut caller = TcpStream::connect(address).await.expect("connect");
+            let (node, _) = listener.accept().await.expect("accept");
+            let mut answer = CallerAnswer::new(node.clone(), framing, true, 1_000);
+            let begun = answer.start_stream(ResponseHead::new(200), b"first").await;
+            begun.expect("the first head");
+            let complete = answer.send_complete(ResponseHead::new(404), b"second");
+            assert!(complete.await.is_err());
+            let stream = answer.start_stream(ResponseHead::new(200), b"third");
+            assert!(stream.await.is_err());
+            let _ = node.shutdown(std::net::Shutdown::Write);
+            let mut bytes = String::new();
+            let read = caller.read_to_string(&mut bytes).await;
+            read.expect("the end of the answer");
+            assert_eq!(bytes.matches("HTTP/1.1").count(), 1, "{bytes}");
+        }
+    });
+}
