Log and count each check of the end of an unframed answer

Callers saw no change. Each check now has one line, `answer end checked` (request id, engine, framing, connection, wait, outcome), and counts in `answer_end_checks` by connection and outcome. No decision changes.

--- a/crates/gateway/src/forward/answer_end.rs
+++ b/crates/gateway/src/forward/answer_end.rs
@@ -20,11 +20,12 @@
 use super::Forwarding;
 use crate::engine_connection::{BodyEnd, EngineAnswer};
 use crate::engine_ends::has_ended;
-use crate::engine_paths::connect::connect_engine;
+use crate::engine_paths::connect::{connect_engine, EnginePath};
 use crate::engine_sentinels::decision::{RefusalCause, SentinelState};
 use crate::engine_sentinels::{
     keep_as_sentinel, keeps_idle_connection_open, state_after_refusal, use_sentinel, SentinelUse,
 };
+use crate::http_call::ConnectFailure;
 use crate::time::within;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_http1::Framing;
@@ -114,21 +115,56 @@
     /// engine that accepts no connection in time, or that refuses one for another cause, may
     /// still run.
     async fn has_terminated(&self, last_arrival: Instant, chosen: &ChosenEngine) -> bool {
+        let began = Instant::now();
         let (instance, address) = (&chosen.instance, chosen.address);
         let connecting = connect_engine(&self.gateway, instance, address, ENGINE_CHECK_MS);
         match within(ENGINE_CHECK_MS, connecting).await {
-            None => false,
+            None => {
+                self.note_end_check(chosen, "none", "timed_out", began);
+                false
+            }
             Some(Ok(connection)) => {
+                let connection_name = match connection.path {
+                    EnginePath::Direct => "new",
+                    EnginePath::Tunnel(_) => "tunnel",
+                };
                 keep_as_sentinel(&self.gateway, instance, connection);
+                self.note_end_check(chosen, connection_name, "accepted", began);
                 false
             }
             Some(Err(unconnected)) if has_ended(&unconnected) => {
-                self.refusal_cause(last_arrival, instance).await == RefusalCause::Terminated
+                let cause = self.refusal_cause(last_arrival, instance).await;
+                self.note_end_check(chosen, "none", cause.name(), began);
+                cause == RefusalCause::Terminated
+            }
+            Some(Err(unconnected)) => {
+                let outcome = match unconnected.failure() {
+                    ConnectFailure::Refused => "refusal_not_confirmed",
+                    ConnectFailure::NoAnswer => "no_answer",
+                    ConnectFailure::Local => "local_error",
+                };
+                self.note_end_check(chosen, "none", outcome, began);
+                false
             }
-            Some(Err(_)) => false,
         }
     }
 
+    /// Logs and counts the check of an answer's end.
+    fn note_end_check(
+        &self,
+        chosen: &ChosenEngine,
+        connection: &'static str,
+        outcome: &'static str,
+        began: Instant,
+    ) {
+        let metrics = &self.gateway.metrics.answers;
+        metrics.count_end_check(connection, outcome);
+        slog::info!(self.gateway.log, "answer end checked";
+            "id" => &self.received.request.id, "engine" => &chosen.instance.0,
+            "framing" => Framing::UntilClose.name(), "connection" => connection,
+            "waited_ms" => began.elapsed().as_millis() as u64, "outcome" => outcome);
+    }
+
     /// Why the engine refused a connection after the end of its answer.
     async fn refusal_cause(&self, last_arrival: Instant, instance: &InstanceId) -> RefusalCause {
         let gateway = &self.gateway;
--- a/crates/gateway/src/forward/answer_metrics.rs
+++ b/crates/gateway/src/forward/answer_metrics.rs
@@ -15,6 +15,15 @@
     pub end: &'static str,
 }
 
+/// A check whether the engine of an answer that ended with its connection still runs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndCheckLabel {
+    /// The connection that was used: `kept`, `new`, `tunnel` or `none`.
+    pub connection: &'static str,
+    /// What the check showed.
+    pub outcome: &'static str,
+}
+
 /// A try to have another engine take a request over from a silent one.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TakeoverLabel {
@@ -27,6 +36,8 @@
 pub struct AnswerMetrics {
     /// Bodies of answers that ended regularly.
     pub ends: Family<AnswerEndLabel, Counter>,
+    /// Checks whether the engine of an answer that ended with its connection still runs.
+    pub end_checks: Family<EndCheckLabel, Counter>,
     /// Tries to have another engine take a request over from a silent one.
     pub takeovers: Family<TakeoverLabel, Counter>,
 }
@@ -39,6 +50,15 @@
         self.ends.get_or_create(&label).inc();
     }
 
+    /// Counts a check whether the engine of an answer that ended with its connection still runs.
+    pub fn count_end_check(&self, connection: &'static str, outcome: &'static str) {
+        let label = EndCheckLabel {
+            connection,
+            outcome,
+        };
+        self.end_checks.get_or_create(&label).inc();
+    }
+
     /// Counts a try to have another engine take a request over.
     pub fn count_takeover(&self, outcome: &'static str) {
         let label = TakeoverLabel { outcome };
@@ -49,6 +69,9 @@
     pub fn register(&self, registry: &mut Registry) {
         let help = "Bodies of engines' answers that ended regularly, by framing";
         registry.register("answer_ends", help, self.ends.clone());
+        let help = "Checks whether the engine of an answer that ended with its connection still \
+                    runs, by connection and outcome";
+        registry.register("answer_end_checks", help, self.end_checks.clone());
         let help = "Tries to have another engine take a request over from a silent one";
         registry.register("takeovers", help, self.takeovers.clone());
     }
