Show answers of killed engines that reach their callers as complete

The stand-in engine learns to end like a killed process: it runs nothing more, its connections are closed regularly one after another, and its listener accepts until the last. The next incarnation may accept at the same address.

--- a/crates/gateway/tests/requests/main.rs
+++ b/crates/gateway/tests/requests/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod app_engine;
 mod cached_prompts;
+mod killed_engines;
 mod not_run;
 mod retries;
 mod start;
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -9,6 +9,7 @@
 use serde_json::{json, Value};
 use smol::net::TcpStream;
 use std::future::Future;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -29,6 +30,22 @@
         }
         let mut body = Vec::new();
         while let Ok(true) = decoder.read(&mut connection, &mut body).await {}
+        if shared.is_killed.load(Ordering::Acquire) {
+            std::future::pending::<()>().await;
+        }
+        if is_probe(&head) {
+            shared.probes.fetch_add(1, Ordering::AcqRel);
+            sleep(shared.probe_delay_ms.load(Ordering::Acquire)).await;
+        }
+        if head.path() == site::HEALTH_PATH {
+            if answer_health(&shared, &mut connection, &head)
+                .await
+                .is_none()
+            {
+                return;
+            }
+            continue;
+        }
         if head.path().starts_with("/control/") {
             if control(&shared, &mut connection, &head, &body)
                 .await
@@ -119,6 +136,26 @@
     futures_lite::future::or(responding, closing).await
 }
 
+/// Whether a request asks only whether the engine runs.
+fn is_probe(head: &RequestHead) -> bool {
+    let is_expected = head.headers.get(site::INSTANCE).is_some();
+    head.path() == site::HEALTH_PATH || (head.path() == "/control/report" && is_expected)
+}
+
+/// Answers with the engine's id; an engine that is not the expected one refuses.
+async fn answer_health(
+    shared: &Shared,
+    connection: &mut BufferedStream,
+    head: &RequestHead,
+) -> Option<()> {
+    let expected = head.headers.get(site::INSTANCE);
+    let is_expected = expected.is_none_or(|expected| expected == shared.instance);
+    let mut answer = ResponseHead::new(if is_expected { 200 } else { 421 });
+    answer.headers.push(site::INSTANCE, &shared.instance);
+    answer.headers.push("content-length", "0");
+    connection.write_all(&answer.encode()).await.ok()
+}
+
 /// Whether the prompt has one of the parts, other than as its last one.
 fn shares_part(head: &RequestHead, parts: &[u64]) -> bool {
     let prompt = head.headers.get(site::PROMPT).unwrap_or_default();
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod connection;
 mod format;
+pub mod killed;
 pub mod listening;
 mod pause;
 
@@ -20,7 +21,7 @@
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
@@ -134,6 +135,14 @@
 }
 
 struct Shared {
+    /// Id of the incarnation that runs.
+    instance: String,
+    /// Whether the process has been killed: it runs nothing.
+    is_killed: AtomicBool,
+    /// Number of liveness probes that were read.
+    probes: AtomicUsize,
+    /// Time until a liveness probe is answered, in milliseconds.
+    probe_delay_ms: AtomicU64,
     behaviour: Mutex<Behaviour>,
     /// Format of complete answers and of streams that break off.
     format: Mutex<AnswerFormat>,
@@ -188,11 +197,30 @@
 
 impl StandInEngine {
     pub async fn start(instance: &str, service: &str, behaviour: Behaviour) -> Self {
-        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
-        let listener = Arc::new(listener);
+        Self::start_at(
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+            instance,
+            service,
+            behaviour,
+        )
+        .await
+    }
+
+    /// Like [`Self::start`], at this address.
+    pub async fn start_at(
+        address: SocketAddr,
+        instance: &str,
+        service: &str,
+        behaviour: Behaviour,
+    ) -> Self {
+        let listener = Arc::new(bind(address).expect("bind"));
         let address = listener.local_addr().expect("address");
         let (seen, happened) = async_channel::unbounded();
         let shared = Arc::new(Shared {
+            instance: instance.to_owned(),
+            is_killed: AtomicBool::new(false),
+            probes: AtomicUsize::new(0),
+            probe_delay_ms: AtomicU64::new(0),
             behaviour: Mutex::new(behaviour),
             format: Mutex::default(),
             cache_events: Mutex::default(),
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -35,6 +35,9 @@
 pub const LEAVING: &str = "t-leaving";
 pub const BACKOFF_MS: &str = "t-backoff-ms";
 
+/// Path of the engines' health check.
+pub const HEALTH_PATH: &str = "/health";
+
 /// Id of a request whose head makes the simulated site panic, as a fault in the program would.
 pub const PANIC_ID: &str = "panics";
 
