Prove that an engine runs by its answer to a probe sent after the end

Cause: whatever was not a proven termination was taken for a whole answer. A connection that was accepted counted as a proof that the engine runs, but the kernel closes the connections of a process that ends one after another while its listener still accepts, and the next instance accepts at the same address. A refusal that no peer confirmed, a time-out and an error of the node counted as "may still run", and of an engine that had announced its leaving a duration counted as a proof.

Now an unframed answer is whole only if the same instance answers a probe that was sent after the end was seen; all else is broken off, and a resumable stream goes on elsewhere. The probe goes out on a connection that is open already (the sentinel, an idle one), then on a new one: a report where the connection is known to lead to the instance (on which it has answered, or that was accepted before the ended answer's request was sent), otherwise the health check, which names its engine. One probe of an engine is in flight at a time and shared by all ends seen before it was sent. Removed: decision.rs (RefusedBefore, RAN_ON_FOR), the states of the sentinel, LEAVING_DIVISOR, the time of the last arrival.

Changed tests, each with the reason: - STOPS[2] (an engine that leaves and closes its listener and all idle connections) was expected to be whole. An engine that is killed in that state looks the same, so the check asserted what nothing proves. Now: not complete, terminated or not, with a short and the usual bound; a resumable stream goes on at another engine; a plain answer is 502.

--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -6,14 +6,12 @@
 //! connection, and so cancels the request.
 
 use crate::time::within;
-use futures_lite::future::poll_once;
 use ploverlift_http1::{
     read_response_head, BodyDecoder, BufferedStream, Framing, HttpError, RequestHead, ResponseHead,
 };
 use ploverlift_policy::attempt::AttemptState;
 use smol::io::AsyncWriteExt;
 use std::fmt;
-use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
@@ -30,8 +28,8 @@
     /// Whether the whole request was written. An engine that answered before that would
     /// read the rest of the body as the start of the next request.
     request_is_written: bool,
-    /// When this node had last waited for bytes, or for the end of the body, and they arrived.
-    last_arrival: Instant,
+    /// When the request was sent, at the earliest.
+    request_sent_at: Instant,
 }
 
 /// The regular end of a body.
@@ -39,9 +37,8 @@
 pub struct BodyEnd {
     /// How the end was determined.
     pub framing: Framing,
-    /// When bytes, or the end, last arrived while this node was waiting for them. What had
-    /// arrived before it was read doesn't count: when, is not known.
-    pub last_arrival: Instant,
+    /// When the request was sent, at the earliest.
+    pub request_sent_at: Instant,
 }
 
 impl EngineAnswer {
@@ -64,7 +61,7 @@
     pub fn body_end(&self) -> BodyEnd {
         BodyEnd {
             framing: self.framing(),
-            last_arrival: self.last_arrival,
+            request_sent_at: self.request_sent_at,
         }
     }
 
@@ -74,13 +71,7 @@
     /// # Errors
     /// When the connection breaks before the end.
     pub async fn read(&mut self, output: &mut Vec<u8>) -> Result<bool, HttpError> {
-        let mut reading = pin!(self.decoder.read(&mut self.stream, output));
-        if let Some(read) = poll_once(reading.as_mut()).await {
-            return read;
-        }
-        let read = reading.await;
-        self.last_arrival = Instant::now();
-        read
+        self.decoder.read(&mut self.stream, output).await
     }
 }
 
@@ -158,6 +149,7 @@
     body: &[u8],
     timeout_ms: u64,
 ) -> Result<EngineAnswer, ExchangeFailure> {
+    let request_sent_at = Instant::now();
     let mut writer = stream.writer();
     let encoded = head.encode();
     let request_is_written = AtomicBool::new(false);
@@ -183,7 +175,7 @@
             decoder,
             stream,
             request_is_written: request_is_written.load(Ordering::Relaxed),
-            last_arrival: Instant::now(),
+            request_sent_at,
         }),
     }
 }
--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -4,7 +4,8 @@
 //! An engine that resets one connection or sends one malformed answer is still alive. An
 //! engine that has terminated accepts no new connection, and all its open connections end
 //! at that moment. So after the first connection that an engine ends, this node tries to
-//! open another one, on which nothing is sent.
+//! open another one, on which nothing is sent. The kernel may still accept for an engine that
+//! has terminated: an accepted connection proves nothing, and leaves open what ended the others.
 //!
 //! ```text
 //! connection ended ─▶ new connection refused ─▶ idle ones end as well, or there is none ─▶ terminated,
@@ -36,7 +37,7 @@
 /// Status of an engine that ended a connection, found by a connection attempt.
 enum Status {
     Ended,
-    Alive(EngineConnection),
+    Accepts(EngineConnection),
     Unknown(String),
 }
 
@@ -65,7 +66,7 @@
 async fn probe_engine(gateway: &Arc<Gateway>, instance: &InstanceId, address: SocketAddr) {
     let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
     let result = match connect_engine(gateway, instance, address, timeout_ms).await {
-        Ok(connection) => Status::Alive(connection),
+        Ok(connection) => Status::Accepts(connection),
         Err(unconnected) if has_ended(&unconnected) => {
             status_after_refusal(gateway, instance).await
         }
@@ -81,7 +82,7 @@
     gateway.quarantine_changed.notify(usize::MAX);
     match result {
         Status::Ended => {}
-        Status::Alive(connection) => {
+        Status::Accepts(connection) => {
             keep_connection(gateway, instance, connection, gateway.clock.now());
         }
         Status::Unknown(error) => {
--- a/crates/gateway/src/engine_paths/connect.rs
+++ b/crates/gateway/src/engine_paths/connect.rs
@@ -45,12 +45,23 @@
     }
 }
 
+/// What shows which engine instance an open connection leads to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectedInstance {
+    /// The instance has answered on the connection.
+    HasAnswered,
+    /// The engine that listened at the address has accepted it, at the latest then.
+    AcceptedBy(Instant),
+}
+
 /// An open connection to an engine.
 pub struct EngineConnection {
     /// The connection.
     pub stream: BufferedStream,
     /// Its path.
     pub path: EnginePath,
+    /// What shows which instance it leads to.
+    pub instance: ConnectedInstance,
 }
 
 impl EngineConnection {
@@ -58,6 +69,16 @@
         Self {
             stream: tunnel.stream,
             path: EnginePath::Tunnel(tunnel.peer.address),
+            instance: ConnectedInstance::AcceptedBy(Instant::now()),
+        }
+    }
+
+    /// Whether the connection leads to the instance that has answered a request sent at
+    /// `request_sent_at`, as long as it is open.
+    pub(crate) fn leads_to_instance(&self, request_sent_at: Instant) -> bool {
+        match self.instance {
+            ConnectedInstance::HasAnswered => true,
+            ConnectedInstance::AcceptedBy(at) => at <= request_sent_at,
         }
     }
 }
@@ -192,6 +213,7 @@
         Ok(EngineConnection {
             stream,
             path: EnginePath::Direct,
+            instance: ConnectedInstance::AcceptedBy(Instant::now()),
         })
     }
 
--- a/crates/gateway/src/engine_sentinels/mod.rs
+++ b/crates/gateway/src/engine_sentinels/mod.rs
@@ -1,39 +1,29 @@
 //! Sentinel connections: one idle connection to each engine that sends answers without framing.
 //!
-//! Such an answer ends with its connection, and so does that of an engine that terminates. An
-//! engine that refuses a new connection at that moment has not always terminated: it may be at
-//! its limit of connections, or it leaves and has closed its listener. All connections of an
-//! engine that terminates end at that moment, so another one that stays open shows that it runs.
+//! Such an answer ends with its connection, and so does that of an engine that terminates. Only an
+//! answer to a probe tells them apart ([`crate::engine_liveness`]). An engine that is at its limit
+//! of connections, or that leaves and has closed its listener, accepts no connection for a probe at
+//! that moment: the sentinel is open before, and nothing but probes is sent on it.
 //!
-//! ```text
-//! open ── closed ──▶ reconnect ── accepted ──▶ open
-//!                              └─ refused ───▶ refused since then, tried again
-//! ```
-//!
-//! All answers of an engine share its sentinel. It is a connection that was opened to check the
-//! end of an earlier answer, or an idle one; another one is opened only for an answer that
-//! lasts. An engine may close an idle connection at any time, so the closing alone shows nothing:
-//! it is the refusal of the next one, while an answer of an engine goes on that has announced its
-//! leaving, that shows a closed listener ([`decision::RefusalCause`]).
+//! All answers of an engine share its sentinel. It is a connection that was opened for an earlier
+//! probe, or an idle one; another one is opened only for an answer that lasts, and again where the
+//! engine closes it, as engines do with idle connections.
 
-pub mod decision;
 mod watch;
 
 use crate::engine_checks::keep_connection;
 use crate::engine_paths::connect::{EngineConnection, EnginePath};
 use crate::kept_connections::IdleConnection;
 use crate::state::Gateway;
-use crate::time::{sleep, within};
-use decision::SentinelState;
+use crate::time::sleep;
 use event_listener::Event;
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_http1::BufferedStream;
 use smol::net::TcpStream;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-/// Time for the end of a sentinel connection to arrive after the engine refused another one, in
+/// Time for the ends of idle connections to arrive after the engine refused another one, in
 /// milliseconds.
 const END_ARRIVES_MS: u64 = 100;
 
@@ -42,17 +32,14 @@
     instance: InstanceId,
     address: SocketAddr,
     inner: Mutex<Inner>,
-    /// Notified when the state changes or a connection is offered.
+    /// Notified when the connection is set, taken or returned.
     changed: Event,
 }
 
 struct Inner {
-    state: SentinelState,
-    /// A handle of the open connection.
-    connection: Option<TcpStream>,
-    /// Whether a connection is waited for that another check opens.
-    takes_offers: bool,
-    offered: Option<BufferedStream>,
+    connection: Option<EngineConnection>,
+    /// Whether a probe has taken the connection.
+    is_taken: bool,
     /// Number of answers that use it.
     users: usize,
     last_used: Instant,
@@ -69,16 +56,24 @@
     }
 }
 
+/// Keeps the sentinel from being replaced while a probe has its connection.
+pub(crate) struct TakenSentinel(Arc<EngineSentinel>);
+
+impl Drop for TakenSentinel {
+    fn drop(&mut self) {
+        self.0.lock().is_taken = false;
+        self.0.changed.notify(usize::MAX);
+    }
+}
+
 impl EngineSentinel {
     fn new(instance: &InstanceId, address: SocketAddr) -> Self {
         Self {
             instance: instance.clone(),
             address,
             inner: Mutex::new(Inner {
-                state: SentinelState::Unknown,
                 connection: None,
-                takes_offers: true,
-                offered: None,
+                is_taken: false,
                 users: 0,
                 last_used: Instant::now(),
             }),
@@ -92,13 +87,11 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn state(&self) -> SentinelState {
-        self.lock().state
-    }
-
-    /// Whether an answer uses it.
-    fn is_in_use(&self) -> bool {
-        self.lock().users > 0
+    /// A handle of the open connection.
+    fn handle(&self) -> Option<TcpStream> {
+        let inner = self.lock();
+        let connection = inner.connection.as_ref()?;
+        Some(connection.stream.writer())
     }
 
     /// Whether no answer has used it for this time.
@@ -107,60 +100,35 @@
         inner.users == 0 && inner.last_used.elapsed() >= duration
     }
 
+    /// Whether a connection should be opened: an answer uses the sentinel, and there is none.
+    fn lacks_connection(&self) -> bool {
+        let inner = self.lock();
+        inner.users > 0 && inner.connection.is_none() && !inner.is_taken
+    }
+
     /// Uses the connection as the sentinel; returns it if there is one already.
-    fn offer(&self, stream: BufferedStream) -> Option<BufferedStream> {
+    fn offer(&self, connection: EngineConnection) -> Option<EngineConnection> {
         let mut inner = self.lock();
-        if !inner.takes_offers {
-            return Some(stream);
+        if inner.connection.is_some() {
+            return Some(connection);
         }
-        inner.takes_offers = false;
-        inner.state = SentinelState::Open;
-        inner.connection = Some(stream.writer());
-        inner.offered = Some(stream);
+        inner.connection = Some(connection);
         drop(inner);
         self.changed.notify(usize::MAX);
         None
     }
 
-    fn set_state(&self, state: SentinelState, connection: Option<TcpStream>) {
-        let mut inner = self.lock();
-        inner.state = state;
-        inner.connection = connection;
-        drop(inner);
-        self.changed.notify(usize::MAX);
-    }
-
-    /// The state once the end of the connection would have arrived, if the engine terminated.
-    async fn state_after_refusal(&self) -> SentinelState {
-        let closing = async {
-            loop {
-                let changed = self.changed.listen();
-                if self.state() != SentinelState::Open {
-                    return;
-                }
-                changed.await;
+    /// Closes the connection if the engine has closed it, or has sent on it.
+    async fn discard_unless_quiet(&self) {
+        let connection = self.lock().connection.take();
+        if let Some(connection) = connection {
+            if connection.stream.is_quiet().await {
+                drop(self.offer(connection));
             }
-        };
-        within(END_ARRIVES_MS, closing).await;
-        let (state, connection) = {
-            let inner = self.lock();
-            (inner.state, inner.connection.clone())
-        };
-        // The task that watches the connection may be late.
-        match connection {
-            Some(connection) if !is_quiet(&connection).await => SentinelState::Unknown,
-            _ => state,
         }
     }
 }
 
-/// Whether the peer has, as far as is known locally, neither sent data nor closed its side.
-async fn is_quiet(connection: &TcpStream) -> bool {
-    let mut byte = [0; 1];
-    let peeked = smol::future::poll_once(connection.peek(&mut byte)).await;
-    peeked.is_none()
-}
-
 /// Uses the engine's sentinel, or begins one, for an answer that ends with its connection.
 pub(crate) fn use_sentinel(
     gateway: &Arc<Gateway>,
@@ -184,66 +152,74 @@
     SentinelUse(sentinel)
 }
 
-/// Uses a new connection as the engine's sentinel if it waits for one, otherwise for the next
-/// request.
+/// Takes the engine's sentinel connection for a probe.
+pub(crate) fn take_sentinel(
+    gateway: &Gateway,
+    instance: &InstanceId,
+) -> Option<(EngineConnection, TakenSentinel)> {
+    let sentinel = gateway
+        .kept_connections()
+        .sentinels
+        .get(instance)
+        .cloned()?;
+    let connection = {
+        let mut inner = sentinel.lock();
+        let connection = inner.connection.take()?;
+        inner.is_taken = true;
+        connection
+    };
+    Some((connection, TakenSentinel(sentinel)))
+}
+
+/// Uses a connection as the engine's sentinel if it lacks one, otherwise for the next request.
 pub(crate) fn keep_as_sentinel(
     gateway: &Gateway,
     instance: &InstanceId,
     connection: EngineConnection,
 ) {
     let sentinel = gateway.kept_connections().sentinels.get(instance).cloned();
-    let path = connection.path;
     let keeps_idle = gateway.settings().attempts.keep_connection_ms > 0;
-    let stream = match sentinel {
-        Some(sentinel) if path == EnginePath::Direct && keeps_idle => {
-            sentinel.offer(connection.stream)
+    let connection = match sentinel {
+        Some(sentinel) if connection.path == EnginePath::Direct && keeps_idle => {
+            sentinel.offer(connection)
         }
-        _ => Some(connection.stream),
+        _ => Some(connection),
     };
-    if let Some(stream) = stream {
-        let connection = EngineConnection { stream, path };
+    if let Some(connection) = connection {
         keep_connection(gateway, instance, connection, gateway.clock.now());
     }
 }
 
-/// State of an engine's sentinel right after the engine refused a connection.
-pub(crate) async fn state_after_refusal(gateway: &Gateway, instance: &InstanceId) -> SentinelState {
-    let sentinel = gateway.kept_connections().sentinels.get(instance).cloned();
-    match sentinel {
-        Some(sentinel) => sentinel.state_after_refusal().await,
-        None => SentinelState::Unknown,
-    }
-}
-
-/// Whether an engine that has just refused a connection keeps another one open that is idle.
+/// Whether an engine that has just refused a connection keeps another one open that is idle, once
+/// its end would have arrived if the engine terminated.
 pub(crate) async fn keeps_connection_open(gateway: &Gateway, instance: &InstanceId) -> bool {
-    let sentinel = state_after_refusal(gateway, instance).await;
-    sentinel == SentinelState::Open || keeps_idle_connection_open(gateway, instance).await
-}
-
-/// Whether an idle connection for requests is still open once its end would have arrived, if the
-/// engine terminated.
-pub(crate) async fn keeps_idle_connection_open(gateway: &Gateway, instance: &InstanceId) -> bool {
-    let now = gateway.clock.now();
-    let idle = gateway.kept_connections().direct_handles(instance, now);
-    if !is_any_quiet(&idle).await {
+    let handles = {
+        let now = gateway.clock.now();
+        let mut kept = gateway.kept_connections();
+        let mut handles = kept.direct_handles(instance, now);
+        let sentinel = kept.sentinels.get(instance);
+        handles.extend(sentinel.and_then(|sentinel| sentinel.handle()));
+        handles
+    };
+    if !is_any_quiet(&handles).await {
         return false;
     }
     sleep(END_ARRIVES_MS).await;
-    is_any_quiet(&idle).await
+    is_any_quiet(&handles).await
 }
 
 async fn is_any_quiet(connections: &[TcpStream]) -> bool {
     for connection in connections {
-        if is_quiet(connection).await {
+        let mut byte = [0; 1];
+        let peeked = smol::future::poll_once(connection.peek(&mut byte)).await;
+        if peeked.is_none() {
             return true;
         }
     }
     false
 }
 
-/// Takes an idle connection that is no tunnel, whose end might arrive later than that of another
-/// connection; closed ones are discarded.
+/// Takes an idle connection that is no tunnel; closed ones are discarded.
 async fn take_quiet_connection(gateway: &Gateway, instance: &InstanceId) -> Option<IdleConnection> {
     loop {
         let now = gateway.clock.now();
--- a/crates/gateway/src/engine_sentinels/watch.rs
+++ b/crates/gateway/src/engine_sentinels/watch.rs
@@ -1,18 +1,16 @@
 //! Watches one sentinel connection and replaces it where the engine has closed it.
 
-use super::decision::SentinelState;
 use super::{take_quiet_connection, EngineSentinel};
 use crate::engine_checks::keep_connection;
-use crate::engine_ends::has_ended;
 use crate::engine_paths::connect::{connect_engine, EnginePath};
 use crate::state::Gateway;
-use crate::time::{sleep, within};
-use ploverlift_http1::BufferedStream;
+use crate::time::within;
+use smol::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time for which an answer has lasted before a connection is opened for it, in milliseconds.
-/// The check of the end of a shorter one opens a connection anyway.
+/// The probe after a shorter one opens a connection anyway.
 const OPEN_AFTER_MS: u64 = 50;
 /// Time for which a sentinel stays open after the last answer that used it: less than the idle
 /// time-outs of most engines.
@@ -28,113 +26,76 @@
 /// Maximum number of doublings of the pause.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// How the watch of an open connection ended.
-#[derive(PartialEq, Eq)]
-enum WatchEnd {
-    Closed,
-    Unused,
-}
-
 /// Watches the sentinel until no answer has used it for a while.
 pub(super) async fn watch(gateway: Arc<Gateway>, sentinel: Arc<EngineSentinel>) {
-    run(&gateway, &sentinel).await;
-    let mut kept = gateway.kept_connections();
-    let registered = kept.sentinels.get(&sentinel.instance);
-    if registered.is_some_and(|registered| Arc::ptr_eq(registered, &sentinel)) {
-        kept.sentinels.remove(&sentinel.instance);
+    if let Some(idle) = take_quiet_connection(&gateway, &sentinel.instance).await {
+        // Where a probe was faster, the idle connection is not needed.
+        drop(sentinel.offer(idle.into_connection()));
     }
-}
-
-async fn run(gateway: &Arc<Gateway>, sentinel: &EngineSentinel) {
-    if let Some(idle) = take_quiet_connection(gateway, &sentinel.instance).await {
-        // Where another check was faster, the idle connection is not needed.
-        drop(sentinel.offer(idle.into_stream()));
-    }
-    let mut connection = wait_for_offer(sentinel).await;
-    if connection.is_none() && !sentinel.is_in_use() {
-        return;
+    let offered = sentinel.changed.listen();
+    if sentinel.handle().is_none() {
+        within(OPEN_AFTER_MS, offered).await;
     }
     let mut attempts = 0;
-    loop {
-        if let Some(stream) = connection.take() {
+    while !is_over(&gateway, &sentinel) {
+        let changed = sentinel.changed.listen();
+        if let Some(connection) = sentinel.handle() {
             let began = Instant::now();
-            if watch_connection(sentinel, &stream).await == WatchEnd::Unused {
-                return;
-            }
-            sentinel.set_state(SentinelState::Unknown, None);
+            within(USE_CHECK_PERIOD_MS, watch_connection(&connection, changed)).await;
+            sentinel.discard_unless_quiet().await;
             if began.elapsed() >= LASTED {
                 attempts = 0;
             }
-        }
-        sleep(pause_ms(attempts)).await;
-        attempts += 1;
-        if sentinel.is_unused_for(UNUSED_FOR) {
-            return;
-        }
-        let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
-        let (instance, address) = (&sentinel.instance, sentinel.address);
-        match connect_engine(gateway, instance, address, timeout_ms).await {
-            // An engine that accepts connections needs no watch until its next answer.
-            Ok(opened) if !sentinel.is_in_use() => {
-                keep_connection(gateway, instance, opened, gateway.clock.now());
-                return;
-            }
-            Ok(opened) if opened.path == EnginePath::Direct => connection = Some(opened.stream),
-            // The end of a tunnel may arrive later than that of a direct connection.
-            Ok(opened) => {
-                keep_connection(gateway, instance, opened, gateway.clock.now());
-                sentinel.set_state(SentinelState::Unknown, None);
+        } else if sentinel.lacks_connection() {
+            within(pause_ms(attempts), changed).await;
+            attempts += 1;
+            if sentinel.lacks_connection() {
+                open(&gateway, &sentinel).await;
             }
-            Err(unconnected) if has_ended(&unconnected) => note_refused(gateway, sentinel),
-            Err(_) => sentinel.set_state(SentinelState::Unknown, None),
+        } else {
+            within(USE_CHECK_PERIOD_MS, changed).await;
         }
     }
 }
 
-/// Waits for the connection of another check, for the time after which one is opened for the
-/// sentinel itself.
-async fn wait_for_offer(sentinel: &EngineSentinel) -> Option<BufferedStream> {
-    let offered = async {
-        loop {
-            let changed = sentinel.changed.listen();
-            if !sentinel.lock().takes_offers {
-                return;
-            }
-            changed.await;
-        }
-    };
-    within(OPEN_AFTER_MS, offered).await;
-    let mut inner = sentinel.lock();
-    inner.takes_offers = false;
-    inner.offered.take()
+/// Whether the watch is over; the sentinel is then removed.
+fn is_over(gateway: &Gateway, sentinel: &Arc<EngineSentinel>) -> bool {
+    let mut kept = gateway.kept_connections();
+    if !sentinel.is_unused_for(UNUSED_FOR) {
+        return false;
+    }
+    let registered = kept.sentinels.get(&sentinel.instance);
+    if registered.is_some_and(|registered| Arc::ptr_eq(registered, sentinel)) {
+        kept.sentinels.remove(&sentinel.instance);
+    }
+    true
 }
 
-/// Waits until the engine closes the connection or sends on it, or the sentinel is not used any
-/// more.
-async fn watch_connection(sentinel: &EngineSentinel, stream: &BufferedStream) -> WatchEnd {
-    let connection = stream.writer();
-    sentinel.set_state(SentinelState::Open, Some(connection.clone()));
-    loop {
+/// Waits until the engine closes the connection or sends on it, or a probe takes it.
+async fn watch_connection(connection: &TcpStream, taken: event_listener::EventListener) {
+    let closed = async {
         let mut byte = [0; 1];
-        let peeking = connection.peek(&mut byte);
-        if within(USE_CHECK_PERIOD_MS, peeking).await.is_some() {
-            return WatchEnd::Closed;
-        }
-        if sentinel.is_unused_for(UNUSED_FOR) {
-            return WatchEnd::Unused;
-        }
-    }
+        let _ = connection.peek(&mut byte).await;
+    };
+    futures_lite::future::or(closed, taken).await;
 }
 
-/// Records a refused connection; the first of several counts.
-fn note_refused(gateway: &Gateway, sentinel: &EngineSentinel) {
-    if matches!(sentinel.state(), SentinelState::Refused { .. }) {
-        return;
+async fn open(gateway: &Arc<Gateway>, sentinel: &EngineSentinel) {
+    let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
+    let (instance, address) = (&sentinel.instance, sentinel.address);
+    let surplus = match connect_engine(gateway, instance, address, timeout_ms).await {
+        Ok(opened) if opened.path == EnginePath::Direct => sentinel.offer(opened),
+        // A tunnel depends on its peer as well.
+        Ok(opened) => Some(opened),
+        Err(unconnected) => {
+            slog::debug!(gateway.log, "sentinel connection not opened";
+                "engine" => &instance.0, "error" => unconnected.reason());
+            None
+        }
+    };
+    if let Some(surplus) = surplus {
+        keep_connection(gateway, instance, surplus, gateway.clock.now());
     }
-    let since = Instant::now();
-    sentinel.set_state(SentinelState::Refused { since }, None);
-    slog::info!(gateway.log, "engine refuses the sentinel connection";
-        "engine" => &sentinel.instance.0, "in_use" => sentinel.is_in_use());
 }
 
 fn pause_ms(attempts: u32) -> u64 {
--- a/crates/gateway/src/forward/answer_metrics.rs
+++ b/crates/gateway/src/forward/answer_metrics.rs
@@ -11,16 +11,17 @@
 pub struct AnswerEndLabel {
     /// `length`, `chunked` or `connection`.
     pub framing: &'static str,
-    /// `whole`, or `inside_event` for a stream that ended inside an event.
+    /// `whole`; `inside_event` for a stream that ended inside an event; `unproven` for a body
+    /// that ended with its connection, and whose engine is not proven to run.
     pub end: &'static str,
 }
 
-/// A check whether the engine of an answer that ended with its connection still runs.
+/// The end of an answer that ended with its connection, or a probe after it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EndCheckLabel {
     /// The connection that was used: `kept`, `new`, `tunnel` or `none`.
     pub connection: &'static str,
-    /// What the check showed.
+    /// `answered`, which proves that the engine instance runs, or why it is not proven.
     pub outcome: &'static str,
 }
 
@@ -38,6 +39,8 @@
     pub ends: Family<AnswerEndLabel, Counter>,
     /// Checks whether the engine of an answer that ended with its connection still runs.
     pub end_checks: Family<EndCheckLabel, Counter>,
+    /// Liveness probes that were sent; several checks may share one.
+    pub probes: Family<EndCheckLabel, Counter>,
     /// Tries to have another engine take a request over from a silent one.
     pub takeovers: Family<TakeoverLabel, Counter>,
 }
@@ -59,6 +62,15 @@
         self.end_checks.get_or_create(&label).inc();
     }
 
+    /// Counts a liveness probe that was sent.
+    pub fn count_probe(&self, connection: &'static str, outcome: &'static str) {
+        let label = EndCheckLabel {
+            connection,
+            outcome,
+        };
+        self.probes.get_or_create(&label).inc();
+    }
+
     /// Counts a try to have another engine take a request over.
     pub fn count_takeover(&self, outcome: &'static str) {
         let label = TakeoverLabel { outcome };
@@ -72,6 +84,8 @@
         let help = "Checks whether the engine of an answer that ended with its connection still \
                     runs, by connection and outcome";
         registry.register("answer_end_checks", help, self.end_checks.clone());
+        let help = "Liveness probes of engines that were sent, by connection and outcome";
+        registry.register("liveness_probes", help, self.probes.clone());
         let help = "Tries to have another engine take a request over from a silent one";
         registry.register("takeovers", help, self.takeovers.clone());
     }
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -7,7 +7,9 @@
 use super::takeover::Waited;
 use super::Forwarding;
 use crate::engine_connection::{exchange_on, EngineAnswer, ExchangeFailure, FailureReason};
-use crate::engine_paths::connect::{connect_engine, EngineConnection, EnginePath, Unconnected};
+use crate::engine_paths::connect::{
+    connect_engine, ConnectedInstance, EngineConnection, EnginePath, Unconnected,
+};
 use crate::http_call::ConnectFailure;
 use crate::ports::{AnswerMeaning, EngineCall};
 use ploverlift_http1::RequestHead;
@@ -101,7 +103,7 @@
         chosen: &ChosenEngine,
         is_reused: bool,
     ) -> Exchange {
-        let EngineConnection { stream, path } = connection;
+        let EngineConnection { stream, path, .. } = connection;
         self.gateway.metrics.paths.count_send(path);
         let head = self.engine_head(chosen);
         let body = Arc::clone(&self.received.body);
@@ -344,7 +346,11 @@
             let now = self.gateway.clock.now();
             self.gateway.kept_connections().keep(
                 &chosen.instance,
-                EngineConnection { stream, path },
+                EngineConnection {
+                    stream,
+                    path,
+                    instance: ConnectedInstance::HasAnswered,
+                },
                 &headers,
                 longest_ms,
                 now,
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -9,7 +9,7 @@
 use crate::engine_paths::connect::{EngineConnection, EnginePath};
 use crate::engine_sentinels::EngineSentinel;
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_http1::{BufferedStream, Headers};
+use ploverlift_http1::Headers;
 use ploverlift_policy::ids::Millis;
 use smol::net::TcpStream;
 use std::collections::HashMap;
@@ -28,14 +28,18 @@
 }
 
 impl IdleConnection {
+    fn is_direct(&self) -> bool {
+        self.connection.path == EnginePath::Direct
+    }
+
     /// Whether the engine has, as far as is known locally, neither sent data nor closed it.
     pub(crate) async fn is_quiet(&self) -> bool {
         self.connection.stream.is_quiet().await
     }
 
     /// The connection, for another use.
-    pub(crate) fn into_stream(self) -> BufferedStream {
-        self.connection.stream
+    pub(crate) fn into_connection(self) -> EngineConnection {
+        self.connection
     }
 }
 
@@ -43,7 +47,7 @@
 #[derive(Default)]
 pub struct KeptConnections {
     by_engine: HashMap<InstanceId, Vec<IdleConnection>>,
-    /// Sentinel connections, on which no request is sent.
+    /// Sentinel connections, on which nothing but probes is sent.
     pub(crate) sentinels: HashMap<InstanceId, Arc<EngineSentinel>>,
 }
 
@@ -78,6 +82,19 @@
         kept.pop().map(|idle| idle.connection)
     }
 
+    /// Removes and returns the least recently used idle connection to an engine, one that is no
+    /// tunnel if there is one.
+    pub(crate) fn take_oldest(
+        &mut self,
+        instance: &InstanceId,
+        now: Millis,
+    ) -> Option<IdleConnection> {
+        self.expire(now);
+        let kept = self.by_engine.get_mut(instance)?;
+        let direct = kept.iter().position(IdleConnection::is_direct);
+        (!kept.is_empty()).then(|| kept.remove(direct.unwrap_or(0)))
+    }
+
     /// Removes and returns the least recently used idle connection to an engine that is no
     /// tunnel.
     pub(crate) fn take_oldest_direct(
@@ -87,8 +104,7 @@
     ) -> Option<IdleConnection> {
         self.expire(now);
         let kept = self.by_engine.get_mut(instance)?;
-        let is_direct = |idle: &IdleConnection| idle.connection.path == EnginePath::Direct;
-        let oldest = kept.iter().position(is_direct)?;
+        let oldest = kept.iter().position(IdleConnection::is_direct)?;
         Some(kept.remove(oldest))
     }
 
@@ -96,7 +112,7 @@
     pub(crate) fn direct_handles(&mut self, instance: &InstanceId, now: Millis) -> Vec<TcpStream> {
         self.expire(now);
         let kept = self.by_engine.get(instance).into_iter().flatten();
-        let direct = kept.filter(|idle| idle.connection.path == EnginePath::Direct);
+        let direct = kept.filter(|idle| idle.is_direct());
         direct.map(|idle| idle.connection.stream.writer()).collect()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`forward`] | one request, from its head to the end of its answer |
 //! | `engine_signals` | signals that engines set in the heads of their answers |
 //! | [`engine_connection`] | one request on one connection to an engine |
+//! | `engine_liveness` | proof that an engine instance runs, after the end of an answer |
 //! | [`engine_ends`] | detects that an engine has terminated, and the requests that it was running |
 //! | [`quarantine`] | stored list of requests during which engines terminated |
 //! | [`engine_checks`] | connection checks of engines that could not be reached |
@@ -45,6 +46,7 @@
 pub mod engine_connection;
 pub mod engine_ends;
 pub mod engine_limits;
+mod engine_liveness;
 mod engine_log;
 pub mod engine_paths;
 pub mod engine_sentinels;
--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -96,6 +96,35 @@
     }
 }
 
+/// A question that only asks whether an engine instance runs.
+#[derive(Clone, Copy, Debug)]
+pub struct LivenessProbe<'a> {
+    /// The instance; any other one refuses the probe.
+    pub instance: &'a InstanceId,
+    /// Path of its service's health check, if it is known.
+    pub health_path: Option<&'a str>,
+    /// Whether engines of its service report on their models.
+    pub reports: bool,
+    /// Whether the connection is known to lead to the instance, so that the answer need not
+    /// name it.
+    pub is_instance_known: bool,
+    /// Time for which the engine may hold the probe, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// What the head of an answer to a [`LivenessProbe`] shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LivenessAnswer {
+    /// The instance answered.
+    Instance,
+    /// An engine answered that does not name itself.
+    Unnamed,
+    /// Another instance answered.
+    OtherInstance,
+    /// Not an engine's answer to a probe.
+    Foreign,
+}
+
 /// The engines' protocol for requests.
 pub trait EngineProtocol: Send + Sync {
     /// The head of the request to the engine.
@@ -104,6 +133,12 @@
     /// What the head of an answer proves about the request with the id `request_id`.
     fn answer_meaning(&self, request_id: &str, head: &ResponseHead) -> AnswerMeaning;
 
+    /// The head of a probe; `None` if there is no way to ask.
+    fn liveness_head(&self, probe: &LivenessProbe<'_>) -> Option<RequestHead>;
+
+    /// What the head of an answer to a probe of this instance shows.
+    fn liveness_answer(&self, instance: &InstanceId, head: &ResponseHead) -> LivenessAnswer;
+
     /// Signals about its engine in the head of an answer.
     fn engine_signals(&self, head: &ResponseHead) -> EngineSignals;
 }
--- a/crates/gateway/src/ports/mod.rs
+++ b/crates/gateway/src/ports/mod.rs
@@ -9,7 +9,7 @@
 //! | port | translates |
 //! | --- | --- |
 //! | [`CallerProtocol`] | a caller's head to a [`CallerRequest`]; a refusal to a head |
-//! | [`EngineProtocol`] | an [`EngineCall`] to a head; an engine's head to its [`AnswerMeaning`] and [`EngineSignals`] |
+//! | [`EngineProtocol`] | an [`EngineCall`] to a head; an engine's head to its [`AnswerMeaning`] and [`EngineSignals`]; a [`LivenessProbe`] to a head, and its answer |
 //! | [`EngineControl`] | reports and orders, in both directions |
 //! | [`CacheProtocol`] | events of KV cache stores |
 //! | [`ObjectStore`] | calls to the object store, in both directions |
@@ -25,7 +25,10 @@
 pub use cache::{CacheAnswer, CacheProtocol};
 pub use caller::{CallerProtocol, CallerRequest, InvalidRequest, Refusal, RefusalKind};
 pub use control::{EngineControl, EngineReport, LoadOrder, OrderAnswer};
-pub use engine::{AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, RefusedByEngine};
+pub use engine::{
+    AnswerMeaning, CacheTransfer, EngineCall, EngineProtocol, LivenessAnswer, LivenessProbe,
+    RefusedByEngine,
+};
 pub use signals::{EngineSignals, Leaving, Signal};
 pub use store::{
     InvalidDocument, NamedVersion, ObjectStore, StoreCall, StoreError, StoreKind, StoreObject,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of a node.
 
 use crate::beliefs::{ActiveConfiguration, Beliefs};
+use crate::engine_liveness::EngineProbes;
 use crate::engines_proof::engines_age_limit_ms;
 use crate::kept_connections::KeptConnections;
 use crate::metrics::Metrics;
@@ -114,6 +115,8 @@
     engine_encoding: Mutex<EngineEncoding>,
     kept_connections: Mutex<KeptConnections>,
     tunnel_use: Mutex<TunnelUse>,
+    /// Probes of engines after the ends of their answers.
+    pub(crate) engine_probes: EngineProbes,
 }
 
 /// Log lines written in the current second.
@@ -184,6 +187,7 @@
             engine_encoding: Mutex::default(),
             kept_connections: Mutex::default(),
             tunnel_use: Mutex::new(TunnelUse::new(tunnel_limits)),
+            engine_probes: EngineProbes::default(),
         }
     }
 
--- a/crates/gateway/tests/requests/main.rs
+++ b/crates/gateway/tests/requests/main.rs
@@ -1,5 +1,6 @@
 //! One request through a gateway: the answer to its caller, and what engines receive.
 
+mod answer_end_costs;
 mod answers;
 mod app_engine;
 mod cached_prompts;
--- a/crates/gateway/tests/requests/truncated_answers.rs
+++ b/crates/gateway/tests/requests/truncated_answers.rs
@@ -7,12 +7,15 @@
 };
 use crate::support::{site, Fixture};
 use ploverlift_balancing::names::InstanceId;
+use ploverlift_gateway::time::sleep;
 use ploverlift_http1::Framing;
 use std::time::{Duration, Instant};
 
 /// Time for which the end of an answer may be delayed beyond its last byte, to learn whether
 /// its engine still runs: the bound of the check and some scheduling.
 const END_DELAYED_AT_MOST: Duration = Duration::from_millis(250);
+/// Longest time for which an engine is probed after the end of its answer.
+const PROBED_FOR: Duration = Duration::from_millis(1_000);
 
 /// Ways in which a stream breaks off inside its third event.
 const BREAKS_INSIDE_EVENT: [Behaviour; 2] = [Behaviour::BreakInside(3), Behaviour::ResetInside(3)];
@@ -183,24 +186,37 @@
     });
 }
 
+// Guards against a stream being taken for complete because its engine neither accepts nor refuses a
+// connection, against a whole one being lost where another connection is open, and against an end that
+// is held back for long meanwhile.
 #[test]
 fn the_end_of_an_unframed_stream_is_delayed_only_briefly_while_its_engine_accepts_nothing() {
+    /// Time after which another connection to the engine is open, in milliseconds.
+    const OPEN_AFTER_MS: u64 = 120;
     smol::block_on(async {
-        let format = AnswerFormat::UNFRAMED;
-        let mut llm = stream_engine("llm-1", Behaviour::StreamSlowly(4), format).await;
-        let fixture = Fixture::new(&[&llm]).await;
-        let address = fixture.running().callers;
-        let asking = smol::spawn(async move {
-            let answer = caller::send(address, &prompt("stream.test", "r")).await;
-            (answer, Instant::now())
-        });
-        llm.happened.recv().await.expect("the engine");
-        let began = Instant::now();
-        llm.lose_power().await;
-        let (answer, ended) = asking.await;
-        assert!(answer.is_whole);
-        let streaming = Duration::from_millis(4 * 50);
-        assert!(ended - began < streaming + END_DELAYED_AT_MOST);
+        let cases = [
+            (OPEN_AFTER_MS, true, END_DELAYED_AT_MOST),
+            (0, false, PROBED_FOR + END_DELAYED_AT_MOST),
+        ];
+        for (accepts_for_ms, is_whole, delayed_at_most) in cases {
+            let format = AnswerFormat::UNFRAMED;
+            let mut llm = stream_engine("llm-1", Behaviour::StreamSlowly(4), format).await;
+            let fixture = Fixture::new(&[&llm]).await;
+            let address = fixture.running().callers;
+            let asking = smol::spawn(async move {
+                let answer = caller::send(address, &prompt("stream.test", "r")).await;
+                (answer, Instant::now())
+            });
+            llm.happened.recv().await.expect("the engine");
+            let began = Instant::now();
+            sleep(accepts_for_ms).await;
+            llm.lose_power().await;
+            let (answer, ended) = asking.await;
+            assert_eq!(answer.is_whole, is_whole, "accepts for {accepts_for_ms} ms");
+            let streaming = Duration::from_millis(4 * 50);
+            let delayed = (ended - began).saturating_sub(streaming);
+            assert!(delayed < delayed_at_most, "{delayed:?}");
+        }
     });
 }
 
--- a/crates/gateway/tests/requests/unframed_ends.rs
+++ b/crates/gateway/tests/requests/unframed_ends.rs
@@ -4,13 +4,11 @@
 use crate::app_engine::app;
 use crate::support::caller::{self, prompt, request, Answer, Request};
 use crate::support::engine::listening::IdleConnections;
-use crate::support::engine::{all_events, AnswerFormat, Behaviour, StandInEngine, EVENTS};
-use crate::support::{configuration, Fixture};
+use crate::support::engine::{all_events, event, AnswerFormat, Behaviour, StandInEngine, EVENTS};
+use crate::support::{configuration, route, Fixture};
 use ploverlift_balancing::names::InstanceId;
-use ploverlift_gateway::engine_sentinels::decision::{RefusalCause, SentinelState, RAN_ON_FOR};
 use ploverlift_gateway::time::sleep;
-use serde_json::json;
-use std::time::{Duration, Instant};
+use serde_json::{json, Value};
 
 /// Time from the arrival of a request until its engine stops listening, in milliseconds.
 const LISTENS_FOR_MS: u64 = 100;
@@ -35,9 +33,9 @@
     terminates: bool,
 }
 
-/// Engines that stop listening and run on: at their limit, leaving without a word, leaving in
-/// order.
-const STOPS: [Stop; 3] = [
+/// Engines that stop listening, keep idle connections open and run on: at their limit, and leaving
+/// in order.
+const STOPS: [Stop; 2] = [
     Stop {
         idle: IdleConnections::LeftOpen,
         is_announced: false,
@@ -48,13 +46,16 @@
         is_announced: true,
         terminates: false,
     },
-    Stop {
-        idle: IdleConnections::Closed,
-        is_announced: true,
-        terminates: false,
-    },
 ];
 
+/// An engine that leaves, closes its listener and all idle connections, and runs on: one that is
+/// terminated in this state looks the same.
+const ALL_CLOSED: Stop = Stop {
+    idle: IdleConnections::Closed,
+    is_announced: true,
+    terminates: false,
+};
+
 async fn plain_engine(behaviour: Behaviour) -> StandInEngine {
     let engine = app(behaviour).await;
     engine.set_format(AnswerFormat::UNFRAMED);
@@ -106,6 +107,13 @@
     }
 }
 
+/// A configuration that gives streams enough time for two engines, one after the other.
+fn long_streams() -> Value {
+    let mut configuration = configuration(1);
+    configuration["routes"] = json!([route("resume.test", "resumable", "llm", 20_000)]);
+    configuration
+}
+
 /// Sends requests that are answered at once.
 async fn warm_up(fixture: &Fixture, engine: &StandInEngine, request: &Request) {
     engine.set(Behaviour::Answer);
@@ -179,10 +187,23 @@
             let llm = stream_engine(Behaviour::Answer).await;
             let fixture = Fixture::new(&[&llm]).await;
             warm_up(&fixture, &llm, &prompt("resume.test", "warm-up")).await;
+            // Leaves a connection for the next request, beside the one for probes.
+            llm.set_format(AnswerFormat::default());
+            llm.set(Behaviour::KeepConnection);
+            assert!(
+                fixture
+                    .send(&prompt("resume.test", "framed"))
+                    .await
+                    .is_whole
+            );
+            llm.set_format(AnswerFormat::UNFRAMED);
             llm.stop_listening(IdleConnections::LeftOpen).await;
             llm.set(behaviour.clone());
             let answer = fixture.send(&prompt("resume.test", "r")).await;
-            assert_eq!(answer.is_whole, is_whole, "{behaviour:?}");
+            assert_eq!(answer.status(), 200, "{behaviour:?}");
+            let has_all_events = answer.text() == all_events();
+            let received = (has_all_events, answer.is_whole);
+            assert_eq!(received, (is_whole, is_whole), "{behaviour:?}");
         }
     });
 }
@@ -247,7 +268,7 @@
             let fixture = Fixture::new(&[&llm]).await;
             let stop = Stop {
                 is_announced: false,
-                ..STOPS[2]
+                ..ALL_CLOSED
             };
             let answer = send_while_it_stops(&fixture, &llm, prompt(host, "r"), stop).await;
             assert!(!answer.is_whole, "{host}");
@@ -255,17 +276,76 @@
     });
 }
 
-// Guards against a stream that was cut being taken for complete because its engine had refused
-// connections before: some engines that leave are terminated when their time is over.
+// Guards against a stream that was cut being taken for complete because its engine had announced its
+// leaving and refused connections before: nothing tells it from one that is terminated there.
 #[test]
-fn an_unframed_stream_of_an_engine_that_leaves_is_whole_only_within_the_time_for_leaving() {
+fn an_unframed_stream_is_broken_off_where_its_engine_leaves_and_has_closed_all_else() {
     const SHORT: &str = "[bounds]\nleaving_engine_ms = 300\n";
     smol::block_on(async {
-        let llm = stream_engine(Behaviour::StreamSlowly(EVENTS)).await;
-        let fixture = Fixture::with(&[&llm], configuration(1), SHORT).await;
-        let asked = prompt("stream.test", "r");
-        let answer = send_while_it_stops(&fixture, &llm, asked, STOPS[2]).await;
-        assert!(!answer.is_whole);
+        for host in STREAM_HOSTS {
+            for terminates in [false, true] {
+                for more in ["", SHORT] {
+                    let case = format!("{host} terminates={terminates} {more}");
+                    let llm = stream_engine(Behaviour::StreamSlowly(EVENTS)).await;
+                    let fixture = Fixture::with(&[&llm], configuration(1), more).await;
+                    let stop = Stop {
+                        terminates,
+                        ..ALL_CLOSED
+                    };
+                    let asked = prompt(host, "r");
+                    let answer = send_while_it_stops(&fixture, &llm, asked, stop).await;
+                    assert!(!answer.is_whole, "{case}");
+                    assert!(all_events().starts_with(&answer.text()), "{case}");
+                }
+            }
+        }
+    });
+}
+
+// Guards against a stream whose end is not proven being broken off though another engine could go on.
+#[test]
+fn a_resumable_stream_goes_on_elsewhere_where_its_engine_leaves_and_has_closed_all_else() {
+    // Long enough for the node to hear of the other engine and of the leaving meanwhile.
+    const LONG: u64 = 40;
+    smol::block_on(async {
+        for terminates in [false, true] {
+            let llm = stream_engine(Behaviour::StreamSlowly(LONG)).await;
+            let other = StandInEngine::start("llm-2", "llm", Behaviour::StreamSlowly(LONG)).await;
+            let fixture = Fixture::with(&[&llm], long_streams(), "").await;
+            let address = fixture.running().callers;
+            let asked = prompt("resume.test", "r");
+            let asking = smol::spawn(async move { caller::send(address, &asked).await });
+            llm.happened.recv().await.expect("the engine");
+            let store = &fixture.store;
+            store.put("Engines", &other.instance, other.record());
+            while fixture.gateway.beliefs().engines.len() < 2 {
+                sleep(1).await;
+            }
+            announce_leaving(&fixture, &llm).await;
+            llm.stop_listening(IdleConnections::Closed).await;
+            if terminates {
+                llm.end().await;
+            }
+            let answer = asking.await;
+            let whole: String = (1..=LONG).map(event).collect();
+            assert_eq!((answer.text(), answer.is_whole), (whole, true));
+            assert_eq!(other.arrivals(), 1, "terminates={terminates}");
+        }
+    });
+}
+
+// Guards against an answer that may be half of it being taken for complete because its engine had
+// announced its leaving and refused connections before.
+#[test]
+fn an_unframed_answer_is_broken_off_where_its_engine_leaves_and_has_closed_all_else() {
+    smol::block_on(async {
+        for host in PLAIN_HOSTS {
+            let app = plain_engine(Behaviour::AnswerAfter(ANSWERED_AFTER_MS)).await;
+            let fixture = Fixture::new(&[&app]).await;
+            let asked = request(host, "r");
+            let answer = send_while_it_stops(&fixture, &app, asked, ALL_CLOSED).await;
+            assert_eq!(answer.status(), 502, "{host}");
+        }
     });
 }
 
@@ -373,54 +453,3 @@
         }
     });
 }
-
-// Guards against the end of a terminated engine's answer being taken for regular, and against that
-// of an engine that runs on being taken for its termination.
-#[test]
-fn a_refused_connection_shows_a_termination_unless_the_engine_is_known_to_run_on() {
-    const LEAVES_WITHIN: Duration = Duration::from_secs(1);
-    const MOMENT: Duration = Duration::from_millis(1);
-    let since = Instant::now() + LEAVES_WITHIN;
-    let refused = SentinelState::Refused { since };
-    let leaves = Some(LEAVES_WITHIN);
-    let runs_on = since + RAN_ON_FOR;
-    let cases = [
-        (
-            SentinelState::Open,
-            since,
-            None,
-            RefusalCause::KeepsOthersOpen,
-        ),
-        (
-            SentinelState::Unknown,
-            since,
-            leaves,
-            RefusalCause::Terminated,
-        ),
-        (refused, since - MOMENT, leaves, RefusalCause::Terminated),
-        (refused, since, leaves, RefusalCause::Terminated),
-        (refused, runs_on - MOMENT, leaves, RefusalCause::Terminated),
-        (refused, runs_on, leaves, RefusalCause::RefusedBefore),
-        (refused, runs_on, None, RefusalCause::Terminated),
-        (
-            refused,
-            since + LEAVES_WITHIN - MOMENT,
-            leaves,
-            RefusalCause::RefusedBefore,
-        ),
-        (
-            refused,
-            since + LEAVES_WITHIN,
-            leaves,
-            RefusalCause::Terminated,
-        ),
-    ];
-    for (sentinel, arrived, leaves_within, expected) in cases {
-        let cause = RefusalCause::of(sentinel, arrived, leaves_within);
-        let arrived_after = arrived.saturating_duration_since(since);
-        assert_eq!(
-            cause, expected,
-            "{sentinel:?} {arrived_after:?} {leaves_within:?}"
-        );
-    }
-}
--- a/crates/gateway/tests/support/engine/listening.rs
+++ b/crates/gateway/tests/support/engine/listening.rs
@@ -35,8 +35,10 @@
         self.shared.running_closed.notify(usize::MAX);
     }
 
-    /// Terminates the engine; its idle connections end this many milliseconds after the others.
+    /// Terminates the engine; its idle connections end this many milliseconds after the others, and
+    /// it serves none of them meanwhile.
     pub async fn end_in_turn(&self, idle_later_ms: u64) {
+        self.shared.is_killed.store(true, Ordering::Release);
         self.stop_listening(IdleConnections::LeftOpen).await;
         self.close_running();
         sleep(idle_later_ms).await;
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -270,6 +270,7 @@
     /// Starts the engine again after it has terminated.
     pub fn start_again(&mut self) {
         let listener = bind(self.address).expect("bind");
+        self.shared.is_killed.store(false, Ordering::Release);
         self.listener = Arc::new(listener);
         self.accepting = Some(accept(&self.shared, &self.listener));
         let listener = Arc::downgrade(&self.listener);
@@ -452,6 +453,7 @@
     }
 
     fn end(&self) {
+        self.is_killed.store(true, Ordering::Release);
         self.ends.fetch_add(1, Ordering::AcqRel);
         self.ended.notify(usize::MAX);
     }
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -7,8 +7,8 @@
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_gateway::ports::{
     AnswerMeaning, CacheAnswer, CacheProtocol, CallerProtocol, CallerRequest, EngineCall,
-    EngineControl, EngineProtocol, EngineReport, EngineSignals, InvalidRequest, Leaving, LoadOrder,
-    OrderAnswer, Refusal, RefusedByEngine, Signal,
+    EngineControl, EngineProtocol, EngineReport, EngineSignals, InvalidRequest, Leaving,
+    LivenessAnswer, LivenessProbe, LoadOrder, OrderAnswer, Refusal, RefusedByEngine, Signal,
 };
 use ploverlift_http1::{RequestHead, ResponseHead};
 use ploverlift_routing::prompt::{Prompt, PromptPart};
@@ -167,6 +167,27 @@
             unread: Vec::new(),
         }
     }
+
+    fn liveness_head(&self, probe: &LivenessProbe<'_>) -> Option<RequestHead> {
+        let path = match probe.reports && probe.is_instance_known {
+            true => "/control/report",
+            false => HEALTH_PATH,
+        };
+        let mut head = RequestHead::new("GET", path);
+        head.headers.push(INSTANCE, &probe.instance.0);
+        Some(head)
+    }
+
+    fn liveness_answer(&self, instance: &InstanceId, head: &ResponseHead) -> LivenessAnswer {
+        if head.headers.get(ID).is_some() {
+            return LivenessAnswer::Foreign;
+        }
+        match head.headers.get(INSTANCE) {
+            Some(id) if head.status != 421 && id == instance.0 => LivenessAnswer::Instance,
+            None if head.status != 421 => LivenessAnswer::Unnamed,
+            _ => LivenessAnswer::OtherInstance,
+        }
+    }
 }
 
 fn signal<T>(head: &ResponseHead, name: &str, read: fn(&str) -> Option<T>) -> Signal<T> {
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -105,6 +105,8 @@
 pub struct Service {
     /// Connections that one engine accepts in total.
     pub max_connections: Option<u32>,
+    /// Path of its engines' health check.
+    pub health_path: Option<String>,
     /// Models that its engines serve; empty for a plain application.
     pub models: Vec<String>,
     /// Capacity of one engine's KV cache, in tokens.
