A silent engine keeps its request until another one has accepted it

Cause: 200 ms without a rejection counted as acceptance, and any result of the first engine other than an error as going on.

Fix: the request is handed over on the other engine's own word, the head of a success. The first engine goes on by a head, a whole event or an end that its framing proves; an end with its connection or inside an event is checked while the other engine still has the request. Part of an event is nothing yet. Where a route permits a third engine, a second one that is silent for an attempt's time-out is given up for it.

--- a/crates/balancing/src/attempts.rs
+++ b/crates/balancing/src/attempts.rs
@@ -84,6 +84,12 @@
         !self.limits.is_repeatable || self.sent_to.len() + 1 >= self.max_engines()
     }
 
+    /// Whether the request may be sent to a further engine after the one that it runs at and one
+    /// that takes it over.
+    pub fn has_attempt_after_takeover(&self) -> bool {
+        self.limits.is_repeatable && self.sent_to.len() + 2 < self.max_engines()
+    }
+
     fn max_engines(&self) -> usize {
         self.limits.max_engines.max(1) as usize
     }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -293,7 +293,7 @@
 
     /// Time without an answer after which the attempt counts as failed, in milliseconds,
     /// although the engine may still answer.
-    fn answer_timeout_ms(&self) -> u64 {
+    pub(super) fn answer_timeout_ms(&self) -> u64 {
         let objective_ms = self.received.admission.route.objective_ms as f64;
         let settings = self.gateway.settings();
         let usual_ms = objective_ms * settings.attempts.timeout_objectives;
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -5,12 +5,12 @@
 use super::choice::ChosenEngine;
 use super::engine_watch::EngineWatch;
 use super::in_flight::InFlight;
-use super::takeover::{Takeover, Waited};
+use super::takeover::{Continuation, Takeover, Waited};
 use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{EngineAnswer, FailureReason};
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
-use ploverlift_http1::HttpError;
+use ploverlift_http1::{Framing, HttpError};
 use ploverlift_policy::attempt::promises_not_run;
 use std::io;
 use std::pin::pin;
@@ -36,6 +36,14 @@
     TakenOver(Takeover<BrokenAttempt>),
 }
 
+/// Where reading a body stopped.
+enum BodyRead {
+    /// At its regular end.
+    Ended(Framing),
+    /// It is too large to be buffered.
+    TooLarge,
+}
+
 /// Why an answer was not read to its end.
 enum ReadFailure {
     Answer(HttpError),
@@ -174,21 +182,30 @@
                 }
             };
             let reading = pin!(reading);
-            let is_wanted: fn(&Self, &bool) -> bool = match answer_is_wanted {
-                true => |_, _| true,
-                false => |_, _| false,
+            let continuation = match answer_is_wanted {
+                true => continuation_of_read,
+                false => |_: &Self, _: &BodyRead| Continuation::Over,
             };
-            self.unless_taken_over(reading, silence_ms, chosen, is_wanted)
+            self.unless_taken_over(reading, silence_ms, chosen, continuation)
                 .await
         };
         match waited {
-            Waited::Done(Ok(true)) => {
+            Waited::Done(Ok(BodyRead::Ended(_))) => {
                 match self.check_answer_end(answer.body_end(), 0, chosen).await {
                     Ok(()) => ReadEnd::Whole(body),
                     Err(broken) => ReadEnd::Broken(broken),
                 }
             }
-            Waited::Done(Ok(false)) => ReadEnd::TooLarge(body),
+            Waited::Unproven(_, successor) => {
+                match self.check_answer_end(answer.body_end(), 0, chosen).await {
+                    Ok(()) => {
+                        self.cancel_successor(&successor);
+                        ReadEnd::Whole(body)
+                    }
+                    Err(broken) => ReadEnd::TakenOver(self.hand_over_after(successor, broken)),
+                }
+            }
+            Waited::Done(Ok(BodyRead::TooLarge)) => ReadEnd::TooLarge(body),
             Waited::Done(Err(failure)) => ReadEnd::Broken(failure.into()),
             Waited::TakenOver(takeover) => {
                 ReadEnd::TakenOver(takeover.map_failure(BrokenAttempt::from))
@@ -247,19 +264,28 @@
     }
 }
 
-/// Reads an answer up to its end; returns false when it is too large to be buffered.
+/// Reads an answer up to its end, or until it is too large to be buffered.
 async fn read_limited(
     answer: &mut EngineAnswer,
     body: &mut Vec<u8>,
     watch: &EngineWatch,
-) -> Result<bool, HttpError> {
+) -> Result<BodyRead, HttpError> {
     while answer.read(body).await? {
         watch.record_activity();
         if body.len() > MAX_BUFFERED_BYTES {
-            return Ok(false);
+            return Ok(BodyRead::TooLarge);
         }
     }
-    Ok(true)
+    Ok(BodyRead::Ended(answer.framing()))
+}
+
+/// What the end of reading means while another engine has been sent the request. The end of a
+/// connection alone proves no whole answer.
+fn continuation_of_read(_: &Forwarding, read: &BodyRead) -> Continuation {
+    match read {
+        BodyRead::Ended(Framing::UntilClose) => Continuation::Unproven,
+        BodyRead::Ended(_) | BodyRead::TooLarge => Continuation::Proven,
+    }
 }
 
 /// Head of an engine's answer without the headers that concern only its connection.
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -4,7 +4,7 @@
 use super::broken::BrokenAttempt;
 use super::choice::ChosenEngine;
 use super::in_flight::InFlight;
-use super::takeover::Waited;
+use super::takeover::{Continuation, Waited};
 use super::Forwarding;
 use crate::engine_connection::{exchange_on, EngineAnswer, ExchangeFailure, FailureReason};
 use crate::engine_paths::connect::{
@@ -161,10 +161,14 @@
             let silence_ms = self.attempt_timeout_ms();
             let answering = Pin::new(&mut exchange.answer);
             let failure = match self
-                .unless_taken_over(answering, silence_ms, chosen, Self::is_accepted)
+                .unless_taken_over(answering, silence_ms, chosen, Self::continuation_of_head)
                 .await
             {
                 Waited::Done(Ok(answer)) => return Ok(answer),
+                Waited::Unproven(answer, successor) => {
+                    self.cancel_successor(&successor);
+                    return Ok(answer);
+                }
                 Waited::Done(Err(failure)) => failure,
                 Waited::TakenOver(takeover) => {
                     self.discard_kept_connections(&exchange, chosen);
@@ -181,9 +185,12 @@
     }
 
     /// Whether an answer means that its engine runs the request and has not failed.
-    fn is_accepted(&self, answer: &EngineAnswer) -> bool {
+    fn continuation_of_head(&self, answer: &EngineAnswer) -> Continuation {
         let id = &self.received.request.id;
-        self.gateway.site.answer_meaning(id, &answer.head) == AnswerMeaning::Success
+        match self.gateway.site.answer_meaning(id, &answer.head) {
+            AnswerMeaning::Success => Continuation::Proven,
+            _ => Continuation::Over,
+        }
     }
 
     /// Discards the other kept connections to an engine after a failure on one of them, since
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -10,15 +10,15 @@
 use super::buffered_answer::forwarded_head;
 use super::choice::ChosenEngine;
 use super::engine_watch::EngineWatch;
-use super::events::{is_after, EventSplitter};
+use super::events::{is_after, EventSplitter, WholeEvent};
 use super::in_flight::InFlight;
 use super::start_deadline::StartDeadline;
-use super::takeover::{Takeover, Waited};
+use super::takeover::{Continuation, Takeover, Waited};
 use super::{AfterAnswer, Forwarding};
 use crate::engine_connection::{EngineAnswer, FailureReason};
 use crate::time::within;
 use ploverlift_balancing::health::Outcome;
-use ploverlift_http1::HttpError;
+use ploverlift_http1::{Framing, HttpError};
 use ploverlift_routing::prompt::part_keys;
 use ploverlift_routing::topology::Distance;
 use std::future::Future;
@@ -37,6 +37,16 @@
     TakenOver(Takeover<BrokenAttempt>),
 }
 
+/// What was read of a stream.
+enum StreamRead {
+    Event(WholeEvent),
+    /// The body has ended regularly, with this many bytes after its last event.
+    End {
+        framing: Framing,
+        unfinished_bytes: usize,
+    },
+}
+
 /// Why no more of a stream was read.
 enum ReadFailure {
     Answer(HttpError),
@@ -68,9 +78,9 @@
     /// Before the first event, the request must not start on outdated weights.
     async fn read(
         &self,
-        reading: impl Future<Output = Option<Result<bool, HttpError>>>,
+        reading: impl Future<Output = Option<Result<StreamRead, HttpError>>>,
         is_first: bool,
-    ) -> Result<bool, ReadFailure> {
+    ) -> Result<StreamRead, ReadFailure> {
         let reading = pin!(self.watch.unless_lost(reading));
         let read = match is_first {
             true => self.deadline.unless_passed(reading).await,
@@ -234,16 +244,23 @@
             let left_ms = self.left_ms();
             let silence_ms = self.allowed_silence_ms(is_first);
             let waited = {
-                let reading = pin!(answer.read(&mut splitter.pending));
+                let reading = pin!(read_event(answer, splitter));
                 let reading = pin!(within(left_ms, reading));
                 let reading = pin!(guard.read(reading, is_first));
-                self.unless_taken_over(reading, silence_ms, chosen, |_, _| true)
+                self.unless_taken_over(reading, silence_ms, chosen, continuation_of_read)
                     .await
             };
             match waited {
-                Waited::Done(Ok(true)) => {}
-                Waited::Done(Ok(false)) => {
-                    let unfinished_bytes = splitter.unfinished_bytes();
+                Waited::Done(Ok(StreamRead::Event(event))) => {
+                    let mut events = self.unsent_part(event);
+                    events.append(&mut self.take_events(splitter));
+                    if !events.is_empty() {
+                        return StreamStep::Events(events);
+                    }
+                }
+                Waited::Done(Ok(StreamRead::End {
+                    unfinished_bytes, ..
+                })) => {
                     let body_end = answer.body_end();
                     let end = self.check_answer_end(body_end, unfinished_bytes, chosen);
                     return match end.await {
@@ -251,6 +268,20 @@
                         Err(broken) => StreamStep::Broken(broken),
                     };
                 }
+                Waited::Unproven(_, successor) => {
+                    let unfinished_bytes = splitter.unfinished_bytes();
+                    let body_end = answer.body_end();
+                    let end = self.check_answer_end(body_end, unfinished_bytes, chosen);
+                    return match end.await {
+                        Ok(()) => {
+                            self.cancel_successor(&successor);
+                            StreamStep::End(std::mem::take(&mut splitter.pending))
+                        }
+                        Err(broken) => {
+                            StreamStep::TakenOver(self.hand_over_after(successor, broken))
+                        }
+                    };
+                }
                 Waited::Done(Err(failure)) => {
                     let events = self.take_events(splitter);
                     if !events.is_empty() {
@@ -279,15 +310,52 @@
     fn take_events(&mut self, splitter: &mut EventSplitter) -> Vec<u8> {
         let mut bytes = Vec::new();
         while let Some(event) = splitter.next_event() {
-            if let Some(id) = event.id {
-                let last = self.progress.last_event.as_deref();
-                if last.is_some_and(|last| !is_after(&id, last)) {
-                    continue;
-                }
-                self.progress.last_event = Some(id);
-            }
-            bytes.extend_from_slice(&event.bytes);
+            bytes.append(&mut self.unsent_part(event));
         }
         bytes
     }
+
+    /// The bytes of an event; none if the caller already has it.
+    fn unsent_part(&mut self, event: WholeEvent) -> Vec<u8> {
+        if let Some(id) = event.id {
+            let last = self.progress.last_event.as_deref();
+            if last.is_some_and(|last| !is_after(&id, last)) {
+                return Vec::new();
+            }
+            self.progress.last_event = Some(id);
+        }
+        event.bytes
+    }
+}
+
+/// Reads up to the end of the next event. An engine that has sent part of one has not gone on
+/// yet: it may have ended there.
+async fn read_event(
+    answer: &mut EngineAnswer,
+    splitter: &mut EventSplitter,
+) -> Result<StreamRead, HttpError> {
+    loop {
+        if let Some(event) = splitter.next_event() {
+            return Ok(StreamRead::Event(event));
+        }
+        if !answer.read(&mut splitter.pending).await? {
+            return Ok(StreamRead::End {
+                framing: answer.framing(),
+                unfinished_bytes: splitter.unfinished_bytes(),
+            });
+        }
+    }
+}
+
+/// What a read means while another engine has been sent the request. Neither an end inside an
+/// event nor the end of a connection alone proves a whole stream.
+fn continuation_of_read(_: &Forwarding, read: &StreamRead) -> Continuation {
+    match read {
+        StreamRead::Event(_) => Continuation::Proven,
+        StreamRead::End {
+            framing: Framing::Length(_) | Framing::Chunked,
+            unfinished_bytes: 0,
+        } => Continuation::Proven,
+        StreamRead::End { .. } => Continuation::Unproven,
+    }
 }
--- a/crates/gateway/src/forward/takeover.rs
+++ b/crates/gateway/src/forward/takeover.rs
@@ -1,17 +1,17 @@
 //! Takeover of a request by another engine while its own engine is silent.
 //!
 //! A sound engine may be silent for a while and go on. So the attempt at it ends only once
-//! another engine has the request:
+//! another engine has accepted the request, by the head of a successful answer:
 //!
 //! ```text
-//! silent ──▶ engine chosen, retry permitted, connected ──▶ sent there as well ──▶ accepted, or
-//!    ▲                    │ not possible                        │ rejected      not answered for
-//!    └────────────────────┴─────────────────────────────────────┘ or failed     OVERLAP_MS
-//!                  wait on                                                          │
-//!                                                      the silent engine is let go ◀┘
+//! silent ──▶ engine chosen, retry permitted, connected ──▶ sent there as well ──▶ accepted
+//!    ▲                    │ not possible                        │ rejected            │
+//!    └────────────────────┴─────────────────────────────────────┘ or failed          ▼
+//!                  wait on                                   the silent engine is let go
 //! ```
 //!
-//! If the silent engine goes on before it is let go, it keeps the request.
+//! Until then both engines keep the request: one that has queued it may still reject it. If the
+//! silent engine goes on meanwhile, it keeps the request ([`Continuation`]).
 
 use super::attempt::{AttemptEnd, RunningAttempt};
 use super::broken::BrokenAttempt;
@@ -26,9 +26,6 @@
 use std::future::Future;
 use std::pin::{pin, Pin};
 
-/// Longest time for which two engines may have the request, in milliseconds. An engine that
-/// rejects a request does so at once.
-const OVERLAP_MS: u64 = 200;
 /// Time from a takeover that was not possible to the next try, in milliseconds.
 const RETRY_PERIOD_MS: u64 = 250;
 
@@ -38,6 +35,20 @@
     Done(Result<T, E>),
     /// Another engine has the request.
     TakenOver(Takeover<E>),
+    /// The engine's answer has ended, which does not prove that it is whole, while another
+    /// engine has been sent the request. Whoever waits finds out which of them has it.
+    Unproven(T, Box<RunningAttempt>),
+}
+
+/// What a result of the silent engine means while another engine has been sent the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Continuation {
+    /// The engine goes on, or its answer is whole.
+    Proven,
+    /// Its answer has ended, and may be whole.
+    Unproven,
+    /// It has rejected the request or failed.
+    Over,
 }
 
 /// Another engine has the request. The attempt at the first one must end at once.
@@ -82,6 +93,8 @@
     Rejected,
     /// The first engine went on.
     Cancelled,
+    /// The other engine was silent, too, and a further one may be tried.
+    Silent,
     /// The other engine has the request.
     Done,
 }
@@ -92,6 +105,7 @@
             Self::NotPossible => "not_possible",
             Self::Rejected => "rejected",
             Self::Cancelled => "cancelled",
+            Self::Silent => "silent",
             Self::Done => "done",
         }
     }
@@ -101,13 +115,13 @@
     /// Waits for the engine of the current attempt. Each time that it was silent for
     /// `silence_ms` milliseconds, and at once when it may be lost, another engine is tried beside
     /// it; never if that is `None`. `work` must end by itself when the request's time is up.
-    /// `is_wanted` is whether a result means that the engine goes on with the request.
+    /// `continuation` is what a result means while the other engine has the request, too.
     pub(super) async fn unless_taken_over<T, E>(
         &mut self,
         mut work: Pin<&mut impl Future<Output = Result<T, E>>>,
         silence_ms: Option<u64>,
         chosen: &ChosenEngine,
-        is_wanted: fn(&Self, &T) -> bool,
+        continuation: fn(&Self, &T) -> Continuation,
     ) -> Waited<T, E> {
         let Some(mut wait_ms) = silence_ms else {
             return Waited::Done(work.await);
@@ -131,7 +145,7 @@
                 return Waited::Done(work.await);
             }
             // Boxed: takeovers are rare, and each request would reserve space for one.
-            let takeover = Box::pin(self.try_takeover(work.as_mut(), chosen, is_wanted));
+            let takeover = Box::pin(self.try_takeover(work.as_mut(), chosen, continuation));
             if let Some(waited) = takeover.await {
                 return waited;
             }
@@ -145,7 +159,7 @@
         &mut self,
         mut work: Pin<&mut impl Future<Output = Result<T, E>>>,
         chosen: &ChosenEngine,
-        is_wanted: fn(&Self, &T) -> bool,
+        continuation: fn(&Self, &T) -> Continuation,
     ) -> Option<Waited<T, E>> {
         self.progress.attempts.begin_takeover(&chosen.instance);
         self.progress.denials = 0;
@@ -156,14 +170,14 @@
         };
         let waited = match begun {
             Earlier::Current(done) => Some(Waited::Done(done)),
-            Earlier::Successor(Ok(successor)) => self.overlap(work, successor, is_wanted).await,
+            Earlier::Successor(Ok(successor)) => self.overlap(work, successor, continuation).await,
             Earlier::Successor(Err(outcome)) => {
                 self.note_takeover(None, outcome);
                 None
             }
         };
-        let is_taken_over = matches!(waited, Some(Waited::TakenOver(_)));
-        if !is_taken_over {
+        let is_at_successor = matches!(waited, Some(Waited::TakenOver(_) | Waited::Unproven(..)));
+        if !is_at_successor {
             self.put_retry_back();
             if !had_claim {
                 self.claim = None;
@@ -200,28 +214,40 @@
         }
     }
 
-    /// Waits until one of two engines has answered or failed, or the time for which both may
-    /// have the request is over.
+    /// Waits until one of two engines has answered or failed. Where a further engine may be
+    /// tried, it is tried in place of a second one that is silent, too.
     async fn overlap<T, E>(
         &mut self,
         work: Pin<&mut impl Future<Output = Result<T, E>>>,
         mut successor: RunningAttempt,
-        is_wanted: fn(&Self, &T) -> bool,
+        continuation: fn(&Self, &T) -> Continuation,
     ) -> Option<Waited<T, E>> {
         let answering = successor.exchange.answer.as_mut();
-        match within(OVERLAP_MS, earlier(work, answering)).await {
-            None => Some(self.hand_over(successor, None)),
+        let both = earlier(work, answering);
+        let done = match self.progress.attempts.has_attempt_after_takeover() {
+            true => within(self.answer_timeout_ms(), both).await,
+            false => Some(both.await),
+        };
+        match done {
+            None => {
+                self.let_successor_go(&successor, TakeoverOutcome::Silent);
+                None
+            }
             Some(Earlier::Current(Err(failure))) if self.has_time() => {
                 Some(self.hand_over(successor, Some(failure)))
             }
-            // The first engine has rejected the request or failed.
-            Some(Earlier::Current(Ok(result))) if !is_wanted(self, &result) => {
-                Some(self.hand_over(successor, None))
-            }
-            Some(Earlier::Current(done)) => {
+            Some(Earlier::Current(Err(failure))) => {
                 self.cancel_successor(&successor);
-                Some(Waited::Done(done))
+                Some(Waited::Done(Err(failure)))
             }
+            Some(Earlier::Current(Ok(result))) => Some(match continuation(self, &result) {
+                Continuation::Proven => {
+                    self.cancel_successor(&successor);
+                    Waited::Done(Ok(result))
+                }
+                Continuation::Unproven => Waited::Unproven(result, Box::new(successor)),
+                Continuation::Over => self.hand_over(successor, None),
+            }),
             Some(Earlier::Successor(answered)) => {
                 let is_accepted = self.accept_answer(&mut successor, answered);
                 is_accepted.then(|| self.hand_over(successor, None))
@@ -229,6 +255,21 @@
         }
     }
 
+    /// Hands the request over to an engine that has been sent it, after the first one's answer
+    /// has ended and is not whole.
+    pub(super) fn hand_over_after<E>(
+        &mut self,
+        successor: Box<RunningAttempt>,
+        failure: E,
+    ) -> Takeover<E> {
+        self.note_takeover(Some(&successor.chosen.instance), TakeoverOutcome::Done);
+        self.spend_reservation();
+        Takeover {
+            successor,
+            failure: Some(failure),
+        }
+    }
+
     fn hand_over<T, E>(&mut self, successor: RunningAttempt, failure: Option<E>) -> Waited<T, E> {
         self.note_takeover(Some(&successor.chosen.instance), TakeoverOutcome::Done);
         self.spend_reservation();
@@ -239,11 +280,15 @@
     }
 
     /// Records that the request was sent to an engine whose answer is not wanted any more.
-    fn cancel_successor(&mut self, successor: &RunningAttempt) {
+    pub(super) fn cancel_successor(&mut self, successor: &RunningAttempt) {
+        self.let_successor_go(successor, TakeoverOutcome::Cancelled);
+    }
+
+    fn let_successor_go(&mut self, successor: &RunningAttempt, outcome: TakeoverOutcome) {
         let instance = &successor.chosen.instance;
         self.progress.attempts.record_lost_send(instance);
         self.spend_reservation();
-        self.note_takeover(Some(instance), TakeoverOutcome::Cancelled);
+        self.note_takeover(Some(instance), outcome);
     }
 
     /// Whether the other engine has accepted the request. Otherwise the end of the attempt at
@@ -293,7 +338,7 @@
         metrics.count_takeover(outcome.name());
         let reason = match outcome {
             TakeoverOutcome::NotPossible | TakeoverOutcome::Rejected => &self.progress.reason,
-            TakeoverOutcome::Cancelled | TakeoverOutcome::Done => "",
+            TakeoverOutcome::Cancelled | TakeoverOutcome::Silent | TakeoverOutcome::Done => "",
         };
         self.record.record_takeover(engine, outcome.name(), reason);
     }
--- a/crates/gateway/tests/requests/truncated_answers.rs
+++ b/crates/gateway/tests/requests/truncated_answers.rs
@@ -26,6 +26,7 @@
         LineEnding::ALL.map(|line_ending| AnswerFormat {
             framing,
             line_ending,
+            ..AnswerFormat::default()
         })
     })
 }
--- a/crates/gateway/tests/silent_engines/streams.rs
+++ b/crates/gateway/tests/silent_engines/streams.rs
@@ -47,7 +47,13 @@
         Behaviour::Refuse,
         Behaviour::Reset,
         Behaviour::Fail,
+        Behaviour::FailWith(404),
+        Behaviour::FailWith(504),
+        Behaviour::AnswerLarge(404, 300 * 1024),
+        Behaviour::IsAnother,
+        Behaviour::RefuseAnother,
         Behaviour::WrongId,
+        Behaviour::Unsigned,
     ];
     smol::block_on(async {
         for behaviour in behaviours {
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -1,7 +1,6 @@
 //! Answers of the simulated engine.
 
 use super::super::site;
-use super::format::format_event;
 use super::{
     all_events_with, event, Behaviour, NamedBackoff, Pause, PausePoint, Shared, ANSWERS_AFTER_MS,
     EVENTS,
@@ -98,6 +97,7 @@
         | Behaviour::KeepConnection
         | Behaviour::ForgetConnection
         | Behaviour::AnswerTwice
+        | Behaviour::AnswerTwiceAfter(_)
         | Behaviour::HidesWeights
         | Behaviour::FallSilentAfter(_)
         | Behaviour::Flood
@@ -109,6 +109,8 @@
         | Behaviour::EndsUnderPart(_)
         | Behaviour::CutAt(_)
         | Behaviour::ResetInside(_)
+        | Behaviour::BreakAfterPause(_)
+        | Behaviour::EndHalfwayAfter(_)
         | Behaviour::EndAfter(_)
         | Behaviour::BreakInside(_) => {
             head.headers.push(site::SIGNED, "1");
@@ -145,17 +147,25 @@
         _ => format!("answer to {id}"),
     };
     shared.format().frame_body(&mut head, body.len());
-    let ends = matches!(behaviour, Behaviour::EndAfter(_));
+    let ends = matches!(
+        behaviour,
+        Behaviour::EndAfter(_) | Behaviour::EndHalfwayAfter(_)
+    );
     if ends {
         body.truncate(body.len() / 2);
     }
     let mut message = head.encode();
-    if pause.is_some() {
+    let ends_after = match behaviour {
+        Behaviour::EndHalfwayAfter(after_ms) => Some(after_ms),
+        _ => None,
+    };
+    if pause.is_some() || ends_after.is_some() {
         if connection.write_all(&message).await.is_err() {
             return;
         }
         message.clear();
         pause_at(pause, PausePoint::Event(1)).await;
+        sleep(ends_after.unwrap_or(0)).await;
     }
     let last = body.split_off(body.len() - 1);
     message.extend_from_slice(body.as_bytes());
@@ -220,17 +230,21 @@
         _ => None,
     };
     let after = request.headers.get(site::AFTER);
-    let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
+    let first = after.map_or(0, |id| format.ids.number_of(id)) + 1;
     for number in first..=EVENTS {
         pause_at(pause, PausePoint::Event(number)).await;
         if let (Behaviour::PauseOften(length_ms), 3..) = (behaviour, number) {
             sleep(*length_ms).await;
         }
-        let event = format_event(number, format.line_ending);
+        let event = format.event(number);
         let is_broken = match behaviour {
             Behaviour::BreakInside(broken) | Behaviour::ResetInside(broken) => *broken == number,
+            Behaviour::BreakAfterPause(_) => number == 3,
             _ => false,
         };
+        if let (true, Behaviour::BreakAfterPause(length_ms)) = (is_broken, behaviour) {
+            sleep(*length_ms).await;
+        }
         if is_broken {
             let half = format.piece(&event[..event.len() / 2]);
             let _ = connection.write_all(half.as_bytes()).await;
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -103,12 +103,23 @@
         match behaviour {
             _ if shared.format().is_unframed() => return,
             Behaviour::KeepConnection | Behaviour::ForgetConnection => {}
+            Behaviour::AnswerTwiceAfter(after_ms) => {
+                let (shared, writer) = (Arc::clone(&shared), connection.writer());
+                smol::spawn(answer_again(shared, writer, head, after_ms)).detach();
+            }
             Behaviour::AnswerTwice => respond(&shared, answers, &mut connection, &head).await,
             _ => return,
         }
     }
 }
 
+/// Sends an answer on a connection once more, where the answer to a later request may be due.
+async fn answer_again(shared: Arc<Shared>, writer: TcpStream, head: RequestHead, after_ms: u64) {
+    sleep(after_ms).await;
+    let mut connection = BufferedStream::new(writer);
+    respond(&shared, Behaviour::Answer, &mut connection, &head).await;
+}
+
 /// Waits for the next request; `None` when the peer or the engine closes the idle connection.
 async fn next_request(
     shared: &Shared,
--- a/crates/gateway/tests/support/engine/format.rs
+++ b/crates/gateway/tests/support/engine/format.rs
@@ -23,12 +23,48 @@
     }
 }
 
+/// Ids of a stream's events.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EventIds {
+    /// 1, 2, 3 and so on.
+    #[default]
+    Numbers,
+    /// Numbers that rise by more than one: events hold several tokens.
+    Steps(u64),
+    /// Letters; the engine can't find a position by them and sends the whole stream.
+    Letters,
+    /// Only every second event has one.
+    EverySecond,
+}
+
+impl EventIds {
+    fn line(self, number: u64, end: &str) -> String {
+        match self {
+            Self::Numbers => format!("id: {number}{end}"),
+            Self::Steps(step) => format!("id: {}{end}", number * step),
+            Self::Letters => format!("id: event-{}{end}", char::from(b'a' + number as u8)),
+            Self::EverySecond if number % 2 == 1 => format!("id: {number}{end}"),
+            Self::EverySecond => String::new(),
+        }
+    }
+
+    /// Number of the event with this id; 0 if the engine knows none.
+    pub fn number_of(self, id: &str) -> u64 {
+        let number = id.parse::<u64>().unwrap_or(0);
+        match self {
+            Self::Steps(step) => number / step,
+            Self::Numbers | Self::Letters | Self::EverySecond => number,
+        }
+    }
+}
+
 /// Format of an engine's answers.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerFormat {
     /// Framing of streams; other answers have a length unless they end with the connection.
     pub framing: Framing,
     pub line_ending: LineEnding,
+    pub ids: EventIds,
 }
 
 impl Default for AnswerFormat {
@@ -36,6 +72,7 @@
         Self {
             framing: Framing::Chunked,
             line_ending: LineEnding::default(),
+            ids: EventIds::default(),
         }
     }
 }
@@ -45,6 +82,7 @@
     pub const UNFRAMED: Self = Self {
         framing: Framing::UntilClose,
         line_ending: LineEnding::LineFeed,
+        ids: EventIds::Numbers,
     };
 
     pub fn is_unframed(self) -> bool {
@@ -73,6 +111,13 @@
         }
     }
 
+    /// An event of a stream.
+    pub fn event(self, number: u64) -> String {
+        let end = self.line_ending.text();
+        let id = self.ids.line(number, end);
+        format!("{id}data: piece {number}{end}{end}")
+    }
+
     /// What ends a complete stream.
     pub fn stream_end(self) -> &'static str {
         match self.is_unframed() {
@@ -84,6 +129,9 @@
 
 /// An event whose lines end like this.
 pub fn format_event(number: u64, line_ending: LineEnding) -> String {
-    let end = line_ending.text();
-    format!("id: {number}{end}data: piece {number}{end}{end}")
+    let format = AnswerFormat {
+        line_ending,
+        ..AnswerFormat::default()
+    };
+    format.event(number)
 }
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -2,7 +2,7 @@
 
 mod answers;
 mod connection;
-mod format;
+pub mod format;
 pub mod killed;
 pub mod listening;
 mod pause;
@@ -58,6 +58,12 @@
     BreakInside(u64),
     /// Closes the connection after this number of bytes of the whole stream.
     CutAt(usize),
+    /// Sends two events, nothing for this time, in milliseconds, and half of the third event; then
+    /// closes the connection.
+    BreakAfterPause(u64),
+    /// Sends the head of an answer that is no stream, half of the body after this time, in
+    /// milliseconds, and terminates.
+    EndHalfwayAfter(u64),
     /// Like [`Self::BreakInside`], but resets the connection there.
     ResetInside(u64),
     /// Terminates after the event with this number, and after half of an answer that is not a
@@ -71,6 +77,9 @@
     ForgetConnection,
     /// Answers twice, and leaves the connection open.
     AnswerTwice,
+    /// Answers, and reads further requests on the same connection; sends the same answer again this
+    /// time later, in milliseconds.
+    AnswerTwiceAfter(u64),
     /// Answers; refuses requests for other weights without naming its own version.
     HidesWeights,
     /// Sends this number of events, then nothing until the peer closes the connection.
