A stream is resumed only after numbered events

Callers of a resumable stream whose events have ids that are no numbers, or data without an id, could get events twice: another engine that can't find the place begins anew, and any id that differs from the last one counted as following.

Fix: only numbers prove which events of another engine follow. A stream that has delivered data without a number is neither taken over nor resumed within the answer; it is broken off, and the log names it. On platforms whose ids rise nothing changes.

Evidence: a_stream_whose_ids_prove_no_order_is_broken_off_rather_than_resumed failed before (with letters: events 1 and 2 came twice). Two more tests show what held already: a_stream_whose_ids_rise_by_several_tokens_resumes_without_lost_or_repeated_events and a_late_second_answer_is_not_used_for_the_next_request (plain answers and streams).

--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -4,6 +4,8 @@
 
 /// Field with the id of an event.
 const ID_FIELD: &[u8] = b"id:";
+/// Field with the data of an event.
+const DATA_FIELD: &[u8] = b"data";
 /// Byte-order mark that may precede a stream.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 const LINE_FEED: u8 = b'\n';
@@ -20,6 +22,22 @@
     pub id: Option<String>,
 }
 
+impl WholeEvent {
+    /// Whether its place among the events of its stream is known: by a number, or because it
+    /// holds no data.
+    pub fn is_placed(&self) -> bool {
+        match &self.id {
+            Some(id) => id.parse::<u64>().is_ok(),
+            None => {
+                let mut lines = self
+                    .bytes
+                    .split(|byte| matches!(*byte, LINE_FEED | CARRIAGE_RETURN));
+                !lines.any(|line| without_mark(line).starts_with(DATA_FIELD))
+            }
+        }
+    }
+}
+
 /// Collects bytes until an event is complete. An incomplete event of a broken stream is
 /// never forwarded, since another engine sends that event again.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -97,6 +97,8 @@
 struct Progress {
     attempts: AttemptLedger,
     last_event: Option<String>,
+    /// Whether the caller has events whose place in the stream is not known.
+    has_unplaced_events: bool,
     /// The software version that began the stream, once that is known.
     software: Option<SoftwareVersion>,
     engine_failure: Option<EngineFailure>,
@@ -144,6 +146,7 @@
     let progress = Progress {
         attempts: AttemptLedger::new(limits),
         last_event: received.request.resume_after.clone(),
+        has_unplaced_events: false,
         software: None,
         engine_failure: None,
         retry_after_ms: None,
@@ -198,6 +201,11 @@
             if !may_go_on {
                 return self.give_up().await;
             }
+            if !self.may_be_resumed() {
+                let reason = &mut self.progress.reason;
+                reason.push_str("; no event numbers tell where another engine goes on");
+                return self.give_up().await;
+            }
         }
     }
 
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -297,9 +297,12 @@
     }
 
     /// Time without an event after which another engine is tried beside this one, in
-    /// milliseconds; `None` when this is the last attempt.
+    /// milliseconds; `None` when no other engine may go on.
     fn allowed_silence_ms(&self, is_first: bool) -> Option<u64> {
         let attempt_timeout_ms = self.attempt_timeout_ms()?;
+        if !self.may_be_resumed() {
+            return None;
+        }
         match is_first {
             true => Some(attempt_timeout_ms),
             false => Some(self.gateway.settings().attempts.stream_silence_ms),
@@ -317,6 +320,7 @@
 
     /// The bytes of an event; none if the caller already has it.
     fn unsent_part(&mut self, event: WholeEvent) -> Vec<u8> {
+        let is_placed = event.is_placed();
         if let Some(id) = event.id {
             let last = self.progress.last_event.as_deref();
             if last.is_some_and(|last| !is_after(&id, last)) {
@@ -324,8 +328,15 @@
             }
             self.progress.last_event = Some(id);
         }
+        self.progress.has_unplaced_events |= !is_placed;
         event.bytes
     }
+
+    /// Whether another engine can go on after the events that the caller has. Only numbers prove
+    /// which events of another engine follow.
+    pub(super) fn may_be_resumed(&self) -> bool {
+        !self.answer.has_started() || !self.progress.has_unplaced_events
+    }
 }
 
 /// Reads up to the end of the next event. An engine that has sent part of one has not gone on
--- a/crates/gateway/tests/kept_connections.rs
+++ b/crates/gateway/tests/kept_connections.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use support::caller::{self, request};
-use support::engine::{Behaviour, StandInEngine};
-use support::{configuration, Fixture};
+use support::caller::{self, prompt, request};
+use support::engine::{all_events, Behaviour, Pause, PausePoint, StandInEngine};
+use support::{configuration, site, Fixture};
 
 /// Sends requests one after another; returns the number of connections they arrived on.
 async fn connections(behaviour: Behaviour, hosts: &[&str]) -> usize {
@@ -48,6 +48,46 @@
     assert_eq!(used, 2);
 }
 
+// Guards against a second answer to an earlier request, which arrives after the next request was
+// sent on the same connection, being taken for the answer to that one; also within a stream that
+// is taken up.
+#[test]
+fn a_late_second_answer_is_not_used_for_the_next_request() {
+    const LATE_MS: u64 = 60;
+    const NEXT_ANSWERED_AFTER_MS: u64 = 200;
+    smol::block_on(async {
+        for host in ["safe.test", "resume.test"] {
+            let is_stream = host == "resume.test";
+            let service = if is_stream { "llm" } else { "app" };
+            let of = |id: &str| match is_stream {
+                true => prompt(host, id),
+                false => request(host, id),
+            };
+            let twice = Behaviour::AnswerTwiceAfter(LATE_MS);
+            let engine = StandInEngine::start("engine-1", service, twice.clone()).await;
+            let other = StandInEngine::start("engine-2", service, twice).await;
+            let fixture = Fixture::new(&[&engine, &other]).await;
+            fixture.send(&of("first")).await;
+            for engine in [&engine, &other] {
+                engine.set(Behaviour::Pause(Pause {
+                    at: PausePoint::Head,
+                    length_ms: NEXT_ANSWERED_AFTER_MS,
+                }));
+            }
+            for number in 0..6 {
+                let id = format!("next-{number}");
+                let answer = fixture.send(&of(&id)).await;
+                let expected = match is_stream {
+                    true => all_events(),
+                    false => format!("answer to {id}"),
+                };
+                assert_eq!((answer.text(), answer.is_whole), (expected, true), "{host}");
+                assert_eq!(answer.head.headers.get(site::ID), Some(&*id));
+            }
+        }
+    });
+}
+
 #[test]
 fn an_engine_that_answers_before_the_body_is_read_gets_no_second_request_there() {
     smol::block_on(async {
--- a/crates/gateway/tests/requests/streams.rs
+++ b/crates/gateway/tests/requests/streams.rs
@@ -1,7 +1,8 @@
 //! Streams that break off at an engine.
 
 use crate::support::caller::{self, prompt};
-use crate::support::engine::{all_events, event, Behaviour, StandInEngine};
+use crate::support::engine::format::EventIds;
+use crate::support::engine::{all_events, event, AnswerFormat, Behaviour, StandInEngine, EVENTS};
 use crate::support::{site, Fixture};
 use ploverlift_gateway::forward::{CallerAnswer, StreamFraming};
 use ploverlift_gateway::time::within;
@@ -122,3 +123,50 @@
         }
     });
 }
+
+/// A resumable stream whose events have these ids, and that breaks inside its third event at each
+/// engine; the whole stream, and what its caller got, with whether it ended as complete.
+async fn broken_stream_with(ids: EventIds) -> (String, String, bool) {
+    let format = AnswerFormat {
+        ids,
+        ..AnswerFormat::default()
+    };
+    let first = StandInEngine::start("llm-1", "llm", Behaviour::BreakInside(3)).await;
+    let second = StandInEngine::start("llm-2", "llm", Behaviour::BreakInside(3)).await;
+    let fixture = Fixture::new(&[&first, &second]).await;
+    first.set_format(format);
+    second.set_format(format);
+    fixture.send(&prompt("stream.test", "r0")).await;
+    let other = match first.heads().is_empty() {
+        true => &first,
+        false => &second,
+    };
+    other.set(Behaviour::Answer);
+    let answer = fixture.send(&prompt("resume.test", "r1")).await;
+    let whole = (1..=EVENTS).map(|number| format.event(number)).collect();
+    (whole, answer.text(), answer.is_whole)
+}
+
+// Guards against a resumed stream that loses or repeats events whose ids rise by more than one.
+#[test]
+fn a_stream_whose_ids_rise_by_several_tokens_resumes_without_lost_or_repeated_events() {
+    smol::block_on(async {
+        for step in [3, 7] {
+            let (whole, got, is_whole) = broken_stream_with(EventIds::Steps(step)).await;
+            assert_eq!((got, is_whole), (whole, true), "{step}");
+        }
+    });
+}
+
+// Guards against events that are repeated after a resumption: only numbers tell which event
+// follows another.
+#[test]
+fn a_stream_whose_ids_prove_no_order_is_broken_off_rather_than_resumed() {
+    smol::block_on(async {
+        for ids in [EventIds::Letters, EventIds::EverySecond] {
+            let (whole, got, is_whole) = broken_stream_with(ids).await;
+            assert!(whole.starts_with(&got), "{ids:?}: {got}");
+            assert!(!is_whole || got == whole, "{ids:?}");
+        }
+    });
+}
