Bound what a peer sends around a message, and let other tasks run while it is read

What callers saw: while an engine sent without end, a node on one processor answered nothing else, and the time limits of the reader itself did not expire. Cause: a read that finds bytes never waits, so no await of a reading loop gave the thread back; interim answers, trailers and chunk extensions had no limit at all, heads were parsed from the start after each read, and each small chunk cost a call of its reader. A body also went on behind a chunk whose length was no number, at the next line that looked like a length.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -2,11 +2,9 @@
 
 use crate::error::{malformed, HttpError};
 use crate::head::{Headers, RequestHead, ResponseHead};
+use crate::limits::MESSAGE_LIMITS;
 use crate::stream::BufferedStream;
 
-/// Maximum length of a chunk-size line or a trailer line, in bytes.
-const MAX_LINE_BYTES: usize = 1_024;
-
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -101,8 +99,10 @@
     ChunkHead,
     Chunk(u64),
     ChunkEnd,
+    Trailers,
     UntilClose,
     End,
+    Malformed,
 }
 
 /// Decodes a body by removing its framing.
@@ -110,6 +110,12 @@
 pub struct BodyDecoder {
     position: Position,
     framing: Framing,
+    /// Length of all chunk extensions so far, in bytes.
+    extension_bytes: usize,
+    /// Length of all trailers so far, in bytes.
+    trailer_bytes: usize,
+    /// The rule that the framing has violated.
+    violation: String,
 }
 
 impl BodyDecoder {
@@ -120,7 +126,13 @@
             Framing::Chunked => Position::ChunkHead,
             Framing::UntilClose => Position::UntilClose,
         };
-        Self { position, framing }
+        Self {
+            position,
+            framing,
+            extension_bytes: 0,
+            trailer_bytes: 0,
+            violation: String::new(),
+        }
     }
 
     /// How the end of the body is determined.
@@ -148,46 +160,81 @@
         self.framing == Framing::UntilClose
     }
 
-    /// Appends the next bytes of the body to `output`; returns false at the end
-    /// of the body.
+    /// Appends the next bytes of the body to `output`; returns false at the end of the body.
+    /// Chunks that have arrived together are decoded together.
     ///
     /// # Errors
-    /// When the connection ends before the body does, or the framing is
-    /// malformed.
+    /// When the connection ends before the body does, or the framing is malformed.
     pub async fn read(
         &mut self,
         stream: &mut BufferedStream,
         output: &mut Vec<u8>,
     ) -> Result<bool, HttpError> {
+        let before = output.len();
         loop {
-            match self.position {
-                Position::End | Position::Length(0) => {
-                    self.position = Position::End;
-                    return Ok(false);
-                }
-                Position::Length(left) => {
-                    let count = copy_pending(stream, output, left).await?;
-                    self.position = Position::Length(left - count);
-                    return Ok(true);
-                }
-                Position::Chunk(0) => self.position = Position::ChunkEnd,
-                Position::Chunk(left) => {
-                    let count = copy_pending(stream, output, left).await?;
-                    self.position = Position::Chunk(left - count);
-                    return Ok(true);
-                }
-                Position::ChunkEnd => {
-                    if !read_line(stream).await?.is_empty() {
-                        return Err(malformed("a chunk is longer than its length"));
+            let has_more = output.len() > before;
+            if has_more && !self.has_next_step(stream.pending()) {
+                return Ok(true);
+            }
+            match self.step(stream, output).await {
+                Ok(true) => {}
+                Ok(false) => return Ok(false),
+                Err(HttpError::Malformed { reason }) => {
+                    self.position = Position::Malformed;
+                    self.violation = reason;
+                    // What precedes the violation belongs to the body.
+                    if !has_more {
+                        return Err(malformed(self.violation.clone()));
                     }
-                    self.position = Position::ChunkHead;
                 }
-                Position::ChunkHead => self.position = read_chunk_head(stream).await?,
-                Position::UntilClose => return self.read_until_close(stream, output).await,
+                Err(error) => return Err(error),
             }
         }
     }
 
+    /// Whether the next step within the chunks needs only the pending bytes.
+    fn has_next_step(&self, pending: &[u8]) -> bool {
+        match self.position {
+            Position::Chunk(0) => true,
+            Position::Chunk(_) => !pending.is_empty(),
+            Position::ChunkEnd | Position::ChunkHead => pending.contains(&b'\n'),
+            Position::Length(_)
+            | Position::Trailers
+            | Position::UntilClose
+            | Position::End
+            | Position::Malformed => false,
+        }
+    }
+
+    /// Reads up to the next border of the framing; returns false at the end of the body.
+    async fn step(
+        &mut self,
+        stream: &mut BufferedStream,
+        output: &mut Vec<u8>,
+    ) -> Result<bool, HttpError> {
+        match self.position {
+            Position::End | Position::Length(0) => {
+                self.position = Position::End;
+                return Ok(false);
+            }
+            Position::Length(left) => {
+                let count = copy_pending(stream, output, left).await?;
+                self.position = Position::Length(left - count);
+            }
+            Position::Chunk(0) => self.position = Position::ChunkEnd,
+            Position::Chunk(left) => {
+                let count = copy_pending(stream, output, left).await?;
+                self.position = Position::Chunk(left - count);
+            }
+            Position::ChunkEnd => self.read_chunk_end(stream).await?,
+            Position::ChunkHead => self.read_chunk_head(stream).await?,
+            Position::Trailers => self.read_trailer(stream).await?,
+            Position::UntilClose => return self.read_until_close(stream, output).await,
+            Position::Malformed => return Err(malformed(self.violation.clone())),
+        }
+        Ok(true)
+    }
+
     async fn read_until_close(
         &mut self,
         stream: &mut BufferedStream,
@@ -200,22 +247,49 @@
         copy_pending(stream, output, u64::MAX).await?;
         Ok(true)
     }
-}
 
-async fn read_chunk_head(stream: &mut BufferedStream) -> Result<Position, HttpError> {
-    let text = read_line(stream).await?;
-    let digits = text.split(';').next().unwrap_or_default().trim();
-    let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
-    if !is_number {
-        return Err(malformed("the length of a chunk is not a number"));
+    async fn read_chunk_head(&mut self, stream: &mut BufferedStream) -> Result<(), HttpError> {
+        let count = await_line(stream).await?;
+        let line = without_ending(&stream.pending()[..count]);
+        let (length, extension_bytes) = parse_chunk_head(line)?;
+        stream.consume(count);
+        self.extension_bytes += extension_bytes;
+        let limit = MESSAGE_LIMITS.extension_bytes;
+        check_limit("the chunk extensions are", self.extension_bytes, limit)?;
+        self.position = match length {
+            0 => Position::Trailers,
+            length => Position::Chunk(length),
+        };
+        Ok(())
     }
-    let length = u64::from_str_radix(digits, 16);
-    let length = length.map_err(|_| malformed("the length of a chunk is too large"))?;
-    if length > 0 {
-        return Ok(Position::Chunk(length));
+
+    async fn read_chunk_end(&mut self, stream: &mut BufferedStream) -> Result<(), HttpError> {
+        let count = await_line(stream).await?;
+        if !without_ending(&stream.pending()[..count]).is_empty() {
+            return Err(malformed("a chunk is longer than its length"));
+        }
+        stream.consume(count);
+        self.position = Position::ChunkHead;
+        Ok(())
+    }
+
+    async fn read_trailer(&mut self, stream: &mut BufferedStream) -> Result<(), HttpError> {
+        let count = await_line(stream).await?;
+        if without_ending(&stream.pending()[..count]).is_empty() {
+            self.position = Position::End;
+        }
+        stream.consume(count);
+        self.trailer_bytes += count;
+        let limit = MESSAGE_LIMITS.trailer_bytes;
+        check_limit("the trailers are", self.trailer_bytes, limit)
+    }
+}
+
+fn check_limit(subject: &str, bytes: usize, limit: usize) -> Result<(), HttpError> {
+    match bytes > limit {
+        true => Err(malformed(format!("{subject} over {limit} bytes"))),
+        false => Ok(()),
     }
-    while !read_line(stream).await?.is_empty() {}
-    Ok(Position::End)
 }
 
 /// Moves at most `limit` bytes to `output`, after reading from the peer if none
@@ -236,18 +310,37 @@
     Ok(count as u64)
 }
 
-/// Reads a line and strips its terminator.
-async fn read_line(stream: &mut BufferedStream) -> Result<String, HttpError> {
+/// Waits for a whole line; returns its length with its line feed.
+async fn await_line(stream: &mut BufferedStream) -> Result<usize, HttpError> {
     loop {
         let pending = stream.pending();
-        if let Some(end) = pending.iter().position(|byte| *byte == b'\n') {
-            let text = String::from_utf8_lossy(&pending[..end]).into_owned();
-            stream.consume(end + 1);
-            return Ok(text.trim_end_matches('\r').to_owned());
-        }
-        if pending.len() > MAX_LINE_BYTES {
+        let end = pending.iter().position(|byte| *byte == b'\n');
+        if end.unwrap_or(pending.len()) > MESSAGE_LIMITS.line_bytes {
             return Err(malformed("a line is too long"));
         }
+        if let Some(end) = end {
+            return Ok(end + 1);
+        }
         stream.fill_message().await?;
     }
 }
+
+/// A line without its line ending.
+fn without_ending(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+/// The length of a chunk, and the length of its extensions, in bytes.
+fn parse_chunk_head(line: &[u8]) -> Result<(u64, usize), HttpError> {
+    let end = line.iter().position(|byte| *byte == b';');
+    let (digits, extension) = line.split_at(end.unwrap_or(line.len()));
+    let digits = std::str::from_utf8(digits.trim_ascii()).unwrap_or_default();
+    let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !is_number {
+        return Err(malformed("the length of a chunk is not a number"));
+    }
+    let length = u64::from_str_radix(digits, 16);
+    let length = length.map_err(|_| malformed("the length of a chunk is too large"))?;
+    Ok((length, extension.len()))
+}
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -13,11 +13,14 @@
 pub mod body;
 pub mod error;
 pub mod head;
+pub mod limits;
 pub mod message;
 pub mod stream;
+pub mod turns;
 
 pub use body::{BodyDecoder, Framing};
 pub use error::HttpError;
 pub use head::{Headers, RequestHead, ResponseHead};
 pub use message::{read_request_head, read_response_head};
 pub use stream::{BufferedStream, PayloadDecoder};
+pub use turns::ReadingTurns;
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -3,11 +3,9 @@
 use crate::body::{BodyDecoder, Framing};
 use crate::error::{malformed, HttpError};
 use crate::head::{Headers, RequestHead, ResponseHead};
+use crate::limits::MESSAGE_LIMITS;
 use crate::stream::BufferedStream;
 
-/// Maximum number of headers in one head.
-const MAX_HEADERS: usize = 96;
-
 /// Reads the head of the next request. `limit` is its maximum length in bytes.
 ///
 /// # Errors
@@ -17,21 +15,14 @@
     stream: &mut BufferedStream,
     limit: usize,
 ) -> Result<(RequestHead, BodyDecoder), HttpError> {
-    loop {
-        if let Some((head, length)) = parse_request(stream.pending())? {
-            if length > limit {
-                return Err(HttpError::HeadTooLarge { limit });
-            }
-            stream.consume(length);
-            let framing = Framing::of_request(&head)?;
-            return Ok((head, BodyDecoder::new(framing)));
-        }
-        fill_head(stream, limit).await?;
-    }
+    let mut reading = HeadReading::new(limit);
+    let head = reading.read_head(stream, parse_request).await?;
+    let framing = Framing::of_request(&head)?;
+    Ok((head, BodyDecoder::new(framing)))
 }
 
-/// Reads the head of a response; interim responses (1xx) are skipped. A head
-/// that is still incomplete after `limit` bytes is refused.
+/// Reads the head of a response; interim responses (1xx) are skipped. `limit` is the maximum
+/// length of the head and all interim responses before it, in bytes.
 ///
 /// # Errors
 /// When the connection ends, or the head is too large or malformed.
@@ -40,33 +31,109 @@
     method: &str,
     limit: usize,
 ) -> Result<(ResponseHead, BodyDecoder), HttpError> {
+    let mut reading = HeadReading::new(limit);
     loop {
-        if let Some((head, length)) = parse_response(stream.pending())? {
-            stream.consume(length);
-            if (100..200).contains(&head.status) {
-                continue;
-            }
+        let head = reading.read_head(stream, parse_response).await?;
+        if !(100..200).contains(&head.status) {
             let framing = Framing::of_response(&head, method)?;
             return Ok((head, BodyDecoder::new(framing)));
         }
-        fill_head(stream, limit).await?;
     }
 }
 
-async fn fill_head(stream: &mut BufferedStream, limit: usize) -> Result<(), HttpError> {
-    let pending = stream.pending().len();
-    if pending > limit {
-        return Err(HttpError::HeadTooLarge { limit });
+/// The result of parsing: a head and its length in bytes, or `None` for an incomplete one.
+type Parsed<H> = Result<Option<(H, usize)>, HttpError>;
+
+/// Reading of a head, and of what precedes it, within one limit.
+struct HeadReading {
+    limit: usize,
+    /// Bytes consumed so far.
+    consumed: usize,
+    /// Pending bytes that were searched for line endings.
+    searched: usize,
+    /// Pending bytes when the head was last parsed.
+    parsed: usize,
+}
+
+impl HeadReading {
+    fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            consumed: 0,
+            searched: 0,
+            parsed: 0,
+        }
     }
-    match stream.fill().await? {
-        0 if pending == 0 => Err(HttpError::Closed),
-        0 => Err(HttpError::Truncated),
-        _ => Ok(()),
+
+    async fn read_head<H>(
+        &mut self,
+        stream: &mut BufferedStream,
+        parse: fn(&[u8]) -> Parsed<H>,
+    ) -> Result<H, HttpError> {
+        loop {
+            self.skip_empty_lines(stream);
+            let parsed = match self.should_parse(stream.pending()) {
+                true => parse(stream.pending())?,
+                false => None,
+            };
+            let length = match &parsed {
+                Some((_, length)) => *length,
+                None => stream.pending().len(),
+            };
+            if self.consumed + length > self.limit {
+                return Err(HttpError::HeadTooLarge { limit: self.limit });
+            }
+            match parsed {
+                Some((head, length)) => {
+                    self.consume(stream, length);
+                    return Ok(head);
+                }
+                None => self.fill(stream).await?,
+            }
+        }
+    }
+
+    /// Skips the empty lines that may precede a head.
+    fn skip_empty_lines(&mut self, stream: &mut BufferedStream) {
+        let is_ending = |byte: &&u8| matches!(**byte, b'\r' | b'\n');
+        let count = stream.pending().iter().take_while(is_ending).count();
+        if count > 0 {
+            self.consume(stream, count);
+        }
+    }
+
+    /// Whether the pending bytes may hold a whole head, or an error that was not there when they
+    /// were last parsed. Parsing after each read would cost the square of the length where
+    /// bytes arrive one by one.
+    fn should_parse(&mut self, pending: &[u8]) -> bool {
+        let has_line = pending[self.searched..].contains(&b'\n');
+        self.searched = pending.len();
+        let should_parse = !pending.is_empty() && (has_line || pending.len() >= 2 * self.parsed);
+        if should_parse {
+            self.parsed = pending.len();
+        }
+        should_parse
+    }
+
+    fn consume(&mut self, stream: &mut BufferedStream, count: usize) {
+        stream.consume(count);
+        self.consumed += count;
+        self.searched = 0;
+        self.parsed = 0;
+    }
+
+    async fn fill(&mut self, stream: &mut BufferedStream) -> Result<(), HttpError> {
+        let is_between_messages = self.consumed == 0 && stream.pending().is_empty();
+        match stream.fill().await? {
+            0 if is_between_messages => Err(HttpError::Closed),
+            0 => Err(HttpError::Truncated),
+            _ => Ok(()),
+        }
     }
 }
 
-fn parse_request(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, HttpError> {
-    let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+fn parse_request(bytes: &[u8]) -> Parsed<RequestHead> {
+    let mut slots = [httparse::EMPTY_HEADER; MESSAGE_LIMITS.headers];
     let mut request = httparse::Request::new(&mut slots);
     let parsed = request.parse(bytes);
     let parsed = parsed.map_err(|error| malformed(error.to_string()))?;
@@ -82,8 +149,8 @@
     Ok(Some((head, length)))
 }
 
-fn parse_response(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, HttpError> {
-    let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+fn parse_response(bytes: &[u8]) -> Parsed<ResponseHead> {
+    let mut slots = [httparse::EMPTY_HEADER; MESSAGE_LIMITS.headers];
     let mut response = httparse::Response::new(&mut slots);
     let parsed = response.parse(bytes);
     let parsed = parsed.map_err(|error| malformed(error.to_string()))?;
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -1,9 +1,13 @@
 //! A TCP stream with a buffer of bytes that were read but not yet consumed.
 
 use crate::error::HttpError;
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use crate::turns::ReadingTurns;
+use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
+use std::time::Instant;
 
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
@@ -23,9 +27,12 @@
     fn may_be_reused(&self) -> bool;
 }
 
-/// A TCP stream with a read buffer.
+/// A TCP stream with a read buffer. A task that reads what a fast peer sends lets other tasks
+/// run from time to time.
 pub struct BufferedStream {
     stream: TcpStream,
+    turns: ReadingTurns,
+    last_arrival: Option<Instant>,
     buffer: Vec<u8>,
     start: usize,
     /// Set where what is read is framed.
@@ -37,6 +44,8 @@
     pub fn new(stream: TcpStream) -> Self {
         Self {
             stream,
+            turns: ReadingTurns::default(),
+            last_arrival: None,
             buffer: Vec::new(),
             start: 0,
             decoder: None,
@@ -80,23 +89,50 @@
         if self.decoder.is_some() {
             return self.fill_decoded(&mut chunk).await;
         }
-        let count = self.stream.read(&mut chunk).await?;
+        let count = self.read_some(&mut chunk).await?;
         self.buffer.extend_from_slice(&chunk[..count]);
         Ok(count)
     }
 
+    /// When bytes, or the end, last arrived while this stream was waiting for them; `None` if
+    /// everything had arrived before it was read.
+    pub fn last_arrival(&self) -> Option<Instant> {
+        self.last_arrival
+    }
+
+    /// Reads what has arrived, or waits until something does.
+    async fn read_some(&mut self, chunk: &mut [u8]) -> io::Result<usize> {
+        self.turns.take().await;
+        let mut has_waited = false;
+        let reading = poll_fn(|context| {
+            let read = Pin::new(&mut self.stream).poll_read(context, chunk);
+            has_waited |= read.is_pending();
+            read
+        });
+        let read = reading.await;
+        if has_waited {
+            self.last_arrival = Some(Instant::now());
+            self.turns.note_wait();
+        }
+        self.turns.note_read(*read.as_ref().unwrap_or(&0));
+        read
+    }
+
     /// Reads until there is payload, or the payload has ended.
     async fn fill_decoded(&mut self, chunk: &mut [u8]) -> io::Result<usize> {
-        let Some(decoder) = &mut self.decoder else {
-            return Ok(0);
-        };
         let before = self.buffer.len();
-        while self.buffer.len() == before && !decoder.is_ended() {
-            let count = self.stream.read(chunk).await?;
+        let has_ended = |stream: &Self| {
+            let decoder = stream.decoder.as_ref();
+            decoder.is_none_or(|decoder| decoder.is_ended())
+        };
+        while self.buffer.len() == before && !has_ended(self) {
+            let count = self.read_some(chunk).await?;
             if count == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
-            decoder.decode(&chunk[..count], &mut self.buffer)?;
+            if let Some(decoder) = &mut self.decoder {
+                decoder.decode(&chunk[..count], &mut self.buffer)?;
+            }
         }
         Ok(self.buffer.len() - before)
     }
