Register of stream sources: tests of its calls, waits and restorations; followers write last

A stream that waits for a registration asks for a read at once (a node that follows relays would have waited for up to 4.9 s of 985 nodes' spread reads). Such a node reads once more before it writes, so that a new fleet of 985 nodes does not make 985 writes. Time-outs are not below the configured one of the store. The sources of a path are found by lengths of prefixes rather than by going over all links.

--- a/crates/gateway/src/forward/source_registration.rs
+++ b/crates/gateway/src/forward/source_registration.rs
@@ -35,6 +35,7 @@
             return Ok(());
         }
         let began = self.gateway.clock.now();
+        self.gateway.source_reads.request();
         let limit_ms = MAX_WAIT_MS.min(self.left_ms() / WAIT_DIVISOR);
         let registering = async {
             loop {
--- a/crates/gateway/src/stream_sources/mod.rs
+++ b/crates/gateway/src/stream_sources/mod.rs
@@ -23,11 +23,12 @@
 use ploverlift_policy::ids::{Millis, StoreEra};
 use ploverlift_streamorigin::known_sources::{CallStart, Sources, ViewProofs};
 use ploverlift_streamorigin::sources::{Generation, SourceRegister};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 /// Name of the only object.
 const REGISTER_NAME: &str = "main";
-/// Longest time-out of a call, in milliseconds.
+/// Shortest time-out of the first call, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 /// Interval of the checks whether links should be marked or removed, in milliseconds.
 const MAINTENANCE_PERIOD_MS: u64 = 5_000;
@@ -36,6 +37,8 @@
 const READ_SPACING_MS_PER_NODE: u64 = 5;
 /// Shortest and longest time between the starts of two reads, in milliseconds.
 const READ_SPACING_MS: (u64, u64) = (25, 700);
+/// Time for which a node that follows relays leaves a write to other nodes, in milliseconds.
+const FOLLOWER_WRITE_DELAY_MS: RangeInclusive<u64> = 100..=400;
 /// Maximum number of conflicting writes before the register is read again.
 const MAX_CONFLICTS: u32 = 8;
 /// Longest wait of a request for a read of the register, in milliseconds. A caller whose
@@ -73,7 +76,7 @@
 /// streams that are taken up, until the task is dropped.
 pub async fn keep_stream_sources(gateway: Arc<Gateway>) {
     let mut keeper = SourceKeeper {
-        client: StoreClient::with_timeout(&gateway, CALL_TIMEOUT_MS),
+        client: StoreClient::with_timeout(&gateway, call_timeout_ms(&gateway)),
         backoff: Backoff::new(),
         checked_at: gateway.clock.now(),
         gateway,
@@ -96,6 +99,10 @@
     }
 }
 
+fn call_timeout_ms(gateway: &Gateway) -> u64 {
+    gateway.settings().store.timeout_ms.max(CALL_TIMEOUT_MS)
+}
+
 fn read_spacing_ms(gateway: &Gateway) -> u64 {
     let nodes = gateway.address_book().listed_nodes() as u64;
     let (shortest_ms, longest_ms) = READ_SPACING_MS;
@@ -162,25 +169,34 @@
         }
     }
 
-    /// Reads the register, and writes what it lacks.
+    /// Reads the register, and writes what it lacks. A node that follows relays first leaves
+    /// that to nodes that read the store anyway.
     async fn read_and_register(&mut self) -> Result<(), StoreError> {
+        let mut stored = self.read().await?;
+        let is_follower = role(&self.gateway, self.gateway.clock.now()) == Role::Follower;
+        if is_follower && self.revision(&stored).is_some() {
+            sleep(fastrand::u64(FOLLOWER_WRITE_DELAY_MS)).await;
+            stored = self.read().await?;
+        }
+        self.register(stored).await
+    }
+
+    async fn read(&mut self) -> Result<StoredRegister, StoreError> {
         let started = self.gateway.beliefs().stream_sources.begin_call();
         self.gateway.source_reads.begin();
         let kind = StoreKind::StreamSources;
-        let read = self.client.get(kind, REGISTER_NAME).await;
-        let read = match read {
+        match self.client.get(kind, REGISTER_NAME).await {
             Ok(object) => {
                 let stored = StoredRegister::of(&self.gateway, object.as_ref());
                 self.apply(&stored, started);
                 self.gateway.source_reads.end(ReadOutcome::Answered);
-                stored
+                Ok(stored)
             }
             Err(error) => {
                 self.gateway.source_reads.end(ReadOutcome::Failed);
-                return Err(error);
+                Err(error)
             }
-        };
-        self.register(read).await
+        }
     }
 
     /// Writes what the stored register lacks, until a call shows that nothing is lacking.
--- a/crates/gateway/src/stream_sources/reads.rs
+++ b/crates/gateway/src/stream_sources/reads.rs
@@ -32,14 +32,20 @@
 }
 
 impl SharedReads {
-    /// Waits for a read that begins after this call.
-    pub async fn next(&self) -> ReadOutcome {
+    /// Requests a read that begins after this call; returns its number.
+    pub fn request(&self) -> u64 {
         let number = {
             let mut progress = self.progress();
             progress.wanted = progress.begun + 1;
             progress.wanted
         };
         self.due.notify(usize::MAX);
+        number
+    }
+
+    /// Waits for a read that begins after this call.
+    pub async fn next(&self) -> ReadOutcome {
+        let number = self.request();
         loop {
             let ended = self.ended.listen();
             if let Some((last, outcome)) = self.progress().ended {
--- a/crates/gateway/tests/stream_versions/main.rs
+++ b/crates/gateway/tests/stream_versions/main.rs
@@ -5,6 +5,7 @@
 mod messages;
 mod moved_routes;
 mod one_answer;
+mod register;
 mod site;
 mod sources;
 #[path = "../support/mod.rs"]
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -22,6 +22,8 @@
     Status(u16),
     /// Refuses calls for rollout orders.
     HidesOrders,
+    /// Refuses calls for the register of stream sources.
+    HidesSources,
     /// Does not know rollout orders as a kind of objects.
     LacksOrders,
     /// Carries out writes, and closes the connection without an answer.
@@ -389,6 +391,9 @@
                 StoreFault::HidesOrders if kind == "Rollouts" => {
                     return Some((503, Value::Null));
                 }
+                StoreFault::HidesSources if kind == "StreamSources" => {
+                    return Some((503, Value::Null));
+                }
                 StoreFault::LacksOrders if kind == "Rollouts" => {
                     return Some((404, Value::Null));
                 }
--- a/crates/streamorigin/src/sources.rs
+++ b/crates/streamorigin/src/sources.rs
@@ -29,11 +29,6 @@
             hash: xxh3_64_with_seed(path_prefix.as_bytes(), host_hash(host)),
         }
     }
-
-    fn matches(&self, host_hash: u64, path: &str) -> bool {
-        let prefix = path.as_bytes().get(..self.prefix_bytes as usize);
-        prefix.is_some_and(|prefix| xxh3_64_with_seed(prefix, host_hash) == self.hash)
-    }
 }
 
 fn host_hash(host: &str) -> u64 {
@@ -83,22 +78,61 @@
             return None;
         }
         let services = self.services(host, path);
-        let versions = self.links.keys().filter_map(|link| match link {
-            SourceLink::Software(service, software) if services.contains(service) => {
-                Some(StreamSource::new(service, software.clone()))
-            }
-            _ => None,
+        let sources = services.into_iter().flat_map(|service| {
+            let versions = self.versions(service);
+            versions.map(move |software| StreamSource::new(service, software.clone()))
         });
-        Some(versions.collect())
+        Some(sources.collect())
     }
 
+    /// The services of all routes that have a prefix of the path.
     fn services(&self, host: &str, path: &str) -> BTreeSet<&ServiceName> {
         let host = host_hash(host);
-        let targets = self.links.keys().filter_map(|link| match link {
-            SourceLink::Target(route, service) if route.matches(host, path) => Some(service),
+        let mut services = BTreeSet::new();
+        let mut least = Some(0);
+        while let Some(prefix_bytes) = least.and_then(|least| self.next_prefix_length(least)) {
+            let Some(prefix) = path.as_bytes().get(..prefix_bytes as usize) else {
+                break;
+            };
+            let hash = xxh3_64_with_seed(prefix, host);
+            services.extend(self.targets(RouteKey { prefix_bytes, hash }));
+            least = prefix_bytes.checked_add(1);
+        }
+        services
+    }
+
+    /// The shortest length of path prefixes that is not below `least`.
+    fn next_prefix_length(&self, least: u32) -> Option<u32> {
+        let first = RouteKey {
+            prefix_bytes: least,
+            hash: 0,
+        };
+        let first = SourceLink::Target(first, ServiceName::default());
+        match self.links.range(first..).next() {
+            Some((SourceLink::Target(route, _), _)) => Some(route.prefix_bytes),
             _ => None,
-        });
-        targets.collect()
+        }
+    }
+
+    fn targets(&self, route: RouteKey) -> impl Iterator<Item = &ServiceName> {
+        let first = SourceLink::Target(route, ServiceName::default());
+        let links = self.links.range(first..);
+        links.map_while(move |(link, _)| match link {
+            SourceLink::Target(of_route, service) if *of_route == route => Some(service),
+            _ => None,
+        })
+    }
+
+    fn versions<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a SoftwareVersion> {
+        let first = SourceLink::Software(service.clone(), SoftwareVersion::default());
+        let links = self.links.range(first..);
+        links.map_while(move |(link, _)| match link {
+            SourceLink::Software(of_service, software) if of_service == service => Some(software),
+            _ => None,
+        })
     }
 
     /// The services of routes that have led to more than one source.
