Tests, red: streams go on at their version after nodes were killed at once

Seven nodes, two versions, 84 streams. The others fail since nothing is stored: a node that starts again and overwrites, a restored store, objects of other releases and long after their streams. That a stream whose source the store lost is rejected holds.

--- a/crates/gateway/tests/stream_versions/main.rs
+++ b/crates/gateway/tests/stream_versions/main.rs
@@ -1,6 +1,7 @@
 //! Streams of services whose engines run several versions of their software.
 
 mod attempts;
+mod journal;
 mod killed_nodes;
 mod messages;
 mod moved_routes;
--- a/crates/gateway/tests/stream_versions/site.rs
+++ b/crates/gateway/tests/stream_versions/site.rs
@@ -53,6 +53,23 @@
         content: Value,
     ) -> Self {
         let store = StandInStore::start().await;
+        Self::start_at(store, nodes, versions, behaviour, content).await
+    }
+
+    /// Like [`Self::start`], with a store that tells its era.
+    pub async fn start_with_era(nodes: usize, versions: &[&str]) -> Self {
+        let store = StandInStore::start().await;
+        store.tell_era();
+        Self::start_at(store, nodes, versions, Behaviour::Answer, configuration(1)).await
+    }
+
+    async fn start_at(
+        store: StandInStore,
+        nodes: usize,
+        versions: &[&str],
+        behaviour: Behaviour,
+        content: Value,
+    ) -> Self {
         store.put("Configuration", "main", content);
         let (clock, suspension) = Clock::suspendable();
         let mut site = Self {
@@ -283,6 +300,25 @@
         self.wait_until_engines_known().await;
     }
 
+    /// Ends all nodes at once, in the order of their names.
+    pub fn kill_all(&mut self) -> Vec<KilledNode> {
+        let last_first = (0..self.nodes.len()).rev();
+        let mut killed: Vec<KilledNode> = last_first.map(|node| self.kill(node)).collect();
+        killed.reverse();
+        killed
+    }
+
+    /// Starts killed nodes again at once.
+    pub async fn start_all_again(&mut self, mut killed: Vec<KilledNode>) {
+        killed.sort_by_key(|node| node.index);
+        for node in killed {
+            let started = self.start_node(&node.name, node.peers).await;
+            let index = node.index.min(self.nodes.len());
+            self.nodes.insert(index, started);
+        }
+        self.wait_until_engines_known().await;
+    }
+
     /// Takes up a stream of a host's route at a node.
     pub async fn take_up_at(&self, node: usize, host: &str, id: &str, began: &str) -> Answer {
         let mut request = resumption(id, began);
@@ -349,3 +385,30 @@
     let rest: String = (last + 1..=EVENTS).map(event).collect();
     answer.is_whole && answer.text() == rest
 }
+
+/// How streams that were taken up ended.
+#[derive(Debug, Default)]
+pub struct Resumptions {
+    pub continued: usize,
+    pub rejected: usize,
+}
+
+impl Resumptions {
+    /// Counts a stream, and checks that it went on after an event or was rejected.
+    pub fn note(&mut self, answer: &Answer, last: u64, case: &str) {
+        match answer.status() {
+            200 => {
+                assert!(is_rest_after(last, answer), "{case}: {}", answer.text());
+                self.continued += 1;
+            }
+            503 => self.rejected += 1,
+            other => panic!("{case}: {other}: {}", answer.text()),
+        }
+    }
+
+    /// The share that went on.
+    pub fn continued_share(&self) -> f64 {
+        let all = self.continued + self.rejected;
+        self.continued as f64 / all as f64
+    }
+}
