Sources of running streams are stored, so that streams go on after all nodes were killed

After all nodes were killed at once every stream that callers took up was rejected while two versions served, since their sources were in the memory of three nodes each. After half were killed, those whose keepers were all among them.

While a stream's source could be confused with another, each node that calls the store itself keeps an object with its running streams there; a relay also those of its followers, who send their origins to it beside the keepers. 16 characters a stream, 4096 streams (64 KiB) an object, the oldest are dropped and counted. A group commit: written when a stream is new, one write under way, one in 100 ms; with more than 8 writers less often, so that all together use a fifth of store.writes_per_second. No first event waits for it. A node reads all objects when it starts, before it tells others that it does not know a stream, and again when a stream is taken up that it does not know: beside the questions to keepers, 8 ms later, shared by all that wait.

What was written in another era of the store, or whose streams have ended more than a minute ago by the time of day, is not believed; two objects that contradict each other place nothing. Nodes write their running streams again in the new era. A node that starts reads its former object before it overwrites it, and keeps what can still be taken up. Objects that nobody has written for an hour are deleted on condition of their revision (StoreCall::Delete takes one now).

--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -25,6 +25,8 @@
 use crate::settings::{GatewaySettings, SettingsError};
 use crate::state::Gateway;
 use crate::store::{follow_configuration, follow_engines};
+use crate::stream_journal::reader::read_journals;
+use crate::stream_journal::writer::write_journal;
 use crate::stream_sources::keep_stream_sources;
 use crate::suspension::detect_suspension;
 use crate::time::{sleep, within};
@@ -133,6 +135,8 @@
         smol::spawn(sync_quarantine(Arc::clone(&gateway))),
         smol::spawn(detect_suspension(Arc::clone(&gateway))),
         smol::spawn(keep_stream_sources(Arc::clone(&gateway))),
+        smol::spawn(read_journals(Arc::clone(&gateway))),
+        smol::spawn(write_journal(Arc::clone(&gateway))),
     ];
     if let Some(listener) = metrics {
         tasks.push(smol::spawn(serve_metrics(Arc::clone(&gateway), listener)));
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -42,8 +42,10 @@
 use ploverlift_routing::table::RouteTable;
 use ploverlift_routing::tenants::TenantDirectory;
 use ploverlift_routing::topology::Topology;
+use ploverlift_streamorigin::journal::Journal;
 use ploverlift_streamorigin::known_sources::KnownSources;
 use ploverlift_streamorigin::origins::StreamOrigins;
+use ploverlift_streamorigin::stored_origins::StoredOrigins;
 use ploverlift_wire::peers::StoredConfiguration;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -116,8 +118,14 @@
     pub stream_sources: KnownSources,
     /// Services whose streams may be taken up, by the configuration.
     pub stream_services: BTreeSet<ServiceName>,
-    /// Software versions that began streams.
+    /// Sources of streams that this node forwards or keeps for others.
     pub origins: StreamOrigins,
+    /// Running streams whose sources this node stores.
+    pub journal: Journal,
+    /// Sources of streams that were read from the store.
+    pub stored_origins: StoredOrigins,
+    /// Whether they were read at least once.
+    pub has_read_journals: bool,
     /// Named weights, and the proofs of which are the newest.
     pub weights: NamedWeights,
     /// Exchange of reports on the newest weights with other nodes.
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -200,6 +200,7 @@
         };
         let name = placement_name(&placed.placement);
         let (asked, answered) = (placed.asked, placed.answered);
+        let by_journal = placed.is_by_journal;
         let read = placed.read.as_ref();
         let sources = read.map_or("not_read", |read| match &read.sources {
             None => "unanswered",
@@ -209,8 +210,8 @@
         let generation = or_none(generation.map(|generation| generation.0));
         let age_ms = or_none(read.map(|read| read.age_ms));
         self.placement = Some(format!(
-            "{name} software={software} asked={asked} answered={answered} sources={sources} \
-             register={generation} register_age={age_ms}"
+            "{name} software={software} asked={asked} answered={answered} by_journal={by_journal} \
+             sources={sources} register={generation} register_age={age_ms}"
         ));
     }
 
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -50,6 +50,8 @@
             .metrics
             .streams
             .count_placement(&placed.placement);
+        let placed_by_journal = &self.gateway.metrics.streams.placed_by_journal;
+        placed_by_journal.inc_by(u64::from(placed.is_by_journal));
         self.record.record_placement(&placed);
         match placed.placement {
             Placement::Began(source) | Placement::Only(source) => self.continue_at(source),
@@ -88,13 +90,8 @@
             .software
             .get_or_insert(chosen.software.clone());
         let software = software.clone();
-        let request = &self.received.request;
-        // Without a position the caller has no event of the stream that it names.
-        let continues = request.resume_after.is_some();
-        let named = request.resumes.as_deref().filter(|_| continues);
-        let id = named.unwrap_or(&request.id);
         let origin = StreamOrigin {
-            stream: self.stream_key(id),
+            stream: self.own_stream(),
             tenant: self.tenant_tag(),
             source: StreamSource::new(&self.received.admission.service, software),
             expires_at: self.origin_expiry(),
@@ -102,6 +99,24 @@
         self.keep_origin(&origin);
     }
 
+    /// Records that all events were forwarded: the caller will hardly take the stream up.
+    pub(super) fn note_stream_ended(&self) {
+        if self.is_resumable() {
+            let now = self.gateway.clock.now();
+            let stream = self.own_stream();
+            self.gateway.beliefs().journal.note_ended(stream, now);
+        }
+    }
+
+    /// The stream that the request begins or takes up.
+    fn own_stream(&self) -> StreamKey {
+        let request = &self.received.request;
+        // Without a position the caller has no event of the stream that it names.
+        let continues = request.resume_after.is_some();
+        let named = request.resumes.as_deref().filter(|_| continues);
+        self.stream_key(named.unwrap_or(&request.id))
+    }
+
     fn keep_origin(&self, origin: &StreamOrigin) {
         let now = self.gateway.clock.now();
         let request = &self.received.request;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -148,6 +148,7 @@
                     self.deliver(&answer, &rest).await?;
                     self.keep_connection(answer, chosen, in_flight.path);
                     let after = self.answer.finish_stream().await?;
+                    self.note_stream_ended();
                     let outcome = "answered";
                     return Ok(AttemptEnd::Done { after, outcome });
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`leases`] | leases in the store, for duties of one node at a time |
 //! | [`weights`] | loads new weights into engines, by one lease holder |
 //! | [`suspension`] | detects that this node was suspended |
+//! | [`stream_journal`] | sources of running streams in the store |
 //! | [`readiness`], [`metrics`], [`stream_metrics`], [`logging`] | how a node reports its own state |
 //! | [`planned_stop`] | phases of a planned stop |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
@@ -71,6 +72,7 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod stream_journal;
 pub mod stream_metrics;
 pub mod stream_sources;
 pub mod suspension;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -128,7 +128,7 @@
                     .resolve(numbered.number, numbered.answer);
             }
             Some(PeerMessage::TokenReturn(engine)) => handle_returned_token(&gateway, engine),
-            Some(PeerMessage::StreamOrigins(origins)) => keep_origins(&gateway, origins),
+            Some(PeerMessage::StreamOrigins(origins)) => keep_origins(&gateway, origins, from),
             Some(PeerMessage::StreamOriginsWanted(sender)) => {
                 send_kept_origins(&gateway, sender, from);
             }
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -2,11 +2,14 @@
 //! when a stream is taken up, and sent to a keeper that has started again.
 
 use super::messages::PeerMessage;
+use super::roles::{role, Role};
 use super::stream_origin_messages::{NumberedOriginAnswer, OriginQuery, ReportedOrigin};
 use crate::state::Gateway;
+use crate::stream_journal::reader::{has_read_journals, read_origin, reads_journals};
+use crate::stream_journal::writer::journal;
 use crate::stream_sources::{read_sources, SourcesRead};
 use crate::time::{sleep, within};
-use ploverlift_balancing::names::PeerId;
+use ploverlift_balancing::names::{PeerId, ZoneTag};
 use ploverlift_streamorigin::keepers::{first_nodes, is_among_first, ASKED_NODES, KEEPERS};
 use ploverlift_streamorigin::known_sources::Sources;
 use ploverlift_streamorigin::origins::StreamOrigin;
@@ -15,7 +18,9 @@
 use ploverlift_streamorigin::sources::SourceRegister;
 use ploverlift_streamorigin::stream_key::StreamKey;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 /// Time-out of each round of questions, in milliseconds.
@@ -55,22 +60,46 @@
     pub placement: Placement,
     /// The read of the register of stream sources; `None` if its end was not waited for.
     pub read: Option<SourcesRead>,
-    /// Number of other nodes that were asked.
+    /// Whether the source was found in the store alone.
+    pub is_by_journal: bool,
+    /// Number of other nodes that were asked, and one more if the journals were read.
     pub asked: usize,
     /// Number of these that answered.
     pub answered: usize,
 }
 
-/// Announces the origin of a stream to the nodes that keep it.
+/// Announces the origin of a stream to the nodes that keep it, and to the relays of a follower,
+/// which store it; other nodes store it themselves.
 pub fn announce(gateway: &Gateway, origin: &StreamOrigin) {
-    let reported = ReportedOrigin::new(origin, gateway.clock.now());
+    let now = gateway.clock.now();
+    let reported = ReportedOrigin::new(origin, now);
     let message = PeerMessage::StreamOrigins(vec![reported]);
-    for address in other_nodes(gateway, Some(origin.stream), KEEPERS) {
+    let mut receivers = other_nodes(gateway, Some(origin.stream), KEEPERS);
+    match role(gateway, now) {
+        Role::Follower => add_own_relays(gateway, &mut receivers),
+        Role::Undecided | Role::Direct | Role::Relay => {
+            journal(gateway, std::slice::from_ref(origin));
+        }
+    }
+    for address in receivers {
         gateway.outbox.put(address, &message);
         gateway.metrics.streams.announced.inc();
     }
 }
 
+/// Adds the relays of this node's zone that are missing.
+fn add_own_relays(gateway: &Gateway, nodes: &mut Vec<SocketAddr>) {
+    let now = gateway.clock.now();
+    let relays = gateway
+        .address_book()
+        .relays_of(ZoneTag::of(&gateway.zone), now);
+    for relay in relays {
+        if !nodes.contains(&relay.address) {
+            nodes.push(relay.address);
+        }
+    }
+}
+
 /// Announces, whenever streams can be confused with those of another source, the streams of
 /// this node that began before, until the task is dropped.
 pub async fn announce_earlier_streams(gateway: Arc<Gateway>) {
@@ -103,16 +132,22 @@
     }
 }
 
-/// Keeps origins that another node sent.
-pub fn keep_origins(gateway: &Gateway, reported: Vec<ReportedOrigin>) {
+/// Keeps origins that another node sent. A relay also stores those of its followers.
+pub fn keep_origins(gateway: &Gateway, reported: Vec<ReportedOrigin>, from: SocketAddr) {
     let now = gateway.clock.now();
-    let mut beliefs = gateway.beliefs();
     let origins = reported.into_iter();
-    let kept = origins.map(|reported| beliefs.origins.keep(reported.into_origin(now), now));
+    let origins: Vec<StreamOrigin> = origins.map(|it| it.into_origin(now)).collect();
+    let mut beliefs = gateway.beliefs();
+    let kept = origins.iter();
+    let kept = kept.map(|origin| beliefs.origins.keep(origin.clone(), now));
     let dropped = kept.filter(|is_kept| !is_kept).count();
     let known = beliefs.origins.len();
+    let is_of_follower = beliefs.relaying.has_reporter(from);
     drop(beliefs);
     gateway.metrics.streams.note_kept(known, dropped);
+    if is_of_follower {
+        journal(gateway, &origins);
+    }
 }
 
 /// Sends a node that has started the origins that it keeps.
@@ -149,15 +184,21 @@
     }
 }
 
-/// Answers the question for the source of a stream.
+/// Answers the question for the source of a stream. While this node has not read what is stored,
+/// it can't tell that it does not know the stream, and does not answer then. A relay reads the
+/// journals again for the next question.
 pub fn answer_query(gateway: &Gateway, query: &OriginQuery, from: SocketAddr) {
-    let now = gateway.clock.now();
-    let beliefs = gateway.beliefs();
-    let source = query
-        .stream
-        .and_then(|stream| beliefs.origins.source(stream, now));
-    let source = source.cloned();
-    drop(beliefs);
+    let known = query.stream;
+    let known = known.and_then(|stream| known_source(gateway, stream));
+    if known.is_none() {
+        if !has_read_journals(gateway) {
+            return;
+        }
+        if role(gateway, gateway.clock.now()) == Role::Relay {
+            gateway.journal_reads.request();
+        }
+    }
+    let source = known.map(|known| known.source);
     let answer = OriginAnswer { source };
     let number = query.number;
     let message = PeerMessage::StreamOriginAnswer(NumberedOriginAnswer { number, answer });
@@ -173,7 +214,7 @@
 
 /// The first of two results that are waited for.
 enum First {
-    Answers(Vec<OriginAnswer>),
+    Answers(OriginAnswers),
     Read(SourcesRead),
 }
 
@@ -181,41 +222,115 @@
 /// the register names only one, and at the latest after all rounds of questions and the
 /// longest wait for the register.
 pub async fn place_stream(gateway: &Gateway, resumed: &ResumedStream) -> PlacedStream {
-    let now = gateway.clock.now();
-    let known = resumed
-        .stream
-        .and_then(|stream| gateway.beliefs().origins.source(stream, now).cloned());
-    if let Some(source) = known.filter(StreamSource::is_named) {
+    let stream = resumed.stream;
+    let known = stream.and_then(|stream| known_source(gateway, stream));
+    if let Some(known) = known.filter(|known| known.source.is_named()) {
         return PlacedStream {
-            placement: Placement::Began(source),
+            placement: Placement::Began(known.source),
+            is_by_journal: known.is_by_journal,
             read: None,
             asked: 0,
             answered: 0,
         };
     }
     let nodes = nodes_to_ask(gateway, resumed.stream);
-    let mut asking = Box::pin(ask(gateway, resumed.stream, &nodes));
+    let asked = nodes.len() + usize::from(asks_journals(gateway, resumed.stream));
+    let mut asking = Box::pin(find_origin(gateway, resumed.stream, &nodes));
     let mut reading = Box::pin(read_sources(gateway, &resumed.host, &resumed.path));
     let first = futures_lite::future::or(async { First::Answers((&mut asking).await) }, async {
         First::Read((&mut reading).await)
     });
-    let (answers, read) = match first.await {
-        First::Answers(answers) if named_source(&answers).is_some() => (answers, None),
-        First::Answers(answers) => (answers, Some(reading.await)),
+    let (found, read) = match first.await {
+        First::Answers(found) if named_source(&found.answers).is_some() => (found, None),
+        First::Answers(found) => (found, Some(reading.await)),
         First::Read(read) if matches!(read.sources, Some(Sources::Only(_))) => {
-            (Vec::new(), Some(read))
+            (OriginAnswers::default(), Some(read))
         }
         First::Read(read) => (asking.await, Some(read)),
     };
     let sources = read.as_ref().and_then(|read| read.sources.as_ref());
     PlacedStream {
-        placement: place(sources, &answers, nodes.len()),
-        asked: nodes.len(),
-        answered: answers.len(),
+        placement: place(sources, &found.answers, asked),
+        is_by_journal: found.is_by_journal,
+        asked,
+        answered: found.answers.len(),
         read,
     }
 }
 
+/// A stream's source, and how this node knows it.
+struct KnownSource {
+    source: StreamSource,
+    is_by_journal: bool,
+}
+
+/// The source of a stream, if this node knows it.
+fn known_source(gateway: &Gateway, stream: StreamKey) -> Option<KnownSource> {
+    let now = gateway.clock.now();
+    let beliefs = gateway.beliefs();
+    let kept = beliefs.origins.source(stream, now);
+    let stored = beliefs.stored_origins.source(stream, now);
+    let named = kept.filter(|source| source.is_named());
+    let source = named.or(stored).or(kept)?.clone();
+    Some(KnownSource {
+        source,
+        is_by_journal: named.is_none() && stored.is_some(),
+    })
+}
+
+/// Whether the journals are read for a stream. Their answer counts as that of one more node.
+fn asks_journals(gateway: &Gateway, stream: Option<StreamKey>) -> bool {
+    stream.is_some() && reads_journals(gateway)
+}
+
+/// What other nodes and the journals tell of a stream.
+#[derive(Default)]
+struct OriginAnswers {
+    answers: Vec<OriginAnswer>,
+    is_by_journal: bool,
+}
+
+/// Asks nodes and reads the journals for the source of a stream. Returns as soon as one knows it.
+async fn find_origin(
+    gateway: &Gateway,
+    stream: Option<StreamKey>,
+    nodes: &[SocketAddr],
+) -> OriginAnswers {
+    let (mut answers, mut stored) = (Vec::new(), None);
+    {
+        let asking = async {
+            answers = ask(gateway, stream, nodes).await;
+            named_source(&answers).is_some()
+        };
+        let reading = async {
+            if let (Some(stream), true) = (stream, asks_journals(gateway, stream)) {
+                stored = read_origin(gateway, stream).await;
+            }
+            named_source(stored.as_slice()).is_some()
+        };
+        until_either(asking, reading).await;
+    }
+    let is_by_journal = named_source(stored.as_slice()).is_some();
+    answers.extend(stored);
+    OriginAnswers {
+        answers,
+        is_by_journal,
+    }
+}
+
+/// Runs both until one of them yields `true`, or both have ended.
+async fn until_either(one: impl Future<Output = bool>, other: impl Future<Output = bool>) {
+    let (mut one, mut other) = (pin!(one), pin!(other));
+    let first = async { (one.as_mut().await, true) };
+    let second = async { (other.as_mut().await, false) };
+    let (is_found, is_first) = futures_lite::future::or(first, second).await;
+    match (is_found, is_first) {
+        (true, _) => {}
+        (false, true) => drop(other.await),
+        (false, false) => drop(one.await),
+    }
+}
+
 async fn ask(
     gateway: &Gateway,
     stream: Option<StreamKey>,
@@ -259,10 +374,17 @@
     answers.into_values().collect()
 }
 
-/// The nodes that may know a stream's origin; none if nobody names the stream.
+/// The nodes that may know a stream's origin, the relays of a follower among them, which have
+/// read what is stored; none if nobody names the stream.
 fn nodes_to_ask(gateway: &Gateway, stream: Option<StreamKey>) -> Vec<SocketAddr> {
     match stream {
-        Some(_) => other_nodes(gateway, stream, ASKED_NODES),
+        Some(_) => {
+            let mut nodes = other_nodes(gateway, stream, ASKED_NODES);
+            if !reads_journals(gateway) {
+                add_own_relays(gateway, &mut nodes);
+            }
+            nodes
+        }
         None => Vec::new(),
     }
 }
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -28,6 +28,8 @@
     RefusedRequests,
     /// The register of stream sources, one object.
     StreamSources,
+    /// Sources of running streams, one object for each node that calls the store.
+    StreamOrigins,
 }
 
 impl StoreKind {
@@ -42,6 +44,7 @@
             StoreKind::Nodes => "nodes",
             StoreKind::RefusedRequests => "refused_requests",
             StoreKind::StreamSources => "stream_sources",
+            StoreKind::StreamOrigins => "stream_origins",
         }
     }
 }
@@ -119,12 +122,14 @@
         /// What to store.
         content: Value,
     },
-    /// Removes an object at any revision.
+    /// Removes an object.
     Delete {
         /// The kind.
         kind: StoreKind,
         /// Its name.
         name: String,
+        /// The revision that must still be stored; `None` for any.
+        revision: Option<u64>,
     },
     /// Replaces the status that this product records with an object that it does not own.
     ReplaceStatus {
@@ -162,10 +167,8 @@
             StoreCall::Watch { revision, .. }
             | StoreCall::Replace { revision, .. }
             | StoreCall::ReplaceStatus { revision, .. } => Some(revision),
-            StoreCall::List { .. }
-            | StoreCall::Get { .. }
-            | StoreCall::Create { .. }
-            | StoreCall::Delete { .. } => None,
+            StoreCall::Delete { revision, .. } => revision.as_mut(),
+            StoreCall::List { .. } | StoreCall::Get { .. } | StoreCall::Create { .. } => None,
         }
     }
 
--- a/crates/gateway/src/settings/store.rs
+++ b/crates/gateway/src/settings/store.rs
@@ -26,13 +26,18 @@
     /// call counts as an outage in which records may expire. Read only at the start.
     #[serde(default)]
     pub engine_heartbeat_ms: u64,
+    /// Number of writing calls that the store accepts a second from all nodes together. The
+    /// sources of running streams are written with a fifth of them at most.
+    #[serde(default = "default_writes_per_second")]
+    pub writes_per_second: u64,
 }
 
 impl StoreSettings {
     pub(super) fn check(&self) -> Result<(), InvalidValue> {
         one_or_more("store.timeout_ms", self.timeout_ms)?;
         one_or_more("store.configuration_watch_ms", self.configuration_watch_ms)?;
-        one_or_more("store.other_watch_ms", self.other_watch_ms)
+        one_or_more("store.other_watch_ms", self.other_watch_ms)?;
+        one_or_more("store.writes_per_second", self.writes_per_second)
     }
 }
 
@@ -46,6 +51,11 @@
     1_500
 }
 
+/// A common limit of stores.
+fn default_writes_per_second() -> u64 {
+    400
+}
+
 /// Less than the longest wait that a store allows (30 s).
 fn default_other_watch_ms() -> u64 {
     20_000
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -92,6 +92,10 @@
     pub stream_sources_changed: Event,
     /// Reads of that register for streams that are taken up.
     pub source_reads: SharedReads,
+    /// Notified when the journal of running streams has a new one.
+    pub stream_journal_changed: Event,
+    /// Reads of the journals of all nodes.
+    pub journal_reads: SharedReads,
     /// Queue of messages to other nodes.
     pub outbox: Outbox,
     /// Notified when a planned stop begins.
@@ -173,6 +177,8 @@
             origin_queries: PendingRequests::default(),
             stream_sources_changed: Event::new(),
             source_reads: SharedReads::default(),
+            stream_journal_changed: Event::new(),
+            journal_reads: SharedReads::default(),
             outbox: Outbox::default(),
             stop_began: Event::new(),
             work_ended: Event::new(),
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -289,8 +289,34 @@
     /// # Errors
     /// When the store does not answer properly.
     pub async fn delete(&mut self, kind: StoreKind, name: &str) -> Result<(), StoreError> {
-        let name = name.to_owned();
-        match self.call(&StoreCall::Delete { kind, name }).await {
+        self.delete_at(kind, name, None).await
+    }
+
+    /// Deletes an object if its revision is still `revision`; succeeds if it does not exist.
+    ///
+    /// # Errors
+    /// [`StoreError::Conflict`] when the revision differs; otherwise as [`StoreClient::delete`].
+    pub async fn delete_if(
+        &mut self,
+        kind: StoreKind,
+        name: &str,
+        revision: u64,
+    ) -> Result<(), StoreError> {
+        self.delete_at(kind, name, Some(revision)).await
+    }
+
+    async fn delete_at(
+        &mut self,
+        kind: StoreKind,
+        name: &str,
+        revision: Option<u64>,
+    ) -> Result<(), StoreError> {
+        let call = StoreCall::Delete {
+            kind,
+            name: name.to_owned(),
+            revision,
+        };
+        match self.call(&call).await {
             Ok(_) | Err(StoreError::NotFound) => Ok(()),
             Err(error) => Err(error),
         }
--- a/crates/gateway/src/store/era.rs
+++ b/crates/gateway/src/store/era.rs
@@ -85,6 +85,7 @@
             let mut beliefs = self.beliefs();
             beliefs.store_outage.note_restored(now);
             beliefs.quarantine.note_store_restored();
+            beliefs.stored_origins.clear();
             drop(beliefs);
             self.store_restored.notify(usize::MAX);
         }
--- a/crates/gateway/src/stream_sources/mod.rs
+++ b/crates/gateway/src/stream_sources/mod.rs
@@ -43,7 +43,7 @@
 const MAX_CONFLICTS: u32 = 8;
 /// Longest wait of a request for a read of the register, in milliseconds. A caller whose
 /// stream can't be placed comes back after a second.
-const MAX_READ_WAIT_MS: u64 = 800;
+pub(crate) const MAX_READ_WAIT_MS: u64 = 800;
 
 /// The stored object, as a call showed it.
 struct StoredRegister {
--- a/crates/gateway/src/stream_sources/reads.rs
+++ b/crates/gateway/src/stream_sources/reads.rs
@@ -1,4 +1,4 @@
-//! Reads of the register that are shared by all requests that wait for one.
+//! Reads of the store that are shared by all requests that wait for one.
 
 use event_listener::Event;
 use std::sync::{Mutex, MutexGuard};
@@ -58,18 +58,18 @@
     }
 
     /// Whether a request waits for a read that has not begun.
-    pub(super) fn is_wanted(&self) -> bool {
+    pub(crate) fn is_wanted(&self) -> bool {
         let progress = self.progress();
         progress.wanted > progress.begun
     }
 
     /// Begins a read.
-    pub(super) fn begin(&self) {
+    pub(crate) fn begin(&self) {
         self.progress().begun += 1;
     }
 
     /// Ends the read that began last.
-    pub(super) fn end(&self, outcome: ReadOutcome) {
+    pub(crate) fn end(&self, outcome: ReadOutcome) {
         let mut progress = self.progress();
         progress.ended = Some((progress.begun, outcome));
         drop(progress);
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -264,6 +264,14 @@
                 None => (404, Value::Null),
             },
             "delete" => {
+                let known = self.find(kind, name).map(Stored::to_json);
+                let required = call["revision"].as_u64();
+                match known {
+                    Some(known) if required.is_some_and(|it| known["revision"] != it) => {
+                        return (409, known);
+                    }
+                    _ => {}
+                }
                 self.remove(kind, name);
                 (200, Value::Null)
             }
