--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -37,7 +37,7 @@
 /// Status of an engine that ended a connection, found by a connection attempt.
 enum Status {
     Ended,
-    Accepts(EngineConnection),
+    Accepts(Box<EngineConnection>),
     Unknown(String),
 }
 
@@ -66,7 +66,7 @@
 async fn probe_engine(gateway: &Arc<Gateway>, instance: &InstanceId, address: SocketAddr) {
     let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
     let result = match connect_engine(gateway, instance, address, timeout_ms).await {
-        Ok(connection) => Status::Accepts(connection),
+        Ok(connection) => Status::Accepts(Box::new(connection)),
         Err(unconnected) if has_ended(&unconnected) => {
             status_after_refusal(gateway, instance).await
         }
@@ -83,7 +83,7 @@
     match result {
         Status::Ended => {}
         Status::Accepts(connection) => {
-            keep_connection(gateway, instance, connection, gateway.clock.now());
+            keep_connection(gateway, instance, *connection, gateway.clock.now());
         }
         Status::Unknown(error) => {
             slog::info!(gateway.log, "connections ended, engine unknown";
