Give up a kept connection that does not answer a probe for a new one

A kept connection that has been cut silently takes the whole time of a probe, and a whole answer of an engine that a new connection reaches is broken off. One connection now has 700 ms of the probe's 1,000; a full engine that was given 600 ms has rejected the probe by then.

Tests: a stream is whole where only a new connection reaches its engine (not run on the code before); a probe that was sent before the end of a stream proves nothing.

--- a/crates/gateway/src/engine_liveness/probe.rs
+++ b/crates/gateway/src/engine_liveness/probe.rs
@@ -19,6 +19,9 @@
 /// Time for which an engine may hold a probe, in milliseconds; a full engine rejects it then, which
 /// is an answer.
 const PROBE_DEADLINE_MS: u64 = 600;
+/// Longest wait for an answer on one connection, in milliseconds; a new one may still lead to the
+/// engine where a kept one has been silently cut.
+const ANSWER_TIMEOUT_MS: u64 = 700;
 /// Longest wait for the body of an answer to a probe, which proves nothing, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 100;
 /// Largest body of an answer to a probe whose connection is used again, in bytes.
@@ -126,8 +129,11 @@
         while let Some(kept) = self.take_kept().await {
             result.connection = "kept";
             result.outcome = self.ask(kept.connection, "kept").await;
-            if result.outcome == ProbeOutcome::Answered {
-                return;
+            match result.outcome {
+                ProbeOutcome::Answered => return,
+                // The other kept ones are as old.
+                ProbeOutcome::NoAnswer => break,
+                _ => {}
             }
         }
         result.connection = "new";
@@ -189,7 +195,7 @@
         };
         head.headers.set("Host", self.engine.address.to_string());
         let EngineConnection { stream, path, .. } = connection;
-        let outcome = match exchange_on(stream, &head, &[], PROBE_TIMEOUT_MS).await {
+        let outcome = match exchange_on(stream, &head, &[], ANSWER_TIMEOUT_MS).await {
             Err(failure) => outcome_without_answer(&failure.reason),
             Ok(answer) => {
                 let outcome = self.outcome(&answer, is_instance_known);
--- a/crates/gateway/tests/requests/answer_end_costs.rs
+++ b/crates/gateway/tests/requests/answer_end_costs.rs
@@ -49,33 +49,46 @@
             ("app", "safe.test", Behaviour::Answer),
             ("app", "unsafe.test", Behaviour::AnswerAfter(LISTENS_FOR_MS)),
         ];
-        for probe_ms in [0, SLOW_PROBE_MS] {
-            for (service, host, behaviour) in cases.clone() {
-                let case = format!("{host} {behaviour:?}, probes answered after {probe_ms} ms");
-                let (engine, fixture) = start(service, behaviour).await;
-                engine.delay_probes(probe_ms);
-                let before = engine.accepted();
-                let (mut whole, mut longest) = (0, Duration::ZERO);
-                for number in 0..ANSWERS {
-                    let began = Instant::now();
-                    let answer = fixture.send(&asked(service, host, number)).await;
-                    longest = longest.max(began.elapsed());
-                    whole += usize::from(is_whole(&answer));
-                }
-                let (probes, opened) = (engine.probes(), engine.accepted() - before);
-                println!(
-                    "{case}: {whole} of {ANSWERS} whole, {probes} probes, {opened} connections, \
-                     longest {longest:?}"
-                );
-                assert!(whole + MAX_LOST >= ANSWERS, "{case}: {whole} whole");
-                assert!(probes <= ANSWERS, "{case}: {probes} probes");
-                // One for each request, and one that stays open beside them.
-                assert!(opened <= ANSWERS + 2, "{case}: {opened} connections");
-            }
+        let cases = [0, SLOW_PROBE_MS]
+            .into_iter()
+            .flat_map(|probe_ms| cases.clone().map(|case| (probe_ms, case)));
+        let running = cases.map(|(probe_ms, (service, host, behaviour))| {
+            smol::spawn(assert_whole(probe_ms, service, host, behaviour))
+        });
+        for case in running.collect::<Vec<_>>() {
+            case.await;
         }
     });
 }
 
+async fn assert_whole(
+    probe_ms: u64,
+    service: &'static str,
+    host: &'static str,
+    behaviour: Behaviour,
+) {
+    let case = format!("{host} {behaviour:?}, probes answered after {probe_ms} ms");
+    let (engine, fixture) = start(service, behaviour).await;
+    engine.delay_probes(probe_ms);
+    let before = engine.accepted();
+    let (mut whole, mut longest) = (0, Duration::ZERO);
+    for number in 0..ANSWERS {
+        let began = Instant::now();
+        let answer = fixture.send(&asked(service, host, number)).await;
+        longest = longest.max(began.elapsed());
+        whole += usize::from(is_whole(&answer));
+    }
+    let (probes, opened) = (engine.probes(), engine.accepted() - before);
+    println!(
+        "{case}: {whole} of {ANSWERS} whole, {probes} probes, {opened} connections, \
+         longest {longest:?}"
+    );
+    assert!(whole + MAX_LOST >= ANSWERS, "{case}: {whole} whole");
+    assert!(probes <= ANSWERS, "{case}: {probes} probes");
+    // One for each request, and one that stays open beside them.
+    assert!(opened <= ANSWERS + 2, "{case}: {opened} connections");
+}
+
 // Guards against as many probes as answers that end together, and against an end that takes the answer
 // to a probe that was sent before it for a proof.
 #[test]
--- a/crates/gateway/tests/requests/killed_engines.rs
+++ b/crates/gateway/tests/requests/killed_engines.rs
@@ -236,3 +236,49 @@
         }
     });
 }
+
+// Guards against the answer to a probe that was sent before the end of a truncated stream being taken for
+// a proof that its engine runs after it.
+#[test]
+fn a_probe_that_was_sent_before_the_end_of_a_stream_proves_nothing() {
+    const ANSWERED_AFTER_MS: u64 = 400;
+    smol::block_on(async {
+        let mut llm = stream_engine("llm-1", Behaviour::StreamSlowly(20)).await;
+        let fixture = Fixture::new(&[&llm]).await;
+        let callers = fixture.running().callers;
+        let cut = begin(callers, &llm, prompt("stream.test", "cut")).await;
+        llm.set(Behaviour::Answer);
+        llm.delay_probes(ANSWERED_AFTER_MS);
+        let asked = prompt("stream.test", "whole");
+        let whole = smol::spawn(async move { caller::send(callers, &asked).await });
+        while llm.probes() == 0 {
+            sleep(1).await;
+        }
+        llm.stop_running().await;
+        llm.close_running();
+        assert!(!cut.await.is_whole);
+        let whole = whole.await;
+        assert_eq!((whole.text(), whole.is_whole), (all_events(), true));
+    });
+}
+
+// Guards against a whole stream being broken off because the connection that was kept for the probe has
+// been cut silently.
+#[test]
+fn a_stream_is_whole_where_only_a_new_connection_reaches_its_engine() {
+    smol::block_on(async {
+        for host in STREAM_HOSTS {
+            let llm = stream_engine("llm-1", Behaviour::StreamSlowly(EVENTS)).await;
+            let fixture = Fixture::new(&[&llm]).await;
+            let callers = fixture.running().callers;
+            let asking = begin(callers, &llm, prompt(host, "r")).await;
+            llm.forget_connections();
+            let answer = asking.await;
+            assert_eq!(
+                (answer.text(), answer.is_whole),
+                (all_events(), true),
+                "{host}"
+            );
+        }
+    });
+}
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -14,6 +14,7 @@
 use std::time::Instant;
 
 pub async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let accepted = Instant::now();
     let mut connection = BufferedStream::new(stream);
     let mut requests = 0;
     while let Some((head, mut decoder)) = next_request(&shared, &mut connection).await {
@@ -30,7 +31,9 @@
         }
         let mut body = Vec::new();
         while let Ok(true) = decoder.read(&mut connection, &mut body).await {}
-        if shared.is_killed.load(Ordering::Acquire) {
+        let forgets_before = *shared.forgets_before.lock().expect("forgets");
+        let is_forgotten = forgets_before.is_some_and(|before| accepted < before);
+        if is_forgotten || shared.is_killed.load(Ordering::Acquire) {
             std::future::pending::<()>().await;
         }
         if is_probe(&head) {
--- a/crates/gateway/tests/support/engine/killed.rs
+++ b/crates/gateway/tests/support/engine/killed.rs
@@ -4,6 +4,7 @@
 use super::StandInEngine;
 use ploverlift_gateway::time::sleep;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 impl StandInEngine {
     /// Kills the engine. The connections on which it answers are closed first; the idle ones and
@@ -23,6 +24,11 @@
         }
     }
 
+    /// Reads nothing more from the connections that are open now, as if they had been cut silently.
+    pub fn forget_connections(&self) {
+        *self.shared.forgets_before.lock().expect("forgets") = Some(Instant::now());
+    }
+
     /// Number of liveness probes that were read.
     pub fn probes(&self) -> usize {
         self.shared.probes.load(Ordering::Acquire)
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -148,6 +148,8 @@
     instance: String,
     /// Whether the process has been killed: it runs nothing.
     is_killed: AtomicBool,
+    /// Connections that were accepted before are not served any more, and stay open.
+    forgets_before: Mutex<Option<Instant>>,
     /// Number of liveness probes that were read.
     probes: AtomicUsize,
     /// Time until a liveness probe is answered, in milliseconds.
@@ -228,6 +230,7 @@
         let shared = Arc::new(Shared {
             instance: instance.to_owned(),
             is_killed: AtomicBool::new(false),
+            forgets_before: Mutex::default(),
             probes: AtomicUsize::new(0),
             probe_delay_ms: AtomicU64::new(0),
             behaviour: Mutex::new(behaviour),
