--- a/crates/streamorigin/tests/sources.rs
+++ b/crates/streamorigin/tests/sources.rs
@@ -470,6 +470,31 @@
     );
 }
 
+// Guards against a stream that begins at a link whose removal is under way.
+#[test]
+fn a_marked_link_is_usable_only_once_its_mark_was_removed() {
+    let link = software("one", "v1");
+    let marked = SourceRegister {
+        generation: Generation(2),
+        links: [(link.clone(), Some(Generation(2)))].into(),
+        ..SourceRegister::default()
+    };
+    let mut known = KnownSources::default();
+    known.note_present(link.clone());
+    let started = known.begin_call();
+    known.apply(Some(&marked), StoreEra(0), started, Millis(1));
+    assert!(!known.is_usable(&link, StoreEra(0), Millis(1)));
+    assert!(
+        known.has_unconfirmed(StoreEra(0)),
+        "the mark is to be removed"
+    );
+    let revised = known.revision(Some(&marked), StoreEra(0), false, Millis(1));
+    let revised = revised.expect("a write");
+    assert!(revised.allows(&link));
+    known.apply(Some(&revised), StoreEra(0), started, Millis(2));
+    assert!(known.is_usable(&link, StoreEra(0), Millis(2)));
+}
+
 #[test]
 fn the_sources_of_a_path_are_those_of_all_routes_that_it_may_have_had() {
     let (long, short) = (
