Relays store the streams of nodes of their zone that have not reported to them yet

A relay stored the origins only of nodes whose reports it had received. The address book tells which addresses are nodes of the own zone.

Also tests that a node that starts deletes objects that nobody has written for an hour and no younger ones, and that what is placed by journals alone is counted.

--- a/crates/gateway/src/peers/address_book.rs
+++ b/crates/gateway/src/peers/address_book.rs
@@ -278,6 +278,13 @@
         })
     }
 
+    /// Whether a listed node of this node's zone has this address.
+    pub fn lists_in_own_zone(&self, address: SocketAddr) -> bool {
+        let own_zone = self.own.map(|own| own.zone);
+        let contact = self.contacts.get(&address);
+        own_zone.is_some() && contact.is_some_and(|contact| contact.is_in(own_zone))
+    }
+
     /// Whether a listed node runs on this host.
     pub fn lists_host(&self, host: IpAddr) -> bool {
         let mut listed = self.contacts.values().filter_map(|contact| contact.listed);
--- a/crates/gateway/src/peers/relay_forwarding.rs
+++ b/crates/gateway/src/peers/relay_forwarding.rs
@@ -46,11 +46,6 @@
         reporters.any(|reporter| now.since(reporter.heard_at) < REPORTER_SILENCE_MS)
     }
 
-    /// Whether a node at this address uses this one as a relay.
-    pub(super) fn has_reporter(&self, from: SocketAddr) -> bool {
-        self.reporters.contains_key(&from)
-    }
-
     /// Nodes to which this relay reports, with the last report received from each.
     pub(super) fn receivers(&self) -> Vec<(SocketAddr, IncludedReport)> {
         let reporters = self.reporters.iter();
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -132,7 +132,8 @@
     }
 }
 
-/// Keeps origins that another node sent. A relay also stores those of its followers.
+/// Keeps origins that another node sent. A relay also stores those of the nodes of its zone, which
+/// may not have reported to it yet.
 pub fn keep_origins(gateway: &Gateway, reported: Vec<ReportedOrigin>, from: SocketAddr) {
     let now = gateway.clock.now();
     let origins = reported.into_iter();
@@ -142,10 +143,10 @@
     let kept = kept.map(|origin| beliefs.origins.keep(origin.clone(), now));
     let dropped = kept.filter(|is_kept| !is_kept).count();
     let known = beliefs.origins.len();
-    let is_of_follower = beliefs.relaying.has_reporter(from);
     drop(beliefs);
     gateway.metrics.streams.note_kept(known, dropped);
-    if is_of_follower {
+    let is_in_own_zone = gateway.address_book().lists_in_own_zone(from);
+    if is_in_own_zone && role(gateway, now) == Role::Relay {
         journal(gateway, &origins);
     }
 }
--- a/crates/gateway/tests/stream_versions/journal.rs
+++ b/crates/gateway/tests/stream_versions/journal.rs
@@ -1,9 +1,12 @@
 //! Streams that are taken up after nodes were killed at once: their sources are in the store.
 
-use crate::site::{resumption_after, Resumptions, VersionedSite};
+use crate::site::{metric, resumption_after, Resumptions, VersionedSite};
 use crate::support::caller::send;
 use crate::support::engine::{Behaviour, EVENTS};
+use crate::support::start_node;
 use crate::support::store::{StandInStore, StoreFault};
+use ploverlift_clock::unix_ms;
+use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::time::sleep;
 use serde_json::{json, Value};
 use std::time::{Duration, Instant};
@@ -110,14 +113,26 @@
     smol::block_on(async {
         let mut site = VersionedSite::start(NODES, &VERSIONS, Behaviour::Answer).await;
         let begun = begin_streams(&site, "all").await;
+        let delays = site.nodes.iter().map(mean_delay_ms).collect::<Vec<f64>>();
+        println!("mean time until sources are stored, by node, in ms: {delays:?}");
         let killed = site.kill_all();
         let killed_at = Instant::now();
         site.start_all_again(killed).await;
         let older = take_up_all(&site, begun, killed_at).await;
         assert!(older.continued_share() >= MIN_CONTINUED_SHARE, "{older:?}");
+        let placed = site.nodes.iter();
+        let placed = placed.map(|node| metric(node, "streams_placed_by_journal_total"));
+        assert!(placed.sum::<f64>() >= older.continued as f64 / 2.0);
     });
 }
 
+/// Mean time from a first event until its source was stored, in milliseconds.
+fn mean_delay_ms(node: &RunningGateway) -> f64 {
+    let sum = metric(node, "stream_journal_delay_seconds_sum");
+    let count = metric(node, "stream_journal_delay_seconds_count");
+    1_000.0 * sum / count.max(1.0)
+}
+
 // Guards against streams that are forgotten because all of their keepers were killed.
 #[test]
 fn streams_go_on_at_their_version_after_half_of_the_nodes_were_killed() {
@@ -296,6 +311,29 @@
     });
 }
 
+// Guards against objects of nodes that are gone for good staying for ever, and against deleting
+// those that may still be needed.
+#[test]
+fn objects_that_nobody_writes_are_deleted_after_an_hour() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        let now = unix_ms();
+        for (name, minutes) in [("gone", 61), ("recent", 59)] {
+            let written = now - minutes * 60_000;
+            let content = json!({"written_unix_ms": written, "era": null, "sources": [],
+                                 "streams": ""});
+            store.put(KIND, name, content);
+        }
+        let _node = start_node(&store, "node", "");
+        let began = Instant::now();
+        while store.names(KIND).contains(&"gone".to_owned()) {
+            assert!(began.elapsed() < LONGEST_WAIT, "not deleted");
+            sleep(POLL_MS).await;
+        }
+        assert_eq!(store.names(KIND), ["recent"]);
+    });
+}
+
 async fn assert_rejected(site: &VersionedSite, last: u64, began: &str) {
     site.set_all(&Behaviour::Answer);
     let resumed = format!("{began}-rejected");
--- a/crates/gateway/tests/stream_versions/main.rs
+++ b/crates/gateway/tests/stream_versions/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod journal;
 mod killed_nodes;
+mod large_fleet;
 mod messages;
 mod moved_routes;
 mod one_answer;
--- a/crates/gateway/tests/stream_versions/site.rs
+++ b/crates/gateway/tests/stream_versions/site.rs
@@ -3,7 +3,7 @@
 use crate::support::caller::{open, prompt, send, Answer, Request};
 use crate::support::configuration;
 use crate::support::engine::{event, Behaviour, StandInEngine, EVENTS};
-use crate::support::fleet::{peer_settings, wait_until_known};
+use crate::support::fleet::{list_silent_nodes, peer_settings, wait_until_known};
 use crate::support::links::{Cut, Link};
 use crate::support::site::{StandInSite, AFTER, DEADLINE, RESUMES};
 use crate::support::store::StandInStore;
@@ -63,6 +63,13 @@
         Self::start_at(store, nodes, versions, Behaviour::Answer, configuration(1)).await
     }
 
+    /// Like [`Self::start`], in a fleet that is so large that most nodes follow relays.
+    pub async fn start_large(nodes: usize, versions: &[&str]) -> Self {
+        let store = StandInStore::start().await;
+        list_silent_nodes(&store);
+        Self::start_at(store, nodes, versions, Behaviour::Answer, configuration(1)).await
+    }
+
     async fn start_at(
         store: StandInStore,
         nodes: usize,
@@ -262,7 +269,19 @@
 
     /// Begins a stream at a node and reads its first event.
     pub async fn begin(&self, node: usize, id: &str) -> OpenStream {
-        let mut connection = open(self.callers_of(node), &prompt("resume.test", id)).await;
+        let request = prompt("resume.test", id);
+        self.begin_request(node, id, &request).await
+    }
+
+    /// Like [`Self::begin`]. Its caller waits long enough to take the stream up on a slow machine.
+    pub async fn begin_patiently(&self, node: usize, id: &str) -> OpenStream {
+        let mut request = prompt("resume.test", id);
+        request.head.headers.push(DEADLINE, PATIENCE_MS.to_string());
+        self.begin_request(node, id, &request).await
+    }
+
+    async fn begin_request(&self, node: usize, id: &str, request: &Request) -> OpenStream {
+        let mut connection = open(self.callers_of(node), request).await;
         let read = read_response_head(&mut connection, "POST", MAX_HEAD_BYTES).await;
         let (head, decoder) = read.expect("a head");
         assert_eq!(head.status, 200, "{id}");
@@ -412,3 +431,12 @@
         self.continued as f64 / all as f64
     }
 }
+
+/// The value of a metric of a node.
+pub fn metric(node: &RunningGateway, name: &str) -> f64 {
+    let page = node.gateway.metrics.page();
+    let mut lines = page.lines().filter(|line| !line.starts_with('#'));
+    let line = lines.find(|line| line.contains(name)).expect("a metric");
+    let value = line.rsplit(' ').next().expect("a value");
+    value.parse().expect("a number")
+}
