Limit answers without end in bytes and time, and examine each byte of a stream once

Cause: EventSplitter searched all pending bytes again after each piece, and copied the rest after each event; nothing limited what was pending; time limits were polled only after a read, which always succeeded. Buffered calls had one limit of 16 MiB, also for engines' reports. What changed: the splitter remembers how far it has searched; an event over 256 KiB, an answer over 256 MiB (also by its declared length) and a call's answer over its limit are given up as faulty, with the limit in the reason that the request's line logs; a loop of reads ends when its time is up; each 4 KiB read without a wait are a turn; tunnels take turns as well, and a second announcement of a shutdown in a tunnel is invalid. The limits are in one structure, ANSWER_LIMITS. The arrival of an answer's last byte is taken from the stream, so that a turn isn't taken for a wait.

--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -7,6 +7,7 @@
 use super::first_answers::FirstAnswerLimit;
 use super::follow_duty::follow_duty;
 use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::beliefs::{ActiveConfiguration, Beliefs};
 use crate::engine_paths::connect::{connect_engine, Unconnected};
 use crate::http_call::CallConnection;
@@ -142,7 +143,7 @@
     first_answers: Arc<FirstAnswerLimit>,
     engine: FollowedEngine,
 ) {
-    let mut connection = CallConnection::new(engine.address);
+    let mut connection = CallConnection::new(engine.address, ANSWER_LIMITS.cache_events_bytes);
     let mut is_followed = false;
     loop {
         let next = gateway
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -11,6 +11,7 @@
 
 use super::call_pacing::{CallPacing, Callers, HOLD_TIME};
 use super::{ask_for_events, EventWait, RETRY_MS};
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::beliefs::ActiveConfiguration;
 use crate::http_call::CallConnection;
 use crate::peers::address_book::RELAYS_PER_ZONE;
@@ -69,7 +70,7 @@
 }
 
 async fn follow_store(gateway: Arc<Gateway>, store: CacheStore) {
-    let mut connection = CallConnection::new(store.address);
+    let mut connection = CallConnection::new(store.address, ANSWER_LIMITS.cache_events_bytes);
     let mut refused = 0;
     loop {
         let call_pacing = call_pacing(&gateway, &store);
--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -5,7 +5,9 @@
 //! answer on it carries the id of an earlier request. Dropping the answer closes the
 //! connection, and so cancels the request.
 
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::time::within;
+use ploverlift_http1::error::malformed;
 use ploverlift_http1::{
     read_response_head, BodyDecoder, BufferedStream, Framing, HttpError, RequestHead, ResponseHead,
 };
@@ -15,9 +17,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
-/// Maximum size of an answer's head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-
 /// The head of an engine's answer, with its body still unread. Dropping it closes the
 /// connection, and so cancels the request.
 pub struct EngineAnswer {
@@ -30,6 +29,8 @@
     request_is_written: bool,
     /// When the request was sent, at the earliest.
     request_sent_at: Instant,
+    /// Size of the body so far, in bytes.
+    body_bytes: u64,
 }
 
 /// The regular end of a body.
@@ -69,9 +70,17 @@
     /// the body.
     ///
     /// # Errors
-    /// When the connection breaks before the end.
+    /// When the connection breaks before the end, or the body is over its limit.
     pub async fn read(&mut self, output: &mut Vec<u8>) -> Result<bool, HttpError> {
-        self.decoder.read(&mut self.stream, output).await
+        let declared = self.decoder.declared_length().unwrap_or(0);
+        let limit = ANSWER_LIMITS.body_bytes;
+        if self.body_bytes.saturating_add(declared) > limit {
+            return Err(malformed(format!("the answer is over {limit} bytes")));
+        }
+        let before = output.len();
+        let read = self.decoder.read(&mut self.stream, output).await;
+        self.body_bytes += (output.len() - before) as u64;
+        read
     }
 }
 
@@ -160,7 +169,7 @@
         request_is_written.store(written.is_ok(), Ordering::Relaxed);
         std::future::pending().await
     };
-    let read = read_response_head(&mut stream, &head.method, MAX_HEAD_BYTES);
+    let read = read_response_head(&mut stream, &head.method, ANSWER_LIMITS.head_bytes);
     let both = futures_lite::future::or(read, write);
     let answered = within(timeout_ms, both).await;
     let maybe_sent = |reason| ExchangeFailure {
@@ -176,6 +185,7 @@
             stream,
             request_is_written: request_is_written.load(Ordering::Relaxed),
             request_sent_at,
+            body_bytes: 0,
         }),
     }
 }
--- a/crates/gateway/src/engine_paths/tunnel_copy.rs
+++ b/crates/gateway/src/engine_paths/tunnel_copy.rs
@@ -6,6 +6,7 @@
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ploverlift_http1::ReadingTurns;
 use ploverlift_tunnel::framing::{header, CLOSING, END, MAX_PAYLOAD_BYTES};
 use smol::net::TcpStream;
 use socket2::SockRef;
@@ -58,11 +59,14 @@
 async fn copy_requests(gateway: &Gateway, mut node: TcpStream, mut engine: TcpStream) -> TunnelEnd {
     let mut buffer = vec![0; MAX_PAYLOAD_BYTES];
     let mut is_writable = true;
+    let mut turns = ReadingTurns::default();
     loop {
+        turns.take().await;
         match node.read(&mut buffer).await {
             Ok(0) => return TunnelEnd::ByNode,
             Err(_) => return TunnelEnd::Broken,
             Ok(count) => {
+                turns.note_read(count);
                 pace(gateway, count).await;
                 // An engine that has stopped reading may have answered: the other direction
                 // decides.
@@ -82,7 +86,9 @@
 async fn copy_answers(gateway: &Gateway, mut engine: TcpStream, mut node: TcpStream) -> TunnelEnd {
     let mut buffer = vec![0; MAX_PAYLOAD_BYTES];
     let mut has_announced = false;
+    let mut turns = ReadingTurns::default();
     loop {
+        turns.take().await;
         let reading = async { EngineEvent::Read(engine.read(&mut buffer).await) };
         let stopping = async {
             until_stopping(gateway, has_announced).await;
@@ -96,6 +102,7 @@
             EngineEvent::Read(Err(_)) => return TunnelEnd::Broken,
             EngineEvent::Read(Ok(0)) => return end_regularly(node).await,
             EngineEvent::Read(Ok(count)) => {
+                turns.note_read(count);
                 pace(gateway, count).await;
                 let frame = [header(count).as_slice(), &buffer[..count]].concat();
                 node.write_all(&frame).await
@@ -116,7 +123,13 @@
     // An error means that the node has closed the connection.
     let _ = node.shutdown(std::net::Shutdown::Write);
     let mut unread = [0; 1_024];
-    let draining = async { while matches!(node.read(&mut unread).await, Ok(1..)) {} };
+    let draining = async {
+        let mut turns = ReadingTurns::default();
+        while let Ok(count @ 1..) = node.read(&mut unread).await {
+            turns.note_read(count);
+            turns.take().await;
+        }
+    };
     within(CLOSE_TIMEOUT_MS, draining).await;
     TunnelEnd::ByEngine
 }
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -7,18 +7,15 @@
 use super::in_flight::InFlight;
 use super::takeover::{Continuation, Takeover, Waited};
 use super::{AfterAnswer, Forwarding};
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::engine_connection::{EngineAnswer, FailureReason};
-use crate::time::within;
+use crate::time::{within, within_time_left};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_http1::{Framing, HttpError};
 use ploverlift_policy::attempt::promises_not_run;
 use std::io;
 use std::pin::pin;
 
-/// Largest answer that is buffered, in bytes. A larger one is forwarded piece by piece, and
-/// the caller's answer breaks off when the engine's does.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
-
 /// An answer that is too large to be buffered.
 struct LargeAnswer {
     answer: EngineAnswer,
@@ -248,7 +245,7 @@
         loop {
             piece.clear();
             let left_ms = self.received.limits.left_ms(self.gateway.clock.now());
-            match within(left_ms, answer.read(&mut piece)).await {
+            match within_time_left(left_ms, answer.read(&mut piece)).await {
                 Some(Ok(true)) => self.answer.write_chunk(&piece).await?,
                 Some(Ok(false)) => {
                     let end = self.check_answer_end(answer.body_end(), 0, chosen);
@@ -272,7 +269,7 @@
 ) -> Result<BodyRead, HttpError> {
     while answer.read(body).await? {
         watch.record_activity();
-        if body.len() > MAX_BUFFERED_BYTES {
+        if body.len() > ANSWER_LIMITS.buffered_bytes {
             return Ok(BodyRead::TooLarge);
         }
     }
--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -2,6 +2,8 @@
 //!
 //! A line ends with a line feed, a carriage return, or both; an event ends with an empty line.
 
+use std::ops::Range;
+
 /// Field with the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 /// Field with the data of an event.
@@ -39,91 +41,139 @@
 }
 
 /// Collects bytes until an event is complete. An incomplete event of a broken stream is
-/// never forwarded, since another engine sends that event again.
+/// never forwarded, since another engine sends that event again. Each byte is examined once,
+/// however the bytes arrive.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
-    /// Bytes that have not been split off as events yet.
-    pub pending: Vec<u8>,
-    /// Whether the last event ended with a carriage return, which a line feed may follow.
+    /// Received bytes: those of events that were split off, and then the pending ones.
+    bytes: Vec<u8>,
+    /// Start of the pending bytes.
+    start: usize,
+    /// End of the bytes that were searched for line endings.
+    searched: usize,
+    /// Start of the line that is being searched for its end.
+    line_start: usize,
+    /// Whether the byte before the searched ones' end is a carriage return, which a line feed may
+    /// follow.
     follows_carriage_return: bool,
+    /// The id that the pending event has so far.
+    id: Option<String>,
+    /// End of the complete comment lines before the first other line of the pending event.
+    comments_end: usize,
+    has_field: bool,
+    examined_bytes: u64,
 }
 
 impl EventSplitter {
+    /// The buffer to which received bytes are to be appended.
+    pub fn buffer(&mut self) -> &mut Vec<u8> {
+        self.bytes.drain(..self.start);
+        self.searched -= self.start;
+        self.line_start -= self.start;
+        self.comments_end -= self.start;
+        self.start = 0;
+        &mut self.bytes
+    }
+
+    /// Number of bytes that were not split off as events yet.
+    pub fn pending_bytes(&self) -> usize {
+        self.bytes.len() - self.start
+    }
+
+    /// Number of bytes that were examined so far.
+    pub fn examined_bytes(&self) -> u64 {
+        self.examined_bytes
+    }
+
+    /// Takes the pending bytes, which belong to no complete event.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        let rest = self.bytes.split_off(self.start);
+        *self = Self {
+            examined_bytes: self.examined_bytes,
+            ..Self::default()
+        };
+        rest
+    }
+
     /// Splits off the first complete event of the pending bytes.
     pub fn next_event(&mut self) -> Option<WholeEvent> {
-        let start = self.first_line_start();
-        let length = Lines::from(&self.pending, start).find_map(|line| {
-            let is_empty = line.start == line.end;
-            is_empty.then_some(line.next)
-        })?;
-        let rest = self.pending.split_off(length);
-        let bytes = std::mem::replace(&mut self.pending, rest);
-        self.follows_carriage_return = bytes.ends_with(&[CARRIAGE_RETURN]);
-        let id = event_id(&bytes);
-        Some(WholeEvent { bytes, id })
+        loop {
+            let end = self.next_line_ending()?;
+            let line = self.line_start..end;
+            let next = self.searched;
+            self.line_start = next;
+            if line.is_empty() {
+                return Some(self.split_off(next));
+            }
+            self.note_line(line, next);
+        }
     }
 
     /// Number of pending bytes if a stream that ends now ends inside an event; 0 if it ends
     /// between two events. Complete comment lines belong to no event.
     pub fn unfinished_bytes(&self) -> usize {
-        let start = self.first_line_start();
-        let mut complete = start;
-        for line in Lines::from(&self.pending, start) {
-            let is_comment = without_mark(&self.pending[line.start..line.end]).first();
-            if is_comment != Some(&COMMENT) {
-                break;
-            }
-            complete = line.next;
-        }
-        match without_mark(&self.pending[complete..]).is_empty() {
+        let is_rest = self.follows_carriage_return && self.bytes[self.start..] == [LINE_FEED];
+        let rest = without_mark(&self.bytes[self.comments_end..]);
+        match is_rest || rest.is_empty() {
             true => 0,
-            false => self.pending.len(),
+            false => self.pending_bytes(),
         }
     }
 
-    /// Where the first pending line starts, after the rest of the last event's line ending.
-    fn first_line_start(&self) -> usize {
-        let has_rest = self.follows_carriage_return && self.pending.first() == Some(&LINE_FEED);
-        usize::from(has_rest)
+    /// Position of the next line's ending, which has been searched then.
+    fn next_line_ending(&mut self) -> Option<usize> {
+        self.skip_line_feed();
+        let rest = &self.bytes[self.searched..];
+        let is_ending = |byte: &u8| matches!(*byte, LINE_FEED | CARRIAGE_RETURN);
+        let found = rest.iter().position(is_ending);
+        let examined = found.map_or(rest.len(), |position| position + 1);
+        self.examined_bytes += examined as u64;
+        self.searched += examined;
+        let end = self.searched.checked_sub(1).filter(|_| found.is_some())?;
+        self.follows_carriage_return = self.bytes[end] == CARRIAGE_RETURN;
+        self.skip_line_feed();
+        Some(end)
     }
-}
 
-/// Positions of a complete line.
-struct Line {
-    start: usize,
-    /// Position of its line ending.
-    end: usize,
-    /// Position after its line ending.
-    next: usize,
-}
-
-/// The complete lines of some bytes.
-struct Lines<'a> {
-    bytes: &'a [u8],
-    start: usize,
-}
-
-impl<'a> Lines<'a> {
-    fn from(bytes: &'a [u8], start: usize) -> Self {
-        Self { bytes, start }
+    /// Skips the second half of a line ending.
+    fn skip_line_feed(&mut self) {
+        let Some(next) = self.bytes.get(self.searched) else {
+            return;
+        };
+        let is_second_half = self.follows_carriage_return && *next == LINE_FEED;
+        self.follows_carriage_return = false;
+        if is_second_half {
+            let is_before_line = self.line_start == self.searched;
+            let is_before_field = self.comments_end == self.searched;
+            self.searched += 1;
+            self.examined_bytes += 1;
+            if is_before_line {
+                self.line_start = self.searched;
+            }
+            if is_before_field {
+                self.comments_end = self.searched;
+            }
+        }
     }
-}
 
-impl Iterator for Lines<'_> {
-    type Item = Line;
+    fn note_line(&mut self, line: Range<usize>, next: usize) {
+        let text = without_mark(&self.bytes[line]);
+        self.has_field |= text.first() != Some(&COMMENT);
+        if !self.has_field {
+            self.comments_end = next;
+        }
+        if let (None, Some(id)) = (&self.id, text.strip_prefix(ID_FIELD)) {
+            self.id = Some(String::from_utf8_lossy(id).trim().to_owned());
+        }
+    }
 
-    fn next(&mut self) -> Option<Line> {
-        let start = self.start;
-        let rest = &self.bytes[start..];
-        let is_ending = |byte: &u8| matches!(*byte, LINE_FEED | CARRIAGE_RETURN);
-        let end = start + rest.iter().position(is_ending)?;
-        let is_pair = self.bytes[end..].starts_with(b"\r\n");
-        self.start = end + 1 + usize::from(is_pair);
-        Some(Line {
-            start,
-            end,
-            next: self.start,
-        })
+    fn split_off(&mut self, end: usize) -> WholeEvent {
+        let bytes = self.bytes[self.start..end].to_vec();
+        self.start = end;
+        self.comments_end = end;
+        self.has_field = false;
+        let id = self.id.take();
+        WholeEvent { bytes, id }
     }
 }
 
@@ -131,13 +181,6 @@
     bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes)
 }
 
-fn event_id(bytes: &[u8]) -> Option<String> {
-    let lines = Lines::from(bytes, 0).map(|line| without_mark(&bytes[line.start..line.end]));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = ids.next()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
-}
-
 /// Whether an event follows another one by their ids. Ids that are not both numbers have no
 /// order: any other id counts as following.
 pub fn is_after(id: &str, last: &str) -> bool {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -15,9 +15,11 @@
 use super::start_deadline::StartDeadline;
 use super::takeover::{Continuation, Takeover, Waited};
 use super::{AfterAnswer, Forwarding};
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::engine_connection::{EngineAnswer, FailureReason};
-use crate::time::within;
+use crate::time::within_time_left;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_http1::error::malformed;
 use ploverlift_http1::{Framing, HttpError};
 use ploverlift_routing::prompt::part_keys;
 use ploverlift_routing::topology::Distance;
@@ -246,7 +248,7 @@
             let silence_ms = self.allowed_silence_ms(is_first);
             let waited = {
                 let reading = pin!(read_event(answer, splitter));
-                let reading = pin!(within(left_ms, reading));
+                let reading = pin!(within_time_left(left_ms, reading));
                 let reading = pin!(guard.read(reading, is_first));
                 self.unless_taken_over(reading, silence_ms, chosen, continuation_of_read)
                     .await
@@ -265,7 +267,7 @@
                     let body_end = answer.body_end();
                     let end = self.check_answer_end(body_end, unfinished_bytes, chosen);
                     return match end.await {
-                        Ok(()) => StreamStep::End(std::mem::take(&mut splitter.pending)),
+                        Ok(()) => StreamStep::End(splitter.take_rest()),
                         Err(broken) => StreamStep::Broken(broken),
                     };
                 }
@@ -276,7 +278,7 @@
                     return match end.await {
                         Ok(()) => {
                             self.cancel_successor(&successor);
-                            StreamStep::End(std::mem::take(&mut splitter.pending))
+                            StreamStep::End(splitter.take_rest())
                         }
                         Err(broken) => {
                             StreamStep::TakenOver(self.hand_over_after(successor, broken))
@@ -350,7 +352,11 @@
         if let Some(event) = splitter.next_event() {
             return Ok(StreamRead::Event(event));
         }
-        if !answer.read(&mut splitter.pending).await? {
+        let limit = ANSWER_LIMITS.event_bytes;
+        if splitter.pending_bytes() > limit {
+            return Err(malformed(format!("an event is over {limit} bytes")));
+        }
+        if !answer.read(splitter.buffer()).await? {
             return Ok(StreamRead::End {
                 framing: answer.framing(),
                 unfinished_bytes: splitter.unfinished_bytes(),
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -1,8 +1,10 @@
 //! HTTP calls on a persistent connection, with a time-out and an error that shows whether
 //! the call may have been carried out.
 
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::time::within;
 use ploverlift_balancing::engine_paths::DirectFailure;
+use ploverlift_http1::error::malformed;
 use ploverlift_http1::{read_response_head, BufferedStream, HttpError, RequestHead, ResponseHead};
 use smol::net::TcpStream;
 use snafu::Snafu;
@@ -11,10 +13,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Maximum size of an answer's head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Maximum size of an answer's body, in bytes.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Liveness options of connections that this node opens, and of those to other nodes. On Linux
 /// the time-out also decides when unanswered probes end a connection.
 pub(crate) const SERVER_LIVENESS: PeerLiveness = PeerLiveness {
@@ -98,6 +96,8 @@
 /// A connection that is opened on demand and kept open between calls.
 pub struct CallConnection {
     address: SocketAddr,
+    /// Maximum size of an answer's body, in bytes.
+    max_body_bytes: usize,
     stream: Option<BufferedStream>,
 }
 
@@ -115,10 +115,12 @@
 }
 
 impl CallConnection {
-    /// A connection to `address`, not opened yet.
-    pub fn new(address: SocketAddr) -> Self {
+    /// A connection to `address`, not opened yet. An answer whose body is over `max_body_bytes`
+    /// is none.
+    pub fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
         Self {
             address,
+            max_body_bytes,
             stream: None,
         }
     }
@@ -174,7 +176,7 @@
         // and exceed its caller's bound.
         let passed_ms = began.elapsed().as_millis() as u64;
         let left_ms = timeout_ms.saturating_sub(passed_ms).max(1);
-        let exchange = exchange(&mut stream, &head.method, &message);
+        let exchange = exchange(&mut stream, &head.method, &message, self.max_body_bytes);
         let answered = within(left_ms, exchange).await;
         let (answer, is_kept) = match answered {
             None => return no_answer("timed out"),
@@ -198,15 +200,19 @@
     stream: &mut BufferedStream,
     method: &str,
     message: &[u8],
+    max_body_bytes: usize,
 ) -> Result<(WholeAnswer, bool), HttpError> {
     stream.write_all(message).await?;
-    let (head, mut decoder) = read_response_head(stream, method, MAX_HEAD_BYTES).await?;
+    let head_bytes = ANSWER_LIMITS.head_bytes;
+    let (head, mut decoder) = read_response_head(stream, method, head_bytes).await?;
+    let too_large = || malformed(format!("the answer is over {max_body_bytes} bytes"));
+    if decoder.declared_length().unwrap_or(0) > max_body_bytes as u64 {
+        return Err(too_large());
+    }
     let mut body = Vec::new();
     while decoder.read(stream, &mut body).await? {
-        if body.len() > MAX_BODY_BYTES {
-            return Err(ploverlift_http1::error::malformed(
-                "the answer is too large",
-            ));
+        if body.len() > max_body_bytes {
+            return Err(too_large());
         }
     }
     let closes = head.headers.has_token("connection", "close");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 //! | [`planned_stop`] | phases of a planned stop |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
 
+pub mod answer_limits;
 pub mod assembly;
 pub mod beliefs;
 pub mod cache_feeds;
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -4,6 +4,7 @@
 use super::answer_timeout::AnswerTimeout;
 use super::era::{EraChange, EraSource};
 use super::outage::OutageChange;
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::http_call::{CallConnection, CallError};
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
 use crate::state::Gateway;
@@ -27,7 +28,7 @@
         let address = gateway.settings().store.address;
         Self {
             gateway: Arc::clone(gateway),
-            connection: CallConnection::new(address),
+            connection: CallConnection::new(address, ANSWER_LIMITS.store_bytes),
             answer_timeout: None,
             answered_era: StoreEra::default(),
         }
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -1,6 +1,7 @@
 //! Updating one engine to the newest weights.
 
 use super::{Loading, OutdatedEngine};
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::engine_signals::{apply_signals, AnswerOrigin};
 use crate::http_call::CallConnection;
 use crate::leases::LeaseHolder;
@@ -49,7 +50,7 @@
     loading: &Loading,
     engine: OutdatedEngine,
 ) -> Option<u64> {
-    let connection = CallConnection::new(engine.address);
+    let connection = CallConnection::new(engine.address, ANSWER_LIMITS.report_bytes);
     let mut load = EngineLoad {
         gateway,
         holder,
--- a/crates/gateway/tests/event_streams.rs
+++ b/crates/gateway/tests/event_streams.rs
@@ -38,7 +38,7 @@
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
     for piece in bytes.chunks(piece_bytes) {
-        splitter.pending.extend_from_slice(piece);
+        splitter.buffer().extend_from_slice(piece);
         while let Some(event) = splitter.next_event() {
             events.extend_from_slice(&event.bytes);
         }
@@ -78,6 +78,63 @@
     }
 }
 
+/// Feeds bytes in pieces of these sizes, again and again. Returns each event's id and text, the
+/// number of unfinished bytes and the number of bytes that were examined.
+fn split_in_pieces(bytes: &[u8], sizes: &[usize]) -> (Vec<SplitEvent>, usize, u64) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    let mut left = bytes;
+    for size in sizes.iter().cycle() {
+        let (piece, rest) = left.split_at((*size).min(left.len()));
+        splitter.buffer().extend_from_slice(piece);
+        left = rest;
+        while let Some(event) = splitter.next_event() {
+            let text = String::from_utf8(event.bytes).expect("text");
+            // A line feed after a carriage return may come with the next event.
+            events.push((event.id, text.trim_matches(['\r', '\n']).to_owned()));
+        }
+        if left.is_empty() {
+            break;
+        }
+    }
+    let unfinished = splitter.unfinished_bytes();
+    (events, unfinished, splitter.examined_bytes())
+}
+
+/// An event's id and text.
+type SplitEvent = (Option<String>, String);
+
+proptest! {
+    // Guards against events that depend on how their bytes arrive, and against work that grows
+    // with the square of their length.
+    #[test]
+    fn events_and_the_work_for_them_do_not_depend_on_how_bytes_arrive(
+        pieces in prop::collection::vec(
+            prop_oneof![Just("\n"), Just("\r"), Just("\r\n"), Just(":"), Just("id: 7"),
+                Just("id:"), Just("data: x"), Just("\u{feff}"), Just("xxxxxxxxxxxxxxxxxxxx")],
+            0..60,
+        ),
+        sizes in prop::collection::vec(1_usize..30, 1..8),
+    ) {
+        let text = pieces.concat();
+        let whole = split_in_pieces(text.as_bytes(), &[text.len().max(1)]);
+        let split = split_in_pieces(text.as_bytes(), &sizes);
+        prop_assert_eq!(&split.0, &whole.0);
+        prop_assert_eq!(split.1 == 0, whole.1 == 0, "{} and {}", split.1, whole.1);
+        prop_assert!(split.2 <= text.len() as u64, "{} of {}", split.2, text.len());
+    }
+}
+
+// Guards against a search of the whole pending bytes after each piece.
+#[test]
+fn sixteen_megabytes_without_a_line_end_are_examined_once() {
+    let bytes = vec![b'x'; 16 * 1024 * 1024];
+    let (events, unfinished, examined) = split_in_pieces(&bytes, &[4_096]);
+    assert!(events.is_empty());
+    assert_eq!(unfinished, bytes.len());
+    assert_eq!(examined, bytes.len() as u64);
+}
+
 #[test]
 fn comment_lines_after_the_last_event_are_not_unfinished() {
     for (rest, is_unfinished) in [
@@ -102,7 +159,7 @@
     for line_ending in ["\n", "\r", "\r\n"] {
         let mut splitter = EventSplitter::default();
         let text = format!("\u{feff}id: 7{line_ending}data: x{line_ending}{line_ending}");
-        splitter.pending.extend_from_slice(text.as_bytes());
+        splitter.buffer().extend_from_slice(text.as_bytes());
         let event = splitter.next_event().expect("an event");
         assert_eq!(event.id.as_deref(), Some("7"), "{line_ending:?}");
     }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -172,67 +172,113 @@
     ) -> Result<bool, HttpError> {
         let before = output.len();
         loop {
-            let has_more = output.len() > before;
-            if has_more && !self.has_next_step(stream.pending()) {
+            if let Err(violation) = self.decode_pending(stream, output) {
+                self.violation = violation;
+                self.position = Position::Malformed;
+            }
+            // What precedes a violation belongs to the body.
+            if output.len() > before {
                 return Ok(true);
             }
-            match self.step(stream, output).await {
-                Ok(true) => {}
-                Ok(false) => return Ok(false),
-                Err(HttpError::Malformed { reason }) => {
-                    self.position = Position::Malformed;
-                    self.violation = reason;
-                    // What precedes the violation belongs to the body.
-                    if !has_more {
-                        return Err(malformed(self.violation.clone()));
-                    }
+            match self.position {
+                Position::End | Position::Length(0) => {
+                    self.position = Position::End;
+                    return Ok(false);
+                }
+                Position::Length(left) => {
+                    let count = copy_pending(stream, output, left).await?;
+                    self.position = Position::Length(left - count);
+                    return Ok(true);
                 }
-                Err(error) => return Err(error),
+                Position::UntilClose => return self.read_until_close(stream, output).await,
+                Position::Malformed => return Err(malformed(self.violation.clone())),
+                Position::Chunk(_)
+                | Position::ChunkHead
+                | Position::ChunkEnd
+                | Position::Trailers => stream.fill_message().await?,
             }
         }
     }
 
-    /// Whether the next step within the chunks needs only the pending bytes.
-    fn has_next_step(&self, pending: &[u8]) -> bool {
-        match self.position {
-            Position::Chunk(0) => true,
-            Position::Chunk(_) => !pending.is_empty(),
-            Position::ChunkEnd | Position::ChunkHead => pending.contains(&b'\n'),
-            Position::Length(_)
-            | Position::Trailers
-            | Position::UntilClose
-            | Position::End
-            | Position::Malformed => false,
-        }
+    /// Decodes the pending bytes of a chunked body, up to a step for which bytes are missing.
+    fn decode_pending(
+        &mut self,
+        stream: &mut BufferedStream,
+        output: &mut Vec<u8>,
+    ) -> Result<(), Violation> {
+        let pending = stream.pending();
+        let mut consumed = 0;
+        let decoded = loop {
+            match self.decode_next(&pending[consumed..], output) {
+                Ok(Some(count)) => consumed += count,
+                Ok(None) => break Ok(()),
+                Err(violation) => break Err(violation),
+            }
+        };
+        stream.consume(consumed);
+        decoded
     }
 
-    /// Reads up to the next border of the framing; returns false at the end of the body.
-    async fn step(
+    /// Decodes one step of a chunked body; returns the number of bytes that it took, or `None`
+    /// when bytes are missing for it.
+    fn decode_next(
         &mut self,
-        stream: &mut BufferedStream,
+        pending: &[u8],
         output: &mut Vec<u8>,
-    ) -> Result<bool, HttpError> {
+    ) -> Result<Option<usize>, Violation> {
         match self.position {
-            Position::End | Position::Length(0) => {
-                self.position = Position::End;
-                return Ok(false);
+            Position::Chunk(_) if pending.is_empty() => Ok(None),
+            Position::Chunk(left) => {
+                let limit = usize::try_from(left).unwrap_or(usize::MAX);
+                let count = pending.len().min(limit);
+                output.extend_from_slice(&pending[..count]);
+                self.position = match left - count as u64 {
+                    0 => Position::ChunkEnd,
+                    left => Position::Chunk(left),
+                };
+                Ok(Some(count))
             }
-            Position::Length(left) => {
-                let count = copy_pending(stream, output, left).await?;
-                self.position = Position::Length(left - count);
+            Position::ChunkHead | Position::ChunkEnd | Position::Trailers => {
+                let Some(count) = line_length(pending)? else {
+                    return Ok(None);
+                };
+                self.take_line(without_ending(&pending[..count]))?;
+                Ok(Some(count))
             }
-            Position::Chunk(0) => self.position = Position::ChunkEnd,
-            Position::Chunk(left) => {
-                let count = copy_pending(stream, output, left).await?;
-                self.position = Position::Chunk(left - count);
+            Position::Length(_) | Position::UntilClose | Position::End | Position::Malformed => {
+                Ok(None)
             }
-            Position::ChunkEnd => self.read_chunk_end(stream).await?,
-            Position::ChunkHead => self.read_chunk_head(stream).await?,
-            Position::Trailers => self.read_trailer(stream).await?,
-            Position::UntilClose => return self.read_until_close(stream, output).await,
-            Position::Malformed => return Err(malformed(self.violation.clone())),
         }
-        Ok(true)
+    }
+
+    /// Takes a line between or after chunks.
+    fn take_line(&mut self, line: &[u8]) -> Result<(), Violation> {
+        match self.position {
+            Position::ChunkHead => {
+                let (length, extension_bytes) = parse_chunk_head(line)?;
+                self.extension_bytes += extension_bytes;
+                check_limit(
+                    "the chunk extensions are",
+                    self.extension_bytes,
+                    MESSAGE_LIMITS.extension_bytes,
+                )?;
+                self.position = match length {
+                    0 => Position::Trailers,
+                    length => Position::Chunk(length),
+                };
+            }
+            Position::ChunkEnd if !line.is_empty() => {
+                return Err("a chunk is longer than its length".to_owned());
+            }
+            Position::ChunkEnd => self.position = Position::ChunkHead,
+            _ if line.is_empty() => self.position = Position::End,
+            _ => {
+                self.trailer_bytes += line.len();
+                let limit = MESSAGE_LIMITS.trailer_bytes;
+                check_limit("the trailers are", self.trailer_bytes, limit)?;
+            }
+        }
+        Ok(())
     }
 
     async fn read_until_close(
@@ -247,47 +293,14 @@
         copy_pending(stream, output, u64::MAX).await?;
         Ok(true)
     }
-
-    async fn read_chunk_head(&mut self, stream: &mut BufferedStream) -> Result<(), HttpError> {
-        let count = await_line(stream).await?;
-        let line = without_ending(&stream.pending()[..count]);
-        let (length, extension_bytes) = parse_chunk_head(line)?;
-        stream.consume(count);
-        self.extension_bytes += extension_bytes;
-        let limit = MESSAGE_LIMITS.extension_bytes;
-        check_limit("the chunk extensions are", self.extension_bytes, limit)?;
-        self.position = match length {
-            0 => Position::Trailers,
-            length => Position::Chunk(length),
-        };
-        Ok(())
-    }
-
-    async fn read_chunk_end(&mut self, stream: &mut BufferedStream) -> Result<(), HttpError> {
-        let count = await_line(stream).await?;
-        if !without_ending(&stream.pending()[..count]).is_empty() {
-            return Err(malformed("a chunk is longer than its length"));
-        }
-        stream.consume(count);
-        self.position = Position::ChunkHead;
-        Ok(())
-    }
-
-    async fn read_trailer(&mut self, stream: &mut BufferedStream) -> Result<(), HttpError> {
-        let count = await_line(stream).await?;
-        if without_ending(&stream.pending()[..count]).is_empty() {
-            self.position = Position::End;
-        }
-        stream.consume(count);
-        self.trailer_bytes += count;
-        let limit = MESSAGE_LIMITS.trailer_bytes;
-        check_limit("the trailers are", self.trailer_bytes, limit)
-    }
 }
 
-fn check_limit(subject: &str, bytes: usize, limit: usize) -> Result<(), HttpError> {
+/// The rule that the framing of a body violates.
+type Violation = String;
+
+fn check_limit(subject: &str, bytes: usize, limit: usize) -> Result<(), Violation> {
     match bytes > limit {
-        true => Err(malformed(format!("{subject} over {limit} bytes"))),
+        true => Err(format!("{subject} over {limit} bytes")),
         false => Ok(()),
     }
 }
@@ -310,19 +323,13 @@
     Ok(count as u64)
 }
 
-/// Waits for a whole line; returns its length with its line feed.
-async fn await_line(stream: &mut BufferedStream) -> Result<usize, HttpError> {
-    loop {
-        let pending = stream.pending();
-        let end = pending.iter().position(|byte| *byte == b'\n');
-        if end.unwrap_or(pending.len()) > MESSAGE_LIMITS.line_bytes {
-            return Err(malformed("a line is too long"));
-        }
-        if let Some(end) = end {
-            return Ok(end + 1);
-        }
-        stream.fill_message().await?;
+/// Length of the first pending line with its line feed; `None` if that has not arrived.
+fn line_length(pending: &[u8]) -> Result<Option<usize>, Violation> {
+    let end = pending.iter().position(|byte| *byte == b'\n');
+    if end.unwrap_or(pending.len()) > MESSAGE_LIMITS.line_bytes {
+        return Err("a line is too long".to_owned());
     }
+    Ok(end.map(|end| end + 1))
 }
 
 /// A line without its line ending.
@@ -332,15 +339,15 @@
 }
 
 /// The length of a chunk, and the length of its extensions, in bytes.
-fn parse_chunk_head(line: &[u8]) -> Result<(u64, usize), HttpError> {
+fn parse_chunk_head(line: &[u8]) -> Result<(u64, usize), Violation> {
     let end = line.iter().position(|byte| *byte == b';');
     let (digits, extension) = line.split_at(end.unwrap_or(line.len()));
     let digits = std::str::from_utf8(digits.trim_ascii()).unwrap_or_default();
     let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
     if !is_number {
-        return Err(malformed("the length of a chunk is not a number"));
+        return Err("the length of a chunk is not a number".to_owned());
     }
     let length = u64::from_str_radix(digits, 16);
-    let length = length.map_err(|_| malformed("the length of a chunk is too large"))?;
+    let length = length.map_err(|_| "the length of a chunk is too large")?;
     Ok((length, extension.len()))
 }
--- a/crates/http1/src/limits.rs
+++ b/crates/http1/src/limits.rs
@@ -21,5 +21,5 @@
     line_bytes: 1_024,
     extension_bytes: 16 * 1_024,
     trailer_bytes: 16 * 1_024,
-    turn_bytes: 16 * 1_024,
+    turn_bytes: 4 * 1_024,
 };
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -7,7 +7,6 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::time::Instant;
 
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
@@ -32,7 +31,6 @@
 pub struct BufferedStream {
     stream: TcpStream,
     turns: ReadingTurns,
-    last_arrival: Option<Instant>,
     buffer: Vec<u8>,
     start: usize,
     /// Set where what is read is framed.
@@ -45,7 +43,6 @@
         Self {
             stream,
             turns: ReadingTurns::default(),
-            last_arrival: None,
             buffer: Vec::new(),
             start: 0,
             decoder: None,
@@ -94,12 +91,6 @@
         Ok(count)
     }
 
-    /// When bytes, or the end, last arrived while this stream was waiting for them; `None` if
-    /// everything had arrived before it was read.
-    pub fn last_arrival(&self) -> Option<Instant> {
-        self.last_arrival
-    }
-
     /// Reads what has arrived, or waits until something does.
     async fn read_some(&mut self, chunk: &mut [u8]) -> io::Result<usize> {
         self.turns.take().await;
@@ -111,7 +102,6 @@
         });
         let read = reading.await;
         if has_waited {
-            self.last_arrival = Some(Instant::now());
             self.turns.note_wait();
         }
         self.turns.note_read(*read.as_ref().unwrap_or(&0));
--- a/crates/tunnel/src/framing.rs
+++ b/crates/tunnel/src/framing.rs
@@ -45,6 +45,7 @@
         self.header.clear();
         match header {
             END => self.is_ended = true,
+            CLOSING if self.is_closing => return Err(invalid("a shutdown is announced twice")),
             CLOSING => self.is_closing = true,
             _ => {
                 let length = u32::from_be_bytes(header) as usize;
