Split by the weights in force alone

Cause: credits, in units of the former weights, were kept while the number of targets was the same, and nothing kept a target of weight 0 from being chosen. What changed: credits belong to the targets and weights that they were counted for, and a route whose targets changed starts its round again; targets without a positive, finite weight have no share. Evidence: a_split_follows_new_weights_at_once and a_target_without_a_positive_finite_weight_is_never_chosen failed on the code before (23 requests for a target without a share; a target of weight 0 chosen), and pass.

--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -10,49 +10,76 @@
 const START_TURNS: f64 = 1_000.0;
 
 /// Chooses targets by smooth weighted round robin: the target that is furthest behind its
-/// share is next, so that each has received its share at any time.
+/// share is next, so that each has received its share at any time. A target without a positive,
+/// finite weight is never chosen.
 #[derive(Debug, Default)]
 pub struct WeightedSplitter {
-    credits: HashMap<String, Vec<f64>>,
+    rounds: HashMap<String, Round>,
+}
+
+/// Position of a route in its round robin.
+#[derive(Debug, Default)]
+struct Round {
+    /// Targets that have a share.
+    targets: Vec<WeightedTarget>,
+    /// How far each target is behind its share, in units of these weights.
+    credits: Vec<f64>,
 }
 
 impl WeightedSplitter {
-    /// The service for the next request of a route; `None` if the route has no targets.
-    /// `start`, from 0 to 1, sets the position at which the route starts and should differ
-    /// between nodes. If all nodes started at the same position, they would send their first
-    /// requests to the same targets, and in a large fleet with few requests per node the
-    /// targets with a small weight would receive none.
+    /// The service for the next request of a route; `None` if no target of the route has a share.
+    /// `start`, from 0 to 1, sets the position at which the route starts, also when its targets
+    /// have changed, and should differ between nodes. If all nodes started at the same position,
+    /// they would send their first requests to the same targets, and in a large fleet with few
+    /// requests per node the targets with a small weight would receive none.
     pub fn next<'a>(&mut self, route: &'a Route, start: f64) -> Option<&'a ServiceName> {
-        if route.targets.len() < 2 {
-            return route.targets.first().map(|target| &target.service);
+        let with_share = || route.targets.iter().filter(|target| has_share(target));
+        let mut several = with_share();
+        let first = several.next()?;
+        if several.next().is_none() {
+            return Some(&first.service);
         }
-        let credits = self.credits.entry(route.name.clone()).or_default();
-        if credits.len() != route.targets.len() {
-            *credits = vec![0.0; route.targets.len()];
-            for _ in 0..(start * START_TURNS) as usize {
-                next_target(credits, &route.targets);
-            }
+        let round = self.rounds.entry(route.name.clone()).or_default();
+        // Credits are in units of the weights: those of other weights must not be kept.
+        if !with_share().eq(&round.targets) {
+            *round = Round::new(with_share().cloned().collect(), start);
         }
-        let index = next_target(credits, &route.targets);
-        Some(&route.targets[index].service)
+        let index = round.next();
+        with_share().nth(index).map(|target| &target.service)
     }
 
     /// Removes the state of routes that no longer exist.
     pub fn retain(&mut self, routes: &[Route]) {
-        self.credits
+        self.rounds
             .retain(|name, _| routes.iter().any(|route| route.name == *name));
     }
 }
 
-/// Returns the index of the target that is furthest behind its share and charges it for the
-/// request.
-fn next_target(credits: &mut [f64], targets: &[WeightedTarget]) -> usize {
-    let total: f64 = targets.iter().map(|target| target.weight).sum();
-    for (credit, target) in credits.iter_mut().zip(targets) {
-        *credit += target.weight;
+impl Round {
+    fn new(targets: Vec<WeightedTarget>, start: f64) -> Self {
+        let credits = vec![0.0; targets.len()];
+        let mut round = Self { targets, credits };
+        for _ in 0..(start * START_TURNS) as usize {
+            round.next();
+        }
+        round
     }
-    let largest = credits.iter().enumerate().max_by(|a, b| a.1.total_cmp(b.1));
-    let index = largest.map_or(0, |(index, _)| index);
-    credits[index] -= total;
-    index
+
+    /// Returns the index of the target that is furthest behind its share and charges it for the
+    /// request.
+    fn next(&mut self) -> usize {
+        let total: f64 = self.targets.iter().map(|target| target.weight).sum();
+        for (credit, target) in self.credits.iter_mut().zip(&self.targets) {
+            *credit += target.weight;
+        }
+        let largest = self.credits.iter().enumerate();
+        let largest = largest.max_by(|a, b| a.1.total_cmp(b.1));
+        let index = largest.map_or(0, |(index, _)| index);
+        self.credits[index] -= total;
+        index
+    }
+}
+
+fn has_share(target: &WeightedTarget) -> bool {
+    target.weight > 0.0 && target.weight.is_finite()
 }
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -166,6 +166,69 @@
     assert!((share - 0.1).abs() < 0.02, "{share} in place of 0.1");
 }
 
+/// The services of the next requests of a route.
+fn next_services(splitter: &mut WeightedSplitter, split: &Route, requests: usize) -> Vec<String> {
+    let next = (0..requests).filter_map(|_| splitter.next(split, 0.3));
+    next.map(|service| service.0.clone()).collect()
+}
+
+proptest! {
+    // Guards against a split that goes on by its former weights, in units of another scale.
+    #[test]
+    fn a_split_follows_new_weights_at_once(
+        before in prop::collection::vec(0u32..1_000, 2..5),
+        after in prop::collection::vec(0u32..4, 2..5),
+        requests in 0usize..200,
+        start in 0.0f64..1.0,
+    ) {
+        let names = ["a", "b", "c", "d"];
+        let split_by = |weights: &[u32]| {
+            let targets = names.iter().zip(weights);
+            let targets: Vec<(&str, f64)> =
+                targets.map(|(name, weight)| (*name, f64::from(*weight))).collect();
+            route("r", "h", "/", &targets)
+        };
+        let mut splitter = WeightedSplitter::default();
+        for _ in 0..requests {
+            splitter.next(&split_by(&before), start);
+        }
+        let total: u32 = after.iter().sum();
+        let requests = 60;
+        let chosen = next_services(&mut splitter, &split_by(&after), requests);
+        prop_assert_eq!(chosen.len(), if total == 0 { 0 } else { requests });
+        for (name, weight) in names.iter().zip(&after) {
+            let count = chosen.iter().filter(|chosen| chosen == name).count();
+            prop_assert!(*weight > 0 || count == 0, "{name} has the weight 0 and got {count}");
+            let share = requests as f64 * f64::from(*weight) / f64::from(total.max(1));
+            prop_assert!((count as f64 - share).abs() <= after.len() as f64, "{name} {count}");
+        }
+    }
+}
+
+// Guards against a service without a share getting requests.
+#[test]
+fn a_target_without_a_positive_finite_weight_is_never_chosen() {
+    for none in [0.0, -0.0, -3.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
+        for targets in [
+            vec![("none", none), ("some", 2.0)],
+            vec![("some", 2.0), ("none", none)],
+            vec![("none", none), ("some", 1.0), ("none", none)],
+        ] {
+            let split = route("r", "h", "/", &targets);
+            let chosen = next_services(&mut WeightedSplitter::default(), &split, 20);
+            assert_eq!(chosen, vec!["some"; 20], "{none}");
+        }
+        for targets in [vec![("none", none)], vec![("none", none), ("none", none)]] {
+            let split = route("r", "h", "/", &targets);
+            assert_eq!(
+                WeightedSplitter::default().next(&split, 0.3),
+                None,
+                "{none}"
+            );
+        }
+    }
+}
+
 #[test]
 fn distance_is_by_zone_then_by_region_and_unknown_regions_are_near() {
     let zone = |name: &str| ZoneName(name.to_owned());
