Change the common cache scope with the set of isolated tenants

Cause: the scope of all tenants that are not isolated was the empty text for ever; isolating a tenant changed the salt of its own later requests only. What changed: the common scope is a hash of the sorted names of the isolated tenants, and empty when there are none. So it depends on the configuration in force alone, on each node, whenever it started: what is found in a common scope was made by tenants that are not isolated now. It changes only with that set. The function moved from prompt.rs to the tenant directory, which knows the set; its test asserts what it asserted before. Evidence: cache_is_never_shared_with_a_tenant_that_is_isolated_when_it_is_used and the_common_scope_changes_only_with_the_set_of_isolated_tenants failed with the scope as it was, and pass. Limits: a request keeps the scope of the configuration that it was admitted under; un-isolating a tenant changes the common scope, too, so others read their prompts once more.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -40,7 +40,7 @@
 use ploverlift_routing::rate_limit::{RateLimit, TenantTag};
 use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
-use ploverlift_routing::tenants::TenantDirectory;
+use ploverlift_routing::tenants::{TenantDirectory, TenantTerms};
 use ploverlift_routing::topology::Topology;
 use ploverlift_streamorigin::journal::Journal;
 use ploverlift_streamorigin::known_sources::KnownSources;
@@ -78,6 +78,12 @@
             tenants,
         }
     }
+
+    /// The scope within which the cache of a tenant's requests may be shared.
+    pub fn cache_scope<'a>(&'a self, tenant: Option<&'a TenantTerms>) -> &'a str {
+        let directory = self.tenants.as_ref();
+        directory.map_or("", |directory| directory.cache_scope(tenant))
+    }
 }
 
 /// This node's view of the site.
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -20,7 +20,7 @@
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::share::GateReason;
 use ploverlift_routing::configuration::CacheStore;
-use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt};
+use ploverlift_routing::prompt::{cache_salt, Prompt};
 use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_routing::topology::Distance;
 use std::net::SocketAddr;
@@ -182,7 +182,9 @@
     }
 
     fn cache_scope(&self) -> &str {
-        cache_scope(self.received.admission.tenant.as_deref())
+        let admission = &self.received.admission;
+        let tenant = admission.tenant.as_deref();
+        admission.configuration.cache_scope(tenant)
     }
 
     /// Criteria that a prompt sets for its engine; `None` for requests without a prompt.
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -16,7 +16,6 @@
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::counts::Side;
 use ploverlift_routing::configuration::ServiceName;
-use ploverlift_routing::prompt::cache_scope;
 use ploverlift_streamorigin::placement::Placement;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -79,8 +78,11 @@
             id: received.request.id.clone(),
             attempts: String::new(),
             prompt: received.request.prompt.as_ref().map(|prompt| {
-                let tenant = received.admission.tenant.as_deref();
-                let key = prompt.shared_key(cache_scope(tenant));
+                let admission = &received.admission;
+                let scope = admission
+                    .configuration
+                    .cache_scope(admission.tenant.as_deref());
+                let key = prompt.shared_key(scope);
                 (key.0, prompt.shared_tokens())
             }),
             first_byte_ms: None,
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -1,6 +1,5 @@
 //! A prompt as a chain of parts, and the keys under which its cache is stored.
 
-use crate::tenants::TenantTerms;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One part of a prompt.
@@ -81,15 +80,6 @@
     }
 }
 
-/// The scope within which cache may be shared: a tenant's own if it is isolated, else the
-/// common scope, which is empty.
-pub fn cache_scope(tenant: Option<&TenantTerms>) -> &str {
-    match tenant {
-        Some(terms) if terms.is_isolated => &terms.name,
-        _ => "",
-    }
-}
-
 /// The salt under which engines store cache. It contains the weights version, the model and
 /// the scope, so that cache of another tenant or of older weights cannot match.
 pub fn cache_salt(model: &str, weights: u64, scope: &str) -> String {
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -3,7 +3,7 @@
 use ploverlift_policy::ids::{Millis, TenantName, ZoneName};
 use ploverlift_routing::configuration::{Delivery, Route, ServiceName, Tenant, WeightedTarget};
 use ploverlift_routing::freshness::Freshness;
-use ploverlift_routing::prompt::{cache_salt, cache_scope, Prompt, PromptPart};
+use ploverlift_routing::prompt::{cache_salt, Prompt, PromptPart};
 use ploverlift_routing::software::{SoftwareRule, SoftwareVersion};
 use ploverlift_routing::split::WeightedSplitter;
 use ploverlift_routing::table::RouteTable;
@@ -88,24 +88,92 @@
     }
 }
 
-#[test]
-fn a_key_finds_its_tenant_and_an_isolated_tenant_has_its_own_scope() {
-    let tenant = |name: &str, key: &str, is_isolated| Tenant {
+fn tenant(name: &str, is_isolated: bool) -> Tenant {
+    Tenant {
         name: TenantName::from(name),
-        keys: vec![key.to_owned()],
+        keys: vec![format!("k{name}")],
         priority: Some(2),
         is_isolated,
         rate_limit: None,
-    };
-    let directory = TenantDirectory::new(&[tenant("a", "ka", false), tenant("b", "kb", true)]);
+    }
+}
+
+#[test]
+fn a_key_finds_its_tenant_and_an_isolated_tenant_has_its_own_scope() {
+    let directory = TenantDirectory::new(&[tenant("a", false), tenant("b", true)]);
     let shared = directory.find("ka").expect("a");
     let isolated = directory.find("kb").expect("b");
-    assert_eq!(cache_scope(Some(shared)), cache_scope(None));
-    assert_eq!(cache_scope(Some(isolated)), "b");
+    assert_eq!(
+        directory.cache_scope(Some(shared)),
+        directory.cache_scope(None)
+    );
+    assert_eq!(directory.cache_scope(Some(isolated)), "b");
     assert!(directory.find("kc").is_none());
     assert!(directory.find("").is_none());
 }
 
+proptest! {
+    // Guards against cache that a tenant made before it was isolated being used by others.
+    #[test]
+    fn cache_is_never_shared_with_a_tenant_that_is_isolated_when_it_is_used(
+        configurations in prop::collection::vec(
+            prop::collection::vec((0usize..5, any::<bool>()), 0..6), 1..12),
+    ) {
+        let names = ["a", "b", "c", "d", "e"];
+        // The scope and maker of each part that engines keep; `None` for requests without a key.
+        let mut kept: Vec<(String, Option<&str>)> = Vec::new();
+        for listed in configurations {
+            let mut tenants: Vec<Tenant> = Vec::new();
+            for (index, is_isolated) in listed {
+                if tenants.iter().all(|known| known.name.as_str() != names[index]) {
+                    tenants.push(tenant(names[index], is_isolated));
+                }
+            }
+            let directory = TenantDirectory::new(&tenants);
+            let is_isolated = |name: Option<&str>| {
+                let mut tenants = tenants.iter();
+                tenants.any(|tenant| tenant.is_isolated && Some(tenant.name.as_str()) == name)
+            };
+            let users = tenants.iter().map(|tenant| Some(tenant.name.as_str()));
+            for user in users.chain([None]) {
+                let terms = user.and_then(|name| directory.find(&format!("k{name}")));
+                let scope = directory.cache_scope(terms.map(|terms| &**terms)).to_owned();
+                for (_, maker) in kept.iter().filter(|(made_under, _)| *made_under == scope) {
+                    let is_shared = user != *maker && (is_isolated(user) || is_isolated(*maker));
+                    prop_assert!(!is_shared, "{user:?} uses cache of {maker:?}");
+                }
+                let maker = names.iter().find(|name| Some(**name) == user).copied();
+                kept.push((scope, maker));
+            }
+        }
+    }
+}
+
+// Guards against nodes of one configuration not sharing, and against cache lost without need.
+#[test]
+fn the_common_scope_changes_only_with_the_set_of_isolated_tenants() {
+    let scope_of = |tenants: &[(&str, bool)]| {
+        let tenants = tenants.iter();
+        let tenants: Vec<Tenant> = tenants.map(|(name, own)| tenant(name, *own)).collect();
+        TenantDirectory::new(&tenants).cache_scope(None).to_owned()
+    };
+    let none = scope_of(&[("a", false), ("b", false)]);
+    assert_eq!(none, "", "caches outlive an update of the software");
+    assert_eq!(scope_of(&[("b", false), ("c", false)]), none);
+    let two = scope_of(&[("a", true), ("b", true), ("c", false)]);
+    assert_eq!(scope_of(&[("d", false), ("b", true), ("a", true)]), two);
+    let others = [
+        none,
+        scope_of(&[("a", true), ("b", false)]),
+        scope_of(&[("ab", true)]),
+        scope_of(&[("a", true), ("b", true), ("c", true)]),
+    ];
+    for (index, scope) in others.iter().enumerate() {
+        assert_ne!(*scope, two);
+        assert!(!others[..index].contains(scope));
+    }
+}
+
 fn prompt(ids: &[u64]) -> Prompt {
     let parts = ids.iter().map(|id| PromptPart {
         id: *id,
