Log why an engine's calls failed, and test calls, callers and tunnels that send without end

The reason of a lost cache feed and of a missing report was dropped, so no line named the limit that an answer had exceeded.

--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -179,8 +179,12 @@
                 stop_following(&gateway, &engine, &mut is_followed);
                 RETRY_MS
             }
-            Err(_) => {
+            Err(error) => {
                 connection.reset();
+                if is_followed {
+                    slog::info!(gateway.log, "engine cache not read";
+                        "engine" => &engine.instance.0, "error" => error.to_string());
+                }
                 stop_following(&gateway, &engine, &mut is_followed);
                 eject(&gateway, &engine);
                 RETRY_MS
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`callers`] | connections of callers |
 //! | [`forward`] | one request, from its head to the end of its answer |
 //! | `engine_signals` | signals that engines set in the heads of their answers |
+//! | [`answer_limits`] | limits on the answers that a node reads |
 //! | [`engine_connection`] | one request on one connection to an engine |
 //! | `engine_liveness` | proof that an engine instance runs, after the end of an answer |
 //! | [`engine_ends`] | detects that an engine has terminated, and the requests that it was running |
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -109,8 +109,14 @@
     async fn report(&mut self) -> Option<EngineReport> {
         let timeout_ms = self.gateway.settings().weights.order_timeout_ms;
         let head = self.gateway.site.report_head();
-        let answer = self.connection.call(head, &[], timeout_ms).await.ok()?;
-        self.gateway.site.read_report(&answer.0, &answer.1)
+        match self.connection.call(head, &[], timeout_ms).await {
+            Ok((head, body)) => self.gateway.site.read_report(&head, &body),
+            Err(error) => {
+                slog::info!(self.gateway.log, "no report";
+                    "engine" => &self.engine.instance.0, "error" => error.to_string());
+                None
+            }
+        }
     }
 
     fn loaded(&self, version: u64) -> NextStep {
--- a/crates/gateway/tests/endless_answers.rs
+++ b/crates/gateway/tests/endless_answers.rs
@@ -5,6 +5,8 @@
 
 use ploverlift_balancing::names::InstanceId;
 use ploverlift_gateway::answer_limits::ANSWER_LIMITS;
+use ploverlift_gateway::http_call::CallConnection;
+use ploverlift_http1::{BufferedStream, RequestHead};
 use serde_json::json;
 use std::cell::Cell;
 use std::future::Future;
@@ -387,3 +389,71 @@
         assert_eq!(heads[0].headers.get(site::AFTER), Some("2"));
     });
 }
+
+// Guards against a call's answer without end being read up to the limit of another kind of call.
+#[test]
+fn a_call_is_given_up_at_its_limit() {
+    run(async {
+        let long = "content-length: 9223372036854775807\r\n\r\n";
+        let chunked = "transfer-encoding: chunked\r\n\r\n";
+        for (lines, piece, exceeded) in [
+            ("\r\n", "x", "the answer is over 65536 bytes"),
+            (long, "x", "the answer is over 65536 bytes"),
+            (chunked, "1\r\nx\r\n", "the answer is over 65536 bytes"),
+            ("x: ", "x", "the head is over 32768 bytes"),
+        ] {
+            let engine = FloodingEngine::start(endless(head("200 OK", lines), piece));
+            let limit = ANSWER_LIMITS.report_bytes;
+            let mut connection = CallConnection::new(engine.address, limit);
+            let call = connection.call(RequestHead::new("GET", "/"), &[], 2_000);
+            let error = call.await.expect_err("no end").to_string();
+            assert!(error.contains(exceeded), "{error}");
+            let closed = engine.closed.recv().await.expect("closed");
+            assert!(closed < CLOSED_WITHIN, "{closed:?}");
+        }
+    });
+}
+
+// Guards against a caller that sends without end keeping others waiting.
+#[test]
+fn callers_that_send_without_end_are_refused_beside_others() {
+    run(async {
+        let site = Site::new(endless(String::new(), "x"), "").await;
+        let chunked =
+            "POST /work HTTP/1.1\r\nhost: safe.test\r\ntransfer-encoding: chunked\r\n\r\n";
+        for (start, piece, status) in [
+            (chunked.to_owned(), "1\r\nx\r\n", 413),
+            (format!("{chunked}0\r\n"), "x: y\r\n", 400),
+            (format!("{chunked}1;"), "x", 400),
+            ("GET / HTTP/1.1\r\nx: ".to_owned(), "x", 431),
+            ("\n".to_owned(), "\r\n", 431),
+        ] {
+            let mut usual = Duration::ZERO;
+            for number in 0..USUAL_REQUESTS {
+                usual = usual.max(site.ask_sound(number).await);
+            }
+            let address = site.fixture.running().callers;
+            let stream = TcpStream::connect(address).expect("connect");
+            let mut sending = stream.try_clone().expect("clone");
+            let sender = std::thread::spawn(move || {
+                let pieces = piece.repeat(32 * 1024 / piece.len() + 1);
+                let mut written = sending.write_all(start.as_bytes());
+                while written.is_ok() {
+                    written = sending.write_all(pieces.as_bytes());
+                }
+            });
+            let stream = smol::net::TcpStream::try_from(stream).expect("a stream");
+            let mut connection = BufferedStream::new(stream);
+            let answer = caller::read(&mut connection).await.expect("an answer");
+            assert_eq!(answer.status(), status, "{piece:?}");
+            let mut late = 0;
+            for number in 0..100 {
+                let took = site.ask_sound(number).await;
+                assert!(took < LATEST, "{piece:?}: {took:?}");
+                late += usize::from(took > usual + LATER_AT_MOST);
+            }
+            assert!(late <= 10, "{piece:?}: {late} of 100 late");
+            smol::unblock(|| sender.join()).await.expect("the caller");
+        }
+    });
+}
--- a/crates/tunnel/tests/framing.rs
+++ b/crates/tunnel/tests/framing.rs
@@ -81,3 +81,15 @@
     let raw = [END.as_slice(), &[0; HEADER_BYTES]].concat();
     assert!(decoder.decode(&raw, &mut Vec::new()).is_err());
 }
+
+// Guards against a peer that announces its shutdown without end, and never sends payload.
+#[test]
+fn a_shutdown_is_announced_once() {
+    let mut decoder = FrameDecoder::default();
+    let mut payload = Vec::new();
+    assert!(decoder.decode(&CLOSING, &mut payload).is_ok());
+    assert!(decoder.decode(&header(1), &mut payload).is_ok());
+    assert!(decoder.decode(b"x", &mut payload).is_ok());
+    assert!(decoder.decode(&CLOSING, &mut payload).is_err());
+    assert_eq!(payload, b"x");
+}
