--- a/crates/gateway/src/stream_sources/mod.rs
+++ b/crates/gateway/src/stream_sources/mod.rs
@@ -28,8 +28,6 @@
 
 /// Name of the only object.
 const REGISTER_NAME: &str = "main";
-/// Shortest time-out of the first call, in milliseconds.
-const CALL_TIMEOUT_MS: u64 = 1_000;
 /// Interval of the checks whether links should be marked or removed, in milliseconds.
 const MAINTENANCE_PERIOD_MS: u64 = 5_000;
 /// Time between the starts of two reads of one node, for each node of the fleet, in
@@ -76,7 +74,7 @@
 /// streams that are taken up, until the task is dropped.
 pub async fn keep_stream_sources(gateway: Arc<Gateway>) {
     let mut keeper = SourceKeeper {
-        client: StoreClient::with_timeout(&gateway, call_timeout_ms(&gateway)),
+        client: StoreClient::new(&gateway),
         backoff: Backoff::new(),
         checked_at: gateway.clock.now(),
         gateway,
@@ -99,10 +97,6 @@
     }
 }
 
-fn call_timeout_ms(gateway: &Gateway) -> u64 {
-    gateway.settings().store.timeout_ms.max(CALL_TIMEOUT_MS)
-}
-
 fn read_spacing_ms(gateway: &Gateway) -> u64 {
     let nodes = gateway.address_book().listed_nodes() as u64;
     let (shortest_ms, longest_ms) = READ_SPACING_MS;
