Register of stream sources: tests that see an earlier read believed, and a registration that is not awaited

The new test has only the register's calls refused; the other one sends prompts with parts of their own.

--- a/crates/gateway/tests/stream_versions/register.rs
+++ b/crates/gateway/tests/stream_versions/register.rs
@@ -3,6 +3,7 @@
 use crate::site::VersionedSite;
 use crate::support::caller::{prompt, send, Answer};
 use crate::support::engine::{Behaviour, StandInEngine};
+use crate::support::site::PARTS;
 use crate::support::store::StoreFault;
 use ploverlift_gateway::time::sleep;
 use ploverlift_streamorigin::known_sources::Sources;
@@ -48,6 +49,13 @@
     send(site.callers_of(node), &prompt(host, id)).await
 }
 
+/// Sends a request whose prompt has a part of its own, which no engine has cached.
+async fn uncached_stream(site: &VersionedSite, node: usize, id: &str, part: usize) -> Answer {
+    let mut request = prompt(HOST, id);
+    request.head.headers.set(PARTS, format!("{part},1,2"));
+    send(site.callers_of(node), &request).await
+}
+
 fn has_arrived(site: &VersionedSite, id: &str) -> bool {
     let mut arrived = site.engines.iter().flat_map(StandInEngine::arrived_ids);
     arrived.any(|arrived| arrived == id)
@@ -116,7 +124,7 @@
         for number in 0..30 {
             let id = format!("early-{number}");
             let began = Instant::now();
-            let answer = stream(&site, number % 3, HOST, &id).await;
+            let answer = uncached_stream(&site, number % 3, &id, 100 + number).await;
             assert_eq!(answer.status(), 200, "{}", answer.text());
             assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
             assert_eq!(site.versions_of(&[&id]), BTreeSet::from(["v1".to_owned()]));
@@ -126,13 +134,55 @@
         let mut used = BTreeSet::new();
         for number in 0..30 {
             let id = format!("late-{number}");
-            stream(&site, number % 3, HOST, &id).await;
+            uncached_stream(&site, number % 3, &id, 200 + number).await;
             used.extend(site.versions_of(&[&id]));
         }
         assert!(used.contains("v2"), "{used:?}");
     });
 }
 
+// Guards against placing a stream by a register that was read before it was taken up.
+#[test]
+fn a_register_of_an_earlier_read_places_no_stream() {
+    smol::block_on(async {
+        let mut site = VersionedSite::start(7, &["v1"], Behaviour::Answer).await;
+        stream(&site, 0, HOST, "first").await;
+        site.silence_store().await;
+        site.add_engine("v2", Behaviour::Answer).await;
+        site.wait_until_others_know_engines().await;
+        let mut began = Vec::new();
+        for number in 0..24 {
+            let id = format!("began-{number}");
+            site.begin_broken(1 + number % 6, &id).await;
+            if site.versions_of(&[&id]).contains("v2") {
+                began.push(id);
+            }
+        }
+        site.kill_from(1);
+        site.store.set_fault(StoreFault::HidesSources);
+        site.heal_store();
+        let is_behind = |site: &VersionedSite| {
+            let gateway = &site.nodes[0].gateway;
+            let age_ms = gateway.beliefs().freshness.age_ms(gateway.clock.now());
+            age_ms.is_none_or(|age_ms| age_ms > 200)
+        };
+        while is_behind(&site) {
+            sleep(POLL_MS).await;
+        }
+        let mut invited = 0;
+        for began in &began {
+            let resumed = format!("{began}-again");
+            let answer = site.take_up(0, &resumed, began).await;
+            let used = site.versions_of(&[began, &resumed]);
+            assert_eq!(used.len(), 1, "{used:?}: {}", answer.text());
+            let retry_after = answer.head.headers.get("retry-after-ms");
+            invited += usize::from(retry_after == Some("1000"));
+        }
+        // This node keeps the origins of some of them.
+        assert!(invited > 0, "of {}", began.len());
+    });
+}
+
 // Guards against believing a register that lost a version when the store was restored.
 #[test]
 fn a_register_that_was_restored_from_a_copy_places_no_stream() {
