--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Whether the whole request had been written when the head arrived. What answers an unwritten
+    /// request was sent before it.
+    pub fn request_is_written(&self) -> bool {
+        self.request_is_written
+    }
+
     /// Appends the next bytes of the body to `output`; returns false at the regular end of
     /// the body.
     ///
--- a/crates/gateway/src/engine_liveness/probe.rs
+++ b/crates/gateway/src/engine_liveness/probe.rs
@@ -212,6 +212,9 @@
 
     fn outcome(&self, answer: &EngineAnswer, is_instance_known: bool) -> ProbeOutcome {
         let site = &self.gateway.site;
+        if !answer.request_is_written() {
+            return ProbeOutcome::Foreign;
+        }
         match site.liveness_answer(&self.engine.instance, &answer.head) {
             LivenessAnswer::Instance => ProbeOutcome::Answered,
             LivenessAnswer::Unnamed if is_instance_known => ProbeOutcome::Answered,
