Streams are placed whether or not their route permitted takeups when they began

Callers could get the rest of a stream from another version: a configuration took the permission away and the request with its position was forwarded to any engine; or it gave the permission, and the register knew nothing of the route's earlier streams.

Cause: the route as it is configured now was asked in place of the one that began the stream. Now a position at a route that does not permit it is rejected, and all routes with streams are registered before their streams begin.

Evidence: a_stream_is_not_taken_up_at_a_route_that_permits_it_no_more and a_stream_from_before_its_route_permitted_it_is_not_taken_up_at_another_version got 200 with each half of the change undone.

--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -36,9 +36,16 @@
     /// When no node can tell which version began it.
     pub(super) async fn place_resumed_stream(&mut self) -> Result<(), Unplaced> {
         let request = &self.received.request;
-        if request.resume_after.is_none() || !self.is_resumable() {
+        let is_stream = self.received.admission.route.delivery.is_stream();
+        if request.resume_after.is_none() || !is_stream {
             return Ok(());
         }
+        if !self.is_resumable() {
+            return Err(Unplaced {
+                reason: "streams of the route may not be taken up",
+                retry_after_ms: self.left_ms(),
+            });
+        }
         let resumes = request.resumes.as_deref();
         let resumed = ResumedStream {
             stream: resumes.map(|id| self.stream_key(id)),
--- a/crates/gateway/src/stream_sources/present.rs
+++ b/crates/gateway/src/stream_sources/present.rs
@@ -7,7 +7,7 @@
 use ploverlift_streamorigin::sources::{RouteKey, SourceLink};
 use std::collections::BTreeSet;
 
-/// Whether streams of a route may be taken up again.
+/// Whether streams of a route may be taken up, as it is configured now.
 pub fn is_resumable(route: &Route) -> bool {
     route.delivery.is_stream() && route.delivery.is_repeatable()
 }
@@ -19,9 +19,11 @@
     targets.filter(move |target| is_only || target.weight > 0.0)
 }
 
-/// The links of all routes whose streams may be taken up.
+/// The links of all routes with streams: a later configuration may permit that those which have
+/// begun by then are taken up.
 fn target_links(document: &Configuration) -> BTreeSet<SourceLink> {
-    let routes = document.routes.iter().filter(|route| is_resumable(route));
+    let routes = document.routes.iter();
+    let routes = routes.filter(|route| route.delivery.is_stream());
     let links = routes.flat_map(|route| {
         let key = RouteKey::new(&route.host, &route.path_prefix);
         targets(route).map(move |target| SourceLink::Target(key, target.service.clone()))
@@ -29,7 +31,7 @@
     links.collect()
 }
 
-/// The services to which routes lead whose streams may be taken up.
+/// The services to which routes with streams lead.
 fn services(links: &BTreeSet<SourceLink>) -> BTreeSet<ServiceName> {
     let services = links.iter().filter_map(|link| match link {
         SourceLink::Target(_, service) => Some(service.clone()),
