Register of stream sources: a confirmation expires

A node that has a link while others mark and remove it (it is cut off, or can't read the newest configuration) went on to begin streams there, and after 600 s the register named another source as the only one: a stream could go on at another version.

Cause: only nodes at which a link appears had to look for a mark. A confirmation now holds for 300 s from the sending of its read and is renewed after 240 s, so no stream begins in the second half of the time that a removal waits.

Found by review. a_link_is_usable_only_for_a_time_after_the_register_was_read does not compile on the code before, which had no time of a read.

--- a/crates/gateway/src/stream_sources/mod.rs
+++ b/crates/gateway/src/stream_sources/mod.rs
@@ -31,7 +31,7 @@
 /// Interval of the checks whether links should be marked or removed, in milliseconds.
 const MAINTENANCE_PERIOD_MS: u64 = 5_000;
 /// Time between the starts of two reads of one node, for each node of the fleet, in
-/// milliseconds: all nodes together read at most 200 times a second.
+/// milliseconds: the nodes of a fleet of up to 140 read at most 200 times a second together.
 const READ_SPACING_MS_PER_NODE: u64 = 5;
 /// Shortest and longest time between the starts of two reads, in milliseconds.
 const READ_SPACING_MS: (u64, u64) = (25, 700);
@@ -123,6 +123,9 @@
             if self.has_unconfirmed() {
                 return self.spread().await;
             }
+            if self.is_renewal_due() {
+                return self.spread().await;
+            }
             if self.is_maintenance_due() {
                 return;
             }
@@ -136,6 +139,11 @@
         self.gateway.beliefs().stream_sources.has_unconfirmed(era)
     }
 
+    fn is_renewal_due(&self) -> bool {
+        let now = self.gateway.clock.now();
+        self.gateway.beliefs().stream_sources.is_renewal_due(now)
+    }
+
     fn is_maintenance_due(&mut self) -> bool {
         let now = self.gateway.clock.now();
         if now.since(self.checked_at) < MAINTENANCE_PERIOD_MS || !maintains(&self.gateway, now) {
@@ -176,7 +184,8 @@
     }
 
     async fn read(&mut self) -> Result<StoredRegister, StoreError> {
-        let started = self.gateway.beliefs().stream_sources.begin_call();
+        let sent_at = self.gateway.clock.now();
+        let started = self.gateway.beliefs().stream_sources.begin_call(sent_at);
         self.gateway.source_reads.begin();
         let kind = StoreKind::StreamSources;
         match self.client.get(kind, REGISTER_NAME).await {
@@ -199,7 +208,8 @@
             let Some(revised) = self.revision(&stored) else {
                 return Ok(());
             };
-            let started = self.gateway.beliefs().stream_sources.begin_call();
+            let sent_at = self.gateway.clock.now();
+            let started = self.gateway.beliefs().stream_sources.begin_call(sent_at);
             let content = document::to_content(&revised);
             let kind = StoreKind::StreamSources;
             let written = self
--- a/crates/streamorigin/src/known_sources.rs
+++ b/crates/streamorigin/src/known_sources.rs
@@ -22,9 +22,20 @@
 /// milliseconds.
 const LINGERING_MS: u64 = 60_000;
 
-/// Number of the appearances of links before a call of the store was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallStart(u64);
+/// Age of the last read of the register from which it is read again, in milliseconds.
+const RENEWED_AFTER_MS: u64 = 240_000;
+/// Age of the last read of the register from which it confirms no link, in milliseconds. Shorter
+/// than [`REMEMBERED_MS`] by more than a stream lives, so that a node that does not know of a mark
+/// begins no stream by the marked link in the time that its removal relies on.
+pub const CONFIRMED_FOR_MS: u64 = 300_000;
+
+/// A call of the store as it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallStart {
+    /// Number of the appearances of links before.
+    appearances: u64,
+    at: Millis,
+}
 
 /// Proofs of what this node takes for present: when the calls were sent that gave them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -76,6 +87,8 @@
     register: Option<SourceRegister>,
     /// Whether the last read of the register proved it.
     is_proven: bool,
+    /// When the last call was sent that proved the register.
+    read_at: Millis,
     /// Present links, and how many had appeared with each.
     present: BTreeMap<SourceLink, u64>,
     appearances: u64,
@@ -125,8 +138,11 @@
     }
 
     /// Begins a call of the store.
-    pub fn begin_call(&self) -> CallStart {
-        CallStart(self.appearances)
+    pub fn begin_call(&self, now: Millis) -> CallStart {
+        CallStart {
+            appearances: self.appearances,
+            at: now,
+        }
     }
 
     /// Applies the register as a call in an era showed it, or as it was written by that call.
@@ -150,7 +166,7 @@
         }
         for (link, appearance) in &self.present {
             match stored.allows(link) {
-                true if *appearance <= started.0 => {
+                true if *appearance <= started.appearances => {
                     self.confirmed.insert(link.clone());
                 }
                 true => {}
@@ -172,6 +188,7 @@
         });
         self.register = Some(stored.clone());
         self.is_proven = true;
+        self.read_at = started.at;
         true
     }
 
@@ -228,7 +245,7 @@
 
     /// Whether a stream may begin by way of a link, as far as the register matters.
     pub fn is_usable(&self, link: &SourceLink, era: StoreEra, now: Millis) -> bool {
-        if !self.is_proven || self.era() != era {
+        if !self.is_proven || self.era() != era || now.since(self.read_at) >= CONFIRMED_FOR_MS {
             return false;
         }
         let lingers = || {
@@ -244,6 +261,11 @@
         !self.present.is_empty() && (is_outdated || self.confirmed.len() < self.present.len())
     }
 
+    /// Whether the register should be read again, so that it goes on to confirm links.
+    pub fn is_renewal_due(&self, now: Millis) -> bool {
+        !self.present.is_empty() && now.since(self.read_at) >= RENEWED_AFTER_MS
+    }
+
     /// Whether a link should be marked or removed now.
     pub fn has_maintenance(&self, now: Millis) -> bool {
         let Some(register) = self.register.as_ref().filter(|_| self.is_proven) else {
--- a/crates/streamorigin/src/sources.rs
+++ b/crates/streamorigin/src/sources.rs
@@ -1,9 +1,10 @@
-//! The fleet's register of stream sources: to which services the routes of resumable streams
+//! The fleet's register of stream sources: to which services the routes with streams
 //! have led, and which software versions of these services may have begun streams.
 //!
 //! It is a write-ahead register: a node begins a stream at a source only once the store has
 //! acknowledged a register that contains the source. So a register that was read after a
-//! stream was taken up contains the source that began it.
+//! stream was taken up contains the source that began it, unless that stream is older than the
+//! time for which links stay registered after they are gone ([`crate::known_sources`]).
 
 use crate::source::StreamSource;
 use ploverlift_policy::ids::StoreEra;
--- a/crates/streamorigin/tests/sources.rs
+++ b/crates/streamorigin/tests/sources.rs
@@ -5,7 +5,8 @@
 use ploverlift_routing::configuration::ServiceName;
 use ploverlift_routing::software::SoftwareVersion;
 use ploverlift_streamorigin::known_sources::{
-    CallStart, KnownSources, Sources, ViewProofs, ABSENT_BEFORE_MARK_MS, REMEMBERED_MS,
+    CallStart, KnownSources, Sources, ViewProofs, ABSENT_BEFORE_MARK_MS, CONFIRMED_FOR_MS,
+    REMEMBERED_MS,
 };
 use ploverlift_streamorigin::source::StreamSource;
 use ploverlift_streamorigin::sources::{Generation, RouteKey, SourceLink, SourceRegister};
@@ -154,7 +155,7 @@
         let Some(revised) = known.revision(register, shown.era, true, now) else {
             return;
         };
-        let started = known.begin_call();
+        let started = known.begin_call(now);
         let read = shown.stored.as_ref().map_or(0, |(revision, _)| *revision);
         let stored = self
             .store
@@ -184,7 +185,7 @@
 
     fn take_up(&mut self, node: usize) {
         let now = self.now;
-        let shown = self.show(self.nodes[node].known.begin_call());
+        let shown = self.show(self.nodes[node].known.begin_call(now));
         self.nodes[node].apply(&shown, now);
         let known = &self.nodes[node].known;
         let Sources::Only(only) = known.sources(HOST, PATH, self.nodes[node].era) else {
@@ -220,7 +221,7 @@
                 node.known.note_view(proofs, now);
             }
             Step::Read(node) => {
-                let shown = self.show(self.nodes[node].known.begin_call());
+                let shown = self.show(self.nodes[node].known.begin_call(now));
                 self.nodes[node].shown = Some(shown);
             }
             Step::Answer(node) => {
@@ -343,7 +344,7 @@
             configuration: Some(self.now),
         };
         self.known.note_view(proofs, self.now);
-        let started = self.known.begin_call();
+        let started = self.known.begin_call(self.now);
         self.known
             .apply(self.stored.as_ref(), era, started, self.now);
         if let Some(revised) = self
@@ -426,7 +427,7 @@
     assert!(stored.links.contains_key(&software("one", "v2")), "lost");
     // Another node, which knows nothing of the earlier era.
     let mut other = KnownSources::default();
-    other.apply(Some(&stored), era, other.begin_call(), node.now);
+    other.apply(Some(&stored), era, other.begin_call(node.now), node.now);
     assert_eq!(other.sources(HOST, PATH, era), Sources::Unproven);
     for _ in 0..3 {
         node.wait(REMEMBERED_MS);
@@ -458,11 +459,16 @@
         ..SourceRegister::default()
     };
     let mut known = KnownSources::default();
-    let started = known.begin_call();
+    let started = known.begin_call(Millis(0));
     known.note_present(link.clone());
     known.apply(Some(&register), StoreEra(0), started, Millis(1));
     assert!(!known.is_usable(&link, StoreEra(0), Millis(1)));
-    known.apply(Some(&register), StoreEra(0), known.begin_call(), Millis(1));
+    known.apply(
+        Some(&register),
+        StoreEra(0),
+        known.begin_call(Millis(0)),
+        Millis(1),
+    );
     assert!(known.is_usable(&link, StoreEra(0), Millis(1)));
     assert!(
         !known.is_usable(&link, StoreEra(1), Millis(1)),
@@ -481,7 +487,7 @@
     };
     let mut known = KnownSources::default();
     known.note_present(link.clone());
-    let started = known.begin_call();
+    let started = known.begin_call(Millis(0));
     known.apply(Some(&marked), StoreEra(0), started, Millis(1));
     assert!(!known.is_usable(&link, StoreEra(0), Millis(1)));
     assert!(
@@ -521,3 +527,30 @@
     assert_eq!(sources("b.test", "/x/y/z"), [source("three", "v1")].into());
     assert!(sources(HOST, "/z").is_empty());
 }
+
+// Guards against a stream that begins at a link which others have marked, and removed, since this
+// node read the register.
+#[test]
+fn a_link_is_usable_only_for_a_time_after_the_register_was_read() {
+    let link = software("one", "v1");
+    let register = SourceRegister {
+        generation: Generation(1),
+        links: [(link.clone(), None)].into(),
+        ..SourceRegister::default()
+    };
+    let mut known = KnownSources::default();
+    known.note_present(link.clone());
+    let sent_at = Millis(1_000);
+    let started = known.begin_call(sent_at);
+    // The answer is read late, as by a node that was suspended meanwhile.
+    let read_at = sent_at.plus(5_000);
+    known.apply(Some(&register), StoreEra(0), started, read_at);
+    let last = sent_at.plus(CONFIRMED_FOR_MS - 1);
+    assert!(known.is_usable(&link, StoreEra(0), last));
+    assert!(known.is_renewal_due(last), "it is read again before");
+    assert!(!known.is_usable(&link, StoreEra(0), last.plus(1)));
+    let started = known.begin_call(last);
+    known.apply(Some(&register), StoreEra(0), started, last.plus(1));
+    assert!(known.is_usable(&link, StoreEra(0), last.plus(1)));
+    assert!(!known.is_renewal_due(last.plus(1)));
+}
