The only target of a route has all of its requests, whatever its weight

A route with one target of weight 0 got no service, 503, since the weights of splits were mended; before, and in the register of stream sources, its one target has all requests. The test that no target without a share is chosen keeps to routes with several.

--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -33,6 +33,9 @@
     /// they would send their first requests to the same targets, and in a large fleet with few
     /// requests per node the targets with a small weight would receive none.
     pub fn next<'a>(&mut self, route: &'a Route, start: f64) -> Option<&'a ServiceName> {
+        if let [only] = &route.targets[..] {
+            return Some(&only.service);
+        }
         let with_share = || route.targets.iter().filter(|target| has_share(target));
         let mut several = with_share();
         let first = several.next()?;
