--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -59,11 +59,11 @@
     };
     if is_first {
         let (gateway, instance) = (Arc::clone(gateway), instance.clone());
-        smol::spawn(async move { probe_engine(&gateway, &instance, address).await }).detach();
+        smol::spawn(async move { determine_status(&gateway, &instance, address).await }).detach();
     }
 }
 
-async fn probe_engine(gateway: &Arc<Gateway>, instance: &InstanceId, address: SocketAddr) {
+async fn determine_status(gateway: &Arc<Gateway>, instance: &InstanceId, address: SocketAddr) {
     let timeout_ms = gateway.settings().attempts.connect_timeout_ms;
     let result = match connect_engine(gateway, instance, address, timeout_ms).await {
         Ok(connection) => Status::Accepts(Box::new(connection)),
