--- a/crates/gateway/src/forward/source_registration.rs
+++ b/crates/gateway/src/forward/source_registration.rs
@@ -1,4 +1,4 @@
-//! Streams begin only at registered sources: until the store has
+//! Streams that may be taken up begin only at registered sources: until the store has
 //! acknowledged that a route leads to a service and that its engines have a software version,
 //! no stream of that route begins at that version.
 
@@ -7,6 +7,7 @@
 use crate::beliefs::Beliefs;
 use crate::rollouts::choice::SoftwareChoice;
 use crate::stream_sources::known_era;
+use crate::stream_sources::present::is_resumable;
 use crate::time::within;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::software::SoftwareVersion;
@@ -20,9 +21,9 @@
 const RETRY_AFTER_MS: u64 = 1_000;
 
 impl Forwarding {
-    /// Whether the request may begin a stream.
+    /// Whether the request may begin a stream that its caller may take up.
     fn may_begin_stream(&self) -> bool {
-        self.received.admission.route.delivery.is_stream() && self.progress.software.is_none()
+        is_resumable(&self.received.admission.route) && self.progress.software.is_none()
     }
 
     /// Waits until the request may begin a stream at some engine of its service.
