One place decides between two engines at an unproven end

Streams and buffered answers had the same arm: check the end, then cancel the other engine or hand the request over to it; and two functions handed a request over alike. conclude_unproven and one hand_over serve both. Behaviour unchanged; silent_engines and requests pass (28 and 68 tests).

--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -194,12 +194,10 @@
                 }
             }
             Waited::Unproven(_, successor) => {
-                match self.check_answer_end(answer.body_end(), 0, chosen).await {
-                    Ok(()) => {
-                        self.cancel_successor(&successor);
-                        ReadEnd::Whole(body)
-                    }
-                    Err(broken) => ReadEnd::TakenOver(self.hand_over_after(successor, broken)),
+                let end = self.conclude_unproven(successor, answer.body_end(), 0, chosen);
+                match end.await {
+                    Ok(()) => ReadEnd::Whole(body),
+                    Err(takeover) => ReadEnd::TakenOver(takeover),
                 }
             }
             Waited::Done(Ok(BodyRead::TooLarge)) => ReadEnd::TooLarge(body),
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -274,15 +274,10 @@
                 Waited::Unproven(_, successor) => {
                     let unfinished_bytes = splitter.unfinished_bytes();
                     let body_end = answer.body_end();
-                    let end = self.check_answer_end(body_end, unfinished_bytes, chosen);
+                    let end = self.conclude_unproven(successor, body_end, unfinished_bytes, chosen);
                     return match end.await {
-                        Ok(()) => {
-                            self.cancel_successor(&successor);
-                            StreamStep::End(splitter.take_rest())
-                        }
-                        Err(broken) => {
-                            StreamStep::TakenOver(self.hand_over_after(successor, broken))
-                        }
+                        Ok(()) => StreamStep::End(splitter.take_rest()),
+                        Err(takeover) => StreamStep::TakenOver(takeover),
                     };
                 }
                 Waited::Done(Err(failure)) => {
--- a/crates/gateway/src/forward/takeover.rs
+++ b/crates/gateway/src/forward/takeover.rs
@@ -18,7 +18,7 @@
 use super::choice::ChosenEngine;
 use super::sending::Exchange;
 use super::Forwarding;
-use crate::engine_connection::{EngineAnswer, ExchangeFailure};
+use crate::engine_connection::{BodyEnd, EngineAnswer, ExchangeFailure};
 use crate::ports::AnswerMeaning;
 use crate::time::{sleep, within};
 use ploverlift_balancing::catalogue::InstanceId;
@@ -234,7 +234,8 @@
                 None
             }
             Some(Earlier::Current(Err(failure))) if self.has_time() => {
-                Some(self.hand_over(successor, Some(failure)))
+                let takeover = self.hand_over(Box::new(successor), Some(failure));
+                Some(Waited::TakenOver(takeover))
             }
             Some(Earlier::Current(Err(failure))) => {
                 self.cancel_successor(&successor);
@@ -246,37 +247,41 @@
                     Waited::Done(Ok(result))
                 }
                 Continuation::Unproven => Waited::Unproven(result, Box::new(successor)),
-                Continuation::Over => self.hand_over(successor, None),
+                Continuation::Over => Waited::TakenOver(self.hand_over(Box::new(successor), None)),
             }),
             Some(Earlier::Successor(answered)) => {
                 let is_accepted = self.accept_answer(&mut successor, answered);
-                is_accepted.then(|| self.hand_over(successor, None))
+                is_accepted.then(|| Waited::TakenOver(self.hand_over(Box::new(successor), None)))
             }
         }
     }
 
-    /// Hands the request over to an engine that has been sent it, after the first one's answer
-    /// has ended and is not whole.
-    pub(super) fn hand_over_after<E>(
+    /// Checks the end of the first engine's answer while another engine has been sent the request,
+    /// and lets one of the two go.
+    ///
+    /// # Errors
+    /// When the answer is broken off: the other engine has the request.
+    pub(super) async fn conclude_unproven(
         &mut self,
         successor: Box<RunningAttempt>,
-        failure: E,
-    ) -> Takeover<E> {
-        self.note_takeover(Some(&successor.chosen.instance), TakeoverOutcome::Done);
-        self.spend_reservation();
-        Takeover {
-            successor,
-            failure: Some(failure),
+        body_end: BodyEnd,
+        unfinished_bytes: usize,
+        chosen: &ChosenEngine,
+    ) -> Result<(), Takeover<BrokenAttempt>> {
+        let end = self.check_answer_end(body_end, unfinished_bytes, chosen);
+        match end.await {
+            Ok(()) => {
+                self.cancel_successor(&successor);
+                Ok(())
+            }
+            Err(broken) => Err(self.hand_over(successor, Some(broken))),
         }
     }
 
-    fn hand_over<T, E>(&mut self, successor: RunningAttempt, failure: Option<E>) -> Waited<T, E> {
+    fn hand_over<E>(&mut self, successor: Box<RunningAttempt>, failure: Option<E>) -> Takeover<E> {
         self.note_takeover(Some(&successor.chosen.instance), TakeoverOutcome::Done);
         self.spend_reservation();
-        Waited::TakenOver(Takeover {
-            successor: Box::new(successor),
-            failure,
-        })
+        Takeover { successor, failure }
     }
 
     /// Records that the request was sent to an engine whose answer is not wanted any more.
