Shared reads of the store are no part of the register

The journals' reader took SharedReads, its outcome and its longest wait from the register's module, and both waited for a read and compared its outcome in the same way. They are in store::shared_reads now, with the wait. The keeper's two reasons for a spread read are one condition.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,7 +17,7 @@
 use crate::settings::{GatewaySettings, NodeSettings};
 use crate::store::era::KnownEra;
 use crate::store::outage::StoreOutage;
-use crate::stream_sources::SharedReads;
+use crate::store::shared_reads::SharedReads;
 use event_listener::Event;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::cost::{CostRates, RegionRates};
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod feed;
 mod lapsed;
 pub mod outage;
+pub mod shared_reads;
 
 pub use client::StoreClient;
 pub use engine_feed::{apply_engine_change, follow_engines};
--- a/crates/gateway/src/store/shared_reads.rs
+++ b/crates/gateway/src/store/shared_reads.rs
@@ -1,8 +1,13 @@
 //! Reads of the store that are shared by all requests that wait for one.
 
+use crate::time::within;
 use event_listener::Event;
 use std::sync::{Mutex, MutexGuard};
 
+/// Longest wait of a request for a read, in milliseconds. A caller whose stream can't be placed
+/// comes back after a second.
+const MAX_WAIT_MS: u64 = 800;
+
 /// The outcome of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -43,8 +48,13 @@
         number
     }
 
-    /// Waits for a read that begins after this call.
-    pub async fn next(&self) -> ReadOutcome {
+    /// Waits for a read that begins after this call; returns whether the store has answered it in
+    /// time.
+    pub(crate) async fn is_answered(&self) -> bool {
+        within(MAX_WAIT_MS, self.next()).await == Some(ReadOutcome::Answered)
+    }
+
+    async fn next(&self) -> ReadOutcome {
         let number = self.request();
         loop {
             let ended = self.ended.listen();
--- a/crates/gateway/src/stream_journal/reader.rs
+++ b/crates/gateway/src/stream_journal/reader.rs
@@ -7,8 +7,8 @@
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
+use crate::store::shared_reads::ReadOutcome;
 use crate::store::StoreClient;
-use crate::stream_sources::{ReadOutcome, MAX_READ_WAIT_MS};
 use crate::time::{sleep, within};
 use ploverlift_clock::unix_ms;
 use ploverlift_streamorigin::placement::OriginAnswer;
@@ -176,8 +176,7 @@
 /// did not answer in time.
 pub async fn read_origin(gateway: &Gateway, stream: StreamKey) -> Option<OriginAnswer> {
     sleep(KEEPERS_FIRST_MS).await;
-    let outcome = within(MAX_READ_WAIT_MS, gateway.journal_reads.next()).await;
-    if outcome != Some(ReadOutcome::Answered) {
+    if !gateway.journal_reads.is_answered().await {
         return None;
     }
     let now = gateway.clock.now();
--- a/crates/gateway/src/stream_sources/mod.rs
+++ b/crates/gateway/src/stream_sources/mod.rs
@@ -4,20 +4,17 @@
 //! | module | concern |
 //! | --- | --- |
 //! | [`document`] | the stored form |
-//! | [`reads`] | reads that are shared by the requests that wait for them |
 //! | [`present`] | the links that this node's configuration and engines contain |
 
 pub mod document;
 pub mod present;
-mod reads;
-
-pub use reads::{ReadOutcome, SharedReads};
 
 use crate::beliefs::Beliefs;
 use crate::peers::roles::{role, Role};
 use crate::ports::{StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
+use crate::store::shared_reads::ReadOutcome;
 use crate::store::StoreClient;
 use crate::time::{sleep, within};
 use ploverlift_policy::ids::{Millis, StoreEra};
@@ -39,9 +36,6 @@
 const FOLLOWER_WRITE_DELAY_MS: RangeInclusive<u64> = 100..=400;
 /// Maximum number of conflicting writes before the register is read again.
 const MAX_CONFLICTS: u32 = 8;
-/// Longest wait of a request for a read of the register, in milliseconds. A caller whose
-/// stream can't be placed comes back after a second.
-pub(crate) const MAX_READ_WAIT_MS: u64 = 800;
 
 /// The stored object, as a call showed it.
 struct StoredRegister {
@@ -120,10 +114,7 @@
             if self.gateway.source_reads.is_wanted() {
                 return;
             }
-            if self.has_unconfirmed() {
-                return self.spread().await;
-            }
-            if self.is_renewal_due() {
+            if self.has_unconfirmed() || self.is_renewal_due() {
                 return self.spread().await;
             }
             if self.is_maintenance_due() {
@@ -311,12 +302,11 @@
 /// call, and is shared with other requests.
 pub async fn read_sources(gateway: &Gateway, host: &str, path: &str) -> SourcesRead {
     let began = gateway.clock.now();
-    let outcome = within(MAX_READ_WAIT_MS, gateway.source_reads.next()).await;
+    let is_read = gateway.source_reads.is_answered().await;
     let era = known_era(gateway);
     let age_ms = gateway.clock.now().since(began);
     let beliefs = gateway.beliefs();
     let known = &beliefs.stream_sources;
-    let is_read = outcome == Some(ReadOutcome::Answered);
     SourcesRead {
         sources: is_read.then(|| known.sources(host, path, era)),
         generation: known.register().map(|register| register.generation),
