One definition of the targets of a route that get requests

The split and the register of stream sources each had one, and differed for an infinite weight: never chosen, but registered. Both use Route::targets_in_use, which includes the rule on an only target. For all finite weights nothing changes.

--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -5,7 +5,7 @@
 use super::Forwarding;
 use crate::peers::stream_origins::{announce, place_stream, ResumedStream};
 use crate::stream_sources::may_be_confused;
-use crate::stream_sources::present::{is_resumable, targets};
+use crate::stream_sources::present::is_resumable;
 use ploverlift_balancing::selection::NoChoice;
 use ploverlift_policy::ids::Millis;
 use ploverlift_routing::configuration::{Route, ServiceName};
@@ -190,6 +190,6 @@
 
 /// The service with this hash, if the route leads to it.
 fn service_of(route: &Route, service: ServiceHash) -> Option<&ServiceName> {
-    let mut services = targets(route).map(|target| &target.service);
+    let mut services = route.targets_in_use().map(|target| &target.service);
     services.find(|name| ServiceHash::of(name) == service)
 }
--- a/crates/gateway/src/stream_sources/present.rs
+++ b/crates/gateway/src/stream_sources/present.rs
@@ -3,7 +3,7 @@
 use crate::beliefs::Beliefs;
 use ploverlift_balancing::catalogue::EngineRecord;
 use ploverlift_policy::ids::Millis;
-use ploverlift_routing::configuration::{Configuration, Route, ServiceName, WeightedTarget};
+use ploverlift_routing::configuration::{Configuration, Route, ServiceName};
 use ploverlift_streamorigin::sources::{RouteKey, SourceLink};
 use std::collections::BTreeSet;
 
@@ -12,13 +12,6 @@
     route.delivery.is_stream() && route.delivery.is_repeatable()
 }
 
-/// The services to which a route leads.
-pub fn targets(route: &Route) -> impl Iterator<Item = &WeightedTarget> {
-    let is_only = route.targets.len() == 1;
-    let targets = route.targets.iter();
-    targets.filter(move |target| is_only || target.weight > 0.0)
-}
-
 /// The links of all routes with streams: a later configuration may permit that those which have
 /// begun by then are taken up.
 fn target_links(document: &Configuration) -> BTreeSet<SourceLink> {
@@ -26,7 +19,8 @@
     let routes = routes.filter(|route| route.delivery.is_stream());
     let links = routes.flat_map(|route| {
         let key = RouteKey::new(&route.host, &route.path_prefix);
-        targets(route).map(move |target| SourceLink::Target(key, target.service.clone()))
+        let targets = route.targets_in_use();
+        targets.map(move |target| SourceLink::Target(key, target.service.clone()))
     });
     links.collect()
 }
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -91,6 +91,16 @@
     pub is_public: bool,
 }
 
+impl Route {
+    /// The targets that get requests: those with a positive, finite weight, and an only target
+    /// whatever its weight.
+    pub fn targets_in_use(&self) -> impl Iterator<Item = &WeightedTarget> {
+        let is_only = self.targets.len() == 1;
+        let targets = self.targets.iter();
+        targets.filter(move |target| is_only || (target.weight > 0.0 && target.weight.is_finite()))
+    }
+}
+
 /// A target service of a route that splits its traffic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WeightedTarget {
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -20,35 +20,34 @@
 /// Position of a route in its round robin.
 #[derive(Debug, Default)]
 struct Round {
-    /// Targets that have a share.
+    /// Targets in use.
     targets: Vec<WeightedTarget>,
     /// How far each target is behind its share, in units of these weights.
     credits: Vec<f64>,
 }
 
 impl WeightedSplitter {
-    /// The service for the next request of a route; `None` if no target of the route has a share.
+    /// The service for the next request of a route; `None` if no target of the route is in use.
     /// `start`, from 0 to 1, sets the position at which the route starts, also when its targets
     /// have changed, and should differ between nodes. If all nodes started at the same position,
     /// they would send their first requests to the same targets, and in a large fleet with few
     /// requests per node the targets with a small weight would receive none.
     pub fn next<'a>(&mut self, route: &'a Route, start: f64) -> Option<&'a ServiceName> {
-        if let [only] = &route.targets[..] {
-            return Some(&only.service);
-        }
-        let with_share = || route.targets.iter().filter(|target| has_share(target));
-        let mut several = with_share();
+        let mut several = route.targets_in_use();
         let first = several.next()?;
         if several.next().is_none() {
             return Some(&first.service);
         }
         let round = self.rounds.entry(route.name.clone()).or_default();
         // Credits are in units of the weights: those of other weights must not be kept.
-        if !with_share().eq(&round.targets) {
-            *round = Round::new(with_share().cloned().collect(), start);
+        if !route.targets_in_use().eq(&round.targets) {
+            *round = Round::new(route.targets_in_use().cloned().collect(), start);
         }
         let index = round.next();
-        with_share().nth(index).map(|target| &target.service)
+        route
+            .targets_in_use()
+            .nth(index)
+            .map(|target| &target.service)
     }
 
     /// Removes the state of routes that no longer exist.
@@ -82,7 +81,3 @@
         index
     }
 }
-
-fn has_share(target: &WeightedTarget) -> bool {
-    target.weight > 0.0 && target.weight.is_finite()
-}
