--- a/crates/gateway/src/answer_limits.rs
+++ b/crates/gateway/src/answer_limits.rs
@@ -15,7 +15,7 @@
     pub event_bytes: usize,
     /// Body of an engine's answer to a request, whichever way it is forwarded.
     pub body_bytes: u64,
-    /// Answer of an engine to an order or a request for a report.
+    /// Answer of an engine to an order, a request for a report or a liveness probe.
     pub report_bytes: usize,
     /// Answer to a call for cache events.
     pub cache_events_bytes: usize,
--- a/crates/gateway/src/engine_liveness/probe.rs
+++ b/crates/gateway/src/engine_liveness/probe.rs
@@ -1,5 +1,6 @@
 //! One probe of an engine.
 
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::engine_connection::{exchange_on, EngineAnswer, FailureReason};
 use crate::engine_paths::connect::{
     connect_engine, ConnectedInstance, EngineConnection, EnginePath,
@@ -24,8 +25,6 @@
 const ANSWER_TIMEOUT_MS: u64 = 700;
 /// Longest wait for the body of an answer to a probe, which proves nothing, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 100;
-/// Largest body of an answer to a probe whose connection is used again, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
 
 /// The engine that is probed.
 #[derive(Clone, Debug)]
@@ -254,7 +253,7 @@
     let mut body = Vec::new();
     loop {
         match answer.read(&mut body).await {
-            Ok(true) if body.len() <= MAX_BODY_BYTES => {}
+            Ok(true) if body.len() <= ANSWER_LIMITS.report_bytes => {}
             Ok(false) => return true,
             Ok(true) | Err(_) => return false,
         }
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -89,10 +89,11 @@
         instance: &InstanceId,
         now: Millis,
     ) -> Option<IdleConnection> {
-        self.expire(now);
+        if let Some(direct) = self.take_oldest_direct(instance, now) {
+            return Some(direct);
+        }
         let kept = self.by_engine.get_mut(instance)?;
-        let direct = kept.iter().position(IdleConnection::is_direct);
-        (!kept.is_empty()).then(|| kept.remove(direct.unwrap_or(0)))
+        (!kept.is_empty()).then(|| kept.remove(0))
     }
 
     /// Removes and returns the least recently used idle connection to an engine that is no
