--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -375,8 +375,8 @@
     answers.into_values().collect()
 }
 
-/// The nodes that may know a stream's origin, the relays of a follower among them, which have
-/// read what is stored; none if nobody names the stream.
+/// The nodes that may know a stream's origin, including the relays of a follower, which have read
+/// the journals; none if the caller does not name the stream.
 fn nodes_to_ask(gateway: &Gateway, stream: Option<StreamKey>) -> Vec<SocketAddr> {
     match stream {
         Some(_) => {
--- a/crates/gateway/src/stream_journal/document.rs
+++ b/crates/gateway/src/stream_journal/document.rs
@@ -71,9 +71,9 @@
         self.streams.len()
     }
 
-    /// The streams that may be believed at this time, with the time that they have left. Those
-    /// written in an earlier era may not: the ids of their requests may have been used again
-    /// since, in writes that the store has lost.
+    /// The streams that have not expired, with the time that they have left; none of a document
+    /// from an earlier era: the ids of their requests may have been used again since, in writes
+    /// that the store has lost.
     pub fn streams(&self, time: DocumentTime) -> Vec<StoredStream> {
         if self.era != time.era.map(|era| era.0) {
             return Vec::new();
--- a/crates/gateway/src/stream_journal/writer.rs
+++ b/crates/gateway/src/stream_journal/writer.rs
@@ -132,7 +132,7 @@
         let written = self.client.compare_and_set(kind, &name, revision, content);
         let object = written.await?;
         let now = gateway.clock.now();
-        // Written in a later era than the document names, it will not be believed.
+        // Readers ignore a document that was written in a later era than it names.
         self.revision = Some((object.revision, time.era));
         let delays = gateway.beliefs().journal.note_written(&contents, now);
         if std::mem::take(&mut self.is_failing) {
--- a/crates/gateway/tests/stream_versions/journal.rs
+++ b/crates/gateway/tests/stream_versions/journal.rs
@@ -107,7 +107,7 @@
     }
 }
 
-// Guards against streams that nobody knows any more once all nodes were killed at once.
+// Guards against streams whose sources are lost when all nodes are killed at once.
 #[test]
 fn streams_go_on_at_their_version_after_all_nodes_were_killed() {
     smol::block_on(async {
@@ -150,7 +150,7 @@
     });
 }
 
-// Guards against a node that restarts alone and overwrites sources that nobody has read.
+// Guards against a node that restarts alone and overwrites sources that no other node has read.
 #[test]
 fn a_node_that_starts_again_keeps_the_sources_of_its_former_streams() {
     smol::block_on(async {
--- a/crates/gateway/tests/stream_versions/large_fleet.rs
+++ b/crates/gateway/tests/stream_versions/large_fleet.rs
@@ -42,7 +42,7 @@
     }
 }
 
-// Guards against streams of followers of relays that nobody knows once all nodes were killed, and
+// Guards against streams of followers of relays whose sources are lost with all nodes, and
 // against followers that call the store for them.
 #[test]
 fn streams_of_followers_go_on_at_their_version_after_all_nodes_were_killed() {
--- a/crates/routing/src/tenants.rs
+++ b/crates/routing/src/tenants.rs
@@ -60,7 +60,7 @@
     }
 
     /// The scope within which the cache of a tenant's requests may be shared: an isolated tenant's
-    /// own, else the common scope. `None` stands for requests without a tenant.
+    /// own, else the common scope. A request without a tenant has `None`.
     pub fn cache_scope<'a>(&'a self, tenant: Option<&'a TenantTerms>) -> &'a str {
         match tenant {
             Some(terms) if terms.is_isolated => &terms.name,
--- a/crates/streamorigin/src/lib.rs
+++ b/crates/streamorigin/src/lib.rs
@@ -6,8 +6,8 @@
 //! store names all sources at which streams may have begun. Where it names several, the node
 //! that forwards a stream's first event announces its source to a few nodes, the keepers of
 //! that stream, and stores it in a journal, which outlives all nodes. A node that takes a stream
-//! up asks the keepers, and reads the journals. A stream whose source nobody can tell is
-//! rejected: that no entry is found does not show that there was none.
+//! up asks the keepers, and reads the journals. A stream whose source no
+//! node can tell is rejected: a missing entry does not prove that there was none.
 //!
 //! Pure: no I/O, no clock, no randomness.
 //!
--- a/crates/streamorigin/tests/sources.rs
+++ b/crates/streamorigin/tests/sources.rs
@@ -450,14 +450,19 @@
     assert!(restored.expect("a write").incomplete_since.is_some());
 }
 
+/// A register with one link and its mark.
+fn register_of(link: &SourceLink, generation: u64, mark: Option<Generation>) -> SourceRegister {
+    SourceRegister {
+        generation: Generation(generation),
+        links: [(link.clone(), mark)].into(),
+        ..SourceRegister::default()
+    }
+}
+
 #[test]
 fn a_source_is_usable_only_once_a_later_call_has_shown_it() {
     let link = software("one", "v1");
-    let register = SourceRegister {
-        generation: Generation(1),
-        links: [(link.clone(), None)].into(),
-        ..SourceRegister::default()
-    };
+    let register = register_of(&link, 1, None);
     let mut known = KnownSources::default();
     let started = known.begin_call(Millis(0));
     known.note_present(link.clone());
@@ -480,11 +485,7 @@
 #[test]
 fn a_marked_link_is_usable_only_once_its_mark_was_removed() {
     let link = software("one", "v1");
-    let marked = SourceRegister {
-        generation: Generation(2),
-        links: [(link.clone(), Some(Generation(2)))].into(),
-        ..SourceRegister::default()
-    };
+    let marked = register_of(&link, 2, Some(Generation(2)));
     let mut known = KnownSources::default();
     known.note_present(link.clone());
     let started = known.begin_call(Millis(0));
@@ -533,11 +534,7 @@
 #[test]
 fn a_link_is_usable_only_for_a_time_after_the_register_was_read() {
     let link = software("one", "v1");
-    let register = SourceRegister {
-        generation: Generation(1),
-        links: [(link.clone(), None)].into(),
-        ..SourceRegister::default()
-    };
+    let register = register_of(&link, 1, None);
     let mut known = KnownSources::default();
     known.note_present(link.clone());
     let sent_at = Millis(1_000);
