Keep the accounts of a tenant's limit apart by unit

What callers saw: when a configuration changes a tenant's limit from tokens to requests, its requests are rejected with 429 until a debt in tokens has been paid off in requests: one request of 60,000 tokens over a limit of 1,000 is a debt of 590 s at 100 requests a second. Cause: the accounts of all nodes are kept by tenant alone. Their levels, and what other nodes still report of their use, are in the unit of the limit that was replaced. What changed: the tag of an account depends on the unit of the limit, also in reports between nodes. Tags of accounts in tokens are as before. While releases are mixed, a limit in requests is held by each release alone. Evidence: use_in_a_former_unit_does_not_count_against_a_limit_in_another_one failed with one tag for both units (429 in place of 200), and passes.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -372,8 +372,10 @@
 
 fn rate_limits(document: &Configuration) -> HashMap<TenantTag, RateLimit> {
     let tenants = document.tenants.iter().flatten();
-    let limits = tenants
-        .filter_map(|tenant| Some((TenantTag::of(tenant.name.as_str()), tenant.rate_limit?)));
+    let limits = tenants.filter_map(|tenant| {
+        let limit = tenant.rate_limit?;
+        Some((limit.account(tenant.name.as_str()), limit))
+    });
     limits.collect()
 }
 
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -9,7 +9,6 @@
 use ploverlift_quarantine::subject::{PartFingerprint, PartIdentity, SharedPart};
 use ploverlift_ratelimit::standing::{Basis, Standing};
 use ploverlift_routing::configuration::{Route, ServiceName};
-use ploverlift_routing::rate_limit::TenantTag;
 use ploverlift_routing::tenants::TenantTerms;
 use std::sync::Arc;
 
@@ -123,7 +122,7 @@
     let Some(limit) = tenant.rate_limit else {
         return Ok(None);
     };
-    let tag = TenantTag::of(&tenant.name);
+    let tag = limit.account(&tenant.name);
     let cost = limit.cost(request.declared_tokens);
     let now = gateway.clock.now();
     let membership = membership(gateway, now);
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -181,6 +181,29 @@
     });
 }
 
+// Guards against use in tokens that counts against a limit in requests once the unit changes.
+#[test]
+fn use_in_a_former_unit_does_not_count_against_a_limit_in_another_one() {
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let fixture = fixture(limited(1_000.0, 1_000.0), &[&app]).await;
+        let large = request_of("safe.test", 60_000);
+        assert_eq!(fixture.send(&large).await.status(), 200);
+        let mut in_requests = limited(100.0, 100.0);
+        in_requests["version"] = json!(2);
+        in_requests["limit"]["unit"] = json!("requests");
+        fixture.store.put("Configuration", "main", in_requests);
+        while fixture.gateway.beliefs().configuration_version() != Some(2) {
+            smol::future::yield_now().await;
+        }
+        // Another node still reports what it had admitted under the former unit.
+        let report = use_report(9, 1, 50_000);
+        let zone_sum = None;
+        handle_use_report(&fixture.gateway, &UseMessage { report, zone_sum });
+        assert_eq!(fixture.send(&large).await.status(), 200);
+    });
+}
+
 #[test]
 fn two_nodes_share_one_limit() {
     smol::block_on(async {
--- a/crates/gateway/tests/support/site/documents.rs
+++ b/crates/gateway/tests/support/site/documents.rs
@@ -124,13 +124,16 @@
     }
 }
 
-/// The rate limit that all tenants have, in tokens.
+/// The rate limit that all tenants have, in tokens unless it names requests as its unit.
 fn rate_limit(body: &Value) -> Option<RateLimit> {
     let limit = &body["limit"];
     Some(RateLimit {
         per_second: limit["per_second"].as_f64()?,
         burst: limit["burst"].as_f64()?,
-        unit: LimitUnit::Tokens { undeclared: 1 },
+        unit: match limit["unit"].as_str() {
+            Some("requests") => LimitUnit::Requests,
+            _ => LimitUnit::Tokens { undeclared: 1 },
+        },
     })
 }
 
--- a/crates/routing/src/rate_limit.rs
+++ b/crates/routing/src/rate_limit.rs
@@ -1,6 +1,9 @@
 //! Rate limits of tenants, which apply to all nodes together.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Seed of the tags of accounts that are kept in requests.
+const REQUEST_ACCOUNT_SEED: u64 = 1;
 
 /// The unit in which requests count against a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +39,17 @@
 }
 
 impl RateLimit {
+    /// The account of a tenant with this limit. Each unit has accounts of its own: use and debts
+    /// in one unit mean nothing in another.
+    pub fn account(&self, tenant: &str) -> TenantTag {
+        match self.unit {
+            LimitUnit::Requests => {
+                TenantTag(xxh3_64_with_seed(tenant.as_bytes(), REQUEST_ACCOUNT_SEED))
+            }
+            LimitUnit::Tokens { .. } => TenantTag::of(tenant),
+        }
+    }
+
     /// Units that a request with `declared_tokens` counts as.
     pub fn cost(&self, declared_tokens: Option<u64>) -> u64 {
         match self.unit {
