Apply reloaded limits to retry budgets in use

Cause: a budget kept the limits that it was created with. What changed: the limits are set on each use of a budget; recorded requests and retries still count. Evidence: a_reload_of_the_settings_changes_the_retry_budgets_in_use failed without the call, and passes.

--- a/crates/balancing/src/retry_budget.rs
+++ b/crates/balancing/src/retry_budget.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Replaces the limits; requests and retries that were recorded still count.
+    pub fn set_limits(&mut self, limits: RetryLimits) {
+        self.limits = limits;
+    }
+
     /// Records a caller's request for the service.
     pub fn record_request(&mut self, now: Millis) {
         self.slot(now).requests += 1;
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -257,7 +257,7 @@
         }
     }
 
-    /// The retry budget of a service.
+    /// The retry budget of a service, with the limits of these settings.
     pub fn retry_budget(
         &mut self,
         service: &ServiceName,
@@ -268,8 +268,10 @@
             reserve: settings.attempts.retry_reserve,
             window_ms: (settings.bounds.retry_window_seconds * 1_000.0) as u64,
         };
-        let budgets = self.retry_budgets.entry(service.clone());
-        budgets.or_insert_with(|| RetryBudget::new(limits))
+        let budget = self.retry_budgets.entry(service.clone());
+        let budget = budget.or_insert_with(|| RetryBudget::new(limits));
+        budget.set_limits(limits);
+        budget
     }
 
     /// Prefill rate of a service's engines, in prompt tokens per millisecond; `usual` until
--- a/crates/gateway/tests/requests/retries.rs
+++ b/crates/gateway/tests/requests/retries.rs
@@ -4,6 +4,8 @@
 use crate::support::caller::{self, prompt, request};
 use crate::support::engine::{all_events, Behaviour, StandInEngine};
 use crate::support::{site, Fixture};
+use ploverlift_gateway::settings::GatewaySettings;
+use ploverlift_routing::configuration::ServiceName;
 use serde_json::json;
 
 #[test]
@@ -123,3 +125,27 @@
         assert_eq!(answers.await.text(), all_events());
     });
 }
+
+// Guards against limits of the retry budget that a reload changes only for services without
+// earlier requests.
+#[test]
+fn a_reload_of_the_settings_changes_the_retry_budgets_in_use() {
+    smol::block_on(async {
+        let app = app(Behaviour::Answer).await;
+        let fixture = Fixture::new(&[&app]).await;
+        assert_eq!(fixture.send(&request("safe.test", "r")).await.status(), 200);
+        let gateway = &fixture.gateway;
+        let has_retry = || {
+            let (now, settings) = (gateway.clock.now(), gateway.settings());
+            let mut beliefs = gateway.beliefs();
+            let service = ServiceName::from("app");
+            beliefs.retry_budget(&service, &settings).has_retry(now)
+        };
+        assert!(has_retry());
+        let mut without_retries = GatewaySettings::clone(&gateway.settings());
+        without_retries.bounds.retry_ratio = 0.0;
+        without_retries.attempts.retry_reserve = 0.0;
+        gateway.replace_settings(without_retries);
+        assert!(!has_retry());
+    });
+}
