Answer requests that outlast a planned stop

What callers saw: requests that an engine still ran at the end of a planned stop were cut with no answer, among them some that may not be repeated; so were requests whose body was still arriving. Cause: at 0.975 of the bound on a stop all tasks of callers' connections were dropped, whatever they were doing. What changed: at 0.95 of the bound a phase "concluding" begins. The attempt of each request that still runs is dropped, which cancels it at its engine, and the request gets the final answer that follows from all its sends: 503 if none was made or each was reported as not run, else 504; a stream is broken off by its framing. A request that is still being read is refused as not run. The ledger of attempts counts sends, so that an attempt that was dropped never leaves "not run" behind. The end of a stop is fixed when it begins. Evidence: without the phase a_request_that_outlasts_the_stop_is_answered_as_unfinished and a_request_that_arrives_too_slowly_for_the_stop_is_refused failed (no answer), and pass; all 11 tests of stopping.rs pass. run_state_and_limits_hold_for_any_attempts now abandons each attempt.

--- a/crates/balancing/src/attempts.rs
+++ b/crates/balancing/src/attempts.rs
@@ -42,6 +42,10 @@
     tried: Vec<InstanceId>,
     sent_to: Vec<InstanceId>,
     arrivals: u32,
+    /// Number of times that the request was sent, and of these how often an engine reported that
+    /// it did not run it.
+    sends: u32,
+    refusals: u32,
     /// Whether an engine has had the request while another attempt began.
     is_running: bool,
     unreachable: u32,
@@ -57,6 +61,8 @@
             tried: Vec::new(),
             sent_to: Vec::new(),
             arrivals: 0,
+            sends: 0,
+            refusals: 0,
             is_running: false,
             unreachable: 0,
             run_state: RunState::NotRun,
@@ -74,6 +80,19 @@
         self.run_state
     }
 
+    /// The run state that can be reported if the attempts that still run are abandoned.
+    pub fn run_state_if_abandoned(&self) -> RunState {
+        match self.sends == self.refusals {
+            true => self.run_state,
+            false => self.run_state.join(RunState::Unknown),
+        }
+    }
+
+    /// Records that bytes of the request may be sent from now on.
+    pub fn record_send(&mut self) {
+        self.sends += 1;
+    }
+
     /// Whether the next attempt would repeat the request at the service.
     pub fn next_is_repeat(&self) -> bool {
         self.is_running || self.arrivals > 0
@@ -104,6 +123,9 @@
     /// Records the outcome of an attempt at an engine and returns whether another attempt
     /// is allowed.
     pub fn record_outcome(&mut self, instance: InstanceId, outcome: AttemptOutcome) -> bool {
+        if let AttemptOutcome::Refused | AttemptOutcome::OtherWeights = outcome {
+            self.refusals += 1;
+        }
         match outcome {
             AttemptOutcome::Unreachable => {
                 self.unreachable += 1;
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -39,6 +39,7 @@
 //! | [`load_schedule`] | when engines load new weights, and how many concurrently |
 //! | [`load_width`] | how many engines can load concurrently without slowing each other |
 //! | [`overload`] | detection of overload, and the share of requests to refuse |
+//! | [`stop_window`] | the time that a planned stop leaves to requests |
 //! | [`store_admission`] | which prompts are worth saving in the KV cache store |
 //! | [`transfer_sources`] | sources of the prompt parts that an engine lacks |
 //! | [`tunnel_peers`] | which peers open tunnels to engines that are cut off |
@@ -80,6 +81,7 @@
 pub mod round_trips;
 pub mod selection;
 pub mod service_index;
+pub mod stop_window;
 pub mod store_admission;
 pub mod transfer_sources;
 pub mod tunnel_peers;
--- a/crates/balancing/tests/attempts.rs
+++ b/crates/balancing/tests/attempts.rs
@@ -44,7 +44,12 @@
             if matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Broken) {
                 may_have_run += 1;
             }
+            if outcome != AttemptOutcome::Unreachable {
+                ledger.record_send();
+                prop_assert!(ledger.run_state_if_abandoned() != RunState::NotRun);
+            }
             let goes_on = ledger.record_outcome(instance, outcome);
+            prop_assert_eq!(ledger.run_state_if_abandoned(), ledger.run_state());
             prop_assert!(sent_to.len() as u32 <= max_engines.max(1));
             prop_assert!(is_repeatable || may_have_run <= 1);
             prop_assert_eq!(ledger.run_state() == RunState::NotRun, may_have_run == 0);
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -52,9 +52,6 @@
 const ACCEPT_WHILE_STOPPING_MS: u64 = 2_900;
 /// Time without a request after which a stopping node exits, in milliseconds.
 const IDLE_BEFORE_STOP_MS: u64 = 300;
-/// Fraction of the bound on a planned stop after which running requests are not waited for any
-/// more.
-const DRAINED_SHARE: f64 = 0.95;
 /// Fraction of the bound on a planned stop after which callers' connections are not waited for
 /// any more; the rest is for ending the tasks.
 const CLOSED_SHARE: f64 = 0.975;
@@ -247,26 +244,35 @@
 }
 
 impl RunningGateway {
-    /// Stops the node as planned: it is no longer ready from now on, accepts requests for
-    /// `ACCEPT_WHILE_STOPPING_MS` so that the load balancer can notice, and refuses later ones.
-    /// When no request is in flight, it answers what has arrived on connections that were not
-    /// read yet, and ends; at the latest within the bound on a planned stop.
-    pub async fn stop(self) {
+    /// Stops the node as planned: it is no longer ready from now on, accepts requests that can end
+    /// within the stop for `ACCEPT_WHILE_STOPPING_MS` so that the load balancer can notice, and
+    /// refuses all others. When no request is in flight, it answers what has arrived on
+    /// connections that were not read yet, and ends. Requests that run until the bound on a
+    /// planned stop is close are answered as unfinished.
+    pub async fn stop(mut self) {
         let gateway = &self.gateway;
         let began = gateway.clock.now();
-        gateway.begin_stop();
-        slog::info!(gateway.log, "stopping"; "under_way" => gateway.requests_in_flight());
+        let window = gateway.begin_stop();
+        let concluding_ms = window.left_ms(began);
+        slog::info!(gateway.log, "stopping";
+            "under_way" => gateway.requests_in_flight(),
+            "concluding_after_ms" => concluding_ms);
         let stop_ms = gateway.settings().bounds.stop_seconds * 1_000.0;
         let draining = async {
             sleep(ACCEPT_WHILE_STOPPING_MS).await;
             gateway.begin_refusing();
             wait_until_drained(gateway).await;
         };
-        within((stop_ms * DRAINED_SHARE) as u64, draining).await;
+        within(concluding_ms, draining).await;
         gateway.planned_stop.begin(StopPhase::Closing);
-        let after_ms = gateway.clock.now().since(began);
-        let left_ms = ((stop_ms * CLOSED_SHARE) as u64).saturating_sub(after_ms);
-        within(left_ms, self.accepting).await;
+        let left_ms = window.left_ms(gateway.clock.now());
+        if within(left_ms, &mut self.accepting).await.is_none() {
+            slog::info!(gateway.log, "concluding"; "under_way" => gateway.requests_in_flight());
+            gateway.planned_stop.begin(StopPhase::Concluding);
+            let after_ms = gateway.clock.now().since(began);
+            let left_ms = ((stop_ms * CLOSED_SHARE) as u64).saturating_sub(after_ms);
+            within(left_ms, &mut self.accepting).await;
+        }
         slog::info!(gateway.log, "stopped";
             "after_ms" => gateway.clock.now().since(began),
             "under_way" => gateway.requests_in_flight());
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -31,6 +31,9 @@
 /// more, its connection is closed after that answer.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
+/// Retry time for requests that arrive too late at a stopping node, in milliseconds.
+const STOPPED_RETRY_AFTER_MS: u64 = 500;
+
 /// Why reading a head gave no request.
 enum NoRequest {
     /// The caller closed or reset the connection inside the head.
@@ -86,8 +89,12 @@
 ) -> Result<(RequestHead, BodyDecoder), NoRequest> {
     let limits = caller_limits(gateway);
     let reading = read_request_head(connection, limits.max_head_bytes);
+    let reading = within(limits.head_timeout_ms, reading);
     let refused = |kind, reason: &str| Err(NoRequest::Refused(Refusal::new(kind, reason)));
-    match within(limits.head_timeout_ms, reading).await {
+    let Some(read) = gateway.planned_stop.unless_concluding(reading).await else {
+        return Err(NoRequest::Refused(stopped_before_read()));
+    };
+    match read {
         Some(Ok(read)) => Ok(read),
         None => refused(RefusalKind::RequestTimeout, "the head did not come in time"),
         Some(Err(HttpError::HeadTooLarge { .. })) => {
@@ -139,7 +146,9 @@
         }),
         expects_continue,
     };
-    let body = match read_body(connection, &mut decoder, limits, open).await {
+    let reading = read_body(connection, &mut decoder, limits, open);
+    let read = gateway.planned_stop.unless_concluding(reading).await;
+    let body = match read.unwrap_or_else(|| Err(NoBody::Refused(stopped_before_read()))) {
         Ok(body) => body,
         Err(NoBody::Refused(refusal)) => {
             answer.close_after();
@@ -170,6 +179,12 @@
     }
 }
 
+/// Refusal of a request that had not arrived whole when this node had to end.
+fn stopped_before_read() -> Refusal {
+    let reason = "this node stops, and the request has not arrived whole; ask another";
+    Refusal::not_run(reason, STOPPED_RETRY_AFTER_MS)
+}
+
 /// Logs and sends the refusal of a request that is not admitted.
 async fn refuse_unadmitted(
     gateway: &Gateway,
--- a/crates/gateway/src/forward/final_answer.rs
+++ b/crates/gateway/src/forward/final_answer.rs
@@ -35,7 +35,7 @@
             return Self::EngineFailure(failure);
         }
         let reason = std::mem::take(&mut progress.reason);
-        Self::Refusal(match progress.attempts.run_state() {
+        Self::Refusal(match progress.attempts.run_state_if_abandoned() {
             RunState::NotRun => {
                 let retry_after_ms = progress.retry_after_ms.unwrap_or(default_retry_after_ms);
                 Refusal::not_run(reason, retry_after_ms)
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -37,6 +37,7 @@
 mod sending;
 mod source_registration;
 mod start_deadline;
+mod stop_admission;
 mod stream;
 mod takeover;
 
@@ -166,7 +167,7 @@
         claim: None,
         token: None,
     };
-    forwarding.run().await
+    forwarding.run_until_stop().await
 }
 
 impl Forwarding {
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -64,8 +64,6 @@
         };
         self.check_before_sending(chosen)?;
         self.gateway.metrics.reused_connections.inc();
-        self.progress.has_taken_retry = false;
-        self.use_token();
         Ok(self.exchange(connection, chosen, true))
     }
 
@@ -89,8 +87,6 @@
         })?;
         self.learn_from_connection(chosen, connection.path, began.elapsed());
         self.check_before_sending(chosen)?;
-        self.progress.has_taken_retry = false;
-        self.use_token();
         Ok(self.exchange(connection, chosen, false))
     }
 
@@ -98,11 +94,14 @@
     /// ends when the request's time is up, when the engine is known to be lost, or when its
     /// weights may be outdated.
     fn exchange(
-        &self,
+        &mut self,
         connection: EngineConnection,
         chosen: &ChosenEngine,
         is_reused: bool,
     ) -> Exchange {
+        self.progress.has_taken_retry = false;
+        self.progress.attempts.record_send();
+        self.use_token();
         let EngineConnection { stream, path, .. } = connection;
         self.gateway.metrics.paths.count_send(path);
         let head = self.engine_head(chosen);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use ploverlift_balancing::cost::{CostRates, RegionRates};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
+use ploverlift_balancing::stop_window::StopWindow;
 use ploverlift_balancing::weights::WeightsBounds;
 use ploverlift_clock::{unix_ms, Clock};
 use ploverlift_policy::ids::{Millis, ZoneName};
@@ -266,10 +267,14 @@
         self.planned_stop.has_begun(StopPhase::Accepting)
     }
 
-    /// Begins a planned stop.
-    pub fn begin_stop(&self) {
-        self.planned_stop.begin(StopPhase::Accepting);
+    /// Begins a planned stop; returns the time that it leaves to requests.
+    pub fn begin_stop(&self) -> StopWindow {
+        let bound_ms = self.settings().bounds.stop_seconds * 1_000.0;
+        let window = self
+            .planned_stop
+            .begin_accepting(bound_ms, self.clock.now());
         self.stop_began.notify(usize::MAX);
+        window
     }
 
     /// Whether a planned stop has reached the phase in which new requests are refused.
--- a/crates/gateway/tests/caller_connections/stopping.rs
+++ b/crates/gateway/tests/caller_connections/stopping.rs
@@ -2,7 +2,7 @@
 
 use crate::node::{hold_executor, LoggedNode};
 use crate::run_exclusively;
-use crate::support::caller::{self, request};
+use crate::support::caller::{self, prompt, request, Answer, Request};
 use crate::support::configuration;
 use crate::support::engine::{Behaviour, StandInEngine};
 use ploverlift_gateway::planned_stop::StopPhase;
@@ -10,6 +10,7 @@
 use ploverlift_http1::BufferedStream;
 use smol::net::TcpStream;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// Time from the start of a stop at which new requests are refused and an idle node is about to
 /// end, in milliseconds.
@@ -149,3 +150,84 @@
         assert_eq!(received_status(&mut connection).await, 503);
     });
 }
+
+/// Settings of a node whose planned stop ends soon.
+const BRIEF_STOP: &str = "[bounds]\nstop_seconds = 1.0\n";
+
+/// Sends a request to an engine, stops the node while it runs there, and returns what the caller
+/// got and after how many milliseconds of the stop.
+async fn answer_of_stopped(engine: &StandInEngine, asked: &Request) -> (Option<Answer>, u128) {
+    let mut node = LoggedNode::start(&[engine], Some(configuration(1)), BRIEF_STOP).await;
+    let mut connection = caller::open(node.callers, asked).await;
+    engine.happened.recv().await.expect("the request arrived");
+    let stopping = smol::spawn(node.running.take().expect("running").stop());
+    let began = Instant::now();
+    let answer = caller::read(&mut connection).await;
+    let after_ms = began.elapsed().as_millis();
+    stopping.await;
+    assert_eq!(engine.heads().len(), 1);
+    (answer, after_ms)
+}
+
+// Guards against a stop that ends with a request running and gives its caller no answer.
+#[test]
+fn a_request_that_outlasts_the_stop_is_answered_as_unfinished() {
+    let _exclusive = run_exclusively();
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
+        let (answer, after_ms) = answer_of_stopped(&app, &request("patient.test", "r1")).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 504, "{}", answer.text());
+        assert!(answer.is_whole);
+        assert!(after_ms < 1_000, "answered after {after_ms} ms");
+    });
+}
+
+// Guards against a stream that looks complete because its node has stopped.
+#[test]
+fn a_stream_that_outlasts_the_stop_is_broken_off() {
+    let _exclusive = run_exclusively();
+    smol::block_on(async {
+        let llm = StandInEngine::start("llm-1", "llm", Behaviour::FallSilentAfter(2)).await;
+        let (answer, after_ms) = answer_of_stopped(&llm, &prompt("stream.test", "r1")).await;
+        let answer = answer.expect("a head");
+        assert_eq!(answer.status(), 200);
+        assert!(!answer.is_whole);
+        assert!(after_ms < 1_000, "broken off after {after_ms} ms");
+    });
+}
+
+// Guards against a stop that ends with a part of a request read and gives its caller no answer.
+#[test]
+fn a_request_that_arrives_too_slowly_for_the_stop_is_refused() {
+    let _exclusive = run_exclusively();
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::Answer).await;
+        let mut node = LoggedNode::start(&[&app], Some(configuration(1)), BRIEF_STOP).await;
+        let bytes = caller::encode(&request("patient.test", "r1"));
+        let stream = TcpStream::connect(node.callers).await.expect("connect");
+        let mut connection = BufferedStream::new(stream);
+        let part = &bytes[..bytes.len() - 3];
+        connection.write_all(part).await.expect("write");
+        let stopping = smol::spawn(node.running.take().expect("running").stop());
+        let answer = caller::read(&mut connection).await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        stopping.await;
+        assert!(app.heads().is_empty());
+    });
+}
+
+// Guards against a second signal to stop, or a reload, that moves the end of a stop.
+#[test]
+fn a_stop_that_has_begun_keeps_its_bound() {
+    let _exclusive = run_exclusively();
+    smol::block_on(async {
+        let (_app, node) = start().await;
+        let window = node.gateway.begin_stop();
+        let mut longer = (*node.gateway.settings()).clone();
+        longer.bounds.stop_seconds = 60.0;
+        node.gateway.replace_settings(longer);
+        sleep(2).await;
+        assert_eq!(node.gateway.begin_stop(), window);
+    });
+}
