Refuse requests that cannot end within a planned stop

Cause: a stopping node accepted requests for a constant time, whatever was left of the stop and however long requests run. What changed: a node keeps how long its latest requests of each route and service took (512 to 1,024 of each). While it stops, a request is accepted only if its deadline or its route's time-out, or the 99th percentile of its route, ends within the stop, or if another node can go on with its stream; all others are refused at once as not run, with both times in the reason. With fewer than 16 requests the time is not known, and requests are accepted as before. Durations are dropped with their route or target.

--- a/crates/balancing/src/attempts.rs
+++ b/crates/balancing/src/attempts.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Whether the request was sent to an engine.
+    pub fn has_been_sent(&self) -> bool {
+        self.sends > 0
+    }
+
     /// Records that bytes of the request may be sent from now on.
     pub fn record_send(&mut self) {
         self.sends += 1;
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -32,6 +32,7 @@
 //! | [`prefill_rate`] | prefill rate of engines, learned from their answers |
 //! | [`rendezvous`] | rendezvous order of the engines for a prompt |
 //! | [`round_trips`] | round-trip times to other zones, measured on connections |
+//! | [`route_durations`] | how long the requests of each route have taken |
 //! | [`selection`] | the choice, by a cost in milliseconds with named terms |
 //! | [`engine_rate_limits`] | which engines with a rate limit can take requests |
 //! | [`report_position`] | which of a sender's reports is the newest |
@@ -39,7 +40,7 @@
 //! | [`load_schedule`] | when engines load new weights, and how many concurrently |
 //! | [`load_width`] | how many engines can load concurrently without slowing each other |
 //! | [`overload`] | detection of overload, and the share of requests to refuse |
-//! | [`stop_window`] | the time that a planned stop leaves to requests |
+//! | [`stop_window`] | which requests a stopping node still accepts |
 //! | [`store_admission`] | which prompts are worth saving in the KV cache store |
 //! | [`transfer_sources`] | sources of the prompt parts that an engine lacks |
 //! | [`tunnel_peers`] | which peers open tunnels to engines that are cut off |
@@ -79,6 +80,7 @@
 pub mod report_position;
 pub mod retry_budget;
 pub mod round_trips;
+pub mod route_durations;
 pub mod selection;
 pub mod service_index;
 pub mod stop_window;
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -26,6 +26,7 @@
 use ploverlift_balancing::prefix_holders::{Placement, PrefixHolders};
 use ploverlift_balancing::retry_budget::{RetryBudget, RetryLimits};
 use ploverlift_balancing::round_trips::RoundTrips;
+use ploverlift_balancing::route_durations::RouteDurations;
 use ploverlift_balancing::tunnel_peers::TunnelPeers;
 use ploverlift_balancing::unreported_load::RecentPrefill;
 use ploverlift_balancing::weights::NamedWeights;
@@ -159,6 +160,8 @@
     pub loaded: Vec<(Millis, LoadedWeights)>,
     /// Leases that this node holds or that their holders reported.
     pub leases: LeaseBeliefs,
+    /// How long the requests of each route have taken at this node.
+    pub route_durations: RouteDurations,
     /// Overload observed in engines' answers, by service.
     pub overloads: BTreeMap<ServiceName, Overload>,
     /// Engines that ended a connection, and the requests that they were running.
@@ -365,6 +368,7 @@
             return false;
         }
         self.splitter.retain(&document.routes);
+        self.route_durations.retain(&document.routes);
         self.limiter.set_limits(rate_limits(&document));
         self.configuration = Some(Arc::new(ActiveConfiguration::new(document)));
         self.stored_configuration = Some(Arc::new(stored));
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -6,8 +6,8 @@
 use super::start_hold::{start_hold_ms, wait_for_site};
 use super::OpenConnection;
 use crate::forward::{
-    admit, refuse, serve, shared_parts, AfterAnswer, CallerAnswer, ReceivedRequest, StreamFraming,
-    TimeLimits,
+    admit, check_stop, refuse, serve, shared_parts, AfterAnswer, CallerAnswer, ReceivedRequest,
+    StreamFraming, TimeLimits,
 };
 use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
@@ -232,6 +232,7 @@
         request.map_err(|invalid| Refusal::new(RefusalKind::BadRequest, invalid.to_string()))?;
     let admission = admit(gateway, &request)?;
     let limits = TimeLimits::new(received, request.deadline_ms, admission.route.timeout_ms);
+    check_stop(gateway, &request, &admission, &limits)?;
     let fingerprint = RequestFingerprint::of(&RequestParts {
         tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
         host: &request.host,
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -191,6 +191,6 @@
     known.cloned().map(Some).ok_or_else(missing)
 }
 
-fn refuse_not_run(reason: &str) -> Refusal {
+pub(super) fn refuse_not_run(reason: &str) -> Refusal {
     Refusal::not_run(reason, STALE_RETRY_AFTER_MS)
 }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -46,6 +46,7 @@
 pub use caller_answer::{AfterAnswer, CallerAnswer, StreamFraming};
 pub use events::{is_after, EventSplitter, WholeEvent};
 pub use limits::TimeLimits;
+pub use stop_admission::check_stop;
 
 use crate::ports::{CallerRequest, Refusal};
 use crate::state::Gateway;
@@ -57,6 +58,7 @@
 use ploverlift_balancing::attempts::{AttemptLedger, AttemptLimits, AttemptOutcome};
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::selection::NoChoice;
+use ploverlift_policy::ids::Millis;
 use ploverlift_quarantine::fingerprint::RequestFingerprint;
 use ploverlift_quarantine::subject::SharedPart;
 use ploverlift_routing::configuration::ServiceName;
@@ -127,6 +129,8 @@
     claim: Option<RequestClaim>,
     /// The token for an engine that has a rate limit.
     token: Option<EngineToken>,
+    /// When its body had been read.
+    admitted: Millis,
 }
 
 /// Forwards a request to an engine and writes the answer to the caller.
@@ -159,6 +163,7 @@
         denials: 0,
     };
     let mut forwarding = Forwarding {
+        admitted: gateway.clock.now(),
         gateway,
         received,
         answer,
@@ -411,6 +416,14 @@
         !needs_key || self.gateway.accepts_keys()
     }
 
+    /// Records how long the request took from its admission.
+    fn note_duration(&self) {
+        let duration_ms = self.gateway.clock.now().since(self.admitted);
+        let admission = &self.received.admission;
+        let durations = &mut self.gateway.beliefs().route_durations;
+        durations.record(&admission.route, &admission.service, duration_ms);
+    }
+
     fn has_time(&self) -> bool {
         self.received.limits.left_ms(self.gateway.clock.now()) > 0
     }
@@ -439,6 +452,9 @@
     }
 
     fn finish(&mut self, outcome: &'static str, reason: &str) {
+        if self.progress.attempts.has_been_sent() {
+            self.note_duration();
+        }
         self.record
             .finish(&self.gateway, &self.received, outcome, reason);
     }
--- a/crates/gateway/tests/caller_connections/stopping.rs
+++ b/crates/gateway/tests/caller_connections/stopping.rs
@@ -217,6 +217,42 @@
     });
 }
 
+// Guards against passing on what is known to take longer than the rest of the stop.
+#[test]
+fn a_request_that_cannot_end_within_the_stop_is_refused_at_once() {
+    let _exclusive = run_exclusively();
+    smol::block_on(async {
+        let app = StandInEngine::start("app-1", "app", Behaviour::AnswerAfter(1_200)).await;
+        let mut node = LoggedNode::start(&[&app], Some(configuration(1)), BRIEF_STOP).await;
+        let callers = node.callers;
+        let earlier: Vec<_> = (0..20)
+            .map(|number| {
+                smol::spawn(async move {
+                    let asked = request("patient.test", &format!("r{number}"));
+                    caller::send(callers, &asked).await.status()
+                })
+            })
+            .collect();
+        for answered in earlier {
+            assert_eq!(answered.await, 200);
+        }
+        let stopping = smol::spawn(node.running.take().expect("running").stop());
+        while caller::get_status(callers).await == 0 || !node.gateway.is_stopping() {
+            sleep(1).await;
+        }
+        let began = Instant::now();
+        let late = caller::send(callers, &request("patient.test", "late")).await;
+        assert_eq!(late.status(), 503, "{}", late.text());
+        assert!(began.elapsed().as_millis() < 200);
+        assert_eq!(app.heads().len(), 20);
+        // One whose time-out ends within the stop is still served.
+        app.set(Behaviour::Answer);
+        let brief = caller::send(callers, &request("brief.test", "brief")).await;
+        assert_eq!(brief.status(), 200);
+        stopping.await;
+    });
+}
+
 // Guards against a second signal to stop, or a reload, that moves the end of a stop.
 #[test]
 fn a_stop_that_has_begun_keeps_its_bound() {
