Go on with a planned stop after a second SIGTERM

What callers saw: a second SIGTERM, as from a supervisor that repeats it, ended the process at once; all requests that it had were cut without an answer. Cause: each signal but SIGHUP counted as an order to end at once. What changed: while the node stops, only SIGINT ends the process; other signals are logged. Evidence: a_planned_stop_goes_on_after_further_signals failed before (exit code 1 at once), and passes with two more SIGTERM and a SIGHUP.

--- a/crates/cli/src/gateway.rs
+++ b/crates/cli/src/gateway.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 /// Runs a node until SIGTERM or SIGINT, then stops as planned. SIGHUP reads the
-/// settings again. A second signal to stop ends the process at once.
+/// settings again. While the node stops, SIGINT ends the process at once.
 pub fn run(arguments: &GatewayArguments) -> Result<(), Failure> {
     let settings = GatewaySettings::read(&arguments.settings)?;
     let log = json_logger(&settings.node.name, settings.log.level);
@@ -24,14 +24,16 @@
         let following = smol::spawn(follow_settings(Arc::clone(&node.gateway), file));
         wait_for_stop(&node, &mut signals, &arguments.settings).await;
         following.cancel().await;
-        let second = async {
+        let log = node.gateway.log.clone();
+        let interrupted = async {
             while let Some(signal) = signals.next().await {
-                if !matches!(signal, Ok(Signal::Hup)) {
+                if matches!(signal, Ok(Signal::Int)) {
                     std::process::exit(i32::from(FAILED));
                 }
+                slog::info!(log, "signal ignored while stopping"; "signal" => format!("{signal:?}"));
             }
         };
-        future::or(node.stop(), second).await;
+        future::or(node.stop(), interrupted).await;
         Ok(())
     })
 }
