Hold bytes for others within one budget

What callers saw: 150 callers with 4 MiB each, all within their limits, took a node to 644 MB, where a machine has 260; the process is killed there, and the requests of all others end with it. Beside 700 endless answers it was 766 MB. Cause: each body, answer and event had a limit, their sum had none. What changed: a budget (crates/bytebudget) in named shares of the memory in the settings (node.memory_mb, else that of the machine): bodies of requests 0.3, collected answers and events 0.05, answers of the store 0.1, of other calls 0.1. A body is reserved before it is read. Meanwhile the connection is not read; after 250 ms, or at once behind two shares of others that wait, the request is refused as not run. Who holds bytes does not wait for more. An answer that can't be collected is forwarded piece by piece. The body of a request that may not be sent again is freed once an engine has accepted it.

--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -143,7 +143,9 @@
     first_answers: Arc<FirstAnswerLimit>,
     engine: FollowedEngine,
 ) {
-    let mut connection = CallConnection::new(engine.address, ANSWER_LIMITS.cache_events_bytes);
+    let memory = Arc::clone(&gateway.byte_budget.engine_calls);
+    let limit = ANSWER_LIMITS.cache_events_bytes;
+    let mut connection = CallConnection::new(engine.address, limit, memory);
     let mut is_followed = false;
     loop {
         let next = gateway
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -70,7 +70,9 @@
 }
 
 async fn follow_store(gateway: Arc<Gateway>, store: CacheStore) {
-    let mut connection = CallConnection::new(store.address, ANSWER_LIMITS.cache_events_bytes);
+    let memory = Arc::clone(&gateway.byte_budget.engine_calls);
+    let limit = ANSWER_LIMITS.cache_events_bytes;
+    let mut connection = CallConnection::new(store.address, limit, memory);
     let mut refused = 0;
     loop {
         let call_pacing = call_pacing(&gateway, &store);
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -9,6 +9,7 @@
     admit, check_stop, refuse, serve, shared_parts, AfterAnswer, CallerAnswer, ReceivedRequest,
     StreamFraming, TimeLimits,
 };
+use crate::held_body::HeldBody;
 use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
 use crate::state::Gateway;
 use crate::time::within;
@@ -20,6 +21,7 @@
 use socket2::SockRef;
 use std::io;
 use std::net::Shutdown;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -89,7 +91,7 @@
 ) -> Result<(RequestHead, BodyDecoder), NoRequest> {
     let limits = caller_limits(gateway);
     let reading = read_request_head(connection, limits.max_head_bytes);
-    let reading = within(limits.head_timeout_ms, reading);
+    let reading = pin!(within(limits.head_timeout_ms, reading));
     let refused = |kind, reason: &str| Err(NoRequest::Refused(Refusal::new(kind, reason)));
     let Some(read) = gateway.planned_stop.unless_concluding(reading).await else {
         return Err(NoRequest::Refused(stopped_before_read()));
@@ -146,9 +148,7 @@
         }),
         expects_continue,
     };
-    let reading = read_body(connection, &mut decoder, limits, open);
-    let read = gateway.planned_stop.unless_concluding(reading).await;
-    let body = match read.unwrap_or_else(|| Err(NoBody::Refused(stopped_before_read()))) {
+    let body = match read_body_until_stop(gateway, connection, &mut decoder, limits, open).await {
         Ok(body) => body,
         Err(NoBody::Refused(refusal)) => {
             answer.close_after();
@@ -179,6 +179,20 @@
     }
 }
 
+/// Reads a body, unless this node has to end before it has arrived.
+async fn read_body_until_stop(
+    gateway: &Gateway,
+    connection: &mut BufferedStream,
+    decoder: &mut BodyDecoder,
+    limits: BodyLimits,
+    open: &mut OpenRequest,
+) -> Result<HeldBody, NoBody> {
+    let memory = &gateway.byte_budget.request_bodies;
+    let reading = pin!(read_body(connection, decoder, limits, memory, open));
+    let read = gateway.planned_stop.unless_concluding(reading).await;
+    read.unwrap_or_else(|| Err(NoBody::Refused(stopped_before_read())))
+}
+
 /// Refusal of a request that had not arrived whole when this node had to end.
 fn stopped_before_read() -> Refusal {
     let reason = "this node stops, and the request has not arrived whole; ask another";
@@ -225,7 +239,7 @@
 fn prepare(
     gateway: &Arc<Gateway>,
     request: Result<CallerRequest, InvalidRequest>,
-    body: Vec<u8>,
+    body: HeldBody,
     received: Millis,
 ) -> Result<ReceivedRequest, Refusal> {
     let request =
@@ -238,7 +252,7 @@
         host: &request.host,
         method: &request.method,
         target: &request.target,
-        body: &body,
+        body: body.bytes(),
     });
     let shared_parts = shared_parts(&request, &admission);
     Ok(ReceivedRequest {
@@ -330,9 +344,7 @@
 async fn linger(connection: &mut BufferedStream) {
     let _ = connection.writer().shutdown(Shutdown::Write);
     let draining = async {
-        while let Some(Ok(1..)) = within(LINGER_PAUSE_MS, connection.fill()).await {
-            let count = connection.pending().len();
-            connection.consume(count);
+        while let Some(Ok(1..)) = within(LINGER_PAUSE_MS, connection.discard()).await {
             // Lets other requests run, and the time limit expire, beside a caller that floods.
             futures_lite::future::yield_now().await;
         }
--- a/crates/gateway/src/callers/request_body.rs
+++ b/crates/gateway/src/callers/request_body.rs
@@ -1,9 +1,22 @@
 //! Reads the bodies of callers' requests.
 
 use super::connection_end::OpenRequest;
+use crate::held_body::HeldBody;
 use crate::ports::{Refusal, RefusalKind};
 use crate::time::within;
+use ploverlift_bytebudget::share::Share;
 use ploverlift_http1::{BodyDecoder, BufferedStream, HttpError};
+use std::sync::Arc;
+
+/// Longest wait for memory before a body is read, in milliseconds. Meanwhile the caller's
+/// connection is not read.
+const LONGEST_RESERVATION_WAIT_MS: u64 = 250;
+/// A request waits for memory for at most this part of the time limit on its body: the rest is
+/// for another node.
+const RESERVATION_WAIT_DIVISOR: u64 = 8;
+/// Retry time of a request for whose body this node has no memory, in milliseconds. The caller's
+/// next connection probably reaches another node.
+const NO_MEMORY_RETRY_AFTER_MS: u64 = 500;
 
 /// Limits on one body.
 #[derive(Clone, Copy, Debug)]
@@ -24,13 +37,14 @@
     Refused(Refusal),
 }
 
-/// Reads a body within its limits.
+/// Reads a body within its limits, once there is memory for it.
 pub(super) async fn read_body(
     connection: &mut BufferedStream,
     decoder: &mut BodyDecoder,
     limits: BodyLimits,
+    memory: &Arc<Share>,
     open: &mut OpenRequest,
-) -> Result<Vec<u8>, NoBody> {
+) -> Result<HeldBody, NoBody> {
     let too_large = || {
         let reason = format!("the body is over {} bytes", limits.max_bytes);
         NoBody::Refused(Refusal::new(RefusalKind::BodyTooLarge, reason))
@@ -39,21 +53,23 @@
     if declared > limits.max_bytes as u64 {
         return Err(too_large());
     }
-    let mut body = Vec::with_capacity(declared as usize);
+    let mut body = reserve_body(memory, declared as usize, limits.timeout_ms).await?;
     let reading = async {
         if limits.expects_continue {
             let written = connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             written.map_err(|error| no_body(error.into(), open))?;
         }
         loop {
-            let read = decoder.read(connection, &mut body).await;
-            open.set_body_bytes(body.len());
+            let read = decoder.read(connection, body.buffer()).await;
+            let length = body.bytes().len();
+            open.set_body_bytes(length);
             if !read.map_err(|error| no_body(error, open))? {
                 return Ok(());
             }
-            if body.len() > limits.max_bytes {
+            if length > limits.max_bytes {
                 return Err(too_large());
             }
+            body.hold_buffer().map_err(|_| no_memory(memory))?;
         }
     };
     let read = within(limits.timeout_ms, reading).await;
@@ -68,6 +84,27 @@
     Ok(body)
 }
 
+/// Reserves memory for a body of the declared length; chunked ones have none and start empty.
+async fn reserve_body(
+    memory: &Arc<Share>,
+    length: usize,
+    timeout_ms: u64,
+) -> Result<HeldBody, NoBody> {
+    let longest_ms = timeout_ms / RESERVATION_WAIT_DIVISOR;
+    let longest_ms = longest_ms.min(LONGEST_RESERVATION_WAIT_MS);
+    let reserved = within(longest_ms, HeldBody::reserve(memory, length)).await;
+    match reserved {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(_)) | None => Err(no_memory(memory)),
+    }
+}
+
+fn no_memory(memory: &Share) -> NoBody {
+    let (held, limit) = (memory.held(), memory.limits().bytes);
+    let reason = format!("this node holds {held} of {limit} bytes of requests; ask another");
+    NoBody::Refused(Refusal::not_run(reason, NO_MEMORY_RETRY_AFTER_MS))
+}
+
 fn no_body(error: HttpError, open: &mut OpenRequest) -> NoBody {
     match error {
         HttpError::Malformed { reason } => {
--- a/crates/gateway/src/forward/answer_head.rs
+++ b/crates/gateway/src/forward/answer_head.rs
@@ -35,10 +35,13 @@
                 Ok(AttemptEnd::Broken(BrokenAttempt::other(reason)))
             }
             AnswerMeaning::Failure => self.read_failure(answer, chosen, in_flight).await,
-            AnswerMeaning::Success if self.received.admission.route.delivery.is_stream() => {
-                self.forward_stream(answer, chosen, in_flight).await
+            AnswerMeaning::Success => {
+                self.release_body();
+                match self.received.admission.route.delivery.is_stream() {
+                    true => self.forward_stream(answer, chosen, in_flight).await,
+                    false => self.forward_buffered(answer, chosen, in_flight).await,
+                }
             }
-            AnswerMeaning::Success => self.forward_buffered(answer, chosen, in_flight).await,
         }
     }
 
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -10,6 +10,7 @@
 use crate::cut_requests::CutRequest;
 use crate::engine_ends::note_cut;
 use crate::engine_paths::connect::EnginePath;
+use crate::held_body::HeldBody;
 use ploverlift_balancing::health::Outcome;
 use ploverlift_balancing::names::{EngineTag, InstanceId};
 use ploverlift_http1::ResponseHead;
@@ -53,7 +54,7 @@
         /// Head of the engine's answer.
         head: ResponseHead,
         /// Body of the engine's answer.
-        body: Vec<u8>,
+        body: HeldBody,
     },
     /// The request may have run, and there is no complete answer.
     Broken(BrokenAttempt),
@@ -226,7 +227,7 @@
         beliefs.moves.begin(chosen.tag, chosen.move_ms, now);
         drop(beliefs);
         let metrics = &self.gateway.metrics;
-        metrics.count_distance(chosen.distance, self.received.body.len() as u64);
+        metrics.count_distance(chosen.distance, self.received.body.bytes().len() as u64);
         if let Some(prompt) = &self.received.request.prompt {
             let cached = chosen.locally_cached_tokens;
             let unshared = prompt.tokens() - prompt.shared_tokens();
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -9,6 +9,7 @@
 use super::{AfterAnswer, Forwarding};
 use crate::answer_limits::ANSWER_LIMITS;
 use crate::engine_connection::{EngineAnswer, FailureReason};
+use crate::held_body::HeldBody;
 use crate::time::{within, within_time_left};
 use ploverlift_balancing::health::Outcome;
 use ploverlift_http1::{Framing, HttpError};
@@ -20,15 +21,15 @@
 struct LargeAnswer {
     answer: EngineAnswer,
     /// The part of the body that has been read.
-    first: Vec<u8>,
+    first: HeldBody,
     /// Outcome for the request's log line once the answer is complete.
     outcome: &'static str,
 }
 
 /// How reading an answer ended.
 enum ReadEnd {
-    Whole(Vec<u8>),
-    TooLarge(Vec<u8>),
+    Whole(HeldBody),
+    TooLarge(HeldBody),
     Broken(BrokenAttempt),
     TakenOver(Takeover<BrokenAttempt>),
 }
@@ -73,7 +74,7 @@
                 self.record.record_first_byte(&self.gateway, &self.received);
                 let head = forwarded_head(&answer);
                 self.keep_connection(answer, chosen, in_flight.path);
-                let after = self.answer.send_complete(head, &body).await?;
+                let after = self.answer.send_complete(head, body.bytes()).await?;
                 let outcome = "answered";
                 Ok(AttemptEnd::Done { after, outcome })
             }
@@ -127,7 +128,7 @@
                 if is_engines_fault {
                     return Ok(AttemptEnd::Failed { head, body });
                 }
-                let after = self.answer.send_complete(head, &body).await?;
+                let after = self.answer.send_complete(head, body.bytes()).await?;
                 let outcome = "rejected_by_engine";
                 Ok(AttemptEnd::Done { after, outcome })
             }
@@ -167,7 +168,7 @@
     ) -> ReadEnd {
         let watch = self.watch_engine(&chosen.instance);
         let (left_ms, silence_ms) = (self.left_ms(), self.attempt_timeout_ms());
-        let mut body = Vec::new();
+        let mut body = HeldBody::empty(&self.gateway.byte_budget.engine_answers);
         let waited = {
             let reading = pin!(read_limited(answer, &mut body, &watch));
             let reading = pin!(within(left_ms, reading));
@@ -210,15 +211,21 @@
 
     async fn send_large(
         &mut self,
-        mut large: LargeAnswer,
+        large: LargeAnswer,
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
+        let LargeAnswer {
+            mut answer,
+            first,
+            outcome,
+        } = large;
         self.record.record_first_byte(&self.gateway, &self.received);
         self.answer
-            .start_stream(forwarded_head(&large.answer), &large.first)
+            .start_stream(forwarded_head(&answer), first.bytes())
             .await?;
-        if let Err(broken) = self.forward_rest(&mut large.answer, chosen).await? {
+        drop(first);
+        if let Err(broken) = self.forward_rest(&mut answer, chosen).await? {
             self.note_broken_attempt(&broken, chosen, in_flight);
             in_flight.note_outcome(Outcome::Broken);
             return Ok(AttemptEnd::Done {
@@ -228,7 +235,6 @@
         }
         in_flight.note_outcome(Outcome::Answered);
         let after = self.answer.finish_stream().await?;
-        let outcome = large.outcome;
         Ok(AttemptEnd::Done { after, outcome })
     }
 
@@ -259,15 +265,17 @@
     }
 }
 
-/// Reads an answer up to its end, or until it is too large to be buffered.
+/// Reads an answer up to its end, or until it is too large to be buffered: over its limit, or this
+/// node has no memory left for it.
 async fn read_limited(
     answer: &mut EngineAnswer,
-    body: &mut Vec<u8>,
+    body: &mut HeldBody,
     watch: &EngineWatch,
 ) -> Result<BodyRead, HttpError> {
-    while answer.read(body).await? {
+    while answer.read(body.buffer()).await? {
         watch.record_activity();
-        if body.len() > ANSWER_LIMITS.buffered_bytes {
+        let is_over_limit = body.bytes().len() > ANSWER_LIMITS.buffered_bytes;
+        if is_over_limit || body.hold_buffer().is_err() {
             return Ok(BodyRead::TooLarge);
         }
     }
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -161,7 +161,7 @@
         let mut criteria = Criteria {
             service: &self.received.admission.service,
             zone: &self.gateway.zone,
-            request_bytes: self.received.body.len() as u64,
+            request_bytes: self.received.body.bytes().len() as u64,
             prompt: self.prompt_criteria(beliefs, now)?,
             software: software.rule.clone(),
             sample_seed: fastrand::u64(..),
--- a/crates/gateway/src/forward/final_answer.rs
+++ b/crates/gateway/src/forward/final_answer.rs
@@ -5,6 +5,7 @@
 //! attempt alone.
 
 use super::Progress;
+use crate::held_body::HeldBody;
 use crate::ports::{Refusal, RefusalKind};
 use ploverlift_http1::ResponseHead;
 use ploverlift_policy::attempt::{promises_not_run, RunState};
@@ -12,7 +13,7 @@
 /// An answer of an engine that ran the request and failed.
 pub(super) struct EngineFailure {
     pub(super) head: ResponseHead,
-    pub(super) body: Vec<u8>,
+    pub(super) body: HeldBody,
 }
 
 /// The final answer to the caller.
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -48,6 +48,7 @@
 pub use limits::TimeLimits;
 pub use stop_admission::check_stop;
 
+use crate::held_body::HeldBody;
 use crate::ports::{CallerRequest, Refusal};
 use crate::state::Gateway;
 use attempt::AttemptEnd;
@@ -74,7 +75,7 @@
     /// The parsed head.
     pub request: CallerRequest,
     /// The body. Each engine that has the request reads it.
-    pub body: Arc<Vec<u8>>,
+    pub body: Arc<HeldBody>,
     /// The result of admission: route, service, tenant and reservation.
     pub admission: Admission,
     /// Its deadline and its route's time-out.
@@ -443,7 +444,9 @@
         let id = Some(self.received.request.id.as_str());
         match last {
             FinalAnswer::EngineFailure(failure) => {
-                self.answer.send_complete(failure.head, &failure.body).await
+                self.answer
+                    .send_complete(failure.head, failure.body.bytes())
+                    .await
             }
             FinalAnswer::Refusal(refusal) => {
                 refuse(&self.gateway, &mut self.answer, &refusal, id).await
@@ -451,6 +454,14 @@
         }
     }
 
+    /// Frees the body of a request that an engine has accepted and no other one may be sent.
+    fn release_body(&mut self) {
+        if !self.received.admission.route.delivery.is_repeatable() {
+            let share = &self.gateway.byte_budget.request_bodies;
+            self.received.body = Arc::new(HeldBody::empty(share));
+        }
+    }
+
     fn finish(&mut self, outcome: &'static str, reason: &str) {
         if self.progress.attempts.has_been_sent() {
             self.note_duration();
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -110,7 +110,7 @@
         let deadline = self.start_deadline(chosen);
         let timeout_ms = self.left_ms();
         let answer = async move {
-            let exchanging = pin!(exchange_on(stream, &head, &body, timeout_ms));
+            let exchanging = pin!(exchange_on(stream, &head, body.bytes(), timeout_ms));
             let exchanging = pin!(watch.unless_lost(exchanging));
             let reason = match deadline.unless_passed(exchanging).await {
                 Some(Some(exchanged)) => return exchanged,
@@ -133,7 +133,7 @@
         let admission = &self.received.admission;
         let call = EngineCall {
             request: &self.received.request,
-            body_length: self.received.body.len(),
+            body_length: self.received.body.bytes().len(),
             instance: &chosen.instance,
             deadline_ms: self.left_ms(),
             tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
--- a/crates/gateway/src/forward/stop_admission.rs
+++ b/crates/gateway/src/forward/stop_admission.rs
@@ -8,6 +8,7 @@
 use crate::stream_sources::present::is_resumable;
 use ploverlift_balancing::stop_window::ExpectedDuration;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 
 /// Checks whether a request that arrives during a planned stop can end within it.
@@ -49,7 +50,10 @@
     /// Forwards the request until it is answered, or a planned stop has to conclude it.
     pub(super) async fn run_until_stop(&mut self) -> io::Result<AfterAnswer> {
         let gateway = Arc::clone(&self.gateway);
-        let concluded = gateway.planned_stop.unless_concluding(self.run()).await;
+        let concluded = {
+            let running = pin!(self.run());
+            gateway.planned_stop.unless_concluding(running).await
+        };
         match concluded {
             Some(answered) => answered,
             None => self.conclude().await,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -19,6 +19,7 @@
 use crate::engine_connection::{EngineAnswer, FailureReason};
 use crate::time::within_time_left;
 use ploverlift_balancing::health::Outcome;
+use ploverlift_bytebudget::share::Held;
 use ploverlift_http1::error::malformed;
 use ploverlift_http1::{Framing, HttpError};
 use ploverlift_routing::prompt::part_keys;
@@ -30,6 +31,10 @@
 /// Longest KV cache transfer that is negligible beside the prefill, in milliseconds.
 const NEGLIGIBLE_TRANSFER_MS: f64 = 12.0;
 
+/// Size up to which an event needs no reservation, in bytes: usual events are forwarded whatever
+/// others hold.
+const USUAL_EVENT_BYTES: usize = 16 * 1_024;
+
 /// The next part of a stream, or its end.
 enum StreamStep {
     Events(Vec<u8>),
@@ -101,6 +106,8 @@
 struct EngineStream<'a> {
     answer: &'a mut EngineAnswer,
     splitter: &'a mut EventSplitter,
+    /// Reservation for the bytes of a large event that is not complete.
+    held: &'a mut Held,
     guard: &'a StreamGuard,
     /// Whether no event has been forwarded yet.
     is_first: bool,
@@ -115,6 +122,7 @@
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
         let mut splitter = EventSplitter::default();
+        let mut held = self.gateway.byte_budget.engine_answers.hold_none();
         let mut is_first = true;
         let guard = StreamGuard {
             watch: self.watch_engine(&chosen.instance),
@@ -124,6 +132,7 @@
             let stream = EngineStream {
                 answer: &mut answer,
                 splitter: &mut splitter,
+                held: &mut held,
                 guard: &guard,
                 is_first,
             };
@@ -236,6 +245,7 @@
         let EngineStream {
             answer,
             splitter,
+            held,
             guard,
             is_first,
         } = stream;
@@ -247,7 +257,7 @@
             let left_ms = self.left_ms();
             let silence_ms = self.allowed_silence_ms(is_first);
             let waited = {
-                let reading = pin!(read_event(answer, splitter));
+                let reading = pin!(read_event(answer, splitter, held));
                 let reading = pin!(within_time_left(left_ms, reading));
                 let reading = pin!(guard.read(reading, is_first));
                 self.unless_taken_over(reading, silence_ms, chosen, continuation_of_read)
@@ -342,15 +352,22 @@
 async fn read_event(
     answer: &mut EngineAnswer,
     splitter: &mut EventSplitter,
+    held: &mut Held,
 ) -> Result<StreamRead, HttpError> {
     loop {
         if let Some(event) = splitter.next_event() {
+            held.shrink_to(0);
             return Ok(StreamRead::Event(event));
         }
         let limit = ANSWER_LIMITS.event_bytes;
-        if splitter.pending_bytes() > limit {
+        let pending = splitter.pending_bytes();
+        if pending > limit {
             return Err(malformed(format!("an event is over {limit} bytes")));
         }
+        if pending > USUAL_EVENT_BYTES && held.try_grow_to(pending as u64).is_err() {
+            let reason = format!("no memory is left for an event of over {pending} bytes");
+            return Err(malformed(reason));
+        }
         if !answer.read(splitter.buffer()).await? {
             return Ok(StreamRead::End {
                 framing: answer.framing(),
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -2,8 +2,10 @@
 //! the call may have been carried out.
 
 use crate::answer_limits::ANSWER_LIMITS;
+use crate::held_body::HeldBody;
 use crate::time::within;
 use ploverlift_balancing::engine_paths::DirectFailure;
+use ploverlift_bytebudget::share::Share;
 use ploverlift_http1::error::malformed;
 use ploverlift_http1::{read_response_head, BufferedStream, HttpError, RequestHead, ResponseHead};
 use smol::net::TcpStream;
@@ -11,6 +13,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Liveness options of connections that this node opens, and of those to other nodes. On Linux
@@ -98,6 +101,8 @@
     address: SocketAddr,
     /// Maximum size of an answer's body, in bytes.
     max_body_bytes: usize,
+    /// Memory for answers that are being read.
+    memory: Arc<Share>,
     stream: Option<BufferedStream>,
 }
 
@@ -116,11 +121,12 @@
 
 impl CallConnection {
     /// A connection to `address`, not opened yet. An answer whose body is over `max_body_bytes`
-    /// is none.
-    pub fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
+    /// is none, and neither is one for which `memory` has no room.
+    pub fn new(address: SocketAddr, max_body_bytes: usize, memory: Arc<Share>) -> Self {
         Self {
             address,
             max_body_bytes,
+            memory,
             stream: None,
         }
     }
@@ -176,7 +182,14 @@
         // and exceed its caller's bound.
         let passed_ms = began.elapsed().as_millis() as u64;
         let left_ms = timeout_ms.saturating_sub(passed_ms).max(1);
-        let exchange = exchange(&mut stream, &head.method, &message, self.max_body_bytes);
+        let body = HeldBody::empty(&self.memory);
+        let exchange = exchange(
+            &mut stream,
+            &head.method,
+            &message,
+            self.max_body_bytes,
+            body,
+        );
         let answered = within(left_ms, exchange).await;
         let (answer, is_kept) = match answered {
             None => return no_answer("timed out"),
@@ -201,6 +214,7 @@
     method: &str,
     message: &[u8],
     max_body_bytes: usize,
+    mut body: HeldBody,
 ) -> Result<(WholeAnswer, bool), HttpError> {
     stream.write_all(message).await?;
     let head_bytes = ANSWER_LIMITS.head_bytes;
@@ -209,15 +223,17 @@
     if decoder.declared_length().unwrap_or(0) > max_body_bytes as u64 {
         return Err(too_large());
     }
-    let mut body = Vec::new();
-    while decoder.read(stream, &mut body).await? {
-        if body.len() > max_body_bytes {
+    while decoder.read(stream, body.buffer()).await? {
+        let length = body.bytes().len();
+        if length > max_body_bytes {
             return Err(too_large());
         }
+        let no_memory = |_| malformed(format!("no memory is left for an answer of {length} bytes"));
+        body.hold_buffer().map_err(no_memory)?;
     }
     let closes = head.headers.has_token("connection", "close");
     let is_kept = !closes && !decoder.ends_with_connection();
-    Ok(((head, body), is_kept))
+    Ok(((head, body.into_bytes()), is_kept))
 }
 
 /// Opens a connection that detects a peer that lost power.
--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -4,6 +4,7 @@
 use ploverlift_balancing::stop_window::StopWindow;
 use ploverlift_policy::ids::Millis;
 use std::future::Future;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::OnceLock;
 
@@ -52,8 +53,9 @@
         self.window.get().copied()
     }
 
-    /// Runs `work`; returns `None` when requests have to be concluded before it is done.
-    pub async fn unless_concluding<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+    /// Runs `work`; returns `None` when requests have to be concluded before it is done. The work is
+    /// borrowed, so that its space is not reserved twice.
+    pub async fn unless_concluding<T>(&self, work: Pin<&mut impl Future<Output = T>>) -> Option<T> {
         let working = async { Some(work.await) };
         let concluding = async {
             self.wait_for(StopPhase::Concluding).await;
--- a/crates/gateway/src/settings/node.rs
+++ b/crates/gateway/src/settings/node.rs
@@ -17,6 +17,10 @@
     /// Bandwidth of its network link, in megabits per second.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Memory that the process may use, in megabytes; 0 stands for the memory of the machine. A
+    /// change takes effect with the next start.
+    #[serde(default)]
+    pub memory_mb: f64,
     /// Whether all nodes of the site are starting for the first time; they then wait until
     /// they have discovered each other.
     #[serde(default)]
@@ -28,6 +32,7 @@
         not_empty("node.name", &self.name)?;
         not_empty("node.zone", &self.zone)?;
         not_negative("node.cpu_cores", self.cpu_cores)?;
-        not_negative("node.link_mbps", self.link_mbps)
+        not_negative("node.link_mbps", self.link_mbps)?;
+        not_negative("node.memory_mb", self.memory_mb)
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use crate::engine_liveness::EngineProbes;
 use crate::engines_proof::engines_age_limit_ms;
 use crate::kept_connections::KeptConnections;
+use crate::machine_memory::memory_mb;
 use crate::metrics::Metrics;
 use crate::peers::address_book::AddressBook;
 use crate::peers::encoded_engines::EngineEncoding;
@@ -25,6 +26,8 @@
 use ploverlift_balancing::peer_loads::{EngineTag, PeerId};
 use ploverlift_balancing::stop_window::StopWindow;
 use ploverlift_balancing::weights::WeightsBounds;
+use ploverlift_bytebudget::limits::BudgetLimits;
+use ploverlift_bytebudget::ByteBudget;
 use ploverlift_clock::{unix_ms, Clock};
 use ploverlift_policy::ids::{Millis, ZoneName};
 use ploverlift_routing::topology::Topology;
@@ -113,6 +116,8 @@
     pub report_sequence: AtomicU64,
     /// Start of this node's weighted splits, from 0 to 1.
     pub split_start: f64,
+    /// Bytes that this node holds for others.
+    pub byte_budget: ByteBudget,
     requests_in_flight: AtomicUsize,
     success_lines: Mutex<LineAllowance>,
     beliefs: Mutex<Beliefs>,
@@ -146,6 +151,8 @@
     ) -> Self {
         let age_limit_ms = engines_age_limit_ms(&settings);
         let tunnel_limits = tunnel_limits(&settings.node);
+        let memory_mb = memory_mb(&settings.node);
+        let byte_budget = ByteBudget::new(&BudgetLimits::for_memory_mb(memory_mb));
         let mut beliefs = Beliefs::default();
         beliefs.store_outage = StoreOutage::new(&settings, age_limit_ms);
         Self {
@@ -187,6 +194,7 @@
             life: unix_ms(),
             report_sequence: AtomicU64::new(1),
             split_start: fastrand::f64(),
+            byte_budget,
             requests_in_flight: AtomicUsize::new(0),
             success_lines: Mutex::new(LineAllowance::default()),
             beliefs: Mutex::new(beliefs),
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -26,9 +26,10 @@
     /// A client of the configured store.
     pub fn new(gateway: &Arc<Gateway>) -> Self {
         let address = gateway.settings().store.address;
+        let memory = Arc::clone(&gateway.byte_budget.store_answers);
         Self {
             gateway: Arc::clone(gateway),
-            connection: CallConnection::new(address, ANSWER_LIMITS.store_bytes),
+            connection: CallConnection::new(address, ANSWER_LIMITS.store_bytes, memory),
             answer_timeout: None,
             answered_era: StoreEra::default(),
         }
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -50,7 +50,8 @@
     loading: &Loading,
     engine: OutdatedEngine,
 ) -> Option<u64> {
-    let connection = CallConnection::new(engine.address, ANSWER_LIMITS.report_bytes);
+    let memory = Arc::clone(&gateway.byte_budget.engine_calls);
+    let connection = CallConnection::new(engine.address, ANSWER_LIMITS.report_bytes, memory);
     let mut load = EngineLoad {
         gateway,
         holder,
--- a/crates/gateway/tests/endless_answers.rs
+++ b/crates/gateway/tests/endless_answers.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use ploverlift_balancing::names::InstanceId;
+use ploverlift_bytebudget::limits::ShareLimits;
+use ploverlift_bytebudget::share::Share;
 use ploverlift_gateway::answer_limits::ANSWER_LIMITS;
 use ploverlift_gateway::http_call::CallConnection;
 use ploverlift_http1::{BufferedStream, RequestHead};
@@ -404,7 +406,8 @@
         ] {
             let engine = FloodingEngine::start(endless(head("200 OK", lines), piece));
             let limit = ANSWER_LIMITS.report_bytes;
-            let mut connection = CallConnection::new(engine.address, limit);
+            let memory = Share::new(ShareLimits::of_bytes(1_048_576));
+            let mut connection = CallConnection::new(engine.address, limit, memory);
             let call = connection.call(RequestHead::new("GET", "/"), &[], 2_000);
             let error = call.await.expect_err("no end").to_string();
             assert!(error.contains(exceeded), "{error}");
