Write large answers without a copy, and discard what a refused caller still sends faster

The bytes that they still sent were read in pieces of 4 KiB, and the connection was closed with more of them after 3 s. Bodies over 16 KiB are written after their head in place of being copied behind it.

--- a/crates/gateway/src/forward/caller_answer.rs
+++ b/crates/gateway/src/forward/caller_answer.rs
@@ -5,10 +5,12 @@
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use socket2::SockRef;
-use std::fmt::Write;
 use std::io;
 use std::time::Duration;
 
+/// Bytes up to which a body is copied behind its head, to go out in one segment.
+const MAX_COPIED_BYTES: usize = 16 * 1_024;
+
 /// What becomes of the caller's connection after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AfterAnswer {
@@ -89,9 +91,8 @@
     ) -> io::Result<AfterAnswer> {
         self.begin()?;
         head.headers.set("Content-Length", body.len().to_string());
-        let mut message = self.encode(head);
-        message.extend_from_slice(body);
-        self.write(&message).await?;
+        let message = self.encode(head);
+        self.write_together(message, body, b"").await?;
         Ok(self.after())
     }
 
@@ -110,9 +111,8 @@
                 SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
             }
         }
-        let mut message = self.encode(head);
-        self.append_piece(&mut message, first);
-        self.write(&message).await
+        let message = self.encode(head);
+        self.write_piece(message, first).await
     }
 
     /// Writes more bytes of an answer of unknown length.
@@ -120,9 +120,7 @@
     /// # Errors
     /// When writing to the caller fails.
     pub async fn write_chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let mut message = Vec::with_capacity(bytes.len() + 16);
-        self.append_piece(&mut message, bytes);
-        self.write(&message).await
+        self.write_piece(Vec::new(), bytes).await
     }
 
     /// Writes the end of a complete answer of unknown length.
@@ -160,13 +158,35 @@
         Ok(())
     }
 
-    fn append_piece(&self, message: &mut Vec<u8>, bytes: &[u8]) {
+    /// Writes a piece of an answer of unknown length after `start`.
+    async fn write_piece(&mut self, mut start: Vec<u8>, bytes: &[u8]) -> io::Result<()> {
         match self.framing {
-            StreamFraming::Chunked => append_chunk(message, bytes),
-            StreamFraming::UntilClose => message.extend_from_slice(bytes),
+            StreamFraming::Chunked if !bytes.is_empty() => {
+                start.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+                self.write_together(start, bytes, b"\r\n").await
+            }
+            _ => self.write_together(start, bytes, b"").await,
         }
     }
 
+    /// Writes bytes between `start` and `end`: in one segment if they are few, and without a copy
+    /// of them if they are many.
+    async fn write_together(
+        &mut self,
+        mut start: Vec<u8>,
+        bytes: &[u8],
+        end: &[u8],
+    ) -> io::Result<()> {
+        if bytes.len() <= MAX_COPIED_BYTES {
+            start.extend_from_slice(bytes);
+            start.extend_from_slice(end);
+            return self.write(&start).await;
+        }
+        self.write(&start).await?;
+        self.write(bytes).await?;
+        self.write(end).await
+    }
+
     fn encode(&self, mut head: ResponseHead) -> Vec<u8> {
         if !self.keep_open {
             head.headers.set("Connection", "close");
@@ -181,14 +201,3 @@
         }
     }
 }
-
-fn append_chunk(message: &mut Vec<u8>, bytes: &[u8]) {
-    if bytes.is_empty() {
-        return;
-    }
-    let mut line = String::new();
-    let _ = write!(line, "{:x}\r\n", bytes.len());
-    message.extend_from_slice(line.as_bytes());
-    message.extend_from_slice(bytes);
-    message.extend_from_slice(b"\r\n");
-}
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -10,6 +10,8 @@
 
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
+/// Size of one read of bytes that are discarded, in bytes.
+const DISCARDED_BYTES: usize = 64 * 1024;
 
 /// Extracts the payload from the bytes of a connection that frames it.
 pub trait PayloadDecoder: Send + Sync {
@@ -91,6 +93,19 @@
         Ok(count)
     }
 
+    /// Reads and discards bytes, pending ones included; returns 0 when the peer closed its side.
+    ///
+    /// # Errors
+    /// Errors of the operating system.
+    pub async fn discard(&mut self) -> io::Result<usize> {
+        self.consume(self.pending().len());
+        poll_fn(|context| {
+            let mut chunk = [0; DISCARDED_BYTES];
+            Pin::new(&mut self.stream).poll_read(context, &mut chunk)
+        })
+        .await
+    }
+
     /// Reads what has arrived, or waits until something does.
     async fn read_some(&mut self, chunk: &mut [u8]) -> io::Result<usize> {
         self.turns.take().await;
