--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod leases;
 pub mod logging;
 mod machine_memory;
+pub mod memory_metrics;
 pub mod metrics;
 pub mod outcomes;
 mod peer_stream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use crate::callers::ConnectionMetrics;
 use crate::engine_paths::metrics::PathMetrics;
 use crate::forward::AnswerMetrics;
+use crate::memory_metrics::MemoryMetrics;
 use crate::ports::StoreCall;
 use crate::rollouts::Arrival;
 use crate::stream_metrics::StreamMetrics;
@@ -231,6 +232,8 @@
     pub streams: StreamMetrics,
     /// Connections of callers.
     pub connections: ConnectionMetrics,
+    /// Bytes that this node holds for others.
+    pub memory: MemoryMetrics,
 }
 
 impl Default for Metrics {
@@ -283,6 +286,7 @@
             answers: AnswerMetrics::default(),
             streams: StreamMetrics::default(),
             connections: ConnectionMetrics::default(),
+            memory: MemoryMetrics::default(),
         }
     }
 }
@@ -566,6 +570,7 @@
         self.answers.register(&mut registry);
         self.streams.register(&mut registry);
         self.connections.register(&mut registry);
+        self.memory.register(&mut registry);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &registry);
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -2,6 +2,7 @@
 
 use crate::engine_limits::publish_limits;
 use crate::engine_paths::metrics::publish_paths;
+use crate::memory_metrics::publish_memory;
 use crate::peers::engine_signals::knows_signals;
 use crate::ports::RefusalKind;
 use crate::state::Gateway;
@@ -56,6 +57,7 @@
 pub fn metrics_page(gateway: &Gateway) -> String {
     publish_limits(gateway);
     publish_paths(gateway);
+    publish_memory(gateway);
     gateway.metrics.page()
 }
 
--- a/crates/gateway/tests/held_bytes.rs
+++ b/crates/gateway/tests/held_bytes.rs
@@ -7,6 +7,7 @@
 use ploverlift_gateway::assembly::{start, RunningGateway};
 use ploverlift_gateway::http_call::CallConnection;
 use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::readiness::metrics_page;
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::BufferedStream;
 use smol::net::TcpStream;
@@ -82,6 +83,9 @@
         assert_eq!(refused.status(), 503, "{}", refused.text());
         assert!(refused.head.headers.get("retry-after-ms").is_some());
         assert!(began.elapsed().as_millis() < 100);
+        let page = metrics_page(&node.running.gateway);
+        let bytes = node.held_bodies();
+        assert!(page.contains(&format!("held_bytes{{share=\"request_bodies\"}} {bytes}\n")));
         assert_eq!(app.heads().len(), BODIES);
         drop(held);
         node.wait_until_nothing_is_held().await;
