Tests of partitions run one at a time

Seen: tests of this file failed beside builds and soaks, and one of them in 3 of 7 runs of the file with nothing else on the machine, in 0 of 6 alone: a cut-off node served 25 of 49 first tries. Cause: it is the tests'. All nodes and engines of a test program share one thread of the executor, and the harness runs up to eight tests of the file at once in it; their nodes' connect time-outs are of wall-clock time. Checks and bounds are as they were.

--- a/crates/gateway/tests/engine_limits/main.rs
+++ b/crates/gateway/tests/engine_limits/main.rs
@@ -21,11 +21,4 @@
 #[path = "../support/mod.rs"]
 mod support;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
-/// Lets one test run at a time: all nodes and engines of this program share one thread, and
-/// the tests measure rates over seconds.
-pub fn run_exclusively() -> MutexGuard<'static, ()> {
-    static RUNNING: Mutex<()> = Mutex::new(());
-    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
-}
+pub use support::exclusive::run_exclusively;
--- a/crates/gateway/tests/engine_notices/main.rs
+++ b/crates/gateway/tests/engine_notices/main.rs
@@ -7,11 +7,4 @@
 mod support;
 mod use_after_leaving;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
-/// Serializes the tests: all nodes and engines of this program share one thread, and the tests
-/// measure their progress against wall-clock time.
-pub fn run_exclusively() -> MutexGuard<'static, ()> {
-    static RUN_LOCK: Mutex<()> = Mutex::new(());
-    RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
-}
+pub use support::exclusive::run_exclusively;
--- a/crates/gateway/tests/partitions.rs
+++ b/crates/gateway/tests/partitions.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 use support::caller::{self, prompt};
 use support::engine::Behaviour;
+use support::exclusive::run_exclusively;
 use support::links::Cut;
 use support::partition::{FirstTries, PartitionableSite};
 use support::traffic::Traffic;
@@ -65,6 +66,7 @@
 }
 
 fn assert_cut_is_survived(nodes: usize, partitioned: &[usize], behaviour: Behaviour, cut: Cut) {
+    let _exclusive = run_exclusively();
     smol::block_on(async {
         let site = PartitionableSite::start(nodes, 4, behaviour).await;
         let engines = site.all_engines();
@@ -101,6 +103,7 @@
 // Guards against the one engine that a node still reaches getting all of its requests.
 #[test]
 fn a_node_that_reaches_one_engine_still_uses_the_others() {
+    let _exclusive = run_exclusively();
     smol::block_on(async {
         // More requests than the one engine has slots for.
         let site = PartitionableSite::start(3, 4, Behaviour::StreamSlowly(8)).await;
@@ -129,6 +132,7 @@
 // Guards against a cut from some engines leaving the others with all requests.
 #[test]
 fn callers_are_served_when_three_nodes_are_cut_off_from_most_engines() {
+    let _exclusive = run_exclusively();
     smol::block_on(async {
         let site = PartitionableSite::start(7, 6, Behaviour::Answer).await;
         let nodes = [1, 2, 4];
@@ -184,6 +188,7 @@
 // tour through the peers for each of them.
 #[test]
 fn all_nodes_reject_at_once_when_all_are_partitioned() {
+    let _exclusive = run_exclusively();
     smol::block_on(async {
         let site = PartitionableSite::start(3, 2, Behaviour::Answer).await;
         let traffic = Traffic::start(site.nodes.iter().map(|node| node.callers), PERIOD_MS);
@@ -197,6 +202,7 @@
 // As above, with engines that have ended.
 #[test]
 fn all_nodes_reject_at_once_when_all_engines_are_down() {
+    let _exclusive = run_exclusively();
     smol::block_on(async {
         let site = PartitionableSite::start(3, 2, Behaviour::Answer).await;
         let traffic = Traffic::start(site.nodes.iter().map(|node| node.callers), PERIOD_MS);
@@ -217,6 +223,7 @@
 // goes.
 #[test]
 fn a_cut_that_comes_and_goes_loses_and_repeats_no_request() {
+    let _exclusive = run_exclusively();
     smol::block_on(async {
         let site = PartitionableSite::start(3, 3, Behaviour::KeepConnection).await;
         let traffic = Traffic::start(site.nodes.iter().map(|node| node.callers), PERIOD_MS);
@@ -250,6 +257,7 @@
 // lost that is only silent for a moment.
 #[test]
 fn an_engine_that_is_silent_for_a_moment_keeps_its_requests() {
+    let _exclusive = run_exclusively();
     smol::block_on(async {
         let site = PartitionableSite::start(3, 3, Behaviour::StreamSlowly(40)).await;
         let mut open = Vec::new();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod engine;
+pub mod exclusive;
 pub mod fleet;
 pub mod links;
 pub mod partition;
