One refusal for requests that another node can serve, one connection for cache events

The same retry time of 500 ms, for the same reason, stood three times: for stopping nodes at admission, for requests that arrive too late at them, and for bodies without memory. All use refuse_not_run now. The feeds of engines and of cache stores open their connections in one place. The comment of node.memory_mb is in plain terms. Behaviour is as it was. Ruled out: merging run_state with run_state_if_abandoned, since tests assert on both.

--- a/crates/gateway/src/cache_feeds/engines.rs
+++ b/crates/gateway/src/cache_feeds/engines.rs
@@ -6,8 +6,7 @@
 
 use super::first_answers::FirstAnswerLimit;
 use super::follow_duty::follow_duty;
-use super::{ask_for_events, refused_pause_ms, EventWait, RETRY_MS};
-use crate::answer_limits::ANSWER_LIMITS;
+use super::{ask_for_events, events_connection, refused_pause_ms, EventWait, RETRY_MS};
 use crate::beliefs::{ActiveConfiguration, Beliefs};
 use crate::engine_paths::connect::{connect_engine, Unconnected};
 use crate::http_call::CallConnection;
@@ -143,9 +142,7 @@
     first_answers: Arc<FirstAnswerLimit>,
     engine: FollowedEngine,
 ) {
-    let memory = Arc::clone(&gateway.byte_budget.engine_calls);
-    let limit = ANSWER_LIMITS.cache_events_bytes;
-    let mut connection = CallConnection::new(engine.address, limit, memory);
+    let mut connection = events_connection(&gateway, engine.address);
     let mut is_followed = false;
     loop {
         let next = gateway
--- a/crates/gateway/src/cache_feeds/mod.rs
+++ b/crates/gateway/src/cache_feeds/mod.rs
@@ -13,16 +13,25 @@
 pub use engines::{engines_to_follow, follow_engine_caches, FollowedEngine};
 pub use store::{cache_stores, follow_cache_stores};
 
+use crate::answer_limits::ANSWER_LIMITS;
 use crate::http_call::{CallConnection, CallError};
 use crate::ports::CacheAnswer;
 use crate::state::Gateway;
 use ploverlift_policy::ids::ZoneName;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Minimum pause after a call was refused because all event calls were in use, in milliseconds.
 const MIN_REFUSED_PAUSE_MS: u64 = 4_000;
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 400;
 
+/// A connection for calls for events, not opened yet.
+fn events_connection(gateway: &Gateway, address: SocketAddr) -> CallConnection {
+    let memory = Arc::clone(&gateway.byte_budget.engine_calls);
+    CallConnection::new(address, ANSWER_LIMITS.cache_events_bytes, memory)
+}
+
 /// Time limits of calls for events.
 #[derive(Clone, Copy)]
 struct EventWait {
--- a/crates/gateway/src/cache_feeds/store.rs
+++ b/crates/gateway/src/cache_feeds/store.rs
@@ -10,8 +10,7 @@
 //! nodes there are, the longer each pauses between two calls.
 
 use super::call_pacing::{CallPacing, Callers, HOLD_TIME};
-use super::{ask_for_events, EventWait, RETRY_MS};
-use crate::answer_limits::ANSWER_LIMITS;
+use super::{ask_for_events, events_connection, EventWait, RETRY_MS};
 use crate::beliefs::ActiveConfiguration;
 use crate::http_call::CallConnection;
 use crate::peers::address_book::RELAYS_PER_ZONE;
@@ -70,9 +69,7 @@
 }
 
 async fn follow_store(gateway: Arc<Gateway>, store: CacheStore) {
-    let memory = Arc::clone(&gateway.byte_budget.engine_calls);
-    let limit = ANSWER_LIMITS.cache_events_bytes;
-    let mut connection = CallConnection::new(store.address, limit, memory);
+    let mut connection = events_connection(&gateway, store.address);
     let mut refused = 0;
     loop {
         let call_pacing = call_pacing(&gateway, &store);
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -6,8 +6,8 @@
 use super::start_hold::{start_hold_ms, wait_for_site};
 use super::OpenConnection;
 use crate::forward::{
-    admit, check_stop, refuse, serve, shared_parts, AfterAnswer, CallerAnswer, ReceivedRequest,
-    StreamFraming, TimeLimits,
+    admit, check_stop, refuse, refuse_not_run, serve, shared_parts, AfterAnswer, CallerAnswer,
+    ReceivedRequest, StreamFraming, TimeLimits,
 };
 use crate::held_body::HeldBody;
 use crate::ports::{CallerRequest, InvalidRequest, Refusal, RefusalKind};
@@ -33,9 +33,6 @@
 /// more, its connection is closed after that answer.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
-/// Retry time for requests that arrive too late at a stopping node, in milliseconds.
-const STOPPED_RETRY_AFTER_MS: u64 = 500;
-
 /// Why reading a head gave no request.
 enum NoRequest {
     /// The caller closed or reset the connection inside the head.
@@ -195,8 +192,7 @@
 
 /// Refusal of a request that had not arrived whole when this node had to end.
 fn stopped_before_read() -> Refusal {
-    let reason = "this node stops, and the request has not arrived whole; ask another";
-    Refusal::not_run(reason, STOPPED_RETRY_AFTER_MS)
+    refuse_not_run("this node stops, and the request has not arrived whole; ask another")
 }
 
 /// Logs and sends the refusal of a request that is not admitted.
--- a/crates/gateway/src/callers/request_body.rs
+++ b/crates/gateway/src/callers/request_body.rs
@@ -1,6 +1,7 @@
 //! Reads the bodies of callers' requests.
 
 use super::connection_end::OpenRequest;
+use crate::forward::refuse_not_run;
 use crate::held_body::HeldBody;
 use crate::ports::{Refusal, RefusalKind};
 use crate::time::within;
@@ -14,9 +15,6 @@
 /// A request waits for memory for at most this part of the time limit on its body: the rest is
 /// for another node.
 const RESERVATION_WAIT_DIVISOR: u64 = 8;
-/// Retry time of a request for whose body this node has no memory, in milliseconds. The caller's
-/// next connection probably reaches another node.
-const NO_MEMORY_RETRY_AFTER_MS: u64 = 500;
 
 /// Limits on one body.
 #[derive(Clone, Copy, Debug)]
@@ -102,7 +100,7 @@
 fn no_memory(memory: &Share) -> NoBody {
     let (held, limit) = (memory.held(), memory.limits().bytes);
     let reason = format!("this node holds {held} of {limit} bytes of requests; ask another");
-    NoBody::Refused(Refusal::not_run(reason, NO_MEMORY_RETRY_AFTER_MS))
+    NoBody::Refused(refuse_not_run(&reason))
 }
 
 fn no_body(error: HttpError, open: &mut OpenRequest) -> NoBody {
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -12,10 +12,10 @@
 use ploverlift_routing::tenants::TenantTerms;
 use std::sync::Arc;
 
-/// Retry time that a node gives while it is stopping or can't confirm its configuration or
-/// its usage data, in milliseconds. It is short because the caller's next connection
-/// probably reaches another node.
-const STALE_RETRY_AFTER_MS: u64 = 500;
+/// Retry time that a node gives while it is stopping, has no memory left, or can't confirm its
+/// configuration or its usage data, in milliseconds. It is short because the caller's next
+/// connection probably reaches another node.
+const OTHER_NODE_RETRY_AFTER_MS: u64 = 500;
 
 /// The result of admitting a request.
 pub struct Admission {
@@ -191,6 +191,7 @@
     known.cloned().map(Some).ok_or_else(missing)
 }
 
-pub(super) fn refuse_not_run(reason: &str) -> Refusal {
-    Refusal::not_run(reason, STALE_RETRY_AFTER_MS)
+/// Refusal of a request that has not run and that another node can probably serve.
+pub(crate) fn refuse_not_run(reason: &str) -> Refusal {
+    Refusal::not_run(reason, OTHER_NODE_RETRY_AFTER_MS)
 }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -41,6 +41,7 @@
 mod stream;
 mod takeover;
 
+pub(crate) use admission::refuse_not_run;
 pub use admission::{admit, shared_parts, Admission};
 pub use answer_metrics::AnswerMetrics;
 pub use caller_answer::{AfterAnswer, CallerAnswer, StreamFraming};
--- a/crates/gateway/src/settings/node.rs
+++ b/crates/gateway/src/settings/node.rs
@@ -17,8 +17,8 @@
     /// Bandwidth of its network link, in megabits per second.
     #[serde(default)]
     pub link_mbps: f64,
-    /// Memory that the process may use, in megabytes; 0 stands for the memory of the machine. A
-    /// change takes effect with the next start.
+    /// Memory that the process may use, in megabytes; 0 means all memory of the machine. Read
+    /// once, at the start.
     #[serde(default)]
     pub memory_mb: f64,
     /// Whether all nodes of the site are starting for the first time; they then wait until
