--- a/crates/bytebudget/tests/share.rs
+++ b/crates/bytebudget/tests/share.rs
@@ -22,13 +22,17 @@
     smol::block_on(poll_once(share.reserve(bytes)))
 }
 
+/// A reservation for which there is room at once.
+fn held_now(share: &Arc<Share>, bytes: u64) -> Held {
+    let reserved = reserve_now(share, bytes).expect("no wait");
+    reserved.expect("room")
+}
+
 // Guards against large bodies that keep small requests out.
 #[test]
 fn small_reservations_have_room_beside_large_ones_that_wait() {
     let share = share();
-    let large = reserve_now(&share, 9 * MEGABYTE)
-        .expect("no wait")
-        .expect("room");
+    let large = held_now(&share, 9 * MEGABYTE);
     let mut waiting = Box::pin(share.reserve(4 * MEGABYTE));
     assert!(smol::block_on(poll_once(&mut waiting)).is_none());
     let small = reserve_now(&share, SMALL_BYTES).expect("no wait");
@@ -41,9 +45,7 @@
 #[test]
 fn large_reservations_get_their_bytes_in_the_order_of_their_calls() {
     let share = share();
-    let first = reserve_now(&share, 5 * MEGABYTE)
-        .expect("no wait")
-        .expect("room");
+    let first = held_now(&share, 5 * MEGABYTE);
     let mut second = Box::pin(share.reserve(8 * MEGABYTE));
     assert!(smol::block_on(poll_once(&mut second)).is_none());
     let mut third = Box::pin(share.reserve(MEGABYTE));
@@ -60,9 +62,7 @@
 #[test]
 fn a_wait_that_is_given_up_lets_the_next_one_go_on() {
     let share = share();
-    let first = reserve_now(&share, 5 * MEGABYTE)
-        .expect("no wait")
-        .expect("room");
+    let first = held_now(&share, 5 * MEGABYTE);
     let mut second = Box::pin(share.reserve(8 * MEGABYTE));
     assert!(smol::block_on(poll_once(&mut second)).is_none());
     let third = Box::pin(share.reserve(MEGABYTE));
@@ -79,9 +79,7 @@
 #[test]
 fn a_long_queue_turns_reservations_away_at_once() {
     let share = share();
-    let _held = reserve_now(&share, 9 * MEGABYTE)
-        .expect("no wait")
-        .expect("room");
+    let _held = held_now(&share, 9 * MEGABYTE);
     let mut waiting: Vec<Pin<Box<_>>> = Vec::new();
     for _ in 0..5 {
         let mut reservation = Box::pin(share.reserve(4 * MEGABYTE));
@@ -98,9 +96,7 @@
 #[test]
 fn a_reservation_over_the_whole_share_gets_it_but_for_the_part_of_small_ones() {
     let share = share();
-    let held = reserve_now(&share, 64 * MEGABYTE)
-        .expect("no wait")
-        .expect("room");
+    let held = held_now(&share, 64 * MEGABYTE);
     assert_eq!(held.bytes(), 9 * MEGABYTE);
     assert!(reserve_now(&share, 1).expect("no wait").is_ok());
 }
--- a/crates/gateway/tests/endless_answers.rs
+++ b/crates/gateway/tests/endless_answers.rs
@@ -14,10 +14,10 @@
 use std::future::Future;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use support::caller::{self, prompt, request, Answer};
 use support::engine::{all_events, event, Behaviour, StandInEngine};
+use support::exclusive::run_exclusively;
 use support::{configuration, route, site, Fixture};
 
 /// Time-out of the routes to the endless engine, in milliseconds.
@@ -230,8 +230,7 @@
 
 /// Runs a test alone: tests of one process share the thread of the executor.
 fn run(test: impl Future<Output = ()>) {
-    static RUNNING: Mutex<()> = Mutex::new(());
-    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let _exclusive = run_exclusively();
     smol::block_on(test);
 }
 
--- a/crates/gateway/tests/held_bytes.rs
+++ b/crates/gateway/tests/held_bytes.rs
@@ -60,6 +60,17 @@
     }
 }
 
+/// Sends as many large requests as there is memory for, and leaves their connections open.
+async fn fill_memory(node: &SmallNode, engine: &StandInEngine) -> Vec<BufferedStream> {
+    let mut held = Vec::new();
+    for number in 0..BODIES {
+        let asked = large("patient.test", &format!("r{number}"));
+        held.push(caller::open(node.running.callers, &asked).await);
+        engine.happened.recv().await.expect("the request arrived");
+    }
+    held
+}
+
 fn large(host: &str, id: &str) -> Request {
     let mut large = request(host, id);
     large.body = vec![b'x'; BODY_BYTES];
@@ -73,11 +84,7 @@
         let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
         let node = SmallNode::start(&app).await;
         let callers = node.running.callers;
-        let mut held = Vec::new();
-        for number in 0..BODIES {
-            held.push(caller::open(callers, &large("patient.test", &format!("r{number}"))).await);
-            app.happened.recv().await.expect("the request arrived");
-        }
+        let held = fill_memory(&node, &app).await;
         let began = Instant::now();
         let refused = caller::send(callers, &large("patient.test", "late")).await;
         assert_eq!(refused.status(), 503, "{}", refused.text());
@@ -102,11 +109,7 @@
         let app = StandInEngine::start("app-1", "app", Behaviour::Silent).await;
         let node = SmallNode::start(&app).await;
         let callers = node.running.callers;
-        let mut held = Vec::new();
-        for number in 0..BODIES {
-            held.push(caller::open(callers, &large("patient.test", &format!("r{number}"))).await);
-            app.happened.recv().await.expect("the request arrived");
-        }
+        let _held = fill_memory(&node, &app).await;
         let mut head = request("patient.test", "late").head;
         head.headers.set("transfer-encoding", "chunked");
         let mut message = head.encode();
