Say what a node lacks before it is ready

Seen: a node that is never ready answered probes with "not ready" and logged nothing that tells what it waits for, so the reported cases of a late return could not be told apart.

Each requirement of readiness has a gauge with the age of its lack, lines when it begins, lasts and is met, and its name in the body of the 503.

--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -19,6 +19,7 @@
 use crate::ports::Site;
 use crate::quarantine::sync_quarantine;
 use crate::readiness::{serve_metrics, serve_readiness};
+use crate::requirements::watch_requirements;
 use crate::rollouts::decider::decide_rollouts;
 use crate::rollouts::feed::follow_rollouts;
 use crate::rollouts::gates::advance_gates;
@@ -131,6 +132,7 @@
         smol::spawn(check_engines(Arc::clone(&gateway))),
         smol::spawn(sync_quarantine(Arc::clone(&gateway))),
         smol::spawn(detect_suspension(Arc::clone(&gateway))),
+        smol::spawn(watch_requirements(Arc::clone(&gateway))),
         smol::spawn(keep_stream_sources(Arc::clone(&gateway))),
         smol::spawn(read_journals(Arc::clone(&gateway))),
         smol::spawn(write_journal(Arc::clone(&gateway))),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 //! | [`weights`] | loads new weights into engines, by one lease holder |
 //! | [`suspension`] | detects that this node was suspended |
 //! | [`stream_journal`] | sources of running streams in the store |
+//! | [`requirements`] | what a node needs before it accepts callers, and for how long it has lacked it |
 //! | [`readiness`], [`metrics`], [`stream_metrics`], [`logging`] | how a node reports its own state |
 //! | [`planned_stop`] | phases of a planned stop |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
@@ -72,6 +73,7 @@
 pub mod quarantine;
 pub mod readiness;
 pub mod reliance;
+pub mod requirements;
 mod reservation;
 pub mod rollouts;
 pub mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,13 @@
     pub outcome: &'static str,
 }
 
+/// Something that a node needs before it accepts callers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequirementLabel {
+    /// Its name, as in the log.
+    pub requirement: &'static str,
+}
+
 /// A kind of call of the object store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabel {
@@ -208,6 +215,8 @@
     pub rollout_arrivals: Family<ArrivalLabel, Counter>,
     /// Epoch of the current stage of a service's rollout.
     pub rollout_epoch: Family<RolloutLabel, Gauge>,
+    /// For how long this node has lacked what it needs before it accepts callers, in seconds.
+    pub lacking_seconds: Family<RequirementLabel, Gauge<f64, AtomicU64>>,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
     /// Other nodes from which a report arrived recently.
@@ -274,6 +283,7 @@
             limited_units: Family::default(),
             rollout_arrivals: Family::default(),
             rollout_epoch: Family::default(),
+            lacking_seconds: Family::default(),
             configuration_version: Gauge::default(),
             peers: Gauge::default(),
             engines: Gauge::default(),
@@ -540,6 +550,9 @@
         registry.register("store_era", "Era of the store", self.store_era.clone());
         let help = "Fencing token of this node by lease, 0 while it does not hold it";
         registry.register("fencing_token", help, self.fencing_tokens.clone());
+        let help = "Age of the lack of what this node needs before it is ready; 0 once it is met";
+        let lacking = self.lacking_seconds.clone();
+        registry.register_with_unit("lacking", help, Unit::Seconds, lacking);
         let version = self.configuration_version.clone();
         registry.register("configuration_version", "Configuration in force", version);
         registry.register("engines", "Engines in the catalogue", self.engines.clone());
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -3,8 +3,8 @@
 use crate::engine_limits::publish_limits;
 use crate::engine_paths::metrics::publish_paths;
 use crate::memory_metrics::publish_memory;
-use crate::peers::engine_signals::knows_signals;
 use crate::ports::RefusalKind;
+use crate::requirements::{lacking, publish_requirements, Requirement};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_http1::{read_request_head, BufferedStream, ResponseHead};
@@ -18,32 +18,36 @@
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 20;
 
-/// Whether this node accepts callers: it knows the configuration, the engines, the newest
-/// weights, the refused requests, the rate limits of engines and the rollout orders, and
-/// the current stage of a rollout that was running when it started; it may accept keys; and
-/// it is not stopping.
+/// Whether this node accepts callers: it lacks nothing that it needs, and is not stopping.
 pub fn is_ready(gateway: &Gateway) -> bool {
     knows_site(gateway) && !gateway.is_stopping()
 }
 
 /// Whether this node has all the state that it needs to serve callers.
 pub fn knows_site(gateway: &Gateway) -> bool {
-    let has_copies = {
-        let beliefs = gateway.beliefs();
-        let knows_orders = beliefs.rollouts.has_begun();
-        let knows_weights = beliefs.weights.is_proven();
-        let knows_engines = beliefs.has_listed_engines && knows_weights;
-        let knows_refused = beliefs.quarantine.is_stored_list_known();
-        beliefs.configuration.is_some() && knows_engines && knows_orders && knows_refused
-    };
-    has_copies && knows_signals(gateway) && gateway.accepts_keys()
+    lacking(gateway).is_empty()
+}
+
+/// The body of the answer to a readiness probe: what keeps this node from being ready.
+fn readiness_text(gateway: &Gateway) -> String {
+    if gateway.is_stopping() {
+        return "not ready: stopping\n".to_owned();
+    }
+    let names: Vec<&str> = lacking(gateway)
+        .into_iter()
+        .map(Requirement::name)
+        .collect();
+    match names.is_empty() {
+        true => "ready\n".to_owned(),
+        false => format!("not ready: lacks {}\n", names.join(", ")),
+    }
 }
 
 /// Answers readiness probes of the load balancer until the task is dropped.
 pub async fn serve_readiness(gateway: Arc<Gateway>, listener: TcpListener) {
     serve_probes(gateway, listener, |gateway| match is_ready(gateway) {
-        true => (200, "ready\n".to_owned()),
-        false => (RefusalKind::NotRun.status(), "not ready\n".to_owned()),
+        true => (200, readiness_text(gateway)),
+        false => (RefusalKind::NotRun.status(), readiness_text(gateway)),
     })
     .await;
 }
@@ -58,6 +62,7 @@
     publish_limits(gateway);
     publish_paths(gateway);
     publish_memory(gateway);
+    publish_requirements(gateway);
     gateway.metrics.page()
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::peers::token_requests::PendingTokenRequests;
 use crate::planned_stop::{PlannedStop, StopPhase};
 use crate::ports::Site;
+use crate::requirements::Lacks;
 use crate::rollouts::choice::OwnSeat;
 use crate::settings::{GatewaySettings, NodeSettings};
 use crate::store::era::KnownEra;
@@ -125,6 +126,7 @@
     engine_encoding: Mutex<EngineEncoding>,
     kept_connections: Mutex<KeptConnections>,
     tunnel_use: Mutex<TunnelUse>,
+    lacks: Mutex<Lacks>,
     /// Probes of engines after the ends of their answers.
     pub(crate) engine_probes: EngineProbes,
 }
@@ -202,6 +204,7 @@
             engine_encoding: Mutex::default(),
             kept_connections: Mutex::default(),
             tunnel_use: Mutex::new(TunnelUse::new(tunnel_limits)),
+            lacks: Mutex::default(),
             engine_probes: EngineProbes::default(),
         }
     }
@@ -265,6 +268,12 @@
         tunnel_use.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Locks what this node lacks before it is ready.
+    pub fn lacks(&self) -> MutexGuard<'_, Lacks> {
+        let lacks = self.lacks.lock();
+        lacks.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Arc<ActiveConfiguration>> {
         self.beliefs().configuration.clone()
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -108,14 +108,21 @@
 
 /// The status of a GET request; 0 without an answer.
 pub async fn get_status(address: SocketAddr) -> u16 {
+    get(address).await.0
+}
+
+/// The status and the body of the answer to a GET request; 0 without an answer.
+pub async fn get(address: SocketAddr) -> (u16, String) {
     let Ok(stream) = TcpStream::connect(address).await else {
-        return 0;
+        return (0, String::new());
     };
     let mut connection = BufferedStream::new(stream);
     let head = RequestHead::new("GET", "/");
     if connection.write_all(&head.encode()).await.is_err() {
-        return 0;
+        return (0, String::new());
     }
     let answer = read(&mut connection).await;
-    answer.map_or(0, |answer| answer.status())
+    answer.map_or((0, String::new()), |answer| {
+        (answer.status(), answer.text().to_owned())
+    })
 }
