Wait for a port that is in use at the start

Seen: with one of a node's ports taken for a moment (by any socket, or an outgoing connection that got its number) the program ended with status 1 after 4 ms, after one plain line that is no JSON log. Where nobody starts it again, or later each time, the machine is gone.

Cause: the listeners were bound once, and every failure was final.

Now a port in use is tried again every 0.2 s for 30 s, with a line each; SIGTERM and SIGINT end the wait. Any other failure is final and has a line of its own. Binding is a module of its own.

Tests, real processes: a_node_whose_port_is_in_use_starts_once_the_port_is_free, for each of the five ports (started within 1 s; before: "cannot listen on ...: Address already in use", status 1); a_node_that_waits_for_a_port_stops_on_a_signal; a_node_whose_address_is_not_of_this_machine_ends_at_once.

--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -31,11 +31,11 @@
         /// The fault.
         source: ploverlift_gateway::settings::SettingsError,
     },
-    /// The gateway could not start.
+    /// The gateway could not listen.
     #[snafu(transparent)]
     GatewayStart {
         /// The fault.
-        source: ploverlift_gateway::assembly::StartError,
+        source: ploverlift_gateway::listeners::ListenError,
     },
     /// The store of the gateways gave no valid answer.
     #[snafu(transparent)]
--- a/crates/cli/src/gateway.rs
+++ b/crates/cli/src/gateway.rs
@@ -5,10 +5,12 @@
 use crate::exit::{Failure, FAILED};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
-use ploverlift_gateway::assembly::{follow_settings, reload, start, RunningGateway};
+use ploverlift_gateway::assembly::{follow_settings, reload, start_on, RunningGateway};
+use ploverlift_gateway::listeners::{ListenError, Listeners, MAX_WAIT_MS};
 use ploverlift_gateway::logging::json_logger;
 use ploverlift_gateway::settings::GatewaySettings;
 use ploverlift_platform::Platform;
+use slog::Logger;
 use std::path::Path;
 use std::sync::Arc;
 
@@ -19,7 +21,10 @@
     let log = json_logger(&settings.node.name, settings.log.level);
     smol::block_on(async {
         let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-        let node = start(settings, Arc::new(Platform), log)?;
+        let Some(listeners) = bind_until_stopped(&settings, &mut signals, &log).await? else {
+            return Ok(());
+        };
+        let node = start_on(listeners, settings, Arc::new(Platform), log);
         let file = arguments.settings.clone();
         let following = smol::spawn(follow_settings(Arc::clone(&node.gateway), file));
         wait_for_stop(&node, &mut signals, &arguments.settings).await;
@@ -38,6 +43,25 @@
     })
 }
 
+/// Binds the listeners; `None` when the node is stopped before their ports are free.
+async fn bind_until_stopped(
+    settings: &GatewaySettings,
+    signals: &mut Signals,
+    log: &Logger,
+) -> Result<Option<Listeners>, ListenError> {
+    let binding = async {
+        let bound = Listeners::bind_when_free(&settings.listen, MAX_WAIT_MS, log).await;
+        bound.map(Some)
+    };
+    let stopping = async {
+        // The settings are read again at the next start.
+        while let Some(Ok(Signal::Hup)) = signals.next().await {}
+        slog::info!(log, "stopped before it was listening");
+        Ok(None)
+    };
+    future::or(binding, stopping).await
+}
+
 async fn wait_for_stop(node: &RunningGateway, signals: &mut Signals, file: &Path) {
     while let Some(signal) = signals.next().await {
         match signal {
--- a/crates/gateway/src/assembly.rs
+++ b/crates/gateway/src/assembly.rs
@@ -1,10 +1,11 @@
 //! Puts the parts of a node together: start, reload, planned stop.
 
 use crate::cache_feeds::{follow_cache_stores, follow_engine_caches};
-use crate::callers::{accept_callers, bind};
+use crate::callers::accept_callers;
 use crate::engine_checks::check_engines;
 use crate::engine_paths::probes::probe_direct_paths;
 use crate::engine_paths::tunnel_server::serve_tunnels;
+use crate::listeners::{ListenError, Listeners, PeerListeners};
 use crate::peers::address_book::Reach;
 use crate::peers::discovery::{find_peers, NodeRecord};
 use crate::peers::engine_signals::report_engine_signals;
@@ -36,9 +37,7 @@
 use ploverlift_clock::Clock;
 use ploverlift_enginelimit::group::NodeAddress;
 use slog::Logger;
-use smol::net::{TcpListener, UdpSocket};
 use smol::Task;
-use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -60,21 +59,6 @@
 /// open are logged, in milliseconds.
 const END_CONNECTIONS_MS: u64 = 50;
 
-/// Why a node could not start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// A listener could not be bound.
-    #[snafu(display("cannot listen on {address} for {purpose}: {source}"))]
-    Listen {
-        /// The address in the settings.
-        address: SocketAddr,
-        /// What the listener serves.
-        purpose: &'static str,
-        /// Error of the operating system.
-        source: std::io::Error,
-    },
-}
-
 /// A running node.
 pub struct RunningGateway {
     /// Its state.
@@ -90,35 +74,56 @@
 /// Starts a node.
 ///
 /// # Errors
-/// When a listener cannot be bound.
+/// When a listener cannot be bound at once.
 pub fn start(
     settings: GatewaySettings,
     site: Arc<dyn Site>,
     log: Logger,
-) -> Result<RunningGateway, StartError> {
+) -> Result<RunningGateway, ListenError> {
     start_with_clock(settings, site, log, Clock::default())
 }
 
 /// Starts a node with the given clock.
 ///
 /// # Errors
-/// When a listener cannot be bound.
+/// When a listener cannot be bound at once.
 pub fn start_with_clock(
     settings: GatewaySettings,
     site: Arc<dyn Site>,
     log: Logger,
     clock: Clock,
-) -> Result<RunningGateway, StartError> {
-    let (callers, callers_address) = listen(settings.listen.callers, "callers")?;
-    let (readiness, readiness_address) = listen(settings.listen.readiness, "readiness")?;
-    let metrics = match settings.listen.metrics {
-        Some(address) => Some(listen(address, "metrics")?.0),
-        None => None,
-    };
+) -> Result<RunningGateway, ListenError> {
+    let listeners = Listeners::bind(&settings.listen)?;
+    Ok(assemble(listeners, settings, site, log, clock))
+}
+
+/// Starts a node on bound listeners.
+pub fn start_on(
+    listeners: Listeners,
+    settings: GatewaySettings,
+    site: Arc<dyn Site>,
+    log: Logger,
+) -> RunningGateway {
+    assemble(listeners, settings, site, log, Clock::default())
+}
+
+fn assemble(
+    listeners: Listeners,
+    settings: GatewaySettings,
+    site: Arc<dyn Site>,
+    log: Logger,
+    clock: Clock,
+) -> RunningGateway {
+    let Listeners {
+        callers,
+        readiness,
+        metrics,
+        peers,
+    } = listeners;
     let gateway = Arc::new(Gateway::with_clock(settings, site, log, clock));
-    let accepting = smol::spawn(accept_callers(Arc::clone(&gateway), callers));
+    let accepting = smol::spawn(accept_callers(Arc::clone(&gateway), callers.listener));
     let mut tasks = vec![
-        smol::spawn(serve_readiness(Arc::clone(&gateway), readiness)),
+        smol::spawn(serve_readiness(Arc::clone(&gateway), readiness.listener)),
         smol::spawn(follow_configuration(Arc::clone(&gateway))),
         smol::spawn(follow_engines(Arc::clone(&gateway))),
         smol::spawn(follow_weights(Arc::clone(&gateway))),
@@ -137,20 +142,22 @@
         smol::spawn(read_journals(Arc::clone(&gateway))),
         smol::spawn(write_journal(Arc::clone(&gateway))),
     ];
-    if let Some(listener) = metrics {
-        tasks.push(smol::spawn(serve_metrics(Arc::clone(&gateway), listener)));
+    if let Some(metrics) = metrics {
+        let serving = serve_metrics(Arc::clone(&gateway), metrics.listener);
+        tasks.push(smol::spawn(serving));
     }
-    if let Some(address) = gateway.settings().listen.peers {
-        let (socket, snapshots, own) = listen_for_peers(address)?;
-        let tunnels = match gateway.settings().listen.tunnels {
-            Some(address) => {
-                let (listener, tunnels) = listen(address, "tunnels")?;
-                let serving = serve_tunnels(Arc::clone(&gateway), listener);
-                tasks.push(smol::spawn(serving));
-                Some(tunnels)
-            }
-            None => None,
-        };
+    if let Some(PeerListeners {
+        reports: socket,
+        snapshots,
+        address: own,
+        tunnels,
+    }) = peers
+    {
+        let tunnels = tunnels.map(|tunnels| {
+            let serving = serve_tunnels(Arc::clone(&gateway), tunnels.listener);
+            tasks.push(smol::spawn(serving));
+            tunnels.address
+        });
         tasks.push(smol::spawn(probe_direct_paths(Arc::clone(&gateway))));
         let record = NodeRecord::of(&gateway, own, tunnels);
         let listed = record.listed(&gateway.settings().node.name);
@@ -186,65 +193,19 @@
         tasks.push(smol::spawn(find_peers(Arc::clone(&gateway), record)));
     }
     slog::info!(gateway.log, "started";
-        "callers" => callers_address.to_string(),
-        "readiness" => readiness_address.to_string(),
+        "callers" => callers.address.to_string(),
+        "readiness" => readiness.address.to_string(),
         "zone" => &gateway.zone.0,
         "store" => gateway.settings().store.address.to_string());
-    Ok(RunningGateway {
+    RunningGateway {
         gateway,
-        callers: callers_address,
-        readiness: readiness_address,
+        callers: callers.address,
+        readiness: readiness.address,
         accepting,
         tasks,
-    })
-}
-
-fn listen(
-    address: SocketAddr,
-    purpose: &'static str,
-) -> Result<(TcpListener, SocketAddr), StartError> {
-    let bound = bind(address).context(ListenSnafu { address, purpose })?;
-    let local = bound.local_addr();
-    let local = local.context(ListenSnafu { address, purpose })?;
-    Ok((bound, local))
-}
-
-/// Maximum attempts to find a port that is free for both UDP and TCP when the settings
-/// leave the port open (port 0).
-const PORT_ATTEMPTS: usize = 16;
-
-/// Binds the same port number for UDP (reports) and for TCP (snapshots).
-fn listen_for_peers(
-    address: SocketAddr,
-) -> Result<(Arc<UdpSocket>, TcpListener, SocketAddr), StartError> {
-    let attempts = match address.port() {
-        0 => PORT_ATTEMPTS,
-        _ => 1,
-    };
-    let mut attempt = 1;
-    loop {
-        let socket = bind_datagrams(address).context(ListenSnafu {
-            address,
-            purpose: "peers",
-        })?;
-        let own = socket.local_addr().context(ListenSnafu {
-            address,
-            purpose: "peers",
-        })?;
-        match listen(own, "snapshots") {
-            Ok((listener, _)) => return Ok((Arc::new(socket), listener, own)),
-            Err(error) if attempt >= attempts => return Err(error),
-            Err(_) => attempt += 1,
-        }
     }
 }
 
-fn bind_datagrams(address: SocketAddr) -> std::io::Result<UdpSocket> {
-    let socket = std::net::UdpSocket::bind(address)?;
-    socket.set_nonblocking(true)?;
-    UdpSocket::try_from(socket)
-}
-
 impl RunningGateway {
     /// Stops the node as planned: it is no longer ready from now on, accepts requests that can end
     /// within the stop for `ACCEPT_WHILE_STOPPING_MS` so that the load balancer can notice, and
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 //! | [`requirements`] | what a node needs before it accepts callers, and for how long it has lacked it |
 //! | [`readiness`], [`metrics`], [`stream_metrics`], [`logging`] | how a node reports its own state |
 //! | [`planned_stop`] | phases of a planned stop |
+//! | [`listeners`] | the sockets on which a node listens |
 //! | [`assembly`] | puts the parts together; start, reload, planned stop |
 
 pub mod answer_limits;
@@ -61,6 +62,7 @@
 pub mod http_call;
 pub mod kept_connections;
 pub mod leases;
+pub mod listeners;
 pub mod logging;
 mod machine_memory;
 pub mod memory_metrics;
