Learn from engines how many connections they admit

Seen: after a loss of power engines count the connections of the former life until their own time-out and reset new ones at their limit.

Cause: a node used what an engine says it admits as if no other node and no former life had any of it, and learned nothing from a reset. Class: what a node does at an edge that it did not choose.

Now each node learns its places at each engine, as congestion control does: a connection that ends before anything was sent on it was not admitted and costs no request. Nothing is sent on a connection in doubt (an engine that has not answered yet, or that reset one lately) before its end would have arrived. Requests go to engines with room, reuse a connection, wait for a quarter of their objective, or are rejected as not run. Full engines are tried at a paced rate that falls with the size of the fleet. A connection that is reset while it opens shows an engine that runs: it is neither ejected nor reached through peers.

--- a/crates/balancing/src/catalogue.rs
+++ b/crates/balancing/src/catalogue.rs
@@ -1,6 +1,7 @@
 //! The engines of all services, as known from their records and from this node's own
 //! traffic.
 
+use crate::connection_window::ConnectionWindow;
 use crate::engine_notices::{Backoff, EngineNotices, LeavingNotice};
 use crate::engine_rate_limits::EngineRateLimits;
 use crate::health::Outcome;
@@ -306,6 +307,12 @@
         }
     }
 
+    /// This node's connections to an engine.
+    pub fn connections_mut(&mut self, instance: &InstanceId) -> Option<&mut ConnectionWindow> {
+        let engine = self.engines.get_mut(instance)?;
+        Some(&mut engine.connections)
+    }
+
     /// Drops the failures of an engine, because this node's link to it caused them.
     pub fn forget_failures(&mut self, instance: &InstanceId) {
         if let Some(engine) = self.engines.get_mut(instance) {
--- a/crates/balancing/src/eligibility.rs
+++ b/crates/balancing/src/eligibility.rs
@@ -21,6 +21,8 @@
     BackingOff,
     /// All untried engines have used up their rate limits for now.
     RateLimited,
+    /// All untried engines admit no further connection of this node for now.
+    NoRoom,
 }
 
 /// Returns the engines that may serve the request, in the given order.
@@ -45,6 +47,8 @@
         let takes_requests = |engine: &&Engine| catalogue.backoff(engine, now).is_none();
         apply_filter(&mut engines, takes_requests, NoChoice::BackingOff)?;
     }
+    let has_room = |engine: &&Engine| engine.connections.has_room(now);
+    apply_filter(&mut engines, has_room, NoChoice::NoRoom)?;
     let rate_limits = &catalogue.rate_limits;
     if !rate_limits.is_empty() {
         let is_below_limit = |engine: &&Engine| {
--- a/crates/balancing/src/engine.rs
+++ b/crates/balancing/src/engine.rs
@@ -1,5 +1,6 @@
 //! One engine, as known from its record and from this node's own traffic.
 
+use crate::connection_window::ConnectionWindow;
 use crate::engine_notices::EngineLife;
 use crate::health::EngineHealth;
 use crate::heartbeat::Heartbeat;
@@ -62,6 +63,8 @@
     pub waiting_tokens: u64,
     /// Its health, judged by the outcomes of requests.
     pub health: EngineHealth,
+    /// This node's connections to it.
+    pub connections: ConnectionWindow,
     /// The time until which it is considered to be loading weights.
     pub loading_until: Option<Millis>,
     /// The time until which it is slow after its start.
@@ -79,6 +82,7 @@
             in_flight: 0,
             waiting_tokens: 0,
             health: EngineHealth::default(),
+            connections: ConnectionWindow::default(),
             loading_until: None,
             cold_until: None,
             misdirected_until: None,
@@ -109,6 +113,7 @@
     /// of this node's requests in flight.
     pub(crate) fn begin_life(&mut self) {
         self.health = EngineHealth::default();
+        self.connections.begin_life();
         self.loading_until = None;
         self.cold_until = None;
         self.misdirected_until = None;
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`cache_stores`] | the KV cache stores, and which one saves a prompt |
 //! | [`catalogue`] | engines, from their records and this node's traffic |
 //! | [`service_index`] | index of one service's engines, in the orders of a choice |
+//! | [`connection_window`] | how many connections a node opens to an engine |
 //! | [`cost`] | the cost of an engine, by named terms in milliseconds |
 //! | `engine` | one engine, from its record and this node's traffic |
 //! | [`engine_caches`] | which engines' events are followed, and the contents they report |
@@ -53,6 +54,7 @@
 pub mod cache_stores;
 mod candidates;
 pub mod catalogue;
+pub mod connection_window;
 pub mod cost;
 pub mod eligibility;
 mod engine;
--- a/crates/gateway/src/engine_checks.rs
+++ b/crates/gateway/src/engine_checks.rs
@@ -80,6 +80,11 @@
                 record_reached(&gateway, &check, began, now);
                 return;
             }
+            // The engine is at its limit of connections, and runs.
+            Err(unconnected) if unconnected.failure() == ConnectFailure::Rejected => {
+                record_reached(&gateway, &check, began, now);
+                return;
+            }
             Err(unconnected) => {
                 let failed = FailedCheck {
                     failure: unconnected.failure(),
@@ -101,16 +106,22 @@
 pub(crate) fn keep_connection(
     gateway: &Gateway,
     instance: &InstanceId,
-    connection: EngineConnection,
+    mut connection: EngineConnection,
     now: Millis,
 ) {
     let longest_ms = gateway.settings().attempts.keep_connection_ms;
-    let is_known = gateway.beliefs().engines.get(instance).is_some();
-    if longest_ms > 0 && is_known {
-        let unused = Headers::default();
-        let mut kept = gateway.kept_connections();
-        kept.keep(instance, connection, &unused, longest_ms, now);
+    let place = {
+        let beliefs = gateway.beliefs();
+        let engine = beliefs.engines.get(instance);
+        engine.map(|engine| engine.connections.place_of_open())
+    };
+    if longest_ms == 0 || place.is_none() {
+        return;
     }
+    connection.place = connection.place.or(place);
+    let unused = Headers::default();
+    let mut kept = gateway.kept_connections();
+    kept.keep(instance, connection, &unused, longest_ms, now);
 }
 
 fn pause_ms(number: u32) -> u64 {
--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -7,6 +7,7 @@
 
 use crate::answer_limits::ANSWER_LIMITS;
 use crate::time::within;
+use ploverlift_balancing::connection_window::EnginePlace;
 use ploverlift_http1::error::malformed;
 use ploverlift_http1::{
     read_response_head, BodyDecoder, BufferedStream, Framing, HttpError, RequestHead, ResponseHead,
@@ -31,6 +32,8 @@
     request_sent_at: Instant,
     /// Size of the body so far, in bytes.
     body_bytes: u64,
+    /// The place of the connection among this node's connections to the engine.
+    place: Option<EnginePlace>,
 }
 
 /// The regular end of a body.
@@ -43,14 +46,21 @@
 }
 
 impl EngineAnswer {
-    /// The connection, if the answer is complete and another request may be sent on it.
-    pub fn into_idle_connection(self) -> Option<BufferedStream> {
+    /// Counts the connection for as long as the answer lasts, or the connection after it.
+    pub fn hold_place(mut self, place: Option<EnginePlace>) -> Self {
+        self.place = place;
+        self
+    }
+
+    /// The connection and its place, if the answer is complete and another request may be sent on
+    /// it.
+    pub fn into_idle_connection(self) -> Option<(BufferedStream, Option<EnginePlace>)> {
         let closes = self.head.headers.has_token("connection", "close");
         let is_over = self.decoder.is_over() && !self.decoder.ends_with_connection();
         let is_clean = self.request_is_written
             && self.stream.pending().is_empty()
             && self.stream.may_be_reused();
-        (is_over && is_clean && !closes).then_some(self.stream)
+        (is_over && is_clean && !closes).then_some((self.stream, self.place))
     }
 
     /// How the end of the body is determined.
@@ -192,6 +202,7 @@
             request_is_written: request_is_written.load(Ordering::Relaxed),
             request_sent_at,
             body_bytes: 0,
+            place: None,
         }),
     }
 }
--- a/crates/gateway/src/engine_liveness/probe.rs
+++ b/crates/gateway/src/engine_liveness/probe.rs
@@ -147,6 +147,8 @@
             }
             Err(unconnected) => {
                 result.outcome = match unconnected.failure() {
+                    // As that of an engine that accepted the probe's connection and closed it.
+                    ConnectFailure::Rejected => ProbeOutcome::Closed,
                     ConnectFailure::Refused => ProbeOutcome::Refused,
                     ConnectFailure::NoAnswer => ProbeOutcome::NoAnswer,
                     ConnectFailure::Local => ProbeOutcome::LocalError,
@@ -227,11 +229,12 @@
         if within(BODY_TIMEOUT_MS, read_to_end(&mut answer)).await != Some(true) {
             return;
         }
-        if let Some(stream) = answer.into_idle_connection() {
+        if let Some((stream, place)) = answer.into_idle_connection() {
             let connection = EngineConnection {
                 stream,
                 path,
                 instance: ConnectedInstance::HasAnswered,
+                place,
             };
             keep_as_sentinel(self.gateway, &self.engine.instance, connection);
         }
--- a/crates/gateway/src/engine_paths/connect.rs
+++ b/crates/gateway/src/engine_paths/connect.rs
@@ -4,6 +4,7 @@
 use crate::http_call::{connect, CallError, ConnectFailure};
 use crate::state::Gateway;
 use crate::time::within;
+use ploverlift_balancing::connection_window::EnginePlace;
 use ploverlift_balancing::engine_paths::{ConnectPlan, DirectFailure};
 use ploverlift_balancing::names::{EngineTag, InstanceId};
 use ploverlift_http1::BufferedStream;
@@ -62,6 +63,8 @@
     pub path: EnginePath,
     /// What shows which instance it leads to.
     pub instance: ConnectedInstance,
+    /// Its place among this node's connections to the engine, where it is counted.
+    pub place: Option<EnginePlace>,
 }
 
 impl EngineConnection {
@@ -70,6 +73,7 @@
             stream: tunnel.stream,
             path: EnginePath::Tunnel(tunnel.peer.address),
             instance: ConnectedInstance::AcceptedBy(Instant::now()),
+            place: None,
         }
     }
 
@@ -167,11 +171,12 @@
         D: Future<Output = Result<BufferedStream, CallError>>,
     {
         match within_own_time(tunnel_after_ms, direct.as_mut()).await {
-            Some(Err(error)) if error.connect_failure() != Some(ConnectFailure::Local) => {
+            Some(Err(error)) if direct_failure(&error).is_some() => {
                 let opened = open_tunnel(self.gateway, self.instance).await;
                 return self.after_failure(error, opened);
             }
-            // Connected, or this node is out of descriptors or ports, which a tunnel needs too.
+            // Connected; or the engine has no room for a connection, or this node has no
+            // descriptors or ports, which a tunnel needs too.
             Some(ended) => return self.conclude(ended, None),
             None => {}
         }
@@ -179,7 +184,9 @@
         let connecting = async { Ended::Direct(direct.as_mut().await) };
         let tunnelling = async { Ended::Tunnel(tunnel.as_mut().await) };
         match futures_lite::future::or(connecting, tunnelling).await {
-            Ended::Direct(Err(error)) => self.after_failure(error, tunnel.await),
+            Ended::Direct(Err(error)) if direct_failure(&error).is_some() => {
+                self.after_failure(error, tunnel.await)
+            }
             Ended::Direct(connected) => self.conclude(connected, None),
             Ended::Tunnel(Ok(tunnel)) => Ok(self.cut_off(tunnel, DirectFailure::NoAnswer)),
             Ended::Tunnel(Err(peers)) => self.conclude(direct.await, Some(peers)),
@@ -214,6 +221,7 @@
             stream,
             path: EnginePath::Direct,
             instance: ConnectedInstance::AcceptedBy(Instant::now()),
+            place: None,
         })
     }
 
@@ -279,8 +287,7 @@
     }
 }
 
-/// How a direct connection failed; `None` for a fault of this machine, which says nothing about
-/// the path.
+/// How a direct connection failed; `None` where that says nothing against the path.
 pub(super) fn direct_failure(error: &CallError) -> Option<DirectFailure> {
     error.connect_failure()?.of_path()
 }
--- a/crates/gateway/src/engine_paths/metrics.rs
+++ b/crates/gateway/src/engine_paths/metrics.rs
@@ -3,7 +3,6 @@
 use super::connect::EnginePath;
 use crate::http_call::ConnectFailure;
 use crate::state::Gateway;
-use ploverlift_balancing::engine_paths::DirectFailure;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -13,7 +12,7 @@
 /// How a connection attempt failed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ConnectFailureLabel {
-    /// `no_answer`, `refused` or `local`.
+    /// `no_answer`, `refused`, `rejected` or `local`.
     pub failure: &'static str,
 }
 
@@ -71,8 +70,9 @@
 impl PathMetrics {
     /// Counts a failed connection attempt.
     pub fn count_connect_failure(&self, failure: ConnectFailure) {
-        let failure = failure.of_path().map_or("local", DirectFailure::name);
-        let label = ConnectFailureLabel { failure };
+        let label = ConnectFailureLabel {
+            failure: failure.name(),
+        };
         self.connect_failures.get_or_create(&label).inc();
     }
 
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -38,6 +38,8 @@
         /// Whether the engine caused the failure, as opposed to this node.
         is_engines_fault: bool,
     },
+    /// The engine has no room for another connection of this node; nothing was sent.
+    NotAdmitted,
     /// The engine began to leave or was removed while the connection was being established;
     /// nothing was sent.
     EngineLeft,
@@ -75,6 +77,7 @@
         matches!(
             self,
             Self::Unreachable { .. }
+                | Self::NotAdmitted
                 | Self::EngineLeft
                 | Self::Withheld
                 | Self::Refused
@@ -250,6 +253,7 @@
                 is_engines_fault: false,
                 ..
             }
+            | AttemptEnd::NotAdmitted
             | AttemptEnd::EngineLeft
             | AttemptEnd::Withheld => {}
             AttemptEnd::Unreachable { .. } => {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod choice;
 mod engine_data_hold;
 mod engine_notices;
+mod engine_room;
 mod engine_tokens;
 mod engine_watch;
 mod events;
@@ -118,6 +119,8 @@
     has_waited: bool,
     /// Number of token requests for it that were denied.
     denials: u32,
+    /// Until when the request waits for an engine that admits a connection, once it has to.
+    waits_for_room_until: Option<Millis>,
 }
 
 /// A request that is being answered.
@@ -163,6 +166,7 @@
         has_taken_retry: false,
         has_waited: false,
         denials: 0,
+        waits_for_room_until: None,
     };
     let mut forwarding = Forwarding {
         admitted: gateway.clock.now(),
@@ -260,6 +264,13 @@
                     }
                     continue;
                 }
+                Err(NoChoice::NoRoom) => {
+                    if let Err(unservable) = self.wait_for_room().await {
+                        self.note_unservable(unservable);
+                        return None;
+                    }
+                    continue;
+                }
                 Err(none) => {
                     self.note_no_choice(none);
                     return None;
@@ -368,6 +379,7 @@
             NoChoice::WeightsNotProven => "it is not proven which weights are the newest",
             NoChoice::BackingOff => "this node backs off from all engines",
             NoChoice::RateLimited => "the engine that takes a request may not serve it",
+            NoChoice::NoRoom => "the engines admit no further connection",
             NoChoice::AllTried => return,
         };
         reason.clone_into(&mut self.progress.reason);
@@ -378,7 +390,7 @@
         let progress = &mut self.progress;
         let outcome = match end {
             AttemptEnd::Done { .. } | AttemptEnd::TakenOver(_) => return false,
-            AttemptEnd::Withheld => return self.has_time(),
+            AttemptEnd::Withheld | AttemptEnd::NotAdmitted => return self.has_time(),
             AttemptEnd::Unreachable { reason, .. } => {
                 progress.reason = reason;
                 AttemptOutcome::Unreachable
--- a/crates/gateway/src/forward/record.rs
+++ b/crates/gateway/src/forward/record.rs
@@ -175,6 +175,7 @@
         let _ = match end {
             AttemptEnd::Done { outcome, .. } => write!(text, " -> {outcome}"),
             AttemptEnd::Unreachable { reason, .. } => write!(text, " -> unreachable ({reason})"),
+            AttemptEnd::NotAdmitted => write!(text, " -> no room"),
             AttemptEnd::EngineLeft => write!(text, " -> left"),
             AttemptEnd::Withheld => write!(text, " -> withheld"),
             AttemptEnd::Refused => write!(text, " -> refused"),
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -10,6 +10,7 @@
 use crate::engine_paths::connect::{
     connect_engine, ConnectedInstance, EngineConnection, EnginePath, Unconnected,
 };
+use crate::engine_places::{is_admitted, note_answered, note_rejected, note_reset, take_place};
 use crate::http_call::ConnectFailure;
 use crate::ports::{AnswerMeaning, EngineCall};
 use ploverlift_http1::RequestHead;
@@ -77,15 +78,29 @@
         }
         let full_timeout_ms = self.gateway.settings().attempts.connect_timeout_ms;
         let timeout_ms = full_timeout_ms.min(self.left_ms());
-        let (began, began_at) = (Instant::now(), self.gateway.clock.now());
         let (instance, address) = (&chosen.instance, chosen.address);
+        let place = take_place(&self.gateway, instance).ok_or(AttemptEnd::NotAdmitted)?;
+        let (began, began_at) = (Instant::now(), self.gateway.clock.now());
         let connecting = connect_engine(&self.gateway, instance, address, timeout_ms);
-        let connection = connecting.await.map_err(|unconnected| {
-            let had_full_timeout = timeout_ms >= full_timeout_ms;
-            let began = had_full_timeout.then_some(began_at);
-            self.record_connect_failure(chosen, &unconnected, began)
-        })?;
-        self.learn_from_connection(chosen, connection.path, began.elapsed());
+        let mut connection = match connecting.await {
+            Ok(connection) => connection,
+            Err(unconnected) if unconnected.failure() == ConnectFailure::Rejected => {
+                note_rejected(&self.gateway, instance, place);
+                return Err(AttemptEnd::NotAdmitted);
+            }
+            Err(unconnected) => {
+                let had_full_timeout = timeout_ms >= full_timeout_ms;
+                let began = had_full_timeout.then_some(began_at);
+                return Err(self.record_connect_failure(chosen, &unconnected, began));
+            }
+        };
+        let connect_time = began.elapsed();
+        self.learn_from_connection(chosen, connection.path, connect_time);
+        if !is_admitted(&self.gateway, instance, &connection, connect_time).await {
+            note_rejected(&self.gateway, instance, place);
+            return Err(AttemptEnd::NotAdmitted);
+        }
+        connection.place = Some(place);
         self.check_before_sending(chosen)?;
         Ok(self.exchange(connection, chosen, false))
     }
@@ -102,18 +117,35 @@
         self.progress.has_taken_retry = false;
         self.progress.attempts.record_send();
         self.use_token();
-        let EngineConnection { stream, path, .. } = connection;
+        let EngineConnection {
+            stream,
+            path,
+            place,
+            ..
+        } = connection;
         self.gateway.metrics.paths.count_send(path);
         let head = self.engine_head(chosen);
         let body = Arc::clone(&self.received.body);
         let watch = self.watch_engine(&chosen.instance);
         let deadline = self.start_deadline(chosen);
         let timeout_ms = self.left_ms();
+        let (gateway, instance) = (Arc::clone(&self.gateway), chosen.instance.clone());
         let answer = async move {
+            let sent_at = Instant::now();
             let exchanging = pin!(exchange_on(stream, &head, body.bytes(), timeout_ms));
             let exchanging = pin!(watch.unless_lost(exchanging));
             let reason = match deadline.unless_passed(exchanging).await {
-                Some(Some(exchanged)) => return exchanged,
+                Some(Some(Ok(answer))) => {
+                    let new_place = place.as_ref().filter(|_| !is_reused);
+                    note_answered(&gateway, &instance, new_place);
+                    return Ok(answer.hold_place(place));
+                }
+                Some(Some(Err(failure))) => {
+                    if !is_reused && failure.reason.is_connection_end() {
+                        note_reset(&gateway, &instance, sent_at.elapsed().as_millis() as u64);
+                    }
+                    return Err(failure);
+                }
                 Some(None) => FailureReason::EngineLost,
                 None => FailureReason::WeightsOutdated,
             };
@@ -348,7 +380,7 @@
             return;
         }
         let headers = answer.head.headers.clone();
-        if let Some(stream) = answer.into_idle_connection() {
+        if let Some((stream, place)) = answer.into_idle_connection() {
             let now = self.gateway.clock.now();
             self.gateway.kept_connections().keep(
                 &chosen.instance,
@@ -356,6 +388,7 @@
                     stream,
                     path,
                     instance: ConnectedInstance::HasAnswered,
+                    place,
                 },
                 &headers,
                 longest_ms,
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -44,8 +44,10 @@
 pub enum ConnectFailure {
     /// No answer: the attempt timed out, or the peer's host or network is unreachable.
     NoAnswer,
-    /// The peer's machine refused or reset the connection, so the machine is running.
+    /// The peer's machine refused the connection, so the machine is running.
     Refused,
+    /// The peer accepted the connection and reset it at once: it runs, and admits no more.
+    Rejected,
     /// This machine is out of descriptors, ports or memory.
     Local,
 }
@@ -63,16 +65,30 @@
             io::ErrorKind::TimedOut
             | io::ErrorKind::HostUnreachable
             | io::ErrorKind::NetworkUnreachable => Self::NoAnswer,
+            io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe => Self::Rejected,
             _ => Self::Refused,
         }
     }
 
-    /// What it shows of the path to the peer; `None` for a fault of this machine.
+    /// What it shows of the path to the peer; `None` for a fault of this machine, and where the
+    /// path works.
     pub fn of_path(self) -> Option<DirectFailure> {
         match self {
             Self::NoAnswer => Some(DirectFailure::NoAnswer),
             Self::Refused => Some(DirectFailure::Refused),
-            Self::Local => None,
+            Self::Rejected | Self::Local => None,
+        }
+    }
+
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoAnswer => DirectFailure::NoAnswer.name(),
+            Self::Refused => DirectFailure::Refused.name(),
+            Self::Rejected => "rejected",
+            Self::Local => "local",
         }
     }
 }
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -38,7 +38,10 @@
     }
 
     /// The connection, for another use.
-    pub(crate) fn into_connection(self) -> EngineConnection {
+    pub(crate) fn into_connection(mut self) -> EngineConnection {
+        if let Some(place) = &mut self.connection.place {
+            place.set_idle(false);
+        }
         self.connection
     }
 }
@@ -57,12 +60,15 @@
     pub fn keep(
         &mut self,
         instance: &InstanceId,
-        connection: EngineConnection,
+        mut connection: EngineConnection,
         headers: &Headers,
         longest_ms: u64,
         now: Millis,
     ) {
         self.expire(now);
+        if let Some(place) = &mut connection.place {
+            place.set_idle(true);
+        }
         let announced_ms = announced_ms(headers).unwrap_or(u64::MAX);
         let connection = IdleConnection {
             connection,
@@ -79,7 +85,7 @@
     pub fn take(&mut self, instance: &InstanceId, now: Millis) -> Option<EngineConnection> {
         self.expire(now);
         let kept = self.by_engine.get_mut(instance)?;
-        kept.pop().map(|idle| idle.connection)
+        kept.pop().map(IdleConnection::into_connection)
     }
 
     /// Removes and returns the least recently used idle connection to an engine, one that is no
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod engine_liveness;
 mod engine_log;
 pub mod engine_paths;
+mod engine_places;
 pub mod engine_sentinels;
 mod engine_signals;
 pub mod engines_proof;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,13 @@
     pub requirement: &'static str,
 }
 
+/// A new connection that an engine ended without an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RejectionLabel {
+    /// What had been sent on it: `nothing`, so that the engine did not admit it, or `request`.
+    pub sent: &'static str,
+}
+
 /// A kind of call of the object store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabel {
@@ -189,6 +196,8 @@
     pub unread_headers: Counter,
     /// Requests sent on a reused connection.
     pub reused_connections: Counter,
+    /// New connections that engines ended without an answer.
+    pub rejected_connections: Family<RejectionLabel, Counter>,
     /// Idle connections of callers that were closed to free capacity for others.
     pub connections_closed_for_room: Counter,
     /// Calls of the object store, by operation and kind of objects.
@@ -270,6 +279,7 @@
             invalid_signals: Family::default(),
             unread_headers: Counter::default(),
             reused_connections: Counter::default(),
+            rejected_connections: Family::default(),
             connections_closed_for_room: Counter::default(),
             store_calls: Family::default(),
             store_failures: Counter::default(),
@@ -531,6 +541,12 @@
             "Bytes of answers to calls for cache events, by how far they came",
             self.cache_event_bytes.clone(),
         );
+        let help = "New connections that engines ended without an answer, by what had been sent";
+        registry.register(
+            "rejected_connections",
+            help,
+            self.rejected_connections.clone(),
+        );
         let help = "Calls of the object store by what they do and of which kind";
         registry.register("store_calls", help, self.store_calls.clone());
         registry.register(
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -102,6 +102,7 @@
         | Behaviour::FallSilentAfter(_)
         | Behaviour::Flood
         | Behaviour::AnswerAfter(_)
+        | Behaviour::KeepConnectionAfter(_)
         | Behaviour::StreamSlowly(_)
         | Behaviour::Pause(_)
         | Behaviour::PauseOften(_)
@@ -139,7 +140,7 @@
     if is_stream && head.status == 200 {
         return stream(shared, connection, head, request, &behaviour).await;
     }
-    if let Behaviour::AnswerAfter(after_ms) = behaviour {
+    if let Behaviour::AnswerAfter(after_ms) | Behaviour::KeepConnectionAfter(after_ms) = behaviour {
         sleep(after_ms).await;
     }
     let mut body = match behaviour {
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -105,7 +105,9 @@
         }
         match behaviour {
             _ if shared.format().is_unframed() => return,
-            Behaviour::KeepConnection | Behaviour::ForgetConnection => {}
+            Behaviour::KeepConnection
+            | Behaviour::KeepConnectionAfter(_)
+            | Behaviour::ForgetConnection => {}
             Behaviour::AnswerTwiceAfter(after_ms) => {
                 let (shared, writer) = (Arc::clone(&shared), connection.writer());
                 smol::spawn(answer_again(shared, writer, head, after_ms)).detach();
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -1,5 +1,6 @@
 //! A simulated engine whose behaviour a test sets, and that records what it receives.
 
+mod admission;
 mod answers;
 mod connection;
 pub mod format;
@@ -10,6 +11,7 @@
 pub use self::format::{AnswerFormat, LineEnding};
 pub use self::pause::{Pause, PausePoint};
 
+use self::admission::{admit, Admission};
 use self::connection::serve;
 use self::format::format_event;
 use super::accept_queue::QueueFillers;
@@ -88,6 +90,8 @@
     Flood,
     /// Sends a complete answer after this delay, in milliseconds.
     AnswerAfter(u64),
+    /// Sends a complete answer after this number of milliseconds, and keeps the connection open.
+    KeepConnectionAfter(u64),
     /// Answers after this delay, in milliseconds, that it did not run the request.
     RefuseAfter(u64),
     /// Runs the request for this time, in milliseconds, and fails.
@@ -186,6 +190,7 @@
     running_closed: Event,
     /// Number of connections that were accepted.
     accepted: AtomicUsize,
+    admission: Admission,
     seen: async_channel::Sender<()>,
 }
 
@@ -252,6 +257,7 @@
             idle_closed: Event::new(),
             running_closed: Event::new(),
             accepted: AtomicUsize::new(0),
+            admission: Admission::default(),
             seen,
         });
         let accepting = accept(&shared, &listener);
@@ -497,9 +503,13 @@
                 return;
             };
             serving.accepted.fetch_add(1, Ordering::AcqRel);
+            let Some(admitted) = admit(&serving, &stream) else {
+                continue;
+            };
             let shared = Arc::clone(&serving);
             smol::spawn(async move {
                 futures_lite::future::or(serve(shared, stream), closed).await;
+                drop(admitted);
             })
             .detach();
         }
--- a/crates/gateway/tests/support/site/documents.rs
+++ b/crates/gateway/tests/support/site/documents.rs
@@ -36,6 +36,7 @@
             services: cache_service(body)
                 .into_iter()
                 .chain(model_service(body))
+                .chain(app_service(body))
                 .collect(),
             tenants: Some(tenants.collect()),
             limits: CallerLimits {
@@ -138,6 +139,14 @@
 }
 
 /// The model service, if its engines report cache events.
+fn app_service(body: &Value) -> Option<(ServiceName, Service)> {
+    let service = Service {
+        max_connections: Some(body["max_connections"].as_u64()? as u32),
+        ..Service::default()
+    };
+    Some((ServiceName::from("app"), service))
+}
+
 fn model_service(body: &Value) -> Option<(ServiceName, Service)> {
     let service = Service {
         max_event_calls: Some(body["event_calls"].as_u64()? as u32),
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -170,6 +170,13 @@
         self.pending().is_empty() && peeked.is_none()
     }
 
+    /// Waits until the peer sends something or ends the connection.
+    pub async fn until_input(&self) {
+        let mut byte = [0; 1];
+        // An error ends the connection as well.
+        let _ = self.stream.peek(&mut byte).await;
+    }
+
     /// Whether the peer has sent bytes that were not read yet, as far as is known locally.
     pub async fn has_unread_bytes(&self) -> bool {
         let mut byte = [0; 1];
