Keep fewer idle connections than half of what an engine admits

Seen: each node kept up to four idle connections to each engine, however many nodes there are and whatever an engine admits: 7 nodes held all 16 of 16 (985 nodes would hold 3,940). After a loss of power they fill the engine until its time-out.

Now a node keeps its share of less than half of the limit, by its position among the listed nodes; the nodes that keep one more differ between engines. Until the list of nodes is read it keeps one.

--- a/crates/gateway/src/engine_checks.rs
+++ b/crates/gateway/src/engine_checks.rs
@@ -6,6 +6,7 @@
 
 use crate::engine_paths::connect::{connect_engine, EngineConnection};
 use crate::http_call::ConnectFailure;
+use crate::kept_connections::idle_limits;
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_balancing::catalogue::InstanceId;
@@ -109,19 +110,19 @@
     mut connection: EngineConnection,
     now: Millis,
 ) {
-    let longest_ms = gateway.settings().attempts.keep_connection_ms;
+    let limits = idle_limits(gateway, instance);
     let place = {
         let beliefs = gateway.beliefs();
         let engine = beliefs.engines.get(instance);
         engine.map(|engine| engine.connections.place_of_open())
     };
-    if longest_ms == 0 || place.is_none() {
+    if limits.longest_ms == 0 || place.is_none() {
         return;
     }
     connection.place = connection.place.or(place);
     let unused = Headers::default();
     let mut kept = gateway.kept_connections();
-    kept.keep(instance, connection, &unused, longest_ms, now);
+    kept.keep(instance, connection, &unused, limits, now);
 }
 
 fn pause_ms(number: u32) -> u64 {
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -12,6 +12,7 @@
 };
 use crate::engine_places::{is_admitted, note_answered, note_rejected, note_reset, take_place};
 use crate::http_call::ConnectFailure;
+use crate::kept_connections::idle_limits;
 use crate::ports::{AnswerMeaning, EngineCall};
 use ploverlift_http1::RequestHead;
 use ploverlift_policy::attempt::AttemptState;
@@ -375,8 +376,8 @@
         chosen: &ChosenEngine,
         path: EnginePath,
     ) {
-        let longest_ms = self.gateway.settings().attempts.keep_connection_ms;
-        if longest_ms == 0 {
+        let limits = idle_limits(&self.gateway, &chosen.instance);
+        if limits.longest_ms == 0 {
             return;
         }
         let headers = answer.head.headers.clone();
@@ -391,7 +392,7 @@
                     place,
                 },
                 &headers,
-                longest_ms,
+                limits,
                 now,
             );
         }
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -8,15 +8,17 @@
 
 use crate::engine_paths::connect::{EngineConnection, EnginePath};
 use crate::engine_sentinels::EngineSentinel;
+use crate::peers::roles::lists_at_start;
+use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
+use ploverlift_balancing::idle_connections::{idle_share, FleetPosition};
+use ploverlift_balancing::names::PeerId;
 use ploverlift_http1::Headers;
 use ploverlift_policy::ids::Millis;
 use smol::net::TcpStream;
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Maximum number of idle connections to one engine; the oldest is closed first.
-const MAX_PER_ENGINE: usize = 4;
 /// Fraction of the idle time-out that an engine announces during which its connection is
 /// reused.
 const ANNOUNCED_SHARE: f64 = 0.5;
@@ -46,6 +48,50 @@
     }
 }
 
+/// Limits on the idle connections to one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IdleLimits {
+    /// Maximum number of connections.
+    pub connections: usize,
+    /// Time for which one is kept at most, in milliseconds.
+    pub longest_ms: u64,
+}
+
+/// Limits on the idle connections that this node keeps to an engine.
+pub(crate) fn idle_limits(gateway: &Gateway, instance: &InstanceId) -> IdleLimits {
+    let settings = gateway.settings();
+    let position = {
+        let book = gateway.address_book();
+        let is_complete =
+            settings.listen.peers.is_none() || book.list_count() >= lists_at_start(gateway);
+        let seat = book.seat(PeerId::of(&settings.node.name));
+        is_complete.then_some(FleetPosition {
+            rank: u64::from(seat.rank),
+            nodes: u64::from(seat.nodes),
+        })
+    };
+    let (max_connections, rotation) = {
+        let beliefs = gateway.beliefs();
+        let engine = beliefs.engines.get(instance);
+        let rotation = engine.map_or(0, |engine| u64::from(engine.tag.0));
+        let max_connections = engine.and_then(|engine| {
+            let configuration = beliefs.configuration.as_ref()?;
+            let services = &configuration.document.services;
+            services.get(&engine.record.service)?.max_connections
+        });
+        (max_connections, rotation)
+    };
+    let connections = match position {
+        Some(position) => idle_share(max_connections, position, rotation),
+        // How many nodes share the engine is not known yet.
+        None => 1,
+    };
+    IdleLimits {
+        connections,
+        longest_ms: settings.attempts.keep_connection_ms,
+    }
+}
+
 /// Idle connections by engine.
 #[derive(Default)]
 pub struct KeptConnections {
@@ -55,29 +101,31 @@
 }
 
 impl KeptConnections {
-    /// Keeps a connection after a complete answer with these headers, for at most
-    /// `longest_ms` milliseconds.
+    /// Keeps a connection after a complete answer with these headers, within `limits`. The oldest
+    /// connection is closed first.
     pub fn keep(
         &mut self,
         instance: &InstanceId,
         mut connection: EngineConnection,
         headers: &Headers,
-        longest_ms: u64,
+        limits: IdleLimits,
         now: Millis,
     ) {
         self.expire(now);
+        if limits.connections == 0 {
+            return;
+        }
         if let Some(place) = &mut connection.place {
             place.set_idle(true);
         }
         let announced_ms = announced_ms(headers).unwrap_or(u64::MAX);
         let connection = IdleConnection {
             connection,
-            use_before: now.plus(longest_ms.min(announced_ms)),
+            use_before: now.plus(limits.longest_ms.min(announced_ms)),
         };
         let kept = self.by_engine.entry(instance.clone()).or_default();
-        if kept.len() >= MAX_PER_ENGINE {
-            kept.remove(0);
-        }
+        let surplus = (kept.len() + 1).saturating_sub(limits.connections);
+        kept.drain(..surplus.min(kept.len()));
         kept.push(connection);
     }
 
--- a/crates/gateway/tests/engine_places.rs
+++ b/crates/gateway/tests/engine_places.rs
@@ -187,3 +187,23 @@
         drop(site.store);
     });
 }
+
+// Guards against idle connections of the fleet that use up what an engine admits: a loss of power
+// would leave no room for the nodes that return.
+#[test]
+fn idle_connections_of_all_nodes_leave_more_than_half_of_an_engine_free() {
+    let _alone = run_exclusively();
+    smol::block_on(async {
+        for limit in [16, 30] {
+            let site = Site::start(limit, 0, Behaviour::KeepConnection).await;
+            let callers = Callers::start(&site.nodes, 2 * NODES);
+            sleep(COUNTED_MS / 2).await;
+            callers.stop().await;
+            sleep(100).await;
+            for engine in &site.engines {
+                let open = engine.open_connections();
+                assert!(2 * open < limit, "{open} of {limit} connections are idle");
+            }
+        }
+    });
+}
