Accept only heads that are an answer, in one reader

Seen: an engine's answer with status 000 reached the caller as "HTTP/1.1 0 Status", with its body and its signature; so did 001, 099, 600, 700 and 999. An answer with both a length and valid chunks was passed on as well. 101 was taken for an interim answer though nothing had asked for another protocol.

Cause: a status was any number of 16 bits; the parser checks only that there are three digits.

A status code is a type of its own that holds 100 to 599, made where heads are parsed, so that what can't be written can't be held. 101, and a length beside a transfer encoding, are malformed. The node program had a reader of its own, with its own framing and no such check; it uses the same one now.

Lines that end with a bare line feed stay accepted (RFC 9112, section 2.2): they are written with both.

--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -104,7 +104,7 @@
         chosen: &ChosenEngine,
         in_flight: &mut InFlight,
     ) -> io::Result<AttemptEnd> {
-        let status = answer.head.status;
+        let status = answer.head.status.get();
         if self.answer.has_started() {
             // Another engine had accepted the same request.
             in_flight.note_outcome(Outcome::Failed);
--- a/crates/gateway/src/forward/final_answer.rs
+++ b/crates/gateway/src/forward/final_answer.rs
@@ -31,7 +31,7 @@
         // The status would promise "not run" although the engine ran the request, and an
         // answer in the engine's name can't have another status: the node refuses in its own
         // name instead.
-        let failure = failure.filter(|failure| !promises_not_run(failure.head.status));
+        let failure = failure.filter(|failure| !promises_not_run(failure.head.status.get()));
         if let Some(failure) = failure {
             return Self::EngineFailure(failure);
         }
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -23,7 +23,7 @@
 
 impl Answer {
     pub fn status(&self) -> u16 {
-        self.head.status
+        self.head.status.get()
     }
 
     pub fn text(&self) -> String {
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -6,7 +6,7 @@
     EVENTS,
 };
 use ploverlift_gateway::time::sleep;
-use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead};
+use ploverlift_http1::{BufferedStream, RequestHead, ResponseHead, StatusCode};
 use socket2::SockRef;
 use std::time::{Duration, Instant};
 
@@ -61,7 +61,7 @@
         }
         Behaviour::Reset => return,
         Behaviour::Refuse | Behaviour::RefuseAfter(_) | Behaviour::CloseKeptThenRefuse => {
-            head.status = 503;
+            head.status = StatusCode::literal(503);
             head.headers.push(site::NOT_RUN, "1");
             if let Some(value) = &*shared.backoff_ms.lock().expect("backoff") {
                 head.headers.push(site::BACKOFF_MS, value);
@@ -69,12 +69,12 @@
             }
         }
         Behaviour::RefuseAnother => {
-            head.status = 503;
+            head.status = StatusCode::literal(503);
             head.headers.set(site::ID, "another");
             head.headers.push(site::NOT_RUN, "1");
         }
         Behaviour::IsAnother => {
-            head.status = 421;
+            head.status = StatusCode::literal(421);
             head.headers.push(site::NOT_RUN, "1");
             head.headers.push(site::INSTANCE, "another-1");
         }
@@ -82,10 +82,11 @@
         | Behaviour::FailAfter(_)
         | Behaviour::FailWith(_)
         | Behaviour::AnswerLarge(..) => {
-            head.status = match behaviour {
+            let status = match behaviour {
                 Behaviour::FailWith(status) | Behaviour::AnswerLarge(status, _) => status,
                 _ => 500,
             };
+            head.status = StatusCode::literal(status);
             head.headers.push(site::SIGNED, "1");
         }
         Behaviour::WrongId => {
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -5,7 +5,9 @@
 use super::{Behaviour, Shared, RUNS_BEFORE_END_MS};
 use event_listener::EventListener;
 use ploverlift_gateway::time::sleep;
-use ploverlift_http1::{read_request_head, BodyDecoder, BufferedStream, RequestHead, ResponseHead};
+use ploverlift_http1::{
+    read_request_head, BodyDecoder, BufferedStream, RequestHead, ResponseHead, StatusCode,
+};
 use serde_json::{json, Value};
 use smol::net::TcpStream;
 use std::future::Future;
@@ -232,9 +234,9 @@
         if token < *shared.lowest_token.lock().expect("token") {
             let mut recorded = shared.recorded.lock().expect("calls");
             recorded.refused_tokens.push(token);
-            answer.status = 412;
+            answer.status = StatusCode::literal(412);
         } else if order["expected"].as_u64() != Some(orders) {
-            answer.status = 409;
+            answer.status = StatusCode::literal(409);
         } else {
             *shared.weights.lock().expect("weights") = order["version"].as_u64().unwrap_or(0);
             shared.begin_load();
@@ -243,7 +245,7 @@
             if !*shared.answers_orders.lock().expect("answers") {
                 return None;
             }
-            answer.status = 202;
+            answer.status = StatusCode::literal(202);
         }
     }
     answer
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -139,7 +139,7 @@
         }
         if headers.get(NOT_RUN).is_some() {
             return AnswerMeaning::Refused(RefusedByEngine {
-                status: head.status,
+                status: head.status.get(),
                 is_mismatch: head.status == 421,
                 answered_by: headers.get(INSTANCE).map(|id| InstanceId(id.to_owned())),
             });
@@ -226,7 +226,7 @@
     }
 
     fn read_order_answer(&self, head: &ResponseHead) -> OrderAnswer {
-        match head.status {
+        match head.status.get() {
             202 => OrderAnswer::Accepted,
             200 => OrderAnswer::AlreadyDone,
             409 => OrderAnswer::Conflict,
@@ -243,7 +243,7 @@
     }
 
     fn read_cache_answer(&self, head: &ResponseHead, body: &[u8]) -> CacheAnswer {
-        match head.status {
+        match head.status.get() {
             429 => CacheAnswer::TooManyCalls,
             200 => CacheAnswer::Events(cache_events(body)),
             _ => CacheAnswer::Invalid,
--- a/crates/gateway/tests/support/site/object_store.rs
+++ b/crates/gateway/tests/support/site/object_store.rs
@@ -60,7 +60,7 @@
         body: &[u8],
     ) -> Result<StoreReply, StoreError> {
         let value: Value = serde_json::from_slice(body).unwrap_or_default();
-        match head.status {
+        match head.status.get() {
             200 => Ok(reply(call, &value)),
             404 => Err(StoreError::NotFound),
             409 => Err(StoreError::Conflict {
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -53,16 +53,19 @@
     /// When the headers contradict each other or name an unknown transfer
     /// encoding.
     pub fn of_response(head: &ResponseHead, method: &str) -> Result<Self, HttpError> {
-        if method == "HEAD" || matches!(head.status, 204 | 304) {
+        if method == "HEAD" || matches!(head.status.get(), 204 | 304) {
             return Ok(Framing::Length(0));
         }
+        let length = content_length(&head.headers)?;
         if head.headers.get("transfer-encoding").is_some() {
+            if length.is_some() {
+                return Err(malformed("both a length and a transfer encoding"));
+            }
             if !is_chunked(&head.headers) {
                 return Err(malformed("unknown transfer encoding"));
             }
             return Ok(Framing::Chunked);
         }
-        let length = content_length(&head.headers)?;
         Ok(length.map_or(Framing::UntilClose, Framing::Length))
     }
 }
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,5 +1,6 @@
 //! Heads of requests and responses, and their headers.
 
+use crate::status::StatusCode;
 use std::fmt::Write;
 
 /// Headers in the order in which they were received. Names are compared
@@ -151,31 +152,34 @@
 }
 
 /// The head of a response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
     /// Status code.
-    pub status: u16,
+    pub status: StatusCode,
     /// Headers.
     pub headers: Headers,
 }
 
 impl ResponseHead {
     /// A head without headers.
+    ///
+    /// # Panics
+    /// When `status` is no status code.
     pub fn new(status: u16) -> Self {
         Self {
-            status,
+            status: StatusCode::literal(status),
             headers: Headers::default(),
         }
     }
 
     /// Whether the status is a success (2xx).
     pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status)
+        (200..300).contains(&self.status.get())
     }
 
     /// The bytes on the wire.
     pub fn encode(&self) -> Vec<u8> {
-        let reason = reason_phrase(self.status);
+        let reason = reason_phrase(self.status.get());
         let mut text = format!("HTTP/1.1 {} {reason}\r\n", self.status);
         self.headers.write_to(&mut text);
         text.into_bytes()
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod head;
 pub mod limits;
 pub mod message;
+pub mod status;
 pub mod stream;
 pub mod turns;
 
@@ -22,5 +23,6 @@
 pub use error::HttpError;
 pub use head::{Headers, RequestHead, ResponseHead};
 pub use message::{read_request_head, read_response_head};
+pub use status::StatusCode;
 pub use stream::{BufferedStream, PayloadDecoder};
 pub use turns::ReadingTurns;
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -4,6 +4,7 @@
 use crate::error::{malformed, HttpError};
 use crate::head::{Headers, RequestHead, ResponseHead};
 use crate::limits::MESSAGE_LIMITS;
+use crate::status::StatusCode;
 use crate::stream::BufferedStream;
 
 /// Reads the head of the next request. `limit` is its maximum length in bytes.
@@ -21,11 +22,15 @@
     Ok((head, BodyDecoder::new(framing)))
 }
 
+/// Status of a response after which the connection speaks another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Reads the head of a response; interim responses (1xx) are skipped. `limit` is the maximum
 /// length of the head and all interim responses before it, in bytes.
 ///
 /// # Errors
-/// When the connection ends, or the head is too large or malformed.
+/// When the connection ends, or the head is too large or malformed. A response that switches
+/// protocols is malformed, because no request asks for that.
 pub async fn read_response_head(
     stream: &mut BufferedStream,
     method: &str,
@@ -34,7 +39,10 @@
     let mut reading = HeadReading::new(limit);
     loop {
         let head = reading.read_head(stream, parse_response).await?;
-        if !(100..200).contains(&head.status) {
+        if head.status == SWITCHING_PROTOCOLS {
+            return Err(malformed("a switch of protocols that was not asked for"));
+        }
+        if !(100..200).contains(&head.status.get()) {
             let framing = Framing::of_response(&head, method)?;
             return Ok((head, BodyDecoder::new(framing)));
         }
@@ -157,8 +165,9 @@
     let httparse::Status::Complete(length) = parsed else {
         return Ok(None);
     };
+    let status = response.code.and_then(StatusCode::new);
     let head = ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status: status.ok_or_else(|| malformed("the status is no status code"))?,
         headers: to_headers(response.headers)?,
     };
     Ok(Some((head, length)))
--- a/crates/node/src/engines/client.rs
+++ b/crates/node/src/engines/client.rs
@@ -11,7 +11,8 @@
 //! An attempt counts as [`AttemptState::MaybeSent`] from the first byte that
 //! the operating system took.
 
-use crate::engines::body::{read_head, AnswerHead, EngineBody};
+use crate::engines::body::{read_head, EngineBody};
+use ploverlift_http1::ResponseHead;
 use ploverlift_policy::admission::RetryAfter;
 use ploverlift_policy::attempt::{promises_not_run, AttemptState};
 use ploverlift_policy::decimal::read_seconds_as_ms;
@@ -111,9 +112,9 @@
             let mut stream = TcpStream::connect(self.address).await?;
             stream.set_nodelay(true)?;
             write_noting(&mut stream, &self.request_bytes(), sent).await?;
-            read_head(stream).await
+            read_head(stream, self.method.as_ref()).await
         };
-        let answered: io::Result<(AnswerHead, EngineBody)> = exchange.await;
+        let answered: io::Result<(ResponseHead, EngineBody)> = exchange.await;
         let (head, body) = answered.map_err(|error| failure_of(sent, error.to_string()))?;
         self.check(&head, body)
     }
@@ -146,10 +147,10 @@
         bytes
     }
 
-    fn check(&self, head: &AnswerHead, body: EngineBody) -> Result<EngineAnswer, CallFailure> {
-        let status = Status::try_from(head.status).unwrap_or(Status::BadGateway);
-        if head.header(RUN_STATE_HEADER) == Some(NOT_RUN) {
-            let retry_after = head.header("retry-after");
+    fn check(&self, head: &ResponseHead, body: EngineBody) -> Result<EngineAnswer, CallFailure> {
+        let status = Status::try_from(head.status.get()).unwrap_or(Status::BadGateway);
+        if head.headers.get(RUN_STATE_HEADER) == Some(NOT_RUN) {
+            let retry_after = head.headers.get("retry-after");
             let retry_after_ms = retry_after.and_then(read_seconds_as_ms);
             return Err(CallFailure {
                 state: AttemptState::Refused,
@@ -158,7 +159,7 @@
                 reason: format!("refused with status {status}"),
             });
         }
-        if head.header(REQUEST_ID_HEADER) != Some(self.request_id.as_str()) {
+        if head.headers.get(REQUEST_ID_HEADER) != Some(self.request_id.as_str()) {
             return Err(CallFailure {
                 state: AttemptState::MaybeSent,
                 come_back: None,
@@ -166,7 +167,7 @@
                 reason: "the answer is not that of this request".to_owned(),
             });
         }
-        if promises_not_run(head.status) {
+        if promises_not_run(head.status.get()) {
             // The engine ran it, so its status must not reach the caller.
             return Err(CallFailure {
                 state: AttemptState::Answered,
@@ -175,7 +176,7 @@
                 reason: format!("failed with status {status}"),
             });
         }
-        let content_type = head.header("content-type");
+        let content_type = head.headers.get("content-type");
         Ok(EngineAnswer {
             status,
             content_type: content_type
@@ -218,8 +219,8 @@
     }
 }
 
-fn correction_in(head: &AnswerHead) -> Option<EngineGeneration> {
-    let number = |name: &str| head.header(name)?.parse::<u64>().ok();
+fn correction_in(head: &ResponseHead) -> Option<EngineGeneration> {
+    let number = |name: &str| head.headers.get(name)?.parse::<u64>().ok();
     Some(EngineGeneration {
         incarnation: Incarnation(number(ENGINE_INCARNATION_HEADER)?),
         weights: WeightsVersion(number(ENGINE_WEIGHTS_HEADER)?),
