Keep fewer idle connections in the first half minute after a return

The second life had kept its full share of idle connections beside those that engines still counted for the first one.

--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -19,6 +19,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// Time for which engines may count the connections of a former life of the fleet, in milliseconds.
+const FORMER_LIFE_MS: u64 = 30_000;
+/// For that time a node shares this part of what an engine admits: it may lose power again.
+const NEW_LIFE_DIVISOR: u32 = 4;
 /// Fraction of the idle time-out that an engine announces during which its connection is
 /// reused.
 const ANNOUNCED_SHARE: f64 = 0.5;
@@ -81,6 +85,13 @@
         });
         (max_connections, rotation)
     };
+    let is_first_start = settings.node.is_first_start;
+    let age_ms = gateway.clock.now().since(gateway.started_at);
+    let is_new_life = !is_first_start && age_ms < FORMER_LIFE_MS;
+    let max_connections = match is_new_life {
+        true => max_connections.map(|limit| limit / NEW_LIFE_DIVISOR),
+        false => max_connections,
+    };
     let connections = match position {
         Some(position) => idle_share(max_connections, position, rotation),
         // How many nodes share the engine is not known yet.
