--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -86,6 +86,8 @@
         let mut connection = match connecting.await {
             Ok(connection) => connection,
             Err(unconnected) if unconnected.failure() == ConnectFailure::Rejected => {
+                let paths = &self.gateway.metrics.paths;
+                paths.count_connect_failure(ConnectFailure::Rejected);
                 note_rejected(&self.gateway, instance, place);
                 return Err(AttemptEnd::NotAdmitted);
             }
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -1,25 +1,12 @@
 //! Heads and bodies over real connections: which messages are accepted, which
 //! are refused and which count as truncated.
 
+mod support;
+
 use ploverlift_http1::{
-    read_request_head, read_response_head, BufferedStream, HttpError, RequestHead, ResponseHead,
+    read_request_head, read_response_head, HttpError, RequestHead, ResponseHead,
 };
-use smol::io::AsyncWriteExt;
-use smol::net::{TcpListener, TcpStream};
-
-const LIMIT: usize = 4 * 1024;
-
-/// A stream on which the peer has sent these bytes and then closed the
-/// connection.
-async fn stream_with(bytes: &[u8]) -> BufferedStream {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    let address = listener.local_addr().expect("address");
-    let mut peer = TcpStream::connect(address).await.expect("connect");
-    let (stream, _) = listener.accept().await.expect("accept");
-    peer.write_all(bytes).await.expect("write");
-    drop(peer);
-    BufferedStream::new(stream)
-}
+use support::{stream_with, LIMIT};
 
 async fn request(bytes: &[u8]) -> Result<(RequestHead, Vec<u8>), HttpError> {
     let mut stream = stream_with(bytes).await;
