Use the share of seats and the checks that exist already

Read over once more, without a change of behaviour: - The idle share of a node was the rule of owned_credits and its Seat written again. It calls them now and stands beside the connections that it limits; its test moved along, assertions as they were. - A requirement says whether it is met. What is lacking, and whether the site is known, follow from that; the list that was built in two ways is gone, and a probe makes it once. - The count of rejected connections is one function. next_trial_ms had no caller.

Run: fmt, clippy on the workspace, the check of names; tests of idle_connections, requirements, engine_places and kept_connections.

--- a/crates/balancing/src/connection_window.rs
+++ b/crates/balancing/src/connection_window.rs
@@ -159,12 +159,6 @@
         limit.is_none_or(|limit| self.open() < limit.places || now >= limit.trial_at)
     }
 
-    /// Time until a connection beyond the known places may be tried, in milliseconds.
-    pub fn next_trial_ms(&self, now: Millis) -> u64 {
-        let limit = self.known_limit(now);
-        limit.map_or(0, |limit| limit.trial_at.since(now))
-    }
-
     /// Takes a place for a connection that is about to be opened; `None` while there is no room
     /// for it.
     pub fn take_place(&mut self, now: Millis) -> Option<EnginePlace> {
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -22,7 +22,6 @@
 //! | [`engine_notices`] | announcements of engines that outlast the answer that carried them |
 //! | [`engine_paths`] | which engines are cut off from this node, and how connections to them are opened |
 //! | [`fleet`] | a node's view of the fleet, and the criteria of a choice |
-//! | [`idle_connections`] | how many idle connections a node keeps to an engine |
 //! | [`health`] | ejecting engines that fail, and trying them again |
 //! | [`named_nodes`] | nodes that relays named recently |
 //! | [`names`] | names of engines, nodes, models and zones, and their short forms |
@@ -68,7 +67,6 @@
 pub mod fleet;
 pub mod health;
 mod heartbeat;
-pub mod idle_connections;
 pub mod load_schedule;
 pub mod load_width;
 pub mod moves;
--- a/crates/gateway/src/engine_places.rs
+++ b/crates/gateway/src/engine_places.rs
@@ -1,7 +1,6 @@
 //! Places of this node's connections among those that an engine admits.
 
 use crate::engine_paths::connect::EngineConnection;
-use crate::metrics::RejectionLabel;
 use crate::state::Gateway;
 use crate::time::within;
 use ploverlift_balancing::catalogue::InstanceId;
@@ -69,12 +68,7 @@
         let had_limit = window.places(now).is_some();
         (window.note_rejected(place, nodes, now), had_limit)
     };
-    let label = RejectionLabel { sent: "nothing" };
-    gateway
-        .metrics
-        .rejected_connections
-        .get_or_create(&label)
-        .inc();
+    gateway.metrics.count_rejected_connection("nothing");
     if !had_limit {
         slog::warn!(gateway.log, "engine admits no further connection";
             "engine" => &instance.0, "places" => places);
@@ -88,12 +82,7 @@
     if let Some(window) = gateway.beliefs().engines.connections_mut(instance) {
         window.note_reset(after_ms, now);
     }
-    let label = RejectionLabel { sent: "request" };
-    gateway
-        .metrics
-        .rejected_connections
-        .get_or_create(&label)
-        .inc();
+    gateway.metrics.count_rejected_connection("request");
 }
 
 /// Records that an engine answered a request on a connection; `place` is that of a new one.
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -11,14 +11,16 @@
 use crate::peers::roles::lists_at_start;
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_balancing::idle_connections::{idle_share, FleetPosition};
 use ploverlift_balancing::names::PeerId;
 use ploverlift_http1::Headers;
 use ploverlift_policy::ids::Millis;
+use ploverlift_rollout::credits::{owned_credits, Seat};
 use smol::net::TcpStream;
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// Maximum number of idle connections to one engine; the oldest is closed first.
+const MAX_PER_ENGINE: usize = 4;
 /// Time for which engines may count the connections of a former life of the fleet, in milliseconds.
 const FORMER_LIFE_MS: u64 = 30_000;
 /// For that time a node shares this part of what an engine admits: it may lose power again.
@@ -61,18 +63,28 @@
     pub longest_ms: u64,
 }
 
+/// Number of idle connections that a node may keep to one engine. All nodes together keep less
+/// than half of what the engine admits: after a loss of power they count against it until its
+/// time-out, and the nodes need the rest. `rotation` differs between engines, so that the nodes
+/// that may keep one more differ, too.
+pub fn idle_share(max_connections: Option<u32>, seat: Seat, rotation: u64) -> usize {
+    let Some(max_connections) = max_connections else {
+        return MAX_PER_ENGINE;
+    };
+    let of_fleet = u64::from(max_connections.saturating_sub(1) / 2);
+    let share = owned_credits(of_fleet, seat, rotation);
+    MAX_PER_ENGINE.min(share as usize)
+}
+
 /// Limits on the idle connections that this node keeps to an engine.
 pub(crate) fn idle_limits(gateway: &Gateway, instance: &InstanceId) -> IdleLimits {
     let settings = gateway.settings();
-    let position = {
+    let seat = {
         let book = gateway.address_book();
         let is_complete =
             settings.listen.peers.is_none() || book.list_count() >= lists_at_start(gateway);
         let seat = book.seat(PeerId::of(&settings.node.name));
-        is_complete.then_some(FleetPosition {
-            rank: u64::from(seat.rank),
-            nodes: u64::from(seat.nodes),
-        })
+        is_complete.then_some(seat)
     };
     let (max_connections, rotation) = {
         let beliefs = gateway.beliefs();
@@ -92,8 +104,8 @@
         true => max_connections.map(|limit| limit / NEW_LIFE_DIVISOR),
         false => max_connections,
     };
-    let connections = match position {
-        Some(position) => idle_share(max_connections, position, rotation),
+    let connections = match seat {
+        Some(seat) => idle_share(max_connections, seat, rotation),
         // How many nodes share the engine is not known yet.
         None => 1,
     };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -395,6 +395,13 @@
             .set(token);
     }
 
+    /// Counts a new connection that an engine ended without an answer, by what had been sent on
+    /// it.
+    pub fn count_rejected_connection(&self, sent: &'static str) {
+        let label = RejectionLabel { sent };
+        self.rejected_connections.get_or_create(&label).inc();
+    }
+
     /// Counts a signal of an engine that could not be parsed.
     pub fn count_invalid_signal(&self, signal: &'static str) {
         let label = SignalLabel { signal };
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -18,36 +18,34 @@
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 20;
 
-/// Whether this node accepts callers: it lacks nothing that it needs, and is not stopping.
-pub fn is_ready(gateway: &Gateway) -> bool {
-    knows_site(gateway) && !gateway.is_stopping()
-}
-
 /// Whether this node has all the state that it needs to serve callers.
 pub fn knows_site(gateway: &Gateway) -> bool {
-    lacking(gateway).is_empty()
+    Requirement::ALL
+        .iter()
+        .all(|requirement| requirement.is_met(gateway))
 }
 
-/// The body of the answer to a readiness probe: what keeps this node from being ready.
-fn readiness_text(gateway: &Gateway) -> String {
+/// Why this node does not accept callers; `None` when it does: it lacks nothing that it needs, and
+/// is not stopping.
+fn unready_reason(gateway: &Gateway) -> Option<String> {
     if gateway.is_stopping() {
-        return "not ready: stopping\n".to_owned();
+        return Some("stopping".to_owned());
     }
-    let names: Vec<&str> = lacking(gateway)
+    let lacking: Vec<&str> = lacking(gateway)
         .into_iter()
         .map(Requirement::name)
         .collect();
-    match names.is_empty() {
-        true => "ready\n".to_owned(),
-        false => format!("not ready: lacks {}\n", names.join(", ")),
-    }
+    (!lacking.is_empty()).then(|| format!("lacks {}", lacking.join(", ")))
 }
 
 /// Answers readiness probes of the load balancer until the task is dropped.
 pub async fn serve_readiness(gateway: Arc<Gateway>, listener: TcpListener) {
-    serve_probes(gateway, listener, |gateway| match is_ready(gateway) {
-        true => (200, readiness_text(gateway)),
-        false => (RefusalKind::NotRun.status(), readiness_text(gateway)),
+    serve_probes(gateway, listener, |gateway| match unready_reason(gateway) {
+        None => (200, "ready\n".to_owned()),
+        Some(reason) => (
+            RefusalKind::NotRun.status(),
+            format!("not ready: {reason}\n"),
+        ),
     })
     .await;
 }
--- a/crates/gateway/src/requirements.rs
+++ b/crates/gateway/src/requirements.rs
@@ -48,6 +48,19 @@
         Self::RecentKeys,
     ];
 
+    /// Whether this node has it.
+    pub fn is_met(self, gateway: &Gateway) -> bool {
+        match self {
+            Self::Configuration => gateway.beliefs().configuration.is_some(),
+            Self::Engines => gateway.beliefs().has_listed_engines,
+            Self::NewestWeights => gateway.beliefs().weights.is_proven(),
+            Self::RolloutOrders => gateway.beliefs().rollouts.has_begun(),
+            Self::RefusedRequests => gateway.beliefs().quarantine.is_stored_list_known(),
+            Self::EngineSignals => knows_signals(gateway),
+            Self::RecentKeys => gateway.accepts_keys(),
+        }
+    }
+
     /// Its name in logs, metrics and answers to probes.
     pub fn name(self) -> &'static str {
         match self {
@@ -64,30 +77,9 @@
 
 /// The requirements that this node lacks.
 pub fn lacking(gateway: &Gateway) -> Vec<Requirement> {
-    let mut lacking = {
-        let beliefs = gateway.beliefs();
-        let met = [
-            (Requirement::Configuration, beliefs.configuration.is_some()),
-            (Requirement::Engines, beliefs.has_listed_engines),
-            (Requirement::NewestWeights, beliefs.weights.is_proven()),
-            (Requirement::RolloutOrders, beliefs.rollouts.has_begun()),
-            (
-                Requirement::RefusedRequests,
-                beliefs.quarantine.is_stored_list_known(),
-            ),
-        ];
-        let unmet = met.into_iter().filter(|(_, is_met)| !is_met);
-        unmet
-            .map(|(requirement, _)| requirement)
-            .collect::<Vec<_>>()
-    };
-    if !knows_signals(gateway) {
-        lacking.push(Requirement::EngineSignals);
-    }
-    if !gateway.accepts_keys() {
-        lacking.push(Requirement::RecentKeys);
-    }
-    lacking
+    let all = Requirement::ALL.into_iter();
+    all.filter(|requirement| !requirement.is_met(gateway))
+        .collect()
 }
 
 /// A change of what is lacking, for one log line.
