Escape names and positions in the targets of store calls

What callers saw: while an entry with an odd name (&, +, #, %, a blank, CR LF, non-ASCII) stood in the list of engines and the list was longer than one page, nodes that started were never ready, and their requests were not served.

Cause: `after=` and the names in the paths of get, replace, status and delete went into the target as they were. The store read another position (or another parameter: `&watch=0`) and returned the same page again without end, or 400.

Why it works: a target is a type of its own that is made in one place. An empty name and dot segments can't be one segment of a path: such a call is not sent, and says so, rather than mean all objects of the kind.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -247,7 +247,7 @@
         tenant: admission.tenant.as_ref().map(|tenant| tenant.name.as_str()),
         host: &request.host,
         method: &request.method,
-        target: &request.target,
+        target: request.target.as_str(),
         body: body.bytes(),
     });
     let shared_parts = shared_parts(&request, &admission);
--- a/crates/gateway/src/ports/caller.rs
+++ b/crates/gateway/src/ports/caller.rs
@@ -1,6 +1,6 @@
 //! Requests of callers, and refusals sent to them.
 
-use ploverlift_http1::{Headers, RequestHead, ResponseHead};
+use ploverlift_http1::{Headers, RequestHead, ResponseHead, Target};
 use ploverlift_routing::prompt::Prompt;
 use snafu::Snafu;
 
@@ -14,7 +14,7 @@
     /// Method.
     pub method: String,
     /// Path and query.
-    pub target: String,
+    pub target: Target,
     /// The caller's key.
     pub key: Option<String>,
     /// Time for which the caller will wait, in milliseconds.
@@ -34,7 +34,7 @@
 impl CallerRequest {
     /// The path without its query.
     pub fn path(&self) -> &str {
-        self.target.split('?').next().unwrap_or_default()
+        self.target.path()
     }
 }
 
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -276,6 +276,12 @@
         /// HTTP status.
         status: u16,
     },
+    /// Not done: the object's name can't be written in a call.
+    #[snafu(display("the object can't be addressed: {reason}"))]
+    Unaddressable {
+        /// What is wrong with the name.
+        reason: String,
+    },
     /// Not done: the store could not be reached.
     #[snafu(display("unreachable: {reason}"))]
     Unreachable {
@@ -293,7 +299,10 @@
 /// The protocol of the object store.
 pub trait ObjectStore: Send + Sync {
     /// Head and body of a call; the head lacks the body's length.
-    fn store_message(&self, call: &StoreCall) -> (RequestHead, Vec<u8>);
+    ///
+    /// # Errors
+    /// [`StoreError::Unaddressable`] when no call can mean the object.
+    fn store_message(&self, call: &StoreCall) -> Result<(RequestHead, Vec<u8>), StoreError>;
 
     /// Decodes the answer to a call.
     ///
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -59,6 +59,9 @@
     /// # Errors
     /// When the call was not executed or its outcome is unknown.
     pub async fn call(&mut self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        let (call, required_era) = self.resolve_revision(call)?;
+        let call = &call;
+        let (head, body) = self.gateway.site.store_message(call)?;
         let wait_ms = match call {
             StoreCall::Watch { wait_ms, .. } => *wait_ms,
             _ => 0,
@@ -70,9 +73,6 @@
         let timeout_ms = answer_timeout_ms + wait_ms;
         let began = self.gateway.clock.now();
         self.gateway.beliefs().store_outage.note_call_began(began);
-        let (call, required_era) = self.resolve_revision(call)?;
-        let call = &call;
-        let (head, body) = self.gateway.site.store_message(call);
         self.gateway.metrics.count_store_call(call);
         let answered = self.connection.call(head, &body, timeout_ms).await;
         if let Some(answer_timeout) = &mut self.answer_timeout {
--- a/crates/gateway/tests/endless_answers.rs
+++ b/crates/gateway/tests/endless_answers.rs
@@ -8,7 +8,7 @@
 use ploverlift_bytebudget::share::Share;
 use ploverlift_gateway::answer_limits::ANSWER_LIMITS;
 use ploverlift_gateway::http_call::CallConnection;
-use ploverlift_http1::{BufferedStream, RequestHead};
+use ploverlift_http1::{BufferedStream, RequestHead, Target};
 use serde_json::json;
 use std::cell::Cell;
 use std::future::Future;
@@ -407,7 +407,7 @@
             let limit = ANSWER_LIMITS.report_bytes;
             let memory = Share::new(ShareLimits::of_bytes(1_048_576));
             let mut connection = CallConnection::new(engine.address, limit, memory);
-            let call = connection.call(RequestHead::new("GET", "/"), &[], 2_000);
+            let call = connection.call(RequestHead::new("GET", Target::default()), &[], 2_000);
             let error = call.await.expect_err("no end").to_string();
             assert!(error.contains(exceeded), "{error}");
             let closed = engine.closed.recv().await.expect("closed");
--- a/crates/gateway/tests/silent_engines/streams.rs
+++ b/crates/gateway/tests/silent_engines/streams.rs
@@ -109,7 +109,7 @@
             tenant: Some("tenant-a"),
             host: HOST,
             method: &request.head.method,
-            target: &request.head.target,
+            target: request.head.target.as_str(),
             body: &request.body,
         });
         let asked = site.ask(request).await;
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -1,7 +1,7 @@
 //! A simulated caller.
 
 use super::site;
-use ploverlift_http1::{read_response_head, BufferedStream, RequestHead, ResponseHead};
+use ploverlift_http1::{read_response_head, BufferedStream, RequestHead, ResponseHead, Target};
 use smol::net::TcpStream;
 use std::net::SocketAddr;
 
@@ -33,7 +33,7 @@
 
 /// A request with a valid key.
 pub fn request(host: &str, id: &str) -> Request {
-    let mut head = RequestHead::new("POST", "/work");
+    let mut head = RequestHead::new("POST", Target::literal("/work"));
     head.headers.push("host", host);
     head.headers.push(site::ID, id);
     head.headers.push(site::KEY, "key-a");
@@ -46,7 +46,7 @@
 /// A request for a stream of events.
 pub fn prompt(host: &str, id: &str) -> Request {
     let mut request = request(host, id);
-    request.head.target = "/events".to_owned();
+    request.head.target = Target::literal("/events");
     request.head.headers.push(site::PARTS, "1,2,3");
     request
 }
@@ -117,7 +117,7 @@
         return (0, String::new());
     };
     let mut connection = BufferedStream::new(stream);
-    let head = RequestHead::new("GET", "/");
+    let head = RequestHead::new("GET", Target::default());
     if connection.write_all(&head.encode()).await.is_err() {
         return (0, String::new());
     }
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -123,7 +123,7 @@
     }
     let is_stream = request.headers.get(site::PARTS).is_some()
         || request.headers.get("host") == Some("x")
-        || request.target.starts_with("/events");
+        || request.target.as_str().starts_with("/events");
     if is_stream && matches!(behaviour, Behaviour::FallSilentAfter(_) | Behaviour::Flood) {
         stream_until_dropped(connection, head, &behaviour).await;
         shared.recorded.lock().expect("calls").dropped += 1;
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -10,7 +10,7 @@
     EngineControl, EngineProtocol, EngineReport, EngineSignals, InvalidRequest, Leaving,
     LivenessAnswer, LivenessProbe, LoadOrder, OrderAnswer, Refusal, RefusedByEngine, Signal,
 };
-use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_http1::{RequestHead, ResponseHead, Target};
 use ploverlift_routing::prompt::{Prompt, PromptPart};
 use serde_json::{json, Value};
 
@@ -95,7 +95,7 @@
 
 impl EngineProtocol for StandInSite {
     fn engine_head(&self, call: &EngineCall<'_>) -> RequestHead {
-        let mut head = RequestHead::new(&call.request.method, &call.request.target);
+        let mut head = RequestHead::new(&call.request.method, call.request.target.clone());
         head.headers = call.request.forwarded.clone();
         let headers = &mut head.headers;
         headers.push("content-length", call.body_length.to_string());
@@ -173,7 +173,7 @@
             true => "/control/report",
             false => HEALTH_PATH,
         };
-        let mut head = RequestHead::new("GET", path);
+        let mut head = RequestHead::new("GET", Target::literal(path));
         head.headers.push(INSTANCE, &probe.instance.0);
         Some(head)
     }
@@ -204,7 +204,7 @@
 
 impl EngineControl for StandInSite {
     fn report_head(&self) -> RequestHead {
-        RequestHead::new("GET", "/control/report")
+        RequestHead::new("GET", Target::literal("/control/report"))
     }
 
     fn read_report(&self, head: &ResponseHead, body: &[u8]) -> Option<EngineReport> {
@@ -221,7 +221,7 @@
         let body = json!({"instance": order.instance.0, "version": order.version,
             "token": order.fencing_token, "expected": order.expected_orders,
             "holder": order.holder});
-        let head = RequestHead::new("POST", "/control/order");
+        let head = RequestHead::new("POST", Target::literal("/control/order"));
         (head, body.to_string().into_bytes())
     }
 
@@ -239,7 +239,8 @@
 
 impl CacheProtocol for StandInSite {
     fn cache_events_head(&self, since: u64, _wait_ms: u64) -> RequestHead {
-        RequestHead::new("GET", format!("/cache/{since}"))
+        let target = Target::literal("/cache").segment(&since.to_string());
+        RequestHead::new("GET", target.expect("a number"))
     }
 
     fn read_cache_answer(&self, head: &ResponseHead, body: &[u8]) -> CacheAnswer {
--- a/crates/gateway/tests/support/site/object_store.rs
+++ b/crates/gateway/tests/support/site/object_store.rs
@@ -5,12 +5,12 @@
 use ploverlift_gateway::ports::{
     ObjectStore, StoreCall, StoreError, StoreObject, StoreReply, WatchEvent,
 };
-use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_http1::{RequestHead, ResponseHead, Target};
 use ploverlift_policy::ids::StoreEra;
 use serde_json::{json, Value};
 
 impl ObjectStore for StandInSite {
-    fn store_message(&self, call: &StoreCall) -> (RequestHead, Vec<u8>) {
+    fn store_message(&self, call: &StoreCall) -> Result<(RequestHead, Vec<u8>), StoreError> {
         let body = match call {
             StoreCall::List { kind, .. } => json!({"do": "list", "kind": format!("{kind:?}")}),
             StoreCall::Get { kind, name } => {
@@ -49,8 +49,8 @@
             } => json!({"do": "put_status", "kind": format!("{kind:?}"), "name": name,
                         "revision": revision, "status": status}),
         };
-        let head = RequestHead::new("POST", "/store");
-        (head, body.to_string().into_bytes())
+        let head = RequestHead::new("POST", Target::literal("/store"));
+        Ok((head, body.to_string().into_bytes()))
     }
 
     fn read_store_answer(
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,6 +1,7 @@
 //! Heads of requests and responses, and their headers.
 
 use crate::status::StatusCode;
+use crate::target::Target;
 use std::fmt::Write;
 
 /// Headers in the order in which they were received. Names are compared
@@ -111,8 +112,8 @@
 pub struct RequestHead {
     /// Method.
     pub method: String,
-    /// Path and query as given on the request line.
-    pub target: String,
+    /// Path and query.
+    pub target: Target,
     /// Whether the request's version is HTTP/1.1.
     pub is_http_1_1: bool,
     /// Headers.
@@ -121,10 +122,10 @@
 
 impl RequestHead {
     /// A head without headers.
-    pub fn new(method: impl Into<String>, target: impl Into<String>) -> Self {
+    pub fn new(method: impl Into<String>, target: Target) -> Self {
         Self {
             method: method.into(),
-            target: target.into(),
+            target,
             is_http_1_1: true,
             headers: Headers::default(),
         }
@@ -132,7 +133,7 @@
 
     /// The path without its query.
     pub fn path(&self) -> &str {
-        self.target.split('?').next().unwrap_or_default()
+        self.target.path()
     }
 
     /// Whether the peer keeps the connection after this request.
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod message;
 pub mod status;
 pub mod stream;
+pub mod target;
 pub mod turns;
 
 pub use body::{BodyDecoder, Framing};
@@ -25,4 +26,5 @@
 pub use message::{read_request_head, read_response_head};
 pub use status::StatusCode;
 pub use stream::{BufferedStream, PayloadDecoder};
+pub use target::Target;
 pub use turns::ReadingTurns;
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -6,6 +6,7 @@
 use crate::limits::MESSAGE_LIMITS;
 use crate::status::StatusCode;
 use crate::stream::BufferedStream;
+use crate::target::Target;
 
 /// Reads the head of the next request. `limit` is its maximum length in bytes.
 ///
@@ -150,7 +151,7 @@
     };
     let head = RequestHead {
         method: request.method.unwrap_or_default().to_owned(),
-        target: request.path.unwrap_or_default().to_owned(),
+        target: Target::new(request.path.unwrap_or_default())?,
         is_http_1_1: request.version == Some(1),
         headers: to_headers(request.headers)?,
     };
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use ploverlift_http1::{
-    read_request_head, read_response_head, HttpError, RequestHead, ResponseHead, StatusCode,
+    read_request_head, read_response_head, HttpError, RequestHead, ResponseHead, StatusCode, Target,
 };
 use proptest::prelude::*;
 use support::{stream_with, LIMIT};
@@ -226,7 +226,7 @@
         target in "/[!-~]{0,20}",
     ) {
         let mut response = ResponseHead::new(status);
-        let mut request = RequestHead::new("GET", target);
+        let mut request = RequestHead::new("GET", Target::new(target).expect("a target"));
         for (name, value) in pairs {
             let is_framing = ["content-length", "transfer-encoding"]
                 .iter()
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -35,7 +35,7 @@
     ))
     .expect("request");
     assert_eq!(head.path(), "/a/b");
-    assert_eq!(head.target, "/a/b?c=d");
+    assert_eq!(head.target.as_str(), "/a/b?c=d");
     assert_eq!(body, b"abc");
     assert!(head.keeps_alive());
 }
