Let no text but values of headers into heads

What callers and engines saw: an entry under the name `e-00a HTTP/1.1` CR LF `X-Forged: yes` made the engine at its address read a header `X-Forged`; with a bare CR LF callers were answered 502.

Cause: names and values of headers were any text. The name of an entry, a tenant's name and the id of an event went into the head of a request as they were.

Why it works: names and values are types, as the status code and the target are, and are checked where they are made. What the program sets is checked as a literal. A head that can't be made is an error with its reason in the attempt's line: nothing is sent, and the request goes elsewhere.

The method stays text: it comes from a parsed head or from the program. In tests the values that are made at run time are written with try_push and try_set; no assertion changed.

--- a/crates/gateway/src/engine_liveness/probe.rs
+++ b/crates/gateway/src/engine_liveness/probe.rs
@@ -194,7 +194,7 @@
         let Some(mut head) = self.gateway.site.liveness_head(&question) else {
             return ProbeOutcome::NoQuestion;
         };
-        head.headers.set("Host", self.engine.address.to_string());
+        head.headers.set("Host", self.engine.address);
         let EngineConnection { stream, path, .. } = connection;
         let outcome = match exchange_on(stream, &head, &[], ANSWER_TIMEOUT_MS).await {
             Err(failure) => outcome_without_answer(&failure.reason),
--- a/crates/gateway/src/forward/caller_answer.rs
+++ b/crates/gateway/src/forward/caller_answer.rs
@@ -90,7 +90,7 @@
         body: &[u8],
     ) -> io::Result<AfterAnswer> {
         self.begin()?;
-        head.headers.set("Content-Length", body.len().to_string());
+        head.headers.set("Content-Length", body.len());
         let message = self.encode(head);
         self.write_together(message, body, b"").await?;
         Ok(self.after())
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -14,7 +14,7 @@
 use crate::http_call::ConnectFailure;
 use crate::kept_connections::idle_limits;
 use crate::ports::{AnswerMeaning, EngineCall};
-use ploverlift_http1::RequestHead;
+use ploverlift_http1::{HttpError, RequestHead};
 use ploverlift_policy::attempt::AttemptState;
 use ploverlift_policy::ids::Millis;
 use std::future::Future;
@@ -64,9 +64,9 @@
         let Some(connection) = kept else {
             return self.begin_on_new_connection(chosen).await;
         };
-        self.check_before_sending(chosen)?;
+        let head = self.head_to_send(chosen)?;
         self.gateway.metrics.reused_connections.inc();
-        Ok(self.exchange(connection, chosen, true))
+        Ok(self.exchange(connection, head, chosen, true))
     }
 
     /// Begins to send the request on a new connection.
@@ -104,8 +104,8 @@
             return Err(AttemptEnd::NotAdmitted);
         }
         connection.place = Some(place);
-        self.check_before_sending(chosen)?;
-        Ok(self.exchange(connection, chosen, false))
+        let head = self.head_to_send(chosen)?;
+        Ok(self.exchange(connection, head, chosen, false))
     }
 
     /// Sends the request on a connection and waits for the head of the answer. The wait also
@@ -114,6 +114,7 @@
     fn exchange(
         &mut self,
         connection: EngineConnection,
+        head: RequestHead,
         chosen: &ChosenEngine,
         is_reused: bool,
     ) -> Exchange {
@@ -127,7 +128,6 @@
             ..
         } = connection;
         self.gateway.metrics.paths.count_send(path);
-        let head = self.engine_head(chosen);
         let body = Arc::clone(&self.received.body);
         let watch = self.watch_engine(&chosen.instance);
         let deadline = self.start_deadline(chosen);
@@ -164,7 +164,18 @@
         }
     }
 
-    fn engine_head(&self, chosen: &ChosenEngine) -> RequestHead {
+    /// The head of the request, if it may be sent now.
+    fn head_to_send(&self, chosen: &ChosenEngine) -> Result<RequestHead, AttemptEnd> {
+        let head = self.engine_head(chosen);
+        let head = head.map_err(|error| AttemptEnd::Unreachable {
+            reason: format!("the request can't be written: {error}"),
+            is_engines_fault: false,
+        })?;
+        self.check_before_sending(chosen)?;
+        Ok(head)
+    }
+
+    fn engine_head(&self, chosen: &ChosenEngine) -> Result<RequestHead, HttpError> {
         let admission = &self.received.admission;
         let call = EngineCall {
             request: &self.received.request,
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -185,8 +185,8 @@
         body: &[u8],
         timeout_ms: u64,
     ) -> Result<WholeAnswer, CallError> {
-        head.headers.set("Host", self.address.to_string());
-        head.headers.set("Content-Length", body.len().to_string());
+        head.headers.set("Host", self.address);
+        head.headers.set("Content-Length", body.len());
         let mut message = head.encode();
         message.extend_from_slice(body);
         let began = Instant::now();
--- a/crates/gateway/src/ports/control.rs
+++ b/crates/gateway/src/ports/control.rs
@@ -1,7 +1,7 @@
 //! Reports of engines, and orders to engines.
 
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_http1::{HttpError, RequestHead, ResponseHead};
 use std::collections::BTreeMap;
 
 /// Status report of an engine.
@@ -61,7 +61,10 @@
     fn read_report(&self, head: &ResponseHead, body: &[u8]) -> Option<EngineReport>;
 
     /// Head and body of an order; the head lacks the body's length.
-    fn order_message(&self, order: &LoadOrder) -> (RequestHead, Vec<u8>);
+    ///
+    /// # Errors
+    /// When the engine's identifier can't be written in a head.
+    fn order_message(&self, order: &LoadOrder) -> Result<(RequestHead, Vec<u8>), HttpError>;
 
     /// Decodes the answer to an order.
     fn read_order_answer(&self, head: &ResponseHead) -> OrderAnswer;
--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -2,7 +2,7 @@
 
 use super::{CallerRequest, EngineSignals};
 use ploverlift_balancing::catalogue::InstanceId;
-use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_http1::{HttpError, RequestHead, ResponseHead};
 use std::net::SocketAddr;
 
 /// A request to an engine, without its body.
@@ -128,7 +128,10 @@
 /// The engines' protocol for requests.
 pub trait EngineProtocol: Send + Sync {
     /// The head of the request to the engine.
-    fn engine_head(&self, call: &EngineCall<'_>) -> RequestHead;
+    ///
+    /// # Errors
+    /// When a value of the call, such as the engine's identifier, can't be written in a head.
+    fn engine_head(&self, call: &EngineCall<'_>) -> Result<RequestHead, HttpError>;
 
     /// What the head of an answer proves about the request with the id `request_id`.
     fn answer_meaning(&self, request_id: &str, head: &ResponseHead) -> AnswerMeaning;
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -91,7 +91,7 @@
         };
         let (status, body) = response_fn(&gateway);
         let mut answer = ResponseHead::new(status);
-        answer.headers.set("Content-Length", body.len().to_string());
+        answer.headers.set("Content-Length", body.len());
         if !head.keeps_alive() {
             answer.headers.set("Connection", "close");
         }
--- a/crates/gateway/src/weights/engine_load.rs
+++ b/crates/gateway/src/weights/engine_load.rs
@@ -175,10 +175,6 @@
         let Some(fencing_token) = self.holder.token() else {
             return NextStep::Finished;
         };
-        self.orders += 1;
-        self.ordered = Some(version);
-        self.ordered_at.get_or_insert(self.gateway.clock.now());
-        self.note_loading();
         let order = LoadOrder {
             instance: self.engine.instance.clone(),
             model: self.engine.model.clone(),
@@ -187,7 +183,18 @@
             fencing_token: fencing_token.0,
             expected_orders: orders_taken,
         };
-        let (head, body) = self.gateway.site.order_message(&order);
+        let (head, body) = match self.gateway.site.order_message(&order) {
+            Ok(message) => message,
+            Err(error) => {
+                slog::warn!(self.gateway.log, "order can't be written";
+                    "engine" => &order.instance.0, "error" => error.to_string());
+                return NextStep::Finished;
+            }
+        };
+        self.orders += 1;
+        self.ordered = Some(version);
+        self.ordered_at.get_or_insert(self.gateway.clock.now());
+        self.note_loading();
         self.gateway.metrics.orders.inc();
         let sent_at = self.gateway.clock.now();
         let answered = self.connection.call(head, &body, timeout_ms).await;
--- a/crates/gateway/tests/engine_notices/use_after_leaving.rs
+++ b/crates/gateway/tests/engine_notices/use_after_leaving.rs
@@ -40,7 +40,7 @@
             "llm" => {
                 // Prompts with different parts are assigned to different engines.
                 let mut call = prompt("stream.test", &id);
-                call.head.headers.set(site::PARTS, number.to_string());
+                call.head.headers.set(site::PARTS, u64::from(number));
                 call
             }
             _ => request("safe.test", &id),
--- a/crates/gateway/tests/harmful_parts/site.rs
+++ b/crates/gateway/tests/harmful_parts/site.rs
@@ -182,7 +182,11 @@
 pub fn prompt_of(host: &str, id: &str, parts: &[u64]) -> Request {
     let mut request = prompt(host, id);
     let parts: Vec<String> = parts.iter().map(u64::to_string).collect();
-    request.head.headers.set(site::PARTS, parts.join(","));
+    request
+        .head
+        .headers
+        .try_set(site::PARTS, parts.join(","))
+        .expect("a value");
     request.body = id.as_bytes().to_vec();
     request
 }
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -35,7 +35,7 @@
 fn request_of(host: &str, tokens: u64) -> Request {
     let mut request = request(host, "r");
     let headers = &mut request.head.headers;
-    headers.set(site::TOKENS, tokens.to_string());
+    headers.set(site::TOKENS, tokens);
     request
 }
 
--- a/crates/gateway/tests/requests/answers.rs
+++ b/crates/gateway/tests/requests/answers.rs
@@ -74,7 +74,11 @@
         nameless.head.headers.remove(site::ID);
         assert_eq!(send(nameless).await, 400);
         let mut long_head = request("safe.test", "r");
-        long_head.head.headers.push("filler", "f".repeat(4_096));
+        long_head
+            .head
+            .headers
+            .try_push("filler", "f".repeat(4_096))
+            .expect("a value");
         assert_eq!(send(long_head).await, 431);
         let mut long_body = request("safe.test", "r");
         long_body.body = vec![b'b'; 8_192];
--- a/crates/gateway/tests/stream_versions/moved_routes.rs
+++ b/crates/gateway/tests/stream_versions/moved_routes.rs
@@ -50,7 +50,7 @@
 
 async fn take_up_at(site: &VersionedSite, host: &str, began: &str) -> Answer {
     let mut request = resumption("resumed", began);
-    request.head.headers.set("host", host);
+    request.head.headers.try_set("host", host).expect("a value");
     send(site.callers_of(1), &request).await
 }
 
--- a/crates/gateway/tests/stream_versions/register.rs
+++ b/crates/gateway/tests/stream_versions/register.rs
@@ -52,7 +52,11 @@
 /// Sends a request whose prompt has a part of its own, which no engine has cached.
 async fn uncached_stream(site: &VersionedSite, node: usize, id: &str, part: usize) -> Answer {
     let mut request = prompt(HOST, id);
-    request.head.headers.set(PARTS, format!("{part},1,2"));
+    request
+        .head
+        .headers
+        .try_set(PARTS, format!("{part},1,2"))
+        .expect("a value");
     send(site.callers_of(node), &request).await
 }
 
--- a/crates/gateway/tests/stream_versions/site.rs
+++ b/crates/gateway/tests/stream_versions/site.rs
@@ -260,7 +260,7 @@
     /// the stream up on a slow machine.
     pub async fn begin_broken_at(&self, node: usize, host: &str, id: &str) -> Answer {
         let mut request = prompt(host, id);
-        request.head.headers.push(DEADLINE, PATIENCE_MS.to_string());
+        request.head.headers.push(DEADLINE, PATIENCE_MS);
         self.set_all(&Behaviour::BreakInside(3));
         let answer = send(self.callers_of(node), &request).await;
         self.set_all(&Behaviour::Answer);
@@ -276,7 +276,7 @@
     /// Like [`Self::begin`]. Its caller waits long enough to take the stream up on a slow machine.
     pub async fn begin_patiently(&self, node: usize, id: &str) -> OpenStream {
         let mut request = prompt("resume.test", id);
-        request.head.headers.push(DEADLINE, PATIENCE_MS.to_string());
+        request.head.headers.push(DEADLINE, PATIENCE_MS);
         self.begin_request(node, id, &request).await
     }
 
@@ -341,8 +341,8 @@
     /// Takes up a stream of a host's route at a node.
     pub async fn take_up_at(&self, node: usize, host: &str, id: &str, began: &str) -> Answer {
         let mut request = resumption(id, began);
-        request.head.headers.set("host", host);
-        request.head.headers.push(DEADLINE, PATIENCE_MS.to_string());
+        request.head.headers.try_set("host", host).expect("a value");
+        request.head.headers.push(DEADLINE, PATIENCE_MS);
         send(self.callers_of(node), &request).await
     }
 
@@ -389,8 +389,12 @@
 /// A request that takes up a stream after an event.
 pub fn resumption_after(last: u64, id: &str, began: &str) -> Request {
     let mut request = prompt("resume.test", id);
-    request.head.headers.push(AFTER, last.to_string());
-    request.head.headers.push(RESUMES, began);
+    request.head.headers.push(AFTER, last);
+    request
+        .head
+        .headers
+        .try_push(RESUMES, began)
+        .expect("a value");
     request
 }
 
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -34,8 +34,8 @@
 /// A request with a valid key.
 pub fn request(host: &str, id: &str) -> Request {
     let mut head = RequestHead::new("POST", Target::literal("/work"));
-    head.headers.push("host", host);
-    head.headers.push(site::ID, id);
+    head.headers.try_push("host", host).expect("a value");
+    head.headers.try_push(site::ID, id).expect("a value");
     head.headers.push(site::KEY, "key-a");
     Request {
         head,
@@ -80,8 +80,7 @@
 /// The bytes of a request on the wire.
 pub fn encode(request: &Request) -> Vec<u8> {
     let mut head = request.head.clone();
-    head.headers
-        .set("content-length", request.body.len().to_string());
+    head.headers.set("content-length", request.body.len());
     let mut message = head.encode();
     message.extend_from_slice(&request.body);
     message
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -24,9 +24,11 @@
         match behaviour {
             Behaviour::HidesWeights => {
                 let instance = request.headers.get(site::INSTANCE).unwrap_or_default();
-                head.headers.push(site::INSTANCE, instance);
+                head.headers
+                    .try_push(site::INSTANCE, instance)
+                    .expect("a value");
             }
-            _ => head.headers.push(site::WEIGHTS, weights.to_string()),
+            _ => head.headers.push(site::WEIGHTS, weights),
         }
         head.headers.push("content-length", "0");
         let _ = connection.write_all(&head.encode()).await;
@@ -45,12 +47,14 @@
     };
     let id = request.headers.get(site::ID).unwrap_or_default().to_owned();
     let mut head = ResponseHead::new(200);
-    head.headers.push(site::ID, &id);
+    head.headers.try_push(site::ID, &id).expect("a value");
     if let Some(limit) = &*shared.limit.lock().expect("limit") {
-        head.headers.push(site::LIMIT, limit);
+        head.headers.try_push(site::LIMIT, limit).expect("a value");
     }
     if let Some(value) = &*shared.leaving.lock().expect("leaving") {
-        head.headers.push(site::LEAVING, value);
+        head.headers
+            .try_push(site::LEAVING, value)
+            .expect("a value");
     }
     match behaviour {
         Behaviour::Silent => {
@@ -64,7 +68,9 @@
             head.status = StatusCode::literal(503);
             head.headers.push(site::NOT_RUN, "1");
             if let Some(value) = &*shared.backoff_ms.lock().expect("backoff") {
-                head.headers.push(site::BACKOFF_MS, value);
+                head.headers
+                    .try_push(site::BACKOFF_MS, value)
+                    .expect("a value");
                 record_backoff(shared, &id, value);
             }
         }
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -169,7 +169,10 @@
     let expected = head.headers.get(site::INSTANCE);
     let is_expected = expected.is_none_or(|expected| expected == shared.instance);
     let mut answer = ResponseHead::new(if is_expected { 200 } else { 421 });
-    answer.headers.push(site::INSTANCE, &shared.instance);
+    answer
+        .headers
+        .try_push(site::INSTANCE, &shared.instance)
+        .expect("a value");
     answer.headers.push("content-length", "0");
     connection.write_all(&answer.encode()).await.ok()
 }
@@ -208,9 +211,7 @@
                       "events": events[since.saturating_sub(1)..]})
     .to_string();
     let mut answer = ResponseHead::new(200);
-    answer
-        .headers
-        .push("content-length", text.len().to_string());
+    answer.headers.push("content-length", text.len());
     connection.write_all(&answer.encode()).await.ok()?;
     connection.write_all(text.as_bytes()).await.ok()
 }
@@ -248,9 +249,7 @@
             answer.status = StatusCode::literal(202);
         }
     }
-    answer
-        .headers
-        .push("content-length", text.len().to_string());
+    answer.headers.push("content-length", text.len());
     let mut message = answer.encode();
     message.extend_from_slice(text.as_bytes());
     connection.write_all(&message).await.ok()
--- a/crates/gateway/tests/support/engine/format.rs
+++ b/crates/gateway/tests/support/engine/format.rs
@@ -99,7 +99,7 @@
     /// Adds the headers of the framing of a body of this length.
     pub fn frame_body(self, head: &mut ResponseHead, length: usize) {
         if !self.is_unframed() {
-            head.headers.push("content-length", length.to_string());
+            head.headers.push("content-length", length);
         }
     }
 
--- a/crates/gateway/tests/support/site/mod.rs
+++ b/crates/gateway/tests/support/site/mod.rs
@@ -10,7 +10,7 @@
     EngineControl, EngineProtocol, EngineReport, EngineSignals, InvalidRequest, Leaving,
     LivenessAnswer, LivenessProbe, LoadOrder, OrderAnswer, Refusal, RefusedByEngine, Signal,
 };
-use ploverlift_http1::{RequestHead, ResponseHead, Target};
+use ploverlift_http1::{Headers, HttpError, RequestHead, ResponseHead, Target};
 use ploverlift_routing::prompt::{Prompt, PromptPart};
 use serde_json::{json, Value};
 
@@ -76,44 +76,50 @@
             resumes: headers.get(RESUMES).map(str::to_owned),
             method: head.method.clone(),
             target: head.target.clone(),
-            forwarded: [(ID, id)].into(),
+            forwarded: forwarded(id),
         })
     }
 
     fn refusal_head(&self, refusal: &Refusal, request_id: Option<&str>) -> ResponseHead {
         let mut head = ResponseHead::new(refusal.kind.status());
         if let Some(id) = request_id {
-            head.headers.push(ID, id);
+            head.headers.try_push(ID, id).expect("a value");
         }
         if let Some(retry_after_ms) = refusal.retry_after_ms {
-            head.headers
-                .push("retry-after-ms", retry_after_ms.to_string());
+            head.headers.push("retry-after-ms", retry_after_ms);
         }
         head
     }
 }
 
+/// Headers that are passed on to the engine.
+fn forwarded(id: &str) -> Headers {
+    let mut headers = Headers::default();
+    headers.try_push(ID, id).expect("a received value");
+    headers
+}
+
 impl EngineProtocol for StandInSite {
-    fn engine_head(&self, call: &EngineCall<'_>) -> RequestHead {
+    fn engine_head(&self, call: &EngineCall<'_>) -> Result<RequestHead, HttpError> {
         let mut head = RequestHead::new(&call.request.method, call.request.target.clone());
         head.headers = call.request.forwarded.clone();
         let headers = &mut head.headers;
-        headers.push("content-length", call.body_length.to_string());
-        headers.push(DEADLINE, call.deadline_ms.to_string());
-        headers.push(INSTANCE, &call.instance.0);
+        headers.push("content-length", call.body_length);
+        headers.push(DEADLINE, call.deadline_ms);
+        headers.try_push(INSTANCE, &call.instance.0)?;
         if let Some(tenant) = call.tenant {
-            headers.push(TENANT, tenant);
+            headers.try_push(TENANT, tenant)?;
         }
         if let Some(weights) = call.weights {
-            headers.push(WEIGHTS, weights.to_string());
+            headers.push(WEIGHTS, weights);
         }
         if let Some(cache) = &call.cache {
-            headers.push(SALT, &cache.salt);
+            headers.try_push(SALT, &cache.salt)?;
             if let Some(address) = cache.fetch_from {
-                headers.push(FETCH, address.to_string());
+                headers.push(FETCH, address);
             }
             if let Some(address) = cache.save_to {
-                headers.push(SAVE, address.to_string());
+                headers.push(SAVE, address);
             }
         }
         if let Some(prompt) = &call.request.prompt {
@@ -122,12 +128,12 @@
                 .iter()
                 .map(|part| part.id.to_string())
                 .collect();
-            headers.push(PROMPT, parts.join(","));
+            headers.try_push(PROMPT, parts.join(","))?;
         }
         if let Some(after) = call.resume_after {
-            headers.push(AFTER, after);
+            headers.try_push(AFTER, after)?;
         }
-        head
+        Ok(head)
     }
 
     fn answer_meaning(&self, request_id: &str, head: &ResponseHead) -> AnswerMeaning {
@@ -174,7 +180,9 @@
             false => HEALTH_PATH,
         };
         let mut head = RequestHead::new("GET", Target::literal(path));
-        head.headers.push(INSTANCE, &probe.instance.0);
+        head.headers
+            .try_push(INSTANCE, &probe.instance.0)
+            .expect("a value");
         Some(head)
     }
 
@@ -217,12 +225,12 @@
         })
     }
 
-    fn order_message(&self, order: &LoadOrder) -> (RequestHead, Vec<u8>) {
+    fn order_message(&self, order: &LoadOrder) -> Result<(RequestHead, Vec<u8>), HttpError> {
         let body = json!({"instance": order.instance.0, "version": order.version,
             "token": order.fencing_token, "expected": order.expected_orders,
             "holder": order.holder});
         let head = RequestHead::new("POST", Target::literal("/control/order"));
-        (head, body.to_string().into_bytes())
+        Ok((head, body.to_string().into_bytes()))
     }
 
     fn read_order_answer(&self, head: &ResponseHead) -> OrderAnswer {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -350,9 +350,9 @@
         let body = value.to_string();
         let mut head = ResponseHead::new(status);
         if let Some(era) = reported_era(&state) {
-            head.headers.push(STORE_ERA, era.to_string());
+            head.headers.push(STORE_ERA, era);
         }
-        head.headers.push("content-length", body.len().to_string());
+        head.headers.push("content-length", body.len());
         let mut message = head.encode();
         message.extend_from_slice(body.as_bytes());
         if connection.write_all(&message).await.is_err() {
--- a/crates/gateway/tests/support/traffic.rs
+++ b/crates/gateway/tests/support/traffic.rs
@@ -73,7 +73,11 @@
         let mut request = prompt("stream.test", &id);
         // Prompts with different parts are assigned to different engines.
         let parts = fastrand::u32(..).to_string();
-        request.head.headers.set(site::PARTS, parts);
+        request
+            .head
+            .headers
+            .try_set(site::PARTS, parts)
+            .expect("a value");
         open.retain(|request| !request.is_finished());
         open.push(smol::spawn(async move {
             let at = Instant::now();
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses, and their headers.
 
+use crate::error::HttpError;
+use crate::header::{HeaderName, HeaderValue};
 use crate::status::StatusCode;
 use crate::target::Target;
 use std::fmt::Write;
@@ -7,7 +9,7 @@
 /// Headers in the order in which they were received. Names are compared
 /// case-insensitively.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Headers(Vec<(String, String)>);
+pub struct Headers(Vec<(HeaderName, HeaderValue)>);
 
 /// Headers that apply to one connection only (RFC 9110, section 7.6.1).
 const CONNECTION_HEADERS: [&str; 8] = [
@@ -25,7 +27,7 @@
     /// The first value of a header.
     pub fn get(&self, name: &str) -> Option<&str> {
         let mut headers = self.0.iter();
-        let found = headers.find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = headers.find(|(known, _)| known.as_str().eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -33,27 +35,53 @@
     pub fn get_all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         let matching = self.0.iter();
         matching
-            .filter(move |(known, _)| known.eq_ignore_ascii_case(name))
+            .filter(move |(known, _)| known.as_str().eq_ignore_ascii_case(name))
             .map(|(_, value)| value.as_str())
     }
 
     /// Adds a header.
-    pub fn push(&mut self, name: impl Into<String>, value: impl Into<String>) {
+    pub fn push(&mut self, name: impl Into<HeaderName>, value: impl Into<HeaderValue>) {
         self.0.push((name.into(), value.into()));
     }
 
+    /// Adds a header whose value comes from elsewhere.
+    ///
+    /// # Errors
+    /// [`HttpError::Malformed`] when the text is no value of a header; nothing is added then.
+    pub fn try_push(
+        &mut self,
+        name: impl Into<HeaderName>,
+        value: impl Into<String>,
+    ) -> Result<(), HttpError> {
+        self.push(name, HeaderValue::new(value)?);
+        Ok(())
+    }
+
     /// Removes all headers of this name, case-insensitively.
     pub fn remove(&mut self, name: &str) {
         self.0
-            .retain(|(known, _)| !known.eq_ignore_ascii_case(name));
+            .retain(|(known, _)| !known.as_str().eq_ignore_ascii_case(name));
     }
 
     /// Sets a header, replacing all its previous values.
-    pub fn set(&mut self, name: &str, value: impl Into<String>) {
+    pub fn set(&mut self, name: &'static str, value: impl Into<HeaderValue>) {
         self.remove(name);
         self.push(name, value);
     }
 
+    /// Sets a header to a value that comes from elsewhere, replacing all its previous values.
+    ///
+    /// # Errors
+    /// [`HttpError::Malformed`] when the text is no value of a header; nothing is changed then.
+    pub fn try_set(
+        &mut self,
+        name: &'static str,
+        value: impl Into<String>,
+    ) -> Result<(), HttpError> {
+        self.set(name, HeaderValue::new(value)?);
+        Ok(())
+    }
+
     /// All headers in order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
         self.0
@@ -77,6 +105,7 @@
             .map(|name| name.trim().to_owned())
             .collect();
         self.0.retain(|(name, _)| {
+            let name = name.as_str();
             let listed = named.iter().any(|listed| listed.eq_ignore_ascii_case(name));
             let fixed = CONNECTION_HEADERS.iter();
             !listed
@@ -94,15 +123,19 @@
     }
 }
 
-impl<const N: usize> From<[(&str, &str); N]> for Headers {
-    fn from(pairs: [(&str, &str); N]) -> Self {
-        let owned = pairs.map(|(name, value)| (name.to_owned(), value.to_owned()));
-        Self(owned.into())
+impl<const N: usize> From<[(&'static str, &'static str); N]> for Headers {
+    /// Headers that the program sets.
+    ///
+    /// # Panics
+    /// When a text is no name or no value of a header.
+    fn from(pairs: [(&'static str, &'static str); N]) -> Self {
+        let headers = pairs.map(|(name, value)| (name.into(), value.into()));
+        Self(headers.into())
     }
 }
 
-impl From<Vec<(String, String)>> for Headers {
-    fn from(pairs: Vec<(String, String)>) -> Self {
+impl From<Vec<(HeaderName, HeaderValue)>> for Headers {
+    fn from(pairs: Vec<(HeaderName, HeaderValue)>) -> Self {
         Self(pairs)
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod error;
 pub mod head;
+pub mod header;
 pub mod limits;
 pub mod message;
 pub mod status;
@@ -23,6 +24,7 @@
 pub use body::{BodyDecoder, Framing};
 pub use error::HttpError;
 pub use head::{Headers, RequestHead, ResponseHead};
+pub use header::{HeaderName, HeaderValue};
 pub use message::{read_request_head, read_response_head};
 pub use status::StatusCode;
 pub use stream::{BufferedStream, PayloadDecoder};
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -3,6 +3,7 @@
 use crate::body::{BodyDecoder, Framing};
 use crate::error::{malformed, HttpError};
 use crate::head::{Headers, RequestHead, ResponseHead};
+use crate::header::{HeaderName, HeaderValue};
 use crate::limits::MESSAGE_LIMITS;
 use crate::status::StatusCode;
 use crate::stream::BufferedStream;
@@ -179,7 +180,7 @@
     for header in headers {
         let value = std::str::from_utf8(header.value);
         let value = value.map_err(|_| malformed("a header is not text"))?;
-        pairs.push((header.name.to_owned(), value.to_owned()));
+        pairs.push((HeaderName::new(header.name)?, HeaderValue::new(value)?));
     }
     Ok(Headers::from(pairs))
 }
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use ploverlift_http1::{
-    read_request_head, read_response_head, HttpError, RequestHead, ResponseHead, StatusCode, Target,
+    read_request_head, read_response_head, HeaderName, HeaderValue, HttpError, RequestHead,
+    ResponseHead, StatusCode, Target,
 };
 use proptest::prelude::*;
 use support::{stream_with, LIMIT};
@@ -203,6 +204,36 @@
     prop::collection::vec((name, value), 0..6)
 }
 
+/// Text that is odd in a head, and text of any kind.
+fn any_text() -> impl Strategy<Value = String> {
+    let odd = "[ \\t\\r\\n\\x00\\x7f:a-zA-Z0-9/%-]{0,12}";
+    prop_oneof![odd, any::<String>(), "[a-zA-Z-]{1,8}"]
+}
+
+// Guards against a stored name that adds lines to a request.
+#[test]
+fn text_that_would_add_a_line_is_no_value_of_a_header() {
+    for text in [
+        "a\r\nX-Forged: yes",
+        "a\nb",
+        "a\rb",
+        "a\0b",
+        "a\u{1}b",
+        "a\x7fb",
+        " a",
+        "a\t",
+    ] {
+        assert!(HeaderValue::new(text).is_err(), "{text:?}");
+    }
+    for text in ["", "a", "a b", "a\tb", "é", "a: b"] {
+        let value = HeaderValue::new(text).expect("a value");
+        assert_eq!(value.as_str(), text);
+    }
+    for text in ["", "a b", "a:", "é", "a\r\n"] {
+        assert!(HeaderName::new(text).is_err(), "{text:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(512))]
 
@@ -232,8 +263,10 @@
                 .iter()
                 .any(|framing| name.eq_ignore_ascii_case(framing));
             if !is_framing {
-                response.headers.push(&name, &value);
-                request.headers.push(&name, &value);
+                let name = HeaderName::new(name).expect("a name");
+                let value = HeaderValue::new(value).expect("a value");
+                response.headers.push(name.clone(), value.clone());
+                request.headers.push(name, value);
             }
         }
         prop_assert_eq!(read_head(&response.encode()).ok(), Some(response));
@@ -244,6 +277,29 @@
         prop_assert_eq!(read.ok().map(|(head, _)| head), Some(request));
     }
 
+    // Guards against a value that ends its header, adds another one, or is read as another value.
+    #[test]
+    fn any_text_in_a_head_is_refused_or_read_back_the_same(
+        name in any_text(),
+        value in any_text(),
+        target in any_text(),
+    ) {
+        let mut head = RequestHead::new("GET", Target::new(target).unwrap_or_default());
+        let is_framing = ["content-length", "transfer-encoding"]
+            .iter()
+            .any(|framing| name.eq_ignore_ascii_case(framing));
+        let name = HeaderName::new(name).unwrap_or("x-text".into());
+        match HeaderValue::new(value) {
+            Ok(value) if !is_framing => head.headers.push(name, value),
+            _ => {}
+        }
+        let read = smol::block_on(async {
+            let mut stream = stream_with(&head.encode()).await;
+            read_request_head(&mut stream, LIMIT).await
+        });
+        prop_assert_eq!(read.ok().map(|(read, _)| read), Some(head));
+    }
+
     #[test]
     fn a_status_has_three_digits(code in any::<u16>()) {
         let status = StatusCode::new(code);
