Read lists to their end, or say that they have none

What callers saw: behind an entry whose name no text can hold (`\ud800` in JSON) engines were missing, silently, as if the list were whole: 503 where such an entry was the last of a page. A store that repeated a page was asked again and again, by every node, and memory grew with it.

Cause: a list went on after the last object that could be read, or ended where a page had none, and nothing checked that a page goes beyond the one before it.

Why it works: the position after which a list goes on need not be a name. An object with an unreadable or very long name has one right after all names that begin as it does, which skips no name that an engine can have. Repetition is told by names that were passed, not by their order, which is the store's.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,13 @@
     pub kind: &'static str,
 }
 
+/// A kind of stored objects.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoredKindLabel {
+    /// The kind of objects.
+    pub kind: &'static str,
+}
+
 /// Labels of requests of tenants that have a rate limit.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitLabel {
@@ -204,6 +211,10 @@
     pub store_calls: Family<StoreCallLabel, Counter>,
     /// Calls of the object store that failed.
     pub store_failures: Counter,
+    /// Stored entries that were read and rejected, by kind.
+    pub rejected_entries: Family<StoredKindLabel, Counter>,
+    /// Lists of stored objects that could not be read to their end, by kind.
+    pub incomplete_lists: Family<StoredKindLabel, Counter>,
     /// Number of times that the store was restored from a copy.
     pub store_restorations: Counter,
     /// The era of the store.
@@ -283,6 +294,8 @@
             connections_closed_for_room: Counter::default(),
             store_calls: Family::default(),
             store_failures: Counter::default(),
+            rejected_entries: Family::default(),
+            incomplete_lists: Family::default(),
             store_restorations: Counter::default(),
             store_era: Gauge::default(),
             missing_leases: Counter::default(),
@@ -556,6 +569,10 @@
         );
         let help = "Calls of the object store by what they do and of which kind";
         registry.register("store_calls", help, self.store_calls.clone());
+        let help = "Stored entries that were read and rejected, by kind";
+        registry.register("rejected_entries", help, self.rejected_entries.clone());
+        let help = "Lists of stored objects that could not be read to their end, by kind";
+        registry.register("incomplete_lists", help, self.incomplete_lists.clone());
         registry.register(
             "limited_requests",
             "Requests of tenants that have a limit, by its size and the decision",
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -1,5 +1,6 @@
 //! The object store, which holds durable state shared by all nodes.
 
+use crate::store::listing::ListingError;
 use ploverlift_balancing::catalogue::EngineRecord;
 use ploverlift_http1::{RequestHead, ResponseHead};
 use ploverlift_policy::ids::StoreEra;
@@ -81,7 +82,8 @@
     List {
         /// The kind.
         kind: StoreKind,
-        /// Last name of the previous page.
+        /// Where the previous page ended: a name or any other text. Only its place in the order of
+        /// names counts.
         after: Option<String>,
         /// Whether the answer may be some seconds old, which costs the store less.
         may_be_stale: bool,
@@ -202,6 +204,10 @@
     Page {
         /// Objects in the order of their names.
         objects: Vec<StoreObject>,
+        /// Objects that name nothing of their kind, or whose name can't be read.
+        rejected: Vec<InvalidDocument>,
+        /// Position of the last object that has one; a list continues after it.
+        end: Option<String>,
         /// Whether more pages follow.
         has_more: bool,
         /// Store revision of the list.
@@ -215,17 +221,29 @@
     Changes {
         /// Changes in order of revision.
         events: Vec<WatchEvent>,
+        /// Changed objects that name nothing of their kind, or whose name can't be read.
+        rejected: Vec<InvalidDocument>,
         /// Revision from which to continue the watch.
         revision: u64,
     },
 }
 
 impl StoreReply {
+    /// Objects that were rejected.
+    pub fn rejected(&self) -> &[InvalidDocument] {
+        match self {
+            StoreReply::Page { rejected, .. } | StoreReply::Changes { rejected, .. } => rejected,
+            StoreReply::Object(_) | StoreReply::Deleted => &[],
+        }
+    }
+
     /// Packs all revisions with an era.
     pub fn in_era(self, era: StoreEra) -> Self {
         match self {
             StoreReply::Page {
                 objects,
+                rejected,
+                end,
                 has_more,
                 revision,
             } => StoreReply::Page {
@@ -233,18 +251,25 @@
                     .into_iter()
                     .map(|object| object.in_era(era))
                     .collect(),
+                rejected,
+                end,
                 has_more,
                 revision: StoreRevision::pack(revision, era),
             },
             StoreReply::Object(object) => StoreReply::Object(object.in_era(era)),
             StoreReply::Deleted => StoreReply::Deleted,
-            StoreReply::Changes { events, revision } => {
+            StoreReply::Changes {
+                events,
+                rejected,
+                revision,
+            } => {
                 let events = events.into_iter().map(|event| WatchEvent {
                     object: event.object.in_era(era),
                     is_gone: event.is_gone,
                 });
                 StoreReply::Changes {
                     events: events.collect(),
+                    rejected,
                     revision: StoreRevision::pack(revision, era),
                 }
             }
@@ -282,6 +307,14 @@
         /// What is wrong with the name.
         reason: String,
     },
+    /// Some objects of a list were read, and the others can't be.
+    #[snafu(display("list incomplete after {listed} objects: {source}"))]
+    ListIncomplete {
+        /// Number of objects that were read.
+        listed: usize,
+        /// Why the list can't be followed.
+        source: ListingError,
+    },
     /// Not done: the store could not be reached.
     #[snafu(display("unreachable: {reason}"))]
     Unreachable {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,10 +5,11 @@
 //! accepts callers. An operator releases a request by deleting its object.
 
 use crate::peers::roles::{are_engines_relayed, role, Role};
-use crate::ports::{StoreError, StoreKind, StoreObject};
+use crate::ports::{InvalidDocument, StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
 use crate::store::feed::Feed;
+use crate::store::rejected_entries::note_rejected;
 use crate::store::StoreClient;
 use crate::time::{sleep, within};
 use ploverlift_policy::ids::Millis;
@@ -168,7 +169,11 @@
     let stored = objects.iter().filter_map(|object| {
         let read = RefusalDocument::read(object);
         if read.is_none() {
-            slog::warn!(gateway.log, "refused request document is malformed"; "name" => &object.name);
+            let invalid = InvalidDocument {
+                document: object.name.clone(),
+                reason: "the document is malformed".to_owned(),
+            };
+            note_rejected(gateway, StoreKind::RefusedRequests, &invalid);
         }
         read
     });
--- a/crates/gateway/src/rollouts/feed.rs
+++ b/crates/gateway/src/rollouts/feed.rs
@@ -6,6 +6,7 @@
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
 use crate::store::feed::{Feed, EVERY_REVISION};
+use crate::store::rejected_entries::note_rejected;
 use crate::time::{sleep, within};
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::order::RolloutOrder;
@@ -143,10 +144,8 @@
             beliefs.rollouts.orders.note_readable(&object.name);
             Some(order)
         }
-        Err(error) => {
-            slog::warn!(gateway.log, "rollout order does not fit";
-                "name" => &object.name, "revision" => object.revision,
-                "error" => error.to_string());
+        Err(invalid) => {
+            note_rejected(gateway, StoreKind::Rollouts, &invalid);
             let mut beliefs = gateway.beliefs();
             let orders = &mut beliefs.rollouts.orders;
             orders.note_unreadable(&object.name, object.revision);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::settings::{GatewaySettings, NodeSettings};
 use crate::store::era::KnownEra;
 use crate::store::outage::StoreOutage;
+use crate::store::rejected_entries::RejectedEntries;
 use crate::store::shared_reads::SharedReads;
 use event_listener::Event;
 use ploverlift_balancing::catalogue::InstanceId;
@@ -127,6 +128,7 @@
     kept_connections: Mutex<KeptConnections>,
     tunnel_use: Mutex<TunnelUse>,
     lacks: Mutex<Lacks>,
+    rejected_entries: Mutex<RejectedEntries>,
     /// Probes of engines after the ends of their answers.
     pub(crate) engine_probes: EngineProbes,
 }
@@ -205,6 +207,7 @@
             kept_connections: Mutex::default(),
             tunnel_use: Mutex::new(TunnelUse::new(tunnel_limits)),
             lacks: Mutex::default(),
+            rejected_entries: Mutex::default(),
             engine_probes: EngineProbes::default(),
         }
     }
@@ -274,6 +277,12 @@
         lacks.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Locks the stored entries that were rejected.
+    pub fn rejected_entries(&self) -> MutexGuard<'_, RejectedEntries> {
+        let rejected = self.rejected_entries.lock();
+        rejected.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Arc<ActiveConfiguration>> {
         self.beliefs().configuration.clone()
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -3,9 +3,12 @@
 
 use super::answer_timeout::AnswerTimeout;
 use super::era::{EraChange, EraSource};
+use super::listing::{Following, Listing, ListingError};
 use super::outage::OutageChange;
+use super::rejected_entries::note_rejected;
 use crate::answer_limits::ANSWER_LIMITS;
 use crate::http_call::{CallConnection, CallError};
+use crate::metrics::StoredKindLabel;
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
 use crate::state::Gateway;
 use ploverlift_http1::ResponseHead;
@@ -14,6 +17,22 @@
 use serde_json::Value;
 use std::sync::Arc;
 
+/// A list, or the part of it before a failure.
+pub(crate) struct Listed {
+    /// The objects that were read.
+    pub(crate) objects: Vec<StoreObject>,
+    /// The store's revision before the first page, if the list is complete.
+    pub(crate) end: Result<u64, StoreError>,
+}
+
+/// Why the pages of a list end before the list does.
+enum ListEnd {
+    /// A call failed.
+    Call(StoreError),
+    /// A page can't be followed by another one.
+    Listing(ListingError),
+}
+
 /// A client with one connection, on which calls are made one after another.
 pub struct StoreClient {
     gateway: Arc<Gateway>,
@@ -93,8 +112,14 @@
             .store_outage
             .note_call_ended(&result, now);
         self.log_outage(call, change, result.as_ref().err());
-        if result.is_err() {
-            self.gateway.metrics.store_failures.inc();
+        match &result {
+            Ok(reply) => {
+                let rejected = reply.rejected().iter();
+                rejected.for_each(|invalid| note_rejected(&self.gateway, call.kind(), invalid));
+            }
+            Err(_) => {
+                self.gateway.metrics.store_failures.inc();
+            }
         }
         result
     }
@@ -188,7 +213,8 @@
     /// # Errors
     /// When a page cannot be read.
     pub async fn list(&mut self, kind: StoreKind) -> Result<(Vec<StoreObject>, u64), StoreError> {
-        self.list_pages(kind, false).await
+        let listed = self.list_or_part(kind, false).await;
+        Ok((listed.objects, listed.end?))
     }
 
     /// Reads all objects of a kind; the result may be stale by some seconds.
@@ -196,42 +222,66 @@
     /// # Errors
     /// When a page cannot be read.
     pub async fn list_stale(&mut self, kind: StoreKind) -> Result<Vec<StoreObject>, StoreError> {
-        let listed = self.list_pages(kind, true).await;
-        listed.map(|(objects, _)| objects)
+        let listed = self.list_or_part(kind, true).await;
+        listed.end.map(|_| listed.objects)
+    }
+
+    /// Reads a list until it ends or a call fails. The objects of the pages before the failure
+    /// are returned with it.
+    pub(crate) async fn list_or_part(&mut self, kind: StoreKind, may_be_stale: bool) -> Listed {
+        let mut listing = Listing::default();
+        let end = self.read_pages(kind, may_be_stale, &mut listing).await;
+        let objects = listing.into_objects();
+        let end = end.map_err(|error| match error {
+            ListEnd::Call(error) => error,
+            ListEnd::Listing(source) => StoreError::ListIncomplete {
+                listed: objects.len(),
+                source,
+            },
+        });
+        if end.is_err() && !objects.is_empty() {
+            let label = StoredKindLabel { kind: kind.name() };
+            let lists = &self.gateway.metrics.incomplete_lists;
+            lists.get_or_create(&label).inc();
+        }
+        Listed { objects, end }
     }
 
-    async fn list_pages(
+    /// Reads the pages of a list; returns the store's revision before the first one.
+    async fn read_pages(
         &mut self,
         kind: StoreKind,
         may_be_stale: bool,
-    ) -> Result<(Vec<StoreObject>, u64), StoreError> {
-        let mut all = Vec::new();
-        let mut first_revision = None;
-        let mut first_era = None;
-        let mut after = None;
+        listing: &mut Listing,
+    ) -> Result<u64, ListEnd> {
+        let mut first_page = None;
         loop {
             let call = StoreCall::List {
                 kind,
-                after,
+                after: listing.position().map(str::to_owned),
                 may_be_stale,
             };
-            let reply = self.call(&call).await?;
+            let reply = self.call(&call).await.map_err(ListEnd::Call)?;
             let StoreReply::Page {
-                mut objects,
+                objects,
+                rejected,
+                end,
                 has_more,
                 revision,
             } = reply
             else {
-                return Err(unexpected_reply());
+                return Err(ListEnd::Call(unexpected_reply()));
             };
-            let list_revision = *first_revision.get_or_insert(revision);
-            if *first_era.get_or_insert(self.answered_era) != self.answered_era {
-                return Err(StoreError::HistoryGone);
+            let era = self.answered_era;
+            let (first_revision, first_era) = *first_page.get_or_insert((revision, era));
+            if first_era != era {
+                // The pages before belong to another history.
+                *listing = Listing::default();
+                return Err(ListEnd::Call(StoreError::HistoryGone));
             }
-            after = objects.last().map(|object| object.name.clone());
-            all.append(&mut objects);
-            if !has_more || after.is_none() {
-                return Ok((all, list_revision));
+            let added = listing.add_page(objects, rejected.len(), end, has_more);
+            if added.map_err(ListEnd::Listing)? == Following::Nothing {
+                return Ok(first_revision);
             }
         }
     }
--- a/crates/gateway/src/store/engine_feed.rs
+++ b/crates/gateway/src/store/engine_feed.rs
@@ -3,9 +3,10 @@
 use super::backoff::Backoff;
 use super::feed::{Feed, ENGINES_OVERDUE_MS};
 use super::lapsed::{remove_engine, replace_engines, EngineList};
+use super::rejected_entries::note_rejected;
 use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
-use crate::ports::{InvalidDocument, StoreKind, StoreObject, WatchEvent};
+use crate::ports::{StoreKind, StoreObject, WatchEvent};
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
@@ -60,28 +61,36 @@
 }
 
 fn apply_engine_list(gateway: &Arc<Gateway>, objects: &[StoreObject], revision: u64) {
-    let mut list = EngineList {
-        records: Vec::new(),
-        unreadable: Vec::new(),
-        revision,
-    };
+    let (records, unreadable) = read_engines(gateway, objects);
+    let (count, rejected) = (records.len(), unreadable.len());
+    replace_engines(
+        gateway,
+        EngineList {
+            records,
+            unreadable,
+            revision,
+        },
+    );
+    gateway.metrics.engines.set(count as i64);
+    slog::info!(gateway.log, "engines listed"; "count" => count, "rejected" => rejected);
+}
+
+/// The records of listed engines, and the instances whose records can't be read.
+fn read_engines(
+    gateway: &Gateway,
+    objects: &[StoreObject],
+) -> (Vec<EngineRecord>, Vec<InstanceId>) {
+    let (mut records, mut unreadable) = (Vec::new(), Vec::new());
     for object in objects {
         match gateway.site.engine(object) {
-            Ok(record) => list.records.push(record),
-            Err(error) => {
-                log_unreadable(gateway, &error);
-                list.unreadable.push(InstanceId(object.name.clone()));
+            Ok(record) => records.push(record),
+            Err(invalid) => {
+                note_rejected(gateway, StoreKind::Engines, &invalid);
+                unreadable.push(InstanceId(object.name.clone()));
             }
         }
     }
-    let count = list.records.len();
-    replace_engines(gateway, list);
-    gateway.metrics.engines.set(count as i64);
-    slog::info!(gateway.log, "engines listed"; "count" => count);
-}
-
-fn log_unreadable(gateway: &Gateway, error: &InvalidDocument) {
-    slog::warn!(gateway.log, "engine record could not be parsed"; "error" => error.to_string());
+    (records, unreadable)
 }
 
 /// Applies an engine change from the store.
@@ -93,7 +102,7 @@
     }
     match gateway.site.engine(object) {
         Ok(record) => apply_record(gateway, record),
-        Err(error) => log_unreadable(gateway, &error),
+        Err(invalid) => note_rejected(gateway, StoreKind::Engines, &invalid),
     }
 }
 
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -157,11 +157,12 @@
 
     /// Reads all objects once; `None` when the call fails.
     pub async fn list_once(&mut self, backoff: &mut Backoff) -> Option<(Vec<StoreObject>, u64)> {
-        match self.client.list(self.kind).await {
-            Ok(listed) => {
+        let listed = self.client.list_or_part(self.kind, false).await;
+        match listed.end {
+            Ok(revision) => {
                 self.note_reached();
                 backoff.reset();
-                Some(listed)
+                Some((listed.objects, revision))
             }
             // A store that does not support the kind has no objects of it at any revision.
             Err(StoreError::NotFound) => Some((Vec::new(), EVERY_REVISION)),
@@ -193,7 +194,9 @@
                     "kind" => self.kind_name());
                 self.client.reset();
             }
-            Ok(WatchEnd::Answered(StoreReply::Changes { events, revision })) => {
+            Ok(WatchEnd::Answered(StoreReply::Changes {
+                events, revision, ..
+            })) => {
                 self.note_reached();
                 backoff.reset();
                 return Some((events, revision, sent_at));
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,7 +7,9 @@
 pub mod era;
 pub(crate) mod feed;
 mod lapsed;
+pub mod listing;
 pub mod outage;
+pub mod rejected_entries;
 pub mod shared_reads;
 
 pub use client::StoreClient;
--- a/crates/gateway/src/stream_journal/reader.rs
+++ b/crates/gateway/src/stream_journal/reader.rs
@@ -4,9 +4,10 @@
 use super::document::{DocumentTime, JournalDocument};
 use super::writer::writer_count;
 use crate::peers::roles::{role, Role};
-use crate::ports::{StoreError, StoreKind, StoreObject};
+use crate::ports::{InvalidDocument, StoreError, StoreKind, StoreObject};
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
+use crate::store::rejected_entries::note_rejected;
 use crate::store::shared_reads::ReadOutcome;
 use crate::store::StoreClient;
 use crate::time::{sleep, within};
@@ -123,8 +124,11 @@
         let document = match JournalDocument::read(&object.content) {
             Ok(document) => document,
             Err(error) => {
-                slog::debug!(gateway.log, "stream journal is malformed";
-                    "name" => &object.name, "error" => error.to_string());
+                let invalid = InvalidDocument {
+                    document: object.name,
+                    reason: error.to_string(),
+                };
+                note_rejected(gateway, StoreKind::StreamOrigins, &invalid);
                 continue;
             }
         };
--- a/crates/gateway/src/weights/knowledge.rs
+++ b/crates/gateway/src/weights/knowledge.rs
@@ -13,6 +13,7 @@
 use crate::state::Gateway;
 use crate::store::backoff::Backoff;
 use crate::store::feed::{Feed, EVERY_REVISION};
+use crate::store::rejected_entries::note_rejected;
 use crate::time::sleep;
 use ploverlift_balancing::peer_loads::PeerId;
 use ploverlift_balancing::weights::{ListedVersions, WeightsNews};
@@ -208,9 +209,8 @@
             version: named.version,
             revision: object.revision,
         }),
-        Err(error) => {
-            slog::warn!(gateway.log, "weights record could not be parsed";
-                "name" => &object.name, "error" => error.to_string());
+        Err(invalid) => {
+            note_rejected(gateway, StoreKind::Weights, &invalid);
             None
         }
     }
--- a/crates/gateway/tests/support/site/object_store.rs
+++ b/crates/gateway/tests/support/site/object_store.rs
@@ -84,6 +84,8 @@
     match call {
         StoreCall::List { .. } => StoreReply::Page {
             objects: list("objects").iter().map(object).collect(),
+            rejected: Vec::new(),
+            end: None,
             has_more: false,
             revision,
         },
@@ -95,7 +97,11 @@
                     is_gone: event["gone"].as_bool().unwrap_or(false),
                 })
                 .collect();
-            StoreReply::Changes { events, revision }
+            StoreReply::Changes {
+                events,
+                rejected: Vec::new(),
+                revision,
+            }
         }
         StoreCall::Delete { .. } => StoreReply::Deleted,
         _ => StoreReply::Object(object(value)),
