Serve with the engines of a list that can't be read to its end

What callers saw: while a page of the list could not be followed (a page that is repeated, an entry without a name at the end of a page), nodes that started were never ready, although they had read engines.

Cause: a list was whole or nothing. Nodes can learn engines from peers, but where all are new no peer knows them.

Once the list can be read, all engines are known and nothing is said to be incomplete.

Why it works: what was read before the failure is added at once, and no engine is removed by it. A node counts as having engines once lists have failed so for 2 s; a failure of a moment is over by then. Requests don't wait for a newer list that can't be had. Lists of other kinds stay whole or nothing: without all refused requests or rollout orders a request could reach an engine that it must not.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -117,6 +117,8 @@
     pub store_outage: StoreOutage,
     /// Whether the engines were listed at least once.
     pub has_listed_engines: bool,
+    /// Since when lists of the engines have ended before their end, if the last one did.
+    pub engines_incomplete_since: Option<Millis>,
     /// Rate limits of tenants.
     pub limiter: RateLimiter,
     /// Rollouts of engines' software.
--- a/crates/gateway/src/engine_beliefs.rs
+++ b/crates/gateway/src/engine_beliefs.rs
@@ -6,6 +6,10 @@
 use ploverlift_balancing::peer_loads::EngineTag;
 use ploverlift_policy::ids::Millis;
 
+/// Time after which a list of engines that can't be read to its end is used as far as it can be
+/// read, in milliseconds. A failure of a moment is over by then.
+const USE_INCOMPLETE_AFTER_MS: u64 = 2_000;
+
 impl Beliefs {
     /// Adds or updates an engine; returns whether the record was new.
     pub fn upsert_engine(&mut self, record: EngineRecord, now: Millis) -> bool {
@@ -104,6 +108,13 @@
         }
     }
 
+    /// Whether lists of the engines have ended early for so long that what could be read is used
+    /// without a complete list.
+    pub fn uses_incomplete_engines(&self, now: Millis) -> bool {
+        let since = self.engines_incomplete_since;
+        since.is_some_and(|since| now.since(since) >= USE_INCOMPLETE_AFTER_MS)
+    }
+
     /// Replaces all engines by a relay's list at a revision of the store; returns the
     /// engines that were added, changed or removed.
     pub fn replace_engines(
@@ -122,6 +133,7 @@
         }
         self.engines_revision = self.engines_revision.max(revision);
         self.has_listed_engines = true;
+        self.engines_incomplete_since = None;
         self.catalogue_log.after(before)
     }
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -4,7 +4,7 @@
 use crate::engine_paths::metrics::publish_paths;
 use crate::memory_metrics::publish_memory;
 use crate::ports::RefusalKind;
-use crate::requirements::{lacking, publish_requirements, Requirement};
+use crate::requirements::{incomplete_engines, lacking, publish_requirements, Requirement};
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use ploverlift_http1::{read_request_head, BufferedStream, ResponseHead};
@@ -38,10 +38,18 @@
     (!lacking.is_empty()).then(|| format!("lacks {}", lacking.join(", ")))
 }
 
+/// What a ready node knows in part only, as lines.
+fn incompleteness(gateway: &Gateway) -> String {
+    let incomplete = incomplete_engines(gateway);
+    incomplete.map_or_else(String::new, |known| {
+        format!("incomplete: engines ({known} known, the list can't be read to its end)\n")
+    })
+}
+
 /// Answers readiness probes of the load balancer until the task is dropped.
 pub async fn serve_readiness(gateway: Arc<Gateway>, listener: TcpListener) {
     serve_probes(gateway, listener, |gateway| match unready_reason(gateway) {
-        None => (200, "ready\n".to_owned()),
+        None => (200, format!("ready\n{}", incompleteness(gateway))),
         Some(reason) => (
             RefusalKind::NotRun.status(),
             format!("not ready: {reason}\n"),
--- a/crates/gateway/src/reliance.rs
+++ b/crates/gateway/src/reliance.rs
@@ -27,6 +27,8 @@
     Unproven,
     /// The list is too old, and a relay has a newer one: the store is reachable.
     Behind,
+    /// The list is too old, and no newer one can be read to its end.
+    Incomplete,
     /// The list is too old, and the store answers no call. The engines stay in use: the
     /// bound on leaving engines applies only to nodes that can reach the store.
     StoreAway,
@@ -35,7 +37,7 @@
 impl Reliance {
     /// Whether a request need not wait: the list is recent, or no newer one can be had.
     pub fn needs_no_wait(self) -> bool {
-        matches!(self, Self::Recent | Self::StoreAway)
+        matches!(self, Self::Recent | Self::Incomplete | Self::StoreAway)
     }
 }
 
@@ -54,6 +56,9 @@
     if others_know.is_some_and(|at| now.since(at) <= limit_ms) {
         return Reliance::Behind;
     }
+    if beliefs.uses_incomplete_engines(now) {
+        return Reliance::Incomplete;
+    }
     match beliefs.store_outage.failing_since() > Some(last.at) {
         true => Reliance::StoreAway,
         false => Reliance::Unproven,
--- a/crates/gateway/src/requirements.rs
+++ b/crates/gateway/src/requirements.rs
@@ -22,7 +22,8 @@
 pub enum Requirement {
     /// The configuration, from the store or a relay.
     Configuration,
-    /// A list of the engines, from the store or a relay.
+    /// A list of the engines, from the store or a relay; if the store's can't be read to its end
+    /// for some time, the part that can.
     Engines,
     /// A proof of which weights are the newest.
     NewestWeights,
@@ -52,7 +53,9 @@
     pub fn is_met(self, gateway: &Gateway) -> bool {
         match self {
             Self::Configuration => gateway.beliefs().configuration.is_some(),
-            Self::Engines => gateway.beliefs().has_listed_engines,
+            Self::Engines => {
+                gateway.beliefs().has_listed_engines || incomplete_engines(gateway).is_some()
+            }
             Self::NewestWeights => gateway.beliefs().weights.is_proven(),
             Self::RolloutOrders => gateway.beliefs().rollouts.has_begun(),
             Self::RefusedRequests => gateway.beliefs().quarantine.is_stored_list_known(),
@@ -75,6 +78,15 @@
     }
 }
 
+/// Number of engines that this node knows, if it uses them without a complete list because lists
+/// have ended early for long.
+pub(crate) fn incomplete_engines(gateway: &Gateway) -> Option<usize> {
+    let now = gateway.clock.now();
+    let beliefs = gateway.beliefs();
+    let known = beliefs.engines.len();
+    (known > 0 && beliefs.uses_incomplete_engines(now)).then_some(known)
+}
+
 /// The requirements that this node lacks.
 pub fn lacking(gateway: &Gateway) -> Vec<Requirement> {
     let all = Requirement::ALL.into_iter();
--- a/crates/gateway/src/store/engine_feed.rs
+++ b/crates/gateway/src/store/engine_feed.rs
@@ -6,7 +6,7 @@
 use super::rejected_entries::note_rejected;
 use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
-use crate::ports::{StoreKind, StoreObject, WatchEvent};
+use crate::ports::{StoreError, StoreKind, StoreObject, WatchEvent};
 use crate::state::Gateway;
 use crate::time::sleep;
 use ploverlift_balancing::catalogue::{EngineRecord, InstanceId};
@@ -75,6 +75,32 @@
     slog::info!(gateway.log, "engines listed"; "count" => count, "rejected" => rejected);
 }
 
+/// Applies the part of a list that could be read before it failed, if any: these engines are used,
+/// and no known one is removed.
+pub(super) fn apply_listed_part(gateway: &Gateway, objects: &[StoreObject], error: &StoreError) {
+    if objects.is_empty() {
+        gateway.beliefs().engines_incomplete_since = None;
+        return;
+    }
+    let (records, _) = read_engines(gateway, objects);
+    let count = records.len();
+    for record in records {
+        apply_record(gateway, record);
+    }
+    let now = gateway.clock.now();
+    let mut beliefs = gateway.beliefs();
+    let is_first = beliefs.engines_incomplete_since.is_none();
+    beliefs.engines_incomplete_since.get_or_insert(now);
+    let known = beliefs.engines.len();
+    drop(beliefs);
+    gateway.metrics.engines.set(known as i64);
+    if is_first {
+        slog::warn!(gateway.log, "engines listed in part";
+            "count" => count, "known" => known, "error" => error.to_string());
+    }
+    gateway.site_updated.notify(usize::MAX);
+}
+
 /// The records of listed engines, and the instances whose records can't be read.
 fn read_engines(
     gateway: &Gateway,
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -10,6 +10,7 @@
 //! ([`crate::peers::roles`]) makes no calls while the relays report what is stored.
 
 use super::backoff::Backoff;
+use super::engine_feed::apply_listed_part;
 use super::StoreClient;
 use crate::engines_proof::engines_age_limit_ms;
 use crate::peers::roles::{
@@ -167,6 +168,9 @@
             // A store that does not support the kind has no objects of it at any revision.
             Err(StoreError::NotFound) => Some((Vec::new(), EVERY_REVISION)),
             Err(error) => {
+                if self.kind == StoreKind::Engines {
+                    apply_listed_part(&self.gateway, &listed.objects, &error);
+                }
                 self.note_lost(&error);
                 None
             }
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -41,6 +41,7 @@
     }
     let mut beliefs = gateway.beliefs();
     beliefs.has_listed_engines = true;
+    beliefs.engines_incomplete_since = None;
     beliefs.listed_revision = beliefs.listed_revision.max(list.revision);
     drop(beliefs);
     gateway.site_updated.notify(usize::MAX);
