--- a/crates/gateway/src/ports/engine.rs
+++ b/crates/gateway/src/ports/engine.rs
@@ -136,7 +136,7 @@
     /// What the head of an answer proves about the request with the id `request_id`.
     fn answer_meaning(&self, request_id: &str, head: &ResponseHead) -> AnswerMeaning;
 
-    /// The head of a probe; `None` if there is no way to ask.
+    /// The head of a probe; `None` if there is no way to ask: no path, or one that can't be written.
     fn liveness_head(&self, probe: &LivenessProbe<'_>) -> Option<RequestHead>;
 
     /// What the head of an answer to a probe of this instance shows.
--- a/crates/http1/src/target.rs
+++ b/crates/http1/src/target.rs
@@ -56,6 +56,7 @@
         if text.is_empty() || DOT_SEGMENTS.contains(&text) {
             return Err(malformed(format!("'{text}' is no segment of a path")));
         }
+        debug_assert!(!self.0.contains('?'), "a segment after a query");
         self.0.push('/');
         self.0.extend(utf8_percent_encode(text, ESCAPED));
         Ok(self)
