Add the engines of whole and of partial lists by one function

Read over once more. Engines of a first list that ends early are not logged one by one either, and the line `engines listed` counts entries that can't be read as what they are.

--- a/crates/gateway/src/requirements.rs
+++ b/crates/gateway/src/requirements.rs
@@ -54,7 +54,8 @@
         match self {
             Self::Configuration => gateway.beliefs().configuration.is_some(),
             Self::Engines => {
-                gateway.beliefs().has_listed_engines || incomplete_engines(gateway).is_some()
+                let has_list = gateway.beliefs().has_listed_engines;
+                has_list || incomplete_engines(gateway).is_some()
             }
             Self::NewestWeights => gateway.beliefs().weights.is_proven(),
             Self::RolloutOrders => gateway.beliefs().rollouts.has_begun(),
--- a/crates/gateway/src/store/engine_feed.rs
+++ b/crates/gateway/src/store/engine_feed.rs
@@ -2,7 +2,7 @@
 
 use super::backoff::Backoff;
 use super::feed::{Feed, ENGINES_OVERDUE_MS};
-use super::lapsed::{remove_engine, replace_engines, EngineList};
+use super::lapsed::{add_engines, remove_engine, replace_engines, EngineList};
 use super::rejected_entries::note_rejected;
 use crate::engine_log::{log_engine_updates, UpdateSource};
 use crate::engines_proof::engines_age_limit_ms;
@@ -62,7 +62,7 @@
 
 fn apply_engine_list(gateway: &Arc<Gateway>, objects: &[StoreObject], revision: u64) {
     let (records, unreadable) = read_engines(gateway, objects);
-    let (count, rejected) = (records.len(), unreadable.len());
+    let (count, unreadable_count) = (records.len(), unreadable.len());
     replace_engines(
         gateway,
         EngineList {
@@ -72,7 +72,8 @@
         },
     );
     gateway.metrics.engines.set(count as i64);
-    slog::info!(gateway.log, "engines listed"; "count" => count, "rejected" => rejected);
+    slog::info!(gateway.log, "engines listed";
+        "count" => count, "unreadable" => unreadable_count);
 }
 
 /// Applies the part of a list that could be read before it failed, if any: these engines are used,
@@ -84,9 +85,7 @@
     }
     let (records, _) = read_engines(gateway, objects);
     let count = records.len();
-    for record in records {
-        apply_record(gateway, record);
-    }
+    add_engines(gateway, records);
     let now = gateway.clock.now();
     let mut beliefs = gateway.beliefs();
     let is_first = beliefs.engines_incomplete_since.is_none();
--- a/crates/gateway/src/store/lapsed.rs
+++ b/crates/gateway/src/store/lapsed.rs
@@ -25,17 +25,9 @@
 /// Replaces the known engines with the listed ones. Shortly after an outage of the store,
 /// missing engines have a grace period to write their records again.
 pub fn replace_engines(gateway: &Arc<Gateway>, list: EngineList) {
-    let now = gateway.clock.now();
     let mut missing = gateway.beliefs().engines.missing_in(&list.records);
     missing.retain(|instance| !list.unreadable.contains(instance));
-    let is_first_list = !gateway.beliefs().has_listed_engines;
-    for record in list.records {
-        if is_first_list {
-            gateway.beliefs().upsert_engine(record, now);
-        } else {
-            apply_record(gateway, record);
-        }
-    }
+    add_engines(gateway, list.records);
     for instance in missing {
         remove_engine(gateway, instance, list.revision);
     }
@@ -47,6 +39,19 @@
     gateway.site_updated.notify(usize::MAX);
 }
 
+/// Adds or updates listed engines. Those of the first list are not logged one by one.
+pub(super) fn add_engines(gateway: &Gateway, records: Vec<EngineRecord>) {
+    let now = gateway.clock.now();
+    let is_first_list = !gateway.beliefs().has_listed_engines;
+    for record in records {
+        if is_first_list {
+            gateway.beliefs().upsert_engine(record, now);
+        } else {
+            apply_record(gateway, record);
+        }
+    }
+}
+
 /// Removes an engine whose record is missing since a revision. The removal is immediate, or,
 /// shortly after an outage in which records may have expired, after a grace period in which
 /// the engine did not write its record again. An engine that announced that it leaves, or
