--- a/crates/gateway/tests/store_trouble.rs
+++ b/crates/gateway/tests/store_trouble.rs
@@ -160,8 +160,16 @@
             }
         };
         assert_eq!(refused.status(), 503);
-        assert!(refused.head.headers.get("retry-after-ms").is_some());
-        assert_eq!(refused.head.headers.get("connection"), Some("close"));
+        let text = refused.text();
+        assert!(
+            refused.head.headers.get("retry-after-ms").is_some(),
+            "{text}"
+        );
+        assert_eq!(
+            refused.head.headers.get("connection"),
+            Some("close"),
+            "{text}"
+        );
         let readiness = fixture.running().readiness;
         assert_eq!(caller::get_status(readiness).await, 503);
         // An unknown route may have been added during the outage.
