Log a list that can't be read to its end, whichever kind it is of

The list of nodes said so at debug level only. The line is bounded as those of rejected entries are, and the counter incomplete_lists counts just these lists, not calls that failed.

--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -5,10 +5,9 @@
 use super::era::{EraChange, EraSource};
 use super::listing::{Following, Listing, ListingError};
 use super::outage::OutageChange;
-use super::rejected_entries::note_rejected;
+use super::rejected_entries::{note_incomplete_list, note_rejected};
 use crate::answer_limits::ANSWER_LIMITS;
 use crate::http_call::{CallConnection, CallError};
-use crate::metrics::StoredKindLabel;
 use crate::ports::{StoreCall, StoreError, StoreKind, StoreObject, StoreReply};
 use crate::state::Gateway;
 use ploverlift_http1::ResponseHead;
@@ -239,10 +238,8 @@
                 source,
             },
         });
-        if end.is_err() && !objects.is_empty() {
-            let label = StoredKindLabel { kind: kind.name() };
-            let lists = &self.gateway.metrics.incomplete_lists;
-            lists.get_or_create(&label).inc();
+        if let Err(error @ StoreError::ListIncomplete { .. }) = &end {
+            note_incomplete_list(&self.gateway, kind, error);
         }
         Listed { objects, end }
     }
--- a/crates/gateway/src/store/rejected_entries.rs
+++ b/crates/gateway/src/store/rejected_entries.rs
@@ -2,7 +2,7 @@
 //! while. Another writer may keep any number of them, of any size.
 
 use crate::metrics::StoredKindLabel;
-use crate::ports::{InvalidDocument, StoreKind};
+use crate::ports::{InvalidDocument, StoreError, StoreKind};
 use crate::state::Gateway;
 use ploverlift_policy::ids::Millis;
 use std::collections::HashSet;
@@ -70,11 +70,32 @@
 pub(crate) fn note_rejected(gateway: &Gateway, kind: StoreKind, invalid: &InvalidDocument) {
     let label = StoredKindLabel { kind: kind.name() };
     gateway.metrics.rejected_entries.get_or_create(&label).inc();
+    log_within_bounds(gateway, kind, invalid, "stored entry rejected");
+}
+
+/// Counts and logs a list that could not be read to its end, as rarely as an entry.
+pub(crate) fn note_incomplete_list(gateway: &Gateway, kind: StoreKind, error: &StoreError) {
+    let label = StoredKindLabel { kind: kind.name() };
+    gateway.metrics.incomplete_lists.get_or_create(&label).inc();
+    let list = InvalidDocument {
+        document: "list".to_owned(),
+        reason: error.to_string(),
+    };
+    let message = "list of stored objects can't be read to its end";
+    log_within_bounds(gateway, kind, &list, message);
+}
+
+fn log_within_bounds(
+    gateway: &Gateway,
+    kind: StoreKind,
+    invalid: &InvalidDocument,
+    message: &'static str,
+) {
     let now = gateway.clock.now();
     let line = gateway.rejected_entries().note(kind, invalid, now);
     match line {
         RejectionLine::Entry => {
-            slog::warn!(gateway.log, "stored entry rejected";
+            slog::warn!(gateway.log, "{}", message;
                 "kind" => kind.name(), "entry" => shortened(&invalid.document),
                 "error" => shortened(&invalid.reason));
         }
