--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -3,7 +3,7 @@
 
 use super::answer_timeout::AnswerTimeout;
 use super::era::{EraChange, EraSource};
-use super::listing::{Following, Listing, ListingError};
+use super::listing::{Following, Listing};
 use super::outage::OutageChange;
 use super::rejected_entries::{note_incomplete_list, note_rejected};
 use crate::answer_limits::ANSWER_LIMITS;
@@ -24,14 +24,6 @@
     pub(crate) end: Result<u64, StoreError>,
 }
 
-/// Why the pages of a list end before the list does.
-enum ListEnd {
-    /// A call failed.
-    Call(StoreError),
-    /// A page can't be followed by another one.
-    Listing(ListingError),
-}
-
 /// A client with one connection, on which calls are made one after another.
 pub struct StoreClient {
     gateway: Arc<Gateway>,
@@ -230,18 +222,13 @@
     pub(crate) async fn list_or_part(&mut self, kind: StoreKind, may_be_stale: bool) -> Listed {
         let mut listing = Listing::default();
         let end = self.read_pages(kind, may_be_stale, &mut listing).await;
-        let objects = listing.into_objects();
-        let end = end.map_err(|error| match error {
-            ListEnd::Call(error) => error,
-            ListEnd::Listing(source) => StoreError::ListIncomplete {
-                listed: objects.len(),
-                source,
-            },
-        });
         if let Err(error @ StoreError::ListIncomplete { .. }) = &end {
             note_incomplete_list(&self.gateway, kind, error);
         }
-        Listed { objects, end }
+        Listed {
+            objects: listing.into_objects(),
+            end,
+        }
     }
 
     /// Reads the pages of a list; returns the store's revision before the first one.
@@ -250,7 +237,7 @@
         kind: StoreKind,
         may_be_stale: bool,
         listing: &mut Listing,
-    ) -> Result<u64, ListEnd> {
+    ) -> Result<u64, StoreError> {
         let mut first_page = None;
         loop {
             let call = StoreCall::List {
@@ -258,7 +245,7 @@
                 after: listing.position().map(str::to_owned),
                 may_be_stale,
             };
-            let reply = self.call(&call).await.map_err(ListEnd::Call)?;
+            let reply = self.call(&call).await?;
             let StoreReply::Page {
                 objects,
                 rejected,
@@ -267,17 +254,21 @@
                 revision,
             } = reply
             else {
-                return Err(ListEnd::Call(unexpected_reply()));
+                return Err(unexpected_reply());
             };
             let era = self.answered_era;
             let (first_revision, first_era) = *first_page.get_or_insert((revision, era));
             if first_era != era {
                 // The pages before belong to another history.
                 *listing = Listing::default();
-                return Err(ListEnd::Call(StoreError::HistoryGone));
+                return Err(StoreError::HistoryGone);
             }
             let added = listing.add_page(objects, rejected.len(), end, has_more);
-            if added.map_err(ListEnd::Listing)? == Following::Nothing {
+            let following = added.map_err(|source| StoreError::ListIncomplete {
+                listed: listing.len(),
+                source,
+            })?;
+            if following == Following::Nothing {
                 return Ok(first_revision);
             }
         }
--- a/crates/gateway/src/store/listing.rs
+++ b/crates/gateway/src/store/listing.rs
@@ -63,19 +63,18 @@
         end: Option<String>,
         has_more: bool,
     ) -> Result<Following, ListingError> {
+        if !has_more {
+            self.objects.extend(objects);
+            return Ok(Following::Nothing);
+        }
         let end_hash = end.as_deref().map(hash);
-        if has_more && end_hash.is_some_and(|end| self.passed.contains(&end)) {
+        if end_hash.is_some_and(|end| self.passed.contains(&end)) {
             return Err(ListingError::NoProgress);
         }
-        if has_more {
-            let names = objects.iter().map(|object| hash(&object.name));
-            self.passed.extend(names.chain(end_hash));
-        }
+        let names = objects.iter().map(|object| hash(&object.name));
+        self.passed.extend(names.chain(end_hash));
         self.objects.extend(objects);
         self.rejected += rejected;
-        if !has_more {
-            return Ok(Following::Nothing);
-        }
         if self.objects.len() + self.rejected > MAX_LISTED_OBJECTS {
             return Err(ListingError::TooLong);
         }
@@ -83,6 +82,16 @@
         Ok(Following::Page)
     }
 
+    /// Number of objects that were read, without those that were rejected.
+    pub fn len(&self) -> usize {
+        self.objects.len()
+    }
+
+    /// Whether no object was read.
+    pub fn is_empty(&self) -> bool {
+        self.objects.is_empty()
+    }
+
     /// All objects that were read.
     pub fn into_objects(self) -> Vec<StoreObject> {
         self.objects
