Announce no regular end of a tunnel after its engine's connection failed

What callers saw: where an engine behind a tunnel answered an upload before it had read it, without a length, and reset the connection (or closed it with unread bytes, for which the kernel resets it), the peer that carries the tunnel announced a regular end. The node that asked passed the part on as a whole 200 with the engine's signature.

Cause: the operating system reports the failure of a connection once, to the operation that comes first; the next read returns 0, as at a regular end. The copy of the request wrote to the engine while the copy of the answer read from it; the write got the reset and dropped it, and the read found a regular end.

Evidence: tests/tunnels.rs, with an engine on a thread of its own that answers before it reads an upload of 8 MiB.

Why it works: the handles of a `TcpConnection` share one record of its failure. Each operation records the error that it gets, under a lock that it holds during the system call, and a read that would return 0 after that returns the error. A broken pipe is not recorded: it comes first only where the peer had ended its side, so tunnels of engines that end their side and read no more still end regularly (the test beside it).

--- a/crates/gateway/src/engine_paths/tunnel_copy.rs
+++ b/crates/gateway/src/engine_paths/tunnel_copy.rs
@@ -6,9 +6,8 @@
 use crate::state::Gateway;
 use crate::time::{sleep, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use ploverlift_http1::ReadingTurns;
+use ploverlift_http1::{ReadingTurns, TcpConnection};
 use ploverlift_tunnel::framing::{header, CLOSING, END, MAX_PAYLOAD_BYTES};
-use smol::net::TcpStream;
 use socket2::SockRef;
 use std::io;
 use std::time::Duration;
@@ -42,8 +41,8 @@
 /// Copies bytes in both directions until one side ends, and closes both.
 pub(super) async fn copy_tunnel(
     gateway: &Gateway,
-    node: TcpStream,
-    engine: TcpStream,
+    node: TcpConnection,
+    engine: TcpConnection,
 ) -> TunnelEnd {
     let requests = copy_requests(gateway, node.clone(), engine.clone());
     let answers = copy_answers(gateway, engine.clone(), node.clone());
@@ -56,7 +55,11 @@
 }
 
 /// Copies the node's bytes to the engine as they are.
-async fn copy_requests(gateway: &Gateway, mut node: TcpStream, mut engine: TcpStream) -> TunnelEnd {
+async fn copy_requests(
+    gateway: &Gateway,
+    mut node: TcpConnection,
+    mut engine: TcpConnection,
+) -> TunnelEnd {
     let mut buffer = vec![0; MAX_PAYLOAD_BYTES];
     let mut is_writable = true;
     let mut turns = ReadingTurns::default();
@@ -69,7 +72,7 @@
                 turns.note_read(count);
                 pace(gateway, count).await;
                 // An engine that has stopped reading may have answered: the other direction
-                // decides.
+                // decides, and gets the failure of the connection as well.
                 is_writable = is_writable && engine.write_all(&buffer[..count]).await.is_ok();
             }
         }
@@ -83,7 +86,11 @@
 }
 
 /// Copies the engine's bytes to the node in frames, and announces the shutdown of this node.
-async fn copy_answers(gateway: &Gateway, mut engine: TcpStream, mut node: TcpStream) -> TunnelEnd {
+async fn copy_answers(
+    gateway: &Gateway,
+    mut engine: TcpConnection,
+    mut node: TcpConnection,
+) -> TunnelEnd {
     let mut buffer = vec![0; MAX_PAYLOAD_BYTES];
     let mut has_announced = false;
     let mut turns = ReadingTurns::default();
@@ -116,7 +123,7 @@
 
 /// Announces that the engine has closed its connection. Closing while bytes of the node are
 /// unread would reset the connection and lose the announcement.
-async fn end_regularly(mut node: TcpStream) -> TunnelEnd {
+async fn end_regularly(mut node: TcpConnection) -> TunnelEnd {
     if node.write_all(&END).await.is_err() {
         return TunnelEnd::Broken;
     }
@@ -154,7 +161,7 @@
     }
 }
 
-fn reset(stream: &TcpStream) {
+fn reset(stream: &TcpConnection) {
     // An error means that the connection is already closed.
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
--- a/crates/gateway/src/engine_paths/tunnel_server.rs
+++ b/crates/gateway/src/engine_paths/tunnel_server.rs
@@ -11,6 +11,7 @@
 use crate::time::{sleep, within};
 use ploverlift_balancing::engine_paths::DirectFailure;
 use ploverlift_balancing::names::EngineTag;
+use ploverlift_http1::TcpConnection;
 use ploverlift_tunnel::messages::{
     encode_answer, TunnelAnswer, TunnelRefusal, TunnelRequest, MAX_MESSAGE_BYTES,
 };
@@ -68,7 +69,7 @@
         .tunnel_use()
         .end_opening(matches!(opened, Ok(Some(_))));
     match opened {
-        Ok(Some(engine)) => carry(gateway, stream, engine).await,
+        Ok(Some(engine)) => carry(gateway, stream.into(), engine).await,
         Ok(None) => {}
         Err(error) => {
             gateway.metrics.paths.count_tunnel_answer("invalid");
@@ -80,7 +81,7 @@
 
 /// Carries an open tunnel. It counts as a request in flight, so that a planned stop waits for
 /// its end.
-async fn carry(gateway: &Arc<Gateway>, node: TcpStream, engine: TcpStream) {
+async fn carry(gateway: &Arc<Gateway>, node: TcpConnection, engine: TcpConnection) {
     let _in_flight = gateway.request_guard();
     let end = copy_tunnel(gateway, node, engine).await;
     gateway.metrics.paths.count_tunnel_end(end.name());
@@ -92,7 +93,7 @@
     gateway: &Gateway,
     stream: &mut TcpStream,
     from: SocketAddr,
-) -> Result<Option<TcpStream>, ServerError> {
+) -> Result<Option<TcpConnection>, ServerError> {
     let read = within(REQUEST_TIMEOUT_MS, read_request(stream)).await;
     let request = read.unwrap_or(Err(ServerError::TimedOut))?;
     let connected = connect_for(gateway, &request, from).await;
@@ -120,7 +121,7 @@
     gateway: &Gateway,
     request: &TunnelRequest,
     from: SocketAddr,
-) -> Result<TcpStream, TunnelRefusal> {
+) -> Result<TcpConnection, TunnelRefusal> {
     if gateway.is_stopping() {
         return Err(TunnelRefusal::Stopping);
     }
@@ -140,7 +141,7 @@
             let mut beliefs = gateway.beliefs();
             beliefs.engine_paths.note_direct(tag, now);
             beliefs.losses.note_reached(&request.engine, now);
-            Ok(stream.writer())
+            Ok(stream.writer().into())
         }
         Err(error) => {
             let Some(failure) = direct_failure(&error) else {
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -99,7 +99,7 @@
             head.headers.set(site::ID, "another");
             head.headers.push(site::SIGNED, "1");
         }
-        Behaviour::Unsigned | Behaviour::RefuseEarly => {}
+        Behaviour::Unsigned | Behaviour::RefuseEarly | Behaviour::AnswerEarly(_) => {}
         Behaviour::Answer
         | Behaviour::KeepConnection
         | Behaviour::ForgetConnection
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -2,6 +2,7 @@
 
 use super::super::site;
 use super::answers::respond;
+use super::early_answers::answer_early;
 use super::{Behaviour, Shared, RUNS_BEFORE_END_MS};
 use event_listener::EventListener;
 use ploverlift_gateway::time::sleep;
@@ -31,6 +32,10 @@
             while connection.fill().await.is_ok_and(|count| count > 0) {}
             return;
         }
+        if let (Behaviour::AnswerEarly(early), false) = (&behaviour, is_call(&head)) {
+            record_request(&shared, &head, Vec::new());
+            return answer_early(&shared, *early, connection, &head).await;
+        }
         let mut body = Vec::new();
         while let Ok(true) = decoder.read(&mut connection, &mut body).await {}
         let forgets_before = *shared.forgets_before.lock().expect("forgets");
@@ -160,6 +165,12 @@
     head.path() == site::HEALTH_PATH || (head.path() == "/control/report" && is_expected)
 }
 
+/// Whether a node calls for itself, rather than for a caller.
+fn is_call(head: &RequestHead) -> bool {
+    let path = head.path();
+    path == site::HEALTH_PATH || path.starts_with("/control/") || path.starts_with("/cache/")
+}
+
 /// Answers with the engine's id; an engine that is not the expected one refuses.
 async fn answer_health(
     shared: &Shared,
--- a/crates/gateway/tests/support/engine/mod.rs
+++ b/crates/gateway/tests/support/engine/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answers;
 mod connection;
+pub mod early_answers;
 pub mod format;
 pub mod killed;
 pub mod listening;
@@ -13,6 +14,7 @@
 
 use self::admission::{admit, Admission};
 use self::connection::serve;
+use self::early_answers::EarlyAnswer;
 use self::format::format_event;
 use super::accept_queue::QueueFillers;
 use super::site;
@@ -21,7 +23,9 @@
 use ploverlift_http1::RequestHead;
 use serde_json::{json, Value};
 use smol::net::{TcpListener, TcpStream};
+use smol::Executor;
 use socket2::SockRef;
+use std::future::Future;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
@@ -73,6 +77,8 @@
     EndAfter(u64),
     /// Refuses the request before reading its body, and closes the connection.
     RefuseEarly,
+    /// Answers before it has read the body of the request, and ends the connection at once.
+    AnswerEarly(EarlyAnswer),
     /// Answers, and reads further requests on the same connection.
     KeepConnection,
     /// Answers, and closes the connection when a second request arrives on it.
@@ -191,6 +197,8 @@
     /// Number of connections that were accepted.
     accepted: AtomicUsize,
     admission: Admission,
+    /// Runs its tasks on a thread of its own; `None` for the thread of all other tasks.
+    executor: Option<Arc<Executor<'static>>>,
     seen: async_channel::Sender<()>,
 }
 
@@ -222,12 +230,32 @@
         .await
     }
 
+    /// Like [`Self::start`], on a thread of its own: what it does happens while a node writes, as
+    /// with the process of a real engine.
+    pub async fn start_on_thread(instance: &str, service: &str, behaviour: Behaviour) -> Self {
+        let executor = Arc::new(Executor::new());
+        let running = Arc::clone(&executor);
+        std::thread::spawn(move || smol::block_on(running.run(std::future::pending::<()>())));
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_with(address, instance, service, behaviour, Some(executor))
+    }
+
     /// Like [`Self::start`], at this address.
     pub async fn start_at(
         address: SocketAddr,
         instance: &str,
         service: &str,
         behaviour: Behaviour,
+    ) -> Self {
+        Self::start_with(address, instance, service, behaviour, None)
+    }
+
+    fn start_with(
+        address: SocketAddr,
+        instance: &str,
+        service: &str,
+        behaviour: Behaviour,
+        executor: Option<Arc<Executor<'static>>>,
     ) -> Self {
         let listener = Arc::new(bind(address).expect("bind"));
         let address = listener.local_addr().expect("address");
@@ -258,6 +286,7 @@
             running_closed: Event::new(),
             accepted: AtomicUsize::new(0),
             admission: Admission::default(),
+            executor,
             seen,
         });
         let accepting = accept(&shared, &listener);
@@ -456,6 +485,13 @@
 }
 
 impl Shared {
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) -> smol::Task<()> {
+        match &self.executor {
+            Some(executor) => executor.spawn(task),
+            None => smol::spawn(task),
+        }
+    }
+
     fn begin_load(&self) {
         let until = Instant::now() + *self.load_time.lock().expect("load time");
         *self.loads_until.lock().expect("loads until") = Some(until);
@@ -495,7 +531,7 @@
 
 fn accept(shared: &Arc<Shared>, listener: &Arc<TcpListener>) -> smol::Task<()> {
     let (serving, accepted) = (Arc::clone(shared), Arc::clone(listener));
-    smol::spawn(async move {
+    shared.spawn(async move {
         loop {
             // Listened for before a connection exists: none may outlive a termination.
             let closed = serving.closed.listen();
@@ -507,11 +543,11 @@
                 continue;
             };
             let shared = Arc::clone(&serving);
-            smol::spawn(async move {
+            let served = async move {
                 futures_lite::future::or(serve(shared, stream), closed).await;
                 drop(admitted);
-            })
-            .detach();
+            };
+            serving.spawn(served).detach();
         }
     })
 }
--- a/crates/gateway/tests/support/site/documents.rs
+++ b/crates/gateway/tests/support/site/documents.rs
@@ -41,7 +41,7 @@
             tenants: Some(tenants.collect()),
             limits: CallerLimits {
                 max_head_bytes: 2_048,
-                max_body_bytes: 4_096,
+                max_body_bytes: body["max_body_bytes"].as_u64().unwrap_or(4_096) as usize,
                 head_timeout_ms: 200,
                 idle_timeout_ms: body["idle_timeout_ms"].as_u64().unwrap_or(5_000),
             },
--- a/crates/gateway/tests/tunnels.rs
+++ b/crates/gateway/tests/tunnels.rs
@@ -3,27 +3,41 @@
 mod support;
 
 use ploverlift_balancing::names::{EngineTag, InstanceId, PeerId};
-use ploverlift_gateway::assembly::RunningGateway;
+use ploverlift_gateway::assembly::{start, RunningGateway};
 use ploverlift_gateway::callers::bind;
+use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::readiness::metrics_page;
 use ploverlift_gateway::time::{sleep, within};
-use ploverlift_tunnel::framing::header;
+use ploverlift_http1::BufferedStream;
+use ploverlift_tunnel::framing::{header, FrameDecoder};
 use ploverlift_tunnel::messages::{
     decode_answer, encode_answer, TunnelAnswer, TunnelRefusal, TunnelRequest, MAX_MESSAGE_BYTES,
 };
 use serde_json::json;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::caller::{self, prompt, request};
+use support::caller::{self, prompt, request, Request};
+use support::configuration;
+use support::engine::early_answers::{EarlyAnswer, EarlyEnd};
 use support::engine::{all_events, event, AnswerFormat, Behaviour, StandInEngine};
+use support::fleet::{peer_settings, start_known_nodes, start_peer, wait_until_known};
 use support::links::Cut;
 use support::partition::PartitionableSite;
-use support::site;
+use support::site::{self, StandInSite};
+use support::store::StandInStore;
 
 /// Polling interval, in milliseconds.
 const POLL_MS: u64 = 10;
+/// Size of an upload that the buffers between node and engine do not hold, in bytes.
+const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
+/// What an engine has read of an upload when it answers, in bytes.
+const UPLOAD_BYTES_READ: [usize; 2] = [0, 512 * 1024];
+/// Uploads of each case: when the end of a connection arrives is up to the kernel.
+const REPEATS: usize = 10;
 /// Time within which a request that its caller left is cancelled at its engine.
 const CANCELLED_WITHIN: Duration = Duration::from_millis(500);
 /// Time within which a connection that asks for no tunnel is closed, in milliseconds.
@@ -58,13 +72,19 @@
 }
 
 async fn ask_for_tunnel(node: &RunningGateway, engine: &InstanceId) -> TunnelAnswer {
+    open_tunnel(node, engine).await.1
+}
+
+/// Asks for a tunnel; returns its connection as well.
+async fn open_tunnel(node: &RunningGateway, engine: &InstanceId) -> (TcpStream, TunnelAnswer) {
     let mut stream = TcpStream::connect(tunnels_of(node)).await.expect("connect");
     let request = TunnelRequest {
         sender: PeerId(1),
         engine: engine.clone(),
     };
     send_message(&mut stream, &request.encode()).await;
-    decode_answer(&read_message(&mut stream).await).expect("an answer")
+    let answer = decode_answer(&read_message(&mut stream).await).expect("an answer");
+    (stream, answer)
 }
 
 /// Cuts a node off from all engines, and sends requests until it knows that.
@@ -359,3 +379,145 @@
         assert!(began.elapsed() <= ANSWERED_WITHIN);
     });
 }
+
+/// A request with a body that the buffers between node and engine do not hold.
+fn upload(id: &str) -> Request {
+    let mut upload = prompt("stream.test", id);
+    upload.body = vec![b'x'; UPLOAD_BYTES];
+    upload
+}
+
+/// Sends an upload through a tunnel; returns what its engine has sent, and whether the peer
+/// announced a regular end.
+async fn upload_through_tunnel(peer: &RunningGateway, engine: &StandInEngine) -> (String, bool) {
+    let instance = InstanceId(engine.instance.clone());
+    let (stream, answer) = open_tunnel(peer, &instance).await;
+    assert_eq!(answer, Ok(()));
+    let mut tunnel = BufferedStream::with_decoder(stream, Box::new(FrameDecoder::default()));
+    let mut writer = tunnel.writer();
+    let message = caller::encode(&upload("r"));
+    let writing = async {
+        // An engine that does not read on ends the tunnel under the write.
+        let _ = writer.write_all(&message).await;
+        std::future::pending().await
+    };
+    let reading = async {
+        loop {
+            match tunnel.fill().await {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+    };
+    let is_regular = futures_lite::future::or(reading, writing).await;
+    let received = String::from_utf8_lossy(tunnel.pending()).into_owned();
+    (received, is_regular)
+}
+
+/// An engine that runs on a thread of its own and answers before it reads the body of a request.
+async fn early_engine(store: &StandInStore) -> StandInEngine {
+    let engine = StandInEngine::start_on_thread("llm-0", "llm", Behaviour::Answer).await;
+    engine.set_format(AnswerFormat::UNFRAMED);
+    store.put("Engines", &engine.instance, engine.record());
+    engine
+}
+
+/// An address at which nothing listens.
+fn refusing_address() -> SocketAddr {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    listener.local_addr().expect("address")
+}
+
+fn store_with_large_bodies(store: &StandInStore) {
+    let mut content = configuration(1);
+    content["max_body_bytes"] = (2 * UPLOAD_BYTES).into();
+    store.put("Configuration", "main", content);
+}
+
+/// Answers to uploads whose connections end in these ways.
+fn early_answers(ends: [EarlyEnd; 2]) -> impl Iterator<Item = EarlyAnswer> {
+    ends.into_iter().flat_map(|end| {
+        UPLOAD_BYTES_READ.map(|reads_bytes| EarlyAnswer {
+            status: 200,
+            reads_bytes,
+            end,
+        })
+    })
+}
+
+// Guards against a peer that announces the regular end of an engine's connection after it was reset,
+// because the write of the request got the reset.
+#[test]
+fn a_tunnel_to_an_engine_that_resets_its_connection_under_the_upload_does_not_end_regularly() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store_with_large_bodies(&store);
+        let engine = early_engine(&store).await;
+        let nodes = start_known_nodes(&store, 2).await;
+        let mut regular = Vec::new();
+        for early in early_answers(EarlyEnd::RESETS) {
+            engine.set(Behaviour::AnswerEarly(early));
+            for _ in 0..REPEATS {
+                let (received, is_regular) = upload_through_tunnel(&nodes[1], &engine).await;
+                if is_regular {
+                    regular.push(format!("{early:?}: {received}"));
+                }
+            }
+        }
+        assert!(regular.is_empty(), "{}: {regular:#?}", regular.len());
+    });
+}
+
+#[test]
+fn a_tunnel_to_an_engine_that_ends_its_side_under_the_upload_ends_regularly() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store_with_large_bodies(&store);
+        let engine = early_engine(&store).await;
+        let nodes = start_known_nodes(&store, 2).await;
+        for early in early_answers(EarlyEnd::REGULAR) {
+            engine.set(Behaviour::AnswerEarly(early));
+            for _ in 0..REPEATS {
+                let (received, is_regular) = upload_through_tunnel(&nodes[1], &engine).await;
+                assert!(received.ends_with(&event(1)), "{early:?}: {received}");
+                assert!(is_regular, "{early:?}");
+            }
+        }
+    });
+}
+
+// Guards against a part of a stream reaching its caller as a whole one through a tunnel.
+#[test]
+fn an_answer_through_a_tunnel_whose_connection_is_reset_under_the_upload_is_not_whole() {
+    smol::block_on(async {
+        let store = StandInStore::start().await;
+        store_with_large_bodies(&store);
+        let engine = early_engine(&store).await;
+        let view = store.view(HashMap::from([(engine.address, refusing_address())]));
+        let more = "[attempts]\nretry_reserve = 1000000.0\n";
+        let mut cut_off = peer_settings(&store, "node-0", 1.0, more);
+        cut_off.store.address = view.address;
+        let cut_off = start(cut_off, Arc::new(StandInSite), silent_logger()).expect("start");
+        let nodes = [cut_off, start_peer(&store, "node-1", 1.0)];
+        wait_until_known(&nodes).await;
+        for (ends, is_whole) in [(EarlyEnd::REGULAR, true), (EarlyEnd::RESETS, false)] {
+            for early in early_answers(ends) {
+                engine.set(Behaviour::AnswerEarly(early));
+                for number in 0..REPEATS {
+                    let asked = upload(&format!("{early:?}-{number}"));
+                    let answer = caller::send(nodes[0].callers, &asked).await;
+                    let received = (answer.status(), answer.is_whole);
+                    assert_eq!(
+                        received == (200, true),
+                        is_whole,
+                        "{early:?}: {received:?} {}",
+                        answer.text()
+                    );
+                }
+            }
+        }
+        let page = nodes[0].gateway.metrics.page();
+        assert!(page.contains("sends_total{path=\"tunnel\"}"), "{page}");
+    });
+}
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod body;
+pub mod connection;
 pub mod error;
 pub mod head;
 pub mod header;
@@ -22,6 +23,7 @@
 pub mod turns;
 
 pub use body::{BodyDecoder, Framing};
+pub use connection::TcpConnection;
 pub use error::HttpError;
 pub use head::{Headers, RequestHead, ResponseHead};
 pub use header::{HeaderName, HeaderValue};
