Take no answer whose connection failed for one that ended regularly

What callers saw: an engine answered a long upload at once, without a length, sent part of the body and reset the connection while the upload was still being written, or closed it with the upload unread, for which the kernel resets it. The part reached the caller as a complete answer with the engine's signature and status: 200, 404 and 500, of buffered answers and of streams.

Cause: the operating system reports the failure of a connection once, to the operation that comes first; the next read returns 0, as at a regular end. The write of the request got the reset; it was dropped for "the read decides", and the read found a regular end. Without a length, that is the end of the answer.

Why it works: `BufferedStream` reads, peeks and hands out its second handles through `TcpConnection`, whose handles share one record of the failure. No caller passes a flag on.

--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -11,6 +11,7 @@
 use ploverlift_http1::error::malformed;
 use ploverlift_http1::{
     read_response_head, BodyDecoder, BufferedStream, Framing, HttpError, RequestHead, ResponseHead,
+    TcpConnection,
 };
 use ploverlift_policy::attempt::AttemptState;
 use smol::io::AsyncWriteExt;
@@ -180,7 +181,7 @@
     let request_is_written = AtomicBool::new(false);
     let write = async {
         // An engine that stopped reading may have answered already, so a write error is not
-        // reported here: the read decides.
+        // reported here: the read decides, and gets the failure of the connection as well.
         let written = write_message(&mut writer, &encoded, body).await;
         request_is_written.store(written.is_ok(), Ordering::Relaxed);
         std::future::pending().await
@@ -208,7 +209,7 @@
 }
 
 async fn write_message(
-    writer: &mut smol::net::TcpStream,
+    writer: &mut TcpConnection,
     head: &[u8],
     body: &[u8],
 ) -> std::io::Result<()> {
--- a/crates/gateway/src/engine_paths/tunnel_server.rs
+++ b/crates/gateway/src/engine_paths/tunnel_server.rs
@@ -141,7 +141,7 @@
             let mut beliefs = gateway.beliefs();
             beliefs.engine_paths.note_direct(tag, now);
             beliefs.losses.note_reached(&request.engine, now);
-            Ok(stream.writer().into())
+            Ok(stream.writer())
         }
         Err(error) => {
             let Some(failure) = direct_failure(&error) else {
--- a/crates/gateway/src/engine_sentinels/mod.rs
+++ b/crates/gateway/src/engine_sentinels/mod.rs
@@ -18,7 +18,7 @@
 use crate::time::sleep;
 use event_listener::Event;
 use ploverlift_balancing::catalogue::InstanceId;
-use smol::net::TcpStream;
+use ploverlift_http1::TcpConnection;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -88,7 +88,7 @@
     }
 
     /// A handle of the open connection.
-    fn handle(&self) -> Option<TcpStream> {
+    fn handle(&self) -> Option<TcpConnection> {
         let inner = self.lock();
         let connection = inner.connection.as_ref()?;
         Some(connection.stream.writer())
@@ -208,7 +208,7 @@
     is_any_quiet(&handles).await
 }
 
-async fn is_any_quiet(connections: &[TcpStream]) -> bool {
+async fn is_any_quiet(connections: &[TcpConnection]) -> bool {
     for connection in connections {
         let mut byte = [0; 1];
         let peeked = smol::future::poll_once(connection.peek(&mut byte)).await;
--- a/crates/gateway/src/engine_sentinels/watch.rs
+++ b/crates/gateway/src/engine_sentinels/watch.rs
@@ -5,7 +5,7 @@
 use crate::engine_paths::connect::{connect_engine, EnginePath};
 use crate::state::Gateway;
 use crate::time::within;
-use smol::net::TcpStream;
+use ploverlift_http1::TcpConnection;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -72,7 +72,7 @@
 }
 
 /// Waits until the engine closes the connection or sends on it, or a probe takes it.
-async fn watch_connection(connection: &TcpStream, taken: event_listener::EventListener) {
+async fn watch_connection(connection: &TcpConnection, taken: event_listener::EventListener) {
     let closed = async {
         let mut byte = [0; 1];
         let _ = connection.peek(&mut byte).await;
--- a/crates/gateway/src/forward/caller_answer.rs
+++ b/crates/gateway/src/forward/caller_answer.rs
@@ -1,9 +1,8 @@
 //! Writes an answer to a caller.
 
 use crate::time::within;
-use ploverlift_http1::{RequestHead, ResponseHead};
+use ploverlift_http1::{RequestHead, ResponseHead, TcpConnection};
 use smol::io::AsyncWriteExt;
-use smol::net::TcpStream;
 use socket2::SockRef;
 use std::io;
 use std::time::Duration;
@@ -45,7 +44,7 @@
 
 /// Writer for one answer.
 pub struct CallerAnswer {
-    stream: TcpStream,
+    stream: TcpConnection,
     framing: StreamFraming,
     keep_open: bool,
     has_started: bool,
@@ -56,7 +55,7 @@
     /// Creates a writer. `keep_open` is whether the connection may stay open after the answer.
     /// A caller that accepts no byte for `stalled_ms` milliseconds counts as gone.
     pub fn new(
-        stream: TcpStream,
+        stream: TcpConnection,
         framing: StreamFraming,
         keep_open: bool,
         stalled_ms: u64,
--- a/crates/gateway/src/kept_connections.rs
+++ b/crates/gateway/src/kept_connections.rs
@@ -12,10 +12,9 @@
 use crate::state::Gateway;
 use ploverlift_balancing::catalogue::InstanceId;
 use ploverlift_balancing::names::PeerId;
-use ploverlift_http1::Headers;
+use ploverlift_http1::{Headers, TcpConnection};
 use ploverlift_policy::ids::Millis;
 use ploverlift_rollout::credits::{owned_credits, Seat};
-use smol::net::TcpStream;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -187,7 +186,11 @@
     }
 
     /// Handles of the idle connections to an engine that are no tunnels.
-    pub(crate) fn direct_handles(&mut self, instance: &InstanceId, now: Millis) -> Vec<TcpStream> {
+    pub(crate) fn direct_handles(
+        &mut self,
+        instance: &InstanceId,
+        now: Millis,
+    ) -> Vec<TcpConnection> {
         self.expire(now);
         let kept = self.by_engine.get(instance).into_iter().flatten();
         let direct = kept.filter(|idle| idle.is_direct());
--- /dev/null
+++ b/crates/gateway/tests/requests/early_answers.rs
@@ -0,0 +1,155 @@
+//! Answers of engines that have not read the whole request, and end the connection in several ways.
+
+use crate::support::caller::{prompt, request, Answer, Request};
+use crate::support::engine::early_answers::{EarlyAnswer, EarlyEnd, PART};
+use crate::support::engine::{event, AnswerFormat, Behaviour, StandInEngine};
+use crate::support::{configuration, site, Fixture};
+use ploverlift_http1::Framing;
+
+/// Size of an upload that the buffers between node and engine do not hold, in bytes.
+const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
+/// What engines have read of an upload when they answer, in bytes.
+const READ_BYTES: [usize; 2] = [0, 512 * 1024];
+/// Requests of each case: when the end of a connection arrives is up to the kernel.
+const REPEATS: usize = 3;
+/// Retries for all requests.
+const RETRIES: &str = "[attempts]\nretry_reserve = 1000000.0\n";
+const HOSTS: [&str; 4] = ["safe.test", "unsafe.test", "stream.test", "resume.test"];
+
+/// A node with one engine of each service, which run on threads of their own.
+struct Site {
+    fixture: Fixture,
+    engines: [StandInEngine; 2],
+}
+
+impl Site {
+    async fn start() -> Self {
+        let app = StandInEngine::start_on_thread("app-1", "app", Behaviour::Answer).await;
+        let llm = StandInEngine::start_on_thread("llm-1", "llm", Behaviour::Answer).await;
+        let mut content = configuration(1);
+        content["max_body_bytes"] = (2 * UPLOAD_BYTES).into();
+        let fixture = Fixture::with(&[&app, &llm], content, RETRIES).await;
+        Self {
+            fixture,
+            engines: [app, llm],
+        }
+    }
+
+    fn set(&self, early: EarlyAnswer, framing: Framing) {
+        for engine in &self.engines {
+            engine.set_format(AnswerFormat {
+                framing,
+                ..AnswerFormat::default()
+            });
+            engine.set(Behaviour::AnswerEarly(early));
+        }
+    }
+
+    async fn upload(&self, host: &str, id: &str) -> Answer {
+        self.fixture.send(&upload(host, id)).await
+    }
+}
+
+fn is_stream(host: &str) -> bool {
+    matches!(host, "stream.test" | "resume.test")
+}
+
+fn upload(host: &str, id: &str) -> Request {
+    let mut upload = match is_stream(host) {
+        true => prompt(host, id),
+        false => request(host, id),
+    };
+    upload.body = vec![b'x'; UPLOAD_BYTES];
+    upload.body[..id.len()].copy_from_slice(id.as_bytes());
+    upload
+}
+
+/// Whether an answer is complete and that of an engine, rather than of the node.
+fn is_whole_of_engine(answer: &Answer) -> bool {
+    answer.is_whole && answer.head.headers.get(site::SIGNED).is_some()
+}
+
+/// Sends uploads whose engine resets the connection after a part of its answer, and asserts that
+/// no caller gets the part as a whole answer.
+async fn assert_no_part_is_whole(framing: Framing, statuses: &[u16]) {
+    let site = Site::start().await;
+    let (mut answers, mut whole) = (0, Vec::new());
+    for host in HOSTS {
+        for (status, end) in statuses
+            .iter()
+            .flat_map(|status| EarlyEnd::RESETS.map(|end| (*status, end)))
+        {
+            for reads_bytes in READ_BYTES {
+                let early = EarlyAnswer {
+                    status,
+                    reads_bytes,
+                    end,
+                };
+                site.set(early, framing);
+                for repeat in 0..REPEATS {
+                    let id = format!("{host}-{status}-{end:?}-{reads_bytes}-{repeat}");
+                    let answer = site.upload(host, &id).await;
+                    answers += 1;
+                    if is_whole_of_engine(&answer) {
+                        whole.push(format!("{} to {id}: {}", answer.status(), answer.text()));
+                    } else if answer.is_whole {
+                        assert_eq!(answer.status(), 502, "{id}");
+                    }
+                }
+            }
+        }
+    }
+    let count = whole.len();
+    assert!(whole.is_empty(), "{count} of {answers} whole: {whole:#?}");
+}
+
+// Guards against a part of an answer without a length reaching its caller as a whole success or
+// failure, because the write of the request gets the reset of the connection.
+#[test]
+fn an_unframed_answer_whose_connection_is_reset_under_the_upload_is_not_whole() {
+    smol::block_on(assert_no_part_is_whole(
+        Framing::UntilClose,
+        &[200, 404, 500, 503],
+    ));
+}
+
+// Guards against the same in the framings that show the end of a body themselves.
+#[test]
+fn a_framed_answer_whose_connection_is_reset_under_the_upload_is_not_whole() {
+    smol::block_on(async {
+        for framing in [Framing::Chunked, Framing::Length(0)] {
+            assert_no_part_is_whole(framing, &[200, 500]).await;
+        }
+    });
+}
+
+// Guards against whole answers being broken off because their engine reads no more of the upload.
+#[test]
+fn an_unframed_answer_that_ends_regularly_under_the_upload_is_whole() {
+    smol::block_on(async {
+        let site = Site::start().await;
+        for host in HOSTS {
+            for (end, reads_bytes) in EarlyEnd::REGULAR
+                .iter()
+                .flat_map(|end| READ_BYTES.map(|bytes| (*end, bytes)))
+            {
+                let early = EarlyAnswer {
+                    status: 200,
+                    reads_bytes,
+                    end,
+                };
+                site.set(early, Framing::UntilClose);
+                for repeat in 0..REPEATS {
+                    let id = format!("{host}-{end:?}-{reads_bytes}-{repeat}");
+                    let answer = site.upload(host, &id).await;
+                    let expected = match is_stream(host) {
+                        true => event(1),
+                        false => PART.to_owned(),
+                    };
+                    let received = (answer.status(), answer.text(), answer.is_whole);
+                    assert_eq!(received, (200, expected, true), "{id}");
+                }
+            }
+        }
+    });
+}
--- a/crates/gateway/tests/requests/main.rs
+++ b/crates/gateway/tests/requests/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod app_engine;
 mod cached_prompts;
+mod early_answers;
 mod killed_engines;
 mod not_run;
 mod retries;
--- a/crates/gateway/tests/requests/streams.rs
+++ b/crates/gateway/tests/requests/streams.rs
@@ -122,7 +122,7 @@
         for framing in [StreamFraming::Chunked, StreamFraming::UntilClose] {
             let mut caller = TcpStream::connect(address).await.expect("connect");
             let (node, _) = listener.accept().await.expect("accept");
-            let mut answer = CallerAnswer::new(node.clone(), framing, true, 1_000);
+            let mut answer = CallerAnswer::new(node.clone().into(), framing, true, 1_000);
             let begun = answer.start_stream(ResponseHead::new(200), b"first").await;
             begun.expect("the first head");
             let complete = answer.send_complete(ResponseHead::new(404), b"second");
--- a/crates/gateway/tests/support/engine/connection.rs
+++ b/crates/gateway/tests/support/engine/connection.rs
@@ -8,6 +8,7 @@
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{
     read_request_head, BodyDecoder, BufferedStream, RequestHead, ResponseHead, StatusCode,
+    TcpConnection,
 };
 use serde_json::{json, Value};
 use smol::net::TcpStream;
@@ -126,7 +127,12 @@
 }
 
 /// Sends an answer on a connection once more, where the answer to a later request may be due.
-async fn answer_again(shared: Arc<Shared>, writer: TcpStream, head: RequestHead, after_ms: u64) {
+async fn answer_again(
+    shared: Arc<Shared>,
+    writer: TcpConnection,
+    head: RequestHead,
+    after_ms: u64,
+) {
     sleep(after_ms).await;
     let mut connection = BufferedStream::new(writer);
     respond(&shared, Behaviour::Answer, &mut connection, &head).await;
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -1,9 +1,9 @@
 //! A TCP stream with a buffer of bytes that were read but not yet consumed.
 
+use crate::connection::TcpConnection;
 use crate::error::HttpError;
 use crate::turns::ReadingTurns;
 use smol::io::{AsyncRead, AsyncWriteExt};
-use smol::net::TcpStream;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -31,7 +31,7 @@
 /// A TCP stream with a read buffer. A task that reads what a fast peer sends lets other tasks
 /// run from time to time.
 pub struct BufferedStream {
-    stream: TcpStream,
+    stream: TcpConnection,
     turns: ReadingTurns,
     buffer: Vec<u8>,
     start: usize,
@@ -41,9 +41,9 @@
 
 impl BufferedStream {
     /// Wraps a stream from which nothing has been read.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: impl Into<TcpConnection>) -> Self {
         Self {
-            stream,
+            stream: stream.into(),
             turns: ReadingTurns::default(),
             buffer: Vec::new(),
             start: 0,
@@ -53,7 +53,10 @@
 
     /// Wraps a stream from which nothing has been read, and whose received bytes are
     /// framed. What is written is not.
-    pub fn with_decoder(stream: TcpStream, decoder: Box<dyn PayloadDecoder>) -> Self {
+    pub fn with_decoder(
+        stream: impl Into<TcpConnection>,
+        decoder: Box<dyn PayloadDecoder>,
+    ) -> Self {
         Self {
             decoder: Some(decoder),
             ..Self::new(stream)
@@ -192,8 +195,8 @@
     }
 
     /// A second handle of the same connection, for writing while it is being
-    /// read.
-    pub fn writer(&self) -> TcpStream {
+    /// read. A failure that it gets is an error for this reader too.
+    pub fn writer(&self) -> TcpConnection {
         self.stream.clone()
     }
 }
