Let the links of the tests reset connections

What tests saw: a link that passed a reset on, or was cut with resets, ended its connections regularly first: it shut both sides down before it closed them. Nodes behind links never saw a reset.

Cause: the link kept handles of all open connections, so it could not close them, which is what resets a connection.

--- a/crates/gateway/tests/requests/early_answers.rs
+++ b/crates/gateway/tests/requests/early_answers.rs
@@ -1,10 +1,14 @@
 //! Answers of engines that have not read the whole request, and end the connection in several ways.
 
-use crate::support::caller::{prompt, request, Answer, Request};
+use crate::support::caller::{self, prompt, request, Answer, Request};
 use crate::support::engine::early_answers::{EarlyAnswer, EarlyEnd, PART};
 use crate::support::engine::{event, AnswerFormat, Behaviour, StandInEngine};
+use crate::support::links::Link;
 use crate::support::{configuration, site, Fixture};
-use ploverlift_http1::Framing;
+use ploverlift_http1::{BufferedStream, Framing};
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use std::io::ErrorKind;
 
 /// Size of an upload that the buffers between node and engine do not hold, in bytes.
 const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
@@ -153,3 +157,46 @@
         }
     });
 }
+
+// Guards against a fault of the tests' own: a link that ends a connection regularly where the engine
+// has reset it.
+#[test]
+fn a_link_passes_the_reset_of_a_connection_under_the_upload_on() {
+    smol::block_on(async {
+        let site = Site::start().await;
+        for end in EarlyEnd::RESETS {
+            for reads_bytes in READ_BYTES {
+                site.set(
+                    EarlyAnswer {
+                        status: 200,
+                        reads_bytes,
+                        end,
+                    },
+                    Framing::UntilClose,
+                );
+                let link = Link::open(site.engines[0].address);
+                for _ in 0..REPEATS {
+                    let error = upload_until_end(&link).await.expect_err("a reset");
+                    assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{end:?}");
+                }
+            }
+        }
+    });
+}
+
+/// Writes an upload through a link until the connection ends.
+async fn upload_until_end(link: &Link) -> std::io::Result<()> {
+    let stream = TcpStream::connect(link.address).await.expect("connect");
+    let mut connection = BufferedStream::new(stream);
+    let mut writer = connection.writer();
+    let message = caller::encode(&upload("safe.test", "r"));
+    let writing = async {
+        let _ = writer.write_all(&message).await;
+        std::future::pending().await
+    };
+    let reading = async {
+        while connection.fill().await? > 0 {}
+        Ok(())
+    };
+    smol::future::or(reading, writing).await
+}
--- a/crates/gateway/tests/support/links.rs
+++ b/crates/gateway/tests/support/links.rs
@@ -29,7 +29,6 @@
     listener: Arc<TcpListener>,
     accepting: Option<smol::Task<()>>,
     queue_fillers: QueueFillers,
-    open: Vec<TcpStream>,
 }
 
 /// A link between one node and one engine.
@@ -39,6 +38,8 @@
     engine: SocketAddr,
     state: Mutex<State>,
     changed: Event,
+    /// Notified when open connections are to be reset.
+    reset: Event,
 }
 
 impl Link {
@@ -54,9 +55,9 @@
                 listener,
                 accepting: None,
                 queue_fillers: QueueFillers::default(),
-                open: Vec::new(),
             }),
             changed: Event::new(),
+            reset: Event::new(),
         });
         link.accept();
         link
@@ -82,9 +83,7 @@
             }
         }
         if cut == Cut::Reset {
-            for stream in self.state.lock().expect("state").open.drain(..) {
-                reset(&stream);
-            }
+            self.reset.notify(usize::MAX);
         }
         self.changed.notify(usize::MAX);
     }
@@ -118,14 +117,14 @@
         self.state.lock().expect("state").accepting = Some(accepting);
     }
 
-    fn hangs(&self) -> bool {
-        self.state.lock().expect("state").cut == Some(Cut::Hang)
+    fn has(&self, cut: Cut) -> bool {
+        self.state.lock().expect("state").cut == Some(cut)
     }
 
     async fn until_passing(&self) {
         loop {
             let changed = self.changed.listen();
-            if !self.hangs() {
+            if !self.has(Cut::Hang) {
                 return;
             }
             changed.await;
@@ -133,17 +132,25 @@
     }
 }
 
+/// Forwards a connection until both sides have ended it, or either one or the link has reset it.
 async fn forward(link: Arc<Link>, node: TcpStream) {
+    let cut = link.reset.listen();
+    if link.has(Cut::Reset) {
+        return reset(node);
+    }
     let Ok(engine) = TcpStream::connect(link.engine).await else {
-        return reset(&node);
+        return reset(node);
     };
-    let streams = [node.clone(), engine.clone()];
-    link.state.lock().expect("state").open.extend(streams);
     let requests = copy(&link, node.clone(), engine.clone());
     let answers = copy(&link, engine.clone(), node.clone());
-    if smol::future::try_zip(requests, answers).await.is_err() {
-        reset(&node);
-        reset(&engine);
+    let copying = smol::future::try_zip(requests, answers);
+    let is_reset = smol::future::or(async { copying.await.is_err() }, async {
+        cut.await;
+        true
+    });
+    if is_reset.await {
+        reset(node);
+        reset(engine);
     }
 }
 
@@ -161,8 +168,10 @@
     }
 }
 
-fn reset(stream: &TcpStream) {
+/// Closes a connection by a reset. The stream must be its last handle: a shutdown would end the
+/// connection regularly.
+fn reset(stream: TcpStream) {
     // An error means that the connection is already closed.
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    let _ = stream.shutdown(Shutdown::Both);
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    drop(stream);
 }
