Log and count answers whose connection failed or ended inside their body

Operators saw such an answer only in the attempts of its request's line, which is written for few requests that were served in the end, and in no metric. Each has a line now (`answer cut`: id, engine, framing, reason) and counts in `answer_ends` as `end="cut"`. "the connection had failed" in the reason tells that another operation than the read got the error.

Evidence: early_answers.rs asserts the count, at least one for each cut answer in all three framings; there was none before.

--- a/crates/gateway/src/forward/answer_end.rs
+++ b/crates/gateway/src/forward/answer_end.rs
@@ -1,14 +1,17 @@
-//! Whether an engine's answer is whole where its body has ended regularly.
+//! Whether an engine's answer is whole, and what its body ended with.
 //!
 //! | framing | what proves the answer whole |
 //! | --- | --- |
+//! | any | no failure of its connection before the end, whichever operation got it ([`TcpConnection`]) |
 //! | length, chunked | the framing, and in a stream the end of an event |
 //! | end of the connection | a stream ends after an event, and the engine instance answers a probe that was sent after the end ([`crate::engine_liveness`]): the connections of an engine that terminates end as regularly as that of a complete answer |
 //!
 //! An answer whose end is not proven is broken off, and a stream that may be resumed goes on
 //! elsewhere. The caller has all of a stream's events by then; only the end waits for the probe.
+//!
+//! [`TcpConnection`]: ploverlift_http1::TcpConnection
 
-use super::broken::BrokenAttempt;
+use super::broken::{BreakCause, BrokenAttempt};
 use super::choice::ChosenEngine;
 use super::Forwarding;
 use crate::engine_connection::{BodyEnd, EngineAnswer};
@@ -22,6 +25,9 @@
 /// was sent before the end, and the one after it.
 const END_TIMEOUT_MS: u64 = 1_500;
 
+/// Label in metrics of an end inside a body.
+const CUT: &str = "cut";
+
 /// What the regular end of an answer's body proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AnswerEnd {
@@ -83,6 +89,23 @@
         end.into_result(framing)
     }
 
+    /// Logs and counts an answer whose connection failed or ended inside its body.
+    pub(super) fn note_cut_answer(
+        &self,
+        framing: Framing,
+        failure: impl Into<BrokenAttempt>,
+        chosen: &ChosenEngine,
+    ) -> BrokenAttempt {
+        let broken = failure.into();
+        if broken.cause == BreakCause::ConnectionEnded {
+            self.gateway.metrics.answers.count_end(framing, CUT);
+            slog::info!(self.gateway.log, "answer cut";
+                "id" => &self.received.request.id, "engine" => &chosen.instance.0,
+                "framing" => framing.name(), "reason" => &broken.reason);
+        }
+        broken
+    }
+
     /// Uses a sentinel connection to the engine while an answer lasts that ends with its
     /// connection.
     pub(super) fn use_sentinel(
--- a/crates/gateway/src/forward/answer_metrics.rs
+++ b/crates/gateway/src/forward/answer_metrics.rs
@@ -6,13 +6,14 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
 
-/// A regular end of an answer's body.
+/// The end of an answer's body.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct AnswerEndLabel {
     /// `length`, `chunked` or `connection`.
     pub framing: &'static str,
     /// `whole`; `inside_event` for a stream that ended inside an event; `unproven` for a body
-    /// that ended with its connection, and whose engine is not proven to run.
+    /// that ended with its connection, and whose engine is not proven to run; `cut` where the
+    /// connection failed before the end, or ended inside a framed body.
     pub end: &'static str,
 }
 
@@ -35,7 +36,7 @@
 /// Metrics of engines' answers.
 #[derive(Debug, Default)]
 pub struct AnswerMetrics {
-    /// Bodies of answers that ended regularly.
+    /// Ends of answers' bodies.
     pub ends: Family<AnswerEndLabel, Counter>,
     /// Checks whether the engine of an answer that ended with its connection still runs.
     pub end_checks: Family<EndCheckLabel, Counter>,
@@ -46,7 +47,7 @@
 }
 
 impl AnswerMetrics {
-    /// Counts a regular end of a body.
+    /// Counts the end of a body.
     pub fn count_end(&self, framing: Framing, end: &'static str) {
         let framing = framing.name();
         let label = AnswerEndLabel { framing, end };
@@ -79,7 +80,7 @@
 
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
-        let help = "Bodies of engines' answers that ended regularly, by framing";
+        let help = "Ends of the bodies of engines' answers, by framing";
         registry.register("answer_ends", help, self.ends.clone());
         let help = "Checks whether the engine of an answer that ended with its connection still \
                     runs, by connection and outcome";
--- a/crates/gateway/src/forward/buffered_answer.rs
+++ b/crates/gateway/src/forward/buffered_answer.rs
@@ -202,9 +202,13 @@
                 }
             }
             Waited::Done(Ok(BodyRead::TooLarge)) => ReadEnd::TooLarge(body),
-            Waited::Done(Err(failure)) => ReadEnd::Broken(failure.into()),
+            Waited::Done(Err(failure)) => {
+                ReadEnd::Broken(self.note_cut_answer(answer.framing(), failure, chosen))
+            }
             Waited::TakenOver(takeover) => {
-                ReadEnd::TakenOver(takeover.map_failure(BrokenAttempt::from))
+                let framing = answer.framing();
+                let broken = |failure| self.note_cut_answer(framing, failure, chosen);
+                ReadEnd::TakenOver(takeover.map_failure(broken))
             }
         }
     }
@@ -255,7 +259,10 @@
                     let end = self.check_answer_end(answer.body_end(), 0, chosen);
                     return Ok(end.await);
                 }
-                Some(Err(error)) => return Ok(Err(BrokenAttempt::in_answer(&error))),
+                Some(Err(error)) => {
+                    let failure = ReadFailure::Answer(error);
+                    return Ok(Err(self.note_cut_answer(answer.framing(), failure, chosen)));
+                }
                 None => {
                     let reason = "the answer was not whole in time";
                     return Ok(Err(BrokenAttempt::timed_out(reason, true)));
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -295,10 +295,13 @@
                     if !events.is_empty() {
                         return StreamStep::Events(events);
                     }
-                    return StreamStep::Broken(failure.into());
+                    let broken = self.note_cut_answer(answer.framing(), failure, chosen);
+                    return StreamStep::Broken(broken);
                 }
                 Waited::TakenOver(takeover) => {
-                    return StreamStep::TakenOver(takeover.map_failure(BrokenAttempt::from));
+                    let framing = answer.framing();
+                    let broken = |failure| self.note_cut_answer(framing, failure, chosen);
+                    return StreamStep::TakenOver(takeover.map_failure(broken));
                 }
             }
         }
--- a/crates/gateway/tests/requests/early_answers.rs
+++ b/crates/gateway/tests/requests/early_answers.rs
@@ -5,6 +5,7 @@
 use crate::support::engine::{event, AnswerFormat, Behaviour, StandInEngine};
 use crate::support::links::Link;
 use crate::support::{configuration, site, Fixture};
+use ploverlift_gateway::readiness::metrics_page;
 use ploverlift_http1::{BufferedStream, Framing};
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -73,6 +74,15 @@
     answer.is_whole && answer.head.headers.get(site::SIGNED).is_some()
 }
 
+/// Number of cut answers of this framing that the node has counted.
+fn cut_answers(fixture: &Fixture, framing: Framing) -> u64 {
+    let labels = format!("{{framing=\"{}\",end=\"cut\"}} ", framing.name());
+    let sample = format!("ploverlift_gateway_answer_ends_total{labels}");
+    let page = metrics_page(&fixture.gateway);
+    let count = page.lines().find_map(|line| line.strip_prefix(&sample));
+    count.map_or(0, |count| count.parse().expect("a number"))
+}
+
 /// Sends uploads whose engine resets the connection after a part of its answer, and asserts that
 /// no caller gets the part as a whole answer.
 async fn assert_no_part_is_whole(framing: Framing, statuses: &[u16]) {
@@ -105,6 +115,8 @@
     }
     let count = whole.len();
     assert!(whole.is_empty(), "{count} of {answers} whole: {whole:#?}");
+    let cut = cut_answers(&site.fixture, framing);
+    assert!(cut >= answers, "{cut} of {answers} counted");
 }
 
 // Guards against a part of an answer without a length reaching its caller as a whole success or
--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -62,7 +62,10 @@
     fn check_read(&mut self, result: io::Result<usize>) -> io::Result<usize> {
         self.record(&result);
         match (result, self.0) {
-            (Ok(0), Some(kind)) => Err(io::Error::new(kind, format!("failed before: {kind}"))),
+            (Ok(0), Some(kind)) => Err(io::Error::new(
+                kind,
+                format!("the connection had failed: {kind}"),
+            )),
             (result, _) => result,
         }
     }
