Name what is a failure of a connection

Read over, without a change of behaviour: which errors are recorded is one function with its reason, and the tests of both ends share the reading of an answer.

--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -43,18 +43,18 @@
 #[derive(Debug, Default)]
 struct RecordedFailure(Option<io::ErrorKind>);
 
+/// Whether an error shows that the connection has failed. A broken pipe comes first only after the
+/// peer, or this side, had ended it regularly; an interrupted operation was not carried out.
+fn is_failure(kind: io::ErrorKind) -> bool {
+    !matches!(kind, io::ErrorKind::BrokenPipe | io::ErrorKind::Interrupted)
+}
+
 impl RecordedFailure {
     /// Records the failure that an operation has reported.
     fn record<T>(&mut self, result: &io::Result<T>) {
-        let Err(error) = result else {
-            return;
-        };
-        let says_nothing = matches!(
-            error.kind(),
-            io::ErrorKind::BrokenPipe | io::ErrorKind::Interrupted
-        );
-        if !says_nothing && self.0.is_none() {
-            self.0 = Some(error.kind());
+        if let Err(error) = result {
+            let kind = Some(error.kind()).filter(|kind| is_failure(*kind));
+            self.0 = self.0.or(kind);
         }
     }
 
@@ -62,10 +62,10 @@
     fn check_read(&mut self, result: io::Result<usize>) -> io::Result<usize> {
         self.record(&result);
         match (result, self.0) {
-            (Ok(0), Some(kind)) => Err(io::Error::new(
-                kind,
-                format!("the connection had failed: {kind}"),
-            )),
+            (Ok(0), Some(kind)) => {
+                let reason = format!("the connection had failed: {kind}");
+                Err(io::Error::new(kind, reason))
+            }
             (result, _) => result,
         }
     }
--- a/crates/http1/tests/failed_connections.rs
+++ b/crates/http1/tests/failed_connections.rs
@@ -113,6 +113,17 @@
     (String::from_utf8(body).expect("text"), end)
 }
 
+/// Reads an answer whose connection has ended, after an operation on it; returns whether the body
+/// has ended regularly, and a description.
+async fn read_after(end: End, before: Before) -> (Result<bool, HttpError>, String) {
+    let (mut stream, _peer) = ended(end).await;
+    operate(&stream, before).await;
+    let (body, end_of_body) = read(&mut stream).await;
+    let case = format!("{end:?}, {before:?}: {end_of_body:?}");
+    assert_eq!(body, "part", "{case}");
+    (end_of_body, case)
+}
+
 // Guards against a reset that the write of the request gets, after which the read of the answer
 // finds a regular end.
 #[test]
@@ -120,11 +131,7 @@
     smol::block_on(async {
         for end in [End::Reset, End::CloseUnread] {
             for before in BEFORE {
-                let (mut stream, _peer) = ended(end).await;
-                operate(&stream, before).await;
-                let (body, end_of_body) = read(&mut stream).await;
-                let case = format!("{end:?}, {before:?}: {end_of_body:?}");
-                assert_eq!(body, "part", "{case}");
+                let (end_of_body, case) = read_after(end, before).await;
                 let Err(HttpError::Io { source }) = end_of_body else {
                     panic!("{case}");
                 };
@@ -188,11 +195,7 @@
     smol::block_on(async {
         for end in [End::ShutDown, End::ShutDownThenReset] {
             for before in BEFORE {
-                let (mut stream, _peer) = ended(end).await;
-                operate(&stream, before).await;
-                let (body, end_of_body) = read(&mut stream).await;
-                let case = format!("{end:?}, {before:?}: {end_of_body:?}");
-                assert_eq!(body, "part", "{case}");
+                let (end_of_body, case) = read_after(end, before).await;
                 assert!(matches!(end_of_body, Ok(false)), "{case}");
             }
         }
