Test where requests go whose answers are cut under the upload

early_answers.rs: a request that may be repeated, and a stream that may be resumed, go to the second engine; others are sent once. No connection counts as rejected, so the window of an engine's connections stays: a head had arrived.

--- a/crates/gateway/tests/requests/early_answers.rs
+++ b/crates/gateway/tests/requests/early_answers.rs
@@ -117,6 +117,9 @@
     assert!(whole.is_empty(), "{count} of {answers} whole: {whole:#?}");
     let cut = cut_answers(&site.fixture, framing);
     assert!(cut >= answers, "{cut} of {answers} counted");
+    // Each engine had admitted the connection.
+    let page = metrics_page(&site.fixture.gateway);
+    assert!(!page.contains("rejected_connections_total{"), "{page}");
 }
 
 // Guards against a part of an answer without a length reaching its caller as a whole success or
@@ -139,6 +142,40 @@
     });
 }
 
+// Guards against a request that is given up though another engine may take it, and against one that is
+// sent twice though it may not be repeated.
+#[test]
+fn a_request_whose_answer_is_cut_under_the_upload_goes_to_another_engine_if_it_may() {
+    smol::block_on(async {
+        let cuts = Behaviour::AnswerEarly(EarlyAnswer {
+            status: 200,
+            reads_bytes: READ_BYTES[1],
+            end: EarlyEnd::Reset,
+        });
+        for (host, sends) in [
+            ("safe.test", 2),
+            ("unsafe.test", 1),
+            ("stream.test", 1),
+            ("resume.test", 2),
+        ] {
+            let service = if is_stream(host) { "llm" } else { "app" };
+            let first = StandInEngine::start_on_thread("1", service, cuts.clone()).await;
+            let second = StandInEngine::start_on_thread("2", service, cuts.clone()).await;
+            for engine in [&first, &second] {
+                engine.set_format(AnswerFormat::UNFRAMED);
+            }
+            let mut content = configuration(1);
+            content["max_body_bytes"] = (2 * UPLOAD_BYTES).into();
+            let fixture = Fixture::with(&[&first, &second], content, RETRIES).await;
+            let answer = fixture.send(&upload(host, "r")).await;
+            assert!(!is_whole_of_engine(&answer), "{host}");
+            let arrivals = [first.arrivals(), second.arrivals()];
+            assert!(arrivals.iter().all(|count| *count <= 1), "{host}");
+            assert_eq!(arrivals.iter().sum::<usize>(), sends, "{host}");
+        }
+    });
+}
+
 // Guards against whole answers being broken off because their engine reads no more of the upload.
 #[test]
 fn an_unframed_answer_that_ends_regularly_under_the_upload_is_whole() {
