Test a wait that gets the reset of a connection before the read

The cases of a wait and of the two questions for input in failed_connections.rs did not play that: a peek returns the bytes that are unread, and takes the error only once they are read. The new test reads what was received first. The other cases stay as they are.

--- a/crates/http1/tests/failed_connections.rs
+++ b/crates/http1/tests/failed_connections.rs
@@ -158,6 +158,25 @@
     });
 }
 
+// Guards against a wait for input that gets the reset, once all that was received is read, and leaves a
+// regular end to the read after it.
+#[test]
+fn a_body_does_not_end_regularly_after_a_reset_that_a_wait_got() {
+    smol::block_on(async {
+        for before in [Before::Wait, Before::Ask] {
+            let (mut stream, _peer) = ended(End::Reset).await;
+            assert_eq!(stream.fill().await.expect("the answer"), ANSWER.len());
+            operate(&stream, before).await;
+            let (body, end) = read(&mut stream).await;
+            assert_eq!(body, "part", "{before:?}");
+            assert!(
+                matches!(end, Err(HttpError::Io { .. })),
+                "{before:?}: {end:?}"
+            );
+        }
+    });
+}
+
 // Guards against a connection that timed out under a write being taken for one that the peer ended.
 #[test]
 fn a_body_does_not_end_regularly_after_a_time_out_that_a_write_got() {
