Tests: start a node behind a peer, and tell streams, in one place each

tunnels.rs and answer_heads.rs each built a node that reaches engines only through another one, with the same steps; both call `start_behind_peer` of the support module now. The stand-in's early answers tell streams by the function of its other answers.

--- a/crates/gateway/tests/answer_heads.rs
+++ b/crates/gateway/tests/answer_heads.rs
@@ -4,9 +4,7 @@
 mod support;
 
 use event_listener::Event;
-use ploverlift_gateway::assembly::{start, RunningGateway};
-use ploverlift_gateway::callers::bind;
-use ploverlift_gateway::logging::silent_logger;
+use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{read_request_head, BufferedStream};
 use serde_json::json;
@@ -17,8 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use support::caller::{prompt, request, Answer, Request};
-use support::fleet::{peer_settings, start_peer, wait_until_known};
-use support::site::StandInSite;
+use support::fleet::start_behind_peer;
 use support::store::{StandInStore, StoreView};
 use support::{configuration, site, start_node, Fixture};
 
@@ -75,14 +72,7 @@
     /// Like [`Self::start`], with a node that reaches the engines only through another one.
     async fn start_behind_tunnel() -> Self {
         let (store, engines, addresses) = start_engines().await;
-        let refused = addresses.into_iter().map(|at| (at, refusing_address()));
-        let view = store.view(refused.collect());
-        let mut settings = peer_settings(&store, "node-0", 1.0, RETRIES);
-        settings.store.address = view.address;
-        let node = start(settings, Arc::new(StandInSite), silent_logger()).expect("start");
-        let nodes = [node, start_peer(&store, "node-1", 1.0)];
-        wait_until_known(&nodes).await;
-        let [node, peer] = nodes;
+        let ([node, peer], view) = start_behind_peer(&store, &addresses, RETRIES).await;
         Self::of(store, engines, node, Some((peer, view))).await
     }
 
@@ -117,12 +107,6 @@
     }
 }
 
-/// An address at which nothing listens.
-fn refusing_address() -> SocketAddr {
-    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
-    listener.local_addr().expect("address")
-}
-
 /// A store with two engines of each service, and their addresses.
 async fn start_engines() -> (StandInStore, Arc<Engines>, Vec<SocketAddr>) {
     let engines = Arc::new(Engines {
--- a/crates/gateway/tests/support/engine/answers.rs
+++ b/crates/gateway/tests/support/engine/answers.rs
@@ -127,9 +127,7 @@
     if matches!(behaviour, Behaviour::EndsUnderPart(_)) {
         sleep(ANSWERS_AFTER_MS).await;
     }
-    let is_stream = request.headers.get(site::PARTS).is_some()
-        || request.headers.get("host") == Some("x")
-        || request.target.as_str().starts_with("/events");
+    let is_stream = is_stream(request);
     if is_stream && matches!(behaviour, Behaviour::FallSilentAfter(_) | Behaviour::Flood) {
         stream_until_dropped(connection, head, &behaviour).await;
         shared.recorded.lock().expect("calls").dropped += 1;
@@ -191,6 +189,13 @@
     }
 }
 
+/// Whether a request asks for a stream of events.
+pub(super) fn is_stream(request: &RequestHead) -> bool {
+    request.headers.get(site::PARTS).is_some()
+        || request.headers.get("host") == Some("x")
+        || request.target.as_str().starts_with("/events")
+}
+
 async fn pause_at(pause: Option<Pause>, point: PausePoint) {
     if let Some(pause) = pause {
         pause.wait_at(point).await;
--- a/crates/gateway/tests/support/engine/early_answers.rs
+++ b/crates/gateway/tests/support/engine/early_answers.rs
@@ -2,6 +2,7 @@
 //! the connection at once.
 
 use super::super::site;
+use super::answers::is_stream;
 use super::{AnswerFormat, Shared};
 use ploverlift_gateway::time::sleep;
 use ploverlift_http1::{BufferedStream, Framing, RequestHead, ResponseHead, StatusCode};
@@ -90,9 +91,7 @@
     let id = request.headers.get(site::ID).unwrap_or_default();
     head.headers.try_push(site::ID, id).expect("a value");
     head.headers.push(site::SIGNED, "1");
-    let is_stream = request.headers.get(site::PARTS).is_some()
-        || request.target.as_str().starts_with("/events");
-    let part = match is_stream && status == 200 {
+    let part = match is_stream(request) && status == 200 {
         true => format.event(1),
         false => PART.to_owned(),
     };
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -2,12 +2,13 @@
 
 use super::engine::{Behaviour, StandInEngine};
 use super::site::StandInSite;
-use super::store::StandInStore;
+use super::store::{StandInStore, StoreView};
 use super::{caller, settings};
 use ploverlift_balancing::peer_loads::{LoadReport, PeerId, ZoneTag};
 use ploverlift_balancing::relayed_loads::RelayedReport;
 use ploverlift_balancing::weights::WeightsNews;
 use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::callers::bind;
 use ploverlift_gateway::leases::LeaseRenewal;
 use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::peers::address_book::MESH_NODES;
@@ -56,6 +57,30 @@
     start(settings, Arc::new(StandInSite), silent_logger()).expect("start")
 }
 
+/// An address at which nothing listens.
+fn refusing_address() -> SocketAddr {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    listener.local_addr().expect("address")
+}
+
+/// Starts two nodes that know each other. The first one, whose settings file has `more` appended,
+/// reaches the engines at these addresses only through the second one. Its view of the store must
+/// live as long as it does.
+pub async fn start_behind_peer(
+    store: &StandInStore,
+    engines: &[SocketAddr],
+    more: &str,
+) -> ([RunningGateway; 2], StoreView) {
+    let refusing = engines.iter().map(|engine| (*engine, refusing_address()));
+    let view = store.view(refusing.collect());
+    let mut settings = peer_settings(store, "node-0", 1.0, more);
+    settings.store.address = view.address;
+    let cut_off = start(settings, Arc::new(StandInSite), silent_logger()).expect("start");
+    let nodes = [cut_off, start_peer(store, "node-1", 1.0)];
+    wait_until_known(&nodes).await;
+    (nodes, view)
+}
+
 /// Settings of a node that exchanges reports with other nodes.
 pub fn peer_settings(
     store: &StandInStore,
--- a/crates/gateway/tests/tunnels.rs
+++ b/crates/gateway/tests/tunnels.rs
@@ -3,9 +3,8 @@
 mod support;
 
 use ploverlift_balancing::names::{EngineTag, InstanceId, PeerId};
-use ploverlift_gateway::assembly::{start, RunningGateway};
+use ploverlift_gateway::assembly::RunningGateway;
 use ploverlift_gateway::callers::bind;
-use ploverlift_gateway::logging::silent_logger;
 use ploverlift_gateway::readiness::metrics_page;
 use ploverlift_gateway::time::{sleep, within};
 use ploverlift_http1::BufferedStream;
@@ -16,18 +15,16 @@
 use serde_json::json;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::caller::{self, prompt, request, Request};
 use support::configuration;
 use support::engine::early_answers::{EarlyAnswer, EarlyEnd};
 use support::engine::{all_events, event, AnswerFormat, Behaviour, StandInEngine};
-use support::fleet::{peer_settings, start_known_nodes, start_peer, wait_until_known};
+use support::fleet::{start_behind_peer, start_known_nodes};
 use support::links::Cut;
 use support::partition::PartitionableSite;
-use support::site::{self, StandInSite};
+use support::site;
 use support::store::StandInStore;
 
 /// Polling interval, in milliseconds.
@@ -423,12 +420,6 @@
     engine
 }
 
-/// An address at which nothing listens.
-fn refusing_address() -> SocketAddr {
-    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
-    listener.local_addr().expect("address")
-}
-
 fn store_with_large_bodies(store: &StandInStore) {
     let mut content = configuration(1);
     content["max_body_bytes"] = (2 * UPLOAD_BYTES).into();
@@ -494,13 +485,8 @@
         let store = StandInStore::start().await;
         store_with_large_bodies(&store);
         let engine = early_engine(&store).await;
-        let view = store.view(HashMap::from([(engine.address, refusing_address())]));
         let more = "[attempts]\nretry_reserve = 1000000.0\n";
-        let mut cut_off = peer_settings(&store, "node-0", 1.0, more);
-        cut_off.store.address = view.address;
-        let cut_off = start(cut_off, Arc::new(StandInSite), silent_logger()).expect("start");
-        let nodes = [cut_off, start_peer(&store, "node-1", 1.0)];
-        wait_until_known(&nodes).await;
+        let (nodes, _view) = start_behind_peer(&store, &[engine.address], more).await;
         for (ends, is_whole) in [(EarlyEnd::REGULAR, true), (EarlyEnd::RESETS, false)] {
             for early in early_answers(ends) {
                 engine.set(Behaviour::AnswerEarly(early));
